Base: Add errors, clocks, timers, logging, metrics, settings and wire messages

Cause: a new tree; every later part needs typed failures, injected time, a settings check and one set of messages before it can be built on its own.

Ruled out: absl::StrCat, because Debian's Abseil is built with a string_view of its own that std::string_view does not convert to; a hand-written settings checker, because valijson with a JSON schema gives the key path and the rule.

--- /dev/null
+++ b/cmake/RattanrillTargets.cmake
@@ -0,0 +1,55 @@
+add_library(rattanrill_options INTERFACE)
+target_compile_options(rattanrill_options INTERFACE -Wall -Wextra -Werror)
+target_include_directories(rattanrill_options INTERFACE "${CMAKE_SOURCE_DIR}/include")
+if(CMAKE_CXX_COMPILER_ID STREQUAL "Clang")
+  target_compile_options(rattanrill_options INTERFACE -Wthread-safety -Wthread-safety-beta)
+endif()
+if(RATTANRILL_SANITIZER STREQUAL "address")
+  set(rattanrill_sanitize -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+elseif(RATTANRILL_SANITIZER STREQUAL "thread")
+  set(rattanrill_sanitize -fsanitize=thread)
+endif()
+if(rattanrill_sanitize)
+  target_compile_options(rattanrill_options INTERFACE ${rattanrill_sanitize})
+  target_link_options(rattanrill_options INTERFACE ${rattanrill_sanitize})
+endif()
+find_program(RATTANRILL_LLD ld.lld)
+if(RATTANRILL_LLD)
+  target_link_options(rattanrill_options INTERFACE -fuse-ld=lld)
+endif()
+
+# rattanrill_library(NAME [DEPENDS target...]): static library of the *.cpp files beside the caller,
+# except main*.cpp.
+function(rattanrill_library name)
+  cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+  list(FILTER sources EXCLUDE REGEX "/main[^/]*\\.cpp$")
+  add_library(rattanrill_${name} STATIC ${sources})
+  target_link_libraries(rattanrill_${name} PUBLIC rattanrill_options ${arg_DEPENDS})
+  target_include_directories(rattanrill_${name} PRIVATE "${CMAKE_CURRENT_SOURCE_DIR}")
+endfunction()
+
+# rattanrill_program(NAME SOURCE [DEPENDS target...]): binary in build/bin.
+function(rattanrill_program name source)
+  cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+  add_executable(${name} ${source})
+  target_link_libraries(${name} PRIVATE ${arg_DEPENDS})
+  set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
+endfunction()
+
+# rattanrill_test(LIBRARY [DEPENDS target...]): the one test program of a library, from the *.cpp
+# files beside the caller. It may include the library's private headers.
+function(rattanrill_test library)
+  cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
+  add_executable(${library}_test ${sources})
+  target_link_libraries(${library}_test PRIVATE
+    rattanrill_${library} ${arg_DEPENDS} Boost::unit_test_framework)
+  target_include_directories(${library}_test PRIVATE
+    "${CMAKE_SOURCE_DIR}/src/${library}" "${CMAKE_CURRENT_SOURCE_DIR}")
+  target_compile_definitions(${library}_test PRIVATE BOOST_TEST_DYN_LINK)
+  set_source_files_properties(main.cpp PROPERTIES
+    COMPILE_DEFINITIONS "BOOST_TEST_MODULE=${library}")
+  add_test(NAME ${library} COMMAND ${library}_test --log_level=test_suite)
+  set_tests_properties(${library} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/include/rattanrill/base/errorcode.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+namespace rattanrill {
+
+/// Every way an operation can fail. The names are part of the caller and operator interfaces.
+enum class ErrorCode {
+    // Requests
+    InvalidRequest,
+    BodyTooLarge,
+    MissingKey,
+    InvalidKey,
+    KeyWithdrawn,
+    KeysNotFresh,
+    NotFound,
+    UnknownModel,
+    UnknownRoute,
+    MethodNotAllowed,
+    RateLimited,
+    RateUnknown,
+    Overloaded,
+    RequestHeld,
+    DuplicateRequest,
+    Draining,
+    UpstreamUnavailable,
+    UpstreamFailed,
+    UpstreamBusy,
+    StreamBroken,
+    ClientGone,
+    // Batch
+    InvalidItem,
+    DuplicateItem,
+    JobFinished,
+    JobCancelled,
+    LeaseExpired,
+    ItemFailed,
+    ResultExpired,
+    // Shared state
+    Conflict,
+    NotLeader,
+    NoQuorum,
+    StaleRevision,
+    StaleFence,
+    NotMember,
+    ProposalLost,
+    // Peers
+    Timeout,
+    ConnectionLost,
+    QueueFull,
+    MessageTooLarge,
+    MalformedMessage,
+    UnsupportedVersion,
+    AuthenticationFailed,
+    UnknownMethod,
+    // Storage
+    CorruptData,
+    UnsupportedFormat,
+    SyncFailed,
+    DiskFull,
+    IoError,
+    IdentityMismatch,
+    // Processes
+    InvalidSetting,
+    InvalidArgument,
+    AddressInUse,
+    Stopped,
+    Internal,
+};
+
+/// Whether the refused operation may have had an effect.
+enum class RunState {
+    NotRun,
+    MayHaveRun,
+};
+
+std::string_view name(ErrorCode code);
+std::optional<ErrorCode> errorCodeFromName(std::string_view name);
+std::string_view name(RunState state);
+
+/// HTTP status that carries \a code to a caller or an operator.
+int httpStatus(ErrorCode code);
+
+} // namespace rattanrill
--- /dev/null
+++ b/include/rattanrill/base/json.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "rattanrill/base/result.h"
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace rattanrill {
+
+using Json = nlohmann::json;
+
+/// Parses JSON text. Fails with InvalidRequest, naming \a what, on a syntax error or invalid UTF-8.
+Result<Json> parseJson(std::string_view text, std::string_view what);
+
+/// Member \a key of \a object as T. Fails with InvalidRequest when it is missing or of another
+/// type.
+template <typename T>
+Result<T> jsonMember(const Json &object, std::string_view key);
+
+/// As jsonMember(), with \a fallback for a missing or null member.
+template <typename T>
+Result<T> jsonMemberOr(const Json &object, std::string_view key, T fallback);
+
+extern template Result<std::string> jsonMember(const Json &, std::string_view);
+extern template Result<std::int64_t> jsonMember(const Json &, std::string_view);
+extern template Result<double> jsonMember(const Json &, std::string_view);
+extern template Result<bool> jsonMember(const Json &, std::string_view);
+extern template Result<std::string> jsonMemberOr(const Json &, std::string_view, std::string);
+extern template Result<std::int64_t> jsonMemberOr(const Json &, std::string_view, std::int64_t);
+extern template Result<double> jsonMemberOr(const Json &, std::string_view, double);
+extern template Result<bool> jsonMemberOr(const Json &, std::string_view, bool);
+
+/// Serializes \a json; invalid UTF-8 is replaced rather than thrown.
+std::string dumpJson(const Json &json);
+
+} // namespace rattanrill
--- /dev/null
+++ b/include/rattanrill/base/metrics.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rattanrill {
+
+/// Label names and values of one time series, in order of name.
+using MetricLabels = std::map<std::string, std::string>;
+
+/// Registry of counters, gauges and histograms, rendered in the Prometheus text exposition format.
+/// Histograms share fixed bucket bounds, so that those of several instances add up.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    /// Adds \a amount to a counter; \a name ends in "_total".
+    void count(std::string_view name, const MetricLabels &labels = {}, std::uint64_t amount = 1);
+    /// Sets a gauge.
+    void set(std::string_view name, const MetricLabels &labels, double value);
+    /// Adds a duration in seconds to a histogram; \a name ends in "_seconds".
+    void observe(std::string_view name, const MetricLabels &labels, double seconds);
+
+    /// Value of a counter; 0 when it was never counted.
+    std::uint64_t counter(std::string_view name, const MetricLabels &labels = {}) const;
+    /// Text exposition format, version 0.0.4.
+    std::string exposition() const;
+
+private:
+    struct State;
+
+    std::unique_ptr<State> m_state;
+};
+
+/// Upper bounds of the histogram buckets in seconds, from 1 ms to 1000 s, about 26% apart.
+const std::vector<double> &histogramBounds();
+
+} // namespace rattanrill
--- /dev/null
+++ b/include/rattanrill/base/workerpool.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+namespace rattanrill {
+
+/// Fixed number of threads that run tasks from a bounded queue.
+class WorkerPool
+{
+public:
+    using Task = std::function<void()>;
+
+    WorkerPool(std::size_t threads, std::size_t queueLimit);
+    ~WorkerPool();
+    WorkerPool(const WorkerPool &) = delete;
+    WorkerPool &operator=(const WorkerPool &) = delete;
+
+    /// Queues \a task; false when the queue is full or the pool has stopped.
+    [[nodiscard]] bool post(Task task);
+    /// Runs what is queued, then ends the threads.
+    void stop();
+
+private:
+    struct State;
+
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace rattanrill
--- /dev/null
+++ b/include/rattanrill/settings/program.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "rattanrill/base/json.h"
+#include "rattanrill/base/logger.h"
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace rattanrill {
+
+/// Exit codes of all programs.
+constexpr int exitOk = 0;
+constexpr int exitFailure = 1;
+constexpr int exitUsage = 2;
+
+/// A program that runs from a settings file until it is told to stop.
+struct ServerProgram
+{
+    std::string_view name;
+    std::string_view purpose;
+    /// JSON schema of the settings.
+    std::string_view settingsSchema;
+    /// Checks what the schema cannot express.
+    std::function<Result<void>(const Json &settings, const std::string &source)> checkSettings;
+    /// Runs the program; returns the exit code.
+    std::function<int(const Json &settings)> run;
+};
+
+/// Parses "--settings FILE", "--check", "--schema", "--help" and "--version", loads and checks the
+/// settings, sets up logging from the members "instance", "failureDomain" and "log", and runs.
+/// Unusable arguments or settings are reported on standard error with exit code 2.
+int runServerProgram(const ServerProgram &program, int argc, char **argv);
+
+} // namespace rattanrill
--- /dev/null
+++ b/src/base/json.cpp
@@ -0,0 +1,98 @@
+#include "rattanrill/base/json.h"
+
+#include "rattanrill/base/concat.h"
+
+namespace rattanrill {
+namespace {
+
+template <typename T>
+struct JsonType;
+
+template <>
+struct JsonType<std::string>
+{
+    static constexpr std::string_view name = "a string";
+    static bool matches(const Json &json) { return json.is_string(); }
+};
+
+template <>
+struct JsonType<std::int64_t>
+{
+    static constexpr std::string_view name = "an integer";
+    static bool matches(const Json &json) { return json.is_number_integer(); }
+};
+
+template <>
+struct JsonType<double>
+{
+    static constexpr std::string_view name = "a number";
+    static bool matches(const Json &json) { return json.is_number(); }
+};
+
+template <>
+struct JsonType<bool>
+{
+    static constexpr std::string_view name = "true or false";
+    static bool matches(const Json &json) { return json.is_boolean(); }
+};
+
+template <typename T>
+Result<T> convert(const Json &value, std::string_view key)
+{
+    if (!JsonType<T>::matches(value))
+        return fail(notRun(ErrorCode::InvalidRequest,
+                           concat("\"", key, "\" must be ", JsonType<T>::name)));
+    return value.get<T>();
+}
+
+} // namespace
+
+Result<Json> parseJson(std::string_view text, std::string_view what)
+{
+    try {
+        return Json::parse(text);
+    } catch (const Json::parse_error &error) {
+        return fail(notRun(ErrorCode::InvalidRequest,
+                           concat(what, " is not valid JSON at byte ", error.byte)));
+    }
+}
+
+template <typename T>
+Result<T> jsonMember(const Json &object, std::string_view key)
+{
+    if (!object.is_object())
+        return fail(
+                notRun(ErrorCode::InvalidRequest, concat("expected an object with \"", key, "\"")));
+    const auto member = object.find(std::string(key));
+    if (member == object.end())
+        return fail(notRun(ErrorCode::InvalidRequest, concat("\"", key, "\" is missing")));
+    return convert<T>(*member, key);
+}
+
+template <typename T>
+Result<T> jsonMemberOr(const Json &object, std::string_view key, T fallback)
+{
+    if (!object.is_object())
+        return fail(
+                notRun(ErrorCode::InvalidRequest, concat("expected an object with \"", key, "\"")));
+    const auto member = object.find(std::string(key));
+    if (member == object.end() || member->is_null())
+        return fallback;
+    return convert<T>(*member, key);
+}
+
+template Result<std::string> jsonMember(const Json &, std::string_view);
+template Result<std::int64_t> jsonMember(const Json &, std::string_view);
+template Result<double> jsonMember(const Json &, std::string_view);
+template Result<bool> jsonMember(const Json &, std::string_view);
+template Result<std::string> jsonMemberOr(const Json &, std::string_view, std::string);
+template Result<std::int64_t> jsonMemberOr(const Json &, std::string_view, std::int64_t);
+template Result<double> jsonMemberOr(const Json &, std::string_view, double);
+template Result<bool> jsonMemberOr(const Json &, std::string_view, bool);
+
+std::string dumpJson(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace rattanrill
--- /dev/null
+++ b/tests/base/metrics_test.cpp
@@ -0,0 +1,24 @@
+#include "rattanrill/base/metrics.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+
+BOOST_AUTO_TEST_SUITE(MetricsTest)
+
+// Guards against exposition text that a scraper rejects or that loses counts below the first bound.
+BOOST_AUTO_TEST_CASE(expositionIsCumulative)
+{
+    Metrics metrics;
+    metrics.count("requests_total", {{"workspace", "a\"b"}}, 2);
+    metrics.observe("ttft_seconds", {}, 0.0001);
+    metrics.observe("ttft_seconds", {}, 0.5);
+    metrics.observe("ttft_seconds", {}, 5000);
+    const std::string text = metrics.exposition();
+    BOOST_TEST(text.find("requests_total{workspace=\"a\\\"b\"} 2\n") != std::string::npos);
+    BOOST_TEST(text.find("ttft_seconds_bucket{le=\"0.001\"} 1\n") != std::string::npos);
+    BOOST_TEST(text.find("ttft_seconds_bucket{le=\"1000\"} 2\n") != std::string::npos);
+    BOOST_TEST(text.find("ttft_seconds_bucket{le=\"+Inf\"} 3\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
