Engine: Add clients for model engines and plain services

Entries need to stream completions from engines, cancel them from another thread and call plain services, with failures that say truthfully whether anything ran.

StreamReader checks request id and token index of each event: foreign and repeated events are dropped and counted, a gap or a missing [DONE] is a broken stream. Connections are not reused, because a write on a reused connection that fails cannot prove that nothing ran.

--- /dev/null
+++ b/src/engine/cancellation.cpp
@@ -0,0 +1,29 @@
+#include "rattanrill/engine/cancellation.h"
+
+namespace rattanrill::engine {
+
+void Cancellation::abort()
+{
+    // The action runs under the lock, so that it never runs after its call has withdrawn it. It
+    // only shuts a socket down, which does not wait.
+    absl::MutexLock lock(&m_mutex);
+    m_aborted = true;
+    if (m_action)
+        m_action();
+}
+
+bool Cancellation::aborted() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_aborted;
+}
+
+void Cancellation::onAbort(std::function<void()> action)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_action = std::move(action);
+    if (m_aborted && m_action)
+        m_action();
+}
+
+} // namespace rattanrill::engine
--- /dev/null
+++ b/src/engine/engineclient.cpp
@@ -0,0 +1,299 @@
+#include "rattanrill/engine/engineclient.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/json.h"
+#include "streamreader.h"
+
+#include <httplib.h>
+
+#include <atomic>
+
+namespace rattanrill::engine {
+namespace {
+
+constexpr std::size_t maxErrorBytes = 64u << 10;
+constexpr int statusOk = 200;
+constexpr absl::Duration shortestTimeout = absl::Milliseconds(1);
+
+void setTimeouts(httplib::Client &client, absl::Duration connect, absl::Duration read)
+{
+    const auto micros = [](absl::Duration duration) {
+        return static_cast<time_t>(absl::ToInt64Microseconds(std::max(duration, shortestTimeout)));
+    };
+    constexpr time_t second = 1000000;
+    client.set_connection_timeout(micros(connect) / second, micros(connect) % second);
+    client.set_read_timeout(micros(read) / second, micros(read) % second);
+    client.set_write_timeout(micros(read) / second, micros(read) % second);
+    client.set_tcp_nodelay(true);
+    client.set_keep_alive(false);
+}
+
+bool failedBeforeSending(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+           || error == httplib::Error::BindIPAddress;
+}
+
+/// "error" object of a typed answer; null otherwise.
+Json errorOf(const std::string &body)
+{
+    const Json answer = Json::parse(body, nullptr, false);
+    if (!answer.is_object())
+        return {};
+    const auto error = answer.find("error");
+    return error != answer.end() && error->is_object() ? *error : Json();
+}
+
+ErrorCode codeOfStatus(int status)
+{
+    constexpr int badRequest = 400;
+    constexpr int notFound = 404;
+    constexpr int unavailable = 503;
+    if (status == badRequest)
+        return ErrorCode::InvalidRequest;
+    if (status == notFound)
+        return ErrorCode::UnknownModel;
+    return status == unavailable ? ErrorCode::UpstreamBusy : ErrorCode::UpstreamFailed;
+}
+
+/// Only the engine can say that nothing ran once the request was sent.
+Failure failureOfStatus(const std::string &engine, int status, const std::string &body)
+{
+    const Json error = errorOf(body);
+    const bool notRunStated = error.is_object() && error.value("run", Json()) == Json("not_run");
+    const std::string detail = concat("engine \"", engine, "\" answered with status ", status);
+    if (notRunStated)
+        return notRun(codeOfStatus(status), detail);
+    return mayHaveRun(codeOfStatus(status), detail);
+}
+
+} // namespace
+
+struct EngineClient::Impl
+{
+    Impl(EngineOptions options, const Clock &clock)
+        : options(std::move(options))
+        , clock(clock)
+    {}
+
+    Outcome<std::string> streamBody(const StreamRequest &request) const
+    {
+        Json body = Json::parse(request.body, nullptr, false);
+        if (!body.is_object())
+            return notRun(ErrorCode::InvalidRequest, "the request body is not a JSON object");
+        body["stream"] = true;
+        body["request_id"] = request.requestId;
+        body["resume_after"] = request.resumeAfter;
+        body.erase("kv_handle");
+        if (!request.kvHandle.empty())
+            body["kv_handle"] = request.kvHandle;
+        return dumpJson(body);
+    }
+
+    Failure transportFailure(httplib::Error error) const
+    {
+        const std::string detail = concat("engine \"", options.name, "\" at ", options.host, ":",
+                                          options.port, ": ", httplib::to_string(error));
+        if (failedBeforeSending(error))
+            return notRun(ErrorCode::UpstreamUnavailable, detail);
+        return mayHaveRun(ErrorCode::StreamBroken, detail);
+    }
+
+    /// A short call whose answer is a JSON object.
+    Outcome<Json> call(const std::string &method, const std::string &path, const Json &body) const
+    {
+        httplib::Client client(options.host, options.port);
+        setTimeouts(client, options.connectTimeout, options.controlTimeout);
+        httplib::Request request;
+        request.method = method;
+        request.path = path;
+        if (!body.is_null()) {
+            request.body = dumpJson(body);
+            request.set_header("Content-Type", "application/json");
+        }
+        const httplib::Result result = client.send(request);
+        if (!result)
+            return transportFailure(result.error());
+        if (result->status != statusOk)
+            return failureOfStatus(options.name, result->status, result->body);
+        Json answer = Json::parse(result->body, nullptr, false);
+        return answer;
+    }
+
+    EngineOptions options;
+    const Clock &clock;
+    std::atomic<std::uint64_t> dropped{0};
+};
+
+namespace {
+
+/// State of one running stream call.
+class StreamCall
+{
+public:
+    StreamCall(const EngineOptions &options, const StreamRequest &request, std::string body,
+               const Clock &clock, const EngineClient::TokenHandler &onToken)
+        : m_options(options)
+        , m_request(request)
+        , m_body(std::move(body))
+        , m_clock(clock)
+        , m_reader(request.requestId, request.resumeAfter, onToken)
+        , m_client(options.host, options.port)
+    {}
+
+    httplib::Error run(Cancellation &cancellation)
+    {
+        const absl::Duration remaining = m_request.deadline - m_clock.now();
+        setTimeouts(m_client, std::min(m_options.connectTimeout, remaining),
+                    std::min(m_options.idleTimeout, remaining));
+        httplib::Request http = makeRequest(cancellation);
+        cancellation.onAbort([this] { m_client.stop(); });
+        const httplib::Result result = m_client.send(http);
+        cancellation.onAbort(nullptr);
+        return result ? httplib::Error::Success : result.error();
+    }
+
+    int status() const { return m_status; }
+    const std::string &errorBody() const { return m_errorBody; }
+    const StreamReader &reader() const { return m_reader; }
+    bool late() const { return m_clock.now() >= m_request.deadline; }
+
+private:
+    httplib::Request makeRequest(Cancellation &cancellation)
+    {
+        httplib::Request http;
+        http.method = "POST";
+        http.path = m_request.path;
+        http.body = m_body;
+        http.set_header("Content-Type", "application/json");
+        http.set_header("Accept", "text/event-stream");
+        http.set_header("X-Request-Id", m_request.requestId);
+        http.response_handler = [this](const httplib::Response &response) {
+            m_status = response.status;
+            return true;
+        };
+        http.content_receiver = [this, &cancellation](const char *data, std::size_t size,
+                                                      std::uint64_t, std::uint64_t) {
+            return receive(std::string_view(data, size)) && !cancellation.aborted();
+        };
+        return http;
+    }
+
+    bool receive(std::string_view bytes)
+    {
+        if (m_status == statusOk)
+            return m_reader.feed(bytes) && !m_reader.complete() && !late();
+        if (m_errorBody.size() < maxErrorBytes)
+            m_errorBody += bytes;
+        return true;
+    }
+
+    const EngineOptions &m_options;
+    const StreamRequest &m_request;
+    std::string m_body;
+    const Clock &m_clock;
+    StreamReader m_reader;
+    httplib::Client m_client;
+    int m_status = 0;
+    std::string m_errorBody;
+};
+
+} // namespace
+
+EngineClient::EngineClient(EngineOptions options, const Clock &clock)
+    : m_impl(new Impl(std::move(options), clock))
+{}
+
+EngineClient::~EngineClient() = default;
+
+const EngineOptions &EngineClient::options() const
+{
+    return m_impl->options;
+}
+
+Outcome<StreamEnd> EngineClient::stream(const StreamRequest &request, Cancellation &cancellation,
+                                        const TokenHandler &onToken)
+{
+    if (cancellation.aborted())
+        return notRun(ErrorCode::ClientGone, "the request was given up before it was sent");
+    const Outcome<std::string> body = m_impl->streamBody(request);
+    if (!body.ok())
+        return body.failure();
+    if (m_impl->clock.now() >= request.deadline)
+        return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
+    StreamCall call(m_impl->options, request, body.value(), m_impl->clock, onToken);
+    const httplib::Error error = call.run(cancellation);
+    m_impl->dropped += call.reader().dropped();
+    if (failedBeforeSending(error))
+        return m_impl->transportFailure(error);
+    if (call.status() != 0 && call.status() != statusOk)
+        return failureOfStatus(m_impl->options.name, call.status(), call.errorBody());
+    if (call.reader().complete())
+        return call.reader().finish();
+    if (cancellation.aborted())
+        return mayHaveRun(ErrorCode::ClientGone, "the request was given up while it ran");
+    if (call.late())
+        return mayHaveRun(ErrorCode::Timeout, "the deadline passed while the request ran");
+    if (error == httplib::Error::Success || error == httplib::Error::Canceled)
+        return call.reader().finish();
+    return m_impl->transportFailure(error);
+}
+
+Outcome<bool> EngineClient::cancel(const std::string &requestId)
+{
+    const Outcome<Json> answer =
+            m_impl->call("POST", "/engine/cancel", Json{{"request_id", requestId}});
+    if (!answer.ok())
+        return answer.failure();
+    return answer.value().is_object() && answer.value().value("cancelled", Json()) == Json(true);
+}
+
+Outcome<ExportedCache> EngineClient::exportCache(const std::string &requestId)
+{
+    const Outcome<Json> answer =
+            m_impl->call("POST", "/engine/kv/export", Json{{"request_id", requestId}});
+    if (!answer.ok())
+        return answer.failure();
+    return outcomeOf([&]() -> Result<ExportedCache> {
+        ExportedCache cache;
+        BOOST_LEAF_ASSIGN(cache.handle, jsonMember<std::string>(answer.value(), "kv_handle"));
+        BOOST_LEAF_ASSIGN(cache.tokens, jsonMemberOr<std::int64_t>(answer.value(), "tokens", 0));
+        return cache;
+    });
+}
+
+Outcome<EngineLoad> EngineClient::load()
+{
+    const Outcome<Json> answer = m_impl->call("GET", "/engine/load", Json());
+    if (!answer.ok())
+        return answer.failure();
+    const auto number = [&](const char *key) {
+        return jsonMemberOr<std::int64_t>(answer.value(), key, 0);
+    };
+    return outcomeOf([&]() -> Result<EngineLoad> {
+        EngineLoad load;
+        BOOST_LEAF_ASSIGN(load.running, number("running"));
+        BOOST_LEAF_ASSIGN(load.waiting, number("waiting"));
+        BOOST_LEAF_ASSIGN(load.kvTokens, number("kv_tokens"));
+        BOOST_LEAF_ASSIGN(load.kvCapacityTokens, number("kv_capacity_tokens"));
+        BOOST_LEAF_ASSIGN(load.maxBatch, number("max_batch"));
+        BOOST_LEAF_AUTO(ageMs, number("age_ms"));
+        load.age = absl::Milliseconds(ageMs);
+        return load;
+    });
+}
+
+Outcome<Done> EngineClient::probe()
+{
+    const Outcome<Json> answer = m_impl->call("GET", "/healthz", Json());
+    if (!answer.ok())
+        return answer.failure();
+    return Done{};
+}
+
+std::uint64_t EngineClient::droppedEvents() const
+{
+    return m_impl->dropped;
+}
+
+} // namespace rattanrill::engine
--- /dev/null
+++ b/src/engine/streamreader.cpp
@@ -0,0 +1,167 @@
+#include "streamreader.h"
+
+#include "rattanrill/base/concat.h"
+
+namespace rattanrill::engine {
+namespace {
+
+constexpr std::string_view dataPrefix = "data:";
+constexpr std::string_view doneMark = "[DONE]";
+/// A longer line is no event of the protocol; the bound keeps a faulty engine from filling memory.
+constexpr std::size_t maxLineBytes = 4u << 20;
+/// After this many foreign events in a row the stream belongs to another request; waiting for its
+/// end would only delay the next try.
+constexpr std::uint64_t maxDroppedInRow = 16;
+
+std::string_view trimmed(std::string_view text)
+{
+    while (!text.empty() && (text.back() == '\r' || text.back() == ' '))
+        text.remove_suffix(1);
+    while (!text.empty() && text.front() == ' ')
+        text.remove_prefix(1);
+    return text;
+}
+
+std::string stringAt(const Json &object, const char *key)
+{
+    const auto member = object.find(key);
+    return member != object.end() && member->is_string() ? member->get<std::string>()
+                                                         : std::string();
+}
+
+/// Text of a choice of either endpoint.
+std::string textOf(const Json &choice)
+{
+    const auto delta = choice.find("delta");
+    if (delta != choice.end() && delta->is_object())
+        return stringAt(*delta, "content");
+    return stringAt(choice, "text");
+}
+
+const Json *firstChoice(const Json &event)
+{
+    const auto choices = event.find("choices");
+    if (choices == event.end() || !choices->is_array() || choices->empty())
+        return nullptr;
+    return choices->front().is_object() ? &choices->front() : nullptr;
+}
+
+} // namespace
+
+StreamReader::StreamReader(std::string requestId, std::uint64_t resumeAfter, TokenHandler onToken)
+    : m_requestId(std::move(requestId))
+    , m_next(resumeAfter)
+    , m_onToken(std::move(onToken))
+{}
+
+bool StreamReader::feed(std::string_view bytes)
+{
+    if (!m_broken.empty())
+        return false;
+    m_buffer += bytes;
+    std::size_t start = 0;
+    for (std::size_t end = m_buffer.find('\n'); end != std::string::npos;
+         end = m_buffer.find('\n', start)) {
+        if (!handleLine(trimmed(std::string_view(m_buffer).substr(start, end - start))))
+            return false;
+        start = end + 1;
+    }
+    m_buffer.erase(0, start);
+    if (m_buffer.size() > maxLineBytes)
+        return breakStream("an event is longer than 4 MiB");
+    return true;
+}
+
+Outcome<StreamEnd> StreamReader::finish() const
+{
+    if (!m_broken.empty())
+        return mayHaveRun(ErrorCode::StreamBroken, m_broken);
+    if (!m_done)
+        return mayHaveRun(ErrorCode::StreamBroken, "the stream ended without [DONE]");
+    if (!m_end)
+        return mayHaveRun(ErrorCode::StreamBroken, "the stream ended without a finish reason");
+    return *m_end;
+}
+
+bool StreamReader::handleLine(std::string_view line)
+{
+    if (m_done || line.substr(0, dataPrefix.size()) != dataPrefix)
+        return true;
+    const std::string_view data = trimmed(line.substr(dataPrefix.size()));
+    if (data == doneMark) {
+        m_done = true;
+        return true;
+    }
+    const Json event = Json::parse(data.begin(), data.end(), nullptr, false);
+    if (!event.is_object())
+        return breakStream("an event is not a JSON object");
+    return handleEvent(event);
+}
+
+bool StreamReader::handleEvent(const Json &event)
+{
+    if (stringAt(event, "request_id") != m_requestId)
+        return drop();
+    if (m_end)
+        return drop();
+    const Json *choice = firstChoice(event);
+    if (choice == nullptr)
+        return breakStream("an event has no choice");
+    const std::string text = textOf(*choice);
+    const std::string reason = stringAt(*choice, "finish_reason");
+    // The last event may carry no token; it still must not skip one.
+    if ((reason.empty() || !text.empty()) && !handleToken(event, text))
+        return false;
+    if (!reason.empty() && m_broken.empty())
+        handleEnd(event, reason);
+    return m_broken.empty();
+}
+
+bool StreamReader::handleToken(const Json &event, const std::string &text)
+{
+    const auto index = event.find("index");
+    if (index == event.end() || !index->is_number_integer())
+        return breakStream("an event has no token index");
+    const auto position = index->get<std::uint64_t>();
+    if (position < m_next)
+        return drop();
+    if (position > m_next)
+        return breakStream(concat("token ", m_next, " is missing, token ", position, " arrived"));
+    m_droppedInRow = 0;
+    ++m_next;
+    m_onToken(Token{position, text});
+    return true;
+}
+
+void StreamReader::handleEnd(const Json &event, const std::string &reason)
+{
+    const auto index = event.find("index");
+    if (index != event.end() && index->is_number_integer()
+        && index->get<std::uint64_t>() > m_next) {
+        breakStream(concat("token ", m_next, " is missing at the end"));
+        return;
+    }
+    StreamEnd end;
+    end.finishReason = reason;
+    end.tokens = m_next;
+    const auto usage = event.find("usage");
+    if (usage != event.end() && usage->is_object())
+        end.usage = dumpJson(*usage);
+    m_end = std::move(end);
+}
+
+bool StreamReader::drop()
+{
+    ++m_dropped;
+    if (++m_droppedInRow >= maxDroppedInRow)
+        return breakStream("the stream carries the events of another request");
+    return true;
+}
+
+bool StreamReader::breakStream(std::string reason)
+{
+    m_broken = std::move(reason);
+    return false;
+}
+
+} // namespace rattanrill::engine
--- /dev/null
+++ b/src/service/serviceclient.cpp
@@ -0,0 +1,198 @@
+#include "rattanrill/service/serviceclient.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/json.h"
+
+#include <httplib.h>
+
+#include <atomic>
+
+namespace rattanrill::service {
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusUnavailable = 503;
+constexpr absl::Duration shortestTimeout = absl::Milliseconds(1);
+/// Bound for a request without a deadline; a connection must not hold a thread for ever.
+constexpr absl::Duration longestCall = absl::Minutes(10);
+
+void setTimeouts(httplib::Client &client, absl::Duration connect, absl::Duration read)
+{
+    const auto micros = [](absl::Duration duration) {
+        return static_cast<time_t>(
+                absl::ToInt64Microseconds(std::clamp(duration, shortestTimeout, longestCall)));
+    };
+    constexpr time_t second = 1000000;
+    client.set_connection_timeout(micros(connect) / second, micros(connect) % second);
+    client.set_read_timeout(micros(read) / second, micros(read) % second);
+    client.set_write_timeout(micros(read) / second, micros(read) % second);
+    client.set_tcp_nodelay(true);
+    client.set_keep_alive(false);
+    client.set_url_encode(false);
+}
+
+bool failedBeforeSending(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+           || error == httplib::Error::BindIPAddress;
+}
+
+bool saysNotRun(const std::string &body)
+{
+    const Json answer = Json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("error") || !answer.at("error").is_object())
+        return false;
+    return answer.at("error").value("run", Json()) == Json("not_run");
+}
+
+/// Request id that the answer names; empty when it names none.
+std::string answeredId(const httplib::Response &response)
+{
+    if (response.has_header("X-Request-Id"))
+        return response.get_header_value("X-Request-Id");
+    if (response.get_header_value("Content-Type").find("json") == std::string::npos)
+        return {};
+    const Json answer = Json::parse(response.body, nullptr, false);
+    if (!answer.is_object())
+        return {};
+    const auto id = answer.find("request_id");
+    return id != answer.end() && id->is_string() ? id->get<std::string>() : std::string();
+}
+
+} // namespace
+
+struct ServiceClient::Impl
+{
+    Impl(ServiceOptions options, const Clock &clock)
+        : options(std::move(options))
+        , clock(clock)
+    {}
+
+    std::string described() const
+    {
+        return concat("service \"", options.name, "\" at ", options.host, ":", options.port);
+    }
+
+    Failure transportFailure(httplib::Error error, absl::Time deadline) const
+    {
+        const std::string detail = concat(described(), ": ", httplib::to_string(error));
+        if (failedBeforeSending(error))
+            return notRun(ErrorCode::UpstreamUnavailable, detail);
+        if (clock.now() >= deadline)
+            return mayHaveRun(ErrorCode::Timeout, detail);
+        return mayHaveRun(ErrorCode::ConnectionLost, detail);
+    }
+
+    Outcome<ServiceAnswer> checkedAnswer(const ServiceRequest &request,
+                                         const httplib::Response &response)
+    {
+        if (response.status == statusUnavailable && saysNotRun(response.body))
+            return notRun(ErrorCode::UpstreamBusy, concat(described(), " is busy"));
+        const std::string id = answeredId(response);
+        if (!id.empty() && id != request.requestId) {
+            ++dropped;
+            return mayHaveRun(ErrorCode::UpstreamFailed,
+                              concat(described(), " gave the answer to another request"));
+        }
+        return ServiceAnswer{response.status, response.get_header_value("Content-Type"),
+                             response.body};
+    }
+
+    ServiceOptions options;
+    const Clock &clock;
+    std::atomic<std::uint64_t> dropped{0};
+};
+
+namespace {
+
+httplib::Request makeRequest(const ServiceRequest &request)
+{
+    httplib::Request http;
+    http.method = request.method;
+    http.path = request.query.empty() ? request.path : concat(request.path, "?", request.query);
+    http.body = request.body;
+    if (!request.contentType.empty())
+        http.set_header("Content-Type", request.contentType);
+    http.set_header("X-Request-Id", request.requestId);
+    if (!request.workspace.empty())
+        http.set_header("X-Workspace", request.workspace);
+    return http;
+}
+
+} // namespace
+
+ServiceClient::ServiceClient(ServiceOptions options, const Clock &clock)
+    : m_impl(new Impl(std::move(options), clock))
+{}
+
+ServiceClient::~ServiceClient() = default;
+
+const ServiceOptions &ServiceClient::options() const
+{
+    return m_impl->options;
+}
+
+Outcome<ServiceAnswer> ServiceClient::call(const ServiceRequest &request)
+{
+    const absl::Duration remaining = request.deadline - m_impl->clock.now();
+    if (remaining <= absl::ZeroDuration())
+        return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
+    httplib::Client client(m_impl->options.host, m_impl->options.port);
+    setTimeouts(client, std::min(m_impl->options.connectTimeout, remaining), remaining);
+    httplib::Request http = makeRequest(request);
+    std::string body;
+    bool tooLong = false;
+    http.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+        tooLong = body.size() + size > m_impl->options.maxAnswerBytes;
+        if (tooLong || m_impl->clock.now() >= request.deadline)
+            return false;
+        body.append(data, size);
+        return true;
+    };
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    if (!client.send(http, response, error)) {
+        if (tooLong)
+            return mayHaveRun(ErrorCode::UpstreamFailed,
+                              concat(m_impl->described(), " sent too long an answer"));
+        return m_impl->transportFailure(error, request.deadline);
+    }
+    response.body = std::move(body);
+    return m_impl->checkedAnswer(request, response);
+}
+
+Outcome<ServiceLoad> ServiceClient::load()
+{
+    httplib::Client client(m_impl->options.host, m_impl->options.port);
+    setTimeouts(client, m_impl->options.connectTimeout, m_impl->options.loadTimeout);
+    const httplib::Result result = client.Get("/service/load");
+    if (!result)
+        return m_impl->transportFailure(result.error(), absl::InfiniteFuture());
+    if (result->status != statusOk)
+        return notRun(ErrorCode::UpstreamFailed,
+                      concat(m_impl->described(), " answered its load with ", result->status));
+    return outcomeOf([&]() -> Result<ServiceLoad> {
+        BOOST_LEAF_AUTO(answer, parseJson(result->body, "load report"));
+        ServiceLoad load;
+        BOOST_LEAF_ASSIGN(load.running, jsonMemberOr<std::int64_t>(answer, "running", 0));
+        BOOST_LEAF_ASSIGN(load.capacity, jsonMemberOr<std::int64_t>(answer, "capacity", 0));
+        BOOST_LEAF_AUTO(ageMs, jsonMemberOr<std::int64_t>(answer, "age_ms", 0));
+        load.age = absl::Milliseconds(ageMs);
+        return load;
+    });
+}
+
+Outcome<Done> ServiceClient::probe()
+{
+    const Outcome<ServiceLoad> answer = load();
+    if (!answer.ok())
+        return answer.failure();
+    return Done{};
+}
+
+std::uint64_t ServiceClient::droppedAnswers() const
+{
+    return m_impl->dropped;
+}
+
+} // namespace rattanrill::service
