--- /dev/null
+++ b/tests/system/path_test.py
@@ -0,0 +1,87 @@
+"""The whole path on real processes: online, plain service, batch, refusals."""
+
+import json
+import unittest
+
+from support import Stream, SystemTest, http_json
+
+
+class PathTest(SystemTest):
+
+    def test_online_answer_is_whole_on_every_entry(self):
+        """Guards against answers that are short or belong to another prompt."""
+        for entry in range(1, self.entries + 1):
+            prompt = f"lantern colours for booth {entry}"
+            status, body, headers = self.complete(entry, "booths-waco", prompt)
+            self.assertEqual(status, 200, body)
+            self.assertEqual(body["choices"][0]["text"], self.expected_text(prompt, 8))
+            self.assertTrue(headers["X-Request-Id"])
+
+    def test_streamed_answer_equals_whole_answer(self):
+        stream = Stream(self.deployment.entry_url(1), self.deployment.keys["booths-waco"],
+                        self.model, "paper lantern sizes", 12)
+        stream.run()
+        self.assertTrue(stream.complete, stream.error)
+        self.assertEqual(stream.text, self.expected_text("paper lantern sizes", 12))
+
+    def test_no_upstream_sees_a_key(self):
+        """R5: guards against a credential that is forwarded in a header, query or body."""
+        self.complete(1, "booths-waco", "a prompt")
+        http_json("POST", self.deployment.entry_url(2) + "/desk/orders", {"count": 1},
+                  {**self.deployment.bearer("booths-waco"), "Idempotency-Key": "k1",
+                   "Cookie": "session=1"})
+        records = json.dumps(self.engine_records() + self.engine_records("service")).lower()
+        self.assertIn("/desk/orders", records)
+        for key in self.deployment.keys.values():
+            self.assertNotIn(key.lower(), records)
+        for header in ("authorization", "cookie"):
+            self.assertNotIn(header, records)
+
+    def test_missing_and_unknown_keys_are_refused_as_not_run(self):
+        before = len(self.engine_records())
+        for headers in ({}, {"Authorization": "Bearer sk-unknown"}):
+            status, body, _ = http_json(
+                "POST", self.deployment.entry_url(1) + "/v1/completions",
+                {"model": self.model, "prompt": "p", "max_tokens": 1}, headers)
+            self.assertEqual(status, 401)
+            self.assertEqual(body["error"]["run"], "not_run")
+        self.assertEqual(len(self.engine_records()), before)
+
+    def test_open_route_needs_no_key(self):
+        status, body, _ = http_json("GET", self.deployment.entry_url(1) + "/desk/status")
+        self.assertEqual(status, 200, body)
+
+    def test_batch_completes_with_results_in_order(self):
+        lines, prompts = self.batch_lines(40)
+        file_id = self.deployment.upload(1, "lantern-crew", lines)
+        job = self.deployment.create_batch(2, "lantern-crew", file_id, key="path-batch")
+        again = self.deployment.create_batch(3, "lantern-crew", file_id, key="path-batch")
+        self.assertEqual(job["id"], again["id"])
+        job = self.deployment.wait_batch(1, "lantern-crew", job["id"])
+        self.assertEqual(job["request_counts"]["completed"], 40)
+        results = self.deployment.results(3, "lantern-crew", job["output_file_id"])
+        self.check_results(results, prompts)
+
+    def test_one_bad_line_refuses_the_file_and_names_it(self):
+        lines, _ = self.batch_lines(500)
+        broken = lines.split(b"\n")
+        broken[250] = b'{"custom_id": "x", "method": '
+        status, body, _ = http_json(
+            "POST", self.deployment.entry_url(1) + "/v1/files?purpose=batch", b"\n".join(broken),
+            {**self.deployment.bearer("lantern-crew"), "Content-Type": "application/jsonl"})
+        self.assertEqual(status, 400)
+        self.assertIn("line 251", body["error"]["message"])
+
+    def test_batch_of_another_workspace_is_not_visible(self):
+        """R4: guards against a job that is read with another workspace's key."""
+        lines, _ = self.batch_lines(2)
+        file_id = self.deployment.upload(1, "lantern-crew", lines)
+        job = self.deployment.create_batch(1, "lantern-crew", file_id)
+        status, body, _ = http_json(
+            "GET", f"{self.deployment.entry_url(1)}/v1/batches/{job['id']}", None,
+            self.deployment.bearer("booths-waco"))
+        self.assertEqual(status, 404, body)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,130 @@
+"""Runs a deployment on loopback and shows an online answer, a service call and a batch job."""
+
+import argparse
+import json
+import signal
+import sys
+import time
+import urllib.request
+
+from deployment import DEPLOYMENTS, ROOT, Deployment, DeploymentError, http_json
+
+START = time.monotonic()
+
+
+def say(text):
+    print(f"[{time.monotonic() - START:6.1f} s] {text}", flush=True)
+
+
+def read_lines(path):
+    return [json.loads(line) for line in (ROOT / path).read_text().splitlines() if line]
+
+
+def stream_answer(deployment):
+    """Streams one answer and prints its tokens as they come."""
+    workspace = deployment.shape["workspaces"][0][0]
+    sample = read_lines(deployment.shape["online_samples"])[0]
+    body = {"model": deployment.shape["model"], "prompt": sample["prompt"], "max_tokens": 24,
+            "stream": True}
+    say(f"{workspace} asks: {sample['prompt']!r}")
+    request = urllib.request.Request(
+        deployment.entry_url(1) + "/v1/completions", data=json.dumps(body).encode(),
+        headers={**deployment.bearer(workspace), "Content-Type": "application/json"})
+    tokens = 0
+    complete = False
+    with urllib.request.urlopen(request, timeout=30) as response:
+        for line in response:
+            text = line.decode().strip()
+            if not text.startswith("data: "):
+                continue
+            if text == "data: [DONE]":
+                complete = True
+                break
+            event = json.loads(text[len("data: "):])
+            if "error" in event:
+                raise DeploymentError(f"stream ended with {event}")
+            token = event["choices"][0]["text"]
+            tokens += 1 if token else 0
+            print(token, end="", flush=True)
+    print(flush=True)
+    if not complete:
+        raise DeploymentError("the stream ended without [DONE]")
+    say(f"streamed answer of {tokens} tokens, complete")
+
+
+def call_service(deployment):
+    workspace = deployment.shape["workspaces"][0][0]
+    url = deployment.entry_url(2) + "/desk/orders"
+    headers = {**deployment.bearer(workspace), "Idempotency-Key": "demo-order-1"}
+    order = {"item": "paper lantern", "count": 12}
+    first = http_json("POST", url, order, headers)
+    again = http_json("POST", deployment.entry_url(3) + "/desk/orders", order, headers)
+    if first[0] != 200 or first[1] != again[1]:
+        raise DeploymentError(f"service call: {first[:2]}, resend: {again[:2]}")
+    say(f"{deployment.shape['service']} answered {first[1]}; "
+        "a resend through another entry got the same answer")
+
+
+def run_batch(deployment):
+    workspace = deployment.shape["batch_workspace"]
+    lines = read_lines(deployment.shape["batch_samples"])
+    jsonl = "".join(json.dumps(line) + "\n" for line in lines).encode()
+    file_id = deployment.upload(1, workspace, jsonl)
+    job = deployment.create_batch(2, workspace, file_id, key="demo-batch-1")
+    say(f"{workspace} submitted {len(lines)} items as {job['id']}")
+    job = deployment.wait_batch(3, workspace, job["id"])
+    results = deployment.results(4, workspace, job["output_file_id"])
+    if len(results) != len(lines):
+        raise DeploymentError(f"{len(results)} results for {len(lines)} items: {job}")
+    say(f"batch {job['status']}: {json.dumps(job['request_counts'])}; first result:")
+    print(json.dumps(results[0])[:300], flush=True)
+
+
+def show_status(deployment):
+    status = deployment.ctl_json("status")
+    groups = {group["group"]: group["leader"] for group in status["groups"]}
+    say(f"status: revision {status['revision']}, {len(status['members'])} members, "
+        f"leaders {groups}")
+
+
+def keep_running(deployment):
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    say("running until interrupted")
+    try:
+        while True:
+            time.sleep(3600)
+    except KeyboardInterrupt:
+        pass
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("deployment", nargs="?", default="garza", choices=sorted(DEPLOYMENTS))
+    parser.add_argument("--keep", action="store_true", help="leave it running until interrupted")
+    options = parser.parse_args()
+    with Deployment(options.deployment) as deployment:
+        try:
+            deployment.start(say)
+            stream_answer(deployment)
+            call_service(deployment)
+            run_batch(deployment)
+            show_status(deployment)
+            description = deployment.folder / "deployment.json"
+            description.write_text(json.dumps(deployment.describe(), indent=2))
+            say(f"addresses, keys and process ids: {description.relative_to(ROOT)}")
+            if options.keep:
+                keep_running(deployment)
+            say("stopping")
+            codes = deployment.stop_all()
+            failed = {name: code for name, code in codes.items() if code != 0}
+            if failed:
+                raise DeploymentError(f"exit codes: {failed}")
+        except (DeploymentError, OSError) as error:
+            say(f"failed: {error}; logs in {deployment.folder.relative_to(ROOT)}")
+            return 1
+    say("done")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
