--- /dev/null
+++ b/src/entry/batchhandler.cpp
@@ -0,0 +1,168 @@
+#include "batchhandler.h"
+
+#include "batchformat.h"
+#include "objectid.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/service/credentials.h"
+
+#include <algorithm>
+
+namespace rattanrill::entry {
+namespace {
+
+constexpr std::size_t maxIdempotencyKeyBytes = 255;
+constexpr int statusOk = 200;
+constexpr std::string_view jsonType = "application/json";
+constexpr std::int64_t msPerSecond = 1000;
+
+} // namespace
+
+BatchHandler::BatchHandler(Parts parts, std::size_t maxBodyBytes)
+    : m_parts(parts)
+    , m_maxBodyBytes(maxBodyBytes)
+{}
+
+void BatchHandler::create(Exchange &exchange)
+{
+    const std::optional<Caller> caller = m_parts.admission.authenticate(exchange);
+    if (!caller)
+        return;
+    const Outcome<std::string> batch = createBatch(exchange, *caller);
+    if (batch.ok())
+        exchange.sendJson(batch.value());
+    else
+        exchange.sendFailure(batch.failure());
+}
+
+Outcome<std::string> BatchHandler::createBatch(Exchange &exchange, const Caller &caller)
+{
+    const Outcome<std::string> body = exchange.readBody(m_maxBodyBytes);
+    if (!body.ok())
+        return body.failure();
+    const Outcome<BatchRequest> request = outcomeOf(
+            [&] { return parseBatchRequest(body.value(), m_parts.clock.wallNow()); });
+    if (!request.ok())
+        return request.failure();
+    const std::string key = exchange.header("Idempotency-Key");
+    if (key.size() > maxIdempotencyKeyBytes)
+        return notRun(ErrorCode::InvalidRequest, "\"Idempotency-Key\" is longer than 255 bytes");
+    if (key.empty())
+        return createJob(caller, request.value(), "");
+    // The prefix keeps the keys of batches and of service calls apart.
+    const std::string hash = sha256Hex(concat("POST /v1/batches\n", body.value()));
+    return createClaimed(caller, request.value(),
+                         {caller.workspace, "batches/" + key, hash, exchange.requestId()});
+}
+
+Outcome<std::string> BatchHandler::createClaimed(const Caller &caller, const BatchRequest &request,
+                                                 const ClaimKey &key)
+{
+    const Outcome<wire::ClaimStatus> claim = m_parts.claims.claim(key);
+    if (!claim.ok())
+        return claim.failure();
+    const bool finished = claim.value().state == wire::ClaimState::Finished;
+    if (!claim.value().won && finished)
+        return claim.value().body;
+    // A claim that still runs may be of an entry that died. Its job carries the same idempotency
+    // key in the file's partition, so that creating it again gives the same job.
+    Outcome<std::string> batch = createJob(caller, request, key.idempotencyKey);
+    if (!claim.value().won)
+        return batch;
+    if (batch.ok())
+        (void)m_parts.claims.finish(key, statusOk, std::string(jsonType), batch.value());
+    else
+        m_parts.claims.abandon(key);
+    return batch;
+}
+
+Outcome<std::string> BatchHandler::createJob(const Caller &caller, const BatchRequest &request,
+                                             const std::string &idempotencyKey)
+{
+    const Outcome<ObjectId> file = outcomeOf(
+            [&] { return parseObjectId(request.fileId, m_parts.partitions.count()); });
+    if (!file.ok() || file.value().kind != ObjectKind::File)
+        return notRun(ErrorCode::NotFound, concat("no input file \"", request.fileId, "\""));
+    ObjectId job = newObjectId(ObjectKind::Batch, m_parts.partitions.count());
+    // Items are leased where their file is.
+    job.partition = file.value().partition;
+    wire::CreateJob command;
+    command.jobId = job.text();
+    command.workspace = caller.workspace;
+    command.fileId = request.fileId;
+    command.idempotencyKey = idempotencyKey;
+    command.dueAtMs = absl::ToUnixMillis(request.due);
+    const auto contract = m_parts.directory.view()->contract(caller.workspace);
+    if (contract)
+        command.retentionMs = contract->retentionSeconds * msPerSecond;
+    command.metadata = request.stored;
+    const auto answer = m_parts.partitions.propose(job.partition, std::move(command), true);
+    if (!answer.ok())
+        return answer.failure();
+    return dumpJson(batchObject(answer.value().job));
+}
+
+void BatchHandler::list(Exchange &exchange)
+{
+    const std::optional<Caller> caller = m_parts.admission.authenticate(exchange);
+    if (!caller)
+        return;
+    std::vector<wire::JobStatus> jobs;
+    for (int partition = 0; partition < m_parts.partitions.count(); ++partition) {
+        auto answer = m_parts.partitions.query(partition, wire::ListJobs{caller->workspace});
+        if (!answer.ok()) {
+            exchange.sendFailure(answer.failure());
+            return;
+        }
+        std::move(answer.value().jobs.begin(), answer.value().jobs.end(), std::back_inserter(jobs));
+    }
+    std::sort(jobs.begin(), jobs.end(), [](const auto &left, const auto &right) {
+        return std::tie(right.createdAtMs, right.jobId) < std::tie(left.createdAtMs, left.jobId);
+    });
+    Json data = Json::array();
+    for (const wire::JobStatus &job : jobs)
+        data.push_back(batchObject(job));
+    exchange.sendJson(dumpJson({{"object", "list"}, {"data", data}, {"has_more", false}}));
+}
+
+void BatchHandler::describe(Exchange &exchange, const std::string &id)
+{
+    const std::optional<Caller> caller = m_parts.admission.authenticate(exchange);
+    if (!caller)
+        return;
+    const Outcome<ObjectId> job =
+            outcomeOf([&] { return parseObjectId(id, m_parts.partitions.count()); });
+    if (!job.ok() || job.value().kind != ObjectKind::Batch) {
+        exchange.sendFailure(notRun(ErrorCode::NotFound, concat("no batch \"", id, "\"")));
+        return;
+    }
+    const auto answer =
+            m_parts.partitions.query(job.value().partition, wire::ReadJob{id, caller->workspace});
+    if (answer.ok())
+        exchange.sendJson(dumpJson(batchObject(answer.value().job)));
+    else
+        exchange.sendFailure(answer.failure());
+}
+
+void BatchHandler::cancel(Exchange &exchange, const std::string &id)
+{
+    const std::optional<Caller> caller = m_parts.admission.authenticate(exchange);
+    if (!caller)
+        return;
+    (void)exchange.readBody(m_maxBodyBytes);
+    const Outcome<ObjectId> job =
+            outcomeOf([&] { return parseObjectId(id, m_parts.partitions.count()); });
+    if (!job.ok() || job.value().kind != ObjectKind::Batch) {
+        exchange.sendFailure(notRun(ErrorCode::NotFound, concat("no batch \"", id, "\"")));
+        return;
+    }
+    const auto answer = m_parts.partitions.propose(job.value().partition,
+                                                   wire::CancelJob{id, caller->workspace}, true);
+    if (answer.ok())
+        exchange.sendJson(dumpJson(batchObject(answer.value().job)));
+    else
+        exchange.sendFailure(answer.failure());
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/callerserver.cpp
@@ -0,0 +1,178 @@
+#include "callerserver.h"
+
+#include "connectionqueue.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace rattanrill::entry {
+namespace {
+
+/// The library listens with a backlog of 5; a burst of connections would wait for repeated SYNs.
+constexpr int listenBacklog = 512;
+constexpr absl::Duration lastRequestWait = absl::Seconds(1);
+constexpr std::size_t requestIdBytes = 12;
+constexpr int statusBadRequest = 400;
+
+thread_local ConnectionStream *currentConnection = nullptr;
+thread_local std::string currentRequestId;
+
+void setNoDelay(int socket)
+{
+    const int yes = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+}
+
+ErrorCode codeOfStatus(int status)
+{
+    constexpr int notFound = 404;
+    constexpr int tooLarge = 413;
+    if (status == notFound)
+        return ErrorCode::UnknownRoute;
+    if (status == tooLarge)
+        return ErrorCode::BodyTooLarge;
+    return status >= statusBadRequest && status < 500 ? ErrorCode::InvalidRequest
+                                                      : ErrorCode::Internal;
+}
+
+} // namespace
+
+CallerServer::CallerServer(http::ServerOptions options)
+    : m_options(options)
+{
+    http::configureServer(*this, m_options);
+    new_task_queue = [limit = m_options.maxConnections] { return new ConnectionQueue(limit); };
+    set_post_routing_handler([](const httplib::Request &, httplib::Response &response) {
+        response.set_header("X-Request-Id", currentRequestId);
+    });
+    // Reached for answers without a body, made by the library itself.
+    set_error_handler([](const httplib::Request &, httplib::Response &response) {
+        if (!response.body.empty() || response.content_provider_)
+            return;
+        const int status = response.status;
+        http::sendFailure(response,
+                          notRun(codeOfStatus(status), concat("refused with status ", status)),
+                          currentRequestId);
+        response.status = status;
+    });
+    set_exception_handler(
+            [](const httplib::Request &, httplib::Response &response, std::exception_ptr) {
+                http::sendFailure(response,
+                                  mayHaveRun(ErrorCode::Internal, "a handler failed unexpectedly"),
+                                  currentRequestId);
+            });
+}
+
+CallerServer::~CallerServer()
+{
+    if (!m_thread.joinable())
+        return;
+    announceEnd();
+    closeListener();
+    finish(absl::ZeroDuration());
+}
+
+Result<void> CallerServer::start(const std::string &host, int port)
+{
+    if (port == 0)
+        m_port = bind_to_any_port(host);
+    else if (bind_to_port(host, port))
+        m_port = port;
+    if (m_port <= 0)
+        return fail(notRun(ErrorCode::AddressInUse, concat("cannot listen on ", host, ":", port)));
+    ::listen(svr_sock_, listenBacklog);
+    m_thread = std::thread([this] { listen_after_bind(); });
+    return {};
+}
+
+void CallerServer::announceEnd()
+{
+    m_connections.endAfterAnswers();
+}
+
+void CallerServer::closeListener()
+{
+    // The library's stop() would also cut running streams. Without it the accepting thread sees
+    // the end of the listening socket and closes it.
+    ::shutdown(svr_sock_, SHUT_RDWR);
+}
+
+bool CallerServer::finish(absl::Duration timeout)
+{
+    const absl::Time end = absl::Now() + timeout;
+    m_connections.closeIdle();
+    const bool finished = m_connections.waitUntilNoneBusy(end - absl::Now());
+    // The library's streams end when they see this.
+    svr_sock_ = INVALID_SOCKET;
+    m_connections.closeIdle();
+    if (m_thread.joinable())
+        m_thread.join();
+    return finished;
+}
+
+ConnectionStream &CallerServer::connection()
+{
+    return *currentConnection;
+}
+
+const std::string &CallerServer::requestId()
+{
+    return currentRequestId;
+}
+
+bool CallerServer::process_and_close_socket(socket_t socket)
+{
+    setNoDelay(socket);
+    ConnectionStream stream(socket, m_options.ioTimeout);
+    currentConnection = &stream;
+    if (ConnectionQueue::refusing())
+        refuse(stream);
+    else
+        serve(stream);
+    currentConnection = nullptr;
+    stream.drainAndClose();
+    return true;
+}
+
+void CallerServer::serve(ConnectionStream &stream)
+{
+    const int socket = stream.socket();
+    // A connection that was accepted just before the listener closed gets a short time to send.
+    const bool open = m_connections.add(socket);
+    const absl::Duration wait = open ? m_options.keepAliveTimeout : lastRequestWait;
+    while (stream.waitForRequest(wait)) {
+        m_connections.markBusy(socket);
+        const bool again = serveOne(stream);
+        if (!m_connections.markIdle(socket) || !again)
+            break;
+    }
+    m_connections.remove(socket);
+}
+
+bool CallerServer::serveOne(ConnectionStream &stream)
+{
+    currentRequestId = "req-" + randomHex(requestIdBytes);
+    bool closed = false;
+    const bool answered =
+            process_request(stream, m_connections.endingAfterAnswers(), closed, nullptr);
+    return answered && !closed && !stream.closing();
+}
+
+void CallerServer::refuse(ConnectionStream &stream) const
+{
+    const std::string requestId = "req-" + randomHex(requestIdBytes);
+    const Failure failure = notRun(ErrorCode::Overloaded,
+                                   concat("this instance serves its limit of ",
+                                          m_options.maxConnections, " connections"));
+    const std::string body = http::failureBody(failure, requestId);
+    stream.write(concat("HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n",
+                        "Retry-After: 1\r\nX-Request-Id: ", requestId,
+                        "\r\nConnection: close\r\nContent-Length: ", body.size(), "\r\n\r\n",
+                        body));
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/claims.cpp
@@ -0,0 +1,66 @@
+#include "claims.h"
+
+#include "objectid.h"
+
+#include "rattanrill/base/logger.h"
+
+namespace rattanrill::entry {
+
+Claims::Claims(Partitions &partitions, absl::Duration keep)
+    : m_partitions(partitions)
+    , m_keep(keep)
+{}
+
+int Claims::partition(const ClaimKey &key) const
+{
+    return partitionOf(key.workspace, key.idempotencyKey, m_partitions.count());
+}
+
+Outcome<wire::ClaimStatus> Claims::claim(const ClaimKey &key)
+{
+    wire::ClaimRequest command;
+    command.workspace = key.workspace;
+    command.idempotencyKey = key.idempotencyKey;
+    command.requestHash = key.requestHash;
+    command.holder = key.holder;
+    command.keepMs = absl::ToInt64Milliseconds(m_keep);
+    const auto answer = m_partitions.propose(partition(key), command, true);
+    if (answer.ok())
+        return answer.value().claim;
+    // The claim may exist, but the request that it stands for was not sent.
+    if (answer.failure().run == RunState::MayHaveRun)
+        abandon(key);
+    return notRun(answer.failure().code, answer.failure().detail);
+}
+
+Outcome<Done> Claims::finish(const ClaimKey &key, int status, const std::string &contentType,
+                             const std::string &body)
+{
+    wire::FinishClaim command;
+    command.workspace = key.workspace;
+    command.idempotencyKey = key.idempotencyKey;
+    command.holder = key.holder;
+    command.status = status;
+    command.contentType = contentType;
+    command.body = body;
+    const auto answer = m_partitions.propose(partition(key), command, true);
+    if (answer.ok())
+        return Done{};
+    log(LogLevel::Warning, "claim-not-finished",
+        {{"workspace", key.workspace}, {"detail", describe(answer.failure())}});
+    return answer.failure();
+}
+
+void Claims::abandon(const ClaimKey &key)
+{
+    wire::AbandonClaim command;
+    command.workspace = key.workspace;
+    command.idempotencyKey = key.idempotencyKey;
+    command.holder = key.holder;
+    const auto answer = m_partitions.propose(partition(key), command, true);
+    if (!answer.ok())
+        log(LogLevel::Warning, "claim-not-abandoned",
+            {{"workspace", key.workspace}, {"detail", describe(answer.failure())}});
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/completionrequest.cpp
@@ -0,0 +1,147 @@
+#include "completionrequest.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+
+namespace rattanrill::entry {
+namespace {
+
+/// Estimates for admission when the caller names no limit; the engine applies its own.
+constexpr std::int64_t completionTokensGuess = 16;
+constexpr std::int64_t chatTokensGuess = 256;
+constexpr std::int64_t bytesPerToken = 4;
+constexpr std::size_t firstPrefixBytes = 64;
+constexpr std::size_t fingerprintDigits = 32;
+
+boost::leaf::error_id invalid(std::string detail)
+{
+    return fail(notRun(ErrorCode::InvalidRequest, std::move(detail)));
+}
+
+Result<std::string> textOf(const Json &value, std::string_view what)
+{
+    if (value.is_string())
+        return value.get<std::string>();
+    // Some client libraries send a list of parts.
+    if (!value.is_array())
+        return invalid(concat(what, " must be a string"));
+    std::string text;
+    for (const Json &part : value) {
+        if (part.is_string())
+            text += part.get<std::string>();
+        else if (part.is_object() && part.value("type", Json()) == Json("text"))
+            text += part.value("text", std::string());
+        else
+            return invalid(concat(what, " has a part that is not text"));
+    }
+    return text;
+}
+
+Result<std::string> chatPrompt(const Json &body)
+{
+    const auto messages = body.find("messages");
+    if (messages == body.end() || !messages->is_array() || messages->empty())
+        return invalid("\"messages\" must be a list with at least one message");
+    std::string prompt;
+    for (const Json &message : *messages) {
+        if (!message.is_object() || !message.contains("content"))
+            return invalid("each message must be an object with \"content\"");
+        BOOST_LEAF_AUTO(text, textOf(message.at("content"), "\"content\""));
+        prompt += prompt.empty() ? "" : "\n";
+        prompt += text;
+    }
+    return prompt;
+}
+
+Result<std::string> completionPrompt(const Json &body)
+{
+    const auto prompt = body.find("prompt");
+    if (prompt == body.end())
+        return invalid("\"prompt\" is missing");
+    if (prompt->is_string())
+        return prompt->get<std::string>();
+    if (prompt->is_array() && prompt->size() == 1 && prompt->front().is_string())
+        return prompt->front().get<std::string>();
+    return invalid("\"prompt\" must be one string");
+}
+
+Result<void> checkChoices(const Json &body)
+{
+    for (const char *key : {"n", "best_of"}) {
+        BOOST_LEAF_AUTO(count, jsonMemberOr<std::int64_t>(body, key, 1));
+        if (count != 1)
+            return invalid(concat("\"", key, "\" must be 1"));
+    }
+    return {};
+}
+
+Result<std::int64_t> maxTokensOf(const Json &body, bool chat)
+{
+    const std::int64_t guess = chat ? chatTokensGuess : completionTokensGuess;
+    BOOST_LEAF_AUTO(newer, jsonMemberOr<std::int64_t>(body, "max_completion_tokens", guess));
+    BOOST_LEAF_AUTO(limit, jsonMemberOr<std::int64_t>(body, "max_tokens", newer));
+    if (limit < 1)
+        return invalid("\"max_tokens\" must be at least 1");
+    return limit;
+}
+
+bool wantsStreamUsage(const Json &body)
+{
+    const auto options = body.find("stream_options");
+    return options != body.end() && options->is_object()
+            && options->value("include_usage", Json()) == Json(true);
+}
+
+/// Body as it goes to engines. Engines stream always, so that a broken answer can be continued.
+std::string engineBody(Json body, const std::string &prompt, bool chat, std::int64_t maxTokens)
+{
+    for (const char *key : {"stream", "stream_options", "request_id", "resume_after", "kv_handle"})
+        body.erase(key);
+    if (!chat)
+        body["prompt"] = prompt;
+    if (body.contains("max_completion_tokens"))
+        body["max_tokens"] = maxTokens;
+    return dumpJson(body);
+}
+
+} // namespace
+
+Result<CompletionRequest> parseCompletion(std::string_view path, std::string_view text)
+{
+    BOOST_LEAF_AUTO(body, parseJson(text, "the request body"));
+    CompletionRequest request;
+    request.chat = path == chatPath;
+    request.path = path;
+    BOOST_LEAF_ASSIGN(request.model, jsonMember<std::string>(body, "model"));
+    BOOST_LEAF_ASSIGN(request.prompt, request.chat ? chatPrompt(body) : completionPrompt(body));
+    BOOST_LEAF_CHECK(checkChoices(body));
+    BOOST_LEAF_ASSIGN(request.maxTokens, maxTokensOf(body, request.chat));
+    BOOST_LEAF_ASSIGN(request.stream, jsonMemberOr<bool>(body, "stream", false));
+    request.streamUsage = wantsStreamUsage(body);
+    request.body = engineBody(std::move(body), request.prompt, request.chat, request.maxTokens);
+    return request;
+}
+
+std::string fingerprintOf(const std::string &workspace, const CompletionRequest &request)
+{
+    return sha256Hex(concat(workspace, "\n", request.path, "\n", request.body))
+            .substr(0, fingerprintDigits);
+}
+
+policy::Work workOf(const std::string &workspace, const CompletionRequest &request,
+                    policy::WorkKind kind)
+{
+    policy::Work work;
+    work.workspace = workspace;
+    work.kind = kind;
+    work.model = request.model;
+    work.promptTokens = 1 + static_cast<std::int64_t>(request.prompt.size()) / bytesPerToken;
+    work.maxTokens = request.maxTokens;
+    work.fingerprint = fingerprintOf(workspace, request);
+    const std::string_view prompt = request.prompt;
+    for (std::size_t size = firstPrefixBytes; size <= prompt.size(); size *= 2)
+        work.prefixHashes.push_back(stableHash(prompt.substr(0, size)));
+    return work;
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/crashreporter.cpp
@@ -0,0 +1,49 @@
+#include "crashreporter.h"
+
+#include "rattanrill/base/hash.h"
+#include "rattanrill/controlclient/controlclient.h"
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/directorymessages.h"
+
+namespace rattanrill::entry {
+namespace {
+
+constexpr std::size_t requestIdBytes = 12;
+
+} // namespace
+
+DirectoryCrashReporter::DirectoryCrashReporter(controlclient::ControlClient &control,
+                                               absl::Duration holdTime, absl::Duration timeout,
+                                               const Clock &clock)
+    : m_control(control)
+    , m_holdTime(holdTime)
+    , m_timeout(timeout)
+    , m_clock(clock)
+{}
+
+void DirectoryCrashReporter::report(const std::string &fingerprint, const std::string &upstream,
+                                    Callback callback)
+{
+    wire::DirectoryCommand command;
+    command.requestId = "crash-" + randomHex(requestIdBytes);
+    command.unconditional = true;
+    command.nowMs = absl::ToUnixMillis(m_clock.wallNow());
+    command.operation =
+            wire::ReportCrash{fingerprint, upstream, absl::ToInt64Milliseconds(m_holdTime)};
+    m_control.propose(controlclient::directoryGroup, wire::encode(command), true, m_timeout,
+                      [callback = std::move(callback)](const Outcome<std::string> &answer) {
+                          if (!answer.ok()) {
+                              callback(answer.failure());
+                              return;
+                          }
+                          const auto result = outcomeOf([&] {
+                              return wire::decode<wire::DirectoryResult>(answer.value());
+                          });
+                          if (result.ok())
+                              callback(result.value().held);
+                          else
+                              callback(result.failure());
+                      });
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/partitions.cpp
@@ -0,0 +1,52 @@
+#include "partitions.h"
+
+#include "await.h"
+
+#include "rattanrill/controlclient/controlclient.h"
+#include "rattanrill/wire/codec.h"
+
+namespace rattanrill::entry {
+namespace {
+
+template <typename Message>
+Outcome<Message> decoded(const Outcome<std::string> &answer)
+{
+    if (!answer.ok())
+        return answer.failure();
+    return outcomeOf([&] { return wire::decode<Message>(answer.value()); });
+}
+
+} // namespace
+
+ControlPartitions::ControlPartitions(controlclient::ControlClient &control, int count,
+                                     absl::Duration timeout, const Clock &clock)
+    : m_control(control)
+    , m_count(count)
+    , m_timeout(timeout)
+    , m_clock(clock)
+{}
+
+Outcome<wire::BatchResult> ControlPartitions::propose(int partition, wire::BatchOperation operation,
+                                                      bool repeatable)
+{
+    wire::BatchCommand command;
+    command.nowMs = absl::ToUnixMillis(m_clock.wallNow());
+    command.operation = std::move(operation);
+    const auto answer = awaitOutcome<std::string>([&](auto callback) {
+        m_control.propose(controlclient::batchGroup(partition), wire::encode(command), repeatable,
+                          m_timeout, callback);
+    });
+    return decoded<wire::BatchResult>(answer);
+}
+
+Outcome<wire::BatchQueryResult> ControlPartitions::query(int partition, wire::BatchQuery query)
+{
+    const wire::BatchQueryMessage message{std::move(query)};
+    const auto answer = awaitOutcome<std::string>([&](auto callback) {
+        m_control.read(controlclient::batchGroup(partition), wire::encode(message), m_timeout,
+                       callback);
+    });
+    return decoded<wire::BatchQueryResult>(answer);
+}
+
+} // namespace rattanrill::entry
