Peer: Add authenticated websocket channels and server

Processes need typed calls over connections whose ends have proved the cluster secret.

A channel pings every second and gives up after three silent periods, so that a call with a long timeout does not wait on a frozen process.

Calls that close() interrupts after they were sent fail with Stopped as may_have_run, because "not run" would be a guess; the header now says so.

--- a/include/rattanrill/peer/channel.h
+++ b/include/rattanrill/peer/channel.h
@@ -18,9 +18,11 @@
     Channel(const Channel &) = delete;
     Channel &operator=(const Channel &) = delete;
 
-    /// Calls \a method. Fails with Timeout or ConnectionLost (MayHaveRun once the request may have
-    /// left this process, NotRun before), QueueFull, MessageTooLarge, AuthenticationFailed,
-    /// UnsupportedVersion or Stopped (all NotRun), or with what the other side answered.
+    /// Calls \a method. Fails with Timeout, ConnectionLost or Stopped (MayHaveRun once the request
+    /// may have left this process, NotRun before), QueueFull, MessageTooLarge, AuthenticationFailed
+    /// or UnsupportedVersion (all NotRun), or with what the other side answered. While the channel
+    /// waits for the next attempt to connect, calls fail at once, so that the caller can turn to
+    /// another process. \a reply runs on a network thread and returns soon.
     void call(wire::Method method, std::string body, absl::Duration timeout, Reply reply);
     /// Sends without an answer; dropped when not connected or when the queue is full.
     void push(wire::Method method, std::string body);
--- /dev/null
+++ b/src/peer/channelcore.cpp
@@ -0,0 +1,412 @@
+#include "channelcore.h"
+
+#include "helloproof.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include "absl/synchronization/notification.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace rattanrill::peer {
+namespace {
+
+constexpr absl::Duration firstBackoff = absl::Milliseconds(20);
+constexpr absl::Duration maxBackoff = absl::Seconds(1);
+/// A ping is sent this often; a connection on which nothing arrives for several periods is lost, so
+/// that calls with long timeouts do not wait on a host that is gone.
+constexpr absl::Duration keepAlivePeriod = absl::Seconds(1);
+constexpr int maxSilentPeriods = 3;
+
+std::chrono::nanoseconds toChrono(absl::Duration duration)
+{
+    return absl::ToChronoNanoseconds(duration);
+}
+
+} // namespace
+
+ChannelCore::ChannelCore(TransportOptions options, std::string address)
+    : m_options(std::move(options))
+    , m_address(std::move(address))
+    , m_network(NetworkThread::instance())
+    , m_backoff(firstBackoff)
+    , m_connectTimer(m_network.service())
+    , m_backoffTimer(m_network.service())
+    , m_keepAliveTimer(m_network.service())
+{}
+
+void ChannelCore::call(wire::Method method, std::string body, absl::Duration timeout, Reply reply)
+{
+    wire::Envelope envelope;
+    envelope.kind = wire::EnvelopeKind::Request;
+    envelope.id = m_nextId++;
+    envelope.method = method;
+    envelope.body = std::move(body);
+    std::string frame = wire::encode(envelope);
+    const std::size_t bytes = frame.size();
+    if (bytes > m_options.maxMessageBytes)
+        return refuse(std::move(reply), notRun(ErrorCode::MessageTooLarge,
+                                               concat(bytes, " bytes to ", m_address, ", limit ",
+                                                      m_options.maxMessageBytes)));
+    const auto start = [self = shared_from_this(), id = envelope.id, frame = std::move(frame),
+                        timeout, reply]() mutable {
+        self->releasePosted(frame.size());
+        self->startCall(id, std::move(frame), timeout, std::move(reply));
+    };
+    if (!post(bytes, start))
+        refuse(std::move(reply),
+               notRun(ErrorCode::QueueFull, concat("send queue to ", m_address, " is full")));
+}
+
+void ChannelCore::push(wire::Method method, std::string body)
+{
+    wire::Envelope envelope;
+    envelope.kind = wire::EnvelopeKind::Push;
+    envelope.method = method;
+    envelope.body = std::move(body);
+    std::string frame = wire::encode(envelope);
+    const std::size_t bytes = frame.size();
+    if (bytes > m_options.maxMessageBytes)
+        return;
+    post(bytes, [self = shared_from_this(), frame = std::move(frame)] {
+        self->releasePosted(frame.size());
+        self->startPush(frame);
+    });
+}
+
+void ChannelCore::close()
+{
+    absl::Notification closed;
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_closing)
+            return;
+        m_closing = true;
+        if (!m_network.isCurrent())
+            m_network.post([self = shared_from_this(), &closed] {
+                self->closeNow();
+                closed.Notify();
+            });
+    }
+    if (m_network.isCurrent())
+        closeNow();
+    else
+        closed.WaitForNotification();
+}
+
+/// Posts \a task unless the queue is full. Nothing is posted after close() has begun, so that no
+/// reply can run after it returned.
+bool ChannelCore::post(std::size_t bytes, std::function<void()> task)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (m_closing || m_postedBytes + bytes > m_options.maxQueuedBytes)
+        return false;
+    m_postedBytes += bytes;
+    m_network.post(std::move(task));
+    return true;
+}
+
+/// Replies on the network thread, or here when the channel is closed.
+void ChannelCore::refuse(Reply reply, Failure failure)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (!m_closing) {
+            m_network.post(
+                    [reply = std::move(reply), failure = std::move(failure)] { reply(failure); });
+            return;
+        }
+    }
+    reply(notRun(ErrorCode::Stopped, concat("channel to ", m_address, " is closed")));
+}
+
+void ChannelCore::releasePosted(std::size_t bytes)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_postedBytes -= bytes;
+}
+
+void ChannelCore::startCall(std::uint64_t id, std::string frame, absl::Duration timeout,
+                            Reply reply)
+{
+    if (m_state == State::Closed)
+        return reply(notRun(ErrorCode::Stopped, concat("channel to ", m_address, " is closed")));
+    if (m_state == State::Backoff)
+        return reply(notRun(m_lastFailure.code, m_lastFailure.detail));
+    if (!queueHasRoom(frame.size()))
+        return reply(notRun(ErrorCode::QueueFull, concat("send queue to ", m_address, " is full")));
+    Call &call = m_calls[id];
+    call.reply = std::move(reply);
+    call.frame = std::move(frame);
+    call.timer = std::make_unique<Timer>(m_network.service());
+    call.timer->expires_after(toChrono(timeout));
+    call.timer->async_wait([weak = weak_from_this(), id](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->expire(id);
+    });
+    if (m_state == State::Ready)
+        return sendCall(id);
+    m_waitingBytes += call.frame.size();
+    if (m_state == State::Idle)
+        connect();
+}
+
+void ChannelCore::startPush(const std::string &frame)
+{
+    if (m_state == State::Idle)
+        connect();
+    if (m_state == State::Ready && queueHasRoom(frame.size()))
+        sendFrame(frame);
+}
+
+void ChannelCore::sendCall(std::uint64_t id)
+{
+    Call &call = m_calls.at(id);
+    // A failed send may still have handed bytes over, so the call counts as sent before it.
+    call.sent = true;
+    const std::string frame = std::exchange(call.frame, std::string());
+    if (!sendFrame(frame))
+        lose(notRun(ErrorCode::ConnectionLost, concat("sending to ", m_address, " failed")));
+}
+
+void ChannelCore::expire(std::uint64_t id)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    const std::string detail = concat("no answer from ", m_address);
+    const bool sent = found->second.sent;
+    finish(id, sent ? mayHaveRun(ErrorCode::Timeout, detail) : notRun(ErrorCode::Timeout, detail));
+}
+
+void ChannelCore::finish(std::uint64_t id, const Outcome<std::string> &outcome)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end())
+        return;
+    Call call = std::move(found->second);
+    m_calls.erase(found);
+    if (!call.sent)
+        m_waitingBytes -= call.frame.size();
+    call.timer->cancel();
+    call.reply(outcome);
+}
+
+bool ChannelCore::queueHasRoom(std::size_t bytes) const
+{
+    const std::size_t buffered = m_connection ? m_connection->get_buffered_amount() : 0;
+    return buffered + m_waitingBytes + bytes <= m_options.maxQueuedBytes;
+}
+
+bool ChannelCore::sendFrame(const std::string &frame)
+{
+    return !m_connection->send(frame, websocketpp::frame::opcode::binary);
+}
+
+void ChannelCore::connect()
+{
+    m_state = State::Connecting;
+    const std::uint64_t epoch = ++m_epoch;
+    websocketpp::lib::error_code error;
+    m_connection = m_network.endpoint().get_connection(concat("ws://", m_address, "/"), error);
+    if (error) {
+        m_connection.reset();
+        return lose(notRun(ErrorCode::ConnectionLost,
+                           concat("\"", m_address, "\" is not an address: ", error.message())));
+    }
+    m_hello.emplace(m_options.self, m_options.clusterSecret);
+    m_connection->set_max_message_size(maxHelloBytes);
+    const std::weak_ptr<ChannelCore> weak = weak_from_this();
+    m_connection->set_open_handler([weak, epoch](websocketpp::connection_hdl) {
+        if (const auto self = weak.lock())
+            self->opened(epoch);
+    });
+    m_connection->set_message_handler([weak, epoch](websocketpp::connection_hdl,
+                                                    const WebsocketClient::message_ptr &message) {
+        if (const auto self = weak.lock())
+            self->received(epoch, message->get_payload());
+    });
+    m_connection->set_pong_handler([weak, epoch](websocketpp::connection_hdl, const std::string &) {
+        const auto self = weak.lock();
+        if (self && epoch == self->m_epoch)
+            self->m_silentPeriods = 0;
+    });
+    const auto lost = [weak, epoch](websocketpp::connection_hdl) {
+        const auto self = weak.lock();
+        if (self && epoch == self->m_epoch && self->m_connection)
+            self->lose(notRun(ErrorCode::ConnectionLost,
+                              concat("connection to ", self->m_address,
+                                     " lost: ", self->m_connection->get_ec().message(), " ",
+                                     self->m_connection->get_remote_close_reason())));
+    };
+    m_connection->set_fail_handler(lost);
+    m_connection->set_close_handler(lost);
+    armTimer(m_connectTimer, m_options.connectTimeout, &ChannelCore::connectExpired);
+    m_network.endpoint().connect(m_connection);
+}
+
+void ChannelCore::armTimer(Timer &timer, absl::Duration delay, void (ChannelCore::*handler)())
+{
+    timer.expires_after(toChrono(delay));
+    timer.async_wait([weak = weak_from_this(), handler](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            (self.get()->*handler)();
+    });
+}
+
+void ChannelCore::connectExpired()
+{
+    if (m_state == State::Connecting)
+        lose(notRun(ErrorCode::ConnectionLost,
+                    concat("connecting to ", m_address,
+                           " took longer "
+                           "than ",
+                           absl::FormatDuration(m_options.connectTimeout))));
+}
+
+void ChannelCore::opened(std::uint64_t epoch)
+{
+    if (epoch != m_epoch || m_state != State::Connecting)
+        return;
+    boost::system::error_code ignored;
+    m_connection->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    sendFrame(m_hello->opening());
+}
+
+void ChannelCore::received(std::uint64_t epoch, const std::string &frame)
+{
+    if (epoch != m_epoch || !m_connection)
+        return;
+    m_silentPeriods = 0;
+    auto envelope = outcomeOf([&] { return wire::decode<wire::Envelope>(frame); });
+    if (!envelope.ok())
+        return lose(envelope.failure());
+    if (m_state == State::Connecting)
+        return receivedHello(envelope.value());
+    if (envelope.value().kind != wire::EnvelopeKind::Response)
+        return;
+    if (envelope.value().failure.failed)
+        finish(envelope.value().id, wire::fromMessage(envelope.value().failure));
+    else
+        finish(envelope.value().id, std::move(envelope.value().body));
+}
+
+void ChannelCore::receivedHello(const wire::Envelope &envelope)
+{
+    const auto answer = outcomeOf([&] { return m_hello->receive(envelope); });
+    if (!answer.ok()) {
+        log(LogLevel::Warning, "peer-refused",
+            {{"peer", m_address},
+             {"code", name(answer.failure().code)},
+             {"detail", answer.failure().detail}});
+        sendFrame(refusalFrame(answer.failure()));
+        closeAfterRefusal();
+        return lose(notRun(answer.failure().code, answer.failure().detail));
+    }
+    if (!answer.value().empty())
+        sendFrame(answer.value());
+    if (m_hello->done())
+        ready();
+}
+
+void ChannelCore::ready()
+{
+    m_state = State::Ready;
+    m_connected = true;
+    m_connectTimer.cancel();
+    m_backoff = firstBackoff;
+    m_silentPeriods = 0;
+    m_connection->set_max_message_size(m_options.maxMessageBytes);
+    armTimer(m_keepAliveTimer, keepAlivePeriod, &ChannelCore::keepAlive);
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[id, call] : m_calls)
+        waiting.push_back(id);
+    m_waitingBytes = 0;
+    const std::uint64_t epoch = m_epoch;
+    for (const std::uint64_t id : waiting) {
+        if (m_state == State::Ready && m_epoch == epoch && m_calls.count(id) > 0)
+            sendCall(id);
+    }
+}
+
+void ChannelCore::keepAlive()
+{
+    if (m_state != State::Ready)
+        return;
+    if (++m_silentPeriods > maxSilentPeriods)
+        return lose(notRun(ErrorCode::ConnectionLost, concat(m_address, " is silent")));
+    websocketpp::lib::error_code ignored;
+    m_connection->ping("", ignored);
+    armTimer(m_keepAliveTimer, keepAlivePeriod, &ChannelCore::keepAlive);
+}
+
+/// Closes by the websocket handshake, so that the refusal still reaches the other side.
+void ChannelCore::closeAfterRefusal()
+{
+    const Connection connection = std::exchange(m_connection, nullptr);
+    websocketpp::lib::error_code ignored;
+    connection->close(websocketpp::close::status::policy_violation, "refused", ignored);
+}
+
+/// Gives the connection up, fails all open calls and schedules the next attempt.
+void ChannelCore::lose(const Failure &failure)
+{
+    if (m_state == State::Closed)
+        return;
+    dropConnection();
+    m_state = State::Backoff;
+    m_lastFailure = failure;
+    // Spread over half the backoff, so that the channels of a restarted process do not come at
+    // once.
+    const double spread = static_cast<double>(m_network.random() % 1000) / 1000;
+    armTimer(m_backoffTimer, m_backoff * (0.5 + spread / 2), &ChannelCore::connect);
+    m_backoff = std::min(m_backoff * 2, maxBackoff);
+    failCalls(failure);
+}
+
+void ChannelCore::failCalls(const Failure &failure)
+{
+    std::map<std::uint64_t, Call> calls = std::exchange(m_calls, {});
+    m_waitingBytes = 0;
+    for (auto &[id, call] : calls) {
+        call.timer->cancel();
+        const bool stopped = failure.code == ErrorCode::Stopped;
+        if (call.sent)
+            call.reply(mayHaveRun(stopped ? ErrorCode::Stopped : ErrorCode::ConnectionLost,
+                                  failure.detail));
+        else
+            call.reply(notRun(failure.code, failure.detail));
+    }
+}
+
+void ChannelCore::dropConnection()
+{
+    ++m_epoch;
+    m_connected = false;
+    m_connectTimer.cancel();
+    m_keepAliveTimer.cancel();
+    const Connection connection = std::exchange(m_connection, nullptr);
+    if (!connection)
+        return;
+    connection->terminate(websocketpp::lib::error_code());
+    // While the connection is still being established terminate() leaves the socket open.
+    boost::system::error_code ignored;
+    connection->get_raw_socket().close(ignored);
+}
+
+void ChannelCore::closeNow()
+{
+    dropConnection();
+    m_backoffTimer.cancel();
+    m_state = State::Closed;
+    failCalls(notRun(ErrorCode::Stopped, concat("channel to ", m_address, " is closed")));
+}
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/channelcore.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "clienthello.h"
+#include "networkthread.h"
+
+#include "rattanrill/peer/transport.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rattanrill::peer {
+
+/// State of a Channel. Everything but what m_mutex guards belongs to the network thread.
+class ChannelCore : public std::enable_shared_from_this<ChannelCore>
+{
+public:
+    ChannelCore(TransportOptions options, std::string address);
+
+    void call(wire::Method method, std::string body, absl::Duration timeout, Reply reply);
+    void push(wire::Method method, std::string body);
+    void close();
+    const std::string &address() const { return m_address; }
+    bool connected() const { return m_connected; }
+
+private:
+    using Timer = boost::asio::steady_timer;
+    using Connection = WebsocketClient::connection_ptr;
+
+    enum class State {
+        Idle,
+        Connecting,
+        Ready,
+        Backoff,
+        Closed,
+    };
+
+    struct Call
+    {
+        Reply reply;
+        std::string frame;
+        bool sent = false;
+        std::unique_ptr<Timer> timer;
+    };
+
+    bool post(std::size_t bytes, std::function<void()> task);
+    void refuse(Reply reply, Failure failure);
+    void releasePosted(std::size_t bytes);
+    void startCall(std::uint64_t id, std::string frame, absl::Duration timeout, Reply reply);
+    void startPush(const std::string &frame);
+    void sendCall(std::uint64_t id);
+    void expire(std::uint64_t id);
+    void finish(std::uint64_t id, const Outcome<std::string> &outcome);
+    bool queueHasRoom(std::size_t bytes) const;
+    bool sendFrame(const std::string &frame);
+
+    void connect();
+    void armTimer(Timer &timer, absl::Duration delay, void (ChannelCore::*handler)());
+    void connectExpired();
+    void opened(std::uint64_t epoch);
+    void received(std::uint64_t epoch, const std::string &frame);
+    void receivedHello(const wire::Envelope &envelope);
+    void ready();
+    void keepAlive();
+    void closeAfterRefusal();
+    void lose(const Failure &failure);
+    void failCalls(const Failure &failure);
+    void dropConnection();
+    void closeNow();
+
+    const TransportOptions m_options;
+    const std::string m_address;
+    NetworkThread &m_network;
+    std::atomic<std::uint64_t> m_nextId{1};
+    std::atomic<bool> m_connected{false};
+
+    absl::Mutex m_mutex;
+    /// Bytes posted to the network thread that it has not taken yet.
+    std::size_t m_postedBytes ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_closing ABSL_GUARDED_BY(m_mutex) = false;
+
+    State m_state = State::Idle;
+    Connection m_connection;
+    /// Counts connections, so that a late event of an earlier one is recognized.
+    std::uint64_t m_epoch = 0;
+    std::optional<ClientHello> m_hello;
+    std::map<std::uint64_t, Call> m_calls;
+    std::size_t m_waitingBytes = 0;
+    Failure m_lastFailure;
+    absl::Duration m_backoff;
+    int m_silentPeriods = 0;
+    Timer m_connectTimer;
+    Timer m_backoffTimer;
+    Timer m_keepAliveTimer;
+};
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/clienthello.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "rattanrill/peer/transport.h"
+
+#include <string>
+
+namespace rattanrill::peer {
+
+/// Client end of the hello exchange: opening, challenge, proof, acceptance.
+class ClientHello
+{
+public:
+    ClientHello(const PeerIdentity &self, const std::string &clusterSecret);
+
+    /// First frame, with the own nonce.
+    std::string opening() const;
+    /// Takes the next hello envelope and returns the frame to send, which is empty at the end.
+    /// Fails with AuthenticationFailed, UnsupportedVersion or MalformedMessage.
+    Result<std::string> receive(const wire::Envelope &envelope);
+    bool done() const { return m_state == State::Done; }
+
+private:
+    enum class State {
+        AwaitingChallenge,
+        AwaitingAcceptance,
+        Done,
+    };
+
+    Result<std::string> prove(const wire::HelloMessage &challenge);
+
+    const std::string m_clusterSecret;
+    wire::HelloMessage m_own;
+    State m_state = State::AwaitingChallenge;
+};
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/server.cpp
@@ -0,0 +1,43 @@
+#include "rattanrill/peer/server.h"
+
+#include "servercore.h"
+
+#include <utility>
+
+namespace rattanrill::peer {
+
+struct Server::Impl
+{
+    std::shared_ptr<ServerCore> core;
+};
+
+Server::Server(TransportOptions options)
+    : m_impl(new Impl{std::make_shared<ServerCore>(std::move(options))})
+{}
+
+Server::~Server()
+{
+    stop();
+}
+
+void Server::handle(wire::Method method, Handler handler)
+{
+    m_impl->core->handle(method, std::move(handler));
+}
+
+Result<void> Server::start(const std::string &host, int port)
+{
+    return m_impl->core->start(host, port);
+}
+
+int Server::port() const
+{
+    return m_impl->core->port();
+}
+
+void Server::stop()
+{
+    m_impl->core->stop();
+}
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/serverconnection.cpp
@@ -0,0 +1,229 @@
+#include "serverconnection.h"
+
+#include "helloproof.h"
+#include "servercore.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include <atomic>
+#include <utility>
+
+namespace rattanrill::peer {
+namespace {
+
+/// Clients send a ping every second, so a connection that is silent for this long has lost its
+/// client.
+constexpr absl::Duration idleTimeout = absl::Seconds(10);
+
+/// Answers one request. A handler that drops its reply unanswered must not leave the caller
+/// waiting.
+class PendingResponse
+{
+public:
+    PendingResponse(std::shared_ptr<ServerConnection> connection, std::uint64_t id,
+                    wire::Method method)
+        : m_connection(std::move(connection))
+        , m_id(id)
+        , m_method(method)
+    {}
+    ~PendingResponse()
+    {
+        answer(mayHaveRun(ErrorCode::Internal, "the request was dropped without an answer"));
+    }
+    PendingResponse(const PendingResponse &) = delete;
+    PendingResponse &operator=(const PendingResponse &) = delete;
+
+    void answer(const Outcome<std::string> &outcome)
+    {
+        if (!m_answered.exchange(true))
+            m_connection->sendResponse(m_id, m_method, outcome);
+    }
+
+private:
+    const std::shared_ptr<ServerConnection> m_connection;
+    const std::uint64_t m_id;
+    const wire::Method m_method;
+    std::atomic<bool> m_answered{false};
+};
+
+wire::Envelope responseEnvelope(std::uint64_t id, wire::Method method)
+{
+    wire::Envelope envelope;
+    envelope.kind = wire::EnvelopeKind::Response;
+    envelope.id = id;
+    envelope.method = method;
+    return envelope;
+}
+
+std::string failureFrame(std::uint64_t id, wire::Method method, const Failure &failure)
+{
+    wire::Envelope envelope = responseEnvelope(id, method);
+    envelope.failure = wire::toMessage(failure);
+    return wire::encode(envelope);
+}
+
+std::string responseFrame(std::uint64_t id, wire::Method method,
+                          const Outcome<std::string> &outcome)
+{
+    if (!outcome.ok())
+        return failureFrame(id, method, outcome.failure());
+    wire::Envelope envelope = responseEnvelope(id, method);
+    envelope.body = outcome.value();
+    return wire::encode(envelope);
+}
+
+} // namespace
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerCore> server,
+                                   WebsocketServer::connection_ptr socket)
+    : m_server(std::move(server))
+    , m_socket(std::move(socket))
+    , m_hello(m_server->options().self, m_server->options().clusterSecret)
+    , m_remote(m_socket->get_remote_endpoint())
+    , m_timer(m_server->service())
+{}
+
+void ServerConnection::start()
+{
+    boost::system::error_code ignored;
+    m_socket->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    const std::weak_ptr<ServerConnection> weak = weak_from_this();
+    m_socket->set_message_handler(
+            [weak](websocketpp::connection_hdl, const WebsocketServer::message_ptr &message) {
+                if (const auto self = weak.lock())
+                    self->received(message->get_payload());
+            });
+    m_socket->set_ping_handler([weak](websocketpp::connection_hdl, const std::string &) {
+        if (const auto self = weak.lock())
+            self->m_heard = true;
+        return true;
+    });
+    const auto ended = [weak](websocketpp::connection_hdl) {
+        if (const auto self = weak.lock())
+            self->ended();
+    };
+    m_socket->set_close_handler(ended);
+    m_socket->set_fail_handler(ended);
+    armTimer(m_server->options().connectTimeout);
+}
+
+void ServerConnection::drop()
+{
+    m_timer.cancel();
+    m_socket->terminate(websocketpp::lib::error_code());
+}
+
+void ServerConnection::received(const std::string &frame)
+{
+    m_heard = true;
+    auto envelope = outcomeOf([&] { return wire::decode<wire::Envelope>(frame); });
+    if (!envelope.ok())
+        return refuse(envelope.failure());
+    if (!m_hello.done())
+        return receivedHello(envelope.value());
+    serve(std::move(envelope.value()));
+}
+
+void ServerConnection::receivedHello(const wire::Envelope &envelope)
+{
+    const auto answer = outcomeOf([&] { return m_hello.receive(envelope); });
+    if (!answer.ok())
+        return refuse(answer.failure());
+    sendFrame(answer.value());
+    if (!m_hello.done())
+        return;
+    m_socket->set_max_message_size(m_server->options().maxMessageBytes);
+    armTimer(idleTimeout);
+}
+
+void ServerConnection::refuse(const Failure &failure)
+{
+    log(LogLevel::Warning, "peer-refused",
+        {{"peer", m_remote},
+         {"peerInstance", m_hello.peer().instance},
+         {"code", name(failure.code)},
+         {"detail", failure.detail}});
+    sendFrame(refusalFrame(failure));
+    websocketpp::lib::error_code ignored;
+    m_socket->close(websocketpp::close::status::policy_violation, std::string(name(failure.code)),
+                    ignored);
+}
+
+void ServerConnection::serve(wire::Envelope envelope)
+{
+    const bool isRequest = envelope.kind == wire::EnvelopeKind::Request;
+    if (!isRequest && envelope.kind != wire::EnvelopeKind::Push)
+        return;
+    const Handler *handler = m_server->handlerOf(envelope.method);
+    if (handler == nullptr) {
+        if (isRequest)
+            sendResponse(
+                    envelope.id, envelope.method,
+                    notRun(ErrorCode::UnknownMethod, concat("method \"", name(envelope.method),
+                                                            "\" is not served by this process")));
+        return;
+    }
+    if (!isRequest)
+        return (*handler)(m_hello.peer(), std::move(envelope.body), [](Outcome<std::string>) {});
+    const auto response =
+            std::make_shared<PendingResponse>(shared_from_this(), envelope.id, envelope.method);
+    (*handler)(m_hello.peer(), std::move(envelope.body),
+               [response](const Outcome<std::string> &outcome) { response->answer(outcome); });
+}
+
+void ServerConnection::sendResponse(std::uint64_t id, wire::Method method,
+                                    const Outcome<std::string> &outcome)
+{
+    const TransportOptions &options = m_server->options();
+    std::string frame = responseFrame(id, method, outcome);
+    // The request itself has run; only its answer is lost.
+    if (frame.size() > options.maxMessageBytes)
+        frame = failureFrame(id, method,
+                             mayHaveRun(ErrorCode::MessageTooLarge,
+                                        concat("answer of ", frame.size(), " bytes, limit ",
+                                               options.maxMessageBytes)));
+    else if (m_socket->get_buffered_amount() + frame.size() > options.maxQueuedBytes)
+        frame = failureFrame(id, method,
+                             mayHaveRun(ErrorCode::QueueFull,
+                                        concat("queue of answers to ", m_remote, " is full")));
+    sendFrame(frame);
+}
+
+/// websocketpp queues under a lock of its own and writes on the network thread.
+void ServerConnection::sendFrame(const std::string &frame)
+{
+    m_socket->send(frame, websocketpp::frame::opcode::binary);
+}
+
+void ServerConnection::armTimer(absl::Duration delay)
+{
+    m_heard = false;
+    m_timer.expires_after(absl::ToChronoNanoseconds(delay));
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->expired();
+    });
+}
+
+void ServerConnection::expired()
+{
+    if (m_hello.done() && m_heard)
+        return armTimer(idleTimeout);
+    log(LogLevel::Warning, "peer-dropped",
+        {{"peer", m_remote},
+         {"peerInstance", m_hello.peer().instance},
+         {"code", name(ErrorCode::Timeout)},
+         {"detail", m_hello.done() ? "silent connection" : "hello exchange was not completed"}});
+    drop();
+}
+
+void ServerConnection::ended()
+{
+    m_timer.cancel();
+    m_server->forget(this);
+}
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/serverconnection.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "serverhello.h"
+#include "websocket.h"
+
+#include "rattanrill/peer/transport.h"
+
+#include <memory>
+#include <string>
+
+namespace rattanrill::peer {
+
+class ServerCore;
+
+/// One accepted connection: hello exchange, then requests. Runs on the server's network thread;
+/// only sendResponse() is called from other threads.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+    ServerConnection(std::shared_ptr<ServerCore> server, WebsocketServer::connection_ptr socket);
+
+    void start();
+    /// Ends the connection without the closing handshake.
+    void drop();
+    void sendResponse(std::uint64_t id, wire::Method method, const Outcome<std::string> &outcome);
+
+private:
+    using Timer = boost::asio::steady_timer;
+
+    void received(const std::string &frame);
+    void receivedHello(const wire::Envelope &envelope);
+    void refuse(const Failure &failure);
+    void serve(wire::Envelope envelope);
+    void sendFrame(const std::string &frame);
+    void armTimer(absl::Duration delay);
+    void expired();
+    void ended();
+
+    std::shared_ptr<ServerCore> m_server;
+    WebsocketServer::connection_ptr m_socket;
+    ServerHello m_hello;
+    std::string m_remote;
+    bool m_heard = false;
+    Timer m_timer;
+};
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/servercore.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "websocket.h"
+
+#include "rattanrill/peer/transport.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace rattanrill::peer {
+
+class ServerConnection;
+
+/// State of a Server: its network thread, the listening socket and the open connections.
+class ServerCore : public std::enable_shared_from_this<ServerCore>
+{
+public:
+    explicit ServerCore(TransportOptions options);
+    ~ServerCore();
+
+    void handle(wire::Method method, Handler handler);
+    Result<void> start(const std::string &host, int port);
+    int port() const { return m_port; }
+    void stop();
+
+    const TransportOptions &options() const { return m_options; }
+    boost::asio::io_service &service() { return m_service; }
+    /// Handler of \a method; null when there is none.
+    const Handler *handlerOf(wire::Method method) const;
+    /// Called by a connection on the network thread when it has ended.
+    void forget(const ServerConnection *connection);
+
+private:
+    void setUpEndpoint();
+    void accept(const websocketpp::connection_hdl &handle);
+    void closeAll();
+
+    const TransportOptions m_options;
+    std::map<wire::Method, Handler> m_handlers;
+    boost::asio::io_service m_service;
+    WebsocketServer m_endpoint;
+    std::map<const ServerConnection *, std::shared_ptr<ServerConnection>> m_connections;
+    int m_port = 0;
+    std::thread m_thread;
+};
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/serverhello.cpp
@@ -0,0 +1,46 @@
+#include "serverhello.h"
+
+#include "helloproof.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+
+namespace rattanrill::peer {
+
+ServerHello::ServerHello(const PeerIdentity &self, const std::string &clusterSecret)
+    : m_clusterSecret(clusterSecret)
+    , m_own(makeHello(self))
+{}
+
+Result<std::string> ServerHello::receive(const wire::Envelope &envelope)
+{
+    BOOST_LEAF_AUTO(message, helloOf(envelope));
+    if (m_state == State::AwaitingOpening)
+        return challenge(message);
+    return accept(message);
+}
+
+std::string ServerHello::challenge(const wire::HelloMessage &opening)
+{
+    m_clientNonce = opening.nonce;
+    m_peer = PeerIdentity{opening.instance, opening.failureDomain, opening.role};
+    m_own.proof = helloProof(m_clusterSecret, HelloSide::Server, opening.nonce, m_own);
+    m_state = State::AwaitingProof;
+    return helloFrame(m_own);
+}
+
+Result<std::string> ServerHello::accept(const wire::HelloMessage &proved)
+{
+    const std::string expected =
+            helloProof(m_clusterSecret, HelloSide::Client, m_own.nonce, proved);
+    const bool sameNonce = proved.nonce == m_clientNonce;
+    if (!sameNonce || !constantTimeEquals(expected, proved.proof))
+        return fail(notRun(
+                ErrorCode::AuthenticationFailed,
+                concat("instance \"", proved.instance, "\" did not prove the cluster secret")));
+    m_peer = PeerIdentity{proved.instance, proved.failureDomain, proved.role};
+    m_state = State::Done;
+    return helloFrame(wire::HelloMessage{});
+}
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/src/peer/serverhello.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "rattanrill/peer/transport.h"
+
+#include <string>
+
+namespace rattanrill::peer {
+
+/// Server end of the hello exchange.
+class ServerHello
+{
+public:
+    ServerHello(const PeerIdentity &self, const std::string &clusterSecret);
+
+    /// Takes the next hello envelope and returns the frame to send. Fails with
+    /// AuthenticationFailed, UnsupportedVersion or MalformedMessage.
+    Result<std::string> receive(const wire::Envelope &envelope);
+    bool done() const { return m_state == State::Done; }
+    /// Who is at the other end; proved when done().
+    const PeerIdentity &peer() const { return m_peer; }
+
+private:
+    enum class State {
+        AwaitingOpening,
+        AwaitingProof,
+        Done,
+    };
+
+    std::string challenge(const wire::HelloMessage &opening);
+    Result<std::string> accept(const wire::HelloMessage &proved);
+
+    const std::string m_clusterSecret;
+    wire::HelloMessage m_own;
+    std::string m_clientNonce;
+    PeerIdentity m_peer;
+    State m_state = State::AwaitingOpening;
+};
+
+} // namespace rattanrill::peer
--- /dev/null
+++ b/tests/peer/channel_test.cpp
@@ -0,0 +1,267 @@
+#include "callresult.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/peer/channelpool.h"
+#include "rattanrill/peer/server.h"
+
+#include "absl/synchronization/notification.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <vector>
+
+using namespace rattanrill;
+using namespace rattanrill::peer;
+
+namespace {
+
+TransportOptions optionsOf(const std::string &instance, const std::string &secret = "secret")
+{
+    TransportOptions options;
+    options.self = PeerIdentity{instance, "d1", "test"};
+    options.clusterSecret = secret;
+    options.connectTimeout = absl::Milliseconds(500);
+    return options;
+}
+
+std::string addressOf(int port)
+{
+    return concat("127.0.0.1:", port);
+}
+
+/// Server whose Read echoes, Raft answers with twice the body, Propose keeps its reply, Follow
+/// drops it, and Grant blocks the network thread.
+struct EchoServer
+{
+    explicit EchoServer(TransportOptions options = optionsOf("server"), int port = 0)
+        : server(std::move(options))
+    {
+        server.handle(wire::Method::Read,
+                      [this](const PeerIdentity &from, std::string body, Reply reply) {
+                          ++calls;
+                          reply(concat(from.instance, "=", body));
+                      });
+        server.handle(wire::Method::Propose,
+                      [this](const PeerIdentity &, std::string, Reply reply) {
+                          absl::MutexLock lock(&mutex);
+                          kept.push_back(std::move(reply));
+                      });
+        server.handle(wire::Method::Raft, [](const PeerIdentity &, std::string body, Reply reply) {
+            reply(body + body);
+        });
+        server.handle(wire::Method::Follow, [](const PeerIdentity &, std::string, Reply) {});
+        server.handle(wire::Method::Heartbeat, [](const PeerIdentity &, std::string, Reply reply) {
+            reply(notRun(ErrorCode::NotLeader, "127.0.0.9:1"));
+        });
+        server.handle(wire::Method::Grant, [this](const PeerIdentity &, std::string, Reply reply) {
+            blocked.WaitForNotification();
+            reply(std::string());
+        });
+        BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", port); }).ok());
+    }
+    ~EchoServer()
+    {
+        if (!blocked.HasBeenNotified())
+            blocked.Notify();
+        server.stop();
+    }
+
+    void awaitKept()
+    {
+        absl::MutexLock lock(&mutex);
+        const auto some = [this] { return !kept.empty(); };
+        BOOST_REQUIRE(mutex.AwaitWithTimeout(absl::Condition(&some), absl::Seconds(10)));
+    }
+
+    absl::Mutex mutex;
+    std::vector<Reply> kept;
+    std::atomic<int> calls{0};
+    absl::Notification blocked;
+    Server server;
+};
+
+void checkFailure(const Outcome<std::string> &outcome, ErrorCode code, RunState run)
+{
+    BOOST_REQUIRE(!outcome.ok());
+    BOOST_TEST(name(outcome.failure().code) == name(code), describe(outcome.failure()));
+    BOOST_TEST(name(outcome.failure().run) == name(run), describe(outcome.failure()));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ChannelTest)
+
+BOOST_AUTO_TEST_CASE(answersAndFailuresComeBackTyped)
+{
+    EchoServer echo;
+    Channel channel(optionsOf("client"), addressOf(echo.server.port()));
+    BOOST_TEST(callAndWait(channel, "body").value() == "client=body");
+    BOOST_TEST(channel.connected());
+    const auto failed = callAndWait(channel, "", absl::Seconds(10), wire::Method::Heartbeat);
+    checkFailure(failed, ErrorCode::NotLeader, RunState::NotRun);
+    BOOST_TEST(failed.failure().detail == "127.0.0.9:1");
+    checkFailure(callAndWait(channel, "", absl::Seconds(10), wire::Method::Hello),
+                 ErrorCode::UnknownMethod, RunState::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(wrongSecretFailsTypedAndRunsNothing)
+{
+    EchoServer echo;
+    Channel channel(optionsOf("client", "guess"), addressOf(echo.server.port()));
+    checkFailure(callAndWait(channel, "body"), ErrorCode::AuthenticationFailed, RunState::NotRun);
+    BOOST_TEST(!channel.connected());
+    BOOST_TEST(echo.calls == 0);
+}
+
+BOOST_AUTO_TEST_CASE(oversizeMessagesFailInBothDirections)
+{
+    TransportOptions small = optionsOf("server");
+    small.maxMessageBytes = 64 << 10;
+    EchoServer echo(small);
+    Channel limited(small, addressOf(echo.server.port()));
+    checkFailure(callAndWait(limited, std::string(70000, 'x')), ErrorCode::MessageTooLarge,
+                 RunState::NotRun);
+    BOOST_TEST(echo.calls == 0);
+    // The request fits, its answer of twice the size does not: it has run.
+    checkFailure(
+            callAndWait(limited, std::string(40000, 'x'), absl::Seconds(10), wire::Method::Raft),
+            ErrorCode::MessageTooLarge, RunState::MayHaveRun);
+    BOOST_TEST(callAndWait(limited, "next").ok());
+    // A client with a larger limit loses the connection instead of exhausting the server.
+    Channel unlimited(optionsOf("client"), addressOf(echo.server.port()));
+    checkFailure(callAndWait(unlimited, std::string(70000, 'x')), ErrorCode::ConnectionLost,
+                 RunState::MayHaveRun);
+}
+
+// Guards against a call that waits for ever on a process that accepts and says nothing.
+BOOST_AUTO_TEST_CASE(silentListenerDoesNotHoldACall)
+{
+    boost::asio::io_context service;
+    boost::asio::ip::tcp::acceptor listener(service,
+                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
+    Channel channel(optionsOf("client"), addressOf(listener.local_endpoint().port()));
+    checkFailure(callAndWait(channel, "", absl::Seconds(60)), ErrorCode::ConnectionLost,
+                 RunState::NotRun);
+}
+
+BOOST_AUTO_TEST_CASE(unansweredCallTimesOutAsMayHaveRun)
+{
+    EchoServer echo;
+    Channel channel(optionsOf("client"), addressOf(echo.server.port()));
+    BOOST_REQUIRE(callAndWait(channel, "").ok());
+    checkFailure(callAndWait(channel, "", absl::Milliseconds(50), wire::Method::Propose),
+                 ErrorCode::Timeout, RunState::MayHaveRun);
+    checkFailure(callAndWait(channel, "", absl::Seconds(10), wire::Method::Follow),
+                 ErrorCode::Internal, RunState::MayHaveRun);
+}
+
+// Guards against a call with a long timeout that waits on a process that has frozen.
+BOOST_AUTO_TEST_CASE(frozenPeerIsRecognizedByKeepAlive)
+{
+    EchoServer echo;
+    Channel channel(optionsOf("client"), addressOf(echo.server.port()));
+    checkFailure(callAndWait(channel, "", absl::Minutes(5), wire::Method::Grant),
+                 ErrorCode::ConnectionLost, RunState::MayHaveRun);
+}
+
+BOOST_AUTO_TEST_CASE(lostConnectionFailsTheCallInFlightOnce)
+{
+    EchoServer echo;
+    Channel channel(optionsOf("client"), addressOf(echo.server.port()));
+    CallResult result;
+    channel.call(wire::Method::Propose, "", absl::Seconds(20), result.reply());
+    echo.awaitKept();
+    echo.server.stop();
+    checkFailure(result.wait(), ErrorCode::ConnectionLost, RunState::MayHaveRun);
+    // A late answer of the handler reaches nobody and does no harm.
+    echo.kept.front()(std::string("late"));
+    echo.kept.clear();
+    checkFailure(callAndWait(channel, ""), ErrorCode::ConnectionLost, RunState::NotRun);
+    BOOST_TEST(result.count() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(channelReconnectsByItself)
+{
+    auto first = std::make_unique<EchoServer>();
+    const int port = first->server.port();
+    Channel channel(optionsOf("client"), addressOf(port));
+    BOOST_REQUIRE(callAndWait(channel, "").ok());
+    first.reset();
+    EchoServer second(optionsOf("server"), port);
+    bool answered = false;
+    for (int attempt = 0; attempt < 500 && !answered; ++attempt) {
+        answered = callAndWait(channel, "").ok();
+        if (!answered)
+            absl::SleepFor(absl::Milliseconds(20));
+    }
+    BOOST_TEST(answered);
+}
+
+// Guards against replies that touch what their owner has already destroyed.
+BOOST_AUTO_TEST_CASE(closeFailsOpenCallsAndLaterOnesAnswerStopped)
+{
+    EchoServer echo;
+    Channel channel(optionsOf("client"), addressOf(echo.server.port()));
+    CallResult result;
+    channel.call(wire::Method::Propose, "", absl::Seconds(20), result.reply());
+    echo.awaitKept();
+    channel.close();
+    BOOST_TEST(result.count() == 1);
+    checkFailure(result.wait(), ErrorCode::Stopped, RunState::MayHaveRun);
+    checkFailure(callAndWait(channel, ""), ErrorCode::Stopped, RunState::NotRun);
+}
+
+// Guards against memory that grows without bound while a peer takes nothing.
+BOOST_AUTO_TEST_CASE(fullQueueFailsTheCall)
+{
+    EchoServer echo;
+    TransportOptions options = optionsOf("client");
+    options.maxQueuedBytes = 1 << 20;
+    Channel channel(options, addressOf(echo.server.port()));
+    BOOST_REQUIRE(callAndWait(channel, "").ok());
+    CallResult blocked;
+    channel.call(wire::Method::Grant, "", absl::Seconds(20), blocked.reply());
+    int full = 0;
+    // Socket buffers take a few MiB before the channel's own queue fills.
+    for (int i = 0; i < 64 && full == 0; ++i) {
+        const auto outcome =
+                callAndWait(channel, std::string(512 << 10, 'x'), absl::Milliseconds(20));
+        BOOST_REQUIRE(!outcome.ok());
+        if (outcome.failure().code == ErrorCode::QueueFull) {
+            BOOST_TEST(name(outcome.failure().run) == name(RunState::NotRun));
+            ++full;
+        }
+    }
+    BOOST_TEST(full == 1);
+}
+
+BOOST_AUTO_TEST_CASE(usedPortAndBadHostAreTyped)
+{
+    EchoServer echo;
+    Server second(optionsOf("second"));
+    const auto used = outcomeOf([&] { return second.start("127.0.0.1", echo.server.port()); });
+    BOOST_REQUIRE(!used.ok());
+    BOOST_TEST((used.failure().code == ErrorCode::AddressInUse));
+    Server third(optionsOf("third"));
+    const auto named = outcomeOf([&] { return third.start("somewhere", 0); });
+    BOOST_TEST((named.failure().code == ErrorCode::InvalidArgument));
+}
+
+BOOST_AUTO_TEST_CASE(poolKeepsOneChannelForEachAddress)
+{
+    EchoServer echo;
+    ChannelPool pool(optionsOf("client"));
+    const std::string address = addressOf(echo.server.port());
+    const auto channel = pool.channel(address);
+    BOOST_TEST(channel == pool.channel(address));
+    BOOST_TEST(callAndWait(*channel, "").ok());
+    pool.drop(address);
+    checkFailure(callAndWait(*channel, ""), ErrorCode::Stopped, RunState::NotRun);
+    BOOST_TEST(callAndWait(*pool.channel(address), "").ok());
+    pool.close();
+    checkFailure(callAndWait(*pool.channel(address), ""), ErrorCode::Stopped, RunState::NotRun);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
