Fakes: Add the fake engine and the fake service

Cause: clients, dispatch and tests need both kinds of upstream of docs/upstream-protocol.md without a model or a real service.

The engine model is a simulation that takes time as an argument, so that routing and scheduling can be tested in virtual time; EngineHost drives it in real time. Preemption of running requests when KV memory runs out was ruled out: memory for the whole answer is reserved on admission, which keeps answers deterministic. KV handles name their content (hash of the prompt and tokens), so engines in other processes import them without shared state.

Before: no upstream to talk to. After: two binaries with faults, records and lagging load reports.

--- /dev/null
+++ b/include/rattanrill/fakes/servicemodel.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "rattanrill/base/clock.h"
+#include "rattanrill/fakes/faults.h"
+#include "rattanrill/fakes/loadhistory.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace rattanrill::fakes {
+
+struct ServiceSettings
+{
+    std::string service;
+    absl::Duration serviceTime = absl::Milliseconds(40);
+    absl::Duration loadReportLag = absl::Milliseconds(500);
+    /// Requests served at once; others wait in order of arrival.
+    std::int64_t capacity = 8;
+    std::int64_t maxWaiting = 64;
+};
+
+/// Answer of the fake service to one request.
+struct ServiceAnswer
+{
+    std::string path;
+    std::string requestId;
+    /// Stable hash of the request body.
+    std::string echo;
+};
+
+/// Work of the fake service: a number of slots, each busy for the service time of its request.
+class ServiceModel
+{
+public:
+    ServiceModel(ServiceSettings settings, Faults &faults,
+                 const Clock &clock = SystemClock::instance());
+
+    /// Waits for a slot, calls \a started, works and returns the answer, which is another
+    /// request's after a crossing. Fails as not run with UpstreamBusy when too many wait.
+    Result<ServiceAnswer> serve(ServiceAnswer answer, const std::function<void()> &started);
+    EngineLoad load() const;
+    const ServiceSettings &settings() const { return m_settings; }
+
+private:
+    Result<void> takeSlot(std::int64_t ticket) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void work() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void crossAnswers() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void recordLoad() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    const ServiceSettings m_settings;
+    Faults &m_faults;
+    const Clock &m_clock;
+    mutable absl::Mutex m_mutex;
+    absl::CondVar m_changed;
+    std::int64_t m_nextTicket ABSL_GUARDED_BY(m_mutex) = 0;
+    /// Tickets are served in order; this one is next.
+    std::int64_t m_servedTickets ABSL_GUARDED_BY(m_mutex) = 0;
+    /// Answers of the requests that hold a slot, by ticket.
+    std::map<std::int64_t, ServiceAnswer *> m_running ABSL_GUARDED_BY(m_mutex);
+    LoadHistory m_history ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/cacheeventfeed.cpp
@@ -0,0 +1,52 @@
+#include "rattanrill/fakes/cacheeventfeed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::fakes {
+namespace {
+
+constexpr std::size_t keptEvents = 4096;
+
+/// Share in [0, 1) from the generator's upper 53 bits. The distributions of the standard library
+/// differ between implementations.
+double unitShare(std::mt19937_64 &random)
+{
+    return static_cast<double>(random() >> 11) * 0x1.0p-53;
+}
+
+} // namespace
+
+CacheEventFeed::CacheEventFeed(absl::Duration delay, double lossShare, std::uint64_t seed)
+    : m_delay(delay)
+    , m_lossShare(lossShare)
+    , m_random(seed)
+{}
+
+void CacheEventFeed::publish(absl::Time now, std::vector<PrefixChange> changes)
+{
+    for (PrefixChange &change : changes) {
+        const bool lost = unitShare(m_random) < m_lossShare;
+        m_pending.push_back({now + m_delay, lost, {++m_lastSeq, std::move(change)}});
+    }
+    while (m_pending.size() > keptEvents)
+        m_pending.pop_front();
+}
+
+CacheEventPage CacheEventFeed::page(absl::Time now, std::int64_t after) const
+{
+    CacheEventPage page;
+    page.next = std::min(after, m_lastSeq);
+    for (const Pending &pending : m_pending) {
+        if (pending.visibleAt > now)
+            break;
+        if (pending.event.seq <= after)
+            continue;
+        page.next = pending.event.seq;
+        if (!pending.lost)
+            page.events.push_back(pending.event);
+    }
+    return page;
+}
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/enginehost.cpp
@@ -0,0 +1,148 @@
+#include "rattanrill/fakes/enginehost.h"
+
+#include <utility>
+#include <vector>
+
+namespace rattanrill::fakes {
+
+EngineHost::EngineHost(EngineModelSettings settings, Faults &faults, RecordBook &records,
+                       const Clock &clock)
+    : m_settings(std::move(settings))
+    , m_faults(faults)
+    , m_records(records)
+    , m_clock(clock)
+    , m_model(m_settings)
+    , m_thread([this] { run(); })
+{}
+
+EngineHost::~EngineHost()
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_stopped = true;
+        m_changed.SignalAll();
+    }
+    m_thread.join();
+}
+
+Result<std::shared_ptr<AnswerStream>> EngineHost::submit(EngineRequest request,
+                                                         std::int64_t recordSeq)
+{
+    Route route;
+    route.stream = std::make_shared<AnswerStream>();
+    route.request = std::make_shared<const EngineRequest>(request);
+    route.recordSeq = recordSeq;
+    const std::string id = request.requestId;
+    absl::MutexLock lock(&m_mutex);
+    BOOST_LEAF_CHECK(m_model.submit(m_clock.now(), std::move(request)));
+    std::shared_ptr<AnswerStream> stream = route.stream;
+    m_routes[id] = std::move(route);
+    m_changed.Signal();
+    return stream;
+}
+
+std::optional<std::int64_t> EngineHost::cancel(const std::string &requestId)
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto tokens = m_model.cancel(m_clock.now(), requestId);
+    m_changed.Signal();
+    return tokens;
+}
+
+std::optional<KvExport> EngineHost::exportKv(const std::string &requestId)
+{
+    absl::MutexLock lock(&m_mutex);
+    auto kvExport = m_model.exportKv(m_clock.now(), requestId);
+    m_changed.Signal();
+    return kvExport;
+}
+
+EngineLoad EngineHost::load() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_model.load(m_clock.now());
+}
+
+CacheEventPage EngineHost::cacheEvents(std::int64_t after) const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_model.cacheEvents(m_clock.now(), after);
+}
+
+OrderAnswer EngineHost::order(const Order &order)
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_model.order(m_clock.now(), order);
+}
+
+void EngineHost::applyFaults()
+{
+    absl::MutexLock lock(&m_mutex);
+    const FaultState state = m_faults.state();
+    m_model.setCrashOn(state.crashOn);
+    m_model.setSlowFactor(state.slowFactor);
+    m_model.freezeUntil(m_faults.frozenUntil());
+    m_changed.Signal();
+}
+
+void EngineHost::run()
+{
+    absl::MutexLock lock(&m_mutex);
+    while (!m_stopped) {
+        step();
+        const absl::Duration left = m_model.nextEvent() - m_clock.now();
+        m_changed.WaitWithTimeout(&m_mutex, left);
+    }
+}
+
+void EngineHost::step()
+{
+    const std::vector<EngineEvent> events = m_model.advance(m_clock.now());
+    for (const EngineEvent &event : events)
+        deliver(event);
+    // After the delivery, so that the record file has the request that crashed the process.
+    if (m_model.crashed())
+        crashProcess();
+    crossAnswers();
+}
+
+void EngineHost::deliver(const EngineEvent &event)
+{
+    const auto route = m_routes.find(event.requestId);
+    if (route == m_routes.end())
+        return;
+    noteEvent(event, route->second);
+    route->second.stream->push(m_clock.now() + m_faults.state().lateAnswer,
+                               {event, route->second.request});
+    if (event.kind == EngineEvent::Kind::Finished)
+        m_routes.erase(route);
+}
+
+void EngineHost::noteEvent(const EngineEvent &event, Route &route)
+{
+    if (event.kind == EngineEvent::Kind::Started) {
+        route.running = true;
+        m_records.markRun(route.recordSeq);
+    }
+    if (event.kind == EngineEvent::Kind::Finished)
+        m_records.markFinished(route.recordSeq, event.index);
+}
+
+void EngineHost::crossAnswers()
+{
+    Route *first = nullptr;
+    for (auto &[id, route] : m_routes) {
+        if (!route.running)
+            continue;
+        if (first == nullptr) {
+            first = &route;
+            continue;
+        }
+        if (!m_faults.takeCrossing())
+            return;
+        std::swap(first->stream, route.stream);
+        first = nullptr;
+    }
+}
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/engineserver.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "answerwriter.h"
+#include "fakehttpserver.h"
+#include "rattanrill/fakes/enginehost.h"
+
+namespace rattanrill::fakes {
+
+/// HTTP interface of the fake engine (docs/upstream-protocol.md).
+class EngineServer
+{
+public:
+    EngineServer(FakeHttpServer &server, EngineHost &host, Faults &faults, RecordBook &records,
+                 const Clock &clock = SystemClock::instance());
+
+private:
+    using Handler = void (EngineServer::*)(const httplib::Request &, httplib::Response &);
+
+    httplib::Server::Handler guarded(Handler handler);
+    void addAnswerRoutes();
+    void addEngineRoutes();
+    void addControlRoutes();
+
+    void completions(const httplib::Request &request, httplib::Response &response);
+    void chatCompletions(const httplib::Request &request, httplib::Response &response);
+    void cancel(const httplib::Request &request, httplib::Response &response);
+    void exportKv(const httplib::Request &request, httplib::Response &response);
+    void load(const httplib::Request &request, httplib::Response &response);
+    void cacheEvents(const httplib::Request &request, httplib::Response &response);
+    void orders(const httplib::Request &request, httplib::Response &response);
+    void health(const httplib::Request &request, httplib::Response &response);
+    void setFaults(const httplib::Request &request, httplib::Response &response);
+
+    void answer(const httplib::Request &request, httplib::Response &response, bool chat);
+    Result<void> startAnswer(const httplib::Request &request, httplib::Response &response,
+                             bool chat);
+    Result<Json> applyOrder(const httplib::Request &request, std::int64_t seq, int &status);
+    /// Sends what is ready; false ends the connection.
+    bool pump(AnswerStream &stream, AnswerWriter &writer, httplib::DataSink &sink);
+
+    FakeHttpServer &m_server;
+    EngineHost &m_host;
+    Faults &m_faults;
+    RecordBook &m_records;
+    const Clock &m_clock;
+};
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/orderbook.cpp
@@ -0,0 +1,58 @@
+#include "rattanrill/fakes/orderbook.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/enumnames.h"
+
+#include <algorithm>
+
+namespace rattanrill::fakes {
+namespace {
+
+constexpr std::array<EnumName<OrderKind>, 4> orderKindNames = {{
+        {OrderKind::LoadModel, "load_model"},
+        {OrderKind::LoadAdapter, "load_adapter"},
+        {OrderKind::LoadVersion, "load_version"},
+        {OrderKind::SetRole, "set_role"},
+}};
+
+} // namespace
+
+std::string_view name(OrderKind kind)
+{
+    return nameOf(orderKindNames, kind);
+}
+
+Result<OrderKind> orderKindFromName(std::string_view name)
+{
+    if (const auto kind = valueOf(orderKindNames, name))
+        return *kind;
+    return fail(notRun(ErrorCode::InvalidRequest, concat("unknown order kind \"", name, "\"")));
+}
+
+OrderBook::OrderBook(std::vector<std::string> models, bool checksFence, absl::Duration loadTime)
+    : m_checksFence(checksFence)
+    , m_loadTime(loadTime)
+{
+    for (std::string &model : models)
+        m_readyAt[std::move(model)] = absl::InfinitePast();
+}
+
+OrderAnswer OrderBook::apply(absl::Time now, const Order &order)
+{
+    if (m_checksFence && order.fence < m_fence)
+        return {false, m_fence};
+    m_fence = std::max(m_fence, order.fence);
+    if (order.kind == OrderKind::SetRole)
+        m_role = order.name;
+    else
+        m_readyAt.emplace(order.name, now + m_loadTime);
+    return {true, m_fence};
+}
+
+bool OrderBook::serves(absl::Time now, std::string_view model) const
+{
+    const auto entry = m_readyAt.find(model);
+    return entry != m_readyAt.end() && entry->second <= now;
+}
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/servicemodel.cpp
@@ -0,0 +1,72 @@
+#include "rattanrill/fakes/servicemodel.h"
+
+#include <utility>
+
+namespace rattanrill::fakes {
+
+ServiceModel::ServiceModel(ServiceSettings settings, Faults &faults, const Clock &clock)
+    : m_settings(std::move(settings))
+    , m_faults(faults)
+    , m_clock(clock)
+    , m_history(m_settings.loadReportLag)
+{}
+
+Result<ServiceAnswer> ServiceModel::serve(ServiceAnswer answer,
+                                          const std::function<void()> &started)
+{
+    absl::MutexLock lock(&m_mutex);
+    const std::int64_t ticket = m_nextTicket;
+    BOOST_LEAF_CHECK(takeSlot(ticket));
+    m_running[ticket] = &answer;
+    recordLoad();
+    started();
+    crossAnswers();
+    work();
+    m_running.erase(ticket);
+    recordLoad();
+    m_changed.SignalAll();
+    return answer;
+}
+
+EngineLoad ServiceModel::load() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_history.report(m_clock.now());
+}
+
+Result<void> ServiceModel::takeSlot(std::int64_t ticket)
+{
+    if (m_nextTicket - m_servedTickets >= m_settings.maxWaiting)
+        return fail(notRun(ErrorCode::UpstreamBusy, "queue is full"));
+    ++m_nextTicket;
+    recordLoad();
+    while (m_servedTickets != ticket
+           || static_cast<std::int64_t>(m_running.size()) >= m_settings.capacity)
+        m_changed.Wait(&m_mutex);
+    ++m_servedTickets;
+    m_changed.SignalAll();
+    return {};
+}
+
+void ServiceModel::work()
+{
+    const absl::Time end = m_clock.now() + m_faults.state().slowFactor * m_settings.serviceTime;
+    for (absl::Duration left = end - m_clock.now(); left > absl::ZeroDuration();
+         left = end - m_clock.now())
+        m_changed.WaitWithTimeout(&m_mutex, left);
+}
+
+void ServiceModel::crossAnswers()
+{
+    if (m_running.size() < 2 || !m_faults.takeCrossing())
+        return;
+    std::swap(*m_running.begin()->second, *m_running.rbegin()->second);
+}
+
+void ServiceModel::recordLoad()
+{
+    m_history.record(m_clock.now(), {static_cast<std::int64_t>(m_running.size()),
+                                     m_nextTicket - m_servedTickets, 0});
+}
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/serviceserver.cpp
@@ -0,0 +1,123 @@
+#include "serviceserver.h"
+
+#include "rattanrill/fakes/answer.h"
+#include "rattanrill/http/serversetup.h"
+
+#include "absl/time/clock.h"
+
+namespace rattanrill::fakes {
+
+ServiceServer::ServiceServer(FakeHttpServer &server, ServiceModel &model, Faults &faults,
+                             RecordBook &records, const Clock &clock)
+    : m_server(server)
+    , m_model(model)
+    , m_faults(faults)
+    , m_records(records)
+    , m_clock(clock)
+{
+    addControlRoutes();
+    addServiceRoutes();
+}
+
+void ServiceServer::addControlRoutes()
+{
+    m_server.Get("/records", [this](const httplib::Request &request, httplib::Response &response) {
+        sendRecords(m_records, request, response);
+    });
+    m_server.Post("/faults", [this](const httplib::Request &request, httplib::Response &response) {
+        setFaults(request, response);
+    });
+    m_server.Get("/service/load", [this](const httplib::Request &, httplib::Response &response) {
+        m_faults.waitWhileFrozen(m_clock.now());
+        load(response);
+    });
+    m_server.Get("/healthz", [this](const httplib::Request &, httplib::Response &response) {
+        m_faults.waitWhileFrozen(m_clock.now());
+        sendJson(response, {{"status", "ok"}});
+    });
+}
+
+void ServiceServer::addServiceRoutes()
+{
+    const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
+        serve(request, response);
+    };
+    m_server.Get(".*", handler);
+    m_server.Post(".*", httplib::Server::Handler(handler));
+    m_server.Put(".*", httplib::Server::Handler(handler));
+    m_server.Patch(".*", httplib::Server::Handler(handler));
+    m_server.Delete(".*", httplib::Server::Handler(handler));
+    m_server.Options(".*", handler);
+}
+
+void ServiceServer::load(httplib::Response &response)
+{
+    const EngineLoad load = m_model.load();
+    sendJson(response, {{"running", load.running + load.waiting},
+                        {"capacity", m_model.settings().capacity},
+                        {"age_ms", absl::ToInt64Milliseconds(m_model.settings().loadReportLag)}});
+}
+
+void ServiceServer::setFaults(const httplib::Request &request, httplib::Response &response)
+{
+    const auto set = outcomeOf([&]() -> Result<void> {
+        BOOST_LEAF_AUTO(body, parseJson(request.body, "body"));
+        return m_faults.set(body, m_clock.now());
+    });
+    if (set.ok())
+        sendJson(response, {{"set", true}});
+    else
+        http::sendFailure(response, set.failure(), "");
+}
+
+void ServiceServer::serve(const httplib::Request &request, httplib::Response &response)
+{
+    m_faults.waitWhileFrozen(m_clock.now());
+    const auto answer = outcomeOf([&] { return runRequest(request); });
+    m_faults.waitWhileFrozen(m_clock.now());
+    if (answer.ok())
+        sendAnswer(response, answer.value());
+    else
+        http::sendFailure(response, answer.failure(), request.get_header_value("X-Request-Id"));
+}
+
+Result<ServiceAnswer> ServiceServer::runRequest(const httplib::Request &request)
+{
+    const std::string id = request.get_header_value("X-Request-Id");
+    const std::int64_t seq = m_records.add(recordOf(request, id));
+    const FaultState faults = m_faults.state();
+    if (faults.refuse)
+        return fail(notRun(ErrorCode::UpstreamBusy, "refused by a fault"));
+    const bool crashes =
+            !faults.crashOn.empty() && request.body.find(faults.crashOn) != std::string::npos;
+    BOOST_LEAF_AUTO(answer, m_model.serve({request.path, id, hashText(request.body)}, [&] {
+        m_records.markRun(seq);
+        if (crashes)
+            crashProcess();
+    }));
+    m_records.markFinished(seq, 0);
+    // The fault delays the answer, not the work: the slot is free by now.
+    absl::SleepFor(faults.lateAnswer);
+    return answer;
+}
+
+void ServiceServer::sendAnswer(httplib::Response &response, const ServiceAnswer &answer)
+{
+    const Json body = {{"service", m_model.settings().service},
+                       {"path", answer.path},
+                       {"request_id", answer.requestId},
+                       {"echo", answer.echo}};
+    if (m_faults.state().cutAfterTokens == 0) {
+        sendJson(response, body);
+        return;
+    }
+    // Announces the whole length and ends the connection halfway.
+    response.set_content_provider(
+            dumpJson(body).size(), "application/json",
+            [text = dumpJson(body)](std::size_t, std::size_t length, httplib::DataSink &sink) {
+                sink.write(text.data(), length / 2);
+                return false;
+            });
+}
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/serviceserver.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "fakehttpserver.h"
+#include "rattanrill/fakes/servicemodel.h"
+
+namespace rattanrill::fakes {
+
+/// HTTP interface of the fake plain service (docs/upstream-protocol.md).
+class ServiceServer
+{
+public:
+    ServiceServer(FakeHttpServer &server, ServiceModel &model, Faults &faults, RecordBook &records,
+                  const Clock &clock = SystemClock::instance());
+
+private:
+    void addControlRoutes();
+    void addServiceRoutes();
+    void load(httplib::Response &response);
+    void setFaults(const httplib::Request &request, httplib::Response &response);
+    void serve(const httplib::Request &request, httplib::Response &response);
+    Result<ServiceAnswer> runRequest(const httplib::Request &request);
+    void sendAnswer(httplib::Response &response, const ServiceAnswer &answer);
+
+    FakeHttpServer &m_server;
+    ServiceModel &m_model;
+    Faults &m_faults;
+    RecordBook &m_records;
+    const Clock &m_clock;
+};
+
+} // namespace rattanrill::fakes
