--- /dev/null
+++ b/include/rattanrill/policy/fairqueue.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "rattanrill/policy/work.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace rattanrill::policy {
+
+/// Order of waiting work between workspaces by served tokens relative to weight (start-time fair
+/// queueing); within a workspace by due time, then by order of arrival. A workspace that had
+/// nothing waiting and nothing in service re-enters at the current virtual time, so that idle time
+/// earns no credit.
+class FairQueue
+{
+public:
+    /// Sets the weight of a workspace; 1 when never set. Values <= 0 count as the smallest weight.
+    void setWeight(const std::string &workspace, double weight);
+    /// Adds waiting work. \a due orders within the workspace.
+    void push(const std::string &workspace, WorkId work, absl::Time due);
+    /// Removes waiting work; false when it does not wait here.
+    bool remove(WorkId work);
+    /// Work that is next; nothing is removed or charged.
+    std::optional<WorkId> front() const;
+    /// Charges \a tokens of service. Charge estimates at the start and settle the difference
+    /// (which may be negative) at the end.
+    void charge(const std::string &workspace, double tokens);
+
+    bool empty() const { return m_places.empty(); }
+    std::size_t size() const { return m_places.size(); }
+    std::size_t waiting(const std::string &workspace) const;
+    /// Waiting work in order of due time within each workspace, workspaces in order of service.
+    /// \a visit returns false to end.
+    template <typename Visit>
+    void visitInOrder(Visit visit) const;
+
+private:
+    using Place = std::pair<absl::Time, std::uint64_t>;
+
+    struct Flow
+    {
+        double weight = 1;
+        /// Served tokens / weight, in the queue's virtual time.
+        double virtualTime = 0;
+        std::map<Place, WorkId> waiting;
+    };
+
+    std::map<std::string, Flow> m_flows;
+    /// Flows with waiting work by virtual time.
+    std::map<std::pair<double, std::string>, Flow *> m_active;
+    std::map<WorkId, std::pair<std::string, Place>> m_places;
+    double m_virtualTime = 0;
+    std::uint64_t m_nextSequence = 0;
+};
+
+template <typename Visit>
+void FairQueue::visitInOrder(Visit visit) const
+{
+    for (const auto &[key, flow] : m_active) {
+        for (const auto &[place, work] : flow->waiting) {
+            if (!visit(work))
+                return;
+        }
+    }
+}
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/include/rattanrill/policy/quarantine.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace rattanrill::policy {
+
+struct QuarantineSettings
+{
+    /// Crashed upstreams after which a fingerprint is held.
+    std::size_t crashLimit = 2;
+    /// How long a request that ran beside others on a crashed upstream stays a suspect.
+    absl::Duration suspectTime = absl::Seconds(30);
+    /// How long a fingerprint is held unless an operator releases it.
+    absl::Duration holdTime = absl::Hours(24);
+};
+
+/// What may be done with a request.
+enum class Standing {
+    /// Nothing known against it.
+    Clear,
+    /// It ran on an upstream that crashed: it runs only where no other suspect runs.
+    Suspect,
+    /// It is refused.
+    Held,
+};
+
+/// Requests that may have crashed an upstream. Suspects run isolated from each other, so that a
+/// second crash names the request that caused it, and the others are cleared by their success.
+class Quarantine
+{
+public:
+    explicit Quarantine(QuarantineSettings settings);
+
+    /// \a upstream crashed while it ran requests with \a fingerprints, as far as this entry knows.
+    /// Returns those whose crash belongs in the directory's records: the only request that ran, and
+    /// suspects that ran isolated.
+    std::vector<std::string> crashed(absl::Time now, const std::string &upstream,
+                                     const std::vector<std::string> &fingerprints);
+    /// A request completed: clears a suspect, but never a held fingerprint.
+    void succeeded(const std::string &fingerprint);
+    /// Merges a record of the directory; an empty list of upstreams releases the fingerprint.
+    void setRecord(absl::Time now, const std::string &fingerprint,
+                   const std::vector<std::string> &crashedUpstreams, bool held);
+    Standing standing(absl::Time now, const std::string &fingerprint) const;
+    /// Upstreams known to have crashed with the fingerprint.
+    std::size_t crashes(const std::string &fingerprint) const;
+    /// Drops expired records.
+    void expire(absl::Time now);
+
+private:
+    struct Suspect
+    {
+        std::set<std::string> upstreams;
+        bool held = false;
+        absl::Time expires;
+    };
+
+    QuarantineSettings m_settings;
+    std::map<std::string, Suspect> m_suspects;
+};
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/include/rattanrill/policy/tokenbucket.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "absl/time/time.h"
+
+namespace rattanrill::policy {
+
+/// Rate and burst that a workspace's contract grants.
+struct RateContract
+{
+    /// Units (requests) per second; 0 grants only what is left of the burst.
+    double ratePerSecond = 0;
+    /// Units that may exceed the rate at once.
+    double burst = 0;
+};
+
+/// Answer to a request for units.
+struct RateGrant
+{
+    bool granted = false;
+    /// Granted: time to wait before use. Refused: time after which a retry can succeed;
+    /// InfiniteDuration() when it never can.
+    absl::Duration wait;
+};
+
+/// Rate and burst of one workspace, as counted by its owner (generic cell rate algorithm). In any
+/// window of length t, no more than rate * t + burst units come into use, where a grant with a
+/// wait comes into use when the wait is over. With a changed contract the bound is the sum of
+/// rate * t over the parts of the window, plus the largest burst in it.
+///
+/// A new owner starts empty, because the former owner may just have granted the whole burst.
+class TokenBucket
+{
+public:
+    /// Empty bucket that fills at the contract's rate from \a now on.
+    TokenBucket(RateContract contract, absl::Time now);
+
+    /// Takes \a units when they are available after at most \a maxWait; otherwise takes nothing.
+    /// A call with \a now before that of an earlier call counts as at the later time.
+    RateGrant take(absl::Time now, double units, absl::Duration maxWait = absl::ZeroDuration());
+    /// Changes rate and burst. Keeps the level, cut to the new burst, so that a change never
+    /// grants a second burst.
+    void setContract(absl::Time now, RateContract contract);
+    /// Units available at \a now; negative while granted units wait for theirs.
+    double level(absl::Time now) const;
+    const RateContract &contract() const { return m_contract; }
+
+private:
+    void advance(absl::Time now);
+
+    RateContract m_contract;
+    double m_level = 0;
+    absl::Time m_levelAt;
+};
+
+} // namespace rattanrill::policy
