--- a/include/rattanrill/policy/quarantine.h
+++ b/include/rattanrill/policy/quarantine.h
@@ -38,10 +38,10 @@
     explicit Quarantine(QuarantineSettings settings);
 
     /// \a upstream crashed while it ran requests with \a fingerprints, as far as this entry knows.
-    /// Returns those whose crash belongs in the directory's records: the only request that ran, and
-    /// suspects that ran isolated.
+    /// \a alone says that no other entry had work there. Returns the fingerprints whose crash
+    /// belongs in the directory's records.
     std::vector<std::string> crashed(absl::Time now, const std::string &upstream,
-                                     const std::vector<std::string> &fingerprints);
+                                     const std::vector<std::string> &fingerprints, bool alone);
     /// A request completed: clears a suspect, but never a held fingerprint.
     void succeeded(const std::string &fingerprint);
     /// Merges a record of the directory; an empty list of upstreams releases the fingerprint.
@@ -56,6 +56,7 @@
 private:
     struct Suspect
     {
+        /// Crashed upstreams on which the request ran.
         std::set<std::string> upstreams;
         bool held = false;
         absl::Time expires;
--- a/include/rattanrill/policy/retrypolicy.h
+++ b/include/rattanrill/policy/retrypolicy.h
@@ -12,8 +12,11 @@
 {
     /// Retries allowed per first try, fleet-wide because every entry holds to it for its own.
     double budgetShare = 0.1;
-    /// Retries allowed beyond the share, so that an entry with little traffic can retry at all.
-    double budgetMinimum = 3;
+    /// Retries allowed at the start, so that an entry with little traffic can retry at all.
+    double budgetMinimum = 10;
+    /// Unused budget is kept up to this, so that the streams of a lost failure domain can be
+    /// retried at once.
+    double budgetLimit = 50;
     int tries = 3;
     absl::Duration firstBackoff = absl::Milliseconds(20);
     absl::Duration longestBackoff = absl::Seconds(1);
--- a/include/rattanrill/policy/scheduler.h
+++ b/include/rattanrill/policy/scheduler.h
@@ -39,10 +39,14 @@
     /// Batch work is no longer preempted when less than this many times its remaining run time is
     /// left before it is due.
     double dueSafetyFactor = 2.0;
-    /// Tries of a batch item that failed before it counts as impossible.
+    /// Engine prefill speed (tokens/s) used until first tokens have been observed.
+    double prefillTokensPerSecond = 8000;
+    /// Failed tries of a batch item after which it counts as impossible.
     int batchTries = 4;
     RouterSettings router;
     RetrySettings retry;
+    /// Longest wait of online work that must run isolated from other suspects.
+    absl::Duration isolationLimit = absl::Seconds(30);
     QuarantineSettings quarantine;
 };
 
@@ -142,8 +146,9 @@
     void setEngines(absl::Time now, const std::vector<EngineInfo> &engines);
     /// Replaces weights of workspaces.
     void setWorkspaces(const std::vector<WorkspaceShare> &workspaces);
-    /// Entries that share the engines, this one included.
-    void setEntryCount(std::size_t entries);
+    /// Replaces the list of entries that share the engines. \a self is this entry's instance and
+    /// is in the list. All entries derive from it which of them tests suspects on which engine.
+    void setEntries(const std::string &self, const std::vector<std::string> &instances);
     /// Adds to what is known of crashes, from the directory's records; \a held marks a fingerprint
     /// that is refused. A record without crashed upstreams releases the fingerprint.
     void setCrashRecord(absl::Time now, const std::string &fingerprint,
--- a/include/rattanrill/policy/tokenbucket.h
+++ b/include/rattanrill/policy/tokenbucket.h
@@ -25,17 +25,19 @@
 /// Rate and burst of one workspace, as counted by its owner (generic cell rate algorithm). In any
 /// window of length t, no more than rate * t + burst units come into use, where a grant with a
 /// wait comes into use when the wait is over. With a changed contract the bound is the sum of
-/// rate * t over the parts of the window, plus the largest burst in it.
+/// rate * t over the parts of the window, plus the largest burst in it; a lower rate counts from
+/// the end of the waits that were granted before it.
 ///
 /// A new owner starts empty, because the former owner may just have granted the whole burst.
 class TokenBucket
 {
 public:
-    /// Empty bucket that fills at the contract's rate from \a now on.
-    TokenBucket(RateContract contract, absl::Time now);
+    /// Empty bucket that fills at the contract's rate from \a start on. A new owner passes the end
+    /// of the former owner's lease plus the longest wait that it granted.
+    TokenBucket(RateContract contract, absl::Time start);
 
     /// Takes \a units when they are available after at most \a maxWait; otherwise takes nothing.
-    /// A call with \a now before that of an earlier call counts as at the later time.
+    /// A call with \a now before the start or an earlier call waits for that time as well.
     RateGrant take(absl::Time now, double units, absl::Duration maxWait = absl::ZeroDuration());
     /// Changes rate and burst. Keeps the level, cut to the new burst, so that a change never
     /// grants a second burst.
