--- a/include/rattanrill/policy/enginestate.h
+++ b/include/rattanrill/policy/enginestate.h
@@ -5,9 +5,9 @@
 
 #include "absl/time/time.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
-#include <map>
 #include <string>
 
 namespace rattanrill::policy {
@@ -53,7 +53,9 @@
     void firstToken(WorkKind kind, std::int64_t prefillTokens);
     void workEnded(absl::Time now, WorkKind kind, std::int64_t totalTokens);
 
-    bool hasReport() const { return m_reportedAt != absl::InfinitePast(); }
+    bool hasReport() const { return m_reports > 0; }
+    /// Number of reports so far.
+    std::uint64_t reports() const { return m_reports; }
     const EngineLoad &load() const { return m_load; }
     /// Time that the last report describes.
     absl::Time reportedAt() const { return m_reportedAt; }
@@ -62,11 +64,13 @@
     std::int64_t own(WorkKind kind) const;
     /// Own prompt tokens that have not led to a first token yet.
     std::int64_t ownPrefill(WorkKind kind) const;
-    /// Own work at the time that the last report describes.
-    std::int64_t ownAtReport(WorkKind kind) const;
-    /// Expected requests on the engine now, running and waiting, when \a entries share it.
+    /// Own starts minus own ends since the time that the last report describes.
+    std::int64_t ownChange(WorkKind kind) const;
+    /// Reported requests plus own changes since.
+    double requestsSeen() const;
+    /// Requests expected on the engine now, running and waiting, when \a entries share it.
     double expectedRequests(std::size_t entries) const;
-    /// Expected share of the KV memory in use now.
+    /// Share of the KV memory expected to be in use now.
     double expectedKvShare(std::size_t entries) const;
 
 private:
@@ -78,15 +82,20 @@
         std::int64_t tokens;
     };
 
-    void forgetOldChanges(absl::Time now);
+    void addChange(const Change &change);
+    void dropOldestChange();
 
     EngineInfo m_info;
     OutlierDetector m_outlier;
     EngineLoad m_load;
+    std::uint64_t m_reports = 0;
     absl::Time m_reportedAt = absl::InfinitePast();
-    std::map<WorkKind, std::int64_t> m_own;
-    std::map<WorkKind, std::int64_t> m_ownPrefill;
-    /// Own starts (+1) and ends (-1) since the time that the last report describes.
+    /// Indexed by WorkKind, as are the next two.
+    std::array<std::int64_t, 2> m_own{};
+    std::array<std::int64_t, 2> m_ownPrefill{};
+    std::array<std::int64_t, 2> m_ownChange{};
+    std::int64_t m_changedTokens = 0;
+    /// Changes since the time that the last report describes, oldest first.
     std::deque<Change> m_changes;
 };
 
--- a/include/rattanrill/policy/fairqueue.h
+++ b/include/rattanrill/policy/fairqueue.h
@@ -26,6 +26,8 @@
     bool remove(WorkId work);
     /// Work that is next; nothing is removed or charged.
     std::optional<WorkId> front() const;
+    /// Work that would go last: the last one of the workspace with the most service.
+    std::optional<WorkId> back() const;
     /// Charges \a tokens of service. Charge estimates at the start and settle the difference
     /// (which may be negative) at the end.
     void charge(const std::string &workspace, double tokens);
@@ -33,10 +35,6 @@
     bool empty() const { return m_places.empty(); }
     std::size_t size() const { return m_places.size(); }
     std::size_t waiting(const std::string &workspace) const;
-    /// Waiting work in order of due time within each workspace, workspaces in order of service.
-    /// \a visit returns false to end.
-    template <typename Visit>
-    void visitInOrder(Visit visit) const;
 
 private:
     using Place = std::pair<absl::Time, std::uint64_t>;
@@ -57,15 +55,4 @@
     std::uint64_t m_nextSequence = 0;
 };
 
-template <typename Visit>
-void FairQueue::visitInOrder(Visit visit) const
-{
-    for (const auto &[key, flow] : m_active) {
-        for (const auto &[place, work] : flow->waiting) {
-            if (!visit(work))
-                return;
-        }
-    }
-}
-
 } // namespace rattanrill::policy
--- a/include/rattanrill/policy/quarantine.h
+++ b/include/rattanrill/policy/quarantine.h
@@ -59,7 +59,7 @@
         /// Crashed upstreams on which the request ran.
         std::set<std::string> upstreams;
         bool held = false;
-        absl::Time expires;
+        absl::Time expires = absl::InfinitePast();
     };
 
     QuarantineSettings m_settings;
--- a/include/rattanrill/policy/router.h
+++ b/include/rattanrill/policy/router.h
@@ -26,6 +26,10 @@
     double prefixLoadBound = 0.25;
     /// Cost in load of this many own prompt tokens still in prefill on the engine.
     double prefillTokensPerLoad = 4000;
+    /// Cost in load of a request that the engine reported as waiting.
+    double waitingCost = 0.05;
+    /// Random cost in load, so that entries with the same reports do not all choose one engine.
+    double tieNoise = 0.04;
 };
 
 /// Choice of an engine for one work by expected load, prefix affinity and failure domain.
--- /dev/null
+++ b/src/policy/enginerecord.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "rattanrill/policy/enginestate.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <set>
+#include <utility>
+
+namespace rattanrill::policy {
+
+/// An engine with the scheduler's own work on it.
+struct EngineRecord
+{
+    EngineRecord(EngineInfo info, OutlierSettings outlier)
+        : state(std::move(info), outlier)
+    {}
+
+    EngineState state;
+    std::set<WorkId> running;
+    int suspectsRunning = 0;
+    int preempting = 0;
+    absl::Time nextBatchStart = absl::InfinitePast();
+    /// Rounding of this entry's share of free slots, drawn anew with each report.
+    double rounding = 0;
+    /// The directory no longer lists the engine.
+    bool removed = false;
+};
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/enginestate.cpp
@@ -0,0 +1,111 @@
+#include "rattanrill/policy/enginestate.h"
+
+#include <algorithm>
+
+namespace rattanrill::policy {
+
+namespace {
+
+/// Changes older than this are dropped even when no report came; the report is then too old to
+/// count on.
+constexpr absl::Duration changeMemory = absl::Seconds(5);
+
+std::size_t index(WorkKind kind)
+{
+    return static_cast<std::size_t>(kind);
+}
+
+} // namespace
+
+EngineState::EngineState(EngineInfo info, OutlierSettings outlier)
+    : m_info(std::move(info))
+    , m_outlier(outlier)
+{}
+
+void EngineState::loadReported(absl::Time now, const EngineLoad &load)
+{
+    const absl::Time describes = now - load.age;
+    if (describes < m_reportedAt)
+        return;
+    m_load = load;
+    m_reportedAt = describes;
+    ++m_reports;
+    while (!m_changes.empty() && m_changes.front().at <= describes)
+        dropOldestChange();
+}
+
+void EngineState::workStarted(absl::Time now, WorkKind kind, std::int64_t prefillTokens,
+                              std::int64_t totalTokens)
+{
+    m_ownPrefill[index(kind)] += prefillTokens;
+    addChange({now, kind, 1, totalTokens});
+}
+
+void EngineState::firstToken(WorkKind kind, std::int64_t prefillTokens)
+{
+    m_ownPrefill[index(kind)] -= prefillTokens;
+}
+
+void EngineState::workEnded(absl::Time now, WorkKind kind, std::int64_t totalTokens)
+{
+    addChange({now, kind, -1, -totalTokens});
+}
+
+std::int64_t EngineState::own(WorkKind kind) const
+{
+    return m_own[index(kind)];
+}
+
+std::int64_t EngineState::ownPrefill(WorkKind kind) const
+{
+    return m_ownPrefill[index(kind)];
+}
+
+std::int64_t EngineState::ownChange(WorkKind kind) const
+{
+    return m_ownChange[index(kind)];
+}
+
+double EngineState::requestsSeen() const
+{
+    const std::int64_t reported = m_load.running + m_load.waiting;
+    const std::int64_t own = ownChange(WorkKind::Online) + ownChange(WorkKind::Batch);
+    return static_cast<double>(std::max<std::int64_t>(reported + own, 0));
+}
+
+double EngineState::expectedRequests(std::size_t entries) const
+{
+    const auto others = static_cast<double>(entries == 0 ? 0 : entries - 1);
+    const auto online = static_cast<double>(ownChange(WorkKind::Online));
+    return requestsSeen() + others * std::max(online, 0.0);
+}
+
+double EngineState::expectedKvShare(std::size_t entries) const
+{
+    if (m_load.kvCapacityTokens <= 0)
+        return 0;
+    const auto own = static_cast<double>(m_changedTokens);
+    const double others = std::max(own, 0.0) * static_cast<double>(entries == 0 ? 0 : entries - 1);
+    const double used = static_cast<double>(m_load.kvTokens) + own + others;
+    return std::max(used, 0.0) / static_cast<double>(m_load.kvCapacityTokens);
+}
+
+void EngineState::addChange(const Change &change)
+{
+    m_own[index(change.kind)] += change.delta;
+    m_ownChange[index(change.kind)] += change.delta;
+    m_changedTokens += change.tokens;
+    m_changes.push_back(change);
+    while (m_changes.front().at < change.at - changeMemory)
+        dropOldestChange();
+}
+
+void EngineState::dropOldestChange()
+{
+    const Change &oldest = m_changes.front();
+    m_ownChange[index(oldest.kind)] -= oldest.delta;
+    m_changedTokens -= oldest.tokens;
+    m_changes.pop_front();
+}
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/prefixindex.cpp
@@ -0,0 +1,94 @@
+#include "rattanrill/policy/prefixindex.h"
+
+#include <algorithm>
+
+namespace rattanrill::policy {
+
+namespace {
+
+/// The hashes cover 64, 128, 256, ... bytes; a token of English text has about four.
+constexpr std::int64_t firstHashTokens = 16;
+
+} // namespace
+
+PrefixIndex::PrefixIndex(absl::Duration lifetime, std::size_t limit)
+    : m_lifetime(lifetime)
+    , m_limit(limit)
+{}
+
+void PrefixIndex::apply(absl::Time now, const std::string &engine,
+                        const std::vector<CacheEvent> &events)
+{
+    Cache &cache = m_caches[engine];
+    for (const CacheEvent &event : events) {
+        const bool gap = cache.nextSequence != 0 && event.sequence > cache.nextSequence;
+        if (gap)
+            afterGap(now, cache);
+        cache.nextSequence = std::max(cache.nextSequence, event.sequence + 1);
+        if (event.kind == CacheEvent::Kind::Stored)
+            store(now, cache, event.prefixHash, event.tokens);
+        else
+            cache.guesses.erase(event.prefixHash);
+    }
+    trim(now, cache);
+}
+
+void PrefixIndex::sent(absl::Time now, const std::string &engine,
+                       const std::vector<std::uint64_t> &hashes, std::int64_t promptTokens)
+{
+    Cache &cache = m_caches[engine];
+    std::int64_t tokens = firstHashTokens;
+    for (const std::uint64_t hash : hashes) {
+        store(now, cache, hash, std::min(tokens, promptTokens));
+        tokens *= 2;
+    }
+    trim(now, cache);
+}
+
+void PrefixIndex::forgetEngine(const std::string &engine)
+{
+    m_caches.erase(engine);
+}
+
+std::int64_t PrefixIndex::cachedTokens(absl::Time now, const std::string &engine,
+                                       const std::vector<std::uint64_t> &hashes) const
+{
+    const auto cache = m_caches.find(engine);
+    if (cache == m_caches.end())
+        return 0;
+    for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash) {
+        const auto guess = cache->second.guesses.find(*hash);
+        if (guess != cache->second.guesses.end() && guess->second.expires > now)
+            return guess->second.tokens;
+    }
+    return 0;
+}
+
+void PrefixIndex::store(absl::Time now, Cache &cache, std::uint64_t hash, std::int64_t tokens)
+{
+    cache.guesses[hash] = Guess{tokens, now + m_lifetime};
+}
+
+void PrefixIndex::afterGap(absl::Time now, Cache &cache) const
+{
+    for (auto &[hash, guess] : cache.guesses)
+        guess.expires = now + std::max(guess.expires - now, absl::ZeroDuration()) / 2;
+}
+
+void PrefixIndex::trim(absl::Time now, Cache &cache) const
+{
+    if (cache.guesses.size() <= m_limit)
+        return;
+    // Half the lifetime is the age at which a guess is worth less than the memory it takes.
+    const absl::Time limit = now + m_lifetime / 2;
+    for (auto guess = cache.guesses.begin(); guess != cache.guesses.end();) {
+        if (guess->second.expires < limit)
+            guess = cache.guesses.erase(guess);
+        else
+            ++guess;
+    }
+    if (cache.guesses.size() > m_limit)
+        cache.guesses.clear();
+}
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/quarantine.cpp
@@ -0,0 +1,76 @@
+#include "rattanrill/policy/quarantine.h"
+
+#include <algorithm>
+
+namespace rattanrill::policy {
+
+Quarantine::Quarantine(QuarantineSettings settings)
+    : m_settings(settings)
+{}
+
+std::vector<std::string> Quarantine::crashed(absl::Time now, const std::string &upstream,
+                                             const std::vector<std::string> &fingerprints,
+                                             bool alone)
+{
+    expire(now);
+    std::vector<std::string> changed;
+    const bool onlyOne = alone && fingerprints.size() == 1;
+    for (const std::string &fingerprint : fingerprints) {
+        Suspect &suspect = m_suspects[fingerprint];
+        if (!suspect.upstreams.insert(upstream).second)
+            continue;
+        suspect.held = suspect.held || suspect.upstreams.size() >= m_settings.crashLimit;
+        const bool certain = suspect.held || onlyOne;
+        const absl::Time expires = now + (certain ? m_settings.holdTime : m_settings.suspectTime);
+        suspect.expires = std::max(suspect.expires, expires);
+        changed.push_back(fingerprint);
+    }
+    return changed;
+}
+
+void Quarantine::succeeded(const std::string &fingerprint)
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end() && !found->second.held)
+        m_suspects.erase(found);
+}
+
+void Quarantine::setRecord(absl::Time now, const std::string &fingerprint,
+                           const std::vector<std::string> &crashedUpstreams, bool held)
+{
+    if (crashedUpstreams.empty()) {
+        m_suspects.erase(fingerprint);
+        return;
+    }
+    Suspect &suspect = m_suspects[fingerprint];
+    suspect.upstreams.insert(crashedUpstreams.begin(), crashedUpstreams.end());
+    suspect.held = suspect.held || held || suspect.upstreams.size() >= m_settings.crashLimit;
+    const absl::Duration time = suspect.held ? m_settings.holdTime : m_settings.suspectTime;
+    suspect.expires = std::max(suspect.expires, now + time);
+}
+
+Standing Quarantine::standing(absl::Time now, const std::string &fingerprint) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    if (found == m_suspects.end() || found->second.expires <= now)
+        return Standing::Clear;
+    return found->second.held ? Standing::Held : Standing::Suspect;
+}
+
+std::size_t Quarantine::crashes(const std::string &fingerprint) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    return found == m_suspects.end() ? 0 : found->second.upstreams.size();
+}
+
+void Quarantine::expire(absl::Time now)
+{
+    for (auto suspect = m_suspects.begin(); suspect != m_suspects.end();) {
+        if (suspect->second.expires <= now)
+            suspect = m_suspects.erase(suspect);
+        else
+            ++suspect;
+    }
+}
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/router.cpp
@@ -0,0 +1,87 @@
+#include "rattanrill/policy/router.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace rattanrill::policy {
+
+namespace {
+
+bool isUsable(absl::Time now, const EngineState &engine, const std::vector<std::string> &avoided)
+{
+    const std::string &name = engine.info().name;
+    return !engine.info().leaving && !engine.outlier().ejected(now)
+           && std::find(avoided.begin(), avoided.end(), name) == avoided.end();
+}
+
+double uniform(std::mt19937_64 &random)
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+} // namespace
+
+double expectedLoad(const EngineState &engine, std::size_t entries)
+{
+    if (engine.maxBatch() <= 0)
+        return 0.5;
+    const double batch = engine.expectedRequests(entries) / static_cast<double>(engine.maxBatch());
+    return std::max(batch, engine.expectedKvShare(entries));
+}
+
+Router::Router(RouterSettings settings, std::string failureDomain)
+    : m_settings(settings)
+    , m_failureDomain(std::move(failureDomain))
+{}
+
+int Router::choose(absl::Time now, const Work &work, const std::vector<EngineState *> &candidates,
+                   const std::vector<std::string> &avoided, const PrefixIndex &prefixes,
+                   std::size_t entries, std::mt19937_64 &random) const
+{
+    double leastLoad = std::numeric_limits<double>::infinity();
+    for (const EngineState *engine : candidates) {
+        if (isUsable(now, *engine, avoided))
+            leastLoad = std::min(leastLoad, expectedLoad(*engine, entries));
+    }
+    int best = -1;
+    bool bestReturning = false;
+    double bestCost = std::numeric_limits<double>::infinity();
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const EngineState &engine = *candidates[i];
+        if (!isUsable(now, engine, avoided))
+            continue;
+        const bool returning = uniform(random) >= engine.outlier().share(now);
+        const double noise = m_settings.tieNoise * uniform(random);
+        const double cost = this->cost(now, work, engine, leastLoad, prefixes, entries) + noise;
+        const bool better = returning == bestReturning ? cost < bestCost : bestReturning;
+        if (best < 0 || better) {
+            best = static_cast<int>(i);
+            bestCost = cost;
+            bestReturning = returning;
+        }
+    }
+    return best;
+}
+
+double Router::cost(absl::Time now, const Work &work, const EngineState &engine, double leastLoad,
+                    const PrefixIndex &prefixes, std::size_t entries) const
+{
+    const double load = expectedLoad(engine, entries);
+    const std::int64_t prefill =
+            engine.ownPrefill(WorkKind::Online) + engine.ownPrefill(WorkKind::Batch);
+    double cost = load + static_cast<double>(prefill) / m_settings.prefillTokensPerLoad;
+    cost += static_cast<double>(engine.load().waiting) * m_settings.waitingCost;
+    const bool far = engine.info().failureDomain != m_failureDomain;
+    if (far || load > m_settings.nearLoadLimit)
+        cost += m_settings.farCost;
+    const bool mayAttract = load <= leastLoad + m_settings.prefixLoadBound && load < 1;
+    if (mayAttract && work.promptTokens > 0) {
+        const auto cached = static_cast<double>(
+                prefixes.cachedTokens(now, engine.info().name, work.prefixHashes));
+        const double share = cached / static_cast<double>(work.promptTokens);
+        cost -= m_settings.prefixGain * std::min(share, 1.0);
+    }
+    return cost;
+}
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/scheduler.cpp
@@ -0,0 +1,189 @@
+#include "rattanrill/policy/scheduler.h"
+
+#include "schedulerstate.h"
+
+#include "rattanrill/base/enumnames.h"
+
+namespace rattanrill::policy {
+
+namespace {
+
+constexpr std::array<EnumName<PreemptMethod>, 2> methodNames{{
+        {PreemptMethod::Cancel, "cancel"},
+        {PreemptMethod::ExportKv, "export_kv"},
+}};
+
+} // namespace
+
+std::string_view name(PreemptMethod method)
+{
+    return nameOf(methodNames, method);
+}
+
+Scheduler::Scheduler(SchedulerSettings settings, std::uint64_t seed)
+    : m_state(std::make_unique<State>(std::move(settings), seed))
+{}
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::setEngines(absl::Time /*now*/, const std::vector<EngineInfo> &engines)
+{
+    m_state->setEngines(engines);
+}
+
+void Scheduler::setWorkspaces(const std::vector<WorkspaceShare> &workspaces)
+{
+    m_state->setWorkspaces(workspaces);
+}
+
+void Scheduler::setEntries(const std::string &self, const std::vector<std::string> &instances)
+{
+    m_state->entries = std::max<std::size_t>(instances.size(), 1);
+    m_state->suspectEngines.setEntries(self, instances);
+}
+
+void Scheduler::setCrashRecord(absl::Time now, const std::string &fingerprint,
+                               const std::vector<std::string> &crashedUpstreams, bool held)
+{
+    m_state->quarantine.setRecord(now, fingerprint, crashedUpstreams, held);
+}
+
+void Scheduler::loadReported(absl::Time now, const std::string &engine, const EngineLoad &load)
+{
+    EngineRecord *record = m_state->engine(engine);
+    if (record == nullptr)
+        return;
+    record->state.loadReported(now, load);
+    record->rounding = std::uniform_real_distribution<double>(0, 1)(m_state->random);
+}
+
+void Scheduler::cacheEvents(absl::Time now, const std::string &engine,
+                            const std::vector<CacheEvent> &events)
+{
+    m_state->prefixes.apply(now, engine, events);
+}
+
+void Scheduler::arrived(absl::Time now, const Work &work)
+{
+    WorkItem &item = m_state->items[work.id];
+    item.work = work;
+    item.deliveredTokens = work.deliveredTokens;
+    item.kvHandle = work.kvHandle;
+    item.suspect = m_state->quarantine.standing(now, work.fingerprint) == Standing::Suspect;
+    if (item.isOnline())
+        m_state->pool(work.model).onlineRate.arrived(now);
+    m_state->enqueue(now, item);
+}
+
+void Scheduler::withdrawn(absl::Time now, WorkId work)
+{
+    WorkItem *item = m_state->find(work);
+    if (item == nullptr)
+        return;
+    if (item->isRunning())
+        m_state->endTry(now, *item);
+    m_state->forget(*item);
+}
+
+void Scheduler::started(absl::Time now, WorkId work, int attempt)
+{
+    WorkItem *item = m_state->running(work, attempt);
+    if (item != nullptr)
+        item->progressAt = now;
+}
+
+void Scheduler::firstToken(absl::Time now, WorkId work, int attempt)
+{
+    WorkItem *item = m_state->running(work, attempt);
+    if (item != nullptr)
+        m_state->noteFirstToken(now, *item);
+}
+
+void Scheduler::progress(absl::Time now, WorkId work, int attempt, std::int64_t deliveredTokens)
+{
+    WorkItem *item = m_state->running(work, attempt);
+    if (item != nullptr)
+        m_state->noteProgress(now, *item, deliveredTokens);
+}
+
+void Scheduler::finished(absl::Time now, WorkId work, int attempt, std::int64_t deliveredTokens)
+{
+    WorkItem *item = m_state->running(work, attempt);
+    if (item == nullptr)
+        return;
+    m_state->noteProgress(now, *item, deliveredTokens);
+    m_state->quarantine.succeeded(item->work.fingerprint);
+    EngineRecord *record = m_state->engine(item->engine);
+    if (record != nullptr)
+        record->state.outlier().succeeded(now);
+    m_state->endTry(now, *item);
+    m_state->forget(*item);
+}
+
+void Scheduler::failed(absl::Time now, WorkId work, int attempt, const TryFailure &failure)
+{
+    WorkItem *item = m_state->running(work, attempt);
+    if (item != nullptr)
+        m_state->tryFailed(now, *item, failure);
+}
+
+void Scheduler::preempted(absl::Time now, WorkId work, int attempt, std::int64_t deliveredTokens,
+                          const std::string &kvHandle)
+{
+    WorkItem *item = m_state->running(work, attempt);
+    if (item == nullptr)
+        return;
+    m_state->noteProgress(now, *item, deliveredTokens);
+    m_state->endTry(now, *item);
+    item->kvHandle = kvHandle;
+    ++item->preemptions;
+    m_state->enqueue(now, *item);
+}
+
+std::vector<Decision> Scheduler::decide(absl::Time now)
+{
+    m_state->decide(now);
+    return std::move(m_state->decisions);
+}
+
+absl::Time Scheduler::nextDecision() const
+{
+    return m_state->nextDecision;
+}
+
+std::size_t Scheduler::batchRoom(absl::Time now) const
+{
+    std::size_t room = 0;
+    for (const auto &[model, pool] : m_state->pools)
+        room += m_state->batchRoom(now, pool);
+    return room;
+}
+
+std::size_t Scheduler::batchRoom(absl::Time now, std::string_view model) const
+{
+    const auto pool = m_state->pools.find(model);
+    return pool == m_state->pools.end() ? 0 : m_state->batchRoom(now, pool->second);
+}
+
+std::size_t Scheduler::waiting(WorkKind kind) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, item] : m_state->items) {
+        if (item.work.kind == kind && !item.isRunning())
+            ++count;
+    }
+    return count;
+}
+
+std::size_t Scheduler::running(WorkKind kind) const
+{
+    return m_state->runningCount[static_cast<std::size_t>(kind)];
+}
+
+const EngineState *Scheduler::engine(std::string_view name) const
+{
+    const auto found = m_state->engines.find(name);
+    return found == m_state->engines.end() ? nullptr : &found->second->state;
+}
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/schedulerstate.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "arrivalrate.h"
+#include "batchallowance.h"
+#include "enginerecord.h"
+#include "suspectengines.h"
+#include "workitem.h"
+
+#include "rattanrill/policy/fairqueue.h"
+#include "rattanrill/policy/prefixindex.h"
+#include "rattanrill/policy/scheduler.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace rattanrill::policy {
+
+using Deadline = std::pair<absl::Time, WorkId>;
+
+/// Engines and waiting work of one model.
+struct ModelPool
+{
+    std::vector<EngineRecord *> engines;
+    FairQueue online;
+    /// Online work outside its contract.
+    FairQueue outside;
+    FairQueue batch;
+    /// Waiting batch work by the latest time at which it may start.
+    std::set<Deadline> latestStarts;
+    /// Suspects that wait for an engine without another suspect; online before batch.
+    std::set<std::pair<WorkKind, WorkId>> suspects;
+    ArrivalRate onlineRate;
+};
+
+struct Scheduler::State
+{
+    State(SchedulerSettings schedulerSettings, std::uint64_t seed);
+
+    // Lists
+    void setEngines(const std::vector<EngineInfo> &engines);
+    void setWorkspaces(const std::vector<WorkspaceShare> &list);
+    ModelPool &pool(const std::string &model);
+    EngineRecord *engine(const std::string &name);
+    WorkItem *find(WorkId work);
+    /// The item when try \a attempt is the one that runs.
+    WorkItem *running(WorkId work, int attempt);
+
+    // Events
+    void enqueue(absl::Time now, WorkItem &item);
+    void dequeue(WorkItem &item);
+    void noteProgress(absl::Time now, WorkItem &item, std::int64_t deliveredTokens);
+    void noteFirstToken(absl::Time now, WorkItem &item);
+    void endTry(absl::Time now, WorkItem &item);
+    void forget(WorkItem &item);
+    void countCrash(absl::Time now, WorkItem &item);
+    void tryFailed(absl::Time now, WorkItem &item, const TryFailure &failure);
+    void retryOnline(absl::Time now, WorkItem &item, const TryFailure &failure);
+    void retryBatch(absl::Time now, WorkItem &item, const TryFailure &failure);
+    void backOff(absl::Time now, WorkItem &item);
+
+    // Decisions
+    void decide(absl::Time now);
+    void wakeBackedOff(absl::Time now);
+    void dispatchSuspects(absl::Time now, ModelPool &pool);
+    void dispatchOnline(absl::Time now, ModelPool &pool, FairQueue &queue);
+    void shedOutside(ModelPool &pool);
+    void refuseLate(absl::Time now);
+    void dispatchUrgent(absl::Time now, ModelPool &pool);
+    void dispatchBatch(absl::Time now, ModelPool &pool);
+    bool startBatchOn(absl::Time now, ModelPool &pool, EngineRecord &record);
+    EngineRecord *chooseOnlineEngine(absl::Time now, ModelPool &pool, const WorkItem &item);
+    bool canTake(absl::Time now, const EngineRecord &record) const;
+    void makeRoom(absl::Time now, ModelPool &pool, EngineRecord &record);
+    WorkItem *victimOn(absl::Time now, const EngineRecord &record);
+    bool isPreemptible(absl::Time now, const WorkItem &item) const;
+    void preempt(WorkItem &item);
+    void start(absl::Time now, WorkItem &item, EngineRecord &record);
+    void refuse(WorkItem &item, ErrorCode code, std::string detail);
+    /// Refuses the item when its fingerprint is held.
+    bool refuseHeld(absl::Time now, WorkItem &item);
+
+    // Estimates
+    absl::Duration remainingTime(const WorkItem &item) const;
+    absl::Time latestStart(const WorkItem &item) const;
+    absl::Time onlineDeadline(const WorkItem &item) const;
+    double onlineRatePerEngine(absl::Time now, const ModelPool &pool) const;
+    /// Online work that other entries probably sent to each engine since its report.
+    double unseenOnline(const ModelPool &pool) const;
+    int batchRoomOn(absl::Time now, const ModelPool &pool, const EngineRecord &record) const;
+    std::size_t batchRoom(absl::Time now, const ModelPool &pool) const;
+    void wakeAt(absl::Time time) { nextDecision = std::min(nextDecision, time); }
+
+    SchedulerSettings settings;
+    Router router;
+    BatchAllowance allowance;
+    RetryPolicy retry;
+    Quarantine quarantine;
+    PrefixIndex prefixes;
+    SuspectEngines suspectEngines;
+    std::mt19937_64 random;
+    std::size_t entries = 1;
+    std::map<std::string, std::unique_ptr<EngineRecord>, std::less<>> engines;
+    std::map<std::string, ModelPool, std::less<>> pools;
+    std::map<std::string, WorkspaceShare> workspaces;
+    std::unordered_map<WorkId, WorkItem> items;
+    std::set<Deadline> onlineDeadlines;
+    std::set<Deadline> backoffs;
+    std::vector<Decision> decisions;
+    absl::Time nextDecision = absl::InfiniteFuture();
+    /// Smoothed time between two tokens of one answer.
+    absl::Duration tokenTime;
+    /// Smoothed time to first token over all engines.
+    absl::Duration firstTokenTime;
+    std::array<std::size_t, 2> runningCount{};
+};
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/suspectengines.cpp
@@ -0,0 +1,30 @@
+#include "suspectengines.h"
+
+#include <algorithm>
+
+namespace rattanrill::policy {
+
+void SuspectEngines::setEntries(const std::string &self, std::vector<std::string> instances)
+{
+    std::sort(instances.begin(), instances.end());
+    const auto own = std::find(instances.begin(), instances.end(), self);
+    m_self = own == instances.end() ? 0 : static_cast<std::size_t>(own - instances.begin());
+    m_instances = std::move(instances);
+}
+
+std::vector<std::string> SuspectEngines::choose(std::vector<std::string> engines) const
+{
+    std::sort(engines.begin(), engines.end());
+    if (m_instances.size() <= 1)
+        return engines;
+    if (engines.empty())
+        return {};
+    if (engines.size() < m_instances.size())
+        return {engines[m_self % engines.size()]};
+    std::vector<std::string> own;
+    for (std::size_t i = m_self; i < engines.size(); i += m_instances.size())
+        own.push_back(engines[i]);
+    return own;
+}
+
+} // namespace rattanrill::policy
--- /dev/null
+++ b/src/policy/tokenbucket.cpp
@@ -0,0 +1,61 @@
+#include "rattanrill/policy/tokenbucket.h"
+
+#include <algorithm>
+
+namespace rattanrill::policy {
+
+namespace {
+
+/// Rounding error of the level that is not held against a caller.
+constexpr double levelTolerance = 1e-9;
+
+} // namespace
+
+TokenBucket::TokenBucket(RateContract contract, absl::Time start)
+    : m_contract(contract)
+    , m_levelAt(start)
+{}
+
+RateGrant TokenBucket::take(absl::Time now, double units, absl::Duration maxWait)
+{
+    advance(now);
+    if (units > m_contract.burst + levelTolerance)
+        return {false, absl::InfiniteDuration()};
+    const absl::Duration untilLevel = std::max(m_levelAt - now, absl::ZeroDuration());
+    absl::Duration wait = untilLevel;
+    if (m_level + levelTolerance < units) {
+        if (m_contract.ratePerSecond <= 0)
+            return {false, absl::InfiniteDuration()};
+        // Rounded up, so that the units are not used a nanosecond early.
+        wait += absl::Seconds((units - m_level) / m_contract.ratePerSecond) + absl::Nanoseconds(1);
+    }
+    if (wait > maxWait)
+        return {false, wait - maxWait};
+    m_level -= units;
+    return {true, wait};
+}
+
+void TokenBucket::setContract(absl::Time now, RateContract contract)
+{
+    advance(now);
+    m_contract = contract;
+    m_level = std::min(m_level, contract.burst);
+}
+
+double TokenBucket::level(absl::Time now) const
+{
+    TokenBucket later = *this;
+    later.advance(now);
+    return later.m_level;
+}
+
+void TokenBucket::advance(absl::Time now)
+{
+    if (now <= m_levelAt)
+        return;
+    const double gained = absl::ToDoubleSeconds(now - m_levelAt) * m_contract.ratePerSecond;
+    m_level = std::min(m_level + gained, m_contract.burst);
+    m_levelAt = now;
+}
+
+} // namespace rattanrill::policy
