Directory: Add state machine, view and follower

Cause: control instances need one deterministic state for contracts, keys, configuration, routes, upstreams, members, fences and held requests, and entries need a local copy that proves its age.

Ruled out: one map per record kind in the view (a contract change would copy 6,300 rows); contracts and keys are in 256 shards instead.

--- /dev/null
+++ b/include/rattanrill/directory/recordlist.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace rattanrill::directory {
+
+/// Immutable list of few records in order of id. Copies share the list.
+template <typename Record>
+class RecordList
+{
+public:
+    struct Row
+    {
+        std::string id;
+        std::shared_ptr<const Record> record;
+    };
+
+    RecordList()
+        : m_rows(std::make_shared<const std::vector<Row>>())
+    {}
+
+    /// Null when there is no such record.
+    std::shared_ptr<const Record> find(std::string_view id) const
+    {
+        const auto place = lowerBound(*m_rows, id);
+        return place != m_rows->end() && place->id == id ? place->record : nullptr;
+    }
+
+    const std::vector<Row> &rows() const { return *m_rows; }
+
+    /// Changes a copy of a list.
+    class Editor
+    {
+    public:
+        explicit Editor(const RecordList &list)
+            : m_rows(*list.m_rows)
+        {}
+
+        void put(const std::string &id, Record record)
+        {
+            Row row{id, std::make_shared<const Record>(std::move(record))};
+            const auto place = lowerBound(m_rows, id);
+            if (place != m_rows.end() && place->id == id)
+                *place = std::move(row);
+            else
+                m_rows.insert(place, std::move(row));
+        }
+
+        void remove(std::string_view id)
+        {
+            const auto place = lowerBound(m_rows, id);
+            if (place != m_rows.end() && place->id == id)
+                m_rows.erase(place);
+        }
+
+        /// The changed list; the editor is spent.
+        RecordList finish() { return RecordList(std::move(m_rows)); }
+
+    private:
+        std::vector<Row> m_rows;
+    };
+
+private:
+    explicit RecordList(std::vector<Row> rows)
+        : m_rows(std::make_shared<const std::vector<Row>>(std::move(rows)))
+    {}
+
+    template <typename Rows>
+    static auto lowerBound(Rows &rows, std::string_view id)
+    {
+        return std::lower_bound(
+                rows.begin(), rows.end(), id,
+                [](const Row &row, std::string_view value) { return row.id < value; });
+    }
+
+    std::shared_ptr<const std::vector<Row>> m_rows;
+};
+
+} // namespace rattanrill::directory
--- a/include/rattanrill/wire/directorymessages.h
+++ b/include/rattanrill/wire/directorymessages.h
@@ -248,6 +248,8 @@
     std::uint64_t fence = 0;
     /// ReportCrash: the request is held from now on.
     bool held = false;
+    /// Id of the written record. A resent AddKey is answered with the id of the first key.
+    std::string id;
 };
 
 /// One changed record.
@@ -279,6 +281,9 @@
     /// The changes replace the whole view (the follower was too far behind).
     bool snapshot = false;
     std::vector<Change> changes;
+    /// Revision of the last member change. A snapshot does not show removals, and all entries must
+    /// choose owners of rate buckets by the same revision.
+    std::uint64_t memberRevision = 0;
 };
 
 /// Request of Method::Heartbeat.
--- /dev/null
+++ b/src/directory/changehistory.cpp
@@ -0,0 +1,31 @@
+#include "changehistory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::directory {
+
+void ChangeHistory::append(wire::Change change)
+{
+    m_changes.push_back(std::move(change));
+}
+
+void ChangeHistory::trim()
+{
+    while (m_changes.size() > m_limit) {
+        m_droppedUpTo = m_changes.front().revision;
+        while (!m_changes.empty() && m_changes.front().revision == m_droppedUpTo)
+            m_changes.pop_front();
+    }
+}
+
+std::vector<wire::Change> ChangeHistory::after(std::uint64_t revision) const
+{
+    const auto first = std::upper_bound(m_changes.begin(), m_changes.end(), revision,
+                                        [](std::uint64_t value, const wire::Change &change) {
+                                            return value < change.revision;
+                                        });
+    return std::vector<wire::Change>(first, m_changes.end());
+}
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/changehistory.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "rattanrill/wire/directorymessages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace rattanrill::directory {
+
+/// The last changes in order of revision. Changes of one revision are kept or dropped together.
+class ChangeHistory
+{
+public:
+    explicit ChangeHistory(std::size_t limit)
+        : m_limit(limit)
+    {}
+
+    void append(wire::Change change);
+    /// Drops the oldest revisions above the limit; call after all changes of a revision.
+    void trim();
+    /// All changes after \a revision are kept.
+    bool reachesBackTo(std::uint64_t revision) const { return revision >= m_droppedUpTo; }
+    /// Requires reachesBackTo(\a revision).
+    std::vector<wire::Change> after(std::uint64_t revision) const;
+
+    const std::deque<wire::Change> &changes() const { return m_changes; }
+    /// Revision up to which changes were dropped.
+    std::uint64_t droppedUpTo() const { return m_droppedUpTo; }
+    void setDroppedUpTo(std::uint64_t revision) { m_droppedUpTo = revision; }
+
+private:
+    std::size_t m_limit;
+    std::deque<wire::Change> m_changes;
+    std::uint64_t m_droppedUpTo = 0;
+};
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/directorystate.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "answermemory.h"
+#include "changehistory.h"
+#include "incarnationlog.h"
+#include "recordtraits.h"
+
+#include "rattanrill/base/result.h"
+#include "rattanrill/directory/statemachine.h"
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/directorymessages.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace rattanrill::directory {
+
+/// Records of the directory with everything else that replicas must agree on.
+class DirectoryState
+{
+public:
+    template <typename Record>
+    using Table = std::map<std::string, Record>;
+
+    template <typename Record>
+    const Table<Record> &table() const
+    {
+        return std::get<Table<Record>>(m_tables);
+    }
+
+    /// Null when there is no such record.
+    template <typename Record>
+    const Record *find(const std::string &id) const
+    {
+        const auto record = table<Record>().find(id);
+        return record == table<Record>().end() ? nullptr : &record->second;
+    }
+
+    /// Null unless a key with this hash was ever added.
+    const wire::Key *keyByHash(const std::string &hash) const;
+
+    /// Opens the next revision.
+    void beginRevision(std::int64_t nowMs);
+    /// Stores \a record as a change of the open revision.
+    template <typename Record>
+    void put(Record record);
+    /// Removes a record as a change of the open revision.
+    template <typename Record>
+    void remove(const std::string &id);
+    void endRevision() { m_history.trim(); }
+
+    std::uint64_t revision() const { return m_revision; }
+    /// Highest time of any accepted write.
+    std::int64_t nowMs() const { return m_nowMs; }
+    AnswerMemory &answers() { return m_answers; }
+    IncarnationLog &incarnations() { return m_incarnations; }
+    const IncarnationLog &incarnations() const { return m_incarnations; }
+
+    /// Changes after \a revision, or all records when the history does not reach back to it.
+    wire::FollowResponse changesAfter(std::uint64_t revision) const;
+
+    /// Whole state with format version and checksum.
+    std::string serialize() const;
+    /// Fails with CorruptData or UnsupportedFormat.
+    static Result<DirectoryState> deserialize(std::string_view bytes);
+
+private:
+    using Tables = std::tuple<Table<wire::Contract>, Table<wire::Key>, Table<wire::Config>,
+                              Table<wire::Route>, Table<wire::Upstream>, Table<wire::Member>,
+                              Table<wire::Fence>, Table<wire::HeldRequest>>;
+
+    template <typename Record>
+    void insert(Record record);
+    template <typename Record>
+    Result<void> load(const std::string &body);
+    Result<void> load(const wire::Change &change);
+    Result<void> loadParts(std::string_view payload);
+    wire::FollowResponse allRecords() const;
+
+    Tables m_tables;
+    std::map<std::string, std::string> m_keyIdsByHash;
+    std::uint64_t m_revision = 0;
+    std::uint64_t m_memberRevision = 0;
+    std::int64_t m_nowMs = 0;
+    ChangeHistory m_history{keptChanges};
+    AnswerMemory m_answers{rememberedAnswers};
+    IncarnationLog m_incarnations{rememberedIncarnations};
+};
+
+template <typename Record>
+void DirectoryState::insert(Record record)
+{
+    const std::string id = RecordTraits<Record>::id(record);
+    if constexpr (std::is_same_v<Record, wire::Key>)
+        m_keyIdsByHash[record.hash] = id;
+    std::get<Table<Record>>(m_tables)[id] = std::move(record);
+}
+
+template <typename Record>
+void DirectoryState::put(Record record)
+{
+    record.revision = m_revision;
+    if constexpr (std::is_same_v<Record, wire::Member>)
+        m_memberRevision = m_revision;
+    m_history.append({m_revision, RecordTraits<Record>::kind, RecordTraits<Record>::id(record),
+                      false, wire::encode(record)});
+    insert(std::move(record));
+}
+
+template <typename Record>
+void DirectoryState::remove(const std::string &id)
+{
+    static_assert(!std::is_same_v<Record, wire::Key>, "withdrawn keys stay remembered");
+    if constexpr (std::is_same_v<Record, wire::Member>)
+        m_memberRevision = m_revision;
+    m_history.append({m_revision, RecordTraits<Record>::kind, id, true, {}});
+    std::get<Table<Record>>(m_tables).erase(id);
+}
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/directorystatemachine.cpp
@@ -0,0 +1,376 @@
+#include "directorystatemachine.h"
+
+#include "recordvalidation.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/directory/pathprefix.h"
+#include "rattanrill/wire/envelope.h"
+
+#include <algorithm>
+
+namespace rattanrill::directory {
+namespace {
+
+/// A request that crashed this many upstreams is held.
+constexpr std::size_t crashesUntilHeld = 2;
+/// Further crashed upstreams are not listed; a held request does not run any more.
+constexpr std::size_t maxCrashedUpstreams = 16;
+
+template <typename Message>
+std::string encodeAnswer(const Outcome<Message> &outcome)
+{
+    wire::CommandResult answer;
+    if (outcome.ok())
+        answer.body = wire::encode(outcome.value());
+    else
+        answer.failure = wire::toMessage(outcome.failure());
+    return wire::encode(answer);
+}
+
+boost::leaf::error_id conflict(std::string detail)
+{
+    return fail(notRun(ErrorCode::Conflict, std::move(detail)));
+}
+
+/// Hash of what the sender of a request id asked for. A resend is stamped with another time, and a
+/// resent AddKey carries another key, because the first one was not stored in the clear.
+std::uint64_t contentHash(wire::DirectoryCommand command)
+{
+    command.nowMs = 0;
+    command.baseRevision = 0;
+    command.unconditional = false;
+    if (auto *addKey = std::get_if<wire::AddKey>(&command.operation)) {
+        addKey->key.keyId.clear();
+        addKey->key.hash.clear();
+    }
+    return stableHash(wire::encode(command));
+}
+
+bool sameMember(const wire::Member &left, const wire::Member &right)
+{
+    return left.instance == right.instance && left.failureDomain == right.failureDomain
+           && left.peerAddress == right.peerAddress && left.httpAddress == right.httpAddress
+           && left.incarnation == right.incarnation;
+}
+
+} // namespace
+
+std::unique_ptr<replication::StateMachine> makeDirectoryStateMachine()
+{
+    return std::make_unique<DirectoryStateMachine>();
+}
+
+std::string DirectoryStateMachine::apply(std::uint64_t, std::string_view bytes)
+{
+    const auto command = outcomeOf([&] { return wire::decode<Command>(bytes); });
+    if (!command.ok())
+        return encodeAnswer(Outcome<wire::DirectoryResult>(command.failure()));
+    return applyOnce(command.value());
+}
+
+std::string DirectoryStateMachine::applyOnce(const Command &command)
+{
+    if (command.requestId.empty())
+        return encodeAnswer(outcomeOf([&] { return write(command); }));
+    const auto validId = outcomeOf([&] { return validateName("request_id", command.requestId); });
+    if (!validId.ok())
+        return encodeAnswer(Outcome<wire::DirectoryResult>(validId.failure()));
+    const std::uint64_t hash = contentHash(command);
+    if (const AnswerMemory::Answer *first = m_state.answers().find(command.requestId)) {
+        if (first->contentHash == hash)
+            return first->bytes;
+        return encodeAnswer(Outcome<wire::DirectoryResult>(
+                notRun(ErrorCode::DuplicateRequest,
+                       concat("request id \"", command.requestId, "\" belongs to another write"))));
+    }
+    std::string bytes = encodeAnswer(outcomeOf([&] { return write(command); }));
+    m_state.answers().remember({command.requestId, hash, bytes});
+    return bytes;
+}
+
+std::string DirectoryStateMachine::query(std::string_view bytes) const
+{
+    return encodeAnswer(outcomeOf([&]() -> Result<wire::FollowResponse> {
+        BOOST_LEAF_AUTO(query, wire::decode<wire::DirectoryQuery>(bytes));
+        if (query.afterRevision > m_state.revision()) {
+            return fail(notRun(ErrorCode::StaleRevision,
+                               concat("revision ", query.afterRevision, " was asked for, ",
+                                      m_state.revision(), " is the last one")));
+        }
+        return m_state.changesAfter(query.afterRevision);
+    }));
+}
+
+std::string DirectoryStateMachine::snapshot() const
+{
+    return m_state.serialize();
+}
+
+Result<void> DirectoryStateMachine::restore(std::string_view snapshot)
+{
+    BOOST_LEAF_AUTO(state, DirectoryState::deserialize(snapshot));
+    m_state = std::move(state);
+    return {};
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command)
+{
+    return std::visit([&](const auto &operation) { return write(command, operation); },
+                      command.operation);
+}
+
+wire::DirectoryResult DirectoryStateMachine::written(const std::string &id) const
+{
+    wire::DirectoryResult result;
+    result.revision = m_state.revision();
+    result.id = id;
+    return result;
+}
+
+template <typename Record>
+Result<void> DirectoryStateMachine::checkBase(const Command &command, const std::string &id) const
+{
+    const Record *record = m_state.find<Record>(id);
+    const std::uint64_t revision = record == nullptr ? 0 : record->revision;
+    if (command.unconditional || command.baseRevision == revision)
+        return {};
+    return conflict(concat(wire::name(RecordTraits<Record>::kind), " \"", id, "\" has revision ",
+                           revision, ", the write is based on revision ", command.baseRevision));
+}
+
+template <typename Record>
+Result<const Record *> DirectoryStateMachine::existing(const Command &command,
+                                                       const std::string &id) const
+{
+    const Record *record = m_state.find<Record>(id);
+    if (record == nullptr) {
+        return fail(notRun(ErrorCode::NotFound,
+                           concat("no ", wire::name(RecordTraits<Record>::kind), " \"", id, "\"")));
+    }
+    BOOST_LEAF_CHECK(checkBase<Record>(command, id));
+    return record;
+}
+
+template <typename Record>
+wire::DirectoryResult DirectoryStateMachine::putAlone(const Command &command, Record record)
+{
+    const std::string id = RecordTraits<Record>::id(record);
+    m_state.beginRevision(command.nowMs);
+    m_state.put(std::move(record));
+    m_state.endRevision();
+    return written(id);
+}
+
+template <typename Record>
+DirectoryStateMachine::Written DirectoryStateMachine::removeAlone(const Command &command,
+                                                                  const std::string &id)
+{
+    BOOST_LEAF_CHECK(existing<Record>(command, id));
+    m_state.beginRevision(command.nowMs);
+    // The start of a revision removes held requests that have expired.
+    if (m_state.find<Record>(id) != nullptr)
+        m_state.remove<Record>(id);
+    m_state.endRevision();
+    return written(id);
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::PutContract &operation)
+{
+    BOOST_LEAF_CHECK(validate(operation.contract));
+    BOOST_LEAF_CHECK(checkBase<wire::Contract>(command, operation.contract.workspace));
+    wire::Contract contract = operation.contract;
+    contract.withdrawn = false;
+    return putAlone(command, std::move(contract));
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::WithdrawContract &operation)
+{
+    BOOST_LEAF_AUTO(existingContract, existing<wire::Contract>(command, operation.workspace));
+    wire::Contract contract = *existingContract;
+    contract.withdrawn = true;
+    std::vector<wire::Key> keys;
+    for (const auto &[id, key] : m_state.table<wire::Key>()) {
+        if (key.workspace == operation.workspace && !key.withdrawn)
+            keys.push_back(key);
+    }
+    m_state.beginRevision(command.nowMs);
+    m_state.put(std::move(contract));
+    for (wire::Key &key : keys) {
+        key.withdrawn = true;
+        m_state.put(std::move(key));
+    }
+    m_state.endRevision();
+    return written(operation.workspace);
+}
+
+Result<void> DirectoryStateMachine::checkNewKey(const wire::Key &key) const
+{
+    const bool known =
+            m_state.find<wire::Key>(key.keyId) != nullptr || m_state.keyByHash(key.hash) != nullptr;
+    if (known)
+        return conflict(concat("key \"", key.keyId, "\" or its hash was added before"));
+    const wire::Contract *contract = m_state.find<wire::Contract>(key.workspace);
+    if (contract == nullptr)
+        return fail(notRun(ErrorCode::NotFound, concat("no contract \"", key.workspace, "\"")));
+    if (contract->withdrawn)
+        return conflict(concat("contract \"", key.workspace, "\" is withdrawn"));
+    return {};
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::AddKey &operation)
+{
+    BOOST_LEAF_CHECK(validate(operation.key));
+    BOOST_LEAF_CHECK(checkBase<wire::Key>(command, operation.key.keyId));
+    BOOST_LEAF_CHECK(checkNewKey(operation.key));
+    wire::Key key = operation.key;
+    key.withdrawn = false;
+    return putAlone(command, std::move(key));
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::WithdrawKey &operation)
+{
+    BOOST_LEAF_AUTO(existingKey, existing<wire::Key>(command, operation.keyId));
+    wire::Key key = *existingKey;
+    key.withdrawn = true;
+    return putAlone(command, std::move(key));
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::PutConfig &operation)
+{
+    BOOST_LEAF_CHECK(validate(operation.config));
+    BOOST_LEAF_CHECK(checkBase<wire::Config>(command, operation.config.name));
+    return putAlone(command, operation.config);
+}
+
+Result<void> DirectoryStateMachine::checkPathPrefix(const wire::Route &route) const
+{
+    for (const auto &[name, other] : m_state.table<wire::Route>()) {
+        const bool same = prefixBase(other.pathPrefix) == prefixBase(route.pathPrefix);
+        if (same && name != route.name)
+            return conflict(concat("route \"", name, "\" has the same path prefix"));
+    }
+    return {};
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::PutRoute &operation)
+{
+    BOOST_LEAF_CHECK(validate(operation.route));
+    BOOST_LEAF_CHECK(checkBase<wire::Route>(command, operation.route.name));
+    BOOST_LEAF_CHECK(checkPathPrefix(operation.route));
+    return putAlone(command, operation.route);
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::RemoveRoute &operation)
+{
+    return removeAlone<wire::Route>(command, operation.name);
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::PutUpstream &operation)
+{
+    BOOST_LEAF_CHECK(validate(operation.upstream));
+    BOOST_LEAF_CHECK(checkBase<wire::Upstream>(command, operation.upstream.name));
+    return putAlone(command, operation.upstream);
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::RemoveUpstream &operation)
+{
+    return removeAlone<wire::Upstream>(command, operation.name);
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::JoinMember &operation)
+{
+    const wire::Member &member = operation.member;
+    BOOST_LEAF_CHECK(validate(member));
+    if (m_state.incarnations().isReplaced(member.instance, member.incarnation)) {
+        return fail(notRun(ErrorCode::NotMember,
+                           concat("incarnation \"", member.incarnation, "\" of \"", member.instance,
+                                  "\" was replaced by a newer one")));
+    }
+    // A repeated join must not move the ownership of rate buckets.
+    const wire::Member *current = m_state.find<wire::Member>(member.instance);
+    if (current != nullptr && sameMember(*current, member))
+        return written(member.instance);
+    BOOST_LEAF_CHECK(checkBase<wire::Member>(command, member.instance));
+    m_state.incarnations().add(member.instance, member.incarnation);
+    return putAlone(command, member);
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::RemoveMember &operation)
+{
+    BOOST_LEAF_AUTO(member, existing<wire::Member>(command, operation.instance));
+    const bool otherIncarnation =
+            !operation.incarnation.empty() && operation.incarnation != member->incarnation;
+    if (otherIncarnation) {
+        return conflict(concat("member \"", operation.instance, "\" is incarnation \"",
+                               member->incarnation, "\", the write names \"", operation.incarnation,
+                               "\""));
+    }
+    return removeAlone<wire::Member>(command, operation.instance);
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::IssueFence &operation)
+{
+    if (m_state.find<wire::Upstream>(operation.upstream) == nullptr) {
+        return fail(
+                notRun(ErrorCode::NotFound, concat("no upstream \"", operation.upstream, "\"")));
+    }
+    BOOST_LEAF_CHECK(checkBase<wire::Fence>(command, operation.upstream));
+    // Fences outlive their upstream, so that a re-added one does not start again at 1.
+    const wire::Fence *last = m_state.find<wire::Fence>(operation.upstream);
+    wire::Fence fence;
+    fence.upstream = operation.upstream;
+    fence.number = last == nullptr ? 1 : last->number + 1;
+    wire::DirectoryResult result = putAlone(command, fence);
+    result.fence = fence.number;
+    return result;
+}
+
+wire::HeldRequest DirectoryStateMachine::heldWith(const Command &command,
+                                                  const wire::ReportCrash &report) const
+{
+    const std::int64_t nowMs = std::max(m_state.nowMs(), command.nowMs);
+    wire::HeldRequest held;
+    const wire::HeldRequest *known = m_state.find<wire::HeldRequest>(report.fingerprint);
+    if (known != nullptr && known->expiresAtMs > nowMs)
+        held = *known;
+    held.fingerprint = report.fingerprint;
+    held.expiresAtMs = std::max(held.expiresAtMs, nowMs + report.holdMs);
+    std::vector<std::string> &crashed = held.crashedUpstreams;
+    const bool listed = std::find(crashed.begin(), crashed.end(), report.upstream) != crashed.end();
+    if (!listed && crashed.size() < maxCrashedUpstreams)
+        crashed.push_back(report.upstream);
+    held.held = crashed.size() >= crashesUntilHeld;
+    return held;
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::ReportCrash &operation)
+{
+    BOOST_LEAF_CHECK(validate(operation));
+    BOOST_LEAF_CHECK(checkBase<wire::HeldRequest>(command, operation.fingerprint));
+    const wire::HeldRequest held = heldWith(command, operation);
+    wire::DirectoryResult result = putAlone(command, held);
+    result.held = held.held;
+    return result;
+}
+
+DirectoryStateMachine::Written DirectoryStateMachine::write(const Command &command,
+                                                            const wire::ReleaseHeld &operation)
+{
+    return removeAlone<wire::HeldRequest>(command, operation.fingerprint);
+}
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/follower.cpp
@@ -0,0 +1,234 @@
+#include "rattanrill/directory/follower.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/base/logger.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+#include <algorithm>
+#include <random>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace rattanrill::directory {
+namespace {
+
+/// Doubling stops here; the wait is at its maximum long before.
+constexpr int maxDoublings = 16;
+
+} // namespace
+
+struct Follower::Impl : std::enable_shared_from_this<Impl>
+{
+    Impl(FollowerOptions options, PollSource &source, TimerService &timers, const Clock &clock)
+        : options(std::move(options))
+        , source(source)
+        , timers(timers)
+        , clock(clock)
+        , random(stableHash(this->options.instance))
+    {}
+
+    void sendPoll()
+    {
+        wire::FollowRequest request;
+        absl::Time sentAt;
+        {
+            absl::MutexLock lock(&mutex);
+            if (stopped)
+                return;
+            ++sending;
+            timer = 0;
+            sentAt = clock.now();
+            request.afterRevision = current->revision();
+        }
+        request.instance = options.instance;
+        request.waitMs = absl::ToInt64Milliseconds(options.pollWait);
+        const std::weak_ptr<Impl> self = weak_from_this();
+        source.poll(request, options.pollTimeout,
+                    [self, sentAt](const Outcome<wire::FollowResponse> &outcome) {
+                        if (const std::shared_ptr<Impl> impl = self.lock())
+                            impl->handleAnswer(sentAt, outcome);
+                    });
+        absl::MutexLock lock(&mutex);
+        --sending;
+        idle.SignalAll();
+    }
+
+    void handleAnswer(absl::Time sentAt, const Outcome<wire::FollowResponse> &outcome)
+    {
+        if (!beginAnswer())
+            return;
+        const Outcome<View> next = nextView(outcome);
+        if (next.ok()) {
+            publish(sentAt, next.value());
+            schedule(sentAt + options.minPollInterval - clock.now());
+        } else {
+            schedule(backoff(next.failure()));
+        }
+        endAnswer();
+    }
+
+    /// Only this thread changes the view until endAnswer().
+    bool beginAnswer()
+    {
+        absl::MutexLock lock(&mutex);
+        if (stopped)
+            return false;
+        answeringThread = std::this_thread::get_id();
+        return true;
+    }
+
+    void endAnswer()
+    {
+        bool pollNow = false;
+        {
+            absl::MutexLock lock(&mutex);
+            answeringThread = std::thread::id();
+            idle.SignalAll();
+            pollNow = std::exchange(pollAfterAnswer, false);
+        }
+        if (pollNow)
+            sendPoll();
+    }
+
+    Outcome<View> nextView(const Outcome<wire::FollowResponse> &outcome)
+    {
+        if (!outcome.ok())
+            return outcome.failure();
+        const std::shared_ptr<const View> view = viewNow();
+        const std::uint64_t revision = outcome.value().revision;
+        if (revision < view->revision()) {
+            return notRun(ErrorCode::StaleRevision, concat("answer of revision ", revision,
+                                                           ", the view has ", view->revision()));
+        }
+        return outcomeOf([&] { return view->with(outcome.value()); });
+    }
+
+    void publish(absl::Time sentAt, const View &next)
+    {
+        std::shared_ptr<const View> published;
+        {
+            absl::MutexLock lock(&mutex);
+            failures = 0;
+            freshAt = std::max(freshAt, sentAt);
+            if (next.revision() == current->revision())
+                return;
+            current = std::make_shared<const View>(next);
+            published = current;
+        }
+        for (const Listener &listener : listeners)
+            listener(published);
+    }
+
+    absl::Duration backoff(const Failure &failure)
+    {
+        absl::MutexLock lock(&mutex);
+        const int doublings = std::min(failures, maxDoublings);
+        ++failures;
+        log(LogLevel::Warning, "directory-poll-failed",
+            {{"revision", current->revision()},
+             {"code", name(failure.code)},
+             {"detail", failure.detail},
+             {"failures", failures}});
+        const absl::Duration limit =
+                std::min(options.maxBackoff, options.minBackoff * (1 << doublings));
+        return limit * std::uniform_real_distribution<double>(0.5, 1)(random);
+    }
+
+    void schedule(absl::Duration delay)
+    {
+        absl::MutexLock lock(&mutex);
+        if (stopped)
+            return;
+        if (delay <= absl::ZeroDuration()) {
+            pollAfterAnswer = true;
+            return;
+        }
+        const std::weak_ptr<Impl> self = weak_from_this();
+        timer = timers.subscribeOnce(delay, [self] {
+            if (const std::shared_ptr<Impl> impl = self.lock())
+                impl->sendPoll();
+        });
+    }
+
+    std::shared_ptr<const View> viewNow() const
+    {
+        absl::MutexLock lock(&mutex);
+        return current;
+    }
+
+    void stop()
+    {
+        TimerService::TimerId pending = 0;
+        {
+            absl::MutexLock lock(&mutex);
+            stopped = true;
+            const bool fromListener = answeringThread == std::this_thread::get_id();
+            while (!fromListener && (sending > 0 || answeringThread != std::thread::id()))
+                idle.Wait(&mutex);
+            pending = std::exchange(timer, 0);
+        }
+        if (pending != 0)
+            timers.unsubscribe(pending);
+    }
+
+    const FollowerOptions options;
+    PollSource &source;
+    TimerService &timers;
+    const Clock &clock;
+    /// Not changed after start().
+    std::vector<Listener> listeners;
+    mutable absl::Mutex mutex;
+    absl::CondVar idle;
+    std::shared_ptr<const View> current ABSL_GUARDED_BY(mutex) = std::make_shared<const View>();
+    absl::Time freshAt ABSL_GUARDED_BY(mutex) = absl::InfinitePast();
+    std::thread::id answeringThread ABSL_GUARDED_BY(mutex);
+    /// Calls of source.poll() that have not returned.
+    int sending ABSL_GUARDED_BY(mutex) = 0;
+    TimerService::TimerId timer ABSL_GUARDED_BY(mutex) = 0;
+    std::mt19937_64 random ABSL_GUARDED_BY(mutex);
+    int failures ABSL_GUARDED_BY(mutex) = 0;
+    bool pollAfterAnswer ABSL_GUARDED_BY(mutex) = false;
+    bool stopped ABSL_GUARDED_BY(mutex) = false;
+};
+
+Follower::Follower(FollowerOptions options, PollSource &source, TimerService &timers,
+                   const Clock &clock)
+    : m_impl(std::make_shared<Impl>(std::move(options), source, timers, clock))
+{}
+
+Follower::~Follower()
+{
+    stop();
+}
+
+void Follower::start()
+{
+    m_impl->sendPoll();
+}
+
+void Follower::stop()
+{
+    m_impl->stop();
+}
+
+std::shared_ptr<const View> Follower::view() const
+{
+    return m_impl->viewNow();
+}
+
+absl::Duration Follower::age() const
+{
+    absl::MutexLock lock(&m_impl->mutex);
+    return m_impl->clock.now() - m_impl->freshAt;
+}
+
+void Follower::onChange(Listener listener)
+{
+    m_impl->listeners.push_back(std::move(listener));
+}
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/pathprefix.cpp
@@ -0,0 +1,19 @@
+#include "rattanrill/directory/pathprefix.h"
+
+namespace rattanrill::directory {
+
+std::string_view prefixBase(std::string_view prefix)
+{
+    const bool slashed = !prefix.empty() && prefix.back() == '/';
+    return slashed ? prefix.substr(0, prefix.size() - 1) : prefix;
+}
+
+bool matchesPrefix(std::string_view path, std::string_view prefix)
+{
+    const std::string_view base = prefixBase(prefix);
+    if (path.substr(0, base.size()) != base)
+        return false;
+    return path.size() == base.size() || path[base.size()] == '/';
+}
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/recordtraits.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "rattanrill/wire/directorymessages.h"
+
+#include <string>
+
+/// Kind and id of each record type, by which changes name it.
+namespace rattanrill::directory {
+
+template <typename Record>
+struct RecordTraits;
+
+#define RATTANRILL_RECORD(Type, Kind, idMember) \
+    template <> \
+    struct RecordTraits<wire::Type> \
+    { \
+        static constexpr wire::RecordKind kind = wire::RecordKind::Kind; \
+        static const std::string &id(const wire::Type &record) { return record.idMember; } \
+    };
+
+RATTANRILL_RECORD(Contract, Contract, workspace)
+RATTANRILL_RECORD(Key, Key, keyId)
+RATTANRILL_RECORD(Config, Config, name)
+RATTANRILL_RECORD(Route, Route, name)
+RATTANRILL_RECORD(Upstream, Upstream, name)
+RATTANRILL_RECORD(Member, Member, instance)
+RATTANRILL_RECORD(Fence, Fence, upstream)
+RATTANRILL_RECORD(HeldRequest, HeldRequest, fingerprint)
+
+#undef RATTANRILL_RECORD
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/recordvalidation.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "rattanrill/base/result.h"
+#include "rattanrill/wire/directorymessages.h"
+
+#include <cstddef>
+#include <string_view>
+
+/// Checks of the fields of directory records. All fail with InvalidRequest and name the field.
+namespace rattanrill::directory {
+
+constexpr std::size_t maxNameBytes = 128;
+constexpr std::size_t maxPathBytes = 1024;
+constexpr std::size_t maxConfigBytes = 256 * 1024;
+/// Longest time for which results or held requests are kept: one year.
+constexpr std::int64_t maxKeepSeconds = 366 * 24 * 3600;
+
+/// 1 to maxNameBytes bytes without control characters.
+Result<void> validateName(std::string_view field, std::string_view value);
+Result<void> validate(const wire::Contract &contract);
+Result<void> validate(const wire::Key &key);
+Result<void> validate(const wire::Config &config);
+Result<void> validate(const wire::Route &route);
+Result<void> validate(const wire::Upstream &upstream);
+Result<void> validate(const wire::Member &member);
+Result<void> validate(const wire::ReportCrash &report);
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/src/directory/view.cpp
@@ -0,0 +1,218 @@
+#include "rattanrill/directory/view.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/directory/pathprefix.h"
+#include "rattanrill/wire/codec.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace rattanrill::directory {
+namespace {
+
+/// Changes of a table; contracts and keys are withdrawn, but never removed.
+template <typename Record>
+void removeFrom(typename RecordTable<Record>::Editor &, const std::string &)
+{}
+
+template <typename Record>
+void removeFrom(typename RecordList<Record>::Editor &editor, const std::string &id)
+{
+    editor.remove(id);
+}
+
+const std::string &indexOf(const wire::Key &key, const std::string &)
+{
+    return key.hash;
+}
+
+template <typename Record>
+const std::string &indexOf(const Record &, const std::string &id)
+{
+    return id;
+}
+
+/// One table of a view that is copied at its first change.
+template <typename Table, typename Record>
+class TableEdit
+{
+public:
+    explicit TableEdit(Table &table)
+        : m_table(table)
+    {}
+
+    Result<void> apply(const wire::Change &change)
+    {
+        if (!m_editor)
+            m_editor.emplace(m_table);
+        if (change.removed) {
+            removeFrom<Record>(*m_editor, change.id);
+            return {};
+        }
+        BOOST_LEAF_AUTO(record, wire::decode<Record>(change.body));
+        const std::string index = indexOf(record, change.id);
+        m_editor->put(index, std::move(record));
+        return {};
+    }
+
+    void finish()
+    {
+        if (m_editor)
+            m_table = m_editor->finish();
+    }
+
+private:
+    Table &m_table;
+    std::optional<typename Table::Editor> m_editor;
+};
+
+template <typename Record>
+using TableOf = TableEdit<RecordTable<Record>, Record>;
+template <typename Record>
+using ListOf = TableEdit<RecordList<Record>, Record>;
+
+} // namespace
+
+/// Applies the changes of one response to a view of its own.
+class View::Builder
+{
+public:
+    explicit Builder(View &view)
+        : m_contracts(view.m_contracts)
+        , m_keys(view.m_keysByHash)
+        , m_configs(view.m_configs)
+        , m_routes(view.m_routes)
+        , m_upstreams(view.m_upstreams)
+        , m_members(view.m_members)
+        , m_fences(view.m_fences)
+        , m_held(view.m_held)
+    {}
+
+    Result<void> apply(const wire::Change &change)
+    {
+        using Apply = Result<void> (Builder::*)(const wire::Change &);
+        // In order of wire::RecordKind.
+        static constexpr std::array<Apply, 8> steps = {
+                &Builder::applyTo<&Builder::m_contracts>, &Builder::applyTo<&Builder::m_keys>,
+                &Builder::applyTo<&Builder::m_configs>,   &Builder::applyTo<&Builder::m_routes>,
+                &Builder::applyTo<&Builder::m_upstreams>, &Builder::applyTo<&Builder::m_members>,
+                &Builder::applyTo<&Builder::m_fences>,    &Builder::applyTo<&Builder::m_held>,
+        };
+        return (this->*steps.at(static_cast<std::size_t>(change.kind)))(change);
+    }
+
+    void finish()
+    {
+        m_contracts.finish();
+        m_keys.finish();
+        m_configs.finish();
+        m_routes.finish();
+        m_upstreams.finish();
+        m_members.finish();
+        m_fences.finish();
+        m_held.finish();
+    }
+
+private:
+    template <auto Member>
+    Result<void> applyTo(const wire::Change &change)
+    {
+        return (this->*Member).apply(change);
+    }
+
+    TableOf<wire::Contract> m_contracts;
+    TableOf<wire::Key> m_keys;
+    ListOf<wire::Config> m_configs;
+    ListOf<wire::Route> m_routes;
+    ListOf<wire::Upstream> m_upstreams;
+    ListOf<wire::Member> m_members;
+    ListOf<wire::Fence> m_fences;
+    ListOf<wire::HeldRequest> m_held;
+};
+
+std::shared_ptr<const wire::Contract> View::contract(std::string_view workspace) const
+{
+    return m_contracts.find(workspace);
+}
+
+std::shared_ptr<const wire::Key> View::keyByHash(std::string_view hash) const
+{
+    return m_keysByHash.find(hash);
+}
+
+std::shared_ptr<const wire::Config> View::config(std::string_view name) const
+{
+    return m_configs.find(name);
+}
+
+std::shared_ptr<const wire::Route> View::route(std::string_view path) const
+{
+    std::shared_ptr<const wire::Route> best;
+    for (const auto &[name, route] : m_routes.rows()) {
+        if (!matchesPrefix(path, route->pathPrefix))
+            continue;
+        const std::size_t length = prefixBase(route->pathPrefix).size();
+        if (!best || length > prefixBase(best->pathPrefix).size())
+            best = route;
+    }
+    return best;
+}
+
+std::shared_ptr<const wire::Upstream> View::upstream(std::string_view name) const
+{
+    return m_upstreams.find(name);
+}
+
+std::shared_ptr<const wire::Member> View::member(std::string_view instance) const
+{
+    return m_members.find(instance);
+}
+
+std::shared_ptr<const wire::HeldRequest> View::held(std::string_view fingerprint,
+                                                    std::int64_t nowMs) const
+{
+    std::shared_ptr<const wire::HeldRequest> record = m_held.find(fingerprint);
+    const bool holds = record && record->held && record->expiresAtMs > nowMs;
+    return holds ? record : nullptr;
+}
+
+std::uint64_t View::fence(std::string_view upstream) const
+{
+    const std::shared_ptr<const wire::Fence> record = m_fences.find(upstream);
+    return record ? record->number : 0;
+}
+
+const std::vector<RecordList<wire::Upstream>::Row> &View::upstreams() const
+{
+    return m_upstreams.rows();
+}
+
+const std::vector<RecordList<wire::Member>::Row> &View::members() const
+{
+    return m_members.rows();
+}
+
+const std::vector<RecordList<wire::Route>::Row> &View::routes() const
+{
+    return m_routes.rows();
+}
+
+Result<View> View::with(const wire::FollowResponse &response) const
+{
+    if (response.revision < m_revision)
+        return *this;
+    View next = response.snapshot ? View() : *this;
+    Builder builder(next);
+    for (const wire::Change &change : response.changes) {
+        // A delta that overlaps with this view holds records that may have changed again since.
+        if (response.snapshot || change.revision > m_revision)
+            BOOST_LEAF_CHECK(builder.apply(change));
+    }
+    builder.finish();
+    next.m_revision = response.revision;
+    next.m_memberRevision = response.memberRevision;
+    return next;
+}
+
+} // namespace rattanrill::directory
--- /dev/null
+++ b/tests/directory/directorydriver.cpp
@@ -0,0 +1,70 @@
+#include "directorydriver.h"
+
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/envelope.h"
+
+#include <stdexcept>
+
+namespace rattanrill::directory {
+namespace {
+
+template <typename Message>
+Outcome<Message> unpack(const std::string &bytes)
+{
+    const auto answer = outcomeOf([&] { return wire::decode<wire::CommandResult>(bytes); });
+    if (!answer.ok())
+        return answer.failure();
+    if (answer.value().failure.failed)
+        return wire::fromMessage(answer.value().failure);
+    return outcomeOf([&] { return wire::decode<Message>(answer.value().body); });
+}
+
+} // namespace
+
+DirectoryDriver::DirectoryDriver()
+    : m_machine(makeDirectoryStateMachine())
+{}
+
+Outcome<wire::DirectoryResult> DirectoryDriver::write(wire::DirectoryOperation operation,
+                                                      std::uint64_t base, std::string requestId)
+{
+    return apply({std::move(requestId), base, false, nowMs, std::move(operation)});
+}
+
+Outcome<wire::DirectoryResult> DirectoryDriver::writeAnyway(wire::DirectoryOperation operation)
+{
+    return apply({{}, 0, true, nowMs, std::move(operation)});
+}
+
+Outcome<wire::DirectoryResult> DirectoryDriver::apply(const wire::DirectoryCommand &command)
+{
+    return unpack<wire::DirectoryResult>(m_machine->apply(++m_index, wire::encode(command)));
+}
+
+wire::FollowResponse DirectoryDriver::query(std::uint64_t afterRevision) const
+{
+    const std::string bytes = wire::encode(wire::DirectoryQuery{afterRevision});
+    return unpack<wire::FollowResponse>(m_machine->query(bytes)).value();
+}
+
+View DirectoryDriver::followFrom(const View &view) const
+{
+    return outcomeOf([&] { return view.with(query(view.revision())); }).value();
+}
+
+void DirectoryDriver::restart()
+{
+    auto restored = makeDirectoryStateMachine();
+    const std::string snapshot = m_machine->snapshot();
+    if (!outcomeOf([&] { return restored->restore(snapshot); }).ok())
+        throw std::runtime_error("snapshot was refused");
+    m_machine = std::move(restored);
+}
+
+ErrorCode DirectoryDriver::restoreFailure(const std::string &snapshot)
+{
+    const auto outcome = outcomeOf([&] { return m_machine->restore(snapshot); });
+    return outcome.ok() ? ErrorCode::Internal : outcome.failure().code;
+}
+
+} // namespace rattanrill::directory
