Entry: Add the entry instance with its whole request path

Callers need online completions, files, batches and plain services on one instance that checks keys, counts rates fleet-wide and shares engines between online and batch work.

Engines always stream, so that a broken answer continues elsewhere from the last token delivered. A second try waits until the crash of the first is recorded in the directory.

Builds; not yet run against control instances.

--- a/include/rattanrill/engine/engineclient.h
+++ b/include/rattanrill/engine/engineclient.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace rattanrill::engine {
 
@@ -53,6 +54,23 @@
     absl::Duration age;
 };
 
+/// An event of the engine's prefix cache.
+struct CacheEvent
+{
+    std::uint64_t sequence = 0;
+    /// Otherwise evicted.
+    bool stored = false;
+    std::uint64_t prefixHash = 0;
+    std::int64_t tokens = 0;
+};
+
+struct CacheEventPage
+{
+    std::vector<CacheEvent> events;
+    /// To pass as \a after next time.
+    std::uint64_t next = 0;
+};
+
 struct ExportedCache
 {
     std::string handle;
@@ -85,6 +103,8 @@
     /// Ends a stream and keeps its KV cache for a later try.
     Outcome<ExportedCache> exportCache(const std::string &requestId);
     Outcome<EngineLoad> load();
+    /// Events of the prefix cache after number \a after; they come late and with gaps.
+    Outcome<CacheEventPage> cacheEvents(std::uint64_t after);
     /// Whether the engine answers at all. UpstreamUnavailable means that nothing listens there.
     Outcome<Done> probe();
 
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -7,6 +7,7 @@
 #include <httplib.h>
 
 #include <atomic>
+#include <charconv>
 
 namespace rattanrill::engine {
 namespace {
@@ -56,6 +57,23 @@
     return status == unavailable ? ErrorCode::UpstreamBusy : ErrorCode::UpstreamFailed;
 }
 
+Result<CacheEvent> cacheEventOf(const Json &row)
+{
+    CacheEvent event;
+    BOOST_LEAF_AUTO(sequence, jsonMember<std::int64_t>(row, "seq"));
+    BOOST_LEAF_AUTO(kind, jsonMember<std::string>(row, "kind"));
+    BOOST_LEAF_AUTO(hash, jsonMember<std::string>(row, "prefix_hash"));
+    BOOST_LEAF_ASSIGN(event.tokens, jsonMemberOr<std::int64_t>(row, "tokens", 0));
+    event.sequence = static_cast<std::uint64_t>(sequence);
+    event.stored = kind == "stored";
+    constexpr int hexadecimal = 16;
+    const auto parsed =
+            std::from_chars(hash.data(), hash.data() + hash.size(), event.prefixHash, hexadecimal);
+    if (parsed.ec != std::errc())
+        return fail(notRun(ErrorCode::UpstreamFailed, "a cache event has no prefix hash"));
+    return event;
+}
+
 /// Only the engine can say that nothing ran once the request was sent.
 Failure failureOfStatus(const std::string &engine, int status, const std::string &body)
 {
@@ -283,6 +301,24 @@
     });
 }
 
+Outcome<CacheEventPage> EngineClient::cacheEvents(std::uint64_t after)
+{
+    const Outcome<Json> answer =
+            m_impl->call("GET", concat("/engine/cache_events?after=", after), Json());
+    if (!answer.ok())
+        return answer.failure();
+    return outcomeOf([&]() -> Result<CacheEventPage> {
+        CacheEventPage page;
+        BOOST_LEAF_AUTO(next, jsonMember<std::int64_t>(answer.value(), "next"));
+        page.next = static_cast<std::uint64_t>(next);
+        for (const Json &row : answer.value().value("events", Json::array())) {
+            BOOST_LEAF_AUTO(event, cacheEventOf(row));
+            page.events.push_back(event);
+        }
+        return page;
+    });
+}
+
 Outcome<Done> EngineClient::probe()
 {
     const Outcome<Json> answer = m_impl->call("GET", "/healthz", Json());
--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -28,10 +28,10 @@
         return false;
     }
     if (!decision.value().granted) {
-        exchange.sendFailure(notRun(ErrorCode::RateLimited,
-                                    concat("workspace \"", caller.workspace,
-                                           "\" has used its rate and burst")),
-                             decision.value().wait);
+        exchange.sendFailure(
+                notRun(ErrorCode::RateLimited,
+                       concat("workspace \"", caller.workspace, "\" has used its rate and burst")),
+                decision.value().wait);
         return false;
     }
     // The grant counts from the end of the wait; nothing ends it earlier.
--- a/src/entry/batchdispatcher.cpp
+++ b/src/entry/batchdispatcher.cpp
@@ -25,9 +25,15 @@
 {}
 
 BatchDispatcher::~BatchDispatcher()
+{
+    stopSteps();
+}
+
+void BatchDispatcher::stopSteps()
 {
     for (const TimerService::TimerId timer : m_timers)
         m_parts.timers.unsubscribe(timer);
+    m_timers.clear();
     m_pool.stop();
 }
 
@@ -106,8 +112,7 @@
 
 void BatchDispatcher::startItem(int partition, const wire::LeasedItem &item)
 {
-    const auto request =
-            outcomeOf([&] { return parseCompletion(item.spec.url, item.spec.body); });
+    const auto request = outcomeOf([&] { return parseCompletion(item.spec.url, item.spec.body); });
     const ItemKey key = keyOf(partition, item.item);
     if (!request.ok()) {
         ItemEnd end;
@@ -118,8 +123,7 @@
     m_parts.noteWorkspace(item.workspace);
     WorkOrder order;
     order.work = workOf(item.workspace, request.value(), policy::WorkKind::Batch);
-    const absl::Duration untilDue =
-            absl::FromUnixMillis(item.dueAtMs) - m_parts.clock.wallNow();
+    const absl::Duration untilDue = absl::FromUnixMillis(item.dueAtMs) - m_parts.clock.wallNow();
     order.work.due = m_parts.clock.now() + untilDue;
     order.path = request.value().path;
     order.body = request.value().body;
@@ -246,7 +250,8 @@
         absl::MutexLock lock(&m_mutex);
         for (const wire::ItemRef &item : lost) {
             const auto held = m_held.find(keyOf(partition, item));
-            if (held == m_held.end())
+            // An item whose work is being submitted is found at the next renewal.
+            if (held == m_held.end() || held->second == 0)
                 continue;
             works.push_back(held->second);
             m_held.erase(held);
@@ -261,10 +266,14 @@
 
 void BatchDispatcher::drain()
 {
-    std::map<ItemKey, policy::WorkId> held;
     {
         absl::MutexLock lock(&m_mutex);
         m_draining = true;
+    }
+    stopSteps();
+    std::map<ItemKey, policy::WorkId> held;
+    {
+        absl::MutexLock lock(&m_mutex);
         held = m_held;
     }
     for (const auto &[key, work] : held)
--- a/src/entry/batchdispatcher.h
+++ b/src/entry/batchdispatcher.h
@@ -55,6 +55,7 @@
     using ItemKey = std::tuple<int, std::string, std::uint64_t, std::uint64_t>;
     using Groups = std::map<int, std::vector<ItemEnd>>;
 
+    void stopSteps();
     void schedule(std::atomic<bool> &busy, void (BatchDispatcher::*step)());
     void leaseStep() ABSL_LOCKS_EXCLUDED(m_mutex);
     void reportStep() ABSL_LOCKS_EXCLUDED(m_mutex);
--- a/src/entry/batchformat.cpp
+++ b/src/entry/batchformat.cpp
@@ -44,9 +44,12 @@
 Json fileObject(const std::string &id, std::int64_t bytes, std::int64_t createdMs,
                 const std::string &fileName, const std::string &purpose)
 {
-    return {{"id", id},           {"object", "file"},
-            {"bytes", bytes},     {"created_at", createdMs / msPerSecond},
-            {"filename", fileName}, {"purpose", purpose},
+    return {{"id", id},
+            {"object", "file"},
+            {"bytes", bytes},
+            {"created_at", createdMs / msPerSecond},
+            {"filename", fileName},
+            {"purpose", purpose},
             {"status", "processed"}};
 }
 
--- a/src/entry/batchhandler.cpp
+++ b/src/entry/batchhandler.cpp
@@ -41,8 +41,8 @@
     const Outcome<std::string> body = exchange.readBody(m_maxBodyBytes);
     if (!body.ok())
         return body.failure();
-    const Outcome<BatchRequest> request = outcomeOf(
-            [&] { return parseBatchRequest(body.value(), m_parts.clock.wallNow()); });
+    const Outcome<BatchRequest> request =
+            outcomeOf([&] { return parseBatchRequest(body.value(), m_parts.clock.wallNow()); });
     if (!request.ok())
         return request.failure();
     const std::string key = exchange.header("Idempotency-Key");
@@ -80,8 +80,8 @@
 Outcome<std::string> BatchHandler::createJob(const Caller &caller, const BatchRequest &request,
                                              const std::string &idempotencyKey)
 {
-    const Outcome<ObjectId> file = outcomeOf(
-            [&] { return parseObjectId(request.fileId, m_parts.partitions.count()); });
+    const Outcome<ObjectId> file =
+            outcomeOf([&] { return parseObjectId(request.fileId, m_parts.partitions.count()); });
     if (!file.ok() || file.value().kind != ObjectKind::File)
         return notRun(ErrorCode::NotFound, concat("no input file \"", request.fileId, "\""));
     ObjectId job = newObjectId(ObjectKind::Batch, m_parts.partitions.count());
--- a/src/entry/batchitem.cpp
+++ b/src/entry/batchitem.cpp
@@ -11,7 +11,7 @@
 bool isFinal(ErrorCode code)
 {
     return code == ErrorCode::InvalidRequest || code == ErrorCode::RequestHeld
-            || code == ErrorCode::ItemFailed;
+           || code == ErrorCode::ItemFailed;
 }
 
 } // namespace
--- a/src/entry/batchitem.h
+++ b/src/entry/batchitem.h
@@ -33,8 +33,8 @@
 public:
     using EndHandler = std::function<void(ItemEnd)>;
 
-    BatchItem(const wire::LeasedItem &item, const CompletionRequest &request,
-              std::string requestId, std::int64_t createdSeconds, EndHandler onEnd);
+    BatchItem(const wire::LeasedItem &item, const CompletionRequest &request, std::string requestId,
+              std::int64_t createdSeconds, EndHandler onEnd);
 
     void onToken(const engine::Token &token) override;
     void onFinished(const engine::StreamEnd &end) override;
--- a/src/entry/batchrequest.cpp
+++ b/src/entry/batchrequest.cpp
@@ -63,8 +63,8 @@
     const absl::Duration unit = hasUnit ? unitOf(*parsed.ptr) : absl::ZeroDuration();
     const absl::Duration window = unit * count;
     if (window <= absl::ZeroDuration() || window > absl::Hours(24) * longestWindowDays)
-        return invalid(concat("\"completion_window\" must be a time such as \"24h\", not \"", text,
-                              "\""));
+        return invalid(
+                concat("\"completion_window\" must be a time such as \"24h\", not \"", text, "\""));
     return window;
 }
 
@@ -82,8 +82,9 @@
     const Json metadata = body.value("metadata", Json());
     if (!metadata.is_null() && !metadata.is_object())
         return invalid("\"metadata\" must be an object");
-    if (metadata.is_object() && metadata.contains("due_at"))
+    if (metadata.is_object() && metadata.contains("due_at")) {
         BOOST_LEAF_ASSIGN(request.due, parseDue(metadata.at("due_at")));
+    }
     request.stored = dumpJson(
             {{"endpoint", endpoint}, {"completion_window", window}, {"metadata", metadata}});
     return request;
--- a/src/entry/callerserver.cpp
+++ b/src/entry/callerserver.cpp
@@ -5,6 +5,8 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 
+#include "absl/time/clock.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -165,9 +167,9 @@
 void CallerServer::refuse(ConnectionStream &stream) const
 {
     const std::string requestId = "req-" + randomHex(requestIdBytes);
-    const Failure failure = notRun(ErrorCode::Overloaded,
-                                   concat("this instance serves its limit of ",
-                                          m_options.maxConnections, " connections"));
+    const Failure failure =
+            notRun(ErrorCode::Overloaded, concat("this instance serves its limit of ",
+                                                 m_options.maxConnections, " connections"));
     const std::string body = http::failureBody(failure, requestId);
     stream.write(concat("HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n",
                         "Retry-After: 1\r\nX-Request-Id: ", requestId,
--- a/src/entry/completionhandler.cpp
+++ b/src/entry/completionhandler.cpp
@@ -91,8 +91,7 @@
     return request;
 }
 
-Outcome<Done> CompletionHandler::check(const CompletionRequest &request,
-                                       const Caller &caller) const
+Outcome<Done> CompletionHandler::check(const CompletionRequest &request, const Caller &caller) const
 {
     if (service::containsKey(request.body, caller.key))
         return notRun(ErrorCode::InvalidRequest, "the request body contains the key");
@@ -110,6 +109,7 @@
 {
     const auto running = std::make_shared<Running>(m_parts.dispatcher, caller, request,
                                                    exchange.requestId(), m_parts.clock);
+    m_parts.shares.note(caller.workspace);
     WorkOrder order;
     order.work = workOf(caller.workspace, request, policy::WorkKind::Online);
     order.deadline = m_parts.clock.now() + m_requestTimeout;
@@ -179,8 +179,8 @@
     exchange.response().set_header("Cache-Control", "no-cache");
     exchange.response().set_chunked_content_provider(
             "text/event-stream", [this, running, gone](std::size_t, httplib::DataSink &sink) {
-                AnswerStream::Item item = running->first ? std::move(*running->first)
-                                                         : next(*running, gone);
+                AnswerStream::Item item =
+                        running->first ? std::move(*running->first) : next(*running, gone);
                 running->first.reset();
                 std::string events;
                 if (const auto *token = std::get_if<engine::Token>(&item))
--- a/src/entry/completionhandler.h
+++ b/src/entry/completionhandler.h
@@ -5,6 +5,7 @@
 #include "completionrequest.h"
 #include "exchange.h"
 #include "workdispatcher.h"
+#include "workspaceshares.h"
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/metrics.h"
@@ -26,6 +27,7 @@
         const Admission &admission;
         const directory::Follower &directory;
         WorkDispatcher &dispatcher;
+        WorkspaceShares &shares;
         const Clock &clock;
         Metrics &metrics;
     };
--- a/src/entry/completionrequest.cpp
+++ b/src/entry/completionrequest.cpp
@@ -89,7 +89,7 @@
 {
     const auto options = body.find("stream_options");
     return options != body.end() && options->is_object()
-            && options->value("include_usage", Json()) == Json(true);
+           && options->value("include_usage", Json()) == Json(true);
 }
 
 /// Body as it goes to engines. Engines stream always, so that a broken answer can be continued.
--- a/src/entry/connectionstream.cpp
+++ b/src/entry/connectionstream.cpp
@@ -1,5 +1,10 @@
 #include "connectionstream.h"
 
+#include "absl/time/clock.h"
+
+#include <algorithm>
+#include <array>
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -139,7 +139,7 @@
         readDuration(settings, key, timings.*member);
 }
 
-Result<std::string> readSecret(const Json &settings)
+Outcome<std::string> readSecret(const Json &settings)
 {
     if (settings.contains("clusterSecret"))
         return settings.at("clusterSecret").get<std::string>();
@@ -147,8 +147,8 @@
     std::ifstream stream(file);
     std::string secret;
     if (!std::getline(stream, secret) || secret.empty())
-        return fail(notRun(ErrorCode::InvalidSetting,
-                           concat("cannot read the cluster secret from \"", file, "\"")));
+        return notRun(ErrorCode::InvalidSetting,
+                      concat("cannot read the cluster secret from \"", file, "\""));
     return secret;
 }
 
@@ -174,7 +174,7 @@
     return {};
 }
 
-Result<EntrySettings> readEntrySettings(const Json &settings)
+Outcome<EntrySettings> readEntrySettings(const Json &settings)
 {
     EntrySettings entry;
     entry.instance = settings.at("instance").get<std::string>();
@@ -182,7 +182,10 @@
     readHttp(settings.at("http"), entry);
     entry.peerHost = settings.at("peer").at("host").get<std::string>();
     entry.peerPort = settings.at("peer").at("port").get<int>();
-    BOOST_LEAF_ASSIGN(entry.clusterSecret, readSecret(settings));
+    const Outcome<std::string> secret = readSecret(settings);
+    if (!secret.ok())
+        return secret.failure();
+    entry.clusterSecret = secret.value();
     entry.control = settings.at("control").get<std::vector<std::string>>();
     entry.partitions = settings.at("partitions").get<int>();
     readBatch(section(settings, "batch"), entry.batch);
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -80,6 +80,6 @@
 
 /// Requires settings that passed the schema. Fails with InvalidSetting when the secret's file
 /// cannot be read.
-Result<EntrySettings> readEntrySettings(const Json &settings);
+Outcome<EntrySettings> readEntrySettings(const Json &settings);
 
 } // namespace rattanrill::entry
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -46,7 +46,7 @@
     // Without either header a request has no body; the library would read until the connection
     // ends.
     const bool hasLength = m_request.has_header("Content-Length")
-            && m_request.get_header_value("Content-Length") != "0";
+                           && m_request.get_header_value("Content-Length") != "0";
     return m_reader != nullptr && (hasLength || m_request.has_header("Transfer-Encoding"));
 }
 
--- a/src/entry/filehandler.cpp
+++ b/src/entry/filehandler.cpp
@@ -55,10 +55,9 @@
         exchange.sendFailure(status.failure());
         return;
     }
-    exchange.sendJson(dumpJson(fileObject(id.text(), status.value().bytes,
-                                          absl::ToUnixMillis(m_clock.wallNow()),
-                                          form.fileName.empty() ? "batch.jsonl" : form.fileName,
-                                          "batch")));
+    exchange.sendJson(dumpJson(
+            fileObject(id.text(), status.value().bytes, absl::ToUnixMillis(m_clock.wallNow()),
+                       form.fileName.empty() ? "batch.jsonl" : form.fileName, "batch")));
 }
 
 void FileHandler::readRaw(Exchange &exchange, FileUpload &upload, Form &form)
@@ -127,8 +126,8 @@
         if (!job.ok())
             exchange.sendFailure(job.failure());
         else
-            exchange.sendJson(dumpJson(fileObject(id, 0, job.value().createdAtMs, "results.jsonl",
-                                                  "batch_output")));
+            exchange.sendJson(dumpJson(
+                    fileObject(id, 0, job.value().createdAtMs, "results.jsonl", "batch_output")));
         return;
     }
     const auto answer =
@@ -141,8 +140,7 @@
 }
 
 Outcome<wire::BatchQueryResult> FileHandler::readPage(const std::string &workspace,
-                                                      const ObjectId &job,
-                                                      std::uint64_t firstIndex)
+                                                      const ObjectId &job, std::uint64_t firstIndex)
 {
     return m_partitions.query(job.partition,
                               wire::ReadResults{job.text(), workspace, firstIndex, pageItems});
--- /dev/null
+++ b/src/entry/heartbeat.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "rattanrill/base/timerservice.h"
+#include "rattanrill/directory/follower.h"
+#include "rattanrill/wire/directorymessages.h"
+
+#include "absl/time/time.h"
+
+#include <atomic>
+
+namespace rattanrill::controlclient {
+class ControlClient;
+}
+
+namespace rattanrill::entry {
+
+/// Tells the control instances that this process lives, which revision it has in force and whether
+/// it is leaving.
+class Heartbeat
+{
+public:
+    Heartbeat(wire::Member member, controlclient::ControlClient &control,
+              const directory::Follower &directory, TimerService &timers, absl::Duration period);
+    ~Heartbeat();
+
+    void start();
+    /// Sends at once that this process leaves, and goes on saying so.
+    void leave();
+    void stop();
+
+private:
+    void send();
+
+    wire::Member m_member;
+    controlclient::ControlClient &m_control;
+    const directory::Follower &m_directory;
+    TimerService &m_timers;
+    absl::Duration m_period;
+    TimerService::TimerId m_timer = 0;
+    std::atomic<bool> m_leaving{false};
+};
+
+} // namespace rattanrill::entry
--- a/src/entry/itemchecker.cpp
+++ b/src/entry/itemchecker.cpp
@@ -66,8 +66,7 @@
     return item;
 }
 
-Outcome<std::optional<wire::ItemSpec>> ItemChecker::check(std::size_t number,
-                                                          std::string_view line)
+Outcome<std::optional<wire::ItemSpec>> ItemChecker::check(std::size_t number, std::string_view line)
 {
     if (isBlank(line))
         return std::optional<wire::ItemSpec>();
--- a/src/entry/keyauthenticator.cpp
+++ b/src/entry/keyauthenticator.cpp
@@ -71,8 +71,7 @@
     const auto view = m_directory.view();
     const auto key = view->keyByHash(caller.keyHash);
     if (!key || !isGranted(*view, *key))
-        return mayHaveRun(ErrorCode::KeyWithdrawn,
-                          "the key was withdrawn while the request ran");
+        return mayHaveRun(ErrorCode::KeyWithdrawn, "the key was withdrawn while the request ran");
     if (age > m_keyFreshness + m_staleStreamLimit)
         return mayHaveRun(ErrorCode::KeysNotFresh,
                           "this instance could not confirm the key for too long");
--- /dev/null
+++ b/src/entry/loadpoller.cpp
@@ -0,0 +1,123 @@
+#include "loadpoller.h"
+
+namespace rattanrill::entry {
+namespace {
+
+constexpr std::size_t pollThreads = 8;
+constexpr std::size_t pollQueue = 4096;
+
+policy::EngineLoad toPolicy(const engine::EngineLoad &load, absl::Duration travel)
+{
+    return {load.running,          load.waiting,  load.kvTokens,
+            load.kvCapacityTokens, load.maxBatch, load.age + travel};
+}
+
+} // namespace
+
+LoadPoller::LoadPoller(EngineTable &engines, ServiceTable &services, WorkDispatcher &dispatcher,
+                       TimerService &timers, absl::Duration period, const Clock &clock)
+    : m_engines(engines)
+    , m_services(services)
+    , m_dispatcher(dispatcher)
+    , m_timers(timers)
+    , m_period(period)
+    , m_clock(clock)
+    , m_pool(pollThreads, pollQueue)
+{}
+
+LoadPoller::~LoadPoller()
+{
+    stop();
+}
+
+void LoadPoller::start()
+{
+    m_timer = m_timers.subscribeEvery(m_period, [this] { poll(); });
+}
+
+void LoadPoller::stop()
+{
+    if (m_timer != 0)
+        m_timers.unsubscribe(m_timer);
+    m_timer = 0;
+    m_pool.stop();
+}
+
+bool LoadPoller::begin(const std::string &upstream)
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_polling.insert(upstream).second;
+}
+
+void LoadPoller::end(const std::string &upstream)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_polling.erase(upstream);
+}
+
+void LoadPoller::poll()
+{
+    for (const EngineTable::Client &client : m_engines.all()) {
+        const std::string &name = client->options().name;
+        if (!begin(name))
+            continue;
+        const bool posted = m_pool.post([this, client] {
+            pollEngine(*client);
+            end(client->options().name);
+        });
+        if (!posted)
+            end(name);
+    }
+    for (const ServiceTable::Client &client : m_services.all()) {
+        const std::string &name = client->options().name;
+        if (!begin(name))
+            continue;
+        const bool posted = m_pool.post([this, client] {
+            const auto load = client->load();
+            if (load.ok())
+                m_services.loadReported(client->options().name, load.value());
+            end(client->options().name);
+        });
+        if (!posted)
+            end(name);
+    }
+}
+
+void LoadPoller::pollEngine(engine::EngineClient &client)
+{
+    const absl::Time sent = m_clock.now();
+    const auto load = client.load();
+    if (!load.ok())
+        return;
+    const absl::Duration travel = m_clock.now() - sent;
+    m_dispatcher.inform([&](policy::Scheduler &scheduler, absl::Time now) {
+        scheduler.loadReported(now, client.options().name, toPolicy(load.value(), travel));
+    });
+    pollCacheEvents(client);
+}
+
+void LoadPoller::pollCacheEvents(engine::EngineClient &client)
+{
+    const std::string &name = client.options().name;
+    std::uint64_t after = 0;
+    {
+        absl::MutexLock lock(&m_mutex);
+        after = m_lastEvent[name];
+    }
+    const auto page = client.cacheEvents(after);
+    if (!page.ok() || page.value().events.empty())
+        return;
+    std::vector<policy::CacheEvent> events;
+    for (const engine::CacheEvent &event : page.value().events) {
+        const auto kind =
+                event.stored ? policy::CacheEvent::Kind::Stored : policy::CacheEvent::Kind::Evicted;
+        events.push_back({event.sequence, kind, event.prefixHash, event.tokens});
+    }
+    m_dispatcher.inform([&](policy::Scheduler &scheduler, absl::Time now) {
+        scheduler.cacheEvents(now, name, events);
+    });
+    absl::MutexLock lock(&m_mutex);
+    m_lastEvent[name] = page.value().next;
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/ratebroker.cpp
@@ -0,0 +1,128 @@
+#include "ratebroker.h"
+
+#include "await.h"
+#include "viewqueries.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/wire/codec.h"
+
+namespace rattanrill::entry {
+namespace {
+
+/// An owner that is a different process, answers late, or has another view grants nothing; in all
+/// these cases the request has not run.
+Failure rateUnknown(const std::string &detail)
+{
+    return notRun(ErrorCode::RateUnknown, concat("the rate owner gave no grant: ", detail));
+}
+
+} // namespace
+
+RateBroker::RateBroker(Options options, const directory::Follower &directory, RateOwner &owner,
+                       peer::ChannelPool &channels)
+    : m_options(std::move(options))
+    , m_directory(directory)
+    , m_owner(owner)
+    , m_channels(channels)
+{}
+
+Outcome<RateDecision> RateBroker::take(const std::string &workspace)
+{
+    return awaitOutcome<RateDecision>(
+            [&](Callback callback) { ask(workspace, std::move(callback)); });
+}
+
+void RateBroker::ask(const std::string &workspace, Callback callback)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        Queue &queue = m_queues[workspace];
+        queue.waiting.push_back(std::move(callback));
+        if (queue.calling)
+            return;
+        queue.calling = true;
+    }
+    callNext(workspace);
+}
+
+void RateBroker::callNext(const std::string &workspace)
+{
+    std::vector<Callback> callers;
+    {
+        absl::MutexLock lock(&m_mutex);
+        Queue &queue = m_queues[workspace];
+        callers.assign(std::make_move_iterator(queue.waiting.begin()),
+                       std::make_move_iterator(queue.waiting.end()));
+        queue.waiting.clear();
+        if (callers.empty()) {
+            m_queues.erase(workspace);
+            return;
+        }
+    }
+    send(workspace, std::move(callers));
+}
+
+Outcome<std::string> RateBroker::ownerAddress(const std::string &workspace,
+                                              wire::GrantRequest &request) const
+{
+    const auto view = m_directory.view();
+    const std::vector<std::string> members = memberNames(*view);
+    if (members.empty())
+        return rateUnknown("no entry is a member yet");
+    request.memberRevision = view->memberRevision();
+    const std::string &owner = members[rendezvousOwner(workspace, members)];
+    if (owner == m_options.instance)
+        return std::string();
+    return view->member(owner)->peerAddress;
+}
+
+void RateBroker::send(const std::string &workspace, std::vector<Callback> callers)
+{
+    wire::GrantRequest request;
+    request.workspace = workspace;
+    request.requests = static_cast<std::int64_t>(callers.size());
+    request.maxWaitMs = absl::ToInt64Milliseconds(m_options.maxWait);
+    const Outcome<std::string> address = ownerAddress(workspace, request);
+    if (!address.ok() || address.value().empty()) {
+        const Outcome<wire::GrantResponse> response =
+                address.ok() ? m_owner.grant(request)
+                             : Outcome<wire::GrantResponse>(address.failure());
+        answer(callers, response);
+        callNext(workspace);
+        return;
+    }
+    const auto channel = m_channels.channel(address.value());
+    channel->call(wire::Method::Grant, wire::encode(request), m_options.timeout,
+                  [this, workspace, callers = std::move(callers)](Outcome<std::string> reply) {
+                      Outcome<wire::GrantResponse> response = wire::GrantResponse();
+                      if (reply.ok())
+                          response = outcomeOf(
+                                  [&] { return wire::decode<wire::GrantResponse>(reply.value()); });
+                      else
+                          response = reply.failure();
+                      answer(callers, response);
+                      callNext(workspace);
+                  });
+}
+
+void RateBroker::answer(const std::vector<Callback> &callers,
+                        const Outcome<wire::GrantResponse> &response)
+{
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        if (!response.ok()) {
+            callers[i](rateUnknown(describe(response.failure())));
+            continue;
+        }
+        const wire::GrantResponse &grants = response.value();
+        RateDecision decision;
+        decision.granted = i < static_cast<std::size_t>(std::max<std::int64_t>(grants.granted, 0));
+        if (!decision.granted)
+            decision.wait = absl::Milliseconds(grants.retryAfterMs);
+        else if (i < grants.waitsMs.size())
+            decision.wait = absl::Milliseconds(grants.waitsMs[i]);
+        callers[i](decision);
+    }
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/ratebroker.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "rateadmission.h"
+#include "rateowner.h"
+
+#include "rattanrill/peer/channelpool.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rattanrill::entry {
+
+/// Asks the owner of a workspace for rate grants. Requests for one workspace that arrive while a
+/// call is on its way go together with the next call.
+class RateBroker : public RateAdmission
+{
+public:
+    struct Options
+    {
+        std::string instance;
+        absl::Duration maxWait;
+        absl::Duration timeout;
+    };
+
+    RateBroker(Options options, const directory::Follower &directory, RateOwner &owner,
+               peer::ChannelPool &channels);
+
+    Outcome<RateDecision> take(const std::string &workspace) override ABSL_LOCKS_EXCLUDED(m_mutex);
+
+private:
+    using Callback = std::function<void(Outcome<RateDecision>)>;
+    struct Queue
+    {
+        std::deque<Callback> waiting;
+        bool calling = false;
+    };
+
+    void ask(const std::string &workspace, Callback callback) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void callNext(const std::string &workspace) ABSL_LOCKS_EXCLUDED(m_mutex);
+    void send(const std::string &workspace, std::vector<Callback> callers);
+    Outcome<std::string> ownerAddress(const std::string &workspace,
+                                      wire::GrantRequest &request) const;
+    static void answer(const std::vector<Callback> &callers,
+                       const Outcome<wire::GrantResponse> &response);
+
+    Options m_options;
+    const directory::Follower &m_directory;
+    RateOwner &m_owner;
+    peer::ChannelPool &m_channels;
+    absl::Mutex m_mutex;
+    std::map<std::string, Queue> m_queues ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/servicehandler.cpp
@@ -0,0 +1,231 @@
+#include "servicehandler.h"
+
+#include "await.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/http/serversetup.h"
+#include "rattanrill/service/credentials.h"
+
+namespace rattanrill::entry {
+namespace {
+
+constexpr int maxTries = 3;
+constexpr std::size_t maxIdempotencyKeyBytes = 255;
+constexpr std::size_t fingerprintDigits = 32;
+
+/// Paths that a service could resolve to another one than the route check saw.
+bool isAmbiguous(std::string_view decoded, std::string_view raw)
+{
+    for (const std::string_view part : {"/../", "/./", "//"}) {
+        if (concat(decoded, "/").find(part) != std::string::npos && decoded != "/")
+            return true;
+    }
+    for (const std::string_view escape : {"%2f", "%2F", "%5c", "%5C", "%00", "\\"}) {
+        if (raw.find(escape) != std::string_view::npos)
+            return true;
+    }
+    return false;
+}
+
+std::string rawPath(const httplib::Request &request)
+{
+    return request.target.substr(0, request.target.find('?'));
+}
+
+std::string fingerprintOf(const service::ServiceRequest &request)
+{
+    return sha256Hex(concat(request.workspace, "\n", request.path, "\n", request.body))
+            .substr(0, fingerprintDigits);
+}
+
+std::string hashOf(const service::ServiceRequest &request)
+{
+    return sha256Hex(
+            concat(request.method, " ", request.path, "?", request.query, "\n", request.body));
+}
+
+} // namespace
+
+ServiceHandler::ServiceHandler(Parts parts, std::size_t maxBodyBytes, absl::Duration timeout)
+    : m_parts(parts)
+    , m_maxBodyBytes(maxBodyBytes)
+    , m_timeout(timeout)
+{}
+
+bool ServiceHandler::handle(Exchange &exchange)
+{
+    const auto route = m_parts.directory.view()->route(exchange.path());
+    if (!route)
+        return false;
+    if (isAmbiguous(exchange.path(), rawPath(exchange.request())))
+        exchange.sendFailure(notRun(ErrorCode::InvalidRequest,
+                                    "the path has a dot segment, an empty segment or an escaped "
+                                    "separator"));
+    else
+        serve(exchange, *route);
+    return true;
+}
+
+std::optional<Caller> ServiceHandler::admitted(Exchange &exchange, const wire::Route &route) const
+{
+    if (route.open) {
+        // The key is still known, so that it can be kept from the service.
+        Caller caller;
+        const std::string header = exchange.header("Authorization");
+        caller.key = header.substr(std::min(header.size(), header.find(' ') + 1));
+        return caller;
+    }
+    std::optional<Caller> caller = m_parts.admission.authenticate(exchange);
+    if (caller && !m_parts.admission.admit(exchange, *caller))
+        return std::nullopt;
+    return caller;
+}
+
+Outcome<service::ServiceRequest> ServiceHandler::makeRequest(Exchange &exchange,
+                                                             const Caller &caller) const
+{
+    const Outcome<std::string> body = exchange.readBody(m_maxBodyBytes);
+    if (!body.ok())
+        return body.failure();
+    service::ServiceRequest request;
+    request.method = exchange.request().method;
+    request.path = rawPath(exchange.request());
+    request.query = service::withoutCredentials(exchange.query(), caller.key);
+    request.body = body.value();
+    request.contentType = exchange.header("Content-Type");
+    request.requestId = exchange.requestId();
+    request.workspace = caller.workspace;
+    request.deadline = m_parts.clock.now() + m_timeout;
+    for (const std::string *part : {&request.path, &request.body, &request.contentType}) {
+        if (service::containsKey(*part, caller.key))
+            return notRun(ErrorCode::InvalidRequest,
+                          "the path, body or content type contains the key");
+    }
+    return request;
+}
+
+void ServiceHandler::serve(Exchange &exchange, const wire::Route &route)
+{
+    const std::optional<Caller> caller = admitted(exchange, route);
+    if (!caller)
+        return;
+    const Outcome<service::ServiceRequest> request = makeRequest(exchange, *caller);
+    if (!request.ok()) {
+        exchange.sendFailure(request.failure());
+        return;
+    }
+    const std::string key = exchange.header("Idempotency-Key");
+    if (key.size() > maxIdempotencyKeyBytes) {
+        exchange.sendFailure(
+                notRun(ErrorCode::InvalidRequest, "\"Idempotency-Key\" is longer than 255 bytes"));
+        return;
+    }
+    bool replayed = false;
+    const bool claimed = !route.idempotent && !key.empty();
+    const Answer answer = claimed ? runClaimed(route, request.value(), key, replayed)
+                                  : run(route, request.value());
+    if (replayed)
+        exchange.response().set_header("Idempotent-Replayed", "true");
+    const std::optional<Failure> revoked = m_parts.admission.keys().revoked(*caller);
+    if (revoked) {
+        exchange.sendFailure(*revoked);
+    } else if (!answer.ok()) {
+        exchange.sendFailure(answer.failure(), absl::Seconds(1));
+    } else {
+        exchange.response().status = answer.value().status;
+        exchange.response().set_content(answer.value().body, answer.value().contentType);
+    }
+}
+
+ServiceHandler::Answer ServiceHandler::run(const wire::Route &route,
+                                           const service::ServiceRequest &request)
+{
+    const std::int64_t nowMs = absl::ToUnixMillis(m_parts.clock.wallNow());
+    if (m_parts.directory.view()->held(fingerprintOf(request), nowMs))
+        return notRun(ErrorCode::RequestHeld, "the request crashed the upstreams that ran it");
+    std::vector<std::string> avoided;
+    bool mayHaveRunBefore = false;
+    Answer answer = notRun(ErrorCode::UpstreamUnavailable,
+                           concat("no instance of \"", route.service, "\" can take the request"));
+    for (int i = 0; i < maxTries; ++i) {
+        const std::size_t triesBefore = avoided.size();
+        Answer next = runOnce(route, request, avoided);
+        const bool tried = avoided.size() > triesBefore;
+        if (next.ok() || tried)
+            answer = std::move(next);
+        if (answer.ok() || !tried)
+            break;
+        mayHaveRunBefore = mayHaveRunBefore || answer.failure().run == RunState::MayHaveRun;
+        if (mayHaveRunBefore && !route.idempotent)
+            break;
+    }
+    if (!answer.ok() && mayHaveRunBefore)
+        return mayHaveRun(answer.failure().code, answer.failure().detail);
+    return answer;
+}
+
+ServiceHandler::Answer ServiceHandler::runOnce(const wire::Route &route,
+                                               const service::ServiceRequest &request,
+                                               std::vector<std::string> &avoided)
+{
+    const ServiceTable::Client client = m_parts.services.begin(route.service, avoided);
+    if (!client)
+        return notRun(ErrorCode::UpstreamUnavailable, "no instance is left");
+    const std::string &upstream = client->options().name;
+    avoided.push_back(upstream);
+    Answer answer = client->call(request);
+    const bool lost = !answer.ok() && answer.failure().code == ErrorCode::ConnectionLost;
+    bool crashed = false;
+    if (lost) {
+        const Outcome<Done> probe = client->probe();
+        crashed = !probe.ok() && probe.failure().code == ErrorCode::UpstreamUnavailable;
+    }
+    const bool failed = !answer.ok() && answer.failure().code != ErrorCode::UpstreamBusy;
+    m_parts.services.end(upstream, failed, crashed);
+    if (crashed)
+        reportCrash(fingerprintOf(request), upstream);
+    return answer;
+}
+
+void ServiceHandler::reportCrash(const std::string &fingerprint, const std::string &upstream)
+{
+    m_parts.metrics.count("rattanrill_upstream_crashes_total", {{"upstream", upstream}});
+    // Waits: a second try must not come before the record.
+    (void)awaitOutcome<bool>(
+            [&](auto callback) { m_parts.crashes.report(fingerprint, upstream, callback); });
+}
+
+ServiceHandler::Answer ServiceHandler::answerOf(const wire::ClaimStatus &claim) const
+{
+    if (claim.state != wire::ClaimState::Finished)
+        return mayHaveRun(ErrorCode::DuplicateRequest,
+                          "a request with this Idempotency-Key runs already or ended without an "
+                          "answer");
+    return service::ServiceAnswer{static_cast<int>(claim.status), claim.contentType, claim.body};
+}
+
+ServiceHandler::Answer ServiceHandler::runClaimed(const wire::Route &route,
+                                                  const service::ServiceRequest &request,
+                                                  const std::string &idempotencyKey, bool &replayed)
+{
+    const ClaimKey key{request.workspace, "service/" + idempotencyKey, hashOf(request),
+                       request.requestId};
+    const Outcome<wire::ClaimStatus> claim = m_parts.claims.claim(key);
+    if (!claim.ok())
+        return claim.failure();
+    if (!claim.value().won) {
+        replayed = claim.value().state == wire::ClaimState::Finished;
+        return answerOf(claim.value());
+    }
+    const Answer answer = run(route, request);
+    if (answer.ok()) {
+        (void)m_parts.claims.finish(key, answer.value().status, answer.value().contentType,
+                                    answer.value().body);
+    } else if (answer.failure().run == RunState::NotRun) {
+        m_parts.claims.abandon(key);
+    }
+    return answer;
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/src/entry/servicehandler.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "admission.h"
+#include "claims.h"
+#include "crashreporter.h"
+#include "exchange.h"
+#include "servicetable.h"
+
+#include "rattanrill/base/metrics.h"
+#include "rattanrill/directory/follower.h"
+
+#include "absl/time/time.h"
+
+#include <string>
+
+namespace rattanrill::entry {
+
+/// Serves the routes to plain services. A call that is not idempotent runs at most once: with an
+/// Idempotency-Key it is claimed durably first, and it is never repeated after it may have run.
+class ServiceHandler
+{
+public:
+    struct Parts
+    {
+        const Admission &admission;
+        const directory::Follower &directory;
+        ServiceTable &services;
+        Claims &claims;
+        CrashReporter &crashes;
+        const Clock &clock;
+        Metrics &metrics;
+    };
+
+    ServiceHandler(Parts parts, std::size_t maxBodyBytes, absl::Duration timeout);
+
+    /// False when no route matches the path.
+    bool handle(Exchange &exchange);
+
+private:
+    using Answer = Outcome<service::ServiceAnswer>;
+
+    void serve(Exchange &exchange, const wire::Route &route);
+    std::optional<Caller> admitted(Exchange &exchange, const wire::Route &route) const;
+    Outcome<service::ServiceRequest> makeRequest(Exchange &exchange, const Caller &caller) const;
+    Answer run(const wire::Route &route, const service::ServiceRequest &request);
+    Answer runOnce(const wire::Route &route, const service::ServiceRequest &request,
+                   std::vector<std::string> &avoided);
+    Answer runClaimed(const wire::Route &route, const service::ServiceRequest &request,
+                      const std::string &idempotencyKey, bool &replayed);
+    Answer answerOf(const wire::ClaimStatus &claim) const;
+    void reportCrash(const std::string &fingerprint, const std::string &upstream);
+
+    Parts m_parts;
+    std::size_t m_maxBodyBytes;
+    absl::Duration m_timeout;
+};
+
+} // namespace rattanrill::entry
--- a/src/entry/workdispatcher.cpp
+++ b/src/entry/workdispatcher.cpp
@@ -119,9 +119,9 @@
 {
     std::vector<Action> actions;
     for (const policy::Decision &decision : m_scheduler.decide(m_parts.clock.now())) {
-        Action action = std::visit(
-                [this](const auto &step) ABSL_NO_THREAD_SAFETY_ANALYSIS { return prepare(step); },
-                decision);
+        Action action = std::visit([this](const auto &step)
+                                           ABSL_NO_THREAD_SAFETY_ANALYSIS { return prepare(step); },
+                                   decision);
         if (action)
             actions.push_back(std::move(action));
     }
@@ -166,7 +166,8 @@
         policy::TryFailure failure;
         failure.kind = policy::TryFailure::Kind::Refused;
         failure.deliveredTokens = start.resumeAfter;
-        failure.failure = notRun(code, concat("no try could start on engine \"", start.engine, "\""));
+        failure.failure =
+                notRun(code, concat("no try could start on engine \"", start.engine, "\""));
         inform([&](policy::Scheduler &scheduler, absl::Time now) {
             scheduler.failed(now, start.work, start.attempt, failure);
         });
@@ -216,13 +217,13 @@
         m_parts.metrics.count("rattanrill_upstream_crashes_total", {{"upstream", crash.engine}});
         log(LogLevel::Warning, "upstream-crashed",
             {{"upstream", crash.engine}, {"fingerprint", crash.fingerprint}});
-        m_parts.crashes.report(
-                crash.fingerprint, crash.engine, [this, crash](const Outcome<bool> &held) {
-                    m_crashRecords.end(crash.fingerprint, held);
-                    if (held.ok() && held.value())
-                        log(LogLevel::Warning, "request-held",
-                            {{"fingerprint", crash.fingerprint}});
-                });
+        m_parts.crashes.report(crash.fingerprint, crash.engine,
+                               [this, crash](const Outcome<bool> &held) {
+                                   m_crashRecords.end(crash.fingerprint, held);
+                                   if (held.ok() && held.value())
+                                       log(LogLevel::Warning, "request-held",
+                                           {{"fingerprint", crash.fingerprint}});
+                               });
     };
 }
 
@@ -360,9 +361,9 @@
     tryFailure.kind = kind;
     tryFailure.deliveredTokens = static_cast<std::int64_t>(delivered);
     tryFailure.failure = failure;
-    m_parts.metrics.count("rattanrill_failed_tries_total",
-                          {{"upstream", engineTry.start().engine},
-                           {"code", std::string(name(failure.code))}});
+    m_parts.metrics.count(
+            "rattanrill_failed_tries_total",
+            {{"upstream", engineTry.start().engine}, {"code", std::string(name(failure.code))}});
     {
         absl::MutexLock lock(&m_mutex);
         if (task->withdrawn)
--- /dev/null
+++ b/src/entry/workspaceshares.cpp
@@ -0,0 +1,49 @@
+#include "workspaceshares.h"
+
+#include <vector>
+
+namespace rattanrill::entry {
+
+WorkspaceShares::WorkspaceShares(const directory::Follower &directory, WorkDispatcher &dispatcher)
+    : m_directory(directory)
+    , m_dispatcher(dispatcher)
+{}
+
+void WorkspaceShares::note(const std::string &workspace)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (!m_known.emplace(workspace, 0).second)
+            return;
+    }
+    pass(*m_directory.view(), workspace);
+}
+
+void WorkspaceShares::refresh(const directory::View &view)
+{
+    std::vector<std::string> changed;
+    {
+        absl::MutexLock lock(&m_mutex);
+        for (auto &[workspace, revision] : m_known) {
+            const auto contract = view.contract(workspace);
+            if (contract && contract->revision != revision)
+                changed.push_back(workspace);
+        }
+    }
+    for (const std::string &workspace : changed)
+        pass(view, workspace);
+}
+
+void WorkspaceShares::pass(const directory::View &view, const std::string &workspace)
+{
+    const auto contract = view.contract(workspace);
+    if (!contract)
+        return;
+    const policy::WorkspaceShare share{workspace, contract->ratePerSecond, contract->batchShare};
+    m_dispatcher.inform(
+            [&](policy::Scheduler &scheduler, absl::Time) { scheduler.setWorkspaces({share}); });
+    absl::MutexLock lock(&m_mutex);
+    m_known[workspace] = contract->revision;
+}
+
+} // namespace rattanrill::entry
