Fakes: Add the fake platform with list, balancer and weight store

Cause: entries and the drain of leaving instances depend on a platform list that lags, on a balancer that follows it late, and on a weight store that is rate limited.

The balancer relays TCP on one Asio thread; a thread per connection was ruled out because several hundred connections pass through it in load tests.

Before: entries could only be addressed directly. After: connections spread over listed, healthy instances; an instance set to leaving gets none after the lag.

--- a/include/rattanrill/fakes/answer.h
+++ b/include/rattanrill/fakes/answer.h
@@ -19,6 +19,9 @@
 
 std::string_view name(AnswerVerdict verdict);
 
+/// Length of hashText().
+constexpr std::size_t hashTextDigits = 16;
+
 /// Stable hash of \a data as 16 lower-case hexadecimal digits.
 std::string hashText(std::string_view data, std::uint64_t seed = 0);
 
--- /dev/null
+++ b/include/rattanrill/fakes/weightstore.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "rattanrill/base/result.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace rattanrill::fakes {
+
+struct WeightStoreSettings
+{
+    /// Size in bytes by name.
+    std::map<std::string, std::int64_t> weights;
+    double bytesPerSecond = 50e6;
+    double burstBytes = 100e6;
+};
+
+/// Limits reads of model weights by a token bucket in bytes.
+class WeightStore
+{
+public:
+    WeightStore(WeightStoreSettings settings, absl::Time now);
+
+    /// Size of \a name in bytes. Fails with NotFound.
+    Result<std::int64_t> size(const std::string &name) const;
+    /// Takes \a bytes from the bucket, which a read larger than the burst leaves in debt. Fails
+    /// with RateLimited while the bucket lacks them.
+    Result<void> take(absl::Time now, std::int64_t bytes);
+    /// Time until \a bytes can be taken.
+    absl::Duration waitFor(absl::Time now, std::int64_t bytes) const;
+
+private:
+    double level(absl::Time now) const;
+    double needed(std::int64_t bytes) const;
+
+    WeightStoreSettings m_settings;
+    double m_level;
+    absl::Time m_levelAt;
+};
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/balancer.cpp
@@ -0,0 +1,105 @@
+#include "rattanrill/fakes/balancer.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::fakes {
+namespace {
+
+constexpr std::size_t checkerThreads = 4;
+constexpr std::size_t checkQueue = 256;
+
+} // namespace
+
+Balancer::Balancer(BalancerSettings settings, Lister lister, TimerService &timers)
+    : m_settings(std::move(settings))
+    , m_lister(std::move(lister))
+    , m_timers(timers)
+    , m_checkers(checkerThreads, checkQueue)
+    , m_relay(m_settings.listen, [this] { return choose(); })
+{}
+
+Balancer::~Balancer()
+{
+    m_timers.unsubscribe(m_timer);
+    m_checkers.stop();
+}
+
+Result<int> Balancer::start()
+{
+    BOOST_LEAF_AUTO(port, m_relay.start());
+    m_timer = m_timers.subscribeEvery(m_settings.healthPeriod, [this] { checkAll(); });
+    return port;
+}
+
+std::vector<BalancerTarget> Balancer::targets() const
+{
+    std::vector<BalancerTarget> targets;
+    for (const Instance &instance : m_lister()) {
+        if (instance.role != m_settings.role)
+            continue;
+        absl::MutexLock lock(&m_mutex);
+        const auto health = m_health.find(instance.name);
+        if (health == m_health.end())
+            targets.push_back({instance, false, 0});
+        else
+            targets.push_back({instance, health->second.healthy, health->second.connections});
+    }
+    return targets;
+}
+
+std::vector<Instance> Balancer::liveInstances() const
+{
+    std::vector<Instance> live;
+    for (Instance &instance : m_lister()) {
+        if (instance.role == m_settings.role && instance.state == InstanceState::Live)
+            live.push_back(std::move(instance));
+    }
+    return live;
+}
+
+std::optional<RelayAddress> Balancer::choose()
+{
+    const std::vector<Instance> live = liveInstances();
+    absl::MutexLock lock(&m_mutex);
+    for (std::size_t tried = 0; tried < live.size(); ++tried) {
+        const Instance &instance = live[m_turn++ % live.size()];
+        Health &health = m_health[instance.name];
+        if (!health.healthy)
+            continue;
+        ++health.connections;
+        return RelayAddress{instance.host, instance.port};
+    }
+    return std::nullopt;
+}
+
+void Balancer::checkAll()
+{
+    for (const Instance &instance : liveInstances()) {
+        // A full queue skips the check; the next period repeats it.
+        const bool posted = m_checkers.post([this, instance] { check(instance); });
+        if (!posted)
+            return;
+    }
+}
+
+void Balancer::check(const Instance &instance)
+{
+    httplib::Client client(instance.host, instance.port);
+    client.set_connection_timeout(absl::ToChronoMilliseconds(m_settings.healthTimeout));
+    client.set_read_timeout(absl::ToChronoMilliseconds(m_settings.healthTimeout));
+    const httplib::Result result = client.Get(m_settings.healthPath);
+    note(instance.name, result && result->status == 200);
+}
+
+void Balancer::note(const std::string &name, bool passed)
+{
+    absl::MutexLock lock(&m_mutex);
+    Health &health = m_health[name];
+    health.failures = passed ? 0 : health.failures + 1;
+    health.healthy = passed || (health.healthy && health.failures < m_settings.unhealthyAfter);
+}
+
+} // namespace rattanrill::fakes
--- a/src/fakes/fakehttpserver.cpp
+++ b/src/fakes/fakehttpserver.cpp
@@ -68,14 +68,15 @@
     return port;
 }
 
-int FakeHttpServer::serveUntil(ShutdownSignal &signal)
+int FakeHttpServer::serveUntil(ShutdownSignal &signal, Json startLine)
 {
     const auto port = outcomeOf([this] { return bind(); });
     if (!port.ok()) {
         log(LogLevel::Error, "listen-failed", {{"detail", port.failure().detail}});
         return exitFailure;
     }
-    std::cout << dumpJson({{"listening", concat(m_settings.host, ":", port.value())}}) << std::endl;
+    startLine["listening"] = concat(m_settings.host, ":", port.value());
+    std::cout << dumpJson(startLine) << std::endl;
     std::thread listener([this] { listen_after_bind(); });
     signal.wait();
     log(LogLevel::Info, "stopped");
--- a/src/fakes/fakehttpserver.h
+++ b/src/fakes/fakehttpserver.h
@@ -32,10 +32,10 @@
 
     /// Binds; returns the port. Fails with AddressInUse.
     Result<int> bind();
-    /// Binds, prints {"listening":"host:port"} and serves until \a signal comes; then ends the
-    /// process without waiting for connections, because httplib waits up to the keep-alive timeout
-    /// for idle ones. Returns only when it cannot listen.
-    int serveUntil(ShutdownSignal &signal);
+    /// Binds, prints \a startLine with "listening":"host:port" added, and serves until \a signal
+    /// comes; then ends the process without waiting for connections, because httplib waits up to
+    /// the keep-alive timeout for idle ones. Returns only when it cannot listen.
+    int serveUntil(ShutdownSignal &signal, Json startLine = Json::object());
 
 private:
     HttpSettings m_settings;
--- /dev/null
+++ b/src/fakes/relayconnection.cpp
@@ -0,0 +1,225 @@
+#include "relayconnection.h"
+
+#include "absl/time/time.h"
+
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace rattanrill::fakes {
+namespace {
+
+using boost::system::error_code;
+
+/// Bytes that a direction keeps; beyond, the sender meets a full socket buffer.
+constexpr std::size_t maxQueuedBytes = 1u << 20;
+
+} // namespace
+
+RelayConnection::Direction::Direction(boost::asio::io_context &context, Socket &from, Socket &to)
+    : from(from)
+    , to(to)
+    , timer(context)
+{}
+
+RelayConnection::RelayConnection(boost::asio::io_context &context, Socket client, Endpoint target,
+                                 std::function<void()> closed)
+    : m_context(context)
+    , m_client(std::move(client))
+    , m_server(context)
+    , m_target(std::move(target))
+    , m_forward(context, m_client, m_server)
+    , m_backward(context, m_server, m_client)
+    , m_closed(std::move(closed))
+{
+    error_code ignored;
+    m_client.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+}
+
+void RelayConnection::start(const LinkFaults &faults)
+{
+    apply(faults);
+}
+
+void RelayConnection::apply(const LinkFaults &faults)
+{
+    set(m_forward, faults.forward);
+    set(m_backward, faults.backward);
+    const bool healed =
+            faults.forward.mode == LinkMode::Pass && faults.backward.mode == LinkMode::Pass;
+    if (healed && (m_forward.damaged || m_backward.damaged)) {
+        close(End::Reset);
+        return;
+    }
+    connect();
+    resume(m_forward);
+    resume(m_backward);
+}
+
+void RelayConnection::close(End how)
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    error_code ignored;
+    for (Socket *socket : {&m_client, &m_server}) {
+        if (how == End::Reset && socket->is_open())
+            socket->set_option(Socket::linger(true, 0), ignored);
+        socket->close(ignored);
+    }
+    m_forward.timer.cancel();
+    m_backward.timer.cancel();
+    m_closed();
+}
+
+void RelayConnection::connect()
+{
+    if (m_forward.faults.mode == LinkMode::Drop)
+        m_forward.damaged = m_forward.damaged || !m_connected;
+    if (m_connecting || m_connected || m_forward.faults.mode != LinkMode::Pass)
+        return;
+    m_connecting = true;
+    m_server.async_connect(m_target, [self = shared_from_this()](const error_code &error) {
+        self->m_connecting = false;
+        if (error) {
+            self->close(End::Reset);
+            return;
+        }
+        error_code ignored;
+        self->m_server.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        self->m_connected = true;
+        self->resume(self->m_forward);
+        self->resume(self->m_backward);
+    });
+}
+
+void RelayConnection::resume(Direction &direction)
+{
+    if (!m_connected)
+        return;
+    read(direction);
+    deliver(direction);
+}
+
+void RelayConnection::set(Direction &direction, const DirectionFaults &faults)
+{
+    direction.faults = faults;
+    if (faults.mode != LinkMode::Drop || direction.queue.empty() || direction.writing)
+        return;
+    direction.damaged = true;
+    direction.queue.clear();
+    direction.queuedBytes = 0;
+}
+
+RelayConnection::End RelayConnection::endOf(const error_code &error)
+{
+    if (!error)
+        return End::None;
+    return error == boost::asio::error::eof ? End::Orderly : End::Reset;
+}
+
+void RelayConnection::read(Direction &direction)
+{
+    if (direction.reading || direction.sourceEnded || direction.faults.mode == LinkMode::Hold
+        || direction.queuedBytes >= maxQueuedBytes)
+        return;
+    direction.reading = true;
+    direction.from.async_read_some(
+            boost::asio::buffer(direction.buffer),
+            [self = shared_from_this(), &direction](const error_code &error, std::size_t size) {
+                direction.reading = false;
+                self->take(direction, std::string(direction.buffer.data(), size), endOf(error));
+            });
+}
+
+void RelayConnection::take(Direction &direction, std::string bytes, End end)
+{
+    if (m_isClosed)
+        return;
+    direction.sourceEnded = direction.sourceEnded || end != End::None;
+    if (direction.faults.mode == LinkMode::Drop) {
+        direction.damaged = true;
+        read(direction);
+        return;
+    }
+    const auto deliverAt =
+            std::chrono::steady_clock::now() + absl::ToChronoMicroseconds(direction.faults.delay);
+    direction.queuedBytes += bytes.size();
+    direction.queue.push_back({deliverAt, std::move(bytes), end});
+    deliver(direction);
+    read(direction);
+}
+
+void RelayConnection::deliver(Direction &direction)
+{
+    if (direction.writing || direction.waiting || direction.queue.empty()
+        || direction.faults.mode != LinkMode::Pass)
+        return;
+    const Chunk &chunk = direction.queue.front();
+    if (chunk.deliverAt > std::chrono::steady_clock::now())
+        waitFor(direction, chunk.deliverAt);
+    else if (chunk.end == End::Reset)
+        close(End::Reset);
+    else if (chunk.bytes.empty())
+        end(direction);
+    else
+        write(direction);
+}
+
+void RelayConnection::waitFor(Direction &direction, std::chrono::steady_clock::time_point time)
+{
+    direction.waiting = true;
+    direction.timer.expires_at(time);
+    direction.timer.async_wait([self = shared_from_this(), &direction](const error_code &error) {
+        direction.waiting = false;
+        if (!error)
+            self->deliver(direction);
+    });
+}
+
+void RelayConnection::write(Direction &direction)
+{
+    direction.writing = true;
+    boost::asio::async_write(
+            direction.to, boost::asio::buffer(direction.queue.front().bytes),
+            [self = shared_from_this(), &direction](const error_code &error, std::size_t) {
+                self->finishWrite(direction, bool(error));
+            });
+}
+
+void RelayConnection::finishWrite(Direction &direction, bool failed)
+{
+    direction.writing = false;
+    if (m_isClosed)
+        return;
+    direction.queuedBytes -= direction.queue.front().bytes.size();
+    const bool ends = direction.queue.front().end != End::None;
+    direction.queue.pop_front();
+    if (failed || ends) {
+        end(direction);
+        return;
+    }
+    if (direction.faults.mode == LinkMode::Drop)
+        set(direction, direction.faults);
+    deliver(direction);
+    read(direction);
+}
+
+void RelayConnection::end(Direction &direction)
+{
+    direction.ended = true;
+    direction.sourceEnded = true;
+    direction.queue.clear();
+    direction.queuedBytes = 0;
+    error_code ignored;
+    direction.to.shutdown(Socket::shutdown_send, ignored);
+    if (opposite(direction).ended)
+        close(End::Orderly);
+}
+
+RelayConnection::Direction &RelayConnection::opposite(Direction &direction)
+{
+    return &direction == &m_forward ? m_backward : m_forward;
+}
+
+} // namespace rattanrill::fakes
--- /dev/null
+++ b/src/fakes/weightstore.cpp
@@ -0,0 +1,50 @@
+#include "rattanrill/fakes/weightstore.h"
+
+#include "rattanrill/base/concat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::fakes {
+
+WeightStore::WeightStore(WeightStoreSettings settings, absl::Time now)
+    : m_settings(std::move(settings))
+    , m_level(m_settings.burstBytes)
+    , m_levelAt(now)
+{}
+
+Result<std::int64_t> WeightStore::size(const std::string &name) const
+{
+    const auto weight = m_settings.weights.find(name);
+    if (weight == m_settings.weights.end())
+        return fail(notRun(ErrorCode::NotFound, concat("no weights \"", name, "\"")));
+    return weight->second;
+}
+
+Result<void> WeightStore::take(absl::Time now, std::int64_t bytes)
+{
+    if (waitFor(now, bytes) > absl::ZeroDuration())
+        return fail(notRun(ErrorCode::RateLimited, "the weight store is at its rate"));
+    m_level = level(now) - static_cast<double>(bytes);
+    m_levelAt = now;
+    return {};
+}
+
+absl::Duration WeightStore::waitFor(absl::Time now, std::int64_t bytes) const
+{
+    const double lacking = needed(bytes) - level(now);
+    return absl::Seconds(std::max(lacking, 0.0) / m_settings.bytesPerSecond);
+}
+
+double WeightStore::level(absl::Time now) const
+{
+    const double refill = absl::ToDoubleSeconds(now - m_levelAt) * m_settings.bytesPerSecond;
+    return std::min(m_settings.burstBytes, m_level + refill);
+}
+
+double WeightStore::needed(std::int64_t bytes) const
+{
+    return std::min(static_cast<double>(bytes), m_settings.burstBytes);
+}
+
+} // namespace rattanrill::fakes
