--- /dev/null
+++ b/src/policy/baselinepolicy.cpp
@@ -0,0 +1,144 @@
+#include "baselinepolicy.h"
+
+#include <algorithm>
+
+namespace rattanrill::policy::bench {
+
+namespace {
+
+constexpr int mostTries = 3;
+constexpr absl::Duration avoidTime = absl::Seconds(10);
+
+} // namespace
+
+BaselinePolicy::BaselinePolicy(BaselineRules rules)
+    : m_rules(rules)
+{}
+
+void BaselinePolicy::setEngines(absl::Time /*now*/, const std::vector<EngineInfo> &engines)
+{
+    m_engines.clear();
+    for (const EngineInfo &info : engines) {
+        if (!info.leaving)
+            m_engines.push_back(Engine{info.name, {}, absl::InfinitePast(), 0});
+    }
+}
+
+void BaselinePolicy::setEntries(const std::string & /*self*/, const std::vector<std::string> &all)
+{
+    m_entries = all.size();
+}
+
+void BaselinePolicy::loadReported(absl::Time /*now*/, const std::string &engine,
+                                  const EngineLoad &load)
+{
+    for (Engine &known : m_engines) {
+        if (known.name != engine)
+            continue;
+        known.load = load;
+        const double limit = static_cast<double>(load.maxBatch) * m_rules.fill;
+        const auto free = static_cast<std::int64_t>(limit) - load.running - load.waiting;
+        const auto entries = static_cast<std::int64_t>(m_entries);
+        known.free = std::max<std::int64_t>((free + entries - 1) / entries, 0);
+    }
+}
+
+void BaselinePolicy::arrived(absl::Time /*now*/, const Work &work)
+{
+    Item &item = m_items[work.id];
+    item.work = work;
+    item.delivered = work.deliveredTokens;
+    (work.kind == WorkKind::Online ? m_online : m_batch).push_back(work.id);
+}
+
+void BaselinePolicy::progress(absl::Time /*now*/, WorkId work, int attempt, std::int64_t tokens)
+{
+    const auto item = m_items.find(work);
+    if (item != m_items.end() && item->second.attempt == attempt)
+        item->second.delivered = tokens;
+}
+
+void BaselinePolicy::finished(absl::Time /*now*/, WorkId work, int /*attempt*/,
+                              std::int64_t /*tokens*/)
+{
+    m_items.erase(work);
+}
+
+void BaselinePolicy::failed(absl::Time now, WorkId work, int attempt, const TryFailure &failure)
+{
+    const auto found = m_items.find(work);
+    if (found == m_items.end() || found->second.attempt != attempt)
+        return;
+    Item &item = found->second;
+    item.delivered = std::max(item.delivered, failure.deliveredTokens);
+    for (Engine &engine : m_engines) {
+        if (engine.name == item.engine)
+            engine.avoidUntil = now + avoidTime;
+    }
+    if (item.attempt < mostTries) {
+        (item.work.kind == WorkKind::Online ? m_online : m_batch).push_back(work);
+        return;
+    }
+    m_decisions.emplace_back(RefuseWork{work, failure.failure, absl::ZeroDuration()});
+    m_items.erase(work);
+}
+
+void BaselinePolicy::preempted(absl::Time /*now*/, WorkId /*work*/, int /*attempt*/,
+                               std::int64_t /*tokens*/, const std::string & /*kvHandle*/)
+{}
+
+std::vector<Decision> BaselinePolicy::decide(absl::Time now)
+{
+    while (!m_online.empty()) {
+        Engine *engine = choose(now);
+        if (engine == nullptr)
+            break;
+        start(m_items.at(m_online.front()), *engine);
+        m_online.pop_front();
+    }
+    for (Engine &engine : m_engines) {
+        while (engine.free > 0 && now >= engine.avoidUntil && !m_batch.empty()) {
+            --engine.free;
+            start(m_items.at(m_batch.front()), engine);
+            m_batch.pop_front();
+        }
+    }
+    return std::move(m_decisions);
+}
+
+std::size_t BaselinePolicy::batchRoom(absl::Time /*now*/) const
+{
+    std::int64_t free = 0;
+    for (const Engine &engine : m_engines)
+        free += engine.free;
+    const auto waiting = static_cast<std::int64_t>(m_batch.size());
+    return static_cast<std::size_t>(std::max<std::int64_t>(free - waiting, 0));
+}
+
+BaselinePolicy::Engine *BaselinePolicy::choose(absl::Time now)
+{
+    Engine *best = nullptr;
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        Engine &engine = m_engines[(m_next + i) % m_engines.size()];
+        if (now < engine.avoidUntil)
+            continue;
+        if (m_rules.roundRobin) {
+            m_next = (m_next + i + 1) % m_engines.size();
+            return &engine;
+        }
+        const std::int64_t load = engine.load.running + engine.load.waiting;
+        if (best == nullptr || load < best->load.running + best->load.waiting)
+            best = &engine;
+    }
+    return best;
+}
+
+void BaselinePolicy::start(Item &item, const Engine &engine)
+{
+    ++item.attempt;
+    item.engine = engine.name;
+    m_decisions.emplace_back(
+            StartWork{item.work.id, engine.name, item.attempt, item.delivered, {}});
+}
+
+} // namespace rattanrill::policy::bench
--- /dev/null
+++ b/src/policy/baselinepolicy.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "benchpolicy.h"
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace rattanrill::policy::bench {
+
+/// What distinguishes a baseline.
+struct BaselineRules
+{
+    /// Engines in turn; otherwise the one with the least reported load.
+    bool roundRobin = false;
+    /// Part of an engine's places that batch may fill.
+    double fill = 0.9;
+};
+
+/// Simple policy to compare with: no preemption, no fairness, no own work in flight, no quarantine.
+/// Online work starts at once; batch fills the places that the last report shows as free.
+class BaselinePolicy : public BenchPolicy
+{
+public:
+    explicit BaselinePolicy(BaselineRules rules);
+
+    void setEngines(absl::Time now, const std::vector<EngineInfo> &engines) override;
+    void setEntries(const std::string &self, const std::vector<std::string> &all) override;
+    void setWorkspaces(const std::vector<WorkspaceShare> & /*workspaces*/) override {}
+    void setCrashRecord(absl::Time /*now*/, const std::string & /*fingerprint*/,
+                        const std::vector<std::string> & /*crashed*/) override
+    {}
+    void loadReported(absl::Time now, const std::string &engine, const EngineLoad &load) override;
+    void cacheEvent(absl::Time /*now*/, const std::string & /*engine*/,
+                    const CacheEvent & /*event*/) override
+    {}
+    void arrived(absl::Time now, const Work &work) override;
+    void firstToken(absl::Time /*now*/, WorkId /*work*/, int /*attempt*/) override {}
+    void progress(absl::Time now, WorkId work, int attempt, std::int64_t tokens) override;
+    void finished(absl::Time now, WorkId work, int attempt, std::int64_t tokens) override;
+    void failed(absl::Time now, WorkId work, int attempt, const TryFailure &failure) override;
+    void preempted(absl::Time now, WorkId work, int attempt, std::int64_t tokens,
+                   const std::string &kvHandle) override;
+    std::vector<Decision> decide(absl::Time now) override;
+    absl::Time nextDecision() const override { return absl::InfiniteFuture(); }
+    std::size_t batchRoom(absl::Time now) const override;
+
+private:
+    struct Engine
+    {
+        std::string name;
+        EngineLoad load;
+        /// Failed lately; not chosen until then.
+        absl::Time avoidUntil = absl::InfinitePast();
+        /// Batch works that this entry may still start on the last report.
+        std::int64_t free = 0;
+    };
+    struct Item
+    {
+        Work work;
+        int attempt = 0;
+        std::int64_t delivered = 0;
+        std::string engine;
+    };
+
+    Engine *choose(absl::Time now);
+    void start(Item &item, const Engine &engine);
+
+    BaselineRules m_rules;
+    std::size_t m_entries = 1;
+    std::size_t m_next = 0;
+    std::vector<Engine> m_engines;
+    std::unordered_map<WorkId, Item> m_items;
+    std::deque<WorkId> m_online;
+    std::deque<WorkId> m_batch;
+    std::vector<Decision> m_decisions;
+};
+
+} // namespace rattanrill::policy::bench
--- /dev/null
+++ b/src/policy/benchbatchpool.cpp
@@ -0,0 +1,86 @@
+#include "benchbatchpool.h"
+
+#include "rattanrill/base/concat.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace rattanrill::policy::bench {
+
+namespace {
+
+constexpr double promptMean = 250;
+constexpr double promptSpread = 0.4;
+constexpr double answerMean = 200;
+constexpr std::int64_t longestAnswer = 400;
+
+} // namespace
+
+BenchBatchPool::BenchBatchPool(const Deployment &deployment, std::uint64_t seed)
+    : m_deployment(deployment)
+    , m_random(seed)
+{
+    for (std::size_t i = 0; i < deployment.shares.size(); ++i) {
+        m_queue.setWeight(concat("workspace-", i), deployment.shares[i]);
+        enqueue(create(static_cast<int>(i), absl::InfiniteFuture()));
+    }
+}
+
+void BenchBatchPool::addJob(int workspace, int items, absl::Time due)
+{
+    for (int i = 0; i < items; ++i)
+        enqueue(create(workspace, due));
+}
+
+int BenchBatchPool::lease()
+{
+    const int index = static_cast<int>(*m_queue.front());
+    const BatchItem leased = item(index);
+    // The endless job has its next item ready before the last one leaves the queue.
+    if (leased.due == absl::InfiniteFuture() && leased.delivered == 0)
+        enqueue(create(leased.workspace, absl::InfiniteFuture()));
+    m_queue.remove(static_cast<WorkId>(index));
+    m_queue.charge(concat("workspace-", leased.workspace),
+                   static_cast<double>(leased.promptTokens + leased.answerTokens));
+    return index;
+}
+
+void BenchBatchPool::giveBack(int index)
+{
+    enqueue(index);
+}
+
+std::pair<std::size_t, std::size_t> BenchBatchPool::pastDue(absl::Time end) const
+{
+    std::size_t late = 0;
+    std::size_t all = 0;
+    for (const BatchItem &item : m_items) {
+        if (item.due > end)
+            continue;
+        ++all;
+        late += item.finishedAt > item.due ? 1 : 0;
+    }
+    return {late, all};
+}
+
+int BenchBatchPool::create(int workspace, absl::Time due)
+{
+    BatchItem item;
+    item.workspace = workspace;
+    const double center = std::log(promptMean) - promptSpread * promptSpread / 2;
+    const double prompt = std::lognormal_distribution<double>(center, promptSpread)(m_random);
+    item.promptTokens = std::max<std::int64_t>(std::llround(prompt), 16);
+    const double answer = std::exponential_distribution<double>(1 / answerMean)(m_random);
+    item.answerTokens = std::clamp<std::int64_t>(std::llround(answer), 8, longestAnswer);
+    item.due = due;
+    m_items.push_back(item);
+    return static_cast<int>(m_items.size()) - 1;
+}
+
+void BenchBatchPool::enqueue(int index)
+{
+    const BatchItem &item = m_items[static_cast<std::size_t>(index)];
+    m_queue.push(concat("workspace-", item.workspace), static_cast<WorkId>(index), item.due);
+}
+
+} // namespace rattanrill::policy::bench
--- /dev/null
+++ b/src/policy/benchfleet.cpp
@@ -0,0 +1,719 @@
+#include "benchfleet.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace rattanrill::policy::bench {
+
+namespace {
+
+constexpr absl::Duration nearLink = absl::Microseconds(100);
+/// A caller whose request failed sends it again after this.
+constexpr absl::Duration callerResend = absl::Milliseconds(500);
+constexpr int mostCallerTries = 8;
+/// Commit of a small change in the batch partition or the directory, without travel.
+constexpr absl::Duration commitTime = absl::Milliseconds(3);
+/// A crash record reaches the entries by their long polls.
+constexpr absl::Duration recordDelay = absl::Milliseconds(100);
+/// Time after which a silent connection is given up.
+constexpr absl::Duration silenceTimeout = absl::Seconds(1);
+constexpr absl::Duration connectTimeout = absl::Milliseconds(500);
+constexpr absl::Duration memberTimeout = absl::Seconds(4);
+constexpr absl::Duration ownerLease = absl::Seconds(2);
+constexpr absl::Duration batchLease = absl::Seconds(5);
+/// The list of upstreams lags.
+constexpr absl::Duration listLag = absl::Seconds(5);
+constexpr int progressEveryReports = 3;
+constexpr absl::Duration jobInterval = absl::Seconds(5);
+constexpr int jobItems = 60;
+constexpr absl::Duration jobTime = absl::Seconds(45);
+constexpr std::int64_t prefixTokens = 256;
+constexpr std::int64_t longestOnlineAnswer = 600;
+constexpr std::int64_t longestBatchAnswer = 400;
+constexpr int sharedPrefixHashes = 5;
+/// Requests after this are not counted, because the run ends before they can be served.
+constexpr absl::Duration tail = absl::Seconds(2);
+
+AdmissionKind admissionOf(PolicyKind policy)
+{
+    if (policy == PolicyKind::FirstComeFirstServed)
+        return AdmissionKind::None;
+    const bool shares = policy == PolicyKind::StaticRateShare;
+    return shares ? AdmissionKind::StaticShare : AdmissionKind::Owner;
+}
+
+std::vector<std::string> names(std::string_view prefix, int count)
+{
+    std::vector<std::string> list;
+    for (int i = 0; i < count; ++i)
+        list.push_back(concat(prefix, i));
+    return list;
+}
+
+std::string workspaceName(int index)
+{
+    return concat("workspace-", index);
+}
+
+std::string engineName(int index)
+{
+    return concat("engine-", index);
+}
+
+int engineIndex(const std::string &name)
+{
+    return std::stoi(name.substr(name.find('-') + 1));
+}
+
+/// Hashes of 64, 128, ... 1024 bytes, the shared part of a prompt.
+std::vector<std::uint64_t> prefixHashes(int group)
+{
+    std::vector<std::uint64_t> hashes;
+    for (int i = 0; i < sharedPrefixHashes; ++i)
+        hashes.push_back(stableHash(concat("prefix-", group), static_cast<std::uint64_t>(i)));
+    return hashes;
+}
+
+} // namespace
+
+BenchFleet::BenchFleet(const Deployment &deployment, const RunOptions &options)
+    : m_deployment(deployment)
+    , m_options(options)
+    , m_plan(makePlan(deployment, options.scenario, options.times, options.seed))
+    , m_admission(admissionOf(options.policy), m_plan.contracts,
+                  names("entry-", deployment.entries))
+    , m_batch(deployment, options.seed + 77)
+    , m_random(options.seed + 99)
+{
+    m_result.workspaces.resize(m_plan.contracts.size());
+    createEngines();
+    createEntries();
+    scheduleLoad();
+    if (options.withBatch)
+        scheduleBatchJobs();
+    scheduleDisturbance();
+}
+
+BenchResult BenchFleet::run()
+{
+    m_loop.runUntil(m_options.times.end());
+    countIdeal();
+    for (const std::unique_ptr<BenchEngine> &engine : m_engines)
+        m_result.workedTokens += engine->prefilledTokens() + engine->decodedTokens();
+    std::tie(m_result.batchLate, m_result.batchDue) = m_batch.pastDue(m_options.times.end());
+    return std::move(m_result);
+}
+
+// Set-up
+
+void BenchFleet::createEngines()
+{
+    for (int i = 0; i < m_deployment.engines; ++i) {
+        m_engines.push_back(std::make_unique<BenchEngine>(i, m_deployment.engine, m_loop, *this));
+        m_engineDomain.push_back(i % m_deployment.domains);
+        m_listed.push_back(true);
+        m_hanging.push_back(false);
+        const absl::Duration phase = m_deployment.engine.reportInterval * i / m_deployment.engines;
+        m_loop.after(phase, [this, i] { report(i); });
+    }
+}
+
+void BenchFleet::createEntries()
+{
+    m_entries.resize(static_cast<std::size_t>(m_deployment.entries));
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        Entry &entry = m_entries[i];
+        entry.name = concat("entry-", i);
+        entry.domain = static_cast<int>(i) % m_deployment.domains;
+        entry.policy = makePolicy(m_options.policy, settingsOf(entry), m_options.seed * 10 + i);
+    }
+    std::vector<WorkspaceShare> shares;
+    for (std::size_t i = 0; i < m_plan.contracts.size(); ++i)
+        shares.push_back({workspaceName(static_cast<int>(i)), m_plan.contracts[i].ratePerSecond,
+                          m_deployment.shares[i]});
+    for (Entry &entry : m_entries) {
+        entry.policy->setWorkspaces(shares);
+        entry.policy->setEntries(entry.name, entryNames());
+        entry.policy->setEngines(m_loop.now(), engineList());
+    }
+}
+
+SchedulerSettings BenchFleet::settingsOf(const Entry &entry) const
+{
+    SchedulerSettings settings;
+    settings.failureDomain = concat("domain-", entry.domain);
+    settings.onlineTailWeight = m_deployment.onlineTailWeight;
+    settings.loadLag = m_deployment.engine.reportInterval + m_deployment.engine.reportLag;
+    return settings;
+}
+
+std::vector<EngineInfo> BenchFleet::engineList() const
+{
+    std::vector<EngineInfo> list;
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        if (m_listed[i])
+            list.push_back({engineName(static_cast<int>(i)), "model",
+                            concat("domain-", m_engineDomain[i]), false});
+    }
+    return list;
+}
+
+std::vector<std::string> BenchFleet::entryNames() const
+{
+    std::vector<std::string> list;
+    for (const Entry &entry : m_entries) {
+        if (entry.alive)
+            list.push_back(entry.name);
+    }
+    return list;
+}
+
+void BenchFleet::scheduleLoad()
+{
+    for (std::size_t i = 0; i < m_plan.online.size(); ++i) {
+        const int request = static_cast<int>(i);
+        m_loop.at(m_plan.online[i].at, [this, request] { send(request, 1); });
+    }
+}
+
+void BenchFleet::scheduleBatchJobs()
+{
+    int workspace = 0;
+    for (absl::Time at = absl::UnixEpoch() + jobInterval; at < m_options.times.end();
+         at += jobInterval) {
+        m_loop.at(at, [this, workspace] {
+            m_batch.addJob(workspace, jobItems, m_loop.now() + jobTime);
+        });
+        workspace = (workspace + 1) % static_cast<int>(m_plan.contracts.size());
+    }
+}
+
+void BenchFleet::scheduleDisturbance()
+{
+    const absl::Time at = m_options.times.disturbance();
+    if (m_options.scenario == Scenario::LostUpstream)
+        m_loop.at(at, [this] { loseUpstream(1, true); });
+    if (m_options.scenario == Scenario::LostDomain)
+        m_loop.at(at, [this] { loseDomain(0); });
+}
+
+void BenchFleet::countIdeal()
+{
+    std::vector<TokenBucket> ideal;
+    for (const RateContract &contract : m_plan.contracts)
+        ideal.emplace_back(contract, absl::UnixEpoch());
+    for (std::size_t i = 0; i < m_plan.online.size(); ++i) {
+        const PlannedRequest &request = m_plan.online[i];
+        const auto workspace = static_cast<std::size_t>(request.workspace);
+        const bool granted = ideal[workspace].take(request.at, 1).granted;
+        if (!counts(static_cast<int>(i)))
+            continue;
+        ++m_result.workspaces[workspace].demand;
+        m_result.workspaces[workspace].inside += granted ? 1 : 0;
+    }
+}
+
+// Callers
+
+void BenchFleet::send(int request, int callerTries)
+{
+    const PlannedRequest &planned = m_plan.online[static_cast<std::size_t>(request)];
+    const bool again = callerTries > 1;
+    const double share =
+            again ? std::uniform_real_distribution<double>(0, 1)(m_random) : planned.balancer;
+    const std::size_t entry = balance(share);
+    m_loop.after(m_deployment.toClients,
+                 [this, request, callerTries, entry] { admit(request, callerTries, entry); });
+}
+
+std::size_t BenchFleet::balance(double share) const
+{
+    std::vector<std::size_t> alive;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        if (m_entries[i].alive)
+            alive.push_back(i);
+    }
+    const auto place = static_cast<std::size_t>(share * static_cast<double>(alive.size()));
+    return alive[std::min(place, alive.size() - 1)];
+}
+
+void BenchFleet::admit(int request, int callerTries, std::size_t entry)
+{
+    const auto workspace =
+            static_cast<std::size_t>(m_plan.online[static_cast<std::size_t>(request)].workspace);
+    if (m_admission.isMoving(m_loop.now(), workspace)) {
+        refusedByRate(request, true);
+        return;
+    }
+    const std::size_t owner = m_admission.owner(workspace, entry);
+    const absl::Duration travel = owner == entry ? absl::ZeroDuration() : entryLink(entry, owner);
+    ++m_result.requests;
+    m_result.admissionMessages += owner == entry ? 0 : 2;
+    m_loop.after(travel, [this, request, callerTries, entry, workspace, travel] {
+        const RateGrant grant = m_admission.take(m_loop.now(), workspace, entry);
+        if (!grant.granted) {
+            refusedByRate(request, false);
+            return;
+        }
+        m_result.workspaces[workspace].admitted.push_back(m_loop.now() + grant.wait);
+        m_loop.after(std::max(travel, grant.wait),
+                     [this, request, callerTries, entry] { arrive(request, callerTries, entry); });
+    });
+}
+
+void BenchFleet::refusedByRate(int request, bool ownerMoving)
+{
+    if (!counts(request))
+        return;
+    const int workspace = m_plan.online[static_cast<std::size_t>(request)].workspace;
+    WorkspaceResult &result = m_result.workspaces[static_cast<std::size_t>(workspace)];
+    ++(ownerMoving ? result.refusedOwnerMoving : result.refused);
+    ++m_result.refusals[ownerMoving ? "rate_unknown" : "rate_limited"];
+}
+
+void BenchFleet::arrive(int request, int callerTries, std::size_t entry)
+{
+    if (!m_entries[entry].alive) {
+        m_loop.after(callerResend, [=] { send(request, callerTries + 1); });
+        return;
+    }
+    const PlannedRequest &planned = m_plan.online[static_cast<std::size_t>(request)];
+    Running running;
+    running.entry = entry;
+    running.index = request;
+    running.callerTries = callerTries;
+    running.answerTokens = planned.answerTokens;
+    running.arrivedAt = m_loop.now();
+    running.work.id = m_nextWork++;
+    running.work.workspace = workspaceName(planned.workspace);
+    running.work.model = "model";
+    running.work.promptTokens = planned.promptTokens;
+    running.work.maxTokens = longestOnlineAnswer;
+    running.work.prefixHashes = prefixHashes(planned.prefixGroup);
+    running.work.fingerprint = concat("request-", request);
+    const Work work = running.work;
+    m_running[work.id] = std::move(running);
+    m_entries[entry].policy->arrived(m_loop.now(), work);
+    decide(entry);
+}
+
+void BenchFleet::onlineEnded(const Running &running, const Failure &failure)
+{
+    const PlannedRequest &planned = m_plan.online[static_cast<std::size_t>(running.index)];
+    ++m_result.refusals[std::string(rattanrill::name(failure.code))];
+    if (planned.poison) {
+        if (running.callerTries < mostCallerTries)
+            m_loop.after(callerResend, [this, request = running.index,
+                                        tries = running.callerTries] { send(request, tries + 1); });
+        return;
+    }
+    if (failure.code == ErrorCode::RequestHeld)
+        ++m_result.innocentsHeld;
+    if (!counts(running.index) || running.gotFirstToken)
+        return;
+    ++m_result.workspaces[static_cast<std::size_t>(planned.workspace)].refused;
+}
+
+// Entries
+
+void BenchFleet::decide(std::size_t index)
+{
+    Entry &entry = m_entries[index];
+    const auto begin = std::chrono::steady_clock::now();
+    const std::vector<Decision> decisions = entry.policy->decide(m_loop.now());
+    const std::chrono::duration<double> spent = std::chrono::steady_clock::now() - begin;
+    m_result.policySeconds += spent.count();
+    m_result.decisions += decisions.size();
+    for (const Decision &decision : decisions)
+        std::visit([&](const auto &made) { carryOut(index, made); }, decision);
+    leaseBatch(index);
+    const absl::Time next = entry.policy->nextDecision();
+    if (next >= entry.wakeAt || next > m_options.times.end())
+        return;
+    entry.wakeAt = next;
+    // Waking a little late keeps times that round down from waking twice.
+    m_loop.at(next + absl::Nanoseconds(1), [this, index, next] {
+        if (!m_entries[index].alive || m_entries[index].wakeAt != next)
+            return;
+        m_entries[index].wakeAt = absl::InfiniteFuture();
+        decide(index);
+    });
+}
+
+void BenchFleet::carryOut(std::size_t entry, const StartWork &start)
+{
+    Running &running = m_running.at(start.work);
+    running.attempt = start.attempt;
+    running.engine = engineIndex(start.engine);
+    if (running.work.kind == WorkKind::Online) {
+        for (auto &[id, other] : m_running) {
+            if (other.entry == entry && !other.preemptedFor.empty()
+                && other.preemptedFor.back() == absl::InfinitePast())
+                other.preemptedFor.back() = running.arrivedAt;
+        }
+    }
+    EngineTry run;
+    run.work = start.work;
+    run.attempt = start.attempt;
+    run.entry = static_cast<int>(entry);
+    run.kind = running.work.kind;
+    run.promptTokens = running.work.promptTokens;
+    run.answerTokens = running.answerTokens;
+    run.delivered = start.resumeAfter;
+    run.imported = !start.kvHandle.empty();
+    const bool online = run.kind == WorkKind::Online;
+    run.prefix = online ? running.work.prefixHashes.back() : 0;
+    run.prefixTokens = prefixTokens;
+    run.poison = online && m_plan.online[static_cast<std::size_t>(running.index)].poison;
+    BenchEngine &engine = *m_engines[static_cast<std::size_t>(running.engine)];
+    m_loop.after(link(entry, running.engine), [&engine, run] { engine.submit(run); });
+}
+
+void BenchFleet::carryOut(std::size_t entry, const PreemptWork &preempt)
+{
+    Running &running = m_running.at(preempt.work);
+    running.preemptedFor.push_back(absl::InfinitePast());
+    ++m_result.preemptions;
+    BenchEngine &engine = *m_engines[static_cast<std::size_t>(running.engine)];
+    m_loop.after(link(entry, running.engine), [&engine, preempt] {
+        engine.cancel(preempt.work, preempt.attempt, preempt.method == PreemptMethod::ExportKv);
+    });
+}
+
+void BenchFleet::carryOut(std::size_t /*entry*/, const RefuseWork &refuse)
+{
+    const auto found = m_running.find(refuse.work);
+    if (found == m_running.end())
+        return;
+    if (found->second.work.kind == WorkKind::Online) {
+        onlineEnded(found->second, refuse.failure);
+    } else {
+        ++m_result.batchLost;
+        if (refuse.failure.code == ErrorCode::RequestHeld)
+            ++m_result.innocentsHeld;
+    }
+    m_running.erase(found);
+}
+
+void BenchFleet::carryOut(std::size_t /*entry*/, const RecordCrash &record)
+{
+    m_loop.after(recordDelay, [this, record] {
+        std::set<std::string> &engines = m_crashRecords[record.fingerprint];
+        engines.insert(record.engine);
+        const std::vector<std::string> list(engines.begin(), engines.end());
+        for (Entry &entry : m_entries) {
+            if (entry.alive)
+                entry.policy->setCrashRecord(m_loop.now(), record.fingerprint, list);
+        }
+    });
+}
+
+void BenchFleet::leaseBatch(std::size_t index)
+{
+    Entry &entry = m_entries[index];
+    if (!m_options.withBatch || entry.leasing)
+        return;
+    if (entry.policy->batchRoom(m_loop.now()) == 0)
+        return;
+    entry.leasing = true;
+    m_loop.after(m_deployment.betweenDomains * 2 + commitTime, [this, index] {
+        Entry &leaser = m_entries[index];
+        leaser.leasing = false;
+        if (!leaser.alive)
+            return;
+        const std::size_t room = leaser.policy->batchRoom(m_loop.now());
+        for (std::size_t i = 0; i < room; ++i) {
+            const int item = m_batch.lease();
+            Running running;
+            running.entry = index;
+            running.index = item;
+            running.answerTokens = m_batch.item(item).answerTokens;
+            running.delivered = m_batch.item(item).delivered;
+            running.work = batchWork(item, m_nextWork++);
+            running.work.deliveredTokens = running.delivered;
+            const Work work = running.work;
+            m_running[work.id] = std::move(running);
+            leaser.policy->arrived(m_loop.now(), work);
+        }
+        decide(index);
+    });
+}
+
+Work BenchFleet::batchWork(int item, WorkId id) const
+{
+    const BatchItem &leased = const_cast<BenchBatchPool &>(m_batch).item(item);
+    Work work;
+    work.id = id;
+    work.workspace = workspaceName(leased.workspace);
+    work.kind = WorkKind::Batch;
+    work.model = "model";
+    work.promptTokens = leased.promptTokens;
+    work.maxTokens = longestBatchAnswer;
+    work.due = leased.due;
+    work.fingerprint = concat("item-", item);
+    return work;
+}
+
+// Engines
+
+template <typename Event>
+void BenchFleet::deliver(int engine, const EngineTry &run, Event event)
+{
+    const auto entry = static_cast<std::size_t>(run.entry);
+    m_loop.after(link(entry, engine), [this, entry, run, event] {
+        const auto found = m_running.find(run.work);
+        const bool current = found != m_running.end() && found->second.attempt == run.attempt;
+        if (!m_entries[entry].alive || !current)
+            return;
+        event(found->second, *m_entries[entry].policy);
+        decide(entry);
+    });
+}
+
+void BenchFleet::admitted(int /*engine*/, const EngineTry &run)
+{
+    if (run.kind == WorkKind::Online && measured(m_loop.now()))
+        m_result.slotWaits.push_back(absl::ToDoubleSeconds(m_loop.now() - run.submittedAt));
+    if (run.attempt > 1 && !run.imported)
+        m_result.wastedTokens += run.prefillLeft;
+}
+
+void BenchFleet::firstToken(int engine, const EngineTry &run)
+{
+    deliver(engine, run, [this, run](Running &running, BenchPolicy &policy) {
+        policy.firstToken(m_loop.now(), run.work, run.attempt);
+        running.delivered = std::max(running.delivered, run.delivered);
+        if (run.kind == WorkKind::Batch || running.gotFirstToken)
+            return;
+        running.gotFirstToken = true;
+        const PlannedRequest &planned = m_plan.online[static_cast<std::size_t>(running.index)];
+        if (!counts(running.index))
+            return;
+        ++m_result.workspaces[static_cast<std::size_t>(planned.workspace)].served;
+        const absl::Duration time = m_loop.now() + m_deployment.toClients - planned.at;
+        m_result.firstToken.push_back(absl::ToDoubleSeconds(time));
+    });
+}
+
+void BenchFleet::token(int /*engine*/, const EngineTry &run, absl::Duration gap)
+{
+    if (run.kind == WorkKind::Online && measured(m_loop.now()))
+        m_result.tokenGaps.push_back(absl::ToDoubleSeconds(gap));
+    if (run.kind == WorkKind::Batch && measured(m_loop.now()))
+        ++m_result.batchTokens;
+}
+
+void BenchFleet::finished(int engine, const EngineTry &run)
+{
+    deliver(engine, run, [this, run](Running &running, BenchPolicy &policy) {
+        if (run.kind == WorkKind::Batch)
+            m_batch.item(running.index).finishedAt = m_loop.now();
+        m_running.erase(run.work);
+        policy.finished(m_loop.now(), run.work, run.attempt, run.delivered);
+    });
+}
+
+void BenchFleet::cancelled(int engine, const EngineTry &run)
+{
+    const absl::Time freedAt = m_loop.now();
+    deliver(engine, run, [this, run, freedAt](Running &running, BenchPolicy &policy) {
+        const bool forOnline = !running.preemptedFor.empty()
+                               && running.preemptedFor.back() != absl::InfinitePast();
+        if (forOnline && measured(freedAt))
+            m_result.yields.push_back(absl::ToDoubleSeconds(freedAt - running.preemptedFor.back()));
+        running.delivered = run.delivered;
+        const std::string handle = run.exportKv ? concat("kv-", run.work) : std::string();
+        policy.preempted(m_loop.now(), run.work, run.attempt, run.delivered, handle);
+    });
+}
+
+void BenchFleet::crashed(int engine, const std::vector<EngineTry> &lost)
+{
+    const bool byRequest =
+            std::any_of(lost.begin(), lost.end(), [](const EngineTry &run) { return run.poison; });
+    if (byRequest && !m_hanging[static_cast<std::size_t>(engine)])
+        ++m_result.poisonCrashes;
+    const bool hanging = m_hanging[static_cast<std::size_t>(engine)];
+    for (const EngineTry &run : lost)
+        fail(engine, run, TryFailure::Kind::Crashed,
+             hanging ? silenceTimeout : absl::ZeroDuration());
+}
+
+void BenchFleet::refused(int engine, const EngineTry &run)
+{
+    const bool hanging = m_hanging[static_cast<std::size_t>(engine)];
+    fail(engine, run, TryFailure::Kind::Refused, hanging ? connectTimeout : absl::ZeroDuration());
+}
+
+void BenchFleet::fail(int engine, const EngineTry &run, TryFailure::Kind kind, absl::Duration delay)
+{
+    m_loop.after(delay, [this, engine, run, kind] {
+        deliver(engine, run, [this, run, kind](Running &running, BenchPolicy &policy) {
+            TryFailure failure;
+            failure.kind = kind;
+            failure.deliveredTokens = std::max(running.delivered, run.delivered);
+            const bool ran = kind != TryFailure::Kind::Refused;
+            failure.failure = ran ? mayHaveRun(ErrorCode::UpstreamFailed, "connection lost")
+                                  : notRun(ErrorCode::UpstreamUnavailable, "no connection");
+            policy.failed(m_loop.now(), run.work, run.attempt, failure);
+        });
+    });
+}
+
+void BenchFleet::cacheEvent(int engine, const CacheEvent &event)
+{
+    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_deployment.engine.cacheEventLoss)
+        return;
+    m_loop.after(m_deployment.engine.cacheEventDelay, [this, engine, event] {
+        for (Entry &entry : m_entries) {
+            if (entry.alive)
+                entry.policy->cacheEvent(m_loop.now(), engineName(engine), event);
+        }
+    });
+}
+
+void BenchFleet::report(int index)
+{
+    m_loop.after(m_deployment.engine.reportInterval, [this, index] { report(index); });
+    const BenchEngine &engine = *m_engines[static_cast<std::size_t>(index)];
+    if (!engine.alive())
+        return;
+    sample(engine);
+    const EngineLoad load = engine.load();
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        const absl::Duration age = m_deployment.engine.reportLag + link(i, index);
+        m_loop.after(age, [this, i, index, load, age] {
+            if (!m_entries[i].alive)
+                return;
+            EngineLoad aged = load;
+            aged.age = age;
+            m_entries[i].policy->loadReported(m_loop.now(), engineName(index), aged);
+            decide(i);
+        });
+    }
+    const auto tick =
+            static_cast<int>(absl::ToUnixMillis(m_loop.now())
+                             / absl::ToInt64Milliseconds(m_deployment.engine.reportInterval));
+    if (tick % progressEveryReports != 0)
+        return;
+    for (const EngineTry &run : engine.running()) {
+        if (run.prefillLeft > 0)
+            continue;
+        const auto found = m_running.find(run.work);
+        if (found == m_running.end() || !m_entries[static_cast<std::size_t>(run.entry)].alive)
+            continue;
+        found->second.delivered = run.delivered;
+        m_entries[static_cast<std::size_t>(run.entry)].policy->progress(m_loop.now(), run.work,
+                                                                        run.attempt, run.delivered);
+    }
+}
+
+void BenchFleet::sample(const BenchEngine &engine)
+{
+    if (!measured(m_loop.now()))
+        return;
+    const double seconds = absl::ToDoubleSeconds(m_deployment.engine.reportInterval);
+    std::int64_t online = 0;
+    std::int64_t batch = 0;
+    for (const EngineTry &run : engine.running())
+        ++(run.kind == WorkKind::Online ? online : batch);
+    m_result.batchPlaceSeconds += static_cast<double>(batch) * seconds;
+    m_result.idlePlaceSeconds +=
+            static_cast<double>(m_deployment.engine.maxBatch - online) * seconds;
+}
+
+// Faults
+
+void BenchFleet::loseUpstream(int engine, bool reset)
+{
+    const auto index = static_cast<std::size_t>(engine);
+    m_hanging[index] = !reset;
+    m_engines[index]->crash(absl::InfiniteDuration());
+    m_loop.after(listLag, [this, index] {
+        m_listed[index] = false;
+        listChanged();
+    });
+}
+
+void BenchFleet::loseEntry(std::size_t index)
+{
+    Entry &entry = m_entries[index];
+    entry.alive = false;
+    std::vector<Running> lost;
+    for (auto running = m_running.begin(); running != m_running.end();) {
+        if (running->second.entry != index) {
+            ++running;
+            continue;
+        }
+        lost.push_back(running->second);
+        running = m_running.erase(running);
+    }
+    std::sort(lost.begin(), lost.end(), [](const Running &left, const Running &right) {
+        return left.work.id < right.work.id;
+    });
+    for (const Running &running : lost) {
+        if (running.engine >= 0)
+            m_engines[static_cast<std::size_t>(running.engine)]->cancel(running.work.id,
+                                                                        running.attempt, false);
+        if (running.work.kind == WorkKind::Batch)
+            m_loop.after(batchLease, [this, item = running.index] { m_batch.giveBack(item); });
+        else
+            m_loop.after(callerResend, [this, request = running.index,
+                                        tries = running.callerTries] { send(request, tries + 1); });
+    }
+}
+
+void BenchFleet::loseDomain(int domain)
+{
+    std::vector<std::size_t> lost;
+    for (std::size_t i = 0; i < m_entries.size(); ++i) {
+        if (m_entries[i].domain == domain)
+            lost.push_back(i);
+    }
+    m_admission.loseEntries(lost, m_loop.now() + memberTimeout + ownerLease);
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        if (m_engineDomain[i] == domain)
+            loseUpstream(static_cast<int>(i), false);
+    }
+    for (const std::size_t entry : lost)
+        loseEntry(entry);
+    m_loop.after(memberTimeout, [this] { listChanged(); });
+}
+
+void BenchFleet::listChanged()
+{
+    for (Entry &entry : m_entries) {
+        if (!entry.alive)
+            continue;
+        entry.policy->setEntries(entry.name, entryNames());
+        entry.policy->setEngines(m_loop.now(), engineList());
+    }
+}
+
+absl::Duration BenchFleet::link(std::size_t entry, int engine) const
+{
+    const bool near = m_entries[entry].domain == m_engineDomain[static_cast<std::size_t>(engine)];
+    return near ? nearLink : m_deployment.betweenDomains;
+}
+
+absl::Duration BenchFleet::entryLink(std::size_t from, std::size_t to) const
+{
+    const bool near = m_entries[from].domain == m_entries[to].domain;
+    return near ? nearLink : m_deployment.betweenDomains;
+}
+
+bool BenchFleet::measured(absl::Time time) const
+{
+    return time >= m_options.times.start() && time < m_options.times.end();
+}
+
+bool BenchFleet::counts(int request) const
+{
+    const PlannedRequest &planned = m_plan.online[static_cast<std::size_t>(request)];
+    return !planned.poison && measured(planned.at) && planned.at < m_options.times.end() - tail;
+}
+
+} // namespace rattanrill::policy::bench
--- /dev/null
+++ b/src/policy/benchpolicy.cpp
@@ -0,0 +1,48 @@
+#include "benchpolicy.h"
+
+#include "baselinepolicy.h"
+#include "schedulerpolicy.h"
+
+#include "rattanrill/base/enumnames.h"
+
+namespace rattanrill::policy::bench {
+
+namespace {
+
+constexpr std::array<EnumName<PolicyKind>, 5> policyNames{{
+        {PolicyKind::Ours, "rattanrill"},
+        {PolicyKind::FirstComeFirstServed, "first_come_first_served"},
+        {PolicyKind::StaticRateShare, "static_rate_share"},
+        {PolicyKind::RoundRobin, "round_robin"},
+        {PolicyKind::LeastReportedLoad, "least_reported_load"},
+}};
+
+/// Batch work takes every place, as when nothing tells it from online work.
+constexpr double fcfsFill = 1.0;
+constexpr double simpleFill = 0.9;
+
+} // namespace
+
+std::string_view name(PolicyKind kind)
+{
+    return nameOf(policyNames, kind);
+}
+
+std::unique_ptr<BenchPolicy> makePolicy(PolicyKind kind, const SchedulerSettings &settings,
+                                        std::uint64_t seed)
+{
+    switch (kind) {
+    case PolicyKind::FirstComeFirstServed:
+        return std::make_unique<BaselinePolicy>(BaselineRules{false, fcfsFill});
+    case PolicyKind::RoundRobin:
+        return std::make_unique<BaselinePolicy>(BaselineRules{true, simpleFill});
+    case PolicyKind::LeastReportedLoad:
+        return std::make_unique<BaselinePolicy>(BaselineRules{false, simpleFill});
+    case PolicyKind::Ours:
+    case PolicyKind::StaticRateShare:
+        break;
+    }
+    return std::make_unique<SchedulerPolicy>(settings, seed);
+}
+
+} // namespace rattanrill::policy::bench
--- /dev/null
+++ b/src/policy/benchscenario.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "rattanrill/policy/tokenbucket.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rattanrill::policy::bench {
+
+enum class Scenario {
+    Nominal,
+    Surge,
+    OnlineBurst,
+    LostDomain,
+    LostUpstream,
+    Poison,
+};
+
+std::string_view name(Scenario scenario);
+
+/// Behaviour of an engine: a step decodes one token of every answer and prefills up to a chunk.
+struct EngineModel
+{
+    absl::Duration stepBase = absl::Milliseconds(20);
+    absl::Duration perAnswer = absl::Microseconds(80);
+    absl::Duration perContextToken = absl::Nanoseconds(20);
+    absl::Duration perPrefillToken = absl::Microseconds(60);
+    std::int64_t prefillChunk = 512;
+    std::int64_t maxBatch = 64;
+    std::int64_t kvCapacity = 96000;
+    std::int64_t prefixCacheTokens = 24000;
+    /// KV import moves this many tokens in the time of one prefilled token.
+    std::int64_t importSpeed = 16;
+    absl::Duration reportInterval = absl::Milliseconds(100);
+    absl::Duration reportLag = absl::Milliseconds(150);
+    absl::Duration cacheEventDelay = absl::Seconds(1);
+    double cacheEventLoss = 0.1;
+    absl::Duration restart = absl::Seconds(20);
+};
+
+struct Deployment
+{
+    std::string name;
+    int engines = 9;
+    int domains = 3;
+    int entries = 6;
+    absl::Duration betweenDomains;
+    absl::Duration toClients;
+    /// Online requests per second of all workspaces at nominal load.
+    double onlineRate = 0;
+    /// Share of each workspace; a few are large.
+    std::vector<double> shares;
+    double promptTokens = 0;
+    double answerTokens = 0;
+    double onlineTailWeight = 0;
+    EngineModel engine;
+    // Bounds
+    double ttftRatioBound = 0;
+    double idleShareBound = 0;
+};
+
+std::vector<Deployment> deployments();
+
+/// One online request of the load; the same for every policy.
+struct PlannedRequest
+{
+    absl::Time at;
+    int workspace = 0;
+    std::int64_t promptTokens = 0;
+    std::int64_t answerTokens = 0;
+    int prefixGroup = 0;
+    /// Chooses the entry: this share of the list of live entries.
+    double balancer = 0;
+    bool poison = false;
+};
+
+struct LoadPlan
+{
+    std::vector<RateContract> contracts;
+    std::vector<PlannedRequest> online;
+};
+
+/// Phases of a run.
+struct RunTimes
+{
+    absl::Duration warmup;
+    absl::Duration measured;
+
+    absl::Time start() const { return absl::UnixEpoch() + warmup; }
+    absl::Time end() const { return start() + measured; }
+    /// Time of the scenario's disturbance.
+    absl::Time disturbance() const { return start() + measured / 4; }
+};
+
+LoadPlan makePlan(const Deployment &deployment, Scenario scenario, const RunTimes &times,
+                  std::uint64_t seed);
+
+} // namespace rattanrill::policy::bench
--- /dev/null
+++ b/src/policy/schedulerpolicy.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "benchpolicy.h"
+
+namespace rattanrill::policy::bench {
+
+/// The product's Scheduler.
+class SchedulerPolicy : public BenchPolicy
+{
+public:
+    SchedulerPolicy(const SchedulerSettings &settings, std::uint64_t seed)
+        : m_scheduler(settings, seed)
+    {}
+
+    void setEngines(absl::Time now, const std::vector<EngineInfo> &engines) override
+    {
+        m_scheduler.setEngines(now, engines);
+    }
+    void setEntries(const std::string &self, const std::vector<std::string> &all) override
+    {
+        m_scheduler.setEntries(self, all);
+    }
+    void setWorkspaces(const std::vector<WorkspaceShare> &workspaces) override
+    {
+        m_scheduler.setWorkspaces(workspaces);
+    }
+    void setCrashRecord(absl::Time now, const std::string &fingerprint,
+                        const std::vector<std::string> &crashed) override
+    {
+        m_scheduler.setCrashRecord(now, fingerprint, crashed, crashed.size() >= 2);
+    }
+    void loadReported(absl::Time now, const std::string &engine, const EngineLoad &load) override
+    {
+        m_scheduler.loadReported(now, engine, load);
+    }
+    void cacheEvent(absl::Time now, const std::string &engine, const CacheEvent &event) override
+    {
+        m_scheduler.cacheEvents(now, engine, {event});
+    }
+    void arrived(absl::Time now, const Work &work) override { m_scheduler.arrived(now, work); }
+    void firstToken(absl::Time now, WorkId work, int attempt) override
+    {
+        m_scheduler.firstToken(now, work, attempt);
+    }
+    void progress(absl::Time now, WorkId work, int attempt, std::int64_t tokens) override
+    {
+        m_scheduler.progress(now, work, attempt, tokens);
+    }
+    void finished(absl::Time now, WorkId work, int attempt, std::int64_t tokens) override
+    {
+        m_scheduler.finished(now, work, attempt, tokens);
+    }
+    void failed(absl::Time now, WorkId work, int attempt, const TryFailure &failure) override
+    {
+        m_scheduler.failed(now, work, attempt, failure);
+    }
+    void preempted(absl::Time now, WorkId work, int attempt, std::int64_t tokens,
+                   const std::string &kvHandle) override
+    {
+        m_scheduler.preempted(now, work, attempt, tokens, kvHandle);
+    }
+    std::vector<Decision> decide(absl::Time now) override { return m_scheduler.decide(now); }
+    absl::Time nextDecision() const override { return m_scheduler.nextDecision(); }
+    std::size_t batchRoom(absl::Time now) const override { return m_scheduler.batchRoom(now); }
+
+private:
+    Scheduler m_scheduler;
+};
+
+} // namespace rattanrill::policy::bench
