Policy: Lease items that would be late before shares

Cause: leases went by contract weight only, so a workspace with a small weight got its items after they were due although the fleet could do them. Ways weighed: a larger weight near the due time (no bound on lateness); earliest due first always (a workspace with near due times takes all capacity).

--- a/src/policy/benchbatchpool.cpp
+++ b/src/policy/benchbatchpool.cpp
@@ -19,6 +19,7 @@
 BenchBatchPool::BenchBatchPool(const Deployment &deployment, std::uint64_t seed)
     : m_deployment(deployment)
     , m_random(seed)
+    , m_queue(LeaseOrderSettings{})
 {
     for (std::size_t i = 0; i < deployment.shares.size(); ++i) {
         m_queue.setWeight(concat("workspace-", i), deployment.shares[i]);
@@ -32,16 +33,13 @@
         enqueue(create(workspace, due));
 }
 
-int BenchBatchPool::lease()
+int BenchBatchPool::lease(absl::Time now)
 {
-    const int index = static_cast<int>(*m_queue.front());
-    const BatchItem leased = item(index);
-    // The endless job has its next item ready before the last one leaves the queue.
+    const int index = static_cast<int>(*m_queue.pop(now, promptMean + answerMean));
+    const BatchItem &leased = item(index);
+    // The endless job always has an item waiting.
     if (leased.due == absl::InfiniteFuture() && leased.delivered == 0)
         enqueue(create(leased.workspace, absl::InfiniteFuture()));
-    m_queue.remove(static_cast<WorkId>(index));
-    m_queue.charge(concat("workspace-", leased.workspace),
-                   static_cast<double>(leased.promptTokens + leased.answerTokens));
     return index;
 }
 
--- a/src/policy/benchbatchpool.h
+++ b/src/policy/benchbatchpool.h
@@ -2,7 +2,7 @@
 
 #include "benchscenario.h"
 
-#include "rattanrill/policy/fairqueue.h"
+#include "rattanrill/policy/leaseorder.h"
 #include "rattanrill/policy/work.h"
 
 #include <cstdint>
@@ -31,8 +31,8 @@
 
     /// A job of \a items that are due at \a due.
     void addJob(int workspace, int items, absl::Time due);
-    /// Leases an item by contract weight, earliest due first.
-    int lease();
+    /// Leases the next item.
+    int lease(absl::Time now);
     /// An item comes back after its lease ended.
     void giveBack(int item);
     BatchItem &item(int index) { return m_items[static_cast<std::size_t>(index)]; }
@@ -45,7 +45,7 @@
 
     const Deployment &m_deployment;
     std::mt19937_64 m_random;
-    FairQueue m_queue;
+    LeaseOrder m_queue;
     std::vector<BatchItem> m_items;
 };
 
--- a/src/policy/benchfigures.cpp
+++ b/src/policy/benchfigures.cpp
@@ -99,6 +99,8 @@
     figures.push_back({"batch_items_due", static_cast<double>(result.batchDue), "items"});
     figures.push_back({"batch_items_failed", static_cast<double>(result.batchLost), "items"});
     figures.push_back({"preemptions", static_cast<double>(result.preemptions), "count"});
+    for (const auto &[code, count] : result.refusals)
+        figures.push_back({"refused_" + code, static_cast<double>(count), "requests"});
 }
 
 Figure &find(Figures &figures, std::string_view name)
--- a/src/policy/benchfleet.cpp
+++ b/src/policy/benchfleet.cpp
@@ -145,7 +145,7 @@
 {
     SchedulerSettings settings;
     settings.failureDomain = concat("domain-", entry.domain);
-    settings.onlineTailWeight = m_deployment.onlineTailWeight;
+    settings.onlineTailWeight = m_options.onlineTailWeight.value_or(m_deployment.onlineTailWeight);
     settings.loadLag = m_deployment.engine.reportInterval + m_deployment.engine.reportLag;
     return settings;
 }
@@ -426,7 +426,7 @@
             return;
         const std::size_t room = leaser.policy->batchRoom(m_loop.now());
         for (std::size_t i = 0; i < room; ++i) {
-            const int item = m_batch.lease();
+            const int item = m_batch.lease(m_loop.now());
             Running running;
             running.entry = index;
             running.index = item;
--- a/src/policy/benchfleet.h
+++ b/src/policy/benchfleet.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -25,6 +26,8 @@
     bool withBatch = true;
     RunTimes times;
     std::uint64_t seed = 1;
+    /// Instead of the deployment's, to see the effect of the setting.
+    std::optional<double> onlineTailWeight;
 };
 
 /// One run: callers, entries with their policies, engines, the batch pool and the directory's crash
--- /dev/null
+++ b/src/policy/leaseorder.cpp
@@ -0,0 +1,73 @@
+#include "rattanrill/policy/leaseorder.h"
+
+namespace rattanrill::policy {
+
+namespace {
+
+/// Distinct due times that a decision looks at. Later ones come into view as earlier ones are done.
+constexpr int dueTimesChecked = 64;
+
+} // namespace
+
+LeaseOrder::LeaseOrder(LeaseOrderSettings settings)
+    : m_settings(settings)
+{}
+
+void LeaseOrder::setWeight(const std::string &workspace, double weight)
+{
+    m_queue.setWeight(workspace, weight);
+}
+
+void LeaseOrder::push(const std::string &workspace, WorkId item, absl::Time due)
+{
+    if (!m_items.insert({item, {workspace, due}}).second)
+        return;
+    m_queue.push(workspace, item, due);
+    m_byDue.insert({due, item});
+    ++m_dueCounts[due];
+}
+
+bool LeaseOrder::remove(WorkId item)
+{
+    const auto found = m_items.find(item);
+    if (found == m_items.end())
+        return false;
+    const absl::Time due = found->second.second;
+    m_queue.remove(item);
+    m_byDue.erase({due, item});
+    const auto count = m_dueCounts.find(due);
+    if (--count->second == 0)
+        m_dueCounts.erase(count);
+    m_items.erase(found);
+    return true;
+}
+
+std::optional<WorkId> LeaseOrder::pop(absl::Time now, double tokens)
+{
+    if (m_byDue.empty())
+        return std::nullopt;
+    const WorkId next = isUrgent(now) ? m_byDue.begin()->second : *m_queue.front();
+    const std::string workspace = m_items.at(next).first;
+    remove(next);
+    m_queue.charge(workspace, tokens);
+    return next;
+}
+
+bool LeaseOrder::isUrgent(absl::Time now) const
+{
+    const absl::Duration slack = m_settings.runTime * m_settings.safetyFactor;
+    std::size_t before = 0;
+    int checked = 0;
+    for (const auto &[due, count] : m_dueCounts) {
+        before += count;
+        const absl::Duration work =
+                absl::Seconds(static_cast<double>(before) / m_settings.itemsPerSecond);
+        if (due - work - slack <= now)
+            return true;
+        if (++checked == dueTimesChecked)
+            break;
+    }
+    return false;
+}
+
+} // namespace rattanrill::policy
--- a/src/policy/main_bench.cpp
+++ b/src/policy/main_bench.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
     std::string policy;
     RunTimes times;
     std::uint64_t seed = 1;
+    std::optional<double> onlineTailWeight;
 };
 
 constexpr std::array<Scenario, 6> scenarios{Scenario::Nominal,      Scenario::Surge,
@@ -39,7 +41,7 @@
 bool runOne(const Deployment &deployment, Scenario scenario, PolicyKind policy,
             const BenchOptions &options)
 {
-    RunOptions run{scenario, policy, true, options.times, options.seed};
+    RunOptions run{scenario, policy, true, options.times, options.seed, options.onlineTailWeight};
     const BenchResult result = BenchFleet(deployment, run).run();
     BenchResult withoutBatch;
     if (scenario == Scenario::Nominal) {
@@ -102,11 +104,15 @@
             "least_reported_load or all")("seed", po::value(&options.seed)->default_value(1),
                                           "seed of the load")(
             "warmup", po::value(&warmup)->default_value(20), "virtual seconds before measuring")(
-            "measured", po::value(&measured)->default_value(120), "virtual seconds measured");
+            "measured", po::value(&measured)->default_value(120),
+            "virtual seconds measured")("tail-weight", po::value<double>(),
+                                        "onlineTailWeight in place of the deployment's, 0 to 1");
     try {
         po::variables_map values;
         po::store(po::parse_command_line(argc, argv, description), values);
         po::notify(values);
+        if (values.count("tail-weight") > 0)
+            options.onlineTailWeight = values["tail-weight"].as<double>();
         if (values.count("help") > 0) {
             std::cout << description;
             return 0;
