Batch: Add state machine of files, jobs, leases, results and claims

Cause: an accepted item must complete exactly once and a cancelled job must stop, on every replica alike and after any restart.

The restart test found that an expired job could not be restored, because its lease cursor pointed behind its removed items; expire() now resets it.

--- a/include/rattanrill/wire/batchmessages.h
+++ b/include/rattanrill/wire/batchmessages.h
@@ -154,6 +154,8 @@
     std::string idempotencyKey;
     /// Hash of method, path and body: the same key with another request is a typed failure.
     std::string requestHash;
+    /// Unique for each try to run the request, not only the instance: a resent claim of the same
+    /// holder wins again.
     std::string holder;
     std::int64_t keepMs = 0;
 };
--- /dev/null
+++ b/src/batch/itemfile.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "textstore.h"
+
+#include "rattanrill/base/result.h"
+#include "rattanrill/wire/batchmessages.h"
+
+#include "absl/container/flat_hash_set.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rattanrill::batch {
+
+/// An uploaded file. An item takes 8 bytes for its position and 8 bytes of lengths besides its
+/// texts; urls are stored once.
+class ItemFile
+{
+public:
+    struct Item
+    {
+        std::string_view customId;
+        std::string_view url;
+        std::string_view body;
+    };
+
+    ItemFile() = default;
+    ItemFile(std::string fileId, std::string workspace);
+
+    /// Appends the items of a range that are not there yet. Fails with Conflict (a gap, other items
+    /// than the ones that are there, or a sealed file), InvalidItem or DuplicateItem and then
+    /// changes nothing.
+    Result<void> append(std::uint64_t firstIndex, const std::vector<wire::ItemSpec> &items);
+    /// Fails with Conflict when the file has another number of items or was sealed with other
+    /// values.
+    Result<void> seal(std::uint64_t itemCount, std::int64_t bytes);
+
+    const std::string &fileId() const { return m_fileId; }
+    const std::string &workspace() const { return m_workspace; }
+    bool isSealed() const { return m_sealed; }
+    std::size_t itemCount() const { return m_positions.size(); }
+    /// Requires index < itemCount().
+    Item item(std::size_t index) const;
+    wire::FileStatus status() const;
+    std::size_t textBytes() const { return m_texts.bytes(); }
+
+    void write(ByteWriter &writer) const;
+    void read(ByteReader &reader);
+
+    /// Jobs that use the file.
+    std::uint64_t jobs = 0;
+    std::int64_t lastUsedMs = 0;
+
+private:
+    Result<void> checkSame(std::uint64_t index, const wire::ItemSpec &spec) const;
+    Result<void> checkNew(const std::vector<wire::ItemSpec> &items, std::size_t known) const;
+    void appendItem(const wire::ItemSpec &spec);
+    std::uint16_t urlIndex(const std::string &url);
+
+    std::string m_fileId;
+    std::string m_workspace;
+    bool m_sealed = false;
+    std::int64_t m_bytes = 0;
+    TextStore m_texts;
+    std::vector<TextStore::Position> m_positions;
+    std::vector<std::string> m_urls;
+    /// Hashes of the custom ids during the upload. Only looked up, never iterated.
+    absl::flat_hash_set<std::uint64_t> m_customIds;
+};
+
+} // namespace rattanrill::batch
--- /dev/null
+++ b/src/batch/job.cpp
@@ -0,0 +1,248 @@
+#include "job.h"
+
+#include "rattanrill/batch/statemachine.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace rattanrill::batch {
+namespace {
+
+using wire::ItemState;
+using wire::JobState;
+
+constexpr std::uint64_t itemStates = 5;
+constexpr std::uint64_t jobStates = 4;
+
+bool isFinished(ItemState state)
+{
+    return state == ItemState::Completed || state == ItemState::Failed;
+}
+
+} // namespace
+
+Job::Job(Number number, const wire::CreateJob &operation, std::size_t itemCount, std::int64_t nowMs)
+    : m_number(number)
+    , m_operation(operation)
+    , m_createdAtMs(nowMs)
+    , m_itemCount(itemCount)
+    , m_items(itemCount)
+{
+    endIfDone(nowMs);
+}
+
+bool Job::isEnded() const
+{
+    return m_state == JobState::Completed || m_state == JobState::Cancelled;
+}
+
+bool Job::hasOpenItem() const
+{
+    const bool running = m_state == JobState::InProgress;
+    return running && (!m_returned.empty() || m_cursor < m_items.size());
+}
+
+std::string_view Job::resultBody(const Item &item) const
+{
+    if (!isFinished(item.state()))
+        return {};
+    std::uint32_t size = 0;
+    const std::string_view head = m_results.at(item.result, sizeof size);
+    if (head.size() != sizeof size)
+        return {};
+    std::memcpy(&size, head.data(), sizeof size);
+    return m_results.at(item.result + sizeof size, size);
+}
+
+wire::JobStatus Job::status() const
+{
+    wire::JobStatus status;
+    status.jobId = jobId();
+    status.workspace = workspace();
+    status.fileId = fileId();
+    status.resultFileId = resultFileId(jobId());
+    status.state = m_state;
+    const std::uint64_t ended = m_completed + m_failed + m_cancelled;
+    status.counts = {m_itemCount, m_completed, m_failed, m_cancelled, m_itemCount - ended};
+    status.createdAtMs = m_createdAtMs;
+    status.dueAtMs = dueAtMs();
+    status.endedAtMs = m_endedAtMs;
+    status.metadata = m_operation.metadata;
+    return status;
+}
+
+std::uint32_t Job::leaseNext()
+{
+    std::uint32_t index = m_cursor;
+    if (m_returned.empty()) {
+        ++m_cursor;
+    } else {
+        index = m_returned.front();
+        m_returned.pop_front();
+    }
+    m_items[index].setState(ItemState::Leased);
+    return index;
+}
+
+void Job::giveBack(std::uint32_t index, std::int64_t nowMs)
+{
+    if (!isCancelling()) {
+        m_items[index].setState(ItemState::Open);
+        return;
+    }
+    m_items[index].setState(ItemState::Cancelled);
+    ++m_cancelled;
+    endIfDone(nowMs);
+}
+
+void Job::setReady(std::uint32_t index)
+{
+    const bool waits = m_state == JobState::InProgress && m_items[index].state() == ItemState::Open;
+    if (waits)
+        m_returned.push_back(index);
+}
+
+void Job::finish(std::uint32_t index, ItemState state, const ResultText &result, std::int64_t nowMs)
+{
+    Item &item = m_items[index];
+    const auto size = static_cast<std::uint32_t>(result.body.size());
+    char head[sizeof size];
+    std::memcpy(head, &size, sizeof size);
+    item.result = m_results.append(std::string_view(head, sizeof head), result.body);
+    item.status = static_cast<std::uint16_t>(result.status);
+    item.setState(state);
+    item.setReason(result.reason);
+    ++(state == ItemState::Completed ? m_completed : m_failed);
+    endIfDone(nowMs);
+}
+
+void Job::cancel(std::int64_t nowMs)
+{
+    for (Item &item : m_items) {
+        if (item.state() == ItemState::Open) {
+            item.setState(ItemState::Cancelled);
+            ++m_cancelled;
+        }
+    }
+    m_returned.clear();
+    m_state = JobState::Cancelling;
+    endIfDone(nowMs);
+}
+
+void Job::expire()
+{
+    m_expired = true;
+    m_items = {};
+    m_results = {};
+    m_cursor = 0;
+}
+
+void Job::endIfDone(std::int64_t nowMs)
+{
+    if (m_completed + m_failed + m_cancelled < m_itemCount)
+        return;
+    m_state = isCancelling() ? JobState::Cancelled : JobState::Completed;
+    m_endedAtMs = nowMs;
+}
+
+void Job::write(ByteWriter &writer) const
+{
+    writer.number(m_number);
+    writer.text(m_operation.jobId);
+    writer.text(m_operation.workspace);
+    writer.text(m_operation.fileId);
+    writer.text(m_operation.idempotencyKey);
+    writer.signedNumber(m_operation.dueAtMs);
+    writer.signedNumber(m_operation.retentionMs);
+    writer.text(m_operation.metadata);
+    writer.number(static_cast<std::uint64_t>(m_state));
+    writer.signedNumber(m_createdAtMs);
+    writer.signedNumber(m_endedAtMs);
+    writer.number(m_expired ? 1 : 0);
+    for (const std::uint64_t count : {m_itemCount, m_completed, m_failed, m_cancelled})
+        writer.number(count);
+    m_results.write(writer);
+    writer.number(m_items.size());
+    for (const Item &item : m_items)
+        writeItem(writer, item);
+    writer.number(m_cursor);
+    writer.number(m_returned.size());
+    for (const std::uint32_t index : m_returned)
+        writer.number(index);
+}
+
+void Job::writeItem(ByteWriter &writer, const Item &item) const
+{
+    // Tries share a byte with the state, because most items have none.
+    const bool tried = item.failedTries > 0 || item.expiredLeases > 0;
+    writer.number(static_cast<std::uint64_t>(item.state()) + (tried ? itemStates : 0));
+    if (tried) {
+        writer.number(item.failedTries);
+        writer.number(item.expiredLeases);
+    }
+    if (isFinished(item.state())) {
+        writer.number(item.result);
+        writer.number(item.status);
+    }
+    // By name: the order of the codes may change between versions.
+    if (item.state() == ItemState::Failed)
+        writer.text(name(item.reason()));
+}
+
+Job::Item Job::readItem(ByteReader &reader) const
+{
+    Item item;
+    const std::uint64_t word = reader.numberBelow(2 * itemStates);
+    item.setState(static_cast<ItemState>(word % itemStates));
+    if (word >= itemStates) {
+        item.failedTries = static_cast<std::uint8_t>(reader.numberBelow(256));
+        item.expiredLeases = static_cast<std::uint8_t>(reader.numberBelow(256));
+    }
+    if (isFinished(item.state())) {
+        item.result = reader.number();
+        item.status = static_cast<std::uint16_t>(reader.numberBelow(65536));
+    }
+    if (item.state() == ItemState::Failed)
+        item.setReason(errorCodeFromName(reader.text()).value_or(ErrorCode::ItemFailed));
+    return item;
+}
+
+void Job::read(ByteReader &reader)
+{
+    m_number = reader.number();
+    m_operation.jobId = reader.string();
+    m_operation.workspace = reader.string();
+    m_operation.fileId = reader.string();
+    m_operation.idempotencyKey = reader.string();
+    m_operation.dueAtMs = reader.signedNumber();
+    m_operation.retentionMs = reader.signedNumber();
+    m_operation.metadata = reader.string();
+    m_state = static_cast<JobState>(reader.numberBelow(jobStates));
+    m_createdAtMs = reader.signedNumber();
+    m_endedAtMs = reader.signedNumber();
+    m_expired = reader.numberBelow(2) == 1;
+    for (std::uint64_t *count : {&m_itemCount, &m_completed, &m_failed, &m_cancelled})
+        *count = reader.number();
+    m_results.read(reader);
+    readItems(reader);
+    m_cursor = static_cast<std::uint32_t>(reader.numberBelow(m_items.size() + 1));
+    const std::size_t returned = reader.count();
+    for (std::size_t count = 0; count < returned; ++count) {
+        const std::uint64_t index = reader.numberBelow(m_items.size());
+        if (!reader.ok())
+            return;
+        m_returned.push_back(static_cast<std::uint32_t>(index));
+    }
+}
+
+void Job::readItems(ByteReader &reader)
+{
+    const std::size_t items = reader.count();
+    if (items != (m_expired ? 0 : m_itemCount))
+        return reader.setFailed();
+    m_items.reserve(items);
+    for (std::size_t index = 0; index < items; ++index)
+        m_items.push_back(readItem(reader));
+}
+
+} // namespace rattanrill::batch
--- /dev/null
+++ b/src/batch/leasetable.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "bytereader.h"
+#include "bytewriter.h"
+#include "job.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace rattanrill::batch {
+
+struct Lease
+{
+    Job::Number job = 0;
+    std::uint32_t index = 0;
+    std::int64_t expiresAtMs = 0;
+    std::string holder;
+};
+
+/// Leases by fencing number, and their numbers by time of expiry.
+class LeaseTable
+{
+public:
+    using Number = std::uint64_t;
+
+    /// Number of the new lease; never one that was used before.
+    Number add(Lease lease);
+    /// Null when the lease has ended.
+    const Lease *find(Number number) const;
+    void renew(Number number, std::int64_t expiresAtMs);
+    void remove(Number number);
+    /// Number of a lease that has expired by \a nowMs.
+    std::optional<Number> expired(std::int64_t nowMs) const;
+    const std::map<Number, Lease> &leases() const { return m_leases; }
+
+    void write(ByteWriter &writer) const;
+    void read(ByteReader &reader);
+
+private:
+    std::map<Number, Lease> m_leases;
+    std::set<std::pair<std::int64_t, Number>> m_expiry;
+    Number m_next = 1;
+};
+
+} // namespace rattanrill::batch
