--- /dev/null
+++ b/tests/batch/batchmodel.cpp
@@ -0,0 +1,267 @@
+#include "batchmodel.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/batch/statemachine.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace rattanrill::batch {
+
+using wire::ItemState;
+
+std::string BatchModel::observe(std::int64_t nowMs, const wire::BatchOperation &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    advance(nowMs);
+    return std::visit([&](const auto &specific) { return observe(specific, answer); }, operation);
+}
+
+void BatchModel::advance(std::int64_t nowMs)
+{
+    m_nowMs = std::max(m_nowMs, nowMs);
+    for (auto &[id, job] : m_jobs) {
+        for (Item &item : job.items) {
+            const bool expired = item.state == ItemState::Leased && item.expiresAtMs <= m_nowMs;
+            if (!expired)
+                continue;
+            item.expiredLeases += job.cancelled ? 0 : 1;
+            endLease(job, item);
+            if (item.state == ItemState::Open && item.expiredLeases >= maxExpiredLeases) {
+                item.state = ItemState::Failed;
+                item.reason = "lease_expired";
+            }
+        }
+    }
+    for (auto claim = m_claims.begin(); claim != m_claims.end();) {
+        const bool over = claim->second.expiresAtMs > 0 && claim->second.expiresAtMs <= m_nowMs;
+        claim = over ? m_claims.erase(claim) : std::next(claim);
+    }
+}
+
+void BatchModel::endLease(const Job &job, Item &item)
+{
+    item.state = job.cancelled ? ItemState::Cancelled : ItemState::Open;
+    item.readyAtMs = 0;
+}
+
+BatchModel::Item *BatchModel::leased(const wire::ItemRef &ref)
+{
+    const auto job = m_jobs.find(ref.jobId);
+    if (job == m_jobs.end() || ref.index >= job->second.items.size())
+        return nullptr;
+    Item &item = job->second.items[ref.index];
+    return item.state == ItemState::Leased && item.lease == ref.lease ? &item : nullptr;
+}
+
+bool BatchModel::isReady(const Job &job, const Item &item) const
+{
+    return !job.cancelled && item.state == ItemState::Open && item.readyAtMs <= m_nowMs;
+}
+
+std::int64_t BatchModel::earliestDue() const
+{
+    std::int64_t due = std::numeric_limits<std::int64_t>::max();
+    for (const auto &[id, job] : m_jobs) {
+        const bool ready = std::any_of(job.items.begin(), job.items.end(),
+                                       [&](const Item &item) { return isReady(job, item); });
+        if (ready)
+            due = std::min(due, job.dueAtMs);
+    }
+    return due;
+}
+
+std::string BatchModel::observe(const wire::CreateJob &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    const auto [known, added] =
+            m_jobKeys.try_emplace({operation.workspace, operation.idempotencyKey}, operation.jobId);
+    const bool sameFile = added || m_jobs.at(known->second).fileId == operation.fileId;
+    if (answer.ok() != sameFile)
+        return "a key names jobs of two files";
+    if (!answer.ok())
+        return {};
+    if (answer.value().job.jobId != known->second)
+        return "a resent creation made a second job";
+    if (added) {
+        m_jobs[operation.jobId] = {operation.workspace, operation.fileId, operation.dueAtMs, false,
+                                   std::vector<Item>(m_files.at(operation.fileId))};
+    }
+    return {};
+}
+
+std::string BatchModel::observe(const wire::CancelJob &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    if (!answer.ok() || m_jobs.count(operation.jobId) == 0)
+        return {};
+    Job &job = m_jobs.at(operation.jobId);
+    job.cancelled = true;
+    for (Item &item : job.items) {
+        if (item.state == ItemState::Open)
+            item.state = ItemState::Cancelled;
+    }
+    return {};
+}
+
+std::string BatchModel::observe(const wire::LeaseItems &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    for (const wire::LeasedItem &leased : answer.value().leased) {
+        Job &job = m_jobs.at(leased.item.jobId);
+        Item &item = job.items.at(leased.item.index);
+        if (!isReady(job, item))
+            return concat("leased an item that is ", wire::name(item.state),
+                          job.cancelled ? " in a cancelled job" : "");
+        if (job.dueAtMs != earliestDue())
+            return "leased an item of a later due job";
+        if (leased.item.lease <= m_lastLease)
+            return "a lease number did not grow";
+        m_lastLease = leased.item.lease;
+        item.state = ItemState::Leased;
+        item.lease = leased.item.lease;
+        item.holder = operation.holder;
+        item.expiresAtMs = m_nowMs + operation.leaseMs;
+    }
+    const bool full = answer.value().leased.size() == static_cast<std::size_t>(operation.maxItems);
+    const bool left = earliestDue() != std::numeric_limits<std::int64_t>::max();
+    return !full && left ? "an open item was not leased" : "";
+}
+
+std::string BatchModel::observe(const wire::RenewLeases &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    std::size_t lost = 0;
+    for (const wire::ItemRef &ref : operation.items) {
+        Item *item = leased(ref);
+        const bool held = item != nullptr && item->holder == operation.holder;
+        const bool renewed = held && !m_jobs.at(ref.jobId).cancelled;
+        lost += renewed ? 0 : 1;
+        if (renewed)
+            item->expiresAtMs = m_nowMs + operation.leaseMs;
+        else if (held)
+            endLease(m_jobs.at(ref.jobId), *item);
+    }
+    return answer.value().lost.size() == lost ? "" : "wrong number of lost leases";
+}
+
+std::string BatchModel::observe(const wire::ReleaseItems &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    std::size_t accepted = 0;
+    for (const wire::ItemRef &ref : operation.items) {
+        Item *item = leased(ref);
+        if (item == nullptr)
+            continue;
+        ++accepted;
+        endLease(m_jobs.at(ref.jobId), *item);
+        if (item->state != ItemState::Open)
+            continue;
+        item->readyAtMs = m_nowMs + operation.backoffMs;
+        item->failedTries += operation.failedTry ? 1 : 0;
+        if (operation.failedTry && item->failedTries >= maxFailedTries) {
+            item->state = ItemState::Failed;
+            item->reason = operation.reason;
+        }
+    }
+    return answer.value().accepted == accepted ? "" : "wrong number of released items";
+}
+
+std::string BatchModel::observe(const wire::CompleteItems &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    std::size_t accepted = 0;
+    for (const wire::ItemResult &result : operation.results) {
+        Item *item = leased(result.item);
+        if (item == nullptr)
+            continue;
+        ++accepted;
+        item->state = result.failed ? ItemState::Failed : ItemState::Completed;
+        item->body = result.body;
+        item->reason = result.reason;
+    }
+    if (answer.value().accepted > accepted)
+        return "a result without a current lease was accepted";
+    const bool right = answer.value().accepted == accepted
+                       && answer.value().dropped == operation.results.size() - accepted;
+    return right ? "" : "a result with a current lease was dropped";
+}
+
+std::string BatchModel::observe(const wire::ClaimRequest &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    const auto [claim, added] =
+            m_claims.try_emplace(operation.idempotencyKey, Claim{operation.holder, "", 0});
+    const wire::ClaimStatus &status = answer.value().claim;
+    const bool running = claim->second.expiresAtMs == 0;
+    const bool mayRun = running && claim->second.holder == operation.holder;
+    if (status.won != mayRun)
+        return "a claim was given to a second holder, or refused to its own";
+    const bool stored = running || status.body == claim->second.answer;
+    return stored ? "" : "a finished claim gave another answer";
+}
+
+std::string BatchModel::observe(const wire::FinishClaim &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    const auto claim = m_claims.find(operation.idempotencyKey);
+    const bool known = claim != m_claims.end() && claim->second.holder == operation.holder;
+    if (known != answer.ok())
+        return "another holder finished a claim";
+    if (known && claim->second.expiresAtMs == 0) {
+        claim->second.answer = operation.body;
+        claim->second.expiresAtMs = m_nowMs + 5000;
+    }
+    return {};
+}
+
+std::string BatchModel::observe(const wire::AbandonClaim &operation,
+                                const Outcome<wire::BatchResult> &answer)
+{
+    if (answer.ok())
+        m_claims.erase(operation.idempotencyKey);
+    return {};
+}
+
+std::string BatchModel::checkStatus(const wire::JobStatus &status) const
+{
+    const auto job = m_jobs.find(status.jobId);
+    if (job == m_jobs.end())
+        return "unknown job";
+    std::map<ItemState, std::uint64_t> states;
+    for (const Item &item : job->second.items)
+        ++states[item.state];
+    const wire::JobCounts &counts = status.counts;
+    const std::uint64_t open = states[ItemState::Open] + states[ItemState::Leased];
+    const bool same = counts.completed == states[ItemState::Completed]
+                      && counts.failed == states[ItemState::Failed]
+                      && counts.cancelled == states[ItemState::Cancelled] && counts.open == open;
+    if (!same)
+        return concat("counts of ", status.jobId, " differ from its items");
+    const bool ended =
+            status.state == wire::JobState::Completed || status.state == wire::JobState::Cancelled;
+    return ended == (open == 0) ? "" : concat(status.jobId, " ended too early or too late");
+}
+
+std::string BatchModel::checkResults(const std::string &jobId,
+                                     const std::vector<wire::ResultLine> &lines) const
+{
+    std::size_t next = 0;
+    const std::vector<Item> &items = m_jobs.at(jobId).items;
+    for (std::size_t index = 0; index < items.size(); ++index) {
+        const Item &item = items[index];
+        if (item.state == ItemState::Open || item.state == ItemState::Leased)
+            continue;
+        if (next == lines.size())
+            return "a result is missing";
+        const wire::ResultLine &line = lines[next++];
+        const bool failed = item.state == ItemState::Failed;
+        const bool same = line.index == index && line.state == item.state && line.body == item.body
+                          && (!failed || line.reason == item.reason);
+        if (!same)
+            return concat("wrong result of item ", index);
+    }
+    return next == lines.size() ? "" : "a result too many";
+}
+
+} // namespace rattanrill::batch
--- /dev/null
+++ b/tests/batch/model_test.cpp
@@ -0,0 +1,182 @@
+#include "batchdriver.h"
+#include "batchmodel.h"
+#include "randomcommands.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/batch/statemachine.h"
+#include "rattanrill/wire/codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <functional>
+#include <map>
+
+using namespace rattanrill;
+using namespace rattanrill::batch;
+
+namespace {
+
+constexpr unsigned seeds = 40;
+constexpr int steps = 400;
+
+/// State machine with a fault: rewrites each command before it is applied.
+class FaultyMachine : public replication::StateMachine
+{
+public:
+    /// Newest lease of each item.
+    using Leases = std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>;
+    using Rewrite = std::function<void(wire::BatchOperation &, const Leases &)>;
+
+    explicit FaultyMachine(Rewrite rewrite)
+        : m_rewrite(std::move(rewrite))
+        , m_machine(makeBatchStateMachine())
+    {}
+
+    std::string apply(std::uint64_t index, std::string_view bytes) override
+    {
+        wire::BatchCommand command =
+                outcomeOf([&] { return wire::decode<wire::BatchCommand>(bytes); }).value();
+        m_rewrite(command.operation, m_leases);
+        std::string answer = m_machine->apply(index, wire::encode(command));
+        const Outcome<wire::BatchResult> result = unpackResult(answer);
+        if (result.ok()) {
+            for (const wire::LeasedItem &leased : result.value().leased)
+                m_leases[{leased.item.jobId, leased.item.index}] = leased.item.lease;
+        }
+        return answer;
+    }
+    std::string query(std::string_view query) const override { return m_machine->query(query); }
+    std::string snapshot() const override { return m_machine->snapshot(); }
+    Result<void> restore(std::string_view snapshot) override
+    {
+        return m_machine->restore(snapshot);
+    }
+
+private:
+    Rewrite m_rewrite;
+    Leases m_leases;
+    std::unique_ptr<replication::StateMachine> m_machine;
+};
+
+void uploadFiles(BatchDriver &driver, BatchModel &model)
+{
+    for (std::size_t file = 0; file < RandomCommands::files; ++file) {
+        const std::string fileId = RandomCommands::fileId(file);
+        driver.upload(fileId, RandomCommands::workspaceOf(file), RandomCommands::itemsOf(file));
+        model.addFile(fileId, RandomCommands::itemsOf(file));
+    }
+}
+
+/// First fault in the status or results of any job.
+std::string checkJobs(const BatchDriver &driver, const BatchModel &model)
+{
+    for (const auto &[jobId, job] : model.jobs()) {
+        std::string fault = model.checkStatus(driver.job(jobId));
+        if (fault.empty())
+            fault = model.checkResults(jobId, driver.results(jobId));
+        if (!fault.empty())
+            return fault;
+    }
+    return {};
+}
+
+/// Runs one seed against the model; the first fault, or an empty text.
+std::string runAgainstModel(BatchDriver &driver, unsigned seed)
+{
+    RandomCommands commands(seed);
+    BatchModel model;
+    uploadFiles(driver, model);
+    for (int step = 0; step < steps; ++step) {
+        driver.nowMs += static_cast<std::int64_t>(commands.below(200));
+        const wire::BatchOperation operation = commands.next();
+        const Outcome<wire::BatchResult> answer = driver.apply(operation);
+        if (answer.ok())
+            commands.learn(answer.value());
+        std::string fault = model.observe(driver.nowMs, operation, answer);
+        if (fault.empty() && step % 8 == 0)
+            fault = checkJobs(driver, model);
+        if (!fault.empty())
+            return concat("seed ", seed, ", step ", step, ": ", fault);
+    }
+    return checkJobs(driver, model);
+}
+
+/// Fault that some seed finds in a faulty machine.
+std::string firstFault(const FaultyMachine::Rewrite &rewrite)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        BatchDriver driver(std::make_unique<FaultyMachine>(rewrite));
+        std::string fault = runAgainstModel(driver, seed);
+        if (!fault.empty())
+            return fault;
+    }
+    return {};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ModelTest)
+
+// Guards against any order of commands, resends, old leases and expiries that breaks exactly-once
+// completion (R1), cancel (R2), the single run of a claim (R10) or the counts.
+BOOST_AUTO_TEST_CASE(randomCommandsAgreeWithTheNaiveModel)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        BatchDriver driver;
+        BOOST_TEST(runAgainstModel(driver, seed) == "");
+    }
+}
+
+// Guards against state that a snapshot leaves out: a replica that restarts at random must answer
+// byte for byte like one that never does.
+BOOST_AUTO_TEST_CASE(restoredReplicaAnswersLikeTheOthers)
+{
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        RandomCommands commands(seed);
+        BatchModel model;
+        BatchDriver steady;
+        BatchDriver restarting;
+        uploadFiles(steady, model);
+        uploadFiles(restarting, model);
+        for (int step = 0; step < steps; ++step) {
+            steady.nowMs += static_cast<std::int64_t>(commands.below(200));
+            restarting.nowMs = steady.nowMs;
+            const wire::BatchOperation operation = commands.next();
+            const std::string answer = steady.applyBytes(operation);
+            BOOST_REQUIRE(answer == restarting.applyBytes(operation));
+            const Outcome<wire::BatchResult> result = unpackResult(answer);
+            if (result.ok())
+                commands.learn(result.value());
+            if (commands.below(10) == 0)
+                restarting.restart();
+        }
+        BOOST_REQUIRE(steady.machine().snapshot() == restarting.machine().snapshot());
+    }
+}
+
+// Shows that the model catches completion without a check of the lease.
+BOOST_AUTO_TEST_CASE(modelCatchesCompletionWithoutLeaseCheck)
+{
+    const auto acceptAnyLease = [](wire::BatchOperation &operation,
+                                   const FaultyMachine::Leases &leases) {
+        auto *complete = std::get_if<wire::CompleteItems>(&operation);
+        if (complete == nullptr)
+            return;
+        for (wire::ItemResult &result : complete->results)
+            result.item.lease = leases.at({result.item.jobId, result.item.index});
+    };
+    const std::string fault = firstFault(acceptAnyLease);
+    BOOST_TEST(fault.find("without a current lease") != std::string::npos, fault);
+}
+
+// Shows that the model catches a cancel that goes on leasing.
+BOOST_AUTO_TEST_CASE(modelCatchesCancelThatStillLeases)
+{
+    const std::string fault = firstFault([](wire::BatchOperation &operation, const auto &) {
+        if (std::holds_alternative<wire::CancelJob>(operation))
+            operation = wire::AdvanceTime{};
+    });
+    BOOST_TEST(fault.find("cancelled") != std::string::npos, fault);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/directory/follower_test.cpp
@@ -0,0 +1,223 @@
+#include "rattanrill/directory/follower.h"
+
+#include "rattanrill/wire/codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+
+using namespace rattanrill;
+using namespace rattanrill::directory;
+
+namespace {
+
+/// Keeps polls until the test answers them.
+class ManualPolls : public PollSource
+{
+public:
+    struct Poll
+    {
+        wire::FollowRequest request;
+        Callback callback;
+    };
+
+    void poll(const wire::FollowRequest &request, absl::Duration, Callback callback) override
+    {
+        open.push_back({request, std::move(callback)});
+    }
+
+    void answer(Outcome<wire::FollowResponse> outcome)
+    {
+        const Poll poll = open.front();
+        open.pop_front();
+        poll.callback(std::move(outcome));
+    }
+
+    std::deque<Poll> open;
+};
+
+struct Fixture
+{
+    Fixture()
+    {
+        follower.onChange([this](const auto &view) { seen.push_back(view->revision()); });
+    }
+
+    ManualClock clock;
+    ManualTimerService timers{clock};
+    ManualPolls polls;
+    std::vector<std::uint64_t> seen;
+    Follower follower{{"entry-1"}, polls, timers, clock};
+};
+
+wire::FollowResponse contractAt(std::uint64_t revision, double rate)
+{
+    wire::Contract contract;
+    contract.workspace = "w";
+    contract.ratePerSecond = rate;
+    contract.revision = revision;
+    return {revision,
+            false,
+            {{revision, wire::RecordKind::Contract, "w", false, wire::encode(contract)}},
+            0};
+}
+
+wire::FollowResponse unchanged(std::uint64_t revision)
+{
+    return {revision, false, {}, 0};
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FollowerTest, Fixture)
+
+// Guards against a stale view that looks fresh: the answer proves what held when the poll was sent,
+// not when the answer came.
+BOOST_AUTO_TEST_CASE(ageCountsFromTheTimeThePollWasSent)
+{
+    BOOST_TEST((follower.age() == absl::InfiniteDuration()));
+    follower.start();
+    timers.advance(absl::Milliseconds(700));
+    BOOST_TEST((follower.age() == absl::InfiniteDuration()));
+    polls.answer(contractAt(1, 1));
+    BOOST_TEST((follower.age() == absl::Milliseconds(700)));
+    timers.advance(absl::Milliseconds(300));
+    polls.answer(unchanged(1));
+    BOOST_TEST((follower.age() == absl::Milliseconds(300)));
+}
+
+// Guards against freshness from a failed poll.
+BOOST_AUTO_TEST_CASE(failedPollProvesNothing)
+{
+    follower.start();
+    polls.answer(contractAt(1, 1));
+    timers.advance(absl::Milliseconds(100));
+    polls.answer(notRun(ErrorCode::Timeout, ""));
+    BOOST_TEST((follower.age() == absl::Milliseconds(100)));
+    BOOST_TEST(follower.view()->revision() == 1u);
+}
+
+// Guards against configuration that goes back (R13), and against freshness from a replica that is
+// behind.
+BOOST_AUTO_TEST_CASE(olderRevisionChangesNothingAndProvesNothing)
+{
+    follower.start();
+    polls.answer(contractAt(5, 5));
+    timers.advance(absl::Milliseconds(100));
+    polls.answer(contractAt(4, 4));
+    BOOST_TEST(follower.view()->contract("w")->ratePerSecond == 5);
+    BOOST_TEST((follower.age() == absl::Milliseconds(100)));
+    timers.advance(absl::Seconds(1));
+    wire::FollowResponse snapshot = contractAt(3, 3);
+    snapshot.snapshot = true;
+    polls.answer(snapshot);
+    BOOST_TEST(follower.view()->revision() == 5u);
+    BOOST_TEST((seen == std::vector<std::uint64_t>{5}));
+}
+
+// Guards against a view that skips a change it can't read: it could withdraw a key.
+BOOST_AUTO_TEST_CASE(unreadableChangeIsNotSkipped)
+{
+    follower.start();
+    wire::FollowResponse damaged = contractAt(1, 1);
+    damaged.changes[0].body = "damaged";
+    polls.answer(damaged);
+    BOOST_TEST(follower.view()->revision() == 0u);
+    BOOST_TEST((follower.age() == absl::InfiniteDuration()));
+}
+
+// Guards against polls that start over from the beginning, or that never end a changed record.
+BOOST_AUTO_TEST_CASE(pollsResumeFromTheViewsRevision)
+{
+    follower.start();
+    BOOST_TEST(polls.open.front().request.afterRevision == 0u);
+    polls.answer(contractAt(7, 1));
+    timers.advance(absl::Milliseconds(20));
+    BOOST_TEST(polls.open.front().request.afterRevision == 7u);
+    const std::shared_ptr<const View> before = follower.view();
+    wire::FollowResponse removal = unchanged(8);
+    removal.changes.push_back({8, wire::RecordKind::Route, "r", true, ""});
+    polls.answer(removal);
+    timers.advance(absl::Milliseconds(20));
+    BOOST_TEST(polls.open.front().request.afterRevision == 8u);
+    BOOST_TEST(before->revision() == 7u);
+    BOOST_TEST((seen == std::vector<std::uint64_t>{7, 8}));
+}
+
+// Guards against a storm of polls while control is away, and against a wait that grows without end.
+BOOST_AUTO_TEST_CASE(failuresBackOffWithinBounds)
+{
+    follower.start();
+    for (int failures = 0; failures < 40; ++failures) {
+        polls.answer(notRun(ErrorCode::ConnectionLost, ""));
+        BOOST_REQUIRE(polls.open.empty());
+        timers.advance(absl::Milliseconds(24));
+        BOOST_REQUIRE(polls.open.empty());
+        timers.advance(absl::Milliseconds(976));
+        BOOST_REQUIRE(polls.open.size() == 1u);
+    }
+}
+
+// Guards against a busy loop when answers come at once.
+BOOST_AUTO_TEST_CASE(pollsKeepAMinimumInterval)
+{
+    follower.start();
+    polls.answer(unchanged(0));
+    BOOST_TEST(polls.open.empty());
+    timers.advance(absl::Milliseconds(20));
+    BOOST_TEST(polls.open.size() == 1u);
+}
+
+// Guards against calls into a program that is shutting down.
+BOOST_AUTO_TEST_CASE(nothingHappensAfterStop)
+{
+    follower.start();
+    follower.stop();
+    polls.answer(contractAt(1, 1));
+    timers.advance(absl::Seconds(5));
+    BOOST_TEST(seen.empty());
+    BOOST_TEST(polls.open.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ViewTest)
+
+// Guards against a call to a protected route that an open one with a shorter or similar prefix
+// takes (R4).
+BOOST_AUTO_TEST_CASE(longestPrefixOfWholeSegmentsWins)
+{
+    wire::FollowResponse response = unchanged(3);
+    for (const char *prefix : {"/a", "/a/b/", "/ab"}) {
+        const wire::Route route{prefix, prefix, "s", false, false, 1};
+        response.changes.push_back(
+                {1, wire::RecordKind::Route, prefix, false, wire::encode(route)});
+    }
+    const View view = outcomeOf([&] { return View().with(response); }).value();
+    BOOST_TEST(view.route("/a/b/c")->name == "/a/b/");
+    BOOST_TEST(view.route("/a/b")->name == "/a/b/");
+    BOOST_TEST(view.route("/a/bc")->name == "/a");
+    BOOST_TEST(view.route("/ab/x")->name == "/ab");
+    BOOST_TEST(!view.route("/abc"));
+    BOOST_TEST(!view.route("/"));
+}
+
+// Guards against a copy of all workspaces for one change.
+BOOST_AUTO_TEST_CASE(changeSharesAllOtherRecords)
+{
+    wire::FollowResponse response = unchanged(1);
+    for (int index = 0; index < 6300; ++index) {
+        wire::Contract contract;
+        contract.workspace = std::to_string(index);
+        response.changes.push_back(
+                {1, wire::RecordKind::Contract, contract.workspace, false, wire::encode(contract)});
+    }
+    const View before = outcomeOf([&] { return View().with(response); }).value();
+    const View after = outcomeOf([&] { return before.with(contractAt(2, 1)); }).value();
+    BOOST_TEST(after.contractCount() == 6301u);
+    BOOST_TEST(before.contractCount() == 6300u);
+    BOOST_TEST(after.contract("17") == before.contract("17"));
+    BOOST_TEST(!before.contract("w"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
