Entry: Test the request path in process

The tests run whole entry instances against the real peer protocol and state machines, and against small HTTP engines and services that fail on demand.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -50,13 +50,14 @@
     return options;
 }
 
-wire::Member memberOf(const EntrySettings &settings, const std::string &incarnation)
+wire::Member memberOf(const EntrySettings &settings, const std::string &incarnation, int peerPort,
+                      int httpPort)
 {
     wire::Member member;
     member.instance = settings.instance;
     member.failureDomain = settings.failureDomain;
-    member.peerAddress = concat(settings.peerHost, ":", settings.peerPort);
-    member.httpAddress = concat(settings.httpHost, ":", settings.httpPort);
+    member.peerAddress = concat(settings.peerHost, ":", peerPort);
+    member.httpAddress = concat(settings.httpHost, ":", httpPort);
     member.incarnation = incarnation;
     return member;
 }
@@ -103,8 +104,7 @@
         , serviceHandler({admission, follower, services, claims, crashes, clock, metrics},
                          settings.maxRequestBytes, settings.timings.requestTimeout)
         , loads(engines, services, dispatcher, timers, settings.timings.loadPoll, clock)
-        , heartbeat(memberOf(settings, incarnation), control, follower, timers,
-                    settings.timings.heartbeat)
+        , heartbeat(control, follower, timers, settings.timings.heartbeat)
         , routes({completions, files, batches, serviceHandler, admission, follower, metrics,
                   [this] { return notReady(); }, [this] { refreshMetrics(); }})
         , server(settings.http)
@@ -244,7 +244,8 @@
     BOOST_LEAF_CHECK(parts.peers.start(parts.settings.peerHost, parts.settings.peerPort));
     BOOST_LEAF_CHECK(parts.server.start(parts.settings.httpHost, parts.settings.httpPort));
     parts.follower.start();
-    parts.heartbeat.start();
+    parts.heartbeat.start(
+            memberOf(parts.settings, parts.incarnation, parts.peers.port(), parts.server.port()));
     parts.loads.start();
     parts.batch.start();
     parts.observeTimer =
--- a/src/entry/heartbeat.cpp
+++ b/src/entry/heartbeat.cpp
@@ -5,11 +5,9 @@
 
 namespace rattanrill::entry {
 
-Heartbeat::Heartbeat(wire::Member member, controlclient::ControlClient &control,
-                     const directory::Follower &directory, TimerService &timers,
-                     absl::Duration period)
-    : m_member(std::move(member))
-    , m_control(control)
+Heartbeat::Heartbeat(controlclient::ControlClient &control, const directory::Follower &directory,
+                     TimerService &timers, absl::Duration period)
+    : m_control(control)
     , m_directory(directory)
     , m_timers(timers)
     , m_period(period)
@@ -20,8 +18,9 @@
     stop();
 }
 
-void Heartbeat::start()
+void Heartbeat::start(wire::Member member)
 {
+    m_member = std::move(member);
     send();
     m_timer = m_timers.subscribeEvery(m_period, [this] { send(); });
 }
--- a/src/entry/heartbeat.h
+++ b/src/entry/heartbeat.h
@@ -19,11 +19,11 @@
 class Heartbeat
 {
 public:
-    Heartbeat(wire::Member member, controlclient::ControlClient &control,
-              const directory::Follower &directory, TimerService &timers, absl::Duration period);
+    Heartbeat(controlclient::ControlClient &control, const directory::Follower &directory,
+              TimerService &timers, absl::Duration period);
     ~Heartbeat();
 
-    void start();
+    void start(wire::Member member);
     /// Sends at once that this process leaves, and goes on saying so.
     void leave();
     void stop();
--- a/src/entry/servicehandler.cpp
+++ b/src/entry/servicehandler.cpp
@@ -13,6 +13,8 @@
 constexpr int maxTries = 3;
 constexpr std::size_t maxIdempotencyKeyBytes = 255;
 constexpr std::size_t fingerprintDigits = 32;
+/// Stands for the callers of open routes among the claims; no workspace can have this name.
+constexpr std::string_view openWorkspace = "/open";
 
 /// Paths that a service could resolve to another one than the route check saw.
 bool isAmbiguous(std::string_view decoded, std::string_view raw)
@@ -209,8 +211,8 @@
                                                   const service::ServiceRequest &request,
                                                   const std::string &idempotencyKey, bool &replayed)
 {
-    const ClaimKey key{request.workspace, "service/" + idempotencyKey, hashOf(request),
-                       request.requestId};
+    const std::string workspace = route.open ? std::string(openWorkspace) : request.workspace;
+    const ClaimKey key{workspace, "service/" + idempotencyKey, hashOf(request), request.requestId};
     const Outcome<wire::ClaimStatus> claim = m_parts.claims.claim(key);
     if (!claim.ok())
         return claim.failure();
--- /dev/null
+++ b/tests/engine/engineclient_test.cpp
@@ -0,0 +1,132 @@
+#include "rattanrill/engine/engineclient.h"
+
+#include "rattanrill/base/json.h"
+
+#include <httplib.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+namespace rattanrill::engine {
+namespace {
+
+/// An engine in this process with one handler for completions.
+class Server
+{
+public:
+    explicit Server(httplib::Server::Handler complete)
+    {
+        m_server.Post("/v1/completions", std::move(complete));
+        m_port = m_server.bind_to_any_port("127.0.0.1");
+        m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    }
+
+    ~Server() { stop(); }
+
+    void stop()
+    {
+        m_server.stop();
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    EngineOptions options() const
+    {
+        EngineOptions options;
+        options.name = "e";
+        options.host = "127.0.0.1";
+        options.port = m_port;
+        options.idleTimeout = absl::Milliseconds(300);
+        return options;
+    }
+
+private:
+    httplib::Server m_server;
+    std::thread m_thread;
+    int m_port = 0;
+};
+
+Outcome<StreamEnd> run(EngineClient &client, Cancellation &cancellation,
+                       absl::Time deadline = absl::InfiniteFuture())
+{
+    StreamRequest request;
+    request.path = "/v1/completions";
+    request.body = R"({"model":"m","prompt":"p"})";
+    request.requestId = "r";
+    request.deadline = deadline;
+    return client.stream(request, cancellation, [](const Token &) {});
+}
+
+/// Answers with the start of a stream that never goes on.
+void answerAndHang(const httplib::Request &, httplib::Response &response)
+{
+    const auto hang = std::make_shared<bool>(false);
+    response.set_chunked_content_provider("text/event-stream",
+                                          [hang](std::size_t, httplib::DataSink &sink) {
+                                              const std::string text = ": waiting\n\n";
+                                              if (!*hang)
+                                                  sink.write(text.data(), text.size());
+                                              *hang = true;
+                                              return sink.is_writable();
+                                          });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Client)
+
+// R9: guards against a refusal that claims "not run" for a request that was sent.
+BOOST_AUTO_TEST_CASE(runStateOfFailuresIsTrue)
+{
+    int status = 503;
+    std::string body = R"({"error":{"code":"upstream_busy","run":"not_run"}})";
+    Server server([&](const httplib::Request &, httplib::Response &response) {
+        response.status = status;
+        response.set_content(body, "application/json");
+    });
+    EngineClient client(server.options());
+    Cancellation cancellation;
+    const auto busy = run(client, cancellation);
+    BOOST_TEST((busy.failure().code == ErrorCode::UpstreamBusy));
+    BOOST_TEST((busy.failure().run == RunState::NotRun));
+    body = "overloaded";
+    BOOST_TEST((run(client, cancellation).failure().run == RunState::MayHaveRun));
+    status = 500;
+    BOOST_TEST((run(client, cancellation).failure().run == RunState::MayHaveRun));
+    server.stop();
+    const auto refused = run(client, cancellation);
+    BOOST_TEST((refused.failure().code == ErrorCode::UpstreamUnavailable));
+    BOOST_TEST((refused.failure().run == RunState::NotRun));
+}
+
+// Guards against a call that a frozen engine holds for ever.
+BOOST_AUTO_TEST_CASE(silentStreamEndsAtTheIdleLimitAndAtTheDeadline)
+{
+    Server server(answerAndHang);
+    EngineClient client(server.options());
+    Cancellation cancellation;
+    const auto broken = run(client, cancellation);
+    BOOST_TEST((broken.failure().code == ErrorCode::StreamBroken));
+    BOOST_TEST((broken.failure().run == RunState::MayHaveRun));
+    const absl::Time deadline = SystemClock::instance().now() + absl::Milliseconds(50);
+    BOOST_TEST((run(client, cancellation, deadline).failure().code == ErrorCode::Timeout));
+}
+
+// Guards against a reader that cannot be stopped from another thread.
+BOOST_AUTO_TEST_CASE(abortFromAnotherThreadEndsTheCall)
+{
+    Server server(answerAndHang);
+    EngineOptions options = server.options();
+    options.idleTimeout = absl::Minutes(5);
+    EngineClient client(options);
+    Cancellation cancellation;
+    std::thread other([&] { cancellation.abort(); });
+    const auto ended = run(client, cancellation);
+    other.join();
+    BOOST_TEST((ended.failure().code == ErrorCode::ClientGone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanrill::engine
--- /dev/null
+++ b/tests/entry/batch_test.cpp
@@ -0,0 +1,191 @@
+#include "testfleet.h"
+
+#include "rattanrill/base/concat.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <sstream>
+
+namespace rattanrill::entry {
+namespace {
+
+std::string itemLine(int number, const std::string &prompt)
+{
+    const Json body = {{"model", testModel}, {"prompt", prompt}, {"max_tokens", 3}};
+    return Json{{"custom_id", concat("item-", number)},
+                {"method", "POST"},
+                {"url", "/v1/completions"},
+                {"body", body}}
+                   .dump()
+           + "\n";
+}
+
+std::string itemLines(int count)
+{
+    std::string lines;
+    for (int i = 0; i < count; ++i)
+        lines += itemLine(i, concat("prompt ", i));
+    return lines;
+}
+
+std::string upload(TestFleet &fleet, int entry, const std::string &lines)
+{
+    const auto answer =
+            fleet.post(entry, "/v1/files?purpose=batch", "acme", lines, {}, "application/jsonl");
+    BOOST_REQUIRE_MESSAGE(answer->status == 200, answer->body);
+    return Json::parse(answer->body).at("id");
+}
+
+Json createBatch(TestFleet &fleet, int entry, const std::string &file, const std::string &key)
+{
+    httplib::Headers headers;
+    if (!key.empty())
+        headers.emplace("Idempotency-Key", key);
+    const Json body = {
+            {"input_file_id", file}, {"endpoint", "/v1/completions"}, {"completion_window", "24h"}};
+    const auto answer = fleet.post(entry, "/v1/batches", "acme", body.dump(), headers);
+    BOOST_REQUIRE_MESSAGE(answer->status == 200, answer->body);
+    return Json::parse(answer->body);
+}
+
+Json awaitEnd(TestFleet &fleet, int entry, const std::string &batch)
+{
+    Json job;
+    BOOST_REQUIRE(eventually([&] {
+        job = Json::parse(fleet.get(entry, "/v1/batches/" + batch, "acme")->body);
+        return job.value("status", "") == "completed" || job.value("status", "") == "cancelled";
+    }));
+    return job;
+}
+
+std::vector<Json> results(TestFleet &fleet, int entry, const std::string &file)
+{
+    const auto answer = fleet.get(entry, "/v1/files/" + file + "/content", "acme");
+    BOOST_REQUIRE(answer);
+    std::vector<Json> lines;
+    std::istringstream stream(answer->body);
+    for (std::string line; std::getline(stream, line);)
+        lines.push_back(Json::parse(line));
+    return lines;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Batch)
+
+// R1: guards against lost, repeated or reordered results.
+BOOST_AUTO_TEST_CASE(batchCompletesWithResultsInOrderOfInput)
+{
+    TestFleet fleet(2, 2);
+    // One item that no engine can complete must not hold up the others.
+    const std::string bad =
+            R"({"custom_id":"bad","url":"/v1/completions","body":{"model":"m","max_tokens":0}})";
+    const std::string file = upload(fleet, 0, itemLines(60) + bad + "\n");
+    const Json job = createBatch(fleet, 1, file, "");
+    const Json ended = awaitEnd(fleet, 0, job.at("id"));
+    BOOST_TEST(ended.at("request_counts").at("completed") == 60);
+    BOOST_TEST(ended.at("request_counts").at("failed") == 1);
+    const std::vector<Json> lines = results(fleet, 1, ended.at("output_file_id"));
+    BOOST_REQUIRE(lines.size() == 61u);
+    for (int i = 0; i < 60; ++i) {
+        BOOST_TEST(lines[i].at("custom_id") == concat("item-", i));
+        BOOST_TEST(lines[i].at("response").at("body").at("choices").at(0).at("text")
+                   == expectedText(concat("prompt ", i), 3));
+    }
+    BOOST_TEST(lines[60].at("error").at("code") == "invalid_request");
+    // R4: another workspace sees neither the job nor its results.
+    fleet.addWorkspace("other", 100, 100);
+    fleet.awaitInForce();
+    BOOST_TEST(fleet.get(0, "/v1/batches/" + job.at("id").get<std::string>(), "other")->status
+               == 404);
+    BOOST_TEST(fleet.get(0,
+                         "/v1/files/" + ended.at("output_file_id").get<std::string>() + "/content",
+                         "other")
+                       ->status
+               == 404);
+}
+
+// Guards against a bad line that is overlooked, or named wrongly, or leaves a file behind.
+BOOST_AUTO_TEST_CASE(oneBadLineAmongManyRefusesTheFileAndNamesIt)
+{
+    TestFleet fleet(1, 1);
+    const std::pair<std::string, std::string> rows[] = {
+            {"{\"custom_id\": \"x\", \"method\": \n", "not valid JSON"},
+            {"{\"custom_id\":\"\xC3\x28\"}\n", "UTF-8"},
+            {"{\"url\":\"/v1/completions\",\"body\":{\"model\":\"m\"}}\n", "custom_id"},
+            {itemLine(7, "again"), "used twice"},
+            {"{\"custom_id\":\"x\",\"url\":\"/v1/completions\",\"body\":{\"model\":\"n\"}}\n",
+             "model \"n\""},
+            {"{\"custom_id\":\"x\",\"url\":\"/v1/embeddings\",\"body\":{\"model\":\"m\"}}\n",
+             "url"},
+    };
+    for (const auto &[line, expected] : rows) {
+        const auto answer =
+                fleet.post(0, "/v1/files", "acme", itemLines(1500) + line, {}, "application/jsonl");
+        BOOST_TEST(answer->status == 400);
+        const std::string message = errorOf(answer).at("message");
+        BOOST_TEST(message.find("line 1501") != std::string::npos, message);
+        BOOST_TEST(message.find(expected) != std::string::npos, message);
+        BOOST_TEST(errorOf(answer).at("run") == "not_run");
+    }
+}
+
+// Guards against files of client libraries that are misread.
+BOOST_AUTO_TEST_CASE(formDataIsAcceptedAsClientLibrariesSendIt)
+{
+    TestFleet fleet(1, 1);
+    httplib::Client client("127.0.0.1", fleet.port(0));
+    client.set_bearer_token_auth("key-acme");
+    const httplib::MultipartFormDataItems form = {
+            {"purpose", "batch", "", ""},
+            {"file", itemLines(30), "items.jsonl", "application/octet-stream"}};
+    const auto answer = client.Post("/v1/files", form);
+    BOOST_REQUIRE(answer);
+    BOOST_REQUIRE(answer->status == 200);
+    const Json file = Json::parse(answer->body);
+    BOOST_TEST(file.at("filename") == "items.jsonl");
+    BOOST_TEST(file.at("purpose") == "batch");
+    const Json job = createBatch(fleet, 0, file.at("id"), "");
+    BOOST_TEST(awaitEnd(fleet, 0, job.at("id")).at("request_counts").at("total") == 30);
+}
+
+// F2: guards against a resend through another entry that makes a second job.
+BOOST_AUTO_TEST_CASE(resentCreationIsTheSameJob)
+{
+    TestFleet fleet(2, 1);
+    const std::string file = upload(fleet, 0, itemLines(3));
+    const Json first = createBatch(fleet, 0, file, "key 1");
+    BOOST_TEST(createBatch(fleet, 1, file, "key 1").at("id") == first.at("id"));
+    BOOST_TEST(createBatch(fleet, 1, file, "key 2").at("id") != first.at("id"));
+    const Json other = {{"input_file_id", upload(fleet, 0, itemLines(2))},
+                        {"endpoint", "/v1/completions"}};
+    const auto refused =
+            fleet.post(1, "/v1/batches", "acme", other.dump(), {{"Idempotency-Key", "key 1"}});
+    BOOST_TEST(errorOf(refused).value("code", "") == "conflict");
+}
+
+// R2: guards against items that go on after the cancel was acknowledged.
+BOOST_AUTO_TEST_CASE(cancelledJobStops)
+{
+    TestFleet fleet(0, 1);
+    fleet.settings().batch.lease = absl::Milliseconds(600);
+    fleet.startEntry();
+    fleet.awaitInForce();
+    ScriptedEngine::Script script;
+    script.holdAt = 1;
+    fleet.engine(0).setScript(script);
+    const std::size_t runs = fleet.engine(0).runs();
+    const std::string file = upload(fleet, 0, itemLines(200));
+    const Json job = createBatch(fleet, 0, file, "");
+    BOOST_TEST(fleet.engine(0).awaitRuns(runs + 1));
+    const std::string id = job.at("id");
+    BOOST_TEST(fleet.post(0, "/v1/batches/" + id + "/cancel", "acme", "")->status == 200);
+    BOOST_TEST(fleet.engine(0).awaitCancel());
+    const Json ended = awaitEnd(fleet, 0, id);
+    BOOST_TEST(ended.at("status") == "cancelled");
+    BOOST_TEST(ended.at("request_counts").at("cancelled") == 200);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/tests/entry/fakecontrol.cpp
@@ -0,0 +1,202 @@
+#include "fakecontrol.h"
+
+#include "testfleet.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/batch/statemachine.h"
+#include "rattanrill/directory/statemachine.h"
+#include "rattanrill/directory/view.h"
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/envelope.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rattanrill::entry {
+namespace {
+
+constexpr absl::Duration pollHold = absl::Milliseconds(20);
+const std::string directoryGroup = "directory";
+const std::string pollGroup = "polls";
+
+peer::TransportOptions transportOptions()
+{
+    peer::TransportOptions options;
+    options.self = {"control-1", "a", "control"};
+    options.clusterSecret = testSecret;
+    return options;
+}
+
+template <typename Message>
+Message decoded(const std::string &bytes)
+{
+    const auto message = outcomeOf([&] { return wire::decode<Message>(bytes); });
+    BOOST_REQUIRE(message.ok());
+    return message.value();
+}
+
+} // namespace
+
+FakeControl::FakeControl(int partitions)
+    : m_server(transportOptions())
+{
+    m_groups[directoryGroup] = directory::makeDirectoryStateMachine();
+    for (int i = 0; i < partitions; ++i)
+        m_groups[concat("batch-", i)] = batch::makeBatchStateMachine();
+    using peer::PeerIdentity;
+    m_server.handle(wire::Method::Propose,
+                    [this](const PeerIdentity &, const std::string &body,
+                           const peer::Reply &reply) { propose(body, reply); });
+    m_server.handle(wire::Method::Read, [this](const PeerIdentity &, const std::string &body,
+                                               const peer::Reply &reply) { read(body, reply); });
+    m_server.handle(wire::Method::Follow,
+                    [this](const PeerIdentity &, const std::string &body,
+                           const peer::Reply &reply) { follow(body, reply); });
+    m_server.handle(wire::Method::Heartbeat,
+                    [this](const PeerIdentity &, const std::string &body,
+                           const peer::Reply &reply) { heartbeat(body, reply); });
+    BOOST_REQUIRE(outcomeOf([&] { return m_server.start("127.0.0.1", 0); }).ok());
+}
+
+FakeControl::~FakeControl()
+{
+    m_timers.stop();
+    m_server.stop();
+}
+
+std::string FakeControl::address() const
+{
+    return concat("127.0.0.1:", m_server.port());
+}
+
+Outcome<std::string> FakeControl::run(const std::string &group, const std::string &bytes,
+                                      bool write)
+{
+    replication::StateMachine &machine = *m_groups.at(group);
+    const std::string answer = write ? machine.apply(++m_index, bytes) : machine.query(bytes);
+    const auto result = decoded<wire::CommandResult>(answer);
+    if (result.failure.failed)
+        return wire::fromMessage(result.failure);
+    return result.body;
+}
+
+void FakeControl::write(wire::DirectoryOperation operation)
+{
+    wire::DirectoryCommand command;
+    command.unconditional = true;
+    command.nowMs = absl::ToUnixMillis(SystemClock::instance().wallNow());
+    command.operation = std::move(operation);
+    absl::MutexLock lock(&m_mutex);
+    const auto answer = run(directoryGroup, wire::encode(command), true);
+    BOOST_REQUIRE(answer.ok());
+}
+
+void FakeControl::setSilent(const std::string &group, bool silent)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_silent[group] = silent;
+}
+
+void FakeControl::setPollsSilent(bool silent)
+{
+    setSilent(pollGroup, silent);
+}
+
+void FakeControl::propose(const std::string &body, const peer::Reply &reply)
+{
+    const auto request = decoded<wire::ProposeRequest>(body);
+    Outcome<std::string> answer = std::string();
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_silent[request.group])
+            return;
+        answer = run(request.group, request.command, true);
+    }
+    if (answer.ok())
+        reply(wire::encode(wire::GroupResponse{answer.value()}));
+    else
+        reply(answer.failure());
+}
+
+void FakeControl::read(const std::string &body, const peer::Reply &reply)
+{
+    const auto request = decoded<wire::ReadRequest>(body);
+    Outcome<std::string> answer = std::string();
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_silent[request.group])
+            return;
+        answer = run(request.group, request.query, false);
+    }
+    if (answer.ok())
+        reply(wire::encode(wire::GroupResponse{answer.value()}));
+    else
+        reply(answer.failure());
+}
+
+std::string FakeControl::changes(std::uint64_t after, bool &any)
+{
+    const auto answer = run(directoryGroup, wire::encode(wire::DirectoryQuery{after}), false);
+    BOOST_REQUIRE(answer.ok());
+    any = decoded<wire::FollowResponse>(answer.value()).revision > after;
+    return answer.value();
+}
+
+std::uint64_t FakeControl::revision()
+{
+    absl::MutexLock lock(&m_mutex);
+    bool any = false;
+    return decoded<wire::FollowResponse>(changes(0, any)).revision;
+}
+
+std::size_t FakeControl::members()
+{
+    absl::MutexLock lock(&m_mutex);
+    bool any = false;
+    const auto all = decoded<wire::FollowResponse>(changes(0, any));
+    const auto view = outcomeOf([&] { return directory::View().with(all); });
+    BOOST_REQUIRE(view.ok());
+    return view.value().members().size();
+}
+
+void FakeControl::follow(const std::string &body, const peer::Reply &reply)
+{
+    const auto request = decoded<wire::FollowRequest>(body);
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_silent[pollGroup])
+            return;
+        bool any = false;
+        std::string answer = changes(request.afterRevision, any);
+        if (any) {
+            reply(std::move(answer));
+            return;
+        }
+    }
+    m_timers.subscribeOnce(
+            pollHold, [this, after = request.afterRevision, reply] { answerPoll(after, reply); });
+}
+
+void FakeControl::answerPoll(std::uint64_t after, const peer::Reply &reply)
+{
+    absl::MutexLock lock(&m_mutex);
+    bool any = false;
+    if (!m_silent[pollGroup])
+        reply(changes(after, any));
+}
+
+void FakeControl::heartbeat(const std::string &body, const peer::Reply &reply)
+{
+    const auto request = decoded<wire::HeartbeatRequest>(body);
+    wire::DirectoryCommand command;
+    command.unconditional = true;
+    command.nowMs = absl::ToUnixMillis(SystemClock::instance().wallNow());
+    if (request.leaving)
+        command.operation = wire::RemoveMember{request.member.instance, request.member.incarnation};
+    else
+        command.operation = wire::JoinMember{request.member};
+    absl::MutexLock lock(&m_mutex);
+    (void)run(directoryGroup, wire::encode(command), true);
+    reply(wire::encode(wire::HeartbeatResponse{}));
+}
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/tests/entry/limit_test.cpp
@@ -0,0 +1,136 @@
+#include "testfleet.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+
+#include "absl/time/clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rattanrill::entry {
+namespace {
+
+/// A workspace that entry number \a owner of \a entries owns.
+std::string workspaceOf(int owner, int entries)
+{
+    std::vector<std::string> members;
+    for (int i = 0; i < entries; ++i)
+        members.push_back(concat("entry-", i));
+    for (int i = 0;; ++i) {
+        const std::string workspace = concat("w", i);
+        if (rendezvousOwner(workspace, members) == static_cast<std::size_t>(owner))
+            return workspace;
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Limits)
+
+// R7: guards against a workspace that gets its burst once per entry.
+BOOST_AUTO_TEST_CASE(burstHoldsOverAllEntries)
+{
+    TestFleet fleet(3, 1);
+    // The rate adds less than one request during the test.
+    fleet.addWorkspace("small", 0.01, 5);
+    fleet.awaitInForce();
+    int granted = 0;
+    int limited = 0;
+    BOOST_REQUIRE(eventually([&] {
+        const auto answer = fleet.complete((granted + limited) % 3, "small", "p", 1);
+        granted += answer->status == 200 ? 1 : 0;
+        limited += answer->status == 429 ? 1 : 0;
+        return limited >= 12;
+    }));
+    BOOST_TEST(granted <= 5);
+    const auto refused = fleet.complete(0, "small", "p", 1);
+    BOOST_TEST(errorOf(refused).at("code") == "rate_limited");
+    BOOST_TEST(errorOf(refused).at("run") == "not_run");
+    BOOST_TEST(!refused->get_header_value("Retry-After").empty());
+}
+
+// R7, R9: guards against requests that run uncounted when the owner cannot be reached.
+BOOST_AUTO_TEST_CASE(ownerWithAStaleViewGrantsNothing)
+{
+    TestFleet fleet(2, 1);
+    const std::string workspace = workspaceOf(1, 2);
+    fleet.addWorkspace(workspace, 1000, 1000);
+    fleet.awaitInForce();
+    BOOST_TEST(eventually([&] { return fleet.complete(0, workspace, "p", 1)->status == 200; }));
+    const std::size_t runs = fleet.engine(0).runs();
+    fleet.control().setPollsSilent(true);
+    // Both views grow older than the owner lease, but not than the freshness of keys.
+    BOOST_TEST(eventually([&] {
+        return errorOf(fleet.complete(0, workspace, "p", 1)).value("code", "") == "rate_unknown";
+    }));
+    const auto refused = fleet.complete(0, workspace, "p", 1);
+    BOOST_TEST(errorOf(refused).value("run", "") == "not_run");
+    BOOST_TEST(fleet.engine(0).runs() >= runs);
+}
+
+// R12: guards against a stop that cuts streams, and against new work that is refused too early.
+BOOST_AUTO_TEST_CASE(drainCutsNothing)
+{
+    TestFleet fleet(2, 2);
+    ScriptedEngine::Script script;
+    script.holdAt = 2;
+    fleet.engine(0).setScript(script);
+    fleet.engine(1).setScript(script);
+    std::vector<std::unique_ptr<StreamedCall>> calls;
+    for (int i = 0; i < 6; ++i) {
+        const std::string prompt = concat("drain ", i);
+        calls.push_back(std::make_unique<StreamedCall>(fleet.port(0), "key-acme", prompt, 30));
+        BOOST_TEST(calls.back()->awaitText(expectedText(prompt, 2)));
+    }
+    httplib::Client idle("127.0.0.1", fleet.port(0));
+    idle.set_keep_alive(true);
+    BOOST_TEST(idle.Get("/healthz")->status == 200);
+    bool finished = false;
+    std::thread drain([&] { finished = fleet.entry(0).drain(); });
+    // In the notice time readiness has ended and requests are still served.
+    BOOST_TEST(idle.Get("/readyz")->status == 503);
+    BOOST_TEST(eventually([&] {
+        httplib::Client client("127.0.0.1", fleet.port(0));
+        return !client.Get("/healthz");
+    }));
+    BOOST_TEST(fleet.control().members() == 1u);
+    fleet.engine(0).release();
+    fleet.engine(1).release();
+    drain.join();
+    BOOST_TEST(finished);
+    for (int i = 0; i < 6; ++i) {
+        calls[i]->join();
+        BOOST_TEST(calls[i]->complete);
+        BOOST_TEST(calls[i]->text == expectedText(concat("drain ", i), 30));
+    }
+}
+
+// Guards against connections above the limit that wait without an answer.
+BOOST_AUTO_TEST_CASE(connectionsAboveTheLimitAreRefused)
+{
+    TestFleet fleet(0, 1);
+    fleet.settings().http.maxConnections = 3;
+    fleet.startEntry();
+    fleet.awaitInForce();
+    ScriptedEngine::Script script;
+    script.holdAt = 1;
+    fleet.engine(0).setScript(script);
+    std::vector<std::unique_ptr<StreamedCall>> calls;
+    for (int i = 0; i < 3; ++i) {
+        calls.push_back(std::make_unique<StreamedCall>(fleet.port(0), "key-acme", "full", 4));
+        BOOST_TEST(calls.back()->awaitText(expectedText("full", 1)));
+    }
+    const auto refused = fleet.complete(0, "acme", "p", 1);
+    BOOST_TEST(refused->status == 503);
+    BOOST_TEST(errorOf(refused).at("code") == "overloaded");
+    BOOST_TEST(errorOf(refused).at("run") == "not_run");
+    fleet.engine(0).release();
+    for (const auto &call : calls) {
+        call->join();
+        BOOST_TEST(call->complete);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/tests/entry/online_test.cpp
@@ -0,0 +1,223 @@
+#include "testfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rattanrill::entry {
+
+BOOST_AUTO_TEST_SUITE(Online)
+
+// Guards against answers that are short or lose the form that client libraries expect.
+BOOST_AUTO_TEST_CASE(wholeAndStreamedAnswersAreComplete)
+{
+    TestFleet fleet(1, 1);
+    const auto whole = fleet.complete(0, "acme", "two lanterns", 6);
+    BOOST_REQUIRE(whole);
+    const Json body = Json::parse(whole->body);
+    BOOST_TEST(body.at("choices").at(0).at("text") == expectedText("two lanterns", 6));
+    BOOST_TEST(body.at("choices").at(0).at("finish_reason") == "length");
+    BOOST_TEST(body.at("usage").at("completion_tokens") == 6);
+    BOOST_TEST(!whole->get_header_value("X-Request-Id").empty());
+
+    StreamedCall streamed(fleet.port(0), "key-acme", "two lanterns", 6);
+    streamed.join();
+    BOOST_TEST(streamed.complete);
+    BOOST_TEST(streamed.text == expectedText("two lanterns", 6));
+
+    const auto chat = fleet.post(
+            0, "/v1/chat/completions", "acme",
+            R"({"model":"m","max_tokens":3,"messages":[{"role":"system","content":"a"},{"role":"user","content":"b"}]})");
+    BOOST_REQUIRE(chat);
+    BOOST_TEST(Json::parse(chat->body).at("choices").at(0).at("message").at("content")
+               == expectedText("a\nb", 3));
+}
+
+// R4, R9: guards against work for a caller without a valid key.
+BOOST_AUTO_TEST_CASE(missingUnknownAndWithdrawnKeysAreRefusedAsNotRun)
+{
+    TestFleet fleet(1, 1);
+    fleet.addWorkspace("gone", 10, 10);
+    fleet.control().write(wire::WithdrawKey{"id-gone"});
+    fleet.awaitInForce();
+    const std::size_t runs = fleet.engine(0).runs();
+    const std::pair<const char *, const char *> rows[] = {
+            {"", "missing_key"}, {"stranger", "invalid_key"}, {"gone", "key_withdrawn"}};
+    for (const auto &[workspace, code] : rows) {
+        const auto answer = fleet.complete(0, workspace, "p", 1);
+        BOOST_TEST(answer->status == 401);
+        BOOST_TEST(errorOf(answer).at("code") == code);
+        BOOST_TEST(errorOf(answer).at("run") == "not_run");
+    }
+    BOOST_TEST(fleet.engine(0).runs() == runs);
+}
+
+// R5: guards against a key that is forwarded in a header, the query or the body.
+BOOST_AUTO_TEST_CASE(noUpstreamSeesTheKey)
+{
+    TestFleet fleet(1, 1, 1);
+    wire::Route route{"desk", "/desk", "desk", false, true};
+    fleet.control().write(wire::PutRoute{route});
+    fleet.awaitInForce();
+    const httplib::Headers headers = {{"Cookie", "session=1"},
+                                      {"X-Api-Key", "key-acme"},
+                                      {"Proxy-Authorization", "Basic key-acme"}};
+    BOOST_TEST(fleet.post(0, "/desk/a?api_key=key-acme&x=1&y=key%2Dacme", "acme", "{}", headers)
+                       ->status
+               == 200);
+    BOOST_TEST(fleet.post(0, "/v1/completions?key=key-acme", "acme", completionBody("p", 1, false),
+                          headers)
+                       ->status
+               == 200);
+    const auto inBody = fleet.post(0, "/desk/a", "acme", R"({"note":"key-acme"})");
+    BOOST_TEST(inBody->status == 400);
+    BOOST_TEST(errorOf(inBody).at("run") == "not_run");
+    std::vector<SeenRequest> seen = fleet.engine(0).seen();
+    for (const SeenRequest &request : fleet.service(0).seen())
+        seen.push_back(request);
+    for (const SeenRequest &request : seen) {
+        for (const char *secret : {"key-acme", "key%2Dacme", "session=1", "Authorization"})
+            BOOST_TEST(request.everything.find(secret) == std::string::npos, request.everything);
+    }
+}
+
+// R6: guards against keyed service from a view that may miss a withdrawal.
+BOOST_AUTO_TEST_CASE(staleViewRefusesKeyedRequestsAndKeepsOpenRoutes)
+{
+    TestFleet fleet(0, 1, 1);
+    fleet.settings().timings.keyFreshness = absl::Seconds(1);
+    fleet.control().write(wire::PutRoute{{"open", "/desk/open", "desk", true, true}});
+    fleet.startEntry();
+    fleet.awaitInForce();
+    fleet.control().setPollsSilent(true);
+    BOOST_TEST(eventually([&] { return fleet.complete(0, "acme", "p", 1)->status == 503; }));
+    BOOST_TEST(eventually([&] {
+        return errorOf(fleet.complete(0, "acme", "p", 1)).value("code", "") == "keys_not_fresh";
+    }));
+    const std::size_t runs = fleet.engine(0).runs();
+    const auto refused = fleet.complete(0, "acme", "p", 1);
+    BOOST_TEST(errorOf(refused).at("run") == "not_run");
+    BOOST_TEST(!refused->get_header_value("Retry-After").empty());
+    BOOST_TEST(fleet.engine(0).runs() == runs);
+    BOOST_TEST(fleet.get(0, "/desk/open", "")->status == 200);
+    BOOST_TEST(fleet.get(0, "/readyz", "")->status == 503);
+    fleet.control().setPollsSilent(false);
+    BOOST_TEST(eventually([&] { return fleet.complete(0, "acme", "p", 1)->status == 200; }));
+}
+
+// R6: guards against a stream that goes on after its key was withdrawn.
+BOOST_AUTO_TEST_CASE(streamOfWithdrawnKeyEndsWithTypedError)
+{
+    TestFleet fleet(1, 1);
+    ScriptedEngine::Script script;
+    script.holdAt = 3;
+    fleet.engine(0).setScript(script);
+    StreamedCall call(fleet.port(0), "key-acme", "long", 1000);
+    BOOST_TEST(call.awaitText(expectedText("long", 3)));
+    fleet.control().write(wire::WithdrawKey{"id-acme"});
+    call.join();
+    BOOST_TEST(call.errorCode == "key_withdrawn");
+    BOOST_TEST(call.errorRun == "may_have_run");
+    BOOST_TEST(!call.complete);
+    BOOST_TEST(call.text == expectedText("long", 3));
+    BOOST_TEST(fleet.engine(0).awaitCancel());
+}
+
+// R8: guards against repeated or missing tokens when a stream continues elsewhere.
+BOOST_AUTO_TEST_CASE(cutStreamContinuesFromTheLastToken)
+{
+    TestFleet fleet(1, 2);
+    ScriptedEngine::Script script;
+    script.cutAfter = 4;
+    script.cuts = 1;
+    script.repeatTokens = true;
+    fleet.engine(0).setScript(script);
+    fleet.engine(1).setScript(script);
+    StreamedCall call(fleet.port(0), "key-acme", "cut me", 12);
+    call.join();
+    BOOST_TEST(call.complete);
+    BOOST_TEST(call.text == expectedText("cut me", 12));
+    std::vector<std::int64_t> resumed;
+    for (int i = 0; i < 2; ++i) {
+        for (const SeenRequest &request : fleet.engine(i).seen()) {
+            if (request.path == "/v1/completions" && request.body.at("prompt") == "cut me")
+                resumed.push_back(request.body.at("resume_after").get<std::int64_t>());
+        }
+    }
+    BOOST_TEST(resumed.size() >= 2u);
+    BOOST_TEST(*std::max_element(resumed.begin(), resumed.end()) >= 4);
+}
+
+// R8: guards against the answer of another request.
+BOOST_AUTO_TEST_CASE(crossedAnswerIsNeverDelivered)
+{
+    TestFleet fleet(1, 2);
+    ScriptedEngine::Script crossed;
+    crossed.crossAnswers = true;
+    fleet.engine(0).setScript(crossed);
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = fleet.complete(0, "acme", "mine", 5);
+        BOOST_REQUIRE(answer->status == 200);
+        BOOST_TEST(Json::parse(answer->body).at("choices").at(0).at("text")
+                   == expectedText("mine", 5));
+    }
+}
+
+// Guards against engines that go on generating for nobody.
+BOOST_AUTO_TEST_CASE(workOfACallerThatHasGoneIsCancelled)
+{
+    TestFleet fleet(1, 1);
+    ScriptedEngine::Script script;
+    script.holdAt = 2;
+    fleet.engine(0).setScript(script);
+    httplib::Client client("127.0.0.1", fleet.port(0));
+    client.set_read_timeout(0, 300000);
+    BOOST_TEST(!client.Post("/v1/completions", {{"Authorization", "Bearer key-acme"}},
+                            completionBody("bye", 9, false), "application/json"));
+    BOOST_TEST(fleet.engine(0).awaitCancel());
+}
+
+// F8: guards against one request that takes an engine after another down.
+BOOST_AUTO_TEST_CASE(requestThatCrashesTwoEnginesIsHeldEverywhere)
+{
+    TestFleet fleet(2, 3);
+    ScriptedEngine::Script script;
+    script.holdAt = 0;
+    for (int i = 0; i < 3; ++i)
+        fleet.engine(i).setScript(script);
+    std::size_t before[3];
+    for (int i = 0; i < 3; ++i)
+        before[i] = fleet.engine(i).runs();
+    std::thread caller([&] { (void)fleet.complete(0, "acme", "poison", 2); });
+    for (int crash = 0; crash < 2; ++crash) {
+        int running = -1;
+        BOOST_REQUIRE(eventually([&] {
+            for (int i = 0; i < 3; ++i) {
+                if (before[i] != ~std::size_t(0) && fleet.engine(i).runs() > before[i])
+                    running = i;
+            }
+            return running >= 0;
+        }));
+        // Stopping also ends its stream without an end mark, as a crash does.
+        before[running] = ~std::size_t(0);
+        script.cutAfter = 0;
+        script.cuts = 1;
+        script.holdAt.reset();
+        fleet.engine(running).setScript(script);
+        fleet.engine(running).stop();
+        script.cutAfter.reset();
+    }
+    caller.join();
+    for (int entry = 0; entry < 2; ++entry) {
+        BOOST_TEST(eventually([&] {
+            return errorOf(fleet.complete(entry, "acme", "poison", 2)).value("code", "")
+                   == "request_held";
+        }));
+    }
+    std::size_t survivors = 0;
+    for (int i = 0; i < 3; ++i)
+        survivors += before[i] != ~std::size_t(0) ? 1 : 0;
+    BOOST_TEST(survivors == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/tests/entry/service_test.cpp
@@ -0,0 +1,106 @@
+#include "testfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rattanrill::entry {
+namespace {
+
+void addRoute(TestFleet &fleet, bool idempotent)
+{
+    fleet.control().write(wire::PutRoute{{"desk", "/desk", "desk", false, idempotent}});
+    fleet.awaitInForce();
+}
+
+httplib::Result order(TestFleet &fleet, int entry, const std::string &key,
+                      const std::string &body = "{}")
+{
+    httplib::Headers headers;
+    if (!key.empty())
+        headers.emplace("Idempotency-Key", key);
+    return fleet.post(entry, "/desk/orders", "acme", body, headers);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Services)
+
+// R10: guards against a resend through another entry that runs a second time.
+BOOST_AUTO_TEST_CASE(resendIsAnsweredFromTheClaim)
+{
+    TestFleet fleet(2, 0 + 1, 2);
+    addRoute(fleet, false);
+    const auto first = order(fleet, 0, "order-1");
+    BOOST_TEST(first->status == 200);
+    const auto again = order(fleet, 1, "order-1");
+    BOOST_TEST(again->status == 200);
+    BOOST_TEST(again->body == first->body);
+    BOOST_TEST(again->get_header_value("Idempotent-Replayed") == "true");
+    BOOST_TEST(fleet.service(0).runs() + fleet.service(1).runs() == 1u);
+    const auto other = order(fleet, 1, "order-1", R"({"other":1})");
+    BOOST_TEST(errorOf(other).value("code", "") == "conflict");
+    BOOST_TEST(fleet.service(0).runs() + fleet.service(1).runs() == 1u);
+}
+
+// R9, R10: guards against a second run after an answer was lost, and against calling it not run.
+BOOST_AUTO_TEST_CASE(callThatMayHaveRunIsNotRepeated)
+{
+    TestFleet fleet(2, 1, 2);
+    addRoute(fleet, false);
+    ScriptedEngine::Script script;
+    script.dropAnswers = true;
+    fleet.service(0).setScript(script);
+    fleet.service(1).setScript(script);
+    const auto lost = order(fleet, 0, "order-2");
+    BOOST_TEST(errorOf(lost).value("run", "") == "may_have_run");
+    const auto again = order(fleet, 1, "order-2");
+    BOOST_TEST(errorOf(again).value("code", "") == "duplicate_request");
+    BOOST_TEST(errorOf(again).value("run", "") == "may_have_run");
+    BOOST_TEST(fleet.service(0).runs() + fleet.service(1).runs() == 1u);
+    const auto keyless = order(fleet, 0, "");
+    BOOST_TEST(errorOf(keyless).value("run", "") == "may_have_run");
+    BOOST_TEST(fleet.service(0).runs() + fleet.service(1).runs() == 2u);
+}
+
+// R8: guards against the answer of another request.
+BOOST_AUTO_TEST_CASE(crossedAnswerOfAServiceIsDropped)
+{
+    TestFleet fleet(1, 1, 1);
+    addRoute(fleet, false);
+    ScriptedEngine::Script script;
+    script.crossAnswers = true;
+    fleet.service(0).setScript(script);
+    const auto answer = order(fleet, 0, "");
+    BOOST_TEST(errorOf(answer).value("code", "") == "upstream_failed");
+    BOOST_TEST(errorOf(answer).value("run", "") == "may_have_run");
+}
+
+// R10: guards against an unclaimed run when the claims cannot be reached.
+BOOST_AUTO_TEST_CASE(withoutClaimsTheCallIsRefusedAsNotRun)
+{
+    TestFleet fleet(1, 1, 1);
+    addRoute(fleet, false);
+    fleet.control().setSilent("batch-0", true);
+    fleet.control().setSilent("batch-1", true);
+    const auto refused = order(fleet, 0, "order-3");
+    BOOST_TEST(errorOf(refused).value("run", "") == "not_run");
+    BOOST_TEST(fleet.service(0).runs() == 0u);
+}
+
+// R4: guards against a path that reaches beyond an open route's prefix.
+BOOST_AUTO_TEST_CASE(ambiguousPathsAreRefused)
+{
+    TestFleet fleet(1, 1, 1);
+    fleet.control().write(wire::PutRoute{{"open", "/desk/open", "desk", true, true}});
+    addRoute(fleet, true);
+    for (const char *path : {"/desk/open/../orders", "/desk/open/%2e%2e/orders",
+                             "/desk/open/..%2forders", "/desk/open//x"}) {
+        const auto answer = fleet.get(0, path, "");
+        BOOST_TEST(answer->status == 400, path);
+    }
+    BOOST_TEST(fleet.get(0, "/desk/openings", "")->status == 401);
+    BOOST_TEST(fleet.service(0).runs() == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanrill::entry
--- /dev/null
+++ b/tests/entry/testfleet.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "entry.h"
+#include "fakecontrol.h"
+#include "scriptedengine.h"
+
+#include <httplib.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace rattanrill::entry {
+
+constexpr const char *testSecret = "a secret of the tests";
+constexpr const char *testModel = "m";
+
+/// One streamed completion, read on a thread of its own.
+class StreamedCall
+{
+public:
+    StreamedCall(int port, const std::string &key, const std::string &prompt, int tokens);
+    ~StreamedCall();
+
+    /// Waits until \a text has arrived; false at the end or after the limit.
+    bool awaitText(const std::string &text);
+    void join();
+
+    /// After join().
+    std::string text;
+    std::string errorCode;
+    std::string errorRun;
+    int status = 0;
+    bool complete = false;
+
+private:
+    void take(std::string_view bytes);
+    void takeEvent(std::string_view data);
+
+    absl::Mutex m_mutex;
+    std::string m_text ABSL_GUARDED_BY(m_mutex);
+    bool m_ended ABSL_GUARDED_BY(m_mutex) = false;
+    std::string m_buffer;
+    std::thread m_thread;
+};
+
+/// Control, entries and upstreams in this process.
+class TestFleet
+{
+public:
+    TestFleet(int entries, int engines, int services = 0);
+    ~TestFleet();
+
+    FakeControl &control() { return m_control; }
+    ScriptedEngine &engine(int i) { return *m_engines.at(i); }
+    ScriptedEngine &service(int i) { return *m_services.at(i); }
+    Entry &entry(int i) { return *m_entries.at(i); }
+    int port(int i) const { return m_entries.at(i)->httpPort(); }
+    /// Settings of the entries that start from now on.
+    EntrySettings &settings() { return m_settings; }
+    void startEntry();
+    /// Gives \a workspace a contract; its key is "key-WORKSPACE".
+    void addWorkspace(const std::string &workspace, double rate, double burst);
+    /// Waits until all entries have all that was written in force.
+    void awaitInForce();
+
+    httplib::Result post(int entry, const std::string &path, const std::string &workspace,
+                         const std::string &body, httplib::Headers headers = {},
+                         const std::string &contentType = "application/json");
+    httplib::Result get(int entry, const std::string &path, const std::string &workspace);
+    httplib::Result complete(int entry, const std::string &workspace, const std::string &prompt,
+                             int tokens);
+    double metric(int entry, const std::string &series);
+
+private:
+    EntrySettings m_settings;
+    FakeControl m_control;
+    std::vector<std::unique_ptr<ScriptedEngine>> m_engines;
+    std::vector<std::unique_ptr<ScriptedEngine>> m_services;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+};
+
+/// Waits for \a condition within a generous limit; for states that another thread reaches.
+bool eventually(const std::function<bool()> &condition);
+/// Member "error" of an answer.
+Json errorOf(const httplib::Result &result);
+std::string completionBody(const std::string &prompt, int tokens, bool stream);
+
+} // namespace rattanrill::entry
