Load: Add the load and check tool and sample inputs

Cause: tests need traffic of several workspaces whose every answer is checked, in an open loop, so that a slow answer does not hide later ones.

The schedule is made before the run from the seed, with one generator for each workspace and service call, so that a change of one leaves the others as they were. Prompts get a reference of their own; without it, a crossed answer of two equal prompts would pass the check.

Before: no load. After: completions, streams, service calls with resends and batch jobs, JSON summary and history, exit code 1 on a wrong answer.

Conclusion: run against the fakes only.

--- /dev/null
+++ b/src/load/answerjudge.cpp
@@ -0,0 +1,123 @@
+#include "answerjudge.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/fakes/answer.h"
+
+namespace rattanrill::load {
+namespace {
+
+using fakes::AnswerVerdict;
+
+constexpr std::string_view untypedCode = "untyped";
+constexpr std::size_t shownBytes = 120;
+
+Ending endingOf(AnswerVerdict verdict)
+{
+    if (verdict == AnswerVerdict::Correct)
+        return Ending::Completed;
+    return verdict == AnswerVerdict::Short ? Ending::Short : Ending::Foreign;
+}
+
+std::string stringMember(const Json &json, const char *key)
+{
+    const bool has = json.is_object() && json.contains(key) && json.at(key).is_string();
+    return has ? json.at(key).get<std::string>() : std::string();
+}
+
+/// Text of the first choice, of a completion or a chat completion.
+std::string answerText(const Json &body)
+{
+    const Json choices = body.is_object() ? body.value("choices", Json()) : Json();
+    if (!choices.is_array() || choices.empty())
+        return {};
+    const Json &choice = choices.front();
+    if (choice.is_object() && choice.contains("message"))
+        return stringMember(choice.at("message"), "content");
+    return stringMember(choice, "text");
+}
+
+void applyError(const Json &error, RequestOutcome &outcome)
+{
+    outcome.ending = Ending::Refused;
+    outcome.code = stringMember(error, "code");
+    outcome.run = stringMember(error, "run");
+    outcome.detail = stringMember(error, "message");
+    outcome.answeredId = stringMember(error, "request_id");
+    if (outcome.code.empty())
+        outcome.code = untypedCode;
+}
+
+std::string shown(std::string_view body)
+{
+    return std::string(body.substr(0, shownBytes));
+}
+
+} // namespace
+
+void judgeWhole(const PlannedRequest &request, std::string_view body, RequestOutcome &outcome)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    const std::string text = answerText(json);
+    outcome.ending = endingOf(fakes::checkAnswer(request.prompt, text, request.maxTokens));
+    if (outcome.ending == Ending::Completed)
+        outcome.tokens = request.maxTokens;
+    else
+        outcome.detail = concat("body begins ", shown(body));
+}
+
+void judgeStream(const PlannedRequest &request, const StreamReader &reader, bool intact,
+                 RequestOutcome &outcome)
+{
+    outcome.tokens = reader.tokens();
+    outcome.detail = reader.fault();
+    const AnswerVerdict verdict =
+            fakes::checkAnswer(request.prompt, reader.text(), request.maxTokens);
+    if (verdict == AnswerVerdict::Foreign || !reader.fault().empty()) {
+        outcome.ending = Ending::Foreign;
+        return;
+    }
+    if (reader.error()) {
+        applyError(*reader.error(), outcome);
+        return;
+    }
+    if (!reader.done() || !intact) {
+        outcome.ending = Ending::Cut;
+        outcome.detail = concat("ended after ", reader.tokens(), " of ", request.maxTokens);
+        return;
+    }
+    outcome.ending = endingOf(verdict);
+    if (outcome.ending == Ending::Short)
+        outcome.detail = concat("[DONE] after ", reader.tokens(), " of ", request.maxTokens,
+                                ", finish_reason ", reader.finishReason());
+}
+
+void judgeService(const PlannedRequest &request, std::string_view body, RequestOutcome &outcome)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    const bool own = stringMember(json, "echo") == fakes::hashText(request.body)
+                     && stringMember(json, "path") == request.path;
+    outcome.ending = own ? Ending::Completed : Ending::Foreign;
+    if (!own)
+        outcome.detail = concat("body begins ", shown(body));
+}
+
+void judgeRefusal(std::string_view body, RequestOutcome &outcome)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    const bool typed = json.is_object() && json.contains("error");
+    applyError(typed ? json.at("error") : Json(), outcome);
+    if (!typed)
+        outcome.detail = concat("body begins ", shown(body));
+}
+
+Ending judgeBatchBody(const Json &requestBody, const Json &responseBody)
+{
+    const auto prompt = outcomeOf([&] { return fakes::promptOf(requestBody); });
+    const auto tokens =
+            outcomeOf([&] { return jsonMemberOr<std::int64_t>(requestBody, "max_tokens", 16); });
+    if (!prompt.ok() || !tokens.ok())
+        return Ending::Foreign;
+    return endingOf(fakes::checkAnswer(prompt.value(), answerText(responseBody), tokens.value()));
+}
+
+} // namespace rattanrill::load
--- /dev/null
+++ b/src/load/batchrunner.cpp
@@ -0,0 +1,149 @@
+#include "batchrunner.h"
+
+#include "promptfile.h"
+#include "rattanrill/base/concat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::load {
+namespace {
+
+constexpr int tries = 5;
+constexpr absl::Duration retryDelay = absl::Milliseconds(300);
+constexpr absl::Duration pollPeriod = absl::Milliseconds(250);
+constexpr std::string_view endedStates[] = {"completed", "cancelled", "failed", "expired"};
+
+bool hasEnded(const std::string &status)
+{
+    return std::find(std::begin(endedStates), std::end(endedStates), status)
+           != std::end(endedStates);
+}
+
+Result<std::string> memberOf(const std::string &body, std::string_view key)
+{
+    BOOST_LEAF_AUTO(json, parseJson(body, "answer"));
+    return jsonMember<std::string>(json, key);
+}
+
+/// Statuses that another try may change.
+bool isTransient(int status)
+{
+    return status >= 500 || status == 429;
+}
+
+} // namespace
+
+BatchRunner::BatchRunner(CallerClient &client, const LoadPlan &plan, const BatchPlan &batch,
+                         std::string idempotencyKey, Waiter waiter, const Clock &clock)
+    : m_client(client)
+    , m_plan(plan)
+    , m_batch(batch)
+    , m_idempotencyKey(std::move(idempotencyKey))
+    , m_waiter(std::move(waiter))
+    , m_clock(clock)
+    , m_key(keyOf(plan, batch.workspace))
+{}
+
+BatchOutcome BatchRunner::run()
+{
+    BatchOutcome outcome;
+    outcome.workspace = m_batch.workspace;
+    outcome.status = "not_created";
+    const absl::Time begin = m_clock.now();
+    const auto input = outcomeOf([&] { return readJsonLines(m_batch.file); });
+    if (!input.ok()) {
+        outcome.detail = describe(input.failure());
+        return outcome;
+    }
+    outcome.items = static_cast<std::int64_t>(input.value().size());
+    const auto results = outcomeOf([&] { return runJob(outcome); });
+    outcome.seconds = absl::ToDoubleSeconds(m_clock.now() - begin);
+    if (results.ok())
+        compareResults(input.value(), results.value(), outcome);
+    else
+        outcome.detail = describe(results.failure());
+    return outcome;
+}
+
+Result<std::vector<Json>> BatchRunner::runJob(BatchOutcome &outcome)
+{
+    BOOST_LEAF_AUTO(text, readTextFile(m_batch.file));
+    BOOST_LEAF_AUTO(fileId, upload(text));
+    BOOST_LEAF_ASSIGN(outcome.id, create(fileId));
+    outcome.status = "timeout";
+    BOOST_LEAF_AUTO(job, waitForEnd(outcome));
+    return results(job);
+}
+
+Result<std::string> BatchRunner::upload(const std::string &text)
+{
+    BOOST_LEAF_AUTO(body, request("POST", "/v1/files?purpose=batch", text, "application/jsonl"));
+    return memberOf(body, "id");
+}
+
+Result<std::string> BatchRunner::create(const std::string &fileId)
+{
+    const Json job = {{"input_file_id", fileId},
+                      {"endpoint", "/v1/completions"},
+                      {"completion_window", m_batch.window}};
+    BOOST_LEAF_AUTO(body, request("POST", "/v1/batches", dumpJson(job), "application/json",
+                                  m_idempotencyKey));
+    return memberOf(body, "id");
+}
+
+Result<Json> BatchRunner::waitForEnd(BatchOutcome &outcome)
+{
+    const absl::Time deadline = m_clock.now() + m_batch.wait;
+    while (m_clock.now() < deadline) {
+        BOOST_LEAF_AUTO(body, request("GET", concat("/v1/batches/", outcome.id), "", ""));
+        BOOST_LEAF_AUTO(job, parseJson(body, "job"));
+        BOOST_LEAF_AUTO(status, jsonMember<std::string>(job, "status"));
+        if (hasEnded(status)) {
+            outcome.status = status;
+            return job;
+        }
+        if (!m_waiter(pollPeriod))
+            return fail(notRun(ErrorCode::Stopped, "the run was stopped"));
+    }
+    return fail(mayHaveRun(ErrorCode::Timeout, "the job did not end in time"));
+}
+
+Result<std::vector<Json>> BatchRunner::results(const Json &job)
+{
+    std::vector<Json> all;
+    for (const char *member : {"output_file_id", "error_file_id"}) {
+        BOOST_LEAF_AUTO(file, jsonMemberOr<std::string>(job, member, ""));
+        if (file.empty())
+            continue;
+        BOOST_LEAF_AUTO(text, request("GET", concat("/v1/files/", file, "/content"), "", ""));
+        BOOST_LEAF_AUTO(lines, parseJsonLines(text, member));
+        all.insert(all.end(), lines.begin(), lines.end());
+    }
+    return all;
+}
+
+Result<std::string> BatchRunner::request(const std::string &method, const std::string &path,
+                                         const std::string &body, const std::string &contentType,
+                                         const std::string &idempotencyKey)
+{
+    Failure last = notRun(ErrorCode::Internal, "not sent");
+    for (int attempt = 0; attempt < tries; ++attempt) {
+        const auto reply = outcomeOf([&] {
+            return m_client.exchange(m_target++ % m_plan.targets.size(), method, path, m_key, body,
+                                     contentType, idempotencyKey);
+        });
+        if (reply.ok() && reply.value().status == 200)
+            return reply.value().body;
+        last = reply.ok() ? mayHaveRun(ErrorCode::UpstreamFailed,
+                                       concat(method, " ", path, " answered ", reply.value().status,
+                                              ": ", reply.value().body))
+                          : reply.failure();
+        const bool again = !reply.ok() || isTransient(reply.value().status);
+        if (!again || !m_waiter(retryDelay))
+            break;
+    }
+    return fail(last);
+}
+
+} // namespace rattanrill::load
--- /dev/null
+++ b/src/load/loadsummary.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "batchoutcome.h"
+#include "requestoutcome.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rattanrill::load {
+
+/// Adds up outcomes, per workspace and overall.
+class LoadSummary
+{
+public:
+    /// \a cutIsWrong: a stream that was cut counts as a wrong answer.
+    explicit LoadSummary(bool cutIsWrong = false);
+
+    void add(const RequestOutcome &outcome);
+    void add(const BatchOutcome &outcome);
+    /// Wrong answers: short or foreign completions, batch items lost, doubled or wrong.
+    std::int64_t wrong() const;
+    Json json() const;
+
+private:
+    struct Group
+    {
+        std::map<std::string, std::int64_t> endings;
+        std::map<std::string, std::map<std::string, std::int64_t>> refusals;
+        std::int64_t tokens = 0;
+        std::int64_t resends = 0;
+        std::vector<double> startLagMs;
+        std::vector<double> firstTokenMs;
+        std::vector<double> betweenTokensMs;
+        std::vector<double> wholeMs;
+        std::vector<double> serviceMs;
+    };
+
+    static void add(const RequestOutcome &outcome, Group &group);
+    static Json groupJson(const Group &group);
+    Json workspacesJson() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    Json batchesJson() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool counts(const RequestOutcome &outcome) const;
+
+    const bool m_cutIsWrong;
+    mutable absl::Mutex m_mutex;
+    Group m_all ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, Group> m_workspaces ABSL_GUARDED_BY(m_mutex);
+    std::vector<BatchOutcome> m_batches ABSL_GUARDED_BY(m_mutex);
+    std::int64_t m_wrong ABSL_GUARDED_BY(m_mutex) = 0;
+    /// The first wrong answers, for people.
+    std::vector<Json> m_examples ABSL_GUARDED_BY(m_mutex);
+};
+
+/// count, p50, p95, p99 and max of \a values by nearest rank.
+Json quantiles(std::vector<double> values);
+
+} // namespace rattanrill::load
--- /dev/null
+++ b/src/load/streamreader.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "rattanrill/base/json.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace rattanrill::load {
+
+/// Reads the server-sent events of a streamed completion as they arrive.
+class StreamReader
+{
+public:
+    /// Takes \a bytes; returns the number of tokens that they completed.
+    int feed(std::string_view bytes);
+
+    const std::string &text() const { return m_text; }
+    std::int64_t tokens() const { return m_tokens; }
+    const std::string &finishReason() const { return m_finishReason; }
+    /// "data: [DONE]" was seen.
+    bool done() const { return m_done; }
+    /// The typed error that ended the stream.
+    const std::optional<Json> &error() const { return m_error; }
+    /// What was not as the format says; empty: nothing.
+    const std::string &fault() const { return m_fault; }
+
+private:
+    int readLine(std::string_view line);
+    int readEvent(const Json &event);
+    void noteFault(std::string fault);
+
+    std::string m_pending;
+    std::string m_text;
+    std::int64_t m_tokens = 0;
+    std::string m_finishReason;
+    bool m_done = false;
+    std::optional<Json> m_error;
+    std::string m_fault;
+};
+
+} // namespace rattanrill::load
