Control: Add the control instance with its groups, peers and operators' interface

One process hosts a replica of the directory and of every partition, carries Raft messages by pushes, stamps proposals with its wall clock, serves long polls that the leader has confirmed after their arrival, keeps heartbeats in memory and joins and removes members, and serves the operators' HTTP.

Ruled out: answering polls from local state (a replica that is cut off would prove freshness), and NotLeader hints for polls (all entries would gather at the leader).

--- /dev/null
+++ b/src/control/commandstamp.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "rattanrill/base/result.h"
+
+#include <cstdint>
+#include <string>
+
+namespace rattanrill::control {
+
+/// \a command of \a group with the time of the proposing side, so that every replica applies it
+/// with the same time. Fails with MalformedMessage.
+Result<std::string> stampCommand(const std::string &group, const std::string &command,
+                                 std::int64_t nowMs);
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/controlnode.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "controlsettings.h"
+#include "followservice.h"
+#include "grouphost.h"
+#include "groupmonitor.h"
+#include "localpollsource.h"
+#include "memberwatch.h"
+#include "operatorapi.h"
+#include "operatorserver.h"
+#include "partitionclock.h"
+#include "peerservice.h"
+
+#include "rattanrill/base/metrics.h"
+#include "rattanrill/base/timerservice.h"
+#include "rattanrill/controlclient/controlclient.h"
+#include "rattanrill/directory/follower.h"
+#include "rattanrill/peer/channelpool.h"
+#include "rattanrill/peer/server.h"
+
+#include <memory>
+
+namespace rattanrill::control {
+
+/// One control instance: its groups, the peer server and the operators' interface.
+class ControlNode
+{
+public:
+    ControlNode(ControlSettings settings, const Clock &clock, OpenGroup openGroup);
+    ~ControlNode();
+    ControlNode(const ControlNode &) = delete;
+    ControlNode &operator=(const ControlNode &) = delete;
+
+    /// Opens the groups and serves. Fails as openGroup() or with AddressInUse.
+    Result<void> start();
+    /// Hands leadership over, ends serving and closes the groups.
+    void stop();
+
+    int peerPort() const { return m_peerServer.port(); }
+    int operatorPort() const { return m_operatorServer ? m_operatorServer->port() : 0; }
+    GroupHost &groups() { return m_groups; }
+
+private:
+    void makeServices();
+    peer::TransportOptions transport() const;
+
+    const ControlSettings m_settings;
+    const Clock &m_clock;
+    Metrics m_metrics;
+    ThreadTimerService m_timers;
+    peer::ChannelPool m_channels;
+    GroupHost m_groups;
+    peer::Server m_peerServer;
+    controlclient::ControlClient m_client;
+    GroupMonitor m_monitor;
+    // Made by start(), when the groups are open.
+    std::shared_ptr<FollowService> m_follow;
+    std::unique_ptr<LocalPollSource> m_pollSource;
+    std::unique_ptr<directory::Follower> m_view;
+    std::shared_ptr<MemberWatch> m_members;
+    std::shared_ptr<PartitionClock> m_partitions;
+    std::unique_ptr<PeerService> m_peerService;
+    std::unique_ptr<OperatorApi> m_operatorApi;
+    std::unique_ptr<OperatorServer> m_operatorServer;
+    bool m_running = false;
+};
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/operatorapi.cpp
@@ -0,0 +1,318 @@
+#include "operatorapi.h"
+
+#include "pendingoutcome.h"
+#include "recordjson.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include <cstdlib>
+#include <utility>
+
+namespace rattanrill::control {
+namespace {
+
+/// Longer than an election, shorter than an operator's patience.
+constexpr absl::Duration groupTimeout = absl::Seconds(5);
+constexpr absl::Duration statusTimeout = absl::Seconds(1);
+/// A membership change waits until the new replica has caught up.
+constexpr absl::Duration memberChangeTimeout = absl::Seconds(25);
+constexpr std::size_t keyBytes = 24;
+constexpr std::size_t keyIdBytes = 8;
+
+void logRefused(const OperatorRequest &request, const Failure &failure)
+{
+    if (failure.code == ErrorCode::NotLeader)
+        return;
+    log(LogLevel::Warning, "write-refused",
+        {{"requestId", request.requestId},
+         {"id", request.id},
+         {"baseRevision", request.baseRevision},
+         {"code", name(failure.code)},
+         {"detail", failure.detail}});
+}
+
+template <typename Operation>
+Outcome<Json> logged(const OperatorRequest &request, Operation &&operation)
+{
+    Outcome<Json> outcome = outcomeOf(std::forward<Operation>(operation));
+    if (!outcome.ok())
+        logRefused(request, outcome.failure());
+    return outcome;
+}
+
+/// Failure of a read: nothing can have run.
+Failure asRead(Failure failure)
+{
+    failure.run = RunState::NotRun;
+    return failure;
+}
+
+} // namespace
+
+OperatorApi::OperatorApi(const ControlSettings &settings, const GroupHost &groups,
+                         const directory::Follower &view, MemberWatch &members,
+                         controlclient::ControlClient &client, const Clock &clock)
+    : m_settings(settings)
+    , m_groups(groups)
+    , m_view(view)
+    , m_members(members)
+    , m_client(client)
+    , m_clock(clock)
+{}
+
+Result<wire::DirectoryResult> OperatorApi::propose(const OperatorRequest &request,
+                                                   wire::DirectoryOperation operation)
+{
+    wire::DirectoryCommand command;
+    command.requestId = request.requestId;
+    command.baseRevision = request.baseRevision;
+    command.nowMs = absl::ToUnixMillis(m_clock.wallNow());
+    command.operation = std::move(operation);
+    PendingOutcome pending;
+    m_groups.directory().propose(wire::encode(command), pending.callback());
+    BOOST_LEAF_AUTO(bytes, pending.wait(groupTimeout).result());
+    BOOST_LEAF_AUTO(result, wire::decode<wire::DirectoryResult>(bytes));
+    log(LogLevel::Info, "directory-written",
+        {{"requestId", request.requestId}, {"id", result.id}, {"revision", result.revision}});
+    return result;
+}
+
+Outcome<Json> OperatorApi::write(const DirectoryWrite &write, const OperatorRequest &request)
+{
+    return logged(request, [&]() -> Result<Json> {
+        BOOST_LEAF_AUTO(operation, write.build(request.id, request.body));
+        BOOST_LEAF_AUTO(result, propose(request, std::move(operation)));
+        return Json{{"revision", result.revision}};
+    });
+}
+
+Outcome<Json> OperatorApi::addKey(const OperatorRequest &request)
+{
+    return logged(request, [&] { return tryAddKey(request); });
+}
+
+Result<Json> OperatorApi::tryAddKey(const OperatorRequest &request)
+{
+    BOOST_LEAF_CHECK(checkMembers(request.body, {"workspace"}));
+    BOOST_LEAF_AUTO(workspace, jsonMember<std::string>(request.body, "workspace"));
+    const std::string text = "rk_" + randomHex(keyBytes);
+    wire::Key key;
+    key.keyId = "key_" + randomHex(keyIdBytes);
+    key.hash = sha256Hex(text);
+    key.workspace = workspace;
+    BOOST_LEAF_AUTO(result, propose(request, wire::AddKey{key}));
+    Json answer = {{"key_id", result.id}, {"revision", result.revision}};
+    // A resend is answered with the first key's id; that key was shown once and is not stored.
+    if (result.id == key.keyId)
+        answer["key"] = text;
+    return answer;
+}
+
+Result<wire::FollowResponse> OperatorApi::readDirectory(std::uint64_t afterRevision)
+{
+    PendingOutcome pending;
+    m_groups.directory().read(wire::encode(wire::DirectoryQuery{afterRevision}),
+                              pending.callback());
+    const auto bytes = pending.wait(groupTimeout);
+    if (!bytes.ok())
+        return fail(asRead(bytes.failure()));
+    return wire::decode<wire::FollowResponse>(bytes.value());
+}
+
+Outcome<Json> OperatorApi::list(wire::RecordKind kind)
+{
+    return outcomeOf([&] { return tryList(kind); });
+}
+
+Result<Json> OperatorApi::tryList(wire::RecordKind kind)
+{
+    BOOST_LEAF_AUTO(response, readDirectory(0));
+    Json items = Json::array();
+    for (const wire::Change &change : response.changes) {
+        if (change.kind != kind || change.removed)
+            continue;
+        BOOST_LEAF_AUTO(item, recordJson(change));
+        items.push_back(std::move(item));
+    }
+    return Json{{"revision", response.revision}, {"items", std::move(items)}};
+}
+
+Outcome<Json> OperatorApi::inForce(const OperatorRequest &request)
+{
+    return outcomeOf([&] { return tryInForce(request); });
+}
+
+Result<Json> OperatorApi::tryInForce(const OperatorRequest &request)
+{
+    const auto parameter = request.parameters.find("revision");
+    char *end = nullptr;
+    const std::string text = parameter == request.parameters.end() ? "" : parameter->second;
+    const std::uint64_t revision = std::strtoull(text.c_str(), &end, 10);
+    if (text.empty() || *end != '\0' || text.front() == '-')
+        return fail(notRun(ErrorCode::InvalidRequest, "\"revision\" must be a number"));
+    // The changes since this instance's own view make the list of members linearizable.
+    const auto view = m_view.view();
+    BOOST_LEAF_AUTO(response, readDirectory(view->revision()));
+    BOOST_LEAF_AUTO(now, view->with(response));
+    const std::vector<std::string> lacking = m_members.lacking(revision, now);
+    return Json{{"in_force", lacking.empty() && now.revision() >= revision}, {"lacking", lacking}};
+}
+
+Json OperatorApi::groupJson(const std::string &name) const
+{
+    const replication::GroupStatus status = m_groups.find(name)->status();
+    Json group = {{"group", name},
+                  {"role", replication::name(status.role)},
+                  {"term", status.term},
+                  {"leader", status.leader},
+                  {"commit_index", status.commitIndex},
+                  {"applied_index", status.appliedIndex},
+                  {"snapshot_index", status.snapshotIndex},
+                  {"voters", status.voters},
+                  {"learners", status.learners},
+                  {"stopped", status.stopped}};
+    if (status.stopped)
+        group["stop_reason"] = status.stopReason;
+    return group;
+}
+
+Outcome<Json> OperatorApi::status(const OperatorRequest &)
+{
+    const auto view = m_view.view();
+    PendingOutcome pending;
+    m_groups.directory().readIndexed(wire::encode(wire::DirectoryQuery{view->revision()}),
+                                     pending.callback());
+    const auto confirmed = pending.wait(statusTimeout);
+    Json groups = Json::array();
+    for (const std::string &name : m_groups.names())
+        groups.push_back(groupJson(name));
+    Json members = Json::array();
+    directory::View shown = *view;
+    Json status = {{"instance", m_settings.instance}, {"groups", std::move(groups)}};
+    if (confirmed.ok()) {
+        const auto now = outcomeOf([&]() -> Result<directory::View> {
+            BOOST_LEAF_AUTO(response, wire::decode<wire::FollowResponse>(confirmed.value()));
+            return view->with(response);
+        });
+        if (!now.ok())
+            return now.failure();
+        shown = now.value();
+        status["revision"] = shown.revision();
+    }
+    for (const auto &row : shown.members())
+        members.push_back(memberJson(*row.record));
+    status["members"] = std::move(members);
+    return status;
+}
+
+Result<wire::BatchQueryResult> OperatorApi::readPartition(int partition, wire::BatchQuery query)
+{
+    PendingOutcome pending;
+    m_client.read(controlclient::batchGroup(partition),
+                  wire::encode(wire::BatchQueryMessage{std::move(query)}), groupTimeout,
+                  pending.callback());
+    const auto bytes = pending.wait(groupTimeout * 2);
+    if (!bytes.ok())
+        return fail(asRead(bytes.failure()));
+    return wire::decode<wire::BatchQueryResult>(bytes.value());
+}
+
+Outcome<Json> OperatorApi::batches(const OperatorRequest &)
+{
+    Json items = Json::array();
+    for (int partition = 0; partition < m_settings.partitions; ++partition) {
+        const auto result = outcomeOf([&] { return readPartition(partition, wire::ListJobs{}); });
+        if (!result.ok())
+            return result.failure();
+        for (const wire::JobStatus &job : result.value().jobs)
+            items.push_back(jobJson(job));
+    }
+    return Json{{"items", std::move(items)}};
+}
+
+Outcome<Json> OperatorApi::cancelBatch(const OperatorRequest &request)
+{
+    return logged(request, [&] { return tryCancel(request); });
+}
+
+/// Asks all partitions, so that operators need not know how jobs are placed.
+Result<Json> OperatorApi::tryCancel(const OperatorRequest &request)
+{
+    for (int partition = 0; partition < m_settings.partitions; ++partition) {
+        const auto job = outcomeOf([&] {
+            return readPartition(partition, wire::ReadJob{request.id, ""});
+        });
+        if (!job.ok() && job.failure().code == ErrorCode::NotFound)
+            continue;
+        if (!job.ok())
+            return fail(job.failure());
+        wire::BatchCommand command;
+        command.operation = wire::CancelJob{request.id, ""};
+        PendingOutcome pending;
+        m_client.propose(controlclient::batchGroup(partition), wire::encode(command), true,
+                         groupTimeout, pending.callback());
+        BOOST_LEAF_AUTO(bytes, pending.wait(groupTimeout * 2).result());
+        BOOST_LEAF_AUTO(result, wire::decode<wire::BatchResult>(bytes));
+        return jobJson(result.job);
+    }
+    return fail(notRun(ErrorCode::NotFound, concat("no batch \"", request.id, "\"")));
+}
+
+Result<replication::ReplicatedGroup *> OperatorApi::groupOf(const OperatorRequest &request)
+{
+    BOOST_LEAF_AUTO(name, jsonMember<std::string>(request.body, "group"));
+    auto *group = m_groups.find(name);
+    if (group == nullptr)
+        return fail(notRun(ErrorCode::NotFound, concat("no group \"", name, "\"")));
+    const replication::GroupStatus status = group->status();
+    if (status.role != replication::Role::Leader)
+        return fail(notRun(ErrorCode::NotLeader, status.leader));
+    return group;
+}
+
+Outcome<Json> OperatorApi::addReplica(const OperatorRequest &request)
+{
+    return logged(request, [&] { return tryAddReplica(request); });
+}
+
+Result<Json> OperatorApi::tryAddReplica(const OperatorRequest &request)
+{
+    BOOST_LEAF_CHECK(checkMembers(request.body, {"group", "replica", "replaces"}));
+    BOOST_LEAF_AUTO(replica, jsonMember<std::string>(request.body, "replica"));
+    BOOST_LEAF_AUTO(replaces, jsonMemberOr<std::string>(request.body, "replaces", ""));
+    if (m_groups.replica(replica) == nullptr)
+        return fail(
+                notRun(ErrorCode::InvalidRequest,
+                       concat("the settings of this instance list no replica \"", replica, "\"")));
+    BOOST_LEAF_AUTO(group, groupOf(request));
+    PendingOutcome pending;
+    group->addMember(replica, replaces, pending.callback());
+    BOOST_LEAF_CHECK(pending.wait(memberChangeTimeout).result());
+    return Json{{"voters", group->status().voters}};
+}
+
+Outcome<Json> OperatorApi::removeReplica(const OperatorRequest &request)
+{
+    return logged(request, [&] { return tryRemoveReplica(request); });
+}
+
+Result<Json> OperatorApi::tryRemoveReplica(const OperatorRequest &request)
+{
+    BOOST_LEAF_CHECK(checkMembers(request.body, {"group"}));
+    BOOST_LEAF_AUTO(group, groupOf(request));
+    PendingOutcome pending;
+    group->removeMember(request.id, pending.callback());
+    BOOST_LEAF_CHECK(pending.wait(memberChangeTimeout).result());
+    return Json{{"voters", group->status().voters}};
+}
+
+/// The own view was confirmed by a leader a moment ago.
+bool OperatorApi::ready() const
+{
+    return m_view.age() < m_settings.ownerLease;
+}
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/operatorapi.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "controlsettings.h"
+#include "directorywrites.h"
+#include "grouphost.h"
+#include "memberwatch.h"
+
+#include "rattanrill/base/json.h"
+#include "rattanrill/controlclient/controlclient.h"
+#include "rattanrill/wire/batchmessages.h"
+
+#include <map>
+#include <string>
+
+namespace rattanrill::control {
+
+/// A request of an operator, with path and body already parsed.
+struct OperatorRequest
+{
+    /// Last part of the path: id of a record, job or replica.
+    std::string id;
+    /// Parameters of the query string.
+    std::map<std::string, std::string> parameters;
+    Json body = Json::object();
+    std::string requestId;
+    std::uint64_t baseRevision = 0;
+};
+
+/// What operators can do, without HTTP. A failure NotLeader carries the leader's replica id as
+/// detail; every function blocks its thread until the groups have answered.
+class OperatorApi
+{
+public:
+    OperatorApi(const ControlSettings &settings, const GroupHost &groups,
+                const directory::Follower &view, MemberWatch &members,
+                controlclient::ControlClient &client, const Clock &clock);
+
+    Outcome<Json> write(const DirectoryWrite &write, const OperatorRequest &request);
+    Outcome<Json> addKey(const OperatorRequest &request);
+    Outcome<Json> list(wire::RecordKind kind);
+    Outcome<Json> inForce(const OperatorRequest &request);
+    /// Served by every instance; "revision" is missing when no leader confirms it.
+    Outcome<Json> status(const OperatorRequest &request);
+    Outcome<Json> batches(const OperatorRequest &request);
+    Outcome<Json> cancelBatch(const OperatorRequest &request);
+    Outcome<Json> addReplica(const OperatorRequest &request);
+    Outcome<Json> removeReplica(const OperatorRequest &request);
+    bool ready() const;
+
+private:
+    Result<wire::DirectoryResult> propose(const OperatorRequest &request,
+                                          wire::DirectoryOperation operation);
+    Result<Json> tryAddKey(const OperatorRequest &request);
+    Result<Json> tryInForce(const OperatorRequest &request);
+    Result<Json> tryList(wire::RecordKind kind);
+    Result<wire::FollowResponse> readDirectory(std::uint64_t afterRevision);
+    Result<wire::BatchQueryResult> readPartition(int partition, wire::BatchQuery query);
+    Result<Json> tryCancel(const OperatorRequest &request);
+    Result<replication::ReplicatedGroup *> groupOf(const OperatorRequest &request);
+    Result<Json> tryAddReplica(const OperatorRequest &request);
+    Result<Json> tryRemoveReplica(const OperatorRequest &request);
+    Json groupJson(const std::string &name) const;
+
+    const ControlSettings &m_settings;
+    const GroupHost &m_groups;
+    const directory::Follower &m_view;
+    MemberWatch &m_members;
+    controlclient::ControlClient &m_client;
+    const Clock &m_clock;
+};
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/operatorserver.cpp
@@ -0,0 +1,239 @@
+#include "operatorserver.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/http/serversetup.h"
+
+#include <httplib.h>
+
+#include <utility>
+
+namespace rattanrill::control {
+namespace {
+
+constexpr std::string_view root = "/operator/v1/";
+constexpr int temporaryRedirect = 307;
+
+struct ListRoute
+{
+    std::string_view folder;
+    wire::RecordKind kind;
+};
+
+constexpr ListRoute listRoutes[] = {
+        {"contracts", wire::RecordKind::Contract}, {"keys", wire::RecordKind::Key},
+        {"configs", wire::RecordKind::Config},     {"routes", wire::RecordKind::Route},
+        {"upstreams", wire::RecordKind::Upstream}, {"members", wire::RecordKind::Member},
+        {"held", wire::RecordKind::HeldRequest},
+};
+
+/// Reads request_id and base_revision of a write's body.
+Result<void> readWriteMembers(OperatorRequest &request)
+{
+    BOOST_LEAF_ASSIGN(request.requestId, jsonMember<std::string>(request.body, "request_id"));
+    if (request.requestId.empty())
+        return fail(notRun(ErrorCode::InvalidRequest, "\"request_id\" is empty"));
+    BOOST_LEAF_AUTO(base, jsonMemberOr<std::int64_t>(request.body, "base_revision", 0));
+    if (base < 0)
+        return fail(notRun(ErrorCode::InvalidRequest, "\"base_revision\" is negative"));
+    request.baseRevision = static_cast<std::uint64_t>(base);
+    return {};
+}
+
+Result<OperatorRequest> parseRequest(const httplib::Request &request, bool isWrite)
+{
+    OperatorRequest parsed;
+    if (request.matches.size() > 1)
+        parsed.id = request.matches[1];
+    for (const auto &[key, value] : request.params)
+        parsed.parameters[key] = value;
+    if (!isWrite)
+        return parsed;
+    BOOST_LEAF_ASSIGN(parsed.body, parseJson(request.body, "request body"));
+    BOOST_LEAF_CHECK(readWriteMembers(parsed));
+    return parsed;
+}
+
+} // namespace
+
+OperatorServer::OperatorServer(const ControlSettings &settings, const GroupHost &groups,
+                               OperatorApi &api, Metrics &metrics)
+    : m_settings(settings)
+    , m_groups(groups)
+    , m_api(api)
+    , m_metrics(metrics)
+    , m_server(new httplib::Server)
+{
+    http::ServerOptions options;
+    options.maxConnections = settings.maxOperatorConnections;
+    // Each idle connection holds a thread, and stop() waits for it.
+    options.keepAliveTimeout = absl::Seconds(2);
+    http::configureServer(*m_server, options);
+    addRoutes();
+}
+
+OperatorServer::~OperatorServer()
+{
+    stop();
+}
+
+Result<void> OperatorServer::start()
+{
+    const ListenAddress &address = m_settings.operatorHttp;
+    bool bound = false;
+    if (address.port == 0) {
+        m_port = m_server->bind_to_any_port(address.host);
+        bound = m_port > 0;
+    } else {
+        m_port = address.port;
+        bound = m_server->bind_to_port(address.host, address.port);
+    }
+    if (!bound)
+        return fail(notRun(ErrorCode::AddressInUse,
+                           concat("cannot listen on ", address.host, " port ", address.port)));
+    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    return {};
+}
+
+void OperatorServer::stop()
+{
+    if (!m_thread.joinable())
+        return;
+    while (!m_server->is_running())
+        std::this_thread::yield();
+    m_server->stop();
+    m_thread.join();
+}
+
+OperatorServer::Handler OperatorServer::call(ApiCall function)
+{
+    return [this, function](const OperatorRequest &request) { return (m_api.*function)(request); };
+}
+
+void OperatorServer::addRoutes()
+{
+    addDirectoryRoutes();
+    add("POST", "keys", true, call(&OperatorApi::addKey));
+    add("GET", "in_force", false, call(&OperatorApi::inForce));
+    add("GET", "status", false, call(&OperatorApi::status));
+    add("GET", "batches", false, call(&OperatorApi::batches));
+    add("POST", "batches/([^/]+)/cancel", true, call(&OperatorApi::cancelBatch));
+    add("POST", "replicas", true, call(&OperatorApi::addReplica));
+    add("DELETE", "replicas/(.+)", true, call(&OperatorApi::removeReplica));
+    addProbes();
+}
+
+void OperatorServer::addDirectoryRoutes()
+{
+    for (const DirectoryWrite &write : directoryWrites())
+        add(std::string(write.method), concat(write.folder, "/(.+)"), true,
+            [this, &write](const OperatorRequest &request) { return m_api.write(write, request); });
+    for (const ListRoute &route : listRoutes)
+        add("GET", std::string(route.folder), false,
+            [this, kind = route.kind](const OperatorRequest &) { return m_api.list(kind); });
+}
+
+void OperatorServer::addProbes()
+{
+    m_server->Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content(R"({"status":"ok"})", "application/json");
+    });
+    m_server->Get("/readyz", [this](const httplib::Request &, httplib::Response &response) {
+        if (m_api.ready())
+            response.set_content(R"({"status":"ready"})", "application/json");
+        else
+            http::sendFailure(response, notRun(ErrorCode::NoQuorum, "no leader confirms the view"),
+                              "");
+    });
+    m_server->Get("/metrics", [this](const httplib::Request &, httplib::Response &response) {
+        response.set_content(exposition(), "text/plain; version=0.0.4");
+    });
+    m_server->set_error_handler([](const httplib::Request &, httplib::Response &response) {
+        if (!response.body.empty())
+            return;
+        const bool tooLarge = response.status == httpStatus(ErrorCode::BodyTooLarge);
+        const int status = response.status;
+        http::sendFailure(response,
+                          notRun(tooLarge ? ErrorCode::BodyTooLarge : ErrorCode::NotFound, ""), "");
+        response.status = status;
+    });
+}
+
+void OperatorServer::add(const std::string &method, const std::string &path, bool isWrite,
+                         Handler handler)
+{
+    using Register =
+            httplib::Server &(httplib::Server::*)(const std::string &, httplib::Server::Handler);
+    static const std::map<std::string, Register> registers = {
+            {"GET", &httplib::Server::Get},
+            {"PUT", &httplib::Server::Put},
+            {"POST", &httplib::Server::Post},
+            {"DELETE", &httplib::Server::Delete},
+    };
+    const Register registerHandler = registers.at(method);
+    (m_server.get()->*registerHandler)(
+            concat(root, path),
+            [this, isWrite, handler = std::move(handler)](const httplib::Request &request,
+                                                          httplib::Response &response) {
+                serve(request, response, isWrite, handler);
+            });
+}
+
+void OperatorServer::serve(const httplib::Request &request, httplib::Response &response,
+                           bool isWrite, const Handler &handler)
+{
+    if (!authorized(request)) {
+        log(LogLevel::Warning, "operator-refused",
+            {{"peer", request.remote_addr}, {"path", request.path}});
+        return answer(request, response, "",
+                      notRun(ErrorCode::AuthenticationFailed, "the operator token is wrong"));
+    }
+    const auto parsed = outcomeOf([&] { return parseRequest(request, isWrite); });
+    if (!parsed.ok())
+        return answer(request, response, "", parsed.failure());
+    answer(request, response, parsed.value().requestId, handler(parsed.value()));
+}
+
+bool OperatorServer::authorized(const httplib::Request &request) const
+{
+    return constantTimeEquals(request.get_header_value("Authorization"),
+                              concat("Bearer ", m_settings.operatorToken));
+}
+
+void OperatorServer::answer(const httplib::Request &request, httplib::Response &response,
+                            const std::string &requestId, const Outcome<Json> &outcome)
+{
+    const std::string code = outcome.ok() ? "ok" : std::string(name(outcome.failure().code));
+    m_metrics.count("rattanrill_control_operator_requests_total",
+                    {{"method", request.method}, {"code", code}});
+    if (outcome.ok())
+        return response.set_content(dumpJson(outcome.value()), "application/json");
+    Failure failure = outcome.failure();
+    const Replica *leader =
+            failure.code == ErrorCode::NotLeader ? m_groups.replica(failure.detail) : nullptr;
+    http::sendFailure(response, failure, requestId);
+    if (leader == nullptr || leader->id == m_settings.instance)
+        return;
+    response.status = temporaryRedirect;
+    response.set_header("Location", concat("http://", leader->operatorAddress, request.target));
+}
+
+std::string OperatorServer::exposition()
+{
+    for (const std::string &group : m_groups.names()) {
+        const replication::GroupStatus status = m_groups.find(group)->status();
+        const MetricLabels labels = {{"group", group}};
+        const bool leads = status.role == replication::Role::Leader;
+        m_metrics.set("rattanrill_control_group_leader", labels, leads ? 1 : 0);
+        m_metrics.set("rattanrill_control_group_term", labels, static_cast<double>(status.term));
+        m_metrics.set("rattanrill_control_group_commit_index", labels,
+                      static_cast<double>(status.commitIndex));
+        m_metrics.set("rattanrill_control_group_applied_index", labels,
+                      static_cast<double>(status.appliedIndex));
+        m_metrics.set("rattanrill_control_group_stopped", labels, status.stopped ? 1 : 0);
+    }
+    return m_metrics.exposition();
+}
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/operatorserver.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "operatorapi.h"
+
+#include "rattanrill/base/metrics.h"
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace httplib {
+class Server;
+struct Request;
+struct Response;
+} // namespace httplib
+
+namespace rattanrill::control {
+
+/// HTTP of the operators' interface, see docs/operator-http.md.
+class OperatorServer
+{
+public:
+    OperatorServer(const ControlSettings &settings, const GroupHost &groups, OperatorApi &api,
+                   Metrics &metrics);
+    ~OperatorServer();
+
+    /// Listens and serves on threads of its own. Fails with AddressInUse.
+    Result<void> start();
+    int port() const { return m_port; }
+    void stop();
+
+private:
+    using Handler = std::function<Outcome<Json>(const OperatorRequest &)>;
+    using ApiCall = Outcome<Json> (OperatorApi::*)(const OperatorRequest &);
+
+    void addRoutes();
+    void addDirectoryRoutes();
+    void addProbes();
+    void add(const std::string &method, const std::string &path, bool isWrite, Handler handler);
+    Handler call(ApiCall function);
+    void serve(const httplib::Request &request, httplib::Response &response, bool isWrite,
+               const Handler &handler);
+    bool authorized(const httplib::Request &request) const;
+    void answer(const httplib::Request &request, httplib::Response &response,
+                const std::string &requestId, const Outcome<Json> &outcome);
+    std::string exposition();
+
+    const ControlSettings &m_settings;
+    const GroupHost &m_groups;
+    OperatorApi &m_api;
+    Metrics &m_metrics;
+    std::unique_ptr<httplib::Server> m_server;
+    std::thread m_thread;
+    int m_port = 0;
+};
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/partitionclock.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "grouphost.h"
+
+#include "rattanrill/base/timerservice.h"
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace rattanrill::control {
+
+/// Advances the time of the partitions that this instance leads, so that leases, delays and
+/// retention also expire when no other command comes.
+class PartitionClock : public std::enable_shared_from_this<PartitionClock>
+{
+public:
+    PartitionClock(const ControlSettings &settings, const GroupHost &groups, TimerService &timers,
+                   const Clock &clock);
+
+    void start();
+    void stop();
+    /// A command was proposed to \a group.
+    void noteWork(const std::string &group);
+
+private:
+    struct State
+    {
+        absl::Time lastWork = absl::InfinitePast();
+        absl::Time lastAdvance = absl::InfinitePast();
+        bool leads = false;
+        bool pending = false;
+    };
+
+    void tick();
+    bool isDue(const std::string &group, bool leads);
+    void advance(const std::string &group);
+
+    const ControlSettings &m_settings;
+    const GroupHost &m_groups;
+    TimerService &m_timers;
+    const Clock &m_clock;
+    TimerService::TimerId m_timer = 0;
+
+    absl::Mutex m_mutex;
+    std::map<std::string, State> m_states ABSL_GUARDED_BY(m_mutex);
+};
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/peerservice.cpp
@@ -0,0 +1,151 @@
+#include "peerservice.h"
+
+#include "commandstamp.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include <utility>
+
+namespace rattanrill::control {
+namespace {
+
+/// Commands are decoded and encoded again here, because a batch upload of some MiB would hold up
+/// the Raft messages on the network thread.
+constexpr std::size_t workerThreads = 2;
+constexpr std::size_t workerQueue = 4096;
+
+Failure noGroup(const std::string &group)
+{
+    return notRun(ErrorCode::NotFound, concat("no group \"", group, "\" on this instance"));
+}
+
+} // namespace
+
+PeerService::PeerService(const GroupHost &groups, std::shared_ptr<FollowService> follow,
+                         std::shared_ptr<MemberWatch> members,
+                         std::shared_ptr<PartitionClock> partitions, Metrics &metrics,
+                         const Clock &clock)
+    : m_groups(groups)
+    , m_follow(std::move(follow))
+    , m_members(std::move(members))
+    , m_partitions(std::move(partitions))
+    , m_metrics(metrics)
+    , m_clock(clock)
+    , m_workers(workerThreads, workerQueue)
+{}
+
+void PeerService::install(peer::Server &server)
+{
+    using Body = std::string;
+    using From = peer::PeerIdentity;
+    server.handle(wire::Method::Raft,
+                  [this](const From &from, const Body &body, peer::Reply reply) {
+                      raft(from, body);
+                      reply(std::string());
+                  });
+    server.handle(wire::Method::Propose, [this](const From &, const Body &body, peer::Reply reply) {
+        propose(body, reply);
+    });
+    server.handle(wire::Method::Read,
+                  [this](const From &, const Body &body, peer::Reply reply) { read(body, reply); });
+    server.handle(wire::Method::Follow, [this](const From &, const Body &body, peer::Reply reply) {
+        follow(body, reply);
+    });
+    server.handle(wire::Method::Heartbeat, [this](const From &, const Body &body,
+                                                  peer::Reply reply) { heartbeat(body, reply); });
+}
+
+void PeerService::stop()
+{
+    m_workers.stop();
+}
+
+void PeerService::raft(const peer::PeerIdentity &from, const std::string &body)
+{
+    auto message = outcomeOf([&] { return wire::decode<wire::RaftEnvelope>(body); });
+    if (!message.ok() || m_groups.replica(from.instance) == nullptr) {
+        log(LogLevel::Warning, "raft-message-refused",
+            {{"peerInstance", from.instance},
+             {"code", message.ok() ? name(ErrorCode::NotMember) : name(message.failure().code)}});
+        return;
+    }
+    if (auto *group = m_groups.find(message.value().group))
+        group->receive(from.instance, std::move(message.value().message));
+}
+
+void PeerService::propose(const std::string &body, const peer::Reply &reply)
+{
+    if (!m_workers.post([this, body, reply] { proposeNow(body, reply); }))
+        reply(notRun(ErrorCode::QueueFull, "too many proposals wait"));
+}
+
+void PeerService::proposeNow(const std::string &body, const peer::Reply &reply)
+{
+    const auto started = outcomeOf([&] { return startProposal(body, reply); });
+    if (!started.ok())
+        answer("propose", started.failure(), reply);
+}
+
+Result<void> PeerService::startProposal(const std::string &body, const peer::Reply &reply)
+{
+    BOOST_LEAF_AUTO(request, wire::decode<wire::ProposeRequest>(body));
+    auto *group = m_groups.find(request.group);
+    if (group == nullptr)
+        return fail(noGroup(request.group));
+    BOOST_LEAF_AUTO(command, stampCommand(request.group, request.command,
+                                          absl::ToUnixMillis(m_clock.wallNow())));
+    m_partitions->noteWork(request.group);
+    group->propose(std::move(command), [this, reply](const Outcome<std::string> &outcome) {
+        answer("propose", outcome, reply);
+    });
+    return {};
+}
+
+void PeerService::read(const std::string &body, const peer::Reply &reply)
+{
+    auto request = outcomeOf([&] { return wire::decode<wire::ReadRequest>(body); });
+    if (!request.ok())
+        return answer("read", request.failure(), reply);
+    auto *group = m_groups.find(request.value().group);
+    if (group == nullptr)
+        return answer("read", noGroup(request.value().group), reply);
+    group->read(
+            std::move(request.value().query),
+            [this, reply](const Outcome<std::string> &outcome) { answer("read", outcome, reply); });
+}
+
+void PeerService::answer(const char *method, const Outcome<std::string> &outcome,
+                         const peer::Reply &reply)
+{
+    if (outcome.ok()) {
+        m_metrics.count("rattanrill_control_requests_total", {{"method", method}, {"code", "ok"}});
+        return reply(wire::encode(wire::GroupResponse{outcome.value()}));
+    }
+    const Failure failure = m_groups.withPeerAddress(outcome.failure());
+    m_metrics.count("rattanrill_control_requests_total",
+                    {{"method", method}, {"code", std::string(name(failure.code))}});
+    if (failure.code != ErrorCode::NotLeader)
+        log(LogLevel::Info, "request-refused",
+            {{"method", method}, {"code", name(failure.code)}, {"detail", failure.detail}});
+    reply(failure);
+}
+
+void PeerService::follow(const std::string &body, const peer::Reply &reply)
+{
+    const auto request = outcomeOf([&] { return wire::decode<wire::FollowRequest>(body); });
+    if (!request.ok())
+        return reply(request.failure());
+    m_follow->poll(request.value(), reply);
+}
+
+void PeerService::heartbeat(const std::string &body, const peer::Reply &reply)
+{
+    const auto request = outcomeOf([&] { return wire::decode<wire::HeartbeatRequest>(body); });
+    if (!request.ok())
+        return reply(request.failure());
+    m_members->heartbeat(request.value(), reply);
+}
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/src/control/peerservice.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "followservice.h"
+#include "grouphost.h"
+#include "memberwatch.h"
+#include "partitionclock.h"
+
+#include "rattanrill/base/metrics.h"
+#include "rattanrill/base/workerpool.h"
+#include "rattanrill/peer/server.h"
+
+#include <memory>
+#include <string>
+
+namespace rattanrill::control {
+
+/// Serves the methods of other processes: raft, propose, read, follow and heartbeat.
+class PeerService
+{
+public:
+    PeerService(const GroupHost &groups, std::shared_ptr<FollowService> follow,
+                std::shared_ptr<MemberWatch> members, std::shared_ptr<PartitionClock> partitions,
+                Metrics &metrics, const Clock &clock);
+
+    /// Sets the handlers of \a server, which must be stopped before this object is destroyed.
+    void install(peer::Server &server);
+    void stop();
+
+private:
+    void raft(const peer::PeerIdentity &from, const std::string &body);
+    void propose(const std::string &body, const peer::Reply &reply);
+    void proposeNow(const std::string &body, const peer::Reply &reply);
+    Result<void> startProposal(const std::string &body, const peer::Reply &reply);
+    void read(const std::string &body, const peer::Reply &reply);
+    void follow(const std::string &body, const peer::Reply &reply);
+    void heartbeat(const std::string &body, const peer::Reply &reply);
+    void answer(const char *method, const Outcome<std::string> &outcome, const peer::Reply &reply);
+
+    const GroupHost &m_groups;
+    const std::shared_ptr<FollowService> m_follow;
+    const std::shared_ptr<MemberWatch> m_members;
+    const std::shared_ptr<PartitionClock> m_partitions;
+    Metrics &m_metrics;
+    const Clock &m_clock;
+    WorkerPool m_workers;
+};
+
+} // namespace rattanrill::control
