Ctl: Add rattanrillctl with one table of commands

Operators need contracts, keys, configuration, routes, upstreams, members, held requests, status, batch jobs and replicas from a shell. One table gives parsing, help, the pages of docs/commands and the requests. A write carries a request id that stays the same through lost answers, redirects and other instances, so that it has its effect once.

Ruled out: httplib's own redirects (they would not try the next server), and a key add that reports success when the shown key was lost: it fails and names the key id to withdraw.

--- /dev/null
+++ b/src/ctl/commandtable.cpp
@@ -0,0 +1,351 @@
+#include "commandtable.h"
+
+#include "session.h"
+
+namespace rattanrill::ctl {
+namespace {
+
+constexpr const char *readErrors = "`no_quorum` or `not_leader` when no instance leads.";
+constexpr const char *writeErrors =
+        "`conflict` when the record has another revision than the base revision; "
+        "`duplicate_request` when the request id belongs to another write; `invalid_request`.";
+constexpr const char *removeErrors =
+        "`not_found`; `conflict` when the record has another revision than the base revision.";
+
+CommandSpec listCommand(const std::string &noun, const std::string &path,
+                        const std::string &summary, const std::string &text,
+                        std::vector<std::string> columns)
+{
+    CommandSpec spec;
+    spec.words = noun + " list";
+    spec.summary = summary;
+    spec.text = text;
+    spec.errors = readErrors;
+    spec.example = "rattanrillctl " + spec.words;
+    spec.method = "GET";
+    spec.path = path;
+    spec.columns = std::move(columns);
+    spec.handler = &Session::list;
+    return spec;
+}
+
+CommandSpec writeCommand(const std::string &words, const std::string &method,
+                         const std::string &path, const std::string &idKey)
+{
+    CommandSpec spec;
+    spec.words = words;
+    spec.errors = method == "DELETE" ? removeErrors : writeErrors;
+    spec.method = method;
+    spec.path = path;
+    spec.idKey = idKey;
+    spec.handler = &Session::write;
+    return spec;
+}
+
+CommandSpec contractPut()
+{
+    CommandSpec spec = writeCommand("contract put", "PUT", "contracts", "workspace");
+    spec.summary = "Write the contract of a workspace";
+    spec.text = "Writes a new contract or replaces the whole contract of the workspace. Rate and "
+                "burst hold over the whole fleet.";
+    spec.positionals = {{"WORKSPACE", "", ValueKind::Text, "name of the workspace"}};
+    spec.options = {
+            {"--rate", "N", ValueKind::Number, "rate_per_second", "requests per second", "", true},
+            {"--burst", "N", ValueKind::Number, "burst",
+             "requests that may exceed the rate at once", "", true},
+            {"--batch-share", "N", ValueKind::Number, "batch_share",
+             "weight of the workspace's batch work against that of others; 0 grants none", "0",
+             false},
+            {"--retention-seconds", "N", ValueKind::Integer, "retention_seconds",
+             "how long batch results stay readable after the job has ended, in seconds",
+             "604800 (7 days)", false},
+            {"--region-share", "REGION=SHARE", ValueKind::Shares, "region_shares",
+             "share of rate and burst (0 to 1) of a region while regions are partitioned; may be "
+             "repeated",
+             "none", false},
+    };
+    spec.example = "rattanrillctl contract put lantern-crew --rate 10 --burst 20 --batch-share 4";
+    return spec;
+}
+
+CommandSpec contractWithdraw()
+{
+    CommandSpec spec = writeCommand("contract withdraw", "DELETE", "contracts", "workspace");
+    spec.summary = "Withdraw a contract and its keys";
+    spec.text = "The workspace is granted nothing any more; all its keys are withdrawn with it.";
+    spec.positionals = {{"WORKSPACE", "", ValueKind::Text, "name of the workspace"}};
+    spec.example = "rattanrillctl contract withdraw lantern-crew";
+    return spec;
+}
+
+CommandSpec keyAdd()
+{
+    CommandSpec spec = writeCommand("key add", "POST", "keys", "");
+    spec.summary = "Add a caller's key to a workspace";
+    spec.text = "Draws a new key and shows it once; only its hash is stored. When the answer was "
+                "lost and the request is repeated, the key cannot be shown: the command then fails "
+                "and names the key id, to be withdrawn.";
+    spec.positionals = {{"WORKSPACE", "workspace", ValueKind::Text, "name of the workspace"}};
+    spec.errors = "`not_found` without a contract; `conflict` when the contract is withdrawn.";
+    spec.example = "rattanrillctl key add lantern-crew";
+    spec.handler = &Session::addKey;
+    return spec;
+}
+
+CommandSpec keyWithdraw()
+{
+    CommandSpec spec = writeCommand("key withdraw", "DELETE", "keys", "key_id");
+    spec.summary = "Withdraw a key";
+    spec.text = "The key stops working within seconds, also for callers that are connected.";
+    spec.positionals = {{"KEY_ID", "", ValueKind::Text, "id of the key, from `key list`"}};
+    spec.example = "rattanrillctl key withdraw key_0123456789abcdef";
+    return spec;
+}
+
+CommandSpec configPut()
+{
+    CommandSpec spec = writeCommand("config put", "PUT", "configs", "name");
+    spec.summary = "Write a configuration value";
+    spec.text = "Writes a new value or replaces one; it is in force everywhere within seconds.";
+    spec.positionals = {{"NAME", "", ValueKind::Text, "name of the value"},
+                        {"VALUE", "value", ValueKind::Json, "JSON text"}};
+    spec.example = "rattanrillctl config put batch '{\"reserve\": 0.2}'";
+    return spec;
+}
+
+CommandSpec configWait()
+{
+    CommandSpec spec;
+    spec.words = "config wait";
+    spec.summary = "Wait until a revision is in force on all entry instances";
+    spec.text = "Asks the leading control instance until the heartbeats of all members report the "
+                "revision.";
+    spec.options = {
+            {"--revision", "N", ValueKind::Integer, "", "directory revision", "", true},
+            {"--timeout", "SECONDS", ValueKind::Number, "", "how long to wait, in seconds", "10",
+             false},
+    };
+    spec.errors = "`timeout` with the instances that lack the revision.";
+    spec.example = "rattanrillctl config wait --revision 42 --timeout 20";
+    spec.method = "GET";
+    spec.path = "in_force";
+    spec.handler = &Session::waitInForce;
+    return spec;
+}
+
+CommandSpec routePut()
+{
+    CommandSpec spec = writeCommand("route put", "PUT", "routes", "name");
+    spec.summary = "Write a route to a plain service";
+    spec.text = "Requests whose path starts with the prefix go to the service.";
+    spec.positionals = {{"NAME", "", ValueKind::Text, "name of the route"}};
+    spec.options = {
+            {"--path-prefix", "PATH", ValueKind::Text, "path_prefix",
+             "start of the callers' paths; whole segments are compared", "", true},
+            {"--service", "NAME", ValueKind::Text, "service", "name of the service", "", true},
+            {"--open", "", ValueKind::Flag, "open", "open to all: no key is asked for", "off",
+             false},
+            {"--idempotent", "", ValueKind::Flag, "idempotent",
+             "a call may be repeated without a second effect", "off", false},
+    };
+    spec.example = "rattanrillctl route put desk --path-prefix /desk/ --service order-desk";
+    return spec;
+}
+
+CommandSpec removeCommand(const std::string &noun, const std::string &path,
+                          const std::string &summary, const std::string &text)
+{
+    CommandSpec spec = writeCommand(noun + " remove", "DELETE", path, "name");
+    spec.summary = summary;
+    spec.text = text;
+    spec.positionals = {{"NAME", "", ValueKind::Text, "name of the " + noun}};
+    spec.example = "rattanrillctl " + spec.words + " example-1";
+    return spec;
+}
+
+CommandSpec upstreamPut()
+{
+    CommandSpec spec = writeCommand("upstream put", "PUT", "upstreams", "name");
+    spec.summary = "Write an upstream";
+    spec.text = "Adds an engine or a service, or changes one. A leaving upstream gets no new work "
+                "after a few seconds.";
+    spec.positionals = {{"NAME", "", ValueKind::Text, "name of the upstream"}};
+    spec.options = {
+            {"--kind", "engine|service", ValueKind::Text, "kind", "kind of upstream", "engine",
+             false},
+            {"--serves", "NAME", ValueKind::Text, "serves", "model or service that it serves", "",
+             true},
+            {"--host", "IP", ValueKind::Text, "host", "IP address", "", true},
+            {"--port", "N", ValueKind::Integer, "port", "TCP port", "", true},
+            {"--failure-domain", "NAME", ValueKind::Text, "failure_domain", "its failure domain",
+             "", true},
+            {"--state", "active|leaving", ValueKind::Text, "state", "state", "active", false},
+            {"--checks-fence", "", ValueKind::Flag, "checks_fence",
+             "the upstream rejects commands with an old fencing number", "off", false},
+    };
+    spec.example = "rattanrillctl upstream put engine-1 --kind engine --serves lamplight-lm "
+                   "--host 127.0.30.1 --port 9000 --failure-domain tx-central-a";
+    return spec;
+}
+
+CommandSpec heldRelease()
+{
+    CommandSpec spec = writeCommand("held release", "DELETE", "held", "fingerprint");
+    spec.summary = "Release a held request";
+    spec.text = "The request with this fingerprint may run again; its crashes are forgotten.";
+    spec.positionals = {{"FINGERPRINT", "", ValueKind::Text, "from `held list`"}};
+    spec.example = "rattanrillctl held release 6f1d9c0e";
+    return spec;
+}
+
+CommandSpec statusCommand()
+{
+    CommandSpec spec;
+    spec.words = "status";
+    spec.summary = "Show groups, leaders, members and the revision";
+    spec.text = "Shows the groups as the asked instance sees them. The revision is missing when no "
+                "leader confirms it.";
+    spec.errors = "none besides an unreachable instance.";
+    spec.example = "rattanrillctl --json status";
+    spec.method = "GET";
+    spec.path = "status";
+    spec.handler = &Session::status;
+    return spec;
+}
+
+CommandSpec batchCancel()
+{
+    CommandSpec spec = writeCommand("batch cancel", "POST", "batches", "");
+    spec.pathEnd = "/cancel";
+    spec.summary = "Cancel a batch job";
+    spec.text = "Items that have not finished end as cancelled; finished ones stay readable.";
+    spec.positionals = {{"ID", "", ValueKind::Text, "id of the job, from `batch list`"}};
+    spec.errors = "`not_found`; `job_finished`.";
+    spec.example = "rattanrillctl batch cancel batch_0123";
+    return spec;
+}
+
+CommandSpec replicaAdd()
+{
+    CommandSpec spec = writeCommand("replica add", "POST", "replicas", "");
+    spec.summary = "Add a replica to a group";
+    spec.text = "The replica receives the state first and votes after it has caught up. The "
+                "settings of all control instances must list it.";
+    spec.positionals = {{"GROUP", "group", ValueKind::Text, "directory or batch-N"},
+                        {"REPLICA", "replica", ValueKind::Text, "instance name"}};
+    spec.options = {{"--replaces", "REPLICA", ValueKind::Text, "replaces",
+                     "replica that is removed in turn", "none", false}};
+    spec.errors = "`invalid_request` for a replica that the settings do not list; `timeout` while "
+                  "it catches up.";
+    spec.example = "rattanrillctl replica add directory control-4 --replaces control-2";
+    return spec;
+}
+
+CommandSpec replicaRemove()
+{
+    CommandSpec spec = writeCommand("replica remove", "DELETE", "replicas", "");
+    spec.summary = "Remove a replica from a group";
+    spec.text = "The replica stops voting and receiving the group's log.";
+    spec.positionals = {{"GROUP", "group", ValueKind::Text, "directory or batch-N"},
+                        {"REPLICA", "", ValueKind::Text, "instance name"}};
+    spec.errors = "`not_member`; `timeout`.";
+    spec.example = "rattanrillctl replica remove directory control-2";
+    return spec;
+}
+
+CommandSpec helpCommand()
+{
+    CommandSpec spec;
+    spec.words = "help";
+    spec.summary = "Show commands and options";
+    spec.text = "Without `--markdown` it shows the list of commands; with it, the pages of "
+                "docs/commands or, with `--command`, one of them.";
+    spec.options = {
+            {"--markdown", "", ValueKind::Flag, "", "print pages in Markdown", "off", false},
+            {"--command", "WORDS", ValueKind::Text, "", "one command, such as \"key add\"", "all",
+             false}};
+    spec.errors = "none.";
+    spec.example = "rattanrillctl help --markdown --command \"key add\"";
+    spec.handler = &Session::help;
+    return spec;
+}
+
+std::vector<CommandSpec> makeTable()
+{
+    return {
+            listCommand("contract", "contracts", "List contracts",
+                        "Shows all contracts, withdrawn ones included.",
+                        {"workspace", "rate_per_second", "burst", "batch_share",
+                         "retention_seconds", "withdrawn", "revision"}),
+            contractPut(),
+            contractWithdraw(),
+            listCommand("key", "keys", "List keys",
+                        "Shows ids and workspaces of all keys, never a key.",
+                        {"key_id", "workspace", "withdrawn", "revision"}),
+            keyAdd(),
+            keyWithdraw(),
+            listCommand("config", "configs", "List configuration values",
+                        "Shows all configuration values.", {"name", "value", "revision"}),
+            configPut(),
+            configWait(),
+            listCommand("route", "routes", "List routes", "Shows all routes to plain services.",
+                        {"name", "path_prefix", "service", "open", "idempotent", "revision"}),
+            routePut(),
+            removeCommand("route", "routes", "Remove a route",
+                          "Requests under its prefix find no route any more."),
+            listCommand("upstream", "upstreams", "List upstreams", "Shows all upstreams.",
+                        {"name", "kind", "serves", "host", "port", "failure_domain", "state",
+                         "revision"}),
+            upstreamPut(),
+            removeCommand("upstream", "upstreams", "Remove an upstream",
+                          "Entry instances send it nothing any more. Let it leave first "
+                          "(`upstream put --state leaving`), so that its work can finish."),
+            listCommand("member", "members", "List members",
+                        "Shows the entry instances that the directory has acknowledged.",
+                        {"instance", "failure_domain", "peer_address", "http_address",
+                         "incarnation", "revision"}),
+            listCommand("held", "held", "List held requests",
+                        "Shows fingerprints of requests that crashed upstreams; those that crashed "
+                        "two are held.",
+                        {"fingerprint", "held", "crashed_upstreams", "expires_at_ms", "revision"}),
+            heldRelease(),
+            statusCommand(),
+            listCommand("batch", "batches", "List batch jobs", "Shows the jobs of all workspaces.",
+                        {"id", "workspace", "state", "counts", "due_at_ms"}),
+            batchCancel(),
+            replicaAdd(),
+            replicaRemove(),
+            helpCommand(),
+    };
+}
+
+} // namespace
+
+const std::vector<CommandSpec> &commandTable()
+{
+    static const std::vector<CommandSpec> table = makeTable();
+    return table;
+}
+
+const std::vector<OptionSpec> &commonOptions()
+{
+    static const std::vector<OptionSpec> options = {
+            {"--server", "HOST:PORT", ValueKind::Text, "",
+             "operators' address of a control instance; may be repeated, the servers are tried in "
+             "turn",
+             "", false},
+            {"--token-file", "FILE", ValueKind::Text, "", "file with the operator token", "",
+             false},
+            {"--json", "", ValueKind::Flag, "", "print answers and errors as JSON", "off", false},
+            {"--base-revision", "N", ValueKind::Integer, "",
+             "revision of the record that a write is based on; 0 for a new record",
+             "the current revision, read first", false},
+            {"--request-id", "TEXT", ValueKind::Text, "",
+             "id of a write; a write that is sent again with it has its effect once", "random",
+             false},
+            {"--help", "", ValueKind::Flag, "", "show the help of a command", "off", false},
+    };
+    return options;
+}
+
+} // namespace rattanrill::ctl
--- /dev/null
+++ b/src/ctl/help.cpp
@@ -0,0 +1,130 @@
+#include "help.h"
+
+#include "commandtable.h"
+
+#include "rattanrill/base/concat.h"
+
+#include <algorithm>
+
+namespace rattanrill::ctl {
+namespace {
+
+constexpr std::size_t columnWidth = 34;
+
+std::string padded(std::string text)
+{
+    text.resize(std::max(text.size() + 1, columnWidth), ' ');
+    return text;
+}
+
+std::string optionText(const OptionSpec &option)
+{
+    return option.value.empty() ? option.name : concat(option.name, " ", option.value);
+}
+
+std::string synopsis(const CommandSpec &command)
+{
+    std::string text = "rattanrillctl " + command.words;
+    for (const PositionalSpec &positional : command.positionals)
+        text += " " + positional.name;
+    for (const OptionSpec &option : command.options) {
+        const std::string part = optionText(option);
+        text += option.required ? " " + part : concat(" [", part, "]");
+    }
+    return text;
+}
+
+std::string fallbackText(const OptionSpec &option)
+{
+    if (option.required)
+        return "required";
+    return option.fallback.empty() ? "" : concat("default: ", option.fallback);
+}
+
+std::string optionLine(const OptionSpec &option)
+{
+    const std::string fallback = fallbackText(option);
+    return concat("  ", padded(optionText(option)), option.help,
+                  fallback.empty() ? "" : concat(" (", fallback, ")"), "\n");
+}
+
+/// A placeholder such as "engine|service" would end a cell of a table.
+std::string cell(std::string text)
+{
+    for (std::size_t at = text.find('|'); at != std::string::npos; at = text.find('|', at + 2))
+        text.insert(at, "\\");
+    return text;
+}
+
+std::string argumentRow(const std::string &name, const std::string &help,
+                        const std::string &fallback)
+{
+    return concat("| `", cell(name), "` | ", cell(help), " | ", cell(fallback), " |\n");
+}
+
+std::string argumentTable(const CommandSpec &command)
+{
+    std::string text = "| argument | meaning and unit | default |\n|---|---|---|\n";
+    for (const PositionalSpec &positional : command.positionals)
+        text += argumentRow(positional.name, positional.help, "required");
+    for (const OptionSpec &option : command.options)
+        text += argumentRow(optionText(option), option.help,
+                            option.required ? "required" : option.fallback);
+    return text;
+}
+
+} // namespace
+
+std::string overviewText()
+{
+    std::string text = "rattanrillctl: operates a rattanrill deployment\n\n"
+                       "Usage: rattanrillctl --server HOST:PORT --token-file FILE COMMAND ...\n\n"
+                       "Commands:\n";
+    for (const CommandSpec &command : commandTable())
+        text += concat("  ", padded(command.words), command.summary, "\n");
+    text += "\nOptions of every command:\n";
+    for (const OptionSpec &option : commonOptions())
+        text += optionLine(option);
+    text += "\nExit codes: 0 done, 1 refused, 2 unusable arguments, 3 no control instance "
+            "reached\n";
+    return text;
+}
+
+std::string commandText(const CommandSpec &command)
+{
+    std::string text =
+            concat(command.summary, "\n\nUsage: ", synopsis(command), "\n\n", command.text, "\n\n");
+    for (const PositionalSpec &positional : command.positionals)
+        text += concat("  ", padded(positional.name), positional.help, "\n");
+    for (const OptionSpec &option : command.options)
+        text += optionLine(option);
+    text += "\nOptions of every command:\n";
+    for (const OptionSpec &option : commonOptions())
+        text += optionLine(option);
+    return text;
+}
+
+std::string commandPage(const CommandSpec &command)
+{
+    const bool hasArguments = !command.positionals.empty() || !command.options.empty();
+    return concat("# rattanrillctl ", command.words, "\n\n", command.summary, ".\n\n",
+                  "## Synopsis\n\n```\n", synopsis(command), "\n```\n\n",
+                  "`--server`, `--token-file`, `--json`, `--base-revision` and `--request-id` are "
+                  "options of every command; see `rattanrillctl help`.\n\n",
+                  "## What it does\n\n", command.text, "\n\n",
+                  "## Arguments, units and defaults\n\n",
+                  hasArguments ? argumentTable(command) : std::string("None.\n"), "\n",
+                  "## Errors\n\n", command.errors,
+                  " Exit codes: 0 done, 1 refused, 2 unusable arguments, 3 no control instance "
+                  "reached.\n\n",
+                  "## Example\n\n```\n", command.example, "\n```\n");
+}
+
+std::string pageName(const CommandSpec &command)
+{
+    std::string name = command.words;
+    std::replace(name.begin(), name.end(), ' ', '-');
+    return name + ".md";
+}
+
+} // namespace rattanrill::ctl
--- /dev/null
+++ b/src/ctl/invocation.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "commandspec.h"
+
+#include "rattanrill/base/json.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rattanrill::ctl {
+
+/// A command line, parsed by the table of commands.
+struct Invocation
+{
+    const CommandSpec *command = nullptr;
+    /// Id in the request's path; empty when the command has none.
+    std::string id;
+    /// Members of the request's body, but for request id and base revision.
+    Json body = Json::object();
+    /// Values of all options by name; a repeated one holds the last value.
+    std::map<std::string, std::string> options;
+    std::vector<std::string> servers;
+
+    bool has(const std::string &option) const { return options.count(option) > 0; }
+    /// Value of \a option, or \a fallback.
+    std::string value(const std::string &option, const std::string &fallback = {}) const
+    {
+        const auto found = options.find(option);
+        return found == options.end() ? fallback : found->second;
+    }
+};
+
+/// Parses \a arguments (without the program name). Fails with InvalidArgument.
+Result<Invocation> parseArguments(const std::vector<std::string> &arguments);
+
+} // namespace rattanrill::ctl
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,12 @@
+#include "ctl.h"
+
+#include <csignal>
+#include <iostream>
+
+int main(int argc, char **argv)
+{
+    // A server that closes the connection must not end the program.
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return rattanrill::ctl::runCtl(arguments, std::cout, std::cerr);
+}
--- /dev/null
+++ b/src/ctl/operatorclient.cpp
@@ -0,0 +1,166 @@
+#include "operatorclient.h"
+
+#include "rattanrill/base/concat.h"
+
+#include "absl/time/clock.h"
+
+#include <httplib.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <utility>
+
+namespace rattanrill::ctl {
+namespace {
+
+/// Longer than an election and the wait of an instance for its group.
+constexpr absl::Duration totalTimeout = absl::Seconds(20);
+constexpr absl::Duration unreachableTimeout = absl::Seconds(5);
+constexpr absl::Duration roundPause = absl::Milliseconds(100);
+constexpr time_t connectTimeoutSeconds = 1;
+/// A membership change waits until the new replica has caught up.
+constexpr time_t readTimeoutSeconds = 30;
+constexpr int maxRedirects = 3;
+constexpr int temporaryRedirect = 307;
+constexpr std::string_view root = "/operator/v1/";
+
+/// Refusals that another instance, or the same one a moment later, may not repeat.
+constexpr std::array<std::string_view, 5> transientCodes = {
+        "not_leader", "no_quorum", "proposal_lost", "stopped", "queue_full"};
+
+struct HostPort
+{
+    std::string host;
+    int port = 0;
+};
+
+HostPort hostPort(const std::string &server)
+{
+    const std::size_t colon = server.rfind(':');
+    if (colon == std::string::npos)
+        return HostPort{server, 0};
+    std::string host = server.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[')
+        host = host.substr(1, host.size() - 2);
+    return HostPort{host, std::atoi(server.c_str() + colon + 1)};
+}
+
+/// "host:port" of "http://host:port/path".
+std::string serverOf(const std::string &location)
+{
+    const std::size_t begin = location.find("//");
+    if (begin == std::string::npos)
+        return {};
+    const std::size_t end = location.find('/', begin + 2);
+    return location.substr(begin + 2, end == std::string::npos ? end : end - begin - 2);
+}
+
+Failure failureOf(int status, const std::string &body)
+{
+    const auto json = outcomeOf([&] { return parseJson(body, "answer"); });
+    const bool typed = json.ok() && json.value().is_object() && json.value().contains("error")
+                       && json.value().at("error").is_object();
+    if (!typed)
+        return mayHaveRun(ErrorCode::Internal, concat("HTTP status ", status));
+    const Json &error = json.value().at("error");
+    Failure failure;
+    failure.code = errorCodeFromName(error.value("code", "")).value_or(ErrorCode::Internal);
+    failure.run = error.value("run", "") == name(RunState::NotRun) ? RunState::NotRun
+                                                                   : RunState::MayHaveRun;
+    failure.detail = error.value("message", "");
+    // The message already begins with the code's name, which describe() puts in front again.
+    const std::string prefix = concat(name(failure.code), ": ");
+    if (failure.detail.rfind(prefix, 0) == 0)
+        failure.detail = failure.detail.substr(prefix.size());
+    else if (failure.detail == name(failure.code))
+        failure.detail.clear();
+    return failure;
+}
+
+bool isTransient(const Failure &failure)
+{
+    const std::string_view code = name(failure.code);
+    return std::find(transientCodes.begin(), transientCodes.end(), code) != transientCodes.end();
+}
+
+} // namespace
+
+OperatorClient::OperatorClient(std::vector<std::string> servers, std::string token)
+    : m_servers(std::move(servers))
+    , m_token(std::move(token))
+{}
+
+Result<Json> OperatorClient::send(const std::string &method, const std::string &path,
+                                  const Json &body)
+{
+    const std::string text = dumpJson(body);
+    const absl::Time start = absl::Now();
+    Failure failure = notRun(ErrorCode::ConnectionLost, "no control instance was reached");
+    m_repeated = false;
+    while (true) {
+        for (const std::string &server : m_servers) {
+            const Answer answer = sendFollowing(server, method, path, text);
+            if (answer.status == 0)
+                continue;
+            if (answer.status == 200)
+                return parseJson(answer.body, "answer");
+            failure = failureOf(answer.status, answer.body);
+            if (!isTransient(failure))
+                return fail(failure);
+            m_repeated = m_repeated || failure.run == RunState::MayHaveRun;
+        }
+        const bool reached = failure.code != ErrorCode::ConnectionLost;
+        if (absl::Now() - start > (reached ? totalTimeout : unreachableTimeout))
+            return fail(m_repeated ? mayHaveRun(failure.code, failure.detail) : failure);
+        absl::SleepFor(roundPause);
+    }
+}
+
+OperatorClient::Answer OperatorClient::sendFollowing(std::string server, const std::string &method,
+                                                     const std::string &path,
+                                                     const std::string &body)
+{
+    for (int redirects = 0; redirects <= maxRedirects; ++redirects) {
+        Answer answer = sendOnce(server, method, path, body);
+        if (answer.status == 0)
+            m_repeated = m_repeated || answer.body == "sent";
+        if (answer.status != temporaryRedirect)
+            return answer;
+        server = serverOf(answer.location);
+    }
+    return Answer{};
+}
+
+OperatorClient::Answer OperatorClient::sendOnce(const std::string &server,
+                                                const std::string &method, const std::string &path,
+                                                const std::string &body) const
+{
+    const HostPort address = hostPort(server);
+    httplib::Client client(address.host, address.port);
+    client.set_connection_timeout(connectTimeoutSeconds);
+    client.set_read_timeout(readTimeoutSeconds);
+    httplib::Request request;
+    request.method = method;
+    request.path = concat(root, path);
+    request.set_header("Authorization", concat("Bearer ", m_token));
+    if (method != "GET") {
+        request.set_header("Content-Type", "application/json");
+        request.body = body;
+    }
+    const httplib::Result result = client.send(request);
+    Answer answer;
+    if (!result) {
+        // Once connected, the request may have left.
+        const bool sent = result.error() != httplib::Error::Connection
+                          && result.error() != httplib::Error::ConnectionTimeout;
+        answer.body = sent ? "sent" : "";
+        return answer;
+    }
+    answer.status = result->status;
+    answer.body = result->body;
+    answer.location = result->get_header_value("Location");
+    return answer;
+}
+
+} // namespace rattanrill::ctl
--- /dev/null
+++ b/src/ctl/tabletext.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "rattanrill/base/json.h"
+
+#include <string>
+#include <vector>
+
+namespace rattanrill::ctl {
+
+/// \a rows (objects) as aligned columns with a heading of member names.
+std::string tableText(const std::vector<std::string> &columns, const Json &rows);
+
+} // namespace rattanrill::ctl
