--- a/tests/entry/limit_test.cpp
+++ b/tests/entry/limit_test.cpp
@@ -88,7 +88,11 @@
     bool finished = false;
     std::thread drain([&] { finished = fleet.entry(0).drain(); });
     // In the notice time readiness has ended and requests are still served.
-    BOOST_TEST(idle.Get("/readyz")->status == 503);
+    BOOST_TEST(eventually([&] {
+        const auto ready = idle.Get("/readyz");
+        return ready && ready->status == 503;
+    }));
+    BOOST_TEST(fleet.complete(0, "acme", "late", 1)->status == 200);
     BOOST_TEST(eventually([&] {
         httplib::Client client("127.0.0.1", fleet.port(0));
         return !client.Get("/healthz");
--- a/tests/entry/online_test.cpp
+++ b/tests/entry/online_test.cpp
@@ -196,14 +196,8 @@
             }
             return running >= 0;
         }));
-        // Stopping also ends its stream without an end mark, as a crash does.
         before[running] = ~std::size_t(0);
-        script.cutAfter = 0;
-        script.cuts = 1;
-        script.holdAt.reset();
-        fleet.engine(running).setScript(script);
         fleet.engine(running).stop();
-        script.cutAfter.reset();
     }
     caller.join();
     for (int entry = 0; entry < 2; ++entry) {
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -98,8 +98,12 @@
 
 void ScriptedEngine::stop()
 {
-    release();
     m_http->server.stop();
+    {
+        // Only now: a stream that breaks while the engine still listens is no crash.
+        absl::MutexLock lock(&m_mutex);
+        m_stopped = true;
+    }
     if (m_http->thread.joinable())
         m_http->thread.join();
 }
@@ -132,7 +136,7 @@
 
 bool ScriptedEngine::mayGoOn(const Stream &stream) const
 {
-    return !m_script.holdAt || stream.next < *m_script.holdAt
+    return m_stopped || !m_script.holdAt || stream.next < *m_script.holdAt
            || m_cancelled.count(stream.requestId) > 0;
 }
 
@@ -142,6 +146,8 @@
     absl::MutexLock lock(&m_mutex);
     const auto ready = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) { return mayGoOn(stream); };
     m_mutex.AwaitWithTimeout(absl::Condition(&ready), waitLimit);
+    if (m_stopped)
+        return false;
     const bool cancelled = m_cancelled.count(stream.requestId) > 0;
     const bool last = cancelled || stream.next >= stream.end;
     if (!last && m_script.cutAfter && m_script.cuts > 0
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -53,8 +53,8 @@
     int port() const;
     void setScript(const Script &script) ABSL_LOCKS_EXCLUDED(m_mutex);
     void release() ABSL_LOCKS_EXCLUDED(m_mutex);
-    /// Nothing listens any more.
-    void stop();
+    /// Crashes: nothing listens any more, then streams break.
+    void stop() ABSL_LOCKS_EXCLUDED(m_mutex);
     std::vector<SeenRequest> seen() const ABSL_LOCKS_EXCLUDED(m_mutex);
     /// Completions and service calls seen, without load reports and the like.
     std::size_t runs() const ABSL_LOCKS_EXCLUDED(m_mutex);
@@ -73,7 +73,7 @@
     Script m_script ABSL_GUARDED_BY(m_mutex);
     std::vector<SeenRequest> m_seen ABSL_GUARDED_BY(m_mutex);
     std::size_t m_runs ABSL_GUARDED_BY(m_mutex) = 0;
-    std::size_t m_running ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
     std::map<std::string, bool> m_cancelled ABSL_GUARDED_BY(m_mutex);
     std::unique_ptr<Http> m_http;
 };
