Report: Add the service-level burn report

Cause: operators need to see which workspace is served worst and how fast each objective uses its error budget.

Before: raw metrics only. After: burn rates in several windows, worst workspace first, traffic and repairs, as text, JSON and HTML.

--- /dev/null
+++ b/src/report/burn.cpp
@@ -0,0 +1,303 @@
+#include "burn.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/enumnames.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <limits>
+#include <set>
+#include <utility>
+
+namespace rattanrill::report {
+namespace {
+
+constexpr std::array<EnumName<Objective>, 4> objectiveNames = {{
+        {Objective::TimeToFirstToken, "time_to_first_token"},
+        {Objective::TimeBetweenTokens, "time_between_tokens"},
+        {Objective::ServedInsideRate, "served_inside_rate"},
+        {Objective::BatchOnTime, "batch_on_time"},
+}};
+
+/// Workspace and model.
+using Group = std::vector<std::string>;
+using Shares = std::map<Group, Share>;
+
+/// Observations of a histogram by upper bound, cumulative.
+using Buckets = std::map<double, double>;
+
+double boundOf(const std::string &text)
+{
+    return text == "+Inf" ? std::numeric_limits<double>::infinity() : std::atof(text.c_str());
+}
+
+/// Observations up to \a threshold; within the bucket of the threshold they are taken as evenly
+/// spread.
+double observationsUpTo(const Buckets &buckets, double threshold)
+{
+    double lowerBound = 0;
+    double below = 0;
+    for (const auto &[bound, cumulative] : buckets) {
+        if (bound <= threshold) {
+            lowerBound = bound;
+            below = cumulative;
+            continue;
+        }
+        if (std::isinf(bound))
+            return below;
+        return below + (cumulative - below) * (threshold - lowerBound) / (bound - lowerBound);
+    }
+    return below;
+}
+
+Shares latencyShares(const FleetHistory &history, const std::string &metric, double threshold,
+                     std::size_t from, std::size_t to)
+{
+    std::map<Group, Buckets> buckets;
+    for (const auto &[labels, count] :
+         history.increase(metric + "_bucket", {}, {"workspace", "model", "le"}, from, to))
+        buckets[{labels[0], labels[1]}][boundOf(labels[2])] += count;
+    Shares shares;
+    for (const auto &[group, groupBuckets] : buckets) {
+        const double total = groupBuckets.rbegin()->second;
+        shares[group] = {total, total - observationsUpTo(groupBuckets, threshold)};
+    }
+    return shares;
+}
+
+void addCounts(Shares &shares, const FleetHistory &history, const std::string &metric,
+               const Labels &match, double Share::*field, std::size_t from, std::size_t to)
+{
+    for (const auto &[labels, count] : history.increase(metric, match, {"workspace"}, from, to))
+        shares[{labels[0], std::string()}].*field += count;
+}
+
+Shares refusalShares(const FleetHistory &history, std::size_t from, std::size_t to)
+{
+    Shares shares;
+    addCounts(shares, history, "rattanrill_requests_total", {}, &Share::total, from, to);
+    addCounts(shares, history, "rattanrill_refused_total", {{"inside_rate", "true"}}, &Share::bad,
+              from, to);
+    return shares;
+}
+
+Shares batchShares(const FleetHistory &history, std::size_t from, std::size_t to)
+{
+    Shares shares;
+    for (const char *state : {"completed", "failed"})
+        addCounts(shares, history, "rattanrill_batch_items_total", {{"state", state}},
+                  &Share::total, from, to);
+    addCounts(shares, history, "rattanrill_batch_past_due_total", {}, &Share::bad, from, to);
+    return shares;
+}
+
+Shares sharesOf(const FleetHistory &history, const Objectives &objectives, Objective objective,
+                std::size_t from, std::size_t to)
+{
+    switch (objective) {
+    case Objective::TimeToFirstToken:
+        return latencyShares(history, "rattanrill_ttft_seconds", objectives.ttftSeconds, from, to);
+    case Objective::TimeBetweenTokens:
+        return latencyShares(history, "rattanrill_tbt_seconds", objectives.tbtSeconds, from, to);
+    case Objective::ServedInsideRate:
+        return refusalShares(history, from, to);
+    case Objective::BatchOnTime:
+        return batchShares(history, from, to);
+    }
+    return {};
+}
+
+double targetOf(const Objectives &objectives, Objective objective)
+{
+    switch (objective) {
+    case Objective::TimeToFirstToken:
+        return objectives.ttftTarget;
+    case Objective::TimeBetweenTokens:
+        return objectives.tbtTarget;
+    case Objective::ServedInsideRate:
+        return objectives.servedInsideRateTarget;
+    case Objective::BatchOnTime:
+        return objectives.batchOnTimeTarget;
+    }
+    return 1;
+}
+
+double burnRate(const Share &share, const Objectives &objectives, Objective objective)
+{
+    return share.badShare() / (1 - targetOf(objectives, objective));
+}
+
+std::set<absl::Duration> windowsOf(const Objectives &objectives)
+{
+    std::set<absl::Duration> windows;
+    for (const WindowPair &pair : objectives.windows) {
+        windows.insert(pair.shortWindow);
+        windows.insert(pair.longWindow);
+    }
+    return windows;
+}
+
+double burnIn(const BurnRow &row, absl::Duration window)
+{
+    for (const WindowBurn &burn : row.windows) {
+        if (burn.window == window)
+            return burn.burnRate;
+    }
+    return 0;
+}
+
+bool hasAlert(const BurnRow &row, const Objectives &objectives)
+{
+    return std::any_of(objectives.windows.begin(), objectives.windows.end(),
+                       [&](const WindowPair &pair) {
+                           return burnIn(row, pair.shortWindow) > pair.alertRate
+                                  && burnIn(row, pair.longWindow) > pair.alertRate;
+                       });
+}
+
+using Rows = std::map<std::pair<Objective, Group>, BurnRow>;
+
+Share sumOf(const Shares &shares)
+{
+    Share sum;
+    for (const auto &[group, share] : shares) {
+        sum.total += share.total;
+        sum.bad += share.bad;
+    }
+    return sum;
+}
+
+void addWindow(const FleetHistory &history, const Objectives &objectives, Objective objective,
+               absl::Duration window, Rows &rows, BurnRow &fleetRow)
+{
+    const std::size_t from = history.startOf(window);
+    const std::size_t to = history.last();
+    WindowBurn burn;
+    burn.window = window;
+    burn.span = history.times()[to] - history.times()[from];
+    Shares shares = sharesOf(history, objectives, objective, from, to);
+    burn.share = sumOf(shares);
+    burn.burnRate = burnRate(burn.share, objectives, objective);
+    fleetRow.windows.push_back(burn);
+    for (const auto &[group, share] : shares) {
+        BurnRow &row = rows[{objective, group}];
+        row.objective = objective;
+        row.workspace = group[0];
+        row.model = group[1];
+        burn.share = share;
+        burn.burnRate = burnRate(share, objectives, objective);
+        row.windows.push_back(burn);
+    }
+}
+
+std::vector<BurnPoint> courseOf(const FleetHistory &history, const Objectives &objectives,
+                                Objective objective)
+{
+    std::vector<BurnPoint> points;
+    for (std::size_t i = 1; i < history.times().size(); ++i) {
+        const Share share = sumOf(sharesOf(history, objectives, objective, i - 1, i));
+        points.push_back({history.times()[i], burnRate(share, objectives, objective)});
+    }
+    return points;
+}
+
+/// Orders rows by the worst burn of their workspace, then by their own.
+void sortRows(std::vector<BurnRow> &rows)
+{
+    std::map<std::string, double> worstByWorkspace;
+    for (const BurnRow &row : rows) {
+        double &worst = worstByWorkspace[row.workspace];
+        worst = std::max(worst, worstBurn(row));
+    }
+    std::stable_sort(rows.begin(), rows.end(), [&](const BurnRow &left, const BurnRow &right) {
+        const double leftWorst = worstByWorkspace[left.workspace];
+        const double rightWorst = worstByWorkspace[right.workspace];
+        if (leftWorst != rightWorst)
+            return leftWorst > rightWorst;
+        if (left.workspace != right.workspace)
+            return left.workspace < right.workspace;
+        return worstBurn(left) > worstBurn(right);
+    });
+}
+
+std::map<std::string, double> joinedKeys(const std::map<Group, double> &groups)
+{
+    std::map<std::string, double> joined;
+    for (const auto &[labels, value] : groups) {
+        std::string key;
+        for (const std::string &label : labels)
+            key += (key.empty() ? "" : " ") + label;
+        joined[key] += value;
+    }
+    return joined;
+}
+
+Traffic trafficOf(const FleetHistory &history)
+{
+    const std::size_t to = history.last();
+    const double seconds = absl::ToDoubleSeconds(history.times()[to] - history.times()[0]);
+    // Without a time span the figures are totals.
+    const double divisor = seconds > 0 ? seconds : 1;
+    Traffic traffic;
+    traffic.requestsPerSecond = history.increase("rattanrill_requests_total", {}, 0, to) / divisor;
+    traffic.tokensPerSecondByClass =
+            joinedKeys(history.increase("rattanrill_tokens_total", {}, {"class"}, 0, to));
+    for (auto &[key, value] : traffic.tokensPerSecondByClass)
+        value /= divisor;
+    traffic.batchItemsByState =
+            joinedKeys(history.increase("rattanrill_batch_items_total", {}, {"state"}, 0, to));
+    traffic.upstreamFailures = joinedKeys(history.increase("rattanrill_upstream_failures_total", {},
+                                                           {"upstream", "code"}, 0, to));
+    traffic.leasesExpired = history.increase("rattanrill_leases_expired_total", {}, 0, to);
+    return traffic;
+}
+
+} // namespace
+
+std::string_view name(Objective objective)
+{
+    return nameOf(objectiveNames, objective);
+}
+
+double Share::badShare() const
+{
+    const double all = std::max(total, bad);
+    return all > 0 ? std::max(bad, 0.0) / all : 0;
+}
+
+double worstBurn(const BurnRow &row)
+{
+    double worst = 0;
+    for (const WindowBurn &burn : row.windows)
+        worst = std::max(worst, burn.burnRate);
+    return worst;
+}
+
+BurnReport makeBurnReport(const FleetHistory &history, const Objectives &objectives)
+{
+    BurnReport report;
+    report.from = history.times().front();
+    report.to = history.times().back();
+    Rows rows;
+    for (const Objective objective : allObjectives) {
+        BurnRow fleetRow;
+        fleetRow.objective = objective;
+        for (const absl::Duration window : windowsOf(objectives))
+            addWindow(history, objectives, objective, window, rows, fleetRow);
+        fleetRow.alert = hasAlert(fleetRow, objectives);
+        report.fleet.push_back(std::move(fleetRow));
+        report.course[objective] = courseOf(history, objectives, objective);
+    }
+    for (auto &[key, row] : rows) {
+        row.alert = hasAlert(row, objectives);
+        report.rows.push_back(std::move(row));
+    }
+    sortRows(report.rows);
+    if (!report.rows.empty())
+        report.worstWorkspace = report.rows.front().workspace;
+    report.traffic = trafficOf(history);
+    return report;
+}
+
+} // namespace rattanrill::report
--- /dev/null
+++ b/src/report/fleethistory.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "exposition.h"
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rattanrill::report {
+
+/// Metrics of all instances at one time.
+struct Snapshot
+{
+    absl::Time at;
+    std::map<std::string, std::vector<Sample>> instances;
+};
+
+/// Counters of the fleet over time: the sum over all instances, corrected for restarts. A counter
+/// that fell was reset, so its whole value is new; an instance that appears later counted from 0;
+/// one that disappears keeps what it had counted.
+class FleetHistory
+{
+public:
+    /// \a snapshots in order of time, at least one.
+    explicit FleetHistory(const std::vector<Snapshot> &snapshots);
+
+    const std::vector<absl::Time> &times() const { return m_times; }
+    std::size_t last() const { return m_times.size() - 1; }
+    /// Index of the newest snapshot that is at least \a window older than the last one, else of
+    /// the oldest.
+    std::size_t startOf(absl::Duration window) const;
+
+    /// Increase between two snapshots of the series \a name whose labels include \a match, added
+    /// up by the values of the labels \a by.
+    std::map<std::vector<std::string>, double> increase(const std::string &name,
+                                                        const Labels &match,
+                                                        const std::vector<std::string> &by,
+                                                        std::size_t from, std::size_t to) const;
+    /// The same without groups.
+    double increase(const std::string &name, const Labels &match, std::size_t from,
+                    std::size_t to) const;
+
+private:
+    using Key = std::pair<std::string, Labels>;
+
+    void add(std::size_t index, const std::string &instance, const std::vector<Sample> &samples);
+
+    std::vector<absl::Time> m_times;
+    /// Total of each series at each snapshot, relative to the first one.
+    std::map<Key, std::vector<double>> m_totals;
+    std::map<std::pair<std::string, Key>, double> m_lastValues;
+};
+
+} // namespace rattanrill::report
--- /dev/null
+++ b/src/report/objectives.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "rattanrill/base/json.h"
+
+#include "absl/time/time.h"
+
+#include <string_view>
+#include <vector>
+
+namespace rattanrill::report {
+
+/// Two windows that must both burn faster than the rate for an alert: the long one shows that it
+/// matters, the short one that it goes on.
+struct WindowPair
+{
+    absl::Duration shortWindow;
+    absl::Duration longWindow;
+    double alertRate = 1;
+};
+
+/// Service-level objectives. A target is a share of good events.
+struct Objectives
+{
+    double ttftSeconds = 0.41;
+    double ttftTarget = 0.95;
+    double tbtSeconds = 0.067;
+    double tbtTarget = 0.95;
+    /// Requests that were not refused although within the contract's rate.
+    double servedInsideRateTarget = 0.999;
+    /// Batch items that ended before their due time.
+    double batchOnTimeTarget = 0.999;
+    std::vector<WindowPair> windows;
+};
+
+/// JSON schema of the objectives file.
+std::string_view objectivesSchema();
+
+/// Objectives from JSON that the schema allows; missing members keep their defaults.
+Objectives objectivesOf(const Json &json);
+
+} // namespace rattanrill::report
--- /dev/null
+++ b/src/report/snapshotsource.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "fleethistory.h"
+
+#include "rattanrill/base/result.h"
+
+#include "absl/time/time.h"
+
+#include <string>
+#include <vector>
+
+namespace rattanrill::report {
+
+/// A metrics page of one instance at one time.
+struct Page
+{
+    absl::Time at;
+    std::string instance;
+    std::string text;
+};
+
+/// Whole content of \a file. Fails with IoError.
+Result<std::string> readFile(const std::string &file);
+
+/// Page of "TIME=FILE" or "TIME=URL", TIME in RFC 3339 or seconds since 1970. The instance is the
+/// file name without suffix, or host and port of the URL. Fails with InvalidArgument, IoError or
+/// ConnectionLost.
+Result<Page> readSnapshotOption(const std::string &option);
+
+/// Pages of a folder as savePages() writes it: FOLDER/SECONDS/INSTANCE.prom.
+Result<std::vector<Page>> readSnapshotFolder(const std::string &folder);
+
+/// Metrics page at \a url now. A URL without a path means its /metrics.
+Result<Page> scrape(const std::string &url, absl::Time now);
+
+/// Writes each page to FOLDER/SECONDS/INSTANCE.prom. Fails with IoError.
+Result<void> savePages(const std::vector<Page> &pages, const std::string &folder);
+
+/// Parses the pages and orders them by time. Fails with MalformedMessage, or InvalidArgument when
+/// there is no page.
+Result<std::vector<Snapshot>> snapshotsOf(const std::vector<Page> &pages);
+
+} // namespace rattanrill::report
--- /dev/null
+++ b/src/report/textreport.cpp
@@ -0,0 +1,105 @@
+#include "rattanrill/base/concat.h"
+#include "reportformats.h"
+
+#include <algorithm>
+
+namespace rattanrill::report {
+namespace {
+
+constexpr std::size_t wideColumn = 22;
+constexpr std::size_t narrowColumn = 12;
+constexpr std::size_t shownEvents = 20;
+
+std::string padded(std::string text, std::size_t width)
+{
+    text.resize(std::max(width, text.size() + 1), ' ');
+    return text;
+}
+
+std::string timeText(absl::Time time)
+{
+    return absl::FormatTime("%Y-%m-%d %H:%M:%S UTC", time, absl::UTCTimeZone());
+}
+
+std::string headline(const std::vector<BurnRow> &rows)
+{
+    std::string line = padded("workspace", wideColumn) + padded("model", wideColumn)
+                       + padded("objective", wideColumn);
+    if (!rows.empty()) {
+        for (const WindowBurn &burn : rows.front().windows)
+            line += padded(absl::FormatDuration(burn.window), narrowColumn);
+    }
+    return line + "alert\n";
+}
+
+std::string rowLine(const BurnRow &row)
+{
+    std::string line = padded(row.workspace.empty() ? "(all)" : row.workspace, wideColumn)
+                       + padded(row.model.empty() ? "-" : row.model, wideColumn)
+                       + padded(std::string(name(row.objective)), wideColumn);
+    for (const WindowBurn &burn : row.windows)
+        line += padded(burn.share.total > 0 || burn.share.bad > 0 ? formatNumber(burn.burnRate)
+                                                                  : "-",
+                       narrowColumn);
+    return line + (row.alert ? "ALERT\n" : "\n");
+}
+
+std::string coverage(const BurnReport &burn)
+{
+    const absl::Duration span = burn.to - burn.from;
+    const auto &windows = burn.fleet.front().windows;
+    if (windows.back().window <= span)
+        return {};
+    return concat("Snapshots reach back ", absl::FormatDuration(span),
+                  "; longer windows show that span.\n");
+}
+
+template <typename Map>
+std::string lines(std::string_view title, const Map &values)
+{
+    std::string text;
+    for (const auto &[key, value] : values)
+        text += concat("  ", title, " ", key.empty() ? std::string("-") : key, ": ", value, "\n");
+    return text;
+}
+
+std::string trafficText(const Traffic &traffic)
+{
+    return concat("Traffic\n  requests per second: ", traffic.requestsPerSecond, "\n",
+                  lines("tokens per second,", traffic.tokensPerSecondByClass),
+                  lines("batch items,", traffic.batchItemsByState),
+                  lines("upstream failures,", traffic.upstreamFailures),
+                  "  leases expired: ", traffic.leasesExpired, "\n");
+}
+
+std::string repairText(const RepairLog &log)
+{
+    std::string text = concat("Repairs (", log.lines(), " log lines, ", log.unreadableLines(),
+                              " unreadable)\n");
+    for (const auto &[repair, count] : log.counts())
+        text += concat("  ", name(repair), ": ", count, "\n");
+    const std::vector<RepairEvent> events = log.events();
+    const std::size_t first = events.size() > shownEvents ? events.size() - shownEvents : 0;
+    for (std::size_t i = first; i < events.size(); ++i)
+        text += concat("  ", timeText(events[i].at), " ", events[i].instance, " ", events[i].detail,
+                       "\n");
+    return text;
+}
+
+} // namespace
+
+std::string textReport(const Report &report)
+{
+    const BurnReport &burn = report.burn;
+    std::string text = concat("Service-level burn, ", timeText(burn.from), " to ",
+                              timeText(burn.to), "\n", coverage(burn),
+                              "Burn rate 1 uses the error budget up exactly in its period.\n\n",
+                              headline(burn.fleet));
+    for (const BurnRow &row : burn.rows)
+        text += rowLine(row);
+    for (const BurnRow &row : burn.fleet)
+        text += rowLine(row);
+    return concat(text, "\n", trafficText(burn.traffic), "\n", repairText(report.repairs));
+}
+
+} // namespace rattanrill::report
--- /dev/null
+++ b/tests/report/reportformats_test.cpp
@@ -0,0 +1,126 @@
+#include "reportformats.h"
+
+#include "rattanrill/settings/settingsfile.h"
+#include "snapshotsource.h"
+#include "svgplot.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::report;
+
+namespace {
+
+const std::string logText =
+        R"({"time":"2026-03-01T10:00:00.000Z","event":"leader-changed","instance":"c1","group":"directory","term":4,"leader":"c2"}
+{"time":"2026-03-01T10:00:00.100Z","event":"raft-role","instance":"c2","group":"directory","term":4,"leader":"c2"}
+{"time":"2026-03-01T10:00:01.000Z","event":"raft-role","instance":"c3","group":"directory","term":5,"leader":""}
+{"time":"2026-03-01T10:00:02.000Z","event":"leader-changed","instance":"c1","group":"partition-1","term":4,"leader":"c1"}
+{"time":"2026-03-01T10:00:03.000Z","event":"batch-items-lost","instance":"e1","items":12}
+{"time":"2026-03-01T10:00:03.000Z","event":"batch-items-lost","instance":"e1","items":3}
+{"time":"2026-03-01T10:00:04.000Z","event":"member-joined","instance":"c1","member":"e<9>","incarnation":"7"}
+{"time":"2026-03-01T10:00:05.000Z","event":"started","instance":"e1"}
+not json
+)";
+
+std::vector<Page> pages()
+{
+    return {{absl::FromUnixSeconds(100), "e1", ""},
+            {absl::FromUnixSeconds(400), "e1",
+             "rattanrill_requests_total{workspace=\"<b>\",code=\"ok\"} 10\n"
+             "rattanrill_refused_total{workspace=\"<b>\",code=\"overloaded\","
+             "inside_rate=\"true\"} 5\n"}};
+}
+
+Report makeReport()
+{
+    Report report;
+    report.objectives = objectivesOf(Json::object());
+    const auto snapshots = outcomeOf([] { return snapshotsOf(pages()); });
+    report.burn = makeBurnReport(FleetHistory(snapshots.value()), report.objectives);
+    report.repairs.read(logText);
+    return report;
+}
+
+bool mentions(const std::string &text, const std::string &part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ReportFormatsTest)
+
+// Guards against an election counted once for each replica that logged it.
+BOOST_AUTO_TEST_CASE(repairsCountEachEventOnce)
+{
+    RepairLog log;
+    log.read(logText);
+    BOOST_TEST(log.counts().at(Repair::Election) == 2);
+    BOOST_TEST(log.counts().at(Repair::LeaseExpired) == 15);
+    BOOST_TEST(log.counts().at(Repair::MemberReplaced) == 1);
+    BOOST_TEST(log.unreadableLines() == 1);
+    BOOST_TEST(log.lines() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(jsonHasRowsAndRepairs)
+{
+    const Json json = jsonReport(makeReport());
+    BOOST_TEST(json.at("worst_workspace") == "<b>");
+    BOOST_TEST(json.at("rows")[0].at("objective") == "served_inside_rate");
+    BOOST_TEST(json.at("rows")[0].at("alert") == true);
+    BOOST_TEST(json.at("repairs").at("counts").at("elections") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(textNamesWorkspaceAlertAndShortCoverage)
+{
+    const std::string text = textReport(makeReport());
+    for (const char *part : {"<b>", "ALERT", "reach back 5m", "elections: 2"})
+        BOOST_TEST(mentions(text, part), text);
+}
+
+// Guards against names from callers that end up as markup, and against files that a page without
+// network access lacks.
+BOOST_AUTO_TEST_CASE(htmlEscapesNamesAndStandsAlone)
+{
+    const std::string html = htmlReport(makeReport());
+    BOOST_TEST(!mentions(html, "<b>"));
+    BOOST_TEST(!mentions(html, "e<9>"));
+    BOOST_TEST(mentions(html, "&lt;b&gt;"));
+    BOOST_TEST(mentions(html, "<svg"));
+    BOOST_TEST(!mentions(html, "src="));
+    BOOST_TEST(!mentions(html, "href="));
+}
+
+BOOST_AUTO_TEST_CASE(plotsOfFewPointsHaveFiniteNumbers)
+{
+    for (const std::string &svg : {linePlot({}, 1, "a", "b"), linePlot({{5, 0}}, 1, "a", "b"),
+                                   barPlot({}, 1), barPlot({{"x", 0, false}}, 1)}) {
+        BOOST_TEST(!mentions(svg, "nan"));
+        BOOST_TEST(!mentions(svg, "inf"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(objectivesAreCheckedAndOverrideDefaults)
+{
+    const auto load = [](std::string_view text) {
+        return outcomeOf([&]() -> Result<Objectives> {
+            BOOST_LEAF_AUTO(json, parseSettings(text, "objectives.json", objectivesSchema()));
+            return objectivesOf(json);
+        });
+    };
+    BOOST_TEST(load(R"({"ttft":{"seconds":0.3}})").value().ttftSeconds == 0.3);
+    BOOST_TEST(load(R"({"ttft":{"seconds":0.3}})").value().ttftTarget == 0.95);
+    BOOST_TEST(load("{}").value().windows.size() == 3u);
+    BOOST_TEST(!load(R"({"ttft":{"target":1}})").ok());
+    BOOST_TEST(!load(R"({"tbtt":{}})").ok());
+}
+
+BOOST_AUTO_TEST_CASE(unusableSnapshotOptionsAreRefused)
+{
+    for (const char *option : {"no-separator", "yesterday=x.prom", "100=/does/not/exist.prom"})
+        BOOST_TEST(!outcomeOf([&] { return readSnapshotOption(option); }).ok());
+    BOOST_TEST(!outcomeOf([] { return snapshotsOf({}); }).ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
