--- a/include/rattanrill/fakes/tcprelay.h
+++ b/include/rattanrill/fakes/tcprelay.h
@@ -23,6 +23,7 @@
     /// Closed at once because no target was chosen.
     std::int64_t refused = 0;
     std::int64_t open = 0;
+    std::int64_t lostBytes = 0;
 };
 
 /// Accepts TCP connections on one port and relays each to a target that is chosen when it arrives.
--- a/src/fakes/relayconnection.cpp
+++ b/src/fakes/relayconnection.cpp
@@ -23,14 +23,14 @@
 {}
 
 RelayConnection::RelayConnection(boost::asio::io_context &context, Socket client, Endpoint target,
-                                 std::function<void()> closed)
+                                 Events events)
     : m_context(context)
     , m_client(std::move(client))
     , m_server(context)
     , m_target(std::move(target))
     , m_forward(context, m_client, m_server)
     , m_backward(context, m_server, m_client)
-    , m_closed(std::move(closed))
+    , m_events(std::move(events))
 {
     error_code ignored;
     m_client.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
@@ -69,7 +69,7 @@
     }
     m_forward.timer.cancel();
     m_backward.timer.cancel();
-    m_closed();
+    m_events.closed();
 }
 
 void RelayConnection::connect()
@@ -107,6 +107,7 @@
     if (faults.mode != LinkMode::Drop || direction.queue.empty() || direction.writing)
         return;
     direction.damaged = true;
+    m_events.lost(direction.queuedBytes);
     direction.queue.clear();
     direction.queuedBytes = 0;
 }
@@ -139,6 +140,7 @@
     direction.sourceEnded = direction.sourceEnded || end != End::None;
     if (direction.faults.mode == LinkMode::Drop) {
         direction.damaged = true;
+        m_events.lost(bytes.size());
         read(direction);
         return;
     }
--- a/src/fakes/relayconnection.h
+++ b/src/fakes/relayconnection.h
@@ -23,9 +23,17 @@
     using Socket = boost::asio::ip::tcp::socket;
     using Endpoint = boost::asio::ip::tcp::endpoint;
 
-    /// \a closed is called once, when both sockets are closed.
+    /// What a connection tells its relay.
+    struct Events
+    {
+        /// Both sockets are closed; called once.
+        std::function<void()> closed;
+        /// Bytes were dropped.
+        std::function<void(std::size_t)> lost;
+    };
+
     RelayConnection(boost::asio::io_context &context, Socket client, Endpoint target,
-                    std::function<void()> closed);
+                    Events events);
 
     /// Connects to the target and relays, as far as \a faults let it.
     void start(const LinkFaults &faults);
@@ -92,7 +100,7 @@
     bool m_connecting = false;
     bool m_connected = false;
     bool m_isClosed = false;
-    std::function<void()> m_closed;
+    Events m_events;
 };
 
 } // namespace rattanrill::fakes
--- a/src/fakes/tcprelay.cpp
+++ b/src/fakes/tcprelay.cpp
@@ -45,6 +45,7 @@
     void accept();
     void serve(tcp::socket client);
     void forget(std::int64_t id);
+    void noteLost(std::size_t bytes);
 
     RelayAddress listen;
     Chooser chooser;
@@ -104,7 +105,9 @@
         return;
     const std::int64_t id = ++lastConnection;
     const auto connection = std::make_shared<RelayConnection>(
-            context, std::move(client), target.value(), [this, id] { forget(id); });
+            context, std::move(client), target.value(),
+            RelayConnection::Events{[this, id] { forget(id); },
+                                    [this](std::size_t bytes) { noteLost(bytes); }});
     connections[id] = connection;
     connection->start(current);
 }
@@ -117,6 +120,12 @@
     --counters.open;
 }
 
+void TcpRelay::State::noteLost(std::size_t bytes)
+{
+    absl::MutexLock lock(&mutex);
+    counters.lostBytes += static_cast<std::int64_t>(bytes);
+}
+
 TcpRelay::TcpRelay(RelayAddress listen, Chooser chooser)
     : m_state(std::make_shared<State>(std::move(listen), std::move(chooser)))
 {}
--- /dev/null
+++ b/tests/fakes/enginemodel_test.cpp
@@ -0,0 +1,280 @@
+#include "rattanrill/fakes/enginemodel.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::fakes;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+/// Round figures: a step takes 10 ms, and 1 ms for each prompt token that joins.
+EngineModelSettings settings()
+{
+    EngineModelSettings settings;
+    settings.models = {"m"};
+    settings.timings.stepBase = absl::Milliseconds(10);
+    settings.timings.stepPerSequence = absl::ZeroDuration();
+    settings.timings.stepPerContextToken = absl::ZeroDuration();
+    settings.timings.prefillPerToken = absl::Milliseconds(1);
+    settings.timings.kvImportPerToken = absl::ZeroDuration();
+    settings.cacheEventLoss = 0;
+    return settings;
+}
+
+EngineRequest request(const std::string &id, std::int64_t maxTokens, std::size_t promptBytes = 4)
+{
+    EngineRequest request;
+    request.requestId = id;
+    request.model = "m";
+    request.prompt = std::string(promptBytes, id.front());
+    request.maxTokens = maxTokens;
+    return request;
+}
+
+bool accepts(EngineModel &model, absl::Time now, EngineRequest request)
+{
+    return outcomeOf([&] { return model.submit(now, std::move(request)); }).ok();
+}
+
+ErrorCode refusal(EngineModel &model, absl::Time now, EngineRequest request)
+{
+    const auto outcome = outcomeOf([&] { return model.submit(now, std::move(request)); });
+    return outcome.ok() ? ErrorCode::Internal : outcome.failure().code;
+}
+
+/// Time from the submission until the request's first token.
+absl::Duration firstTokenTime(EngineModel &model, EngineRequest request)
+{
+    const std::string id = request.requestId;
+    BOOST_TEST_REQUIRE(accepts(model, start, std::move(request)));
+    while (model.nextEvent() != absl::InfiniteFuture()) {
+        const absl::Time now = model.nextEvent();
+        for (const EngineEvent &event : model.advance(now)) {
+            if (event.requestId == id && event.kind == EngineEvent::Kind::Token)
+                return now - start;
+        }
+    }
+    return absl::InfiniteDuration();
+}
+
+std::vector<std::string> started(const std::vector<EngineEvent> &events)
+{
+    std::vector<std::string> ids;
+    for (const EngineEvent &event : events) {
+        if (event.kind == EngineEvent::Kind::Started)
+            ids.push_back(event.requestId);
+    }
+    return ids;
+}
+
+std::vector<std::int64_t> tokenIndexes(const std::vector<EngineEvent> &events)
+{
+    std::vector<std::int64_t> indexes;
+    for (const EngineEvent &event : events) {
+        if (event.kind == EngineEvent::Kind::Token)
+            indexes.push_back(event.index);
+    }
+    return indexes;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EngineModelTest)
+
+// Guards against a step time that ignores the batch, the context or the prompt.
+BOOST_AUTO_TEST_CASE(stepTimeGrowsWithBatchContextAndPrompt)
+{
+    EngineModelSettings timed = settings();
+    timed.timings.stepPerSequence = absl::Milliseconds(2);
+    timed.timings.stepPerContextToken = absl::Milliseconds(3);
+    EngineModel model(timed);
+    // 10 + 2 x 1 sequence + 3 x 5 tokens of context + 5 tokens of prompt.
+    BOOST_TEST((firstTokenTime(model, request("a", 1, 20)) == absl::Milliseconds(32)));
+}
+
+// Guards against requests that overtake: engines have no priorities.
+BOOST_AUTO_TEST_CASE(fullBatchAdmitsInOrderOfArrival)
+{
+    EngineModelSettings small = settings();
+    small.limits.maxBatch = 1;
+    EngineModel model(small);
+    for (const char *id : {"a", "b", "c"})
+        BOOST_TEST_REQUIRE(accepts(model, start, request(id, 2)));
+    const std::vector<std::string> expected = {"a", "b", "c"};
+    BOOST_TEST(started(model.advance(start + absl::Seconds(1))) == expected);
+}
+
+// Guards against a KV limit that only counts sequences: a request that does not fit waits and holds
+// up a smaller one behind it.
+BOOST_AUTO_TEST_CASE(kvMemoryLimitsTheBatch)
+{
+    EngineModelSettings small = settings();
+    small.limits.kvCapacityTokens = 100;
+    EngineModel model(small);
+    BOOST_TEST_REQUIRE(accepts(model, start, request("a", 60)));
+    BOOST_TEST_REQUIRE(accepts(model, start, request("b", 60)));
+    BOOST_TEST_REQUIRE(accepts(model, start, request("c", 5)));
+    const std::vector<std::string> first = {"a"};
+    BOOST_TEST(started(model.advance(start + absl::Milliseconds(500))) == first);
+    const std::vector<std::string> rest = {"b", "c"};
+    BOOST_TEST(started(model.advance(start + absl::Milliseconds(700))) == rest);
+    BOOST_TEST((refusal(model, start, request("d", 101)) == ErrorCode::InvalidRequest));
+}
+
+BOOST_AUTO_TEST_CASE(fullQueueRefusesAsNotRun)
+{
+    EngineModelSettings small = settings();
+    small.limits.maxBatch = 1;
+    small.limits.maxWaiting = 1;
+    EngineModel model(small);
+    BOOST_TEST_REQUIRE(accepts(model, start, request("a", 5)));
+    BOOST_TEST_REQUIRE(accepts(model, start, request("b", 5)));
+    const auto outcome = outcomeOf([&] { return model.submit(start, request("c", 5)); });
+    BOOST_TEST_REQUIRE(!outcome.ok());
+    BOOST_TEST((outcome.failure().code == ErrorCode::UpstreamBusy));
+    BOOST_TEST((outcome.failure().run == RunState::NotRun));
+}
+
+// Guards against a resumed stream that repeats or skips tokens.
+BOOST_AUTO_TEST_CASE(resumeContinuesAtTheNextIndex)
+{
+    EngineModel model(settings());
+    EngineRequest resumed = request("a", 5);
+    resumed.resumeAfter = 3;
+    BOOST_TEST_REQUIRE(accepts(model, start, std::move(resumed)));
+    const std::vector<EngineEvent> events = model.advance(start + absl::Seconds(1));
+    const std::vector<std::int64_t> expected = {3, 4};
+    BOOST_TEST(tokenIndexes(events) == expected);
+    BOOST_TEST(events.back().index == 5);
+    BOOST_TEST((events.back().reason == FinishReason::Length));
+}
+
+BOOST_AUTO_TEST_CASE(cancelEndsTheRequestAndFreesItsPlace)
+{
+    EngineModelSettings small = settings();
+    small.limits.maxBatch = 1;
+    EngineModel model(small);
+    BOOST_TEST_REQUIRE(accepts(model, start, request("a", 100)));
+    BOOST_TEST_REQUIRE(accepts(model, start, request("b", 1)));
+    const absl::Time later = start + absl::Milliseconds(35);
+    model.advance(later);
+    BOOST_TEST((model.cancel(later, "a") == std::optional<std::int64_t>(3)));
+    const std::vector<EngineEvent> events = model.advance(later + absl::Milliseconds(40));
+    BOOST_TEST((events.front().reason == FinishReason::Cancelled));
+    BOOST_TEST(events.back().requestId == "b");
+    BOOST_TEST(!model.cancel(later, "a").has_value());
+}
+
+// Guards against a handle that saves nothing, or that lets another prompt skip its prefill.
+BOOST_AUTO_TEST_CASE(kvHandleSavesPrefillOfItsOwnPromptOnly)
+{
+    EngineModel exporter(settings());
+    BOOST_TEST_REQUIRE(accepts(exporter, start, request("a", 100, 32)));
+    exporter.advance(start + absl::Milliseconds(40));
+    const auto kvExport = exporter.exportKv(start + absl::Milliseconds(40), "a");
+    BOOST_TEST_REQUIRE(kvExport.has_value());
+
+    EngineRequest own = request("a", 100, 32);
+    own.resumeAfter = kvExport->tokens;
+    own.kvHandle = kvExport->handle;
+    EngineModel importer(settings());
+    BOOST_TEST((firstTokenTime(importer, std::move(own)) == absl::Milliseconds(10)));
+
+    EngineRequest foreign = request("b", 100, 32);
+    foreign.kvHandle = kvExport->handle;
+    EngineModel other(settings());
+    BOOST_TEST((firstTokenTime(other, std::move(foreign)) == absl::Milliseconds(18)));
+}
+
+// Guards against a prefix cache without effect or without a limit.
+BOOST_AUTO_TEST_CASE(cachedPrefixSavesPrefillUntilItIsEvicted)
+{
+    EngineModelSettings small = settings();
+    small.limits.prefixCacheTokens = 32;
+    EngineModel model(small);
+    // 128 bytes are 32 tokens: 10 ms + 32 ms, then 10 ms + 1 ms.
+    EngineRequest first = request("a", 1, 128);
+    EngineRequest second = request("a2", 1, 128);
+    EngineRequest third = request("a3", 1, 128);
+    BOOST_TEST((firstTokenTime(model, std::move(first)) == absl::Milliseconds(42)));
+    BOOST_TEST((firstTokenTime(model, std::move(second)) == absl::Milliseconds(11)));
+    firstTokenTime(model, request("b", 1, 128));
+    BOOST_TEST((firstTokenTime(model, std::move(third)) == absl::Milliseconds(42)));
+}
+
+// Guards against clients that are only tested with events that are in time and complete.
+BOOST_AUTO_TEST_CASE(cacheEventsComeLateAndWithTheSameGapsForASeed)
+{
+    const auto sequences = [](std::uint64_t seed) {
+        EngineModelSettings lossy = settings();
+        lossy.cacheEventLoss = 0.5;
+        lossy.seed = seed;
+        EngineModel model(lossy);
+        firstTokenTime(model, request("a", 1, 4096));
+        BOOST_TEST(model.cacheEvents(start + absl::Milliseconds(700), 0).events.empty());
+        const CacheEventPage page = model.cacheEvents(start + absl::Seconds(10), 0);
+        BOOST_TEST(page.next == 7);
+        std::vector<std::int64_t> seqs;
+        for (const CacheEvent &event : page.events)
+            seqs.push_back(event.seq);
+        return seqs;
+    };
+    BOOST_TEST(sequences(5) == sequences(5));
+    BOOST_TEST(sequences(5).size() < 7u);
+}
+
+BOOST_AUTO_TEST_CASE(loadReportIsAsOldAsItSays)
+{
+    EngineModel model(settings());
+    BOOST_TEST_REQUIRE(accepts(model, start, request("a", 1000)));
+    BOOST_TEST(model.load(start + absl::Milliseconds(499)).running == 0);
+    BOOST_TEST(model.load(start + absl::Milliseconds(500)).running == 1);
+    BOOST_TEST(model.load(start + absl::Milliseconds(500)).kvTokens == 1001);
+}
+
+BOOST_AUTO_TEST_CASE(oldFenceIsRefusedByEnginesThatCheckOnly)
+{
+    EngineModelSettings careless = settings();
+    careless.checksFence = false;
+    for (const EngineModelSettings &one : {settings(), careless}) {
+        EngineModel model(one);
+        BOOST_TEST(model.order(start, {OrderKind::LoadModel, "n", 5}).accepted);
+        const OrderAnswer late = model.order(start, {OrderKind::LoadModel, "o", 4});
+        BOOST_TEST(late.accepted == !one.checksFence);
+        BOOST_TEST(late.fence == 5);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(orderedModelServesAfterItsLoadTime)
+{
+    EngineModel model(settings());
+    model.order(start, {OrderKind::LoadModel, "n", 1});
+    EngineRequest other = request("a", 1);
+    other.model = "n";
+    BOOST_TEST((refusal(model, start, other) == ErrorCode::UnknownModel));
+    BOOST_TEST(accepts(model, start + absl::Seconds(2), other));
+}
+
+BOOST_AUTO_TEST_CASE(faultsSlowFreezeAndCrash)
+{
+    EngineModel slow(settings());
+    slow.setSlowFactor(3);
+    BOOST_TEST((firstTokenTime(slow, request("a", 1)) == absl::Milliseconds(33)));
+
+    EngineModel frozen(settings());
+    BOOST_TEST_REQUIRE(accepts(frozen, start, request("a", 1)));
+    frozen.freezeUntil(start + absl::Seconds(5));
+    BOOST_TEST((frozen.nextEvent() == start + absl::Seconds(5)));
+
+    EngineModel crashing(settings());
+    crashing.setCrashOn("bb");
+    BOOST_TEST_REQUIRE(accepts(crashing, start, request("a", 1)));
+    BOOST_TEST(!crashing.crashed());
+    BOOST_TEST_REQUIRE(accepts(crashing, start, request("b", 1)));
+    crashing.advance(start + absl::Seconds(1));
+    BOOST_TEST(crashing.crashed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/fakes/tcprelay_test.cpp
@@ -0,0 +1,185 @@
+#include "rattanrill/fakes/tcprelay.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <poll.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+using namespace rattanrill;
+using namespace rattanrill::fakes;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+const std::string loopback = "127.0.0.1";
+/// Ample for bytes that do arrive; reached only on a fault.
+constexpr int arrivalTimeoutMs = 10000;
+/// For bytes that must not arrive: a relay that lets them through does so within microseconds.
+constexpr int absenceTimeoutMs = 100;
+
+bool isReadable(tcp::socket &socket, int timeoutMs)
+{
+    pollfd descriptor{socket.native_handle(), POLLIN, 0};
+    return ::poll(&descriptor, 1, timeoutMs) == 1;
+}
+
+std::string receive(tcp::socket &socket)
+{
+    if (!isReadable(socket, arrivalTimeoutMs))
+        return "(nothing)";
+    std::array<char, 256> buffer{};
+    boost::system::error_code error;
+    const std::size_t size = socket.read_some(boost::asio::buffer(buffer), error);
+    if (error)
+        return error == boost::asio::error::eof ? "(end)" : "(reset)";
+    return std::string(buffer.data(), size);
+}
+
+void send(tcp::socket &socket, const std::string &text)
+{
+    boost::asio::write(socket, boost::asio::buffer(text));
+}
+
+/// A client, a relay and the server behind it.
+struct Fixture
+{
+    Fixture()
+        : acceptor(context, tcp::endpoint(boost::asio::ip::make_address(loopback), 0))
+        , relay({loopback, 0},
+                [port = acceptor.local_endpoint().port()] {
+                    return RelayAddress{loopback, port};
+                })
+        , port(outcomeOf([this] { return relay.start(); }).value())
+        , client(context)
+        , server(context)
+    {}
+
+    void connectClient()
+    {
+        client.connect(tcp::endpoint(boost::asio::ip::make_address(loopback),
+                                     static_cast<unsigned short>(port)));
+    }
+
+    bool serverSeesConnection(int timeoutMs)
+    {
+        pollfd descriptor{acceptor.native_handle(), POLLIN, 0};
+        return ::poll(&descriptor, 1, timeoutMs) == 1;
+    }
+
+    void connect()
+    {
+        connectClient();
+        BOOST_TEST_REQUIRE(serverSeesConnection(arrivalTimeoutMs));
+        acceptor.accept(server);
+    }
+
+    bool losesBytes(std::int64_t bytes) const
+    {
+        const auto end =
+                std::chrono::steady_clock::now() + std::chrono::milliseconds(arrivalTimeoutMs);
+        while (relay.counters().lostBytes < bytes && std::chrono::steady_clock::now() < end)
+            std::this_thread::yield();
+        return relay.counters().lostBytes == bytes;
+    }
+
+    static LinkFaults forward(LinkMode mode)
+    {
+        LinkFaults faults;
+        faults.forward.mode = mode;
+        return faults;
+    }
+
+    boost::asio::io_context context;
+    tcp::acceptor acceptor;
+    TcpRelay relay;
+    int port;
+    tcp::socket client;
+    tcp::socket server;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TcpRelayTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(passesBytesAndEndsBothWays)
+{
+    connect();
+    send(client, "ask");
+    BOOST_TEST(receive(server) == "ask");
+    client.shutdown(tcp::socket::shutdown_send);
+    BOOST_TEST(receive(server) == "(end)");
+    // A half-closed connection still carries the answer.
+    send(server, "answer");
+    server.close();
+    BOOST_TEST(receive(client) == "answer");
+    BOOST_TEST(receive(client) == "(end)");
+}
+
+// Guards against a hold that leaks bytes or loses them.
+BOOST_AUTO_TEST_CASE(heldBytesArriveAfterTheHealAndTheOtherDirectionGoesOn)
+{
+    connect();
+    relay.setFaults(forward(LinkMode::Hold));
+    send(client, "held");
+    send(server, "answer");
+    BOOST_TEST(receive(client) == "answer");
+    BOOST_TEST(!isReadable(server, absenceTimeoutMs));
+    relay.setFaults({});
+    BOOST_TEST(receive(server) == "held");
+}
+
+// Guards against a cut that the other side notices: a partition is silent.
+BOOST_AUTO_TEST_CASE(endOfAHeldConnectionIsNotSeen)
+{
+    connect();
+    relay.setFaults(forward(LinkMode::Hold));
+    client.close();
+    BOOST_TEST(!isReadable(server, absenceTimeoutMs));
+    relay.setFaults({});
+    BOOST_TEST(receive(server) == "(end)");
+}
+
+// Guards against a stream with a hole in it after a drop.
+BOOST_AUTO_TEST_CASE(connectionThatLostBytesIsResetOnHeal)
+{
+    connect();
+    relay.setFaults(forward(LinkMode::Drop));
+    send(client, "lost");
+    BOOST_TEST_REQUIRE(losesBytes(4));
+    BOOST_TEST(!isReadable(server, 0));
+    relay.setFaults({});
+    BOOST_TEST(receive(server) == "(reset)");
+    BOOST_TEST(receive(client) == "(reset)");
+}
+
+BOOST_AUTO_TEST_CASE(newConnectionReachesTheTargetAfterTheHealOnly)
+{
+    relay.setFaults(forward(LinkMode::Hold));
+    connectClient();
+    send(client, "first");
+    BOOST_TEST(!serverSeesConnection(absenceTimeoutMs));
+    relay.setFaults({});
+    BOOST_TEST_REQUIRE(serverSeesConnection(arrivalTimeoutMs));
+    acceptor.accept(server);
+    BOOST_TEST(receive(server) == "first");
+}
+
+BOOST_AUTO_TEST_CASE(delayedBytesAreNotEarly)
+{
+    constexpr absl::Duration delay = absl::Milliseconds(60);
+    LinkFaults faults;
+    faults.forward.delay = delay;
+    relay.setFaults(faults);
+    connect();
+    const auto sent = std::chrono::steady_clock::now();
+    send(client, "late");
+    BOOST_TEST(receive(server) == "late");
+    BOOST_TEST((std::chrono::steady_clock::now() - sent >= absl::ToChronoMilliseconds(delay)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
