Load: Add tests, and send the last request of even arrivals

Cause: at 100 requests/s for 0.2 s the tool sent 19 requests, because a request due exactly at the end was left out.

Before: rate x duration less one. After: rate x duration.

--- a/src/load/schedule.cpp
+++ b/src/load/schedule.cpp
@@ -60,7 +60,7 @@
     while (at < plan.duration) {
         const double rate = rateOf(at);
         at += rate > 0 ? gap(generator, rate, plan.evenArrivals) : idleStep;
-        if (rate > 0 && at < plan.duration)
+        if (rate > 0 && at <= plan.duration)
             times.push_back(at);
     }
     return times;
--- /dev/null
+++ b/tests/load/loadrunner_test.cpp
@@ -0,0 +1,116 @@
+#include "loadrunner.h"
+
+#include "engineserver.h"
+#include "rattanrill/base/concat.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace rattanrill;
+using namespace rattanrill::load;
+
+namespace {
+
+constexpr const char *loopback = "127.0.0.1";
+
+fakes::EngineModelSettings engineSettings()
+{
+    fakes::EngineModelSettings settings;
+    settings.models = {"m"};
+    settings.timings.stepBase = absl::Milliseconds(1);
+    return settings;
+}
+
+/// The runner against a fake engine in this process.
+struct Fixture
+{
+    Fixture()
+        : host(engineSettings(), faults, records)
+        , server(fakes::HttpSettings{loopback, 0, 32})
+        , engine(server, host, faults, records)
+        , port(outcomeOf([this] { return server.bind(); }).value())
+        , listener([this] { server.listen_after_bind(); })
+    {
+        while (!server.is_running())
+            std::this_thread::yield();
+    }
+
+    ~Fixture()
+    {
+        server.stop();
+        listener.join();
+    }
+
+    void setFault(const Json &fault)
+    {
+        BOOST_TEST_REQUIRE(
+                outcomeOf([&] { return faults.set(fault, SystemClock::instance().now()); }).ok());
+        host.applyFaults();
+    }
+
+    Json runLoad(std::int64_t &wrong)
+    {
+        LoadPlan plan;
+        plan.targets = {concat("http://", loopback, ":", port)};
+        plan.workspaces = {{"a", "k", 100, std::nullopt}};
+        plan.model = "m";
+        plan.prompts = "unused";
+        plan.duration = absl::Milliseconds(200);
+        plan.evenArrivals = true;
+        plan.newConnections = true;
+        LoadSummary summary;
+        HistoryFile history("");
+        const std::vector<Json> prompts = {{{"prompt", "p"}, {"max_tokens", 20}}};
+        const auto schedule = outcomeOf([&] { return makeSchedule(plan, prompts); }).value();
+        LoadRunner(plan, summary, history).run(schedule);
+        wrong = summary.wrong();
+        return summary.json();
+    }
+
+    fakes::Faults faults;
+    fakes::RecordBook records;
+    fakes::EngineHost host;
+    fakes::FakeHttpServer server;
+    fakes::EngineServer engine;
+    int port;
+    std::thread listener;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LoadRunnerTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(everyPlannedRequestIsSentAndCounted)
+{
+    std::int64_t wrong = -1;
+    const Json summary = runLoad(wrong);
+    BOOST_TEST(wrong == 0);
+    const Json expected = {{"completed", 20}};
+    BOOST_TEST(summary.at("outcomes") == expected);
+    BOOST_TEST(summary.at("tokens") == 400);
+    BOOST_TEST(records.lastSeq() == 20);
+}
+
+BOOST_AUTO_TEST_CASE(refusalsAreCountedByCodeAndRunState)
+{
+    setFault({{"refuse", true}});
+    std::int64_t wrong = -1;
+    const Json summary = runLoad(wrong);
+    const Json expected = {{{"code", "upstream_busy"}, {"run", "not_run"}, {"count", 20}}};
+    BOOST_TEST(summary.at("refusals") == expected);
+    BOOST_TEST(wrong == 0);
+}
+
+// Guards against a check that passes every answer.
+BOOST_AUTO_TEST_CASE(crossedAnswersAreFoundWrong)
+{
+    // Slow, so that answers overlap.
+    setFault({{"cross_answers", 1}, {"slow_factor", 10}});
+    std::int64_t wrong = 0;
+    const Json summary = runLoad(wrong);
+    BOOST_TEST(wrong == 2);
+    BOOST_TEST(summary.at("outcomes").at("foreign") == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
