Tools: Wait for rate owners before a deployment counts as started

Cause: a new owner of a workspace's rate starts empty and waits for the lease of a possible older owner, so the first request after a start was answered 429. Conclusion: correct behaviour of the owner; the scripts wait for it.

--- a/tests/system/support.py
+++ b/tests/system/support.py
@@ -58,9 +58,7 @@
         raise DeploymentError("no engine answered")
 
     def complete(self, entry, workspace, prompt, tokens=8, headers=None, timeout=30):
-        return http_json("POST", self.deployment.entry_url(entry) + "/v1/completions",
-                         {"model": self.model, "prompt": prompt, "max_tokens": tokens},
-                         {**self.deployment.bearer(workspace), **(headers or {})}, timeout)
+        return self.deployment.complete(entry, workspace, prompt, tokens, headers, timeout)
 
     def engine_records(self, group="engine"):
         """Records of all running upstreams of one kind."""
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -263,6 +263,19 @@
         for url in self.entry_urls():
             wait_for(lambda url=url: http_json("GET", url + "/readyz")[0] == 200, f"{url}/readyz")
 
+    def wait_rate_owners(self):
+        """A new owner of a workspace's rate starts empty and after a wait, so that an older owner
+        cannot have granted the same requests; until then requests are answered 429."""
+        for workspace, *_ in self.shape["workspaces"]:
+            wait_for(lambda workspace=workspace: self.complete(1, workspace, "ready", 1)[0] == 200,
+                     f"rate grants for {workspace}", period=0.5)
+
+    def complete(self, entry, workspace, prompt, tokens=8, headers=None, timeout=30):
+        """One whole completion; returns (status, body, headers)."""
+        return http_json("POST", self.entry_url(entry) + "/v1/completions",
+                         {"model": self.shape["model"], "prompt": prompt, "max_tokens": tokens},
+                         {**self.bearer(workspace), **(headers or {})}, timeout)
+
     def has_leader(self):
         try:
             return "revision" in self.ctl_json("status")
@@ -324,6 +337,7 @@
         revision = self.configure()
         progress(f"revision {revision} is in force on all entry instances")
         self.wait_ready()
+        self.wait_rate_owners()
 
     def stop_all(self):
         """Ends entries first, so that their requests finish; returns exit codes by name."""
