Entry: Answer after the crash record, and start a new contract's bucket full

A caller who was told of a crash could send the request again to another entry before the record was in the directory; the answer now waits for the record. A workspace whose contract came after this entry became its owner was refused for the former owner's lease although nobody else can have granted it anything; on real processes this made two tests of tests/system fail.

--- a/src/entry/crashrecords.cpp
+++ b/src/entry/crashrecords.cpp
@@ -22,6 +22,12 @@
         m_states.erase(fingerprint);
 }
 
+bool CrashRecords::pending(const std::string &fingerprint) const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_pending.count(fingerprint) > 0;
+}
+
 CrashRecords::State CrashRecords::await(const std::string &fingerprint, absl::Duration timeout)
 {
     absl::MutexLock lock(&m_mutex);
--- a/src/entry/crashrecords.h
+++ b/src/entry/crashrecords.h
@@ -28,12 +28,13 @@
     void begin(const std::string &fingerprint) ABSL_LOCKS_EXCLUDED(m_mutex);
     void end(const std::string &fingerprint, const Outcome<bool> &held)
             ABSL_LOCKS_EXCLUDED(m_mutex);
+    bool pending(const std::string &fingerprint) const ABSL_LOCKS_EXCLUDED(m_mutex);
     /// Waits until no report about \a fingerprint is on its way.
     State await(const std::string &fingerprint, absl::Duration timeout)
             ABSL_LOCKS_EXCLUDED(m_mutex);
 
 private:
-    absl::Mutex m_mutex;
+    mutable absl::Mutex m_mutex;
     std::map<std::string, int> m_pending ABSL_GUARDED_BY(m_mutex);
     /// Outcome of the last report when it was not a plain success.
     std::map<std::string, State> m_states ABSL_GUARDED_BY(m_mutex);
--- a/src/entry/rateowner.cpp
+++ b/src/entry/rateowner.cpp
@@ -50,7 +50,7 @@
         return;
     }
     m_memberRevision = view.memberRevision();
-    m_history.push_front({now, memberNames(view)});
+    m_history.push_front({now, memberNames(view), view});
     if (m_history.size() > historyLength)
         m_history.pop_back();
     for (auto it = m_buckets.begin(); it != m_buckets.end();)
@@ -65,17 +65,31 @@
     return owns(m_options.instance, memberNames(view), workspace);
 }
 
-absl::Time RateOwner::ownedSince(const std::string &workspace) const
+const RateOwner::Membership *RateOwner::ownedSince(const std::string &workspace) const
 {
-    absl::Time since = m_clock.now();
+    const Membership *since = nullptr;
     for (const Membership &membership : m_history) {
         if (!owns(m_options.instance, membership.members, workspace))
             break;
-        since = membership.since;
+        since = &membership;
     }
     return since;
 }
 
+absl::Time RateOwner::bucketStart(const std::string &workspace, const policy::RateContract &rate,
+                                  absl::Time now) const
+{
+    const Membership *membership = ownedSince(workspace);
+    if (membership == nullptr)
+        return now + m_options.lease + m_options.maxWait;
+    // A contract that came after this entry had become the owner was never granted by another one,
+    // so its bucket is full.
+    const bool isFirstOwner = !membership->view.contract(workspace);
+    if (isFirstOwner && rate.ratePerSecond > 0)
+        return now - absl::Seconds(rate.burst / rate.ratePerSecond);
+    return membership->since + m_options.lease + m_options.maxWait;
+}
+
 Outcome<Done> RateOwner::check(const directory::View &view, const std::string &workspace) const
 {
     if (!isOwner(view, workspace))
@@ -94,7 +108,7 @@
         rate = {contract->ratePerSecond, contract->burst};
     const auto known = m_buckets.find(workspace);
     if (known == m_buckets.end()) {
-        const absl::Time start = ownedSince(workspace) + m_options.lease + m_options.maxWait;
+        const absl::Time start = bucketStart(workspace, rate, now);
         return m_buckets.emplace(workspace, policy::TokenBucket(rate, start)).first->second;
     }
     const policy::RateContract &old = known->second.contract();
--- a/src/entry/rateowner.h
+++ b/src/entry/rateowner.h
@@ -43,17 +43,22 @@
             ABSL_LOCKS_EXCLUDED(m_mutex);
 
 private:
-    /// Members as of a time.
+    /// Members as of a time, with the view in which they were found.
     struct Membership
     {
         absl::Time since;
         std::vector<std::string> members;
+        directory::View view;
     };
 
     bool isOwner(const directory::View &view, const std::string &workspace) const;
-    /// Since when this entry has owned \a workspace without a break.
-    absl::Time ownedSince(const std::string &workspace) const
+    /// Oldest membership since which this entry has owned \a workspace without a break; null when
+    /// it does not own it.
+    const Membership *ownedSince(const std::string &workspace) const
             ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /// Time from which on the bucket of \a workspace has been filling.
+    absl::Time bucketStart(const std::string &workspace, const policy::RateContract &rate,
+                           absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     Outcome<Done> check(const directory::View &view, const std::string &workspace) const;
     void follow(const directory::View &view, absl::Duration age)
             ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/entry/workdispatcher.cpp
+++ b/src/entry/workdispatcher.cpp
@@ -207,7 +207,20 @@
         return nullptr;
     const TaskPointer task = found->second;
     m_tasks.erase(found);
-    return [task, refuse] { task->order.listener->onFailed(refuse.failure, refuse.retryAfter); };
+    const auto answer = [task, refuse] {
+        task->order.listener->onFailed(refuse.failure, refuse.retryAfter);
+    };
+    // A caller who is told of the failure may send the request again to another entry at once; the
+    // record must be there first.
+    const auto answerAfterRecord = [this, task, answer] {
+        (void)m_crashRecords.await(task->order.work.fingerprint, crashRecordLimit);
+        answer();
+    };
+    return [this, task, answer, answerAfterRecord] {
+        const bool pending = m_crashRecords.pending(task->order.work.fingerprint);
+        if (!pending || !m_parts.tries.post(answerAfterRecord))
+            answer();
+    };
 }
 
 WorkDispatcher::Action WorkDispatcher::prepare(const policy::RecordCrash &crash)
--- a/tests/entry/batch_test.cpp
+++ b/tests/entry/batch_test.cpp
@@ -186,6 +186,60 @@
     BOOST_TEST(ended.at("request_counts").at("cancelled") == 200);
 }
 
+// R3: guards against online requests that wait behind batch work.
+BOOST_AUTO_TEST_CASE(onlineRequestPreemptsBatchWorkWhichThenResumes)
+{
+    TestFleet fleet(1, 1);
+    ScriptedEngine::Script script;
+    script.holdAt = 2;
+    fleet.engine(0).setScript(script);
+    const std::size_t runs = fleet.engine(0).runs();
+    const std::string file = upload(fleet, 0, itemLines(8));
+    const Json job = createBatch(fleet, 0, file, "");
+    BOOST_TEST(fleet.engine(0).awaitRuns(runs + 1));
+    std::vector<std::unique_ptr<StreamedCall>> calls;
+    for (int i = 0; i < script.maxBatch; ++i) {
+        calls.push_back(std::make_unique<StreamedCall>(fleet.port(0), "key-acme", "urgent", 5));
+        BOOST_TEST(calls.back()->awaitText(expectedText("urgent", 2)));
+    }
+    BOOST_TEST(fleet.engine(0).awaitCancel());
+    fleet.engine(0).release();
+    for (const auto &call : calls) {
+        call->join();
+        BOOST_TEST(call->text == expectedText("urgent", 5));
+    }
+    const Json ended = awaitEnd(fleet, 0, job.at("id"));
+    BOOST_TEST(ended.at("request_counts").at("completed") == 8);
+    const std::vector<Json> lines = results(fleet, 0, ended.at("output_file_id"));
+    BOOST_REQUIRE(lines.size() == 8u);
+    for (int i = 0; i < 8; ++i)
+        BOOST_TEST(lines[i].at("response").at("body").at("choices").at(0).at("text")
+                   == expectedText(concat("prompt ", i), 3));
+}
+
+// R1, R12: guards against leases that a stopped entry keeps until they expire.
+BOOST_AUTO_TEST_CASE(drainGivesItemsBackToOtherEntries)
+{
+    TestFleet fleet(0, 1);
+    // Longer than the test: the items move only when they are released.
+    fleet.settings().batch.lease = absl::Minutes(5);
+    fleet.startEntry();
+    fleet.startEntry();
+    fleet.awaitInForce();
+    ScriptedEngine::Script script;
+    script.holdAt = 2;
+    fleet.engine(0).setScript(script);
+    const std::size_t runs = fleet.engine(0).runs();
+    const std::string file = upload(fleet, 0, itemLines(30));
+    const Json job = createBatch(fleet, 0, file, "");
+    BOOST_TEST(fleet.engine(0).awaitRuns(runs + 1));
+    BOOST_TEST(fleet.entry(0).drain());
+    fleet.engine(0).release();
+    const Json ended = awaitEnd(fleet, 1, job.at("id"));
+    BOOST_TEST(ended.at("request_counts").at("completed") == 30);
+    BOOST_TEST(results(fleet, 1, ended.at("output_file_id")).size() == 30u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::entry
--- a/tests/entry/online_test.cpp
+++ b/tests/entry/online_test.cpp
@@ -186,7 +186,9 @@
     std::size_t before[3];
     for (int i = 0; i < 3; ++i)
         before[i] = fleet.engine(i).runs();
-    std::thread caller([&] { (void)fleet.complete(0, "acme", "poison", 2); });
+    std::string code;
+    std::thread caller(
+            [&] { code = errorOf(fleet.complete(0, "acme", "poison", 2)).value("code", ""); });
     for (int crash = 0; crash < 2; ++crash) {
         int running = -1;
         BOOST_REQUIRE(eventually([&] {
@@ -200,6 +202,7 @@
         fleet.engine(running).stop();
     }
     caller.join();
+    BOOST_TEST(code == "request_held");
     for (int entry = 0; entry < 2; ++entry) {
         BOOST_TEST(eventually([&] {
             return errorOf(fleet.complete(entry, "acme", "poison", 2)).value("code", "")
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -208,6 +208,10 @@
         stream->first = body.value("resume_after", 0);
         stream->next = stream->first;
         stream->end = body.value("max_tokens", 4);
+        {
+            absl::MutexLock lock(&m_mutex);
+            ++m_running;
+        }
         response.set_chunked_content_provider("text/event-stream",
                                               [this, stream](std::size_t, httplib::DataSink &sink) {
                                                   std::string events;
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -73,6 +73,7 @@
     Script m_script ABSL_GUARDED_BY(m_mutex);
     std::vector<SeenRequest> m_seen ABSL_GUARDED_BY(m_mutex);
     std::size_t m_runs ABSL_GUARDED_BY(m_mutex) = 0;
+    std::int64_t m_running ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
     std::map<std::string, bool> m_cancelled ABSL_GUARDED_BY(m_mutex);
     std::unique_ptr<Http> m_http;
