Control: Test polls, members, leaders and operators, and rattanrillctl

The sharp cases of the control instance and its command had no tests: a replica that is cut off must not prove freshness, operators that race from equal base revisions have one winner, resends get the first answer also after the leader is lost, a new or paused leader removes no members, and a write is repeated under the same request id when its answer is lost.

Polls and members run in virtual time around stand-in groups; the node tests run three instances with real groups and sockets in one process.

--- /dev/null
+++ b/tests/control/controlcluster.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "controlnode.h"
+
+#include "rattanrill/base/json.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rattanrill::control {
+
+/// Control instances in one process, with real groups, data folders and sockets on loopback.
+class ControlCluster
+{
+public:
+    explicit ControlCluster(int count);
+    ~ControlCluster();
+
+    void start(int i);
+    void stop(int i);
+    /// Index of the directory leader; waits for one.
+    int leader();
+    std::vector<std::string> peerAddresses() const;
+    peer::TransportOptions transport(const std::string &secret = clusterSecret) const;
+
+    struct Answer
+    {
+        int status = 0;
+        Json body;
+        std::string location;
+    };
+
+    Answer request(int i, const std::string &method, const std::string &path,
+                   const Json &body = Json::object(), const std::string &token = operatorToken);
+    /// Writes a contract with \a rate at the leader.
+    Answer putContract(double rate, std::uint64_t base, const std::string &requestId);
+
+    static constexpr const char *clusterSecret = "secret-of-the-cluster";
+    static constexpr const char *operatorToken = "token-of-the-operators";
+
+private:
+    std::string m_folder;
+    std::vector<ControlSettings> m_settings;
+    std::vector<std::unique_ptr<ControlNode>> m_nodes;
+};
+
+} // namespace rattanrill::control
--- /dev/null
+++ b/tests/control/controlnode_test.cpp
@@ -0,0 +1,197 @@
+#include "controlcluster.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/wire/codec.h"
+
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <thread>
+
+using namespace rattanrill;
+using namespace rattanrill::control;
+
+namespace {
+
+/// Client of a cluster with its parts, in the order in which they are made.
+struct Client
+{
+    explicit Client(const ControlCluster &cluster, std::vector<std::string> addresses)
+        : channels(cluster.transport())
+        , control(channels, std::move(addresses), timers, SystemClock::instance())
+    {}
+
+    Outcome<wire::FollowResponse> follow(std::uint64_t after, std::int64_t waitMs)
+    {
+        absl::Notification done;
+        std::optional<Outcome<wire::FollowResponse>> answer;
+        control.follow({"entry-1", after, waitMs}, absl::Seconds(3), [&](const auto &outcome) {
+            answer = outcome;
+            done.Notify();
+        });
+        done.WaitForNotification();
+        return *answer;
+    }
+
+    Outcome<std::string> append(const std::string &group, const std::string &fileId)
+    {
+        wire::BatchCommand command;
+        command.operation = wire::AppendItems{fileId, "w1", 0, {{"c1", "/v1/completions", "{}"}}};
+        absl::Notification done;
+        std::optional<Outcome<std::string>> answer;
+        control.propose(group, wire::encode(command), true, absl::Seconds(15),
+                        [&](const auto &outcome) {
+                            answer = outcome;
+                            done.Notify();
+                        });
+        done.WaitForNotification();
+        return *answer;
+    }
+
+    ThreadTimerService timers;
+    peer::ChannelPool channels;
+    controlclient::ControlClient control;
+};
+
+std::string codeOf(const ControlCluster::Answer &answer)
+{
+    return answer.status == 200 ? "ok" : answer.body.at("error").at("code").get<std::string>();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlNodeTest)
+
+BOOST_AUTO_TEST_CASE(operatorsRacingFromTheSameRevisionHaveOneWinner)
+{
+    ControlCluster cluster(3);
+    BOOST_REQUIRE(codeOf(cluster.putContract(1, 0, "first")) == "ok");
+    std::vector<ControlCluster::Answer> answers(8);
+    std::vector<std::thread> operators;
+    for (std::size_t i = 0; i < answers.size(); ++i)
+        operators.emplace_back([&, i] {
+            answers[i] = cluster.putContract(2 + static_cast<double>(i), 1, concat("race-", i));
+        });
+    for (std::thread &thread : operators)
+        thread.join();
+    std::size_t winners = 0;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        const std::string code = codeOf(answers[i]);
+        winners += code == "ok" ? 1 : 0;
+        BOOST_TEST((code == "ok" || code == "conflict"));
+        // A resend gets the first answer, whoever won.
+        const auto again = cluster.putContract(2 + static_cast<double>(i), 1, concat("race-", i));
+        BOOST_TEST(again.body == answers[i].body);
+    }
+    BOOST_TEST(winners == 1u);
+}
+
+// Guards against a write that has its effect twice when the leader is lost with its answer.
+BOOST_AUTO_TEST_CASE(resendAfterTheLeadersLossGetsTheFirstAnswer)
+{
+    ControlCluster cluster(3);
+    const auto first = cluster.putContract(1, 0, "write-1");
+    BOOST_REQUIRE(codeOf(first) == "ok");
+    const int old = cluster.leader();
+    const auto key = cluster.request(old, "POST", "keys",
+                                     Json{{"workspace", "w1"}, {"request_id", "key-1"}});
+    BOOST_REQUIRE(codeOf(key) == "ok");
+    BOOST_TEST(key.body.contains("key"));
+    cluster.stop(old);
+    BOOST_TEST(cluster.putContract(1, 0, "write-1").body == first.body);
+    const auto again = cluster.request(cluster.leader(), "POST", "keys",
+                                       Json{{"workspace", "w1"}, {"request_id", "key-1"}});
+    BOOST_TEST(again.body.at("key_id") == key.body.at("key_id"));
+    BOOST_TEST(!again.body.contains("key"));
+    // A restart keeps what was accepted.
+    cluster.start(old);
+    const auto listed = cluster.request(cluster.leader(), "GET", "keys");
+    BOOST_TEST(listed.body.at("items").size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(otherInstancesNameTheLeaderAndRefuseWrongTokens)
+{
+    ControlCluster cluster(3);
+    const int leader = cluster.leader();
+    BOOST_REQUIRE(codeOf(cluster.putContract(1, 0, "first")) == "ok");
+    const int other = (leader + 1) % 3;
+    ControlCluster::Answer redirect;
+    // A follower learns the leader with its first heartbeat.
+    for (int poll = 0; poll < 500 && redirect.status != 307; ++poll) {
+        redirect = cluster.request(other, "GET", "contracts");
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    BOOST_TEST(redirect.status == 307);
+    BOOST_TEST(redirect.location.find("/operator/v1/contracts") != std::string::npos);
+    const auto refused = cluster.request(leader, "GET", "contracts", Json(), "another token");
+    BOOST_TEST(refused.status == 401);
+    const auto unknown = cluster.request(
+            leader, "PUT", "contracts/w2",
+            Json{{"rate_per_second", 1}, {"burst", 1}, {"bursts", 2}, {"request_id", "x"}});
+    BOOST_TEST(codeOf(unknown) == "invalid_request");
+    const auto anonymous = cluster.request(leader, "DELETE", "contracts/w1", Json::object());
+    BOOST_TEST(codeOf(anonymous) == "invalid_request");
+}
+
+// Guards against a control instance that is cut off from the others and still answers polls (R6,
+// R13): entries would keep a withdrawn key.
+BOOST_AUTO_TEST_CASE(instanceWithoutQuorumAnswersNoPoll)
+{
+    ControlCluster cluster(3);
+    BOOST_REQUIRE(codeOf(cluster.putContract(1, 0, "first")) == "ok");
+    const int last = (cluster.leader() + 1) % 3;
+    const auto lastAddress = cluster.peerAddresses()[static_cast<std::size_t>(last)];
+    Client client(cluster, {lastAddress});
+    BOOST_REQUIRE(client.follow(0, 100).ok());
+    cluster.stop((last + 1) % 3);
+    cluster.stop((last + 2) % 3);
+    for (int round = 0; round < 3; ++round)
+        BOOST_TEST(!client.follow(1, 100).ok());
+    const auto status = cluster.request(last, "GET", "status");
+    BOOST_TEST(status.status == 200);
+    BOOST_TEST(!status.body.contains("revision"));
+    cluster.start((last + 1) % 3);
+    bool served = false;
+    for (int round = 0; round < 10 && !served; ++round)
+        served = client.follow(0, 100).ok();
+    BOOST_TEST(served);
+}
+
+BOOST_AUTO_TEST_CASE(clientFollowsTheLeadersOfAllGroupsThroughAStop)
+{
+    ControlCluster cluster(3);
+    Client client(cluster, cluster.peerAddresses());
+    for (const char *group : {"batch-0", "batch-1"})
+        BOOST_TEST(client.append(group, concat("file-1-", group)).ok());
+    cluster.stop(cluster.leader());
+    for (const char *group : {"batch-0", "batch-1"}) {
+        const auto outcome = client.append(group, concat("file-2-", group));
+        BOOST_TEST(outcome.ok(), (outcome.ok() ? "" : describe(outcome.failure())));
+    }
+    BOOST_TEST(client.follow(0, 0).ok());
+    const auto unknown = client.append("batch-7", "file");
+    BOOST_REQUIRE(!unknown.ok());
+    BOOST_TEST(name(unknown.failure().code) == name(ErrorCode::NotFound));
+}
+
+BOOST_AUTO_TEST_CASE(processWithAnotherSecretIsRefused)
+{
+    ControlCluster cluster(1);
+    cluster.leader();
+    peer::ChannelPool channels(cluster.transport("another-secret"));
+    absl::Notification done;
+    std::optional<Outcome<std::string>> answer;
+    channels.channel(cluster.peerAddresses().front())
+            ->call(wire::Method::Propose, "", absl::Seconds(5), [&](const auto &outcome) {
+                answer = outcome;
+                done.Notify();
+            });
+    done.WaitForNotification();
+    BOOST_REQUIRE(!answer->ok());
+    BOOST_TEST(name(answer->failure().code) == name(ErrorCode::AuthenticationFailed));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/control/controlsettings_test.cpp
@@ -0,0 +1,96 @@
+#include "commandstamp.h"
+#include "controlsettings.h"
+
+#include "rattanrill/settings/settingsfile.h"
+#include "rattanrill/wire/batchmessages.h"
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/directorymessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::control;
+
+namespace {
+
+Json validSettings()
+{
+    return Json::parse(R"({
+        "instance": "c1", "failureDomain": "d1", "dataFolder": "data",
+        "peer": {"host": "127.0.0.1", "port": 0},
+        "operator": {"host": "127.0.0.1", "port": 0, "token": "0123456789abcdef"},
+        "clusterSecret": "0123456789abcdef", "partitions": 2,
+        "replicas": [{"id": "c1", "peerAddress": "127.0.0.1:1", "operatorAddress": "127.0.0.1:2",
+                      "failureDomain": "d1"}]})");
+}
+
+std::string refusalOf(const Json &settings)
+{
+    const auto outcome = outcomeOf([&]() -> Result<void> {
+        BOOST_LEAF_AUTO(parsed,
+                        parseSettings(dumpJson(settings), "c1.json", controlSettingsSchema()));
+        return checkControlSettings(parsed, "c1.json");
+    });
+    return outcome.ok() ? "" : outcome.failure().detail;
+}
+
+bool mentions(const std::string &text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlSettingsTest)
+
+BOOST_AUTO_TEST_CASE(contradictionsNameTheKey)
+{
+    BOOST_TEST(refusalOf(validSettings()) == "");
+    Json settings = validSettings();
+    settings["clusterSecretFile"] = "secret";
+    BOOST_TEST(mentions(refusalOf(settings), "clusterSecret"));
+    settings = validSettings();
+    settings["operator"].erase("token");
+    BOOST_TEST(mentions(refusalOf(settings), "operator.token"));
+    settings = validSettings();
+    settings["instance"] = "c2";
+    BOOST_TEST(mentions(refusalOf(settings), "c2"));
+    settings = validSettings();
+    settings["ownerLeaseMs"] = 4000;
+    BOOST_TEST(mentions(refusalOf(settings), "memberTimeoutMs"));
+    settings = validSettings();
+    settings["electionTimeoutMs"] = 100;
+    BOOST_TEST(mentions(refusalOf(settings), "electionTimeoutMs"));
+}
+
+BOOST_AUTO_TEST_CASE(missingSecretFileIsTyped)
+{
+    Json settings = validSettings();
+    settings.erase("clusterSecret");
+    settings["clusterSecretFile"] = "no-such-file";
+    ControlSettings read;
+    const auto outcome = outcomeOf([&] { return readControlSettings(settings, read); });
+    BOOST_REQUIRE(!outcome.ok());
+    BOOST_TEST(name(outcome.failure().code) == name(ErrorCode::InvalidSetting));
+    BOOST_TEST(mentions(outcome.failure().detail, "no-such-file"));
+}
+
+// Guards against a time that a caller chose, which could expire the leases of others.
+BOOST_AUTO_TEST_CASE(stampReplacesTheSendersTime)
+{
+    wire::BatchCommand command;
+    command.nowMs = 99;
+    command.operation = wire::CancelJob{"job", "workspace"};
+    const auto stamped =
+            outcomeOf([&] { return stampCommand("batch-0", wire::encode(command), 7); });
+    const auto decoded =
+            outcomeOf([&] { return wire::decode<wire::BatchCommand>(stamped.value()); });
+    BOOST_TEST(decoded.value().nowMs == 7);
+    BOOST_TEST(std::get<wire::CancelJob>(decoded.value().operation).jobId == "job");
+    const auto wrong =
+            outcomeOf([&] { return stampCommand("directory", wire::encode(command), 7); });
+    BOOST_REQUIRE(!wrong.ok());
+    BOOST_TEST(name(wrong.failure().code) == name(ErrorCode::MalformedMessage));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/control/directoryfixture.cpp
@@ -0,0 +1,111 @@
+#include "directoryfixture.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/wire/codec.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rattanrill::control {
+namespace {
+
+constexpr absl::Duration step = absl::Milliseconds(100);
+
+Result<std::unique_ptr<replication::ReplicatedGroup>>
+openStub(const replication::GroupOptions &options,
+         std::unique_ptr<replication::StateMachine> machine, replication::GroupTransport &,
+         const Clock &)
+{
+    auto group = std::make_unique<StubGroup>(std::move(machine));
+    group->now.group = options.group;
+    group->now.leader = options.self;
+    return std::unique_ptr<replication::ReplicatedGroup>(std::move(group));
+}
+
+ControlSettings settingsOfOne()
+{
+    ControlSettings settings;
+    settings.instance = "control-1";
+    settings.replicas = {{"control-1", "127.0.0.1:1", "127.0.0.1:2", "d1"},
+                         {"control-2", "127.0.0.2:1", "127.0.0.2:2", "d2"}};
+    return settings;
+}
+
+} // namespace
+
+DirectoryFixture::DirectoryFixture()
+    : settings(settingsOfOne())
+    , groups(settings, channels, clock, openStub)
+{
+    BOOST_REQUIRE(outcomeOf([&] { return groups.open(); }).ok());
+    follow = std::make_shared<FollowService>(groups.directory(), timers, clock);
+    source = std::make_unique<LocalPollSource>(follow);
+    view = std::make_unique<directory::Follower>(directory::FollowerOptions{}, *source, timers,
+                                                 clock);
+    members = std::make_shared<MemberWatch>(settings, groups, *view, timers, clock);
+    partitions = std::make_shared<PartitionClock>(settings, groups, timers, clock);
+    follow->start();
+}
+
+DirectoryFixture::~DirectoryFixture()
+{
+    members->stop();
+    partitions->stop();
+    view->stop();
+    follow->stop();
+}
+
+std::uint64_t DirectoryFixture::putConfig(const std::string &name)
+{
+    wire::DirectoryCommand command;
+    command.unconditional = true;
+    command.operation = wire::PutConfig{{name, "1", 0}};
+    std::uint64_t revision = 0;
+    directory().propose(wire::encode(command), [&](const Outcome<std::string> &outcome) {
+        const auto result =
+                outcomeOf([&] { return wire::decode<wire::DirectoryResult>(outcome.value()); });
+        revision = result.value().revision;
+    });
+    return revision;
+}
+
+std::shared_ptr<std::optional<Outcome<std::string>>> DirectoryFixture::poll(std::uint64_t after,
+                                                                            std::int64_t waitMs)
+{
+    auto answer = std::make_shared<std::optional<Outcome<std::string>>>();
+    follow->poll(wire::FollowRequest{"entry-1", after, waitMs},
+                 [answer](const Outcome<std::string> &outcome) {
+                     BOOST_REQUIRE(!answer->has_value());
+                     *answer = outcome;
+                 });
+    return answer;
+}
+
+Outcome<std::string> DirectoryFixture::heartbeat(const std::string &instance,
+                                                 const std::string &incarnation, bool leaving,
+                                                 std::uint64_t revision)
+{
+    wire::HeartbeatRequest request;
+    request.member = {instance, "d1", "127.0.0.1:3", "127.0.0.1:4", incarnation, 0};
+    request.leaving = leaving;
+    request.revisionInForce = revision;
+    std::optional<Outcome<std::string>> answer;
+    members->heartbeat(request, [&](const Outcome<std::string> &outcome) { answer = outcome; });
+    BOOST_REQUIRE(answer.has_value());
+    return *answer;
+}
+
+void DirectoryFixture::advance(absl::Duration time, const std::vector<std::string> &instances)
+{
+    for (absl::Duration done; done < time; done += step) {
+        for (const std::string &instance : instances)
+            heartbeat(instance, "1");
+        timers.advance(step);
+    }
+}
+
+bool DirectoryFixture::hasMember(const std::string &instance)
+{
+    return view->view()->member(instance) != nullptr;
+}
+
+} // namespace rattanrill::control
