Directory: Close gaps that mutation trials showed

Cause: in trials on a scratch copy 22 single faults were put into both state machines.

The broken variants of the batch model compare only the answers to commands, so that the check under test reports the fault and not the counts. Three further survivors change nothing observable; one of them showed that the history need not drop whole revisions, which made it simpler. RecordTable declares its types before their use, because clang refuses them otherwise.

--- a/include/rattanrill/directory/recordtable.h
+++ b/include/rattanrill/directory/recordtable.h
@@ -19,6 +19,14 @@
 template <typename Record>
 class RecordTable
 {
+    struct Row
+    {
+        std::string id;
+        std::shared_ptr<const Record> record;
+    };
+    using Shard = std::vector<Row>;
+    using Shards = std::array<std::shared_ptr<const Shard>, 256>;
+
 public:
     /// Changes a copy of a table.
     class Editor
@@ -44,7 +52,7 @@
 
     private:
         /// The shard of \a id, copied before its first change.
-        auto &owned(std::string_view id)
+        Shard &owned(std::string_view id)
         {
             const std::size_t index = shardOf(id);
             if (!m_owned[index]) {
@@ -56,8 +64,8 @@
             return *m_copies[index];
         }
 
-        typename RecordTable::Shards m_shards;
-        std::array<std::shared_ptr<typename RecordTable::Shard>, 256> m_copies;
+        Shards m_shards;
+        std::array<std::shared_ptr<Shard>, 256> m_copies;
         std::bitset<256> m_owned;
     };
 
@@ -84,14 +92,6 @@
     }
 
 private:
-    struct Row
-    {
-        std::string id;
-        std::shared_ptr<const Record> record;
-    };
-    using Shard = std::vector<Row>;
-    using Shards = std::array<std::shared_ptr<const Shard>, 256>;
-
     explicit RecordTable(Shards shards)
         : m_shards(std::make_shared<const Shards>(std::move(shards)))
     {}
--- a/src/directory/changehistory.cpp
+++ b/src/directory/changehistory.cpp
@@ -8,14 +8,9 @@
 void ChangeHistory::append(wire::Change change)
 {
     m_changes.push_back(std::move(change));
-}
-
-void ChangeHistory::trim()
-{
-    while (m_changes.size() > m_limit) {
+    if (m_changes.size() > m_limit) {
         m_droppedUpTo = m_changes.front().revision;
-        while (!m_changes.empty() && m_changes.front().revision == m_droppedUpTo)
-            m_changes.pop_front();
+        m_changes.pop_front();
     }
 }
 
--- a/src/directory/changehistory.h
+++ b/src/directory/changehistory.h
@@ -9,7 +9,7 @@
 
 namespace rattanrill::directory {
 
-/// The last changes in order of revision. Changes of one revision are kept or dropped together.
+/// The last changes in order of revision. A revision counts as dropped with its first change.
 class ChangeHistory
 {
 public:
@@ -17,9 +17,8 @@
         : m_limit(limit)
     {}
 
+    /// Drops the oldest change above the limit.
     void append(wire::Change change);
-    /// Drops the oldest revisions above the limit; call after all changes of a revision.
-    void trim();
     /// All changes after \a revision are kept.
     bool reachesBackTo(std::uint64_t revision) const { return revision >= m_droppedUpTo; }
     /// Requires reachesBackTo(\a revision).
--- a/src/directory/directorystate.h
+++ b/src/directory/directorystate.h
@@ -51,7 +51,6 @@
     /// Removes a record as a change of the open revision.
     template <typename Record>
     void remove(const std::string &id);
-    void endRevision() { m_history.trim(); }
 
     std::uint64_t revision() const { return m_revision; }
     /// Highest time of any accepted write.
--- a/src/directory/directorystatemachine.cpp
+++ b/src/directory/directorystatemachine.cpp
@@ -91,15 +91,17 @@
 
 std::string DirectoryStateMachine::query(std::string_view bytes) const
 {
-    return encodeAnswer(outcomeOf([&]() -> Result<wire::FollowResponse> {
-        BOOST_LEAF_AUTO(query, wire::decode<wire::DirectoryQuery>(bytes));
-        if (query.afterRevision > m_state.revision()) {
-            return fail(notRun(ErrorCode::StaleRevision,
-                               concat("revision ", query.afterRevision, " was asked for, ",
-                                      m_state.revision(), " is the last one")));
-        }
-        return m_state.changesAfter(query.afterRevision);
-    }));
+    using Response = Outcome<wire::FollowResponse>;
+    const auto query = outcomeOf([&] { return wire::decode<wire::DirectoryQuery>(bytes); });
+    if (!query.ok())
+        return encodeAnswer(Response(query.failure()));
+    const std::uint64_t revision = query.value().afterRevision;
+    if (revision > m_state.revision()) {
+        return encodeAnswer(Response(
+                notRun(ErrorCode::StaleRevision, concat("revision ", revision, " was asked for, ",
+                                                        m_state.revision(), " is the last one"))));
+    }
+    return encodeAnswer(Response(m_state.changesAfter(revision)));
 }
 
 std::string DirectoryStateMachine::snapshot() const
@@ -158,7 +160,6 @@
     const std::string id = RecordTraits<Record>::id(record);
     m_state.beginRevision(command.nowMs);
     m_state.put(std::move(record));
-    m_state.endRevision();
     return written(id);
 }
 
@@ -171,7 +172,6 @@
     // The start of a revision removes held requests that have expired.
     if (m_state.find<Record>(id) != nullptr)
         m_state.remove<Record>(id);
-    m_state.endRevision();
     return written(id);
 }
 
@@ -202,7 +202,6 @@
         key.withdrawn = true;
         m_state.put(std::move(key));
     }
-    m_state.endRevision();
     return written(operation.workspace);
 }
 
--- a/tests/batch/model_test.cpp
+++ b/tests/batch/model_test.cpp
@@ -80,33 +80,44 @@
     return {};
 }
 
+/// Which answers are compared with the model.
+enum class Compare {
+    Commands,
+    CommandsAndQueries,
+};
+
 /// Runs one seed against the model; the first fault, or an empty text.
-std::string runAgainstModel(BatchDriver &driver, unsigned seed)
+std::string runAgainstModel(BatchDriver &driver, unsigned seed, Compare compare)
 {
     RandomCommands commands(seed);
     BatchModel model;
+    const bool queries = compare == Compare::CommandsAndQueries;
     uploadFiles(driver, model);
+    driver.nowMs = 1000000;
     for (int step = 0; step < steps; ++step) {
         driver.nowMs += static_cast<std::int64_t>(commands.below(200));
+        // A new leader's clock may be behind.
+        if (commands.below(10) == 0)
+            driver.nowMs -= static_cast<std::int64_t>(commands.below(1000));
         const wire::BatchOperation operation = commands.next();
         const Outcome<wire::BatchResult> answer = driver.apply(operation);
         if (answer.ok())
             commands.learn(answer.value());
         std::string fault = model.observe(driver.nowMs, operation, answer);
-        if (fault.empty() && step % 8 == 0)
+        if (fault.empty() && queries && step % 8 == 0)
             fault = checkJobs(driver, model);
         if (!fault.empty())
             return concat("seed ", seed, ", step ", step, ": ", fault);
     }
-    return checkJobs(driver, model);
+    return queries ? checkJobs(driver, model) : "";
 }
 
-/// Fault that some seed finds in a faulty machine.
+/// Fault that the answers to commands show in some seed of a faulty machine.
 std::string firstFault(const FaultyMachine::Rewrite &rewrite)
 {
     for (unsigned seed = 1; seed <= seeds; ++seed) {
         BatchDriver driver(std::make_unique<FaultyMachine>(rewrite));
-        std::string fault = runAgainstModel(driver, seed);
+        std::string fault = runAgainstModel(driver, seed, Compare::Commands);
         if (!fault.empty())
             return fault;
     }
@@ -123,7 +134,7 @@
 {
     for (unsigned seed = 1; seed <= seeds; ++seed) {
         BatchDriver driver;
-        BOOST_TEST(runAgainstModel(driver, seed) == "");
+        BOOST_TEST(runAgainstModel(driver, seed, Compare::CommandsAndQueries) == "");
     }
 }
 
--- a/tests/batch/statemachine_test.cpp
+++ b/tests/batch/statemachine_test.cpp
@@ -102,6 +102,10 @@
     const auto current = driver.lease(1, "e-2").at(0).item;
     BOOST_TEST(current.lease > old.lease);
     BOOST_TEST(driver.complete(old, "late").value().dropped == 1u);
+    const wire::ItemRef otherItem{"j", 1, current.lease};
+    const wire::ItemRef otherJob{"k", 0, current.lease};
+    BOOST_TEST(driver.complete(otherItem).value().dropped == 1u);
+    BOOST_TEST(driver.complete(otherJob).value().dropped == 1u);
     BOOST_TEST(driver.complete(current, "first").value().accepted == 1u);
     BOOST_TEST(driver.complete(current, "again").value().dropped == 1u);
     BOOST_TEST(driver.results("j").at(0).body == "first");
--- a/tests/directory/follower_test.cpp
+++ b/tests/directory/follower_test.cpp
@@ -202,6 +202,17 @@
     BOOST_TEST(!view.route("/"));
 }
 
+// Guards against an old record that a repeated change brings back.
+BOOST_AUTO_TEST_CASE(changesUpToTheViewsRevisionAreSkipped)
+{
+    const View view = outcomeOf([&] { return View().with(contractAt(5, 5)); }).value();
+    wire::FollowResponse overlap = contractAt(4, 4);
+    overlap.revision = 6;
+    const View next = outcomeOf([&] { return view.with(overlap); }).value();
+    BOOST_TEST(next.revision() == 6u);
+    BOOST_TEST(next.contract("w")->ratePerSecond == 5);
+}
+
 // Guards against a copy of all workspaces for one change.
 BOOST_AUTO_TEST_CASE(changeSharesAllOtherRecords)
 {
--- a/tests/directory/statemachine_test.cpp
+++ b/tests/directory/statemachine_test.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/directory/statemachine.h"
 
+#include "answermemory.h"
 #include "directorydriver.h"
 
 #include <boost/test/unit_test.hpp>
@@ -217,6 +218,36 @@
     BOOST_TEST(driver.view().revision() == 1u);
 }
 
+// Guards against a follower that keeps removed records, or misses changes, after it fell behind the
+// kept history of a restarted replica.
+BOOST_AUTO_TEST_CASE(followerBehindTheHistoryGetsAllRecords)
+{
+    DirectoryDriver driver;
+    driver.writeAnyway(wire::PutRoute{routeOf("r", "/old")});
+    driver.writeAnyway(wire::PutContract{contractOf("w", 1)});
+    const View before = driver.view();
+    driver.writeAnyway(wire::RemoveRoute{"r"});
+    for (std::size_t change = 0; change <= keptChanges; ++change)
+        driver.writeAnyway(wire::PutContract{contractOf("w", 2)});
+    driver.restart();
+    BOOST_TEST(driver.query(before.revision()).snapshot);
+    BOOST_TEST(!driver.query(driver.view().revision() - 1).snapshot);
+    const View after = driver.followFrom(before);
+    BOOST_TEST(!after.route("/old"));
+    BOOST_TEST(after.contract("w")->ratePerSecond == 2);
+}
+
+// Guards against memory that grows with every request id, and against forgetting the newest ones.
+BOOST_AUTO_TEST_CASE(oldestAnswerIsForgottenFirst)
+{
+    AnswerMemory memory(2);
+    for (const char *id : {"a", "b", "c"})
+        memory.remember({id, 0, id});
+    BOOST_TEST(memory.find("a") == nullptr);
+    BOOST_TEST(memory.find("b")->bytes == "b");
+    BOOST_TEST(memory.find("c")->bytes == "c");
+}
+
 // Guards against a restore that accepts damaged bytes or that leaves half a state behind.
 BOOST_AUTO_TEST_CASE(damagedSnapshotIsRefusedAndChangesNothing)
 {
