Directory: Test the follower over the network

Cause: all follower tests used a fake poll source; the adapter to the control client and stopping while an answer arrives were not run.

--- /dev/null
+++ b/tests/directory/controlpollsource_test.cpp
@@ -0,0 +1,69 @@
+#include "rattanrill/directory/controlpollsource.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/controlclient/controlclient.h"
+#include "rattanrill/directory/follower.h"
+#include "rattanrill/peer/server.h"
+#include "rattanrill/wire/codec.h"
+
+#include "absl/synchronization/notification.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::directory;
+
+namespace {
+
+constexpr absl::Duration patience = absl::Seconds(10);
+
+peer::TransportOptions transport()
+{
+    peer::TransportOptions options;
+    options.self.instance = "test";
+    options.clusterSecret = "secret";
+    return options;
+}
+
+/// Answers each poll with the next revision.
+void answerPoll(const std::string &body, const peer::Reply &reply)
+{
+    const auto request = outcomeOf([&] { return wire::decode<wire::FollowRequest>(body); });
+    wire::FollowResponse response;
+    response.revision = request.value().afterRevision + 1;
+    reply(wire::encode(response));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlPollSourceTest)
+
+// Guards against a follower that works with fakes only: polls by the real channel, client and
+// timers, and answers that arrive while the follower stops.
+BOOST_AUTO_TEST_CASE(followerFollowsOverTheNetwork)
+{
+    peer::Server server(transport());
+    server.handle(wire::Method::Follow, [](const peer::PeerIdentity &, const std::string &body,
+                                           const peer::Reply &reply) { answerPoll(body, reply); });
+    BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
+    ThreadTimerService timers;
+    peer::ChannelPool channels(transport());
+    controlclient::ControlClient client(channels, {concat("127.0.0.1:", server.port())}, timers,
+                                        SystemClock::instance());
+    ControlPollSource source(client);
+    for (int round = 0; round < 20; ++round) {
+        absl::Notification third;
+        Follower follower({"entry-1"}, source, timers, SystemClock::instance());
+        follower.onChange([&third](const std::shared_ptr<const View> &view) {
+            if (view->revision() == 3)
+                third.Notify();
+        });
+        follower.start();
+        BOOST_REQUIRE(third.WaitForNotificationWithTimeout(patience));
+        BOOST_TEST((follower.age() < patience));
+    }
+    client.stop();
+    server.stop();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
