Batch: Keep abandoned claims for a while and lost ones out of the limit

Cause: two faults in the rule of claims, found on review. A delayed copy of a ClaimRequest that arrives after its holder's AbandonClaim left a claim that nobody ends, which blocked the key for good.

An abandoned claim now stays for 10 minutes, in which its holder can't win it again; other holders can. A claim that runs for longer than keepMs is still never given away, but does not count against the limit.

Ruled out: forgetting running claims after keepMs, because the request may have run.

--- a/include/rattanrill/batch/statemachine.h
+++ b/include/rattanrill/batch/statemachine.h
@@ -19,8 +19,11 @@
 constexpr std::int64_t expiredJobKeepMs = 24 * 3600 * 1000;
 /// How long a file without a job is kept after its last use.
 constexpr std::int64_t unusedFileKeepMs = 7LL * 24 * 3600 * 1000;
-/// Claims that may be running at once; above it new claims fail with QueueFull.
+/// Claims that may be running at once; above it new claims fail with QueueFull. Claims that run for
+/// longer than their keepMs do not count, so that lost holders can't use the limit up.
 constexpr std::size_t maxRunningClaims = 100000;
+/// How long a holder that abandoned a claim can't win it again; longer than a command is delayed.
+constexpr std::int64_t abandonedClaimKeepMs = 10 * 60 * 1000;
 /// Item or result texts in one answer; an answer holds at least one item.
 constexpr std::size_t maxAnswerBytes = 4u << 20;
 
@@ -40,8 +43,9 @@
 /// Claims: the holder must be unique for each try to run a request (not only the instance name),
 /// because a resent ClaimRequest of the holder wins again. A running claim never passes to another
 /// holder and is never forgotten by time: nothing proves that the request did not run. Only
-/// FinishClaim or AbandonClaim of its holder ends it. A finished claim is forgotten keepMs after it
-/// was finished.
+/// FinishClaim or AbandonClaim of its holder ends it; until then it takes about 200 bytes. A
+/// finished claim is forgotten keepMs after it was finished. AbandonClaim frees the key for other
+/// holders, also when it overtakes the ClaimRequest.
 ///
 /// An empty workspace in CancelJob, ReadJob, ReadFile, ReadResults and ListJobs means any; it is
 /// for operators only.
--- a/src/batch/claimtable.cpp
+++ b/src/batch/claimtable.cpp
@@ -6,7 +6,7 @@
 namespace rattanrill::batch {
 namespace {
 
-using wire::ClaimState;
+constexpr std::uint64_t claimStates = 4;
 
 boost::leaf::error_id conflict(const std::string &key, std::string_view reason)
 {
@@ -15,30 +15,51 @@
 
 } // namespace
 
-Result<wire::ClaimStatus> ClaimTable::claim(const wire::ClaimRequest &request)
+wire::ClaimStatus ClaimTable::statusOf(const Claim &claim)
+{
+    const bool finished = claim.state == State::Finished;
+    const auto state = finished ? wire::ClaimState::Finished : wire::ClaimState::Running;
+    return {false, state, claim.status, claim.contentType, claim.body};
+}
+
+Result<wire::ClaimStatus> ClaimTable::claim(const wire::ClaimRequest &request, std::int64_t nowMs)
 {
     const Key key(request.workspace, request.idempotencyKey);
     const auto known = m_claims.find(key);
-    if (known != m_claims.end()) {
-        const Claim &claim = known->second;
-        if (claim.requestHash != request.requestHash)
-            return conflict(request.idempotencyKey, "belongs to another request");
-        wire::ClaimStatus status = claim.status;
-        status.won = status.state == ClaimState::Running && claim.holder == request.holder;
-        return status;
-    }
+    if (known == m_claims.end())
+        return start(key, request, nowMs);
+    const bool isFree =
+            known->second.state == State::Abandoned && known->second.holder != request.holder;
+    return isFree ? start(key, request, nowMs) : claimAgain(known->second, request);
+}
+
+Result<wire::ClaimStatus> ClaimTable::claimAgain(const Claim &claim,
+                                                 const wire::ClaimRequest &request) const
+{
+    if (claim.state == State::Abandoned)
+        return conflict(request.idempotencyKey, "was abandoned by this holder");
+    if (claim.requestHash != request.requestHash)
+        return conflict(request.idempotencyKey, "belongs to another request");
+    wire::ClaimStatus status = statusOf(claim);
+    status.won = claim.state != State::Finished && claim.holder == request.holder;
+    return status;
+}
+
+Result<wire::ClaimStatus> ClaimTable::start(const Key &key, const wire::ClaimRequest &request,
+                                            std::int64_t nowMs)
+{
     if (m_running >= maxRunningClaims) {
         return fail(notRun(ErrorCode::QueueFull,
                            concat(maxRunningClaims, " claims are running already")));
     }
-    ++m_running;
     Claim claim;
     claim.requestHash = request.requestHash;
     claim.holder = request.holder;
     claim.keepMs = request.keepMs;
-    wire::ClaimStatus status = claim.status;
+    claim.expiresAtMs = nowMs + request.keepMs;
+    wire::ClaimStatus status = statusOf(claim);
     status.won = true;
-    m_claims.emplace(key, std::move(claim));
+    store(key, std::move(claim));
     return status;
 }
 
@@ -46,55 +67,80 @@
 {
     const Key key(request.workspace, request.idempotencyKey);
     const auto known = m_claims.find(key);
-    if (known == m_claims.end()) {
+    if (known == m_claims.end() || known->second.state == State::Abandoned) {
         return fail(notRun(ErrorCode::NotFound,
                            concat("no claim of key \"", request.idempotencyKey, "\"")));
     }
-    Claim &claim = known->second;
-    if (claim.holder != request.holder)
+    if (known->second.holder != request.holder)
         return conflict(request.idempotencyKey, "is claimed by another holder");
-    if (claim.status.state == ClaimState::Finished)
-        return claim.status;
-    --m_running;
+    if (known->second.state == State::Finished)
+        return statusOf(known->second);
+    Claim claim = known->second;
+    claim.state = State::Finished;
     claim.expiresAtMs = nowMs + claim.keepMs;
-    claim.status.state = ClaimState::Finished;
-    claim.status.status = request.status;
-    claim.status.contentType = request.contentType;
-    claim.status.body = request.body;
-    addFinished(key, claim);
-    return claim.status;
-}
-
-void ClaimTable::addFinished(const Key &key, const Claim &claim)
-{
-    m_textBytes += claim.status.body.size();
-    m_expiry.emplace(claim.expiresAtMs, key);
+    claim.status = request.status;
+    claim.contentType = request.contentType;
+    claim.body = request.body;
+    wire::ClaimStatus status = statusOf(claim);
+    store(key, std::move(claim));
+    return status;
 }
 
-Result<void> ClaimTable::abandon(const wire::AbandonClaim &request)
+Result<void> ClaimTable::abandon(const wire::AbandonClaim &request, std::int64_t nowMs)
 {
-    const auto known = m_claims.find({request.workspace, request.idempotencyKey});
-    if (known == m_claims.end())
-        return {};
-    if (known->second.holder != request.holder)
+    const Key key(request.workspace, request.idempotencyKey);
+    const auto known = m_claims.find(key);
+    const bool isTaken = known != m_claims.end() && known->second.state != State::Abandoned;
+    if (isTaken && known->second.holder != request.holder)
         return conflict(request.idempotencyKey, "is claimed by another holder");
-    if (known->second.status.state == ClaimState::Finished)
+    if (isTaken && known->second.state == State::Finished)
         return conflict(request.idempotencyKey, "is finished");
-    --m_running;
-    m_claims.erase(known);
+    Claim claim;
+    claim.holder = request.holder;
+    claim.state = State::Abandoned;
+    claim.expiresAtMs = nowMs + abandonedClaimKeepMs;
+    store(key, std::move(claim));
     return {};
 }
 
 void ClaimTable::expire(std::int64_t nowMs)
 {
     while (!m_expiry.empty() && m_expiry.begin()->first <= nowMs) {
-        const auto claim = m_claims.find(m_expiry.begin()->second);
-        m_textBytes -= claim->second.status.body.size();
-        m_claims.erase(claim);
-        m_expiry.erase(m_expiry.begin());
+        const Key key = m_expiry.begin()->second;
+        Claim claim = m_claims.at(key);
+        erase(key);
+        if (claim.state != State::Running)
+            continue;
+        claim.state = State::Overdue;
+        store(key, std::move(claim));
     }
 }
 
+void ClaimTable::store(const Key &key, Claim claim)
+{
+    erase(key);
+    account(key, m_claims.emplace(key, std::move(claim)).first->second);
+}
+
+void ClaimTable::account(const Key &key, const Claim &claim)
+{
+    m_running += claim.state == State::Running ? 1 : 0;
+    m_textBytes += claim.body.size();
+    if (claim.state != State::Overdue)
+        m_expiry.emplace(claim.expiresAtMs, key);
+}
+
+void ClaimTable::erase(const Key &key)
+{
+    const auto claim = m_claims.find(key);
+    if (claim == m_claims.end())
+        return;
+    m_running -= claim->second.state == State::Running ? 1 : 0;
+    m_textBytes -= claim->second.body.size();
+    m_expiry.erase({claim->second.expiresAtMs, key});
+    m_claims.erase(claim);
+}
+
 void ClaimTable::write(ByteWriter &writer) const
 {
     writer.number(m_claims.size());
@@ -104,14 +150,13 @@
         writer.text(claim.requestHash);
         writer.text(claim.holder);
         writer.signedNumber(claim.keepMs);
-        const bool finished = claim.status.state == ClaimState::Finished;
-        writer.number(finished ? 1 : 0);
-        if (!finished)
-            continue;
+        writer.number(static_cast<std::uint64_t>(claim.state));
         writer.signedNumber(claim.expiresAtMs);
-        writer.signedNumber(claim.status.status);
-        writer.text(claim.status.contentType);
-        writer.text(claim.status.body);
+        if (claim.state != State::Finished)
+            continue;
+        writer.signedNumber(claim.status);
+        writer.text(claim.contentType);
+        writer.text(claim.body);
     }
 }
 
@@ -126,19 +171,14 @@
         claim.requestHash = reader.string();
         claim.holder = reader.string();
         claim.keepMs = reader.signedNumber();
-        if (reader.numberBelow(2) == 1) {
-            claim.status.state = ClaimState::Finished;
-            claim.expiresAtMs = reader.signedNumber();
-            claim.status.status = reader.signedNumber();
-            claim.status.contentType = reader.string();
-            claim.status.body = reader.string();
+        claim.state = static_cast<State>(reader.numberBelow(claimStates));
+        claim.expiresAtMs = reader.signedNumber();
+        if (claim.state == State::Finished) {
+            claim.status = reader.signedNumber();
+            claim.contentType = reader.string();
+            claim.body = reader.string();
         }
-        if (!m_claims.emplace(key, claim).second)
-            return reader.setFailed();
-        if (claim.status.state == ClaimState::Finished)
-            addFinished(key, claim);
-        else
-            ++m_running;
+        store(key, std::move(claim));
     }
 }
 
--- a/src/batch/claimtable.h
+++ b/src/batch/claimtable.h
@@ -19,13 +19,15 @@
 class ClaimTable
 {
 public:
-    /// Fails with Conflict (the key belongs to another request) or QueueFull.
-    Result<wire::ClaimStatus> claim(const wire::ClaimRequest &request);
+    /// Fails with Conflict (the key belongs to another request, or this holder has abandoned it) or
+    /// QueueFull.
+    Result<wire::ClaimStatus> claim(const wire::ClaimRequest &request, std::int64_t nowMs);
     /// Fails with NotFound, or with Conflict for another holder. A resend changes nothing.
     Result<wire::ClaimStatus> finish(const wire::FinishClaim &request, std::int64_t nowMs);
     /// Fails with Conflict for another holder or a finished claim. A resend changes nothing.
-    Result<void> abandon(const wire::AbandonClaim &request);
-    /// Forgets finished claims whose time is over.
+    Result<void> abandon(const wire::AbandonClaim &request, std::int64_t nowMs);
+    /// Forgets finished and abandoned claims whose time is over. Running ones stay, but no longer
+    /// count against the limit.
     void expire(std::int64_t nowMs);
 
     std::size_t textBytes() const { return m_textBytes; }
@@ -36,17 +38,37 @@
     /// Workspace and idempotency key.
     using Key = std::pair<std::string, std::string>;
 
+    enum class State {
+        Running,
+        /// Running for longer than keepMs; its holder is probably lost.
+        Overdue,
+        Finished,
+        /// Free for other holders. Remembered for a while, because a delayed copy of the holder's
+        /// ClaimRequest would leave a claim that nobody ends.
+        Abandoned,
+    };
+
     struct Claim
     {
         std::string requestHash;
         std::string holder;
         std::int64_t keepMs = 0;
-        /// Of a finished claim.
+        State state = State::Running;
         std::int64_t expiresAtMs = 0;
-        wire::ClaimStatus status;
+        std::int64_t status = 0;
+        std::string contentType;
+        std::string body;
     };
 
-    void addFinished(const Key &key, const Claim &claim);
+    static wire::ClaimStatus statusOf(const Claim &claim);
+    Result<wire::ClaimStatus> claimAgain(const Claim &claim,
+                                         const wire::ClaimRequest &request) const;
+    Result<wire::ClaimStatus> start(const Key &key, const wire::ClaimRequest &request,
+                                    std::int64_t nowMs);
+    /// Replaces the claim of \a key and keeps the counts and times in line.
+    void store(const Key &key, Claim claim);
+    void erase(const Key &key);
+    void account(const Key &key, const Claim &claim);
 
     std::map<Key, Claim> m_claims;
     std::set<std::pair<std::int64_t, Key>> m_expiry;
--- a/tests/batch/batchmodel.h
+++ b/tests/batch/batchmodel.h
@@ -55,7 +55,9 @@
     {
         std::string holder;
         std::string answer;
+        /// Of a finished or abandoned claim.
         std::int64_t expiresAtMs = 0;
+        bool abandoned = false;
     };
 
     void advance(std::int64_t nowMs);
--- a/tests/batch/statemachine_test.cpp
+++ b/tests/batch/statemachine_test.cpp
@@ -1,6 +1,7 @@
 #include "rattanrill/batch/statemachine.h"
 
 #include "batchdriver.h"
+#include "claimtable.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -264,6 +265,36 @@
     BOOST_TEST(claim("e-3").value().claim.won);
 }
 
+// Guards against a key that is blocked for good by a delayed copy of a claim that was given back.
+BOOST_AUTO_TEST_CASE(claimThatArrivesAfterItsAbandonIsRefused)
+{
+    BatchDriver driver;
+    const wire::ClaimRequest late{"w", "k", "h", "e-1", 1000};
+    driver.apply(wire::AbandonClaim{"w", "k", "e-1"});
+    driver.restart();
+    BOOST_TEST(refused(driver.apply(late), ErrorCode::Conflict));
+    BOOST_TEST(driver.apply(wire::ClaimRequest{"w", "k", "h", "e-2", 1000}).value().claim.won);
+    BOOST_TEST(!driver.apply(late).value().claim.won);
+}
+
+// Guards against lost holders that use up the limit of running claims.
+BOOST_AUTO_TEST_CASE(overdueClaimsDoNotCountAgainstTheLimit)
+{
+    ClaimTable claims;
+    std::int64_t nowMs = 1000;
+    const auto claim = [&](std::size_t key, const char *holder) {
+        const wire::ClaimRequest request{"w", std::to_string(key), "h", holder, 1000};
+        return outcomeOf([&] { return claims.claim(request, nowMs); });
+    };
+    for (std::size_t key = 0; key < maxRunningClaims; ++key)
+        BOOST_REQUIRE(claim(key, "e-1").ok());
+    BOOST_TEST(refused(claim(maxRunningClaims, "e-1"), ErrorCode::QueueFull));
+    nowMs += 1000;
+    claims.expire(nowMs);
+    BOOST_TEST(claim(maxRunningClaims, "e-1").value().won);
+    BOOST_TEST(!claim(0, "e-2").value().won);
+}
+
 // Guards against a restore that accepts damaged bytes or that leaves half a state behind.
 BOOST_AUTO_TEST_CASE(damagedSnapshotIsRefusedAndChangesNothing)
 {
