--- a/src/batch/batchstate.cpp
+++ b/src/batch/batchstate.cpp
@@ -331,13 +331,7 @@
     m_nowMs = reader.signedNumber();
     readFiles(reader);
     readJobs(reader);
-    std::set<Job::Number> queued;
-    m_due.read(reader, queued);
-    for (const Job::Number number : queued) {
-        const auto job = m_jobs.find(number);
-        if (job == m_jobs.end() || !job->second.hasOpenItem())
-            return reader.setFailed();
-    }
+    m_due.read(reader, m_jobs);
     m_leases.read(reader);
     checkLeases(reader);
     readDelays(reader);
--- a/src/batch/duequeue.cpp
+++ b/src/batch/duequeue.cpp
@@ -73,7 +73,7 @@
     }
 }
 
-void DueQueue::read(ByteReader &reader, std::set<Job::Number> &seen)
+void DueQueue::read(ByteReader &reader, const std::map<Job::Number, Job> &jobs)
 {
     const std::size_t groups = reader.count();
     for (std::size_t group = 0; group < groups; ++group) {
@@ -81,11 +81,15 @@
         const std::size_t turns = reader.count();
         for (std::size_t turn = 0; turn < turns; ++turn) {
             const std::string name = reader.string();
-            const std::size_t jobs = reader.count();
-            for (std::size_t count = 0; count < jobs; ++count) {
-                const Job::Number job = reader.number();
-                workspaceOf(m_groups[dueAtMs], name).jobs.insert(job);
-                seen.insert(job);
+            const std::size_t numbers = reader.count();
+            for (std::size_t count = 0; count < numbers; ++count) {
+                const auto job = jobs.find(reader.number());
+                const bool valid = job != jobs.end() && job->second.hasOpenItem()
+                                   && job->second.dueAtMs() == dueAtMs
+                                   && job->second.workspace() == name;
+                if (!valid)
+                    return reader.setFailed();
+                add(job->second);
             }
         }
     }
--- a/src/batch/duequeue.h
+++ b/src/batch/duequeue.h
@@ -27,8 +27,8 @@
     void endTurn();
 
     void write(ByteWriter &writer) const;
-    /// Numbers of all queued jobs must be checked by the caller; \a seen receives them.
-    void read(ByteReader &reader, std::set<Job::Number> &seen);
+    /// \a jobs are all jobs of the partition.
+    void read(ByteReader &reader, const std::map<Job::Number, Job> &jobs);
 
 private:
     struct Workspace
--- a/src/batch/itemfile.cpp
+++ b/src/batch/itemfile.cpp
@@ -39,7 +39,9 @@
     else if (spec.body.size() > maxBodyBytes)
         reason = "body must have at most 4 MiB";
     if (reason != nullptr)
-        return fail(notRun(ErrorCode::InvalidItem, reason));
+        return fail(notRun(
+                ErrorCode::InvalidItem,
+                concat("item \"", spec.customId.substr(0, maxCustomIdBytes), "\": ", reason)));
     return {};
 }
 
--- a/src/batch/job.cpp
+++ b/src/batch/job.cpp
@@ -3,6 +3,7 @@
 #include "rattanrill/batch/statemachine.h"
 
 #include <algorithm>
+#include <array>
 #include <cstring>
 
 namespace rattanrill::batch {
@@ -226,15 +227,42 @@
     m_results.read(reader);
     readItems(reader);
     m_cursor = static_cast<std::uint32_t>(reader.numberBelow(m_items.size() + 1));
+    readReturned(reader);
+    if (!m_expired && !isConsistent())
+        reader.setFailed();
+}
+
+void Job::readReturned(ByteReader &reader)
+{
     const std::size_t returned = reader.count();
     for (std::size_t count = 0; count < returned; ++count) {
-        const std::uint64_t index = reader.numberBelow(m_items.size());
-        if (!reader.ok())
-            return;
+        const std::uint64_t index = reader.numberBelow(m_cursor);
+        if (!reader.ok() || m_items[index].state() != ItemState::Open)
+            return reader.setFailed();
         m_returned.push_back(static_cast<std::uint32_t>(index));
     }
 }
 
+/// Counts and state agree with the items, and no item was leased before its turn.
+bool Job::isConsistent() const
+{
+    std::array<std::uint64_t, itemStates> counts{};
+    for (const Item &item : m_items)
+        ++counts[item.stateByte];
+    const auto count = [&counts](ItemState state) {
+        return counts[static_cast<std::size_t>(state)];
+    };
+    const bool sameCounts = count(ItemState::Completed) == m_completed
+                            && count(ItemState::Failed) == m_failed
+                            && count(ItemState::Cancelled) == m_cancelled;
+    const bool unfinished = count(ItemState::Open) + count(ItemState::Leased) > 0;
+    const bool untouched =
+            std::all_of(m_items.begin() + m_cursor, m_items.end(), [](const Item &item) {
+                return item.state() == ItemState::Open || item.state() == ItemState::Cancelled;
+            });
+    return sameCounts && unfinished != isEnded() && untouched;
+}
+
 void Job::readItems(ByteReader &reader)
 {
     const std::size_t items = reader.count();
--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -94,6 +94,8 @@
     void writeItem(ByteWriter &writer, const Item &item) const;
     Item readItem(ByteReader &reader) const;
     void readItems(ByteReader &reader);
+    void readReturned(ByteReader &reader);
+    bool isConsistent() const;
     void endIfDone(std::int64_t nowMs);
 
     Number m_number = 0;
--- a/tests/batch/model_test.cpp
+++ b/tests/batch/model_test.cpp
@@ -3,13 +3,16 @@
 #include "randomcommands.h"
 
 #include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
 #include "rattanrill/batch/statemachine.h"
 #include "rattanrill/wire/codec.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstring>
 #include <functional>
 #include <map>
+#include <random>
 
 using namespace rattanrill;
 using namespace rattanrill::batch;
@@ -165,6 +168,37 @@
     }
 }
 
+// Guards against memory errors and endless loops in a snapshot that is wrong under a right
+// checksum, and in the commands that follow it.
+BOOST_AUTO_TEST_CASE(inconsistentSnapshotIsRefusedOrHarmless)
+{
+    constexpr std::size_t headerBytes = std::string_view("rattanrill-batch-1\n").size();
+    constexpr std::size_t payloadAt = headerBytes + sizeof(std::uint64_t);
+    BatchDriver origin;
+    runAgainstModel(origin, 1, Compare::Commands);
+    const std::string snapshot = origin.machine().snapshot();
+    std::mt19937 random(1);
+    for (int round = 0; round < 2000; ++round) {
+        std::string damaged = snapshot;
+        const std::size_t position = payloadAt + random() % (damaged.size() - payloadAt);
+        damaged[position] = static_cast<char>(random());
+        const std::uint64_t checksum = stableHash(std::string_view(damaged).substr(payloadAt));
+        std::memcpy(damaged.data() + headerBytes, &checksum, sizeof checksum);
+        BatchDriver driver;
+        const auto restored = outcomeOf([&] { return driver.machine().restore(damaged); });
+        if (!restored.ok()) {
+            BOOST_REQUIRE((restored.failure().code == ErrorCode::CorruptData));
+            continue;
+        }
+        RandomCommands commands(static_cast<unsigned>(round));
+        for (int step = 0; step < 20; ++step) {
+            driver.nowMs = origin.nowMs + 1000 * step;
+            driver.apply(commands.next());
+        }
+        driver.restart();
+    }
+}
+
 // Shows that the model catches completion without a check of the lease.
 BOOST_AUTO_TEST_CASE(modelCatchesCompletionWithoutLeaseCheck)
 {
