--- /dev/null
+++ b/tests/replication/groupdriver_test.cpp
@@ -0,0 +1,178 @@
+#include "groupdriver.h"
+#include "localcluster.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::replication;
+
+namespace {
+
+/// Storage in memory whose writes a test blocks or lets fail.
+class GatedStorage : public Storage
+{
+public:
+    struct Gate
+    {
+        std::atomic<bool> isBlocked = false;
+        std::atomic<bool> hasSpace = true;
+        std::atomic<bool> failsSync = false;
+    };
+
+    explicit GatedStorage(Gate &gate)
+        : m_gate(gate)
+    {}
+
+    Result<void> write(const std::vector<PersistRequest> &) override
+    {
+        LocalCluster::waitUntil([this] { return !m_gate.isBlocked; });
+        if (m_gate.failsSync)
+            return fail(notRun(ErrorCode::SyncFailed, "injected"));
+        return {};
+    }
+    Result<void> install(const PersistRequest &) override { return {}; }
+    Result<void> saveSnapshot(const InstalledSnapshot &) override { return {}; }
+    Result<SnapshotPart> readSnapshot(std::uint64_t, std::uint64_t, std::uint64_t) override
+    {
+        return SnapshotPart();
+    }
+    bool hasSpace() override { return m_gate.hasSpace; }
+
+private:
+    Gate &m_gate;
+};
+
+/// Three drivers that are joined by direct calls.
+class GatedGroup
+{
+public:
+    GatedGroup()
+    {
+        for (const ReplicaId &id : m_ids) {
+            m_links[id].from = id;
+            m_links[id].group = this;
+            open(id);
+        }
+        for (const ReplicaId &id : m_ids)
+            m_links[id].isOpen = true;
+    }
+    ~GatedGroup()
+    {
+        for (auto &[id, driver] : drivers)
+            driver->stop();
+    }
+
+    ReplicaId leader()
+    {
+        ReplicaId found;
+        LocalCluster::waitUntil([&] {
+            for (const auto &[id, driver] : drivers) {
+                if (driver->status().role == Role::Leader)
+                    found = id;
+            }
+            return !found.empty();
+        });
+        return found;
+    }
+
+    std::map<ReplicaId, GatedStorage::Gate> gates;
+    std::map<ReplicaId, std::unique_ptr<GroupDriver>> drivers;
+
+private:
+    struct Link : GroupTransport
+    {
+        void send(const ReplicaId &to, const std::string &, std::string message) override
+        {
+            if (isOpen)
+                group->drivers.at(to)->receive(from, std::move(message));
+        }
+        ReplicaId from;
+        GatedGroup *group = nullptr;
+        std::atomic<bool> isOpen = false;
+    };
+
+    void open(const ReplicaId &id)
+    {
+        GroupOptions options;
+        options.group = "directory";
+        options.heartbeatPeriod = absl::Milliseconds(20);
+        options.electionTimeout = absl::Milliseconds(300);
+        GroupDriver::Parts parts;
+        parts.storage = std::make_unique<GatedStorage>(gates[id]);
+        parts.machine = std::make_unique<RegisterMachine>();
+        parts.raft.self = id;
+        parts.raft.incarnation = id;
+        parts.raft.heartbeatPeriod = options.heartbeatPeriod;
+        parts.raft.electionTimeout = options.electionTimeout;
+        parts.raft.seed = std::hash<std::string>()(id);
+        for (const ReplicaId &other : m_ids)
+            parts.start.hardState.founders[other] = other;
+        drivers[id] = std::make_unique<GroupDriver>(options, std::move(parts), m_links[id],
+                                                    SystemClock::instance());
+    }
+
+    const std::vector<ReplicaId> m_ids = {"a", "b", "c"};
+    std::map<ReplicaId, Link> m_links;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GroupDriverTest)
+
+// Guards against a slow disk that stops heartbeats and so costs the leader its office.
+BOOST_AUTO_TEST_CASE(slowSyncDoesNotStopHeartbeats)
+{
+    GatedGroup group;
+    const ReplicaId leader = group.leader();
+    const std::uint64_t term = group.drivers.at(leader)->status().term;
+    group.gates[leader].isBlocked = true;
+    group.drivers.at(leader)->propose("key=1", [](const Outcome<std::string> &) {});
+    // Several election timeouts.
+    const absl::Time end = absl::Now() + absl::Seconds(2);
+    while (absl::Now() < end) {
+        BOOST_REQUIRE(group.drivers.at(leader)->status().role == Role::Leader);
+        BOOST_REQUIRE_EQUAL(group.drivers.at(leader)->status().term, term);
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    // The other two have stored the command.
+    BOOST_TEST(group.drivers.at(leader)->status().commitIndex >= 2u);
+    group.gates[leader].isBlocked = false;
+}
+
+// Guards against writes that are accepted on a full disk, and against reads that end with it.
+BOOST_AUTO_TEST_CASE(fullDiskRefusesWritesAsNotRunAndServesReads)
+{
+    GatedGroup group;
+    const ReplicaId leader = group.leader();
+    group.gates[leader].hasSpace = false;
+    const auto refusal = [&] {
+        const auto outcome = await([&](ReplicatedGroup::Callback done) {
+            group.drivers.at(leader)->propose("key=1", std::move(done));
+        });
+        return !outcome.ok() && outcome.failure().code == ErrorCode::DiskFull
+               && outcome.failure().run == RunState::NotRun;
+    };
+    BOOST_TEST(LocalCluster::waitUntil(refusal));
+    const auto value = await([&](ReplicatedGroup::Callback done) {
+        group.drivers.at(leader)->read("key", std::move(done));
+    });
+    BOOST_TEST(value.ok());
+}
+
+// Guards against a replica that goes on after a failed sync, when its disk may have lost writes.
+BOOST_AUTO_TEST_CASE(failedSyncStopsTheReplica)
+{
+    GatedGroup group;
+    const ReplicaId leader = group.leader();
+    group.gates[leader].failsSync = true;
+    group.drivers.at(leader)->propose("key=1", [](const Outcome<std::string> &) {});
+    BOOST_TEST(LocalCluster::waitUntil([&] { return group.drivers.at(leader)->status().stopped; }));
+    const auto outcome = await([&](ReplicatedGroup::Callback done) {
+        group.drivers.at(leader)->propose("key=2", std::move(done));
+    });
+    BOOST_REQUIRE(!outcome.ok());
+    BOOST_TEST((outcome.failure().code == ErrorCode::Stopped));
+    BOOST_TEST(LocalCluster::waitUntil([&] { return group.leader() != leader; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/replication/localcluster.cpp
+++ b/tests/replication/localcluster.cpp
@@ -13,7 +13,8 @@
 
 constexpr absl::Duration patience = absl::Seconds(10);
 
-/// Waits for the callback of an asynchronous call.
+} // namespace
+
 Outcome<std::string> await(const std::function<void(ReplicatedGroup::Callback)> &call)
 {
     struct State
@@ -31,8 +32,6 @@
     return state->outcome;
 }
 
-} // namespace
-
 class LocalCluster::Link : public GroupTransport
 {
 public:
--- a/tests/replication/localcluster.h
+++ b/tests/replication/localcluster.h
@@ -13,6 +13,9 @@
 
 namespace rattanrill::replication {
 
+/// Outcome of an asynchronous call; Timeout when no callback comes within 10 s.
+Outcome<std::string> await(const std::function<void(ReplicatedGroup::Callback)> &call);
+
 /// Replicas in one process with real files, threads and time, joined by direct calls.
 class LocalCluster
 {
