--- a/tests/entry/online_test.cpp
+++ b/tests/entry/online_test.cpp
@@ -203,11 +203,13 @@
     }
     caller.join();
     BOOST_TEST(code == "request_held");
+    const auto revision = static_cast<double>(fleet.control().revision());
     for (int entry = 0; entry < 2; ++entry) {
-        BOOST_TEST(eventually([&] {
-            return errorOf(fleet.complete(entry, "acme", "poison", 2)).value("code", "")
-                   == "request_held";
-        }));
+        BOOST_TEST(eventually(
+                [&] { return fleet.metric(entry, "rattanrill_view_revision") >= revision; }));
+        const auto refused = fleet.complete(entry, "acme", "poison", 2);
+        BOOST_TEST(errorOf(refused).value("code", "") == "request_held");
+        BOOST_TEST(errorOf(refused).value("run", "") == "not_run");
     }
     std::size_t survivors = 0;
     for (int i = 0; i < 3; ++i)
