Policy: Start batch prompts in windows and prefer own engines

Cause: online prompts waited behind batch prompts in prefill, and entries that saw the same late reports chose the same engine.

--- a/include/rattanrill/policy/router.h
+++ b/include/rattanrill/policy/router.h
@@ -16,22 +16,34 @@
 struct RouterSettings
 {
     OutlierSettings outlier;
-    /// Load (0 to 1) up to which an engine in the near failure domain is preferred.
-    double nearLoadLimit = 0.8;
-    /// Cost in load of leaving the near failure domain.
-    double farCost = 0.03;
+    /// Cost of each part of load below the limit; low, because as long as a place is free the load
+    /// only lengthens the decode step, and the report is late.
+    double loadCost = 0.3;
+    /// Load (0 to 1) above which load counts fully several times over and distance no longer does:
+    /// the next arrivals may have to wait for a place.
+    double loadLimit = 0.97;
+    /// Cost of leaving the near failure domain: some milliseconds of delay, small against a step.
+    double farCost = 0.002;
     /// Gain in load of a prompt that is cached completely.
     double prefixGain = 0.15;
     /// A prefix never draws work to an engine that is this much above the least loaded.
     double prefixLoadBound = 0.25;
-    /// Cost in load of this many own prompt tokens still in prefill on the engine.
-    double prefillTokensPerLoad = 4000;
+    /// Own prompt tokens still in prefill on the engine that cost as much as a full load.
+    double prefillTokensPerLoad = 2000;
     /// Cost in load of a request that the engine reported as waiting.
     double waitingCost = 0.05;
     /// Random cost in load, so that entries with the same reports do not all choose one engine.
     double tieNoise = 0.04;
 };
 
+/// An engine that could take the work, and what speaks against it beside its load.
+struct RouteCandidate
+{
+    const EngineState *engine = nullptr;
+    /// In the unit of load.
+    double extraCost = 0;
+};
+
 /// Choice of an engine for one work by expected load, prefix affinity and failure domain.
 class Router
 {
@@ -40,7 +52,7 @@
 
     /// Index in \a candidates of the best engine for \a work, or -1 when every one is leaving,
     /// ejected, or in \a avoided. \a random breaks ties and thins out returning engines.
-    int choose(absl::Time now, const Work &work, const std::vector<EngineState *> &candidates,
+    int choose(absl::Time now, const Work &work, const std::vector<RouteCandidate> &candidates,
                const std::vector<std::string> &avoided, const PrefixIndex &prefixes,
                std::size_t entries, std::mt19937_64 &random) const;
 
--- a/include/rattanrill/policy/scheduler.h
+++ b/include/rattanrill/policy/scheduler.h
@@ -43,6 +43,8 @@
     double prefillTokensPerSecond = 8000;
     /// Failed tries of a batch item after which it counts as impossible.
     int batchTries = 4;
+    /// Cost in load of sending online work to an engine where batch prompts are being prefilled.
+    double batchPrefillCost = 0.3;
     RouterSettings router;
     RetrySettings retry;
     /// Longest wait of online work that must run isolated from other suspects.
@@ -149,6 +151,9 @@
     /// Replaces the list of entries that share the engines. \a self is this entry's instance and
     /// is in the list. All entries derive from it which of them tests suspects on which engine.
     void setEntries(const std::string &self, const std::vector<std::string> &instances);
+    /// Wall-clock time minus the time passed as now. Entries take turns by it; call it at the start
+    /// and every few seconds.
+    void setClockOffset(absl::Duration offset);
     /// Adds to what is known of crashes, from the directory's records; \a held marks a fingerprint
     /// that is refused. A record without crashed upstreams releases the fingerprint.
     void setCrashRecord(absl::Time now, const std::string &fingerprint,
--- a/src/policy/baselinepolicy.h
+++ b/src/policy/baselinepolicy.h
@@ -27,6 +27,7 @@
     void setEngines(absl::Time now, const std::vector<EngineInfo> &engines) override;
     void setEntries(const std::string &self, const std::vector<std::string> &all) override;
     void setWorkspaces(const std::vector<WorkspaceShare> & /*workspaces*/) override {}
+    void setClockOffset(absl::Duration /*offset*/) override {}
     void setCrashRecord(absl::Time /*now*/, const std::string & /*fingerprint*/,
                         const std::vector<std::string> & /*crashed*/) override
     {}
--- a/src/policy/batchallowance.cpp
+++ b/src/policy/batchallowance.cpp
@@ -1,5 +1,7 @@
 #include "batchallowance.h"
 
+#include "between.h"
+
 #include "rattanrill/policy/scheduler.h"
 
 #include <algorithm>
@@ -11,11 +13,8 @@
 
 /// KV memory above which no batch work is started: running answers still grow.
 constexpr double kvLimit = 0.9;
-
-double between(double atZero, double atOne, double weight)
-{
-    return atZero + (atOne - atZero) * std::clamp(weight, 0.0, 1.0);
-}
+/// About two chunks of prefill, so that an answer already running is not slowed for long.
+constexpr std::int64_t mostPrefillTokens = 1000;
 
 } // namespace
 
@@ -23,11 +22,14 @@
     : m_lagSeconds(absl::ToDoubleSeconds(settings.loadLag))
     , m_prefillTokensPerSecond(settings.prefillTokensPerSecond)
     , m_reserveDeviations(between(1, 2.5, settings.onlineTailWeight))
-    , m_fill(between(1, 0.95, settings.onlineTailWeight))
-    , m_prefillShare(between(0.9, 0.4, settings.onlineTailWeight))
-    , m_prefillLimit(static_cast<std::int64_t>(between(1000, 300, settings.onlineTailWeight)))
+    , m_prefillShare(between(0.9, 2, settings.onlineTailWeight))
 {}
 
+std::int64_t BatchAllowance::prefillLimit()
+{
+    return mostPrefillTokens;
+}
+
 double BatchAllowance::onlineReserve(double onlineRatePerEngine) const
 {
     const double arrivals = onlineRatePerEngine * m_lagSeconds;
@@ -40,8 +42,8 @@
     const EngineState &state = engine.state;
     if (!state.hasReport() || state.expectedKvShare(entries) > kvLimit)
         return 0;
-    const double limit = static_cast<double>(state.maxBatch()) * m_fill
-                         - onlineReserve(onlineRatePerEngine) - unseenOnline;
+    const double limit = static_cast<double>(state.maxBatch()) - onlineReserve(onlineRatePerEngine)
+                         - unseenOnline;
     const auto reported = static_cast<double>(state.load().running + state.load().waiting);
     const double share =
             (limit - reported) / static_cast<double>(std::max<std::size_t>(entries, 1));
--- a/src/policy/batchallowance.h
+++ b/src/policy/batchallowance.h
@@ -10,8 +10,8 @@
 
 struct SchedulerSettings;
 
-/// How much batch work this entry may put on an engine. The online tail weight sets the reserve,
-/// the part of the batch that may be filled and the spacing of batch prefills.
+/// How much batch work this entry may put on an engine. The online tail weight sets the reserve
+/// and the spacing of batch prefills.
 class BatchAllowance
 {
 public:
@@ -26,19 +26,18 @@
     /// all of them together do not overshoot.
     int room(const EngineRecord &engine, double onlineRatePerEngine, double unseenOnline,
              std::size_t entries) const;
-    /// Time between two batch starts of this entry on one engine, so that an online prompt seldom
-    /// finds batch prompts ahead of it.
+    /// Time between two batch starts of this entry on one engine, so that entries do not
+    /// start their batch prompts at the same moment. Denser with a larger tail weight, because the
+    /// windows for it are shorter.
     absl::Duration spacing(std::int64_t prefillTokens, std::size_t entries) const;
     /// Own prompt tokens of batch work that may be in prefill on an engine at a time.
-    std::int64_t prefillLimit() const { return m_prefillLimit; }
+    static std::int64_t prefillLimit();
 
 private:
     double m_lagSeconds;
     double m_prefillTokensPerSecond;
     double m_reserveDeviations;
-    double m_fill;
     double m_prefillShare;
-    std::int64_t m_prefillLimit;
 };
 
 } // namespace rattanrill::policy
--- a/src/policy/benchfleet.cpp
+++ b/src/policy/benchfleet.cpp
@@ -26,6 +26,8 @@
 constexpr absl::Duration batchLease = absl::Seconds(5);
 /// The list of upstreams lags.
 constexpr absl::Duration listLag = absl::Seconds(5);
+/// Wall clocks of the entries differ from each other by up to twice this.
+constexpr absl::Duration largestClockError = absl::Milliseconds(10);
 constexpr int progressEveryReports = 3;
 constexpr absl::Duration jobInterval = absl::Seconds(5);
 constexpr int jobItems = 60;
@@ -135,6 +137,8 @@
         shares.push_back({workspaceName(static_cast<int>(i)), m_plan.contracts[i].ratePerSecond,
                           m_deployment.shares[i]});
     for (Entry &entry : m_entries) {
+        const double error = std::uniform_real_distribution<double>(-1, 1)(m_random);
+        entry.policy->setClockOffset(largestClockError * error);
         entry.policy->setWorkspaces(shares);
         entry.policy->setEntries(entry.name, entryNames());
         entry.policy->setEngines(m_loop.now(), engineList());
--- a/src/policy/benchpolicy.h
+++ b/src/policy/benchpolicy.h
@@ -28,6 +28,7 @@
     virtual void setEngines(absl::Time now, const std::vector<EngineInfo> &engines) = 0;
     virtual void setEntries(const std::string &self, const std::vector<std::string> &all) = 0;
     virtual void setWorkspaces(const std::vector<WorkspaceShare> &workspaces) = 0;
+    virtual void setClockOffset(absl::Duration offset) = 0;
     virtual void setCrashRecord(absl::Time now, const std::string &fingerprint,
                                 const std::vector<std::string> &crashed) = 0;
     virtual void loadReported(absl::Time now, const std::string &engine,
--- a/src/policy/suspectengines.cpp
+++ b/src/policy/engineassignment.cpp
@@ -1,10 +1,10 @@
-#include "suspectengines.h"
+#include "engineassignment.h"
 
 #include <algorithm>
 
 namespace rattanrill::policy {
 
-void SuspectEngines::setEntries(const std::string &self, std::vector<std::string> instances)
+void EngineAssignment::setEntries(const std::string &self, std::vector<std::string> instances)
 {
     std::sort(instances.begin(), instances.end());
     const auto own = std::find(instances.begin(), instances.end(), self);
@@ -12,7 +12,7 @@
     m_instances = std::move(instances);
 }
 
-std::vector<std::string> SuspectEngines::choose(std::vector<std::string> engines) const
+std::vector<std::string> EngineAssignment::choose(std::vector<std::string> engines) const
 {
     std::sort(engines.begin(), engines.end());
     if (m_instances.size() <= 1)
--- a/src/policy/suspectengines.h
+++ b/src/policy/engineassignment.h
@@ -5,10 +5,11 @@
 
 namespace rattanrill::policy {
 
-/// Which engines this entry uses to run suspects. Every engine belongs to one entry, so that
-/// suspects of two entries do not meet on an engine and an innocent one is not counted into the
-/// crash of another. With more entries than engines, several entries share one.
-class SuspectEngines
+/// Division of a model's engines among the entries, equal at all of them. Suspects run only on the
+/// entry's own engines, so that suspects of two entries do not meet on an engine and an innocent
+/// one is not counted into the crash of another. Online work prefers them. With more entries than
+/// engines, several entries share one.
+class EngineAssignment
 {
 public:
     void setEntries(const std::string &self, std::vector<std::string> instances);
--- a/src/policy/enginerecord.h
+++ b/src/policy/enginerecord.h
@@ -4,6 +4,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <utility>
@@ -21,6 +22,11 @@
     std::set<WorkId> running;
     int suspectsRunning = 0;
     int preempting = 0;
+    /// This entry prefers the engine for online work. Every engine is preferred by few entries, so
+    /// that most prompts in prefill there are this entry's own, which it knows of at once.
+    bool preferred = false;
+    /// Group of PrefillWindows.
+    std::size_t windowGroup = 0;
     absl::Time nextBatchStart = absl::InfinitePast();
     /// Rounding of this entry's share of free slots, drawn anew with each report.
     double rounding = 0;
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// How much more load counts where places are scarce.
+constexpr double scarcityFactor = 5;
+
 bool isUsable(absl::Time now, const EngineState &engine, const std::vector<std::string> &avoided)
 {
     const std::string &name = engine.info().name;
@@ -34,25 +37,25 @@
     , m_failureDomain(std::move(failureDomain))
 {}
 
-int Router::choose(absl::Time now, const Work &work, const std::vector<EngineState *> &candidates,
+int Router::choose(absl::Time now, const Work &work, const std::vector<RouteCandidate> &candidates,
                    const std::vector<std::string> &avoided, const PrefixIndex &prefixes,
                    std::size_t entries, std::mt19937_64 &random) const
 {
     double leastLoad = std::numeric_limits<double>::infinity();
-    for (const EngineState *engine : candidates) {
-        if (isUsable(now, *engine, avoided))
-            leastLoad = std::min(leastLoad, expectedLoad(*engine, entries));
+    for (const RouteCandidate &candidate : candidates) {
+        if (isUsable(now, *candidate.engine, avoided))
+            leastLoad = std::min(leastLoad, expectedLoad(*candidate.engine, entries));
     }
     int best = -1;
     bool bestReturning = false;
     double bestCost = std::numeric_limits<double>::infinity();
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const EngineState &engine = *candidates[i];
+        const EngineState &engine = *candidates[i].engine;
         if (!isUsable(now, engine, avoided))
             continue;
         const bool returning = uniform(random) >= engine.outlier().share(now);
-        const double noise = m_settings.tieNoise * uniform(random);
-        const double cost = this->cost(now, work, engine, leastLoad, prefixes, entries) + noise;
+        const double extra = candidates[i].extraCost + m_settings.tieNoise * uniform(random);
+        const double cost = this->cost(now, work, engine, leastLoad, prefixes, entries) + extra;
         const bool better = returning == bestReturning ? cost < bestCost : bestReturning;
         if (best < 0 || better) {
             best = static_cast<int>(i);
@@ -69,10 +72,12 @@
     const double load = expectedLoad(engine, entries);
     const std::int64_t prefill =
             engine.ownPrefill(WorkKind::Online) + engine.ownPrefill(WorkKind::Batch);
-    double cost = load + static_cast<double>(prefill) / m_settings.prefillTokensPerLoad;
+    const double scarcity = std::max(load - m_settings.loadLimit, 0.0) * scarcityFactor;
+    double cost = load * m_settings.loadCost + scarcity;
+    cost += static_cast<double>(prefill) / m_settings.prefillTokensPerLoad;
     cost += static_cast<double>(engine.load().waiting) * m_settings.waitingCost;
     const bool far = engine.info().failureDomain != m_failureDomain;
-    if (far || load > m_settings.nearLoadLimit)
+    if (far || load > m_settings.loadLimit)
         cost += m_settings.farCost;
     const bool mayAttract = load <= leastLoad + m_settings.prefixLoadBound && load < 1;
     if (mayAttract && work.promptTokens > 0) {
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -39,7 +39,13 @@
 void Scheduler::setEntries(const std::string &self, const std::vector<std::string> &instances)
 {
     m_state->entries = std::max<std::size_t>(instances.size(), 1);
-    m_state->suspectEngines.setEntries(self, instances);
+    m_state->ownEngines.setEntries(self, instances);
+    m_state->assignAllEngines();
+}
+
+void Scheduler::setClockOffset(absl::Duration offset)
+{
+    m_state->prefillWindows.setClockOffset(offset);
 }
 
 void Scheduler::setCrashRecord(absl::Time now, const std::string &fingerprint,
--- a/src/policy/schedulerpolicy.h
+++ b/src/policy/schedulerpolicy.h
@@ -24,6 +24,7 @@
     {
         m_scheduler.setWorkspaces(workspaces);
     }
+    void setClockOffset(absl::Duration offset) override { m_scheduler.setClockOffset(offset); }
     void setCrashRecord(absl::Time now, const std::string &fingerprint,
                         const std::vector<std::string> &crashed) override
     {
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -1,5 +1,7 @@
 #include "schedulerstate.h"
 
+#include "between.h"
+
 #include "rattanrill/base/concat.h"
 
 #include <algorithm>
@@ -20,6 +22,11 @@
 constexpr double outsideLoadLimit = 0.8;
 /// Part of the running batch items that is leased ahead: about what ends until the next lease.
 constexpr double leaseAheadShare = 0.1;
+/// Engines of a model from which on online work has others to go to while batch prompts start.
+constexpr std::size_t fewestForWindows = 3;
+/// Cost in load of an engine that other entries prefer, by online tail weight.
+constexpr double leastOthersCost = 0.03;
+constexpr double mostOthersCost = 0.1;
 /// Retry-After of an overload refusal.
 constexpr absl::Duration overloadRetryAfter = absl::Seconds(1);
 
@@ -39,6 +46,7 @@
     : settings(std::move(schedulerSettings))
     , router(settings.router, settings.failureDomain)
     , allowance(settings)
+    , prefillWindows(settings.onlineTailWeight)
     , retry(settings.retry)
     , quarantine(settings.quarantine)
     , random(seed)
@@ -61,12 +69,36 @@
         record->removed = false;
         pool(info.model).engines.push_back(record.get());
     }
+    assignAllEngines();
     for (auto record = engines.begin(); record != engines.end();) {
         const bool unused = record->second->removed && record->second->running.empty();
         record = unused ? engines.erase(record) : std::next(record);
     }
 }
 
+void Scheduler::State::assignAllEngines()
+{
+    for (auto &[model, modelPool] : pools)
+        assignEngines(modelPool);
+}
+
+void Scheduler::State::assignEngines(ModelPool &modelPool)
+{
+    // All entries number the engines of a model in order of name.
+    std::sort(modelPool.engines.begin(), modelPool.engines.end(),
+              [](const EngineRecord *left, const EngineRecord *right) {
+                  return left->state.info().name < right->state.info().name;
+              });
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < modelPool.engines.size(); ++i) {
+        modelPool.engines[i]->windowGroup = i % prefillWindows.groups();
+        modelPool.engines[i]->preferred = false;
+        names.push_back(modelPool.engines[i]->state.info().name);
+    }
+    for (const std::string &own : ownEngines.choose(std::move(names)))
+        engine(own)->preferred = true;
+}
+
 void Scheduler::State::setWorkspaces(const std::vector<WorkspaceShare> &list)
 {
     for (const WorkspaceShare &share : list) {
@@ -329,11 +361,10 @@
 {
     if (modelPool.suspects.empty())
         return;
-    std::vector<std::string> names;
-    for (const EngineRecord *record : modelPool.engines)
-        names.push_back(record->state.info().name);
-    for (const std::string &engineName : suspectEngines.choose(std::move(names))) {
-        EngineRecord &record = *engine(engineName);
+    for (EngineRecord *own : modelPool.engines) {
+        if (!own->preferred)
+            continue;
+        EngineRecord &record = *own;
         while (!modelPool.suspects.empty() && record.suspectsRunning == 0 && canTake(now, record)) {
             WorkItem &item = items.at(modelPool.suspects.begin()->second);
             if (refuseHeld(now, item))
@@ -426,6 +457,10 @@
         WorkItem &item = items.at(*next);
         if (refuseHeld(now, item))
             continue;
+        if (usesWindows(modelPool) && !prefillWindows.isOpen(now, record.windowGroup)) {
+            wakeAt(prefillWindows.nextOpening(now, record.windowGroup));
+            return false;
+        }
         if (now < record.nextBatchStart) {
             wakeAt(record.nextBatchStart);
             return false;
@@ -445,12 +480,12 @@
                                                    const WorkItem &item)
 {
     std::vector<EngineRecord *> records;
-    std::vector<EngineState *> fresh;
+    std::vector<RouteCandidate> fresh;
     for (EngineRecord *record : modelPool.engines) {
         const bool recent = now - record->state.reportedAt() < reportLifetime;
         if (recent && canTake(now, *record)) {
             records.push_back(record);
-            fresh.push_back(&record->state);
+            fresh.push_back(candidate(now, modelPool, *record));
         }
     }
     static const std::vector<std::string> none;
@@ -466,13 +501,30 @@
         const std::int64_t own = record->state.own(WorkKind::Online);
         if (!recent && own < unreportedLimit) {
             records.push_back(record);
-            fresh.push_back(&record->state);
+            fresh.push_back(candidate(now, modelPool, *record));
         }
     }
     chosen = router.choose(now, item.work, fresh, item.avoided, prefixes, entries, random);
     return chosen < 0 ? nullptr : records[static_cast<std::size_t>(chosen)];
 }
 
+RouteCandidate Scheduler::State::candidate(absl::Time now, const ModelPool &modelPool,
+                                           const EngineRecord &record) const
+{
+    // Without batch work the windows are empty.
+    const bool busy = runningCount[index(WorkKind::Batch)] > 0 && usesWindows(modelPool)
+                      && prefillWindows.isBusy(now, record.windowGroup);
+    const double others =
+            record.preferred ? 0
+                             : between(leastOthersCost, mostOthersCost, settings.onlineTailWeight);
+    return RouteCandidate{&record.state, others + (busy ? settings.batchPrefillCost : 0)};
+}
+
+bool Scheduler::State::usesWindows(const ModelPool &modelPool)
+{
+    return modelPool.engines.size() >= fewestForWindows;
+}
+
 bool Scheduler::State::canTake(absl::Time now, const EngineRecord &record) const
 {
     const EngineState &state = record.state;
--- a/src/policy/schedulerstate.h
+++ b/src/policy/schedulerstate.h
@@ -2,8 +2,9 @@
 
 #include "arrivalrate.h"
 #include "batchallowance.h"
+#include "engineassignment.h"
 #include "enginerecord.h"
-#include "suspectengines.h"
+#include "prefillwindows.h"
 #include "workitem.h"
 
 #include "rattanrill/policy/fairqueue.h"
@@ -24,6 +25,7 @@
 /// Engines and waiting work of one model.
 struct ModelPool
 {
+    /// In order of name.
     std::vector<EngineRecord *> engines;
     FairQueue online;
     /// Online work outside its contract.
@@ -73,6 +75,12 @@
     void dispatchBatch(absl::Time now, ModelPool &pool);
     bool startBatchOn(absl::Time now, ModelPool &pool, EngineRecord &record);
     EngineRecord *chooseOnlineEngine(absl::Time now, ModelPool &pool, const WorkItem &item);
+    RouteCandidate candidate(absl::Time now, const ModelPool &pool,
+                             const EngineRecord &record) const;
+    /// With few engines there would be no other to go to.
+    static bool usesWindows(const ModelPool &pool);
+    void assignEngines(ModelPool &pool);
+    void assignAllEngines();
     bool canTake(absl::Time now, const EngineRecord &record) const;
     void makeRoom(absl::Time now, ModelPool &pool, EngineRecord &record);
     WorkItem *victimOn(absl::Time now, const EngineRecord &record);
@@ -97,10 +105,11 @@
     SchedulerSettings settings;
     Router router;
     BatchAllowance allowance;
+    PrefillWindows prefillWindows;
     RetryPolicy retry;
     Quarantine quarantine;
     PrefixIndex prefixes;
-    SuspectEngines suspectEngines;
+    EngineAssignment ownEngines;
     std::mt19937_64 random;
     std::size_t entries = 1;
     std::map<std::string, std::unique_ptr<EngineRecord>, std::less<>> engines;
