Policy: Test decisions and put work with progress first

Cause: preempted items of a job without due time went to the end of the queue, because subtracting from an infinite due time has no effect; the test preemptedWorkContinuesFromItsProgress showed it.

--- a/include/rattanrill/policy/fairqueue.h
+++ b/include/rattanrill/policy/fairqueue.h
@@ -7,21 +7,30 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace rattanrill::policy {
 
 /// Order of waiting work between workspaces by served tokens relative to weight (start-time fair
-/// queueing); within a workspace by due time, then by order of arrival. A workspace that had
-/// nothing waiting and nothing in service re-enters at the current virtual time, so that idle time
-/// earns no credit.
+/// queueing); within a workspace by due time, then work with progress, then by arrival. A workspace
+/// that had nothing waiting and nothing in service re-enters at the current virtual time, so that
+/// idle time earns no credit.
 class FairQueue
 {
 public:
     /// Sets the weight of a workspace; 1 when never set. Values <= 0 count as the smallest weight.
     void setWeight(const std::string &workspace, double weight);
+    /// Where work of equal due time goes within its workspace.
+    enum class Order {
+        /// Work with progress: its delivered tokens take memory somewhere until it ends.
+        First,
+        ByArrival,
+    };
+
     /// Adds waiting work. \a due orders within the workspace.
-    void push(const std::string &workspace, WorkId work, absl::Time due);
+    void push(const std::string &workspace, WorkId work, absl::Time due,
+              Order order = Order::ByArrival);
     /// Removes waiting work; false when it does not wait here.
     bool remove(WorkId work);
     /// Work that is next; nothing is removed or charged.
@@ -37,7 +46,7 @@
     std::size_t waiting(const std::string &workspace) const;
 
 private:
-    using Place = std::pair<absl::Time, std::uint64_t>;
+    using Place = std::tuple<absl::Time, Order, std::uint64_t>;
 
     struct Flow
     {
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -16,14 +16,14 @@
     m_flows[workspace].weight = std::max(weight, smallestWeight);
 }
 
-void FairQueue::push(const std::string &workspace, WorkId work, absl::Time due)
+void FairQueue::push(const std::string &workspace, WorkId work, absl::Time due, Order order)
 {
     Flow &flow = m_flows[workspace];
     if (flow.waiting.empty()) {
         flow.virtualTime = std::max(flow.virtualTime, m_virtualTime);
         m_active[{flow.virtualTime, workspace}] = &flow;
     }
-    const Place place{due, m_nextSequence++};
+    const Place place{due, order, m_nextSequence++};
     flow.waiting[place] = work;
     m_places[work] = {workspace, place};
     m_virtualTime = std::max(m_virtualTime, m_active.begin()->first.first);
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -164,9 +164,9 @@
         queue.push(item.work.workspace, item.work.id, item.waitingSince);
         return;
     }
-    // Preempted items go before others of their job: they hold delivered tokens.
-    const absl::Duration earlier = absl::Milliseconds(item.preemptions);
-    waitingPool.batch.push(item.work.workspace, item.work.id, item.work.due - earlier);
+    using Order = FairQueue::Order;
+    const Order order = item.deliveredTokens > 0 ? Order::First : Order::ByArrival;
+    waitingPool.batch.push(item.work.workspace, item.work.id, item.work.due, order);
     item.latestStart = latestStart(item);
     waitingPool.latestStarts.insert({item.latestStart, item.work.id});
 }
--- /dev/null
+++ b/tests/policy/retrypolicy_test.cpp
@@ -0,0 +1,51 @@
+#include "rattanrill/policy/retrypolicy.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::policy;
+
+BOOST_AUTO_TEST_SUITE(RetryPolicyTest)
+
+// Guards against a second effect of a request that may have run.
+BOOST_AUTO_TEST_CASE(nonIdempotentIsNotRetriedAfterItMayHaveRun)
+{
+    RetryPolicy policy{RetrySettings{}};
+    BOOST_TEST(!policy.mayRetry(1, RunState::MayHaveRun, false));
+    BOOST_TEST(policy.mayRetry(1, RunState::NotRun, false));
+    BOOST_TEST(policy.mayRetry(1, RunState::MayHaveRun, true));
+}
+
+// Guards against retries that multiply an outage: at most the share plus the initial budget.
+BOOST_AUTO_TEST_CASE(retriesStayWithinTheBudget)
+{
+    RetrySettings settings;
+    RetryPolicy policy(settings);
+    int retries = 0;
+    constexpr int requests = 2000;
+    for (int i = 0; i < requests; ++i) {
+        policy.firstTry();
+        for (int attempt = 1; policy.mayRetry(attempt, RunState::NotRun, true); ++attempt)
+            ++retries;
+    }
+    BOOST_TEST(retries <= requests * settings.budgetShare + settings.budgetMinimum);
+    BOOST_TEST(retries >= requests * settings.budgetShare - 1);
+}
+
+// Guards against retries in step with each other and against waits without end.
+BOOST_AUTO_TEST_CASE(backoffIsSpreadAndBounded)
+{
+    RetrySettings settings;
+    const RetryPolicy policy(settings);
+    std::mt19937_64 random(3);
+    bool differs = false;
+    const absl::Duration first = policy.backoff(3, random);
+    for (int attempt = 1; attempt < 40; ++attempt) {
+        const absl::Duration wait = policy.backoff(attempt, random);
+        BOOST_TEST((wait >= absl::ZeroDuration() && wait <= settings.longestBackoff));
+        differs = differs || wait != first;
+    }
+    BOOST_TEST(differs);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/policy/router_test.cpp
@@ -0,0 +1,141 @@
+#include "rattanrill/policy/router.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+
+using namespace rattanrill::policy;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+/// Engines of one model with a maximum batch of 100 and given numbers of running requests.
+struct RouterFixture
+{
+    void add(const std::string &name, std::int64_t running, bool leaving = false)
+    {
+        engines.push_back(std::make_unique<EngineState>(EngineInfo{name, "m", "near", leaving},
+                                                        settings.outlier));
+        EngineLoad load;
+        load.running = running;
+        load.maxBatch = 100;
+        engines.back()->loadReported(start, load);
+    }
+
+    std::string choose(const Work &work = {})
+    {
+        std::vector<RouteCandidate> candidates;
+        for (const auto &engine : engines)
+            candidates.push_back({engine.get(), 0});
+        const Router router(settings, "near");
+        const int chosen = router.choose(start, work, candidates, {}, prefixes, 6, random);
+        return chosen < 0 ? "" : engines[static_cast<std::size_t>(chosen)]->info().name;
+    }
+
+    RouterSettings settings;
+    PrefixIndex prefixes;
+    std::mt19937_64 random{1};
+    std::vector<std::unique_ptr<EngineState>> engines;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RouterTest, RouterFixture)
+
+// Guards against new work on an upstream that is about to end.
+BOOST_AUTO_TEST_CASE(leavingEngineGetsNothing)
+{
+    add("leaving", 0, true);
+    BOOST_TEST(choose() == "");
+    add("staying", 99);
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(choose() == "staying");
+}
+
+// Guards against a popular prefix that overloads the engine which has it cached.
+BOOST_AUTO_TEST_CASE(prefixAttractsOnlyBelowTheLoadBound)
+{
+    Work work;
+    work.promptTokens = 16;
+    work.prefixHashes = {42};
+    prefixes.sent(start, "cached", work.prefixHashes, 16);
+    add("cached", 30);
+    add("other", 20);
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(choose(work) == "cached");
+    engines.clear();
+    add("cached", 60);
+    add("other", 20);
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(choose(work) == "other");
+}
+
+// Guards against all own work on one engine while its report is late.
+BOOST_AUTO_TEST_CASE(ownWorkSinceTheReportCounts)
+{
+    add("a", 20);
+    add("b", 20);
+    for (int i = 0; i < 40; ++i)
+        engines[choose() == "a" ? 0 : 1]->workStarted(start, WorkKind::Online, 200, 300);
+    BOOST_TEST(engines[0]->own(WorkKind::Online) > 12);
+    BOOST_TEST(engines[1]->own(WorkKind::Online) > 12);
+}
+
+// Guards against counting own work twice once a report includes it.
+BOOST_AUTO_TEST_CASE(reportReplacesOlderOwnWork)
+{
+    add("a", 20);
+    EngineState &engine = *engines[0];
+    engine.workStarted(start + absl::Milliseconds(10), WorkKind::Online, 100, 100);
+    BOOST_TEST(engine.requestsSeen() == 21);
+    EngineLoad load;
+    load.running = 21;
+    load.maxBatch = 100;
+    load.age = absl::Milliseconds(50);
+    engine.loadReported(start + absl::Milliseconds(100), load);
+    BOOST_TEST(engine.requestsSeen() == 21);
+    BOOST_TEST(engine.own(WorkKind::Online) == 1);
+}
+
+// Guards against a flood on an upstream that has just come back, and against one that is never
+// used again.
+BOOST_AUTO_TEST_CASE(crashedEngineReturnsGradually)
+{
+    add("a", 20);
+    add("b", 20);
+    engines[0]->outlier().failed(start, true);
+    BOOST_TEST(choose() == "b");
+    const OutlierDetector &outlier = engines[0]->outlier();
+    BOOST_TEST(outlier.share(start) == 0);
+    const absl::Time back = outlier.ejectedUntil();
+    BOOST_TEST(outlier.share(back) < 0.2);
+    BOOST_TEST(outlier.share(back + settings.outlier.returnTime) == 1);
+}
+
+// Guards against an ejection by one slow answer, and against a slow upstream that keeps its share.
+BOOST_AUTO_TEST_CASE(slowFirstTokensEject)
+{
+    OutlierDetector detector{OutlierSettings{}};
+    detector.firstToken(start, absl::Seconds(5), absl::Milliseconds(100));
+    BOOST_TEST(!detector.ejected(start));
+    for (int i = 0; i < 10; ++i)
+        detector.firstToken(start, absl::Seconds(2), absl::Milliseconds(100));
+    BOOST_TEST(detector.ejected(start));
+}
+
+// Guards against trust in cache events that were lost: after a gap older guesses expire sooner.
+BOOST_AUTO_TEST_CASE(gapInCacheEventsShortensGuesses)
+{
+    const absl::Duration lifetime = absl::Seconds(100);
+    PrefixIndex index(lifetime);
+    index.apply(start, "e", {{1, CacheEvent::Kind::Stored, 7, 64}});
+    BOOST_TEST(index.cachedTokens(start + absl::Seconds(90), "e", {7}) == 64);
+    index.apply(start, "e", {{5, CacheEvent::Kind::Stored, 8, 64}});
+    BOOST_TEST(index.cachedTokens(start + absl::Seconds(90), "e", {7}) == 0);
+    BOOST_TEST(index.cachedTokens(start + absl::Seconds(90), "e", {8}) == 64);
+    index.apply(start, "e", {{6, CacheEvent::Kind::Evicted, 8, 64}});
+    BOOST_TEST(index.cachedTokens(start, "e", {8}) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
