--- a/include/rattanrill/policy/quarantine.h
+++ b/include/rattanrill/policy/quarantine.h
@@ -42,6 +42,9 @@
     /// belongs in the directory's records.
     std::vector<std::string> crashed(absl::Time now, const std::string &upstream,
                                      const std::vector<std::string> &fingerprints, bool alone);
+    /// The crash of \a upstream had a cause outside the requests it ran, such as the loss of its
+    /// failure domain: it no longer counts against \a fingerprints that are not held.
+    void exonerate(const std::string &upstream, const std::vector<std::string> &fingerprints);
     /// A request completed: clears a suspect, but never a held fingerprint.
     void succeeded(const std::string &fingerprint);
     /// Merges a record of the directory; an empty list of upstreams releases the fingerprint.
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -28,6 +28,19 @@
     return changed;
 }
 
+void Quarantine::exonerate(const std::string &upstream,
+                           const std::vector<std::string> &fingerprints)
+{
+    for (const std::string &fingerprint : fingerprints) {
+        const auto found = m_suspects.find(fingerprint);
+        if (found == m_suspects.end() || found->second.held)
+            continue;
+        found->second.upstreams.erase(upstream);
+        if (found->second.upstreams.empty())
+            m_suspects.erase(found);
+    }
+}
+
 void Quarantine::succeeded(const std::string &fingerprint)
 {
     const auto found = m_suspects.find(fingerprint);
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -27,6 +27,9 @@
 /// Cost in load of an engine that other entries prefer, by online tail weight.
 constexpr double leastOthersCost = 0.03;
 constexpr double mostOthersCost = 0.1;
+/// Tokens past the point of a crash after which a request runs beside other suspects again. The
+/// crash still counts against it until it has completed.
+constexpr std::int64_t tokensPastCrash = 16;
 /// Retry-After of an overload refusal.
 constexpr absl::Duration overloadRetryAfter = absl::Seconds(1);
 
@@ -150,6 +153,9 @@
 {
     item.phase = WorkItem::Phase::Waiting;
     item.waitingSince = now;
+    // The crash may have been explained while the work backed off.
+    if (quarantine.standing(now, item.work.fingerprint) == Standing::Clear)
+        item.suspect = false;
     ModelPool &waitingPool = pool(item.work.model);
     if (item.isOnline()) {
         item.onlineDeadline = onlineDeadline(item);
@@ -200,6 +206,8 @@
         tokenTime = smoothed(tokenTime, (now - item.progressAt) / tokens);
     item.deliveredTokens = deliveredTokens;
     item.progressAt = now;
+    if (deliveredTokens >= item.clearedAtTokens)
+        clearSuspect(item);
 }
 
 void Scheduler::State::noteFirstToken(absl::Time now, WorkItem &item)
@@ -262,7 +270,11 @@
         if (beside.crashCounted)
             continue;
         beside.crashCounted = true;
-        fingerprints.push_back(beside.work.fingerprint);
+        // A request that passed the point of its first crash is not blamed for a second one while a
+        // suspect that has not passed it ran beside it.
+        const bool passed = !beside.suspect && quarantine.crashes(beside.work.fingerprint) > 0;
+        if (!passed || record->suspectsRunning == 0)
+            fingerprints.push_back(beside.work.fingerprint);
     }
     record->state.outlier().failed(now, true);
     prefixes.forgetEngine(item.engine);
@@ -272,6 +284,33 @@
             quarantine.crashed(now, item.engine, fingerprints, alone);
     for (const std::string &fingerprint : changed)
         decisions.emplace_back(RecordCrash{fingerprint, item.engine});
+    const std::string &domain = record->state.info().failureDomain;
+    for (const Crash &crash : crashes.add({now, item.engine, domain, std::move(fingerprints)}))
+        exonerate(now, crash);
+}
+
+void Scheduler::State::exonerate(absl::Time now, const Crash &crash)
+{
+    quarantine.exonerate(crash.upstream, crash.fingerprints);
+    for (auto &[id, item] : items) {
+        const bool affected = item.suspect && item.phase == WorkItem::Phase::Waiting
+                              && quarantine.standing(now, item.work.fingerprint) == Standing::Clear;
+        if (!affected)
+            continue;
+        dequeue(item);
+        item.suspect = false;
+        enqueue(now, item);
+    }
+}
+
+void Scheduler::State::clearSuspect(WorkItem &item)
+{
+    if (!item.suspect)
+        return;
+    item.suspect = false;
+    EngineRecord *record = engine(item.engine);
+    if (record != nullptr && item.isRunning())
+        --record->suspectsRunning;
 }
 
 void Scheduler::State::tryFailed(absl::Time now, WorkItem &item, const TryFailure &failure)
@@ -292,7 +331,9 @@
     item.notBefore = now;
     item.avoided.push_back(item.engine);
     const Standing standing = quarantine.standing(now, item.work.fingerprint);
-    item.suspect = item.suspect || standing == Standing::Suspect;
+    item.suspect = standing == Standing::Suspect;
+    if (crashed)
+        item.clearedAtTokens = item.deliveredTokens + tokensPastCrash;
     if (failure.kind == TryFailure::Kind::Invalid)
         refuse(item, failure.failure.code, failure.failure.detail);
     else if (standing == Standing::Held)
--- a/src/policy/schedulerstate.h
+++ b/src/policy/schedulerstate.h
@@ -2,6 +2,7 @@
 
 #include "arrivalrate.h"
 #include "batchallowance.h"
+#include "crashhistory.h"
 #include "engineassignment.h"
 #include "enginerecord.h"
 #include "prefillwindows.h"
@@ -59,6 +60,9 @@
     void endTry(absl::Time now, WorkItem &item);
     void forget(WorkItem &item);
     void countCrash(absl::Time now, WorkItem &item);
+    void exonerate(absl::Time now, const Crash &crash);
+    /// The item runs beside other suspects again.
+    void clearSuspect(WorkItem &item);
     void tryFailed(absl::Time now, WorkItem &item, const TryFailure &failure);
     void retryOnline(absl::Time now, WorkItem &item, const TryFailure &failure);
     void retryBatch(absl::Time now, WorkItem &item, const TryFailure &failure);
@@ -108,6 +112,7 @@
     PrefillWindows prefillWindows;
     RetryPolicy retry;
     Quarantine quarantine;
+    CrashHistory crashes;
     PrefixIndex prefixes;
     EngineAssignment ownEngines;
     std::mt19937_64 random;
--- a/src/policy/workitem.h
+++ b/src/policy/workitem.h
@@ -5,6 +5,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -48,7 +49,10 @@
     /// Tokens charged to the workspace for the running try.
     double charged = 0;
     bool mayHaveRun = false;
+    /// Runs only where no other suspect runs.
     bool suspect = false;
+    /// A suspect that delivers this many tokens has passed the point of the crash.
+    std::int64_t clearedAtTokens = std::numeric_limits<std::int64_t>::max();
     /// The crash of the running try's engine has been counted.
     bool crashCounted = false;
 
