Policy: Give each entry one engine for suspects and spare ones

Kept: a first choice for each entry, then engines that are nobody's first choice, never one that crashed with the request while there is another.

--- a/include/rattanrill/policy/quarantine.h
+++ b/include/rattanrill/policy/quarantine.h
@@ -53,6 +53,8 @@
     Standing standing(absl::Time now, const std::string &fingerprint) const;
     /// Upstreams known to have crashed with the fingerprint.
     std::size_t crashes(const std::string &fingerprint) const;
+    /// \a upstream is known to have crashed with the fingerprint.
+    bool hasCrashed(const std::string &fingerprint, const std::string &upstream) const;
     /// Drops expired records.
     void expire(absl::Time now);
 
--- a/src/policy/engineassignment.cpp
+++ b/src/policy/engineassignment.cpp
@@ -4,6 +4,18 @@
 
 namespace rattanrill::policy {
 
+namespace {
+
+using Position = std::vector<std::string>::iterator;
+
+void rotateBy(Position begin, Position end, std::size_t places)
+{
+    if (begin != end)
+        std::rotate(begin, begin + static_cast<std::ptrdiff_t>(places) % (end - begin), end);
+}
+
+} // namespace
+
 void EngineAssignment::setEntries(const std::string &self, std::vector<std::string> instances)
 {
     std::sort(instances.begin(), instances.end());
@@ -27,4 +39,17 @@
     return own;
 }
 
+std::vector<std::string> EngineAssignment::suspectOrder(std::vector<std::string> engines) const
+{
+    std::sort(engines.begin(), engines.end());
+    const std::size_t entries = std::max<std::size_t>(m_instances.size(), 1);
+    const std::size_t firsts = std::min(entries, engines.size());
+    const auto spares = engines.begin() + static_cast<std::ptrdiff_t>(firsts);
+    rotateBy(engines.begin(), spares, m_self);
+    rotateBy(spares, engines.end(), m_self);
+    if (firsts > 1)
+        std::rotate(engines.begin() + 1, spares, engines.end());
+    return engines;
+}
+
 } // namespace rattanrill::policy
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -76,6 +76,12 @@
     return found == m_suspects.end() ? 0 : found->second.upstreams.size();
 }
 
+bool Quarantine::hasCrashed(const std::string &fingerprint, const std::string &upstream) const
+{
+    const auto found = m_suspects.find(fingerprint);
+    return found != m_suspects.end() && found->second.upstreams.count(upstream) > 0;
+}
+
 void Quarantine::expire(absl::Time now)
 {
     for (auto suspect = m_suspects.begin(); suspect != m_suspects.end();) {
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -98,8 +98,9 @@
         modelPool.engines[i]->preferred = false;
         names.push_back(modelPool.engines[i]->state.info().name);
     }
-    for (const std::string &own : ownEngines.choose(std::move(names)))
+    for (const std::string &own : ownEngines.choose(names))
         engine(own)->preferred = true;
+    modelPool.suspectOrder = ownEngines.suspectOrder(std::move(names));
 }
 
 void Scheduler::State::setWorkspaces(const std::vector<WorkspaceShare> &list)
@@ -400,20 +401,40 @@
 
 void Scheduler::State::dispatchSuspects(absl::Time now, ModelPool &modelPool)
 {
-    if (modelPool.suspects.empty())
-        return;
-    for (EngineRecord *own : modelPool.engines) {
-        if (!own->preferred)
+    const std::set<std::pair<WorkKind, WorkId>> waiting = modelPool.suspects;
+    for (const auto &[kind, id] : waiting) {
+        WorkItem &item = items.at(id);
+        if (refuseHeld(now, item))
             continue;
-        EngineRecord &record = *own;
-        while (!modelPool.suspects.empty() && record.suspectsRunning == 0 && canTake(now, record)) {
-            WorkItem &item = items.at(modelPool.suspects.begin()->second);
-            if (refuseHeld(now, item))
-                continue;
-            makeRoom(now, modelPool, record);
-            start(now, item, record);
-        }
+        EngineRecord *record = suspectEngine(now, modelPool, item);
+        if (record == nullptr || record->suspectsRunning > 0 || !canTake(now, *record))
+            continue;
+        makeRoom(now, modelPool, *record);
+        start(now, item, *record);
+    }
+}
+
+EngineRecord *Scheduler::State::suspectEngine(absl::Time now, const ModelPool &modelPool,
+                                              const WorkItem &item)
+{
+    EngineRecord *last = nullptr;
+    for (const std::string &engineName : modelPool.suspectOrder) {
+        EngineRecord *record = engine(engineName);
+        if (!isUsable(now, *record))
+            continue;
+        if (!quarantine.hasCrashed(item.work.fingerprint, engineName))
+            return record;
+        // With no other engine, an innocent request runs again where it was beside the crash.
+        last = record;
     }
+    return last;
+}
+
+bool Scheduler::State::isUsable(absl::Time now, const EngineRecord &record)
+{
+    const EngineState &state = record.state;
+    return !state.info().leaving && !state.outlier().ejected(now)
+           && now - state.reportedAt() < reportLifetime;
 }
 
 void Scheduler::State::dispatchOnline(absl::Time now, ModelPool &modelPool, FairQueue &queue)
@@ -714,9 +735,7 @@
                                   const EngineRecord &record) const
 {
     const EngineState &state = record.state;
-    const bool usable = !state.info().leaving && !state.outlier().ejected(now)
-                        && now - state.reportedAt() < reportLifetime;
-    if (!usable)
+    if (!isUsable(now, record))
         return 0;
     const double rate = onlineRatePerEngine(now, modelPool);
     const int room = allowance.room(record, rate, unseenOnline(modelPool), entries);
--- a/src/policy/schedulerstate.h
+++ b/src/policy/schedulerstate.h
@@ -28,6 +28,8 @@
 {
     /// In order of name.
     std::vector<EngineRecord *> engines;
+    /// Names of the engines in the order in which this entry uses them for suspects.
+    std::vector<std::string> suspectOrder;
     FairQueue online;
     /// Online work outside its contract.
     FairQueue outside;
@@ -72,6 +74,10 @@
     void decide(absl::Time now);
     void wakeBackedOff(absl::Time now);
     void dispatchSuspects(absl::Time now, ModelPool &pool);
+    /// The engine on which this entry runs the suspect, away from suspects of other entries.
+    EngineRecord *suspectEngine(absl::Time now, const ModelPool &pool, const WorkItem &item);
+    /// Not leaving or ejected, and its load is known.
+    static bool isUsable(absl::Time now, const EngineRecord &record);
     void dispatchOnline(absl::Time now, ModelPool &pool, FairQueue &queue);
     void shedOutside(ModelPool &pool);
     void refuseLate(absl::Time now);
