--- a/src/policy/benchfleet.cpp
+++ b/src/policy/benchfleet.cpp
@@ -50,6 +50,7 @@
 std::vector<std::string> names(std::string_view prefix, int count)
 {
     std::vector<std::string> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         list.push_back(concat(prefix, i));
     return list;
@@ -74,6 +75,7 @@
 std::vector<std::uint64_t> prefixHashes(int group)
 {
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(sharedPrefixHashes);
     for (int i = 0; i < sharedPrefixHashes; ++i)
         hashes.push_back(stableHash(concat("prefix-", group), static_cast<std::uint64_t>(i)));
     return hashes;
