--- a/include/rattanrill/policy/quarantine.h
+++ b/include/rattanrill/policy/quarantine.h
@@ -42,6 +42,9 @@
     /// belongs in the directory's records.
     std::vector<std::string> crashed(absl::Time now, const std::string &upstream,
                                      const std::vector<std::string> &fingerprints, bool alone);
+    /// The crash of \a upstream had a cause outside the requests it ran, such as the loss of its
+    /// failure domain: it no longer counts against \a fingerprints that are not held.
+    void exonerate(const std::string &upstream, const std::vector<std::string> &fingerprints);
     /// A request completed: clears a suspect, but never a held fingerprint.
     void succeeded(const std::string &fingerprint);
     /// Merges a record of the directory; an empty list of upstreams releases the fingerprint.
@@ -50,6 +53,8 @@
     Standing standing(absl::Time now, const std::string &fingerprint) const;
     /// Upstreams known to have crashed with the fingerprint.
     std::size_t crashes(const std::string &fingerprint) const;
+    /// \a upstream is known to have crashed with the fingerprint.
+    bool hasCrashed(const std::string &fingerprint, const std::string &upstream) const;
     /// Drops expired records.
     void expire(absl::Time now);
 
--- a/src/policy/benchfleet.cpp
+++ b/src/policy/benchfleet.cpp
@@ -26,6 +26,8 @@
 constexpr absl::Duration batchLease = absl::Seconds(5);
 /// The list of upstreams lags.
 constexpr absl::Duration listLag = absl::Seconds(5);
+/// Wall clocks of the entries differ from each other by up to twice this.
+constexpr absl::Duration largestClockError = absl::Milliseconds(10);
 constexpr int progressEveryReports = 3;
 constexpr absl::Duration jobInterval = absl::Seconds(5);
 constexpr int jobItems = 60;
@@ -48,6 +50,7 @@
 std::vector<std::string> names(std::string_view prefix, int count)
 {
     std::vector<std::string> list;
+    list.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         list.push_back(concat(prefix, i));
     return list;
@@ -72,6 +75,7 @@
 std::vector<std::uint64_t> prefixHashes(int group)
 {
     std::vector<std::uint64_t> hashes;
+    hashes.reserve(sharedPrefixHashes);
     for (int i = 0; i < sharedPrefixHashes; ++i)
         hashes.push_back(stableHash(concat("prefix-", group), static_cast<std::uint64_t>(i)));
     return hashes;
@@ -135,6 +139,8 @@
         shares.push_back({workspaceName(static_cast<int>(i)), m_plan.contracts[i].ratePerSecond,
                           m_deployment.shares[i]});
     for (Entry &entry : m_entries) {
+        const double error = std::uniform_real_distribution<double>(-1, 1)(m_random);
+        entry.policy->setClockOffset(largestClockError * error);
         entry.policy->setWorkspaces(shares);
         entry.policy->setEntries(entry.name, entryNames());
         entry.policy->setEngines(m_loop.now(), engineList());
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -1,5 +1,7 @@
 #include "schedulerstate.h"
 
+#include "between.h"
+
 #include "rattanrill/base/concat.h"
 
 #include <algorithm>
@@ -20,6 +22,14 @@
 constexpr double outsideLoadLimit = 0.8;
 /// Part of the running batch items that is leased ahead: about what ends until the next lease.
 constexpr double leaseAheadShare = 0.1;
+/// Engines of a model from which on online work has others to go to while batch prompts start.
+constexpr std::size_t fewestForWindows = 3;
+/// Cost in load of an engine that other entries prefer, by online tail weight.
+constexpr double leastOthersCost = 0.03;
+constexpr double mostOthersCost = 0.1;
+/// Tokens past the point of a crash after which a request runs beside other suspects again. The
+/// crash still counts against it until it has completed.
+constexpr std::int64_t tokensPastCrash = 16;
 /// Retry-After of an overload refusal.
 constexpr absl::Duration overloadRetryAfter = absl::Seconds(1);
 
@@ -39,6 +49,7 @@
     : settings(std::move(schedulerSettings))
     , router(settings.router, settings.failureDomain)
     , allowance(settings)
+    , prefillWindows(settings.onlineTailWeight)
     , retry(settings.retry)
     , quarantine(settings.quarantine)
     , random(seed)
@@ -61,12 +72,37 @@
         record->removed = false;
         pool(info.model).engines.push_back(record.get());
     }
+    assignAllEngines();
     for (auto record = engines.begin(); record != engines.end();) {
         const bool unused = record->second->removed && record->second->running.empty();
         record = unused ? engines.erase(record) : std::next(record);
     }
 }
 
+void Scheduler::State::assignAllEngines()
+{
+    for (auto &[model, modelPool] : pools)
+        assignEngines(modelPool);
+}
+
+void Scheduler::State::assignEngines(ModelPool &modelPool)
+{
+    // All entries number the engines of a model in order of name.
+    std::sort(modelPool.engines.begin(), modelPool.engines.end(),
+              [](const EngineRecord *left, const EngineRecord *right) {
+                  return left->state.info().name < right->state.info().name;
+              });
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < modelPool.engines.size(); ++i) {
+        modelPool.engines[i]->windowGroup = i % prefillWindows.groups();
+        modelPool.engines[i]->preferred = false;
+        names.push_back(modelPool.engines[i]->state.info().name);
+    }
+    for (const std::string &own : ownEngines.choose(names))
+        engine(own)->preferred = true;
+    modelPool.suspectOrder = ownEngines.suspectOrder(std::move(names));
+}
+
 void Scheduler::State::setWorkspaces(const std::vector<WorkspaceShare> &list)
 {
     for (const WorkspaceShare &share : list) {
@@ -118,6 +154,9 @@
 {
     item.phase = WorkItem::Phase::Waiting;
     item.waitingSince = now;
+    // The crash may have been explained while the work backed off.
+    if (quarantine.standing(now, item.work.fingerprint) == Standing::Clear)
+        item.suspect = false;
     ModelPool &waitingPool = pool(item.work.model);
     if (item.isOnline()) {
         item.onlineDeadline = onlineDeadline(item);
@@ -132,9 +171,9 @@
         queue.push(item.work.workspace, item.work.id, item.waitingSince);
         return;
     }
-    // Preempted items go before others of their job: they hold delivered tokens.
-    const absl::Duration earlier = absl::Milliseconds(item.preemptions);
-    waitingPool.batch.push(item.work.workspace, item.work.id, item.work.due - earlier);
+    using Order = FairQueue::Order;
+    const Order order = item.deliveredTokens > 0 ? Order::First : Order::ByArrival;
+    waitingPool.batch.push(item.work.workspace, item.work.id, item.work.due, order);
     item.latestStart = latestStart(item);
     waitingPool.latestStarts.insert({item.latestStart, item.work.id});
 }
@@ -168,6 +207,8 @@
         tokenTime = smoothed(tokenTime, (now - item.progressAt) / tokens);
     item.deliveredTokens = deliveredTokens;
     item.progressAt = now;
+    if (deliveredTokens >= item.clearedAtTokens)
+        clearSuspect(item);
 }
 
 void Scheduler::State::noteFirstToken(absl::Time now, WorkItem &item)
@@ -230,7 +271,11 @@
         if (beside.crashCounted)
             continue;
         beside.crashCounted = true;
-        fingerprints.push_back(beside.work.fingerprint);
+        // A request that passed the point of its first crash is not blamed for a second one while a
+        // suspect that has not passed it ran beside it.
+        const bool passed = !beside.suspect && quarantine.crashes(beside.work.fingerprint) > 0;
+        if (!passed || record->suspectsRunning == 0)
+            fingerprints.push_back(beside.work.fingerprint);
     }
     record->state.outlier().failed(now, true);
     prefixes.forgetEngine(item.engine);
@@ -240,6 +285,33 @@
             quarantine.crashed(now, item.engine, fingerprints, alone);
     for (const std::string &fingerprint : changed)
         decisions.emplace_back(RecordCrash{fingerprint, item.engine});
+    const std::string &domain = record->state.info().failureDomain;
+    for (const Crash &crash : crashes.add({now, item.engine, domain, std::move(fingerprints)}))
+        exonerate(now, crash);
+}
+
+void Scheduler::State::exonerate(absl::Time now, const Crash &crash)
+{
+    quarantine.exonerate(crash.upstream, crash.fingerprints);
+    for (auto &[id, item] : items) {
+        const bool affected = item.suspect && item.phase == WorkItem::Phase::Waiting
+                              && quarantine.standing(now, item.work.fingerprint) == Standing::Clear;
+        if (!affected)
+            continue;
+        dequeue(item);
+        item.suspect = false;
+        enqueue(now, item);
+    }
+}
+
+void Scheduler::State::clearSuspect(WorkItem &item)
+{
+    if (!item.suspect)
+        return;
+    item.suspect = false;
+    EngineRecord *record = engine(item.engine);
+    if (record != nullptr && item.isRunning())
+        --record->suspectsRunning;
 }
 
 void Scheduler::State::tryFailed(absl::Time now, WorkItem &item, const TryFailure &failure)
@@ -260,7 +332,9 @@
     item.notBefore = now;
     item.avoided.push_back(item.engine);
     const Standing standing = quarantine.standing(now, item.work.fingerprint);
-    item.suspect = item.suspect || standing == Standing::Suspect;
+    item.suspect = standing == Standing::Suspect;
+    if (crashed)
+        item.clearedAtTokens = item.deliveredTokens + tokensPastCrash;
     if (failure.kind == TryFailure::Kind::Invalid)
         refuse(item, failure.failure.code, failure.failure.detail);
     else if (standing == Standing::Held)
@@ -327,21 +401,40 @@
 
 void Scheduler::State::dispatchSuspects(absl::Time now, ModelPool &modelPool)
 {
-    if (modelPool.suspects.empty())
-        return;
-    std::vector<std::string> names;
-    for (const EngineRecord *record : modelPool.engines)
-        names.push_back(record->state.info().name);
-    for (const std::string &engineName : suspectEngines.choose(std::move(names))) {
-        EngineRecord &record = *engine(engineName);
-        while (!modelPool.suspects.empty() && record.suspectsRunning == 0 && canTake(now, record)) {
-            WorkItem &item = items.at(modelPool.suspects.begin()->second);
-            if (refuseHeld(now, item))
-                continue;
-            makeRoom(now, modelPool, record);
-            start(now, item, record);
-        }
+    const std::set<std::pair<WorkKind, WorkId>> waiting = modelPool.suspects;
+    for (const auto &[kind, id] : waiting) {
+        WorkItem &item = items.at(id);
+        if (refuseHeld(now, item))
+            continue;
+        EngineRecord *record = suspectEngine(now, modelPool, item);
+        if (record == nullptr || record->suspectsRunning > 0 || !canTake(now, *record))
+            continue;
+        makeRoom(now, modelPool, *record);
+        start(now, item, *record);
+    }
+}
+
+EngineRecord *Scheduler::State::suspectEngine(absl::Time now, const ModelPool &modelPool,
+                                              const WorkItem &item)
+{
+    EngineRecord *last = nullptr;
+    for (const std::string &engineName : modelPool.suspectOrder) {
+        EngineRecord *record = engine(engineName);
+        if (!isUsable(now, *record))
+            continue;
+        if (!quarantine.hasCrashed(item.work.fingerprint, engineName))
+            return record;
+        // With no other engine, an innocent request runs again where it was beside the crash.
+        last = record;
     }
+    return last;
+}
+
+bool Scheduler::State::isUsable(absl::Time now, const EngineRecord &record)
+{
+    const EngineState &state = record.state;
+    return !state.info().leaving && !state.outlier().ejected(now)
+           && now - state.reportedAt() < reportLifetime;
 }
 
 void Scheduler::State::dispatchOnline(absl::Time now, ModelPool &modelPool, FairQueue &queue)
@@ -426,6 +519,10 @@
         WorkItem &item = items.at(*next);
         if (refuseHeld(now, item))
             continue;
+        if (usesWindows(modelPool) && !prefillWindows.isOpen(now, record.windowGroup)) {
+            wakeAt(prefillWindows.nextOpening(now, record.windowGroup));
+            return false;
+        }
         if (now < record.nextBatchStart) {
             wakeAt(record.nextBatchStart);
             return false;
@@ -445,12 +542,12 @@
                                                    const WorkItem &item)
 {
     std::vector<EngineRecord *> records;
-    std::vector<EngineState *> fresh;
+    std::vector<RouteCandidate> fresh;
     for (EngineRecord *record : modelPool.engines) {
         const bool recent = now - record->state.reportedAt() < reportLifetime;
         if (recent && canTake(now, *record)) {
             records.push_back(record);
-            fresh.push_back(&record->state);
+            fresh.push_back(candidate(now, modelPool, *record));
         }
     }
     static const std::vector<std::string> none;
@@ -466,13 +563,30 @@
         const std::int64_t own = record->state.own(WorkKind::Online);
         if (!recent && own < unreportedLimit) {
             records.push_back(record);
-            fresh.push_back(&record->state);
+            fresh.push_back(candidate(now, modelPool, *record));
         }
     }
     chosen = router.choose(now, item.work, fresh, item.avoided, prefixes, entries, random);
     return chosen < 0 ? nullptr : records[static_cast<std::size_t>(chosen)];
 }
 
+RouteCandidate Scheduler::State::candidate(absl::Time now, const ModelPool &modelPool,
+                                           const EngineRecord &record) const
+{
+    // Without batch work the windows are empty.
+    const bool busy = runningCount[index(WorkKind::Batch)] > 0 && usesWindows(modelPool)
+                      && prefillWindows.isBusy(now, record.windowGroup);
+    const double others =
+            record.preferred ? 0
+                             : between(leastOthersCost, mostOthersCost, settings.onlineTailWeight);
+    return RouteCandidate{&record.state, others + (busy ? settings.batchPrefillCost : 0)};
+}
+
+bool Scheduler::State::usesWindows(const ModelPool &modelPool)
+{
+    return modelPool.engines.size() >= fewestForWindows;
+}
+
 bool Scheduler::State::canTake(absl::Time now, const EngineRecord &record) const
 {
     const EngineState &state = record.state;
@@ -621,9 +735,7 @@
                                   const EngineRecord &record) const
 {
     const EngineState &state = record.state;
-    const bool usable = !state.info().leaving && !state.outlier().ejected(now)
-                        && now - state.reportedAt() < reportLifetime;
-    if (!usable)
+    if (!isUsable(now, record))
         return 0;
     const double rate = onlineRatePerEngine(now, modelPool);
     const int room = allowance.room(record, rate, unseenOnline(modelPool), entries);
--- a/src/policy/schedulerstate.h
+++ b/src/policy/schedulerstate.h
@@ -2,8 +2,10 @@
 
 #include "arrivalrate.h"
 #include "batchallowance.h"
+#include "crashhistory.h"
+#include "engineassignment.h"
 #include "enginerecord.h"
-#include "suspectengines.h"
+#include "prefillwindows.h"
 #include "workitem.h"
 
 #include "rattanrill/policy/fairqueue.h"
@@ -24,7 +26,10 @@
 /// Engines and waiting work of one model.
 struct ModelPool
 {
+    /// In order of name.
     std::vector<EngineRecord *> engines;
+    /// Names of the engines in the order in which this entry uses them for suspects.
+    std::vector<std::string> suspectOrder;
     FairQueue online;
     /// Online work outside its contract.
     FairQueue outside;
@@ -57,6 +62,9 @@
     void endTry(absl::Time now, WorkItem &item);
     void forget(WorkItem &item);
     void countCrash(absl::Time now, WorkItem &item);
+    void exonerate(absl::Time now, const Crash &crash);
+    /// The item runs beside other suspects again.
+    void clearSuspect(WorkItem &item);
     void tryFailed(absl::Time now, WorkItem &item, const TryFailure &failure);
     void retryOnline(absl::Time now, WorkItem &item, const TryFailure &failure);
     void retryBatch(absl::Time now, WorkItem &item, const TryFailure &failure);
@@ -66,6 +74,10 @@
     void decide(absl::Time now);
     void wakeBackedOff(absl::Time now);
     void dispatchSuspects(absl::Time now, ModelPool &pool);
+    /// The engine on which this entry runs the suspect, away from suspects of other entries.
+    EngineRecord *suspectEngine(absl::Time now, const ModelPool &pool, const WorkItem &item);
+    /// Not leaving or ejected, and its load is known.
+    static bool isUsable(absl::Time now, const EngineRecord &record);
     void dispatchOnline(absl::Time now, ModelPool &pool, FairQueue &queue);
     void shedOutside(ModelPool &pool);
     void refuseLate(absl::Time now);
@@ -73,6 +85,12 @@
     void dispatchBatch(absl::Time now, ModelPool &pool);
     bool startBatchOn(absl::Time now, ModelPool &pool, EngineRecord &record);
     EngineRecord *chooseOnlineEngine(absl::Time now, ModelPool &pool, const WorkItem &item);
+    RouteCandidate candidate(absl::Time now, const ModelPool &pool,
+                             const EngineRecord &record) const;
+    /// With few engines there would be no other to go to.
+    static bool usesWindows(const ModelPool &pool);
+    void assignEngines(ModelPool &pool);
+    void assignAllEngines();
     bool canTake(absl::Time now, const EngineRecord &record) const;
     void makeRoom(absl::Time now, ModelPool &pool, EngineRecord &record);
     WorkItem *victimOn(absl::Time now, const EngineRecord &record);
@@ -97,10 +115,12 @@
     SchedulerSettings settings;
     Router router;
     BatchAllowance allowance;
+    PrefillWindows prefillWindows;
     RetryPolicy retry;
     Quarantine quarantine;
+    CrashHistory crashes;
     PrefixIndex prefixes;
-    SuspectEngines suspectEngines;
+    EngineAssignment ownEngines;
     std::mt19937_64 random;
     std::size_t entries = 1;
     std::map<std::string, std::unique_ptr<EngineRecord>, std::less<>> engines;
