--- a/src/report/snapshotsource.cpp
+++ b/src/report/snapshotsource.cpp
@@ -155,6 +155,7 @@
         snapshot.instances[page.instance] = std::move(samples);
     }
     std::vector<Snapshot> snapshots;
+    snapshots.reserve(byTime.size());
     for (auto &[at, snapshot] : byTime)
         snapshots.push_back(std::move(snapshot));
     return snapshots;
