--- /dev/null
+++ b/tests/fakes/servicemodel_test.cpp
@@ -0,0 +1,91 @@
+#include "rattanrill/fakes/recordbook.h"
+#include "rattanrill/fakes/servicemodel.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <cstdio>
+#include <fstream>
+#include <thread>
+
+using namespace rattanrill;
+using namespace rattanrill::fakes;
+
+namespace {
+
+ServiceSettings settings(std::int64_t capacity, std::int64_t maxWaiting)
+{
+    ServiceSettings settings;
+    settings.serviceTime = absl::ZeroDuration();
+    settings.capacity = capacity;
+    settings.maxWaiting = maxWaiting;
+    return settings;
+}
+
+std::string idAnswered(ServiceModel &model, const std::string &id,
+                       const std::function<void()> &started)
+{
+    const auto answer = outcomeOf([&] { return model.serve({"/", id, ""}, started); });
+    return answer.ok() ? answer.value().requestId : std::string(name(answer.failure().code));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServiceModelTest)
+
+BOOST_AUTO_TEST_CASE(tooManyWaitingAreRefusedAsNotRun)
+{
+    Faults faults;
+    ServiceModel model(settings(1, 0), faults);
+    bool started = false;
+    const auto answer = outcomeOf([&] {
+        return model.serve({"/", "a", ""}, [&] { started = true; });
+    });
+    BOOST_TEST_REQUIRE(!answer.ok());
+    BOOST_TEST((answer.failure().code == ErrorCode::UpstreamBusy));
+    BOOST_TEST((answer.failure().run == RunState::NotRun));
+    BOOST_TEST(!started);
+}
+
+BOOST_AUTO_TEST_CASE(everyRequestOfAFullServiceIsServedInTheEnd)
+{
+    Faults faults;
+    ServiceModel model(settings(2, 100), faults);
+    std::atomic<int> served{0};
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 20; ++i)
+        callers.emplace_back([&, id = std::to_string(i)] {
+            if (idAnswered(model, id, [] {}) == id)
+                ++served;
+        });
+    for (std::thread &caller : callers)
+        caller.join();
+    BOOST_TEST(served == 20);
+}
+
+// Guards against a record that is lost with the process that it is to convict.
+BOOST_AUTO_TEST_CASE(recordFileHasEachStepAtOnce)
+{
+    const std::string file = "recordbook_test.jsonl";
+    std::remove(file.c_str());
+    RecordBook records(RecordSettings{2, file});
+    Record record;
+    record.requestId = "r";
+    const std::int64_t seq = records.add(record);
+    records.markRun(seq);
+    std::ifstream stream(file);
+    std::string line;
+    std::getline(stream, line);
+    std::getline(stream, line);
+    BOOST_TEST(Json::parse(line).at("run") == true);
+    BOOST_TEST(Json::parse(line).at("finished") == false);
+    records.add(record);
+    records.add(record);
+    BOOST_TEST(records.after(0).size() == 2u);
+    // A record that fell out of memory is left alone.
+    records.markFinished(seq, 1);
+    BOOST_TEST(!records.after(0).front().finished);
+    std::remove(file.c_str());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
