--- a/src/replication/raftcore.cpp
+++ b/src/replication/raftcore.cpp
@@ -49,6 +49,9 @@
         formGroup();
     becomeFollower(m_hardState.term, "");
     resetElectionDeadline();
+    // Nobody else can lead, so a group of one need not wait.
+    if (canCampaign() && membership().voters.size() == 1)
+        m_electionDeadline = now;
 }
 
 void RaftCore::tick(absl::Time now)
