Control: Follow the linter in peer, client, control and ctl

tools/lint-file named copied parameters, a callback read after a move on one path (the callback was only moved on the other), and a value that the analyzer takes for uninitialized when a follow response is moved out of a LEAF result; the directory reads now give an Outcome.

Before: findings in seven files.

--- a/src/control/followservice.cpp
+++ b/src/control/followservice.cpp
@@ -58,10 +58,10 @@
             std::clamp(absl::Milliseconds(request.waitMs), absl::ZeroDuration(), maxWait);
     Polls polls;
     polls.push_back(Poll{std::move(reply), m_clock.now() + wait});
-    confirm(request.afterRevision, std::move(polls));
+    confirm(request.afterRevision, polls);
 }
 
-void FollowService::confirm(std::uint64_t afterRevision, Polls polls)
+void FollowService::confirm(std::uint64_t afterRevision, const Polls &polls)
 {
     std::uint64_t appliedBatches = 0;
     bool stopped = false;
@@ -109,7 +109,7 @@
             return;
         }
     }
-    confirm(afterRevision, std::move(polls));
+    confirm(afterRevision, polls);
 }
 
 void FollowService::applied()
@@ -120,8 +120,8 @@
         ++m_appliedBatches;
         waiting.swap(m_waiting);
     }
-    for (auto &[afterRevision, polls] : waiting)
-        confirm(afterRevision, std::move(polls));
+    for (const auto &[afterRevision, polls] : waiting)
+        confirm(afterRevision, polls);
 }
 
 /// Confirms again just before the answer, which then proves freshness as of now instead of as of
@@ -142,8 +142,8 @@
             entry = polls.empty() ? m_waiting.erase(entry) : std::next(entry);
         }
     }
-    for (auto &[afterRevision, polls] : due)
-        confirm(afterRevision, std::move(polls));
+    for (const auto &[afterRevision, polls] : due)
+        confirm(afterRevision, polls);
 }
 
 void FollowService::stop()
--- a/src/control/followservice.h
+++ b/src/control/followservice.h
@@ -41,7 +41,7 @@
     };
     using Polls = std::vector<Poll>;
 
-    void confirm(std::uint64_t afterRevision, Polls polls);
+    void confirm(std::uint64_t afterRevision, const Polls &polls);
     void confirmed(std::uint64_t afterRevision, std::uint64_t appliedBatches, Polls polls,
                    const Outcome<std::string> &outcome);
     void wait(std::uint64_t afterRevision, std::uint64_t appliedBatches, Polls polls);
--- a/src/control/operatorapi.cpp
+++ b/src/control/operatorapi.cpp
@@ -111,15 +111,15 @@
     return answer;
 }
 
-Result<wire::FollowResponse> OperatorApi::readDirectory(std::uint64_t afterRevision)
+Outcome<wire::FollowResponse> OperatorApi::readDirectory(std::uint64_t afterRevision)
 {
     PendingOutcome pending;
     m_groups.directory().read(wire::encode(wire::DirectoryQuery{afterRevision}),
                               pending.callback());
     const auto bytes = pending.wait(groupTimeout);
     if (!bytes.ok())
-        return fail(asRead(bytes.failure()));
-    return wire::decode<wire::FollowResponse>(bytes.value());
+        return asRead(bytes.failure());
+    return outcomeOf([&] { return wire::decode<wire::FollowResponse>(bytes.value()); });
 }
 
 Outcome<Json> OperatorApi::list(wire::RecordKind kind)
@@ -129,15 +129,17 @@
 
 Result<Json> OperatorApi::tryList(wire::RecordKind kind)
 {
-    BOOST_LEAF_AUTO(response, readDirectory(0));
+    const auto response = readDirectory(0);
+    if (!response.ok())
+        return fail(response.failure());
     Json items = Json::array();
-    for (const wire::Change &change : response.changes) {
+    for (const wire::Change &change : response.value().changes) {
         if (change.kind != kind || change.removed)
             continue;
         BOOST_LEAF_AUTO(item, recordJson(change));
         items.push_back(std::move(item));
     }
-    return Json{{"revision", response.revision}, {"items", std::move(items)}};
+    return Json{{"revision", response.value().revision}, {"items", std::move(items)}};
 }
 
 Outcome<Json> OperatorApi::inForce(const OperatorRequest &request)
@@ -155,8 +157,10 @@
         return fail(notRun(ErrorCode::InvalidRequest, "\"revision\" must be a number"));
     // The changes since this instance's own view make the list of members linearizable.
     const auto view = m_view.view();
-    BOOST_LEAF_AUTO(response, readDirectory(view->revision()));
-    BOOST_LEAF_AUTO(now, view->with(response));
+    const auto response = readDirectory(view->revision());
+    if (!response.ok())
+        return fail(response.failure());
+    BOOST_LEAF_AUTO(now, view->with(response.value()));
     const std::vector<std::string> lacking = m_members.lacking(revision, now);
     return Json{{"in_force", lacking.empty() && now.revision() >= revision}, {"lacking", lacking}};
 }
--- a/src/control/operatorapi.h
+++ b/src/control/operatorapi.h
@@ -53,7 +53,7 @@
     Result<Json> tryAddKey(const OperatorRequest &request);
     Result<Json> tryInForce(const OperatorRequest &request);
     Result<Json> tryList(wire::RecordKind kind);
-    Result<wire::FollowResponse> readDirectory(std::uint64_t afterRevision);
+    Outcome<wire::FollowResponse> readDirectory(std::uint64_t afterRevision);
     Result<wire::BatchQueryResult> readPartition(int partition, wire::BatchQuery query);
     Result<Json> tryCancel(const OperatorRequest &request);
     Result<replication::ReplicatedGroup *> groupOf(const OperatorRequest &request);
--- a/src/control/peerservice.cpp
+++ b/src/control/peerservice.cpp
@@ -41,20 +41,22 @@
     using Body = std::string;
     using From = peer::PeerIdentity;
     server.handle(wire::Method::Raft,
-                  [this](const From &from, const Body &body, peer::Reply reply) {
+                  [this](const From &from, const Body &body, const peer::Reply &reply) {
                       raft(from, body);
                       reply(std::string());
                   });
-    server.handle(wire::Method::Propose, [this](const From &, const Body &body, peer::Reply reply) {
-        propose(body, reply);
-    });
-    server.handle(wire::Method::Read,
-                  [this](const From &, const Body &body, peer::Reply reply) { read(body, reply); });
-    server.handle(wire::Method::Follow, [this](const From &, const Body &body, peer::Reply reply) {
-        follow(body, reply);
-    });
-    server.handle(wire::Method::Heartbeat, [this](const From &, const Body &body,
-                                                  peer::Reply reply) { heartbeat(body, reply); });
+    server.handle(wire::Method::Propose,
+                  [this](const From &, const Body &body, const peer::Reply &reply) {
+                      propose(body, reply);
+                  });
+    server.handle(wire::Method::Read, [this](const From &, const Body &body,
+                                             const peer::Reply &reply) { read(body, reply); });
+    server.handle(wire::Method::Follow, [this](const From &, const Body &body,
+                                               const peer::Reply &reply) { follow(body, reply); });
+    server.handle(wire::Method::Heartbeat,
+                  [this](const From &, const Body &body, const peer::Reply &reply) {
+                      heartbeat(body, reply);
+                  });
 }
 
 void PeerService::stop()
--- a/src/controlclient/controlcalls.cpp
+++ b/src/controlclient/controlcalls.cpp
@@ -45,7 +45,7 @@
              % std::max<std::size_t>(1, m_addresses.size()))
 {}
 
-void ControlCalls::start(CallPlan plan, Callback callback)
+void ControlCalls::start(CallPlan plan, const Callback &callback)
 {
     std::uint64_t id = 0;
     {
@@ -54,7 +54,7 @@
             id = m_nextId++;
             Call &call = m_calls[id];
             call.plan = std::move(plan);
-            call.callback = std::move(callback);
+            call.callback = callback;
         }
     }
     if (id == 0)
--- a/src/controlclient/controlcalls.h
+++ b/src/controlclient/controlcalls.h
@@ -39,7 +39,7 @@
     ControlCalls(peer::ChannelPool &channels, std::vector<std::string> addresses,
                  TimerService &timers, const Clock &clock);
 
-    void start(CallPlan plan, Callback callback);
+    void start(CallPlan plan, const Callback &callback);
     void stop();
     absl::Time now() const { return m_clock.now(); }
 
--- a/src/ctl/tabletext.cpp
+++ b/src/ctl/tabletext.cpp
@@ -22,6 +22,7 @@
     std::vector<std::vector<std::string>> lines = {columns};
     for (const Json &row : rows) {
         std::vector<std::string> line;
+        line.reserve(columns.size());
         for (const std::string &column : columns)
             line.push_back(cellText(row, column));
         lines.push_back(std::move(line));
--- a/src/peer/channelcore.cpp
+++ b/src/peer/channelcore.cpp
@@ -223,21 +223,22 @@
     m_hello.emplace(m_options.self, m_options.clusterSecret);
     m_connection->set_max_message_size(maxHelloBytes);
     const std::weak_ptr<ChannelCore> weak = weak_from_this();
-    m_connection->set_open_handler([weak, epoch](websocketpp::connection_hdl) {
+    m_connection->set_open_handler([weak, epoch](const websocketpp::connection_hdl &) {
         if (const auto self = weak.lock())
             self->opened(epoch);
     });
-    m_connection->set_message_handler([weak, epoch](websocketpp::connection_hdl,
+    m_connection->set_message_handler([weak, epoch](const websocketpp::connection_hdl &,
                                                     const WebsocketClient::message_ptr &message) {
         if (const auto self = weak.lock())
             self->received(epoch, message->get_payload());
     });
-    m_connection->set_pong_handler([weak, epoch](websocketpp::connection_hdl, const std::string &) {
-        const auto self = weak.lock();
-        if (self && epoch == self->m_epoch)
-            self->m_silentPeriods = 0;
-    });
-    const auto lost = [weak, epoch](websocketpp::connection_hdl) {
+    m_connection->set_pong_handler(
+            [weak, epoch](const websocketpp::connection_hdl &, const std::string &) {
+                const auto self = weak.lock();
+                if (self && epoch == self->m_epoch)
+                    self->m_silentPeriods = 0;
+            });
+    const auto lost = [weak, epoch](const websocketpp::connection_hdl &) {
         const auto self = weak.lock();
         if (self && epoch == self->m_epoch && self->m_connection)
             self->lose(notRun(ErrorCode::ConnectionLost,
--- a/src/peer/serverconnection.cpp
+++ b/src/peer/serverconnection.cpp
@@ -90,17 +90,17 @@
     boost::system::error_code ignored;
     m_socket->get_raw_socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     const std::weak_ptr<ServerConnection> weak = weak_from_this();
-    m_socket->set_message_handler(
-            [weak](websocketpp::connection_hdl, const WebsocketServer::message_ptr &message) {
-                if (const auto self = weak.lock())
-                    self->received(message->get_payload());
-            });
-    m_socket->set_ping_handler([weak](websocketpp::connection_hdl, const std::string &) {
+    m_socket->set_message_handler([weak](const websocketpp::connection_hdl &,
+                                         const WebsocketServer::message_ptr &message) {
+        if (const auto self = weak.lock())
+            self->received(message->get_payload());
+    });
+    m_socket->set_ping_handler([weak](const websocketpp::connection_hdl &, const std::string &) {
         if (const auto self = weak.lock())
             self->m_heard = true;
         return true;
     });
-    const auto ended = [weak](websocketpp::connection_hdl) {
+    const auto ended = [weak](const websocketpp::connection_hdl &) {
         if (const auto self = weak.lock())
             self->ended();
     };
@@ -166,7 +166,8 @@
         return;
     }
     if (!isRequest)
-        return (*handler)(m_hello.peer(), std::move(envelope.body), [](Outcome<std::string>) {});
+        return (*handler)(m_hello.peer(), std::move(envelope.body),
+                          [](const Outcome<std::string> &) {});
     const auto response =
             std::make_shared<PendingResponse>(shared_from_this(), envelope.id, envelope.method);
     (*handler)(m_hello.peer(), std::move(envelope.body),
