Engine: Report a deadline that passes while connecting as a timeout

On a busy machine one run of the case silentStreamEndsAtTheIdleLimitAndAtTheDeadline failed: the deadline served as connection timeout, and its end was reported as an engine that cannot be reached. Nothing was sent, so the failure is a timeout that has not run. Socket timeouts may also fire a little before the deadline that they stand for.

--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t maxErrorBytes = 64u << 10;
 constexpr int statusOk = 200;
 constexpr absl::Duration shortestTimeout = absl::Milliseconds(1);
+/// Socket timeouts that stand for the deadline may fire this much before it.
+constexpr absl::Duration timerRounding = absl::Milliseconds(2);
 
 void setTimeouts(httplib::Client &client, absl::Duration connect, absl::Duration read)
 {
@@ -174,7 +176,7 @@
     int status() const { return m_status; }
     const std::string &errorBody() const { return m_errorBody; }
     const StreamReader &reader() const { return m_reader; }
-    bool late() const { return m_clock.now() >= m_request.deadline; }
+    bool late() const { return m_clock.now() + timerRounding >= m_request.deadline; }
 
 private:
     httplib::Request makeRequest(Cancellation &cancellation)
@@ -242,6 +244,8 @@
     StreamCall call(m_impl->options, request, body.value(), m_impl->clock, onToken);
     const httplib::Error error = call.run(cancellation);
     m_impl->dropped += call.reader().dropped();
+    if (failedBeforeSending(error) && call.late())
+        return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
     if (failedBeforeSending(error))
         return m_impl->transportFailure(error);
     if (call.status() != 0 && call.status() != statusOk)
