Fakes: Remove an unused member of the relay connection

Cause: clang refuses an unused private field, which the check of the lock annotations (clang, -Wthread-safety) uses.

Before: the clang build failed. After: fakes, load and report and their tests compile with clang and -Wthread-safety-beta.

Conclusion: ThreadSanitizer was tried and proves nothing: Debian's Abseil is not instrumented, so each access under absl::Mutex is reported, the worker pool of the base library included.

--- a/src/fakes/relayconnection.cpp
+++ b/src/fakes/relayconnection.cpp
@@ -24,8 +24,7 @@
 
 RelayConnection::RelayConnection(boost::asio::io_context &context, Socket client, Endpoint target,
                                  Events events)
-    : m_context(context)
-    , m_client(std::move(client))
+    : m_client(std::move(client))
     , m_server(context)
     , m_target(std::move(target))
     , m_forward(context, m_client, m_server)
--- a/src/fakes/relayconnection.h
+++ b/src/fakes/relayconnection.h
@@ -91,7 +91,6 @@
     void close(End how);
     Direction &opposite(Direction &direction);
 
-    boost::asio::io_context &m_context;
     Socket m_client;
     Socket m_server;
     Endpoint m_target;
