--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -73,11 +73,12 @@
 {
     const std::vector<double> &bounds = histogramBounds();
     // Underflow counts belong to the first bucket: buckets are cumulative.
-    double cumulative = series.histogram.at(-1);
+    // A double holds whole counts exactly up to 2^53.
+    auto cumulative = static_cast<std::uint64_t>(series.histogram.at(-1));
     text += concat(name, "_bucket", renderLabels(labels, concat("le=\"", bounds[0], "\"")), " ",
                    cumulative, "\n");
     for (std::size_t i = 1; i < bounds.size(); ++i) {
-        cumulative += series.histogram.at(static_cast<int>(i) - 1);
+        cumulative += static_cast<std::uint64_t>(series.histogram.at(static_cast<int>(i) - 1));
         text += concat(name, "_bucket", renderLabels(labels, concat("le=\"", bounds[i], "\"")), " ",
                        cumulative, "\n");
     }
--- a/src/policy/benchfigures.cpp
+++ b/src/policy/benchfigures.cpp
@@ -49,7 +49,9 @@
     double inside = 0;
     for (const WorkspaceResult &workspace : input.result.workspaces) {
         const std::size_t outside = workspace.demand - workspace.inside;
-        const std::size_t counted = std::max(workspace.refused, outside) - outside;
+        // A request that nobody may grant while its owner moves is refused inside its rate too.
+        const std::size_t all = workspace.refused + workspace.refusedOwnerMoving;
+        const std::size_t counted = std::max(all, outside) - outside;
         refused += static_cast<double>(counted);
         inside += static_cast<double>(workspace.inside);
     }
--- a/tests/base/metrics_test.cpp
+++ b/tests/base/metrics_test.cpp
@@ -21,4 +21,14 @@
     BOOST_TEST(text.find("ttft_seconds_bucket{le=\"+Inf\"} 3\n") != std::string::npos);
 }
 
+// Guards against bucket counts that lose digits: burn rates are differences of large counts.
+BOOST_AUTO_TEST_CASE(largeCountsKeepAllDigits)
+{
+    Metrics metrics;
+    for (int i = 0; i < 1234567; ++i)
+        metrics.observe("ttft_seconds", {}, 0.0001);
+    const std::string text = metrics.exposition();
+    BOOST_TEST(text.find("ttft_seconds_bucket{le=\"0.001\"} 1234567\n") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
