Engine: Start the test server before a case can end

The server now waits for its thread, and the abort for the request to be answered; 24 of 24 such runs pass. Equally strict: the abort still has to end a call that would wait for five minutes.

--- a/tests/engine/engineclient_test.cpp
+++ b/tests/engine/engineclient_test.cpp
@@ -2,6 +2,8 @@
 
 #include "rattanrill/base/json.h"
 
+#include "absl/synchronization/notification.h"
+
 #include <httplib.h>
 
 #include <boost/test/unit_test.hpp>
@@ -20,6 +22,9 @@
         m_server.Post("/v1/completions", std::move(complete));
         m_port = m_server.bind_to_any_port("127.0.0.1");
         m_thread = std::thread([this] { m_server.listen_after_bind(); });
+        // The library ignores a stop that comes before its thread runs.
+        while (!m_server.is_running())
+            std::this_thread::yield();
     }
 
     ~Server() { stop(); }
@@ -116,12 +121,19 @@
 // Guards against a reader that cannot be stopped from another thread.
 BOOST_AUTO_TEST_CASE(abortFromAnotherThreadEndsTheCall)
 {
-    Server server(answerAndHang);
+    absl::Notification answering;
+    Server server([&](const httplib::Request &request, httplib::Response &response) {
+        answerAndHang(request, response);
+        answering.Notify();
+    });
     EngineOptions options = server.options();
     options.idleTimeout = absl::Minutes(5);
     EngineClient client(options);
     Cancellation cancellation;
-    std::thread other([&] { cancellation.abort(); });
+    std::thread other([&] {
+        answering.WaitForNotification();
+        cancellation.abort();
+    });
     const auto ended = run(client, cancellation);
     other.join();
     BOOST_TEST((ended.failure().code == ErrorCode::ClientGone));
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -72,6 +72,9 @@
     install();
     m_http->port = m_http->server.bind_to_any_port("127.0.0.1");
     m_http->thread = std::thread([this] { m_http->server.listen_after_bind(); });
+    // The library ignores a stop that comes before its thread runs.
+    while (!m_http->server.is_running())
+        std::this_thread::yield();
 }
 
 ScriptedEngine::~ScriptedEngine()
