Entry: Export the metrics that the burn report reads

Cause: the entry counted first tokens without labels and requests by status only, while docs/metrics.md and rattanrill-report agree on figures for each workspace and model; the report showed no rows for live entries.

Ruled out: teaching the report the old names, since burn for each workspace needs the workspace.

Conclusion: one class, RequestMetrics, owns these names; refusals that the caller causes are told apart from those inside the rate.

--- a/src/entry/admission.cpp
+++ b/src/entry/admission.cpp
@@ -14,8 +14,10 @@
 std::optional<Caller> Admission::authenticate(Exchange &exchange) const
 {
     const Outcome<Caller> caller = m_keys.authenticate(exchange.header("Authorization"));
-    if (caller.ok())
+    if (caller.ok()) {
+        exchange.labels().workspace = caller.value().workspace;
         return caller.value();
+    }
     exchange.sendFailure(caller.failure());
     return std::nullopt;
 }
--- a/src/entry/batchdispatcher.cpp
+++ b/src/entry/batchdispatcher.cpp
@@ -132,7 +132,10 @@
     order.listener = std::make_shared<BatchItem>(
             item, request.value(), concat(item.item.jobId, "-", item.item.index),
             absl::ToUnixSeconds(m_parts.clock.wallNow()),
-            [this, partition](ItemEnd end) { endItem(partition, std::move(end)); });
+            [this, partition, workspace = item.workspace, dueAtMs = item.dueAtMs](ItemEnd end) {
+                noteEnd(workspace, dueAtMs, end);
+                endItem(partition, std::move(end));
+            });
     {
         // Before the work can end.
         absl::MutexLock lock(&m_mutex);
@@ -147,6 +150,15 @@
 
 // Results
 
+void BatchDispatcher::noteEnd(const std::string &workspace, std::int64_t dueAtMs,
+                              const ItemEnd &end) const
+{
+    if (end.kind != ItemEnd::Kind::Result)
+        return;
+    const bool pastDue = absl::ToUnixMillis(m_parts.clock.wallNow()) > dueAtMs;
+    m_parts.requestMetrics.itemEnded(workspace, end.result.failed, pastDue);
+}
+
 void BatchDispatcher::endItem(int partition, ItemEnd end)
 {
     absl::MutexLock lock(&m_mutex);
--- a/src/entry/batchdispatcher.h
+++ b/src/entry/batchdispatcher.h
@@ -3,6 +3,7 @@
 #include "batchitem.h"
 #include "entrysettings.h"
 #include "partitions.h"
+#include "requestmetrics.h"
 #include "workdispatcher.h"
 
 #include "rattanrill/base/metrics.h"
@@ -36,6 +37,7 @@
         TimerService &timers;
         const Clock &clock;
         Metrics &metrics;
+        RequestMetrics &requestMetrics;
         /// Tells the scheduler the share of a workspace before its first item.
         std::function<void(const std::string &workspace)> noteWorkspace;
     };
@@ -62,6 +64,7 @@
     void renewStep() ABSL_LOCKS_EXCLUDED(m_mutex);
     void leaseFrom(int partition, std::size_t room, std::size_t &leased);
     void startItem(int partition, const wire::LeasedItem &item);
+    void noteEnd(const std::string &workspace, std::int64_t dueAtMs, const ItemEnd &end) const;
     void endItem(int partition, ItemEnd end) ABSL_LOCKS_EXCLUDED(m_mutex);
     void report(int partition, std::vector<ItemEnd> ends);
     void keepForLater(int partition, std::vector<ItemEnd> ends) ABSL_LOCKS_EXCLUDED(m_mutex);
--- a/src/entry/callerroutes.cpp
+++ b/src/entry/callerroutes.cpp
@@ -83,7 +83,11 @@
     Exchange exchange(request, response, reader);
     dispatch(exchange);
     exchange.closeUnlessRead();
-    m_parts.metrics.count("rattanrill_requests_total",
+    // Health checks and scrapes belong to no workspace and do not fail.
+    const bool counted = exchange.failure() || !exchange.labels().workspace.empty();
+    if (counted && !exchange.isStreamed())
+        m_parts.requestMetrics.ended(exchange.labels(), exchange.failure());
+    m_parts.metrics.count("rattanrill_http_responses_total",
                           {{"status", std::to_string(response.status)}});
     log(LogLevel::Debug, "request",
         {{"requestId", exchange.requestId()},
--- a/src/entry/callerroutes.h
+++ b/src/entry/callerroutes.h
@@ -27,6 +27,7 @@
         const Admission &admission;
         const directory::Follower &directory;
         Metrics &metrics;
+        RequestMetrics &requestMetrics;
         /// Why this instance is not ready; empty when it is.
         std::function<std::string()> notReady;
         /// Called before metrics are rendered.
--- a/src/entry/completionhandler.cpp
+++ b/src/entry/completionhandler.cpp
@@ -24,6 +24,7 @@
             const std::string &requestId, const Clock &clock)
         : dispatcher(dispatcher)
         , caller(caller)
+        , labels{caller.workspace, request.model}
         , requestId(requestId)
         , format(request, requestId, absl::ToUnixSeconds(clock.wallNow()))
         , startedAt(clock.now())
@@ -39,13 +40,15 @@
 
     WorkDispatcher &dispatcher;
     Caller caller;
+    RequestLabels labels;
     std::string requestId;
     CompletionFormat format;
     absl::Time startedAt;
     std::shared_ptr<AnswerStream> answer;
     policy::WorkId work = 0;
     std::optional<AnswerStream::Item> first;
-    bool sawToken = false;
+    std::uint64_t tokens = 0;
+    absl::Time lastTokenAt;
     bool ended = false;
 };
 
@@ -66,6 +69,7 @@
         exchange.sendFailure(request.failure());
         return;
     }
+    exchange.labels().model = request.value().model;
     if (!m_parts.admission.admit(exchange, *caller))
         return;
     const std::shared_ptr<Running> running = start(exchange, *caller, request.value());
@@ -135,18 +139,30 @@
             return AnswerFailure{mayHaveRun(ErrorCode::ClientGone, "the caller has gone"), {}};
     }
     running.ended = !std::holds_alternative<engine::Token>(*item);
-    if (!running.ended)
-        noteFirstToken(running);
+    if (running.ended)
+        m_parts.metrics.tokens(running.labels, policy::WorkKind::Online, running.tokens);
+    else
+        noteToken(running);
     return std::move(*item);
 }
 
-void CompletionHandler::noteFirstToken(Running &running) const
+void CompletionHandler::noteToken(Running &running) const
 {
-    if (running.sawToken)
-        return;
-    running.sawToken = true;
-    m_parts.metrics.observe("rattanrill_first_token_seconds", {},
-                            absl::ToDoubleSeconds(m_parts.clock.now() - running.startedAt));
+    const absl::Time now = m_parts.clock.now();
+    if (running.tokens == 0)
+        m_parts.metrics.firstToken(running.labels, now - running.startedAt);
+    else
+        m_parts.metrics.nextToken(running.labels, now - running.lastTokenAt);
+    running.lastTokenAt = now;
+    ++running.tokens;
+}
+
+void CompletionHandler::noteStreamEnd(const Running &running, const AnswerStream::Item &item) const
+{
+    std::optional<Failure> failure;
+    if (const auto *failed = std::get_if<AnswerFailure>(&item))
+        failure = failed->failure;
+    m_parts.metrics.ended(running.labels, failure);
 }
 
 void CompletionHandler::sendWhole(Exchange &exchange, Running &running)
@@ -176,12 +192,15 @@
         exchange.sendFailure(failed->failure, failed->retryAfter);
         return;
     }
+    exchange.setStreamed();
     exchange.response().set_header("Cache-Control", "no-cache");
     exchange.response().set_chunked_content_provider(
             "text/event-stream", [this, running, gone](std::size_t, httplib::DataSink &sink) {
                 AnswerStream::Item item =
                         running->first ? std::move(*running->first) : next(*running, gone);
                 running->first.reset();
+                if (!std::holds_alternative<engine::Token>(item))
+                    noteStreamEnd(*running, item);
                 std::string events;
                 if (const auto *token = std::get_if<engine::Token>(&item))
                     events = running->format.tokenEvent(*token);
--- a/src/entry/completionhandler.h
+++ b/src/entry/completionhandler.h
@@ -4,11 +4,11 @@
 #include "answerstream.h"
 #include "completionrequest.h"
 #include "exchange.h"
+#include "requestmetrics.h"
 #include "workdispatcher.h"
 #include "workspaceshares.h"
 
 #include "rattanrill/base/clock.h"
-#include "rattanrill/base/metrics.h"
 #include "rattanrill/directory/follower.h"
 
 #include "absl/time/time.h"
@@ -29,7 +29,7 @@
         WorkDispatcher &dispatcher;
         WorkspaceShares &shares;
         const Clock &clock;
-        Metrics &metrics;
+        RequestMetrics &metrics;
     };
 
     CompletionHandler(Parts parts, std::size_t maxBodyBytes, absl::Duration requestTimeout);
@@ -47,7 +47,9 @@
     AnswerStream::Item next(Running &running, const std::function<bool()> &callerGone) const;
     void sendWhole(Exchange &exchange, Running &running);
     void sendStream(Exchange &exchange, const std::shared_ptr<Running> &running);
-    void noteFirstToken(Running &running) const;
+    void noteToken(Running &running) const;
+    /// Counts the end of a streamed answer.
+    void noteStreamEnd(const Running &running, const AnswerStream::Item &item) const;
 
     Parts m_parts;
     std::size_t m_maxBodyBytes;
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -87,7 +87,7 @@
                       settings.timings.keyFreshness})
         , shares(follower, dispatcher)
         , partitions(control, settings.partitions, settings.timings.controlTimeout, clock)
-        , batch({partitions, dispatcher, timers, clock, metrics,
+        , batch({partitions, dispatcher, timers, clock, metrics, requestMetrics,
                  [this](const std::string &workspace) { shares.note(workspace); }},
                 settings.batch, concat(settings.instance, ".", incarnation))
         , rateOwner({settings.instance, incarnation, settings.timings.ownerLease,
@@ -98,7 +98,7 @@
         , keys(follower, settings.timings.keyFreshness, settings.timings.staleStreamLimit)
         , admission(keys, rateBroker)
         , claims(partitions, settings.timings.claimKeep)
-        , completions({admission, follower, dispatcher, shares, clock, metrics},
+        , completions({admission, follower, dispatcher, shares, clock, requestMetrics},
                       settings.maxRequestBytes, settings.timings.requestTimeout)
         , files(admission, follower, partitions, settings.batch, clock)
         , batches({admission, follower, partitions, claims, clock}, settings.maxRequestBytes)
@@ -107,7 +107,7 @@
         , loads(engines, services, dispatcher, timers, settings.timings.loadPoll, clock)
         , heartbeat(control, follower, timers, settings.timings.heartbeat)
         , routes({completions, files, batches, serviceHandler, admission, follower, metrics,
-                  [this] { return notReady(); }, [this] { refreshMetrics(); }})
+                  requestMetrics, [this] { return notReady(); }, [this] { refreshMetrics(); }})
         , server(settings.http)
     {
         routes.install(server);
@@ -192,6 +192,7 @@
     const Clock &clock;
     std::string incarnation;
     Metrics metrics;
+    RequestMetrics requestMetrics{metrics};
     ThreadTimerService timers;
     peer::ChannelPool channels;
     peer::Server peers;
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -87,6 +87,7 @@
 
 void Exchange::sendFailure(const Failure &failure, absl::Duration retryAfter)
 {
+    m_failure = failure;
     http::sendFailure(m_response, failure, requestId());
     if (m_response.status != statusTooManyRequests && m_response.status != statusUnavailable)
         return;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "requestmetrics.h"
+
 #include "rattanrill/base/result.h"
 
 #include "absl/time/time.h"
@@ -36,6 +38,13 @@
     void sendJson(const std::string &body);
     /// Adds Retry-After to 429 and 503; \a retryAfter of zero stands for the shortest.
     void sendFailure(const Failure &failure, absl::Duration retryAfter = absl::ZeroDuration());
+    /// What the answer is counted for.
+    RequestLabels &labels() { return m_labels; }
+    /// Failure that was sent.
+    const std::optional<Failure> &failure() const { return m_failure; }
+    /// The answer goes on after its handler has returned; its end is counted there.
+    void setStreamed() { m_streamed = true; }
+    bool isStreamed() const { return m_streamed; }
     /// The connection ends with this answer when the body was not read.
     void closeUnlessRead();
 
@@ -44,6 +53,9 @@
     httplib::Response &m_response;
     const httplib::ContentReader *m_reader;
     bool m_bodyRead = false;
+    RequestLabels m_labels;
+    std::optional<Failure> m_failure;
+    bool m_streamed = false;
 };
 
 } // namespace rattanrill::entry
--- a/src/entry/workdispatcher.cpp
+++ b/src/entry/workdispatcher.cpp
@@ -385,7 +385,7 @@
     tryFailure.deliveredTokens = static_cast<std::int64_t>(delivered);
     tryFailure.failure = failure;
     m_parts.metrics.count(
-            "rattanrill_failed_tries_total",
+            "rattanrill_upstream_failures_total",
             {{"upstream", engineTry.start().engine}, {"code", std::string(name(failure.code))}});
     {
         absl::MutexLock lock(&m_mutex);
