--- a/src/policy/benchbatchpool.cpp
+++ b/src/policy/benchbatchpool.cpp
@@ -17,8 +17,7 @@
 } // namespace
 
 BenchBatchPool::BenchBatchPool(const Deployment &deployment, std::uint64_t seed)
-    : m_deployment(deployment)
-    , m_random(seed)
+    : m_random(seed)
     , m_queue(LeaseOrderSettings{})
 {
     for (std::size_t i = 0; i < deployment.shares.size(); ++i) {
--- a/src/policy/benchbatchpool.h
+++ b/src/policy/benchbatchpool.h
@@ -43,7 +43,6 @@
     int create(int workspace, absl::Time due);
     void enqueue(int index);
 
-    const Deployment &m_deployment;
     std::mt19937_64 m_random;
     LeaseOrder m_queue;
     std::vector<BatchItem> m_items;
--- a/src/policy/benchfleet.h
+++ b/src/policy/benchfleet.h
@@ -138,7 +138,6 @@
     std::unordered_map<WorkId, Running> m_running;
     WorkId m_nextWork = 1;
     std::map<std::string, std::set<std::string>> m_crashRecords;
-    bool m_poisonNow = false;
     BenchResult m_result;
 };
 
--- a/tests/batch/batchmodel.cpp
+++ b/tests/batch/batchmodel.cpp
@@ -63,8 +63,9 @@
 {
     std::int64_t due = std::numeric_limits<std::int64_t>::max();
     for (const auto &[id, job] : m_jobs) {
-        const bool ready = std::any_of(job.items.begin(), job.items.end(),
-                                       [&](const Item &item) { return isReady(job, item); });
+        const bool ready =
+                std::any_of(job.items.begin(), job.items.end(),
+                            [&, &ready = job](const Item &item) { return isReady(ready, item); });
         if (ready)
             due = std::min(due, job.dueAtMs);
     }
