--- /dev/null
+++ b/include/rattanrill/net/address.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "rattanrill/base/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace rattanrill::net {
+
+struct Address
+{
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+/// Parses "host:port" with a numeric host. Fails with InvalidArgument.
+Result<Address> parseAddress(std::string_view text);
+
+std::string toString(const Address &address);
+
+} // namespace rattanrill::net
--- a/include/rattanrill/wire/codec.h
+++ b/include/rattanrill/wire/codec.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrill/base/result.h"
+#include "rattanrill/wire/envelope.h"
 
 #include <string>
 #include <string_view>
@@ -24,4 +25,16 @@
 template <typename Message>
 Result<Message> fromJsonText(std::string_view text);
 
+/// What a state machine answers: an encoded CommandResult with the message or the failure.
+template <typename Message>
+std::string encodeAnswer(const Outcome<Message> &outcome)
+{
+    CommandResult answer;
+    if (outcome.ok())
+        answer.body = encode(outcome.value());
+    else
+        answer.failure = toMessage(outcome.failure());
+    return encode(answer);
+}
+
 } // namespace rattanrill::wire
--- a/include/rattanrill/wire/envelope.h
+++ b/include/rattanrill/wire/envelope.h
@@ -26,6 +26,13 @@
     Follow,
     Grant,
     Heartbeat,
+    Sync,
+    Place,
+    Release,
+    SubmitJob,
+    ReadJob,
+    ReadItem,
+    EndJob,
 };
 
 std::string_view name(EnvelopeKind kind);
--- a/src/batch/batchstatemachine.cpp
+++ b/src/batch/batchstatemachine.cpp
@@ -28,17 +28,6 @@
 constexpr std::size_t maxListedJobs = 1000;
 constexpr std::int64_t maxHttpStatus = 999;
 
-template <typename Message>
-std::string encodeAnswer(const Outcome<Message> &outcome)
-{
-    wire::CommandResult answer;
-    if (outcome.ok())
-        answer.body = wire::encode(outcome.value());
-    else
-        answer.failure = wire::toMessage(outcome.failure());
-    return wire::encode(answer);
-}
-
 boost::leaf::error_id failWith(ErrorCode code, std::string detail)
 {
     return fail(notRun(code, std::move(detail)));
@@ -120,7 +109,7 @@
 
 std::string BatchStateMachine::apply(std::uint64_t, std::string_view bytes)
 {
-    return encodeAnswer(outcomeOf([&]() -> Applied {
+    return wire::encodeAnswer(outcomeOf([&]() -> Applied {
         BOOST_LEAF_AUTO(command, wire::decode<wire::BatchCommand>(bytes));
         return applyCommand(command);
     }));
@@ -136,7 +125,7 @@
 
 std::string BatchStateMachine::query(std::string_view bytes) const
 {
-    return encodeAnswer(outcomeOf([&]() -> Answered {
+    return wire::encodeAnswer(outcomeOf([&]() -> Answered {
         BOOST_LEAF_AUTO(message, wire::decode<wire::BatchQueryMessage>(bytes));
         return std::visit([this](const auto &query) { return answer(query); }, message.query);
     }));
--- a/src/directory/directorystatemachine.cpp
+++ b/src/directory/directorystatemachine.cpp
@@ -17,17 +17,6 @@
 /// Further crashed upstreams are not listed; a held request does not run any more.
 constexpr std::size_t maxCrashedUpstreams = 16;
 
-template <typename Message>
-std::string encodeAnswer(const Outcome<Message> &outcome)
-{
-    wire::CommandResult answer;
-    if (outcome.ok())
-        answer.body = wire::encode(outcome.value());
-    else
-        answer.failure = wire::toMessage(outcome.failure());
-    return wire::encode(answer);
-}
-
 boost::leaf::error_id conflict(std::string detail)
 {
     return fail(notRun(ErrorCode::Conflict, std::move(detail)));
@@ -65,26 +54,26 @@
 {
     const auto command = outcomeOf([&] { return wire::decode<Command>(bytes); });
     if (!command.ok())
-        return encodeAnswer(Outcome<wire::DirectoryResult>(command.failure()));
+        return wire::encodeAnswer(Outcome<wire::DirectoryResult>(command.failure()));
     return applyOnce(command.value());
 }
 
 std::string DirectoryStateMachine::applyOnce(const Command &command)
 {
     if (command.requestId.empty())
-        return encodeAnswer(outcomeOf([&] { return write(command); }));
+        return wire::encodeAnswer(outcomeOf([&] { return write(command); }));
     const auto validId = outcomeOf([&] { return validateName("request_id", command.requestId); });
     if (!validId.ok())
-        return encodeAnswer(Outcome<wire::DirectoryResult>(validId.failure()));
+        return wire::encodeAnswer(Outcome<wire::DirectoryResult>(validId.failure()));
     const std::uint64_t hash = contentHash(command);
     if (const AnswerMemory::Answer *first = m_state.answers().find(command.requestId)) {
         if (first->contentHash == hash)
             return first->bytes;
-        return encodeAnswer(Outcome<wire::DirectoryResult>(
+        return wire::encodeAnswer(Outcome<wire::DirectoryResult>(
                 notRun(ErrorCode::DuplicateRequest,
                        concat("request id \"", command.requestId, "\" belongs to another write"))));
     }
-    std::string bytes = encodeAnswer(outcomeOf([&] { return write(command); }));
+    std::string bytes = wire::encodeAnswer(outcomeOf([&] { return write(command); }));
     m_state.answers().remember({command.requestId, hash, bytes});
     return bytes;
 }
@@ -94,14 +83,14 @@
     using Response = Outcome<wire::FollowResponse>;
     const auto query = outcomeOf([&] { return wire::decode<wire::DirectoryQuery>(bytes); });
     if (!query.ok())
-        return encodeAnswer(Response(query.failure()));
+        return wire::encodeAnswer(Response(query.failure()));
     const std::uint64_t revision = query.value().afterRevision;
     if (revision > m_state.revision()) {
-        return encodeAnswer(Response(
+        return wire::encodeAnswer(Response(
                 notRun(ErrorCode::StaleRevision, concat("revision ", revision, " was asked for, ",
                                                         m_state.revision(), " is the last one"))));
     }
-    return encodeAnswer(Response(m_state.changesAfter(revision)));
+    return wire::encodeAnswer(Response(m_state.changesAfter(revision)));
 }
 
 std::string DirectoryStateMachine::snapshot() const
--- /dev/null
+++ b/src/fleet/fleetfollower.cpp
@@ -0,0 +1,220 @@
+#include "rattanrill/fleet/fleetfollower.h"
+
+#include "rattanrill/base/logger.h"
+#include "rattanrill/fleet/replicaidentity.h"
+#include "rattanrill/wire/codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::fleet {
+
+struct FleetFollower::Impl : std::enable_shared_from_this<FleetFollower::Impl>
+{
+    Impl(net::EventLoop &loop, peer::ChannelPool &channels, FollowerSettings settings,
+         const Clock &clock)
+        : loop(loop)
+        , channels(channels)
+        , settings(std::move(settings))
+        , clock(clock)
+        , backoff(this->settings.minBackoff)
+    {}
+
+    wire::SyncRequest request() const
+    {
+        wire::SyncRequest request;
+        request.self = settings.self;
+        request.viewTerm = viewTerm;
+        request.viewSequence = viewSequence;
+        request.configurationVersion = state.configurationVersion;
+        request.waitMs = absl::ToInt64Milliseconds(settings.pollWait);
+        if (storeReport)
+            storeReport(request);
+        return request;
+    }
+
+    /// The leader first, then all known addresses in turn.
+    std::string nextAddress()
+    {
+        if (!leader.empty())
+            return leader;
+        std::vector<std::string> known = settings.seeds;
+        for (const wire::LiveMember &live : state.members) {
+            const std::string &address = live.member.peerAddress;
+            const bool isNew = std::find(known.begin(), known.end(), address) == known.end();
+            if (live.member.role == wire::MemberRole::Control && isNew)
+                known.push_back(address);
+        }
+        return known.empty() ? std::string() : known[nextKnown++ % known.size()];
+    }
+
+    void poll()
+    {
+        if (stopped)
+            return;
+        const std::string address = nextAddress();
+        if (address.empty())
+            return later();
+        const absl::Time sentAt = clock.now();
+        channels.channel(address)->call(
+                wire::Method::Sync, wire::encode(request()), settings.pollTimeout,
+                [self = shared_from_this(), address, sentAt](Outcome<std::string> outcome) {
+                    self->loop.post([self, address, sentAt, outcome = std::move(outcome)] {
+                        self->answered(address, sentAt, outcome);
+                    });
+                });
+    }
+
+    void answered(const std::string &address, absl::Time sentAt,
+                  const Outcome<std::string> &outcome)
+    {
+        if (stopped)
+            return;
+        if (!outcome.ok())
+            return failed(address, outcome.failure());
+        const auto response =
+                outcomeOf([&] { return wire::decode<wire::SyncResponse>(outcome.value()); });
+        if (!response.ok())
+            return failed(address, response.failure());
+        if (leader != address || !connected) {
+            log(LogLevel::Info, "fleet-leader-found",
+                {{"peerAddress", address}, {"term", response.value().viewTerm}});
+        }
+        leader = address;
+        connected = true;
+        backoff = settings.minBackoff;
+        freshAt = sentAt;
+        take(response.value());
+        poll();
+    }
+
+    void take(const wire::SyncResponse &response)
+    {
+        const bool hasView =
+                response.viewTerm != viewTerm || response.viewSequence != viewSequence;
+        const bool hasConfiguration = response.configurationVersion > state.configurationVersion
+                                      && !response.configuration.empty();
+        if (hasConfiguration) {
+            state.configurationVersion = response.configurationVersion;
+            state.configuration = response.configuration;
+        }
+        if (hasView) {
+            viewTerm = response.viewTerm;
+            viewSequence = response.viewSequence;
+            state.members = response.members;
+            state.membersSettled = response.membersSettled;
+            state.storeFounders = response.storeFounders;
+            // A new leader has not read the platform's list yet; the former one's stays in use.
+            if (response.upstreamsKnown) {
+                state.upstreams = response.upstreams;
+                state.upstreamsKnown = true;
+            }
+        }
+        if (hasView || hasConfiguration) {
+            for (const Listener &listener : listeners)
+                listener(state);
+        }
+    }
+
+    void failed(const std::string &address, const Failure &failure)
+    {
+        const bool hasHint = failure.code == ErrorCode::NotLeader && !failure.detail.empty();
+        if (connected) {
+            log(LogLevel::Warning, "fleet-leader-lost",
+                {{"peerAddress", address},
+                 {"code", name(failure.code)},
+                 {"detail", failure.detail},
+                 {"configurationVersion", state.configurationVersion}});
+        }
+        connected = false;
+        const std::string hinted = hasHint ? peerAddressOf(failure.detail) : std::string();
+        leader = hinted == address ? std::string() : hinted;
+        later();
+    }
+
+    void later()
+    {
+        loop.timers().subscribeOnce(backoff, [self = shared_from_this()] { self->poll(); });
+        backoff = std::min(backoff * 2, settings.maxBackoff);
+    }
+
+    net::EventLoop &loop;
+    peer::ChannelPool &channels;
+    FollowerSettings settings;
+    const Clock &clock;
+    FleetState state;
+    std::uint64_t viewTerm = 0;
+    std::uint64_t viewSequence = 0;
+    std::vector<Listener> listeners;
+    std::function<void(wire::SyncRequest &)> storeReport;
+    std::string leader;
+    std::size_t nextKnown = 0;
+    bool connected = false;
+    bool stopped = false;
+    absl::Duration backoff;
+    absl::Time freshAt = absl::InfinitePast();
+};
+
+FleetFollower::FleetFollower(net::EventLoop &loop, peer::ChannelPool &channels,
+                             FollowerSettings settings, const Clock &clock)
+    : m_impl(std::make_shared<Impl>(loop, channels, std::move(settings), clock))
+{}
+
+FleetFollower::~FleetFollower()
+{
+    stop();
+}
+
+void FleetFollower::onChange(Listener listener)
+{
+    m_impl->listeners.push_back(std::move(listener));
+}
+
+void FleetFollower::setStoreReport(std::function<void(wire::SyncRequest &)> report)
+{
+    m_impl->storeReport = std::move(report);
+}
+
+void FleetFollower::start()
+{
+    m_impl->poll();
+}
+
+void FleetFollower::leave()
+{
+    if (!m_impl->leader.empty() && !m_impl->stopped) {
+        wire::SyncRequest request = m_impl->request();
+        request.leaving = true;
+        request.waitMs = 0;
+        m_impl->channels.channel(m_impl->leader)->push(wire::Method::Sync, wire::encode(request));
+    }
+    stop();
+}
+
+void FleetFollower::stop()
+{
+    m_impl->stopped = true;
+    m_impl->listeners.clear();
+}
+
+void FleetFollower::setSeeds(std::vector<std::string> seeds)
+{
+    m_impl->settings.seeds = std::move(seeds);
+}
+
+const FleetState &FleetFollower::state() const
+{
+    return m_impl->state;
+}
+
+absl::Duration FleetFollower::age() const
+{
+    return m_impl->clock.now() - m_impl->freshAt;
+}
+
+std::string FleetFollower::leaderAddress() const
+{
+    return m_impl->leader;
+}
+
+} // namespace rattanrill::fleet
--- /dev/null
+++ b/src/fleet/fleetstatemachine.cpp
@@ -0,0 +1,76 @@
+#include "fleetstatemachine.h"
+
+#include "rattanrill/fleet/statemachine.h"
+#include "rattanrill/wire/codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::fleet {
+
+std::unique_ptr<replication::StateMachine> makeFleetStateMachine()
+{
+    return std::make_unique<FleetStateMachine>();
+}
+
+std::string FleetStateMachine::apply(std::uint64_t, std::string_view command)
+{
+    const auto decoded = outcomeOf([&] { return wire::decode<wire::FleetCommand>(command); });
+    if (!decoded.ok())
+        return wire::encodeAnswer(Outcome<wire::FleetResult>(decoded.failure()));
+    std::visit([this](const auto &operation) { perform(operation); }, decoded.value().operation);
+    wire::FleetResult result;
+    result.configurationVersion = m_records.configurationVersion;
+    return wire::encodeAnswer(Outcome<wire::FleetResult>(result));
+}
+
+void FleetStateMachine::perform(const wire::PutConfiguration &operation)
+{
+    if (operation.version <= m_records.configurationVersion)
+        return;
+    m_records.configurationVersion = operation.version;
+    m_records.configuration = operation.document;
+}
+
+void FleetStateMachine::perform(const wire::RetireStore &operation)
+{
+    auto &retiring = m_records.retiringStores;
+    if (std::find(retiring.begin(), retiring.end(), operation.replica) == retiring.end())
+        retiring.push_back(operation.replica);
+}
+
+void FleetStateMachine::perform(const wire::FoundStoreGroup &operation)
+{
+    if (m_records.storeFounders.empty())
+        m_records.storeFounders = operation.voters;
+}
+
+std::string FleetStateMachine::query(std::string_view query) const
+{
+    const auto decoded = outcomeOf([&] { return wire::decode<wire::FleetQuery>(query); });
+    if (!decoded.ok())
+        return wire::encodeAnswer(Outcome<wire::FleetRecords>(decoded.failure()));
+    if (decoded.value().knownVersion != m_records.configurationVersion)
+        return wire::encodeAnswer(Outcome<wire::FleetRecords>(m_records));
+    wire::FleetRecords records;
+    records.configurationVersion = m_records.configurationVersion;
+    records.retiringStores = m_records.retiringStores;
+    records.storeFounders = m_records.storeFounders;
+    return wire::encodeAnswer(Outcome<wire::FleetRecords>(std::move(records)));
+}
+
+std::string FleetStateMachine::snapshot() const
+{
+    return wire::encode(m_records);
+}
+
+Result<void> FleetStateMachine::restore(std::string_view snapshot)
+{
+    const auto decoded = outcomeOf([&] { return wire::decode<wire::FleetRecords>(snapshot); });
+    if (!decoded.ok())
+        return fail(notRun(ErrorCode::CorruptData, decoded.failure().detail));
+    m_records = decoded.value();
+    return {};
+}
+
+} // namespace rattanrill::fleet
--- /dev/null
+++ b/src/fleet/fleetstatemachine.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "rattanrill/replication/statemachine.h"
+#include "rattanrill/wire/fleetmessages.h"
+
+namespace rattanrill::fleet {
+
+/// State machine behind makeFleetStateMachine().
+class FleetStateMachine : public replication::StateMachine
+{
+public:
+    std::string apply(std::uint64_t index, std::string_view command) override;
+    std::string query(std::string_view query) const override;
+    std::string snapshot() const override;
+    Result<void> restore(std::string_view snapshot) override;
+
+private:
+    void perform(const wire::PutConfiguration &operation);
+    void perform(const wire::RetireStore &operation);
+    void perform(const wire::FoundStoreGroup &operation);
+
+    wire::FleetRecords m_records;
+};
+
+} // namespace rattanrill::fleet
--- /dev/null
+++ b/src/fleet/groupreplica.cpp
@@ -0,0 +1,289 @@
+#include "rattanrill/fleet/groupreplica.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include <utility>
+
+namespace rattanrill::fleet {
+namespace {
+
+/// How often the replica's role and the group's voters are looked at.
+constexpr absl::Duration watchPeriod = absl::Milliseconds(100);
+
+} // namespace
+
+struct GroupReplica::Impl : std::enable_shared_from_this<GroupReplica::Impl>,
+                            replication::GroupTransport
+{
+    Impl(net::EventLoop &loop, peer::ChannelPool &channels, GroupReplicaSettings settings,
+         const Clock &clock)
+        : loop(loop)
+        , channels(channels)
+        , settings(std::move(settings))
+        , clock(clock)
+    {}
+
+    void send(const replication::ReplicaId &to, const std::string &group,
+              std::string message) override
+    {
+        channels.channel(peerAddressOf(to))
+                ->push(wire::Method::Raft,
+                       wire::encode(wire::RaftEnvelope{group, std::move(message)}));
+    }
+
+    /// Runs on a network thread; the group is thread-safe and does not change after open().
+    void receive(const peer::PeerIdentity &from, const std::string &body)
+    {
+        auto envelope = outcomeOf([&] { return wire::decode<wire::RaftEnvelope>(body); });
+        if (!envelope.ok()) {
+            log(LogLevel::Warning, "raft-message-refused",
+                {{"peerInstance", from.instance}, {"code", name(envelope.failure().code)}});
+            return;
+        }
+        const auto current = std::atomic_load(&group);
+        if (current && envelope.value().group == settings.group)
+            current->receive(from.instance, std::move(envelope.value().message));
+    }
+
+    void servePropose(const std::string &body, peer::Reply reply)
+    {
+        auto request = outcomeOf([&] { return wire::decode<wire::ProposeRequest>(body); });
+        const auto current = std::atomic_load(&group);
+        if (!request.ok())
+            return reply(request.failure());
+        if (!current || request.value().group != settings.group)
+            return reply(notRun(ErrorCode::NotLeader, ""));
+        current->propose(std::move(request.value().command),
+                         [reply = std::move(reply)](Outcome<std::string> outcome) {
+                             if (!outcome.ok())
+                                 return reply(outcome.failure());
+                             reply(wire::encode(wire::GroupResponse{outcome.value()}));
+                         });
+    }
+
+    Callback onLoop(Callback callback)
+    {
+        return [self = shared_from_this(),
+                callback = std::move(callback)](Outcome<std::string> outcome) {
+            self->loop.post([callback, outcome = std::move(outcome)]() mutable {
+                callback(std::move(outcome));
+            });
+        };
+    }
+
+    void forward(const std::string &address, std::string command, Callback callback)
+    {
+        const wire::ProposeRequest request{settings.group, std::move(command)};
+        channels.channel(address)->call(
+                wire::Method::Propose, wire::encode(request), settings.forwardTimeout,
+                onLoop([callback = std::move(callback)](const Outcome<std::string> &outcome) {
+                    if (!outcome.ok())
+                        return callback(outcome.failure());
+                    const auto response = outcomeOf(
+                            [&] { return wire::decode<wire::GroupResponse>(outcome.value()); });
+                    if (!response.ok())
+                        return callback(mayHaveRun(ErrorCode::MalformedMessage,
+                                                   response.failure().detail));
+                    callback(response.value().body);
+                }));
+    }
+
+    void watch()
+    {
+        const replication::GroupStatus now = group->status();
+        if (now.stopped && !reportedStop) {
+            reportedStop = true;
+            log(LogLevel::Error, "replica-stopped",
+                {{"group", settings.group}, {"detail", now.stopReason}});
+        }
+        const bool leadsNow = now.role == replication::Role::Leader && !now.stopped;
+        if (leadsNow != leads || (leadsNow && now.term != term))
+            noteRole(now, leadsNow);
+        if (leadsNow && !changing && candidates)
+            changeMembers(now);
+    }
+
+    void noteRole(const replication::GroupStatus &status, bool leadsNow)
+    {
+        const bool wasLeader = leads;
+        leads = leadsNow;
+        term = status.term;
+        log(LogLevel::Info, leadsNow ? "leadership-gained" : "leadership-lost",
+            {{"group", settings.group},
+             {"term", status.term},
+             {"commitIndex", status.commitIndex},
+             {"leader", status.leader}});
+        if (wasLeader && leadListener)
+            leadListener(false);
+        if (leadsNow && leadListener)
+            leadListener(true);
+    }
+
+    void changeMembers(const replication::GroupStatus &status)
+    {
+        const auto change = nextMembershipChange(status, candidates(), settings.rules);
+        if (!change)
+            return;
+        changing = true;
+        log(LogLevel::Info, "membership-change-started",
+            {{"group", settings.group},
+             {"added", change->added},
+             {"replaced", change->replaced},
+             {"voters", static_cast<std::int64_t>(status.voters.size())},
+             {"term", status.term}});
+        const auto done = onLoop([self = shared_from_this(),
+                                  change = *change](const Outcome<std::string> &outcome) {
+            self->changing = false;
+            log(LogLevel::Info, "membership-change-ended",
+                {{"group", self->settings.group},
+                 {"added", change.added},
+                 {"replaced", change.replaced},
+                 {"code", outcome.ok() ? "ok" : name(outcome.failure().code)},
+                 {"detail", outcome.ok() ? "" : outcome.failure().detail}});
+        });
+        if (change->added.empty())
+            group->removeMember(change->replaced, done);
+        else
+            group->addMember(change->added, change->replaced, done);
+    }
+
+    net::EventLoop &loop;
+    peer::ChannelPool &channels;
+    const GroupReplicaSettings settings;
+    const Clock &clock;
+    std::shared_ptr<replication::ReplicatedGroup> group;
+    Candidates candidates;
+    LeadListener leadListener;
+    std::function<void()> appliedListener;
+    TimerService::TimerId timer = 0;
+    bool leads = false;
+    bool changing = false;
+    bool reportedStop = false;
+    std::uint64_t term = 0;
+};
+
+GroupReplica::GroupReplica(net::EventLoop &loop, peer::ChannelPool &channels,
+                           GroupReplicaSettings settings, const Clock &clock)
+    : m_impl(std::make_shared<Impl>(loop, channels, std::move(settings), clock))
+{}
+
+GroupReplica::~GroupReplica()
+{
+    stop();
+}
+
+void GroupReplica::install(peer::Server &server)
+{
+    server.handle(wire::Method::Raft,
+                  [impl = m_impl](const peer::PeerIdentity &from, const std::string &body,
+                                  const peer::Reply &reply) {
+                      impl->receive(from, body);
+                      reply(std::string());
+                  });
+    server.handle(wire::Method::Propose,
+                  [impl = m_impl](const peer::PeerIdentity &, const std::string &body,
+                                  const peer::Reply &reply) { impl->servePropose(body, reply); });
+}
+
+Result<void> GroupReplica::open(const ReplicaIdentity &identity,
+                                std::unique_ptr<replication::StateMachine> machine)
+{
+    replication::GroupOptions options;
+    options.group = m_impl->settings.group;
+    options.self = identity.replica;
+    options.initialVoters = identity.founders;
+    options.dataFolder = concat(m_impl->settings.dataFolder, "/", m_impl->settings.group);
+    options.heartbeatPeriod = m_impl->settings.heartbeatPeriod;
+    options.electionTimeout = m_impl->settings.electionTimeout;
+    options.snapshotAfterBytes = m_impl->settings.snapshotAfterBytes;
+    BOOST_LEAF_AUTO(opened,
+                    replication::openGroup(options, std::move(machine), *m_impl, m_impl->clock));
+    std::shared_ptr<replication::ReplicatedGroup> shared = std::move(opened);
+    shared->onApplied([weak = std::weak_ptr<Impl>(m_impl)](std::uint64_t) {
+        const auto impl = weak.lock();
+        if (impl && impl->appliedListener)
+            impl->loop.post(impl->appliedListener);
+    });
+    std::atomic_store(&m_impl->group, shared);
+    m_impl->timer = m_impl->loop.timers().subscribeEvery(
+            watchPeriod, [weak = std::weak_ptr<Impl>(m_impl)] {
+                if (const auto impl = weak.lock())
+                    impl->watch();
+            });
+    return {};
+}
+
+bool GroupReplica::isOpen() const
+{
+    return m_impl->group != nullptr;
+}
+
+void GroupReplica::setCandidates(Candidates candidates)
+{
+    m_impl->candidates = std::move(candidates);
+}
+
+void GroupReplica::onLead(LeadListener listener)
+{
+    m_impl->leadListener = std::move(listener);
+}
+
+void GroupReplica::onApplied(std::function<void()> listener)
+{
+    m_impl->appliedListener = std::move(listener);
+}
+
+bool GroupReplica::leads() const
+{
+    if (!m_impl->group || !m_impl->leads)
+        return false;
+    const replication::GroupStatus status = m_impl->group->status();
+    return status.role == replication::Role::Leader && !status.stopped;
+}
+
+replication::GroupStatus GroupReplica::status() const
+{
+    return m_impl->group ? m_impl->group->status() : replication::GroupStatus();
+}
+
+void GroupReplica::propose(std::string command, Callback callback)
+{
+    if (!m_impl->group)
+        return callback(notRun(ErrorCode::NotLeader, ""));
+    const replication::GroupStatus status = m_impl->group->status();
+    if (status.role == replication::Role::Leader || status.leader.empty())
+        return m_impl->group->propose(std::move(command), m_impl->onLoop(std::move(callback)));
+    m_impl->forward(peerAddressOf(status.leader), std::move(command), std::move(callback));
+}
+
+void GroupReplica::read(std::string query, Callback callback)
+{
+    if (!m_impl->group)
+        return callback(notRun(ErrorCode::NotLeader, ""));
+    m_impl->group->read(std::move(query), m_impl->onLoop(std::move(callback)));
+}
+
+void GroupReplica::readIndexed(std::string query, Callback callback)
+{
+    if (!m_impl->group)
+        return callback(notRun(ErrorCode::NotLeader, ""));
+    m_impl->group->readIndexed(std::move(query), m_impl->onLoop(std::move(callback)));
+}
+
+void GroupReplica::transferLeadership()
+{
+    if (m_impl->group && m_impl->leads)
+        m_impl->group->transferLeadership();
+}
+
+void GroupReplica::stop()
+{
+    if (m_impl->timer != 0)
+        m_impl->loop.timers().unsubscribe(std::exchange(m_impl->timer, 0));
+    if (const auto group = std::atomic_load(&m_impl->group))
+        group->stop();
+}
+
+} // namespace rattanrill::fleet
--- /dev/null
+++ b/src/fleet/syncservice.cpp
@@ -0,0 +1,254 @@
+#include "rattanrill/fleet/syncservice.h"
+
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include <algorithm>
+#include <list>
+#include <utility>
+
+namespace rattanrill::fleet {
+namespace {
+
+/// How often waiting polls and silent processes are looked at.
+constexpr absl::Duration watchPeriod = absl::Milliseconds(50);
+constexpr absl::Duration maxPollWait = absl::Seconds(2);
+
+} // namespace
+
+struct SyncService::Impl : std::enable_shared_from_this<SyncService::Impl>
+{
+    struct Poll
+    {
+        wire::SyncRequest request;
+        peer::Reply reply;
+        absl::Time due;
+    };
+
+    Impl(net::EventLoop &loop, GroupReplica &replica, UpstreamList &list, SyncSettings settings,
+         const Clock &clock)
+        : loop(loop)
+        , replica(replica)
+        , list(list)
+        , settings(settings)
+        , clock(clock)
+        , view(settings.memberTimeout)
+    {}
+
+    void serve(const std::string &body, peer::Reply reply)
+    {
+        auto request = outcomeOf([&] { return wire::decode<wire::SyncRequest>(body); });
+        if (!request.ok())
+            return reply(request.failure());
+        if (!leads())
+            return reply(notRun(ErrorCode::NotLeader, replica.status().leader));
+        const absl::Time now = clock.now();
+        view.heard(request.value(), now);
+        const absl::Duration wait =
+                std::clamp(absl::Milliseconds(request.value().waitMs), absl::ZeroDuration(),
+                           maxPollWait);
+        polls.push_back(Poll{std::move(request.value()), std::move(reply), now + wait});
+        answerPolls(now);
+    }
+
+    /// Leads and has read what its predecessors committed.
+    bool leads() const { return isReady && replica.leads(); }
+
+    void answerPolls(absl::Time now)
+    {
+        for (auto poll = polls.begin(); poll != polls.end();) {
+            const bool isDue = poll->due <= now || !view.isCurrent(poll->request)
+                               || poll->request.configurationVersion
+                                          < view.records().configurationVersion;
+            if (!isDue) {
+                ++poll;
+                continue;
+            }
+            poll->reply(wire::encode(view.answer(poll->request)));
+            poll = polls.erase(poll);
+        }
+    }
+
+    void failPolls()
+    {
+        const auto waiting = std::exchange(polls, {});
+        for (const Poll &poll : waiting)
+            poll.reply(notRun(ErrorCode::NotLeader, replica.status().leader));
+    }
+
+    void leadChanged(bool leadsNow)
+    {
+        isReady = false;
+        failPolls();
+        if (!leadsNow)
+            return;
+        view.begin(replica.status().term, clock.now());
+        readRecords();
+    }
+
+    void readRecords()
+    {
+        const std::uint64_t term = view.term();
+        const wire::FleetQuery query{isReady ? view.records().configurationVersion : 0};
+        replica.read(wire::encode(query),
+                     [self = shared_from_this(), term](const Outcome<std::string> &outcome) {
+                         self->recordsRead(term, outcome);
+                     });
+    }
+
+    void recordsRead(std::uint64_t term, const Outcome<std::string> &outcome)
+    {
+        if (term != view.term() || !replica.leads())
+            return;
+        const auto records = outcome.ok() ? outcomeOf([&] {
+            return wire::decode<wire::FleetRecords>(outcome.value());
+        })
+                                          : Outcome<wire::FleetRecords>(outcome.failure());
+        if (!records.ok()) {
+            log(LogLevel::Warning, "fleet-records-unread",
+                {{"code", name(records.failure().code)},
+                 {"detail", records.failure().detail},
+                 {"term", term}});
+            loop.timers().subscribeOnce(watchPeriod,
+                                        [self = shared_from_this()] { self->readRecords(); });
+            return;
+        }
+        view.setRecords(records.value());
+        if (!isReady)
+            readList();
+        isReady = true;
+        answerPolls(clock.now());
+    }
+
+    void tick()
+    {
+        if (!leads()) {
+            if (!polls.empty())
+                failPolls();
+            return;
+        }
+        const absl::Time now = clock.now();
+        view.expire(now);
+        foundStores(now);
+        answerPolls(now);
+    }
+
+    void foundStores(absl::Time now)
+    {
+        const std::vector<std::string> founders = view.storeFounders(now);
+        if (founders.empty() || isFounding)
+            return;
+        isFounding = true;
+        log(LogLevel::Info, "store-group-founded",
+            {{"voters", static_cast<std::int64_t>(founders.size())}, {"first", founders.front()}});
+        const wire::FleetCommand command{wire::FoundStoreGroup{founders}};
+        replica.propose(wire::encode(command),
+                        [self = shared_from_this()](const Outcome<std::string> &outcome) {
+                            self->isFounding = false;
+                            if (!outcome.ok())
+                                log(LogLevel::Warning, "store-group-founding-failed",
+                                    {{"code", name(outcome.failure().code)},
+                                     {"detail", outcome.failure().detail}});
+                        });
+    }
+
+    void readList()
+    {
+        if (isReadingList || !replica.leads())
+            return;
+        isReadingList = true;
+        list.read([self = shared_from_this(), term = view.term()](auto outcome) {
+            self->isReadingList = false;
+            self->listRead(term, std::move(outcome));
+        });
+    }
+
+    void listRead(std::uint64_t term, Outcome<std::vector<wire::FleetUpstream>> outcome)
+    {
+        if (term != view.term() || !leads())
+            return;
+        if (outcome.ok() != listReadable) {
+            listReadable = outcome.ok();
+            log(listReadable ? LogLevel::Info : LogLevel::Warning,
+                listReadable ? "upstream-list-regained" : "upstream-list-lost",
+                {{"code", outcome.ok() ? "ok" : name(outcome.failure().code)},
+                 {"detail", outcome.ok() ? "" : outcome.failure().detail}});
+        }
+        if (!outcome.ok())
+            return;
+        const std::uint64_t before = view.sequence();
+        const auto count = static_cast<std::int64_t>(outcome.value().size());
+        view.setUpstreams(std::move(outcome.value()));
+        if (view.sequence() != before)
+            log(LogLevel::Info, "upstream-list-changed",
+                {{"upstreams", count}, {"term", term}, {"sequence", view.sequence()}});
+        answerPolls(clock.now());
+    }
+
+    net::EventLoop &loop;
+    GroupReplica &replica;
+    UpstreamList &list;
+    const SyncSettings settings;
+    const Clock &clock;
+    FleetView view;
+    std::list<Poll> polls;
+    std::vector<TimerService::TimerId> timers;
+    bool isReady = false;
+    bool isFounding = false;
+    bool isReadingList = false;
+    bool listReadable = true;
+};
+
+SyncService::SyncService(net::EventLoop &loop, GroupReplica &replica, UpstreamList &list,
+                         SyncSettings settings, const Clock &clock)
+    : m_impl(std::make_shared<Impl>(loop, replica, list, settings, clock))
+{}
+
+SyncService::~SyncService()
+{
+    stop();
+}
+
+void SyncService::install(peer::Server &server)
+{
+    server.handle(wire::Method::Sync, [impl = m_impl](const peer::PeerIdentity &,
+                                                      std::string body, peer::Reply reply) {
+        impl->loop.post([impl, body = std::move(body), reply = std::move(reply)] {
+            impl->serve(body, reply);
+        });
+    });
+}
+
+void SyncService::start()
+{
+    m_impl->replica.onLead([impl = m_impl](bool leads) { impl->leadChanged(leads); });
+    m_impl->replica.onApplied([impl = m_impl] {
+        if (impl->leads())
+            impl->readRecords();
+    });
+    auto &timers = m_impl->loop.timers();
+    m_impl->timers.push_back(timers.subscribeEvery(watchPeriod, [impl = m_impl] { impl->tick(); }));
+    m_impl->timers.push_back(timers.subscribeEvery(m_impl->settings.listPeriod, [impl = m_impl] {
+        if (impl->leads())
+            impl->readList();
+    }));
+}
+
+void SyncService::stop()
+{
+    for (const TimerService::TimerId timer : std::exchange(m_impl->timers, {}))
+        m_impl->loop.timers().unsubscribe(timer);
+    m_impl->failPolls();
+}
+
+std::vector<VoterCandidate> SyncService::controlCandidates() const
+{
+    return m_impl->view.candidates(wire::MemberRole::Control);
+}
+
+const FleetView &SyncService::view() const
+{
+    return m_impl->view;
+}
+
+} // namespace rattanrill::fleet
--- /dev/null
+++ b/src/jobs/jobstatemachine.cpp
@@ -0,0 +1,208 @@
+#include "jobstatemachine.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/jobs/statemachine.h"
+#include "rattanrill/wire/codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::jobs {
+namespace {
+
+/// Results that one read brings at most, in bytes of output.
+constexpr std::size_t maxReadBytes = 1000000;
+
+Failure noJob(const std::string &job)
+{
+    return notRun(ErrorCode::NotFound, concat("no job \"", job, "\""));
+}
+
+} // namespace
+
+std::unique_ptr<replication::StateMachine> makeJobStateMachine()
+{
+    return std::make_unique<JobStateMachine>();
+}
+
+std::string JobStateMachine::apply(std::uint64_t, std::string_view command)
+{
+    return wire::encodeAnswer(outcomeOf([&]() -> Result<wire::JobCommandResult> {
+        BOOST_LEAF_AUTO(decoded, wire::decode<wire::JobCommand>(command));
+        return std::visit([this](const auto &operation) { return perform(operation); },
+                          decoded.operation);
+    }));
+}
+
+Result<wire::JobCommandResult> JobStateMachine::perform(const wire::AcceptJob &operation)
+{
+    const wire::JobRecord &record = operation.job;
+    wire::JobCommandResult result;
+    std::int64_t &waiting = m_waitingTokens[{record.workspace, record.route}];
+    result.waitingTokens = waiting;
+    const auto known = m_jobs.find(record.id);
+    if (known != m_jobs.end()) {
+        if (known->second.record.workspace != record.workspace)
+            return fail(notRun(ErrorCode::Conflict,
+                               concat("job \"", record.id, "\" belongs to another workspace")));
+        return result;
+    }
+    Job job;
+    job.record = record;
+    const std::int64_t tokens = unfinishedTokens(job);
+    result.overLimit =
+            operation.maxWaitingTokens > 0 && waiting + tokens > operation.maxWaitingTokens;
+    if (result.overLimit)
+        return result;
+    waiting += tokens;
+    result.waitingTokens = waiting;
+    m_jobs.emplace(record.id, std::move(job));
+    return result;
+}
+
+Result<wire::JobCommandResult> JobStateMachine::perform(const wire::AppendResults &operation)
+{
+    const auto found = m_jobs.find(operation.job);
+    if (found == m_jobs.end())
+        return fail(noJob(operation.job));
+    Job &job = found->second;
+    const auto &items = job.record.items;
+    addWaiting(job, -1);
+    for (const wire::ItemResult &result : operation.results) {
+        const bool isItem = std::any_of(items.begin(), items.end(), [&](const wire::JobItem &item) {
+            return item.id == result.id;
+        });
+        if (isItem && job.finished.insert(result.id).second)
+            job.results.push_back(result);
+    }
+    addWaiting(job, 1);
+    return wire::JobCommandResult();
+}
+
+Result<wire::JobCommandResult> JobStateMachine::perform(const wire::EndJob &operation)
+{
+    BOOST_LEAF_CHECK(find(operation.workspace, operation.job));
+    Job &job = m_jobs.at(operation.job);
+    addWaiting(job, -1);
+    job.ended = true;
+    return wire::JobCommandResult();
+}
+
+Result<wire::JobCommandResult> JobStateMachine::perform(const wire::ForgetJobs &operation)
+{
+    for (auto entry = m_jobs.begin(); entry != m_jobs.end();) {
+        const Job &job = entry->second;
+        const bool isOld = job.record.acceptedAtMs < operation.beforeMs && !job.isOpen();
+        entry = isOld ? m_jobs.erase(entry) : std::next(entry);
+    }
+    return wire::JobCommandResult();
+}
+
+std::int64_t JobStateMachine::unfinishedTokens(const Job &job)
+{
+    std::int64_t tokens = 0;
+    for (const wire::JobItem &item : job.record.items) {
+        if (job.finished.count(item.id) == 0)
+            tokens += item.tokens;
+    }
+    return tokens;
+}
+
+void JobStateMachine::addWaiting(const Job &job, int sign)
+{
+    if (!job.ended)
+        m_waitingTokens[{job.record.workspace, job.record.route}] += sign * unfinishedTokens(job);
+}
+
+Result<const JobStateMachine::Job *> JobStateMachine::find(const std::string &workspace,
+                                                           const std::string &job) const
+{
+    const auto found = m_jobs.find(job);
+    if (found == m_jobs.end() || found->second.record.workspace != workspace)
+        return fail(noJob(job));
+    return &found->second;
+}
+
+std::string JobStateMachine::query(std::string_view query) const
+{
+    const auto decoded = outcomeOf([&] { return wire::decode<wire::JobQuery>(query); });
+    if (!decoded.ok())
+        return wire::encodeAnswer(Outcome<wire::OpenJobs>(decoded.failure()));
+    return std::visit([this](const auto &kind) { return answer(kind); }, decoded.value().query);
+}
+
+std::string JobStateMachine::answer(const wire::ReadJobRequest &query) const
+{
+    return wire::encodeAnswer(outcomeOf([&]() -> Result<wire::ReadJobResponse> {
+        BOOST_LEAF_AUTO(job, find(query.workspace, query.job));
+        wire::ReadJobResponse response;
+        response.total = static_cast<std::int64_t>(job->record.items.size());
+        const auto size = static_cast<std::int64_t>(job->results.size());
+        std::size_t bytes = 0;
+        std::int64_t position = std::clamp<std::int64_t>(query.after, 0, size);
+        while (position < size && bytes < maxReadBytes) {
+            const wire::ItemResult &result = job->results[static_cast<std::size_t>(position)];
+            bytes += result.output.size();
+            if (bytes > maxReadBytes && !response.results.empty())
+                break;
+            response.results.push_back(result);
+            ++position;
+        }
+        response.next = std::max(query.after, std::int64_t(0))
+                        + static_cast<std::int64_t>(response.results.size());
+        return response;
+    }));
+}
+
+std::string JobStateMachine::answer(const wire::ReadItemRequest &query) const
+{
+    return wire::encodeAnswer(outcomeOf([&]() -> Result<wire::ReadItemResponse> {
+        BOOST_LEAF_AUTO(job, find(query.workspace, query.job));
+        for (const wire::JobItem &item : job->record.items) {
+            if (item.id == query.item)
+                return wire::ReadItemResponse{item.body};
+        }
+        return fail(notRun(ErrorCode::NotFound,
+                           concat("job \"", query.job, "\" has no item \"", query.item, "\"")));
+    }));
+}
+
+std::string JobStateMachine::answer(const wire::ListOpenJobs &) const
+{
+    wire::OpenJobs open;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.isOpen())
+            open.jobs.push_back({job.record, {job.finished.begin(), job.finished.end()}});
+    }
+    return wire::encodeAnswer(Outcome<wire::OpenJobs>(std::move(open)));
+}
+
+std::string JobStateMachine::snapshot() const
+{
+    wire::StoredJobs stored;
+    for (const auto &[id, job] : m_jobs)
+        stored.jobs.push_back({job.record, job.results, job.ended});
+    return wire::encode(stored);
+}
+
+Result<void> JobStateMachine::restore(std::string_view snapshot)
+{
+    auto decoded = outcomeOf([&] { return wire::decode<wire::StoredJobs>(snapshot); });
+    if (!decoded.ok())
+        return fail(notRun(ErrorCode::CorruptData, decoded.failure().detail));
+    m_jobs.clear();
+    m_waitingTokens.clear();
+    for (wire::StoredJob &stored : decoded.value().jobs) {
+        Job job;
+        job.record = std::move(stored.job);
+        job.results = std::move(stored.results);
+        job.ended = stored.ended;
+        for (const wire::ItemResult &result : job.results)
+            job.finished.insert(result.id);
+        addWaiting(job, 1);
+        m_jobs.emplace(job.record.id, std::move(job));
+    }
+    return {};
+}
+
+} // namespace rattanrill::jobs
--- /dev/null
+++ b/src/jobs/jobstatemachine.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "rattanrill/replication/statemachine.h"
+#include "rattanrill/wire/jobmessages.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace rattanrill::jobs {
+
+/// State machine behind makeJobStateMachine().
+class JobStateMachine : public replication::StateMachine
+{
+public:
+    std::string apply(std::uint64_t index, std::string_view command) override;
+    std::string query(std::string_view query) const override;
+    std::string snapshot() const override;
+    Result<void> restore(std::string_view snapshot) override;
+
+private:
+    struct Job
+    {
+        wire::JobRecord record;
+        std::vector<wire::ItemResult> results;
+        std::set<std::string> finished;
+        bool ended = false;
+
+        bool isOpen() const { return !ended && results.size() < record.items.size(); }
+    };
+
+    /// Workspace and route.
+    using Account = std::pair<std::string, std::string>;
+
+    Result<wire::JobCommandResult> perform(const wire::AcceptJob &operation);
+    Result<wire::JobCommandResult> perform(const wire::AppendResults &operation);
+    Result<wire::JobCommandResult> perform(const wire::EndJob &operation);
+    Result<wire::JobCommandResult> perform(const wire::ForgetJobs &operation);
+
+    std::string answer(const wire::ReadJobRequest &query) const;
+    std::string answer(const wire::ReadItemRequest &query) const;
+    std::string answer(const wire::ListOpenJobs &query) const;
+
+    Result<const Job *> find(const std::string &workspace, const std::string &job) const;
+    void addWaiting(const Job &job, int sign);
+    static std::int64_t unfinishedTokens(const Job &job);
+
+    std::map<std::string, Job> m_jobs;
+    /// Tokens of items without a result in jobs that are not ended.
+    std::map<Account, std::int64_t> m_waitingTokens;
+};
+
+} // namespace rattanrill::jobs
--- /dev/null
+++ b/src/net/requestreader.cpp
@@ -0,0 +1,138 @@
+#include "rattanrill/net/requestreader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <utility>
+
+namespace rattanrill::net {
+namespace {
+
+namespace http = boost::beast::http;
+
+std::string text(boost::beast::string_view view)
+{
+    return {view.data(), view.size()};
+}
+
+int statusOf(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit)
+        return 431;
+    if (error == http::error::body_limit)
+        return 413;
+    return 400;
+}
+
+} // namespace
+
+struct RequestReader::Parser
+{
+    http::request_parser<http::string_body> parser;
+};
+
+RequestReader::RequestReader(RequestLimits limits)
+    : m_limits(limits)
+{}
+
+RequestReader::~RequestReader() = default;
+
+void RequestReader::feed(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    parse();
+}
+
+void RequestReader::startRequest()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->parser.eager(true);
+    m_parser->parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    m_parser->parser.body_limit(m_limits.maxBodyBytes);
+    m_headerChecked = false;
+    m_state = State::Header;
+}
+
+void RequestReader::parse()
+{
+    if (m_state == State::Complete || m_state == State::Refused || m_pending.empty())
+        return;
+    if (m_state == State::Idle)
+        startRequest();
+    auto &parser = m_parser->parser;
+    while (!m_pending.empty() && m_state != State::Refused && !parser.is_done()) {
+        boost::system::error_code error;
+        const std::size_t used =
+                parser.put(boost::asio::buffer(m_pending.data(), m_pending.size()), error);
+        m_pending.erase(0, used);
+        if (error && error != http::error::need_more)
+            return refuse(statusOf(error));
+        if (!parser.is_header_done() && m_pending.size() > m_limits.maxHeaderBytes)
+            return refuse(431);
+        if (parser.is_header_done() && !m_headerChecked)
+            checkHeader();
+        if (error == http::error::need_more || used == 0)
+            break;
+    }
+    if (m_state == State::Refused)
+        return;
+    if (parser.is_done()) {
+        m_keepsAlive = parser.keep_alive();
+        m_state = State::Complete;
+    } else if (parser.is_header_done()) {
+        m_state = State::Body;
+    }
+}
+
+/// Refuses what two readers could frame or route differently.
+void RequestReader::checkHeader()
+{
+    m_headerChecked = true;
+    const auto &message = m_parser->parser.get();
+    const bool hasCoding = message.count(http::field::transfer_encoding) > 0;
+    const bool hasLength = message.count(http::field::content_length) > 0;
+    if (message.version() != 11 && message.version() != 10)
+        return refuse(400);
+    if (hasCoding && (hasLength || !m_parser->parser.chunked()))
+        return refuse(400);
+    if (message.count(http::field::content_length) > 1)
+        return refuse(400);
+    if (message.version() == 11 && message.count(http::field::host) != 1)
+        return refuse(400);
+    const std::string target = text(message.target());
+    if (target.empty() || target.front() != '/')
+        return refuse(400);
+    m_wantsContinue = message.count(http::field::expect) > 0;
+}
+
+bool RequestReader::wantsContinue()
+{
+    const bool wants = m_wantsContinue && m_state == State::Body;
+    m_wantsContinue = m_wantsContinue && !wants;
+    return wants;
+}
+
+void RequestReader::refuse(int status)
+{
+    m_state = State::Refused;
+    m_status = status;
+}
+
+Request RequestReader::take()
+{
+    auto message = m_parser->parser.release();
+    Request request;
+    request.method = text(message.method_string());
+    request.target = text(message.target());
+    for (const auto &field : message)
+        request.headers.add(text(field.name_string()), text(field.value()));
+    request.body = std::move(message.body());
+    m_parser.reset();
+    m_wantsContinue = false;
+    m_state = State::Idle;
+    parse();
+    return request;
+}
+
+} // namespace rattanrill::net
--- /dev/null
+++ b/src/net/responsereader.cpp
@@ -0,0 +1,131 @@
+#include "rattanrill/net/responsereader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace rattanrill::net {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+
+std::string text(boost::beast::string_view view)
+{
+    return {view.data(), view.size()};
+}
+
+} // namespace
+
+struct ResponseReader::Parser
+{
+    http::response_parser<http::string_body> parser;
+};
+
+ResponseReader::ResponseReader(Handlers handlers)
+    : m_handlers(std::move(handlers))
+{
+    startResponse();
+}
+
+ResponseReader::~ResponseReader() = default;
+
+void ResponseReader::startResponse()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->parser.eager(true);
+    m_parser->parser.header_limit(maxHeaderBytes);
+    // Streams are passed on piece by piece, so that their length needs no limit.
+    m_parser->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_headerSeen = false;
+    m_isOwn = true;
+}
+
+void ResponseReader::feed(std::string_view bytes)
+{
+    m_pending.append(bytes);
+    while (m_state == State::Reading && !m_pending.empty() && step()) {
+    }
+}
+
+/// Returns false when more bytes are needed.
+bool ResponseReader::step()
+{
+    auto &parser = m_parser->parser;
+    boost::system::error_code error;
+    const std::size_t used =
+            parser.put(boost::asio::buffer(m_pending.data(), m_pending.size()), error);
+    m_pending.erase(0, used);
+    if (error && error != http::error::need_more) {
+        m_state = State::Broken;
+        return false;
+    }
+    if (parser.is_header_done()) {
+        noteHeader();
+        passBody();
+    }
+    if (parser.is_done()) {
+        noteDone();
+        return true;
+    }
+    return used > 0 && error != http::error::need_more;
+}
+
+void ResponseReader::noteHeader()
+{
+    if (m_headerSeen)
+        return;
+    m_headerSeen = true;
+    const auto &message = m_parser->parser.get();
+    ResponseHead head;
+    head.status = static_cast<int>(message.result_int());
+    head.reason = text(message.reason());
+    for (const auto &field : message)
+        head.headers.add(text(field.name_string()), text(field.value()));
+    const bool isInterim = head.status >= 100 && head.status < 200;
+    m_isOwn = !isInterim && m_handlers.head(head);
+}
+
+void ResponseReader::passBody()
+{
+    std::string piece;
+    piece.swap(m_parser->parser.get().body());
+    if (!piece.empty() && m_isOwn && m_handlers.body)
+        m_handlers.body(piece);
+}
+
+void ResponseReader::noteDone()
+{
+    if (!m_isOwn) {
+        startResponse();
+        return;
+    }
+    m_keepsAlive = m_parser->parser.keep_alive();
+    m_state = State::Complete;
+}
+
+void ResponseReader::end()
+{
+    if (m_state != State::Reading)
+        return;
+    auto &parser = m_parser->parser;
+    boost::system::error_code error;
+    if (parser.got_some())
+        parser.put_eof(error);
+    if (error || !parser.is_done()) {
+        m_state = State::Broken;
+        return;
+    }
+    passBody();
+    noteDone();
+    m_keepsAlive = false;
+    if (m_state == State::Reading)
+        m_state = State::Broken;
+}
+
+} // namespace rattanrill::net
--- /dev/null
+++ b/src/net/server.cpp
@@ -0,0 +1,151 @@
+#include "rattanrill/net/server.h"
+
+#include "serverconnection.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/net/address.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <utility>
+#include <vector>
+
+namespace rattanrill::net {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+/// Wait after a failed accept, when descriptors are short.
+constexpr absl::Duration acceptRetry = absl::Milliseconds(50);
+
+} // namespace
+
+struct Server::Impl : std::enable_shared_from_this<Server::Impl>
+{
+    Impl(EventLoop &loop, Handler handler)
+        : loop(loop)
+        , acceptor(loop.context())
+        , shared(std::make_shared<ServerShared>())
+    {
+        shared->handler = std::move(handler);
+    }
+
+    Result<void> listen(const std::string &text)
+    {
+        BOOST_LEAF_AUTO(address, parseAddress(text));
+        boost::system::error_code error;
+        const auto host = boost::asio::ip::make_address(address.host, error);
+        if (error)
+            return fail(notRun(ErrorCode::InvalidArgument,
+                               concat("\"", text, "\" has no numeric host")));
+        const Tcp::endpoint endpoint(host, address.port);
+        acceptor.open(endpoint.protocol(), error);
+        if (!error)
+            acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        if (!error)
+            acceptor.bind(endpoint, error);
+        if (!error)
+            acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        if (error)
+            return fail(notRun(ErrorCode::AddressInUse,
+                               concat("cannot listen on ", text, ": ", error.message())));
+        accept();
+        return {};
+    }
+
+    void accept()
+    {
+        acceptor.async_accept(
+                [self = shared_from_this()](const boost::system::error_code &error,
+                                            Tcp::socket socket) {
+                    self->accepted(error, std::move(socket));
+                });
+    }
+
+    void accepted(const boost::system::error_code &error, Tcp::socket socket)
+    {
+        if (error == boost::asio::error::operation_aborted || !acceptor.is_open())
+            return;
+        if (error) {
+            log(LogLevel::Warning, "accept-failed", {{"detail", error.message()}});
+            loop.timers().subscribeOnce(acceptRetry, [self = shared_from_this()] {
+                self->accept();
+            });
+            return;
+        }
+        if (shared->connections.size() < shared->limits.maxConnections) {
+            auto connection = std::make_shared<ServerConnection>(std::move(socket), shared);
+            shared->connections.insert(connection);
+            connection->start();
+        }
+        accept();
+    }
+
+    std::vector<std::shared_ptr<ServerConnection>> all() const
+    {
+        return {shared->connections.begin(), shared->connections.end()};
+    }
+
+    EventLoop &loop;
+    Tcp::acceptor acceptor;
+    std::shared_ptr<ServerShared> shared;
+};
+
+Server::Server(EventLoop &loop, Handler handler)
+    : m_impl(std::make_shared<Impl>(loop, std::move(handler)))
+{}
+
+Server::~Server()
+{
+    stop();
+}
+
+Result<void> Server::start(const std::string &address)
+{
+    return m_impl->listen(address);
+}
+
+int Server::port() const
+{
+    boost::system::error_code ignored;
+    return m_impl->acceptor.local_endpoint(ignored).port();
+}
+
+void Server::setLimits(const ServerLimits &limits)
+{
+    m_impl->shared->limits = limits;
+}
+
+void Server::drain()
+{
+    m_impl->shared->draining = true;
+}
+
+void Server::closeIdle()
+{
+    for (const auto &connection : m_impl->all()) {
+        if (connection->isIdle())
+            connection->close();
+    }
+}
+
+std::size_t Server::openRequests() const
+{
+    return m_impl->shared->openRequests;
+}
+
+std::size_t Server::connections() const
+{
+    return m_impl->shared->connections.size();
+}
+
+void Server::stop()
+{
+    boost::system::error_code ignored;
+    m_impl->acceptor.close(ignored);
+    for (const auto &connection : m_impl->all())
+        connection->close();
+}
+
+} // namespace rattanrill::net
--- /dev/null
+++ b/src/net/serverconnection.cpp
@@ -0,0 +1,293 @@
+#include "serverconnection.h"
+
+#include "serverexchange.h"
+#include "socketoptions.h"
+
+#include "rattanrill/base/clock.h"
+#include "rattanrill/base/concat.h"
+
+#include "absl/strings/str_format.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace rattanrill::net {
+namespace {
+
+/// Bytes of following requests that are read ahead while one is served.
+constexpr std::size_t maxReadAhead = 64 * 1024;
+/// Time for the last bytes of an answer after which the connection closes.
+constexpr absl::Duration closeTimeout = absl::Seconds(2);
+/// A client that takes nothing of a running answer for this long has left.
+constexpr absl::Duration sendTimeout = absl::Seconds(15);
+
+constexpr std::string_view lastChunk = "0\r\n\r\n";
+
+} // namespace
+
+ServerConnection::ServerConnection(boost::asio::ip::tcp::socket socket,
+                                   std::shared_ptr<ServerShared> shared)
+    : m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_shared(std::move(shared))
+    , m_reader(RequestLimits{m_shared->limits.maxHeaderBytes, m_shared->limits.maxBodyBytes})
+{}
+
+void ServerConnection::start()
+{
+    prepareSocket(m_socket);
+    armTimer(m_shared->limits.idleTimeout);
+    read();
+}
+
+bool ServerConnection::isIdle() const
+{
+    return m_phase == Phase::Idle && m_reader.state() == RequestReader::State::Idle;
+}
+
+void ServerConnection::read()
+{
+    if (m_reading || m_phase == Phase::Closed || m_reader.pendingBytes() > maxReadAhead)
+        return;
+    m_reading = true;
+    m_socket.async_read_some(
+            boost::asio::buffer(m_buffer),
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                self->m_reading = false;
+                self->received(error, bytes);
+            });
+}
+
+void ServerConnection::received(const boost::system::error_code &error, std::size_t bytes)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    if (error)
+        return clientGone();
+    if (m_phase != Phase::Closing)
+        m_reader.feed(std::string_view(m_buffer.data(), bytes));
+    if (m_phase != Phase::Serving && m_phase != Phase::Closing)
+        advance();
+    read();
+}
+
+/// Goes on with the request that the reader holds.
+void ServerConnection::advance()
+{
+    const Phase before = m_phase;
+    switch (m_reader.state()) {
+    case RequestReader::State::Idle:
+        return;
+    case RequestReader::State::Header:
+        m_phase = Phase::Header;
+        if (before == Phase::Idle)
+            armTimer(m_shared->limits.headerTimeout);
+        return;
+    case RequestReader::State::Body:
+        m_phase = Phase::Body;
+        armTimer(m_shared->limits.idleTimeout);
+        if (m_reader.wantsContinue())
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+        return;
+    case RequestReader::State::Complete:
+        return serve();
+    case RequestReader::State::Refused:
+        return refuse(m_reader.status());
+    }
+}
+
+void ServerConnection::serve()
+{
+    m_phase = Phase::Serving;
+    m_timer.cancel();
+    m_keepAlive = m_reader.keepsAlive();
+    m_isStream = false;
+    m_answered = false;
+    ++m_shared->openRequests;
+    auto exchange = std::make_shared<ServerExchange>(shared_from_this(), m_reader.take(),
+                                                     SystemClock::instance().now());
+    m_exchange = exchange;
+    m_shared->handler(std::move(exchange));
+}
+
+void ServerConnection::refuse(int status)
+{
+    Response response = textResponse(status, concat(reasonOf(status), "\n"), "text/plain");
+    response.head.headers.add("Connection", "close");
+    response.head.headers.add("Content-Length", std::to_string(response.body.size()));
+    m_phase = Phase::Closing;
+    armTimer(closeTimeout);
+    send(serialize(response.head) + response.body);
+}
+
+std::string ServerConnection::framedHead(ResponseHead head, std::string_view framing)
+{
+    m_keepAlive = m_keepAlive && !m_shared->draining;
+    if (m_keepAlive) {
+        head.headers.add("Keep-Alive",
+                         concat("timeout=", absl::ToInt64Seconds(m_shared->limits.idleTimeout)));
+    } else {
+        head.headers.add("Connection", "close");
+    }
+    std::string text = serialize(head);
+    text.resize(text.size() - 2);
+    text += framing;
+    text += "\r\n\r\n";
+    return text;
+}
+
+void ServerConnection::respond(Response response)
+{
+    if (m_phase != Phase::Serving)
+        return;
+    std::string bytes = framedHead(std::move(response.head),
+                                   concat("Content-Length: ", response.body.size()));
+    bytes += response.body;
+    m_answered = true;
+    endExchange();
+    send(std::move(bytes));
+}
+
+void ServerConnection::startStream(ResponseHead head)
+{
+    if (m_phase != Phase::Serving)
+        return;
+    m_isStream = true;
+    send(framedHead(std::move(head), "Transfer-Encoding: chunked"));
+}
+
+void ServerConnection::write(std::string_view bytes)
+{
+    if (m_phase != Phase::Serving || bytes.empty())
+        return;
+    send(concat(absl::StrFormat("%x\r\n", bytes.size()), bytes, "\r\n"));
+}
+
+void ServerConnection::finish()
+{
+    if (m_phase != Phase::Serving)
+        return;
+    m_answered = true;
+    endExchange();
+    send(std::string(lastChunk));
+}
+
+void ServerConnection::abort()
+{
+    close();
+}
+
+void ServerConnection::endExchange()
+{
+    m_exchange.reset();
+    --m_shared->openRequests;
+}
+
+void ServerConnection::send(std::string bytes)
+{
+    if (m_phase == Phase::Closed)
+        return;
+    m_output += bytes;
+    if (!m_writing)
+        flush();
+}
+
+/// Writes at once what the socket takes; the loop is asked only for the rest.
+void ServerConnection::flush()
+{
+    boost::system::error_code error;
+    while (!m_output.empty()) {
+        const std::size_t sent = m_socket.write_some(boost::asio::buffer(m_output), error);
+        m_output.erase(0, sent);
+        if (error)
+            break;
+    }
+    if (m_output.empty())
+        return flushed();
+    if (error != boost::asio::error::would_block)
+        return clientGone();
+    m_writing = true;
+    armTimer(sendTimeout);
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_write,
+                        [self = shared_from_this()](const boost::system::error_code &waitError) {
+                            self->m_writing = false;
+                            if (self->m_phase == Phase::Closed)
+                                return;
+                            if (waitError)
+                                return self->clientGone();
+                            self->flush();
+                        });
+}
+
+void ServerConnection::flushed()
+{
+    if (m_phase == Phase::Serving && !m_answered)
+        m_timer.cancel();
+    if (m_phase == Phase::Closing)
+        return endSending();
+    if (m_phase == Phase::Serving && m_answered)
+        requestDone();
+}
+
+/// The client closes when it has read all; closing first could reset bytes that it has not read.
+void ServerConnection::endSending()
+{
+    boost::system::error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    armTimer(closeTimeout);
+}
+
+void ServerConnection::requestDone()
+{
+    if (!m_keepAlive) {
+        m_phase = Phase::Closing;
+        return endSending();
+    }
+    m_phase = Phase::Idle;
+    armTimer(m_shared->limits.idleTimeout);
+    advance();
+    read();
+}
+
+void ServerConnection::armTimer(absl::Duration delay)
+{
+    m_timer.expires_after(absl::ToChronoNanoseconds(delay));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error && self->m_timer.expiry() <= std::chrono::steady_clock::now())
+            self->expired();
+    });
+}
+
+void ServerConnection::expired()
+{
+    if (m_phase == Phase::Header || m_phase == Phase::Body)
+        return refuse(408);
+    if (m_phase == Phase::Serving)
+        return clientGone();
+    close();
+}
+
+void ServerConnection::clientGone()
+{
+    const auto exchange = m_exchange.lock();
+    close();
+    if (exchange)
+        exchange->gone();
+}
+
+void ServerConnection::close()
+{
+    if (m_phase == Phase::Closed)
+        return;
+    if (m_phase == Phase::Serving && !m_answered)
+        endExchange();
+    m_phase = Phase::Closed;
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_shared->connections.erase(shared_from_this());
+}
+
+} // namespace rattanrill::net
--- /dev/null
+++ b/src/net/socketoptions.cpp
@@ -0,0 +1,37 @@
+#include "socketoptions.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace rattanrill::net {
+namespace {
+
+constexpr int keepAliveIdleSeconds = 2;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+/// Unacknowledged data closes the connection after this long.
+constexpr int userTimeoutMs = 4000;
+
+void setOption(int socket, int level, int option, int value)
+{
+    // A missing option only makes the loss of a peer visible later; the timeouts of requests hold.
+    (void)setsockopt(socket, level, option, &value, sizeof(value));
+}
+
+} // namespace
+
+void prepareSocket(boost::asio::ip::tcp::socket &socket)
+{
+    const int native = socket.native_handle();
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    setOption(native, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(native, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(native, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(native, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(native, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+    setOption(native, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+}
+
+} // namespace rattanrill::net
--- /dev/null
+++ b/src/net/upstreamconnection.cpp
@@ -0,0 +1,211 @@
+#include "upstreamconnection.h"
+
+#include "socketoptions.h"
+
+#include "rattanrill/base/clock.h"
+#include "rattanrill/net/address.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace rattanrill::net {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+/// Seconds of "timeout=" in a Keep-Alive header; nothing when it has none.
+std::optional<int> keepAliveSeconds(std::string_view value)
+{
+    const std::size_t at = value.find("timeout=");
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    const std::string_view digits = value.substr(at + std::string_view("timeout=").size());
+    int seconds = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    if (parsed.ec != std::errc())
+        return std::nullopt;
+    return seconds;
+}
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(boost::asio::io_context &context, std::string address,
+                                       UpstreamPoolOptions options, Listener listener)
+    : m_socket(context)
+    , m_timer(context)
+    , m_address(std::move(address))
+    , m_options(options)
+    , m_listener(std::move(listener))
+    , m_keep(options.defaultKeep)
+{}
+
+bool UpstreamConnection::isUsable(absl::Time now) const
+{
+    return m_state == State::Idle && now - m_idleSince < m_keep * m_options.keepShare;
+}
+
+void UpstreamConnection::call(std::string request, CallHandlers handlers)
+{
+    m_output = std::move(request);
+    m_handlers = std::make_shared<CallHandlers>(std::move(handlers));
+    const bool isNew = m_state == State::New;
+    ResponseReader::Handlers reading;
+    reading.head = [this](const ResponseHead &head) { return noteHead(head); };
+    reading.body = [this](std::string_view bytes) {
+        // A handler may close the connection while it runs.
+        const auto current = m_handlers;
+        if (current && current->body)
+            current->body(bytes);
+    };
+    m_reader.emplace(std::move(reading));
+    m_state = isNew ? State::Connecting : State::Calling;
+    if (isNew)
+        connect();
+    else
+        send();
+}
+
+void UpstreamConnection::connect()
+{
+    const auto parsed = outcomeOf([&] { return parseAddress(m_address); });
+    boost::system::error_code error;
+    Tcp::endpoint endpoint;
+    if (parsed.ok())
+        endpoint = Tcp::endpoint(boost::asio::ip::make_address(parsed.value().host, error),
+                                 parsed.value().port);
+    if (parsed.ok() && !error)
+        m_socket.open(endpoint.protocol(), error);
+    if (!parsed.ok() || error) {
+        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+            self->fail(CallEnd::NotConnected);
+        });
+        return;
+    }
+    prepareSocket(m_socket);
+    m_timer.expires_after(absl::ToChronoNanoseconds(m_options.connectTimeout));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &timerError) {
+        if (!timerError && self->m_state == State::Connecting)
+            self->fail(CallEnd::NotConnected);
+    });
+    m_socket.async_connect(endpoint,
+                           [self = shared_from_this()](const boost::system::error_code &result) {
+                               self->connected(result);
+                           });
+}
+
+void UpstreamConnection::connected(const boost::system::error_code &error)
+{
+    if (m_state != State::Connecting)
+        return;
+    m_timer.cancel();
+    if (error)
+        return fail(CallEnd::NotConnected);
+    m_state = State::Calling;
+    read();
+    send();
+}
+
+void UpstreamConnection::send()
+{
+    boost::system::error_code error;
+    while (!m_output.empty()) {
+        const std::size_t sent = m_socket.write_some(boost::asio::buffer(m_output), error);
+        m_output.erase(0, sent);
+        if (error)
+            break;
+    }
+    if (m_output.empty())
+        return;
+    if (error != boost::asio::error::would_block) {
+        // The answer may already be on its way, so the read decides; it fails as well if not.
+        m_output.clear();
+        return;
+    }
+    m_socket.async_wait(Tcp::socket::wait_write,
+                        [self = shared_from_this()](const boost::system::error_code &waitError) {
+                            if (!waitError && self->m_state == State::Calling)
+                                self->send();
+                        });
+}
+
+void UpstreamConnection::read()
+{
+    m_socket.async_read_some(
+            boost::asio::buffer(m_buffer),
+            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
+                self->received(error, bytes);
+            });
+}
+
+void UpstreamConnection::received(const boost::system::error_code &error, std::size_t bytes)
+{
+    if (m_state == State::Closed)
+        return;
+    // Bytes on an idle connection belong to no request.
+    if (m_state == State::Idle)
+        return close();
+    if (error == boost::asio::error::eof)
+        m_reader->end();
+    else if (!error)
+        m_reader->feed(std::string_view(m_buffer.data(), bytes));
+    if (m_state != State::Calling)
+        return;
+    if (m_reader->state() == ResponseReader::State::Complete)
+        return finish();
+    if (error || m_reader->state() == ResponseReader::State::Broken)
+        return fail(CallEnd::Broken);
+    read();
+}
+
+bool UpstreamConnection::noteHead(const ResponseHead &head)
+{
+    const std::optional<int> seconds = keepAliveSeconds(head.headers.value("Keep-Alive"));
+    m_keep = seconds ? absl::Seconds(*seconds) : m_options.defaultKeep;
+    const auto current = m_handlers;
+    return current && current->head(head);
+}
+
+void UpstreamConnection::finish()
+{
+    // A connection whose request body is not sent in full would carry its rest into the next one.
+    const bool isClean = m_reader->keepsAlive() && !m_reader->hasExtraBytes() && m_output.empty();
+    const auto handlers = std::exchange(m_handlers, nullptr);
+    if (isClean) {
+        m_state = State::Idle;
+        m_idleSince = SystemClock::instance().now();
+        read();
+        m_listener(shared_from_this(), true);
+    } else {
+        close();
+    }
+    if (handlers)
+        handlers->end(CallEnd::Complete);
+}
+
+void UpstreamConnection::fail(CallEnd end)
+{
+    if (m_state == State::Closed)
+        return;
+    const auto handlers = std::exchange(m_handlers, nullptr);
+    close();
+    if (handlers)
+        handlers->end(end);
+}
+
+void UpstreamConnection::close()
+{
+    if (m_state == State::Closed)
+        return;
+    const auto self = shared_from_this();
+    m_state = State::Closed;
+    m_handlers.reset();
+    m_timer.cancel();
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_listener(self, false);
+}
+
+} // namespace rattanrill::net
--- /dev/null
+++ b/src/serving/deployment.cpp
@@ -0,0 +1,153 @@
+#include "rattanrill/serving/deployment.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/enumnames.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <set>
+#include <utility>
+
+namespace rattanrill::serving {
+namespace {
+
+constexpr std::array<EnumName<RouteKind>, 4> routeKindNames = {{
+        {RouteKind::Idempotent, "idempotent"},
+        {RouteKind::NonIdempotent, "non_idempotent"},
+        {RouteKind::Streaming, "streaming"},
+        {RouteKind::Batch, "batch"},
+}};
+
+/// Host names compare without case; a port does not select a route.
+std::string normalizedHost(std::string_view host)
+{
+    std::string text(host.substr(0, host.find(':')));
+    std::transform(text.begin(), text.end(), text.begin(), [](char c) {
+        return static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    });
+    return text;
+}
+
+boost::leaf::error_id invalid(std::string detail)
+{
+    return fail(notRun(ErrorCode::InvalidRequest, std::move(detail)));
+}
+
+Result<void> checkRoute(const Route &route, const std::set<std::string> &services)
+{
+    double weight = 0;
+    for (const RouteTarget &target : route.targets) {
+        if (services.count(target.service) == 0)
+            return invalid(concat("route \"", route.name, "\" names the unknown service \"",
+                                  target.service, "\""));
+        if (target.weight < 0)
+            return invalid(concat("route \"", route.name, "\" has a negative weight"));
+        weight += target.weight;
+    }
+    if (weight <= 0)
+        return invalid(concat("the weights of route \"", route.name, "\" add up to 0"));
+    if (route.timeout <= absl::ZeroDuration())
+        return invalid(concat("the timeout of route \"", route.name, "\" is 0"));
+    const std::string &prefix = route.pathPrefix;
+    if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/')
+        return invalid(concat("the prefix of route \"", route.name,
+                              "\" does not begin and end with a slash"));
+    return {};
+}
+
+Result<void> checkKeys(const std::vector<Workspace> &workspaces)
+{
+    std::map<std::string, std::string> holders;
+    for (const Workspace &workspace : workspaces) {
+        for (const std::string &key : workspace.keys) {
+            const auto [found, isNew] = holders.emplace(key, workspace.name);
+            if (!isNew && found->second != workspace.name)
+                return invalid(concat("workspaces \"", found->second, "\" and \"", workspace.name,
+                                      "\" share a key"));
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+std::string_view name(RouteKind kind)
+{
+    return nameOf(routeKindNames, kind);
+}
+
+Result<void> checkDeployment(const Deployment &deployment)
+{
+    std::set<std::string> services;
+    for (const Service &service : deployment.services)
+        services.insert(service.name);
+    std::set<std::pair<std::string, std::string>> places;
+    for (const Route &route : deployment.routes) {
+        BOOST_LEAF_CHECK(checkRoute(route, services));
+        if (!places.emplace(normalizedHost(route.host), route.pathPrefix).second)
+            return invalid(concat("two routes have host \"", route.host, "\" and prefix \"",
+                                  route.pathPrefix, "\""));
+    }
+    return checkKeys(deployment.workspaces);
+}
+
+DeploymentIndex::DeploymentIndex(Deployment deployment)
+    : m_deployment(std::move(deployment))
+{
+    for (const Route &route : m_deployment.routes)
+        m_routes[normalizedHost(route.host)][route.pathPrefix] = &route;
+    for (const Service &service : m_deployment.services)
+        m_services[service.name] = &service;
+    for (const Workspace &workspace : m_deployment.workspaces) {
+        m_workspaces[workspace.name] = &workspace;
+        for (const std::string &key : workspace.keys)
+            m_keys[key] = &workspace;
+    }
+}
+
+const Route *DeploymentIndex::route(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_routes.find(normalizedHost(host));
+    if (routes == m_routes.end())
+        return nullptr;
+    // Prefixes end with a slash, so only the path's own slashes can end one.
+    for (std::size_t slash = path.rfind('/'); slash != std::string_view::npos;) {
+        const auto found = routes->second.find(path.substr(0, slash + 1));
+        if (found != routes->second.end())
+            return found->second;
+        if (slash == 0)
+            break;
+        slash = path.rfind('/', slash - 1);
+    }
+    return nullptr;
+}
+
+const Route *DeploymentIndex::routeNamed(std::string_view name) const
+{
+    for (const Route &route : m_deployment.routes) {
+        if (route.name == name)
+            return &route;
+    }
+    return nullptr;
+}
+
+const Service *DeploymentIndex::service(std::string_view name) const
+{
+    const auto found = m_services.find(name);
+    return found == m_services.end() ? nullptr : found->second;
+}
+
+const Workspace *DeploymentIndex::workspaceOfKey(std::string_view key) const
+{
+    const auto found = m_keys.find(key);
+    return found == m_keys.end() ? nullptr : found->second;
+}
+
+const Workspace *DeploymentIndex::workspace(std::string_view name) const
+{
+    const auto found = m_workspaces.find(name);
+    return found == m_workspaces.end() ? nullptr : found->second;
+}
+
+} // namespace rattanrill::serving
--- /dev/null
+++ b/src/serving/eventstream.cpp
@@ -0,0 +1,100 @@
+#include "rattanrill/serving/eventstream.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace rattanrill::serving {
+namespace {
+
+/// Length up to and with the empty line that ends the first event; 0 when there is none yet.
+std::size_t eventLength(std::string_view text, std::size_t from)
+{
+    for (std::size_t at = text.find('\n', from); at != std::string_view::npos;
+         at = text.find('\n', at + 1)) {
+        if (at + 1 < text.size() && text[at + 1] == '\n')
+            return at + 2;
+        if (at + 2 < text.size() && text[at + 1] == '\r' && text[at + 2] == '\n')
+            return at + 3;
+    }
+    return 0;
+}
+
+std::string_view fieldValue(std::string_view line, std::size_t nameLength)
+{
+    line.remove_prefix(nameLength + 1);
+    if (!line.empty() && line.front() == ' ')
+        line.remove_prefix(1);
+    return line;
+}
+
+bool isField(std::string_view line, std::string_view name)
+{
+    return line.size() > name.size() && line.substr(0, name.size()) == name
+           && line[name.size()] == ':';
+}
+
+void readLine(std::string_view line, StreamEvent &event, bool &hasData)
+{
+    if (isField(line, "id")) {
+        const std::string_view value = fieldValue(line, 2);
+        std::int64_t id = 0;
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), id);
+        if (parsed.ec == std::errc() && parsed.ptr == value.data() + value.size())
+            event.id = id;
+    } else if (isField(line, "data")) {
+        if (hasData)
+            event.data += '\n';
+        event.data += fieldValue(line, 4);
+        hasData = true;
+    }
+}
+
+StreamEvent readEvent(std::string_view text)
+{
+    StreamEvent event;
+    event.bytes = std::string(text);
+    bool hasData = false;
+    while (!text.empty()) {
+        const std::size_t end = std::min(text.find('\n'), text.size());
+        std::string_view line = text.substr(0, end);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        readLine(line, event, hasData);
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return event;
+}
+
+} // namespace
+
+void EventSplitter::feed(std::string_view bytes, std::vector<StreamEvent> &events)
+{
+    // The end of an event may lie across the old and the new bytes.
+    std::size_t from = m_pending.size() < 3 ? 0 : m_pending.size() - 3;
+    m_pending.append(bytes);
+    std::size_t begin = 0;
+    while (true) {
+        const std::string_view text = std::string_view(m_pending).substr(begin);
+        const std::size_t length = eventLength(text, from);
+        if (length == 0)
+            break;
+        events.push_back(readEvent(text.substr(0, length)));
+        begin += length;
+        from = 0;
+    }
+    m_pending.erase(0, begin);
+}
+
+EventVerdict StreamPosition::take(const StreamEvent &event)
+{
+    if (!event.id)
+        return EventVerdict::Deliver;
+    if (m_lastId && *event.id <= *m_lastId)
+        return EventVerdict::Repeated;
+    if (m_lastId && *event.id != *m_lastId + 1)
+        return EventVerdict::Gap;
+    m_lastId = event.id;
+    return EventVerdict::Deliver;
+}
+
+} // namespace rattanrill::serving
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -14,7 +14,7 @@
         {EnvelopeKind::Push, "push"},
 }};
 
-constexpr std::array<EnumName<Method>, 7> methodNames = {{
+constexpr std::array<EnumName<Method>, 14> methodNames = {{
         {Method::Hello, "hello"},
         {Method::Raft, "raft"},
         {Method::Propose, "propose"},
@@ -22,6 +22,13 @@
         {Method::Follow, "follow"},
         {Method::Grant, "grant"},
         {Method::Heartbeat, "heartbeat"},
+        {Method::Sync, "sync"},
+        {Method::Place, "place"},
+        {Method::Release, "release"},
+        {Method::SubmitJob, "submit_job"},
+        {Method::ReadJob, "read_job"},
+        {Method::ReadItem, "read_item"},
+        {Method::EndJob, "end_job"},
 }};
 
 } // namespace
--- /dev/null
+++ b/src/wire/jobmessages.cpp
@@ -0,0 +1,58 @@
+#include "rattanrill/wire/jobmessages.h"
+
+#include "messagedefinition.h"
+
+#include "rattanrill/base/enumnames.h"
+
+namespace rattanrill::wire {
+namespace {
+
+constexpr std::array<EnumName<ItemOutcome>, 2> itemOutcomeNames = {{
+        {ItemOutcome::Completed, "completed"},
+        {ItemOutcome::DeadLettered, "dead_lettered"},
+}};
+
+} // namespace
+
+RATTANRILL_WIRE_ENUM(ItemOutcome, itemOutcomeNames)
+RATTANRILL_WIRE_FIELDS(JobItem, id, path, headers, body, tokens)
+RATTANRILL_WIRE_FIELDS(JobRecord, id, workspace, route, host, acceptedAtMs, items)
+RATTANRILL_WIRE_FIELDS(ItemResult, id, outcome, output)
+RATTANRILL_WIRE_FIELDS(AcceptJob, job, maxWaitingTokens)
+RATTANRILL_WIRE_FIELDS(AppendResults, job, results)
+RATTANRILL_WIRE_FIELDS(EndJob, workspace, job)
+RATTANRILL_WIRE_FIELDS(ForgetJobs, beforeMs)
+RATTANRILL_WIRE_FIELDS(JobCommand, operation)
+RATTANRILL_WIRE_FIELDS(JobCommandResult, overLimit, waitingTokens)
+RATTANRILL_WIRE_FIELDS(SubmitJobRequest, job)
+RATTANRILL_WIRE_FIELDS(ReadJobRequest, workspace, job, after, waitMs)
+RATTANRILL_WIRE_FIELDS(ReadJobResponse, total, next, results)
+RATTANRILL_WIRE_FIELDS(ReadItemRequest, workspace, job, item)
+RATTANRILL_WIRE_FIELDS(ReadItemResponse, body)
+RATTANRILL_WIRE_EMPTY(ListOpenJobs)
+RATTANRILL_WIRE_FIELDS(OpenJob, job, finished)
+RATTANRILL_WIRE_FIELDS(OpenJobs, jobs)
+RATTANRILL_WIRE_FIELDS(JobQuery, query)
+RATTANRILL_WIRE_FIELDS(StoredJob, job, results, ended)
+RATTANRILL_WIRE_FIELDS(StoredJobs, jobs)
+RATTANRILL_WIRE_FIELDS(EndJobRequest, workspace, job)
+
+RATTANRILL_WIRE_MESSAGE(JobRecord)
+RATTANRILL_WIRE_MESSAGE(JobCommand)
+RATTANRILL_WIRE_MESSAGE(JobCommandResult)
+RATTANRILL_WIRE_MESSAGE(SubmitJobRequest)
+RATTANRILL_WIRE_MESSAGE(ReadJobRequest)
+RATTANRILL_WIRE_MESSAGE(ReadJobResponse)
+RATTANRILL_WIRE_MESSAGE(ReadItemRequest)
+RATTANRILL_WIRE_MESSAGE(ReadItemResponse)
+RATTANRILL_WIRE_MESSAGE(OpenJobs)
+RATTANRILL_WIRE_MESSAGE(JobQuery)
+RATTANRILL_WIRE_MESSAGE(StoredJobs)
+RATTANRILL_WIRE_MESSAGE(EndJobRequest)
+
+std::string_view name(ItemOutcome outcome)
+{
+    return nameOf(itemOutcomeNames, outcome);
+}
+
+} // namespace rattanrill::wire
