--- a/cmake/RattanrillTargets.cmake
+++ b/cmake/RattanrillTargets.cmake
@@ -31,6 +31,9 @@
 
 # rattanrill_program(NAME SOURCE [DEPENDS target...]): binary in build/bin.
 function(rattanrill_program name source)
+  if(RATTANRILL_DEPLOY_ONLY AND name MATCHES "-bench-")
+    return()
+  endif()
   cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
   add_executable(${name} ${source})
   target_link_libraries(${name} PRIVATE ${arg_DEPENDS})
--- a/include/rattanrill/base/logger.h
+++ b/include/rattanrill/base/logger.h
@@ -20,7 +20,7 @@
 struct LogSettings
 {
     LogLevel level = LogLevel::Info;
-    /// Empty: standard error.
+    /// Empty: standard output.
     std::string file;
     /// Added to every line.
     std::string instance;
@@ -72,8 +72,10 @@
 /// Sets the sink of this process. Call once, before threads start.
 void initLogging(const LogSettings &settings);
 
-/// Writes one JSON line: time, level, event, instance, failureDomain, program and \a fields.
-/// \a event is a fixed lower-case word such as "leader-elected".
+/// Queues one JSON line: time, level, event, instance, failureDomain, program and \a fields.
+/// \a event is a fixed lower-case word such as "leader-elected". Never blocks: lines below the level
+/// of a warning are left out beyond a rate, and all lines while the writer is far behind; what was
+/// left out is counted in a line of its own.
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
 } // namespace rattanrill
--- /dev/null
+++ b/include/rattanrill/gateway/gateway.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "rattanrill/jobs/jobclient.h"
+#include "rattanrill/net/server.h"
+#include "rattanrill/serving/passthrough.h"
+
+#include <memory>
+
+namespace rattanrill::gateway {
+
+/// Takes callers' requests on an entry: finds route and workspace, and passes the request on to an
+/// upstream or, for batch jobs, to the stores. Used on the event loop only.
+class Gateway
+{
+public:
+    Gateway(const serving::ServingContext &context, jobs::JobClient &jobs);
+
+    /// The configuration in force from now on; never an older one.
+    void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
+    const std::shared_ptr<const serving::DeploymentIndex> &deployment() const;
+    void serve(std::shared_ptr<net::Exchange> exchange);
+
+private:
+    void route(const std::shared_ptr<net::Exchange> &exchange, serving::CallerRequest caller);
+    void serveJobCall(const std::shared_ptr<net::Exchange> &exchange,
+                      const serving::CallerRequest &caller, const serving::Workspace &workspace,
+                      const serving::Route *route);
+    void submit(const std::shared_ptr<net::Exchange> &exchange, wire::JobRecord job,
+                absl::Duration timeout);
+    void readResults(const std::shared_ptr<net::Exchange> &exchange,
+                     const serving::ReadJobCall &call, const std::string &workspace);
+    void readItem(const std::shared_ptr<net::Exchange> &exchange,
+                  const serving::ReadItemCall &call, const std::string &workspace);
+    void endJob(const std::shared_ptr<net::Exchange> &exchange, const serving::EndJobCall &call,
+                const std::string &workspace);
+    void refuse(const std::shared_ptr<net::Exchange> &exchange, const std::string &requestId,
+                const Failure &failure, absl::Duration retryAfter);
+
+    const serving::ServingContext &m_context;
+    jobs::JobClient &m_jobs;
+    std::shared_ptr<const serving::DeploymentIndex> m_deployment;
+};
+
+} // namespace rattanrill::gateway
--- /dev/null
+++ b/include/rattanrill/gateway/processsettings.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "rattanrill/base/json.h"
+
+#include "absl/time/time.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rattanrill::gateway {
+
+/// Settings of the processes of a deployment whose members find each other. Addresses are
+/// "host:port"; an empty one is not served.
+struct ProcessSettings
+{
+    std::string instance;
+    std::string failureDomain;
+    std::string callerAddress;
+    std::string readinessAddress;
+    std::string operatorAddress;
+    std::string metricsAddress;
+    std::string peerHost;
+    /// The same on all machines of a deployment.
+    int peerPort = 0;
+    /// Operator addresses of control processes.
+    std::vector<std::string> seeds;
+    /// The deployment starts for the first time.
+    bool founding = false;
+    /// Empty on machines without a disk.
+    std::string dataFolder;
+    std::string clusterSecret;
+    /// Address of the platform's list of upstreams.
+    std::string listAddress;
+    /// Time from the order to stop to the end of the process.
+    absl::Duration grace = absl::Seconds(8);
+    /// Machines with a disk that may be lost at once.
+    int lossTolerance = 1;
+
+    std::string peerAddress() const;
+    /// Peer addresses of the seeds.
+    std::vector<std::string> seedPeers() const;
+};
+
+std::string_view processSettingsSchema();
+
+/// Fills \a result from checked JSON. Fails with InvalidSetting, naming the key, when a value is no
+/// address.
+Result<void> readProcessSettings(const Json &settings, ProcessSettings &result);
+
+} // namespace rattanrill::gateway
--- /dev/null
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "rattanrill/base/clock.h"
+#include "rattanrill/base/metrics.h"
+#include "rattanrill/fleet/groupreplica.h"
+#include "rattanrill/net/eventloop.h"
+#include "rattanrill/net/upstreampool.h"
+#include "rattanrill/serving/deployment.h"
+#include "rattanrill/serving/dialect.h"
+#include "rattanrill/serving/placebroker.h"
+#include "rattanrill/wire/jobmessages.h"
+
+#include <memory>
+#include <string>
+
+namespace rattanrill::jobs {
+
+/// What the executor works with. All members outlive it.
+struct ExecutorContext
+{
+    net::EventLoop &loop;
+    const Clock &clock;
+    Metrics &metrics;
+    const serving::Dialect &dialect;
+    net::UpstreamPool &upstreams;
+    serving::PlaceBroker &broker;
+    fleet::GroupReplica &replica;
+    std::string failureDomain;
+};
+
+/// Runs the items of open jobs, on the leader of the store group. An item that has to leave its
+/// place goes on after its last event when it gets another one. Used on the event loop only.
+class JobExecutor
+{
+public:
+    explicit JobExecutor(const ExecutorContext &context);
+    ~JobExecutor();
+    JobExecutor(const JobExecutor &) = delete;
+    JobExecutor &operator=(const JobExecutor &) = delete;
+
+    void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
+    /// Adds a job that was accepted; one that is known already changes nothing.
+    void add(const wire::OpenJob &job);
+    /// The job was ended: its items stop.
+    void end(const std::string &job);
+    /// This replica no longer leads: everything stops.
+    void clear();
+    std::size_t openItems() const;
+
+private:
+    struct Impl;
+
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace rattanrill::jobs
--- /dev/null
+++ b/include/rattanrill/jobs/jobservice.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "rattanrill/jobs/jobexecutor.h"
+#include "rattanrill/peer/server.h"
+
+#include <memory>
+
+namespace rattanrill::jobs {
+
+/// Serves calls about batch jobs on the leader of the store group, and keeps the executor in step
+/// with the group's leadership. Used on the event loop only.
+class JobService
+{
+public:
+    JobService(const ExecutorContext &context, JobExecutor &executor);
+    ~JobService();
+    JobService(const JobService &) = delete;
+    JobService &operator=(const JobService &) = delete;
+
+    void install(peer::Server &server);
+    void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
+    /// Leadership of the store group began or ended.
+    void leadChanged(bool leads);
+    /// Commands were applied; waiting reads are answered.
+    void applied();
+    void stop();
+
+private:
+    struct Impl;
+
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace rattanrill::jobs
--- /dev/null
+++ b/include/rattanrill/policy/placetable.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "rattanrill/policy/fairqueue.h"
+#include "rattanrill/policy/outlierdetector.h"
+#include "rattanrill/policy/work.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace rattanrill::policy {
+
+/// An upstream with the number of requests that it runs at once.
+struct PlaceUpstream
+{
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string failureDomain;
+    std::int64_t slots = 1;
+    bool leaving = false;
+};
+
+/// A request that wants a place at an upstream.
+struct PlaceWork
+{
+    /// Unique among open works.
+    std::string id;
+    std::string service;
+    std::string workspace;
+    /// Of the process that will send it.
+    std::string failureDomain;
+    WorkKind kind = WorkKind::Online;
+    /// 0 is served first.
+    int priority = 0;
+    /// Tokens that it is expected to cost, for fairness between workspaces.
+    double tokens = 1;
+    /// Online: refused without a place by then. Batch: due time, the earliest goes first.
+    absl::Time due = absl::InfiniteFuture();
+    /// Longest Retry-After that its caller can use.
+    absl::Duration longestReturn = absl::InfiniteDuration();
+    /// Upstreams that it was sent to before.
+    std::vector<std::string> excluded;
+};
+
+/// The work may be sent to the upstream.
+struct GrantPlace
+{
+    std::string work;
+    std::string upstream;
+    std::string address;
+};
+
+/// No place will be free in time; the table has forgotten the work.
+struct RefusePlace
+{
+    std::string work;
+    absl::Duration retryAfter;
+};
+
+/// The batch work must leave its place at once; the table has forgotten it, and its owner asks
+/// again.
+struct YieldPlace
+{
+    std::string work;
+};
+
+using PlaceDecision = std::variant<GrantPlace, RefusePlace, YieldPlace>;
+
+struct PlaceTableSettings
+{
+    OutlierSettings outlier;
+    /// Time that an online request holds a place, used until some have ended.
+    absl::Duration expectedHold = absl::Milliseconds(700);
+    /// Shortest Retry-After of a refusal for want of a place.
+    absl::Duration shortestReturn = absl::Milliseconds(300);
+    /// Share of the places that are expected to be free for callers that return.
+    double returnShare = 0.5;
+    /// Places at each upstream that batch work leaves free.
+    std::int64_t reserve = 0;
+};
+
+/// Who gets which place at the upstreams, of all requests of a deployment. Upstreams admit in order
+/// of arrival and know no priorities, so work waits here and an upstream gets no more than it runs
+/// at once.
+///
+/// Load patterns: a pulse of online requests above all places meets places that batch work fills
+/// (batch yields at once, the youngest first, and resumes later); online load above all places
+/// (refused at once when the wait would be too long, with returns spread over the time in which
+/// places become free); one workspace's surge (order between workspaces by tokens served). Apart
+/// from input and output; not thread-safe.
+class PlaceTable
+{
+public:
+    explicit PlaceTable(PlaceTableSettings settings);
+
+    /// Replaces the list. Works on upstreams that left it keep their places until released.
+    void setUpstreams(const std::vector<PlaceUpstream> &upstreams);
+    void request(absl::Time now, const PlaceWork &work);
+    /// The work has left its place. \a failed: its upstream broke off or did not answer.
+    void release(absl::Time now, const std::string &work, bool failed);
+    /// The work's caller no longer wants a place; a held one is released.
+    void withdraw(absl::Time now, const std::string &work);
+    /// Decisions due at \a now, to be carried out in order.
+    std::vector<PlaceDecision> decide(absl::Time now);
+    /// Latest time for the next decide() when nothing else happens.
+    absl::Time nextDecision() const;
+
+    std::size_t waiting(const std::string &service, WorkKind kind) const;
+    std::size_t held(const std::string &service, WorkKind kind) const;
+    /// Places of all upstreams of a service that take new work.
+    std::int64_t places(const std::string &service) const;
+    bool knows(const std::string &work) const { return m_items.count(work) != 0; }
+
+private:
+    struct Upstream;
+
+    struct Item
+    {
+        PlaceWork work;
+        WorkId number = 0;
+        /// Null while waiting.
+        Upstream *upstream = nullptr;
+        /// When it came or, with a place, when it got it.
+        absl::Time since;
+    };
+
+    struct Upstream
+    {
+        PlaceUpstream info;
+        OutlierDetector outlier{OutlierSettings()};
+        bool removed = false;
+        std::set<Item *> online;
+        std::set<Item *> batch;
+
+        std::int64_t held() const
+        {
+            return static_cast<std::int64_t>(online.size() + batch.size());
+        }
+    };
+
+    struct Service
+    {
+        std::vector<Upstream *> upstreams;
+        /// Online work by priority.
+        std::map<int, FairQueue> online;
+        FairQueue batch;
+        std::size_t onlineWaiting = 0;
+        std::size_t batchWaiting = 0;
+        absl::Duration meanHold;
+        /// When the last refused caller was asked to return.
+        absl::Time lastReturn = absl::InfinitePast();
+    };
+
+    Service &service(const std::string &name);
+    Item *itemOf(WorkId number);
+    Upstream *freeUpstream(absl::Time now, const Service &service, const Item &item) const;
+    Upstream *yieldingUpstream(absl::Time now, const Service &service, const Item &item) const;
+    bool takes(absl::Time now, const Upstream &upstream, const Item &item) const;
+    void decideOnline(absl::Time now, Service &service);
+    void decideBatch(absl::Time now, Service &service);
+    void refuseHopeless(absl::Time now, Service &service);
+    void refuse(absl::Time now, Service &service, Item &item);
+    void yieldOne(Upstream &upstream);
+    void grant(absl::Time now, Service &service, Item &item, Upstream &upstream);
+    void dequeue(Service &service, Item &item);
+    void leavePlace(absl::Time now, Item &item);
+    void forget(Item &item);
+    absl::Duration spacing(const Service &service) const;
+
+    const PlaceTableSettings m_settings;
+    std::map<std::string, std::unique_ptr<Upstream>> m_upstreams;
+    std::map<std::string, Service> m_services;
+    std::map<std::string, std::unique_ptr<Item>> m_items;
+    std::map<WorkId, Item *> m_numbers;
+    WorkId m_nextNumber = 1;
+    std::vector<PlaceDecision> m_decisions;
+};
+
+} // namespace rattanrill::policy
--- a/include/rattanrill/serving/deployment.h
+++ b/include/rattanrill/serving/deployment.h
@@ -111,6 +111,10 @@
 /// share host and prefix, weights add up to 0, a timeout is 0, or workspaces share a key.
 Result<void> checkDeployment(const Deployment &deployment);
 
+/// Service that a request goes to, drawn by the weights of the route's targets from \a key, so that
+/// all tries of a request agree.
+const std::string &targetService(const Route &route, std::string_view key);
+
 /// Lookups in one version; immutable.
 class DeploymentIndex
 {
--- /dev/null
+++ b/include/rattanrill/serving/dialect.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "rattanrill/base/result.h"
+#include "rattanrill/net/message.h"
+#include "rattanrill/serving/deployment.h"
+#include "rattanrill/wire/jobmessages.h"
+
+#include "absl/time/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace rattanrill::serving {
+
+/// What the product needs to know of a caller's request; the request itself stays as it is.
+struct CallerRequest
+{
+    /// Of this try of the caller.
+    std::string id;
+    std::string host;
+    /// Empty when the caller presents none.
+    std::string key;
+    /// How long the caller waits, from the arrival of the request.
+    absl::Duration patience = absl::InfiniteDuration();
+    /// The caller has the events up to this one.
+    std::optional<std::int64_t> resumeAfter;
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+};
+
+/// One try of a request at an upstream.
+struct UpstreamTry
+{
+    /// Instance that is expected at the address; another one refuses.
+    std::string upstream;
+    /// Workspace for which the request runs; empty on open routes.
+    std::string workspace;
+    /// What is left of the caller's patience.
+    absl::Duration patience = absl::InfiniteDuration();
+    std::optional<std::int64_t> resumeAfter;
+};
+
+/// What an upstream's answer says besides its bytes.
+struct AnswerFacts
+{
+    /// Request that it answers; empty when it does not say.
+    std::string requestId;
+    /// The upstream says that the request did not run.
+    bool notRun = false;
+};
+
+/// Call about a batch job, as a caller makes it.
+struct SubmitJobCall
+{
+    wire::JobRecord job;
+};
+
+struct ReadJobCall
+{
+    std::string job;
+    std::int64_t after = 0;
+    absl::Duration wait;
+};
+
+struct ReadItemCall
+{
+    std::string job;
+    std::string item;
+};
+
+struct EndJobCall
+{
+    std::string job;
+};
+
+using JobCall = std::variant<SubmitJobCall, ReadJobCall, ReadItemCall, EndJobCall>;
+
+/// How callers and upstreams of a deployment speak: names, formats and encodings, no decisions.
+class Dialect
+{
+public:
+    virtual ~Dialect() = default;
+
+    /// Fails with InvalidRequest.
+    virtual Result<CallerRequest> readRequest(const net::Request &request) const = 0;
+    /// The caller's request as sent to an upstream: method, path and body are unchanged, and no key
+    /// is in it.
+    virtual net::Request upstreamRequest(const net::Request &request,
+                                         const UpstreamTry &attempt) const = 0;
+    virtual net::Request itemRequest(const wire::JobItem &item, const std::string &host,
+                                     const UpstreamTry &attempt) const = 0;
+    virtual AnswerFacts readAnswer(const net::ResponseHead &head) const = 0;
+    /// True when \a head begins a series of events.
+    virtual bool isEventStream(const net::ResponseHead &head) const = 0;
+
+    /// True when \a request concerns a job that exists already, on a path outside all routes.
+    virtual bool isJobCall(const net::Request &request) const = 0;
+    /// Fails with InvalidRequest or NotFound.
+    virtual Result<JobCall> readJobCall(const net::Request &request,
+                                        const CallerRequest &caller) const = 0;
+    virtual net::Response jobResults(const wire::ReadJobResponse &results) const = 0;
+
+    /// Refusal of a request. \a retryAfter of zero says nothing about a return.
+    virtual net::Response refusal(const Failure &failure, absl::Duration retryAfter) const = 0;
+};
+
+} // namespace rattanrill::serving
--- /dev/null
+++ b/include/rattanrill/serving/placebroker.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "rattanrill/base/clock.h"
+#include "rattanrill/base/timerservice.h"
+#include "rattanrill/policy/placetable.h"
+#include "rattanrill/policy/tokenbucket.h"
+#include "rattanrill/serving/deployment.h"
+#include "rattanrill/wire/fleetmessages.h"
+
+#include "absl/time/time.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rattanrill::serving {
+
+struct BrokerSettings
+{
+    policy::PlaceTableSettings table;
+    /// Share of a request's latency objective for which it may wait for a place; the rest is for
+    /// the way to the upstream and its first event.
+    double waitShare = 0.7;
+    /// Retry-After is at most this share of the time that the caller has left.
+    double returnShareOfPatience = 0.3;
+    /// A place is taken back this long after its request's deadline, when its holder is silent.
+    absl::Duration releaseSlack = absl::Seconds(2);
+};
+
+/// Gives out the places at the upstreams and charges the workspaces' rates. One process of the
+/// deployment gives out all of them; an entry that can't reach it uses a broker of its own over its
+/// share. Used on the event loop only.
+class PlaceBroker
+{
+public:
+    using Answer = std::function<void(const wire::PlaceResponse &)>;
+
+    /// How batch work learns of its place.
+    struct BatchHandlers
+    {
+        std::function<void(const std::string &upstream, const std::string &address)> granted;
+        /// The work must leave its place at once; the broker has forgotten it.
+        std::function<void()> yield;
+    };
+
+    PlaceBroker(TimerService &timers, const Clock &clock, BrokerSettings settings);
+    ~PlaceBroker();
+    PlaceBroker(const PlaceBroker &) = delete;
+    PlaceBroker &operator=(const PlaceBroker &) = delete;
+
+    /// Forgets all places and starts with empty rate buckets: another process may have given out
+    /// everything just now.
+    void reset();
+    void setDeployment(std::shared_ptr<const DeploymentIndex> deployment);
+    /// \a share: part of each workspace's rate and of each upstream's places that this broker
+    /// gives out.
+    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, double share);
+
+    void place(const wire::PlaceRequest &request, Answer answer);
+    void release(const wire::PlaceRelease &release);
+    /// Takes back the places of processes that are not in \a instances.
+    void keepInstances(const std::vector<std::string> &instances);
+
+    void placeBatch(const policy::PlaceWork &work, BatchHandlers handlers);
+    void releaseBatch(const std::string &work, bool failed);
+    void withdrawBatch(const std::string &work);
+
+    const policy::PlaceTable &table() const { return m_table; }
+
+private:
+    struct Online
+    {
+        std::string instance;
+        std::string workspace;
+        bool chargesRate = false;
+        bool isGranted = false;
+        absl::Time expires;
+        Answer answer;
+    };
+
+    policy::TokenBucket *bucket(const std::string &workspace);
+    policy::RateContract contractOf(const Workspace &workspace) const;
+    void decide();
+    void carryOut(const policy::GrantPlace &decision);
+    void carryOut(const policy::RefusePlace &decision);
+    void carryOut(const policy::YieldPlace &decision);
+    void refuseRate(const std::string &id, absl::Duration wait);
+    void armTimer();
+    void sweep();
+
+    TimerService &m_timers;
+    const Clock &m_clock;
+    const BrokerSettings m_settings;
+    policy::PlaceTable m_table;
+    std::shared_ptr<const DeploymentIndex> m_deployment;
+    double m_share = 1;
+    std::map<std::string, policy::TokenBucket> m_buckets;
+    /// By work id.
+    std::map<std::string, Online> m_online;
+    std::map<std::string, BatchHandlers> m_batch;
+    TimerService::TimerId m_decisionTimer = 0;
+    TimerService::TimerId m_sweepTimer = 0;
+    bool m_deciding = false;
+};
+
+} // namespace rattanrill::serving
--- /dev/null
+++ b/include/rattanrill/serving/placeclient.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "rattanrill/net/eventloop.h"
+#include "rattanrill/peer/channelpool.h"
+#include "rattanrill/serving/placebroker.h"
+
+#include "absl/time/time.h"
+
+#include <memory>
+#include <string>
+
+namespace rattanrill::serving {
+
+struct PlaceClientSettings
+{
+    /// Added to the longest wait for a place: the way to the broker and back.
+    absl::Duration answerSlack = absl::Milliseconds(80);
+    /// After a call without an answer, places come from the own share for this long.
+    absl::Duration avoidFor = absl::Milliseconds(500);
+    BrokerSettings own;
+};
+
+/// Asks the deployment's broker for places, and falls back on the entry's own share while the
+/// broker can't be reached. Used on the event loop only.
+class PlaceClient
+{
+public:
+    /// \a fromOwnShare: the broker did not answer.
+    using Answer = std::function<void(const wire::PlaceResponse &, bool fromOwnShare)>;
+
+    PlaceClient(net::EventLoop &loop, peer::ChannelPool &channels, const Clock &clock,
+                PlaceClientSettings settings);
+    ~PlaceClient();
+    PlaceClient(const PlaceClient &) = delete;
+    PlaceClient &operator=(const PlaceClient &) = delete;
+
+    /// \a address: the broker's peer address; empty when none is known.
+    void setBroker(const std::string &address);
+    void setDeployment(std::shared_ptr<const DeploymentIndex> deployment);
+    /// \a entries: entries that share the upstreams.
+    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, std::size_t entries);
+    void place(const wire::PlaceRequest &request, Answer answer);
+    /// Also for a request whose answer has not come.
+    void release(const wire::PlaceRelease &release);
+    void stop();
+
+private:
+    struct Impl;
+
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace rattanrill::serving
--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -91,6 +91,8 @@
 {
     /// AcceptJob: the job does not fit under the workspace's limit of waiting tokens.
     bool overLimit = false;
+    /// AcceptJob: the job was not known before.
+    bool isNew = false;
     std::int64_t waitingTokens = 0;
 };
 
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,175 @@
+#include "rattanrill/gateway/gateway.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::gateway {
+namespace {
+
+/// Retry-After while this entry has no configuration yet, and while no store can answer.
+constexpr absl::Duration startRetryAfter = absl::Seconds(1);
+constexpr absl::Duration storeRetryAfter = absl::Milliseconds(500);
+/// Retry-After of a job that does not fit; items of several seconds must end before it does.
+constexpr absl::Duration jobRetryAfter = absl::Seconds(1);
+/// Longest time for a call to the stores, beside the time that the caller lets it wait.
+constexpr absl::Duration storeTimeout = absl::Milliseconds(2500);
+
+} // namespace
+
+Gateway::Gateway(const serving::ServingContext &context, jobs::JobClient &jobs)
+    : m_context(context)
+    , m_jobs(jobs)
+{}
+
+void Gateway::setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment)
+{
+    if (!m_deployment || deployment->version() > m_deployment->version())
+        m_deployment = std::move(deployment);
+}
+
+const std::shared_ptr<const serving::DeploymentIndex> &Gateway::deployment() const
+{
+    return m_deployment;
+}
+
+void Gateway::serve(std::shared_ptr<net::Exchange> exchange)
+{
+    auto caller = outcomeOf([&] { return m_context.dialect.readRequest(exchange->request()); });
+    if (!caller.ok())
+        return refuse(exchange, "", caller.failure(), absl::ZeroDuration());
+    if (!m_deployment)
+        return refuse(exchange, caller.value().id,
+                      notRun(ErrorCode::UpstreamUnavailable, "no configuration is known yet"),
+                      startRetryAfter);
+    route(exchange, std::move(caller.value()));
+}
+
+void Gateway::route(const std::shared_ptr<net::Exchange> &exchange, serving::CallerRequest caller)
+{
+    const net::Request &request = exchange->request();
+    const bool isJobCall = m_context.dialect.isJobCall(request);
+    const serving::Route *route =
+            isJobCall ? nullptr : m_deployment->route(caller.host, request.path());
+    if (!isJobCall && route == nullptr)
+        return refuse(exchange, caller.id,
+                      notRun(ErrorCode::UnknownRoute,
+                             concat("no route for host \"", caller.host, "\"")),
+                      absl::ZeroDuration());
+    const serving::Workspace *workspace = m_deployment->workspaceOfKey(caller.key);
+    const bool needsKey = m_deployment->hasWorkspaces() && (isJobCall || !route->open);
+    if (needsKey && workspace == nullptr)
+        return refuse(exchange, caller.id,
+                      notRun(caller.key.empty() ? ErrorCode::MissingKey : ErrorCode::InvalidKey,
+                             "no workspace holds the key"),
+                      absl::ZeroDuration());
+    if (isJobCall || route->kind == serving::RouteKind::Batch) {
+        static const serving::Workspace nobody;
+        return serveJobCall(exchange, caller, workspace == nullptr ? nobody : *workspace, route);
+    }
+    serving::RoutedRequest routed;
+    routed.deployment = m_deployment;
+    routed.route = route;
+    routed.workspace = workspace == nullptr ? std::string() : workspace->name;
+    routed.priority = workspace != nullptr && workspace->priority >= 0 ? workspace->priority
+                                                                       : route->priority;
+    routed.caller = std::move(caller);
+    serving::passThrough(m_context, std::move(routed), exchange);
+}
+
+void Gateway::serveJobCall(const std::shared_ptr<net::Exchange> &exchange,
+                           const serving::CallerRequest &caller,
+                           const serving::Workspace &workspace, const serving::Route *route)
+{
+    auto call = outcomeOf(
+            [&] { return m_context.dialect.readJobCall(exchange->request(), caller); });
+    if (!call.ok())
+        return refuse(exchange, caller.id, call.failure(), absl::ZeroDuration());
+    if (auto *submission = std::get_if<serving::SubmitJobCall>(&call.value())) {
+        if (route == nullptr)
+            return refuse(exchange, caller.id, notRun(ErrorCode::UnknownRoute, "no batch route"),
+                          absl::ZeroDuration());
+        submission->job.workspace = workspace.name;
+        submission->job.route = route->name;
+        submission->job.host = caller.host;
+        return submit(exchange, std::move(submission->job),
+                      std::min(caller.patience, storeTimeout));
+    }
+    if (const auto *read = std::get_if<serving::ReadJobCall>(&call.value()))
+        return readResults(exchange, *read, workspace.name);
+    if (const auto *item = std::get_if<serving::ReadItemCall>(&call.value()))
+        return readItem(exchange, *item, workspace.name);
+    endJob(exchange, std::get<serving::EndJobCall>(call.value()), workspace.name);
+}
+
+void Gateway::submit(const std::shared_ptr<net::Exchange> &exchange, wire::JobRecord job,
+                     absl::Duration timeout)
+{
+    const std::string id = job.id;
+    m_jobs.submit(wire::SubmitJobRequest{std::move(job)}, timeout,
+                  [this, exchange, id](const Outcome<Done> &outcome) {
+                      if (outcome.ok())
+                          return exchange->respond(net::textResponse(202, "", "application/json"));
+                      const bool isFull = outcome.failure().code == ErrorCode::RateLimited;
+                      refuse(exchange, id, outcome.failure(),
+                             isFull ? jobRetryAfter : storeRetryAfter);
+                  });
+}
+
+void Gateway::readResults(const std::shared_ptr<net::Exchange> &exchange,
+                          const serving::ReadJobCall &call, const std::string &workspace)
+{
+    wire::ReadJobRequest request;
+    request.workspace = workspace;
+    request.job = call.job;
+    request.after = call.after;
+    request.waitMs = absl::ToInt64Milliseconds(call.wait);
+    m_jobs.read(request, storeTimeout + call.wait,
+                [this, exchange, id = call.job](const Outcome<wire::ReadJobResponse> &outcome) {
+                    if (outcome.ok())
+                        return exchange->respond(m_context.dialect.jobResults(outcome.value()));
+                    refuse(exchange, id, outcome.failure(), storeRetryAfter);
+                });
+}
+
+void Gateway::readItem(const std::shared_ptr<net::Exchange> &exchange,
+                       const serving::ReadItemCall &call, const std::string &workspace)
+{
+    m_jobs.readItem(wire::ReadItemRequest{workspace, call.job, call.item}, storeTimeout,
+                    [this, exchange, id = call.job](const Outcome<wire::ReadItemResponse> &outcome) {
+                        if (outcome.ok())
+                            return exchange->respond(net::textResponse(
+                                    200, outcome.value().body, "application/octet-stream"));
+                        refuse(exchange, id, outcome.failure(), storeRetryAfter);
+                    });
+}
+
+void Gateway::endJob(const std::shared_ptr<net::Exchange> &exchange,
+                     const serving::EndJobCall &call, const std::string &workspace)
+{
+    m_jobs.end(wire::EndJobRequest{workspace, call.job}, storeTimeout,
+               [this, exchange, id = call.job](const Outcome<Done> &outcome) {
+                   if (outcome.ok())
+                       return exchange->respond(net::textResponse(200, "", "application/json"));
+                   refuse(exchange, id, outcome.failure(), storeRetryAfter);
+               });
+}
+
+void Gateway::refuse(const std::shared_ptr<net::Exchange> &exchange, const std::string &requestId,
+                     const Failure &failure, absl::Duration retryAfter)
+{
+    m_context.metrics.count("rattanrill_refusals_total",
+                            {{"code", std::string(name(failure.code))}});
+    log(LogLevel::Info, "request-refused",
+        {{"requestId", requestId},
+         {"code", name(failure.code)},
+         {"run", name(failure.run)},
+         {"detail", failure.detail},
+         {"retryAfterMs", absl::ToInt64Milliseconds(retryAfter)},
+         {"configurationVersion", m_deployment ? m_deployment->version() : 0}});
+    exchange->respond(m_context.dialect.refusal(failure, retryAfter));
+}
+
+} // namespace rattanrill::gateway
--- /dev/null
+++ b/src/gateway/runprocess.cpp
@@ -0,0 +1,51 @@
+#include "rattanrill/gateway/processes.h"
+
+#include "rattanrill/base/logger.h"
+#include "rattanrill/settings/program.h"
+
+#include <csignal>
+#include <utility>
+
+namespace rattanrill::gateway {
+namespace {
+
+/// The settings may change without a signal.
+constexpr absl::Duration seedsPeriod = absl::Seconds(5);
+
+} // namespace
+
+int runProcess(const ProcessSettings &settings, const ProcessParts &parts, MakeProcess make,
+               std::function<std::vector<std::string>()> readSeeds)
+{
+    const std::unique_ptr<Process> process = make(settings, parts);
+    bool isStopping = false;
+    const auto reload = [&, readSeeds = std::move(readSeeds)] {
+        const std::vector<std::string> seeds = readSeeds();
+        if (!seeds.empty() && !isStopping)
+            process->setSeeds(seeds);
+    };
+    parts.loop.onSignal([&](int signal) {
+        if (signal == SIGHUP) {
+            log(LogLevel::Info, "settings-reloaded");
+            return reload();
+        }
+        if (std::exchange(isStopping, true))
+            return;
+        log(LogLevel::Info, "stopping", {{"signal", signal}});
+        process->drain([&] { parts.loop.stop(); });
+    });
+    const auto started = outcomeOf([&] { return process->start(); });
+    if (!started.ok()) {
+        log(LogLevel::Error, "start-failed",
+            {{"code", name(started.failure().code)}, {"detail", started.failure().detail}});
+        return exitFailure;
+    }
+    parts.loop.timers().subscribeEvery(seedsPeriod, reload);
+    log(LogLevel::Info, "started",
+        {{"peerAddress", settings.peerAddress()}, {"founding", settings.founding}});
+    parts.loop.run();
+    log(LogLevel::Info, "stopped");
+    return exitOk;
+}
+
+} // namespace rattanrill::gateway
--- /dev/null
+++ b/src/jobs/itemrun.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "rattanrill/jobs/jobexecutor.h"
+#include "rattanrill/serving/eventstream.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace rattanrill::jobs {
+
+/// One item of a job on its way to a result.
+class ItemRun : public std::enable_shared_from_this<ItemRun>
+{
+public:
+    /// Receives the result, once.
+    using Done = std::function<void(wire::ItemResult result)>;
+
+    ItemRun(const ExecutorContext &context, std::shared_ptr<const wire::JobRecord> job,
+            const wire::JobItem &item, Done done);
+
+    /// The configuration by which the item runs; asks for a place when it has none.
+    void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
+    /// Ends without a result.
+    void stop();
+
+private:
+    enum class State {
+        /// The configuration lets nothing happen yet.
+        Idle,
+        Waiting,
+        Running,
+        BackingOff,
+        Ended,
+    };
+
+    const serving::Route *route() const;
+    void askForPlace();
+    void granted(const std::string &upstream, const std::string &address);
+    void yielded();
+    bool noteHead(const net::ResponseHead &head);
+    void noteBody(std::string_view bytes);
+    void callEnded(net::CallEnd end);
+    void tryFailed(std::string_view reason, bool upstreamFailed);
+    void completed();
+    void finish(wire::ItemOutcome outcome, std::string_view reason);
+    void abandon();
+    void armSilenceTimer();
+    void leaveUpstream(bool failed);
+    void cancelTimer(TimerService::TimerId &timer);
+
+    const ExecutorContext &m_context;
+    const std::shared_ptr<const wire::JobRecord> m_job;
+    const wire::JobItem &m_item;
+    Done m_done;
+    std::shared_ptr<const serving::DeploymentIndex> m_deployment;
+    State m_state = State::Idle;
+
+    std::string m_upstream;
+    net::UpstreamPool::CallId m_call = 0;
+    net::ResponseHead m_head;
+    serving::AnswerFacts m_facts;
+    bool m_hasHead = false;
+    serving::EventSplitter m_splitter;
+    serving::StreamPosition m_position{std::nullopt};
+    std::string m_output;
+    bool m_hasOutput = false;
+    int m_serverErrors = 0;
+    int m_brokenTries = 0;
+    int m_yields = 0;
+    int m_runs = 0;
+    TimerService::TimerId m_abandonTimer = 0;
+    TimerService::TimerId m_backoffTimer = 0;
+    TimerService::TimerId m_silenceTimer = 0;
+};
+
+} // namespace rattanrill::jobs
--- /dev/null
+++ b/src/jobs/jobservice.cpp
@@ -0,0 +1,340 @@
+#include "rattanrill/jobs/jobservice.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include <algorithm>
+#include <list>
+#include <optional>
+#include <utility>
+
+namespace rattanrill::jobs {
+namespace {
+
+constexpr absl::Duration maxReadWait = absl::Seconds(2);
+/// Finished jobs are forgotten this long after they were accepted.
+constexpr absl::Duration keepFinished = absl::Minutes(10);
+constexpr absl::Duration forgetPeriod = absl::Seconds(30);
+constexpr absl::Duration listAgain = absl::Milliseconds(100);
+
+} // namespace
+
+struct JobService::Impl : std::enable_shared_from_this<JobService::Impl>
+{
+    struct WaitingRead
+    {
+        wire::ReadJobRequest request;
+        peer::Reply reply;
+        absl::Time due;
+    };
+
+    using Handler = void (Impl::*)(const std::string &body, peer::Reply reply);
+
+    Impl(const ExecutorContext &context, JobExecutor &executor)
+        : context(context)
+        , executor(executor)
+    {}
+
+    Failure notLeader() const
+    {
+        return notRun(ErrorCode::NotLeader, context.replica.status().leader);
+    }
+
+    /// Decodes a request for a handler that needs leadership; nothing when it was answered.
+    template <typename Message>
+    std::optional<Message> decodeFor(const std::string &body, const peer::Reply &reply) const
+    {
+        auto request = outcomeOf([&] { return wire::decode<Message>(body); });
+        if (!request.ok())
+            reply(request.failure());
+        else if (!isReady || !context.replica.leads())
+            reply(notLeader());
+        else
+            return std::move(request.value());
+        return std::nullopt;
+    }
+
+    void submit(const std::string &body, peer::Reply reply)
+    {
+        auto request = decodeFor<wire::SubmitJobRequest>(body, reply);
+        if (!request)
+            return;
+        const serving::Route *route =
+                deployment ? deployment->routeNamed(request->job.route) : nullptr;
+        if (route == nullptr)
+            return reply(notRun(ErrorCode::UnknownRoute,
+                                concat("no route \"", request->job.route, "\"")));
+        wire::AcceptJob operation;
+        operation.job = std::move(request->job);
+        operation.job.acceptedAtMs = absl::ToUnixMillis(context.clock.wallNow());
+        operation.maxWaitingTokens = route->maxWaitingTokens;
+        const std::string command = wire::encode(wire::JobCommand{operation});
+        context.replica.propose(
+                command, [self = shared_from_this(), job = std::move(operation.job),
+                          reply = std::move(reply)](const Outcome<std::string> &outcome) {
+                    self->accepted(job, reply, outcome);
+                });
+    }
+
+    void accepted(const wire::JobRecord &job, const peer::Reply &reply,
+                  const Outcome<std::string> &outcome)
+    {
+        const auto result = outcome.ok() ? outcomeOf([&] {
+            return wire::decode<wire::JobCommandResult>(outcome.value());
+        })
+                                         : Outcome<wire::JobCommandResult>(outcome.failure());
+        const bool isAccepted = result.ok() && !result.value().overLimit;
+        log(LogLevel::Info, isAccepted ? "job-accepted" : "job-refused",
+            {{"job", job.id},
+             {"workspace", job.workspace},
+             {"route", job.route},
+             {"items", static_cast<std::int64_t>(job.items.size())},
+             {"waitingTokens", result.ok() ? result.value().waitingTokens : -1},
+             {"code", result.ok() ? "ok" : name(result.failure().code)},
+             {"detail", result.ok() ? "" : result.failure().detail}});
+        if (!result.ok()) {
+            // The job may be committed all the same.
+            if (result.failure().run == RunState::MayHaveRun)
+                listOpen();
+            return reply(result.failure());
+        }
+        if (!isAccepted)
+            return reply(notRun(ErrorCode::RateLimited,
+                                "the workspace's limit of waiting tokens is reached"));
+        if (result.value().isNew)
+            executor.add(wire::OpenJob{job, {}});
+        else
+            listOpen();
+        reply(std::string());
+    }
+
+    void read(const std::string &body, peer::Reply reply)
+    {
+        auto request = decodeFor<wire::ReadJobRequest>(body, reply);
+        if (!request)
+            return;
+        const absl::Duration wait =
+                std::clamp(absl::Milliseconds(request->waitMs), absl::ZeroDuration(), maxReadWait);
+        readNow(WaitingRead{std::move(*request), std::move(reply), context.clock.now() + wait});
+    }
+
+    void readNow(WaitingRead waiting)
+    {
+        const std::string query = wire::encode(wire::JobQuery{waiting.request});
+        const std::uint64_t appliedBefore = appliedCount;
+        context.replica.read(query, [self = shared_from_this(), waiting = std::move(waiting),
+                                     appliedBefore](const Outcome<std::string> &outcome) {
+            self->readDone(waiting, appliedBefore, outcome);
+        });
+    }
+
+    void readDone(const WaitingRead &waiting, std::uint64_t appliedBefore,
+                  const Outcome<std::string> &outcome)
+    {
+        if (!outcome.ok())
+            return waiting.reply(outcome.failure());
+        const auto response =
+                outcomeOf([&] { return wire::decode<wire::ReadJobResponse>(outcome.value()); });
+        if (!response.ok())
+            return waiting.reply(response.failure());
+        const bool isFinal = !response.value().results.empty()
+                             || waiting.request.after >= response.value().total
+                             || waiting.due <= context.clock.now() || !isReady;
+        if (isFinal)
+            return waiting.reply(outcome.value());
+        if (appliedBefore != appliedCount)
+            return readNow(waiting);
+        reads.push_back(waiting);
+        armReadTimer();
+    }
+
+    void armReadTimer()
+    {
+        if (readTimer != 0 || reads.empty())
+            return;
+        absl::Time next = absl::InfiniteFuture();
+        for (const WaitingRead &waiting : reads)
+            next = std::min(next, waiting.due);
+        readTimer = context.loop.timers().subscribeOnce(
+                std::max(next - context.clock.now(), absl::ZeroDuration()),
+                [self = shared_from_this()] {
+                    self->readTimer = 0;
+                    self->answerDueReads();
+                });
+    }
+
+    void answerDueReads()
+    {
+        const absl::Time now = context.clock.now();
+        std::list<WaitingRead> due;
+        for (auto waiting = reads.begin(); waiting != reads.end();) {
+            const auto current = waiting++;
+            if (current->due <= now)
+                due.splice(due.end(), reads, current);
+        }
+        for (const WaitingRead &waiting : due)
+            readNow(waiting);
+        armReadTimer();
+    }
+
+    /// Only reads of jobs that have a new result need another look, but a result comes with few
+    /// commands and few reads wait.
+    void applied()
+    {
+        ++appliedCount;
+        const auto waiting = std::exchange(reads, {});
+        for (const WaitingRead &read : waiting)
+            readNow(read);
+    }
+
+    void readItem(const std::string &body, peer::Reply reply)
+    {
+        const auto request = decodeFor<wire::ReadItemRequest>(body, reply);
+        if (request)
+            context.replica.read(wire::encode(wire::JobQuery{*request}), std::move(reply));
+    }
+
+    void end(const std::string &body, peer::Reply reply)
+    {
+        const auto request = decodeFor<wire::EndJobRequest>(body, reply);
+        if (!request)
+            return;
+        const wire::EndJob operation{request->workspace, request->job};
+        context.replica.propose(
+                wire::encode(wire::JobCommand{operation}),
+                [self = shared_from_this(), job = request->job,
+                 reply = std::move(reply)](const Outcome<std::string> &outcome) {
+                    log(LogLevel::Info, outcome.ok() ? "job-ended" : "job-end-failed",
+                        {{"job", job},
+                         {"code", outcome.ok() ? "ok" : name(outcome.failure().code)}});
+                    if (outcome.ok())
+                        self->executor.end(job);
+                    reply(outcome);
+                });
+    }
+
+    void leadChanged(bool leads)
+    {
+        isReady = false;
+        executor.clear();
+        const auto waiting = std::exchange(reads, {});
+        for (const WaitingRead &read : waiting)
+            read.reply(notLeader());
+        if (leads)
+            listOpen();
+    }
+
+    /// Goes on with the open jobs that the executor does not know, such as those that were committed
+    /// before this leader's term.
+    void listOpen()
+    {
+        if (!context.replica.leads())
+            return;
+        context.replica.read(
+                wire::encode(wire::JobQuery{wire::ListOpenJobs{}}),
+                [self = shared_from_this()](const Outcome<std::string> &outcome) {
+                    self->listed(outcome);
+                });
+    }
+
+    void listed(const Outcome<std::string> &outcome)
+    {
+        if (!context.replica.leads())
+            return;
+        const auto open = outcome.ok() ? outcomeOf([&] {
+            return wire::decode<wire::OpenJobs>(outcome.value());
+        })
+                                       : Outcome<wire::OpenJobs>(outcome.failure());
+        if (!open.ok()) {
+            log(LogLevel::Warning, "open-jobs-unread", {{"code", name(open.failure().code)}});
+            context.loop.timers().subscribeOnce(listAgain,
+                                                [self = shared_from_this()] { self->listOpen(); });
+            return;
+        }
+        isReady = true;
+        if (!open.value().jobs.empty())
+            log(LogLevel::Info, "open-jobs-taken-over",
+                {{"jobs", static_cast<std::int64_t>(open.value().jobs.size())},
+                 {"term", context.replica.status().term}});
+        for (const wire::OpenJob &job : open.value().jobs)
+            executor.add(job);
+    }
+
+    void forget()
+    {
+        if (!isReady || !context.replica.leads())
+            return;
+        const wire::ForgetJobs operation{
+                absl::ToUnixMillis(context.clock.wallNow() - keepFinished)};
+        context.replica.propose(wire::encode(wire::JobCommand{operation}),
+                                [](const Outcome<std::string> &outcome) {
+                                    if (!outcome.ok())
+                                        log(LogLevel::Warning, "jobs-not-forgotten",
+                                            {{"code", name(outcome.failure().code)}});
+                                });
+    }
+
+    const ExecutorContext context;
+    JobExecutor &executor;
+    std::shared_ptr<const serving::DeploymentIndex> deployment;
+    bool isReady = false;
+    std::list<WaitingRead> reads;
+    std::uint64_t appliedCount = 0;
+    TimerService::TimerId readTimer = 0;
+    TimerService::TimerId forgetTimer = 0;
+};
+
+JobService::JobService(const ExecutorContext &context, JobExecutor &executor)
+    : m_impl(std::make_shared<Impl>(context, executor))
+{
+    m_impl->forgetTimer = context.loop.timers().subscribeEvery(
+            forgetPeriod, [impl = m_impl.get()] { impl->forget(); });
+}
+
+JobService::~JobService()
+{
+    stop();
+}
+
+void JobService::install(peer::Server &server)
+{
+    const auto serve = [&server, impl = m_impl](wire::Method method, Impl::Handler handler) {
+        server.handle(method, [impl, handler](const peer::PeerIdentity &, std::string body,
+                                              peer::Reply reply) {
+            impl->context.loop.post(
+                    [impl, handler, body = std::move(body), reply = std::move(reply)] {
+                        (impl.get()->*handler)(body, reply);
+                    });
+        });
+    };
+    serve(wire::Method::SubmitJob, &Impl::submit);
+    serve(wire::Method::ReadJob, &Impl::read);
+    serve(wire::Method::ReadItem, &Impl::readItem);
+    serve(wire::Method::EndJob, &Impl::end);
+}
+
+void JobService::setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment)
+{
+    m_impl->deployment = std::move(deployment);
+}
+
+void JobService::leadChanged(bool leads)
+{
+    m_impl->leadChanged(leads);
+}
+
+void JobService::applied()
+{
+    m_impl->applied();
+}
+
+void JobService::stop()
+{
+    for (TimerService::TimerId *timer : {&m_impl->readTimer, &m_impl->forgetTimer}) {
+        if (*timer != 0)
+            m_impl->context.loop.timers().unsubscribe(std::exchange(*timer, 0));
+    }
+}
+
+} // namespace rattanrill::jobs
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -55,6 +55,7 @@
     if (result.overLimit)
         return result;
     waiting += tokens;
+    result.isNew = true;
     result.waitingTokens = waiting;
     m_jobs.emplace(record.id, std::move(job));
     return result;
--- a/src/serving/deployment.cpp
+++ b/src/serving/deployment.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/enumnames.h"
+#include "rattanrill/base/hash.h"
 
 #include <algorithm>
 #include <array>
@@ -92,6 +93,21 @@
     return checkKeys(deployment.workspaces);
 }
 
+const std::string &targetService(const Route &route, std::string_view key)
+{
+    constexpr std::uint64_t steps = 1000003;
+    double total = 0;
+    for (const RouteTarget &target : route.targets)
+        total += target.weight;
+    double point = total * static_cast<double>(stableHash(key) % steps) / steps;
+    for (const RouteTarget &target : route.targets) {
+        if (point < target.weight)
+            return target.service;
+        point -= target.weight;
+    }
+    return route.targets.back().service;
+}
+
 DeploymentIndex::DeploymentIndex(Deployment deployment)
     : m_deployment(std::move(deployment))
 {
--- /dev/null
+++ b/src/serving/passingrequest.cpp
@@ -0,0 +1,426 @@
+#include "passingrequest.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/enumnames.h"
+#include "rattanrill/base/logger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::serving {
+namespace {
+
+/// Silence of an upstream after which a request that may run again is tried elsewhere: part of the
+/// latency objective before the first event, part of the gap objective after it. The rest of the
+/// objective is left for the next try.
+constexpr double firstEventSilence = 0.6;
+constexpr double gapSilence = 0.6;
+/// The same for whole answers; work of several times the mean is usual there.
+constexpr double wholeAnswerSilence = 2.5;
+/// A caller that takes nothing while this much waits for it does not read.
+constexpr std::size_t maxUnsentBytes = std::size_t(4) << 20;
+/// Retry-After of a refusal whose cause may pass soon.
+constexpr absl::Duration shortReturn = absl::Milliseconds(300);
+/// Less than this is no use to an upstream.
+constexpr absl::Duration minPatience = absl::Milliseconds(20);
+/// An answer whose length no objective needs to wait for is refused beyond this.
+constexpr std::size_t maxWholeAnswer = std::size_t(16) << 20;
+
+std::int64_t millisecondsOr(absl::Time from, absl::Time to)
+{
+    return to == absl::InfiniteFuture() ? -1 : absl::ToInt64Milliseconds(to - from);
+}
+
+} // namespace
+
+void passThrough(const ServingContext &context, RoutedRequest request,
+                 std::shared_ptr<net::Exchange> exchange)
+{
+    std::make_shared<PassingRequest>(context, std::move(request), std::move(exchange))->start();
+}
+
+PassingRequest::PassingRequest(const ServingContext &context, RoutedRequest request,
+                               std::shared_ptr<net::Exchange> exchange)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_route(*m_request.route)
+    , m_exchange(std::move(exchange))
+    , m_receivedAt(m_exchange->receivedAt())
+    , m_deadline(m_receivedAt + std::min(m_request.caller.patience, m_route.timeout))
+    , m_service(targetService(m_route, m_request.caller.id))
+    , m_position(m_request.caller.resumeAfter)
+{}
+
+std::string_view PassingRequest::name(Outcome outcome)
+{
+    static constexpr std::array<EnumName<Outcome>, 5> names = {{
+            {Outcome::Answered, "answered"},
+            {Outcome::Refused, "refused"},
+            {Outcome::Failed, "failed"},
+            {Outcome::CutOff, "cut_off"},
+            {Outcome::CallerLeft, "caller_left"},
+    }};
+    return nameOf(names, outcome);
+}
+
+void PassingRequest::start()
+{
+    m_exchange->onClientGone([self = shared_from_this()] { self->callerLeft(); });
+    m_deadlineTimer = m_context.loop.timers().subscribeOnce(
+            std::max(timeLeft(), absl::ZeroDuration()),
+            [self = shared_from_this()] { self->deadlinePassed(); });
+    askForPlace();
+}
+
+bool PassingRequest::mayRunAgain() const
+{
+    return m_route.kind == RouteKind::Idempotent
+           || (m_route.kind == RouteKind::Streaming && m_route.resumable);
+}
+
+absl::Duration PassingRequest::timeLeft() const
+{
+    return m_deadline - m_context.clock.now();
+}
+
+void PassingRequest::askForPlace()
+{
+    wire::PlaceRequest request;
+    request.requestId = m_request.caller.id;
+    request.instance = m_context.self.instance;
+    request.failureDomain = m_context.self.failureDomain;
+    request.service = m_service;
+    request.workspace = m_request.workspace;
+    request.priority = m_request.priority;
+    request.chargesRate = !m_chargedRate;
+    request.promptTokens = m_request.caller.promptTokens;
+    request.outputTokens = m_request.caller.outputTokens;
+    request.objectiveMs = absl::ToInt64Milliseconds(m_route.latencyObjective);
+    request.deadlineMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(timeLeft()), 0);
+    request.excluded = m_tried;
+    m_asking = true;
+    m_context.places.place(request, [self = shared_from_this()](const auto &response, bool own) {
+        self->placeAnswered(response, own);
+    });
+}
+
+void PassingRequest::placeAnswered(const wire::PlaceResponse &response, bool fromOwnShare)
+{
+    m_asking = false;
+    const bool isGranted = response.verdict == wire::PlaceVerdict::Granted;
+    if (m_ended) {
+        m_holdsPlace = isGranted;
+        m_upstream = response.upstream;
+        return releasePlace(false);
+    }
+    m_fromOwnShare = m_fromOwnShare || fromOwnShare;
+    if (isGranted) {
+        m_chargedRate = true;
+        m_holdsPlace = true;
+        m_placedAt = m_context.clock.now();
+        return send(response.upstream, response.address);
+    }
+    const absl::Duration retryAfter = absl::Milliseconds(response.retryAfterMs);
+    if (m_mayHaveRun || m_exchange->started())
+        return fail(ErrorCode::UpstreamFailed, "no place for another try");
+    if (response.verdict == wire::PlaceVerdict::OverRate)
+        return refuse(ErrorCode::RateLimited, "the workspace's rate is used up", retryAfter);
+    refuse(ErrorCode::Overloaded, "no place will be free in time", retryAfter);
+}
+
+void PassingRequest::send(const std::string &upstream, const std::string &address)
+{
+    m_upstream = upstream;
+    if (timeLeft() < minPatience) {
+        releasePlace(false);
+        return refuseOrFail("no time left for an upstream");
+    }
+    ++m_attempts;
+    m_tried.push_back(upstream);
+    m_hasHead = false;
+    m_isStream = false;
+    m_body.clear();
+    m_splitter.reset();
+    UpstreamTry attempt;
+    attempt.upstream = upstream;
+    attempt.workspace = m_request.workspace;
+    attempt.patience = timeLeft();
+    attempt.resumeAfter = m_position.lastId();
+    net::CallHandlers handlers;
+    handlers.head = [self = shared_from_this()](const net::ResponseHead &head) {
+        return self->noteHead(head);
+    };
+    handlers.body = [self = shared_from_this()](std::string_view bytes) { self->noteBody(bytes); };
+    handlers.end = [self = shared_from_this()](net::CallEnd end) { self->callEnded(end); };
+    m_isCalling = true;
+    armSilenceTimer();
+    m_call = m_context.upstreams.call(
+            address,
+            net::serialize(m_context.dialect.upstreamRequest(m_exchange->request(), attempt)),
+            std::move(handlers));
+}
+
+bool PassingRequest::noteHead(const net::ResponseHead &head)
+{
+    const AnswerFacts facts = m_context.dialect.readAnswer(head);
+    if (!facts.requestId.empty() && facts.requestId != m_request.caller.id) {
+        log(LogLevel::Warning, "foreign-answer-dropped",
+            {{"requestId", m_request.caller.id},
+             {"foreignRequestId", facts.requestId},
+             {"upstream", m_upstream}});
+        return false;
+    }
+    m_head = head;
+    m_facts = facts;
+    m_hasHead = true;
+    m_isStream = !facts.notRun && head.status >= 200 && head.status < 300
+                 && m_route.kind == RouteKind::Streaming && m_context.dialect.isEventStream(head);
+    return true;
+}
+
+void PassingRequest::noteBody(std::string_view bytes)
+{
+    if (m_ended)
+        return;
+    if (m_isStream)
+        return noteEvents(bytes);
+    m_body.append(bytes);
+    if (m_body.size() > maxWholeAnswer)
+        tryFailed("the answer is too long", true);
+}
+
+void PassingRequest::noteEvents(std::string_view bytes)
+{
+    std::vector<StreamEvent> events;
+    m_splitter.feed(bytes, events);
+    for (const StreamEvent &event : events) {
+        if (m_ended || !deliver(event))
+            return;
+    }
+    if (!events.empty())
+        armSilenceTimer();
+}
+
+/// Returns false when the try has ended.
+bool PassingRequest::deliver(const StreamEvent &event)
+{
+    switch (m_position.take(event)) {
+    case EventVerdict::Repeated:
+        return true;
+    case EventVerdict::Gap:
+        tryFailed("an event is missing", true);
+        return false;
+    case EventVerdict::Deliver:
+        break;
+    }
+    startAnswer();
+    m_exchange->write(event.bytes);
+    if (m_exchange->unsentBytes() > maxUnsentBytes) {
+        callerLeft();
+        return false;
+    }
+    return true;
+}
+
+/// The head of the first upstream stays, also when another one goes on with the stream.
+void PassingRequest::startAnswer()
+{
+    if (m_exchange->started())
+        return;
+    m_firstByteAt = m_context.clock.now();
+    net::ResponseHead head = m_head;
+    net::removeConnectionHeaders(head.headers);
+    m_exchange->startStream(std::move(head));
+}
+
+void PassingRequest::callEnded(net::CallEnd end)
+{
+    m_isCalling = false;
+    if (m_ended)
+        return;
+    if (end == net::CallEnd::NotConnected)
+        return tryFailed("no connection to the upstream", true);
+    const bool saysNotRun = end == net::CallEnd::Complete && m_hasHead && m_facts.notRun;
+    if (!saysNotRun)
+        m_mayHaveRun = true;
+    if (end == net::CallEnd::Broken)
+        return tryFailed("the upstream broke off", true);
+    if (saysNotRun)
+        return tryFailed("the upstream refused", false);
+    answerComplete();
+}
+
+void PassingRequest::answerComplete()
+{
+    const bool isServerError = m_head.status >= 500;
+    if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts
+        && timeLeft() > minPatience)
+        return tryFailed("the upstream failed", false);
+    releasePlace(false);
+    if (m_isStream) {
+        startAnswer();
+        m_exchange->write(m_splitter.rest());
+        m_exchange->finish();
+        return finish(Outcome::Answered, "");
+    }
+    if (m_exchange->started()) {
+        m_exchange->abort();
+        return finish(Outcome::CutOff, "the stream could not go on");
+    }
+    m_firstByteAt = m_context.clock.now();
+    net::Response response;
+    response.head = m_head;
+    net::removeConnectionHeaders(response.head.headers);
+    response.body = std::move(m_body);
+    m_exchange->respond(std::move(response));
+    finish(Outcome::Answered, "");
+}
+
+/// Goes on at another upstream when the request may still run there.
+void PassingRequest::tryFailed(std::string_view reason, bool upstreamFailed)
+{
+    cancelCall();
+    releasePlace(upstreamFailed);
+    log(LogLevel::Info, "try-failed",
+        {{"requestId", m_request.caller.id},
+         {"upstream", m_upstream},
+         {"attempt", m_attempts},
+         {"reason", reason},
+         {"mayHaveRun", m_mayHaveRun},
+         {"lastEvent", m_position.lastId().value_or(-1)}});
+    const bool mayTry = (!m_mayHaveRun || mayRunAgain()) && m_attempts < m_route.maxAttempts
+                        && timeLeft() > minPatience;
+    if (!mayTry)
+        return refuseOrFail(reason);
+    if (m_exchange->started())
+        ++m_resumes;
+    askForPlace();
+}
+
+void PassingRequest::refuseOrFail(std::string_view reason)
+{
+    if (m_mayHaveRun || m_exchange->started())
+        return fail(ErrorCode::UpstreamFailed, std::string(reason));
+    refuse(ErrorCode::UpstreamUnavailable, std::string(reason), shortReturn);
+}
+
+void PassingRequest::refuse(ErrorCode code, std::string detail, absl::Duration retryAfter)
+{
+    m_exchange->respond(m_context.dialect.refusal(notRun(code, detail), retryAfter));
+    finish(Outcome::Refused, detail);
+}
+
+void PassingRequest::fail(ErrorCode code, std::string detail)
+{
+    if (m_exchange->started()) {
+        m_exchange->abort();
+        return finish(Outcome::CutOff, detail);
+    }
+    m_exchange->respond(
+            m_context.dialect.refusal(mayHaveRun(code, detail), absl::ZeroDuration()));
+    finish(Outcome::Failed, detail);
+}
+
+void PassingRequest::deadlinePassed()
+{
+    m_deadlineTimer = 0;
+    if (m_isCalling)
+        m_mayHaveRun = true;
+    cancelCall();
+    releasePlace(false);
+    if (m_mayHaveRun || m_exchange->started())
+        return fail(ErrorCode::Timeout, "the deadline has passed");
+    refuse(ErrorCode::Overloaded, "the deadline has passed", absl::ZeroDuration());
+}
+
+void PassingRequest::callerLeft()
+{
+    if (m_ended)
+        return;
+    cancelCall();
+    releasePlace(false);
+    m_exchange->abort();
+    finish(Outcome::CallerLeft, "the caller left");
+}
+
+void PassingRequest::armSilenceTimer()
+{
+    auto &timers = m_context.loop.timers();
+    if (m_silenceTimer != 0)
+        timers.unsubscribe(std::exchange(m_silenceTimer, 0));
+    if (!mayRunAgain() || m_attempts >= m_route.maxAttempts)
+        return;
+    const bool isStreaming = m_route.kind == RouteKind::Streaming;
+    absl::Duration limit = m_route.latencyObjective
+                           * (isStreaming ? firstEventSilence : wholeAnswerSilence);
+    if (m_isStream && m_position.lastId() && m_route.gapObjective > absl::ZeroDuration())
+        limit = m_route.gapObjective * gapSilence;
+    m_silenceTimer = timers.subscribeOnce(limit, [self = shared_from_this()] {
+        self->m_silenceTimer = 0;
+        self->silenceExpired();
+    });
+}
+
+void PassingRequest::silenceExpired()
+{
+    if (m_ended || !m_isCalling)
+        return;
+    m_mayHaveRun = true;
+    tryFailed("the upstream is silent", true);
+}
+
+void PassingRequest::releasePlace(bool failed)
+{
+    if (!std::exchange(m_holdsPlace, false))
+        return;
+    wire::PlaceRelease release;
+    release.instance = m_context.self.instance;
+    release.requestId = m_request.caller.id;
+    release.upstream = m_upstream;
+    release.failed = failed;
+    m_context.places.release(release);
+}
+
+void PassingRequest::cancelCall()
+{
+    if (std::exchange(m_isCalling, false))
+        m_context.upstreams.cancel(m_call);
+}
+
+void PassingRequest::finish(Outcome outcome, std::string_view reason)
+{
+    m_ended = true;
+    auto &timers = m_context.loop.timers();
+    for (TimerService::TimerId *timer : {&m_deadlineTimer, &m_silenceTimer}) {
+        if (*timer != 0)
+            timers.unsubscribe(std::exchange(*timer, 0));
+    }
+    if (m_asking) {
+        m_holdsPlace = true;
+        releasePlace(false);
+    }
+    const absl::Time now = m_context.clock.now();
+    const std::string kind(serving::name(m_route.kind));
+    m_context.metrics.count("rattanrill_requests_total",
+                            {{"kind", kind}, {"outcome", std::string(name(outcome))}});
+    m_context.metrics.observe("rattanrill_request_duration_seconds", {{"kind", kind}},
+                              absl::ToDoubleSeconds(now - m_receivedAt));
+    log(LogLevel::Info, "request-ended",
+        {{"requestId", m_request.caller.id},
+         {"route", m_route.name},
+         {"workspace", m_request.workspace},
+         {"outcome", name(outcome)},
+         {"status", m_hasHead ? m_head.status : 0},
+         {"reason", reason},
+         {"upstream", m_upstream},
+         {"attempts", m_attempts},
+         {"resumes", m_resumes},
+         {"ownShare", m_fromOwnShare},
+         {"placedMs", millisecondsOr(m_receivedAt, m_placedAt)},
+         {"firstByteMs", millisecondsOr(m_receivedAt, m_firstByteAt)},
+         {"totalMs", millisecondsOr(m_receivedAt, now)},
+         {"patienceMs", absl::ToInt64Milliseconds(m_deadline - m_receivedAt)},
+         {"configurationVersion", m_request.deployment->version()}});
+}
+
+} // namespace rattanrill::serving
--- /dev/null
+++ b/src/serving/placebroker.cpp
@@ -0,0 +1,292 @@
+#include "rattanrill/serving/placebroker.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/logger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace rattanrill::serving {
+namespace {
+
+constexpr absl::Duration sweepPeriod = absl::Seconds(1);
+/// Prompt tokens that cost an upstream as much as one token of output.
+constexpr double promptTokensPerOutputToken = 100;
+
+std::string workId(const std::string &instance, const std::string &request)
+{
+    return concat(instance, "/", request);
+}
+
+} // namespace
+
+PlaceBroker::PlaceBroker(TimerService &timers, const Clock &clock, BrokerSettings settings)
+    : m_timers(timers)
+    , m_clock(clock)
+    , m_settings(settings)
+    , m_table(settings.table)
+{
+    m_sweepTimer = m_timers.subscribeEvery(sweepPeriod, [this] { sweep(); });
+}
+
+PlaceBroker::~PlaceBroker()
+{
+    m_timers.unsubscribe(m_sweepTimer);
+    if (m_decisionTimer != 0)
+        m_timers.unsubscribe(m_decisionTimer);
+}
+
+void PlaceBroker::reset()
+{
+    const absl::Time now = m_clock.now();
+    const auto online = std::exchange(m_online, {});
+    for (const auto &[id, entry] : online)
+        m_table.withdraw(now, id);
+    const auto batch = std::exchange(m_batch, {});
+    for (const auto &[id, handlers] : batch)
+        m_table.withdraw(now, id);
+    for (const auto &[id, entry] : online) {
+        if (entry.answer)
+            entry.answer(wire::PlaceResponse());
+    }
+    m_buckets.clear();
+    if (m_deployment)
+        setDeployment(m_deployment);
+}
+
+policy::RateContract PlaceBroker::contractOf(const Workspace &workspace) const
+{
+    return {workspace.ratePerSecond * m_share, workspace.burst * m_share};
+}
+
+void PlaceBroker::setDeployment(std::shared_ptr<const DeploymentIndex> deployment)
+{
+    m_deployment = std::move(deployment);
+    const absl::Time now = m_clock.now();
+    for (const Workspace &workspace : m_deployment->deployment().workspaces) {
+        const policy::RateContract contract = contractOf(workspace);
+        const auto [found, isNew] = m_buckets.try_emplace(workspace.name, contract, now);
+        if (!isNew)
+            found->second.setContract(now, contract);
+    }
+}
+
+void PlaceBroker::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, double share)
+{
+    if (share != m_share) {
+        m_share = share;
+        if (m_deployment)
+            setDeployment(m_deployment);
+    }
+    std::vector<policy::PlaceUpstream> list;
+    for (const wire::FleetUpstream &upstream : upstreams) {
+        const double slots = static_cast<double>(std::max<std::int64_t>(upstream.slots, 1));
+        list.push_back({upstream.id, upstream.service, upstream.address, upstream.failureDomain,
+                        static_cast<std::int64_t>(std::ceil(slots * share)), upstream.draining});
+    }
+    m_table.setUpstreams(list);
+    decide();
+}
+
+/// Null when the workspace has no limit.
+policy::TokenBucket *PlaceBroker::bucket(const std::string &workspace)
+{
+    const Workspace *known = m_deployment ? m_deployment->workspace(workspace) : nullptr;
+    if (known == nullptr || known->ratePerSecond <= 0)
+        return nullptr;
+    return &m_buckets.at(workspace);
+}
+
+void PlaceBroker::place(const wire::PlaceRequest &request, Answer answer)
+{
+    const absl::Time now = m_clock.now();
+    const std::string id = workId(request.instance, request.requestId);
+    Online &online = m_online[id];
+    online.instance = request.instance;
+    online.workspace = request.workspace;
+    online.chargesRate = request.chargesRate;
+    online.expires = now + absl::Milliseconds(request.deadlineMs) + m_settings.releaseSlack;
+    online.answer = std::move(answer);
+    policy::TokenBucket *rate = request.chargesRate ? bucket(request.workspace) : nullptr;
+    if (rate != nullptr && rate->level(now) < 1)
+        return refuseRate(id, absl::Seconds((1 - rate->level(now)) / rate->contract().ratePerSecond));
+    policy::PlaceWork work;
+    work.id = id;
+    work.service = request.service;
+    work.workspace = request.workspace;
+    work.failureDomain = request.failureDomain;
+    work.priority = static_cast<int>(request.priority);
+    work.tokens = 1 + static_cast<double>(request.outputTokens)
+                  + static_cast<double>(request.promptTokens) / promptTokensPerOutputToken;
+    work.due = now
+               + std::min(absl::Milliseconds(request.objectiveMs) * m_settings.waitShare,
+                          absl::Milliseconds(request.deadlineMs));
+    work.longestReturn =
+            absl::Milliseconds(request.deadlineMs) * m_settings.returnShareOfPatience;
+    work.excluded = request.excluded;
+    m_table.request(now, work);
+    decide();
+}
+
+void PlaceBroker::release(const wire::PlaceRelease &release)
+{
+    const std::string id = workId(release.instance, release.requestId);
+    const auto found = m_online.find(id);
+    if (found != m_online.end()) {
+        const Answer waiting = std::exchange(found->second.answer, nullptr);
+        m_online.erase(found);
+        if (waiting)
+            waiting(wire::PlaceResponse());
+    }
+    m_table.release(m_clock.now(), id, release.failed);
+    decide();
+}
+
+void PlaceBroker::keepInstances(const std::vector<std::string> &instances)
+{
+    std::vector<std::string> gone;
+    for (const auto &[id, online] : m_online) {
+        if (std::find(instances.begin(), instances.end(), online.instance) == instances.end())
+            gone.push_back(id);
+    }
+    for (const std::string &id : gone) {
+        m_online.erase(id);
+        m_table.withdraw(m_clock.now(), id);
+    }
+    if (!gone.empty())
+        decide();
+}
+
+void PlaceBroker::placeBatch(const policy::PlaceWork &work, BatchHandlers handlers)
+{
+    m_batch[work.id] = std::move(handlers);
+    m_table.request(m_clock.now(), work);
+    decide();
+}
+
+void PlaceBroker::releaseBatch(const std::string &work, bool failed)
+{
+    m_batch.erase(work);
+    m_table.release(m_clock.now(), work, failed);
+    decide();
+}
+
+void PlaceBroker::withdrawBatch(const std::string &work)
+{
+    m_batch.erase(work);
+    m_table.withdraw(m_clock.now(), work);
+    decide();
+}
+
+/// A handler may ask for or release a place while decisions are carried out; the outer call goes on
+/// until none is left.
+void PlaceBroker::decide()
+{
+    if (m_deciding)
+        return;
+    m_deciding = true;
+    for (auto decisions = m_table.decide(m_clock.now()); !decisions.empty();
+         decisions = m_table.decide(m_clock.now())) {
+        for (const policy::PlaceDecision &decision : decisions)
+            std::visit([this](const auto &kind) { carryOut(kind); }, decision);
+    }
+    m_deciding = false;
+    armTimer();
+}
+
+void PlaceBroker::carryOut(const policy::GrantPlace &decision)
+{
+    const auto batch = m_batch.find(decision.work);
+    if (batch != m_batch.end()) {
+        const auto granted = batch->second.granted;
+        return granted(decision.upstream, decision.address);
+    }
+    const auto found = m_online.find(decision.work);
+    if (found == m_online.end())
+        return m_table.withdraw(m_clock.now(), decision.work);
+    Online &online = found->second;
+    policy::TokenBucket *rate = online.chargesRate ? bucket(online.workspace) : nullptr;
+    if (rate != nullptr) {
+        const policy::RateGrant grant = rate->take(m_clock.now(), 1);
+        if (!grant.granted) {
+            m_table.withdraw(m_clock.now(), decision.work);
+            return refuseRate(decision.work, grant.wait);
+        }
+    }
+    online.isGranted = true;
+    wire::PlaceResponse response;
+    response.verdict = wire::PlaceVerdict::Granted;
+    response.upstream = decision.upstream;
+    response.address = decision.address;
+    const Answer answer = std::exchange(online.answer, nullptr);
+    answer(response);
+}
+
+void PlaceBroker::carryOut(const policy::RefusePlace &decision)
+{
+    const auto found = m_online.find(decision.work);
+    if (found == m_online.end())
+        return;
+    wire::PlaceResponse response;
+    response.verdict = wire::PlaceVerdict::NoPlace;
+    response.retryAfterMs = absl::ToInt64Milliseconds(decision.retryAfter);
+    const Answer answer = std::exchange(found->second.answer, nullptr);
+    m_online.erase(found);
+    answer(response);
+}
+
+void PlaceBroker::carryOut(const policy::YieldPlace &decision)
+{
+    const auto found = m_batch.find(decision.work);
+    if (found == m_batch.end())
+        return;
+    const auto yield = found->second.yield;
+    m_batch.erase(found);
+    yield();
+}
+
+void PlaceBroker::refuseRate(const std::string &id, absl::Duration wait)
+{
+    wire::PlaceResponse response;
+    response.verdict = wire::PlaceVerdict::OverRate;
+    response.retryAfterMs = absl::ToInt64Milliseconds(std::min(wait, absl::Seconds(60)));
+    const auto found = m_online.find(id);
+    const Answer answer = std::exchange(found->second.answer, nullptr);
+    m_online.erase(found);
+    answer(response);
+}
+
+void PlaceBroker::armTimer()
+{
+    if (m_decisionTimer != 0)
+        m_timers.unsubscribe(std::exchange(m_decisionTimer, 0));
+    const absl::Time next = m_table.nextDecision();
+    if (next == absl::InfiniteFuture())
+        return;
+    const absl::Duration delay = std::max(next - m_clock.now(), absl::ZeroDuration());
+    m_decisionTimer = m_timers.subscribeOnce(delay, [this] {
+        m_decisionTimer = 0;
+        decide();
+    });
+}
+
+void PlaceBroker::sweep()
+{
+    const absl::Time now = m_clock.now();
+    std::vector<std::string> expired;
+    for (const auto &[id, online] : m_online) {
+        if (online.isGranted && online.expires < now)
+            expired.push_back(id);
+    }
+    for (const std::string &id : expired) {
+        log(LogLevel::Warning, "place-expired",
+            {{"work", id}, {"instance", m_online.at(id).instance}});
+        m_online.erase(id);
+        m_table.withdraw(now, id);
+    }
+    // Also returns upstreams whose ejection has ended.
+    decide();
+}
+
+} // namespace rattanrill::serving
--- /dev/null
+++ b/src/serving/placeclient.cpp
@@ -0,0 +1,153 @@
+#include "rattanrill/serving/placeclient.h"
+
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace rattanrill::serving {
+
+struct PlaceClient::Impl : std::enable_shared_from_this<PlaceClient::Impl>
+{
+    Impl(net::EventLoop &loop, peer::ChannelPool &channels, const Clock &clock,
+         PlaceClientSettings settings)
+        : loop(loop)
+        , channels(channels)
+        , clock(clock)
+        , settings(settings)
+        , own(loop.timers(), clock, settings.own)
+    {}
+
+    void place(const wire::PlaceRequest &request, Answer answer)
+    {
+        if (broker.empty() || clock.now() < avoidUntil)
+            return placeFromOwn(request, std::move(answer));
+        const absl::Duration wait =
+                std::min(absl::Milliseconds(request.objectiveMs) * settings.own.waitShare,
+                         absl::Milliseconds(request.deadlineMs));
+        channels.channel(broker)->call(
+                wire::Method::Place, wire::encode(request), wait + settings.answerSlack,
+                [self = shared_from_this(), address = broker, request,
+                 answer = std::move(answer)](Outcome<std::string> outcome) {
+                    self->loop.post([self, address, request, answer,
+                                     outcome = std::move(outcome)] {
+                        self->answered(address, request, answer, outcome);
+                    });
+                });
+    }
+
+    void answered(const std::string &address, const wire::PlaceRequest &request,
+                  const Answer &answer, const Outcome<std::string> &outcome)
+    {
+        if (stopped)
+            return;
+        auto response = outcome.ok() ? outcomeOf([&] {
+            return wire::decode<wire::PlaceResponse>(outcome.value());
+        })
+                                     : Outcome<wire::PlaceResponse>(outcome.failure());
+        if (response.ok()) {
+            noteBroker(address, true, Failure());
+            return answer(response.value(), false);
+        }
+        noteBroker(address, false, response.failure());
+        // The broker may have granted a place whose answer was lost.
+        channels.channel(address)->push(
+                wire::Method::Release,
+                wire::encode(wire::PlaceRelease{request.instance, request.requestId, "", false}));
+        placeFromOwn(request, answer);
+    }
+
+    void noteBroker(const std::string &address, bool isReachable, const Failure &failure)
+    {
+        if (!isReachable)
+            avoidUntil = clock.now() + settings.avoidFor;
+        if (isReachable == reachable)
+            return;
+        reachable = isReachable;
+        log(isReachable ? LogLevel::Info : LogLevel::Warning,
+            isReachable ? "place-broker-regained" : "place-broker-lost",
+            {{"peerAddress", address},
+             {"code", isReachable ? "ok" : name(failure.code)},
+             {"detail", failure.detail}});
+    }
+
+    void placeFromOwn(const wire::PlaceRequest &request, Answer answer)
+    {
+        ownRequests.insert(request.requestId);
+        own.place(request, [self = shared_from_this(), id = request.requestId,
+                            answer = std::move(answer)](const wire::PlaceResponse &response) {
+            if (response.verdict != wire::PlaceVerdict::Granted)
+                self->ownRequests.erase(id);
+            answer(response, true);
+        });
+    }
+
+    void release(const wire::PlaceRelease &release)
+    {
+        if (ownRequests.erase(release.requestId) > 0)
+            return own.release(release);
+        if (!broker.empty())
+            channels.channel(broker)->push(wire::Method::Release, wire::encode(release));
+    }
+
+    net::EventLoop &loop;
+    peer::ChannelPool &channels;
+    const Clock &clock;
+    const PlaceClientSettings settings;
+    PlaceBroker own;
+    std::string broker;
+    absl::Time avoidUntil = absl::InfinitePast();
+    std::set<std::string> ownRequests;
+    bool reachable = true;
+    bool stopped = false;
+};
+
+PlaceClient::PlaceClient(net::EventLoop &loop, peer::ChannelPool &channels, const Clock &clock,
+                         PlaceClientSettings settings)
+    : m_impl(std::make_shared<Impl>(loop, channels, clock, settings))
+{}
+
+PlaceClient::~PlaceClient()
+{
+    stop();
+}
+
+void PlaceClient::setBroker(const std::string &address)
+{
+    if (m_impl->broker == address)
+        return;
+    m_impl->broker = address;
+    m_impl->avoidUntil = absl::InfinitePast();
+    log(LogLevel::Info, "place-broker-changed", {{"peerAddress", address}});
+}
+
+void PlaceClient::setDeployment(std::shared_ptr<const DeploymentIndex> deployment)
+{
+    m_impl->own.setDeployment(std::move(deployment));
+}
+
+void PlaceClient::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
+                               std::size_t entries)
+{
+    m_impl->own.setUpstreams(upstreams,
+                             1.0 / static_cast<double>(std::max<std::size_t>(entries, 1)));
+}
+
+void PlaceClient::place(const wire::PlaceRequest &request, Answer answer)
+{
+    m_impl->place(request, std::move(answer));
+}
+
+void PlaceClient::release(const wire::PlaceRelease &release)
+{
+    m_impl->release(release);
+}
+
+void PlaceClient::stop()
+{
+    m_impl->stopped = true;
+}
+
+} // namespace rattanrill::serving
