--- a/include/rattanrill/fleet/fleetfollower.h
+++ b/include/rattanrill/fleet/fleetfollower.h
@@ -24,8 +24,8 @@
     absl::Duration pollWait = absl::Milliseconds(500);
     /// A poll without an answer after this long has failed.
     absl::Duration pollTimeout = absl::Milliseconds(1200);
-    absl::Duration minBackoff = absl::Milliseconds(50);
-    absl::Duration maxBackoff = absl::Milliseconds(500);
+    absl::Duration minBackoff = absl::Milliseconds(40);
+    absl::Duration maxBackoff = absl::Milliseconds(150);
 };
 
 /// State of the deployment as one process knows it.
@@ -60,6 +60,8 @@
     /// Says with each poll whether this process leads the store group, and its replicas.
     void setStoreReport(std::function<void(wire::SyncRequest &)> report);
     void start();
+    /// Tells the leader at once what it would learn with the next poll.
+    void announce();
     /// Tells the leader that this process leaves; no poll follows.
     void leave();
     void stop();
--- a/include/rattanrill/fleet/groupreplica.h
+++ b/include/rattanrill/fleet/groupreplica.h
@@ -22,9 +22,9 @@
     std::string group;
     std::string dataFolder;
     MembershipRules rules;
-    absl::Duration heartbeatPeriod = absl::Milliseconds(150);
+    absl::Duration heartbeatPeriod = absl::Milliseconds(100);
     /// Long enough for a machine with a seventh of a core that also serves its other work.
-    absl::Duration electionTimeout = absl::Milliseconds(700);
+    absl::Duration electionTimeout = absl::Milliseconds(450);
     std::uint64_t snapshotAfterBytes = std::uint64_t(8) << 20;
     /// A proposal that was passed on to the leader fails after this long without an answer.
     absl::Duration forwardTimeout = absl::Milliseconds(900);
--- a/include/rattanrill/gateway/processsettings.h
+++ b/include/rattanrill/gateway/processsettings.h
@@ -34,6 +34,11 @@
     std::string listAddress;
     /// Time from the order to stop to the end of the process.
     absl::Duration grace = absl::Seconds(8);
+    /// What the count of a workspace's requests may exceed rate and burst by, in any window of this
+    /// length: a share of it, and requests beside.
+    absl::Duration rateWindow = absl::Seconds(5);
+    double rateOver = 0;
+    double rateSlack = 0;
     /// Machines with a disk that may be lost at once.
     int lossTolerance = 1;
 
--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -10,6 +10,7 @@
 #include "rattanrill/serving/placebroker.h"
 #include "rattanrill/wire/jobmessages.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -39,6 +40,8 @@
     JobExecutor &operator=(const JobExecutor &) = delete;
 
     void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
+    /// Calls \a listener with the job's id after a result was stored.
+    void onStored(std::function<void(const std::string &job)> listener);
     /// Adds a job that was accepted; one that is known already changes nothing.
     void add(const wire::OpenJob &job);
     /// The job was ended: its items stop.
--- a/include/rattanrill/jobs/jobservice.h
+++ b/include/rattanrill/jobs/jobservice.h
@@ -21,8 +21,6 @@
     void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
     /// Leadership of the store group began or ended.
     void leadChanged(bool leads);
-    /// Commands were applied; waiting reads are answered.
-    void applied();
     void stop();
 
 private:
--- a/include/rattanrill/peer/transport.h
+++ b/include/rattanrill/peer/transport.h
@@ -30,6 +30,11 @@
     /// A send beyond this many queued bytes per connection fails with QueueFull.
     std::size_t maxQueuedBytes = 64u << 20;
     absl::Duration connectTimeout = absl::Seconds(2);
+    /// Longest wait between two attempts to connect.
+    absl::Duration maxBackoff = absl::Seconds(1);
+    /// A ping is sent this often. A connection on which nothing arrives for several periods is
+    /// lost, so that calls with long timeouts do not wait on a host that is gone.
+    absl::Duration keepAlivePeriod = absl::Seconds(1);
 };
 
 /// Receives the response body or the failure of a call. Called exactly once.
--- a/include/rattanrill/serving/placebroker.h
+++ b/include/rattanrill/serving/placebroker.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,15 +21,32 @@
 struct BrokerSettings
 {
     policy::PlaceTableSettings table;
+    /// What the contracts' count may exceed in a window, as the deployment allows: a share of rate
+    /// and burst, and requests beside. A broker that follows another one starts with as much, half
+    /// of it for a second change in the same window.
+    absl::Duration rateWindow = absl::Seconds(5);
+    double rateOver = 0;
+    double rateSlack = 0;
     /// Share of a request's latency objective for which it may wait for a place; the rest is for
     /// the way to the upstream and its first event.
     double waitShare = 0.7;
     /// Retry-After is at most this share of the time that the caller has left.
     double returnShareOfPatience = 0.3;
+    /// A request that waits for a place is told so after this long, and asks again.
+    absl::Duration waitSlice = absl::Milliseconds(40);
     /// A place is taken back this long after its request's deadline, when its holder is silent.
     absl::Duration releaseSlack = absl::Seconds(2);
 };
 
+/// What a broker gives out.
+struct BrokerShare
+{
+    /// Part of each workspace's rate.
+    double rate = 1;
+    /// Part of each upstream's places.
+    double places = 1;
+};
+
 /// Gives out the places at the upstreams and charges the workspaces' rates. One process of the
 /// deployment gives out all of them; an entry that can't reach it uses a broker of its own over its
 /// share. Used on the event loop only.
@@ -54,10 +72,10 @@
     /// everything just now.
     void reset();
     void setDeployment(std::shared_ptr<const DeploymentIndex> deployment);
-    /// \a share: part of each workspace's rate and of each upstream's places that this broker
-    /// gives out.
-    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, double share);
+    /// What this broker gives out.
+    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, const BrokerShare &share);
 
+    /// The answer says Waiting when the request has to ask again.
     void place(const wire::PlaceRequest &request, Answer answer);
     void release(const wire::PlaceRelease &release);
     /// Takes back the places of processes that are not in \a instances.
@@ -77,7 +95,11 @@
         bool chargesRate = false;
         bool isGranted = false;
         absl::Time expires;
+        /// Null between two questions of the asker.
         Answer answer;
+        /// What was decided between two questions.
+        std::optional<wire::PlaceResponse> decided;
+        TimerService::TimerId sliceTimer = 0;
     };
 
     policy::TokenBucket *bucket(const std::string &workspace);
@@ -87,6 +109,10 @@
     void carryOut(const policy::RefusePlace &decision);
     void carryOut(const policy::YieldPlace &decision);
     void refuseRate(const std::string &id, absl::Duration wait);
+    void give(const std::string &id, const wire::PlaceResponse &response);
+    void startSlice(const std::string &id);
+    void forget(const std::string &id);
+    policy::TokenBucket freshBucket(const policy::RateContract &contract) const;
     void armTimer();
     void sweep();
 
@@ -95,7 +121,7 @@
     const BrokerSettings m_settings;
     policy::PlaceTable m_table;
     std::shared_ptr<const DeploymentIndex> m_deployment;
-    double m_share = 1;
+    BrokerShare m_share;
     std::map<std::string, policy::TokenBucket> m_buckets;
     /// By work id.
     std::map<std::string, Online> m_online;
--- a/include/rattanrill/serving/placeclient.h
+++ b/include/rattanrill/serving/placeclient.h
@@ -13,8 +13,11 @@
 
 struct PlaceClientSettings
 {
-    /// Added to the longest wait for a place: the way to the broker and back.
-    absl::Duration answerSlack = absl::Milliseconds(80);
+    /// Time for the way to the broker and back, beside the time for which it may hold a question.
+    absl::Duration answerSlack = absl::Milliseconds(60);
+    /// Own share of the places, as a multiple of an equal one: callers are spread unevenly over
+    /// entries, and batch work stops while there is no broker.
+    double placeFactor = 2;
     /// After a call without an answer, places come from the own share for this long.
     absl::Duration avoidFor = absl::Milliseconds(500);
     BrokerSettings own;
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -141,6 +141,8 @@
 /// Request of Method::Place: asks for a place at an upstream for one request.
 struct PlaceRequest
 {
+    /// Asks again for one that waits.
+    bool again = false;
     std::string requestId;
     std::string instance;
     std::string failureDomain;
@@ -166,6 +168,8 @@
     OverRate,
     /// No place will be free in time.
     NoPlace,
+    /// It waits; the asker asks again, by which both know that the other one lives.
+    Waiting,
 };
 
 struct PlaceResponse
--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -65,6 +65,26 @@
     std::vector<ItemResult> results;
 };
 
+/// What an item that still runs has produced since its last stored event.
+struct ItemProgress
+{
+    std::string job;
+    std::string item;
+    /// Event up to which the store has the output; -1 for none. Progress that does not begin there
+    /// changes nothing.
+    std::int64_t after = -1;
+    std::int64_t lastEvent = -1;
+    /// Data of the events in between, as in a result.
+    std::string output;
+};
+
+/// Stores progress, so that another executor goes on after it.
+struct AppendProgress
+{
+    static constexpr std::string_view kind = "append_progress";
+    std::vector<ItemProgress> items;
+};
+
 struct EndJob
 {
     static constexpr std::string_view kind = "end_job";
@@ -79,7 +99,8 @@
     std::int64_t beforeMs = 0;
 };
 
-using JobOperation = std::variant<AcceptJob, AppendResults, EndJob, ForgetJobs>;
+using JobOperation =
+        std::variant<AcceptJob, AppendResults, AppendProgress, EndJob, ForgetJobs>;
 
 struct JobCommand
 {
@@ -145,6 +166,8 @@
     JobRecord job;
     /// Items that have a result.
     std::vector<std::string> finished;
+    /// Stored progress of the others, from their beginning.
+    std::vector<ItemProgress> progress;
 };
 
 struct OpenJobs
@@ -165,6 +188,7 @@
 {
     JobRecord job;
     std::vector<ItemResult> results;
+    std::vector<ItemProgress> progress;
     bool ended = false;
 };
 
--- a/src/fleet/fleetfollower.cpp
+++ b/src/fleet/fleetfollower.cpp
@@ -33,6 +33,16 @@
         return request;
     }
 
+    void announce(bool leaving)
+    {
+        if (leader.empty())
+            return;
+        wire::SyncRequest message = request();
+        message.leaving = leaving;
+        message.waitMs = 0;
+        channels.channel(leader)->push(wire::Method::Sync, wire::encode(message));
+    }
+
     /// The leader first, then all known addresses in turn.
     std::string nextAddress()
     {
@@ -180,14 +190,16 @@
     m_impl->poll();
 }
 
+void FleetFollower::announce()
+{
+    if (!m_impl->stopped)
+        m_impl->announce(false);
+}
+
 void FleetFollower::leave()
 {
-    if (!m_impl->leader.empty() && !m_impl->stopped) {
-        wire::SyncRequest request = m_impl->request();
-        request.leaving = true;
-        request.waitMs = 0;
-        m_impl->channels.channel(m_impl->leader)->push(wire::Method::Sync, wire::encode(request));
-    }
+    if (!m_impl->stopped)
+        m_impl->announce(true);
     stop();
 }
 
--- a/src/fleet/groupreplica.cpp
+++ b/src/fleet/groupreplica.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// How often the replica's role and the group's voters are looked at.
-constexpr absl::Duration watchPeriod = absl::Milliseconds(100);
+constexpr absl::Duration watchPeriod = absl::Milliseconds(50);
 
 } // namespace
 
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -20,6 +20,13 @@
 /// Idle memory of a caller's connection is small, descriptors bind.
 constexpr std::size_t maxCallerConnections = 3000;
 
+serving::PlaceClientSettings placeSettings(const ProcessSettings &settings)
+{
+    serving::PlaceClientSettings result;
+    result.own = brokerSettings(settings);
+    return result;
+}
+
 class EntryProcess : public Process
 {
 public:
@@ -29,7 +36,7 @@
         , m_core(settings, parts, wire::MemberRole::Entry,
                  fleet::replicaId(settings.peerAddress(), randomHex(6)))
         , m_upstreams(parts.loop, net::UpstreamPoolOptions())
-        , m_places(parts.loop, m_core.channels(), m_core.clock(), serving::PlaceClientSettings())
+        , m_places(parts.loop, m_core.channels(), m_core.clock(), placeSettings(settings))
         , m_jobs(parts.loop, m_core.channels(), m_core.clock())
         , m_context{parts.loop,
                     m_core.clock(),
--- a/src/gateway/processcore.cpp
+++ b/src/gateway/processcore.cpp
@@ -7,7 +7,21 @@
 namespace rattanrill::gateway {
 namespace {
 
-constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(800);
+/// A lost opening packet is sent again after a second; a new attempt is sooner.
+constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(300);
+constexpr absl::Duration peerMaxBackoff = absl::Milliseconds(200);
+constexpr absl::Duration peerKeepAlive = absl::Milliseconds(500);
+
+/// Upstreams come back within seconds, and a try at one that has not costs a part of the latency
+/// objective.
+const policy::OutlierSettings upstreamOutlier = [] {
+    policy::OutlierSettings settings;
+    settings.failuresInRow = 2;
+    settings.firstEjection = absl::Milliseconds(500);
+    settings.longestEjection = absl::Seconds(3);
+    settings.returnTime = absl::Seconds(1);
+    return settings;
+}();
 
 peer::TransportOptions transport(const ProcessSettings &settings, wire::MemberRole role,
                                  const std::string &replica)
@@ -16,6 +30,8 @@
     options.self = peer::PeerIdentity{replica, settings.failureDomain, std::string(name(role))};
     options.clusterSecret = settings.clusterSecret;
     options.connectTimeout = peerConnectTimeout;
+    options.maxBackoff = peerMaxBackoff;
+    options.keepAlivePeriod = peerKeepAlive;
     return options;
 }
 
@@ -99,6 +115,16 @@
     return std::make_shared<const serving::DeploymentIndex>(std::move(deployment.value()));
 }
 
+serving::BrokerSettings brokerSettings(const ProcessSettings &settings)
+{
+    serving::BrokerSettings result;
+    result.rateWindow = settings.rateWindow;
+    result.rateOver = settings.rateOver;
+    result.rateSlack = settings.rateSlack;
+    result.table.outlier = upstreamOutlier;
+    return result;
+}
+
 StoreAddresses storeAddresses(const fleet::FleetState &state)
 {
     StoreAddresses stores;
--- a/src/gateway/processcore.h
+++ b/src/gateway/processcore.h
@@ -7,6 +7,7 @@
 #include "rattanrill/net/server.h"
 #include "rattanrill/peer/channelpool.h"
 #include "rattanrill/peer/server.h"
+#include "rattanrill/serving/placebroker.h"
 
 #include <memory>
 #include <string>
@@ -50,6 +51,9 @@
     std::unique_ptr<net::Server> m_metricsServer;
 };
 
+/// Settings of a broker on this deployment.
+serving::BrokerSettings brokerSettings(const ProcessSettings &settings);
+
 /// Peer addresses of the living stores, and of the one that leads the store group.
 struct StoreAddresses
 {
--- a/src/gateway/processsettings.cpp
+++ b/src/gateway/processsettings.cpp
@@ -27,6 +27,9 @@
     "listAddress": {"type": "string"},
     "graceSeconds": {"type": "number", "exclusiveMinimum": 0},
     "lossTolerance": {"type": "integer", "minimum": 0},
+    "rateWindowSeconds": {"type": "number", "exclusiveMinimum": 0},
+    "rateOver": {"type": "number", "minimum": 0},
+    "rateSlack": {"type": "number", "minimum": 0},
     "log": {
       "type": "object",
       "additionalProperties": false,
@@ -84,6 +87,9 @@
     result.clusterSecret = settings.at("clusterSecret").get<std::string>();
     result.listAddress = settings.value("listAddress", "");
     result.grace = absl::Seconds(settings.value("graceSeconds", 8.0));
+    result.rateWindow = absl::Seconds(settings.value("rateWindowSeconds", 5.0));
+    result.rateOver = settings.value("rateOver", 0.0);
+    result.rateSlack = settings.value("rateSlack", 0.0);
     result.lossTolerance = settings.value("lossTolerance", 1);
     BOOST_LEAF_CHECK(checkAddress("callerAddress", result.callerAddress));
     BOOST_LEAF_CHECK(checkAddress("readinessAddress", result.readinessAddress));
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -1,5 +1,6 @@
 #include "processcore.h"
 
+#include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
@@ -10,6 +11,7 @@
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
+#include <unistd.h>
 #include <utility>
 
 namespace rattanrill::gateway {
@@ -27,7 +29,7 @@
         : m_settings(settings)
         , m_parts(parts)
         , m_upstreams(parts.loop, net::UpstreamPoolOptions())
-        , m_broker(parts.loop.timers(), SystemClock::instance(), serving::BrokerSettings())
+        , m_broker(parts.loop.timers(), SystemClock::instance(), brokerSettings(settings))
     {}
 
     Result<void> start() override
@@ -39,6 +41,8 @@
         m_core = std::make_unique<ProcessCore>(m_settings, m_parts, wire::MemberRole::Store,
                                                m_identity.replica);
         makeServices();
+        if (hasData())
+            openReplica();
         m_core->follower().onChange([this](const fleet::FleetState &state) { take(state); });
         m_core->follower().setStoreReport([this](wire::SyncRequest &request) { report(request); });
         return m_core->start();
@@ -78,8 +82,8 @@
         m_replica->onLead([this](bool leads) {
             m_broker.reset();
             m_service->leadChanged(leads);
+            m_core->follower().announce();
         });
-        m_replica->onApplied([this] { m_service->applied(); });
         m_replica->install(m_core->peerServer());
         m_service->install(m_core->peerServer());
         installBroker();
@@ -136,7 +140,7 @@
 
     void take(const fleet::FleetState &state)
     {
-        openReplica(state.storeFounders);
+        join(state.storeFounders);
         if (const auto newer = m_core->newerDeployment(state, m_deployment)) {
             m_deployment = newer;
             m_broker.setDeployment(newer);
@@ -145,14 +149,21 @@
         }
         if (state.upstreamsKnown) {
             m_hasUpstreams = true;
-            m_broker.setUpstreams(state.upstreams, 1);
+            m_broker.setUpstreams(state.upstreams, serving::BrokerShare());
         }
         if (state.membersSettled)
             m_broker.keepInstances(livingEntries(state));
     }
 
+    /// The replica took part before, so that it needs nobody to tell it how the group began.
+    bool hasData() const
+    {
+        const std::string folder = concat(m_settings.dataFolder, "/", fleet::storeGroup);
+        return access(folder.c_str(), F_OK) == 0;
+    }
+
     /// A founder that loses its disk has another replica id, and joins like any other.
-    void openReplica(const std::vector<std::string> &founders)
+    void join(const std::vector<std::string> &founders)
     {
         if (m_replica->isOpen() || founders.empty())
             return;
@@ -160,6 +171,11 @@
                 std::find(founders.begin(), founders.end(), m_identity.replica) != founders.end();
         if (isFounder)
             m_identity.founders = founders;
+        openReplica();
+    }
+
+    void openReplica()
+    {
         const auto opened = outcomeOf([&]() -> Result<void> {
             BOOST_LEAF_CHECK(fleet::saveIdentity(m_settings.dataFolder, m_identity));
             return m_replica->open(m_identity, jobs::makeJobStateMachine());
@@ -167,7 +183,7 @@
         log(opened.ok() ? LogLevel::Info : LogLevel::Error,
             opened.ok() ? "store-replica-opened" : "store-replica-failed",
             {{"replica", m_identity.replica},
-             {"isFounder", isFounder},
+             {"isFounder", !m_identity.founders.empty()},
              {"detail", opened.ok() ? "" : opened.failure().detail}});
     }
 
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -34,6 +34,41 @@
     , m_done(std::move(done))
 {}
 
+void ItemRun::resume(const wire::ItemProgress &progress)
+{
+    m_position = serving::StreamPosition(progress.lastEvent);
+    m_output = progress.output;
+    m_hasOutput = true;
+    m_storedEvent = progress.lastEvent;
+    m_storedLength = m_output.size();
+}
+
+std::optional<wire::ItemProgress> ItemRun::unstored() const
+{
+    const std::int64_t last = m_position.lastId().value_or(-1);
+    if (last <= m_storedEvent)
+        return std::nullopt;
+    wire::ItemProgress step;
+    step.job = m_job->id;
+    step.item = m_item.id;
+    step.after = m_storedEvent;
+    step.lastEvent = last;
+    // A line feed joins the events, also across two steps.
+    const std::size_t begin = m_storedEvent < 0 ? 0 : m_storedLength + 1;
+    step.output = m_output.substr(begin);
+    return step;
+}
+
+void ItemRun::stored(std::int64_t lastEvent)
+{
+    const auto found = m_lengths.find(lastEvent);
+    if (found == m_lengths.end())
+        return;
+    m_storedEvent = lastEvent;
+    m_storedLength = found->second;
+    m_lengths.erase(m_lengths.begin(), std::next(found));
+}
+
 const serving::Route *ItemRun::route() const
 {
     return m_deployment ? m_deployment->routeNamed(m_job->route) : nullptr;
@@ -155,6 +190,8 @@
         m_output += event.data;
         m_hasOutput = true;
         m_brokenTries = 0;
+        if (event.id)
+            m_lengths[*event.id] = m_output.size();
     }
     armSilenceTimer();
 }
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -4,7 +4,9 @@
 #include "rattanrill/serving/eventstream.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +22,12 @@
     ItemRun(const ExecutorContext &context, std::shared_ptr<const wire::JobRecord> job,
             const wire::JobItem &item, Done done);
 
+    /// Goes on after \a progress instead of at the beginning. Before setDeployment().
+    void resume(const wire::ItemProgress &progress);
+    /// What was produced since the last call of stored(); nothing when that is no event.
+    std::optional<wire::ItemProgress> unstored() const;
+    /// The store has the output up to \a lastEvent.
+    void stored(std::int64_t lastEvent);
     /// The configuration by which the item runs; asks for a place when it has none.
     void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
     /// Ends without a result.
@@ -66,6 +74,11 @@
     serving::StreamPosition m_position{std::nullopt};
     std::string m_output;
     bool m_hasOutput = false;
+    /// Last event whose data the store has, and the length of the output up to it.
+    std::int64_t m_storedEvent = -1;
+    std::size_t m_storedLength = 0;
+    /// Length of the output up to each event that is not stored.
+    std::map<std::int64_t, std::size_t> m_lengths;
     int m_serverErrors = 0;
     int m_brokenTries = 0;
     int m_yields = 0;
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -14,6 +14,9 @@
 
 /// Wait before a result that could not be stored is proposed again.
 constexpr absl::Duration proposeAgain = absl::Milliseconds(200);
+/// How often the progress of running items is stored: what a lost executor repeats at most, against
+/// a synced write on most stores.
+constexpr absl::Duration progressPeriod = absl::Milliseconds(500);
 
 } // namespace
 
@@ -42,7 +45,57 @@
                         self->itemDone(current, job, std::move(result));
                     });
         }
+        for (const wire::ItemProgress &step : open.progress) {
+            const auto run = runs.find(step.item);
+            if (run != runs.end())
+                run->second->resume(step);
+        }
         startRuns(Runs(runs));
+        startStoring();
+    }
+
+    void startStoring()
+    {
+        if (progressTimer == 0)
+            progressTimer = context.loop.timers().subscribeEvery(
+                    progressPeriod, [self = shared_from_this()] { self->storeProgress(); });
+    }
+
+    /// One command for all items. Steps of a command that failed come again with the next one.
+    void storeProgress()
+    {
+        if (isStoring || jobs.empty())
+            return;
+        wire::AppendProgress operation;
+        for (const auto &[job, runs] : jobs) {
+            for (const auto &[item, run] : runs) {
+                if (auto step = run->unstored())
+                    operation.items.push_back(std::move(*step));
+            }
+        }
+        if (operation.items.empty())
+            return;
+        isStoring = true;
+        const std::string command = wire::encode(wire::JobCommand{operation});
+        context.replica.propose(command, [self = shared_from_this(), current = generation,
+                                          steps = std::move(operation.items)](
+                                                 const Outcome<std::string> &outcome) {
+            self->isStoring = false;
+            if (current == self->generation && outcome.ok())
+                self->progressStored(steps);
+        });
+    }
+
+    void progressStored(const std::vector<wire::ItemProgress> &steps)
+    {
+        for (const wire::ItemProgress &step : steps) {
+            const auto job = jobs.find(step.job);
+            if (job == jobs.end())
+                continue;
+            const auto run = job->second.find(step.item);
+            if (run != job->second.end())
+                run->second->stored(step.lastEvent);
+        }
     }
 
     /// A run may end at once and change the table.
@@ -67,27 +120,35 @@
         wire::AppendResults operation;
         operation.job = job;
         operation.results.push_back(std::move(result));
-        propose(current, wire::encode(wire::JobCommand{std::move(operation)}));
+        propose(current, job, wire::encode(wire::JobCommand{std::move(operation)}));
     }
 
-    void propose(std::uint64_t current, const std::string &command)
+    void propose(std::uint64_t current, const std::string &job, const std::string &command)
     {
         context.replica.propose(
-                command, [self = shared_from_this(), current,
+                command, [self = shared_from_this(), current, job,
                           command](const Outcome<std::string> &outcome) {
-                    if (outcome.ok() || current != self->generation)
+                    if (current != self->generation)
                         return;
+                    if (outcome.ok())
+                        return self->noteStored(job);
                     log(LogLevel::Warning, "result-not-stored",
                         {{"code", name(outcome.failure().code)},
                          {"detail", outcome.failure().detail}});
                     self->context.loop.timers().subscribeOnce(
-                            proposeAgain, [self, current, command] {
+                            proposeAgain, [self, current, job, command] {
                                 if (current == self->generation)
-                                    self->propose(current, command);
+                                    self->propose(current, job, command);
                             });
                 });
     }
 
+    void noteStored(const std::string &job) const
+    {
+        if (storedListener)
+            storedListener(job);
+    }
+
     void end(const std::string &job)
     {
         const auto found = jobs.find(job);
@@ -102,6 +163,8 @@
     void clear()
     {
         ++generation;
+        if (progressTimer != 0)
+            context.loop.timers().unsubscribe(std::exchange(progressTimer, 0));
         const auto ended = std::exchange(jobs, {});
         for (const auto &[job, runs] : ended) {
             for (const auto &[item, run] : runs)
@@ -112,8 +175,11 @@
     const ExecutorContext context;
     std::shared_ptr<const serving::DeploymentIndex> deployment;
     std::map<std::string, Runs> jobs;
+    std::function<void(const std::string &)> storedListener;
     /// Raised when leadership ends, so that late callbacks are recognized.
     std::uint64_t generation = 0;
+    TimerService::TimerId progressTimer = 0;
+    bool isStoring = false;
 };
 
 JobExecutor::JobExecutor(const ExecutorContext &context)
@@ -133,6 +199,11 @@
         m_impl->startRuns(runs);
 }
 
+void JobExecutor::onStored(std::function<void(const std::string &job)> listener)
+{
+    m_impl->storedListener = std::move(listener);
+}
+
 void JobExecutor::add(const wire::OpenJob &job)
 {
     m_impl->add(job);
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -103,7 +103,7 @@
             return reply(notRun(ErrorCode::RateLimited,
                                 "the workspace's limit of waiting tokens is reached"));
         if (result.value().isNew)
-            executor.add(wire::OpenJob{job, {}});
+            executor.add(wire::OpenJob{job, {}, {}});
         else
             listOpen();
         reply(std::string());
@@ -122,14 +122,14 @@
     void readNow(WaitingRead waiting)
     {
         const std::string query = wire::encode(wire::JobQuery{waiting.request});
-        const std::uint64_t appliedBefore = appliedCount;
+        const std::uint64_t storedBefore = storedCount;
         context.replica.read(query, [self = shared_from_this(), waiting = std::move(waiting),
-                                     appliedBefore](const Outcome<std::string> &outcome) {
-            self->readDone(waiting, appliedBefore, outcome);
+                                     storedBefore](const Outcome<std::string> &outcome) {
+            self->readDone(waiting, storedBefore, outcome);
         });
     }
 
-    void readDone(const WaitingRead &waiting, std::uint64_t appliedBefore,
+    void readDone(const WaitingRead &waiting, std::uint64_t storedBefore,
                   const Outcome<std::string> &outcome)
     {
         if (!outcome.ok())
@@ -143,7 +143,7 @@
                              || waiting.due <= context.clock.now() || !isReady;
         if (isFinal)
             return waiting.reply(outcome.value());
-        if (appliedBefore != appliedCount)
+        if (storedBefore != storedCount)
             return readNow(waiting);
         reads.push_back(waiting);
         armReadTimer();
@@ -178,12 +178,15 @@
         armReadTimer();
     }
 
-    /// Only reads of jobs that have a new result need another look, but a result comes with few
-    /// commands and few reads wait.
-    void applied()
+    void resultStored(const std::string &job)
     {
-        ++appliedCount;
-        const auto waiting = std::exchange(reads, {});
+        ++storedCount;
+        std::list<WaitingRead> waiting;
+        for (auto read = reads.begin(); read != reads.end();) {
+            const auto current = read++;
+            if (current->request.job == job)
+                waiting.splice(waiting.end(), reads, current);
+        }
         for (const WaitingRead &read : waiting)
             readNow(read);
     }
@@ -280,7 +283,7 @@
     std::shared_ptr<const serving::DeploymentIndex> deployment;
     bool isReady = false;
     std::list<WaitingRead> reads;
-    std::uint64_t appliedCount = 0;
+    std::uint64_t storedCount = 0;
     TimerService::TimerId readTimer = 0;
     TimerService::TimerId forgetTimer = 0;
 };
@@ -290,6 +293,7 @@
 {
     m_impl->forgetTimer = context.loop.timers().subscribeEvery(
             forgetPeriod, [impl = m_impl.get()] { impl->forget(); });
+    executor.onStored([impl = m_impl.get()](const std::string &job) { impl->resultStored(job); });
 }
 
 JobService::~JobService()
@@ -324,11 +328,6 @@
     m_impl->leadChanged(leads);
 }
 
-void JobService::applied()
-{
-    m_impl->applied();
-}
-
 void JobService::stop()
 {
     for (TimerService::TimerId *timer : {&m_impl->readTimer, &m_impl->forgetTimer}) {
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -75,17 +75,38 @@
         });
         if (isItem && job.finished.insert(result.id).second)
             job.results.push_back(result);
+        job.progress.erase(result.id);
     }
     addWaiting(job, 1);
     return wire::JobCommandResult();
 }
 
+Result<wire::JobCommandResult> JobStateMachine::perform(const wire::AppendProgress &operation)
+{
+    for (const wire::ItemProgress &step : operation.items) {
+        const auto found = m_jobs.find(step.job);
+        if (found == m_jobs.end() || found->second.finished.count(step.item) != 0)
+            continue;
+        wire::ItemProgress &stored = found->second.progress[step.item];
+        if (stored.lastEvent != step.after || step.lastEvent <= step.after)
+            continue;
+        if (stored.lastEvent >= 0)
+            stored.output += '\n';
+        stored.output += step.output;
+        stored.lastEvent = step.lastEvent;
+        stored.job = step.job;
+        stored.item = step.item;
+    }
+    return wire::JobCommandResult();
+}
+
 Result<wire::JobCommandResult> JobStateMachine::perform(const wire::EndJob &operation)
 {
     BOOST_LEAF_CHECK(find(operation.workspace, operation.job));
     Job &job = m_jobs.at(operation.job);
     addWaiting(job, -1);
     job.ended = true;
+    job.progress.clear();
     return wire::JobCommandResult();
 }
 
@@ -99,6 +120,16 @@
     return wire::JobCommandResult();
 }
 
+std::vector<wire::ItemProgress> JobStateMachine::progressOf(const Job &job)
+{
+    std::vector<wire::ItemProgress> steps;
+    for (const auto &[item, step] : job.progress) {
+        if (step.lastEvent >= 0)
+            steps.push_back(step);
+    }
+    return steps;
+}
+
 std::int64_t JobStateMachine::unfinishedTokens(const Job &job)
 {
     std::int64_t tokens = 0;
@@ -173,7 +204,9 @@
     wire::OpenJobs open;
     for (const auto &[id, job] : m_jobs) {
         if (job.isOpen())
-            open.jobs.push_back({job.record, {job.finished.begin(), job.finished.end()}});
+            open.jobs.push_back({job.record,
+                                 {job.finished.begin(), job.finished.end()},
+                                 progressOf(job)});
     }
     return wire::encodeAnswer(Outcome<wire::OpenJobs>(std::move(open)));
 }
@@ -182,7 +215,7 @@
 {
     wire::StoredJobs stored;
     for (const auto &[id, job] : m_jobs)
-        stored.jobs.push_back({job.record, job.results, job.ended});
+        stored.jobs.push_back({job.record, job.results, progressOf(job), job.ended});
     return wire::encode(stored);
 }
 
@@ -198,6 +231,8 @@
         job.record = std::move(stored.job);
         job.results = std::move(stored.results);
         job.ended = stored.ended;
+        for (wire::ItemProgress &step : stored.progress)
+            job.progress[step.item] = std::move(step);
         for (const wire::ItemResult &result : job.results)
             job.finished.insert(result.id);
         addWaiting(job, 1);
--- a/src/jobs/jobstatemachine.h
+++ b/src/jobs/jobstatemachine.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace rattanrill::jobs {
 
@@ -27,6 +28,8 @@
         wire::JobRecord record;
         std::vector<wire::ItemResult> results;
         std::set<std::string> finished;
+        /// By item, of items without a result.
+        std::map<std::string, wire::ItemProgress> progress;
         bool ended = false;
 
         bool isOpen() const { return !ended && results.size() < record.items.size(); }
@@ -37,6 +40,7 @@
 
     Result<wire::JobCommandResult> perform(const wire::AcceptJob &operation);
     Result<wire::JobCommandResult> perform(const wire::AppendResults &operation);
+    Result<wire::JobCommandResult> perform(const wire::AppendProgress &operation);
     Result<wire::JobCommandResult> perform(const wire::EndJob &operation);
     Result<wire::JobCommandResult> perform(const wire::ForgetJobs &operation);
 
@@ -46,6 +50,7 @@
 
     Result<const Job *> find(const std::string &workspace, const std::string &job) const;
     void addWaiting(const Job &job, int sign);
+    static std::vector<wire::ItemProgress> progressOf(const Job &job);
     static std::int64_t unfinishedTokens(const Job &job);
 
     std::map<std::string, Job> m_jobs;
--- a/src/peer/channelcore.cpp
+++ b/src/peer/channelcore.cpp
@@ -17,11 +17,9 @@
 namespace {
 
 constexpr absl::Duration firstBackoff = absl::Milliseconds(20);
-constexpr absl::Duration maxBackoff = absl::Seconds(1);
-/// A ping is sent this often; a connection on which nothing arrives for several periods is lost, so
-/// that calls with long timeouts do not wait on a host that is gone.
-constexpr absl::Duration keepAlivePeriod = absl::Seconds(1);
 constexpr int maxSilentPeriods = 3;
+/// Pushes that wait for a connection that is being made; older ones have lost their use by then.
+constexpr std::size_t maxWaitingPushes = 64;
 
 std::chrono::nanoseconds toChrono(absl::Duration duration)
 {
@@ -163,6 +161,15 @@
         connect();
     if (m_state == State::Ready && queueHasRoom(frame.size()))
         sendFrame(frame);
+    if (m_state != State::Connecting || !queueHasRoom(frame.size()))
+        return;
+    // The first message to a process that has just started is often the one that elects a leader.
+    m_waitingBytes += frame.size();
+    m_waitingPushes.push_back(frame);
+    if (m_waitingPushes.size() > maxWaitingPushes) {
+        m_waitingBytes -= m_waitingPushes.front().size();
+        m_waitingPushes.pop_front();
+    }
 }
 
 void ChannelCore::sendCall(std::uint64_t id)
@@ -325,12 +332,14 @@
     m_backoff = firstBackoff;
     m_silentPeriods = 0;
     m_connection->set_max_message_size(m_options.maxMessageBytes);
-    armTimer(m_keepAliveTimer, keepAlivePeriod, &ChannelCore::keepAlive);
+    armTimer(m_keepAliveTimer, m_options.keepAlivePeriod, &ChannelCore::keepAlive);
     std::vector<std::uint64_t> waiting;
     for (const auto &[id, call] : m_calls)
         waiting.push_back(id);
     m_waitingBytes = 0;
     const std::uint64_t epoch = m_epoch;
+    for (const std::string &frame : std::exchange(m_waitingPushes, {}))
+        sendFrame(frame);
     for (const std::uint64_t id : waiting) {
         if (m_state == State::Ready && m_epoch == epoch && m_calls.count(id) > 0)
             sendCall(id);
@@ -345,7 +354,7 @@
         return lose(notRun(ErrorCode::ConnectionLost, concat(m_address, " is silent")));
     websocketpp::lib::error_code ignored;
     m_connection->ping("", ignored);
-    armTimer(m_keepAliveTimer, keepAlivePeriod, &ChannelCore::keepAlive);
+    armTimer(m_keepAliveTimer, m_options.keepAlivePeriod, &ChannelCore::keepAlive);
 }
 
 /// Closes by the websocket handshake, so that the refusal still reaches the other side.
@@ -368,13 +377,14 @@
     // once.
     const double spread = static_cast<double>(m_network.random() % 1000) / 1000;
     armTimer(m_backoffTimer, m_backoff * (0.5 + spread / 2), &ChannelCore::connect);
-    m_backoff = std::min(m_backoff * 2, maxBackoff);
+    m_backoff = std::min(m_backoff * 2, m_options.maxBackoff);
     failCalls(failure);
 }
 
 void ChannelCore::failCalls(const Failure &failure)
 {
     std::map<std::uint64_t, Call> calls = std::exchange(m_calls, {});
+    m_waitingPushes.clear();
     m_waitingBytes = 0;
     for (auto &[id, call] : calls) {
         call.timer->cancel();
--- a/src/peer/channelcore.h
+++ b/src/peer/channelcore.h
@@ -9,6 +9,7 @@
 #include "absl/synchronization/mutex.h"
 
 #include <atomic>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -90,7 +91,9 @@
     std::uint64_t m_epoch = 0;
     std::optional<ClientHello> m_hello;
     std::map<std::uint64_t, Call> m_calls;
+    /// Frames of calls and pushes that wait for the connection, in bytes.
     std::size_t m_waitingBytes = 0;
+    std::deque<std::string> m_waitingPushes;
     Failure m_lastFailure;
     absl::Duration m_backoff;
     int m_silentPeriods = 0;
--- a/src/serving/placebroker.cpp
+++ b/src/serving/placebroker.cpp
@@ -40,16 +40,14 @@
 void PlaceBroker::reset()
 {
     const absl::Time now = m_clock.now();
-    const auto online = std::exchange(m_online, {});
-    for (const auto &[id, entry] : online)
+    while (!m_online.empty()) {
+        const std::string id = m_online.begin()->first;
         m_table.withdraw(now, id);
+        forget(id);
+    }
     const auto batch = std::exchange(m_batch, {});
     for (const auto &[id, handlers] : batch)
         m_table.withdraw(now, id);
-    for (const auto &[id, entry] : online) {
-        if (entry.answer)
-            entry.answer(wire::PlaceResponse());
-    }
     m_buckets.clear();
     if (m_deployment)
         setDeployment(m_deployment);
@@ -57,7 +55,7 @@
 
 policy::RateContract PlaceBroker::contractOf(const Workspace &workspace) const
 {
-    return {workspace.ratePerSecond * m_share, workspace.burst * m_share};
+    return {workspace.ratePerSecond * m_share.rate, workspace.burst * m_share.rate};
 }
 
 void PlaceBroker::setDeployment(std::shared_ptr<const DeploymentIndex> deployment)
@@ -66,24 +64,37 @@
     const absl::Time now = m_clock.now();
     for (const Workspace &workspace : m_deployment->deployment().workspaces) {
         const policy::RateContract contract = contractOf(workspace);
-        const auto [found, isNew] = m_buckets.try_emplace(workspace.name, contract, now);
+        const auto [found, isNew] = m_buckets.try_emplace(workspace.name, freshBucket(contract));
         if (!isNew)
             found->second.setContract(now, contract);
     }
 }
 
-void PlaceBroker::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, double share)
+/// Bucket of a broker whose predecessor may just have granted the whole burst.
+policy::TokenBucket PlaceBroker::freshBucket(const policy::RateContract &contract) const
 {
-    if (share != m_share) {
-        m_share = share;
-        if (m_deployment)
-            setDeployment(m_deployment);
-    }
+    const double window = absl::ToDoubleSeconds(m_settings.rateWindow);
+    const double allowed = m_settings.rateOver * (contract.ratePerSecond * window + contract.burst)
+                           + m_settings.rateSlack * m_share.rate;
+    const double level = std::min(contract.burst, allowed / 2);
+    const absl::Duration earned = contract.ratePerSecond > 0
+                                          ? absl::Seconds(level / contract.ratePerSecond)
+                                          : absl::ZeroDuration();
+    return policy::TokenBucket(contract, m_clock.now() - earned);
+}
+
+void PlaceBroker::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
+                               const BrokerShare &share)
+{
+    const bool hasNewRate = share.rate != m_share.rate;
+    m_share = share;
+    if (hasNewRate && m_deployment)
+        setDeployment(m_deployment);
     std::vector<policy::PlaceUpstream> list;
     for (const wire::FleetUpstream &upstream : upstreams) {
         const double slots = static_cast<double>(std::max<std::int64_t>(upstream.slots, 1));
         list.push_back({upstream.id, upstream.service, upstream.address, upstream.failureDomain,
-                        static_cast<std::int64_t>(std::ceil(slots * share)), upstream.draining});
+                        static_cast<std::int64_t>(std::ceil(slots * share.places)), upstream.draining});
     }
     m_table.setUpstreams(list);
     decide();
@@ -102,6 +113,14 @@
 {
     const absl::Time now = m_clock.now();
     const std::string id = workId(request.instance, request.requestId);
+    const auto known = m_online.find(id);
+    if (request.again && known != m_online.end()) {
+        known->second.answer = std::move(answer);
+        if (const auto decided = std::exchange(known->second.decided, std::nullopt))
+            return give(id, *decided);
+        return startSlice(id);
+    }
+    forget(id);
     Online &online = m_online[id];
     online.instance = request.instance;
     online.workspace = request.workspace;
@@ -127,18 +146,66 @@
     work.excluded = request.excluded;
     m_table.request(now, work);
     decide();
+    startSlice(id);
 }
 
-void PlaceBroker::release(const wire::PlaceRelease &release)
+/// Bounds the time without a word to the asker of a request that waits.
+void PlaceBroker::startSlice(const std::string &id)
 {
-    const std::string id = workId(release.instance, release.requestId);
     const auto found = m_online.find(id);
-    if (found != m_online.end()) {
-        const Answer waiting = std::exchange(found->second.answer, nullptr);
-        m_online.erase(found);
-        if (waiting)
-            waiting(wire::PlaceResponse());
+    if (found == m_online.end() || !found->second.answer)
+        return;
+    found->second.sliceTimer = m_timers.subscribeOnce(m_settings.waitSlice, [this, id] {
+        const auto waiting = m_online.find(id);
+        if (waiting == m_online.end())
+            return;
+        waiting->second.sliceTimer = 0;
+        wire::PlaceResponse response;
+        response.verdict = wire::PlaceVerdict::Waiting;
+        if (const Answer answer = std::exchange(waiting->second.answer, nullptr))
+            answer(response);
+    });
+}
+
+/// Gives the verdict to the asker, or keeps it until the asker asks again. A refusal ends the
+/// request.
+void PlaceBroker::give(const std::string &id, const wire::PlaceResponse &response)
+{
+    const auto found = m_online.find(id);
+    if (found == m_online.end())
+        return;
+    Online &online = found->second;
+    online.isGranted = response.verdict == wire::PlaceVerdict::Granted;
+    if (online.sliceTimer != 0)
+        m_timers.unsubscribe(std::exchange(online.sliceTimer, 0));
+    const Answer answer = std::exchange(online.answer, nullptr);
+    if (!answer) {
+        online.decided = response;
+        return;
     }
+    if (!online.isGranted)
+        m_online.erase(found);
+    answer(response);
+}
+
+/// Forgets a request; an asker that still waits for a word is refused.
+void PlaceBroker::forget(const std::string &id)
+{
+    const auto found = m_online.find(id);
+    if (found == m_online.end())
+        return;
+    if (found->second.sliceTimer != 0)
+        m_timers.unsubscribe(found->second.sliceTimer);
+    const Answer waiting = std::exchange(found->second.answer, nullptr);
+    m_online.erase(found);
+    if (waiting)
+        waiting(wire::PlaceResponse());
+}
+
+void PlaceBroker::release(const wire::PlaceRelease &release)
+{
+    const std::string id = workId(release.instance, release.requestId);
+    forget(id);
     m_table.release(m_clock.now(), id, release.failed);
     decide();
 }
@@ -151,7 +218,7 @@
             gone.push_back(id);
     }
     for (const std::string &id : gone) {
-        m_online.erase(id);
+        forget(id);
         m_table.withdraw(m_clock.now(), id);
     }
     if (!gone.empty())
@@ -214,26 +281,19 @@
             return refuseRate(decision.work, grant.wait);
         }
     }
-    online.isGranted = true;
     wire::PlaceResponse response;
     response.verdict = wire::PlaceVerdict::Granted;
     response.upstream = decision.upstream;
     response.address = decision.address;
-    const Answer answer = std::exchange(online.answer, nullptr);
-    answer(response);
+    give(decision.work, response);
 }
 
 void PlaceBroker::carryOut(const policy::RefusePlace &decision)
 {
-    const auto found = m_online.find(decision.work);
-    if (found == m_online.end())
-        return;
     wire::PlaceResponse response;
     response.verdict = wire::PlaceVerdict::NoPlace;
     response.retryAfterMs = absl::ToInt64Milliseconds(decision.retryAfter);
-    const Answer answer = std::exchange(found->second.answer, nullptr);
-    m_online.erase(found);
-    answer(response);
+    give(decision.work, response);
 }
 
 void PlaceBroker::carryOut(const policy::YieldPlace &decision)
@@ -251,10 +311,7 @@
     wire::PlaceResponse response;
     response.verdict = wire::PlaceVerdict::OverRate;
     response.retryAfterMs = absl::ToInt64Milliseconds(std::min(wait, absl::Seconds(60)));
-    const auto found = m_online.find(id);
-    const Answer answer = std::exchange(found->second.answer, nullptr);
-    m_online.erase(found);
-    answer(response);
+    give(id, response);
 }
 
 void PlaceBroker::armTimer()
@@ -276,13 +333,13 @@
     const absl::Time now = m_clock.now();
     std::vector<std::string> expired;
     for (const auto &[id, online] : m_online) {
-        if (online.isGranted && online.expires < now)
+        if (online.expires < now)
             expired.push_back(id);
     }
     for (const std::string &id : expired) {
         log(LogLevel::Warning, "place-expired",
             {{"work", id}, {"instance", m_online.at(id).instance}});
-        m_online.erase(id);
+        forget(id);
         m_table.withdraw(now, id);
     }
     // Also returns upstreams whose ejection has ended.
--- a/src/serving/placeclient.cpp
+++ b/src/serving/placeclient.cpp
@@ -24,11 +24,9 @@
     {
         if (broker.empty() || clock.now() < avoidUntil)
             return placeFromOwn(request, std::move(answer));
-        const absl::Duration wait =
-                std::min(absl::Milliseconds(request.objectiveMs) * settings.own.waitShare,
-                         absl::Milliseconds(request.deadlineMs));
         channels.channel(broker)->call(
-                wire::Method::Place, wire::encode(request), wait + settings.answerSlack,
+                wire::Method::Place, wire::encode(request),
+                settings.own.waitSlice + settings.answerSlack,
                 [self = shared_from_this(), address = broker, request,
                  answer = std::move(answer)](Outcome<std::string> outcome) {
                     self->loop.post([self, address, request, answer,
@@ -49,6 +47,8 @@
                                      : Outcome<wire::PlaceResponse>(outcome.failure());
         if (response.ok()) {
             noteBroker(address, true, Failure());
+            if (response.value().verdict == wire::PlaceVerdict::Waiting)
+                return place(askingAgain(request), answer);
             return answer(response.value(), false);
         }
         noteBroker(address, false, response.failure());
@@ -73,13 +73,22 @@
              {"detail", failure.detail}});
     }
 
+    static wire::PlaceRequest askingAgain(wire::PlaceRequest request)
+    {
+        request.again = true;
+        return request;
+    }
+
     void placeFromOwn(const wire::PlaceRequest &request, Answer answer)
     {
         ownRequests.insert(request.requestId);
-        own.place(request, [self = shared_from_this(), id = request.requestId,
+        own.place(request, [self = shared_from_this(), request,
                             answer = std::move(answer)](const wire::PlaceResponse &response) {
+            const bool isReleased = self->ownRequests.count(request.requestId) == 0;
+            if (response.verdict == wire::PlaceVerdict::Waiting && !isReleased)
+                return self->placeFromOwn(askingAgain(request), answer);
             if (response.verdict != wire::PlaceVerdict::Granted)
-                self->ownRequests.erase(id);
+                self->ownRequests.erase(request.requestId);
             answer(response, true);
         });
     }
@@ -131,8 +140,9 @@
 void PlaceClient::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
                                std::size_t entries)
 {
-    m_impl->own.setUpstreams(upstreams,
-                             1.0 / static_cast<double>(std::max<std::size_t>(entries, 1)));
+    const double sharers = static_cast<double>(std::max<std::size_t>(entries, 1));
+    m_impl->own.setUpstreams(
+            upstreams, {1 / sharers, std::min(1.0, m_impl->settings.placeFactor / sharers)});
 }
 
 void PlaceClient::place(const wire::PlaceRequest &request, Answer answer)
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -13,10 +13,11 @@
         {MemberRole::Store, "store"},
 }};
 
-constexpr std::array<EnumName<PlaceVerdict>, 3> placeVerdictNames = {{
+constexpr std::array<EnumName<PlaceVerdict>, 4> placeVerdictNames = {{
         {PlaceVerdict::Granted, "granted"},
         {PlaceVerdict::OverRate, "over_rate"},
         {PlaceVerdict::NoPlace, "no_place"},
+        {PlaceVerdict::Waiting, "waiting"},
 }};
 
 } // namespace
@@ -38,7 +39,7 @@
                        configurationVersion, waitMs)
 RATTANRILL_WIRE_FIELDS(SyncResponse, viewTerm, viewSequence, configurationVersion, configuration,
                        members, membersSettled, storeFounders, upstreamsKnown, upstreams)
-RATTANRILL_WIRE_FIELDS(PlaceRequest, requestId, instance, failureDomain, service, workspace,
+RATTANRILL_WIRE_FIELDS(PlaceRequest, again, requestId, instance, failureDomain, service, workspace,
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded)
 RATTANRILL_WIRE_FIELDS(PlaceResponse, verdict, upstream, address, retryAfterMs)
