--- a/include/rattanrill/policy/placetable.h
+++ b/include/rattanrill/policy/placetable.h
@@ -9,8 +9,10 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -49,6 +51,20 @@
     std::vector<std::string> excluded;
 };
 
+/// How a work left its place, as far as it says something of the upstream.
+enum class PlaceEnd {
+    Served,
+    /// The work was given up, which says nothing.
+    Abandoned,
+    /// The upstream refused, broke off or was silent.
+    Failed,
+    /// Nothing, or another upstream, answers at the address.
+    Gone,
+};
+
+std::string_view name(PlaceEnd end);
+std::optional<PlaceEnd> placeEndFromName(std::string_view name);
+
 /// The work may be sent to the upstream.
 struct GrantPlace
 {
@@ -103,8 +119,8 @@
     /// Replaces the list. Works on upstreams that left it keep their places until released.
     void setUpstreams(const std::vector<PlaceUpstream> &upstreams);
     void request(absl::Time now, const PlaceWork &work);
-    /// The work has left its place. \a failed: its upstream broke off or did not answer.
-    void release(absl::Time now, const std::string &work, bool failed);
+    /// The work has left its place.
+    void release(absl::Time now, const std::string &work, PlaceEnd end);
     /// The work's caller no longer wants a place; a held one is released.
     void withdraw(absl::Time now, const std::string &work);
     /// Decisions due at \a now, to be carried out in order.
--- a/include/rattanrill/serving/dialect.h
+++ b/include/rattanrill/serving/dialect.h
@@ -49,6 +49,8 @@
     std::string requestId;
     /// The upstream says that the request did not run.
     bool notRun = false;
+    /// Another instance than the expected one answered.
+    bool isOtherInstance = false;
 };
 
 /// Call about a batch job, as a caller makes it.
--- a/include/rattanrill/serving/placebroker.h
+++ b/include/rattanrill/serving/placebroker.h
@@ -82,7 +82,7 @@
     void keepInstances(const std::vector<std::string> &instances);
 
     void placeBatch(const policy::PlaceWork &work, BatchHandlers handlers);
-    void releaseBatch(const std::string &work, bool failed);
+    void releaseBatch(const std::string &work, policy::PlaceEnd end);
     void withdrawBatch(const std::string &work);
 
     const policy::PlaceTable &table() const { return m_table; }
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -186,8 +186,8 @@
     std::string instance;
     std::string requestId;
     std::string upstream;
-    /// The upstream did not answer or broke off.
-    bool failed = false;
+    /// Name of a policy::PlaceEnd.
+    std::string end;
 };
 
 } // namespace rattanrill::wire
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -8,6 +8,9 @@
 #include <vector>
 
 namespace rattanrill::jobs {
+
+using policy::PlaceEnd;
+
 namespace {
 
 /// Wait after a try that broke off; doubled with each further one.
@@ -182,7 +185,7 @@
     for (const serving::StreamEvent &event : events) {
         const serving::EventVerdict verdict = m_position.take(event);
         if (verdict == serving::EventVerdict::Gap)
-            return tryFailed("an event is missing", true);
+            return tryFailed("an event is missing", PlaceEnd::Failed);
         if (verdict == serving::EventVerdict::Repeated)
             continue;
         if (m_hasOutput)
@@ -200,12 +203,15 @@
 {
     if (m_state != State::Running)
         return;
-    if (end != net::CallEnd::Complete)
-        return tryFailed(net::name(end), true);
+    if (end == net::CallEnd::NotConnected)
+        return tryFailed(net::name(end), PlaceEnd::Gone);
+    if (end == net::CallEnd::Broken)
+        return tryFailed(net::name(end), PlaceEnd::Failed);
     if (m_facts.notRun)
-        return tryFailed("the upstream refused", false);
+        return tryFailed("the upstream refused",
+                         m_facts.isOtherInstance ? PlaceEnd::Gone : PlaceEnd::Failed);
     if (m_head.status == statusCannotBeDone) {
-        leaveUpstream(false);
+        leaveUpstream(PlaceEnd::Served);
         return finish(wire::ItemOutcome::DeadLettered, "the upstream cannot do the item");
     }
     if (m_head.status >= 200 && m_head.status < 300)
@@ -213,24 +219,24 @@
     if (m_head.status == 500)
         ++m_serverErrors;
     if (m_serverErrors >= route()->maxAttempts) {
-        leaveUpstream(false);
+        leaveUpstream(PlaceEnd::Served);
         return finish(wire::ItemOutcome::DeadLettered, "the item failed at every try");
     }
-    tryFailed(concat("status ", m_head.status), false);
+    tryFailed(concat("status ", m_head.status), PlaceEnd::Served);
 }
 
 void ItemRun::completed()
 {
     if (!m_splitter.rest().empty())
-        return tryFailed("the answer ends inside an event", true);
-    leaveUpstream(false);
+        return tryFailed("the answer ends inside an event", PlaceEnd::Failed);
+    leaveUpstream(PlaceEnd::Served);
     finish(wire::ItemOutcome::Completed, "");
 }
 
-void ItemRun::tryFailed(std::string_view reason, bool upstreamFailed)
+void ItemRun::tryFailed(std::string_view reason, PlaceEnd end)
 {
     m_context.upstreams.cancel(m_call);
-    leaveUpstream(upstreamFailed);
+    leaveUpstream(end);
     log(LogLevel::Info, "item-try-failed",
         {{"job", m_job->id},
          {"item", m_item.id},
@@ -249,11 +255,11 @@
     });
 }
 
-void ItemRun::leaveUpstream(bool failed)
+void ItemRun::leaveUpstream(PlaceEnd end)
 {
     cancelTimer(m_silenceTimer);
     m_state = State::BackingOff;
-    m_context.broker.releaseBatch(workId(*m_job, m_item), failed);
+    m_context.broker.releaseBatch(workId(*m_job, m_item), end);
 }
 
 void ItemRun::abandon()
@@ -272,7 +278,7 @@
     m_silenceTimer = m_context.loop.timers().subscribeOnce(silenceLimit, [self = shared_from_this()] {
         self->m_silenceTimer = 0;
         if (self->m_state == State::Running)
-            self->tryFailed("the upstream is silent", true);
+            self->tryFailed("the upstream is silent", PlaceEnd::Failed);
     });
 }
 
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -50,12 +50,12 @@
     bool noteHead(const net::ResponseHead &head);
     void noteBody(std::string_view bytes);
     void callEnded(net::CallEnd end);
-    void tryFailed(std::string_view reason, bool upstreamFailed);
+    void tryFailed(std::string_view reason, policy::PlaceEnd end);
     void completed();
     void finish(wire::ItemOutcome outcome, std::string_view reason);
     void abandon();
     void armSilenceTimer();
-    void leaveUpstream(bool failed);
+    void leaveUpstream(policy::PlaceEnd end);
     void cancelTimer(TimerService::TimerId &timer);
 
     const ExecutorContext &m_context;
--- a/src/policy/placetable.cpp
+++ b/src/policy/placetable.cpp
@@ -1,6 +1,9 @@
 #include "rattanrill/policy/placetable.h"
 
+#include "rattanrill/base/enumnames.h"
+
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -12,6 +15,13 @@
 /// Retry-After when no upstream of the service takes work at all.
 constexpr absl::Duration noUpstreamReturn = absl::Seconds(1);
 
+constexpr std::array<EnumName<PlaceEnd>, 4> placeEndNames = {{
+        {PlaceEnd::Served, "served"},
+        {PlaceEnd::Abandoned, "abandoned"},
+        {PlaceEnd::Failed, "failed"},
+        {PlaceEnd::Gone, "gone"},
+}};
+
 bool isOnline(const PlaceWork &work)
 {
     return work.kind == WorkKind::Online;
@@ -19,6 +29,16 @@
 
 } // namespace
 
+std::string_view name(PlaceEnd end)
+{
+    return nameOf(placeEndNames, end);
+}
+
+std::optional<PlaceEnd> placeEndFromName(std::string_view name)
+{
+    return valueOf(placeEndNames, name);
+}
+
 PlaceTable::PlaceTable(PlaceTableSettings settings)
     : m_settings(settings)
 {}
@@ -106,7 +126,7 @@
         m_upstreams.erase(std::string(upstream.info.id));
 }
 
-void PlaceTable::release(absl::Time now, const std::string &work, bool failed)
+void PlaceTable::release(absl::Time now, const std::string &work, PlaceEnd end)
 {
     const auto found = m_items.find(work);
     if (found == m_items.end())
@@ -114,11 +134,11 @@
     Item &item = *found->second;
     if (item.upstream == nullptr)
         return withdraw(now, work);
-    if (failed)
-        item.upstream->outlier.failed(now, false);
-    else
+    if (end == PlaceEnd::Served)
         item.upstream->outlier.succeeded(now);
-    if (isOnline(item.work) && !failed) {
+    else if (end != PlaceEnd::Abandoned)
+        item.upstream->outlier.failed(now, end == PlaceEnd::Gone);
+    if (isOnline(item.work) && end == PlaceEnd::Served) {
         absl::Duration &mean = service(item.work.service).meanHold;
         mean += (now - item.since - mean) * smoothing;
     }
--- a/src/serving/passingrequest.cpp
+++ b/src/serving/passingrequest.cpp
@@ -8,6 +8,9 @@
 #include <utility>
 
 namespace rattanrill::serving {
+
+using policy::PlaceEnd;
+
 namespace {
 
 /// Silence of an upstream after which a request that may run again is tried elsewhere: part of the
@@ -111,7 +114,7 @@
     if (m_ended) {
         m_holdsPlace = isGranted;
         m_upstream = response.upstream;
-        return releasePlace(false);
+        return releasePlace(PlaceEnd::Abandoned);
     }
     m_fromOwnShare = m_fromOwnShare || fromOwnShare;
     if (isGranted) {
@@ -132,7 +135,7 @@
 {
     m_upstream = upstream;
     if (timeLeft() < minPatience) {
-        releasePlace(false);
+        releasePlace(PlaceEnd::Abandoned);
         return refuseOrFail("no time left for an upstream");
     }
     ++m_attempts;
@@ -186,7 +189,7 @@
         return noteEvents(bytes);
     m_body.append(bytes);
     if (m_body.size() > maxWholeAnswer)
-        tryFailed("the answer is too long", true);
+        tryFailed("the answer is too long", PlaceEnd::Failed);
 }
 
 void PassingRequest::noteEvents(std::string_view bytes)
@@ -208,7 +211,7 @@
     case EventVerdict::Repeated:
         return true;
     case EventVerdict::Gap:
-        tryFailed("an event is missing", true);
+        tryFailed("an event is missing", PlaceEnd::Failed);
         return false;
     case EventVerdict::Deliver:
         break;
@@ -239,14 +242,15 @@
     if (m_ended)
         return;
     if (end == net::CallEnd::NotConnected)
-        return tryFailed("no connection to the upstream", true);
+        return tryFailed("no connection to the upstream", PlaceEnd::Gone);
     const bool saysNotRun = end == net::CallEnd::Complete && m_hasHead && m_facts.notRun;
     if (!saysNotRun)
         m_mayHaveRun = true;
     if (end == net::CallEnd::Broken)
-        return tryFailed("the upstream broke off", true);
+        return tryFailed("the upstream broke off", PlaceEnd::Failed);
     if (saysNotRun)
-        return tryFailed("the upstream refused", false);
+        return tryFailed("the upstream refused",
+                         m_facts.isOtherInstance ? PlaceEnd::Gone : PlaceEnd::Failed);
     answerComplete();
 }
 
@@ -255,8 +259,8 @@
     const bool isServerError = m_head.status >= 500;
     if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts
         && timeLeft() > minPatience)
-        return tryFailed("the upstream failed", false);
-    releasePlace(false);
+        return tryFailed("the upstream failed", PlaceEnd::Served);
+    releasePlace(PlaceEnd::Served);
     if (m_isStream) {
         startAnswer();
         m_exchange->write(m_splitter.rest());
@@ -277,10 +281,10 @@
 }
 
 /// Goes on at another upstream when the request may still run there.
-void PassingRequest::tryFailed(std::string_view reason, bool upstreamFailed)
+void PassingRequest::tryFailed(std::string_view reason, PlaceEnd end)
 {
     cancelCall();
-    releasePlace(upstreamFailed);
+    releasePlace(end);
     log(LogLevel::Info, "try-failed",
         {{"requestId", m_request.caller.id},
          {"upstream", m_upstream},
@@ -327,7 +331,7 @@
     if (m_isCalling)
         m_mayHaveRun = true;
     cancelCall();
-    releasePlace(false);
+    releasePlace(PlaceEnd::Abandoned);
     if (m_mayHaveRun || m_exchange->started())
         return fail(ErrorCode::Timeout, "the deadline has passed");
     refuse(ErrorCode::Overloaded, "the deadline has passed", absl::ZeroDuration());
@@ -338,7 +342,7 @@
     if (m_ended)
         return;
     cancelCall();
-    releasePlace(false);
+    releasePlace(PlaceEnd::Abandoned);
     m_exchange->abort();
     finish(Outcome::CallerLeft, "the caller left");
 }
@@ -366,10 +370,10 @@
     if (m_ended || !m_isCalling)
         return;
     m_mayHaveRun = true;
-    tryFailed("the upstream is silent", true);
+    tryFailed("the upstream is silent", PlaceEnd::Failed);
 }
 
-void PassingRequest::releasePlace(bool failed)
+void PassingRequest::releasePlace(PlaceEnd end)
 {
     if (!std::exchange(m_holdsPlace, false))
         return;
@@ -377,7 +381,7 @@
     release.instance = m_context.self.instance;
     release.requestId = m_request.caller.id;
     release.upstream = m_upstream;
-    release.failed = failed;
+    release.end = std::string(policy::name(end));
     m_context.places.release(release);
 }
 
@@ -397,7 +401,7 @@
     }
     if (m_asking) {
         m_holdsPlace = true;
-        releasePlace(false);
+        releasePlace(PlaceEnd::Abandoned);
     }
     const absl::Time now = m_context.clock.now();
     const std::string kind(serving::name(m_route.kind));
--- a/src/serving/passingrequest.h
+++ b/src/serving/passingrequest.h
@@ -44,7 +44,7 @@
     void startAnswer();
     void callEnded(net::CallEnd end);
     void answerComplete();
-    void tryFailed(std::string_view reason, bool upstreamFailed);
+    void tryFailed(std::string_view reason, policy::PlaceEnd end);
     void refuseOrFail(std::string_view reason);
     void refuse(ErrorCode code, std::string detail, absl::Duration retryAfter);
     void fail(ErrorCode code, std::string detail);
@@ -52,7 +52,7 @@
     void callerLeft();
     void armSilenceTimer();
     void silenceExpired();
-    void releasePlace(bool failed);
+    void releasePlace(policy::PlaceEnd end);
     void cancelCall();
     void finish(Outcome outcome, std::string_view reason);
 
--- a/src/serving/placebroker.cpp
+++ b/src/serving/placebroker.cpp
@@ -206,7 +206,8 @@
 {
     const std::string id = workId(release.instance, release.requestId);
     forget(id);
-    m_table.release(m_clock.now(), id, release.failed);
+    const auto end = policy::placeEndFromName(release.end);
+    m_table.release(m_clock.now(), id, end.value_or(policy::PlaceEnd::Abandoned));
     decide();
 }
 
@@ -232,10 +233,10 @@
     decide();
 }
 
-void PlaceBroker::releaseBatch(const std::string &work, bool failed)
+void PlaceBroker::releaseBatch(const std::string &work, policy::PlaceEnd end)
 {
     m_batch.erase(work);
-    m_table.release(m_clock.now(), work, failed);
+    m_table.release(m_clock.now(), work, end);
     decide();
 }
 
--- a/src/serving/placeclient.cpp
+++ b/src/serving/placeclient.cpp
@@ -55,7 +55,7 @@
         // The broker may have granted a place whose answer was lost.
         channels.channel(address)->push(
                 wire::Method::Release,
-                wire::encode(wire::PlaceRelease{request.instance, request.requestId, "", false}));
+                wire::encode(wire::PlaceRelease{request.instance, request.requestId, "", ""}));
         placeFromOwn(request, answer);
     }
 
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -43,7 +43,7 @@
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded)
 RATTANRILL_WIRE_FIELDS(PlaceResponse, verdict, upstream, address, retryAfterMs)
-RATTANRILL_WIRE_FIELDS(PlaceRelease, instance, requestId, upstream, failed)
+RATTANRILL_WIRE_FIELDS(PlaceRelease, instance, requestId, upstream, end)
 
 RATTANRILL_WIRE_MESSAGE(FleetCommand)
 RATTANRILL_WIRE_MESSAGE(FleetResult)
