Fleet: Let the store leader of the highest term count

Cause: on store-replaced the former leader of the store group was listed as leading for two seconds after its loss, and entries took the last listed leader as broker: with its place calls unanswered they placed from their own shares, which refuse within pulses. Ruled out: the election (0.6 s) and zombie runs of the lost leader, for which places now also shrink by what upstreams report beyond the own work.

--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -52,6 +52,7 @@
         absl::Time heardAt;
     };
 
+    void noteStoreLeader(const wire::SyncRequest &request);
     bool isRetiring(const std::string &replica) const;
     void changed() { ++m_sequence; }
 
@@ -65,6 +66,7 @@
     std::vector<wire::FleetUpstream> m_upstreams;
     /// By instance.
     std::map<std::string, Known> m_members;
+    std::uint64_t m_storeTerm = 0;
     std::vector<std::string> m_storeReplicas;
 };
 
--- a/include/rattanrill/policy/placetable.h
+++ b/include/rattanrill/policy/placetable.h
@@ -6,6 +6,7 @@
 
 #include "absl/time/time.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -98,6 +99,8 @@
     absl::Duration shortestReturn = absl::Milliseconds(300);
     /// Share of the places that are expected to be free for callers that return.
     double returnShare = 0.5;
+    /// A report of requests at an upstream that this table did not place counts for this long.
+    absl::Duration reportLifetime = absl::Seconds(1);
     /// Places at each upstream that batch work leaves free.
     std::int64_t reserve = 0;
 };
@@ -109,8 +112,9 @@
 /// Load patterns: a pulse of online requests above all places meets places that batch work fills
 /// (batch yields at once, the youngest first, and resumes later); online load above all places
 /// (refused at once when the wait would be too long, with returns spread over the time in which
-/// places become free); one workspace's surge (order between workspaces by tokens served). Apart
-/// from input and output; not thread-safe.
+/// places become free); one workspace's surge (order between workspaces by tokens served); requests
+/// of a sender that is gone, which their upstreams still run (places shrink by what upstreams report
+/// beyond the own work). Apart from input and output; not thread-safe.
 class PlaceTable
 {
 public:
@@ -123,6 +127,8 @@
     void release(absl::Time now, const std::string &work, PlaceEnd end);
     /// The work's caller no longer wants a place; a held one is released.
     void withdraw(absl::Time now, const std::string &work);
+    /// The upstream says that it has \a requests, from all senders.
+    void loadReported(absl::Time now, const std::string &upstream, std::int64_t requests);
     /// Decisions due at \a now, to be carried out in order.
     std::vector<PlaceDecision> decide(absl::Time now);
     /// Latest time for the next decide() when nothing else happens.
@@ -154,6 +160,14 @@
         bool removed = false;
         std::set<Item *> online;
         std::set<Item *> batch;
+        /// Requests that are not of this table, by the last two reports. A report may still count
+        /// work that has just left, so the lower one holds.
+        struct Report
+        {
+            absl::Time at = absl::InfinitePast();
+            std::int64_t foreign = 0;
+        };
+        std::array<Report, 2> reports;
 
         std::int64_t held() const
         {
@@ -178,6 +192,7 @@
     Item *itemOf(WorkId number);
     Upstream *freeUpstream(absl::Time now, const Service &service, const Item &item) const;
     Upstream *yieldingUpstream(absl::Time now, const Service &service, const Item &item) const;
+    std::int64_t foreign(absl::Time now, const Upstream &upstream) const;
     bool takes(absl::Time now, const Upstream &upstream, const Item &item) const;
     void decideOnline(absl::Time now, Service &service);
     void decideBatch(absl::Time now, Service &service);
--- a/include/rattanrill/serving/dialect.h
+++ b/include/rattanrill/serving/dialect.h
@@ -51,6 +51,8 @@
     bool notRun = false;
     /// Another instance than the expected one answered.
     bool isOtherInstance = false;
+    /// Requests that the upstream runs or that wait there, when it says so.
+    std::optional<std::int64_t> requests;
 };
 
 /// Call about a batch job, as a caller makes it.
--- a/include/rattanrill/serving/placeclient.h
+++ b/include/rattanrill/serving/placeclient.h
@@ -45,6 +45,7 @@
     void place(const wire::PlaceRequest &request, Answer answer);
     /// Also for a request whose answer has not come.
     void release(const wire::PlaceRelease &release);
+    void loadReported(const wire::UpstreamLoad &load);
     void stop();
 
 private:
--- a/include/rattanrill/wire/envelope.h
+++ b/include/rattanrill/wire/envelope.h
@@ -29,6 +29,7 @@
     Sync,
     Place,
     Release,
+    Load,
     SubmitJob,
     ReadJob,
     ReadItem,
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -112,7 +112,8 @@
 {
     FleetMember self;
     bool leadsStores = false;
-    /// Of the store group's leader: replicas of that group.
+    /// Of the store group's leader: its term, and the replicas of that group.
+    std::uint64_t storeTerm = 0;
     std::vector<std::string> storeReplicas;
     bool leaving = false;
     /// Of the last answer; an unequal one is answered at once.
@@ -180,6 +181,14 @@
     std::int64_t retryAfterMs = 0;
 };
 
+/// Push of Method::Load: what an upstream said of its load with the head of an answer.
+struct UpstreamLoad
+{
+    std::string upstream;
+    /// Requests that it runs or that wait there, from all senders.
+    std::int64_t requests = 0;
+};
+
 /// Push of Method::Release: a granted place is free again.
 struct PlaceRelease
 {
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -41,6 +41,7 @@
     m_upstreamsKnown = false;
     m_upstreams.clear();
     m_members.clear();
+    m_storeTerm = 0;
     m_storeReplicas.clear();
 }
 
@@ -82,21 +83,37 @@
             changed();
         return;
     }
-    if (request.leadsStores && m_storeReplicas != request.storeReplicas) {
-        m_storeReplicas = request.storeReplicas;
-        changed();
-    }
+    const bool leadsStores = request.leadsStores && request.storeTerm >= m_storeTerm;
+    if (leadsStores)
+        noteStoreLeader(request);
     Known &known = m_members[request.self.instance];
     wire::LiveMember live;
     live.member = request.self;
     live.alive = true;
-    live.leadsStores = request.leadsStores;
+    live.leadsStores = leadsStores;
     if (!sameMember(known.live, live))
         changed();
     known.live = std::move(live);
     known.heardAt = now;
 }
 
+/// A leader that is cut off or gone is not alive for a while yet; the one of the highest term
+/// counts.
+void FleetView::noteStoreLeader(const wire::SyncRequest &request)
+{
+    m_storeTerm = request.storeTerm;
+    if (m_storeReplicas != request.storeReplicas) {
+        m_storeReplicas = request.storeReplicas;
+        changed();
+    }
+    for (auto &[instance, known] : m_members) {
+        if (known.live.leadsStores && instance != request.self.instance) {
+            known.live.leadsStores = false;
+            changed();
+        }
+    }
+}
+
 void FleetView::expire(absl::Time now)
 {
     if (!m_settled && now - m_begunAt > m_memberTimeout) {
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -104,6 +104,21 @@
                     m_parts.loop.post([this, body = std::move(body)] { release(body); });
                     reply(std::string());
                 });
+        m_core->peerServer().handle(
+                wire::Method::Load,
+                [this](const peer::PeerIdentity &, std::string body, const peer::Reply &reply) {
+                    m_parts.loop.post([this, body = std::move(body)] { noteLoad(body); });
+                    reply(std::string());
+                });
+    }
+
+    void noteLoad(const std::string &body)
+    {
+        const auto load = outcomeOf([&] { return wire::decode<wire::UpstreamLoad>(body); });
+        if (load.ok())
+            m_broker.loadReported(load.value());
+        else
+            log(LogLevel::Warning, "load-unreadable", {{"code", name(load.failure().code)}});
     }
 
     void place(const std::string &body, const peer::Reply &reply)
@@ -133,6 +148,7 @@
         if (!request.leadsStores)
             return;
         const replication::GroupStatus status = m_replica->status();
+        request.storeTerm = status.term;
         request.storeReplicas = status.voters;
         request.storeReplicas.insert(request.storeReplicas.end(), status.learners.begin(),
                                      status.learners.end());
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -172,6 +172,8 @@
     m_head = head;
     m_facts = facts;
     m_hasHead = true;
+    if (facts.requests)
+        m_context.broker.loadReported({m_upstream, *facts.requests});
     return true;
 }
 
--- a/src/policy/placetable.cpp
+++ b/src/policy/placetable.cpp
@@ -159,6 +159,24 @@
     forget(item);
 }
 
+void PlaceTable::loadReported(absl::Time now, const std::string &upstream, std::int64_t requests)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end())
+        return;
+    auto &reports = found->second->reports;
+    reports[0] = reports[1];
+    reports[1] = {now, std::max<std::int64_t>(requests - found->second->held(), 0)};
+}
+
+std::int64_t PlaceTable::foreign(absl::Time now, const Upstream &upstream) const
+{
+    const auto &reports = upstream.reports;
+    if (now - reports[0].at > m_settings.reportLifetime)
+        return 0;
+    return std::min(reports[0].foreign, reports[1].foreign);
+}
+
 bool PlaceTable::takes(absl::Time now, const Upstream &upstream, const Item &item) const
 {
     if (upstream.info.leaving || upstream.removed)
@@ -175,20 +193,23 @@
 {
     const std::int64_t reserve = isOnline(item.work) ? 0 : m_settings.reserve;
     Upstream *best = nullptr;
+    std::int64_t bestLoad = 0;
     for (Upstream *upstream : service.upstreams) {
         const double share = upstream->outlier.share(now);
         const auto room = static_cast<std::int64_t>(
                 std::ceil(static_cast<double>(upstream->info.slots) * share));
-        if (!takes(now, *upstream, item) || upstream->held() >= room - reserve)
+        const std::int64_t load = upstream->held() + foreign(now, *upstream);
+        if (!takes(now, *upstream, item) || load >= room - reserve)
             continue;
-        if (best == nullptr || upstream->held() < best->held()) {
+        if (best == nullptr || load < bestLoad) {
             best = upstream;
+            bestLoad = load;
             continue;
         }
         const std::string &domain = item.work.failureDomain;
         const bool isNearer = upstream->info.failureDomain == domain
                               && best->info.failureDomain != domain;
-        if (upstream->held() == best->held() && isNearer)
+        if (load == bestLoad && isNearer)
             best = upstream;
     }
     return best;
--- a/src/serving/passingrequest.cpp
+++ b/src/serving/passingrequest.cpp
@@ -89,7 +89,9 @@
 void PassingRequest::askForPlace()
 {
     wire::PlaceRequest request;
-    request.requestId = m_request.caller.id;
+    m_askedPlace = m_asked++ == 0 ? m_request.caller.id
+                                  : concat(m_request.caller.id, "~", m_asked);
+    request.requestId = m_askedPlace;
     request.instance = m_context.self.instance;
     request.failureDomain = m_context.self.failureDomain;
     request.service = m_service;
@@ -98,7 +100,9 @@
     request.chargesRate = !m_chargedRate;
     request.promptTokens = m_request.caller.promptTokens;
     request.outputTokens = m_request.caller.outputTokens;
-    request.objectiveMs = absl::ToInt64Milliseconds(m_route.latencyObjective);
+    // A request that has run before is of use until its deadline; only a new one is refused early.
+    const absl::Duration objective = m_mayHaveRun ? timeLeft() : m_route.latencyObjective;
+    request.objectiveMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(objective), 0);
     request.deadlineMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(timeLeft()), 0);
     request.excluded = m_tried;
     m_asking = true;
@@ -111,18 +115,24 @@
 {
     m_asking = false;
     const bool isGranted = response.verdict == wire::PlaceVerdict::Granted;
-    if (m_ended) {
-        m_holdsPlace = isGranted;
-        m_upstream = response.upstream;
-        return releasePlace(PlaceEnd::Abandoned);
+    const bool isObsolete = m_ended || (m_isCalling && !m_isSilent);
+    if (isObsolete) {
+        if (isGranted)
+            release(m_askedPlace, response.upstream, PlaceEnd::Abandoned);
+        return;
     }
     m_fromOwnShare = m_fromOwnShare || fromOwnShare;
     if (isGranted) {
+        if (m_isCalling)
+            leaveSilentUpstream();
         m_chargedRate = true;
-        m_holdsPlace = true;
+        m_heldPlace = m_askedPlace;
         m_placedAt = m_context.clock.now();
         return send(response.upstream, response.address);
     }
+    // Nothing better is free, so the silent upstream may still answer.
+    if (m_isCalling)
+        return armSilenceTimer();
     const absl::Duration retryAfter = absl::Milliseconds(response.retryAfterMs);
     if (m_mayHaveRun || m_exchange->started())
         return fail(ErrorCode::UpstreamFailed, "no place for another try");
@@ -131,6 +141,20 @@
     refuse(ErrorCode::Overloaded, "no place will be free in time", retryAfter);
 }
 
+void PassingRequest::leaveSilentUpstream()
+{
+    log(LogLevel::Info, "try-failed",
+        {{"requestId", m_request.caller.id},
+         {"upstream", m_upstream},
+         {"attempt", m_attempts},
+         {"reason", "the upstream is silent"},
+         {"lastEvent", m_position.lastId().value_or(-1)}});
+    cancelCall();
+    releasePlace(PlaceEnd::Failed);
+    if (m_exchange->started())
+        ++m_resumes;
+}
+
 void PassingRequest::send(const std::string &upstream, const std::string &address)
 {
     m_upstream = upstream;
@@ -142,6 +166,7 @@
     m_tried.push_back(upstream);
     m_hasHead = false;
     m_isStream = false;
+    m_isSilent = false;
     m_body.clear();
     m_splitter.reset();
     UpstreamTry attempt;
@@ -176,6 +201,8 @@
     m_head = head;
     m_facts = facts;
     m_hasHead = true;
+    if (facts.requests)
+        m_context.places.loadReported({m_upstream, *facts.requests});
     m_isStream = !facts.notRun && head.status >= 200 && head.status < 300
                  && m_route.kind == RouteKind::Streaming && m_context.dialect.isEventStream(head);
     return true;
@@ -185,6 +212,7 @@
 {
     if (m_ended)
         return;
+    m_isSilent = false;
     if (m_isStream)
         return noteEvents(bytes);
     m_body.append(bytes);
@@ -298,7 +326,9 @@
         return refuseOrFail(reason);
     if (m_exchange->started())
         ++m_resumes;
-    askForPlace();
+    // A silent upstream's successor may have been asked for already.
+    if (!m_asking)
+        askForPlace();
 }
 
 void PassingRequest::refuseOrFail(std::string_view reason)
@@ -367,20 +397,25 @@
 
 void PassingRequest::silenceExpired()
 {
-    if (m_ended || !m_isCalling)
+    if (m_ended || !m_isCalling || m_asking)
         return;
     m_mayHaveRun = true;
-    tryFailed("the upstream is silent", PlaceEnd::Failed);
+    m_isSilent = true;
+    askForPlace();
 }
 
 void PassingRequest::releasePlace(PlaceEnd end)
 {
-    if (!std::exchange(m_holdsPlace, false))
-        return;
+    if (!m_heldPlace.empty())
+        release(std::exchange(m_heldPlace, std::string()), m_upstream, end);
+}
+
+void PassingRequest::release(const std::string &place, const std::string &upstream, PlaceEnd end)
+{
     wire::PlaceRelease release;
     release.instance = m_context.self.instance;
-    release.requestId = m_request.caller.id;
-    release.upstream = m_upstream;
+    release.requestId = place;
+    release.upstream = upstream;
     release.end = std::string(policy::name(end));
     m_context.places.release(release);
 }
@@ -399,10 +434,8 @@
         if (*timer != 0)
             timers.unsubscribe(std::exchange(*timer, 0));
     }
-    if (m_asking) {
-        m_holdsPlace = true;
-        releasePlace(PlaceEnd::Abandoned);
-    }
+    if (m_asking)
+        release(m_askedPlace, "", PlaceEnd::Abandoned);
     const absl::Time now = m_context.clock.now();
     const std::string kind(serving::name(m_route.kind));
     m_context.metrics.count("rattanrill_requests_total",
--- a/src/serving/passingrequest.h
+++ b/src/serving/passingrequest.h
@@ -52,7 +52,9 @@
     void callerLeft();
     void armSilenceTimer();
     void silenceExpired();
+    void leaveSilentUpstream();
     void releasePlace(policy::PlaceEnd end);
+    void release(const std::string &place, const std::string &upstream, policy::PlaceEnd end);
     void cancelCall();
     void finish(Outcome outcome, std::string_view reason);
 
@@ -67,7 +69,12 @@
 
     // The current try.
     bool m_asking = false;
-    bool m_holdsPlace = false;
+    /// Broker's name of the place that this request holds, and of the one that it asks for.
+    std::string m_heldPlace;
+    std::string m_askedPlace;
+    int m_asked = 0;
+    /// Nothing came for long; another upstream is looked for while this one may still answer.
+    bool m_isSilent = false;
     bool m_isCalling = false;
     net::UpstreamPool::CallId m_call = 0;
     std::string m_upstream;
--- a/src/serving/placebroker.cpp
+++ b/src/serving/placebroker.cpp
@@ -211,6 +211,11 @@
     decide();
 }
 
+void PlaceBroker::loadReported(const wire::UpstreamLoad &load)
+{
+    m_table.loadReported(m_clock.now(), load.upstream, load.requests);
+}
+
 void PlaceBroker::keepInstances(const std::vector<std::string> &instances)
 {
     std::vector<std::string> gone;
--- a/src/serving/placeclient.cpp
+++ b/src/serving/placeclient.cpp
@@ -155,6 +155,13 @@
     m_impl->release(release);
 }
 
+void PlaceClient::loadReported(const wire::UpstreamLoad &load)
+{
+    m_impl->own.loadReported(load);
+    if (!m_impl->broker.empty())
+        m_impl->channels.channel(m_impl->broker)->push(wire::Method::Load, wire::encode(load));
+}
+
 void PlaceClient::stop()
 {
     m_impl->stopped = true;
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -35,7 +35,7 @@
 RATTANRILL_WIRE_FIELDS(FleetRecords, configurationVersion, configuration, retiringStores,
                        storeFounders)
 RATTANRILL_WIRE_FIELDS(LiveMember, member, alive, leadsStores, retiring, holdsCopy)
-RATTANRILL_WIRE_FIELDS(SyncRequest, self, leadsStores, storeReplicas, leaving, viewTerm, viewSequence,
+RATTANRILL_WIRE_FIELDS(SyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving, viewTerm, viewSequence,
                        configurationVersion, waitMs)
 RATTANRILL_WIRE_FIELDS(SyncResponse, viewTerm, viewSequence, configurationVersion, configuration,
                        members, membersSettled, storeFounders, upstreamsKnown, upstreams)
@@ -43,6 +43,7 @@
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded)
 RATTANRILL_WIRE_FIELDS(PlaceResponse, verdict, upstream, address, retryAfterMs)
+RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests)
 RATTANRILL_WIRE_FIELDS(PlaceRelease, instance, requestId, upstream, end)
 
 RATTANRILL_WIRE_MESSAGE(FleetCommand)
@@ -53,6 +54,7 @@
 RATTANRILL_WIRE_MESSAGE(SyncResponse)
 RATTANRILL_WIRE_MESSAGE(PlaceRequest)
 RATTANRILL_WIRE_MESSAGE(PlaceResponse)
+RATTANRILL_WIRE_MESSAGE(UpstreamLoad)
 RATTANRILL_WIRE_MESSAGE(PlaceRelease)
 
 std::string_view name(MemberRole role)
