--- /dev/null
+++ b/tests/fleet/statemachine_test.cpp
@@ -0,0 +1,103 @@
+#include "rattanrill/fleet/statemachine.h"
+
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/fleetmessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace rattanrill;
+
+namespace {
+
+struct Fixture
+{
+    std::uint64_t put(std::uint64_t version, const std::string &document)
+    {
+        return perform(wire::PutConfiguration{version, document}).configurationVersion;
+    }
+
+    wire::FleetResult perform(wire::FleetOperation operation)
+    {
+        const std::string answer =
+                machine->apply(++index, wire::encode(wire::FleetCommand{std::move(operation)}));
+        const auto result = outcomeOf([&]() -> Result<wire::FleetResult> {
+            BOOST_LEAF_AUTO(decoded, wire::decode<wire::CommandResult>(answer));
+            return wire::decode<wire::FleetResult>(decoded.body);
+        });
+        BOOST_REQUIRE(result.ok());
+        return result.value();
+    }
+
+    static wire::FleetRecords records(const replication::StateMachine &machine,
+                                      std::uint64_t known = 0)
+    {
+        const std::string answer = machine.query(wire::encode(wire::FleetQuery{known}));
+        const auto result = outcomeOf([&]() -> Result<wire::FleetRecords> {
+            BOOST_LEAF_AUTO(decoded, wire::decode<wire::CommandResult>(answer));
+            return wire::decode<wire::FleetRecords>(decoded.body);
+        });
+        BOOST_REQUIRE(result.ok());
+        return result.value();
+    }
+
+    std::unique_ptr<replication::StateMachine> machine = fleet::makeFleetStateMachine();
+    std::uint64_t index = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FleetStateMachineTest, Fixture)
+
+// Guards against a configuration that goes back when a change is resent late.
+BOOST_AUTO_TEST_CASE(highestVersionStays)
+{
+    BOOST_TEST(put(7, "seven") == 7u);
+    BOOST_TEST(put(5, "five") == 7u);
+    BOOST_TEST(records(*machine).configuration == "seven");
+    BOOST_TEST(put(9, "nine") == 9u);
+    BOOST_TEST(records(*machine).configuration == "nine");
+}
+
+// Guards against two operators whose changes of equal version both take effect.
+BOOST_AUTO_TEST_CASE(equalVersionWithOtherContentChangesNothing)
+{
+    put(7, "first");
+    BOOST_TEST(put(7, "second") == 7u);
+    BOOST_TEST(records(*machine).configuration == "first");
+}
+
+BOOST_AUTO_TEST_CASE(documentIsLeftOutForItsOwnVersion)
+{
+    put(7, "seven");
+    BOOST_TEST(records(*machine, 7).configuration.empty());
+    BOOST_TEST(records(*machine, 7).configurationVersion == 7u);
+}
+
+// Guards against a second store group beside the one that holds accepted jobs.
+BOOST_AUTO_TEST_CASE(storeGroupIsFoundedOnce)
+{
+    perform(wire::FoundStoreGroup{{"a", "b", "c"}});
+    perform(wire::FoundStoreGroup{{"x"}});
+    BOOST_TEST(records(*machine).storeFounders.size() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(snapshotHoldsEverything)
+{
+    put(7, "seven");
+    perform(wire::FoundStoreGroup{{"a"}});
+    perform(wire::RetireStore{"r"});
+    perform(wire::RetireStore{"r"});
+    const auto other = fleet::makeFleetStateMachine();
+    BOOST_REQUIRE(outcomeOf([&] { return other->restore(machine->snapshot()); }).ok());
+    const wire::FleetRecords restored = records(*other);
+    BOOST_TEST(restored.configuration == "seven");
+    BOOST_TEST(restored.storeFounders.size() == 1u);
+    BOOST_TEST(restored.retiringStores.size() == 1u);
+    BOOST_TEST(!outcomeOf([&] { return other->restore("\xff no snapshot"); }).ok());
+    BOOST_TEST(records(*other).configuration == "seven");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/jobs/statemachine_test.cpp
@@ -0,0 +1,216 @@
+#include "rattanrill/jobs/statemachine.h"
+
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/jobmessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <random>
+#include <string>
+
+using namespace rattanrill;
+
+namespace {
+
+wire::JobRecord job(const std::string &id, int items, const std::string &workspace = "w")
+{
+    wire::JobRecord record;
+    record.id = id;
+    record.workspace = workspace;
+    record.route = "r";
+    for (int i = 0; i < items; ++i)
+        record.items.push_back({"i" + std::to_string(i), "/p", {}, "body" + std::to_string(i), 100});
+    return record;
+}
+
+template <typename Message>
+Outcome<Message> unpacked(const std::string &answer)
+{
+    return outcomeOf([&]() -> Result<Message> {
+        BOOST_LEAF_AUTO(result, wire::decode<wire::CommandResult>(answer));
+        if (result.failure.failed)
+            return fail(wire::fromMessage(result.failure));
+        return wire::decode<Message>(result.body);
+    });
+}
+
+struct Fixture
+{
+    Outcome<wire::JobCommandResult> perform(wire::JobOperation operation)
+    {
+        return unpacked<wire::JobCommandResult>(
+                machine->apply(++index, wire::encode(wire::JobCommand{std::move(operation)})));
+    }
+
+    Outcome<wire::ReadJobResponse> read(const std::string &id, std::int64_t after = 0,
+                                        const std::string &workspace = "w")
+    {
+        wire::ReadJobRequest request;
+        request.workspace = workspace;
+        request.job = id;
+        request.after = after;
+        return unpacked<wire::ReadJobResponse>(machine->query(wire::encode(wire::JobQuery{request})));
+    }
+
+    wire::OpenJobs open()
+    {
+        return unpacked<wire::OpenJobs>(
+                       machine->query(wire::encode(wire::JobQuery{wire::ListOpenJobs{}})))
+                .value();
+    }
+
+    void finish(const std::string &id, const std::string &item, const std::string &output)
+    {
+        BOOST_TEST(perform(wire::AppendResults{
+                                   id, {{item, wire::ItemOutcome::Completed, output}}})
+                           .ok());
+    }
+
+    std::unique_ptr<replication::StateMachine> machine = jobs::makeJobStateMachine();
+    std::uint64_t index = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(JobStateMachineTest, Fixture)
+
+// Guards against a resent job that runs a second time.
+BOOST_AUTO_TEST_CASE(jobIsAcceptedOnce)
+{
+    BOOST_TEST(perform(wire::AcceptJob{job("j", 2), 0}).value().isNew);
+    const auto again = perform(wire::AcceptJob{job("j", 2), 0});
+    BOOST_TEST(!again.value().isNew);
+    BOOST_TEST(!again.value().overLimit);
+    BOOST_TEST(open().jobs.size() == 1u);
+}
+
+// Guards against a result that changes or moves after it was read.
+BOOST_AUTO_TEST_CASE(resultKeepsItsPlaceAndContent)
+{
+    perform(wire::AcceptJob{job("j", 3), 0});
+    finish("j", "i2", "first");
+    finish("j", "i0", "second");
+    finish("j", "i2", "other text");
+    finish("j", "unknown", "x");
+    const wire::ReadJobResponse all = read("j").value();
+    BOOST_TEST(all.total == 3);
+    BOOST_TEST(all.next == 2);
+    BOOST_TEST_REQUIRE(all.results.size() == 2u);
+    BOOST_TEST(all.results[0].id == "i2");
+    BOOST_TEST(all.results[0].output == "first");
+    const wire::ReadJobResponse rest = read("j", 1).value();
+    BOOST_TEST(rest.results.size() == 1u);
+    BOOST_TEST(rest.results[0].output == "second");
+    BOOST_TEST(read("j", 2).value().results.empty());
+    BOOST_TEST(read("j", 2).value().next == 2);
+}
+
+// Guards against jobs that are visible to another workspace.
+BOOST_AUTO_TEST_CASE(jobOfAnotherWorkspaceIsNotFound)
+{
+    perform(wire::AcceptJob{job("j", 1), 0});
+    BOOST_TEST((read("j", 0, "v").failure().code == ErrorCode::NotFound));
+    BOOST_TEST(!perform(wire::EndJob{"v", "j"}).ok());
+    BOOST_TEST(!perform(wire::AcceptJob{job("j", 1, "v"), 0}).ok());
+}
+
+// Guards against more waiting tokens than a workspace is granted on a route.
+BOOST_AUTO_TEST_CASE(waitingTokensAreLimited)
+{
+    BOOST_TEST(!perform(wire::AcceptJob{job("a", 2), 300}).value().overLimit);
+    BOOST_TEST(perform(wire::AcceptJob{job("b", 2), 300}).value().overLimit);
+    BOOST_TEST(!read("b").ok());
+    // A repeat of an accepted job is not counted again.
+    BOOST_TEST(!perform(wire::AcceptJob{job("a", 2), 300}).value().overLimit);
+    finish("a", "i0", "x");
+    BOOST_TEST(!perform(wire::AcceptJob{job("b", 2), 300}).value().overLimit);
+    perform(wire::EndJob{"w", "b"});
+    perform(wire::EndJob{"w", "b"});
+    BOOST_TEST(!perform(wire::AcceptJob{job("c", 2), 300}).value().overLimit);
+    BOOST_TEST(perform(wire::AcceptJob{job("d", 1), 300}).value().overLimit);
+}
+
+// Guards against items of an ended job that run again under a new executor.
+BOOST_AUTO_TEST_CASE(endedJobIsNotOpenAndKeepsItsResults)
+{
+    perform(wire::AcceptJob{job("j", 2), 0});
+    finish("j", "i0", "x");
+    BOOST_TEST(perform(wire::EndJob{"w", "j"}).ok());
+    BOOST_TEST(perform(wire::EndJob{"w", "j"}).ok());
+    BOOST_TEST(open().jobs.empty());
+    BOOST_TEST(read("j").value().results.size() == 1u);
+}
+
+// Guards against stored progress that is joined from two runs.
+BOOST_AUTO_TEST_CASE(progressOnlyGrowsWhereItEnds)
+{
+    perform(wire::AcceptJob{job("j", 1), 0});
+    const auto step = [&](std::int64_t after, std::int64_t last, const std::string &text) {
+        perform(wire::AppendProgress{{{"j", "i0", after, last, text}}});
+    };
+    step(-1, 2, "a\nb");
+    step(-1, 3, "x\ny\nz");
+    step(5, 7, "late");
+    step(2, 3, "c");
+    const wire::OpenJobs listed = open();
+    BOOST_TEST_REQUIRE(listed.jobs.at(0).progress.size() == 1u);
+    BOOST_TEST(listed.jobs[0].progress[0].output == "a\nb\nc");
+    BOOST_TEST(listed.jobs[0].progress[0].lastEvent == 3);
+    finish("j", "i0", "a\nb\nc\nd");
+    BOOST_TEST(open().jobs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(onlyFinishedJobsAreForgotten)
+{
+    wire::JobRecord old = job("old", 1);
+    old.acceptedAtMs = 1000;
+    perform(wire::AcceptJob{old, 0});
+    perform(wire::ForgetJobs{2000});
+    BOOST_TEST(read("old").ok());
+    finish("old", "i0", "x");
+    perform(wire::ForgetJobs{2000});
+    BOOST_TEST(!read("old").ok());
+}
+
+BOOST_AUTO_TEST_CASE(largeResultsComeInParts)
+{
+    perform(wire::AcceptJob{job("j", 3), 0});
+    for (int i = 0; i < 3; ++i)
+        finish("j", "i" + std::to_string(i), std::string(600000, 'x'));
+    BOOST_TEST(read("j").value().results.size() == 1u);
+    BOOST_TEST(read("j", 1).value().next == 2);
+}
+
+// Guards against a restored replica that answers otherwise than the others.
+BOOST_AUTO_TEST_CASE(restoredReplicaAnswersLikeTheOriginal)
+{
+    std::mt19937 random(17);
+    for (int step = 0; step < 300; ++step) {
+        const std::string id = "j" + std::to_string(random() % 12);
+        const std::string item = "i" + std::to_string(random() % 4);
+        switch (random() % 4) {
+        case 0:
+            perform(wire::AcceptJob{job(id, 4), 2000});
+            break;
+        case 1:
+            perform(wire::AppendResults{
+                    id, {{item, wire::ItemOutcome::Completed, std::to_string(step)}}});
+            break;
+        case 2:
+            perform(wire::AppendProgress{{{id, item, -1, 3, "p"}}});
+            break;
+        default:
+            if (random() % 5 == 0)
+                perform(wire::EndJob{"w", id});
+        }
+    }
+    const auto other = jobs::makeJobStateMachine();
+    BOOST_REQUIRE(outcomeOf([&] { return other->restore(machine->snapshot()); }).ok());
+    BOOST_TEST(other->snapshot() == machine->snapshot());
+    const std::string command =
+            wire::encode(wire::JobCommand{wire::AcceptJob{job("new", 4), 2000}});
+    BOOST_TEST(other->apply(1, command) == machine->apply(index + 1, command));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/net/rawsocket.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/asio.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace rattanrill::net {
+
+/// A client that sends exactly the bytes that it is given.
+class RawSocket
+{
+public:
+    explicit RawSocket(int port)
+        : m_socket(m_context)
+    {
+        m_socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                          static_cast<unsigned short>(port)});
+    }
+
+    void send(std::string_view bytes)
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(bytes.data(), bytes.size()));
+    }
+
+    /// Reads until \a end stands in what was received, or the other side closes.
+    std::string readUntil(std::string_view end)
+    {
+        while (m_received.find(end) == std::string::npos && readSome()) {
+        }
+        return m_received;
+    }
+
+    /// Reads until the other side closes.
+    std::string readAll()
+    {
+        while (readSome()) {
+        }
+        return m_received;
+    }
+
+    void close() { m_socket.close(); }
+
+private:
+    bool readSome()
+    {
+        char buffer[4096];
+        boost::system::error_code error;
+        const std::size_t size = m_socket.read_some(boost::asio::buffer(buffer), error);
+        m_received.append(buffer, size);
+        return !error;
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_received;
+};
+
+} // namespace rattanrill::net
--- /dev/null
+++ b/tests/platform/dialect_test.cpp
@@ -0,0 +1,233 @@
+#include "jobcalls.h"
+#include "platformdialect.h"
+
+#include "rattanrill/base/json.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace rattanrill;
+using namespace rattanrill::platform;
+
+namespace {
+
+net::Request callerRequest()
+{
+    net::Request request;
+    request.method = "POST";
+    request.target = "/lamps/7?x=1";
+    request.headers.add("Host", "booth.example");
+    request.headers.add("Request-Id", "ab12");
+    request.headers.add("Authorization", "Bearer secret-key");
+    request.headers.add("Tenant-Id", "forged");
+    request.headers.add("Deadline-Ms", "5000");
+    request.headers.add("Token-Usage", "540,400");
+    request.headers.add("Prompt-Prefix", "9c2e41:300,5d07b8:240");
+    request.headers.add("Connection", "keep-alive, X-Hop");
+    request.headers.add("X-Hop", "1");
+    request.headers.add("X-Kept", "2");
+    request.body = "the body";
+    return request;
+}
+
+const PlatformDialect dialect;
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformDialectTest)
+
+BOOST_AUTO_TEST_CASE(callerRequestIsRead)
+{
+    const auto caller = outcomeOf([&] { return dialect.readRequest(callerRequest()); });
+    BOOST_REQUIRE(caller.ok());
+    BOOST_TEST(caller.value().id == "ab12");
+    BOOST_TEST(caller.value().key == "secret-key");
+    BOOST_TEST((caller.value().patience == absl::Seconds(5)));
+    BOOST_TEST(caller.value().promptTokens == 540);
+    BOOST_TEST(caller.value().outputTokens == 400);
+    BOOST_TEST(!caller.value().resumeAfter.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(brokenDeadlineIsRefused)
+{
+    for (const char *value : {"soon", "-5", "", "5s"}) {
+        net::Request request = callerRequest();
+        request.headers.set("Deadline-Ms", value);
+        BOOST_TEST(!outcomeOf([&] { return dialect.readRequest(request); }).ok(), value);
+    }
+}
+
+// Guards against a key that reaches an upstream, a workspace that the caller chose, and a deadline
+// that is longer than what is left.
+BOOST_AUTO_TEST_CASE(upstreamRequestCarriesOnlyWhatItShould)
+{
+    serving::UpstreamTry attempt;
+    attempt.upstream = "i-7";
+    attempt.workspace = "huka";
+    attempt.patience = absl::Milliseconds(1234);
+    attempt.resumeAfter = 12;
+    const net::Request sent = dialect.upstreamRequest(callerRequest(), attempt);
+    BOOST_TEST(sent.method == "POST");
+    BOOST_TEST(sent.target == "/lamps/7?x=1");
+    BOOST_TEST(sent.body == "the body");
+    BOOST_TEST(sent.headers.count("Authorization") == 0u);
+    BOOST_TEST(sent.headers.count("Tenant-Id") == 1u);
+    BOOST_TEST(sent.headers.value("Tenant-Id") == "huka");
+    BOOST_TEST(sent.headers.value("Expect-Instance") == "i-7");
+    BOOST_TEST(sent.headers.value("Deadline-Ms") == "1234");
+    BOOST_TEST(sent.headers.value("Last-Event-Id") == "12");
+    BOOST_TEST(sent.headers.value("Request-Id") == "ab12");
+    BOOST_TEST(sent.headers.value("Token-Usage") == "540,400");
+    BOOST_TEST(sent.headers.count("X-Hop") == 0u);
+    BOOST_TEST(sent.headers.value("X-Kept") == "2");
+    attempt.workspace.clear();
+    BOOST_TEST(dialect.upstreamRequest(callerRequest(), attempt).headers.count("Tenant-Id") == 0u);
+}
+
+// Guards against a status that promises "not run" for a request that may have run.
+BOOST_AUTO_TEST_CASE(promisesAreKept)
+{
+    const auto statusOf = [](const Failure &failure) {
+        return refusalResponse(failure, absl::ZeroDuration()).head.status;
+    };
+    for (const ErrorCode code :
+         {ErrorCode::Overloaded, ErrorCode::RateLimited, ErrorCode::UpstreamUnavailable,
+          ErrorCode::Timeout, ErrorCode::NoQuorum, ErrorCode::ProposalLost, ErrorCode::Stopped}) {
+        const int status = statusOf(mayHaveRun(code, ""));
+        BOOST_TEST((status == 502 || status == 504 || status == 500), name(code));
+    }
+    BOOST_TEST(statusOf(notRun(ErrorCode::Overloaded, "")) == 503);
+    BOOST_TEST(statusOf(notRun(ErrorCode::Timeout, "")) == 503);
+    BOOST_TEST(statusOf(notRun(ErrorCode::RateLimited, "")) == 429);
+    BOOST_TEST(statusOf(notRun(ErrorCode::InvalidKey, "")) == 401);
+    BOOST_TEST(statusOf(notRun(ErrorCode::UnknownRoute, "")) == 404);
+    BOOST_TEST(statusOf(notRun(ErrorCode::InvalidRequest, "")) == 400);
+}
+
+BOOST_AUTO_TEST_CASE(retryAfterIsInSeconds)
+{
+    const net::Response response =
+            refusalResponse(notRun(ErrorCode::Overloaded, ""), absl::Milliseconds(350));
+    BOOST_TEST(response.head.headers.value("Retry-After") == "0.350");
+}
+
+BOOST_AUTO_TEST_CASE(answerFactsAreRead)
+{
+    net::ResponseHead head;
+    head.status = 503;
+    head.headers.add("Request-Id", "ab12");
+    head.headers.add("Not-Executed", "1");
+    head.headers.add("Server-Load", "7,2,8");
+    const serving::AnswerFacts facts = dialect.readAnswer(head);
+    BOOST_TEST(facts.notRun);
+    BOOST_TEST(!facts.isOtherInstance);
+    BOOST_TEST(*facts.requests == 9);
+    head.headers.remove("Not-Executed");
+    head.headers.set("Server-Load", "7,x");
+    BOOST_TEST(!dialect.readAnswer(head).notRun);
+    BOOST_TEST(!dialect.readAnswer(head).requests.has_value());
+    head.status = 421;
+    BOOST_TEST(dialect.readAnswer(head).isOtherInstance);
+}
+
+BOOST_AUTO_TEST_CASE(itemIsARequestOfItsOwn)
+{
+    wire::JobItem item{"it1", "/lamps/3", {{"Model-Name", "m"}, {"Authorization", "x"}}, "bytes", 9};
+    serving::UpstreamTry attempt;
+    attempt.upstream = "i-7";
+    attempt.workspace = "huka";
+    const net::Request request = dialect.itemRequest(item, "booth.example", attempt);
+    BOOST_TEST(request.method == "POST");
+    BOOST_TEST(request.target == "/lamps/3");
+    BOOST_TEST(request.headers.value("Request-Id") == "it1");
+    BOOST_TEST(request.headers.value("Host") == "booth.example");
+    BOOST_TEST(request.headers.value("Model-Name") == "m");
+    BOOST_TEST(request.headers.count("Authorization") == 0u);
+    BOOST_TEST(request.headers.count("Deadline-Ms") == 0u);
+    BOOST_TEST(request.body == "bytes");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(JobCallsTest)
+
+BOOST_AUTO_TEST_CASE(submissionIsRead)
+{
+    net::Request request;
+    request.method = "POST";
+    request.target = "/batch/1";
+    request.body = R"({"requests":[{"id":"e5","path":"/batch/3","headers":{"Model-Name":"m"},)"
+                   R"("body":"AAEC/w==","tokens":940}]})";
+    const auto call = outcomeOf([&] { return decodeJobCall(request, "job1"); });
+    BOOST_REQUIRE(call.ok());
+    const auto &job = std::get<serving::SubmitJobCall>(call.value()).job;
+    BOOST_TEST(job.id == "job1");
+    BOOST_TEST_REQUIRE(job.items.size() == 1u);
+    BOOST_TEST(job.items[0].body == std::string("\x00\x01\x02\xff", 4));
+    BOOST_TEST(job.items[0].tokens == 940);
+}
+
+BOOST_AUTO_TEST_CASE(brokenSubmissionsAreRefused)
+{
+    const std::string many = [] {
+        std::string list;
+        for (int i = 0; i < 201; ++i)
+            list += (i == 0 ? "" : ",") + std::string(R"({"id":"i)") + std::to_string(i)
+                    + R"(","path":"/p"})";
+        return R"({"requests":[)" + list + "]}";
+    }();
+    for (const std::string &body :
+         {std::string("{"), std::string("[]"), std::string(R"({"requests":[]})"),
+          std::string(R"({"requests":[{"id":"a"}]})"),
+          std::string(R"({"requests":[{"id":"a","path":"/p","body":"%%%%"}]})"),
+          std::string(R"({"requests":[{"id":"a","path":"/p"},{"id":"a","path":"/p"}]})"), many}) {
+        net::Request request;
+        request.method = "POST";
+        request.target = "/batch/1";
+        request.body = body;
+        BOOST_TEST(!outcomeOf([&] { return decodeJobCall(request, "job1"); }).ok(),
+                   body.substr(0, 60));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(readsAndEndsAreRead)
+{
+    net::Request read;
+    read.method = "GET";
+    read.target = "/lots/job1?after=12";
+    read.headers.add("Wait-Ms", "1000");
+    BOOST_TEST(isJobPath(read));
+    const auto call = outcomeOf([&] { return decodeJobCall(read, ""); });
+    BOOST_TEST(std::get<serving::ReadJobCall>(call.value()).after == 12);
+    BOOST_TEST((std::get<serving::ReadJobCall>(call.value()).wait == absl::Seconds(1)));
+    net::Request item;
+    item.method = "GET";
+    item.target = "/items/job1?id=e5";
+    const auto itemCall = outcomeOf([&] { return decodeJobCall(item, ""); });
+    BOOST_TEST(std::get<serving::ReadItemCall>(itemCall.value()).item == "e5");
+    net::Request end;
+    end.method = "DELETE";
+    end.target = "/lots/job1";
+    BOOST_TEST(isJobPath(end));
+    const auto endCall = outcomeOf([&] { return decodeJobCall(end, ""); });
+    BOOST_TEST(std::get<serving::EndJobCall>(endCall.value()).job == "job1");
+}
+
+BOOST_AUTO_TEST_CASE(resultsAreWritten)
+{
+    wire::ReadJobResponse results;
+    results.total = 3;
+    results.next = 2;
+    results.results = {{"a", wire::ItemOutcome::Completed, "x\ny"},
+                       {"b", wire::ItemOutcome::DeadLettered, ""}};
+    const auto json =
+            outcomeOf([&] { return parseJson(encodeJobResults(results).body, "results"); });
+    BOOST_REQUIRE(json.ok());
+    BOOST_TEST(json.value()["total"] == 3);
+    BOOST_TEST(json.value()["next"] == 2);
+    BOOST_TEST(json.value()["results"][0]["output"] == "x\ny");
+    BOOST_TEST(json.value()["results"][1]["state"] == "dead_lettered");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/operator_test.cpp
@@ -0,0 +1,133 @@
+#include "instancelist.h"
+#include "platformoperator.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace rattanrill;
+using namespace rattanrill::platform;
+
+namespace {
+
+const std::string document = R"({"version":7,"routes":[
+  {"name":"r1","hostname":"h.example","path-prefix":"/a/","type":"streaming","timeout-ms":5000,
+   "target-latency-ms":300,"priority":2,"traffic-split":[{"service":"s","weight":90},
+   {"service":"t","weight":10}],"max-attempts":2,"allow-anonymous":false,"resumable":true,
+   "gap-aim-ms":250},
+  {"name":"r2","hostname":"h.example","path-prefix":"/b/","type":"batch","timeout-ms":4000,
+   "service":"s","completion-target-ms":18000,"max-queue-s":40,"max-count":740000}],
+ "services":[{"name":"s","health-check":"/health","max-connections":360,
+   "engine":{"slots":8}},{"name":"t","health-check":"/health","max-connections":96}],
+ "limits":{"max-header-bytes":1000,"max-body-bytes":2000,"header-timeout-ms":100,
+   "idle-timeout-ms":200},
+ "tenants":[{"name":"w","api-keys":["k1","k2"],"priority":1,"rate-per-s":45,"burst":50}],
+ "unknown":{"x":1}})";
+
+const PlatformOperator dialect;
+
+Outcome<fleet::OperatorCall> put(const std::string &body)
+{
+    net::Request request;
+    request.method = "POST";
+    request.target = "/Config.Replace";
+    request.body = body;
+    return outcomeOf([&] { return dialect.readCall(request); });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PlatformOperatorTest)
+
+BOOST_AUTO_TEST_CASE(configurationIsRead)
+{
+    const auto call = put(document);
+    BOOST_REQUIRE(call.ok());
+    const auto &parsed = std::get<fleet::PutDocument>(call.value());
+    BOOST_TEST(parsed.document == document);
+    const serving::Deployment &deployment = parsed.deployment;
+    BOOST_TEST(deployment.version == 7u);
+    BOOST_TEST_REQUIRE(deployment.routes.size() == 2u);
+    const serving::Route &stream = deployment.routes[0];
+    BOOST_TEST((stream.kind == serving::RouteKind::Streaming));
+    BOOST_TEST(stream.targets.size() == 2u);
+    BOOST_TEST((stream.gapObjective == absl::Milliseconds(250)));
+    BOOST_TEST(stream.maxAttempts == 2);
+    BOOST_TEST(stream.resumable);
+    const serving::Route &batch = deployment.routes[1];
+    BOOST_TEST((batch.kind == serving::RouteKind::Batch));
+    BOOST_TEST(batch.maxWaitingTokens == 740000);
+    BOOST_TEST((batch.completionObjective == absl::Seconds(18)));
+    BOOST_TEST((batch.abandonAfter == absl::Seconds(40)));
+    BOOST_TEST(deployment.services[0].engineSlots == 8);
+    BOOST_TEST(deployment.workspaces[0].keys.size() == 2u);
+    BOOST_TEST(deployment.workspaces[0].ratePerSecond == 45);
+    BOOST_TEST(deployment.limits.maxBodyBytes == 2000u);
+}
+
+// Guards against a configuration that is cut short or misread and taken all the same.
+BOOST_AUTO_TEST_CASE(unreadableConfigurationsAreRefusedWhole)
+{
+    for (std::size_t size = 0; size < document.size() - 1; size += 17)
+        BOOST_TEST(!put(document.substr(0, size)).ok());
+    BOOST_TEST(!put(R"({"routes":[]})").ok());
+    BOOST_TEST(!put(R"({"version":"7"})").ok());
+    BOOST_TEST(!put(R"({"version":7,"routes":{}})").ok());
+    BOOST_TEST(!put(R"({"version":7,"routes":[{"name":"r"}]})").ok());
+    BOOST_TEST(!put(R"({"version":7,"tenants":[{"name":"w","api-keys":[1]}]})").ok());
+}
+
+BOOST_AUTO_TEST_CASE(otherCallsAreRead)
+{
+    const auto read = [](const std::string &method, const std::string &target) {
+        net::Request request;
+        request.method = method;
+        request.target = target;
+        return outcomeOf([&] { return dialect.readCall(request); });
+    };
+    BOOST_TEST(std::holds_alternative<fleet::GetDocument>(read("GET", "/Config.Get").value()));
+    BOOST_TEST(std::get<fleet::StartRetiring>(read("POST", "/Retire.Start/store-1").value()).instance
+               == "store-1");
+    BOOST_TEST(std::get<fleet::GetRetiring>(read("GET", "/Retire.Get/store-1").value()).instance
+               == "store-1");
+    BOOST_TEST(!read("GET", "/Retire.Get/").ok());
+    BOOST_TEST(!read("GET", "/elsewhere").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(InstanceListTest)
+
+// Guards against an entry of another writer that is used, or that hides the others.
+BOOST_AUTO_TEST_CASE(entriesOfAnotherWriterAreSkipped)
+{
+    const std::string good = R"({"id":"i-1","service":"s","address":"10.0.0.1:80","zone":"a",)"
+                             R"("slots":8,"state":"ready"})";
+    const std::string page =
+            R"({"instances":[)" + good
+            + R"(,{"id":"i-2","service":"s","address":"10.0.0.2:80","zone":"a","slots":6,)"
+              R"("state":"draining"},{"id":7},null,"text",{"id":"i-3","service":"s",)"
+              R"("address":"10.0.0.3:80","zone":"a","slots":"8","state":"ready"},)"
+              R"({"id":"i-4","service":"s","address":"10.0.0.4:80","zone":"a","slots":8,)"
+              R"("state":"resting"},{"id":")"
+            + "\xff\xfe" + R"(","state":"ready"}],"next":"p-50"})";
+    const auto decoded = outcomeOf([&] { return decodeInstancePage(page); });
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST_REQUIRE(decoded.value().upstreams.size() == 2u);
+    BOOST_TEST(decoded.value().upstreams[0].id == "i-1");
+    BOOST_TEST(!decoded.value().upstreams[0].draining);
+    BOOST_TEST(decoded.value().upstreams[1].draining);
+    BOOST_TEST(decoded.value().skipped == 6);
+    BOOST_TEST(decoded.value().nextPage == "p-50");
+}
+
+BOOST_AUTO_TEST_CASE(lastPageHasNoNext)
+{
+    const auto page = outcomeOf([&] { return decodeInstancePage(R"({"instances":[],"next":null})"); });
+    BOOST_REQUIRE(page.ok());
+    BOOST_TEST(page.value().nextPage.empty());
+    BOOST_TEST(!outcomeOf([&] { return decodeInstancePage("[]"); }).ok());
+    BOOST_TEST(!outcomeOf([&] { return decodeInstancePage("{"); }).ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/policy/placetable_test.cpp
@@ -0,0 +1,253 @@
+#include "rattanrill/policy/placetable.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+using namespace rattanrill::policy;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+PlaceUpstream upstream(const std::string &id, std::int64_t slots)
+{
+    return {id, "llm", id + ":1", "d", slots, false};
+}
+
+PlaceWork online(const std::string &id, absl::Time due, const std::string &workspace = "w")
+{
+    PlaceWork work;
+    work.id = id;
+    work.service = "llm";
+    work.workspace = workspace;
+    work.due = due;
+    return work;
+}
+
+PlaceWork batch(const std::string &id, const std::string &workspace = "w")
+{
+    PlaceWork work = online(id, absl::InfiniteFuture(), workspace);
+    work.kind = WorkKind::Batch;
+    return work;
+}
+
+/// Decisions by work.
+struct Decided
+{
+    explicit Decided(const std::vector<PlaceDecision> &decisions)
+    {
+        for (const PlaceDecision &decision : decisions) {
+            if (const auto *grant = std::get_if<GrantPlace>(&decision))
+                granted[grant->work] = grant->upstream;
+            if (const auto *refusal = std::get_if<RefusePlace>(&decision))
+                refused[refusal->work] = refusal->retryAfter;
+            if (const auto *yield = std::get_if<YieldPlace>(&decision))
+                yielded.push_back(yield->work);
+        }
+    }
+
+    std::map<std::string, std::string> granted;
+    std::map<std::string, absl::Duration> refused;
+    std::vector<std::string> yielded;
+};
+
+struct Fixture
+{
+    Decided decide(absl::Time now = start) { return Decided(table.decide(now)); }
+
+    PlaceTable table{PlaceTableSettings()};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PlaceTableTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(leastLoadedUpstreamIsChosen)
+{
+    table.setUpstreams({upstream("a", 2), upstream("b", 2)});
+    std::multiset<std::string> used;
+    for (int i = 0; i < 4; ++i) {
+        table.request(start, online(std::to_string(i), start + absl::Seconds(1)));
+        for (const auto &[work, chosen] : decide().granted)
+            used.insert(chosen);
+    }
+    BOOST_TEST(used.count("a") == 2u);
+    BOOST_TEST(used.count("b") == 2u);
+}
+
+// Load pattern: a pulse of online requests meets places that batch work fills. Guards against online
+// requests that wait behind batch work, and against batch work that loses its progress first.
+BOOST_AUTO_TEST_CASE(batchYieldsToAPulseYoungestFirst)
+{
+    table.setUpstreams({upstream("a", 2)});
+    table.request(start, batch("old"));
+    decide();
+    table.request(start + absl::Seconds(1), batch("young"));
+    decide(start + absl::Seconds(1));
+    const absl::Time pulse = start + absl::Seconds(2);
+    table.request(pulse, online("o", pulse + absl::Milliseconds(200)));
+    const Decided decided = decide(pulse);
+    BOOST_TEST(decided.granted.at("o") == "a");
+    BOOST_TEST(decided.yielded == std::vector<std::string>{"young"},
+               boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(batchWaitsWhileOnlineWorkWaits)
+{
+    table.setUpstreams({upstream("a", 1)});
+    table.request(start, online("first", start + absl::Seconds(5)));
+    decide();
+    table.request(start, batch("b"));
+    table.request(start, online("second", start + absl::Seconds(5)));
+    BOOST_TEST(decide().granted.empty());
+    table.release(start, "first", PlaceEnd::Served);
+    const Decided decided = decide();
+    BOOST_TEST(decided.granted.count("second") == 1u);
+    BOOST_TEST(decided.granted.count("b") == 0u);
+}
+
+// Load pattern: online load above all places. Guards against requests that are held until their
+// deadline although it is known that they can't be served.
+BOOST_AUTO_TEST_CASE(hopelessRequestIsRefusedAtOnce)
+{
+    table.setUpstreams({upstream("a", 1)});
+    table.request(start, online("runs", start + absl::Milliseconds(200)));
+    decide();
+    // One place, held for 700 ms each: the second in line waits longer than 200 ms.
+    table.request(start, online("waits", start + absl::Milliseconds(200)));
+    const Decided decided = decide();
+    BOOST_TEST(decided.refused.count("waits") == 1u);
+}
+
+// Guards against refused callers that come back all at once into the same full places.
+BOOST_AUTO_TEST_CASE(returnsAreSpread)
+{
+    table.setUpstreams({upstream("a", 4)});
+    for (int i = 0; i < 4; ++i)
+        table.request(start, online("runs" + std::to_string(i), start + absl::Milliseconds(50)));
+    decide();
+    for (int i = 0; i < 6; ++i)
+        table.request(start, online("late" + std::to_string(i), start + absl::Milliseconds(50)));
+    std::set<absl::Duration> returns;
+    for (const auto &[work, wait] : decide().refused)
+        returns.insert(wait);
+    BOOST_TEST(returns.size() == 6u);
+    BOOST_TEST((*returns.begin() >= PlaceTableSettings().shortestReturn));
+}
+
+BOOST_AUTO_TEST_CASE(returnStaysInsideTheCallersPatience)
+{
+    table.setUpstreams({upstream("a", 1)});
+    table.request(start, online("runs", start));
+    decide();
+    for (int i = 0; i < 20; ++i) {
+        PlaceWork work = online(std::to_string(i), start);
+        work.longestReturn = absl::Seconds(1);
+        table.request(start, work);
+    }
+    for (const auto &[work, wait] : decide().refused)
+        BOOST_TEST((wait <= absl::Seconds(1)));
+}
+
+BOOST_AUTO_TEST_CASE(waitingRequestIsRefusedWhenItsTimeIsOver)
+{
+    table.setUpstreams({upstream("a", 8)});
+    for (int i = 0; i < 8; ++i)
+        table.request(start, online(std::to_string(i), start + absl::Seconds(1)));
+    decide();
+    const absl::Time due = start + absl::Milliseconds(150);
+    table.request(start, online("w", due));
+    BOOST_TEST(decide().refused.empty());
+    BOOST_TEST((table.nextDecision() == due));
+    BOOST_TEST(decide(due).refused.count("w") == 1u);
+}
+
+// Load pattern: one workspace's surge. Guards against a small workspace that waits behind it.
+BOOST_AUTO_TEST_CASE(workspaceWithLittleServiceGoesFirst)
+{
+    table.setUpstreams({upstream("a", 1)});
+    const absl::Time due = start + absl::Seconds(60);
+    table.request(start, online("runs", due, "large"));
+    decide();
+    for (int i = 0; i < 5; ++i)
+        table.request(start, online("large" + std::to_string(i), due, "large"));
+    table.request(start, online("small", due, "small"));
+    decide();
+    table.release(start, "runs", PlaceEnd::Served);
+    const std::string next = decide().granted.begin()->first;
+    table.release(start, next, PlaceEnd::Served);
+    BOOST_TEST((next == "small" || decide().granted.count("small") == 1u));
+}
+
+// Guards against requests to an address at which another instance answers now: the empty upstream
+// would be the first choice of every request.
+BOOST_AUTO_TEST_CASE(goneUpstreamIsLeftAloneAtOnce)
+{
+    table.setUpstreams({upstream("gone", 4), upstream("here", 4)});
+    table.request(start, online("1", start + absl::Seconds(1)));
+    const std::string first = decide().granted.at("1");
+    table.release(start, "1", PlaceEnd::Gone);
+    for (int i = 2; i < 6; ++i) {
+        const std::string id = std::to_string(i);
+        table.request(start, online(id, start + absl::Seconds(1)));
+        BOOST_TEST(decide().granted.at(id) != first);
+    }
+}
+
+// Load pattern: a sender that is gone leaves requests behind which their upstreams still run.
+BOOST_AUTO_TEST_CASE(placesShrinkByReportedForeignRequests)
+{
+    table.setUpstreams({upstream("a", 4), upstream("b", 4)});
+    table.loadReported(start, "a", 4);
+    table.loadReported(start, "a", 3);
+    for (int i = 0; i < 5; ++i)
+        table.request(start, online(std::to_string(i), start + absl::Seconds(60)));
+    int onA = 0;
+    for (const auto &[work, chosen] : decide().granted)
+        onA += chosen == "a" ? 1 : 0;
+    BOOST_TEST(onA == 1);
+    // A report says nothing for long.
+    table.request(start, online("later", start + absl::Seconds(60)));
+    BOOST_TEST(decide(start + absl::Seconds(2)).granted.at("later") == "a");
+}
+
+BOOST_AUTO_TEST_CASE(leavingUpstreamGetsNothing)
+{
+    PlaceUpstream leaving = upstream("a", 4);
+    leaving.leaving = true;
+    table.setUpstreams({leaving});
+    table.request(start, online("1", start + absl::Seconds(1)));
+    table.request(start, batch("b"));
+    const Decided decided = decide();
+    BOOST_TEST(decided.granted.empty());
+    BOOST_TEST(decided.refused.count("1") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(excludedUpstreamIsNotTriedAgain)
+{
+    table.setUpstreams({upstream("a", 4), upstream("b", 1)});
+    PlaceWork work = online("1", start + absl::Seconds(1));
+    work.excluded = {"a"};
+    table.request(start, work);
+    BOOST_TEST(decide().granted.at("1") == "b");
+}
+
+BOOST_AUTO_TEST_CASE(withdrawnWorkLeavesNoTrace)
+{
+    table.setUpstreams({upstream("a", 1)});
+    table.request(start, online("1", start + absl::Seconds(1)));
+    decide();
+    table.request(start, batch("b"));
+    table.withdraw(start, "b");
+    table.withdraw(start, "1");
+    BOOST_TEST(table.held("llm", WorkKind::Online) == 0u);
+    BOOST_TEST(table.waiting("llm", WorkKind::Batch) == 0u);
+    table.request(start, online("2", start + absl::Seconds(1)));
+    BOOST_TEST(decide().granted.count("2") == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/serving/eventstream_test.cpp
@@ -0,0 +1,79 @@
+#include "rattanrill/serving/eventstream.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace rattanrill::serving;
+
+namespace {
+
+std::vector<StreamEvent> split(const std::vector<std::string> &pieces, std::string *rest = nullptr)
+{
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    for (const std::string &piece : pieces)
+        splitter.feed(piece, events);
+    if (rest != nullptr)
+        *rest = splitter.rest();
+    return events;
+}
+
+StreamEvent event(std::int64_t id)
+{
+    StreamEvent result;
+    result.id = id;
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EventStreamTest)
+
+// Guards against an event that is cut or joined at the border of two reads.
+BOOST_AUTO_TEST_CASE(eventsAreTheSameForEverySplitOfTheirBytes)
+{
+    const std::string text = "id: 1\ndata: one\n\nweights-version: 2\nid: 2\ndata: a\ndata: b\n\n";
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+        const auto events = split({text.substr(0, cut), text.substr(cut)});
+        BOOST_TEST_REQUIRE(events.size() == 2u);
+        BOOST_TEST(events[0].bytes + events[1].bytes == text);
+        BOOST_TEST(*events[0].id == 1);
+        BOOST_TEST(events[0].data == "one");
+        BOOST_TEST(*events[1].id == 2);
+        BOOST_TEST(events[1].data == "a\nb");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(carriageReturnsEndLinesToo)
+{
+    const auto events = split({"id: 4\r\ndata: x\r\n\r\n"});
+    BOOST_TEST_REQUIRE(events.size() == 1u);
+    BOOST_TEST(*events[0].id == 4);
+    BOOST_TEST(events[0].data == "x");
+}
+
+BOOST_AUTO_TEST_CASE(incompleteEventIsKeptBack)
+{
+    std::string rest;
+    BOOST_TEST(split({"id: 1\ndata: half"}, &rest).empty());
+    BOOST_TEST(rest == "id: 1\ndata: half");
+}
+
+// Guards against streams in which an event is missing or doubled after a resume.
+BOOST_AUTO_TEST_CASE(positionTellsRepeatsAndGaps)
+{
+    StreamPosition position{std::nullopt};
+    BOOST_TEST((position.take(event(1)) == EventVerdict::Deliver));
+    BOOST_TEST((position.take(event(2)) == EventVerdict::Deliver));
+    BOOST_TEST((position.take(event(2)) == EventVerdict::Repeated));
+    BOOST_TEST((position.take(event(4)) == EventVerdict::Gap));
+    BOOST_TEST((position.take(event(3)) == EventVerdict::Deliver));
+    BOOST_TEST(*position.lastId() == 3);
+    StreamPosition resumed{12};
+    BOOST_TEST((resumed.take(event(14)) == EventVerdict::Gap));
+    BOOST_TEST((resumed.take(event(13)) == EventVerdict::Deliver));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/system/platform_test.py
@@ -0,0 +1,305 @@
+"""The platform's programs as real processes on loopback, from messages in the published format."""
+
+import base64
+import http.client
+import http.server
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+BUILD = Path(os.environ.get("RATTANRILL_BUILD", "build"))
+PEER_PORT = 39760
+CALLER_PORT = 39761
+READY_PORT = 39762
+OPERATOR_PORT = 39763
+LIST_ADDRESS = ("127.0.9.1", 39764)
+UPSTREAM_PORT = 39765
+HOST = "booth.example"
+KEY = "first-key"
+
+
+class Upstream(http.server.BaseHTTPRequestHandler):
+    """Streams 20 events and keeps what it saw."""
+
+    protocol_version = "HTTP/1.1"
+    seen = []
+    lock = threading.Lock()
+
+    def log_message(self, *_):
+        pass
+
+    def do_POST(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        with self.lock:
+            self.seen.append((self.path, dict(self.headers), body))
+        begin = int(self.headers.get("Last-Event-Id", 0)) + 1
+        self.send_response(200)
+        self.send_header("Request-Id", self.headers["Request-Id"])
+        self.send_header("Response-Signature", "signed")
+        self.send_header("Server-Load", "1,0,8")
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        try:
+            for number in range(begin, 21):
+                event = f"id: {number}\ndata: d{number}\n\n".encode()
+                self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                self.wfile.flush()
+                time.sleep(0.02)
+            self.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            pass
+
+
+class InstanceList(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def do_GET(self):
+        instances = [{"id": f"i-{n}", "service": "lm", "address": f"127.0.8.{n}:{UPSTREAM_PORT}",
+                      "zone": "a", "slots": 4, "state": "ready"} for n in (1, 2)]
+        instances.append({"id": 7, "state": "resting"})
+        body = json.dumps({"instances": instances, "next": None}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def configuration(version, keys=(KEY,), rate=100):
+    return {
+        "version": version,
+        "routes": [
+            {"name": "stream", "hostname": HOST, "path-prefix": "/ask/", "type": "streaming",
+             "timeout-ms": 5000, "target-latency-ms": 300, "service": "lm", "max-attempts": 2,
+             "resumable": True, "gap-aim-ms": 300},
+            {"name": "lists", "hostname": HOST, "path-prefix": "/list/", "type": "batch",
+             "timeout-ms": 4000, "target-latency-ms": 400, "service": "lm", "max-attempts": 3,
+             "completion-target-ms": 18000, "max-queue-s": 60, "max-count": 1000}],
+        "services": [{"name": "lm", "health-check": "/health", "max-connections": 100}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
+                   "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "vendors", "api-keys": list(keys), "rate-per-s": rate,
+                     "burst": rate}]}
+
+
+def call(host, port, method, path, body=None, headers=None, timeout=5):
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, {"Host": HOST, **(headers or {})})
+        response = connection.getresponse()
+        return response.status, response.read(), dict(response.getheaders())
+    finally:
+        connection.close()
+
+
+def until(condition, seconds=20):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return True
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    return False
+
+
+class PlatformTest(unittest.TestCase):
+    """Three control, three store and two entry processes, each on an address of its own."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.servers = []
+        for address in ((("127.0.8.1", UPSTREAM_PORT), Upstream),
+                        (("127.0.8.2", UPSTREAM_PORT), Upstream), (LIST_ADDRESS, InstanceList)):
+            server = http.server.ThreadingHTTPServer(*address)
+            server.daemon_threads = True
+            threading.Thread(target=server.serve_forever, daemon=True).start()
+            cls.servers.append(server)
+        cls.processes = {}
+        for role, count in (("control", 3), ("store", 3), ("entry", 2)):
+            for number in range(1, count + 1):
+                cls.start(role, number, founding=True)
+        cls.ready = until(lambda: cls.put(configuration(1)) == 200) and \
+            until(lambda: all(cls.is_ready(n) for n in (1, 2)))
+
+    @classmethod
+    def tearDownClass(cls):
+        for process in cls.processes.values():
+            process.kill()
+            process.wait()
+        for server in cls.servers:
+            server.shutdown()
+            server.server_close()
+        cls.folder.cleanup()
+
+    @staticmethod
+    def address(role, number):
+        return f"127.0.{ {'control': 1, 'store': 2, 'entry': 3}[role] }.{number}"
+
+    @classmethod
+    def start(cls, role, number, founding=False):
+        host = cls.address(role, number)
+        name = f"{role}-{number}"
+        settings = {
+            "instance": name, "failureDomain": "abc"[number - 1], "peerHost": host,
+            "peerPort": PEER_PORT, "founding": founding, "clusterSecret": "secret",
+            "seeds": [f"{cls.address('control', n)}:{OPERATOR_PORT}" for n in (1, 2, 3)],
+            "listAddress": "%s:%d" % LIST_ADDRESS, "graceSeconds": 8}
+        if role == "entry":
+            settings["callerAddress"] = f"{host}:{CALLER_PORT}"
+            settings["readinessAddress"] = f"{host}:{READY_PORT}"
+        else:
+            settings["dataFolder"] = f"{cls.folder.name}/{name}"
+        if role == "control":
+            settings["operatorAddress"] = f"{host}:{OPERATOR_PORT}"
+        path = Path(cls.folder.name) / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        log = open(Path(cls.folder.name) / f"{name}.log", "ab")
+        cls.processes[name] = subprocess.Popen(
+            [BUILD / "bin" / f"rattanrill-platform-{role}"], stdout=log, stderr=log,
+            env={**os.environ, "RATTANRILL_NODE_FILE": str(path)})
+
+    def setUp(self):
+        self.assertTrue(self.ready, "the deployment did not become ready")
+
+    @classmethod
+    def is_ready(cls, entry):
+        return call(cls.address("entry", entry), READY_PORT, "GET", "/readiness")[0] == 200
+
+    @classmethod
+    def put(cls, document, control=1):
+        body = document if isinstance(document, str) else json.dumps(document)
+        return call(cls.address("control", control), OPERATOR_PORT, "POST", "/Config.Replace",
+                    body)[0]
+
+    @classmethod
+    def version(cls, control=1):
+        status, body, _ = call(cls.address("control", control), OPERATOR_PORT, "GET",
+                               "/Config.Get")
+        return json.loads(body)["version"] if status == 200 else status
+
+    def ask(self, request_id, entry=1, key=KEY, path="/ask/1"):
+        return call(self.address("entry", entry), CALLER_PORT, "POST", path, b"question",
+                    {"Request-Id": request_id, "Deadline-Ms": "5000",
+                     "Authorization": f"Bearer {key}"})
+
+    def test_stream_is_whole_and_the_key_stays_here(self):
+        """Guards against a changed request or answer, and a key that an upstream sees."""
+        status, body, headers = self.ask("r-1")
+        self.assertEqual(status, 200)
+        self.assertEqual(body.decode(),
+                         "".join(f"id: {n}\ndata: d{n}\n\n" for n in range(1, 21)))
+        self.assertEqual(headers["Response-Signature"], "signed")
+        path, seen, sent = next(s for s in Upstream.seen if s[1]["Request-Id"] == "r-1")
+        self.assertEqual((path, sent), ("/ask/1", b"question"))
+        self.assertNotIn("Authorization", seen)
+        self.assertEqual(seen["Tenant-Id"], "vendors")
+        self.assertLessEqual(int(seen["Deadline-Ms"]), 5000)
+
+    def test_wrong_keys_and_routes_are_refused(self):
+        """Guards against requests that run without a workspace or a route."""
+        self.assertEqual(self.ask("r-2", key="nobody's")[0], 401)
+        self.assertEqual(self.ask("r-3", path="/nowhere/1")[0], 404)
+        self.assertFalse([s for s in Upstream.seen if s[1]["Request-Id"] in ("r-2", "r-3")])
+
+    def test_configuration_goes_forward_only(self):
+        """Guards against a change that reverts, or an invalid one that takes effect."""
+        base = self.version()
+        self.assertEqual(self.put(configuration(base + 5, (KEY, "second-key")), 2), 200)
+        self.assertTrue(until(lambda: self.ask("r-4", 2, "second-key")[0] == 200, 4))
+        self.assertEqual(self.put(configuration(base + 2, ("third-key",)), 3), 200)
+        spoiled = configuration(base + 9)
+        spoiled["routes"][0]["service"] = "nobody"
+        self.assertEqual(self.put(spoiled), 400)
+        self.assertEqual(self.put(json.dumps(configuration(base + 9))[:-9]), 400)
+        for control in (1, 2, 3):
+            self.assertEqual(self.version(control), base + 5)
+        self.assertEqual(self.ask("r-5", key="third-key")[0], 401)
+
+    def submit(self, job, entry=1, items=3, tokens=100):
+        requests = [{"id": f"{job}-{n}", "path": "/list/x", "headers": {}, "tokens": tokens,
+                     "body": base64.b64encode(f"body {n}".encode()).decode()}
+                    for n in range(items)]
+        return call(self.address("entry", entry), CALLER_PORT, "POST", "/list/" + job,
+                    json.dumps({"requests": requests}),
+                    {"Request-Id": job, "Authorization": f"Bearer {KEY}"})[0]
+
+    def results(self, job, entry=1, after=0):
+        status, body, _ = call(self.address("entry", entry), CALLER_PORT, "GET",
+                               f"/lots/{job}?after={after}", None,
+                               {"Authorization": f"Bearer {KEY}", "Wait-Ms": "500"})
+        return json.loads(body) if status == 200 else status
+
+    def finished(self, job, entry=1):
+        read = self.results(job, entry)
+        return read if isinstance(read, dict) and len(read["results"]) == read["total"] else None
+
+    def test_batch_job_is_done_once_and_stays_readable(self):
+        """Guards against lost, doubled or changed results and against jobs above the limit."""
+        self.assertEqual(self.submit("job-1"), 202)
+        self.assertEqual(self.submit("job-1", 2), 202)
+        self.assertEqual(self.submit("job-big", 1, 20, 100), 429)
+        self.assertTrue(until(lambda: self.finished("job-1"), 20))
+        first = self.finished("job-1")
+        self.assertEqual({r["state"] for r in first["results"]}, {"completed"})
+        self.assertEqual(first["results"][0]["output"],
+                         "\n".join(f"d{n}" for n in range(1, 21)))
+        self.assertEqual(self.finished("job-1", 2), first)
+        self.assertEqual(self.results("job-1", 2, 2)["results"], first["results"][2:])
+        self.assertEqual(self.results("job-unknown"), 404)
+
+    def test_job_survives_the_loss_of_the_store_that_runs_it(self):
+        """Guards against accepted work that is lost with the leader of the stores."""
+        self.assertEqual(self.submit("job-2", 1, 8, 50), 202)
+        victim = next(n for n in (1, 2, 3) if '"leadership-gained"' in
+                      (Path(self.folder.name) / f"store-{n}.log").read_text())
+        self.processes[f"store-{victim}"].kill()
+        self.processes[f"store-{victim}"].wait()
+        try:
+            self.assertTrue(until(lambda: self.finished("job-2", 2), 30))
+            self.assertEqual(len({r["id"] for r in self.finished("job-2", 2)["results"]}), 8)
+        finally:
+            self.start("store", victim)
+
+    def test_entry_drains_without_cutting_a_stream(self):
+        """Guards against a graceful stop that ends an answer or stays ready."""
+        answer = []
+        reader = threading.Thread(target=lambda: answer.append(self.ask("r-6", 2)))
+        reader.start()
+        time.sleep(0.2)
+        process = self.processes["entry-2"]
+        process.send_signal(signal.SIGTERM)
+        try:
+            self.assertTrue(until(lambda: not self.is_ready(2), 2))
+            reader.join(5)
+            self.assertEqual(answer[0][0], 200)
+            self.assertTrue(answer[0][1].endswith(b"id: 20\ndata: d20\n\n"))
+            self.assertEqual(process.wait(8), 0)
+        finally:
+            if process.poll() is None:
+                process.kill()
+            self.start("entry", 2)
+            until(lambda: self.is_ready(2))
+
+    def test_slow_or_malformed_callers_get_their_status(self):
+        """Guards against bad input that holds the entry or reaches an upstream."""
+        with socket.create_connection((self.address("entry", 1), CALLER_PORT), 5) as raw:
+            raw.sendall(b"POST /ask/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
+            self.assertIn(b" 400 ", raw.recv(200))
+
+
+if __name__ == "__main__":
+    unittest.main()
