--- a/include/rattanrill/base/logger.h
+++ b/include/rattanrill/base/logger.h
@@ -73,9 +73,9 @@
 void initLogging(const LogSettings &settings);
 
 /// Queues one JSON line: time, level, event, instance, failureDomain, program and \a fields.
-/// \a event is a fixed lower-case word such as "leader-elected". Never blocks: lines below the level
-/// of a warning are left out beyond a rate, and all lines while the writer is far behind; what was
-/// left out is counted in a line of its own.
+/// \a event is a fixed lower-case word such as "leader-elected". Never blocks: lines below the
+/// level of a warning are left out beyond a rate, and all lines while the writer is far behind;
+/// what was left out is counted in a line of its own.
 void log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
 } // namespace rattanrill
--- a/include/rattanrill/gateway/gateway.h
+++ b/include/rattanrill/gateway/gateway.h
@@ -29,8 +29,8 @@
                 absl::Duration timeout);
     void readResults(const std::shared_ptr<net::Exchange> &exchange,
                      const serving::ReadJobCall &call, const std::string &workspace);
-    void readItem(const std::shared_ptr<net::Exchange> &exchange,
-                  const serving::ReadItemCall &call, const std::string &workspace);
+    void readItem(const std::shared_ptr<net::Exchange> &exchange, const serving::ReadItemCall &call,
+                  const std::string &workspace);
     void endJob(const std::shared_ptr<net::Exchange> &exchange, const serving::EndJobCall &call,
                 const std::string &workspace);
     void refuse(const std::shared_ptr<net::Exchange> &exchange, const std::string &requestId,
--- a/include/rattanrill/policy/placetable.h
+++ b/include/rattanrill/policy/placetable.h
@@ -113,8 +113,8 @@
 /// (batch yields at once, the youngest first, and resumes later); online load above all places
 /// (refused at once when the wait would be too long, with returns spread over the time in which
 /// places become free); one workspace's surge (order between workspaces by tokens served); requests
-/// of a sender that is gone, which their upstreams still run (places shrink by what upstreams report
-/// beyond the own work). Apart from input and output; not thread-safe.
+/// of a sender that is gone, which their upstreams still run (places shrink by what upstreams
+/// report beyond the own work). Apart from input and output; not thread-safe.
 class PlaceTable
 {
 public:
--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -99,8 +99,7 @@
     std::int64_t beforeMs = 0;
 };
 
-using JobOperation =
-        std::variant<AcceptJob, AppendResults, AppendProgress, EndJob, ForgetJobs>;
+using JobOperation = std::variant<AcceptJob, AppendResults, AppendProgress, EndJob, ForgetJobs>;
 
 struct JobCommand
 {
--- a/src/fleet/fleetfollower.cpp
+++ b/src/fleet/fleetfollower.cpp
@@ -100,8 +100,7 @@
 
     void take(const wire::SyncResponse &response)
     {
-        const bool hasView =
-                response.viewTerm != viewTerm || response.viewSequence != viewSequence;
+        const bool hasView = response.viewTerm != viewTerm || response.viewSequence != viewSequence;
         const bool hasConfiguration = response.configurationVersion > state.configurationVersion
                                       && !response.configuration.empty();
         if (hasConfiguration) {
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -53,20 +53,18 @@
     if (!isNew)
         return;
     // A query that names the known version brings no document.
-    std::string document = records.configurationVersion == m_records.configurationVersion
-                                   ? std::move(m_records.configuration)
-                                   : records.configuration;
+    const bool hasDocument = records.configurationVersion != m_records.configurationVersion;
+    const std::string document = hasDocument ? records.configuration : m_records.configuration;
     m_records = records;
-    m_records.configuration = std::move(document);
+    m_records.configuration = document;
     changed();
 }
 
 void FleetView::setUpstreams(std::vector<wire::FleetUpstream> upstreams)
 {
-    const bool isSame =
-            m_upstreamsKnown
-            && std::equal(upstreams.begin(), upstreams.end(), m_upstreams.begin(),
-                          m_upstreams.end(), sameUpstream);
+    const bool isSame = m_upstreamsKnown
+                        && std::equal(upstreams.begin(), upstreams.end(), m_upstreams.begin(),
+                                      m_upstreams.end(), sameUpstream);
     m_upstreamsKnown = true;
     if (isSame)
         return;
--- a/src/fleet/groupreplica.cpp
+++ b/src/fleet/groupreplica.cpp
@@ -84,8 +84,8 @@
                     const auto response = outcomeOf(
                             [&] { return wire::decode<wire::GroupResponse>(outcome.value()); });
                     if (!response.ok())
-                        return callback(mayHaveRun(ErrorCode::MalformedMessage,
-                                                   response.failure().detail));
+                        return callback(
+                                mayHaveRun(ErrorCode::MalformedMessage, response.failure().detail));
                     callback(response.value().body);
                 }));
     }
@@ -133,16 +133,16 @@
              {"replaced", change->replaced},
              {"voters", static_cast<std::int64_t>(status.voters.size())},
              {"term", status.term}});
-        const auto done = onLoop([self = shared_from_this(),
-                                  change = *change](const Outcome<std::string> &outcome) {
-            self->changing = false;
-            log(LogLevel::Info, "membership-change-ended",
-                {{"group", self->settings.group},
-                 {"added", change.added},
-                 {"replaced", change.replaced},
-                 {"code", outcome.ok() ? "ok" : name(outcome.failure().code)},
-                 {"detail", outcome.ok() ? "" : outcome.failure().detail}});
-        });
+        const auto done = onLoop(
+                [self = shared_from_this(), change = *change](const Outcome<std::string> &outcome) {
+                    self->changing = false;
+                    log(LogLevel::Info, "membership-change-ended",
+                        {{"group", self->settings.group},
+                         {"added", change.added},
+                         {"replaced", change.replaced},
+                         {"code", outcome.ok() ? "ok" : name(outcome.failure().code)},
+                         {"detail", outcome.ok() ? "" : outcome.failure().detail}});
+                });
         if (change->added.empty())
             group->removeMember(change->replaced, done);
         else
@@ -207,8 +207,8 @@
             impl->loop.post(impl->appliedListener);
     });
     std::atomic_store(&m_impl->group, shared);
-    m_impl->timer = m_impl->loop.timers().subscribeEvery(
-            watchPeriod, [weak = std::weak_ptr<Impl>(m_impl)] {
+    m_impl->timer =
+            m_impl->loop.timers().subscribeEvery(watchPeriod, [weak = std::weak_ptr<Impl>(m_impl)] {
                 if (const auto impl = weak.lock())
                     impl->watch();
             });
--- a/src/fleet/membershipkeeper.cpp
+++ b/src/fleet/membershipkeeper.cpp
@@ -121,7 +121,8 @@
                 continue;
             if (!lost.empty() && peerAddressOf(candidate.replica) == peerAddressOf(lost))
                 return &candidate;
-            if (best == nullptr || votersIn[candidate.failureDomain] < votersIn[best->failureDomain])
+            if (best == nullptr
+                || votersIn[candidate.failureDomain] < votersIn[best->failureDomain])
                 best = &candidate;
         }
         return best;
--- a/src/fleet/syncservice.cpp
+++ b/src/fleet/syncservice.cpp
@@ -44,9 +44,8 @@
             return reply(notRun(ErrorCode::NotLeader, replica.status().leader));
         const absl::Time now = clock.now();
         view.heard(request.value(), now);
-        const absl::Duration wait =
-                std::clamp(absl::Milliseconds(request.value().waitMs), absl::ZeroDuration(),
-                           maxPollWait);
+        const absl::Duration wait = std::clamp(absl::Milliseconds(request.value().waitMs),
+                                               absl::ZeroDuration(), maxPollWait);
         polls.push_back(Poll{std::move(request.value()), std::move(reply), now + wait});
         answerPolls(now);
     }
@@ -57,9 +56,9 @@
     void answerPolls(absl::Time now)
     {
         for (auto poll = polls.begin(); poll != polls.end();) {
-            const bool isDue = poll->due <= now || !view.isCurrent(poll->request)
-                               || poll->request.configurationVersion
-                                          < view.records().configurationVersion;
+            const bool isDue =
+                    poll->due <= now || !view.isCurrent(poll->request)
+                    || poll->request.configurationVersion < view.records().configurationVersion;
             if (!isDue) {
                 ++poll;
                 continue;
@@ -142,14 +141,13 @@
         log(LogLevel::Info, "store-group-founded",
             {{"voters", static_cast<std::int64_t>(founders.size())}, {"first", founders.front()}});
         const wire::FleetCommand command{wire::FoundStoreGroup{founders}};
-        replica.propose(wire::encode(command),
-                        [self = shared_from_this()](const Outcome<std::string> &outcome) {
-                            self->isFounding = false;
-                            if (!outcome.ok())
-                                log(LogLevel::Warning, "store-group-founding-failed",
-                                    {{"code", name(outcome.failure().code)},
-                                     {"detail", outcome.failure().detail}});
-                        });
+        replica.propose(wire::encode(command), [self = shared_from_this()](
+                                                       const Outcome<std::string> &outcome) {
+            self->isFounding = false;
+            if (!outcome.ok())
+                log(LogLevel::Warning, "store-group-founding-failed",
+                    {{"code", name(outcome.failure().code)}, {"detail", outcome.failure().detail}});
+        });
     }
 
     void readList()
@@ -211,12 +209,12 @@
 
 void SyncService::install(peer::Server &server)
 {
-    server.handle(wire::Method::Sync, [impl = m_impl](const peer::PeerIdentity &,
-                                                      std::string body, peer::Reply reply) {
-        impl->loop.post([impl, body = std::move(body), reply = std::move(reply)] {
-            impl->serve(body, reply);
-        });
-    });
+    server.handle(wire::Method::Sync,
+                  [impl = m_impl](const peer::PeerIdentity &, std::string body, peer::Reply reply) {
+                      impl->loop.post([impl, body = std::move(body), reply = std::move(reply)] {
+                          impl->serve(body, reply);
+                      });
+                  });
 }
 
 void SyncService::start()
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -22,7 +22,8 @@
 {
     fleet::ReplicaIdentity identity;
     const std::vector<std::string> seeds = settings.seedPeers();
-    const bool isSeed = std::find(seeds.begin(), seeds.end(), settings.peerAddress()) != seeds.end();
+    const bool isSeed =
+            std::find(seeds.begin(), seeds.end(), settings.peerAddress()) != seeds.end();
     if (!settings.founding || !isSeed) {
         identity.replica = fleet::replicaId(settings.peerAddress(), randomHex(6));
         return identity;
@@ -56,9 +57,9 @@
         group.dataFolder = m_settings.dataFolder;
         m_replica = std::make_unique<fleet::GroupReplica>(m_parts.loop, m_core->channels(), group,
                                                           m_core->clock());
-        m_sync = std::make_unique<fleet::SyncService>(m_parts.loop, *m_replica,
-                                                      m_parts.upstreamList, fleet::SyncSettings(),
-                                                      m_core->clock());
+        m_sync =
+                std::make_unique<fleet::SyncService>(m_parts.loop, *m_replica, m_parts.upstreamList,
+                                                     fleet::SyncSettings(), m_core->clock());
         m_replica->setCandidates([this] { return m_sync->controlCandidates(); });
         m_replica->install(m_core->peerServer());
         m_sync->install(m_core->peerServer());
@@ -92,8 +93,8 @@
 
     void serve(const ExchangePtr &exchange)
     {
-        auto call = outcomeOf(
-                [&] { return m_parts.operatorDialect.readCall(exchange->request()); });
+        auto call =
+                outcomeOf([&] { return m_parts.operatorDialect.readCall(exchange->request()); });
         if (!call.ok())
             return refuse(exchange, call.failure());
         std::visit([&](const auto &kind) { perform(exchange, kind); }, call.value());
@@ -122,21 +123,19 @@
 
     void perform(const ExchangePtr &exchange, const fleet::GetDocument &)
     {
-        m_replica->readIndexed(
-                wire::encode(wire::FleetQuery{}), [this, exchange](const auto &outcome) {
-                    const auto records = outcome.ok() ? outcomeOf([&] {
-                        return wire::decode<wire::FleetRecords>(outcome.value());
-                    })
-                                                      : Outcome<wire::FleetRecords>(
-                                                                outcome.failure());
-                    if (!records.ok())
-                        return refuse(exchange, records.failure());
-                    if (records.value().configuration.empty())
-                        return refuse(exchange, notRun(ErrorCode::NoQuorum,
-                                                       "no configuration was accepted yet"));
-                    exchange->respond(
-                            m_parts.operatorDialect.document(records.value().configuration));
-                });
+        m_replica->readIndexed(wire::encode(wire::FleetQuery{}), [this,
+                                                                  exchange](const auto &outcome) {
+            const auto records = outcome.ok() ? outcomeOf([&] {
+                return wire::decode<wire::FleetRecords>(outcome.value());
+            })
+                                              : Outcome<wire::FleetRecords>(outcome.failure());
+            if (!records.ok())
+                return refuse(exchange, records.failure());
+            if (records.value().configuration.empty())
+                return refuse(exchange,
+                              notRun(ErrorCode::NoQuorum, "no configuration was accepted yet"));
+            exchange->respond(m_parts.operatorDialect.document(records.value().configuration));
+        });
     }
 
     const wire::LiveMember *store(const std::string &instance) const
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,10 +54,10 @@
     const serving::Route *route =
             isJobCall ? nullptr : m_deployment->route(caller.host, request.path());
     if (!isJobCall && route == nullptr)
-        return refuse(exchange, caller.id,
-                      notRun(ErrorCode::UnknownRoute,
-                             concat("no route for host \"", caller.host, "\"")),
-                      absl::ZeroDuration());
+        return refuse(
+                exchange, caller.id,
+                notRun(ErrorCode::UnknownRoute, concat("no route for host \"", caller.host, "\"")),
+                absl::ZeroDuration());
     const serving::Workspace *workspace = m_deployment->workspaceOfKey(caller.key);
     const bool needsKey = m_deployment->hasWorkspaces() && (isJobCall || !route->open);
     if (needsKey && workspace == nullptr)
@@ -83,8 +83,8 @@
                            const serving::CallerRequest &caller,
                            const serving::Workspace &workspace, const serving::Route *route)
 {
-    auto call = outcomeOf(
-            [&] { return m_context.dialect.readJobCall(exchange->request(), caller); });
+    auto call =
+            outcomeOf([&] { return m_context.dialect.readJobCall(exchange->request(), caller); });
     if (!call.ok())
         return refuse(exchange, caller.id, call.failure(), absl::ZeroDuration());
     if (auto *submission = std::get_if<serving::SubmitJobCall>(&call.value())) {
@@ -137,13 +137,14 @@
 void Gateway::readItem(const std::shared_ptr<net::Exchange> &exchange,
                        const serving::ReadItemCall &call, const std::string &workspace)
 {
-    m_jobs.readItem(wire::ReadItemRequest{workspace, call.job, call.item}, storeTimeout,
-                    [this, exchange, id = call.job](const Outcome<wire::ReadItemResponse> &outcome) {
-                        if (outcome.ok())
-                            return exchange->respond(net::textResponse(
-                                    200, outcome.value().body, "application/octet-stream"));
-                        refuse(exchange, id, outcome.failure(), storeRetryAfter);
-                    });
+    m_jobs.readItem(
+            wire::ReadItemRequest{workspace, call.job, call.item}, storeTimeout,
+            [this, exchange, id = call.job](const Outcome<wire::ReadItemResponse> &outcome) {
+                if (outcome.ok())
+                    return exchange->respond(net::textResponse(200, outcome.value().body,
+                                                               "application/octet-stream"));
+                refuse(exchange, id, outcome.failure(), storeRetryAfter);
+            });
 }
 
 void Gateway::endJob(const std::shared_ptr<net::Exchange> &exchange,
--- a/src/gateway/processcore.cpp
+++ b/src/gateway/processcore.cpp
@@ -70,9 +70,8 @@
     BOOST_LEAF_CHECK(m_peerServer->start(m_settings.peerHost, m_settings.peerPort));
     if (!m_settings.metricsAddress.empty()) {
         m_metricsServer = std::make_unique<net::Server>(
-                m_parts.loop, [this](const std::shared_ptr<net::Exchange> &exchange) {
-                    serveMetrics(exchange);
-                });
+                m_parts.loop,
+                [this](const std::shared_ptr<net::Exchange> &exchange) { serveMetrics(exchange); });
         BOOST_LEAF_CHECK(m_metricsServer->start(m_settings.metricsAddress));
     }
     m_follower->start();
@@ -89,18 +88,18 @@
 
 void ProcessCore::serveMetrics(const std::shared_ptr<net::Exchange> &exchange)
 {
-    exchange->respond(
-            net::textResponse(200, m_metrics.exposition(), "text/plain; version=0.0.4"));
+    exchange->respond(net::textResponse(200, m_metrics.exposition(), "text/plain; version=0.0.4"));
 }
 
-std::shared_ptr<const serving::DeploymentIndex> ProcessCore::newerDeployment(
-        const fleet::FleetState &state,
-        const std::shared_ptr<const serving::DeploymentIndex> &current) const
+std::shared_ptr<const serving::DeploymentIndex>
+ProcessCore::newerDeployment(const fleet::FleetState &state,
+                             const std::shared_ptr<const serving::DeploymentIndex> &current) const
 {
-    if (state.configuration.empty() || (current && current->version() >= state.configurationVersion))
+    if (state.configuration.empty()
+        || (current && current->version() >= state.configurationVersion))
         return nullptr;
-    auto deployment = outcomeOf(
-            [&] { return m_parts.operatorDialect.readDocument(state.configuration); });
+    auto deployment =
+            outcomeOf([&] { return m_parts.operatorDialect.readDocument(state.configuration); });
     if (!deployment.ok()) {
         log(LogLevel::Error, "configuration-unreadable",
             {{"configurationVersion", state.configurationVersion},
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -34,8 +34,8 @@
 
     Result<void> start() override
     {
-        const fleet::ReplicaIdentity fresh{
-                fleet::replicaId(m_settings.peerAddress(), randomHex(6)), {}};
+        const fleet::ReplicaIdentity fresh{fleet::replicaId(m_settings.peerAddress(), randomHex(6)),
+                                           {}};
         BOOST_LEAF_ASSIGN(m_identity, fleet::loadOrCreateIdentity(m_settings.dataFolder, fresh));
         log(LogLevel::Info, "replica-identity", {{"replica", m_identity.replica}});
         m_core = std::make_unique<ProcessCore>(m_settings, m_parts, wire::MemberRole::Store,
@@ -73,9 +73,9 @@
         group.dataFolder = m_settings.dataFolder;
         m_replica = std::make_unique<fleet::GroupReplica>(m_parts.loop, m_core->channels(), group,
                                                           m_core->clock());
-        const jobs::ExecutorContext context{m_parts.loop,    m_core->clock(), m_core->metrics(),
-                                            m_parts.dialect, m_upstreams,     m_broker,
-                                            *m_replica,      m_settings.failureDomain};
+        const jobs::ExecutorContext context{
+                m_parts.loop, m_core->clock(), m_core->metrics(), m_parts.dialect,
+                m_upstreams,  m_broker,        *m_replica,        m_settings.failureDomain};
         m_executor = std::make_unique<jobs::JobExecutor>(context);
         m_service = std::make_unique<jobs::JobService>(context, *m_executor);
         m_replica->setCandidates([this] { return candidates(); });
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -164,9 +164,7 @@
     const serving::AnswerFacts facts = m_context.dialect.readAnswer(head);
     if (!facts.requestId.empty() && facts.requestId != m_item.id) {
         log(LogLevel::Warning, "foreign-answer-dropped",
-            {{"item", m_item.id},
-             {"foreignRequestId", facts.requestId},
-             {"upstream", m_upstream}});
+            {{"item", m_item.id}, {"foreignRequestId", facts.requestId}, {"upstream", m_upstream}});
         return false;
     }
     m_head = head;
@@ -277,11 +275,12 @@
 void ItemRun::armSilenceTimer()
 {
     cancelTimer(m_silenceTimer);
-    m_silenceTimer = m_context.loop.timers().subscribeOnce(silenceLimit, [self = shared_from_this()] {
-        self->m_silenceTimer = 0;
-        if (self->m_state == State::Running)
-            self->tryFailed("the upstream is silent", PlaceEnd::Failed);
-    });
+    m_silenceTimer =
+            m_context.loop.timers().subscribeOnce(silenceLimit, [self = shared_from_this()] {
+                self->m_silenceTimer = 0;
+                if (self->m_state == State::Running)
+                    self->tryFailed("the upstream is silent", PlaceEnd::Failed);
+            });
 }
 
 void ItemRun::cancelTimer(TimerService::TimerId &timer)
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -38,12 +38,12 @@
             const auto &finished = open.finished;
             if (std::find(finished.begin(), finished.end(), item.id) != finished.end())
                 continue;
-            runs[item.id] = std::make_shared<ItemRun>(
-                    context, record, item,
-                    [self = shared_from_this(), job = record->id,
-                     current = generation](wire::ItemResult result) {
-                        self->itemDone(current, job, std::move(result));
-                    });
+            runs[item.id] =
+                    std::make_shared<ItemRun>(context, record, item,
+                                              [self = shared_from_this(), job = record->id,
+                                               current = generation](wire::ItemResult result) {
+                                                  self->itemDone(current, job, std::move(result));
+                                              });
         }
         for (const wire::ItemProgress &step : open.progress) {
             const auto run = runs.find(step.item);
@@ -77,13 +77,13 @@
             return;
         isStoring = true;
         const std::string command = wire::encode(wire::JobCommand{operation});
-        context.replica.propose(command, [self = shared_from_this(), current = generation,
-                                          steps = std::move(operation.items)](
-                                                 const Outcome<std::string> &outcome) {
-            self->isStoring = false;
-            if (current == self->generation && outcome.ok())
-                self->progressStored(steps);
-        });
+        context.replica.propose(
+                command, [self = shared_from_this(), current = generation,
+                          steps = std::move(operation.items)](const Outcome<std::string> &outcome) {
+                    self->isStoring = false;
+                    if (current == self->generation && outcome.ok())
+                        self->progressStored(steps);
+                });
     }
 
     void progressStored(const std::vector<wire::ItemProgress> &steps)
@@ -125,22 +125,19 @@
 
     void propose(std::uint64_t current, const std::string &job, const std::string &command)
     {
-        context.replica.propose(
-                command, [self = shared_from_this(), current, job,
-                          command](const Outcome<std::string> &outcome) {
-                    if (current != self->generation)
-                        return;
-                    if (outcome.ok())
-                        return self->noteStored(job);
-                    log(LogLevel::Warning, "result-not-stored",
-                        {{"code", name(outcome.failure().code)},
-                         {"detail", outcome.failure().detail}});
-                    self->context.loop.timers().subscribeOnce(
-                            proposeAgain, [self, current, job, command] {
-                                if (current == self->generation)
-                                    self->propose(current, job, command);
-                            });
-                });
+        context.replica.propose(command, [self = shared_from_this(), current, job,
+                                          command](const Outcome<std::string> &outcome) {
+            if (current != self->generation)
+                return;
+            if (outcome.ok())
+                return self->noteStored(job);
+            log(LogLevel::Warning, "result-not-stored",
+                {{"code", name(outcome.failure().code)}, {"detail", outcome.failure().detail}});
+            self->context.loop.timers().subscribeOnce(proposeAgain, [self, current, job, command] {
+                if (current == self->generation)
+                    self->propose(current, job, command);
+            });
+        });
     }
 
     void noteStored(const std::string &job) const
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -70,11 +70,11 @@
         operation.job.acceptedAtMs = absl::ToUnixMillis(context.clock.wallNow());
         operation.maxWaitingTokens = route->maxWaitingTokens;
         const std::string command = wire::encode(wire::JobCommand{operation});
-        context.replica.propose(
-                command, [self = shared_from_this(), job = std::move(operation.job),
-                          reply = std::move(reply)](const Outcome<std::string> &outcome) {
-                    self->accepted(job, reply, outcome);
-                });
+        context.replica.propose(command,
+                                [self = shared_from_this(), job = std::move(operation.job),
+                                 reply = std::move(reply)](const Outcome<std::string> &outcome) {
+                                    self->accepted(job, reply, outcome);
+                                });
     }
 
     void accepted(const wire::JobRecord &job, const peer::Reply &reply,
@@ -228,27 +228,26 @@
             listOpen();
     }
 
-    /// Goes on with the open jobs that the executor does not know, such as those that were committed
-    /// before this leader's term.
+    /// Goes on with the open jobs that the executor does not know, such as those that were
+    /// committed before this leader's term.
     void listOpen()
     {
         if (!context.replica.leads())
             return;
-        context.replica.read(
-                wire::encode(wire::JobQuery{wire::ListOpenJobs{}}),
-                [self = shared_from_this()](const Outcome<std::string> &outcome) {
-                    self->listed(outcome);
-                });
+        context.replica.read(wire::encode(wire::JobQuery{wire::ListOpenJobs{}}),
+                             [self = shared_from_this()](const Outcome<std::string> &outcome) {
+                                 self->listed(outcome);
+                             });
     }
 
     void listed(const Outcome<std::string> &outcome)
     {
         if (!context.replica.leads())
             return;
-        const auto open = outcome.ok() ? outcomeOf([&] {
-            return wire::decode<wire::OpenJobs>(outcome.value());
-        })
-                                       : Outcome<wire::OpenJobs>(outcome.failure());
+        const auto open =
+                outcome.ok()
+                        ? outcomeOf([&] { return wire::decode<wire::OpenJobs>(outcome.value()); })
+                        : Outcome<wire::OpenJobs>(outcome.failure());
         if (!open.ok()) {
             log(LogLevel::Warning, "open-jobs-unread", {{"code", name(open.failure().code)}});
             context.loop.timers().subscribeOnce(listAgain,
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -204,9 +204,8 @@
     wire::OpenJobs open;
     for (const auto &[id, job] : m_jobs) {
         if (job.isOpen())
-            open.jobs.push_back({job.record,
-                                 {job.finished.begin(), job.finished.end()},
-                                 progressOf(job)});
+            open.jobs.push_back(
+                    {job.record, {job.finished.begin(), job.finished.end()}, progressOf(job)});
     }
     return wire::encodeAnswer(Outcome<wire::OpenJobs>(std::move(open)));
 }
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -13,8 +13,7 @@
     if (colon != std::string_view::npos) {
         address.host = std::string(text.substr(0, colon));
         const std::string_view port = text.substr(colon + 1);
-        const auto parsed =
-                std::from_chars(port.data(), port.data() + port.size(), address.port);
+        const auto parsed = std::from_chars(port.data(), port.data() + port.size(), address.port);
         const bool isWhole = parsed.ec == std::errc() && parsed.ptr == port.data() + port.size();
         if (isWhole && address.port != 0 && !address.host.empty())
             return address;
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -56,11 +56,10 @@
 
     void accept()
     {
-        acceptor.async_accept(
-                [self = shared_from_this()](const boost::system::error_code &error,
-                                            Tcp::socket socket) {
-                    self->accepted(error, std::move(socket));
-                });
+        acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error,
+                                                          Tcp::socket socket) {
+            self->accepted(error, std::move(socket));
+        });
     }
 
     void accepted(const boost::system::error_code &error, Tcp::socket socket)
@@ -69,9 +68,8 @@
             return;
         if (error) {
             log(LogLevel::Warning, "accept-failed", {{"detail", error.message()}});
-            loop.timers().subscribeOnce(acceptRetry, [self = shared_from_this()] {
-                self->accept();
-            });
+            loop.timers().subscribeOnce(acceptRetry,
+                                        [self = shared_from_this()] { self->accept(); });
             return;
         }
         if (shared->connections.size() < shared->limits.maxConnections) {
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -142,12 +142,12 @@
 {
     if (m_phase != Phase::Serving)
         return;
-    std::string bytes = framedHead(std::move(response.head),
-                                   concat("Content-Length: ", response.body.size()));
+    std::string bytes =
+            framedHead(std::move(response.head), concat("Content-Length: ", response.body.size()));
     bytes += response.body;
     m_answered = true;
     endExchange();
-    send(std::move(bytes));
+    send(bytes);
 }
 
 void ServerConnection::startStream(ResponseHead head)
@@ -185,7 +185,7 @@
     --m_shared->openRequests;
 }
 
-void ServerConnection::send(std::string bytes)
+void ServerConnection::send(const std::string &bytes)
 {
     if (m_phase == Phase::Closed)
         return;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -62,7 +62,7 @@
     void advance();
     void serve();
     void refuse(int status);
-    void send(std::string bytes);
+    void send(const std::string &bytes);
     void flush();
     void flushed();
     void requestDone();
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -79,9 +79,8 @@
     if (parsed.ok() && !error)
         m_socket.open(endpoint.protocol(), error);
     if (!parsed.ok() || error) {
-        boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
-            self->fail(CallEnd::NotConnected);
-        });
+        boost::asio::post(m_socket.get_executor(),
+                          [self = shared_from_this()] { self->fail(CallEnd::NotConnected); });
         return;
     }
     prepareSocket(m_socket);
--- a/src/policy/placetable.cpp
+++ b/src/policy/placetable.cpp
@@ -207,8 +207,8 @@
             continue;
         }
         const std::string &domain = item.work.failureDomain;
-        const bool isNearer = upstream->info.failureDomain == domain
-                              && best->info.failureDomain != domain;
+        const bool isNearer =
+                upstream->info.failureDomain == domain && best->info.failureDomain != domain;
         if (load == bestLoad && isNearer)
             best = upstream;
     }
@@ -243,8 +243,7 @@
 void PlaceTable::grant(absl::Time now, Service &service, Item &item, Upstream &upstream)
 {
     dequeue(service, item);
-    FairQueue &queue =
-            isOnline(item.work) ? service.online[item.work.priority] : service.batch;
+    FairQueue &queue = isOnline(item.work) ? service.online[item.work.priority] : service.batch;
     queue.charge(item.work.workspace, item.work.tokens);
     item.upstream = &upstream;
     item.since = now;
--- a/src/serving/passingrequest.cpp
+++ b/src/serving/passingrequest.cpp
@@ -89,8 +89,7 @@
 void PassingRequest::askForPlace()
 {
     wire::PlaceRequest request;
-    m_askedPlace = m_asked++ == 0 ? m_request.caller.id
-                                  : concat(m_request.caller.id, "~", m_asked);
+    m_askedPlace = m_asked++ == 0 ? m_request.caller.id : concat(m_request.caller.id, "~", m_asked);
     request.requestId = m_askedPlace;
     request.instance = m_context.self.instance;
     request.failureDomain = m_context.self.failureDomain;
@@ -350,8 +349,7 @@
         m_exchange->abort();
         return finish(Outcome::CutOff, detail);
     }
-    m_exchange->respond(
-            m_context.dialect.refusal(mayHaveRun(code, detail), absl::ZeroDuration()));
+    m_exchange->respond(m_context.dialect.refusal(mayHaveRun(code, detail), absl::ZeroDuration()));
     finish(Outcome::Failed, detail);
 }
 
@@ -385,8 +383,8 @@
     if (!mayRunAgain() || m_attempts >= m_route.maxAttempts)
         return;
     const bool isStreaming = m_route.kind == RouteKind::Streaming;
-    absl::Duration limit = m_route.latencyObjective
-                           * (isStreaming ? firstEventSilence : wholeAnswerSilence);
+    absl::Duration limit =
+            m_route.latencyObjective * (isStreaming ? firstEventSilence : wholeAnswerSilence);
     if (m_isStream && m_position.lastId() && m_route.gapObjective > absl::ZeroDuration())
         limit = m_route.gapObjective * gapSilence;
     m_silenceTimer = timers.subscribeOnce(limit, [self = shared_from_this()] {
--- a/src/serving/placebroker.cpp
+++ b/src/serving/placebroker.cpp
@@ -94,7 +94,8 @@
     for (const wire::FleetUpstream &upstream : upstreams) {
         const double slots = static_cast<double>(std::max<std::int64_t>(upstream.slots, 1));
         list.push_back({upstream.id, upstream.service, upstream.address, upstream.failureDomain,
-                        static_cast<std::int64_t>(std::ceil(slots * share.places)), upstream.draining});
+                        static_cast<std::int64_t>(std::ceil(slots * share.places)),
+                        upstream.draining});
     }
     m_table.setUpstreams(list);
     decide();
@@ -129,7 +130,8 @@
     online.answer = std::move(answer);
     policy::TokenBucket *rate = request.chargesRate ? bucket(request.workspace) : nullptr;
     if (rate != nullptr && rate->level(now) < 1)
-        return refuseRate(id, absl::Seconds((1 - rate->level(now)) / rate->contract().ratePerSecond));
+        return refuseRate(id,
+                          absl::Seconds((1 - rate->level(now)) / rate->contract().ratePerSecond));
     policy::PlaceWork work;
     work.id = id;
     work.service = request.service;
@@ -141,8 +143,7 @@
     work.due = now
                + std::min(absl::Milliseconds(request.objectiveMs) * m_settings.waitShare,
                           absl::Milliseconds(request.deadlineMs));
-    work.longestReturn =
-            absl::Milliseconds(request.deadlineMs) * m_settings.returnShareOfPatience;
+    work.longestReturn = absl::Milliseconds(request.deadlineMs) * m_settings.returnShareOfPatience;
     work.excluded = request.excluded;
     m_table.request(now, work);
     decide();
--- a/src/serving/placeclient.cpp
+++ b/src/serving/placeclient.cpp
@@ -29,8 +29,7 @@
                 settings.own.waitSlice + settings.answerSlack,
                 [self = shared_from_this(), address = broker, request,
                  answer = std::move(answer)](Outcome<std::string> outcome) {
-                    self->loop.post([self, address, request, answer,
-                                     outcome = std::move(outcome)] {
+                    self->loop.post([self, address, request, answer, outcome = std::move(outcome)] {
                         self->answered(address, request, answer, outcome);
                     });
                 });
@@ -41,9 +40,8 @@
     {
         if (stopped)
             return;
-        auto response = outcome.ok() ? outcomeOf([&] {
-            return wire::decode<wire::PlaceResponse>(outcome.value());
-        })
+        auto response = outcome.ok() ? outcomeOf(
+                                [&] { return wire::decode<wire::PlaceResponse>(outcome.value()); })
                                      : Outcome<wire::PlaceResponse>(outcome.failure());
         if (response.ok()) {
             noteBroker(address, true, Failure());
@@ -141,8 +139,8 @@
                                std::size_t entries)
 {
     const double sharers = static_cast<double>(std::max<std::size_t>(entries, 1));
-    m_impl->own.setUpstreams(
-            upstreams, {1 / sharers, std::min(1.0, m_impl->settings.placeFactor / sharers)});
+    m_impl->own.setUpstreams(upstreams,
+                             {1 / sharers, std::min(1.0, m_impl->settings.placeFactor / sharers)});
 }
 
 void PlaceClient::place(const wire::PlaceRequest &request, Answer answer)
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -35,8 +35,8 @@
 RATTANRILL_WIRE_FIELDS(FleetRecords, configurationVersion, configuration, retiringStores,
                        storeFounders)
 RATTANRILL_WIRE_FIELDS(LiveMember, member, alive, leadsStores, retiring, holdsCopy)
-RATTANRILL_WIRE_FIELDS(SyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving, viewTerm, viewSequence,
-                       configurationVersion, waitMs)
+RATTANRILL_WIRE_FIELDS(SyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving, viewTerm,
+                       viewSequence, configurationVersion, waitMs)
 RATTANRILL_WIRE_FIELDS(SyncResponse, viewTerm, viewSequence, configurationVersion, configuration,
                        members, membersSettled, storeFounders, upstreamsKnown, upstreams)
 RATTANRILL_WIRE_FIELDS(PlaceRequest, again, requestId, instance, failureDomain, service, workspace,
--- a/tests/fleet/membershipkeeper_test.cpp
+++ b/tests/fleet/membershipkeeper_test.cpp
@@ -80,10 +80,10 @@
             leading({"a/1", "b/1", "c/1"}),
             {present("a/1"), present("b/1"), present("c/1"), present("d/1")}, rules);
     BOOST_TEST(!four.has_value());
-    const auto five = nextMembershipChange(leading({"a/1", "b/1", "c/1"}),
-                                           {present("a/1"), present("b/1"), present("c/1"),
-                                            present("d/1"), present("e/1")},
-                                           rules);
+    const auto five = nextMembershipChange(
+            leading({"a/1", "b/1", "c/1"}),
+            {present("a/1"), present("b/1"), present("c/1"), present("d/1"), present("e/1")},
+            rules);
     BOOST_REQUIRE(five.has_value());
     BOOST_TEST(five->replaced.empty());
 }
--- a/tests/jobs/statemachine_test.cpp
+++ b/tests/jobs/statemachine_test.cpp
@@ -20,7 +20,8 @@
     record.workspace = workspace;
     record.route = "r";
     for (int i = 0; i < items; ++i)
-        record.items.push_back({"i" + std::to_string(i), "/p", {}, "body" + std::to_string(i), 100});
+        record.items.push_back(
+                {"i" + std::to_string(i), "/p", {}, "body" + std::to_string(i), 100});
     return record;
 }
 
@@ -50,7 +51,8 @@
         request.workspace = workspace;
         request.job = id;
         request.after = after;
-        return unpacked<wire::ReadJobResponse>(machine->query(wire::encode(wire::JobQuery{request})));
+        return unpacked<wire::ReadJobResponse>(
+                machine->query(wire::encode(wire::JobQuery{request})));
     }
 
     wire::OpenJobs open()
@@ -62,8 +64,7 @@
 
     void finish(const std::string &id, const std::string &item, const std::string &output)
     {
-        BOOST_TEST(perform(wire::AppendResults{
-                                   id, {{item, wire::ItemOutcome::Completed, output}}})
+        BOOST_TEST(perform(wire::AppendResults{id, {{item, wire::ItemOutcome::Completed, output}}})
                            .ok());
     }
 
--- a/tests/net/rawsocket.h
+++ b/tests/net/rawsocket.h
@@ -14,8 +14,8 @@
     explicit RawSocket(int port)
         : m_socket(m_context)
     {
-        m_socket.connect({boost::asio::ip::make_address("127.0.0.1"),
-                          static_cast<unsigned short>(port)});
+        m_socket.connect(
+                {boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)});
     }
 
     void send(std::string_view bytes)
--- a/tests/net/requestreader_test.cpp
+++ b/tests/net/requestreader_test.cpp
@@ -83,7 +83,8 @@
                          limits)
                == 431);
     BOOST_TEST(refusalOf("GET /" + std::string(400, 'a'), limits) == 431);
-    BOOST_TEST(refusalOf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n", limits) == 413);
+    BOOST_TEST(refusalOf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n", limits)
+               == 413);
 }
 
 BOOST_AUTO_TEST_CASE(expectationIsToldOnce)
--- a/tests/net/responsereader_test.cpp
+++ b/tests/net/responsereader_test.cpp
@@ -79,7 +79,8 @@
     sized.reader.end();
     BOOST_TEST((sized.reader.state() == State::Broken));
     Collector chunked;
-    chunked.reader.feed("HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    chunked.reader.feed(
+            "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
     chunked.reader.end();
     BOOST_TEST((chunked.reader.state() == State::Broken));
     Collector empty;
--- a/tests/platform/dialect_test.cpp
+++ b/tests/platform/dialect_test.cpp
@@ -133,7 +133,8 @@
 
 BOOST_AUTO_TEST_CASE(itemIsARequestOfItsOwn)
 {
-    wire::JobItem item{"it1", "/lamps/3", {{"Model-Name", "m"}, {"Authorization", "x"}}, "bytes", 9};
+    wire::JobItem item{
+            "it1", "/lamps/3", {{"Model-Name", "m"}, {"Authorization", "x"}}, "bytes", 9};
     serving::UpstreamTry attempt;
     attempt.upstream = "i-7";
     attempt.workspace = "huka";
--- a/tests/platform/operator_test.cpp
+++ b/tests/platform/operator_test.cpp
@@ -86,8 +86,9 @@
         return outcomeOf([&] { return dialect.readCall(request); });
     };
     BOOST_TEST(std::holds_alternative<fleet::GetDocument>(read("GET", "/Config.Get").value()));
-    BOOST_TEST(std::get<fleet::StartRetiring>(read("POST", "/Retire.Start/store-1").value()).instance
-               == "store-1");
+    BOOST_TEST(
+            std::get<fleet::StartRetiring>(read("POST", "/Retire.Start/store-1").value()).instance
+            == "store-1");
     BOOST_TEST(std::get<fleet::GetRetiring>(read("GET", "/Retire.Get/store-1").value()).instance
                == "store-1");
     BOOST_TEST(!read("GET", "/Retire.Get/").ok());
@@ -123,7 +124,8 @@
 
 BOOST_AUTO_TEST_CASE(lastPageHasNoNext)
 {
-    const auto page = outcomeOf([&] { return decodeInstancePage(R"({"instances":[],"next":null})"); });
+    const auto page =
+            outcomeOf([&] { return decodeInstancePage(R"({"instances":[],"next":null})"); });
     BOOST_REQUIRE(page.ok());
     BOOST_TEST(page.value().nextPage.empty());
     BOOST_TEST(!outcomeOf([&] { return decodeInstancePage("[]"); }).ok());
--- a/tests/policy/placetable_test.cpp
+++ b/tests/policy/placetable_test.cpp
@@ -79,8 +79,9 @@
     BOOST_TEST(used.count("b") == 2u);
 }
 
-// Load pattern: a pulse of online requests meets places that batch work fills. Guards against online
-// requests that wait behind batch work, and against batch work that loses its progress first.
+// Load pattern: a pulse of online requests meets places that batch work fills. Guards against
+// online requests that wait behind batch work, and against batch work that loses its progress
+// first.
 BOOST_AUTO_TEST_CASE(batchYieldsToAPulseYoungestFirst)
 {
     table.setUpstreams({upstream("a", 2)});
--- a/tests/serving/deployment_test.cpp
+++ b/tests/serving/deployment_test.cpp
@@ -48,15 +48,24 @@
 BOOST_AUTO_TEST_CASE(eachInvalidKindIsRefused)
 {
     const std::map<std::string, void (*)(Deployment &)> faults = {
-            {"unknown service", [](Deployment &d) { d.routes[0].targets = {{"nobody", 1}}; }},
+            {"unknown service",
+             [](Deployment &d) {
+                 d.routes[0].targets = {{"nobody", 1}};
+             }},
             {"same place", [](Deployment &d) { d.routes[1].pathPrefix = "/a/"; }},
             {"same place but for case",
              [](Deployment &d) {
                  d.routes[1].pathPrefix = "/a/";
                  d.routes[1].host = "H.example";
              }},
-            {"no weight", [](Deployment &d) { d.routes[0].targets = {{"s", 0}, {"t", 0}}; }},
-            {"negative weight", [](Deployment &d) { d.routes[0].targets = {{"s", -1}, {"t", 3}}; }},
+            {"no weight",
+             [](Deployment &d) {
+                 d.routes[0].targets = {{"s", 0}, {"t", 0}};
+             }},
+            {"negative weight",
+             [](Deployment &d) {
+                 d.routes[0].targets = {{"s", -1}, {"t", 3}};
+             }},
             {"no timeout", [](Deployment &d) { d.routes[0].timeout = absl::ZeroDuration(); }},
             {"no slash", [](Deployment &d) { d.routes[0].pathPrefix = "/a"; }},
             {"shared key", [](Deployment &d) { d.workspaces[1].keys = {"k1"}; }},
--- a/tests/serving/passthrough_test.cpp
+++ b/tests/serving/passthrough_test.cpp
@@ -134,9 +134,8 @@
     void serve(int port)
     {
         boost::asio::io_context context;
-        Tcp::acceptor acceptor(context,
-                               Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
-                                             static_cast<unsigned short>(port)));
+        Tcp::acceptor acceptor(context, Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                                      static_cast<unsigned short>(port)));
         ++m_listening;
         std::vector<std::thread> connections;
         acceptor.non_blocking(true);
@@ -275,8 +274,8 @@
     net::UpstreamPool upstreams{loop, net::UpstreamPoolOptions()};
     peer::ChannelPool channels{peer::TransportOptions()};
     PlaceClient places{loop, channels, SystemClock::instance(), PlaceClientSettings()};
-    const ServingContext context{loop,      SystemClock::instance(), metrics, dialect, upstreams,
-                                 places,    {"e", "d"}};
+    const ServingContext context{
+            loop, SystemClock::instance(), metrics, dialect, upstreams, places, {"e", "d"}};
     std::shared_ptr<const DeploymentIndex> index;
     std::unique_ptr<net::Server> server;
 };
@@ -321,7 +320,8 @@
 
 BOOST_AUTO_TEST_CASE(refusedRequestRunsElsewhere)
 {
-    ScriptedUpstreams upstreams({{whole("a", "full", 503, "Not-Run: 1\r\n")}, {whole("a", "done")}});
+    ScriptedUpstreams upstreams(
+            {{whole("a", "full", 503, "Not-Run: 1\r\n")}, {whole("a", "done")}});
     Entry entry(routeOf(RouteKind::NonIdempotent, 3));
     BOOST_TEST(contains(entry.ask("a"), "done"));
     BOOST_TEST(upstreams.requests().size() == 2u);
@@ -329,8 +329,8 @@
 
 BOOST_AUTO_TEST_CASE(idempotentRequestRunsAgainAfterACutAnswer)
 {
-    ScriptedUpstreams upstreams(
-            {{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nha", true}, {whole("a", "whole")}});
+    ScriptedUpstreams upstreams({{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\nha", true},
+                                 {whole("a", "whole")}});
     Entry entry(routeOf(RouteKind::Idempotent, 2));
     const std::string answer = entry.ask("a");
     BOOST_TEST(contains(answer, "\r\n\r\nwhole"));
--- a/tests/system/platform_test.py
+++ b/tests/system/platform_test.py
@@ -166,10 +166,10 @@
             settings["operatorAddress"] = f"{host}:{OPERATOR_PORT}"
         path = Path(cls.folder.name) / f"{name}.json"
         path.write_text(json.dumps(settings))
-        log = open(Path(cls.folder.name) / f"{name}.log", "ab")
-        cls.processes[name] = subprocess.Popen(
-            [BUILD / "bin" / f"rattanrill-platform-{role}"], stdout=log, stderr=log,
-            env={**os.environ, "RATTANRILL_NODE_FILE": str(path)})
+        with open(Path(cls.folder.name) / f"{name}.log", "ab") as log:
+            cls.processes[name] = subprocess.Popen(
+                [BUILD / "bin" / f"rattanrill-platform-{role}"], stdout=log, stderr=log,
+                env={**os.environ, "RATTANRILL_NODE_FILE": str(path)})
 
     def setUp(self):
         self.assertTrue(self.ready, "the deployment did not become ready")
