--- a/include/rattanrill/policy/placetable.h
+++ b/include/rattanrill/policy/placetable.h
@@ -114,7 +114,8 @@
 /// (refused at once when the wait would be too long, with returns spread over the time in which
 /// places become free); one workspace's surge (order between workspaces by tokens served); requests
 /// of a sender that is gone, which their upstreams still run (places shrink by what upstreams
-/// report beyond the own work). Apart from input and output; not thread-safe.
+/// report beyond the own work); a table that follows another one (the places that are held are
+/// adopted). Apart from input and output; not thread-safe.
 class PlaceTable
 {
 public:
@@ -123,6 +124,9 @@
     /// Replaces the list. Works on upstreams that left it keep their places until released.
     void setUpstreams(const std::vector<PlaceUpstream> &upstreams);
     void request(absl::Time now, const PlaceWork &work);
+    /// The work holds a place that another table granted. Nothing changes when the upstream is not
+    /// listed or the work is known.
+    void adopt(absl::Time now, const PlaceWork &work, const std::string &upstream);
     /// The work has left its place.
     void release(absl::Time now, const std::string &work, PlaceEnd end);
     /// The work's caller no longer wants a place; a held one is released.
--- a/include/rattanrill/serving/placebroker.h
+++ b/include/rattanrill/serving/placebroker.h
@@ -78,6 +78,8 @@
     /// The answer says Waiting when the request has to ask again.
     void place(const wire::PlaceRequest &request, Answer answer);
     void release(const wire::PlaceRelease &release);
+    /// Places that a process got from a former broker or from its own share.
+    void adopt(const wire::HeldPlaces &held);
     void loadReported(const wire::UpstreamLoad &load);
     /// Takes back the places of processes that are not in \a instances.
     void keepInstances(const std::vector<std::string> &instances);
--- a/include/rattanrill/wire/envelope.h
+++ b/include/rattanrill/wire/envelope.h
@@ -30,6 +30,7 @@
     Place,
     Release,
     Load,
+    Hold,
     SubmitJob,
     ReadJob,
     ReadItem,
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -181,6 +181,24 @@
     std::int64_t retryAfterMs = 0;
 };
 
+/// A place that a process holds.
+struct HeldPlace
+{
+    std::string requestId;
+    std::string service;
+    std::string workspace;
+    std::string upstream;
+    /// Until the request's deadline.
+    std::int64_t deadlineMs = 0;
+};
+
+/// Push of Method::Hold: tells a new broker which places are taken.
+struct HeldPlaces
+{
+    std::string instance;
+    std::vector<HeldPlace> places;
+};
+
 /// Push of Method::Load: what an upstream said of its load with the head of an answer.
 struct UpstreamLoad
 {
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -98,18 +98,28 @@
                         place(body, reply);
                     });
                 });
-        m_core->peerServer().handle(
-                wire::Method::Release,
-                [this](const peer::PeerIdentity &, std::string body, const peer::Reply &reply) {
-                    m_parts.loop.post([this, body = std::move(body)] { release(body); });
-                    reply(std::string());
-                });
-        m_core->peerServer().handle(
-                wire::Method::Load,
-                [this](const peer::PeerIdentity &, std::string body, const peer::Reply &reply) {
-                    m_parts.loop.post([this, body = std::move(body)] { noteLoad(body); });
-                    reply(std::string());
-                });
+        installPush(wire::Method::Release, &StoreProcess::release);
+        installPush(wire::Method::Load, &StoreProcess::noteLoad);
+        installPush(wire::Method::Hold, &StoreProcess::adopt);
+    }
+
+    void installPush(wire::Method method, void (StoreProcess::*handler)(const std::string &))
+    {
+        m_core->peerServer().handle(method, [this, handler](const peer::PeerIdentity &,
+                                                            std::string body,
+                                                            const peer::Reply &reply) {
+            m_parts.loop.post([this, handler, body = std::move(body)] { (this->*handler)(body); });
+            reply(std::string());
+        });
+    }
+
+    void adopt(const std::string &body)
+    {
+        const auto held = outcomeOf([&] { return wire::decode<wire::HeldPlaces>(body); });
+        if (held.ok())
+            m_broker.adopt(held.value());
+        else
+            log(LogLevel::Warning, "held-places-unreadable", {{"code", name(held.failure().code)}});
     }
 
     void noteLoad(const std::string &body)
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -17,6 +17,9 @@
 constexpr absl::Duration keepFinished = absl::Minutes(10);
 constexpr absl::Duration forgetPeriod = absl::Seconds(30);
 constexpr absl::Duration listAgain = absl::Milliseconds(100);
+/// A former leader's items may still run where its connections have not ended; upstreams report
+/// them with their next answers, so that places are not given out twice.
+constexpr absl::Duration takeOverDelay = absl::Milliseconds(600);
 
 } // namespace
 
@@ -220,6 +223,8 @@
     void leadChanged(bool leads)
     {
         isReady = false;
+        isTakenOver = false;
+        ++leadership;
         executor.clear();
         const auto waiting = std::exchange(reads, {});
         for (const WaitingRead &read : waiting)
@@ -259,7 +264,20 @@
             log(LogLevel::Info, "open-jobs-taken-over",
                 {{"jobs", static_cast<std::int64_t>(open.value().jobs.size())},
                  {"term", context.replica.status().term}});
-        for (const wire::OpenJob &job : open.value().jobs)
+        if (isTakenOver)
+            return addOpen(open.value());
+        context.loop.timers().subscribeOnce(
+                takeOverDelay,
+                [self = shared_from_this(), current = leadership, open = open.value()] {
+                    self->isTakenOver = self->leadership == current;
+                    if (self->isTakenOver)
+                        self->addOpen(open);
+                });
+    }
+
+    void addOpen(const wire::OpenJobs &open)
+    {
+        for (const wire::OpenJob &job : open.jobs)
             executor.add(job);
     }
 
@@ -281,6 +299,9 @@
     JobExecutor &executor;
     std::shared_ptr<const serving::DeploymentIndex> deployment;
     bool isReady = false;
+    /// The jobs of earlier leaders have been handed to the executor.
+    bool isTakenOver = false;
+    std::uint64_t leadership = 0;
     std::list<WaitingRead> reads;
     std::uint64_t storedCount = 0;
     TimerService::TimerId readTimer = 0;
--- a/src/policy/placetable.cpp
+++ b/src/policy/placetable.cpp
@@ -99,6 +99,21 @@
     m_items[work.id] = std::move(item);
 }
 
+void PlaceTable::adopt(absl::Time now, const PlaceWork &work, const std::string &upstream)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (knows(work.id) || found == m_upstreams.end())
+        return;
+    auto item = std::make_unique<Item>();
+    item->work = work;
+    item->number = m_nextNumber++;
+    item->since = now;
+    item->upstream = found->second.get();
+    (isOnline(work) ? item->upstream->online : item->upstream->batch).insert(item.get());
+    m_numbers[item->number] = item.get();
+    m_items[work.id] = std::move(item);
+}
+
 void PlaceTable::dequeue(Service &service, Item &item)
 {
     if (isOnline(item.work)) {
--- a/src/serving/placebroker.cpp
+++ b/src/serving/placebroker.cpp
@@ -212,6 +212,28 @@
     decide();
 }
 
+void PlaceBroker::adopt(const wire::HeldPlaces &held)
+{
+    const absl::Time now = m_clock.now();
+    for (const wire::HeldPlace &place : held.places) {
+        const std::string id = workId(held.instance, place.requestId);
+        if (m_online.count(id) != 0)
+            continue;
+        policy::PlaceWork work;
+        work.id = id;
+        work.service = place.service;
+        work.workspace = place.workspace;
+        m_table.adopt(now, work, place.upstream);
+        if (!m_table.knows(id))
+            continue;
+        Online &online = m_online[id];
+        online.instance = held.instance;
+        online.workspace = place.workspace;
+        online.isGranted = true;
+        online.expires = now + absl::Milliseconds(place.deadlineMs) + m_settings.releaseSlack;
+    }
+}
+
 void PlaceBroker::loadReported(const wire::UpstreamLoad &load)
 {
     m_table.loadReported(m_clock.now(), load.upstream, load.requests);
--- a/src/serving/placeclient.cpp
+++ b/src/serving/placeclient.cpp
@@ -4,6 +4,7 @@
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -47,6 +48,7 @@
             noteBroker(address, true, Failure());
             if (response.value().verdict == wire::PlaceVerdict::Waiting)
                 return place(askingAgain(request), answer);
+            noteHeld(request, response.value());
             return answer(response.value(), false);
         }
         noteBroker(address, false, response.failure());
@@ -64,6 +66,8 @@
         if (isReachable == reachable)
             return;
         reachable = isReachable;
+        if (isReachable)
+            announceHeld();
         log(isReachable ? LogLevel::Info : LogLevel::Warning,
             isReachable ? "place-broker-regained" : "place-broker-lost",
             {{"peerAddress", address},
@@ -87,14 +91,42 @@
                 return self->placeFromOwn(askingAgain(request), answer);
             if (response.verdict != wire::PlaceVerdict::Granted)
                 self->ownRequests.erase(request.requestId);
+            self->noteHeld(request, response);
             answer(response, true);
         });
     }
 
+    void noteHeld(const wire::PlaceRequest &request, const wire::PlaceResponse &response)
+    {
+        if (response.verdict != wire::PlaceVerdict::Granted)
+            return;
+        Held &place = held[request.requestId];
+        place.place = {request.requestId, request.service, request.workspace, response.upstream, 0};
+        place.deadline = clock.now() + absl::Milliseconds(request.deadlineMs);
+        instance = request.instance;
+    }
+
+    /// A broker that has just begun, or that was out of reach, does not know all places.
+    void announceHeld()
+    {
+        if (held.empty() || broker.empty())
+            return;
+        wire::HeldPlaces message;
+        message.instance = instance;
+        for (const auto &[id, place] : held) {
+            message.places.push_back(place.place);
+            message.places.back().deadlineMs =
+                    absl::ToInt64Milliseconds(place.deadline - clock.now());
+        }
+        channels.channel(broker)->push(wire::Method::Hold, wire::encode(message));
+    }
+
     void release(const wire::PlaceRelease &release)
     {
+        held.erase(release.requestId);
+        // The broker may have adopted a place of the own share.
         if (ownRequests.erase(release.requestId) > 0)
-            return own.release(release);
+            own.release(release);
         if (!broker.empty())
             channels.channel(broker)->push(wire::Method::Release, wire::encode(release));
     }
@@ -107,6 +139,14 @@
     std::string broker;
     absl::Time avoidUntil = absl::InfinitePast();
     std::set<std::string> ownRequests;
+    struct Held
+    {
+        wire::HeldPlace place;
+        absl::Time deadline;
+    };
+    /// By request; of the broker and of the own share.
+    std::map<std::string, Held> held;
+    std::string instance;
     bool reachable = true;
     bool stopped = false;
 };
@@ -127,7 +167,9 @@
         return;
     m_impl->broker = address;
     m_impl->avoidUntil = absl::InfinitePast();
-    log(LogLevel::Info, "place-broker-changed", {{"peerAddress", address}});
+    log(LogLevel::Info, "place-broker-changed",
+        {{"peerAddress", address}, {"heldPlaces", static_cast<std::int64_t>(m_impl->held.size())}});
+    m_impl->announceHeld();
 }
 
 void PlaceClient::setDeployment(std::shared_ptr<const DeploymentIndex> deployment)
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -14,7 +14,7 @@
         {EnvelopeKind::Push, "push"},
 }};
 
-constexpr std::array<EnumName<Method>, 15> methodNames = {{
+constexpr std::array<EnumName<Method>, 16> methodNames = {{
         {Method::Hello, "hello"},
         {Method::Raft, "raft"},
         {Method::Propose, "propose"},
@@ -26,6 +26,7 @@
         {Method::Place, "place"},
         {Method::Release, "release"},
         {Method::Load, "load"},
+        {Method::Hold, "hold"},
         {Method::SubmitJob, "submit_job"},
         {Method::ReadJob, "read_job"},
         {Method::ReadItem, "read_item"},
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -43,6 +43,8 @@
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded)
 RATTANRILL_WIRE_FIELDS(PlaceResponse, verdict, upstream, address, retryAfterMs)
+RATTANRILL_WIRE_FIELDS(HeldPlace, requestId, service, workspace, upstream, deadlineMs)
+RATTANRILL_WIRE_FIELDS(HeldPlaces, instance, places)
 RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests)
 RATTANRILL_WIRE_FIELDS(PlaceRelease, instance, requestId, upstream, end)
 
@@ -54,6 +56,7 @@
 RATTANRILL_WIRE_MESSAGE(SyncResponse)
 RATTANRILL_WIRE_MESSAGE(PlaceRequest)
 RATTANRILL_WIRE_MESSAGE(PlaceResponse)
+RATTANRILL_WIRE_MESSAGE(HeldPlaces)
 RATTANRILL_WIRE_MESSAGE(UpstreamLoad)
 RATTANRILL_WIRE_MESSAGE(PlaceRelease)
 
--- a/tests/policy/placetable_test.cpp
+++ b/tests/policy/placetable_test.cpp
@@ -216,6 +216,20 @@
     BOOST_TEST(decide(start + absl::Seconds(2)).granted.at("later") == "a");
 }
 
+// Load pattern: a table that follows another one. Guards against places that are given out twice.
+BOOST_AUTO_TEST_CASE(adoptedPlacesAreTaken)
+{
+    table.setUpstreams({upstream("a", 1), upstream("b", 1)});
+    table.adopt(start, online("held", start), "a");
+    table.adopt(start, online("held", start), "b");
+    table.adopt(start, online("elsewhere", start), "unknown");
+    table.request(start, online("1", start + absl::Seconds(1)));
+    BOOST_TEST(decide().granted.at("1") == "b");
+    table.release(start, "held", PlaceEnd::Served);
+    table.request(start, online("2", start + absl::Seconds(1)));
+    BOOST_TEST(decide().granted.at("2") == "a");
+}
+
 BOOST_AUTO_TEST_CASE(leavingUpstreamGetsNothing)
 {
     PlaceUpstream leaving = upstream("a", 4);
--- a/tests/serving/placebroker_test.cpp
+++ b/tests/serving/placebroker_test.cpp
@@ -169,6 +169,24 @@
     BOOST_TEST(isGranted("next"));
 }
 
+// Guards against a new broker that gives out places which entries hold.
+BOOST_AUTO_TEST_CASE(placesOfAFormerBrokerAreAdopted)
+{
+    broker.setUpstreams({{"u", "llm", "u:1", "d", 2, false}}, BrokerShare());
+    broker.adopt({"e", {{"old", "llm", "w", "u", 3000}}});
+    BOOST_TEST(isGranted("new"));
+    BOOST_TEST(!isGranted("third"));
+    release("old");
+    BOOST_TEST(isGranted("fourth"));
+    // A holder that says nothing any more loses an adopted place like any other.
+    broker.adopt({"f", {{"lost", "llm", "w", "u", 100}}});
+    timers.advance(absl::Seconds(4));
+    release("new");
+    release("fourth");
+    BOOST_TEST(isGranted("fifth"));
+    BOOST_TEST(isGranted("sixth"));
+}
+
 BOOST_AUTO_TEST_CASE(batchWorkIsToldToLeave)
 {
     broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, BrokerShare());
