--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -197,13 +197,7 @@
 /// Writes at once what the socket takes; the loop is asked only for the rest.
 void ServerConnection::flush()
 {
-    boost::system::error_code error;
-    while (!m_output.empty()) {
-        const std::size_t sent = m_socket.write_some(boost::asio::buffer(m_output), error);
-        m_output.erase(0, sent);
-        if (error)
-            break;
-    }
+    const boost::system::error_code error = sendAvailable(m_socket, m_output);
     if (m_output.empty())
         return flushed();
     if (error != boost::asio::error::would_block)
--- a/src/net/socketoptions.cpp
+++ b/src/net/socketoptions.cpp
@@ -1,5 +1,7 @@
 #include "socketoptions.h"
 
+#include <boost/asio/buffer.hpp>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -34,4 +36,15 @@
     setOption(native, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
 }
 
+boost::system::error_code sendAvailable(boost::asio::ip::tcp::socket &socket, std::string &output)
+{
+    boost::system::error_code error;
+    std::size_t sent = 0;
+    while (sent < output.size() && !error)
+        sent += socket.write_some(boost::asio::buffer(output.data() + sent, output.size() - sent),
+                                  error);
+    output.erase(0, sent);
+    return error;
+}
+
 } // namespace rattanrill::net
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -109,13 +109,7 @@
 
 void UpstreamConnection::send()
 {
-    boost::system::error_code error;
-    while (!m_output.empty()) {
-        const std::size_t sent = m_socket.write_some(boost::asio::buffer(m_output), error);
-        m_output.erase(0, sent);
-        if (error)
-            break;
-    }
+    const boost::system::error_code error = sendAvailable(m_socket, m_output);
     if (m_output.empty())
         return;
     if (error != boost::asio::error::would_block) {
