--- a/src/serving/passingrequest.cpp
+++ b/src/serving/passingrequest.cpp
@@ -337,13 +337,13 @@
     refuse(ErrorCode::UpstreamUnavailable, std::string(reason), shortReturn);
 }
 
-void PassingRequest::refuse(ErrorCode code, std::string detail, absl::Duration retryAfter)
+void PassingRequest::refuse(ErrorCode code, const std::string &detail, absl::Duration retryAfter)
 {
     m_exchange->respond(m_context.dialect.refusal(notRun(code, detail), retryAfter));
     finish(Outcome::Refused, detail);
 }
 
-void PassingRequest::fail(ErrorCode code, std::string detail)
+void PassingRequest::fail(ErrorCode code, const std::string &detail)
 {
     if (m_exchange->started()) {
         m_exchange->abort();
--- a/src/serving/passingrequest.h
+++ b/src/serving/passingrequest.h
@@ -46,8 +46,8 @@
     void answerComplete();
     void tryFailed(std::string_view reason, policy::PlaceEnd end);
     void refuseOrFail(std::string_view reason);
-    void refuse(ErrorCode code, std::string detail, absl::Duration retryAfter);
-    void fail(ErrorCode code, std::string detail);
+    void refuse(ErrorCode code, const std::string &detail, absl::Duration retryAfter);
+    void fail(ErrorCode code, const std::string &detail);
     void deadlinePassed();
     void callerLeft();
     void armSilenceTimer();
