Jobs, net: Start nothing of an ended job, and free answered requests

Cause 2: LeakSanitizer on serving_test: the handler for a caller that leaves held the request, which held the exchange, so that no answered request was freed. Ruled out: a lost end (it was committed and acknowledged by the same leader). Conclusion: the executor remembers ended jobs of its leadership; an exchange forgets its handler with its answer.

--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace rattanrill::jobs {
@@ -30,7 +31,7 @@
 
     void add(const wire::OpenJob &open)
     {
-        if (jobs.count(open.job.id) != 0)
+        if (jobs.count(open.job.id) != 0 || endedJobs.count(open.job.id) != 0)
             return;
         const auto record = std::make_shared<const wire::JobRecord>(open.job);
         Runs &runs = jobs[record->id];
@@ -148,6 +149,7 @@
 
     void end(const std::string &job)
     {
+        endedJobs.insert(job);
         const auto found = jobs.find(job);
         if (found == jobs.end())
             return;
@@ -160,6 +162,7 @@
     void clear()
     {
         ++generation;
+        endedJobs.clear();
         if (progressTimer != 0)
             context.loop.timers().unsubscribe(std::exchange(progressTimer, 0));
         const auto ended = std::exchange(jobs, {});
@@ -172,6 +175,8 @@
     const ExecutorContext context;
     std::shared_ptr<const serving::DeploymentIndex> deployment;
     std::map<std::string, Runs> jobs;
+    /// Jobs that were ended under this leadership; a list of open jobs may be older than an end.
+    std::set<std::string> endedJobs;
     std::function<void(const std::string &)> storedListener;
     /// Raised when leadership ends, so that late callbacks are recognized.
     std::uint64_t generation = 0;
--- a/src/net/serverexchange.h
+++ b/src/net/serverexchange.h
@@ -30,6 +30,7 @@
 
     void respond(Response response) override
     {
+        m_gone = nullptr;
         if (const auto connection = std::exchange(m_connection, nullptr))
             connection->respond(std::move(response));
     }
@@ -49,12 +50,14 @@
 
     void finish() override
     {
+        m_gone = nullptr;
         if (const auto connection = std::exchange(m_connection, nullptr))
             connection->finish();
     }
 
     void abort() override
     {
+        m_gone = nullptr;
         if (const auto connection = std::exchange(m_connection, nullptr))
             connection->abort();
     }
@@ -77,6 +80,7 @@
     std::shared_ptr<ServerConnection> m_connection;
     Request m_request;
     absl::Time m_receivedAt;
+    /// Forgotten with the end of the answer: it holds its owner, which holds this exchange.
     std::function<void()> m_gone;
     bool m_started = false;
 };
--- /dev/null
+++ b/tests/jobs/executor_test.cpp
@@ -0,0 +1,89 @@
+#include "rattanrill/jobs/jobexecutor.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::jobs;
+
+namespace {
+
+/// Never asked here: no item gets a place.
+class NoDialect : public serving::Dialect
+{
+public:
+    Result<serving::CallerRequest> readRequest(const net::Request &) const override
+    {
+        return serving::CallerRequest();
+    }
+    net::Request upstreamRequest(const net::Request &, const serving::UpstreamTry &) const override
+    {
+        return {};
+    }
+    net::Request itemRequest(const wire::JobItem &, const std::string &,
+                             const serving::UpstreamTry &) const override
+    {
+        return {};
+    }
+    serving::AnswerFacts readAnswer(const net::ResponseHead &) const override { return {}; }
+    bool isEventStream(const net::ResponseHead &) const override { return true; }
+    bool isJobCall(const net::Request &) const override { return false; }
+    Result<serving::JobCall> readJobCall(const net::Request &,
+                                         const serving::CallerRequest &) const override
+    {
+        return fail(notRun(ErrorCode::NotFound, ""));
+    }
+    net::Response jobResults(const wire::ReadJobResponse &) const override { return {}; }
+    net::Response refusal(const Failure &, absl::Duration) const override { return {}; }
+};
+
+struct Fixture
+{
+    net::EventLoop loop;
+    Metrics metrics;
+    NoDialect dialect;
+    net::UpstreamPool upstreams{loop, net::UpstreamPoolOptions()};
+    peer::ChannelPool channels{peer::TransportOptions()};
+    fleet::GroupReplica replica{loop, channels, fleet::GroupReplicaSettings(),
+                                SystemClock::instance()};
+    serving::PlaceBroker broker{loop.timers(), SystemClock::instance(), serving::BrokerSettings()};
+    JobExecutor executor{ExecutorContext{loop, SystemClock::instance(), metrics, dialect, upstreams,
+                                         broker, replica, "d"}};
+
+    static wire::OpenJob open(const std::string &id)
+    {
+        wire::OpenJob job;
+        job.job.id = id;
+        job.job.items = {{"i0", "/p", {}, "", 1}, {"i1", "/p", {}, "", 1}};
+        job.finished = {"i1"};
+        return job;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(JobExecutorTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(onlyItemsWithoutAResultAreRun)
+{
+    executor.add(open("j"));
+    executor.add(open("j"));
+    BOOST_TEST(executor.openItems() == 1u);
+    executor.end("j");
+    BOOST_TEST(executor.openItems() == 0u);
+}
+
+// Guards against items of an ended job that run: a new leader lists the open jobs, one of them is
+// ended, and the list is taken over after that.
+BOOST_AUTO_TEST_CASE(listThatIsOlderThanAnEndStartsNothing)
+{
+    const wire::OpenJob listed = open("j");
+    executor.end("j");
+    executor.add(listed);
+    BOOST_TEST(executor.openItems() == 0u);
+    // Another leadership begins with what its own list says.
+    executor.clear();
+    executor.add(listed);
+    BOOST_TEST(executor.openItems() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -48,6 +48,12 @@
             exchange->onClientGone([this] { ++gone; });
             return;
         }
+        if (path == "/held") {
+            auto owner = std::make_shared<int>();
+            handlerOwner = owner;
+            exchange->onClientGone([owner, exchange] {});
+            return exchange->respond(textResponse(200, "held", "text/plain"));
+        }
         if (path == "/echo")
             return exchange->respond(textResponse(200, exchange->request().body, "text/plain"));
         ResponseHead head;
@@ -63,6 +69,7 @@
     LoopThread thread;
     std::unique_ptr<Server> server;
     std::shared_ptr<Exchange> kept;
+    std::weak_ptr<int> handlerOwner;
     std::atomic<int> gone{0};
 };
 
@@ -154,6 +161,17 @@
     BOOST_TEST(waitFor([&] { return server.gone == 1; }));
 }
 
+// Guards against requests that stay in memory after their answer: the handler holds the request,
+// which holds the exchange.
+BOOST_AUTO_TEST_CASE(answeredExchangeForgetsItsHandler)
+{
+    TestServer server;
+    RawSocket client(port);
+    client.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.readUntil("held");
+    BOOST_TEST(waitFor([&] { return server.handlerOwner.expired(); }));
+}
+
 // Guards against a graceful stop that cuts an answer: it closes the connection behind the answer.
 BOOST_AUTO_TEST_CASE(drainingServerAnswersAndCloses)
 {
