--- a/cmake/RattanrillTargets.cmake
+++ b/cmake/RattanrillTargets.cmake
@@ -40,10 +40,11 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
 endfunction()
 
-# rattanrill_test(LIBRARY [DEPENDS target...]): the one test program of a library, from the *.cpp
-# files beside the caller. It may include the library's private headers.
+# rattanrill_test(LIBRARY [DEPENDS target...] [APART Suite/case...]): the one test program of a library, from the *.cpp
+# files beside the caller. It may include the library's private headers. Each case under APART is a
+# CTest test of its own, LIBRARY-case, so that KNOWN-RED.txt can name it alone.
 function(rattanrill_test library)
-  cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+  cmake_parse_arguments(arg "" "" "DEPENDS;APART" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS "${CMAKE_CURRENT_SOURCE_DIR}/*.cpp")
   add_executable(${library}_test ${sources})
   target_link_libraries(${library}_test PRIVATE
@@ -53,6 +54,14 @@
   target_compile_definitions(${library}_test PRIVATE BOOST_TEST_DYN_LINK)
   set_source_files_properties(main.cpp PROPERTIES
     COMPILE_DEFINITIONS "BOOST_TEST_MODULE=${library}")
-  add_test(NAME ${library} COMMAND ${library}_test --log_level=test_suite)
+  set(filter "")
+  foreach(case IN LISTS arg_APART)
+    list(APPEND filter "--run_test=!${case}")
+    string(REGEX REPLACE ".*/" "" name "${case}")
+    add_test(NAME ${library}-${name}
+      COMMAND ${library}_test --log_level=test_suite "--run_test=${case}")
+    set_tests_properties(${library}-${name} PROPERTIES TIMEOUT 300)
+  endforeach()
+  add_test(NAME ${library} COMMAND ${library}_test --log_level=test_suite ${filter})
   set_tests_properties(${library} PROPERTIES TIMEOUT 300)
 endfunction()
