Entry: Hand rate buckets over when their owner changes

Cause: an entry that leaves, or one that joins, moves the ownership of rate buckets. The new owner knew nothing of the level and started empty after the lease, so that requests inside the rate were refused meanwhile. This is what entry's Limits/drainCutsNothing saw in the notice time of a drain. Ruled out: sanitizer timing (the case fails whenever the view of the removal arrives first).

Now an owner that sees its ownership end pushes the levels of its buckets to the new owner, which takes them only when its own ownership began at the same member revision and right after the sender's. Callers wait for the hand-over inside the time that a grant may wait. A process that was suspended for longer than the lease forgets its buckets also when its next view is fresh.

A bucket that was never used has no level to hand over and starts empty as before.

--- a/include/rattanrill/policy/tokenbucket.h
+++ b/include/rattanrill/policy/tokenbucket.h
@@ -28,13 +28,15 @@
 /// rate * t over the parts of the window, plus the largest burst in it; a lower rate counts from
 /// the end of the waits that were granted before it.
 ///
-/// A new owner starts empty, because the former owner may just have granted the whole burst.
+/// A new owner starts with the level that the former one handed over, or empty, because the former
+/// one may just have granted the whole burst.
 class TokenBucket
 {
 public:
-    /// Empty bucket that fills at the contract's rate from \a start on. A new owner passes the end
-    /// of the former owner's lease plus the longest wait that it granted.
-    TokenBucket(RateContract contract, absl::Time start);
+    /// Bucket that holds \a level units at \a start, cut to the burst, and fills at the contract's
+    /// rate from then on. A new owner that knows no level passes the end of the former owner's
+    /// lease plus the longest wait that it granted.
+    TokenBucket(RateContract contract, absl::Time start, double level = 0);
 
     /// Takes \a units when they are available after at most \a maxWait; otherwise takes nothing.
     /// A call with \a now before the start or an earlier call waits for that time as well.
--- a/include/rattanrill/wire/directorymessages.h
+++ b/include/rattanrill/wire/directorymessages.h
@@ -327,4 +327,23 @@
     std::int64_t retryAfterMs = 0;
 };
 
+/// Level of a workspace's rate bucket.
+struct RateLevel
+{
+    std::string workspace;
+    /// Units left; negative while granted ones wait.
+    double level = 0;
+};
+
+/// Pushed by an entry that has seen its ownership of workspaces end to the one that owns them now.
+/// Method::HandOver.
+struct RateHandOver
+{
+    /// Former owner, which grants no more.
+    std::string instance;
+    /// Revision of the membership by which the receiver is the owner.
+    std::uint64_t memberRevision = 0;
+    std::vector<RateLevel> levels;
+};
+
 } // namespace rattanrill::wire
--- a/include/rattanrill/wire/envelope.h
+++ b/include/rattanrill/wire/envelope.h
@@ -25,6 +25,7 @@
     Read,
     Follow,
     Grant,
+    HandOver,
     Heartbeat,
     Sync,
     Place,
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -90,11 +90,17 @@
         , batch({partitions, dispatcher, timers, clock, metrics, requestMetrics,
                  [this](const std::string &workspace) { shares.note(workspace); }},
                 settings.batch, concat(settings.instance, ".", incarnation))
-        , rateOwner({settings.instance, incarnation, settings.timings.ownerLease,
-                     settings.timings.rateWait},
-                    follower, clock)
+        , rateOwner(
+                  {settings.instance, incarnation, settings.timings.ownerLease,
+                   settings.timings.rateWait},
+                  follower,
+                  [this](const std::string &address, const wire::RateHandOver &handOver) {
+                      channels.channel(address)->push(wire::Method::HandOver,
+                                                      wire::encode(handOver));
+                  },
+                  clock)
         , rateBroker({settings.instance, settings.timings.rateWait, settings.timings.grantTimeout},
-                     follower, rateOwner, channels)
+                     follower, rateOwner, channels, clock)
         , keys(follower, settings.timings.keyFreshness, settings.timings.staleStreamLimit)
         , admission(keys, rateBroker)
         , claims(partitions, settings.timings.claimKeep)
@@ -116,6 +122,9 @@
         peers.handle(wire::Method::Grant,
                      [this](const peer::PeerIdentity &, const std::string &body,
                             const peer::Reply &reply) { reply(grant(body)); });
+        peers.handle(wire::Method::HandOver,
+                     [this](const peer::PeerIdentity &, const std::string &body,
+                            const peer::Reply &reply) { reply(acceptRates(body)); });
     }
 
     void adopt(const directory::View &view)
@@ -145,6 +154,18 @@
         return wire::encode(response.value());
     }
 
+    Outcome<std::string> acceptRates(const std::string &body)
+    {
+        const auto handOver = outcomeOf([&] { return wire::decode<wire::RateHandOver>(body); });
+        if (!handOver.ok()) {
+            log(LogLevel::Warning, "rates-unreadable",
+                {{"code", name(handOver.failure().code)}, {"detail", handOver.failure().detail}});
+            return handOver.failure();
+        }
+        rateOwner.accept(handOver.value());
+        return std::string();
+    }
+
     std::string notReady() const
     {
         if (draining)
--- a/src/entry/rateadmission.h
+++ b/src/entry/rateadmission.h
@@ -21,7 +21,8 @@
 {
 public:
     virtual ~RateAdmission() = default;
-    /// Blocks for a call to the workspace's owner at most; does not wait for the grant itself.
+    /// Blocks for a call to the workspace's owner, or, while the ownership moves, for the longest
+    /// wait of a grant; does not wait for the grant itself.
     /// Fails with RateUnknown (NotRun) when the owner cannot be reached.
     virtual Outcome<RateDecision> take(const std::string &workspace) = 0;
 };
--- a/src/entry/ratebroker.cpp
+++ b/src/entry/ratebroker.cpp
@@ -7,9 +7,14 @@
 #include "rattanrill/base/hash.h"
 #include "rattanrill/wire/codec.h"
 
+#include "absl/synchronization/notification.h"
+
 namespace rattanrill::entry {
 namespace {
 
+/// Membership reaches all entries within a few tens of milliseconds.
+constexpr absl::Duration askAgainAfter = absl::Milliseconds(20);
+
 /// An owner that is a different process, answers late, or has another view grants nothing; in all
 /// these cases the request has not run.
 Failure rateUnknown(const std::string &detail)
@@ -20,17 +25,28 @@
 } // namespace
 
 RateBroker::RateBroker(Options options, const directory::Follower &directory, RateOwner &owner,
-                       peer::ChannelPool &channels)
+                       peer::ChannelPool &channels, const Clock &clock)
     : m_options(std::move(options))
     , m_directory(directory)
     , m_owner(owner)
     , m_channels(channels)
+    , m_clock(clock)
 {}
 
 Outcome<RateDecision> RateBroker::take(const std::string &workspace)
 {
-    return awaitOutcome<RateDecision>(
-            [&](Callback callback) { ask(workspace, std::move(callback)); });
+    const absl::Time until = m_clock.now() + m_options.maxWait;
+    for (;;) {
+        const Outcome<RateDecision> decision = awaitOutcome<RateDecision>(
+                [&](Callback callback) { ask(workspace, std::move(callback)); });
+        if (decision.ok())
+            return decision;
+        // The ownership is on its way from one entry to another.
+        const bool isMoving = decision.failure().code == ErrorCode::NotMember;
+        if (!isMoving || m_clock.now() + askAgainAfter > until)
+            return rateUnknown(describe(decision.failure()));
+        absl::Notification().WaitForNotificationWithTimeout(askAgainAfter);
+    }
 }
 
 void RateBroker::ask(const std::string &workspace, Callback callback)
@@ -69,7 +85,7 @@
     const auto view = m_directory.view();
     const std::vector<std::string> members = memberNames(*view);
     if (members.empty())
-        return rateUnknown("no entry is a member yet");
+        return notRun(ErrorCode::RateUnknown, "no entry is a member yet");
     request.memberRevision = view->memberRevision();
     const std::string &owner = members[rendezvousOwner(workspace, members)];
     if (owner == m_options.instance)
@@ -111,7 +127,7 @@
 {
     for (std::size_t i = 0; i < callers.size(); ++i) {
         if (!response.ok()) {
-            callers[i](rateUnknown(describe(response.failure())));
+            callers[i](response.failure());
             continue;
         }
         const wire::GrantResponse &grants = response.value();
--- a/src/entry/ratebroker.h
+++ b/src/entry/ratebroker.h
@@ -31,7 +31,7 @@
     };
 
     RateBroker(Options options, const directory::Follower &directory, RateOwner &owner,
-               peer::ChannelPool &channels);
+               peer::ChannelPool &channels, const Clock &clock);
 
     Outcome<RateDecision> take(const std::string &workspace) override ABSL_LOCKS_EXCLUDED(m_mutex);
 
@@ -55,6 +55,7 @@
     const directory::Follower &m_directory;
     RateOwner &m_owner;
     peer::ChannelPool &m_channels;
+    const Clock &m_clock;
     absl::Mutex m_mutex;
     std::map<std::string, Queue> m_queues ABSL_GUARDED_BY(m_mutex);
 };
--- a/src/entry/rateowner.h
+++ b/src/entry/rateowner.h
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -19,8 +20,9 @@
 /// Rate buckets of the workspaces that this entry owns.
 ///
 /// No two owners may grant at the same time: an owner grants only while its view is younger than
-/// the lease, and a new owner's bucket starts, empty, only after the former owner's lease and the
-/// longest wait that it may have granted.
+/// the lease. An owner that sees its ownership end hands its bucket over to the new owner. Without
+/// that, the new owner's bucket starts, empty, only after the former owner's lease and the longest
+/// wait that it may have granted.
 class RateOwner
 {
 public:
@@ -33,14 +35,21 @@
         absl::Duration maxWait;
     };
 
-    RateOwner(Options options, const directory::Follower &directory, const Clock &clock);
+    /// Sends buckets to the entry at a peer address; called without a lock.
+    using HandOverSender =
+            std::function<void(const std::string &address, const wire::RateHandOver &handOver)>;
+
+    RateOwner(Options options, const directory::Follower &directory, HandOverSender sender,
+              const Clock &clock);
 
     /// Follows changes of membership and lapses of the lease; call often.
     void observe() ABSL_LOCKS_EXCLUDED(m_mutex);
-    /// Fails with NotMember (this entry is not the owner, by its own view) or StaleRevision (its
-    /// view is too old), both NotRun.
+    /// Fails with NotMember (this entry is not the owner, by its own view, or waits for the former
+    /// owner to hand over) or StaleRevision (its view is too old), both NotRun.
     Outcome<wire::GrantResponse> grant(const wire::GrantRequest &request)
             ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// Takes buckets that their former owner has handed over.
+    void accept(const wire::RateHandOver &handOver) ABSL_LOCKS_EXCLUDED(m_mutex);
 
 private:
     /// Members as of a time, with the view in which they were found.
@@ -51,27 +60,69 @@
         directory::View view;
     };
 
+    struct Bucket
+    {
+        policy::TokenBucket tokens;
+        /// Nothing is in use before.
+        absl::Time start;
+    };
+
+    /// Bucket that a former owner has handed over.
+    struct Arrival
+    {
+        std::string formerOwner;
+        std::uint64_t memberRevision = 0;
+        double level = 0;
+        absl::Time receivedAt;
+    };
+
+    /// By peer address of the new owner.
+    using Departures = std::map<std::string, wire::RateHandOver>;
+
     bool isOwner(const directory::View &view, const std::string &workspace) const;
     /// Oldest membership since which this entry has owned \a workspace without a break; null when
     /// it does not own it.
     const Membership *ownedSince(const std::string &workspace) const
             ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    /// Time from which on the bucket of \a workspace has been filling.
-    absl::Time bucketStart(const std::string &workspace, const policy::RateContract &rate,
-                           absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /// Owner before \a membership, the oldest in which this entry owns \a workspace; empty when it
+    /// is not known.
+    std::string formerOwner(const Membership &membership, const std::string &workspace) const
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /// True when the hand-over ends the ownership that came right before this entry's own one.
+    bool isCurrent(const std::string &workspace, const Arrival &arrival) const
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /// True while the former owner may still hand \a workspace over.
+    bool isAwaitingHandOver(const std::string &workspace, const Bucket &bucket,
+                            absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    Bucket newBucket(const std::string &workspace, const policy::RateContract &rate, absl::Time now)
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     Outcome<Done> check(const directory::View &view, const std::string &workspace) const;
+    Outcome<wire::GrantResponse> grantFrom(const directory::View &view,
+                                           const wire::GrantRequest &request)
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /// Forgets what was owned: another entry may own it by now.
+    void lapse() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void follow(const directory::View &view, absl::Duration age)
             ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    policy::TokenBucket &bucket(const directory::View &view, const std::string &workspace,
-                                absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    /// Lets go of the buckets of which \a view names another owner.
+    void depart(const directory::View &view, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void sendDepartures() ABSL_LOCKS_EXCLUDED(m_mutex);
+    Bucket &bucket(const directory::View &view, const std::string &workspace, absl::Time now)
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     Options m_options;
     const directory::Follower &m_directory;
+    const HandOverSender m_sender;
     const Clock &m_clock;
     absl::Mutex m_mutex;
-    std::map<std::string, policy::TokenBucket> m_buckets ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, Bucket> m_buckets ABSL_GUARDED_BY(m_mutex);
+    Departures m_departures ABSL_GUARDED_BY(m_mutex);
+    /// By workspace.
+    std::map<std::string, Arrival> m_arrivals ABSL_GUARDED_BY(m_mutex);
     std::uint64_t m_memberRevision ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_lapsed ABSL_GUARDED_BY(m_mutex) = true;
+    /// Time as of which the view was last known to be the newest.
+    absl::Time m_confirmedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     /// Since the lease last lapsed, newest first.
     std::deque<Membership> m_history ABSL_GUARDED_BY(m_mutex);
 };
--- a/src/policy/tokenbucket.cpp
+++ b/src/policy/tokenbucket.cpp
@@ -11,8 +11,9 @@
 
 } // namespace
 
-TokenBucket::TokenBucket(RateContract contract, absl::Time start)
+TokenBucket::TokenBucket(RateContract contract, absl::Time start, double level)
     : m_contract(contract)
+    , m_level(std::min(level, contract.burst))
     , m_levelAt(start)
 {}
 
--- a/src/wire/directorymessages.cpp
+++ b/src/wire/directorymessages.cpp
@@ -68,6 +68,8 @@
 RATTANRILL_WIRE_FIELDS(DirectoryQuery, afterRevision)
 RATTANRILL_WIRE_FIELDS(GrantRequest, workspace, memberRevision, requests, maxWaitMs)
 RATTANRILL_WIRE_FIELDS(GrantResponse, granted, waitsMs, retryAfterMs)
+RATTANRILL_WIRE_FIELDS(RateLevel, workspace, level)
+RATTANRILL_WIRE_FIELDS(RateHandOver, instance, memberRevision, levels)
 
 RATTANRILL_WIRE_MESSAGE(Contract)
 RATTANRILL_WIRE_MESSAGE(Key)
@@ -87,6 +89,7 @@
 RATTANRILL_WIRE_MESSAGE(DirectoryQuery)
 RATTANRILL_WIRE_MESSAGE(GrantRequest)
 RATTANRILL_WIRE_MESSAGE(GrantResponse)
+RATTANRILL_WIRE_MESSAGE(RateHandOver)
 
 std::string_view name(UpstreamKind kind)
 {
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -14,13 +14,14 @@
         {EnvelopeKind::Push, "push"},
 }};
 
-constexpr std::array<EnumName<Method>, 16> methodNames = {{
+constexpr std::array<EnumName<Method>, 17> methodNames = {{
         {Method::Hello, "hello"},
         {Method::Raft, "raft"},
         {Method::Propose, "propose"},
         {Method::Read, "read"},
         {Method::Follow, "follow"},
         {Method::Grant, "grant"},
+        {Method::HandOver, "hand_over"},
         {Method::Heartbeat, "heartbeat"},
         {Method::Sync, "sync"},
         {Method::Place, "place"},
--- a/tests/entry/limit_test.cpp
+++ b/tests/entry/limit_test.cpp
@@ -49,6 +49,39 @@
     BOOST_TEST(!refused->get_header_value("Retry-After").empty());
 }
 
+// R7: guards against an entry that joins, becomes the owner and starts with an empty bucket, or
+// with a full one.
+BOOST_AUTO_TEST_CASE(joiningOwnerTakesOverTheLevel)
+{
+    TestFleet fleet(1, 1);
+    const std::string used = workspaceOf(1, 2);
+    // The rate adds less than one request during the test.
+    fleet.addWorkspace(used, 0.01, 9);
+    fleet.awaitInForce();
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(fleet.complete(0, used, "p", 1)->status == 200);
+    fleet.startEntry();
+    fleet.awaitInForce();
+    int granted = 4;
+    for (int i = 0; i < 10; ++i)
+        granted += fleet.complete(i % 2, used, "p", 1)->status == 200 ? 1 : 0;
+    BOOST_TEST(granted == 9);
+}
+
+// R7: guards against an owner that leaves and takes the rest of a workspace's burst with it.
+BOOST_AUTO_TEST_CASE(leavingOwnerHandsOverTheLevel)
+{
+    TestFleet fleet(2, 1);
+    const std::string workspace = workspaceOf(0, 2);
+    fleet.addWorkspace(workspace, 0.01, 5);
+    fleet.awaitInForce();
+    int granted = fleet.complete(0, workspace, "p", 1)->status == 200 ? 1 : 0;
+    BOOST_TEST(fleet.entry(0).drain());
+    for (int i = 0; i < 7; ++i)
+        granted += fleet.complete(1, workspace, "p", 1)->status == 200 ? 1 : 0;
+    BOOST_TEST(granted == 5);
+}
+
 // R7, R9: guards against requests that run uncounted when the owner cannot be reached.
 BOOST_AUTO_TEST_CASE(ownerWithAStaleViewGrantsNothing)
 {
