Policy: Finish interrupted batch items before new ones begin

Cause: a batch item that yielded its place went behind items that had not begun, and the one placed last yielded first, so that each gap between two pulses began new items and ended few; the order by due time then made every item of a backlog late. Ruled out: idle places (a debug line showed all places of the upstreams in use from the hand-in to the end).

Now interrupted items go on first, the nearest to its end before others; the one with the least time behind it yields; what can no longer be done in time goes behind what can, with every eighth place. A workspace is charged once for an item. Due times of waiting requests are indexed, so that a decision no longer walks over all works.

--- a/include/rattanrill/policy/placetable.h
+++ b/include/rattanrill/policy/placetable.h
@@ -14,6 +14,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -46,6 +47,8 @@
     double tokens = 1;
     /// Online: refused without a place by then. Batch: due time, the earliest goes first.
     absl::Time due = absl::InfiniteFuture();
+    /// Batch: time for which it held places before; what it has produced is kept.
+    absl::Duration served;
     /// Longest Retry-After that its caller can use.
     absl::Duration longestReturn = absl::InfiniteDuration();
     /// Upstreams that it was sent to before.
@@ -103,6 +106,10 @@
     absl::Duration reportLifetime = absl::Seconds(1);
     /// Places at each upstream that batch work leaves free.
     std::int64_t reserve = 0;
+    /// For this long after begin(), requests of a process that is gone may still run somewhere.
+    absl::Duration lingerTime = absl::Milliseconds(1500);
+    /// Requests that an upstream gets in that time before its first report.
+    int probes = 2;
 };
 
 /// Who gets which place at the upstreams, of all requests of a deployment. Upstreams admit in order
@@ -110,17 +117,22 @@
 /// at once.
 ///
 /// Load patterns: a pulse of online requests above all places meets places that batch work fills
-/// (batch yields at once, the youngest first, and resumes later); online load above all places
-/// (refused at once when the wait would be too long, with returns spread over the time in which
-/// places become free); one workspace's surge (order between workspaces by tokens served); requests
-/// of a sender that is gone, which their upstreams still run (places shrink by what upstreams
-/// report beyond the own work); a table that follows another one (the places that are held are
-/// adopted). Apart from input and output; not thread-safe.
+/// (batch yields at once, what has the least behind it first); pulse after pulse over a long batch
+/// queue (interrupted items go on before new ones start, so that places finish items instead of
+/// beginning them); more batch work than can be done in time (what is late anyway goes behind what
+/// is not); online load above all places (refused at once when the wait would be too long, with
+/// returns spread over the time in which places become free); one workspace's surge (order between
+/// workspaces by tokens served); requests of a sender that is gone, which their upstreams still run
+/// (places shrink by what upstreams report beyond the own work); a table that follows another one
+/// (the places that are held are adopted, and upstreams are probed until they have reported). Apart
+/// from input and output; not thread-safe.
 class PlaceTable
 {
 public:
     explicit PlaceTable(PlaceTableSettings settings);
 
+    /// Another table has given out places until now.
+    void begin(absl::Time now);
     /// Replaces the list. Works on upstreams that left it keep their places until released.
     void setUpstreams(const std::vector<PlaceUpstream> &upstreams);
     void request(absl::Time now, const PlaceWork &work);
@@ -147,10 +159,21 @@
 private:
     struct Upstream;
 
+    enum class Queue {
+        None,
+        Online,
+        Batch,
+        /// Batch work that has lost its place.
+        Interrupted,
+        /// Batch work that can't be done in time.
+        Late,
+    };
+
     struct Item
     {
         PlaceWork work;
         WorkId number = 0;
+        Queue queue = Queue::None;
         /// Null while waiting.
         Upstream *upstream = nullptr;
         /// When it came or, with a place, when it got it.
@@ -172,6 +195,8 @@
             std::int64_t foreign = 0;
         };
         std::array<Report, 2> reports;
+        /// Requests that it got since begin() before its first report.
+        int probes = 0;
 
         std::int64_t held() const
         {
@@ -185,15 +210,27 @@
         /// Online work by priority.
         std::map<int, FairQueue> online;
         FairQueue batch;
+        std::vector<Item *> interrupted;
+        FairQueue late;
+        /// Batch works that got a place since the last one of the late queue.
+        int grantsSinceLate = 0;
         std::size_t onlineWaiting = 0;
         std::size_t batchWaiting = 0;
         absl::Duration meanHold;
+        /// Time that a batch work holds places from its start to its end; zero until one has ended.
+        absl::Duration meanBatchHold;
         /// When the last refused caller was asked to return.
         absl::Time lastReturn = absl::InfinitePast();
     };
 
     Service &service(const std::string &name);
     Item *itemOf(WorkId number);
+    void enqueue(absl::Time now, Service &service, Item &item);
+    void enqueueLate(Service &service, Item &item);
+    bool isLate(absl::Time now, const Service &service, const Item &item) const;
+    void moveLate(absl::Time now, Service &service);
+    Item *nextBatch(absl::Time now, Service &service);
+    bool isLoadUnknown(absl::Time now, const Upstream &upstream) const;
     Upstream *freeUpstream(absl::Time now, const Service &service, const Item &item) const;
     Upstream *yieldingUpstream(absl::Time now, const Service &service, const Item &item) const;
     std::int64_t foreign(absl::Time now, const Upstream &upstream) const;
@@ -201,8 +238,9 @@
     void decideOnline(absl::Time now, Service &service);
     void decideBatch(absl::Time now, Service &service);
     void refuseHopeless(absl::Time now, Service &service);
+    void refuseOverdue(absl::Time now);
     void refuse(absl::Time now, Service &service, Item &item);
-    void yieldOne(Upstream &upstream);
+    void yieldOne(absl::Time now, Upstream &upstream);
     void grant(absl::Time now, Service &service, Item &item, Upstream &upstream);
     void dequeue(Service &service, Item &item);
     void leavePlace(absl::Time now, Item &item);
@@ -214,6 +252,9 @@
     std::map<std::string, Service> m_services;
     std::map<std::string, std::unique_ptr<Item>> m_items;
     std::map<WorkId, Item *> m_numbers;
+    /// Online works that wait, by due time.
+    std::set<std::pair<absl::Time, WorkId>> m_onlineDue;
+    absl::Time m_begunAt = absl::InfinitePast();
     WorkId m_nextNumber = 1;
     std::vector<PlaceDecision> m_decisions;
 };
--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -76,6 +76,8 @@
     std::int64_t lastEvent = -1;
     /// Data of the events in between, as in a result.
     std::string output;
+    /// Time for which the item has held places at upstreams.
+    std::int64_t servedMs = 0;
 };
 
 /// Stores progress, so that another executor goes on after it.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -44,6 +44,7 @@
     m_hasOutput = true;
     m_storedEvent = progress.lastEvent;
     m_storedLength = m_output.size();
+    m_served = absl::Milliseconds(progress.servedMs);
 }
 
 std::optional<wire::ItemProgress> ItemRun::unstored() const
@@ -56,6 +57,7 @@
     step.item = m_item.id;
     step.after = m_storedEvent;
     step.lastEvent = last;
+    step.servedMs = absl::ToInt64Milliseconds(served());
     // A line feed joins the events, also across two steps.
     const std::size_t begin = m_storedEvent < 0 ? 0 : m_storedLength + 1;
     step.output = m_output.substr(begin);
@@ -114,6 +116,7 @@
     work.priority = current.priority;
     work.tokens = static_cast<double>(m_item.tokens);
     work.due = m_context.clock.now() + (current.completionObjective - age);
+    work.served = m_served;
     m_state = State::Waiting;
     serving::PlaceBroker::BatchHandlers handlers;
     handlers.granted = [self = shared_from_this()](const std::string &upstream,
@@ -128,6 +131,8 @@
 {
     m_state = State::Running;
     m_upstream = upstream;
+    m_grantedAt = m_context.clock.now();
+    m_hasProgressed = false;
     m_hasHead = false;
     m_splitter.reset();
     ++m_runs;
@@ -156,6 +161,7 @@
     m_context.metrics.count("rattanrill_batch_yields_total");
     m_context.upstreams.cancel(m_call);
     cancelTimer(m_silenceTimer);
+    stopServing();
     askForPlace();
 }
 
@@ -192,6 +198,7 @@
             m_output += '\n';
         m_output += event.data;
         m_hasOutput = true;
+        m_hasProgressed = true;
         m_brokenTries = 0;
         if (event.id)
             m_lengths[*event.id] = m_output.size();
@@ -255,9 +262,22 @@
     });
 }
 
+absl::Duration ItemRun::served() const
+{
+    const bool isServed = m_state == State::Running && m_hasProgressed;
+    return m_served + (isServed ? m_context.clock.now() - m_grantedAt : absl::ZeroDuration());
+}
+
+void ItemRun::stopServing()
+{
+    m_served = served();
+    m_hasProgressed = false;
+}
+
 void ItemRun::leaveUpstream(PlaceEnd end)
 {
     cancelTimer(m_silenceTimer);
+    stopServing();
     m_state = State::BackingOff;
     m_context.broker.releaseBatch(workId(*m_job, m_item), end);
 }
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -56,6 +56,10 @@
     void abandon();
     void armSilenceTimer();
     void leaveUpstream(policy::PlaceEnd end);
+    /// Time for which the item has held places, the present one included.
+    absl::Duration served() const;
+    /// Ends the count of the present place. One that brought nothing does not count.
+    void stopServing();
     void cancelTimer(TimerService::TimerId &timer);
 
     const ExecutorContext &m_context;
@@ -79,6 +83,10 @@
     std::size_t m_storedLength = 0;
     /// Length of the output up to each event that is not stored.
     std::map<std::int64_t, std::size_t> m_lengths;
+    /// Time in former places; in the present one since m_grantedAt, once it has brought an event.
+    absl::Duration m_served;
+    absl::Time m_grantedAt;
+    bool m_hasProgressed = false;
     int m_serverErrors = 0;
     int m_brokenTries = 0;
     int m_yields = 0;
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -94,6 +94,7 @@
             stored.output += '\n';
         stored.output += step.output;
         stored.lastEvent = step.lastEvent;
+        stored.servedMs = step.servedMs;
         stored.job = step.job;
         stored.item = step.item;
     }
--- a/src/policy/placetable.cpp
+++ b/src/policy/placetable.cpp
@@ -12,6 +12,8 @@
 
 /// Weight of a new sample in the mean time that a place is held.
 constexpr double smoothing = 0.05;
+/// One in so many places for batch work goes to late work, so that it is not put off for good.
+constexpr int lateEvery = 8;
 /// Retry-After when no upstream of the service takes work at all.
 constexpr absl::Duration noUpstreamReturn = absl::Seconds(1);
 
@@ -79,6 +81,13 @@
     }
 }
 
+void PlaceTable::begin(absl::Time now)
+{
+    m_begunAt = now;
+    for (auto &[id, upstream] : m_upstreams)
+        upstream->probes = 0;
+}
+
 void PlaceTable::request(absl::Time now, const PlaceWork &work)
 {
     if (knows(work.id))
@@ -87,18 +96,41 @@
     item->work = work;
     item->number = m_nextNumber++;
     item->since = now;
-    Service &wanted = service(work.service);
-    if (isOnline(work)) {
-        wanted.online[work.priority].push(work.workspace, item->number, now);
-        ++wanted.onlineWaiting;
-    } else {
-        wanted.batch.push(work.workspace, item->number, work.due);
-        ++wanted.batchWaiting;
-    }
     m_numbers[item->number] = item.get();
+    enqueue(now, service(work.service), *item);
     m_items[work.id] = std::move(item);
 }
 
+void PlaceTable::enqueue(absl::Time now, Service &service, Item &item)
+{
+    const PlaceWork &work = item.work;
+    if (isOnline(work)) {
+        item.queue = Queue::Online;
+        service.online[work.priority].push(work.workspace, item.number, now);
+        m_onlineDue.emplace(work.due, item.number);
+        ++service.onlineWaiting;
+        return;
+    }
+    ++service.batchWaiting;
+    if (isLate(now, service, item))
+        return enqueueLate(service, item);
+    if (work.served > absl::ZeroDuration()) {
+        item.queue = Queue::Interrupted;
+        service.interrupted.push_back(&item);
+        return;
+    }
+    item.queue = Queue::Batch;
+    service.batch.push(work.workspace, item.number, work.due);
+}
+
+void PlaceTable::enqueueLate(Service &service, Item &item)
+{
+    item.queue = Queue::Late;
+    const bool hasBegun = item.work.served > absl::ZeroDuration();
+    service.late.push(item.work.workspace, item.number, item.work.due,
+                      hasBegun ? FairQueue::Order::First : FairQueue::Order::ByArrival);
+}
+
 void PlaceTable::adopt(absl::Time now, const PlaceWork &work, const std::string &upstream)
 {
     const auto found = m_upstreams.find(upstream);
@@ -116,13 +148,27 @@
 
 void PlaceTable::dequeue(Service &service, Item &item)
 {
-    if (isOnline(item.work)) {
+    switch (std::exchange(item.queue, Queue::None)) {
+    case Queue::None:
+        return;
+    case Queue::Online:
         service.online[item.work.priority].remove(item.number);
+        m_onlineDue.erase({item.work.due, item.number});
         --service.onlineWaiting;
-    } else {
+        return;
+    case Queue::Batch:
         service.batch.remove(item.number);
-        --service.batchWaiting;
+        break;
+    case Queue::Interrupted: {
+        auto &interrupted = service.interrupted;
+        interrupted.erase(std::find(interrupted.begin(), interrupted.end(), &item));
+        break;
+    }
+    case Queue::Late:
+        service.late.remove(item.number);
+        break;
     }
+    --service.batchWaiting;
 }
 
 void PlaceTable::forget(Item &item)
@@ -153,9 +199,11 @@
         item.upstream->outlier.succeeded(now);
     else if (end != PlaceEnd::Abandoned)
         item.upstream->outlier.failed(now, end == PlaceEnd::Gone);
-    if (isOnline(item.work) && end == PlaceEnd::Served) {
-        absl::Duration &mean = service(item.work.service).meanHold;
-        mean += (now - item.since - mean) * smoothing;
+    if (end == PlaceEnd::Served) {
+        Service &served = service(item.work.service);
+        absl::Duration &mean = isOnline(item.work) ? served.meanHold : served.meanBatchHold;
+        const absl::Duration hold = item.work.served + (now - item.since);
+        mean = mean == absl::ZeroDuration() ? hold : mean + (hold - mean) * smoothing;
     }
     leavePlace(now, item);
     forget(item);
@@ -184,6 +232,11 @@
     reports[1] = {now, std::max<std::int64_t>(requests - found->second->held(), 0)};
 }
 
+bool PlaceTable::isLoadUnknown(absl::Time now, const Upstream &upstream) const
+{
+    return now - m_begunAt < m_settings.lingerTime && upstream.reports[1].at < m_begunAt;
+}
+
 std::int64_t PlaceTable::foreign(absl::Time now, const Upstream &upstream) const
 {
     const auto &reports = upstream.reports;
@@ -244,12 +297,14 @@
     return best;
 }
 
-void PlaceTable::yieldOne(Upstream &upstream)
+/// The one with the least behind it, which is farthest from its end.
+void PlaceTable::yieldOne(absl::Time now, Upstream &upstream)
 {
-    const auto youngest = std::max_element(
+    const auto served = [now](const Item *item) { return item->work.served + (now - item->since); };
+    const auto least = std::min_element(
             upstream.batch.begin(), upstream.batch.end(),
-            [](const Item *left, const Item *right) { return left->since < right->since; });
-    Item &item = **youngest;
+            [&](const Item *left, const Item *right) { return served(left) < served(right); });
+    Item &item = **least;
     m_decisions.emplace_back(YieldPlace{item.work.id});
     upstream.batch.erase(&item);
     forget(item);
@@ -257,9 +312,20 @@
 
 void PlaceTable::grant(absl::Time now, Service &service, Item &item, Upstream &upstream)
 {
+    const Queue queue = item.queue;
     dequeue(service, item);
-    FairQueue &queue = isOnline(item.work) ? service.online[item.work.priority] : service.batch;
-    queue.charge(item.work.workspace, item.work.tokens);
+    // An item that goes on was charged when it began.
+    if (queue == Queue::Online)
+        service.online[item.work.priority].charge(item.work.workspace, item.work.tokens);
+    else if (item.work.served == absl::ZeroDuration())
+        (queue == Queue::Late ? service.late : service.batch)
+                .charge(item.work.workspace, item.work.tokens);
+    if (queue == Queue::Late)
+        service.grantsSinceLate = 0;
+    else if (queue != Queue::Online)
+        ++service.grantsSinceLate;
+    if (isLoadUnknown(now, upstream))
+        ++upstream.probes;
     item.upstream = &upstream;
     item.since = now;
     (isOnline(item.work) ? upstream.online : upstream.batch).insert(&item);
@@ -276,7 +342,7 @@
                 upstream = yieldingUpstream(now, service, item);
                 if (upstream == nullptr)
                     return;
-                yieldOne(*upstream);
+                yieldOne(now, *upstream);
             }
             grant(now, service, item, *upstream);
         }
@@ -287,15 +353,56 @@
 {
     if (service.onlineWaiting > 0)
         return;
+    while (Item *item = nextBatch(now, service)) {
+        Upstream *upstream = freeUpstream(now, service, *item);
+        if (upstream == nullptr)
+            return;
+        grant(now, service, *item, *upstream);
+    }
+}
+
+bool PlaceTable::isLate(absl::Time now, const Service &service, const Item &item) const
+{
+    const absl::Duration left =
+            std::max(service.meanBatchHold - item.work.served, absl::ZeroDuration());
+    return now + left > item.work.due;
+}
+
+/// Puts aside what can no longer be done in time, as far as it is next.
+void PlaceTable::moveLate(absl::Time now, Service &service)
+{
+    const auto late =
+            std::stable_partition(service.interrupted.begin(), service.interrupted.end(),
+                                  [&](const Item *item) { return !isLate(now, service, *item); });
+    for (auto item = late; item != service.interrupted.end(); ++item)
+        enqueueLate(service, **item);
+    service.interrupted.erase(late, service.interrupted.end());
     while (const std::optional<WorkId> next = service.batch.front()) {
         Item &item = *itemOf(*next);
-        Upstream *upstream = freeUpstream(now, service, item);
-        if (upstream == nullptr)
+        if (!isLate(now, service, item))
             return;
-        grant(now, service, item, *upstream);
+        service.batch.remove(item.number);
+        enqueueLate(service, item);
     }
 }
 
+/// Interrupted work that is nearest to its end, then work that has not begun, then late work.
+PlaceTable::Item *PlaceTable::nextBatch(absl::Time now, Service &service)
+{
+    moveLate(now, service);
+    const std::optional<WorkId> late = service.late.front();
+    if (late && service.grantsSinceLate >= lateEvery)
+        return itemOf(*late);
+    if (!service.interrupted.empty())
+        return *std::max_element(service.interrupted.begin(), service.interrupted.end(),
+                                 [](const Item *left, const Item *right) {
+                                     return left->work.served < right->work.served;
+                                 });
+    if (const std::optional<WorkId> next = service.batch.front())
+        return itemOf(*next);
+    return late ? itemOf(*late) : nullptr;
+}
+
 /// Time from one end of an online request to the next when all places are taken.
 absl::Duration PlaceTable::spacing(const Service &service) const
 {
@@ -320,14 +427,14 @@
             refuse(now, service, item);
         }
     }
-    std::vector<Item *> late;
-    for (const auto &[id, item] : m_items) {
-        const bool isWaiting = item->upstream == nullptr && isOnline(item->work);
-        if (isWaiting && item->work.due <= now && &this->service(item->work.service) == &service)
-            late.push_back(item.get());
+}
+
+void PlaceTable::refuseOverdue(absl::Time now)
+{
+    while (!m_onlineDue.empty() && m_onlineDue.begin()->first <= now) {
+        Item &item = *itemOf(m_onlineDue.begin()->second);
+        refuse(now, service(item.work.service), item);
     }
-    for (Item *item : late)
-        refuse(now, service, *item);
 }
 
 void PlaceTable::refuse(absl::Time now, Service &service, Item &item)
@@ -351,19 +458,16 @@
         decideOnline(now, service);
         if (service.onlineWaiting > 0)
             refuseHopeless(now, service);
-        decideBatch(now, service);
     }
+    refuseOverdue(now);
+    for (auto &[name, service] : m_services)
+        decideBatch(now, service);
     return std::exchange(m_decisions, {});
 }
 
 absl::Time PlaceTable::nextDecision() const
 {
-    absl::Time next = absl::InfiniteFuture();
-    for (const auto &[id, item] : m_items) {
-        if (item->upstream == nullptr && isOnline(item->work))
-            next = std::min(next, item->work.due);
-    }
-    return next;
+    return m_onlineDue.empty() ? absl::InfiniteFuture() : m_onlineDue.begin()->first;
 }
 
 std::size_t PlaceTable::waiting(const std::string &service, WorkKind kind) const
