--- a/include/rattanrill/fleet/groupreplica.h
+++ b/include/rattanrill/fleet/groupreplica.h
@@ -25,6 +25,8 @@
     absl::Duration heartbeatPeriod = absl::Milliseconds(100);
     /// Long enough for a machine with a seventh of a core that also serves its other work.
     absl::Duration electionTimeout = absl::Milliseconds(450);
+    /// Until a leader has been heard; leaves time for a vote, which takes two synced writes.
+    absl::Duration firstElectionTimeout = absl::Milliseconds(120);
     std::uint64_t snapshotAfterBytes = std::uint64_t(8) << 20;
     /// A proposal that was passed on to the leader fails after this long without an answer.
     absl::Duration forwardTimeout = absl::Milliseconds(900);
--- a/include/rattanrill/gateway/gateway.h
+++ b/include/rattanrill/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include "rattanrill/net/server.h"
 #include "rattanrill/serving/passthrough.h"
 
+#include <list>
 #include <memory>
 
 namespace rattanrill::gateway {
@@ -21,6 +22,18 @@
     void serve(std::shared_ptr<net::Exchange> exchange);
 
 private:
+    /// A request that came before the first configuration.
+    struct EarlyRequest
+    {
+        std::shared_ptr<net::Exchange> exchange;
+        serving::CallerRequest caller;
+        TimerService::TimerId timer = 0;
+    };
+
+    /// Keeps a request for the configuration that is on its way.
+    void hold(const std::shared_ptr<net::Exchange> &exchange, serving::CallerRequest caller);
+    void refuseEarly(const std::shared_ptr<net::Exchange> &exchange,
+                     const serving::CallerRequest &caller);
     void route(const std::shared_ptr<net::Exchange> &exchange, serving::CallerRequest caller);
     void serveJobCall(const std::shared_ptr<net::Exchange> &exchange,
                       const serving::CallerRequest &caller, const serving::Workspace &workspace,
@@ -39,6 +52,8 @@
     const serving::ServingContext &m_context;
     jobs::JobClient &m_jobs;
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
+    const absl::Time m_startedAt;
+    std::list<EarlyRequest> m_early;
 };
 
 } // namespace rattanrill::gateway
--- a/include/rattanrill/replication/replicatedgroup.h
+++ b/include/rattanrill/replication/replicatedgroup.h
@@ -40,6 +40,9 @@
     /// Drawn between this and twice this. A leader that has not heard from a quorum for this long
     /// steps down.
     absl::Duration electionTimeout = absl::Milliseconds(400);
+    /// Takes the place of the election timeout until a leader has been heard: replicas that all
+    /// start again have none to wait for. Pre-votes keep a replica that starts alone from harm.
+    absl::Duration firstElectionTimeout = electionTimeout;
     /// A snapshot is taken after this many log bytes.
     std::uint64_t snapshotAfterBytes = 16u << 20;
 };
--- a/src/fleet/groupreplica.cpp
+++ b/src/fleet/groupreplica.cpp
@@ -197,6 +197,7 @@
     options.dataFolder = concat(m_impl->settings.dataFolder, "/", m_impl->settings.group);
     options.heartbeatPeriod = m_impl->settings.heartbeatPeriod;
     options.electionTimeout = m_impl->settings.electionTimeout;
+    options.firstElectionTimeout = m_impl->settings.firstElectionTimeout;
     options.snapshotAfterBytes = m_impl->settings.snapshotAfterBytes;
     BOOST_LEAF_AUTO(opened,
                     replication::openGroup(options, std::move(machine), *m_impl, m_impl->clock));
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -22,6 +22,7 @@
 Gateway::Gateway(const serving::ServingContext &context, jobs::JobClient &jobs)
     : m_context(context)
     , m_jobs(jobs)
+    , m_startedAt(context.clock.now())
 {}
 
 void Gateway::setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment)
--- a/src/replication/groupdriver.cpp
+++ b/src/replication/groupdriver.cpp
@@ -464,6 +464,7 @@
     parts.raft.incarnation = state.incarnation;
     parts.raft.heartbeatPeriod = options.heartbeatPeriod;
     parts.raft.electionTimeout = options.electionTimeout;
+    parts.raft.firstElectionTimeout = options.firstElectionTimeout;
     parts.raft.seed = stableHash(randomHex(8));
     return std::unique_ptr<ReplicatedGroup>(
             new GroupDriver(options, std::move(parts), transport, clock));
--- a/src/replication/raftcore_election.cpp
+++ b/src/replication/raftcore_election.cpp
@@ -91,7 +91,10 @@
 {
     // Drawn, so that replicas rarely stand for election at the same time.
     std::uniform_real_distribution<double> factor(1.0, 2.0);
-    m_electionDeadline = m_now + m_options.electionTimeout * factor(m_random);
+    const bool hasHeardLeader = m_lastLeaderContact != absl::InfinitePast();
+    const absl::Duration timeout =
+            hasHeardLeader ? m_options.electionTimeout : m_options.firstElectionTimeout;
+    m_electionDeadline = m_now + timeout * factor(m_random);
 }
 
 bool RaftCore::canCampaign() const
