Policy: Probe upstreams after a takeover of the broker

Load pattern: the process that gives out places and runs batch items is lost in a pulse. Ruled out: lost load reports (they came within 200 ms), upstreams that leave (they take nothing new).

Now an upstream gets two requests from a new broker until it has told its load, the first report counts at once, and silence at an upstream with foreign requests is no fault of it.

--- a/include/rattanrill/policy/placetable.h
+++ b/include/rattanrill/policy/placetable.h
@@ -230,6 +230,7 @@
     bool isLate(absl::Time now, const Service &service, const Item &item) const;
     void moveLate(absl::Time now, Service &service);
     Item *nextBatch(absl::Time now, Service &service);
+    bool isOverfull(absl::Time now, const Upstream &upstream) const;
     bool isLoadUnknown(absl::Time now, const Upstream &upstream) const;
     Upstream *freeUpstream(absl::Time now, const Service &service, const Item &item) const;
     Upstream *yieldingUpstream(absl::Time now, const Service &service, const Item &item) const;
--- a/include/rattanrill/serving/placebroker.h
+++ b/include/rattanrill/serving/placebroker.h
@@ -68,8 +68,8 @@
     PlaceBroker(const PlaceBroker &) = delete;
     PlaceBroker &operator=(const PlaceBroker &) = delete;
 
-    /// Forgets all places and starts with empty rate buckets: another process may have given out
-    /// everything just now.
+    /// Forgets all places and starts with empty rate buckets and unknown loads: another process may
+    /// have given out everything just now.
     void reset();
     void setDeployment(std::shared_ptr<const DeploymentIndex> deployment);
     /// What this broker gives out.
--- a/src/policy/placetable.cpp
+++ b/src/policy/placetable.cpp
@@ -197,7 +197,7 @@
         return withdraw(now, work);
     if (end == PlaceEnd::Served)
         item.upstream->outlier.succeeded(now);
-    else if (end != PlaceEnd::Abandoned)
+    else if (end == PlaceEnd::Gone || (end == PlaceEnd::Failed && !isOverfull(now, *item.upstream)))
         item.upstream->outlier.failed(now, end == PlaceEnd::Gone);
     if (end == PlaceEnd::Served) {
         Service &served = service(item.work.service);
@@ -232,6 +232,12 @@
     reports[1] = {now, std::max<std::int64_t>(requests - found->second->held(), 0)};
 }
 
+/// Others' requests take places here, so that silence says nothing of the upstream.
+bool PlaceTable::isOverfull(absl::Time now, const Upstream &upstream) const
+{
+    return upstream.held() + foreign(now, upstream) > upstream.info.slots;
+}
+
 bool PlaceTable::isLoadUnknown(absl::Time now, const Upstream &upstream) const
 {
     return now - m_begunAt < m_settings.lingerTime && upstream.reports[1].at < m_begunAt;
@@ -240,6 +246,9 @@
 std::int64_t PlaceTable::foreign(absl::Time now, const Upstream &upstream) const
 {
     const auto &reports = upstream.reports;
+    const bool isFirst = reports[0].at < m_begunAt && now - m_begunAt < m_settings.lingerTime;
+    if (isFirst && reports[1].at >= m_begunAt)
+        return reports[1].foreign;
     if (now - reports[0].at > m_settings.reportLifetime)
         return 0;
     return std::min(reports[0].foreign, reports[1].foreign);
@@ -269,6 +278,8 @@
         const std::int64_t load = upstream->held() + foreign(now, *upstream);
         if (!takes(now, *upstream, item) || load >= room - reserve)
             continue;
+        if (isLoadUnknown(now, *upstream) && upstream->probes >= m_settings.probes)
+            continue;
         if (best == nullptr || load < bestLoad) {
             best = upstream;
             bestLoad = load;
--- a/src/serving/placebroker.cpp
+++ b/src/serving/placebroker.cpp
@@ -48,6 +48,7 @@
     const auto batch = std::exchange(m_batch, {});
     for (const auto &[id, handlers] : batch)
         m_table.withdraw(now, id);
+    m_table.begin(now);
     m_buckets.clear();
     if (m_deployment)
         setDeployment(m_deployment);
--- a/tests/policy/placetable_test.cpp
+++ b/tests/policy/placetable_test.cpp
@@ -335,6 +335,40 @@
     BOOST_TEST(decide(start + absl::Seconds(2)).granted.at("later") == "a");
 }
 
+// Load pattern: the process that gave out places is lost, and what it sent still runs. Guards
+// against upstreams that are filled a second time before they have told their load.
+BOOST_AUTO_TEST_CASE(upstreamsAreProbedAfterATakeover)
+{
+    table.setUpstreams({upstream("a", 8)});
+    table.begin(start);
+    for (int i = 0; i < 10; ++i)
+        table.request(start, online(std::to_string(i), start + absl::Seconds(60)));
+    BOOST_TEST(decide().granted.size() == 2u);
+    // Both probes and four others.
+    const absl::Time reported = start + absl::Milliseconds(50);
+    table.loadReported(reported, "a", 6);
+    BOOST_TEST(decide(reported).granted.size() == 2u);
+    // What was left behind has ended by then.
+    BOOST_TEST(decide(start + absl::Seconds(2)).granted.size() == 4u);
+}
+
+// Load pattern: as above. Guards against healthy upstreams that are ejected because requests waited
+// there behind those of a lost process, which leaves fewer places for the same load.
+BOOST_AUTO_TEST_CASE(silenceBehindForeignRequestsIsNoFault)
+{
+    table.setUpstreams({upstream("a", 4)});
+    table.loadReported(start, "a", 5);
+    table.loadReported(start, "a", 5);
+    for (int i = 0; i < 4; ++i) {
+        const std::string id = std::to_string(i);
+        table.adopt(start, online(id, start), "a");
+        table.release(start, id, PlaceEnd::Failed);
+    }
+    const absl::Time later = start + absl::Milliseconds(1100);
+    table.request(later, online("next", later + absl::Seconds(1)));
+    BOOST_TEST(decide(later).granted.count("next") == 1u);
+}
+
 // Load pattern: a table that follows another one. Guards against places that are given out twice.
 BOOST_AUTO_TEST_CASE(adoptedPlacesAreTaken)
 {
