Fleet: Ask several control processes at once while no leader is known

Requests that had waited 0.6 s for the first configuration were sent away just before it came (50 of 76 refusals of the worst window). Ruled out: the store group (led at 41.03).

Now three known control processes are asked at once, and a request of an entry that has just started waits for up to 1.5 s.

--- a/src/entry/ratebroker.cpp
+++ b/src/entry/ratebroker.cpp
@@ -37,7 +37,7 @@
 {
     const absl::Time until = m_clock.now() + m_options.maxWait;
     for (;;) {
-        const Outcome<RateDecision> decision = awaitOutcome<RateDecision>(
+        Outcome<RateDecision> decision = awaitOutcome<RateDecision>(
                 [&](Callback callback) { ask(workspace, std::move(callback)); });
         if (decision.ok())
             return decision;
--- a/src/fleet/fleetfollower.cpp
+++ b/src/fleet/fleetfollower.cpp
@@ -8,6 +8,12 @@
 #include <utility>
 
 namespace rattanrill::fleet {
+namespace {
+
+/// Addresses that are asked at once while no leader is known; three processes found a fleet.
+constexpr std::size_t searchWidth = 3;
+
+} // namespace
 
 struct FleetFollower::Impl : std::enable_shared_from_this<FleetFollower::Impl>
 {
@@ -43,11 +49,12 @@
         channels.channel(leader)->push(wire::Method::Sync, wire::encode(message));
     }
 
-    /// The leader first, then all known addresses in turn.
-    std::string nextAddress()
+    /// The leader when it is known. Otherwise a few of the known addresses, each time others: a
+    /// process that is down answers nothing for a while.
+    std::vector<std::string> nextAddresses()
     {
         if (!leader.empty())
-            return leader;
+            return {leader};
         std::vector<std::string> known = settings.seeds;
         for (const wire::LiveMember &live : state.members) {
             const std::string &address = live.member.peerAddress;
@@ -55,22 +62,36 @@
             if (live.member.role == wire::MemberRole::Control && isNew)
                 known.push_back(address);
         }
-        return known.empty() ? std::string() : known[nextKnown++ % known.size()];
+        std::vector<std::string> addresses;
+        while (addresses.size() < std::min(known.size(), searchWidth))
+            addresses.push_back(known[nextKnown++ % known.size()]);
+        return addresses;
     }
 
+    /// Begins a round of polls; answers to those of earlier rounds are ignored.
     void poll()
     {
         if (stopped)
             return;
-        const std::string address = nextAddress();
-        if (address.empty())
+        ++round;
+        const std::vector<std::string> addresses = nextAddresses();
+        openPolls = addresses.size();
+        if (addresses.empty())
             return later();
+        for (const std::string &address : addresses)
+            poll(address);
+    }
+
+    void poll(const std::string &address)
+    {
         const absl::Time sentAt = clock.now();
         channels.channel(address)->call(
                 wire::Method::Sync, wire::encode(request()), settings.pollTimeout,
-                [self = shared_from_this(), address, sentAt](Outcome<std::string> outcome) {
-                    self->loop.post([self, address, sentAt, outcome = std::move(outcome)] {
-                        self->answered(address, sentAt, outcome);
+                [self = shared_from_this(), address, sentAt,
+                 sentIn = round](Outcome<std::string> outcome) {
+                    self->loop.post([self, address, sentAt, sentIn, outcome = std::move(outcome)] {
+                        if (!self->stopped && sentIn == self->round)
+                            self->answered(address, sentAt, outcome);
                     });
                 });
     }
@@ -78,8 +99,7 @@
     void answered(const std::string &address, absl::Time sentAt,
                   const Outcome<std::string> &outcome)
     {
-        if (stopped)
-            return;
+        --openPolls;
         if (!outcome.ok())
             return failed(address, outcome.failure());
         const auto response =
@@ -144,7 +164,7 @@
         followsHint = isNewHint;
         if (isNewHint)
             poll();
-        else
+        else if (openPolls == 0)
             later();
     }
 
@@ -168,6 +188,9 @@
     bool connected = false;
     /// The poll under way goes to the leader that the answer before it named.
     bool followsHint = false;
+    std::uint64_t round = 0;
+    /// Polls of this round without an answer.
+    std::size_t openPolls = 0;
     bool stopped = false;
     absl::Duration backoff;
     absl::Time freshAt = absl::InfinitePast();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// A process that has just started expects its configuration; requests wait for it this long.
-constexpr absl::Duration configurationWait = absl::Milliseconds(600);
+constexpr absl::Duration configurationWait = absl::Milliseconds(1500);
 /// Without a configuration for longer than this, none is expected soon.
 constexpr absl::Duration startTime = absl::Seconds(5);
 constexpr std::size_t maxEarlyRequests = 512;
--- a/tests/fleet/syncservice_test.cpp
+++ b/tests/fleet/syncservice_test.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace rattanrill;
 using namespace rattanrill::fleet;
@@ -130,4 +131,39 @@
     other.stop();
 }
 
+// Guards against a search for the leader that stands still at a process that is down.
+BOOST_AUTO_TEST_CASE(silentSeedDoesNotHoldUpTheSearch)
+{
+    Loop on;
+    // A reply that is dropped would be answered.
+    std::vector<peer::Reply> kept;
+    peer::Server silent(transport("silent"));
+    silent.handle(wire::Method::Sync, [&](const peer::PeerIdentity &, const std::string &,
+                                          const peer::Reply &reply) { kept.push_back(reply); });
+    BOOST_REQUIRE(outcomeOf([&] { return silent.start("127.0.0.1", 0); }).ok());
+    std::atomic<bool> isAsked{false};
+    peer::Server leader(transport("leader"));
+    leader.handle(wire::Method::Sync,
+                  [&](const peer::PeerIdentity &, const std::string &, const peer::Reply &reply) {
+                      isAsked = true;
+                      reply(notRun(ErrorCode::Timeout, ""));
+                  });
+    BOOST_REQUIRE(outcomeOf([&] { return leader.start("127.0.0.1", 0); }).ok());
+
+    peer::ChannelPool channels(transport("f"));
+    FollowerSettings settings;
+    settings.seeds = {"127.0.0.1:" + std::to_string(silent.port()),
+                      "127.0.0.1:" + std::to_string(leader.port())};
+    settings.pollTimeout = absl::Minutes(10);
+    FleetFollower follower(on.loop, channels, settings, SystemClock::instance());
+    on.run([&] { follower.start(); });
+    const absl::Time end = absl::Now() + absl::Seconds(5);
+    while (!isAsked && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(5));
+    BOOST_TEST(isAsked);
+    on.run([&] { follower.stop(); });
+    leader.stop();
+    silent.stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
