Gateway: Route held requests after the upstreams are known

The gateway now takes the first configuration after the list, or 0.5 s after it when the list cannot be read.

--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -15,6 +15,9 @@
 /// refusals; until then new connections still come.
 constexpr absl::Duration drainDelay = absl::Milliseconds(2500);
 constexpr absl::Duration drainCheck = absl::Milliseconds(100);
+/// A new leader of the fleet reads the platform's list within this time. Without it requests can be
+/// refused for what the configuration says.
+constexpr absl::Duration upstreamListWait = absl::Milliseconds(500);
 /// Part of the grace after which what still runs is given up, so that the process ends by itself.
 constexpr double graceShare = 0.94;
 /// Idle memory of a caller's connection is small, descriptors bind.
@@ -84,11 +87,6 @@
 
     void take(const fleet::FleetState &state)
     {
-        if (const auto newer = m_core.newerDeployment(state, m_gateway.deployment())) {
-            m_gateway.setDeployment(newer);
-            m_places.setDeployment(newer);
-            setLimits(newer->deployment().limits);
-        }
         if (state.upstreamsKnown) {
             m_hasUpstreams = true;
             m_places.setUpstreams(state.upstreams, livingEntries(state).size());
@@ -97,6 +95,22 @@
         const StoreAddresses stores = storeAddresses(state);
         m_places.setBroker(stores.leader);
         m_jobs.setStores(stores.all, stores.leader);
+        if (const auto newer = m_core.newerDeployment(state, m_deployment))
+            takeDeployment(newer);
+        // Held requests go on at once, so the places are known before.
+        if (m_deployment && m_hasUpstreams)
+            m_gateway.setDeployment(m_deployment);
+    }
+
+    void takeDeployment(const std::shared_ptr<const serving::DeploymentIndex> &deployment)
+    {
+        const bool isFirst = m_deployment == nullptr;
+        m_deployment = deployment;
+        m_places.setDeployment(deployment);
+        setLimits(deployment->deployment().limits);
+        if (isFirst)
+            m_parts.loop.timers().subscribeOnce(upstreamListWait,
+                                                [this] { m_gateway.setDeployment(m_deployment); });
     }
 
     void setLimits(const serving::CallerLimits &limits)
@@ -151,6 +165,8 @@
     net::Server m_callers;
     net::Server m_readiness;
     std::set<std::string> m_addresses;
+    /// The newest one; the gateway has it as soon as there are upstreams.
+    std::shared_ptr<const serving::DeploymentIndex> m_deployment;
     bool m_hasUpstreams = false;
     bool m_draining = false;
     absl::Time m_drainSince;
