Policy: Count places that are not probed yet as free for those who wait

Load pattern: all processes start again at once, and the requests that were held meanwhile come together.

Now the estimate of the wait counts places that only wait for a report as free.

--- a/include/rattanrill/policy/placetable.h
+++ b/include/rattanrill/policy/placetable.h
@@ -234,6 +234,7 @@
     void moveLate(absl::Time now, Service &service);
     Item *nextBatch(absl::Time now, Service &service);
     bool isOverfull(absl::Time now, const Upstream &upstream) const;
+    std::int64_t unprobedPlaces(absl::Time now, const Service &service) const;
     bool isLoadUnknown(absl::Time now, const Upstream &upstream) const;
     Upstream *freeUpstream(absl::Time now, const Service &service, const Item &item) const;
     Upstream *yieldingUpstream(absl::Time now, const Service &service, const Item &item) const;
--- a/src/policy/placetable.cpp
+++ b/src/policy/placetable.cpp
@@ -422,6 +422,17 @@
     return places == 0 ? absl::InfiniteDuration() : service.meanHold / places;
 }
 
+/// Places that are held back until their upstreams have told their load. Most are free then.
+std::int64_t PlaceTable::unprobedPlaces(absl::Time now, const Service &service) const
+{
+    std::int64_t places = 0;
+    for (const Upstream *upstream : service.upstreams) {
+        if (!upstream->info.leaving && isLoadUnknown(now, *upstream))
+            places += std::max<std::int64_t>(upstream->info.slots - upstream->held(), 0);
+    }
+    return places;
+}
+
 /// What waits in vain is refused now rather than at its due time. Those of the workspace with the
 /// most service go first.
 void PlaceTable::refuseHopeless(absl::Time now, Service &service)
@@ -430,8 +441,10 @@
         FairQueue &queue = entry->second;
         while (const std::optional<WorkId> last = queue.back()) {
             Item &item = *itemOf(*last);
+            const std::int64_t ahead =
+                    static_cast<std::int64_t>(service.onlineWaiting) - unprobedPlaces(now, service);
             const absl::Duration wait =
-                    spacing(service) * static_cast<double>(service.onlineWaiting);
+                    spacing(service) * static_cast<double>(std::max<std::int64_t>(ahead, 0));
             if (now + wait <= item.work.due)
                 break;
             refuse(now, service, item);
--- a/tests/policy/placetable_test.cpp
+++ b/tests/policy/placetable_test.cpp
@@ -352,6 +352,22 @@
     BOOST_TEST(decide(start + absl::Seconds(2)).granted.size() == 4u);
 }
 
+// Load pattern: all processes start again at once, and the requests that were held meanwhile come
+// together. Guards against refusals for want of places that are free and only not probed yet.
+BOOST_AUTO_TEST_CASE(requestsWaitForProbes)
+{
+    table.setUpstreams({upstream("a", 8)});
+    table.begin(start);
+    for (int i = 0; i < 8; ++i)
+        table.request(start, online(std::to_string(i), start + absl::Milliseconds(200)));
+    const Decided first = decide();
+    BOOST_TEST(first.granted.size() == 2u);
+    BOOST_TEST(first.refused.empty());
+    const absl::Time reported = start + absl::Milliseconds(50);
+    table.loadReported(reported, "a", 2);
+    BOOST_TEST(decide(reported).granted.size() == 6u);
+}
+
 // Load pattern: as above. Guards against healthy upstreams that are ejected because requests waited
 // there behind those of a lost process, which leaves fewer places for the same load.
 BOOST_AUTO_TEST_CASE(silenceBehindForeignRequestsIsNoFault)
