--- a/include/rattanrill/replication/replicatedgroup.h
+++ b/include/rattanrill/replication/replicatedgroup.h
@@ -42,7 +42,8 @@
     absl::Duration electionTimeout = absl::Milliseconds(400);
     /// Takes the place of the election timeout until a leader has been heard: replicas that all
     /// start again have none to wait for. Pre-votes keep a replica that starts alone from harm.
-    absl::Duration firstElectionTimeout = electionTimeout;
+    /// Zero: the election timeout.
+    absl::Duration firstElectionTimeout;
     /// A snapshot is taken after this many log bytes.
     std::uint64_t snapshotAfterBytes = 16u << 20;
 };
--- a/src/replication/raftcore.h
+++ b/src/replication/raftcore.h
@@ -29,8 +29,8 @@
     std::string incarnation;
     absl::Duration heartbeatPeriod = absl::Milliseconds(60);
     absl::Duration electionTimeout = absl::Milliseconds(400);
-    /// Takes the place of the election timeout until a leader has been heard.
-    absl::Duration firstElectionTimeout = electionTimeout;
+    /// Takes the place of the election timeout until a leader has been heard, unless it is zero.
+    absl::Duration firstElectionTimeout;
     std::uint64_t maxBatchBytes = 256u << 10;
     /// Bound of unanswered append bytes to one replica.
     std::uint64_t maxInFlightBytes = 4u << 20;
--- a/src/replication/raftcore_election.cpp
+++ b/src/replication/raftcore_election.cpp
@@ -91,9 +91,10 @@
 {
     // Drawn, so that replicas rarely stand for election at the same time.
     std::uniform_real_distribution<double> factor(1.0, 2.0);
-    const bool hasHeardLeader = m_lastLeaderContact != absl::InfinitePast();
+    const bool isFirst = m_lastLeaderContact == absl::InfinitePast()
+                         && m_options.firstElectionTimeout > absl::ZeroDuration();
     const absl::Duration timeout =
-            hasHeardLeader ? m_options.electionTimeout : m_options.firstElectionTimeout;
+            isFirst ? m_options.firstElectionTimeout : m_options.electionTimeout;
     m_electionDeadline = m_now + timeout * factor(m_random);
 }
 
--- /dev/null
+++ b/tests/replication/groupsimulation_faults.cpp
@@ -0,0 +1,270 @@
+#include "groupsimulation.h"
+
+#include "rattanrill/base/concat.h"
+
+#include <algorithm>
+#include <utility>
+
+/// Faults of a GroupSimulation and their repair.
+namespace rattanrill::replication {
+namespace {
+
+constexpr std::size_t maxNodes = 9;
+/// Enough for some elections, a snapshot and a replacement after the faults have ended.
+constexpr absl::Duration recoveryTime = absl::Seconds(2);
+
+} // namespace
+
+// Faults
+
+const std::vector<GroupSimulation::Fault> &GroupSimulation::faultTable()
+{
+    static const std::vector<Fault> table = {
+            {"one-way cut", 3, &GroupSimulation::cutOneWay},
+            {"isolation", 2, &GroupSimulation::isolateSome},
+            {"isolated leader", 2, &GroupSimulation::isolateLeader},
+            {"restart", 3, &GroupSimulation::restartSome},
+            {"restart of all", 1, &GroupSimulation::restartAll},
+            {"freeze", 2, &GroupSimulation::freezeSome},
+            {"slow disk", 2, &GroupSimulation::slowDisk},
+            {"lost disk", 2, &GroupSimulation::loseSomeDisk},
+            {"transfer", 2, &GroupSimulation::transferAndIsolate},
+            {"replacement", 1, &GroupSimulation::replaceSome},
+    };
+    return table;
+}
+
+void GroupSimulation::randomFault()
+{
+    double total = 0;
+    for (const Fault &fault : faultTable())
+        total += fault.weight;
+    double place = static_cast<double>(m_random() % 100000) / 100000 * total;
+    for (const Fault &fault : faultTable()) {
+        place -= fault.weight;
+        if (place >= 0)
+            continue;
+        ++m_faults[fault.name];
+        (this->*fault.inject)();
+        break;
+    }
+    schedule(between(absl::Milliseconds(5), m_maxFaultGap), [this] {
+        if (!m_isHealed)
+            randomFault();
+    });
+}
+
+void GroupSimulation::cutLink(const ReplicaId &from, const ReplicaId &to, bool isCut)
+{
+    if (isCut)
+        m_cuts.insert({from, to});
+    else
+        m_cuts.erase({from, to});
+}
+
+void GroupSimulation::isolate(const ReplicaId &id, bool isCut)
+{
+    for (const auto &[other, node] : m_nodes) {
+        cutLink(id, other, isCut);
+        cutLink(other, id, isCut);
+    }
+}
+
+void GroupSimulation::isolateFor(const ReplicaId &id, absl::Duration time)
+{
+    isolate(id, true);
+    schedule(time, [this, id] { isolate(id, false); });
+}
+
+void GroupSimulation::cutOneWay()
+{
+    const ReplicaId from = pick(m_nodes).first;
+    const ReplicaId to = pick(m_nodes).first;
+    cutLink(from, to, true);
+    schedule(between(absl::Milliseconds(20), absl::Milliseconds(500)),
+             [this, from, to] { cutLink(from, to, false); });
+}
+
+void GroupSimulation::isolateSome()
+{
+    isolateFor(pick(m_nodes).first, between(absl::Milliseconds(20), absl::Milliseconds(500)));
+}
+
+void GroupSimulation::isolateLeader()
+{
+    if (!leader().empty())
+        isolateFor(leader(), between(absl::Milliseconds(100), absl::Milliseconds(500)));
+}
+
+void GroupSimulation::restartAfter(const ReplicaId &id, absl::Duration downtime)
+{
+    crash(id);
+    schedule(downtime, [this, id] { start(id); });
+}
+
+void GroupSimulation::restartSome()
+{
+    restartAfter(pick(m_nodes).first, between(absl::Milliseconds(1), absl::Milliseconds(200)));
+}
+
+void GroupSimulation::restartAll()
+{
+    for (const auto &[id, node] : m_nodes)
+        restartAfter(id, between(absl::Milliseconds(1), absl::Milliseconds(100)));
+}
+
+void GroupSimulation::freezeSome()
+{
+    Node &node = m_nodes.at(ReplicaId(pick(m_nodes).first));
+    node.frozenUntil = m_now + between(absl::Milliseconds(20), absl::Milliseconds(400));
+}
+
+void GroupSimulation::slowDisk()
+{
+    Node &node = m_nodes.at(ReplicaId(pick(m_nodes).first));
+    node.disk.slowUntil = m_now + between(absl::Milliseconds(50), absl::Milliseconds(500));
+}
+
+bool GroupSimulation::isFormedEverywhere() const
+{
+    if (m_options.disabled.identityCheck)
+        return true;
+    for (const ReplicaId &id : m_founders) {
+        for (const auto &[founder, incarnation] : m_nodes.at(id).disk.durable.hardState.founders) {
+            if (incarnation.empty())
+                return false;
+        }
+    }
+    return true;
+}
+
+bool GroupSimulation::canLoseDisk() const
+{
+    // A founder that has not met a replica whose disk is lost needs replacement too, so a new group
+    // has to form first.
+    if (!isFormedEverywhere())
+        return false;
+    // A quorum of every membership that may be in effect must keep its disks.
+    std::size_t tolerated = SIZE_MAX;
+    for (const auto &[id, node] : m_nodes) {
+        if (!node.core)
+            continue;
+        const std::size_t voters = node.core->membership().voters.size();
+        if (voters != 0)
+            tolerated = std::min(tolerated, (voters - 1) / 2);
+    }
+    return tolerated != SIZE_MAX && m_lostDisks.size() < tolerated && m_floor > 0;
+}
+
+void GroupSimulation::loseSomeDisk()
+{
+    const ReplicaId current = leader();
+    if (!canLoseDisk() || current.empty())
+        return;
+    const Membership &membership = core(current)->membership();
+    const ReplicaId victim = pick(membership.voters).first;
+    if (m_nodes.at(victim).isGone)
+        return;
+    loseDisk(victim);
+    // Its operator starts it again with the empty folder, which must not do harm.
+    schedule(between(absl::Milliseconds(1), absl::Milliseconds(30)),
+             [this, victim] { start(victim); });
+    // The other replica that may know the last commits is cut off for a while.
+    if (chance(0.5))
+        isolateFor(current, between(absl::Milliseconds(100), absl::Milliseconds(300)));
+}
+
+void GroupSimulation::transferAndIsolate()
+{
+    const ReplicaId old = leader();
+    if (old.empty())
+        return;
+    transfer(old);
+    if (chance(0.5))
+        schedule(between(absl::Milliseconds(1), absl::Milliseconds(4)),
+                 [this, old] { isolateFor(old, absl::Milliseconds(150)); });
+}
+
+void GroupSimulation::replaceSome()
+{
+    const ReplicaId current = leader();
+    if (current.empty() || !m_replacements.empty())
+        return;
+    m_replacements.emplace(pick(core(current)->membership().voters).first, "");
+}
+
+void GroupSimulation::repairMembers()
+{
+    schedule(absl::Milliseconds(30), [this] { repairMembers(); });
+    const ReplicaId current = leader();
+    if (current.empty() || m_replacements.empty())
+        return;
+    const ReplicaId old = m_replacements.begin()->first;
+    ReplicaId &substitute = m_replacements.begin()->second;
+    if (substitute.empty() && m_nodes.size() < maxNodes) {
+        substitute = concat("n", m_nextName++);
+        addNode(substitute, false);
+        start(substitute);
+    }
+    const std::uint64_t token = m_nextToken++;
+    scheduleOn(current, absl::ZeroDuration(), [old, substitute, token](Node &node) {
+        node.core->changeMembers(substitute, old, token);
+    });
+}
+
+void GroupSimulation::heal()
+{
+    m_isHealed = true;
+    m_cuts.clear();
+    m_lossRate = 0;
+    m_duplicateRate = 0;
+    m_crashAfterVoteRate = 0;
+    for (auto &[id, node] : m_nodes) {
+        node.frozenUntil = m_now;
+        node.disk.slowUntil = m_now;
+        if (m_lostDisks.count(id) == 0)
+            start(id);
+    }
+}
+
+void GroupSimulation::run()
+{
+    const std::vector<double> lossRates = {0, 0, 0.02, 0.1, 0.3};
+    m_lossRate = pick(lossRates);
+    m_duplicateRate = chance(0.5) ? 0.1 : 0;
+    m_crashAfterVoteRate = chance(0.5) ? 0.5 : 0;
+    m_maxDelay = chance(0.3) ? absl::Milliseconds(25) : absl::Milliseconds(2);
+    m_maxSync = chance(0.3) ? absl::Milliseconds(30) : absl::Milliseconds(2);
+    const std::vector<int> faultGaps = {120, 300, 800};
+    m_maxFaultGap = absl::Milliseconds(pick(faultGaps));
+    randomCall();
+    randomFault();
+    repairMembers();
+    advance(m_options.length);
+    heal();
+    advance(recoveryTime);
+    checkRecovery();
+}
+
+void GroupSimulation::checkRecovery()
+{
+    if (!m_violation.empty() || !m_options.checkRecovery)
+        return;
+    const ReplicaId current = leader();
+    if (current.empty()) {
+        violate(concat("no leader after all faults have ended:", describeNodes()));
+        return;
+    }
+    const std::uint64_t before = m_acknowledged;
+    write(current);
+    advance(absl::Milliseconds(300));
+    if (m_acknowledged == before && m_violation.empty())
+        violate(concat("no write is accepted after all faults have ended:", describeNodes()));
+    for (const auto &[id, incarnation] : core(current)->membership().voters) {
+        const Node &node = m_nodes.at(id);
+        if (node.core && node.applied < m_floor)
+            violate(concat(id, " has applied ", node.applied, " of ", m_floor, describeNodes()));
+    }
+}
+
+} // namespace rattanrill::replication
