--- a/src/policy/schedulerstate.h
+++ b/src/policy/schedulerstate.h
@@ -21,6 +21,11 @@
 
 namespace rattanrill::policy {
 
+inline std::size_t index(WorkKind kind)
+{
+    return static_cast<std::size_t>(kind);
+}
+
 using Deadline = std::pair<absl::Time, WorkId>;
 
 /// Engines and waiting work of one model.
--- a/src/policy/benchfleet.cpp
+++ b/src/policybench/benchfleet.cpp
@@ -10,25 +10,13 @@
 
 namespace {
 
-constexpr absl::Duration nearLink = absl::Microseconds(100);
-/// A caller whose request failed sends it again after this.
-constexpr absl::Duration callerResend = absl::Milliseconds(500);
 constexpr int mostCallerTries = 8;
 /// Commit of a small change in the batch partition or the directory, without travel.
 constexpr absl::Duration commitTime = absl::Milliseconds(3);
 /// A crash record reaches the entries by their long polls.
 constexpr absl::Duration recordDelay = absl::Milliseconds(100);
-/// Time after which a silent connection is given up.
-constexpr absl::Duration silenceTimeout = absl::Seconds(1);
-constexpr absl::Duration connectTimeout = absl::Milliseconds(500);
-constexpr absl::Duration memberTimeout = absl::Seconds(4);
-constexpr absl::Duration ownerLease = absl::Seconds(2);
-constexpr absl::Duration batchLease = absl::Seconds(5);
-/// The list of upstreams lags.
-constexpr absl::Duration listLag = absl::Seconds(5);
 /// Wall clocks of the entries differ from each other by up to twice this.
 constexpr absl::Duration largestClockError = absl::Milliseconds(10);
-constexpr int progressEveryReports = 3;
 constexpr absl::Duration jobInterval = absl::Seconds(5);
 constexpr int jobItems = 60;
 constexpr absl::Duration jobTime = absl::Seconds(45);
@@ -36,8 +24,6 @@
 constexpr std::int64_t longestOnlineAnswer = 600;
 constexpr std::int64_t longestBatchAnswer = 400;
 constexpr int sharedPrefixHashes = 5;
-/// Requests after this are not counted, because the run ends before they can be served.
-constexpr absl::Duration tail = absl::Seconds(2);
 
 AdmissionKind admissionOf(PolicyKind policy)
 {
@@ -61,11 +47,6 @@
     return concat("workspace-", index);
 }
 
-std::string engineName(int index)
-{
-    return concat("engine-", index);
-}
-
 int engineIndex(const std::string &name)
 {
     return std::stoi(name.substr(name.find('-') + 1));
@@ -83,6 +64,11 @@
 
 } // namespace
 
+std::string engineName(int index)
+{
+    return concat("engine-", index);
+}
+
 BenchFleet::BenchFleet(const Deployment &deployment, const RunOptions &options)
     : m_deployment(deployment)
     , m_options(options)
@@ -463,263 +449,4 @@
     return work;
 }
 
-// Engines
-
-template <typename Event>
-void BenchFleet::deliver(int engine, const EngineTry &run, Event event)
-{
-    const auto entry = static_cast<std::size_t>(run.entry);
-    m_loop.after(link(entry, engine), [this, entry, run, event] {
-        const auto found = m_running.find(run.work);
-        const bool current = found != m_running.end() && found->second.attempt == run.attempt;
-        if (!m_entries[entry].alive || !current)
-            return;
-        event(found->second, *m_entries[entry].policy);
-        decide(entry);
-    });
-}
-
-void BenchFleet::admitted(int /*engine*/, const EngineTry &run)
-{
-    if (run.kind == WorkKind::Online && measured(m_loop.now()))
-        m_result.slotWaits.push_back(absl::ToDoubleSeconds(m_loop.now() - run.submittedAt));
-    if (run.attempt > 1 && !run.imported)
-        m_result.wastedTokens += run.prefillLeft;
-}
-
-void BenchFleet::firstToken(int engine, const EngineTry &run)
-{
-    deliver(engine, run, [this, run](Running &running, BenchPolicy &policy) {
-        policy.firstToken(m_loop.now(), run.work, run.attempt);
-        running.delivered = std::max(running.delivered, run.delivered);
-        if (run.kind == WorkKind::Batch || running.gotFirstToken)
-            return;
-        running.gotFirstToken = true;
-        const PlannedRequest &planned = m_plan.online[static_cast<std::size_t>(running.index)];
-        if (!counts(running.index))
-            return;
-        ++m_result.workspaces[static_cast<std::size_t>(planned.workspace)].served;
-        const absl::Duration time = m_loop.now() + m_deployment.toClients - planned.at;
-        m_result.firstToken.push_back(absl::ToDoubleSeconds(time));
-    });
-}
-
-void BenchFleet::token(int /*engine*/, const EngineTry &run, absl::Duration gap)
-{
-    if (run.kind == WorkKind::Online && measured(m_loop.now()))
-        m_result.tokenGaps.push_back(absl::ToDoubleSeconds(gap));
-    if (run.kind == WorkKind::Batch && measured(m_loop.now()))
-        ++m_result.batchTokens;
-}
-
-void BenchFleet::finished(int engine, const EngineTry &run)
-{
-    deliver(engine, run, [this, run](Running &running, BenchPolicy &policy) {
-        if (run.kind == WorkKind::Batch)
-            m_batch.item(running.index).finishedAt = m_loop.now();
-        m_running.erase(run.work);
-        policy.finished(m_loop.now(), run.work, run.attempt, run.delivered);
-    });
-}
-
-void BenchFleet::cancelled(int engine, const EngineTry &run)
-{
-    const absl::Time freedAt = m_loop.now();
-    deliver(engine, run, [this, run, freedAt](Running &running, BenchPolicy &policy) {
-        const bool forOnline = !running.preemptedFor.empty()
-                               && running.preemptedFor.back() != absl::InfinitePast();
-        if (forOnline && measured(freedAt))
-            m_result.yields.push_back(absl::ToDoubleSeconds(freedAt - running.preemptedFor.back()));
-        running.delivered = run.delivered;
-        const std::string handle = run.exportKv ? concat("kv-", run.work) : std::string();
-        policy.preempted(m_loop.now(), run.work, run.attempt, run.delivered, handle);
-    });
-}
-
-void BenchFleet::crashed(int engine, const std::vector<EngineTry> &lost)
-{
-    const bool byRequest =
-            std::any_of(lost.begin(), lost.end(), [](const EngineTry &run) { return run.poison; });
-    if (byRequest && !m_hanging[static_cast<std::size_t>(engine)])
-        ++m_result.poisonCrashes;
-    const bool hanging = m_hanging[static_cast<std::size_t>(engine)];
-    for (const EngineTry &run : lost)
-        fail(engine, run, TryFailure::Kind::Crashed,
-             hanging ? silenceTimeout : absl::ZeroDuration());
-}
-
-void BenchFleet::refused(int engine, const EngineTry &run)
-{
-    const bool hanging = m_hanging[static_cast<std::size_t>(engine)];
-    fail(engine, run, TryFailure::Kind::Refused, hanging ? connectTimeout : absl::ZeroDuration());
-}
-
-void BenchFleet::fail(int engine, const EngineTry &run, TryFailure::Kind kind, absl::Duration delay)
-{
-    m_loop.after(delay, [this, engine, run, kind] {
-        deliver(engine, run, [this, run, kind](Running &running, BenchPolicy &policy) {
-            TryFailure failure;
-            failure.kind = kind;
-            failure.deliveredTokens = std::max(running.delivered, run.delivered);
-            const bool ran = kind != TryFailure::Kind::Refused;
-            failure.failure = ran ? mayHaveRun(ErrorCode::UpstreamFailed, "connection lost")
-                                  : notRun(ErrorCode::UpstreamUnavailable, "no connection");
-            policy.failed(m_loop.now(), run.work, run.attempt, failure);
-        });
-    });
-}
-
-void BenchFleet::cacheEvent(int engine, const CacheEvent &event)
-{
-    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_deployment.engine.cacheEventLoss)
-        return;
-    m_loop.after(m_deployment.engine.cacheEventDelay, [this, engine, event] {
-        for (Entry &entry : m_entries) {
-            if (entry.alive)
-                entry.policy->cacheEvent(m_loop.now(), engineName(engine), event);
-        }
-    });
-}
-
-void BenchFleet::report(int index)
-{
-    m_loop.after(m_deployment.engine.reportInterval, [this, index] { report(index); });
-    const BenchEngine &engine = *m_engines[static_cast<std::size_t>(index)];
-    if (!engine.alive())
-        return;
-    sample(engine);
-    const EngineLoad load = engine.load();
-    for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        const absl::Duration age = m_deployment.engine.reportLag + link(i, index);
-        m_loop.after(age, [this, i, index, load, age] {
-            if (!m_entries[i].alive)
-                return;
-            EngineLoad aged = load;
-            aged.age = age;
-            m_entries[i].policy->loadReported(m_loop.now(), engineName(index), aged);
-            decide(i);
-        });
-    }
-    const auto tick =
-            static_cast<int>(absl::ToUnixMillis(m_loop.now())
-                             / absl::ToInt64Milliseconds(m_deployment.engine.reportInterval));
-    if (tick % progressEveryReports != 0)
-        return;
-    for (const EngineTry &run : engine.running()) {
-        if (run.prefillLeft > 0)
-            continue;
-        const auto found = m_running.find(run.work);
-        if (found == m_running.end() || !m_entries[static_cast<std::size_t>(run.entry)].alive)
-            continue;
-        found->second.delivered = run.delivered;
-        m_entries[static_cast<std::size_t>(run.entry)].policy->progress(m_loop.now(), run.work,
-                                                                        run.attempt, run.delivered);
-    }
-}
-
-void BenchFleet::sample(const BenchEngine &engine)
-{
-    if (!measured(m_loop.now()))
-        return;
-    const double seconds = absl::ToDoubleSeconds(m_deployment.engine.reportInterval);
-    std::int64_t online = 0;
-    std::int64_t batch = 0;
-    for (const EngineTry &run : engine.running())
-        ++(run.kind == WorkKind::Online ? online : batch);
-    m_result.batchPlaceSeconds += static_cast<double>(batch) * seconds;
-    m_result.idlePlaceSeconds +=
-            static_cast<double>(m_deployment.engine.maxBatch - online) * seconds;
-}
-
-// Faults
-
-void BenchFleet::loseUpstream(int engine, bool reset)
-{
-    const auto index = static_cast<std::size_t>(engine);
-    m_hanging[index] = !reset;
-    m_engines[index]->crash(absl::InfiniteDuration());
-    m_loop.after(listLag, [this, index] {
-        m_listed[index] = false;
-        listChanged();
-    });
-}
-
-void BenchFleet::loseEntry(std::size_t index)
-{
-    Entry &entry = m_entries[index];
-    entry.alive = false;
-    std::vector<Running> lost;
-    for (auto running = m_running.begin(); running != m_running.end();) {
-        if (running->second.entry != index) {
-            ++running;
-            continue;
-        }
-        lost.push_back(running->second);
-        running = m_running.erase(running);
-    }
-    std::sort(lost.begin(), lost.end(), [](const Running &left, const Running &right) {
-        return left.work.id < right.work.id;
-    });
-    for (const Running &running : lost) {
-        if (running.engine >= 0)
-            m_engines[static_cast<std::size_t>(running.engine)]->cancel(running.work.id,
-                                                                        running.attempt, false);
-        if (running.work.kind == WorkKind::Batch)
-            m_loop.after(batchLease, [this, item = running.index] { m_batch.giveBack(item); });
-        else
-            m_loop.after(callerResend, [this, request = running.index,
-                                        tries = running.callerTries] { send(request, tries + 1); });
-    }
-}
-
-void BenchFleet::loseDomain(int domain)
-{
-    std::vector<std::size_t> lost;
-    for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        if (m_entries[i].domain == domain)
-            lost.push_back(i);
-    }
-    m_admission.loseEntries(lost, m_loop.now() + memberTimeout + ownerLease);
-    for (std::size_t i = 0; i < m_engines.size(); ++i) {
-        if (m_engineDomain[i] == domain)
-            loseUpstream(static_cast<int>(i), false);
-    }
-    for (const std::size_t entry : lost)
-        loseEntry(entry);
-    m_loop.after(memberTimeout, [this] { listChanged(); });
-}
-
-void BenchFleet::listChanged()
-{
-    for (Entry &entry : m_entries) {
-        if (!entry.alive)
-            continue;
-        entry.policy->setEntries(entry.name, entryNames());
-        entry.policy->setEngines(m_loop.now(), engineList());
-    }
-}
-
-absl::Duration BenchFleet::link(std::size_t entry, int engine) const
-{
-    const bool near = m_entries[entry].domain == m_engineDomain[static_cast<std::size_t>(engine)];
-    return near ? nearLink : m_deployment.betweenDomains;
-}
-
-absl::Duration BenchFleet::entryLink(std::size_t from, std::size_t to) const
-{
-    const bool near = m_entries[from].domain == m_entries[to].domain;
-    return near ? nearLink : m_deployment.betweenDomains;
-}
-
-bool BenchFleet::measured(absl::Time time) const
-{
-    return time >= m_options.times.start() && time < m_options.times.end();
-}
-
-bool BenchFleet::counts(int request) const
-{
-    const PlannedRequest &planned = m_plan.online[static_cast<std::size_t>(request)];
-    return !planned.poison && measured(planned.at) && planned.at < m_options.times.end() - tail;
-}
-
 } // namespace rattanrill::policy::bench
--- a/src/policy/benchfleet.h
+++ b/src/policybench/benchfleet.h
@@ -19,6 +19,11 @@
 
 namespace rattanrill::policy::bench {
 
+/// A caller whose request failed sends it again after this.
+constexpr absl::Duration callerResend = absl::Milliseconds(500);
+
+std::string engineName(int index);
+
 struct RunOptions
 {
     Scenario scenario = Scenario::Nominal;
