Jobs: Log the progress of batch items and each read of the open jobs

Change: the store leader logs once per second how many items wait, run and back off, attempts, preemptions and results since the line before, and how late its event loop runs; each read of the open jobs is logged with reason, size, duration and the number of pending reads, and counted. No decision changes.

--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -10,6 +10,7 @@
 #include "rattanrill/serving/slotbroker.h"
 #include "rattanrill/wire/jobmessages.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +30,16 @@
     std::string failureDomain;
 };
 
+/// Numbers of items without a result, by what they do.
+struct OpenItemCounts
+{
+    /// Items that wait for a slot, or for the first configuration.
+    std::int64_t waiting = 0;
+    std::int64_t running = 0;
+    /// Items that wait after a failed attempt.
+    std::int64_t backingOff = 0;
+};
+
 /// Runs the items of open jobs on the leader of the store group. An item whose slot is preempted
 /// resumes after its last event when it is granted another slot. Used on the event loop only.
 class JobExecutor
@@ -52,6 +63,7 @@
     void stopAll();
     /// Number of items that have not ended yet.
     std::size_t openItemCount() const;
+    OpenItemCounts openItemCounts() const;
 
 private:
     struct Impl;
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -138,6 +138,7 @@
     m_hasHead = false;
     m_splitter.reset();
     ++m_attempts;
+    m_context.metrics.count("rattanrill_batch_attempts_total");
     serving::UpstreamAttempt attempt;
     attempt.expectedInstance = upstream;
     attempt.workspace = m_job->workspace;
@@ -332,6 +333,7 @@
     stop();
     m_context.metrics.count("rattanrill_batch_items_total",
                             {{"outcome", std::string(wire::name(outcome))}});
+    m_context.metrics.count("rattanrill_batch_results_total");
     log(LogLevel::Info, "item-ended",
         {{"job", m_job->id},
          {"item", m_item.id},
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -16,6 +16,16 @@
 class ItemRun : public std::enable_shared_from_this<ItemRun>
 {
 public:
+    enum class State {
+        /// No configuration has been set yet.
+        Idle,
+        /// Waits for a slot.
+        Waiting,
+        Running,
+        BackingOff,
+        Ended,
+    };
+
     /// Receives the result; called at most once.
     using ResultCallback = std::function<void(wire::JobItemResult result)>;
 
@@ -36,16 +46,9 @@
     /// Ends the run without a result.
     void stop();
 
-private:
-    enum class State {
-        /// No configuration has been set yet.
-        Idle,
-        Waiting,
-        Running,
-        BackingOff,
-        Ended,
-    };
+    State state() const { return m_state; }
 
+private:
     const serving::Route *route() const;
     void acquireSlot();
     void handleSlotGranted(const std::string &upstream, const std::string &address);
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -238,4 +238,20 @@
     return count;
 }
 
+OpenItemCounts JobExecutor::openItemCounts() const
+{
+    OpenItemCounts counts;
+    for (const auto &[job, runs] : m_impl->jobs) {
+        for (const auto &[item, run] : runs) {
+            const ItemRun::State state = run->state();
+            counts.running += state == ItemRun::State::Running ? 1 : 0;
+            counts.backingOff += state == ItemRun::State::BackingOff ? 1 : 0;
+            const bool isWaiting =
+                    state == ItemRun::State::Waiting || state == ItemRun::State::Idle;
+            counts.waiting += isWaiting ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
 } // namespace rattanrill::jobs
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -1,10 +1,14 @@
 #include "rattanrill/jobs/jobservice.h"
 
+#include "jobmonitor.h"
+
 #include "rattanrill/base/concat.h"
+#include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
+#include <array>
 #include <list>
 #include <optional>
 #include <utility>
@@ -25,6 +29,30 @@
 /// to report these items in their responses, so that the same slots are not granted twice.
 constexpr absl::Duration takeOverDelay = absl::Milliseconds(600);
 
+/// Why the open jobs are read.
+enum class ReadReason {
+    /// This replica has gained leadership.
+    LeadershipGained,
+    /// A job was submitted that had been accepted before.
+    Resubmission,
+    /// It is unknown whether a proposal was committed.
+    UnknownOutcome,
+    /// The previous read failed.
+    Retry,
+};
+
+constexpr std::array<EnumName<ReadReason>, 4> readReasonNames = {{
+        {ReadReason::LeadershipGained, "leadership_gained"},
+        {ReadReason::Resubmission, "resubmission"},
+        {ReadReason::UnknownOutcome, "unknown_outcome"},
+        {ReadReason::Retry, "retry"},
+}};
+
+std::string_view name(ReadReason reason)
+{
+    return nameOf(readReasonNames, reason);
+}
+
 } // namespace
 
 struct JobService::Impl : std::enable_shared_from_this<JobService::Impl>
@@ -41,6 +69,7 @@
     Impl(const JobExecutorContext &context, JobExecutor &executor)
         : context(context)
         , executor(executor)
+        , monitor(this->context, executor)
     {}
 
     Failure notLeader() const
@@ -105,7 +134,7 @@
         if (!result.ok()) {
             // The job may have been committed although the proposal failed.
             if (result.failure().effect == EffectState::MayHaveRun)
-                listOpenJobs();
+                listOpenJobs(ReadReason::UnknownOutcome);
             return reply(result.failure());
         }
         if (!isAccepted)
@@ -115,7 +144,7 @@
         if (result.value().isNew)
             executor.add(wire::OpenJob{job, {}, {}});
         else
-            listOpenJobs();
+            listOpenJobs(ReadReason::Resubmission);
         reply(std::string());
     }
 
@@ -238,22 +267,39 @@
         for (const WaitingRead &read : waiting)
             read.reply(notLeader());
         if (isLeader)
-            listOpenJobs();
+            listOpenJobs(ReadReason::LeadershipGained);
     }
 
     /// Reads the open jobs and adds those that the executor does not run yet, such as jobs that
     /// were committed before this leader's term.
-    void listOpenJobs()
+    void listOpenJobs(ReadReason reason)
     {
         if (!context.replica.isLeader())
             return;
+        ++pendingListReads;
         context.replica.readOnLeader(
                 wire::encode(wire::JobQuery{wire::ListOpenJobs{}}),
-                [self = shared_from_this()](const Outcome<std::string> &outcome) {
+                [self = shared_from_this(), reason,
+                 startedAt = context.clock.now()](const Outcome<std::string> &outcome) {
+                    self->logOpenJobsRead(reason, startedAt, outcome);
                     self->handleOpenJobs(outcome);
                 });
     }
 
+    void logOpenJobsRead(ReadReason reason, absl::Time startedAt,
+                         const Outcome<std::string> &outcome)
+    {
+        --pendingListReads;
+        context.metrics.count("rattanrill_open_job_reads_total",
+                              {{"reason", std::string(name(reason))}});
+        log(LogLevel::Info, "open-jobs-read",
+            {{"reason", name(reason)},
+             {"code", outcome.ok() ? "ok" : name(outcome.failure().code)},
+             {"bytes", outcome.ok() ? static_cast<std::int64_t>(outcome.value().size()) : 0},
+             {"pendingReads", pendingListReads},
+             {"durationMs", absl::ToInt64Milliseconds(context.clock.now() - startedAt)}});
+    }
+
     void handleOpenJobs(const Outcome<std::string> &outcome)
     {
         if (!context.replica.isLeader())
@@ -264,8 +310,9 @@
                         : Outcome<wire::OpenJobs>(outcome.failure());
         if (!open.ok()) {
             log(LogLevel::Warning, "open-jobs-unread", {{"code", name(open.failure().code)}});
-            context.loop.timers().subscribeOnce(
-                    listRetryDelay, [self = shared_from_this()] { self->listOpenJobs(); });
+            context.loop.timers().subscribeOnce(listRetryDelay, [self = shared_from_this()] {
+                self->listOpenJobs(ReadReason::Retry);
+            });
             return;
         }
         isReady = true;
@@ -306,7 +353,10 @@
 
     const JobExecutorContext context;
     JobExecutor &executor;
+    JobMonitor monitor;
     std::shared_ptr<const serving::DeploymentIndex> deployment;
+    /// Number of reads of the open jobs that have not ended yet.
+    std::int64_t pendingListReads = 0;
     /// Whether the open jobs have been read since this replica gained leadership.
     bool isReady = false;
     /// Whether the open jobs of earlier leaders have been added to the executor.
@@ -365,6 +415,7 @@
 
 void JobService::stop()
 {
+    m_impl->monitor.stop();
     for (TimerService::TimerId *timer : {&m_impl->readTimer, &m_impl->cleanupTimer}) {
         if (*timer != 0)
             m_impl->context.loop.timers().unsubscribe(std::exchange(*timer, 0));
