Jobs: Read only requested jobs, one read at a time

Cause: for each submission of a known job, and for each proposal of unknown outcome, the leader read all open jobs with their output, decoded them on its event loop and, before the takeover delay, kept a copy of each. A failed read was repeated by its own timer. Callers resend most while the leader is slow, so the reads made it slower. Ruled out: that the reads follow changes of leadership: 26 came within one term. Change: OpenJobReader has at most one read pending, which returns the requested jobs only; requests for jobs that the executor runs need none. An item whose result is being stored is not run again when its job is added once more.

--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -57,6 +57,9 @@
     void onResultStored(std::function<void(const std::string &job)> listener);
     /// Adds an accepted job. Adding the same job again has no effect.
     void add(const wire::OpenJob &job);
+    /// Whether the executor has items of \a job that have not ended, or results of it that are not
+    /// stored yet.
+    bool contains(const std::string &job) const;
     /// Stops the items of a job that was ended.
     void cancel(const std::string &job);
     /// Stops all items, because this replica no longer leads the store group.
--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -174,6 +174,8 @@
 struct ListOpenJobs
 {
     static constexpr std::string_view kind = "list_open_jobs";
+    /// Ids of the jobs to list if they are open; empty for all open jobs.
+    std::vector<std::string> jobs;
 };
 
 /// A job with the state that a new executor needs to continue it.
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -37,8 +37,7 @@
         const auto record = std::make_shared<const wire::JobRecord>(openJob.job);
         Runs &runs = jobs[record->id];
         for (const wire::JobItem &item : record->items) {
-            const auto &finished = openJob.finished;
-            if (std::find(finished.begin(), finished.end(), item.id) != finished.end())
+            if (hasResult(openJob, item.id))
                 continue;
             runs[item.id] = std::make_shared<ItemRun>(
                     context, record, item,
@@ -56,6 +55,16 @@
         startProgressTimer();
     }
 
+    /// Returns true for an item whose result is stored or is about to be stored.
+    bool hasResult(const wire::OpenJob &openJob, const std::string &item) const
+    {
+        const auto &finished = openJob.finished;
+        if (std::find(finished.begin(), finished.end(), item) != finished.end())
+            return true;
+        const auto unstored = unstoredResults.find(openJob.job.id);
+        return unstored != unstoredResults.end() && unstored->second.count(item) != 0;
+    }
+
     void startProgressTimer()
     {
         if (progressTimer == 0)
@@ -123,33 +132,42 @@
             if (found->second.empty())
                 jobs.erase(found);
         }
+        unstoredResults[job].insert(result.id);
+        const std::string item = result.id;
         wire::AppendResults operation;
         operation.job = job;
         operation.results.push_back(std::move(result));
-        propose(expectedGeneration, job, wire::encode(wire::JobCommand{std::move(operation)}));
+        propose(expectedGeneration, job, item,
+                wire::encode(wire::JobCommand{std::move(operation)}));
     }
 
-    void propose(std::uint64_t expectedGeneration, const std::string &job,
+    void propose(std::uint64_t expectedGeneration, const std::string &job, const std::string &item,
                  const std::string &command)
     {
-        context.replica.propose(command, [self = shared_from_this(), expectedGeneration, job,
+        context.replica.propose(command, [self = shared_from_this(), expectedGeneration, job, item,
                                           command](const Outcome<std::string> &outcome) {
             if (expectedGeneration != self->leadershipGeneration)
                 return;
             if (outcome.ok())
-                return self->notifyResultStored(job);
+                return self->handleResultStored(job, item);
             log(LogLevel::Warning, "result-not-stored",
                 {{"code", name(outcome.failure().code)}, {"detail", outcome.failure().detail}});
             self->context.loop.timers().subscribeOnce(
-                    proposeRetryDelay, [self, expectedGeneration, job, command] {
+                    proposeRetryDelay, [self, expectedGeneration, job, item, command] {
                         if (expectedGeneration == self->leadershipGeneration)
-                            self->propose(expectedGeneration, job, command);
+                            self->propose(expectedGeneration, job, item, command);
                     });
         });
     }
 
-    void notifyResultStored(const std::string &job) const
+    void handleResultStored(const std::string &job, const std::string &item)
     {
+        const auto unstored = unstoredResults.find(job);
+        if (unstored != unstoredResults.end()) {
+            unstored->second.erase(item);
+            if (unstored->second.empty())
+                unstoredResults.erase(unstored);
+        }
         if (resultStoredListener)
             resultStoredListener(job);
     }
@@ -170,6 +188,7 @@
     {
         ++leadershipGeneration;
         cancelledJobs.clear();
+        unstoredResults.clear();
         if (progressTimer != 0)
             context.loop.timers().unsubscribe(std::exchange(progressTimer, 0));
         const auto stoppedJobs = std::exchange(jobs, {});
@@ -185,6 +204,8 @@
     /// Jobs that were cancelled since this replica gained leadership. A list of open jobs that was
     /// read before a cancellation still contains the job.
     std::set<std::string> cancelledJobs;
+    /// Items whose results have been proposed but are not known to be stored, by job.
+    std::map<std::string, std::set<std::string>> unstoredResults;
     std::function<void(const std::string &)> resultStoredListener;
     /// Incremented by stopAll(), which runs whenever this replica gains or loses leadership;
     /// callbacks that were registered before are then ignored.
@@ -220,6 +241,11 @@
     m_impl->add(job);
 }
 
+bool JobExecutor::contains(const std::string &job) const
+{
+    return m_impl->jobs.count(job) != 0 || m_impl->unstoredResults.count(job) != 0;
+}
+
 void JobExecutor::cancel(const std::string &job)
 {
     m_impl->cancel(job);
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -1,14 +1,13 @@
 #include "rattanrill/jobs/jobservice.h"
 
 #include "jobmonitor.h"
+#include "openjobreader.h"
 
 #include "rattanrill/base/concat.h"
-#include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
-#include <array>
 #include <list>
 #include <optional>
 #include <utility>
@@ -22,36 +21,6 @@
 constexpr absl::Duration retentionPeriod = absl::Minutes(10);
 /// Interval at which old jobs are removed.
 constexpr absl::Duration cleanupPeriod = absl::Seconds(30);
-/// Delay before a failed read of the open jobs is repeated.
-constexpr absl::Duration listRetryDelay = absl::Milliseconds(100);
-/// Delay before a new leader starts the items of open jobs. Items that the former leader started
-/// may run at upstreams until its connections are closed. The delay leaves time for the upstreams
-/// to report these items in their responses, so that the same slots are not granted twice.
-constexpr absl::Duration takeOverDelay = absl::Milliseconds(600);
-
-/// Why the open jobs are read.
-enum class ReadReason {
-    /// This replica has gained leadership.
-    LeadershipGained,
-    /// A job was submitted that had been accepted before.
-    Resubmission,
-    /// It is unknown whether a proposal was committed.
-    UnknownOutcome,
-    /// The previous read failed.
-    Retry,
-};
-
-constexpr std::array<EnumName<ReadReason>, 4> readReasonNames = {{
-        {ReadReason::LeadershipGained, "leadership_gained"},
-        {ReadReason::Resubmission, "resubmission"},
-        {ReadReason::UnknownOutcome, "unknown_outcome"},
-        {ReadReason::Retry, "retry"},
-}};
-
-std::string_view name(ReadReason reason)
-{
-    return nameOf(readReasonNames, reason);
-}
 
 } // namespace
 
@@ -70,6 +39,7 @@
         : context(context)
         , executor(executor)
         , monitor(this->context, executor)
+        , openJobs(std::make_shared<OpenJobReader>(this->context, executor))
     {}
 
     Failure notLeader() const
@@ -134,7 +104,7 @@
         if (!result.ok()) {
             // The job may have been committed although the proposal failed.
             if (result.failure().effect == EffectState::MayHaveRun)
-                listOpenJobs(ReadReason::UnknownOutcome);
+                openJobs->request(job.id);
             return reply(result.failure());
         }
         if (!isAccepted)
@@ -144,7 +114,7 @@
         if (result.value().isNew)
             executor.add(wire::OpenJob{job, {}, {}});
         else
-            listOpenJobs(ReadReason::Resubmission);
+            openJobs->request(job.id);
         reply(std::string());
     }
 
@@ -260,81 +230,13 @@
     void handleLeadershipChange(bool isLeader)
     {
         isReady = false;
-        hasTakenOver = false;
-        ++leadershipGeneration;
         executor.stopAll();
+        openJobs->stop();
         const auto waiting = std::exchange(waitingReads, {});
         for (const WaitingRead &read : waiting)
             read.reply(notLeader());
         if (isLeader)
-            listOpenJobs(ReadReason::LeadershipGained);
-    }
-
-    /// Reads the open jobs and adds those that the executor does not run yet, such as jobs that
-    /// were committed before this leader's term.
-    void listOpenJobs(ReadReason reason)
-    {
-        if (!context.replica.isLeader())
-            return;
-        ++pendingListReads;
-        context.replica.readOnLeader(
-                wire::encode(wire::JobQuery{wire::ListOpenJobs{}}),
-                [self = shared_from_this(), reason,
-                 startedAt = context.clock.now()](const Outcome<std::string> &outcome) {
-                    self->logOpenJobsRead(reason, startedAt, outcome);
-                    self->handleOpenJobs(outcome);
-                });
-    }
-
-    void logOpenJobsRead(ReadReason reason, absl::Time startedAt,
-                         const Outcome<std::string> &outcome)
-    {
-        --pendingListReads;
-        context.metrics.count("rattanrill_open_job_reads_total",
-                              {{"reason", std::string(name(reason))}});
-        log(LogLevel::Info, "open-jobs-read",
-            {{"reason", name(reason)},
-             {"code", outcome.ok() ? "ok" : name(outcome.failure().code)},
-             {"bytes", outcome.ok() ? static_cast<std::int64_t>(outcome.value().size()) : 0},
-             {"pendingReads", pendingListReads},
-             {"durationMs", absl::ToInt64Milliseconds(context.clock.now() - startedAt)}});
-    }
-
-    void handleOpenJobs(const Outcome<std::string> &outcome)
-    {
-        if (!context.replica.isLeader())
-            return;
-        const auto open =
-                outcome.ok()
-                        ? outcomeOf([&] { return wire::decode<wire::OpenJobs>(outcome.value()); })
-                        : Outcome<wire::OpenJobs>(outcome.failure());
-        if (!open.ok()) {
-            log(LogLevel::Warning, "open-jobs-unread", {{"code", name(open.failure().code)}});
-            context.loop.timers().subscribeOnce(listRetryDelay, [self = shared_from_this()] {
-                self->listOpenJobs(ReadReason::Retry);
-            });
-            return;
-        }
-        isReady = true;
-        if (!open.value().jobs.empty())
-            log(LogLevel::Info, "open-jobs-taken-over",
-                {{"jobs", static_cast<std::int64_t>(open.value().jobs.size())},
-                 {"term", context.replica.status().term}});
-        if (hasTakenOver)
-            return addOpenJobs(open.value());
-        context.loop.timers().subscribeOnce(
-                takeOverDelay, [self = shared_from_this(),
-                                expectedGeneration = leadershipGeneration, open = open.value()] {
-                    self->hasTakenOver = self->leadershipGeneration == expectedGeneration;
-                    if (self->hasTakenOver)
-                        self->addOpenJobs(open);
-                });
-    }
-
-    void addOpenJobs(const wire::OpenJobs &open)
-    {
-        for (const wire::OpenJob &job : open.jobs)
-            executor.add(job);
+            openJobs->start([this] { isReady = true; });
     }
 
     void removeOldJobs()
@@ -355,15 +257,9 @@
     JobExecutor &executor;
     JobMonitor monitor;
     std::shared_ptr<const serving::DeploymentIndex> deployment;
-    /// Number of reads of the open jobs that have not ended yet.
-    std::int64_t pendingListReads = 0;
+    const std::shared_ptr<OpenJobReader> openJobs;
     /// Whether the open jobs have been read since this replica gained leadership.
     bool isReady = false;
-    /// Whether the open jobs of earlier leaders have been added to the executor.
-    bool hasTakenOver = false;
-    /// Incremented when this replica gains or loses leadership, so that a delayed start of open
-    /// jobs is dropped when the leadership has changed meanwhile.
-    std::uint64_t leadershipGeneration = 0;
     std::list<WaitingRead> waitingReads;
     /// Number of results that this executor has stored. A read compares the numbers before and
     /// after its query, because a result that is stored meanwhile may be missing from the response.
@@ -416,6 +312,7 @@
 void JobService::stop()
 {
     m_impl->monitor.stop();
+    m_impl->openJobs->stop();
     for (TimerService::TimerId *timer : {&m_impl->readTimer, &m_impl->cleanupTimer}) {
         if (*timer != 0)
             m_impl->context.loop.timers().unsubscribe(std::exchange(*timer, 0));
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -202,13 +202,22 @@
     }));
 }
 
-std::string JobStateMachine::evaluate(const wire::ListOpenJobs &) const
+std::string JobStateMachine::evaluate(const wire::ListOpenJobs &query) const
 {
     wire::OpenJobs open;
-    for (const auto &[id, job] : m_jobs) {
+    const auto append = [&open](const Job &job) {
         if (job.isOpen())
             open.jobs.push_back(
                     {job.record, {job.finished.begin(), job.finished.end()}, progressOf(job)});
+    };
+    for (const std::string &id : query.jobs) {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end())
+            append(found->second);
+    }
+    if (query.jobs.empty()) {
+        for (const auto &[id, job] : m_jobs)
+            append(job);
     }
     return wire::encodeCommandResult(Outcome<wire::OpenJobs>(std::move(open)));
 }
--- a/tests/jobs/executor_test.cpp
+++ b/tests/jobs/executor_test.cpp
@@ -62,4 +62,18 @@
     BOOST_TEST(executor.openItemCount() == 1u);
 }
 
+// Guards against an item that runs again while its result is being stored: its job is still listed
+// as open then, and a resent submission adds it once more.
+BOOST_AUTO_TEST_CASE(itemWithAnUnstoredResultIsNotRunAgain)
+{
+    // Items of a route that the configuration does not contain end at once. Their results can't be
+    // stored, because the replica is not open.
+    executor.setDeployment(std::make_shared<const serving::DeploymentIndex>(serving::Deployment()));
+    executor.add(openJob("j"));
+    executor.add(openJob("j"));
+    BOOST_TEST(executor.contains("j"));
+    BOOST_TEST(metrics.counter("rattanrill_batch_items_total", {{"outcome", "dead_lettered"}})
+               == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
