Policy: Run batch items again after crashes of their engines

What callers saw: by the users' report of a system like this one, a sound batch item was never placed again after several servers had crashed while they ran it. Here the item failed with request_held, or with item_failed after four crashes. Cause: the quarantine blocked a batch item's fingerprint after two crashed upstreams, like that of an online request, and each crash counted towards maxBatchAttempts. An item may just have run on two upstreams that crashed for other reasons. Change: a crash makes a batch item a suspect, which runs isolated from other suspects, but never blocks it, is not recorded in the directory and does not count as a failed attempt. Pauses between its attempts grow. The rule for online requests is unchanged.

--- a/include/rattanrill/policy/quarantine.h
+++ b/include/rattanrill/policy/quarantine.h
@@ -40,11 +40,16 @@
 public:
     explicit Quarantine(QuarantineSettings settings);
 
-    /// Records that \a upstream crashed while it ran this entry's requests with \a fingerprints.
-    /// \a alone is true when no other entry had requests there. Returns the fingerprints whose
-    /// crash must be recorded in the directory.
+    /// Records that \a upstream crashed while it ran this entry's online requests with
+    /// \a fingerprints. \a alone is true when nothing else ran there. Returns the fingerprints
+    /// whose crash must be recorded in the directory.
     std::vector<std::string> crashed(absl::Time now, const std::string &upstream,
                                      const std::vector<std::string> &fingerprints, bool alone);
+    /// Records that \a upstream crashed while it ran batch items with \a fingerprints. They become
+    /// suspects, so that they run isolated, but the crash does not block them: an accepted batch
+    /// item is owed, however many upstreams crashed while they ran it.
+    void crashedUnderBatchItems(absl::Time now, const std::string &upstream,
+                                const std::vector<std::string> &fingerprints);
     /// Withdraws the crash of \a upstream, whose cause was not one of the requests that it ran but,
     /// for example, the loss of its failure domain. The crash no longer counts against those
     /// \a fingerprints that are not blocked.
--- a/include/rattanrill/policy/scheduler.h
+++ b/include/rattanrill/policy/scheduler.h
@@ -46,7 +46,7 @@
     /// Assumed prefill speed of an engine, in tokens per second.
     double prefillTokensPerSecond = 8000;
     /// Number of failed attempts after which a batch item is rejected with ItemFailed. Attempts
-    /// that the engine refused do not count.
+    /// that the engine refused, or whose engine crashed, do not count.
     int maxBatchAttempts = 4;
     /// Cost, in units of load, of sending an online task to an engine where batch prompts are being
     /// prefilled.
--- a/src/entry/batchitem.cpp
+++ b/src/entry/batchitem.cpp
@@ -10,8 +10,7 @@
 /// Whether another attempt would fail in the same way.
 bool isPermanent(ErrorCode code)
 {
-    return code == ErrorCode::InvalidRequest || code == ErrorCode::RequestQuarantined
-           || code == ErrorCode::ItemFailed;
+    return code == ErrorCode::InvalidRequest || code == ErrorCode::ItemFailed;
 }
 
 } // namespace
--- a/src/entry/taskdispatcher.cpp
+++ b/src/entry/taskdispatcher.cpp
@@ -261,8 +261,12 @@
                                 const std::shared_ptr<EngineAttempt> &engineAttempt)
 {
     std::uint64_t delivered = static_cast<std::uint64_t>(engineAttempt->start().resumeAfter);
-    const std::string &fingerprint = task->submission.task.fingerprint;
-    const CrashRecords::State crash = m_crashRecords.await(fingerprint, crashRecordTimeout);
+    const policy::Task &schedulerTask = task->submission.task;
+    // Crashes under batch items are not recorded in the directory and do not quarantine them.
+    const CrashRecords::State crash =
+            schedulerTask.kind == policy::TaskKind::Batch
+                    ? CrashRecords::State::Recorded
+                    : m_crashRecords.await(schedulerTask.fingerprint, crashRecordTimeout);
     if (crash == CrashRecords::State::Recorded) {
         const Outcome<engine::StreamSummary> outcome = stream(task, *engineAttempt, delivered);
         endAttempt(task, *engineAttempt, delivered, outcome);
--- a/src/policy/quarantine.cpp
+++ b/src/policy/quarantine.cpp
@@ -28,6 +28,17 @@
     return changed;
 }
 
+void Quarantine::crashedUnderBatchItems(absl::Time now, const std::string &upstream,
+                                        const std::vector<std::string> &fingerprints)
+{
+    expire(now);
+    for (const std::string &fingerprint : fingerprints) {
+        Suspect &suspect = m_suspects[fingerprint];
+        suspect.upstreams.insert(upstream);
+        suspect.expires = std::max(suspect.expires, now + m_settings.suspectTime);
+    }
+}
+
 void Quarantine::retractCrash(const std::string &upstream,
                               const std::vector<std::string> &fingerprints)
 {
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -75,8 +75,7 @@
     taskRecord.task = task;
     taskRecord.deliveredTokens = task.deliveredTokens;
     taskRecord.kvHandle = task.kvHandle;
-    taskRecord.suspect =
-            m_state->quarantine.status(now, task.fingerprint) == QuarantineStatus::Suspect;
+    taskRecord.suspect = m_state->quarantineStatus(now, task) == QuarantineStatus::Suspect;
     if (taskRecord.isOnline())
         m_state->pool(task.model).onlineRate.arrived(now);
     m_state->enqueue(now, taskRecord);
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -135,7 +135,7 @@
     taskRecord.phase = TaskRecord::Phase::Waiting;
     taskRecord.waitingSince = now;
     // The crash may have been retracted or cleared while the task waited for its retry.
-    if (quarantine.status(now, taskRecord.task.fingerprint) == QuarantineStatus::Allowed)
+    if (quarantineStatus(now, taskRecord.task) == QuarantineStatus::Allowed)
         taskRecord.suspect = false;
     ModelPool &waitingPool = pool(taskRecord.task.model);
     if (taskRecord.isOnline()) {
@@ -247,12 +247,21 @@
     taskRecords.erase(taskRecord.task.id);
 }
 
+/// Returns Suspect in place of Blocked for a batch task: it is owed, but runs isolated.
+QuarantineStatus Scheduler::State::quarantineStatus(absl::Time now, const Task &task) const
+{
+    const QuarantineStatus status = quarantine.status(now, task.fingerprint);
+    const bool isOwed = task.kind == TaskKind::Batch && status == QuarantineStatus::Blocked;
+    return isOwed ? QuarantineStatus::Suspect : status;
+}
+
 void Scheduler::State::recordCrash(absl::Time now, TaskRecord &taskRecord)
 {
     EngineRecord *engineRecord = engine(taskRecord.engine);
     if (taskRecord.crashRecorded || engineRecord == nullptr)
         return;
-    std::vector<std::string> fingerprints;
+    std::vector<std::string> online;
+    std::vector<std::string> batch;
     for (const TaskId id : engineRecord->running) {
         TaskRecord &other = taskRecords.at(id);
         if (other.crashRecorded)
@@ -263,16 +272,19 @@
         const bool passedCrash =
                 !other.suspect && quarantine.crashCount(other.task.fingerprint) > 0;
         if (!passedCrash || engineRecord->suspectsRunning == 0)
-            fingerprints.push_back(other.task.fingerprint);
+            (other.isOnline() ? online : batch).push_back(other.task.fingerprint);
     }
     engineRecord->state.outlier().failed(now, true);
     prefixes.removeEngine(taskRecord.engine);
     const EngineLoad &load = engineRecord->state.load();
     const bool alone = engineRecord->state.hasReport() && load.running + load.waiting <= 1;
+    quarantine.crashedUnderBatchItems(now, taskRecord.engine, batch);
     const std::vector<std::string> changed =
-            quarantine.crashed(now, taskRecord.engine, fingerprints, alone);
+            quarantine.crashed(now, taskRecord.engine, online, alone && batch.empty());
     for (const std::string &fingerprint : changed)
         decisions.emplace_back(RecordCrash{fingerprint, taskRecord.engine});
+    std::vector<std::string> fingerprints = std::move(online);
+    fingerprints.insert(fingerprints.end(), batch.begin(), batch.end());
     const std::string &domain = engineRecord->state.info().failureDomain;
     for (const Crash &crash :
          crashHistory.add({now, taskRecord.engine, domain, std::move(fingerprints)}))
@@ -285,7 +297,7 @@
     for (auto &[id, taskRecord] : taskRecords) {
         const bool affected =
                 taskRecord.suspect && taskRecord.phase == TaskRecord::Phase::Waiting
-                && quarantine.status(now, taskRecord.task.fingerprint) == QuarantineStatus::Allowed;
+                && quarantineStatus(now, taskRecord.task) == QuarantineStatus::Allowed;
         if (!affected)
             continue;
         dequeue(taskRecord);
@@ -324,7 +336,7 @@
     taskRecord.phase = TaskRecord::Phase::BackingOff;
     taskRecord.retryAt = now;
     taskRecord.excluded.push_back(taskRecord.engine);
-    const QuarantineStatus status = quarantine.status(now, taskRecord.task.fingerprint);
+    const QuarantineStatus status = quarantineStatus(now, taskRecord.task);
     taskRecord.suspect = status == QuarantineStatus::Suspect;
     if (crashed)
         taskRecord.clearedAtTokens = taskRecord.deliveredTokens + tokensPastCrash;
@@ -354,7 +366,11 @@
 void Scheduler::State::retryBatch(absl::Time now, TaskRecord &taskRecord,
                                   const AttemptFailure &failure)
 {
-    if (failure.kind != AttemptFailure::Kind::Refused)
+    // The crash of an engine is not a fault of the item, so only the other failures count towards
+    // its last attempt.
+    const bool isCrash = failure.kind == AttemptFailure::Kind::Crashed;
+    taskRecord.crashes += isCrash ? 1 : 0;
+    if (!isCrash && failure.kind != AttemptFailure::Kind::Refused)
         ++taskRecord.failures;
     if (taskRecord.failures < settings.maxBatchAttempts)
         backOff(now, taskRecord);
@@ -364,7 +380,8 @@
 
 void Scheduler::State::backOff(absl::Time now, TaskRecord &taskRecord)
 {
-    taskRecord.retryAt = now + retry.backoff(std::max(taskRecord.failures, 1), random);
+    const int failedAttempts = taskRecord.failures + taskRecord.crashes;
+    taskRecord.retryAt = now + retry.backoff(std::max(failedAttempts, 1), random);
     backoffs.insert({taskRecord.retryAt, taskRecord.task.id});
 }
 
--- a/src/policy/schedulerstate.h
+++ b/src/policy/schedulerstate.h
@@ -69,6 +69,7 @@
     void recordFirstToken(absl::Time now, TaskRecord &taskRecord);
     void endAttempt(absl::Time now, TaskRecord &taskRecord);
     void removeTask(TaskRecord &taskRecord);
+    QuarantineStatus quarantineStatus(absl::Time now, const Task &task) const;
     void recordCrash(absl::Time now, TaskRecord &taskRecord);
     /// Withdraws a crash that the loss of a failure domain caused, so that the requests affected
     /// are no longer suspects.
--- a/src/policy/schedulerstate_decisions.cpp
+++ b/src/policy/schedulerstate_decisions.cpp
@@ -373,7 +373,7 @@
 
 bool Scheduler::State::rejectBlocked(absl::Time now, TaskRecord &taskRecord)
 {
-    if (quarantine.status(now, taskRecord.task.fingerprint) != QuarantineStatus::Blocked)
+    if (quarantineStatus(now, taskRecord.task) != QuarantineStatus::Blocked)
         return false;
     reject(taskRecord, ErrorCode::RequestQuarantined,
            "the request crashed the upstreams that ran it");
--- a/src/policy/taskrecord.h
+++ b/src/policy/taskrecord.h
@@ -40,7 +40,10 @@
     /// End of the backoff.
     absl::Time retryAt;
     int attempt = 0;
+    /// Failed attempts. For a batch task without those whose engine crashed or refused the attempt.
     int failures = 0;
+    /// Batch tasks only: attempts whose engine crashed.
+    int crashes = 0;
     int preemptions = 0;
     std::int64_t deliveredTokens = 0;
     absl::Time progressAt;
--- a/tests/entry/batch_test.cpp
+++ b/tests/entry/batch_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <set>
 #include <sstream>
 
 namespace rattanrill::entry {
@@ -220,6 +221,39 @@
                    == expectedText(concat("prompt ", i), 3));
 }
 
+// Guards against a sound item that is reported as quarantined, or is never run again, because two
+// engines crashed while they ran it.
+BOOST_AUTO_TEST_CASE(itemCompletesAfterTwoOfItsEnginesCrashed)
+{
+    constexpr int engineCount = 3;
+    TestFleet fleet(1, engineCount);
+    ScriptedEngine::Script script;
+    script.pauseAt = 1;
+    for (int i = 0; i < engineCount; ++i)
+        fleet.engine(i).setScript(script);
+    const std::string file = upload(fleet, 0, itemLines(1));
+    const Json job = createBatch(fleet, 0, file, "");
+    std::set<int> crashed;
+    while (crashed.size() < 2) {
+        int runningEngine = -1;
+        BOOST_REQUIRE(eventually([&] {
+            for (int i = 0; i < engineCount; ++i) {
+                if (crashed.count(i) == 0 && fleet.engine(i).runs() > 0)
+                    runningEngine = i;
+            }
+            return runningEngine >= 0;
+        }));
+        fleet.engine(runningEngine).stop();
+        crashed.insert(runningEngine);
+    }
+    for (int i = 0; i < engineCount; ++i) {
+        if (crashed.count(i) == 0)
+            fleet.engine(i).resume();
+    }
+    const Json ended = awaitEnd(fleet, 0, job.at("id"));
+    BOOST_TEST(ended.at("request_counts").at("completed") == 1);
+}
+
 // R1, R12: guards against items that stay leased to a drained entry until their leases expire.
 BOOST_AUTO_TEST_CASE(drainReleasesItemsToOtherEntries)
 {
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -370,6 +370,49 @@
     BOOST_TEST((rejected[0].failure.code == ErrorCode::ItemFailed));
 }
 
+// Guards against a batch item that is never placed again after the engines that ran it crashed: by
+// the crashes alone it was quarantined, or rejected after maxBatchAttempts.
+BOOST_AUTO_TEST_CASE(batchItemIsPlacedAgainAfterCrashesOfItsEngines)
+{
+    const int crashes = SchedulerSettings().maxBatchAttempts + 2;
+    setEngines(3);
+    const TaskId id = add(TaskKind::Batch);
+    int crashed = 0;
+    std::vector<SchedulerDecision> decisions;
+    for (int i = 0; i < 500 && crashed < crashes; ++i) {
+        for (SchedulerDecision &decision : advance(absl::Milliseconds(100)))
+            decisions.push_back(std::move(decision));
+        if (running.count(id) > 0) {
+            fail(id, AttemptFailure::Kind::Crashed);
+            ++crashed;
+        }
+    }
+    BOOST_TEST(crashed == crashes);
+    for (SchedulerDecision &decision : advance(absl::Seconds(20)))
+        decisions.push_back(std::move(decision));
+    BOOST_TEST(filter<RejectTask>(decisions).empty());
+    BOOST_TEST(filter<RecordCrash>(decisions).empty());
+    BOOST_REQUIRE(running.count(id) == 1U);
+    finish(id);
+}
+
+// Guards against a batch item that is quarantined because an online request with the same body
+// crashed engines: the record of the online request blocks only online requests.
+BOOST_AUTO_TEST_CASE(recordOfAnOnlineRequestDoesNotBlockABatchItem)
+{
+    setEngines(2);
+    Task item = task(TaskKind::Batch);
+    scheduler.applyCrashRecord(now, item.fingerprint, {"engine-0", "engine-1"}, true);
+    Task online = task(TaskKind::Online);
+    online.fingerprint = item.fingerprint;
+    add(online);
+    add(item);
+    const auto rejected = filter<RejectTask>(advance(absl::Seconds(1)));
+    BOOST_REQUIRE(rejected.size() == 1U);
+    BOOST_TEST(rejected[0].task == online.id);
+    BOOST_TEST(running.count(item.id) == 1U);
+}
+
 // Guards against entries that all fill the same free slots of an engine. Together they stay within
 // the batch size although no entry receives information about the starts of the others.
 BOOST_AUTO_TEST_CASE(entriesTogetherDoNotExceedTheBatchSize)
