Net: Bound the heads and the skipped responses that a connection reads

Cause: the parser bounded the fields of a head, but not a chunk header, a trailer, or the interim and foreign responses that it skips; their bytes were kept, or read, without end. The reason of a broken response was in no log line. Change: all of them have bounds in bytes; a response that exceeds one is broken, its connection is closed and response-unreadable says which bound was reached. The length of a body is not bounded here. Evidence: headWithoutEndIsBroken and skippedResponsesWithoutEndAreBroken; longBodyIsNotCutOff passes 32 MiB.

--- a/include/rattanrill/net/responseparser.h
+++ b/include/rattanrill/net/responseparser.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/net/message.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -9,8 +10,33 @@
 
 namespace rattanrill::net {
 
+/// Why a response is broken.
+enum class ResponseFault {
+    None,
+    /// The bytes are not a valid response.
+    Malformed,
+    /// The connection was closed before the end of the response.
+    Truncated,
+    /// The head, a chunk header or the trailer exceeds ResponseLimits::maxHeadBytes.
+    HeadTooLong,
+    /// The skipped responses exceed ResponseLimits::maxSkippedBytes.
+    SkippedTooLong,
+};
+
+std::string_view name(ResponseFault fault);
+
+/// Bounds in bytes of what a parser reads apart from the body of its response, which is passed on
+/// as it arrives. The receiver of the body bounds what it keeps.
+struct ResponseLimits
+{
+    std::size_t maxHeadBytes = std::size_t(64) << 10;
+    /// Total size of interim responses and of responses to other requests.
+    std::size_t maxSkippedBytes = std::size_t(1) << 20;
+};
+
 /// Parses one response in the byte stream of a connection. It performs no input or output itself.
-/// Interim responses (1xx) and responses to other requests are skipped.
+/// Interim responses (1xx) and responses to other requests are skipped. Bytes without end, in
+/// place of a head or before the response, end in state Broken.
 class ResponseParser
 {
 public:
@@ -30,13 +56,15 @@
         std::function<void(std::string_view)> onBody;
     };
 
-    explicit ResponseParser(Handlers handlers);
+    explicit ResponseParser(Handlers handlers, ResponseLimits limits = {});
     ~ResponseParser();
 
     void feed(std::string_view bytes);
     /// Handles an orderly close of the connection by the upstream.
     void handleEof();
     State state() const { return m_state; }
+    /// Why the response is broken; None in the other states.
+    ResponseFault fault() const { return m_fault; }
     /// Whether bytes follow the complete response. They belong to no request.
     bool hasExtraBytes() const { return !m_pending.empty(); }
     /// Whether the connection can carry another request. Valid in state Complete.
@@ -50,11 +78,16 @@
     void handleHeader();
     void forwardBody();
     void handleComplete();
+    void setBroken(ResponseFault fault);
 
     Handlers m_handlers;
+    const ResponseLimits m_limits;
     std::unique_ptr<Parser> m_parser;
     std::string m_pending;
     State m_state = State::Reading;
+    ResponseFault m_fault = ResponseFault::None;
+    /// Size of the skipped responses, including the part of the current one that has been parsed.
+    std::size_t m_skippedBytes = 0;
     bool m_headerHandled = false;
     bool m_isOwnResponse = true;
     bool m_isKeepAlive = false;
--- a/src/net/responseparser.cpp
+++ b/src/net/responseparser.cpp
@@ -1,9 +1,12 @@
 #include "rattanrill/net/responseparser.h"
 
+#include "rattanrill/base/enumnames.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <cstdint>
 #include <limits>
 #include <utility>
@@ -13,7 +16,13 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::uint32_t maxHeaderBytes = 64 * 1024;
+constexpr std::array<EnumName<ResponseFault>, 5> faultNames = {{
+        {ResponseFault::None, "none"},
+        {ResponseFault::Malformed, "malformed"},
+        {ResponseFault::Truncated, "truncated"},
+        {ResponseFault::HeadTooLong, "head_too_long"},
+        {ResponseFault::SkippedTooLong, "skipped_too_long"},
+}};
 
 std::string text(boost::beast::string_view view)
 {
@@ -22,13 +31,19 @@
 
 } // namespace
 
+std::string_view name(ResponseFault fault)
+{
+    return nameOf(faultNames, fault);
+}
+
 struct ResponseParser::Parser
 {
     http::response_parser<http::string_body> parser;
 };
 
-ResponseParser::ResponseParser(Handlers handlers)
+ResponseParser::ResponseParser(Handlers handlers, ResponseLimits limits)
     : m_handlers(std::move(handlers))
+    , m_limits(limits)
 {
     startResponse();
 }
@@ -39,7 +54,7 @@
 {
     m_parser = std::make_unique<Parser>();
     m_parser->parser.eager(true);
-    m_parser->parser.header_limit(maxHeaderBytes);
+    m_parser->parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeadBytes));
     // The body is passed on as it arrives and not collected, so its length needs no limit.
     m_parser->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
     m_headerHandled = false;
@@ -62,13 +77,24 @@
             parser.put(boost::asio::buffer(m_pending.data(), m_pending.size()), error);
     m_pending.erase(0, used);
     if (error && error != http::error::need_more) {
-        m_state = State::Broken;
+        setBroken(error == http::error::header_limit ? ResponseFault::HeadTooLong
+                                                     : ResponseFault::Malformed);
         return false;
     }
     if (parser.is_header_done()) {
         handleHeader();
         forwardBody();
     }
+    m_skippedBytes += m_isOwnResponse ? 0 : used;
+    if (m_skippedBytes > m_limits.maxSkippedBytes) {
+        setBroken(ResponseFault::SkippedTooLong);
+        return false;
+    }
+    // The parser leaves a chunk header or a trailer in the buffer until it is complete.
+    if (m_pending.size() > m_limits.maxHeadBytes && used == 0) {
+        setBroken(ResponseFault::HeadTooLong);
+        return false;
+    }
     if (parser.is_done()) {
         handleComplete();
         return true;
@@ -109,6 +135,12 @@
     m_state = State::Complete;
 }
 
+void ResponseParser::setBroken(ResponseFault fault)
+{
+    m_state = State::Broken;
+    m_fault = fault;
+}
+
 void ResponseParser::handleEof()
 {
     if (m_state != State::Reading)
@@ -117,15 +149,13 @@
     boost::system::error_code error;
     if (parser.got_some())
         parser.put_eof(error);
-    if (error || !parser.is_done()) {
-        m_state = State::Broken;
-        return;
-    }
+    if (error || !parser.is_done())
+        return setBroken(ResponseFault::Truncated);
     forwardBody();
     handleComplete();
     m_isKeepAlive = false;
     if (m_state == State::Reading)
-        m_state = State::Broken;
+        setBroken(ResponseFault::Truncated);
 }
 
 } // namespace rattanrill::net
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -3,6 +3,7 @@
 #include "socketoptions.h"
 
 #include "rattanrill/base/clock.h"
+#include "rattanrill/base/logger.h"
 #include "rattanrill/net/address.h"
 
 #include <boost/asio/buffer.hpp>
@@ -150,11 +151,21 @@
         return;
     if (m_parser->state() == ResponseParser::State::Complete)
         return finish();
+    if (m_parser->state() == ResponseParser::State::Broken)
+        logFault(m_parser->fault());
     if (error || m_parser->state() == ResponseParser::State::Broken)
         return fail(CallStatus::Broken);
     read();
 }
 
+/// Logs faults other than a lost connection, which the sender of the request reports.
+void UpstreamConnection::logFault(ResponseFault fault) const
+{
+    if (fault != ResponseFault::Truncated)
+        log(LogLevel::Warning, "response-unreadable",
+            {{"peerAddress", m_address}, {"reason", name(fault)}});
+}
+
 bool UpstreamConnection::handleHead(const ResponseHead &head)
 {
     const std::optional<int> seconds = keepAliveSeconds(head.headers.value("Keep-Alive"));
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -46,6 +46,7 @@
     void send();
     void read();
     void handleRead(const boost::system::error_code &error, std::size_t bytes);
+    void logFault(ResponseFault fault) const;
     bool handleHead(const ResponseHead &head);
     void finish();
     void fail(CallStatus status);
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -1,3 +1,4 @@
+#include "endlessserver.h"
 #include "loopthread.h"
 
 #include "rattanrill/net/connectionpool.h"
@@ -157,4 +158,15 @@
     BOOST_TEST(!fixture.result.callStatus.has_value());
 }
 
+// Guards against an upstream whose head has no end: the call must fail after a bounded number of
+// bytes and close the connection.
+BOOST_AUTO_TEST_CASE(headWithoutEndFailsTheCall)
+{
+    ConnectionPoolFixture fixture;
+    EndlessServer upstream("HTTP/1.1 200 OK\r\nX: ", std::string(1024, 'x'));
+    fixture.start(upstream.address(), "/whole");
+    BOOST_TEST((fixture.wait().callStatus == CallStatus::Broken));
+    BOOST_TEST(upstream.awaitClose());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/responseparser_test.cpp
+++ b/tests/net/responseparser_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <string>
+#include <utility>
 
 using namespace rattanrill::net;
 using State = ResponseParser::State;
@@ -113,4 +114,69 @@
     BOOST_TEST((collector.parser.state() == State::Broken));
 }
 
+// Guards against a head, a chunk header or a trailer without end, which would fill the memory of
+// the process until the sender closes the connection.
+BOOST_AUTO_TEST_CASE(headWithoutEndIsBroken)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string filler(1000, 'a');
+    const std::string headerLine = "X: " + filler + "\r\n";
+    const std::pair<std::string, std::string> rows[] = {
+            {"HTTP/1.1 200 OK\r\nX: ", filler},
+            {"HTTP/1.1 200 OK\r\n", headerLine},
+            {"HTTP/1.1 200 ", filler},
+            {chunked + "4;x=", filler},
+            {chunked + "4\r\nhalf\r\n0\r\nX: ", filler},
+            {chunked + "4\r\nhalf\r\n0\r\n", headerLine},
+    };
+    for (const auto &[start, repeated] : rows) {
+        Collector collector;
+        collector.parser.feed(start);
+        std::size_t size = 0;
+        for (; size < 3 * ResponseLimits().maxHeadBytes; size += repeated.size()) {
+            if (collector.parser.state() != State::Reading)
+                break;
+            collector.parser.feed(repeated);
+        }
+        BOOST_TEST((collector.parser.fault() == ResponseFault::HeadTooLong), start);
+        BOOST_TEST(size <= ResponseLimits().maxHeadBytes + 2 * repeated.size());
+    }
+}
+
+// Guards against responses without end before the own one: interim responses, responses to other
+// requests, or one response to another request whose body does not end.
+BOOST_AUTO_TEST_CASE(skippedResponsesWithoutEndAreBroken)
+{
+    const std::string body(4000, 'b');
+    const std::pair<std::string, std::string> rows[] = {
+            {"", "HTTP/1.1 102 Processing\r\nX: " + body + "\r\n\r\n"},
+            {"", makeResponse("other", body)},
+            {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", body},
+    };
+    for (const auto &[start, repeated] : rows) {
+        Collector collector;
+        collector.parser.feed(start);
+        std::size_t size = 0;
+        for (; size < 2 * ResponseLimits().maxSkippedBytes; size += repeated.size()) {
+            if (collector.parser.state() != State::Reading)
+                break;
+            collector.parser.feed(repeated);
+        }
+        BOOST_TEST((collector.parser.fault() == ResponseFault::SkippedTooLong));
+    }
+}
+
+// Guards against a bound that cuts off a long response: the size of the body is not limited here.
+BOOST_AUTO_TEST_CASE(longBodyIsNotCutOff)
+{
+    Collector collector;
+    collector.parser.feed("HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::size_t size = std::size_t(32) << 20;
+    for (std::size_t sent = 0; sent < size; sent += 4096)
+        collector.parser.feed("1000\r\n" + std::string(4096, 'x') + "\r\n");
+    collector.parser.feed("0\r\n\r\n");
+    BOOST_TEST((collector.parser.state() == State::Complete));
+    BOOST_TEST(collector.body.size() == size);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
