Serving, Jobs: End attempts whose bytes never complete an event

Cause: any byte counted as a response of the upstream, and the bytes of an incomplete event and the output of an item were kept without a bound. Change: only events, not comments or parts of an event, prove that the upstream responds. An event is limited to 1 MiB, an item's output to 4 MiB.

--- a/include/rattanrill/serving/eventstream.h
+++ b/include/rattanrill/serving/eventstream.h
@@ -18,14 +18,25 @@
     std::string data;
     /// Bytes of the event as received, including the empty line that ends it.
     std::string bytes;
+    /// Whether the event has a data field, which may be empty.
+    bool hasData = false;
+
+    /// False for a comment, which does not advance the stream.
+    bool hasContent() const { return id.has_value() || hasData; }
 };
 
 /// Splits the bytes of a text/event-stream into complete events.
 class EventSplitter
 {
 public:
+    /// Maximum size of one event in bytes. Bytes without end that never complete an event would
+    /// otherwise exhaust the memory of the process.
+    static constexpr std::size_t maxEventBytes = std::size_t(1) << 20;
+
     /// Appends to \a events those that are complete with \a bytes.
     void feed(std::string_view bytes, std::vector<StreamEvent> &events);
+    /// Whether the incomplete event exceeds maxEventBytes.
+    bool isEventTooLong() const { return m_pending.size() > maxEventBytes; }
     /// Bytes received so far of an incomplete event.
     const std::string &incompleteEvent() const { return m_pending; }
     /// Discards an incomplete event after the connection to its upstream was lost.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -16,11 +16,15 @@
 /// Delay after a failed attempt; doubles with each further failure up to maxBackoff.
 constexpr absl::Duration minBackoff = absl::Milliseconds(100);
 constexpr absl::Duration maxBackoff = absl::Seconds(2);
-/// An attempt fails when its upstream sends no data for this long; the item then requests another
+/// An attempt fails when its upstream sends no event for this long; the item then requests another
 /// slot. Longer than the prefill time of a busy engine: batch items are not urgent, and each
 /// further attempt computes the prompt again.
 constexpr absl::Duration idleTimeout = absl::Milliseconds(1500);
 
+/// Maximum size of an item's output. An upstream that sends events without end would otherwise keep
+/// its slot and exhaust the memory of the process.
+constexpr std::size_t maxOutputBytes = std::size_t(4) << 20;
+
 constexpr int statusUnprocessable = 422;
 
 std::string taskId(const wire::JobRecord &job, const wire::JobItem &item)
@@ -198,12 +202,18 @@
         return;
     std::vector<serving::StreamEvent> events;
     m_splitter.feed(bytes, events);
+    bool hasContent = false;
     for (const serving::StreamEvent &event : events) {
+        if (!event.hasContent())
+            continue;
+        hasContent = true;
         const serving::SequenceCheck check = m_position.advance(event);
         if (check == serving::SequenceCheck::Gap)
             return failAttempt("an event is missing from the stream", ReleaseReason::Failed);
         if (check == serving::SequenceCheck::Repeated)
             continue;
+        if (m_output.size() + event.data.size() > maxOutputBytes)
+            return failAttempt("the output exceeds the size limit", ReleaseReason::Failed);
         if (m_hasOutput)
             m_output += '\n';
         m_output += event.data;
@@ -213,7 +223,10 @@
         if (event.id)
             m_unstoredOutputLengths[*event.id] = m_output.size();
     }
-    restartIdleTimer();
+    if (m_splitter.isEventTooLong())
+        return failAttempt("an event exceeds the size limit", ReleaseReason::Failed);
+    if (hasContent)
+        restartIdleTimer();
 }
 
 void ItemRun::handleCallEnd(net::CallStatus status)
@@ -316,7 +329,7 @@
     m_idleTimer = m_context.loop.timers().subscribeOnce(idleTimeout, [self = shared_from_this()] {
         self->m_idleTimer = 0;
         if (self->m_state == State::Running)
-            self->failAttempt("the upstream sent no data within the idle timeout",
+            self->failAttempt("the upstream sent no event within the idle timeout",
                               ReleaseReason::Failed);
     });
 }
--- a/src/serving/eventstream.cpp
+++ b/src/serving/eventstream.cpp
@@ -34,7 +34,7 @@
            && line[name.size()] == ':';
 }
 
-void parseLine(std::string_view line, StreamEvent &event, bool &hasData)
+void parseLine(std::string_view line, StreamEvent &event)
 {
     if (isField(line, "id")) {
         const std::string_view value = fieldValue(line, 2);
@@ -43,10 +43,10 @@
         if (parsed.ec == std::errc() && parsed.ptr == value.data() + value.size())
             event.id = id;
     } else if (isField(line, "data")) {
-        if (hasData)
+        if (event.hasData)
             event.data += '\n';
         event.data += fieldValue(line, 4);
-        hasData = true;
+        event.hasData = true;
     }
 }
 
@@ -54,13 +54,12 @@
 {
     StreamEvent event;
     event.bytes = std::string(text);
-    bool hasData = false;
     while (!text.empty()) {
         const std::size_t end = std::min(text.find('\n'), text.size());
         std::string_view line = text.substr(0, end);
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
-        parseLine(line, event, hasData);
+        parseLine(line, event);
         text.remove_prefix(std::min(end + 1, text.size()));
     }
     return event;
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -225,26 +225,32 @@
 {
     if (m_ended)
         return;
-    // The upstream responds after all. If a slot at another one is still granted,
-    // slotResponseReceived() releases it.
-    m_isUnresponsive = false;
     if (m_isStream)
         return forwardEvents(bytes);
+    m_isUnresponsive = false;
+    if (m_body.size() + bytes.size() > maxBufferedBodyBytes)
+        return attemptFailed("the response body exceeds the size limit", ReleaseReason::Failed);
     m_body.append(bytes);
-    if (m_body.size() > maxBufferedBodyBytes)
-        attemptFailed("the response body exceeds the size limit", ReleaseReason::Failed);
 }
 
 void ProxiedRequest::forwardEvents(std::string_view bytes)
 {
     std::vector<StreamEvent> events;
     m_splitter.feed(bytes, events);
+    bool hasContent = false;
     for (const StreamEvent &event : events) {
         if (m_ended || !deliver(event))
             return;
+        hasContent = hasContent || event.hasContent();
     }
-    if (!events.empty())
-        armResponseTimer();
+    if (m_splitter.isEventTooLong())
+        return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
+    if (!hasContent)
+        return;
+    // The upstream responds after all. If a slot at another one is still granted,
+    // slotResponseReceived() releases it. Bytes that contain no event are no response.
+    m_isUnresponsive = false;
+    armResponseTimer();
 }
 
 /// Returns false when the attempt or the request has ended.
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -5,6 +5,7 @@
 #include "testprotocoladapter.h"
 
 #include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
@@ -34,6 +35,8 @@
     bool closes = false;
     /// Delay in milliseconds before the bytes are sent.
     int delay = 0;
+    /// Sent after the bytes, without end.
+    std::string filler = {};
 };
 
 std::string completeResponse(const std::string &id, const std::string &body, int status = 200,
@@ -132,11 +135,24 @@
             const Step step = nextStep(std::exchange(text, std::string()));
             std::this_thread::sleep_for(std::chrono::milliseconds(step.delay));
             boost::asio::write(socket, boost::asio::buffer(step.bytes), error);
-            if (step.closes)
+            if (step.closes || !sendFiller(socket, step.filler))
                 return;
         }
     }
 
+    /// Sends \a filler again and again; returns false when the peer has closed the connection.
+    bool sendFiller(Tcp::socket &socket, const std::string &filler) const
+    {
+        while (!filler.empty() && !m_context.stopped()) {
+            boost::system::error_code error;
+            socket.write_some(boost::asio::buffer(filler), error);
+            if (error && error != boost::asio::error::would_block)
+                return false;
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return true;
+    }
+
     Step nextStep(std::string request)
     {
         absl::MutexLock lock(&m_mutex);
@@ -326,6 +342,63 @@
     BOOST_TEST(contains(entry.sendRequest("a"), "soon"));
 }
 
+// Guards against an upstream that sends bytes without end which never complete an event. The
+// request must neither keep its slot there until the deadline nor collect the bytes.
+BOOST_AUTO_TEST_CASE(streamWithoutEventsIsReplaced)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n\r\n";
+    ScriptedUpstreams upstreams(
+            {{head, false, 0, std::string(10000, 'z')},
+             {streamHead("a") + chunk(event(1)) + chunk(event(2)) + "0\r\n\r\n"}});
+    Entry entry(routeOf(RouteKind::Streaming, 2, true));
+    const absl::Time start = absl::Now();
+    const std::string response = entry.sendRequest("a");
+    BOOST_TEST(contains(response, event(2)));
+    BOOST_TEST(contains(response, "\r\n0\r\n\r\n"));
+    BOOST_TEST(!contains(response, "zzz"));
+    BOOST_TEST((absl::Now() - start < absl::Seconds(2)));
+}
+
+// Guards against bytes that never complete an event and are collected until the deadline, when no
+// further attempt is allowed.
+BOOST_AUTO_TEST_CASE(eventWithoutEndFailsTheRequest)
+{
+    ScriptedUpstreams upstreams(
+            {{"HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n\r\n", false, 0,
+              std::string(10000, 'z')}});
+    Entry entry(routeOf(RouteKind::Streaming, 1, true));
+    const absl::Time start = absl::Now();
+    BOOST_TEST(contains(entry.sendRequest("a"), "HTTP/1.1 502"));
+    BOOST_TEST((absl::Now() - start < absl::Seconds(2)));
+}
+
+// Guards against an upstream that is given more time because it sends comments, which contain no
+// event of the stream.
+BOOST_AUTO_TEST_CASE(streamOfCommentsIsReplaced)
+{
+    std::vector<Step> steps = {
+            {streamHead("a"), false, 0, chunk(": wait\n\n")},
+            {streamHead("a") + chunk(event(1)) + "0\r\n\r\n"},
+    };
+    ScriptedUpstreams upstreams(std::move(steps));
+    Entry entry(routeOf(RouteKind::Streaming, 2, true));
+    BOOST_TEST(contains(entry.sendRequest("a"), event(1)));
+}
+
+// Guards against a legitimate long stream that a bound on bytes cuts off.
+BOOST_AUTO_TEST_CASE(longStreamIsNotCutOff)
+{
+    constexpr int events = 4000;
+    std::string stream = streamHead("a");
+    for (int id = 1; id <= events; ++id)
+        stream += chunk("id: " + std::to_string(id) + "\ndata: " + std::string(1000, 'y') + "\n\n");
+    ScriptedUpstreams upstreams({{stream + "0\r\n\r\n"}});
+    Entry entry(routeOf(RouteKind::Streaming, 1, true));
+    const std::string response = entry.sendRequest("a");
+    BOOST_TEST(contains(response, "id: 4000\n"));
+    BOOST_TEST(contains(response, "\r\n0\r\n\r\n"));
+}
+
 // Guards against an upstream's error response that is replaced by one of the serving system.
 BOOST_AUTO_TEST_CASE(errorResponseOfAnUpstreamIsForwarded)
 {
