Net: Cancel the wait of a removed timer

Cause: a removed timer stayed in the queue with its callback, and what that refers to, until it would have expired. Requests and batch items restart a timer for each event, so each kept the callbacks of all events of its timeout.

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -32,7 +32,16 @@
         return subscribe(period, period, std::move(callback));
     }
 
-    void unsubscribe(TimerId timer) override { m_timers.erase(timer); }
+    /// Cancels the wait as well: it would otherwise keep the callback, and what the callback refers
+    /// to, until the timer expires.
+    void unsubscribe(TimerId timer) override
+    {
+        const auto found = m_timers.find(timer);
+        if (found == m_timers.end())
+            return;
+        found->second->timer.cancel();
+        m_timers.erase(found);
+    }
 
 private:
     struct Timer
