Engine, Service: Bound the bytes and the time of each response

Cause: cpp-httplib reads a head without a bound in bytes, its timeout applies to each read instead of the call, and the clients kept bodies of load reports and error responses without a bound. A stream of lines that are no events had no idle timeout. Change: both clients use net::BlockingCall, on the parser of the upstream connections: a bound for the head, a deadline for the call, and limits for what the clients keep. A stream fails when no event arrives within the idle timeout.

--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -4,43 +4,21 @@
 #include "rattanrill/base/json.h"
 #include "streamreader.h"
 
-#include <httplib.h>
+#include "rattanrill/base/logger.h"
+#include "rattanrill/net/blockingcall.h"
 
+#include <algorithm>
 #include <atomic>
 #include <charconv>
 
 namespace rattanrill::engine {
 namespace {
 
-/// Approximate size at which bodies of error responses are truncated.
+/// Maximum size of the body of an error response. A longer one ends the call.
 constexpr std::size_t maxErrorBytes = 64u << 10;
+/// Maximum size of the response to a call other than stream().
+constexpr std::size_t maxResponseBytes = std::size_t(4) << 20;
 constexpr int statusOk = 200;
-/// Minimum socket timeout. A shorter one, such as the time until a deadline that is about to pass,
-/// is raised to this value.
-constexpr absl::Duration minTimeout = absl::Milliseconds(1);
-/// A socket timeout that is set to the time until the deadline may expire up to this long before
-/// the deadline.
-constexpr absl::Duration timerTolerance = absl::Milliseconds(2);
-
-void setTimeouts(httplib::Client &client, absl::Duration connect, absl::Duration read)
-{
-    const auto micros = [](absl::Duration duration) {
-        return static_cast<time_t>(absl::ToInt64Microseconds(std::max(duration, minTimeout)));
-    };
-    constexpr time_t microsPerSecond = 1000000;
-    client.set_connection_timeout(micros(connect) / microsPerSecond,
-                                  micros(connect) % microsPerSecond);
-    client.set_read_timeout(micros(read) / microsPerSecond, micros(read) % microsPerSecond);
-    client.set_write_timeout(micros(read) / microsPerSecond, micros(read) % microsPerSecond);
-    client.set_tcp_nodelay(true);
-    client.set_keep_alive(false);
-}
-
-bool failedBeforeSending(httplib::Error error)
-{
-    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
-           || error == httplib::Error::BindIPAddress;
-}
 
 /// Returns the "error" object of an error response; null when \a body contains none.
 Json errorOf(const std::string &body)
@@ -117,35 +95,70 @@
         return dumpJson(body);
     }
 
-    Failure transportFailure(httplib::Error error) const
+    std::string description() const
+    {
+        return concat("engine \"", options.name, "\" at ", options.host, ":", options.port);
+    }
+
+    /// Returns the failure of a call that ended with \a end. \a isBodyTooLong tells that a handler
+    /// stopped the call because of the size of the body.
+    Failure transportFailure(const net::BlockingCall &call, net::BlockingCallEnd end,
+                             bool isBodyTooLong) const
+    {
+        if (end == net::BlockingCallEnd::NotConnected)
+            return notRun(ErrorCode::UpstreamUnavailable, describe(end));
+        if (isBodyTooLong || end == net::BlockingCallEnd::TooLong) {
+            log(LogLevel::Warning, "response-unreadable",
+                {{"upstream", options.name},
+                 {"reason", isBodyTooLong ? "body_too_long" : net::name(call.fault())}});
+            return mayHaveRun(
+                    ErrorCode::StreamBroken,
+                    concat(description(), " sent a response that exceeds the maximum size"));
+        }
+        return mayHaveRun(ErrorCode::StreamBroken, describe(end));
+    }
+
+    std::string describe(net::BlockingCallEnd end) const
     {
-        const std::string detail = concat("engine \"", options.name, "\" at ", options.host, ":",
-                                          options.port, ": ", httplib::to_string(error));
-        if (failedBeforeSending(error))
-            return notRun(ErrorCode::UpstreamUnavailable, detail);
-        return mayHaveRun(ErrorCode::StreamBroken, detail);
+        return concat(description(), ": ", net::name(end));
     }
 
     /// Makes a call other than stream() and returns the body of the response as JSON of any type,
     /// or a discarded value when the body is not JSON.
     Outcome<Json> call(const std::string &method, const std::string &path, const Json &body) const
     {
-        httplib::Client client(options.host, options.port);
-        setTimeouts(client, options.connectTimeout, options.auxiliaryCallTimeout);
-        httplib::Request request;
+        net::Request request;
         request.method = method;
-        request.path = path;
+        request.target = path;
         if (!body.is_null()) {
             request.body = dumpJson(body);
-            request.set_header("Content-Type", "application/json");
+            request.headers.set("Content-Type", "application/json");
         }
-        const httplib::Result result = client.send(request);
-        if (!result)
-            return transportFailure(result.error());
-        if (result->status != statusOk)
-            return failureOfStatus(options.name, result->status, result->body);
-        Json response = Json::parse(result->body, nullptr, false);
-        return response;
+        net::Response response;
+        bool isBodyTooLong = false;
+        net::BlockingCall::Handlers handlers;
+        handlers.onHead = [&](const net::ResponseHead &head) {
+            response.head = head;
+            return true;
+        };
+        handlers.onBody = [&](std::string_view bytes) {
+            isBodyTooLong = response.body.size() + bytes.size() > maxResponseBytes;
+            if (!isBodyTooLong)
+                response.body.append(bytes);
+            return !isBodyTooLong;
+        };
+        net::BlockingCallTimeouts timeouts;
+        timeouts.connect = options.connectTimeout;
+        timeouts.idle = options.auxiliaryCallTimeout;
+        timeouts.deadline = clock.now() + options.auxiliaryCallTimeout;
+        net::BlockingCall blockingCall(options.host, options.port, timeouts, clock);
+        const auto end = blockingCall.run(std::move(request), std::move(handlers));
+        if (end != net::BlockingCallEnd::Complete)
+            return transportFailure(blockingCall, end, isBodyTooLong);
+        if (response.head.status != statusOk)
+            return failureOfStatus(options.name, response.head.status, response.body);
+        Json json = Json::parse(response.body, nullptr, false);
+        return json;
     }
 
     EngineOptions options;
@@ -166,56 +179,71 @@
         , m_body(std::move(body))
         , m_clock(clock)
         , m_reader(request.requestId, request.deliveredTokens, onToken)
-        , m_client(options.host, options.port)
+        , m_call(options.host, options.port, timeouts(options, request), clock)
     {}
 
-    httplib::Error run(AbortSignal &abortSignal)
+    net::BlockingCallEnd run(AbortSignal &abortSignal)
     {
-        const absl::Duration remaining = m_request.deadline - m_clock.now();
-        setTimeouts(m_client, std::min(m_options.connectTimeout, remaining),
-                    std::min(m_options.idleTimeout, remaining));
-        httplib::Request httpRequest = makeRequest(abortSignal);
-        abortSignal.setAbortAction([this] { m_client.stop(); });
-        const httplib::Result result = m_client.send(httpRequest);
+        m_progressAt = m_clock.now();
+        net::BlockingCall::Handlers handlers;
+        handlers.onHead = [this](const net::ResponseHead &head) {
+            m_status = head.status;
+            return true;
+        };
+        handlers.onBody = [this](std::string_view bytes) { return handleBodyBytes(bytes); };
+        abortSignal.setAbortAction([this] { m_call.abort(); });
+        const net::BlockingCallEnd end = m_call.run(makeRequest(), std::move(handlers));
         abortSignal.setAbortAction(nullptr);
-        return result ? httplib::Error::Success : result.error();
+        return end;
     }
 
     /// HTTP status of the response; 0 when none was received.
     int status() const { return m_status; }
     const std::string &errorBody() const { return m_errorBody; }
+    bool isErrorBodyTooLong() const { return m_errorBody.size() >= maxErrorBytes; }
+    /// Whether bytes without an event arrived until the idle timeout.
+    bool lacksEvents() const { return m_lacksEvents; }
     const StreamReader &reader() const { return m_reader; }
-    bool deadlineReached() const { return m_clock.now() + timerTolerance >= m_request.deadline; }
+    const net::BlockingCall &call() const { return m_call; }
 
 private:
-    httplib::Request makeRequest(AbortSignal &abortSignal)
+    static net::BlockingCallTimeouts timeouts(const EngineOptions &options,
+                                              const StreamRequest &request)
     {
-        httplib::Request httpRequest;
-        httpRequest.method = "POST";
-        httpRequest.path = m_request.path;
-        httpRequest.body = m_body;
-        httpRequest.set_header("Content-Type", "application/json");
-        httpRequest.set_header("Accept", "text/event-stream");
-        httpRequest.set_header("X-Request-Id", m_request.requestId);
-        httpRequest.response_handler = [this](const httplib::Response &response) {
-            m_status = response.status;
-            return true;
-        };
-        httpRequest.content_receiver = [this, &abortSignal](const char *data, std::size_t size,
-                                                            std::uint64_t, std::uint64_t) {
-            return handleBodyBytes(std::string_view(data, size)) && !abortSignal.aborted();
-        };
-        return httpRequest;
+        net::BlockingCallTimeouts timeouts;
+        timeouts.connect = options.connectTimeout;
+        timeouts.idle = options.idleTimeout;
+        timeouts.deadline = request.deadline;
+        return timeouts;
+    }
+
+    net::Request makeRequest()
+    {
+        net::Request request;
+        request.method = "POST";
+        request.target = m_request.path;
+        request.body = m_body;
+        request.headers.set("Content-Type", "application/json");
+        request.headers.set("Accept", "text/event-stream");
+        request.headers.set("X-Request-Id", m_request.requestId);
+        return request;
     }
 
     /// Returns false when the rest of the response is not needed.
     bool handleBodyBytes(std::string_view bytes)
     {
-        if (m_status == statusOk)
-            return m_reader.feed(bytes) && !m_reader.complete() && !deadlineReached();
-        if (m_errorBody.size() < maxErrorBytes)
-            m_errorBody += bytes;
-        return true;
+        if (m_status != statusOk) {
+            m_errorBody += bytes.substr(0, maxErrorBytes - m_errorBody.size());
+            return m_errorBody.size() < maxErrorBytes;
+        }
+        const std::uint64_t eventsBefore = m_reader.events();
+        if (!m_reader.feed(bytes) || m_reader.complete())
+            return false;
+        const absl::Time now = m_clock.now();
+        if (m_reader.events() != eventsBefore)
+            m_progressAt = now;
+        m_lacksEvents = now - m_progressAt > m_options.idleTimeout;
+        return !m_lacksEvents && now < m_request.deadline;
     }
 
     const EngineOptions &m_options;
@@ -223,9 +251,12 @@
     std::string m_body;
     const Clock &m_clock;
     StreamReader m_reader;
-    httplib::Client m_client;
+    net::BlockingCall m_call;
     int m_status = 0;
     std::string m_errorBody;
+    /// Time of the last event.
+    absl::Time m_progressAt;
+    bool m_lacksEvents = false;
 };
 
 } // namespace
@@ -252,23 +283,29 @@
     if (m_impl->clock.now() >= request.deadline)
         return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
     StreamCall call(m_impl->options, request, body.value(), m_impl->clock, onToken);
-    const httplib::Error error = call.run(abortSignal);
+    const net::BlockingCallEnd end = call.run(abortSignal);
     m_impl->dropped += call.reader().dropped();
-    if (failedBeforeSending(error) && call.deadlineReached())
+    const bool deadlinePassed = m_impl->clock.now() >= request.deadline;
+    if (end == net::BlockingCallEnd::NotConnected && deadlinePassed)
         return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
-    if (failedBeforeSending(error))
-        return m_impl->transportFailure(error);
+    if (end == net::BlockingCallEnd::NotConnected)
+        return m_impl->transportFailure(call.call(), end, false);
+    if (call.isErrorBodyTooLong())
+        return m_impl->transportFailure(call.call(), end, true);
     if (call.status() != 0 && call.status() != statusOk)
         return failureOfStatus(m_impl->options.name, call.status(), call.errorBody());
     if (call.reader().complete())
         return call.reader().finish();
     if (abortSignal.aborted())
         return mayHaveRun(ErrorCode::ClientDisconnected, "the request was aborted while it ran");
-    if (call.deadlineReached())
+    if (end == net::BlockingCallEnd::DeadlinePassed || deadlinePassed)
         return mayHaveRun(ErrorCode::Timeout, "the deadline passed while the request ran");
-    if (error == httplib::Error::Success || error == httplib::Error::Canceled)
+    if (call.lacksEvents())
+        return mayHaveRun(ErrorCode::StreamBroken,
+                          "the engine sent no event within the idle timeout");
+    if (end == net::BlockingCallEnd::Complete || end == net::BlockingCallEnd::StoppedByHandler)
         return call.reader().finish();
-    return m_impl->transportFailure(error);
+    return m_impl->transportFailure(call.call(), end, false);
 }
 
 Outcome<bool> EngineClient::cancel(const std::string &requestId)
--- a/src/engine/streamreader.cpp
+++ b/src/engine/streamreader.cpp
@@ -114,8 +114,10 @@
     // The last event may carry no token. handleFinish() checks that no token is missing before it.
     if ((reason.empty() || !text.empty()) && !handleToken(event, text))
         return false;
-    if (!reason.empty() && m_breakReason.empty())
+    if (!reason.empty() && m_breakReason.empty()) {
         handleFinish(event, reason);
+        ++m_events;
+    }
     return m_breakReason.empty();
 }
 
@@ -131,6 +133,7 @@
         return markBroken(
                 concat("expected token ", m_nextIndex, " but token ", position, " was received"));
     m_consecutiveDrops = 0;
+    ++m_events;
     ++m_nextIndex;
     m_onToken(Token{position, text});
     return true;
--- a/src/engine/streamreader.h
+++ b/src/engine/streamreader.h
@@ -25,6 +25,8 @@
     bool feed(std::string_view bytes);
     /// Returns how the stream ended. Fails with StreamBroken when it is broken or not complete.
     Outcome<StreamSummary> finish() const;
+    /// Number of events that belonged to the request and were not dropped.
+    std::uint64_t events() const { return m_events; }
     /// Number of dropped events.
     std::uint64_t dropped() const { return m_dropped; }
     /// Whether "[DONE]" was received.
@@ -50,6 +52,7 @@
     std::optional<StreamSummary> m_summary;
     /// Why the stream is broken; empty while it is intact.
     std::string m_breakReason;
+    std::uint64_t m_events = 0;
     std::uint64_t m_dropped = 0;
     /// Number of events dropped since the last token was passed to the handler.
     std::uint64_t m_consecutiveDrops = 0;
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -2,8 +2,8 @@
 
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/json.h"
-
-#include <httplib.h>
+#include "rattanrill/base/logger.h"
+#include "rattanrill/net/blockingcall.h"
 
 #include <atomic>
 
@@ -12,34 +12,8 @@
 
 constexpr int statusOk = 200;
 constexpr int statusUnavailable = 503;
-/// Minimum socket timeout. A shorter one, such as the time until a deadline that is about to pass,
-/// is raised to this value.
-constexpr absl::Duration minTimeout = absl::Milliseconds(1);
-/// Maximum socket timeout, so that a request without a deadline can't block its thread forever on a
-/// connection that sends nothing.
-constexpr absl::Duration maxTimeout = absl::Minutes(10);
-
-void setTimeouts(httplib::Client &client, absl::Duration connect, absl::Duration read)
-{
-    const auto micros = [](absl::Duration duration) {
-        return static_cast<time_t>(
-                absl::ToInt64Microseconds(std::clamp(duration, minTimeout, maxTimeout)));
-    };
-    constexpr time_t microsPerSecond = 1000000;
-    client.set_connection_timeout(micros(connect) / microsPerSecond,
-                                  micros(connect) % microsPerSecond);
-    client.set_read_timeout(micros(read) / microsPerSecond, micros(read) % microsPerSecond);
-    client.set_write_timeout(micros(read) / microsPerSecond, micros(read) % microsPerSecond);
-    client.set_tcp_nodelay(true);
-    client.set_keep_alive(false);
-    client.set_url_encode(false);
-}
-
-bool failedBeforeSending(httplib::Error error)
-{
-    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
-           || error == httplib::Error::BindIPAddress;
-}
+/// Maximum size of a load report.
+constexpr std::size_t maxLoadReportBytes = std::size_t(64) << 10;
 
 bool reportsNotRun(const std::string &body)
 {
@@ -50,11 +24,11 @@
 }
 
 /// Returns the request id that the response carries; empty when it carries none.
-std::string responseRequestId(const httplib::Response &response)
+std::string responseRequestId(const net::Response &response)
 {
-    if (response.has_header("X-Request-Id"))
-        return response.get_header_value("X-Request-Id");
-    if (response.get_header_value("Content-Type").find("json") == std::string::npos)
+    if (const std::string *id = response.head.headers.find("X-Request-Id"))
+        return *id;
+    if (response.head.headers.value("Content-Type").find("json") == std::string_view::npos)
         return {};
     const Json json = Json::parse(response.body, nullptr, false);
     if (!json.is_object())
@@ -63,6 +37,20 @@
     return id != json.end() && id->is_string() ? id->get<std::string>() : std::string();
 }
 
+net::Request makeRequest(const ServiceRequest &request)
+{
+    net::Request result;
+    result.method = request.method;
+    result.target = request.query.empty() ? request.path : concat(request.path, "?", request.query);
+    result.body = request.body;
+    if (!request.contentType.empty())
+        result.headers.set("Content-Type", request.contentType);
+    result.headers.set("X-Request-Id", request.requestId);
+    if (!request.workspace.empty())
+        result.headers.set("X-Workspace", request.workspace);
+    return result;
+}
+
 } // namespace
 
 struct ServiceClient::Impl
@@ -77,20 +65,54 @@
         return concat("service \"", options.name, "\" at ", options.host, ":", options.port);
     }
 
-    Failure transportFailure(httplib::Error error, absl::Time deadline) const
+    /// Makes one call and returns its response. A body of more than \a maxBodyBytes ends the call.
+    Outcome<net::Response> call(net::Request request, const net::BlockingCallTimeouts &timeouts,
+                                std::size_t maxBodyBytes) const
+    {
+        net::Response response;
+        bool isBodyTooLong = false;
+        net::BlockingCall::Handlers handlers;
+        handlers.onHead = [&](const net::ResponseHead &head) {
+            response.head = head;
+            return true;
+        };
+        handlers.onBody = [&](std::string_view bytes) {
+            isBodyTooLong = response.body.size() + bytes.size() > maxBodyBytes;
+            if (!isBodyTooLong)
+                response.body.append(bytes);
+            return !isBodyTooLong;
+        };
+        net::BlockingCall call(options.host, options.port, timeouts, clock);
+        const net::BlockingCallEnd end = call.run(std::move(request), std::move(handlers));
+        if (end == net::BlockingCallEnd::Complete)
+            return response;
+        if (isBodyTooLong || end == net::BlockingCallEnd::TooLong)
+            return tooLongFailure(isBodyTooLong ? "body_too_long" : net::name(call.fault()));
+        return transportFailure(end);
+    }
+
+    Failure tooLongFailure(std::string_view bound) const
     {
-        const std::string detail = concat(description(), ": ", httplib::to_string(error));
-        if (failedBeforeSending(error))
+        log(LogLevel::Warning, "response-unreadable",
+            {{"upstream", options.name}, {"reason", bound}});
+        return mayHaveRun(ErrorCode::UpstreamFailed,
+                          concat(description(), " sent a response that exceeds the maximum size"));
+    }
+
+    Failure transportFailure(net::BlockingCallEnd end) const
+    {
+        const std::string detail = concat(description(), ": ", net::name(end));
+        if (end == net::BlockingCallEnd::NotConnected)
             return notRun(ErrorCode::UpstreamUnavailable, detail);
-        if (clock.now() >= deadline)
+        if (end == net::BlockingCallEnd::DeadlinePassed)
             return mayHaveRun(ErrorCode::Timeout, detail);
         return mayHaveRun(ErrorCode::ConnectionLost, detail);
     }
 
     Outcome<ServiceResponse> checkResponse(const ServiceRequest &request,
-                                           const httplib::Response &response)
+                                           const net::Response &response)
     {
-        if (response.status == statusUnavailable && reportsNotRun(response.body))
+        if (response.head.status == statusUnavailable && reportsNotRun(response.body))
             return notRun(ErrorCode::UpstreamBusy, concat(description(), " is busy"));
         const std::string id = responseRequestId(response);
         if (!id.empty() && id != request.requestId) {
@@ -98,7 +120,8 @@
             return mayHaveRun(ErrorCode::UpstreamFailed,
                               concat(description(), " sent the response to another request"));
         }
-        return ServiceResponse{response.status, response.get_header_value("Content-Type"),
+        return ServiceResponse{response.head.status,
+                               std::string(response.head.headers.value("Content-Type")),
                                response.body};
     }
 
@@ -107,25 +130,6 @@
     std::atomic<std::uint64_t> dropped{0};
 };
 
-namespace {
-
-httplib::Request makeRequest(const ServiceRequest &request)
-{
-    httplib::Request httpRequest;
-    httpRequest.method = request.method;
-    httpRequest.path =
-            request.query.empty() ? request.path : concat(request.path, "?", request.query);
-    httpRequest.body = request.body;
-    if (!request.contentType.empty())
-        httpRequest.set_header("Content-Type", request.contentType);
-    httpRequest.set_header("X-Request-Id", request.requestId);
-    if (!request.workspace.empty())
-        httpRequest.set_header("X-Workspace", request.workspace);
-    return httpRequest;
-}
-
-} // namespace
-
 ServiceClient::ServiceClient(ServiceOptions options, const Clock &clock)
     : m_impl(new Impl(std::move(options), clock))
 {}
@@ -142,45 +146,35 @@
     const absl::Duration remaining = request.deadline - m_impl->clock.now();
     if (remaining <= absl::ZeroDuration())
         return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
-    httplib::Client client(m_impl->options.host, m_impl->options.port);
-    setTimeouts(client, std::min(m_impl->options.connectTimeout, remaining), remaining);
-    httplib::Request httpRequest = makeRequest(request);
-    std::string body;
-    bool exceedsLimit = false;
-    httpRequest.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
-                                       std::uint64_t) {
-        exceedsLimit = body.size() + size > m_impl->options.maxResponseBytes;
-        if (exceedsLimit || m_impl->clock.now() >= request.deadline)
-            return false;
-        body.append(data, size);
-        return true;
-    };
-    httplib::Response response;
-    httplib::Error error = httplib::Error::Success;
-    if (!client.send(httpRequest, response, error)) {
-        if (exceedsLimit)
-            return mayHaveRun(ErrorCode::UpstreamFailed,
-                              concat(m_impl->description(),
-                                     " sent a response that exceeds the maximum size"));
-        return m_impl->transportFailure(error, request.deadline);
-    }
-    response.body = std::move(body);
-    return m_impl->checkResponse(request, response);
+    net::BlockingCallTimeouts timeouts;
+    timeouts.connect = m_impl->options.connectTimeout;
+    timeouts.idle = remaining;
+    timeouts.deadline = request.deadline;
+    const auto response =
+            m_impl->call(makeRequest(request), timeouts, m_impl->options.maxResponseBytes);
+    if (!response.ok())
+        return response.failure();
+    return m_impl->checkResponse(request, response.value());
 }
 
 Outcome<ServiceLoadReport> ServiceClient::fetchLoadReport()
 {
-    httplib::Client client(m_impl->options.host, m_impl->options.port);
-    setTimeouts(client, m_impl->options.connectTimeout, m_impl->options.auxiliaryCallTimeout);
-    const httplib::Result result = client.Get("/service/load");
-    if (!result)
-        return m_impl->transportFailure(result.error(), absl::InfiniteFuture());
-    if (result->status != statusOk)
+    net::BlockingCallTimeouts timeouts;
+    timeouts.connect = m_impl->options.connectTimeout;
+    timeouts.idle = m_impl->options.auxiliaryCallTimeout;
+    timeouts.deadline = m_impl->clock.now() + m_impl->options.auxiliaryCallTimeout;
+    net::Request request;
+    request.method = "GET";
+    request.target = "/service/load";
+    const auto response = m_impl->call(std::move(request), timeouts, maxLoadReportBytes);
+    if (!response.ok())
+        return response.failure();
+    if (response.value().head.status != statusOk)
         return notRun(ErrorCode::UpstreamFailed,
                       concat(m_impl->description(), " responded to the load request with status ",
-                             result->status));
+                             response.value().head.status));
     return outcomeOf([&]() -> Result<ServiceLoadReport> {
-        BOOST_LEAF_AUTO(json, parseJson(result->body, "load report"));
+        BOOST_LEAF_AUTO(json, parseJson(response.value().body, "load report"));
         ServiceLoadReport load;
         BOOST_LEAF_ASSIGN(load.running, jsonMemberOr<std::int64_t>(json, "running", 0));
         BOOST_LEAF_ASSIGN(load.capacity, jsonMemberOr<std::int64_t>(json, "capacity", 0));
--- a/tests/engine/engineclient_test.cpp
+++ b/tests/engine/engineclient_test.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/engine/engineclient.h"
 
+#include "endlessserver.h"
+
 #include "rattanrill/base/json.h"
 
 #include "absl/synchronization/notification.h"
@@ -141,6 +143,54 @@
     BOOST_TEST((result.failure().code == ErrorCode::ClientDisconnected));
 }
 
+// Guards against an engine that sends bytes without end: in the head, in an error body, as lines
+// that are no events, or as one line. Each call must end within its bounds and close the
+// connection.
+BOOST_AUTO_TEST_CASE(bytesWithoutEndEndTheCall)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    const std::pair<std::string, std::string> rows[] = {
+            {"HTTP/1.1 200 OK\r\nX: ", std::string(1024, 'x')},
+            {"HTTP/1.1 200 OK\r\n", "X: " + std::string(1024, 'x') + "\r\n"},
+            {"HTTP/1.1 500 X\r\n\r\n", std::string(1024, 'x')},
+            {ok, ": no event\n\n"},
+            {ok + "data: ", std::string(1024, 'x')},
+    };
+    for (const auto &[prefix, filler] : rows) {
+        net::EndlessServer server(prefix, filler);
+        EngineOptions options;
+        options.name = "e";
+        options.host = "127.0.0.1";
+        options.port = server.port();
+        options.idleTimeout = absl::Milliseconds(300);
+        options.auxiliaryCallTimeout = absl::Milliseconds(300);
+        EngineClient client(options);
+        AbortSignal abortSignal;
+        const auto result = run(client, abortSignal);
+        BOOST_TEST((result.failure().code == ErrorCode::StreamBroken), prefix);
+        BOOST_TEST((result.failure().effect == EffectState::MayHaveRun));
+        BOOST_TEST(server.awaitClose());
+        BOOST_TEST(!client.fetchLoadReport().ok());
+        BOOST_TEST(!client.probe().ok());
+    }
+}
+
+// Guards against a load report that arrives byte by byte and holds the call beyond its timeout.
+BOOST_AUTO_TEST_CASE(slowLoadReportEndsAtTheTimeout)
+{
+    net::EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", " ", absl::Milliseconds(20));
+    EngineOptions options;
+    options.name = "e";
+    options.host = "127.0.0.1";
+    options.port = server.port();
+    options.auxiliaryCallTimeout = absl::Milliseconds(300);
+    EngineClient client(options);
+    const absl::Time start = SystemClock::instance().now();
+    BOOST_TEST(!client.fetchLoadReport().ok());
+    BOOST_TEST((SystemClock::instance().now() - start < absl::Seconds(2)));
+    BOOST_TEST(server.awaitClose());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::engine
--- /dev/null
+++ b/tests/service/serviceclient_test.cpp
@@ -0,0 +1,69 @@
+#include "rattanrill/service/serviceclient.h"
+
+#include "endlessserver.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace rattanrill::service {
+namespace {
+
+ServiceOptions optionsOf(const net::EndlessServer &server)
+{
+    ServiceOptions options;
+    options.name = "s";
+    options.host = "127.0.0.1";
+    options.port = server.port();
+    options.auxiliaryCallTimeout = absl::Milliseconds(300);
+    options.maxResponseBytes = 100000;
+    return options;
+}
+
+Outcome<ServiceResponse> call(ServiceClient &client)
+{
+    ServiceRequest request;
+    request.method = "GET";
+    request.path = "/x";
+    request.requestId = "r";
+    request.deadline = SystemClock::instance().now() + absl::Seconds(20);
+    return client.call(request);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServiceClientTest)
+
+// Guards against a service that sends a head or a body without end: the call must end long before
+// its deadline and close the connection.
+BOOST_AUTO_TEST_CASE(bytesWithoutEndEndTheCall)
+{
+    const std::string filler(1024, 'x');
+    for (const std::string prefix : {"HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n"}) {
+        net::EndlessServer server(prefix, filler);
+        ServiceClient client(optionsOf(server));
+        const absl::Time start = SystemClock::instance().now();
+        const auto result = call(client);
+        BOOST_REQUIRE(!result.ok());
+        BOOST_TEST((result.failure().code == ErrorCode::UpstreamFailed));
+        BOOST_TEST((result.failure().effect == EffectState::MayHaveRun));
+        BOOST_TEST(server.awaitClose());
+        BOOST_TEST(!client.fetchLoadReport().ok());
+        BOOST_TEST((SystemClock::instance().now() - start < absl::Seconds(10)));
+    }
+}
+
+// Guards against a load report that arrives byte by byte and holds the call beyond its timeout.
+BOOST_AUTO_TEST_CASE(slowLoadReportEndsAtTheTimeout)
+{
+    net::EndlessServer server("HTTP/1.1 200 OK\r\n\r\n", " ", absl::Milliseconds(20));
+    ServiceClient client(optionsOf(server));
+    const absl::Time start = SystemClock::instance().now();
+    BOOST_TEST(!client.fetchLoadReport().ok());
+    BOOST_TEST((SystemClock::instance().now() - start < absl::Seconds(2)));
+    BOOST_TEST(server.awaitClose());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace rattanrill::service
