Tests: Count only runs of the job in the crash test of batch items

The engines serve requests before the job starts, so the test could stop engines that did not run the item.

--- a/tests/entry/batch_test.cpp
+++ b/tests/entry/batch_test.cpp
@@ -229,8 +229,11 @@
     TestFleet fleet(1, engineCount);
     ScriptedEngine::Script script;
     script.pauseAt = 1;
-    for (int i = 0; i < engineCount; ++i)
+    std::vector<std::size_t> runsBefore;
+    for (int i = 0; i < engineCount; ++i) {
         fleet.engine(i).setScript(script);
+        runsBefore.push_back(fleet.engine(i).runs());
+    }
     const std::string file = upload(fleet, 0, itemLines(1));
     const Json job = createBatch(fleet, 0, file, "");
     std::set<int> crashed;
@@ -238,7 +241,9 @@
         int runningEngine = -1;
         BOOST_REQUIRE(eventually([&] {
             for (int i = 0; i < engineCount; ++i) {
-                if (crashed.count(i) == 0 && fleet.engine(i).runs() > 0)
+                const bool hasRun =
+                        fleet.engine(i).runs() > runsBefore[static_cast<std::size_t>(i)];
+                if (crashed.count(i) == 0 && hasRun)
                     runningEngine = i;
             }
             return runningEngine >= 0;
