Serving: Charge the broker for requests granted from local shares

Cause: in a burst the slot broker answers later than the timeout of 100 ms, and entries grant from their local shares for 0.5 s, while the broker goes on granting the whole rate. Change: an entry that reaches its broker again reports what it granted locally, and the broker charges it. What its bucket could not hold meanwhile is used first, so that a broker that was frozen does not refuse requests inside the rate. Evidence: rateHoldsWhileEntriesLoseTheBrokerForMoments, chargesOfAFrozenBrokerDoNotRefuseRequestsInsideTheRate, localGrantsAreReportedToTheRegainedBroker.

--- a/include/rattanrill/policy/tokenbucket.h
+++ b/include/rattanrill/policy/tokenbucket.h
@@ -46,6 +46,10 @@
     /// Changes rate and burst. Keeps the level, limited to the new burst, so that a change never
     /// grants a second burst.
     void setContract(absl::Time now, RateContract contract);
+    /// Takes \a units that came into use since \a since without a grant of this bucket, also when
+    /// they are not available. Units that the bucket could not hold meanwhile because it was full
+    /// are used first. The level becomes negative by at most the burst.
+    void charge(absl::Time now, double units, absl::Time since);
     /// Units available at \a now. Negative while units that were granted with a wait are not yet
     /// covered.
     double level(absl::Time now) const;
@@ -57,6 +61,8 @@
     RateContract m_contract;
     double m_level = 0;
     absl::Time m_levelTime;
+    /// Time since which the bucket has been full; InfiniteFuture() while it is not.
+    absl::Time m_fullSince = absl::InfiniteFuture();
 };
 
 } // namespace rattanrill::policy
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -88,6 +88,8 @@
     void release(const wire::SlotRelease &release);
     /// Adopts slots that a process obtained from a previous broker or from its local share.
     void adoptHeldSlots(const wire::HeldSlots &held);
+    /// Charges requests that another broker granted and that this one did not know of.
+    void chargeRates(const std::vector<wire::RateCharge> &charges);
     void reportLoad(const wire::UpstreamLoad &load);
     /// Reclaims the slots of processes that are not in \a instances.
     void setLiveInstances(const std::vector<std::string> &instances);
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -220,11 +220,22 @@
     std::int64_t deadlineMs = 0;
 };
 
+/// Number of requests of a workspace that count towards its rate.
+struct RateCharge
+{
+    std::string workspace;
+    std::int64_t requests = 0;
+    /// Time since the first of the requests was granted.
+    std::int64_t ageMs = 0;
+};
+
 /// Push of Method::ReportHeldSlots: reports the occupied slots to a new broker.
 struct HeldSlots
 {
     std::string instance;
     std::vector<HeldSlot> places;
+    /// Requests that the sender granted from its local share since it lost the receiver.
+    std::vector<RateCharge> charges{};
 };
 
 /// Push of Method::ReportLoad: the load that an upstream reported in the headers of a response.
--- a/src/policy/tokenbucket.cpp
+++ b/src/policy/tokenbucket.cpp
@@ -34,6 +34,7 @@
     if (wait > maxWait)
         return {false, wait - maxWait};
     m_level -= units;
+    m_fullSince = absl::InfiniteFuture();
     return {true, wait};
 }
 
@@ -42,6 +43,19 @@
     advance(now);
     m_contract = contract;
     m_level = std::min(m_level, contract.burst);
+    m_fullSince = absl::InfiniteFuture();
+}
+
+void TokenBucket::charge(absl::Time now, double units, absl::Time since)
+{
+    advance(now);
+    const absl::Time fullSince = std::max(m_fullSince, since);
+    const double unused =
+            fullSince < now ? absl::ToDoubleSeconds(now - fullSince) * m_contract.ratePerSecond : 0;
+    const double charged = std::max(units - unused, 0.0);
+    if (charged > 0)
+        m_fullSince = absl::InfiniteFuture();
+    m_level = std::max(m_level - charged, std::min(m_level, -m_contract.burst));
 }
 
 double TokenBucket::level(absl::Time now) const
@@ -56,6 +70,10 @@
     if (now <= m_levelTime)
         return;
     const double gained = absl::ToDoubleSeconds(now - m_levelTime) * m_contract.ratePerSecond;
+    if (m_fullSince == absl::InfiniteFuture() && m_level + gained >= m_contract.burst)
+        m_fullSince = now
+                      - absl::Seconds((m_level + gained - m_contract.burst)
+                                      / std::max(m_contract.ratePerSecond, levelTolerance));
     m_level = std::min(m_level + gained, m_contract.burst);
     m_levelTime = now;
 }
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -219,6 +219,7 @@
 
 void SlotBroker::adoptHeldSlots(const wire::HeldSlots &held)
 {
+    chargeRates(held.charges);
     const absl::Time now = m_clock.now();
     for (const wire::HeldSlot &slot : held.places) {
         const std::string id = taskId(held.instance, slot.requestId);
@@ -239,6 +240,17 @@
     }
 }
 
+void SlotBroker::chargeRates(const std::vector<wire::RateCharge> &charges)
+{
+    const absl::Time now = m_clock.now();
+    for (const wire::RateCharge &charge : charges) {
+        policy::TokenBucket *rateBucket = bucket(charge.workspace);
+        if (rateBucket != nullptr)
+            rateBucket->charge(now, static_cast<double>(charge.requests),
+                               now - absl::Milliseconds(charge.ageMs));
+    }
+}
+
 void SlotBroker::reportLoad(const wire::UpstreamLoad &load)
 {
     m_scheduler.loadReported(m_clock.now(), load.upstream, load.requests);
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -92,13 +92,24 @@
                     const bool isReleased = self->localRequests.count(request.requestId) == 0;
                     if (response.verdict == wire::SlotOutcome::Waiting && !isReleased)
                         return self->acquireLocally(repeatOf(request), callback);
-                    if (response.verdict != wire::SlotOutcome::Granted)
+                    const bool isGranted = response.verdict == wire::SlotOutcome::Granted;
+                    if (!isGranted)
                         self->localRequests.erase(request.requestId);
+                    if (isGranted && request.chargesRate)
+                        self->recordLocalCharge(request.workspace);
                     self->recordHeldSlot(request, response);
                     callback(response, true);
                 });
     }
 
+    void recordLocalCharge(const std::string &workspace)
+    {
+        const auto [charge, isFirst] = localCharges.try_emplace(workspace);
+        if (isFirst)
+            charge->second.firstGrantedAt = clock.now();
+        ++charge->second.requests;
+    }
+
     void recordHeldSlot(const wire::SlotRequest &request, const wire::SlotResponse &response)
     {
         if (response.verdict != wire::SlotOutcome::Granted)
@@ -110,14 +121,19 @@
         instance = request.instance;
     }
 
-    /// Reports the held slots to the broker, which may have no record of them when it has just
-    /// started or was unreachable.
+    /// Reports the held slots and the charges of the local share to the broker, which may have no
+    /// record of them when it has just started or was unreachable.
     void reportHeldSlots()
     {
-        if (heldSlots.empty() || brokerAddress.empty())
+        const auto charges = std::exchange(localCharges, {});
+        if ((heldSlots.empty() && charges.empty()) || brokerAddress.empty())
             return;
         wire::HeldSlots message;
         message.instance = instance;
+        for (const auto &[workspace, charge] : charges)
+            message.charges.push_back(
+                    {workspace, charge.requests,
+                     absl::ToInt64Milliseconds(clock.now() - charge.firstGrantedAt)});
         for (const auto &[id, granted] : heldSlots) {
             message.places.push_back(granted.slot);
             message.places.back().deadlineMs =
@@ -154,6 +170,13 @@
     };
     /// Slots granted by the broker and from the local share, by request id.
     std::map<std::string, GrantedSlot> heldSlots;
+    struct LocalCharge
+    {
+        absl::Time firstGrantedAt;
+        std::int64_t requests = 0;
+    };
+    /// Requests granted from the local share since the broker was last reachable, by workspace.
+    std::map<std::string, LocalCharge> localCharges;
     std::string instance;
     bool brokerReachable = true;
     bool stopped = false;
@@ -175,6 +198,8 @@
         return;
     m_impl->brokerAddress = address;
     m_impl->brokerRetryAt = absl::InfinitePast();
+    // A new broker starts with low rate buckets, which allows for what was granted before.
+    m_impl->localCharges.clear();
     log(LogLevel::Info, "place-broker-changed",
         {{"peerAddress", address},
          {"heldPlaces", static_cast<std::int64_t>(m_impl->heldSlots.size())}});
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -45,7 +45,8 @@
                        excluded)
 RATTANRILL_WIRE_FIELDS(SlotResponse, verdict, upstream, address, retryAfterMs)
 RATTANRILL_WIRE_FIELDS(HeldSlot, requestId, service, workspace, upstream, deadlineMs)
-RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places)
+RATTANRILL_WIRE_FIELDS(RateCharge, workspace, requests, ageMs)
+RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges)
 RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests)
 RATTANRILL_WIRE_FIELDS(SlotRelease, instance, requestId, upstream, end)
 
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -2,8 +2,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace rattanrill;
@@ -101,6 +104,68 @@
     BOOST_TEST(grants.size() > 290u);
 }
 
+// Guards against a workspace that gets its rate twice in some window while entry processes lose the
+// broker for moments: they grant from their local shares what the broker grants to the others.
+BOOST_AUTO_TEST_CASE(rateHoldsWhileEntriesLoseTheBrokerForMoments)
+{
+    constexpr int entries = 4;
+    std::vector<std::unique_ptr<SlotBroker>> locals;
+    for (int i = 0; i < entries; ++i) {
+        locals.push_back(std::make_unique<SlotBroker>(timers, clock, settings()));
+        locals.back()->setDeployment(deployment(10, 10));
+        locals.back()->setUpstreams({{"u", "llm", "u:1", "d", 100, false}},
+                                    CapacityShare{1.0 / entries, 1});
+    }
+    timers.advance(absl::Seconds(10));
+    std::vector<absl::Time> grants;
+    std::vector<std::int64_t> charges(entries, 0);
+    for (int step = 0; step < 3000; ++step) {
+        timers.advance(absl::Milliseconds(10));
+        for (int i = 0; i < entries; ++i) {
+            // Each entry loses the broker for 500 of 600 ms, at other times than the others.
+            const int phase = (step + i * 15) % 60;
+            SlotBroker &local = *locals[static_cast<std::size_t>(i)];
+            std::int64_t &charge = charges[static_cast<std::size_t>(i)];
+            if (phase == 50)
+                broker.chargeRates({{"w", std::exchange(charge, 0), 500}});
+            const bool isLocal = phase < 50;
+            wire::SlotRequest slotRequest = request(std::to_string(step * entries + i));
+            slotRequest.instance = "e" + std::to_string(i);
+            slotRequest.chargesRate = true;
+            std::optional<wire::SlotResponse> response;
+            SlotBroker &granting = isLocal ? local : broker;
+            granting.acquire(slotRequest, [&](const wire::SlotResponse &r) { response = r; });
+            if (!response || response->verdict != SlotOutcome::Granted)
+                continue;
+            grants.push_back(clock.now());
+            charge += isLocal ? 1 : 0;
+            granting.release({slotRequest.instance, slotRequest.requestId, "u", "served"});
+        }
+    }
+    const double bound = (10 * 5 + 10) * 1.1 + 20;
+    std::size_t most = 0;
+    for (std::size_t first = 0, next = 0; first < grants.size(); ++first) {
+        while (next < grants.size() && grants[next] - grants[first] <= absl::Seconds(5))
+            ++next;
+        most = std::max(most, next - first);
+    }
+    BOOST_TEST(static_cast<double>(most) <= bound);
+    BOOST_TEST(grants.size() > 200u);
+}
+
+// Guards against requests inside the rate that are refused because the local shares granted others
+// while the broker was frozen: its bucket could not hold what became available meanwhile.
+BOOST_AUTO_TEST_CASE(chargesOfAFrozenBrokerDoNotRefuseRequestsInsideTheRate)
+{
+    timers.advance(absl::Seconds(10));
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(tryAcquire("before-" + std::to_string(i)));
+    timers.advance(absl::Seconds(4));
+    // 30 of the 40 requests of 4 s were granted from local shares.
+    broker.chargeRates({{"w", 30, 4000}});
+    BOOST_TEST(tryAcquire("after"));
+}
+
 // Guards against refused callers that retry at once, and against a Retry-After that is longer than
 // the time in which the rate grants the next request.
 BOOST_AUTO_TEST_CASE(overRateResponseContainsRetryAfter)
--- /dev/null
+++ b/tests/serving/slotclient_test.cpp
@@ -0,0 +1,125 @@
+#include "rattanrill/serving/slotclient.h"
+
+#include "loopthread.h"
+
+#include "rattanrill/peer/server.h"
+#include "rattanrill/wire/codec.h"
+
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+using namespace rattanrill;
+using namespace rattanrill::serving;
+
+namespace {
+
+peer::TransportOptions transport(const std::string &instance)
+{
+    peer::TransportOptions options;
+    options.self = {instance, "d", "entry"};
+    options.clusterSecret = "s";
+    return options;
+}
+
+/// A broker that fails requests until it is repaired and records what it is told of held slots.
+struct Fixture
+{
+    Fixture()
+    {
+        server.setHandler(wire::Method::RequestSlot,
+                          [this](const peer::PeerIdentity &, const std::string &,
+                                 const peer::ResponseCallback &reply) {
+                              if (!isRepaired)
+                                  return reply(notRun(ErrorCode::NotLeader, ""));
+                              wire::SlotResponse response;
+                              response.verdict = wire::SlotOutcome::Granted;
+                              response.upstream = "u";
+                              reply(wire::encode(response));
+                          });
+        server.setHandler(
+                wire::Method::ReportHeldSlots,
+                [this](const peer::PeerIdentity &, const std::string &body,
+                       const peer::ResponseCallback &reply) {
+                    held = outcomeOf([&] { return wire::decode<wire::HeldSlots>(body); }).value();
+                    if (!reported.HasBeenNotified())
+                        reported.Notify();
+                    reply(std::string());
+                });
+        BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
+        thread.run([this] {
+            Deployment deployment;
+            deployment.version = 1;
+            deployment.workspaces = {{"w", {"k"}, -1, 1000, 1000}};
+            client.setDeployment(std::make_shared<const DeploymentIndex>(std::move(deployment)));
+            client.setUpstreams({{"u", "llm", "u:1", "d", 100, false}}, 1);
+            client.setBroker("127.0.0.1:" + std::to_string(server.port()));
+        });
+    }
+    ~Fixture()
+    {
+        thread.run([this] { client.stop(); });
+        channels.close();
+        server.stop();
+    }
+
+    /// Requests a slot and releases it. Returns whether it was granted from the local share.
+    bool acquire(const std::string &id)
+    {
+        wire::SlotRequest request;
+        request.requestId = id;
+        request.instance = "e";
+        request.service = "llm";
+        request.workspace = "w";
+        request.objectiveMs = 300;
+        request.deadlineMs = 5000;
+        absl::Notification done;
+        bool isLocal = false;
+        thread.run([&] {
+            client.acquire(request, [&](const wire::SlotResponse &response, bool fromLocalShare) {
+                BOOST_TEST((response.verdict == wire::SlotOutcome::Granted));
+                isLocal = fromLocalShare;
+                client.release({"e", id, "u", "served"});
+                done.Notify();
+            });
+        });
+        BOOST_REQUIRE(done.WaitForNotificationWithTimeout(absl::Seconds(10)));
+        return isLocal;
+    }
+
+    std::atomic<bool> isRepaired{false};
+    wire::HeldSlots held;
+    absl::Notification reported;
+    net::LoopThread thread;
+    peer::ChannelPool channels{transport("e")};
+    peer::Server server{transport("broker")};
+    SlotClient client{thread.loop(), channels, SystemClock::instance(), SlotClientSettings()};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SlotClientTest, Fixture)
+
+// Guards against requests that the local share grants while the broker is out of reach and that the
+// broker does not count towards the workspace's rate afterwards.
+BOOST_AUTO_TEST_CASE(localGrantsAreReportedToTheRegainedBroker)
+{
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(acquire("local-" + std::to_string(i)));
+    isRepaired = true;
+    absl::SleepFor(SlotClientSettings().brokerRetryDelay);
+    BOOST_TEST(!acquire("regained"));
+    BOOST_REQUIRE(reported.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_REQUIRE(held.charges.size() == 1u);
+    BOOST_TEST(held.charges[0].workspace == "w");
+    BOOST_TEST(held.charges[0].requests == 3);
+    BOOST_TEST(held.charges[0].ageMs
+               >= absl::ToInt64Milliseconds(SlotClientSettings().brokerRetryDelay));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
