Serving: Do not repeat or refuse a request whose response was cut at a bound

What callers saw: nothing yet. A request whose response exceeds the size limit was answered 503, which promises that it has not run, or sent to another upstream although its route allows one run only. Cause: whether a request may have run was recorded at the end of a call only, and these attempts end before it. Change: it is recorded with the head of a response that does not report otherwise.

--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -214,6 +214,8 @@
     m_head = head;
     m_responseInfo = info;
     m_hasHead = true;
+    // The attempt may end before the response is complete, when a bound is reached.
+    m_mayHaveRun = m_mayHaveRun || !info.notRun;
     if (info.outstandingRequests)
         m_context.slotClient.reportLoad({m_upstream, *info.outstandingRequests});
     m_isStream = !info.notRun && head.status >= 200 && head.status < 300
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -372,6 +372,17 @@
     BOOST_TEST((absl::Now() - start < absl::Seconds(2)));
 }
 
+// Guards against a non-idempotent request that runs twice, or is refused as not run, because the
+// body of its response exceeds the size limit.
+BOOST_AUTO_TEST_CASE(requestWithATooLongResponseIsNotRepeated)
+{
+    ScriptedUpstreams upstreams({{"HTTP/1.1 200 OK\r\nId: a\r\n\r\n" + std::string(17 << 20, 'z')},
+                                 {completeResponse("a", "second run")}});
+    Entry entry(routeOf(RouteKind::NonIdempotent, 3));
+    BOOST_TEST(contains(entry.sendRequest("a"), "HTTP/1.1 502"));
+    BOOST_TEST(upstreams.requests().size() == 1u);
+}
+
 // Guards against an upstream that is given more time because it sends comments, which contain no
 // event of the stream.
 BOOST_AUTO_TEST_CASE(streamOfCommentsIsReplaced)
