Tests: Send long scripted responses whole

longStreamIsNotCutOff failed once beside load: the scripted upstream wrote to a non-blocking socket, and such a write ends when the send buffer is full, so the response was truncated and the request with a too long response never reached its bound. Writes block now, and the latter response has no end.

--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -134,7 +134,10 @@
                 continue;
             const Step step = nextStep(std::exchange(text, std::string()));
             std::this_thread::sleep_for(std::chrono::milliseconds(step.delay));
+            // A write to a non-blocking socket ends when its send buffer is full.
+            socket.non_blocking(false);
             boost::asio::write(socket, boost::asio::buffer(step.bytes), error);
+            socket.non_blocking(true);
             if (step.closes || !sendFiller(socket, step.filler))
                 return;
         }
@@ -376,8 +379,9 @@
 // body of its response exceeds the size limit.
 BOOST_AUTO_TEST_CASE(requestWithATooLongResponseIsNotRepeated)
 {
-    ScriptedUpstreams upstreams({{"HTTP/1.1 200 OK\r\nId: a\r\n\r\n" + std::string(17 << 20, 'z')},
-                                 {completeResponse("a", "second run")}});
+    ScriptedUpstreams upstreams(
+            {{"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", false, 0, std::string(65536, 'z')},
+             {completeResponse("a", "second run")}});
     Entry entry(routeOf(RouteKind::NonIdempotent, 3));
     BOOST_TEST(contains(entry.sendRequest("a"), "HTTP/1.1 502"));
     BOOST_TEST(upstreams.requests().size() == 1u);
