Net: Collect a bounded response in one place

The engine and the service client each collected bodies up to a bound. BlockingCall::fetch() does it for both, and names the bound of the body like the others. No behaviour changes: tests of net, engine, service and platform pass.

--- a/include/rattanrill/net/blockingcall.h
+++ b/include/rattanrill/net/blockingcall.h
@@ -6,6 +6,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -67,6 +68,9 @@
     /// Sends \a request, to which it adds the headers Host and Connection, and reads the response.
     /// Must be called once.
     BlockingCallEnd run(Request request, Handlers handlers);
+    /// Calls run() and collects the response in \a response. A body of more than \a maxBodyBytes
+    /// ends the call with TooLong.
+    BlockingCallEnd fetch(Request request, std::size_t maxBodyBytes, Response &response);
     /// Ends run() early, also when it has not started yet. May be called from any thread.
     void abort();
     /// Why the response could not be read, after Broken or TooLong.
--- a/include/rattanrill/net/responseparser.h
+++ b/include/rattanrill/net/responseparser.h
@@ -21,6 +21,8 @@
     HeadTooLong,
     /// The skipped responses exceed ResponseLimits::maxSkippedBytes.
     SkippedTooLong,
+    /// The body exceeds the bound of its receiver. The parser does not report this itself.
+    BodyTooLong,
 };
 
 std::string_view name(ResponseFault fault);
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -100,24 +100,21 @@
         return concat("engine \"", options.name, "\" at ", options.host, ":", options.port);
     }
 
-    /// Returns the failure of a call that ended with \a end. \a isBodyTooLong tells that a handler
-    /// stopped the call because of the size of the body.
-    Failure transportFailure(const net::BlockingCall &call, net::BlockingCallEnd end,
-                             bool isBodyTooLong) const
+    Failure transportFailure(net::BlockingCallEnd end) const
     {
         if (end == net::BlockingCallEnd::NotConnected)
             return notRun(ErrorCode::UpstreamUnavailable, describe(end));
-        if (isBodyTooLong || end == net::BlockingCallEnd::TooLong) {
-            log(LogLevel::Warning, "response-unreadable",
-                {{"upstream", options.name},
-                 {"reason", isBodyTooLong ? "body_too_long" : net::name(call.fault())}});
-            return mayHaveRun(
-                    ErrorCode::StreamBroken,
-                    concat(description(), " sent a response that exceeds the maximum size"));
-        }
         return mayHaveRun(ErrorCode::StreamBroken, describe(end));
     }
 
+    Failure tooLongFailure(net::ResponseFault bound) const
+    {
+        log(LogLevel::Warning, "response-unreadable",
+            {{"upstream", options.name}, {"reason", net::name(bound)}});
+        return mayHaveRun(ErrorCode::StreamBroken,
+                          concat(description(), " sent a response that exceeds the maximum size"));
+    }
+
     std::string describe(net::BlockingCallEnd end) const
     {
         return concat(description(), ": ", net::name(end));
@@ -134,27 +131,17 @@
             request.body = dumpJson(body);
             request.headers.set("Content-Type", "application/json");
         }
-        net::Response response;
-        bool isBodyTooLong = false;
-        net::BlockingCall::Handlers handlers;
-        handlers.onHead = [&](const net::ResponseHead &head) {
-            response.head = head;
-            return true;
-        };
-        handlers.onBody = [&](std::string_view bytes) {
-            isBodyTooLong = response.body.size() + bytes.size() > maxResponseBytes;
-            if (!isBodyTooLong)
-                response.body.append(bytes);
-            return !isBodyTooLong;
-        };
         net::BlockingCallTimeouts timeouts;
         timeouts.connect = options.connectTimeout;
         timeouts.idle = options.auxiliaryCallTimeout;
         timeouts.deadline = clock.now() + options.auxiliaryCallTimeout;
         net::BlockingCall blockingCall(options.host, options.port, timeouts, clock);
-        const auto end = blockingCall.run(std::move(request), std::move(handlers));
+        net::Response response;
+        const auto end = blockingCall.fetch(std::move(request), maxResponseBytes, response);
+        if (end == net::BlockingCallEnd::TooLong)
+            return tooLongFailure(blockingCall.fault());
         if (end != net::BlockingCallEnd::Complete)
-            return transportFailure(blockingCall, end, isBodyTooLong);
+            return transportFailure(end);
         if (response.head.status != statusOk)
             return failureOfStatus(options.name, response.head.status, response.body);
         Json json = Json::parse(response.body, nullptr, false);
@@ -204,7 +191,7 @@
     /// Whether bytes without an event arrived until the idle timeout.
     bool lacksEvents() const { return m_lacksEvents; }
     const StreamReader &reader() const { return m_reader; }
-    const net::BlockingCall &call() const { return m_call; }
+    net::ResponseFault fault() const { return m_call.fault(); }
 
 private:
     static net::BlockingCallTimeouts timeouts(const EngineOptions &options,
@@ -289,9 +276,11 @@
     if (end == net::BlockingCallEnd::NotConnected && deadlinePassed)
         return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
     if (end == net::BlockingCallEnd::NotConnected)
-        return m_impl->transportFailure(call.call(), end, false);
+        return m_impl->transportFailure(end);
     if (call.isErrorBodyTooLong())
-        return m_impl->transportFailure(call.call(), end, true);
+        return m_impl->tooLongFailure(net::ResponseFault::BodyTooLong);
+    if (end == net::BlockingCallEnd::TooLong)
+        return m_impl->tooLongFailure(call.fault());
     if (call.status() != 0 && call.status() != statusOk)
         return failureOfStatus(m_impl->options.name, call.status(), call.errorBody());
     if (call.reader().complete())
@@ -305,7 +294,7 @@
                           "the engine sent no event within the idle timeout");
     if (end == net::BlockingCallEnd::Complete || end == net::BlockingCallEnd::StoppedByHandler)
         return call.reader().finish();
-    return m_impl->transportFailure(call.call(), end, false);
+    return m_impl->transportFailure(end);
 }
 
 Outcome<bool> EngineClient::cancel(const std::string &requestId)
--- a/src/net/blockingcall.cpp
+++ b/src/net/blockingcall.cpp
@@ -199,6 +199,27 @@
     return end;
 }
 
+BlockingCallEnd BlockingCall::fetch(Request request, std::size_t maxBodyBytes, Response &response)
+{
+    bool isBodyTooLong = false;
+    Handlers handlers;
+    handlers.onHead = [&](const ResponseHead &head) {
+        response.head = head;
+        return true;
+    };
+    handlers.onBody = [&](std::string_view bytes) {
+        isBodyTooLong = response.body.size() + bytes.size() > maxBodyBytes;
+        if (!isBodyTooLong)
+            response.body.append(bytes);
+        return !isBodyTooLong;
+    };
+    const BlockingCallEnd end = run(std::move(request), std::move(handlers));
+    if (!isBodyTooLong)
+        return end;
+    m_impl->fault = ResponseFault::BodyTooLong;
+    return BlockingCallEnd::TooLong;
+}
+
 void BlockingCall::abort()
 {
     boost::asio::post(m_impl->context, [impl = m_impl.get()] {
--- a/src/net/responseparser.cpp
+++ b/src/net/responseparser.cpp
@@ -16,12 +16,13 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::array<EnumName<ResponseFault>, 5> faultNames = {{
+constexpr std::array<EnumName<ResponseFault>, 6> faultNames = {{
         {ResponseFault::None, "none"},
         {ResponseFault::Malformed, "malformed"},
         {ResponseFault::Truncated, "truncated"},
         {ResponseFault::HeadTooLong, "head_too_long"},
         {ResponseFault::SkippedTooLong, "skipped_too_long"},
+        {ResponseFault::BodyTooLong, "body_too_long"},
 }};
 
 std::string text(boost::beast::string_view view)
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -70,24 +70,12 @@
                                 std::size_t maxBodyBytes) const
     {
         net::Response response;
-        bool isBodyTooLong = false;
-        net::BlockingCall::Handlers handlers;
-        handlers.onHead = [&](const net::ResponseHead &head) {
-            response.head = head;
-            return true;
-        };
-        handlers.onBody = [&](std::string_view bytes) {
-            isBodyTooLong = response.body.size() + bytes.size() > maxBodyBytes;
-            if (!isBodyTooLong)
-                response.body.append(bytes);
-            return !isBodyTooLong;
-        };
         net::BlockingCall call(options.host, options.port, timeouts, clock);
-        const net::BlockingCallEnd end = call.run(std::move(request), std::move(handlers));
+        const net::BlockingCallEnd end = call.fetch(std::move(request), maxBodyBytes, response);
         if (end == net::BlockingCallEnd::Complete)
             return response;
-        if (isBodyTooLong || end == net::BlockingCallEnd::TooLong)
-            return tooLongFailure(isBodyTooLong ? "body_too_long" : net::name(call.fault()));
+        if (end == net::BlockingCallEnd::TooLong)
+            return tooLongFailure(net::name(call.fault()));
         return transportFailure(end);
     }
 
