Jobs: Let the reader of open jobs own its context

A read that is pending when the job service is destroyed keeps the reader alive, whose context was a member of the service. Found while reading the diff. A job all of whose items have results leaves no empty entry in the executor, which would count as contained.

--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -51,6 +51,10 @@
             if (run != runs.end())
                 run->second->resume(progress);
         }
+        if (runs.empty()) {
+            jobs.erase(record->id);
+            return;
+        }
         startRuns(Runs(runs));
         startProgressTimer();
     }
--- a/src/jobs/openjobreader.h
+++ b/src/jobs/openjobreader.h
@@ -42,10 +42,11 @@
     void addToExecutor(const wire::OpenJobs &open);
     void logRead(absl::Time startedAt, const std::set<std::string> &jobs,
                  const Outcome<std::string> &outcome) const;
-    /// Calls \a member after \a delay, unless leadership has changed by then.
+    /// Runs \a task after \a delay, unless leadership has changed by then.
     void callLater(absl::Duration delay, std::function<void()> task);
 
-    const JobExecutorContext &m_context;
+    /// A copy, because a pending read keeps this object alive longer than its owner.
+    const JobExecutorContext m_context;
     JobExecutor &m_executor;
     std::function<void()> m_ready;
     /// Jobs to be read once no read is pending and the takeover is complete.
