Serving: Log the prompt parts of attempts and the ejections of upstreams

No log line told which prompt parts the requests on an ended upstream had, which of them had begun to write, or when an upstream was ejected, so the hypotheses of docs/incidents/crashing-prompt-part.md could not be distinguished. try-failed now has hasBegun, attemptMs and promptParts; upstream-ejected names the upstream, the task whose end caused the ejection and its length. No decision changes.

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -95,6 +95,15 @@
     std::string task;
 };
 
+/// The upstream gets no tasks until the ejection ends.
+struct SlotEjection
+{
+    std::string upstream;
+    absl::Duration length;
+    /// Number of tasks that hold slots there, including the one whose end caused the ejection.
+    std::int64_t runningTasks = 0;
+};
+
 /// A decision that the caller of SlotScheduler carries out.
 using SlotDecision = std::variant<GrantSlot, RejectSlot, PreemptSlot>;
 
@@ -160,8 +169,10 @@
     /// Adds a task that holds a slot granted by another scheduler. Does nothing when the upstream
     /// is not listed or a task with the same id exists.
     void adopt(absl::Time now, const SlotTask &task, const std::string &upstream);
-    /// Reports that the task has left its slot. Cancels the task when it still waits.
-    void release(absl::Time now, const std::string &task, ReleaseReason reason);
+    /// Reports that the task has left its slot. Cancels the task when it still waits. Returns the
+    /// ejection of the task's upstream when it begins with this release.
+    std::optional<SlotEjection> release(absl::Time now, const std::string &task,
+                                        ReleaseReason reason);
     /// Removes a task whose caller no longer needs a slot. Releases the slot that the task holds.
     void cancel(const std::string &task);
     /// Reports the number of requests at the upstream, from all senders.
@@ -274,6 +285,8 @@
     void preemptOne(absl::Time now, Upstream &upstream);
     void grant(absl::Time now, Service &service, Item &item, Upstream &upstream);
     void dequeue(Service &service, Item &item);
+    std::optional<SlotEjection> recordHealth(absl::Time now, Upstream &upstream,
+                                             ReleaseReason reason);
     void releaseSlot(Item &item);
     void removeItem(Item &item);
     absl::Duration slotReleaseInterval(const Service &service) const;
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace rattanrill::serving {
 
@@ -28,6 +29,8 @@
     std::optional<std::int64_t> resumeAfter;
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0;
+    /// Ids of the parts of the prompt that other requests may share, in the order of the prompt.
+    std::vector<std::string> sharedPromptParts;
 };
 
 /// One attempt of a request at an upstream.
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -117,6 +117,7 @@
 
     policy::TokenBucket *bucket(const std::string &workspace);
     policy::RateContract contractOf(const Workspace &workspace) const;
+    void releaseSlot(const std::string &task, policy::ReleaseReason reason);
     void decide();
     void applyDecision(const policy::GrantSlot &decision);
     void applyDecision(const policy::RejectSlot &decision);
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -189,19 +189,34 @@
         m_upstreams.erase(std::string(upstream.info.id));
 }
 
-void SlotScheduler::release(absl::Time now, const std::string &task, ReleaseReason reason)
+/// Counts the end of a task for or against its upstream.
+std::optional<SlotEjection> SlotScheduler::recordHealth(absl::Time now, Upstream &upstream,
+                                                        ReleaseReason reason)
+{
+    const bool wasEjected = upstream.outlier.ejected(now);
+    if (reason == ReleaseReason::Completed)
+        upstream.outlier.succeeded(now);
+    else if (reason == ReleaseReason::Unreachable
+             || (reason == ReleaseReason::Failed && !isOvercommitted(now, upstream)))
+        upstream.outlier.failed(now, reason == ReleaseReason::Unreachable);
+    if (wasEjected || !upstream.outlier.ejected(now))
+        return std::nullopt;
+    return SlotEjection{upstream.info.id, upstream.outlier.ejectedUntil() - now,
+                        upstream.occupiedSlots()};
+}
+
+std::optional<SlotEjection> SlotScheduler::release(absl::Time now, const std::string &task,
+                                                   ReleaseReason reason)
 {
     const auto found = m_items.find(task);
     if (found == m_items.end())
-        return;
+        return std::nullopt;
     Item &item = *found->second;
-    if (item.upstream == nullptr)
-        return cancel(task);
-    if (reason == ReleaseReason::Completed)
-        item.upstream->outlier.succeeded(now);
-    else if (reason == ReleaseReason::Unreachable
-             || (reason == ReleaseReason::Failed && !isOvercommitted(now, *item.upstream)))
-        item.upstream->outlier.failed(now, reason == ReleaseReason::Unreachable);
+    if (item.upstream == nullptr) {
+        cancel(task);
+        return std::nullopt;
+    }
+    std::optional<SlotEjection> ejection = recordHealth(now, *item.upstream, reason);
     if (reason == ReleaseReason::Completed) {
         Service &taskService = service(item.task.service);
         absl::Duration &mean =
@@ -211,6 +226,7 @@
     }
     releaseSlot(item);
     removeItem(item);
+    return ejection;
 }
 
 void SlotScheduler::cancel(const std::string &task)
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -4,6 +4,8 @@
 #include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 
+#include "absl/strings/str_join.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -152,12 +154,7 @@
 
 void ProxiedRequest::abandonUnresponsiveUpstream()
 {
-    log(LogLevel::Info, "try-failed",
-        {{"requestId", m_request.caller.id},
-         {"upstream", m_upstream},
-         {"attempt", m_attempts},
-         {"reason", "the upstream did not respond in time"},
-         {"lastEvent", m_position.lastId().value_or(-1)}});
+    logFailedAttempt("the upstream did not respond in time");
     cancelCall();
     releaseSlot(ReleaseReason::Failed);
     if (m_exchange->streamStarted())
@@ -176,6 +173,8 @@
     m_hasHead = false;
     m_isStream = false;
     m_isUnresponsive = false;
+    m_hasBegun = false;
+    m_sentAt = m_context.clock.now();
     m_body.clear();
     m_splitter.reset();
     UpstreamAttempt attempt;
@@ -245,6 +244,7 @@
             return;
         hasContent = hasContent || event.hasContent();
     }
+    m_hasBegun = m_hasBegun || hasContent;
     if (m_splitter.isEventTooLong())
         return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
     if (!hasContent)
@@ -343,13 +343,7 @@
 {
     cancelCall();
     releaseSlot(releaseReason);
-    log(LogLevel::Info, "try-failed",
-        {{"requestId", m_request.caller.id},
-         {"upstream", m_upstream},
-         {"attempt", m_attempts},
-         {"reason", reason},
-         {"mayHaveRun", m_mayHaveRun},
-         {"lastEvent", m_position.lastId().value_or(-1)}});
+    logFailedAttempt(reason);
     const bool canRetry = (!m_mayHaveRun || mayRunAgain()) && m_attempts < m_route.maxAttempts
                           && remainingTime() > minRemainingTime;
     if (!canRetry)
@@ -361,6 +355,20 @@
         requestSlot();
 }
 
+void ProxiedRequest::logFailedAttempt(std::string_view reason) const
+{
+    log(LogLevel::Info, "try-failed",
+        {{"requestId", m_request.caller.id},
+         {"upstream", m_upstream},
+         {"attempt", m_attempts},
+         {"reason", reason},
+         {"mayHaveRun", m_mayHaveRun},
+         {"hasBegun", m_hasBegun},
+         {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - m_sentAt)},
+         {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
+         {"lastEvent", m_position.lastId().value_or(-1)}});
+}
+
 void ProxiedRequest::refuseOrFail(std::string_view reason)
 {
     if (m_mayHaveRun || m_exchange->streamStarted())
@@ -480,6 +488,7 @@
          {"workspace", m_request.workspace},
          {"outcome", name(outcome)},
          {"status", m_hasHead ? m_head.status : 0},
+         {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
          {"reason", reason},
          {"upstream", m_upstream},
          {"attempts", m_attempts},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -50,6 +50,7 @@
     void callEnded(net::CallStatus status);
     void responseCompleted();
     void attemptFailed(std::string_view reason, policy::ReleaseReason releaseReason);
+    void logFailedAttempt(std::string_view reason) const;
     void refuseOrFail(std::string_view reason);
     void refuse(ErrorCode code, const std::string &detail, absl::Duration retryAfter);
     void fail(ErrorCode code, const std::string &detail);
@@ -91,6 +92,9 @@
     ResponseInfo m_responseInfo;
     bool m_hasHead = false;
     bool m_isStream = false;
+    /// Whether an event arrived, that is, the upstream began to write the response.
+    bool m_hasBegun = false;
+    absl::Time m_sentAt;
     std::string m_body;
     EventSplitter m_splitter;
 
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -213,10 +213,23 @@
     const std::string id = taskId(release.instance, release.requestId);
     removeRequest(id);
     const auto reason = policy::releaseReasonFromName(release.end);
-    m_scheduler.release(m_clock.now(), id, reason.value_or(policy::ReleaseReason::Cancelled));
+    releaseSlot(id, reason.value_or(policy::ReleaseReason::Cancelled));
     decide();
 }
 
+void SlotBroker::releaseSlot(const std::string &task, policy::ReleaseReason reason)
+{
+    const auto ejection = m_scheduler.release(m_clock.now(), task, reason);
+    if (!ejection)
+        return;
+    log(LogLevel::Info, "upstream-ejected",
+        {{"upstream", ejection->upstream},
+         {"task", task},
+         {"reason", policy::name(reason)},
+         {"ejectedMs", absl::ToInt64Milliseconds(ejection->length)},
+         {"runningTasks", ejection->runningTasks}});
+}
+
 void SlotBroker::adoptHeldSlots(const wire::HeldSlots &held)
 {
     chargeRates(held.charges);
@@ -281,7 +294,7 @@
 void SlotBroker::releaseBatch(const std::string &task, policy::ReleaseReason reason)
 {
     m_batch.erase(task);
-    m_scheduler.release(m_clock.now(), task, reason);
+    releaseSlot(task, reason);
     decide();
 }
 
