Tests: Add a failing test for a prompt part that crashes upstreams

Callers saw requests of one kind crash one upstream after the other. The test starts the platform's programs as real processes before two scripted upstreams, which break all their connections before the first event of a request with one prompt part. It also checks that sound requests with the same other parts are served and that the part stays known when all control and entry processes are killed.

The deployment of platform_test.py moves to a module that both tests use; Upstream gains the crash, and no check changes.

--- /dev/null
+++ b/tests/platform/platformdeployment.py
@@ -0,0 +1,225 @@
+"""Runs the platform's programs as real processes on loopback, before scripted upstreams."""
+
+import http.client
+import http.server
+import json
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import unittest
+from pathlib import Path
+
+BUILD = Path(os.environ.get("RATTANRILL_BUILD", "build"))
+PEER_PORT = 29760
+CALLER_PORT = 29761
+READY_PORT = 29762
+OPERATOR_PORT = 29763
+LIST_ADDRESS = ("127.0.9.1", 29764)
+UPSTREAM_PORT = 29765
+HOST = "booth.example"
+KEY = "first-key"
+CRASHING_PART = "bad"
+
+
+class Upstream(http.server.BaseHTTPRequestHandler):
+    """Streams 20 events and records the requests it receives. A request whose prompt has the part
+    CRASHING_PART breaks all connections of its upstream before the first event."""
+
+    protocol_version = "HTTP/1.1"
+    received = []
+    connections = {}
+    crashes = []
+    lock = threading.Lock()
+
+    def log_message(self, *_):
+        pass
+
+    def setup(self):
+        super().setup()
+        with self.lock:
+            self.connections.setdefault(self.server.server_address, set()).add(self.connection)
+
+    def finish(self):
+        with self.lock:
+            self.connections[self.server.server_address].discard(self.connection)
+        super().finish()
+
+    def crash(self):
+        with self.lock:
+            self.crashes.append(time.monotonic())
+            for connection in self.connections[self.server.server_address]:
+                try:
+                    connection.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+
+    def do_POST(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        with self.lock:
+            self.received.append((self.path, dict(self.headers), body))
+        begin = int(self.headers.get("Last-Event-Id", 0)) + 1
+        self.send_response(200)
+        self.send_header("Request-Id", self.headers["Request-Id"])
+        self.send_header("Response-Signature", "signed")
+        self.send_header("Server-Load", "1,0,8")
+        self.send_header("Content-Type", "text/event-stream")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        try:
+            if CRASHING_PART in self.headers.get("Prompt-Prefix", ""):
+                time.sleep(0.05)
+                return self.crash()
+            for number in range(begin, 21):
+                event = f"id: {number}\ndata: d{number}\n\n".encode()
+                self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                self.wfile.flush()
+                time.sleep(0.02)
+            self.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            pass
+
+
+class InstanceList(http.server.BaseHTTPRequestHandler):
+    """Lists two ready upstreams and one invalid entry."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def do_GET(self):
+        instances = [{"id": f"i-{n}", "service": "lm", "address": f"127.0.8.{n}:{UPSTREAM_PORT}",
+                      "zone": "a", "slots": 4, "state": "ready"} for n in (1, 2)]
+        instances.append({"id": 7, "state": "resting"})
+        body = json.dumps({"instances": instances, "next": None}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def configuration(version, keys=(KEY,), rate=100):
+    return {
+        "version": version,
+        "routes": [
+            {"name": "stream", "hostname": HOST, "path-prefix": "/ask/", "type": "streaming",
+             "timeout-ms": 5000, "target-latency-ms": 300, "service": "lm", "max-attempts": 2,
+             "resumable": True, "gap-aim-ms": 300},
+            {"name": "lists", "hostname": HOST, "path-prefix": "/list/", "type": "batch",
+             "timeout-ms": 4000, "target-latency-ms": 400, "service": "lm", "max-attempts": 3,
+             "completion-target-ms": 18000, "max-queue-s": 60, "max-count": 1000}],
+        "services": [{"name": "lm", "health-check": "/health", "max-connections": 100}],
+        "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304,
+                   "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
+        "tenants": [{"name": "vendors", "api-keys": list(keys), "rate-per-s": rate,
+                     "burst": rate}]}
+
+
+def call(host, port, method, path, body=None, headers=None, timeout=5):
+    connection = http.client.HTTPConnection(host, port, timeout=timeout)
+    try:
+        connection.request(method, path, body, {"Host": HOST, **(headers or {})})
+        response = connection.getresponse()
+        return response.status, response.read(), dict(response.getheaders())
+    finally:
+        connection.close()
+
+
+def wait_until(condition, seconds=20):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        try:
+            if condition():
+                return True
+        except (OSError, http.client.HTTPException):
+            pass
+        time.sleep(0.05)
+    return False
+
+
+class PlatformDeployment(unittest.TestCase):
+    """Base of test cases. Runs three control, three store and two entry processes, each on its own address."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.directory = tempfile.TemporaryDirectory()
+        cls.servers = []
+        for address in ((("127.0.8.1", UPSTREAM_PORT), Upstream),
+                        (("127.0.8.2", UPSTREAM_PORT), Upstream), (LIST_ADDRESS, InstanceList)):
+            server = http.server.ThreadingHTTPServer(*address)
+            server.daemon_threads = True
+            threading.Thread(target=server.serve_forever, daemon=True).start()
+            cls.servers.append(server)
+        cls.processes = {}
+        for role, count in (("control", 3), ("store", 3), ("entry", 2)):
+            for number in range(1, count + 1):
+                cls.start(role, number, founding=True)
+        cls.ready = wait_until(lambda: cls.put_configuration(configuration(1)) == 200) and \
+            wait_until(lambda: all(cls.is_ready(n) for n in (1, 2)))
+
+    @classmethod
+    def tearDownClass(cls):
+        for process in cls.processes.values():
+            process.kill()
+            process.wait()
+        for server in cls.servers:
+            server.shutdown()
+            server.server_close()
+        cls.directory.cleanup()
+
+    @staticmethod
+    def address(role, number):
+        return f"127.0.{ {'control': 1, 'store': 2, 'entry': 3}[role] }.{number}"
+
+    @classmethod
+    def start(cls, role, number, founding=False):
+        host = cls.address(role, number)
+        name = f"{role}-{number}"
+        settings = {
+            "instance": name, "failureDomain": "abc"[number - 1], "peerHost": host,
+            "peerPort": PEER_PORT, "founding": founding, "clusterSecret": "secret",
+            "seeds": [f"{cls.address('control', n)}:{OPERATOR_PORT}" for n in (1, 2, 3)],
+            "listAddress": "%s:%d" % LIST_ADDRESS, "graceSeconds": 8}
+        if role == "entry":
+            settings["callerAddress"] = f"{host}:{CALLER_PORT}"
+            settings["readinessAddress"] = f"{host}:{READY_PORT}"
+        else:
+            settings["dataFolder"] = f"{cls.directory.name}/{name}"
+        if role == "control":
+            settings["operatorAddress"] = f"{host}:{OPERATOR_PORT}"
+        path = Path(cls.directory.name) / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        with open(Path(cls.directory.name) / f"{name}.log", "ab") as log:
+            cls.processes[name] = subprocess.Popen(
+                [BUILD / "bin" / f"rattanrill-platform-{role}"], stdout=log, stderr=log,
+                env={**os.environ, "RATTANRILL_NODE_FILE": str(path)})
+
+    def setUp(self):
+        self.assertTrue(self.ready, "the deployment did not become ready")
+
+    @classmethod
+    def is_ready(cls, entry):
+        return call(cls.address("entry", entry), READY_PORT, "GET", "/readiness")[0] == 200
+
+    @classmethod
+    def put_configuration(cls, document, control=1):
+        body = document if isinstance(document, str) else json.dumps(document)
+        return call(cls.address("control", control), OPERATOR_PORT, "POST", "/Config.Replace",
+                    body)[0]
+
+    @classmethod
+    def configuration_version(cls, control=1):
+        status, body, _ = call(cls.address("control", control), OPERATOR_PORT, "GET",
+                               "/Config.Get")
+        return json.loads(body)["version"] if status == 200 else status
+
+    def send_request(self, request_id, entry=1, key=KEY, path="/ask/1", prompt=""):
+        headers = {"Request-Id": request_id, "Deadline-Ms": "5000",
+                   "Authorization": f"Bearer {key}"}
+        if prompt:
+            headers["Prompt-Prefix"] = prompt
+        return call(self.address("entry", entry), CALLER_PORT, "POST", path, b"question", headers)
