Fleet, Serving: Keep prompts that crash upstreams away from them

Cause: nothing was remembered about a crash. Each request was new, so the same prompt part met upstream after upstream.

Each entry reports attempts that broke before their response began, and responses that begin for suspect parts, to the leader of the fleet group until it has received them. The leader counts only crashes of requests that were sent after the part's previous crash, so that the loss of a failure domain counts once; a response that begins clears a part. After three crashes on at least two upstreams it blocks the parts that all these requests had in common and that have not been cleared, as a record of the fleet group, which survives its leader. The polls distribute blocks and suspects with a sequence number of their own. Entries reject such requests at once, also further attempts and requests whose slot was just granted, as not run or, if they may have run, as failed.

--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -47,6 +47,9 @@
     /// Whether the platform's list of upstreams has been received at least once.
     bool upstreamsKnown = false;
     std::vector<wire::FleetUpstream> upstreams;
+    std::vector<wire::BlockedPrompt> blockedPrompts;
+    /// Parts of which the beginning of a response must be reported.
+    std::vector<std::string> suspectPromptParts;
 };
 
 /// Registers this process with the leader of the fleet group and keeps a copy of the deployment's
@@ -73,6 +76,9 @@
     /// Sends the leader a heartbeat at once, with the same content as the next poll. Does nothing
     /// while no leader is known.
     void sendHeartbeat();
+    /// Sends \a evidence to the leader. \a done receives, on the event loop and after the return of
+    /// this function, whether the leader has received it.
+    void reportPromptEvidence(const wire::PromptEvidence &evidence, std::function<void(bool)> done);
     /// Notifies the leader that this process leaves the deployment, and stops polling.
     void leave();
     void stop();
--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -33,6 +33,8 @@
     const wire::FleetSnapshot &records() const { return m_records; }
     /// Replaces the platform's list of upstreams with the result of the latest read.
     void setUpstreams(std::vector<wire::FleetUpstream> upstreams);
+    /// Replaces the parts of which the beginning of a response must be reported.
+    void setSuspectPromptParts(std::vector<std::string> parts);
     void recordHeartbeat(const wire::FleetSyncRequest &request, absl::Time now);
     /// Marks processes as not alive after the member timeout without a heartbeat; removes them
     /// after 10 times the member timeout.
@@ -43,6 +45,10 @@
     bool membersComplete() const { return m_membersComplete; }
     /// Whether the sender of \a request already has this version of the view.
     bool isCurrent(const wire::FleetSyncRequest &request) const;
+    /// Whether the sender of \a request already has the blocked and suspect prompt parts. They have
+    /// a sequence number of their own, because they may change with each crash of an upstream and
+    /// are much smaller than the rest of the view.
+    bool hasCurrentPrompts(const wire::FleetSyncRequest &request) const;
     wire::FleetSyncResponse makeResponse(const wire::FleetSyncRequest &request) const;
     /// Processes of \a role as candidates for the voters of their group. Empty until the view is
     /// complete, because a voter that has not sent a heartbeat yet would be considered lost.
@@ -69,6 +75,8 @@
     absl::Time m_termStartedAt;
     bool m_membersComplete = false;
     wire::FleetSnapshot m_records;
+    std::uint64_t m_promptSequence = 1;
+    std::vector<std::string> m_suspectPromptParts;
     bool m_upstreamsKnown = false;
     std::vector<wire::FleetUpstream> m_upstreams;
     /// By instance.
--- a/include/rattanrill/serving/proxyrequest.h
+++ b/include/rattanrill/serving/proxyrequest.h
@@ -6,6 +6,7 @@
 #include "rattanrill/net/eventloop.h"
 #include "rattanrill/net/server.h"
 #include "rattanrill/serving/deployment.h"
+#include "rattanrill/serving/promptguard.h"
 #include "rattanrill/serving/protocoladapter.h"
 #include "rattanrill/serving/slotclient.h"
 
@@ -30,6 +31,7 @@
     const ProtocolAdapter &protocol;
     net::ConnectionPool &upstreamConnections;
     SlotClient &slotClient;
+    PromptGuard &promptGuard;
     InstanceIdentity identity;
 };
 
--- a/include/rattanrill/wire/envelope.h
+++ b/include/rattanrill/wire/envelope.h
@@ -39,6 +39,7 @@
     ReadJob,
     ReadItem,
     EndJob,
+    ReportPromptEvidence,
 };
 
 std::string_view name(EnvelopeKind kind);
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -46,6 +46,13 @@
     bool draining = false;
 };
 
+/// Prompt parts that together crash upstreams: requests whose prompts have all of them are
+/// rejected.
+struct BlockedPrompt
+{
+    std::vector<std::string> parts;
+};
+
 /// Replaces the configuration if \a version is higher than the stored version; otherwise has no
 /// effect.
 struct PutConfiguration
@@ -73,7 +80,15 @@
     std::vector<std::string> voters;
 };
 
-using FleetOperation = std::variant<PutConfiguration, RetireStore, BootstrapStoreGroup>;
+/// Replaces the list of blocked prompts. Only the leader of the fleet group sends it.
+struct PutBlockedPrompts
+{
+    static constexpr std::string_view kind = "put_blocked_prompts";
+    std::vector<BlockedPrompt> prompts;
+};
+
+using FleetOperation =
+        std::variant<PutConfiguration, RetireStore, BootstrapStoreGroup, PutBlockedPrompts>;
 
 /// A write to the fleet group.
 struct FleetCommand
@@ -103,6 +118,7 @@
     std::vector<std::string> retiringStores;
     /// First voters of the store group; empty until it is bootstrapped.
     std::vector<std::string> storeFounders;
+    std::vector<BlockedPrompt> blockedPrompts{};
 };
 
 /// A member and its status as seen by the leader of the fleet group.
@@ -134,17 +150,28 @@
     /// view differs or its configuration is newer.
     std::uint64_t viewTerm = 0;
     std::uint64_t viewSequence = 0;
+    /// Sequence number, in the term of the view, of the blocked and suspect prompt parts that the
+    /// sender received last.
+    std::uint64_t promptSequence = 0;
     std::uint64_t configurationVersion = 0;
     /// Maximum time for which the leader waits for a change before it responds.
     std::int64_t waitMs = 0;
 };
 
 /// Response of Method::SyncFleet. Only the fields up to \a configuration are set if the sender of
-/// the request has the current view.
+/// the request has the current view, and the prompt fields only if it does not have the current
+/// ones.
 struct FleetSyncResponse
 {
     std::uint64_t viewTerm = 0;
     std::uint64_t viewSequence = 0;
+    /// 0 in the response of a process that does not track prompts.
+    std::uint64_t promptSequence = 0;
+    /// Whether the next two lists are set.
+    bool promptsIncluded = false;
+    std::vector<BlockedPrompt> blockedPrompts;
+    /// Parts of which the beginning of a response must be reported.
+    std::vector<std::string> suspectPromptParts;
     std::uint64_t configurationVersion = 0;
     /// Empty if the sender of the request has this version.
     std::string configuration;
@@ -159,6 +186,35 @@
     std::vector<FleetUpstream> upstreams;
 };
 
+/// An attempt that ended with a crash of its upstream before the upstream began to write the
+/// response.
+struct CrashedAttempt
+{
+    std::string upstream;
+    /// Ids of the prompt's parts that other requests may share.
+    std::vector<std::string> promptParts;
+    /// Time since the request was sent to the upstream, and since the crash.
+    std::int64_t sentAgeMs = 0;
+    std::int64_t crashAgeMs = 0;
+};
+
+/// A response to a prompt with a suspect part that an upstream began to write.
+struct BegunPart
+{
+    std::string part;
+    /// Time since the response began.
+    std::int64_t ageMs = 0;
+};
+
+/// Request of Method::ReportPromptEvidence, which an entry instance repeats until the leader of the
+/// fleet group has responded. The response is empty.
+struct PromptEvidence
+{
+    std::string instance;
+    std::vector<CrashedAttempt> crashes;
+    std::vector<BegunPart> begun;
+};
+
 /// Request of Method::RequestSlot, for a slot at an upstream for one request.
 struct SlotRequest
 {
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -13,6 +13,7 @@
 /// Maximum number of addresses that are polled in parallel while no leader is known. Equal to the
 /// number of processes that bootstrap the fleet group.
 constexpr std::size_t maxParallelPolls = 3;
+constexpr absl::Duration evidenceTimeout = absl::Milliseconds(300);
 
 } // namespace
 
@@ -33,6 +34,7 @@
         request.self = settings.self;
         request.viewTerm = viewTerm;
         request.viewSequence = viewSequence;
+        request.promptSequence = promptSequence;
         request.configurationVersion = state.configurationVersion;
         request.waitMs = absl::ToInt64Milliseconds(settings.pollWait);
         if (storeStatusSource)
@@ -50,6 +52,18 @@
         channels.channel(leader)->sendOneWay(wire::Method::SyncFleet, wire::encode(message));
     }
 
+    void reportPromptEvidence(const wire::PromptEvidence &evidence, std::function<void(bool)> done)
+    {
+        if (leader.empty() || stopped)
+            return loop.post([done = std::move(done)] { done(false); });
+        channels.channel(leader)->call(
+                wire::Method::ReportPromptEvidence, wire::encode(evidence), evidenceTimeout,
+                [self = shared_from_this(),
+                 done = std::move(done)](const Outcome<std::string> &outcome) {
+                    self->loop.post([done, isReceived = outcome.ok()] { done(isReceived); });
+                });
+    }
+
     /// Returns the leader's address if it is known, and otherwise up to maxParallelPolls of the
     /// known addresses. Successive calls rotate through them, because a poll of a process that is
     /// down ends only after a timeout.
@@ -146,7 +160,12 @@
                 state.upstreamsKnown = true;
             }
         }
-        if (isNewView || isNewConfiguration) {
+        if (response.promptsIncluded) {
+            promptSequence = response.promptSequence;
+            state.blockedPrompts = response.blockedPrompts;
+            state.suspectPromptParts = response.suspectPromptParts;
+        }
+        if (isNewView || isNewConfiguration || response.promptsIncluded) {
             for (const Listener &listener : listeners)
                 listener(state);
         }
@@ -188,6 +207,7 @@
     FleetState state;
     std::uint64_t viewTerm = 0;
     std::uint64_t viewSequence = 0;
+    std::uint64_t promptSequence = 0;
     std::vector<Listener> listeners;
     std::function<void(wire::FleetSyncRequest &)> storeStatusSource;
     std::string leader;
@@ -236,6 +256,12 @@
         m_impl->sendHeartbeat(false);
 }
 
+void FleetClient::reportPromptEvidence(const wire::PromptEvidence &evidence,
+                                       std::function<void(bool)> done)
+{
+    m_impl->reportPromptEvidence(evidence, std::move(done));
+}
+
 void FleetClient::leave()
 {
     if (!m_impl->stopped)
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/fleet/fleetservice.h"
 
+#include "promptquarantine.h"
+
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
 
@@ -34,6 +36,7 @@
         , settings(settings)
         , clock(clock)
         , view(settings.memberTimeout)
+        , prompts(std::make_shared<PromptQuarantine>(replica, view, clock))
     {}
 
     void handleSync(const std::string &body, peer::ResponseCallback reply)
@@ -53,6 +56,18 @@
             pollsWithoutLeader.push_back(std::move(poll));
     }
 
+    void handlePromptEvidence(const std::string &body, const peer::ResponseCallback &reply)
+    {
+        const auto evidence = outcomeOf([&] { return wire::decode<wire::PromptEvidence>(body); });
+        if (!evidence.ok())
+            return reply(evidence.failure());
+        if (!leads())
+            return reply(notRun(ErrorCode::NotLeader, otherLeader()));
+        prompts->addEvidence(evidence.value());
+        reply(std::string());
+        respondToPolls(clock.now());
+    }
+
     void addPoll(Poll poll, absl::Time now)
     {
         view.recordHeartbeat(poll.request, now);
@@ -96,6 +111,7 @@
         for (auto poll = polls.begin(); poll != polls.end();) {
             const bool mustRespond =
                     poll->deadline <= now || !view.isCurrent(poll->request)
+                    || !view.hasCurrentPrompts(poll->request)
                     || poll->request.configurationVersion < view.records().configurationVersion;
             if (!mustRespond) {
                 ++poll;
@@ -151,8 +167,10 @@
             return;
         }
         view.setRecords(records.value());
-        if (!isReady)
+        if (!isReady) {
             readUpstreams();
+            prompts->beginTerm();
+        }
         isReady = true;
         processPollsWithoutLeader(clock.now());
         respondToPolls(clock.now());
@@ -168,6 +186,7 @@
         }
         const absl::Time now = clock.now();
         view.expire(now);
+        prompts->update();
         bootstrapStoreGroup(now);
         respondToPolls(now);
     }
@@ -230,6 +249,7 @@
     const FleetServiceSettings settings;
     const Clock &clock;
     FleetView view;
+    const std::shared_ptr<PromptQuarantine> prompts;
     std::list<Poll> polls;
     /// Polls that were received while no leader was known.
     std::list<Poll> pollsWithoutLeader;
@@ -261,6 +281,13 @@
                               impl->handleSync(body, reply);
                           });
                       });
+    server.setHandler(wire::Method::ReportPromptEvidence,
+                      [impl = m_impl](const peer::PeerIdentity &, std::string body,
+                                      peer::ResponseCallback reply) {
+                          impl->loop.post([impl, body = std::move(body), reply = std::move(reply)] {
+                              impl->handlePromptEvidence(body, reply);
+                          });
+                      });
 }
 
 void FleetService::start()
--- a/src/fleet/fleetstatemachine.cpp
+++ b/src/fleet/fleetstatemachine.cpp
@@ -45,6 +45,11 @@
         m_records.storeFounders = operation.voters;
 }
 
+void FleetStateMachine::perform(const wire::PutBlockedPrompts &operation)
+{
+    m_records.blockedPrompts = operation.prompts;
+}
+
 std::string FleetStateMachine::query(std::string_view query) const
 {
     const auto decoded = outcomeOf([&] { return wire::decode<wire::FleetQuery>(query); });
@@ -56,6 +61,7 @@
     records.configurationVersion = m_records.configurationVersion;
     records.retiringStores = m_records.retiringStores;
     records.storeFounders = m_records.storeFounders;
+    records.blockedPrompts = m_records.blockedPrompts;
     return wire::encodeCommandResult(Outcome<wire::FleetSnapshot>(std::move(records)));
 }
 
--- a/src/fleet/fleetstatemachine.h
+++ b/src/fleet/fleetstatemachine.h
@@ -18,6 +18,7 @@
     void perform(const wire::PutConfiguration &operation);
     void perform(const wire::RetireStore &operation);
     void perform(const wire::BootstrapStoreGroup &operation);
+    void perform(const wire::PutBlockedPrompts &operation);
 
     wire::FleetSnapshot m_records;
 };
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -20,6 +20,11 @@
            && left.draining == right.draining;
 }
 
+bool samePrompt(const wire::BlockedPrompt &left, const wire::BlockedPrompt &right)
+{
+    return left.parts == right.parts;
+}
+
 bool sameMember(const wire::FleetMemberStatus &left, const wire::FleetMemberStatus &right)
 {
     return left.member.replica == right.member.replica
@@ -39,6 +44,8 @@
     m_sequence = 1;
     m_termStartedAt = now;
     m_membersComplete = false;
+    m_promptSequence = 1;
+    m_suspectPromptParts.clear();
     m_upstreamsKnown = false;
     m_upstreams.clear();
     m_members.clear();
@@ -48,6 +55,13 @@
 
 void FleetView::setRecords(const wire::FleetSnapshot &records)
 {
+    const bool isSamePrompts = std::equal(
+            records.blockedPrompts.begin(), records.blockedPrompts.end(),
+            m_records.blockedPrompts.begin(), m_records.blockedPrompts.end(), samePrompt);
+    if (!isSamePrompts) {
+        m_records.blockedPrompts = records.blockedPrompts;
+        ++m_promptSequence;
+    }
     const bool isNew = records.configurationVersion != m_records.configurationVersion
                        || records.retiringStores != m_records.retiringStores
                        || records.storeFounders != m_records.storeFounders;
@@ -73,6 +87,14 @@
     incrementSequence();
 }
 
+void FleetView::setSuspectPromptParts(std::vector<std::string> parts)
+{
+    if (parts == m_suspectPromptParts)
+        return;
+    m_suspectPromptParts = std::move(parts);
+    ++m_promptSequence;
+}
+
 void FleetView::recordHeartbeat(const wire::FleetSyncRequest &request, absl::Time now)
 {
     if (request.self.instance.empty())
@@ -139,6 +161,11 @@
     return request.viewTerm == m_term && request.viewSequence == m_sequence;
 }
 
+bool FleetView::hasCurrentPrompts(const wire::FleetSyncRequest &request) const
+{
+    return request.viewTerm == m_term && request.promptSequence == m_promptSequence;
+}
+
 bool FleetView::isRetiring(const std::string &replica) const
 {
     const auto &retiring = m_records.retiringStores;
@@ -153,6 +180,12 @@
     response.configurationVersion = m_records.configurationVersion;
     if (request.configurationVersion != m_records.configurationVersion)
         response.configuration = m_records.configuration;
+    response.promptSequence = m_promptSequence;
+    response.promptsIncluded = !hasCurrentPrompts(request);
+    if (response.promptsIncluded) {
+        response.blockedPrompts = m_records.blockedPrompts;
+        response.suspectPromptParts = m_suspectPromptParts;
+    }
     if (isCurrent(request))
         return response;
     for (const auto &[instance, memberEntry] : m_members) {
--- /dev/null
+++ b/src/fleet/promptquarantine.cpp
@@ -0,0 +1,112 @@
+#include "promptquarantine.h"
+
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+
+#include "absl/strings/str_join.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rattanrill::fleet {
+namespace {
+
+std::vector<policy::PromptBlock> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
+{
+    std::vector<policy::PromptBlock> blocks;
+    for (const wire::BlockedPrompt &prompt : prompts)
+        blocks.emplace_back(prompt.parts.begin(), prompt.parts.end());
+    return blocks;
+}
+
+std::vector<wire::BlockedPrompt> toPrompts(const std::vector<policy::PromptBlock> &blocks)
+{
+    std::vector<wire::BlockedPrompt> prompts;
+    for (const policy::PromptBlock &block : blocks)
+        prompts.push_back({std::vector<std::string>(block.begin(), block.end())});
+    return prompts;
+}
+
+} // namespace
+
+PromptQuarantine::PromptQuarantine(GroupReplica &replica, FleetView &view, const Clock &clock)
+    : m_replica(replica)
+    , m_view(view)
+    , m_clock(clock)
+    , m_tracker(policy::PromptCrashSettings())
+{}
+
+void PromptQuarantine::beginTerm()
+{
+    m_isProposing = false;
+    m_tracker.restore(m_clock.now(), toBlocks(m_view.records().blockedPrompts));
+    publish();
+}
+
+void PromptQuarantine::addEvidence(const wire::PromptEvidence &evidence)
+{
+    const absl::Time now = m_clock.now();
+    for (const wire::BegunPart &begun : evidence.begun)
+        m_tracker.recordBegun(begun.part, now - absl::Milliseconds(begun.ageMs));
+    for (const wire::CrashedAttempt &attempt : evidence.crashes) {
+        policy::PromptCrash crash;
+        crash.upstream = attempt.upstream;
+        crash.parts = attempt.promptParts;
+        crash.sentAt = now - absl::Milliseconds(attempt.sentAgeMs);
+        crash.crashedAt = now - absl::Milliseconds(attempt.crashAgeMs);
+        m_tracker.recordCrash(crash);
+        logCrash(evidence.instance, attempt);
+    }
+    publish();
+}
+
+void PromptQuarantine::update()
+{
+    m_tracker.expire(m_clock.now());
+    publish();
+}
+
+void PromptQuarantine::publish()
+{
+    m_view.setSuspectPromptParts(m_tracker.suspects());
+    if (!m_isProposing && m_tracker.blocks() != toBlocks(m_view.records().blockedPrompts))
+        propose();
+}
+
+void PromptQuarantine::propose()
+{
+    m_isProposing = true;
+    const wire::PutBlockedPrompts operation{toPrompts(m_tracker.blocks())};
+    for (const wire::BlockedPrompt &prompt : operation.prompts)
+        log(LogLevel::Warning, "prompt-blocked",
+            {{"promptParts", absl::StrJoin(prompt.parts, ",")}, {"term", m_view.term()}});
+    if (operation.prompts.empty())
+        log(LogLevel::Info, "prompts-unblocked", {{"term", m_view.term()}});
+    m_replica.propose(
+            wire::encode(wire::FleetCommand{operation}),
+            [self = shared_from_this(), term = m_view.term()](const Outcome<std::string> &outcome) {
+                if (term != self->m_view.term())
+                    return;
+                self->m_isProposing = false;
+                if (!outcome.ok())
+                    log(LogLevel::Warning, "prompt-block-not-recorded",
+                        {{"code", name(outcome.failure().code)},
+                         {"detail", outcome.failure().detail}});
+            });
+}
+
+void PromptQuarantine::logCrash(const std::string &instance,
+                                const wire::CrashedAttempt &attempt) const
+{
+    std::size_t crashes = 0;
+    for (const std::string &part : attempt.promptParts)
+        crashes = std::max(crashes, m_tracker.crashCount(part));
+    log(LogLevel::Info, "upstream-crash-reported",
+        {{"upstream", attempt.upstream},
+         {"reporter", instance},
+         {"promptParts", absl::StrJoin(attempt.promptParts, ",")},
+         {"crashes", static_cast<std::int64_t>(crashes)},
+         {"crashAgeMs", attempt.crashAgeMs}});
+}
+
+} // namespace rattanrill::fleet
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -44,6 +44,10 @@
         , m_upstreams(processContext.loop, net::ConnectionPoolOptions())
         , m_slotClient(processContext.loop, m_core.channels(), m_core.clock(),
                        slotClientSettings(settings))
+        , m_promptGuard(processContext.loop.timers(), m_core.clock(), settings.instance,
+                        [this](const wire::PromptEvidence &evidence, auto done) {
+                            m_core.fleetClient().reportPromptEvidence(evidence, std::move(done));
+                        })
         , m_jobs(processContext.loop, m_core.channels(), m_core.clock())
         , m_context{processContext.loop,
                     m_core.clock(),
@@ -51,6 +55,7 @@
                     processContext.protocol,
                     m_upstreams,
                     m_slotClient,
+                    m_promptGuard,
                     {settings.instance, settings.failureDomain}}
         , m_gateway(m_context, m_jobs)
         , m_callerServer(processContext.loop,
@@ -99,6 +104,7 @@
             m_slotClient.setUpstreams(state.upstreams, liveEntries(state).size());
             closeRemovedUpstreams(state.upstreams);
         }
+        m_promptGuard.setBlocks(state.blockedPrompts, state.suspectPromptParts);
         const StoreAddresses stores = storeAddresses(state);
         m_slotClient.setBroker(stores.leader);
         m_jobs.setStores(stores.all, stores.leader);
@@ -168,6 +174,7 @@
     ProcessCore m_core;
     net::ConnectionPool m_upstreams;
     serving::SlotClient m_slotClient;
+    serving::PromptGuard m_promptGuard;
     jobs::JobClient m_jobs;
     const serving::ServingContext m_context;
     Gateway m_gateway;
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -29,6 +29,8 @@
 /// Retry-After when no upstream has accepted the request. It is short because the cause may be
 /// temporary.
 constexpr absl::Duration unavailableRetryAfter = absl::Milliseconds(300);
+/// Retry-After of a request whose prompt crashes upstreams. Blocks last much longer.
+constexpr absl::Duration quarantineRetryAfter = absl::Minutes(1);
 /// Time until the deadline below which an attempt is not worth starting.
 constexpr absl::Duration minRemainingTime = absl::Milliseconds(20);
 /// Maximum size of a response that is not a stream: its body is buffered until it is complete, so a
@@ -93,8 +95,26 @@
     return m_deadline - m_context.clock.now();
 }
 
+/// Rejects the request when its prompt crashes upstreams. Returns false when the request may run.
+bool ProxiedRequest::rejectBlockedPrompt()
+{
+    if (!m_context.promptGuard.isBlocked(m_request.caller.sharedPromptParts))
+        return false;
+    cancelCall();
+    releaseSlot(ReleaseReason::Cancelled);
+    m_context.metrics.count("rattanrill_prompt_rejections_total");
+    static constexpr const char *reason = "parts of the prompt crash the upstreams that run it";
+    if (m_mayHaveRun || m_exchange->streamStarted())
+        fail(ErrorCode::RequestQuarantined, reason);
+    else
+        refuse(ErrorCode::RequestQuarantined, reason, quarantineRetryAfter);
+    return true;
+}
+
 void ProxiedRequest::requestSlot()
 {
+    if (rejectBlockedPrompt())
+        return;
     wire::SlotRequest request;
     m_requestedSlotId = m_slotRequestCount++ == 0
                                 ? m_request.caller.id
@@ -138,6 +158,8 @@
         m_chargedRate = true;
         m_heldSlotId = m_requestedSlotId;
         m_slotGrantedAt = m_context.clock.now();
+        if (rejectBlockedPrompt())
+            return;
         return send(response.upstream, response.address);
     }
     // No other upstream has a free slot, so the unresponsive upstream gets more time.
@@ -244,7 +266,8 @@
             return;
         hasContent = hasContent || event.hasContent();
     }
-    m_hasBegun = m_hasBegun || hasContent;
+    if (hasContent && !std::exchange(m_hasBegun, true))
+        m_context.promptGuard.recordBegun(m_request.caller.sharedPromptParts);
     if (m_splitter.isEventTooLong())
         return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
     if (!hasContent)
@@ -300,6 +323,8 @@
             status == net::CallStatus::Complete && m_hasHead && m_responseInfo.notRun;
     if (!isReportedNotRun)
         m_mayHaveRun = true;
+    if (status == net::CallStatus::Broken && !m_hasBegun)
+        m_context.promptGuard.recordCrash(m_upstream, m_request.caller.sharedPromptParts, m_sentAt);
     if (status == net::CallStatus::Broken)
         return attemptFailed(
                 "the connection to the upstream broke before the response was complete",
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -39,6 +39,7 @@
 
     bool mayRunAgain() const;
     absl::Duration remainingTime() const;
+    bool rejectBlockedPrompt();
     void requestSlot();
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
     void send(const std::string &upstream, const std::string &address);
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -14,7 +14,7 @@
         {EnvelopeKind::Push, "push"},
 }};
 
-constexpr std::array<EnumName<Method>, 17> methodNames = {{
+constexpr std::array<EnumName<Method>, 18> methodNames = {{
         {Method::Hello, "hello"},
         {Method::Raft, "raft"},
         {Method::Propose, "propose"},
@@ -32,6 +32,7 @@
         {Method::ReadJob, "read_job"},
         {Method::ReadItem, "read_item"},
         {Method::EndJob, "end_job"},
+        {Method::ReportPromptEvidence, "report_prompt_evidence"},
 }};
 
 } // namespace
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -29,17 +29,22 @@
 RATTANRILL_WIRE_FIELDS(PutConfiguration, version, document)
 RATTANRILL_WIRE_FIELDS(RetireStore, replica)
 RATTANRILL_WIRE_FIELDS(BootstrapStoreGroup, voters)
+RATTANRILL_WIRE_FIELDS(BlockedPrompt, parts)
+RATTANRILL_WIRE_FIELDS(PutBlockedPrompts, prompts)
 RATTANRILL_WIRE_FIELDS(FleetCommand, operation)
 RATTANRILL_WIRE_FIELDS(FleetResult, configurationVersion)
 RATTANRILL_WIRE_FIELDS(FleetQuery, knownVersion)
 RATTANRILL_WIRE_FIELDS(FleetSnapshot, configurationVersion, configuration, retiringStores,
-                       storeFounders)
+                       storeFounders, blockedPrompts)
 RATTANRILL_WIRE_FIELDS(FleetMemberStatus, member, alive, leadsStores, retiring, holdsCopy)
 RATTANRILL_WIRE_FIELDS(FleetSyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving,
-                       viewTerm, viewSequence, configurationVersion, waitMs)
-RATTANRILL_WIRE_FIELDS(FleetSyncResponse, viewTerm, viewSequence, configurationVersion,
-                       configuration, members, membersSettled, storeFounders, upstreamsKnown,
-                       upstreams)
+                       viewTerm, viewSequence, promptSequence, configurationVersion, waitMs)
+RATTANRILL_WIRE_FIELDS(FleetSyncResponse, viewTerm, viewSequence, promptSequence, promptsIncluded,
+                       blockedPrompts, suspectPromptParts, configurationVersion, configuration,
+                       members, membersSettled, storeFounders, upstreamsKnown, upstreams)
+RATTANRILL_WIRE_FIELDS(CrashedAttempt, upstream, promptParts, sentAgeMs, crashAgeMs)
+RATTANRILL_WIRE_FIELDS(BegunPart, part, ageMs)
+RATTANRILL_WIRE_FIELDS(PromptEvidence, instance, crashes, begun)
 RATTANRILL_WIRE_FIELDS(SlotRequest, again, requestId, instance, failureDomain, service, workspace,
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded)
@@ -56,6 +61,7 @@
 RATTANRILL_WIRE_MESSAGE(FleetSnapshot)
 RATTANRILL_WIRE_MESSAGE(FleetSyncRequest)
 RATTANRILL_WIRE_MESSAGE(FleetSyncResponse)
+RATTANRILL_WIRE_MESSAGE(PromptEvidence)
 RATTANRILL_WIRE_MESSAGE(SlotRequest)
 RATTANRILL_WIRE_MESSAGE(SlotResponse)
 RATTANRILL_WIRE_MESSAGE(HeldSlots)
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -145,4 +145,37 @@
     BOOST_TEST(view.records().configuration == "four");
 }
 
+// Guards against entries that do not learn of a blocked prompt, also from the leader of a new term,
+// and against a full view that is sent for each change of the suspects.
+BOOST_AUTO_TEST_CASE(blockedPromptsAreSentWithoutTheRestOfTheView)
+{
+    view.recordHeartbeat(syncRequest("e", wire::MemberRole::Entry), start);
+    wire::FleetSyncRequest request = syncRequest("e", wire::MemberRole::Entry);
+    const auto poll = [&] {
+        const wire::FleetSyncResponse response = view.makeResponse(request);
+        request.viewTerm = response.viewTerm;
+        request.viewSequence = response.viewSequence;
+        request.promptSequence = response.promptSequence;
+        return response;
+    };
+    poll();
+    BOOST_TEST(view.hasCurrentPrompts(request));
+    wire::FleetSnapshot records;
+    records.blockedPrompts = {{{"a", "b"}}};
+    view.setRecords(records);
+    view.setSuspectPromptParts({"a", "b"});
+    BOOST_TEST(view.isCurrent(request));
+    BOOST_TEST(!view.hasCurrentPrompts(request));
+    wire::FleetSyncResponse response = poll();
+    BOOST_TEST(response.promptsIncluded);
+    BOOST_TEST(response.members.empty());
+    BOOST_TEST(response.blockedPrompts.size() == 1u);
+    BOOST_TEST(response.suspectPromptParts.size() == 2u);
+    BOOST_TEST(!poll().promptsIncluded);
+    view.beginTerm(2, start);
+    response = poll();
+    BOOST_TEST(response.promptsIncluded);
+    BOOST_TEST(response.blockedPrompts.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -57,8 +57,12 @@
     serving::SlotClient slotClient{loop, channels, SystemClock::instance(),
                                    serving::SlotClientSettings()};
     jobs::JobClient jobs{loop, channels, SystemClock::instance()};
-    const serving::ServingContext context{
-            loop, SystemClock::instance(), metrics, adapter, upstreams, slotClient, {"e", "d"}};
+    serving::PromptGuard promptGuard{loop.timers(), SystemClock::instance(), "e",
+                                     [](const wire::PromptEvidence &, const auto &) {}};
+    const serving::ServingContext context{loop,        SystemClock::instance(),
+                                          metrics,     adapter,
+                                          upstreams,   slotClient,
+                                          promptGuard, {"e", "d"}};
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<net::Server> server;
 };
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -49,6 +49,38 @@
     BOOST_TEST(!caller.value().resumeAfter.has_value());
 }
 
+// Guards against a block of the part that belongs to one request alone, and against parts that are
+// not recognized in another spelling.
+BOOST_AUTO_TEST_CASE(sharedPromptPartsAreAllButTheLast)
+{
+    const auto parts = [](const std::string &value) {
+        net::Request request = callerRequest();
+        request.headers.set("Prompt-Prefix", value);
+        const auto caller = outcomeOf([&] { return adapter.parseRequest(request); });
+        return caller.value().sharedPromptParts;
+    };
+    const std::vector<std::string> expected = {"9c2e41", "5d07b8"};
+    BOOST_TEST((parts("9c2e41:300,5d07b8:240,77:1") == expected));
+    BOOST_TEST((parts("9c2e41:300, 5d07b8:240, 77:1") == expected));
+    BOOST_TEST((parts("9c2e41,5d07b8:240,77") == expected));
+    BOOST_TEST(parts("9c2e41:300").empty());
+    BOOST_TEST(parts("").empty());
+}
+
+// Guards against a rejection of a crashing prompt that callers take for a fault of their request,
+// or for a promise that it has not run.
+BOOST_AUTO_TEST_CASE(quarantinedRequestIsRefusedAsNotRunOrFails)
+{
+    const absl::Duration retryAfter = absl::Seconds(60);
+    const auto refused =
+            makeErrorResponse(notRun(ErrorCode::RequestQuarantined, "blocked"), retryAfter);
+    BOOST_TEST(refused.head.status == 503);
+    BOOST_TEST(refused.head.headers.value("Retry-After") == "60.000");
+    const auto failed =
+            makeErrorResponse(mayHaveRun(ErrorCode::RequestQuarantined, "blocked"), retryAfter);
+    BOOST_TEST(failed.head.status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(invalidDeadlineIsRefused)
 {
     for (const char *value : {"soon", "-5", "", "5s"}) {
--- /dev/null
+++ b/tests/policy/promptcrashtracker_test.cpp
@@ -0,0 +1,171 @@
+#include "rattanrill/policy/promptcrashtracker.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace rattanrill::policy;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+absl::Time at(int milliseconds)
+{
+    return start + absl::Milliseconds(milliseconds);
+}
+
+/// A request that was sent 50 ms before the crash.
+PromptCrash crashAt(int milliseconds, const std::string &upstream, std::vector<std::string> parts)
+{
+    return {upstream, std::move(parts), at(milliseconds - 50), at(milliseconds)};
+}
+
+struct Fixture
+{
+    bool isBlocked(const std::vector<std::string> &parts) const
+    {
+        const PromptBlock sorted(parts.begin(), parts.end());
+        const auto blocks = tracker.blocks();
+        return std::any_of(blocks.begin(), blocks.end(), [&](const PromptBlock &block) {
+            return std::includes(sorted.begin(), sorted.end(), block.begin(), block.end());
+        });
+    }
+
+    /// Three successive crashes of requests with \a parts, each at another upstream.
+    void crashThreeTimes(const std::vector<std::string> &parts, int from = 0)
+    {
+        for (int i = 1; i <= 3; ++i)
+            tracker.recordCrash(crashAt(from + i * 100, "u" + std::to_string(i), parts));
+    }
+
+    PromptCrashTracker tracker{PromptCrashSettings()};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PromptCrashTrackerTest, Fixture)
+
+// Guards against a part that crashes one upstream after the other because no two of its requests
+// are alike.
+BOOST_AUTO_TEST_CASE(partIsBlockedWhateverElseItsRequestsHold)
+{
+    tracker.recordCrash(crashAt(100, "u1", {"a", "bad"}));
+    tracker.recordCrash(crashAt(200, "u2", {"bad", "b"}));
+    BOOST_TEST(!isBlocked({"bad"}));
+    tracker.recordCrash(crashAt(300, "u3", {"c", "d", "bad"}));
+    BOOST_TEST(isBlocked({"e", "bad"}));
+    BOOST_TEST(!isBlocked({"a", "b", "c", "d"}));
+}
+
+// Guards against sound requests that are rejected because they share the first part with harmful
+// ones: a response to the first part began between the crashes.
+BOOST_AUTO_TEST_CASE(partThatBeganAResponseIsCleared)
+{
+    tracker.recordCrash(crashAt(100, "u1", {"first", "bad"}));
+    tracker.recordCrash(crashAt(200, "u2", {"first", "bad"}));
+    tracker.recordBegun("first", at(250));
+    tracker.recordCrash(crashAt(300, "u3", {"first", "bad"}));
+    BOOST_TEST(isBlocked({"first", "bad"}));
+    BOOST_TEST(isBlocked({"other", "bad"}));
+    BOOST_TEST(!isBlocked({"first", "good"}));
+}
+
+// Guards against sound requests that are rejected because all harmful ones so far had another part
+// of theirs, too.
+BOOST_AUTO_TEST_CASE(partsThatAlwaysCameTogetherAreBlockedTogether)
+{
+    crashThreeTimes({"subject", "bad"});
+    BOOST_TEST(isBlocked({"subject", "bad"}));
+    BOOST_TEST(!isBlocked({"subject", "good"}));
+    tracker.recordBegun("subject", at(500));
+    BOOST_TEST(isBlocked({"bad"}));
+    BOOST_TEST(!isBlocked({"subject"}));
+}
+
+// Guards against a block that stays although the part does not crash upstreams.
+BOOST_AUTO_TEST_CASE(blockEndsWhenAllItsPartsAreCleared)
+{
+    crashThreeTimes({"a", "b"});
+    BOOST_TEST(tracker.recordBegun("a", at(500)));
+    BOOST_TEST(tracker.recordBegun("b", at(600)));
+    BOOST_TEST(tracker.blocks().empty());
+}
+
+// Guards against a block after the loss of a failure domain, when the requests of many upstreams
+// break at the same moment, and against crashes that several entries report.
+BOOST_AUTO_TEST_CASE(crashesAtTheSameMomentCountOnce)
+{
+    for (int i = 0; i < 20; ++i)
+        tracker.recordCrash(crashAt(100 + i, "u" + std::to_string(i), {"first"}));
+    BOOST_TEST(tracker.crashCount("first") == 1u);
+    BOOST_TEST(tracker.blocks().empty());
+}
+
+// Guards against evidence that counts twice because its report was repeated.
+BOOST_AUTO_TEST_CASE(repeatedReportCountsOnce)
+{
+    for (int i = 0; i < 3; ++i)
+        tracker.recordCrash(crashAt(100, "u1", {"a"}));
+    BOOST_TEST(tracker.crashCount("a") == 1u);
+}
+
+// Guards against a block because of one upstream that breaks its connections.
+BOOST_AUTO_TEST_CASE(crashesOfOneUpstreamDoNotBlock)
+{
+    for (int i = 1; i <= 5; ++i)
+        tracker.recordCrash(crashAt(i * 100, "u1", {"a"}));
+    BOOST_TEST(tracker.blocks().empty());
+    tracker.recordCrash(crashAt(600, "u2", {"a"}));
+    BOOST_TEST(isBlocked({"a"}));
+}
+
+// Guards against one of two harmful parts that is not found because both crash upstreams at the
+// same time.
+BOOST_AUTO_TEST_CASE(twoHarmfulPartsAreBothBlocked)
+{
+    for (int i = 1; i <= 3; ++i) {
+        tracker.recordCrash(crashAt(i * 100, "u" + std::to_string(i), {"first", "bad"}));
+        tracker.recordCrash(crashAt(i * 100 + 10, "v" + std::to_string(i), {"first", "worse"}));
+        tracker.recordBegun("first", at(i * 100 + 40));
+    }
+    BOOST_TEST(isBlocked({"bad"}));
+    BOOST_TEST(isBlocked({"worse"}));
+    BOOST_TEST(!isBlocked({"first"}));
+}
+
+// Guards against a part that a new leader releases.
+BOOST_AUTO_TEST_CASE(restoredBlockStays)
+{
+    crashThreeTimes({"bad"});
+    PromptCrashTracker successor{PromptCrashSettings()};
+    successor.restore(at(1000), tracker.blocks());
+    BOOST_TEST((successor.blocks() == tracker.blocks()));
+    // Evidence from before the block does not clear it.
+    successor.recordBegun("bad", at(900));
+    BOOST_TEST(successor.blocks().size() == 1u);
+}
+
+// Guards against memory that grows with the number of prompts.
+BOOST_AUTO_TEST_CASE(evidenceIsBounded)
+{
+    PromptCrashSettings settings;
+    settings.maxParts = 10;
+    settings.maxBlocks = 3;
+    PromptCrashTracker bounded{settings};
+    for (int i = 0; i < 100; ++i) {
+        const std::string part = "p" + std::to_string(i);
+        for (int crash = 1; crash <= 3; ++crash)
+            bounded.recordCrash(
+                    crashAt(i * 1000 + crash * 100, "u" + std::to_string(crash), {part}));
+    }
+    BOOST_TEST(bounded.blocks().size() == 3u);
+    BOOST_TEST(bounded.suspects().size() <= 10u);
+    bounded.expire(at(0) + absl::Hours(2));
+    BOOST_TEST(bounded.blocks().empty());
+    BOOST_TEST(bounded.suspects().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -213,12 +213,12 @@
         });
     }
 
-    /// Sends one request and returns the response.
-    static std::string sendRequest(const std::string &id)
+    /// Sends one request and returns the response. \a headers end with a line break each.
+    static std::string sendRequest(const std::string &id, const std::string &headers = "")
     {
         return net::rawCall(entryPort,
-                            "POST /x HTTP/1.1\r\nHost: h\r\nId: " + id
-                                    + "\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi");
+                            "POST /x HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n" + headers
+                                    + "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
     }
 
     net::LoopThread thread;
@@ -228,8 +228,16 @@
     net::ConnectionPool upstreams{loop, net::ConnectionPoolOptions()};
     peer::ChannelPool channels{peer::TransportOptions()};
     SlotClient slotClient{loop, channels, SystemClock::instance(), SlotClientSettings()};
-    const ServingContext context{
-            loop, SystemClock::instance(), metrics, adapter, upstreams, slotClient, {"e", "d"}};
+    PromptGuard promptGuard{loop.timers(), SystemClock::instance(), "e",
+                            [this](const wire::PromptEvidence &evidence, auto done) {
+                                reports.push_back(evidence);
+                                loop.post([done] { done(true); });
+                            }};
+    std::vector<wire::PromptEvidence> reports;
+    const ServingContext context{loop,        SystemClock::instance(),
+                                 metrics,     adapter,
+                                 upstreams,   slotClient,
+                                 promptGuard, {"e", "d"}};
     std::shared_ptr<const DeploymentIndex> index;
     std::unique_ptr<net::Server> server;
 };
@@ -414,6 +422,41 @@
     BOOST_TEST(contains(response, "\r\n0\r\n\r\n"));
 }
 
+// Guards against requests that are accused of a crash although their response had begun, and
+// against a crash that is not reported.
+BOOST_AUTO_TEST_CASE(onlyAttemptsThatHadNotBegunAreReportedAsCrashed)
+{
+    ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1)), true},
+                                 {streamHead("a"), true},
+                                 {streamHead("b") + chunk(event(1)) + "0\r\n\r\n"}});
+    Entry entry(routeOf(RouteKind::Streaming, 2, true));
+    entry.sendRequest("a", "Part: p\r\n");
+    entry.sendRequest("b", "Part: p\r\n");
+    entry.thread.run([&] {
+        BOOST_TEST_REQUIRE(entry.reports.size() == 2u);
+        BOOST_TEST(entry.reports[0].crashes.size() == 1u);
+        BOOST_TEST(entry.reports[0].begun.empty());
+        BOOST_TEST(entry.reports[1].crashes.empty());
+        BOOST_TEST(entry.reports[1].begun.size() == 1u);
+    });
+}
+
+// Guards against a blocked prompt that reaches an upstream, at first or as a further attempt.
+BOOST_AUTO_TEST_CASE(requestWithABlockedPromptIsNotSent)
+{
+    ScriptedUpstreams upstreams({{"", true, 50}});
+    Entry entry(routeOf(RouteKind::Streaming, 2, true));
+    std::string failed;
+    std::thread caller([&] { failed = entry.sendRequest("a", "Part: p\r\n"); });
+    while (upstreams.requests().empty())
+        std::this_thread::yield();
+    entry.thread.run([&] { entry.promptGuard.setBlocks({{{"p"}}}, {"p"}); });
+    caller.join();
+    BOOST_TEST(contains(failed, "HTTP/1.1 502"));
+    BOOST_TEST(contains(entry.sendRequest("b", "Part: p\r\n"), "HTTP/1.1 503"));
+    BOOST_TEST(upstreams.requests().size() == 1u);
+}
+
 // Guards against an upstream's error response that is replaced by one of the serving system.
 BOOST_AUTO_TEST_CASE(errorResponseOfAnUpstreamIsForwarded)
 {
--- a/tests/serving/testprotocoladapter.h
+++ b/tests/serving/testprotocoladapter.h
@@ -16,6 +16,8 @@
         CallerRequest caller;
         caller.id = std::string(request.headers.value("Id"));
         caller.timeout = absl::Seconds(3);
+        if (const std::string *part = request.headers.find("Part"))
+            caller.sharedPromptParts = {*part};
         return caller;
     }
     net::Request upstreamRequest(const net::Request &request,
