Serving, Jobs: Treat streams without a length that end inside an event as broken off

Callers could get a stream that its upstream had broken off as a complete one: where only the end of the connection marks the end of a response, ProxiedRequest forwarded the bytes of an incomplete event and ended the stream. A stream that broke off before its first event looked like a complete, empty one, and its crash was not reported; an item was completed without output.

Both now use one function: a stream that ends inside an event, or has no event and no length, is broken off, so that it is resumed, or aborted where the route does not allow it. A whole response without a length was and is forwarded. The engine client of the other stack requires the finish reason of a stream, and the service client cannot know the length either; neither changes.

--- a/include/rattanrill/serving/eventstream.h
+++ b/include/rattanrill/serving/eventstream.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "rattanrill/net/message.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -46,6 +48,11 @@
     std::string m_pending;
 };
 
+/// Whether a stream whose response ended was broken off by its upstream: it ends inside an event,
+/// or it has no event at all and only the end of the connection marks its end. \a hasEvents: an
+/// event of the stream was received in this or an earlier attempt.
+bool isBrokenOff(const net::ResponseHead &head, const EventSplitter &splitter, bool hasEvents);
+
 /// Result of checking an event's id in a stream that may have been resumed.
 enum class SequenceCheck {
     InOrder,
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -262,8 +262,8 @@
 
 void ItemRun::handleSuccess()
 {
-    if (!m_splitter.incompleteEvent().empty())
-        return failAttempt("the response ends with an incomplete event", ReleaseReason::Failed);
+    if (serving::isBrokenOff(m_head, m_splitter, m_hasOutput))
+        return failAttempt("the response was broken off", ReleaseReason::Failed);
     releaseSlot(ReleaseReason::Completed);
     finish(wire::ItemOutcome::Completed, "");
 }
--- a/src/serving/eventstream.cpp
+++ b/src/serving/eventstream.cpp
@@ -86,6 +86,13 @@
     m_pending.erase(0, begin);
 }
 
+bool isBrokenOff(const net::ResponseHead &head, const EventSplitter &splitter, bool hasEvents)
+{
+    const bool endsWithConnection = head.headers.find("Content-Length") == nullptr
+                                    && head.headers.find("Transfer-Encoding") == nullptr;
+    return !splitter.incompleteEvent().empty() || (endsWithConnection && !hasEvents);
+}
+
 SequenceCheck StreamPosition::advance(const StreamEvent &event)
 {
     if (!event.id)
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -323,12 +323,10 @@
             status == net::CallStatus::Complete && m_hasHead && m_responseInfo.notRun;
     if (!isReportedNotRun)
         m_mayHaveRun = true;
-    if (status == net::CallStatus::Broken && !m_hasBegun)
-        m_context.promptGuard.recordCrash(m_upstream, m_request.caller.sharedPromptParts, m_sentAt);
-    if (status == net::CallStatus::Broken)
-        return attemptFailed(
-                "the connection to the upstream broke before the response was complete",
-                ReleaseReason::Failed);
+    const bool hasEvents = m_hasBegun || m_position.lastId().has_value();
+    if (status == net::CallStatus::Broken
+        || (m_isStream && isBrokenOff(m_head, m_splitter, hasEvents)))
+        return attemptBroken();
     if (isReportedNotRun)
         return attemptFailed("the upstream refused the request",
                              m_responseInfo.isInstanceMismatch ? ReleaseReason::Unreachable
@@ -336,6 +334,14 @@
     responseCompleted();
 }
 
+void ProxiedRequest::attemptBroken()
+{
+    if (!m_hasBegun)
+        m_context.promptGuard.recordCrash(m_upstream, m_request.caller.sharedPromptParts, m_sentAt);
+    attemptFailed("the connection to the upstream broke before the response was complete",
+                  ReleaseReason::Failed);
+}
+
 void ProxiedRequest::responseCompleted()
 {
     const bool isServerError = m_head.status >= 500;
@@ -346,7 +352,6 @@
     releaseSlot(ReleaseReason::Completed);
     if (m_isStream) {
         startResponse();
-        m_exchange->write(m_splitter.incompleteEvent());
         m_exchange->finish();
         return finish(Outcome::Completed, "");
     }
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -49,6 +49,7 @@
     bool deliver(const StreamEvent &event);
     void startResponse();
     void callEnded(net::CallStatus status);
+    void attemptBroken();
     void responseCompleted();
     void attemptFailed(std::string_view reason, policy::ReleaseReason releaseReason);
     void logFailedAttempt(std::string_view reason) const;
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -70,6 +70,18 @@
     BOOST_TEST(server.requests() == 7);
 }
 
+// Guards against a result with a part of the output, or none, because a response without a length
+// was broken off inside an event or before the first one.
+BOOST_AUTO_TEST_CASE(brokenOffResponseWithoutLengthIsNoResult)
+{
+    net::EndlessServer server(
+            {{streamHead, ""}, {streamHead + "id: 0\ndata: a\n\nid: 1\nda", ""}, success});
+    const wire::JobItemResult result = runItem(server);
+    BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(result.output == "a\nb");
+    BOOST_TEST(server.requests() == 3);
+}
+
 // Guards against an upstream that keeps the slot of an item, or fills the memory of the process,
 // by bytes without end: in the head, without an event, as comments only, or as an error body.
 BOOST_AUTO_TEST_CASE(bytesWithoutEndEndTheAttempt)
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -58,6 +58,12 @@
     return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
 }
 
+/// Head of a stream whose end is the end of its connection.
+std::string streamHeadWithoutLength(const std::string &id)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Type: text/event-stream\r\n\r\n";
+}
+
 std::string streamHead(const std::string &id)
 {
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSigned: s-" + id
@@ -221,6 +227,13 @@
                                     + "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
     }
 
+    std::vector<wire::PromptEvidence> allReports()
+    {
+        std::vector<wire::PromptEvidence> result;
+        thread.run([&] { result = reports; });
+        return result;
+    }
+
     net::LoopThread thread;
     net::EventLoop &loop = thread.loop();
     Metrics metrics;
@@ -422,6 +435,53 @@
     BOOST_TEST(contains(response, "\r\n0\r\n\r\n"));
 }
 
+// Guards against a stream without a length that was broken off inside an event and looks complete
+// to the caller.
+BOOST_AUTO_TEST_CASE(streamWithoutLengthThatEndsInsideAnEventIsNotComplete)
+{
+    ScriptedUpstreams upstreams(
+            {{streamHeadWithoutLength("a") + event(1) + "id: 2\ndata: d", true}});
+    Entry entry(routeOf(RouteKind::Streaming, 2, false));
+    const std::string response = entry.sendRequest("a");
+    BOOST_TEST(contains(response, event(1)));
+    BOOST_TEST(!contains(response, "id: 2"));
+    BOOST_TEST(!contains(response, "\r\n0\r\n\r\n"));
+    BOOST_TEST(upstreams.requests().size() == 1u);
+}
+
+// Guards against a stream without a length that is not resumed although it was broken off inside
+// an event, and against one that is resumed although it is complete.
+BOOST_AUTO_TEST_CASE(streamWithoutLengthIsResumedOnlyWhenBrokenOff)
+{
+    ScriptedUpstreams upstreams({{streamHeadWithoutLength("a") + event(1) + "id: 2\ndata: d", true},
+                                 {streamHeadWithoutLength("a") + event(2) + event(3), true}});
+    Entry entry(routeOf(RouteKind::Streaming, 3, true));
+    const std::string response = entry.sendRequest("a");
+    BOOST_TEST(contains(response, event(3)));
+    BOOST_TEST(contains(response, "\r\n0\r\n\r\n"));
+    BOOST_TEST(upstreams.requests().size() == 2u);
+}
+
+// Guards against a crash before the first event that looks like a complete, empty stream.
+BOOST_AUTO_TEST_CASE(streamWithoutLengthAndEventsIsNotComplete)
+{
+    ScriptedUpstreams upstreams({{streamHeadWithoutLength("a"), true},
+                                 {streamHead("a") + chunk(event(1)) + "0\r\n\r\n"}});
+    Entry entry(routeOf(RouteKind::Streaming, 2, true));
+    BOOST_TEST(contains(entry.sendRequest("a", "Part: p\r\n"), event(1)));
+    const auto reports = entry.allReports();
+    BOOST_TEST_REQUIRE(!reports.empty());
+    BOOST_TEST(reports.front().crashes.size() == 1u);
+}
+
+// Guards against a whole response without a length that is refused or cut.
+BOOST_AUTO_TEST_CASE(wholeResponseWithoutLengthIsForwarded)
+{
+    ScriptedUpstreams upstreams({{"HTTP/1.1 200 OK\r\nId: a\r\n\r\nall of it", true}});
+    Entry entry(routeOf(RouteKind::NonIdempotent, 1));
+    BOOST_TEST(contains(entry.sendRequest("a"), "\r\n\r\nall of it"));
+}
+
 // Guards against requests that are accused of a crash although their response had begun, and
 // against a crash that is not reported.
 BOOST_AUTO_TEST_CASE(onlyAttemptsThatHadNotBegunAreReportedAsCrashed)
@@ -432,13 +492,12 @@
     Entry entry(routeOf(RouteKind::Streaming, 2, true));
     entry.sendRequest("a", "Part: p\r\n");
     entry.sendRequest("b", "Part: p\r\n");
-    entry.thread.run([&] {
-        BOOST_TEST_REQUIRE(entry.reports.size() == 2u);
-        BOOST_TEST(entry.reports[0].crashes.size() == 1u);
-        BOOST_TEST(entry.reports[0].begun.empty());
-        BOOST_TEST(entry.reports[1].crashes.empty());
-        BOOST_TEST(entry.reports[1].begun.size() == 1u);
-    });
+    const auto reports = entry.allReports();
+    BOOST_TEST_REQUIRE(reports.size() == 2u);
+    BOOST_TEST(reports[0].crashes.size() == 1u);
+    BOOST_TEST(reports[0].begun.empty());
+    BOOST_TEST(reports[1].crashes.empty());
+    BOOST_TEST(reports[1].begun.size() == 1u);
 }
 
 // Guards against a blocked prompt that reaches an upstream, at first or as a further attempt.
