--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -56,6 +56,9 @@
     bool isInstanceMismatch = false;
     /// Number of requests that run or wait at the upstream; absent when it does not report them.
     std::optional<std::int64_t> outstandingRequests;
+    /// Requests per second that the upstream accepts from all senders together; absent while it
+    /// names no limit.
+    std::optional<double> requestLimit;
 };
 
 /// A caller's request to submit a batch job.
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -193,6 +193,7 @@
     ++m_attempts;
     m_attemptedUpstreams.push_back(upstream);
     m_hasHead = false;
+    m_responseInfo = ResponseInfo();
     m_isStream = false;
     m_isUnresponsive = false;
     m_hasBegun = false;
@@ -396,6 +397,7 @@
          {"hasBegun", m_hasBegun},
          {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - m_sentAt)},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
+         {"requestLimit", m_responseInfo.requestLimit.value_or(0)},
          {"lastEvent", m_position.lastId().value_or(-1)}});
 }
 
@@ -519,6 +521,7 @@
          {"outcome", name(outcome)},
          {"status", m_hasHead ? m_head.status : 0},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
+         {"requestLimit", m_responseInfo.requestLimit.value_or(0)},
          {"reason", reason},
          {"upstream", m_upstream},
          {"attempts", m_attempts},
