Tests: Add a failing test for an upstream's request limit

Upstreams got more requests than the limit that their responses named. The test starts the platform's programs as real processes before two scripted upstreams; the responses of one name a limit of 1 request per second. The test also checks that the excess is served by the other upstream and that the limit ends when responses no longer name it.

--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -27,10 +27,13 @@
 
 class Upstream(http.server.BaseHTTPRequestHandler):
     """Streams 20 events and records the requests it receives. A request whose prompt has the part
-    CRASHING_PART breaks all connections of its upstream before the first event."""
+    CRASHING_PART breaks all connections of its upstream before the first event. The responses of
+    an upstream in limits name its limit."""
 
     protocol_version = "HTTP/1.1"
     received = []
+    arrivals = []
+    limits = {}
     connections = {}
     crashes = []
     lock = threading.Lock()
@@ -61,11 +64,15 @@
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         with self.lock:
             self.received.append((self.path, dict(self.headers), body))
+            self.arrivals.append((self.server.server_address[0], time.monotonic()))
+            limit = self.limits.get(self.server.server_address[0])
         begin = int(self.headers.get("Last-Event-Id", 0)) + 1
         self.send_response(200)
         self.send_header("Request-Id", self.headers["Request-Id"])
         self.send_header("Response-Signature", "signed")
         self.send_header("Server-Load", "1,0,8")
+        if limit is not None:
+            self.send_header("Server-Limit", str(limit))
         self.send_header("Content-Type", "text/event-stream")
         self.send_header("Transfer-Encoding", "chunked")
         self.end_headers()
