Policy, Serving: Send an upstream no more requests than the limit it names

Cause: the header was read nowhere; the number of slots bounded the rate by accident where runs are long.

The slot scheduler keeps a limit for each upstream and counts each grant, online, batch, retried or adopted; requests accumulate for 1.5 s of the limit and 2 requests, so that bursts can use it. An upstream without an allowed request gets no task, and others serve the excess; the broker decides again when the next request is allowed, and rejects at once what all limits together do not allow in time. Each response reports its limit, so a new broker, entry or lost report makes up for it with the next one; a limit ends when a response names none, or 10 s after the last one. The local share of an entry has half of an equal part of the limit, and starts without accumulated requests whenever the broker is lost. A refusal under a limit is no fault of the upstream.

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/policy/fairqueue.h"
 #include "rattanrill/policy/outlierdetector.h"
+#include "rattanrill/policy/requestlimit.h"
 #include "rattanrill/policy/task.h"
 
 #include "absl/time/time.h"
@@ -111,6 +112,7 @@
 struct SlotSchedulerSettings
 {
     OutlierSettings outlier;
+    RequestLimitSettings requestLimit;
     /// Initial estimate of the time for which an online request holds a slot, corrected as requests
     /// complete.
     absl::Duration initialHoldTime = absl::Milliseconds(700);
@@ -149,6 +151,8 @@
 /// - One workspace sends a surge: workspaces are ordered by tokens served.
 /// - Upstreams still run requests of a sender that no longer exists: the available slots are
 ///   reduced by the requests that upstreams report beyond those of this scheduler.
+/// - An upstream accepts fewer requests than its slots could run: it gets no more than its limit,
+///   and the others get the rest.
 /// - This scheduler takes over from another one: held slots are adopted, and upstreams get only a
 ///   few requests as probes until they have reported their load.
 ///
@@ -177,6 +181,13 @@
     void cancel(const std::string &task);
     /// Reports the number of requests at the upstream, from all senders.
     void loadReported(absl::Time now, const std::string &upstream, std::int64_t requests);
+    /// Reports the limit, in requests per second, that a response of the upstream named, or that it
+    /// named none. Returns true when this changes the limit.
+    bool limitReported(absl::Time now, const std::string &upstream, std::optional<double> limit);
+    /// Drops the requests that have accumulated under the limits of all upstreams.
+    void clearAccumulatedRequests(absl::Time now);
+    /// The limit of the upstream in requests per second; absent when it has none.
+    std::optional<double> requestLimit(absl::Time now, const std::string &upstream) const;
     /// Returns the decisions due at \a now, to be carried out in order.
     std::vector<SlotDecision> decide(absl::Time now);
     /// Latest time for the next call of decide() when no event occurs before. Does not take into
@@ -221,6 +232,7 @@
     {
         SlotUpstream info;
         OutlierDetector outlier{OutlierSettings()};
+        RequestLimit limit{RequestLimitSettings()};
         bool removed = false;
         std::set<Item *> online;
         std::set<Item *> batch;
@@ -289,7 +301,8 @@
                                              ReleaseReason reason);
     void releaseSlot(Item &item);
     void removeItem(Item &item);
-    absl::Duration slotReleaseInterval(const Service &service) const;
+    absl::Duration slotReleaseInterval(absl::Time now, const Service &service) const;
+    absl::Time nextAllowedRequest(absl::Time now) const;
 
     const SlotSchedulerSettings m_settings;
     std::map<std::string, std::unique_ptr<Upstream>> m_upstreams;
@@ -299,6 +312,8 @@
     /// Waiting online tasks by deadline.
     std::set<std::pair<absl::Time, TaskId>> m_onlineDeadlines;
     absl::Time m_takeoverAt = absl::InfinitePast();
+    /// Time from which a limited upstream may get a waiting task, as of the last decision.
+    absl::Time m_nextAllowedRequestAt = absl::InfiniteFuture();
     TaskId m_nextNumber = 1;
     std::vector<SlotDecision> m_decisions;
 };
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -2,7 +2,9 @@
 
 #include "rattanrill/base/result.h"
 #include "rattanrill/net/message.h"
+#include "rattanrill/policy/slotscheduler.h"
 #include "rattanrill/serving/deployment.h"
+#include "rattanrill/wire/fleetmessages.h"
 #include "rattanrill/wire/jobmessages.h"
 
 #include "absl/time/time.h"
@@ -61,6 +63,12 @@
     std::optional<double> requestLimit;
 };
 
+/// Returns the load and the limit that a response of \a upstream reports.
+wire::UpstreamLoad loadOf(const std::string &upstream, const ResponseInfo &info);
+/// Returns how an attempt that did not run left its slot. A refusal by an upstream that names a
+/// limit indicates no fault.
+policy::ReleaseReason refusalReason(const ResponseInfo &info);
+
 /// A caller's request to submit a batch job.
 struct SubmitJobCall
 {
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -49,6 +49,8 @@
     double rateFraction = 1;
     /// Fraction of each upstream's slots, rounded up to whole slots.
     double slotFraction = 1;
+    /// Fraction of the request limit that an upstream names.
+    double limitFraction = 1;
 };
 
 /// Grants the slots of the upstreams and charges the requests to the workspaces' rates. One process
@@ -91,6 +93,11 @@
     /// Charges requests that another broker granted and that this one did not know of.
     void chargeRates(const std::vector<wire::RateCharge> &charges);
     void reportLoad(const wire::UpstreamLoad &load);
+    /// Drops the requests that have accumulated under the limits of the upstreams, because another
+    /// broker may have granted them.
+    void clearAccumulatedRequests();
+    /// Whether the last response of \a upstream named a limit.
+    bool hasRequestLimit(const std::string &upstream) const;
     /// Reclaims the slots of processes that are not in \a instances.
     void setLiveInstances(const std::vector<std::string> &instances);
 
--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -21,6 +21,9 @@
     /// because callers are distributed unevenly over entry processes, and because batch tasks stop
     /// while there is no broker.
     double localSlotFactor = 2;
+    /// Local share of the upstreams' request limits, as a multiple of an equal share. Smaller than
+    /// an equal share, because the broker grants the whole limit to entries that reach it.
+    double localLimitFactor = 0.5;
     /// After a call without a response, slots are granted from the local share for this long.
     absl::Duration brokerRetryDelay = absl::Milliseconds(500);
     /// Settings of the local broker. The timeout of calls to the deployment's broker uses its
@@ -51,6 +54,7 @@
     void acquire(const wire::SlotRequest &request, ResponseCallback callback);
     /// Releases a slot. May also be called for a request whose outcome has not arrived.
     void release(const wire::SlotRelease &release);
+    /// Reports the headers of a response to the broker and to the local share.
     void reportLoad(const wire::UpstreamLoad &load);
     /// Ignores the responses to calls that are still pending.
     void stop();
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -294,12 +294,15 @@
     std::vector<RateCharge> charges{};
 };
 
-/// Push of Method::ReportLoad: the load that an upstream reported in the headers of a response.
+/// Push of Method::ReportLoad: the load and the limit that an upstream reported in the headers of a
+/// response.
 struct UpstreamLoad
 {
     std::string upstream;
-    /// Requests that run or wait at the upstream, from all senders.
+    /// Requests that run or wait at the upstream, from all senders; -1 when not reported.
     std::int64_t requests = 0;
+    /// Requests per second that the upstream accepts from all senders; 0 when it named no limit.
+    double requestLimit = 0;
 };
 
 /// Push of Method::ReleaseSlot: releases a granted slot.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -190,8 +190,8 @@
     m_head = head;
     m_responseInfo = responseInfo;
     m_hasHead = true;
-    if (responseInfo.outstandingRequests)
-        m_context.broker.reportLoad({m_upstream, *responseInfo.outstandingRequests});
+    if (!responseInfo.isInstanceMismatch)
+        m_context.broker.reportLoad(serving::loadOf(m_upstream, responseInfo));
     return true;
 }
 
@@ -239,8 +239,7 @@
         return failAttempt(net::name(status), ReleaseReason::Failed);
     if (m_responseInfo.notRun)
         return failAttempt("the upstream reported that the request did not run",
-                           m_responseInfo.isInstanceMismatch ? ReleaseReason::Unreachable
-                                                             : ReleaseReason::Failed);
+                           serving::refusalReason(m_responseInfo));
     if (m_head.status == statusUnprocessable) {
         releaseSlot(ReleaseReason::Completed);
         return finish(wire::ItemOutcome::DeadLettered,
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -71,6 +71,7 @@
         if (upstream == nullptr) {
             upstream = std::make_unique<Upstream>();
             upstream->outlier = OutlierDetector(m_settings.outlier);
+            upstream->limit = RequestLimit(m_settings.requestLimit);
         }
         upstream->info = info;
         upstream->removed = false;
@@ -140,6 +141,7 @@
     item->number = m_nextNumber++;
     item->since = now;
     item->upstream = found->second.get();
+    item->upstream->limit.take(now);
     (isOnline(task) ? item->upstream->online : item->upstream->batch).insert(item.get());
     m_itemsByNumber[item->number] = item.get();
     m_items[task.id] = std::move(item);
@@ -252,6 +254,29 @@
     reports[1] = {now, std::max<std::int64_t>(requests - found->second->occupiedSlots(), 0)};
 }
 
+bool SlotScheduler::limitReported(absl::Time now, const std::string &upstream,
+                                  std::optional<double> limit)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end() || (!limit && !found->second->limit.limit(now)))
+        return false;
+    const std::optional<double> former = found->second->limit.limit(now);
+    found->second->limit.report(now, limit);
+    return former != limit;
+}
+
+void SlotScheduler::clearAccumulatedRequests(absl::Time now)
+{
+    for (auto &[id, upstream] : m_upstreams)
+        upstream->limit.clearAccumulated(now);
+}
+
+std::optional<double> SlotScheduler::requestLimit(absl::Time now, const std::string &upstream) const
+{
+    const auto found = m_upstreams.find(upstream);
+    return found == m_upstreams.end() ? std::nullopt : found->second->limit.limit(now);
+}
+
 /// Returns true when the granted slots and the requests of other senders together exceed the slots
 /// of the upstream. A task that gets no response there may be queued behind those requests, so it
 /// does not indicate a fault of the upstream.
@@ -286,7 +311,7 @@
     const auto &excluded = item.task.excluded;
     if (std::find(excluded.begin(), excluded.end(), upstream.info.id) != excluded.end())
         return false;
-    return !upstream.outlier.ejected(now);
+    return !upstream.outlier.ejected(now) && upstream.limit.allows(now);
 }
 
 /// Returns the upstream with the fewest requests among those with a free slot, because each request
@@ -363,6 +388,7 @@
         service.grantsSinceLate = 0;
     else if (queue != Queue::Online)
         ++service.grantsSinceLate;
+    upstream.limit.take(now);
     item.isProbe = isLoadUnknown(now, upstream);
     upstream.probes += item.isProbe ? 1 : 0;
     item.upstream = &upstream;
@@ -444,12 +470,20 @@
     return late ? itemOf(*late) : nullptr;
 }
 
-/// Expected time between the ends of two successive online requests when all slots are occupied.
-absl::Duration SlotScheduler::slotReleaseInterval(const Service &service) const
+/// Expected time between the ends of two successive online requests when all slots are occupied. A
+/// limit makes the slots beyond it unavailable.
+absl::Duration SlotScheduler::slotReleaseInterval(absl::Time now, const Service &service) const
 {
-    std::int64_t slots = 0;
-    for (const Upstream *upstream : service.upstreams)
-        slots += upstream->info.leaving ? 0 : upstream->info.slots;
+    double slots = 0;
+    for (const Upstream *upstream : service.upstreams) {
+        if (upstream->info.leaving)
+            continue;
+        const auto upstreamSlots = static_cast<double>(upstream->info.slots);
+        const std::optional<double> limit = upstream->limit.limit(now);
+        slots += limit ? std::min(upstreamSlots,
+                                  *limit * absl::ToDoubleSeconds(service.meanHoldTime))
+                       : upstreamSlots;
+    }
     return slots == 0 ? absl::InfiniteDuration() : service.meanHoldTime / slots;
 }
 
@@ -475,7 +509,7 @@
             Item &item = *itemOf(*last);
             const std::int64_t ahead =
                     static_cast<std::int64_t>(service.onlineWaiting) - withheldSlots(now, service);
-            const absl::Duration wait = slotReleaseInterval(service)
+            const absl::Duration wait = slotReleaseInterval(now, service)
                                         * static_cast<double>(std::max<std::int64_t>(ahead, 0));
             if (now + wait <= item.task.deadline)
                 break;
@@ -495,7 +529,7 @@
 void SlotScheduler::reject(absl::Time now, Service &service, Item &item)
 {
     absl::Duration wait = noUpstreamRetryAfter;
-    const absl::Duration interval = slotReleaseInterval(service);
+    const absl::Duration interval = slotReleaseInterval(now, service);
     if (interval != absl::InfiniteDuration()) {
         const absl::Time next = std::max(service.lastRetryAt, now + m_settings.minRetryAfter)
                                 + interval / m_settings.retryShare;
@@ -517,12 +551,31 @@
     rejectExpired(now);
     for (auto &[name, service] : m_services)
         decideBatch(now, service);
+    m_nextAllowedRequestAt = nextAllowedRequest(now);
     return std::exchange(m_decisions, {});
 }
 
+/// Returns the earliest time at which an upstream of a service with waiting tasks may get a request
+/// that its limit does not allow yet.
+absl::Time SlotScheduler::nextAllowedRequest(absl::Time now) const
+{
+    absl::Time next = absl::InfiniteFuture();
+    for (const auto &[name, service] : m_services) {
+        if (service.onlineWaiting + service.batchWaiting == 0)
+            continue;
+        for (const Upstream *upstream : service.upstreams) {
+            if (!upstream->limit.allows(now))
+                next = std::min(next, upstream->limit.nextAllowed(now));
+        }
+    }
+    return next;
+}
+
 absl::Time SlotScheduler::nextDecision() const
 {
-    return m_onlineDeadlines.empty() ? absl::InfiniteFuture() : m_onlineDeadlines.begin()->first;
+    const absl::Time firstDeadline =
+            m_onlineDeadlines.empty() ? absl::InfiniteFuture() : m_onlineDeadlines.begin()->first;
+    return std::min(firstDeadline, m_nextAllowedRequestAt);
 }
 
 std::size_t SlotScheduler::waiting(const std::string &service, TaskKind kind) const
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -238,8 +238,8 @@
     m_hasHead = true;
     // The attempt may end before the response is complete, when a bound is reached.
     m_mayHaveRun = m_mayHaveRun || !info.notRun;
-    if (info.outstandingRequests)
-        m_context.slotClient.reportLoad({m_upstream, *info.outstandingRequests});
+    if (!info.isInstanceMismatch)
+        m_context.slotClient.reportLoad(loadOf(m_upstream, info));
     m_isStream = !info.notRun && head.status >= 200 && head.status < 300
                  && m_route.kind == RouteKind::Streaming && m_context.protocol.isEventStream(head);
     return true;
@@ -329,9 +329,7 @@
         || (m_isStream && isBrokenOff(m_head, m_splitter, hasEvents)))
         return attemptBroken();
     if (isReportedNotRun)
-        return attemptFailed("the upstream refused the request",
-                             m_responseInfo.isInstanceMismatch ? ReleaseReason::Unreachable
-                                                               : ReleaseReason::Failed);
+        return attemptFailed("the upstream refused the request", refusalReason(m_responseInfo));
     responseCompleted();
 }
 
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -50,6 +50,7 @@
     for (const auto &[id, handlers] : batch)
         m_scheduler.cancel(id);
     m_scheduler.beginTakeover(now);
+    m_scheduler.clearAccumulatedRequests(now);
     m_buckets.clear();
     if (m_deployment)
         setDeployment(m_deployment);
@@ -266,7 +267,29 @@
 
 void SlotBroker::reportLoad(const wire::UpstreamLoad &load)
 {
-    m_scheduler.loadReported(m_clock.now(), load.upstream, load.requests);
+    const absl::Time now = m_clock.now();
+    if (load.requests >= 0)
+        m_scheduler.loadReported(now, load.upstream, load.requests);
+    std::optional<double> limit;
+    if (load.requestLimit > 0)
+        limit = load.requestLimit * m_share.limitFraction;
+    if (!m_scheduler.limitReported(now, load.upstream, limit))
+        return;
+    log(LogLevel::Info, "upstream-limit-changed",
+        {{"upstream", load.upstream},
+         {"requestLimit", load.requestLimit},
+         {"limitFraction", m_share.limitFraction}});
+    decide();
+}
+
+void SlotBroker::clearAccumulatedRequests()
+{
+    m_scheduler.clearAccumulatedRequests(m_clock.now());
+}
+
+bool SlotBroker::hasRequestLimit(const std::string &upstream) const
+{
+    return m_scheduler.requestLimit(m_clock.now(), upstream).has_value();
 }
 
 void SlotBroker::setLiveInstances(const std::vector<std::string> &instances)
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -9,6 +9,17 @@
 #include <utility>
 
 namespace rattanrill::serving {
+namespace {
+
+/// The local shares of all entries add up, so none of them may accumulate more than its part of a
+/// limit.
+SlotBrokerSettings localBrokerSettings(SlotBrokerSettings settings)
+{
+    settings.scheduler.requestLimit.burstRequests = 0;
+    return settings;
+}
+
+} // namespace
 
 struct SlotClient::Impl : std::enable_shared_from_this<SlotClient::Impl>
 {
@@ -18,7 +29,7 @@
         , channels(channels)
         , clock(clock)
         , settings(settings)
-        , localBroker(loop.timers(), clock, settings.localBroker)
+        , localBroker(loop.timers(), clock, localBrokerSettings(settings.localBroker))
     {}
 
     void acquire(const wire::SlotRequest &request, ResponseCallback callback)
@@ -69,6 +80,8 @@
         brokerReachable = isReachable;
         if (isReachable)
             reportHeldSlots();
+        else
+            localBroker.clearAccumulatedRequests();
         log(isReachable ? LogLevel::Info : LogLevel::Warning,
             isReachable ? "place-broker-regained" : "place-broker-lost",
             {{"peerAddress", address},
@@ -217,7 +230,8 @@
     const double entryCount = static_cast<double>(std::max<std::size_t>(entries, 1));
     m_impl->localBroker.setUpstreams(
             upstreams,
-            {1 / entryCount, std::min(1.0, m_impl->settings.localSlotFactor / entryCount)});
+            {1 / entryCount, std::min(1.0, m_impl->settings.localSlotFactor / entryCount),
+             std::min(1.0, m_impl->settings.localLimitFactor / entryCount)});
 }
 
 void SlotClient::acquire(const wire::SlotRequest &request, ResponseCallback callback)
@@ -232,7 +246,11 @@
 
 void SlotClient::reportLoad(const wire::UpstreamLoad &load)
 {
+    const bool hadLimit = m_impl->localBroker.hasRequestLimit(load.upstream);
     m_impl->localBroker.reportLoad(load);
+    const bool isInformative = load.requests >= 0 || load.requestLimit > 0 || hadLimit;
+    if (!isInformative)
+        return;
     if (!m_impl->brokerAddress.empty())
         m_impl->channels.channel(m_impl->brokerAddress)
                 ->sendOneWay(wire::Method::ReportLoad, wire::encode(load));
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -49,6 +49,23 @@
     BOOST_TEST(!caller.value().resumeAfter.has_value());
 }
 
+// Guards against a limit that is not recognized, and against a malformed one that stops all
+// requests to the upstream.
+BOOST_AUTO_TEST_CASE(requestLimitIsAPositiveDecimalNumber)
+{
+    const auto limit = [](const std::string &value) {
+        net::ResponseHead head;
+        head.status = 200;
+        head.headers.add("Server-Limit", value);
+        return adapter.parseResponse(head).requestLimit;
+    };
+    BOOST_TEST(limit("3.25").value() == 3.25);
+    BOOST_TEST(limit("4").value() == 4);
+    for (const char *value : {"", "0", "-1", "3.2x", "inf", "nan", "many"})
+        BOOST_TEST(!limit(value).has_value(), value);
+    BOOST_TEST(!adapter.parseResponse(net::ResponseHead()).requestLimit.has_value());
+}
+
 // Guards against a block of the part that belongs to one request alone, and against parts that are
 // not recognized in another spelling.
 BOOST_AUTO_TEST_CASE(sharedPromptPartsAreAllButTheLast)
--- /dev/null
+++ b/tests/serving/responseinfo_test.cpp
@@ -0,0 +1,37 @@
+#include "rattanrill/serving/protocoladapter.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill;
+using namespace rattanrill::serving;
+using policy::ReleaseReason;
+
+BOOST_AUTO_TEST_SUITE(ResponseInfoTest)
+
+// Guards against a limited upstream that is ejected because it refuses requests.
+BOOST_AUTO_TEST_CASE(refusalUnderALimitIsNoFault)
+{
+    ResponseInfo info;
+    info.notRun = true;
+    BOOST_TEST((refusalReason(info) == ReleaseReason::Failed));
+    info.requestLimit = 2.5;
+    BOOST_TEST((refusalReason(info) == ReleaseReason::Cancelled));
+    info.isInstanceMismatch = true;
+    BOOST_TEST((refusalReason(info) == ReleaseReason::Unreachable));
+}
+
+// Guards against a limit that is reported as ended, or a load as zero, because the response names
+// only one of them.
+BOOST_AUTO_TEST_CASE(loadAndLimitAreReportedIndependently)
+{
+    ResponseInfo info;
+    info.requestLimit = 2.5;
+    BOOST_TEST(loadOf("u", info).requests == -1);
+    BOOST_TEST(loadOf("u", info).requestLimit == 2.5);
+    info.requestLimit.reset();
+    info.outstandingRequests = 3;
+    BOOST_TEST(loadOf("u", info).requests == 3);
+    BOOST_TEST(loadOf("u", info).requestLimit == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
