Serving: Give a proxied request an explicit state

Three of six flags of ProxiedRequest (ended, calling, unresponsive) were one state, and eleven members of the current attempt were reset one by one before the next. State names the four states, and Attempt holds what belongs to one attempt. No decision changes: the tests of serving and gateway pass unchanged.

--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -90,6 +90,11 @@
            || (m_route.kind == RouteKind::Streaming && m_route.resumable);
 }
 
+bool ProxiedRequest::isCalling() const
+{
+    return m_state == State::Running || m_state == State::Unresponsive;
+}
+
 absl::Duration ProxiedRequest::remainingTime() const
 {
     return m_deadline - m_context.clock.now();
@@ -145,7 +150,7 @@
 {
     m_isSlotRequested = false;
     const bool isGranted = response.verdict == wire::SlotOutcome::Granted;
-    const bool isObsolete = m_ended || (m_isCalling && !m_isUnresponsive);
+    const bool isObsolete = m_state == State::Ended || m_state == State::Running;
     if (isObsolete) {
         if (isGranted)
             release(m_requestedSlotId, response.upstream, ReleaseReason::Cancelled);
@@ -153,7 +158,7 @@
     }
     m_fromLocalShare = m_fromLocalShare || fromLocalShare;
     if (isGranted) {
-        if (m_isCalling)
+        if (m_state == State::Unresponsive)
             abandonUnresponsiveUpstream();
         m_chargedRate = true;
         m_heldSlotId = m_requestedSlotId;
@@ -163,7 +168,7 @@
         return send(response.upstream, response.address);
     }
     // No other upstream has a free slot, so the unresponsive upstream gets more time.
-    if (m_isCalling)
+    if (m_state == State::Unresponsive)
         return armResponseTimer();
     const absl::Duration retryAfter = absl::Milliseconds(response.retryAfterMs);
     if (m_mayHaveRun || m_exchange->streamStarted())
@@ -185,21 +190,15 @@
 
 void ProxiedRequest::send(const std::string &upstream, const std::string &address)
 {
-    m_upstream = upstream;
+    m_attempt = Attempt();
+    m_attempt.upstream = upstream;
+    m_attempt.sentAt = m_context.clock.now();
     if (remainingTime() < minRemainingTime) {
         releaseSlot(ReleaseReason::Cancelled);
         return refuseOrFail("too little time is left for an attempt before the deadline");
     }
     ++m_attempts;
     m_attemptedUpstreams.push_back(upstream);
-    m_hasHead = false;
-    m_responseInfo = ResponseInfo();
-    m_isStream = false;
-    m_isUnresponsive = false;
-    m_hasBegun = false;
-    m_sentAt = m_context.clock.now();
-    m_body.clear();
-    m_splitter.reset();
     UpstreamAttempt attempt;
     attempt.expectedInstance = upstream;
     attempt.workspace = m_request.workspace;
@@ -215,9 +214,9 @@
     handlers.onEnd = [self = shared_from_this()](net::CallStatus status) {
         self->callEnded(status);
     };
-    m_isCalling = true;
+    m_state = State::Running;
     armResponseTimer();
-    m_call = m_context.upstreamConnections.call(
+    m_attempt.call = m_context.upstreamConnections.call(
             address,
             net::serialize(m_context.protocol.upstreamRequest(m_exchange->request(), attempt)),
             std::move(handlers));
@@ -230,52 +229,53 @@
         log(LogLevel::Warning, "foreign-answer-dropped",
             {{"requestId", m_request.caller.id},
              {"foreignRequestId", info.requestId},
-             {"upstream", m_upstream}});
+             {"upstream", m_attempt.upstream}});
         return false;
     }
-    m_head = head;
-    m_responseInfo = info;
-    m_hasHead = true;
+    m_attempt.head = head;
+    m_attempt.info = info;
+    m_attempt.hasHead = true;
     // The attempt may end before the response is complete, when a bound is reached.
     m_mayHaveRun = m_mayHaveRun || !info.notRun;
     if (!info.isInstanceMismatch)
-        m_context.slotClient.reportLoad(loadOf(m_upstream, info));
-    m_isStream = !info.notRun && head.status >= 200 && head.status < 300
-                 && m_route.kind == RouteKind::Streaming && m_context.protocol.isEventStream(head);
+        m_context.slotClient.reportLoad(loadOf(m_attempt.upstream, info));
+    m_attempt.isStream = !info.notRun && head.status >= 200 && head.status < 300
+                         && m_route.kind == RouteKind::Streaming
+                         && m_context.protocol.isEventStream(head);
     return true;
 }
 
 void ProxiedRequest::bodyReceived(std::string_view bytes)
 {
-    if (m_ended)
+    if (m_state == State::Ended)
         return;
-    if (m_isStream)
+    if (m_attempt.isStream)
         return forwardEvents(bytes);
-    m_isUnresponsive = false;
-    if (m_body.size() + bytes.size() > maxBufferedBodyBytes)
+    m_state = State::Running;
+    if (m_attempt.body.size() + bytes.size() > maxBufferedBodyBytes)
         return attemptFailed("the response body exceeds the size limit", ReleaseReason::Failed);
-    m_body.append(bytes);
+    m_attempt.body.append(bytes);
 }
 
 void ProxiedRequest::forwardEvents(std::string_view bytes)
 {
     std::vector<StreamEvent> events;
-    m_splitter.feed(bytes, events);
+    m_attempt.splitter.feed(bytes, events);
     bool hasContent = false;
     for (const StreamEvent &event : events) {
-        if (m_ended || !deliver(event))
+        if (m_state == State::Ended || !deliver(event))
             return;
         hasContent = hasContent || event.hasContent();
     }
-    if (hasContent && !std::exchange(m_hasBegun, true))
+    if (hasContent && !std::exchange(m_attempt.hasBegun, true))
         m_context.promptGuard.recordBegun(m_request.caller.sharedPromptParts);
-    if (m_splitter.isEventTooLong())
+    if (m_attempt.splitter.isEventTooLong())
         return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
     if (!hasContent)
         return;
     // The upstream responds after all. If a slot at another one is still granted,
     // slotResponseReceived() releases it. Bytes that contain no event are no response.
-    m_isUnresponsive = false;
+    m_state = State::Running;
     armResponseTimer();
 }
 
@@ -307,49 +307,50 @@
     if (m_exchange->streamStarted())
         return;
     m_firstByteAt = m_context.clock.now();
-    net::ResponseHead head = m_head;
+    net::ResponseHead head = m_attempt.head;
     net::removeHopByHopHeaders(head.headers);
     m_exchange->startStream(std::move(head));
 }
 
 void ProxiedRequest::callEnded(net::CallStatus status)
 {
-    m_isCalling = false;
-    if (m_ended)
+    if (m_state == State::Ended)
         return;
+    m_state = State::Waiting;
     if (status == net::CallStatus::NotConnected)
         return attemptFailed("the connection to the upstream could not be established",
                              ReleaseReason::Unreachable);
     const bool isReportedNotRun =
-            status == net::CallStatus::Complete && m_hasHead && m_responseInfo.notRun;
+            status == net::CallStatus::Complete && m_attempt.hasHead && m_attempt.info.notRun;
     if (!isReportedNotRun)
         m_mayHaveRun = true;
-    const bool hasEvents = m_hasBegun || m_position.lastId().has_value();
+    const bool hasEvents = m_attempt.hasBegun || m_position.lastId().has_value();
     if (status == net::CallStatus::Broken
-        || (m_isStream && isBrokenOff(m_head, m_splitter, hasEvents)))
+        || (m_attempt.isStream && isBrokenOff(m_attempt.head, m_attempt.splitter, hasEvents)))
         return attemptBroken();
     if (isReportedNotRun)
-        return attemptFailed("the upstream refused the request", refusalReason(m_responseInfo));
+        return attemptFailed("the upstream refused the request", refusalReason(m_attempt.info));
     responseCompleted();
 }
 
 void ProxiedRequest::attemptBroken()
 {
-    if (!m_hasBegun)
-        m_context.promptGuard.recordCrash(m_upstream, m_request.caller.sharedPromptParts, m_sentAt);
+    if (!m_attempt.hasBegun)
+        m_context.promptGuard.recordCrash(m_attempt.upstream, m_request.caller.sharedPromptParts,
+                                          m_attempt.sentAt);
     attemptFailed("the connection to the upstream broke before the response was complete",
                   ReleaseReason::Failed);
 }
 
 void ProxiedRequest::responseCompleted()
 {
-    const bool isServerError = m_head.status >= 500;
+    const bool isServerError = m_attempt.head.status >= 500;
     if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts
         && remainingTime() > minRemainingTime)
         return attemptFailed("the upstream responded with a server error",
                              ReleaseReason::Completed);
     releaseSlot(ReleaseReason::Completed);
-    if (m_isStream) {
+    if (m_attempt.isStream) {
         startResponse();
         m_exchange->finish();
         return finish(Outcome::Completed, "");
@@ -360,9 +361,9 @@
     }
     m_firstByteAt = m_context.clock.now();
     net::Response response;
-    response.head = m_head;
+    response.head = m_attempt.head;
     net::removeHopByHopHeaders(response.head.headers);
-    response.body = std::move(m_body);
+    response.body = std::move(m_attempt.body);
     m_exchange->respond(std::move(response));
     finish(Outcome::Completed, "");
 }
@@ -388,14 +389,14 @@
 {
     log(LogLevel::Info, "try-failed",
         {{"requestId", m_request.caller.id},
-         {"upstream", m_upstream},
+         {"upstream", m_attempt.upstream},
          {"attempt", m_attempts},
          {"reason", reason},
          {"mayHaveRun", m_mayHaveRun},
-         {"hasBegun", m_hasBegun},
-         {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - m_sentAt)},
+         {"hasBegun", m_attempt.hasBegun},
+         {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - m_attempt.sentAt)},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
-         {"requestLimit", m_responseInfo.requestLimit.value_or(0)},
+         {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
          {"lastEvent", m_position.lastId().value_or(-1)}});
 }
 
@@ -426,7 +427,7 @@
 void ProxiedRequest::deadlinePassed()
 {
     m_deadlineTimer = 0;
-    if (m_isCalling)
+    if (isCalling())
         m_mayHaveRun = true;
     cancelCall();
     releaseSlot(ReleaseReason::Cancelled);
@@ -437,7 +438,7 @@
 
 void ProxiedRequest::callerDisconnected()
 {
-    if (m_ended)
+    if (m_state == State::Ended)
         return;
     cancelCall();
     releaseSlot(ReleaseReason::Cancelled);
@@ -456,7 +457,8 @@
     absl::Duration responseTimeout =
             m_route.latencyObjective
             * (isStreaming ? firstEventTimeoutFraction : completeResponseTimeoutFactor);
-    if (m_isStream && m_position.lastId() && m_route.interEventObjective > absl::ZeroDuration())
+    if (m_attempt.isStream && m_position.lastId()
+        && m_route.interEventObjective > absl::ZeroDuration())
         responseTimeout = m_route.interEventObjective * interEventTimeoutFraction;
     m_responseTimer = timers.subscribeOnce(responseTimeout, [self = shared_from_this()] {
         self->m_responseTimer = 0;
@@ -466,17 +468,17 @@
 
 void ProxiedRequest::responseTimedOut()
 {
-    if (m_ended || !m_isCalling || m_isSlotRequested)
+    if (!isCalling() || m_isSlotRequested)
         return;
     m_mayHaveRun = true;
-    m_isUnresponsive = true;
+    m_state = State::Unresponsive;
     requestSlot();
 }
 
 void ProxiedRequest::releaseSlot(ReleaseReason reason)
 {
     if (!m_heldSlotId.empty())
-        release(std::exchange(m_heldSlotId, std::string()), m_upstream, reason);
+        release(std::exchange(m_heldSlotId, std::string()), m_attempt.upstream, reason);
 }
 
 void ProxiedRequest::release(const std::string &slotId, const std::string &upstream,
@@ -492,13 +494,15 @@
 
 void ProxiedRequest::cancelCall()
 {
-    if (std::exchange(m_isCalling, false))
-        m_context.upstreamConnections.cancel(m_call);
+    if (!isCalling())
+        return;
+    m_state = State::Waiting;
+    m_context.upstreamConnections.cancel(m_attempt.call);
 }
 
 void ProxiedRequest::finish(Outcome outcome, std::string_view reason)
 {
-    m_ended = true;
+    m_state = State::Ended;
     auto &timers = m_context.loop.timers();
     for (TimerService::TimerId *timer : {&m_deadlineTimer, &m_responseTimer}) {
         if (*timer != 0)
@@ -517,11 +521,11 @@
          {"route", m_route.name},
          {"workspace", m_request.workspace},
          {"outcome", name(outcome)},
-         {"status", m_hasHead ? m_head.status : 0},
+         {"status", m_attempt.hasHead ? m_attempt.head.status : 0},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
-         {"requestLimit", m_responseInfo.requestLimit.value_or(0)},
+         {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
          {"reason", reason},
-         {"upstream", m_upstream},
+         {"upstream", m_attempt.upstream},
          {"attempts", m_attempts},
          {"resumes", m_resumes},
          {"ownShare", m_fromLocalShare},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -35,9 +35,39 @@
         CallerDisconnected,
     };
 
+    enum class State {
+        /// No upstream runs the request; a slot is requested.
+        Waiting,
+        /// An upstream runs the request.
+        Running,
+        /// An upstream runs the request but has not responded in time. It may still respond while a
+        /// slot at another upstream is requested.
+        Unresponsive,
+        Ended,
+    };
+
+    /// One attempt at an upstream.
+    struct Attempt
+    {
+        std::string upstream;
+        net::ConnectionPool::CallId call = 0;
+        absl::Time sentAt;
+        /// The next three are valid once the head of the response has arrived.
+        bool hasHead = false;
+        net::ResponseHead head;
+        ResponseInfo info;
+        bool isStream = false;
+        /// Whether an event arrived, that is, the upstream began to write the response.
+        bool hasBegun = false;
+        /// Body of a response that is not a stream.
+        std::string body;
+        EventSplitter splitter;
+    };
+
     static std::string_view name(Outcome outcome);
 
     bool mayRunAgain() const;
+    bool isCalling() const;
     absl::Duration remainingTime() const;
     bool rejectBlockedPrompt();
     void requestSlot();
@@ -74,31 +104,18 @@
     const absl::Time m_receivedAt;
     absl::Time m_deadline;
     std::string m_service;
-    bool m_ended = false;
+    State m_state = State::Waiting;
 
-    // The current attempt.
-    /// True while a slot request has no decision yet.
+    /// True while a slot request has no decision yet. It may continue while the upstream responds
+    /// after all; slotResponseReceived() then releases the slot.
     bool m_isSlotRequested = false;
     /// Request ids of the slot that is held (empty when none is) and of the last slot request. Each
     /// slot request has an id of its own.
     std::string m_heldSlotId;
     std::string m_requestedSlotId;
     int m_slotRequestCount = 0;
-    /// The upstream has not responded in time. It may still respond while a slot at another
-    /// upstream is requested.
-    bool m_isUnresponsive = false;
-    bool m_isCalling = false;
-    net::ConnectionPool::CallId m_call = 0;
-    std::string m_upstream;
-    net::ResponseHead m_head;
-    ResponseInfo m_responseInfo;
-    bool m_hasHead = false;
-    bool m_isStream = false;
-    /// Whether an event arrived, that is, the upstream began to write the response.
-    bool m_hasBegun = false;
-    absl::Time m_sentAt;
-    std::string m_body;
-    EventSplitter m_splitter;
+    /// The current attempt or, while there is none, the last one.
+    Attempt m_attempt;
 
     // All attempts.
     int m_attempts = 0;
