Fleet: Apply the crashes of a report before the responses that clear them

A report that was delayed, because the leader of the fleet group was out of reach, may hold crashes and a later response that clears their part. The response was applied first, to no evidence, so sound prompts could be blocked by the crashes after it. Found by reading; the order of the tracker is tested by laterReportOfAnEarlierResponseClearsThePart.

--- a/src/fleet/promptquarantine.cpp
+++ b/src/fleet/promptquarantine.cpp
@@ -46,8 +46,6 @@
 void PromptQuarantine::addEvidence(const wire::PromptEvidence &evidence)
 {
     const absl::Time now = m_clock.now();
-    for (const wire::BegunPart &begun : evidence.begun)
-        m_tracker.recordBegun(begun.part, now - absl::Milliseconds(begun.ageMs));
     for (const wire::CrashedAttempt &attempt : evidence.crashes) {
         policy::PromptCrash crash;
         crash.upstream = attempt.upstream;
@@ -57,6 +55,10 @@
         m_tracker.recordCrash(crash);
         logCrash(evidence.instance, attempt);
     }
+    // After the crashes, because a report that was delayed may have crashes from before a response
+    // that cleared their parts.
+    for (const wire::BegunPart &begun : evidence.begun)
+        m_tracker.recordBegun(begun.part, now - absl::Milliseconds(begun.ageMs));
     publish();
 }
 
--- a/tests/policy/promptcrashtracker_test.cpp
+++ b/tests/policy/promptcrashtracker_test.cpp
@@ -85,6 +85,17 @@
     BOOST_TEST(!isBlocked({"subject"}));
 }
 
+// Guards against a block by a delayed report, which has the crashes of a longer time before the
+// responses that cleared their part.
+BOOST_AUTO_TEST_CASE(laterReportOfAnEarlierResponseClearsThePart)
+{
+    crashThreeTimes({"first", "other"});
+    tracker.recordBegun("first", at(150));
+    BOOST_TEST(!isBlocked({"first"}));
+    BOOST_TEST(isBlocked({"other"}));
+    BOOST_TEST(tracker.crashCount("first") == 2u);
+}
+
 // Guards against a block that stays although the part does not crash upstreams.
 BOOST_AUTO_TEST_CASE(blockEndsWhenAllItsPartsAreCleared)
 {
