Serving: Repeat the report of held slots until the broker has received it

The requests that an entry granted from its local share were reported to the regained broker once, one-way, and cleared before it had received them. A lost report left them uncharged, so a workspace could get more than its rate; the broker did not learn of the slots either.

The report is now a call; when it fails, the charges are kept and reported again after 500 ms. A response that is lost charges them twice, which refuses requests but never exceeds the rate. lostReportOfLocalGrantsIsRepeated failed before (no report arrived in 10 s). The fixture waits 50 ms, since the local rate bucket starts empty: without it, two of three local requests were over the rate on a fast machine.

--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -26,6 +26,8 @@
     double localLimitFactor = 0.5;
     /// After a call without a response, slots are granted from the local share for this long.
     absl::Duration brokerRetryDelay = absl::Milliseconds(500);
+    /// A report of held slots to which the broker has not responded after this time is repeated.
+    absl::Duration reportTimeout = absl::Milliseconds(300);
     /// Settings of the local broker. The timeout of calls to the deployment's broker uses its
     /// maxResponseDelay too.
     SlotBrokerSettings localBroker;
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -285,12 +285,13 @@
     std::int64_t ageMs = 0;
 };
 
-/// Push of Method::ReportHeldSlots: reports the occupied slots to a new broker.
+/// Request of Method::ReportHeldSlots, which an entry instance repeats until the broker has
+/// responded. The response is empty.
 struct HeldSlots
 {
     std::string instance;
     std::vector<HeldSlot> places;
-    /// Requests that the sender granted from its local share since it lost the receiver.
+    /// Requests that the sender granted from its local share and has not reported yet.
     std::vector<RateCharge> charges{};
 };
 
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -23,6 +23,13 @@
 
 struct SlotClient::Impl : std::enable_shared_from_this<SlotClient::Impl>
 {
+    struct LocalCharge
+    {
+        absl::Time firstGrantedAt = absl::InfiniteFuture();
+        std::int64_t requests = 0;
+    };
+    using LocalCharges = std::map<std::string, LocalCharge>;
+
     Impl(net::EventLoop &loop, peer::ChannelPool &channels, const Clock &clock,
          SlotClientSettings settings)
         : loop(loop)
@@ -135,12 +142,27 @@
     }
 
     /// Reports the held slots and the charges of the local share to the broker, which may have no
-    /// record of them when it has just started or was unreachable.
+    /// record of them when it has just started or was unreachable. Repeats the report until the
+    /// broker has received it.
     void reportHeldSlots()
     {
-        const auto charges = std::exchange(localCharges, {});
+        LocalCharges charges = std::exchange(localCharges, {});
         if ((heldSlots.empty() && charges.empty()) || brokerAddress.empty())
             return;
+        const std::string report = wire::encode(makeHeldSlots(charges));
+        channels.channel(brokerAddress)
+                ->call(wire::Method::ReportHeldSlots, report, settings.reportTimeout,
+                       [self = shared_from_this(), address = brokerAddress,
+                        charges = std::move(charges)](const Outcome<std::string> &outcome) {
+                           if (!outcome.ok())
+                               self->loop.post([self, address, charges] {
+                                   self->handleReportLost(address, charges);
+                               });
+                       });
+    }
+
+    wire::HeldSlots makeHeldSlots(const LocalCharges &charges) const
+    {
         wire::HeldSlots message;
         message.instance = instance;
         for (const auto &[workspace, charge] : charges)
@@ -152,8 +174,23 @@
             message.places.back().deadlineMs =
                     absl::ToInt64Milliseconds(granted.deadline - clock.now());
         }
-        channels.channel(brokerAddress)
-                ->sendOneWay(wire::Method::ReportHeldSlots, wire::encode(message));
+        return message;
+    }
+
+    void handleReportLost(const std::string &address, const LocalCharges &charges)
+    {
+        if (stopped || address != brokerAddress)
+            return;
+        for (const auto &[workspace, charge] : charges) {
+            LocalCharge &pending = localCharges[workspace];
+            pending.requests += charge.requests;
+            pending.firstGrantedAt = std::min(pending.firstGrantedAt, charge.firstGrantedAt);
+        }
+        log(LogLevel::Warning, "held-places-not-reported", {{"peerAddress", address}});
+        loop.timers().subscribeOnce(settings.brokerRetryDelay, [self = shared_from_this()] {
+            if (!self->stopped)
+                self->reportHeldSlots();
+        });
     }
 
     void release(const wire::SlotRelease &release)
@@ -183,13 +220,9 @@
     };
     /// Slots granted by the broker and from the local share, by request id.
     std::map<std::string, GrantedSlot> heldSlots;
-    struct LocalCharge
-    {
-        absl::Time firstGrantedAt;
-        std::int64_t requests = 0;
-    };
-    /// Requests granted from the local share since the broker was last reachable, by workspace.
-    std::map<std::string, LocalCharge> localCharges;
+    /// Requests granted from the local share that the broker has not received a report of, by
+    /// workspace.
+    LocalCharges localCharges;
     std::string instance;
     bool brokerReachable = true;
     bool stopped = false;
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -46,6 +46,8 @@
                 wire::Method::ReportHeldSlots,
                 [this](const peer::PeerIdentity &, const std::string &body,
                        const peer::ResponseCallback &reply) {
+                    if (reportsToLose-- > 0)
+                        return reply(notRun(ErrorCode::Overloaded, "the report is lost"));
                     held = outcomeOf([&] { return wire::decode<wire::HeldSlots>(body); }).value();
                     if (!reported.HasBeenNotified())
                         reported.Notify();
@@ -60,6 +62,8 @@
             client.setUpstreams({{"u", "llm", "u:1", "d", 100, false}}, 1);
             client.setBroker("127.0.0.1:" + std::to_string(server.port()));
         });
+        // The rate bucket of the local share starts empty and gains a request in 1 ms.
+        absl::SleepFor(absl::Milliseconds(50));
     }
     ~Fixture()
     {
@@ -93,6 +97,7 @@
     }
 
     std::atomic<bool> isRepaired{false};
+    std::atomic<int> reportsToLose{0};
     wire::HeldSlots held;
     absl::Notification reported;
     net::LoopThread thread;
@@ -122,4 +127,19 @@
                >= absl::ToInt64Milliseconds(SlotClientSettings().brokerRetryDelay));
 }
 
+// Guards against requests from the local share that are never charged because the report of them
+// was lost.
+BOOST_AUTO_TEST_CASE(lostReportOfLocalGrantsIsRepeated)
+{
+    reportsToLose = 2;
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(acquire("local-" + std::to_string(i)));
+    isRepaired = true;
+    absl::SleepFor(SlotClientSettings().brokerRetryDelay);
+    BOOST_TEST(!acquire("regained"));
+    BOOST_REQUIRE(reported.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_REQUIRE(held.charges.size() == 1u);
+    BOOST_TEST(held.charges[0].requests == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
