--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -72,6 +72,8 @@
     void cancel(CallId call);
     /// Closes the idle connections to \a address; for an address that is no longer used.
     void closeIdleConnections(const std::string &address);
+    /// Whether a connection to \a address is established, idle or with a call.
+    bool hasOpenConnections(const std::string &address) const;
     /// Number of connections opened since construction, including failed attempts.
     std::uint64_t connectionsOpened() const;
     /// Closes all connections and cancels all open calls.
--- a/include/rattanrill/serving/promptguard.h
+++ b/include/rattanrill/serving/promptguard.h
@@ -36,10 +36,10 @@
                    const std::vector<std::string> &suspects);
     /// Whether a request whose prompt has \a parts must be rejected.
     bool isBlocked(const std::vector<std::string> &parts) const;
-    /// Records that \a upstream crashed before it began to write the response to a request that was
-    /// sent at \a sentAt. Does nothing for a prompt without shared parts.
+    /// Records that \a upstream crashed at \a crashedAt before it began to write the response to a
+    /// request that was sent at \a sentAt. Does nothing for a prompt without shared parts.
     void recordCrash(const std::string &upstream, const std::vector<std::string> &parts,
-                     absl::Time sentAt);
+                     absl::Time sentAt, absl::Time crashedAt);
     /// Records that an upstream began to write the response to a prompt with \a parts.
     void recordBegun(const std::vector<std::string> &parts);
 
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -132,6 +132,16 @@
     m_impl->idle.erase(address);
 }
 
+bool ConnectionPool::hasOpenConnections(const std::string &address) const
+{
+    const auto idle = m_impl->idle.find(address);
+    if (idle != m_impl->idle.end() && !idle->second.empty())
+        return true;
+    return std::any_of(m_impl->calls.begin(), m_impl->calls.end(), [&](const auto &call) {
+        return call.second->address() == address && call.second->isEstablished();
+    });
+}
+
 std::uint64_t ConnectionPool::connectionsOpened() const
 {
     return m_impl->opened;
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -29,6 +29,7 @@
     void call(std::string request, CallHandlers handlers);
     void close();
     const std::string &address() const { return m_address; }
+    bool isEstablished() const { return m_state == State::Calling || m_state == State::Idle; }
     /// Whether the connection is idle and can carry another request.
     bool isUsable(absl::Time now) const;
 
--- a/src/serving/promptguard.cpp
+++ b/src/serving/promptguard.cpp
@@ -48,12 +48,12 @@
 }
 
 void PromptGuard::recordCrash(const std::string &upstream, const std::vector<std::string> &parts,
-                              absl::Time sentAt)
+                              absl::Time sentAt, absl::Time crashedAt)
 {
     if (parts.empty())
         return;
     if (m_crashes.size() < maxPendingCrashes)
-        m_crashes.push_back({upstream, parts, sentAt, m_clock.now()});
+        m_crashes.push_back({upstream, parts, sentAt, crashedAt});
     if (m_ownSuspects.size() + parts.size() <= maxOwnSuspects)
         m_ownSuspects.insert(parts.begin(), parts.end());
     report();
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -29,6 +29,8 @@
 /// Retry-After when no upstream has accepted the request. It is short because the cause may be
 /// temporary.
 constexpr absl::Duration unavailableRetryAfter = absl::Milliseconds(300);
+/// Time for the other connections to a crashed upstream to be closed.
+constexpr absl::Duration crashCheckDelay = absl::Milliseconds(20);
 /// Retry-After of a request whose prompt crashes upstreams. Blocks last much longer.
 constexpr absl::Duration quarantineRetryAfter = absl::Minutes(1);
 /// Time until the deadline below which an attempt is not worth starting.
@@ -192,6 +194,7 @@
 {
     m_attempt = Attempt();
     m_attempt.upstream = upstream;
+    m_attempt.address = address;
     m_attempt.sentAt = m_context.clock.now();
     if (remainingTime() < minRemainingTime) {
         releaseSlot(ReleaseReason::Cancelled);
@@ -336,12 +339,25 @@
 void ProxiedRequest::attemptBroken()
 {
     if (!m_attempt.hasBegun)
-        m_context.promptGuard.recordCrash(m_attempt.upstream, m_request.caller.sharedPromptParts,
-                                          m_attempt.sentAt);
+        reportCrash();
     attemptFailed("the connection to the upstream broke before the response was complete",
                   ReleaseReason::Failed);
 }
 
+/// Reports that the upstream crashed, unless another connection to it is still open. A crash closes
+/// all connections within moments; a single one may also be reset by an upstream that runs on.
+void ProxiedRequest::reportCrash()
+{
+    const absl::Time crashedAt = m_context.clock.now();
+    const auto report = [self = shared_from_this(), upstream = m_attempt.upstream,
+                         address = m_attempt.address, sentAt = m_attempt.sentAt, crashedAt] {
+        if (!self->m_context.upstreamConnections.hasOpenConnections(address))
+            self->m_context.promptGuard.recordCrash(
+                    upstream, self->m_request.caller.sharedPromptParts, sentAt, crashedAt);
+    };
+    m_context.loop.timers().subscribeOnce(crashCheckDelay, report);
+}
+
 void ProxiedRequest::responseCompleted()
 {
     const bool isServerError = m_attempt.head.status >= 500;
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -50,6 +50,7 @@
     struct Attempt
     {
         std::string upstream;
+        std::string address;
         net::ConnectionPool::CallId call = 0;
         absl::Time sentAt;
         /// The next three are valid once the head of the response has arrived.
@@ -80,6 +81,7 @@
     void startResponse();
     void callEnded(net::CallStatus status);
     void attemptBroken();
+    void reportCrash();
     void responseCompleted();
     void attemptFailed(std::string_view reason, policy::ReleaseReason releaseReason);
     void logFailedAttempt(std::string_view reason) const;
--- a/tests/serving/promptguard_test.cpp
+++ b/tests/serving/promptguard_test.cpp
@@ -56,10 +56,10 @@
 // is reported again, with its age, until it has been received.
 BOOST_AUTO_TEST_CASE(evidenceIsReportedUntilItIsReceived)
 {
-    guard.recordCrash("u1", {"a"}, clock.now() - absl::Milliseconds(20));
+    guard.recordCrash("u1", {"a"}, clock.now() - absl::Milliseconds(20), clock.now());
     BOOST_TEST_REQUIRE(reports.size() == 1u);
     answer(false);
-    guard.recordCrash("u2", {"b"}, clock.now());
+    guard.recordCrash("u2", {"b"}, clock.now(), clock.now());
     timers.advance(absl::Milliseconds(500));
     BOOST_TEST_REQUIRE(reports.size() == 1u);
     const auto &crashes = reports.front().evidence.crashes;
@@ -84,7 +84,7 @@
     BOOST_TEST(reports.front().evidence.begun.size() == 1u);
     answer(true);
     // The parts of a crash that this process has reported are suspects until a response begins.
-    guard.recordCrash("u1", {"c"}, clock.now());
+    guard.recordCrash("u1", {"c"}, clock.now(), clock.now());
     answer(true);
     guard.recordBegun({"c"});
     BOOST_TEST_REQUIRE(reports.size() == 1u);
@@ -98,7 +98,7 @@
 BOOST_AUTO_TEST_CASE(pendingEvidenceIsBounded)
 {
     for (int i = 0; i < 2000; ++i)
-        guard.recordCrash("u", {std::to_string(i)}, clock.now());
+        guard.recordCrash("u", {std::to_string(i)}, clock.now(), clock.now());
     answer(false);
     timers.advance(absl::Seconds(1));
     BOOST_TEST(reports.front().evidence.crashes.size() == 256u);
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -227,8 +227,10 @@
                                     + "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
     }
 
+    /// Returns the reports after the time in which the crash of an upstream is confirmed.
     std::vector<wire::PromptEvidence> allReports()
     {
+        absl::SleepFor(absl::Milliseconds(100));
         std::vector<wire::PromptEvidence> result;
         thread.run([&] { result = reports; });
         return result;
@@ -491,6 +493,7 @@
                                  {streamHead("b") + chunk(event(1)) + "0\r\n\r\n"}});
     Entry entry(routeOf(RouteKind::Streaming, 2, true));
     entry.sendRequest("a", "Part: p\r\n");
+    BOOST_TEST(entry.allReports().size() == 1u);
     entry.sendRequest("b", "Part: p\r\n");
     const auto reports = entry.allReports();
     BOOST_TEST_REQUIRE(reports.size() == 2u);
@@ -500,6 +503,28 @@
     BOOST_TEST(reports[1].begun.size() == 1u);
 }
 
+// Guards against prompts that are accused of a crash because an upstream reset one connection while
+// it ran on.
+BOOST_AUTO_TEST_CASE(resetOfOneConnectionIsNotReportedAsCrash)
+{
+    ScriptedUpstreams upstreams({{completeResponse("0", "slow"), false, 500},
+                                 {completeResponse("1", "slow"), false, 500},
+                                 {"", true}});
+    Entry entry(routeOf(RouteKind::NonIdempotent, 1));
+    std::vector<std::thread> callers;
+    // Each upstream runs one of the first two requests; the third one is sent to the first
+    // upstream.
+    for (std::size_t i = 0; i < 2; ++i) {
+        callers.emplace_back([&entry, i] { entry.sendRequest(std::to_string(i)); });
+        while (upstreams.requests().size() <= i)
+            std::this_thread::yield();
+    }
+    BOOST_TEST(contains(entry.sendRequest("2", "Part: p\r\n"), "HTTP/1.1 502"));
+    BOOST_TEST(entry.allReports().empty());
+    for (std::thread &caller : callers)
+        caller.join();
+}
+
 // Guards against a blocked prompt that reaches an upstream, at first or as a further attempt.
 BOOST_AUTO_TEST_CASE(requestWithABlockedPromptIsNotSent)
 {
