Serving: Let a whole response clear the parts of its prompt

On routes without streams a response never counted as begun, so no response cleared their prompt parts: sound ones stayed suspects, and requests whose body had begun could be accused of a crash. Found by reading the change; wholeResponseClearsItsPrompt guards it and was not run without the change.

--- a/src/fleet/promptquarantine.cpp
+++ b/src/fleet/promptquarantine.cpp
@@ -14,6 +14,7 @@
 std::vector<policy::PromptBlock> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
 {
     std::vector<policy::PromptBlock> blocks;
+    blocks.reserve(prompts.size());
     for (const wire::BlockedPrompt &prompt : prompts)
         blocks.emplace_back(prompt.parts.begin(), prompt.parts.end());
     return blocks;
@@ -22,6 +23,7 @@
 std::vector<wire::BlockedPrompt> toPrompts(const std::vector<policy::PromptBlock> &blocks)
 {
     std::vector<wire::BlockedPrompt> prompts;
+    prompts.reserve(blocks.size());
     for (const policy::PromptBlock &block : blocks)
         prompts.push_back({std::vector<std::string>(block.begin(), block.end())});
     return prompts;
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -255,6 +255,8 @@
     if (m_attempt.isStream)
         return forwardEvents(bytes);
     m_state = State::Running;
+    if (!bytes.empty() && !m_attempt.info.notRun && m_attempt.head.status < 300)
+        responseBegun();
     if (m_attempt.body.size() + bytes.size() > maxBufferedBodyBytes)
         return attemptFailed("the response body exceeds the size limit", ReleaseReason::Failed);
     m_attempt.body.append(bytes);
@@ -270,8 +272,8 @@
             return;
         hasContent = hasContent || event.hasContent();
     }
-    if (hasContent && !std::exchange(m_attempt.hasBegun, true))
-        m_context.promptGuard.recordBegun(m_request.caller.sharedPromptParts);
+    if (hasContent)
+        responseBegun();
     if (m_attempt.splitter.isEventTooLong())
         return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
     if (!hasContent)
@@ -282,6 +284,12 @@
     armResponseTimer();
 }
 
+void ProxiedRequest::responseBegun()
+{
+    if (!std::exchange(m_attempt.hasBegun, true))
+        m_context.promptGuard.recordBegun(m_request.caller.sharedPromptParts);
+}
+
 /// Returns false when the attempt or the request has ended.
 bool ProxiedRequest::deliver(const StreamEvent &event)
 {
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -58,7 +58,8 @@
         net::ResponseHead head;
         ResponseInfo info;
         bool isStream = false;
-        /// Whether an event arrived, that is, the upstream began to write the response.
+        /// Whether an event or a part of the body arrived, that is, the upstream began to write the
+        /// response.
         bool hasBegun = false;
         /// Body of a response that is not a stream.
         std::string body;
@@ -77,6 +78,7 @@
     bool headReceived(const net::ResponseHead &head);
     void bodyReceived(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
+    void responseBegun();
     bool deliver(const StreamEvent &event);
     void startResponse();
     void callEnded(net::CallStatus status);
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -503,6 +503,18 @@
     BOOST_TEST(reports[1].begun.size() == 1u);
 }
 
+// Guards against prompts that no response clears because their route has no streams.
+BOOST_AUTO_TEST_CASE(wholeResponseClearsItsPrompt)
+{
+    ScriptedUpstreams upstreams({{completeResponse("a", "whole")}});
+    Entry entry(routeOf(RouteKind::Idempotent, 1));
+    entry.thread.run([&] { entry.promptGuard.setBlocks({}, {"p"}); });
+    entry.sendRequest("a", "Part: p\r\n");
+    const auto reports = entry.allReports();
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    BOOST_TEST(reports[0].begun.size() == 1u);
+}
+
 // Guards against prompts that are accused of a crash because an upstream reset one connection while
 // it ran on.
 BOOST_AUTO_TEST_CASE(resetOfOneConnectionIsNotReportedAsCrash)
