--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -4,12 +4,11 @@
 #include "loadsummary.h"
 #include "promptfile.h"
 #include "rattanrill/base/concat.h"
+#include "rattanrill/settings/arguments.h"
 #include "rattanrill/settings/program.h"
 #include "rattanrill/settings/settingsfile.h"
 #include "schedule.h"
 
-#include <boost/program_options.hpp>
-
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -79,19 +78,6 @@
         plan["workspaces"].push_back(workspaceOption(text, rate));
 }
 
-Result<po::variables_map> parseArguments(const po::options_description &options, int argc,
-                                         char **argv)
-{
-    try {
-        po::variables_map values;
-        po::store(po::command_line_parser(argc, argv).options(options).run(), values);
-        po::notify(values);
-        return values;
-    } catch (const po::error &error) {
-        return fail(notRun(ErrorCode::InvalidArgument, error.what()));
-    }
-}
-
 Result<LoadPlan> loadPlan(const po::variables_map &values)
 {
     Json json = Json::object();
--- a/src/report/main.cpp
+++ b/src/report/main.cpp
@@ -1,6 +1,7 @@
 #include "objectives.h"
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/concat.h"
+#include "rattanrill/settings/arguments.h"
 #include "rattanrill/settings/program.h"
 #include "rattanrill/settings/settingsfile.h"
 #include "reportformats.h"
@@ -8,8 +9,6 @@
 
 #include "absl/synchronization/notification.h"
 
-#include <boost/program_options.hpp>
-
 #include <csignal>
 #include <fstream>
 #include <iostream>
@@ -45,19 +44,6 @@
     return options;
 }
 
-Result<po::variables_map> parseArguments(const po::options_description &options, int argc,
-                                         char **argv)
-{
-    try {
-        po::variables_map values;
-        po::store(po::command_line_parser(argc, argv).options(options).run(), values);
-        po::notify(values);
-        return values;
-    } catch (const po::error &error) {
-        return fail(notRun(ErrorCode::InvalidArgument, error.what()));
-    }
-}
-
 Strings stringsOf(const po::variables_map &values, const char *option)
 {
     return values.count(option) > 0 ? values[option].as<Strings>() : Strings();
--- a/src/settings/program.cpp
+++ b/src/settings/program.cpp
@@ -1,10 +1,9 @@
 #include "rattanrill/settings/program.h"
 
 #include "rattanrill/base/concat.h"
+#include "rattanrill/settings/arguments.h"
 #include "rattanrill/settings/settingsfile.h"
 
-#include <boost/program_options.hpp>
-
 #include <array>
 #include <cstdio>
 #include <iostream>
@@ -28,19 +27,6 @@
     return options;
 }
 
-Result<po::variables_map> parseArguments(const po::options_description &options, int argc,
-                                         char **argv)
-{
-    try {
-        po::variables_map values;
-        po::store(po::command_line_parser(argc, argv).options(options).run(), values);
-        po::notify(values);
-        return values;
-    } catch (const po::error &error) {
-        return fail(notRun(ErrorCode::InvalidArgument, error.what()));
-    }
-}
-
 LogLevel logLevelOf(const std::string &levelName)
 {
     for (const LogLevel level :
