Fleet, Jobs, Serving: Log dropped reads of the upstream list and the list's age

An operator saw an item sent to an upstream 4,050 ms after a read of the platform's list had shown it as draining. Nothing showed whether that read was dropped, or how old the list was by which the store granted the slot.

The fleet leader logs each read whose result it drops, with the reason. Each poll response states the age of the list (from the start of the read) and for how long the leader held the poll; from both, members derive a lower bound of the time of the read in their own clock. A poll of an older process has no age and counts as unknown. `upstream-list-in-force` shows term, sequence and age when a member's list changes; `request-ended`, `item-ended` and `item-try-failed` show the age at the last grant (`upstreamListAgeMs`, -1 if unknown).

No decision changes.

--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -47,6 +47,9 @@
     /// Whether the platform's list of upstreams has been received at least once.
     bool upstreamsKnown = false;
     std::vector<wire::FleetUpstream> upstreams;
+    /// The read that \a upstreams shows started at this time of the local clock or later.
+    /// InfinitePast if unknown.
+    absl::Time upstreamsReadAt = absl::InfinitePast();
     std::vector<wire::BlockedPrompt> blockedPrompts;
     /// Parts of which the beginning of a response must be reported.
     std::vector<std::string> suspectPromptParts;
@@ -60,6 +63,7 @@
 {
 public:
     using Listener = std::function<void(const FleetState &state)>;
+    using ConfirmationListener = std::function<void(absl::Time readAt)>;
 
     FleetClient(net::EventLoop &loop, peer::ChannelPool &channels, FleetClientSettings settings,
                 const Clock &clock);
@@ -69,6 +73,9 @@
 
     /// Adds \a listener, which is called after each change of the state. Call before start().
     void onChange(Listener listener);
+    /// Adds \a listener, which is called when a response without a change of the state shows that
+    /// the list of upstreams was the same in a later read. Call before start().
+    void onUpstreamsConfirmed(ConfirmationListener listener);
     /// Sets the function that fills in the store group's fields of each poll: whether this process
     /// leads the group and, if so, its term and replicas.
     void setStoreStatusSource(std::function<void(wire::FleetSyncRequest &)> source);
@@ -87,6 +94,9 @@
     const FleetState &state() const;
     /// Time since the last successful poll was sent; infinite before the first one.
     absl::Duration staleness() const;
+    /// Upper bound of the time since the start of the read that the list of upstreams shows;
+    /// infinite if unknown.
+    absl::Duration upstreamListAge() const;
     /// Last known peer address of the leader of the fleet group; empty when unknown.
     std::string leaderAddress() const;
 
--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -31,8 +31,11 @@
 
     void setRecords(const wire::FleetSnapshot &records);
     const wire::FleetSnapshot &records() const { return m_records; }
-    /// Replaces the platform's list of upstreams with the result of the latest read.
-    void setUpstreams(std::vector<wire::FleetUpstream> upstreams);
+    /// Replaces the platform's list of upstreams with the result of the latest read, which started
+    /// at \a readAt.
+    void setUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt);
+    /// Start of the last complete read in this term; InfinitePast before the first one.
+    absl::Time upstreamsReadAt() const { return m_upstreamsReadAt; }
     /// Replaces the parts of which the beginning of a response must be reported.
     void setSuspectPromptParts(std::vector<std::string> parts);
     void recordHeartbeat(const wire::FleetSyncRequest &request, absl::Time now);
@@ -78,6 +81,7 @@
     std::uint64_t m_promptSequence = 1;
     std::vector<std::string> m_suspectPromptParts;
     bool m_upstreamsKnown = false;
+    absl::Time m_upstreamsReadAt = absl::InfinitePast();
     std::vector<wire::FleetUpstream> m_upstreams;
     /// By instance.
     std::map<std::string, MemberEntry> m_members;
--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -10,6 +10,8 @@
 #include "rattanrill/serving/slotbroker.h"
 #include "rattanrill/wire/jobmessages.h"
 
+#include "absl/time/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -28,6 +30,8 @@
     serving::SlotBroker &broker;
     fleet::GroupReplica &replica;
     std::string failureDomain;
+    /// Age of the list of upstreams by which slots are granted, infinite if unknown; for log lines.
+    std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
 };
 
 /// Numbers of items without a result, by what they do.
--- a/include/rattanrill/serving/proxyrequest.h
+++ b/include/rattanrill/serving/proxyrequest.h
@@ -10,6 +10,9 @@
 #include "rattanrill/serving/protocoladapter.h"
 #include "rattanrill/serving/slotclient.h"
 
+#include "absl/time/time.h"
+
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -33,6 +36,8 @@
     SlotClient &slotClient;
     PromptGuard &promptGuard;
     InstanceIdentity identity;
+    /// Age of the process's list of upstreams, infinite if unknown; for log lines.
+    std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
 };
 
 /// A caller's request after its route and workspace have been resolved.
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -165,6 +165,11 @@
 {
     std::uint64_t viewTerm = 0;
     std::uint64_t viewSequence = 0;
+    /// Time since the leader started the last complete read of the platform's list of upstreams; -1
+    /// if it has read none in this term. Older processes don't send it.
+    std::int64_t upstreamsAgeMs = -1;
+    /// Time for which the leader has held the request until it sent this response.
+    std::int64_t heldMs = 0;
     /// 0 in the response of a process that does not track prompts.
     std::uint64_t promptSequence = 0;
     /// Whether the next two lists are set.
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
+#include "rattanrill/fleet/upstreamlist.h"
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
@@ -15,6 +16,12 @@
 constexpr std::size_t maxParallelPolls = 3;
 constexpr absl::Duration evidenceTimeout = absl::Milliseconds(300);
 
+std::int64_t countDraining(const std::vector<wire::FleetUpstream> &upstreams)
+{
+    return std::count_if(upstreams.begin(), upstreams.end(),
+                         [](const wire::FleetUpstream &upstream) { return upstream.draining; });
+}
+
 } // namespace
 
 struct FleetClient::Impl : std::enable_shared_from_this<FleetClient::Impl>
@@ -133,12 +140,46 @@
         followsHint = false;
         backoff = settings.minBackoff;
         lastSyncSentAt = sentAt;
-        applyResponse(response.value());
+        applyResponse(response.value(), sentAt);
         poll();
     }
 
-    void applyResponse(const wire::FleetSyncResponse &response)
+    /// Start of the read of the list of upstreams that the leader's view shows, at the earliest.
+    /// The leader received the poll after \a sentAt and determined the age after the time for which
+    /// it held the poll.
+    static absl::Time earliestReadAt(const wire::FleetSyncResponse &response, absl::Time sentAt)
+    {
+        if (response.upstreamsAgeMs < 0)
+            return absl::InfinitePast();
+        return sentAt + absl::Milliseconds(response.heldMs)
+               - absl::Milliseconds(response.upstreamsAgeMs);
+    }
+
+    void replaceUpstreams(const wire::FleetSyncResponse &response, absl::Time readAt)
+    {
+        const bool isSame =
+                state.upstreamsKnown && sameUpstreams(state.upstreams, response.upstreams);
+        // The lower bounds of successive responses vary, but a leader never replaces its list by
+        // one of an earlier read.
+        const bool isSameLeader = response.viewTerm == upstreamsTerm;
+        state.upstreamsReadAt = isSameLeader ? std::max(state.upstreamsReadAt, readAt) : readAt;
+        upstreamsTerm = response.viewTerm;
+        state.upstreams = response.upstreams;
+        state.upstreamsKnown = true;
+        if (isSame)
+            return;
+        log(LogLevel::Info, "upstream-list-in-force",
+            {{"upstreams", static_cast<std::int64_t>(state.upstreams.size())},
+             {"draining", countDraining(state.upstreams)},
+             {"term", response.viewTerm},
+             {"sequence", response.viewSequence},
+             {"ageMs",
+              response.upstreamsAgeMs < 0 ? -1 : absl::ToInt64Milliseconds(clock.now() - readAt)}});
+    }
+
+    void applyResponse(const wire::FleetSyncResponse &response, absl::Time sentAt)
     {
+        const absl::Time readAt = earliestReadAt(response, sentAt);
         const bool isNewView =
                 response.viewTerm != viewTerm || response.viewSequence != viewSequence;
         const bool isNewConfiguration = response.configurationVersion > state.configurationVersion
@@ -155,10 +196,8 @@
             state.storeFounders = response.storeFounders;
             // A new leader may not have read the platform's list yet. The list from the previous
             // leader stays in use until then.
-            if (response.upstreamsKnown) {
-                state.upstreams = response.upstreams;
-                state.upstreamsKnown = true;
-            }
+            if (response.upstreamsKnown)
+                replaceUpstreams(response, readAt);
         }
         if (response.promptsIncluded) {
             promptSequence = response.promptSequence;
@@ -169,6 +208,17 @@
             for (const Listener &listener : listeners)
                 listener(state);
         }
+        if (!isNewView)
+            confirmUpstreams(readAt);
+    }
+
+    void confirmUpstreams(absl::Time readAt)
+    {
+        if (!state.upstreamsKnown || readAt <= state.upstreamsReadAt)
+            return;
+        state.upstreamsReadAt = readAt;
+        for (const ConfirmationListener &listener : confirmationListeners)
+            listener(readAt);
     }
 
     void handleFailure(const std::string &address, const Failure &failure)
@@ -207,8 +257,11 @@
     FleetState state;
     std::uint64_t viewTerm = 0;
     std::uint64_t viewSequence = 0;
+    /// Term of the leader that read the list of upstreams.
+    std::uint64_t upstreamsTerm = 0;
     std::uint64_t promptSequence = 0;
     std::vector<Listener> listeners;
+    std::vector<ConfirmationListener> confirmationListeners;
     std::function<void(wire::FleetSyncRequest &)> storeStatusSource;
     std::string leader;
     std::size_t nextAddressIndex = 0;
@@ -240,6 +293,11 @@
     m_impl->listeners.push_back(std::move(listener));
 }
 
+void FleetClient::onUpstreamsConfirmed(ConfirmationListener listener)
+{
+    m_impl->confirmationListeners.push_back(std::move(listener));
+}
+
 void FleetClient::setStoreStatusSource(std::function<void(wire::FleetSyncRequest &)> source)
 {
     m_impl->storeStatusSource = std::move(source);
@@ -273,6 +331,7 @@
 {
     m_impl->stopped = true;
     m_impl->listeners.clear();
+    m_impl->confirmationListeners.clear();
 }
 
 void FleetClient::setSeeds(std::vector<std::string> seeds)
@@ -290,6 +349,11 @@
     return m_impl->clock.now() - m_impl->lastSyncSentAt;
 }
 
+absl::Duration FleetClient::upstreamListAge() const
+{
+    return m_impl->clock.now() - m_impl->state.upstreamsReadAt;
+}
+
 std::string FleetClient::leaderAddress() const
 {
     return m_impl->leader;
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -2,10 +2,12 @@
 
 #include "promptquarantine.h"
 
+#include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
+#include <array>
 #include <list>
 #include <utility>
 
@@ -25,9 +27,18 @@
     {
         wire::FleetSyncRequest request;
         peer::ResponseCallback reply;
+        absl::Time receivedAt;
         absl::Time deadline;
     };
 
+    /// Why the result of a read of the platform's list is not used.
+    enum class ReadDropReason {
+        /// A page could not be read, or exceeds the size limit.
+        PageFailed,
+        LeadershipLost,
+        TermChanged,
+    };
+
     Impl(net::EventLoop &loop, GroupReplica &replica, UpstreamDiscovery &discovery,
          FleetServiceSettings settings, const Clock &clock)
         : loop(loop)
@@ -47,7 +58,7 @@
         const absl::Time now = clock.now();
         const absl::Duration wait = std::clamp(absl::Milliseconds(request.value().waitMs),
                                                absl::ZeroDuration(), maxPollWait);
-        Poll poll{std::move(request.value()), std::move(reply), now + wait};
+        Poll poll{std::move(request.value()), std::move(reply), now, now + wait};
         if (leads())
             addPoll(std::move(poll), now);
         else if (!otherLeader().empty())
@@ -117,11 +128,22 @@
                 ++poll;
                 continue;
             }
-            poll->reply(wire::encode(view.makeResponse(poll->request)));
+            poll->reply(wire::encode(makeResponse(*poll, now)));
             poll = polls.erase(poll);
         }
     }
 
+    wire::FleetSyncResponse makeResponse(const Poll &poll, absl::Time now) const
+    {
+        wire::FleetSyncResponse response = view.makeResponse(poll.request);
+        response.heldMs = absl::ToInt64Milliseconds(now - poll.receivedAt);
+        // Rounded up, so that the receiver does not consider the list newer than it is.
+        if (view.upstreamsReadAt() != absl::InfinitePast())
+            response.upstreamsAgeMs = absl::ToInt64Milliseconds(
+                    absl::Ceil(now - view.upstreamsReadAt(), absl::Milliseconds(1)));
+        return response;
+    }
+
     void failPolls()
     {
         const auto waiting = std::exchange(polls, {});
@@ -159,7 +181,7 @@
                                           : Outcome<wire::FleetSnapshot>(outcome.failure());
         if (!records.ok()) {
             log(LogLevel::Warning, "fleet-records-unread",
-                {{"code", name(records.failure().code)},
+                {{"code", rattanrill::name(records.failure().code)},
                  {"detail", records.failure().detail},
                  {"term", term}});
             loop.timers().subscribeOnce(checkPeriod,
@@ -201,13 +223,14 @@
             {{"voters", static_cast<std::int64_t>(initialVoters.size())},
              {"first", initialVoters.front()}});
         const wire::FleetCommand command{wire::BootstrapStoreGroup{initialVoters}};
-        replica.propose(wire::encode(command), [self = shared_from_this()](
-                                                       const Outcome<std::string> &outcome) {
-            self->isBootstrapping = false;
-            if (!outcome.ok())
-                log(LogLevel::Warning, "store-group-founding-failed",
-                    {{"code", name(outcome.failure().code)}, {"detail", outcome.failure().detail}});
-        });
+        replica.propose(wire::encode(command),
+                        [self = shared_from_this()](const Outcome<std::string> &outcome) {
+                            self->isBootstrapping = false;
+                            if (!outcome.ok())
+                                log(LogLevel::Warning, "store-group-founding-failed",
+                                    {{"code", rattanrill::name(outcome.failure().code)},
+                                     {"detail", outcome.failure().detail}});
+                        });
     }
 
     void readUpstreams()
@@ -215,28 +238,58 @@
         if (isReadingUpstreams || !replica.isLeader())
             return;
         isReadingUpstreams = true;
-        discovery.read([self = shared_from_this(), term = view.term()](auto outcome) {
+        discovery.read([self = shared_from_this(), term = view.term(),
+                        readAt = clock.now()](auto outcome) {
             self->isReadingUpstreams = false;
-            self->handleUpstreams(term, std::move(outcome));
+            self->handleUpstreams(term, readAt, std::move(outcome));
         });
     }
 
-    void handleUpstreams(std::uint64_t term, Outcome<std::vector<wire::FleetUpstream>> outcome)
+    static std::string_view name(ReadDropReason reason)
     {
+        static constexpr std::array<EnumName<ReadDropReason>, 3> names = {{
+                {ReadDropReason::PageFailed, "page_failed"},
+                {ReadDropReason::LeadershipLost, "leadership_lost"},
+                {ReadDropReason::TermChanged, "term_changed"},
+        }};
+        return nameOf(names, reason);
+    }
+
+    /// The period of the reads limits the rate of these lines.
+    void logDroppedRead(ReadDropReason reason, std::uint64_t term, absl::Time readAt,
+                        const Failure &failure) const
+    {
+        log(LogLevel::Info, "upstream-list-read-dropped",
+            {{"reason", name(reason)},
+             {"term", term},
+             {"ageMs", absl::ToInt64Milliseconds(clock.now() - readAt)},
+             {"code", reason == ReadDropReason::PageFailed ? rattanrill::name(failure.code) : "ok"},
+             {"detail", failure.detail}});
+    }
+
+    void handleUpstreams(std::uint64_t term, absl::Time readAt,
+                         Outcome<std::vector<wire::FleetUpstream>> outcome)
+    {
+        if (!outcome.ok())
+            logDroppedRead(ReadDropReason::PageFailed, term, readAt, outcome.failure());
+        else if (term != view.term())
+            logDroppedRead(ReadDropReason::TermChanged, term, readAt, Failure());
+        else if (!leads())
+            logDroppedRead(ReadDropReason::LeadershipLost, term, readAt, Failure());
         if (term != view.term() || !leads())
             return;
         if (outcome.ok() != upstreamsReadable) {
             upstreamsReadable = outcome.ok();
             log(upstreamsReadable ? LogLevel::Info : LogLevel::Warning,
                 upstreamsReadable ? "upstream-list-regained" : "upstream-list-lost",
-                {{"code", outcome.ok() ? "ok" : name(outcome.failure().code)},
+                {{"code", outcome.ok() ? "ok" : rattanrill::name(outcome.failure().code)},
                  {"detail", outcome.ok() ? "" : outcome.failure().detail}});
         }
         if (!outcome.ok())
             return;
         const std::uint64_t previousSequence = view.sequence();
         const auto count = static_cast<std::int64_t>(outcome.value().size());
-        view.setUpstreams(std::move(outcome.value()));
+        view.setUpstreams(std::move(outcome.value()), readAt);
         if (view.sequence() != previousSequence)
             log(LogLevel::Info, "upstream-list-changed",
                 {{"upstreams", count}, {"term", term}, {"sequence", view.sequence()}});
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/fleet/fleetview.h"
 
+#include "rattanrill/fleet/upstreamlist.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -13,13 +15,6 @@
 /// With fewer live stores, the store group is bootstrapped this long after the start of the term.
 constexpr absl::Duration bootstrapTimeout = absl::Seconds(3);
 
-bool sameUpstream(const wire::FleetUpstream &left, const wire::FleetUpstream &right)
-{
-    return left.id == right.id && left.service == right.service && left.address == right.address
-           && left.failureDomain == right.failureDomain && left.slots == right.slots
-           && left.draining == right.draining;
-}
-
 bool samePrompt(const wire::BlockedPrompt &left, const wire::BlockedPrompt &right)
 {
     return left.parts == right.parts;
@@ -47,6 +42,7 @@
     m_promptSequence = 1;
     m_suspectPromptParts.clear();
     m_upstreamsKnown = false;
+    m_upstreamsReadAt = absl::InfinitePast();
     m_upstreams.clear();
     m_members.clear();
     m_storeTerm = 0;
@@ -75,12 +71,11 @@
     incrementSequence();
 }
 
-void FleetView::setUpstreams(std::vector<wire::FleetUpstream> upstreams)
+void FleetView::setUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt)
 {
-    const bool isSame = m_upstreamsKnown
-                        && std::equal(upstreams.begin(), upstreams.end(), m_upstreams.begin(),
-                                      m_upstreams.end(), sameUpstream);
+    const bool isSame = m_upstreamsKnown && sameUpstreams(upstreams, m_upstreams);
     m_upstreamsKnown = true;
+    m_upstreamsReadAt = readAt;
     if (isSame)
         return;
     m_upstreams = std::move(upstreams);
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -49,10 +49,15 @@
                             m_core.fleetClient().reportPromptEvidence(evidence, std::move(done));
                         })
         , m_jobs(processContext.loop, m_core.channels(), m_core.clock())
-        , m_context{processContext.loop, m_core.clock(),
-                    m_core.metrics(),    processContext.protocol,
-                    m_upstreams,         m_slotClient,
-                    m_promptGuard,       {settings.instance, settings.failureDomain}}
+        , m_context{processContext.loop,
+                    m_core.clock(),
+                    m_core.metrics(),
+                    processContext.protocol,
+                    m_upstreams,
+                    m_slotClient,
+                    m_promptGuard,
+                    {settings.instance, settings.failureDomain},
+                    [this] { return m_core.fleetClient().upstreamListAge(); }}
         , m_gateway(m_context, m_jobs)
         , m_callerServer(processContext.loop,
                          [this](auto exchange) { m_gateway.serve(std::move(exchange)); })
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -84,7 +84,8 @@
                                                m_upstreams,
                                                m_broker,
                                                *m_replica,
-                                               m_settings.failureDomain};
+                                               m_settings.failureDomain,
+                                               [this] { return upstreamListAge(); }};
         m_jobExecutor = std::make_unique<jobs::JobExecutor>(context);
         m_jobService = std::make_unique<jobs::JobService>(context, *m_jobExecutor);
         m_replica->setCandidateSource([this] { return candidates(); });
@@ -193,6 +194,8 @@
             m_broker.setLiveInstances(liveEntries(state));
     }
 
+    absl::Duration upstreamListAge() const { return m_core->fleetClient().upstreamListAge(); }
+
     /// True when the replica has stored data of the group. It then opens without the list of
     /// initial voters.
     bool hasReplicaData() const
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -32,6 +32,12 @@
     return concat("item/", job.id, "/", item.id);
 }
 
+/// Returns -1 for an infinite time.
+std::int64_t milliseconds(absl::Duration time)
+{
+    return time == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(time);
+}
+
 } // namespace
 
 ItemRun::ItemRun(const JobExecutorContext &context, std::shared_ptr<const wire::JobRecord> job,
@@ -138,6 +144,7 @@
     m_state = State::Running;
     m_upstream = upstream;
     m_grantedAt = m_context.clock.now();
+    m_upstreamListAge = m_context.upstreamListAge();
     m_hasProgressed = false;
     m_hasHead = false;
     m_splitter.reset();
@@ -278,6 +285,7 @@
          {"reason", reason},
          {"lastEvent", m_position.lastId().value_or(-1)},
          {"serverErrors", m_serverErrors},
+         {"upstreamListAgeMs", milliseconds(m_upstreamListAge)},
          {"run", m_attempts}});
     // After 5 doublings the delay exceeds maxBackoff. The limit keeps the shift within int.
     const int doublings = std::min(m_consecutiveFailures++, 5);
@@ -354,6 +362,8 @@
          {"reason", reason},
          {"runs", m_attempts},
          {"yields", m_preemptions},
+         {"upstream", m_upstream},
+         {"upstreamListAgeMs", milliseconds(m_upstreamListAge)},
          {"ageMs", absl::ToInt64Milliseconds(m_context.clock.wallNow()
                                              - absl::FromUnixMillis(m_job->acceptedAtMs))}});
     wire::JobItemResult result;
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -99,6 +99,8 @@
     /// an event was received.
     absl::Duration m_priorRunTime;
     absl::Time m_grantedAt;
+    /// Age of the list of upstreams at the last grant.
+    absl::Duration m_upstreamListAge = absl::InfiniteDuration();
     bool m_hasProgressed = false;
     /// Number of attempts that failed with status 500.
     int m_serverErrors = 0;
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -39,10 +39,16 @@
 /// longer one fails the attempt.
 constexpr std::size_t maxBufferedBodyBytes = std::size_t(16) << 20;
 
+/// Returns -1 for an infinite time.
+std::int64_t elapsedMilliseconds(absl::Duration elapsed)
+{
+    return elapsed == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(elapsed);
+}
+
 /// Returns -1 when \a to is infinite, which means that the event has not occurred.
 std::int64_t elapsedMilliseconds(absl::Time from, absl::Time to)
 {
-    return to == absl::InfiniteFuture() ? -1 : absl::ToInt64Milliseconds(to - from);
+    return elapsedMilliseconds(to - from);
 }
 
 } // namespace
@@ -165,6 +171,7 @@
         m_chargedRate = true;
         m_heldSlotId = m_requestedSlotId;
         m_slotGrantedAt = m_context.clock.now();
+        m_upstreamListAge = m_context.upstreamListAge();
         if (rejectBlockedPrompt())
             return;
         return send(response.upstream, response.address);
@@ -553,6 +560,7 @@
          {"attempts", m_attempts},
          {"resumes", m_resumes},
          {"ownShare", m_fromLocalShare},
+         {"upstreamListAgeMs", elapsedMilliseconds(m_upstreamListAge)},
          {"placedMs", elapsedMilliseconds(m_receivedAt, m_slotGrantedAt)},
          {"firstByteMs", elapsedMilliseconds(m_receivedAt, m_firstByteAt)},
          {"totalMs", elapsedMilliseconds(m_receivedAt, now)},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -130,6 +130,8 @@
     StreamPosition m_position;
     int m_resumes = 0;
     absl::Time m_slotGrantedAt = absl::InfiniteFuture();
+    /// Age of the process's list of upstreams at the last grant.
+    absl::Duration m_upstreamListAge = absl::InfiniteDuration();
     absl::Time m_firstByteAt = absl::InfiniteFuture();
     TimerService::TimerId m_deadlineTimer = 0;
     TimerService::TimerId m_responseTimer = 0;
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -39,9 +39,10 @@
 RATTANRILL_WIRE_FIELDS(FleetMemberStatus, member, alive, leadsStores, retiring, holdsCopy)
 RATTANRILL_WIRE_FIELDS(FleetSyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving,
                        viewTerm, viewSequence, promptSequence, configurationVersion, waitMs)
-RATTANRILL_WIRE_FIELDS(FleetSyncResponse, viewTerm, viewSequence, promptSequence, promptsIncluded,
-                       blockedPrompts, suspectPromptParts, configurationVersion, configuration,
-                       members, membersSettled, storeFounders, upstreamsKnown, upstreams)
+RATTANRILL_WIRE_FIELDS(FleetSyncResponse, viewTerm, viewSequence, upstreamsAgeMs, heldMs,
+                       promptSequence, promptsIncluded, blockedPrompts, suspectPromptParts,
+                       configurationVersion, configuration, members, membersSettled, storeFounders,
+                       upstreamsKnown, upstreams)
 RATTANRILL_WIRE_FIELDS(CrashedAttempt, upstream, promptParts, sentAgeMs, crashAgeMs)
 RATTANRILL_WIRE_FIELDS(BegunPart, part, ageMs)
 RATTANRILL_WIRE_FIELDS(PromptEvidence, instance, crashes, begun)
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -108,11 +108,11 @@
 BOOST_AUTO_TEST_CASE(unchangedUpstreamsKeepTheSequenceNumber)
 {
     const std::vector<wire::FleetUpstream> list{{"u", "s", "a:1", "d", 8, false}};
-    view.setUpstreams(list);
+    view.setUpstreams(list, start);
     const std::uint64_t previousSequence = view.sequence();
-    view.setUpstreams(list);
+    view.setUpstreams(list, start);
     BOOST_TEST(view.sequence() == previousSequence);
-    view.setUpstreams({{"u", "s", "a:1", "d", 8, true}});
+    view.setUpstreams({{"u", "s", "a:1", "d", 8, true}}, start);
     BOOST_TEST(view.sequence() > previousSequence);
 }
 
