Fleet: Repeat a failed page of the upstream list soon

A page that could not be read ended the whole read, and the next one began only with the next period of 1 s, so that one lost call made the list of all members a period older. Calls went on at the same rate when the platform rejected them with 429.

A new leader reads as soon as it is elected instead of after the records.

--- a/include/rattanrill/fleet/fleetservice.h
+++ b/include/rattanrill/fleet/fleetservice.h
@@ -3,6 +3,7 @@
 #include "rattanrill/base/clock.h"
 #include "rattanrill/fleet/fleetview.h"
 #include "rattanrill/fleet/groupreplica.h"
+#include "rattanrill/fleet/upstreamlistreader.h"
 #include "rattanrill/net/eventloop.h"
 #include "rattanrill/peer/server.h"
 
@@ -14,26 +15,15 @@
 
 namespace rattanrill::fleet {
 
-/// Reads the platform's list of upstreams.
-class UpstreamDiscovery
-{
-public:
-    using Callback = std::function<void(Outcome<std::vector<wire::FleetUpstream>>)>;
-
-    virtual ~UpstreamDiscovery() = default;
-    /// Reads the list asynchronously. \a callback runs on the event loop, exactly once.
-    virtual void read(Callback callback) = 0;
-};
-
 /// Settings of a FleetService.
 struct FleetServiceSettings
 {
     /// A process that has sent no heartbeat for this long is considered not alive.
     absl::Duration memberTimeout = absl::Seconds(2);
-    /// Interval at which the leader reads the platform's list of upstreams. Only the leader reads
-    /// it, because the platform limits the calls of all processes together and charges for each
-    /// one.
-    absl::Duration discoveryPeriod = absl::Seconds(1);
+    /// Reads of the platform's list of upstreams. Besides the leader only a store with an outdated
+    /// list reads it, because the platform limits the calls of all processes together and charges
+    /// for each one.
+    UpstreamListReaderSettings listReader;
 };
 
 /// Serves the polls of FleetClient on the leader of the fleet group. Maintains the FleetView, reads
--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -34,6 +34,7 @@
     /// Replaces the platform's list of upstreams with the result of the latest read, which started
     /// at \a readAt.
     void setUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt);
+    const std::vector<wire::FleetUpstream> &upstreams() const { return m_upstreams; }
     /// Start of the last complete read in this term; InfinitePast before the first one.
     absl::Time upstreamsReadAt() const { return m_upstreamsReadAt; }
     /// Replaces the parts of which the beginning of a response must be reported.
--- a/include/rattanrill/fleet/upstreamlist.h
+++ b/include/rattanrill/fleet/upstreamlist.h
@@ -2,6 +2,8 @@
 
 #include "rattanrill/wire/fleetmessages.h"
 
+#include <set>
+#include <string>
 #include <vector>
 
 namespace rattanrill::fleet {
@@ -10,4 +12,7 @@
 bool sameUpstreams(const std::vector<wire::FleetUpstream> &left,
                    const std::vector<wire::FleetUpstream> &right);
 
+/// Returns the ids of the draining upstreams of a list.
+std::set<std::string> drainingIds(const std::vector<wire::FleetUpstream> &upstreams);
+
 } // namespace rattanrill::fleet
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -2,6 +2,8 @@
 
 #include "promptquarantine.h"
 
+#include "rattanrill/fleet/upstreamlist.h"
+
 #include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
@@ -43,11 +45,10 @@
          FleetServiceSettings settings, const Clock &clock)
         : loop(loop)
         , replica(replica)
-        , discovery(discovery)
-        , settings(settings)
         , clock(clock)
         , view(settings.memberTimeout)
         , prompts(std::make_shared<PromptQuarantine>(replica, view, clock))
+        , listReader(loop.timers(), clock, discovery, settings.listReader, listHandlers())
     {}
 
     void handleSync(const std::string &body, peer::ResponseCallback reply)
@@ -154,10 +155,12 @@
     void handleLeadershipChange(bool leadsNow)
     {
         isReady = false;
+        listReader.stop();
         failPolls();
         if (!leadsNow)
             return;
         view.beginTerm(replica.status().term, clock.now());
+        listReader.start();
         readRecords();
     }
 
@@ -189,10 +192,8 @@
             return;
         }
         view.setRecords(records.value());
-        if (!isReady) {
-            readUpstreams();
+        if (!isReady)
             prompts->beginTerm();
-        }
         isReady = true;
         processPollsWithoutLeader(clock.now());
         respondToPolls(clock.now());
@@ -233,16 +234,21 @@
                         });
     }
 
-    void readUpstreams()
+    UpstreamListHandlers listHandlers()
     {
-        if (isReadingUpstreams || !replica.isLeader())
-            return;
-        isReadingUpstreams = true;
-        discovery.read([self = shared_from_this(), term = view.term(),
-                        readAt = clock.now()](auto outcome) {
-            self->isReadingUpstreams = false;
-            self->handleUpstreams(term, readAt, std::move(outcome));
-        });
+        UpstreamListHandlers handlers;
+        handlers.onPage = [](const UpstreamPage &, absl::Time) {};
+        handlers.onComplete = [this](std::vector<wire::FleetUpstream> upstreams,
+                                     absl::Time readAt) {
+            handleUpstreams(std::move(upstreams), readAt);
+        };
+        handlers.onFailed = [this](const Failure &failure, absl::Time readAt) {
+            handleReadFailure(failure, readAt);
+        };
+        handlers.onPageAfterStop = [this](const UpstreamPage &, absl::Time readAt) {
+            dropPage(readAt);
+        };
+        return handlers;
     }
 
     static std::string_view name(ReadDropReason reason)
@@ -255,51 +261,67 @@
         return nameOf(names, reason);
     }
 
-    /// The period of the reads limits the rate of these lines.
-    void logDroppedRead(ReadDropReason reason, std::uint64_t term, absl::Time readAt,
-                        const Failure &failure) const
+    /// The reader limits the rate of these lines.
+    void logDroppedRead(ReadDropReason reason, absl::Time readAt, const Failure &failure) const
     {
         log(LogLevel::Info, "upstream-list-read-dropped",
             {{"reason", name(reason)},
-             {"term", term},
+             {"term", view.term()},
              {"ageMs", absl::ToInt64Milliseconds(clock.now() - readAt)},
              {"code", reason == ReadDropReason::PageFailed ? rattanrill::name(failure.code) : "ok"},
              {"detail", failure.detail}});
     }
 
-    void handleUpstreams(std::uint64_t term, absl::Time readAt,
-                         Outcome<std::vector<wire::FleetUpstream>> outcome)
+    void dropPage(absl::Time readAt) const
+    {
+        logDroppedRead(replica.isLeader() ? ReadDropReason::TermChanged
+                                          : ReadDropReason::LeadershipLost,
+                       readAt, Failure());
+    }
+
+    void handleUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt)
+    {
+        if (!replica.isLeader())
+            return logDroppedRead(ReadDropReason::LeadershipLost, readAt, Failure());
+        setUpstreamsReadable(true, Failure());
+        const std::uint64_t previousSequence = view.sequence();
+        view.setUpstreams(std::move(upstreams), readAt);
+        logChange(previousSequence, readAt);
+        if (leads())
+            respondToPolls(clock.now());
+    }
+
+    void handleReadFailure(const Failure &failure, absl::Time readAt)
     {
-        if (!outcome.ok())
-            logDroppedRead(ReadDropReason::PageFailed, term, readAt, outcome.failure());
-        else if (term != view.term())
-            logDroppedRead(ReadDropReason::TermChanged, term, readAt, Failure());
-        else if (!leads())
-            logDroppedRead(ReadDropReason::LeadershipLost, term, readAt, Failure());
-        if (term != view.term() || !leads())
+        logDroppedRead(ReadDropReason::PageFailed, readAt, failure);
+        setUpstreamsReadable(false, failure);
+    }
+
+    void setUpstreamsReadable(bool isReadable, const Failure &failure)
+    {
+        if (isReadable == upstreamsReadable)
             return;
-        if (outcome.ok() != upstreamsReadable) {
-            upstreamsReadable = outcome.ok();
-            log(upstreamsReadable ? LogLevel::Info : LogLevel::Warning,
-                upstreamsReadable ? "upstream-list-regained" : "upstream-list-lost",
-                {{"code", outcome.ok() ? "ok" : rattanrill::name(outcome.failure().code)},
-                 {"detail", outcome.ok() ? "" : outcome.failure().detail}});
-        }
-        if (!outcome.ok())
+        upstreamsReadable = isReadable;
+        log(isReadable ? LogLevel::Info : LogLevel::Warning,
+            isReadable ? "upstream-list-regained" : "upstream-list-lost",
+            {{"code", isReadable ? "ok" : rattanrill::name(failure.code)},
+             {"detail", failure.detail}});
+    }
+
+    void logChange(std::uint64_t previousSequence, absl::Time readAt) const
+    {
+        if (view.sequence() == previousSequence)
             return;
-        const std::uint64_t previousSequence = view.sequence();
-        const auto count = static_cast<std::int64_t>(outcome.value().size());
-        view.setUpstreams(std::move(outcome.value()), readAt);
-        if (view.sequence() != previousSequence)
-            log(LogLevel::Info, "upstream-list-changed",
-                {{"upstreams", count}, {"term", term}, {"sequence", view.sequence()}});
-        respondToPolls(clock.now());
+        log(LogLevel::Info, "upstream-list-changed",
+            {{"upstreams", static_cast<std::int64_t>(view.upstreams().size())},
+             {"draining", static_cast<std::int64_t>(drainingIds(view.upstreams()).size())},
+             {"term", view.term()},
+             {"sequence", view.sequence()},
+             {"ageMs", absl::ToInt64Milliseconds(clock.now() - readAt)}});
     }
 
     net::EventLoop &loop;
     GroupReplica &replica;
-    UpstreamDiscovery &discovery;
-    const FleetServiceSettings settings;
     const Clock &clock;
     FleetView view;
     const std::shared_ptr<PromptQuarantine> prompts;
@@ -310,8 +332,8 @@
     /// Whether the records have been read in the current term.
     bool isReady = false;
     bool isBootstrapping = false;
-    bool isReadingUpstreams = false;
     bool upstreamsReadable = true;
+    UpstreamListReader listReader;
 };
 
 FleetService::FleetService(net::EventLoop &loop, GroupReplica &replica,
@@ -354,17 +376,13 @@
     auto &timers = m_impl->loop.timers();
     m_impl->timers.push_back(
             timers.subscribeEvery(checkPeriod, [impl = m_impl] { impl->checkPollsAndMembers(); }));
-    m_impl->timers.push_back(
-            timers.subscribeEvery(m_impl->settings.discoveryPeriod, [impl = m_impl] {
-                if (impl->leads())
-                    impl->readUpstreams();
-            }));
 }
 
 void FleetService::stop()
 {
     for (const TimerService::TimerId timer : std::exchange(m_impl->timers, {}))
         m_impl->loop.timers().unsubscribe(timer);
+    m_impl->listReader.stop();
     m_impl->failPolls();
     for (const Impl::Poll &poll : std::exchange(m_impl->pollsWithoutLeader, {}))
         poll.reply(notRun(ErrorCode::NotLeader, ""));
--- a/src/fleet/upstreamlist.cpp
+++ b/src/fleet/upstreamlist.cpp
@@ -20,4 +20,14 @@
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), sameUpstream);
 }
 
+std::set<std::string> drainingIds(const std::vector<wire::FleetUpstream> &upstreams)
+{
+    std::set<std::string> ids;
+    for (const wire::FleetUpstream &upstream : upstreams) {
+        if (upstream.draining)
+            ids.insert(upstream.id);
+    }
+    return ids;
+}
+
 } // namespace rattanrill::fleet
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -1,8 +1,10 @@
 #include "rattanrill/fleet/fleetservice.h"
 
+#include "fakediscovery.h"
 #include "loopthread.h"
 
 #include "rattanrill/fleet/fleetclient.h"
+#include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/wire/codec.h"
 
 #include "absl/synchronization/notification.h"
@@ -10,7 +12,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstdlib>
+#include <filesystem>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,12 +35,6 @@
     return options;
 }
 
-class FailingDiscovery : public UpstreamDiscovery
-{
-public:
-    void read(Callback callback) override { callback(notRun(ErrorCode::Timeout, "")); }
-};
-
 std::string addressOf(const peer::Server &server)
 {
     return "127.0.0.1:" + std::to_string(server.port());
@@ -70,10 +70,111 @@
     peer::Server m_server{transport("leader")};
 };
 
+/// A fleet group of one replica, and a member that polls it.
+struct LeaderFixture
+{
+    LeaderFixture()
+    {
+        service.install(server);
+        start(server);
+    }
+    ~LeaderFixture()
+    {
+        thread.run([this] {
+            service.stop();
+            replica.stop();
+        });
+        server.stop();
+        channels.close();
+        std::filesystem::remove_all(folder);
+    }
+
+    void open()
+    {
+        thread.run([this] {
+            service.start();
+            const std::string id = makeReplicaId(addressOf(server), "a");
+            BOOST_REQUIRE(outcomeOf([&] {
+                              return replica.open({id, {id}}, makeFleetStateMachine());
+                          }).ok());
+        });
+    }
+
+    static std::string temporaryFolder()
+    {
+        std::string pattern =
+                (std::filesystem::temp_directory_path() / "rattanrill-XXXXXX").string();
+        BOOST_REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+        return pattern;
+    }
+
+    GroupReplicaSettings replicaSettings() const
+    {
+        GroupReplicaSettings settings;
+        settings.group = fleetGroup;
+        settings.dataFolder = folder;
+        return settings;
+    }
+
+    /// Polls until a response fulfils \a condition; returns false when none does within \a timeout.
+    bool awaitResponse(const std::function<bool(const wire::FleetSyncResponse &)> &condition,
+                       absl::Duration timeout)
+    {
+        const absl::Time end = absl::Now() + timeout;
+        while (absl::Now() < end) {
+            if (const auto response = poll(); response && condition(*response))
+                return true;
+            absl::SleepFor(absl::Milliseconds(10));
+        }
+        return false;
+    }
+
+    std::optional<wire::FleetSyncResponse> poll()
+    {
+        std::optional<wire::FleetSyncResponse> response;
+        absl::Notification responded;
+        channels.channel(addressOf(server))
+                ->call(wire::Method::SyncFleet, wire::encode(wire::FleetSyncRequest()),
+                       absl::Seconds(5), [&](const Outcome<std::string> &outcome) {
+                           if (outcome.ok())
+                               response = outcomeOf([&] {
+                                              return wire::decode<wire::FleetSyncResponse>(
+                                                      outcome.value());
+                                          }).value();
+                           responded.Notify();
+                       });
+        responded.WaitForNotification();
+        return response;
+    }
+
+    const std::string folder = temporaryFolder();
+    net::LoopThread thread;
+    peer::ChannelPool channels{transport("c")};
+    peer::Server server{transport("c")};
+    GroupReplica replica{thread.loop(), channels, replicaSettings(), SystemClock::instance()};
+    FakeDiscovery discovery;
+    FleetService service{thread.loop(), replica, discovery, FleetServiceSettings(),
+                         SystemClock::instance()};
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetServiceTest)
 
+// Guards against a list whose age members can't determine.
+BOOST_AUTO_TEST_CASE(responseStatesTheAgeOfTheList)
+{
+    LeaderFixture fixture;
+    fixture.discovery.setPage("", {upstream("u", false)}, "");
+    fixture.open();
+    BOOST_REQUIRE(fixture.awaitResponse(
+            [](const auto &response) { return response.upstreamsKnown; }, absl::Seconds(10)));
+    fixture.thread.run([&] { fixture.discovery.holdCalls(); });
+    BOOST_TEST(fixture.awaitResponse(
+            [](const auto &response) { return response.upstreamsAgeMs >= 1200; },
+            absl::Seconds(10)));
+}
+
 // Guards against a control process that fails polls at once while the leader is unknown. After a
 // power loss all processes wait for the election of a leader; they would poll repeatedly and find
 // the leader only with their next poll.
@@ -84,7 +185,7 @@
     // The replica is never opened, so that its leader stays unknown.
     GroupReplica replica(loopThread.loop(), channels, GroupReplicaSettings(),
                          SystemClock::instance());
-    FailingDiscovery discovery;
+    FakeDiscovery discovery;
     FleetService service(loopThread.loop(), replica, discovery, FleetServiceSettings(),
                          SystemClock::instance());
     peer::Server server(transport("c"));
--- a/tests/platform/instancelistclient_test.cpp
+++ b/tests/platform/instancelistclient_test.cpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 using namespace rattanrill;
 using namespace rattanrill::platform;
@@ -39,7 +40,7 @@
         bool isOk = true;
         thread.run([&] {
             client = std::make_unique<InstanceListClient>(thread.loop(), server.address());
-            client->read([&](const auto &outcome) {
+            client->readPage("", [&](const auto &outcome) {
                 isOk = outcome.ok();
                 ended.Notify();
             });
@@ -53,4 +54,31 @@
     }
 }
 
+// Guards against a reader that calls on because it can't tell a platform that rejects calls from
+// one that is down.
+BOOST_AUTO_TEST_CASE(rejectionBecauseOfTooManyCallsIsTyped)
+{
+    const std::pair<std::string, ErrorCode> rows[] = {
+            {"429 Too Many Requests", ErrorCode::RateLimited},
+            {"503 Service Unavailable", ErrorCode::UpstreamUnavailable},
+    };
+    for (const auto &[status, code] : rows) {
+        net::EndlessServer server("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n", "");
+        net::LoopThread thread;
+        std::unique_ptr<InstanceListClient> client;
+        absl::Notification ended;
+        ErrorCode seen = ErrorCode::Internal;
+        thread.run([&] {
+            client = std::make_unique<InstanceListClient>(thread.loop(), server.address());
+            client->readPage("", [&](const auto &outcome) {
+                seen = outcome.ok() ? ErrorCode::Internal : outcome.failure().code;
+                ended.Notify();
+            });
+        });
+        BOOST_REQUIRE(ended.WaitForNotificationWithTimeout(absl::Seconds(10)));
+        BOOST_TEST((seen == code));
+        thread.run([&] { client.reset(); });
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
