Fleet: Apply each page of the upstream list when it arrives

Requests went on to an upstream although the platform had answered a page that showed it as draining, when a later page of the read failed or got 429: the leader used the result only once all pages were read.

--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -34,6 +34,9 @@
     /// Replaces the platform's list of upstreams with the result of the latest read, which started
     /// at \a readAt.
     void setUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt);
+    /// Applies one page of a read that is not complete: changes and adds upstreams, but removes
+    /// none. Does nothing before the first complete read of the term.
+    void applyPage(const std::vector<wire::FleetUpstream> &upstreams);
     const std::vector<wire::FleetUpstream> &upstreams() const { return m_upstreams; }
     /// Start of the last complete read in this term; InfinitePast before the first one.
     absl::Time upstreamsReadAt() const { return m_upstreamsReadAt; }
--- a/include/rattanrill/fleet/upstreamlist.h
+++ b/include/rattanrill/fleet/upstreamlist.h
@@ -15,4 +15,9 @@
 /// Returns the ids of the draining upstreams of a list.
 std::set<std::string> drainingIds(const std::vector<wire::FleetUpstream> &upstreams);
 
+/// Replaces the entries of \a list that have the id of one in \a newer, and appends those that it
+/// does not have. Returns whether \a list has changed.
+bool mergeUpstreams(std::vector<wire::FleetUpstream> &list,
+                    const std::vector<wire::FleetUpstream> &newer);
+
 } // namespace rattanrill::fleet
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -237,7 +237,9 @@
     UpstreamListHandlers listHandlers()
     {
         UpstreamListHandlers handlers;
-        handlers.onPage = [](const UpstreamPage &, absl::Time) {};
+        handlers.onPage = [this](const UpstreamPage &page, absl::Time readAt) {
+            handlePage(page, readAt);
+        };
         handlers.onComplete = [this](std::vector<wire::FleetUpstream> upstreams,
                                      absl::Time readAt) {
             handleUpstreams(std::move(upstreams), readAt);
@@ -272,6 +274,18 @@
              {"detail", failure.detail}});
     }
 
+    /// Applies a page at once, because the other pages of the read may fail or take long.
+    void handlePage(const UpstreamPage &page, absl::Time readAt)
+    {
+        if (!replica.isLeader())
+            return dropPage(readAt);
+        const std::uint64_t previousSequence = view.sequence();
+        view.applyPage(page.upstreams);
+        logChange(previousSequence, readAt);
+        if (leads())
+            respondToPolls(clock.now());
+    }
+
     void dropPage(absl::Time readAt) const
     {
         logDroppedRead(replica.isLeader() ? ReadDropReason::TermChanged
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -82,6 +82,12 @@
     incrementSequence();
 }
 
+void FleetView::applyPage(const std::vector<wire::FleetUpstream> &upstreams)
+{
+    if (m_upstreamsKnown && mergeUpstreams(m_upstreams, upstreams))
+        incrementSequence();
+}
+
 void FleetView::setSuspectPromptParts(std::vector<std::string> parts)
 {
     if (parts == m_suspectPromptParts)
--- a/src/fleet/upstreamlist.cpp
+++ b/src/fleet/upstreamlist.cpp
@@ -1,6 +1,8 @@
 #include "rattanrill/fleet/upstreamlist.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <map>
 
 namespace rattanrill::fleet {
 namespace {
@@ -30,4 +32,21 @@
     return ids;
 }
 
+bool mergeUpstreams(std::vector<wire::FleetUpstream> &list,
+                    const std::vector<wire::FleetUpstream> &newer)
+{
+    std::map<std::string, std::size_t> indexes;
+    for (std::size_t index = 0; index < list.size(); ++index)
+        indexes[list[index].id] = index;
+    bool isChanged = false;
+    for (const wire::FleetUpstream &upstream : newer) {
+        const auto [found, isNew] = indexes.try_emplace(upstream.id, list.size());
+        if (isNew)
+            list.push_back(upstream);
+        isChanged = isChanged || isNew || !sameUpstream(list[found->second], upstream);
+        list[found->second] = upstream;
+    }
+    return isChanged;
+}
+
 } // namespace rattanrill::fleet
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -12,6 +12,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <functional>
@@ -70,6 +71,10 @@
     peer::Server m_server{transport("leader")};
 };
 
+/// drain-ms of the smallest deployment: time after which no request may reach an upstream that a
+/// read of the platform's list has shown as draining.
+constexpr absl::Duration drainLimit = absl::Seconds(3);
+
 /// A fleet group of one replica, and a member that polls it.
 struct LeaderFixture
 {
@@ -147,6 +152,15 @@
         return response;
     }
 
+    static bool isListed(const wire::FleetSyncResponse &response, const std::string &id,
+                         bool draining)
+    {
+        return std::any_of(response.upstreams.begin(), response.upstreams.end(),
+                           [&](const wire::FleetUpstream &upstream) {
+                               return upstream.id == id && upstream.draining == draining;
+                           });
+    }
+
     const std::string folder = temporaryFolder();
     net::LoopThread thread;
     peer::ChannelPool channels{transport("c")};
@@ -161,6 +175,34 @@
 
 BOOST_AUTO_TEST_SUITE(FleetServiceTest)
 
+// Guards against an upstream that is passed on as ready although the platform has shown it as
+// draining, because a later page of each read fails.
+BOOST_AUTO_TEST_CASE(drainingUpstreamIsPassedOnAlthoughALaterPageFails)
+{
+    for (const ErrorCode code : {ErrorCode::UpstreamUnavailable, ErrorCode::RateLimited}) {
+        LeaderFixture fixture;
+        fixture.discovery.setPage("", {upstream("u", false)}, "p");
+        fixture.discovery.setPage("p", {upstream("v", false)}, "");
+        fixture.open();
+        BOOST_REQUIRE(fixture.awaitResponse(
+                [](const auto &response) {
+                    return LeaderFixture::isListed(response, "u", false)
+                           && LeaderFixture::isListed(response, "v", false);
+                },
+                absl::Seconds(10)));
+        fixture.thread.run([&] {
+            fixture.discovery.setPage("", {upstream("u", true)}, "p");
+            fixture.discovery.failPage("p", code);
+        });
+        BOOST_TEST(fixture.awaitResponse(
+                [](const auto &response) {
+                    return LeaderFixture::isListed(response, "u", true)
+                           && LeaderFixture::isListed(response, "v", false);
+                },
+                drainLimit));
+    }
+}
+
 // Guards against a list whose age members can't determine.
 BOOST_AUTO_TEST_CASE(responseStatesTheAgeOfTheList)
 {
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -178,4 +178,22 @@
     BOOST_TEST(response.blockedPrompts.size() == 1u);
 }
 
+// Guards against an upstream that counts as ready although a page showed it as draining, and
+// against one that is removed because its page was not read.
+BOOST_AUTO_TEST_CASE(pageChangesUpstreamsAndRemovesNone)
+{
+    const wire::FleetUpstream ready{"u", "s", "a:1", "d", 8, false};
+    const wire::FleetUpstream leaving{"u", "s", "a:1", "d", 8, true};
+    const wire::FleetUpstream other{"v", "s", "b:1", "d", 8, false};
+    view.setUpstreams({ready, other}, start);
+    const std::uint64_t previousSequence = view.sequence();
+    view.applyPage({ready});
+    BOOST_TEST(view.sequence() == previousSequence);
+    view.applyPage({leaving});
+    BOOST_TEST(view.sequence() > previousSequence);
+    BOOST_TEST_REQUIRE(view.upstreams().size() == 2u);
+    BOOST_TEST(view.upstreams()[0].draining);
+    BOOST_TEST((view.upstreamsReadAt() == start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
