Fleet: Let a new leader name the upstreams that it knows as draining

A leave was forgotten together with the leader that had read it. A new leader had no list until its own first read was complete, and members then used their earlier lists; they also replaced a list by one that the new leader had begun to read before the last read of its predecessor.

A new leader passes on draining marks at once: those of the list that it got as a member, those of single pages that it has read, and those of pages that arrived after it had lost an earlier term (logged as dropped). Marks end with its first complete read. A member keeps what it knows as draining when the list of a new leader shows an earlier read. A control process sends nothing to upstreams, so a deposed leader needs the page for nothing else.

Without the marks at the leader and at the member, and without the comparison of the reads, newLeaderNamesTheDrainingUpstreamsThatItKnewAsAMember, markOfALeaderWithoutAListIsApplied and earlierListOfANewLeaderDoesNotRevokeALeave fail.

--- a/include/rattanrill/fleet/fleetservice.h
+++ b/include/rattanrill/fleet/fleetservice.h
@@ -40,6 +40,9 @@
 
     /// Registers the handler of Method::SyncFleet. Call before the server starts.
     void install(peer::Server &server);
+    /// Sets the source of the list of upstreams that this process received as a member of the
+    /// fleet. A new leader marks upstreams as draining by it until it has read the list itself.
+    void setMemberListSource(std::function<std::vector<wire::FleetUpstream>()> source);
     void start();
     void stop();
     /// Processes with the control role, as candidates for the voters of the fleet group.
--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,8 +36,12 @@
     /// at \a readAt.
     void setUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt);
     /// Applies one page of a read that is not complete: changes and adds upstreams, but removes
-    /// none. Does nothing before the first complete read of the term.
+    /// none. Before the first complete read of the term only its draining upstreams are kept, as
+    /// marks.
     void applyPage(const std::vector<wire::FleetUpstream> &upstreams);
+    /// Marks upstreams, by id, as draining until the first complete read of the term, after which
+    /// only the list counts.
+    void setDrainingMarks(std::set<std::string> upstreams);
     const std::vector<wire::FleetUpstream> &upstreams() const { return m_upstreams; }
     /// Start of the last complete read in this term; InfinitePast before the first one.
     absl::Time upstreamsReadAt() const { return m_upstreamsReadAt; }
@@ -87,6 +92,8 @@
     bool m_upstreamsKnown = false;
     absl::Time m_upstreamsReadAt = absl::InfinitePast();
     std::vector<wire::FleetUpstream> m_upstreams;
+    /// Ids of upstreams known as draining; used until m_upstreamsKnown.
+    std::set<std::string> m_drainingMarks;
     /// By instance.
     std::map<std::string, MemberEntry> m_members;
     /// Term and replica ids that the leader of the store group has reported.
--- a/include/rattanrill/fleet/upstreamlist.h
+++ b/include/rattanrill/fleet/upstreamlist.h
@@ -20,4 +20,7 @@
 bool mergeUpstreams(std::vector<wire::FleetUpstream> &list,
                     const std::vector<wire::FleetUpstream> &newer);
 
+/// Marks the upstreams of \a list with these ids as draining. Returns whether \a list has changed.
+bool markDraining(std::vector<wire::FleetUpstream> &list, const std::set<std::string> &ids);
+
 } // namespace rattanrill::fleet
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -189,6 +189,9 @@
     /// Whether the platform's list has been read in this term. Otherwise \a upstreams is not valid.
     bool upstreamsKnown = false;
     std::vector<FleetUpstream> upstreams;
+    /// Ids of upstreams that the leader knows as draining without a complete list. They get no
+    /// requests, whatever an earlier list shows.
+    std::vector<std::string> drainingUpstreams;
 };
 
 /// An attempt that ended with a crash of its upstream before the upstream began to write the
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -16,12 +16,6 @@
 constexpr std::size_t maxParallelPolls = 3;
 constexpr absl::Duration evidenceTimeout = absl::Milliseconds(300);
 
-std::int64_t countDraining(const std::vector<wire::FleetUpstream> &upstreams)
-{
-    return std::count_if(upstreams.begin(), upstreams.end(),
-                         [](const wire::FleetUpstream &upstream) { return upstream.draining; });
-}
-
 } // namespace
 
 struct FleetClient::Impl : std::enable_shared_from_this<FleetClient::Impl>
@@ -157,24 +151,41 @@
 
     void replaceUpstreams(const wire::FleetSyncResponse &response, absl::Time readAt)
     {
-        const bool isSame =
-                state.upstreamsKnown && sameUpstreams(state.upstreams, response.upstreams);
+        std::vector<wire::FleetUpstream> upstreams = response.upstreams;
+        const bool isSameLeader = response.viewTerm == upstreamsTerm;
+        // A new leader may have started its read before the last one of the previous leader. What
+        // the later read showed as draining remains so.
+        if (!isSameLeader && readAt < state.upstreamsReadAt)
+            markDraining(upstreams, drainingIds(state.upstreams));
+        const bool isSame = state.upstreamsKnown && sameUpstreams(state.upstreams, upstreams);
         // The lower bounds of successive responses vary, but a leader never replaces its list by
         // one of an earlier read.
-        const bool isSameLeader = response.viewTerm == upstreamsTerm;
         state.upstreamsReadAt = isSameLeader ? std::max(state.upstreamsReadAt, readAt) : readAt;
         upstreamsTerm = response.viewTerm;
-        state.upstreams = response.upstreams;
+        state.upstreams = std::move(upstreams);
         state.upstreamsKnown = true;
-        if (isSame)
-            return;
+        if (!isSame)
+            logUpstreams(response);
+    }
+
+    /// Applies what a leader knows that has not read the whole list yet.
+    void markUpstreams(const wire::FleetSyncResponse &response)
+    {
+        const auto &ids = response.drainingUpstreams;
+        if (markDraining(state.upstreams, {ids.begin(), ids.end()}))
+            logUpstreams(response);
+    }
+
+    void logUpstreams(const wire::FleetSyncResponse &response) const
+    {
+        const bool isAgeKnown = state.upstreamsReadAt != absl::InfinitePast();
         log(LogLevel::Info, "upstream-list-in-force",
             {{"upstreams", static_cast<std::int64_t>(state.upstreams.size())},
-             {"draining", countDraining(state.upstreams)},
+             {"draining", static_cast<std::int64_t>(drainingIds(state.upstreams).size())},
              {"term", response.viewTerm},
              {"sequence", response.viewSequence},
              {"ageMs",
-              response.upstreamsAgeMs < 0 ? -1 : absl::ToInt64Milliseconds(clock.now() - readAt)}});
+              isAgeKnown ? absl::ToInt64Milliseconds(clock.now() - state.upstreamsReadAt) : -1}});
     }
 
     void applyResponse(const wire::FleetSyncResponse &response, absl::Time sentAt)
@@ -198,6 +209,8 @@
             // leader stays in use until then.
             if (response.upstreamsKnown)
                 replaceUpstreams(response, readAt);
+            else
+                markUpstreams(response);
         }
         if (response.promptsIncluded) {
             promptSequence = response.promptSequence;
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <array>
 #include <list>
+#include <set>
 #include <utility>
 
 namespace rattanrill::fleet {
@@ -160,10 +161,21 @@
         if (!leadsNow)
             return;
         view.beginTerm(replica.status().term, clock.now());
+        view.setDrainingMarks(knownDraining());
         listReader.start();
         readRecords();
     }
 
+    /// Returns the upstreams that this process knows as draining, from earlier terms and as a
+    /// member.
+    std::set<std::string> knownDraining()
+    {
+        std::set<std::string> result = std::exchange(drainingWithoutTerm, {});
+        if (memberListSource)
+            result.merge(drainingIds(memberListSource()));
+        return result;
+    }
+
     void readRecords()
     {
         const std::uint64_t term = view.term();
@@ -247,8 +259,8 @@
         handlers.onFailed = [this](const Failure &failure, absl::Time readAt) {
             handleReadFailure(failure, readAt);
         };
-        handlers.onPageAfterStop = [this](const UpstreamPage &, absl::Time readAt) {
-            dropPage(readAt);
+        handlers.onPageAfterStop = [this](const UpstreamPage &page, absl::Time readAt) {
+            dropPage(page, readAt);
         };
         return handlers;
     }
@@ -278,7 +290,7 @@
     void handlePage(const UpstreamPage &page, absl::Time readAt)
     {
         if (!replica.isLeader())
-            return dropPage(readAt);
+            return dropPage(page, readAt);
         const std::uint64_t previousSequence = view.sequence();
         view.applyPage(page.upstreams);
         logChange(previousSequence, readAt);
@@ -286,11 +298,15 @@
             respondToPolls(clock.now());
     }
 
-    void dropPage(absl::Time readAt) const
+    /// Keeps what a page shows that arrived after this replica lost its leadership, for the case
+    /// that it becomes the leader again.
+    void dropPage(const UpstreamPage &page, absl::Time readAt)
     {
         logDroppedRead(replica.isLeader() ? ReadDropReason::TermChanged
                                           : ReadDropReason::LeadershipLost,
                        readAt, Failure());
+        const std::set<std::string> draining = drainingIds(page.upstreams);
+        drainingWithoutTerm.insert(draining.begin(), draining.end());
     }
 
     void handleUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt)
@@ -347,6 +363,9 @@
     bool isReady = false;
     bool isBootstrapping = false;
     bool upstreamsReadable = true;
+    std::function<std::vector<wire::FleetUpstream>()> memberListSource;
+    /// Draining upstreams on pages that arrived while this replica did not lead.
+    std::set<std::string> drainingWithoutTerm;
     UpstreamListReader listReader;
 };
 
@@ -379,6 +398,11 @@
                       });
 }
 
+void FleetService::setMemberListSource(std::function<std::vector<wire::FleetUpstream>()> source)
+{
+    m_impl->memberListSource = std::move(source);
+}
+
 void FleetService::start()
 {
     m_impl->replica.onLeadershipChange(
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -44,6 +44,7 @@
     m_upstreamsKnown = false;
     m_upstreamsReadAt = absl::InfinitePast();
     m_upstreams.clear();
+    m_drainingMarks.clear();
     m_members.clear();
     m_storeTerm = 0;
     m_storeReplicas.clear();
@@ -79,15 +80,29 @@
     if (isSame)
         return;
     m_upstreams = std::move(upstreams);
+    m_drainingMarks.clear();
     incrementSequence();
 }
 
 void FleetView::applyPage(const std::vector<wire::FleetUpstream> &upstreams)
 {
-    if (m_upstreamsKnown && mergeUpstreams(m_upstreams, upstreams))
+    if (!m_upstreamsKnown) {
+        std::set<std::string> marks = drainingIds(upstreams);
+        marks.insert(m_drainingMarks.begin(), m_drainingMarks.end());
+        return setDrainingMarks(std::move(marks));
+    }
+    if (mergeUpstreams(m_upstreams, upstreams))
         incrementSequence();
 }
 
+void FleetView::setDrainingMarks(std::set<std::string> upstreams)
+{
+    if (upstreams == m_drainingMarks)
+        return;
+    m_drainingMarks = std::move(upstreams);
+    incrementSequence();
+}
+
 void FleetView::setSuspectPromptParts(std::vector<std::string> parts)
 {
     if (parts == m_suspectPromptParts)
@@ -201,6 +216,7 @@
     response.storeFounders = m_records.storeFounders;
     response.upstreamsKnown = m_upstreamsKnown;
     response.upstreams = m_upstreams;
+    response.drainingUpstreams.assign(m_drainingMarks.begin(), m_drainingMarks.end());
     return response;
 }
 
--- a/src/fleet/upstreamlist.cpp
+++ b/src/fleet/upstreamlist.cpp
@@ -49,4 +49,16 @@
     return isChanged;
 }
 
+bool markDraining(std::vector<wire::FleetUpstream> &list, const std::set<std::string> &ids)
+{
+    bool isChanged = false;
+    for (wire::FleetUpstream &upstream : list) {
+        if (upstream.draining || ids.count(upstream.id) == 0)
+            continue;
+        upstream.draining = true;
+        isChanged = true;
+    }
+    return isChanged;
+}
+
 } // namespace rattanrill::fleet
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -62,6 +62,8 @@
                 m_processContext.loop, *m_replica, m_processContext.upstreamDiscovery,
                 fleet::FleetServiceSettings(), m_core->clock());
         m_replica->setCandidateSource([this] { return m_fleetService->controlCandidates(); });
+        m_fleetService->setMemberListSource(
+                [this] { return m_core->fleetClient().state().upstreams; });
         m_replica->install(m_core->peerServer());
         m_fleetService->install(m_core->peerServer());
         m_fleetService->start();
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -42,7 +42,7 @@
 RATTANRILL_WIRE_FIELDS(FleetSyncResponse, viewTerm, viewSequence, upstreamsAgeMs, heldMs,
                        promptSequence, promptsIncluded, blockedPrompts, suspectPromptParts,
                        configurationVersion, configuration, members, membersSettled, storeFounders,
-                       upstreamsKnown, upstreams)
+                       upstreamsKnown, upstreams, drainingUpstreams)
 RATTANRILL_WIRE_FIELDS(CrashedAttempt, upstream, promptParts, sentAgeMs, crashAgeMs)
 RATTANRILL_WIRE_FIELDS(BegunPart, part, ageMs)
 RATTANRILL_WIRE_FIELDS(PromptEvidence, instance, crashes, begun)
--- a/tests/fleet/fleetclient_test.cpp
+++ b/tests/fleet/fleetclient_test.cpp
@@ -191,4 +191,50 @@
     thread.run([&] { BOOST_TEST((client->upstreamListAge() == absl::InfiniteDuration())); });
 }
 
+// Guards against a leave that is forgotten with the leader that read it: the next one names the
+// upstream before it has read the list.
+BOOST_AUTO_TEST_CASE(markOfALeaderWithoutAListIsApplied)
+{
+    FakeControl leader([](const wire::FleetSyncRequest &request, const auto &reply) {
+        wire::FleetSyncResponse response;
+        response.viewTerm = 2;
+        response.viewSequence = 1;
+        response.drainingUpstreams = {"u"};
+        if (request.viewTerm < 2)
+            reply(wire::encode(request.viewTerm == 0 ? viewWithList(1) : response));
+    });
+    start({leader.address()});
+    BOOST_TEST(await([this] {
+        const auto &upstreams = client->state().upstreams;
+        return upstreams.size() == 1 && upstreams.front().draining;
+    }));
+}
+
+// Guards against a leave that is forgotten because the list of a new leader was read earlier than
+// the one of the previous leader.
+BOOST_AUTO_TEST_CASE(earlierListOfANewLeaderDoesNotRevokeALeave)
+{
+    FakeControl leader([](const wire::FleetSyncRequest &request, const auto &reply) {
+        wire::FleetSyncResponse response = viewWithList(request.viewTerm + 1);
+        response.upstreams.front().draining = request.viewTerm == 0;
+        response.upstreamsAgeMs = request.viewTerm == 0 ? 100 : 1500;
+        if (request.viewTerm == 2)
+            response.upstreamsAgeMs = 0;
+        if (request.viewTerm < 3)
+            reply(wire::encode(response));
+    });
+    std::vector<bool> seen;
+    thread.run([&] {
+        settings.seeds = {leader.address()};
+        client = std::make_unique<FleetClient>(thread.loop(), channels, settings,
+                                               SystemClock::instance());
+        client->onChange(
+                [&](const FleetState &state) { seen.push_back(state.upstreams.front().draining); });
+        client->start();
+    });
+    BOOST_REQUIRE(await([&] { return seen.size() == 3; }));
+    // The read of the third leader is later.
+    BOOST_TEST(seen == (std::vector<bool>{true, true, false}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -203,6 +203,24 @@
     }
 }
 
+// Guards against a new leader that forgets which upstreams leave: the previous leader has read it
+// and passed it on, and its own first read takes long.
+BOOST_AUTO_TEST_CASE(newLeaderNamesTheDrainingUpstreamsThatItKnewAsAMember)
+{
+    LeaderFixture fixture;
+    fixture.discovery.holdCalls();
+    fixture.service.setMemberListSource([] {
+        return std::vector<wire::FleetUpstream>{upstream("u", true), upstream("v", false)};
+    });
+    fixture.open();
+    BOOST_TEST(fixture.awaitResponse(
+            [](const auto &response) {
+                return !response.upstreamsKnown
+                       && response.drainingUpstreams == std::vector<std::string>{"u"};
+            },
+            absl::Seconds(10)));
+}
+
 // Guards against a list whose age members can't determine.
 BOOST_AUTO_TEST_CASE(responseStatesTheAgeOfTheList)
 {
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -196,4 +196,24 @@
     BOOST_TEST((view.upstreamsReadAt() == start));
 }
 
+// Guards against a new leader that forgets which upstreams leave: until it has read the platform's
+// list itself, members use their earlier lists.
+BOOST_AUTO_TEST_CASE(newTermKeepsDrainingMarksUntilTheFirstCompleteRead)
+{
+    view.setUpstreams({{"u", "s", "a:1", "d", 8, false}}, start);
+    view.beginTerm(2, start);
+    view.setDrainingMarks({"u"});
+    view.applyPage({{"v", "s", "b:1", "d", 8, true}, {"w", "s", "c:1", "d", 8, false}});
+    wire::FleetSyncResponse response = view.makeResponse(wire::FleetSyncRequest());
+    BOOST_TEST(!response.upstreamsKnown);
+    BOOST_TEST(response.drainingUpstreams == (std::vector<std::string>{"u", "v"}),
+               boost::test_tools::per_element());
+    const std::uint64_t previousSequence = view.sequence();
+    view.setUpstreams({{"u", "s", "a:1", "d", 8, false}}, start);
+    BOOST_TEST(view.sequence() > previousSequence);
+    response = view.makeResponse(wire::FleetSyncRequest());
+    BOOST_TEST(response.upstreamsKnown);
+    BOOST_TEST(response.drainingUpstreams.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
