Fleet: Poll further processes while a poll gets no response

A store went on with its old list of upstreams for more than 3 s (drain-ms) when its fleet leader was lost silently and processes that it polled next did not respond either: a round of three addresses took as long as its slowest one, 1.2 s, and the poll of the lost leader as long before.

A poll that has no response after 0.2 s (of a connected leader: 0.2 s after the time for which the leader holds it) stays open, and others are polled beside it, three at a time and nine in all. A leader that is only slow costs each other process one poll and is kept if it responds. A process that is not the leader is polled again after 0.2 s at the soonest; still only one hint in a row is followed without a delay.

--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -27,8 +27,11 @@
     absl::Duration pollWait = absl::Milliseconds(500);
     /// A poll that has received no response after this time fails.
     absl::Duration pollTimeout = absl::Milliseconds(1200);
-    /// Delay after a failed round of polls; doubles with each further failed round up to
-    /// maxBackoff.
+    /// Further processes are polled when a poll has received no response after this time, or, for
+    /// the poll of a known leader, after pollWait and this time. The poll remains valid.
+    absl::Duration hedgeDelay = absl::Milliseconds(200);
+    /// Delay after a failed poll until the next process is polled; doubles with each further failed
+    /// one up to maxBackoff.
     absl::Duration minBackoff = absl::Milliseconds(40);
     absl::Duration maxBackoff = absl::Milliseconds(150);
 };
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -6,16 +6,29 @@
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace rattanrill::fleet {
 namespace {
 
-/// Maximum number of addresses that are polled in parallel while no leader is known. Equal to the
-/// number of processes that bootstrap the fleet group.
+/// Maximum number of addresses that are polled in parallel while no leader is known, not counting
+/// those that have been silent for the hedge delay. Equal to the number of processes that bootstrap
+/// the fleet group.
 constexpr std::size_t maxParallelPolls = 3;
+/// Maximum number of polls without a response.
+constexpr std::size_t maxPendingPolls = 9;
+/// Minimum time between two polls of a process that is not the leader. During an election the
+/// processes name the lost leader until they notice its loss.
+constexpr absl::Duration minRepollDelay = absl::Milliseconds(200);
 constexpr absl::Duration evidenceTimeout = absl::Milliseconds(300);
 
+/// Returns 0 when \a right is greater.
+std::size_t difference(std::size_t left, std::size_t right)
+{
+    return left - std::min(left, right);
+}
+
 } // namespace
 
 struct FleetClient::Impl : std::enable_shared_from_this<FleetClient::Impl>
@@ -65,44 +78,112 @@
                 });
     }
 
-    /// Returns the leader's address if it is known, and otherwise up to maxParallelPolls of the
-    /// known addresses. Successive calls rotate through them, because a poll of a process that is
-    /// down ends only after a timeout.
-    std::vector<std::string> nextAddresses()
+    bool isPending(const std::string &address) const { return pendingPolls.count(address) != 0; }
+
+    /// Number of pending polls that may be answered soon.
+    std::size_t promptPolls() const
     {
-        if (!leader.empty())
-            return {leader};
-        std::vector<std::string> knownAddresses = settings.seeds;
+        const absl::Time silentSince = clock.now() - settings.hedgeDelay;
+        return static_cast<std::size_t>(
+                std::count_if(pendingPolls.begin(), pendingPolls.end(),
+                              [&](const auto &poll) { return poll.second > silentSince; }));
+    }
+
+    std::vector<std::string> knownAddresses() const
+    {
+        std::vector<std::string> addresses = settings.seeds;
         for (const wire::FleetMemberStatus &status : state.members) {
             const std::string &address = status.member.peerAddress;
-            const bool isNew = std::find(knownAddresses.begin(), knownAddresses.end(), address)
-                               == knownAddresses.end();
+            const bool isNew =
+                    std::find(addresses.begin(), addresses.end(), address) == addresses.end();
             if (status.member.role == wire::MemberRole::Control && isNew)
-                knownAddresses.push_back(address);
+                addresses.push_back(address);
         }
+        return addresses;
+    }
+
+    /// Limits how often an address is polled that does not lead to the leader. While the leader is
+    /// only slow, each of the others is polled once.
+    bool mayPoll(const std::string &address) const
+    {
+        const auto last = lastPolls.find(address);
+        if (last == lastPolls.end())
+            return true;
+        return !connected && !isPending(address) && clock.now() - last->second >= minRepollDelay;
+    }
+
+    /// Returns the addresses to poll next, the leader that was named last before others. Successive
+    /// calls rotate through the known addresses. A poll that has been silent for the hedge delay
+    /// stays valid, but others are sent beside it.
+    std::vector<std::string> nextAddresses()
+    {
+        const std::vector<std::string> known = knownAddresses();
+        const std::size_t prompt = promptPolls();
+        const std::size_t count = std::min(difference(maxParallelPolls, prompt),
+                                           difference(maxPendingPolls, pendingPolls.size()));
         std::vector<std::string> addresses;
-        while (addresses.size() < std::min(knownAddresses.size(), maxParallelPolls))
-            addresses.push_back(knownAddresses[nextAddressIndex++ % knownAddresses.size()]);
+        if (count > 0 && !leader.empty() && !isPending(leader))
+            addresses.push_back(leader);
+        for (std::size_t i = 0; i < known.size() && addresses.size() < count; ++i) {
+            const std::string &address = known[nextAddressIndex++ % known.size()];
+            const bool isChosen =
+                    std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+            if (mayPoll(address) && !isChosen)
+                addresses.push_back(address);
+        }
         return addresses;
     }
 
-    /// Starts a round of polls. Responses to polls of earlier rounds are ignored.
-    void poll()
+    /// Polls the leader that has just responded. Responses to other polls, which were sent before,
+    /// are ignored from now on.
+    void pollLeader()
+    {
+        ++round;
+        pendingPolls.clear();
+        lastPolls.clear();
+        cancelSearch();
+        poll(leader);
+        scheduleSearch(settings.pollWait + settings.hedgeDelay);
+    }
+
+    /// Polls further addresses until one of them responds as the leader.
+    void search()
     {
         if (stopped)
             return;
-        ++round;
-        const std::vector<std::string> addresses = nextAddresses();
-        pendingPolls = addresses.size();
-        if (addresses.empty())
-            return scheduleNextRound();
-        for (const std::string &address : addresses)
+        followsHint = false;
+        for (const std::string &address : nextAddresses())
             poll(address);
+        scheduleSearch(std::min(settings.hedgeDelay, settings.maxBackoff));
+    }
+
+    /// Calls search() after \a delay at the latest. Returns whether this is sooner than scheduled
+    /// before.
+    bool scheduleSearch(absl::Duration delay)
+    {
+        const absl::Time at = clock.now() + delay;
+        if (searchTimer != 0 && searchAt <= at)
+            return false;
+        cancelSearch();
+        searchAt = at;
+        searchTimer = loop.timers().subscribeOnce(delay, [self = shared_from_this()] {
+            self->searchTimer = 0;
+            self->search();
+        });
+        return true;
+    }
+
+    void cancelSearch()
+    {
+        if (searchTimer != 0)
+            loop.timers().unsubscribe(std::exchange(searchTimer, 0));
     }
 
     void poll(const std::string &address)
     {
         const absl::Time sentAt = clock.now();
+        pendingPolls[address] = sentAt;
+        lastPolls[address] = sentAt;
         channels.channel(address)->call(wire::Method::SyncFleet, wire::encode(makeRequest()),
                                         settings.pollTimeout,
                                         [self = shared_from_this(), address, sentAt,
@@ -118,7 +199,7 @@
     void handleOutcome(const std::string &address, absl::Time sentAt,
                        const Outcome<std::string> &outcome)
     {
-        --pendingPolls;
+        pendingPolls.erase(address);
         if (!outcome.ok())
             return handleFailure(address, outcome.failure());
         const auto response =
@@ -135,7 +216,8 @@
         backoff = settings.minBackoff;
         lastSyncSentAt = sentAt;
         applyResponse(response.value(), sentAt);
-        poll();
+        if (!stopped)
+            pollLeader();
     }
 
     /// Start of the read of the list of upstreams that the leader's view shows, at the earliest.
@@ -236,31 +318,41 @@
 
     void handleFailure(const std::string &address, const Failure &failure)
     {
+        if (address == leader)
+            handleLeaderLost(failure);
         const bool hasHint = failure.code == ErrorCode::NotLeader && !failure.detail.empty();
+        const std::string hint = hasHint ? peerAddressOf(failure.detail) : std::string();
+        if (hint.empty() || hint == address || isPending(hint))
+            return scheduleNextSearch();
+        handleLeaderLost(failure);
+        leader = hint;
+        // Two replicas with outdated state may each name the other as leader. Only one hint in a
+        // row is followed without a delay, so that the polls do not alternate between the two.
+        if (std::exchange(followsHint, true))
+            return scheduleNextSearch();
+        poll(hint);
+    }
+
+    void handleLeaderLost(const Failure &failure)
+    {
         if (connected) {
             log(LogLevel::Warning, "fleet-leader-lost",
-                {{"peerAddress", address},
+                {{"peerAddress", leader},
                  {"code", name(failure.code)},
                  {"detail", failure.detail},
                  {"configurationVersion", state.configurationVersion}});
         }
         connected = false;
-        const std::string hintedAddress = hasHint ? peerAddressOf(failure.detail) : std::string();
-        leader = hintedAddress == address ? std::string() : hintedAddress;
-        // Two replicas with outdated state may each name the other as leader. Only one hint in a
-        // row is followed without a delay, so that the polls do not alternate between the two.
-        const bool isNewHint = !leader.empty() && !followsHint;
-        followsHint = isNewHint;
-        if (isNewHint)
-            poll();
-        else if (pendingPolls == 0)
-            scheduleNextRound();
+        leader.clear();
     }
 
-    void scheduleNextRound()
+    void scheduleNextSearch()
     {
-        loop.timers().subscribeOnce(backoff, [self = shared_from_this()] { self->poll(); });
-        backoff = std::min(backoff * 2, settings.maxBackoff);
+        // The leader has not failed; it is only slow, and the search is a precaution.
+        if (connected)
+            return;
+        if (scheduleSearch(backoff))
+            backoff = std::min(backoff * 2, settings.maxBackoff);
     }
 
     net::EventLoop &loop;
@@ -280,11 +372,16 @@
     std::size_t nextAddressIndex = 0;
     /// Whether the last poll received a valid response.
     bool connected = false;
-    /// Whether the current poll was sent to the leader that the previous response named.
+    /// Whether a leader that a response named was polled at once since the last search().
     bool followsHint = false;
+    /// Incremented by each valid response.
     std::uint64_t round = 0;
-    /// Number of polls of this round that have not ended yet.
-    std::size_t pendingPolls = 0;
+    /// Polls of this round that have not ended yet: time of sending by address.
+    std::map<std::string, absl::Time> pendingPolls;
+    /// Time of the last poll of each address that was polled in this round.
+    std::map<std::string, absl::Time> lastPolls;
+    TimerService::TimerId searchTimer = 0;
+    absl::Time searchAt;
     bool stopped = false;
     absl::Duration backoff;
     /// Time at which the last successful poll was sent.
@@ -318,7 +415,7 @@
 
 void FleetClient::start()
 {
-    m_impl->poll();
+    m_impl->search();
 }
 
 void FleetClient::sendHeartbeat()
@@ -343,6 +440,7 @@
 void FleetClient::stop()
 {
     m_impl->stopped = true;
+    m_impl->cancelSearch();
     m_impl->listeners.clear();
     m_impl->confirmationListeners.clear();
 }
--- a/tests/fleet/fleetclient_test.cpp
+++ b/tests/fleet/fleetclient_test.cpp
@@ -81,6 +81,15 @@
     return response;
 }
 
+wire::FleetMemberStatus controlMember(const std::string &address)
+{
+    wire::FleetMemberStatus status;
+    status.member.instance = address;
+    status.member.role = wire::MemberRole::Control;
+    status.member.peerAddress = address;
+    return status;
+}
+
 /// A client and what its listeners received. The members are used on the loop only.
 struct Fixture
 {
@@ -237,4 +246,95 @@
     BOOST_TEST(seen == (std::vector<bool>{true, true, false}), boost::test_tools::per_element());
 }
 
+// Guards against a store that grants slots by its old list for more than 3 s (drain-ms) because the
+// leader was lost silently and several of the processes that it polls next do not respond either.
+BOOST_AUTO_TEST_CASE(newLeaderIsFoundInTimeBesideUnresponsiveProcesses)
+{
+    const auto ignore = [](const wire::FleetSyncRequest &, const peer::ResponseCallback &) {};
+    std::vector<std::unique_ptr<FakeControl>> unresponsive;
+    for (int i = 0; i < 6; ++i)
+        unresponsive.push_back(std::make_unique<FakeControl>(ignore));
+    FakeControl newLeader([](const wire::FleetSyncRequest &request, const auto &reply) {
+        wire::FleetSyncResponse response = viewWithList(2);
+        response.upstreams.front().draining = true;
+        if (request.viewTerm < 2)
+            reply(wire::encode(response));
+    });
+    FakeControl lostLeader([&](const wire::FleetSyncRequest &request, const auto &reply) {
+        wire::FleetSyncResponse response = viewWithList(1);
+        for (const auto &control : unresponsive)
+            response.members.push_back(controlMember(control->address()));
+        response.members.push_back(controlMember(newLeader.address()));
+        if (request.viewTerm == 0)
+            reply(wire::encode(response));
+    });
+    start({lostLeader.address()});
+    BOOST_REQUIRE(await([this] { return client->state().upstreamsKnown; }));
+    const absl::Time lostAt = absl::Now();
+    BOOST_TEST(await([this] { return client->state().upstreams.front().draining; },
+                     absl::Seconds(10)));
+    BOOST_TEST((absl::Now() - lostAt <= absl::Seconds(3)));
+}
+
+// Guards against a client that leaves a leader which is only slow, and against one that polls the
+// others again and again meanwhile.
+BOOST_AUTO_TEST_CASE(slowLeaderIsKept)
+{
+    std::string leaderAddress;
+    FakeControl other([&](const wire::FleetSyncRequest &, const auto &reply) {
+        reply(notRun(ErrorCode::NotLeader, leaderAddress + "/replica"));
+    });
+    std::atomic<int> responses{0};
+    FakeControl leader([&](const wire::FleetSyncRequest &request, const auto &reply) {
+        wire::FleetSyncResponse response = viewWithList(1);
+        response.viewSequence = request.viewSequence + 1;
+        response.members.push_back(controlMember(other.address()));
+        // Later than the hedge delay.
+        const absl::Duration delay =
+                request.viewSequence == 0 ? absl::ZeroDuration() : absl::Milliseconds(950);
+        thread.loop().post([&, reply, response, delay] {
+            thread.loop().timers().subscribeOnce(delay, [&, reply, response] {
+                ++responses;
+                reply(wire::encode(response));
+            });
+        });
+    });
+    leaderAddress = leader.address();
+    settings.pollTimeout = absl::Seconds(10);
+    start({leader.address()});
+    BOOST_REQUIRE(await([&] { return changes == 4; }, absl::Seconds(10)));
+    thread.run([&] {
+        BOOST_TEST(client->leaderAddress() == leader.address());
+        client->stop();
+    });
+    BOOST_TEST(leader.polls() <= 5);
+    BOOST_TEST(other.polls() <= 3);
+    // The timers that are still pending refer to the fakes.
+    absl::SleepFor(absl::Seconds(1));
+}
+
+// Guards against a search that has many polls open at once. All processes of the deployment search
+// at the same time when the leader is lost.
+BOOST_AUTO_TEST_CASE(numberOfPollsWithoutAResponseIsBounded)
+{
+    const auto ignore = [](const wire::FleetSyncRequest &, const peer::ResponseCallback &) {};
+    std::vector<std::unique_ptr<FakeControl>> unresponsive;
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 14; ++i) {
+        unresponsive.push_back(std::make_unique<FakeControl>(ignore));
+        addresses.push_back(unresponsive.back()->address());
+    }
+    settings.pollTimeout = absl::Minutes(10);
+    start(addresses);
+    const auto polls = [&] {
+        int sum = 0;
+        for (const auto &control : unresponsive)
+            sum += control->polls();
+        return sum;
+    };
+    BOOST_TEST(await([&] { return polls() == 9; }));
+    absl::SleepFor(absl::Seconds(1));
+    BOOST_TEST(polls() == 9);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -288,6 +288,7 @@
     FleetClientSettings settings;
     settings.seeds = {addressOf(nonLeader)};
     // Longer than the test, so that a poll arrives only when it is sent without a delay.
+    settings.hedgeDelay = absl::Minutes(10);
     settings.minBackoff = absl::Minutes(10);
     settings.maxBackoff = absl::Minutes(10);
     FleetClient client(loopThread.loop(), channels, settings, SystemClock::instance());
