Gateway: Let the store that grants slots read an outdated list itself

Nothing limited the age of the list by which the store grants slots: while it found no fleet leader, or the leader could not read the platform, it went on granting at an upstream that the platform showed as draining.

BoundedUpstreamList takes the lists from the fleet leader and, while they show a read of more than 2 s ago, reads the platform itself, once a second at most, with the back-off of UpstreamListReader; the list of the later read counts. An upstream that any list or page showed as draining stays so until a list whose read started later. When the direct read fails too, the last list stays in use.

--- a/include/rattanrill/gateway/processes.h
+++ b/include/rattanrill/gateway/processes.h
@@ -17,7 +17,8 @@
     net::EventLoop &loop;
     const serving::ProtocolAdapter &protocol;
     const fleet::OperatorProtocolAdapter &operatorProtocol;
-    /// Reads the platform's list of upstreams; used by control processes.
+    /// Reads the platform's list of upstreams; used by control processes, and by a store process
+    /// whose list from the fleet leader is too old.
     fleet::UpstreamDiscovery &upstreamDiscovery;
     /// True for a request that checks whether the process accepts new connections.
     std::function<bool(const net::Request &)> isReadinessProbe;
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -3,6 +3,7 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
+#include "rattanrill/fleet/boundedupstreamlist.h"
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/jobs/jobexecutor.h"
@@ -30,6 +31,8 @@
         , m_processContext(processContext)
         , m_upstreams(processContext.loop, net::ConnectionPoolOptions())
         , m_broker(processContext.loop.timers(), SystemClock::instance(), brokerSettings(settings))
+        , m_upstreamList(processContext.loop.timers(), SystemClock::instance(),
+                         processContext.upstreamDiscovery, fleet::BoundedUpstreamListSettings())
     {}
 
     Result<void> start() override
@@ -41,11 +44,17 @@
         log(LogLevel::Info, "replica-identity", {{"replica", m_identity.replica}});
         m_core = std::make_unique<ProcessCore>(m_settings, m_processContext,
                                                wire::MemberRole::Store, m_identity.replica);
+        m_upstreamList.onChange([this](const auto &upstreams, absl::Time) {
+            m_hasUpstreams = true;
+            m_broker.setUpstreams(upstreams, serving::CapacityShare());
+        });
         createServices();
         if (hasReplicaData())
             openReplica();
         m_core->fleetClient().onChange(
                 [this](const fleet::FleetState &state) { applyState(state); });
+        m_core->fleetClient().onUpstreamsConfirmed(
+                [this](absl::Time readAt) { m_upstreamList.confirmDistributed(readAt); });
         m_core->fleetClient().setStoreStatusSource(
                 [this](wire::FleetSyncRequest &request) { fillStoreReport(request); });
         return m_core->start();
@@ -63,6 +72,7 @@
                 leadershipTransferTime, [this, stopped = std::move(stopped)] {
                     m_core->fleetClient().leave();
                     m_jobService->handleLeadershipChange(false);
+                    m_upstreamList.setActive(false);
                     m_replica->stop();
                     m_core->stop();
                     stopped();
@@ -85,12 +95,13 @@
                                                m_broker,
                                                *m_replica,
                                                m_settings.failureDomain,
-                                               [this] { return upstreamListAge(); }};
+                                               [this] { return m_upstreamList.age(); }};
         m_jobExecutor = std::make_unique<jobs::JobExecutor>(context);
         m_jobService = std::make_unique<jobs::JobService>(context, *m_jobExecutor);
         m_replica->setCandidateSource([this] { return candidates(); });
         m_replica->onLeadershipChange([this](bool leads) {
             m_broker.reset();
+            m_upstreamList.setActive(leads);
             m_jobService->handleLeadershipChange(leads);
             m_core->fleetClient().sendHeartbeat();
         });
@@ -186,16 +197,12 @@
             m_jobService->setDeployment(newer);
             m_jobExecutor->setDeployment(newer);
         }
-        if (state.upstreamsKnown) {
-            m_hasUpstreams = true;
-            m_broker.setUpstreams(state.upstreams, serving::CapacityShare());
-        }
+        if (state.upstreamsKnown)
+            m_upstreamList.setDistributed(state.upstreams, state.upstreamsReadAt);
         if (state.membersComplete)
             m_broker.setLiveInstances(liveEntries(state));
     }
 
-    absl::Duration upstreamListAge() const { return m_core->fleetClient().upstreamListAge(); }
-
     /// True when the replica has stored data of the group. It then opens without the list of
     /// initial voters.
     bool hasReplicaData() const
@@ -251,6 +258,7 @@
     std::unique_ptr<ProcessCore> m_core;
     net::ConnectionPool m_upstreams;
     serving::SlotBroker m_broker;
+    fleet::BoundedUpstreamList m_upstreamList;
     std::unique_ptr<fleet::GroupReplica> m_replica;
     std::unique_ptr<jobs::JobExecutor> m_jobExecutor;
     std::unique_ptr<jobs::JobService> m_jobService;
