Tests: Freeze the readers of the upstream list on real processes

The first read that shows an upstream as draining is answered to a frozen fleet leader, or while all control processes are frozen; callers and jobs go on. The third case guards against more than one reader in normal operation.

--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -91,18 +91,28 @@
 
 
 class InstanceList(http.server.BaseHTTPRequestHandler):
-    """Lists two ready upstreams and one invalid entry."""
+    """Lists two upstreams and one invalid entry. on_read is called before each response that shows
+    an upstream as draining, so that a test can freeze the reader until it has been sent."""
 
     protocol_version = "HTTP/1.1"
+    draining = set()
+    reads = []
+    on_read = None
 
     def log_message(self, *_):
         pass
 
     def do_GET(self):
         instances = [{"id": f"i-{n}", "service": "lm", "address": f"127.0.8.{n}:{UPSTREAM_PORT}",
-                      "zone": "a", "slots": 4, "state": "ready"} for n in (1, 2)]
+                      "zone": "a", "slots": 4,
+                      "state": "draining" if f"127.0.8.{n}" in self.draining else "ready"}
+                     for n in (1, 2)]
+        shows_draining = bool(self.draining)
         instances.append({"id": 7, "state": "resting"})
         body = json.dumps({"instances": instances, "next": None}).encode()
+        self.reads.append(time.monotonic())
+        if shows_draining and InstanceList.on_read is not None:
+            InstanceList.on_read()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
