Serving, Gateway: Log the time since the stop signal with each request

Callers lose requests that an entry process took long after SIGTERM. No line showed when a request came relative to the stop signal, or which requests were open when the process ended.

The lines request-ended and request-refused carry the time since the stop signal and the rest of the shutdown time (-1 before the signal). The line drained has the number of abandoned requests and the ids of up to 20 of them. No change of behaviour.

--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rattanrill::net {
 
@@ -79,6 +80,8 @@
     /// Closes the connections that have no open request.
     void closeIdleConnections();
     std::size_t openRequestCount() const;
+    /// Exchanges that have not ended.
+    std::vector<std::shared_ptr<Exchange>> openExchanges() const;
     std::size_t connectionCount() const;
     /// Stops listening and closes all connections.
     void stop();
--- a/include/rattanrill/serving/proxyrequest.h
+++ b/include/rattanrill/serving/proxyrequest.h
@@ -8,6 +8,7 @@
 #include "rattanrill/serving/deployment.h"
 #include "rattanrill/serving/promptguard.h"
 #include "rattanrill/serving/protocoladapter.h"
+#include "rattanrill/serving/shutdownstate.h"
 #include "rattanrill/serving/slotclient.h"
 
 #include "absl/time/time.h"
@@ -38,6 +39,7 @@
     InstanceIdentity identity;
     /// Age of the process's list of upstreams, infinite if unknown; for log lines.
     std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
+    ShutdownState shutdown = {};
 };
 
 /// A caller's request after its route and workspace have been resolved.
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -5,6 +5,8 @@
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/gateway/gateway.h"
 
+#include "absl/strings/str_join.h"
+
 #include <set>
 #include <utility>
 
@@ -25,6 +27,8 @@
 /// Maximum number of connections from callers. The limit follows from the number of file
 /// descriptors; an idle connection needs little memory.
 constexpr std::size_t maxCallerConnections = 3000;
+/// Maximum number of request ids in one log line.
+constexpr std::size_t maxLoggedIds = 20;
 
 serving::SlotClientSettings slotClientSettings(const ProcessSettings &settings)
 {
@@ -84,6 +88,7 @@
         m_draining = true;
         m_onStopped = std::move(stopped);
         m_drainStartedAt = m_core.clock().now();
+        m_context.shutdown.begin(m_drainStartedAt, m_settings.shutdownTimeout);
         m_callerServer.drain();
         m_processContext.loop.timers().subscribeEvery(drainCheckPeriod, [this] { checkDrain(); });
     }
@@ -163,13 +168,35 @@
         if (m_callerServer.openRequestCount() > 0 && !isTimedOut)
             return;
         if (const auto stopped = std::exchange(m_onStopped, nullptr)) {
-            log(LogLevel::Info, "drained",
-                {{"openRequests", static_cast<std::int64_t>(m_callerServer.openRequestCount())}});
+            logDrained(m_callerServer.openExchanges());
             m_core.fleetClient().leave();
             stopped();
         }
     }
 
+    void logDrained(const std::vector<std::shared_ptr<net::Exchange>> &abandoned) const
+    {
+        std::vector<std::string> ids;
+        for (const auto &exchange : abandoned) {
+            if (ids.size() < maxLoggedIds)
+                ids.push_back(requestId(exchange->request()));
+        }
+        const absl::Time now = m_core.clock().now();
+        log(LogLevel::Info, "drained",
+            {{"openRequests", static_cast<std::int64_t>(abandoned.size())},
+             {"requestIds", absl::StrJoin(ids, ",")},
+             {"sinceStopMs", m_context.shutdown.elapsedMs(now)},
+             {"stopLeftMs", m_context.shutdown.remainingMs(now)}});
+    }
+
+    /// Returns an empty string for a request that can't be parsed.
+    std::string requestId(const net::Request &request) const
+    {
+        const auto caller =
+                outcomeOf([&] { return m_processContext.protocol.parseRequest(request); });
+        return caller.ok() ? caller.value().id : std::string();
+    }
+
     const ProcessSettings &m_settings;
     const ProcessContext &m_processContext;
     ProcessCore m_core;
@@ -177,7 +204,7 @@
     serving::SlotClient m_slotClient;
     serving::PromptGuard m_promptGuard;
     jobs::JobClient m_jobs;
-    const serving::ServingContext m_context;
+    serving::ServingContext m_context;
     Gateway m_gateway;
     net::Server m_callerServer;
     net::Server m_readinessServer;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -200,12 +200,15 @@
 {
     m_context.metrics.count("rattanrill_refusals_total",
                             {{"code", std::string(name(failure.code))}});
+    const absl::Time now = m_context.clock.now();
     log(LogLevel::Info, "request-refused",
         {{"requestId", requestId},
          {"code", name(failure.code)},
          {"run", name(failure.effect)},
          {"detail", failure.detail},
          {"retryAfterMs", absl::ToInt64Milliseconds(retryAfter)},
+         {"sinceStopMs", m_context.shutdown.elapsedMs(now)},
+         {"stopLeftMs", m_context.shutdown.remainingMs(now)},
          {"configurationVersion", m_deployment ? m_deployment->version() : 0}});
     exchange->respond(m_context.protocol.errorResponse(failure, retryAfter));
 }
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -135,6 +135,16 @@
     return m_impl->shared->openRequests;
 }
 
+std::vector<std::shared_ptr<Exchange>> Server::openExchanges() const
+{
+    std::vector<std::shared_ptr<Exchange>> result;
+    for (const auto &connection : m_impl->shared->connections) {
+        if (auto exchange = connection->openExchange())
+            result.push_back(std::move(exchange));
+    }
+    return result;
+}
+
 std::size_t Server::connectionCount() const
 {
     return m_impl->shared->connections.size();
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -48,6 +48,11 @@
     return m_phase == Phase::Idle && m_parser.state() == RequestParser::State::Idle;
 }
 
+std::shared_ptr<Exchange> ServerConnection::openExchange() const
+{
+    return m_exchange.lock();
+}
+
 void ServerConnection::read()
 {
     if (m_reading || m_phase == Phase::Closed || m_parser.pendingBytes() > maxReadAheadBytes)
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -34,6 +34,8 @@
 
     void start();
     bool isIdle() const;
+    /// Exchange of the current request; null when none is open.
+    std::shared_ptr<Exchange> openExchange() const;
     void close();
 
     // Called by the exchange of the current request.
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -565,6 +565,8 @@
          {"firstByteMs", elapsedMilliseconds(m_receivedAt, m_firstByteAt)},
          {"totalMs", elapsedMilliseconds(m_receivedAt, now)},
          {"patienceMs", absl::ToInt64Milliseconds(m_deadline - m_receivedAt)},
+         {"sinceStopMs", m_context.shutdown.elapsedMs(now)},
+         {"stopLeftMs", m_context.shutdown.remainingMs(now)},
          {"configurationVersion", m_request.deployment->version()}});
 }
 
