Net: Close a connection after the stream that ends while the server drains

Callers' requests were taken long after SIGTERM and abandoned when the process ended. A stream that began before SIGTERM had announced keep-alive in its head, so its connection stayed open and served further requests, up to the end of the longest stream.

The server now closes a connection after the response that ends while it drains, whatever its head announced.

ServerTest/streamOfADrainingServerIsTheLastResponseOfItsConnection failed before: the second request was served.

--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -75,7 +75,7 @@
     int port() const;
     /// Sets the limits for connections that are accepted and requests that begin from now on.
     void setLimits(const ServerLimits &limits);
-    /// Makes the server close each connection after its next response.
+    /// Makes the server close each connection after its current or next response.
     void drain();
     /// Closes the connections that have no open request.
     void closeIdleConnections();
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -48,6 +48,11 @@
     return m_phase == Phase::Idle && m_parser.state() == RequestParser::State::Idle;
 }
 
+bool ServerConnection::hasNextRequest() const
+{
+    return m_parser.state() != RequestParser::State::Idle;
+}
+
 std::shared_ptr<Exchange> ServerConnection::openExchange() const
 {
     return m_exchange.lock();
@@ -243,7 +248,7 @@
 
 void ServerConnection::endRequest()
 {
-    if (!m_keepAlive) {
+    if (!m_keepAlive || (m_shared->draining && !hasNextRequest())) {
         m_phase = Phase::Closing;
         return shutdownSend();
     }
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -61,6 +61,8 @@
         Closed,
     };
 
+    /// Whether a part of the request after the current one has arrived.
+    bool hasNextRequest() const;
     void read();
     void handleRead(const boost::system::error_code &error, std::size_t bytes);
     void handleParserState();
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 /// Server whose behavior depends on the path: /echo returns the request body, /stream sends a
-/// stream of two parts, /cut aborts a stream, /wait never responds, and /held registers a
-/// disconnect handler that holds the exchange before it responds.
+/// stream of two parts, /cut aborts a stream, /wait never responds, /begin starts a stream that the
+/// test ends, and /held registers a disconnect handler that holds the exchange before it responds.
 struct TestServer
 {
     TestServer()
@@ -43,6 +43,7 @@
 
     void serve(const std::shared_ptr<Exchange> &exchange)
     {
+        ++requestCount;
         const std::string path(exchange->request().path());
         if (path == "/wait") {
             openExchange = exchange;
@@ -61,6 +62,10 @@
         head.status = 200;
         exchange->startStream(head);
         exchange->write("one");
+        if (path == "/begin") {
+            openExchange = exchange;
+            return;
+        }
         if (path == "/cut")
             return exchange->abort();
         exchange->write("two");
@@ -72,9 +77,12 @@
     std::shared_ptr<Exchange> openExchange;
     std::weak_ptr<int> handlerOwner;
     std::atomic<int> disconnectCount{0};
+    std::atomic<int> requestCount{0};
 };
 
 constexpr int port = 28471;
+constexpr const char *echoRequest =
+        "POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc";
 
 std::string statusLine(const std::string &response)
 {
@@ -191,4 +199,22 @@
     BOOST_TEST(response.find("abc") != std::string::npos);
 }
 
+// Guards against a connection that accepts further requests while the server drains, because the
+// head of a stream announced keep-alive before the drain began.
+BOOST_AUTO_TEST_CASE(streamOfADrainingServerIsTheLastResponseOfItsConnection)
+{
+    TestServer server;
+    RawSocket client(port);
+    client.send("GET /begin HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.readUntil("one");
+    server.thread.run([&] {
+        server.server->drain();
+        server.openExchange->finish();
+    });
+    client.readUntil("0\r\n\r\n");
+    client.send(echoRequest);
+    BOOST_TEST(client.readAll().find("abc") == std::string::npos);
+    BOOST_TEST(server.requestCount == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
