Net: Answer pipelined requests of a draining server

A request that was pipelined behind an open one has been read with it. While draining, the response to the open request announced "Connection: close" and the request behind it was dropped without a response.

While a part of the next request has arrived, the connection stays open and the last response closes it.

ServerTest/drainingServerAnswersAPipelinedRequest failed before for whole responses (the second one was missing), and passes.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -135,7 +135,8 @@
 
 std::string ServerConnection::framedHead(ResponseHead head, std::string_view framing)
 {
-    m_keepAlive = m_keepAlive && !m_shared->draining;
+    // A request that was pipelined behind this one has been read and must be answered too.
+    m_keepAlive = m_keepAlive && (!m_shared->draining || hasNextRequest());
     if (m_keepAlive) {
         head.headers.add("Keep-Alive",
                          concat("timeout=", absl::ToInt64Seconds(m_shared->limits.idleTimeout)));
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -217,4 +217,29 @@
     BOOST_TEST(server.requestCount == 1);
 }
 
+// Guards against a pipelined request that the server has read and never answers, because the
+// response before it ends while the server drains.
+BOOST_AUTO_TEST_CASE(drainingServerAnswersAPipelinedRequest)
+{
+    for (const char *path : {"/wait", "/begin"}) {
+        TestServer server;
+        RawSocket client(port);
+        client.send(std::string("GET ") + path + " HTTP/1.1\r\nHost: h\r\n\r\n" + echoRequest);
+        BOOST_TEST(waitFor([&] { return server.requestCount == 1; }));
+        server.thread.run([&] {
+            server.server->drain();
+            if (server.openExchange->streamStarted())
+                server.openExchange->finish();
+            else
+                server.openExchange->respond(textResponse(200, "first", "text/plain"));
+        });
+        const std::string responses = client.readAll();
+        BOOST_TEST_CONTEXT(path << ": " << responses)
+        {
+            BOOST_TEST(responses.find("abc") != std::string::npos);
+            BOOST_TEST(responses.find("Connection: close") > responses.find("HTTP/1.1", 1));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
