Net: Keep connections with unread requests open while draining

closeIdleConnections() closed connections whose next request had arrived at the socket but had not been read by the event loop. The same loss was possible at the end of a stream while draining. The caller saw a reset and could not know whether its request had run.

Both places now ask the socket for available bytes first. A connection that has some is not idle; the pending read passes them to the parser.

ServerTest/connectionWithAnUnreadRequestIsNotIdle and ServerTest/drainingServerAnswersAnUnreadRequestAfterAStream failed before without a response, and pass.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -45,12 +45,15 @@
 
 bool ServerConnection::isIdle() const
 {
-    return m_phase == Phase::Idle && m_parser.state() == RequestParser::State::Idle;
+    return m_phase == Phase::Idle && !hasNextRequest();
 }
 
 bool ServerConnection::hasNextRequest() const
 {
-    return m_parser.state() != RequestParser::State::Idle;
+    if (m_parser.state() != RequestParser::State::Idle)
+        return true;
+    boost::system::error_code error;
+    return m_socket.available(error) > 0 && !error;
 }
 
 std::shared_ptr<Exchange> ServerConnection::openExchange() const
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -61,7 +61,7 @@
         Closed,
     };
 
-    /// Whether a part of the request after the current one has arrived.
+    /// Whether a part of the next request has arrived, even if it has not been read yet.
     bool hasNextRequest() const;
     void read();
     void handleRead(const boost::system::error_code &error, std::size_t bytes);
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -3,6 +3,8 @@
 
 #include "rattanrill/net/server.h"
 
+#include "absl/time/clock.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
@@ -242,4 +244,36 @@
     }
 }
 
+// Guards against a connection that counts as idle and is closed although a request has arrived that
+// the event loop has not read yet.
+BOOST_AUTO_TEST_CASE(connectionWithAnUnreadRequestIsNotIdle)
+{
+    TestServer server;
+    RawSocket client(port);
+    client.send(echoRequest);
+    client.readUntil("abc");
+    server.thread.run([&] {
+        client.send("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz");
+        absl::SleepFor(absl::Milliseconds(20));
+        server.server->closeIdleConnections();
+    });
+    BOOST_TEST(client.readUntil("xyz").find("xyz") != std::string::npos);
+}
+
+// Guards against the same loss at the end of a stream of a draining server.
+BOOST_AUTO_TEST_CASE(drainingServerAnswersAnUnreadRequestAfterAStream)
+{
+    TestServer server;
+    RawSocket client(port);
+    client.send("GET /begin HTTP/1.1\r\nHost: h\r\n\r\n");
+    client.readUntil("one");
+    server.thread.run([&] {
+        server.server->drain();
+        client.send(echoRequest);
+        absl::SleepFor(absl::Milliseconds(20));
+        server.openExchange->finish();
+    });
+    BOOST_TEST(client.readAll().find("abc") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
