Gateway: Refuse requests that may outlast a stopping entry process

An entry forwarded each request it read until its end, 7.5 s after SIGTERM, also one whose deadline lay seconds after that. The upstream ran it and the caller got no complete response.

A request that is read later than 2.5 s after the signal is now forwarded only if its deadline (the earlier one of caller and route, or the timeout of the call to the stores) lies before the time at which open requests are ended. Otherwise it is refused at once with 503 as not run, "Connection: close" and a Retry-After of 0.1 s. Until 2.5 s all requests are served: the platform still sends connections here, so a retry might come back, and most requests end long before the process. With a short shutdown timeout the admission takes a third of it; before, a timeout under 2.5 s meant that the process was killed before it ended by itself.

Without the check, GatewayTest/requestThatMayOutlastTheProcessIsRefused and lateRequestDoesNotWaitForTheConfiguration fail.

--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -14,16 +14,15 @@
 namespace {
 
 /// The platform probes the readiness of this entry every second and stops sending connections after
-/// two negative responses. New connections arrive until then.
-constexpr absl::Duration drainDelay = absl::Milliseconds(2500);
+/// two negative responses. Until then, the retry of a refused request may reach this entry again,
+/// so requests are served even if their deadline lies after the end of the process: most of them
+/// end much earlier.
+constexpr absl::Duration admissionTime = absl::Milliseconds(2500);
 constexpr absl::Duration drainCheckPeriod = absl::Milliseconds(100);
 /// A new leader of the fleet group reads the platform's list of upstreams within this time. After
 /// that time, requests are served even without the list, so that those which the configuration does
 /// not allow can be refused.
 constexpr absl::Duration upstreamListTimeout = absl::Milliseconds(500);
-/// Fraction of the shutdown timeout after which open requests are abandoned, so that the process
-/// ends by itself.
-constexpr double drainTimeFraction = 0.94;
 /// Maximum number of connections from callers. The limit follows from the number of file
 /// descriptors; an idle connection needs little memory.
 constexpr std::size_t maxCallerConnections = 3000;
@@ -87,8 +86,7 @@
     {
         m_draining = true;
         m_onStopped = std::move(stopped);
-        m_drainStartedAt = m_core.clock().now();
-        m_context.shutdown.begin(m_drainStartedAt, m_settings.shutdownTimeout);
+        m_context.shutdown.begin(m_core.clock().now(), m_settings.shutdownTimeout, admissionTime);
         m_callerServer.drain();
         m_processContext.loop.timers().subscribeEvery(drainCheckPeriod, [this] { checkDrain(); });
     }
@@ -160,11 +158,11 @@
 
     void checkDrain()
     {
-        const absl::Duration drainTime = m_core.clock().now() - m_drainStartedAt;
-        if (drainTime < drainDelay)
+        const absl::Time now = m_core.clock().now();
+        if (now < m_context.shutdown.admissionEnd())
             return;
         m_callerServer.closeIdleConnections();
-        const bool isTimedOut = drainTime > m_settings.shutdownTimeout * drainTimeFraction;
+        const bool isTimedOut = now > m_context.shutdown.requestsEnd();
         if (m_callerServer.openRequestCount() > 0 && !isTimedOut)
             return;
         if (const auto stopped = std::exchange(m_onStopped, nullptr)) {
@@ -214,7 +212,6 @@
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
     bool m_hasUpstreams = false;
     bool m_draining = false;
-    absl::Time m_drainStartedAt;
     std::function<void()> m_onStopped;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -23,6 +23,9 @@
 /// Retry-After of a job that exceeds the limit of waiting tokens. Items that run for several
 /// seconds must end before it can be accepted.
 constexpr absl::Duration jobRetryAfter = absl::Seconds(1);
+/// Retry-After of a request that this entry process may not complete before it ends. The caller
+/// reaches another entry process, because the connection is closed.
+constexpr absl::Duration shutdownRetryAfter = absl::Milliseconds(100);
 /// Timeout of a call to the stores. A call that waits for new results has this much time in
 /// addition to its wait.
 constexpr absl::Duration storeTimeout = absl::Milliseconds(2500);
@@ -57,7 +60,9 @@
         return refuse(exchange, "", caller.failure(), absl::ZeroDuration());
     if (m_deployment)
         return route(exchange, std::move(caller.value()));
-    const bool isExpected = m_context.clock.now() - m_startedAt < startupTime;
+    const bool isExpected =
+            m_context.clock.now() - m_startedAt < startupTime
+            && m_context.shutdown.admits(exchange->receivedAt(), absl::InfiniteFuture());
     if (isExpected && m_early.size() < maxEarlyRequests)
         return hold(exchange, std::move(caller.value()));
     refuseEarly(exchange, caller.value());
@@ -105,6 +110,8 @@
         static const serving::Workspace anonymous;
         return serveJobCall(exchange, caller, workspace == nullptr ? anonymous : *workspace, route);
     }
+    if (refuseBeforeEnd(exchange, caller.id, std::min(caller.timeout, route->timeout)))
+        return;
     serving::RoutedRequest routed;
     routed.deployment = m_deployment;
     routed.route = route;
@@ -144,6 +151,8 @@
                      absl::Duration timeout)
 {
     const std::string id = job.id;
+    if (refuseBeforeEnd(exchange, id, timeout))
+        return;
     m_jobs.submit(wire::SubmitJobRequest{std::move(job)}, timeout,
                   [this, exchange, id](const Outcome<Done> &outcome) {
                       if (outcome.ok())
@@ -157,6 +166,8 @@
 void Gateway::readResults(const std::shared_ptr<net::Exchange> &exchange,
                           const serving::ReadJobCall &call, const std::string &workspace)
 {
+    if (refuseBeforeEnd(exchange, call.job, storeTimeout + call.wait))
+        return;
     wire::ReadJobRequest request;
     request.workspace = workspace;
     request.job = call.job;
@@ -174,6 +185,8 @@
 void Gateway::readItem(const std::shared_ptr<net::Exchange> &exchange,
                        const serving::ReadItemCall &call, const std::string &workspace)
 {
+    if (refuseBeforeEnd(exchange, call.job, storeTimeout))
+        return;
     m_jobs.readItem(
             wire::ReadItemRequest{workspace, call.job, call.item}, storeTimeout,
             [this, exchange, id = call.job](const Outcome<wire::ReadItemResponse> &outcome) {
@@ -187,6 +200,8 @@
 void Gateway::cancelJob(const std::shared_ptr<net::Exchange> &exchange,
                         const serving::CancelJobCall &call, const std::string &workspace)
 {
+    if (refuseBeforeEnd(exchange, call.job, storeTimeout))
+        return;
     m_jobs.cancel(wire::EndJobRequest{workspace, call.job}, storeTimeout,
                   [this, exchange, id = call.job](const Outcome<Done> &outcome) {
                       if (outcome.ok())
@@ -195,6 +210,18 @@
                   });
 }
 
+bool Gateway::refuseBeforeEnd(const std::shared_ptr<net::Exchange> &exchange,
+                              const std::string &requestId, absl::Duration timeout)
+{
+    const absl::Time receivedAt = exchange->receivedAt();
+    if (m_context.shutdown.admits(receivedAt, receivedAt + timeout))
+        return false;
+    refuse(exchange, requestId,
+           notRun(ErrorCode::Draining, "this entry process may end before the request does"),
+           shutdownRetryAfter);
+    return true;
+}
+
 void Gateway::refuse(const std::shared_ptr<net::Exchange> &exchange, const std::string &requestId,
                      const Failure &failure, absl::Duration retryAfter)
 {
--- a/src/serving/shutdownstate.cpp
+++ b/src/serving/shutdownstate.cpp
@@ -3,11 +3,33 @@
 #include <algorithm>
 
 namespace rattanrill::serving {
+namespace {
 
-void ShutdownState::begin(absl::Time startedAt, absl::Duration timeout)
+/// Requests that may take longer than the process lives are admitted in this part of the shutdown
+/// timeout only, so that most of them complete.
+constexpr int maxAdmissionDivisor = 3;
+/// Fraction of the shutdown timeout after which open requests are ended. The rest is left for
+/// sending their responses and for the end of the process.
+constexpr double requestsEndFraction = 0.94;
+
+} // namespace
+
+void ShutdownState::begin(absl::Time startedAt, absl::Duration timeout,
+                          absl::Duration admissionTime)
 {
     m_startedAt = startedAt;
     m_timeout = timeout;
+    m_admissionTime = std::min(admissionTime, timeout / maxAdmissionDivisor);
+}
+
+absl::Time ShutdownState::requestsEnd() const
+{
+    return m_startedAt + m_timeout * requestsEndFraction;
+}
+
+bool ShutdownState::admits(absl::Time receivedAt, absl::Time deadline) const
+{
+    return !hasBegun() || receivedAt <= admissionEnd() || deadline <= requestsEnd();
 }
 
 std::int64_t ShutdownState::elapsedMs(absl::Time now) const
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -41,6 +41,36 @@
         });
     }
 
+    /// Applies a configuration with one route, without upstreams.
+    void setRoute(absl::Duration timeout)
+    {
+        thread.run([&] {
+            serving::Route route;
+            route.pathPrefix = "/";
+            route.allowsAnonymous = true;
+            route.targets = {{"s", 1}};
+            route.timeout = timeout;
+            serving::Deployment deployment;
+            deployment.version = 1;
+            deployment.routes = {route};
+            deployment.services.resize(1);
+            deployment.services.front().name = "s";
+            const auto index =
+                    std::make_shared<const serving::DeploymentIndex>(std::move(deployment));
+            slotClient.setDeployment(index);
+            gateway->setDeployment(index);
+        });
+    }
+
+    /// Puts the process into a graceful stop that began \a elapsed ago.
+    void beginShutdown(absl::Duration elapsed)
+    {
+        thread.run([&] {
+            context.shutdown.begin(SystemClock::instance().now() - elapsed, absl::Seconds(8),
+                                   absl::Milliseconds(2500));
+        });
+    }
+
     /// Sends one request and returns the response.
     static std::string sendRequest()
     {
@@ -59,10 +89,10 @@
     jobs::JobClient jobs{loop, channels, SystemClock::instance()};
     serving::PromptGuard promptGuard{loop.timers(), SystemClock::instance(), "e",
                                      [](const wire::PromptEvidence &, const auto &) {}};
-    const serving::ServingContext context{loop,        SystemClock::instance(),
-                                          metrics,     adapter,
-                                          upstreams,   slotClient,
-                                          promptGuard, {"e", "d"}};
+    serving::ServingContext context{loop,        SystemClock::instance(),
+                                    metrics,     adapter,
+                                    upstreams,   slotClient,
+                                    promptGuard, {"e", "d"}};
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<net::Server> server;
 };
@@ -98,4 +128,32 @@
     BOOST_TEST((absl::Now() - start < absl::Seconds(3)));
 }
 
+// Guards against a request that is sent to an upstream, and abandoned there, although it arrives so
+// late in a graceful stop that the process may end before its deadline.
+BOOST_AUTO_TEST_CASE(requestThatMayOutlastTheProcessIsRefused)
+{
+    setRoute(absl::Seconds(3));
+    beginShutdown(absl::Seconds(5));
+    const std::string response = sendRequest();
+    BOOST_TEST(response.find("503") != std::string::npos);
+    BOOST_TEST(response.find("may end before the request") != std::string::npos);
+}
+
+// Guards against requests that are refused although they end before the process does.
+BOOST_AUTO_TEST_CASE(requestThatEndsBeforeTheProcessIsServed)
+{
+    setRoute(absl::Seconds(2));
+    beginShutdown(absl::Seconds(5));
+    BOOST_TEST(sendRequest().find("no upstream slot") != std::string::npos);
+}
+
+// Guards against a late request that waits for a configuration that the process may not receive.
+BOOST_AUTO_TEST_CASE(lateRequestDoesNotWaitForTheConfiguration)
+{
+    beginShutdown(absl::Seconds(5));
+    const absl::Time start = absl::Now();
+    BOOST_TEST(sendRequest().find("503") != std::string::npos);
+    BOOST_TEST((absl::Now() - start < absl::Seconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
