Gateway: End open requests with a response before an entry process ends

At 0.94 of the shutdown time the entry dropped its open requests with the process, and it ended as soon as no handler was busy: parts of requests that had arrived and parts of responses that had not been sent were lost.

ServerDrain, used by the entry, ends open requests at 0.94 of the shutdown time: a request that has not run gets 503, one that may have run 502, a stream that has begun is aborted, and a request that has arrived in part gets 503. It waits until the responses have been sent, at most until 0.97, and stops the server before the process ends. Requests read in part keep the process running until then.

--- /dev/null
+++ b/include/rattanrill/gateway/serverdrain.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "rattanrill/base/clock.h"
+#include "rattanrill/base/timerservice.h"
+#include "rattanrill/net/server.h"
+#include "rattanrill/serving/shutdownstate.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace rattanrill::gateway {
+
+/// Brings the requests of a server to an end when its process stops. Closes idle connections from
+/// the end of the admission on, ends open requests with a response at the end of the requests, and
+/// then waits until the responses have been sent. Used on the event loop only.
+class ServerDrain
+{
+public:
+    /// Requests that were ended because no more time was left.
+    using AbandonedRequests = std::vector<std::shared_ptr<net::Exchange>>;
+
+    ServerDrain(TimerService &timers, const Clock &clock, net::Server &server,
+                const serving::ShutdownState &shutdown);
+    ~ServerDrain();
+    ServerDrain(const ServerDrain &) = delete;
+    ServerDrain &operator=(const ServerDrain &) = delete;
+
+    /// Call once, when the shutdown has begun. Calls \a drained once, after the server has been
+    /// stopped.
+    void start(std::function<void(const AbandonedRequests &)> drained);
+
+private:
+    void check();
+    void endRequests();
+    void finish();
+
+    TimerService &m_timers;
+    const Clock &m_clock;
+    net::Server &m_server;
+    const serving::ShutdownState &m_shutdown;
+    AbandonedRequests m_abandoned;
+    std::function<void(const AbandonedRequests &)> m_drained;
+    TimerService::TimerId m_timer = 0;
+};
+
+} // namespace rattanrill::gateway
--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -41,6 +41,10 @@
     /// Sets \a handler, which is called once if the client disconnects before the response is
     /// complete.
     virtual void onClientDisconnected(std::function<void()> handler) = 0;
+    /// Sets \a handler, which is called at most once, when the server ends its open requests. If it
+    /// leaves the exchange open or there is none, the server responds 502, or aborts a stream that
+    /// has started.
+    virtual void onServerEnding(std::function<void()> handler) = 0;
     /// Sends a complete response.
     virtual void respond(Response response) = 0;
     /// Starts a streamed response, whose length is not known in advance.
@@ -77,8 +81,14 @@
     void setLimits(const ServerLimits &limits);
     /// Makes the server close each connection after its current or next response.
     void drain();
-    /// Closes the connections that have no open request.
+    /// Closes the connections that have no request, not even one that has not been read yet.
     void closeIdleConnections();
+    /// Whether a connection has a request, read completely or not, or a response that has not been
+    /// sent completely.
+    bool hasActiveConnections() const;
+    /// Ends the open requests, see Exchange::onServerEnding(). Requests that have not been read
+    /// completely are refused with status 503.
+    void endRequests();
     std::size_t openRequestCount() const;
     /// Exchanges that have not ended.
     std::vector<std::shared_ptr<Exchange>> openExchanges() const;
--- a/include/rattanrill/serving/shutdownstate.h
+++ b/include/rattanrill/serving/shutdownstate.h
@@ -19,6 +19,8 @@
     bool hasBegun() const { return m_startedAt != absl::InfiniteFuture(); }
     absl::Time admissionEnd() const { return m_startedAt + m_admissionTime; }
     absl::Time requestsEnd() const;
+    /// Time at which the process ends although responses have not been sent completely.
+    absl::Time responsesEnd() const;
     /// Whether a request that arrived at \a receivedAt and has to end by \a deadline is served.
     bool admits(absl::Time receivedAt, absl::Time deadline) const;
     /// Milliseconds since the stop signal; -1 before it.
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -4,6 +4,7 @@
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/gateway/gateway.h"
+#include "rattanrill/gateway/serverdrain.h"
 
 #include "absl/strings/str_join.h"
 
@@ -18,7 +19,6 @@
 /// so requests are served even if their deadline lies after the end of the process: most of them
 /// end much earlier.
 constexpr absl::Duration admissionTime = absl::Milliseconds(2500);
-constexpr absl::Duration drainCheckPeriod = absl::Milliseconds(100);
 /// A new leader of the fleet group reads the platform's list of upstreams within this time. After
 /// that time, requests are served even without the list, so that those which the configuration does
 /// not allow can be refused.
@@ -64,6 +64,8 @@
         , m_gateway(m_context, m_jobs)
         , m_callerServer(processContext.loop,
                          [this](auto exchange) { m_gateway.serve(std::move(exchange)); })
+        , m_callerDrain(processContext.loop.timers(), m_core.clock(), m_callerServer,
+                        m_context.shutdown)
         , m_readinessServer(processContext.loop,
                             [this](const auto &exchange) { serveReadinessProbe(exchange); })
     {}
@@ -85,10 +87,12 @@
     void drain(std::function<void()> stopped) override
     {
         m_draining = true;
-        m_onStopped = std::move(stopped);
         m_context.shutdown.begin(m_core.clock().now(), m_settings.shutdownTimeout, admissionTime);
-        m_callerServer.drain();
-        m_processContext.loop.timers().subscribeEvery(drainCheckPeriod, [this] { checkDrain(); });
+        m_callerDrain.start([this, stopped = std::move(stopped)](const auto &abandoned) {
+            logDrained(abandoned);
+            m_core.fleetClient().leave();
+            stopped();
+        });
     }
 
 private:
@@ -156,23 +160,7 @@
         m_upstreamAddresses = std::move(addresses);
     }
 
-    void checkDrain()
-    {
-        const absl::Time now = m_core.clock().now();
-        if (now < m_context.shutdown.admissionEnd())
-            return;
-        m_callerServer.closeIdleConnections();
-        const bool isTimedOut = now > m_context.shutdown.requestsEnd();
-        if (m_callerServer.openRequestCount() > 0 && !isTimedOut)
-            return;
-        if (const auto stopped = std::exchange(m_onStopped, nullptr)) {
-            logDrained(m_callerServer.openExchanges());
-            m_core.fleetClient().leave();
-            stopped();
-        }
-    }
-
-    void logDrained(const std::vector<std::shared_ptr<net::Exchange>> &abandoned) const
+    void logDrained(const ServerDrain::AbandonedRequests &abandoned) const
     {
         std::vector<std::string> ids;
         for (const auto &exchange : abandoned) {
@@ -205,6 +193,7 @@
     serving::ServingContext m_context;
     Gateway m_gateway;
     net::Server m_callerServer;
+    ServerDrain m_callerDrain;
     net::Server m_readinessServer;
     std::set<std::string> m_upstreamAddresses;
     /// Newest configuration. The gateway gets it once the list of upstreams has been received; it
@@ -212,7 +201,6 @@
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
     bool m_hasUpstreams = false;
     bool m_draining = false;
-    std::function<void()> m_onStopped;
 };
 
 } // namespace
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -130,6 +131,19 @@
     }
 }
 
+bool Server::hasActiveConnections() const
+{
+    const auto &connections = m_impl->shared->connections;
+    return std::any_of(connections.begin(), connections.end(),
+                       [](const auto &connection) { return connection->isActive(); });
+}
+
+void Server::endRequests()
+{
+    for (const auto &connection : m_impl->copyConnections())
+        connection->endRequests();
+}
+
 std::size_t Server::openRequestCount() const
 {
     return m_impl->shared->openRequests;
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -48,6 +48,31 @@
     return m_phase == Phase::Idle && !hasNextRequest();
 }
 
+bool ServerConnection::isActive() const
+{
+    switch (m_phase) {
+    case Phase::Idle:
+        return hasNextRequest();
+    case Phase::Header:
+    case Phase::Body:
+    case Phase::Serving:
+        return true;
+    case Phase::Closing:
+        return !m_output.empty();
+    case Phase::Closed:
+        return false;
+    }
+    return false;
+}
+
+void ServerConnection::endRequests()
+{
+    if (m_phase == Phase::Header || m_phase == Phase::Body)
+        return refuse(503);
+    if (const auto exchange = m_exchange.lock())
+        exchange->endWithServer();
+}
+
 bool ServerConnection::hasNextRequest() const
 {
     if (m_parser.state() != RequestParser::State::Idle)
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -33,7 +33,12 @@
                      std::shared_ptr<SharedServerState> shared);
 
     void start();
+    /// Whether the connection has no request, not even one that has not been read yet.
     bool isIdle() const;
+    /// Whether the connection has a request, or a response that has not been sent completely.
+    bool isActive() const;
+    /// Ends the current request with a response or by aborting its stream.
+    void endRequests();
     /// Exchange of the current request; null when none is open.
     std::shared_ptr<Exchange> openExchange() const;
     void close();
--- a/src/net/serverexchange.h
+++ b/src/net/serverexchange.h
@@ -32,10 +32,14 @@
         m_disconnectHandler = std::move(handler);
     }
 
+    void onServerEnding(std::function<void()> handler) override
+    {
+        m_serverEndingHandler = std::move(handler);
+    }
+
     void respond(Response response) override
     {
-        m_disconnectHandler = nullptr;
-        if (const auto connection = std::exchange(m_connection, nullptr))
+        if (const auto connection = end())
             connection->respond(std::move(response));
     }
 
@@ -54,15 +58,13 @@
 
     void finish() override
     {
-        m_disconnectHandler = nullptr;
-        if (const auto connection = std::exchange(m_connection, nullptr))
+        if (const auto connection = end())
             connection->finish();
     }
 
     void abort() override
     {
-        m_disconnectHandler = nullptr;
-        if (const auto connection = std::exchange(m_connection, nullptr))
+        if (const auto connection = end())
             connection->abort();
     }
 
@@ -76,17 +78,37 @@
     void handleDisconnect()
     {
         m_connection.reset();
+        m_serverEndingHandler = nullptr;
         if (const auto handler = std::exchange(m_disconnectHandler, nullptr))
             handler();
     }
 
+    /// Called by the connection when the server ends its open requests.
+    void endWithServer()
+    {
+        if (const auto handler = std::exchange(m_serverEndingHandler, nullptr))
+            handler();
+        if (m_streamStarted)
+            abort();
+        else
+            respond(textResponse(502, "the server is stopping\n", "text/plain"));
+    }
+
 private:
+    /// Detaches the exchange from its connection and releases the handlers. The handlers may hold
+    /// an object that holds this exchange; the reference cycle would keep all of them in memory.
+    std::shared_ptr<ServerConnection> end()
+    {
+        m_disconnectHandler = nullptr;
+        m_serverEndingHandler = nullptr;
+        return std::exchange(m_connection, nullptr);
+    }
+
     std::shared_ptr<ServerConnection> m_connection;
     Request m_request;
     absl::Time m_receivedAt;
-    /// Cleared when the response ends, because the handler may hold an object that holds this
-    /// exchange; the reference cycle would keep all of them in memory.
     std::function<void()> m_disconnectHandler;
+    std::function<void()> m_serverEndingHandler;
     bool m_streamStarted = false;
 };
 
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -86,6 +86,7 @@
 void ProxiedRequest::start()
 {
     m_exchange->onClientDisconnected([self = shared_from_this()] { self->callerDisconnected(); });
+    m_exchange->onServerEnding([self = shared_from_this()] { self->processEnding(); });
     m_deadlineTimer = m_context.loop.timers().subscribeOnce(
             std::max(remainingTime(), absl::ZeroDuration()),
             [self = shared_from_this()] { self->deadlinePassed(); });
@@ -477,6 +478,15 @@
     finish(Outcome::CallerDisconnected, "the caller disconnected or stopped reading");
 }
 
+void ProxiedRequest::processEnding()
+{
+    if (isCalling())
+        m_mayHaveRun = true;
+    cancelCall();
+    releaseSlot(ReleaseReason::Cancelled);
+    refuseOrFail("the process ends before the response is complete");
+}
+
 void ProxiedRequest::armResponseTimer()
 {
     auto &timers = m_context.loop.timers();
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -92,6 +92,7 @@
     void fail(ErrorCode code, const std::string &detail);
     void deadlinePassed();
     void callerDisconnected();
+    void processEnding();
     void armResponseTimer();
     void responseTimedOut();
     void abandonUnresponsiveUpstream();
--- a/src/serving/shutdownstate.cpp
+++ b/src/serving/shutdownstate.cpp
@@ -8,9 +8,11 @@
 /// Requests that may take longer than the process lives are admitted in this part of the shutdown
 /// timeout only, so that most of them complete.
 constexpr int maxAdmissionDivisor = 3;
-/// Fraction of the shutdown timeout after which open requests are ended. The rest is left for
-/// sending their responses and for the end of the process.
+/// Fractions of the shutdown timeout after which open requests are ended, and after which the
+/// process no longer waits for their responses to be sent. The rest is left for the end of the
+/// process.
 constexpr double requestsEndFraction = 0.94;
+constexpr double responsesEndFraction = 0.97;
 
 } // namespace
 
@@ -27,6 +29,11 @@
     return m_startedAt + m_timeout * requestsEndFraction;
 }
 
+absl::Time ShutdownState::responsesEnd() const
+{
+    return m_startedAt + m_timeout * responsesEndFraction;
+}
+
 bool ShutdownState::admits(absl::Time receivedAt, absl::Time deadline) const
 {
     return !hasBegun() || receivedAt <= admissionEnd() || deadline <= requestsEnd();
--- /dev/null
+++ b/tests/gateway/serverdrain_test.cpp
@@ -0,0 +1,203 @@
+#include "rattanrill/gateway/serverdrain.h"
+
+#include "loopthread.h"
+#include "rawsocket.h"
+
+#include "absl/time/clock.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+using namespace rattanrill;
+using namespace rattanrill::gateway;
+
+namespace {
+
+constexpr const char *address = "127.0.0.1:28493";
+constexpr int port = 28493;
+constexpr absl::Duration timeout = absl::Seconds(8);
+constexpr absl::Duration admissionTime = absl::Milliseconds(2500);
+/// Larger than the buffers of a connection.
+constexpr std::size_t largeBodyBytes = std::size_t(32) << 20;
+constexpr const char *request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A server whose handler only keeps the exchange, and the drain of it in virtual time.
+struct Fixture
+{
+    Fixture()
+    {
+        thread.run([this] {
+            server = std::make_unique<net::Server>(thread.loop(), [this](auto newExchange) {
+                exchange = std::move(newExchange);
+                ++requestCount;
+            });
+            drain = std::make_unique<ServerDrain>(thread.loop().timers(), clock, *server, shutdown);
+            BOOST_REQUIRE(outcomeOf([&] { return server->start(address); }).ok());
+        });
+    }
+    ~Fixture()
+    {
+        thread.run([this] {
+            exchange.reset();
+            drain.reset();
+            server.reset();
+        });
+    }
+
+    void start()
+    {
+        thread.run([this] {
+            shutdown.begin(clock.now(), timeout, admissionTime);
+            drain->start([this](const ServerDrain::AbandonedRequests &abandoned) {
+                abandonedCount = static_cast<int>(abandoned.size());
+            });
+        });
+    }
+
+    void respond(const std::string &body)
+    {
+        thread.run([&] { exchange->respond(net::textResponse(200, body, "text/plain")); });
+    }
+
+    static bool waitFor(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 300 && !condition(); ++i)
+            absl::SleepFor(absl::Milliseconds(10));
+        return condition();
+    }
+
+    bool isDrained() const { return abandonedCount >= 0; }
+
+    /// Waits for several checks of the drain.
+    static void waitForChecks() { absl::SleepFor(absl::Milliseconds(200)); }
+
+    net::LoopThread thread;
+    ManualClock clock;
+    serving::ShutdownState shutdown;
+    std::unique_ptr<net::Server> server;
+    std::unique_ptr<ServerDrain> drain;
+    std::shared_ptr<net::Exchange> exchange;
+    std::atomic<int> requestCount{0};
+    /// -1 until the drain has ended.
+    std::atomic<int> abandonedCount{-1};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ServerDrainTest, Fixture)
+
+// Guards against a process that ends without a response to an open request.
+BOOST_AUTO_TEST_CASE(openRequestIsAnsweredAtTheEnd)
+{
+    net::RawSocket client(port);
+    client.send(request);
+    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    start();
+    clock.advance(timeout * 0.9);
+    waitForChecks();
+    BOOST_TEST(!isDrained());
+    clock.advance(timeout * 0.05);
+    const std::string response = client.readAll();
+    BOOST_TEST(response.find("HTTP/1.1 502") != std::string::npos);
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+    BOOST_TEST(response.find("the server is stopping\n") != std::string::npos);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+    BOOST_TEST(abandonedCount == 1);
+}
+
+// Guards against a stream that looks complete although the process ended it.
+BOOST_AUTO_TEST_CASE(openStreamIsAbortedAtTheEnd)
+{
+    net::RawSocket client(port);
+    client.send(request);
+    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    thread.run([&] {
+        net::ResponseHead head;
+        head.status = 200;
+        exchange->startStream(head);
+        exchange->write("one");
+    });
+    start();
+    clock.advance(timeout * 0.95);
+    const std::string response = client.readAll();
+    BOOST_TEST(response.find("one") != std::string::npos);
+    BOOST_TEST(response.find("0\r\n\r\n") == std::string::npos);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
+// Guards against a request that the process drops because it had arrived in part only when no other
+// request was open.
+BOOST_AUTO_TEST_CASE(partOfARequestKeepsTheProcessRunning)
+{
+    net::RawSocket client(port);
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+    waitForChecks();
+    start();
+    clock.advance(admissionTime + absl::Seconds(1));
+    waitForChecks();
+    BOOST_TEST(!isDrained());
+    client.send("bc");
+    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    respond("whole");
+    BOOST_TEST(client.readAll().find("whole") != std::string::npos);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+    BOOST_TEST(abandonedCount == 0);
+}
+
+BOOST_AUTO_TEST_CASE(partOfARequestIsRefusedAtTheEnd)
+{
+    net::RawSocket client(port);
+    client.send("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na");
+    waitForChecks();
+    start();
+    clock.advance(timeout * 0.95);
+    BOOST_TEST(client.readAll().find("HTTP/1.1 503") != std::string::npos);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
+// Guards against a response that is truncated because the process ends when the handler has
+// completed it, before all of it has been sent.
+BOOST_AUTO_TEST_CASE(processWaitsUntilResponsesHaveBeenSent)
+{
+    net::RawSocket client(port);
+    client.send(request);
+    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    start();
+    respond(std::string(largeBodyBytes, 'z'));
+    clock.advance(admissionTime + absl::Seconds(1));
+    waitForChecks();
+    BOOST_TEST(!isDrained());
+    BOOST_TEST(client.readAll().size() > largeBodyBytes);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
+// Guards against a process that is killed while it waits for a client that reads no response.
+BOOST_AUTO_TEST_CASE(processEndsBeforeItIsKilled)
+{
+    net::RawSocket client(port);
+    client.send(request);
+    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    start();
+    respond(std::string(largeBodyBytes, 'z'));
+    clock.advance(timeout * 0.98);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
+// Guards against a stop that idle connections delay, and against idle connections that are closed
+// while the platform still sends connections.
+BOOST_AUTO_TEST_CASE(idleConnectionIsClosedAfterTheAdmission)
+{
+    net::RawSocket client(port);
+    start();
+    clock.advance(admissionTime * 0.9);
+    waitForChecks();
+    BOOST_TEST(!isDrained());
+    clock.advance(admissionTime * 0.2);
+    BOOST_TEST(client.readAll().empty());
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/shutdownstate_test.cpp
+++ b/tests/serving/shutdownstate_test.cpp
@@ -56,7 +56,8 @@
     ShutdownState state;
     state.begin(stopSignal, timeout, admissionTime);
     BOOST_TEST((state.requestsEnd() >= stopSignal + timeout * 5 / 6));
-    BOOST_TEST((state.requestsEnd() < stopSignal + timeout));
+    BOOST_TEST((state.requestsEnd() < state.responsesEnd()));
+    BOOST_TEST((state.responsesEnd() < stopSignal + timeout));
 }
 
 BOOST_AUTO_TEST_CASE(logFieldsCountFromTheStopSignal)
