Gateway: Answer operators' calls before a control process ends

A control process closed its operators' connections 0.5 s after SIGTERM, also those with an open call, for example one that had been forwarded to the leader. The operator could not know whether the call had run.

--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -5,6 +5,7 @@
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/fleet/statemachine.h"
+#include "rattanrill/gateway/serverdrain.h"
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
@@ -42,6 +43,8 @@
         : m_settings(settings)
         , m_processContext(processContext)
         , m_operatorServer(processContext.loop, [this](const auto &exchange) { serve(exchange); })
+        , m_operatorDrain(processContext.loop.timers(), SystemClock::instance(), m_operatorServer,
+                          m_shutdown)
     {}
 
     Result<void> start() override
@@ -80,16 +83,16 @@
     void drain(std::function<void()> stopped) override
     {
         m_replica->transferLeadership();
-        m_operatorServer.drain();
-        m_processContext.loop.timers().subscribeOnce(leadershipTransferTime,
-                                                     [this, stopped = std::move(stopped)] {
-                                                         m_core->fleetClient().leave();
-                                                         m_fleetService->stop();
-                                                         m_operatorServer.stop();
-                                                         m_replica->stop();
-                                                         m_core->stop();
-                                                         stopped();
-                                                     });
+        m_shutdown.begin(m_core->clock().now(), m_settings.shutdownTimeout, leadershipTransferTime);
+        m_operatorDrain.start([this, stopped = std::move(stopped)](const auto &abandoned) {
+            log(LogLevel::Info, "drained",
+                {{"openRequests", static_cast<std::int64_t>(abandoned.size())}});
+            m_core->fleetClient().leave();
+            m_fleetService->stop();
+            m_replica->stop();
+            m_core->stop();
+            stopped();
+        });
     }
 
 private:
@@ -212,6 +215,8 @@
     std::unique_ptr<fleet::GroupReplica> m_replica;
     std::unique_ptr<fleet::FleetService> m_fleetService;
     net::Server m_operatorServer;
+    serving::ShutdownState m_shutdown;
+    ServerDrain m_operatorDrain;
 };
 
 } // namespace
