--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -28,7 +28,8 @@
 class Upstream(http.server.BaseHTTPRequestHandler):
     """Streams 20 events and records the requests it receives. A request whose prompt has the part
     CRASHING_PART breaks all connections of its upstream before the first event. The responses of
-    an upstream in limits name its limit."""
+    an upstream in limits name its limit. The last part of a path below /slow/ or /once/ is the time
+    between two events in milliseconds; elsewhere it is 20 ms."""
 
     protocol_version = "HTTP/1.1"
     received = []
@@ -60,6 +61,11 @@
                 except OSError:
                     pass
 
+    def event_period(self):
+        """Returns the seconds between two events."""
+        _, prefix, period = self.path.split("/", 2)
+        return int(period) / 1000 if prefix in ("slow", "once") else 0.02
+
     def do_POST(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         with self.lock:
@@ -84,7 +90,7 @@
                 event = f"id: {number}\ndata: d{number}\n\n".encode()
                 self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 self.wfile.flush()
-                time.sleep(0.02)
+                time.sleep(self.event_period())
             self.wfile.write(b"0\r\n\r\n")
         except OSError:
             pass
