Net: Keep the timers of a loop usable while its pending callbacks are destroyed

A process could crash at the end of a graceful stop, after its last log line: the loop is destroyed with callbacks of timers and tasks that have not run, and an object that only such a callback owns (the slot client while it waits to repeat a report) removes its own timers in its destructor. The timer service had been destroyed before.

The service now releases its callbacks first and outlives the queue of tasks. EventLoopTest/pendingCallbacksMayOwnTimers failed before with a memory access violation in 3 of 3 runs, and passes.

--- a/src/net/eventloop.cpp
+++ b/src/net/eventloop.cpp
@@ -18,9 +18,9 @@
 class LoopTimerService : public TimerService
 {
 public:
-    explicit LoopTimerService(asio::io_context &context)
-        : m_context(context)
-    {}
+    /// Call once, before the first timer. \a context may be destroyed before this object, after
+    /// clear().
+    void setContext(asio::io_context &context) { m_context = &context; }
 
     TimerId subscribeOnce(absl::Duration delay, Callback callback) override
     {
@@ -32,6 +32,17 @@
         return subscribe(period, period, std::move(callback));
     }
 
+    /// Removes all timers. Callbacks may own objects that unsubscribe when they are destroyed.
+    void clear()
+    {
+        while (!m_timers.empty()) {
+            const std::shared_ptr<Timer> timer = m_timers.begin()->second;
+            m_timers.erase(m_timers.begin());
+            timer->timer.cancel();
+            timer->callback = nullptr;
+        }
+    }
+
     /// Cancels the wait as well: it would otherwise keep the callback, and what the callback refers
     /// to, until the timer expires.
     void unsubscribe(TimerId timer) override
@@ -60,7 +71,7 @@
     TimerId subscribe(absl::Duration delay, absl::Duration period, Callback callback)
     {
         const TimerId id = m_nextId++;
-        auto timer = std::make_shared<Timer>(m_context, period, std::move(callback));
+        auto timer = std::make_shared<Timer>(*m_context, period, std::move(callback));
         timer->timer.expires_after(absl::ToChronoNanoseconds(delay));
         m_timers[id] = timer;
         wait(id, timer);
@@ -91,7 +102,7 @@
         wait(id, timer);
     }
 
-    asio::io_context &m_context;
+    asio::io_context *m_context = nullptr;
     TimerId m_nextId = 1;
     std::map<TimerId, std::shared_ptr<Timer>> m_timers;
 };
@@ -103,9 +114,11 @@
     Impl()
         : context(1)
         , workGuard(asio::make_work_guard(context))
-        , timers(context)
         , signals(context)
-    {}
+    {
+        timers.setContext(context);
+    }
+    ~Impl() { timers.clear(); }
 
     void waitForSignal()
     {
@@ -117,9 +130,11 @@
         });
     }
 
+    /// Outlives the context: the tasks that the context has not run may own objects that
+    /// unsubscribe when they are destroyed.
+    LoopTimerService timers;
     asio::io_context context;
     asio::executor_work_guard<asio::io_context::executor_type> workGuard;
-    LoopTimerService timers;
     asio::signal_set signals;
     std::function<void(int)> signalHandler;
 };
--- a/tests/net/eventloop_test.cpp
+++ b/tests/net/eventloop_test.cpp
@@ -45,4 +45,30 @@
     thread.run([&] { BOOST_TEST(count == 1); });
 }
 
+// Guards against a crash when a process ends: pending timers and tasks own objects that remove
+// their own timers when they are destroyed with the loop.
+BOOST_AUTO_TEST_CASE(pendingCallbacksMayOwnTimers)
+{
+    struct TimerOwner
+    {
+        explicit TimerOwner(EventLoop &loop)
+            : timers(loop.timers())
+            , timer(timers.subscribeEvery(absl::Hours(1), [] {}))
+        {}
+        ~TimerOwner() { timers.unsubscribe(timer); }
+
+        TimerService &timers;
+        TimerService::TimerId timer;
+    };
+    auto loop = std::make_unique<EventLoop>();
+    auto timerOwner = std::make_shared<TimerOwner>(*loop);
+    auto taskOwner = std::make_shared<TimerOwner>(*loop);
+    const std::weak_ptr<TimerOwner> observed[] = {timerOwner, taskOwner};
+    loop->timers().subscribeOnce(absl::Hours(1), [owner = std::move(timerOwner)] {});
+    loop->post([owner = std::move(taskOwner)] {});
+    loop.reset();
+    BOOST_TEST(observed[0].expired());
+    BOOST_TEST(observed[1].expired());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
