Tests: Check the responses to requests that are open when a process ends

One request runs at an upstream and gets 502, the other one waits for a slot and gets 503 as not run.

The fixture of the proxied requests closes its channels and stops its loop before the members that use the loop's timers are destroyed on another thread.

--- a/tests/gateway/serverdrain_test.cpp
+++ b/tests/gateway/serverdrain_test.cpp
@@ -94,7 +94,7 @@
 {
     net::RawSocket client(port);
     client.send(request);
-    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
     start();
     clock.advance(timeout * 0.9);
     waitForChecks();
@@ -113,7 +113,7 @@
 {
     net::RawSocket client(port);
     client.send(request);
-    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
     thread.run([&] {
         net::ResponseHead head;
         head.status = 200;
@@ -140,7 +140,7 @@
     waitForChecks();
     BOOST_TEST(!isDrained());
     client.send("bc");
-    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
     respond("whole");
     BOOST_TEST(client.readAll().find("whole") != std::string::npos);
     BOOST_TEST(waitFor([&] { return isDrained(); }));
@@ -164,7 +164,7 @@
 {
     net::RawSocket client(port);
     client.send(request);
-    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
     start();
     respond(std::string(largeBodyBytes, 'z'));
     clock.advance(admissionTime + absl::Seconds(1));
@@ -179,7 +179,7 @@
 {
     net::RawSocket client(port);
     client.send(request);
-    BOOST_TEST(waitFor([&] { return requestCount == 1; }));
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
     start();
     respond(std::string(largeBodyBytes, 'z'));
     clock.advance(timeout * 0.98);
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -25,6 +25,7 @@
 constexpr const char *entryAddress = "127.0.0.1:28481";
 constexpr unsigned short entryPort = 28481;
 constexpr int firstUpstreamPort = 28482;
+constexpr unsigned short silentBrokerPort = 28484;
 
 /// A scripted response.
 struct Step
@@ -216,7 +217,12 @@
         thread.run([this] {
             server.reset();
             upstreams.stop();
+            slotClient.stop();
+            channels.close();
         });
+        // The loop first runs the callbacks of the closed channels. It must not use the timers
+        // while the members, which use them too, are destroyed.
+        thread.run([this] { loop.stop(); });
     }
 
     /// Sends one request and returns the response. \a headers end with a line break each.
@@ -348,6 +354,39 @@
     BOOST_TEST(contains(upstreams.requests().at(1), "After: 2"));
 }
 
+// Guards against requests that get no response, or a wrong statement whether they ran, when the
+// process ends: one runs at an upstream, the other one waits for the response of a silent broker.
+BOOST_AUTO_TEST_CASE(openRequestsGetAResponseWhenTheProcessEnds)
+{
+    ScriptedUpstreams upstreams({{completeResponse("a", "late"), false, 2000}});
+    Entry entry(routeOf(RouteKind::NonIdempotent, 1));
+    std::string running;
+    std::thread first([&] { running = entry.sendRequest("a"); });
+    while (upstreams.requests().empty())
+        std::this_thread::yield();
+    boost::asio::io_context context;
+    const boost::asio::ip::tcp::acceptor silentBroker(
+            context, {boost::asio::ip::make_address("127.0.0.1"), silentBrokerPort});
+    entry.thread.run(
+            [&] { entry.slotClient.setBroker("127.0.0.1:" + std::to_string(silentBrokerPort)); });
+    std::string waiting;
+    std::thread second([&] { waiting = entry.sendRequest("b"); });
+    bool areOpen = false;
+    while (!areOpen) {
+        entry.thread.run([&] {
+            areOpen = entry.server->openExchanges().size() == 2;
+            if (areOpen)
+                entry.server->endRequests();
+        });
+    }
+    first.join();
+    second.join();
+    BOOST_TEST(contains(running, "HTTP/1.1 502"));
+    BOOST_TEST(contains(waiting, "HTTP/1.1 503"));
+    BOOST_TEST(contains(waiting, "the process ends"));
+    BOOST_TEST(upstreams.requests().size() == 1u);
+}
+
 // Guards against a truncated stream that looks complete to the caller.
 BOOST_AUTO_TEST_CASE(nonResumableStreamIsAborted)
 {
