Net: Cut responses and requests at every byte in the tests

An operator of a similar system saw upstreams stop in the middle of a head, and callers got a 200 with an empty or short body.

--- /dev/null
+++ b/tests/net/blockingcall_test.cpp
@@ -0,0 +1,36 @@
+#include "rattanrill/net/blockingcall.h"
+
+#include "responsecuts.h"
+#include "scriptedserver.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <vector>
+
+using namespace rattanrill;
+using namespace rattanrill::net;
+
+BOOST_AUTO_TEST_SUITE(BlockingCallTest)
+
+// Guards against a response that was cut at any byte, by an orderly close or a reset, and is
+// reported as complete.
+BOOST_AUTO_TEST_CASE(responseCutAtAnyByteIsNotComplete)
+{
+    constexpr std::size_t maxBodyBytes = 1024;
+    const std::vector<ResponseCut> cuts = responseCuts();
+    ScriptedServer server(answersOf(cuts));
+    Request request;
+    request.method = "GET";
+    request.target = "/";
+    for (const ResponseCut &cut : cuts) {
+        BlockingCall call("127.0.0.1", server.port(), BlockingCallTimeouts());
+        Response received;
+        const BlockingCallEnd end = call.fetch(request, maxBodyBytes, received);
+        // A blocking call takes the first response on its connection for its own.
+        if (cut.response.isAfterForeign)
+            continue;
+        cut.check(end == BlockingCallEnd::Complete, received.body);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -1,5 +1,7 @@
 #include "endlessserver.h"
 #include "loopthread.h"
+#include "responsecuts.h"
+#include "scriptedserver.h"
 
 #include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/server.h"
@@ -75,7 +77,7 @@
         CallHandlers handlers;
         handlers.onHead = [this](const ResponseHead &head) {
             result.status = head.status;
-            return true;
+            return head.headers.value("Id") != "other";
         };
         handlers.onBody = [this](std::string_view bytes) { result.body.append(bytes); };
         handlers.onEnd = [this](CallStatus status) {
@@ -169,4 +171,19 @@
     BOOST_TEST(upstream.awaitClose());
 }
 
+// Guards against a response that was cut at any byte, by an orderly close or a reset, and is
+// reported as complete.
+BOOST_AUTO_TEST_CASE(responseCutAtAnyByteIsNotComplete)
+{
+    ConnectionPoolFixture fixture;
+    const std::vector<ResponseCut> cuts = responseCuts();
+    ScriptedServer server(answersOf(cuts));
+    for (const ResponseCut &cut : cuts) {
+        fixture.start(server.address(), "/");
+        const CallResult result = fixture.wait();
+        cut.check(result.callStatus == CallStatus::Complete, result.body);
+        fixture.thread.run([&] { fixture.pool->closeIdleConnections(server.address()); });
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/rawsocket.h
+++ b/tests/net/rawsocket.h
@@ -41,6 +41,14 @@
     }
 
     void close() { m_socket.close(); }
+    /// Closes the connection by a reset.
+    void reset()
+    {
+        m_socket.set_option(boost::asio::ip::tcp::socket::linger(true, 0));
+        m_socket.close();
+    }
+    /// Closes the sending direction only.
+    void shutdownSend() { m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
 
 private:
     bool readSome()
--- a/tests/net/requestparser_test.cpp
+++ b/tests/net/requestparser_test.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <string>
+#include <string_view>
 
 using namespace rattanrill::net;
 using State = RequestParser::State;
@@ -51,6 +53,37 @@
     BOOST_TEST(parser.take().body == "abcde");
 }
 
+// Guards against a request that was cut at any byte and is passed on. The bytes after a complete
+// request that belong to the next one do not make that one complete.
+BOOST_AUTO_TEST_CASE(requestCutAtAnyByteIsNotComplete)
+{
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string rows[] = {
+            plainRequest,
+            "GET /x HTTP/1.1\r\nHost: h\r\n\r\n",
+            head + "Content-Length: 0\r\n\r\n",
+            head + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\nhi",
+            chunked + "3\r\nabc\r\n2;e=1\r\nde\r\n0\r\n\r\n",
+            chunked + "3\r\nabc\r\n0\r\nSum: 1\r\n\r\n",
+    };
+    for (const std::string &bytes : rows) {
+        for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+            for (const std::size_t readSize : {std::size_t(1), std::size_t(7), cut + 1}) {
+                BOOST_TEST_INFO_SCOPE(bytes << cut << " bytes, in reads of " << readSize);
+                RequestParser parser(RequestLimits{});
+                parser.feed(plainRequest);
+                BOOST_TEST_REQUIRE((parser.state() == State::Complete));
+                parser.take();
+                for (std::size_t at = 0; at < cut; at += readSize)
+                    parser.feed(std::string_view(bytes).substr(at, std::min(readSize, cut - at)));
+                BOOST_TEST((parser.state() == State::Complete) == (cut == bytes.size()));
+                BOOST_TEST((parser.state() != State::Refused));
+            }
+        }
+    }
+}
+
 // Guards against a pipelined request that is lost or read as part of the body of the previous one.
 BOOST_AUTO_TEST_CASE(pipelinedRequestsAreSeparated)
 {
--- a/tests/net/responseparser_test.cpp
+++ b/tests/net/responseparser_test.cpp
@@ -1,8 +1,12 @@
 #include "rattanrill/net/responseparser.h"
 
+#include "responsecuts.h"
+
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 
 using namespace rattanrill::net;
@@ -93,6 +97,33 @@
     BOOST_TEST((empty.parser.state() == State::Broken));
 }
 
+// Guards against a response that was cut at any byte and is reported as complete, however its bytes
+// are split over reads, and against a complete one that is reported as broken.
+BOOST_AUTO_TEST_CASE(responseCutAtAnyByteIsNotComplete)
+{
+    for (const CutResponse &response : cutResponses()) {
+        for (std::size_t cut = 0; cut <= response.bytes.size(); ++cut) {
+            for (const std::size_t readSize : {std::size_t(1), std::size_t(7), cut + 1}) {
+                BOOST_TEST_INFO_SCOPE(response.name << ", " << cut << " bytes, in reads of "
+                                                    << readSize);
+                Collector collector;
+                for (std::size_t at = 0; at < cut; at += readSize)
+                    collector.parser.feed(std::string_view(response.bytes)
+                                                  .substr(at, std::min(readSize, cut - at)));
+                const bool isFramedWhole =
+                        !response.endsWithConnection && response.isCompleteAfter(cut);
+                BOOST_TEST((collector.parser.state() == State::Complete) == isFramedWhole);
+                collector.parser.handleEof();
+                const bool isComplete = collector.parser.state() == State::Complete;
+                BOOST_TEST(isComplete == response.isCompleteAfter(cut));
+                BOOST_TEST((collector.parser.fault() == ResponseFault::Truncated) == !isComplete);
+                if (isComplete)
+                    BOOST_TEST(collector.body == response.bodyAfter(cut));
+            }
+        }
+    }
+}
+
 // Guards against a response without Content-Length or chunks that never completes, or whose closed
 // connection is reused.
 BOOST_AUTO_TEST_CASE(responseWithoutLengthEndsWhenTheConnectionCloses)
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -10,6 +10,7 @@
 #include <atomic>
 #include <memory>
 #include <string>
+#include <string_view>
 
 using namespace rattanrill;
 using namespace rattanrill::net;
@@ -78,6 +79,7 @@
     std::unique_ptr<Server> server;
     std::shared_ptr<Exchange> openExchange;
     std::weak_ptr<int> handlerOwner;
+    std::atomic<int> requestCount{0};
     std::atomic<int> disconnectCount{0};
     std::atomic<int> requestCount{0};
 };
@@ -188,6 +190,33 @@
     BOOST_TEST(waitFor([&] { return server.handlerOwner.expired(); }));
 }
 
+// Guards against a request that was cut in the middle and is passed on, or answered as if it were
+// complete.
+BOOST_AUTO_TEST_CASE(requestCutAtAnyByteIsNotServed)
+{
+    TestServer server;
+    const std::string head = "POST /echo HTTP/1.1\r\nHost: h\r\n";
+    for (const std::string &request :
+         {head + "Content-Length: 3\r\n\r\nabc",
+          head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nSum: 1\r\n\r\n"}) {
+        for (std::size_t cut = 0; cut < request.size(); ++cut) {
+            for (const auto end :
+                 {&RawSocket::close, &RawSocket::reset, &RawSocket::shutdownSend}) {
+                RawSocket client(port);
+                client.send(std::string_view(request).substr(0, cut));
+                (client.*end)();
+                if (end == &RawSocket::shutdownSend)
+                    BOOST_TEST(client.readAll().find("200 OK") == std::string::npos);
+            }
+        }
+    }
+    BOOST_TEST(server.requestCount == 0);
+    RawSocket client(port);
+    client.send(head + "Content-Length: 3\r\n\r\nabc");
+    client.readUntil("abc");
+    BOOST_TEST(server.requestCount == 1);
+}
+
 // Guards against a graceful stop that truncates a response: the connection must be closed only
 // after the response is sent.
 BOOST_AUTO_TEST_CASE(drainingServerRespondsBeforeItCloses)
