Net, Serving, Jobs: Believe only responses that name their request on a kept connection

Callers could be told "not run" for a request that ran, or get another response, when an upstream wrote an earlier response once more on a kept connection. Two ways: a response without an id counted as the own one, and a request that is sent again with its id (the caller's own retry, an item that gets the same upstream after a refusal) used the connection that had carried the id, so that the repeated response had the right id. An item ran at a second upstream while the first ran it.

A response without an id is now the own one only if it is the first on its connection. A connection carries each id once; other requests with the id get another connection, and so does each request without an id. The ids are kept as hashes; a connection closes after 256 requests. It closes as well after a response to another request, or one without an id, because the next response may be late too. A dropped response without an id is logged (response-without-id-dropped); the call goes on waiting for its own.

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,12 +28,22 @@
 
 std::string_view name(CallStatus status);
 
+/// To which request a response belongs according to its head.
+enum class ResponseOwner {
+    ThisRequest,
+    AnotherRequest,
+    /// The head names no request.
+    Unknown,
+};
+
 /// Callbacks that receive the response to one call. They run on the event loop.
 struct CallHandlers
 {
-    /// Returns false when the response belongs to another request; the pool then waits for the next
-    /// response on the connection.
-    std::function<bool(const ResponseHead &)> onHead;
+    /// Returns to which request a response belongs. A response to another request is skipped, and
+    /// so is one of unknown owner unless it is the first response on its connection. When null, all
+    /// responses belong to the call.
+    std::function<ResponseOwner(const ResponseHead &)> ownerOf;
+    std::function<void(const ResponseHead &)> onHead;
     std::function<void(std::string_view)> onBody;
     /// Called exactly once unless the call is cancelled.
     std::function<void(CallStatus)> onEnd;
@@ -65,8 +76,12 @@
     ConnectionPool &operator=(const ConnectionPool &) = delete;
 
     /// Sends \a request, a serialized HTTP request, to \a address ("host:port"). Errors are
-    /// reported by CallHandlers::onEnd.
-    CallId call(const std::string &address, std::string request, CallHandlers handlers);
+    /// reported by CallHandlers::onEnd. \a requestId: id that the response to the request repeats;
+    /// absent when responses name no request. A connection carries each id once, so that an
+    /// upstream that repeats a response cannot answer a repeated request with it. A request with an
+    /// empty id gets a connection of its own.
+    CallId call(const std::string &address, std::string request, CallHandlers handlers,
+                const std::optional<std::string> &requestId = std::nullopt);
     /// Closes the connection of \a call, so that the upstream can detect that the response is no
     /// longer needed. No handler of the call runs after return.
     void cancel(CallId call);
--- a/include/rattanrill/net/responseparser.h
+++ b/include/rattanrill/net/responseparser.h
@@ -67,6 +67,8 @@
     State state() const { return m_state; }
     /// Why the response is broken; None in the other states.
     ResponseFault fault() const { return m_fault; }
+    /// Whether a response to another request was received.
+    bool hasSkippedResponses() const { return m_hasSkippedResponses; }
     /// Whether bytes follow the complete response. They belong to no request.
     bool hasExtraBytes() const { return !m_pending.empty(); }
     /// Whether the connection can carry another request. Valid in state Complete.
@@ -92,6 +94,7 @@
     std::size_t m_skippedBytes = 0;
     bool m_headerHandled = false;
     bool m_isOwnResponse = true;
+    bool m_hasSkippedResponses = false;
     bool m_isKeepAlive = false;
 };
 
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrill/base/result.h"
+#include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/message.h"
 #include "rattanrill/policy/slotscheduler.h"
 #include "rattanrill/serving/deployment.h"
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -63,6 +65,9 @@
     std::optional<double> requestLimit;
 };
 
+/// Returns whether a response belongs to the request with the id \a requestId, which is empty when
+/// the request has none.
+net::ResponseOwner ownerOf(const ResponseInfo &info, std::string_view requestId);
 /// Returns the load and the limit that a response of \a upstream reports.
 wire::UpstreamLoad loadOf(const std::string &upstream, const ResponseInfo &info);
 /// Returns how an attempt that did not run left its slot. A refusal by an upstream that names a
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -155,8 +155,11 @@
     attempt.workspace = m_job->workspace;
     attempt.resumeAfter = m_position.lastId();
     net::CallHandlers handlers;
+    handlers.ownerOf = [self = shared_from_this()](const net::ResponseHead &head) {
+        return self->ownerOf(head);
+    };
     handlers.onHead = [self = shared_from_this()](const net::ResponseHead &head) {
-        return self->handleHead(head);
+        self->handleHead(head);
     };
     handlers.onBody = [self = shared_from_this()](std::string_view bytes) {
         self->handleBody(bytes);
@@ -167,7 +170,7 @@
     restartIdleTimer();
     m_call = m_context.upstreamConnections.call(
             address, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
-            std::move(handlers));
+            std::move(handlers), m_item.id);
 }
 
 /// Ends the call because an online request takes the slot. The item continues after its last event
@@ -184,22 +187,25 @@
     acquireSlot();
 }
 
-bool ItemRun::handleHead(const net::ResponseHead &head)
+net::ResponseOwner ItemRun::ownerOf(const net::ResponseHead &head) const
 {
     const serving::ResponseInfo responseInfo = m_context.protocol.parseResponse(head);
-    if (!responseInfo.requestId.empty() && responseInfo.requestId != m_item.id) {
+    const net::ResponseOwner owner = serving::ownerOf(responseInfo, m_item.id);
+    if (owner == net::ResponseOwner::AnotherRequest)
         log(LogLevel::Warning, "foreign-answer-dropped",
             {{"item", m_item.id},
              {"foreignRequestId", responseInfo.requestId},
              {"upstream", m_upstream}});
-        return false;
-    }
+    return owner;
+}
+
+void ItemRun::handleHead(const net::ResponseHead &head)
+{
     m_head = head;
-    m_responseInfo = responseInfo;
+    m_responseInfo = m_context.protocol.parseResponse(head);
     m_hasHead = true;
-    if (!responseInfo.isInstanceMismatch)
-        m_context.broker.reportLoad(serving::loadOf(m_upstream, responseInfo));
-    return true;
+    if (!m_responseInfo.isInstanceMismatch)
+        m_context.broker.reportLoad(serving::loadOf(m_upstream, m_responseInfo));
 }
 
 void ItemRun::handleBody(std::string_view bytes)
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -53,7 +53,8 @@
     void acquireSlot();
     void handleSlotGranted(const std::string &upstream, const std::string &address);
     void handleSlotPreempted();
-    bool handleHead(const net::ResponseHead &head);
+    net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
+    void handleHead(const net::ResponseHead &head);
     void handleBody(std::string_view bytes);
     void handleCallEnd(net::CallStatus status);
     /// Ends the current attempt and requests another slot after a backoff.
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -36,22 +36,36 @@
         , options(options)
     {}
 
-    /// Returns the most recently used idle connection that is still usable, or null. Reusing the
-    /// most recent one lets the surplus connections expire and be closed.
-    ConnectionPtr takeIdle(const std::string &address)
+    /// Returns the most recently used idle connection that is still usable and has not carried
+    /// \a requestId, or null. Reusing the most recent one lets the surplus connections expire and
+    /// be closed.
+    ConnectionPtr takeIdle(const std::string &address, const std::optional<std::string> &requestId)
     {
+        if (requestId && requestId->empty())
+            return nullptr;
         const absl::Time now = SystemClock::instance().now();
-        auto &idleConnections = idle[address];
-        while (!idleConnections.empty()) {
-            ConnectionPtr connection = std::move(idleConnections.back());
-            idleConnections.pop_back();
-            if (connection->isUsable(now))
+        // A copy, because closing a connection removes it from the list.
+        const auto candidates = idle[address];
+        for (auto it = candidates.rbegin(); it != candidates.rend(); ++it) {
+            const ConnectionPtr &connection = *it;
+            if (!connection->isUsable(now)) {
+                connection->close();
+            } else if (!requestId || !connection->hasCarried(*requestId)) {
+                removeIdle(connection);
                 return connection;
-            connection->close();
+            }
         }
         return nullptr;
     }
 
+    void removeIdle(const ConnectionPtr &connection)
+    {
+        auto &idleConnections = idle[connection->address()];
+        idleConnections.erase(
+                std::remove(idleConnections.begin(), idleConnections.end(), connection),
+                idleConnections.end());
+    }
+
     ConnectionPtr open(const std::string &address)
     {
         ++opened;
@@ -65,13 +79,9 @@
 
     void handleStateChange(const ConnectionPtr &connection, bool isIdle)
     {
+        if (!isIdle)
+            return removeIdle(connection);
         auto &idleConnections = idle[connection->address()];
-        if (!isIdle) {
-            idleConnections.erase(
-                    std::remove(idleConnections.begin(), idleConnections.end(), connection),
-                    idleConnections.end());
-            return;
-        }
         idleConnections.push_back(connection);
         if (idleConnections.size() > options.maxIdle) {
             const ConnectionPtr oldest = idleConnections.front();
@@ -97,10 +107,11 @@
 }
 
 ConnectionPool::CallId ConnectionPool::call(const std::string &address, std::string request,
-                                            CallHandlers handlers)
+                                            CallHandlers handlers,
+                                            const std::optional<std::string> &requestId)
 {
     const CallId id = m_impl->nextId++;
-    ConnectionPtr connection = m_impl->takeIdle(address);
+    ConnectionPtr connection = m_impl->takeIdle(address, requestId);
     if (!connection)
         connection = m_impl->open(address);
     m_impl->calls[id] = connection;
@@ -110,7 +121,7 @@
             impl->calls.erase(id);
         onEnd(result);
     };
-    connection->call(std::move(request), std::move(handlers));
+    connection->call(std::move(request), std::move(handlers), requestId.value_or(std::string()));
     return id;
 }
 
--- a/src/net/responseparser.cpp
+++ b/src/net/responseparser.cpp
@@ -116,6 +116,7 @@
         head.headers.add(text(field.name_string()), text(field.value()));
     const bool isInterim = head.status >= 100 && head.status < 200;
     m_isOwnResponse = !isInterim && m_handlers.onHead(head);
+    m_hasSkippedResponses = m_hasSkippedResponses || !(isInterim || m_isOwnResponse);
 }
 
 void ResponseParser::forwardBody()
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -9,7 +9,9 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace rattanrill::net {
@@ -17,6 +19,9 @@
 
 using Tcp = boost::asio::ip::tcp;
 
+/// Number of requests after which a connection is closed. Bounds the memory of their ids.
+constexpr std::size_t maxCarriedRequests = 256;
+
 /// Returns the seconds after "timeout=" in a Keep-Alive header, or nothing if there are none.
 std::optional<int> keepAliveSeconds(std::string_view value)
 {
@@ -48,11 +53,20 @@
     return m_state == State::Idle && now - m_idleSince < m_keepAlive * m_options.keepAliveFraction;
 }
 
-void UpstreamConnection::call(std::string request, CallHandlers handlers)
+bool UpstreamConnection::hasCarried(const std::string &requestId) const
+{
+    const std::size_t hash = std::hash<std::string>()(requestId);
+    return std::find(m_carriedIds.begin(), m_carriedIds.end(), hash) != m_carriedIds.end();
+}
+
+void UpstreamConnection::call(std::string request, CallHandlers handlers,
+                              const std::string &requestId)
 {
     m_output = std::move(request);
     m_handlers = std::make_shared<CallHandlers>(std::move(handlers));
+    m_carriedIds.push_back(std::hash<std::string>()(requestId));
     const bool isNew = m_state == State::New;
+    m_isReused = !isNew;
     ResponseParser::Handlers parserHandlers;
     parserHandlers.onHead = [this](const ResponseHead &head) { return handleHead(head); };
     parserHandlers.onBody = [this](std::string_view bytes) {
@@ -171,16 +185,43 @@
     const std::optional<int> seconds = keepAliveSeconds(head.headers.value("Keep-Alive"));
     m_keepAlive = seconds ? absl::Seconds(*seconds) : m_options.defaultKeepAlive;
     const auto current = m_handlers;
-    return current && current->onHead(head);
+    if (!current)
+        return false;
+    if (current->ownerOf && !isOwn(current->ownerOf(head)))
+        return false;
+    if (current->onHead)
+        current->onHead(head);
+    return true;
 }
 
-void UpstreamConnection::finish()
+/// A response of unknown owner belongs to the request if no other request was sent on this
+/// connection, and no response to another one was received.
+bool UpstreamConnection::isOwn(ResponseOwner owner)
+{
+    m_isOwnerUnknown = owner == ResponseOwner::Unknown;
+    if (!m_isOwnerUnknown)
+        return owner == ResponseOwner::ThisRequest;
+    const bool isFirst = !m_isReused && !m_parser->hasSkippedResponses();
+    if (!isFirst)
+        log(LogLevel::Warning, "response-without-id-dropped", {{"peerAddress", m_address}});
+    return isFirst;
+}
+
+bool UpstreamConnection::isReusable() const
 {
     // If the request was not sent completely, the rest would become part of the next request.
-    const bool isReusable =
-            m_parser->isKeepAlive() && !m_parser->hasExtraBytes() && m_output.empty();
+    const bool isRequestSent = m_output.empty();
+    // After a response to another request, or one of unknown owner, the next response may be one
+    // to an earlier request.
+    const bool isInStep = !m_parser->hasSkippedResponses() && !m_isOwnerUnknown;
+    return m_parser->isKeepAlive() && !m_parser->hasExtraBytes() && isRequestSent && isInStep
+           && m_carriedIds.size() < maxCarriedRequests;
+}
+
+void UpstreamConnection::finish()
+{
     const auto handlers = std::exchange(m_handlers, nullptr);
-    if (isReusable) {
+    if (isReusable()) {
         m_state = State::Idle;
         m_idleSince = SystemClock::instance().now();
         read();
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace rattanrill::net {
 
@@ -25,13 +26,16 @@
     UpstreamConnection(boost::asio::io_context &context, std::string address,
                        ConnectionPoolOptions options, Listener listener);
 
-    /// Sends \a request. Requires a new or idle connection.
-    void call(std::string request, CallHandlers handlers);
+    /// Sends \a request, whose id is \a requestId. Requires a new or idle connection.
+    void call(std::string request, CallHandlers handlers, const std::string &requestId);
     void close();
     const std::string &address() const { return m_address; }
     bool isEstablished() const { return m_state == State::Calling || m_state == State::Idle; }
     /// Whether the connection is idle and can carry another request.
     bool isUsable(absl::Time now) const;
+    /// Whether a request with the id \a requestId was sent on this connection. May return true for
+    /// an id that was not, but never false for one that was.
+    bool hasCarried(const std::string &requestId) const;
 
 private:
     enum class State {
@@ -49,6 +53,8 @@
     void handleRead(const boost::system::error_code &error, std::size_t bytes);
     void logFault(ResponseFault fault) const;
     bool handleHead(const ResponseHead &head);
+    bool isOwn(ResponseOwner owner);
+    bool isReusable() const;
     void finish();
     void fail(CallStatus status);
 
@@ -65,6 +71,11 @@
     std::array<char, 16384> m_buffer;
     absl::Duration m_keepAlive;
     absl::Time m_idleSince;
+    /// Hashes of the ids of the requests that were sent.
+    std::vector<std::size_t> m_carriedIds;
+    bool m_isReused = false;
+    /// Whether the last response was accepted although it named no request.
+    bool m_isOwnerUnknown = false;
 };
 
 } // namespace rattanrill::net
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -216,8 +216,11 @@
     attempt.remainingTime = remainingTime();
     attempt.resumeAfter = m_position.lastId();
     net::CallHandlers handlers;
+    handlers.ownerOf = [self = shared_from_this()](const net::ResponseHead &head) {
+        return self->ownerOf(head);
+    };
     handlers.onHead = [self = shared_from_this()](const net::ResponseHead &head) {
-        return self->headReceived(head);
+        self->headReceived(head);
     };
     handlers.onBody = [self = shared_from_this()](std::string_view bytes) {
         self->bodyReceived(bytes);
@@ -230,19 +233,24 @@
     m_attempt.call = m_context.upstreamConnections.call(
             address,
             net::serialize(m_context.protocol.upstreamRequest(m_exchange->request(), attempt)),
-            std::move(handlers));
+            std::move(handlers), m_request.caller.id);
 }
 
-bool ProxiedRequest::headReceived(const net::ResponseHead &head)
+net::ResponseOwner ProxiedRequest::ownerOf(const net::ResponseHead &head) const
 {
     const ResponseInfo info = m_context.protocol.parseResponse(head);
-    if (!info.requestId.empty() && info.requestId != m_request.caller.id) {
+    const net::ResponseOwner owner = serving::ownerOf(info, m_request.caller.id);
+    if (owner == net::ResponseOwner::AnotherRequest)
         log(LogLevel::Warning, "foreign-answer-dropped",
             {{"requestId", m_request.caller.id},
              {"foreignRequestId", info.requestId},
              {"upstream", m_attempt.upstream}});
-        return false;
-    }
+    return owner;
+}
+
+void ProxiedRequest::headReceived(const net::ResponseHead &head)
+{
+    const ResponseInfo info = m_context.protocol.parseResponse(head);
     m_attempt.head = head;
     m_attempt.info = info;
     m_attempt.hasHead = true;
@@ -253,7 +261,6 @@
     m_attempt.isStream = !info.notRun && head.status >= 200 && head.status < 300
                          && m_route.kind == RouteKind::Streaming
                          && m_context.protocol.isEventStream(head);
-    return true;
 }
 
 void ProxiedRequest::bodyReceived(std::string_view bytes)
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -75,7 +75,8 @@
     void requestSlot();
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
     void send(const std::string &upstream, const std::string &address);
-    bool headReceived(const net::ResponseHead &head);
+    net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
+    void headReceived(const net::ResponseHead &head);
     void bodyReceived(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     void responseBegun();
--- a/src/serving/responseinfo.cpp
+++ b/src/serving/responseinfo.cpp
@@ -2,6 +2,14 @@
 
 namespace rattanrill::serving {
 
+net::ResponseOwner ownerOf(const ResponseInfo &info, std::string_view requestId)
+{
+    if (info.requestId.empty() || requestId.empty())
+        return net::ResponseOwner::Unknown;
+    return info.requestId == requestId ? net::ResponseOwner::ThisRequest
+                                       : net::ResponseOwner::AnotherRequest;
+}
+
 wire::UpstreamLoad loadOf(const std::string &upstream, const ResponseInfo &info)
 {
     return {upstream, info.outstandingRequests.value_or(-1), info.requestLimit.value_or(0)};
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -1,19 +1,38 @@
 #include "storefixture.h"
 
 #include "endlessserver.h"
+#include "itemrun.h"
+#include "resumedresponses.h"
+#include "scriptedserver.h"
 
 #include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 using namespace rattanrill;
 using namespace rattanrill::jobs;
+using serving::chunk;
+using serving::numberedEvent;
 
 namespace {
 
 const std::string streamHead =
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n";
 const net::ServerAnswer crash{"", ""};
 const net::ServerAnswer success{streamHead + "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", ""};
 
+std::string wholeStream()
+{
+    std::string stream = chunkedHead;
+    for (int id = 1; id <= 4; ++id)
+        stream += chunk(numberedEvent(id));
+    return stream + serving::lastChunk;
+}
+
 struct ItemFixture : StoreFixture
 {
     /// Submits a job of one item. All upstreams have the address of \a server.
@@ -36,14 +55,34 @@
         return awaitResult();
     }
 
-    wire::JobItemResult awaitResult()
+    /// Sets four upstreams at the address of \a server, whose ids begin with \a prefix.
+    void setUpstreams(const net::ScriptedServer &server, const std::string &prefix)
+    {
+        std::vector<wire::FleetUpstream> list;
+        for (int i = 0; i < 4; ++i)
+            list.push_back({prefix + std::to_string(i), "llm", server.address(), "d", 1, false});
+        thread.run([&] { broker.setUpstreams(list, serving::CapacityShare()); });
+    }
+
+    /// Runs the job \a job of one item, whose id is "a".
+    wire::JobItemResult runItem(const net::ScriptedServer &server, const std::string &job)
+    {
+        setUpstreams(server, job);
+        wire::SubmitJobRequest request = submission(job);
+        request.job.items.resize(1);
+        request.job.items.front().id = "a";
+        submit(request);
+        return awaitResult(job);
+    }
+
+    wire::JobItemResult awaitResult(const std::string &job = "job")
     {
         wire::JobItemResult result;
         const absl::Time end = absl::Now() + absl::Seconds(30);
         while (result.id.empty() && absl::Now() < end) {
             absl::Notification done;
             thread.run([&] {
-                client.read({"w", "job", 0, 1000}, absl::Seconds(5), [&](const auto &outcome) {
+                client.read({"w", job, 0, 1000}, absl::Seconds(5), [&](const auto &outcome) {
                     if (outcome.ok() && !outcome.value().results.empty())
                         result = outcome.value().results.front();
                     done.Notify();
@@ -110,4 +149,21 @@
     BOOST_TEST(server.sentBytes() < (std::size_t(64) << 20));
 }
 
+// Guards against an item that runs at a second upstream while the first one runs it, because a
+// repeated refusal on a kept connection is taken for the response to its next attempt.
+BOOST_AUTO_TEST_CASE(repeatedRefusalIsNotTakenForTheNextResponse)
+{
+    const std::string refused = "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    int number = 0;
+    for (const std::string id : {"Id: a\r\n", ""}) {
+        BOOST_TEST_INFO_SCOPE(id);
+        const std::string refusal = "HTTP/1.1 503 X\r\n" + id + refused;
+        net::ScriptedServer server(
+                {{refusal}, {wholeStream(), net::ConnectionEnd::KeptOpen, refusal}});
+        const wire::JobItemResult result = runItem(server, "j" + std::to_string(number++));
+        BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+        BOOST_TEST(server.requests().size() == 2u);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -14,6 +14,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 using namespace rattanrill;
 using namespace rattanrill::net;
@@ -68,28 +71,50 @@
         exchange->respond(textResponse(200, "whole", "text/plain"));
     }
 
-    ConnectionPool::CallId start(const std::string &target, const std::string &path)
+    /// Calls the pool on the loop. The response belongs to the call if it has the header Id with
+    /// the value \a id; without \a id, each response does.
+    ConnectionPool::CallId callOnLoop(const std::string &target, const std::string &path,
+                                      const std::optional<std::string> &id = std::nullopt,
+                                      const std::string &body = "")
     {
         Request request;
         request.method = "GET";
         request.target = path;
         request.headers.add("Host", "h");
+        request.body = body;
         CallHandlers handlers;
-        handlers.onHead = [this](const ResponseHead &head) {
-            result.status = head.status;
-            return head.headers.value("Id") != "other";
-        };
+        if (id)
+            handlers.ownerOf = [id](const ResponseHead &head) {
+                const std::string_view received = head.headers.value("Id");
+                if (received.empty() || id->empty())
+                    return ResponseOwner::Unknown;
+                return received == *id ? ResponseOwner::ThisRequest : ResponseOwner::AnotherRequest;
+            };
+        handlers.onHead = [this](const ResponseHead &head) { result.status = head.status; };
         handlers.onBody = [this](std::string_view bytes) { result.body.append(bytes); };
         handlers.onEnd = [this](CallStatus status) {
             absl::MutexLock lock(&mutex);
             result.callStatus = status;
         };
-        ConnectionPool::CallId id = 0;
-        thread.run([&] {
-            result = CallResult();
-            id = pool->call(target, serialize(request), std::move(handlers));
-        });
-        return id;
+        result = CallResult();
+        return pool->call(target, serialize(request), std::move(handlers), id);
+    }
+
+    ConnectionPool::CallId start(const std::string &target, const std::string &path,
+                                 const std::optional<std::string> &id = std::nullopt,
+                                 const std::string &body = "")
+    {
+        ConnectionPool::CallId call = 0;
+        thread.run([&] { call = callOnLoop(target, path, id, body); });
+        return call;
+    }
+
+    /// Calls \a server and returns the result.
+    CallResult call(const ScriptedServer &server, const std::string &id,
+                    const std::string &body = "")
+    {
+        start(server.address(), "/", id, body);
+        return wait();
     }
 
     CallResult wait()
@@ -110,6 +135,22 @@
     CallResult result;
 };
 
+/// Response with the id \a id, or without one when it is empty.
+std::string responseWithId(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\n" + (id.empty() ? std::string() : "Id: " + id + "\r\n")
+           + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Numbers of the connections that carried the requests.
+std::vector<int> connectionsOf(const ScriptedServer &server)
+{
+    std::vector<int> result;
+    for (const auto &request : server.requests())
+        result.push_back(request.connection);
+    return result;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ConnectionPoolTest)
@@ -179,11 +220,129 @@
     const std::vector<ResponseCut> cuts = responseCuts();
     ScriptedServer server(answersOf(cuts));
     for (const ResponseCut &cut : cuts) {
-        fixture.start(server.address(), "/");
+        fixture.start(server.address(), "/", "own");
         const CallResult result = fixture.wait();
         cut.check(result.callStatus == CallStatus::Complete, result.body);
         fixture.thread.run([&] { fixture.pool->closeIdleConnections(server.address()); });
     }
 }
 
+// Guards against a repeated response that is taken for the response to the next request on the
+// connection, at once after the request or before the request was sent completely.
+BOOST_AUTO_TEST_CASE(repeatedResponseIsSkipped)
+{
+    const std::string longBody(std::size_t(16) << 20, 'x');
+    const std::string repeated = responseWithId("a", "old");
+    const std::string withoutId = responseWithId("", "old");
+    for (const std::string &stale : {repeated, withoutId, repeated + withoutId}) {
+        for (const bool isLong : {false, true}) {
+            ConnectionPoolFixture fixture;
+            ScriptedAnswer second{responseWithId("b", "own"), ConnectionEnd::KeptOpen, stale};
+            second.respondsToHead = isLong;
+            ScriptedServer server({{responseWithId("a", "old")}, second});
+            fixture.call(server, "a");
+            const CallResult result = fixture.call(server, "b", isLong ? longBody : "");
+            BOOST_TEST((result.callStatus == CallStatus::Complete));
+            BOOST_TEST(result.body == "own");
+            BOOST_TEST((connectionsOf(server) == std::vector<int>{0, 0}));
+        }
+    }
+}
+
+// Guards against a repeated response that is taken for the response to a request that is sent
+// again with the same id.
+BOOST_AUTO_TEST_CASE(connectionCarriesEachIdOnce)
+{
+    ConnectionPoolFixture fixture;
+    ScriptedServer server({{responseWithId("a", "")},
+                           {responseWithId("b", "")},
+                           {responseWithId("a", "")},
+                           {responseWithId("b", "")},
+                           {responseWithId("a", "")}});
+    for (const char *id : {"a", "b", "a", "b", "a"})
+        fixture.call(server, id);
+    BOOST_TEST((connectionsOf(server) == std::vector<int>{0, 0, 1, 1, 2}));
+}
+
+// Guards against memory that grows with each request on a connection.
+BOOST_AUTO_TEST_CASE(connectionCarriesABoundedNumberOfRequests)
+{
+    constexpr int requests = 300;
+    ConnectionPoolFixture fixture;
+    std::vector<ScriptedAnswer> answers;
+    for (int i = 0; i < requests; ++i)
+        answers.push_back({responseWithId(std::to_string(i), "")});
+    ScriptedServer server(answers);
+    for (int i = 0; i < requests; ++i)
+        fixture.call(server, std::to_string(i));
+    BOOST_TEST(connectionsOf(server)[255] == 0);
+    BOOST_TEST(connectionsOf(server)[256] == 1);
+}
+
+// Guards against a connection that is reused although its next response may be one to an earlier
+// request: after a response to another request, or one that names no request.
+BOOST_AUTO_TEST_CASE(connectionOutOfStepIsNotReused)
+{
+    struct Row
+    {
+        std::string id;
+        std::string response;
+    };
+    const Row rows[] = {
+            {"a", responseWithId("x", "foreign") + responseWithId("a", "own")},
+            {"a", responseWithId("", "own")},
+            {"", responseWithId("", "own")},
+            {"", responseWithId("x", "own")},
+    };
+    for (const Row &row : rows) {
+        ConnectionPoolFixture fixture;
+        ScriptedServer server({{row.response}, {responseWithId("b", "next")}});
+        BOOST_TEST(fixture.call(server, row.id).body == "own");
+        BOOST_TEST(fixture.call(server, "b").body == "next");
+        BOOST_TEST((connectionsOf(server) == std::vector<int>{0, 1}));
+    }
+}
+
+// Guards against a response without an id that is taken for the own one after a response to another
+// request came first on a new connection.
+BOOST_AUTO_TEST_CASE(responseWithoutIdAfterAForeignOneIsSkipped)
+{
+    ConnectionPoolFixture fixture;
+    ScriptedServer server({{responseWithId("x", "foreign") + responseWithId("", "old")
+                            + responseWithId("a", "own")}});
+    BOOST_TEST(fixture.call(server, "a").body == "own");
+}
+
+// Guards against the rest of a request that becomes part of the next one, because the upstream
+// responded before it had received the request completely.
+BOOST_AUTO_TEST_CASE(connectionIsNotReusedAfterAnEarlyResponse)
+{
+    ConnectionPoolFixture fixture;
+    ScriptedAnswer early{responseWithId("a", "early")};
+    early.respondsToHead = true;
+    ScriptedServer server({early, {responseWithId("b", "next")}});
+    BOOST_TEST(fixture.call(server, "a", std::string(std::size_t(16) << 20, 'x')).body == "early");
+    BOOST_TEST(fixture.call(server, "b").body == "next");
+    BOOST_TEST((connectionsOf(server) == std::vector<int>{0, 1}));
+}
+
+// Guards against bytes that arrive after the next request was sent and are taken for its response.
+BOOST_AUTO_TEST_CASE(bytesBehindAResponseAreNotTheNextOne)
+{
+    const std::pair<std::string, CallStatus> rows[] = {
+            {responseWithId("", "old"), CallStatus::Complete},
+            {"\r\n\r\nx", CallStatus::Broken},
+            {"HTTP/1.1 503 X\r\n", CallStatus::Broken},
+    };
+    for (const auto &[late, expected] : rows) {
+        ConnectionPoolFixture fixture;
+        ScriptedServer server({{responseWithId("a", "own")},
+                               {responseWithId("b", "next"), ConnectionEnd::KeptOpen, late}});
+        fixture.call(server, "a");
+        const CallResult result = fixture.call(server, "b");
+        BOOST_TEST((result.callStatus == expected));
+        BOOST_TEST(result.body == (expected == CallStatus::Complete ? "next" : ""));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -2,6 +2,7 @@
 
 #include "loopthread.h"
 #include "rawcall.h"
+#include "resumedresponses.h"
 #include "testprotocoladapter.h"
 
 #include "absl/synchronization/mutex.h"
@@ -16,6 +17,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace rattanrill;
 using namespace rattanrill::serving;
@@ -38,6 +41,8 @@
     int delay = 0;
     /// Sent after the bytes, without end.
     std::string filler = {};
+    /// Sent before the bytes if the connection has carried an earlier request.
+    std::string stale = {};
 };
 
 std::string completeResponse(const std::string &id, const std::string &body, int status = 200,
@@ -47,16 +52,9 @@
            + extraHeaders + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string chunk(const std::string &text)
-{
-    char size[16];
-    std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
-    return size + text + "\r\n";
-}
-
 std::string event(int id)
 {
-    return "id: " + std::to_string(id) + "\ndata: d" + std::to_string(id) + "\n\n";
+    return numberedEvent(id);
 }
 
 /// Head of a stream whose end is the end of its connection.
@@ -71,16 +69,16 @@
            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 }
 
-/// Two upstreams that respond by a script: the n-th request, to either of them, gets the n-th step.
+/// Upstreams that respond by a script: the n-th request, to any of them, gets the n-th step.
 class ScriptedUpstreams
 {
 public:
-    explicit ScriptedUpstreams(std::vector<Step> steps)
+    explicit ScriptedUpstreams(std::vector<Step> steps, int count = 2)
         : m_steps(std::move(steps))
     {
-        for (int i = 0; i < 2; ++i)
+        for (int i = 0; i < count; ++i)
             m_threads.emplace_back([this, i] { serve(firstUpstreamPort + i); });
-        while (m_listening < 2)
+        while (m_listening < count)
             std::this_thread::yield();
     }
     ~ScriptedUpstreams()
@@ -125,6 +123,7 @@
     void serveConnection(Tcp::socket &socket)
     {
         std::string text;
+        bool isKept = false;
         socket.non_blocking(true);
         while (!m_context.stopped()) {
             char buffer[4096];
@@ -143,7 +142,9 @@
             std::this_thread::sleep_for(std::chrono::milliseconds(step.delay));
             // A write to a non-blocking socket ends when its send buffer is full.
             socket.non_blocking(false);
-            boost::asio::write(socket, boost::asio::buffer(step.bytes), error);
+            const std::string bytes = (isKept ? step.stale : "") + step.bytes;
+            boost::asio::write(socket, boost::asio::buffer(bytes), error);
+            isKept = true;
             socket.non_blocking(true);
             if (step.closes || !sendFiller(socket, step.filler))
                 return;
@@ -183,7 +184,7 @@
 /// An entry process with one route. It has no broker, so its slots come from the local share.
 struct Entry
 {
-    explicit Entry(Route route)
+    explicit Entry(Route route, int upstreamCount = 2)
     {
         route.name = "r";
         route.host = "h";
@@ -195,11 +196,9 @@
         deployment.version = 1;
         deployment.routes = {route};
         index = std::make_shared<const DeploymentIndex>(std::move(deployment));
-        thread.run([this] {
+        thread.run([this, upstreamCount] {
             slotClient.setDeployment(index);
-            slotClient.setUpstreams({{"u1", "s", "127.0.0.1:28482", "d", 4, false},
-                                     {"u2", "s", "127.0.0.1:28483", "d", 4, false}},
-                                    1);
+            slotClient.setUpstreams(upstreamList(upstreamCount), 1);
             server = std::make_unique<net::Server>(loop, [this](auto exchange) {
                 RoutedRequest request;
                 request.deployment = index;
@@ -225,6 +224,15 @@
         thread.run([this] { loop.stop(); });
     }
 
+    static std::vector<wire::FleetUpstream> upstreamList(int count)
+    {
+        std::vector<wire::FleetUpstream> list;
+        for (int i = 0; i < count; ++i)
+            list.push_back({"u" + std::to_string(i + 1), "s",
+                            "127.0.0.1:" + std::to_string(firstUpstreamPort + i), "d", 4, false});
+        return list;
+    }
+
     /// Sends one request and returns the response. \a headers end with a line break each.
     static std::string sendRequest(const std::string &id, const std::string &headers = "")
     {
@@ -602,4 +610,63 @@
     BOOST_TEST(contains(response, "Signed: s-a"));
 }
 
+// Guards against a repeated response on a kept connection that is taken for the response to the
+// next request: its caller would be told that the request did not run, or get another response.
+BOOST_AUTO_TEST_CASE(repeatedResponseIsNotTakenForTheNextOne)
+{
+    struct Row
+    {
+        const char *name;
+        std::string firstId;
+        std::string first;
+        std::string secondId;
+        std::string repeated;
+    };
+    const auto response = [](const std::string &id, const std::string &status) {
+        return "HTTP/1.1 " + status + "\r\n" + id + "Content-Length: 3\r\n\r\nold";
+    };
+    const std::string refused = "503 X\r\nNot-Run: 1";
+    const std::string idA = "Id: a\r\n";
+    const Row rows[] = {
+            {"refusal of another request", "a", response(idA, refused), "b",
+             response(idA, refused)},
+            {"refusal without an id", "a", response("", refused), "b", response("", refused)},
+            {"refusal repeated without its id", "a", response(idA, refused), "b",
+             response("", refused)},
+            {"refusal of a request that is sent again", "a", response(idA, refused), "a",
+             response(idA, refused)},
+            {"response without an id", "a", response("", "200 OK"), "b", response("", "200 OK")},
+            {"response repeated without its id", "a", response(idA, "200 OK"), "b",
+             response("", "200 OK")},
+            {"response to a request that is sent again", "a", response(idA, "200 OK"), "a",
+             response(idA, "200 OK")},
+            {"response to a request without an id", "", response("", "200 OK"), "",
+             response("", "200 OK")},
+    };
+    for (const Row &row : rows) {
+        BOOST_TEST_INFO_SCOPE(row.name);
+        ScriptedUpstreams upstreams(
+                {{row.first}, {completeResponse(row.secondId, "mine"), false, 0, {}, row.repeated}},
+                1);
+        Entry entry(routeOf(RouteKind::NonIdempotent, 1), 1);
+        entry.sendRequest(row.firstId);
+        const std::string second = entry.sendRequest(row.secondId);
+        BOOST_TEST(contains(second, "HTTP/1.1 200"));
+        BOOST_TEST(contains(second, "\r\n\r\nmine"));
+        BOOST_TEST(upstreams.requests().size() == 2u);
+    }
+}
+
+// Guards against a request that is refused as not run, because the only response on its connection
+// is a repeated refusal without an id.
+BOOST_AUTO_TEST_CASE(requestWithOnlyARepeatedRefusalMayHaveRun)
+{
+    const std::string refusal = "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    ScriptedUpstreams upstreams({{completeResponse("a", "first")}, {"", true, 0, {}, refusal}}, 1);
+    Entry entry(routeOf(RouteKind::NonIdempotent, 2), 1);
+    entry.sendRequest("a");
+    BOOST_TEST(contains(entry.sendRequest("b"), "HTTP/1.1 502"));
+    BOOST_TEST(upstreams.requests().size() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/responseinfo_test.cpp
+++ b/tests/serving/responseinfo_test.cpp
@@ -34,4 +34,17 @@
     BOOST_TEST(loadOf("u", info).requestLimit == 0);
 }
 
+// Guards against a response that is taken for the own one although it names another request, or no
+// request.
+BOOST_AUTO_TEST_CASE(responseBelongsToTheRequestThatItNames)
+{
+    ResponseInfo info;
+    BOOST_TEST((ownerOf(info, "a") == net::ResponseOwner::Unknown));
+    BOOST_TEST((ownerOf(info, "") == net::ResponseOwner::Unknown));
+    info.requestId = "a";
+    BOOST_TEST((ownerOf(info, "a") == net::ResponseOwner::ThisRequest));
+    BOOST_TEST((ownerOf(info, "b") == net::ResponseOwner::AnotherRequest));
+    BOOST_TEST((ownerOf(info, "") == net::ResponseOwner::Unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/testprotocoladapter.h
+++ b/tests/serving/testprotocoladapter.h
@@ -18,6 +18,8 @@
         caller.timeout = absl::Seconds(3);
         if (const std::string *part = request.headers.find("Part"))
             caller.sharedPromptParts = {*part};
+        if (const std::string *after = request.headers.find("After"))
+            caller.resumeAfter = std::stoll(*after);
         return caller;
     }
     net::Request upstreamRequest(const net::Request &request,
@@ -29,10 +31,14 @@
             result.headers.set("After", std::to_string(*attempt.resumeAfter));
         return result;
     }
-    net::Request itemRequest(const wire::JobItem &, const std::string &,
-                             const UpstreamAttempt &) const override
+    net::Request itemRequest(const wire::JobItem &item, const std::string &,
+                             const UpstreamAttempt &attempt) const override
     {
-        return {};
+        net::Request request;
+        request.method = "POST";
+        request.target = item.path;
+        request.headers.add("Id", item.id);
+        return upstreamRequest(request, attempt);
     }
     ResponseInfo parseResponse(const net::ResponseHead &head) const override
     {
