Net: Send no request on a connection with unread bytes

Bytes that a faulty upstream wrote behind a complete response close an idle connection, but only once their read handler has run. A request that was sent before, in the same turn of a busy loop, got them as its response, or failed as one that may have run although its upstream had closed the connection before it was sent. An idle connection now leaves bytes in the socket, and the pool looks for bytes or a close there before it reuses the connection.

ConnectionPoolTest/connectionWithUnreadBytesIsNotReused: 9 checks failed before (the body "old" instead of "next", two calls broken), none after.

--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -9,7 +9,10 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <functional>
 #include <utility>
@@ -48,9 +51,19 @@
     , m_keepAlive(options.defaultKeepAlive)
 {}
 
-bool UpstreamConnection::isUsable(absl::Time now) const
+bool UpstreamConnection::isUsable(absl::Time now)
+{
+    return m_state == State::Idle && now - m_idleSince < m_keepAlive * m_options.keepAliveFraction
+           && !hasReadableBytes();
+}
+
+/// Whether the upstream has closed the connection, or has sent bytes that belong to no request.
+bool UpstreamConnection::hasReadableBytes()
 {
-    return m_state == State::Idle && now - m_idleSince < m_keepAlive * m_options.keepAliveFraction;
+    char byte = 0;
+    const ssize_t result =
+            ::recv(m_socket.native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return result >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
 bool UpstreamConnection::hasCarried(const std::string &requestId) const
@@ -150,13 +163,23 @@
             });
 }
 
+/// Waits on an idle connection. Bytes that arrive before the next request belong to no request;
+/// they stay in the socket, where hasReadableBytes() finds them.
+void UpstreamConnection::awaitBytesOrClose()
+{
+    m_socket.async_wait(Tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &) {
+                            if (self->m_state == State::Idle)
+                                self->close();
+                            else if (self->m_state == State::Calling)
+                                self->read();
+                        });
+}
+
 void UpstreamConnection::handleRead(const boost::system::error_code &error, std::size_t bytes)
 {
     if (m_state == State::Closed)
         return;
-    // Bytes that arrive on an idle connection belong to no request.
-    if (m_state == State::Idle)
-        return close();
     if (error == boost::asio::error::eof)
         m_parser->handleEof();
     else if (!error)
@@ -224,7 +247,7 @@
     if (isReusable()) {
         m_state = State::Idle;
         m_idleSince = SystemClock::instance().now();
-        read();
+        awaitBytesOrClose();
         m_listener(shared_from_this(), true);
     } else {
         close();
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -32,7 +32,7 @@
     const std::string &address() const { return m_address; }
     bool isEstablished() const { return m_state == State::Calling || m_state == State::Idle; }
     /// Whether the connection is idle and can carry another request.
-    bool isUsable(absl::Time now) const;
+    bool isUsable(absl::Time now);
     /// Whether a request with the id \a requestId was sent on this connection. May return true for
     /// an id that was not, but never false for one that was.
     bool hasCarried(const std::string &requestId) const;
@@ -55,6 +55,8 @@
     bool handleHead(const ResponseHead &head);
     bool isOwn(ResponseOwner owner);
     bool isReusable() const;
+    void awaitBytesOrClose();
+    bool hasReadableBytes();
     void finish();
     void fail(CallStatus status);
 
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -326,6 +326,36 @@
     BOOST_TEST((connectionsOf(server) == std::vector<int>{0, 1}));
 }
 
+// Guards against bytes that arrived on an idle connection and are taken for the response to the
+// next request, and against a request that is sent on a connection that its upstream has closed.
+// The loop is busy when the bytes or the close arrive, so that no handler has run for them.
+BOOST_AUTO_TEST_CASE(connectionWithUnreadBytesIsNotReused)
+{
+    constexpr absl::Duration delay = absl::Milliseconds(50);
+    const std::string rows[] = {responseWithId("b", "old"), responseWithId("", "old"), "x", ""};
+    for (const std::string &late : rows) {
+        for (const bool isLoopBusy : {true, false}) {
+            ConnectionPoolFixture fixture;
+            const ConnectionEnd end =
+                    late.empty() ? ConnectionEnd::Closed : ConnectionEnd::KeptOpen;
+            ScriptedServer server({{responseWithId("a", "own"), end, {}, late, delay},
+                                   {responseWithId("b", "next")}});
+            fixture.call(server, "a");
+            if (!isLoopBusy)
+                absl::SleepFor(2 * delay);
+            fixture.thread.run([&] {
+                if (isLoopBusy)
+                    absl::SleepFor(2 * delay);
+                fixture.callOnLoop(server.address(), "/", "b");
+            });
+            const CallResult result = fixture.wait();
+            BOOST_TEST((result.callStatus == CallStatus::Complete));
+            BOOST_TEST(result.body == "next");
+            BOOST_TEST((connectionsOf(server) == std::vector<int>{0, 1}));
+        }
+    }
+}
+
 // Guards against bytes that arrive after the next request was sent and are taken for its response.
 BOOST_AUTO_TEST_CASE(bytesBehindAResponseAreNotTheNextOne)
 {
