Serving: Check that no cut response reaches a caller

The caller's side of the cuts at every byte: a response that its upstream stopped in its head or its body is answered with 502. It passes on the unchanged code; with a parser that takes each response with a head for complete, 4 checks fail (cuts in the body).

--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -669,4 +669,17 @@
     BOOST_TEST(upstreams.requests().size() == 2u);
 }
 
+// Guards against a response that reaches the caller as whole although its upstream stopped in the
+// middle of its head or its body.
+BOOST_AUTO_TEST_CASE(responseCutAtAnyByteIsNotDelivered)
+{
+    const std::string whole = completeResponse("a", "body");
+    for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+        BOOST_TEST_INFO_SCOPE(cut << " bytes");
+        ScriptedUpstreams upstreams({{whole.substr(0, cut), true}}, 1);
+        Entry entry(routeOf(RouteKind::NonIdempotent, 1), 1);
+        BOOST_TEST(contains(entry.sendRequest("a"), "HTTP/1.1 502"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
