Serving: End a resumed stream only at its last event

Callers whose stream broke off could find text of an error in it, or an apparent end, when the next upstream answered with something else than the rest: - a 200 or 204 of the stream's type without an event (framed or not), or with earlier events only, ended the stream as complete, because events of an earlier attempt counted for it; - data without an id, comments and text that is no event were passed on unchecked; - a stream whose last events have no id was run again from its first event, and its text came twice. Other statuses and types ended in an abort already, but without the attempts that were left.

The protocol has no terminal event, so the end of an attempt counts only if the attempt has reached the last event that was delivered; otherwise it fails, is repeated if allowed, and ends in an abort. Data without an id is accepted only after that event, and a stream is not resumed after such data. A caller that resumes its stream after the last event still gets an empty, framed stream; an empty one without a length counts as broken off, since a crash looks the same.

--- a/include/rattanrill/serving/eventstream.h
+++ b/include/rattanrill/serving/eventstream.h
@@ -50,7 +50,7 @@
 
 /// Whether a stream whose response ended was broken off by its upstream: it ends inside an event,
 /// or it has no event at all and only the end of the connection marks its end. \a hasEvents: an
-/// event of the stream was received in this or an earlier attempt.
+/// event was received in this response.
 bool isBrokenOff(const net::ResponseHead &head, const EventSplitter &splitter, bool hasEvents);
 
 /// Result of checking an event's id in a stream that may have been resumed.
@@ -60,26 +60,50 @@
     Repeated,
     /// At least one event before this one is missing.
     Gap,
+    /// The event has data but no id, and nothing shows that the attempt continues the stream.
+    Unnumbered,
 };
 
-/// Detects repeated and missing events when a stream is resumed. Ids must increase by one from the
-/// position where the stream began.
+/// Detects repeated, missing and foreign events when a stream is resumed by another attempt. Ids
+/// must increase by one from the position where the stream began.
 class StreamPosition
 {
 public:
-    /// \a lastId: the event after which the caller resumes; absent for a complete stream.
+    /// \a lastId: the event after which the stream is resumed; absent for a complete stream.
     explicit StreamPosition(std::optional<std::int64_t> lastId)
         : m_lastId(lastId)
+        , m_isResumed(lastId.has_value())
     {}
 
-    /// Checks \a event and, when it is in order, makes it the last delivered one. An event without
-    /// an id is always in order.
+    /// Starts with the first event of another attempt, which resumes the stream after lastId() or,
+    /// with \a fromStart, runs it again from its first event.
+    void beginAttempt(bool fromStart = false);
+    /// Checks \a event and, when it is in order, makes it the last delivered one. Once the attempt
+    /// has reached the last numbered event, an event without an id is in order. Before that it is
+    /// Repeated while earlier events are repeated or if it is a comment, and otherwise Unnumbered.
     SequenceCheck advance(const StreamEvent &event);
     /// Id of the last delivered event; absent before the first one.
     std::optional<std::int64_t> lastId() const { return m_lastId; }
+    /// Whether the last delivered event has an id, after which another attempt can resume. True
+    /// before the first event.
+    bool isResumable() const { return !m_hasUnnumberedTail; }
+    /// Whether the attempt has received an event with content.
+    bool hasReceivedEvent() const { return m_hasReceivedEvent; }
+    /// Whether the last event of the attempt is the last delivered one. The end of any other
+    /// attempt is not the end of the stream.
+    bool hasReachedLast() const { return m_attemptLastId == m_lastId; }
 
 private:
+    bool isBehind() const;
+
     std::optional<std::int64_t> m_lastId;
+    /// Whether events with content but no id were delivered after m_lastId.
+    bool m_hasUnnumberedTail = false;
+    /// The following members concern the current attempt.
+    std::optional<std::int64_t> m_attemptLastId;
+    bool m_isResumed = false;
+    bool m_isFromStart = false;
+    bool m_hasReceivedEvent = false;
 };
 
 } // namespace rattanrill::serving
--- a/src/serving/eventstream.cpp
+++ b/src/serving/eventstream.cpp
@@ -93,15 +93,38 @@
     return !splitter.incompleteEvent().empty() || (endsWithConnection && !hasEvents);
 }
 
+void StreamPosition::beginAttempt(bool fromStart)
+{
+    m_hasUnnumberedTail = false;
+    m_attemptLastId.reset();
+    m_isResumed = m_lastId.has_value();
+    m_isFromStart = fromStart;
+    m_hasReceivedEvent = false;
+}
+
+/// Whether the attempt is repeating events before the last delivered one.
+bool StreamPosition::isBehind() const
+{
+    return m_attemptLastId ? *m_attemptLastId < *m_lastId : m_isFromStart;
+}
+
 SequenceCheck StreamPosition::advance(const StreamEvent &event)
 {
-    if (!event.id)
+    m_hasReceivedEvent = m_hasReceivedEvent || event.hasContent();
+    if (!event.id) {
+        if (m_isResumed && !hasReachedLast())
+            return event.hasContent() && !isBehind() ? SequenceCheck::Unnumbered
+                                                     : SequenceCheck::Repeated;
+        m_hasUnnumberedTail = m_hasUnnumberedTail || event.hasContent();
         return SequenceCheck::InOrder;
+    }
+    m_attemptLastId = event.id;
     if (m_lastId && *event.id <= *m_lastId)
         return SequenceCheck::Repeated;
     if (m_lastId && *event.id != *m_lastId + 1)
         return SequenceCheck::Gap;
     m_lastId = event.id;
+    m_hasUnnumberedTail = false;
     return SequenceCheck::InOrder;
 }
 
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -96,7 +96,8 @@
 bool ProxiedRequest::mayRunAgain() const
 {
     return m_route.kind == RouteKind::Idempotent
-           || (m_route.kind == RouteKind::Streaming && m_route.resumable);
+           || (m_route.kind == RouteKind::Streaming && m_route.resumable
+               && m_position.isResumable());
 }
 
 bool ProxiedRequest::isCalling() const
@@ -209,6 +210,7 @@
         return refuseOrFail("too little time is left for an attempt before the deadline");
     }
     ++m_attempts;
+    m_position.beginAttempt();
     m_attemptedUpstreams.push_back(upstream);
     UpstreamAttempt attempt;
     attempt.expectedInstance = upstream;
@@ -314,6 +316,9 @@
     case SequenceCheck::Gap:
         attemptFailed("an event is missing from the stream", ReleaseReason::Failed);
         return false;
+    case SequenceCheck::Unnumbered:
+        attemptFailed("an event of the resumed stream has no id", ReleaseReason::Completed);
+        return false;
     case SequenceCheck::InOrder:
         break;
     }
@@ -350,9 +355,9 @@
             status == net::CallStatus::Complete && m_attempt.hasHead && m_attempt.info.notRun;
     if (!isReportedNotRun)
         m_mayHaveRun = true;
-    const bool hasEvents = m_attempt.hasBegun || m_position.lastId().has_value();
     if (status == net::CallStatus::Broken
-        || (m_attempt.isStream && isBrokenOff(m_attempt.head, m_attempt.splitter, hasEvents)))
+        || (m_attempt.isStream
+            && isBrokenOff(m_attempt.head, m_attempt.splitter, m_attempt.hasBegun)))
         return attemptBroken();
     if (isReportedNotRun)
         return attemptFailed("the upstream refused the request", refusalReason(m_attempt.info));
@@ -381,6 +386,14 @@
     m_context.loop.timers().subscribeOnce(crashCheckDelay, report);
 }
 
+/// Whether the end of the complete response is the end of the stream. A caller that resumes its
+/// stream after the last event gets a response without events.
+bool ProxiedRequest::completesStream() const
+{
+    const bool isFirstAndEmpty = !m_exchange->streamStarted() && !m_attempt.hasBegun;
+    return m_attempt.isStream && (m_position.hasReachedLast() || isFirstAndEmpty);
+}
+
 void ProxiedRequest::responseCompleted()
 {
     const bool isServerError = m_attempt.head.status >= 500;
@@ -388,16 +401,14 @@
         && remainingTime() > minRemainingTime)
         return attemptFailed("the upstream responded with a server error",
                              ReleaseReason::Completed);
+    if ((m_attempt.isStream || m_exchange->streamStarted()) && !completesStream())
+        return attemptFailed("the response does not continue the stream", ReleaseReason::Completed);
     releaseSlot(ReleaseReason::Completed);
     if (m_attempt.isStream) {
         startResponse();
         m_exchange->finish();
         return finish(Outcome::Completed, "");
     }
-    if (m_exchange->streamStarted()) {
-        m_exchange->abort();
-        return finish(Outcome::Aborted, "the stream could not be resumed");
-    }
     m_firstByteAt = m_context.clock.now();
     net::Response response;
     response.head = m_attempt.head;
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -82,6 +82,7 @@
     void responseBegun();
     bool deliver(const StreamEvent &event);
     void startResponse();
+    bool completesStream() const;
     void callEnded(net::CallStatus status);
     void attemptBroken();
     void reportCrash();
--- a/tests/serving/eventstream_test.cpp
+++ b/tests/serving/eventstream_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -78,4 +80,63 @@
     BOOST_TEST((resumed.advance(event(13)) == SequenceCheck::InOrder));
 }
 
+// Guards against events that are taken for a continuation of a stream although nothing shows it,
+// and against an end before the last delivered event that is taken for the end of the stream. Each
+// row is one attempt after event 2: the ids of its events (0 for an event without an id, -1 for a
+// comment), the result of each, and whether the attempt may end the stream.
+BOOST_AUTO_TEST_CASE(attemptContinuesAStreamOnlyFromItsLastEvent)
+{
+    using Check = SequenceCheck;
+    struct Row
+    {
+        std::vector<int> ids;
+        std::vector<Check> checks;
+        bool reachesLast;
+        bool fromStart;
+    };
+    const Row rows[] = {
+            {{}, {}, false, false},
+            {{3}, {Check::InOrder}, true, false},
+            {{4}, {Check::Gap}, false, false},
+            {{1}, {Check::Repeated}, false, false},
+            {{1, 2}, {Check::Repeated, Check::Repeated}, true, false},
+            {{1, 2, 3}, {Check::Repeated, Check::Repeated, Check::InOrder}, true, false},
+            {{0}, {Check::Unnumbered}, false, false},
+            {{-1}, {Check::Repeated}, false, false},
+            {{-1, 3, -1}, {Check::Repeated, Check::InOrder, Check::InOrder}, true, false},
+            {{3, 0}, {Check::InOrder, Check::InOrder}, true, false},
+            {{2, 0}, {Check::Repeated, Check::InOrder}, true, false},
+            {{1, 0, 2}, {Check::Repeated, Check::Repeated, Check::Repeated}, true, false},
+            {{0, 1}, {Check::Repeated, Check::Repeated}, false, true},
+            {{0, 2, 0}, {Check::Repeated, Check::Repeated, Check::InOrder}, true, true},
+    };
+    for (const Row &row : rows) {
+        StreamPosition position{2};
+        position.beginAttempt(row.fromStart);
+        for (std::size_t i = 0; i < row.ids.size(); ++i) {
+            StreamEvent next;
+            next.hasData = row.ids[i] >= 0;
+            if (row.ids[i] > 0)
+                next.id = row.ids[i];
+            BOOST_TEST((position.advance(next) == row.checks[i]));
+        }
+        BOOST_TEST(position.hasReachedLast() == row.reachesLast);
+    }
+}
+
+// Guards against a resumed stream that repeats events without an id: no id shows where to resume.
+BOOST_AUTO_TEST_CASE(streamIsNotResumableAfterAnEventWithoutAnId)
+{
+    StreamEvent unnumbered;
+    unnumbered.hasData = true;
+    StreamPosition position{std::nullopt};
+    BOOST_TEST(position.isResumable());
+    BOOST_TEST((position.advance(StreamEvent()) == SequenceCheck::InOrder));
+    BOOST_TEST(position.isResumable());
+    BOOST_TEST((position.advance(unnumbered) == SequenceCheck::InOrder));
+    BOOST_TEST(!position.isResumable());
+    BOOST_TEST((position.advance(event(1)) == SequenceCheck::InOrder));
+    BOOST_TEST(position.isResumable());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <cstdlib>
 #include <functional>
 #include <map>
 #include <memory>
@@ -285,6 +286,44 @@
     return text.find(part) != std::string::npos;
 }
 
+/// Body of a response in chunks.
+struct StreamBody
+{
+    std::string text;
+    /// Whether the last chunk was received and nothing follows it.
+    bool isComplete = false;
+};
+
+StreamBody streamBody(const std::string &response)
+{
+    StreamBody body;
+    const std::size_t head = response.find("\r\n\r\n");
+    std::size_t at = head == std::string::npos ? response.size() : head + 4;
+    while (at < response.size()) {
+        const std::size_t line = response.find("\r\n", at);
+        const std::size_t size = std::strtoul(response.c_str() + at, nullptr, 16);
+        if (line == std::string::npos || size == 0) {
+            body.isComplete = response.substr(at) == lastChunk;
+            break;
+        }
+        body.text += response.substr(line + 2, size);
+        at = line + 2 + size + 2;
+    }
+    return body;
+}
+
+/// First two events of a stream whose upstream then closes its connection.
+Step brokenOffStream()
+{
+    return {streamHead("a") + chunk(event(1)) + chunk(event(2)), true};
+}
+
+/// The rest of the stream, as sent by an upstream that resumes it.
+Step restOfStream()
+{
+    return {streamHead("a") + chunk(event(3)) + chunk(event(4)) + lastChunk};
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ProxyRequestTest)
@@ -682,4 +721,119 @@
     }
 }
 
+// Guards against bytes of another response in the middle of a stream, and against a stream that
+// ends as if it were complete, because the response to the attempt that resumes it does not
+// continue it.
+BOOST_AUTO_TEST_CASE(wrongResponseToAResumedAttemptEndsInAnAbort)
+{
+    for (const ResumedResponse &row : wrongResumedResponses()) {
+        BOOST_TEST_INFO_SCOPE(row.name);
+        ScriptedUpstreams upstreams({brokenOffStream(), {row.bytes, row.closes}});
+        Entry entry(routeOf(RouteKind::Streaming, 2, true));
+        const StreamBody body = streamBody(entry.sendRequest("a"));
+        BOOST_TEST(body.text == event(1) + event(2));
+        BOOST_TEST(!body.isComplete);
+        BOOST_TEST(upstreams.requests().size() == 2u);
+    }
+}
+
+// Guards against a stream that is aborted after a response that does not continue it, although a
+// further attempt is allowed.
+BOOST_AUTO_TEST_CASE(streamIsResumedAfterAWrongResponse)
+{
+    for (const ResumedResponse &row : wrongResumedResponses()) {
+        BOOST_TEST_INFO_SCOPE(row.name);
+        ScriptedUpstreams upstreams({brokenOffStream(), {row.bytes, row.closes}, restOfStream()},
+                                    3);
+        Entry entry(routeOf(RouteKind::Streaming, 3, true), 3);
+        const StreamBody body = streamBody(entry.sendRequest("a"));
+        BOOST_TEST(body.text == event(1) + event(2) + event(3) + event(4));
+        BOOST_TEST(body.isComplete);
+    }
+}
+
+// Guards against an error response in the middle of a stream whose upstream stalled instead of
+// closing its connection.
+BOOST_AUTO_TEST_CASE(errorAfterAStalledStreamEndsInAnAbort)
+{
+    Step stalled = brokenOffStream();
+    stalled.closes = false;
+    ScriptedUpstreams upstreams({stalled, {completeResponse("a", "oops", 500)}});
+    Entry entry(routeOf(RouteKind::Streaming, 2, true));
+    const StreamBody body = streamBody(entry.sendRequest("a"));
+    BOOST_TEST(body.text == event(1) + event(2));
+    BOOST_TEST(!body.isComplete);
+}
+
+// Guards against a sound continuation that is not accepted: from the next event on, from the first
+// event on, or only up to the last event that was delivered.
+BOOST_AUTO_TEST_CASE(continuationIsAcceptedFromAnyEarlierEvent)
+{
+    const std::string rest = event(3) + event(4);
+    const std::pair<std::string, std::string> rows[] = {
+            {rest, rest},
+            {": comment\n\n" + rest, rest},
+            {event(1) + event(2) + rest, rest},
+            {event(1) + event(2), ""},
+            {event(3) + "data: end\n\n", event(3) + "data: end\n\n"},
+    };
+    for (const auto &[sent, expected] : rows) {
+        BOOST_TEST_INFO_SCOPE(sent);
+        ScriptedUpstreams upstreams(
+                {brokenOffStream(), {streamHead("a") + chunk(sent) + lastChunk}});
+        Entry entry(routeOf(RouteKind::Streaming, 2, true));
+        const StreamBody body = streamBody(entry.sendRequest("a"));
+        BOOST_TEST(body.text == event(1) + event(2) + expected);
+        BOOST_TEST(body.isComplete);
+    }
+}
+
+// Guards against text that is delivered twice: a stream whose last events have no id can't be
+// resumed after them.
+BOOST_AUTO_TEST_CASE(streamIsNotResumedAfterAnEventWithoutAnId)
+{
+    const std::string unnumbered = "data: x\n\n";
+    for (const std::string &delivered : {unnumbered, event(1) + unnumbered}) {
+        for (const bool closes : {true, false}) {
+            ScriptedUpstreams upstreams({{streamHead("a") + chunk(delivered), closes},
+                                         {streamHead("a") + chunk(unnumbered) + lastChunk}});
+            Entry entry(routeOf(RouteKind::Streaming, 2, true));
+            const StreamBody body = streamBody(entry.sendRequest("a"));
+            BOOST_TEST(body.text == delivered);
+            BOOST_TEST(!body.isComplete);
+            BOOST_TEST(upstreams.requests().size() == 1u);
+        }
+    }
+}
+
+// Guards against a caller that resumes its stream and gets an error as a part of it, an apparent
+// end after a crash, or no end although the stream had ended.
+BOOST_AUTO_TEST_CASE(streamResumedByItsCallerIsCheckedLikeOneResumedHere)
+{
+    struct Row
+    {
+        std::string response;
+        bool closes;
+        bool isDelivered;
+    };
+    const Row rows[] = {
+            {streamHead("a") + lastChunk, false, true},
+            {streamHead("a") + chunk(event(3)) + lastChunk, false, true},
+            {streamHead("a") + chunk(event(1) + event(2)) + lastChunk, false, true},
+            {streamHead("a") + chunk(event(1)) + lastChunk, false, false},
+            {streamHead("a") + chunk("data: oops\n\n") + lastChunk, false, false},
+            {streamHead("a") + chunk(event(5)) + lastChunk, false, false},
+            {streamHeadWithoutLength("a"), true, false},
+    };
+    for (const Row &row : rows) {
+        BOOST_TEST_INFO_SCOPE(row.response);
+        ScriptedUpstreams upstreams({{row.response, row.closes}});
+        Entry entry(routeOf(RouteKind::Streaming, 1, true));
+        const std::string response = entry.sendRequest("a", "After: 2\r\n");
+        BOOST_TEST(contains(response, row.isDelivered ? "HTTP/1.1 200" : "HTTP/1.1 502"));
+        BOOST_TEST(streamBody(response).isComplete == row.isDelivered);
+        BOOST_TEST(!contains(response, "oops"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
