Jobs: Complete an item only with a whole stream

An item could be completed with missing or foreign text: by a 204, by a 200 without events or of another type after a part of the output, by an event without an id from an error, or by a first response that was no stream. Text without event ids was there twice after a stream broke off, also in the stored progress after a change of the store's leader.

An item is completed only by an event stream that has reached the last event of the output. Output after the last event with an id is dropped before the next attempt and not stored. When an attempt that resumed the item did not continue it, the next one runs it from its first event: a stream that broke off between its last event and its end would otherwise never complete.

--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -53,6 +53,7 @@
     m_position = serving::StreamPosition(progress.lastEvent);
     m_output = progress.output;
     m_hasOutput = true;
+    m_numberedOutputLength = m_output.size();
     m_storedEvent = progress.lastEvent;
     m_storedOutputLength = m_output.size();
     m_priorRunTime = absl::Milliseconds(progress.servedMs);
@@ -71,7 +72,7 @@
     progress.servedMs = absl::ToInt64Milliseconds(runTime());
     // Events are joined by line feeds, also between two stored parts of the output.
     const std::size_t begin = m_storedEvent < 0 ? 0 : m_storedOutputLength + 1;
-    progress.output = m_output.substr(begin);
+    progress.output = m_output.substr(begin, m_numberedOutputLength - begin);
     return progress;
 }
 
@@ -148,12 +149,15 @@
     m_hasProgressed = false;
     m_hasHead = false;
     m_splitter.reset();
+    discardUnnumberedOutput();
+    m_position.beginAttempt(m_restarts);
     ++m_attempts;
     m_context.metrics.count("rattanrill_batch_attempts_total");
     serving::UpstreamAttempt attempt;
     attempt.expectedInstance = upstream;
     attempt.workspace = m_job->workspace;
-    attempt.resumeAfter = m_position.lastId();
+    if (!m_restarts)
+        attempt.resumeAfter = m_position.lastId();
     net::CallHandlers handlers;
     handlers.ownerOf = [self = shared_from_this()](const net::ResponseHead &head) {
         return self->ownerOf(head);
@@ -204,14 +208,15 @@
     m_head = head;
     m_responseInfo = m_context.protocol.parseResponse(head);
     m_hasHead = true;
+    m_isStream = !m_responseInfo.notRun && head.status >= 200 && head.status < 300
+                 && m_context.protocol.isEventStream(head);
     if (!m_responseInfo.isInstanceMismatch)
         m_context.broker.reportLoad(serving::loadOf(m_upstream, m_responseInfo));
 }
 
 void ItemRun::handleBody(std::string_view bytes)
 {
-    const bool isSuccess = m_head.status >= 200 && m_head.status < 300 && !m_responseInfo.notRun;
-    if (m_state != State::Running || !isSuccess)
+    if (m_state != State::Running || !m_isStream)
         return;
     std::vector<serving::StreamEvent> events;
     m_splitter.feed(bytes, events);
@@ -223,6 +228,11 @@
         const serving::SequenceCheck check = m_position.advance(event);
         if (check == serving::SequenceCheck::Gap)
             return failAttempt("an event is missing from the stream", ReleaseReason::Failed);
+        if (check == serving::SequenceCheck::Unnumbered) {
+            m_restarts = true;
+            return failAttempt("an event of the resumed stream has no id",
+                               ReleaseReason::Completed);
+        }
         if (check == serving::SequenceCheck::Repeated)
             continue;
         if (m_output.size() + event.data.size() > maxOutputBytes)
@@ -233,8 +243,11 @@
         m_hasOutput = true;
         m_hasProgressed = true;
         m_consecutiveFailures = 0;
-        if (event.id)
-            m_unstoredOutputLengths[*event.id] = m_output.size();
+        if (event.id) {
+            m_numberedOutputLength = m_output.size();
+            m_unstoredOutputLengths[*event.id] = m_numberedOutputLength;
+            m_restarts = false;
+        }
     }
     if (m_splitter.isEventTooLong())
         return failAttempt("an event exceeds the size limit", ReleaseReason::Failed);
@@ -274,12 +287,25 @@
 
 void ItemRun::handleSuccess()
 {
-    if (serving::isBrokenOff(m_head, m_splitter, m_hasOutput))
+    if (!m_isStream)
+        return failAttempt("the response is no event stream", ReleaseReason::Completed);
+    if (serving::isBrokenOff(m_head, m_splitter, m_position.hasReceivedEvent()))
         return failAttempt("the response was broken off", ReleaseReason::Failed);
+    if (!m_position.hasReceivedEvent() || !m_position.hasReachedLast()) {
+        m_restarts = true;
+        return failAttempt("the response does not continue the stream", ReleaseReason::Completed);
+    }
     releaseSlot(ReleaseReason::Completed);
     finish(wire::ItemOutcome::Completed, "");
 }
 
+/// Removes the text that the next attempt sends again.
+void ItemRun::discardUnnumberedOutput()
+{
+    m_output.resize(m_numberedOutputLength);
+    m_hasOutput = m_position.lastId().has_value();
+}
+
 void ItemRun::failAttempt(std::string_view reason, ReleaseReason releaseReason)
 {
     m_context.upstreamConnections.cancel(m_call);
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -60,6 +60,7 @@
     /// Ends the current attempt and requests another slot after a backoff.
     void failAttempt(std::string_view reason, policy::ReleaseReason releaseReason);
     void handleSuccess();
+    void discardUnnumberedOutput();
     void finish(wire::ItemOutcome outcome, std::string_view reason);
     /// Dead-letters the item when the time limit of its route (serving::Route::abandonAfter)
     /// expires.
@@ -85,11 +86,19 @@
     net::ResponseHead m_head;
     serving::ResponseInfo m_responseInfo;
     bool m_hasHead = false;
+    /// Whether the current response is a successful stream.
+    bool m_isStream = false;
     serving::EventSplitter m_splitter;
     serving::StreamPosition m_position{std::nullopt};
     std::string m_output;
     /// Whether \a m_output contains an event, which may be empty.
     bool m_hasOutput = false;
+    /// Length in bytes of the output up to the last event with an id. Another attempt repeats the
+    /// events after it.
+    std::size_t m_numberedOutputLength = 0;
+    /// Whether the next attempt runs the item from its first event, because an attempt that resumed
+    /// it did not continue it.
+    bool m_restarts = false;
     /// Last event whose data the store has; -1 for none.
     std::int64_t m_storedEvent = -1;
     /// Length in bytes of the output up to m_storedEvent.
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -149,6 +149,122 @@
     BOOST_TEST(server.sentBytes() < (std::size_t(64) << 20));
 }
 
+// Guards against a result with missing or foreign text, because the response to the attempt that
+// resumes an item does not continue its stream.
+BOOST_AUTO_TEST_CASE(wrongResponseToAResumedAttemptIsNoResult)
+{
+    // Attempts that fail with status 500 are repeated.
+    serving::Deployment repeating = deployment()->deployment();
+    repeating.routes.front().maxAttempts = 3;
+    thread.run([&] {
+        executor.setDeployment(std::make_shared<const serving::DeploymentIndex>(repeating));
+    });
+    int number = 0;
+    for (const serving::ResumedResponse &row : serving::wrongResumedResponses()) {
+        BOOST_TEST_INFO_SCOPE(row.name);
+        net::ScriptedServer server({
+                {chunkedHead + chunk(numberedEvent(1)) + chunk(numberedEvent(2)),
+                 net::ConnectionEnd::Closed},
+                {row.bytes, row.closes ? net::ConnectionEnd::Closed : net::ConnectionEnd::KeptOpen},
+                {wholeStream()},
+        });
+        const wire::JobItemResult result = runItem(server, "j" + std::to_string(number++));
+        BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+        BOOST_TEST(result.output == "d1\nd2\nd3\nd4");
+        BOOST_TEST(server.requests().size() == 3u);
+    }
+}
+
+// Guards against a result without text, or with the text of an error, because the response to the
+// first attempt is no stream.
+BOOST_AUTO_TEST_CASE(responseThatIsNoStreamIsNoResult)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nId: a\r\n";
+    const std::string rows[] = {
+            ok + "Content-Length: 0\r\n\r\n",
+            ok + "Content-Type: text/plain\r\nContent-Length: 6\r\n\r\noops\n\n",
+            ok + "Content-Type: text/plain\r\nContent-Length: 12\r\n\r\ndata: oops\n\n",
+            ok + "Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
+            chunkedHead + serving::lastChunk,
+            chunkedHead + chunk(": oops\n\n") + serving::lastChunk,
+            "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n",
+            "HTTP/1.1 301 X\r\nId: a\r\nContent-Length: 0\r\n\r\n",
+    };
+    int number = 0;
+    for (const std::string &bytes : rows) {
+        BOOST_TEST_INFO_SCOPE(bytes);
+        net::ScriptedServer server({{bytes}, {wholeStream()}});
+        const wire::JobItemResult result = runItem(server, "j" + std::to_string(number++));
+        BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+        BOOST_TEST(result.output == "d1\nd2\nd3\nd4");
+        BOOST_TEST(server.requests().size() == 2u);
+    }
+}
+
+// Guards against an item that never completes because its stream broke off between its last event
+// and its end: an upstream that resumes it has nothing to send, so the item starts anew.
+BOOST_AUTO_TEST_CASE(itemWhoseStreamHasNoFurtherEventCompletes)
+{
+    const std::string events = chunk(numberedEvent(1)) + chunk(numberedEvent(2));
+    net::ScriptedServer server({
+            {chunkedHead + events, net::ConnectionEnd::Closed},
+            {chunkedHead + serving::lastChunk},
+            {chunkedHead + events + serving::lastChunk},
+    });
+    const wire::JobItemResult result = runItem(server, "job");
+    BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(result.output == "d1\nd2");
+    const auto requests = server.requests();
+    BOOST_TEST_REQUIRE(requests.size() == 3u);
+    BOOST_TEST((requests[1].text.find("After: 2") != std::string::npos));
+    BOOST_TEST((requests[2].text.find("After:") == std::string::npos));
+}
+
+// Guards against text that is twice in a result, because events without an id were received before
+// the stream broke off.
+BOOST_AUTO_TEST_CASE(textWithoutAnEventIdIsNotRepeated)
+{
+    const std::string first = chunk("data: x\n\n");
+    const std::string both = first + chunk("data: y\n\n");
+    net::ScriptedServer unnumbered({
+            {chunkedHead + first, net::ConnectionEnd::Closed},
+            {chunkedHead + both + serving::lastChunk},
+    });
+    BOOST_TEST(runItem(unnumbered, "job-1").output == "x\ny");
+    const std::string numbered = chunk(numberedEvent(1));
+    net::ScriptedServer mixed({
+            {chunkedHead + numbered + first, net::ConnectionEnd::Closed},
+            {chunkedHead + both + serving::lastChunk},
+            {chunkedHead + numbered + both + serving::lastChunk},
+    });
+    BOOST_TEST(runItem(mixed, "job-2").output == "d1\nx\ny");
+}
+
+// Guards against text that is twice in a result after a change of the store's leader: the stored
+// progress ends with the event after which the stream is resumed.
+BOOST_AUTO_TEST_CASE(progressEndsWithANumberedEvent)
+{
+    net::ScriptedServer server({{chunkedHead + chunk(numberedEvent(1)) + chunk("data: x\n\n")}});
+    setUpstreams(server, "u");
+    wire::JobRecord record = submission("j").job;
+    record.items.front().id = "a";
+    const auto job = std::make_shared<const wire::JobRecord>(std::move(record));
+    std::shared_ptr<ItemRun> run;
+    thread.run([&] {
+        run = std::make_shared<ItemRun>(context, job, job->items.front(), [](const auto &) {});
+        run->setDeployment(deployment());
+    });
+    std::optional<wire::ItemProgress> progress;
+    const absl::Time end = absl::Now() + absl::Seconds(10);
+    while (!progress && absl::Now() < end) {
+        absl::SleepFor(absl::Milliseconds(10));
+        thread.run([&] { progress = run->unstoredProgress(); });
+    }
+    thread.run([&] { run->stop(); });
+    BOOST_TEST_REQUIRE(progress.has_value());
+    BOOST_TEST(progress->output == "d1");
+}
+
 // Guards against an item that runs at a second upstream while the first one runs it, because a
 // repeated refusal on a kept connection is taken for the response to its next attempt.
 BOOST_AUTO_TEST_CASE(repeatedRefusalIsNotTakenForTheNextResponse)
