Net: Abort a stream that is answered with a complete response

No caller of Exchange::respond() does so after startStream() today; the checks of ProxiedRequest prevent it. If one did, its client would find the head and the text of an error in the middle of its stream. respond() now closes the connection instead, so that one forgotten check cannot do that.

ServerTest/responseAfterTheStartOfAStreamAbortsIt: 2 checks failed before, none after.

--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -45,7 +45,7 @@
     /// leaves the exchange open or there is none, the server responds 502, or aborts a stream that
     /// has started.
     virtual void onServerEnding(std::function<void()> handler) = 0;
-    /// Sends a complete response.
+    /// Sends a complete response. After startStream() it closes the connection like abort().
     virtual void respond(Response response) = 0;
     /// Starts a streamed response, whose length is not known in advance.
     virtual void startStream(ResponseHead head) = 0;
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -183,6 +183,9 @@
 {
     if (m_phase != Phase::Serving)
         return;
+    // The client would read the response as a part of the stream.
+    if (m_isStream)
+        return abort();
     std::string bytes =
             framedHead(std::move(response.head), concat("Content-Length: ", response.body.size()));
     bytes += response.body;
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -18,8 +18,9 @@
 namespace {
 
 /// Server whose behavior depends on the path: /echo returns the request body, /stream sends a
-/// stream of two parts, /cut aborts a stream, /wait never responds, /begin starts a stream that the
-/// test ends, and /held registers a disconnect handler that holds the exchange before it responds.
+/// stream of two parts, /cut aborts a stream, /late-error responds with an error in the middle of a
+/// stream, /wait never responds, /begin starts a stream that the test ends, and /held registers a
+/// disconnect handler that holds the exchange before it responds.
 struct TestServer
 {
     TestServer()
@@ -71,6 +72,8 @@
         }
         if (path == "/cut")
             return exchange->abort();
+        if (path == "/late-error")
+            return exchange->respond(textResponse(500, "error", "text/plain"));
         exchange->write("two");
         exchange->finish();
     }
@@ -81,7 +84,6 @@
     std::weak_ptr<int> handlerOwner;
     std::atomic<int> requestCount{0};
     std::atomic<int> disconnectCount{0};
-    std::atomic<int> requestCount{0};
 };
 
 constexpr int port = 28471;
@@ -168,6 +170,18 @@
     BOOST_TEST(client.readAll().find("0\r\n\r\n") == std::string::npos);
 }
 
+// Guards against an error response in the middle of a stream.
+BOOST_AUTO_TEST_CASE(responseAfterTheStartOfAStreamAbortsIt)
+{
+    TestServer server;
+    RawSocket client(port);
+    client.send("GET /late-error HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string response = client.readAll();
+    BOOST_TEST(response.find("one") != std::string::npos);
+    BOOST_TEST(response.find("500") == std::string::npos);
+    BOOST_TEST(response.find("error") == std::string::npos);
+}
+
 // Guards against processing that continues after the client has disconnected.
 BOOST_AUTO_TEST_CASE(handlerIsNotifiedWhenTheClientDisconnects)
 {
