Tests: Answer resumed attempts with 422

A stream ends in an abort or goes on at another upstream, like after other errors; an item is dead-lettered without output. Both passed on the unchanged code, apart from the further attempt of the stream; with finish() giving the output to each outcome, the item's test fails (1 check).

--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -175,6 +175,20 @@
     }
 }
 
+// Guards against an item that is refused for good and gets the part of its output, or the text of
+// the refusal, as its result.
+BOOST_AUTO_TEST_CASE(refusedItemHasNoOutput)
+{
+    net::ScriptedServer server({
+            {chunkedHead + chunk(numberedEvent(1)), net::ConnectionEnd::Closed},
+            {serving::unprocessableResponse().bytes},
+    });
+    const wire::JobItemResult result = runItem(server, "job");
+    BOOST_TEST((result.outcome == wire::ItemOutcome::DeadLettered));
+    BOOST_TEST(result.output.empty());
+    BOOST_TEST(server.requests().size() == 2u);
+}
+
 // Guards against a result without text, or with the text of an error, because the response to the
 // first attempt is no stream.
 BOOST_AUTO_TEST_CASE(responseThatIsNoStreamIsNoResult)
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -726,7 +726,9 @@
 // continue it.
 BOOST_AUTO_TEST_CASE(wrongResponseToAResumedAttemptEndsInAnAbort)
 {
-    for (const ResumedResponse &row : wrongResumedResponses()) {
+    std::vector<ResumedResponse> rows = wrongResumedResponses();
+    rows.push_back(unprocessableResponse());
+    for (const ResumedResponse &row : rows) {
         BOOST_TEST_INFO_SCOPE(row.name);
         ScriptedUpstreams upstreams({brokenOffStream(), {row.bytes, row.closes}});
         Entry entry(routeOf(RouteKind::Streaming, 2, true));
@@ -741,7 +743,9 @@
 // further attempt is allowed.
 BOOST_AUTO_TEST_CASE(streamIsResumedAfterAWrongResponse)
 {
-    for (const ResumedResponse &row : wrongResumedResponses()) {
+    std::vector<ResumedResponse> rows = wrongResumedResponses();
+    rows.push_back(unprocessableResponse());
+    for (const ResumedResponse &row : rows) {
         BOOST_TEST_INFO_SCOPE(row.name);
         ScriptedUpstreams upstreams({brokenOffStream(), {row.bytes, row.closes}, restOfStream()},
                                     3);
--- a/tests/serving/resumedresponses.h
+++ b/tests/serving/resumedresponses.h
@@ -33,6 +33,12 @@
 
 inline const std::string foreignText = "oops";
 
+/// Response to the request "a" that a batch item does not survive.
+inline ResumedResponse unprocessableResponse()
+{
+    return {"422", "HTTP/1.1 422 X\r\nId: a\r\nContent-Length: 4\r\n\r\n" + foreignText};
+}
+
 /// Responses of an upstream to the request "a" that do not continue the stream.
 inline std::vector<ResumedResponse> wrongResumedResponses()
 {
