Jobs: Replace the text of an item that is run again from its first event

An item whose resumed attempt did not continue its text was run again from its first event, and the new events were appended to the text of the run before. Such a result could join the text of two runs. All text is now discarded, the new run is complete by itself, and it is not stored as progress, because the stored events belong to the earlier run.

textOfARunFromTheFirstEventReplacesTheTextBefore: before, the result was "d1\nd2\ne3".

StreamPosition no longer needs to know such attempts; the two rows of its test that covered them are replaced by the new test.

--- a/include/rattanrill/serving/eventstream.h
+++ b/include/rattanrill/serving/eventstream.h
@@ -75,9 +75,8 @@
         , m_isResumed(lastId.has_value())
     {}
 
-    /// Starts with the first event of another attempt, which resumes the stream after lastId() or,
-    /// with \a fromStart, runs it again from its first event.
-    void beginAttempt(bool fromStart = false);
+    /// Starts with the first event of another attempt, which resumes the stream after lastId().
+    void beginAttempt();
     /// Checks \a event and, when it is in order, makes it the last delivered one. Once the attempt
     /// has reached the last numbered event, an event without an id is in order. Before that it is
     /// Repeated while earlier events are repeated or if it is a comment, and otherwise Unnumbered.
@@ -102,7 +101,6 @@
     /// The following members concern the current attempt.
     std::optional<std::int64_t> m_attemptLastId;
     bool m_isResumed = false;
-    bool m_isFromStart = false;
     bool m_hasReceivedEvent = false;
 };
 
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -62,7 +62,8 @@
 std::optional<wire::ItemProgress> ItemRun::unstoredProgress() const
 {
     const std::int64_t last = m_position.lastId().value_or(-1);
-    if (last <= m_storedEvent)
+    // The stored events are those of an earlier run, and the text of two runs must not be joined.
+    if (m_hasRestarted || last <= m_storedEvent)
         return std::nullopt;
     wire::ItemProgress progress;
     progress.job = m_job->id;
@@ -149,15 +150,17 @@
     m_hasProgressed = false;
     m_hasHead = false;
     m_splitter.reset();
-    discardUnnumberedOutput();
-    m_position.beginAttempt(m_restarts);
+    if (std::exchange(m_restarts, false))
+        discardOutput();
+    else
+        discardUnnumberedOutput();
+    m_position.beginAttempt();
     ++m_attempts;
     m_context.metrics.count("rattanrill_batch_attempts_total");
     serving::UpstreamAttempt attempt;
     attempt.expectedInstance = upstream;
     attempt.workspace = m_job->workspace;
-    if (!m_restarts)
-        attempt.resumeAfter = m_position.lastId();
+    attempt.resumeAfter = m_position.lastId();
     net::CallHandlers handlers;
     handlers.ownerOf = [self = shared_from_this()](const net::ResponseHead &head) {
         return self->ownerOf(head);
@@ -246,7 +249,6 @@
         if (event.id) {
             m_numberedOutputLength = m_output.size();
             m_unstoredOutputLengths[*event.id] = m_numberedOutputLength;
-            m_restarts = false;
         }
     }
     if (m_splitter.isEventTooLong())
@@ -299,6 +301,17 @@
     finish(wire::ItemOutcome::Completed, "");
 }
 
+/// Removes all text, because the next attempt runs the item from its first event.
+void ItemRun::discardOutput()
+{
+    m_position = serving::StreamPosition(std::nullopt);
+    m_output.clear();
+    m_hasOutput = false;
+    m_numberedOutputLength = 0;
+    m_unstoredOutputLengths.clear();
+    m_hasRestarted = true;
+}
+
 /// Removes the text that the next attempt sends again.
 void ItemRun::discardUnnumberedOutput()
 {
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -60,6 +60,7 @@
     /// Ends the current attempt and requests another slot after a backoff.
     void failAttempt(std::string_view reason, policy::ReleaseReason releaseReason);
     void handleSuccess();
+    void discardOutput();
     void discardUnnumberedOutput();
     void finish(wire::ItemOutcome outcome, std::string_view reason);
     /// Dead-letters the item when the time limit of its route (serving::Route::abandonAfter)
@@ -99,6 +100,8 @@
     /// Whether the next attempt runs the item from its first event, because an attempt that resumed
     /// it did not continue it.
     bool m_restarts = false;
+    /// Whether the output is that of a run from the first event, which no stored event belongs to.
+    bool m_hasRestarted = false;
     /// Last event whose data the store has; -1 for none.
     std::int64_t m_storedEvent = -1;
     /// Length in bytes of the output up to m_storedEvent.
--- a/src/serving/eventstream.cpp
+++ b/src/serving/eventstream.cpp
@@ -93,19 +93,18 @@
     return !splitter.incompleteEvent().empty() || (endsWithConnection && !hasEvents);
 }
 
-void StreamPosition::beginAttempt(bool fromStart)
+void StreamPosition::beginAttempt()
 {
     m_hasUnnumberedTail = false;
     m_attemptLastId.reset();
     m_isResumed = m_lastId.has_value();
-    m_isFromStart = fromStart;
     m_hasReceivedEvent = false;
 }
 
 /// Whether the attempt is repeating events before the last delivered one.
 bool StreamPosition::isBehind() const
 {
-    return m_attemptLastId ? *m_attemptLastId < *m_lastId : m_isFromStart;
+    return m_attemptLastId && *m_attemptLastId < *m_lastId;
 }
 
 SequenceCheck StreamPosition::advance(const StreamEvent &event)
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -234,6 +234,21 @@
     BOOST_TEST((requests[2].text.find("After:") == std::string::npos));
 }
 
+// Guards against a result that joins the text of two runs: an item that is run again from its first
+// event keeps nothing of the run before.
+BOOST_AUTO_TEST_CASE(textOfARunFromTheFirstEventReplacesTheTextBefore)
+{
+    const std::string other = chunk("id: 1\ndata: e1\n\n") + chunk("id: 2\ndata: e2\n\n")
+                              + chunk("id: 3\ndata: e3\n\n");
+    net::ScriptedServer server({
+            {chunkedHead + chunk(numberedEvent(1)) + chunk(numberedEvent(2)),
+             net::ConnectionEnd::Closed},
+            {chunkedHead + serving::lastChunk},
+            {chunkedHead + other + serving::lastChunk},
+    });
+    BOOST_TEST(runItem(server, "job").output == "e1\ne2\ne3");
+}
+
 // Guards against text that is twice in a result, because events without an id were received before
 // the stream broke off.
 BOOST_AUTO_TEST_CASE(textWithoutAnEventIdIsNotRepeated)
