Net: Reset the connections of cancelled calls

A caller's deadline, a preemption or the idle timeout of a batch item cancels a call, and the item then goes to another upstream. On a silent path the first upstream still got the request up to 4 s later: close() leaves the unacknowledged bytes to the operating system, which delivers them.

bytesOfACancelledCallAreNotDeliveredLater shows it with a peer that does not read. Before: the peer reads all 131,128 bytes after the cancellation, although it had 4,096 when the call was cancelled. After: it reads no more than those. With a linger time of 0 the close discards what was not delivered and resets the connection, which the upstream detects as it detects a close.

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -82,8 +82,9 @@
     /// empty id gets a connection of its own.
     CallId call(const std::string &address, std::string request, CallHandlers handlers,
                 const std::optional<std::string> &requestId = std::nullopt);
-    /// Closes the connection of \a call, so that the upstream can detect that the response is no
-    /// longer needed. No handler of the call runs after return.
+    /// Resets the connection of \a call, so that the upstream can detect that the response is no
+    /// longer needed, and bytes of the request that it has not received are never delivered. No
+    /// handler of the call runs after return.
     void cancel(CallId call);
     /// Closes the idle connections to \a address; for an address that is no longer used.
     void closeIdleConnections(const std::string &address);
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -132,7 +132,7 @@
         return;
     const ConnectionPtr connection = found->second;
     m_impl->calls.erase(found);
-    connection->close();
+    connection->reset();
 }
 
 void ConnectionPool::closeIdleConnections(const std::string &address)
@@ -162,7 +162,7 @@
 {
     const auto calls = std::exchange(m_impl->calls, {});
     for (const auto &[id, connection] : calls)
-        connection->close();
+        connection->reset();
     const auto idle = std::exchange(m_impl->idle, {});
     for (const auto &[address, connections] : idle) {
         for (const ConnectionPtr &connection : connections)
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -261,11 +261,19 @@
     if (m_state == State::Closed)
         return;
     const auto handlers = std::exchange(m_handlers, nullptr);
-    close();
+    reset();
     if (handlers)
         handlers->onEnd(status);
 }
 
+void UpstreamConnection::reset()
+{
+    // Without this option the operating system continues to deliver the request after the close.
+    boost::system::error_code ignored;
+    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void UpstreamConnection::close()
 {
     if (m_state == State::Closed)
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -29,6 +29,8 @@
     /// Sends \a request, whose id is \a requestId. Requires a new or idle connection.
     void call(std::string request, CallHandlers handlers, const std::string &requestId);
     void close();
+    /// Closes the connection and discards the bytes that the peer has not received.
+    void reset();
     const std::string &address() const { return m_address; }
     bool isEstablished() const { return m_state == State::Calling || m_state == State::Idle; }
     /// Whether the connection is idle and can carry another request.
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -11,10 +11,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -201,6 +203,39 @@
     BOOST_TEST(!fixture.result.callStatus.has_value());
 }
 
+// Guards against a request that reaches its upstream long after the call was cancelled, because the
+// operating system delivers what it holds.
+BOOST_AUTO_TEST_CASE(bytesOfACancelledCallAreNotDeliveredLater)
+{
+    using Tcp = boost::asio::ip::tcp;
+    ConnectionPoolFixture fixture;
+    boost::asio::io_context context;
+    Tcp::acceptor acceptor(context, Tcp::v4());
+    // With a small receive buffer, most of the request stays with the sender.
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), 0});
+    acceptor.listen();
+    const std::string target = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    const std::string body(std::size_t(128) << 10, 'b');
+    const auto id = fixture.start(target, "/whole", std::nullopt, body);
+    Tcp::socket peer = acceptor.accept();
+    std::size_t received = 0;
+    for (int stable = 0; stable < 20; ++stable) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        stable = received > 0 && received == peer.available() ? stable : 0;
+        received = peer.available();
+    }
+    BOOST_TEST_REQUIRE(received < body.size());
+    fixture.thread.run([&] { fixture.pool->cancel(id); });
+    std::size_t read = 0;
+    boost::system::error_code error;
+    while (!error) {
+        char buffer[4096];
+        read += peer.read_some(boost::asio::buffer(buffer), error);
+    }
+    BOOST_TEST(read <= received);
+}
+
 // Guards against an upstream whose head has no end: the call must fail after a bounded number of
 // bytes and close the connection.
 BOOST_AUTO_TEST_CASE(headWithoutEndFailsTheCall)
