Wire, Platform: Read the announcement of an upstream that it leaves

UpstreamLoad carries it between processes, with its age and the upstream's address, because another process may have the id at another address. Reports of older processes lack the fields and still decode, as not leaving.

--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -63,6 +63,8 @@
     /// Requests per second that the upstream accepts from all senders together; absent while it
     /// names no limit.
     std::optional<double> requestLimit;
+    /// The upstream announces that it leaves.
+    bool isLeaving = false;
 };
 
 /// Returns whether a response belongs to the request with the id \a requestId, which is empty when
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -303,15 +303,21 @@
     std::vector<RateCharge> charges{};
 };
 
-/// Push of Method::ReportLoad: the load and the limit that an upstream reported in the headers of a
-/// response.
+/// Push of Method::ReportLoad: what an upstream reported in the headers of a response.
 struct UpstreamLoad
 {
     std::string upstream;
     /// Requests that run or wait at the upstream, from all senders; -1 when not reported.
     std::int64_t requests = 0;
-    /// Requests per second that the upstream accepts from all senders; 0 when it named no limit.
+    /// Requests per second that the upstream accepts from all senders; 0 when it named no limit, -1
+    /// when the message says nothing about the limit.
     double requestLimit = 0;
+    /// Whether the upstream announced that it leaves.
+    bool leaving = false;
+    /// Time since the upstream last announced it.
+    std::int64_t leavingAgeMs = 0;
+    /// Address of the upstream that leaves.
+    std::string address{};
 };
 
 /// Push of Method::ReleaseSlot: releases a granted slot.
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -53,7 +53,8 @@
 RATTANRILL_WIRE_FIELDS(HeldSlot, requestId, service, workspace, upstream, deadlineMs)
 RATTANRILL_WIRE_FIELDS(RateCharge, workspace, requests, ageMs)
 RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges)
-RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests, requestLimit)
+RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests, requestLimit, leaving, leavingAgeMs,
+                       address)
 RATTANRILL_WIRE_FIELDS(SlotRelease, instance, requestId, upstream, end)
 
 RATTANRILL_WIRE_MESSAGE(FleetCommand)
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -66,6 +66,24 @@
     BOOST_TEST(!adapter.parseResponse(net::ResponseHead()).requestLimit.has_value());
 }
 
+// Guards against an announcement that is not read in some responses, and against upstreams that get
+// no requests because of another value of the header.
+BOOST_AUTO_TEST_CASE(leavingIsReadFromResponsesOfAnyStatus)
+{
+    for (const int status : {200, 404, 421, 429, 500, 503}) {
+        net::ResponseHead head;
+        head.status = status;
+        BOOST_TEST(!adapter.parseResponse(head).isLeaving);
+        head.headers.add("server-leaving", "1");
+        BOOST_TEST(adapter.parseResponse(head).isLeaving);
+    }
+    for (const char *value : {"", "0", "yes"}) {
+        net::ResponseHead head;
+        head.headers.add("Server-Leaving", value);
+        BOOST_TEST(!adapter.parseResponse(head).isLeaving, value);
+    }
+}
+
 // Guards against a block of the part that belongs to one request alone, and against parts that are
 // not recognized in another spelling.
 BOOST_AUTO_TEST_CASE(sharedPromptPartsAreAllButTheLast)
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -2,6 +2,7 @@
 #include "rattanrill/wire/codec.h"
 #include "rattanrill/wire/directorymessages.h"
 #include "rattanrill/wire/envelope.h"
+#include "rattanrill/wire/fleetmessages.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -36,6 +37,19 @@
     BOOST_TEST(decoded.value().body == envelope.body);
 }
 
+// Guards against load reports of an older process that are lost because they lack fields.
+BOOST_AUTO_TEST_CASE(loadReportOfAnOlderProcessIsReadAsNotLeaving)
+{
+    const auto decoded = outcomeOf([&] {
+        return fromJsonText<UpstreamLoad>(R"({"upstream":"u","requests":3,"requestLimit":2.5})");
+    });
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST(decoded.value().requests == 3);
+    BOOST_TEST(decoded.value().requestLimit == 2.5);
+    BOOST_TEST(!decoded.value().leaving);
+    BOOST_TEST(decoded.value().address.empty());
+}
+
 // Guards against exceptions and crashes on messages that a peer has truncated or corrupted. Such a
 // message either fails with MalformedMessage or decodes to another valid value.
 BOOST_AUTO_TEST_CASE(corruptMessageFailsAsMalformedOrDecodes)
