--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -19,7 +19,8 @@
 enum class CallStatus {
     /// The complete response arrived.
     Complete,
-    /// No connection could be established; nothing was sent.
+    /// No connection could be established, or CallHandlers::mayBeSent returned false; nothing was
+    /// sent.
     NotConnected,
     /// The connection was closed or became unusable after a part of the request may have been
     /// sent.
@@ -47,6 +48,9 @@
     std::function<void(std::string_view)> onBody;
     /// Called exactly once unless the call is cancelled.
     std::function<void(CallStatus)> onEnd;
+    /// Called when a new connection has been established, directly before the request is written.
+    /// When it returns false, the call ends as NotConnected. Optional.
+    std::function<bool()> mayBeSent{};
 };
 
 /// Timeouts and limits of a ConnectionPool.
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -70,10 +70,16 @@
 /// Returns whether a response belongs to the request with the id \a requestId, which is empty when
 /// the request has none.
 net::ResponseOwner ownerOf(const ResponseInfo &info, std::string_view requestId);
-/// Returns the load and the limit that a response of \a upstream reports.
-wire::UpstreamLoad loadOf(const std::string &upstream, const ResponseInfo &info);
+/// Returns what a response of \a upstream, which has \a address, reports.
+wire::UpstreamLoad loadOf(const std::string &upstream, const std::string &address,
+                          const ResponseInfo &info);
+/// Returns the part of a report that is valid although the response belongs to another request: the
+/// announcement that the upstream leaves. Absent when the response contains none, or comes from
+/// another instance.
+std::optional<wire::UpstreamLoad>
+leavingReportOf(const std::string &upstream, const std::string &address, const ResponseInfo &info);
 /// Returns how an attempt that did not run left its slot. A refusal by an upstream that names a
-/// limit indicates no fault.
+/// limit or leaves indicates no fault.
 policy::ReleaseReason refusalReason(const ResponseInfo &info);
 
 /// A caller's request to submit a batch job.
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/timerservice.h"
+#include "rattanrill/policy/leavingupstreams.h"
 #include "rattanrill/policy/slotscheduler.h"
 #include "rattanrill/policy/tokenbucket.h"
 #include "rattanrill/serving/deployment.h"
@@ -42,6 +43,14 @@
     absl::Duration reclaimDelay = absl::Seconds(2);
 };
 
+/// Where a report on an upstream comes from.
+enum class ReportSource {
+    /// A response that this process received.
+    OwnResponse,
+    /// A message of another process.
+    OtherProcess,
+};
+
 /// Fractions (0 to 1) of the deployment's rates and slots that one broker grants.
 struct CapacityShare
 {
@@ -80,9 +89,13 @@
     /// workspace.
     void reset();
     void setDeployment(std::shared_ptr<const DeploymentIndex> deployment);
-    /// Sets the upstreams and the share of them and of the rates that this broker grants.
-    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
-                      const CapacityShare &share);
+    /// Sets the upstreams and the share of them and of the rates that this broker grants. \a
+    /// readAt: time, not later than the actual one, at which the list was read from the platform.
+    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, const CapacityShare &share,
+                      absl::Time readAt = absl::InfinitePast());
+    /// Notifies the broker that the list of upstreams was read again at \a readAt, without a
+    /// change.
+    void confirmUpstreams(absl::Time readAt);
 
     /// Requests a slot. \a callback receives the outcome Waiting when the requester must repeat the
     /// request with SlotRequest::again set.
@@ -92,7 +105,13 @@
     void adoptHeldSlots(const wire::HeldSlots &held);
     /// Charges requests that another broker granted and that this one did not know of.
     void chargeRates(const std::vector<wire::RateCharge> &charges);
-    void reportLoad(const wire::UpstreamLoad &load);
+    void reportLoad(const wire::UpstreamLoad &load,
+                    ReportSource source = ReportSource::OwnResponse);
+    /// Whether the upstream \a id at \a address announced that it leaves. It then gets no requests,
+    /// whatever the list of upstreams shows. Announcements stay in effect after reset().
+    bool isLeaving(const std::string &id, const std::string &address) const;
+    /// Time of the last announcement of \a upstream; InfinitePast when it is not leaving.
+    absl::Time announcedLeavingAt(const std::string &upstream) const;
     /// Drops the requests that have accumulated under the limits of the upstreams, because another
     /// broker may have granted them.
     void clearAccumulatedRequests();
@@ -122,6 +141,9 @@
         TimerService::TimerId waitTimer = 0;
     };
 
+    void applyUpstreams();
+    bool endLeaving(absl::Time readAt);
+    bool recordLeaving(const wire::UpstreamLoad &load, ReportSource source);
     policy::TokenBucket *bucket(const std::string &workspace);
     policy::RateContract contractOf(const Workspace &workspace) const;
     void releaseSlot(const std::string &task, policy::ReleaseReason reason);
@@ -141,6 +163,9 @@
     const Clock &m_clock;
     const SlotBrokerSettings m_settings;
     policy::SlotScheduler m_scheduler;
+    /// The list of upstreams, as the platform shows it.
+    std::vector<policy::SlotUpstream> m_upstreams;
+    policy::LeavingUpstreams m_leaving;
     std::shared_ptr<const DeploymentIndex> m_deployment;
     CapacityShare m_share;
     std::map<std::string, policy::TokenBucket> m_buckets;
--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -51,13 +51,22 @@
     /// \a address: the broker's peer address; empty when none is known.
     void setBroker(const std::string &address);
     void setDeployment(std::shared_ptr<const DeploymentIndex> deployment);
-    /// \a entries: number of entry processes that share the upstreams.
-    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, std::size_t entries);
+    /// \a entries: number of entry processes that share the upstreams. \a readAt: time, not later
+    /// than the actual one, at which the list was read from the platform.
+    void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, std::size_t entries,
+                      absl::Time readAt = absl::InfinitePast());
+    /// See SlotBroker::confirmUpstreams().
+    void confirmUpstreams(absl::Time readAt);
     void acquire(const wire::SlotRequest &request, ResponseCallback callback);
     /// Releases a slot. May also be called for a request whose outcome has not arrived.
     void release(const wire::SlotRelease &release);
     /// Reports the headers of a response to the broker and to the local share.
     void reportLoad(const wire::UpstreamLoad &load);
+    /// Whether the upstream \a id at \a address announced to this process that it leaves. No
+    /// request may be sent to it then, although the broker may still grant its slots.
+    bool isLeaving(const std::string &id, const std::string &address) const;
+    /// Repeats the announcement of \a upstream to the broker, which granted a slot there.
+    void repeatLeaving(const std::string &upstream, const std::string &address);
     /// Ignores the responses to calls that are still pending.
     void stop();
 
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -150,7 +150,7 @@
     {
         const auto load = outcomeOf([&] { return wire::decode<wire::UpstreamLoad>(body); });
         if (load.ok())
-            m_broker.reportLoad(load.value());
+            m_broker.reportLoad(load.value(), serving::ReportSource::OtherProcess);
         else
             log(LogLevel::Warning, "load-unreadable", {{"code", name(load.failure().code)}});
     }
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -145,6 +145,7 @@
 {
     m_state = State::Running;
     m_upstream = upstream;
+    m_address = address;
     m_grantedAt = m_context.clock.now();
     m_upstreamListAge = m_context.upstreamListAge();
     m_hasProgressed = false;
@@ -174,6 +175,9 @@
     handlers.onEnd = [self = shared_from_this()](net::CallStatus status) {
         self->handleCallEnd(status);
     };
+    handlers.mayBeSent = [self = shared_from_this(), upstream, address] {
+        return !self->m_context.broker.isLeaving(upstream, address);
+    };
     restartIdleTimer();
     m_call = m_context.upstreamConnections.call(
             address, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
@@ -203,9 +207,21 @@
             {{"item", m_item.id},
              {"foreignRequestId", responseInfo.requestId},
              {"upstream", m_upstream}});
+    reportForeignAnnouncement(owner, responseInfo);
     return owner;
 }
 
+/// The announcement that an upstream leaves concerns the upstream and not the request, so it is
+/// valid in a response to another request too.
+void ItemRun::reportForeignAnnouncement(net::ResponseOwner owner,
+                                        const serving::ResponseInfo &info) const
+{
+    if (owner == net::ResponseOwner::ThisRequest)
+        return;
+    if (const auto report = serving::leavingReportOf(m_upstream, m_address, info))
+        m_context.broker.reportLoad(*report);
+}
+
 void ItemRun::handleHead(const net::ResponseHead &head)
 {
     m_head = head;
@@ -214,7 +230,7 @@
     m_isStream = !m_responseInfo.notRun && head.status >= 200 && head.status < 300
                  && m_context.protocol.isEventStream(head);
     if (!m_responseInfo.isInstanceMismatch)
-        m_context.broker.reportLoad(serving::loadOf(m_upstream, m_responseInfo));
+        m_context.broker.reportLoad(serving::loadOf(m_upstream, m_address, m_responseInfo));
 }
 
 void ItemRun::handleBody(std::string_view bytes)
@@ -261,6 +277,9 @@
 {
     if (m_state != State::Running)
         return;
+    if (status == net::CallStatus::NotConnected
+        && m_context.broker.isLeaving(m_upstream, m_address))
+        return skipLeavingUpstream();
     if (status == net::CallStatus::NotConnected)
         return failAttempt(net::name(status), ReleaseReason::Unreachable);
     if (status == net::CallStatus::Broken)
@@ -343,6 +362,20 @@
     });
 }
 
+void ItemRun::skipLeavingUpstream()
+{
+    releaseSlot(ReleaseReason::Cancelled);
+    log(LogLevel::Info, "item-try-failed",
+        {{"job", m_job->id},
+         {"item", m_item.id},
+         {"upstream", m_upstream},
+         {"reason", "the upstream leaves, and the item was not sent"},
+         {"lastEvent", m_position.lastId().value_or(-1)},
+         {"serverErrors", m_serverErrors},
+         {"run", m_attempts}});
+    acquireSlot();
+}
+
 absl::Duration ItemRun::runTime() const
 {
     const bool countsCurrentSlot = m_state == State::Running && m_hasProgressed;
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -54,11 +54,16 @@
     void handleSlotGranted(const std::string &upstream, const std::string &address);
     void handleSlotPreempted();
     net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
+    void reportForeignAnnouncement(net::ResponseOwner owner,
+                                   const serving::ResponseInfo &info) const;
     void handleHead(const net::ResponseHead &head);
     void handleBody(std::string_view bytes);
     void handleCallEnd(net::CallStatus status);
     /// Ends the current attempt and requests another slot after a backoff.
     void failAttempt(std::string_view reason, policy::ReleaseReason releaseReason);
+    /// Releases a slot at an upstream that leaves, to which the item was not sent, and requests
+    /// another one.
+    void skipLeavingUpstream();
     void handleSuccess();
     void discardOutput();
     void discardUnnumberedOutput();
@@ -83,6 +88,7 @@
     State m_state = State::Idle;
 
     std::string m_upstream;
+    std::string m_address;
     net::ConnectionPool::CallId m_call = 0;
     net::ResponseHead m_head;
     serving::ResponseInfo m_responseInfo;
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -129,7 +129,7 @@
     if (m_state != State::Connecting)
         return;
     m_timer.cancel();
-    if (error)
+    if (error || (m_handlers->mayBeSent && !m_handlers->mayBeSent()))
         return fail(CallStatus::NotConnected);
     m_state = State::Calling;
     read();
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -148,7 +148,7 @@
     const absl::Duration objective = m_mayHaveRun ? remainingTime() : m_route.latencyObjective;
     request.objectiveMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(objective), 0);
     request.deadlineMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(remainingTime()), 0);
-    request.excluded = m_attemptedUpstreams;
+    request.excluded = m_excludedUpstreams;
     m_isSlotRequested = true;
     m_context.slotClient.acquire(
             request, [self = shared_from_this()](const auto &response, bool fromLocalShare) {
@@ -168,9 +168,11 @@
     }
     m_fromLocalShare = m_fromLocalShare || fromLocalShare;
     if (isGranted) {
+        m_chargedRate = true;
+        if (isLeaving(response.upstream, response.address))
+            return skipLeavingUpstream(m_requestedSlotId, response.upstream, response.address);
         if (m_state == State::Unresponsive)
             abandonUnresponsiveUpstream();
-        m_chargedRate = true;
         m_heldSlotId = m_requestedSlotId;
         m_slotGrantedAt = m_context.clock.now();
         m_upstreamListAge = m_context.upstreamListAge();
@@ -199,6 +201,31 @@
         ++m_resumes;
 }
 
+bool ProxiedRequest::isLeaving(const std::string &upstream, const std::string &address) const
+{
+    return m_context.slotClient.isLeaving(upstream, address);
+}
+
+/// Releases a slot at an upstream that leaves, without sending the request, and requests another
+/// one. Each call excludes one more upstream, so the number of calls is bounded.
+void ProxiedRequest::skipLeavingUpstream(const std::string &slotId, const std::string &upstream,
+                                         const std::string &address)
+{
+    log(LogLevel::Info, "try-failed",
+        {{"requestId", m_request.caller.id},
+         {"upstream", upstream},
+         {"attempt", m_attempts},
+         {"reason", "the upstream leaves, and the request was not sent"},
+         {"mayHaveRun", m_mayHaveRun},
+         {"lastEvent", m_position.lastId().value_or(-1)}});
+    m_context.slotClient.repeatLeaving(upstream, address);
+    release(slotId, upstream, ReleaseReason::Cancelled);
+    m_excludedUpstreams.push_back(upstream);
+    // If the upstream was unresponsive, a slot at another one may already have been requested.
+    if (!m_isSlotRequested)
+        requestSlot();
+}
+
 void ProxiedRequest::send(const std::string &upstream, const std::string &address)
 {
     m_attempt = Attempt();
@@ -211,7 +238,7 @@
     }
     ++m_attempts;
     m_position.beginAttempt();
-    m_attemptedUpstreams.push_back(upstream);
+    m_excludedUpstreams.push_back(upstream);
     UpstreamAttempt attempt;
     attempt.expectedInstance = upstream;
     attempt.workspace = m_request.workspace;
@@ -230,6 +257,9 @@
     handlers.onEnd = [self = shared_from_this()](net::CallStatus status) {
         self->callEnded(status);
     };
+    handlers.mayBeSent = [self = shared_from_this(), upstream, address] {
+        return !self->isLeaving(upstream, address);
+    };
     m_state = State::Running;
     armResponseTimer();
     m_attempt.call = m_context.upstreamConnections.call(
@@ -247,9 +277,21 @@
             {{"requestId", m_request.caller.id},
              {"foreignRequestId", info.requestId},
              {"upstream", m_attempt.upstream}});
+    reportForeignAnnouncement(owner, info);
     return owner;
 }
 
+/// The announcement that an upstream leaves concerns the upstream and not the request, so it is
+/// valid in a response to another request too.
+void ProxiedRequest::reportForeignAnnouncement(net::ResponseOwner owner,
+                                               const ResponseInfo &info) const
+{
+    if (owner == net::ResponseOwner::ThisRequest)
+        return;
+    if (const auto report = leavingReportOf(m_attempt.upstream, m_attempt.address, info))
+        m_context.slotClient.reportLoad(*report);
+}
+
 void ProxiedRequest::headReceived(const net::ResponseHead &head)
 {
     const ResponseInfo info = m_context.protocol.parseResponse(head);
@@ -259,7 +301,7 @@
     // The attempt may end before the response is complete, when a bound is reached.
     m_mayHaveRun = m_mayHaveRun || !info.notRun;
     if (!info.isInstanceMismatch)
-        m_context.slotClient.reportLoad(loadOf(m_attempt.upstream, info));
+        m_context.slotClient.reportLoad(loadOf(m_attempt.upstream, m_attempt.address, info));
     m_attempt.isStream = !info.notRun && head.status >= 200 && head.status < 300
                          && m_route.kind == RouteKind::Streaming
                          && m_context.protocol.isEventStream(head);
@@ -348,6 +390,12 @@
     if (m_state == State::Ended)
         return;
     m_state = State::Waiting;
+    if (status == net::CallStatus::NotConnected
+        && isLeaving(m_attempt.upstream, m_attempt.address)) {
+        --m_attempts;
+        return skipLeavingUpstream(std::exchange(m_heldSlotId, std::string()), m_attempt.upstream,
+                                   m_attempt.address);
+    }
     if (status == net::CallStatus::NotConnected)
         return attemptFailed("the connection to the upstream could not be established",
                              ReleaseReason::Unreachable);
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -76,6 +76,7 @@
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
     void send(const std::string &upstream, const std::string &address);
     net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
+    void reportForeignAnnouncement(net::ResponseOwner owner, const ResponseInfo &info) const;
     void headReceived(const net::ResponseHead &head);
     void bodyReceived(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
@@ -98,6 +99,9 @@
     void armResponseTimer();
     void responseTimedOut();
     void abandonUnresponsiveUpstream();
+    bool isLeaving(const std::string &upstream, const std::string &address) const;
+    void skipLeavingUpstream(const std::string &slotId, const std::string &upstream,
+                             const std::string &address);
     void releaseSlot(policy::ReleaseReason reason);
     void release(const std::string &slotId, const std::string &upstream,
                  policy::ReleaseReason reason);
@@ -129,7 +133,8 @@
     bool m_mayHaveRun = false;
     bool m_chargedRate = false;
     bool m_fromLocalShare = false;
-    std::vector<std::string> m_attemptedUpstreams;
+    /// Upstreams that the request was sent to before or that leave.
+    std::vector<std::string> m_excludedUpstreams;
     StreamPosition m_position;
     int m_resumes = 0;
     absl::Time m_slotGrantedAt = absl::InfiniteFuture();
--- a/src/serving/responseinfo.cpp
+++ b/src/serving/responseinfo.cpp
@@ -10,16 +10,31 @@
                                        : net::ResponseOwner::AnotherRequest;
 }
 
-wire::UpstreamLoad loadOf(const std::string &upstream, const ResponseInfo &info)
+wire::UpstreamLoad loadOf(const std::string &upstream, const std::string &address,
+                          const ResponseInfo &info)
 {
-    return {upstream, info.outstandingRequests.value_or(-1), info.requestLimit.value_or(0)};
+    return {upstream,
+            info.outstandingRequests.value_or(-1),
+            info.requestLimit.value_or(0),
+            info.isLeaving,
+            0,
+            address};
+}
+
+std::optional<wire::UpstreamLoad>
+leavingReportOf(const std::string &upstream, const std::string &address, const ResponseInfo &info)
+{
+    if (!info.isLeaving || info.isInstanceMismatch)
+        return std::nullopt;
+    return wire::UpstreamLoad{upstream, -1, -1, true, 0, address};
 }
 
 policy::ReleaseReason refusalReason(const ResponseInfo &info)
 {
     if (info.isInstanceMismatch)
         return policy::ReleaseReason::Unreachable;
-    return info.requestLimit ? policy::ReleaseReason::Cancelled : policy::ReleaseReason::Failed;
+    return info.requestLimit || info.isLeaving ? policy::ReleaseReason::Cancelled
+                                               : policy::ReleaseReason::Failed;
 }
 
 } // namespace rattanrill::serving
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -1,9 +1,11 @@
 #include "rattanrill/serving/slotbroker.h"
 
 #include "rattanrill/base/concat.h"
+#include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <utility>
 
@@ -15,6 +17,11 @@
 /// Number of prompt tokens that cost an upstream as much as one output token.
 constexpr double promptTokensPerOutputToken = 100;
 
+constexpr std::array<EnumName<ReportSource>, 2> reportSourceNames = {{
+        {ReportSource::OwnResponse, "response"},
+        {ReportSource::OtherProcess, "report"},
+}};
+
 std::string taskId(const std::string &instance, const std::string &request)
 {
     return concat(instance, "/", request);
@@ -89,19 +96,47 @@
 }
 
 void SlotBroker::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
-                              const CapacityShare &share)
+                              const CapacityShare &share, absl::Time readAt)
 {
     const bool hasNewRate = share.rateFraction != m_share.rateFraction;
     m_share = share;
     if (hasNewRate && m_deployment)
         setDeployment(m_deployment);
-    std::vector<policy::SlotUpstream> list;
+    m_upstreams.clear();
     for (const wire::FleetUpstream &upstream : upstreams) {
         const double slots = static_cast<double>(std::max<std::int64_t>(upstream.slots, 1));
-        list.push_back({upstream.id, upstream.service, upstream.address, upstream.failureDomain,
-                        static_cast<std::int64_t>(std::ceil(slots * share.slotFraction)),
-                        upstream.draining});
+        m_upstreams.push_back({upstream.id, upstream.service, upstream.address,
+                               upstream.failureDomain,
+                               static_cast<std::int64_t>(std::ceil(slots * share.slotFraction)),
+                               upstream.draining});
     }
+    endLeaving(readAt);
+    applyUpstreams();
+}
+
+void SlotBroker::confirmUpstreams(absl::Time readAt)
+{
+    if (endLeaving(readAt))
+        applyUpstreams();
+}
+
+/// Ends the announcements that the current list disproves. Returns false when there are none.
+bool SlotBroker::endLeaving(absl::Time readAt)
+{
+    const auto endedLeaving = m_leaving.update(m_upstreams, readAt);
+    for (const policy::EndedLeaving &ended : endedLeaving)
+        log(LogLevel::Info, "upstream-leaving-ended",
+            {{"upstream", ended.upstream}, {"reason", policy::name(ended.reason)}});
+    return !endedLeaving.empty();
+}
+
+/// Passes the list to the scheduler. An upstream that announced that it leaves gets no tasks, like
+/// one that the list shows as draining.
+void SlotBroker::applyUpstreams()
+{
+    std::vector<policy::SlotUpstream> list = m_upstreams;
+    for (policy::SlotUpstream &upstream : list)
+        upstream.leaving = upstream.leaving || isLeaving(upstream.id, upstream.address);
     m_scheduler.setUpstreams(list);
     decide();
 }
@@ -265,11 +300,15 @@
     }
 }
 
-void SlotBroker::reportLoad(const wire::UpstreamLoad &load)
+void SlotBroker::reportLoad(const wire::UpstreamLoad &load, ReportSource source)
 {
     const absl::Time now = m_clock.now();
+    if (load.leaving && recordLeaving(load, source))
+        applyUpstreams();
     if (load.requests >= 0)
         m_scheduler.loadReported(now, load.upstream, load.requests);
+    if (load.requestLimit < 0)
+        return;
     std::optional<double> limit;
     if (load.requestLimit > 0)
         limit = load.requestLimit * m_share.limitFraction;
@@ -282,6 +321,30 @@
     decide();
 }
 
+/// Returns true when the upstream did not count as leaving before.
+bool SlotBroker::recordLeaving(const wire::UpstreamLoad &load, ReportSource source)
+{
+    const absl::Time announcedAt = m_clock.now() - absl::Milliseconds(load.leavingAgeMs);
+    if (!m_leaving.record(announcedAt, load.upstream, load.address))
+        return false;
+    log(LogLevel::Info, "upstream-leaving",
+        {{"upstream", load.upstream},
+         {"address", load.address},
+         {"source", nameOf(reportSourceNames, source)},
+         {"ageMs", load.leavingAgeMs}});
+    return true;
+}
+
+bool SlotBroker::isLeaving(const std::string &id, const std::string &address) const
+{
+    return m_leaving.isLeaving(id, address);
+}
+
+absl::Time SlotBroker::announcedLeavingAt(const std::string &upstream) const
+{
+    return m_leaving.announcedAt(upstream);
+}
+
 void SlotBroker::clearAccumulatedRequests()
 {
     m_scheduler.clearAccumulatedRequests(m_clock.now());
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -193,6 +193,13 @@
         });
     }
 
+    void sendLoad(const wire::UpstreamLoad &load)
+    {
+        if (!brokerAddress.empty())
+            channels.channel(brokerAddress)
+                    ->sendOneWay(wire::Method::ReportLoad, wire::encode(load));
+    }
+
     void release(const wire::SlotRelease &release)
     {
         heldSlots.erase(release.requestId);
@@ -258,13 +265,19 @@
 }
 
 void SlotClient::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
-                              std::size_t entries)
+                              std::size_t entries, absl::Time readAt)
 {
     const double entryCount = static_cast<double>(std::max<std::size_t>(entries, 1));
     m_impl->localBroker.setUpstreams(
             upstreams,
             {1 / entryCount, std::min(1.0, m_impl->settings.localSlotFactor / entryCount),
-             std::min(1.0, m_impl->settings.localLimitFactor / entryCount)});
+             std::min(1.0, m_impl->settings.localLimitFactor / entryCount)},
+            readAt);
+}
+
+void SlotClient::confirmUpstreams(absl::Time readAt)
+{
+    m_impl->localBroker.confirmUpstreams(readAt);
 }
 
 void SlotClient::acquire(const wire::SlotRequest &request, ResponseCallback callback)
@@ -281,12 +294,22 @@
 {
     const bool hadLimit = m_impl->localBroker.hasRequestLimit(load.upstream);
     m_impl->localBroker.reportLoad(load);
-    const bool isInformative = load.requests >= 0 || load.requestLimit > 0 || hadLimit;
-    if (!isInformative)
-        return;
-    if (!m_impl->brokerAddress.empty())
-        m_impl->channels.channel(m_impl->brokerAddress)
-                ->sendOneWay(wire::Method::ReportLoad, wire::encode(load));
+    const bool isInformative =
+            load.requests >= 0 || load.requestLimit > 0 || hadLimit || load.leaving;
+    if (isInformative)
+        m_impl->sendLoad(load);
+}
+
+bool SlotClient::isLeaving(const std::string &id, const std::string &address) const
+{
+    return m_impl->localBroker.isLeaving(id, address);
+}
+
+void SlotClient::repeatLeaving(const std::string &upstream, const std::string &address)
+{
+    const absl::Duration age =
+            m_impl->clock.now() - m_impl->localBroker.announcedLeavingAt(upstream);
+    m_impl->sendLoad({upstream, -1, -1, true, absl::ToInt64Milliseconds(age), address});
 }
 
 void SlotClient::stop()
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -47,6 +47,17 @@
         submit(request);
     }
 
+    /// Submits a job of one item that waits for a slot.
+    void startWaiting()
+    {
+        wire::SubmitJobRequest request = submission("job");
+        request.job.items.resize(1);
+        submit(request);
+        bool isWaiting = false;
+        while (!isWaiting)
+            thread.run([&] { isWaiting = executor.openItemCounts().waiting == 1; });
+    }
+
     /// Runs a job of one item and returns the result, or one without id when there is none within
     /// 30 s.
     wire::JobItemResult runItem(net::EndlessServer &server)
@@ -311,4 +322,48 @@
     }
 }
 
+// Guards against an item that is sent again to an upstream which announced in a response that it
+// leaves.
+BOOST_AUTO_TEST_CASE(itemIsNotSentAgainToAnUpstreamThatLeaves)
+{
+    net::EndlessServer leaving("HTTP/1.1 503 X\r\nNot-Run: 1\r\nLeaving: 1\r\n\r\n", "");
+    net::EndlessServer other({success});
+    startWaiting();
+    thread.run([&] {
+        broker.setUpstreams({{"u1", "llm", leaving.address(), "d", 1, false}},
+                            serving::CapacityShare());
+    });
+    const absl::Time end = absl::Now() + absl::Seconds(10);
+    while (leaving.requests() == 0 && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(1));
+    absl::SleepFor(absl::Milliseconds(500));
+    BOOST_TEST(leaving.requests() == 1);
+    thread.run([&] {
+        broker.setUpstreams({{"u1", "llm", leaving.address(), "d", 1, false},
+                             {"u2", "llm", other.address(), "d", 1, false}},
+                            serving::CapacityShare());
+    });
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(leaving.requests() == 1);
+}
+
+// Guards against an item that is sent to an upstream which announced that it leaves while the
+// connection was being established.
+BOOST_AUTO_TEST_CASE(itemThatWaitsForAConnectionIsNotSentToAnUpstreamThatLeaves)
+{
+    net::EndlessServer leaving({success});
+    net::EndlessServer other({success});
+    startWaiting();
+    thread.run([&] {
+        broker.setUpstreams({{"u1", "llm", leaving.address(), "d", 1, false},
+                             {"u2", "llm", other.address(), "d", 1, false}},
+                            serving::CapacityShare());
+        BOOST_TEST(executor.openItemCounts().running == 1);
+        broker.reportLoad({"u1", -1, -1, true, 0, leaving.address()});
+    });
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(leaving.requests() == 0);
+    BOOST_TEST(other.requests() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -12,6 +12,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -77,7 +78,8 @@
     /// the value \a id; without \a id, each response does.
     ConnectionPool::CallId callOnLoop(const std::string &target, const std::string &path,
                                       const std::optional<std::string> &id = std::nullopt,
-                                      const std::string &body = "")
+                                      const std::string &body = "",
+                                      std::function<bool()> mayBeSent = nullptr)
     {
         Request request;
         request.method = "GET";
@@ -98,16 +100,18 @@
             absl::MutexLock lock(&mutex);
             result.callStatus = status;
         };
+        handlers.mayBeSent = std::move(mayBeSent);
         result = CallResult();
         return pool->call(target, serialize(request), std::move(handlers), id);
     }
 
     ConnectionPool::CallId start(const std::string &target, const std::string &path,
                                  const std::optional<std::string> &id = std::nullopt,
-                                 const std::string &body = "")
+                                 const std::string &body = "",
+                                 std::function<bool()> mayBeSent = nullptr)
     {
         ConnectionPool::CallId call = 0;
-        thread.run([&] { call = callOnLoop(target, path, id, body); });
+        thread.run([&] { call = callOnLoop(target, path, id, body, std::move(mayBeSent)); });
         return call;
     }
 
@@ -236,6 +240,18 @@
     BOOST_TEST(read <= received);
 }
 
+// Guards against a request that is sent although it must not be sent any more when its connection
+// is established.
+BOOST_AUTO_TEST_CASE(requestThatMayNotBeSentIsNotConnected)
+{
+    ConnectionPoolFixture fixture;
+    fixture.start(address, "/whole", std::nullopt, "", [] { return false; });
+    BOOST_TEST((fixture.wait().callStatus == CallStatus::NotConnected));
+    fixture.start(address, "/whole", std::nullopt, "", [] { return true; });
+    BOOST_TEST((fixture.wait().callStatus == CallStatus::Complete));
+    BOOST_TEST(fixture.requestCount == 1);
+}
+
 // Guards against an upstream whose head has no end: the call must fail after a bounded number of
 // bytes and close the connection.
 BOOST_AUTO_TEST_CASE(headWithoutEndFailsTheCall)
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -5,12 +5,17 @@
 #include "resumedresponses.h"
 #include "testprotocoladapter.h"
 
+#include "rattanrill/peer/server.h"
+#include "rattanrill/wire/codec.h"
+
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <cstdlib>
 #include <functional>
@@ -29,7 +34,8 @@
 constexpr const char *entryAddress = "127.0.0.1:28481";
 constexpr unsigned short entryPort = 28481;
 constexpr int firstUpstreamPort = 28482;
-constexpr unsigned short silentBrokerPort = 28484;
+constexpr std::size_t maxUpstreams = 3;
+constexpr unsigned short silentBrokerPort = 28485;
 
 /// A scripted response.
 struct Step
@@ -77,6 +83,7 @@
     explicit ScriptedUpstreams(std::vector<Step> steps, int count = 2)
         : m_steps(std::move(steps))
     {
+        BOOST_TEST_REQUIRE(static_cast<std::size_t>(count) <= maxUpstreams);
         for (int i = 0; i < count; ++i)
             m_threads.emplace_back([this, i] { serve(firstUpstreamPort + i); });
         while (m_listening < count)
@@ -94,6 +101,12 @@
         absl::MutexLock lock(&m_mutex);
         return m_requests;
     }
+    /// Number of requests that the first (0) or the second upstream (1) received.
+    int requestsAt(int upstream) const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_counts.at(static_cast<std::size_t>(upstream));
+    }
 
 private:
     using Tcp = boost::asio::ip::tcp;
@@ -115,13 +128,15 @@
                 std::this_thread::sleep_for(std::chrono::milliseconds(2));
                 continue;
             }
-            connections.emplace_back([this, socket] { serveConnection(*socket); });
+            connections.emplace_back([this, socket, port] {
+                serveConnection(*socket, static_cast<std::size_t>(port - firstUpstreamPort));
+            });
         }
         for (std::thread &connection : connections)
             connection.join();
     }
 
-    void serveConnection(Tcp::socket &socket)
+    void serveConnection(Tcp::socket &socket, std::size_t upstream)
     {
         std::string text;
         bool isKept = false;
@@ -139,7 +154,7 @@
             text.append(buffer, size);
             if (text.find("\r\n\r\n") == std::string::npos)
                 continue;
-            const Step step = nextStep(std::exchange(text, std::string()));
+            const Step step = nextStep(std::exchange(text, std::string()), upstream);
             std::this_thread::sleep_for(std::chrono::milliseconds(step.delay));
             // A write to a non-blocking socket ends when its send buffer is full.
             socket.non_blocking(false);
@@ -165,9 +180,10 @@
         return true;
     }
 
-    Step nextStep(std::string request)
+    Step nextStep(std::string request, std::size_t upstream)
     {
         absl::MutexLock lock(&m_mutex);
+        ++m_counts.at(upstream);
         const std::size_t number = m_requests.size();
         m_requests.push_back(std::move(request));
         return number < m_steps.size() ? m_steps[number]
@@ -180,12 +196,117 @@
     std::atomic<int> m_listening{0};
     mutable absl::Mutex m_mutex;
     std::vector<std::string> m_requests;
+    std::array<int, maxUpstreams> m_counts{};
 };
 
-/// An entry process with one route. It has no broker, so its slots come from the local share.
+peer::TransportOptions transport(const std::string &instance)
+{
+    peer::TransportOptions options;
+    options.self = {instance, "d", "entry"};
+    options.clusterSecret = "s";
+    return options;
+}
+
+/// A broker without any record of announcements, like one that has just started: it grants each
+/// request the first upstream that the request does not exclude.
+class UnknowingBroker
+{
+public:
+    UnknowingBroker()
+    {
+        m_server.setHandler(wire::Method::RequestSlot,
+                            [this](const peer::PeerIdentity &, const std::string &body,
+                                   const peer::ResponseCallback &reply) {
+                                reply(wire::encode(grant(decode<wire::SlotRequest>(body))));
+                            });
+        m_server.setHandler(wire::Method::ReleaseSlot,
+                            [this](const peer::PeerIdentity &, const std::string &body,
+                                   const peer::ResponseCallback &reply) {
+                                absl::MutexLock lock(&m_mutex);
+                                m_releases.push_back(decode<wire::SlotRelease>(body));
+                                reply(std::string());
+                            });
+        m_server.setHandler(wire::Method::ReportLoad,
+                            [this](const peer::PeerIdentity &, const std::string &body,
+                                   const peer::ResponseCallback &reply) {
+                                absl::MutexLock lock(&m_mutex);
+                                m_loads.push_back(decode<wire::UpstreamLoad>(body));
+                                reply(std::string());
+                            });
+        BOOST_REQUIRE(outcomeOf([&] { return m_server.start("127.0.0.1", 0); }).ok());
+    }
+    ~UnknowingBroker() { m_server.stop(); }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
+
+    std::vector<wire::SlotRequest> requests() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_requests;
+    }
+    /// Waits for \a count releases and returns them; fewer after 10 s.
+    std::vector<wire::SlotRelease> awaitReleases(std::size_t count) const
+    {
+        absl::MutexLock lock(&m_mutex);
+        const auto received = [&] { return m_releases.size() >= count; };
+        m_mutex.AwaitWithTimeout(absl::Condition(&received), absl::Seconds(10));
+        return m_releases;
+    }
+    /// Number of reports that an upstream leaves.
+    int leavingReports() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return static_cast<int>(std::count_if(m_loads.begin(), m_loads.end(),
+                                              [](const auto &load) { return load.leaving; }));
+    }
+
+private:
+    template <typename Message>
+    static Message decode(const std::string &body)
+    {
+        return outcomeOf([&] { return wire::decode<Message>(body); }).value();
+    }
+
+    wire::SlotResponse grant(const wire::SlotRequest &request)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_requests.push_back(request);
+        wire::SlotResponse response;
+        for (int i = 1; i <= 2; ++i) {
+            const std::string upstream = "u" + std::to_string(i);
+            const auto &excluded = request.excluded;
+            if (std::find(excluded.begin(), excluded.end(), upstream) != excluded.end())
+                continue;
+            response.verdict = wire::SlotOutcome::Granted;
+            response.upstream = upstream;
+            response.address = "127.0.0.1:" + std::to_string(firstUpstreamPort + i - 1);
+            break;
+        }
+        return response;
+    }
+
+    peer::Server m_server{transport("broker")};
+    mutable absl::Mutex m_mutex;
+    std::vector<wire::SlotRequest> m_requests;
+    std::vector<wire::SlotRelease> m_releases;
+    std::vector<wire::UpstreamLoad> m_loads;
+};
+
+/// Settings with which a busy machine does not make the entry use its local share.
+SlotClientSettings slotClientSettings()
+{
+    SlotClientSettings settings;
+    settings.roundTripAllowance = absl::Seconds(5);
+    return settings;
+}
+
+/// An entry process with one route. Without a broker, its slots come from the local share.
 struct Entry
 {
-    explicit Entry(Route route, int upstreamCount = 2)
+    Entry(Route route, const std::string &broker)
+        : Entry(std::move(route), 2, broker)
+    {}
+    explicit Entry(Route route, int upstreamCount = 2, const std::string &broker = "")
     {
         route.name = "r";
         route.host = "h";
@@ -197,9 +318,10 @@
         deployment.version = 1;
         deployment.routes = {route};
         index = std::make_shared<const DeploymentIndex>(std::move(deployment));
-        thread.run([this, upstreamCount] {
+        thread.run([this, upstreamCount, &broker] {
             slotClient.setDeployment(index);
             slotClient.setUpstreams(upstreamList(upstreamCount), 1);
+            slotClient.setBroker(broker);
             server = std::make_unique<net::Server>(loop, [this](auto exchange) {
                 RoutedRequest request;
                 request.deployment = index;
@@ -208,6 +330,8 @@
                                      return adapter.parseRequest(exchange->request());
                                  }).value();
                 proxyRequest(context, std::move(request), std::move(exchange));
+                if (onProxied)
+                    onProxied();
             });
             BOOST_REQUIRE(outcomeOf([&] { return server->start(entryAddress); }).ok());
         });
@@ -256,8 +380,8 @@
     Metrics metrics;
     TestProtocolAdapter adapter;
     net::ConnectionPool upstreams{loop, net::ConnectionPoolOptions()};
-    peer::ChannelPool channels{peer::TransportOptions()};
-    SlotClient slotClient{loop, channels, SystemClock::instance(), SlotClientSettings()};
+    peer::ChannelPool channels{transport("e")};
+    SlotClient slotClient{loop, channels, SystemClock::instance(), slotClientSettings()};
     PromptGuard promptGuard{loop.timers(), SystemClock::instance(), "e",
                             [this](const wire::PromptEvidence &evidence, auto done) {
                                 reports.push_back(evidence);
@@ -269,6 +393,8 @@
                                  upstreams,   slotClient,
                                  promptGuard, {"e", "d"}};
     std::shared_ptr<const DeploymentIndex> index;
+    /// Called in the same task of the loop, after a request was passed on.
+    std::function<void()> onProxied;
     std::unique_ptr<net::Server> server;
 };
 
@@ -639,6 +765,139 @@
     BOOST_TEST(upstreams.requests().size() == 1u);
 }
 
+// Guards against requests to an upstream after it announced that it leaves: in a refusal, in the
+// head of a stream, in an error response, or in the response to another request.
+BOOST_AUTO_TEST_CASE(announcementInAnyResponseKeepsRequestsAway)
+{
+    const std::string announced = "Leaving: 1\r\n";
+    const std::string head = streamHead("0");
+    const std::vector<std::string> responses = {
+            completeResponse("0", "full", 503, "Not-Run: 1\r\n" + announced),
+            completeResponse("0", "failed", 500, announced),
+            head.substr(0, head.size() - 2) + announced + "\r\n" + chunk(event(1)) + "0\r\n\r\n",
+            completeResponse("former", "late", 200, announced) + completeResponse("0", "own")};
+    for (const std::string &response : responses) {
+        ScriptedUpstreams upstreams({{response},
+                                     {completeResponse("1", "done")},
+                                     {completeResponse("2", "done")},
+                                     {completeResponse("3", "done")}});
+        Entry entry(routeOf(RouteKind::Streaming, 1, false));
+        for (int i = 0; i < 4; ++i)
+            entry.sendRequest(std::to_string(i));
+        BOOST_TEST(upstreams.requestsAt(0) == 1, response);
+        BOOST_TEST(upstreams.requestsAt(1) == 3, response);
+    }
+}
+
+// Guards against an upstream that gets no requests although it did not announce that it leaves: the
+// header was in an interim response, or in a response of another instance at its address.
+BOOST_AUTO_TEST_CASE(announcementThatIsNotTheUpstreamsDoesNotCount)
+{
+    const std::vector<std::string> responses = {
+            "HTTP/1.1 103 X\r\nLeaving: 1\r\n\r\n" + completeResponse("0", "own"),
+            completeResponse("0", "", 421, "Other-Instance: 1\r\nLeaving: 1\r\n")};
+    for (const std::string &response : responses) {
+        ScriptedUpstreams upstreams({{response}});
+        Entry entry(routeOf(RouteKind::NonIdempotent, 1));
+        entry.sendRequest("0");
+        entry.thread.run([&] {
+            BOOST_TEST(!entry.slotClient.isLeaving("u1", "127.0.0.1:28482"), response);
+        });
+    }
+}
+
+// Guards against requests that a broker without a record of the announcement sends to an upstream
+// that leaves, and against a second charge to the caller's rate.
+BOOST_AUTO_TEST_CASE(slotOfAnUpstreamThatLeavesIsNotUsed)
+{
+    ScriptedUpstreams upstreams({{completeResponse("0", "first", 200, "Leaving: 1\r\n")},
+                                 {completeResponse("1", "second")}});
+    UnknowingBroker broker;
+    Entry entry(routeOf(RouteKind::NonIdempotent, 1), broker.address());
+    BOOST_TEST(contains(entry.sendRequest("0"), "first"));
+    BOOST_TEST(contains(entry.sendRequest("1"), "second"));
+    BOOST_TEST(upstreams.requestsAt(0) == 1);
+    BOOST_TEST(upstreams.requestsAt(1) == 1);
+    const auto releases = broker.awaitReleases(3);
+    BOOST_TEST_REQUIRE(releases.size() == 3u);
+    BOOST_TEST(releases[1].requestId == "1");
+    BOOST_TEST(releases[1].upstream == "u1");
+    BOOST_TEST(releases[1].end == "abandoned");
+    const auto requests = broker.requests();
+    BOOST_TEST_REQUIRE(requests.size() == 3u);
+    BOOST_TEST(requests[1].chargesRate);
+    BOOST_TEST(!requests[2].chargesRate);
+    BOOST_TEST(broker.leavingReports() == 2);
+}
+
+// Guards against a request that is sent to an upstream which announced that it leaves while the
+// connection was being established.
+BOOST_AUTO_TEST_CASE(requestThatWaitsForAConnectionIsNotSentToAnUpstreamThatLeaves)
+{
+    ScriptedUpstreams upstreams({{completeResponse("0", "done")}});
+    Entry entry(routeOf(RouteKind::NonIdempotent, 1));
+    // The local share grants the slot while the request is parsed, before it is connected.
+    entry.onProxied = [&] {
+        entry.slotClient.reportLoad({"u1", -1, 0, true, 0, "127.0.0.1:28482"});
+    };
+    BOOST_TEST(contains(entry.sendRequest("0"), "done"));
+    BOOST_TEST(upstreams.requestsAt(0) == 0);
+    BOOST_TEST(upstreams.requestsAt(1) == 1);
+}
+
+// Guards against a request that is refused because an attempt counts although nothing was sent.
+BOOST_AUTO_TEST_CASE(attemptThatWasNotSentDoesNotCount)
+{
+    ScriptedUpstreams upstreams({{completeResponse("0", "full", 503, "Not-Run: 1\r\n")},
+                                 {completeResponse("0", "done")}});
+    Entry entry(routeOf(RouteKind::NonIdempotent, 2));
+    entry.thread.run([&] {
+        entry.slotClient.setUpstreams({{"u1", "s", "127.0.0.1:28482", "d", 4, false},
+                                       {"u2", "s", "127.0.0.1:28483", "d", 4, false},
+                                       {"u3", "s", "127.0.0.1:28483", "d", 4, false}},
+                                      1);
+    });
+    entry.onProxied = [&] {
+        entry.slotClient.reportLoad({"u1", -1, 0, true, 0, "127.0.0.1:28482"});
+    };
+    BOOST_TEST(contains(entry.sendRequest("0"), "done"));
+    BOOST_TEST(upstreams.requestsAt(0) == 0);
+    BOOST_TEST(upstreams.requestsAt(1) == 2);
+}
+
+// Guards against a response that is lost because its unresponsive upstream is abandoned for a slot
+// at an upstream that leaves.
+BOOST_AUTO_TEST_CASE(unresponsiveUpstreamIsKeptWhenTheOtherLeaves)
+{
+    ScriptedUpstreams upstreams({{completeResponse("0", "late"), false, 1200}});
+    UnknowingBroker broker;
+    Entry entry(routeOf(RouteKind::Idempotent, 3), broker.address());
+    entry.thread.run([&] {
+        entry.slotClient.reportLoad({"u2", -1, 0, true, 0, "127.0.0.1:28483"});
+    });
+    BOOST_TEST(contains(entry.sendRequest("0"), "late"));
+    BOOST_TEST(upstreams.requestsAt(0) == 1);
+    BOOST_TEST(upstreams.requestsAt(1) == 0);
+    BOOST_TEST(broker.requests().size() >= 3u);
+}
+
+// Guards against callers that wait, or whose requests are sent, when all upstreams leave: with the
+// broker's knowledge or without.
+BOOST_AUTO_TEST_CASE(requestIsRefusedAsNotRunWhenAllUpstreamsLeave)
+{
+    UnknowingBroker broker;
+    for (const std::string &address : {std::string(), broker.address()}) {
+        ScriptedUpstreams upstreams({});
+        Entry entry(routeOf(RouteKind::Idempotent, 3), address);
+        entry.thread.run([&] {
+            entry.slotClient.reportLoad({"u1", -1, 0, true, 0, "127.0.0.1:28482"});
+            entry.slotClient.reportLoad({"u2", -1, 0, true, 0, "127.0.0.1:28483"});
+        });
+        BOOST_TEST(contains(entry.sendRequest("0"), "HTTP/1.1 503"));
+        BOOST_TEST(upstreams.requests().empty());
+    }
+}
+
 // Guards against an upstream's error response that is replaced by one of the serving system.
 BOOST_AUTO_TEST_CASE(errorResponseOfAnUpstreamIsForwarded)
 {
--- a/tests/serving/responseinfo_test.cpp
+++ b/tests/serving/responseinfo_test.cpp
@@ -20,18 +20,30 @@
     BOOST_TEST((refusalReason(info) == ReleaseReason::Unreachable));
 }
 
+// Guards against an upstream that is ejected because it refuses requests while it leaves: after its
+// restart it would get none.
+BOOST_AUTO_TEST_CASE(refusalByAnUpstreamThatLeavesIsNoFault)
+{
+    ResponseInfo info;
+    info.notRun = true;
+    info.isLeaving = true;
+    BOOST_TEST((refusalReason(info) == ReleaseReason::Cancelled));
+    info.isInstanceMismatch = true;
+    BOOST_TEST((refusalReason(info) == ReleaseReason::Unreachable));
+}
+
 // Guards against a limit that is reported as ended, or a load as zero, because the response names
 // only one of them.
 BOOST_AUTO_TEST_CASE(loadAndLimitAreReportedIndependently)
 {
     ResponseInfo info;
     info.requestLimit = 2.5;
-    BOOST_TEST(loadOf("u", info).requests == -1);
-    BOOST_TEST(loadOf("u", info).requestLimit == 2.5);
+    BOOST_TEST(loadOf("u", "u:1", info).requests == -1);
+    BOOST_TEST(loadOf("u", "u:1", info).requestLimit == 2.5);
     info.requestLimit.reset();
     info.outstandingRequests = 3;
-    BOOST_TEST(loadOf("u", info).requests == 3);
-    BOOST_TEST(loadOf("u", info).requestLimit == 0);
+    BOOST_TEST(loadOf("u", "u:1", info).requests == 3);
+    BOOST_TEST(loadOf("u", "u:1", info).requestLimit == 0);
 }
 
 // Guards against a response that is taken for the own one although it names another request, or no
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -65,6 +65,28 @@
         return response && response->verdict == SlotOutcome::Granted;
     }
 
+    /// Report of an announcement that belongs to another request.
+    static wire::UpstreamLoad leaving(const std::string &upstream,
+                                      const std::string &address = "u:1")
+    {
+        return {upstream, -1, -1, true, 0, address};
+    }
+
+    /// Returns the upstream that a batch task is granted; empty when there is none.
+    std::string grantBatch(const std::string &id)
+    {
+        policy::SlotTask task;
+        task.id = id;
+        task.service = "llm";
+        task.workspace = "w";
+        task.kind = policy::TaskKind::Batch;
+        std::string upstream;
+        broker.acquireBatch(
+                task, {[&](const std::string &granted, const std::string &) { upstream = granted; },
+                       [] {}});
+        return upstream;
+    }
+
     void release(const std::string &id) { broker.release({"e", id, "u", "served"}); }
 
     ManualClock clock;
@@ -258,6 +280,87 @@
     BOOST_TEST(tryAcquire("sixth"));
 }
 
+// Guards against an upstream that gets requests, online or batch, after it announced that it
+// leaves, while the list still shows it as ready or after another process took over.
+BOOST_AUTO_TEST_CASE(upstreamThatAnnouncedToLeaveGetsNoRequests)
+{
+    timers.advance(absl::Seconds(10));
+    const std::vector<wire::FleetUpstream> list = {{"u", "llm", "u:1", "d", 1, false},
+                                                   {"v", "llm", "v:1", "d", 100, false}};
+    broker.setUpstreams(list, CapacityShare());
+    wire::SlotRequest busy = request("busy");
+    BOOST_TEST(acquire(busy)->upstream == "u");
+    broker.reportLoad(leaving("u"));
+    release("busy");
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(acquire(request(std::to_string(i)))->upstream == "v");
+    BOOST_TEST(grantBatch("item-1") == "v");
+    broker.setUpstreams(list, CapacityShare(), clock.now());
+    broker.reset();
+    timers.advance(absl::Seconds(5));
+    BOOST_TEST(acquire(request("after"))->upstream == "v");
+    BOOST_TEST(grantBatch("item-2") == "v");
+}
+
+// Guards against an upstream that leaves at one of the addresses that an id had, or that had the
+// same address as another upstream.
+BOOST_AUTO_TEST_CASE(announcementConcernsOneUpstreamAtOneAddress)
+{
+    timers.advance(absl::Seconds(10));
+    broker.reportLoad(leaving("u", "old:1"));
+    BOOST_TEST(tryAcquire("1"));
+    broker.reportLoad(leaving("u"));
+    BOOST_TEST(!tryAcquire("2"));
+    broker.setUpstreams({{"v", "llm", "u:1", "d", 100, false}}, CapacityShare());
+    BOOST_TEST(tryAcquire("3"));
+    BOOST_TEST(!broker.isLeaving("u", "u:1"));
+}
+
+// Guards against a restarted upstream that never gets requests again, and against one that gets
+// requests because the list has not caught up with the announcement.
+BOOST_AUTO_TEST_CASE(announcementEndsWhenTheListHasCaughtUp)
+{
+    timers.advance(absl::Seconds(10));
+    broker.reportLoad(leaving("u"));
+    timers.advance(absl::Seconds(20));
+    broker.confirmUpstreams(clock.now() - absl::Seconds(11));
+    BOOST_TEST(!tryAcquire("1"));
+    broker.confirmUpstreams(clock.now() - absl::Seconds(9));
+    BOOST_TEST(tryAcquire("2"));
+    // A report of a process that did not receive the list does not count from its arrival.
+    wire::UpstreamLoad late = leaving("u");
+    late.leavingAgeMs = 20000;
+    broker.reportLoad(late, ReportSource::OtherProcess);
+    BOOST_TEST(!tryAcquire("3"));
+    broker.confirmUpstreams(clock.now() - absl::Seconds(1));
+    BOOST_TEST(tryAcquire("4"));
+}
+
+// Guards against callers that wait for a slot, or get one, when all upstreams leave.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceWhenAllUpstreamsLeave)
+{
+    timers.advance(absl::Seconds(10));
+    broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
+    BOOST_TEST(tryAcquire("runs"));
+    wire::SlotRequest waits = request("waits");
+    waits.objectiveMs = 5000;
+    BOOST_TEST(!acquire(waits).has_value());
+    broker.reportLoad(leaving("u"));
+    BOOST_TEST_REQUIRE(last.has_value());
+    BOOST_TEST((last->verdict == SlotOutcome::NoSlot));
+    BOOST_TEST_REQUIRE(acquire(request("next")).has_value());
+    BOOST_TEST((last->verdict == SlotOutcome::NoSlot));
+    BOOST_TEST(last->retryAfterMs > 0);
+}
+
+// Guards against the limit of an upstream that ends because a repeated announcement names none.
+BOOST_AUTO_TEST_CASE(repeatedAnnouncementKeepsTheLimit)
+{
+    broker.reportLoad({"u", 1, 5.0});
+    broker.reportLoad(leaving("u"));
+    BOOST_TEST(broker.hasRequestLimit("u"));
+}
+
 BOOST_AUTO_TEST_CASE(batchTaskIsPreemptedByAnOnlineRequest)
 {
     broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -59,6 +59,14 @@
                                   reported.Notify();
                               reply(std::string());
                           });
+        server.setHandler(wire::Method::ReportLoad, [this](const peer::PeerIdentity &,
+                                                           const std::string &body,
+                                                           const peer::ResponseCallback &reply) {
+            absl::MutexLock lock(&mutex);
+            loads.push_back(
+                    outcomeOf([&] { return wire::decode<wire::UpstreamLoad>(body); }).value());
+            reply(std::string());
+        });
         BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
         thread.run([this] {
             Deployment deployment;
@@ -78,8 +86,9 @@
         server.stop();
     }
 
-    /// Requests a slot and releases it. Returns whether it was granted from the local share.
-    bool acquire(const std::string &id)
+    /// Requests a slot and releases it. Returns whether it was granted from the local share. Adds
+    /// the upstream to \a upstreams.
+    bool acquire(const std::string &id, std::vector<std::string> *upstreams = nullptr)
     {
         wire::SlotRequest request;
         request.requestId = id;
@@ -94,6 +103,8 @@
             client.acquire(request, [&](const wire::SlotResponse &response, bool fromLocalShare) {
                 BOOST_TEST((response.verdict == wire::SlotOutcome::Granted));
                 isLocal = fromLocalShare;
+                if (upstreams != nullptr)
+                    upstreams->push_back(response.upstream);
                 client.release({"e", id, "u", "served"});
                 done.Notify();
             });
@@ -102,6 +113,15 @@
         return isLocal;
     }
 
+    /// Waits for \a count load reports and returns them; fewer after 10 s.
+    std::vector<wire::UpstreamLoad> awaitLoads(std::size_t count) const
+    {
+        absl::MutexLock lock(&mutex);
+        const auto received = [&] { return loads.size() >= count; };
+        mutex.AwaitWithTimeout(absl::Condition(&received), absl::Seconds(10));
+        return loads;
+    }
+
     /// Charges of the last report.
     std::vector<wire::RateCharge> charges() const
     {
@@ -114,6 +134,7 @@
     /// Reports arrive on a thread of the server.
     mutable absl::Mutex mutex;
     wire::HeldSlots held;
+    std::vector<wire::UpstreamLoad> loads;
     absl::Notification reported;
     net::LoopThread thread;
     peer::ChannelPool channels{transport("e")};
@@ -165,4 +186,46 @@
     BOOST_TEST(reportedCharges[0].requests == localGrants);
 }
 
+// Guards against an announcement that the broker does not receive because the response reports
+// nothing else, or that ends with a change of the broker.
+BOOST_AUTO_TEST_CASE(announcementIsReportedAndKept)
+{
+    thread.run([&] {
+        client.reportLoad({"u", -1, 0});
+        client.reportLoad({"u", -1, 0, true, 0, "u:1"});
+    });
+    BOOST_TEST_REQUIRE(awaitLoads(1).size() == 1u);
+    BOOST_TEST(awaitLoads(1)[0].leaving);
+    BOOST_TEST(awaitLoads(1)[0].address == "u:1");
+    absl::SleepFor(absl::Milliseconds(20));
+    thread.run([&] {
+        client.setBroker("");
+        client.setBroker("127.0.0.1:" + std::to_string(server.port()));
+        BOOST_TEST(client.isLeaving("u", "u:1"));
+        BOOST_TEST(!client.isLeaving("u", "u:2"));
+        client.repeatLeaving("u", "u:1");
+    });
+    BOOST_TEST_REQUIRE(awaitLoads(2).size() == 2u);
+    const wire::UpstreamLoad repeated = awaitLoads(2)[1];
+    BOOST_TEST(repeated.leaving);
+    BOOST_TEST(repeated.leavingAgeMs >= 20);
+    BOOST_TEST(repeated.requests == -1);
+    BOOST_TEST(repeated.requestLimit == -1);
+}
+
+// Guards against a local share that grants an upstream which announced that it leaves, while the
+// broker is out of reach.
+BOOST_AUTO_TEST_CASE(localShareGrantsNoSlotOfAnUpstreamThatLeaves)
+{
+    thread.run([&] {
+        client.setUpstreams(
+                {{"u", "llm", "u:1", "d", 100, false}, {"v", "llm", "v:1", "d", 100, false}}, 1);
+        client.reportLoad({"u", -1, 0, true, 0, "u:1"});
+    });
+    std::vector<std::string> granted;
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(acquire("local-" + std::to_string(i), &granted));
+    BOOST_TEST(granted == std::vector<std::string>(3, "v"), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/testprotocoladapter.h
+++ b/tests/serving/testprotocoladapter.h
@@ -44,7 +44,9 @@
     {
         ResponseInfo info;
         info.requestId = std::string(head.headers.value("Id"));
-        info.notRun = head.headers.find("Not-Run") != nullptr;
+        info.isInstanceMismatch = head.headers.find("Other-Instance") != nullptr;
+        info.notRun = head.headers.find("Not-Run") != nullptr || info.isInstanceMismatch;
+        info.isLeaving = head.headers.find("Leaving") != nullptr;
         return info;
     }
     bool isEventStream(const net::ResponseHead &head) const override
