Net, Gateway: Close the idle connections to an upstream that leaves

Idle connections to an upstream that leaves stayed open until it closed them, although no request uses them any more. Entries and stores now retire the address when the announcement is recorded: once no call uses it, its idle connections are closed after 100 ms. The delay exceeds the time in which an entry confirms a crash by the absence of open connections, so that a broken call to an upstream that leaves is no more a crash than before. A later call to the address belongs to another upstream; it ends the retirement and opens a new connection.

retiredAddressIsClosedOnceItsCallsHaveEnded: without the retirement the connections are still open after 10 s.

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -65,6 +65,9 @@
     absl::Duration defaultKeepAlive = absl::Seconds(4);
     /// Maximum number of idle connections per address.
     std::size_t maxIdle = 16;
+    /// Time after which retire() closes connections. Until then hasOpenConnections() shows that the
+    /// upstream has not crashed.
+    absl::Duration retireDelay = absl::Milliseconds(100);
 };
 
 /// Pool of keep-alive connections to upstreams; each carries one request at a time. Use it on the
@@ -92,6 +95,9 @@
     void cancel(CallId call);
     /// Closes the idle connections to \a address; for an address that is no longer used.
     void closeIdleConnections(const std::string &address);
+    /// Closes the idle connections to \a address once no call uses the address; for an upstream
+    /// that gets no further requests. The next call to \a address opens a new connection.
+    void retire(const std::string &address);
     /// Whether a connection to \a address is established, idle or with a call.
     bool hasOpenConnections(const std::string &address) const;
     /// Number of connections opened since construction, including failed attempts.
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -112,6 +112,8 @@
     bool isLeaving(const std::string &id, const std::string &address) const;
     /// Time of the last announcement of \a upstream; InfinitePast when it is not leaving.
     absl::Time announcedLeavingAt(const std::string &upstream) const;
+    /// Sets the listener that is called with the address of an upstream that begins to leave.
+    void onUpstreamLeaving(std::function<void(const std::string &address)> listener);
     /// Drops the requests that have accumulated under the limits of the upstreams, because another
     /// broker may have granted them.
     void clearAccumulatedRequests();
@@ -166,6 +168,7 @@
     /// The list of upstreams, as the platform shows it.
     std::vector<policy::SlotUpstream> m_upstreams;
     policy::LeavingUpstreams m_leaving;
+    std::function<void(const std::string &)> m_leavingListener;
     std::shared_ptr<const DeploymentIndex> m_deployment;
     CapacityShare m_share;
     std::map<std::string, policy::TokenBucket> m_buckets;
--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -67,6 +67,8 @@
     bool isLeaving(const std::string &id, const std::string &address) const;
     /// Repeats the announcement of \a upstream to the broker, which granted a slot there.
     void repeatLeaving(const std::string &upstream, const std::string &address);
+    /// See SlotBroker::onUpstreamLeaving().
+    void onUpstreamLeaving(std::function<void(const std::string &address)> listener);
     /// Ignores the responses to calls that are still pending.
     void stop();
 
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -72,6 +72,8 @@
 
     Result<void> start() override
     {
+        m_slotClient.onUpstreamLeaving(
+                [this](const std::string &address) { m_upstreams.retire(address); });
         m_core.fleetClient().onChange(
                 [this](const fleet::FleetState &state) { applyState(state); });
         BOOST_LEAF_CHECK(m_callerServer.start(m_settings.callerAddress));
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -82,6 +82,8 @@
 private:
     void createServices()
     {
+        m_broker.onUpstreamLeaving(
+                [this](const std::string &address) { m_upstreams.retire(address); });
         fleet::GroupReplicaSettings groupSettings;
         groupSettings.group = fleet::storeGroup;
         groupSettings.dataFolder = m_settings.dataFolder;
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -89,10 +90,50 @@
         }
     }
 
+    void closeIdle(const std::string &address)
+    {
+        const auto idleConnections = std::exchange(idle[address], {});
+        for (const ConnectionPtr &connection : idleConnections)
+            connection->close();
+        idle.erase(address);
+    }
+
+    bool hasCalls(const std::string &address) const
+    {
+        return std::any_of(calls.begin(), calls.end(),
+                           [&](const auto &call) { return call.second->address() == address; });
+    }
+
+    /// Closes the idle connections to a retired address when no call uses it after retireDelay.
+    void scheduleClose(const std::string &address)
+    {
+        if (retired.count(address) == 0 || hasCalls(address))
+            return;
+        loop.timers().subscribeOnce(options.retireDelay, [weak = weak_from_this(), address] {
+            const auto self = weak.lock();
+            if (!self || self->retired.count(address) == 0 || self->hasCalls(address))
+                return;
+            self->retired.erase(address);
+            self->closeIdle(address);
+        });
+    }
+
+    void removeCall(CallId id)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end())
+            return;
+        const std::string address = found->second->address();
+        calls.erase(found);
+        scheduleClose(address);
+    }
+
     EventLoop &loop;
     const ConnectionPoolOptions options;
     std::map<std::string, std::vector<ConnectionPtr>> idle;
     std::map<CallId, ConnectionPtr> calls;
+    /// Addresses whose idle connections are to be closed.
+    std::set<std::string> retired;
     CallId nextId = 1;
     std::uint64_t opened = 0;
 };
@@ -111,6 +152,8 @@
                                             const std::optional<std::string> &requestId)
 {
     const CallId id = m_impl->nextId++;
+    if (m_impl->retired.erase(address) > 0)
+        m_impl->closeIdle(address);
     ConnectionPtr connection = m_impl->takeIdle(address, requestId);
     if (!connection)
         connection = m_impl->open(address);
@@ -118,7 +161,7 @@
     handlers.onEnd = [weak = std::weak_ptr<Impl>(m_impl), id,
                       onEnd = std::move(handlers.onEnd)](CallStatus result) {
         if (const auto impl = weak.lock())
-            impl->calls.erase(id);
+            impl->removeCall(id);
         onEnd(result);
     };
     connection->call(std::move(request), std::move(handlers), requestId.value_or(std::string()));
@@ -131,16 +174,19 @@
     if (found == m_impl->calls.end())
         return;
     const ConnectionPtr connection = found->second;
-    m_impl->calls.erase(found);
+    m_impl->removeCall(call);
     connection->reset();
 }
 
 void ConnectionPool::closeIdleConnections(const std::string &address)
 {
-    const auto idleConnections = std::exchange(m_impl->idle[address], {});
-    for (const ConnectionPtr &connection : idleConnections)
-        connection->close();
-    m_impl->idle.erase(address);
+    m_impl->closeIdle(address);
+}
+
+void ConnectionPool::retire(const std::string &address)
+{
+    m_impl->retired.insert(address);
+    m_impl->scheduleClose(address);
 }
 
 bool ConnectionPool::hasOpenConnections(const std::string &address) const
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -332,6 +332,8 @@
          {"address", load.address},
          {"source", nameOf(reportSourceNames, source)},
          {"ageMs", load.leavingAgeMs}});
+    if (m_leavingListener)
+        m_leavingListener(load.address);
     return true;
 }
 
@@ -345,6 +347,11 @@
     return m_leaving.announcedAt(upstream);
 }
 
+void SlotBroker::onUpstreamLeaving(std::function<void(const std::string &address)> listener)
+{
+    m_leavingListener = std::move(listener);
+}
+
 void SlotBroker::clearAccumulatedRequests()
 {
     m_scheduler.clearAccumulatedRequests(m_clock.now());
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -312,6 +312,11 @@
     m_impl->sendLoad({upstream, -1, -1, true, absl::ToInt64Milliseconds(age), address});
 }
 
+void SlotClient::onUpstreamLeaving(std::function<void(const std::string &address)> listener)
+{
+    m_impl->localBroker.onUpstreamLeaving(std::move(listener));
+}
+
 void SlotClient::stop()
 {
     m_impl->stopped = true;
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -131,6 +131,17 @@
         return result;
     }
 
+    /// Waits until no connection to the server is open; returns false after 10 s.
+    bool awaitNoConnection()
+    {
+        bool isOpen = true;
+        for (int i = 0; i < 1000 && isOpen; ++i) {
+            thread.run([&] { isOpen = pool->hasOpenConnections(address); });
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        return !isOpen;
+    }
+
     LoopThread thread;
     std::unique_ptr<Server> server;
     std::unique_ptr<ConnectionPool> pool;
@@ -252,6 +263,33 @@
     BOOST_TEST(fixture.requestCount == 1);
 }
 
+// Guards against connections to an upstream that leaves which stay open without use, and against
+// calls that are cut off there.
+BOOST_AUTO_TEST_CASE(retiredAddressIsClosedOnceItsCallsHaveEnded)
+{
+    ConnectionPoolFixture fixture;
+    fixture.start(address, "/wait");
+    for (int i = 0; i < 200 && fixture.requestCount == 0; ++i)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    fixture.thread.run([&] { fixture.pool->retire(address); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fixture.thread.run([&] {
+        BOOST_TEST(fixture.pool->hasOpenConnections(address));
+        fixture.openExchange->respond(textResponse(200, "late", "text/plain"));
+    });
+    BOOST_TEST(fixture.wait().body == "late");
+    BOOST_TEST(fixture.awaitNoConnection());
+    fixture.start(address, "/whole");
+    BOOST_TEST((fixture.wait().callStatus == CallStatus::Complete));
+    fixture.thread.run([&] {
+        BOOST_TEST(fixture.pool->connectionsOpened() == 2u);
+        // The address belongs to another upstream now.
+        BOOST_TEST(fixture.pool->hasOpenConnections(address));
+        fixture.pool->retire(address);
+    });
+    BOOST_TEST(fixture.awaitNoConnection());
+}
+
 // Guards against an upstream whose head has no end: the call must fail after a bounded number of
 // bytes and close the connection.
 BOOST_AUTO_TEST_CASE(headWithoutEndFailsTheCall)
