Policy: Keep an announcement while the list lacks its upstream

The list may contain entries of other programs, and an entry that can't be read is left out. An announcement ended when the upstream was missing from one list, or listed at another address, and the next list, which lags the upstream, showed it as ready again: it got requests after it had announced that it leaves. Such an announcement now ends only with a list that was read more than maxUpstreamListLag after it.

--- a/include/rattanrill/policy/leavingupstreams.h
+++ b/include/rattanrill/policy/leavingupstreams.h
@@ -17,9 +17,10 @@
 
 /// Why an upstream no longer counts as leaving.
 enum class LeavingEnd {
-    /// The list does not contain the upstream any more.
+    /// The list does not contain the upstream more than maxUpstreamListLag after its last
+    /// announcement.
     Removed,
-    /// The list shows the upstream at another address.
+    /// The list shows the upstream at another address, likewise.
     Moved,
     /// The list showed the upstream as draining after its last announcement, and then as ready.
     Restarted,
--- a/src/policy/leavingupstreams.cpp
+++ b/src/policy/leavingupstreams.cpp
@@ -55,17 +55,17 @@
 std::optional<LeavingEnd> LeavingUpstreams::endOf(const Announcement &announcement,
                                                   const SlotUpstream *listed, absl::Time readAt)
 {
+    const bool isPastLag = readAt - announcement.at > maxUpstreamListLag;
+    // An entry that is missing or wrong in one list may be back in the next one.
     if (listed == nullptr)
-        return LeavingEnd::Removed;
+        return isPastLag ? std::optional(LeavingEnd::Removed) : std::nullopt;
     if (listed->address != announcement.address)
-        return LeavingEnd::Moved;
+        return isPastLag ? std::optional(LeavingEnd::Moved) : std::nullopt;
     if (listed->leaving)
         return std::nullopt;
     if (announcement.wasListedAsDraining)
         return LeavingEnd::Restarted;
-    if (readAt - announcement.at > maxUpstreamListLag)
-        return LeavingEnd::Ready;
-    return std::nullopt;
+    return isPastLag ? std::optional(LeavingEnd::Ready) : std::nullopt;
 }
 
 std::vector<EndedLeaving> LeavingUpstreams::update(const std::vector<SlotUpstream> &upstreams,
@@ -79,7 +79,7 @@
         const SlotUpstream *listed = find(upstreams, entry->first);
         const std::optional<LeavingEnd> reason = endOf(entry->second, listed, readAt);
         if (!reason) {
-            entry->second.wasListedAsDraining |= listed->leaving;
+            entry->second.wasListedAsDraining |= listed != nullptr && listed->leaving;
             ++entry;
             continue;
         }
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -313,6 +313,9 @@
     BOOST_TEST(!tryAcquire("2"));
     broker.setUpstreams({{"v", "llm", "u:1", "d", 100, false}}, CapacityShare());
     BOOST_TEST(tryAcquire("3"));
+    BOOST_TEST(!broker.isLeaving("v", "u:1"));
+    timers.advance(absl::Seconds(20));
+    broker.confirmUpstreams(clock.now());
     BOOST_TEST(!broker.isLeaving("u", "u:1"));
 }
 
