Gateway: Pass the time of each list to the slot brokers

Announcements of upstreams that leave end with lists that were read late enough. The brokers of stores and entries now get the time of each read, also when a read shows the same list again.

--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -76,6 +76,8 @@
                 [this](const std::string &address) { m_upstreams.retire(address); });
         m_core.fleetClient().onChange(
                 [this](const fleet::FleetState &state) { applyState(state); });
+        m_core.fleetClient().onUpstreamsConfirmed(
+                [this](absl::Time readAt) { m_slotClient.confirmUpstreams(readAt); });
         BOOST_LEAF_CHECK(m_callerServer.start(m_settings.callerAddress));
         BOOST_LEAF_CHECK(m_readinessServer.start(m_settings.readinessAddress));
         return m_core.start();
@@ -111,7 +113,8 @@
     {
         if (state.upstreamsKnown) {
             m_hasUpstreams = true;
-            m_slotClient.setUpstreams(state.upstreams, liveEntries(state).size());
+            m_slotClient.setUpstreams(state.upstreams, liveEntries(state).size(),
+                                      state.upstreamsReadAt);
             closeRemovedUpstreams(state.upstreams);
         }
         m_promptGuard.setBlocks(state.blockedPrompts, state.suspectPromptParts);
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -44,10 +44,12 @@
         log(LogLevel::Info, "replica-identity", {{"replica", m_identity.replica}});
         m_core = std::make_unique<ProcessCore>(m_settings, m_processContext,
                                                wire::MemberRole::Store, m_identity.replica);
-        m_upstreamList.onChange([this](const auto &upstreams, absl::Time) {
+        m_upstreamList.onChange([this](const auto &upstreams, absl::Time readAt) {
             m_hasUpstreams = true;
-            m_broker.setUpstreams(upstreams, serving::CapacityShare());
+            m_broker.setUpstreams(upstreams, serving::CapacityShare(), readAt);
         });
+        m_upstreamList.onConfirmed(
+                [this](absl::Time readAt) { m_broker.confirmUpstreams(readAt); });
         createServices();
         if (hasReplicaData())
             openReplica();
