Serving: Move the handling of responses to a file of its own; Base: Log unknown durations in one way

The functions that handle an upstream's response are moved without a change to proxiedrequest_response.cpp. The function that logs an unknown duration as -1 stood in three files.

--- a/src/fleet/boundedupstreamlist.cpp
+++ b/src/fleet/boundedupstreamlist.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/fleet/boundedupstreamlist.h"
 
+#include "rattanrill/base/logduration.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/upstreamlist.h"
 
@@ -10,16 +11,6 @@
 #include <utility>
 
 namespace rattanrill::fleet {
-namespace {
-
-/// Returns -1 for an infinite time.
-std::int64_t milliseconds(absl::Duration time)
-{
-    return time == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(time);
-}
-
-} // namespace
-
 BoundedUpstreamList::BoundedUpstreamList(TimerService &timers, const Clock &clock,
                                          UpstreamDiscovery &discovery,
                                          BoundedUpstreamListSettings settings)
@@ -124,7 +115,7 @@
     log(LogLevel::Info, "upstream-list-in-force",
         {{"upstreams", static_cast<std::int64_t>(m_upstreams.size())},
          {"draining", static_cast<std::int64_t>(drainingIds(m_upstreams).size())},
-         {"ageMs", milliseconds(age())}});
+         {"ageMs", loggedMilliseconds(age())}});
 }
 
 /// Marks the draining upstreams of a list or page that is not used itself.
@@ -159,7 +150,7 @@
     const bool isDue = m_isActive && delay <= absl::ZeroDuration();
     if (isDue != m_reader.isRunning())
         log(LogLevel::Info, isDue ? "upstream-list-read-directly" : "upstream-list-distributed",
-            {{"ageMs", milliseconds(age())}});
+            {{"ageMs", loggedMilliseconds(age())}});
     if (isDue)
         return m_reader.start();
     m_reader.stop();
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/fleet/fleetclient.h"
 
+#include "rattanrill/base/logduration.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/fleet/upstreamlist.h"
@@ -260,14 +261,12 @@
 
     void logUpstreams(const wire::FleetSyncResponse &response) const
     {
-        const bool isAgeKnown = state.upstreamsReadAt != absl::InfinitePast();
         log(LogLevel::Info, "upstream-list-in-force",
             {{"upstreams", static_cast<std::int64_t>(state.upstreams.size())},
              {"draining", static_cast<std::int64_t>(drainingIds(state.upstreams).size())},
              {"term", response.viewTerm},
              {"sequence", response.viewSequence},
-             {"ageMs",
-              isAgeKnown ? absl::ToInt64Milliseconds(clock.now() - state.upstreamsReadAt) : -1}});
+             {"ageMs", loggedMilliseconds(clock.now() - state.upstreamsReadAt)}});
     }
 
     void applyResponse(const wire::FleetSyncResponse &response, absl::Time sentAt)
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -1,6 +1,7 @@
 #include "itemrun.h"
 
 #include "rattanrill/base/concat.h"
+#include "rattanrill/base/logduration.h"
 #include "rattanrill/base/logger.h"
 
 #include <algorithm>
@@ -32,12 +33,6 @@
     return concat("item/", job.id, "/", item.id);
 }
 
-/// Returns -1 for an infinite time.
-std::int64_t milliseconds(absl::Duration time)
-{
-    return time == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(time);
-}
-
 } // namespace
 
 ItemRun::ItemRun(const JobExecutorContext &context, std::shared_ptr<const wire::JobRecord> job,
@@ -349,7 +344,7 @@
          {"reason", reason},
          {"lastEvent", m_position.lastId().value_or(-1)},
          {"serverErrors", m_serverErrors},
-         {"upstreamListAgeMs", milliseconds(m_upstreamListAge)},
+         {"upstreamListAgeMs", loggedMilliseconds(m_upstreamListAge)},
          {"run", m_attempts}});
     // After 5 doublings the delay exceeds maxBackoff. The limit keeps the shift within int.
     const int doublings = std::min(m_consecutiveFailures++, 5);
@@ -441,7 +436,7 @@
          {"runs", m_attempts},
          {"yields", m_preemptions},
          {"upstream", m_upstream},
-         {"upstreamListAgeMs", milliseconds(m_upstreamListAge)},
+         {"upstreamListAgeMs", loggedMilliseconds(m_upstreamListAge)},
          {"ageMs", absl::ToInt64Milliseconds(m_context.clock.wallNow()
                                              - absl::FromUnixMillis(m_job->acceptedAtMs))}});
     wire::JobItemResult result;
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -71,6 +71,7 @@
     bool mayRunAgain() const;
     bool isCalling() const;
     absl::Duration remainingTime() const;
+    bool hasTimeForAttempt() const;
     bool rejectBlockedPrompt();
     void requestSlot();
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
--- /dev/null
+++ b/src/serving/proxiedrequest_response.cpp
@@ -0,0 +1,222 @@
+#include "proxiedrequest.h"
+
+#include "rattanrill/base/logger.h"
+
+#include <utility>
+#include <vector>
+
+namespace rattanrill::serving {
+
+using policy::ReleaseReason;
+
+namespace {
+
+/// A caller with more unsent response bytes than this does not read its response and is treated as
+/// disconnected.
+constexpr std::size_t maxUnsentBytes = std::size_t(4) << 20;
+/// Time for the other connections to a crashed upstream to be closed.
+constexpr absl::Duration crashCheckDelay = absl::Milliseconds(20);
+/// Maximum size of a response that is not a stream: its body is buffered until it is complete, so a
+/// longer one fails the attempt.
+constexpr std::size_t maxBufferedBodyBytes = std::size_t(16) << 20;
+
+} // namespace
+
+net::ResponseOwner ProxiedRequest::ownerOf(const net::ResponseHead &head) const
+{
+    const ResponseInfo info = m_context.protocol.parseResponse(head);
+    const net::ResponseOwner owner = serving::ownerOf(info, m_request.caller.id);
+    if (owner == net::ResponseOwner::AnotherRequest)
+        log(LogLevel::Warning, "foreign-answer-dropped",
+            {{"requestId", m_request.caller.id},
+             {"foreignRequestId", info.requestId},
+             {"upstream", m_attempt.upstream}});
+    reportForeignAnnouncement(owner, info);
+    return owner;
+}
+
+/// The announcement that an upstream leaves concerns the upstream and not the request, so it is
+/// valid in a response to another request too.
+void ProxiedRequest::reportForeignAnnouncement(net::ResponseOwner owner,
+                                               const ResponseInfo &info) const
+{
+    if (owner == net::ResponseOwner::ThisRequest)
+        return;
+    if (const auto report = leavingReportOf(m_attempt.upstream, m_attempt.address, info))
+        m_context.slotClient.reportLoad(*report);
+}
+
+void ProxiedRequest::headReceived(const net::ResponseHead &head)
+{
+    const ResponseInfo info = m_context.protocol.parseResponse(head);
+    m_attempt.head = head;
+    m_attempt.info = info;
+    m_attempt.hasHead = true;
+    // The attempt may end before the response is complete, when a bound is reached.
+    m_mayHaveRun = m_mayHaveRun || !info.notRun;
+    if (!info.isInstanceMismatch)
+        m_context.slotClient.reportLoad(loadOf(m_attempt.upstream, m_attempt.address, info));
+    m_attempt.isStream = !info.notRun && head.status >= 200 && head.status < 300
+                         && m_route.kind == RouteKind::Streaming
+                         && m_context.protocol.isEventStream(head);
+}
+
+void ProxiedRequest::bodyReceived(std::string_view bytes)
+{
+    if (m_state == State::Ended)
+        return;
+    if (m_attempt.isStream)
+        return forwardEvents(bytes);
+    m_state = State::Running;
+    if (!bytes.empty() && !m_attempt.info.notRun && m_attempt.head.status < 300)
+        responseBegun();
+    if (m_attempt.body.size() + bytes.size() > maxBufferedBodyBytes)
+        return attemptFailed("the response body exceeds the size limit", ReleaseReason::Failed);
+    m_attempt.body.append(bytes);
+}
+
+void ProxiedRequest::forwardEvents(std::string_view bytes)
+{
+    std::vector<StreamEvent> events;
+    m_attempt.splitter.feed(bytes, events);
+    bool hasContent = false;
+    for (const StreamEvent &event : events) {
+        if (m_state == State::Ended || !deliver(event))
+            return;
+        hasContent = hasContent || event.hasContent();
+    }
+    if (hasContent)
+        responseBegun();
+    if (m_attempt.splitter.isEventTooLong())
+        return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
+    if (!hasContent)
+        return;
+    // The upstream responds after all. If a slot at another one is still granted,
+    // slotResponseReceived() releases it. Bytes that contain no event are no response.
+    m_state = State::Running;
+    armResponseTimer();
+}
+
+void ProxiedRequest::responseBegun()
+{
+    if (!std::exchange(m_attempt.hasBegun, true))
+        m_context.promptGuard.recordBegun(m_request.caller.sharedPromptParts);
+}
+
+/// Returns false when the attempt or the request has ended.
+bool ProxiedRequest::deliver(const StreamEvent &event)
+{
+    switch (m_position.advance(event)) {
+    case SequenceCheck::Repeated:
+        return true;
+    case SequenceCheck::Gap:
+        attemptFailed("an event is missing from the stream", ReleaseReason::Failed);
+        return false;
+    case SequenceCheck::Unnumbered:
+        attemptFailed("an event of the resumed stream has no id", ReleaseReason::Completed);
+        return false;
+    case SequenceCheck::InOrder:
+        break;
+    }
+    startResponse();
+    m_exchange->write(event.bytes);
+    if (m_exchange->unsentBytes() > maxUnsentBytes) {
+        callerDisconnected();
+        return false;
+    }
+    return true;
+}
+
+/// Sends the response head once: the first upstream's head remains in effect when another upstream
+/// resumes the stream.
+void ProxiedRequest::startResponse()
+{
+    if (m_exchange->streamStarted())
+        return;
+    m_firstByteAt = m_context.clock.now();
+    net::ResponseHead head = m_attempt.head;
+    net::removeHopByHopHeaders(head.headers);
+    m_exchange->startStream(std::move(head));
+}
+
+void ProxiedRequest::callEnded(net::CallStatus status)
+{
+    if (m_state == State::Ended)
+        return;
+    m_state = State::Waiting;
+    if (status == net::CallStatus::NotConnected
+        && isLeaving(m_attempt.upstream, m_attempt.address)) {
+        --m_attempts;
+        return skipLeavingUpstream(std::exchange(m_heldSlotId, std::string()), m_attempt.upstream,
+                                   m_attempt.address);
+    }
+    if (status == net::CallStatus::NotConnected)
+        return attemptFailed("the connection to the upstream could not be established",
+                             ReleaseReason::Unreachable);
+    const bool isReportedNotRun =
+            status == net::CallStatus::Complete && m_attempt.hasHead && m_attempt.info.notRun;
+    if (!isReportedNotRun)
+        m_mayHaveRun = true;
+    if (status == net::CallStatus::Broken
+        || (m_attempt.isStream
+            && isBrokenOff(m_attempt.head, m_attempt.splitter, m_attempt.hasBegun)))
+        return attemptBroken();
+    if (isReportedNotRun)
+        return attemptFailed("the upstream refused the request", refusalReason(m_attempt.info));
+    responseCompleted();
+}
+
+void ProxiedRequest::attemptBroken()
+{
+    if (!m_attempt.hasBegun)
+        reportCrash();
+    attemptFailed("the connection to the upstream broke before the response was complete",
+                  ReleaseReason::Failed);
+}
+
+/// Reports that the upstream crashed, unless another connection to it is still open. A crash closes
+/// all connections within moments; a single one may also be reset by an upstream that runs on.
+void ProxiedRequest::reportCrash()
+{
+    const absl::Time crashedAt = m_context.clock.now();
+    const auto report = [self = shared_from_this(), upstream = m_attempt.upstream,
+                         address = m_attempt.address, sentAt = m_attempt.sentAt, crashedAt] {
+        if (!self->m_context.upstreamConnections.hasOpenConnections(address))
+            self->m_context.promptGuard.recordCrash(
+                    upstream, self->m_request.caller.sharedPromptParts, sentAt, crashedAt);
+    };
+    m_context.loop.timers().subscribeOnce(crashCheckDelay, report);
+}
+
+/// Whether the end of the complete response is the end of the stream. A caller that resumes its
+/// stream after the last event gets a response without events.
+bool ProxiedRequest::completesStream() const
+{
+    const bool isFirstAndEmpty = !m_exchange->streamStarted() && !m_attempt.hasBegun;
+    return m_attempt.isStream && (m_position.hasReachedLast() || isFirstAndEmpty);
+}
+
+void ProxiedRequest::responseCompleted()
+{
+    const bool isServerError = m_attempt.head.status >= 500;
+    if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts && hasTimeForAttempt())
+        return attemptFailed("the upstream responded with a server error",
+                             ReleaseReason::Completed);
+    if ((m_attempt.isStream || m_exchange->streamStarted()) && !completesStream())
+        return attemptFailed("the response does not continue the stream", ReleaseReason::Completed);
+    releaseSlot(ReleaseReason::Completed);
+    if (m_attempt.isStream) {
+        startResponse();
+        m_exchange->finish();
+        return finish(Outcome::Completed, "");
+    }
+    m_firstByteAt = m_context.clock.now();
+    net::Response response;
+    response.head = m_attempt.head;
+    net::removeHopByHopHeaders(response.head.headers);
+    response.body = std::move(m_attempt.body);
+    m_exchange->respond(std::move(response));
+    finish(Outcome::Completed, "");
+}
+
+} // namespace rattanrill::serving
