Entry: Let the tests' control instance leave requests unanswered

FakeControl::setUnresponsive() destroyed the callback of each request. The peer server answers such a request at once with "the handler discarded the request without a response", so callers met a prompt failure in place of a timeout. The callbacks are now kept until the end of the test.

--- a/tests/entry/fakecontrol.cpp
+++ b/tests/entry/fakecontrol.cpp
@@ -62,6 +62,10 @@
 FakeControl::~FakeControl()
 {
     m_timers.stop();
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_unanswered.clear();
+    }
     m_server.stop();
 }
 
@@ -109,8 +113,10 @@
     Outcome<std::string> response = std::string();
     {
         absl::MutexLock lock(&m_mutex);
-        if (m_unresponsive[request.group])
+        if (m_unresponsive[request.group]) {
+            m_unanswered.push_back(reply);
             return;
+        }
         response = run(request.group, request.command, true);
     }
     if (response.ok())
@@ -125,8 +131,10 @@
     Outcome<std::string> response = std::string();
     {
         absl::MutexLock lock(&m_mutex);
-        if (m_unresponsive[request.group])
+        if (m_unresponsive[request.group]) {
+            m_unanswered.push_back(reply);
             return;
+        }
         response = run(request.group, request.query, false);
     }
     if (response.ok())
@@ -166,8 +174,10 @@
     const auto request = decoded<wire::PollChangesRequest>(body);
     {
         absl::MutexLock lock(&m_mutex);
-        if (m_unresponsive[pollGroup])
+        if (m_unresponsive[pollGroup]) {
+            m_unanswered.push_back(reply);
             return;
+        }
         bool hasChanges = false;
         std::string response = changesSince(request.afterRevision, hasChanges);
         if (hasChanges) {
@@ -184,7 +194,9 @@
 {
     absl::MutexLock lock(&m_mutex);
     bool hasChanges = false;
-    if (!m_unresponsive[pollGroup])
+    if (m_unresponsive[pollGroup])
+        m_unanswered.push_back(reply);
+    else
         reply(changesSince(afterRevision, hasChanges));
 }
 
--- a/tests/entry/fakecontrol.h
+++ b/tests/entry/fakecontrol.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace rattanrill::entry {
 
@@ -54,6 +55,9 @@
     std::map<std::string, std::unique_ptr<replication::StateMachine>>
             m_groups ABSL_GUARDED_BY(m_mutex);
     std::map<std::string, bool> m_unresponsive ABSL_GUARDED_BY(m_mutex);
+    /// Kept, because the peer server responds with an error to a request whose callback is
+    /// destroyed.
+    std::vector<peer::ResponseCallback> m_unanswered ABSL_GUARDED_BY(m_mutex);
     std::uint64_t m_index ABSL_GUARDED_BY(m_mutex) = 0;
     ThreadTimerService m_timers;
     peer::Server m_server;
