Entry: Close a kept connection only after announcing it

Callers whose request ran when SIGTERM arrived got a response that announced keep-alive, on a connection that the server then closed; a request that they sent meanwhile was read and discarded without a response. The decision was taken when the request began. A connection that had just been accepted was shut down for reading when the listener closed, so its request met a reset.

Connection: close is now decided when the head is written. A connection whose last response promised to stay open, or that was accepted just before the listener closed, accepts one more request within 1 s; idle connections that were kept are woken by an event and close at once, without a shutdown of the receiving side under a request that arrives. finish() waits until every connection has ended, not only until none is busy.

--- a/src/entry/callerserver.cpp
+++ b/src/entry/callerserver.cpp
@@ -17,7 +17,9 @@
 /// Replaces the backlog of 5 with which httplib listens. In a burst, connections beyond the backlog
 /// would be delayed until the client resends its SYN.
 constexpr int listenBacklog = 512;
-/// Maximum time for a request on a connection that is accepted during a shutdown.
+/// Time that a caller has to send a request on a connection that it may still use during a shutdown:
+/// one that was accepted just before the listener closed, or whose last response did not announce
+/// the close.
 constexpr absl::Duration lateRequestTimeout = absl::Seconds(1);
 constexpr std::size_t requestIdBytes = 12;
 constexpr int statusBadRequest = 400;
@@ -50,8 +52,8 @@
 {
     http::configureServer(*this, m_options);
     new_task_queue = [limit = m_options.maxConnections] { return new ConnectionQueue(limit); };
-    set_post_routing_handler([](const httplib::Request &, httplib::Response &response) {
-        response.set_header("X-Request-Id", currentRequestId);
+    set_post_routing_handler([this](const httplib::Request &, httplib::Response &response) {
+        completeHeaders(response);
     });
     // httplib calls this for every response with an error status. Failures that the handlers send
     // have a body already; httplib's own have none and get one here, and so does a response of a
@@ -94,7 +96,10 @@
     if (m_port <= 0)
         return fail(notRun(ErrorCode::AddressInUse, concat("cannot listen on ", host, ":", port)));
     ::listen(svr_sock_, listenBacklog);
-    m_thread = std::thread([this] { listen_after_bind(); });
+    m_thread = std::thread([this] {
+        listen_after_bind();
+        m_ended.Notify();
+    });
     return {};
 }
 
@@ -112,14 +117,16 @@
 
 bool CallerServer::finish(absl::Duration timeout)
 {
-    const absl::Time end = absl::Now() + timeout;
-    m_connections.closeIdle();
-    const bool finished = m_connections.waitUntilNoneBusy(end - absl::Now());
-    // httplib ends running streams when the listening socket is invalid.
-    svr_sock_ = INVALID_SOCKET;
     m_connections.closeIdle();
-    if (m_thread.joinable())
-        m_thread.join();
+    if (!m_thread.joinable())
+        return true;
+    const bool finished = m_ended.WaitForNotificationWithTimeout(timeout);
+    if (!finished) {
+        // httplib ends running streams when the listening socket is invalid.
+        svr_sock_ = INVALID_SOCKET;
+        m_connections.abortAll();
+    }
+    m_thread.join();
     return finished;
 }
 
@@ -150,28 +157,53 @@
 void CallerServer::serve(ConnectionStream &stream)
 {
     const int socket = stream.socket();
-    // A connection that was accepted after closeAfterResponses(), for example just before the
-    // listener closed, has only a short time to send a request.
-    const bool open = m_connections.add(socket);
-    const absl::Duration wait = open ? m_options.keepAliveTimeout : lateRequestTimeout;
-    while (stream.waitForRequest(wait)) {
+    m_connections.add(socket);
+    bool isFirst = true;
+    bool keepAlive = true;
+    while (keepAlive && awaitRequest(stream, isFirst)) {
         m_connections.markBusy(socket);
-        const bool keepAlive = serveOne(stream);
-        if (!m_connections.markIdle(socket) || !keepAlive)
-            break;
+        keepAlive = serveOne(stream);
+        m_connections.markIdle(socket);
+        isFirst = false;
     }
     m_connections.remove(socket);
 }
 
+bool CallerServer::awaitRequest(ConnectionStream &stream, bool isFirst)
+{
+    using WaitResult = ConnectionStream::WaitResult;
+    if (!m_connections.closingIdle()) {
+        const WaitResult result = stream.waitForRequest(m_options.keepAliveTimeout,
+                                                        m_connections.closeIdleEvent());
+        if (result != WaitResult::Interrupted)
+            return result == WaitResult::Request;
+        if (!isFirst)
+            return false;
+    }
+    return stream.waitForRequest(lateRequestTimeout) == WaitResult::Request;
+}
+
 bool CallerServer::serveOne(ConnectionStream &stream)
 {
     currentRequestId = "req-" + randomHex(requestIdBytes);
     bool closed = false;
-    const bool responded =
-            process_request(stream, m_connections.closingAfterResponses(), closed, nullptr);
+    const bool responded = process_request(stream, false, closed, nullptr);
     return responded && !closed && !stream.closing();
 }
 
+void CallerServer::completeHeaders(httplib::Response &response) const
+{
+    response.set_header("X-Request-Id", currentRequestId);
+    // Decided when the head is written: the shutdown may begin while the request runs.
+    if (m_connections.closingAfterResponses())
+        currentConnection->closeAfterResponse();
+    if (!currentConnection->closing())
+        return;
+    response.headers.erase("Keep-Alive");
+    response.headers.erase("Connection");
+    response.set_header("Connection", "close");
+}
+
 void CallerServer::refuse(ConnectionStream &stream) const
 {
     const std::string requestId = "req-" + randomHex(requestIdBytes);
--- a/src/entry/callerserver.h
+++ b/src/entry/callerserver.h
@@ -6,6 +6,8 @@
 #include "rattanrill/base/result.h"
 #include "rattanrill/http/serversetup.h"
 
+#include "absl/synchronization/notification.h"
+
 #include <httplib.h>
 
 #include <string>
@@ -26,13 +28,13 @@
     Result<void> start(const std::string &host, int port);
     int port() const { return m_port; }
 
-    /// Makes the server close each connection after its current response and announce this in the
-    /// response.
+    /// Makes the server announce in each response that it closes the connection. A connection whose
+    /// last response did not announce this accepts one more request.
     void closeAfterResponses();
     /// Stops accepting connections; running requests continue.
     void closeListener();
-    /// Waits for running requests, closes idle connections and ends all threads. Returns false when
-    /// requests were still running after \a timeout; these are aborted.
+    /// Closes idle connections, waits for running requests and ends all threads. Returns false when
+    /// requests were still running after \a timeout; these are aborted. Requires closeListener().
     bool finish(absl::Duration timeout);
     std::size_t busyConnections() const { return m_connections.busy(); }
 
@@ -44,13 +46,20 @@
 private:
     bool process_and_close_socket(socket_t socket) override;
     void serve(ConnectionStream &stream);
+    /// Returns false when the connection must be closed.
+    bool awaitRequest(ConnectionStream &stream, bool isFirst);
+    /// Returns false when the connection must be closed.
     bool serveOne(ConnectionStream &stream);
+    /// Adds the headers that all responses have.
+    void completeHeaders(httplib::Response &response) const;
     /// Responds with status 503, because the limit of connections is reached.
     void refuse(ConnectionStream &stream) const;
 
     http::ServerOptions m_options;
     ConnectionRegistry m_connections;
     std::thread m_thread;
+    /// Notified when the listener is closed and all connections have ended.
+    absl::Notification m_ended;
     int m_port = 0;
 };
 
--- a/src/entry/connectionregistry.cpp
+++ b/src/entry/connectionregistry.cpp
@@ -1,14 +1,26 @@
 #include "connectionregistry.h"
 
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace rattanrill::entry {
 
-bool ConnectionRegistry::add(int socket)
+ConnectionRegistry::ConnectionRegistry()
+    : m_closeIdleEvent(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{}
+
+ConnectionRegistry::~ConnectionRegistry()
+{
+    close(m_closeIdleEvent);
+}
+
+void ConnectionRegistry::add(int socket)
 {
     absl::MutexLock lock(&m_mutex);
     m_idle.insert(socket);
-    return !m_closing;
+    if (m_aborted)
+        shutdown(socket, SHUT_RDWR);
 }
 
 void ConnectionRegistry::remove(int socket)
@@ -25,12 +37,11 @@
     m_busy.insert(socket);
 }
 
-bool ConnectionRegistry::markIdle(int socket)
+void ConnectionRegistry::markIdle(int socket)
 {
     absl::MutexLock lock(&m_mutex);
     m_busy.erase(socket);
     m_idle.insert(socket);
-    return !m_closing;
 }
 
 void ConnectionRegistry::closeAfterResponses()
@@ -48,14 +59,25 @@
 void ConnectionRegistry::closeIdle()
 {
     absl::MutexLock lock(&m_mutex);
-    for (const int socket : m_idle)
-        shutdown(socket, SHUT_RD);
+    m_closingIdle = true;
+    // The event is never reset, so it wakes threads that start to wait later as well.
+    eventfd_write(m_closeIdleEvent, 1);
+}
+
+bool ConnectionRegistry::closingIdle() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_closingIdle;
 }
 
-bool ConnectionRegistry::waitUntilNoneBusy(absl::Duration timeout)
+void ConnectionRegistry::abortAll()
 {
     absl::MutexLock lock(&m_mutex);
-    return m_mutex.AwaitWithTimeout(absl::Condition(this, &ConnectionRegistry::noneBusy), timeout);
+    m_aborted = true;
+    for (const std::set<int> *sockets : {&m_idle, &m_busy}) {
+        for (const int socket : *sockets)
+            shutdown(socket, SHUT_RDWR);
+    }
 }
 
 std::size_t ConnectionRegistry::busy() const
--- a/src/entry/connectionstream.cpp
+++ b/src/entry/connectionstream.cpp
@@ -106,14 +106,21 @@
         describeAddress(address, ip, port);
 }
 
-bool ConnectionStream::waitForRequest(absl::Duration timeout)
+ConnectionStream::WaitResult ConnectionStream::waitForRequest(absl::Duration timeout, int event)
 {
     if (m_position < m_buffer.size())
-        return true;
-    if (!waitFor(m_socket, POLLIN, timeout))
-        return false;
+        return WaitResult::Request;
+    // poll() ignores a negative file descriptor.
+    std::array<pollfd, 2> descriptors{{{m_socket, POLLIN, 0}, {event, POLLIN, 0}}};
+    const int ready = poll(descriptors.data(), descriptors.size(),
+                           static_cast<int>(absl::ToInt64Milliseconds(timeout)));
+    if (ready <= 0)
+        return WaitResult::Ended;
+    if (descriptors[0].revents == 0)
+        return WaitResult::Interrupted;
     char byte = 0;
-    return recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    const bool hasData = recv(m_socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return hasData ? WaitResult::Request : WaitResult::Ended;
 }
 
 bool ConnectionStream::callerDisconnected() const
--- a/src/entry/connectionstream.h
+++ b/src/entry/connectionstream.h
@@ -24,9 +24,20 @@
     socket_t socket() const override { return m_socket; }
     using httplib::Stream::write;
 
-    /// Waits for the first byte of a request; returns false at the end of the stream or on a
-    /// timeout.
-    bool waitForRequest(absl::Duration timeout);
+    /// How waitForRequest() ended.
+    enum class WaitResult {
+        /// The first byte of a request has arrived.
+        Request,
+        /// The caller has closed its side of the connection, the connection has failed, or the
+        /// timeout has passed.
+        Ended,
+        /// The event interrupted the wait.
+        Interrupted,
+    };
+
+    /// Waits for the first byte of a request, until the file descriptor \a event is readable or
+    /// \a timeout has passed. -1 stands for no event.
+    WaitResult waitForRequest(absl::Duration timeout, int event = -1);
     /// Whether the caller has closed its side of the connection or the connection has failed. False
     /// while received data is still unread.
     bool callerDisconnected() const;
