Entry: End the open requests of a shutdown with complete responses

At the end of drainLimit, streams broke off without their last event and without the end of their framing.

Requests that are open 1 s before the end of drainLimit (a quarter of it when it is shorter than 4 s) now end with the typed error "draining", may_have_run, as a 503 or as the last event of a stream. Service calls are aborted for that. Later requests are rejected as not run. Connections that remain after the limit are shut down, so a caller that does not read cannot hold up the end of the process.

--- a/include/rattanrill/service/serviceclient.h
+++ b/include/rattanrill/service/serviceclient.h
@@ -81,7 +81,11 @@
     /// - ConnectionLost (MayHaveRun): the connection was lost after the request was sent.
     /// - UpstreamFailed (MayHaveRun): the response exceeds maxResponseBytes or carries the id of
     ///   another request.
+    /// - Draining: abortCalls() was called; NotRun when that was before the request was sent,
+    ///   MayHaveRun otherwise.
     Outcome<ServiceResponse> call(const ServiceRequest &request);
+    /// Ends the running calls and makes later ones fail.
+    void abortCalls();
     Outcome<ServiceLoadReport> fetchLoadReport();
     /// Checks that the service responds to fetchLoadReport(). Fails with UpstreamUnavailable when
     /// nothing listens at its address.
--- a/src/entry/callerroutes.cpp
+++ b/src/entry/callerroutes.cpp
@@ -99,6 +99,10 @@
 
 void CallerRoutes::dispatch(Exchange &exchange)
 {
+    if (m_context.shutdown.hasPassed()) {
+        exchange.sendFailure(notRun(ErrorCode::Draining, "this instance is stopping"));
+        return;
+    }
     bool knownPath = false;
     for (const Row &row : rows()) {
         const std::optional<std::string> id = matchPattern(row.pattern, exchange.path());
--- a/src/entry/callerroutes.h
+++ b/src/entry/callerroutes.h
@@ -28,6 +28,7 @@
         const directory::DirectorySubscriber &directory;
         Metrics &metrics;
         RequestMetrics &requestMetrics;
+        const ShutdownDeadline &shutdown;
         /// Reason why this instance is not ready; empty when it is ready.
         std::function<std::string()> unreadyReason;
         /// Called before metrics are rendered.
--- a/src/entry/callerserver.cpp
+++ b/src/entry/callerserver.cpp
@@ -17,9 +17,9 @@
 /// Replaces the backlog of 5 with which httplib listens. In a burst, connections beyond the backlog
 /// would be delayed until the client resends its SYN.
 constexpr int listenBacklog = 512;
-/// Time that a caller has to send a request on a connection that it may still use during a shutdown:
-/// one that was accepted just before the listener closed, or whose last response did not announce
-/// the close.
+/// Time that a caller has to send a request on a connection that it may still use during a
+/// shutdown: one that was accepted just before the listener closed, or whose last response did not
+/// announce the close.
 constexpr absl::Duration lateRequestTimeout = absl::Seconds(1);
 constexpr std::size_t requestIdBytes = 12;
 constexpr int statusBadRequest = 400;
@@ -115,18 +115,22 @@
     ::shutdown(svr_sock_, SHUT_RDWR);
 }
 
-bool CallerServer::finish(absl::Duration timeout)
+bool CallerServer::awaitRequests(absl::Duration timeout)
 {
     m_connections.closeIdle();
-    if (!m_thread.joinable())
-        return true;
-    const bool finished = m_ended.WaitForNotificationWithTimeout(timeout);
+    return !m_thread.joinable() || m_ended.WaitForNotificationWithTimeout(timeout);
+}
+
+bool CallerServer::finish(absl::Duration timeout)
+{
+    const bool finished = awaitRequests(timeout);
     if (!finished) {
         // httplib ends running streams when the listening socket is invalid.
         svr_sock_ = INVALID_SOCKET;
         m_connections.abortAll();
     }
-    m_thread.join();
+    if (m_thread.joinable())
+        m_thread.join();
     return finished;
 }
 
@@ -173,8 +177,8 @@
 {
     using WaitResult = ConnectionStream::WaitResult;
     if (!m_connections.closingIdle()) {
-        const WaitResult result = stream.waitForRequest(m_options.keepAliveTimeout,
-                                                        m_connections.closeIdleEvent());
+        const WaitResult result =
+                stream.waitForRequest(m_options.keepAliveTimeout, m_connections.closeIdleEvent());
         if (result != WaitResult::Interrupted)
             return result == WaitResult::Request;
         if (!isFirst)
--- a/src/entry/callerserver.h
+++ b/src/entry/callerserver.h
@@ -33,8 +33,11 @@
     void closeAfterResponses();
     /// Stops accepting connections; running requests continue.
     void closeListener();
-    /// Closes idle connections, waits for running requests and ends all threads. Returns false when
-    /// requests were still running after \a timeout; these are aborted. Requires closeListener().
+    /// Closes idle connections and waits for running requests. Returns false when requests are
+    /// still running after \a timeout. Requires closeListener().
+    bool awaitRequests(absl::Duration timeout);
+    /// Calls awaitRequests(), aborts the requests that are still running and ends all threads.
+    /// Returns false when requests were aborted.
     bool finish(absl::Duration timeout);
     std::size_t busyConnections() const { return m_connections.busy(); }
 
--- a/src/entry/completionhandler.cpp
+++ b/src/entry/completionhandler.cpp
@@ -138,6 +138,11 @@
         const std::optional<Failure> revoked = m_context.admission.keys().revoked(running.caller);
         if (revoked)
             return AnswerFailure{*revoked, absl::ZeroDuration()};
+        const bool isLast = item && !std::holds_alternative<engine::Token>(*item);
+        if (!isLast && m_context.shutdown.hasPassed())
+            return AnswerFailure{mayHaveRun(ErrorCode::Draining,
+                                            "this instance stopped before the answer ended"),
+                                 absl::Seconds(1)};
         if (!item && callerDisconnected())
             return AnswerFailure{
                     mayHaveRun(ErrorCode::ClientDisconnected, "the client closed the connection"),
--- a/src/entry/completionhandler.h
+++ b/src/entry/completionhandler.h
@@ -5,6 +5,7 @@
 #include "completionrequest.h"
 #include "exchange.h"
 #include "requestmetrics.h"
+#include "shutdowndeadline.h"
 #include "taskdispatcher.h"
 #include "workspaceshares.h"
 
@@ -29,6 +30,7 @@
         const directory::DirectorySubscriber &directory;
         TaskDispatcher &dispatcher;
         WorkspaceShares &shares;
+        const ShutdownDeadline &shutdown;
         const Clock &clock;
         RequestMetrics &metrics;
     };
@@ -44,8 +46,8 @@
     Outcome<Done> check(const CompletionRequest &request, const Caller &caller) const;
     std::shared_ptr<RunningRequest> start(Exchange &exchange, const Caller &caller,
                                           const CompletionRequest &request);
-    /// Waits for the next item of the answer. Returns an AnswerFailure when the key was withdrawn
-    /// or the caller has disconnected.
+    /// Waits for the next item of the answer. Returns an AnswerFailure when the key was withdrawn,
+    /// the caller has disconnected or the shutdown deadline has passed.
     AnswerStream::Item next(RunningRequest &running,
                             const std::function<bool()> &callerDisconnected) const;
     void sendAnswer(Exchange &exchange, RunningRequest &running);
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -9,6 +9,7 @@
 #include "loadpoller.h"
 #include "ratebroker.h"
 #include "rateowner.h"
+#include "shutdowndeadline.h"
 #include "viewqueries.h"
 #include "workspaceshares.h"
 
@@ -24,6 +25,7 @@
 
 #include "absl/synchronization/notification.h"
 
+#include <algorithm>
 #include <atomic>
 
 namespace rattanrill::entry {
@@ -34,6 +36,10 @@
 constexpr std::size_t callQueueLimit = 4096;
 constexpr std::size_t attemptQueueLimit = 8192;
 constexpr absl::Duration ownershipCheckInterval = absl::Milliseconds(50);
+/// Part of Timings::drainLimit in which the responses to requests that are ended by the shutdown
+/// are sent.
+constexpr absl::Duration maxLastResponseTime = absl::Seconds(1);
+constexpr double lastResponseShare = 0.25;
 
 peer::TransportOptions transportOptions(const EntrySettings &settings)
 {
@@ -105,16 +111,20 @@
         , keys(subscriber, settings.timings.keyFreshness, settings.timings.staleStreamLimit)
         , admission(keys, rateBroker)
         , claims(partitions, settings.timings.claimRetention)
-        , completions({admission, subscriber, dispatcher, shares, clock, requestMetrics},
+        , shutdownDeadline(clock)
+        , completions({admission, subscriber, dispatcher, shares, shutdownDeadline, clock,
+                       requestMetrics},
                       settings.maxRequestBytes, settings.timings.requestTimeout)
         , files(admission, subscriber, partitions, settings.batch, clock)
         , batches({admission, subscriber, partitions, claims, clock}, settings.maxRequestBytes)
-        , serviceHandler({admission, subscriber, services, claims, crashReporter, clock, metrics},
+        , serviceHandler({admission, subscriber, services, claims, crashReporter, shutdownDeadline,
+                          clock, metrics},
                          settings.maxRequestBytes, settings.timings.requestTimeout)
         , loads(engines, services, dispatcher, timers, settings.timings.loadPollInterval, clock)
         , heartbeat(control, subscriber, timers, settings.timings.heartbeatInterval)
         , routes({completions, files, batches, serviceHandler, admission, subscriber, metrics,
-                  requestMetrics, [this] { return unreadyReason(); }, [this] { refreshMetrics(); }})
+                  requestMetrics, shutdownDeadline, [this] { return unreadyReason(); },
+                  [this] { refreshMetrics(); }})
         , server(settings.http)
     {
         routes.install(server);
@@ -239,6 +249,7 @@
     KeyAuthenticator keys;
     Admission admission;
     Claims claims;
+    ShutdownDeadline shutdownDeadline;
     CompletionHandler completions;
     FileHandler files;
     BatchHandler batches;
@@ -293,13 +304,21 @@
     Impl &impl = *m_impl;
     const Timings &timings = impl.settings.timings;
     log(LogLevel::Info, "drain-started");
+    const absl::Duration lastResponseTime =
+            std::min(timings.drainLimit * lastResponseShare, maxLastResponseTime);
+    const absl::Time requestsEnd =
+            impl.clock.now() + timings.drainNotice + timings.drainLimit - lastResponseTime;
+    impl.shutdownDeadline.set(requestsEnd);
     impl.draining = true;
     impl.heartbeat.leave();
     impl.server.closeAfterResponses();
     impl.batch.drain();
     absl::Notification().WaitForNotificationWithTimeout(timings.drainNotice);
     impl.server.closeListener();
-    const bool finished = impl.server.finish(timings.drainLimit);
+    const bool finished = impl.server.awaitRequests(requestsEnd - impl.clock.now());
+    if (!finished)
+        impl.serviceHandler.abortCalls();
+    impl.server.finish(lastResponseTime);
     impl.stopComponents();
     impl.stopped = true;
     log(LogLevel::Info, "drain-finished", {{"cutOff", !finished}});
--- a/src/entry/servicehandler.cpp
+++ b/src/entry/servicehandler.cpp
@@ -164,7 +164,7 @@
         // When no further instance is available, the failure of the last attempt is kept.
         if (next.ok() || attempted)
             response = std::move(next);
-        if (response.ok() || !attempted)
+        if (response.ok() || !attempted || response.failure().code == ErrorCode::Draining)
             break;
         mayHaveRunBefore = mayHaveRunBefore || response.failure().effect == EffectState::MayHaveRun;
         if (mayHaveRunBefore && !route.idempotent)
@@ -184,7 +184,7 @@
         return notRun(ErrorCode::UpstreamUnavailable, "no further instance is available");
     const std::string &upstream = client->options().name;
     excluded.push_back(upstream);
-    ResponseOutcome response = client->call(request);
+    ResponseOutcome response = call(client, request);
     const bool lost = !response.ok() && response.failure().code == ErrorCode::ConnectionLost;
     bool crashed = false;
     if (lost) {
@@ -198,6 +198,30 @@
     return response;
 }
 
+ServiceHandler::ResponseOutcome ServiceHandler::call(const ServiceTable::Client &client,
+                                                     const service::ServiceRequest &request)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_calls.insert(client);
+    }
+    // Checked after the call is listed, so that abortCalls() misses no call that begins.
+    ResponseOutcome response =
+            m_context.shutdown.hasPassed()
+                    ? ResponseOutcome(notRun(ErrorCode::Draining, "this instance is stopping"))
+                    : client->call(request);
+    absl::MutexLock lock(&m_mutex);
+    m_calls.erase(m_calls.find(client));
+    return response;
+}
+
+void ServiceHandler::abortCalls()
+{
+    absl::MutexLock lock(&m_mutex);
+    for (const ServiceTable::Client &client : m_calls)
+        client->abortCalls();
+}
+
 void ServiceHandler::reportCrash(const std::string &fingerprint, const std::string &upstream)
 {
     m_context.metrics.count("rattanrill_upstream_crashes_total", {{"upstream", upstream}});
--- a/src/entry/servicehandler.h
+++ b/src/entry/servicehandler.h
@@ -5,12 +5,16 @@
 #include "crashreporter.h"
 #include "exchange.h"
 #include "servicetable.h"
+#include "shutdowndeadline.h"
 
 #include "rattanrill/base/metrics.h"
 #include "rattanrill/directory/directorysubscriber.h"
 
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
+#include <set>
 #include <string>
 
 namespace rattanrill::entry {
@@ -27,6 +31,7 @@
         ServiceTable &services;
         Claims &claims;
         CrashReporter &crashReporter;
+        const ShutdownDeadline &shutdown;
         const Clock &clock;
         Metrics &metrics;
     };
@@ -35,6 +40,9 @@
 
     /// Returns false when no route matches the path.
     bool handle(Exchange &exchange);
+    /// Ends the running calls with a failure. To be called after the shutdown deadline has passed,
+    /// from which on no call begins.
+    void abortCalls() ABSL_LOCKS_EXCLUDED(m_mutex);
 
 private:
     using ResponseOutcome = Outcome<service::ServiceResponse>;
@@ -45,6 +53,8 @@
     ResponseOutcome run(const wire::Route &route, const service::ServiceRequest &request);
     ResponseOutcome runAttempt(const wire::Route &route, const service::ServiceRequest &request,
                                std::vector<std::string> &excluded);
+    ResponseOutcome call(const ServiceTable::Client &client, const service::ServiceRequest &request)
+            ABSL_LOCKS_EXCLUDED(m_mutex);
     ResponseOutcome runClaimed(const wire::Route &route, const service::ServiceRequest &request,
                                const std::string &idempotencyKey, bool &replayed);
     ResponseOutcome responseOf(const wire::ClaimStatus &claim) const;
@@ -53,6 +63,9 @@
     Context m_context;
     std::size_t m_maxBodyBytes;
     absl::Duration m_timeout;
+    absl::Mutex m_mutex;
+    /// Client of each running call.
+    std::multiset<ServiceTable::Client> m_calls ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace rattanrill::entry
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -5,7 +5,11 @@
 #include "rattanrill/base/logger.h"
 #include "rattanrill/net/blockingcall.h"
 
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
 #include <atomic>
+#include <set>
 
 namespace rattanrill::service {
 namespace {
@@ -67,11 +71,14 @@
 
     /// Makes one call and returns its response. A body of more than \a maxBodyBytes ends the call.
     Outcome<net::Response> call(net::Request request, const net::BlockingCallTimeouts &timeouts,
-                                std::size_t maxBodyBytes) const
+                                std::size_t maxBodyBytes)
     {
         net::Response response;
         net::BlockingCall call(options.host, options.port, timeouts, clock);
+        if (!addCall(call))
+            return notRun(ErrorCode::Draining, "the call was aborted before it was sent");
         const net::BlockingCallEnd end = call.fetch(std::move(request), maxBodyBytes, response);
+        removeCall(call);
         if (end == net::BlockingCallEnd::Complete)
             return response;
         if (end == net::BlockingCallEnd::TooLong)
@@ -79,6 +86,21 @@
         return transportFailure(end);
     }
 
+    /// Returns false when the calls were aborted.
+    bool addCall(net::BlockingCall &call)
+    {
+        absl::MutexLock lock(&mutex);
+        if (!aborted)
+            calls.insert(&call);
+        return !aborted;
+    }
+
+    void removeCall(net::BlockingCall &call)
+    {
+        absl::MutexLock lock(&mutex);
+        calls.erase(&call);
+    }
+
     Failure tooLongFailure(std::string_view bound) const
     {
         log(LogLevel::Warning, "response-unreadable",
@@ -94,6 +116,8 @@
             return notRun(ErrorCode::UpstreamUnavailable, detail);
         if (end == net::BlockingCallEnd::DeadlinePassed)
             return mayHaveRun(ErrorCode::Timeout, detail);
+        if (end == net::BlockingCallEnd::Aborted)
+            return mayHaveRun(ErrorCode::Draining, detail);
         return mayHaveRun(ErrorCode::ConnectionLost, detail);
     }
 
@@ -116,6 +140,10 @@
     ServiceOptions options;
     const Clock &clock;
     std::atomic<std::uint64_t> dropped{0};
+    absl::Mutex mutex;
+    /// The running calls.
+    std::set<net::BlockingCall *> calls ABSL_GUARDED_BY(mutex);
+    bool aborted ABSL_GUARDED_BY(mutex) = false;
 };
 
 ServiceClient::ServiceClient(ServiceOptions options, const Clock &clock)
@@ -184,6 +212,14 @@
     return Done{};
 }
 
+void ServiceClient::abortCalls()
+{
+    absl::MutexLock lock(&m_impl->mutex);
+    m_impl->aborted = true;
+    for (net::BlockingCall *call : m_impl->calls)
+        call->abort();
+}
+
 std::uint64_t ServiceClient::droppedResponses() const
 {
     return m_impl->dropped;
--- a/tests/entry/callerserver_test.cpp
+++ b/tests/entry/callerserver_test.cpp
@@ -40,14 +40,14 @@
             response.set_content("held", "text/plain");
         });
         m_server.Get("/stream", [this](const httplib::Request &, httplib::Response &response) {
-            response.set_chunked_content_provider(
-                    "text/plain", [this](std::size_t, httplib::DataSink &sink) {
-                        sink.write("begin", 5);
-                        m_released.WaitForNotification();
-                        sink.write("end", 3);
-                        sink.done();
-                        return true;
-                    });
+            response.set_chunked_content_provider("text/plain",
+                                                  [this](std::size_t, httplib::DataSink &sink) {
+                                                      sink.write("begin", 5);
+                                                      m_released.WaitForNotification();
+                                                      sink.write("end", 3);
+                                                      sink.done();
+                                                      return true;
+                                                  });
         });
         BOOST_REQUIRE(outcomeOf([&] { return m_server.start("127.0.0.1", 0); }).ok());
     }
@@ -68,7 +68,8 @@
             m_released.Notify();
     }
 
-    /// Begins the shutdown up to the wait for running requests, which takes place on another thread.
+    /// Begins the shutdown up to the wait for running requests, which takes place on another
+    /// thread.
     void beginShutdown()
     {
         m_server.closeAfterResponses();
@@ -119,8 +120,8 @@
     BOOST_TEST(server.finish());
 }
 
-// R12: guards against a server that reads and discards a request on a connection whose last response
-// promised that the connection stays open.
+// R12: guards against a server that reads and discards a request on a connection whose last
+// response promised that the connection stays open.
 BOOST_AUTO_TEST_CASE(requestAfterAStreamThatBeganBeforeTheShutdownIsServed)
 {
     TestServer server;
--- a/tests/entry/limit_test.cpp
+++ b/tests/entry/limit_test.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
+
 namespace rattanrill::entry {
 namespace {
 
@@ -145,6 +147,46 @@
     }
 }
 
+// R12: guards against a shutdown that closes the connections of the requests that still run at the
+// end of its time, or that waits for them beyond it.
+BOOST_AUTO_TEST_CASE(drainLimitEndsRequestsWithCompleteResponses)
+{
+    TestFleet fleet(0, 1, 1);
+    fleet.settings().timings.drainLimit = absl::Seconds(2);
+    fleet.control().write(wire::PutRoute{{"desk", "/desk", "desk", false, true}});
+    fleet.startEntry();
+    fleet.awaitReady();
+    ScriptedEngine::Script script;
+    script.pauseAt = 2;
+    fleet.engine(0).setScript(script);
+    fleet.service(0).setScript(script);
+    const std::size_t engineRuns = fleet.engine(0).runs();
+    StreamedCall streamed(fleet.port(0), "key-acme", "begun", 30);
+    BOOST_REQUIRE(streamed.awaitText(expectedText("begun", 2)));
+    std::optional<httplib::Result> responses[2];
+    std::thread whole([&] { responses[0] = fleet.complete(0, "acme", "whole", 30); });
+    std::thread service([&] { responses[1] = fleet.post(0, "/desk/a", "acme", "{}"); });
+    BOOST_REQUIRE(fleet.engine(0).awaitRuns(engineRuns + 2));
+    BOOST_REQUIRE(fleet.service(0).awaitRuns(1));
+    const absl::Time start = absl::Now();
+    BOOST_TEST(!fleet.entry(0).drain());
+    // The responses paused for 10 s; the shutdown must not wait for them.
+    BOOST_TEST(absl::ToDoubleSeconds(absl::Now() - start) < 8);
+    streamed.join();
+    whole.join();
+    service.join();
+    BOOST_TEST(streamed.status == 200);
+    BOOST_TEST(streamed.text == expectedText("begun", 2));
+    BOOST_TEST(streamed.errorCode == "draining");
+    BOOST_TEST(streamed.errorRun == "may_have_run");
+    BOOST_TEST(!streamed.complete);
+    for (const std::optional<httplib::Result> &response : responses) {
+        BOOST_TEST(errorOf(*response).value("code", "") == "draining");
+        BOOST_TEST(errorOf(*response).value("run", "") == "may_have_run");
+        BOOST_TEST((*response)->status == 503);
+    }
+}
+
 // Guards against connections above the limit that wait without a response instead of being refused.
 BOOST_AUTO_TEST_CASE(connectionsAboveTheLimitAreRefused)
 {
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -182,6 +182,15 @@
     return true;
 }
 
+void ScriptedEngine::awaitResume()
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto resumed = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        return m_stopped || !m_script.pauseAt;
+    };
+    m_mutex.AwaitWithTimeout(absl::Condition(&resumed), waitLimit);
+}
+
 void ScriptedEngine::addRoutes()
 {
     const auto recordRequest = [this](const httplib::Request &request, bool run) {
@@ -257,9 +266,10 @@
     server.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
         response.set_content("{}", "application/json");
     });
-    const auto serve = [recordRequest](const httplib::Request &request,
-                                       httplib::Response &response) {
+    const auto serve = [this, recordRequest](const httplib::Request &request,
+                                             httplib::Response &response) {
         const Script script = recordRequest(request, true);
+        awaitResume();
         if (script.abortResponses) {
             response.set_chunked_content_provider(
                     "application/json", [](std::size_t, httplib::DataSink &) { return false; });
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -31,7 +31,8 @@
     {
         /// The server closes the connection of a stream after this number of tokens of an attempt.
         std::optional<std::uint64_t> disconnectAfter;
-        /// A stream pauses before the token with this index until resume() or a cancellation.
+        /// A stream pauses before the token with this index until resume() or a cancellation. A
+        /// service call pauses until resume().
         std::optional<std::uint64_t> pauseAt;
         /// Number of attempts to which disconnectAfter still applies.
         int disconnects = 0;
@@ -70,6 +71,7 @@
     struct Stream;
 
     void addRoutes();
+    void awaitResume() ABSL_LOCKS_EXCLUDED(m_mutex);
     bool next(Stream &stream, std::string &events);
     bool canContinue(const Stream &stream) const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
 
--- a/tests/entry/testfleet.cpp
+++ b/tests/entry/testfleet.cpp
@@ -188,6 +188,8 @@
 {
     for (const auto &engine : m_engines)
         engine->resume();
+    for (const auto &service : m_services)
+        service->resume();
     m_entries.clear();
 }
 
