Entry: Release batch items beside the drain notice

drain() released the batch items before it waited for the drain notice. While the control instances did not respond, the release waited for controlTimeout in each partition, and the entry accepted requests for that time beyond the notice. The release now runs on a thread of its own, which drain() joins before it stops the components.

Before, unresponsiveControlDoesNotDelayTheEndOfTheDrainNotice saw the listener open for 5.1 s with a notice of 0.1 s and a controlTimeout of 5 s.

--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -27,6 +27,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <thread>
 
 namespace rattanrill::entry {
 namespace {
@@ -312,13 +313,15 @@
     impl.draining = true;
     impl.heartbeat.leave();
     impl.server.closeAfterResponses();
-    impl.batch.drain();
+    // Runs beside the notice, because it waits for the control instances, which may not respond.
+    std::thread batchDrain([&impl] { impl.batch.drain(); });
     absl::Notification().WaitForNotificationWithTimeout(timings.drainNotice);
     impl.server.closeListener();
     const bool finished = impl.server.awaitRequests(requestsEnd - impl.clock.now());
     if (!finished)
         impl.serviceHandler.abortCalls();
     impl.server.finish(lastResponseTime);
+    batchDrain.join();
     impl.stopComponents();
     impl.stopped = true;
     log(LogLevel::Info, "drain-finished", {{"cutOff", !finished}});
--- a/tests/entry/batch_test.cpp
+++ b/tests/entry/batch_test.cpp
@@ -2,10 +2,13 @@
 
 #include "rattanrill/base/concat.h"
 
+#include "absl/time/clock.h"
+
 #include <boost/test/unit_test.hpp>
 
 #include <set>
 #include <sstream>
+#include <thread>
 
 namespace rattanrill::entry {
 namespace {
@@ -282,6 +285,35 @@
     BOOST_TEST(resultLines(fleet, 1, ended.at("output_file_id")).size() == 30u);
 }
 
+// R12: guards against an entry that accepts requests long after its drain notice has ended, because
+// it waits for control instances that do not respond to the release of its batch items.
+BOOST_AUTO_TEST_CASE(unresponsiveControlDoesNotDelayTheEndOfTheDrainNotice)
+{
+    TestFleet fleet(0, 1);
+    const absl::Duration controlTimeout = absl::Seconds(5);
+    fleet.settings().timings.controlTimeout = controlTimeout;
+    fleet.startEntry();
+    fleet.awaitReady();
+    ScriptedEngine::Script script;
+    script.pauseAt = 1;
+    fleet.engine(0).setScript(script);
+    const std::size_t runs = fleet.engine(0).runs();
+    createBatch(fleet, 0, upload(fleet, 0, itemLines(1)), "");
+    BOOST_REQUIRE(fleet.engine(0).awaitRuns(runs + 1));
+    fleet.control().setUnresponsive("batch-0", true);
+    fleet.control().setUnresponsive("batch-1", true);
+    const absl::Time start = absl::Now();
+    std::thread drain([&] { fleet.entry(0).drain(); });
+    BOOST_TEST(eventually([&] {
+        httplib::Client client("127.0.0.1", fleet.port(0));
+        return !client.Get("/healthz");
+    }));
+    BOOST_TEST(absl::ToDoubleSeconds(absl::Now() - start) < absl::ToDoubleSeconds(controlTimeout));
+    fleet.control().setUnresponsive("batch-0", false);
+    fleet.control().setUnresponsive("batch-1", false);
+    drain.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::entry
