Control: Announce the close in responses during the stop

Responses of the operators' interface promised keep-alive while the instance stopped, and the connection was closed after them. They announce the close from the beginning of the stop. A request that arrives during the stop gets a complete response; that was so before, and the test guards it too.

Before, requestThatArrivesDuringTheStopGetsACompleteResponse received Keep-Alive in place of Connection: close.

--- a/src/control/controlnode.cpp
+++ b/src/control/controlnode.cpp
@@ -85,6 +85,7 @@
     if (!m_running)
         return;
     m_running = false;
+    m_operatorServer->closeAfterResponses();
     m_groups.transferLeadership(leadershipTransferTimeout);
     m_memberWatch->stop();
     m_partitionClock->stop();
--- a/src/control/operatorserver.cpp
+++ b/src/control/operatorserver.cpp
@@ -70,6 +70,14 @@
     // An idle connection occupies a thread until this timeout, and stop() waits for that thread.
     options.keepAliveTimeout = absl::Seconds(2);
     http::configureServer(*m_server, options);
+    m_server->set_post_routing_handler(
+            [this](const httplib::Request &, httplib::Response &response) {
+                if (!m_closing)
+                    return;
+                response.headers.erase("Keep-Alive");
+                response.headers.erase("Connection");
+                response.set_header("Connection", "close");
+            });
     addRoutes();
 }
 
@@ -100,6 +108,7 @@
 {
     if (!m_thread.joinable())
         return;
+    closeAfterResponses();
     // Server::stop() has no effect before listen_after_bind() runs.
     while (!m_server->is_running())
         std::this_thread::yield();
--- a/src/control/operatorserver.h
+++ b/src/control/operatorserver.h
@@ -4,6 +4,7 @@
 
 #include "rattanrill/base/metrics.h"
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
@@ -27,6 +28,9 @@
     /// Starts to listen and to serve on separate threads. Fails with AddressInUse.
     Result<void> start();
     int port() const { return m_port; }
+    /// Makes each response announce that its connection is closed; to be called when the shutdown
+    /// begins.
+    void closeAfterResponses() { m_closing = true; }
     void stop();
 
 private:
@@ -54,6 +58,7 @@
     std::unique_ptr<httplib::Server> m_server;
     std::thread m_thread;
     int m_port = 0;
+    std::atomic<bool> m_closing{false};
 };
 
 } // namespace rattanrill::control
--- a/tests/control/controlcluster.cpp
+++ b/tests/control/controlcluster.cpp
@@ -101,6 +101,11 @@
     return addresses;
 }
 
+const ListenAddress &ControlCluster::operatorAddress(int i) const
+{
+    return m_settings[static_cast<std::size_t>(i)].operatorHttp;
+}
+
 peer::TransportOptions ControlCluster::transport(const std::string &secret) const
 {
     peer::TransportOptions options;
--- a/tests/control/controlcluster.h
+++ b/tests/control/controlcluster.h
@@ -22,6 +22,7 @@
     /// Waits for a directory leader and returns its index.
     int leader();
     std::vector<std::string> peerAddresses() const;
+    const ListenAddress &operatorAddress(int i) const;
     peer::TransportOptions transport(const std::string &secret = clusterSecret) const;
 
     struct Response
--- a/tests/control/controlnode_test.cpp
+++ b/tests/control/controlnode_test.cpp
@@ -6,6 +6,7 @@
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 
+#include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <optional>
@@ -16,6 +17,8 @@
 
 namespace {
 
+using Tcp = boost::asio::ip::tcp;
+
 /// Control client with the objects that it uses, in the order of their construction.
 struct Client
 {
@@ -202,4 +205,44 @@
     BOOST_TEST(name(response->failure().code) == name(ErrorCode::AuthenticationFailed));
 }
 
+// R12: guards against an operator's request that gets no complete response because the instance
+// stops while it arrives, and against a response that promises to keep a connection that is then
+// closed.
+BOOST_AUTO_TEST_CASE(requestThatArrivesDuringTheStopGetsACompleteResponse)
+{
+    ControlCluster cluster(1);
+    BOOST_REQUIRE(cluster.leader() == 0);
+    const ListenAddress &address = cluster.operatorAddress(0);
+    const Tcp::endpoint endpoint(boost::asio::ip::make_address(address.host),
+                                 static_cast<unsigned short>(address.port));
+    boost::asio::io_context context;
+    Tcp::socket caller(context);
+    caller.connect(endpoint);
+    // A first request makes sure that the server has accepted the connection.
+    const std::string request = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+    std::string response;
+    boost::asio::write(caller, boost::asio::buffer(request));
+    boost::asio::read_until(caller, boost::asio::dynamic_buffer(response), "\"}");
+    BOOST_TEST(response.find("Keep-Alive") != std::string::npos, response);
+    response.clear();
+    constexpr std::size_t half = 10;
+    boost::asio::write(caller, boost::asio::buffer(request, half));
+    std::thread stopper([&] { cluster.stop(0); });
+    boost::system::error_code refused;
+    while (!refused) {
+        Tcp::socket other(context);
+        other.connect(endpoint, refused);
+        absl::SleepFor(absl::Milliseconds(10));
+    }
+    boost::system::error_code end;
+    boost::asio::write(caller, boost::asio::buffer(request.substr(half)), end);
+    boost::asio::read(caller, boost::asio::dynamic_buffer(response), end);
+    stopper.join();
+    BOOST_TEST((end == boost::asio::error::eof));
+    BOOST_TEST(response.substr(0, 15) == "HTTP/1.1 200 OK");
+    BOOST_TEST(response.find(R"({"status":"ok"})") != std::string::npos, response);
+    BOOST_TEST(response.find("Connection: close") != std::string::npos, response);
+    BOOST_TEST(response.find("Keep-Alive") == std::string::npos, response);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
