Engine, Service: Report that an upstream announces its leave

The upstream protocol had no way for an upstream to say that it leaves; entries learned it from the directory only. Responses can now carry X-Rattanrill-Leaving: 1, and the clients report each such response, of any call and with any status. The stand-ins announce it while their fault "leaving" is set.

With the report removed, everyResponseCanAnnounceThatTheEngineLeaves and everyResponseCanAnnounceThatTheServiceLeaves count no announcement.

--- a/include/rattanrill/engine/engineclient.h
+++ b/include/rattanrill/engine/engineclient.h
@@ -27,6 +27,9 @@
     absl::Duration idleTimeout = absl::Seconds(10);
     /// Timeout of all calls other than stream().
     absl::Duration auxiliaryCallTimeout = absl::Seconds(2);
+    /// Called for each response by which the engine announces that it leaves, when the head of the
+    /// response has arrived, on the thread of the call. May be null.
+    std::function<void()> onLeaving;
 };
 
 /// One attempt at a completion.
--- a/include/rattanrill/fakes/faults.h
+++ b/include/rattanrill/fakes/faults.h
@@ -29,6 +29,8 @@
     std::int64_t cutAfterTokens = 0;
     /// Whether requests fail with UpstreamBusy.
     bool rejectRequests = false;
+    /// Whether responses announce that the upstream leaves.
+    bool leaving = false;
 };
 
 /// Holds the faults that "POST /faults" sets. Thread-safe; shared by the threads of a fake.
--- a/include/rattanrill/service/serviceclient.h
+++ b/include/rattanrill/service/serviceclient.h
@@ -6,6 +6,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -22,6 +23,9 @@
     /// Timeout of fetchLoadReport() and probe() for each request.
     absl::Duration auxiliaryCallTimeout = absl::Seconds(2);
     std::size_t maxResponseBytes = 16u << 20;
+    /// Called for each response by which the service announces that it leaves, on the thread of the
+    /// call. May be null.
+    std::function<void()> onLeaving;
 };
 
 /// A caller's request as it is forwarded to a plain service. It has no member for credentials, so
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -5,6 +5,7 @@
 #include "streamreader.h"
 
 #include "rattanrill/base/logger.h"
+#include "rattanrill/base/upstreamprotocol.h"
 #include "rattanrill/net/blockingcall.h"
 
 #include <algorithm>
@@ -42,6 +43,12 @@
     return status == unavailable ? ErrorCode::UpstreamBusy : ErrorCode::UpstreamFailed;
 }
 
+void checkLeaving(const EngineOptions &options, const net::ResponseHead &head)
+{
+    if (options.onLeaving && head.headers.value(leavingHeader) == leavingValue)
+        options.onLeaving();
+}
+
 Result<CacheEvent> cacheEventOf(const Json &row)
 {
     CacheEvent event;
@@ -142,6 +149,7 @@
             return tooLongFailure(blockingCall.fault());
         if (end != net::BlockingCallEnd::Complete)
             return transportFailure(end);
+        checkLeaving(options, response.head);
         if (response.head.status != statusOk)
             return failureOfStatus(options.name, response.head.status, response.body);
         Json json = Json::parse(response.body, nullptr, false);
@@ -175,6 +183,7 @@
         net::BlockingCall::Handlers handlers;
         handlers.onHead = [this](const net::ResponseHead &head) {
             m_status = head.status;
+            checkLeaving(m_options, head);
             return true;
         };
         handlers.onBody = [this](std::string_view bytes) { return handleBodyBytes(bytes); };
--- a/src/fakes/engineserver.cpp
+++ b/src/fakes/engineserver.cpp
@@ -73,6 +73,7 @@
     addCompletionRoutes();
     addEngineRoutes();
     addManagementRoutes();
+    m_server.announceLeaving(m_faults);
 }
 
 httplib::Server::Handler EngineServer::waitingWhileFrozen(Handler handler)
--- a/src/fakes/fakehttpserver.cpp
+++ b/src/fakes/fakehttpserver.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/logger.h"
+#include "rattanrill/base/upstreamprotocol.h"
 #include "rattanrill/http/serversetup.h"
 #include "rattanrill/settings/program.h"
 #include "recordjson.h"
@@ -84,6 +85,14 @@
     _exit(exitOk);
 }
 
+void FakeHttpServer::announceLeaving(const Faults &faults)
+{
+    set_post_routing_handler([&faults](const httplib::Request &, httplib::Response &response) {
+        if (faults.state().leaving)
+            response.set_header(std::string(leavingHeader), std::string(leavingValue));
+    });
+}
+
 RequestRecord recordOf(const httplib::Request &request, std::string requestId)
 {
     RequestRecord record;
--- a/src/fakes/fakehttpserver.h
+++ b/src/fakes/fakehttpserver.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/json.h"
 #include "rattanrill/base/shutdownsignal.h"
+#include "rattanrill/fakes/faults.h"
 #include "rattanrill/fakes/requestlog.h"
 
 #include <httplib.h>
@@ -38,6 +39,9 @@
     /// would wait for idle ones up to the keep-alive timeout. Returns only when listening fails.
     int serveUntil(ShutdownSignal &signal, Json startLine = Json::object());
 
+    /// Makes each response announce that the upstream leaves while \a faults says so.
+    void announceLeaving(const Faults &faults);
+
 private:
     HttpSettings m_settings;
 };
--- a/src/fakes/faults.cpp
+++ b/src/fakes/faults.cpp
@@ -14,9 +14,9 @@
 /// Exit code of a simulated crash; tests use it to distinguish the crash from a failed start.
 constexpr int crashExitCode = 70;
 
-constexpr std::array<std::string_view, 7> memberNames = {
+constexpr std::array<std::string_view, 8> memberNames = {
         "crash_on",      "freeze_ms",        "slow_factor", "late_answer_ms",
-        "cross_answers", "cut_after_tokens", "refuse"};
+        "cross_answers", "cut_after_tokens", "refuse",      "leaving"};
 
 Result<void> checkMembers(const Json &body)
 {
@@ -65,6 +65,7 @@
     BOOST_LEAF_CHECK(read<std::int64_t>(body, "cross_answers", state.swapAnswers, 0));
     BOOST_LEAF_CHECK(read<std::int64_t>(body, "cut_after_tokens", state.cutAfterTokens, 0));
     BOOST_LEAF_CHECK(read<bool>(body, "refuse", state.rejectRequests, false));
+    BOOST_LEAF_CHECK(read<bool>(body, "leaving", state.leaving, false));
     BOOST_LEAF_CHECK(readMilliseconds(body, "freeze_ms", freeze));
     absl::MutexLock lock(&m_mutex);
     m_state = std::move(state);
--- a/src/fakes/serviceserver.cpp
+++ b/src/fakes/serviceserver.cpp
@@ -19,6 +19,7 @@
     // are added last.
     addManagementRoutes();
     addServiceRoutes();
+    m_server.announceLeaving(m_faults);
 }
 
 void ServiceServer::addManagementRoutes()
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -3,6 +3,7 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/json.h"
 #include "rattanrill/base/logger.h"
+#include "rattanrill/base/upstreamprotocol.h"
 #include "rattanrill/net/blockingcall.h"
 
 #include "absl/base/thread_annotations.h"
@@ -79,6 +80,8 @@
             return notRun(ErrorCode::Draining, "the call was aborted before it was sent");
         const net::BlockingCallEnd end = call.fetch(std::move(request), maxBodyBytes, response);
         removeCall(call);
+        if (options.onLeaving && response.head.headers.value(leavingHeader) == leavingValue)
+            options.onLeaving();
         if (end == net::BlockingCallEnd::Complete)
             return response;
         if (end == net::BlockingCallEnd::TooLong)
--- a/tests/engine/engineclient_test.cpp
+++ b/tests/engine/engineclient_test.cpp
@@ -108,6 +108,38 @@
     BOOST_TEST((refused.failure().effect == EffectState::NotRun));
 }
 
+// R11: guards against an announcement of leaving that is overlooked because the response is not a
+// stream, has an error status, or belongs to another kind of call.
+BOOST_AUTO_TEST_CASE(everyResponseCanAnnounceThatTheEngineLeaves)
+{
+    int status = 200;
+    std::string value = "1";
+    Server server([&](const httplib::Request &, httplib::Response &response) {
+        response.status = status;
+        response.set_header("X-Rattanrill-Leaving", value);
+        response.set_content("{}", "application/json");
+    });
+    int announcements = 0;
+    EngineOptions options = server.options();
+    options.onLeaving = [&] { ++announcements; };
+    EngineClient client(options);
+    AbortSignal abortSignal;
+    (void)run(client, abortSignal);
+    BOOST_TEST(announcements == 1);
+    status = 503;
+    (void)run(client, abortSignal);
+    BOOST_TEST(announcements == 2);
+    value = "0";
+    (void)run(client, abortSignal);
+    BOOST_TEST(announcements == 2);
+    net::EndlessServer auxiliary(
+            "HTTP/1.1 200 OK\r\nX-Rattanrill-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}", "");
+    options.port = auxiliary.port();
+    EngineClient auxiliaryClient(options);
+    (void)auxiliaryClient.fetchLoadReport();
+    BOOST_TEST(announcements == 3);
+}
+
 // Guards against a call that blocks forever because the engine stops sending but keeps the
 // connection open.
 BOOST_AUTO_TEST_CASE(stalledStreamEndsAtTheIdleTimeoutAndAtTheDeadline)
--- a/tests/fakes/engineserver_test.cpp
+++ b/tests/fakes/engineserver_test.cpp
@@ -229,4 +229,21 @@
     BOOST_TEST(Json::parse(other).at("request_id") == "r9");
 }
 
+// R11: guards against a stand-in that is told to leave and announces it only in some responses.
+BOOST_AUTO_TEST_CASE(leavingEngineAnnouncesItInEachResponse)
+{
+    const auto announces = [](const httplib::Result &response) {
+        BOOST_REQUIRE(response);
+        return response->get_header_value("X-Rattanrill-Leaving") == "1";
+    };
+    BOOST_TEST(!announces(post("/v1/completions", body("r1", "p", 1, true))));
+    post("/faults", {{"leaving", true}, {"refuse", true}});
+    BOOST_TEST(announces(post("/v1/completions", body("r2", "p", 1, true))));
+    post("/faults", {{"refuse", false}});
+    BOOST_TEST(announces(post("/v1/completions", body("r3", "p", 1, true))));
+    BOOST_TEST(announces(post("/engine/cancel", {{"request_id", "r3"}})));
+    post("/faults", {{"leaving", nullptr}});
+    BOOST_TEST(!announces(post("/v1/completions", body("r4", "p", 1, true))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/service/serviceclient_test.cpp
+++ b/tests/service/serviceclient_test.cpp
@@ -53,6 +53,25 @@
     }
 }
 
+// R11: guards against an announcement of leaving that is overlooked in a response or a load report.
+BOOST_AUTO_TEST_CASE(everyResponseCanAnnounceThatTheServiceLeaves)
+{
+    net::EndlessServer server(
+            {{"HTTP/1.1 200 OK\r\nX-Rattanrill-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}", ""},
+             {"HTTP/1.1 503 X\r\nX-Rattanrill-Leaving: 1\r\nContent-Length: 2\r\n\r\n{}", ""},
+             {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", ""}});
+    int announcements = 0;
+    ServiceOptions options = optionsOf(server);
+    options.onLeaving = [&] { ++announcements; };
+    ServiceClient client(options);
+    BOOST_TEST(call(client).ok());
+    BOOST_TEST(announcements == 1);
+    BOOST_TEST(!client.fetchLoadReport().ok());
+    BOOST_TEST(announcements == 2);
+    BOOST_TEST(call(client).ok());
+    BOOST_TEST(announcements == 2);
+}
+
 // Guards against a load report that arrives byte by byte and holds the call beyond its timeout.
 BOOST_AUTO_TEST_CASE(slowLoadReportEndsAtTheTimeout)
 {
