Entry: Send nothing new to an upstream that announced its leave

An entry sent requests to an upstream as long as the directory listed it as active, whatever the upstream said. It now stops with the first response that announces the leave. The announcement ends when the directory shows the upstream at another address, or a later change of its record to active; the next announcing response, at the latest that to a load poll, renews it.

--- a/src/entry/enginetable.cpp
+++ b/src/entry/enginetable.cpp
@@ -1,57 +1,97 @@
 #include "enginetable.h"
 
+#include "rattanrill/base/logger.h"
+
+#include <utility>
+
 namespace rattanrill::entry {
 
-EngineTable::EngineTable(absl::Duration idleTimeout)
+EngineTable::EngineTable(absl::Duration idleTimeout, std::function<void()> onLeaving)
     : m_idleTimeout(idleTimeout)
+    , m_onLeaving(std::move(onLeaving))
 {}
 
-EngineTable::Client EngineTable::clientFor(const wire::Upstream &upstream) const
+EngineTable::Client EngineTable::makeClient(const wire::Upstream &upstream)
 {
-    const auto known = m_clients.find(upstream.name);
-    if (known != m_clients.end()) {
-        const engine::EngineOptions &options = known->second->options();
-        if (options.host == upstream.host && options.port == upstream.port)
-            return known->second;
-    }
     engine::EngineOptions options;
     options.name = upstream.name;
     options.host = upstream.host;
     options.port = static_cast<int>(upstream.port);
     options.idleTimeout = m_idleTimeout;
+    options.onLeaving = [this, name = options.name, host = options.host, port = options.port] {
+        announceLeaving(name, host, port);
+    };
     return std::make_shared<engine::EngineClient>(options);
 }
 
-std::vector<policy::EngineInfo> EngineTable::update(const directory::DirectoryView &view)
+EngineTable::Engine EngineTable::engineFor(const wire::Upstream &upstream)
 {
-    std::vector<policy::EngineInfo> infos;
-    std::map<std::string, Client> clients;
+    const auto known = m_engines.find(upstream.name);
+    if (known != m_engines.end() && known->second.upstream.host == upstream.host
+        && known->second.upstream.port == upstream.port)
+        return known->second;
+    Engine engine;
+    engine.client = makeClient(upstream);
+    return engine;
+}
+
+void EngineTable::update(const directory::DirectoryView &view)
+{
+    std::map<std::string, Engine> engines;
     absl::MutexLock lock(&m_mutex);
     for (const auto &row : view.upstreams()) {
-        const wire::Upstream &upstream = *row.record;
-        if (upstream.kind != wire::UpstreamKind::Engine)
+        if (row.record->kind != wire::UpstreamKind::Engine)
             continue;
-        clients[upstream.name] = clientFor(upstream);
-        infos.push_back({upstream.name, upstream.serves, upstream.failureDomain,
-                         upstream.state == wire::UpstreamState::Leaving});
+        Engine engine = engineFor(*row.record);
+        engine.upstream = *row.record;
+        engine.announcement.update(*row.record);
+        engines.emplace(row.id, std::move(engine));
+    }
+    m_engines = std::move(engines);
+}
+
+void EngineTable::announceLeaving(const std::string &name, const std::string &host, int port)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        const auto engine = m_engines.find(name);
+        // A late response of a process that was replaced does not concern its successor.
+        const bool isCurrent = engine != m_engines.end() && engine->second.upstream.host == host
+                               && engine->second.upstream.port == port;
+        if (!isCurrent || !engine->second.announcement.announce())
+            return;
+    }
+    log(LogLevel::Info, "upstream-leaving", {{"upstream", name}});
+    m_onLeaving();
+}
+
+std::vector<policy::EngineInfo> EngineTable::infos() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<policy::EngineInfo> infos;
+    infos.reserve(m_engines.size());
+    for (const auto &[name, engine] : m_engines) {
+        const bool leaving = engine.upstream.state == wire::UpstreamState::Leaving
+                             || engine.announcement.isAnnounced();
+        infos.push_back({name, engine.upstream.serves, engine.upstream.failureDomain, leaving});
     }
-    m_clients = std::move(clients);
     return infos;
 }
 
 EngineTable::Client EngineTable::find(const std::string &name) const
 {
     absl::MutexLock lock(&m_mutex);
-    const auto client = m_clients.find(name);
-    return client == m_clients.end() ? nullptr : client->second;
+    const auto engine = m_engines.find(name);
+    return engine == m_engines.end() ? nullptr : engine->second.client;
 }
 
 std::vector<EngineTable::Client> EngineTable::all() const
 {
     absl::MutexLock lock(&m_mutex);
     std::vector<Client> clients;
-    for (const auto &[name, client] : m_clients)
-        clients.push_back(client);
+    clients.reserve(m_engines.size());
+    for (const auto &[name, engine] : m_engines)
+        clients.push_back(engine.client);
     return clients;
 }
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -83,7 +83,7 @@
         , control(channels, settings.control, timers, clock)
         , pollClient(control)
         , subscriber(subscriberOptions(settings), pollClient, timers, clock)
-        , engines(settings.timings.engineIdleTimeout)
+        , engines(settings.timings.engineIdleTimeout, [this] { updateEngines(); })
         , services(settings.failureDomain, clock)
         , crashReporter(control, settings.scheduler.quarantine.blockTime,
                         settings.timings.controlTimeout, clock)
@@ -143,7 +143,7 @@
 
     void applyView(const directory::DirectoryView &view)
     {
-        const std::vector<policy::EngineInfo> infos = engines.update(view);
+        engines.update(view);
         services.update(view);
         std::vector<std::string> members = memberNames(view);
         // The scheduler requires this instance in the list, even before the directory lists it as a
@@ -151,13 +151,22 @@
         if (!view.member(settings.instance))
             members.push_back(settings.instance);
         dispatcher.updateScheduler([&](policy::Scheduler &scheduler, absl::Time now) {
-            scheduler.setEngines(now, infos);
+            scheduler.setEngines(now, engines.infos());
             scheduler.setEntries(settings.instance, members);
         });
         shares.refresh(view);
         rateOwner.updateOwnership();
     }
 
+    /// Reads the engines while the dispatcher is locked, so that concurrent updates do not pass the
+    /// scheduler an earlier state after a later one.
+    void updateEngines()
+    {
+        dispatcher.updateScheduler([&](policy::Scheduler &scheduler, absl::Time now) {
+            scheduler.setEngines(now, engines.infos());
+        });
+    }
+
     Outcome<std::string> grant(const std::string &body)
     {
         const auto request = outcomeOf([&] { return wire::decode<wire::RateGrantRequest>(body); });
--- a/src/entry/servicetable.cpp
+++ b/src/entry/servicetable.cpp
@@ -1,5 +1,7 @@
 #include "servicetable.h"
 
+#include "rattanrill/base/logger.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -31,18 +33,43 @@
         const bool moved =
                 instance.upstream.host != upstream.host || instance.upstream.port != upstream.port;
         if (moved || !instance.client) {
-            service::ServiceOptions options;
-            options.name = upstream.name;
-            options.host = upstream.host;
-            options.port = static_cast<int>(upstream.port);
-            instance.client = std::make_shared<service::ServiceClient>(options);
+            instance.client = makeClient(upstream);
+            instance.announcement = LeavingAnnouncement();
         }
         instance.upstream = upstream;
+        instance.announcement.update(upstream);
         instances.emplace(upstream.name, std::move(instance));
     }
     m_instances = std::move(instances);
 }
 
+ServiceTable::Client ServiceTable::makeClient(const wire::Upstream &upstream)
+{
+    service::ServiceOptions options;
+    options.name = upstream.name;
+    options.host = upstream.host;
+    options.port = static_cast<int>(upstream.port);
+    options.onLeaving = [this, name = options.name, host = options.host, port = options.port] {
+        announceLeaving(name, host, port);
+    };
+    return std::make_shared<service::ServiceClient>(options);
+}
+
+void ServiceTable::announceLeaving(const std::string &name, const std::string &host, int port)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        const auto instance = m_instances.find(name);
+        // A late response of a process that was replaced does not concern its successor.
+        const bool isCurrent = instance != m_instances.end()
+                               && instance->second.upstream.host == host
+                               && instance->second.upstream.port == port;
+        if (!isCurrent || !instance->second.announcement.announce())
+            return;
+    }
+    log(LogLevel::Info, "upstream-leaving", {{"upstream", name}});
+}
+
 std::vector<ServiceTable::Client> ServiceTable::all() const
 {
     absl::MutexLock lock(&m_mutex);
@@ -81,6 +108,7 @@
     for (auto &[name, instance] : m_instances) {
         const bool usable = instance.upstream.serves == service
                             && instance.upstream.state == wire::UpstreamState::Active
+                            && !instance.announcement.isAnnounced()
                             && !instance.outlier.ejected(now)
                             && std::find(excluded.begin(), excluded.end(), name) == excluded.end();
         if (usable && cost(instance, now) < bestCost) {
--- a/src/entry/servicetable.h
+++ b/src/entry/servicetable.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "leavingannouncement.h"
+
 #include "rattanrill/base/clock.h"
 #include "rattanrill/directory/directoryview.h"
 #include "rattanrill/policy/outlierdetector.h"
@@ -16,7 +18,7 @@
 namespace rattanrill::entry {
 
 /// Clients of the plain services that the directory lists, with their load, the number of this
-/// entry's open calls and their outlier state.
+/// entry's open calls, their outlier state and whether they leave.
 class ServiceTable
 {
 public:
@@ -45,8 +47,13 @@
         service::ServiceLoadReport load;
         std::int64_t ownCalls = 0;
         policy::OutlierDetector outlier{policy::OutlierSettings()};
+        LeavingAnnouncement announcement;
     };
 
+    Client makeClient(const wire::Upstream &upstream);
+    void announceLeaving(const std::string &name, const std::string &host, int port)
+            ABSL_LOCKS_EXCLUDED(m_mutex);
+
     double cost(const Instance &instance, absl::Time now) const;
 
     std::string m_failureDomain;
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -124,6 +124,18 @@
     return m_runs;
 }
 
+bool ScriptedEngine::awaitAnnouncement()
+{
+    // An entry requests the next load report only after it has handled the last one.
+    constexpr std::size_t reports = 2;
+    absl::MutexLock lock(&m_mutex);
+    const std::size_t count = m_announcements + reports;
+    const auto enough = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        return m_announcements >= count;
+    };
+    return m_mutex.AwaitWithTimeout(absl::Condition(&enough), waitLimit);
+}
+
 bool ScriptedEngine::awaitRuns(std::size_t count)
 {
     absl::MutexLock lock(&m_mutex);
@@ -239,6 +251,15 @@
                                               });
     };
     httplib::Server &server = m_http->server;
+    server.set_post_routing_handler(
+            [this](const httplib::Request &request, httplib::Response &response) {
+                absl::MutexLock lock(&m_mutex);
+                if (!m_script.leaving)
+                    return;
+                response.set_header("X-Rattanrill-Leaving", "1");
+                m_announcements +=
+                        request.path == "/engine/load" || request.path == "/service/load" ? 1 : 0;
+            });
     server.Post("/v1/completions", complete);
     server.Post("/v1/chat/completions", complete);
     server.Post("/engine/cancel",
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -44,6 +44,8 @@
         bool refuse = false;
         /// The service breaks off its response after it has read the request.
         bool abortResponses = false;
+        /// Responses announce that the upstream leaves.
+        bool leaving = false;
         /// Batch capacity in load reports.
         int maxBatch = 8;
     };
@@ -61,6 +63,9 @@
     /// Number of completions and service calls received; excludes load reports, health checks and
     /// cancellations.
     std::size_t runs() const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// Waits until the entry has handled a response that announces that the upstream leaves;
+    /// returns false when a time limit passes first.
+    bool awaitAnnouncement() ABSL_LOCKS_EXCLUDED(m_mutex);
     /// Waits until runs() is at least \a count; returns false when a time limit passes first.
     bool awaitRuns(std::size_t count) ABSL_LOCKS_EXCLUDED(m_mutex);
     /// Waits until a cancellation was received; returns false when a time limit passes first.
@@ -79,6 +84,8 @@
     Script m_script ABSL_GUARDED_BY(m_mutex);
     std::vector<RecordedRequest> m_requests ABSL_GUARDED_BY(m_mutex);
     std::size_t m_runs ABSL_GUARDED_BY(m_mutex) = 0;
+    /// Number of load reports that announce that the upstream leaves.
+    std::size_t m_announcements ABSL_GUARDED_BY(m_mutex) = 0;
     std::int64_t m_running ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
     std::map<std::string, bool> m_cancelled ABSL_GUARDED_BY(m_mutex);
--- a/tests/entry/testfleet.cpp
+++ b/tests/entry/testfleet.cpp
@@ -159,24 +159,13 @@
     : m_control(partitions)
 {
     m_settings = testSettings(m_control.address());
-    const auto add = [this](ScriptedEngine &engine, const std::string &name,
-                            wire::UpstreamKind kind, const std::string &serves) {
-        wire::Upstream upstream;
-        upstream.name = name;
-        upstream.kind = kind;
-        upstream.serves = serves;
-        upstream.host = "127.0.0.1";
-        upstream.port = engine.port();
-        upstream.failureDomain = "a";
-        m_control.write(wire::PutUpstream{upstream});
-    };
     for (int i = 0; i < engines; ++i) {
         m_engines.push_back(std::make_unique<ScriptedEngine>());
-        add(*m_engines.back(), concat("engine-", i), wire::UpstreamKind::Engine, testModel);
+        putEngine(i);
     }
     for (int i = 0; i < services; ++i) {
         m_services.push_back(std::make_unique<ScriptedEngine>());
-        add(*m_services.back(), concat("service-", i), wire::UpstreamKind::Service, "desk");
+        putService(i);
     }
     addWorkspace("acme", 1000, 1000);
     for (int i = 0; i < entries; ++i)
@@ -193,6 +182,30 @@
     m_entries.clear();
 }
 
+void TestFleet::putUpstream(const ScriptedEngine &upstream, const std::string &name,
+                            wire::UpstreamKind kind, wire::UpstreamState state)
+{
+    wire::Upstream record;
+    record.name = name;
+    record.kind = kind;
+    record.serves = kind == wire::UpstreamKind::Engine ? testModel : "desk";
+    record.host = "127.0.0.1";
+    record.port = upstream.port();
+    record.failureDomain = "a";
+    record.state = state;
+    m_control.write(wire::PutUpstream{record});
+}
+
+void TestFleet::putEngine(int i, wire::UpstreamState state)
+{
+    putUpstream(engine(i), concat("engine-", i), wire::UpstreamKind::Engine, state);
+}
+
+void TestFleet::putService(int i, wire::UpstreamState state)
+{
+    putUpstream(service(i), concat("service-", i), wire::UpstreamKind::Service, state);
+}
+
 void TestFleet::startEntry()
 {
     m_settings.instance = concat("entry-", m_entries.size());
@@ -215,14 +228,17 @@
     m_control.write(wire::AddKey{key});
 }
 
+void TestFleet::awaitView(int i)
+{
+    const auto revision = static_cast<double>(m_control.revision());
+    BOOST_REQUIRE(eventually([&] { return metric(i, "rattanrill_view_revision") >= revision; }));
+}
+
 void TestFleet::awaitReady()
 {
     BOOST_REQUIRE(eventually([&] { return m_control.members() == m_entries.size(); }));
-    const auto revision = static_cast<double>(m_control.revision());
     for (std::size_t i = 0; i < m_entries.size(); ++i) {
-        BOOST_REQUIRE(eventually([&] {
-            return metric(static_cast<int>(i), "rattanrill_view_revision") >= revision;
-        }));
+        awaitView(static_cast<int>(i));
         // The bucket of a new owner fills only after the lease of the former owner has ended.
         BOOST_REQUIRE(eventually([&] {
             const auto result = complete(static_cast<int>(i), "acme", "warm up", 1);
--- a/tests/entry/testfleet.h
+++ b/tests/entry/testfleet.h
@@ -64,6 +64,11 @@
     void startEntry();
     /// Adds a contract for \a workspace and the API key "key-WORKSPACE".
     void addWorkspace(const std::string &workspace, double rate, double burst);
+    /// Writes the directory record of engine \a i, of service \a i respectively.
+    void putEngine(int i, wire::UpstreamState state = wire::UpstreamState::Active);
+    void putService(int i, wire::UpstreamState state = wire::UpstreamState::Active);
+    /// Waits until entry \a i applies all directory writes.
+    void awaitView(int i);
     /// Waits until every entry has joined, applies all directory writes and serves requests.
     void awaitReady();
 
@@ -76,6 +81,9 @@
     double metric(int entry, const std::string &series);
 
 private:
+    void putUpstream(const ScriptedEngine &upstream, const std::string &name,
+                     wire::UpstreamKind kind, wire::UpstreamState state);
+
     EntrySettings m_settings;
     FakeControl m_control;
     std::vector<std::unique_ptr<ScriptedEngine>> m_engines;
