Entry: Check before sending that the engine has not left

An attempt waits up to 6 s for the record of a crash, and was then sent to the engine that was chosen before the wait, although that engine could have left or been replaced meanwhile. The attempt now asks the table of engines right before it connects, and ends as not run if the engine leaves.

Before, attemptThatWaitedForACrashRecordIsNotSentToAnEngineThatHasLeft saw the request at the engine that had left.

--- a/src/entry/enginetable.cpp
+++ b/src/entry/enginetable.cpp
@@ -70,11 +70,9 @@
     absl::MutexLock lock(&m_mutex);
     std::vector<policy::EngineInfo> infos;
     infos.reserve(m_engines.size());
-    for (const auto &[name, engine] : m_engines) {
-        const bool leaving = engine.upstream.state == wire::UpstreamState::Leaving
-                             || engine.announcement.isAnnounced();
-        infos.push_back({name, engine.upstream.serves, engine.upstream.failureDomain, leaving});
-    }
+    for (const auto &[name, engine] : m_engines)
+        infos.push_back(
+                {name, engine.upstream.serves, engine.upstream.failureDomain, engine.isLeaving()});
     return infos;
 }
 
@@ -85,6 +83,14 @@
     return engine == m_engines.end() ? nullptr : engine->second.client;
 }
 
+bool EngineTable::acceptsRequests(const engine::EngineClient &client) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto engine = m_engines.find(client.options().name);
+    return engine != m_engines.end() && engine->second.client.get() == &client
+           && !engine->second.isLeaving();
+}
+
 std::vector<EngineTable::Client> EngineTable::all() const
 {
     absl::MutexLock lock(&m_mutex);
--- a/src/entry/enginetable.h
+++ b/src/entry/enginetable.h
@@ -35,6 +35,9 @@
     std::vector<policy::EngineInfo> infos() const ABSL_LOCKS_EXCLUDED(m_mutex);
     /// Null for an unknown engine.
     Client find(const std::string &name) const ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// Whether requests may be sent through \a client: its engine is still listed at the same
+    /// address and does not leave.
+    bool acceptsRequests(const engine::EngineClient &client) const ABSL_LOCKS_EXCLUDED(m_mutex);
     std::vector<Client> all() const ABSL_LOCKS_EXCLUDED(m_mutex);
 
 private:
@@ -43,6 +46,11 @@
         wire::Upstream upstream;
         Client client;
         LeavingAnnouncement announcement;
+
+        bool isLeaving() const
+        {
+            return upstream.state == wire::UpstreamState::Leaving || announcement.isAnnounced();
+        }
     };
 
     Engine engineFor(const wire::Upstream &upstream) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/entry/taskdispatcher.cpp
+++ b/src/entry/taskdispatcher.cpp
@@ -289,6 +289,12 @@
     if (task->cancelled || engineAttempt.preempting())
         return notRun(ErrorCode::ClientDisconnected,
                       "the task was cancelled or preempted before the attempt sent its request");
+    // The engine may have left since the decision: an attempt waits up to crashRecordTimeout for
+    // the record of a crash.
+    if (!m_context.engines.acceptsRequests(engineAttempt.client()))
+        return notRun(ErrorCode::UpstreamUnavailable,
+                      concat("engine \"", engineAttempt.start().engine,
+                             "\" left before the attempt sent its request"));
     engine::StreamRequest request;
     request.path = submission.path;
     request.body = submission.body;
--- a/tests/entry/leaving_test.cpp
+++ b/tests/entry/leaving_test.cpp
@@ -1,7 +1,12 @@
 #include "testfleet.h"
 
+#include "rattanrill/base/concat.h"
+
 #include <boost/test/unit_test.hpp>
 
+#include <future>
+#include <string>
+
 namespace rattanrill::entry {
 namespace {
 
@@ -90,6 +95,46 @@
     BOOST_TEST(fleet.get(0, "/desk/a", "")->status == 200);
 }
 
+// R11: guards against an attempt that waits for the record of a crash and is then sent to the
+// engine that was chosen before the wait, although that engine has left meanwhile.
+BOOST_AUTO_TEST_CASE(attemptThatWaitedForACrashRecordIsNotSentToAnEngineThatHasLeft)
+{
+    TestFleet fleet(0, 2);
+    fleet.settings().timings.controlTimeout = absl::Seconds(5);
+    // The request is a suspect after the crash, and no engine is left for it.
+    fleet.settings().scheduler.maxIsolationWait = absl::Seconds(1);
+    fleet.startEntry();
+    fleet.awaitReady();
+    ScriptedEngine::Script script;
+    script.pauseAt = 0;
+    std::size_t before[2];
+    for (int i = 0; i < 2; ++i) {
+        fleet.engine(i).setScript(script);
+        before[i] = fleet.engine(i).runs();
+    }
+    const auto caller =
+            std::async(std::launch::async, [&] { (void)fleet.complete(0, "acme", "crash", 2); });
+    const auto hasRun = [&](int i) { return fleet.engine(i).runs() > before[i]; };
+    BOOST_REQUIRE(eventually([&] { return hasRun(0) || hasRun(1); }));
+    const int crashed = hasRun(0) ? 0 : 1;
+    const int other = 1 - crashed;
+    fleet.control().setUnresponsive("directory", true);
+    fleet.engine(crashed).stop();
+    const std::string crashes =
+            concat("rattanrill_upstream_crashes_total{upstream=\"engine-", crashed, "\"}");
+    BOOST_REQUIRE(eventually([&] {
+        return fleet.metric(0, crashes) >= 1
+               && fleet.metric(0, "rattanrill_works_running{kind=\"online\"}") == 1;
+    }));
+    BOOST_TEST(!hasRun(other));
+    fleet.putEngine(other, wire::UpstreamState::Leaving);
+    fleet.awaitView(0);
+    fleet.control().setUnresponsive("directory", false);
+    fleet.engine(other).resume();
+    caller.wait();
+    BOOST_TEST(!hasRun(other));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::entry
