Engine, Service: Believe a refusal only if it is for the request

The refusal of an earlier request, written again by a faulty upstream, was believed for the request that the upstream ran: callers were told "not run", and the request could run at a second upstream. The request id of an error was not read, and a service's refusal was believed before its request id was compared. Both are compared first now; a refusal of another request counts as may_have_run. A refusal without an id is believed, because each call has a connection of its own.

--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -69,9 +69,8 @@
 
 /// Returns the failure for a response with the HTTP status \a status. The request was sent, so the
 /// failure is NotRun only when the engine reports that the request did not run.
-Failure failureOfStatus(const std::string &engine, int status, const std::string &body)
+Failure failureOfStatus(const std::string &engine, int status, const Json &error)
 {
-    const Json error = errorOf(body);
     const bool reportsNotRun = error.is_object() && error.value("run", Json()) == Json("not_run");
     const std::string detail = concat("engine \"", engine, "\" responded with status ", status);
     if (reportsNotRun)
@@ -79,6 +78,13 @@
     return mayHaveRun(codeOfStatus(status), detail);
 }
 
+/// Whether the "error" object \a error names another request than \a requestId.
+bool isForAnotherRequest(const Json &error, const std::string &requestId)
+{
+    const Json id = error.is_object() ? error.value("request_id", Json()) : Json();
+    return id.is_string() && !id.get<std::string>().empty() && id != Json(requestId);
+}
+
 } // namespace
 
 struct EngineClient::Impl
@@ -122,6 +128,17 @@
                           concat(description(), " sent a response that exceeds the maximum size"));
     }
 
+    /// Returns the failure for the error response to \a request.
+    Failure errorResponseFailure(const StreamRequest &request, int status, const std::string &body)
+    {
+        const Json error = errorOf(body);
+        if (!isForAnotherRequest(error, request.requestId))
+            return failureOfStatus(options.name, status, error);
+        ++dropped;
+        return mayHaveRun(ErrorCode::UpstreamFailed,
+                          concat(description(), " sent the response to another request"));
+    }
+
     std::string describe(net::BlockingCallEnd end) const
     {
         return concat(description(), ": ", net::name(end));
@@ -151,7 +168,7 @@
             return transportFailure(end);
         checkLeaving(options, response.head);
         if (response.head.status != statusOk)
-            return failureOfStatus(options.name, response.head.status, response.body);
+            return failureOfStatus(options.name, response.head.status, errorOf(response.body));
         Json json = Json::parse(response.body, nullptr, false);
         return json;
     }
@@ -291,7 +308,7 @@
     if (end == net::BlockingCallEnd::TooLong)
         return m_impl->tooLongFailure(call.fault());
     if (call.status() != 0 && call.status() != statusOk)
-        return failureOfStatus(m_impl->options.name, call.status(), call.errorBody());
+        return m_impl->errorResponseFailure(request, call.status(), call.errorBody());
     if (call.reader().complete())
         return call.reader().finish();
     if (abortSignal.aborted())
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -20,12 +20,26 @@
 /// Maximum size of a load report.
 constexpr std::size_t maxLoadReportBytes = std::size_t(64) << 10;
 
+/// Returns the "error" object of \a body; null when it contains none.
+Json errorOf(const Json &body)
+{
+    if (!body.is_object())
+        return {};
+    const auto error = body.find("error");
+    return error != body.end() && error->is_object() ? *error : Json();
+}
+
 bool reportsNotRun(const std::string &body)
 {
-    const Json json = Json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("error") || !json.at("error").is_object())
-        return false;
-    return json.at("error").value("run", Json()) == Json("not_run");
+    const Json error = errorOf(Json::parse(body, nullptr, false));
+    return error.is_object() && error.value("run", Json()) == Json("not_run");
+}
+
+/// Returns the member "request_id" of \a object; empty when it has none.
+std::string requestIdOf(const Json &object)
+{
+    const Json id = object.is_object() ? object.value("request_id", Json()) : Json();
+    return id.is_string() ? id.get<std::string>() : std::string();
 }
 
 /// Returns the request id that the response carries; empty when it carries none.
@@ -36,10 +50,8 @@
     if (response.head.headers.value("Content-Type").find("json") == std::string_view::npos)
         return {};
     const Json json = Json::parse(response.body, nullptr, false);
-    if (!json.is_object())
-        return {};
-    const auto id = json.find("request_id");
-    return id != json.end() && id->is_string() ? id->get<std::string>() : std::string();
+    const std::string id = requestIdOf(json);
+    return id.empty() ? requestIdOf(errorOf(json)) : id;
 }
 
 net::Request makeRequest(const ServiceRequest &request)
@@ -127,14 +139,15 @@
     Outcome<ServiceResponse> checkResponse(const ServiceRequest &request,
                                            const net::Response &response)
     {
-        if (response.head.status == statusUnavailable && reportsNotRun(response.body))
-            return notRun(ErrorCode::UpstreamBusy, concat(description(), " is busy"));
+        // Checked first: a refusal of another request says nothing about this one.
         const std::string id = responseRequestId(response);
         if (!id.empty() && id != request.requestId) {
             ++dropped;
             return mayHaveRun(ErrorCode::UpstreamFailed,
                               concat(description(), " sent the response to another request"));
         }
+        if (response.head.status == statusUnavailable && reportsNotRun(response.body))
+            return notRun(ErrorCode::UpstreamBusy, concat(description(), " is busy"));
         return ServiceResponse{response.head.status,
                                std::string(response.head.headers.value("Content-Type")),
                                response.body};
--- a/tests/engine/engineclient_test.cpp
+++ b/tests/engine/engineclient_test.cpp
@@ -108,6 +108,25 @@
     BOOST_TEST((refused.failure().effect == EffectState::NotRun));
 }
 
+// R9: guards against a refusal of an earlier request, which a faulty engine writes once more, that
+// is taken for the refusal of the request that the engine runs.
+BOOST_AUTO_TEST_CASE(refusalOfAnotherRequestDoesNotCountAsNotRun)
+{
+    std::string requestId = "earlier";
+    Server server([&](const httplib::Request &, httplib::Response &response) {
+        response.status = 503;
+        const Json error = {
+                {"code", "upstream_busy"}, {"run", "not_run"}, {"request_id", requestId}};
+        response.set_content(Json{{"error", error}}.dump(), "application/json");
+    });
+    EngineClient client(server.options());
+    AbortSignal abortSignal;
+    BOOST_TEST((run(client, abortSignal).failure().effect == EffectState::MayHaveRun));
+    BOOST_TEST(client.droppedEvents() == 1u);
+    requestId = "r";
+    BOOST_TEST((run(client, abortSignal).failure().effect == EffectState::NotRun));
+}
+
 // R11: guards against an announcement of leaving that is overlooked because the response is not a
 // stream, has an error status, or belongs to another kind of call.
 BOOST_AUTO_TEST_CASE(everyResponseCanAnnounceThatTheEngineLeaves)
--- a/tests/service/serviceclient_test.cpp
+++ b/tests/service/serviceclient_test.cpp
@@ -53,6 +53,29 @@
     }
 }
 
+// R9: guards against a refusal of an earlier request, which a faulty service writes once more, that
+// is taken for the refusal of the request that the service runs.
+BOOST_AUTO_TEST_CASE(refusalOfAnotherRequestDoesNotCountAsNotRun)
+{
+    const auto refusal = [](const std::string &headers, const std::string &members) {
+        const std::string body = R"({"error":{"run":"not_run")" + members + "}}";
+        return net::ServerAnswer{"HTTP/1.1 503 X\r\nContent-Type: application/json\r\n" + headers
+                                         + "Content-Length: " + std::to_string(body.size())
+                                         + "\r\n\r\n" + body,
+                                 ""};
+    };
+    net::EndlessServer server({refusal("", R"(,"request_id":"earlier")"),
+                               refusal("X-Request-Id: earlier\r\n", ""),
+                               refusal("X-Request-Id: r\r\n", R"(,"request_id":"r")")});
+    ServiceClient client(optionsOf(server));
+    BOOST_TEST((call(client).failure().effect == EffectState::MayHaveRun));
+    BOOST_TEST((call(client).failure().effect == EffectState::MayHaveRun));
+    BOOST_TEST(client.droppedResponses() == 2u);
+    const auto refused = call(client);
+    BOOST_TEST((refused.failure().code == ErrorCode::UpstreamBusy));
+    BOOST_TEST((refused.failure().effect == EffectState::NotRun));
+}
+
 // R11: guards against an announcement of leaving that is overlooked in a response or a load report.
 BOOST_AUTO_TEST_CASE(everyResponseCanAnnounceThatTheServiceLeaves)
 {
