Engine: Believe a refusal only if its response is complete

A refusal whose body was whole but whose chunked response broke off counted as not run. It counts as may_have_run now.

--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -128,7 +128,8 @@
                           concat(description(), " sent a response that exceeds the maximum size"));
     }
 
-    /// Returns the failure for the error response to \a request.
+    /// Returns the failure for the error response to \a request. \a body is empty when the response
+    /// is not complete.
     Failure errorResponseFailure(const StreamRequest &request, int status, const std::string &body)
     {
         const Json error = errorOf(body);
@@ -308,7 +309,9 @@
     if (end == net::BlockingCallEnd::TooLong)
         return m_impl->tooLongFailure(call.fault());
     if (call.status() != 0 && call.status() != statusOk)
-        return m_impl->errorResponseFailure(request, call.status(), call.errorBody());
+        return m_impl->errorResponseFailure(request, call.status(),
+                                            end == net::BlockingCallEnd::Complete ? call.errorBody()
+                                                                                  : std::string());
     if (call.reader().complete())
         return call.reader().finish();
     if (abortSignal.aborted())
--- a/tests/engine/engineclient_test.cpp
+++ b/tests/engine/engineclient_test.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/engine/engineclient.h"
 
+#include "cutserver.h"
 #include "endlessserver.h"
 
 #include "rattanrill/base/json.h"
@@ -10,6 +11,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+#include <sstream>
 #include <thread>
 
 namespace rattanrill::engine {
@@ -65,6 +68,36 @@
     return client.stream(request, abortSignal, [](const Token &) {});
 }
 
+std::string framedByLength(const std::string &head, const std::string &body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Sends \a body in one chunk.
+std::string framedByChunks(const std::string &head, const std::string &body)
+{
+    std::ostringstream size;
+    size << std::hex << body.size();
+    return head + "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body
+           + "\r\n0\r\n\r\n";
+}
+
+/// Calls the engine once for each length of its response, the last time for the whole of it.
+void forEachCut(const std::string &response, net::CloseMode mode,
+                const std::function<void(std::size_t cut, const Outcome<StreamSummary> &)> &check)
+{
+    net::CutServer server(response, mode);
+    EngineOptions options;
+    options.name = "e";
+    options.host = "127.0.0.1";
+    options.port = server.port();
+    EngineClient client(options);
+    for (std::size_t cut = 0; cut <= response.size(); ++cut) {
+        AbortSignal abortSignal;
+        check(cut, run(client, abortSignal));
+    }
+}
+
 /// Sends the start of a stream and then neither continues nor ends it.
 void startStreamAndStall(const httplib::Request &, httplib::Response &response)
 {
@@ -127,6 +160,54 @@
     BOOST_TEST((run(client, abortSignal).failure().effect == EffectState::NotRun));
 }
 
+// R8: guards against a stream that counts as complete although the engine closed the connection in
+// the middle of the head or the body.
+BOOST_AUTO_TEST_CASE(streamThatIsCutAtAnyByteIsNotComplete)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    const std::string body = "data: {\"request_id\":\"r\",\"index\":0,\"choices\":[{\"text\":\"a\","
+                             "\"finish_reason\":null}]}\n\n"
+                             "data: {\"request_id\":\"r\",\"index\":1,\"choices\":[{\"text\":\"\","
+                             "\"finish_reason\":\"stop\"}]}\n\n"
+                             "data: [DONE]\n\n";
+    const std::string responses[] = {framedByLength(head, body), framedByChunks(head, body),
+                                     head + "\r\n" + body};
+    for (const std::string &response : responses) {
+        // The end of the line with the end marker.
+        const std::size_t complete = response.find("[DONE]\n") + 7;
+        for (const auto mode : {net::CloseMode::Orderly, net::CloseMode::Reset}) {
+            forEachCut(response, mode, [&](std::size_t cut, const Outcome<StreamSummary> &result) {
+                if (cut >= complete && mode == net::CloseMode::Orderly) {
+                    BOOST_TEST(result.ok(), response.substr(0, cut));
+                } else if (cut < complete) {
+                    BOOST_REQUIRE(!result.ok());
+                    BOOST_TEST((result.failure().effect == EffectState::MayHaveRun),
+                               response.substr(0, cut));
+                }
+            });
+        }
+    }
+}
+
+// R9: guards against a refusal that counts as not run although its response broke off.
+BOOST_AUTO_TEST_CASE(refusalThatIsCutAtAnyByteDoesNotCountAsNotRun)
+{
+    const std::string head = "HTTP/1.1 503 Service Unavailable\r\n";
+    const std::string body = R"({"error":{"code":"upstream_busy","run":"not_run"}})";
+    for (const std::string &response : {framedByLength(head, body), framedByChunks(head, body)}) {
+        for (const auto mode : {net::CloseMode::Orderly, net::CloseMode::Reset}) {
+            forEachCut(response, mode, [&](std::size_t cut, const Outcome<StreamSummary> &result) {
+                BOOST_REQUIRE(!result.ok());
+                const bool isNotRun = result.failure().effect == EffectState::NotRun;
+                if (cut < response.size())
+                    BOOST_TEST(!isNotRun, response.substr(0, cut));
+                else if (mode == net::CloseMode::Orderly)
+                    BOOST_TEST(isNotRun);
+            });
+        }
+    }
+}
+
 // R11: guards against an announcement of leaving that is overlooked because the response is not a
 // stream, has an error status, or belongs to another kind of call.
 BOOST_AUTO_TEST_CASE(everyResponseCanAnnounceThatTheEngineLeaves)
