Service: Pass on no response whose end is the close of the connection

A response with neither a length nor chunks ends with the connection. One that broke off was passed on as a whole 200 with a short body. Such a response is now a failure, may_have_run; the upstream protocol says so. 204 and 304 need no length.

--- a/include/rattanrill/service/serviceclient.h
+++ b/include/rattanrill/service/serviceclient.h
@@ -83,8 +83,8 @@
     /// - Timeout: the deadline passed; NotRun when it passed before the request was sent,
     ///   MayHaveRun otherwise.
     /// - ConnectionLost (MayHaveRun): the connection was lost after the request was sent.
-    /// - UpstreamFailed (MayHaveRun): the response exceeds maxResponseBytes or carries the id of
-    ///   another request.
+    /// - UpstreamFailed (MayHaveRun): the response exceeds maxResponseBytes, carries the id of
+    ///   another request, or has neither a length nor chunks.
     /// - Draining: abortCalls() was called; NotRun when that was before the request was sent,
     ///   MayHaveRun otherwise.
     Outcome<ServiceResponse> call(const ServiceRequest &request);
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -54,6 +54,17 @@
     return id.empty() ? requestIdOf(errorOf(json)) : id;
 }
 
+/// Whether the end of the response is known from its head. Without a length, the end is the close
+/// of the connection, which also ends a response that broke off.
+bool isFramed(const net::ResponseHead &head)
+{
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    return head.status == noContent || head.status == notModified
+           || head.headers.find("Content-Length") != nullptr
+           || head.headers.find("Transfer-Encoding") != nullptr;
+}
+
 net::Request makeRequest(const ServiceRequest &request)
 {
     net::Request result;
@@ -139,6 +150,9 @@
     Outcome<ServiceResponse> checkResponse(const ServiceRequest &request,
                                            const net::Response &response)
     {
+        if (!isFramed(response.head))
+            return mayHaveRun(ErrorCode::UpstreamFailed,
+                              concat(description(), " sent a response without a length"));
         // Checked first: a refusal of another request says nothing about this one.
         const std::string id = responseRequestId(response);
         if (!id.empty() && id != request.requestId) {
--- a/tests/service/serviceclient_test.cpp
+++ b/tests/service/serviceclient_test.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/service/serviceclient.h"
 
+#include "cutserver.h"
 #include "endlessserver.h"
 
 #include <boost/test/unit_test.hpp>
@@ -76,6 +77,58 @@
     BOOST_TEST((refused.failure().effect == EffectState::NotRun));
 }
 
+// R8, R9: guards against a response that counts as complete, or a refusal that counts as not run,
+// although the service closed the connection in the middle of the head or the body.
+BOOST_AUTO_TEST_CASE(responseThatIsCutAtAnyByteIsNotComplete)
+{
+    const std::string json = "Content-Type: application/json\r\n";
+    const std::string refusal = R"({"error":{"run":"not_run"}})";
+    const std::string responses[] = {
+            "HTTP/1.1 200 OK\r\n" + json + "Content-Length: 7\r\n\r\n{\"a\":1}",
+            "HTTP/1.1 200 OK\r\n" + json
+                    + "Transfer-Encoding: chunked\r\n\r\n4\r\n{\"a\"\r\n3\r\n:1}\r\n0\r\n\r\n",
+            "HTTP/1.1 503 X\r\n" + json + "Content-Length: " + std::to_string(refusal.size())
+                    + "\r\n\r\n" + refusal,
+            "HTTP/1.1 503 X\r\n" + json + "Transfer-Encoding: chunked\r\n\r\n1b\r\n" + refusal
+                    + "\r\n0\r\n\r\n",
+    };
+    for (const std::string &response : responses) {
+        for (const auto mode : {net::CloseMode::Orderly, net::CloseMode::Reset}) {
+            net::CutServer server(response, mode);
+            ServiceOptions options;
+            options.name = "s";
+            options.host = "127.0.0.1";
+            options.port = server.port();
+            ServiceClient client(options);
+            for (std::size_t cut = 0; cut <= response.size(); ++cut) {
+                const auto result = call(client);
+                if (cut == response.size())
+                    continue;
+                BOOST_REQUIRE_MESSAGE(!result.ok(), response.substr(0, cut));
+                BOOST_TEST((result.failure().effect == EffectState::MayHaveRun),
+                           response.substr(0, cut));
+            }
+        }
+    }
+}
+
+// R8: guards against a response whose end is the close of the connection: one that broke off would
+// be passed on as whole.
+BOOST_AUTO_TEST_CASE(responseWithoutFramingIsNotPassedOn)
+{
+    net::EndlessServer server({{"HTTP/1.1 200 OK\r\n\r\nshort", ""},
+                               {"HTTP/1.0 200 OK\r\n\r\n", ""},
+                               {"HTTP/1.1 204 No Content\r\n\r\n", ""}});
+    ServiceClient client(optionsOf(server));
+    for (int i = 0; i < 2; ++i) {
+        const auto result = call(client);
+        BOOST_REQUIRE(!result.ok());
+        BOOST_TEST((result.failure().code == ErrorCode::UpstreamFailed));
+        BOOST_TEST((result.failure().effect == EffectState::MayHaveRun));
+    }
+    BOOST_TEST(call(client).ok());
+}
+
 // R11: guards against an announcement of leaving that is overlooked in a response or a load report.
 BOOST_AUTO_TEST_CASE(everyResponseCanAnnounceThatTheServiceLeaves)
 {
