Entry: Test broken continuations of streams and cut requests

Reports from similar systems: the text of an error in the middle of a stream, or a stream that ends as if complete, when the engine that should continue it fails; and requests whose body broke off that run as whole. The code was right in both.

--- a/tests/entry/callerserver_test.cpp
+++ b/tests/entry/callerserver_test.cpp
@@ -1,11 +1,16 @@
 #include "callerserver.h"
 
+#include "exchange.h"
+
 #include "rawsocket.h"
 
 #include "absl/synchronization/notification.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <thread>
+
 namespace rattanrill::entry {
 namespace {
 
@@ -13,6 +18,8 @@
 /// Time after which a thread that was started before has certainly called CallerServer::finish().
 constexpr absl::Duration startTime = absl::Milliseconds(100);
 
+constexpr std::size_t maxBodyBytes = 1000;
+
 constexpr std::string_view quickRequest = "GET /quick HTTP/1.1\r\nHost: x\r\n\r\n";
 constexpr std::string_view heldRequest = "GET /held HTTP/1.1\r\nHost: x\r\n\r\n";
 constexpr std::string_view heldStreamRequest = "GET /stream HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -49,6 +56,15 @@
                                                       return true;
                                                   });
         });
+        m_server.Post("/body", [this](const httplib::Request &request, httplib::Response &response,
+                                      const httplib::ContentReader &reader) {
+            Exchange exchange(request, response, &reader);
+            const Outcome<std::string> body = exchange.readBody(maxBodyBytes);
+            if (body.ok())
+                ++m_bodies;
+            else
+                exchange.sendFailure(body.failure());
+        });
         BOOST_REQUIRE(outcomeOf([&] { return m_server.start("127.0.0.1", 0); }).ok());
     }
 
@@ -58,6 +74,8 @@
         finish();
     }
 
+    /// Number of requests to "/body" whose body was read to its end.
+    std::size_t bodies() const { return m_bodies; }
     int port() const { return m_server.port(); }
     CallerServer &server() { return m_server; }
     /// Waits until a request to "/held" runs.
@@ -90,10 +108,25 @@
     CallerServer m_server;
     absl::Notification m_held;
     absl::Notification m_released;
+    std::atomic<std::size_t> m_bodies{0};
     std::thread m_finisher;
     bool m_finished = true;
 };
 
+/// Sends \a bytes, closes the sending side and waits until the server closes the connection.
+void sendAndEnd(int port, const std::string &bytes)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)});
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    socket.shutdown(tcp::socket::shutdown_send);
+    std::string response;
+    boost::system::error_code end;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(response), end);
+}
+
 bool contains(const std::string &text, std::string_view part)
 {
     return text.find(part) != std::string::npos;
@@ -164,6 +197,23 @@
     BOOST_TEST(server.finish());
 }
 
+// R8: guards against running a request whose body broke off, in particular within the framing of a
+// chunk.
+BOOST_AUTO_TEST_CASE(requestThatIsCutAtAnyByteIsNotRun)
+{
+    const std::string head = "POST /body HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
+    const std::string requests[] = {
+            head + "Content-Length: 7\r\n\r\nabcdefg",
+            head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n"};
+    for (const std::string &request : requests) {
+        TestServer server;
+        for (std::size_t cut = 0; cut <= request.size(); ++cut) {
+            sendAndEnd(server.port(), request.substr(0, cut));
+            BOOST_TEST(server.bodies() == (cut < request.size() ? 0u : 1u), request.substr(0, cut));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::entry
--- a/tests/entry/online_test.cpp
+++ b/tests/entry/online_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <sstream>
+
 namespace rattanrill::entry {
 
 BOOST_AUTO_TEST_SUITE(Online)
@@ -149,6 +151,51 @@
     BOOST_TEST(*std::max_element(resumed.begin(), resumed.end()) >= 4);
 }
 
+// R8: guards against the text of an error response in the middle of a stream, and against a stream
+// that ends as if it were complete, when the engine that should continue it answers with an error.
+BOOST_AUTO_TEST_CASE(interruptedStreamWhoseContinuationFailsEndsWithTypedError)
+{
+    TestFleet fleet(1, 2);
+    const std::string bodies[] = {"HTTP/1.1 500 Internal Server Error\r\n\r\noops",
+                                  "data: {\"choices\":[{\"text\":\"oops\"}]}\n\ndata: [DONE]\n\n",
+                                  R"({"error":{"message":"oops","run":"not_run"}})"};
+    for (const std::string &body : bodies) {
+        ScriptedEngine::Script script;
+        script.disconnectAfter = 3;
+        script.disconnects = 1;
+        script.failResumed = body;
+        fleet.engine(0).setScript(script);
+        fleet.engine(1).setScript(script);
+        const auto stream =
+                fleet.post(0, "/v1/completions", "acme", completionBody("cut me", 8, true));
+        BOOST_REQUIRE(stream);
+        BOOST_TEST(stream->status == 200);
+        BOOST_TEST(stream->body.find("oops") == std::string::npos, stream->body);
+        BOOST_TEST(stream->body.find("[DONE]") == std::string::npos, stream->body);
+        std::istringstream lines(stream->body);
+        std::string text;
+        Json last;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.empty())
+                continue;
+            BOOST_REQUIRE(line.substr(0, 6) == "data: ");
+            last = Json::parse(line.substr(6));
+            if (!last.contains("error"))
+                text += last.at("choices").at(0).at("text").get<std::string>();
+        }
+        BOOST_TEST(text == expectedText("cut me", 3));
+        BOOST_REQUIRE(last.contains("error"));
+        BOOST_TEST(last.at("error").at("run") == "may_have_run");
+
+        fleet.engine(0).setScript(script);
+        fleet.engine(1).setScript(script);
+        const auto whole = fleet.complete(0, "acme", "cut me", 8);
+        BOOST_TEST(whole->status >= 500);
+        BOOST_TEST(errorOf(whole).value("run", "") == "may_have_run");
+        BOOST_TEST(whole->body.find("oops") == std::string::npos, whole->body);
+    }
+}
+
 // R8: guards against delivering the response of another request, which the engine sent under the
 // wrong request id.
 BOOST_AUTO_TEST_CASE(responseToAnotherRequestIsNeverDelivered)
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -227,6 +227,11 @@
             return;
         }
         const Json body = Json::parse(request.body);
+        if (!script.failResumed.empty() && body.value("resume_after", 0) > 0) {
+            response.status = 500;
+            response.set_content(script.failResumed, "text/event-stream");
+            return;
+        }
         auto stream = std::make_shared<Stream>();
         stream->requestId = body.at("request_id");
         stream->prompt = promptOf(body);
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -40,6 +40,8 @@
         bool wrongRequestId = false;
         /// Each token is sent twice.
         bool repeatTokens = false;
+        /// Attempts that continue an answer get this response body with status 500; off when empty.
+        std::string failResumed;
         /// Completions are refused as not run.
         bool refuse = false;
         /// The service breaks off its response after it has read the request.
