Entry: Run the drain test with the default owner lease

drainInterruptsNoRequest was red once beside load: two of six streams got no text, and a request during the drain notice got 503. Traced by forcing it: with the polls for directory changes held back for 400 ms after the second stream, the next two streams end with 503 rate_unknown, not_run, in 3 of 3 runs. The fixture's owner lease is 300 ms in place of the default 2 s, so an owner whose view is late by that much must refuse (R7). It is no fault of the drain: both streams were refused before it began.

The test now uses the default lease; its checks are unchanged. The workspace of the test is owned by the entry that drains, so the request during the notice also needs the transfer of the rate bucket within rateWaitMs (150 ms). That was not forced, and may still fail on a machine that delays the transfer for longer.

--- a/tests/entry/limit_test.cpp
+++ b/tests/entry/limit_test.cpp
@@ -109,7 +109,12 @@
 // requests during the drain notice.
 BOOST_AUTO_TEST_CASE(drainInterruptsNoRequest)
 {
-    TestFleet fleet(2, 2);
+    TestFleet fleet(0, 2);
+    // With the short lease of the fixture, an owner whose view is 300 ms old refuses requests.
+    fleet.settings().timings.ownerLease = Timings().ownerLease;
+    fleet.startEntry();
+    fleet.startEntry();
+    fleet.awaitReady();
     ScriptedEngine::Script script;
     script.pauseAt = 2;
     fleet.engine(0).setScript(script);
