Entry: Let the tests' engines report the load that they have

onlineRequestPreemptsBatchItemsWhichThenResume failed beside load, because no batch item was cancelled. The scripted engine reported that nothing ran. An entry counts what it has sent since the last report on top of the report, so the engine counted as full only if eight tasks started between two reports, 30 ms apart. Beside load they start further apart, and the entry was right not to preempt.

The engine now reports its open streams. With load polls every 2 ms, which stands for the slow start of tasks, the case failed in 6 of 6 runs before and passes in 6 of 6 now; with the usual interval beside three busy processes (load average 18 on 8 cores) it failed in 1 of 12 runs before and passes in 12 of 12.

--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -243,17 +243,22 @@
             absl::MutexLock lock(&m_mutex);
             ++m_running;
         }
-        response.set_chunked_content_provider("text/event-stream",
-                                              [this, stream](std::size_t, httplib::DataSink &sink) {
-                                                  std::string events;
-                                                  if (!next(*stream, events))
-                                                      return false;
-                                                  if (!sink.write(events.data(), events.size()))
-                                                      return false;
-                                                  if (events.find("[DONE]") != std::string::npos)
-                                                      sink.done();
-                                                  return true;
-                                              });
+        response.set_chunked_content_provider(
+                "text/event-stream",
+                [this, stream](std::size_t, httplib::DataSink &sink) {
+                    std::string events;
+                    if (!next(*stream, events))
+                        return false;
+                    if (!sink.write(events.data(), events.size()))
+                        return false;
+                    if (events.find("[DONE]") != std::string::npos)
+                        sink.done();
+                    return true;
+                },
+                [this](bool) {
+                    absl::MutexLock lock(&m_mutex);
+                    --m_running;
+                });
     };
     httplib::Server &server = m_http->server;
     server.set_post_routing_handler(
@@ -275,7 +280,7 @@
                 });
     server.Get("/engine/load", [this](const httplib::Request &, httplib::Response &response) {
         absl::MutexLock lock(&m_mutex);
-        const Json load = {{"running", 0},
+        const Json load = {{"running", m_running},
                            {"waiting", 0},
                            {"kv_tokens", 0},
                            {"kv_capacity_tokens", 100000},
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -88,6 +88,7 @@
     std::size_t m_runs ABSL_GUARDED_BY(m_mutex) = 0;
     /// Number of load reports that announce that the upstream leaves.
     std::size_t m_announcements ABSL_GUARDED_BY(m_mutex) = 0;
+    /// Number of open streams.
     std::int64_t m_running ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_stopped ABSL_GUARDED_BY(m_mutex) = false;
     std::map<std::string, bool> m_cancelled ABSL_GUARDED_BY(m_mutex);
