Entry: Count only running requests as cut off by a shutdown

With a shorter drainLimit, the process exited with 1 although no request ran. Connections without a request do not count any more.

Before, connectionThatItsCallerKeepsOpenIsNoRunningRequest reported a shutdown that was cut off.

--- a/src/entry/callerserver.cpp
+++ b/src/entry/callerserver.cpp
@@ -118,7 +118,10 @@
 bool CallerServer::awaitRequests(absl::Duration timeout)
 {
     m_connections.closeIdle();
-    return !m_thread.joinable() || m_ended.WaitForNotificationWithTimeout(timeout);
+    if (!m_thread.joinable() || m_ended.WaitForNotificationWithTimeout(timeout))
+        return true;
+    // The other connections only wait for their callers to close them.
+    return m_connections.busy() == 0;
 }
 
 bool CallerServer::finish(absl::Duration timeout)
--- a/tests/entry/callerserver_test.cpp
+++ b/tests/entry/callerserver_test.cpp
@@ -88,11 +88,11 @@
 
     /// Begins the shutdown up to the wait for running requests, which takes place on another
     /// thread.
-    void beginShutdown()
+    void beginShutdown(absl::Duration timeout = finishTimeout)
     {
         m_server.closeAfterResponses();
         m_server.closeListener();
-        m_finisher = std::thread([this] { m_finished = m_server.finish(finishTimeout); });
+        m_finisher = std::thread([this, timeout] { m_finished = m_server.finish(timeout); });
         absl::Notification().WaitForNotificationWithTimeout(startTime);
     }
 
@@ -197,6 +197,17 @@
     BOOST_TEST(server.finish());
 }
 
+// Guards against a shutdown that counts as cut off because a caller keeps its idle connection open.
+BOOST_AUTO_TEST_CASE(connectionThatItsCallerKeepsOpenIsNoRunningRequest)
+{
+    TestServer server;
+    net::RawSocket caller(server.port());
+    caller.send(quickRequest);
+    (void)caller.readUntil("quick");
+    server.beginShutdown(absl::Milliseconds(200));
+    BOOST_TEST(server.finish());
+}
+
 // R8: guards against running a request whose body broke off, in particular within the framing of a
 // chunk.
 BOOST_AUTO_TEST_CASE(requestThatIsCutAtAnyByteIsNotRun)
