Control: Serve a request that a kept connection carries into the stop

httplib's stop() makes each connection end before its next request, also one whose last response promised to keep it and on which a request was arriving; the operator then got no response. The operator server now closes its listener, lets open connections send a request for as long as their keep-alive timeout (2 s), with the close announced in the response, and only then ends them. The stop takes no longer, because it waited for idle connections for that time before.

requestThatArrivesDuringTheStopGetsACompleteResponse failed for this reason once, in a run beside builds, with an empty response.

--- a/src/control/operatorserver.cpp
+++ b/src/control/operatorserver.cpp
@@ -7,6 +7,8 @@
 
 #include <httplib.h>
 
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace rattanrill::control {
@@ -14,6 +16,8 @@
 
 constexpr std::string_view apiPrefix = "/operator/v1/";
 constexpr int temporaryRedirect = 307;
+/// An idle connection occupies a thread until this timeout, and stop() waits for that thread.
+constexpr absl::Duration keepAliveTimeout = absl::Seconds(2);
 
 struct ListRoute
 {
@@ -57,18 +61,27 @@
 
 } // namespace
 
+/// httplib's stop() also ends a connection whose last response promised to keep it, with a request
+/// on its way. This class closes the listener and ends the connections separately.
+class OperatorServer::HttpServer : public httplib::Server
+{
+public:
+    void closeListener() { ::shutdown(svr_sock_, SHUT_RDWR); }
+    /// Makes each connection end after its current request.
+    void endConnections() { svr_sock_ = INVALID_SOCKET; }
+};
+
 OperatorServer::OperatorServer(const ControlSettings &settings, const GroupHost &groups,
                                OperatorApi &api, Metrics &metrics)
     : m_settings(settings)
     , m_groups(groups)
     , m_api(api)
     , m_metrics(metrics)
-    , m_server(new httplib::Server)
+    , m_server(new HttpServer)
 {
     http::ServerOptions options;
     options.maxConnections = settings.maxOperatorConnections;
-    // An idle connection occupies a thread until this timeout, and stop() waits for that thread.
-    options.keepAliveTimeout = absl::Seconds(2);
+    options.keepAliveTimeout = keepAliveTimeout;
     http::configureServer(*m_server, options);
     m_server->set_post_routing_handler(
             [this](const httplib::Request &, httplib::Response &response) {
@@ -100,7 +113,10 @@
     if (!bound)
         return fail(notRun(ErrorCode::AddressInUse,
                            concat("cannot listen on ", address.host, " port ", address.port)));
-    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    m_thread = std::thread([this] {
+        m_server->listen_after_bind();
+        m_ended.Notify();
+    });
     return {};
 }
 
@@ -109,10 +125,12 @@
     if (!m_thread.joinable())
         return;
     closeAfterResponses();
-    // Server::stop() has no effect before listen_after_bind() runs.
+    // Before listen_after_bind() runs, the connections of the listener would not be accepted.
     while (!m_server->is_running())
         std::this_thread::yield();
-    m_server->stop();
+    m_server->closeListener();
+    if (!m_ended.WaitForNotificationWithTimeout(keepAliveTimeout))
+        m_server->endConnections();
     m_thread.join();
 }
 
--- a/src/control/operatorserver.h
+++ b/src/control/operatorserver.h
@@ -4,13 +4,14 @@
 
 #include "rattanrill/base/metrics.h"
 
+#include "absl/synchronization/notification.h"
+
 #include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
 
 namespace httplib {
-class Server;
 struct Request;
 struct Response;
 } // namespace httplib
@@ -31,9 +32,12 @@
     /// Makes each response announce that its connection is closed; to be called when the shutdown
     /// begins.
     void closeAfterResponses() { m_closing = true; }
+    /// Closes the listener, serves requests that arrive on open connections for a short time, and
+    /// waits for the running ones.
     void stop();
 
 private:
+    class HttpServer;
     using Handler = std::function<Outcome<Json>(const OperatorRequest &)>;
     using ApiCall = Outcome<Json> (OperatorApi::*)(const OperatorRequest &);
 
@@ -55,10 +59,12 @@
     const GroupHost &m_groups;
     OperatorApi &m_api;
     Metrics &m_metrics;
-    std::unique_ptr<httplib::Server> m_server;
+    std::unique_ptr<HttpServer> m_server;
     std::thread m_thread;
     int m_port = 0;
     std::atomic<bool> m_closing{false};
+    /// Notified when the listener is closed and all connections have ended.
+    absl::Notification m_ended;
 };
 
 } // namespace rattanrill::control
