Fleet: Drop the responses of former fleet leaders

A fleet leader whose machine was suspended may respond before it learns that it was replaced. Its list is old, but its clock stood still, so the client took the list for a newer one than that of the current leader: an upstream that was known as draining was ready again, and the announcement of an upstream that leaves ended as after a restart. A response of a lower term than the view's is now treated like one of a process that does not lead.

listOfAFormerLeaderDoesNotRevokeALeave failed before: 2 checks (ready after draining; age below 1 s).

--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -207,6 +207,10 @@
                 outcomeOf([&] { return wire::decode<wire::FleetSyncResponse>(outcome.value()); });
         if (!response.ok())
             return handleFailure(address, response.failure());
+        // A leader whose machine was suspended may not know yet that it was replaced. Its view is
+        // old, and so is its list, whatever its clock shows: clocks stand still meanwhile.
+        if (response.value().viewTerm < viewTerm)
+            return handleFailure(address, notRun(ErrorCode::NotLeader, ""));
         if (leader != address || !connected) {
             log(LogLevel::Info, "fleet-leader-found",
                 {{"peerAddress", address}, {"term", response.value().viewTerm}});
--- a/tests/fleet/fleetclient_test.cpp
+++ b/tests/fleet/fleetclient_test.cpp
@@ -246,6 +246,41 @@
     BOOST_TEST(seen == (std::vector<bool>{true, true, false}), boost::test_tools::per_element());
 }
 
+// Guards against a leave that is forgotten because a former leader, whose clock stood still while
+// its machine was suspended, hands out its old list with too low an age.
+BOOST_AUTO_TEST_CASE(listOfAFormerLeaderDoesNotRevokeALeave)
+{
+    // Responds to the polls in turn as the leader of term 2, as a former one, and as the leader.
+    FakeControl leader([poll = 0](const wire::FleetSyncRequest &, const auto &reply) mutable {
+        const bool isFormer = ++poll == 2;
+        wire::FleetSyncResponse response = viewWithList(isFormer ? 1 : 2);
+        response.viewSequence = poll;
+        response.upstreams.front().draining = !isFormer;
+        response.upstreamsAgeMs = isFormer ? 0 : 1000;
+        if (poll <= 3)
+            reply(wire::encode(response));
+    });
+    std::vector<bool> seen;
+    std::vector<absl::Duration> ages;
+    thread.run([&] {
+        settings.seeds = {leader.address()};
+        client = std::make_unique<FleetClient>(thread.loop(), channels, settings,
+                                               SystemClock::instance());
+        client->onChange([&](const FleetState &state) {
+            seen.push_back(state.upstreams.front().draining);
+            ages.push_back(client->upstreamListAge());
+        });
+        client->start();
+    });
+    BOOST_REQUIRE(await([&] { return client->state().upstreamsKnown && leader.polls() > 3; }));
+    thread.run([&] {
+        BOOST_TEST(seen == std::vector<bool>(seen.size(), true), boost::test_tools::per_element());
+        // Announcements of upstreams that leave end by the time of the read.
+        for (const absl::Duration age : ages)
+            BOOST_TEST((age >= absl::Seconds(1)));
+    });
+}
+
 // Guards against a store that grants slots by its old list for more than 3 s (drain-ms) because the
 // leader was lost silently and several of the processes that it polls next do not respond either.
 BOOST_AUTO_TEST_CASE(newLeaderIsFoundInTimeBesideUnresponsiveProcesses)
