Fleet: Keep the view unchanged by a page with a repeated id

While the platform's list has two entries with one id, such as an upstream that has restarted beside its former entry, each page of each read replaced the one entry by the other and back. The result was the same list, but it counted as a change, and all members got the whole view again with each read.

pageWithARepeatedIdKeepsTheSequenceNumber failed before (3 instead of 2).

--- a/src/fleet/upstreamlist.cpp
+++ b/src/fleet/upstreamlist.cpp
@@ -38,15 +38,15 @@
     std::map<std::string, std::size_t> indexes;
     for (std::size_t index = 0; index < list.size(); ++index)
         indexes[list[index].id] = index;
-    bool isChanged = false;
+    // The list may contain an id twice, so only the result shows whether it has changed.
+    const std::vector<wire::FleetUpstream> previous = list;
     for (const wire::FleetUpstream &upstream : newer) {
         const auto [found, isNew] = indexes.try_emplace(upstream.id, list.size());
         if (isNew)
             list.push_back(upstream);
-        isChanged = isChanged || isNew || !sameUpstream(list[found->second], upstream);
         list[found->second] = upstream;
     }
-    return isChanged;
+    return !sameUpstreams(previous, list);
 }
 
 bool markDraining(std::vector<wire::FleetUpstream> &list, const std::set<std::string> &ids)
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -196,6 +196,19 @@
     BOOST_TEST((view.upstreamsReadAt() == start));
 }
 
+// Guards against a view that all members get again with each read, while the list shows an upstream
+// that has restarted beside its former entry with the same id.
+BOOST_AUTO_TEST_CASE(pageWithARepeatedIdKeepsTheSequenceNumber)
+{
+    const std::vector<wire::FleetUpstream> list = {{"u", "s", "a:1", "d", 8, false},
+                                                   {"u", "s", "b:1", "d", 8, false}};
+    view.setUpstreams(list, start);
+    const std::uint64_t sequence = view.sequence();
+    view.applyPage(list);
+    view.setUpstreams(list, start + absl::Seconds(1));
+    BOOST_TEST(view.sequence() == sequence);
+}
+
 // Guards against a new leader that forgets which upstreams leave: until it has read the platform's
 // list itself, members use their earlier lists.
 BOOST_AUTO_TEST_CASE(newTermKeepsDrainingMarksUntilTheFirstCompleteRead)
