Tests: Check that the progress of a run from the first event is not stored

Without the check of m_hasRestarted in ItemRun::unstoredProgress(), which no test covered, the new test fails (1 check): "e3" is stored behind "d1 d2".

--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -305,6 +305,50 @@
     BOOST_TEST(progress->output == "d1");
 }
 
+// Guards against a result that joins the text of two runs after a change of the store's leader: the
+// events of a run from the first event are not stored behind those of the run before.
+BOOST_AUTO_TEST_CASE(progressOfARunFromTheFirstEventIsNotStored)
+{
+    net::ScriptedServer server({
+            {chunkedHead + chunk(numberedEvent(1)) + chunk(numberedEvent(2)),
+             net::ConnectionEnd::Closed},
+            {chunkedHead + serving::lastChunk},
+            {chunkedHead + chunk("id: 1\ndata: e1\n\n") + chunk("id: 2\ndata: e2\n\n")
+             + chunk("id: 3\ndata: e3\n\n")},
+    });
+    setUpstreams(server, "u");
+    wire::JobRecord record = submission("j").job;
+    record.items.front().id = "a";
+    const auto job = std::make_shared<const wire::JobRecord>(std::move(record));
+    std::shared_ptr<ItemRun> run;
+    thread.run([&] {
+        run = std::make_shared<ItemRun>(context, job, job->items.front(), [](const auto &) {});
+        run->setDeployment(deployment());
+    });
+    std::vector<std::string> stored;
+    absl::Time end = absl::Now() + absl::Seconds(10);
+    while (absl::Now() < end) {
+        absl::SleepFor(absl::Milliseconds(2));
+        thread.run([&] {
+            const auto progress = run->unstoredProgress();
+            if (!progress)
+                return;
+            stored.push_back(progress->output);
+            run->markStored(progress->lastEvent);
+        });
+        // Time for the events of the last run to arrive.
+        if (server.requests().size() == 3)
+            end = std::min(end, absl::Now() + absl::Milliseconds(500));
+    }
+    thread.run([&] { run->stop(); });
+    BOOST_TEST(server.requests().size() == 3u);
+    std::string output;
+    for (const std::string &part : stored)
+        output += part + ";";
+    BOOST_TEST(output.find('e') == std::string::npos, output);
+    BOOST_TEST(output.find("d2") != std::string::npos, output);
+}
+
 // Guards against an item that runs at a second upstream while the first one runs it, because a
 // repeated refusal on a kept connection is taken for the response to its next attempt.
 BOOST_AUTO_TEST_CASE(repeatedRefusalIsNotTakenForTheNextResponse)
