Tests: Cover the end of a retirement and pages after the last direct read

Both were uncovered: with ConnectionPool::call() not ending the retirement, callEndsTheRetirementOfItsAddress fails; with onPageAfterStop doing nothing, pageAfterTheLastDirectReadIsApplied fails.

--- a/tests/fleet/boundedupstreamlist_test.cpp
+++ b/tests/fleet/boundedupstreamlist_test.cpp
@@ -152,6 +152,23 @@
     BOOST_TEST((lastGrants["u"] > passedOnAt));
 }
 
+// Guards against a leave that is forgotten because the page that shows it arrives after the direct
+// reads have ended.
+BOOST_AUTO_TEST_CASE(pageAfterTheLastDirectReadIsApplied)
+{
+    grantSlots(absl::Milliseconds(1900));
+    discovery.holdCalls();
+    showDraining(true);
+    grantSlots(absl::Milliseconds(200));
+    BOOST_TEST_REQUIRE(list.isReadingDirectly());
+    list.confirmDistributed(clock.now() - absl::Milliseconds(500));
+    BOOST_TEST(!list.isReadingDirectly());
+    discovery.releaseCalls();
+    const absl::Time releasedAt = clock.now();
+    grantSlots(absl::Milliseconds(400));
+    BOOST_TEST((lastGrants["u"] <= releasedAt));
+}
+
 // Guards against direct reads in normal operation: the platform limits the calls of all processes
 // together and charges for each one.
 BOOST_AUTO_TEST_CASE(listFromALeaderInTouchNeedsNoDirectRead)
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -290,6 +290,23 @@
     BOOST_TEST(fixture.awaitNoConnection());
 }
 
+// Guards against a connection to an upstream that left which carries a request to its successor at
+// the address, and against a successor whose connections are closed after each call.
+BOOST_AUTO_TEST_CASE(callEndsTheRetirementOfItsAddress)
+{
+    ConnectionPoolFixture fixture;
+    fixture.start(address, "/whole");
+    BOOST_TEST((fixture.wait().callStatus == CallStatus::Complete));
+    fixture.thread.run([&] { fixture.pool->retire(address); });
+    fixture.start(address, "/whole");
+    BOOST_TEST((fixture.wait().callStatus == CallStatus::Complete));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    fixture.thread.run([&] {
+        BOOST_TEST(fixture.pool->connectionsOpened() == 2u);
+        BOOST_TEST(fixture.pool->hasOpenConnections(address));
+    });
+}
+
 // Guards against an upstream whose head has no end: the call must fail after a bounded number of
 // bytes and close the connection.
 BOOST_AUTO_TEST_CASE(headWithoutEndFailsTheCall)
