--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -391,6 +391,25 @@
     BOOST_TEST(leaving.requests() == 1);
 }
 
+// Guards against an item that is sent again to an upstream which announced that it leaves in the
+// response to another request.
+BOOST_AUTO_TEST_CASE(announcementInAForeignResponseKeepsItemsAway)
+{
+    net::EndlessServer leaving(
+            "HTTP/1.1 200 OK\r\nId: former\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n", "");
+    startWaiting();
+    thread.run([&] {
+        broker.setUpstreams({{"u1", "llm", leaving.address(), "d", 1, false}},
+                            serving::CapacityShare());
+    });
+    const absl::Time end = absl::Now() + absl::Seconds(10);
+    while (leaving.requests() == 0 && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(1));
+    absl::SleepFor(absl::Milliseconds(500));
+    BOOST_TEST(leaving.requests() == 1);
+    thread.run([&] { BOOST_TEST(broker.isLeaving("u1", leaving.address())); });
+}
+
 // Guards against an item that is sent to an upstream which announced that it leaves while the
 // connection was being established.
 BOOST_AUTO_TEST_CASE(itemThatWaitsForAConnectionIsNotSentToAnUpstreamThatLeaves)
