Fleet: Forget old draining marks of a control process

A page of the list that arrived after a control process had lost its leadership was kept without an age. When the process led again, perhaps much later, it marked the upstreams on it as draining for everyone until its first complete read: upstreams that had been restarted got no requests, for as long as the platform could not be read. A page that arrives in a later term of the same leader is used at once until that term's first complete read; before, it was kept for the next term.

--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/fleet/fleetservice.h"
 
+#include "drainingmarks.h"
 #include "promptquarantine.h"
 
 #include "rattanrill/fleet/upstreamlist.h"
@@ -170,7 +171,7 @@
     /// member.
     std::set<std::string> knownDraining()
     {
-        std::set<std::string> result = std::exchange(drainingWithoutTerm, {});
+        std::set<std::string> result = drainingMarks.take(clock.now());
         if (memberListSource)
             result.merge(drainingIds(memberListSource()));
         return result;
@@ -298,15 +299,17 @@
             respondToPolls(clock.now());
     }
 
-    /// Keeps what a page shows that arrived after this replica lost its leadership, for the case
-    /// that it becomes the leader again.
+    /// Uses what a page shows that arrived after the term of its read. A list that was read in the
+    /// current term is newer.
     void dropPage(const UpstreamPage &page, absl::Time readAt)
     {
         logDroppedRead(replica.isLeader() ? ReadDropReason::TermChanged
                                           : ReadDropReason::LeadershipLost,
                        readAt, Failure());
-        const std::set<std::string> draining = drainingIds(page.upstreams);
-        drainingWithoutTerm.insert(draining.begin(), draining.end());
+        if (!replica.isLeader())
+            drainingMarks.record(drainingIds(page.upstreams), clock.now());
+        else if (view.upstreamsReadAt() == absl::InfinitePast())
+            view.applyPage(page.upstreams);
     }
 
     void handleUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt)
@@ -364,8 +367,8 @@
     bool isBootstrapping = false;
     bool upstreamsReadable = true;
     std::function<std::vector<wire::FleetUpstream>()> memberListSource;
-    /// Draining upstreams on pages that arrived while this replica did not lead.
-    std::set<std::string> drainingWithoutTerm;
+    /// Upstreams shown as draining by pages that arrived after this replica lost its leadership.
+    DrainingMarks drainingMarks;
     UpstreamListReader listReader;
 };
 
