--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -87,15 +87,31 @@
         m_operatorDrain.start([this, stopped = std::move(stopped)](const auto &abandoned) {
             log(LogLevel::Info, "drained",
                 {{"openRequests", static_cast<std::int64_t>(abandoned.size())}});
-            m_core->fleetClient().leave();
-            m_fleetService->stop();
-            m_replica->stop();
-            m_core->stop();
-            stopped();
+            if (!m_replica->isLeader() || !hasTimeForTransfer())
+                return finishDrain(stopped);
+            // This replica may have been elected again while calls were open.
+            m_replica->transferLeadership();
+            m_processContext.loop.timers().subscribeOnce(leadershipTransferTime,
+                                                         [this, stopped] { finishDrain(stopped); });
         });
     }
 
 private:
+    bool hasTimeForTransfer() const
+    {
+        const auto remaining = absl::Milliseconds(m_shutdown.remainingMs(m_core->clock().now()));
+        return remaining > 2 * leadershipTransferTime;
+    }
+
+    void finishDrain(const std::function<void()> &stopped)
+    {
+        m_core->fleetClient().leave();
+        m_fleetService->stop();
+        m_replica->stop();
+        m_core->stop();
+        stopped();
+    }
+
     using ExchangePtr = std::shared_ptr<net::Exchange>;
 
     void serve(const ExchangePtr &exchange)
