Serving: Pass on no unproved promise that a request did not run

Callers read 503, 429, 408 and 421 as a promise that their request did not and will not run. An upstream's response with such a status but without the header that states it was passed on as it came, also for requests that may run only once and may have run.

Such a request now fails with 502. Requests that may be repeated still get the upstream's response. unstatedPromiseOfAnUpstreamIsNotForwarded failed before: 503 with the upstream's signature instead of 502.

--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -56,6 +56,9 @@
     std::string requestId;
     /// The upstream reports that the request did not run.
     bool notRun = false;
+    /// Callers read the status as a promise that the request did not and will not run, which only
+    /// \a notRun makes true.
+    bool promisesNotRun = false;
     /// An instance other than the expected one responded.
     bool isInstanceMismatch = false;
     /// Number of requests that run or wait at the upstream; absent when it does not report them.
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -202,6 +202,10 @@
     if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts && hasTimeForAttempt())
         return attemptFailed("the upstream responded with a server error",
                              ReleaseReason::Completed);
+    // A caller may send a request again that it reads as not run.
+    if (m_attempt.info.promisesNotRun && !mayRunAgain())
+        return attemptFailed("the upstream's status promises without proof that it did not run",
+                             ReleaseReason::Completed);
     if ((m_attempt.isStream || m_exchange->streamStarted()) && !completesStream())
         return attemptFailed("the response does not continue the stream", ReleaseReason::Completed);
     releaseSlot(ReleaseReason::Completed);
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -84,6 +84,19 @@
     }
 }
 
+// Guards against a status that callers read as a promise and that is passed on as if it were none.
+BOOST_AUTO_TEST_CASE(statusesThatPromiseNotRunAreKnown)
+{
+    for (const auto &[status, isPromise] :
+         {std::pair(408, true), std::pair(421, true), std::pair(429, true), std::pair(503, true),
+          std::pair(200, false), std::pair(404, false), std::pair(500, false),
+          std::pair(502, false), std::pair(504, false)}) {
+        net::ResponseHead head;
+        head.status = status;
+        BOOST_TEST(adapter.parseResponse(head).promisesNotRun == isPromise);
+    }
+}
+
 // Guards against a block of the part that belongs to one request alone, and against parts that are
 // not recognized in another spelling.
 BOOST_AUTO_TEST_CASE(sharedPromptPartsAreAllButTheLast)
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -908,6 +908,18 @@
     BOOST_TEST(contains(response, "Signed: s-a"));
 }
 
+// Guards against callers that are told that a request did not run, because its upstream responded
+// with a status that says so but did not state it: they would send the request again.
+BOOST_AUTO_TEST_CASE(unstatedPromiseOfAnUpstreamIsNotForwarded)
+{
+    ScriptedUpstreams upstreams({{completeResponse("a", "busy", 503)}});
+    Entry entry(routeOf(RouteKind::NonIdempotent, 3));
+    const std::string response = entry.sendRequest("a");
+    BOOST_TEST(contains(response, "HTTP/1.1 502"));
+    BOOST_TEST(!contains(response, "Signed:"));
+    BOOST_TEST(upstreams.requests().size() == 1u);
+}
+
 // Guards against a repeated response on a kept connection that is taken for the response to the
 // next request: its caller would be told that the request did not run, or get another response.
 BOOST_AUTO_TEST_CASE(repeatedResponseIsNotTakenForTheNextOne)
--- a/tests/serving/testprotocoladapter.h
+++ b/tests/serving/testprotocoladapter.h
@@ -46,6 +46,7 @@
         info.requestId = std::string(head.headers.value("Id"));
         info.isInstanceMismatch = head.headers.find("Other-Instance") != nullptr;
         info.notRun = head.headers.find("Not-Run") != nullptr || info.isInstanceMismatch;
+        info.promisesNotRun = head.status == 503;
         info.isLeaving = head.headers.find("Leaving") != nullptr;
         return info;
     }
