Net: Wait for the whole first chunk before parsing it

Boost.Beast's parser fails an assertion when the first chunk of a body is the last one and arrives byte by byte ("0\r\n\r\n" with 4 of its 5 bytes). Builds without assertions are not affected; a build with them ended the process.

Both parsers now stop after the header section and go on with at least the five bytes of the shortest body in chunks. The test of requests gets the same row; it was not run without the change.

--- a/src/net/requestparser.cpp
+++ b/src/net/requestparser.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/net/requestparser.h"
 
+#include "firstchunk.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -30,6 +32,7 @@
 struct RequestParser::Parser
 {
     http::request_parser<http::string_body> parser;
+    bool hasBegunBody = false;
 };
 
 RequestParser::RequestParser(RequestLimits limits)
@@ -47,7 +50,6 @@
 void RequestParser::startRequest()
 {
     m_parser = std::make_unique<Parser>();
-    m_parser->parser.eager(true);
     m_parser->parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
     m_parser->parser.body_limit(m_limits.maxBodyBytes);
     m_headerChecked = false;
@@ -62,6 +64,11 @@
         startRequest();
     auto &parser = m_parser->parser;
     while (!m_pending.empty() && m_state != State::Refused && !parser.is_done()) {
+        if (!m_parser->hasBegunBody && awaitsFirstChunk(parser, m_pending.size()))
+            break;
+        m_parser->hasBegunBody = parser.is_header_done();
+        // Without the body, the parser stops after the header section.
+        parser.eager(m_parser->hasBegunBody);
         boost::system::error_code error;
         const std::size_t used =
                 parser.put(boost::asio::buffer(m_pending.data(), m_pending.size()), error);
--- a/src/net/responseparser.cpp
+++ b/src/net/responseparser.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/net/responseparser.h"
 
+#include "firstchunk.h"
+
 #include "rattanrill/base/enumnames.h"
 
 #include <boost/asio/buffer.hpp>
@@ -40,6 +42,7 @@
 struct ResponseParser::Parser
 {
     http::response_parser<http::string_body> parser;
+    bool hasBegunBody = false;
 };
 
 ResponseParser::ResponseParser(Handlers handlers, ResponseLimits limits)
@@ -54,7 +57,6 @@
 void ResponseParser::startResponse()
 {
     m_parser = std::make_unique<Parser>();
-    m_parser->parser.eager(true);
     m_parser->parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeadBytes));
     // The body is passed on as it arrives and not collected, so its length needs no limit.
     m_parser->parser.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -73,6 +75,11 @@
 bool ResponseParser::parseAvailable()
 {
     auto &parser = m_parser->parser;
+    if (!m_parser->hasBegunBody && awaitsFirstChunk(parser, m_pending.size()))
+        return false;
+    m_parser->hasBegunBody = parser.is_header_done();
+    // Without the body, the parser stops after the header section.
+    parser.eager(m_parser->hasBegunBody);
     boost::system::error_code error;
     const std::size_t used =
             parser.put(boost::asio::buffer(m_pending.data(), m_pending.size()), error);
--- a/tests/net/requestparser_test.cpp
+++ b/tests/net/requestparser_test.cpp
@@ -65,6 +65,7 @@
             head + "Content-Length: 0\r\n\r\n",
             head + "Expect: 100-continue\r\nContent-Length: 2\r\n\r\nhi",
             chunked + "3\r\nabc\r\n2;e=1\r\nde\r\n0\r\n\r\n",
+            chunked + "0\r\n\r\n",
             chunked + "3\r\nabc\r\n0\r\nSum: 1\r\n\r\n",
     };
     for (const std::string &bytes : rows) {
