Policy, serving, fleet: Name the crash memory after crashes instead of prompts

Structure only: the classes that remember crashes by prompt parts will remember whole requests too. PromptCrashTracker, PromptGuard and PromptQuarantine become CrashTracker, CrashGuard and CrashQuarantine. Names on the wire and in records stay. The fingerprint of a request moves from two sources of entry to base; it is unchanged for the product's own stack.

--- a/include/rattanrill/base/hash.h
+++ b/include/rattanrill/base/hash.h
@@ -17,6 +17,10 @@
 
 /// SHA-256 digest as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view data);
+/// Fingerprint by which processes recognize a request that is sent again: 32 hexadecimal digits of
+/// a digest of the workspace, the resource that the request names, and the body.
+std::string requestFingerprint(std::string_view workspace, std::string_view resource,
+                               std::string_view body);
 /// HMAC-SHA256 code as 64 lower-case hexadecimal digits.
 std::string hmacSha256Hex(std::string_view key, std::string_view data);
 /// Compares two strings in a time that does not depend on where they differ.
--- a/include/rattanrill/policy/promptcrashtracker.h
+++ b/include/rattanrill/policy/crashtracker.h
@@ -11,8 +11,8 @@
 
 namespace rattanrill::policy {
 
-/// Settings of PromptCrashTracker.
-struct PromptCrashSettings
+/// Settings of CrashTracker.
+struct CrashTrackerSettings
 {
     /// Number of successive crashes after which a part is blocked.
     std::size_t crashLimit = 3;
@@ -34,7 +34,7 @@
 
 /// An attempt that ended with a crash of its upstream before the upstream began to write the
 /// response.
-struct PromptCrash
+struct RequestCrash
 {
     std::string upstream;
     /// Ids of the prompt's parts that other requests may share.
@@ -44,7 +44,7 @@
 };
 
 /// Prompt parts that together crash upstreams. A request whose prompt has all of them is rejected.
-using PromptBlock = std::set<std::string>;
+using TraitSet = std::set<std::string>;
 
 /// Finds parts of prompts that crash each upstream which begins to write a response to them.
 ///
@@ -60,15 +60,15 @@
 ///   the others remain blocked without it.
 ///
 /// Performs no I/O. Not thread-safe.
-class PromptCrashTracker
+class CrashTracker
 {
 public:
-    explicit PromptCrashTracker(PromptCrashSettings settings);
+    explicit CrashTracker(CrashTrackerSettings settings);
 
     /// Discards the evidence and starts with \a blocks, which another tracker created.
-    void restore(absl::Time now, const std::vector<PromptBlock> &blocks);
+    void restore(absl::Time now, const std::vector<TraitSet> &blocks);
     /// Returns true when the blocks or the suspects have changed.
-    bool recordCrash(const PromptCrash &crash);
+    bool recordCrash(const RequestCrash &crash);
     /// Records that an upstream began to write the response to a prompt with \a part. Returns true
     /// when the blocks or the suspects have changed.
     bool recordBegun(const std::string &part, absl::Time beganAt);
@@ -77,7 +77,7 @@
     bool expire(absl::Time now);
 
     /// Blocks in the order of their creation.
-    std::vector<PromptBlock> blocks() const;
+    std::vector<TraitSet> blocks() const;
     /// Parts of which the beginning of a response must be reported: those with at least
     /// suspectLimit crashes, and all parts of blocks.
     std::vector<std::string> suspects() const;
@@ -88,24 +88,24 @@
     struct Evidence
     {
         /// The last crashes that count, at most crashLimit of them.
-        std::deque<PromptCrash> crashes;
+        std::deque<RequestCrash> crashes;
     };
 
     struct Block
     {
-        PromptBlock parts;
+        TraitSet parts;
         /// A response that began after this time clears its parts.
         absl::Time firstCrashAt;
         absl::Time createdAt;
     };
 
     bool isConclusive(const Evidence &evidence) const;
-    PromptBlock commonParts(const Evidence &evidence) const;
+    TraitSet commonParts(const Evidence &evidence) const;
     bool addBlock(const Evidence &evidence);
     void limitParts();
     void removeFromBlocks(const std::string &part, absl::Time beganAt);
 
-    const PromptCrashSettings m_settings;
+    const CrashTrackerSettings m_settings;
     std::map<std::string, Evidence> m_evidence;
     std::deque<Block> m_blocks;
 };
--- a/include/rattanrill/serving/promptguard.h
+++ b/include/rattanrill/serving/crashguard.h
@@ -19,7 +19,7 @@
 /// Rejects requests whose prompts crash upstreams, by the blocks that the leader of the fleet group
 /// distributes, and reports to it the evidence of this entry process. Evidence is reported again
 /// until the leader has received it. Used on the event loop only.
-class PromptGuard
+class CrashGuard
 {
 public:
     /// Sends evidence to the leader. The second argument must be called after the return of the
@@ -27,10 +27,10 @@
     using Reporter =
             std::function<void(const wire::PromptEvidence &, std::function<void(bool)> done)>;
 
-    PromptGuard(TimerService &timers, const Clock &clock, std::string instance, Reporter reporter);
-    ~PromptGuard();
-    PromptGuard(const PromptGuard &) = delete;
-    PromptGuard &operator=(const PromptGuard &) = delete;
+    CrashGuard(TimerService &timers, const Clock &clock, std::string instance, Reporter reporter);
+    ~CrashGuard();
+    CrashGuard(const CrashGuard &) = delete;
+    CrashGuard &operator=(const CrashGuard &) = delete;
 
     void setBlocks(const std::vector<wire::BlockedPrompt> &blocks,
                    const std::vector<std::string> &suspects);
--- a/include/rattanrill/serving/proxyrequest.h
+++ b/include/rattanrill/serving/proxyrequest.h
@@ -5,8 +5,8 @@
 #include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/eventloop.h"
 #include "rattanrill/net/server.h"
+#include "rattanrill/serving/crashguard.h"
 #include "rattanrill/serving/deployment.h"
-#include "rattanrill/serving/promptguard.h"
 #include "rattanrill/serving/protocoladapter.h"
 #include "rattanrill/serving/shutdownstate.h"
 #include "rattanrill/serving/slotclient.h"
@@ -35,7 +35,7 @@
     const ProtocolAdapter &protocol;
     net::ConnectionPool &upstreamConnections;
     SlotClient &slotClient;
-    PromptGuard &promptGuard;
+    CrashGuard &crashGuard;
     InstanceIdentity identity;
     /// Age of the process's list of upstreams, infinite if unknown; for log lines.
     std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/base/hash.h"
 
+#include "rattanrill/base/concat.h"
+
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
@@ -13,6 +15,8 @@
 namespace rattanrill {
 namespace {
 
+constexpr std::size_t fingerprintDigits = 32;
+
 std::string toHex(const unsigned char *bytes, std::size_t size)
 {
     static constexpr char digits[] = "0123456789abcdef";
@@ -55,6 +59,12 @@
     return toHex(digest.data(), size);
 }
 
+std::string requestFingerprint(std::string_view workspace, std::string_view resource,
+                               std::string_view body)
+{
+    return sha256Hex(concat(workspace, "\n", resource, "\n", body)).substr(0, fingerprintDigits);
+}
+
 std::string hmacSha256Hex(std::string_view key, std::string_view data)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
--- a/src/entry/completionrequest.cpp
+++ b/src/entry/completionrequest.cpp
@@ -14,7 +14,6 @@
 /// Length of the shortest prompt prefix whose hash the scheduler receives; each further prefix is
 /// twice as long as the one before.
 constexpr std::size_t firstPrefixBytes = 64;
-constexpr std::size_t fingerprintDigits = 32;
 
 boost::leaf::error_id invalid(std::string detail)
 {
@@ -128,8 +127,7 @@
 
 std::string fingerprintOf(const std::string &workspace, const CompletionRequest &request)
 {
-    return sha256Hex(concat(workspace, "\n", request.path, "\n", request.body))
-            .substr(0, fingerprintDigits);
+    return requestFingerprint(workspace, request.path, request.body);
 }
 
 policy::Task taskOf(const std::string &workspace, const CompletionRequest &request,
--- a/src/entry/servicehandler.cpp
+++ b/src/entry/servicehandler.cpp
@@ -12,7 +12,6 @@
 
 constexpr int maxAttempts = 3;
 constexpr std::size_t maxIdempotencyKeyBytes = 255;
-constexpr std::size_t fingerprintDigits = 32;
 /// Workspace in the claims of requests on open routes; no workspace can have this name.
 constexpr std::string_view openWorkspace = "/open";
 
@@ -40,8 +39,7 @@
 
 std::string fingerprintOf(const service::ServiceRequest &request)
 {
-    return sha256Hex(concat(request.workspace, "\n", request.path, "\n", request.body))
-            .substr(0, fingerprintDigits);
+    return requestFingerprint(request.workspace, request.path, request.body);
 }
 
 std::string hashOf(const service::ServiceRequest &request)
--- a/src/fleet/promptquarantine.cpp
+++ b/src/fleet/crashquarantine.cpp
@@ -1,4 +1,4 @@
-#include "promptquarantine.h"
+#include "crashquarantine.h"
 
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
@@ -11,45 +11,45 @@
 namespace rattanrill::fleet {
 namespace {
 
-std::vector<policy::PromptBlock> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
+std::vector<policy::TraitSet> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
 {
-    std::vector<policy::PromptBlock> blocks;
+    std::vector<policy::TraitSet> blocks;
     blocks.reserve(prompts.size());
     for (const wire::BlockedPrompt &prompt : prompts)
         blocks.emplace_back(prompt.parts.begin(), prompt.parts.end());
     return blocks;
 }
 
-std::vector<wire::BlockedPrompt> toPrompts(const std::vector<policy::PromptBlock> &blocks)
+std::vector<wire::BlockedPrompt> toPrompts(const std::vector<policy::TraitSet> &blocks)
 {
     std::vector<wire::BlockedPrompt> prompts;
     prompts.reserve(blocks.size());
-    for (const policy::PromptBlock &block : blocks)
+    for (const policy::TraitSet &block : blocks)
         prompts.push_back({std::vector<std::string>(block.begin(), block.end())});
     return prompts;
 }
 
 } // namespace
 
-PromptQuarantine::PromptQuarantine(GroupReplica &replica, FleetView &view, const Clock &clock)
+CrashQuarantine::CrashQuarantine(GroupReplica &replica, FleetView &view, const Clock &clock)
     : m_replica(replica)
     , m_view(view)
     , m_clock(clock)
-    , m_tracker(policy::PromptCrashSettings())
+    , m_tracker(policy::CrashTrackerSettings())
 {}
 
-void PromptQuarantine::beginTerm()
+void CrashQuarantine::beginTerm()
 {
     m_isProposing = false;
     m_tracker.restore(m_clock.now(), toBlocks(m_view.records().blockedPrompts));
     publish();
 }
 
-void PromptQuarantine::addEvidence(const wire::PromptEvidence &evidence)
+void CrashQuarantine::addEvidence(const wire::PromptEvidence &evidence)
 {
     const absl::Time now = m_clock.now();
     for (const wire::CrashedAttempt &attempt : evidence.crashes) {
-        policy::PromptCrash crash;
+        policy::RequestCrash crash;
         crash.upstream = attempt.upstream;
         crash.parts = attempt.promptParts;
         crash.sentAt = now - absl::Milliseconds(attempt.sentAgeMs);
@@ -64,20 +64,20 @@
     publish();
 }
 
-void PromptQuarantine::update()
+void CrashQuarantine::update()
 {
     m_tracker.expire(m_clock.now());
     publish();
 }
 
-void PromptQuarantine::publish()
+void CrashQuarantine::publish()
 {
     m_view.setSuspectPromptParts(m_tracker.suspects());
     if (!m_isProposing && m_tracker.blocks() != toBlocks(m_view.records().blockedPrompts))
         propose();
 }
 
-void PromptQuarantine::propose()
+void CrashQuarantine::propose()
 {
     m_isProposing = true;
     const wire::PutBlockedPrompts operation{toPrompts(m_tracker.blocks())};
@@ -99,8 +99,8 @@
             });
 }
 
-void PromptQuarantine::logCrash(const std::string &instance,
-                                const wire::CrashedAttempt &attempt) const
+void CrashQuarantine::logCrash(const std::string &instance,
+                               const wire::CrashedAttempt &attempt) const
 {
     std::size_t crashes = 0;
     for (const std::string &part : attempt.promptParts)
--- a/src/fleet/promptquarantine.h
+++ b/src/fleet/crashquarantine.h
@@ -3,7 +3,7 @@
 #include "rattanrill/base/clock.h"
 #include "rattanrill/fleet/fleetview.h"
 #include "rattanrill/fleet/groupreplica.h"
-#include "rattanrill/policy/promptcrashtracker.h"
+#include "rattanrill/policy/crashtracker.h"
 #include "rattanrill/wire/fleetmessages.h"
 
 #include <memory>
@@ -13,10 +13,10 @@
 /// Collects the evidence of all entry instances on prompt parts that crash upstreams, on the leader
 /// of the fleet group. Blocks are records of the group, so that they survive the leader; the view
 /// distributes them together with the suspects. Used on the event loop only.
-class PromptQuarantine : public std::enable_shared_from_this<PromptQuarantine>
+class CrashQuarantine : public std::enable_shared_from_this<CrashQuarantine>
 {
 public:
-    PromptQuarantine(GroupReplica &replica, FleetView &view, const Clock &clock);
+    CrashQuarantine(GroupReplica &replica, FleetView &view, const Clock &clock);
 
     /// Starts with the blocks of the view's records, which must have been read in this term.
     void beginTerm();
@@ -32,7 +32,7 @@
     GroupReplica &m_replica;
     FleetView &m_view;
     const Clock &m_clock;
-    policy::PromptCrashTracker m_tracker;
+    policy::CrashTracker m_tracker;
     bool m_isProposing = false;
 };
 
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -1,7 +1,7 @@
 #include "rattanrill/fleet/fleetservice.h"
 
+#include "crashquarantine.h"
 #include "drainingmarks.h"
-#include "promptquarantine.h"
 
 #include "rattanrill/fleet/upstreamlist.h"
 
@@ -49,7 +49,7 @@
         , replica(replica)
         , clock(clock)
         , view(settings.memberTimeout)
-        , prompts(std::make_shared<PromptQuarantine>(replica, view, clock))
+        , prompts(std::make_shared<CrashQuarantine>(replica, view, clock))
         , listReader(loop.timers(), clock, discovery, settings.listReader, listHandlers())
     {}
 
@@ -357,7 +357,7 @@
     GroupReplica &replica;
     const Clock &clock;
     FleetView view;
-    const std::shared_ptr<PromptQuarantine> prompts;
+    const std::shared_ptr<CrashQuarantine> prompts;
     std::list<Poll> polls;
     /// Polls that were received while no leader was known.
     std::list<Poll> pollsWithoutLeader;
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -47,10 +47,10 @@
         , m_upstreams(processContext.loop, net::ConnectionPoolOptions())
         , m_slotClient(processContext.loop, m_core.channels(), m_core.clock(),
                        slotClientSettings(settings))
-        , m_promptGuard(processContext.loop.timers(), m_core.clock(), settings.instance,
-                        [this](const wire::PromptEvidence &evidence, auto done) {
-                            m_core.fleetClient().reportPromptEvidence(evidence, std::move(done));
-                        })
+        , m_crashGuard(processContext.loop.timers(), m_core.clock(), settings.instance,
+                       [this](const wire::PromptEvidence &evidence, auto done) {
+                           m_core.fleetClient().reportPromptEvidence(evidence, std::move(done));
+                       })
         , m_jobs(processContext.loop, m_core.channels(), m_core.clock())
         , m_context{processContext.loop,
                     m_core.clock(),
@@ -58,7 +58,7 @@
                     processContext.protocol,
                     m_upstreams,
                     m_slotClient,
-                    m_promptGuard,
+                    m_crashGuard,
                     {settings.instance, settings.failureDomain},
                     [this] { return m_core.fleetClient().upstreamListAge(); }}
         , m_gateway(m_context, m_jobs)
@@ -117,7 +117,7 @@
                                       state.upstreamsReadAt);
             closeRemovedUpstreams(state.upstreams);
         }
-        m_promptGuard.setBlocks(state.blockedPrompts, state.suspectPromptParts);
+        m_crashGuard.setBlocks(state.blockedPrompts, state.suspectPromptParts);
         const StoreAddresses stores = storeAddresses(state);
         m_slotClient.setBroker(stores.leader);
         m_jobs.setStores(stores.all, stores.leader);
@@ -193,7 +193,7 @@
     ProcessCore m_core;
     net::ConnectionPool m_upstreams;
     serving::SlotClient m_slotClient;
-    serving::PromptGuard m_promptGuard;
+    serving::CrashGuard m_crashGuard;
     jobs::JobClient m_jobs;
     serving::ServingContext m_context;
     Gateway m_gateway;
--- a/src/policy/promptcrashtracker.cpp
+++ b/src/policy/crashtracker.cpp
@@ -1,4 +1,4 @@
-#include "rattanrill/policy/promptcrashtracker.h"
+#include "rattanrill/policy/crashtracker.h"
 
 #include <algorithm>
 #include <iterator>
@@ -6,19 +6,19 @@
 
 namespace rattanrill::policy {
 
-PromptCrashTracker::PromptCrashTracker(PromptCrashSettings settings)
+CrashTracker::CrashTracker(CrashTrackerSettings settings)
     : m_settings(settings)
 {}
 
-void PromptCrashTracker::restore(absl::Time now, const std::vector<PromptBlock> &blocks)
+void CrashTracker::restore(absl::Time now, const std::vector<TraitSet> &blocks)
 {
     m_evidence.clear();
     m_blocks.clear();
-    for (const PromptBlock &parts : blocks)
+    for (const TraitSet &parts : blocks)
         m_blocks.push_back({parts, now, now});
 }
 
-bool PromptCrashTracker::recordCrash(const PromptCrash &crash)
+bool CrashTracker::recordCrash(const RequestCrash &crash)
 {
     bool isChanged = false;
     std::vector<std::string> conclusive;
@@ -39,10 +39,10 @@
     return isChanged;
 }
 
-bool PromptCrashTracker::isConclusive(const Evidence &evidence) const
+bool CrashTracker::isConclusive(const Evidence &evidence) const
 {
     std::set<std::string> upstreams;
-    for (const PromptCrash &crash : evidence.crashes)
+    for (const RequestCrash &crash : evidence.crashes)
         upstreams.insert(crash.upstream);
     return evidence.crashes.size() >= m_settings.crashLimit
            && upstreams.size() >= m_settings.minUpstreams;
@@ -50,13 +50,13 @@
 
 /// Returns the parts that each of the crashed requests had and that have not been cleared since the
 /// first of them.
-PromptBlock PromptCrashTracker::commonParts(const Evidence &evidence) const
+TraitSet CrashTracker::commonParts(const Evidence &evidence) const
 {
     const auto &crashes = evidence.crashes;
-    PromptBlock common;
+    TraitSet common;
     for (const std::string &part : crashes.front().parts) {
         const bool isCommon =
-                std::all_of(crashes.begin(), crashes.end(), [&part](const PromptCrash &crash) {
+                std::all_of(crashes.begin(), crashes.end(), [&part](const RequestCrash &crash) {
                     return std::find(crash.parts.begin(), crash.parts.end(), part)
                            != crash.parts.end();
                 });
@@ -67,9 +67,9 @@
 }
 
 /// Returns false when an existing block rejects the same requests.
-bool PromptCrashTracker::addBlock(const Evidence &evidence)
+bool CrashTracker::addBlock(const Evidence &evidence)
 {
-    PromptBlock parts = commonParts(evidence);
+    TraitSet parts = commonParts(evidence);
     const auto isCovered = [&parts](const Block &block) {
         return std::includes(parts.begin(), parts.end(), block.parts.begin(), block.parts.end());
     };
@@ -82,7 +82,7 @@
     return true;
 }
 
-void PromptCrashTracker::limitParts()
+void CrashTracker::limitParts()
 {
     while (m_evidence.size() > m_settings.maxParts) {
         const auto oldest = std::min_element(m_evidence.begin(), m_evidence.end(),
@@ -94,10 +94,10 @@
     }
 }
 
-bool PromptCrashTracker::recordBegun(const std::string &part, absl::Time beganAt)
+bool CrashTracker::recordBegun(const std::string &part, absl::Time beganAt)
 {
     const std::vector<std::string> formerSuspects = suspects();
-    const std::vector<PromptBlock> formerBlocks = blocks();
+    const std::vector<TraitSet> formerBlocks = blocks();
     const auto found = m_evidence.find(part);
     if (found != m_evidence.end()) {
         auto &crashes = found->second.crashes;
@@ -110,7 +110,7 @@
     return formerSuspects != suspects() || formerBlocks != blocks();
 }
 
-void PromptCrashTracker::removeFromBlocks(const std::string &part, absl::Time beganAt)
+void CrashTracker::removeFromBlocks(const std::string &part, absl::Time beganAt)
 {
     for (auto block = m_blocks.begin(); block != m_blocks.end();) {
         if (block->firstCrashAt < beganAt)
@@ -119,10 +119,10 @@
     }
 }
 
-bool PromptCrashTracker::expire(absl::Time now)
+bool CrashTracker::expire(absl::Time now)
 {
     const std::vector<std::string> formerSuspects = suspects();
-    const std::vector<PromptBlock> formerBlocks = blocks();
+    const std::vector<TraitSet> formerBlocks = blocks();
     for (auto entry = m_evidence.begin(); entry != m_evidence.end();) {
         const absl::Time last = entry->second.crashes.back().crashedAt;
         const bool isExpired = last + m_settings.evidenceLifetime < now;
@@ -133,15 +133,15 @@
     return formerSuspects != suspects() || formerBlocks != blocks();
 }
 
-std::vector<PromptBlock> PromptCrashTracker::blocks() const
+std::vector<TraitSet> CrashTracker::blocks() const
 {
-    std::vector<PromptBlock> result;
+    std::vector<TraitSet> result;
     for (const Block &block : m_blocks)
         result.push_back(block.parts);
     return result;
 }
 
-std::vector<std::string> PromptCrashTracker::suspects() const
+std::vector<std::string> CrashTracker::suspects() const
 {
     std::set<std::string> parts;
     for (const auto &[part, evidence] : m_evidence) {
@@ -153,7 +153,7 @@
     return std::vector<std::string>(parts.begin(), parts.end());
 }
 
-std::size_t PromptCrashTracker::crashCount(const std::string &part) const
+std::size_t CrashTracker::crashCount(const std::string &part) const
 {
     const auto found = m_evidence.find(part);
     return found == m_evidence.end() ? 0 : found->second.crashes.size();
--- a/src/serving/promptguard.cpp
+++ b/src/serving/crashguard.cpp
@@ -1,4 +1,4 @@
-#include "rattanrill/serving/promptguard.h"
+#include "rattanrill/serving/crashguard.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,22 +15,22 @@
 
 } // namespace
 
-PromptGuard::PromptGuard(TimerService &timers, const Clock &clock, std::string instance,
-                         Reporter reporter)
+CrashGuard::CrashGuard(TimerService &timers, const Clock &clock, std::string instance,
+                       Reporter reporter)
     : m_timers(timers)
     , m_clock(clock)
     , m_instance(std::move(instance))
     , m_reporter(std::move(reporter))
 {}
 
-PromptGuard::~PromptGuard()
+CrashGuard::~CrashGuard()
 {
     if (m_retryTimer != 0)
         m_timers.unsubscribe(m_retryTimer);
 }
 
-void PromptGuard::setBlocks(const std::vector<wire::BlockedPrompt> &blocks,
-                            const std::vector<std::string> &suspects)
+void CrashGuard::setBlocks(const std::vector<wire::BlockedPrompt> &blocks,
+                           const std::vector<std::string> &suspects)
 {
     m_blocks.clear();
     for (const wire::BlockedPrompt &block : blocks)
@@ -38,7 +38,7 @@
     m_suspects = std::set<std::string>(suspects.begin(), suspects.end());
 }
 
-bool PromptGuard::isBlocked(const std::vector<std::string> &parts) const
+bool CrashGuard::isBlocked(const std::vector<std::string> &parts) const
 {
     const std::set<std::string> sorted(parts.begin(), parts.end());
     return std::any_of(m_blocks.begin(), m_blocks.end(), [&sorted](const auto &block) {
@@ -47,8 +47,8 @@
     });
 }
 
-void PromptGuard::recordCrash(const std::string &upstream, const std::vector<std::string> &parts,
-                              absl::Time sentAt, absl::Time crashedAt)
+void CrashGuard::recordCrash(const std::string &upstream, const std::vector<std::string> &parts,
+                             absl::Time sentAt, absl::Time crashedAt)
 {
     if (parts.empty())
         return;
@@ -59,7 +59,7 @@
     report();
 }
 
-void PromptGuard::recordBegun(const std::vector<std::string> &parts)
+void CrashGuard::recordBegun(const std::vector<std::string> &parts)
 {
     bool isEvidence = false;
     for (const std::string &part : parts) {
@@ -73,7 +73,7 @@
         report();
 }
 
-wire::PromptEvidence PromptGuard::makeEvidence() const
+wire::PromptEvidence CrashGuard::makeEvidence() const
 {
     const absl::Time now = m_clock.now();
     wire::PromptEvidence evidence;
@@ -88,7 +88,7 @@
 }
 
 /// Sends all evidence that the leader has not received, one report at a time.
-void PromptGuard::report()
+void CrashGuard::report()
 {
     if (m_isReporting || m_retryTimer != 0 || (m_crashes.empty() && m_begun.empty()))
         return;
@@ -102,8 +102,8 @@
 
 /// Drops the evidence that the leader has received. The leader counts a crash once even if it is
 /// reported again, so a lost response does no harm.
-void PromptGuard::handleReported(std::size_t crashes,
-                                 const std::map<std::string, absl::Time> &begun, bool isReceived)
+void CrashGuard::handleReported(std::size_t crashes, const std::map<std::string, absl::Time> &begun,
+                                bool isReceived)
 {
     m_isReporting = false;
     if (!isReceived) {
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -99,7 +99,7 @@
 /// Rejects the request when its prompt crashes upstreams. Returns false when the request may run.
 bool ProxiedRequest::rejectBlockedPrompt()
 {
-    if (!m_context.promptGuard.isBlocked(m_request.caller.sharedPromptParts))
+    if (!m_context.crashGuard.isBlocked(m_request.caller.sharedPromptParts))
         return false;
     cancelCall();
     releaseSlot(ReleaseReason::Cancelled);
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -100,7 +100,7 @@
 void ProxiedRequest::responseBegun()
 {
     if (!std::exchange(m_attempt.hasBegun, true))
-        m_context.promptGuard.recordBegun(m_request.caller.sharedPromptParts);
+        m_context.crashGuard.recordBegun(m_request.caller.sharedPromptParts);
 }
 
 /// Returns false when the attempt or the request has ended.
@@ -182,7 +182,7 @@
     const auto report = [self = shared_from_this(), upstream = m_attempt.upstream,
                          address = m_attempt.address, sentAt = m_attempt.sentAt, crashedAt] {
         if (!self->m_context.upstreamConnections.hasOpenConnections(address))
-            self->m_context.promptGuard.recordCrash(
+            self->m_context.crashGuard.recordCrash(
                     upstream, self->m_request.caller.sharedPromptParts, sentAt, crashedAt);
     };
     m_context.loop.timers().subscribeOnce(crashCheckDelay, report);
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -87,12 +87,11 @@
     serving::SlotClient slotClient{loop, channels, SystemClock::instance(),
                                    serving::SlotClientSettings()};
     jobs::JobClient jobs{loop, channels, SystemClock::instance()};
-    serving::PromptGuard promptGuard{loop.timers(), SystemClock::instance(), "e",
-                                     [](const wire::PromptEvidence &, const auto &) {}};
-    serving::ServingContext context{loop,        SystemClock::instance(),
-                                    metrics,     adapter,
-                                    upstreams,   slotClient,
-                                    promptGuard, {"e", "d"}};
+    serving::CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "e",
+                                   [](const wire::PromptEvidence &, const auto &) {}};
+    serving::ServingContext context{
+            loop,      SystemClock::instance(), metrics, adapter, upstreams, slotClient, crashGuard,
+            {"e", "d"}};
     std::unique_ptr<Gateway> gateway;
     std::unique_ptr<net::Server> server;
 };
--- a/tests/policy/promptcrashtracker_test.cpp
+++ b/tests/policy/crashtracker_test.cpp
@@ -1,4 +1,4 @@
-#include "rattanrill/policy/promptcrashtracker.h"
+#include "rattanrill/policy/crashtracker.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -18,7 +18,7 @@
 }
 
 /// A request that was sent 50 ms before the crash.
-PromptCrash crashAt(int milliseconds, const std::string &upstream, std::vector<std::string> parts)
+RequestCrash crashAt(int milliseconds, const std::string &upstream, std::vector<std::string> parts)
 {
     return {upstream, std::move(parts), at(milliseconds - 50), at(milliseconds)};
 }
@@ -27,9 +27,9 @@
 {
     bool isBlocked(const std::vector<std::string> &parts) const
     {
-        const PromptBlock sorted(parts.begin(), parts.end());
+        const TraitSet sorted(parts.begin(), parts.end());
         const auto blocks = tracker.blocks();
-        return std::any_of(blocks.begin(), blocks.end(), [&](const PromptBlock &block) {
+        return std::any_of(blocks.begin(), blocks.end(), [&](const TraitSet &block) {
             return std::includes(sorted.begin(), sorted.end(), block.begin(), block.end());
         });
     }
@@ -41,12 +41,12 @@
             tracker.recordCrash(crashAt(from + i * 100, "u" + std::to_string(i), parts));
     }
 
-    PromptCrashTracker tracker{PromptCrashSettings()};
+    CrashTracker tracker{CrashTrackerSettings()};
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(PromptCrashTrackerTest, Fixture)
+BOOST_FIXTURE_TEST_SUITE(CrashTrackerTest, Fixture)
 
 // Guards against a part that crashes one upstream after the other because no two of its requests
 // are alike.
@@ -151,7 +151,7 @@
 BOOST_AUTO_TEST_CASE(restoredBlockStays)
 {
     crashThreeTimes({"bad"});
-    PromptCrashTracker successor{PromptCrashSettings()};
+    CrashTracker successor{CrashTrackerSettings()};
     successor.restore(at(1000), tracker.blocks());
     BOOST_TEST((successor.blocks() == tracker.blocks()));
     // Evidence from before the block does not clear it.
@@ -162,10 +162,10 @@
 // Guards against memory that grows with the number of prompts.
 BOOST_AUTO_TEST_CASE(evidenceIsBounded)
 {
-    PromptCrashSettings settings;
+    CrashTrackerSettings settings;
     settings.maxParts = 10;
     settings.maxBlocks = 3;
-    PromptCrashTracker bounded{settings};
+    CrashTracker bounded{settings};
     for (int i = 0; i < 100; ++i) {
         const std::string part = "p" + std::to_string(i);
         for (int crash = 1; crash <= 3; ++crash)
--- a/tests/serving/promptguard_test.cpp
+++ b/tests/serving/crashguard_test.cpp
@@ -1,4 +1,4 @@
-#include "rattanrill/serving/promptguard.h"
+#include "rattanrill/serving/crashguard.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -31,15 +31,15 @@
     ManualClock clock;
     ManualTimerService timers{clock};
     std::vector<Report> reports;
-    PromptGuard guard{timers, clock, "e",
-                      [this](const wire::PromptEvidence &evidence, std::function<void(bool)> done) {
-                          reports.push_back({evidence, std::move(done)});
-                      }};
+    CrashGuard guard{timers, clock, "e",
+                     [this](const wire::PromptEvidence &evidence, std::function<void(bool)> done) {
+                         reports.push_back({evidence, std::move(done)});
+                     }};
 };
 
 } // namespace
 
-BOOST_FIXTURE_TEST_SUITE(PromptGuardTest, Fixture)
+BOOST_FIXTURE_TEST_SUITE(CrashGuardTest, Fixture)
 
 // Guards against a harmful request that runs, and against sound ones that are rejected, because
 // only a part of a blocked combination is compared.
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -382,16 +382,15 @@
     net::ConnectionPool upstreams{loop, net::ConnectionPoolOptions()};
     peer::ChannelPool channels{transport("e")};
     SlotClient slotClient{loop, channels, SystemClock::instance(), slotClientSettings()};
-    PromptGuard promptGuard{loop.timers(), SystemClock::instance(), "e",
-                            [this](const wire::PromptEvidence &evidence, auto done) {
-                                reports.push_back(evidence);
-                                loop.post([done] { done(true); });
-                            }};
+    CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "e",
+                          [this](const wire::PromptEvidence &evidence, auto done) {
+                              reports.push_back(evidence);
+                              loop.post([done] { done(true); });
+                          }};
     std::vector<wire::PromptEvidence> reports;
-    const ServingContext context{loop,        SystemClock::instance(),
-                                 metrics,     adapter,
-                                 upstreams,   slotClient,
-                                 promptGuard, {"e", "d"}};
+    const ServingContext context{
+            loop,      SystemClock::instance(), metrics, adapter, upstreams, slotClient, crashGuard,
+            {"e", "d"}};
     std::shared_ptr<const DeploymentIndex> index;
     /// Called in the same task of the loop, after a request was passed on.
     std::function<void()> onProxied;
@@ -720,7 +719,7 @@
 {
     ScriptedUpstreams upstreams({{completeResponse("a", "whole")}});
     Entry entry(routeOf(RouteKind::Idempotent, 1));
-    entry.thread.run([&] { entry.promptGuard.setBlocks({}, {"p"}); });
+    entry.thread.run([&] { entry.crashGuard.setBlocks({}, {"p"}); });
     entry.sendRequest("a", "Part: p\r\n");
     const auto reports = entry.allReports();
     BOOST_TEST_REQUIRE(reports.size() == 1u);
@@ -758,7 +757,7 @@
     std::thread caller([&] { failed = entry.sendRequest("a", "Part: p\r\n"); });
     while (upstreams.requests().empty())
         std::this_thread::yield();
-    entry.thread.run([&] { entry.promptGuard.setBlocks({{{"p"}}}, {"p"}); });
+    entry.thread.run([&] { entry.crashGuard.setBlocks({{{"p"}}}, {"p"}); });
     caller.join();
     BOOST_TEST(contains(failed, "HTTP/1.1 502"));
     BOOST_TEST(contains(entry.sendRequest("b", "Part: p\r\n"), "HTTP/1.1 503"));
