Serving: Log the fingerprint of requests whose attempts break

The log did not show which broken attempts belong to a request that its caller sends again, and not whether a crash was left out because another connection to the upstream was open. No logic is changed.

--- a/include/rattanrill/serving/crashguard.h
+++ b/include/rattanrill/serving/crashguard.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/timerservice.h"
+#include "rattanrill/net/message.h"
 #include "rattanrill/wire/fleetmessages.h"
 
 #include "absl/time/time.h"
@@ -16,6 +17,9 @@
 
 namespace rattanrill::serving {
 
+/// Returns the fingerprint of a request: of its workspace, host, method, path and body.
+std::string fingerprintOf(const std::string &workspace, const net::Request &request);
+
 /// Rejects requests whose prompts crash upstreams, by the blocks that the leader of the fleet group
 /// distributes, and reports to it the evidence of this entry process. Evidence is reported again
 /// until the leader has received it. Used on the event loop only.
--- a/src/serving/crashguard.cpp
+++ b/src/serving/crashguard.cpp
@@ -1,5 +1,8 @@
 #include "rattanrill/serving/crashguard.h"
 
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -15,6 +18,13 @@
 
 } // namespace
 
+std::string fingerprintOf(const std::string &workspace, const net::Request &request)
+{
+    const std::string resource =
+            concat(request.method, " ", request.headers.value("Host"), request.target);
+    return requestFingerprint(workspace, resource, request.body);
+}
+
 CrashGuard::CrashGuard(TimerService &timers, const Clock &clock, std::string instance,
                        Reporter reporter)
     : m_timers(timers)
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -46,6 +46,7 @@
     , m_request(std::move(request))
     , m_route(*m_request.route)
     , m_exchange(std::move(exchange))
+    , m_fingerprint(fingerprintOf(m_request.workspace, m_exchange->request()))
     , m_receivedAt(m_exchange->receivedAt())
     , m_deadline(m_receivedAt + std::min(m_request.caller.timeout, m_route.timeout))
     , m_service(selectService(m_route, m_request.caller.id))
@@ -282,6 +283,7 @@
          {"hasBegun", m_attempt.hasBegun},
          {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - m_attempt.sentAt)},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
+         {"fingerprint", m_fingerprint},
          {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
          {"lastEvent", m_position.lastId().value_or(-1)}});
 }
@@ -418,6 +420,7 @@
          {"outcome", name(outcome)},
          {"status", m_attempt.hasHead ? m_attempt.head.status : 0},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
+         {"fingerprint", m_fingerprint},
          {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
          {"reason", reason},
          {"upstream", m_attempt.upstream},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -113,6 +113,8 @@
     const RoutedRequest m_request;
     const Route &m_route;
     std::shared_ptr<net::Exchange> m_exchange;
+    /// Recognizes the request when its caller sends it again; for log lines.
+    const std::string m_fingerprint;
     const absl::Time m_receivedAt;
     absl::Time m_deadline;
     std::string m_service;
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -181,7 +181,13 @@
     const absl::Time crashedAt = m_context.clock.now();
     const auto report = [self = shared_from_this(), upstream = m_attempt.upstream,
                          address = m_attempt.address, sentAt = m_attempt.sentAt, crashedAt] {
-        if (!self->m_context.upstreamConnections.hasOpenConnections(address))
+        const bool isReset = self->m_context.upstreamConnections.hasOpenConnections(address);
+        log(LogLevel::Info, "upstream-crash-seen",
+            {{"requestId", self->m_request.caller.id},
+             {"fingerprint", self->m_fingerprint},
+             {"upstream", upstream},
+             {"hasOpenConnections", isReset}});
+        if (!isReset)
             self->m_context.crashGuard.recordCrash(
                     upstream, self->m_request.caller.sharedPromptParts, sentAt, crashedAt);
     };
