--- a/tests/platform/crashing_prompt_part_test.py
+++ b/tests/platform/crashing_prompt_part_test.py
@@ -1,7 +1,6 @@
 """Tests that a prompt part which crashes upstreams is kept away from them."""
 
 import http.client
-import signal
 import time
 import unittest
 
@@ -44,13 +43,6 @@
         statuses = [self.send_crashing(first + n) for n in range(20)]
         return len(Upstream.crashes) - before, statuses
 
-    def restart_all(self, role, numbers):
-        for number in numbers:
-            process = self.processes[f"{role}-{number}"]
-            process.send_signal(signal.SIGKILL)
-            process.wait()
-            self.start(role, number)
-
     def test_requests_with_a_crashing_prompt_part_stop_reaching_upstreams(self):
         """Guards against a part that crashes one upstream after the other (BUDGET), also after
         all processes that remember it were killed, and against sound requests that share the
--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -23,14 +23,17 @@
 HOST = "booth.example"
 KEY = "first-key"
 CRASHING_PART = "bad"
+# A request whose body begins with this crashes its upstream.
+CRASHING_BODY = b"crash"
 
 
 class Upstream(http.server.BaseHTTPRequestHandler):
     """Streams 20 events and records the requests it receives. A request whose prompt has the part
-    CRASHING_PART breaks all connections of its upstream before the first event. The responses of
-    an upstream in limits name its limit, and those of one in leaving announce that it leaves. The
-    last part of a path below /slow/ or /once/ is the time between two events in milliseconds;
-    elsewhere it is 20 ms."""
+    CRASHING_PART, or whose body begins with CRASHING_BODY, breaks all connections of its upstream
+    before the first event. The responses of an upstream in limits name its limit, and those of one
+    in leaving announce that it leaves. A response to a path that ends with /late begins after
+    300 ms. The last part of a path below /slow/ or /once/ is the time between two events in
+    milliseconds; elsewhere it is 20 ms."""
 
     protocol_version = "HTTP/1.1"
     received = []
@@ -74,6 +77,8 @@
             self.received.append((self.path, dict(self.headers), body))
             self.arrivals.append((self.server.server_address[0], time.monotonic()))
             limit = self.limits.get(self.server.server_address[0])
+        if self.path.endswith("/late"):
+            time.sleep(0.3)
         begin = int(self.headers.get("Last-Event-Id", 0)) + 1
         self.send_response(200)
         self.send_header("Request-Id", self.headers["Request-Id"])
@@ -87,7 +92,8 @@
         self.send_header("Transfer-Encoding", "chunked")
         try:
             self.end_headers()
-            if CRASHING_PART in self.headers.get("Prompt-Prefix", ""):
+            if CRASHING_PART in self.headers.get("Prompt-Prefix", "") \
+                    or body.startswith(CRASHING_BODY):
                 time.sleep(0.05)
                 return self.crash()
             for number in range(begin, 21):
@@ -136,6 +142,8 @@
             {"name": "stream", "hostname": HOST, "path-prefix": "/ask/", "type": "streaming",
              "timeout-ms": 5000, "target-latency-ms": 300, "service": "lm", "max-attempts": 2,
              "resumable": True, "gap-aim-ms": 300},
+            {"name": "lookup", "hostname": HOST, "path-prefix": "/lookup/", "type": "safe",
+             "timeout-ms": 5000, "target-latency-ms": 1000, "service": "lm", "max-attempts": 2},
             {"name": "lists", "hostname": HOST, "path-prefix": "/list/", "type": "batch",
              "timeout-ms": 4000, "target-latency-ms": 400, "service": "lm", "max-attempts": 3,
              "completion-target-ms": 18000, "max-queue-s": 60, "max-count": 1000}],
@@ -244,9 +252,18 @@
                                "/Config.Get")
         return json.loads(body)["version"] if status == 200 else status
 
-    def send_request(self, request_id, entry=1, key=KEY, path="/ask/1", prompt=""):
+    @classmethod
+    def restart_all(cls, role, numbers):
+        for number in numbers:
+            process = cls.processes[f"{role}-{number}"]
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+            cls.start(role, number)
+
+    def send_request(self, request_id, entry=1, key=KEY, path="/ask/1", prompt="",
+                     body=b"question"):
         headers = {"Request-Id": request_id, "Deadline-Ms": "5000",
                    "Authorization": f"Bearer {key}"}
         if prompt:
             headers["Prompt-Prefix"] = prompt
-        return call(self.address("entry", entry), CALLER_PORT, "POST", path, b"question", headers)
+        return call(self.address("entry", entry), CALLER_PORT, "POST", path, body, headers)
