--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -53,8 +53,10 @@
     /// The read that \a upstreams shows started at this time of the local clock or later.
     /// InfinitePast if unknown.
     absl::Time upstreamsReadAt = absl::InfinitePast();
+    /// Term of the leader from which the state is.
+    std::uint64_t leaderTerm = 0;
     std::vector<wire::BlockedPrompt> blockedPrompts;
-    /// Parts of which the beginning of a response must be reported.
+    /// Traits of which the beginning of a response must be reported.
     std::vector<std::string> suspectPromptParts;
 };
 
@@ -88,7 +90,7 @@
     void sendHeartbeat();
     /// Sends \a evidence to the leader. \a done receives, on the event loop and after the return of
     /// this function, whether the leader has received it.
-    void reportPromptEvidence(const wire::PromptEvidence &evidence, std::function<void(bool)> done);
+    void reportCrashEvidence(const wire::CrashEvidence &evidence, std::function<void(bool)> done);
     /// Notifies the leader that this process leaves the deployment, and stops polling.
     void leave();
     void stop();
--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -5,6 +5,7 @@
 #include "rattanrill/fleet/groupreplica.h"
 #include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/eventloop.h"
+#include "rattanrill/serving/crashguard.h"
 #include "rattanrill/serving/deployment.h"
 #include "rattanrill/serving/protocoladapter.h"
 #include "rattanrill/serving/slotbroker.h"
@@ -28,6 +29,7 @@
     const serving::ProtocolAdapter &protocol;
     net::ConnectionPool &upstreamConnections;
     serving::SlotBroker &broker;
+    serving::CrashGuard &crashGuard;
     fleet::GroupReplica &replica;
     std::string failureDomain;
     /// Age of the list of upstreams by which slots are granted, infinite if unknown; for log lines.
--- a/include/rattanrill/policy/crashtracker.h
+++ b/include/rattanrill/policy/crashtracker.h
@@ -14,96 +14,129 @@
 /// Settings of CrashTracker.
 struct CrashTrackerSettings
 {
-    /// Number of successive crashes after which a part is blocked.
+    /// Number of successive crashes after which a trait is blocked.
     std::size_t crashLimit = 3;
     /// Number of different upstreams that these crashes must concern, so that one faulty upstream
     /// does not cause a block.
     std::size_t minUpstreams = 2;
-    /// Number of successive crashes after which a part is a suspect.
+    /// Number of successive crashes after which a trait is a suspect.
     std::size_t suspectLimit = 2;
     /// Crashes that are older than this are no longer evidence.
     absl::Duration evidenceLifetime = absl::Minutes(10);
     /// Time for which a block lasts.
     absl::Duration blockTime = absl::Hours(1);
-    /// Maximum number of parts with evidence. The part whose last crash is the oldest is dropped
+    /// Number of requests that may run in spite of a block, one after another, to find out whether
+    /// the block is wrong.
+    int maxTrials = 2;
+    /// Time from the creation of a block to its first trial. Each further trial waits
+    /// trialDelayFactor times as long after the end of the one before.
+    absl::Duration firstTrialDelay = absl::Seconds(3);
+    int trialDelayFactor = 5;
+    /// A trial without a result ends after this time, and counts.
+    absl::Duration trialTimeout = absl::Seconds(10);
+    /// Maximum number of traits with evidence. The trait whose last crash is the oldest is dropped
     /// first.
-    std::size_t maxParts = 4096;
+    std::size_t maxTraits = 4096;
     /// Maximum number of blocks. The oldest one is dropped first.
     std::size_t maxBlocks = 256;
 };
 
-/// An attempt that ended with a crash of its upstream before the upstream began to write the
-/// response.
+/// Traits of a request that may be the cause of a crash: the parts of its prompt that other
+/// requests may share, and the fingerprint of the whole request.
+using TraitSet = std::set<std::string>;
+
+/// An attempt that ended with a crash of its upstream.
 struct RequestCrash
 {
     std::string upstream;
-    /// Ids of the prompt's parts that other requests may share.
-    std::vector<std::string> parts;
+    /// Traits that may be the cause.
+    std::vector<std::string> traits;
     absl::Time sentAt;
     absl::Time crashedAt;
 };
 
-/// Prompt parts that together crash upstreams. A request whose prompt has all of them is rejected.
-using TraitSet = std::set<std::string>;
+/// Traits that together crash upstreams. A request that has all of them is rejected.
+struct CrashBlock
+{
+    TraitSet traits;
+    int trialsLeft = 0;
+    /// Process that may send one request with the traits; empty when no trial is open.
+    std::string trialProcess;
+};
+
+bool operator==(const CrashBlock &left, const CrashBlock &right);
 
-/// Finds parts of prompts that crash each upstream which begins to write a response to them.
+/// Finds traits of requests that crash each upstream which runs them.
 ///
-/// All requests of an upstream break with it, so a single crash accuses many sound parts. The
+/// All requests of an upstream break with it, so a single crash accuses many sound requests. The
 /// following tells them apart:
 ///
-/// - Only requests that the upstream had not begun to answer can have caused the crash.
-/// - A crash counts for a part only if the request was sent after the part's previous crash.
+/// - A part of a prompt crashes the upstream before it begins to write the response. The part is
+///   accused only before that, and a response that begins clears it.
+/// - A whole request may crash the upstream at any time, so only a complete response clears its
+///   fingerprint.
+/// - A crash counts for a trait only if the attempt does not overlap with one that counts already.
 ///   Crashes at the same moment, such as the loss of a failure domain, thus count once.
-/// - A response that begins clears each part of its prompt from all earlier crashes.
-/// - A part that crashed too often is blocked only together with the parts that all its crashed
+/// - A trait that is cleared is cleared from all earlier crashes.
+/// - A trait that crashed too often is blocked only together with the traits that all its crashed
 ///   requests had in common, because one of these may be the cause. When one of them is cleared,
 ///   the others remain blocked without it.
+/// - A few requests may run in spite of a block as trials. A sound request that ran on upstreams
+///   which crashed for other reasons is cleared by its first complete response.
 ///
-/// Performs no I/O. Not thread-safe.
+/// Reports may arrive in any order and more than once. Performs no I/O. Not thread-safe.
 class CrashTracker
 {
 public:
     explicit CrashTracker(CrashTrackerSettings settings);
 
     /// Discards the evidence and starts with \a blocks, which another tracker created.
-    void restore(absl::Time now, const std::vector<TraitSet> &blocks);
+    void restore(absl::Time now, const std::vector<CrashBlock> &blocks);
     /// Returns true when the blocks or the suspects have changed.
     bool recordCrash(const RequestCrash &crash);
-    /// Records that an upstream began to write the response to a prompt with \a part. Returns true
-    /// when the blocks or the suspects have changed.
-    bool recordBegun(const std::string &part, absl::Time beganAt);
-    /// Drops old evidence and expired blocks. Returns true when the blocks or the suspects have
-    /// changed.
+    /// Clears \a trait: an upstream ran a request with it at \a ranAt and did not crash. Returns
+    /// true when the blocks or the suspects have changed.
+    bool recordSound(const std::string &trait, absl::Time ranAt);
+    /// Records that \a process rejected a request because of the block with \a traits. Returns true
+    /// when a trial of the block by this process begins.
+    bool recordRejected(absl::Time now, const TraitSet &traits, const std::string &process);
+    /// Drops old evidence, expired blocks and trials without a result. Returns true when the blocks
+    /// or the suspects have changed.
     bool expire(absl::Time now);
 
     /// Blocks in the order of their creation.
-    std::vector<TraitSet> blocks() const;
-    /// Parts of which the beginning of a response must be reported: those with at least
-    /// suspectLimit crashes, and all parts of blocks.
+    std::vector<CrashBlock> blocks() const;
+    /// Traits that must be reported when they prove sound: those with at least suspectLimit
+    /// crashes, and all traits of blocks.
     std::vector<std::string> suspects() const;
-    /// Number of crashes that count for \a part.
-    std::size_t crashCount(const std::string &part) const;
+    /// Number of crashes that count for \a trait.
+    std::size_t crashCount(const std::string &trait) const;
 
 private:
     struct Evidence
     {
-        /// The last crashes that count, at most crashLimit of them.
+        /// The last crashes that count, in the order of their times, at most crashLimit of them.
         std::deque<RequestCrash> crashes;
     };
 
     struct Block
     {
-        TraitSet parts;
-        /// A response that began after this time clears its parts.
+        CrashBlock block;
+        /// A request that ran after this time clears its traits.
         absl::Time firstCrashAt;
         absl::Time createdAt;
+        /// Start of the open trial, or end of the last one; createdAt before the first trial.
+        absl::Time trialChangedAt;
     };
 
+    bool addCrash(const std::string &trait, const RequestCrash &crash);
     bool isConclusive(const Evidence &evidence) const;
-    TraitSet commonParts(const Evidence &evidence) const;
+    TraitSet commonTraits(const Evidence &evidence) const;
     bool addBlock(const Evidence &evidence);
-    void limitParts();
-    void removeFromBlocks(const std::string &part, absl::Time beganAt);
+    void limitTraits();
+    void removeFromBlocks(const std::string &trait, absl::Time ranAt);
+    bool endTrials(const RequestCrash &crash);
+    absl::Duration trialDelay(const CrashBlock &block) const;
 
     const CrashTrackerSettings m_settings;
     std::map<std::string, Evidence> m_evidence;
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -46,11 +46,16 @@
     bool draining = false;
 };
 
-/// Prompt parts that together crash upstreams: requests whose prompts have all of them are
-/// rejected.
+/// Traits that together crash upstreams: requests that have all of them are rejected. See
+/// policy::CrashTracker.
 struct BlockedPrompt
 {
+    /// Ids of shared prompt parts and fingerprints of requests.
     std::vector<std::string> parts;
+    /// Number of requests that may still run in spite of the block.
+    std::int64_t trialsLeft = 0;
+    /// CrashEvidence::process of the process that may send one of them; empty when none may.
+    std::string trialProcess{};
 };
 
 /// Replaces the configuration if \a version is higher than the stored version; otherwise has no
@@ -150,8 +155,8 @@
     /// view differs or its configuration is newer.
     std::uint64_t viewTerm = 0;
     std::uint64_t viewSequence = 0;
-    /// Sequence number, in the term of the view, of the blocked and suspect prompt parts that the
-    /// sender received last.
+    /// Sequence number, in the term of the view, of the blocked and suspect traits that the sender
+    /// received last.
     std::uint64_t promptSequence = 0;
     std::uint64_t configurationVersion = 0;
     /// Maximum time for which the leader waits for a change before it responds.
@@ -175,7 +180,7 @@
     /// Whether the next two lists are set.
     bool promptsIncluded = false;
     std::vector<BlockedPrompt> blockedPrompts;
-    /// Parts of which the beginning of a response must be reported.
+    /// Traits of which the beginning of a response must be reported.
     std::vector<std::string> suspectPromptParts;
     std::uint64_t configurationVersion = 0;
     /// Empty if the sender of the request has this version.
@@ -199,14 +204,14 @@
 struct CrashedAttempt
 {
     std::string upstream;
-    /// Ids of the prompt's parts that other requests may share.
+    /// Traits of the request: ids of shared prompt parts and the fingerprint.
     std::vector<std::string> promptParts;
     /// Time since the request was sent to the upstream, and since the crash.
     std::int64_t sentAgeMs = 0;
     std::int64_t crashAgeMs = 0;
 };
 
-/// A response to a prompt with a suspect part that an upstream began to write.
+/// A response to a request with a suspect trait that an upstream began to write.
 struct BegunPart
 {
     std::string part;
@@ -214,13 +219,17 @@
     std::int64_t ageMs = 0;
 };
 
-/// Request of Method::ReportPromptEvidence, which an entry instance repeats until the leader of the
-/// fleet group has responded. The response is empty.
-struct PromptEvidence
+/// Request of Method::ReportPromptEvidence, which an instance repeats until the leader of the fleet
+/// group has responded. The response is empty.
+struct CrashEvidence
 {
     std::string instance;
     std::vector<CrashedAttempt> crashes;
     std::vector<BegunPart> begun;
+    /// Identifies the process, unlike \a instance also after a restart.
+    std::string process{};
+    /// Blocks by which the sender has rejected requests and that have trials left.
+    std::vector<BlockedPrompt> rejected{};
 };
 
 /// Request of Method::RequestSlot, for a slot at an upstream for one request.
--- a/src/fleet/crashquarantine.cpp
+++ b/src/fleet/crashquarantine.cpp
@@ -11,21 +11,28 @@
 namespace rattanrill::fleet {
 namespace {
 
-std::vector<policy::TraitSet> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
+policy::CrashBlock toBlock(const wire::BlockedPrompt &prompt)
 {
-    std::vector<policy::TraitSet> blocks;
+    return {policy::TraitSet(prompt.parts.begin(), prompt.parts.end()),
+            static_cast<int>(prompt.trialsLeft), prompt.trialProcess};
+}
+
+std::vector<policy::CrashBlock> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
+{
+    std::vector<policy::CrashBlock> blocks;
     blocks.reserve(prompts.size());
     for (const wire::BlockedPrompt &prompt : prompts)
-        blocks.emplace_back(prompt.parts.begin(), prompt.parts.end());
+        blocks.push_back(toBlock(prompt));
     return blocks;
 }
 
-std::vector<wire::BlockedPrompt> toPrompts(const std::vector<policy::TraitSet> &blocks)
+std::vector<wire::BlockedPrompt> toPrompts(const std::vector<policy::CrashBlock> &blocks)
 {
     std::vector<wire::BlockedPrompt> prompts;
     prompts.reserve(blocks.size());
-    for (const policy::TraitSet &block : blocks)
-        prompts.push_back({std::vector<std::string>(block.begin(), block.end())});
+    for (const policy::CrashBlock &block : blocks)
+        prompts.push_back({std::vector<std::string>(block.traits.begin(), block.traits.end()),
+                           block.trialsLeft, block.trialProcess});
     return prompts;
 }
 
@@ -45,25 +52,35 @@
     publish();
 }
 
-void CrashQuarantine::addEvidence(const wire::PromptEvidence &evidence)
+void CrashQuarantine::addEvidence(const wire::CrashEvidence &evidence)
 {
     const absl::Time now = m_clock.now();
     for (const wire::CrashedAttempt &attempt : evidence.crashes) {
         policy::RequestCrash crash;
         crash.upstream = attempt.upstream;
-        crash.parts = attempt.promptParts;
+        crash.traits = attempt.promptParts;
         crash.sentAt = now - absl::Milliseconds(attempt.sentAgeMs);
         crash.crashedAt = now - absl::Milliseconds(attempt.crashAgeMs);
         m_tracker.recordCrash(crash);
         logCrash(evidence.instance, attempt);
     }
     // After the crashes, because a report that was delayed may have crashes from before a response
-    // that cleared their parts.
+    // that cleared their traits.
     for (const wire::BegunPart &begun : evidence.begun)
-        m_tracker.recordBegun(begun.part, now - absl::Milliseconds(begun.ageMs));
+        m_tracker.recordSound(begun.part, now - absl::Milliseconds(begun.ageMs));
+    for (const wire::BlockedPrompt &block : evidence.rejected)
+        addRejection(evidence, policy::TraitSet(block.parts.begin(), block.parts.end()));
     publish();
 }
 
+void CrashQuarantine::addRejection(const wire::CrashEvidence &evidence,
+                                   const policy::TraitSet &traits)
+{
+    if (m_tracker.recordRejected(m_clock.now(), traits, evidence.process))
+        log(LogLevel::Info, "crash-block-trial-granted",
+            {{"traits", absl::StrJoin(traits, ",")}, {"instance", evidence.instance}});
+}
+
 void CrashQuarantine::update()
 {
     m_tracker.expire(m_clock.now());
@@ -81,9 +98,16 @@
 {
     m_isProposing = true;
     const wire::PutBlockedPrompts operation{toPrompts(m_tracker.blocks())};
-    for (const wire::BlockedPrompt &prompt : operation.prompts)
+    const std::vector<policy::CrashBlock> recorded = toBlocks(m_view.records().blockedPrompts);
+    for (const wire::BlockedPrompt &prompt : operation.prompts) {
+        const policy::CrashBlock block = toBlock(prompt);
+        if (std::find(recorded.begin(), recorded.end(), block) != recorded.end())
+            continue;
         log(LogLevel::Warning, "prompt-blocked",
-            {{"promptParts", absl::StrJoin(prompt.parts, ",")}, {"term", m_view.term()}});
+            {{"traits", absl::StrJoin(prompt.parts, ",")},
+             {"trialsLeft", prompt.trialsLeft},
+             {"term", m_view.term()}});
+    }
     if (operation.prompts.empty())
         log(LogLevel::Info, "prompts-unblocked", {{"term", m_view.term()}});
     m_replica.propose(
@@ -108,7 +132,7 @@
     log(LogLevel::Info, "upstream-crash-reported",
         {{"upstream", attempt.upstream},
          {"reporter", instance},
-         {"promptParts", absl::StrJoin(attempt.promptParts, ",")},
+         {"traits", absl::StrJoin(attempt.promptParts, ",")},
          {"crashes", static_cast<std::int64_t>(crashes)},
          {"crashAgeMs", attempt.crashAgeMs}});
 }
--- a/src/fleet/crashquarantine.h
+++ b/src/fleet/crashquarantine.h
@@ -10,7 +10,7 @@
 
 namespace rattanrill::fleet {
 
-/// Collects the evidence of all entry instances on prompt parts that crash upstreams, on the leader
+/// Collects the evidence of all instances on traits of requests that crash upstreams, on the leader
 /// of the fleet group. Blocks are records of the group, so that they survive the leader; the view
 /// distributes them together with the suspects. Used on the event loop only.
 class CrashQuarantine : public std::enable_shared_from_this<CrashQuarantine>
@@ -20,11 +20,12 @@
 
     /// Starts with the blocks of the view's records, which must have been read in this term.
     void beginTerm();
-    void addEvidence(const wire::PromptEvidence &evidence);
+    void addEvidence(const wire::CrashEvidence &evidence);
     /// Drops old evidence and blocks, and proposes again what could not be recorded.
     void update();
 
 private:
+    void addRejection(const wire::CrashEvidence &evidence, const policy::TraitSet &traits);
     void publish();
     void propose();
     void logCrash(const std::string &instance, const wire::CrashedAttempt &attempt) const;
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -67,7 +67,7 @@
         channels.channel(leader)->sendOneWay(wire::Method::SyncFleet, wire::encode(message));
     }
 
-    void reportPromptEvidence(const wire::PromptEvidence &evidence, std::function<void(bool)> done)
+    void reportCrashEvidence(const wire::CrashEvidence &evidence, std::function<void(bool)> done)
     {
         if (leader.empty() || stopped)
             return loop.post([done = std::move(done)] { done(false); });
@@ -287,6 +287,7 @@
         if (isNewView) {
             viewTerm = response.viewTerm;
             viewSequence = response.viewSequence;
+            state.leaderTerm = response.viewTerm;
             state.members = response.members;
             state.membersComplete = response.membersSettled;
             state.storeFounders = response.storeFounders;
@@ -427,10 +428,10 @@
         m_impl->sendHeartbeat(false);
 }
 
-void FleetClient::reportPromptEvidence(const wire::PromptEvidence &evidence,
-                                       std::function<void(bool)> done)
+void FleetClient::reportCrashEvidence(const wire::CrashEvidence &evidence,
+                                      std::function<void(bool)> done)
 {
-    m_impl->reportPromptEvidence(evidence, std::move(done));
+    m_impl->reportCrashEvidence(evidence, std::move(done));
 }
 
 void FleetClient::leave()
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -70,9 +70,9 @@
             pollsWithoutLeader.push_back(std::move(poll));
     }
 
-    void handlePromptEvidence(const std::string &body, const peer::ResponseCallback &reply)
+    void handleCrashEvidence(const std::string &body, const peer::ResponseCallback &reply)
     {
-        const auto evidence = outcomeOf([&] { return wire::decode<wire::PromptEvidence>(body); });
+        const auto evidence = outcomeOf([&] { return wire::decode<wire::CrashEvidence>(body); });
         if (!evidence.ok())
             return reply(evidence.failure());
         if (!leads())
@@ -396,7 +396,7 @@
                       [impl = m_impl](const peer::PeerIdentity &, std::string body,
                                       peer::ResponseCallback reply) {
                           impl->loop.post([impl, body = std::move(body), reply = std::move(reply)] {
-                              impl->handlePromptEvidence(body, reply);
+                              impl->handleCrashEvidence(body, reply);
                           });
                       });
 }
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -17,7 +17,8 @@
 
 bool samePrompt(const wire::BlockedPrompt &left, const wire::BlockedPrompt &right)
 {
-    return left.parts == right.parts;
+    return left.parts == right.parts && left.trialsLeft == right.trialsLeft
+           && left.trialProcess == right.trialProcess;
 }
 
 bool sameMember(const wire::FleetMemberStatus &left, const wire::FleetMemberStatus &right)
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -48,8 +48,8 @@
         , m_slotClient(processContext.loop, m_core.channels(), m_core.clock(),
                        slotClientSettings(settings))
         , m_crashGuard(processContext.loop.timers(), m_core.clock(), settings.instance,
-                       [this](const wire::PromptEvidence &evidence, auto done) {
-                           m_core.fleetClient().reportPromptEvidence(evidence, std::move(done));
+                       [this](const wire::CrashEvidence &evidence, auto done) {
+                           m_core.fleetClient().reportCrashEvidence(evidence, std::move(done));
                        })
         , m_jobs(processContext.loop, m_core.channels(), m_core.clock())
         , m_context{processContext.loop,
@@ -117,7 +117,7 @@
                                       state.upstreamsReadAt);
             closeRemovedUpstreams(state.upstreams);
         }
-        m_crashGuard.setBlocks(state.blockedPrompts, state.suspectPromptParts);
+        m_crashGuard.setBlocks(state.leaderTerm, state.blockedPrompts, state.suspectPromptParts);
         const StoreAddresses stores = storeAddresses(state);
         m_slotClient.setBroker(stores.leader);
         m_jobs.setStores(stores.all, stores.leader);
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -33,6 +33,10 @@
         , m_broker(processContext.loop.timers(), SystemClock::instance(), brokerSettings(settings))
         , m_upstreamList(processContext.loop.timers(), SystemClock::instance(),
                          processContext.upstreamDiscovery, fleet::BoundedUpstreamListSettings())
+        , m_crashGuard(processContext.loop.timers(), SystemClock::instance(), settings.instance,
+                       [this](const wire::CrashEvidence &evidence, auto done) {
+                           m_core->fleetClient().reportCrashEvidence(evidence, std::move(done));
+                       })
     {}
 
     Result<void> start() override
@@ -97,6 +101,7 @@
                                                m_processContext.protocol,
                                                m_upstreams,
                                                m_broker,
+                                               m_crashGuard,
                                                *m_replica,
                                                m_settings.failureDomain,
                                                [this] { return m_upstreamList.age(); }};
@@ -201,6 +206,7 @@
             m_jobService->setDeployment(newer);
             m_jobExecutor->setDeployment(newer);
         }
+        m_crashGuard.setBlocks(state.leaderTerm, state.blockedPrompts, state.suspectPromptParts);
         if (state.upstreamsKnown)
             m_upstreamList.setDistributed(state.upstreams, state.upstreamsReadAt);
         if (state.membersComplete)
@@ -263,6 +269,7 @@
     net::ConnectionPool m_upstreams;
     serving::SlotBroker m_broker;
     fleet::BoundedUpstreamList m_upstreamList;
+    serving::CrashGuard m_crashGuard;
     std::unique_ptr<fleet::GroupReplica> m_replica;
     std::unique_ptr<jobs::JobExecutor> m_jobExecutor;
     std::unique_ptr<jobs::JobService> m_jobService;
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -4,6 +4,8 @@
 #include "rattanrill/base/logduration.h"
 #include "rattanrill/base/logger.h"
 
+#include "absl/strings/str_join.h"
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -26,6 +28,9 @@
 /// its slot and exhaust the memory of the process.
 constexpr std::size_t maxOutputBytes = std::size_t(4) << 20;
 
+/// Time between two checks whether an item that crashes upstreams may run again.
+constexpr absl::Duration holdPeriod = absl::Seconds(1);
+
 constexpr int statusUnprocessable = 422;
 
 std::string taskId(const wire::JobRecord &job, const wire::JobItem &item)
@@ -33,6 +38,17 @@
     return concat("item/", job.id, "/", item.id);
 }
 
+/// Returns the traits of \a item by which crashes of upstreams are attributed.
+serving::CrashTraits traitsOf(const serving::ProtocolAdapter &protocol, const wire::JobRecord &job,
+                              const wire::JobItem &item)
+{
+    const net::Request request = protocol.itemRequest(item, job.host, serving::UpstreamAttempt());
+    const auto fields = outcomeOf([&] { return protocol.parseRequest(request); });
+    return serving::crashTraits(job.workspace, request,
+                                fields.ok() ? fields.value().sharedPromptParts
+                                            : std::vector<std::string>());
+}
+
 } // namespace
 
 ItemRun::ItemRun(const JobExecutorContext &context, std::shared_ptr<const wire::JobRecord> job,
@@ -41,6 +57,7 @@
     , m_job(std::move(job))
     , m_item(item)
     , m_resultCallback(std::move(resultCallback))
+    , m_traits(traitsOf(context.protocol, *m_job, item))
 {}
 
 void ItemRun::resume(const wire::ItemProgress &progress)
@@ -113,6 +130,9 @@
 
 void ItemRun::acquireSlot()
 {
+    if (m_context.crashGuard.isBlocked(m_traits.all()))
+        return hold();
+    m_isHeld = false;
     const serving::Route &current = *route();
     const absl::Duration age =
             m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
@@ -138,9 +158,13 @@
 
 void ItemRun::handleSlotGranted(const std::string &upstream, const std::string &address)
 {
-    m_state = State::Running;
     m_upstream = upstream;
     m_address = address;
+    if (m_context.crashGuard.isBlocked(m_traits.all())) {
+        releaseSlot(ReleaseReason::Cancelled);
+        return hold();
+    }
+    m_state = State::Running;
     m_grantedAt = m_context.clock.now();
     m_upstreamListAge = m_context.upstreamListAge();
     m_hasProgressed = false;
@@ -174,6 +198,8 @@
         return !self->m_context.broker.isLeaving(upstream, address);
     };
     restartIdleTimer();
+    m_sentAt = m_context.clock.now();
+    m_context.crashGuard.recordSent(m_traits.all());
     m_call = m_context.upstreamConnections.call(
             address, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
             std::move(handlers), m_item.id);
@@ -188,6 +214,7 @@
     ++m_preemptions;
     m_context.metrics.count("rattanrill_batch_yields_total");
     m_context.upstreamConnections.cancel(m_call);
+    m_context.crashGuard.recordCancelled(m_traits.all());
     cancelTimer(m_idleTimer);
     recordRunTime();
     acquireSlot();
@@ -255,7 +282,8 @@
             m_output += '\n';
         m_output += event.data;
         m_hasOutput = true;
-        m_hasProgressed = true;
+        if (!std::exchange(m_hasProgressed, true))
+            m_context.crashGuard.recordSound(m_traits.promptParts);
         m_consecutiveFailures = 0;
         if (event.id) {
             m_numberedOutputLength = m_output.size();
@@ -278,10 +306,13 @@
     if (status == net::CallStatus::NotConnected)
         return failAttempt(net::name(status), ReleaseReason::Unreachable);
     if (status == net::CallStatus::Broken)
-        return failAttempt(net::name(status), ReleaseReason::Failed);
+        return attemptBroken(net::name(status));
     if (m_responseInfo.notRun)
         return failAttempt("the upstream reported that the request did not run",
                            serving::refusalReason(m_responseInfo));
+    if (m_isStream && serving::isBrokenOff(m_head, m_splitter, m_position.hasReceivedEvent()))
+        return attemptBroken("the response was broken off");
+    m_context.crashGuard.recordSound(m_traits.suspects(m_hasProgressed));
     if (m_head.status == statusUnprocessable) {
         releaseSlot(ReleaseReason::Completed);
         return finish(wire::ItemOutcome::DeadLettered,
@@ -305,8 +336,6 @@
 {
     if (!m_isStream)
         return failAttempt("the response is no event stream", ReleaseReason::Completed);
-    if (serving::isBrokenOff(m_head, m_splitter, m_position.hasReceivedEvent()))
-        return failAttempt("the response was broken off", ReleaseReason::Failed);
     if (!m_position.hasReceivedEvent() || !m_position.hasReachedLast()) {
         m_restarts = true;
         return failAttempt("the response does not continue the stream", ReleaseReason::Completed);
@@ -348,7 +377,30 @@
          {"run", m_attempts}});
     // After 5 doublings the delay exceeds maxBackoff. The limit keeps the shift within int.
     const int doublings = std::min(m_consecutiveFailures++, 5);
-    const absl::Duration delay = std::min(minBackoff * (1 << doublings), maxBackoff);
+    retryAfter(std::min(minBackoff * (1 << doublings), maxBackoff));
+}
+
+void ItemRun::attemptBroken(std::string_view reason)
+{
+    m_context.crashGuard.recordBroken(
+            m_context.upstreamConnections,
+            {m_item.id, m_upstream, m_address, m_traits.suspects(m_hasProgressed), m_sentAt});
+    failAttempt(reason, ReleaseReason::Failed);
+}
+
+void ItemRun::hold()
+{
+    if (!std::exchange(m_isHeld, true))
+        log(LogLevel::Warning, "item-held",
+            {{"job", m_job->id},
+             {"item", m_item.id},
+             {"traits", absl::StrJoin(m_traits.all(), ",")},
+             {"run", m_attempts}});
+    retryAfter(holdPeriod);
+}
+
+void ItemRun::retryAfter(absl::Duration delay)
+{
     m_state = State::BackingOff;
     m_backoffTimer = m_context.loop.timers().subscribeOnce(delay, [self = shared_from_this()] {
         self->m_backoffTimer = 0;
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rattanrill::jobs {
 
@@ -51,6 +52,10 @@
 private:
     const serving::Route *route() const;
     void acquireSlot();
+    /// Waits before the next request for a slot, because the item crashes upstreams.
+    void hold();
+    void retryAfter(absl::Duration delay);
+    void attemptBroken(std::string_view reason);
     void handleSlotGranted(const std::string &upstream, const std::string &address);
     void handleSlotPreempted();
     net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
@@ -84,6 +89,8 @@
     const std::shared_ptr<const wire::JobRecord> m_job;
     const wire::JobItem &m_item;
     ResultCallback m_resultCallback;
+    /// Traits by which crashes of upstreams are attributed.
+    const serving::CrashTraits m_traits;
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
     State m_state = State::Idle;
 
@@ -120,10 +127,13 @@
     absl::Time m_grantedAt;
     /// Age of the list of upstreams at the last grant.
     absl::Duration m_upstreamListAge = absl::InfiniteDuration();
+    /// Whether an event was received in the current slot.
     bool m_hasProgressed = false;
+    absl::Time m_sentAt;
     /// Number of attempts that failed with status 500.
     int m_serverErrors = 0;
     int m_consecutiveFailures = 0;
+    bool m_isHeld = false;
     int m_preemptions = 0;
     int m_attempts = 0;
     TimerService::TimerId m_abandonTimer = 0;
--- a/src/policy/crashtracker.cpp
+++ b/src/policy/crashtracker.cpp
@@ -5,40 +5,75 @@
 #include <utility>
 
 namespace rattanrill::policy {
+namespace {
+
+bool containsAll(const std::vector<std::string> &traits, const TraitSet &wanted)
+{
+    return std::all_of(wanted.begin(), wanted.end(), [&traits](const std::string &trait) {
+        return std::find(traits.begin(), traits.end(), trait) != traits.end();
+    });
+}
+
+bool includes(const TraitSet &outer, const TraitSet &inner)
+{
+    return std::includes(outer.begin(), outer.end(), inner.begin(), inner.end());
+}
+
+} // namespace
+
+bool operator==(const CrashBlock &left, const CrashBlock &right)
+{
+    return left.traits == right.traits && left.trialsLeft == right.trialsLeft
+           && left.trialProcess == right.trialProcess;
+}
 
 CrashTracker::CrashTracker(CrashTrackerSettings settings)
     : m_settings(settings)
 {}
 
-void CrashTracker::restore(absl::Time now, const std::vector<TraitSet> &blocks)
+void CrashTracker::restore(absl::Time now, const std::vector<CrashBlock> &blocks)
 {
     m_evidence.clear();
     m_blocks.clear();
-    for (const TraitSet &parts : blocks)
-        m_blocks.push_back({parts, now, now});
+    for (const CrashBlock &block : blocks)
+        m_blocks.push_back({block, now, now, now});
 }
 
 bool CrashTracker::recordCrash(const RequestCrash &crash)
 {
-    bool isChanged = false;
+    bool isChanged = endTrials(crash);
     std::vector<std::string> conclusive;
-    for (const std::string &part : crash.parts) {
-        auto &crashes = m_evidence[part].crashes;
-        if (!crashes.empty() && crash.sentAt <= crashes.back().crashedAt)
+    for (const std::string &trait : crash.traits) {
+        if (!addCrash(trait, crash))
             continue;
-        crashes.push_back(crash);
-        if (crashes.size() > m_settings.crashLimit)
-            crashes.pop_front();
-        isChanged = isChanged || crashes.size() == m_settings.suspectLimit;
-        if (isConclusive(m_evidence[part]))
-            conclusive.push_back(part);
+        const Evidence &evidence = m_evidence[trait];
+        isChanged = isChanged || evidence.crashes.size() == m_settings.suspectLimit;
+        if (isConclusive(evidence))
+            conclusive.push_back(trait);
     }
-    for (const std::string &part : conclusive)
-        isChanged = addBlock(m_evidence[part]) || isChanged;
-    limitParts();
+    for (const std::string &trait : conclusive)
+        isChanged = addBlock(m_evidence[trait]) || isChanged;
+    limitTraits();
     return isChanged;
 }
 
+/// Returns false when the attempt overlaps with one that counts already.
+bool CrashTracker::addCrash(const std::string &trait, const RequestCrash &crash)
+{
+    auto &crashes = m_evidence[trait].crashes;
+    const auto next = std::find_if(crashes.begin(), crashes.end(), [&crash](const auto &other) {
+        return other.crashedAt >= crash.crashedAt;
+    });
+    if (next != crashes.end() && next->sentAt <= crash.crashedAt)
+        return false;
+    if (next != crashes.begin() && crash.sentAt <= std::prev(next)->crashedAt)
+        return false;
+    crashes.insert(next, crash);
+    if (crashes.size() > m_settings.crashLimit)
+        crashes.pop_front();
+    return true;
+}
+
 bool CrashTracker::isConclusive(const Evidence &evidence) const
 {
     std::set<std::string> upstreams;
@@ -48,43 +83,55 @@
            && upstreams.size() >= m_settings.minUpstreams;
 }
 
-/// Returns the parts that each of the crashed requests had and that have not been cleared since the
-/// first of them.
-TraitSet CrashTracker::commonParts(const Evidence &evidence) const
+/// Returns the traits that each of the crashed requests had and that have not been cleared since
+/// the first of them.
+TraitSet CrashTracker::commonTraits(const Evidence &evidence) const
 {
     const auto &crashes = evidence.crashes;
     TraitSet common;
-    for (const std::string &part : crashes.front().parts) {
+    for (const std::string &trait : crashes.front().traits) {
         const bool isCommon =
-                std::all_of(crashes.begin(), crashes.end(), [&part](const RequestCrash &crash) {
-                    return std::find(crash.parts.begin(), crash.parts.end(), part)
-                           != crash.parts.end();
+                std::all_of(crashes.begin(), crashes.end(), [&trait](const RequestCrash &crash) {
+                    return std::find(crash.traits.begin(), crash.traits.end(), trait)
+                           != crash.traits.end();
                 });
-        if (isCommon && crashCount(part) >= crashes.size())
-            common.insert(part);
+        if (isCommon && crashCount(trait) >= crashes.size())
+            common.insert(trait);
     }
     return common;
 }
 
-/// Returns false when an existing block rejects the same requests.
+/// Returns false when an existing block rejects the same requests. A new block replaces those that
+/// reject only a part of its requests, and has no more trials left than they had: the number of
+/// trials is bounded for each cause.
 bool CrashTracker::addBlock(const Evidence &evidence)
 {
-    TraitSet parts = commonParts(evidence);
-    const auto isCovered = [&parts](const Block &block) {
-        return std::includes(parts.begin(), parts.end(), block.parts.begin(), block.parts.end());
-    };
-    if (std::any_of(m_blocks.begin(), m_blocks.end(), isCovered))
+    Block added{{commonTraits(evidence), m_settings.maxTrials, {}},
+                evidence.crashes.front().crashedAt,
+                evidence.crashes.back().crashedAt,
+                evidence.crashes.back().crashedAt};
+    const TraitSet &traits = added.block.traits;
+    const bool isCovered =
+            std::any_of(m_blocks.begin(), m_blocks.end(), [&traits](const Block &other) {
+                return includes(traits, other.block.traits);
+            });
+    if (isCovered)
         return false;
-    m_blocks.push_back({std::move(parts), evidence.crashes.front().crashedAt,
-                        evidence.crashes.back().crashedAt});
+    for (auto other = m_blocks.begin(); other != m_blocks.end();) {
+        const bool isReplaced = includes(other->block.traits, traits);
+        if (isReplaced)
+            added.block.trialsLeft = std::min(added.block.trialsLeft, other->block.trialsLeft);
+        other = isReplaced ? m_blocks.erase(other) : std::next(other);
+    }
+    m_blocks.push_back(std::move(added));
     if (m_blocks.size() > m_settings.maxBlocks)
         m_blocks.pop_front();
     return true;
 }
 
-void CrashTracker::limitParts()
+void CrashTracker::limitTraits()
 {
-    while (m_evidence.size() > m_settings.maxParts) {
+    while (m_evidence.size() > m_settings.maxTraits) {
         const auto oldest = std::min_element(m_evidence.begin(), m_evidence.end(),
                                              [](const auto &left, const auto &right) {
                                                  return left.second.crashes.back().crashedAt
@@ -94,35 +141,83 @@
     }
 }
 
-bool CrashTracker::recordBegun(const std::string &part, absl::Time beganAt)
+bool CrashTracker::recordSound(const std::string &trait, absl::Time ranAt)
 {
     const std::vector<std::string> formerSuspects = suspects();
-    const std::vector<TraitSet> formerBlocks = blocks();
-    const auto found = m_evidence.find(part);
+    const std::vector<CrashBlock> formerBlocks = blocks();
+    const auto found = m_evidence.find(trait);
     if (found != m_evidence.end()) {
         auto &crashes = found->second.crashes;
-        while (!crashes.empty() && crashes.front().crashedAt < beganAt)
+        while (!crashes.empty() && crashes.front().crashedAt < ranAt)
             crashes.pop_front();
         if (crashes.empty())
             m_evidence.erase(found);
     }
-    removeFromBlocks(part, beganAt);
+    removeFromBlocks(trait, ranAt);
     return formerSuspects != suspects() || formerBlocks != blocks();
 }
 
-void CrashTracker::removeFromBlocks(const std::string &part, absl::Time beganAt)
+void CrashTracker::removeFromBlocks(const std::string &trait, absl::Time ranAt)
 {
     for (auto block = m_blocks.begin(); block != m_blocks.end();) {
-        if (block->firstCrashAt < beganAt)
-            block->parts.erase(part);
-        block = block->parts.empty() ? m_blocks.erase(block) : std::next(block);
+        TraitSet &traits = block->block.traits;
+        if (block->firstCrashAt < ranAt)
+            traits.erase(trait);
+        block = traits.empty() ? m_blocks.erase(block) : std::next(block);
     }
 }
 
+/// Time between the last change of the block's trials and the start of the next trial.
+absl::Duration CrashTracker::trialDelay(const CrashBlock &block) const
+{
+    absl::Duration delay = m_settings.firstTrialDelay;
+    for (int used = m_settings.maxTrials - block.trialsLeft; used > 0; --used)
+        delay *= m_settings.trialDelayFactor;
+    return delay;
+}
+
+bool CrashTracker::recordRejected(absl::Time now, const TraitSet &traits,
+                                  const std::string &process)
+{
+    const auto found =
+            std::find_if(m_blocks.begin(), m_blocks.end(), [&traits](const Block &candidate) {
+                return candidate.block.traits == traits;
+            });
+    if (found == m_blocks.end())
+        return false;
+    CrashBlock &block = found->block;
+    const bool isDue = block.trialsLeft > 0 && block.trialProcess.empty()
+                       && now - found->trialChangedAt >= trialDelay(block);
+    if (!isDue)
+        return false;
+    --block.trialsLeft;
+    block.trialProcess = process;
+    found->trialChangedAt = now;
+    return true;
+}
+
+/// Ends the trials of blocks whose traits the crashed request has.
+bool CrashTracker::endTrials(const RequestCrash &crash)
+{
+    bool isChanged = false;
+    for (Block &candidate : m_blocks) {
+        CrashBlock &block = candidate.block;
+        const bool isTrial = !block.trialProcess.empty()
+                             && crash.crashedAt > candidate.trialChangedAt
+                             && containsAll(crash.traits, block.traits);
+        if (!isTrial)
+            continue;
+        block.trialProcess.clear();
+        candidate.trialChangedAt = crash.crashedAt;
+        isChanged = true;
+    }
+    return isChanged;
+}
+
 bool CrashTracker::expire(absl::Time now)
 {
     const std::vector<std::string> formerSuspects = suspects();
-    const std::vector<TraitSet> formerBlocks = blocks();
+    const std::vector<CrashBlock> formerBlocks = blocks();
     for (auto entry = m_evidence.begin(); entry != m_evidence.end();) {
         const absl::Time last = entry->second.crashes.back().crashedAt;
         const bool isExpired = last + m_settings.evidenceLifetime < now;
@@ -130,32 +225,40 @@
     }
     while (!m_blocks.empty() && m_blocks.front().createdAt + m_settings.blockTime < now)
         m_blocks.pop_front();
+    for (Block &block : m_blocks) {
+        if (block.block.trialProcess.empty()
+            || now - block.trialChangedAt < m_settings.trialTimeout)
+            continue;
+        block.block.trialProcess.clear();
+        block.trialChangedAt = now;
+    }
     return formerSuspects != suspects() || formerBlocks != blocks();
 }
 
-std::vector<TraitSet> CrashTracker::blocks() const
+std::vector<CrashBlock> CrashTracker::blocks() const
 {
-    std::vector<TraitSet> result;
+    std::vector<CrashBlock> result;
+    result.reserve(m_blocks.size());
     for (const Block &block : m_blocks)
-        result.push_back(block.parts);
+        result.push_back(block.block);
     return result;
 }
 
 std::vector<std::string> CrashTracker::suspects() const
 {
-    std::set<std::string> parts;
-    for (const auto &[part, evidence] : m_evidence) {
+    TraitSet traits;
+    for (const auto &[trait, evidence] : m_evidence) {
         if (evidence.crashes.size() >= m_settings.suspectLimit)
-            parts.insert(part);
+            traits.insert(trait);
     }
     for (const Block &block : m_blocks)
-        parts.insert(block.parts.begin(), block.parts.end());
-    return std::vector<std::string>(parts.begin(), parts.end());
+        traits.insert(block.block.traits.begin(), block.block.traits.end());
+    return std::vector<std::string>(traits.begin(), traits.end());
 }
 
-std::size_t CrashTracker::crashCount(const std::string &part) const
+std::size_t CrashTracker::crashCount(const std::string &trait) const
 {
-    const auto found = m_evidence.find(part);
+    const auto found = m_evidence.find(trait);
     return found == m_evidence.end() ? 0 : found->second.crashes.size();
 }
 
--- a/src/serving/crashguard.cpp
+++ b/src/serving/crashguard.cpp
@@ -2,6 +2,9 @@
 
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
+#include "rattanrill/base/logger.h"
+
+#include "absl/strings/str_join.h"
 
 #include <algorithm>
 #include <utility>
@@ -10,19 +13,43 @@
 namespace {
 
 constexpr absl::Duration reportRetryDelay = absl::Milliseconds(50);
+/// Time for the other connections to a crashed upstream to be closed.
+constexpr absl::Duration crashCheckDelay = absl::Milliseconds(20);
 /// Number of crashes that are kept while the leader cannot be reached; further ones are dropped.
 constexpr std::size_t maxPendingCrashes = 256;
-/// Number of parts of reported crashes whose next response is reported even if the leader does not
+/// Number and age of the crashes that are repeated to the next leader.
+constexpr std::size_t maxReceivedCrashes = 256;
+constexpr absl::Duration receivedCrashLifetime = absl::Minutes(10);
+/// Number of traits of reported crashes whose next response is reported even if the leader does not
 /// name them as suspects.
 constexpr std::size_t maxOwnSuspects = 1024;
+/// Minimum time between two reports of requests that the same block rejected.
+constexpr absl::Duration rejectionReportPeriod = absl::Seconds(1);
+constexpr std::size_t processIdBytes = 8;
+/// Distinguishes fingerprints from the ids of prompt parts.
+constexpr const char *fingerprintPrefix = "request-";
 
 } // namespace
 
-std::string fingerprintOf(const std::string &workspace, const net::Request &request)
+std::vector<std::string> CrashTraits::all() const
+{
+    std::vector<std::string> traits = promptParts;
+    traits.push_back(fingerprint);
+    return traits;
+}
+
+std::vector<std::string> CrashTraits::suspects(bool hasBegun) const
+{
+    return hasBegun ? std::vector<std::string>{fingerprint} : all();
+}
+
+CrashTraits crashTraits(const std::string &workspace, const net::Request &request,
+                        const std::vector<std::string> &sharedPromptParts)
 {
     const std::string resource =
             concat(request.method, " ", request.headers.value("Host"), request.target);
-    return requestFingerprint(workspace, resource, request.body);
+    return {sharedPromptParts,
+            concat(fingerprintPrefix, requestFingerprint(workspace, resource, request.body))};
 }
 
 CrashGuard::CrashGuard(TimerService &timers, const Clock &clock, std::string instance,
@@ -30,6 +57,7 @@
     : m_timers(timers)
     , m_clock(clock)
     , m_instance(std::move(instance))
+    , m_process(randomHex(processIdBytes))
     , m_reporter(std::move(reporter))
 {}
 
@@ -39,80 +67,183 @@
         m_timers.unsubscribe(m_retryTimer);
 }
 
-void CrashGuard::setBlocks(const std::vector<wire::BlockedPrompt> &blocks,
+void CrashGuard::setBlocks(std::uint64_t term, const std::vector<wire::BlockedPrompt> &blocks,
                            const std::vector<std::string> &suspects)
 {
-    m_blocks.clear();
-    for (const wire::BlockedPrompt &block : blocks)
-        m_blocks.emplace_back(block.parts.begin(), block.parts.end());
+    const std::vector<Block> formerBlocks = std::exchange(m_blocks, {});
+    for (const wire::BlockedPrompt &prompt : blocks) {
+        Block block;
+        block.traits = std::set<std::string>(prompt.parts.begin(), prompt.parts.end());
+        block.trialsLeft = prompt.trialsLeft;
+        block.isTrialOwner = prompt.trialProcess == m_process;
+        block.isTrialOpen = block.isTrialOwner;
+        for (const Block &former : formerBlocks) {
+            if (former.traits != block.traits)
+                continue;
+            block.rejectionReportedAt = former.rejectionReportedAt;
+            // A trial that was used stays used while the leader has not received its result.
+            if (former.trialsLeft == block.trialsLeft)
+                block.isTrialOpen = block.isTrialOpen && former.isTrialOpen;
+        }
+        m_blocks.push_back(std::move(block));
+    }
     m_suspects = std::set<std::string>(suspects.begin(), suspects.end());
+    if (std::exchange(m_term, term) != term)
+        repeatReceivedCrashes();
 }
 
-bool CrashGuard::isBlocked(const std::vector<std::string> &parts) const
+void CrashGuard::repeatReceivedCrashes()
 {
-    const std::set<std::string> sorted(parts.begin(), parts.end());
-    return std::any_of(m_blocks.begin(), m_blocks.end(), [&sorted](const auto &block) {
-        return !block.empty()
-               && std::includes(sorted.begin(), sorted.end(), block.begin(), block.end());
-    });
+    const absl::Time oldest = m_clock.now() - receivedCrashLifetime;
+    for (Crash &crash : std::exchange(m_receivedCrashes, {})) {
+        if (crash.crashedAt >= oldest && m_crashes.size() < maxPendingCrashes)
+            m_crashes.push_back(std::move(crash));
+    }
+    report();
 }
 
-void CrashGuard::recordCrash(const std::string &upstream, const std::vector<std::string> &parts,
-                             absl::Time sentAt, absl::Time crashedAt)
+bool CrashGuard::applies(const Block &block, const std::set<std::string> &traits) const
+{
+    return !block.traits.empty()
+           && std::includes(traits.begin(), traits.end(), block.traits.begin(), block.traits.end());
+}
+
+bool CrashGuard::isBlocked(const std::vector<std::string> &traits)
+{
+    if (m_blocks.empty())
+        return false;
+    const std::set<std::string> sorted(traits.begin(), traits.end());
+    bool isRejected = false;
+    for (Block &block : m_blocks) {
+        if (!applies(block, sorted) || block.isTrialOpen)
+            continue;
+        isRejected = true;
+        addRejection(block);
+    }
+    if (isRejected)
+        report();
+    return isRejected;
+}
+
+/// The leader may answer the report of a rejection with a trial.
+void CrashGuard::addRejection(Block &block)
+{
+    const absl::Time now = m_clock.now();
+    if (block.trialsLeft <= 0 || now - block.rejectionReportedAt < rejectionReportPeriod)
+        return;
+    block.rejectionReportedAt = now;
+    m_rejected.push_back(block.traits);
+}
+
+void CrashGuard::recordSent(const std::vector<std::string> &traits)
 {
-    if (parts.empty())
+    if (m_blocks.empty())
         return;
+    const std::set<std::string> sorted(traits.begin(), traits.end());
+    for (Block &block : m_blocks) {
+        if (!applies(block, sorted))
+            continue;
+        block.isTrialOpen = false;
+        log(LogLevel::Info, "crash-block-trial",
+            {{"traits", absl::StrJoin(block.traits, ",")}, {"trialsLeft", block.trialsLeft}});
+    }
+}
+
+void CrashGuard::recordCancelled(const std::vector<std::string> &traits)
+{
+    if (m_blocks.empty())
+        return;
+    const std::set<std::string> sorted(traits.begin(), traits.end());
+    for (Block &block : m_blocks) {
+        if (applies(block, sorted))
+            block.isTrialOpen = block.isTrialOwner;
+    }
+}
+
+void CrashGuard::recordBroken(const net::ConnectionPool &connections, const BrokenAttempt &attempt)
+{
+    const absl::Time crashedAt = m_clock.now();
+    const auto check = [this, alive = std::weak_ptr<bool>(m_alive), &connections, attempt,
+                        crashedAt] {
+        if (alive.expired())
+            return;
+        const bool hasOpenConnections = connections.hasOpenConnections(attempt.address);
+        log(LogLevel::Info, "upstream-crash-seen",
+            {{"requestId", attempt.requestId},
+             {"upstream", attempt.upstream},
+             {"traits", absl::StrJoin(attempt.traits, ",")},
+             {"hasOpenConnections", hasOpenConnections}});
+        if (!hasOpenConnections)
+            recordCrash(attempt.upstream, attempt.traits, attempt.sentAt, crashedAt);
+    };
+    m_timers.subscribeOnce(crashCheckDelay, check);
+}
+
+void CrashGuard::recordCrash(const std::string &upstream, const std::vector<std::string> &traits,
+                             absl::Time sentAt, absl::Time crashedAt)
+{
     if (m_crashes.size() < maxPendingCrashes)
-        m_crashes.push_back({upstream, parts, sentAt, crashedAt});
-    if (m_ownSuspects.size() + parts.size() <= maxOwnSuspects)
-        m_ownSuspects.insert(parts.begin(), parts.end());
+        m_crashes.push_back({upstream, traits, sentAt, crashedAt});
+    if (m_ownSuspects.size() + traits.size() <= maxOwnSuspects)
+        m_ownSuspects.insert(traits.begin(), traits.end());
     report();
 }
 
-void CrashGuard::recordBegun(const std::vector<std::string> &parts)
+void CrashGuard::recordSound(const std::vector<std::string> &traits)
 {
     bool isEvidence = false;
-    for (const std::string &part : parts) {
-        const bool isOwnSuspect = m_ownSuspects.erase(part) > 0;
-        if (!isOwnSuspect && m_suspects.count(part) == 0)
+    for (const std::string &trait : traits) {
+        const bool isOwnSuspect = m_ownSuspects.erase(trait) > 0;
+        if (!isOwnSuspect && m_suspects.count(trait) == 0)
             continue;
-        m_begun[part] = m_clock.now();
+        m_sound[trait] = m_clock.now();
         isEvidence = true;
+        // A new leader, which does not know of this response, must not count the crashes before.
+        for (Crash &crash : m_receivedCrashes)
+            crash.traits.erase(std::remove(crash.traits.begin(), crash.traits.end(), trait),
+                               crash.traits.end());
     }
     if (isEvidence)
         report();
 }
 
-wire::PromptEvidence CrashGuard::makeEvidence() const
+wire::CrashEvidence CrashGuard::makeEvidence() const
 {
     const absl::Time now = m_clock.now();
-    wire::PromptEvidence evidence;
+    wire::CrashEvidence evidence;
     evidence.instance = m_instance;
+    evidence.process = m_process;
     for (const Crash &crash : m_crashes)
-        evidence.crashes.push_back({crash.upstream, crash.parts,
+        evidence.crashes.push_back({crash.upstream, crash.traits,
                                     absl::ToInt64Milliseconds(now - crash.sentAt),
                                     absl::ToInt64Milliseconds(now - crash.crashedAt)});
-    for (const auto &[part, beganAt] : m_begun)
-        evidence.begun.push_back({part, absl::ToInt64Milliseconds(now - beganAt)});
+    for (const auto &[trait, ranAt] : m_sound)
+        evidence.begun.push_back({trait, absl::ToInt64Milliseconds(now - ranAt)});
+    for (const std::set<std::string> &traits : m_rejected)
+        evidence.rejected.push_back({std::vector<std::string>(traits.begin(), traits.end())});
     return evidence;
 }
 
-/// Sends all evidence that the leader has not received, one report at a time.
+/// Sends all evidence that the leader has not received, one report at a time. Rejections are not
+/// repeated: a further one follows as long as requests come.
 void CrashGuard::report()
 {
-    if (m_isReporting || m_retryTimer != 0 || (m_crashes.empty() && m_begun.empty()))
+    const bool isEmpty = m_crashes.empty() && m_sound.empty() && m_rejected.empty();
+    if (m_isReporting || m_retryTimer != 0 || isEmpty)
         return;
     m_isReporting = true;
-    m_reporter(makeEvidence(), [this, alive = std::weak_ptr<bool>(m_alive),
-                                crashes = m_crashes.size(), begun = m_begun](bool isReceived) {
+    const wire::CrashEvidence evidence = makeEvidence();
+    m_rejected.clear();
+    m_reporter(evidence, [this, alive = std::weak_ptr<bool>(m_alive), crashes = m_crashes.size(),
+                          sound = m_sound](bool isReceived) {
         if (!alive.expired())
-            handleReported(crashes, begun, isReceived);
+            handleReported(crashes, sound, isReceived);
     });
 }
 
 /// Drops the evidence that the leader has received. The leader counts a crash once even if it is
 /// reported again, so a lost response does no harm.
-void CrashGuard::handleReported(std::size_t crashes, const std::map<std::string, absl::Time> &begun,
+void CrashGuard::handleReported(std::size_t crashes, const std::map<std::string, absl::Time> &sound,
                                 bool isReceived)
 {
     m_isReporting = false;
@@ -123,14 +254,23 @@
         });
         return;
     }
-    const std::size_t received = std::min(crashes, m_crashes.size());
-    m_crashes.erase(m_crashes.begin(), m_crashes.begin() + static_cast<std::ptrdiff_t>(received));
-    for (const auto &[part, beganAt] : begun) {
-        const auto found = m_begun.find(part);
-        if (found != m_begun.end() && found->second == beganAt)
-            m_begun.erase(found);
+    keepReceivedCrashes(std::min(crashes, m_crashes.size()));
+    for (const auto &[trait, ranAt] : sound) {
+        const auto found = m_sound.find(trait);
+        if (found != m_sound.end() && found->second == ranAt)
+            m_sound.erase(found);
     }
     report();
 }
 
+void CrashGuard::keepReceivedCrashes(std::size_t count)
+{
+    for (; count > 0; --count) {
+        m_receivedCrashes.push_back(std::move(m_crashes.front()));
+        m_crashes.pop_front();
+    }
+    while (m_receivedCrashes.size() > maxReceivedCrashes)
+        m_receivedCrashes.pop_front();
+}
+
 } // namespace rattanrill::serving
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -27,7 +27,7 @@
 /// Retry-After when no upstream has accepted the request. It is short because the cause may be
 /// temporary.
 constexpr absl::Duration unavailableRetryAfter = absl::Milliseconds(300);
-/// Retry-After of a request whose prompt crashes upstreams. Blocks last much longer.
+/// Retry-After of a request that crashes upstreams. Blocks last much longer.
 constexpr absl::Duration quarantineRetryAfter = absl::Minutes(1);
 /// Time until the deadline below which an attempt is not worth starting.
 constexpr absl::Duration minRemainingTime = absl::Milliseconds(20);
@@ -46,7 +46,8 @@
     , m_request(std::move(request))
     , m_route(*m_request.route)
     , m_exchange(std::move(exchange))
-    , m_fingerprint(fingerprintOf(m_request.workspace, m_exchange->request()))
+    , m_traits(crashTraits(m_request.workspace, m_exchange->request(),
+                           m_request.caller.sharedPromptParts))
     , m_receivedAt(m_exchange->receivedAt())
     , m_deadline(m_receivedAt + std::min(m_request.caller.timeout, m_route.timeout))
     , m_service(selectService(m_route, m_request.caller.id))
@@ -97,15 +98,16 @@
     return remainingTime() > minRemainingTime;
 }
 
-/// Rejects the request when its prompt crashes upstreams. Returns false when the request may run.
-bool ProxiedRequest::rejectBlockedPrompt()
+/// Rejects the request when it crashes upstreams. Returns false when the request may run.
+bool ProxiedRequest::rejectBlocked()
 {
-    if (!m_context.crashGuard.isBlocked(m_request.caller.sharedPromptParts))
+    if (!m_context.crashGuard.isBlocked(m_traits.all()))
         return false;
     cancelCall();
     releaseSlot(ReleaseReason::Cancelled);
     m_context.metrics.count("rattanrill_prompt_rejections_total");
-    static constexpr const char *reason = "parts of the prompt crash the upstreams that run it";
+    static constexpr const char *reason =
+            "the request or parts of its prompt crash the upstreams that run it";
     if (m_mayHaveRun || m_exchange->streamStarted())
         fail(ErrorCode::RequestQuarantined, reason);
     else
@@ -115,7 +117,7 @@
 
 void ProxiedRequest::requestSlot()
 {
-    if (rejectBlockedPrompt())
+    if (rejectBlocked())
         return;
     wire::SlotRequest request;
     m_requestedSlotId = m_slotRequestCount++ == 0
@@ -163,7 +165,7 @@
         m_heldSlotId = m_requestedSlotId;
         m_slotGrantedAt = m_context.clock.now();
         m_upstreamListAge = m_context.upstreamListAge();
-        if (rejectBlockedPrompt())
+        if (rejectBlocked())
             return;
         return send(response.upstream, response.address);
     }
@@ -248,6 +250,7 @@
         return !self->isLeaving(upstream, address);
     };
     m_state = State::Running;
+    m_context.crashGuard.recordSent(m_traits.all());
     armResponseTimer();
     m_attempt.call = m_context.upstreamConnections.call(
             address,
@@ -283,7 +286,7 @@
          {"hasBegun", m_attempt.hasBegun},
          {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - m_attempt.sentAt)},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
-         {"fingerprint", m_fingerprint},
+         {"fingerprint", m_traits.fingerprint},
          {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
          {"lastEvent", m_position.lastId().value_or(-1)}});
 }
@@ -395,6 +398,7 @@
         return;
     m_state = State::Waiting;
     m_context.upstreamConnections.cancel(m_attempt.call);
+    m_context.crashGuard.recordCancelled(m_traits.all());
 }
 
 void ProxiedRequest::finish(Outcome outcome, std::string_view reason)
@@ -420,7 +424,7 @@
          {"outcome", name(outcome)},
          {"status", m_attempt.hasHead ? m_attempt.head.status : 0},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
-         {"fingerprint", m_fingerprint},
+         {"fingerprint", m_traits.fingerprint},
          {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
          {"reason", reason},
          {"upstream", m_attempt.upstream},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -72,7 +72,7 @@
     bool isCalling() const;
     absl::Duration remainingTime() const;
     bool hasTimeForAttempt() const;
-    bool rejectBlockedPrompt();
+    bool rejectBlocked();
     void requestSlot();
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
     void send(const std::string &upstream, const std::string &address);
@@ -87,7 +87,6 @@
     bool completesStream() const;
     void callEnded(net::CallStatus status);
     void attemptBroken();
-    void reportCrash();
     void responseCompleted();
     void attemptFailed(std::string_view reason, policy::ReleaseReason releaseReason);
     void logFailedAttempt(std::string_view reason) const;
@@ -113,8 +112,8 @@
     const RoutedRequest m_request;
     const Route &m_route;
     std::shared_ptr<net::Exchange> m_exchange;
-    /// Recognizes the request when its caller sends it again; for log lines.
-    const std::string m_fingerprint;
+    /// Traits by which crashes of upstreams are attributed.
+    const CrashTraits m_traits;
     const absl::Time m_receivedAt;
     absl::Time m_deadline;
     std::string m_service;
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -14,8 +14,6 @@
 /// A caller with more unsent response bytes than this does not read its response and is treated as
 /// disconnected.
 constexpr std::size_t maxUnsentBytes = std::size_t(4) << 20;
-/// Time for the other connections to a crashed upstream to be closed.
-constexpr absl::Duration crashCheckDelay = absl::Milliseconds(20);
 /// Maximum size of a response that is not a stream: its body is buffered until it is complete, so a
 /// longer one fails the attempt.
 constexpr std::size_t maxBufferedBodyBytes = std::size_t(16) << 20;
@@ -100,7 +98,7 @@
 void ProxiedRequest::responseBegun()
 {
     if (!std::exchange(m_attempt.hasBegun, true))
-        m_context.crashGuard.recordBegun(m_request.caller.sharedPromptParts);
+        m_context.crashGuard.recordSound(m_traits.promptParts);
 }
 
 /// Returns false when the attempt or the request has ended.
@@ -168,32 +166,13 @@
 
 void ProxiedRequest::attemptBroken()
 {
-    if (!m_attempt.hasBegun)
-        reportCrash();
+    m_context.crashGuard.recordBroken(m_context.upstreamConnections,
+                                      {m_request.caller.id, m_attempt.upstream, m_attempt.address,
+                                       m_traits.suspects(m_attempt.hasBegun), m_attempt.sentAt});
     attemptFailed("the connection to the upstream broke before the response was complete",
                   ReleaseReason::Failed);
 }
 
-/// Reports that the upstream crashed, unless another connection to it is still open. A crash closes
-/// all connections within moments; a single one may also be reset by an upstream that runs on.
-void ProxiedRequest::reportCrash()
-{
-    const absl::Time crashedAt = m_context.clock.now();
-    const auto report = [self = shared_from_this(), upstream = m_attempt.upstream,
-                         address = m_attempt.address, sentAt = m_attempt.sentAt, crashedAt] {
-        const bool isReset = self->m_context.upstreamConnections.hasOpenConnections(address);
-        log(LogLevel::Info, "upstream-crash-seen",
-            {{"requestId", self->m_request.caller.id},
-             {"fingerprint", self->m_fingerprint},
-             {"upstream", upstream},
-             {"hasOpenConnections", isReset}});
-        if (!isReset)
-            self->m_context.crashGuard.recordCrash(
-                    upstream, self->m_request.caller.sharedPromptParts, sentAt, crashedAt);
-    };
-    m_context.loop.timers().subscribeOnce(crashCheckDelay, report);
-}
-
 /// Whether the end of the complete response is the end of the stream. A caller that resumes its
 /// stream after the last event gets a response without events.
 bool ProxiedRequest::completesStream() const
@@ -204,6 +183,8 @@
 
 void ProxiedRequest::responseCompleted()
 {
+    // Whatever the status is, the upstream did not crash.
+    m_context.crashGuard.recordSound(m_traits.suspects(m_attempt.hasBegun));
     const bool isServerError = m_attempt.head.status >= 500;
     if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts && hasTimeForAttempt())
         return attemptFailed("the upstream responded with a server error",
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -88,7 +88,7 @@
                                    serving::SlotClientSettings()};
     jobs::JobClient jobs{loop, channels, SystemClock::instance()};
     serving::CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "e",
-                                   [](const wire::PromptEvidence &, const auto &) {}};
+                                   [](const wire::CrashEvidence &, const auto &) {}};
     serving::ServingContext context{
             loop,      SystemClock::instance(), metrics, adapter, upstreams, slotClient, crashGuard,
             {"e", "d"}};
--- a/tests/jobs/executor_test.cpp
+++ b/tests/jobs/executor_test.cpp
@@ -20,8 +20,10 @@
                                 SystemClock::instance()};
     serving::SlotBroker broker{loop.timers(), SystemClock::instance(),
                                serving::SlotBrokerSettings()};
+    serving::CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "store",
+                                   [](const wire::CrashEvidence &, const auto &) {}};
     JobExecutor executor{JobExecutorContext{loop, SystemClock::instance(), metrics, adapter,
-                                            upstreams, broker, replica, "d"}};
+                                            upstreams, broker, crashGuard, replica, "d"}};
 
     static wire::OpenJob openJob(const std::string &id)
     {
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -120,6 +120,35 @@
     BOOST_TEST(server.requests() == 7);
 }
 
+// Guards against an item that crashes one upstream after the other until its time limit, and
+// against one that is dead-lettered or lost because it was held for a time.
+BOOST_AUTO_TEST_CASE(itemThatIsBlockedIsHeldUntilTheBlockEnds)
+{
+    net::EndlessServer server({crash, success});
+    thread.run([this] { crashGuard.setBlocks(1, {}, {}); });
+    start(server);
+    const auto hasReport = [this] {
+        bool result = false;
+        thread.run([&] { result = !crashReports.empty(); });
+        return result;
+    };
+    while (!hasReport())
+        absl::SleepFor(absl::Milliseconds(1));
+    // The second attempt starts 100 ms after the first one, the report 20 ms after it.
+    thread.run([&] {
+        const auto &traits = crashReports.front().crashes.front().promptParts;
+        crashGuard.setBlocks(1, {{traits}}, traits);
+    });
+    absl::SleepFor(absl::Seconds(2));
+    BOOST_TEST(server.requests() == 1);
+    BOOST_TEST(crashReports.size() == 1u);
+    thread.run([&] { crashGuard.setBlocks(1, {}, {}); });
+    const wire::JobItemResult result = awaitResult();
+    BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(result.output == "a\nb");
+    BOOST_TEST(server.requests() == 2);
+}
+
 // Guards against a result with a part of the output, or none, because a response without a length
 // was broken off inside an event or before the first one.
 BOOST_AUTO_TEST_CASE(brokenOffResponseWithoutLengthIsNoResult)
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -198,8 +198,15 @@
     fleet::GroupReplica replica{loop, channels, replicaSettings(), SystemClock::instance()};
     serving::SlotBroker broker{loop.timers(), SystemClock::instance(),
                                serving::SlotBrokerSettings()};
+    std::vector<wire::CrashEvidence> crashReports;
+    serving::CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "store",
+                                   [this](const wire::CrashEvidence &evidence, auto done) {
+                                       crashReports.push_back(evidence);
+                                       loop.post([done] { done(true); });
+                                   }};
     const JobExecutorContext context{
-            loop, SystemClock::instance(), metrics, adapter, upstreams, broker, replica, "d"};
+            loop, SystemClock::instance(), metrics, adapter, upstreams, broker, crashGuard, replica,
+            "d"};
     JobExecutor executor{context};
     JobService service{context, executor};
     JobClient client{loop, channels, SystemClock::instance()};
--- a/tests/policy/crashtracker_test.cpp
+++ b/tests/policy/crashtracker_test.cpp
@@ -29,8 +29,9 @@
     {
         const TraitSet sorted(parts.begin(), parts.end());
         const auto blocks = tracker.blocks();
-        return std::any_of(blocks.begin(), blocks.end(), [&](const TraitSet &block) {
-            return std::includes(sorted.begin(), sorted.end(), block.begin(), block.end());
+        return std::any_of(blocks.begin(), blocks.end(), [&](const CrashBlock &block) {
+            return std::includes(sorted.begin(), sorted.end(), block.traits.begin(),
+                                 block.traits.end());
         });
     }
 
@@ -66,7 +67,7 @@
 {
     tracker.recordCrash(crashAt(100, "u1", {"first", "bad"}));
     tracker.recordCrash(crashAt(200, "u2", {"first", "bad"}));
-    tracker.recordBegun("first", at(250));
+    tracker.recordSound("first", at(250));
     tracker.recordCrash(crashAt(300, "u3", {"first", "bad"}));
     BOOST_TEST(isBlocked({"first", "bad"}));
     BOOST_TEST(isBlocked({"other", "bad"}));
@@ -80,7 +81,7 @@
     crashThreeTimes({"subject", "bad"});
     BOOST_TEST(isBlocked({"subject", "bad"}));
     BOOST_TEST(!isBlocked({"subject", "good"}));
-    tracker.recordBegun("subject", at(500));
+    tracker.recordSound("subject", at(500));
     BOOST_TEST(isBlocked({"bad"}));
     BOOST_TEST(!isBlocked({"subject"}));
 }
@@ -90,7 +91,7 @@
 BOOST_AUTO_TEST_CASE(laterReportOfAnEarlierResponseClearsThePart)
 {
     crashThreeTimes({"first", "other"});
-    tracker.recordBegun("first", at(150));
+    tracker.recordSound("first", at(150));
     BOOST_TEST(!isBlocked({"first"}));
     BOOST_TEST(isBlocked({"other"}));
     BOOST_TEST(tracker.crashCount("first") == 2u);
@@ -100,8 +101,8 @@
 BOOST_AUTO_TEST_CASE(blockEndsWhenAllItsPartsAreCleared)
 {
     crashThreeTimes({"a", "b"});
-    BOOST_TEST(tracker.recordBegun("a", at(500)));
-    BOOST_TEST(tracker.recordBegun("b", at(600)));
+    BOOST_TEST(tracker.recordSound("a", at(500)));
+    BOOST_TEST(tracker.recordSound("b", at(600)));
     BOOST_TEST(tracker.blocks().empty());
 }
 
@@ -140,7 +141,7 @@
     for (int i = 1; i <= 3; ++i) {
         tracker.recordCrash(crashAt(i * 100, "u" + std::to_string(i), {"first", "bad"}));
         tracker.recordCrash(crashAt(i * 100 + 10, "v" + std::to_string(i), {"first", "worse"}));
-        tracker.recordBegun("first", at(i * 100 + 40));
+        tracker.recordSound("first", at(i * 100 + 40));
     }
     BOOST_TEST(isBlocked({"bad"}));
     BOOST_TEST(isBlocked({"worse"}));
@@ -155,15 +156,78 @@
     successor.restore(at(1000), tracker.blocks());
     BOOST_TEST((successor.blocks() == tracker.blocks()));
     // Evidence from before the block does not clear it.
-    successor.recordBegun("bad", at(900));
+    successor.recordSound("bad", at(900));
     BOOST_TEST(successor.blocks().size() == 1u);
 }
 
-// Guards against memory that grows with the number of prompts.
+// Guards against evidence that does not count because several entries repeat it to a new leader, in
+// any order.
+BOOST_AUTO_TEST_CASE(crashesReportedOutOfOrderCount)
+{
+    tracker.recordCrash(crashAt(300, "u3", {"bad"}));
+    tracker.recordCrash(crashAt(100, "u1", {"bad"}));
+    tracker.recordCrash(crashAt(300, "u3", {"bad"}));
+    tracker.recordCrash(crashAt(100, "u1", {"bad"}));
+    BOOST_TEST(tracker.blocks().empty());
+    tracker.recordCrash(crashAt(200, "u2", {"bad"}));
+    BOOST_TEST(isBlocked({"bad"}));
+}
+
+// Guards against a sound request that stays blocked because upstreams crashed for other reasons
+// each time it ran.
+BOOST_AUTO_TEST_CASE(trialOfASoundRequestEndsItsBlock)
+{
+    crashThreeTimes({"sound"});
+    BOOST_TEST(!tracker.recordRejected(at(3000), {"sound"}, "p"));
+    BOOST_TEST(tracker.recordRejected(at(3300), {"sound"}, "p"));
+    BOOST_TEST(tracker.blocks().front().trialProcess == "p");
+    tracker.recordSound("sound", at(3400));
+    BOOST_TEST(tracker.blocks().empty());
+}
+
+// Guards against trials that let a harmful request reach more than three upstreams after its third
+// crash, also through other leaders and under another block.
+BOOST_AUTO_TEST_CASE(trialsAreBounded)
+{
+    crashThreeTimes({"subject", "bad"});
+    CrashTracker successor{CrashTrackerSettings()};
+    successor.restore(at(400), tracker.blocks());
+    int trials = 0;
+    for (int second = 1; second < 120; ++second) {
+        if (!successor.recordRejected(at(second * 1000), {"bad", "subject"}, "p"))
+            continue;
+        ++trials;
+        // A second process does not get the trial that is open.
+        BOOST_TEST(!successor.recordRejected(at(second * 1000 + 10), {"bad", "subject"}, "q"));
+        successor.recordCrash(crashAt(second * 1000 + 100, "u", {"bad", "subject"}));
+        BOOST_TEST(successor.blocks().front().trialProcess.empty());
+    }
+    BOOST_TEST(trials == 2);
+    for (int crash = 0; crash < 3; ++crash)
+        successor.recordCrash(crashAt(130000 + crash * 100, crash == 0 ? "u" : "v", {"bad"}));
+    BOOST_TEST_REQUIRE(successor.blocks().size() == 1u);
+    BOOST_TEST((successor.blocks().front().traits == TraitSet{"bad"}));
+    BOOST_TEST(successor.blocks().front().trialsLeft == 0);
+}
+
+// Guards against a block without end because the process with the trial gets no such request.
+BOOST_AUTO_TEST_CASE(trialWithoutResultEnds)
+{
+    crashThreeTimes({"sound"});
+    BOOST_TEST(tracker.recordRejected(at(4000), {"sound"}, "p"));
+    tracker.expire(at(13000));
+    BOOST_TEST(tracker.blocks().front().trialProcess == "p");
+    BOOST_TEST(tracker.expire(at(14000)));
+    BOOST_TEST(tracker.blocks().front().trialProcess.empty());
+    BOOST_TEST(!tracker.recordRejected(at(28000), {"sound"}, "q"));
+    BOOST_TEST(tracker.recordRejected(at(29000), {"sound"}, "q"));
+}
+
+// Guards against memory that grows with the number of requests.
 BOOST_AUTO_TEST_CASE(evidenceIsBounded)
 {
     CrashTrackerSettings settings;
-    settings.maxParts = 10;
+    settings.maxTraits = 10;
     settings.maxBlocks = 3;
     CrashTracker bounded{settings};
     for (int i = 0; i < 100; ++i) {
--- a/tests/serving/crashguard_test.cpp
+++ b/tests/serving/crashguard_test.cpp
@@ -16,7 +16,7 @@
 {
     struct Report
     {
-        wire::PromptEvidence evidence;
+        wire::CrashEvidence evidence;
         std::function<void(bool)> done;
     };
 
@@ -32,7 +32,7 @@
     ManualTimerService timers{clock};
     std::vector<Report> reports;
     CrashGuard guard{timers, clock, "e",
-                     [this](const wire::PromptEvidence &evidence, std::function<void(bool)> done) {
+                     [this](const wire::CrashEvidence &evidence, std::function<void(bool)> done) {
                          reports.push_back({evidence, std::move(done)});
                      }};
 };
@@ -45,7 +45,7 @@
 // only a part of a blocked combination is compared.
 BOOST_AUTO_TEST_CASE(promptWithAllPartsOfABlockIsBlocked)
 {
-    guard.setBlocks({{{"x", "y"}}, {{"z"}}}, {});
+    guard.setBlocks(1, {{{"x", "y"}}, {{"z"}}}, {});
     BOOST_TEST(guard.isBlocked({"y", "a", "x"}));
     BOOST_TEST(guard.isBlocked({"z"}));
     BOOST_TEST(!guard.isBlocked({"x", "a"}));
@@ -76,24 +76,120 @@
 // and against a report for each response.
 BOOST_AUTO_TEST_CASE(onlyResponsesToSuspectsAreReported)
 {
-    guard.recordBegun({"a", "b"});
+    guard.recordSound({"a", "b"});
     BOOST_TEST(reports.empty());
-    guard.setBlocks({}, {"a"});
-    guard.recordBegun({"a", "b"});
+    guard.setBlocks(1, {}, {"a"});
+    guard.recordSound({"a", "b"});
     BOOST_TEST_REQUIRE(reports.size() == 1u);
     BOOST_TEST(reports.front().evidence.begun.size() == 1u);
     answer(true);
     // The parts of a crash that this process has reported are suspects until a response begins.
     guard.recordCrash("u1", {"c"}, clock.now(), clock.now());
     answer(true);
-    guard.recordBegun({"c"});
+    guard.recordSound({"c"});
     BOOST_TEST_REQUIRE(reports.size() == 1u);
     BOOST_TEST(reports.front().evidence.begun.front().part == "c");
     answer(true);
-    guard.recordBegun({"c"});
+    guard.recordSound({"c"});
     BOOST_TEST(reports.empty());
 }
 
+// Guards against evidence that is lost with the leader: crashes below the limit exist only in its
+// memory.
+BOOST_AUTO_TEST_CASE(receivedCrashesAreRepeatedToANewLeader)
+{
+    guard.setBlocks(1, {}, {});
+    guard.recordCrash("u1", {"a", "b"}, clock.now() - absl::Milliseconds(20), clock.now());
+    answer(true);
+    timers.advance(absl::Seconds(2));
+    guard.recordSound({"b"});
+    answer(true);
+    guard.setBlocks(1, {}, {});
+    BOOST_TEST(reports.empty());
+    guard.setBlocks(2, {}, {});
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    const auto &crashes = reports.front().evidence.crashes;
+    BOOST_TEST_REQUIRE(crashes.size() == 1u);
+    BOOST_TEST(crashes.front().crashAgeMs == 2000);
+    // A response cleared the other trait, which the new leader cannot know.
+    BOOST_TEST((crashes.front().promptParts == std::vector<std::string>{"a"}));
+}
+
+// Guards against a trial that runs in another process or more than once, also after the same
+// process received the blocks again.
+BOOST_AUTO_TEST_CASE(trialRunsOnceInTheNamedProcess)
+{
+    guard.setBlocks(1, {{{"a"}, 2, ""}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a", "x"}));
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    const std::string process = reports.front().evidence.process;
+    BOOST_TEST(reports.front().evidence.rejected.size() == 1u);
+    answer(true);
+    guard.setBlocks(1, {{{"a"}, 1, "other"}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    guard.setBlocks(1, {{{"a"}, 0, process}}, {"a"});
+    BOOST_TEST(!guard.isBlocked({"a"}));
+    guard.recordSent({"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    guard.setBlocks(1, {{{"a"}, 0, process}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    guard.setBlocks(1, {{{"a"}, 0, ""}}, {"a"});
+    guard.recordCancelled({"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+}
+
+// Guards against a sound item that is held for an hour because an online request took the slot of
+// its trial.
+BOOST_AUTO_TEST_CASE(cancelledTrialIsRepeated)
+{
+    guard.setBlocks(1, {{{"a"}, 1, ""}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    const std::string process = reports.front().evidence.process;
+    guard.setBlocks(1, {{{"a"}, 0, process}}, {"a"});
+    guard.recordSent({"a"});
+    guard.recordCancelled({"a"});
+    BOOST_TEST(!guard.isBlocked({"a"}));
+}
+
+// Guards against a message for each rejected request.
+BOOST_AUTO_TEST_CASE(rejectionsAreReportedOnceASecondWhileTrialsAreLeft)
+{
+    guard.setBlocks(1, {{{"a"}, 1, ""}, {{"b"}, 0, ""}}, {});
+    for (int i = 0; i < 100; ++i)
+        guard.isBlocked({"a", "b"});
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    BOOST_TEST(reports.front().evidence.rejected.size() == 1u);
+    answer(true);
+    BOOST_TEST(reports.empty());
+    timers.advance(absl::Seconds(1));
+    guard.isBlocked({"a"});
+    BOOST_TEST(reports.size() == 1u);
+}
+
+// Guards against a repeated request that is not recognized, and against different requests that
+// are taken for one.
+BOOST_AUTO_TEST_CASE(fingerprintCoversWorkspaceResourceAndBody)
+{
+    net::Request request;
+    request.method = "POST";
+    request.target = "/p?q";
+    request.body = "body";
+    request.headers.add("Host", "h");
+    request.headers.add("Id", "1");
+    const CrashTraits traits = crashTraits("w", request, {"part"});
+    BOOST_TEST((traits.suspects(false) == std::vector<std::string>{"part", traits.fingerprint}));
+    BOOST_TEST((traits.suspects(true) == std::vector<std::string>{traits.fingerprint}));
+    net::Request repeated = request;
+    repeated.headers.set("Id", "2");
+    BOOST_TEST(crashTraits("w", repeated, {}).fingerprint == traits.fingerprint);
+    BOOST_TEST(crashTraits("v", request, {}).fingerprint != traits.fingerprint);
+    for (const auto change : {&net::Request::method, &net::Request::target, &net::Request::body}) {
+        net::Request other = request;
+        (other.*change) += "x";
+        BOOST_TEST(crashTraits("w", other, {}).fingerprint != traits.fingerprint);
+    }
+}
+
 // Guards against memory that grows while the leader of the fleet group cannot be reached.
 BOOST_AUTO_TEST_CASE(pendingEvidenceIsBounded)
 {
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -367,10 +367,10 @@
     }
 
     /// Returns the reports after the time in which the crash of an upstream is confirmed.
-    std::vector<wire::PromptEvidence> allReports()
+    std::vector<wire::CrashEvidence> allReports()
     {
         absl::SleepFor(absl::Milliseconds(100));
-        std::vector<wire::PromptEvidence> result;
+        std::vector<wire::CrashEvidence> result;
         thread.run([&] { result = reports; });
         return result;
     }
@@ -383,11 +383,11 @@
     peer::ChannelPool channels{transport("e")};
     SlotClient slotClient{loop, channels, SystemClock::instance(), slotClientSettings()};
     CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "e",
-                          [this](const wire::PromptEvidence &evidence, auto done) {
+                          [this](const wire::CrashEvidence &evidence, auto done) {
                               reports.push_back(evidence);
                               loop.post([done] { done(true); });
                           }};
-    std::vector<wire::PromptEvidence> reports;
+    std::vector<wire::CrashEvidence> reports;
     const ServingContext context{
             loop,      SystemClock::instance(), metrics, adapter, upstreams, slotClient, crashGuard,
             {"e", "d"}};
@@ -695,23 +695,64 @@
     BOOST_TEST(contains(entry.sendRequest("a"), "\r\n\r\nall of it"));
 }
 
-// Guards against requests that are accused of a crash although their response had begun, and
-// against a crash that is not reported.
-BOOST_AUTO_TEST_CASE(onlyAttemptsThatHadNotBegunAreReportedAsCrashed)
+// Guards against prompt parts that are accused of a crash although the response had begun, against
+// a crash that is not reported, and against a request that a response clears before it crashes.
+BOOST_AUTO_TEST_CASE(onlyAttemptsThatHadNotBegunAccuseTheirPromptParts)
 {
     ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1)), true},
                                  {streamHead("a"), true},
                                  {streamHead("b") + chunk(event(1)) + "0\r\n\r\n"}});
     Entry entry(routeOf(RouteKind::Streaming, 2, true));
     entry.sendRequest("a", "Part: p\r\n");
-    BOOST_TEST(entry.allReports().size() == 1u);
+    BOOST_TEST(entry.allReports().size() == 2u);
     entry.sendRequest("b", "Part: p\r\n");
     const auto reports = entry.allReports();
-    BOOST_TEST_REQUIRE(reports.size() == 2u);
-    BOOST_TEST(reports[0].crashes.size() == 1u);
-    BOOST_TEST(reports[0].begun.empty());
-    BOOST_TEST(reports[1].crashes.empty());
-    BOOST_TEST(reports[1].begun.size() == 1u);
+    BOOST_TEST_REQUIRE(reports.size() == 4u);
+    BOOST_TEST_REQUIRE(reports[0].crashes.size() == 1u);
+    const std::string fingerprint = reports[0].crashes[0].promptParts.back();
+    BOOST_TEST((reports[0].crashes[0].promptParts == std::vector<std::string>{fingerprint}));
+    BOOST_TEST_REQUIRE(reports[1].crashes.size() == 1u);
+    BOOST_TEST((reports[1].crashes[0].promptParts == std::vector<std::string>{"p", fingerprint}));
+    BOOST_TEST(reports[1].begun.empty());
+    // The begin of the response clears the part, and its end the request.
+    BOOST_TEST_REQUIRE(reports[2].begun.size() == 1u);
+    BOOST_TEST(reports[2].begun[0].part == "p");
+    BOOST_TEST_REQUIRE(reports[3].begun.size() == 1u);
+    BOOST_TEST(reports[3].begun[0].part == fingerprint);
+}
+
+// Guards against a crash that nobody remembers because the request has no prompt, and against a
+// request that is sent again although it crashes upstreams.
+BOOST_AUTO_TEST_CASE(requestWithoutPromptIsRecognizedByItsFingerprint)
+{
+    ScriptedUpstreams upstreams({{"", true}});
+    Entry entry(routeOf(RouteKind::Idempotent, 1));
+    entry.sendRequest("a");
+    const auto reports = entry.allReports();
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    BOOST_TEST_REQUIRE(reports[0].crashes.size() == 1u);
+    const std::vector<std::string> &traits = reports[0].crashes[0].promptParts;
+    BOOST_TEST_REQUIRE(traits.size() == 1u);
+    entry.thread.run([&] { entry.crashGuard.setBlocks(1, {{traits}}, traits); });
+    BOOST_TEST(contains(entry.sendRequest("b"), "HTTP/1.1 503"));
+    BOOST_TEST(upstreams.requests().size() == 1u);
+}
+
+// Guards against a sound request that stays a suspect because its upstream responds with an error
+// or without a body.
+BOOST_AUTO_TEST_CASE(anyCompleteResponseClearsItsRequest)
+{
+    for (const std::string &response :
+         {completeResponse("b", "no such record", 404), completeResponse("b", "")}) {
+        ScriptedUpstreams upstreams({{"", true}, {response}});
+        Entry entry(routeOf(RouteKind::Idempotent, 1));
+        entry.sendRequest("a");
+        BOOST_TEST(entry.allReports().size() == 1u);
+        entry.sendRequest("b");
+        const auto reports = entry.allReports();
+        BOOST_TEST_REQUIRE(reports.size() == 2u);
+        BOOST_TEST(reports[1].begun.size() == 1u);
+    }
 }
 
 // Guards against prompts that no response clears because their route has no streams.
@@ -719,7 +760,7 @@
 {
     ScriptedUpstreams upstreams({{completeResponse("a", "whole")}});
     Entry entry(routeOf(RouteKind::Idempotent, 1));
-    entry.thread.run([&] { entry.crashGuard.setBlocks({}, {"p"}); });
+    entry.thread.run([&] { entry.crashGuard.setBlocks(1, {}, {"p"}); });
     entry.sendRequest("a", "Part: p\r\n");
     const auto reports = entry.allReports();
     BOOST_TEST_REQUIRE(reports.size() == 1u);
@@ -757,7 +798,7 @@
     std::thread caller([&] { failed = entry.sendRequest("a", "Part: p\r\n"); });
     while (upstreams.requests().empty())
         std::this_thread::yield();
-    entry.thread.run([&] { entry.crashGuard.setBlocks({{{"p"}}}, {"p"}); });
+    entry.thread.run([&] { entry.crashGuard.setBlocks(1, {{{"p"}}}, {"p"}); });
     caller.join();
     BOOST_TEST(contains(failed, "HTTP/1.1 502"));
     BOOST_TEST(contains(entry.sendRequest("b", "Part: p\r\n"), "HTTP/1.1 503"));
