Serving, platform: Read and log upstreams' versions and resumed attempts

The log showed neither the version of the upstream that an attempt reached nor which attempt of its caller a request resumes, so that streams joined inside one answer could not be told from those joined over attempts. The version is carried from the platform's list to the grants. No decision uses it yet.

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -32,6 +32,8 @@
     std::int64_t slots = 1;
     /// A leaving upstream gets no new tasks.
     bool leaving = false;
+    /// Version of the upstream's software.
+    std::string version{};
 };
 
 /// A request that needs a slot at an upstream.
@@ -80,6 +82,8 @@
     std::string task;
     std::string upstream;
     std::string address;
+    /// Version of the upstream's software.
+    std::string version;
 };
 
 /// No slot will be free in time. The scheduler has removed the task.
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -31,6 +31,9 @@
     absl::Duration timeout = absl::InfiniteDuration();
     /// Id of the last event that the caller has received; absent unless it resumes a stream.
     std::optional<std::int64_t> resumeAfter;
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes; empty
+    /// if unknown.
+    std::string resumedAttempt;
     std::int64_t promptTokens = 0;
     std::int64_t outputTokens = 0;
     /// Ids of the parts of the prompt that other requests may share, in the order of the prompt.
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -44,6 +44,8 @@
     std::int64_t slots = 0;
     /// Whether the upstream accepts no new requests.
     bool draining = false;
+    /// Version of its software. Older processes don't send it.
+    std::string version{};
 };
 
 /// Traits that together crash upstreams: requests that have all of them are rejected. See
@@ -280,6 +282,8 @@
     std::string address;
     /// Time before another attempt can succeed; set if refused.
     std::int64_t retryAfterMs = 0;
+    /// Version of the upstream's software; set if granted.
+    std::string version{};
 };
 
 /// A slot that an entry instance holds.
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -394,7 +394,8 @@
     item.upstream = &upstream;
     item.since = now;
     (isOnline(item.task) ? upstream.online : upstream.batch).insert(&item);
-    m_decisions.emplace_back(GrantSlot{item.task.id, upstream.info.id, upstream.info.address});
+    m_decisions.emplace_back(GrantSlot{item.task.id, upstream.info.id, upstream.info.address,
+                                       upstream.info.version});
 }
 
 void SlotScheduler::decideOnline(absl::Time now, Service &service)
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -167,7 +167,7 @@
         m_upstreamListAge = m_context.upstreamListAge();
         if (rejectBlocked())
             return;
-        return send(response.upstream, response.address);
+        return send(response);
     }
     // No other upstream has a free slot, so the unresponsive upstream gets more time.
     if (m_state == State::Unresponsive)
@@ -215,11 +215,14 @@
         requestSlot();
 }
 
-void ProxiedRequest::send(const std::string &upstream, const std::string &address)
+void ProxiedRequest::send(const wire::SlotResponse &grant)
 {
+    const std::string &upstream = grant.upstream;
+    const std::string &address = grant.address;
     m_attempt = Attempt();
     m_attempt.upstream = upstream;
     m_attempt.address = address;
+    m_attempt.version = grant.version;
     m_attempt.sentAt = m_context.clock.now();
     if (!hasTimeForAttempt()) {
         releaseSlot(ReleaseReason::Cancelled);
@@ -280,6 +283,7 @@
     log(LogLevel::Info, "try-failed",
         {{"requestId", m_request.caller.id},
          {"upstream", m_attempt.upstream},
+         {"upstreamVersion", m_attempt.version},
          {"attempt", m_attempts},
          {"reason", reason},
          {"mayHaveRun", m_mayHaveRun},
@@ -428,6 +432,8 @@
          {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
          {"reason", reason},
          {"upstream", m_attempt.upstream},
+         {"upstreamVersion", m_attempt.version},
+         {"resumedAttempt", m_request.caller.resumedAttempt},
          {"attempts", m_attempts},
          {"resumes", m_resumes},
          {"ownShare", m_fromLocalShare},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -51,6 +51,8 @@
     {
         std::string upstream;
         std::string address;
+        /// Version of the upstream's software.
+        std::string version;
         net::ConnectionPool::CallId call = 0;
         absl::Time sentAt;
         /// The next three are valid once the head of the response has arrived.
@@ -75,7 +77,7 @@
     bool rejectBlocked();
     void requestSlot();
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
-    void send(const std::string &upstream, const std::string &address);
+    void send(const wire::SlotResponse &grant);
     net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
     void reportForeignAnnouncement(net::ResponseOwner owner, const ResponseInfo &info) const;
     void headReceived(const net::ResponseHead &head);
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -108,7 +108,7 @@
         m_upstreams.push_back({upstream.id, upstream.service, upstream.address,
                                upstream.failureDomain,
                                static_cast<std::int64_t>(std::ceil(slots * share.slotFraction)),
-                               upstream.draining});
+                               upstream.draining, upstream.version});
     }
     endLeaving(readAt);
     applyUpstreams();
@@ -438,6 +438,7 @@
     response.verdict = wire::SlotOutcome::Granted;
     response.upstream = decision.upstream;
     response.address = decision.address;
+    response.version = decision.version;
     respond(decision.task, response);
 }
 
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -25,7 +25,7 @@
 RATTANRILL_WIRE_ENUM(MemberRole, memberRoleNames)
 RATTANRILL_WIRE_ENUM(SlotOutcome, slotOutcomeNames)
 RATTANRILL_WIRE_FIELDS(FleetMember, instance, role, failureDomain, peerAddress, replica)
-RATTANRILL_WIRE_FIELDS(FleetUpstream, id, service, address, failureDomain, slots, draining)
+RATTANRILL_WIRE_FIELDS(FleetUpstream, id, service, address, failureDomain, slots, draining, version)
 RATTANRILL_WIRE_FIELDS(PutConfiguration, version, document)
 RATTANRILL_WIRE_FIELDS(RetireStore, replica)
 RATTANRILL_WIRE_FIELDS(BootstrapStoreGroup, voters)
@@ -49,7 +49,7 @@
 RATTANRILL_WIRE_FIELDS(SlotRequest, again, requestId, instance, failureDomain, service, workspace,
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded)
-RATTANRILL_WIRE_FIELDS(SlotResponse, verdict, upstream, address, retryAfterMs)
+RATTANRILL_WIRE_FIELDS(SlotResponse, verdict, upstream, address, retryAfterMs, version)
 RATTANRILL_WIRE_FIELDS(HeldSlot, requestId, service, workspace, upstream, deadlineMs)
 RATTANRILL_WIRE_FIELDS(RateCharge, workspace, requests, ageMs)
 RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges)
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -313,4 +313,17 @@
     BOOST_TEST(json.value()["results"][1]["state"] == "dead_lettered");
 }
 
+// Guards against a resumption whose stream is not found, because the caller's name of it is not
+// read.
+BOOST_AUTO_TEST_CASE(attemptThatBeganTheStreamIsRead)
+{
+    net::Request request;
+    request.headers.add("Request-Id", "r2");
+    request.headers.add("Last-Event-Id", "12");
+    request.headers.add("Resumes", "r1");
+    const auto caller = outcomeOf([&] { return adapter.parseRequest(request); }).value();
+    BOOST_TEST(caller.resumeAfter.value() == 12);
+    BOOST_TEST(caller.resumedAttempt == "r1");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
