--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -31,7 +31,8 @@
     """Streams 20 events and records the requests it receives. A request whose prompt has the part
     CRASHING_PART, or whose body begins with CRASHING_BODY, breaks all connections of its upstream
     before the first event. The responses of an upstream in limits name its limit, and those of one
-    in leaving announce that it leaves. A response to a path that ends with /late begins after
+    in leaving announce that it leaves. The connection of a stream with a path below /ask/cut/ that is
+    not resumed is closed after three events. A response to a path that ends with /late begins after
     300 ms. The last part of a path below /slow/ or /once/ is the time between two events in
     milliseconds; elsewhere it is 20 ms."""
 
@@ -97,6 +98,8 @@
                 time.sleep(0.05)
                 return self.crash()
             for number in range(begin, 21):
+                if self.path.startswith("/ask/cut/") and begin == 1 and number == 4:
+                    return self.connection.shutdown(socket.SHUT_RDWR)
                 event = f"id: {number}\ndata: d{number}\n\n".encode()
                 self.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
                 self.wfile.flush()
@@ -112,6 +115,7 @@
 
     protocol_version = "HTTP/1.1"
     draining = set()
+    versions = {}
     reads = []
     on_read = None
 
@@ -121,6 +125,7 @@
     def do_GET(self):
         instances = [{"id": f"i-{n}", "service": "lm", "address": f"127.0.8.{n}:{UPSTREAM_PORT}",
                       "zone": "a", "slots": 4,
+                      "version": self.versions.get(f"127.0.8.{n}", "v1"),
                       "state": "draining" if f"127.0.8.{n}" in self.draining else "ready"}
                      for n in (1, 2)]
         shows_draining = bool(self.draining)
