--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -60,6 +60,10 @@
     /// Ids of the upstreams that the request was sent to before, which it must not be sent to
     /// again.
     std::vector<std::string> excluded;
+    /// Version of the upstreams that can continue the task's output; absent when any version can
+    /// run it. An online task gets no slot at another version. A batch task does once no upstream
+    /// of the version accepts tasks, and must then start again.
+    std::optional<std::string> version{};
 };
 
 /// How a task left its slot, as far as this indicates the health of the upstream.
@@ -91,6 +95,8 @@
 {
     std::string task;
     absl::Duration retryAfter;
+    /// No upstream of the task's version accepts tasks.
+    bool isVersionGone = false;
 };
 
 /// The batch task must leave its slot at once. The scheduler has removed the task, and its owner
@@ -157,6 +163,8 @@
 ///   reduced by the requests that upstreams report beyond those of this scheduler.
 /// - An upstream accepts fewer requests than its slots could run: it gets no more than its limit,
 ///   and the others get the rest.
+/// - Streams of two versions are broken off while new ones fill all slots: a task that continues a
+///   stream gets the next slot at its version, before any new task.
 /// - This scheduler takes over from another one: held slots are adopted, and upstreams get only a
 ///   few requests as probes until they have reported their load.
 ///
@@ -211,6 +219,8 @@
     enum class Queue {
         None,
         Online,
+        /// Online tasks that need an upstream of a certain version.
+        Bound,
         Batch,
         /// Batch tasks that were preempted.
         Interrupted,
@@ -261,6 +271,10 @@
     struct Service
     {
         std::vector<Upstream *> upstreams;
+        /// Versions of the upstreams that are not leaving.
+        std::set<std::string> versions;
+        /// Waiting online tasks with a version, by priority and order of arrival.
+        std::set<std::pair<int, TaskId>> bound;
         /// Waiting online tasks by priority.
         std::map<int, FairQueue> online;
         FairQueue batch;
@@ -292,7 +306,15 @@
     Upstream *freeUpstream(absl::Time now, const Service &service, const Item &item) const;
     Upstream *preemptibleUpstream(absl::Time now, const Service &service, const Item &item) const;
     std::int64_t foreignRequests(absl::Time now, const Upstream &upstream) const;
-    bool accepts(absl::Time now, const Upstream &upstream, const Item &item) const;
+    bool accepts(absl::Time now, const Service &service, const Upstream &upstream,
+                 const Item &item) const;
+    bool isBound(const Service &service, const SlotTask &task) const;
+    static bool isExcluded(const Upstream &upstream, const Item &item);
+    bool isVersionGone(const Service &service, const Item &item) const;
+    bool hasFreeSlot(absl::Time now, const Upstream &upstream, TaskKind kind) const;
+    std::set<std::string> freeBatchVersions(absl::Time now, const Service &service) const;
+    void decideBound(absl::Time now, Service &service);
+    bool grantOnline(absl::Time now, Service &service, Item &item);
     void decideOnline(absl::Time now, Service &service);
     void decideBatch(absl::Time now, Service &service);
     void rejectUnservable(absl::Time now, Service &service);
--- /dev/null
+++ b/include/rattanrill/policy/versionhistory.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "rattanrill/policy/slotscheduler.h"
+
+#include "absl/time/time.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rattanrill::policy {
+
+/// Remembers which versions of each service were listed, and until when. Not thread-safe.
+class VersionHistory
+{
+public:
+    /// Replaces the list of upstreams.
+    void setUpstreams(absl::Time now, const std::vector<SlotUpstream> &upstreams);
+    /// Returns the version of all upstreams of \a service that were listed since \a since. Returns
+    /// nullopt when there was more than one version or none, or when the list was not known for all
+    /// of the time.
+    std::optional<std::string> onlyVersion(const std::string &service, absl::Time since) const;
+
+private:
+    absl::Time m_knownSince = absl::InfiniteFuture();
+    /// Time until which each version was listed, by service; InfiniteFuture if it still is.
+    std::map<std::string, std::map<std::string, absl::Time>> m_listedUntil;
+};
+
+} // namespace rattanrill::policy
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -4,7 +4,9 @@
 #include "rattanrill/base/timerservice.h"
 #include "rattanrill/policy/leavingupstreams.h"
 #include "rattanrill/policy/slotscheduler.h"
+#include "rattanrill/policy/streamorigins.h"
 #include "rattanrill/policy/tokenbucket.h"
+#include "rattanrill/policy/versionhistory.h"
 #include "rattanrill/serving/deployment.h"
 #include "rattanrill/wire/fleetmessages.h"
 
@@ -39,6 +41,9 @@
     /// A request that has waited for a slot for this long receives the outcome Waiting; the
     /// requester then repeats it.
     absl::Duration maxResponseDelay = absl::Milliseconds(40);
+    /// A stream may be resumed until this time after the longest timeout of the routes: the list of
+    /// upstreams lags, and callers count from an earlier moment.
+    absl::Duration resumptionMargin = absl::Seconds(3);
     /// A slot that its holder has not released is reclaimed this long after the request's deadline.
     absl::Duration reclaimDelay = absl::Seconds(2);
 };
@@ -73,7 +78,7 @@
     /// Callbacks that notify a batch task of decisions on its slot.
     struct BatchHandlers
     {
-        std::function<void(const std::string &upstream, const std::string &address)> granted;
+        std::function<void(const policy::GrantSlot &grant)> granted;
         /// The task must stop using its slot at once; the broker has already removed the task.
         std::function<void()> preempted;
     };
@@ -101,7 +106,13 @@
     /// request with SlotRequest::again set.
     void acquire(const wire::SlotRequest &request, ResponseCallback callback);
     void release(const wire::SlotRelease &release);
-    /// Adopts slots that a process obtained from a previous broker or from its local share.
+    /// Origin of a stream that a process of the deployment has begun; nullopt when it is not known.
+    std::optional<policy::StreamOrigin> streamOrigin(const std::string &stream) const;
+    void recordStream(const std::string &stream, const policy::StreamOrigin &origin);
+    /// Records of streams since \a since, at most the newest 4,096.
+    std::vector<policy::StreamRecord> streamsSince(absl::Time since) const;
+    /// Adopts slots that a process obtained from a previous broker or from its local share, and the
+    /// origins of its streams.
     void adoptHeldSlots(const wire::HeldSlots &held);
     /// Charges requests that another broker granted and that this one did not know of.
     void chargeRates(const std::vector<wire::RateCharge> &charges);
@@ -133,6 +144,9 @@
     {
         std::string instance;
         std::string workspace;
+        /// Empty for a request that cannot be resumed.
+        std::string stream;
+        std::string service;
         bool chargesRate = false;
         bool isGranted = false;
         absl::Time expires;
@@ -154,6 +168,9 @@
     void applyDecision(const policy::RejectSlot &decision);
     void applyDecision(const policy::PreemptSlot &decision);
     void rejectOverRate(const std::string &id, absl::Duration wait);
+    void reject(const std::string &id, wire::SlotOutcome outcome, absl::Duration retryAfter);
+    absl::Duration resumptionWindow() const;
+    std::optional<policy::StreamOrigin> originOf(const wire::SlotRequest &request) const;
     void respond(const std::string &id, const wire::SlotResponse &response);
     void startWaitTimer(const std::string &id);
     void removeRequest(const std::string &id);
@@ -168,6 +185,9 @@
     /// The list of upstreams, as the platform shows it.
     std::vector<policy::SlotUpstream> m_upstreams;
     policy::LeavingUpstreams m_leaving;
+    /// Unlike the slots, these stay when another process becomes the broker.
+    policy::StreamOrigins m_streamOrigins{policy::StreamOriginSettings()};
+    policy::VersionHistory m_versions;
     std::function<void(const std::string &)> m_leavingListener;
     std::shared_ptr<const DeploymentIndex> m_deployment;
     CapacityShare m_share;
--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -58,6 +58,8 @@
     /// See SlotBroker::confirmUpstreams().
     void confirmUpstreams(absl::Time readAt);
     void acquire(const wire::SlotRequest &request, ResponseCallback callback);
+    /// Origin of a stream that this process has begun or continued; nullopt when it is not known.
+    std::optional<policy::StreamOrigin> streamOrigin(const std::string &stream) const;
     /// Releases a slot. May also be called for a request whose outcome has not arrived.
     void release(const wire::SlotRelease &release);
     /// Reports the headers of a response to the broker and to the local share.
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -259,6 +259,14 @@
     std::int64_t deadlineMs = 0;
     /// Ids of upstreams that this request has already been sent to.
     std::vector<std::string> excluded;
+    /// Id of the caller's attempt that brought the first event of the stream, or of this one if
+    /// there is no event yet; empty for a request that cannot be resumed.
+    std::string stream{};
+    /// Whether the stream has begun, so that only its service and version can continue it.
+    bool resumed = false;
+    /// Whether \a version is the version that began the stream. Otherwise the broker finds it.
+    bool versionKnown = false;
+    std::string version{};
 };
 
 /// Outcome of a SlotRequest.
@@ -271,6 +279,10 @@
     /// The request still waits, and the sender polls again. The polls also let each side detect
     /// that the other has failed.
     Waiting,
+    /// The version that began the stream is not known.
+    VersionUnknown,
+    /// No upstream of the version that began the stream accepts requests.
+    VersionGone,
 };
 
 /// Response of Method::RequestSlot.
@@ -306,6 +318,17 @@
     std::int64_t ageMs = 0;
 };
 
+/// The version at which a stream began.
+struct StreamVersion
+{
+    /// See SlotRequest::stream.
+    std::string stream;
+    std::string service;
+    std::string version;
+    /// Time since the last slot of the stream was granted.
+    std::int64_t ageMs = 0;
+};
+
 /// Request of Method::ReportHeldSlots, which an entry instance repeats until the broker has
 /// responded. The response is empty.
 struct HeldSlots
@@ -314,6 +337,8 @@
     std::vector<HeldSlot> places;
     /// Requests that the sender granted from its local share and has not reported yet.
     std::vector<RateCharge> charges{};
+    /// Streams that callers may resume.
+    std::vector<StreamVersion> streams{};
 };
 
 /// Push of Method::ReportLoad: what an upstream reported in the headers of a response.
@@ -341,6 +366,10 @@
     std::string upstream;
     /// Name of a policy::ReleaseReason.
     std::string end;
+    /// Origin of the request's stream, if it has begun; otherwise \a stream is empty.
+    std::string stream{};
+    std::string service{};
+    std::string version{};
 };
 
 } // namespace rattanrill::wire
--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -82,6 +82,8 @@
     std::string output;
     /// Total time for which the item has held slots at upstreams.
     std::int64_t servedMs = 0;
+    /// Version of the upstreams that wrote the output. Only this version can continue it.
+    std::string version{};
 };
 
 /// Stores progress, so that another executor can continue from it.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -64,6 +64,7 @@
 {
     m_position = serving::StreamPosition(progress.lastEvent);
     m_output = progress.output;
+    m_outputVersion = progress.version;
     m_hasOutput = true;
     m_numberedOutputLength = m_output.size();
     m_storedEvent = progress.lastEvent;
@@ -82,6 +83,7 @@
     progress.item = m_item.id;
     progress.after = m_storedEvent;
     progress.lastEvent = last;
+    progress.version = m_outputVersion;
     progress.servedMs = absl::ToInt64Milliseconds(runTime());
     // Events are joined by line feeds, also between two stored parts of the output.
     const std::size_t begin = m_storedEvent < 0 ? 0 : m_storedOutputLength + 1;
@@ -146,20 +148,21 @@
     task.expectedTokens = static_cast<double>(m_item.tokens);
     task.deadline = m_context.clock.now() + (current.completionObjective - age);
     task.priorRunTime = m_priorRunTime;
+    if (m_position.lastId() && !m_restarts)
+        task.version = m_outputVersion;
     m_state = State::Waiting;
     serving::SlotBroker::BatchHandlers handlers;
-    handlers.granted = [self = shared_from_this()](const std::string &upstream,
-                                                   const std::string &address) {
-        self->handleSlotGranted(upstream, address);
+    handlers.granted = [self = shared_from_this()](const policy::GrantSlot &grant) {
+        self->handleSlotGranted(grant);
     };
     handlers.preempted = [self = shared_from_this()] { self->handleSlotPreempted(); };
     m_context.broker.acquireBatch(task, std::move(handlers));
 }
 
-void ItemRun::handleSlotGranted(const std::string &upstream, const std::string &address)
+void ItemRun::handleSlotGranted(const policy::GrantSlot &grant)
 {
-    m_upstream = upstream;
-    m_address = address;
+    m_upstream = grant.upstream;
+    m_address = grant.address;
     if (m_context.crashGuard.isBlocked(m_traits.all())) {
         releaseSlot(ReleaseReason::Cancelled);
         return hold();
@@ -170,15 +173,12 @@
     m_hasProgressed = false;
     m_hasHead = false;
     m_splitter.reset();
-    if (std::exchange(m_restarts, false))
-        discardOutput();
-    else
-        discardUnnumberedOutput();
+    prepareOutput(grant.version);
     m_position.beginAttempt();
     ++m_attempts;
     m_context.metrics.count("rattanrill_batch_attempts_total");
     serving::UpstreamAttempt attempt;
-    attempt.expectedInstance = upstream;
+    attempt.expectedInstance = m_upstream;
     attempt.workspace = m_job->workspace;
     attempt.resumeAfter = m_position.lastId();
     net::CallHandlers handlers;
@@ -194,14 +194,14 @@
     handlers.onEnd = [self = shared_from_this()](net::CallStatus status) {
         self->handleCallEnd(status);
     };
-    handlers.mayBeSent = [self = shared_from_this(), upstream, address] {
-        return !self->m_context.broker.isLeaving(upstream, address);
+    handlers.mayBeSent = [self = shared_from_this(), grant] {
+        return !self->m_context.broker.isLeaving(grant.upstream, grant.address);
     };
     restartIdleTimer();
     m_sentAt = m_context.clock.now();
     m_context.crashGuard.recordSent(m_traits.all());
     m_call = m_context.upstreamConnections.call(
-            address, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
+            m_address, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
             std::move(handlers), m_item.id);
 }
 
@@ -344,6 +344,24 @@
     finish(wire::ItemOutcome::Completed, "");
 }
 
+void ItemRun::prepareOutput(const std::string &version)
+{
+    const bool isOtherVersion = m_position.lastId() && version != m_outputVersion;
+    if (isOtherVersion && !m_restarts)
+        log(LogLevel::Info, "item-restarted",
+            {{"job", m_job->id},
+             {"item", m_item.id},
+             {"upstream", m_upstream},
+             {"upstreamVersion", version},
+             {"outputVersion", m_outputVersion},
+             {"lastEvent", m_position.lastId().value_or(-1)}});
+    if (std::exchange(m_restarts, false) || isOtherVersion)
+        discardOutput();
+    else
+        discardUnnumberedOutput();
+    m_outputVersion = version;
+}
+
 /// Removes all text, because the next attempt runs the item from its first event.
 void ItemRun::discardOutput()
 {
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -56,7 +56,9 @@
     void hold();
     void retryAfter(absl::Duration delay);
     void attemptBroken(std::string_view reason);
-    void handleSlotGranted(const std::string &upstream, const std::string &address);
+    void handleSlotGranted(const policy::GrantSlot &grant);
+    /// Discards the output that the next attempt does not continue.
+    void prepareOutput(const std::string &version);
     void handleSlotPreempted();
     net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
     void reportForeignAnnouncement(net::ResponseOwner owner,
@@ -105,6 +107,8 @@
     serving::EventSplitter m_splitter;
     serving::StreamPosition m_position{std::nullopt};
     std::string m_output;
+    /// Version of the upstreams that wrote the output.
+    std::string m_outputVersion;
     /// Whether \a m_output contains an event, which may be empty.
     bool m_hasOutput = false;
     /// Length in bytes of the output up to the last event with an id. Another attempt repeats the
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -96,6 +96,7 @@
         stored.output += progress.output;
         stored.lastEvent = progress.lastEvent;
         stored.servedMs = progress.servedMs;
+        stored.version = progress.version;
         stored.job = progress.job;
         stored.item = progress.item;
     }
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -64,8 +64,10 @@
 {
     for (auto &[id, upstream] : m_upstreams)
         upstream->removed = true;
-    for (auto &[name, service] : m_services)
+    for (auto &[name, service] : m_services) {
         service.upstreams.clear();
+        service.versions.clear();
+    }
     for (const SlotUpstream &info : upstreams) {
         std::unique_ptr<Upstream> &upstream = m_upstreams[info.id];
         if (upstream == nullptr) {
@@ -75,7 +77,10 @@
         }
         upstream->info = info;
         upstream->removed = false;
-        service(info.service).upstreams.push_back(upstream.get());
+        Service &upstreamService = service(info.service);
+        upstreamService.upstreams.push_back(upstream.get());
+        if (!info.leaving)
+            upstreamService.versions.insert(info.version);
     }
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         const bool isUnused = entry->second->removed && entry->second->occupiedSlots() == 0;
@@ -104,6 +109,12 @@
 void SlotScheduler::enqueue(absl::Time now, Service &service, Item &item)
 {
     const SlotTask &task = item.task;
+    if (isOnline(task) && task.version) {
+        item.queue = Queue::Bound;
+        service.bound.emplace(task.priority, item.number);
+        m_onlineDeadlines.emplace(task.deadline, item.number);
+        return;
+    }
     if (isOnline(task)) {
         item.queue = Queue::Online;
         service.online[task.priority].push(task.workspace, item.number, now);
@@ -152,6 +163,10 @@
     switch (std::exchange(item.queue, Queue::None)) {
     case Queue::None:
         return;
+    case Queue::Bound:
+        service.bound.erase({item.task.priority, item.number});
+        m_onlineDeadlines.erase({item.task.deadline, item.number});
+        return;
     case Queue::Online:
         service.online[item.task.priority].remove(item.number);
         m_onlineDeadlines.erase({item.task.deadline, item.number});
@@ -304,14 +319,51 @@
     return std::min(reports[0].foreignRequests, reports[1].foreignRequests);
 }
 
-bool SlotScheduler::accepts(absl::Time now, const Upstream &upstream, const Item &item) const
+/// Whether the task needs an upstream of its version.
+bool SlotScheduler::isBound(const Service &service, const SlotTask &task) const
+{
+    return task.version && (isOnline(task) || service.versions.count(*task.version) != 0);
+}
+
+bool SlotScheduler::isExcluded(const Upstream &upstream, const Item &item)
+{
+    const auto &excluded = item.task.excluded;
+    return std::find(excluded.begin(), excluded.end(), upstream.info.id) != excluded.end();
+}
+
+/// Whether no upstream can continue the task's output, however long it waits.
+bool SlotScheduler::isVersionGone(const Service &service, const Item &item) const
+{
+    if (!item.task.version)
+        return false;
+    return std::none_of(
+            service.upstreams.begin(), service.upstreams.end(), [&item](const Upstream *upstream) {
+                return !upstream->info.leaving && upstream->info.version == *item.task.version
+                       && !isExcluded(*upstream, item);
+            });
+}
+
+bool SlotScheduler::accepts(absl::Time now, const Service &service, const Upstream &upstream,
+                            const Item &item) const
 {
     if (upstream.info.leaving || upstream.removed)
         return false;
-    const auto &excluded = item.task.excluded;
-    if (std::find(excluded.begin(), excluded.end(), upstream.info.id) != excluded.end())
+    if (isBound(service, item.task) && upstream.info.version != *item.task.version)
         return false;
-    return !upstream.outlier.ejected(now) && upstream.limit.allows(now);
+    return !isExcluded(upstream, item) && !upstream.outlier.ejected(now)
+           && upstream.limit.allows(now);
+}
+
+/// Whether a slot is free for a task of \a kind that the upstream accepts.
+bool SlotScheduler::hasFreeSlot(absl::Time now, const Upstream &upstream, TaskKind kind) const
+{
+    const std::int64_t onlineReserve = kind == TaskKind::Online ? 0 : m_settings.onlineReserve;
+    const double share = upstream.outlier.trafficShare(now);
+    const auto capacity =
+            static_cast<std::int64_t>(std::ceil(static_cast<double>(upstream.info.slots) * share));
+    if (upstream.occupiedSlots() + foreignRequests(now, upstream) >= capacity - onlineReserve)
+        return false;
+    return !isLoadUnknown(now, upstream) || upstream.probes < m_settings.maxProbes;
 }
 
 /// Returns the upstream with the fewest requests among those with a free slot, because each request
@@ -319,18 +371,12 @@
 SlotScheduler::Upstream *SlotScheduler::freeUpstream(absl::Time now, const Service &service,
                                                      const Item &item) const
 {
-    const std::int64_t onlineReserve = isOnline(item.task) ? 0 : m_settings.onlineReserve;
     Upstream *best = nullptr;
     std::int64_t bestLoad = 0;
     for (Upstream *upstream : service.upstreams) {
-        const double share = upstream->outlier.trafficShare(now);
-        const auto capacity = static_cast<std::int64_t>(
-                std::ceil(static_cast<double>(upstream->info.slots) * share));
-        const std::int64_t load = upstream->occupiedSlots() + foreignRequests(now, *upstream);
-        if (!accepts(now, *upstream, item) || load >= capacity - onlineReserve)
-            continue;
-        if (isLoadUnknown(now, *upstream) && upstream->probes >= m_settings.maxProbes)
+        if (!accepts(now, service, *upstream, item) || !hasFreeSlot(now, *upstream, item.task.kind))
             continue;
+        const std::int64_t load = upstream->occupiedSlots() + foreignRequests(now, *upstream);
         if (best == nullptr || load < bestLoad) {
             best = upstream;
             bestLoad = load;
@@ -351,7 +397,7 @@
 {
     Upstream *best = nullptr;
     for (Upstream *upstream : service.upstreams) {
-        if (!accepts(now, *upstream, item) || upstream->batch.empty())
+        if (!accepts(now, service, *upstream, item) || upstream->batch.empty())
             continue;
         if (best == nullptr || upstream->batch.size() > best->batch.size())
             best = upstream;
@@ -379,14 +425,14 @@
     const Queue queue = item.queue;
     dequeue(service, item);
     // A task that resumes was charged when it first started.
-    if (queue == Queue::Online)
+    if (queue == Queue::Online || queue == Queue::Bound)
         service.online[item.task.priority].charge(item.task.workspace, item.task.expectedTokens);
     else if (item.task.priorRunTime == absl::ZeroDuration())
         (queue == Queue::Late ? service.late : service.batch)
                 .charge(item.task.workspace, item.task.expectedTokens);
     if (queue == Queue::Late)
         service.grantsSinceLate = 0;
-    else if (queue != Queue::Online)
+    else if (!isOnline(item.task))
         ++service.grantsSinceLate;
     upstream.limit.take(now);
     item.isProbe = isLoadUnknown(now, upstream);
@@ -398,19 +444,40 @@
                                        upstream.info.version});
 }
 
+/// Grants a free slot, or one of a batch task, which is preempted. Returns false when there is
+/// none.
+bool SlotScheduler::grantOnline(absl::Time now, Service &service, Item &item)
+{
+    Upstream *upstream = freeUpstream(now, service, item);
+    if (upstream == nullptr) {
+        upstream = preemptibleUpstream(now, service, item);
+        if (upstream == nullptr)
+            return false;
+        preemptOne(now, *upstream);
+    }
+    grant(now, service, item, *upstream);
+    return true;
+}
+
+/// Tasks that wait for upstreams of another version do not hold up those behind them.
+void SlotScheduler::decideBound(absl::Time now, Service &service)
+{
+    const auto waiting = service.bound;
+    for (const auto &[priority, number] : waiting) {
+        Item &item = *itemOf(number);
+        if (isVersionGone(service, item))
+            reject(now, service, item);
+        else
+            grantOnline(now, service, item);
+    }
+}
+
 void SlotScheduler::decideOnline(absl::Time now, Service &service)
 {
     for (auto &[priority, queue] : service.online) {
         while (const std::optional<TaskId> next = queue.front()) {
-            Item &item = *itemOf(*next);
-            Upstream *upstream = freeUpstream(now, service, item);
-            if (upstream == nullptr) {
-                upstream = preemptibleUpstream(now, service, item);
-                if (upstream == nullptr)
-                    return;
-                preemptOne(now, *upstream);
-            }
-            grant(now, service, item, *upstream);
+            if (!grantOnline(now, service, *itemOf(*next)))
+                return;
         }
     }
 }
@@ -453,22 +520,51 @@
     }
 }
 
+/// Versions of which an upstream has a slot for a batch task. Filled only if there are several
+/// versions in service.
+std::set<std::string> SlotScheduler::freeBatchVersions(absl::Time now, const Service &service) const
+{
+    std::set<std::string> versions;
+    if (service.versions.size() <= 1)
+        return versions;
+    for (const Upstream *upstream : service.upstreams) {
+        const bool isAccepting = !upstream->info.leaving && !upstream->outlier.ejected(now)
+                                 && upstream->limit.allows(now);
+        if (isAccepting && hasFreeSlot(now, *upstream, TaskKind::Batch))
+            versions.insert(upstream->info.version);
+    }
+    return versions;
+}
+
 /// Returns the interrupted task that is nearest to its end, else a task that has not started, else
-/// a late one. After grantsPerLateTask grants to other batch tasks, a late task goes first.
+/// a late one. After grantsPerLateTask grants to other batch tasks, a late task goes first. Passes
+/// over tasks that wait for a slot at their version.
 SlotScheduler::Item *SlotScheduler::nextBatch(absl::Time now, Service &service)
 {
     moveLateTasks(now, service);
-    const std::optional<TaskId> late = service.late.front();
-    if (late && service.grantsSinceLate >= grantsPerLateTask)
-        return itemOf(*late);
-    if (!service.interrupted.empty())
-        return *std::max_element(service.interrupted.begin(), service.interrupted.end(),
-                                 [](const Item *left, const Item *right) {
-                                     return left->task.priorRunTime < right->task.priorRunTime;
-                                 });
+    const std::set<std::string> freeVersions = freeBatchVersions(now, service);
+    const auto canStart = [&](const Item &item) {
+        return service.versions.size() <= 1 || !isBound(service, item.task)
+               || freeVersions.count(*item.task.version) != 0;
+    };
+    const std::optional<TaskId> lateNumber = service.late.front();
+    Item *late = lateNumber ? itemOf(*lateNumber) : nullptr;
+    if (late != nullptr && !canStart(*late))
+        late = nullptr;
+    if (late != nullptr && service.grantsSinceLate >= grantsPerLateTask)
+        return late;
+    Item *interrupted = nullptr;
+    for (Item *item : service.interrupted) {
+        const bool isNearer =
+                interrupted == nullptr || interrupted->task.priorRunTime < item->task.priorRunTime;
+        if (isNearer && canStart(*item))
+            interrupted = item;
+    }
+    if (interrupted != nullptr)
+        return interrupted;
     if (const std::optional<TaskId> next = service.batch.front())
         return itemOf(*next);
-    return late ? itemOf(*late) : nullptr;
+    return late;
 }
 
 /// Expected time between the ends of two successive online requests when all slots are occupied. A
@@ -537,7 +633,7 @@
         wait = std::min(next - now, item.task.maxRetryAfter);
         service.lastRetryAt = now + wait;
     }
-    m_decisions.emplace_back(RejectSlot{item.task.id, wait});
+    m_decisions.emplace_back(RejectSlot{item.task.id, wait, isVersionGone(service, item)});
     dequeue(service, item);
     removeItem(item);
 }
@@ -545,6 +641,7 @@
 std::vector<SlotDecision> SlotScheduler::decide(absl::Time now)
 {
     for (auto &[name, service] : m_services) {
+        decideBound(now, service);
         decideOnline(now, service);
         if (service.onlineWaiting > 0)
             rejectUnservable(now, service);
@@ -562,7 +659,7 @@
 {
     absl::Time next = absl::InfiniteFuture();
     for (const auto &[name, service] : m_services) {
-        if (service.onlineWaiting + service.batchWaiting == 0)
+        if (service.bound.size() + service.onlineWaiting + service.batchWaiting == 0)
             continue;
         for (const Upstream *upstream : service.upstreams) {
             if (!upstream->limit.allows(now))
@@ -584,7 +681,9 @@
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return 0;
-    return kind == TaskKind::Online ? found->second.onlineWaiting : found->second.batchWaiting;
+    const Service &waitingService = found->second;
+    return kind == TaskKind::Online ? waitingService.onlineWaiting + waitingService.bound.size()
+                                    : waitingService.batchWaiting;
 }
 
 std::size_t SlotScheduler::running(const std::string &service, TaskKind kind) const
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -32,6 +32,40 @@
 /// Time until the deadline below which an attempt is not worth starting.
 constexpr absl::Duration minRemainingTime = absl::Milliseconds(20);
 
+/// How a request is answered that gets no slot.
+struct RejectionReason
+{
+    wire::SlotOutcome outcome;
+    ErrorCode code;
+    std::string_view detail;
+};
+
+constexpr std::array<RejectionReason, 4> rejectionReasons = {{
+        {wire::SlotOutcome::NoSlot, ErrorCode::Overloaded, "no upstream slot will be free in time"},
+        {wire::SlotOutcome::OverRate, ErrorCode::RateLimited,
+         "the workspace has used up its request rate"},
+        {wire::SlotOutcome::VersionUnknown, ErrorCode::UpstreamUnavailable,
+         "the version that began the stream is not known"},
+        {wire::SlotOutcome::VersionGone, ErrorCode::UpstreamUnavailable,
+         "no upstream of the version that began the stream accepts requests"},
+}};
+
+const RejectionReason &reasonOf(wire::SlotOutcome outcome)
+{
+    const auto found = std::find_if(
+            rejectionReasons.begin(), rejectionReasons.end(),
+            [outcome](const RejectionReason &reason) { return reason.outcome == outcome; });
+    return found == rejectionReasons.end() ? rejectionReasons.front() : *found;
+}
+
+bool isTarget(const Route &route, const std::string &service)
+{
+    return std::any_of(route.targets.begin(), route.targets.end(),
+                       [&service](const RouteTarget &target) {
+                           return target.service == service && target.weight > 0;
+                       });
+}
+
 } // namespace
 
 void proxyRequest(const ServingContext &context, RoutedRequest request,
@@ -52,7 +86,34 @@
     , m_deadline(m_receivedAt + std::min(m_request.caller.timeout, m_route.timeout))
     , m_service(selectService(m_route, m_request.caller.id))
     , m_position(m_request.caller.resumeAfter)
-{}
+{
+    if (m_route.kind == RouteKind::Streaming && m_route.resumable)
+        findStreamOrigin();
+}
+
+/// A stream that the caller resumes continues at the service and version that began it.
+void ProxiedRequest::findStreamOrigin()
+{
+    m_stream = m_request.caller.id;
+    if (!m_request.caller.resumeAfter || m_request.caller.resumedAttempt.empty())
+        return;
+    m_stream = m_request.caller.resumedAttempt;
+    m_service = selectService(m_route, m_stream);
+    const auto origin = m_context.slotClient.streamOrigin(m_stream);
+    if (!origin)
+        return;
+    // The configuration may route the stream to other services now. Then no upstream can continue
+    // it, which the broker finds out.
+    if (isTarget(m_route, origin->service))
+        m_service = origin->service;
+    if (m_service == origin->service)
+        m_streamVersion = origin->version;
+}
+
+bool ProxiedRequest::hasStreamBegun() const
+{
+    return !m_stream.empty() && m_position.lastId().has_value();
+}
 
 std::string_view ProxiedRequest::name(Outcome outcome)
 {
@@ -138,6 +199,10 @@
     request.objectiveMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(objective), 0);
     request.deadlineMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(remainingTime()), 0);
     request.excluded = m_excludedUpstreams;
+    request.stream = m_stream;
+    request.resumed = hasStreamBegun();
+    request.versionKnown = request.resumed && m_streamVersion.has_value();
+    request.version = m_streamVersion.value_or("");
     m_isSlotRequested = true;
     m_context.slotClient.acquire(
             request, [self = shared_from_this()](const auto &response, bool fromLocalShare) {
@@ -160,6 +225,10 @@
         m_chargedRate = true;
         if (isLeaving(response.upstream, response.address))
             return skipLeavingUpstream(m_requestedSlotId, response.upstream, response.address);
+        if (isOtherVersion(response)) {
+            release(m_requestedSlotId, response.upstream, ReleaseReason::Cancelled);
+            return skipUpstream(response.upstream, "another version began the stream");
+        }
         if (m_state == State::Unresponsive)
             abandonUnresponsiveUpstream();
         m_heldSlotId = m_requestedSlotId;
@@ -172,13 +241,23 @@
     // No other upstream has a free slot, so the unresponsive upstream gets more time.
     if (m_state == State::Unresponsive)
         return armResponseTimer();
-    const absl::Duration retryAfter = absl::Milliseconds(response.retryAfterMs);
+    refuseOrFail(response);
+}
+
+/// Ends the request because it gets no slot.
+void ProxiedRequest::refuseOrFail(const wire::SlotResponse &response)
+{
+    const RejectionReason &reason = reasonOf(response.verdict);
     if (m_mayHaveRun || m_exchange->streamStarted())
-        return fail(ErrorCode::UpstreamFailed, "no slot is available for another attempt");
-    if (response.verdict == wire::SlotOutcome::OverRate)
-        return refuse(ErrorCode::RateLimited, "the workspace has used up its request rate",
-                      retryAfter);
-    refuse(ErrorCode::Overloaded, "no upstream slot will be free in time", retryAfter);
+        return fail(ErrorCode::UpstreamFailed, std::string(reason.detail));
+    refuse(reason.code, std::string(reason.detail), absl::Milliseconds(response.retryAfterMs));
+}
+
+/// Whether the granted upstream cannot continue the stream. This happens when the stream began
+/// while the slot was already requested.
+bool ProxiedRequest::isOtherVersion(const wire::SlotResponse &response) const
+{
+    return hasStreamBegun() && m_streamVersion && *m_streamVersion != response.version;
 }
 
 void ProxiedRequest::abandonUnresponsiveUpstream()
@@ -196,19 +275,26 @@
 }
 
 /// Releases a slot at an upstream that leaves, without sending the request, and requests another
-/// one. Each call excludes one more upstream, so the number of calls is bounded.
+/// one.
 void ProxiedRequest::skipLeavingUpstream(const std::string &slotId, const std::string &upstream,
                                          const std::string &address)
+{
+    m_context.slotClient.repeatLeaving(upstream, address);
+    release(slotId, upstream, ReleaseReason::Cancelled);
+    skipUpstream(upstream, "the upstream leaves, and the request was not sent");
+}
+
+/// Requests a slot at another upstream. Each call excludes one more upstream, so the number of
+/// calls is bounded.
+void ProxiedRequest::skipUpstream(const std::string &upstream, std::string_view reason)
 {
     log(LogLevel::Info, "try-failed",
         {{"requestId", m_request.caller.id},
          {"upstream", upstream},
          {"attempt", m_attempts},
-         {"reason", "the upstream leaves, and the request was not sent"},
+         {"reason", reason},
          {"mayHaveRun", m_mayHaveRun},
          {"lastEvent", m_position.lastId().value_or(-1)}});
-    m_context.slotClient.repeatLeaving(upstream, address);
-    release(slotId, upstream, ReleaseReason::Cancelled);
     m_excludedUpstreams.push_back(upstream);
     // If the upstream was unresponsive, a slot at another one may already have been requested.
     if (!m_isSlotRequested)
@@ -223,6 +309,8 @@
     m_attempt.upstream = upstream;
     m_attempt.address = address;
     m_attempt.version = grant.version;
+    if (hasStreamBegun())
+        m_streamVersion = grant.version;
     m_attempt.sentAt = m_context.clock.now();
     if (!hasTimeForAttempt()) {
         releaseSlot(ReleaseReason::Cancelled);
@@ -393,6 +481,11 @@
     release.requestId = slotId;
     release.upstream = upstream;
     release.end = std::string(policy::name(reason));
+    if (hasStreamBegun() && m_streamVersion) {
+        release.stream = m_stream;
+        release.service = m_service;
+        release.version = *m_streamVersion;
+    }
     m_context.slotClient.release(release);
 }
 
@@ -433,7 +526,8 @@
          {"reason", reason},
          {"upstream", m_attempt.upstream},
          {"upstreamVersion", m_attempt.version},
-         {"resumedAttempt", m_request.caller.resumedAttempt},
+         {"stream", m_stream},
+         {"streamVersion", m_streamVersion.value_or("")},
          {"attempts", m_attempts},
          {"resumes", m_resumes},
          {"ownShare", m_fromLocalShare},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -70,6 +70,8 @@
 
     static std::string_view name(Outcome outcome);
 
+    void findStreamOrigin();
+    bool hasStreamBegun() const;
     bool mayRunAgain() const;
     bool isCalling() const;
     absl::Duration remainingTime() const;
@@ -102,6 +104,9 @@
     void responseTimedOut();
     void abandonUnresponsiveUpstream();
     bool isLeaving(const std::string &upstream, const std::string &address) const;
+    bool isOtherVersion(const wire::SlotResponse &response) const;
+    void skipUpstream(const std::string &upstream, std::string_view reason);
+    void refuseOrFail(const wire::SlotResponse &response);
     void skipLeavingUpstream(const std::string &slotId, const std::string &upstream,
                              const std::string &address);
     void releaseSlot(policy::ReleaseReason reason);
@@ -140,6 +145,11 @@
     /// Upstreams that the request was sent to before or that leave.
     std::vector<std::string> m_excludedUpstreams;
     StreamPosition m_position;
+    /// Id by which the origin of the stream is recorded; empty for a request that cannot be
+    /// resumed.
+    std::string m_stream;
+    /// Version that began the stream, once it is known.
+    std::optional<std::string> m_streamVersion;
     int m_resumes = 0;
     absl::Time m_slotGrantedAt = absl::InfiniteFuture();
     /// Age of the process's list of upstreams at the last grant.
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -116,6 +116,8 @@
     case SequenceCheck::InOrder:
         break;
     }
+    if (event.hasContent())
+        m_streamVersion = m_attempt.version;
     startResponse();
     m_exchange->write(event.bytes);
     if (m_exchange->unsentBytes() > maxUnsentBytes) {
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -14,6 +14,9 @@
 
 /// Period of the check for requests and slots that have expired.
 constexpr absl::Duration sweepPeriod = absl::Seconds(1);
+/// Retry-After of a stream whose version is not known here. Another entry may know it.
+constexpr absl::Duration unknownVersionRetryAfter = absl::Milliseconds(300);
+constexpr std::size_t maxReportedStreams = 4096;
 /// Number of prompt tokens that cost an upstream as much as one output token.
 constexpr double promptTokensPerOutputToken = 100;
 
@@ -110,6 +113,7 @@
                                static_cast<std::int64_t>(std::ceil(slots * share.slotFraction)),
                                upstream.draining, upstream.version});
     }
+    m_versions.setUpstreams(m_clock.now(), m_upstreams);
     endLeaving(readAt);
     applyUpstreams();
 }
@@ -166,9 +170,19 @@
     OnlineRequest &online = m_online[id];
     online.instance = request.instance;
     online.workspace = request.workspace;
+    online.stream = request.stream;
+    online.service = request.service;
     online.chargesRate = request.chargesRate;
     online.expires = now + absl::Milliseconds(request.deadlineMs) + m_settings.reclaimDelay;
     online.callback = std::move(callback);
+    std::optional<policy::StreamOrigin> origin;
+    if (request.resumed) {
+        origin = originOf(request);
+        if (!origin)
+            return reject(id, wire::SlotOutcome::VersionUnknown, unknownVersionRetryAfter);
+        if (origin->service != request.service)
+            return reject(id, wire::SlotOutcome::VersionGone, absl::ZeroDuration());
+    }
     policy::TokenBucket *rateBucket = request.chargesRate ? bucket(request.workspace) : nullptr;
     if (rateBucket != nullptr && rateBucket->level(now) < 1)
         return rejectOverRate(id, absl::Seconds((1 - rateBucket->level(now))
@@ -186,11 +200,53 @@
                                absl::Milliseconds(request.deadlineMs));
     task.maxRetryAfter = absl::Milliseconds(request.deadlineMs) * m_settings.maxRetryAfterFraction;
     task.excluded = request.excluded;
+    if (origin)
+        task.version = origin->version;
     m_scheduler.request(now, task);
     decide();
     startWaitTimer(id);
 }
 
+/// Time after its last slot was granted within which callers resume a stream.
+absl::Duration SlotBroker::resumptionWindow() const
+{
+    absl::Duration longest = absl::ZeroDuration();
+    for (const Route &route : m_deployment->deployment().routes) {
+        if (route.kind == RouteKind::Streaming)
+            longest = std::max(longest, route.timeout);
+    }
+    return longest + m_settings.resumptionMargin;
+}
+
+/// Returns the origin of a stream that has begun. Without a record, it is known only if all
+/// upstreams of the service had the same version for as long as callers resume streams.
+std::optional<policy::StreamOrigin> SlotBroker::originOf(const wire::SlotRequest &request) const
+{
+    if (request.versionKnown)
+        return policy::StreamOrigin{request.service, request.version};
+    if (const auto recorded = m_streamOrigins.find(request.stream))
+        return recorded;
+    if (!m_deployment)
+        return std::nullopt;
+    const auto only = m_versions.onlyVersion(request.service, m_clock.now() - resumptionWindow());
+    return only ? std::optional(policy::StreamOrigin{request.service, *only}) : std::nullopt;
+}
+
+std::optional<policy::StreamOrigin> SlotBroker::streamOrigin(const std::string &stream) const
+{
+    return m_streamOrigins.find(stream);
+}
+
+void SlotBroker::recordStream(const std::string &stream, const policy::StreamOrigin &origin)
+{
+    m_streamOrigins.record(m_clock.now(), stream, origin);
+}
+
+std::vector<policy::StreamRecord> SlotBroker::streamsSince(absl::Time since) const
+{
+    return m_streamOrigins.recordedSince(since, maxReportedStreams);
+}
+
 /// Responds with the outcome Waiting when no decision has been made after maxResponseDelay.
 void SlotBroker::startWaitTimer(const std::string &id)
 {
@@ -247,6 +303,9 @@
 void SlotBroker::release(const wire::SlotRelease &release)
 {
     const std::string id = taskId(release.instance, release.requestId);
+    // The record of the last grant is wrong if the upstream of an earlier one responded after all.
+    if (!release.stream.empty())
+        recordStream(release.stream, {release.service, release.version});
     removeRequest(id);
     const auto reason = policy::releaseReasonFromName(release.end);
     releaseSlot(id, reason.value_or(policy::ReleaseReason::Cancelled));
@@ -270,6 +329,10 @@
 {
     chargeRates(held.charges);
     const absl::Time now = m_clock.now();
+    for (const wire::StreamVersion &stream : held.streams) {
+        if (!m_streamOrigins.find(stream.stream))
+            m_streamOrigins.record(now, stream.stream, {stream.service, stream.version});
+    }
     for (const wire::HeldSlot &slot : held.places) {
         const std::string id = taskId(held.instance, slot.requestId);
         if (m_online.count(id) != 0)
@@ -420,7 +483,7 @@
     const auto batch = m_batch.find(decision.task);
     if (batch != m_batch.end()) {
         const auto granted = batch->second.granted;
-        return granted(decision.upstream, decision.address);
+        return granted(decision);
     }
     const auto found = m_online.find(decision.task);
     if (found == m_online.end())
@@ -439,15 +502,24 @@
     response.upstream = decision.upstream;
     response.address = decision.address;
     response.version = decision.version;
+    if (!online.stream.empty())
+        recordStream(online.stream, {online.service, decision.version});
     respond(decision.task, response);
 }
 
 void SlotBroker::applyDecision(const policy::RejectSlot &decision)
+{
+    reject(decision.task,
+           decision.isVersionGone ? wire::SlotOutcome::VersionGone : wire::SlotOutcome::NoSlot,
+           decision.retryAfter);
+}
+
+void SlotBroker::reject(const std::string &id, wire::SlotOutcome outcome, absl::Duration retryAfter)
 {
     wire::SlotResponse response;
-    response.verdict = wire::SlotOutcome::NoSlot;
-    response.retryAfterMs = absl::ToInt64Milliseconds(decision.retryAfter);
-    respond(decision.task, response);
+    response.verdict = outcome;
+    response.retryAfterMs = absl::ToInt64Milliseconds(retryAfter);
+    respond(id, response);
 }
 
 void SlotBroker::applyDecision(const policy::PreemptSlot &decision)
@@ -462,11 +534,8 @@
 
 void SlotBroker::rejectOverRate(const std::string &id, absl::Duration wait)
 {
-    wire::SlotResponse response;
-    response.verdict = wire::SlotOutcome::OverRate;
     // Retry-After is at most 60 s: with a low rate, the wait for a token can be much longer.
-    response.retryAfterMs = absl::ToInt64Milliseconds(std::min(wait, absl::Seconds(60)));
-    respond(id, response);
+    reject(id, wire::SlotOutcome::OverRate, std::min(wait, absl::Seconds(60)));
 }
 
 void SlotBroker::armTimer()
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -139,6 +139,8 @@
                         0};
         granted.deadline = clock.now() + absl::Milliseconds(request.deadlineMs);
         instance = request.instance;
+        if (!request.stream.empty())
+            localBroker.recordStream(request.stream, {request.service, response.version});
     }
 
     /// Reports the held slots and the charges of the local share to the broker, which may have no
@@ -147,16 +149,23 @@
     void reportHeldSlots()
     {
         LocalCharges charges = std::exchange(localCharges, {});
-        if ((heldSlots.empty() && charges.empty()) || brokerAddress.empty())
+        const auto streams = localBroker.streamsSince(streamsReportedAt);
+        if ((heldSlots.empty() && charges.empty() && streams.empty()) || brokerAddress.empty())
             return;
-        const std::string report = wire::encode(makeHeldSlots(charges));
+        wire::HeldSlots message = makeHeldSlots(charges);
+        for (const policy::StreamRecord &record : streams)
+            message.streams.push_back({record.stream, record.origin.service, record.origin.version,
+                                       absl::ToInt64Milliseconds(clock.now() - record.recordedAt)});
+        const std::string report = wire::encode(message);
+        const absl::Time formerReportAt = std::exchange(streamsReportedAt, clock.now());
         channels.channel(brokerAddress)
                 ->call(wire::Method::ReportHeldSlots, report, settings.reportTimeout,
                        [self = shared_from_this(), address = brokerAddress,
-                        charges = std::move(charges)](const Outcome<std::string> &outcome) {
+                        charges = std::move(charges),
+                        formerReportAt](const Outcome<std::string> &outcome) {
                            if (!outcome.ok())
-                               self->loop.post([self, address, charges] {
-                                   self->handleReportLost(address, charges);
+                               self->loop.post([self, address, charges, formerReportAt] {
+                                   self->handleReportLost(address, charges, formerReportAt);
                                });
                        });
     }
@@ -177,10 +186,12 @@
         return message;
     }
 
-    void handleReportLost(const std::string &address, const LocalCharges &charges)
+    void handleReportLost(const std::string &address, const LocalCharges &charges,
+                          absl::Time streamsSince)
     {
         if (stopped || address != brokerAddress)
             return;
+        streamsReportedAt = std::min(streamsReportedAt, streamsSince);
         for (const auto &[workspace, charge] : charges) {
             LocalCharge &pending = localCharges[workspace];
             pending.requests += charge.requests;
@@ -203,6 +214,8 @@
     void release(const wire::SlotRelease &release)
     {
         heldSlots.erase(release.requestId);
+        if (!release.stream.empty())
+            localBroker.recordStream(release.stream, {release.service, release.version});
         // The broker may have adopted a slot that was granted from the local share.
         if (localRequests.erase(release.requestId) > 0)
             localBroker.release(release);
@@ -230,6 +243,8 @@
     /// Requests granted from the local share that the broker has not received a report of, by
     /// workspace.
     LocalCharges localCharges;
+    /// The broker has the origins of the streams that were recorded before this time.
+    absl::Time streamsReportedAt = absl::InfinitePast();
     std::string instance;
     bool brokerReachable = true;
     bool stopped = false;
@@ -251,6 +266,7 @@
         return;
     m_impl->brokerAddress = address;
     m_impl->brokerRetryAt = absl::InfinitePast();
+    m_impl->streamsReportedAt = absl::InfinitePast();
     // A new broker starts with low rate buckets, which allows for what was granted before.
     m_impl->localCharges.clear();
     log(LogLevel::Info, "place-broker-changed",
@@ -285,6 +301,11 @@
     m_impl->acquire(request, std::move(callback));
 }
 
+std::optional<policy::StreamOrigin> SlotClient::streamOrigin(const std::string &stream) const
+{
+    return m_impl->localBroker.streamOrigin(stream);
+}
+
 void SlotClient::release(const wire::SlotRelease &release)
 {
     m_impl->release(release);
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -13,11 +13,13 @@
         {MemberRole::Store, "store"},
 }};
 
-constexpr std::array<EnumName<SlotOutcome>, 4> slotOutcomeNames = {{
+constexpr std::array<EnumName<SlotOutcome>, 6> slotOutcomeNames = {{
         {SlotOutcome::Granted, "granted"},
         {SlotOutcome::OverRate, "over_rate"},
         {SlotOutcome::NoSlot, "no_place"},
         {SlotOutcome::Waiting, "waiting"},
+        {SlotOutcome::VersionUnknown, "version_unknown"},
+        {SlotOutcome::VersionGone, "version_gone"},
 }};
 
 } // namespace
@@ -48,14 +50,15 @@
 RATTANRILL_WIRE_FIELDS(CrashEvidence, instance, crashes, begun, process, rejected)
 RATTANRILL_WIRE_FIELDS(SlotRequest, again, requestId, instance, failureDomain, service, workspace,
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
-                       excluded)
+                       excluded, stream, resumed, versionKnown, version)
 RATTANRILL_WIRE_FIELDS(SlotResponse, verdict, upstream, address, retryAfterMs, version)
 RATTANRILL_WIRE_FIELDS(HeldSlot, requestId, service, workspace, upstream, deadlineMs)
 RATTANRILL_WIRE_FIELDS(RateCharge, workspace, requests, ageMs)
-RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges)
+RATTANRILL_WIRE_FIELDS(StreamVersion, stream, service, version, ageMs)
+RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges, streams)
 RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests, requestLimit, leaving, leavingAgeMs,
                        address)
-RATTANRILL_WIRE_FIELDS(SlotRelease, instance, requestId, upstream, end)
+RATTANRILL_WIRE_FIELDS(SlotRelease, instance, requestId, upstream, end, stream, service, version)
 
 RATTANRILL_WIRE_MESSAGE(FleetCommand)
 RATTANRILL_WIRE_MESSAGE(FleetResult)
--- a/src/wire/jobmessages.cpp
+++ b/src/wire/jobmessages.cpp
@@ -20,7 +20,7 @@
 RATTANRILL_WIRE_FIELDS(JobItemResult, id, outcome, output)
 RATTANRILL_WIRE_FIELDS(AcceptJob, job, maxWaitingTokens)
 RATTANRILL_WIRE_FIELDS(AppendResults, job, results)
-RATTANRILL_WIRE_FIELDS(ItemProgress, job, item, after, lastEvent, output, servedMs)
+RATTANRILL_WIRE_FIELDS(ItemProgress, job, item, after, lastEvent, output, servedMs, version)
 RATTANRILL_WIRE_FIELDS(AppendProgress, items)
 RATTANRILL_WIRE_FIELDS(EndJob, workspace, job)
 RATTANRILL_WIRE_FIELDS(PurgeJobs, beforeMs)
--- a/tests/fleet/boundedupstreamlist_test.cpp
+++ b/tests/fleet/boundedupstreamlist_test.cpp
@@ -52,8 +52,8 @@
             task.service = "llm";
             task.kind = policy::TaskKind::Batch;
             serving::SlotBroker::BatchHandlers handlers;
-            handlers.granted = [&](const std::string &upstreamId, const std::string &) {
-                lastGrants[upstreamId] = clock.now();
+            handlers.granted = [&](const policy::GrantSlot &grant) {
+                lastGrants[grant.upstream] = clock.now();
             };
             handlers.preempted = [] {};
             broker.acquireBatch(task, handlers);
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -67,11 +67,13 @@
     }
 
     /// Sets four upstreams at the address of \a server, whose ids begin with \a prefix.
-    void setUpstreams(const net::ScriptedServer &server, const std::string &prefix)
+    void setUpstreams(const net::ScriptedServer &server, const std::string &prefix,
+                      const std::string &version = "")
     {
         std::vector<wire::FleetUpstream> list;
         for (int i = 0; i < 4; ++i)
-            list.push_back({prefix + std::to_string(i), "llm", server.address(), "d", 1, false});
+            list.push_back(
+                    {prefix + std::to_string(i), "llm", server.address(), "d", 1, false, version});
         thread.run([&] { broker.setUpstreams(list, serving::CapacityShare()); });
     }
 
@@ -378,6 +380,42 @@
     BOOST_TEST(output.find("d2") != std::string::npos, output);
 }
 
+// Guards against the text of an item that is joined from two software versions, also after a change
+// of the store's leader, and against one that starts again although its version serves.
+BOOST_AUTO_TEST_CASE(storedTextIsContinuedByItsVersionOnly)
+{
+    for (const bool isSame : {true, false}) {
+        const std::string rest = chunk(numberedEvent(3)) + chunk(numberedEvent(4));
+        net::ScriptedServer server(
+                {isSame ? net::ScriptedAnswer{chunkedHead + rest + serving::lastChunk}
+                        : net::ScriptedAnswer{wholeStream()}});
+        setUpstreams(server, isSame ? "s" : "o", isSame ? "v1" : "v2");
+        wire::JobRecord record = submission("j").job;
+        record.items.front().id = "a";
+        const auto job = std::make_shared<const wire::JobRecord>(std::move(record));
+        wire::ItemProgress progress;
+        progress.lastEvent = 2;
+        progress.output = "e1\ne2";
+        progress.version = "v1";
+        std::string output;
+        absl::Notification ended;
+        std::shared_ptr<ItemRun> run;
+        thread.run([&] {
+            run = std::make_shared<ItemRun>(context, job, job->items.front(),
+                                            [&](const wire::JobItemResult &result) {
+                                                output = result.output;
+                                                ended.Notify();
+                                            });
+            run->resume(progress);
+            run->setDeployment(deployment());
+        });
+        BOOST_REQUIRE(ended.WaitForNotificationWithTimeout(absl::Seconds(10)));
+        BOOST_TEST(output == (isSame ? "e1\ne2\nd3\nd4" : "d1\nd2\nd3\nd4"));
+        const std::string request = server.requests().front().text;
+        BOOST_TEST((request.find("After: 2") != std::string::npos) == isSame);
+    }
+}
+
 // Guards against an item that runs at a second upstream while the first one runs it, because a
 // repeated refusal on a kept connection is taken for the response to its next attempt.
 BOOST_AUTO_TEST_CASE(repeatedRefusalIsNotTakenForTheNextResponse)
--- a/tests/policy/slotscheduler_test.cpp
+++ b/tests/policy/slotscheduler_test.cpp
@@ -18,6 +18,14 @@
     return {id, "llm", id + ":1", "d", slots, false};
 }
 
+SlotUpstream upstreamOfVersion(const std::string &id, std::int64_t slots,
+                               const std::string &version)
+{
+    SlotUpstream result = upstream(id, slots);
+    result.version = version;
+    return result;
+}
+
 SlotTask online(const std::string &id, absl::Time deadline, const std::string &workspace = "w")
 {
     SlotTask task;
@@ -43,8 +51,11 @@
         for (const SlotDecision &decision : decisions) {
             if (const auto *grant = std::get_if<GrantSlot>(&decision))
                 granted[grant->task] = grant->upstream;
-            if (const auto *rejection = std::get_if<RejectSlot>(&decision))
+            if (const auto *rejection = std::get_if<RejectSlot>(&decision)) {
                 rejected[rejection->task] = rejection->retryAfter;
+                if (rejection->isVersionGone)
+                    withoutVersion.insert(rejection->task);
+            }
             if (const auto *preemption = std::get_if<PreemptSlot>(&decision))
                 preempted.push_back(preemption->task);
         }
@@ -52,6 +63,8 @@
 
     std::map<std::string, std::string> granted;
     std::map<std::string, absl::Duration> rejected;
+    /// Rejected tasks whose version is gone.
+    std::set<std::string> withoutVersion;
     std::vector<std::string> preempted;
 };
 
@@ -449,4 +462,82 @@
     BOOST_TEST(decide().granted.count("2") == 1u);
 }
 
+// Guards against a stream that goes on at another version than the one that began it.
+BOOST_AUTO_TEST_CASE(boundTaskGetsASlotAtItsVersionOnly)
+{
+    scheduler.setUpstreams({upstreamOfVersion("a", 1, "v1"), upstreamOfVersion("b", 4, "v2")});
+    scheduler.request(start, online("new", start + absl::Seconds(1)));
+    BOOST_TEST(decide().granted.at("new") == "a");
+    SlotTask bound = online("bound", start + absl::Seconds(1));
+    bound.version = "v1";
+    scheduler.request(start, bound);
+    const Decisions waiting = decide();
+    BOOST_TEST(waiting.granted.empty());
+    BOOST_TEST(waiting.rejected.empty());
+    BOOST_TEST(scheduler.waiting("llm", TaskKind::Online) == 1u);
+    scheduler.release(start, "new", ReleaseReason::Completed);
+    BOOST_TEST(decide().granted.at("bound") == "a");
+}
+
+// Load pattern: streams of two versions are broken off while new ones fill all slots. Guards
+// against resumptions that wait behind the queue of new streams, and against new ones that wait for
+// a version that they do not need.
+BOOST_AUTO_TEST_CASE(boundTaskGoesBeforeNewOnesAndHoldsNoneUp)
+{
+    scheduler.setUpstreams({upstreamOfVersion("a", 1, "v1"), upstreamOfVersion("b", 1, "v2")});
+    const absl::Time deadline = start + absl::Seconds(10);
+    for (const char *id : {"1", "2", "3", "4"})
+        scheduler.request(start, online(id, deadline));
+    BOOST_TEST(decide().granted.size() == 2u);
+    SlotTask bound = online("bound", deadline);
+    bound.version = "v1";
+    scheduler.request(start, bound);
+    scheduler.release(start, "2", ReleaseReason::Completed);
+    const Decisions other = decide();
+    BOOST_TEST_REQUIRE(other.granted.size() == 1u);
+    BOOST_TEST(other.granted.begin()->second == "b");
+    BOOST_TEST(other.granted.count("bound") == 0u);
+    scheduler.release(start, "1", ReleaseReason::Completed);
+    BOOST_TEST(decide().granted.at("bound") == "a");
+}
+
+// Guards against a resumption that waits until its deadline for a version that has left, or of
+// which it was sent to each upstream before.
+BOOST_AUTO_TEST_CASE(boundTaskIsRejectedAtOnceWhenItsVersionIsGone)
+{
+    SlotUpstream leaving = upstreamOfVersion("a", 4, "v1");
+    leaving.leaving = true;
+    scheduler.setUpstreams(
+            {leaving, upstreamOfVersion("b", 4, "v2"), upstreamOfVersion("c", 4, "v3")});
+    SlotTask gone = online("gone", start + absl::Seconds(10));
+    gone.version = "v1";
+    SlotTask excluded = online("excluded", start + absl::Seconds(10));
+    excluded.version = "v2";
+    excluded.excluded = {"b"};
+    scheduler.request(start, gone);
+    scheduler.request(start, excluded);
+    const Decisions decisions = decide();
+    BOOST_TEST((decisions.withoutVersion == std::set<std::string>{"gone", "excluded"}));
+    BOOST_TEST(decisions.granted.empty());
+}
+
+// Guards against the text of an item that is joined from two versions, against items that wait for
+// a version while others could start, and against one that waits for a version that has left.
+BOOST_AUTO_TEST_CASE(interruptedItemWaitsForItsVersionWhileItServes)
+{
+    scheduler.setUpstreams({upstreamOfVersion("a", 1, "v1"), upstreamOfVersion("b", 1, "v2")});
+    scheduler.request(start, batch("first"));
+    BOOST_TEST(decide().granted.at("first") == "a");
+    SlotTask interrupted = batch("interrupted");
+    interrupted.priorRunTime = absl::Seconds(3);
+    interrupted.version = "v1";
+    scheduler.request(start, interrupted);
+    BOOST_TEST(decide().granted.empty());
+    scheduler.request(start, batch("fresh"));
+    BOOST_TEST(decide().granted.at("fresh") == "b");
+    scheduler.release(start, "fresh", ReleaseReason::Completed);
+    scheduler.setUpstreams({upstreamOfVersion("b", 1, "v2")});
+    BOOST_TEST(decide().granted.at("interrupted") == "b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -292,11 +292,13 @@
     std::vector<wire::UpstreamLoad> m_loads;
 };
 
-/// Settings with which a busy machine does not make the entry use its local share.
+/// Settings with which a busy machine does not make the entry use its local share, and with which
+/// the entry has known the list of upstreams for as long as callers resume streams.
 SlotClientSettings slotClientSettings()
 {
     SlotClientSettings settings;
     settings.roundTripAllowance = absl::Seconds(5);
+    settings.localBroker.resumptionMargin = -absl::InfiniteDuration();
     return settings;
 }
 
@@ -350,14 +352,27 @@
     }
 
     static std::vector<wire::FleetUpstream> upstreamList(int count)
+    {
+        return upstreamList(std::vector<std::string>(static_cast<std::size_t>(count)));
+    }
+
+    /// Returns an upstream of each of \a versions.
+    static std::vector<wire::FleetUpstream> upstreamList(const std::vector<std::string> &versions)
     {
         std::vector<wire::FleetUpstream> list;
-        for (int i = 0; i < count; ++i)
-            list.push_back({"u" + std::to_string(i + 1), "s",
-                            "127.0.0.1:" + std::to_string(firstUpstreamPort + i), "d", 4, false});
+        int number = 0;
+        for (const std::string &version : versions) {
+            const std::string address = "127.0.0.1:" + std::to_string(firstUpstreamPort + number);
+            list.push_back({"u" + std::to_string(++number), "s", address, "d", 4, false, version});
+        }
         return list;
     }
 
+    void setVersions(const std::vector<std::string> &versions)
+    {
+        thread.run([&] { slotClient.setUpstreams(upstreamList(versions), 1); });
+    }
+
     /// Sends one request and returns the response. \a headers end with a line break each.
     static std::string sendRequest(const std::string &id, const std::string &headers = "")
     {
@@ -829,6 +844,39 @@
     }
 }
 
+// Guards against an answer that is joined from two software versions, and against a stream that
+// does not go on although its version serves.
+BOOST_AUTO_TEST_CASE(streamGoesOnAtItsVersionOnly)
+{
+    ScriptedUpstreams upstreams({brokenOffStream(), restOfStream(), brokenOffStream()}, 3);
+    Entry entry(routeOf(RouteKind::Streaming, 3, true), 3);
+    entry.setVersions({"v1", "v2", "v1"});
+    const std::string joined = entry.sendRequest("a");
+    BOOST_TEST(contains(joined, event(4)), joined);
+    BOOST_TEST(upstreams.requestsAt(1) == 0);
+    BOOST_TEST(upstreams.requestsAt(2) == 1);
+    entry.setVersions({"v1", "v2", "v3"});
+    const std::string cut = entry.sendRequest("a");
+    BOOST_TEST(!streamBody(cut).isComplete);
+    BOOST_TEST(upstreams.requests().size() == 3u);
+}
+
+// Guards against a caller's resumption that goes on at another version than the one that began the
+// stream, or at any version when that is not known.
+BOOST_AUTO_TEST_CASE(resumedStreamGoesOnAtItsVersionOnly)
+{
+    ScriptedUpstreams upstreams(
+            {brokenOffStream(), {streamHead("b") + chunk(event(3)) + lastChunk}});
+    Entry entry(routeOf(RouteKind::Streaming, 1, true));
+    entry.setVersions({"v1", "v2"});
+    BOOST_TEST(!streamBody(entry.sendRequest("a")).isComplete);
+    const int first = upstreams.requestsAt(0) == 1 ? 0 : 1;
+    BOOST_TEST(contains(entry.sendRequest("c", "After: 2\r\nResumes: other\r\n"), "HTTP/1.1 503"));
+    BOOST_TEST(upstreams.requests().size() == 1u);
+    BOOST_TEST(contains(entry.sendRequest("b", "After: 2\r\nResumes: a\r\n"), event(3)));
+    BOOST_TEST(upstreams.requestsAt(first) == 2);
+}
+
 // Guards against an upstream that gets no requests although it did not announce that it leaves: the
 // header was in an interim response, or in a response of another instance at its address.
 BOOST_AUTO_TEST_CASE(announcementThatIsNotTheUpstreamsDoesNotCount)
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -82,8 +82,7 @@
         task.kind = policy::TaskKind::Batch;
         std::string upstream;
         broker.acquireBatch(
-                task, {[&](const std::string &granted, const std::string &) { upstream = granted; },
-                       [] {}});
+                task, {[&](const policy::GrantSlot &grant) { upstream = grant.upstream; }, [] {}});
         return upstream;
     }
 
@@ -374,7 +373,7 @@
     task.kind = policy::TaskKind::Batch;
     std::string events;
     SlotBroker::BatchHandlers handlers;
-    handlers.granted = [&](const std::string &, const std::string &) { events += "granted "; };
+    handlers.granted = [&](const policy::GrantSlot &) { events += "granted "; };
     handlers.preempted = [&] { events += "yield"; };
     broker.acquireBatch(task, handlers);
     BOOST_TEST(events == "granted ");
@@ -382,4 +381,110 @@
     BOOST_TEST(events == "granted yield");
 }
 
+namespace {
+
+/// Two upstreams of two versions, and a deployment whose streams last 5 s.
+struct VersionFixture : Fixture
+{
+    VersionFixture()
+    {
+        Deployment result;
+        result.version = 1;
+        result.workspaces = {{"w", {"k"}, -1, 1000, 1000}};
+        Route route;
+        route.kind = RouteKind::Streaming;
+        route.timeout = absl::Seconds(5);
+        result.routes = {route};
+        broker.setDeployment(std::make_shared<const DeploymentIndex>(std::move(result)));
+        timers.advance(absl::Seconds(1));
+        setVersions({"v1", "v2"});
+    }
+
+    void setVersions(const std::vector<std::string> &versions)
+    {
+        std::vector<wire::FleetUpstream> list;
+        for (const std::string &version : versions)
+            list.push_back({"u-" + version, "llm", "u:1", "d", 1, false, version});
+        broker.setUpstreams(list, CapacityShare());
+    }
+
+    /// Begins the stream \a id and returns its version.
+    std::string begin(const std::string &id)
+    {
+        wire::SlotRequest begun = request(id);
+        begun.stream = id;
+        return acquire(begun)->version;
+    }
+
+    /// Releases the slot of \a id and resumes the stream \a stream.
+    wire::SlotResponse resume(const std::string &id, const std::string &stream)
+    {
+        wire::SlotRequest resumed = request(id);
+        resumed.stream = stream;
+        resumed.resumed = true;
+        const auto response = acquire(resumed);
+        BOOST_REQUIRE(response.has_value());
+        return *response;
+    }
+};
+
+} // namespace
+
+// Guards against a caller's resumption at another version, also when this process lost its slots as
+// the broker.
+BOOST_FIXTURE_TEST_CASE(resumedStreamStaysAtTheVersionOfItsFirstGrant, VersionFixture)
+{
+    const std::string first = begin("a");
+    const std::string second = begin("b");
+    BOOST_TEST(first != second);
+    release("a");
+    release("b");
+    broker.reset();
+    BOOST_TEST(resume("c", "a").version == first);
+    BOOST_TEST(resume("d", "b").version == second);
+}
+
+// Guards against a stream that is recorded at the version of a slot that it did not use, because
+// the upstream of an earlier slot responded after all.
+BOOST_FIXTURE_TEST_CASE(versionOfTheReleaseReplacesThatOfTheLastGrant, VersionFixture)
+{
+    const std::string granted = begin("a");
+    const std::string used = granted == "v1" ? "v2" : "v1";
+    broker.release({"e", "a", "", "abandoned", "a", "llm", used});
+    BOOST_TEST(resume("b", "a").version == used);
+}
+
+// Guards against an empty memory that looks like "any version", and against a refusal on a day
+// with one version.
+BOOST_FIXTURE_TEST_CASE(unknownStreamIsResumedOnlyIfOneVersionServed, VersionFixture)
+{
+    BOOST_TEST((resume("b", "a").verdict == SlotOutcome::VersionUnknown));
+    setVersions({"v2"});
+    BOOST_TEST((resume("c", "a").verdict == SlotOutcome::VersionUnknown));
+    // The time limit of streams, and the margin in which the list may lag.
+    timers.advance(absl::Seconds(9));
+    BOOST_TEST((resume("d", "a").verdict == SlotOutcome::Granted));
+}
+
+// Guards against a resumption that waits for upstreams that left, or continues at another service.
+BOOST_FIXTURE_TEST_CASE(streamOfAVersionThatLeftIsRefused, VersionFixture)
+{
+    const std::string version = begin("a");
+    release("a");
+    setVersions({version == "v1" ? "v2" : "v1"});
+    BOOST_TEST((resume("b", "a").verdict == SlotOutcome::VersionGone));
+    broker.recordStream("s", {"other", "v1"});
+    BOOST_TEST((resume("c", "s").verdict == SlotOutcome::VersionGone));
+}
+
+// Guards against a new broker that has no record of the streams of the entries.
+BOOST_FIXTURE_TEST_CASE(reportedStreamsAreAdopted, VersionFixture)
+{
+    wire::HeldSlots held;
+    held.instance = "e";
+    held.streams = {{"a", "llm", "v2", 100}};
+    broker.adoptHeldSlots(held);
+    BOOST_TEST(resume("b", "a").version == "v2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -228,4 +228,33 @@
     BOOST_TEST(granted == std::vector<std::string>(3, "v"), boost::test_tools::per_element());
 }
 
+// Guards against a new broker that refuses to resume the streams of its predecessor, and against a
+// stream that is recorded at a version that did not begin it.
+BOOST_AUTO_TEST_CASE(streamsAreReportedToANewBroker)
+{
+    isRepaired = true;
+    wire::SlotRequest request;
+    request.requestId = "r";
+    request.instance = "e";
+    request.service = "llm";
+    request.stream = "s";
+    request.deadlineMs = 5000;
+    absl::Notification granted;
+    thread.run([&] {
+        client.acquire(request, [&](const wire::SlotResponse &, bool) { granted.Notify(); });
+    });
+    BOOST_REQUIRE(granted.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    thread.run([&] {
+        BOOST_TEST(client.streamOrigin("s").has_value());
+        client.release({"e", "r", "u", "served", "s", "llm", "v2"});
+        client.setBroker("");
+        client.setBroker("127.0.0.1:" + std::to_string(server.port()));
+    });
+    BOOST_REQUIRE(reported.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    absl::MutexLock lock(&mutex);
+    BOOST_TEST_REQUIRE(held.streams.size() == 1u);
+    BOOST_TEST(held.streams[0].stream == "s");
+    BOOST_TEST(held.streams[0].version == "v2");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/testprotocoladapter.h
+++ b/tests/serving/testprotocoladapter.h
@@ -20,6 +20,7 @@
             caller.sharedPromptParts = {*part};
         if (const std::string *after = request.headers.find("After"))
             caller.resumeAfter = std::stoll(*after);
+        caller.resumedAttempt = std::string(request.headers.value("Resumes"));
         return caller;
     }
     net::Request upstreamRequest(const net::Request &request,
