Platform, base: Read the other entries of a list with an odd one

A number too large in any field of one entry made the whole page of the platform's list unreadable: the list was not followed while the entry stayed. A port out of range, port 0, an address without a port and a count of slots near the largest integer were taken as usable upstreams. Deep nesting (1,500,000 levels) did not end the process here.

Cause: one parse for the page, whose failure on one entry fails all; and checks of types without checks of values. The same cause elsewhere: parseJson() let the exception for such a number pass as an untyped error, for callers' and operators' documents too, and set no bound to nesting, while serializing a document again uses stack for each level.

--- a/include/rattanrill/base/json.h
+++ b/include/rattanrill/base/json.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -11,8 +12,11 @@
 
 using Json = nlohmann::json;
 
-/// Parses JSON text. Fails with InvalidRequest on a syntax error or invalid UTF-8; the detail of
-/// the failure names \a what.
+/// Maximum number of nested arrays and objects. Serializing a document needs stack for each level.
+constexpr std::size_t maxJsonDepth = 256;
+
+/// Parses JSON text. Fails with InvalidRequest on a syntax error, invalid UTF-8, a number that no
+/// type holds, or more than maxJsonDepth levels; the detail of the failure names \a what.
 Result<Json> parseJson(std::string_view text, std::string_view what);
 
 /// Returns member \a key of \a object as T. Fails with InvalidRequest when the member is missing or
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -45,15 +45,39 @@
     return value.get<T>();
 }
 
+/// Whether the text opens more than maxJsonDepth arrays and objects inside each other.
+bool isNestedTooDeeply(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool isInString = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char c = text[i];
+        if (c == '"')
+            isInString = !isInString;
+        else if (isInString)
+            i += c == '\\' ? 1 : 0;
+        else if ((c == '[' || c == '{') && ++depth > maxJsonDepth)
+            return true;
+        else if ((c == ']' || c == '}') && depth > 0)
+            --depth;
+    }
+    return false;
+}
+
 } // namespace
 
 Result<Json> parseJson(std::string_view text, std::string_view what)
 {
+    if (isNestedTooDeeply(text))
+        return fail(notRun(ErrorCode::InvalidRequest,
+                           concat(what, " has more than ", maxJsonDepth, " nested levels")));
     try {
         return Json::parse(text);
     } catch (const Json::parse_error &error) {
         return fail(notRun(ErrorCode::InvalidRequest,
                            concat(what, " is not valid JSON at byte ", error.byte)));
+    } catch (const Json::out_of_range &) {
+        return fail(notRun(ErrorCode::InvalidRequest, concat(what, " has a number too large")));
     }
 }
 
--- a/tests/platform/instancelistclient_test.cpp
+++ b/tests/platform/instancelistclient_test.cpp
@@ -81,4 +81,47 @@
     }
 }
 
+// Guards against a list that is not followed, or a process that ends, because another writer left
+// one odd entry: it names no upstream, and the others hold.
+BOOST_AUTO_TEST_CASE(oddEntryDoesNotAffectTheOthers)
+{
+    const auto entry = [](const std::string &extra) {
+        return "{\"id\":\"i\",\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\"" + extra + "}";
+    };
+    const std::string address = ",\"address\":\"10.0.0.2:80\"";
+    const std::string slots = ",\"slots\":8";
+    const std::string deep = std::string(1500000, '[') + std::string(1500000, ']');
+    const std::string odd[] = {
+            entry(address + ",\"slots\":1e999"),
+            entry(address + slots + ",\"cold-remaining-ms\":1e999"),
+            entry(address + slots + ",\"models\":" + deep),
+            deep,
+            entry(address + ",\"slots\":9223372036854775807"),
+            entry(address + ",\"slots\":18446744073709551615"),
+            entry(address + ",\"slots\":99999999999999999999999"),
+            entry(address + ",\"slots\":0"),
+            entry(slots + ",\"address\":\"10.0.0.2:99999\""),
+            entry(slots + ",\"address\":\"10.0.0.2:0\""),
+            entry(slots + ",\"address\":\"10.0.0.2:-1\""),
+            entry(slots + ",\"address\":\"10.0.0.2\""),
+            entry(slots + ",\"address\":\":80\""),
+            "\"\xff\xfe\"",
+            "null",
+            "7",
+    };
+    for (const std::string &text : odd) {
+        BOOST_TEST_INFO_SCOPE(text.substr(0, 200));
+        const std::string sound = entry(address + slots + ",\"version\":\"v2\"");
+        const std::string body =
+                "{\"instances\":[" + sound + "," + text + "," + sound + "],\"next\":\"p\"}";
+        const auto page = outcomeOf([&] { return decodeInstancePage(body); });
+        BOOST_TEST_REQUIRE(page.ok());
+        BOOST_TEST_REQUIRE(page.value().upstreams.size() == 2u);
+        BOOST_TEST(page.value().upstreams[1].address == "10.0.0.2:80");
+        BOOST_TEST(page.value().upstreams[1].version == "v2");
+        BOOST_TEST(page.value().skipped == 1);
+        BOOST_TEST(page.value().nextPage == "p");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
