--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -207,8 +207,8 @@
     return options;
 }
 
-/// A broker without any record of announcements, like one that has just started: it grants each
-/// request the first upstream that the request does not exclude.
+/// A broker without any record, like one that has just started: it grants each request the first
+/// upstream that the request does not exclude. The upstreams have the versions v1 and v2.
 class UnknowingBroker
 {
 public:
@@ -218,6 +218,8 @@
         m_server.setHandler(wire::Method::RequestSlot,
                             [this](const peer::PeerIdentity &, const std::string &body,
                                    const peer::ResponseCallback &reply) {
+                                if (!requests().empty())
+                                    absl::SleepFor(furtherGrantDelay);
                                 reply(wire::encode(grant(decode<wire::SlotRequest>(body))));
                             });
         m_server.setHandler(wire::Method::ReleaseSlot,
@@ -238,6 +240,9 @@
     }
     ~UnknowingBroker() { m_server.stop(); }
 
+    /// Delay of all grants but the first one.
+    absl::Duration furtherGrantDelay = absl::ZeroDuration();
+
     std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
 
     std::vector<wire::SlotRequest> requests() const
@@ -280,6 +285,7 @@
                 continue;
             response.verdict = wire::SlotOutcome::Granted;
             response.upstream = upstream;
+            response.version = "v" + std::to_string(i);
             response.address = m_upstreams[static_cast<std::size_t>(i - 1)];
             break;
         }
--- a/tests/serving/proxyrequest_stream_test.cpp
+++ b/tests/serving/proxyrequest_stream_test.cpp
@@ -153,6 +153,32 @@
     BOOST_TEST(upstreams.requests().size() == 3u);
 }
 
+// Guards against a stream that is joined from two versions because the slot for its next attempt
+// was requested before its first event: the upstream responds late and then breaks off.
+BOOST_AUTO_TEST_CASE(slotRequestedBeforeTheFirstEventIsNotUsedAtAnotherVersion)
+{
+    Step late = brokenOffStream();
+    late.delay = 250;
+    ScriptedUpstreams upstreams({late, restOfStream()});
+    UnknowingBroker broker(upstreams);
+    // The slot is requested after 180 ms without an event, and granted after the stream broke off.
+    broker.furtherGrantDelay = absl::Milliseconds(400);
+    Entry entry(upstreams, routeOf(RouteKind::Streaming, 3, true), broker.address());
+    const std::string response = entry.sendRequest("a");
+    BOOST_TEST(contains(response, event(2)));
+    BOOST_TEST(!streamBody(response).isComplete);
+    BOOST_TEST(upstreams.requestsAt(1) == 0);
+    const auto requests = broker.requests();
+    BOOST_TEST_REQUIRE(requests.size() == 3u);
+    BOOST_TEST(!requests[1].resumed);
+    BOOST_TEST(requests[2].resumed);
+    BOOST_TEST(requests[2].version == "v1");
+    const auto releases = broker.awaitReleases(2);
+    BOOST_TEST(releases.back().upstream == "u2");
+    BOOST_TEST(releases.back().stream == "a");
+    BOOST_TEST(releases.back().version == "v1");
+}
+
 // Guards against a caller's resumption that goes on at another version than the one that began the
 // stream, or at any version when that is not known.
 BOOST_AUTO_TEST_CASE(resumedStreamGoesOnAtItsVersionOnly)
