--- a/include/rattanrill/serving/crashguard.h
+++ b/include/rattanrill/serving/crashguard.h
@@ -117,6 +117,7 @@
     TimerService &m_timers;
     const Clock &m_clock;
     const std::string m_instance;
+    /// Drawn at random, so that a restarted process does not take over an open trial.
     const std::string m_process;
     const Reporter m_reporter;
     std::uint64_t m_term = 0;
--- a/tests/platform/crashing_request_test.py
+++ b/tests/platform/crashing_request_test.py
@@ -89,8 +89,8 @@
             received = {path: content for path, _, content in Upstream.received
                         if path.startswith("/list/")}
         self.assertEqual(received, {"/list/bad": body, "/list/good": b"sound item"})
-        results = self.read("/lots/job-1?after=0")
-        self.assertEqual([(result["id"], result["state"]) for result in json.loads(results)["results"]],
+        results = json.loads(self.read("/lots/job-1?after=0"))["results"]
+        self.assertEqual([(result["id"], result["state"]) for result in results],
                          [("good", "completed")])
         self.assertEqual(self.read("/items/job-1?id=bad"), body)
 
