--- a/tests/net/freeport.h
+++ b/tests/net/freeport.h
@@ -8,8 +8,8 @@
 inline unsigned short freePort()
 {
     boost::asio::io_context context;
-    const boost::asio::ip::tcp::acceptor acceptor(
-            context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    const boost::asio::ip::tcp::acceptor acceptor(context,
+                                                  {boost::asio::ip::make_address("127.0.0.1"), 0});
     return acceptor.local_endpoint().port();
 }
 
