--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -224,7 +224,7 @@
 {
     if (request.versionKnown)
         return policy::StreamOrigin{request.service, request.version};
-    if (const auto recorded = m_streamOrigins.find(request.stream))
+    if (auto recorded = m_streamOrigins.find(request.stream))
         return recorded;
     if (!m_deployment)
         return std::nullopt;
