Base: Count the time of a suspend in the monotonic clock

Cause: the steady clock stands still while a machine is suspended. A lease, or the age of a list, that began before then counted as shorter than it was for other processes: a leader or relay that woke up stated too low an age. Ruled out: a margin on each lease (a suspend has no bound). The clock now reads CLOCK_BOOTTIME, so a suspend is like a freeze, for which leases and ages are tested already.

--- a/include/rattanrill/base/clock.h
+++ b/include/rattanrill/base/clock.h
@@ -13,8 +13,8 @@
 public:
     virtual ~Clock() = default;
 
-    /// Monotonic time since an arbitrary start; it never decreases. Use it for leases, timeouts and
-    /// rates.
+    /// Monotonic time since an arbitrary start, including the time for which the machine was
+    /// suspended; it never decreases. Use it for leases, timeouts and rates.
     virtual absl::Time now() const = 0;
     /// Wall-clock time. Use it for log lines, due times and retention.
     virtual absl::Time wallNow() const = 0;
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -3,14 +3,17 @@
 #include "absl/time/clock.h"
 
 #include <algorithm>
-#include <chrono>
+#include <ctime>
 
 namespace rattanrill {
 
 absl::Time SystemClock::now() const
 {
-    return absl::UnixEpoch()
-           + absl::FromChrono(std::chrono::steady_clock::now().time_since_epoch());
+    // The steady clock of the standard library stands still while the machine is suspended. A lease
+    // or an age that began before would then seem to last longer than it does for other processes.
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return absl::TimeFromTimespec(time);
 }
 
 absl::Time SystemClock::wallNow() const
