Policy, serving: Infer a stream's version from a later list only; release slots where they were granted

Two faults in the slot broker and its client; the commit holds both because they share its sources.

A process that was cut off or stood still while upstreams of a new version joined, served and left continued such a stream at the old version. Ruled out: refusing at once (each resumption after a loss of all records would be lost).

A grant that came too late was charged twice, by the broker and by the local share; the broker now refunds a grant that was returned unused.

--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -157,11 +157,21 @@
         TimerService::TimerId waitTimer = 0;
     };
 
+    /// A resumption of which the version is not recorded.
+    struct AwaitingRead
+    {
+        wire::SlotRequest request;
+        absl::Time arrivedAt;
+        /// It is rejected at this time.
+        absl::Time until;
+    };
+
     void applyUpstreams();
     bool endLeaving(absl::Time readAt);
     bool recordLeaving(const wire::UpstreamLoad &load, ReportSource source);
     policy::TokenBucket *bucket(const std::string &workspace);
     policy::RateContract contractOf(const Workspace &workspace) const;
+    void refundRate(const std::string &id);
     void releaseSlot(const std::string &task, policy::ReleaseReason reason);
     void decide();
     void applyDecision(const policy::GrantSlot &decision);
@@ -170,7 +180,12 @@
     void rejectOverRate(const std::string &id, absl::Duration wait);
     void reject(const std::string &id, wire::SlotOutcome outcome, absl::Duration retryAfter);
     absl::Duration resumptionWindow() const;
-    std::optional<policy::StreamOrigin> originOf(const wire::SlotRequest &request) const;
+    std::optional<policy::StreamOrigin> recordedOrigin(const wire::SlotRequest &request) const;
+    std::optional<policy::StreamOrigin> onlyOrigin(const wire::SlotRequest &request) const;
+    void awaitRead(const std::string &id, const wire::SlotRequest &request);
+    void resumeAfterRead();
+    void schedule(const std::string &id, const wire::SlotRequest &request,
+                  const std::optional<policy::StreamOrigin> &origin);
     void respond(const std::string &id, const wire::SlotResponse &response);
     void startWaitTimer(const std::string &id);
     void removeRequest(const std::string &id);
@@ -194,6 +209,8 @@
     std::map<std::string, policy::TokenBucket> m_buckets;
     /// By task id.
     std::map<std::string, OnlineRequest> m_online;
+    /// By task id; a subset of m_online.
+    std::map<std::string, AwaitingRead> m_awaitingRead;
     std::map<std::string, BatchHandlers> m_batch;
     TimerService::TimerId m_decisionTimer = 0;
     TimerService::TimerId m_sweepTimer = 0;
--- a/src/policy/tokenbucket.cpp
+++ b/src/policy/tokenbucket.cpp
@@ -58,6 +58,12 @@
     m_level = std::max(m_level - charged, std::min(m_level, -m_contract.burst));
 }
 
+void TokenBucket::refund(absl::Time now, double units)
+{
+    advance(now);
+    m_level = std::min(m_level + units, m_contract.burst);
+}
+
 double TokenBucket::level(absl::Time now) const
 {
     TokenBucket later = *this;
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -17,6 +17,9 @@
 /// Retry-After of a stream whose version is not known here. Another entry may know it.
 constexpr absl::Duration unknownVersionRetryAfter = absl::Milliseconds(300);
 constexpr std::size_t maxReportedStreams = 4096;
+/// Longest wait for a list of upstreams that was read after a resumption arrived: the period of the
+/// reads, the duration of one and the wait of a poll.
+constexpr absl::Duration maxListWait = absl::Seconds(2);
 /// Number of prompt tokens that cost an upstream as much as one output token.
 constexpr double promptTokensPerOutputToken = 100;
 
@@ -113,15 +116,18 @@
                                static_cast<std::int64_t>(std::ceil(slots * share.slotFraction)),
                                upstream.draining, upstream.version});
     }
-    m_versions.setUpstreams(m_clock.now(), m_upstreams);
+    m_versions.setUpstreams(m_clock.now(), m_upstreams, readAt);
     endLeaving(readAt);
     applyUpstreams();
+    resumeAfterRead();
 }
 
 void SlotBroker::confirmUpstreams(absl::Time readAt)
 {
+    m_versions.confirm(readAt);
     if (endLeaving(readAt))
         applyUpstreams();
+    resumeAfterRead();
 }
 
 /// Ends the announcements that the current list disproves. Returns false when there are none.
@@ -177,12 +183,21 @@
     online.callback = std::move(callback);
     std::optional<policy::StreamOrigin> origin;
     if (request.resumed) {
-        origin = originOf(request);
-        if (!origin)
+        origin = recordedOrigin(request);
+        if (!origin && !onlyOrigin(request))
             return reject(id, wire::SlotOutcome::VersionUnknown, unknownVersionRetryAfter);
+        if (!origin)
+            return awaitRead(id, request);
         if (origin->service != request.service)
             return reject(id, wire::SlotOutcome::VersionGone, absl::ZeroDuration());
     }
+    schedule(id, request, origin);
+}
+
+void SlotBroker::schedule(const std::string &id, const wire::SlotRequest &request,
+                          const std::optional<policy::StreamOrigin> &origin)
+{
+    const absl::Time now = m_clock.now();
     policy::TokenBucket *rateBucket = request.chargesRate ? bucket(request.workspace) : nullptr;
     if (rateBucket != nullptr && rateBucket->level(now) < 1)
         return rejectOverRate(id, absl::Seconds((1 - rateBucket->level(now))
@@ -218,20 +233,57 @@
     return longest + m_settings.resumptionMargin;
 }
 
-/// Returns the origin of a stream that has begun. Without a record, it is known only if all
-/// upstreams of the service had the same version for as long as callers resume streams.
-std::optional<policy::StreamOrigin> SlotBroker::originOf(const wire::SlotRequest &request) const
+std::optional<policy::StreamOrigin>
+SlotBroker::recordedOrigin(const wire::SlotRequest &request) const
 {
     if (request.versionKnown)
         return policy::StreamOrigin{request.service, request.version};
-    if (auto recorded = m_streamOrigins.find(request.stream))
-        return recorded;
+    return m_streamOrigins.find(request.stream);
+}
+
+/// Returns the origin of a stream without a record: it is known only if all upstreams of the
+/// service had the same version for as long as callers resume streams.
+std::optional<policy::StreamOrigin> SlotBroker::onlyOrigin(const wire::SlotRequest &request) const
+{
     if (!m_deployment)
         return std::nullopt;
     const auto only = m_versions.onlyVersion(request.service, m_clock.now() - resumptionWindow());
     return only ? std::optional(policy::StreamOrigin{request.service, *only}) : std::nullopt;
 }
 
+/// Holds a resumption until the list has been read after its arrival. The list known now may be
+/// older than the one of the process that began the stream, which may show another version.
+void SlotBroker::awaitRead(const std::string &id, const wire::SlotRequest &request)
+{
+    const absl::Time now = m_clock.now();
+    const absl::Duration wait = std::min(maxListWait, absl::Milliseconds(request.deadlineMs) / 2);
+    m_awaitingRead[id] = {request, now, now + wait};
+    startWaitTimer(id);
+}
+
+/// Decides on the resumptions whose arrival the list of upstreams now covers.
+void SlotBroker::resumeAfterRead()
+{
+    std::vector<std::string> covered;
+    for (const auto &[id, awaiting] : m_awaitingRead) {
+        if (m_versions.isReadSince(awaiting.arrivedAt))
+            covered.push_back(id);
+    }
+    for (const std::string &id : covered) {
+        const auto found = m_awaitingRead.find(id);
+        if (found == m_awaitingRead.end())
+            continue;
+        wire::SlotRequest request = found->second.request;
+        request.deadlineMs -= absl::ToInt64Milliseconds(m_clock.now() - found->second.arrivedAt);
+        m_awaitingRead.erase(found);
+        const auto origin = onlyOrigin(request);
+        if (origin)
+            schedule(id, request, origin);
+        else
+            reject(id, wire::SlotOutcome::VersionUnknown, unknownVersionRetryAfter);
+    }
+}
+
 std::optional<policy::StreamOrigin> SlotBroker::streamOrigin(const std::string &stream) const
 {
     return m_streamOrigins.find(stream);
@@ -253,11 +305,16 @@
     const auto found = m_online.find(id);
     if (found == m_online.end() || !found->second.callback)
         return;
+    if (found->second.waitTimer != 0)
+        m_timers.unsubscribe(found->second.waitTimer);
     found->second.waitTimer = m_timers.subscribeOnce(m_settings.maxResponseDelay, [this, id] {
         const auto pending = m_online.find(id);
         if (pending == m_online.end())
             return;
         pending->second.waitTimer = 0;
+        const auto awaiting = m_awaitingRead.find(id);
+        if (awaiting != m_awaitingRead.end() && awaiting->second.until <= m_clock.now())
+            return reject(id, wire::SlotOutcome::VersionUnknown, unknownVersionRetryAfter);
         wire::SlotResponse response;
         response.verdict = wire::SlotOutcome::Waiting;
         if (const ResponseCallback callback = std::exchange(pending->second.callback, nullptr))
@@ -272,6 +329,7 @@
     const auto found = m_online.find(id);
     if (found == m_online.end())
         return;
+    m_awaitingRead.erase(id);
     OnlineRequest &online = found->second;
     online.isGranted = response.verdict == wire::SlotOutcome::Granted;
     if (online.waitTimer != 0)
@@ -292,6 +350,7 @@
     const auto found = m_online.find(id);
     if (found == m_online.end())
         return;
+    m_awaitingRead.erase(id);
     if (found->second.waitTimer != 0)
         m_timers.unsubscribe(found->second.waitTimer);
     const ResponseCallback pending = std::exchange(found->second.callback, nullptr);
@@ -306,12 +365,25 @@
     // The record of the last grant is wrong if the upstream of an earlier one responded after all.
     if (!release.stream.empty())
         recordStream(release.stream, {release.service, release.version});
+    if (release.upstream.empty())
+        refundRate(id);
     removeRequest(id);
     const auto reason = policy::releaseReasonFromName(release.end);
     releaseSlot(id, reason.value_or(policy::ReleaseReason::Cancelled));
     decide();
 }
 
+/// Returns what the grant of \a id took from the workspace's rate. The requester did not receive
+/// the grant in time and charges the request to its local share, of which it sends a report.
+void SlotBroker::refundRate(const std::string &id)
+{
+    const auto found = m_online.find(id);
+    if (found == m_online.end() || !found->second.isGranted || !found->second.chargesRate)
+        return;
+    if (policy::TokenBucket *rateBucket = bucket(found->second.workspace))
+        rateBucket->refund(m_clock.now(), 1);
+}
+
 void SlotBroker::releaseSlot(const std::string &task, policy::ReleaseReason reason)
 {
     const auto ejection = m_scheduler.release(m_clock.now(), task, reason);
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -67,7 +67,7 @@
             updateBrokerStatus(address, true, Failure());
             if (response.value().verdict == wire::SlotOutcome::Waiting)
                 return acquire(repeatOf(request), callback);
-            recordHeldSlot(request, response.value());
+            recordHeldSlot(request, response.value(), address);
             return callback(response.value(), false);
         }
         updateBrokerStatus(address, false, response.failure());
@@ -117,7 +117,7 @@
                         self->localRequests.erase(request.requestId);
                     if (isGranted && request.chargesRate)
                         self->recordLocalCharge(request.workspace);
-                    self->recordHeldSlot(request, response);
+                    self->recordHeldSlot(request, response, "");
                     callback(response, true);
                 });
     }
@@ -130,7 +130,9 @@
         ++charge->second.requests;
     }
 
-    void recordHeldSlot(const wire::SlotRequest &request, const wire::SlotResponse &response)
+    /// \a broker: address of the broker that granted the slot; empty for the local share.
+    void recordHeldSlot(const wire::SlotRequest &request, const wire::SlotResponse &response,
+                        const std::string &broker)
     {
         if (response.verdict != wire::SlotOutcome::Granted)
             return;
@@ -138,6 +140,7 @@
         granted.slot = {request.requestId, request.service, request.workspace, response.upstream,
                         0};
         granted.deadline = clock.now() + absl::Milliseconds(request.deadlineMs);
+        granted.broker = broker;
         instance = request.instance;
         if (!request.stream.empty())
             localBroker.recordStream(request.stream, {request.service, response.version});
@@ -213,15 +216,20 @@
 
     void release(const wire::SlotRelease &release)
     {
-        heldSlots.erase(release.requestId);
+        const auto held = heldSlots.extract(release.requestId);
         if (!release.stream.empty())
             localBroker.recordStream(release.stream, {release.service, release.version});
         // The broker may have adopted a slot that was granted from the local share.
         if (localRequests.erase(release.requestId) > 0)
             localBroker.release(release);
+        const std::string message = wire::encode(release);
         if (!brokerAddress.empty())
-            channels.channel(brokerAddress)
-                    ->sendOneWay(wire::Method::ReleaseSlot, wire::encode(release));
+            channels.channel(brokerAddress)->sendOneWay(wire::Method::ReleaseSlot, message);
+        // The broker that granted the slot may grant slots on although this process takes another
+        // one for the broker.
+        const std::string granting = held ? held.mapped().broker : std::string();
+        if (!granting.empty() && granting != brokerAddress)
+            channels.channel(granting)->sendOneWay(wire::Method::ReleaseSlot, message);
     }
 
     net::EventLoop &loop;
@@ -237,6 +245,8 @@
     {
         wire::HeldSlot slot;
         absl::Time deadline;
+        /// Address of the broker that granted it; empty for the local share.
+        std::string broker;
     };
     /// Slots granted by the broker and from the local share, by request id.
     std::map<std::string, GrantedSlot> heldSlots;
--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -332,6 +332,10 @@
             slotClient.setDeployment(index);
             setUpstreams(std::vector<std::string>(
                     static_cast<std::size_t>(this->upstreamServers.count())));
+            // The list is read again and again, as in a deployment.
+            loop.timers().subscribeEvery(absl::Milliseconds(20), [this] {
+                slotClient.confirmUpstreams(SystemClock::instance().now());
+            });
             slotClient.setBroker(broker);
             server = std::make_unique<net::Server>(loop, [this](auto exchange) {
                 RoutedRequest request;
@@ -371,7 +375,7 @@
             const std::string address = upstreamServers.address(number);
             list.push_back({"u" + std::to_string(++number), "s", address, "d", 4, false, version});
         }
-        slotClient.setUpstreams(list, 1);
+        slotClient.setUpstreams(list, 1, SystemClock::instance().now());
     }
 
     void setVersions(const std::vector<std::string> &versions)
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -405,7 +405,36 @@
         std::vector<wire::FleetUpstream> list;
         for (const std::string &version : versions)
             list.push_back({"u-" + version, "llm", "u:1", "d", 1, false, version});
-        broker.setUpstreams(list, CapacityShare());
+        broker.setUpstreams(list, CapacityShare(), clock.now());
+    }
+
+    /// Lets time pass in which the list is read each second without a change.
+    void readFor(int seconds)
+    {
+        for (int second = 0; second < seconds; ++second) {
+            timers.advance(absl::Seconds(1));
+            broker.confirmUpstreams(clock.now());
+        }
+    }
+
+    /// Resumes the stream \a stream without a decision, and repeats the request until \a seconds
+    /// have passed. Returns the outcome.
+    std::optional<SlotOutcome> awaitResumption(const std::string &id, const std::string &stream,
+                                               int seconds)
+    {
+        wire::SlotRequest resumed = request(id);
+        resumed.stream = stream;
+        resumed.resumed = true;
+        acquire(resumed);
+        resumed.again = true;
+        for (int step = 0; step < seconds * 20; ++step) {
+            if (last && last->verdict != SlotOutcome::Waiting)
+                return last->verdict;
+            if (last)
+                acquire(resumed);
+            timers.advance(absl::Milliseconds(50));
+        }
+        return std::nullopt;
     }
 
     /// Begins the stream \a id and returns its version.
@@ -430,6 +459,23 @@
 
 } // namespace
 
+// Guards against requests that are refused although the workspace is within its rate: a slow broker
+// counts grants that arrive too late, and the entries' local shares count the same requests.
+BOOST_AUTO_TEST_CASE(grantThatWasNotReceivedIsNotCharged)
+{
+    timers.advance(absl::Seconds(10));
+    for (int request = 0; request < 100; ++request) {
+        const std::string id = std::to_string(request);
+        BOOST_TEST_REQUIRE(tryAcquire(id));
+        broker.release({"e", id, "", ""});
+    }
+    // A slot that was used is charged: the burst is 10 requests.
+    int granted = 0;
+    while (tryAcquire("x" + std::to_string(granted)))
+        release("x" + std::to_string(granted++));
+    BOOST_TEST(granted == 10);
+}
+
 // Guards against a caller's resumption at another version, also when this process lost its slots as
 // the broker.
 BOOST_FIXTURE_TEST_CASE(resumedStreamStaysAtTheVersionOfItsFirstGrant, VersionFixture)
@@ -462,8 +508,35 @@
     setVersions({"v2"});
     BOOST_TEST((resume("c", "a").verdict == SlotOutcome::VersionUnknown));
     // The time limit of streams, and the margin in which the list may lag.
-    timers.advance(absl::Seconds(9));
-    BOOST_TEST((resume("d", "a").verdict == SlotOutcome::Granted));
+    readFor(9);
+    timers.subscribeOnce(absl::Milliseconds(500), [this] { broker.confirmUpstreams(clock.now()); });
+    BOOST_TEST((awaitResumption("d", "a", 1) == SlotOutcome::Granted));
+}
+
+// Guards against a stream of a new version that a process continues at the old one, because its
+// list is older than that of the process which began the stream.
+BOOST_FIXTURE_TEST_CASE(unknownStreamWaitsForALaterRead, VersionFixture)
+{
+    setVersions({"v1"});
+    readFor(9);
+    // The list that arrives next was read before the resumption.
+    const absl::Time formerRead = clock.now();
+    timers.advance(absl::Milliseconds(100));
+    timers.subscribeOnce(absl::Milliseconds(100), [&] { broker.confirmUpstreams(formerRead); });
+    timers.subscribeOnce(absl::Milliseconds(500), [&] { setVersions({"v1", "v2"}); });
+    BOOST_TEST((awaitResumption("b", "a", 1) == SlotOutcome::VersionUnknown));
+}
+
+// Guards against a resumption that waits until its deadline for a list that doesn't come, in a
+// process that is cut off.
+BOOST_FIXTURE_TEST_CASE(unknownStreamIsRefusedWhenTheListIsNotRead, VersionFixture)
+{
+    setVersions({"v1"});
+    readFor(9);
+    timers.advance(absl::Milliseconds(100));
+    const absl::Time start = clock.now();
+    BOOST_TEST((awaitResumption("b", "a", 5) == SlotOutcome::VersionUnknown));
+    BOOST_TEST((clock.now() - start <= absl::Milliseconds(2200)));
 }
 
 // Guards against a resumption that waits for upstreams that left, or continues at another service.
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -67,6 +67,14 @@
                     outcomeOf([&] { return wire::decode<wire::UpstreamLoad>(body); }).value());
             reply(std::string());
         });
+        server.setHandler(wire::Method::ReleaseSlot, [this](const peer::PeerIdentity &,
+                                                            const std::string &body,
+                                                            const peer::ResponseCallback &reply) {
+            absl::MutexLock lock(&mutex);
+            releases.push_back(
+                    outcomeOf([&] { return wire::decode<wire::SlotRelease>(body); }).value());
+            reply(std::string());
+        });
         BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
         thread.run([this] {
             Deployment deployment;
@@ -135,6 +143,7 @@
     mutable absl::Mutex mutex;
     wire::HeldSlots held;
     std::vector<wire::UpstreamLoad> loads;
+    std::vector<wire::SlotRelease> releases;
     absl::Notification reported;
     net::LoopThread thread;
     peer::ChannelPool channels{transport("e")};
@@ -257,4 +266,33 @@
     BOOST_TEST(held.streams[0].version == "v2");
 }
 
+// Guards against slots that stay taken until long after their requests' deadlines, because the
+// entry knew no broker, or another one, when it released them: a new leader of the fleet group does
+// not know at first which store leads.
+BOOST_AUTO_TEST_CASE(slotIsReleasedAtTheBrokerThatGrantedIt)
+{
+    isRepaired = true;
+    absl::Notification granted;
+    thread.run([&] {
+        wire::SlotRequest request;
+        request.requestId = "r";
+        request.instance = "e";
+        request.service = "llm";
+        request.workspace = "w";
+        request.objectiveMs = 300;
+        request.deadlineMs = 5000;
+        client.acquire(request, [&](const wire::SlotResponse &, bool) { granted.Notify(); });
+    });
+    BOOST_REQUIRE(granted.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    thread.run([&] {
+        client.setBroker("");
+        client.release({"e", "r", "u", "served"});
+    });
+    absl::MutexLock lock(&mutex);
+    const auto isReleased = [&] { return !releases.empty(); };
+    BOOST_TEST(mutex.AwaitWithTimeout(absl::Condition(&isReleased), absl::Seconds(5)));
+    BOOST_TEST_REQUIRE(releases.size() == 1u);
+    BOOST_TEST(releases.front().requestId == "r");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
