Net: Read parts of a response together where nobody waits for them

Cause: the leader of the store group reads the streams of all running items, several thousand events a second at 300 machines, each with a wake-up and a read of its own; it grants the slots of all requests besides. Connections can now read at a minimum interval. Ruled out: moving items to other stores (larger change, open).

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -65,6 +65,9 @@
     absl::Duration defaultKeepAlive = absl::Seconds(4);
     /// Maximum number of idle connections per address.
     std::size_t maxIdle = 16;
+    /// Minimum time between two reads of one response. With a time above 0, the parts of a stream
+    /// that arrive meanwhile are handled together; for streams that nobody waits for.
+    absl::Duration readInterval = absl::ZeroDuration();
     /// Time after which retire() closes connections. Until then hasOpenConnections() shows that the
     /// upstream has not crashed.
     absl::Duration retireDelay = absl::Milliseconds(100);
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -192,7 +192,20 @@
         logFault(m_parser->fault());
     if (error || m_parser->state() == ResponseParser::State::Broken)
         return fail(CallStatus::Broken);
-    read();
+    const bool isMoreAvailable = bytes == m_buffer.size();
+    if (m_options.readInterval > absl::ZeroDuration() && !isMoreAvailable)
+        readLater();
+    else
+        read();
+}
+
+void UpstreamConnection::readLater()
+{
+    m_timer.expires_after(absl::ToChronoNanoseconds(m_options.readInterval));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &timerError) {
+        if (!timerError && self->m_state == State::Calling)
+            self->read();
+    });
 }
 
 /// Logs faults other than a lost connection, which the sender of the request reports.
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -52,6 +52,7 @@
     void handleConnect(const boost::system::error_code &error);
     void send();
     void read();
+    void readLater();
     void handleRead(const boost::system::error_code &error, std::size_t bytes);
     void logFault(ResponseFault fault) const;
     bool handleHead(const ResponseHead &head);
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -481,4 +481,38 @@
     }
 }
 
+// Guards against a process that reads hundreds of slow streams event by event and has time for
+// nothing else.
+BOOST_FIXTURE_TEST_CASE(partsOfAResponseAreReadTogether, ConnectionPoolFixture)
+{
+    EndlessServer upstream("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n",
+                           absl::Milliseconds(5));
+    ConnectionPoolOptions options;
+    options.readInterval = absl::Milliseconds(100);
+    std::unique_ptr<ConnectionPool> slowPool;
+    int parts = 0;
+    std::size_t bytes = 0;
+    thread.run([&] {
+        slowPool = std::make_unique<ConnectionPool>(thread.loop(), options);
+        CallHandlers handlers;
+        handlers.onBody = [&](std::string_view part) {
+            ++parts;
+            bytes += part.size();
+        };
+        handlers.onEnd = [](CallStatus) {};
+        Request request;
+        request.method = "GET";
+        request.target = "/";
+        request.headers.add("Host", "h");
+        slowPool->call(upstream.address(), serialize(request), std::move(handlers));
+    });
+    absl::SleepFor(absl::Milliseconds(1050));
+    thread.run([&] {
+        BOOST_TEST(parts >= 2);
+        BOOST_TEST(parts <= 11);
+        BOOST_TEST(bytes > 2 * static_cast<std::size_t>(parts));
+        slowPool.reset();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
