--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -28,8 +28,15 @@
     /// A poll that has received no response after this time fails.
     absl::Duration pollTimeout = absl::Milliseconds(1200);
     /// Further processes are polled when a poll has received no response after this time, or, for
-    /// the poll of a known leader, after pollWait and this time. The poll remains valid.
+    /// the poll of a known leader, after pollWait and this time. The poll remains valid. The delay
+    /// doubles with each further step without a response.
     absl::Duration hedgeDelay = absl::Milliseconds(200);
+    /// Maximum number of addresses that are polled in parallel while no leader is known, not
+    /// counting those that have been silent for the hedge delay. Equal to the number of processes
+    /// that bootstrap the fleet group.
+    std::size_t maxParallelPolls = 3;
+    /// Whether control processes that do not lead may respond to the polls.
+    bool usesRelays = false;
     /// Delay after a failed poll until the next process is polled; doubles with each further failed
     /// one up to maxBackoff.
     absl::Duration minBackoff = absl::Milliseconds(40);
@@ -41,7 +48,9 @@
 {
     std::uint64_t configurationVersion = 0;
     std::string configuration;
+    /// Sorted by instance. Entries are listed for stores only.
     std::vector<wire::FleetMemberStatus> members;
+    std::int64_t liveEntries = 0;
     /// Whether the list of members is complete: the leader has led for longer than the member
     /// timeout, within which every live process should have sent a heartbeat.
     bool membersComplete = false;
@@ -53,8 +62,15 @@
     /// The read that \a upstreams shows started at this time of the local clock or later.
     /// InfinitePast if unknown.
     absl::Time upstreamsReadAt = absl::InfinitePast();
-    /// Term of the leader from which the state is.
+    /// Term of the leader that read \a upstreams.
+    std::uint64_t upstreamsTerm = 0;
+    /// Term of the leader from which the state is, and the leader's sequence number.
     std::uint64_t leaderTerm = 0;
+    std::uint64_t viewSequence = 0;
+    /// Peer address of that leader; empty if unknown.
+    std::string leaderAddress;
+    /// Sequence number of the next two lists.
+    std::uint64_t promptSequence = 0;
     std::vector<wire::BlockedPrompt> blockedPrompts;
     /// Traits of which the beginning of a response must be reported.
     std::vector<std::string> suspectPromptParts;
@@ -62,8 +78,8 @@
 
 /// Registers this process with the leader of the fleet group and keeps a copy of the deployment's
 /// state up to date by long polls. Finds the leader through the seeds, the control processes in the
-/// list of members, and the leader that a non-leader names in its response. Used on the event loop
-/// only.
+/// list of members, and the leader that a non-leader names in its response. A process that uses
+/// relays polls any control process that is in touch with the leader. Used on the event loop only.
 class FleetClient
 {
 public:
@@ -81,9 +97,10 @@
     /// Adds \a listener, which is called when a response without a change of the state shows that
     /// the list of upstreams was the same in a later read. Call before start().
     void onUpstreamsConfirmed(ConfirmationListener listener);
-    /// Sets the function that fills in the store group's fields of each poll: whether this process
-    /// leads the group and, if so, its term and replicas.
-    void setStoreStatusSource(std::function<void(wire::FleetSyncRequest &)> source);
+    /// Sets the function that fills in what a process reports with each poll: a store whether it
+    /// leads the store group and, if so, its term and replicas; a control process the members that
+    /// poll it as a relay.
+    void setStatusSource(std::function<void(wire::FleetSyncRequest &)> source);
     void start();
     /// Sends the leader a heartbeat at once, with the same content as the next poll. Does nothing
     /// while no leader is known.
@@ -91,19 +108,22 @@
     /// Sends \a evidence to the leader. \a done receives, on the event loop and after the return of
     /// this function, whether the leader has received it.
     void reportCrashEvidence(const wire::CrashEvidence &evidence, std::function<void(bool)> done);
+    /// Passes a one-way message of a member on to the leader.
+    void forward(wire::FleetSyncRequest message);
     /// Notifies the leader that this process leaves the deployment, and stops polling.
     void leave();
     void stop();
     /// Replaces the seeds, after the settings have changed.
     void setSeeds(std::vector<std::string> seeds);
     const FleetState &state() const;
-    /// Time since the last successful poll was sent; infinite before the first one.
+    /// Upper bound of the time since the state was the leader's; infinite before the first
+    /// response.
     absl::Duration staleness() const;
     /// Upper bound of the time since the start of the read that the list of upstreams shows;
     /// infinite if unknown.
     absl::Duration upstreamListAge() const;
-    /// Last known peer address of the leader of the fleet group; empty when unknown.
-    std::string leaderAddress() const;
+    /// Peer address of the leader or relay that this process polls; empty when unknown.
+    std::string sourceAddress() const;
 
 private:
     struct Impl;
--- a/include/rattanrill/fleet/fleetservice.h
+++ b/include/rattanrill/fleet/fleetservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "rattanrill/base/clock.h"
+#include "rattanrill/fleet/fleetclient.h"
 #include "rattanrill/fleet/fleetview.h"
 #include "rattanrill/fleet/groupreplica.h"
 #include "rattanrill/fleet/upstreamlistreader.h"
@@ -43,6 +44,10 @@
     /// Sets the source of the list of upstreams that this process received as a member of the
     /// fleet. A new leader marks upstreams as draining by it until it has read the list itself.
     void setMemberListSource(std::function<std::vector<wire::FleetUpstream>()> source);
+    /// Makes this process a relay: while it does not lead, members that accept a relay receive the
+    /// state that \a client receives from the leader, and the leader receives their polls with
+    /// those of \a client. Call before start(); \a client must live until stop().
+    void relayFor(FleetClient &client);
     void start();
     void stop();
     /// Processes with the control role, as candidates for the voters of the fleet group.
--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rattanrill/fleet/distributedview.h"
 #include "rattanrill/fleet/membershipchange.h"
 #include "rattanrill/wire/fleetmessages.h"
 
@@ -27,8 +28,8 @@
     /// Resets the view when this replica becomes the leader in \a term. Discards the members and
     /// upstreams of earlier terms.
     void beginTerm(std::uint64_t term, absl::Time now);
-    std::uint64_t term() const { return m_term; }
-    std::uint64_t sequence() const { return m_sequence; }
+    std::uint64_t term() const { return m_shared.term(); }
+    std::uint64_t sequence() const { return m_shared.sequence(); }
 
     void setRecords(const wire::FleetSnapshot &records);
     const wire::FleetSnapshot &records() const { return m_records; }
@@ -42,20 +43,22 @@
     /// Marks upstreams, by id, as draining until the first complete read of the term, after which
     /// only the list counts.
     void setDrainingMarks(std::set<std::string> upstreams);
-    const std::vector<wire::FleetUpstream> &upstreams() const { return m_upstreams; }
+    const std::vector<wire::FleetUpstream> &upstreams() const { return m_shared.upstreams(); }
     /// Start of the last complete read in this term; InfinitePast before the first one.
     absl::Time upstreamsReadAt() const { return m_upstreamsReadAt; }
     /// Replaces the parts of which the beginning of a response must be reported.
     void setSuspectPromptParts(std::vector<std::string> parts);
+    /// Records the poll of a member and the polls that it received as a relay.
     void recordHeartbeat(const wire::FleetSyncRequest &request, absl::Time now);
     /// Marks processes as not alive after the member timeout without a heartbeat; removes them
-    /// after 10 times the member timeout.
-    void expire(absl::Time now);
+    /// after 10 times the member timeout. All messages that arrived before \a readUpTo have been
+    /// read; later silence says nothing, because messages may still be unread.
+    void expire(absl::Time readUpTo);
 
     /// Whether this replica has led for longer than the member timeout, within which every live
     /// process should have sent a heartbeat.
     bool membersComplete() const { return m_membersComplete; }
-    /// Whether the sender of \a request already has this version of the view.
+    /// Whether the sender of \a request needs no response before its poll ends.
     bool isCurrent(const wire::FleetSyncRequest &request) const;
     /// Whether the sender of \a request already has the blocked and suspect prompt parts. They have
     /// a sequence number of their own, because they may change with each crash of an upstream and
@@ -71,31 +74,22 @@
     std::vector<std::string> initialStoreVoters(absl::Time now) const;
 
 private:
-    struct MemberEntry
-    {
-        wire::FleetMemberStatus status;
-        absl::Time lastHeartbeatAt;
-    };
-
     void updateStoreLeader(const wire::FleetSyncRequest &request);
-    bool isRetiring(const std::string &replica) const;
-    void incrementSequence() { ++m_sequence; }
+    void recordMember(const wire::FleetMember &member, bool leadsStores, absl::Time heardAt);
+    void updateMember(const std::string &instance, bool alive, bool leadsStores);
+    void updateStoreMembers();
+    wire::FleetMemberStatus withStoreFlags(wire::FleetMemberStatus status) const;
 
     const absl::Duration m_memberTimeout;
-    std::uint64_t m_term = 0;
-    std::uint64_t m_sequence = 0;
+    DistributedView m_shared;
     absl::Time m_termStartedAt;
     bool m_membersComplete = false;
     wire::FleetSnapshot m_records;
     std::uint64_t m_promptSequence = 1;
     std::vector<std::string> m_suspectPromptParts;
-    bool m_upstreamsKnown = false;
     absl::Time m_upstreamsReadAt = absl::InfinitePast();
-    std::vector<wire::FleetUpstream> m_upstreams;
-    /// Ids of upstreams known as draining; used until m_upstreamsKnown.
-    std::set<std::string> m_drainingMarks;
-    /// By instance.
-    std::map<std::string, MemberEntry> m_members;
+    /// Time of the last heartbeat, by instance.
+    std::map<std::string, absl::Time> m_heardAt;
     /// Term and replica ids that the leader of the store group has reported.
     std::uint64_t m_storeTerm = 0;
     std::vector<std::string> m_storeReplicas;
--- a/include/rattanrill/fleet/upstreamlist.h
+++ b/include/rattanrill/fleet/upstreamlist.h
@@ -12,6 +12,20 @@
 bool sameUpstreams(const std::vector<wire::FleetUpstream> &left,
                    const std::vector<wire::FleetUpstream> &right);
 
+/// Identifies an entry of the platform's list. The list may show an upstream that has restarted
+/// beside its former entry, with the same id at another address.
+std::string upstreamKey(const wire::FleetUpstream &upstream);
+
+/// Returns the keys of the entries that only one of the lists has or that differ between them.
+std::vector<std::string> changedUpstreamKeys(const std::vector<wire::FleetUpstream> &left,
+                                             const std::vector<wire::FleetUpstream> &right);
+
+/// Applies the changes of a list: replaces the entries of \a list that have the key of one in \a
+/// changed, appends those that it does not have, and removes those with a key in \a removed.
+void applyUpstreamChanges(std::vector<wire::FleetUpstream> &list,
+                          const std::vector<wire::FleetUpstream> &changed,
+                          const std::vector<std::string> &removed);
+
 /// Returns the ids of the draining upstreams of a list.
 std::set<std::string> drainingIds(const std::vector<wire::FleetUpstream> &upstreams);
 
--- a/include/rattanrill/gateway/gateway.h
+++ b/include/rattanrill/gateway/gateway.h
@@ -49,6 +49,8 @@
                    const serving::CancelJobCall &call, const std::string &workspace);
     /// Refuses a request that takes up to \a timeout if this process may end before it. Returns
     /// whether the request was refused.
+    void refuseUnknown(const std::shared_ptr<net::Exchange> &exchange, const std::string &requestId,
+                       const Failure &failure);
     bool refuseBeforeEnd(const std::shared_ptr<net::Exchange> &exchange,
                          const std::string &requestId, absl::Duration timeout);
     void refuse(const std::shared_ptr<net::Exchange> &exchange, const std::string &requestId,
--- a/include/rattanrill/gateway/processsettings.h
+++ b/include/rattanrill/gateway/processsettings.h
@@ -4,6 +4,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,8 @@
     double rateToleranceRequests = 0;
     /// Number of machines with a disk that may be lost at the same time.
     int toleratedFailures = 1;
+    /// Memory that the process may use, in bytes.
+    std::size_t memoryBytes = std::size_t(256) << 20;
 
     std::string peerAddress() const;
     /// Peer addresses of the seeds.
--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -5,6 +5,7 @@
 #include "rattanrill/fleet/groupreplica.h"
 #include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/eventloop.h"
+#include "rattanrill/serving/bufferbudget.h"
 #include "rattanrill/serving/crashguard.h"
 #include "rattanrill/serving/deployment.h"
 #include "rattanrill/serving/protocoladapter.h"
@@ -34,6 +35,8 @@
     std::string failureDomain;
     /// Age of the list of upstreams by which slots are granted, infinite if unknown; for log lines.
     std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
+    /// Bytes of outputs that all items of the process hold together.
+    std::shared_ptr<serving::BufferBudget> buffers = std::make_shared<serving::BufferBudget>();
 };
 
 /// Numbers of items without a result, by what they do.
--- a/include/rattanrill/peer/server.h
+++ b/include/rattanrill/peer/server.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/peer/transport.h"
 
+#include <functional>
 #include <memory>
 
 namespace rattanrill::peer {
@@ -22,6 +23,10 @@
     Result<void> start(const std::string &host, int port);
     /// Port on which the server listens.
     int port() const;
+    /// Calls \a done on the network thread after the messages that had arrived at this process have
+    /// been passed to their handlers. Never calls it after stop(). Tells a slow reader from a
+    /// silent sender.
+    void afterPendingReads(std::function<void()> done);
     /// Closes all connections; no handler runs after return.
     void stop();
 
--- a/include/rattanrill/peer/transport.h
+++ b/include/rattanrill/peer/transport.h
@@ -5,6 +5,7 @@
 
 #include "absl/time/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <string>
@@ -30,12 +31,20 @@
     /// Maximum number of queued bytes per connection. A send that would exceed it fails with
     /// QueueFull.
     std::size_t maxQueuedBytes = 64u << 20;
+    /// Timeout of the first attempt to connect. It doubles with each attempt that times out, up to
+    /// maxConnectTimeout: a process to which hundreds of others connect at once would otherwise
+    /// serve attempts that have already been given up.
     absl::Duration connectTimeout = absl::Seconds(2);
+    absl::Duration maxConnectTimeout = absl::Seconds(2);
     /// Maximum delay between two attempts to connect.
     absl::Duration maxBackoff = absl::Seconds(1);
-    /// Interval between pings. A connection on which nothing arrives for several intervals counts
-    /// as lost, so that calls with long timeouts do not wait for a host that has failed.
+    /// Interval between pings on a connection on which nothing arrives. A connection on which
+    /// nothing arrives for several intervals counts as lost, so that calls with long timeouts do
+    /// not wait for a host that has failed.
     absl::Duration keepAlivePeriod = absl::Seconds(1);
+
+    /// Time within which a connection to a server must be established.
+    absl::Duration handshakeTimeout() const { return std::max(connectTimeout, maxConnectTimeout); }
 };
 
 /// Receives the response body or the failure of a call. Called exactly once.
--- a/include/rattanrill/serving/proxyrequest.h
+++ b/include/rattanrill/serving/proxyrequest.h
@@ -5,6 +5,7 @@
 #include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/eventloop.h"
 #include "rattanrill/net/server.h"
+#include "rattanrill/serving/bufferbudget.h"
 #include "rattanrill/serving/crashguard.h"
 #include "rattanrill/serving/deployment.h"
 #include "rattanrill/serving/protocoladapter.h"
@@ -40,6 +41,10 @@
     /// Age of the process's list of upstreams, infinite if unknown; for log lines.
     std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
     ShutdownState shutdown = {};
+    /// Time since the configuration in force was the newest one.
+    std::function<absl::Duration()> configurationAge = [] { return absl::ZeroDuration(); };
+    /// Bytes of responses that all requests of the process buffer together.
+    std::shared_ptr<BufferBudget> buffers = std::make_shared<BufferBudget>();
 };
 
 /// A caller's request after its route and workspace have been resolved.
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -142,6 +142,14 @@
     bool holdsCopy = false;
 };
 
+/// A member that polls a relay instead of the leader of the fleet group.
+struct RelayedMember
+{
+    FleetMember member;
+    /// Time since the relay received its last poll.
+    std::int64_t ageMs = 0;
+};
+
 /// Request of Method::SyncFleet: a heartbeat and a long poll in one message.
 struct FleetSyncRequest
 {
@@ -163,6 +171,12 @@
     std::uint64_t configurationVersion = 0;
     /// Maximum time for which the leader waits for a change before it responds.
     std::int64_t waitMs = 0;
+    /// Whether the response may contain only what has changed since the sender's view.
+    bool acceptsChanges = false;
+    /// Whether a control process that does not lead may respond with its copy of the view.
+    bool acceptsRelay = false;
+    /// Members that poll the sender instead of the leader.
+    std::vector<RelayedMember> relayed{};
 };
 
 /// Response of Method::SyncFleet. Only the fields up to \a configuration are set if the sender of
@@ -199,6 +213,22 @@
     /// Ids of upstreams that the leader knows as draining without a complete list. They get no
     /// requests, whatever an earlier list shows.
     std::vector<std::string> drainingUpstreams;
+    /// Whether \a members and \a upstreams contain only what has changed since the view that the
+    /// request named. The next two lists then name what was removed.
+    bool containsChangesOnly = false;
+    /// Instances.
+    std::vector<std::string> removedMembers{};
+    /// Keys of upstreams, see fleet::upstreamKey().
+    std::vector<std::string> removedUpstreams{};
+    /// Number of live entries, which the lists of members for entries and control processes leave
+    /// out; -1 from older processes.
+    std::int64_t liveEntries = -1;
+    /// Term of the leader that read the list of upstreams; 0 means \a viewTerm.
+    std::uint64_t upstreamsTerm = 0;
+    /// Time since a relay received its copy of the view from the leader; 0 from the leader.
+    std::int64_t viewAgeMs = 0;
+    /// Peer address of the leader; empty from older processes.
+    std::string leaderAddress{};
 };
 
 /// An attempt that ended with a crash of its upstream before the upstream began to write the
@@ -232,6 +262,8 @@
     std::string process{};
     /// Blocks by which the sender has rejected requests and that have trials left.
     std::vector<BlockedPrompt> rejected{};
+    /// Whether a relay has passed the message on.
+    bool isForwarded = false;
 };
 
 /// Request of Method::RequestSlot, for a slot at an upstream for one request.
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/fleet/fleetclient.h"
 
+#include "polltargets.h"
+
 #include "rattanrill/base/logduration.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
@@ -8,21 +10,56 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace rattanrill::fleet {
 namespace {
 
-/// Maximum number of addresses that are polled in parallel while no leader is known, not counting
-/// those that have been silent for the hedge delay. Equal to the number of processes that bootstrap
-/// the fleet group.
-constexpr std::size_t maxParallelPolls = 3;
 /// Maximum number of polls without a response.
 constexpr std::size_t maxPendingPolls = 9;
 /// Minimum time between two polls of a process that is not the leader. During an election the
 /// processes name the lost leader until they notice its loss.
 constexpr absl::Duration minRepollDelay = absl::Milliseconds(200);
 constexpr absl::Duration evidenceTimeout = absl::Milliseconds(300);
+/// Maximum interval between two steps of a search while polls receive no response. When the whole
+/// fleet is slow, further polls and connections would make it slower.
+constexpr absl::Duration maxSearchInterval = absl::Milliseconds(1600);
+/// Minimum time for which a member stays with a relay before it changes to a preferred one.
+constexpr absl::Duration relayChangePeriod = absl::Seconds(2);
+
+bool precedes(const wire::FleetMemberStatus &status, const std::string &instance)
+{
+    return status.member.instance < instance;
+}
+
+/// Applies changes to a list of members that is sorted by instance.
+void applyMemberChanges(std::vector<wire::FleetMemberStatus> &members,
+                        const wire::FleetSyncResponse &response)
+{
+    const auto find = [&](const std::string &instance) {
+        return std::lower_bound(members.begin(), members.end(), instance, precedes);
+    };
+    for (const std::string &instance : response.removedMembers) {
+        const auto found = find(instance);
+        if (found != members.end() && found->member.instance == instance)
+            members.erase(found);
+    }
+    for (const wire::FleetMemberStatus &status : response.members) {
+        const auto found = find(status.member.instance);
+        if (found != members.end() && found->member.instance == status.member.instance)
+            *found = status;
+        else
+            members.insert(found, status);
+    }
+}
+
+std::int64_t countLiveEntries(const std::vector<wire::FleetMemberStatus> &members)
+{
+    return std::count_if(members.begin(), members.end(), [](const wire::FleetMemberStatus &status) {
+        return status.member.role == wire::MemberRole::Entry && status.alive;
+    });
+}
 
 /// Returns 0 when \a right is greater.
 std::size_t difference(std::size_t left, std::size_t right)
@@ -40,8 +77,12 @@
         , channels(channels)
         , settings(std::move(settings))
         , clock(clock)
+        , targets(this->settings.self, this->settings.usesRelays)
         , backoff(this->settings.minBackoff)
-    {}
+        , searchInterval(this->settings.hedgeDelay)
+    {
+        targets.setSeeds(this->settings.seeds);
+    }
 
     wire::FleetSyncRequest makeRequest() const
     {
@@ -49,29 +90,35 @@
         request.self = settings.self;
         request.viewTerm = viewTerm;
         request.viewSequence = viewSequence;
-        request.promptSequence = promptSequence;
+        request.promptSequence = state.promptSequence;
         request.configurationVersion = state.configurationVersion;
         request.waitMs = absl::ToInt64Milliseconds(settings.pollWait);
-        if (storeStatusSource)
-            storeStatusSource(request);
+        request.acceptsChanges = true;
+        request.acceptsRelay = settings.usesRelays;
+        if (statusSource)
+            statusSource(request);
         return request;
     }
 
     void sendHeartbeat(bool leaving)
     {
-        if (leader.empty())
-            return;
         wire::FleetSyncRequest message = makeRequest();
         message.leaving = leaving;
         message.waitMs = 0;
-        channels.channel(leader)->sendOneWay(wire::Method::SyncFleet, wire::encode(message));
+        sendOneWay(message);
+    }
+
+    void sendOneWay(const wire::FleetSyncRequest &message)
+    {
+        if (!source.empty())
+            channels.channel(source)->sendOneWay(wire::Method::SyncFleet, wire::encode(message));
     }
 
     void reportCrashEvidence(const wire::CrashEvidence &evidence, std::function<void(bool)> done)
     {
-        if (leader.empty() || stopped)
+        if (source.empty() || stopped)
             return loop.post([done = std::move(done)] { done(false); });
-        channels.channel(leader)->call(
+        channels.channel(source)->call(
                 wire::Method::ReportPromptEvidence, wire::encode(evidence), evidenceTimeout,
                 [self = shared_from_this(),
                  done = std::move(done)](const Outcome<std::string> &outcome) {
@@ -90,19 +137,6 @@
                               [&](const auto &poll) { return poll.second > silentSince; }));
     }
 
-    std::vector<std::string> knownAddresses() const
-    {
-        std::vector<std::string> addresses = settings.seeds;
-        for (const wire::FleetMemberStatus &status : state.members) {
-            const std::string &address = status.member.peerAddress;
-            const bool isNew =
-                    std::find(addresses.begin(), addresses.end(), address) == addresses.end();
-            if (status.member.role == wire::MemberRole::Control && isNew)
-                addresses.push_back(address);
-        }
-        return addresses;
-    }
-
     /// Limits how often an address is polled that does not lead to the leader. While the leader is
     /// only slow, each of the others is polled once.
     bool mayPoll(const std::string &address) const
@@ -118,13 +152,13 @@
     /// stays valid, but others are sent beside it.
     std::vector<std::string> nextAddresses()
     {
-        const std::vector<std::string> known = knownAddresses();
+        const std::vector<std::string> &known = targets.order();
         const std::size_t prompt = promptPolls();
-        const std::size_t count = std::min(difference(maxParallelPolls, prompt),
+        const std::size_t count = std::min(difference(settings.maxParallelPolls, prompt),
                                            difference(maxPendingPolls, pendingPolls.size()));
         std::vector<std::string> addresses;
-        if (count > 0 && !leader.empty() && !isPending(leader))
-            addresses.push_back(leader);
+        if (count > 0 && !source.empty() && !isPending(source))
+            addresses.push_back(source);
         for (std::size_t i = 0; i < known.size() && addresses.size() < count; ++i) {
             const std::string &address = known[nextAddressIndex++ % known.size()];
             const bool isChosen =
@@ -135,18 +169,43 @@
         return addresses;
     }
 
-    /// Polls the leader that has just responded. Responses to other polls, which were sent before,
-    /// are ignored from now on.
-    void pollLeader()
+    /// Polls the process that has just responded, or the preferred relay. Responses to other polls,
+    /// which were sent before, are ignored from now on.
+    void pollAgain()
     {
         ++round;
         pendingPolls.clear();
         lastPolls.clear();
         cancelSearch();
-        poll(leader);
+        nextAddressIndex = 0;
+        searchInterval = settings.hedgeDelay;
+        poll(nextSource());
         scheduleSearch(settings.pollWait + settings.hedgeDelay);
     }
 
+    /// A process that is not the preferred relay has responded when that one was lost or unknown.
+    std::string nextSource()
+    {
+        const std::string preferred = targets.preferredRelay();
+        if (preferred.empty() || preferred == source
+            || clock.now() - relayChangedAt < relayChangePeriod)
+            return source;
+        relayChangedAt = clock.now();
+        return preferred;
+    }
+
+    /// Closes the channels to control processes that were polled while this one was searched. Each
+    /// control process would otherwise have a connection from every member.
+    void closeUnusedChannels()
+    {
+        if (!settings.usesRelays)
+            return;
+        for (const std::string &address : std::exchange(polledAddresses, {source})) {
+            if (address != source)
+                channels.remove(address);
+        }
+    }
+
     /// Polls further addresses until one of them responds as the leader.
     void search()
     {
@@ -155,7 +214,8 @@
         followsHint = false;
         for (const std::string &address : nextAddresses())
             poll(address);
-        scheduleSearch(std::min(settings.hedgeDelay, settings.maxBackoff));
+        scheduleSearch(searchInterval);
+        searchInterval = std::min(searchInterval * 2, maxSearchInterval);
     }
 
     /// Calls search() after \a delay at the latest. Returns whether this is sooner than scheduled
@@ -185,6 +245,8 @@
         const absl::Time sentAt = clock.now();
         pendingPolls[address] = sentAt;
         lastPolls[address] = sentAt;
+        if (settings.usesRelays)
+            polledAddresses.insert(address);
         channels.channel(address)->call(wire::Method::SyncFleet, wire::encode(makeRequest()),
                                         settings.pollTimeout,
                                         [self = shared_from_this(), address, sentAt,
@@ -207,22 +269,44 @@
                 outcomeOf([&] { return wire::decode<wire::FleetSyncResponse>(outcome.value()); });
         if (!response.ok())
             return handleFailure(address, response.failure());
-        // A leader whose machine was suspended may not know yet that it was replaced. Its view is
-        // old, and so is its list, whatever its clock shows: clocks stand still meanwhile.
-        if (response.value().viewTerm < viewTerm)
+        // A leader whose machine was suspended may not know yet that it was replaced, and a relay
+        // may have an older copy of the view.
+        if (isOlderView(response.value()))
             return handleFailure(address, notRun(ErrorCode::NotLeader, ""));
-        if (leader != address || !connected) {
+        if (source != address || !connected) {
             log(LogLevel::Info, "fleet-leader-found",
-                {{"peerAddress", address}, {"term", response.value().viewTerm}});
+                {{"peerAddress", address},
+                 {"term", response.value().viewTerm},
+                 {"viewAgeMs", response.value().viewAgeMs}});
         }
-        leader = address;
+        if (source != address)
+            relayChangedAt = clock.now();
+        source = address;
         connected = true;
         followsHint = false;
         backoff = settings.minBackoff;
-        lastSyncSentAt = sentAt;
+        confirmedAt = std::max(confirmedAt, viewTime(response.value(), sentAt));
+        state.leaderAddress = response.value().leaderAddress;
+        targets.setLeader(state.leaderAddress);
         applyResponse(response.value(), sentAt);
-        if (!stopped)
-            pollLeader();
+        if (stopped)
+            return;
+        closeUnusedChannels();
+        pollAgain();
+    }
+
+    bool isOlderView(const wire::FleetSyncResponse &response) const
+    {
+        const bool isSameTerm = response.viewTerm == viewTerm;
+        return response.viewTerm < viewTerm || (isSameTerm && response.viewSequence < viewSequence)
+               || (!isSameTerm && response.containsChangesOnly);
+    }
+
+    /// Time at which the view in a response was the leader's, at the earliest.
+    static absl::Time viewTime(const wire::FleetSyncResponse &response, absl::Time sentAt)
+    {
+        return sentAt + absl::Milliseconds(response.heldMs)
+               - absl::Milliseconds(response.viewAgeMs);
     }
 
     /// Start of the read of the list of upstreams that the leader's view shows, at the earliest.
@@ -236,25 +320,46 @@
                - absl::Milliseconds(response.upstreamsAgeMs);
     }
 
+    static std::uint64_t upstreamsTermOf(const wire::FleetSyncResponse &response)
+    {
+        return response.upstreamsTerm == 0 ? response.viewTerm : response.upstreamsTerm;
+    }
+
     void replaceUpstreams(const wire::FleetSyncResponse &response, absl::Time readAt)
     {
-        std::vector<wire::FleetUpstream> upstreams = response.upstreams;
-        const bool isSameLeader = response.viewTerm == upstreamsTerm;
+        const std::uint64_t listTerm = upstreamsTermOf(response);
+        const bool isSameLeader = listTerm == state.upstreamsTerm;
         // A new leader may have started its read before the last one of the previous leader. What
-        // the later read showed as draining remains so.
-        if (!isSameLeader && readAt < state.upstreamsReadAt)
-            markDraining(upstreams, drainingIds(state.upstreams));
-        const bool isSame = state.upstreamsKnown && sameUpstreams(state.upstreams, upstreams);
+        // the later read showed as draining remains so until the new leader has read later.
+        if (!isSameLeader && readAt < state.upstreamsReadAt) {
+            retainedMarks = drainingIds(state.upstreams);
+            marksReadAt = state.upstreamsReadAt;
+        } else if (!isSameLeader || readAt >= marksReadAt) {
+            retainedMarks.clear();
+        }
+        if (response.containsChangesOnly)
+            applyUpstreamChanges(receivedUpstreams, response.upstreams, response.removedUpstreams);
+        else
+            receivedUpstreams = response.upstreams;
         // The lower bounds of successive responses vary, but a leader never replaces its list by
         // one of an earlier read.
         state.upstreamsReadAt = isSameLeader ? std::max(state.upstreamsReadAt, readAt) : readAt;
-        upstreamsTerm = response.viewTerm;
-        state.upstreams = std::move(upstreams);
+        state.upstreamsTerm = listTerm;
         state.upstreamsKnown = true;
-        if (!isSame)
+        if (updateUpstreams())
             logUpstreams(response);
     }
 
+    /// Returns whether the list in force has changed.
+    bool updateUpstreams()
+    {
+        std::vector<wire::FleetUpstream> upstreams = receivedUpstreams;
+        markDraining(upstreams, retainedMarks);
+        const bool isSame = sameUpstreams(state.upstreams, upstreams);
+        state.upstreams = std::move(upstreams);
+        return !isSame;
+    }
+
     /// Applies what a leader knows that has not read the whole list yet.
     void markUpstreams(const wire::FleetSyncResponse &response)
     {
@@ -284,52 +389,95 @@
             state.configurationVersion = response.configurationVersion;
             state.configuration = response.configuration;
         }
-        if (isNewView) {
-            viewTerm = response.viewTerm;
-            viewSequence = response.viewSequence;
-            state.leaderTerm = response.viewTerm;
-            state.members = response.members;
-            state.membersComplete = response.membersSettled;
-            state.storeFounders = response.storeFounders;
-            // A new leader may not have read the platform's list yet. The list from the previous
-            // leader stays in use until then.
-            if (response.upstreamsKnown)
-                replaceUpstreams(response, readAt);
-            else
-                markUpstreams(response);
-        }
+        const bool hasNewLists = isNewView && applyView(response, readAt);
+        const bool hasNewEntryCount = applyEntryCount(response);
         if (response.promptsIncluded) {
-            promptSequence = response.promptSequence;
+            state.promptSequence = response.promptSequence;
             state.blockedPrompts = response.blockedPrompts;
             state.suspectPromptParts = response.suspectPromptParts;
         }
-        if (isNewView || isNewConfiguration || response.promptsIncluded) {
-            for (const Listener &listener : listeners)
-                listener(state);
-        }
-        if (!isNewView)
-            confirmUpstreams(readAt);
+        const bool isChanged =
+                hasNewLists || hasNewEntryCount || isNewConfiguration || response.promptsIncluded;
+        if (!hasNewLists)
+            confirmUpstreams(readAt, isChanged);
+        if (isChanged)
+            notifyListeners();
     }
 
-    void confirmUpstreams(absl::Time readAt)
+    /// Returns whether a list or flag of the view has changed. A new sequence number alone means a
+    /// change of which this member is not told.
+    bool applyView(const wire::FleetSyncResponse &response, absl::Time readAt)
+    {
+        const bool isSame = response.containsChangesOnly && response.members.empty()
+                            && response.removedMembers.empty() && response.upstreams.empty()
+                            && response.removedUpstreams.empty()
+                            && response.drainingUpstreams.empty()
+                            && response.membersSettled == state.membersComplete
+                            && response.storeFounders == state.storeFounders;
+        viewTerm = response.viewTerm;
+        viewSequence = response.viewSequence;
+        state.leaderTerm = response.viewTerm;
+        state.viewSequence = response.viewSequence;
+        if (isSame)
+            return false;
+        if (response.containsChangesOnly)
+            applyMemberChanges(state.members, response);
+        else
+            state.members = response.members;
+        targets.setMembers(state.members);
+        state.membersComplete = response.membersSettled;
+        state.storeFounders = response.storeFounders;
+        // A new leader may not have read the platform's list yet. The list from the previous
+        // leader stays in use until then.
+        if (response.upstreamsKnown)
+            replaceUpstreams(response, readAt);
+        else
+            markUpstreams(response);
+        return true;
+    }
+
+    /// Returns whether the number of live entries has changed.
+    bool applyEntryCount(const wire::FleetSyncResponse &response)
+    {
+        const std::int64_t count =
+                response.liveEntries < 0 ? countLiveEntries(state.members) : response.liveEntries;
+        return std::exchange(state.liveEntries, count) != count;
+    }
+
+    void notifyListeners() const
+    {
+        for (const Listener &listener : listeners)
+            listener(state);
+    }
+
+    /// \a isNotified: whether the listeners of the state are called anyway.
+    void confirmUpstreams(absl::Time readAt, bool isNotified)
     {
         if (!state.upstreamsKnown || readAt <= state.upstreamsReadAt)
             return;
         state.upstreamsReadAt = readAt;
+        if (!retainedMarks.empty() && readAt >= marksReadAt) {
+            retainedMarks.clear();
+            if (updateUpstreams() && !isNotified)
+                return notifyListeners();
+        }
         for (const ConfirmationListener &listener : confirmationListeners)
             listener(readAt);
     }
 
     void handleFailure(const std::string &address, const Failure &failure)
     {
-        if (address == leader)
+        if (address == source)
             handleLeaderLost(failure);
+        // The preferred relay can't serve this member yet.
+        if (connected && !isPending(source))
+            return poll(source);
         const bool hasHint = failure.code == ErrorCode::NotLeader && !failure.detail.empty();
         const std::string hint = hasHint ? peerAddressOf(failure.detail) : std::string();
         if (hint.empty() || hint == address || isPending(hint))
             return scheduleNextSearch();
         handleLeaderLost(failure);
-        leader = hint;
+        source = hint;
         // Two replicas with outdated state may each name the other as leader. Only one hint in a
         // row is followed without a delay, so that the polls do not alternate between the two.
         if (std::exchange(followsHint, true))
@@ -341,13 +489,13 @@
     {
         if (connected) {
             log(LogLevel::Warning, "fleet-leader-lost",
-                {{"peerAddress", leader},
+                {{"peerAddress", source},
                  {"code", name(failure.code)},
                  {"detail", failure.detail},
                  {"configurationVersion", state.configurationVersion}});
         }
         connected = false;
-        leader.clear();
+        source.clear();
     }
 
     void scheduleNextSearch()
@@ -363,16 +511,24 @@
     peer::ChannelPool &channels;
     FleetClientSettings settings;
     const Clock &clock;
+    PollTargets targets;
     FleetState state;
     std::uint64_t viewTerm = 0;
     std::uint64_t viewSequence = 0;
-    /// Term of the leader that read the list of upstreams.
-    std::uint64_t upstreamsTerm = 0;
-    std::uint64_t promptSequence = 0;
+    /// The list as the leader sent it; the one in force may have further draining upstreams.
+    std::vector<wire::FleetUpstream> receivedUpstreams;
+    /// Ids of upstreams that the previous leader showed as draining in a later read than the
+    /// current one's, which started at \a marksReadAt.
+    std::set<std::string> retainedMarks;
+    absl::Time marksReadAt = absl::InfinitePast();
     std::vector<Listener> listeners;
     std::vector<ConfirmationListener> confirmationListeners;
-    std::function<void(wire::FleetSyncRequest &)> storeStatusSource;
-    std::string leader;
+    std::function<void(wire::FleetSyncRequest &)> statusSource;
+    /// Process that responded last, or that was named as the leader: the leader or a relay.
+    std::string source;
+    absl::Time relayChangedAt = absl::InfinitePast();
+    /// Control processes to which a channel may be open; only of members that use relays.
+    std::set<std::string> polledAddresses;
     std::size_t nextAddressIndex = 0;
     /// Whether the last poll received a valid response.
     bool connected = false;
@@ -388,8 +544,9 @@
     absl::Time searchAt;
     bool stopped = false;
     absl::Duration backoff;
-    /// Time at which the last successful poll was sent.
-    absl::Time lastSyncSentAt = absl::InfinitePast();
+    absl::Duration searchInterval;
+    /// Time at which the state was the leader's, at the earliest.
+    absl::Time confirmedAt = absl::InfinitePast();
 };
 
 FleetClient::FleetClient(net::EventLoop &loop, peer::ChannelPool &channels,
@@ -412,9 +569,9 @@
     m_impl->confirmationListeners.push_back(std::move(listener));
 }
 
-void FleetClient::setStoreStatusSource(std::function<void(wire::FleetSyncRequest &)> source)
+void FleetClient::setStatusSource(std::function<void(wire::FleetSyncRequest &)> source)
 {
-    m_impl->storeStatusSource = std::move(source);
+    m_impl->statusSource = std::move(source);
 }
 
 void FleetClient::start()
@@ -434,6 +591,14 @@
     m_impl->reportCrashEvidence(evidence, std::move(done));
 }
 
+void FleetClient::forward(wire::FleetSyncRequest message)
+{
+    // Not forwarded again, so that two processes with outdated state don't exchange it.
+    message.acceptsRelay = false;
+    if (!m_impl->stopped)
+        m_impl->sendOneWay(message);
+}
+
 void FleetClient::leave()
 {
     if (!m_impl->stopped)
@@ -451,7 +616,7 @@
 
 void FleetClient::setSeeds(std::vector<std::string> seeds)
 {
-    m_impl->settings.seeds = std::move(seeds);
+    m_impl->targets.setSeeds(std::move(seeds));
 }
 
 const FleetState &FleetClient::state() const
@@ -461,7 +626,7 @@
 
 absl::Duration FleetClient::staleness() const
 {
-    return m_impl->clock.now() - m_impl->lastSyncSentAt;
+    return m_impl->clock.now() - m_impl->confirmedAt;
 }
 
 absl::Duration FleetClient::upstreamListAge() const
@@ -469,9 +634,9 @@
     return m_impl->clock.now() - m_impl->state.upstreamsReadAt;
 }
 
-std::string FleetClient::leaderAddress() const
+std::string FleetClient::sourceAddress() const
 {
-    return m_impl->leader;
+    return m_impl->source;
 }
 
 } // namespace rattanrill::fleet
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -2,7 +2,9 @@
 
 #include "crashquarantine.h"
 #include "drainingmarks.h"
+#include "fleetrelay.h"
 
+#include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/fleet/upstreamlist.h"
 
 #include "rattanrill/base/enumnames.h"
@@ -22,6 +24,16 @@
 constexpr absl::Duration checkPeriod = absl::Milliseconds(50);
 /// Maximum delay of the response to a poll, also if the poll requests a longer one.
 constexpr absl::Duration maxPollWait = absl::Seconds(2);
+/// A relay that has not been in touch with the leader for longer than this sends its members to
+/// other relays. Longer than a poll, and short enough that a member receives a new configuration
+/// from another relay in time.
+constexpr absl::Duration maxRelayedViewAge = absl::Milliseconds(1200);
+/// Number of polls that are responded to in a row, and the pause after them. A new configuration
+/// goes to all members at once, and the replica of this process must send its heartbeats meanwhile.
+constexpr int maxResponsesInARow = 4;
+constexpr absl::Duration responsePause = absl::Milliseconds(5);
+/// Delay of the report of members that have begun to poll this relay, to collect further ones.
+constexpr absl::Duration relayReportDelay = absl::Milliseconds(100);
 
 } // namespace
 
@@ -49,6 +61,7 @@
         , replica(replica)
         , clock(clock)
         , view(settings.memberTimeout)
+        , relay(settings.memberTimeout)
         , prompts(std::make_shared<CrashQuarantine>(replica, view, clock))
         , listReader(loop.timers(), clock, discovery, settings.listReader, listHandlers())
     {}
@@ -64,6 +77,8 @@
         Poll poll{std::move(request.value()), std::move(reply), now, now + wait};
         if (leads())
             addPoll(std::move(poll), now);
+        else if (client != nullptr && poll.request.acceptsRelay)
+            addRelayedPoll(std::move(poll), now);
         else if (!otherLeader().empty())
             poll.reply(notRun(ErrorCode::NotLeader, otherLeader()));
         else
@@ -76,16 +91,104 @@
         if (!evidence.ok())
             return reply(evidence.failure());
         if (!leads())
-            return reply(notRun(ErrorCode::NotLeader, otherLeader()));
+            return forwardEvidence(evidence.value(), reply);
         prompts->addEvidence(evidence.value());
         reply(std::string());
         respondToPolls(clock.now());
     }
 
+    void forwardEvidence(wire::CrashEvidence evidence, const peer::ResponseCallback &reply)
+    {
+        // A message is forwarded once, so that two processes with outdated state don't exchange it.
+        if (client == nullptr || evidence.isForwarded)
+            return reply(notRun(ErrorCode::NotLeader, otherLeader()));
+        evidence.isForwarded = true;
+        client->reportCrashEvidence(evidence, [reply](bool isReceived) {
+            if (isReceived)
+                reply(std::string());
+            else
+                reply(notRun(ErrorCode::NotLeader, ""));
+        });
+    }
+
+    void addRelayedPoll(Poll poll, absl::Time now)
+    {
+        if (poll.request.leaving) {
+            relay.removeMember(poll.request.self.instance);
+            return client->forward(poll.request);
+        }
+        if (relay.recordPoll(poll.request, now))
+            scheduleRelayReport();
+        relayedPolls.push_back(std::move(poll));
+        processRelayedPolls(now);
+    }
+
+    void scheduleRelayReport()
+    {
+        if (std::exchange(isRelayReportPending, true))
+            return;
+        loop.timers().subscribeOnce(relayReportDelay, [self = shared_from_this()] {
+            self->isRelayReportPending = false;
+            if (self->client != nullptr)
+                self->client->sendHeartbeat();
+        });
+    }
+
+    /// Responds to the polls of the members that use this process as a relay.
+    void processRelayedPolls(absl::Time now)
+    {
+        if (client == nullptr)
+            return;
+        if (leads()) {
+            for (Poll &poll : std::exchange(relayedPolls, {}))
+                addPoll(std::move(poll), now);
+            return;
+        }
+        if (isPaused)
+            return;
+        int responses = 0;
+        const absl::Duration viewAge = client->staleness();
+        const bool isInTouch = viewAge <= maxRelayedViewAge;
+        const bool hasLostTouch = std::exchange(wasInTouch, isInTouch) && !isInTouch;
+        for (auto poll = relayedPolls.begin(); poll != relayedPolls.end();) {
+            const bool hasEnded = poll->deadline <= now;
+            const bool canRespond = isInTouch && !relay.isBehind(poll->request);
+            if (canRespond && (hasEnded || relay.hasNews(poll->request))) {
+                poll->reply(wire::encode(
+                        relay.makeResponse(poll->request, poll->receivedAt, now, viewAge)));
+                ++responses;
+            } else if (hasEnded || hasLostTouch) {
+                poll->reply(notRun(ErrorCode::NotLeader, ""));
+            } else {
+                ++poll;
+                continue;
+            }
+            poll = relayedPolls.erase(poll);
+            if (responses == maxResponsesInARow)
+                return pauseResponses();
+        }
+    }
+
+    void pauseResponses()
+    {
+        isPaused = true;
+        loop.timers().subscribeOnce(responsePause, [self = shared_from_this()] {
+            self->isPaused = false;
+            const absl::Time now = self->clock.now();
+            if (self->leads())
+                self->respondToPolls(now);
+            self->processRelayedPolls(now);
+        });
+    }
+
     void addPoll(Poll poll, absl::Time now)
     {
         view.recordHeartbeat(poll.request, now);
-        polls.push_back(std::move(poll));
+        // Control processes relay what they receive.
+        if (poll.request.self.role == wire::MemberRole::Control)
+            polls.push_front(std::move(poll));
+        else
+            polls.push_back(std::move(poll));
         respondToPolls(now);
     }
 
@@ -122,6 +225,9 @@
 
     void respondToPolls(absl::Time now)
     {
+        if (isPaused)
+            return;
+        int responses = 0;
         for (auto poll = polls.begin(); poll != polls.end();) {
             const bool mustRespond =
                     poll->deadline <= now || !view.isCurrent(poll->request)
@@ -133,12 +239,15 @@
             }
             poll->reply(wire::encode(makeResponse(*poll, now)));
             poll = polls.erase(poll);
+            if (++responses == maxResponsesInARow)
+                return pauseResponses();
         }
     }
 
     wire::FleetSyncResponse makeResponse(const Poll &poll, absl::Time now) const
     {
         wire::FleetSyncResponse response = view.makeResponse(poll.request);
+        response.leaderAddress = leaderAddress;
         response.heldMs = absl::ToInt64Milliseconds(now - poll.receivedAt);
         // Rounded up, so that the receiver does not consider the list newer than it is.
         if (view.upstreamsReadAt() != absl::InfinitePast())
@@ -147,21 +256,29 @@
         return response;
     }
 
-    void failPolls()
+    /// Ends the polls of this process as the leader. Members that accept a relay stay with it: the
+    /// next leader would otherwise receive the polls of all members at once.
+    void releasePolls()
     {
-        const auto waiting = std::exchange(polls, {});
-        for (const Poll &poll : waiting)
-            poll.reply(notRun(ErrorCode::NotLeader, otherLeader()));
+        const absl::Time now = clock.now();
+        for (Poll &poll : std::exchange(polls, {})) {
+            if (client != nullptr && poll.request.acceptsRelay)
+                addRelayedPoll(std::move(poll), now);
+            else
+                poll.reply(notRun(ErrorCode::NotLeader, otherLeader()));
+        }
     }
 
     void handleLeadershipChange(bool leadsNow)
     {
         isReady = false;
         listReader.stop();
-        failPolls();
+        releasePolls();
         if (!leadsNow)
             return;
-        view.beginTerm(replica.status().term, clock.now());
+        const replication::RaftNodeStatus status = replica.status();
+        leaderAddress = peerAddressOf(status.leader);
+        view.beginTerm(status.term, clock.now());
         view.setDrainingMarks(knownDraining());
         listReader.start();
         readRecords();
@@ -209,19 +326,35 @@
             prompts->beginTerm();
         isReady = true;
         processPollsWithoutLeader(clock.now());
+        processRelayedPolls(clock.now());
         respondToPolls(clock.now());
     }
 
+    /// Determines up to which time all messages that arrived have been read.
+    void checkReads()
+    {
+        if (!awaitReads || std::exchange(isAwaitingReads, true))
+            return;
+        awaitReads([self = shared_from_this(), startedAt = clock.now()] {
+            self->loop.post([self, startedAt] {
+                self->isAwaitingReads = false;
+                self->readUpTo = startedAt;
+            });
+        });
+    }
+
     void checkPollsAndMembers()
     {
+        checkReads();
         processPollsWithoutLeader(clock.now());
+        processRelayedPolls(clock.now());
         if (!leads()) {
             if (!polls.empty())
-                failPolls();
+                releasePolls();
             return;
         }
         const absl::Time now = clock.now();
-        view.expire(now);
+        view.expire(awaitReads ? readUpTo : now);
         prompts->update();
         bootstrapStoreGroup(now);
         respondToPolls(now);
@@ -357,6 +490,20 @@
     GroupReplica &replica;
     const Clock &clock;
     FleetView view;
+    FleetRelay relay;
+    /// Membership of this process, whose copy of the view it relays; null if it relays nothing.
+    FleetClient *client = nullptr;
+    std::list<Poll> relayedPolls;
+    bool wasInTouch = false;
+    bool isRelayReportPending = false;
+    /// Whether polls wait for the end of a pause.
+    bool isPaused = false;
+    /// Peer address of this process, set while it leads.
+    std::string leaderAddress;
+    /// Calls its argument when the network thread has read all messages that had arrived.
+    std::function<void(std::function<void()>)> awaitReads;
+    bool isAwaitingReads = false;
+    absl::Time readUpTo = absl::InfinitePast();
     const std::shared_ptr<CrashQuarantine> prompts;
     std::list<Poll> polls;
     /// Polls that were received while no leader was known.
@@ -385,6 +532,9 @@
 
 void FleetService::install(peer::Server &server)
 {
+    m_impl->awaitReads = [&server](std::function<void()> done) {
+        server.afterPendingReads(std::move(done));
+    };
     server.setHandler(wire::Method::SyncFleet,
                       [impl = m_impl](const peer::PeerIdentity &, std::string body,
                                       peer::ResponseCallback reply) {
@@ -406,6 +556,20 @@
     m_impl->memberListSource = std::move(source);
 }
 
+void FleetService::relayFor(FleetClient &client)
+{
+    m_impl->client = &client;
+    client.onChange([impl = m_impl](const FleetState &state) {
+        impl->relay.update(state);
+        impl->processRelayedPolls(impl->clock.now());
+    });
+    client.onUpstreamsConfirmed(
+            [impl = m_impl](absl::Time readAt) { impl->relay.confirmUpstreams(readAt); });
+    client.setStatusSource([impl = m_impl](wire::FleetSyncRequest &request) {
+        request.relayed = impl->relay.members(impl->clock.now());
+    });
+}
+
 void FleetService::start()
 {
     m_impl->replica.onLeadershipChange(
@@ -424,9 +588,13 @@
     for (const TimerService::TimerId timer : std::exchange(m_impl->timers, {}))
         m_impl->loop.timers().unsubscribe(timer);
     m_impl->listReader.stop();
-    m_impl->failPolls();
-    for (const Impl::Poll &poll : std::exchange(m_impl->pollsWithoutLeader, {}))
-        poll.reply(notRun(ErrorCode::NotLeader, ""));
+    m_impl->client = nullptr;
+    m_impl->releasePolls();
+    for (const auto &polls :
+         {std::exchange(m_impl->pollsWithoutLeader, {}), std::exchange(m_impl->relayedPolls, {})}) {
+        for (const Impl::Poll &poll : polls)
+            poll.reply(notRun(ErrorCode::NotLeader, ""));
+    }
 }
 
 std::vector<VoterCandidate> FleetService::controlCandidates() const
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -21,11 +21,14 @@
            && left.trialProcess == right.trialProcess;
 }
 
-bool sameMember(const wire::FleetMemberStatus &left, const wire::FleetMemberStatus &right)
+bool sameMember(const wire::FleetMember &left, const wire::FleetMember &right)
 {
-    return left.member.replica == right.member.replica
-           && left.member.peerAddress == right.member.peerAddress && left.alive == right.alive
-           && left.leadsStores == right.leadsStores;
+    return left.replica == right.replica && left.peerAddress == right.peerAddress;
+}
+
+bool contains(const std::vector<std::string> &list, const std::string &value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
 }
 
 } // namespace
@@ -36,17 +39,14 @@
 
 void FleetView::beginTerm(std::uint64_t term, absl::Time now)
 {
-    m_term = term;
-    m_sequence = 1;
+    m_shared.reset(term, 1);
+    m_shared.setStoreFounders(m_records.storeFounders);
     m_termStartedAt = now;
     m_membersComplete = false;
     m_promptSequence = 1;
     m_suspectPromptParts.clear();
-    m_upstreamsKnown = false;
     m_upstreamsReadAt = absl::InfinitePast();
-    m_upstreams.clear();
-    m_drainingMarks.clear();
-    m_members.clear();
+    m_heardAt.clear();
     m_storeTerm = 0;
     m_storeReplicas.clear();
 }
@@ -70,38 +70,41 @@
     const std::string document = hasDocument ? records.configuration : m_records.configuration;
     m_records = records;
     m_records.configuration = document;
-    incrementSequence();
+    m_shared.beginChange();
+    m_shared.setStoreFounders(m_records.storeFounders);
+    updateStoreMembers();
 }
 
 void FleetView::setUpstreams(std::vector<wire::FleetUpstream> upstreams, absl::Time readAt)
 {
-    const bool isSame = m_upstreamsKnown && sameUpstreams(upstreams, m_upstreams);
-    m_upstreamsKnown = true;
+    const bool isSame = m_shared.upstreamsKnown() && sameUpstreams(upstreams, m_shared.upstreams());
     m_upstreamsReadAt = readAt;
     if (isSame)
         return;
-    m_upstreams = std::move(upstreams);
-    m_drainingMarks.clear();
-    incrementSequence();
+    m_shared.beginChange();
+    m_shared.setUpstreams(std::move(upstreams), m_shared.term());
 }
 
 void FleetView::applyPage(const std::vector<wire::FleetUpstream> &upstreams)
 {
-    if (!m_upstreamsKnown) {
+    if (!m_shared.upstreamsKnown()) {
         std::set<std::string> marks = drainingIds(upstreams);
-        marks.insert(m_drainingMarks.begin(), m_drainingMarks.end());
+        marks.insert(m_shared.drainingMarks().begin(), m_shared.drainingMarks().end());
         return setDrainingMarks(std::move(marks));
     }
-    if (mergeUpstreams(m_upstreams, upstreams))
-        incrementSequence();
+    std::vector<wire::FleetUpstream> list = m_shared.upstreams();
+    if (!mergeUpstreams(list, upstreams))
+        return;
+    m_shared.beginChange();
+    m_shared.setUpstreams(std::move(list), m_shared.term());
 }
 
 void FleetView::setDrainingMarks(std::set<std::string> upstreams)
 {
-    if (upstreams == m_drainingMarks)
+    if (upstreams == m_shared.drainingMarks())
         return;
-    m_drainingMarks = std::move(upstreams);
-    incrementSequence();
+    m_shared.beginChange();
+    m_shared.setDrainingMarks(std::move(upstreams));
 }
 
 void FleetView::setSuspectPromptParts(std::vector<std::string> parts)
@@ -114,25 +117,55 @@
 
 void FleetView::recordHeartbeat(const wire::FleetSyncRequest &request, absl::Time now)
 {
-    if (request.self.instance.empty())
+    for (const wire::RelayedMember &relayed : request.relayed) {
+        const absl::Time heardAt = now - absl::Milliseconds(relayed.ageMs);
+        if (!relayed.member.instance.empty() && now - heardAt <= m_memberTimeout)
+            recordMember(relayed.member, false, heardAt);
+    }
+    const std::string &instance = request.self.instance;
+    if (instance.empty())
         return;
     if (request.leaving) {
-        if (m_members.erase(request.self.instance) > 0)
-            incrementSequence();
+        if (m_heardAt.erase(instance) == 0)
+            return;
+        m_shared.beginChange();
+        m_shared.removeMember(instance);
         return;
     }
     const bool leadsStores = request.leadsStores && request.storeTerm >= m_storeTerm;
     if (leadsStores)
         updateStoreLeader(request);
-    MemberEntry &memberEntry = m_members[request.self.instance];
+    recordMember(request.self, leadsStores, now);
+}
+
+void FleetView::recordMember(const wire::FleetMember &member, bool leadsStores, absl::Time heardAt)
+{
+    const auto [last, isNew] = m_heardAt.try_emplace(member.instance, heardAt);
+    // A relay that the member has left may report an earlier poll, also of a former process.
+    if (!isNew && heardAt < last->second)
+        return;
+    last->second = heardAt;
+    const auto known = m_shared.members().find(member.instance);
+    const bool isSame = known != m_shared.members().end() && known->second.alive
+                        && known->second.leadsStores == leadsStores
+                        && sameMember(known->second.member, member);
+    if (isSame)
+        return;
     wire::FleetMemberStatus status;
-    status.member = request.self;
+    status.member = member;
     status.alive = true;
     status.leadsStores = leadsStores;
-    if (!sameMember(memberEntry.status, status))
-        incrementSequence();
-    memberEntry.status = std::move(status);
-    memberEntry.lastHeartbeatAt = now;
+    m_shared.beginChange();
+    m_shared.putMember(withStoreFlags(std::move(status)));
+}
+
+void FleetView::updateMember(const std::string &instance, bool alive, bool leadsStores)
+{
+    wire::FleetMemberStatus status = m_shared.members().at(instance);
+    status.alive = alive;
+    status.leadsStores = leadsStores;
+    m_shared.beginChange();
+    m_shared.putMember(status);
 }
 
 /// A former leader of the store group that is partitioned or has stopped counts as alive until the
@@ -142,58 +175,71 @@
     m_storeTerm = request.storeTerm;
     if (m_storeReplicas != request.storeReplicas) {
         m_storeReplicas = request.storeReplicas;
-        incrementSequence();
+        m_shared.beginChange();
+        updateStoreMembers();
     }
-    for (auto &[instance, memberEntry] : m_members) {
-        if (memberEntry.status.leadsStores && instance != request.self.instance) {
-            memberEntry.status.leadsStores = false;
-            incrementSequence();
-        }
+    std::vector<std::string> former;
+    for (const auto &[instance, status] : m_shared.members()) {
+        if (status.leadsStores && instance != request.self.instance)
+            former.push_back(instance);
     }
+    for (const std::string &instance : former)
+        updateMember(instance, m_shared.members().at(instance).alive, false);
 }
 
-void FleetView::expire(absl::Time now)
+wire::FleetMemberStatus FleetView::withStoreFlags(wire::FleetMemberStatus status) const
 {
-    if (!m_membersComplete && now - m_termStartedAt > m_memberTimeout) {
+    status.retiring = contains(m_records.retiringStores, status.member.replica);
+    status.holdsCopy = contains(m_storeReplicas, status.member.replica);
+    return status;
+}
+
+void FleetView::updateStoreMembers()
+{
+    std::vector<wire::FleetMemberStatus> stores;
+    for (const auto &[instance, status] : m_shared.members()) {
+        if (status.member.role == wire::MemberRole::Store)
+            stores.push_back(withStoreFlags(status));
+    }
+    for (const wire::FleetMemberStatus &status : stores)
+        m_shared.putMember(status);
+}
+
+void FleetView::expire(absl::Time readUpTo)
+{
+    if (!m_membersComplete && readUpTo - m_termStartedAt > m_memberTimeout) {
         m_membersComplete = true;
-        incrementSequence();
+        m_shared.beginChange();
+        m_shared.setMembersSettled(true);
     }
-    for (auto entry = m_members.begin(); entry != m_members.end();) {
-        MemberEntry &memberEntry = entry->second;
-        const absl::Duration sinceHeartbeat = now - memberEntry.lastHeartbeatAt;
-        if (memberEntry.status.alive && sinceHeartbeat > m_memberTimeout) {
-            memberEntry.status.alive = false;
-            memberEntry.status.leadsStores = false;
-            incrementSequence();
+    for (auto last = m_heardAt.begin(); last != m_heardAt.end();) {
+        const std::string &instance = last->first;
+        const absl::Duration silence = readUpTo - last->second;
+        if (silence > m_memberTimeout * timeoutsUntilRemoval) {
+            m_shared.beginChange();
+            m_shared.removeMember(instance);
+            last = m_heardAt.erase(last);
+            continue;
         }
-        const bool isExpired = sinceHeartbeat > m_memberTimeout * timeoutsUntilRemoval;
-        entry = isExpired ? m_members.erase(entry) : std::next(entry);
-        if (isExpired)
-            incrementSequence();
+        if (silence > m_memberTimeout && m_shared.members().at(instance).alive)
+            updateMember(instance, false, false);
+        ++last;
     }
 }
 
 bool FleetView::isCurrent(const wire::FleetSyncRequest &request) const
 {
-    return request.viewTerm == m_term && request.viewSequence == m_sequence;
+    return m_shared.isCurrent(request);
 }
 
 bool FleetView::hasCurrentPrompts(const wire::FleetSyncRequest &request) const
 {
-    return request.viewTerm == m_term && request.promptSequence == m_promptSequence;
-}
-
-bool FleetView::isRetiring(const std::string &replica) const
-{
-    const auto &retiring = m_records.retiringStores;
-    return std::find(retiring.begin(), retiring.end(), replica) != retiring.end();
+    return request.viewTerm == term() && request.promptSequence == m_promptSequence;
 }
 
 wire::FleetSyncResponse FleetView::makeResponse(const wire::FleetSyncRequest &request) const
 {
     wire::FleetSyncResponse response;
-    response.viewTerm = m_term;
-    response.viewSequence = m_sequence;
     response.configurationVersion = m_records.configurationVersion;
     if (request.configurationVersion != m_records.configurationVersion)
         response.configuration = m_records.configuration;
@@ -203,32 +249,18 @@
         response.blockedPrompts = m_records.blockedPrompts;
         response.suspectPromptParts = m_suspectPromptParts;
     }
-    if (isCurrent(request))
-        return response;
-    for (const auto &[instance, memberEntry] : m_members) {
-        wire::FleetMemberStatus status = memberEntry.status;
-        const std::string &replica = status.member.replica;
-        status.retiring = isRetiring(replica);
-        status.holdsCopy = std::find(m_storeReplicas.begin(), m_storeReplicas.end(), replica)
-                           != m_storeReplicas.end();
-        response.members.push_back(std::move(status));
-    }
-    response.membersSettled = m_membersComplete;
-    response.storeFounders = m_records.storeFounders;
-    response.upstreamsKnown = m_upstreamsKnown;
-    response.upstreams = m_upstreams;
-    response.drainingUpstreams.assign(m_drainingMarks.begin(), m_drainingMarks.end());
+    m_shared.fill(response, request);
     return response;
 }
 
 std::vector<VoterCandidate> FleetView::voterCandidates(wire::MemberRole role) const
 {
     std::vector<VoterCandidate> candidates;
-    for (const auto &[instance, memberEntry] : m_members) {
-        const wire::FleetMember &member = memberEntry.status.member;
+    for (const auto &[instance, status] : m_shared.members()) {
+        const wire::FleetMember &member = status.member;
         if (m_membersComplete && member.role == role)
-            candidates.push_back({member.replica, member.failureDomain, memberEntry.status.alive,
-                                  isRetiring(member.replica)});
+            candidates.push_back({member.replica, member.failureDomain, status.alive,
+                                  contains(m_records.retiringStores, member.replica)});
     }
     return candidates;
 }
@@ -238,10 +270,10 @@
     std::vector<std::string> voters;
     if (!m_records.storeFounders.empty())
         return voters;
-    for (const auto &[instance, memberEntry] : m_members) {
-        const bool isStore = memberEntry.status.member.role == wire::MemberRole::Store;
-        if (isStore && memberEntry.status.alive && voters.size() < targetStoreVoters)
-            voters.push_back(memberEntry.status.member.replica);
+    for (const auto &[instance, status] : m_shared.members()) {
+        const bool isStore = status.member.role == wire::MemberRole::Store;
+        if (isStore && status.alive && voters.size() < targetStoreVoters)
+            voters.push_back(status.member.replica);
     }
     const bool timedOut = now - m_termStartedAt >= bootstrapTimeout;
     if (voters.size() < targetStoreVoters && !timedOut)
--- a/src/fleet/upstreamlist.cpp
+++ b/src/fleet/upstreamlist.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/fleet/upstreamlist.h"
 
+#include "rattanrill/base/concat.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <map>
@@ -22,6 +24,54 @@
     return std::equal(left.begin(), left.end(), right.begin(), right.end(), sameUpstream);
 }
 
+std::string upstreamKey(const wire::FleetUpstream &upstream)
+{
+    return concat(upstream.id, "@", upstream.address);
+}
+
+std::vector<std::string> changedUpstreamKeys(const std::vector<wire::FleetUpstream> &left,
+                                             const std::vector<wire::FleetUpstream> &right)
+{
+    std::map<std::string, const wire::FleetUpstream *> former;
+    for (const wire::FleetUpstream &upstream : left)
+        former[upstreamKey(upstream)] = &upstream;
+    std::map<std::string, const wire::FleetUpstream *> current;
+    for (const wire::FleetUpstream &upstream : right)
+        current[upstreamKey(upstream)] = &upstream;
+    std::vector<std::string> keys;
+    for (const auto &[key, upstream] : current) {
+        const auto found = former.find(key);
+        if (found == former.end() || !sameUpstream(*found->second, *upstream))
+            keys.push_back(key);
+    }
+    for (const auto &[key, upstream] : former) {
+        if (current.count(key) == 0)
+            keys.push_back(key);
+    }
+    return keys;
+}
+
+void applyUpstreamChanges(std::vector<wire::FleetUpstream> &list,
+                          const std::vector<wire::FleetUpstream> &changed,
+                          const std::vector<std::string> &removed)
+{
+    const std::set<std::string> removedKeys(removed.begin(), removed.end());
+    list.erase(std::remove_if(list.begin(), list.end(),
+                              [&](const wire::FleetUpstream &upstream) {
+                                  return removedKeys.count(upstreamKey(upstream)) != 0;
+                              }),
+               list.end());
+    std::map<std::string, std::size_t> indexes;
+    for (std::size_t index = 0; index < list.size(); ++index)
+        indexes[upstreamKey(list[index])] = index;
+    for (const wire::FleetUpstream &upstream : changed) {
+        const auto [found, isNew] = indexes.try_emplace(upstreamKey(upstream), list.size());
+        if (isNew)
+            list.push_back(upstream);
+        list[found->second] = upstream;
+    }
+}
+
 std::set<std::string> drainingIds(const std::vector<wire::FleetUpstream> &upstreams)
 {
     std::set<std::string> ids;
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -67,6 +67,7 @@
         m_replica->setCandidateSource([this] { return m_fleetService->controlCandidates(); });
         m_fleetService->setMemberListSource(
                 [this] { return m_core->fleetClient().state().upstreams; });
+        m_fleetService->relayFor(m_core->fleetClient());
         m_replica->install(m_core->peerServer());
         m_fleetService->install(m_core->peerServer());
         m_fleetService->start();
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -60,7 +60,10 @@
                     m_slotClient,
                     m_crashGuard,
                     {settings.instance, settings.failureDomain},
-                    [this] { return m_core.fleetClient().upstreamListAge(); }}
+                    [this] { return m_core.fleetClient().upstreamListAge(); },
+                    serving::ShutdownState(),
+                    [this] { return m_core.fleetClient().staleness(); },
+                    responseBuffers(settings)}
         , m_gateway(m_context, m_jobs)
         , m_callerServer(processContext.loop,
                          [this](auto exchange) { m_gateway.serve(std::move(exchange)); })
@@ -113,13 +116,15 @@
     {
         if (state.upstreamsKnown) {
             m_hasUpstreams = true;
-            m_slotClient.setUpstreams(state.upstreams, liveEntries(state).size(),
+            m_slotClient.setUpstreams(state.upstreams, static_cast<std::size_t>(state.liveEntries),
                                       state.upstreamsReadAt);
             closeRemovedUpstreams(state.upstreams);
         }
         m_crashGuard.setBlocks(state.leaderTerm, state.blockedPrompts, state.suspectPromptParts);
         const StoreAddresses stores = storeAddresses(state);
-        m_slotClient.setBroker(stores.leader);
+        // A new leader of the fleet group learns within the member timeout which store leads.
+        if (!stores.leader.empty() || state.membersComplete)
+            m_slotClient.setBroker(stores.leader);
         m_jobs.setStores(stores.all, stores.leader);
         if (const auto newer = m_core.newerDeployment(state, m_deployment))
             applyDeployment(newer);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,12 @@
 constexpr std::size_t maxEarlyRequests = 512;
 /// Retry-After while this entry process has no configuration yet.
 constexpr absl::Duration startRetryAfter = absl::Seconds(1);
+/// A configuration that has not been confirmed for longer than this may lack routes and keys that a
+/// newer one has. Polls confirm it each half second.
+constexpr absl::Duration maxConfigurationAge = absl::Milliseconds(1500);
+/// Retry-After of a request that the configuration in force does not allow while it may be out of
+/// date. Another entry may know a newer one.
+constexpr absl::Duration outdatedRetryAfter = absl::Milliseconds(300);
 /// Retry-After of a failed call to the stores.
 constexpr absl::Duration storeRetryAfter = absl::Milliseconds(500);
 /// Retry-After of a job that exceeds the limit of waiting tokens. Items that run for several
@@ -95,17 +101,17 @@
     const serving::Route *route =
             isJobCall ? nullptr : m_deployment->route(caller.host, request.path());
     if (!isJobCall && route == nullptr)
-        return refuse(exchange, caller.id,
-                      notRun(ErrorCode::UnknownRoute,
-                             concat("the path matches no route for host \"", caller.host, "\"")),
-                      absl::ZeroDuration());
+        return refuseUnknown(
+                exchange, caller.id,
+                notRun(ErrorCode::UnknownRoute,
+                       concat("the path matches no route for host \"", caller.host, "\"")));
     const serving::Workspace *workspace = m_deployment->workspaceOfKey(caller.apiKey);
     const bool needsKey = m_deployment->hasWorkspaces() && (isJobCall || !route->allowsAnonymous);
     if (needsKey && workspace == nullptr)
-        return refuse(exchange, caller.id,
-                      notRun(caller.apiKey.empty() ? ErrorCode::MissingKey : ErrorCode::InvalidKey,
-                             "the API key is missing or belongs to no workspace"),
-                      absl::ZeroDuration());
+        return refuseUnknown(
+                exchange, caller.id,
+                notRun(caller.apiKey.empty() ? ErrorCode::MissingKey : ErrorCode::InvalidKey,
+                       "the API key is missing or belongs to no workspace"));
     if (isJobCall || route->kind == serving::RouteKind::Batch) {
         static const serving::Workspace anonymous;
         return serveJobCall(exchange, caller, workspace == nullptr ? anonymous : *workspace, route);
@@ -132,9 +138,9 @@
         return refuse(exchange, caller.id, call.failure(), absl::ZeroDuration());
     if (auto *submission = std::get_if<serving::SubmitJobCall>(&call.value())) {
         if (route == nullptr)
-            return refuse(exchange, caller.id,
-                          notRun(ErrorCode::UnknownRoute, "the request matches no batch route"),
-                          absl::ZeroDuration());
+            return refuseUnknown(
+                    exchange, caller.id,
+                    notRun(ErrorCode::UnknownRoute, "the request matches no batch route"));
         submission->job.workspace = workspace.name;
         submission->job.route = route->name;
         submission->job.host = caller.host;
@@ -210,6 +216,19 @@
                   });
 }
 
+/// Refuses a request that the configuration in force does not allow. Callers read the error as
+/// final, so it is not sent while a newer configuration may allow the request.
+void Gateway::refuseUnknown(const std::shared_ptr<net::Exchange> &exchange,
+                            const std::string &requestId, const Failure &failure)
+{
+    if (m_context.configurationAge() <= maxConfigurationAge)
+        return refuse(exchange, requestId, failure, absl::ZeroDuration());
+    refuse(exchange, requestId,
+           notRun(ErrorCode::UpstreamUnavailable,
+                  concat(failure.detail, "; the configuration may be out of date")),
+           outdatedRetryAfter);
+}
+
 bool Gateway::refuseBeforeEnd(const std::shared_ptr<net::Exchange> &exchange,
                               const std::string &requestId, absl::Duration timeout)
 {
--- a/src/gateway/processcore.cpp
+++ b/src/gateway/processcore.cpp
@@ -10,9 +10,18 @@
 /// Timeout of an attempt to connect to another process. The kernel resends a lost SYN packet after
 /// one second; a new attempt is faster.
 constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(300);
+/// Longest timeout when attempts time out one after another. Control processes connect to few
+/// others and must find them again at once after a partition. Entries and stores are many: when
+/// they all connect to the same process, it needs seconds for all of them.
+constexpr absl::Duration controlMaxConnectTimeout = absl::Milliseconds(600);
+constexpr absl::Duration memberMaxConnectTimeout = absl::Milliseconds(2400);
 constexpr absl::Duration peerMaxBackoff = absl::Milliseconds(200);
 constexpr absl::Duration peerKeepAlive = absl::Milliseconds(500);
 
+/// Inverse of the part of the memory for buffered responses. A buffer that grows is copied, so it
+/// needs more memory than it has bytes.
+constexpr std::size_t bufferedMemoryPart = 5;
+
 /// Ejections are limited to a few seconds because upstreams recover within seconds. An attempt at
 /// an upstream that has not recovered costs a part of the latency objective.
 const policy::OutlierSettings upstreamOutlier = [] {
@@ -31,11 +40,22 @@
     options.self = peer::PeerIdentity{replica, settings.failureDomain, std::string(name(role))};
     options.clusterSecret = settings.clusterSecret;
     options.connectTimeout = peerConnectTimeout;
+    options.maxConnectTimeout =
+            role == wire::MemberRole::Control ? controlMaxConnectTimeout : memberMaxConnectTimeout;
     options.maxBackoff = peerMaxBackoff;
     options.keepAlivePeriod = peerKeepAlive;
     return options;
 }
 
+/// A server accepts the handshakes of all members, however long they wait.
+peer::TransportOptions serverOptions(const ProcessSettings &settings, wire::MemberRole role,
+                                     const std::string &replica)
+{
+    peer::TransportOptions options = transportOptions(settings, role, replica);
+    options.maxConnectTimeout = memberMaxConnectTimeout;
+    return options;
+}
+
 fleet::FleetClientSettings fleetClientSettings(const ProcessSettings &settings,
                                                wire::MemberRole role, const std::string &replica)
 {
@@ -46,6 +66,12 @@
     result.self.peerAddress = settings.peerAddress();
     result.self.replica = replica;
     result.seeds = settings.seedPeers();
+    // Entries are many and only read the state. Stores and control processes depend on their
+    // leaders in time, and are few enough to poll the fleet leader themselves.
+    if (role == wire::MemberRole::Entry) {
+        result.usesRelays = true;
+        result.maxParallelPolls = 1;
+    }
     return result;
 }
 
@@ -56,7 +82,7 @@
     : m_settings(settings)
     , m_processContext(processContext)
     , m_channels(std::make_unique<peer::ChannelPool>(transportOptions(settings, role, replica)))
-    , m_peerServer(std::make_unique<peer::Server>(transportOptions(settings, role, replica)))
+    , m_peerServer(std::make_unique<peer::Server>(serverOptions(settings, role, replica)))
     , m_fleetClient(std::make_unique<fleet::FleetClient>(
               processContext.loop, *m_channels, fleetClientSettings(settings, role, replica),
               clock()))
@@ -117,6 +143,11 @@
     return std::make_shared<const serving::DeploymentIndex>(std::move(deployment.value()));
 }
 
+std::shared_ptr<serving::BufferBudget> responseBuffers(const ProcessSettings &settings)
+{
+    return std::make_shared<serving::BufferBudget>(settings.memoryBytes / bufferedMemoryPart);
+}
+
 serving::SlotBrokerSettings brokerSettings(const ProcessSettings &settings)
 {
     serving::SlotBrokerSettings result;
--- a/src/gateway/processcore.h
+++ b/src/gateway/processcore.h
@@ -7,6 +7,7 @@
 #include "rattanrill/net/server.h"
 #include "rattanrill/peer/channelpool.h"
 #include "rattanrill/peer/server.h"
+#include "rattanrill/serving/bufferbudget.h"
 #include "rattanrill/serving/slotbroker.h"
 
 #include <memory>
@@ -52,6 +53,9 @@
     std::unique_ptr<net::Server> m_metricsServer;
 };
 
+/// Returns the limit of the bytes of responses that the process buffers.
+std::shared_ptr<serving::BufferBudget> responseBuffers(const ProcessSettings &settings);
+
 /// Returns the settings of a slot broker in this deployment.
 serving::SlotBrokerSettings brokerSettings(const ProcessSettings &settings);
 
--- a/src/gateway/processsettings.cpp
+++ b/src/gateway/processsettings.cpp
@@ -27,6 +27,7 @@
     "listAddress": {"type": "string"},
     "graceSeconds": {"type": "number", "exclusiveMinimum": 0},
     "lossTolerance": {"type": "integer", "minimum": 0},
+    "memoryMegabytes": {"type": "number", "minimum": 16},
     "rateWindowSeconds": {"type": "number", "exclusiveMinimum": 0},
     "rateOver": {"type": "number", "minimum": 0},
     "rateSlack": {"type": "number", "minimum": 0},
@@ -41,6 +42,8 @@
   }
 })";
 
+constexpr double bytesPerMegabyte = 1 << 20;
+
 Result<void> checkAddress(std::string_view key, const std::string &address)
 {
     if (address.empty())
@@ -91,6 +94,8 @@
     result.rateToleranceFraction = settings.value("rateOver", 0.0);
     result.rateToleranceRequests = settings.value("rateSlack", 0.0);
     result.toleratedFailures = settings.value("lossTolerance", 1);
+    result.memoryBytes =
+            static_cast<std::size_t>(settings.value("memoryMegabytes", 256.0) * bytesPerMegabyte);
     BOOST_LEAF_CHECK(checkAddress("callerAddress", result.callerAddress));
     BOOST_LEAF_CHECK(checkAddress("readinessAddress", result.readinessAddress));
     BOOST_LEAF_CHECK(checkAddress("operatorAddress", result.operatorAddress));
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -23,13 +23,25 @@
 /// A list of members that is older than this does not show which processes are alive.
 constexpr absl::Duration maxMemberListAge = absl::Seconds(2);
 
+/// Several events of an item's stream are read at once: the leader of the store group reads the
+/// streams of all running items, and nobody waits for a single event. The interval is short against
+/// the time for which an item runs, because its slot is released this much later.
+constexpr absl::Duration itemReadInterval = absl::Milliseconds(150);
+
+net::ConnectionPoolOptions itemConnectionOptions()
+{
+    net::ConnectionPoolOptions options;
+    options.readInterval = itemReadInterval;
+    return options;
+}
+
 class StoreProcess : public Process
 {
 public:
     StoreProcess(const ProcessSettings &settings, const ProcessContext &processContext)
         : m_settings(settings)
         , m_processContext(processContext)
-        , m_upstreams(processContext.loop, net::ConnectionPoolOptions())
+        , m_upstreams(processContext.loop, itemConnectionOptions())
         , m_broker(processContext.loop.timers(), SystemClock::instance(), brokerSettings(settings))
         , m_upstreamList(processContext.loop.timers(), SystemClock::instance(),
                          processContext.upstreamDiscovery, fleet::BoundedUpstreamListSettings())
@@ -61,7 +73,7 @@
                 [this](const fleet::FleetState &state) { applyState(state); });
         m_core->fleetClient().onUpstreamsConfirmed(
                 [this](absl::Time readAt) { m_upstreamList.confirmDistributed(readAt); });
-        m_core->fleetClient().setStoreStatusSource(
+        m_core->fleetClient().setStatusSource(
                 [this](wire::FleetSyncRequest &request) { fillStoreReport(request); });
         return m_core->start();
     }
@@ -104,7 +116,8 @@
                                                m_crashGuard,
                                                *m_replica,
                                                m_settings.failureDomain,
-                                               [this] { return m_upstreamList.age(); }};
+                                               [this] { return m_upstreamList.age(); },
+                                               responseBuffers(m_settings)};
         m_jobExecutor = std::make_unique<jobs::JobExecutor>(context);
         m_jobService = std::make_unique<jobs::JobService>(context, *m_jobExecutor);
         m_replica->setCandidateSource([this] { return candidates(); });
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -27,6 +27,8 @@
 /// Maximum size of an item's output. An upstream that sends events without end would otherwise keep
 /// its slot and exhaust the memory of the process.
 constexpr std::size_t maxOutputBytes = std::size_t(4) << 20;
+/// Fewer bytes of an item are not counted against the limit of the process.
+constexpr std::size_t minCountedBytes = std::size_t(32) << 10;
 
 /// Time between two checks whether an item that crashes upstreams may run again.
 constexpr absl::Duration holdPeriod = absl::Seconds(1);
@@ -292,10 +294,39 @@
     }
     if (m_splitter.isEventTooLong())
         return failAttempt("an event exceeds the size limit", ReleaseReason::Failed);
+    if (!bufferWithinLimits())
+        return giveUpBuffer();
     if (hasContent)
         restartIdleTimer();
 }
 
+/// Returns false when the items of this process hold too many bytes and this item most of them.
+bool ItemRun::bufferWithinLimits()
+{
+    const std::size_t bytes = m_output.size() + m_splitter.incompleteEvent().size();
+    if (!m_bufferShare && bytes < minCountedBytes)
+        return true;
+    if (!m_bufferShare)
+        m_bufferShare.emplace(m_context.buffers, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->giveUpBuffer();
+        });
+    return m_bufferShare->resize(bytes);
+}
+
+/// Frees the output. The item starts again from its first event.
+void ItemRun::giveUpBuffer()
+{
+    if (m_state == State::Ended)
+        return;
+    discardOutput();
+    m_output.shrink_to_fit();
+    m_splitter.reset();
+    m_bufferShare.reset();
+    if (m_state == State::Running)
+        failAttempt("the items of this process hold too many bytes", ReleaseReason::Failed);
+}
+
 void ItemRun::handleCallEnd(net::CallStatus status)
 {
     if (m_state != State::Running)
@@ -526,6 +557,7 @@
         m_context.upstreamConnections.cancel(m_call);
     m_context.broker.cancelBatch(taskId(*m_job, m_item));
     m_state = State::Ended;
+    m_bufferShare.reset();
     for (TimerService::TimerId *timer : {&m_abandonTimer, &m_backoffTimer, &m_idleTimer})
         cancelTimer(*timer);
 }
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -73,6 +73,8 @@
     void skipLeavingUpstream();
     void handleSuccess();
     void discardOutput();
+    bool bufferWithinLimits();
+    void giveUpBuffer();
     void discardUnnumberedOutput();
     void finish(wire::ItemOutcome outcome, std::string_view reason);
     /// Dead-letters the item when the time limit of its route (serving::Route::abandonAfter)
@@ -105,6 +107,8 @@
     /// Whether the current response is a successful stream.
     bool m_isStream = false;
     serving::EventSplitter m_splitter;
+    /// Bytes of the output and of an incomplete event; empty while there are few.
+    std::optional<serving::BufferShare> m_bufferShare;
     serving::StreamPosition m_position{std::nullopt};
     std::string m_output;
     /// Version of the upstreams that wrote the output.
--- a/src/peer/channelcore.cpp
+++ b/src/peer/channelcore.cpp
@@ -39,6 +39,7 @@
     , m_address(std::move(address))
     , m_network(NetworkThread::instance())
     , m_backoff(initialBackoff)
+    , m_connectTimeout(m_options.connectTimeout)
     , m_connectTimer(m_network.service())
     , m_backoffTimer(m_network.service())
     , m_keepAliveTimer(m_network.service())
@@ -268,7 +269,7 @@
     };
     m_connection->set_fail_handler(handleLoss);
     m_connection->set_close_handler(handleLoss);
-    armTimer(m_connectTimer, m_options.connectTimeout, &ChannelCore::handleConnectTimeout);
+    armTimer(m_connectTimer, m_connectTimeout, &ChannelCore::handleConnectTimeout);
     m_network.endpoint().connect(m_connection);
 }
 
@@ -284,10 +285,13 @@
 
 void ChannelCore::handleConnectTimeout()
 {
-    if (m_state == State::Connecting)
-        failConnection(notRun(ErrorCode::ConnectionLost,
-                              concat("connecting to ", m_address, " took longer than ",
-                                     absl::FormatDuration(m_options.connectTimeout))));
+    if (m_state != State::Connecting)
+        return;
+    const absl::Duration timeout = m_connectTimeout;
+    failConnection(notRun(ErrorCode::ConnectionLost,
+                          concat("connecting to ", m_address, " took longer than ",
+                                 absl::FormatDuration(timeout))));
+    m_connectTimeout = std::min(timeout * 2, m_options.handshakeTimeout());
 }
 
 void ChannelCore::handleOpen(std::uint64_t epoch)
@@ -341,6 +345,7 @@
     m_connected = true;
     m_connectTimer.cancel();
     m_backoff = initialBackoff;
+    m_connectTimeout = m_options.connectTimeout;
     m_periodsWithoutData = 0;
     m_connection->set_max_message_size(m_options.maxMessageBytes);
     armTimer(m_keepAliveTimer, m_options.keepAlivePeriod, &ChannelCore::checkKeepAlive);
@@ -366,8 +371,11 @@
         return failConnection(
                 notRun(ErrorCode::ConnectionLost,
                        concat(m_address, " has sent nothing for several keep-alive periods")));
-    websocketpp::lib::error_code ignored;
-    m_connection->ping("", ignored);
+    // Data has shown within the last period that the connection is alive.
+    if (m_periodsWithoutData > 1) {
+        websocketpp::lib::error_code ignored;
+        m_connection->ping("", ignored);
+    }
     armTimer(m_keepAliveTimer, m_options.keepAlivePeriod, &ChannelCore::checkKeepAlive);
 }
 
@@ -387,6 +395,7 @@
         return;
     dropConnection();
     m_state = State::Backoff;
+    m_connectTimeout = m_options.connectTimeout;
     m_lastFailure = failure;
     // The delay is a random time between half the backoff and the whole backoff, so that the
     // channels to a restarted process do not all reconnect at the same time.
--- a/src/peer/channelcore.h
+++ b/src/peer/channelcore.h
@@ -101,6 +101,8 @@
     /// Failure of the last connection or attempt to connect. Calls fail with it during the backoff.
     Failure m_lastFailure;
     absl::Duration m_backoff;
+    /// Timeout of the next attempt to connect.
+    absl::Duration m_connectTimeout;
     /// Number of keep-alive periods that have started since data or a pong was last received.
     int m_periodsWithoutData = 0;
     Timer m_connectTimer;
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -35,6 +35,11 @@
     return m_impl->core->port();
 }
 
+void Server::afterPendingReads(std::function<void()> done)
+{
+    m_impl->core->afterPendingReads(std::move(done));
+}
+
 void Server::stop()
 {
     m_impl->core->stop();
--- a/src/peer/serverconnection.cpp
+++ b/src/peer/serverconnection.cpp
@@ -107,7 +107,7 @@
     };
     m_socket->set_close_handler(handleClose);
     m_socket->set_fail_handler(handleClose);
-    armTimer(m_server->options().connectTimeout);
+    armTimer(m_server->options().handshakeTimeout());
 }
 
 void ServerConnection::drop()
@@ -222,7 +222,7 @@
          {"code", name(ErrorCode::Timeout)},
          {"detail", m_hello.done()
                             ? "nothing received within the idle timeout"
-                            : "hello exchange did not complete within the connect timeout"}});
+                            : "hello exchange did not complete within the handshake timeout"}});
     drop();
 }
 
--- a/src/peer/servercore.cpp
+++ b/src/peer/servercore.cpp
@@ -7,6 +7,13 @@
 #include <utility>
 
 namespace rattanrill::peer {
+namespace {
+
+/// Number of posted tasks after which each ready socket has been read. Between two of them the
+/// event loop collects the ready sockets once, 128 at a time.
+constexpr int readPasses = 6;
+
+} // namespace
 
 ServerCore::ServerCore(TransportOptions options)
     : m_options(std::move(options))
@@ -51,7 +58,7 @@
     m_endpoint.init_asio(&m_service);
     m_endpoint.set_reuse_addr(true);
     m_endpoint.set_max_message_size(maxHelloBytes);
-    m_endpoint.set_open_handshake_timeout(absl::ToInt64Milliseconds(m_options.connectTimeout));
+    m_endpoint.set_open_handshake_timeout(absl::ToInt64Milliseconds(m_options.handshakeTimeout()));
     m_endpoint.set_open_handler(
             [this](const websocketpp::connection_hdl &handle) { accept(handle); });
 }
@@ -78,6 +85,21 @@
     m_connections.erase(connection);
 }
 
+void ServerCore::afterPendingReads(std::function<void()> done)
+{
+    waitForReads(readPasses, std::move(done));
+}
+
+void ServerCore::waitForReads(int passes, std::function<void()> done)
+{
+    m_service.post([this, passes, done = std::move(done)]() mutable {
+        if (passes > 1)
+            waitForReads(passes - 1, std::move(done));
+        else
+            done();
+    });
+}
+
 void ServerCore::stop()
 {
     if (!m_thread.joinable())
--- a/src/peer/servercore.h
+++ b/src/peer/servercore.h
@@ -4,6 +4,7 @@
 
 #include "rattanrill/peer/transport.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -23,6 +24,7 @@
     void handle(wire::Method method, MethodHandler handler);
     Result<void> start(const std::string &host, int port);
     int port() const { return m_port; }
+    void afterPendingReads(std::function<void()> done);
     void stop();
 
     const TransportOptions &options() const { return m_options; }
@@ -36,6 +38,7 @@
     void setUpEndpoint();
     void accept(const websocketpp::connection_hdl &handle);
     void closeAll();
+    void waitForReads(int passes, std::function<void()> done);
 
     const TransportOptions m_options;
     std::map<wire::Method, MethodHandler> m_handlers;
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -355,6 +355,7 @@
     cancelCall();
     releaseSlot(releaseReason);
     logFailedAttempt(reason);
+    clearBuffer();
     const bool canRetry = (!m_mayHaveRun || mayRunAgain()) && m_attempts < m_route.maxAttempts
                           && hasTimeForAttempt();
     if (!canRetry)
@@ -501,6 +502,7 @@
 void ProxiedRequest::finish(Outcome outcome, std::string_view reason)
 {
     m_state = State::Ended;
+    m_bufferShare.reset();
     auto &timers = m_context.loop.timers();
     for (TimerService::TimerId *timer : {&m_deadlineTimer, &m_responseTimer}) {
         if (*timer != 0)
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -85,6 +85,9 @@
     void headReceived(const net::ResponseHead &head);
     void bodyReceived(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
+    bool bufferWithinLimits();
+    void giveUpBuffer();
+    void clearBuffer();
     void responseBegun();
     bool deliver(const StreamEvent &event);
     void startResponse();
@@ -155,6 +158,8 @@
     /// Age of the process's list of upstreams at the last grant.
     absl::Duration m_upstreamListAge = absl::InfiniteDuration();
     absl::Time m_firstByteAt = absl::InfiniteFuture();
+    /// Bytes of the current attempt and of unsent events; empty while there are few.
+    std::optional<BufferShare> m_bufferShare;
     TimerService::TimerId m_deadlineTimer = 0;
     TimerService::TimerId m_responseTimer = 0;
 };
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -17,6 +17,8 @@
 /// Maximum size of a response that is not a stream: its body is buffered until it is complete, so a
 /// longer one fails the attempt.
 constexpr std::size_t maxBufferedBodyBytes = std::size_t(16) << 20;
+/// Fewer buffered bytes of a request are not counted against the limit of the process.
+constexpr std::size_t minCountedBytes = std::size_t(32) << 10;
 
 } // namespace
 
@@ -71,6 +73,43 @@
     if (m_attempt.body.size() + bytes.size() > maxBufferedBodyBytes)
         return attemptFailed("the response body exceeds the size limit", ReleaseReason::Failed);
     m_attempt.body.append(bytes);
+    if (!bufferWithinLimits())
+        giveUpBuffer();
+}
+
+/// Returns false when the process buffers too much and this request most of it.
+bool ProxiedRequest::bufferWithinLimits()
+{
+    const std::size_t bytes = m_attempt.body.size() + m_attempt.splitter.incompleteEvent().size()
+                              + m_exchange->unsentBytes();
+    if (!m_bufferShare && bytes < minCountedBytes)
+        return true;
+    if (!m_bufferShare)
+        m_bufferShare.emplace(m_context.buffers, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->giveUpBuffer();
+        });
+    return m_bufferShare->resize(bytes);
+}
+
+/// Frees the buffer of this request: ends the attempt if most of it is from the upstream, otherwise
+/// the request, because its caller does not read.
+void ProxiedRequest::giveUpBuffer()
+{
+    if (m_state == State::Ended)
+        return;
+    const std::size_t received =
+            m_attempt.body.size() + m_attempt.splitter.incompleteEvent().size();
+    if (m_exchange->unsentBytes() > received)
+        return callerDisconnected();
+    attemptFailed("the process buffers too many bytes of responses", ReleaseReason::Failed);
+}
+
+void ProxiedRequest::clearBuffer()
+{
+    m_attempt.body = std::string();
+    m_attempt.splitter = EventSplitter();
+    m_bufferShare.reset();
 }
 
 void ProxiedRequest::forwardEvents(std::string_view bytes)
@@ -87,6 +126,8 @@
         responseBegun();
     if (m_attempt.splitter.isEventTooLong())
         return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
+    if (!bufferWithinLimits())
+        return giveUpBuffer();
     if (!hasContent)
         return;
     // The upstream responds after all. If a slot at another one is still granted,
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -39,15 +39,19 @@
 RATTANRILL_WIRE_FIELDS(FleetSnapshot, configurationVersion, configuration, retiringStores,
                        storeFounders, blockedPrompts)
 RATTANRILL_WIRE_FIELDS(FleetMemberStatus, member, alive, leadsStores, retiring, holdsCopy)
+RATTANRILL_WIRE_FIELDS(RelayedMember, member, ageMs)
 RATTANRILL_WIRE_FIELDS(FleetSyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving,
-                       viewTerm, viewSequence, promptSequence, configurationVersion, waitMs)
+                       viewTerm, viewSequence, promptSequence, configurationVersion, waitMs,
+                       acceptsChanges, acceptsRelay, relayed)
 RATTANRILL_WIRE_FIELDS(FleetSyncResponse, viewTerm, viewSequence, upstreamsAgeMs, heldMs,
                        promptSequence, promptsIncluded, blockedPrompts, suspectPromptParts,
                        configurationVersion, configuration, members, membersSettled, storeFounders,
-                       upstreamsKnown, upstreams, drainingUpstreams)
+                       upstreamsKnown, upstreams, drainingUpstreams, containsChangesOnly,
+                       removedMembers, removedUpstreams, liveEntries, upstreamsTerm, viewAgeMs,
+                       leaderAddress)
 RATTANRILL_WIRE_FIELDS(CrashedAttempt, upstream, promptParts, sentAgeMs, crashAgeMs)
 RATTANRILL_WIRE_FIELDS(BegunPart, part, ageMs)
-RATTANRILL_WIRE_FIELDS(CrashEvidence, instance, crashes, begun, process, rejected)
+RATTANRILL_WIRE_FIELDS(CrashEvidence, instance, crashes, begun, process, rejected, isForwarded)
 RATTANRILL_WIRE_FIELDS(SlotRequest, again, requestId, instance, failureDomain, service, workspace,
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded, stream, resumed, versionKnown, version)
--- a/tests/fleet/fleetclient_test.cpp
+++ b/tests/fleet/fleetclient_test.cpp
@@ -10,7 +10,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -339,7 +341,7 @@
     start({leader.address()});
     BOOST_REQUIRE(await([&] { return changes == 4; }, absl::Seconds(10)));
     thread.run([&] {
-        BOOST_TEST(client->leaderAddress() == leader.address());
+        BOOST_TEST(client->sourceAddress() == leader.address());
         client->stop();
     });
     BOOST_TEST(leader.polls() <= 5);
@@ -372,4 +374,92 @@
     BOOST_TEST(polls() == 9);
 }
 
+// Guards against a search that sends ever more polls while the whole fleet is slow: hundreds of
+// members that do so keep the control processes slow.
+BOOST_AUTO_TEST_CASE(searchSlowsDownWhileNothingResponds)
+{
+    const auto ignore = [](const wire::FleetSyncRequest &, const peer::ResponseCallback &) {};
+    std::vector<std::unique_ptr<FakeControl>> unresponsive;
+    std::vector<std::string> addresses;
+    for (int i = 0; i < 8; ++i) {
+        unresponsive.push_back(std::make_unique<FakeControl>(ignore));
+        addresses.push_back(unresponsive.back()->address());
+    }
+    settings.usesRelays = true;
+    settings.maxParallelPolls = 1;
+    settings.pollTimeout = absl::Minutes(10);
+    start(addresses);
+    absl::SleepFor(absl::Seconds(3));
+    int polls = 0;
+    for (const auto &control : unresponsive)
+        polls += control->polls();
+    // At 0, 0.2, 0.6, 1.4 and 3.0 s.
+    BOOST_TEST(polls >= 2);
+    BOOST_TEST(polls <= 5);
+}
+
+// Guards against lists that a member gets wrong, because it receives only what has changed.
+BOOST_AUTO_TEST_CASE(changesAreAppliedToTheLists)
+{
+    FakeControl leader([](const wire::FleetSyncRequest &request, const auto &reply) {
+        wire::FleetSyncResponse response = viewWithList(1);
+        response.upstreams.push_back({"v", "s", "b:1", "d", 8, false});
+        response.members = {controlMember("1"), controlMember("3")};
+        if (request.viewSequence == 1) {
+            response.viewSequence = 2;
+            response.containsChangesOnly = true;
+            response.upstreams = {{"v", "s", "b:1", "d", 8, true},
+                                  {"w", "s", "c:1", "d", 8, false}};
+            response.removedUpstreams = {"u@a:1"};
+            response.members = {controlMember("2")};
+            response.removedMembers = {"1"};
+        }
+        if (request.viewSequence < 2)
+            reply(wire::encode(response));
+    });
+    start({leader.address()});
+    BOOST_REQUIRE(await([this] { return client->state().viewSequence == 2; }));
+    thread.run([this] {
+        const FleetState &state = client->state();
+        BOOST_TEST_REQUIRE(state.upstreams.size() == 2u);
+        BOOST_TEST(state.upstreams[0].id == "v");
+        BOOST_TEST(state.upstreams[0].draining);
+        BOOST_TEST(state.upstreams[1].id == "w");
+        BOOST_TEST_REQUIRE(state.members.size() == 2u);
+        BOOST_TEST(state.members[0].member.instance == "2");
+        BOOST_TEST(state.members[1].member.instance == "3");
+    });
+}
+
+// Guards against a member that goes back to an older state, or stays without a response, when its
+// preferred relay is behind the process that it polled before.
+BOOST_AUTO_TEST_CASE(relayThatIsBehindIsNotUsed)
+{
+    const auto newView = [](const wire::FleetSyncRequest &request, const auto &reply,
+                            const std::string &relay) {
+        wire::FleetSyncResponse response = viewWithList(1);
+        response.viewSequence = std::max<std::uint64_t>(request.viewSequence, 4) + 1;
+        response.members = {controlMember(relay)};
+        response.members.front().alive = true;
+        reply(wire::encode(response));
+    };
+    FakeControl relay([](const wire::FleetSyncRequest &, const auto &reply) {
+        wire::FleetSyncResponse response = viewWithList(1);
+        response.viewSequence = 3;
+        response.upstreams.clear();
+        reply(wire::encode(response));
+    });
+    FakeControl seed([&](const wire::FleetSyncRequest &request, const auto &reply) {
+        newView(request, reply, relay.address());
+    });
+    settings.usesRelays = true;
+    start({seed.address()});
+    BOOST_REQUIRE(await([&] { return relay.polls() > 0; }));
+    std::uint64_t sequence = 0;
+    thread.run([&] { sequence = client->state().viewSequence; });
+    BOOST_TEST(await([&] { return client->state().viewSequence > sequence + 2; },
+                     absl::Milliseconds(500)));
+    thread.run([this] { BOOST_TEST(client->state().upstreams.size() == 1u); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -171,6 +171,80 @@
                          SystemClock::instance()};
 };
 
+/// A control process without a replica that follows the leader, and an entry that polls it.
+struct RelayFixture
+{
+    explicit RelayFixture(const std::string &leaderAddress)
+    {
+        service.install(server);
+        start(server);
+        FleetClientSettings settings;
+        settings.self.instance = "relay";
+        settings.self.role = wire::MemberRole::Control;
+        settings.seeds = {leaderAddress};
+        client = std::make_unique<FleetClient>(thread.loop(), channels, settings,
+                                               SystemClock::instance());
+        thread.run([this] {
+            service.relayFor(*client);
+            service.start();
+            client->start();
+        });
+    }
+    ~RelayFixture()
+    {
+        thread.run([this] {
+            client->stop();
+            service.stop();
+        });
+        server.stop();
+        channels.close();
+    }
+
+    /// Polls as an entry that has received the last response. Returns nullopt for a failure.
+    std::optional<wire::FleetSyncResponse> poll()
+    {
+        wire::FleetSyncRequest request;
+        request.self.instance = "e";
+        request.self.replica = "r";
+        request.acceptsRelay = true;
+        request.waitMs = 100;
+        std::optional<wire::FleetSyncResponse> response;
+        absl::Notification responded;
+        channels.channel(addressOf(server))
+                ->call(wire::Method::SyncFleet, wire::encode(request), absl::Seconds(5),
+                       [&](const Outcome<std::string> &outcome) {
+                           if (outcome.ok())
+                               response = outcomeOf([&] {
+                                              return wire::decode<wire::FleetSyncResponse>(
+                                                      outcome.value());
+                                          }).value();
+                           responded.Notify();
+                       });
+        responded.WaitForNotification();
+        return response;
+    }
+
+    bool awaitResponse(const std::function<bool(const wire::FleetSyncResponse &)> &condition)
+    {
+        const absl::Time end = absl::Now() + drainLimit;
+        while (absl::Now() < end) {
+            if (const auto response = poll(); response && condition(*response))
+                return true;
+            absl::SleepFor(absl::Milliseconds(10));
+        }
+        return false;
+    }
+
+    net::LoopThread thread;
+    peer::ChannelPool channels{transport("relay")};
+    peer::Server server{transport("relay")};
+    GroupReplica replica{thread.loop(), channels, GroupReplicaSettings(), SystemClock::instance()};
+    FakeDiscovery discovery;
+    FleetService service{thread.loop(), replica, discovery, FleetServiceSettings(),
+                         SystemClock::instance()};
+    std::unique_ptr<FleetClient> client;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(FleetServiceTest)
@@ -235,6 +309,32 @@
             absl::Seconds(10)));
 }
 
+// Guards against a leader that serves each of hundreds of members itself, against a relay that
+// keeps a change to itself, and against one that goes on with an old state after it has lost the
+// leader.
+BOOST_AUTO_TEST_CASE(relayServesMembersWhileItIsInTouchWithTheLeader)
+{
+    LeaderFixture leader;
+    leader.discovery.setPage("", {upstream("u", false)}, "");
+    leader.open();
+    BOOST_REQUIRE(leader.awaitResponse([](const auto &response) { return response.upstreamsKnown; },
+                                       absl::Seconds(10)));
+    RelayFixture relay(addressOf(leader.server));
+    BOOST_REQUIRE(relay.awaitResponse(
+            [](const auto &response) { return LeaderFixture::isListed(response, "u", false); }));
+    // The leader knows the member from the relay.
+    BOOST_TEST(leader.awaitResponse([](const auto &response) { return response.liveEntries == 1; },
+                                    absl::Seconds(5)));
+    leader.thread.run([&] { leader.discovery.setPage("", {upstream("u", true)}, ""); });
+    BOOST_TEST(relay.awaitResponse(
+            [](const auto &response) { return LeaderFixture::isListed(response, "u", true); }));
+    leader.server.stop();
+    const absl::Time end = absl::Now() + absl::Seconds(5);
+    while (relay.poll() && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(20));
+    BOOST_TEST(!relay.poll().has_value());
+}
+
 // Guards against a control process that fails polls at once while the leader is unknown. After a
 // power loss all processes wait for the election of a leader; they would poll repeatedly and find
 // the leader only with their next poll.
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -80,6 +80,59 @@
     BOOST_TEST(view.makeResponse(wire::FleetSyncRequest()).members.empty());
 }
 
+// Guards against members that the leader takes for lost because they poll a relay, and against a
+// relay that a member has left and that reports an earlier process of it.
+BOOST_AUTO_TEST_CASE(relayedPollsAreHeartbeats)
+{
+    wire::FleetSyncRequest relay = syncRequest("c", wire::MemberRole::Control);
+    relay.relayed = {{syncRequest("e", wire::MemberRole::Entry).self, 400}};
+    view.recordHeartbeat(relay, start + absl::Milliseconds(500));
+    BOOST_TEST(view.makeResponse(wire::FleetSyncRequest()).liveEntries == 1);
+    wire::FleetSyncRequest formerRelay = syncRequest("d", wire::MemberRole::Control);
+    formerRelay.relayed = relay.relayed;
+    formerRelay.relayed.front().member.replica = "former";
+    formerRelay.relayed.front().ageMs = 900;
+    view.recordHeartbeat(formerRelay, start + absl::Milliseconds(600));
+    for (const wire::FleetMemberStatus &status :
+         view.makeResponse(wire::FleetSyncRequest()).members)
+        BOOST_TEST(status.member.replica != "former");
+    view.expire(start + absl::Milliseconds(2050));
+    BOOST_TEST(view.makeResponse(wire::FleetSyncRequest()).liveEntries == 1);
+    view.expire(start + absl::Milliseconds(2101));
+    BOOST_TEST(view.makeResponse(wire::FleetSyncRequest()).liveEntries == 0);
+}
+
+// Guards against a change of the retiring stores or of the replicas that members do not receive,
+// because only changed records are sent.
+BOOST_AUTO_TEST_CASE(flagsOfStoresAreChanges)
+{
+    view.recordHeartbeat(syncRequest("s", wire::MemberRole::Store), start);
+    wire::FleetSyncRequest request = syncRequest("c", wire::MemberRole::Control);
+    request.acceptsChanges = true;
+    const auto poll = [&] {
+        const wire::FleetSyncResponse response = view.makeResponse(request);
+        request.viewTerm = response.viewTerm;
+        request.viewSequence = response.viewSequence;
+        return response;
+    };
+    poll();
+    wire::FleetSnapshot records;
+    records.retiringStores = {"s:1/x"};
+    view.setRecords(records);
+    BOOST_TEST(!view.isCurrent(request));
+    wire::FleetSyncResponse response = poll();
+    BOOST_TEST_REQUIRE(response.members.size() == 1u);
+    BOOST_TEST(response.members.front().retiring);
+    wire::FleetSyncRequest storeLeader = storeLeaderRequest("s", 1);
+    storeLeader.storeReplicas = {"s:1/x"};
+    view.recordHeartbeat(storeLeader, start);
+    response = poll();
+    BOOST_TEST_REQUIRE(response.members.size() == 1u);
+    BOOST_TEST(response.members.front().holdsCopy);
+    BOOST_TEST(response.members.front().leadsStores);
+    BOOST_TEST(poll().members.empty());
+}
+
 // Guards against a new leader that replaces voters that are alive, because it has not received
 // their first heartbeats yet.
 BOOST_AUTO_TEST_CASE(newLeaderHasNoCandidatesBeforeTheMemberTimeout)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -78,6 +78,18 @@
                             "GET /x HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: close\r\n\r\n");
     }
 
+    /// Applies a configuration without routes that was the newest one \a age ago.
+    void setConfigurationWithoutRoutes(absl::Duration age)
+    {
+        thread.run([&] {
+            context.configurationAge = [age] { return age; };
+            serving::Deployment deployment;
+            deployment.version = 1;
+            gateway->setDeployment(
+                    std::make_shared<const serving::DeploymentIndex>(std::move(deployment)));
+        });
+    }
+
     net::LoopThread thread;
     net::EventLoop &loop = thread.loop();
     Metrics metrics;
@@ -127,6 +139,21 @@
     BOOST_TEST((absl::Now() - start < absl::Seconds(3)));
 }
 
+// Guards against a final error for a route that a newer configuration has, while this process is
+// cut off or slow to receive it (DENIED).
+BOOST_AUTO_TEST_CASE(unknownRouteOfAnOutdatedConfigurationIsRefusedForNow)
+{
+    setConfigurationWithoutRoutes(absl::Seconds(2));
+    const std::string response = sendRequest();
+    BOOST_TEST(response.find("503") != std::string::npos);
+    BOOST_TEST(response.find("may be out of date") != std::string::npos);
+    // The adapter of the tests distinguishes the errors by their text only.
+    setConfigurationWithoutRoutes(absl::Milliseconds(600));
+    const std::string final = sendRequest();
+    BOOST_TEST(final.find("no route for host") != std::string::npos);
+    BOOST_TEST(final.find("may be out of date") == std::string::npos);
+}
+
 // Guards against a request that is sent to an upstream, and abandoned there, although it arrives so
 // late in a graceful stop that the process may end before its deadline.
 BOOST_AUTO_TEST_CASE(requestThatMayOutlastTheProcessIsRefused)
--- a/tests/peer/channel_test.cpp
+++ b/tests/peer/channel_test.cpp
@@ -5,11 +5,13 @@
 #include "rattanrill/peer/server.h"
 
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <memory>
 #include <vector>
 
 using namespace rattanrill;
@@ -281,4 +283,80 @@
     checkFailure(callAndWait(*pool.channel(address), ""), ErrorCode::Stopped, EffectState::NotRun);
 }
 
+// Guards against hundreds of processes that keep a slow one busy with attempts to connect which
+// they have already given up: the attempts become longer, and with them rarer.
+BOOST_AUTO_TEST_CASE(attemptsToASlowServerBecomeLonger)
+{
+    namespace asio = boost::asio;
+    asio::io_context context;
+    // The kernel establishes the connections, and nothing accepts them.
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    acceptor.non_blocking(true);
+    TransportOptions options = optionsOf("client");
+    options.connectTimeout = absl::Milliseconds(100);
+    options.maxConnectTimeout = absl::Milliseconds(800);
+    options.maxBackoff = absl::Milliseconds(20);
+    ChannelPool channels(options);
+    channels.channel(addressOf(acceptor.local_endpoint().port()))
+            ->sendOneWay(wire::Method::Read, "x");
+    absl::SleepFor(absl::Milliseconds(2500));
+    channels.close();
+    int attempts = 0;
+    boost::system::error_code error;
+    while (!error) {
+        asio::ip::tcp::socket socket(context);
+        acceptor.accept(socket, error);
+        attempts += error ? 0 : 1;
+    }
+    // At 0, 0.1, 0.3, 0.7, 1.5 and 2.3 s.
+    BOOST_TEST(attempts >= 3);
+    BOOST_TEST(attempts <= 6);
+}
+
+// Guards against a silent process that is only unread: messages that had arrived must be handled
+// before the silence of their senders counts.
+BOOST_AUTO_TEST_CASE(pendingReadsAreHandledFirst)
+{
+    constexpr int senders = 40;
+    std::atomic<int> calls{0};
+    absl::Notification blocked;
+    absl::Notification released;
+    Server server(optionsOf("server"));
+    server.setHandler(wire::Method::Read,
+                      [&](const PeerIdentity &, std::string body, ResponseCallback reply) {
+                          ++calls;
+                          reply(std::move(body));
+                      });
+    server.setHandler(wire::Method::GrantRate, [&](const PeerIdentity &, const std::string &,
+                                                   const ResponseCallback &reply) {
+        blocked.Notify();
+        released.WaitForNotification();
+        reply(std::string());
+    });
+    BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
+    const std::string address = addressOf(server.port());
+    std::vector<std::unique_ptr<ChannelPool>> pools;
+    for (int i = 0; i < senders; ++i) {
+        pools.push_back(std::make_unique<ChannelPool>(optionsOf("client")));
+        BOOST_REQUIRE(callAndWait(*pools.back()->channel(address), "x").ok());
+    }
+    pools.front()->channel(address)->sendOneWay(wire::Method::GrantRate, "");
+    blocked.WaitForNotification();
+    for (const auto &pool : pools)
+        pool->channel(address)->sendOneWay(wire::Method::Read, "y");
+    absl::SleepFor(absl::Milliseconds(200));
+    absl::Notification done;
+    int callsWhenDone = 0;
+    server.afterPendingReads([&] {
+        callsWhenDone = calls;
+        done.Notify();
+    });
+    released.Notify();
+    done.WaitForNotification();
+    BOOST_TEST(callsWhenDone == 2 * senders);
+    server.stop();
+    for (const auto &pool : pools)
+        pool->close();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
