Serving: Keep the slots of processes that are not listed as live yet

A request is now an orphan only if it is older than 1.5 s; a lost process has been silent for 2 s. The existing case slotsOfALostProcessAreReclaimed lets these 2 s pass, as they do in a deployment, and checks as much; the new case guards the start.

--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -149,6 +149,7 @@
         std::string service;
         bool chargesRate = false;
         bool isGranted = false;
+        absl::Time requestedAt;
         absl::Time expires;
         /// Null while no request is pending, between an outcome Waiting and the repeated request.
         ResponseCallback callback;
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace rattanrill::serving {
@@ -17,6 +18,9 @@
 /// Retry-After of a stream whose version is not known here. Another entry may know it.
 constexpr absl::Duration unknownVersionRetryAfter = absl::Milliseconds(300);
 constexpr std::size_t maxReportedStreams = 4096;
+/// An instance that has just started may request slots before the list of live instances shows it.
+/// One that was lost has been silent for longer than this.
+constexpr absl::Duration minOrphanAge = absl::Milliseconds(1500);
 /// Longest wait for a list of upstreams that was read after a resumption arrived: the period of the
 /// reads, the duration of one and the wait of a poll.
 constexpr absl::Duration maxListWait = absl::Seconds(2);
@@ -179,6 +183,7 @@
     online.stream = request.stream;
     online.service = request.service;
     online.chargesRate = request.chargesRate;
+    online.requestedAt = now;
     online.expires = now + absl::Milliseconds(request.deadlineMs) + m_settings.reclaimDelay;
     online.callback = std::move(callback);
     std::optional<policy::StreamOrigin> origin;
@@ -420,6 +425,7 @@
         online.instance = held.instance;
         online.workspace = slot.workspace;
         online.isGranted = true;
+        online.requestedAt = now;
         online.expires = now + absl::Milliseconds(slot.deadlineMs) + m_settings.reclaimDelay;
     }
 }
@@ -499,9 +505,11 @@
 
 void SlotBroker::setLiveInstances(const std::vector<std::string> &instances)
 {
+    const absl::Time orphanedBefore = m_clock.now() - minOrphanAge;
+    const std::set<std::string> live(instances.begin(), instances.end());
     std::vector<std::string> orphaned;
     for (const auto &[id, online] : m_online) {
-        if (std::find(instances.begin(), instances.end(), online.instance) == instances.end())
+        if (live.count(online.instance) == 0 && online.requestedAt <= orphanedBefore)
             orphaned.push_back(id);
     }
     for (const std::string &id : orphaned) {
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -119,6 +119,21 @@
     BOOST_TEST(upstreams.requests().size() == 1u);
 }
 
+// Guards against a process that keeps what faulty upstreams send without end, each within the limit
+// of one response, until it has no memory left.
+BOOST_AUTO_TEST_CASE(responsesTogetherAreBounded)
+{
+    ScriptedUpstreams upstreams(
+            {{"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", false, 0, std::string(65536, 'z')}});
+    Entry entry(upstreams, routeOf(RouteKind::NonIdempotent, 1));
+    const auto buffers = std::make_shared<BufferBudget>(std::size_t(1) << 20);
+    entry.thread.run([&] { entry.context.buffers = buffers; });
+    const std::string response = entry.sendRequest("a");
+    BOOST_TEST(contains(response, "HTTP/1.1 502"));
+    BOOST_TEST(contains(response, "buffers too many bytes"));
+    entry.thread.run([&] { BOOST_TEST(buffers->usedBytes() == 0u); });
+}
+
 // Guards against a whole response without a length that is refused or cut.
 BOOST_AUTO_TEST_CASE(wholeResponseWithoutLengthIsForwarded)
 {
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -248,6 +248,8 @@
 {
     broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
     BOOST_TEST(tryAcquire("lost"));
+    // A process counts as lost after 2 s of silence.
+    timers.advance(absl::Seconds(2));
     broker.setLiveInstances({"other"});
     BOOST_TEST(tryAcquire("next"));
 }
@@ -459,6 +461,16 @@
 
 } // namespace
 
+// Guards against an upstream that gets more requests than it has slots, because the slot of a process
+// that has just started, and is not listed as live yet, is granted again.
+BOOST_AUTO_TEST_CASE(slotOfAProcessThatIsNotListedYetStaysTaken)
+{
+    broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
+    BOOST_TEST(tryAcquire("a"));
+    broker.setLiveInstances({});
+    BOOST_TEST(!tryAcquire("b"));
+}
+
 // Guards against requests that are refused although the workspace is within its rate: a slow broker
 // counts grants that arrive too late, and the entries' local shares count the same requests.
 BOOST_AUTO_TEST_CASE(grantThatWasNotReceivedIsNotCharged)
