--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -15,6 +15,9 @@
 /// Number of slots granted to other batch tasks after which a late task gets one, so that late
 /// tasks do not starve.
 constexpr int grantsPerLateTask = 8;
+/// Number of requests that an upstream of the own failure domain may have more than another one and
+/// still be chosen for an online task.
+constexpr std::int64_t maxNearerExtraRequests = 2;
 /// Retry-After when no upstream of the service accepts tasks.
 constexpr absl::Duration noUpstreamRetryAfter = absl::Seconds(1);
 
@@ -367,26 +370,28 @@
 }
 
 /// Returns the upstream with the fewest requests among those with a free slot, because each request
-/// makes the decode steps of all others longer.
+/// makes the decode steps of all others longer. An online task goes to an upstream of its own
+/// failure domain that has a few requests more: the difference in speed is small, and its prompt
+/// and its response don't cross the boundary of the domain.
 SlotScheduler::Upstream *SlotScheduler::freeUpstream(absl::Time now, const Service &service,
                                                      const Item &item) const
 {
+    const std::int64_t farPenalty = isOnline(item.task) ? maxNearerExtraRequests : 0;
     Upstream *best = nullptr;
-    std::int64_t bestLoad = 0;
+    std::int64_t bestCost = 0;
+    bool isBestNear = false;
     for (Upstream *upstream : service.upstreams) {
         if (!accepts(now, service, *upstream, item) || !hasFreeSlot(now, *upstream, item.task.kind))
             continue;
-        const std::int64_t load = upstream->occupiedSlots() + foreignRequests(now, *upstream);
-        if (best == nullptr || load < bestLoad) {
-            best = upstream;
-            bestLoad = load;
+        const bool isNear = upstream->info.failureDomain == item.task.failureDomain;
+        const std::int64_t cost = upstream->occupiedSlots() + foreignRequests(now, *upstream)
+                                  + (isNear ? 0 : farPenalty);
+        const bool isNearer = cost == bestCost && isNear && !isBestNear;
+        if (best != nullptr && cost >= bestCost && !isNearer)
             continue;
-        }
-        const std::string &domain = item.task.failureDomain;
-        const bool isNearer =
-                upstream->info.failureDomain == domain && best->info.failureDomain != domain;
-        if (load == bestLoad && isNearer)
-            best = upstream;
+        best = upstream;
+        bestCost = cost;
+        isBestNear = isNear;
     }
     return best;
 }
--- a/tests/policy/slotscheduler_test.cpp
+++ b/tests/policy/slotscheduler_test.cpp
@@ -540,4 +540,27 @@
     BOOST_TEST(decide().granted.at("interrupted") == "b");
 }
 
+// Guards against responses that cross the boundaries of failure domains although the own domain has
+// free slots, and against an own domain whose upstreams fill up while the others idle.
+BOOST_AUTO_TEST_CASE(onlineTaskStaysInItsDomainUpToAFewRequests)
+{
+    SlotScheduler scheduler{SlotSchedulerSettings()};
+    SlotUpstream near = upstream("near", 8);
+    SlotUpstream far = upstream("far", 8);
+    far.failureDomain = "other";
+    scheduler.setUpstreams({far, near});
+    std::map<std::string, int> granted;
+    for (int number = 0; number < 8; ++number) {
+        SlotTask task = online(std::to_string(number), start + absl::Seconds(1));
+        task.failureDomain = "d";
+        scheduler.request(start, task);
+        for (const auto &[id, upstreamId] : Decisions(scheduler.decide(start)).granted)
+            ++granted[upstreamId];
+        if (number == 1)
+            BOOST_TEST(granted["near"] == 2);
+    }
+    BOOST_TEST(granted["near"] == 5);
+    BOOST_TEST(granted["far"] == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -461,8 +461,8 @@
 
 } // namespace
 
-// Guards against an upstream that gets more requests than it has slots, because the slot of a process
-// that has just started, and is not listed as live yet, is granted again.
+// Guards against an upstream that gets more requests than it has slots, because the slot of a
+// process that has just started, and is not listed as live yet, is granted again.
 BOOST_AUTO_TEST_CASE(slotOfAProcessThatIsNotListedYetStaysTaken)
 {
     broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
