--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -186,7 +186,7 @@
     /// A process that is not the preferred relay has responded when that one was lost or unknown.
     std::string nextSource()
     {
-        const std::string preferred = targets.preferredRelay();
+        std::string preferred = targets.preferredRelay();
         if (preferred.empty() || preferred == source
             || clock.now() - relayChangedAt < relayChangePeriod)
             return source;
