Review: End all processes also when a script takes too long

The time limit ended the script without its processes, and with a status that names no verdict. SIGTERM now ends the case like any other error. Run: review/3 with a limit of 8 s (exit 2, no process left); cases 1, 3 and 4 with the disruption (exit 1) and with TROUBLE=0 (exit 0).

--- a/review/harness.py
+++ b/review/harness.py
@@ -486,6 +486,11 @@
 
 def main(case):
     """Runs case(record) and exits with its verdict; with NOT_RUN when it raises."""
+    def end(*_):
+        raise TimeoutError("the script took too long")
+
+    # The time limit of run.sh sends SIGTERM; the processes that were started are ended all the same.
+    signal.signal(signal.SIGTERM, end)
     folder = Path(sys.argv[0]).resolve().parent
     record = Record(folder)
     try:
@@ -494,4 +499,5 @@
         record.write(f"could not run: {error!r}")
         verdict = NOT_RUN
     record.write(f"exit {verdict}")
-    sys.exit(verdict)
+    sys.stdout.flush()
+    os._exit(verdict)  # Doesn't wait for calls of clients that are still open.
