--- a/include/rattanrill/fleet/distributedview.h
+++ b/include/rattanrill/fleet/distributedview.h
@@ -44,6 +44,7 @@
     bool upstreamsKnown() const { return m_upstreamsKnown; }
     void setMembersSettled(bool settled);
     void setStoreFounders(const std::vector<std::string> &replicas);
+    void setOpenRetirements(const std::vector<std::string> &replicas);
     /// Sets the number of live entries for a view that has no records of them.
     void setLiveEntries(std::int64_t count) { m_reportedLiveEntries = count; }
     std::int64_t liveEntries() const;
@@ -79,6 +80,7 @@
     std::set<std::string> m_drainingMarks;
     bool m_membersSettled = false;
     std::vector<std::string> m_storeFounders;
+    std::vector<std::string> m_openRetirements;
     std::int64_t m_liveEntries = 0;
     /// -1 when the members include the entries.
     std::int64_t m_reportedLiveEntries = -1;
--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -56,6 +56,8 @@
     bool membersComplete = false;
     /// Replica ids of the initial voters of the store group; empty until the group is bootstrapped.
     std::vector<std::string> storeFounders;
+    /// Replica ids of the stores whose retirement is not completed.
+    std::vector<std::string> openRetirements;
     /// Whether the platform's list of upstreams has been received at least once.
     bool upstreamsKnown = false;
     std::vector<wire::FleetUpstream> upstreams;
--- a/include/rattanrill/fleet/fleetview.h
+++ b/include/rattanrill/fleet/fleetview.h
@@ -48,7 +48,8 @@
     absl::Time upstreamsReadAt() const { return m_upstreamsReadAt; }
     /// Replaces the parts of which the beginning of a response must be reported.
     void setSuspectPromptParts(std::vector<std::string> parts);
-    /// Records the poll of a member and the polls that it received as a relay.
+    /// Records the poll of a member, the polls that it received as a relay and, from the leader of
+    /// the store group, which stores hold no copy any more.
     void recordHeartbeat(const wire::FleetSyncRequest &request, absl::Time now);
     /// Marks processes as not alive after the member timeout without a heartbeat; removes them
     /// after 10 times the member timeout. All messages that arrived before \a readUpTo have been
@@ -72,12 +73,16 @@
     /// stores or, from 3 s after the start of the term, as many as are alive. Empty otherwise, also
     /// when the group has been bootstrapped before.
     std::vector<std::string> initialStoreVoters(absl::Time now) const;
+    /// Commands that the records of the retirements need: a retirement is completed once the leader
+    /// of the store group has reported it, and applies also to a further replica of its instance.
+    std::vector<wire::FleetOperation> retirementChanges() const;
 
 private:
     void updateStoreLeader(const wire::FleetSyncRequest &request);
     void recordMember(const wire::FleetMember &member, bool leadsStores, absl::Time heardAt);
     void updateMember(const std::string &instance, bool alive, bool leadsStores);
     void updateStoreMembers();
+    bool hasOpenRetirement(const std::string &instance) const;
     wire::FleetMemberStatus withStoreFlags(wire::FleetMemberStatus status) const;
 
     const absl::Duration m_memberTimeout;
@@ -93,6 +98,8 @@
     /// Term and replica ids that the leader of the store group has reported.
     std::uint64_t m_storeTerm = 0;
     std::vector<std::string> m_storeReplicas;
+    /// Retiring replicas that a leader of the store group has reported as retired in this term.
+    std::set<std::string> m_retiredStores;
 };
 
 } // namespace rattanrill::fleet
--- a/include/rattanrill/fleet/groupreplica.h
+++ b/include/rattanrill/fleet/groupreplica.h
@@ -44,6 +44,7 @@
 {
 public:
     using Callback = replication::RaftNode::Callback;
+    using MembershipCallback = replication::RaftNode::MembershipCallback;
     /// Returns the processes that can currently hold a replica.
     using CandidateSource = std::function<std::vector<VoterCandidate>()>;
     /// Called with true when this replica gains leadership, and with false when it loses it.
@@ -75,6 +76,8 @@
     void readOnLeader(std::string query, Callback callback);
     /// Linearizable read that any replica serves.
     void readOnAnyReplica(std::string query, Callback callback);
+    /// Linearizable read of the committed membership that only the leader serves.
+    void readMembership(MembershipCallback callback);
     /// Transfers leadership to another replica before a graceful stop. Does nothing when this
     /// replica does not lead.
     void transferLeadership();
--- a/include/rattanrill/replication/raftnode.h
+++ b/include/rattanrill/replication/raftnode.h
@@ -84,6 +84,8 @@
     /// Receives the response of the state machine, unpacked from its wire::CommandResult, or the
     /// failure.
     using Callback = std::function<void(Outcome<std::string>)>;
+    /// Receives the ids of the voters and learners, or the failure.
+    using MembershipCallback = std::function<void(Outcome<std::vector<ReplicaId>>)>;
 
     virtual ~RaftNode() = default;
 
@@ -97,6 +99,10 @@
     /// leadership; \a query is evaluated on the local state as soon as that state includes every
     /// command that was committed at the time of the confirmation.
     virtual void readOnAnyReplica(std::string query, Callback callback) = 0;
+    /// Linearizable read of the committed membership on the leader, unlike status(), which may show
+    /// a change that is never committed. Fails like readOnLeader(), and with Conflict (NotRun)
+    /// while the membership is being changed.
+    virtual void readMembership(MembershipCallback callback) = 0;
     /// Handles a Raft message from the replica \a from.
     virtual void receive(const ReplicaId &from, std::string message) = 0;
     virtual RaftNodeStatus status() const = 0;
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -76,6 +76,16 @@
 {
     static constexpr std::string_view kind = "retire_store";
     std::string replica;
+    /// Empty in commands of older processes, which record no StoreRetirement.
+    std::string instance{};
+};
+
+/// Records that a retiring replica is no longer one of the store group's and will not become one
+/// again. Only the leader of the fleet group sends it.
+struct CompleteRetirement
+{
+    static constexpr std::string_view kind = "complete_retirement";
+    std::string replica;
 };
 
 /// Sets the first voters of the store group. Only the first such command of a deployment has an
@@ -94,8 +104,8 @@
     std::vector<BlockedPrompt> prompts;
 };
 
-using FleetOperation =
-        std::variant<PutConfiguration, RetireStore, BootstrapStoreGroup, PutBlockedPrompts>;
+using FleetOperation = std::variant<PutConfiguration, RetireStore, BootstrapStoreGroup,
+                                    PutBlockedPrompts, CompleteRetirement>;
 
 /// A write to the fleet group.
 struct FleetCommand
@@ -117,15 +127,26 @@
     std::uint64_t knownVersion = 0;
 };
 
-/// State of the fleet group. The lists hold replica ids.
+/// Retirement of one replica. A store that loses its disk while it retires has one for each of its
+/// replicas.
+struct StoreRetirement
+{
+    std::string instance;
+    std::string replica;
+    bool completed = false;
+};
+
+/// State of the fleet group. The lists of strings hold replica ids.
 struct FleetSnapshot
 {
     std::uint64_t configurationVersion = 0;
     std::string configuration;
+    /// All stores whose retirement was requested, also those whose retirement is completed.
     std::vector<std::string> retiringStores;
     /// First voters of the store group; empty until it is bootstrapped.
     std::vector<std::string> storeFounders;
     std::vector<BlockedPrompt> blockedPrompts{};
+    std::vector<StoreRetirement> retirements{};
 };
 
 /// A member and its status as seen by the leader of the fleet group.
@@ -138,7 +159,9 @@
     bool leadsStores = false;
     /// Whether an operator has requested its retirement.
     bool retiring = false;
-    /// Whether it is a replica of the store group, as reported by the leader of that group.
+    /// Whether it is a replica of the store group, as reported by the leader of that group. False
+    /// until that leader has reported, so it does not prove that a store holds no copy. Used by
+    /// older processes only.
     bool holdsCopy = false;
 };
 
@@ -177,6 +200,9 @@
     bool acceptsRelay = false;
     /// Members that poll the sender instead of the leader.
     std::vector<RelayedMember> relayed{};
+    /// Retiring replicas that hold no copy of the store group's data and will not receive one
+    /// again; set only by the leader of that group.
+    std::vector<std::string> retiredStores{};
 };
 
 /// Response of Method::SyncFleet. Only the fields up to \a configuration are set if the sender of
@@ -229,6 +255,8 @@
     std::int64_t viewAgeMs = 0;
     /// Peer address of the leader; empty from older processes.
     std::string leaderAddress{};
+    /// Replica ids of the stores whose retirement is not completed.
+    std::vector<std::string> openRetirements{};
 };
 
 /// An attempt that ended with a crash of its upstream before the upstream began to write the
--- a/src/fleet/distributedview.cpp
+++ b/src/fleet/distributedview.cpp
@@ -99,6 +99,14 @@
     m_sharedSequence = m_sequence;
 }
 
+void DistributedView::setOpenRetirements(const std::vector<std::string> &replicas)
+{
+    if (replicas == m_openRetirements)
+        return;
+    m_openRetirements = replicas;
+    m_sharedSequence = m_sequence;
+}
+
 std::int64_t DistributedView::liveEntries() const
 {
     return m_reportedLiveEntries < 0 ? m_liveEntries : m_reportedLiveEntries;
@@ -125,6 +133,7 @@
         return;
     response.membersSettled = m_membersSettled;
     response.storeFounders = m_storeFounders;
+    response.openRetirements = m_openRetirements;
     response.upstreamsKnown = m_upstreamsKnown;
     response.upstreamsTerm = m_upstreamsTerm;
     response.drainingUpstreams.assign(m_drainingMarks.begin(), m_drainingMarks.end());
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -413,7 +413,8 @@
                             && response.removedUpstreams.empty()
                             && response.drainingUpstreams.empty()
                             && response.membersSettled == state.membersComplete
-                            && response.storeFounders == state.storeFounders;
+                            && response.storeFounders == state.storeFounders
+                            && response.openRetirements == state.openRetirements;
         viewTerm = response.viewTerm;
         viewSequence = response.viewSequence;
         state.leaderTerm = response.viewTerm;
@@ -427,6 +428,7 @@
         targets.setMembers(state.members);
         state.membersComplete = response.membersSettled;
         state.storeFounders = response.storeFounders;
+        state.openRetirements = response.openRetirements;
         // A new leader may not have read the platform's list yet. The list from the previous
         // leader stays in use until then.
         if (response.upstreamsKnown)
--- a/src/fleet/fleetrelay.cpp
+++ b/src/fleet/fleetrelay.cpp
@@ -37,6 +37,7 @@
         m_view.setUpstreams(state.upstreams, state.upstreamsTerm);
     m_view.setMembersSettled(state.membersComplete);
     m_view.setStoreFounders(state.storeFounders);
+    m_view.setOpenRetirements(state.openRetirements);
     m_view.setLiveEntries(state.liveEntries);
 }
 
--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -3,6 +3,7 @@
 #include "crashquarantine.h"
 #include "drainingmarks.h"
 #include "fleetrelay.h"
+#include "retirementrecorder.h"
 
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/fleet/upstreamlist.h"
@@ -63,6 +64,7 @@
         , view(settings.memberTimeout)
         , relay(settings.memberTimeout)
         , prompts(std::make_shared<CrashQuarantine>(replica, view, clock))
+        , retirements(std::make_shared<RetirementRecorder>(replica, view))
         , listReader(loop.timers(), clock, discovery, settings.listReader, listHandlers())
     {}
 
@@ -322,8 +324,10 @@
             return;
         }
         view.setRecords(records.value());
-        if (!isReady)
+        if (!isReady) {
             prompts->beginTerm();
+            retirements->beginTerm();
+        }
         isReady = true;
         processPollsWithoutLeader(clock.now());
         processRelayedPolls(clock.now());
@@ -356,6 +360,7 @@
         const absl::Time now = clock.now();
         view.expire(awaitReads ? readUpTo : now);
         prompts->update();
+        retirements->update();
         bootstrapStoreGroup(now);
         respondToPolls(now);
     }
@@ -505,6 +510,7 @@
     bool isAwaitingReads = false;
     absl::Time readUpTo = absl::InfinitePast();
     const std::shared_ptr<CrashQuarantine> prompts;
+    const std::shared_ptr<RetirementRecorder> retirements;
     std::list<Poll> polls;
     /// Polls that were received while no leader was known.
     std::list<Poll> pollsWithoutLeader;
--- a/src/fleet/fleetstatemachine.cpp
+++ b/src/fleet/fleetstatemachine.cpp
@@ -37,6 +37,24 @@
     auto &retiring = m_records.retiringStores;
     if (std::find(retiring.begin(), retiring.end(), operation.replica) == retiring.end())
         retiring.push_back(operation.replica);
+    if (!operation.instance.empty() && findRetirement(operation.replica) == nullptr)
+        m_records.retirements.push_back({operation.instance, operation.replica, false});
+}
+
+void FleetStateMachine::perform(const wire::CompleteRetirement &operation)
+{
+    wire::StoreRetirement *retirement = findRetirement(operation.replica);
+    if (retirement != nullptr)
+        retirement->completed = true;
+}
+
+wire::StoreRetirement *FleetStateMachine::findRetirement(const std::string &replica)
+{
+    for (wire::StoreRetirement &retirement : m_records.retirements) {
+        if (retirement.replica == replica)
+            return &retirement;
+    }
+    return nullptr;
 }
 
 void FleetStateMachine::perform(const wire::BootstrapStoreGroup &operation)
@@ -62,6 +80,7 @@
     records.retiringStores = m_records.retiringStores;
     records.storeFounders = m_records.storeFounders;
     records.blockedPrompts = m_records.blockedPrompts;
+    records.retirements = m_records.retirements;
     return wire::encodeCommandResult(Outcome<wire::FleetSnapshot>(std::move(records)));
 }
 
--- a/src/fleet/fleetstatemachine.h
+++ b/src/fleet/fleetstatemachine.h
@@ -19,6 +19,9 @@
     void perform(const wire::RetireStore &operation);
     void perform(const wire::BootstrapStoreGroup &operation);
     void perform(const wire::PutBlockedPrompts &operation);
+    void perform(const wire::CompleteRetirement &operation);
+    /// Returns the retirement of \a replica; null if there is none.
+    wire::StoreRetirement *findRetirement(const std::string &replica);
 
     wire::FleetSnapshot m_records;
 };
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -26,6 +26,22 @@
     return left.replica == right.replica && left.peerAddress == right.peerAddress;
 }
 
+bool sameRetirement(const wire::StoreRetirement &left, const wire::StoreRetirement &right)
+{
+    return left.instance == right.instance && left.replica == right.replica
+           && left.completed == right.completed;
+}
+
+std::vector<std::string> openRetirements(const wire::FleetSnapshot &records)
+{
+    std::vector<std::string> replicas;
+    for (const wire::StoreRetirement &retirement : records.retirements) {
+        if (!retirement.completed)
+            replicas.push_back(retirement.replica);
+    }
+    return replicas;
+}
+
 bool contains(const std::vector<std::string> &list, const std::string &value)
 {
     return std::find(list.begin(), list.end(), value) != list.end();
@@ -41,6 +57,7 @@
 {
     m_shared.reset(term, 1);
     m_shared.setStoreFounders(m_records.storeFounders);
+    m_shared.setOpenRetirements(openRetirements(m_records));
     m_termStartedAt = now;
     m_membersComplete = false;
     m_promptSequence = 1;
@@ -49,6 +66,7 @@
     m_heardAt.clear();
     m_storeTerm = 0;
     m_storeReplicas.clear();
+    m_retiredStores.clear();
 }
 
 void FleetView::setRecords(const wire::FleetSnapshot &records)
@@ -60,8 +78,11 @@
         m_records.blockedPrompts = records.blockedPrompts;
         ++m_promptSequence;
     }
+    const bool isSameRetirements =
+            std::equal(records.retirements.begin(), records.retirements.end(),
+                       m_records.retirements.begin(), m_records.retirements.end(), sameRetirement);
     const bool isNew = records.configurationVersion != m_records.configurationVersion
-                       || records.retiringStores != m_records.retiringStores
+                       || records.retiringStores != m_records.retiringStores || !isSameRetirements
                        || records.storeFounders != m_records.storeFounders;
     if (!isNew)
         return;
@@ -72,6 +93,7 @@
     m_records.configuration = document;
     m_shared.beginChange();
     m_shared.setStoreFounders(m_records.storeFounders);
+    m_shared.setOpenRetirements(openRetirements(m_records));
     updateStoreMembers();
 }
 
@@ -135,6 +157,8 @@
     const bool leadsStores = request.leadsStores && request.storeTerm >= m_storeTerm;
     if (leadsStores)
         updateStoreLeader(request);
+    // Stays true whoever leads the store group later.
+    m_retiredStores.insert(request.retiredStores.begin(), request.retiredStores.end());
     recordMember(request.self, leadsStores, now);
 }
 
@@ -189,11 +213,20 @@
 
 wire::FleetMemberStatus FleetView::withStoreFlags(wire::FleetMemberStatus status) const
 {
-    status.retiring = contains(m_records.retiringStores, status.member.replica);
+    status.retiring = contains(m_records.retiringStores, status.member.replica)
+                      || hasOpenRetirement(status.member.instance);
     status.holdsCopy = contains(m_storeReplicas, status.member.replica);
     return status;
 }
 
+bool FleetView::hasOpenRetirement(const std::string &instance) const
+{
+    return std::any_of(m_records.retirements.begin(), m_records.retirements.end(),
+                       [&](const wire::StoreRetirement &retirement) {
+                           return retirement.instance == instance && !retirement.completed;
+                       });
+}
+
 void FleetView::updateStoreMembers()
 {
     std::vector<wire::FleetMemberStatus> stores;
@@ -259,8 +292,8 @@
     for (const auto &[instance, status] : m_shared.members()) {
         const wire::FleetMember &member = status.member;
         if (m_membersComplete && member.role == role)
-            candidates.push_back({member.replica, member.failureDomain, status.alive,
-                                  contains(m_records.retiringStores, member.replica)});
+            candidates.push_back(
+                    {member.replica, member.failureDomain, status.alive, status.retiring});
     }
     return candidates;
 }
@@ -281,4 +314,20 @@
     return voters;
 }
 
+std::vector<wire::FleetOperation> FleetView::retirementChanges() const
+{
+    std::vector<wire::FleetOperation> changes;
+    for (const auto &[instance, status] : m_shared.members()) {
+        const std::string &replica = status.member.replica;
+        const bool isStore = status.member.role == wire::MemberRole::Store;
+        if (isStore && hasOpenRetirement(instance) && !contains(m_records.retiringStores, replica))
+            changes.emplace_back(wire::RetireStore{replica, instance});
+    }
+    for (const wire::StoreRetirement &retirement : m_records.retirements) {
+        if (!retirement.completed && m_retiredStores.count(retirement.replica) != 0)
+            changes.emplace_back(wire::CompleteRetirement{retirement.replica});
+    }
+    return changes;
+}
+
 } // namespace rattanrill::fleet
--- a/src/fleet/groupreplica.cpp
+++ b/src/fleet/groupreplica.cpp
@@ -279,6 +279,18 @@
     m_impl->node->readOnAnyReplica(std::move(query), m_impl->onLoop(std::move(callback)));
 }
 
+void GroupReplica::readMembership(MembershipCallback callback)
+{
+    if (!m_impl->node)
+        return callback(notRun(ErrorCode::NotLeader, ""));
+    m_impl->node->readMembership([impl = m_impl, callback = std::move(callback)](
+                                         Outcome<std::vector<replication::ReplicaId>> outcome) {
+        impl->loop.post([callback, outcome = std::move(outcome)]() mutable {
+            callback(std::move(outcome));
+        });
+    });
+}
+
 void GroupReplica::transferLeadership()
 {
     if (m_impl->node && m_impl->leads)
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -4,6 +4,7 @@
 #include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
+#include "rattanrill/fleet/retirement.h"
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/gateway/serverdrain.h"
 #include "rattanrill/wire/codec.h"
@@ -145,21 +146,34 @@
         });
     }
 
+    using RecordsHandler = std::function<void(const wire::FleetSnapshot &records)>;
+
+    /// Reads the group's records and passes them to \a handler; responds itself if that fails.
+    void readRecords(const ExchangePtr &exchange, const wire::FleetQuery &query,
+                     RecordsHandler handler)
+    {
+        m_replica->readOnAnyReplica(
+                wire::encode(query),
+                [this, exchange, handler = std::move(handler)](const auto &outcome) {
+                    const auto records =
+                            outcome.ok() ? outcomeOf([&] {
+                                return wire::decode<wire::FleetSnapshot>(outcome.value());
+                            })
+                                         : Outcome<wire::FleetSnapshot>(outcome.failure());
+                    if (!records.ok())
+                        return refuse(exchange, records.failure());
+                    handler(records.value());
+                });
+    }
+
     void perform(const ExchangePtr &exchange, const fleet::ReadConfigurationCall &)
     {
-        m_replica->readOnAnyReplica(wire::encode(wire::FleetQuery{}), [this, exchange](
-                                                                              const auto &outcome) {
-            const auto snapshot = outcome.ok() ? outcomeOf([&] {
-                return wire::decode<wire::FleetSnapshot>(outcome.value());
-            })
-                                               : Outcome<wire::FleetSnapshot>(outcome.failure());
-            if (!snapshot.ok())
-                return refuse(exchange, snapshot.failure());
-            if (snapshot.value().configuration.empty())
+        readRecords(exchange, wire::FleetQuery{}, [this, exchange](const auto &records) {
+            if (records.configuration.empty())
                 return refuse(exchange, notRun(ErrorCode::NoQuorum,
                                                "no configuration has been accepted yet"));
-            exchange->respond(m_processContext.operatorProtocol.configurationResponse(
-                    snapshot.value().configuration));
+            exchange->respond(
+                    m_processContext.operatorProtocol.configurationResponse(records.configuration));
         });
     }
 
@@ -195,7 +209,7 @@
         if (remainingStores(call.instance) < 2 * m_settings.toleratedFailures + 1)
             return refuse(exchange, notRun(ErrorCode::Conflict,
                                            "the remaining stores would tolerate too few failures"));
-        const wire::FleetCommand command{wire::RetireStore{status->member.replica}};
+        const wire::FleetCommand command{wire::RetireStore{status->member.replica, call.instance}};
         m_replica->propose(wire::encode(command), [this, exchange](const auto &outcome) {
             if (!outcome.ok())
                 return refuse(exchange, outcome.failure());
@@ -203,17 +217,24 @@
         });
     }
 
-    /// Fails while the list of members is incomplete, because a store that is missing from it may
-    /// still exist, and for a store that is not retiring.
+    /// Answers from the group's records only: this process may not have heard yet of a store, or
+    /// of the replicas of the store group.
     void perform(const ExchangePtr &exchange, const fleet::ReadRetirementCall &call)
     {
-        const fleet::FleetState &state = m_core->fleetClient().state();
-        const wire::FleetMemberStatus *status = findStore(call.instance);
-        if (!state.membersComplete || (status != nullptr && !status->retiring))
-            return refuse(exchange, notRun(ErrorCode::NoQuorum,
-                                           "the retirement status of the store is not known yet"));
-        const bool isRetired = status == nullptr || !status->holdsCopy;
-        exchange->respond(m_processContext.operatorProtocol.retirementStatusResponse(isRetired));
+        // The version that is already known, so that the result contains no document.
+        const wire::FleetQuery query{m_core->fleetClient().state().configurationVersion};
+        readRecords(exchange, query, [this, exchange, call](const auto &records) {
+            const fleet::RetirementState state = fleet::retirementState(records, call.instance);
+            if (state == fleet::RetirementState::NotRequested)
+                return refuse(exchange, notRun(ErrorCode::NotFound,
+                                               concat("no retirement of instance \"", call.instance,
+                                                      "\" was requested")));
+            log(LogLevel::Info, "retirement-read",
+                {{"instance", call.instance},
+                 {"completed", state == fleet::RetirementState::Completed}});
+            exchange->respond(m_processContext.operatorProtocol.retirementStatusResponse(
+                    state == fleet::RetirementState::Completed));
+        });
     }
 
     void refuse(const ExchangePtr &exchange, Failure failure)
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -5,6 +5,7 @@
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/boundedupstreamlist.h"
 #include "rattanrill/fleet/replicaidentity.h"
+#include "rattanrill/fleet/retirementmonitor.h"
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/jobs/jobexecutor.h"
 #include "rattanrill/jobs/jobservice.h"
@@ -91,6 +92,7 @@
                     m_core->fleetClient().leave();
                     m_jobService->handleLeadershipChange(false);
                     m_upstreamList.setActive(false);
+                    m_retirements->setActive(false);
                     m_replica->stop();
                     m_core->stop();
                     stopped();
@@ -121,9 +123,14 @@
         m_jobExecutor = std::make_unique<jobs::JobExecutor>(context);
         m_jobService = std::make_unique<jobs::JobService>(context, *m_jobExecutor);
         m_replica->setCandidateSource([this] { return candidates(); });
+        m_retirements = std::make_shared<fleet::RetirementMonitor>(
+                m_processContext.loop.timers(),
+                [this](auto callback) { m_replica->readMembership(std::move(callback)); },
+                [this] { m_core->fleetClient().sendHeartbeat(); });
         m_replica->onLeadershipChange([this](bool leads) {
             m_broker.reset();
             m_upstreamList.setActive(leads);
+            m_retirements->setActive(leads);
             m_jobService->handleLeadershipChange(leads);
             m_core->fleetClient().sendHeartbeat();
         });
@@ -208,11 +215,13 @@
         request.storeReplicas = status.voters;
         request.storeReplicas.insert(request.storeReplicas.end(), status.learners.begin(),
                                      status.learners.end());
+        request.retiredStores = m_retirements->retiredStores();
     }
 
     void applyState(const fleet::FleetState &state)
     {
         openBootstrappedReplica(state.storeFounders);
+        m_retirements->setRetiringStores(state.openRetirements);
         if (const auto newer = m_core->newerDeployment(state, m_deployment)) {
             m_deployment = newer;
             m_broker.setDeployment(newer);
@@ -284,6 +293,7 @@
     fleet::BoundedUpstreamList m_upstreamList;
     serving::CrashGuard m_crashGuard;
     std::unique_ptr<fleet::GroupReplica> m_replica;
+    std::shared_ptr<fleet::RetirementMonitor> m_retirements;
     std::unique_ptr<jobs::JobExecutor> m_jobExecutor;
     std::unique_ptr<jobs::JobService> m_jobService;
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
--- a/src/replication/groupdriver.cpp
+++ b/src/replication/groupdriver.cpp
@@ -36,6 +36,13 @@
     return ids;
 }
 
+std::vector<ReplicaId> votersAndLearners(const Membership &membership)
+{
+    std::vector<ReplicaId> ids = idsOf(membership);
+    ids.insert(ids.end(), membership.learners.begin(), membership.learners.end());
+    return ids;
+}
+
 } // namespace
 
 GroupDriver::GroupDriver(RaftNodeOptions options, Parts parts, RaftTransport &transport,
@@ -129,26 +136,40 @@
 
 void GroupDriver::readOnLeader(std::string query, Callback callback)
 {
-    startRead(&RaftCore::readOnLeader, std::move(query), std::move(callback));
+    startRead(&RaftCore::readOnLeader, {std::move(query), std::move(callback), nullptr});
 }
 
 void GroupDriver::readOnAnyReplica(std::string query, Callback callback)
 {
-    startRead(&RaftCore::readOnAnyReplica, std::move(query), std::move(callback));
+    startRead(&RaftCore::readOnAnyReplica, {std::move(query), std::move(callback), nullptr});
 }
 
-void GroupDriver::startRead(StartRead start, std::string query, Callback callback)
+void GroupDriver::readMembership(MembershipCallback callback)
 {
-    callback = withCallLimit(std::move(callback), query.size());
-    if (!callback)
+    const auto membership = std::make_shared<std::vector<ReplicaId>>();
+    const auto finish = [membership,
+                         callback = std::move(callback)](const Outcome<std::string> &outcome) {
+        if (outcome.ok())
+            callback(*membership);
+        else
+            callback(outcome.failure());
+    };
+    startRead(&RaftCore::readOnLeader, {std::string(), finish, membership});
+}
+
+void GroupDriver::startRead(StartRead start, OpenRead read)
+{
+    read.callback = withCallLimit(std::move(read.callback), read.query.size());
+    if (!read.callback)
         return;
-    const auto begin = [this, start, query = std::move(query), callback]() mutable {
+    const Callback callback = read.callback;
+    const auto begin = [this, start, read = std::move(read)]() mutable {
         if (m_stopReason) {
-            m_apply.invokeCallback(std::move(callback), stoppedFailure(m_stopReason));
+            m_apply.invokeCallback(std::move(read.callback), stoppedFailure(m_stopReason));
             return;
         }
         const std::uint64_t token = m_nextToken++;
-        m_reads.emplace(token, OpenRead{std::move(query), std::move(callback)});
+        m_reads.emplace(token, std::move(read));
         (m_core.*start)(token);
     };
     post(begin, callback);
@@ -341,11 +362,24 @@
         m_reads.erase(found);
         if (result.failure)
             m_apply.invokeCallback(std::move(open.callback), *result.failure);
+        else if (open.membership)
+            finishMembershipRead(std::move(open));
         else
             m_apply.read({result.index, std::move(open.query), std::move(open.callback), deadline});
     }
 }
 
+void GroupDriver::finishMembershipRead(OpenRead read)
+{
+    if (!m_core.isMembershipSettled()) {
+        m_apply.invokeCallback(std::move(read.callback),
+                               notRun(ErrorCode::Conflict, "the membership is being changed"));
+        return;
+    }
+    *read.membership = votersAndLearners(m_core.membership());
+    m_apply.invokeCallback(std::move(read.callback), std::string());
+}
+
 void GroupDriver::finishChanges(const std::vector<ChangeResult> &results)
 {
     for (const ChangeResult &result : results) {
--- a/src/replication/groupdriver.h
+++ b/src/replication/groupdriver.h
@@ -30,6 +30,7 @@
     void propose(std::string command, Callback callback) override;
     void readOnLeader(std::string query, Callback callback) override;
     void readOnAnyReplica(std::string query, Callback callback) override;
+    void readMembership(MembershipCallback callback) override;
     void receive(const ReplicaId &from, std::string message) override;
     RaftNodeStatus status() const override;
     void onApplied(std::function<void(std::uint64_t)> listener) override;
@@ -52,6 +53,8 @@
     {
         std::string query;
         Callback callback;
+        /// Receives the membership instead of the result of a query; null otherwise.
+        std::shared_ptr<std::vector<ReplicaId>> membership;
     };
 
     /// Counts a call of \a bytes until the returned callback is called. At the limit, calls
@@ -59,7 +62,7 @@
     Callback withCallLimit(Callback callback, std::size_t bytes);
     /// Runs \a task on the Raft thread. After stop(), calls \a callback with Stopped instead.
     void post(Task task, const Callback &callback);
-    void startRead(StartRead start, std::string query, Callback callback);
+    void startRead(StartRead start, OpenRead read);
     void changeMembers(const ReplicaId &member, const ReplicaId &replaced, Callback callback);
 
     // The following run on the Raft thread.
@@ -70,6 +73,7 @@
     void sendMessages(std::vector<Message> messages);
     void applyCommitted(std::vector<Entry> entries);
     void finishReads(const std::vector<ReadResult> &results);
+    void finishMembershipRead(OpenRead read);
     void finishChanges(const std::vector<ChangeResult> &results);
     void failProposals(const Failure &failure);
     void expireCalls();
--- a/src/replication/raftcore.h
+++ b/src/replication/raftcore.h
@@ -142,6 +142,8 @@
     std::uint64_t commitIndex() const { return m_commitIndex; }
     const RaftLog &raftLog() const { return m_log; }
     const Membership &membership() const { return m_log.membership(); }
+    /// Whether this replica leads, membership() is committed and no change of it is open.
+    bool isMembershipSettled() const;
     const SnapshotMeta &snapshot() const { return m_snapshot; }
     /// False for an initial voter until it has received the incarnations of all initial voters.
     bool isFormed() const;
@@ -236,6 +238,7 @@
     void handleReadIndexReply(const Message &message);
 
     // Members and transfer
+    bool isMembershipCommitted() const;
     /// Starts the next step of the membership change when the previous step is committed.
     void advanceChange();
     void advanceAddition();
--- a/src/replication/raftcore_members.cpp
+++ b/src/replication/raftcore_members.cpp
@@ -40,12 +40,19 @@
     advanceChange();
 }
 
+bool RaftCore::isMembershipCommitted() const
+{
+    return m_log.membershipIndex() <= m_commitIndex && hasCommittedInTerm();
+}
+
+bool RaftCore::isMembershipSettled() const
+{
+    return m_role == Role::Leader && isMembershipCommitted() && !m_memberChange;
+}
+
 void RaftCore::advanceChange()
 {
-    if (m_role != Role::Leader)
-        return;
-    const bool isSettled = m_log.membershipIndex() <= m_commitIndex && hasCommittedInTerm();
-    if (!isSettled)
+    if (m_role != Role::Leader || !isMembershipCommitted())
         return;
     if (!membership().contains(m_options.self)) {
         // The removal of this leader is committed.
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -29,26 +29,28 @@
 RATTANRILL_WIRE_FIELDS(FleetMember, instance, role, failureDomain, peerAddress, replica)
 RATTANRILL_WIRE_FIELDS(FleetUpstream, id, service, address, failureDomain, slots, draining, version)
 RATTANRILL_WIRE_FIELDS(PutConfiguration, version, document)
-RATTANRILL_WIRE_FIELDS(RetireStore, replica)
+RATTANRILL_WIRE_FIELDS(RetireStore, replica, instance)
+RATTANRILL_WIRE_FIELDS(CompleteRetirement, replica)
 RATTANRILL_WIRE_FIELDS(BootstrapStoreGroup, voters)
 RATTANRILL_WIRE_FIELDS(BlockedPrompt, parts, trialsLeft, trialProcess)
 RATTANRILL_WIRE_FIELDS(PutBlockedPrompts, prompts)
 RATTANRILL_WIRE_FIELDS(FleetCommand, operation)
 RATTANRILL_WIRE_FIELDS(FleetResult, configurationVersion)
 RATTANRILL_WIRE_FIELDS(FleetQuery, knownVersion)
+RATTANRILL_WIRE_FIELDS(StoreRetirement, instance, replica, completed)
 RATTANRILL_WIRE_FIELDS(FleetSnapshot, configurationVersion, configuration, retiringStores,
-                       storeFounders, blockedPrompts)
+                       storeFounders, blockedPrompts, retirements)
 RATTANRILL_WIRE_FIELDS(FleetMemberStatus, member, alive, leadsStores, retiring, holdsCopy)
 RATTANRILL_WIRE_FIELDS(RelayedMember, member, ageMs)
 RATTANRILL_WIRE_FIELDS(FleetSyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving,
                        viewTerm, viewSequence, promptSequence, configurationVersion, waitMs,
-                       acceptsChanges, acceptsRelay, relayed)
+                       acceptsChanges, acceptsRelay, relayed, retiredStores)
 RATTANRILL_WIRE_FIELDS(FleetSyncResponse, viewTerm, viewSequence, upstreamsAgeMs, heldMs,
                        promptSequence, promptsIncluded, blockedPrompts, suspectPromptParts,
                        configurationVersion, configuration, members, membersSettled, storeFounders,
                        upstreamsKnown, upstreams, drainingUpstreams, containsChangesOnly,
                        removedMembers, removedUpstreams, liveEntries, upstreamsTerm, viewAgeMs,
-                       leaderAddress)
+                       leaderAddress, openRetirements)
 RATTANRILL_WIRE_FIELDS(CrashedAttempt, upstream, promptParts, sentAgeMs, crashAgeMs)
 RATTANRILL_WIRE_FIELDS(BegunPart, part, ageMs)
 RATTANRILL_WIRE_FIELDS(CrashEvidence, instance, crashes, begun, process, rejected, isForwarded)
--- a/tests/control/stubraftnode.h
+++ b/tests/control/stubraftnode.h
@@ -44,6 +44,13 @@
             return callback(notRun(ErrorCode::NotLeader, ""));
         callback(unwrap(machine->query(query)));
     }
+    void readMembership(MembershipCallback callback) override
+    {
+        if (hasQuorum)
+            callback(currentStatus.voters);
+        else
+            callback(notRun(ErrorCode::NotLeader, ""));
+    }
     void receive(const replication::ReplicaId &, std::string) override {}
     replication::RaftNodeStatus status() const override { return currentStatus; }
     void onApplied(std::function<void(std::uint64_t)> newListener) override
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -4,6 +4,7 @@
 #include "loopthread.h"
 
 #include "rattanrill/fleet/fleetclient.h"
+#include "rattanrill/fleet/retirement.h"
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/wire/codec.h"
 
@@ -134,13 +135,41 @@
         return false;
     }
 
-    std::optional<wire::FleetSyncResponse> poll()
+    std::string await(const std::function<void(GroupReplica::Callback)> &call)
+    {
+        std::string body;
+        absl::Notification responded;
+        thread.run([&] {
+            call([&](const Outcome<std::string> &outcome) {
+                if (outcome.ok())
+                    body = outcome.value();
+                responded.Notify();
+            });
+        });
+        responded.WaitForNotification();
+        return body;
+    }
+
+    void propose(wire::FleetOperation operation)
+    {
+        const std::string command = wire::encode(wire::FleetCommand{std::move(operation)});
+        BOOST_REQUIRE(!await([&](auto done) { replica.propose(command, done); }).empty());
+    }
+
+    wire::FleetSnapshot records()
+    {
+        const std::string query = wire::encode(wire::FleetQuery());
+        const std::string body = await([&](auto done) { replica.readOnLeader(query, done); });
+        return outcomeOf([&] { return wire::decode<wire::FleetSnapshot>(body); }).value();
+    }
+
+    std::optional<wire::FleetSyncResponse> poll(const wire::FleetSyncRequest &request = {})
     {
         std::optional<wire::FleetSyncResponse> response;
         absl::Notification responded;
         channels.channel(addressOf(server))
-                ->call(wire::Method::SyncFleet, wire::encode(wire::FleetSyncRequest()),
-                       absl::Seconds(5), [&](const Outcome<std::string> &outcome) {
+                ->call(wire::Method::SyncFleet, wire::encode(request), absl::Seconds(5),
+                       [&](const Outcome<std::string> &outcome) {
                            if (outcome.ok())
                                response = outcomeOf([&] {
                                               return wire::decode<wire::FleetSyncResponse>(
@@ -295,6 +324,33 @@
             absl::Seconds(10)));
 }
 
+// Guards against a retirement that runs for ever because the report of the store leader does not
+// become a record, and against one that is completed without a report.
+BOOST_AUTO_TEST_CASE(reportOfTheStoreLeaderCompletesARetirement)
+{
+    LeaderFixture fixture;
+    fixture.open();
+    BOOST_REQUIRE(fixture.awaitResponse([](const auto &) { return true; }, absl::Seconds(10)));
+    fixture.propose(wire::RetireStore{"s:1/x", "s"});
+    BOOST_REQUIRE(fixture.awaitResponse(
+            [](const auto &response) {
+                return response.openRetirements == std::vector<std::string>{"s:1/x"};
+            },
+            absl::Seconds(10)));
+    BOOST_TEST((retirementState(fixture.records(), "s") == RetirementState::Running));
+    wire::FleetSyncRequest report;
+    report.self.instance = "s2";
+    report.self.role = wire::MemberRole::Store;
+    report.leadsStores = true;
+    report.retiredStores = {"s:1/x"};
+    fixture.poll(report);
+    const absl::Time end = absl::Now() + absl::Seconds(10);
+    while (retirementState(fixture.records(), "s") != RetirementState::Completed
+           && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(10));
+    BOOST_TEST((retirementState(fixture.records(), "s") == RetirementState::Completed));
+}
+
 // Guards against a list whose age members can't determine.
 BOOST_AUTO_TEST_CASE(responseStatesTheAgeOfTheList)
 {
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -133,6 +133,51 @@
     BOOST_TEST(poll().members.empty());
 }
 
+// Guards against a retirement that a new leader takes for completed before the leader of the store
+// group has reported it, because it has not heard yet which stores hold a copy.
+BOOST_AUTO_TEST_CASE(retirementIsCompletedOnlyByAReportOfTheStoreLeader)
+{
+    wire::FleetSnapshot records;
+    records.retiringStores = {"s:1/x"};
+    records.retirements = {{"s", "s:1/x", false}};
+    view.setRecords(records);
+    view.recordHeartbeat(storeLeaderRequest("s2", 3), start);
+    view.beginTerm(2, start + absl::Seconds(1));
+    view.recordHeartbeat(storeLeaderRequest("s2", 3), start + absl::Seconds(4));
+    view.expire(start + absl::Seconds(5));
+    BOOST_TEST(view.membersComplete());
+    BOOST_TEST(view.retirementChanges().empty());
+    wire::FleetSyncRequest report = storeLeaderRequest("s2", 3);
+    report.retiredStores = {"s:1/x"};
+    view.recordHeartbeat(report, start + absl::Seconds(5));
+    const std::vector<wire::FleetOperation> changes = view.retirementChanges();
+    BOOST_TEST_REQUIRE(changes.size() == 1u);
+    BOOST_TEST(std::get<wire::CompleteRetirement>(changes.front()).replica == "s:1/x");
+    records.retirements.front().completed = true;
+    view.setRecords(records);
+    BOOST_TEST(view.retirementChanges().empty());
+    BOOST_TEST(view.makeResponse(wire::FleetSyncRequest()).openRetirements.empty());
+}
+
+// Guards against a retiring store that loses its disk and becomes a voter again under another
+// replica id.
+BOOST_AUTO_TEST_CASE(retirementAppliesToAFurtherReplicaOfTheInstance)
+{
+    wire::FleetSnapshot records;
+    records.retiringStores = {"s:1/former"};
+    records.retirements = {{"s", "s:1/former", false}};
+    view.setRecords(records);
+    view.recordHeartbeat(syncRequest("s", wire::MemberRole::Store), start);
+    const wire::FleetSyncResponse response = view.makeResponse(wire::FleetSyncRequest());
+    BOOST_TEST(response.members.front().retiring);
+    BOOST_TEST(response.openRetirements == records.retiringStores,
+               boost::test_tools::per_element());
+    const std::vector<wire::FleetOperation> changes = view.retirementChanges();
+    BOOST_TEST_REQUIRE(changes.size() == 1u);
+    BOOST_TEST(std::get<wire::RetireStore>(changes.front()).replica == "s:1/x");
+    BOOST_TEST(std::get<wire::RetireStore>(changes.front()).instance == "s");
+}
+
 // Guards against a new leader that replaces voters that are alive, because it has not received
 // their first heartbeats yet.
 BOOST_AUTO_TEST_CASE(newLeaderHasNoCandidatesBeforeTheMemberTimeout)
--- a/tests/fleet/statemachine_test.cpp
+++ b/tests/fleet/statemachine_test.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/fleet/statemachine.h"
 
+#include "rattanrill/fleet/retirement.h"
 #include "rattanrill/wire/codec.h"
 #include "rattanrill/wire/fleetmessages.h"
 
@@ -43,6 +44,12 @@
         return result.value();
     }
 
+    bool isCompleted(const std::string &instance) const
+    {
+        return fleet::retirementState(records(*machine), instance)
+               == fleet::RetirementState::Completed;
+    }
+
     std::unique_ptr<replication::StateMachine> machine = fleet::makeFleetStateMachine();
     std::uint64_t index = 0;
 };
@@ -84,18 +91,49 @@
     BOOST_TEST(records(*machine).storeFounders.size() == 3u);
 }
 
+// Guards against a store that counts as retired before the leader of the store group has confirmed
+// it, or that never does after its order was sent again.
+BOOST_AUTO_TEST_CASE(retirementIsCompletedOnlyByItsRecord)
+{
+    BOOST_TEST((fleet::retirementState(records(*machine), "s")
+                == fleet::RetirementState::NotRequested));
+    perform(wire::RetireStore{"s:1/x", "s"});
+    BOOST_TEST(!isCompleted("s"));
+    perform(wire::CompleteRetirement{"other"});
+    BOOST_TEST(!isCompleted("s"));
+    perform(wire::CompleteRetirement{"s:1/x"});
+    BOOST_TEST(isCompleted("s"));
+    perform(wire::RetireStore{"s:1/x", "s"});
+    BOOST_TEST(isCompleted("s"));
+}
+
+// Guards against a store that counts as retired although it has lost its disk meanwhile and holds a
+// copy again under another replica id.
+BOOST_AUTO_TEST_CASE(retirementCoversAllReplicasOfTheInstance)
+{
+    perform(wire::RetireStore{"s:1/x", "s"});
+    perform(wire::RetireStore{"s:1/y", "s"});
+    perform(wire::CompleteRetirement{"s:1/x"});
+    BOOST_TEST(!isCompleted("s"));
+    perform(wire::CompleteRetirement{"s:1/y"});
+    BOOST_TEST(isCompleted("s"));
+}
+
 BOOST_AUTO_TEST_CASE(snapshotRestoresTheWholeState)
 {
     put(7, "seven");
     perform(wire::BootstrapStoreGroup{{"a"}});
-    perform(wire::RetireStore{"r"});
-    perform(wire::RetireStore{"r"});
+    perform(wire::RetireStore{"r", "s"});
+    perform(wire::RetireStore{"r", "s"});
+    perform(wire::CompleteRetirement{"r"});
     const auto restoredMachine = fleet::makeFleetStateMachine();
     BOOST_REQUIRE(outcomeOf([&] { return restoredMachine->restore(machine->snapshot()); }).ok());
     const wire::FleetSnapshot restored = records(*restoredMachine);
     BOOST_TEST(restored.configuration == "seven");
     BOOST_TEST(restored.storeFounders.size() == 1u);
     BOOST_TEST(restored.retiringStores.size() == 1u);
+    BOOST_TEST_REQUIRE(restored.retirements.size() == 1u);
+    BOOST_TEST(restored.retirements.front().completed);
     BOOST_TEST(!outcomeOf([&] { return restoredMachine->restore("\xff no snapshot"); }).ok());
     BOOST_TEST(records(*restoredMachine).configuration == "seven");
 }
--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -4,6 +4,7 @@
 import http.server
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -182,7 +183,10 @@
 
 
 class PlatformDeployment(unittest.TestCase):
-    """Base of test cases. Runs three control, three store and two entry processes, each on its own address."""
+    """Base of test cases. Runs three control, two entry and, unless a subclass sets another number,
+    three store processes, each on its own address."""
+
+    stores = 3
 
     @classmethod
     def setUpClass(cls):
@@ -195,7 +199,7 @@
             threading.Thread(target=server.serve_forever, daemon=True).start()
             cls.servers.append(server)
         cls.processes = {}
-        for role, count in (("control", 3), ("store", 3), ("entry", 2)):
+        for role, count in (("control", 3), ("store", cls.stores), ("entry", 2)):
             for number in range(1, count + 1):
                 cls.start(role, number, founding=True)
         cls.ready = wait_until(lambda: cls.put_configuration(configuration(1)) == 200) and \
@@ -220,7 +224,7 @@
         host = cls.address(role, number)
         name = f"{role}-{number}"
         settings = {
-            "instance": name, "failureDomain": "abc"[number - 1], "peerHost": host,
+            "instance": name, "failureDomain": "abcd"[number - 1], "peerHost": host,
             "peerPort": PEER_PORT, "founding": founding, "clusterSecret": "secret",
             "seeds": [f"{cls.address('control', n)}:{OPERATOR_PORT}" for n in (1, 2, 3)],
             "listAddress": "%s:%d" % LIST_ADDRESS, "graceSeconds": 8}
@@ -260,11 +264,29 @@
     @classmethod
     def restart_all(cls, role, numbers):
         for number in numbers:
-            process = cls.processes[f"{role}-{number}"]
-            process.send_signal(signal.SIGKILL)
-            process.wait()
+            cls.kill(role, number)
             cls.start(role, number)
 
+    @classmethod
+    def kill(cls, role, number):
+        process = cls.processes[f"{role}-{number}"]
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    @classmethod
+    def remove_disk(cls, role, number):
+        """Removes the data of a process that does not run."""
+        shutil.rmtree(Path(cls.directory.name) / f"{role}-{number}")
+
+    @classmethod
+    def fleet_leader(cls):
+        """Returns the number of the control process that gained the leadership last."""
+        def gained(number):
+            log = (Path(cls.directory.name) / f"control-{number}.log").read_text()
+            return max((json.loads(line)["time"] for line in log.splitlines()
+                        if '"leadership-gained"' in line), default="")
+        return max((1, 2, 3), key=gained)
+
     def send_request(self, request_id, entry=1, key=KEY, path="/ask/1", prompt="",
                      body=b"question"):
         headers = {"Request-Id": request_id, "Deadline-Ms": "5000",
--- /dev/null
+++ b/tests/platform/retirement_test.py
@@ -0,0 +1,98 @@
+"""Tests that an operator's order to retire a store never costs accepted jobs."""
+
+import base64
+import http.client
+import json
+import time
+import unittest
+
+from platformdeployment import (CALLER_PORT, KEY, OPERATOR_PORT, PlatformDeployment, call,
+                                wait_until)
+
+ITEMS = 4
+# Longer than an election and the time after which a new fleet leader takes its list of members for
+# complete.
+NEW_LEADER_SECONDS = 6
+# Time within which service resumes after a fault.
+RECOVERY_SECONDS = 12
+
+
+class RetirementDeployment(PlatformDeployment):
+    """Base of test cases. Four stores, of which three hold a copy; one may be lost."""
+
+    stores = 4
+
+    def operate(self, method, path, control):
+        """Returns status and document; None and an empty document without a response."""
+        try:
+            status, body, _ = call(self.address("control", control), OPERATOR_PORT, method, path,
+                                   json.dumps({"duration-s": 10}) if method == "POST" else None,
+                                   timeout=1)
+        except (OSError, http.client.HTTPException):
+            return None, {}
+        return status, json.loads(body) if status == 200 else {}
+
+    def states(self, store):
+        """Returns what each control process answers for the retirement of a store."""
+        answers = [self.operate("GET", f"/Retire.Get/store-{store}", number)
+                   for number in (1, 2, 3)]
+        return [document.get("state", status) for status, document in answers]
+
+    def submit(self, job):
+        items = [{"id": f"{job}-{n}", "path": f"/list/{n}", "headers": {}, "tokens": 10,
+                  "body": base64.b64encode(b"item").decode()} for n in range(ITEMS)]
+        return call(self.address("entry", 1), CALLER_PORT, "POST", f"/list/{job}",
+                    json.dumps({"requests": items}),
+                    {"Request-Id": job, "Authorization": f"Bearer {KEY}"})[0]
+
+    def results(self, job):
+        """Returns the number of results that can be read."""
+        status, body, _ = call(self.address("entry", 1), CALLER_PORT, "GET", f"/lots/{job}?after=0",
+                               headers={"Authorization": f"Bearer {KEY}"})
+        return len(json.loads(body)["results"]) if status == 200 else 0
+
+
+class StoresWithoutLeaderTest(RetirementDeployment):
+    """Two of the three stores that hold a copy are without power."""
+
+    def test_retirement_runs_while_the_stores_have_no_leader(self):
+        """Guards against a retirement that a new fleet leader calls completed because it has not
+        heard yet which stores hold a copy, so that the last copy of a job is removed (LOST)."""
+        self.assertEqual(self.submit("job"), 202)
+        self.assertTrue(wait_until(lambda: self.results("job") == ITEMS))
+        for store in (2, 3):
+            self.kill("store", store)
+        self.assertEqual(self.operate("POST", "/Retire.Start/store-1", 1)[0], 200)
+        leader = self.fleet_leader()
+        self.kill("control", leader)
+        time.sleep(0.5)
+        self.start("control", leader)
+        seen = []
+        end = time.monotonic() + NEW_LEADER_SECONDS
+        while time.monotonic() < end:
+            seen += self.states(1)
+            time.sleep(0.2)
+        self.assertNotIn("completed", seen)
+        self.assertEqual(self.states(1), ["running"] * 3)
+
+        self.remove_disk("store", 2)
+        for store in (2, 3):
+            self.start("store", store)
+        self.assertTrue(wait_until(lambda: "completed" in self.states(1), 2 * RECOVERY_SECONDS))
+        self.kill("store", 1)
+        self.remove_disk("store", 1)
+        self.assertTrue(wait_until(lambda: self.results("job") == ITEMS, RECOVERY_SECONDS))
+
+
+class OrderTest(RetirementDeployment):
+    """All processes run."""
+
+    def test_store_without_an_order_is_not_completed(self):
+        """Guards against a store that counts as retired because no control process has heard of
+        it."""
+        self.assertEqual(self.states(4), [404] * 3)
+        self.assertEqual(self.states(9), [404] * 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/replication/localcluster.cpp
+++ b/tests/replication/localcluster.cpp
@@ -165,6 +165,22 @@
     return await([&](RaftNode::Callback done) { at(id).readOnAnyReplica(query, std::move(done)); });
 }
 
+Outcome<std::vector<ReplicaId>> LocalCluster::readMembership(const ReplicaId &id)
+{
+    const auto membership = std::make_shared<std::vector<ReplicaId>>();
+    const Outcome<std::string> outcome = await([&](const RaftNode::Callback &done) {
+        at(id).readMembership([membership, done](const Outcome<std::vector<ReplicaId>> &read) {
+            if (!read.ok())
+                return done(read.failure());
+            *membership = read.value();
+            done(std::string());
+        });
+    });
+    if (!outcome.ok())
+        return outcome.failure();
+    return *membership;
+}
+
 Outcome<std::string> LocalCluster::addReplica(const ReplicaId &leader, const ReplicaId &member,
                                               const ReplicaId &replaced)
 {
--- a/tests/replication/localcluster.h
+++ b/tests/replication/localcluster.h
@@ -37,6 +37,7 @@
     Outcome<std::string> write(const std::string &command);
     Outcome<std::string> propose(const ReplicaId &id, const std::string &command);
     Outcome<std::string> linearizableRead(const ReplicaId &id, const std::string &query);
+    Outcome<std::vector<ReplicaId>> readMembership(const ReplicaId &id);
     Outcome<std::string> addReplica(const ReplicaId &leader, const ReplicaId &member,
                                     const ReplicaId &replaced);
     /// Polls \a condition for up to 10 s; returns whether it became true.
--- a/tests/replication/raftnode_test.cpp
+++ b/tests/replication/raftnode_test.cpp
@@ -78,4 +78,37 @@
     BOOST_TEST(cluster.linearizableRead("d", "key").value() == "2");
 }
 
+// Guards against a membership that a leader without a quorum names from memory: it may have been
+// changed by another leader, or may never be committed.
+BOOST_AUTO_TEST_CASE(membershipIsReadOnlyFromAConfirmedLeader)
+{
+    LocalCluster cluster;
+    const std::vector<ReplicaId> voters = {"a", "b", "c"};
+    for (const ReplicaId &id : voters)
+        BOOST_REQUIRE(cluster.open(id, voters).ok());
+    BOOST_REQUIRE(cluster.write("key=1").ok());
+    const ReplicaId leader = cluster.waitForLeader();
+    const auto membership = cluster.readMembership(leader);
+    BOOST_REQUIRE(membership.ok());
+    BOOST_TEST(membership.value() == voters, boost::test_tools::per_element());
+    const ReplicaId follower = leader == "a" ? "b" : "a";
+    BOOST_TEST(!cluster.readMembership(follower).ok());
+    cluster.setDisconnected(leader, true);
+    BOOST_TEST(!cluster.readMembership(leader).ok());
+}
+
+// Guards against a membership that is read while a change of it is open.
+BOOST_AUTO_TEST_CASE(membershipIsNotReadDuringAChange)
+{
+    LocalCluster cluster;
+    BOOST_REQUIRE(cluster.open("a", {"a"}).ok());
+    BOOST_REQUIRE(cluster.write("key=1").ok());
+    cluster.waitForLeader();
+    // Nothing runs at "b", so the change stays open.
+    cluster.at("a").addReplica("b", "", [](const Outcome<std::string> &) {});
+    const auto membership = cluster.readMembership("a");
+    BOOST_REQUIRE(!membership.ok());
+    BOOST_TEST((membership.failure().code == ErrorCode::Conflict));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
