Fleet: Let the state machine decide whether a store may retire

Two of four stores remained, and after the loss of one disk no accepted job could be read.

Cause: each control process counted the remaining stores in its own copy of the list of members, in which the other order did not show yet, and the command only recorded the result.

Change: the command carries the live stores that the sender knows and the number that has to remain. The state machine decides when it applies the command and counts no store that an earlier command has retired, so orders are decided one after another, whoever sends them. An accepted order that is repeated is accepted again, also when the store is gone. A control process whose list of members is incomplete or older than 2 s answers 503 where it answered 404 or 409 by what it had not heard: both end the order for the operator. This holds also for the first 2 s of a fleet leader's term.

--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -121,6 +121,8 @@
     /// Upper bound of the time since the state was the leader's; infinite before the first
     /// response.
     absl::Duration staleness() const;
+    /// Whether the list of members is complete and shows which processes are alive.
+    bool hasCurrentMembers() const;
     /// Upper bound of the time since the start of the read that the list of upstreams shows;
     /// infinite if unknown.
     absl::Duration upstreamListAge() const;
--- a/include/rattanrill/fleet/retirement.h
+++ b/include/rattanrill/fleet/retirement.h
@@ -2,7 +2,9 @@
 
 #include "rattanrill/wire/fleetmessages.h"
 
+#include <cstdint>
 #include <string>
+#include <vector>
 
 namespace rattanrill::fleet {
 
@@ -18,4 +20,9 @@
 /// result of a linearizable read.
 RetirementState retirementState(const wire::FleetSnapshot &records, const std::string &instance);
 
+/// Returns the command that retires the store on \a instance if \a minRemainingStores others are
+/// alive and do not retire. \a members is a current and complete list.
+wire::RetireStore retireCommand(const std::vector<wire::FleetMemberStatus> &members,
+                                const std::string &instance, std::int64_t minRemainingStores);
+
 } // namespace rattanrill::fleet
--- a/include/rattanrill/fleet/statemachine.h
+++ b/include/rattanrill/fleet/statemachine.h
@@ -17,7 +17,9 @@
 ///
 /// A configuration whose version is not higher than the stored one has no effect but returns
 /// success, so that a change that was sent again or superseded is acknowledged. The store group is
-/// bootstrapped only once. Failures: MalformedMessage.
+/// bootstrapped only once. Stores retire one after another in the order of the log, so that orders
+/// that arrive together do not count each other's store as remaining. Failures: MalformedMessage,
+/// and those of wire::RetireStore.
 std::unique_ptr<replication::StateMachine> makeFleetStateMachine();
 
 } // namespace rattanrill::fleet
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -71,13 +71,20 @@
 };
 
 /// Marks a store for retirement at the request of an operator, so that its copy of the store
-/// group's data is removed. The response is sent before the removal.
+/// group's data is removed. The response is sent before the removal. Fails with NotFound if the
+/// store is not known, and with Conflict if too few stores would remain. Has no effect, and
+/// succeeds, if it was accepted before.
 struct RetireStore
 {
     static constexpr std::string_view kind = "retire_store";
+    /// Empty if the sender knows no store on the instance.
     std::string replica;
     /// Empty in commands of older processes, which record no StoreRetirement.
     std::string instance{};
+    /// Replica ids of the other live stores, as the sender knows them. Those that earlier commands
+    /// have retired do not count as remaining.
+    std::vector<std::string> otherStores{};
+    std::int64_t minRemainingStores = 0;
 };
 
 /// Records that a retiring replica is no longer one of the store group's and will not become one
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -27,6 +27,8 @@
 constexpr absl::Duration maxSearchInterval = absl::Milliseconds(1600);
 /// Minimum time for which a member stays with a relay before it changes to a preferred one.
 constexpr absl::Duration relayChangePeriod = absl::Seconds(2);
+/// A list of members that is older than this does not show which processes are alive.
+constexpr absl::Duration maxMemberListAge = absl::Seconds(2);
 
 bool precedes(const wire::FleetMemberStatus &status, const std::string &instance)
 {
@@ -631,6 +633,11 @@
     return m_impl->clock.now() - m_impl->confirmedAt;
 }
 
+bool FleetClient::hasCurrentMembers() const
+{
+    return m_impl->state.membersComplete && staleness() <= maxMemberListAge;
+}
+
 absl::Duration FleetClient::upstreamListAge() const
 {
     return m_impl->clock.now() - m_impl->state.upstreamsReadAt;
--- a/src/fleet/fleetstatemachine.cpp
+++ b/src/fleet/fleetstatemachine.cpp
@@ -1,5 +1,7 @@
 #include "fleetstatemachine.h"
 
+#include "rattanrill/base/concat.h"
+#include "rattanrill/fleet/retirement.h"
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/wire/codec.h"
 
@@ -7,6 +9,14 @@
 #include <utility>
 
 namespace rattanrill::fleet {
+namespace {
+
+bool contains(const std::vector<std::string> &list, const std::string &value)
+{
+    return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+} // namespace
 
 std::unique_ptr<replication::StateMachine> makeFleetStateMachine()
 {
@@ -15,37 +25,70 @@
 
 std::string FleetStateMachine::apply(std::uint64_t, std::string_view command)
 {
-    const auto decoded = outcomeOf([&] { return wire::decode<wire::FleetCommand>(command); });
-    if (!decoded.ok())
-        return wire::encodeCommandResult(Outcome<wire::FleetResult>(decoded.failure()));
-    std::visit([this](const auto &operation) { perform(operation); }, decoded.value().operation);
-    wire::FleetResult result;
-    result.configurationVersion = m_records.configurationVersion;
-    return wire::encodeCommandResult(Outcome<wire::FleetResult>(result));
+    return wire::encodeCommandResult(outcomeOf([&]() -> Result<wire::FleetResult> {
+        BOOST_LEAF_AUTO(decoded, wire::decode<wire::FleetCommand>(command));
+        BOOST_LEAF_CHECK(std::visit([this](const auto &operation) { return perform(operation); },
+                                    decoded.operation));
+        wire::FleetResult result;
+        result.configurationVersion = m_records.configurationVersion;
+        return result;
+    }));
 }
 
-void FleetStateMachine::perform(const wire::PutConfiguration &operation)
+Result<void> FleetStateMachine::perform(const wire::PutConfiguration &operation)
 {
     if (operation.version <= m_records.configurationVersion)
-        return;
+        return {};
     m_records.configurationVersion = operation.version;
     m_records.configuration = operation.document;
+    return {};
 }
 
-void FleetStateMachine::perform(const wire::RetireStore &operation)
+Result<void> FleetStateMachine::perform(const wire::RetireStore &operation)
 {
-    auto &retiring = m_records.retiringStores;
-    if (std::find(retiring.begin(), retiring.end(), operation.replica) == retiring.end())
-        retiring.push_back(operation.replica);
-    if (!operation.instance.empty() && findRetirement(operation.replica) == nullptr)
+    if (isRequested(operation))
+        return {};
+    if (operation.replica.empty())
+        return fail(notRun(ErrorCode::NotFound,
+                           concat("there is no store on instance \"", operation.instance, "\"")));
+    if (!leavesEnoughStores(operation))
+        return fail(notRun(ErrorCode::Conflict,
+                           "the remaining stores would tolerate too few failures"));
+    if (!contains(m_records.retiringStores, operation.replica))
+        m_records.retiringStores.push_back(operation.replica);
+    if (!operation.instance.empty())
         m_records.retirements.push_back({operation.instance, operation.replica, false});
+    return {};
+}
+
+bool FleetStateMachine::isRequested(const wire::RetireStore &operation) const
+{
+    const auto &retirements = m_records.retirements;
+    return std::any_of(
+            retirements.begin(), retirements.end(), [&](const wire::StoreRetirement &retirement) {
+                return retirement.instance == operation.instance
+                       && (operation.replica.empty() || retirement.replica == operation.replica);
+            });
+}
+
+bool FleetStateMachine::leavesEnoughStores(const wire::RetireStore &operation) const
+{
+    const bool isRetiring =
+            contains(m_records.retiringStores, operation.replica)
+            || retirementState(m_records, operation.instance) == RetirementState::Running;
+    const auto remaining = std::count_if(operation.otherStores.begin(), operation.otherStores.end(),
+                                         [&](const std::string &replica) {
+                                             return !contains(m_records.retiringStores, replica);
+                                         });
+    return isRetiring || remaining >= operation.minRemainingStores;
 }
 
-void FleetStateMachine::perform(const wire::CompleteRetirement &operation)
+Result<void> FleetStateMachine::perform(const wire::CompleteRetirement &operation)
 {
     wire::StoreRetirement *retirement = findRetirement(operation.replica);
     if (retirement != nullptr)
         retirement->completed = true;
+    return {};
 }
 
 wire::StoreRetirement *FleetStateMachine::findRetirement(const std::string &replica)
@@ -57,15 +100,17 @@
     return nullptr;
 }
 
-void FleetStateMachine::perform(const wire::BootstrapStoreGroup &operation)
+Result<void> FleetStateMachine::perform(const wire::BootstrapStoreGroup &operation)
 {
     if (m_records.storeFounders.empty())
         m_records.storeFounders = operation.voters;
+    return {};
 }
 
-void FleetStateMachine::perform(const wire::PutBlockedPrompts &operation)
+Result<void> FleetStateMachine::perform(const wire::PutBlockedPrompts &operation)
 {
     m_records.blockedPrompts = operation.prompts;
+    return {};
 }
 
 std::string FleetStateMachine::query(std::string_view query) const
--- a/src/fleet/fleetstatemachine.h
+++ b/src/fleet/fleetstatemachine.h
@@ -15,11 +15,15 @@
     Result<void> restore(std::string_view snapshot) override;
 
 private:
-    void perform(const wire::PutConfiguration &operation);
-    void perform(const wire::RetireStore &operation);
-    void perform(const wire::BootstrapStoreGroup &operation);
-    void perform(const wire::PutBlockedPrompts &operation);
-    void perform(const wire::CompleteRetirement &operation);
+    Result<void> perform(const wire::PutConfiguration &operation);
+    Result<void> perform(const wire::RetireStore &operation);
+    Result<void> perform(const wire::BootstrapStoreGroup &operation);
+    Result<void> perform(const wire::PutBlockedPrompts &operation);
+    Result<void> perform(const wire::CompleteRetirement &operation);
+    bool isRequested(const wire::RetireStore &operation) const;
+    /// Whether the stores that remain after \a operation are enough. A further replica of a store
+    /// that is already retiring takes none away.
+    bool leavesEnoughStores(const wire::RetireStore &operation) const;
     /// Returns the retirement of \a replica; null if there is none.
     wire::StoreRetirement *findRetirement(const std::string &replica);
 
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -177,39 +177,16 @@
         });
     }
 
-    const wire::FleetMemberStatus *findStore(const std::string &instance) const
-    {
-        for (const wire::FleetMemberStatus &status : m_core->fleetClient().state().members) {
-            if (status.member.role == wire::MemberRole::Store && status.member.instance == instance)
-                return &status;
-        }
-        return nullptr;
-    }
-
-    /// Returns the number of stores that provide the group's failure tolerance when \a instance
-    /// leaves: the live ones that are not retiring.
-    int remainingStores(const std::string &instance) const
-    {
-        int count = 0;
-        for (const wire::FleetMemberStatus &status : m_core->fleetClient().state().members) {
-            const bool isRemaining = status.member.role == wire::MemberRole::Store && status.alive
-                                     && !status.retiring && status.member.instance != instance;
-            count += isRemaining ? 1 : 0;
-        }
-        return count;
-    }
-
+    /// The state machine decides, because other orders may be accepted at the same time.
     void perform(const ExchangePtr &exchange, const fleet::StartRetirementCall &call)
     {
-        const wire::FleetMemberStatus *status = findStore(call.instance);
-        if (status == nullptr)
-            return refuse(exchange,
-                          notRun(ErrorCode::NotFound,
-                                 concat("there is no store on instance \"", call.instance, "\"")));
-        if (remainingStores(call.instance) < 2 * m_settings.toleratedFailures + 1)
-            return refuse(exchange, notRun(ErrorCode::Conflict,
-                                           "the remaining stores would tolerate too few failures"));
-        const wire::FleetCommand command{wire::RetireStore{status->member.replica, call.instance}};
+        // Stores that this process has not heard of would be missing.
+        if (!m_core->fleetClient().hasCurrentMembers())
+            return refuse(exchange, notRun(ErrorCode::NoQuorum,
+                                           "it is not known yet which stores are alive"));
+        const wire::FleetCommand command{
+                fleet::retireCommand(m_core->fleetClient().state().members, call.instance,
+                                     2 * m_settings.toleratedFailures + 1)};
         m_replica->propose(wire::encode(command), [this, exchange](const auto &outcome) {
             if (!outcome.ok())
                 return refuse(exchange, outcome.failure());
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -21,8 +21,6 @@
 
 /// Time for another replica to become leader during a graceful stop.
 constexpr absl::Duration leadershipTransferTime = absl::Milliseconds(500);
-/// A list of members that is older than this does not show which processes are alive.
-constexpr absl::Duration maxMemberListAge = absl::Seconds(2);
 
 /// Several events of an item's stream are read at once: the leader of the store group reads the
 /// streams of all running items, and nobody waits for a single event. The interval is short against
@@ -273,10 +271,9 @@
     std::vector<fleet::VoterCandidate> candidates() const
     {
         std::vector<fleet::VoterCandidate> candidates;
-        const fleet::FleetState &state = m_core->fleetClient().state();
-        if (!state.membersComplete || m_core->fleetClient().staleness() > maxMemberListAge)
+        if (!m_core->fleetClient().hasCurrentMembers())
             return candidates;
-        for (const wire::FleetMemberStatus &status : state.members) {
+        for (const wire::FleetMemberStatus &status : m_core->fleetClient().state().members) {
             if (status.member.role == wire::MemberRole::Store)
                 candidates.push_back({status.member.replica, status.member.failureDomain,
                                       status.alive, status.retiring});
--- a/tests/fleet/statemachine_test.cpp
+++ b/tests/fleet/statemachine_test.cpp
@@ -20,18 +20,38 @@
         return perform(wire::PutConfiguration{version, document}).configurationVersion;
     }
 
-    wire::FleetResult perform(wire::FleetOperation operation)
+    wire::CommandResult apply(wire::FleetOperation operation)
     {
         const std::string response =
                 machine->apply(++index, wire::encode(wire::FleetCommand{std::move(operation)}));
-        const auto result = outcomeOf([&]() -> Result<wire::FleetResult> {
-            BOOST_LEAF_AUTO(decoded, wire::decode<wire::CommandResult>(response));
-            return wire::decode<wire::FleetResult>(decoded.body);
-        });
+        const auto result = outcomeOf([&] { return wire::decode<wire::CommandResult>(response); });
+        BOOST_REQUIRE(result.ok());
+        return result.value();
+    }
+
+    wire::FleetResult perform(wire::FleetOperation operation)
+    {
+        const wire::CommandResult response = apply(std::move(operation));
+        BOOST_REQUIRE(!response.failure.failed);
+        const auto result =
+                outcomeOf([&] { return wire::decode<wire::FleetResult>(response.body); });
         BOOST_REQUIRE(result.ok());
         return result.value();
     }
 
+    /// Retires store \a number of a deployment of four that tolerates one failure. The sender knows
+    /// of no other order.
+    wire::CommandResult retire(int number)
+    {
+        wire::RetireStore command{"s" + std::to_string(number), "store-" + std::to_string(number)};
+        for (int other = 1; other <= 4; ++other) {
+            if (other != number)
+                command.otherStores.push_back("s" + std::to_string(other));
+        }
+        command.minRemainingStores = 3;
+        return apply(command);
+    }
+
     static wire::FleetSnapshot records(const replication::StateMachine &machine,
                                        std::uint64_t knownVersion = 0)
     {
@@ -119,6 +139,31 @@
     BOOST_TEST(isCompleted("s"));
 }
 
+// Guards against two orders to retire a store that arrive together and are both accepted, because
+// the sender of each counts the other store as one that remains (LOST).
+BOOST_AUTO_TEST_CASE(secondOfTwoRetirementsAtOnceIsRefused)
+{
+    BOOST_TEST(!retire(1).failure.failed);
+    BOOST_TEST(retire(2).failure.code == name(ErrorCode::Conflict));
+    BOOST_TEST(records(*machine).retiringStores == std::vector<std::string>{"s1"},
+               boost::test_tools::per_element());
+    perform(wire::CompleteRetirement{"s1"});
+    BOOST_TEST(retire(2).failure.code == name(ErrorCode::Conflict));
+}
+
+// Guards against an accepted order that is refused when the operator sends it again, also after the
+// store is gone.
+BOOST_AUTO_TEST_CASE(repeatedRetirementIsAcceptedAgain)
+{
+    BOOST_TEST(!retire(1).failure.failed);
+    wire::RetireStore repeated{"s1", "store-1"};
+    repeated.minRemainingStores = 3;
+    BOOST_TEST(!apply(repeated).failure.failed);
+    BOOST_TEST(!apply(wire::RetireStore{"", "store-1"}).failure.failed);
+    BOOST_TEST(records(*machine).retirements.size() == 1u);
+    BOOST_TEST(apply(wire::RetireStore{"", "store-9"}).failure.code == name(ErrorCode::NotFound));
+}
+
 BOOST_AUTO_TEST_CASE(snapshotRestoresTheWholeState)
 {
     put(7, "seven");
--- a/tests/platform/retirement_test.py
+++ b/tests/platform/retirement_test.py
@@ -3,6 +3,7 @@
 import base64
 import http.client
 import json
+import threading
 import time
 import unittest
 
@@ -32,6 +33,11 @@
             return None, {}
         return status, json.loads(body) if status == 200 else {}
 
+    def knows_all_stores(self):
+        """Returns whether a control process knows which stores there are: before, it can neither
+        accept nor reject an order."""
+        return self.operate("POST", "/Retire.Start/store-9", 1)[0] == 404
+
     def states(self, store):
         """Returns what each control process answers for the retirement of a store."""
         answers = [self.operate("GET", f"/Retire.Get/store-{store}", number)
@@ -58,6 +64,7 @@
     def test_retirement_runs_while_the_stores_have_no_leader(self):
         """Guards against a retirement that a new fleet leader calls completed because it has not
         heard yet which stores hold a copy, so that the last copy of a job is removed (LOST)."""
+        self.assertTrue(wait_until(self.knows_all_stores))
         self.assertEqual(self.submit("job"), 202)
         self.assertTrue(wait_until(lambda: self.results("job") == ITEMS))
         for store in (2, 3):
@@ -87,6 +94,29 @@
 class OrderTest(RetirementDeployment):
     """All processes run."""
 
+    def test_only_one_of_two_orders_at_once_is_accepted(self):
+        """Guards against two orders at two control processes that are both accepted although the
+        deployment can spare one store (LOST), and against the repeat of an accepted order that is
+        refused."""
+        statuses = {}
+
+        def order(control, store):
+            self.assertTrue(wait_until(lambda: self.operate(
+                "POST", f"/Retire.Start/store-{store}", control)[0] in (200, 409)))
+            statuses[store] = self.operate("POST", f"/Retire.Start/store-{store}", control)[0]
+
+        orders = [threading.Thread(target=order, args=(control, store))
+                  for control, store in ((1, 2), (2, 3))]
+        for thread in orders:
+            thread.start()
+        for thread in orders:
+            thread.join()
+        self.assertEqual(sorted(statuses.values()), [200, 409])
+        accepted = min(statuses, key=statuses.get)
+        self.assertTrue(wait_until(lambda: "completed" in self.states(accepted)))
+        self.assertEqual(self.states(5 - accepted), [404] * 3)
+        self.assertEqual(self.operate("POST", f"/Retire.Start/store-{accepted}", 3)[0], 200)
+
     def test_store_without_an_order_is_not_completed(self):
         """Guards against a store that counts as retired because no control process has heard of
         it."""
