Fleet: Change voters only by a list from the leader's own time

Cause: a leader of the store group planned by a list of members up to 2 s old, also by one from before it became the leader. Its predecessor may have reported a store as retired, by a later list; the new leader could add that store again just before it is removed.

Change: a list of candidates states its time, and GroupReplica ignores one from before its leadership. The fleet leader's own list is always of its term.

Seen failing: voterIsAddedOnlyByAListFromTheLeadersOwnTime, with the check taken out, adds a learner.

--- a/include/rattanrill/fleet/groupreplica.h
+++ b/include/rattanrill/fleet/groupreplica.h
@@ -37,6 +37,14 @@
     absl::Duration forwardTimeout = absl::Milliseconds(900);
 };
 
+/// The processes that can currently hold a replica of a group.
+struct CandidateList
+{
+    std::vector<VoterCandidate> candidates;
+    /// The list was the fleet leader's at this time or later.
+    absl::Time asOf = absl::InfinitePast();
+};
+
 /// The replica of a Raft group in this process. Replica ids contain the peer address, so that
 /// messages reach processes that are not listed in any settings. The leader replaces lost voters by
 /// processes that are alive. Used on the event loop only.
@@ -45,8 +53,7 @@
 public:
     using Callback = replication::RaftNode::Callback;
     using MembershipCallback = replication::RaftNode::MembershipCallback;
-    /// Returns the processes that can currently hold a replica.
-    using CandidateSource = std::function<std::vector<VoterCandidate>()>;
+    using CandidateSource = std::function<CandidateList()>;
     /// Called with true when this replica gains leadership, and with false when it loses it.
     using LeadershipListener = std::function<void(bool leads)>;
 
@@ -62,6 +69,8 @@
     Result<void> open(const ReplicaIdentity &identity,
                       std::unique_ptr<replication::StateMachine> machine);
     bool isOpen() const;
+    /// A list from before this replica became the leader changes nothing: the previous leader may
+    /// have acted on a later one, and reported a store as retired that the list shows as a spare.
     void setCandidateSource(CandidateSource candidateSource);
     void onLeadershipChange(LeadershipListener listener);
     /// Calls \a listener on the loop after commands were applied.
--- a/src/fleet/groupreplica.cpp
+++ b/src/fleet/groupreplica.cpp
@@ -112,6 +112,7 @@
         const bool wasLeader = leads;
         leads = leadsNow;
         term = status.term;
+        roleSince = clock.now();
         log(LogLevel::Info, leadsNow ? "leadership-gained" : "leadership-lost",
             {{"group", settings.group},
              {"term", status.term},
@@ -127,7 +128,10 @@
 
     void changeMembers(const replication::RaftNodeStatus &status)
     {
-        const auto change = nextMembershipChange(status, candidateSource(), settings.voterLimits);
+        const CandidateList list = candidateSource();
+        if (list.asOf < roleSince)
+            return;
+        const auto change = nextMembershipChange(status, list.candidates, settings.voterLimits);
         if (!change)
             return;
         isChangingMembers = true;
@@ -163,6 +167,8 @@
     std::function<void()> appliedListener;
     TimerService::TimerId timer = 0;
     bool leads = false;
+    /// Time at which \a leads or \a term was last set.
+    absl::Time roleSince = absl::InfinitePast();
     bool isChangingMembers = false;
     bool stopLogged = false;
     std::uint64_t term = 0;
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -65,7 +65,9 @@
         m_fleetService = std::make_unique<fleet::FleetService>(
                 m_processContext.loop, *m_replica, m_processContext.upstreamDiscovery,
                 fleet::FleetServiceSettings(), m_core->clock());
-        m_replica->setCandidateSource([this] { return m_fleetService->controlCandidates(); });
+        m_replica->setCandidateSource([this] {
+            return fleet::CandidateList{m_fleetService->controlCandidates(), m_core->clock().now()};
+        });
         m_fleetService->setMemberListSource(
                 [this] { return m_core->fleetClient().state().upstreams; });
         m_fleetService->relayFor(m_core->fleetClient());
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -268,17 +268,18 @@
              {"detail", opened.ok() ? "" : opened.failure().detail}});
     }
 
-    std::vector<fleet::VoterCandidate> candidates() const
+    fleet::CandidateList candidates() const
     {
-        std::vector<fleet::VoterCandidate> candidates;
+        fleet::CandidateList list;
         if (!m_core->fleetClient().hasCurrentMembers())
-            return candidates;
+            return list;
+        list.asOf = m_core->clock().now() - m_core->fleetClient().staleness();
         for (const wire::FleetMemberStatus &status : m_core->fleetClient().state().members) {
             if (status.member.role == wire::MemberRole::Store)
-                candidates.push_back({status.member.replica, status.member.failureDomain,
-                                      status.alive, status.retiring});
+                list.candidates.push_back({status.member.replica, status.member.failureDomain,
+                                           status.alive, status.retiring});
         }
-        return candidates;
+        return list;
     }
 
     const ProcessSettings &m_settings;
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -351,6 +351,36 @@
     BOOST_TEST((retirementState(fixture.records(), "s") == RetirementState::Completed));
 }
 
+// Guards against a new leader that adds a store which an earlier leader has reported as retired,
+// because its own list of members is from before the order.
+BOOST_AUTO_TEST_CASE(voterIsAddedOnlyByAListFromTheLeadersOwnTime)
+{
+    LeaderFixture fixture;
+    absl::Time asOf = SystemClock::instance().now();
+    fixture.thread.run([&] {
+        fixture.replica.setCandidateSource([&] {
+            CandidateList list;
+            for (const char *id : {"a", "b", "c"})
+                list.candidates.push_back(
+                        {makeReplicaId(addressOf(fixture.server), id), "d", true, false});
+            list.asOf = asOf;
+            return list;
+        });
+    });
+    fixture.open();
+    BOOST_REQUIRE(fixture.awaitResponse([](const auto &) { return true; }, absl::Seconds(10)));
+    absl::SleepFor(absl::Milliseconds(300));
+    const auto learners = [&] {
+        std::size_t count = 0;
+        fixture.thread.run([&] { count = fixture.replica.status().learners.size(); });
+        return count;
+    };
+    BOOST_TEST(learners() == 0u);
+    fixture.thread.run([&] { asOf = absl::InfiniteFuture(); });
+    BOOST_TEST(fixture.awaitResponse([&](const auto &) { return learners() == 1u; },
+                                     absl::Seconds(10)));
+}
+
 // Guards against a list whose age members can't determine.
 BOOST_AUTO_TEST_CASE(responseStatesTheAgeOfTheList)
 {
