Fleet: Keep as many voters as the tolerated failures need

Cause: a retiring voter without a live spare was removed down to two voters, whatever number of failures the deployment has to tolerate. One accepted order was enough, if the spare was gone when the voter left; after that the loss of one disk loses the group.

Change: at least twice the tolerated failures plus one voters remain. The retirement runs until a spare is there. A learner that retires is removed: left by an addition that had failed, it would have kept its retirement running.

The case retiringVoterIsRemovedWithoutSpareOnlyWhenAllOthersAreAlive asserted that one of three voters is removed, which is the fault. It checks the same with four voters now, and retiringVoterStaysWhenTooFewWouldRemain checks that three stay.

Seen failing: both new cases, with the former bound and without the check of learners. They pass now.

--- a/include/rattanrill/fleet/membershipchange.h
+++ b/include/rattanrill/fleet/membershipchange.h
@@ -34,6 +34,9 @@
     /// Maximum number of voters. An odd number, because one more voter would add work but would not
     /// increase the number of tolerated failures.
     std::size_t maxVoters = 5;
+    /// Minimum number of voters that remain when a retiring voter is removed without a replacement:
+    /// twice the number of tolerated failures plus one.
+    std::size_t minVoters = 3;
 };
 
 /// Decides the next change of a group's voters, on the group's leader. Returns no change when the
--- a/include/rattanrill/gateway/processsettings.h
+++ b/include/rattanrill/gateway/processsettings.h
@@ -49,6 +49,9 @@
     std::string peerAddress() const;
     /// Peer addresses of the seeds.
     std::vector<std::string> seedPeers() const;
+    /// Number of stores that must remain when one retires: a majority of them survives the
+    /// tolerated failures.
+    int minRemainingStores() const { return 2 * toleratedFailures + 1; }
 };
 
 std::string_view processSettingsSchema();
--- a/src/fleet/membershipchange.cpp
+++ b/src/fleet/membershipchange.cpp
@@ -8,9 +8,6 @@
 namespace rattanrill::fleet {
 namespace {
 
-/// Minimum number of voters that remain when a retiring voter is removed without a replacement.
-constexpr std::size_t minVotersAfterRetirement = 2;
-
 bool contains(const std::vector<replication::ReplicaId> &ids, const replication::ReplicaId &id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -95,7 +92,8 @@
     {
         for (const replication::ReplicaId &learner : m_status.learners) {
             const VoterCandidate *candidate = find(m_candidates, learner);
-            if (candidate == nullptr || isSuperseded(learner, m_candidates) || !candidate->alive)
+            if (candidate == nullptr || isSuperseded(learner, m_candidates) || !candidate->alive
+                || candidate->retiring)
                 return learner;
         }
         return {};
@@ -147,7 +145,7 @@
         const auto &voters = m_status.voters;
         const bool allAlive = std::none_of(voters.begin(), voters.end(),
                                            [this](const auto &voter) { return isLost(voter); });
-        if (!allAlive || voters.size() <= minVotersAfterRetirement)
+        if (!allAlive || voters.size() <= m_limits.minVoters)
             return std::nullopt;
         for (const replication::ReplicaId &voter : m_status.voters) {
             const VoterCandidate *candidate = find(m_candidates, voter);
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -186,9 +186,9 @@
         if (!m_core->fleetClient().hasCurrentMembers())
             return refuse(exchange, notRun(ErrorCode::NoQuorum,
                                            "it is not known yet which stores are alive"));
-        const wire::FleetCommand command{
-                fleet::retireCommand(m_core->fleetClient().state().members, call.instance,
-                                     2 * m_settings.toleratedFailures + 1)};
+        const wire::FleetCommand command{fleet::retireCommand(m_core->fleetClient().state().members,
+                                                              call.instance,
+                                                              m_settings.minRemainingStores())};
         m_replica->propose(wire::encode(command), [this, exchange](const auto &outcome) {
             if (!outcome.ok())
                 return refuse(exchange, outcome.failure());
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -105,6 +105,8 @@
         fleet::GroupReplicaSettings groupSettings;
         groupSettings.group = fleet::storeGroup;
         groupSettings.dataFolder = m_settings.dataFolder;
+        groupSettings.voterLimits.minVoters =
+                static_cast<std::size_t>(m_settings.minRemainingStores());
         m_replica = std::make_unique<fleet::GroupReplica>(m_processContext.loop, m_core->channels(),
                                                           groupSettings, m_core->clock());
         const jobs::JobExecutorContext context{m_processContext.loop,
--- a/tests/fleet/membershipchange_test.cpp
+++ b/tests/fleet/membershipchange_test.cpp
@@ -34,7 +34,7 @@
     return {replica, "d", false, false};
 }
 
-const VoterLimits limits{5};
+const VoterLimits limits{5, 3};
 
 } // namespace
 
@@ -120,15 +120,45 @@
 
 BOOST_AUTO_TEST_CASE(retiringVoterIsRemovedWithoutSpareOnlyWhenAllOthersAreAlive)
 {
+    const auto status = leaderStatus({"a/1", "b/1", "c/1", "d/1"});
     std::vector<VoterCandidate> candidates{liveCandidate("a/1"), liveCandidate("b/1"),
-                                           liveCandidate("c/1")};
+                                           liveCandidate("c/1"), liveCandidate("d/1")};
     candidates[1].retiring = true;
-    const auto change =
-            nextMembershipChange(leaderStatus({"a/1", "b/1", "c/1"}), candidates, limits);
+    const auto change = nextMembershipChange(status, candidates, limits);
     BOOST_REQUIRE(change.has_value());
     BOOST_TEST(change->removed == "b/1");
     candidates[2].alive = false;
+    BOOST_TEST(!nextMembershipChange(status, candidates, limits));
+}
+
+// Guards against a group that does not survive the loss of one disk, because a voter retires while
+// no spare is alive to replace it (LOST).
+BOOST_AUTO_TEST_CASE(retiringVoterStaysWhenTooFewWouldRemain)
+{
+    std::vector<VoterCandidate> candidates{liveCandidate("a/1"), liveCandidate("b/1"),
+                                           liveCandidate("c/1"), deadCandidate("d/1")};
+    candidates[1].retiring = true;
     BOOST_TEST(!nextMembershipChange(leaderStatus({"a/1", "b/1", "c/1"}), candidates, limits));
+    candidates[3].alive = true;
+    const auto change =
+            nextMembershipChange(leaderStatus({"a/1", "b/1", "c/1"}), candidates, limits);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST(change->added == "d/1");
+    BOOST_TEST(change->removed == "b/1");
+}
+
+// Guards against a retirement that never ends, because an addition that failed has left the store a
+// learner.
+BOOST_AUTO_TEST_CASE(retiringLearnerIsRemoved)
+{
+    std::vector<VoterCandidate> candidates{liveCandidate("a/1"), liveCandidate("b/1"),
+                                           liveCandidate("c/1"), liveCandidate("d/1")};
+    candidates[3].retiring = true;
+    const auto change =
+            nextMembershipChange(leaderStatus({"a/1", "b/1", "c/1"}, {"d/1"}), candidates, limits);
+    BOOST_REQUIRE(change.has_value());
+    BOOST_TEST(change->added.empty());
+    BOOST_TEST(change->removed == "d/1");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
