Jobs: Refuse a route as unknown only by a configuration that is new enough

Cause: a store leader without a configuration, or with an older one than the entry that took the job, answered "unknown route", which reaches the caller as 404 although the route exists.

Change: the submission carries the version by which the entry found the route. A store leader whose configuration is older answers as one that is not ready, and the entry tries again.

Seen failing: routeOfANewerConfigurationIsNotUnknown, with the check taken out.

--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -132,6 +132,9 @@
 struct SubmitJobRequest
 {
     JobRecord job;
+    /// Version of the configuration by which the sender found the job's route; 0 from older
+    /// processes.
+    std::uint64_t configurationVersion = 0;
 };
 
 /// Request of Method::ReadJob, also a query: reads results of a job. Fails with NotFound.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -159,7 +159,7 @@
     const std::string id = job.id;
     if (refuseBeforeEnd(exchange, id, timeout))
         return;
-    m_jobs.submit(wire::SubmitJobRequest{std::move(job)}, timeout,
+    m_jobs.submit(wire::SubmitJobRequest{std::move(job), m_deployment->version()}, timeout,
                   [this, exchange, id](const Outcome<Done> &outcome) {
                       if (outcome.ok())
                           return exchange->respond(net::textResponse(202, "", "application/json"));
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -47,6 +47,17 @@
         return notRun(ErrorCode::NotLeader, context.replica.status().leader);
     }
 
+    /// The sender's configuration has the route. If it is newer than this one, the route may be
+    /// new.
+    Failure unknownRoute(const wire::SubmitJobRequest &request) const
+    {
+        if (!deployment || deployment->version() < request.configurationVersion)
+            return notRun(ErrorCode::NoQuorum,
+                          "the store has not received the sender's configuration yet");
+        return notRun(ErrorCode::UnknownRoute,
+                      concat("the configuration has no route \"", request.job.route, "\""));
+    }
+
     /// Decodes a request that only the leader serves. If it is malformed or this replica can't
     /// serve it, responds with the failure and returns nullopt.
     template <typename Message>
@@ -71,8 +82,7 @@
         const serving::Route *route =
                 deployment ? deployment->routeNamed(request->job.route) : nullptr;
         if (route == nullptr)
-            return reply(notRun(ErrorCode::UnknownRoute, concat("the configuration has no route \"",
-                                                                request->job.route, "\"")));
+            return reply(unknownRoute(*request));
         wire::AcceptJob operation;
         operation.job = std::move(request->job);
         operation.job.acceptedAtMs = absl::ToUnixMillis(context.clock.wallNow());
--- a/tests/jobs/jobservice_test.cpp
+++ b/tests/jobs/jobservice_test.cpp
@@ -21,4 +21,18 @@
     BOOST_TEST(lists.bytes - bytesBefore <= wire::encode(submission("job-7").job).size() * 2);
 }
 
+// Guards against a job that is answered as one for an unknown route (DENIED) by a store leader
+// whose configuration is older than the caller's entry's, or that has none yet.
+BOOST_AUTO_TEST_CASE(routeOfANewerConfigurationIsNotUnknown)
+{
+    wire::SubmitJobRequest request = submission("job");
+    request.job.route = "new";
+    request.configurationVersion = 1;
+    BOOST_TEST((submitFailure(request).code == ErrorCode::UnknownRoute));
+    request.configurationVersion = 2;
+    BOOST_TEST((submitFailure(request).code != ErrorCode::UnknownRoute));
+    thread.run([this] { service.setDeployment(nullptr); });
+    BOOST_TEST((submitFailure(submission("other")).code != ErrorCode::UnknownRoute));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -159,6 +159,23 @@
         BOOST_REQUIRE(done.WaitForNotificationWithTimeout(absl::Seconds(20)));
     }
 
+    /// Returns the failure of a submission that must not succeed.
+    Failure submitFailure(const wire::SubmitJobRequest &request)
+    {
+        Failure failure;
+        absl::Notification done;
+        thread.run([&] {
+            client.submit(request, absl::Milliseconds(300), [&](const Outcome<Done> &outcome) {
+                BOOST_TEST(!outcome.ok());
+                if (!outcome.ok())
+                    failure = outcome.failure();
+                done.Notify();
+            });
+        });
+        BOOST_REQUIRE(done.WaitForNotificationWithTimeout(absl::Seconds(20)));
+        return failure;
+    }
+
     /// Waits until the reads that the service has started are complete; a later read follows them.
     void awaitReads()
     {
