--- a/src/fleet/fleetservice.cpp
+++ b/src/fleet/fleetservice.cpp
@@ -11,6 +11,7 @@
 #include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 
 #include <algorithm>
 #include <array>
@@ -310,10 +311,7 @@
     {
         if (term != view.term() || !replica.isLeader())
             return;
-        const auto records = outcome.ok() ? outcomeOf([&] {
-            return wire::decode<wire::FleetSnapshot>(outcome.value());
-        })
-                                          : Outcome<wire::FleetSnapshot>(outcome.failure());
+        const auto records = wire::decodeOutcome<wire::FleetSnapshot>(outcome);
         if (!records.ok()) {
             log(LogLevel::Warning, "fleet-records-unread",
                 {{"code", rattanrill::name(records.failure().code)},
--- a/src/fleet/fleetstatemachine.cpp
+++ b/src/fleet/fleetstatemachine.cpp
@@ -5,18 +5,12 @@
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/wire/codec.h"
 
+#include "absl/algorithm/container.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace rattanrill::fleet {
-namespace {
-
-bool contains(const std::vector<std::string> &list, const std::string &value)
-{
-    return std::find(list.begin(), list.end(), value) != list.end();
-}
-
-} // namespace
 
 std::unique_ptr<replication::StateMachine> makeFleetStateMachine()
 {
@@ -54,7 +48,7 @@
     if (!leavesEnoughStores(operation))
         return fail(notRun(ErrorCode::Conflict,
                            "the remaining stores would tolerate too few failures"));
-    if (!contains(m_records.retiringStores, operation.replica))
+    if (!absl::c_linear_search(m_records.retiringStores, operation.replica))
         m_records.retiringStores.push_back(operation.replica);
     if (!operation.instance.empty())
         m_records.retirements.push_back({operation.instance, operation.replica, false});
@@ -74,12 +68,13 @@
 bool FleetStateMachine::leavesEnoughStores(const wire::RetireStore &operation) const
 {
     const bool isRetiring =
-            contains(m_records.retiringStores, operation.replica)
+            absl::c_linear_search(m_records.retiringStores, operation.replica)
             || retirementState(m_records, operation.instance) == RetirementState::Running;
-    const auto remaining = std::count_if(operation.otherStores.begin(), operation.otherStores.end(),
-                                         [&](const std::string &replica) {
-                                             return !contains(m_records.retiringStores, replica);
-                                         });
+    const auto remaining =
+            std::count_if(operation.otherStores.begin(), operation.otherStores.end(),
+                          [&](const std::string &replica) {
+                              return !absl::c_linear_search(m_records.retiringStores, replica);
+                          });
     return isRetiring || remaining >= operation.minRemainingStores;
 }
 
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -2,6 +2,8 @@
 
 #include "rattanrill/fleet/upstreamlist.h"
 
+#include "absl/algorithm/container.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -42,11 +44,6 @@
     return replicas;
 }
 
-bool contains(const std::vector<std::string> &list, const std::string &value)
-{
-    return std::find(list.begin(), list.end(), value) != list.end();
-}
-
 } // namespace
 
 FleetView::FleetView(absl::Duration memberTimeout)
@@ -213,9 +210,9 @@
 
 wire::FleetMemberStatus FleetView::withStoreFlags(wire::FleetMemberStatus status) const
 {
-    status.retiring = contains(m_records.retiringStores, status.member.replica)
+    status.retiring = absl::c_linear_search(m_records.retiringStores, status.member.replica)
                       || hasOpenRetirement(status.member.instance);
-    status.holdsCopy = contains(m_storeReplicas, status.member.replica);
+    status.holdsCopy = absl::c_linear_search(m_storeReplicas, status.member.replica);
     return status;
 }
 
@@ -320,7 +317,8 @@
     for (const auto &[instance, status] : m_shared.members()) {
         const std::string &replica = status.member.replica;
         const bool isStore = status.member.role == wire::MemberRole::Store;
-        if (isStore && hasOpenRetirement(instance) && !contains(m_records.retiringStores, replica))
+        if (isStore && hasOpenRetirement(instance)
+            && !absl::c_linear_search(m_records.retiringStores, replica))
             changes.emplace_back(wire::RetireStore{replica, instance});
     }
     for (const wire::StoreRetirement &retirement : m_records.retirements) {
--- a/src/fleet/membershipchange.cpp
+++ b/src/fleet/membershipchange.cpp
@@ -2,17 +2,14 @@
 
 #include "rattanrill/fleet/replicaidentity.h"
 
+#include "absl/algorithm/container.h"
+
 #include <algorithm>
 #include <map>
 
 namespace rattanrill::fleet {
 namespace {
 
-bool contains(const std::vector<replication::ReplicaId> &ids, const replication::ReplicaId &id)
-{
-    return std::find(ids.begin(), ids.end(), id) != ids.end();
-}
-
 const VoterCandidate *find(const std::vector<VoterCandidate> &candidates,
                            const replication::ReplicaId &id)
 {
@@ -102,7 +99,7 @@
     bool isSpare(const VoterCandidate &candidate) const
     {
         return candidate.alive && !candidate.retiring
-               && !contains(m_status.voters, candidate.replica);
+               && !absl::c_linear_search(m_status.voters, candidate.replica);
     }
 
     /// Prefers a spare at the address of the replaced voter, then one in the failure domain with
--- a/src/fleet/retirementmonitor.cpp
+++ b/src/fleet/retirementmonitor.cpp
@@ -2,6 +2,8 @@
 
 #include "rattanrill/base/logger.h"
 
+#include "absl/algorithm/container.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -10,11 +12,6 @@
 
 constexpr absl::Duration checkPeriod = absl::Milliseconds(200);
 
-bool contains(const std::vector<std::string> &list, const std::string &value)
-{
-    return std::find(list.begin(), list.end(), value) != list.end();
-}
-
 } // namespace
 
 RetirementMonitor::RetirementMonitor(TimerService &timers, MembershipSource readMembership,
@@ -41,7 +38,7 @@
 {
     m_retiring = replicas;
     const auto isCompleted = [&](const std::string &replica) {
-        return !contains(replicas, replica);
+        return !absl::c_linear_search(replicas, replica);
     };
     m_retired.erase(std::remove_if(m_retired.begin(), m_retired.end(), isCompleted),
                     m_retired.end());
@@ -51,7 +48,7 @@
 {
     std::vector<std::string> unknown;
     for (const std::string &replica : m_retiring) {
-        if (!contains(m_retired, replica))
+        if (!absl::c_linear_search(m_retired, replica))
             unknown.push_back(replica);
     }
     if (unknown.empty() || m_isReading)
@@ -80,7 +77,7 @@
     m_lastFailure.reset();
     const std::size_t previousCount = m_retired.size();
     for (const std::string &replica : checked) {
-        if (contains(membership.value(), replica))
+        if (absl::c_linear_search(membership.value(), replica))
             continue;
         m_retired.push_back(replica);
         log(LogLevel::Info, "store-retired",
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -8,6 +8,7 @@
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/gateway/serverdrain.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 
 #include <algorithm>
 #include <utility>
@@ -135,10 +136,7 @@
         const std::uint64_t version = call.deployment.version;
         const wire::FleetCommand command{wire::PutConfiguration{version, call.document}};
         m_replica->propose(wire::encode(command), [this, exchange, version](const auto &outcome) {
-            const auto result = outcome.ok() ? outcomeOf([&] {
-                return wire::decode<wire::FleetResult>(outcome.value());
-            })
-                                             : Outcome<wire::FleetResult>(outcome.failure());
+            const auto result = wire::decodeOutcome<wire::FleetResult>(outcome);
             if (!result.ok())
                 return refuse(exchange, result.failure());
             log(LogLevel::Info, "configuration-accepted",
@@ -157,11 +155,7 @@
         m_replica->readOnAnyReplica(
                 wire::encode(query),
                 [this, exchange, handler = std::move(handler)](const auto &outcome) {
-                    const auto records =
-                            outcome.ok() ? outcomeOf([&] {
-                                return wire::decode<wire::FleetSnapshot>(outcome.value());
-                            })
-                                         : Outcome<wire::FleetSnapshot>(outcome.failure());
+                    const auto records = wire::decodeOutcome<wire::FleetSnapshot>(outcome);
                     if (!records.ok())
                         return refuse(exchange, records.failure());
                     handler(records.value());
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -13,6 +13,8 @@
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
+#include <functional>
+#include <string_view>
 #include <unistd.h>
 #include <utility>
 
@@ -149,41 +151,41 @@
                                 acquire(body, reply);
                             });
                 });
-        installOneWayHandler(wire::Method::ReleaseSlot, &StoreProcess::release);
-        installOneWayHandler(wire::Method::ReportLoad, &StoreProcess::reportLoad);
-        installOneWayHandler(wire::Method::ReportHeldSlots, &StoreProcess::adoptHeldSlots);
+        installOneWayHandler<wire::SlotRelease>(
+                wire::Method::ReleaseSlot, "release-unreadable",
+                [this](const wire::SlotRelease &release) { m_broker.release(release); });
+        installOneWayHandler<wire::UpstreamLoad>(
+                wire::Method::ReportLoad, "load-unreadable",
+                [this](const wire::UpstreamLoad &load) {
+                    m_broker.reportLoad(load, serving::ReportSource::OtherProcess);
+                });
+        installOneWayHandler<wire::HeldSlots>(
+                wire::Method::ReportHeldSlots, "held-places-unreadable",
+                [this](const wire::HeldSlots &held) { m_broker.adoptHeldSlots(held); });
     }
 
-    void installOneWayHandler(wire::Method method,
-                              void (StoreProcess::*handler)(const std::string &))
+    /// Passes each message of \a method to \a handler on the event loop. Logs \a unreadableEvent
+    /// for one that is malformed.
+    template <typename Message>
+    void installOneWayHandler(wire::Method method, std::string_view unreadableEvent,
+                              std::function<void(const Message &message)> handler)
     {
+        const auto handle = [unreadableEvent,
+                             handler = std::move(handler)](const std::string &body) {
+            const auto message = outcomeOf([&] { return wire::decode<Message>(body); });
+            if (message.ok())
+                handler(message.value());
+            else
+                log(LogLevel::Warning, unreadableEvent, {{"code", name(message.failure().code)}});
+        };
         m_core->peerServer().setHandler(
-                method, [this, handler](const peer::PeerIdentity &, std::string body,
-                                        const peer::ResponseCallback &reply) {
-                    m_processContext.loop.post(
-                            [this, handler, body = std::move(body)] { (this->*handler)(body); });
+                method, [this, handle](const peer::PeerIdentity &, std::string body,
+                                       const peer::ResponseCallback &reply) {
+                    m_processContext.loop.post([handle, body = std::move(body)] { handle(body); });
                     reply(std::string());
                 });
     }
 
-    void adoptHeldSlots(const std::string &body)
-    {
-        const auto held = outcomeOf([&] { return wire::decode<wire::HeldSlots>(body); });
-        if (held.ok())
-            m_broker.adoptHeldSlots(held.value());
-        else
-            log(LogLevel::Warning, "held-places-unreadable", {{"code", name(held.failure().code)}});
-    }
-
-    void reportLoad(const std::string &body)
-    {
-        const auto load = outcomeOf([&] { return wire::decode<wire::UpstreamLoad>(body); });
-        if (load.ok())
-            m_broker.reportLoad(load.value(), serving::ReportSource::OtherProcess);
-        else
-            log(LogLevel::Warning, "load-unreadable", {{"code", name(load.failure().code)}});
-    }
-
     void acquire(const std::string &body, const peer::ResponseCallback &reply)
     {
         const auto request = outcomeOf([&] { return wire::decode<wire::SlotRequest>(body); });
@@ -196,15 +198,6 @@
         });
     }
 
-    void release(const std::string &body)
-    {
-        const auto request = outcomeOf([&] { return wire::decode<wire::SlotRelease>(body); });
-        if (request.ok())
-            m_broker.release(request.value());
-        else
-            log(LogLevel::Warning, "release-unreadable", {{"code", name(request.failure().code)}});
-    }
-
     void fillStoreReport(wire::FleetSyncRequest &request) const
     {
         request.leadsStores = m_replica->isLeader();
--- a/src/jobs/jobclient.cpp
+++ b/src/jobs/jobclient.cpp
@@ -3,6 +3,7 @@
 #include "rattanrill/base/logger.h"
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,14 +17,6 @@
 /// does not respond.
 constexpr absl::Duration attemptTimeout = absl::Milliseconds(700);
 
-template <typename Message>
-Outcome<Message> decodeBody(const Outcome<std::string> &outcome)
-{
-    if (!outcome.ok())
-        return outcome.failure();
-    return outcomeOf([&] { return wire::decode<Message>(outcome.value()); });
-}
-
 Outcome<Done> discardBody(const Outcome<std::string> &outcome)
 {
     if (!outcome.ok())
@@ -181,7 +174,7 @@
     m_impl->start(wire::Method::ReadJob, wire::encode(request), timeout,
                   absl::Milliseconds(request.waitMs),
                   [callback = std::move(callback)](const Outcome<std::string> &outcome) {
-                      callback(decodeBody<wire::ReadJobResponse>(outcome));
+                      callback(wire::decodeOutcome<wire::ReadJobResponse>(outcome));
                   });
 }
 
@@ -190,7 +183,7 @@
 {
     m_impl->start(wire::Method::ReadItem, wire::encode(request), timeout, absl::ZeroDuration(),
                   [callback = std::move(callback)](const Outcome<std::string> &outcome) {
-                      callback(decodeBody<wire::ReadItemResponse>(outcome));
+                      callback(wire::decodeOutcome<wire::ReadItemResponse>(outcome));
                   });
 }
 
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -6,6 +6,7 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 
 #include <algorithm>
 #include <list>
@@ -98,10 +99,7 @@
     void handleAcceptOutcome(const wire::JobRecord &job, const peer::ResponseCallback &reply,
                              const Outcome<std::string> &outcome)
     {
-        const auto result = outcome.ok() ? outcomeOf([&] {
-            return wire::decode<wire::JobCommandResult>(outcome.value());
-        })
-                                         : Outcome<wire::JobCommandResult>(outcome.failure());
+        const auto result = wire::decodeOutcome<wire::JobCommandResult>(outcome);
         const bool isAccepted = result.ok() && !result.value().overLimit;
         log(LogLevel::Info, isAccepted ? "job-accepted" : "job-refused",
             {{"job", job.id},
--- a/src/jobs/openjobreader.cpp
+++ b/src/jobs/openjobreader.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 
 #include <utility>
 
@@ -77,9 +78,7 @@
 void OpenJobReader::handleResponse(const std::set<std::string> &jobs,
                                    const Outcome<std::string> &outcome)
 {
-    auto open = outcome.ok()
-                        ? outcomeOf([&] { return wire::decode<wire::OpenJobs>(outcome.value()); })
-                        : Outcome<wire::OpenJobs>(outcome.failure());
+    auto open = wire::decodeOutcome<wire::OpenJobs>(outcome);
     if (!open.ok())
         return callLater(retryDelay, [this, jobs] { read(jobs); });
     m_isReading = false;
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 
 #include <algorithm>
 #include <map>
@@ -60,9 +61,7 @@
     {
         if (stopped)
             return;
-        auto response = outcome.ok() ? outcomeOf(
-                                [&] { return wire::decode<wire::SlotResponse>(outcome.value()); })
-                                     : Outcome<wire::SlotResponse>(outcome.failure());
+        auto response = wire::decodeOutcome<wire::SlotResponse>(outcome);
         if (response.ok()) {
             updateBrokerStatus(address, true, Failure());
             if (response.value().verdict == wire::SlotOutcome::Waiting)
