--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -7,6 +7,7 @@
 #include "rattanrill/fleet/retirement.h"
 #include "rattanrill/fleet/statemachine.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
@@ -47,6 +48,24 @@
     BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
 }
 
+/// Sends a poll and returns the response; nullopt for a failure.
+std::optional<wire::FleetSyncResponse> pollServer(peer::ChannelPool &channels,
+                                                  const peer::Server &server,
+                                                  const wire::FleetSyncRequest &request)
+{
+    std::optional<wire::FleetSyncResponse> response;
+    absl::Notification responded;
+    channels.channel(addressOf(server))
+            ->call(wire::Method::SyncFleet, wire::encode(request), absl::Seconds(5),
+                   [&](const Outcome<std::string> &outcome) {
+                       if (outcome.ok())
+                           response = wire::decodeOutcome<wire::FleetSyncResponse>(outcome).value();
+                       responded.Notify();
+                   });
+    responded.WaitForNotification();
+    return response;
+}
+
 /// A control process that records whether it was polled. Its responses are failures.
 class PolledServer
 {
@@ -165,20 +184,7 @@
 
     std::optional<wire::FleetSyncResponse> poll(const wire::FleetSyncRequest &request = {})
     {
-        std::optional<wire::FleetSyncResponse> response;
-        absl::Notification responded;
-        channels.channel(addressOf(server))
-                ->call(wire::Method::SyncFleet, wire::encode(request), absl::Seconds(5),
-                       [&](const Outcome<std::string> &outcome) {
-                           if (outcome.ok())
-                               response = outcomeOf([&] {
-                                              return wire::decode<wire::FleetSyncResponse>(
-                                                      outcome.value());
-                                          }).value();
-                           responded.Notify();
-                       });
-        responded.WaitForNotification();
-        return response;
+        return pollServer(channels, server, request);
     }
 
     static bool isListed(const wire::FleetSyncResponse &response, const std::string &id,
@@ -237,20 +243,7 @@
         request.self.replica = "r";
         request.acceptsRelay = true;
         request.waitMs = 100;
-        std::optional<wire::FleetSyncResponse> response;
-        absl::Notification responded;
-        channels.channel(addressOf(server))
-                ->call(wire::Method::SyncFleet, wire::encode(request), absl::Seconds(5),
-                       [&](const Outcome<std::string> &outcome) {
-                           if (outcome.ok())
-                               response = outcomeOf([&] {
-                                              return wire::decode<wire::FleetSyncResponse>(
-                                                      outcome.value());
-                                          }).value();
-                           responded.Notify();
-                       });
-        responded.WaitForNotification();
-        return response;
+        return pollServer(channels, server, request);
     }
 
     bool awaitResponse(const std::function<bool(const wire::FleetSyncResponse &)> &condition)
