--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/wire/batchmessages.h"
 #include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
 #include "rattanrill/wire/directorymessages.h"
 #include "rattanrill/wire/envelope.h"
 #include "rattanrill/wire/fleetmessages.h"
@@ -76,4 +77,21 @@
     BOOST_TEST((fromMessage(message).effect == EffectState::MayHaveRun));
 }
 
+// Guards against a refusal that a caller takes for an empty message, or whose effect is lost, and
+// against a malformed response that is taken for a message.
+BOOST_AUTO_TEST_CASE(failureOfAResponseIsPassedOnUnchanged)
+{
+    const auto refused =
+            decodeOutcome<FleetResult>(mayHaveRun(ErrorCode::ProposalLost, "leadership was lost"));
+    BOOST_REQUIRE(!refused.ok());
+    BOOST_TEST((refused.failure().code == ErrorCode::ProposalLost));
+    BOOST_TEST((refused.failure().effect == EffectState::MayHaveRun));
+    const auto malformed = decodeOutcome<FleetResult>(std::string("\xff"));
+    BOOST_REQUIRE(!malformed.ok());
+    BOOST_TEST((malformed.failure().code == ErrorCode::MalformedMessage));
+    const auto decoded = decodeOutcome<FleetResult>(encode(FleetResult{7}));
+    BOOST_REQUIRE(decoded.ok());
+    BOOST_TEST(decoded.value().configurationVersion == 7u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
