Fleet, serving: Count the entries only by a complete list

Cause: while there is no slot broker, each entry takes 1/N of each workspace's rate, and N is the number of live entries that the fleet leader names. A leader that has just been elected names those that it has heard of, 0 or 1 at first, so that the shares add up to more than the rate.

Change: a member does not let the number fall before the leader's list is complete.

Seen failing: entriesAreCountedOnlyByACompleteList (0 and 9 expected, 3 and 1 seen) and unknownNumberOfEntriesGivesNoLocalShare (granted). Both pass now, as do the programs of the libraries fleet, serving and gateway.

--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -50,6 +50,7 @@
     std::string configuration;
     /// Sorted by instance. Entries are listed for stores only.
     std::vector<wire::FleetMemberStatus> members;
+    /// Number of live entries; 0 until a complete list has shown it.
     std::int64_t liveEntries = 0;
     /// Whether the list of members is complete: the leader has led for longer than the member
     /// timeout, within which every live process should have sent a heartbeat.
--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -51,8 +51,9 @@
     /// \a address: the broker's peer address; empty when none is known.
     void setBroker(const std::string &address);
     void setDeployment(std::shared_ptr<const DeploymentIndex> deployment);
-    /// \a entries: number of entry processes that share the upstreams. \a readAt: time, not later
-    /// than the actual one, at which the list was read from the platform.
+    /// \a entries: number of entry processes that share the upstreams; 0 when unknown, and then
+    /// there is no local share. \a readAt: time, not later than the actual one, at which the list
+    /// was read from the platform.
     void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, std::size_t entries,
                       absl::Time readAt = absl::InfinitePast());
     /// See SlotBroker::confirmUpstreams().
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -440,11 +440,15 @@
         return true;
     }
 
-    /// Returns whether the number of live entries has changed.
+    /// Returns whether the number of live entries has changed. A new leader may not have heard of
+    /// all entries yet: until its list is complete, the number does not fall, because each entry
+    /// takes its share of the workspaces' rates by it.
     bool applyEntryCount(const wire::FleetSyncResponse &response)
     {
-        const std::int64_t count =
+        std::int64_t count =
                 response.liveEntries < 0 ? countLiveEntries(state.members) : response.liveEntries;
+        if (!state.membersComplete)
+            count = state.liveEntries == 0 ? 0 : std::max(count, state.liveEntries);
         return std::exchange(state.liveEntries, count) != count;
     }
 
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -128,9 +128,10 @@
         m_jobs.setStores(stores.all, stores.leader);
         if (const auto newer = m_core.newerDeployment(state, m_deployment))
             applyDeployment(newer);
-        // The gateway serves held requests at once, so the slot client needs its upstreams, broker
-        // and configuration before.
-        if (m_deployment && m_hasUpstreams)
+        // The gateway serves held requests at once, so the slot client needs its upstreams, its
+        // configuration, and a broker or a share of its own before.
+        m_canGrant = m_canGrant || !stores.leader.empty() || state.liveEntries > 0;
+        if (m_deployment && m_hasUpstreams && m_canGrant)
             m_gateway.setDeployment(m_deployment);
     }
 
@@ -210,6 +211,8 @@
     /// gets the first configuration after upstreamListTimeout even without the list.
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
     bool m_hasUpstreams = false;
+    /// Whether a slot broker or a share of its own has been known.
+    bool m_canGrant = false;
     bool m_draining = false;
 };
 
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -104,6 +104,8 @@
 
     void acquireLocally(const wire::SlotRequest &request, ResponseCallback callback)
     {
+        if (!hasLocalShare)
+            return callback(refusalWithoutShare(), true);
         localRequests.insert(request.requestId);
         localBroker.acquire(
                 request, [self = shared_from_this(), request,
@@ -121,6 +123,14 @@
                 });
     }
 
+    wire::SlotResponse refusalWithoutShare() const
+    {
+        wire::SlotResponse response;
+        response.verdict = wire::SlotOutcome::NoSlot;
+        response.retryAfterMs = absl::ToInt64Milliseconds(settings.brokerRetryDelay);
+        return response;
+    }
+
     void recordLocalCharge(const std::string &workspace)
     {
         const auto [charge, isFirst] = localCharges.try_emplace(workspace);
@@ -238,6 +248,8 @@
     SlotBroker localBroker;
     std::string brokerAddress;
     absl::Time brokerRetryAt = absl::InfinitePast();
+    /// False until the number of entries that share the upstreams is known.
+    bool hasLocalShare = false;
     /// Ids of the requests that wait for a slot of the local share or hold one.
     std::set<std::string> localRequests;
     struct GrantedSlot
@@ -292,6 +304,7 @@
 void SlotClient::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
                               std::size_t entries, absl::Time readAt)
 {
+    m_impl->hasLocalShare = entries > 0;
     const double entryCount = static_cast<double>(std::max<std::size_t>(entries, 1));
     m_impl->localBroker.setUpstreams(
             upstreams,
--- a/tests/fleet/fleetclient_test.cpp
+++ b/tests/fleet/fleetclient_test.cpp
@@ -462,4 +462,39 @@
     thread.run([this] { BOOST_TEST(client->state().upstreams.size() == 1u); });
 }
 
+// Guards against entries that each take too large a share of the rates while there is no slot
+// broker (QUOTA), because a new leader has not heard of all of them yet.
+BOOST_AUTO_TEST_CASE(entriesAreCountedOnlyByACompleteList)
+{
+    std::atomic<std::uint64_t> term{1};
+    std::atomic<std::int64_t> entries{3};
+    std::atomic<bool> isComplete{false};
+    FakeControl leader(
+            [&](const wire::FleetSyncRequest &request, const peer::ResponseCallback &reply) {
+                wire::FleetSyncResponse response = viewWithList(term);
+                response.liveEntries = entries;
+                response.membersSettled = isComplete;
+                response.viewSequence =
+                        request.viewTerm == response.viewTerm ? request.viewSequence + 1 : 1;
+                reply(wire::encode(response));
+            });
+    start({leader.address()});
+    const auto sequence = [&] { return client->state().viewSequence; };
+    BOOST_REQUIRE(await([&] { return sequence() > 2; }));
+    BOOST_TEST(await([&] { return client->state().liveEntries == 0; }));
+    isComplete = true;
+    entries = 9;
+    BOOST_REQUIRE(await([&] { return client->state().liveEntries == 9; }));
+    isComplete = false;
+    entries = 1;
+    term = 2;
+    BOOST_REQUIRE(await([&] { return client->state().leaderTerm == 2 && sequence() > 2; }));
+    thread.run([&] { BOOST_TEST(client->state().liveEntries == 9); });
+    entries = 10;
+    BOOST_TEST(await([&] { return client->state().liveEntries == 10; }));
+    isComplete = true;
+    entries = 4;
+    BOOST_TEST(await([&] { return client->state().liveEntries == 4; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -295,4 +295,34 @@
     BOOST_TEST(releases.front().requestId == "r");
 }
 
+// Guards against an entry that takes the whole rate as its share (QUOTA), because it does not know
+// how many entries there are.
+BOOST_AUTO_TEST_CASE(unknownNumberOfEntriesGivesNoLocalShare)
+{
+    wire::SlotRequest request;
+    request.requestId = "r";
+    request.instance = "e";
+    request.service = "llm";
+    request.workspace = "w";
+    request.objectiveMs = 300;
+    request.deadlineMs = 5000;
+    wire::SlotResponse received;
+    const auto acquireAs = [&](std::size_t entries) {
+        absl::Notification done;
+        thread.run([&] {
+            client.setUpstreams({{"u", "llm", "u:1", "d", 100, false}}, entries);
+            client.acquire(request, [&](const wire::SlotResponse &response, bool fromLocalShare) {
+                BOOST_TEST(fromLocalShare);
+                received = response;
+                done.Notify();
+            });
+        });
+        done.WaitForNotification();
+        return received.verdict;
+    };
+    BOOST_TEST((acquireAs(0) == wire::SlotOutcome::NoSlot));
+    BOOST_TEST(received.retryAfterMs > 0);
+    BOOST_TEST((acquireAs(1) == wire::SlotOutcome::Granted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
