Gateway: Log the orders to retire a store that were accepted

Refused orders and reads of a retirement had a line, accepted ones had none, so that the log of a deployment did not show who had taken an order and by which count.

--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -180,12 +180,18 @@
         if (!m_core->fleetClient().hasCurrentMembers())
             return refuse(exchange, notRun(ErrorCode::NoQuorum,
                                            "it is not known yet which stores are alive"));
-        const wire::FleetCommand command{fleet::retireCommand(m_core->fleetClient().state().members,
-                                                              call.instance,
-                                                              m_settings.minRemainingStores())};
-        m_replica->propose(wire::encode(command), [this, exchange](const auto &outcome) {
+        const wire::RetireStore order =
+                fleet::retireCommand(m_core->fleetClient().state().members, call.instance,
+                                     m_settings.minRemainingStores());
+        const wire::FleetCommand command{order};
+        m_replica->propose(wire::encode(command), [this, exchange, order](const auto &outcome) {
             if (!outcome.ok())
                 return refuse(exchange, outcome.failure());
+            log(LogLevel::Info, "retirement-accepted",
+                {{"instance", order.instance},
+                 {"replica", order.replica},
+                 {"otherStores", static_cast<std::int64_t>(order.otherStores.size())},
+                 {"minRemainingStores", order.minRemainingStores}});
             exchange->respond(m_processContext.operatorProtocol.acceptedResponse());
         });
     }
