--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -15,12 +15,13 @@
 from pathlib import Path
 
 BUILD = Path(os.environ.get("RATTANRILL_BUILD", "build"))
-PEER_PORT = 29760
-CALLER_PORT = 29761
-READY_PORT = 29762
-OPERATOR_PORT = 29763
-LIST_ADDRESS = ("127.0.9.1", 29764)
-UPSTREAM_PORT = 29765
+# Deployments with different first ports can run beside each other.
+PEER_PORT = int(os.environ.get("RATTANRILL_TEST_PORT", "29760"))
+CALLER_PORT = PEER_PORT + 1
+READY_PORT = PEER_PORT + 2
+OPERATOR_PORT = PEER_PORT + 3
+LIST_ADDRESS = ("127.0.9.1", PEER_PORT + 4)
+UPSTREAM_PORT = PEER_PORT + 5
 HOST = "booth.example"
 KEY = "first-key"
 CRASHING_PART = "bad"
@@ -60,9 +61,14 @@
         super().finish()
 
     def crash(self):
-        with self.lock:
-            self.crashes.append(time.monotonic())
-            for connection in self.connections[self.server.server_address]:
+        self.break_connections(self.server.server_address)
+
+    @classmethod
+    def break_connections(cls, address):
+        """Breaks all connections of the upstream with the given host and port, as its crash does."""
+        with cls.lock:
+            cls.crashes.append(time.monotonic())
+            for connection in cls.connections.get(address, ()):
                 try:
                     connection.shutdown(socket.SHUT_RDWR)
                 except OSError:
@@ -273,11 +279,36 @@
         process.send_signal(signal.SIGKILL)
         process.wait()
 
+    @classmethod
+    def kill_all(cls):
+        """Kills all processes at once, as a loss of all power does."""
+        for process in cls.processes.values():
+            process.send_signal(signal.SIGKILL)
+        for process in cls.processes.values():
+            process.wait()
+
+    @classmethod
+    def start_all(cls):
+        for name in list(cls.processes):
+            role, number = name.split("-")
+            cls.start(role, int(number))
+
     @classmethod
     def remove_disk(cls, role, number):
         """Removes the data of a process that does not run."""
         shutil.rmtree(Path(cls.directory.name) / f"{role}-{number}")
 
+    @classmethod
+    def log_lines(cls, role, event):
+        """Returns the lines with the given event of all processes of a role, as pairs of the number
+        of the process and the line, sorted by time."""
+        lines = []
+        for path in Path(cls.directory.name).glob(f"{role}-*.log"):
+            number = int(path.stem.split("-")[1])
+            lines += [(number, json.loads(line)) for line in path.read_text().splitlines()
+                      if f'"{event}"' in line]
+        return sorted(lines, key=lambda entry: entry[1]["time"])
+
     @classmethod
     def fleet_leader(cls):
         """Returns the number of the control process that gained the leadership last."""
