Tests: Show late items that wait behind one of another version

After the loss of the only upstream of one version, all late items of a service can stay without a result although an upstream of another version has free slots.

SlotScheduler::nextBatch looks at the first late item only. If that one can go on only at a version without a free slot, no other late item is granted one.

--- a/tests/policy/slotscheduler_test.cpp
+++ b/tests/policy/slotscheduler_test.cpp
@@ -540,6 +540,30 @@
     BOOST_TEST(decide().granted.at("interrupted") == "b");
 }
 
+// Guards against late items that wait, although an upstream has free slots, behind one that can go
+// on only at a version without a free slot.
+BOOST_AUTO_TEST_CASE(lateItemsPassOneThatWaitsForItsVersion)
+{
+    scheduler.setUpstreams({upstreamOfVersion("a", 1, "v1"), upstreamOfVersion("b", 2, "v2")});
+    scheduler.request(start, batch("first"));
+    BOOST_TEST(decide().granted.at("first") == "a");
+    SlotTask bound = batch("bound");
+    bound.deadline = start;
+    bound.priorRunTime = absl::Seconds(1);
+    bound.version = "v1";
+    scheduler.request(start, bound);
+    for (const char *id : {"late-1", "late-2"}) {
+        SlotTask late = batch(id);
+        late.deadline = start;
+        scheduler.request(start, late);
+    }
+    const Decisions passed = decide(start + absl::Seconds(1));
+    BOOST_TEST(passed.granted.size() == 2u);
+    BOOST_TEST(passed.granted.count("bound") == 0u);
+    scheduler.release(start + absl::Seconds(1), "first", ReleaseReason::Completed);
+    BOOST_TEST(decide(start + absl::Seconds(1)).granted.count("bound") == 1u);
+}
+
 // Guards against responses that cross the boundaries of failure domains although the own domain has
 // free slots, and against an own domain whose upstreams fill up while the others idle.
 BOOST_AUTO_TEST_CASE(onlineTaskStaysInItsDomainUpToAFewRequests)
