Tests: Send until three crashes before the count of further requests

Beside load, 2 of 24 plays of the former test failed in this way, and 2 in its next check with "Items in the first set but not the second: 502".

The logs of the first two: the first request is refused with 503 ("no upstream slot will be free in time") 13 and 593 ms before the first slot broker takes over, at an entry that knows no list of upstreams yet. The test takes each 503 for the block and ends its preparation after 0 crashes. The "further" requests are then the first ones: two requests, each at both upstreams, 4 crashes. No request was sent after the block, and the processes are within the rule.

The other two: the granted trial, 3 s after the block, is one of the last ten requests, which all had to get 503. Which request is the trial depends on the time that the first ten take.

The preparation now ends only by five crashes, or by a 503 after three, and fails with fewer. The bound of three further requests is unchanged.

--- a/tests/platform/crashing_prompt_part_test.py
+++ b/tests/platform/crashing_prompt_part_test.py
@@ -9,6 +9,8 @@
 # Time after the fifth crash within which each entry must know the part.
 CONTACT_SECONDS = 3
 MAX_FURTHER_REQUESTS = 3
+# Number of crashes after which the part is blocked.
+BLOCKING_CRASHES = 3
 
 
 def crashing_prompt(number):
@@ -31,12 +33,17 @@
         return self.send_quietly(crashing_prompt(number), 1 + number % 2)
 
     def crash_five_times(self):
+        """Ends earlier when the part is blocked. A 503 before BLOCKING_CRASHES has another reason,
+        such as a deployment that has no slot broker yet."""
         end = time.monotonic() + 20
         number = 0
         while len(Upstream.crashes) < 5 and time.monotonic() < end:
             if self.send_crashing(number) == 503:
-                break
+                if len(Upstream.crashes) >= BLOCKING_CRASHES:
+                    break
+                time.sleep(0.05)
             number += 1
+        self.assertGreaterEqual(len(Upstream.crashes), BLOCKING_CRASHES)
 
     def further_requests(self, first):
         before = len(Upstream.crashes)
@@ -51,7 +58,8 @@
         time.sleep(CONTACT_SECONDS)
         further, statuses = self.further_requests(100)
         self.assertLessEqual(further, MAX_FURTHER_REQUESTS)
-        self.assertEqual(set(statuses[-10:]), {503}, "the requests did not run")
+        # All but the trials, which may be any of them, did not run.
+        self.assertGreaterEqual(statuses.count(503), len(statuses) - further, statuses)
         sound = [self.send_quietly(f"first:100,subject-{n % 3}:50,sound-{n}:20", 1 + n % 2)
                  for n in range(6)]
         self.assertEqual(sound, [200] * 6)
