Fleet, serving, jobs: End the trial of a lost process within seconds

Callers saw accepted items without a result 18 s after all processes had restarted, although all upstreams were free.

Cause: the record of a block names the process that may send a trial, and nothing ended that when the process was gone but the timeout for a response (10 s) and the delay of the next trial (15 s). The trial counted although it may never have been sent: late items wait long for a slot.

Change: the owner of a trial repeats its state once a second, also to a new leader. The trial stays open while a request waits for a slot with it. An owner without such a request returns the trial after 4 s, and it doesn't count, so that a living owner can't keep it from other processes. A trial whose owner is silent for 4 s ends. It may have been sent, so it counts, but the first one of each block is replaced, which the block records. After that, and after a restore, the next trial waits for the short delay. Two trials and one replacement keep the bound of three further requests. Trials have numbers, so that no late report or outdated list concerns another trial. New members of messages have defaults.

outdatedListReopensNoTrial guards the change itself; the code before compared trialsLeft, which no longer tells trials apart.

--- a/include/rattanrill/policy/crashtracker.h
+++ b/include/rattanrill/policy/crashtracker.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,11 +30,16 @@
     /// the block is wrong.
     int maxTrials = 2;
     /// Time from the creation of a block to its first trial. Each further trial waits
-    /// trialDelayFactor times as long after the end of the one before.
+    /// trialDelayFactor times as long after the end of the one before. After restore() and after
+    /// the loss of a trial's owner, the delay is the first one again: nothing is known of crashes
+    /// then.
     absl::Duration firstTrialDelay = absl::Seconds(3);
     int trialDelayFactor = 5;
-    /// A trial without a result ends after this time, and counts.
+    /// A trial without a result ends this long after its request was sent, and counts.
     absl::Duration trialTimeout = absl::Seconds(10);
+    /// The owner of a trial is lost when it has not reported the trial for this long. Longer than
+    /// the search for a new leader and one period of the reports.
+    absl::Duration trialOwnerTimeout = absl::Seconds(4);
     /// Maximum number of traits with evidence. The trait whose last crash is the oldest is dropped
     /// first.
     std::size_t maxTraits = 4096;
@@ -62,6 +68,20 @@
     int trialsLeft = 0;
     /// Process that may send one request with the traits; empty when no trial is open.
     std::string trialProcess;
+    /// Number of trials that have begun, which tells late reports from those of the open trial.
+    int trialNumber = 0;
+    /// Whether a trial whose owner was lost has been replaced by a further one.
+    bool isLostTrialReplaced = false;
+};
+
+/// What the owner of an open trial reports of it.
+enum class TrialState {
+    /// A request waits to be sent.
+    Waiting,
+    /// A request was sent.
+    Sent,
+    /// The owner has sent no request, and will not send one.
+    Returned,
 };
 
 bool operator==(const CrashBlock &left, const CrashBlock &right);
@@ -83,6 +103,9 @@
 ///   the others remain blocked without it.
 /// - A few requests may run in spite of a block as trials. A sound request that ran on upstreams
 ///   which crashed for other reasons is cleared by its first complete response.
+/// - The owner of a trial repeats its state. A trial that it returns does not count. A trial whose
+///   owner falls silent ends; it may have been sent, so it counts, but the first one of each block
+///   is replaced. At most maxTrials + 1 requests are thus sent in spite of a block.
 ///
 /// Reports may arrive in any order and more than once. Performs no I/O. Not thread-safe.
 class CrashTracker
@@ -100,6 +123,11 @@
     /// Records that \a process rejected a request because of the block with \a traits. Returns true
     /// when a trial of the block by this process begins.
     bool recordRejected(absl::Time now, const TraitSet &traits, const std::string &process);
+    /// Records the \a state of the trial with \a number of the block with \a traits, as its owner
+    /// \a process reports it. Reports of other trials than the open one have no effect. Returns
+    /// true when the blocks have changed.
+    bool recordTrial(absl::Time now, const TraitSet &traits, const std::string &process, int number,
+                     TrialState state);
     /// Drops old evidence, expired blocks and trials without a result. Returns true when the blocks
     /// or the suspects have changed.
     bool expire(absl::Time now);
@@ -125,8 +153,14 @@
         /// A request that ran after this time clears its traits.
         absl::Time firstCrashAt;
         absl::Time createdAt;
-        /// Start of the open trial, or end of the last one; createdAt before the first trial.
-        absl::Time trialChangedAt;
+        /// Earliest start of the next trial when none is open.
+        absl::Time nextTrialAt;
+        /// Start of the open trial. For a trial of another tracker, the time of restore().
+        absl::Time trialStartedAt;
+        /// Time of the last report of the open trial, at first its start.
+        absl::Time ownerHeardAt;
+        /// Time from which the request of the open trial is known to have been sent.
+        std::optional<absl::Time> trialSentAt{};
     };
 
     bool addCrash(const std::string &trait, const RequestCrash &crash);
@@ -137,6 +171,8 @@
     void removeFromBlocks(const std::string &trait, absl::Time ranAt);
     bool endTrials(const RequestCrash &crash);
     absl::Duration trialDelay(const CrashBlock &block) const;
+    static void endTrial(Block &block, absl::Time nextTrialAt);
+    void endLostTrial(Block &block) const;
 
     const CrashTrackerSettings m_settings;
     std::map<std::string, Evidence> m_evidence;
--- a/include/rattanrill/serving/crashguard.h
+++ b/include/rattanrill/serving/crashguard.h
@@ -50,7 +50,9 @@
 
 /// Rejects requests that crash upstreams, by the blocks that the leader of the fleet group
 /// distributes, and reports to it the evidence of this process. Evidence is reported again until
-/// the leader has received it, and once more to each new leader. Used on the event loop only.
+/// the leader has received it, and once more to each new leader. The trials that this process owns
+/// are reported every second. A trial for which no request came for some time is returned, so that
+/// another process gets it. Used on the event loop only.
 class CrashGuard
 {
 public:
@@ -68,7 +70,8 @@
     void setBlocks(std::uint64_t term, const std::vector<wire::BlockedPrompt> &blocks,
                    const std::vector<std::string> &suspects);
     /// Whether a request with \a traits must be rejected now. A request that is not rejected
-    /// although a block applies is a trial, see recordSent().
+    /// although a block applies is a trial, see recordSent(). One that waits for a slot keeps the
+    /// trial by a call every second.
     bool isBlocked(const std::vector<std::string> &traits);
     /// Records that a request with \a traits is sent. Ends the permission of a trial.
     void recordSent(const std::vector<std::string> &traits);
@@ -102,10 +105,19 @@
         /// Whether the leader lets this process send one request, and whether it may still do so.
         bool isTrialOwner = false;
         bool isTrialOpen = false;
+        /// Whether this process has sent a request as the trial with the number.
+        bool isTrialSent = false;
+        std::int64_t trialNumber = 0;
+        /// Time at which a request last needed the trial, at first that of the permission.
+        absl::Time trialNeededAt = absl::InfinitePast();
         absl::Time rejectionReportedAt = absl::InfinitePast();
     };
 
     bool applies(const Block &block, const std::set<std::string> &traits) const;
+    void keepTrial(Block &block, const Block &former) const;
+    bool ownsTrials() const;
+    void scheduleTrialReport();
+    void reportTrials();
     void addRejection(Block &block);
     void repeatReceivedCrashes();
     void keepReceivedCrashes(std::size_t count);
@@ -133,7 +145,9 @@
     /// Time at which a suspect last proved sound.
     std::map<std::string, absl::Time> m_sound;
     bool m_isReporting = false;
+    bool m_mustReportTrials = false;
     TimerService::TimerId m_retryTimer = 0;
+    TimerService::TimerId m_trialTimer = 0;
     /// Callbacks of reports that are pending when the guard is destroyed have no effect.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -58,6 +58,9 @@
     std::int64_t trialsLeft = 0;
     /// CrashEvidence::process of the process that may send one of them; empty when none may.
     std::string trialProcess{};
+    /// See policy::CrashBlock. Older processes neither send nor keep the next two.
+    std::int64_t trialNumber = 0;
+    bool isLostTrialReplaced = false;
 };
 
 /// Replaces the configuration if \a version is higher than the stored version; otherwise has no
@@ -286,6 +289,18 @@
     std::int64_t ageMs = 0;
 };
 
+/// State of the trial of a block that the sender owns.
+struct TrialReport
+{
+    /// BlockedPrompt::parts and BlockedPrompt::trialNumber.
+    std::vector<std::string> parts;
+    std::int64_t trialNumber = 0;
+    /// Whether a request was sent. Otherwise one waits to be sent, unless \a isReturned.
+    bool isSent = false;
+    /// Whether the sender has sent no request and will not send one.
+    bool isReturned = false;
+};
+
 /// Request of Method::ReportPromptEvidence, which an instance repeats until the leader of the fleet
 /// group has responded. The response is empty.
 struct CrashEvidence
@@ -297,6 +312,8 @@
     std::string process{};
     /// Blocks by which the sender has rejected requests and that have trials left.
     std::vector<BlockedPrompt> rejected{};
+    /// Repeated as long as the sender owns trials; a trial that its owner does not report ends.
+    std::vector<TrialReport> trials{};
     /// Whether a relay has passed the message on.
     bool isForwarded = false;
 };
--- a/src/fleet/crashquarantine.cpp
+++ b/src/fleet/crashquarantine.cpp
@@ -14,7 +14,8 @@
 policy::CrashBlock toBlock(const wire::BlockedPrompt &prompt)
 {
     return {policy::TraitSet(prompt.parts.begin(), prompt.parts.end()),
-            static_cast<int>(prompt.trialsLeft), prompt.trialProcess};
+            static_cast<int>(prompt.trialsLeft), prompt.trialProcess,
+            static_cast<int>(prompt.trialNumber), prompt.isLostTrialReplaced};
 }
 
 std::vector<policy::CrashBlock> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
@@ -26,13 +27,21 @@
     return blocks;
 }
 
+policy::TrialState stateOf(const wire::TrialReport &report)
+{
+    if (report.isReturned)
+        return policy::TrialState::Returned;
+    return report.isSent ? policy::TrialState::Sent : policy::TrialState::Waiting;
+}
+
 std::vector<wire::BlockedPrompt> toPrompts(const std::vector<policy::CrashBlock> &blocks)
 {
     std::vector<wire::BlockedPrompt> prompts;
     prompts.reserve(blocks.size());
     for (const policy::CrashBlock &block : blocks)
         prompts.push_back({std::vector<std::string>(block.traits.begin(), block.traits.end()),
-                           block.trialsLeft, block.trialProcess});
+                           block.trialsLeft, block.trialProcess, block.trialNumber,
+                           block.isLostTrialReplaced});
     return prompts;
 }
 
@@ -68,6 +77,10 @@
     // that cleared their traits.
     for (const wire::BegunPart &begun : evidence.begun)
         m_tracker.recordSound(begun.part, now - absl::Milliseconds(begun.ageMs));
+    for (const wire::TrialReport &trial : evidence.trials)
+        m_tracker.recordTrial(now, policy::TraitSet(trial.parts.begin(), trial.parts.end()),
+                              evidence.process, static_cast<int>(trial.trialNumber),
+                              stateOf(trial));
     for (const wire::BlockedPrompt &block : evidence.rejected)
         addRejection(evidence, policy::TraitSet(block.parts.begin(), block.parts.end()));
     publish();
@@ -106,6 +119,8 @@
         log(LogLevel::Warning, "prompt-blocked",
             {{"traits", absl::StrJoin(prompt.parts, ",")},
              {"trialsLeft", prompt.trialsLeft},
+             {"trialNumber", prompt.trialNumber},
+             {"hasOpenTrial", !prompt.trialProcess.empty()},
              {"term", m_view.term()}});
     }
     if (operation.prompts.empty())
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -20,7 +20,8 @@
 bool samePrompt(const wire::BlockedPrompt &left, const wire::BlockedPrompt &right)
 {
     return left.parts == right.parts && left.trialsLeft == right.trialsLeft
-           && left.trialProcess == right.trialProcess;
+           && left.trialProcess == right.trialProcess && left.trialNumber == right.trialNumber
+           && left.isLostTrialReplaced == right.isLostTrialReplaced;
 }
 
 bool sameMember(const wire::FleetMember &left, const wire::FleetMember &right)
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -30,7 +30,8 @@
 /// Fewer bytes of an item are not counted against the limit of the process.
 constexpr std::size_t minCountedBytes = std::size_t(32) << 10;
 
-/// Time between two checks whether an item that crashes upstreams may run again.
+/// Time between two checks whether an item that crashes upstreams may run again. An item that waits
+/// for a slot keeps its trial by these checks, see serving::CrashGuard::isBlocked().
 constexpr absl::Duration holdPeriod = absl::Seconds(1);
 
 constexpr int statusUnprocessable = 422;
@@ -445,6 +446,12 @@
              {"item", m_item.id},
              {"traits", absl::StrJoin(m_traits.all(), ",")},
              {"run", m_attempts}});
+    if (m_trialTimer == 0)
+        m_trialTimer =
+                m_context.loop.timers().subscribeEvery(holdPeriod, [self = shared_from_this()] {
+                    if (self->m_state == State::Waiting)
+                        self->m_context.crashGuard.isBlocked(self->m_traits.all());
+                });
     retryAfter(holdPeriod);
 }
 
@@ -558,7 +565,8 @@
     m_context.broker.cancelBatch(taskId(*m_job, m_item));
     m_state = State::Ended;
     m_bufferShare.reset();
-    for (TimerService::TimerId *timer : {&m_abandonTimer, &m_backoffTimer, &m_idleTimer})
+    for (TimerService::TimerId *timer :
+         {&m_abandonTimer, &m_backoffTimer, &m_idleTimer, &m_trialTimer})
         cancelTimer(*timer);
 }
 
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -146,6 +146,8 @@
     int m_attempts = 0;
     TimerService::TimerId m_abandonTimer = 0;
     TimerService::TimerId m_backoffTimer = 0;
+    /// Runs from the first time that the item was held.
+    TimerService::TimerId m_trialTimer = 0;
     TimerService::TimerId m_idleTimer = 0;
 };
 
--- a/src/policy/crashtracker.cpp
+++ b/src/policy/crashtracker.cpp
@@ -24,7 +24,8 @@
 bool operator==(const CrashBlock &left, const CrashBlock &right)
 {
     return left.traits == right.traits && left.trialsLeft == right.trialsLeft
-           && left.trialProcess == right.trialProcess;
+           && left.trialProcess == right.trialProcess && left.trialNumber == right.trialNumber
+           && left.isLostTrialReplaced == right.isLostTrialReplaced;
 }
 
 CrashTracker::CrashTracker(CrashTrackerSettings settings)
@@ -36,7 +37,7 @@
     m_evidence.clear();
     m_blocks.clear();
     for (const CrashBlock &block : blocks)
-        m_blocks.push_back({block, now, now, now});
+        m_blocks.push_back({block, now, now, now + m_settings.firstTrialDelay, now, now});
 }
 
 bool CrashTracker::recordCrash(const RequestCrash &crash)
@@ -103,14 +104,18 @@
 
 /// Returns false when an existing block rejects the same requests. A new block replaces those that
 /// reject only a part of its requests, and has no more trials left than they had: the number of
-/// trials is bounded for each cause.
+/// trials is bounded for each cause. Its trials are numbered after theirs.
 bool CrashTracker::addBlock(const Evidence &evidence)
 {
+    const absl::Time lastCrashAt = evidence.crashes.back().crashedAt;
     Block added{{commonTraits(evidence), m_settings.maxTrials, {}},
                 evidence.crashes.front().crashedAt,
-                evidence.crashes.back().crashedAt,
-                evidence.crashes.back().crashedAt};
-    const TraitSet &traits = added.block.traits;
+                lastCrashAt,
+                lastCrashAt,
+                lastCrashAt,
+                lastCrashAt};
+    CrashBlock &block = added.block;
+    const TraitSet &traits = block.traits;
     const bool isCovered =
             std::any_of(m_blocks.begin(), m_blocks.end(), [&traits](const Block &other) {
                 return includes(traits, other.block.traits);
@@ -119,10 +124,14 @@
         return false;
     for (auto other = m_blocks.begin(); other != m_blocks.end();) {
         const bool isReplaced = includes(other->block.traits, traits);
-        if (isReplaced)
-            added.block.trialsLeft = std::min(added.block.trialsLeft, other->block.trialsLeft);
+        if (isReplaced) {
+            block.trialsLeft = std::min(block.trialsLeft, other->block.trialsLeft);
+            block.trialNumber = std::max(block.trialNumber, other->block.trialNumber);
+            block.isLostTrialReplaced |= other->block.isLostTrialReplaced;
+        }
         other = isReplaced ? m_blocks.erase(other) : std::next(other);
     }
+    added.nextTrialAt += trialDelay(block);
     m_blocks.push_back(std::move(added));
     if (m_blocks.size() > m_settings.maxBlocks)
         m_blocks.pop_front();
@@ -167,7 +176,7 @@
     }
 }
 
-/// Time between the last change of the block's trials and the start of the next trial.
+/// Time between the creation of the block, or the end of its last trial, and the next trial.
 absl::Duration CrashTracker::trialDelay(const CrashBlock &block) const
 {
     absl::Duration delay = m_settings.firstTrialDelay;
@@ -186,16 +195,54 @@
     if (found == m_blocks.end())
         return false;
     CrashBlock &block = found->block;
-    const bool isDue = block.trialsLeft > 0 && block.trialProcess.empty()
-                       && now - found->trialChangedAt >= trialDelay(block);
+    const bool isDue =
+            block.trialsLeft > 0 && block.trialProcess.empty() && now >= found->nextTrialAt;
     if (!isDue)
         return false;
     --block.trialsLeft;
+    ++block.trialNumber;
     block.trialProcess = process;
-    found->trialChangedAt = now;
+    found->trialStartedAt = now;
+    found->ownerHeardAt = now;
     return true;
 }
 
+bool CrashTracker::recordTrial(absl::Time now, const TraitSet &traits, const std::string &process,
+                               int number, TrialState state)
+{
+    const auto found = std::find_if(m_blocks.begin(), m_blocks.end(), [&](const Block &candidate) {
+        const CrashBlock &block = candidate.block;
+        return block.traits == traits && block.trialProcess == process
+               && block.trialNumber == number;
+    });
+    if (found == m_blocks.end() || process.empty())
+        return false;
+    found->ownerHeardAt = now;
+    if (state == TrialState::Sent && !found->trialSentAt)
+        found->trialSentAt = now;
+    if (state != TrialState::Returned)
+        return false;
+    ++found->block.trialsLeft;
+    endTrial(*found, now);
+    return true;
+}
+
+void CrashTracker::endTrial(Block &block, absl::Time nextTrialAt)
+{
+    block.block.trialProcess.clear();
+    block.trialSentAt.reset();
+    block.nextTrialAt = nextTrialAt;
+}
+
+/// The number of trials stays bounded although nothing is known of those that were lost, because
+/// only one of them is replaced.
+void CrashTracker::endLostTrial(Block &block) const
+{
+    if (!std::exchange(block.block.isLostTrialReplaced, true))
+        ++block.block.trialsLeft;
+    endTrial(block, block.ownerHeardAt + m_settings.firstTrialDelay);
+}
+
 /// Ends the trials of blocks whose traits the crashed request has.
 bool CrashTracker::endTrials(const RequestCrash &crash)
 {
@@ -203,12 +250,11 @@
     for (Block &candidate : m_blocks) {
         CrashBlock &block = candidate.block;
         const bool isTrial = !block.trialProcess.empty()
-                             && crash.crashedAt > candidate.trialChangedAt
+                             && crash.crashedAt > candidate.trialStartedAt
                              && containsAll(crash.traits, block.traits);
         if (!isTrial)
             continue;
-        block.trialProcess.clear();
-        candidate.trialChangedAt = crash.crashedAt;
+        endTrial(candidate, crash.crashedAt + trialDelay(block));
         isChanged = true;
     }
     return isChanged;
@@ -226,11 +272,12 @@
     while (!m_blocks.empty() && m_blocks.front().createdAt + m_settings.blockTime < now)
         m_blocks.pop_front();
     for (Block &block : m_blocks) {
-        if (block.block.trialProcess.empty()
-            || now - block.trialChangedAt < m_settings.trialTimeout)
+        if (block.block.trialProcess.empty())
             continue;
-        block.block.trialProcess.clear();
-        block.trialChangedAt = now;
+        if (now - block.ownerHeardAt >= m_settings.trialOwnerTimeout)
+            endLostTrial(block);
+        else if (block.trialSentAt && now - *block.trialSentAt >= m_settings.trialTimeout)
+            endTrial(block, now + trialDelay(block.block));
     }
     return formerSuspects != suspects() || formerBlocks != blocks();
 }
--- a/src/serving/crashguard.cpp
+++ b/src/serving/crashguard.cpp
@@ -25,6 +25,12 @@
 constexpr std::size_t maxOwnSuspects = 1024;
 /// Minimum time between two reports of requests that the same block rejected.
 constexpr absl::Duration rejectionReportPeriod = absl::Seconds(1);
+/// Period of the reports on trials that this process owns. The leader ends a trial after a few
+/// missed ones, see policy::CrashTrackerSettings.
+constexpr absl::Duration trialReportPeriod = absl::Seconds(1);
+/// Time after which a trial that no request needs is returned. The caller of a rejected request may
+/// send it to another process.
+constexpr absl::Duration unneededTrialTime = absl::Seconds(4);
 constexpr std::size_t processIdBytes = 8;
 /// Distinguishes fingerprints from the ids of prompt parts.
 constexpr const char *fingerprintPrefix = "request-";
@@ -63,8 +69,10 @@
 
 CrashGuard::~CrashGuard()
 {
-    if (m_retryTimer != 0)
-        m_timers.unsubscribe(m_retryTimer);
+    for (const TimerService::TimerId timer : {m_retryTimer, m_trialTimer}) {
+        if (timer != 0)
+            m_timers.unsubscribe(timer);
+    }
 }
 
 void CrashGuard::setBlocks(std::uint64_t term, const std::vector<wire::BlockedPrompt> &blocks,
@@ -77,21 +85,71 @@
         block.trialsLeft = prompt.trialsLeft;
         block.isTrialOwner = prompt.trialProcess == m_process;
         block.isTrialOpen = block.isTrialOwner;
+        block.trialNumber = prompt.trialNumber;
+        block.trialNeededAt = m_clock.now();
         for (const Block &former : formerBlocks) {
             if (former.traits != block.traits)
                 continue;
             block.rejectionReportedAt = former.rejectionReportedAt;
-            // A trial that was used stays used while the leader has not received its result.
-            if (former.trialsLeft == block.trialsLeft)
-                block.isTrialOpen = block.isTrialOpen && former.isTrialOpen;
+            keepTrial(block, former);
         }
         m_blocks.push_back(std::move(block));
     }
     m_suspects = std::set<std::string>(suspects.begin(), suspects.end());
+    scheduleTrialReport();
     if (std::exchange(m_term, term) != term)
         repeatReceivedCrashes();
 }
 
+/// A trial that was used or returned stays so while the leader has not received the report, and
+/// when an outdated list names it again. A leader of an older version sends no trial numbers, but
+/// lowers trialsLeft with each trial.
+void CrashGuard::keepTrial(Block &block, const Block &former) const
+{
+    const bool isNextTrial = block.trialNumber == 0 ? block.trialsLeft != former.trialsLeft
+                                                    : block.trialNumber > former.trialNumber;
+    if (isNextTrial)
+        return;
+    block.isTrialOpen = block.isTrialOwner && former.isTrialOpen;
+    block.isTrialSent = former.isTrialSent;
+    block.trialNeededAt = former.trialNeededAt;
+}
+
+bool CrashGuard::ownsTrials() const
+{
+    return std::any_of(m_blocks.begin(), m_blocks.end(),
+                       [](const Block &block) { return block.isTrialOwner; });
+}
+
+void CrashGuard::scheduleTrialReport()
+{
+    if (m_trialTimer != 0 || !ownsTrials())
+        return;
+    m_trialTimer = m_timers.subscribeOnce(trialReportPeriod, [this] {
+        m_trialTimer = 0;
+        reportTrials();
+    });
+}
+
+/// Reports the trials of this process and returns those that were not sent and that no request
+/// needs.
+void CrashGuard::reportTrials()
+{
+    const absl::Time now = m_clock.now();
+    for (Block &block : m_blocks) {
+        const bool isUnneeded = block.isTrialOpen && !block.isTrialSent
+                                && now - block.trialNeededAt >= unneededTrialTime;
+        if (!isUnneeded)
+            continue;
+        block.isTrialOpen = false;
+        log(LogLevel::Info, "crash-block-trial-returned",
+            {{"traits", absl::StrJoin(block.traits, ",")}, {"trialNumber", block.trialNumber}});
+    }
+    m_mustReportTrials = ownsTrials();
+    report();
+    scheduleTrialReport();
+}
+
 void CrashGuard::repeatReceivedCrashes()
 {
     const absl::Time oldest = m_clock.now() - receivedCrashLifetime;
@@ -115,8 +173,12 @@
     const std::set<std::string> sorted(traits.begin(), traits.end());
     bool isRejected = false;
     for (Block &block : m_blocks) {
-        if (!applies(block, sorted) || block.isTrialOpen)
+        if (!applies(block, sorted))
             continue;
+        if (block.isTrialOpen) {
+            block.trialNeededAt = m_clock.now();
+            continue;
+        }
         isRejected = true;
         addRejection(block);
     }
@@ -144,6 +206,7 @@
         if (!applies(block, sorted))
             continue;
         block.isTrialOpen = false;
+        block.isTrialSent = block.isTrialSent || block.isTrialOwner;
         log(LogLevel::Info, "crash-block-trial",
             {{"traits", absl::StrJoin(block.traits, ",")}, {"trialsLeft", block.trialsLeft}});
     }
@@ -155,8 +218,8 @@
         return;
     const std::set<std::string> sorted(traits.begin(), traits.end());
     for (Block &block : m_blocks) {
-        if (applies(block, sorted))
-            block.isTrialOpen = block.isTrialOwner;
+        if (applies(block, sorted) && block.isTrialOwner && block.isTrialSent)
+            block.isTrialOpen = true;
     }
 }
 
@@ -221,6 +284,15 @@
         evidence.begun.push_back({trait, absl::ToInt64Milliseconds(now - ranAt)});
     for (const std::set<std::string> &traits : m_rejected)
         evidence.rejected.push_back({std::vector<std::string>(traits.begin(), traits.end())});
+    if (!m_mustReportTrials)
+        return evidence;
+    for (const Block &block : m_blocks) {
+        if (block.isTrialOwner)
+            evidence.trials.push_back(
+                    {std::vector<std::string>(block.traits.begin(), block.traits.end()),
+                     block.trialNumber, block.isTrialSent,
+                     !block.isTrialSent && !block.isTrialOpen});
+    }
     return evidence;
 }
 
@@ -228,12 +300,14 @@
 /// repeated: a further one follows as long as requests come.
 void CrashGuard::report()
 {
-    const bool isEmpty = m_crashes.empty() && m_sound.empty() && m_rejected.empty();
+    const bool isEmpty =
+            m_crashes.empty() && m_sound.empty() && m_rejected.empty() && !m_mustReportTrials;
     if (m_isReporting || m_retryTimer != 0 || isEmpty)
         return;
     m_isReporting = true;
     const wire::CrashEvidence evidence = makeEvidence();
     m_rejected.clear();
+    m_mustReportTrials = false;
     m_reporter(evidence, [this, alive = std::weak_ptr<bool>(m_alive), crashes = m_crashes.size(),
                           sound = m_sound](bool isReceived) {
         if (!alive.expired())
@@ -248,6 +322,7 @@
 {
     m_isReporting = false;
     if (!isReceived) {
+        m_mustReportTrials = ownsTrials();
         m_retryTimer = m_timers.subscribeOnce(reportRetryDelay, [this] {
             m_retryTimer = 0;
             report();
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -32,7 +32,8 @@
 RATTANRILL_WIRE_FIELDS(RetireStore, replica, instance, otherStores, minRemainingStores)
 RATTANRILL_WIRE_FIELDS(CompleteRetirement, replica)
 RATTANRILL_WIRE_FIELDS(BootstrapStoreGroup, voters)
-RATTANRILL_WIRE_FIELDS(BlockedPrompt, parts, trialsLeft, trialProcess)
+RATTANRILL_WIRE_FIELDS(BlockedPrompt, parts, trialsLeft, trialProcess, trialNumber,
+                       isLostTrialReplaced)
 RATTANRILL_WIRE_FIELDS(PutBlockedPrompts, prompts)
 RATTANRILL_WIRE_FIELDS(FleetCommand, operation)
 RATTANRILL_WIRE_FIELDS(FleetResult, configurationVersion)
@@ -53,7 +54,9 @@
                        leaderAddress, openRetirements)
 RATTANRILL_WIRE_FIELDS(CrashedAttempt, upstream, promptParts, sentAgeMs, crashAgeMs)
 RATTANRILL_WIRE_FIELDS(BegunPart, part, ageMs)
-RATTANRILL_WIRE_FIELDS(CrashEvidence, instance, crashes, begun, process, rejected, isForwarded)
+RATTANRILL_WIRE_FIELDS(TrialReport, parts, trialNumber, isSent, isReturned)
+RATTANRILL_WIRE_FIELDS(CrashEvidence, instance, crashes, begun, process, rejected, trials,
+                       isForwarded)
 RATTANRILL_WIRE_FIELDS(SlotRequest, again, requestId, instance, failureDomain, service, workspace,
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded, stream, resumed, versionKnown, version)
--- a/tests/fleet/fleetservice_test.cpp
+++ b/tests/fleet/fleetservice_test.cpp
@@ -182,6 +182,32 @@
         return outcomeOf([&] { return wire::decode<wire::FleetSnapshot>(body); }).value();
     }
 
+    void report(const wire::CrashEvidence &evidence)
+    {
+        absl::Notification responded;
+        channels.channel(addressOf(server))
+                ->call(wire::Method::ReportPromptEvidence, wire::encode(evidence), absl::Seconds(5),
+                       [&](const Outcome<std::string> &outcome) {
+                           BOOST_TEST(outcome.ok());
+                           responded.Notify();
+                       });
+        responded.WaitForNotification();
+    }
+
+    /// Waits until the group has recorded one block and \a trials of it are left.
+    bool awaitBlock(std::int64_t trials, const std::string &process)
+    {
+        const absl::Time end = absl::Now() + absl::Seconds(5);
+        while (absl::Now() < end) {
+            const auto blocks = records().blockedPrompts;
+            if (blocks.size() == 1 && blocks.front().trialsLeft == trials
+                && blocks.front().trialProcess == process)
+                return true;
+            absl::SleepFor(absl::Milliseconds(10));
+        }
+        return false;
+    }
+
     std::optional<wire::FleetSyncResponse> poll(const wire::FleetSyncRequest &request = {})
     {
         return pollServer(channels, server, request);
@@ -503,4 +529,30 @@
     unresponsive.stop();
 }
 
+// Guards against a trial that the record names as open for ever, or that is used up, because the
+// leader drops what the owner reports of it.
+BOOST_AUTO_TEST_CASE(returnedTrialIsRecorded)
+{
+    LeaderFixture fixture;
+    fixture.open();
+    wire::CrashEvidence evidence;
+    evidence.process = "p";
+    for (int i = 0; i < 3; ++i)
+        evidence.crashes.push_back(
+                {"u" + std::to_string(i), {"a"}, 9000 - i * 1000, 8900 - i * 1000});
+    BOOST_REQUIRE(fixture.awaitResponse([](const auto &) { return true; }, absl::Seconds(5)));
+    fixture.report(evidence);
+    BOOST_TEST_REQUIRE(fixture.awaitBlock(2, ""));
+    evidence.crashes.clear();
+    evidence.rejected = {{{"a"}}};
+    fixture.report(evidence);
+    BOOST_TEST_REQUIRE(fixture.awaitBlock(1, "p"));
+    evidence.rejected.clear();
+    evidence.trials = {{{"a"}, fixture.records().blockedPrompts.front().trialNumber, false, true}};
+    fixture.report(evidence);
+    BOOST_TEST(fixture.awaitBlock(2, ""));
+    // Not by the timeout of a lost owner.
+    BOOST_TEST(!fixture.records().blockedPrompts.front().isLostTrialReplaced);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -151,6 +151,41 @@
     BOOST_TEST(server.requests() == 2);
 }
 
+// Guards against a sound item whose trial is used up, or returned, while it waits for a slot.
+BOOST_AUTO_TEST_CASE(itemThatWaitsForASlotKeepsItsTrial)
+{
+    net::EndlessServer server({crash, success});
+    thread.run([this] { crashGuard.setBlocks(1, {}, {}); });
+    start(server);
+    const auto awaitReport = [this](const auto &condition) {
+        bool result = false;
+        while (!result) {
+            absl::SleepFor(absl::Milliseconds(1));
+            thread.run([&] { result = !crashReports.empty() && condition(crashReports.back()); });
+        }
+    };
+    awaitReport([](const wire::CrashEvidence &evidence) { return !evidence.crashes.empty(); });
+    std::vector<std::string> traits;
+    thread.run([&] {
+        traits = crashReports.back().crashes.front().promptParts;
+        crashGuard.setBlocks(1, {{traits, 2, ""}}, traits);
+    });
+    awaitReport([](const wire::CrashEvidence &evidence) { return !evidence.rejected.empty(); });
+    thread.run([&] {
+        broker.setUpstreams({}, serving::CapacityShare());
+        crashGuard.setBlocks(1, {{traits, 1, crashReports.back().process, 1}}, traits);
+    });
+    absl::SleepFor(absl::Seconds(6));
+    thread.run([&] {
+        BOOST_TEST_REQUIRE(crashReports.back().trials.size() == 1u);
+        BOOST_TEST(!crashReports.back().trials.front().isReturned);
+        broker.setUpstreams({{"u5", "llm", server.address(), "d", 1, false}},
+                            serving::CapacityShare());
+    });
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(server.requests() == 2);
+}
+
 // Guards against a result with a part of the output, or none, because a response without a length
 // was broken off inside an event or before the first one.
 BOOST_AUTO_TEST_CASE(brokenOffResponseWithoutLengthIsNoResult)
--- a/tests/serving/crashguard_test.cpp
+++ b/tests/serving/crashguard_test.cpp
@@ -151,6 +151,106 @@
     BOOST_TEST(!guard.isBlocked({"a"}));
 }
 
+// Guards against a sound item that loses its trial while it waits for a slot, and against a trial
+// of a lost process that nobody ends: the owner repeats what it knows, also to a new leader.
+BOOST_AUTO_TEST_CASE(ownerRepeatsTheStateOfItsTrial)
+{
+    guard.setBlocks(1, {{{"a"}, 2, ""}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    const std::string process = reports.front().evidence.process;
+    answer(true);
+    guard.setBlocks(1, {{{"a"}, 1, process, 1}}, {"a"});
+    for (int second = 0; second < 20; ++second) {
+        BOOST_TEST(!guard.isBlocked({"a"}));
+        timers.advance(absl::Seconds(1));
+        BOOST_TEST_REQUIRE(reports.size() == 1u);
+        BOOST_TEST_REQUIRE(reports.front().evidence.trials.size() == 1u);
+        const wire::TrialReport &trial = reports.front().evidence.trials.front();
+        BOOST_TEST((trial.parts == std::vector<std::string>{"a"}));
+        BOOST_TEST(trial.trialNumber == 1);
+        BOOST_TEST((!trial.isSent && !trial.isReturned));
+        // A report that was not received is repeated before the next period.
+        answer(false);
+        timers.advance(absl::Milliseconds(60));
+        BOOST_TEST_REQUIRE(reports.size() == 1u);
+        BOOST_TEST(reports.front().evidence.trials.size() == 1u);
+        answer(true);
+        guard.setBlocks(1 + second % 2, {{{"a"}, 1, process, 1}}, {"a"});
+    }
+    guard.recordSent({"a"});
+    timers.advance(absl::Seconds(1));
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    BOOST_TEST(reports.front().evidence.trials.front().isSent);
+    answer(true);
+    guard.setBlocks(20, {}, {});
+    timers.advance(absl::Seconds(5));
+    BOOST_TEST(reports.empty());
+}
+
+// Guards against a trial that is used up, or kept from other processes, because its owner gets no
+// further request. A trial that was returned is not sent, also after another request was cancelled,
+// but the process may get the next one.
+BOOST_AUTO_TEST_CASE(trialThatNoRequestNeedsIsReturned)
+{
+    guard.setBlocks(1, {{{"a"}, 2, ""}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    const std::string process = reports.front().evidence.process;
+    answer(true);
+    guard.setBlocks(1, {{{"a"}, 1, process, 1}}, {"a"});
+    for (int second = 1; second <= 6; ++second) {
+        timers.advance(absl::Seconds(1));
+        BOOST_TEST_REQUIRE(reports.size() == 1u);
+        BOOST_TEST_REQUIRE(reports.front().evidence.trials.size() == 1u);
+        BOOST_TEST(reports.front().evidence.trials.front().isReturned == (second >= 4));
+        answer(true);
+    }
+    guard.recordCancelled({"a"});
+    guard.setBlocks(1, {{{"a"}, 1, process, 1}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    guard.setBlocks(1, {{{"a"}, 1, process, 2}}, {"a"});
+    BOOST_TEST(!guard.isBlocked({"a"}));
+}
+
+// Guards against a trial that is sent twice because an outdated list names its owner again.
+BOOST_AUTO_TEST_CASE(outdatedListReopensNoTrial)
+{
+    guard.setBlocks(1, {{{"a"}, 2, ""}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    const std::string process = reports.front().evidence.process;
+    answer(true);
+    guard.setBlocks(1, {{{"a"}, 1, process, 1}}, {"a"});
+    guard.recordSent({"a"});
+    guard.setBlocks(1, {{{"a"}, 2, "", 1, true}}, {"a"});
+    guard.recordCancelled({"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    guard.setBlocks(1, {{{"a"}, 1, process, 1}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    timers.advance(absl::Seconds(2));
+    answer(true);
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    BOOST_TEST(!reports.front().evidence.trials.front().isReturned);
+    answer(true);
+    guard.setBlocks(1, {{{"a"}, 1, process, 2}}, {"a"});
+    BOOST_TEST(!guard.isBlocked({"a"}));
+}
+
+// Guards against a trial whose cancelled request counts as never sent: it may have reached any
+// number of upstreams.
+BOOST_AUTO_TEST_CASE(cancelledTrialIsNotReturned)
+{
+    guard.setBlocks(1, {{{"a"}, 2, ""}}, {"a"});
+    BOOST_TEST(guard.isBlocked({"a"}));
+    const std::string process = reports.front().evidence.process;
+    answer(true);
+    guard.setBlocks(1, {{{"a"}, 1, process, 1}}, {"a"});
+    guard.recordSent({"a"});
+    guard.recordCancelled({"a"});
+    timers.advance(absl::Seconds(8));
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    BOOST_TEST(reports.front().evidence.trials.front().isSent);
+    BOOST_TEST(!reports.front().evidence.trials.front().isReturned);
+}
+
 // Guards against a message for each rejected request.
 BOOST_AUTO_TEST_CASE(rejectionsAreReportedOnceASecondWhileTrialsAreLeft)
 {
