Policy: Let batch tasks pass one that waits for its version

Callers would see items without a result although upstreams are free: the first late item continues an output of a version whose upstreams have no free slot, and all late items behind it wait. After a restart all earlier items may be late.

Cause: nextBatch looked at the first task of the late queue only, and returned the first one of the batch queue without asking whether it can start, so that decideBatch ended there.

Change: FairQueue::front takes a condition, and nextBatch takes the first task of either queue that can start. The order among those is unchanged. The search costs time only while a slot of another version is free: without a free slot nextBatch ends at once.

Before, lateItemThatWaitsForItsVersionHoldsNoneUp printed "granted["free"] == "b" has failed [ != b]" and the same for "other", and itemThatWaitsForItsVersionHoldsNoneUp the same for "free" and "late".

--- a/include/rattanrill/policy/fairqueue.h
+++ b/include/rattanrill/policy/fairqueue.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +38,9 @@
     bool remove(TaskId task);
     /// Returns the next task without removing it or charging its workspace.
     std::optional<TaskId> front() const;
+    /// Returns the first task in the order for which \a canStart returns true. Takes time
+    /// proportional to the number of tasks before it.
+    std::optional<TaskId> front(const std::function<bool(TaskId)> &canStart) const;
     /// Returns the last task in the order: the last one of the workspace with the most service
     /// relative to its weight.
     std::optional<TaskId> back() const;
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -52,6 +52,17 @@
     return m_active.begin()->second->waiting.begin()->second;
 }
 
+std::optional<TaskId> FairQueue::front(const std::function<bool(TaskId)> &canStart) const
+{
+    for (const auto &[key, flow] : m_active) {
+        for (const auto &[position, task] : flow->waiting) {
+            if (canStart(task))
+                return task;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<TaskId> FairQueue::back() const
 {
     if (m_active.empty())
--- a/src/policy/slotscheduler_decisions.cpp
+++ b/src/policy/slotscheduler_decisions.cpp
@@ -201,10 +201,14 @@
         return service.versions.size() <= 1 || !isBound(service, item.task)
                || freeVersions.count(*item.task.version) != 0;
     };
-    const std::optional<TaskId> lateNumber = service.late.front();
-    Item *late = lateNumber ? itemOf(*lateNumber) : nullptr;
-    if (late != nullptr && !canStart(*late))
-        late = nullptr;
+    // Without a free slot no task can start. The search below is for free slots of other versions.
+    if (service.versions.size() > 1 && freeVersions.empty())
+        return nullptr;
+    const auto firstOf = [&](const FairQueue &queue) {
+        const auto number = queue.front([&](TaskId task) { return canStart(*itemOf(task)); });
+        return number ? itemOf(*number) : nullptr;
+    };
+    Item *late = firstOf(service.late);
     if (late != nullptr && service.grantsSinceLate >= grantsPerLateTask)
         return late;
     Item *interrupted = nullptr;
@@ -216,9 +220,8 @@
     }
     if (interrupted != nullptr)
         return interrupted;
-    if (const std::optional<TaskId> next = service.batch.front())
-        return itemOf(*next);
-    return late;
+    Item *next = firstOf(service.batch);
+    return next != nullptr ? next : late;
 }
 
 /// Expected time between the ends of two successive online requests when all slots are occupied. A
--- a/tests/policy/fairqueue_test.cpp
+++ b/tests/policy/fairqueue_test.cpp
@@ -51,6 +51,26 @@
     BOOST_TEST(served["a"] / served["b"] == 3, boost::test_tools::tolerance(0.05));
 }
 
+// Guards against a task that goes before one of a workspace with less service, or of an earlier
+// deadline, because a task before both can't start.
+BOOST_AUTO_TEST_CASE(tasksThatCannotStartAreSkippedInOrder)
+{
+    FairQueue queue;
+    queue.push("a", 1, start);
+    queue.push("a", 3, start + absl::Seconds(2));
+    queue.push("a", 2, start + absl::Seconds(1));
+    queue.push("b", 4, start);
+    queue.charge("b", 10);
+    const auto firstAbove = [&queue](TaskId number) {
+        return queue.front([number](TaskId task) { return task > number; }).value_or(0);
+    };
+    BOOST_TEST(firstAbove(0) == 1u);
+    BOOST_TEST(firstAbove(1) == 2u);
+    BOOST_TEST(firstAbove(2) == 3u);
+    BOOST_TEST(firstAbove(3) == 4u);
+    BOOST_TEST(firstAbove(4) == 0u);
+}
+
 // Guards against a surge that delays another workspace. Although the surge queues ten times as many
 // tasks, every second task served is one of the other workspace.
 BOOST_AUTO_TEST_CASE(surgeDoesNotReduceTheShareOfOthers)
--- a/tests/policy/slotscheduler_test.cpp
+++ b/tests/policy/slotscheduler_test.cpp
@@ -564,6 +564,51 @@
     BOOST_TEST(decide(start + absl::Seconds(1)).granted.count("bound") == 1u);
 }
 
+// Guards against late items, as all are after a loss of all processes, that nothing works on
+// although upstreams are free: the first of them waits for a slot at its version.
+BOOST_AUTO_TEST_CASE(lateItemThatWaitsForItsVersionHoldsNoneUp)
+{
+    scheduler.setUpstreams({upstreamOfVersion("a", 1, "v1"), upstreamOfVersion("b", 1, "v2")});
+    scheduler.request(start, batch("first"));
+    BOOST_TEST(decide().granted.at("first") == "a");
+    const auto late = [](const std::string &id, const std::string &workspace) {
+        SlotTask task = batch(id, workspace);
+        task.deadline = start - absl::Seconds(1);
+        return task;
+    };
+    SlotTask bound = late("bound", "w");
+    bound.deadline -= absl::Seconds(1);
+    bound.priorRunTime = absl::Seconds(3);
+    bound.version = "v1";
+    scheduler.request(start, bound);
+    scheduler.request(start, late("free", "w"));
+    scheduler.request(start, late("other", "x"));
+    BOOST_TEST(decide().granted["free"] == "b");
+    scheduler.release(start, "free", ReleaseReason::Cancelled);
+    BOOST_TEST(decide().granted["other"] == "b");
+    scheduler.release(start, "first", ReleaseReason::Cancelled);
+    BOOST_TEST(decide().granted["bound"] == "a");
+}
+
+// Guards against the same for items in time: one whose output is known, but not its run time, is
+// not among the interrupted ones.
+BOOST_AUTO_TEST_CASE(itemThatWaitsForItsVersionHoldsNoneUp)
+{
+    scheduler.setUpstreams({upstreamOfVersion("a", 1, "v1"), upstreamOfVersion("b", 1, "v2")});
+    scheduler.request(start, batch("first"));
+    BOOST_TEST(decide().granted.at("first") == "a");
+    SlotTask bound = batch("bound");
+    bound.version = "v1";
+    scheduler.request(start, bound);
+    scheduler.request(start, batch("free"));
+    BOOST_TEST(decide().granted["free"] == "b");
+    SlotTask late = batch("late");
+    late.deadline = start - absl::Seconds(1);
+    scheduler.request(start, late);
+    scheduler.release(start, "free", ReleaseReason::Cancelled);
+    BOOST_TEST(decide().granted["late"] == "b");
+}
+
 // Guards against responses that cross the boundaries of failure domains although the own domain has
 // free slots, and against an own domain whose upstreams fill up while the others idle.
 BOOST_AUTO_TEST_CASE(onlineTaskStaysInItsDomainUpToAFewRequests)
