Jobs: Store the failures of an item before it is sent again

Seen: after each change of the store leader, an item that fails with status 500 at each run had all attempts of its route again (5 requests instead of 3 after two changes, in the test).

Cause: the count that bounds the attempts, ItemRun::m_serverErrors, was memory of one leader, while the item itself is replicated.

Change: the count is part of the replicated state of an item without a result. A failure is proposed at once, as the new count and not as an increment, so that a repeated command has no effect, and the greatest count stays. The item requests its next slot only when the count is committed and the backoff has passed. The proposal is repeated while this replica leads. An item whose stored count reaches the maximum is given up without being sent.

The counts are a new member of AppendProgress, StoredJob and OpenJob beside the progress: the text of the output is not touched, and an item needs no output.

--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -86,11 +86,23 @@
     std::string version{};
 };
 
-/// Stores progress, so that another executor can continue from it.
+/// Attempts of an item that failed for good, which the route limits.
+struct ItemFailures
+{
+    std::string job;
+    std::string item;
+    /// Number of all attempts that failed with status 500. A number below the stored one is
+    /// ignored, so that a repeated command has no further effect.
+    std::int64_t serverErrors = 0;
+};
+
+/// Stores progress, so that another executor can continue from it. Older processes ignore the
+/// failures.
 struct AppendProgress
 {
     static constexpr std::string_view kind = "append_progress";
     std::vector<ItemProgress> items;
+    std::vector<ItemFailures> failures{};
 };
 
 /// Ends a job, so that its unfinished items are no longer run. Fails with NotFound.
@@ -191,6 +203,8 @@
     std::vector<std::string> finished;
     /// Stored progress of the other items, from their first event.
     std::vector<ItemProgress> progress;
+    /// Stored failures of the other items.
+    std::vector<ItemFailures> failures{};
 };
 
 /// Response to ListOpenJobs.
@@ -214,6 +228,7 @@
     std::vector<JobItemResult> results;
     std::vector<ItemProgress> progress;
     bool ended = false;
+    std::vector<ItemFailures> failures{};
 };
 
 /// Whole state of the store group, for snapshots.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -35,6 +35,7 @@
 constexpr absl::Duration holdPeriod = absl::Seconds(1);
 
 constexpr int statusUnprocessable = 422;
+constexpr int statusServerError = 500;
 
 std::string taskId(const wire::JobRecord &job, const wire::JobItem &item)
 {
@@ -55,11 +56,13 @@
 } // namespace
 
 ItemRun::ItemRun(const JobExecutorContext &context, std::shared_ptr<const wire::JobRecord> job,
-                 const wire::JobItem &item, ResultCallback resultCallback)
+                 const wire::JobItem &item, ResultCallback resultCallback,
+                 FailureCallback failureCallback)
     : m_context(context)
     , m_job(std::move(job))
     , m_item(item)
     , m_resultCallback(std::move(resultCallback))
+    , m_failureCallback(std::move(failureCallback))
     , m_traits(traitsOf(context.protocol, *m_job, item))
 {}
 
@@ -75,6 +78,12 @@
     m_priorRunTime = absl::Milliseconds(progress.servedMs);
 }
 
+void ItemRun::resume(const wire::ItemFailures &failures)
+{
+    m_serverErrors = failures.serverErrors;
+    m_storedServerErrors = failures.serverErrors;
+}
+
 std::optional<wire::ItemProgress> ItemRun::unstoredProgress() const
 {
     const std::int64_t last = m_position.lastId().value_or(-1);
@@ -104,6 +113,13 @@
     m_unstoredOutputLengths.erase(m_unstoredOutputLengths.begin(), std::next(found));
 }
 
+void ItemRun::markFailuresStored(std::int64_t serverErrors)
+{
+    m_storedServerErrors = std::max(m_storedServerErrors, serverErrors);
+    if (m_state == State::BackingOff && m_backoffTimer == 0)
+        acquireSlot();
+}
+
 const serving::Route *ItemRun::route() const
 {
     return m_deployment ? m_deployment->routeNamed(m_job->route) : nullptr;
@@ -133,8 +149,24 @@
     acquireSlot();
 }
 
+bool ItemRun::endIfAttemptsAreUsed()
+{
+    if (m_serverErrors < route()->maxAttempts)
+        return false;
+    finish(wire::ItemOutcome::DeadLettered,
+           "the number of attempts that failed with status 500 reached the route's maximum");
+    return true;
+}
+
 void ItemRun::acquireSlot()
 {
+    if (endIfAttemptsAreUsed())
+        return;
+    // A leader that takes over now must know each failure, or the item has further attempts.
+    if (m_storedServerErrors < m_serverErrors) {
+        m_state = State::BackingOff;
+        return;
+    }
     if (m_context.crashGuard.isBlocked(m_traits.all()))
         return hold();
     m_isHeld = false;
@@ -166,6 +198,12 @@
 {
     m_upstream = grant.upstream;
     m_address = grant.address;
+    // The configuration may have changed since the slot was requested.
+    if (m_serverErrors >= route()->maxAttempts) {
+        releaseSlot(ReleaseReason::Cancelled);
+        endIfAttemptsAreUsed();
+        return;
+    }
     if (m_context.crashGuard.isBlocked(m_traits.all())) {
         releaseSlot(ReleaseReason::Cancelled);
         return hold();
@@ -352,14 +390,15 @@
     }
     if (m_head.status >= 200 && m_head.status < 300)
         return handleSuccess();
-    if (m_head.status == 500)
+    if (m_head.status == statusServerError)
         ++m_serverErrors;
     if (m_serverErrors >= route()->maxAttempts) {
         releaseSlot(ReleaseReason::Completed);
-        return finish(
-                wire::ItemOutcome::DeadLettered,
-                "the number of attempts that failed with status 500 reached the route's maximum");
+        endIfAttemptsAreUsed();
+        return;
     }
+    if (m_head.status == statusServerError)
+        m_failureCallback({m_job->id, m_item.id, m_serverErrors});
     failAttempt(concat("the upstream responded with status ", m_head.status),
                 ReleaseReason::Completed);
 }
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -29,18 +29,26 @@
 
     /// Receives the result; called at most once.
     using ResultCallback = std::function<void(wire::JobItemResult result)>;
+    /// Receives the number of attempts that failed with status 500, to be stored.
+    using FailureCallback = std::function<void(const wire::ItemFailures &failures)>;
 
     ItemRun(const JobExecutorContext &context, std::shared_ptr<const wire::JobRecord> job,
-            const wire::JobItem &item, ResultCallback resultCallback);
+            const wire::JobItem &item, ResultCallback resultCallback,
+            FailureCallback failureCallback = nullptr);
 
     /// Continues after \a progress instead of starting at the first event. Must be
     /// called before setDeployment().
     void resume(const wire::ItemProgress &progress);
+    /// Continues the stored count of failed attempts. Must be called before setDeployment().
+    void resume(const wire::ItemFailures &failures);
     /// Returns the output produced since the last call of markStored(); empty when it contains no
     /// complete event.
     std::optional<wire::ItemProgress> unstoredProgress() const;
     /// Records that the store has the output up to \a lastEvent.
     void markStored(std::int64_t lastEvent);
+    /// Records that the store has this number of failed attempts. Without it, the item is not sent
+    /// again after a failure.
+    void markFailuresStored(std::int64_t serverErrors);
     /// Sets the configuration by which the item runs. The first call requests a slot. The item is
     /// dead-lettered when the configuration does not contain the job's route.
     void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
@@ -51,7 +59,10 @@
 
 private:
     const serving::Route *route() const;
+    /// Requests a slot, once all failed attempts are stored.
     void acquireSlot();
+    /// Dead-letters the item when its failed attempts reach the route's maximum.
+    bool endIfAttemptsAreUsed();
     /// Waits before the next request for a slot, because the item crashes upstreams.
     void hold();
     void retryAfter(absl::Duration delay);
@@ -93,6 +104,7 @@
     const std::shared_ptr<const wire::JobRecord> m_job;
     const wire::JobItem &m_item;
     ResultCallback m_resultCallback;
+    FailureCallback m_failureCallback;
     /// Traits by which crashes of upstreams are attributed.
     const serving::CrashTraits m_traits;
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
@@ -138,8 +150,10 @@
     /// Whether an event was received in the current slot.
     bool m_hasProgressed = false;
     absl::Time m_sentAt;
-    /// Number of attempts that failed with status 500.
-    int m_serverErrors = 0;
+    /// Number of attempts that failed with status 500, also under former leaders.
+    std::int64_t m_serverErrors = 0;
+    /// The part of m_serverErrors that the store has.
+    std::int64_t m_storedServerErrors = 0;
     int m_consecutiveFailures = 0;
     bool m_isHeld = false;
     int m_preemptions = 0;
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -44,6 +44,10 @@
                     [self = shared_from_this(), job = record->id,
                      expectedGeneration = leadershipGeneration](wire::JobItemResult result) {
                         self->handleItemResult(expectedGeneration, job, std::move(result));
+                    },
+                    [self = shared_from_this(), expectedGeneration = leadershipGeneration](
+                            const wire::ItemFailures &failures) {
+                        self->handleItemFailures(expectedGeneration, failures);
                     });
         }
         for (const wire::ItemProgress &progress : openJob.progress) {
@@ -51,6 +55,11 @@
             if (run != runs.end())
                 run->second->resume(progress);
         }
+        for (const wire::ItemFailures &failures : openJob.failures) {
+            const auto run = runs.find(failures.item);
+            if (run != runs.end())
+                run->second->resume(failures);
+        }
         if (runs.empty()) {
             jobs.erase(record->id);
             return;
@@ -115,6 +124,45 @@
         }
     }
 
+    void handleItemFailures(std::uint64_t expectedGeneration, const wire::ItemFailures &failures)
+    {
+        if (expectedGeneration != leadershipGeneration)
+            return;
+        unstoredFailures.push_back(failures);
+        storeFailures();
+    }
+
+    /// Stores all failures that are not stored yet with one command. Those that are added until it
+    /// is committed are stored with the next one.
+    void storeFailures()
+    {
+        if (isStoringFailures || unstoredFailures.empty())
+            return;
+        isStoringFailures = true;
+        wire::AppendProgress operation;
+        operation.failures = std::exchange(unstoredFailures, {});
+        const std::string command = wire::encode(wire::JobCommand{operation});
+        propose("failures-not-stored", command,
+                [this, stored = std::move(operation.failures)] { handleFailuresStored(stored); });
+    }
+
+    void handleFailuresStored(const std::vector<wire::ItemFailures> &stored)
+    {
+        isStoringFailures = false;
+        for (const wire::ItemFailures &failures : stored) {
+            const auto job = jobs.find(failures.job);
+            if (job == jobs.end())
+                continue;
+            const auto run = job->second.find(failures.item);
+            if (run == job->second.end())
+                continue;
+            // The run may end at once and is then removed.
+            const std::shared_ptr<ItemRun> current = run->second;
+            current->markFailuresStored(failures.serverErrors);
+        }
+        storeFailures();
+    }
+
     /// Starts \a runs, which must be a copy: a run may end immediately and is then removed from
     /// \a jobs.
     void startRuns(const Runs &runs)
@@ -141,25 +189,28 @@
         wire::AppendResults operation;
         operation.job = job;
         operation.results.push_back(std::move(result));
-        propose(expectedGeneration, job, item,
-                wire::encode(wire::JobCommand{std::move(operation)}));
+        propose("result-not-stored", wire::encode(wire::JobCommand{std::move(operation)}),
+                [this, job, item] { handleResultStored(job, item); });
     }
 
-    void propose(std::uint64_t expectedGeneration, const std::string &job, const std::string &item,
-                 const std::string &command)
+    /// Proposes \a command until it is committed or this replica no longer leads, and then calls
+    /// \a stored. Each failure is logged as \a event.
+    void propose(std::string_view event, const std::string &command,
+                 const std::function<void()> &stored)
     {
-        context.replica.propose(command, [self = shared_from_this(), expectedGeneration, job, item,
-                                          command](const Outcome<std::string> &outcome) {
+        context.replica.propose(command, [self = shared_from_this(), event, command, stored,
+                                          expectedGeneration = leadershipGeneration](
+                                                 const Outcome<std::string> &outcome) {
             if (expectedGeneration != self->leadershipGeneration)
                 return;
             if (outcome.ok())
-                return self->handleResultStored(job, item);
-            log(LogLevel::Warning, "result-not-stored",
+                return stored();
+            log(LogLevel::Warning, event,
                 {{"code", name(outcome.failure().code)}, {"detail", outcome.failure().detail}});
             self->context.loop.timers().subscribeOnce(
-                    proposeRetryDelay, [self, expectedGeneration, job, item, command] {
+                    proposeRetryDelay, [self, event, command, stored, expectedGeneration] {
                         if (expectedGeneration == self->leadershipGeneration)
-                            self->propose(expectedGeneration, job, item, command);
+                            self->propose(event, command, stored);
                     });
         });
     }
@@ -193,6 +244,8 @@
         ++leadershipGeneration;
         cancelledJobs.clear();
         unstoredResults.clear();
+        unstoredFailures.clear();
+        isStoringFailures = false;
         if (progressTimer != 0)
             context.loop.timers().unsubscribe(std::exchange(progressTimer, 0));
         const auto stoppedJobs = std::exchange(jobs, {});
@@ -210,6 +263,9 @@
     std::set<std::string> cancelledJobs;
     /// Items whose results have been proposed but are not known to be stored, by job.
     std::map<std::string, std::set<std::string>> unstoredResults;
+    /// Failures that the command in progress does not contain.
+    std::vector<wire::ItemFailures> unstoredFailures;
+    bool isStoringFailures = false;
     std::function<void(const std::string &)> resultStoredListener;
     /// Incremented by stopAll(), which runs whenever this replica gains or loses leadership;
     /// callbacks that were registered before are then ignored.
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -77,6 +77,7 @@
         if (isItem && job.finished.insert(result.id).second)
             job.results.push_back(result);
         job.progress.erase(result.id);
+        job.serverErrors.erase(result.id);
     }
     addWaitingTokens(job, 1);
     return wire::JobCommandResult();
@@ -100,9 +101,23 @@
         stored.job = progress.job;
         stored.item = progress.item;
     }
+    for (const wire::ItemFailures &failures : operation.failures)
+        recordFailures(failures);
     return wire::JobCommandResult();
 }
 
+void JobStateMachine::recordFailures(const wire::ItemFailures &failures)
+{
+    const auto found = m_jobs.find(failures.job);
+    if (found == m_jobs.end())
+        return;
+    Job &job = found->second;
+    if (job.ended || job.finished.count(failures.item) != 0)
+        return;
+    std::int64_t &stored = job.serverErrors[failures.item];
+    stored = std::max(stored, failures.serverErrors);
+}
+
 Result<wire::JobCommandResult> JobStateMachine::perform(const wire::EndJob &operation)
 {
     BOOST_LEAF_CHECK(find(operation.workspace, operation.job));
@@ -110,6 +125,7 @@
     addWaitingTokens(job, -1);
     job.ended = true;
     job.progress.clear();
+    job.serverErrors.clear();
     return wire::JobCommandResult();
 }
 
@@ -133,6 +149,14 @@
     return items;
 }
 
+std::vector<wire::ItemFailures> JobStateMachine::failuresOf(const Job &job)
+{
+    std::vector<wire::ItemFailures> items;
+    for (const auto &[item, serverErrors] : job.serverErrors)
+        items.push_back({job.record.id, item, serverErrors});
+    return items;
+}
+
 std::int64_t JobStateMachine::unfinishedTokens(const Job &job)
 {
     std::int64_t tokens = 0;
@@ -208,8 +232,10 @@
     wire::OpenJobs open;
     const auto append = [&open](const Job &job) {
         if (job.isOpen())
-            open.jobs.push_back(
-                    {job.record, {job.finished.begin(), job.finished.end()}, progressOf(job)});
+            open.jobs.push_back({job.record,
+                                 {job.finished.begin(), job.finished.end()},
+                                 progressOf(job),
+                                 failuresOf(job)});
     };
     for (const std::string &id : query.jobs) {
         const auto found = m_jobs.find(id);
@@ -227,7 +253,8 @@
 {
     wire::StoredJobs stored;
     for (const auto &[id, job] : m_jobs)
-        stored.jobs.push_back({job.record, job.results, progressOf(job), job.ended});
+        stored.jobs.push_back(
+                {job.record, job.results, progressOf(job), job.ended, failuresOf(job)});
     return wire::encode(stored);
 }
 
@@ -245,6 +272,8 @@
         job.ended = stored.ended;
         for (wire::ItemProgress &progress : stored.progress)
             job.progress[progress.item] = std::move(progress);
+        for (const wire::ItemFailures &failures : stored.failures)
+            job.serverErrors[failures.item] = failures.serverErrors;
         for (const wire::JobItemResult &result : job.results)
             job.finished.insert(result.id);
         addWaitingTokens(job, 1);
--- a/src/jobs/jobstatemachine.h
+++ b/src/jobs/jobstatemachine.h
@@ -31,6 +31,8 @@
         std::set<std::string> finished;
         /// Progress of items without a result, by item id.
         std::map<std::string, wire::ItemProgress> progress;
+        /// Number of attempts that failed with status 500, of items without a result, by item id.
+        std::map<std::string, std::int64_t> serverErrors;
         bool ended = false;
 
         bool isOpen() const { return !ended && results.size() < record.items.size(); }
@@ -53,7 +55,9 @@
     /// Adds the unfinished tokens of \a job to the waiting tokens (\a sign 1) or subtracts them
     /// (\a sign -1), unless the job is ended.
     void addWaitingTokens(const Job &job, int sign);
+    void recordFailures(const wire::ItemFailures &failures);
     static std::vector<wire::ItemProgress> progressOf(const Job &job);
+    static std::vector<wire::ItemFailures> failuresOf(const Job &job);
     static std::int64_t unfinishedTokens(const Job &job);
 
     std::map<std::string, Job> m_jobs;
--- a/tests/jobs/executor_test.cpp
+++ b/tests/jobs/executor_test.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/jobs/jobexecutor.h"
 
+#include "scriptedserver.h"
+#include "storefixture.h"
 #include "testprotocoladapter.h"
 
 #include <boost/test/unit_test.hpp>
@@ -35,6 +37,24 @@
     }
 };
 
+struct ClosedStoreFixture : StoreFixture
+{
+    ClosedStoreFixture()
+        : StoreFixture(false)
+    {}
+
+    /// Opens the replica without telling the service that it leads.
+    void openReplica()
+    {
+        const std::string id = fleet::makeReplicaId("127.0.0.1:1", "a");
+        thread.run([&] {
+            BOOST_REQUIRE(outcomeOf([&] {
+                              return replica.open({id, {id}}, makeJobStateMachine());
+                          }).ok());
+        });
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(JobExecutorTest, Fixture)
@@ -78,4 +98,39 @@
                == 1u);
 }
 
+// Guards against an item that is sent again before the store has its failure, so that the next
+// leader grants it a further attempt, and against one that waits for ever because the failure could
+// not be stored at once.
+BOOST_FIXTURE_TEST_CASE(failingItemIsSentAgainOnceTheFailureIsStored, ClosedStoreFixture)
+{
+    net::ScriptedServer server({{"HTTP/1.1 500 X\r\nId: i0\r\nContent-Length: 0\r\n\r\n"}});
+    wire::OpenJob job;
+    job.job.id = "j";
+    job.job.workspace = "w";
+    job.job.route = "r";
+    job.job.acceptedAtMs = absl::ToUnixMillis(absl::Now());
+    job.job.items = {{"i0", "/p", {}, "", 1}};
+    serving::Deployment repeating = deployment()->deployment();
+    repeating.routes.front().maxAttempts = 2;
+    thread.run([&] {
+        broker.setUpstreams({{"u", "llm", server.address(), "d", 1, false}},
+                            serving::CapacityShare());
+        executor.setDeployment(std::make_shared<const serving::DeploymentIndex>(repeating));
+        executor.add(job);
+    });
+    // Longer than the first backoff and several repeated proposals.
+    absl::SleepFor(absl::Seconds(1));
+    BOOST_TEST(server.requests().size() == 1u);
+    thread.run([&] { executor.add(job); });
+    openReplica();
+    const absl::Time end = absl::Now() + absl::Seconds(10);
+    const auto isGivenUp = [&] {
+        return metrics.counter("rattanrill_batch_items_total", {{"outcome", "dead_lettered"}}) > 0;
+    };
+    while (!isGivenUp() && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(10));
+    BOOST_TEST(isGivenUp());
+    BOOST_TEST(server.requests().size() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -22,6 +22,7 @@
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
 const std::string chunkedHead = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Type: text/event-stream\r\n"
                                 "Transfer-Encoding: chunked\r\n\r\n";
+const std::string serverError = "HTTP/1.1 500 X\r\nId: a\r\nContent-Length: 0\r\n\r\n";
 const net::ServerAnswer crash{"", ""};
 const net::ServerAnswer success{streamHead + "id: 0\ndata: a\n\nid: 1\ndata: b\n\n", ""};
 
@@ -88,6 +89,59 @@
         return awaitResult(job);
     }
 
+    /// Sets the number of attempts of an item that fail with status 500.
+    void setMaxAttempts(int maxAttempts)
+    {
+        serving::Deployment changed = deployment()->deployment();
+        changed.routes.front().maxAttempts = maxAttempts;
+        thread.run([&] {
+            executor.setDeployment(std::make_shared<const serving::DeploymentIndex>(changed));
+        });
+    }
+
+    /// Submits the job "job" of one item, whose id is "a".
+    void startItem(const net::ScriptedServer &server)
+    {
+        setUpstreams(server, "u");
+        wire::SubmitJobRequest request = submission("job");
+        request.job.items.resize(1);
+        request.job.items.front().id = "a";
+        submit(request);
+    }
+
+    /// Waits until the item has failed at its request number \a requests. Then stops all items and
+    /// takes them over again, as a new leader of the store group does. No upstream is known in
+    /// between, so that the item is not sent meanwhile.
+    void changeLeaderAfterFailure(const net::ScriptedServer &server, std::size_t requests)
+    {
+        await([&] {
+            const bool hasFailed = server.requests().size() >= requests
+                                   && executor.openItemCounts().backingOff == 1;
+            if (hasFailed)
+                broker.setUpstreams({}, serving::CapacityShare());
+            return hasFailed;
+        });
+        await([&] { return executor.openItemCounts().waiting == 1; });
+        thread.run([this] {
+            service.handleLeadershipChange(false);
+            service.handleLeadershipChange(true);
+        });
+        setUpstreams(server, "u");
+    }
+
+    /// Waits until \a condition, which is evaluated on the loop, is true.
+    template <typename Condition>
+    void await(const Condition &condition)
+    {
+        const absl::Time end = absl::Now() + absl::Seconds(10);
+        bool isTrue = false;
+        while (!isTrue && absl::Now() < end) {
+            absl::SleepFor(absl::Milliseconds(1));
+            thread.run([&] { isTrue = condition(); });
+        }
+        BOOST_REQUIRE(isTrue);
+    }
+
     wire::JobItemResult awaitResult(const std::string &job = "job")
     {
         wire::JobItemResult result;
@@ -531,4 +585,56 @@
     BOOST_TEST(other.requests() == 1);
 }
 
+// Guards against an item that fails at each run and has all its attempts again after each change of
+// the store's leader.
+BOOST_AUTO_TEST_CASE(changesOfTheLeaderGiveAFailingItemNoFurtherAttempts)
+{
+    setMaxAttempts(3);
+    net::ScriptedServer server({{serverError}});
+    startItem(server);
+    for (const std::size_t requests : {1, 2})
+        changeLeaderAfterFailure(server, requests);
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::DeadLettered));
+    BOOST_TEST(server.requests().size() == 3u);
+}
+
+// Guards against a count of failed attempts that is lost, or that changes the stored text, because
+// the item has output.
+BOOST_AUTO_TEST_CASE(failuresOfAnItemWithOutputAreCountedAcrossLeaders)
+{
+    setMaxAttempts(3);
+    net::ScriptedServer server({
+            // Longer than the period at which the output is stored.
+            {chunkedHead + chunk(numberedEvent(1)) + chunk(numberedEvent(2)),
+             net::ConnectionEnd::Closed, "", chunk(": c\n\n"), absl::Milliseconds(800)},
+            {serverError},
+            {serverError},
+            {chunkedHead + chunk(numberedEvent(3)) + chunk(numberedEvent(4)) + serving::lastChunk},
+    });
+    startItem(server);
+    for (const std::size_t requests : {2, 3})
+        changeLeaderAfterFailure(server, requests);
+    BOOST_TEST(awaitResult().output == "d1\nd2\nd3\nd4");
+    BOOST_TEST(server.requests().size() == 4u);
+    BOOST_TEST((server.requests().back().text.find("After: 2") != std::string::npos));
+}
+
+// Guards against an item with stored output that fails at each run and is sent again after a change
+// of the store's leader as often as a new one.
+BOOST_AUTO_TEST_CASE(failingItemWithOutputIsGivenUpAcrossLeaders)
+{
+    setMaxAttempts(2);
+    net::ScriptedServer server({
+            {chunkedHead + chunk(numberedEvent(1)), net::ConnectionEnd::Closed, "",
+             chunk(": c\n\n"), absl::Milliseconds(800)},
+            {serverError},
+    });
+    startItem(server);
+    changeLeaderAfterFailure(server, 2);
+    const wire::JobItemResult result = awaitResult();
+    BOOST_TEST((result.outcome == wire::ItemOutcome::DeadLettered));
+    BOOST_TEST(result.output.empty());
+    BOOST_TEST(server.requests().size() == 3u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/statemachine_test.cpp
+++ b/tests/jobs/statemachine_test.cpp
@@ -163,6 +163,74 @@
     BOOST_TEST(listOpenJobs().jobs.empty());
 }
 
+// Guards against an item that fails at each run and is sent too often, because a repeated or late
+// command changes its count of failures, or because the count needs stored output.
+BOOST_AUTO_TEST_CASE(failuresAreCountedOnce)
+{
+    perform(wire::AcceptJob{job("j", 2), 0});
+    const auto storedFailures = [&] {
+        std::string text;
+        const wire::OpenJob listed = listOpenJobs().jobs.at(0);
+        for (const wire::ItemFailures &failures : listed.failures)
+            text += failures.job + "/" + failures.item + ":" + std::to_string(failures.serverErrors)
+                    + " ";
+        return text;
+    };
+    const auto recordFailures = [&](const std::string &item, std::int64_t count) {
+        perform(wire::AppendProgress{{}, {{"j", item, count}}});
+    };
+    recordFailures("i0", 1);
+    recordFailures("i0", 1);
+    recordFailures("i1", 2);
+    recordFailures("i0", 2);
+    recordFailures("i0", 1);
+    BOOST_TEST(storedFailures() == "j/i0:2 j/i1:2 ");
+    BOOST_TEST(listOpenJobs().jobs.at(0).progress.empty());
+    perform(wire::AppendProgress{{}, {{"other", "i0", 2}}});
+    // A resent submission doesn't change the count.
+    perform(wire::AcceptJob{job("j", 2), 0});
+    finish("j", "i1", "x");
+    recordFailures("i1", 3);
+    BOOST_TEST(storedFailures() == "j/i0:2 ");
+    perform(wire::EndJob{"w", "j"});
+    const std::string ended = machine->snapshot();
+    recordFailures("i0", 3);
+    BOOST_TEST(machine->snapshot() == ended);
+}
+
+// Guards against stored output that changes, or is not continued, because a failure is counted.
+BOOST_AUTO_TEST_CASE(failuresLeaveTheOutputUnchanged)
+{
+    perform(wire::AcceptJob{job("j", 1), 0});
+    perform(wire::AppendProgress{{}, {{"j", "i0", 1}}});
+    perform(wire::AppendProgress{{{"j", "i0", -1, 2, "a\nb"}}});
+    perform(wire::AppendProgress{{{"j", "i0", 2, 3, "c"}}, {{"j", "i0", 2}}});
+    perform(wire::AppendProgress{{{"j", "i0", 2, 3, "c"}}, {{"j", "i0", 2}}});
+    const wire::OpenJob listed = listOpenJobs().jobs.at(0);
+    BOOST_TEST_REQUIRE(listed.progress.size() == 1u);
+    BOOST_TEST(listed.progress[0].output == "a\nb\nc");
+    BOOST_TEST_REQUIRE(listed.failures.size() == 1u);
+    BOOST_TEST(listed.failures[0].serverErrors == 2);
+}
+
+// Guards against a count of failures that a replica loses when it is restored from a snapshot.
+BOOST_AUTO_TEST_CASE(failuresSurviveRestore)
+{
+    perform(wire::AcceptJob{job("j", 2), 0});
+    perform(wire::AppendProgress{{{"j", "i1", -1, 2, "a"}}, {{"j", "i0", 2}, {"j", "i1", 1}}});
+    const auto restored = jobs::makeJobStateMachine();
+    BOOST_REQUIRE(outcomeOf([&] { return restored->restore(machine->snapshot()); }).ok());
+    BOOST_TEST(restored->snapshot() == machine->snapshot());
+    machine = jobs::makeJobStateMachine();
+    BOOST_REQUIRE(outcomeOf([&] { return machine->restore(restored->snapshot()); }).ok());
+    perform(wire::AppendProgress{{}, {{"j", "i0", 1}}});
+    const wire::OpenJob listed = listOpenJobs().jobs.at(0);
+    BOOST_TEST_REQUIRE(listed.failures.size() == 2u);
+    BOOST_TEST(listed.failures[0].serverErrors == 2);
+    BOOST_TEST(listed.failures[1].serverErrors == 1);
+    BOOST_TEST(listed.progress.size() == 1u);
+}
+
 // Guards against the removal of a job that has items without a result.
 BOOST_AUTO_TEST_CASE(onlyFinishedJobsAreRemoved)
 {
@@ -202,7 +270,8 @@
                     id, {{item, wire::ItemOutcome::Completed, std::to_string(step)}}});
             break;
         case 2:
-            perform(wire::AppendProgress{{{id, item, -1, 3, "p"}}});
+            perform(wire::AppendProgress{{{id, item, -1, 3, "p"}},
+                                         {{id, item, static_cast<std::int64_t>(random() % 3)}}});
             break;
         default:
             if (random() % 5 == 0)
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -101,8 +101,11 @@
 /// that items wait for a slot.
 struct StoreFixture
 {
-    StoreFixture()
+    /// Without \a isOpen, neither the replica is opened nor the service started.
+    explicit StoreFixture(bool isOpen = true)
     {
+        if (!isOpen)
+            return;
         thread.run([this] { open(); });
         BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
         thread.run(
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -4,6 +4,7 @@
 #include "rattanrill/wire/directorymessages.h"
 #include "rattanrill/wire/envelope.h"
 #include "rattanrill/wire/fleetmessages.h"
+#include "rattanrill/wire/jobmessages.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -51,6 +52,27 @@
     BOOST_TEST(decoded.value().address.empty());
 }
 
+// Guards against a store that can't read the log or a snapshot of its former version, which have no
+// count of failed attempts.
+BOOST_AUTO_TEST_CASE(progressOfAnOlderProcessHasNoFailures)
+{
+    const auto command = outcomeOf([&] {
+        return fromJsonText<JobCommand>(R"({"operation":{"kind":"append_progress","value":{"items":
+            [{"job":"j","item":"i","after":-1,"lastEvent":2,"output":"a","servedMs":5}]}}})");
+    });
+    BOOST_REQUIRE(command.ok());
+    const auto &progress = std::get<AppendProgress>(command.value().operation);
+    BOOST_TEST(progress.items.size() == 1u);
+    BOOST_TEST(progress.failures.empty());
+    const auto snapshot = outcomeOf([&] {
+        return fromJsonText<StoredJobs>(
+                R"({"jobs":[{"job":{"id":"j"},"results":[],"progress":[],"ended":true}]})");
+    });
+    BOOST_REQUIRE(snapshot.ok());
+    BOOST_TEST(snapshot.value().jobs.at(0).ended);
+    BOOST_TEST(snapshot.value().jobs.at(0).failures.empty());
+}
+
 // Guards against exceptions and crashes on messages that a peer has truncated or corrupted. Such a
 // message either fails with MalformedMessage or decodes to another valid value.
 BOOST_AUTO_TEST_CASE(corruptMessageFailsAsMalformedOrDecodes)
