Tests: Run a failing item through two losses of the store leader

Real processes: the upstream answers an item with status 500 and leaves its second and fourth request unanswered, while which the leading store is killed. That the item was sent again proves that the store had the failure before. The test guards against an item that has all its attempts again after each loss of the leader.

--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -36,7 +36,8 @@
     in leaving announce that it leaves. The connection of a stream with a path below /ask/cut/ that is
     not resumed is closed after three events. A response to a path that ends with /late begins after
     300 ms. The last part of a path below /slow/ or /once/ is the time between two events in
-    milliseconds; elsewhere it is 20 ms."""
+    milliseconds; elsewhere it is 20 ms. Requests below /list/fail/ get status 500, except for those
+    whose number, counted from 1, is in unanswered: their connection is closed after two seconds."""
 
     protocol_version = "HTTP/1.1"
     received = []
@@ -45,6 +46,8 @@
     leaving = set()
     connections = {}
     crashes = []
+    fails = 0
+    unanswered = set()
     lock = threading.Lock()
 
     def log_message(self, *_):
@@ -79,12 +82,29 @@
         _, prefix, period = self.path.split("/", 2)
         return int(period) / 1000 if prefix in ("slow", "once") else 0.02
 
+    def fail(self):
+        with self.lock:
+            type(self).fails += 1
+            is_answered = self.fails not in self.unanswered
+        if not is_answered:
+            time.sleep(2)
+            self.close_connection = True
+            return
+        self.send_response(500)
+        self.send_header("Request-Id", self.headers["Request-Id"])
+        self.send_header("Response-Signature", "signed")
+        self.send_header("Server-Load", "1,0,8")
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
     def do_POST(self):
         body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
         with self.lock:
             self.received.append((self.path, dict(self.headers), body))
             self.arrivals.append((self.server.server_address[0], time.monotonic()))
             limit = self.limits.get(self.server.server_address[0])
+        if self.path.startswith("/list/fail/"):
+            return self.fail()
         if self.path.endswith("/late"):
             time.sleep(0.3)
         begin = int(self.headers.get("Last-Event-Id", 0)) + 1
