Jobs: Count the status of a response that does not end

Seen: an item whose upstreams answer with status 422 or 500, and whose response then breaks off or does not end, was sent again without limit.

Cause: the status was read only at the end of the complete response. An attempt that broke, ran into the idle timeout or was preempted after its status had arrived counted as one that did not fail.

Change: the status counts when the head of the response has arrived, which is also a little earlier before a loss of the leader. Before each request for a slot the item is given up if a 422 or the last 500 is known. The last 500 is now stored as a count beside the result, so that a leader that knows only the count gives the item up too.

Test, on the code before: statusOfAnIncompleteResponseCounts, in each of its four cases check (result.outcome == wire::ItemOutcome::DeadLettered) has failed check server.requests().size() has failed [3 != 1] after 422, [3 != 2] after 500 where the third request got the first response that was a success.

--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -149,18 +149,27 @@
     acquireSlot();
 }
 
-bool ItemRun::endIfAttemptsAreUsed()
+std::string_view ItemRun::giveUpReason() const
 {
-    if (m_serverErrors < route()->maxAttempts)
+    if (m_isRefused)
+        return "the upstream refused the item with status 422";
+    if (m_serverErrors >= route()->maxAttempts)
+        return "the number of attempts that failed with status 500 reached the route's maximum";
+    return "";
+}
+
+bool ItemRun::endIfGivenUp()
+{
+    const std::string_view reason = giveUpReason();
+    if (reason.empty())
         return false;
-    finish(wire::ItemOutcome::DeadLettered,
-           "the number of attempts that failed with status 500 reached the route's maximum");
+    finish(wire::ItemOutcome::DeadLettered, reason);
     return true;
 }
 
 void ItemRun::acquireSlot()
 {
-    if (endIfAttemptsAreUsed())
+    if (endIfGivenUp())
         return;
     // A leader that takes over now must know each failure, or the item has further attempts.
     if (m_storedServerErrors < m_serverErrors) {
@@ -199,9 +208,9 @@
     m_upstream = grant.upstream;
     m_address = grant.address;
     // The configuration may have changed since the slot was requested.
-    if (m_serverErrors >= route()->maxAttempts) {
+    if (!giveUpReason().empty()) {
         releaseSlot(ReleaseReason::Cancelled);
-        endIfAttemptsAreUsed();
+        endIfGivenUp();
         return;
     }
     if (m_context.crashGuard.isBlocked(m_traits.all())) {
@@ -294,6 +303,18 @@
                  && m_context.protocol.isEventStream(head);
     if (!m_responseInfo.isInstanceMismatch)
         m_context.broker.reportLoad(serving::loadOf(m_upstream, m_address, m_responseInfo));
+    if (!m_responseInfo.notRun)
+        recordStatus(head.status);
+}
+
+/// The status counts as soon as it has arrived: an upstream whose response breaks off or does not
+/// end would otherwise get the item again without limit.
+void ItemRun::recordStatus(int status)
+{
+    if (status == statusUnprocessable)
+        m_isRefused = true;
+    if (status == statusServerError)
+        m_failureCallback({m_job->id, m_item.id, ++m_serverErrors});
 }
 
 void ItemRun::handleBody(std::string_view bytes)
@@ -383,22 +404,13 @@
     if (m_isStream && serving::isBrokenOff(m_head, m_splitter, m_position.hasReceivedEvent()))
         return attemptBroken("the response was broken off");
     m_context.crashGuard.recordSound(m_traits.suspects(m_hasProgressed));
-    if (m_head.status == statusUnprocessable) {
-        releaseSlot(ReleaseReason::Completed);
-        return finish(wire::ItemOutcome::DeadLettered,
-                      "the upstream refused the item with status 422");
-    }
     if (m_head.status >= 200 && m_head.status < 300)
         return handleSuccess();
-    if (m_head.status == statusServerError)
-        ++m_serverErrors;
-    if (m_serverErrors >= route()->maxAttempts) {
+    if (!giveUpReason().empty()) {
         releaseSlot(ReleaseReason::Completed);
-        endIfAttemptsAreUsed();
+        endIfGivenUp();
         return;
     }
-    if (m_head.status == statusServerError)
-        m_failureCallback({m_job->id, m_item.id, m_serverErrors});
     failAttempt(concat("the upstream responded with status ", m_head.status),
                 ReleaseReason::Completed);
 }
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -61,8 +61,12 @@
     const serving::Route *route() const;
     /// Requests a slot, once all failed attempts are stored.
     void acquireSlot();
-    /// Dead-letters the item when its failed attempts reach the route's maximum.
-    bool endIfAttemptsAreUsed();
+    /// Reason for which the item must not be sent again; empty if it may be.
+    std::string_view giveUpReason() const;
+    /// Dead-letters the item if it must not be sent again. Returns whether it did.
+    bool endIfGivenUp();
+    /// Counts a status by which the route limits the attempts.
+    void recordStatus(int status);
     /// Waits before the next request for a slot, because the item crashes upstreams.
     void hold();
     void retryAfter(absl::Duration delay);
@@ -152,6 +156,8 @@
     absl::Time m_sentAt;
     /// Number of attempts that failed with status 500, also under former leaders.
     std::int64_t m_serverErrors = 0;
+    /// Whether an upstream refused the item with status 422.
+    bool m_isRefused = false;
     /// The part of m_serverErrors that the store has.
     std::int64_t m_storedServerErrors = 0;
     int m_consecutiveFailures = 0;
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -637,4 +637,26 @@
     BOOST_TEST(server.requests().size() == 3u);
 }
 
+// Guards against an item that fails at each run and is sent again without limit, because the
+// response breaks off after its status, or does not end.
+BOOST_AUTO_TEST_CASE(statusOfAnIncompleteResponseCounts)
+{
+    setMaxAttempts(2);
+    const std::string rest = " X\r\nId: a\r\nContent-Length: 9\r\n\r\nfa";
+    int number = 0;
+    for (const net::ConnectionEnd end :
+         {net::ConnectionEnd::Closed, net::ConnectionEnd::KeptOpen}) {
+        for (const bool isRefusal : {true, false}) {
+            net::ScriptedServer server({
+                    {(isRefusal ? "HTTP/1.1 422" : "HTTP/1.1 500") + rest, end},
+                    {(isRefusal ? "HTTP/1.1 422" : "HTTP/1.1 500") + rest, end},
+                    {wholeStream()},
+            });
+            const wire::JobItemResult result = runItem(server, "j" + std::to_string(number++));
+            BOOST_TEST((result.outcome == wire::ItemOutcome::DeadLettered));
+            BOOST_TEST(server.requests().size() == (isRefusal ? 1u : 2u));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
