Policy: Eject an upstream for all only when several senders fail there

Cause: the scheduler kept one outlier detector for each upstream and counted the failures of all senders in it; one failed connection ejected at once. What one sender sees concerns the link between it and the upstream, and was taken for the state of the upstream.

Now each sender has a detector of its own for each upstream, and an upstream is ejected for all once two senders have failed there since its last success. The reports of a sender that turns out to be cut off can be discarded, which ends the ejections that depend on them.

The tests of the scheduler and five of the new class fail when the failures of all senders go into one detector as before (12 of 12 slots refused to the sender with links).

--- a/include/rattanrill/policy/outlierdetector.h
+++ b/include/rattanrill/policy/outlierdetector.h
@@ -37,6 +37,9 @@
     /// Records a time to first token. The upstream is ejected when it is slow over several samples.
     /// \a time is the time of one task; \a fleetTime is the smoothed time over all upstreams.
     void firstToken(absl::Time now, absl::Duration time, absl::Duration fleetTime);
+    /// Ends an ejection whose cause turned out to be elsewhere; the upstream gets all its traffic
+    /// again, without the gradual growth.
+    void endEjection(absl::Time now);
 
     /// Share of its normal traffic that the upstream may get at \a now: 0 while ejected, then
     /// growing from 0.1 to 1.
--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "rattanrill/policy/fairqueue.h"
-#include "rattanrill/policy/outlierdetector.h"
 #include "rattanrill/policy/requestlimit.h"
 #include "rattanrill/policy/task.h"
+#include "rattanrill/policy/upstreamhealth.h"
 
 #include "absl/time/time.h"
 
@@ -45,6 +45,9 @@
     std::string workspace;
     /// Failure domain of the process that will send the request.
     std::string failureDomain;
+    /// Process that will send the request, whose links to the upstreams matter; empty when it is
+    /// not known yet.
+    std::string sender;
     TaskKind kind = TaskKind::Online;
     /// Priority of an online task; 0 is served first.
     int priority = 0;
@@ -110,6 +113,10 @@
 struct SlotEjection
 {
     std::string upstream;
+    /// The observer for whose tasks the ejection applies; empty when it applies to all tasks.
+    std::string observer;
+    /// Number of observers that have failed at the upstream since its last success.
+    std::size_t failedObservers = 0;
     absl::Duration length;
     /// Number of tasks that hold slots there, including the one whose end caused the ejection.
     std::int64_t runningTasks = 0;
@@ -165,6 +172,8 @@
 ///   and the others get the rest.
 /// - Streams of two versions are broken off while new ones fill all slots: a task that continues a
 ///   stream gets the next slot at its version, before any new task.
+/// - Some senders lose their links to all upstreams: what they report ejects no upstream for the
+///   others.
 /// - This scheduler takes over from another one: held slots are adopted, and upstreams get only a
 ///   few requests as probes until they have reported their load.
 ///
@@ -186,9 +195,15 @@
     /// is not listed or a task with the same id exists.
     void adopt(absl::Time now, const SlotTask &task, const std::string &upstream);
     /// Reports that the task has left its slot. Cancels the task when it still waits. Returns the
-    /// ejection of the task's upstream when it begins with this release.
+    /// ejection of the task's upstream when it begins with this release. \a observer: the process
+    /// that exchanged bytes with the upstream; the task's sender when it is empty.
     std::optional<SlotEjection> release(absl::Time now, const std::string &task,
-                                        ReleaseReason reason);
+                                        ReleaseReason reason, const std::string &observer = {});
+    /// Discards all that \a observer has reported on the health of upstreams, because it is cut off
+    /// from all of them.
+    void discardReports(absl::Time now, const std::string &observer);
+    /// Whether \a upstream gets no tasks of \a sender because of failures.
+    bool isEjectedFor(absl::Time now, const std::string &upstream, const std::string &sender) const;
     /// Removes a task whose caller no longer needs a slot. Releases the slot that the task holds.
     void cancel(const std::string &task);
     /// Reports the number of requests at the upstream, from all senders.
@@ -245,7 +260,7 @@
     struct Upstream
     {
         SlotUpstream info;
-        OutlierDetector outlier{OutlierSettings()};
+        UpstreamHealth health{OutlierSettings()};
         RequestLimit limit{RequestLimitSettings()};
         bool removed = false;
         std::set<Item *> online;
@@ -311,8 +326,9 @@
     bool isBound(const Service &service, const SlotTask &task) const;
     static bool isExcluded(const Upstream &upstream, const Item &item);
     bool isVersionGone(const Service &service, const Item &item) const;
-    bool hasFreeSlot(absl::Time now, const Upstream &upstream, TaskKind kind) const;
-    std::set<std::string> freeBatchVersions(absl::Time now, const Service &service) const;
+    bool hasFreeSlot(absl::Time now, const Upstream &upstream, const SlotTask &task) const;
+    std::set<std::string> freeBatchVersions(absl::Time now, const Service &service,
+                                            const std::string &sender) const;
     void decideBound(absl::Time now, Service &service);
     bool grantOnline(absl::Time now, Service &service, Item &item);
     void decideOnline(absl::Time now, Service &service);
@@ -324,7 +340,7 @@
     void grant(absl::Time now, Service &service, Item &item, Upstream &upstream);
     void dequeue(Service &service, Item &item);
     std::optional<SlotEjection> recordHealth(absl::Time now, Upstream &upstream,
-                                             ReleaseReason reason);
+                                             ReleaseReason reason, const std::string &observer);
     void releaseSlot(Item &item);
     void removeItem(Item &item);
     absl::Duration slotReleaseInterval(absl::Time now, const Service &service) const;
--- /dev/null
+++ b/include/rattanrill/policy/upstreamhealth.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "rattanrill/policy/outlierdetector.h"
+
+#include "absl/time/time.h"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+
+namespace rattanrill::policy {
+
+/// Health of one upstream as several observers see it. An observer is a process that sends requests
+/// to the upstream.
+///
+/// What a single observer sees concerns the link between it and the upstream, so its failures eject
+/// the upstream for this observer only. The upstream is ejected for all observers once at least
+/// minObservers of them have failed there since its last success. An observer that turns out to be
+/// cut off from all upstreams is no witness: discard() also ends the ejections that depend on it.
+///
+/// Performs no input or output. Not thread-safe.
+class UpstreamHealth
+{
+public:
+    /// Number of observers that must agree on an ejection for all.
+    static constexpr std::size_t minObservers = 2;
+
+    explicit UpstreamHealth(OutlierSettings settings);
+
+    void succeeded(absl::Time now, const std::string &observer);
+    /// Counts a failure. \a isUnreachable: nothing responds at the address, so a further failure
+    /// of this kind is not awaited before the upstream is ejected.
+    void failed(absl::Time now, const std::string &observer, bool isUnreachable);
+    /// Discards all reports of \a observer.
+    void discard(absl::Time now, const std::string &observer);
+
+    /// Whether the upstream is ejected for all observers.
+    bool isEjected(absl::Time now) const { return m_shared.ejected(now); }
+    bool isEjectedFor(absl::Time now, const std::string &observer) const;
+    /// End of the ejection for all or, if that is later, for \a observer.
+    absl::Time ejectedUntil(const std::string &observer) const;
+    /// Share of its normal traffic that the upstream may get from \a observer; see
+    /// OutlierDetector::trafficShare().
+    double trafficShare(absl::Time now, const std::string &observer) const;
+    /// Observers that have failed since the last success.
+    std::size_t failedObservers() const { return m_failures.size(); }
+
+private:
+    struct Failures
+    {
+        int count = 0;
+        bool isUnreachable = false;
+        absl::Time lastAt;
+    };
+
+    bool isConclusive() const;
+    void forgetOldFailures(absl::Time now);
+
+    OutlierSettings m_settings;
+    OutlierDetector m_shared;
+    std::map<std::string, OutlierDetector> m_links;
+    /// Failures since the last success of any observer.
+    std::map<std::string, Failures> m_failures;
+    /// Observers on whose failures the last ejection for all is based.
+    std::set<std::string> m_witnesses;
+};
+
+} // namespace rattanrill::policy
--- a/src/policy/outlierdetector.cpp
+++ b/src/policy/outlierdetector.cpp
@@ -44,6 +44,15 @@
         eject(now);
 }
 
+void OutlierDetector::endEjection(absl::Time now)
+{
+    if (now >= m_ejectedUntil + m_settings.rampUpTime)
+        return;
+    m_ejectedUntil = absl::InfinitePast();
+    m_consecutiveFailures = 0;
+    --m_ejections;
+}
+
 double OutlierDetector::trafficShare(absl::Time now) const
 {
     if (ejected(now))
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -67,7 +67,7 @@
         std::unique_ptr<Upstream> &upstream = m_upstreams[info.id];
         if (upstream == nullptr) {
             upstream = std::make_unique<Upstream>();
-            upstream->outlier = OutlierDetector(m_settings.outlier);
+            upstream->health = UpstreamHealth(m_settings.outlier);
             upstream->limit = RequestLimit(m_settings.requestLimit);
         }
         upstream->info = info;
@@ -203,22 +203,30 @@
 
 /// Counts the end of a task for or against its upstream.
 std::optional<SlotEjection> SlotScheduler::recordHealth(absl::Time now, Upstream &upstream,
-                                                        ReleaseReason reason)
+                                                        ReleaseReason reason,
+                                                        const std::string &observer)
 {
-    const bool wasEjected = upstream.outlier.ejected(now);
+    UpstreamHealth &health = upstream.health;
+    const bool wasEjected = health.isEjected(now);
+    const bool wasEjectedForObserver = health.isEjectedFor(now, observer);
     if (reason == ReleaseReason::Completed)
-        upstream.outlier.succeeded(now);
+        health.succeeded(now, observer);
     else if (reason == ReleaseReason::Unreachable
              || (reason == ReleaseReason::Failed && !isOvercommitted(now, upstream)))
-        upstream.outlier.failed(now, reason == ReleaseReason::Unreachable);
-    if (wasEjected || !upstream.outlier.ejected(now))
+        health.failed(now, observer, reason == ReleaseReason::Unreachable);
+    const bool isNewForAll = !wasEjected && health.isEjected(now);
+    const bool isNew =
+            isNewForAll || (!wasEjectedForObserver && health.isEjectedFor(now, observer));
+    if (!isNew)
         return std::nullopt;
-    return SlotEjection{upstream.info.id, upstream.outlier.ejectedUntil() - now,
+    return SlotEjection{upstream.info.id, isNewForAll ? std::string() : observer,
+                        health.failedObservers(), health.ejectedUntil(observer) - now,
                         upstream.occupiedSlots()};
 }
 
 std::optional<SlotEjection> SlotScheduler::release(absl::Time now, const std::string &task,
-                                                   ReleaseReason reason)
+                                                   ReleaseReason reason,
+                                                   const std::string &observer)
 {
     const auto found = m_items.find(task);
     if (found == m_items.end())
@@ -228,7 +236,8 @@
         cancel(task);
         return std::nullopt;
     }
-    std::optional<SlotEjection> ejection = recordHealth(now, *item.upstream, reason);
+    std::optional<SlotEjection> ejection = recordHealth(
+            now, *item.upstream, reason, observer.empty() ? item.task.sender : observer);
     if (reason == ReleaseReason::Completed) {
         Service &taskService = service(item.task.service);
         absl::Duration &mean =
@@ -241,6 +250,19 @@
     return ejection;
 }
 
+void SlotScheduler::discardReports(absl::Time now, const std::string &observer)
+{
+    for (auto &[id, upstream] : m_upstreams)
+        upstream->health.discard(now, observer);
+}
+
+bool SlotScheduler::isEjectedFor(absl::Time now, const std::string &upstream,
+                                 const std::string &sender) const
+{
+    const auto found = m_upstreams.find(upstream);
+    return found != m_upstreams.end() && found->second->health.isEjectedFor(now, sender);
+}
+
 void SlotScheduler::cancel(const std::string &task)
 {
     const auto found = m_items.find(task);
@@ -345,15 +367,16 @@
         return false;
     if (isBound(service, item.task) && upstream.info.version != *item.task.version)
         return false;
-    return !isExcluded(upstream, item) && !upstream.outlier.ejected(now)
+    return !isExcluded(upstream, item) && !upstream.health.isEjectedFor(now, item.task.sender)
            && upstream.limit.allows(now);
 }
 
-/// Whether a slot is free for a task of \a kind that the upstream accepts.
-bool SlotScheduler::hasFreeSlot(absl::Time now, const Upstream &upstream, TaskKind kind) const
+/// Whether a slot is free for \a task, which the upstream accepts.
+bool SlotScheduler::hasFreeSlot(absl::Time now, const Upstream &upstream,
+                                const SlotTask &task) const
 {
-    const std::int64_t onlineReserve = kind == TaskKind::Online ? 0 : m_settings.onlineReserve;
-    const double share = upstream.outlier.trafficShare(now);
+    const std::int64_t onlineReserve = isOnline(task) ? 0 : m_settings.onlineReserve;
+    const double share = upstream.health.trafficShare(now, task.sender);
     const auto capacity =
             static_cast<std::int64_t>(std::ceil(static_cast<double>(upstream.info.slots) * share));
     if (upstream.occupiedSlots() + foreignRequests(now, upstream) >= capacity - onlineReserve)
--- a/src/policy/slotscheduler_decisions.cpp
+++ b/src/policy/slotscheduler_decisions.cpp
@@ -30,7 +30,7 @@
     std::int64_t bestCost = 0;
     bool isBestNear = false;
     for (Upstream *upstream : service.upstreams) {
-        if (!accepts(now, service, *upstream, item) || !hasFreeSlot(now, *upstream, item.task.kind))
+        if (!accepts(now, service, *upstream, item) || !hasFreeSlot(now, *upstream, item.task))
             continue;
         const bool isNear = upstream->info.failureDomain == item.task.failureDomain;
         const std::int64_t cost = upstream->occupiedSlots() + foreignRequests(now, *upstream)
@@ -174,17 +174,19 @@
     }
 }
 
-/// Versions of which an upstream has a slot for a batch task. Filled only if there are several
-/// versions in service.
-std::set<std::string> SlotScheduler::freeBatchVersions(absl::Time now, const Service &service) const
+/// Versions of which an upstream has a slot for a batch task of \a sender.
+std::set<std::string> SlotScheduler::freeBatchVersions(absl::Time now, const Service &service,
+                                                       const std::string &sender) const
 {
+    SlotTask task;
+    task.kind = TaskKind::Batch;
+    task.sender = sender;
     std::set<std::string> versions;
-    if (service.versions.size() <= 1)
-        return versions;
     for (const Upstream *upstream : service.upstreams) {
-        const bool isAccepting = !upstream->info.leaving && !upstream->outlier.ejected(now)
+        const bool isAccepting = !upstream->info.leaving
+                                 && !upstream->health.isEjectedFor(now, sender)
                                  && upstream->limit.allows(now);
-        if (isAccepting && hasFreeSlot(now, *upstream, TaskKind::Batch))
+        if (isAccepting && hasFreeSlot(now, *upstream, task))
             versions.insert(upstream->info.version);
     }
     return versions;
@@ -196,13 +198,17 @@
 SlotScheduler::Item *SlotScheduler::nextBatch(absl::Time now, Service &service)
 {
     moveLateTasks(now, service);
-    const std::set<std::string> freeVersions = freeBatchVersions(now, service);
+    std::map<std::string, std::set<std::string>> freeVersionsBySender;
     const auto canStart = [&](const Item &item) {
-        return service.versions.size() <= 1 || !isBound(service, item.task)
-               || freeVersions.count(*item.task.version) != 0;
+        if (service.versions.size() <= 1 || !isBound(service, item.task))
+            return true;
+        const auto [free, isNew] = freeVersionsBySender.try_emplace(item.task.sender);
+        if (isNew)
+            free->second = freeBatchVersions(now, service, item.task.sender);
+        return free->second.count(*item.task.version) != 0;
     };
     // Without a free slot no task can start. The search below is for free slots of other versions.
-    if (service.versions.size() > 1 && freeVersions.empty())
+    if (service.versions.size() > 1 && freeBatchVersions(now, service, std::string()).empty())
         return nullptr;
     const auto firstOf = [&](const FairQueue &queue) {
         const auto number = queue.front([&](TaskId task) { return canStart(*itemOf(task)); });
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -212,6 +212,7 @@
     task.service = request.service;
     task.workspace = request.workspace;
     task.failureDomain = request.failureDomain;
+    task.sender = request.instance;
     task.priority = static_cast<int>(request.priority);
     task.expectedTokens = 1 + static_cast<double>(request.outputTokens)
                           + static_cast<double>(request.promptTokens) / promptTokensPerOutputToken;
@@ -396,6 +397,8 @@
         return;
     log(LogLevel::Info, "upstream-ejected",
         {{"upstream", ejection->upstream},
+         {"observer", ejection->observer},
+         {"failedObservers", static_cast<std::int64_t>(ejection->failedObservers)},
          {"task", task},
          {"reason", policy::name(reason)},
          {"ejectedMs", absl::ToInt64Milliseconds(ejection->length)},
@@ -418,6 +421,7 @@
         task.id = id;
         task.service = slot.service;
         task.workspace = slot.workspace;
+        task.sender = held.instance;
         m_scheduler.adopt(now, task, slot.upstream);
         if (!m_scheduler.contains(id))
             continue;
--- a/tests/policy/slotscheduler_test.cpp
+++ b/tests/policy/slotscheduler_test.cpp
@@ -339,6 +339,43 @@
     }
 }
 
+// Load pattern: most senders lose their links to all upstreams, and the others keep theirs. Guards
+// against requests of the others that get no slot while all slots are free.
+BOOST_AUTO_TEST_CASE(sendersThatAreCutOffEjectNoUpstreamForOthers)
+{
+    scheduler.setUpstreams({upstream("a", 4), upstream("b", 4), upstream("c", 4)});
+    int number = 0;
+    const auto grant = [&](const std::string &sender) {
+        SlotTask task = online(std::to_string(++number), start + absl::Seconds(1));
+        task.sender = sender;
+        scheduler.request(start, task);
+        return decide().granted.count(task.id) != 0;
+    };
+    for (const std::string sender : {"cut off 1", "cut off 2", "cut off 3"}) {
+        while (grant(sender))
+            scheduler.release(start, std::to_string(number), ReleaseReason::Unreachable);
+        scheduler.cancel(std::to_string(number));
+        scheduler.discardReports(start, sender);
+    }
+    for (int i = 0; i < 12; ++i)
+        BOOST_TEST(grant("linked"));
+}
+
+// Guards against a crashed upstream that each sender has to find out for itself.
+BOOST_AUTO_TEST_CASE(upstreamThatTwoSendersFindUnreachableIsEjectedForAll)
+{
+    scheduler.setUpstreams({upstream("gone", 4), upstream("here", 4)});
+    for (const std::string sender : {"1", "2"}) {
+        SlotTask task = online(sender, start + absl::Seconds(1));
+        task.sender = sender;
+        task.excluded = {"here"};
+        scheduler.request(start, task);
+        BOOST_TEST(decide().granted.at(sender) == "gone");
+        scheduler.release(start, sender, ReleaseReason::Unreachable);
+    }
+    BOOST_TEST(scheduler.isEjectedFor(start, "gone", "3"));
+}
+
 // Load pattern: upstreams still run requests of a sender that no longer exists. Guards against too
 // many requests there, which queue at the upstream.
 BOOST_AUTO_TEST_CASE(reportedForeignRequestsReduceTheSlots)
--- /dev/null
+++ b/tests/policy/upstreamhealth_test.cpp
@@ -0,0 +1,120 @@
+#include "rattanrill/policy/upstreamhealth.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace rattanrill::policy;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+OutlierSettings settings()
+{
+    OutlierSettings result;
+    result.consecutiveFailures = 2;
+    return result;
+}
+
+struct Fixture
+{
+    UpstreamHealth health{settings()};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(UpstreamHealthTest, Fixture)
+
+// Guards against an upstream that nobody gets because one process has lost its link to it.
+BOOST_AUTO_TEST_CASE(oneObserverEjectsForItselfOnly)
+{
+    for (int i = 0; i < 5; ++i)
+        health.failed(start, "cut off", true);
+    BOOST_TEST(health.isEjectedFor(start, "cut off"));
+    BOOST_TEST(!health.isEjected(start));
+    BOOST_TEST(!health.isEjectedFor(start, "other"));
+    BOOST_TEST(health.trafficShare(start, "other") == 1.0);
+}
+
+// Guards against a crashed upstream that each process has to find out for itself.
+BOOST_AUTO_TEST_CASE(twoObserversEjectForAll)
+{
+    health.failed(start, "a", true);
+    health.failed(start, "b", false);
+    BOOST_TEST(health.isEjectedFor(start, "other"));
+    BOOST_TEST(health.trafficShare(start, "other") == 0.0);
+}
+
+// Guards against an upstream that is ejected for all because of failures between which it
+// responded.
+BOOST_AUTO_TEST_CASE(successEndsTheAgreement)
+{
+    health.failed(start, "a", true);
+    health.succeeded(start, "c");
+    health.failed(start, "b", true);
+    BOOST_TEST(!health.isEjected(start));
+}
+
+// Guards against upstreams that stay ejected because of processes that turn out to be cut off from
+// all of them: their failures arrive before they know.
+BOOST_AUTO_TEST_CASE(ejectionEndsWhenItsWitnessesAreDiscarded)
+{
+    health.failed(start, "cut off 1", true);
+    health.failed(start, "cut off 2", true);
+    BOOST_TEST(health.isEjected(start));
+    health.discard(start, "cut off 1");
+    BOOST_TEST(!health.isEjected(start));
+    BOOST_TEST(health.trafficShare(start, "other") == 1.0);
+}
+
+// Guards against a crashed upstream that gets requests again because one of those who saw the crash
+// is cut off.
+BOOST_AUTO_TEST_CASE(ejectionStaysWhileEnoughWitnessesAreLeft)
+{
+    health.failed(start, "cut off", true);
+    health.failed(start, "a", true);
+    health.discard(start, "cut off");
+    BOOST_TEST(!health.isEjected(start));
+    health.failed(start, "b", true);
+    BOOST_TEST(health.isEjected(start));
+    health.discard(start, "cut off");
+    BOOST_TEST(health.isEjected(start));
+}
+
+// Guards against a crashed upstream that gets requests again although two of those who saw the
+// crash are linked.
+BOOST_AUTO_TEST_CASE(laterFailuresReplaceADiscardedWitness)
+{
+    health.failed(start, "cut off", true);
+    health.failed(start, "a", true);
+    health.failed(start, "b", true);
+    health.discard(start, "cut off");
+    BOOST_TEST(health.isEjected(start));
+}
+
+// Guards against an upstream that gets little traffic after an ejection that was wrong.
+BOOST_AUTO_TEST_CASE(discardAfterTheEjectionRestoresTheTraffic)
+{
+    health.failed(start, "cut off 1", true);
+    health.failed(start, "cut off 2", true);
+    const absl::Time later = start + absl::Milliseconds(2100);
+    BOOST_TEST(!health.isEjected(later));
+    health.discard(later, "cut off 1");
+    BOOST_TEST(health.trafficShare(later, "other") == 1.0);
+}
+
+// Guards against an upstream that is ejected because of two failures that have nothing in common.
+BOOST_AUTO_TEST_CASE(oldFailuresDoNotCount)
+{
+    health.failed(start, "a", true);
+    health.failed(start + absl::Hours(1), "b", true);
+    BOOST_TEST(!health.isEjected(start + absl::Hours(1)));
+}
+
+// Guards against an upstream that is ejected at once when it fails a single request.
+BOOST_AUTO_TEST_CASE(singleFailureDoesNotEject)
+{
+    health.failed(start, "a", false);
+    BOOST_TEST(!health.isEjectedFor(start, "a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
