--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -3,13 +3,13 @@
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/metrics.h"
 #include "rattanrill/fleet/groupreplica.h"
-#include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/eventloop.h"
 #include "rattanrill/serving/bufferbudget.h"
 #include "rattanrill/serving/crashguard.h"
 #include "rattanrill/serving/deployment.h"
 #include "rattanrill/serving/protocoladapter.h"
 #include "rattanrill/serving/slotbroker.h"
+#include "rattanrill/serving/upstreamcaller.h"
 #include "rattanrill/wire/jobmessages.h"
 
 #include "absl/time/time.h"
@@ -28,10 +28,11 @@
     const Clock &clock;
     Metrics &metrics;
     const serving::ProtocolAdapter &protocol;
-    net::ConnectionPool &upstreamConnections;
+    serving::UpstreamCaller &upstreams;
     serving::SlotBroker &broker;
     serving::CrashGuard &crashGuard;
     fleet::GroupReplica &replica;
+    std::string instance;
     std::string failureDomain;
     /// Age of the list of upstreams by which slots are granted, infinite if unknown; for log lines.
     std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -28,6 +28,7 @@
 };
 
 std::string_view name(CallStatus status);
+std::optional<CallStatus> callStatusFromName(std::string_view name);
 
 /// To which request a response belongs according to its head.
 enum class ResponseOwner {
@@ -92,6 +93,12 @@
     /// empty id gets a connection of its own.
     CallId call(const std::string &address, std::string request, CallHandlers handlers,
                 const std::optional<std::string> &requestId = std::nullopt);
+    /// Opens a connection to \a address, which then is idle. \a done is called once, with whether
+    /// it was established.
+    void connect(const std::string &address, std::function<void(bool isConnected)> done);
+    /// Whether call() would use an idle connection.
+    bool hasIdleConnection(const std::string &address,
+                           const std::optional<std::string> &requestId) const;
     /// Resets the connection of \a call, so that the upstream can detect that the response is no
     /// longer needed, and bytes of the request that it has not received are never delivered. No
     /// handler of the call runs after return.
--- /dev/null
+++ b/include/rattanrill/policy/upstreamlinks.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <cstddef>
+#include <set>
+#include <string>
+
+namespace rattanrill::policy {
+
+/// Tells whether a process has lost its links to the upstreams, from what happens to its own
+/// connections.
+///
+/// An upstream that fails and a link that is cut look the same to a single attempt. They differ in
+/// what other upstreams do meanwhile: a process whose attempts fail at several different ones,
+/// without a byte from any upstream in between, takes itself for cut off. Established connections
+/// may live on while new ones fail, so both are judged apart. Upstreams that crash together look
+/// like a cut for a moment, until a byte arrives or a connection is established.
+///
+/// A process that knows fewer upstreams than minUpstreams never counts as cut off.
+///
+/// Performs no input or output. Not thread-safe.
+class UpstreamLinks
+{
+public:
+    /// Number of upstreams at which attempts must have failed.
+    static constexpr std::size_t minUpstreams = 4;
+    /// New connections are few, so that those to upstreams which crashed together may follow each
+    /// other. They must fail at more than half of the upstreams, but not at more than this number.
+    static constexpr std::size_t maxUnreachable = 8;
+
+    /// Sets the number of upstreams that requests can be sent to.
+    void setUpstreamCount(std::size_t count) { m_upstreamCount = count; }
+    /// A part of a response arrived.
+    void received();
+    /// A new connection was established.
+    void connected();
+    /// An established connection broke, or its upstream did not respond in time.
+    void broken(const std::string &upstream);
+    /// No connection could be established, which says nothing about established ones.
+    void notConnected(const std::string &upstream);
+
+    /// Whether established connections work.
+    bool canReceive() const { return m_silent.size() < minUpstreams; }
+    /// Whether new connections can be established.
+    bool canConnect() const;
+    /// Whether requests on new connections are expected to fail.
+    bool isCutOff() const { return !canReceive() || !canConnect(); }
+    /// Whether attempts have failed and a new connection would tell whether the links are lost.
+    bool isSuspect() const { return m_silent.size() > 1 || m_unreachable.size() > 1; }
+    bool hasFailed(const std::string &upstream) const
+    {
+        return m_silent.count(upstream) != 0 || m_unreachable.count(upstream) != 0;
+    }
+
+private:
+    std::size_t m_upstreamCount = 0;
+    /// Upstreams at which attempts have failed since the last received byte.
+    std::set<std::string> m_silent;
+    /// Upstreams that could not be connected to since the last established connection.
+    std::set<std::string> m_unreachable;
+};
+
+} // namespace rattanrill::policy
--- a/include/rattanrill/serving/crashguard.h
+++ b/include/rattanrill/serving/crashguard.h
@@ -2,7 +2,7 @@
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/timerservice.h"
-#include "rattanrill/net/connectionpool.h"
+#include "rattanrill/net/message.h"
 #include "rattanrill/wire/fleetmessages.h"
 
 #include "absl/time/time.h"
@@ -18,6 +18,8 @@
 
 namespace rattanrill::serving {
 
+class UpstreamCaller;
+
 /// An attempt whose connection broke.
 struct BrokenAttempt
 {
@@ -78,10 +80,10 @@
     /// Records that a request with \a traits was cancelled before it had a result. A trial may then
     /// be repeated.
     void recordCancelled(const std::vector<std::string> &traits);
-    /// Records a crash, unless another of \a connections to the upstream is still open after a
-    /// moment. A crash closes all connections; a single one may also be reset by an upstream that
-    /// runs on.
-    void recordBroken(const net::ConnectionPool &connections, const BrokenAttempt &attempt);
+    /// Records a crash, unless another connection to the upstream is still open after a moment, or
+    /// no connection of this process responds any more. A crash closes all connections; a
+    /// single one may also be reset by an upstream that runs on.
+    void recordBroken(const UpstreamCaller &upstreams, const BrokenAttempt &attempt);
     /// Records that \a upstream crashed at \a crashedAt while it ran a request that was sent at
     /// \a sentAt.
     void recordCrash(const std::string &upstream, const std::vector<std::string> &traits,
--- a/include/rattanrill/serving/proxyrequest.h
+++ b/include/rattanrill/serving/proxyrequest.h
@@ -2,7 +2,6 @@
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/metrics.h"
-#include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/eventloop.h"
 #include "rattanrill/net/server.h"
 #include "rattanrill/serving/bufferbudget.h"
@@ -11,6 +10,7 @@
 #include "rattanrill/serving/protocoladapter.h"
 #include "rattanrill/serving/shutdownstate.h"
 #include "rattanrill/serving/slotclient.h"
+#include "rattanrill/serving/upstreamcaller.h"
 
 #include "absl/time/time.h"
 
@@ -34,7 +34,7 @@
     const Clock &clock;
     Metrics &metrics;
     const ProtocolAdapter &protocol;
-    net::ConnectionPool &upstreamConnections;
+    UpstreamCaller &upstreams;
     SlotClient &slotClient;
     CrashGuard &crashGuard;
     InstanceIdentity identity;
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/timerservice.h"
+#include "rattanrill/policy/forwarderselector.h"
 #include "rattanrill/policy/leavingupstreams.h"
 #include "rattanrill/policy/slotscheduler.h"
 #include "rattanrill/policy/streamorigins.h"
@@ -130,11 +131,26 @@
     void clearAccumulatedRequests();
     /// Whether the last response of \a upstream named a limit.
     bool hasRequestLimit(const std::string &upstream) const;
-    /// Reclaims the slots of processes that are not in \a instances.
-    void setLiveInstances(const std::vector<std::string> &instances);
+    /// Sets the live entries. Reclaims the slots of other processes. An entry may forward the calls
+    /// of processes that are cut off from the upstreams.
+    void setLiveEntries(std::vector<policy::Forwarder> entries);
+    /// Chooses the entry that forwards a call of \a sender to \a upstream, until
+    /// releaseForwarder().
+    std::optional<policy::Forwarder> chooseForwarder(const std::string &sender,
+                                                     const std::string &failureDomain,
+                                                     const std::string &upstream);
+    /// Ends a call that \a instance forwarded. \a hasFailed: it did not take the call, or lost a
+    /// part of the response.
+    void releaseForwarder(const std::string &instance, bool hasFailed);
+    /// Records whether \a instance is cut off from the upstreams. What it has reported on the
+    /// health of upstreams is discarded then.
+    void recordLinks(const std::string &instance, bool isCutOff);
 
     void acquireBatch(const policy::SlotTask &task, BatchHandlers handlers);
-    void releaseBatch(const std::string &task, policy::ReleaseReason reason);
+    /// \a observer: the process that exchanged bytes with the upstream; see
+    /// SlotScheduler::release().
+    void releaseBatch(const std::string &task, policy::ReleaseReason reason,
+                      const std::string &observer = {});
     void cancelBatch(const std::string &task);
 
     const policy::SlotScheduler &scheduler() const { return m_scheduler; }
@@ -147,8 +163,12 @@
         /// Empty for a request that cannot be resumed.
         std::string stream;
         std::string service;
+        std::string failureDomain;
         bool chargesRate = false;
+        bool needsForwarder = false;
         bool isGranted = false;
+        /// Instance that forwards the call; empty when none does.
+        std::string forwarder;
         absl::Time requestedAt;
         absl::Time expires;
         /// Null while no request is pending, between an outcome Waiting and the repeated request.
@@ -173,7 +193,8 @@
     policy::TokenBucket *bucket(const std::string &workspace);
     policy::RateContract contractOf(const Workspace &workspace) const;
     void refundRate(const std::string &id);
-    void releaseSlot(const std::string &task, policy::ReleaseReason reason);
+    void releaseSlot(const std::string &task, policy::ReleaseReason reason,
+                     const std::string &observer);
     void decide();
     void applyDecision(const policy::GrantSlot &decision);
     void applyDecision(const policy::RejectSlot &decision);
@@ -208,6 +229,7 @@
     std::shared_ptr<const DeploymentIndex> m_deployment;
     CapacityShare m_share;
     std::map<std::string, policy::TokenBucket> m_buckets;
+    policy::ForwarderSelector m_forwarders;
     /// By task id.
     std::map<std::string, OnlineRequest> m_online;
     /// By task id; a subset of m_online.
--- a/include/rattanrill/wire/envelope.h
+++ b/include/rattanrill/wire/envelope.h
@@ -40,6 +40,9 @@
     ReadItem,
     EndJob,
     ReportPromptEvidence,
+    ForwardCall,
+    ReadForwardedCall,
+    CancelForwardedCall,
 };
 
 std::string_view name(EnvelopeKind kind);
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -31,6 +31,9 @@
     /// the data directory is first used. For an entry: its address and an identity generated at
     /// each start.
     std::string replica;
+    /// Whether it is an entry that forwards calls of other processes. Older processes don't send
+    /// it.
+    bool forwardsCalls = false;
 };
 
 /// An upstream as listed by the platform.
@@ -351,6 +354,9 @@
     /// Whether \a version is the version that began the stream. Otherwise the broker finds it.
     bool versionKnown = false;
     std::string version{};
+    /// Whether the sender is cut off from the upstreams and needs another entry that forwards its
+    /// calls.
+    bool needsForwarder = false;
 };
 
 /// Outcome of a SlotRequest.
@@ -380,6 +386,10 @@
     std::int64_t retryAfterMs = 0;
     /// Version of the upstream's software; set if granted.
     std::string version{};
+    /// Instance and peer address of an entry that forwards the call; empty if the sender needs none
+    /// or no entry is known that can.
+    std::string forwarder{};
+    std::string forwarderAddress{};
 };
 
 /// A slot that an entry instance holds.
@@ -454,6 +464,16 @@
     std::string stream{};
     std::string service{};
     std::string version{};
+    /// Instance of the entry that forwarded the call; empty if the sender reached the upstream
+    /// itself. \a end says what this instance saw of the upstream.
+    std::string forwarder{};
+    /// Whether the forwarder did not take the call, or lost a part of the response.
+    bool forwarderFailed = false;
+    /// Whether the sender is cut off from the upstreams.
+    bool isCutOff = false;
+    /// Whether \a end tells something about the upstream, and not only about the links of the
+    /// sender or about the forwarder.
+    bool isWitness = true;
 };
 
 } // namespace rattanrill::wire
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -5,9 +5,11 @@
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/gateway/gateway.h"
 #include "rattanrill/gateway/serverdrain.h"
+#include "rattanrill/serving/forwardingservice.h"
 
 #include "absl/strings/str_join.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -26,6 +28,10 @@
 /// Maximum number of connections from callers. The limit follows from the number of file
 /// descriptors; an idle connection needs little memory.
 constexpr std::size_t maxCallerConnections = 3000;
+/// Interval at which a process that stops checks whether it still forwards calls.
+constexpr absl::Duration forwardedCallsPeriod = absl::Milliseconds(50);
+/// Calls of other processes are broken off when less of the time to stop is left.
+constexpr absl::Duration minStopTime = absl::Seconds(1);
 /// Maximum number of request ids in one log line.
 constexpr std::size_t maxLoggedIds = 20;
 
@@ -44,7 +50,9 @@
         , m_processContext(processContext)
         , m_core(settings, processContext, wire::MemberRole::Entry,
                  fleet::makeReplicaId(settings.peerAddress(), randomHex(6)))
-        , m_upstreams(processContext.loop, net::ConnectionPoolOptions())
+        , m_connections(processContext.loop, net::ConnectionPoolOptions())
+        , m_forwardingClient(processContext.loop, m_core.channels())
+        , m_upstreams(processContext.loop, m_connections, m_forwardingClient)
         , m_slotClient(processContext.loop, m_core.channels(), m_core.clock(),
                        slotClientSettings(settings))
         , m_crashGuard(processContext.loop.timers(), m_core.clock(), settings.instance,
@@ -64,6 +72,7 @@
                     serving::ShutdownState(),
                     [this] { return m_core.fleetClient().staleness(); },
                     responseBuffers(settings)}
+        , m_forwardingService(forwardingContext())
         , m_gateway(m_context, m_jobs)
         , m_callerServer(processContext.loop,
                          [this](auto exchange) { m_gateway.serve(std::move(exchange)); })
@@ -76,7 +85,8 @@
     Result<void> start() override
     {
         m_slotClient.onUpstreamLeaving(
-                [this](const std::string &address) { m_upstreams.retire(address); });
+                [this](const std::string &address) { m_connections.retire(address); });
+        m_forwardingService.install(m_core.peerServer());
         m_core.fleetClient().onChange(
                 [this](const fleet::FleetState &state) { applyState(state); });
         m_core.fleetClient().onUpstreamsConfirmed(
@@ -97,12 +107,25 @@
         m_context.shutdown.begin(m_core.clock().now(), m_settings.shutdownTimeout, admissionTime);
         m_callerDrain.start([this, stopped = std::move(stopped)](const auto &abandoned) {
             logDrained(abandoned);
-            m_core.fleetClient().leave();
-            stopped();
+            finishForwardedCalls(stopped);
         });
     }
 
 private:
+    /// Stops once the calls of other processes have ended, or little of the time to stop is left.
+    void finishForwardedCalls(const std::function<void()> &stopped)
+    {
+        const bool hasTime = m_context.shutdown.remainingMs(m_core.clock().now())
+                             > absl::ToInt64Milliseconds(minStopTime);
+        if (m_forwardingService.openCalls() > 0 && hasTime) {
+            m_processContext.loop.timers().subscribeOnce(
+                    forwardedCallsPeriod, [this, stopped] { finishForwardedCalls(stopped); });
+            return;
+        }
+        m_core.fleetClient().leave();
+        stopped();
+    }
+
     bool isReady() const { return !m_draining && m_gateway.deployment() && m_hasUpstreams; }
 
     void serveReadinessProbe(const std::shared_ptr<net::Exchange> &exchange)
@@ -116,6 +139,7 @@
     {
         if (state.upstreamsKnown) {
             m_hasUpstreams = true;
+            m_upstreams.setUpstreams(state.upstreams);
             m_slotClient.setUpstreams(state.upstreams, static_cast<std::size_t>(state.liveEntries),
                                       state.upstreamsReadAt);
             closeRemovedUpstreams(state.upstreams);
@@ -166,11 +190,37 @@
             addresses.insert(upstream.address);
         for (const std::string &address : m_upstreamAddresses) {
             if (addresses.count(address) == 0)
-                m_upstreams.closeIdleConnections(address);
+                m_connections.closeIdleConnections(address);
         }
         m_upstreamAddresses = std::move(addresses);
     }
 
+    serving::ForwardingContext forwardingContext()
+    {
+        return {m_processContext.loop,
+                m_core.clock(),
+                m_processContext.protocol,
+                m_upstreams,
+                m_crashGuard,
+                m_context.buffers,
+                [this](const std::string &upstream, const std::string &address) {
+                    return mayBeCalled(upstream, address);
+                },
+                [this](const wire::UpstreamLoad &load) { m_slotClient.reportLoad(load); },
+                [this] { return m_draining; }};
+    }
+
+    /// Whether this process may send a call of another one to the upstream.
+    bool mayBeCalled(const std::string &upstream, const std::string &address)
+    {
+        const auto &upstreams = m_core.fleetClient().state().upstreams;
+        const bool isListed = std::any_of(
+                upstreams.begin(), upstreams.end(), [&](const wire::FleetUpstream &listed) {
+                    return listed.id == upstream && listed.address == address && !listed.draining;
+                });
+        return isListed && !m_slotClient.isLeaving(upstream, address);
+    }
+
     void logDrained(const ServerDrain::AbandonedRequests &abandoned) const
     {
         std::vector<std::string> ids;
@@ -197,11 +247,14 @@
     const ProcessSettings &m_settings;
     const ProcessContext &m_processContext;
     ProcessCore m_core;
-    net::ConnectionPool m_upstreams;
+    net::ConnectionPool m_connections;
+    serving::ForwardingClient m_forwardingClient;
+    serving::UpstreamCaller m_upstreams;
     serving::SlotClient m_slotClient;
     serving::CrashGuard m_crashGuard;
     jobs::JobClient m_jobs;
     serving::ServingContext m_context;
+    serving::ForwardingService m_forwardingService;
     Gateway m_gateway;
     net::Server m_callerServer;
     ServerDrain m_callerDrain;
--- a/src/gateway/processcore.cpp
+++ b/src/gateway/processcore.cpp
@@ -69,6 +69,7 @@
     // Entries are many and only read the state. Stores and control processes depend on their
     // leaders in time, and are few enough to poll the fleet leader themselves.
     if (role == wire::MemberRole::Entry) {
+        result.self.forwardsCalls = true;
         result.usesRelays = true;
         result.maxParallelPolls = 1;
     }
@@ -171,12 +172,13 @@
     return stores;
 }
 
-std::vector<std::string> liveEntries(const fleet::FleetState &state)
+std::vector<policy::Forwarder> liveEntries(const fleet::FleetState &state)
 {
-    std::vector<std::string> entries;
+    std::vector<policy::Forwarder> entries;
     for (const wire::FleetMemberStatus &status : state.members) {
         if (status.member.role == wire::MemberRole::Entry && status.alive)
-            entries.push_back(status.member.instance);
+            entries.push_back({status.member.instance, status.member.failureDomain,
+                               status.member.peerAddress, status.member.forwardsCalls});
     }
     return entries;
 }
--- a/src/gateway/processcore.h
+++ b/src/gateway/processcore.h
@@ -68,6 +68,6 @@
 
 StoreAddresses storeAddresses(const fleet::FleetState &state);
 /// Returns the instances of the live entry processes.
-std::vector<std::string> liveEntries(const fleet::FleetState &state);
+std::vector<policy::Forwarder> liveEntries(const fleet::FleetState &state);
 
 } // namespace rattanrill::gateway
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -42,7 +42,7 @@
     StoreProcess(const ProcessSettings &settings, const ProcessContext &processContext)
         : m_settings(settings)
         , m_processContext(processContext)
-        , m_upstreams(processContext.loop, itemConnectionOptions())
+        , m_connections(processContext.loop, itemConnectionOptions())
         , m_broker(processContext.loop.timers(), SystemClock::instance(), brokerSettings(settings))
         , m_upstreamList(processContext.loop.timers(), SystemClock::instance(),
                          processContext.upstreamDiscovery, fleet::BoundedUpstreamListSettings())
@@ -61,8 +61,13 @@
         log(LogLevel::Info, "replica-identity", {{"replica", m_identity.replica}});
         m_core = std::make_unique<ProcessCore>(m_settings, m_processContext,
                                                wire::MemberRole::Store, m_identity.replica);
+        m_forwardingClient = std::make_unique<serving::ForwardingClient>(m_processContext.loop,
+                                                                         m_core->channels());
+        m_upstreams = std::make_unique<serving::UpstreamCaller>(m_processContext.loop,
+                                                                m_connections, *m_forwardingClient);
         m_upstreamList.onChange([this](const auto &upstreams, absl::Time readAt) {
             m_hasUpstreams = true;
+            m_upstreams->setUpstreams(upstreams);
             m_broker.setUpstreams(upstreams, serving::CapacityShare(), readAt);
         });
         m_upstreamList.onConfirmed(
@@ -103,7 +108,7 @@
     void createServices()
     {
         m_broker.onUpstreamLeaving(
-                [this](const std::string &address) { m_upstreams.retire(address); });
+                [this](const std::string &address) { m_connections.retire(address); });
         fleet::GroupReplicaSettings groupSettings;
         groupSettings.group = fleet::storeGroup;
         groupSettings.dataFolder = m_settings.dataFolder;
@@ -115,10 +120,11 @@
                                                m_core->clock(),
                                                m_core->metrics(),
                                                m_processContext.protocol,
-                                               m_upstreams,
+                                               *m_upstreams,
                                                m_broker,
                                                m_crashGuard,
                                                *m_replica,
+                                               m_settings.instance,
                                                m_settings.failureDomain,
                                                [this] { return m_upstreamList.age(); },
                                                responseBuffers(m_settings)};
@@ -225,7 +231,7 @@
         if (state.upstreamsKnown)
             m_upstreamList.setDistributed(state.upstreams, state.upstreamsReadAt);
         if (state.membersComplete)
-            m_broker.setLiveInstances(liveEntries(state));
+            m_broker.setLiveEntries(liveEntries(state));
     }
 
     /// True when the replica has stored data of the group. It then opens without the list of
@@ -281,7 +287,9 @@
     const ProcessContext &m_processContext;
     fleet::ReplicaIdentity m_identity;
     std::unique_ptr<ProcessCore> m_core;
-    net::ConnectionPool m_upstreams;
+    net::ConnectionPool m_connections;
+    std::unique_ptr<serving::ForwardingClient> m_forwardingClient;
+    std::unique_ptr<serving::UpstreamCaller> m_upstreams;
     serving::SlotBroker m_broker;
     fleet::BoundedUpstreamList m_upstreamList;
     serving::CrashGuard m_crashGuard;
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -34,6 +34,9 @@
 /// for a slot keeps its trial by these checks, see serving::CrashGuard::isBlocked().
 constexpr absl::Duration holdPeriod = absl::Seconds(1);
 
+/// Time after which an entry ends a call that it forwards and that was not cancelled.
+constexpr absl::Duration maxForwardedTime = absl::Minutes(1);
+
 constexpr int statusUnprocessable = 422;
 constexpr int statusServerError = 500;
 
@@ -187,6 +190,8 @@
     task.service = serving::selectService(current, m_item.id);
     task.workspace = m_job->workspace;
     task.failureDomain = m_context.failureDomain;
+    // The links of the entry that forwards the call matter, which is chosen with the grant.
+    task.sender = m_context.upstreams.isCutOff() ? std::string() : m_context.instance;
     task.kind = policy::TaskKind::Batch;
     task.priority = current.priority;
     task.expectedTokens = static_cast<double>(m_item.tokens);
@@ -223,7 +228,33 @@
     m_hasProgressed = false;
     m_hasHead = false;
     m_splitter.reset();
+    const serving::UpstreamTarget target = chooseTarget(grant);
+    if (!m_context.upstreams.canCall(target, m_item.id))
+        return failAttempt("this process is cut off from the upstreams, and no entry forwards",
+                           ReleaseReason::Cancelled);
     prepareOutput(grant.version);
+    send(target);
+}
+
+/// Chooses the entry that forwards the call if this process is cut off from the upstreams.
+serving::UpstreamTarget ItemRun::chooseTarget(const policy::GrantSlot &grant)
+{
+    serving::UpstreamTarget target{grant.upstream, grant.address, {}, maxForwardedTime};
+    m_forwarder.clear();
+    m_hasForwarderFailed = false;
+    if (!m_context.upstreams.isCutOff())
+        return target;
+    const auto forwarder = m_context.broker.chooseForwarder(
+            m_context.instance, m_context.failureDomain, grant.upstream);
+    if (!forwarder)
+        return target;
+    m_forwarder = forwarder->instance;
+    target.forwarderAddress = forwarder->address;
+    return target;
+}
+
+void ItemRun::send(const serving::UpstreamTarget &target)
+{
     m_position.beginAttempt();
     ++m_attempts;
     m_context.metrics.count("rattanrill_batch_attempts_total");
@@ -231,6 +262,27 @@
     attempt.expectedInstance = m_upstream;
     attempt.workspace = m_job->workspace;
     attempt.resumeAfter = m_position.lastId();
+    restartIdleTimer();
+    m_sentAt = m_context.clock.now();
+    m_context.crashGuard.recordSent(m_traits.all());
+    m_call = m_context.upstreams.call(
+            target, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
+            callHandlers(), m_item.id,
+            {m_traits, [self = shared_from_this()] { self->m_hasForwarderFailed = true; }});
+    // An established connection may have been used although an entry would forward.
+    if (!m_context.upstreams.isForwarded(m_call))
+        releaseForwarder();
+}
+
+void ItemRun::releaseForwarder()
+{
+    if (!m_forwarder.empty())
+        m_context.broker.releaseForwarder(std::exchange(m_forwarder, std::string()),
+                                          m_hasForwarderFailed);
+}
+
+net::CallHandlers ItemRun::callHandlers()
+{
     net::CallHandlers handlers;
     handlers.ownerOf = [self = shared_from_this()](const net::ResponseHead &head) {
         return self->ownerOf(head);
@@ -244,15 +296,10 @@
     handlers.onEnd = [self = shared_from_this()](net::CallStatus status) {
         self->handleCallEnd(status);
     };
-    handlers.mayBeSent = [self = shared_from_this(), grant] {
-        return !self->m_context.broker.isLeaving(grant.upstream, grant.address);
+    handlers.mayBeSent = [self = shared_from_this(), upstream = m_upstream, address = m_address] {
+        return !self->m_context.broker.isLeaving(upstream, address);
     };
-    restartIdleTimer();
-    m_sentAt = m_context.clock.now();
-    m_context.crashGuard.recordSent(m_traits.all());
-    m_call = m_context.upstreamConnections.call(
-            m_address, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
-            std::move(handlers), m_item.id);
+    return handlers;
 }
 
 /// Ends the call because an online request takes the slot. The item continues after its last event
@@ -263,7 +310,8 @@
         return;
     ++m_preemptions;
     m_context.metrics.count("rattanrill_batch_yields_total");
-    m_context.upstreamConnections.cancel(m_call);
+    m_context.upstreams.cancel(m_call);
+    releaseForwarder();
     m_context.crashGuard.recordCancelled(m_traits.all());
     cancelTimer(m_idleTimer);
     recordRunTime();
@@ -465,7 +513,7 @@
 
 void ItemRun::failAttempt(std::string_view reason, ReleaseReason releaseReason)
 {
-    m_context.upstreamConnections.cancel(m_call);
+    m_context.upstreams.cancel(m_call);
     releaseSlot(releaseReason);
     log(LogLevel::Info, "item-try-failed",
         {{"job", m_job->id},
@@ -483,9 +531,11 @@
 
 void ItemRun::attemptBroken(std::string_view reason)
 {
-    m_context.crashGuard.recordBroken(
-            m_context.upstreamConnections,
-            {m_item.id, m_upstream, m_address, m_traits.suspects(m_hasProgressed), m_sentAt});
+    // The entry that forwards a call reports the crash itself.
+    if (m_forwarder.empty())
+        m_context.crashGuard.recordBroken(
+                m_context.upstreams,
+                {m_item.id, m_upstream, m_address, m_traits.suspects(m_hasProgressed), m_sentAt});
     failAttempt(reason, ReleaseReason::Failed);
 }
 
@@ -548,7 +598,13 @@
     cancelTimer(m_idleTimer);
     recordRunTime();
     m_state = State::BackingOff;
-    m_context.broker.releaseBatch(taskId(*m_job, m_item), reason);
+    m_context.broker.recordLinks(m_context.instance, m_context.upstreams.isCutOff());
+    const bool isWitness =
+            m_forwarder.empty() ? m_context.upstreams.isWitness(reason) : !m_hasForwarderFailed;
+    const std::string observer = m_forwarder.empty() ? m_context.instance : m_forwarder;
+    releaseForwarder();
+    m_context.broker.releaseBatch(taskId(*m_job, m_item),
+                                  isWitness ? reason : ReleaseReason::Cancelled, observer);
 }
 
 void ItemRun::abandon()
@@ -556,7 +612,7 @@
     if (m_state == State::Ended)
         return;
     if (m_state == State::Running)
-        m_context.upstreamConnections.cancel(m_call);
+        m_context.upstreams.cancel(m_call);
     m_context.broker.cancelBatch(taskId(*m_job, m_item));
     finish(wire::ItemOutcome::DeadLettered,
            "the item was not completed within the route's time limit");
@@ -567,9 +623,12 @@
     cancelTimer(m_idleTimer);
     m_idleTimer = m_context.loop.timers().subscribeOnce(idleTimeout, [self = shared_from_this()] {
         self->m_idleTimer = 0;
-        if (self->m_state == State::Running)
-            self->failAttempt("the upstream sent no event within the idle timeout",
-                              ReleaseReason::Failed);
+        if (self->m_state != State::Running)
+            return;
+        if (self->m_forwarder.empty())
+            self->m_context.upstreams.recordSilence(self->m_upstream);
+        self->failAttempt("the upstream sent no event within the idle timeout",
+                          ReleaseReason::Failed);
     });
 }
 
@@ -612,7 +671,8 @@
     if (m_state == State::Ended)
         return;
     if (m_state == State::Running)
-        m_context.upstreamConnections.cancel(m_call);
+        m_context.upstreams.cancel(m_call);
+    releaseForwarder();
     m_context.broker.cancelBatch(taskId(*m_job, m_item));
     m_state = State::Ended;
     m_bufferShare.reset();
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -72,6 +72,9 @@
     void retryAfter(absl::Duration delay);
     void attemptBroken(std::string_view reason);
     void handleSlotGranted(const policy::GrantSlot &grant);
+    serving::UpstreamTarget chooseTarget(const policy::GrantSlot &grant);
+    void send(const serving::UpstreamTarget &target);
+    net::CallHandlers callHandlers();
     /// Discards the output that the next attempt does not continue.
     void prepareOutput(const std::string &version);
     void handleSlotPreempted();
@@ -97,6 +100,7 @@
     void abandon();
     void restartIdleTimer();
     void releaseSlot(policy::ReleaseReason reason);
+    void releaseForwarder();
     /// Total time for which the item has run in slots, including the current one.
     absl::Duration runTime() const;
     /// Adds the run time in the current slot to the total. A slot in which no event was received
@@ -116,7 +120,10 @@
 
     std::string m_upstream;
     std::string m_address;
-    net::ConnectionPool::CallId m_call = 0;
+    serving::UpstreamCaller::CallId m_call = 0;
+    /// Instance of the entry that forwards the call; empty when this process sends it.
+    std::string m_forwarder;
+    bool m_hasForwarderFailed = false;
     net::ResponseHead m_head;
     serving::ResponseInfo m_responseInfo;
     bool m_hasHead = false;
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -30,6 +30,11 @@
     return nameOf(callStatusNames, status);
 }
 
+std::optional<CallStatus> callStatusFromName(std::string_view name)
+{
+    return valueOf(callStatusNames, name);
+}
+
 struct ConnectionPool::Impl : std::enable_shared_from_this<ConnectionPool::Impl>
 {
     Impl(EventLoop &loop, ConnectionPoolOptions options)
@@ -40,7 +45,7 @@
     /// Returns the most recently used idle connection that is still usable and has not carried
     /// \a requestId, or null. Reusing the most recent one lets the surplus connections expire and
     /// be closed.
-    ConnectionPtr takeIdle(const std::string &address, const std::optional<std::string> &requestId)
+    ConnectionPtr findIdle(const std::string &address, const std::optional<std::string> &requestId)
     {
         if (requestId && requestId->empty())
             return nullptr;
@@ -49,12 +54,10 @@
         const auto candidates = idle[address];
         for (auto it = candidates.rbegin(); it != candidates.rend(); ++it) {
             const ConnectionPtr &connection = *it;
-            if (!connection->isUsable(now)) {
+            if (!connection->isUsable(now))
                 connection->close();
-            } else if (!requestId || !connection->hasCarried(*requestId)) {
-                removeIdle(connection);
+            else if (!requestId || !connection->hasCarried(*requestId))
                 return connection;
-            }
         }
         return nullptr;
     }
@@ -154,8 +157,10 @@
     const CallId id = m_impl->nextId++;
     if (m_impl->retired.erase(address) > 0)
         m_impl->closeIdle(address);
-    ConnectionPtr connection = m_impl->takeIdle(address, requestId);
-    if (!connection)
+    ConnectionPtr connection = m_impl->findIdle(address, requestId);
+    if (connection)
+        m_impl->removeIdle(connection);
+    else
         connection = m_impl->open(address);
     m_impl->calls[id] = connection;
     handlers.onEnd = [weak = std::weak_ptr<Impl>(m_impl), id,
@@ -168,6 +173,17 @@
     return id;
 }
 
+void ConnectionPool::connect(const std::string &address, std::function<void(bool isConnected)> done)
+{
+    m_impl->open(address)->establish(std::move(done));
+}
+
+bool ConnectionPool::hasIdleConnection(const std::string &address,
+                                       const std::optional<std::string> &requestId) const
+{
+    return m_impl->retired.count(address) == 0 && m_impl->findIdle(address, requestId) != nullptr;
+}
+
 void ConnectionPool::cancel(CallId call)
 {
     const auto found = m_impl->calls.find(call);
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -72,14 +72,21 @@
     return std::find(m_carriedIds.begin(), m_carriedIds.end(), hash) != m_carriedIds.end();
 }
 
+void UpstreamConnection::establish(std::function<void(bool isConnected)> done)
+{
+    m_established = std::move(done);
+    m_state = State::Connecting;
+    connect();
+}
+
 void UpstreamConnection::call(std::string request, CallHandlers handlers,
                               const std::string &requestId)
 {
     m_output = std::move(request);
     m_handlers = std::make_shared<CallHandlers>(std::move(handlers));
-    m_carriedIds.push_back(std::hash<std::string>()(requestId));
     const bool isNew = m_state == State::New;
-    m_isReused = !isNew;
+    m_isReused = !m_carriedIds.empty();
+    m_carriedIds.push_back(std::hash<std::string>()(requestId));
     ResponseParser::Handlers parserHandlers;
     parserHandlers.onHead = [this](const ResponseHead &head) { return handleHead(head); };
     parserHandlers.onBody = [this](std::string_view bytes) {
@@ -129,6 +136,10 @@
     if (m_state != State::Connecting)
         return;
     m_timer.cancel();
+    if (!error && m_established) {
+        becomeIdle();
+        return std::exchange(m_established, nullptr)(true);
+    }
     if (error || (m_handlers->mayBeSent && !m_handlers->mayBeSent()))
         return fail(CallStatus::NotConnected);
     m_state = State::Calling;
@@ -258,10 +269,7 @@
 {
     const auto handlers = std::exchange(m_handlers, nullptr);
     if (isReusable()) {
-        m_state = State::Idle;
-        m_idleSince = SystemClock::instance().now();
-        awaitBytesOrClose();
-        m_listener(shared_from_this(), true);
+        becomeIdle();
     } else {
         close();
     }
@@ -269,14 +277,25 @@
         handlers->onEnd(CallStatus::Complete);
 }
 
+void UpstreamConnection::becomeIdle()
+{
+    m_state = State::Idle;
+    m_idleSince = SystemClock::instance().now();
+    awaitBytesOrClose();
+    m_listener(shared_from_this(), true);
+}
+
 void UpstreamConnection::fail(CallStatus status)
 {
     if (m_state == State::Closed)
         return;
     const auto handlers = std::exchange(m_handlers, nullptr);
+    const auto established = std::exchange(m_established, nullptr);
     reset();
     if (handlers)
         handlers->onEnd(status);
+    if (established)
+        established(false);
 }
 
 void UpstreamConnection::reset()
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -26,6 +26,9 @@
     UpstreamConnection(boost::asio::io_context &context, std::string address,
                        ConnectionPoolOptions options, Listener listener);
 
+    /// Connects without a request. The connection is idle when \a done is called with true.
+    /// Requires a new connection.
+    void establish(std::function<void(bool isConnected)> done);
     /// Sends \a request, whose id is \a requestId. Requires a new or idle connection.
     void call(std::string request, CallHandlers handlers, const std::string &requestId);
     void close();
@@ -58,6 +61,7 @@
     bool handleHead(const ResponseHead &head);
     bool isOwn(ResponseOwner owner);
     bool isReusable() const;
+    void becomeIdle();
     void awaitBytesOrClose();
     bool hasReadableBytes();
     void finish();
@@ -73,6 +77,8 @@
     std::string m_output;
     std::optional<ResponseParser> m_parser;
     std::shared_ptr<CallHandlers> m_handlers;
+    /// Set while the connection is being established without a request.
+    std::function<void(bool)> m_established;
     std::array<char, 16384> m_buffer;
     absl::Duration m_keepAlive;
     absl::Time m_idleSince;
--- a/src/serving/crashguard.cpp
+++ b/src/serving/crashguard.cpp
@@ -3,6 +3,7 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
+#include "rattanrill/serving/upstreamcaller.h"
 
 #include "absl/strings/str_join.h"
 
@@ -223,20 +224,22 @@
     }
 }
 
-void CrashGuard::recordBroken(const net::ConnectionPool &connections, const BrokenAttempt &attempt)
+void CrashGuard::recordBroken(const UpstreamCaller &upstreams, const BrokenAttempt &attempt)
 {
     const absl::Time crashedAt = m_clock.now();
-    const auto check = [this, alive = std::weak_ptr<bool>(m_alive), &connections, attempt,
+    const auto check = [this, alive = std::weak_ptr<bool>(m_alive), &upstreams, attempt,
                         crashedAt] {
         if (alive.expired())
             return;
-        const bool hasOpenConnections = connections.hasOpenConnections(attempt.address);
+        const bool hasOpenConnections = upstreams.hasOpenConnections(attempt.address);
+        const bool canReceive = upstreams.canReceive();
         log(LogLevel::Info, "upstream-crash-seen",
             {{"requestId", attempt.requestId},
              {"upstream", attempt.upstream},
              {"traits", absl::StrJoin(attempt.traits, ",")},
-             {"hasOpenConnections", hasOpenConnections}});
-        if (!hasOpenConnections)
+             {"hasOpenConnections", hasOpenConnections},
+             {"canReceive", canReceive}});
+        if (!hasOpenConnections && canReceive)
             recordCrash(attempt.upstream, attempt.traits, attempt.sentAt, crashedAt);
     };
     m_timers.subscribeOnce(crashCheckDelay, check);
--- /dev/null
+++ b/src/serving/forwardingclient.cpp
@@ -0,0 +1,167 @@
+#include "rattanrill/serving/forwardingclient.h"
+
+#include "rattanrill/base/concat.h"
+#include "rattanrill/base/hash.h"
+#include "rattanrill/base/logger.h"
+#include "rattanrill/wire/codec.h"
+#include "rattanrill/wire/decodeoutcome.h"
+#include "rattanrill/wire/forwardingmessages.h"
+
+#include <map>
+#include <utility>
+
+namespace rattanrill::serving {
+namespace {
+
+/// Time within which the forwarding entry must respond. It responds after 100 ms even if nothing
+/// has arrived from the upstream.
+constexpr absl::Duration readTimeout = absl::Milliseconds(350);
+constexpr std::size_t processIdBytes = 8;
+
+net::ResponseHead headOf(const wire::ForwardedPart &part)
+{
+    net::ResponseHead head;
+    head.status = static_cast<int>(part.status);
+    head.reason = part.reason;
+    for (const auto &[name, value] : part.headers)
+        head.headers.add(name, value);
+    return head;
+}
+
+} // namespace
+
+struct ForwardingClient::Impl : std::enable_shared_from_this<ForwardingClient::Impl>
+{
+    struct Call
+    {
+        std::string forwarderAddress;
+        net::CallHandlers handlers;
+        std::function<void()> onForwarderFailed;
+    };
+    using CallPtr = std::shared_ptr<Call>;
+
+    Impl(net::EventLoop &loop, peer::ChannelPool &channels)
+        : loop(loop)
+        , channels(channels)
+    {}
+
+    std::string wireId(CallId id) const { return concat(process, "-", id); }
+
+    /// Sends a message whose response is a part.
+    void request(CallId id, const std::string &address, wire::Method method, std::string message)
+    {
+        channels.channel(address)->call(
+                method, std::move(message), readTimeout,
+                [weak = weak_from_this(), id, address](const Outcome<std::string> &outcome) {
+                    const auto impl = weak.lock();
+                    if (impl)
+                        impl->loop.post([impl, id, address, outcome] {
+                            impl->handleResponse(id, address, outcome);
+                        });
+                });
+    }
+
+    void handleResponse(CallId id, const std::string &address, const Outcome<std::string> &outcome)
+    {
+        const auto found = calls.find(id);
+        // The cancellation may have arrived before the call.
+        if (found == calls.end())
+            return sendCancellation(id, address);
+        const auto part = wire::decodeOutcome<wire::ForwardedPart>(outcome);
+        if (!part.ok())
+            return fail(id, part.failure());
+        // A copy, because the end of the call removes it.
+        const CallPtr call = found->second;
+        if (!deliver(id, call, part.value()))
+            return;
+        request(id, address, wire::Method::ReadForwardedCall,
+                wire::encode(wire::ReadForwardedCall{wireId(id)}));
+    }
+
+    /// Returns false when the call has ended. Each handler may cancel it.
+    bool deliver(CallId id, const CallPtr &call, const wire::ForwardedPart &part)
+    {
+        if (part.hasHead)
+            call->handlers.onHead(headOf(part));
+        if (!part.body.empty() && calls.count(id) != 0)
+            call->handlers.onBody(part.body);
+        if (part.end.empty() || calls.count(id) == 0)
+            return calls.count(id) != 0;
+        calls.erase(id);
+        call->handlers.onEnd(net::callStatusFromName(part.end).value_or(net::CallStatus::Broken));
+        return false;
+    }
+
+    /// Ends a call because of the entry that forwards it.
+    void fail(CallId id, const Failure &failure)
+    {
+        const CallPtr call = calls.at(id);
+        const net::CallStatus status = failure.effect == EffectState::NotRun
+                                               ? net::CallStatus::NotConnected
+                                               : net::CallStatus::Broken;
+        log(LogLevel::Info, "forwarder-failed",
+            {{"peerAddress", call->forwarderAddress},
+             {"status", net::name(status)},
+             {"reason", describe(failure)}});
+        sendCancellation(id, call->forwarderAddress);
+        calls.erase(id);
+        call->onForwarderFailed();
+        call->handlers.onEnd(status);
+    }
+
+    void sendCancellation(CallId id, const std::string &address) const
+    {
+        channels.channel(address)->sendOneWay(wire::Method::CancelForwardedCall,
+                                              wire::encode(wire::CancelForwardedCall{wireId(id)}));
+    }
+
+    net::EventLoop &loop;
+    peer::ChannelPool &channels;
+    /// Distinguishes the calls of this process from those of all others.
+    const std::string process = randomHex(processIdBytes);
+    std::map<CallId, CallPtr> calls;
+    CallId nextId = 1;
+};
+
+ForwardingClient::ForwardingClient(net::EventLoop &loop, peer::ChannelPool &channels)
+    : m_impl(std::make_shared<Impl>(loop, channels))
+{}
+
+ForwardingClient::~ForwardingClient()
+{
+    stop();
+}
+
+ForwardingClient::CallId ForwardingClient::call(const ForwardedCall &call,
+                                                net::CallHandlers handlers)
+{
+    const CallId id = m_impl->nextId++;
+    m_impl->calls[id] = std::make_shared<Impl::Call>(
+            Impl::Call{call.forwarderAddress, std::move(handlers), call.options.onForwarderFailed});
+    const wire::ForwardCall message{m_impl->wireId(id),
+                                    call.upstream,
+                                    call.address,
+                                    call.requestId,
+                                    call.request,
+                                    absl::ToInt64Milliseconds(call.timeout),
+                                    call.options.traits.promptParts,
+                                    call.options.traits.fingerprint};
+    m_impl->request(id, call.forwarderAddress, wire::Method::ForwardCall, wire::encode(message));
+    return id;
+}
+
+void ForwardingClient::cancel(CallId call)
+{
+    const auto found = m_impl->calls.find(call);
+    if (found == m_impl->calls.end())
+        return;
+    m_impl->sendCancellation(call, found->second->forwarderAddress);
+    m_impl->calls.erase(found);
+}
+
+void ForwardingClient::stop()
+{
+    m_impl->calls.clear();
+}
+
+} // namespace rattanrill::serving
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -203,6 +203,7 @@
     request.resumed = hasStreamBegun();
     request.versionKnown = request.resumed && m_streamVersion.has_value();
     request.version = m_streamVersion.value_or("");
+    request.needsForwarder = m_hasRequestedForwarder = m_context.upstreams.isCutOff();
     m_isSlotRequested = true;
     m_context.slotClient.acquire(
             request, [self = shared_from_this()](const auto &response, bool fromLocalShare) {
@@ -304,10 +305,10 @@
 void ProxiedRequest::send(const wire::SlotResponse &grant)
 {
     const std::string &upstream = grant.upstream;
-    const std::string &address = grant.address;
+    const UpstreamTarget target{upstream, grant.address, grant.forwarderAddress, remainingTime()};
     m_attempt = Attempt();
     m_attempt.upstream = upstream;
-    m_attempt.address = address;
+    m_attempt.address = grant.address;
     m_attempt.version = grant.version;
     if (hasStreamBegun())
         m_streamVersion = grant.version;
@@ -316,6 +317,13 @@
         releaseSlot(ReleaseReason::Cancelled);
         return refuseOrFail("too little time is left for an attempt before the deadline");
     }
+    if (!m_context.upstreams.canCall(target, m_request.caller.id)) {
+        releaseSlot(ReleaseReason::Cancelled);
+        // The links were lost after the slot was requested.
+        if (!m_hasRequestedForwarder)
+            return requestSlot();
+        return refuseOrFail("this entry is cut off from the upstreams, and no other one forwards");
+    }
     ++m_attempts;
     m_position.beginAttempt();
     m_excludedUpstreams.push_back(upstream);
@@ -324,6 +332,19 @@
     attempt.workspace = m_request.workspace;
     attempt.remainingTime = remainingTime();
     attempt.resumeAfter = m_position.lastId();
+    m_state = State::Running;
+    m_context.crashGuard.recordSent(m_traits.all());
+    armResponseTimer();
+    m_attempt.call = m_context.upstreams.call(
+            target,
+            net::serialize(m_context.protocol.upstreamRequest(m_exchange->request(), attempt)),
+            callHandlers(grant), m_request.caller.id, forwardingOptions());
+    if (m_context.upstreams.isForwarded(m_attempt.call))
+        m_attempt.forwarder = grant.forwarder;
+}
+
+net::CallHandlers ProxiedRequest::callHandlers(const wire::SlotResponse &grant)
+{
     net::CallHandlers handlers;
     handlers.ownerOf = [self = shared_from_this()](const net::ResponseHead &head) {
         return self->ownerOf(head);
@@ -337,16 +358,14 @@
     handlers.onEnd = [self = shared_from_this()](net::CallStatus status) {
         self->callEnded(status);
     };
-    handlers.mayBeSent = [self = shared_from_this(), upstream, address] {
-        return !self->isLeaving(upstream, address);
-    };
-    m_state = State::Running;
-    m_context.crashGuard.recordSent(m_traits.all());
-    armResponseTimer();
-    m_attempt.call = m_context.upstreamConnections.call(
-            address,
-            net::serialize(m_context.protocol.upstreamRequest(m_exchange->request(), attempt)),
-            std::move(handlers), m_request.caller.id);
+    handlers.mayBeSent = [self = shared_from_this(), upstream = grant.upstream,
+                          address = grant.address] { return !self->isLeaving(upstream, address); };
+    return handlers;
+}
+
+ForwardingOptions ProxiedRequest::forwardingOptions()
+{
+    return {m_traits, [self = shared_from_this()] { self->m_attempt.hasForwarderFailed = true; }};
 }
 
 /// Ends the current attempt. Sends the request to another upstream if it may run there.
@@ -373,6 +392,7 @@
         {{"requestId", m_request.caller.id},
          {"upstream", m_attempt.upstream},
          {"upstreamVersion", m_attempt.version},
+         {"forwarder", m_attempt.forwarder},
          {"attempt", m_attempts},
          {"reason", reason},
          {"mayHaveRun", m_mayHaveRun},
@@ -465,6 +485,10 @@
         return;
     m_mayHaveRun = true;
     m_state = State::Unresponsive;
+    if (m_attempt.forwarder.empty())
+        m_context.upstreams.recordSilence(m_attempt.upstream);
+    else
+        m_attempt.isForwarderSilent = true;
     requestSlot();
 }
 
@@ -487,6 +511,13 @@
         release.service = m_service;
         release.version = *m_streamVersion;
     }
+    release.isCutOff = m_context.upstreams.isCutOff();
+    release.isWitness = m_context.upstreams.isWitness(reason);
+    if (upstream == m_attempt.upstream && !m_attempt.forwarder.empty()) {
+        release.forwarder = m_attempt.forwarder;
+        release.forwarderFailed = m_attempt.hasForwarderFailed;
+        release.isWitness = !m_attempt.hasForwarderFailed && !m_attempt.isForwarderSilent;
+    }
     m_context.slotClient.release(release);
 }
 
@@ -495,7 +526,7 @@
     if (!isCalling())
         return;
     m_state = State::Waiting;
-    m_context.upstreamConnections.cancel(m_attempt.call);
+    m_context.upstreams.cancel(m_attempt.call);
     m_context.crashGuard.recordCancelled(m_traits.all());
 }
 
@@ -528,6 +559,7 @@
          {"reason", reason},
          {"upstream", m_attempt.upstream},
          {"upstreamVersion", m_attempt.version},
+         {"forwarder", m_attempt.forwarder},
          {"stream", m_stream},
          {"streamVersion", m_streamVersion.value_or("")},
          {"attempts", m_attempts},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -53,7 +53,13 @@
         std::string address;
         /// Version of the upstream's software.
         std::string version;
-        net::ConnectionPool::CallId call = 0;
+        UpstreamCaller::CallId call = 0;
+        /// Instance of the entry that forwards the call; empty when this process sends it.
+        std::string forwarder;
+        /// Whether the forwarder is the reason why the call ended.
+        bool hasForwarderFailed = false;
+        /// Whether no response came in time from the forwarder, which may be the reason itself.
+        bool isForwarderSilent = false;
         absl::Time sentAt;
         /// The next three are valid once the head of the response has arrived.
         bool hasHead = false;
@@ -80,6 +86,8 @@
     void requestSlot();
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
     void send(const wire::SlotResponse &grant);
+    net::CallHandlers callHandlers(const wire::SlotResponse &grant);
+    ForwardingOptions forwardingOptions();
     net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
     void reportForeignAnnouncement(net::ResponseOwner owner, const ResponseInfo &info) const;
     void headReceived(const net::ResponseHead &head);
@@ -132,6 +140,8 @@
     /// True while a slot request has no decision yet. It may continue while the upstream responds
     /// after all; slotResponseReceived() then releases the slot.
     bool m_isSlotRequested = false;
+    /// Whether the last slot request named the need of a forwarder.
+    bool m_hasRequestedForwarder = false;
     /// Request ids of the slot that is held (empty when none is) and of the last slot request. Each
     /// slot request has an id of its own.
     std::string m_heldSlotId;
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -52,6 +52,7 @@
     m_attempt.head = head;
     m_attempt.info = info;
     m_attempt.hasHead = true;
+    m_attempt.isForwarderSilent = false;
     // The attempt may end before the response is complete, when a bound is reached.
     m_mayHaveRun = m_mayHaveRun || !info.notRun;
     if (!info.isInstanceMismatch)
@@ -191,6 +192,11 @@
         return skipLeavingUpstream(std::exchange(m_heldSlotId, std::string()), m_attempt.upstream,
                                    m_attempt.address);
     }
+    // The forwarder did not take the call, so this upstream has not been tried.
+    if (status == net::CallStatus::NotConnected && m_attempt.hasForwarderFailed) {
+        --m_attempts;
+        m_excludedUpstreams.pop_back();
+    }
     if (status == net::CallStatus::NotConnected)
         return attemptFailed("the connection to the upstream could not be established",
                              ReleaseReason::Unreachable);
@@ -209,9 +215,11 @@
 
 void ProxiedRequest::attemptBroken()
 {
-    m_context.crashGuard.recordBroken(m_context.upstreamConnections,
-                                      {m_request.caller.id, m_attempt.upstream, m_attempt.address,
-                                       m_traits.suspects(m_attempt.hasBegun), m_attempt.sentAt});
+    // The entry that forwards a call reports the crash itself.
+    if (m_attempt.forwarder.empty())
+        m_context.crashGuard.recordBroken(
+                m_context.upstreams, {m_request.caller.id, m_attempt.upstream, m_attempt.address,
+                                      m_traits.suspects(m_attempt.hasBegun), m_attempt.sentAt});
     attemptFailed("the connection to the upstream broke before the response was complete",
                   ReleaseReason::Failed);
 }
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -168,6 +168,9 @@
 {
     const absl::Time now = m_clock.now();
     const std::string id = taskId(request.instance, request.requestId);
+    // A repeated request has what it named at first.
+    if (!request.again)
+        recordLinks(request.instance, request.needsForwarder);
     const auto existing = m_online.find(id);
     if (request.again && existing != m_online.end()) {
         existing->second.callback = std::move(callback);
@@ -182,7 +185,9 @@
     online.workspace = request.workspace;
     online.stream = request.stream;
     online.service = request.service;
+    online.failureDomain = request.failureDomain;
     online.chargesRate = request.chargesRate;
+    online.needsForwarder = request.needsForwarder;
     online.requestedAt = now;
     online.expires = now + absl::Milliseconds(request.deadlineMs) + m_settings.reclaimDelay;
     online.callback = std::move(callback);
@@ -212,7 +217,8 @@
     task.service = request.service;
     task.workspace = request.workspace;
     task.failureDomain = request.failureDomain;
-    task.sender = request.instance;
+    // The links of the entry that forwards the call matter, which is chosen with the grant.
+    task.sender = request.needsForwarder ? std::string() : request.instance;
     task.priority = static_cast<int>(request.priority);
     task.expectedTokens = 1 + static_cast<double>(request.outputTokens)
                           + static_cast<double>(request.promptTokens) / promptTokensPerOutputToken;
@@ -359,6 +365,7 @@
     m_awaitingRead.erase(id);
     if (found->second.waitTimer != 0)
         m_timers.unsubscribe(found->second.waitTimer);
+    m_forwarders.release(found->second.forwarder);
     const ResponseCallback pending = std::exchange(found->second.callback, nullptr);
     m_online.erase(found);
     if (pending)
@@ -374,8 +381,13 @@
     if (release.upstream.empty())
         refundRate(id);
     removeRequest(id);
+    if (release.forwarderFailed)
+        m_forwarders.recordFailure(m_clock.now(), release.forwarder);
+    if (release.isCutOff)
+        recordLinks(release.instance, true);
     const auto reason = policy::releaseReasonFromName(release.end);
-    releaseSlot(id, reason.value_or(policy::ReleaseReason::Cancelled));
+    releaseSlot(id, release.isWitness && reason ? *reason : policy::ReleaseReason::Cancelled,
+                release.forwarder.empty() ? release.instance : release.forwarder);
     decide();
 }
 
@@ -390,9 +402,10 @@
         rateBucket->refund(m_clock.now(), 1);
 }
 
-void SlotBroker::releaseSlot(const std::string &task, policy::ReleaseReason reason)
+void SlotBroker::releaseSlot(const std::string &task, policy::ReleaseReason reason,
+                             const std::string &observer)
 {
-    const auto ejection = m_scheduler.release(m_clock.now(), task, reason);
+    const auto ejection = m_scheduler.release(m_clock.now(), task, reason, observer);
     if (!ejection)
         return;
     log(LogLevel::Info, "upstream-ejected",
@@ -507,10 +520,13 @@
     return m_scheduler.requestLimit(m_clock.now(), upstream).has_value();
 }
 
-void SlotBroker::setLiveInstances(const std::vector<std::string> &instances)
+void SlotBroker::setLiveEntries(std::vector<policy::Forwarder> entries)
 {
     const absl::Time orphanedBefore = m_clock.now() - minOrphanAge;
-    const std::set<std::string> live(instances.begin(), instances.end());
+    std::set<std::string> live;
+    for (const policy::Forwarder &entry : entries)
+        live.insert(entry.instance);
+    m_forwarders.setForwarders(std::move(entries));
     std::vector<std::string> orphaned;
     for (const auto &[id, online] : m_online) {
         if (live.count(online.instance) == 0 && online.requestedAt <= orphanedBefore)
@@ -524,6 +540,31 @@
         decide();
 }
 
+std::optional<policy::Forwarder> SlotBroker::chooseForwarder(const std::string &sender,
+                                                             const std::string &failureDomain,
+                                                             const std::string &upstream)
+{
+    const absl::Time now = m_clock.now();
+    return m_forwarders.choose(now, sender, failureDomain, [&](const policy::Forwarder &forwarder) {
+        return !m_scheduler.isEjectedFor(now, upstream, forwarder.instance);
+    });
+}
+
+void SlotBroker::releaseForwarder(const std::string &instance, bool hasFailed)
+{
+    m_forwarders.release(instance);
+    if (hasFailed)
+        m_forwarders.recordFailure(m_clock.now(), instance);
+}
+
+void SlotBroker::recordLinks(const std::string &instance, bool isCutOff)
+{
+    const absl::Time now = m_clock.now();
+    m_forwarders.recordLinks(now, instance, isCutOff);
+    if (isCutOff)
+        m_scheduler.discardReports(now, instance);
+}
+
 void SlotBroker::acquireBatch(const policy::SlotTask &task, BatchHandlers handlers)
 {
     m_batch[task.id] = std::move(handlers);
@@ -531,10 +572,11 @@
     decide();
 }
 
-void SlotBroker::releaseBatch(const std::string &task, policy::ReleaseReason reason)
+void SlotBroker::releaseBatch(const std::string &task, policy::ReleaseReason reason,
+                              const std::string &observer)
 {
     m_batch.erase(task);
-    releaseSlot(task, reason);
+    releaseSlot(task, reason, observer);
     decide();
 }
 
@@ -586,6 +628,12 @@
     response.upstream = decision.upstream;
     response.address = decision.address;
     response.version = decision.version;
+    if (online.needsForwarder) {
+        const auto forwarder =
+                chooseForwarder(online.instance, online.failureDomain, decision.upstream);
+        response.forwarder = online.forwarder = forwarder ? forwarder->instance : std::string();
+        response.forwarderAddress = forwarder ? forwarder->address : std::string();
+    }
     if (!online.stream.empty())
         recordStream(online.stream, {online.service, decision.version});
     respond(decision.task, response);
--- /dev/null
+++ b/src/serving/upstreamcaller.cpp
@@ -0,0 +1,263 @@
+#include "rattanrill/serving/upstreamcaller.h"
+
+#include "rattanrill/base/logger.h"
+
+#include <map>
+#include <utility>
+
+namespace rattanrill::serving {
+namespace {
+
+/// Time between two attempts to connect while the links may be lost.
+constexpr absl::Duration probePeriod = absl::Milliseconds(250);
+
+} // namespace
+
+struct UpstreamCaller::Impl : std::enable_shared_from_this<UpstreamCaller::Impl>
+{
+    struct Call
+    {
+        bool isForwarded = false;
+        /// Id in the pool of connections or at the forwarder.
+        std::uint64_t id = 0;
+    };
+
+    Impl(net::EventLoop &loop, net::ConnectionPool &connections, ForwardingClient &forwarder)
+        : loop(loop)
+        , connections(connections)
+        , forwarder(forwarder)
+    {}
+
+    /// Whether a connection is established on which a request may be sent now.
+    bool canReuseConnection(const UpstreamTarget &target, const std::string &requestId) const
+    {
+        return links.canReceive() && connections.hasIdleConnection(target.address, requestId);
+    }
+
+    CallId callDirectly(const UpstreamTarget &target, std::string request,
+                        net::CallHandlers handlers, const std::string &requestId)
+    {
+        const CallId id = nextId++;
+        calls[id].id =
+                connections.call(target.address, std::move(request),
+                                 observed(id, target.upstream, std::move(handlers)), requestId);
+        return id;
+    }
+
+    /// Returns handlers that also record what the call tells about the links.
+    net::CallHandlers observed(CallId id, const std::string &upstream, net::CallHandlers handlers)
+    {
+        net::CallHandlers result = std::move(handlers);
+        result.onHead = [self = shared_from_this(),
+                         onHead = std::move(result.onHead)](const net::ResponseHead &head) {
+            self->record([](auto &links) { links.received(); });
+            if (onHead)
+                onHead(head);
+        };
+        result.onBody = [self = shared_from_this(),
+                         onBody = std::move(result.onBody)](std::string_view bytes) {
+            self->record([](auto &links) { links.received(); });
+            if (onBody)
+                onBody(bytes);
+        };
+        const auto isConnected = std::make_shared<bool>(false);
+        result.mayBeSent = [self = shared_from_this(), isConnected,
+                            mayBeSent = std::move(result.mayBeSent)] {
+            *isConnected = true;
+            self->record([](auto &links) { links.connected(); });
+            return !mayBeSent || mayBeSent();
+        };
+        result.onEnd = [self = shared_from_this(), id, upstream, isConnected,
+                        onEnd = std::move(result.onEnd)](net::CallStatus status) {
+            self->calls.erase(id);
+            if (status == net::CallStatus::Broken)
+                self->record([&](auto &links) { links.broken(upstream); });
+            if (status == net::CallStatus::NotConnected && !*isConnected)
+                self->record([&](auto &links) { links.notConnected(upstream); });
+            onEnd(status);
+        };
+        return result;
+    }
+
+    CallId callByForwarder(const UpstreamTarget &target, std::string request,
+                           net::CallHandlers handlers, const std::string &requestId,
+                           ForwardingOptions options)
+    {
+        const CallId id = nextId++;
+        const ForwardedCall call{
+                target.forwarderAddress, target.upstream, target.address,    requestId,
+                std::move(request),      target.timeout,  std::move(options)};
+        handlers.onEnd = [self = shared_from_this(), id,
+                          onEnd = std::move(handlers.onEnd)](net::CallStatus status) {
+            self->calls.erase(id);
+            onEnd(status);
+        };
+        calls[id] = {true, forwarder.call(call, std::move(handlers))};
+        return id;
+    }
+
+    /// Applies \a change to the links, and probes them once attempts have failed.
+    template <typename Change>
+    void record(const Change &change)
+    {
+        change(links);
+        if (std::exchange(wasCutOff, links.isCutOff()) != links.isCutOff())
+            log(links.isCutOff() ? LogLevel::Warning : LogLevel::Info,
+                links.isCutOff() ? "upstream-links-lost" : "upstream-links-regained",
+                {{"canReceive", links.canReceive()},
+                 {"canConnect", links.canConnect()},
+                 {"upstreams", static_cast<std::int64_t>(upstreams.size())}});
+        if (links.isSuspect() && probeTimer == 0 && !isStopped) {
+            probe();
+            probeTimer = loop.timers().subscribeEvery(
+                    probePeriod, [self = shared_from_this()] { self->continueProbing(); });
+        }
+    }
+
+    void continueProbing()
+    {
+        if (links.isSuspect())
+            return probe();
+        loop.timers().unsubscribe(std::exchange(probeTimer, 0));
+    }
+
+    /// Connects to the next upstream at which no attempt has failed or, if there is none, to the
+    /// next one.
+    void probe()
+    {
+        if (upstreams.empty() || isStopped)
+            return;
+        std::size_t chosen = nextProbe++ % upstreams.size();
+        for (std::size_t i = 0; i < upstreams.size(); ++i) {
+            const std::size_t candidate = (chosen + i) % upstreams.size();
+            if (links.hasFailed(upstreams[candidate].id))
+                continue;
+            chosen = candidate;
+            break;
+        }
+        connections.connect(
+                upstreams[chosen].address,
+                [self = shared_from_this(), upstream = upstreams[chosen].id](bool isConnected) {
+                    self->handleProbe(upstream, isConnected);
+                });
+    }
+
+    void handleProbe(const std::string &upstream, bool isConnected)
+    {
+        const bool isNewFailure = !isConnected && !links.hasFailed(upstream);
+        record([&](auto &current) {
+            if (isConnected)
+                current.connected();
+            else
+                current.notConnected(upstream);
+        });
+        // Attempts that are refused at once may follow each other without a pause, because each
+        // concerns another upstream.
+        if (isNewFailure && links.canConnect() && links.isSuspect())
+            probe();
+    }
+
+    net::EventLoop &loop;
+    net::ConnectionPool &connections;
+    ForwardingClient &forwarder;
+    policy::UpstreamLinks links;
+    /// Upstreams that may get requests.
+    std::vector<wire::FleetUpstream> upstreams;
+    std::map<CallId, Call> calls;
+    CallId nextId = 1;
+    std::size_t nextProbe = 0;
+    TimerService::TimerId probeTimer = 0;
+    bool wasCutOff = false;
+    bool isStopped = false;
+};
+
+UpstreamCaller::UpstreamCaller(net::EventLoop &loop, net::ConnectionPool &connections,
+                               ForwardingClient &forwarder)
+    : m_impl(std::make_shared<Impl>(loop, connections, forwarder))
+{}
+
+UpstreamCaller::~UpstreamCaller()
+{
+    stop();
+}
+
+void UpstreamCaller::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams)
+{
+    m_impl->upstreams.clear();
+    for (const wire::FleetUpstream &upstream : upstreams) {
+        if (!upstream.draining)
+            m_impl->upstreams.push_back(upstream);
+    }
+    m_impl->links.setUpstreamCount(m_impl->upstreams.size());
+}
+
+bool UpstreamCaller::canCall(const UpstreamTarget &target, const std::string &requestId) const
+{
+    return !m_impl->links.isCutOff() || !target.forwarderAddress.empty()
+           || m_impl->canReuseConnection(target, requestId);
+}
+
+UpstreamCaller::CallId UpstreamCaller::call(const UpstreamTarget &target, std::string request,
+                                            net::CallHandlers handlers,
+                                            const std::string &requestId, ForwardingOptions options)
+{
+    const bool isForwarded = m_impl->links.isCutOff() && !target.forwarderAddress.empty()
+                             && !m_impl->canReuseConnection(target, requestId);
+    if (isForwarded)
+        return m_impl->callByForwarder(target, std::move(request), std::move(handlers), requestId,
+                                       std::move(options));
+    return m_impl->callDirectly(target, std::move(request), std::move(handlers), requestId);
+}
+
+void UpstreamCaller::cancel(CallId call)
+{
+    const auto found = m_impl->calls.find(call);
+    if (found == m_impl->calls.end())
+        return;
+    const Impl::Call cancelled = found->second;
+    m_impl->calls.erase(found);
+    if (cancelled.isForwarded)
+        m_impl->forwarder.cancel(cancelled.id);
+    else
+        m_impl->connections.cancel(cancelled.id);
+}
+
+bool UpstreamCaller::isForwarded(CallId call) const
+{
+    const auto found = m_impl->calls.find(call);
+    return found != m_impl->calls.end() && found->second.isForwarded;
+}
+
+void UpstreamCaller::recordSilence(const std::string &upstream)
+{
+    m_impl->record([&](auto &links) { links.broken(upstream); });
+}
+
+bool UpstreamCaller::isCutOff() const
+{
+    return m_impl->links.isCutOff();
+}
+
+bool UpstreamCaller::canReceive() const
+{
+    return m_impl->links.canReceive();
+}
+
+bool UpstreamCaller::isWitness(policy::ReleaseReason reason) const
+{
+    return reason == policy::ReleaseReason::Unreachable ? !isCutOff() : canReceive();
+}
+
+bool UpstreamCaller::hasOpenConnections(const std::string &address) const
+{
+    return m_impl->connections.hasOpenConnections(address);
+}
+
+void UpstreamCaller::stop()
+{
+    m_impl->isStopped = true;
+    if (m_impl->probeTimer != 0)
+        m_impl->loop.timers().unsubscribe(std::exchange(m_impl->probeTimer, 0));
+}
+
+} // namespace rattanrill::serving
--- a/src/wire/envelope.cpp
+++ b/src/wire/envelope.cpp
@@ -14,7 +14,7 @@
         {EnvelopeKind::Push, "push"},
 }};
 
-constexpr std::array<EnumName<Method>, 18> methodNames = {{
+constexpr std::array<EnumName<Method>, 21> methodNames = {{
         {Method::Hello, "hello"},
         {Method::Raft, "raft"},
         {Method::Propose, "propose"},
@@ -33,6 +33,9 @@
         {Method::ReadItem, "read_item"},
         {Method::EndJob, "end_job"},
         {Method::ReportPromptEvidence, "report_prompt_evidence"},
+        {Method::ForwardCall, "forward_call"},
+        {Method::ReadForwardedCall, "read_forwarded_call"},
+        {Method::CancelForwardedCall, "cancel_forwarded_call"},
 }};
 
 } // namespace
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -26,7 +26,8 @@
 
 RATTANRILL_WIRE_ENUM(MemberRole, memberRoleNames)
 RATTANRILL_WIRE_ENUM(SlotOutcome, slotOutcomeNames)
-RATTANRILL_WIRE_FIELDS(FleetMember, instance, role, failureDomain, peerAddress, replica)
+RATTANRILL_WIRE_FIELDS(FleetMember, instance, role, failureDomain, peerAddress, replica,
+                       forwardsCalls)
 RATTANRILL_WIRE_FIELDS(FleetUpstream, id, service, address, failureDomain, slots, draining, version)
 RATTANRILL_WIRE_FIELDS(PutConfiguration, version, document)
 RATTANRILL_WIRE_FIELDS(RetireStore, replica, instance, otherStores, minRemainingStores)
@@ -59,15 +60,17 @@
                        isForwarded)
 RATTANRILL_WIRE_FIELDS(SlotRequest, again, requestId, instance, failureDomain, service, workspace,
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
-                       excluded, stream, resumed, versionKnown, version)
-RATTANRILL_WIRE_FIELDS(SlotResponse, verdict, upstream, address, retryAfterMs, version)
+                       excluded, stream, resumed, versionKnown, version, needsForwarder)
+RATTANRILL_WIRE_FIELDS(SlotResponse, verdict, upstream, address, retryAfterMs, version, forwarder,
+                       forwarderAddress)
 RATTANRILL_WIRE_FIELDS(HeldSlot, requestId, service, workspace, upstream, deadlineMs)
 RATTANRILL_WIRE_FIELDS(RateCharge, workspace, requests, ageMs)
 RATTANRILL_WIRE_FIELDS(StreamVersion, stream, service, version, ageMs)
 RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges, streams)
 RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests, requestLimit, leaving, leavingAgeMs,
                        address)
-RATTANRILL_WIRE_FIELDS(SlotRelease, instance, requestId, upstream, end, stream, service, version)
+RATTANRILL_WIRE_FIELDS(SlotRelease, instance, requestId, upstream, end, stream, service, version,
+                       forwarder, forwarderFailed, isCutOff, isWitness)
 
 RATTANRILL_WIRE_MESSAGE(FleetCommand)
 RATTANRILL_WIRE_MESSAGE(FleetResult)
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -38,6 +38,7 @@
             server.reset();
             jobs.stop();
             upstreams.stop();
+            connections.stop();
         });
     }
 
@@ -94,8 +95,10 @@
     net::EventLoop &loop = thread.loop();
     Metrics metrics;
     serving::TestProtocolAdapter adapter;
-    net::ConnectionPool upstreams{loop, net::ConnectionPoolOptions()};
+    net::ConnectionPool connections{loop, net::ConnectionPoolOptions()};
     peer::ChannelPool channels{peer::TransportOptions()};
+    serving::ForwardingClient forwarder{loop, channels};
+    serving::UpstreamCaller upstreams{loop, connections, forwarder};
     serving::SlotClient slotClient{loop, channels, SystemClock::instance(),
                                    serving::SlotClientSettings()};
     jobs::JobClient jobs{loop, channels, SystemClock::instance()};
--- a/tests/jobs/executor_test.cpp
+++ b/tests/jobs/executor_test.cpp
@@ -16,8 +16,10 @@
     net::EventLoop loop;
     Metrics metrics;
     serving::TestProtocolAdapter adapter;
-    net::ConnectionPool upstreams{loop, net::ConnectionPoolOptions()};
+    net::ConnectionPool connections{loop, net::ConnectionPoolOptions()};
     peer::ChannelPool channels{peer::TransportOptions()};
+    serving::ForwardingClient forwarder{loop, channels};
+    serving::UpstreamCaller upstreams{loop, connections, forwarder};
     fleet::GroupReplica replica{loop, channels, fleet::GroupReplicaSettings(),
                                 SystemClock::instance()};
     serving::SlotBroker broker{loop.timers(), SystemClock::instance(),
@@ -25,7 +27,7 @@
     serving::CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "store",
                                    [](const wire::CrashEvidence &, const auto &) {}};
     JobExecutor executor{JobExecutorContext{loop, SystemClock::instance(), metrics, adapter,
-                                            upstreams, broker, crashGuard, replica, "d"}};
+                                            upstreams, broker, crashGuard, replica, "store", "d"}};
 
     static wire::OpenJob openJob(const std::string &id)
     {
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -124,6 +124,8 @@
             service.handleLeadershipChange(false);
             service.stop();
             upstreams.stop();
+            forwarder.stop();
+            connections.stop();
         });
         replica.stop();
         server.stop();
@@ -212,8 +214,10 @@
     net::EventLoop &loop = thread.loop();
     Metrics metrics;
     serving::TestProtocolAdapter adapter;
-    net::ConnectionPool upstreams{loop, net::ConnectionPoolOptions()};
+    net::ConnectionPool connections{loop, net::ConnectionPoolOptions()};
     peer::ChannelPool channels{transport("client")};
+    serving::ForwardingClient forwarder{loop, channels};
+    serving::UpstreamCaller upstreams{loop, connections, forwarder};
     peer::Server server{transport("store")};
     fleet::GroupReplica replica{loop, channels, replicaSettings(), SystemClock::instance()};
     serving::SlotBroker broker{loop.timers(), SystemClock::instance(),
@@ -224,9 +228,11 @@
                                        crashReports.push_back(evidence);
                                        loop.post([done] { done(true); });
                                    }};
-    const JobExecutorContext context{
-            loop, SystemClock::instance(), metrics, adapter, upstreams, broker, crashGuard, replica,
-            "d"};
+    const JobExecutorContext context{loop,       SystemClock::instance(),
+                                     metrics,    adapter,
+                                     upstreams,  broker,
+                                     crashGuard, replica,
+                                     "store",    "d"};
     JobExecutor executor{context};
     JobService service{context, executor};
     JobClient client{loop, channels, SystemClock::instance()};
--- /dev/null
+++ b/tests/serving/forwarding_test.cpp
@@ -0,0 +1,341 @@
+#include "proxyfixture.h"
+
+#include "rattanrill/serving/forwardingservice.h"
+
+#include <atomic>
+#include <string>
+#include <vector>
+
+using namespace rattanrill;
+using namespace rattanrill::serving;
+
+namespace {
+
+/// An entry that reaches the upstreams and forwards the calls of others.
+struct ForwardingEntry
+{
+    ForwardingEntry()
+    {
+        service.install(server);
+        BOOST_REQUIRE(outcomeOf([&] { return server.start("127.0.0.1", 0); }).ok());
+    }
+    ~ForwardingEntry()
+    {
+        server.stop();
+        thread.run([this] {
+            service.stop();
+            upstreams.stop();
+            connections.stop();
+        });
+        channels.close();
+        thread.run([this] { loop.stop(); });
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(server.port()); }
+    /// Whether a connection to \a upstream is open.
+    bool isCalling(const std::string &upstream)
+    {
+        bool result = false;
+        thread.run([&] { result = upstreams.hasOpenConnections(upstream); });
+        return result;
+    }
+
+    std::atomic<bool> isListed{true};
+    net::LoopThread thread;
+    net::EventLoop &loop = thread.loop();
+    TestProtocolAdapter adapter;
+    net::ConnectionPool connections{loop, net::ConnectionPoolOptions()};
+    peer::ChannelPool channels{transport("f")};
+    ForwardingClient forwarder{loop, channels};
+    UpstreamCaller upstreams{loop, connections, forwarder};
+    CrashGuard crashGuard{
+            loop.timers(), SystemClock::instance(), "f",
+            [this](const wire::CrashEvidence &, auto done) { loop.post([done] { done(true); }); }};
+    ForwardingService service{{loop, SystemClock::instance(), adapter, upstreams, crashGuard,
+                               std::make_shared<BufferBudget>(),
+                               [this](const auto &, const auto &) { return isListed.load(); },
+                               [](const auto &) {}, [] { return false; }}};
+    peer::Server server{transport("f")};
+};
+
+/// Returns whether \a condition holds within 10 s.
+bool await(const std::function<bool()> &condition)
+{
+    const absl::Time deadline = absl::Now() + absl::Seconds(10);
+    while (!condition() && absl::Now() < deadline)
+        absl::SleepFor(absl::Milliseconds(5));
+    return condition();
+}
+
+/// An entry whose upstreams all refuse connections.
+struct CutOffEntry
+{
+    CutOffEntry()
+    {
+        thread.run([this] {
+            for (int i = 0; i < 4; ++i) {
+                const std::string address = "127.0.0.1:" + std::to_string(net::freePort());
+                list.push_back({"u" + std::to_string(i), "s", address, "d", 4, false, "v"});
+            }
+            upstreams.setUpstreams(list);
+            for (const wire::FleetUpstream &upstream : list)
+                upstreams.recordSilence(upstream.id);
+        });
+    }
+    ~CutOffEntry()
+    {
+        thread.run([this] {
+            upstreams.stop();
+            forwarder.stop();
+            connections.stop();
+        });
+        channels.close();
+        thread.run([this] { loop.stop(); });
+    }
+
+    bool isCutOff()
+    {
+        bool result = false;
+        thread.run([&] { result = upstreams.isCutOff(); });
+        return result;
+    }
+
+    /// What the handlers of a call received.
+    struct Received
+    {
+        int status = 0;
+        std::string body;
+        std::string end;
+        bool hasForwarderFailed = false;
+    };
+
+    /// Calls \a upstream by way of \a forwarderAddress. \a onBody is called on the loop after each
+    /// part of the body.
+    UpstreamCaller::CallId start(
+            const std::string &upstream, const std::string &forwarderAddress,
+            const std::function<void()> &onBody = [] {})
+    {
+        net::CallHandlers handlers;
+        handlers.onHead = [this](const net::ResponseHead &head) { received.status = head.status; };
+        handlers.onBody = [this, onBody](std::string_view bytes) {
+            received.body += std::string(bytes);
+            onBody();
+        };
+        handlers.onEnd = [this](net::CallStatus status) {
+            received.end = std::string(net::name(status));
+            ended.Notify();
+        };
+        UpstreamTarget target{"u", upstream, forwarderAddress, absl::Seconds(20)};
+        return upstreams.call(target, "GET /x HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n",
+                              std::move(handlers), "a",
+                              {{}, [this] { received.hasForwarderFailed = true; }});
+    }
+
+    Received call(const std::string &upstream, const std::string &forwarderAddress)
+    {
+        thread.run([&] { start(upstream, forwarderAddress); });
+        BOOST_TEST(ended.WaitForNotificationWithTimeout(absl::Seconds(10)));
+        return received;
+    }
+
+    std::vector<wire::FleetUpstream> list;
+    Received received;
+    absl::Notification ended;
+    net::LoopThread thread;
+    net::EventLoop &loop = thread.loop();
+    net::ConnectionPool connections{loop, net::ConnectionPoolOptions()};
+    peer::ChannelPool channels{transport("e")};
+    ForwardingClient forwarder{loop, channels};
+    UpstreamCaller upstreams{loop, connections, forwarder};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ForwardingTest)
+
+// Guards against callers of an entry without links that are not served while other entries reach
+// the upstreams, and against a response that is changed on the way.
+BOOST_AUTO_TEST_CASE(responseArrivesByWayOfAnotherEntry)
+{
+    const std::string body("\x00\xff line\r\n", 9);
+    ScriptedUpstreams upstreams({{completeResponse("a", body)}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    const auto received = entry.call(upstreams.address(0), linked.address());
+    BOOST_TEST(received.status == 200);
+    BOOST_TEST(received.body == body);
+    BOOST_TEST(received.end == "complete");
+    BOOST_TEST(!received.hasForwarderFailed);
+}
+
+// Guards against a caller that receives the response to another request.
+BOOST_AUTO_TEST_CASE(responseToAnotherRequestIsNotForwarded)
+{
+    ScriptedUpstreams upstreams({{completeResponse("other", "x"), true}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    const auto received = entry.call(upstreams.address(0), linked.address());
+    BOOST_TEST(received.body.empty());
+    BOOST_TEST(received.end == "broken");
+}
+
+// Guards against a stream whose events wait for its end.
+BOOST_AUTO_TEST_CASE(partsArriveBeforeTheEnd)
+{
+    ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1))}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    absl::Notification begun;
+    entry.thread.run(
+            [&] { entry.start(upstreams.address(0), linked.address(), [&] { begun.Notify(); }); });
+    BOOST_TEST(begun.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_TEST(!entry.ended.HasBeenNotified());
+}
+
+// Guards against an upstream that works on for a caller that has left.
+BOOST_AUTO_TEST_CASE(cancellationReachesTheUpstream)
+{
+    ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1))}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    absl::Notification begun;
+    UpstreamCaller::CallId id = 0;
+    entry.thread.run([&] {
+        id = entry.start(upstreams.address(0), linked.address(), [&] { begun.Notify(); });
+    });
+    BOOST_TEST(begun.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    entry.thread.run([&] { entry.upstreams.cancel(id); });
+    BOOST_TEST(await([&] { return !linked.isCalling(upstreams.address(0)); }));
+}
+
+// Guards against an upstream that gets the request of a caller which left before the other entry
+// had the call, because the cancellation overtook the call.
+BOOST_AUTO_TEST_CASE(cancellationBeforeTheCallArrivesReachesTheUpstream)
+{
+    ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1))}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    entry.thread.run(
+            [&] { entry.upstreams.cancel(entry.start(upstreams.address(0), linked.address())); });
+    absl::SleepFor(absl::Milliseconds(600));
+    BOOST_TEST(!linked.isCalling(upstreams.address(0)));
+}
+
+// Guards against an upstream that works on for an entry that has ended or stands still.
+BOOST_AUTO_TEST_CASE(callWhoseSenderIsLostIsCancelled)
+{
+    ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1))}});
+    ForwardingEntry linked;
+    {
+        CutOffEntry entry;
+        absl::Notification begun;
+        entry.thread.run([&] {
+            entry.start(upstreams.address(0), linked.address(), [&] { begun.Notify(); });
+        });
+        BOOST_TEST(begun.WaitForNotificationWithTimeout(absl::Seconds(10)));
+        BOOST_TEST(linked.isCalling(upstreams.address(0)));
+        entry.thread.run([&] { entry.forwarder.stop(); });
+    }
+    BOOST_TEST(await([&] { return !linked.isCalling(upstreams.address(0)); }));
+}
+
+// Guards against a response that is cut because it does not fit into the queue of one message.
+BOOST_AUTO_TEST_CASE(longResponseArrivesWhole)
+{
+    const std::string body(std::size_t(4) << 20, 'x');
+    ScriptedUpstreams upstreams({{completeResponse("a", body)}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    const auto received = entry.call(upstreams.address(0), linked.address());
+    BOOST_TEST(received.end == "complete");
+    BOOST_TEST(received.body.size() == body.size());
+}
+
+// Guards against a request that waits for an entry which was lost after it had taken the call.
+BOOST_AUTO_TEST_CASE(callEndsWhenTheForwarderIsLostLater)
+{
+    ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1))}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    absl::Notification begun;
+    entry.thread.run(
+            [&] { entry.start(upstreams.address(0), linked.address(), [&] { begun.Notify(); }); });
+    BOOST_TEST(begun.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    linked.server.stop();
+    BOOST_TEST(entry.ended.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_TEST(entry.received.end == "broken");
+    BOOST_TEST(entry.received.hasForwarderFailed);
+}
+
+// Guards against a request that counts as sent although the other entry did not take it, and
+// against an upstream that is blamed for that.
+BOOST_AUTO_TEST_CASE(refusedCallWasNotSent)
+{
+    ScriptedUpstreams upstreams({{completeResponse("a", "x")}});
+    ForwardingEntry linked;
+    linked.isListed = false;
+    CutOffEntry entry;
+    const auto received = entry.call(upstreams.address(0), linked.address());
+    BOOST_TEST(received.end == "not_connected");
+    BOOST_TEST(received.hasForwarderFailed);
+    BOOST_TEST(upstreams.requests().empty());
+}
+
+// Guards against a request that waits for an entry which has stopped.
+BOOST_AUTO_TEST_CASE(callEndsWhenTheForwarderIsLost)
+{
+    CutOffEntry entry;
+    const auto received = entry.call("127.0.0.1:1", "127.0.0.1:" + std::to_string(net::freePort()));
+    BOOST_TEST(received.hasForwarderFailed);
+}
+
+// Guards against an entry that goes on forwarding its calls after its own links are back, because
+// it connects to one upstream only, which is gone.
+BOOST_AUTO_TEST_CASE(linksAreFoundAgainByConnectingToAnyUpstream)
+{
+    for (std::size_t live = 0; live < 4; ++live) {
+        ScriptedUpstreams upstreams({});
+        CutOffEntry entry;
+        BOOST_TEST(entry.isCutOff());
+        entry.thread.run([&] {
+            entry.list[live].address = upstreams.address(0);
+            entry.upstreams.setUpstreams(entry.list);
+        });
+        BOOST_TEST(await([&] { return !entry.isCutOff(); }));
+        BOOST_TEST(upstreams.requests().empty());
+    }
+}
+
+// Guards against sound upstreams that are ejected because the entries that forward calls to them
+// stand still.
+BOOST_AUTO_TEST_CASE(silenceOfAForwarderSaysNothingAboutTheUpstream)
+{
+    peer::Server silent(transport("f"));
+    // A callback that is dropped fails the call.
+    std::vector<peer::ResponseCallback> unanswered;
+    silent.setHandler(
+            wire::Method::ForwardCall,
+            [&unanswered](const peer::PeerIdentity &, const std::string &,
+                          const peer::ResponseCallback &reply) { unanswered.push_back(reply); });
+    BOOST_REQUIRE(outcomeOf([&] { return silent.start("127.0.0.1", 0); }).ok());
+    ScriptedUpstreams upstreams({});
+    {
+        UnknowingBroker broker(upstreams);
+        broker.forwarderAddress = "127.0.0.1:" + std::to_string(silent.port());
+        Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true), broker.address());
+        entry.thread.run([&] {
+            entry.upstreams.setUpstreams({{"gone", "s", "127.0.0.1:1", "d", 4, false, "v"}});
+            for (const std::string upstream : {"1", "2", "3", "4"})
+                entry.upstreams.recordSilence(upstream);
+        });
+        entry.sendRequest("a");
+        const auto releases = broker.awaitReleases(1);
+        BOOST_TEST_REQUIRE(!releases.empty());
+        BOOST_TEST(releases.front().forwarder == "f");
+        BOOST_TEST(!releases.front().isWitness);
+        BOOST_TEST(upstreams.requests().empty());
+    }
+    silent.stop();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -240,6 +240,8 @@
     }
     ~UnknowingBroker() { m_server.stop(); }
 
+    /// Address of the entry that forwards the call of each grant; empty for none.
+    std::string forwarderAddress;
     /// Delay of all grants but the first one.
     absl::Duration furtherGrantDelay = absl::ZeroDuration();
 
@@ -287,6 +289,8 @@
             response.upstream = upstream;
             response.version = "v" + std::to_string(i);
             response.address = m_upstreams[static_cast<std::size_t>(i - 1)];
+            response.forwarder = forwarderAddress.empty() ? "" : "f";
+            response.forwarderAddress = forwarderAddress;
             break;
         }
         return response;
@@ -358,6 +362,8 @@
         thread.run([this] {
             server.reset();
             upstreams.stop();
+            forwarder.stop();
+            connections.stop();
             slotClient.stop();
             channels.close();
         });
@@ -408,12 +414,15 @@
 
     const ScriptedUpstreams &upstreamServers;
     const unsigned short port = net::freePort();
+    const unsigned short peerPort = net::freePort();
     net::LoopThread thread;
     net::EventLoop &loop = thread.loop();
     Metrics metrics;
     TestProtocolAdapter adapter;
-    net::ConnectionPool upstreams{loop, net::ConnectionPoolOptions()};
+    net::ConnectionPool connections{loop, net::ConnectionPoolOptions()};
     peer::ChannelPool channels{transport("e")};
+    ForwardingClient forwarder{loop, channels};
+    UpstreamCaller upstreams{loop, connections, forwarder};
     SlotClient slotClient{loop, channels, SystemClock::instance(), slotClientSettings()};
     CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "e",
                           [this](const wire::CrashEvidence &evidence, auto done) {
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -250,7 +250,7 @@
     BOOST_TEST(tryAcquire("lost"));
     // A process counts as lost after 2 s of silence.
     timers.advance(absl::Seconds(2));
-    broker.setLiveInstances({"other"});
+    broker.setLiveEntries({{"other", "d", "other:1"}});
     BOOST_TEST(tryAcquire("next"));
 }
 
@@ -467,7 +467,7 @@
 {
     broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
     BOOST_TEST(tryAcquire("a"));
-    broker.setLiveInstances({});
+    broker.setLiveEntries({});
     BOOST_TEST(!tryAcquire("b"));
 }
 
@@ -572,4 +572,83 @@
     BOOST_TEST(resume("b", "a").version == "v2");
 }
 
+// Guards against a request whose entry is cut off from the upstreams and gets a slot that it cannot
+// use, although other entries can forward its call.
+BOOST_AUTO_TEST_CASE(requestOfACutOffEntryIsGrantedWithAForwarder)
+{
+    broker.setLiveEntries({{"e", "d", "e:1"}, {"linked", "d", "linked:1"}});
+    wire::SlotRequest slotRequest = request("a");
+    slotRequest.needsForwarder = true;
+    const auto granted = acquire(slotRequest);
+    BOOST_TEST_REQUIRE(granted.has_value());
+    BOOST_TEST(granted->forwarder == "linked");
+    BOOST_TEST(granted->forwarderAddress == "linked:1");
+    slotRequest = request("b");
+    slotRequest.instance = "linked";
+    BOOST_TEST(acquire(slotRequest)->forwarder.empty());
+}
+
+// Guards against a call that is forwarded again to an entry which did not take the last one.
+BOOST_AUTO_TEST_CASE(forwarderThatFailedIsNotChosenAgain)
+{
+    broker.setLiveEntries({{"e", "d", "e:1"}, {"frozen", "d", "frozen:1"}, {"x", "far", "x:1"}});
+    wire::SlotRequest slotRequest = request("a");
+    slotRequest.needsForwarder = true;
+    BOOST_TEST(acquire(slotRequest)->forwarder == "frozen");
+    wire::SlotRelease failed{"e", "a", "u", "gone"};
+    failed.isCutOff = true;
+    failed.forwarder = "frozen";
+    failed.forwarderFailed = true;
+    failed.isWitness = false;
+    broker.release(failed);
+    slotRequest.requestId = "b";
+    BOOST_TEST(acquire(slotRequest)->forwarder == "x");
+    BOOST_TEST(!broker.scheduler().isEjectedFor(clock.now(), "u", "frozen"));
+}
+
+// Guards against an entry that is cut off and is chosen to forward, because a request that it sent
+// before waits on.
+BOOST_AUTO_TEST_CASE(repeatedRequestSaysNothingAboutTheLinks)
+{
+    broker.setLiveEntries({{"e", "d", "e:1"}, {"x", "d", "x:1"}});
+    broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
+    BOOST_TEST(tryAcquire("runs"));
+    wire::SlotRequest waits = request("waits");
+    acquire(waits);
+    wire::SlotRequest cutOff = request("cut off");
+    cutOff.needsForwarder = true;
+    acquire(cutOff);
+    waits.again = true;
+    acquire(waits);
+    BOOST_TEST(!broker.chooseForwarder("x", "d", "u").has_value());
+}
+
+// Guards against a process that counts as two observers, by its name and without one, because it
+// sent a request itself for which it had named the need of a forwarder.
+BOOST_AUTO_TEST_CASE(releaseNamesTheObserver)
+{
+    wire::SlotRequest slotRequest = request("a");
+    slotRequest.needsForwarder = true;
+    BOOST_TEST_REQUIRE(acquire(slotRequest).has_value());
+    broker.release({"e", "a", "u", "gone"});
+    BOOST_TEST(broker.scheduler().isEjectedFor(clock.now(), "u", "e"));
+    BOOST_TEST(!broker.scheduler().isEjectedFor(clock.now(), "u", "other"));
+}
+
+// Guards against an upstream that is ejected because entries which are cut off do not reach it.
+BOOST_AUTO_TEST_CASE(releasesOfACutOffEntrySayNothingAboutTheUpstream)
+{
+    for (const std::string instance : {"e1", "e2", "e3"}) {
+        wire::SlotRequest slotRequest = request("a");
+        slotRequest.instance = instance;
+        BOOST_TEST_REQUIRE(acquire(slotRequest).has_value());
+        wire::SlotRelease release{instance, "a", "u", "gone"};
+        release.isCutOff = instance != "e1";
+        release.isWitness = !release.isCutOff;
+        broker.release(release);
+    }
+    BOOST_TEST(broker.scheduler().isEjectedFor(clock.now(), "u", "e1"));
+    BOOST_TEST(!broker.scheduler().isEjectedFor(clock.now(), "u", "e4"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
