Tests: Show that orders to retire wait for a complete list of members

With the check taken out, the new test on real processes gets 404 for a store that runs ([None, 503, 503, 503, 503, 404]); with it, the test passes. The test of fleet::FleetClient passes; it was not seen failing.

--- a/tests/fleet/fleetclient_test.cpp
+++ b/tests/fleet/fleetclient_test.cpp
@@ -497,4 +497,28 @@
     BOOST_TEST(await([&] { return client->state().liveEntries == 4; }));
 }
 
+// Guards against a decision by a list of members that lacks live processes, or shows lost ones,
+// because its leader has just been elected or has fallen silent.
+BOOST_AUTO_TEST_CASE(membersAreCurrentOnlyWhileACompleteListIsConfirmed)
+{
+    std::atomic<bool> isComplete{false};
+    std::atomic<bool> isSilent{false};
+    FakeControl leader(
+            [&](const wire::FleetSyncRequest &request, const peer::ResponseCallback &reply) {
+                if (isSilent)
+                    return;
+                wire::FleetSyncResponse response = viewWithList(1);
+                response.membersSettled = isComplete;
+                response.viewSequence = request.viewSequence + 1;
+                reply(wire::encode(response));
+            });
+    start({leader.address()});
+    BOOST_REQUIRE(await([&] { return client->state().viewSequence > 2; }));
+    thread.run([&] { BOOST_TEST(!client->hasCurrentMembers()); });
+    isComplete = true;
+    BOOST_TEST(await([&] { return client->hasCurrentMembers(); }));
+    isSilent = true;
+    BOOST_TEST(await([&] { return !client->hasCurrentMembers(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/retirement_test.py
+++ b/tests/platform/retirement_test.py
@@ -121,6 +121,15 @@
         self.assertTrue(wait_until(lambda: self.states(5 - accepted) == [404] * 3))
         self.assertEqual(self.order(accepted, 3), 200)
 
+    def test_order_is_not_refused_by_a_leader_that_knows_no_store(self):
+        """Guards against an order for a store that runs and that a new fleet leader refuses for good,
+        because it has not heard of the store yet."""
+        self.restart_all("control", (1, 2, 3))
+        statuses = []
+        self.assertTrue(wait_until(lambda: statuses.append(
+            self.operate("POST", "/Retire.Start/store-1", 1)[0]) or statuses[-1] in (200, 404, 409)))
+        self.assertNotEqual(statuses[-1], 404, statuses)
+
     def test_store_without_an_order_is_not_completed(self):
         """Guards against a store that counts as retired because no control process has heard of
         it."""
