--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -5,6 +5,8 @@
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/concat.h"
+#include "rattanrill/base/enumnames.h"
+#include "rattanrill/base/logger.h"
 
 #include "absl/strings/str_format.h"
 
@@ -303,6 +305,7 @@
 
 void ServerConnection::handleTimeout()
 {
+    logTimeout();
     if (m_phase == Phase::Header || m_phase == Phase::Body)
         return refuse(408);
     if (m_phase == Phase::Serving)
@@ -310,6 +313,32 @@
     close();
 }
 
+/// Logs timeouts that end a request, or that may. A timeout of an idle connection is ordinary.
+void ServerConnection::logTimeout() const
+{
+    boost::system::error_code ignored;
+    const std::size_t unreadBytes = m_socket.available(ignored);
+    if (m_phase == Phase::Closing || (m_phase == Phase::Idle && unreadBytes == 0))
+        return;
+    log(LogLevel::Warning, "connection-timed-out",
+        {{"phase", name(m_phase)},
+         {"unsentBytes", static_cast<std::int64_t>(m_output.size())},
+         {"unreadBytes", static_cast<std::int64_t>(unreadBytes)}});
+}
+
+std::string_view ServerConnection::name(Phase phase)
+{
+    static constexpr std::array<EnumName<Phase>, 6> names = {{
+            {Phase::Idle, "idle"},
+            {Phase::Header, "header"},
+            {Phase::Body, "body"},
+            {Phase::Serving, "serving"},
+            {Phase::Closing, "closing"},
+            {Phase::Closed, "closed"},
+    }};
+    return nameOf(names, phase);
+}
+
 void ServerConnection::handleDisconnect()
 {
     const auto exchange = m_exchange.lock();
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace rattanrill::net {
 
@@ -80,6 +81,8 @@
     void shutdownSend();
     void armTimer(absl::Duration delay);
     void handleTimeout();
+    void logTimeout() const;
+    static std::string_view name(Phase phase);
     void handleDisconnect();
     void endExchange();
     /// Serializes \a head, with the headers that control keep-alive and the header \a framing.
