--- a/tests/gateway/serverdrain_test.cpp
+++ b/tests/gateway/serverdrain_test.cpp
@@ -200,4 +200,25 @@
     BOOST_TEST(waitFor([&] { return isDrained(); }));
 }
 
+// Guards against a process that ends without a response to a request whose connection it has not
+// accepted yet, because the event loop was busy.
+BOOST_AUTO_TEST_CASE(connectionThatWaitsToBeAcceptedKeepsTheProcessRunning)
+{
+    start();
+    clock.advance(admissionTime * 1.1);
+    std::unique_ptr<net::RawSocket> idle;
+    std::unique_ptr<net::RawSocket> client;
+    thread.run([&] {
+        idle = std::make_unique<net::RawSocket>(port);
+        client = std::make_unique<net::RawSocket>(port);
+        client->send(request);
+        // The drain checks its connections as soon as the event loop goes on.
+        absl::SleepFor(absl::Milliseconds(100));
+    });
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
+    respond("whole");
+    BOOST_TEST(client->readAll().find("whole") != std::string::npos);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -17,6 +17,8 @@
 
 namespace {
 
+constexpr absl::Duration idleTimeout = absl::Milliseconds(400);
+
 /// Server whose behavior depends on the path: /echo returns the request body, /stream sends a
 /// stream of two parts, /cut aborts a stream, /late-error responds with an error in the middle of a
 /// stream, /wait never responds, /begin starts a stream that the test ends, and /held registers a
@@ -32,7 +34,7 @@
             limits.maxHeaderBytes = 512;
             limits.maxBodyBytes = 64;
             limits.headerTimeout = absl::Milliseconds(200);
-            limits.idleTimeout = absl::Milliseconds(400);
+            limits.idleTimeout = idleTimeout;
             server->setLimits(limits);
             BOOST_REQUIRE(outcomeOf([&] { return server->start("127.0.0.1:28471"); }).ok());
         });
@@ -102,6 +104,14 @@
     return condition();
 }
 
+/// Closes the idle connections before each of the next \a steps of the event loop.
+void closeIdleConnections(TestServer &server, int steps)
+{
+    server.server->closeIdleConnections();
+    if (steps > 1)
+        server.thread.loop().post([&server, steps] { closeIdleConnections(server, steps - 1); });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ServerTest)
@@ -303,6 +313,60 @@
     BOOST_TEST(client.readUntil("xyz").find("xyz") != std::string::npos);
 }
 
+// Guards against a request that is dropped because the idle timeout expired while the event loop
+// was busy: its handler is called after the request has been read.
+BOOST_AUTO_TEST_CASE(requestThatIsReadAsTheIdleTimeoutExpiresIsServed)
+{
+    TestServer server;
+    RawSocket client(port);
+    client.send(echoRequest);
+    client.readUntil("abc");
+    server.thread.run([&] {
+        absl::SleepFor(idleTimeout * 1.1);
+        client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+    });
+    BOOST_REQUIRE(waitFor([&] { return server.requestCount == 2; }));
+    server.thread.run(
+            [&] { server.openExchange->respond(textResponse(200, "xyz", "text/plain")); });
+    BOOST_TEST(client.readUntil("xyz").find("xyz") != std::string::npos);
+    BOOST_TEST(server.disconnectCount == 0);
+}
+
+// Guards against an idle timeout that closes a connection although a request has arrived, which a
+// busy event loop has not read yet.
+BOOST_AUTO_TEST_CASE(requestThatArrivesBeforeTheIdleTimeoutIsHandledIsServed)
+{
+    TestServer server;
+    RawSocket client(port);
+    client.send(echoRequest);
+    client.readUntil("abc");
+    server.thread.run([&] {
+        absl::SleepFor(idleTimeout * 1.1);
+        // Runs after the event loop has found the expired timer and before it calls its handler.
+        server.thread.loop().post([&] {
+            client.send("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nxyz");
+            absl::SleepFor(absl::Milliseconds(20));
+        });
+    });
+    BOOST_TEST(client.readUntil("xyz").find("xyz") != std::string::npos);
+}
+
+// Guards against a new connection that counts as idle and is closed although its request has
+// arrived, because the event loop has received the bytes and not passed them on yet.
+BOOST_AUTO_TEST_CASE(newConnectionWithAReceivedRequestIsNotIdle)
+{
+    TestServer server;
+    std::unique_ptr<RawSocket> client;
+    server.thread.run([&] {
+        client = std::make_unique<RawSocket>(port);
+        client->send(echoRequest);
+        absl::SleepFor(absl::Milliseconds(20));
+        // The event loop accepts the connection and reads from it in these steps.
+        closeIdleConnections(server, 20);
+    });
+    BOOST_TEST(client->readUntil("abc").find("abc") != std::string::npos);
+}
+
 // Guards against the same loss at the end of a stream of a draining server.
 BOOST_AUTO_TEST_CASE(drainingServerAnswersAnUnreadRequestAfterAStream)
 {
