Net: Ignore a timeout that expired before the request was read

What callers saw: a whole request got neither a response nor a refusal; its connection was closed, and the call to the upstream was cancelled.

Cause: while the event loop is busy, for example with a new configuration, the idle timeout of a kept connection can expire and the next request can arrive. The loop then reads the request first and calls the handler of the timeout afterwards. The timer was cancelled in between, but a handler that is already queued is called without an error, and the check against it compares the expiry, which a cancelled timer keeps. In the phase of a request the timeout means a caller that accepts no bytes, so the connection was closed.

Change: the timer is disarmed by moving its expiry, which the check sees.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -142,7 +142,7 @@
 void ServerConnection::serve()
 {
     m_phase = Phase::Serving;
-    m_timer.cancel();
+    disarmTimer();
     m_keepAlive = m_parser.isKeepAlive();
     m_isStream = false;
     m_responseComplete = false;
@@ -264,7 +264,7 @@
 void ServerConnection::handleFlushed()
 {
     if (m_phase == Phase::Serving && !m_responseComplete)
-        m_timer.cancel();
+        disarmTimer();
     if (m_phase == Phase::Closing)
         return shutdownSend();
     if (m_phase == Phase::Serving && m_responseComplete)
@@ -296,13 +296,19 @@
 {
     m_timer.expires_after(absl::ToChronoNanoseconds(delay));
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
-        // When the timer is set again after it has expired, the handler of the earlier wait may
-        // already be queued and is called without an error.
+        // When the timer is set again or disarmed after it has expired, the handler of the earlier
+        // wait may already be queued and is called without an error.
         if (!error && self->m_timer.expiry() <= std::chrono::steady_clock::now())
             self->handleTimeout();
     });
 }
 
+void ServerConnection::disarmTimer()
+{
+    // A canceled timer would keep its expiry, by which a queued handler sees that it has expired.
+    m_timer.expires_at(std::chrono::steady_clock::time_point::max());
+}
+
 void ServerConnection::handleTimeout()
 {
     logTimeout();
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -80,6 +80,7 @@
     void endRequest();
     void shutdownSend();
     void armTimer(absl::Duration delay);
+    void disarmTimer();
     void handleTimeout();
     void logTimeout() const;
     static std::string_view name(Phase phase);
