Net: Leave the bytes of a caller in the socket until they are parsed

What callers saw: at a stop, a request on a new connection got neither a response nor a refusal; the connection was closed.

Cause: whether a connection is idle was judged by the parser and by the bytes in the socket. When bytes have already arrived, an asynchronous read completes at once and its handler waits in the queue of the event loop; until then the request is in neither place. The drain of a stopping process, which runs in between, closed the connection as idle. New connections are the usual case, because their request mostly arrives before they are accepted.

Change: the connection waits until bytes have arrived, and reads and parses them in one step.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -20,6 +20,8 @@
 
 /// Maximum number of bytes of following requests that are buffered while a request is served.
 constexpr std::size_t maxReadAheadBytes = 64 * 1024;
+/// Number of reads after which other connections get their turn.
+constexpr int maxReadsAtOnce = 16;
 /// Maximum time for which the connection stays open after the last response was sent, so that the
 /// client can read the response and close the connection.
 constexpr absl::Duration closeTimeout = absl::Seconds(2);
@@ -93,25 +95,45 @@
     if (m_reading || m_phase == Phase::Closed || m_parser.pendingBytes() > maxReadAheadBytes)
         return;
     m_reading = true;
-    m_socket.async_read_some(
-            boost::asio::buffer(m_buffer),
-            [self = shared_from_this()](const boost::system::error_code &error, std::size_t bytes) {
-                self->m_reading = false;
-                self->handleRead(error, bytes);
-            });
+    // Bytes stay in the socket until they are parsed, so that hasNextRequest() always sees them. A
+    // read could complete earlier than its handler is called.
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code &error) {
+                            self->m_reading = false;
+                            if (self->m_phase == Phase::Closed)
+                                return;
+                            if (error)
+                                return self->handleDisconnect();
+                            self->receive();
+                            self->read();
+                        });
 }
 
-void ServerConnection::handleRead(const boost::system::error_code &error, std::size_t bytes)
+/// Reads what has arrived, at most maxReadsAtOnce times the size of the buffer.
+void ServerConnection::receive()
 {
-    if (m_phase == Phase::Closed)
+    bool isMoreAvailable = true;
+    for (int reads = 0; isMoreAvailable && reads < maxReadsAtOnce; ++reads) {
+        boost::system::error_code error;
+        const std::size_t bytes = m_socket.read_some(boost::asio::buffer(m_buffer), error);
+        if (error == boost::asio::error::would_block)
+            return;
+        if (error)
+            return handleDisconnect();
+        isMoreAvailable = bytes == m_buffer.size();
+        handleBytes(std::string_view(m_buffer.data(), bytes));
+        if (m_phase == Phase::Closed || m_parser.pendingBytes() > maxReadAheadBytes)
+            return;
+    }
+}
+
+void ServerConnection::handleBytes(std::string_view bytes)
+{
+    if (m_phase == Phase::Closing)
         return;
-    if (error)
-        return handleDisconnect();
-    if (m_phase != Phase::Closing)
-        m_parser.feed(std::string_view(m_buffer.data(), bytes));
-    if (m_phase != Phase::Serving && m_phase != Phase::Closing)
+    m_parser.feed(bytes);
+    if (m_phase != Phase::Serving)
         handleParserState();
-    read();
 }
 
 /// Continues with the current request according to the state of the parser.
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -70,7 +70,8 @@
     /// Whether a part of the next request has arrived, even if it has not been read yet.
     bool hasNextRequest() const;
     void read();
-    void handleRead(const boost::system::error_code &error, std::size_t bytes);
+    void receive();
+    void handleBytes(std::string_view bytes);
     void handleParserState();
     void serve();
     void refuse(int status);
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -127,6 +127,22 @@
     BOOST_TEST(client.readUntil("xyz").find("xyz") != std::string::npos);
 }
 
+// Guards against a body whose rest is never read, because a connection reads only a part at once.
+BOOST_AUTO_TEST_CASE(longBodyArrivesWhole)
+{
+    TestServer server;
+    const std::string body(std::size_t(1) << 20, 'z');
+    server.thread.run([&] {
+        ServerLimits limits;
+        limits.maxBodyBytes = body.size();
+        server.server->setLimits(limits);
+    });
+    RawSocket client(port);
+    client.send("POST /echo HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+                + std::to_string(body.size()) + "\r\n\r\n" + body);
+    BOOST_TEST(client.readAll().size() > body.size());
+}
+
 // Guards against malformed or oversized requests that reach the handler or get no response.
 BOOST_AUTO_TEST_CASE(invalidRequestIsAnsweredWithAnErrorStatus)
 {
