Net: Read what has arrived before a timeout closes a connection

What callers saw: a whole request got neither a response nor a refusal, or was refused as too slow although it had arrived in time.

Cause: the timeouts of a connection count what the event loop has read. While the loop is busy, for example with a new configuration, a request can arrive and the idle timeout, or that of the header, can expire; if the handler of the timeout is called first, the connection was closed with the request unread.

Change: a timeout of a connection that receives first reads what has arrived, and ends the connection only if that did not set the timer again.

Before: net:ServerTest/requestThatArrivesBeforeTheIdleTimeoutIsHandledIsServed fails in each run, the connection is closed without a byte; now it passes.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -79,8 +79,11 @@
 
 bool ServerConnection::hasNextRequest() const
 {
-    if (m_parser.state() != RequestParser::State::Idle)
-        return true;
+    return m_parser.state() != RequestParser::State::Idle || hasUnreadBytes();
+}
+
+bool ServerConnection::hasUnreadBytes() const
+{
     boost::system::error_code error;
     return m_socket.available(error) > 0 && !error;
 }
@@ -320,11 +323,16 @@
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         // When the timer is set again or disarmed after it has expired, the handler of the earlier
         // wait may already be queued and is called without an error.
-        if (!error && self->m_timer.expiry() <= std::chrono::steady_clock::now())
+        if (!error && self->isTimerExpired())
             self->handleTimeout();
     });
 }
 
+bool ServerConnection::isTimerExpired() const
+{
+    return m_timer.expiry() <= std::chrono::steady_clock::now();
+}
+
 void ServerConnection::disarmTimer()
 {
     // A canceled timer would keep its expiry, by which a queued handler sees that it has expired.
@@ -334,6 +342,14 @@
 void ServerConnection::handleTimeout()
 {
     logTimeout();
+    const bool isReceiving =
+            m_phase == Phase::Idle || m_phase == Phase::Header || m_phase == Phase::Body;
+    // What has arrived may not have been read because the event loop was busy.
+    if (isReceiving && hasUnreadBytes()) {
+        receive();
+        if (!isTimerExpired())
+            return;
+    }
     if (m_phase == Phase::Header || m_phase == Phase::Body)
         return refuse(408);
     if (m_phase == Phase::Serving)
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -69,6 +69,7 @@
 
     /// Whether a part of the next request has arrived, even if it has not been read yet.
     bool hasNextRequest() const;
+    bool hasUnreadBytes() const;
     void read();
     void receive();
     void handleBytes(std::string_view bytes);
@@ -82,6 +83,7 @@
     void shutdownSend();
     void armTimer(absl::Duration delay);
     void disarmTimer();
+    bool isTimerExpired() const;
     void handleTimeout();
     void logTimeout() const;
     static std::string_view name(Phase phase);
