Net, gateway: Add connections that wait before a stopping process ends

What callers saw: at a stop, a request on a new connection got neither a response nor a refusal; the connection was reset.

Cause: a stopping process ends as soon as no connection has a request. A connection that the operating system or the event loop had accepted and that the server had not added was not looked at, and its request was lost. A busy event loop leaves it there for as long as it is busy.

Change: the drain adds the connections that wait before it judges whether the process may end. An accept completes only when the connection is added.

Before: gateway:ServerDrainTest/connectionThatWaitsToBeAcceptedKeepsTheProcessRunning fails in each run, the request is not served; now it passes.

--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -81,6 +81,8 @@
     void setLimits(const ServerLimits &limits);
     /// Makes the server close each connection after its current or next response.
     void drain();
+    /// Adds the connections that wait to be accepted. They may have a request.
+    void acceptPendingConnections();
     /// Closes the connections that have no request, not even one that has not been read yet.
     void closeIdleConnections();
     /// Whether a connection has a request, read completely or not, or a response that has not been
--- a/src/gateway/serverdrain.cpp
+++ b/src/gateway/serverdrain.cpp
@@ -35,6 +35,7 @@
     const absl::Time now = m_clock.now();
     if (now < m_shutdown.admissionEnd())
         return;
+    m_server.acceptPendingConnections();
     m_server.closeIdleConnections();
     if (now >= m_shutdown.requestsEnd())
         endRequests();
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -17,7 +17,7 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-/// Delay before accepting again after an error, such as a lack of file descriptors.
+/// Delay before accepting again after an error.
 constexpr absl::Duration acceptRetryDelay = absl::Milliseconds(50);
 
 } // namespace
@@ -49,6 +49,11 @@
             acceptor.bind(endpoint, error);
         if (!error)
             acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        if (!error)
+            acceptor.non_blocking(true, error);
+        // Without this option, accept() waits for the next connection after an aborted one.
+        if (!error)
+            acceptor.set_option(boost::asio::socket_base::enable_connection_aborted(true), error);
         if (error)
             return fail(notRun(ErrorCode::AddressInUse,
                                concat("cannot listen on ", text, ": ", error.message())));
@@ -58,28 +63,51 @@
 
     void accept()
     {
-        acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error,
-                                                          Tcp::socket socket) {
-            self->handleAccept(error, std::move(socket));
-        });
+        // Connections stay in the queue of the operating system until they are added, so that
+        // acceptPending() always sees them. An accept could complete before its handler is called.
+        acceptor.async_wait(Tcp::acceptor::wait_read,
+                            [self = shared_from_this()](const boost::system::error_code &error) {
+                                if (!error && self->acceptor.is_open())
+                                    self->handleAcceptable();
+                            });
     }
 
-    void handleAccept(const boost::system::error_code &error, Tcp::socket socket)
+    void handleAcceptable()
     {
-        if (error == boost::asio::error::operation_aborted || !acceptor.is_open())
-            return;
-        if (error) {
-            log(LogLevel::Warning, "accept-failed", {{"detail", error.message()}});
-            loop.timers().subscribeOnce(acceptRetryDelay,
-                                        [self = shared_from_this()] { self->accept(); });
-            return;
-        }
-        if (shared->connections.size() < shared->limits.maxConnections) {
-            auto connection = std::make_shared<ServerConnection>(std::move(socket), shared);
-            shared->connections.insert(connection);
-            connection->start();
+        if (acceptPending())
+            return accept();
+        loop.timers().subscribeOnce(acceptRetryDelay,
+                                    [self = shared_from_this()] { self->accept(); });
+    }
+
+    /// Adds the connections that wait to be accepted. Returns false after an error, such as a lack
+    /// of file descriptors.
+    bool acceptPending()
+    {
+        while (acceptor.is_open()) {
+            boost::system::error_code error;
+            Tcp::socket socket(loop.ioContext());
+            acceptor.accept(socket, error);
+            if (error == boost::asio::error::would_block)
+                break;
+            if (error == boost::asio::error::connection_aborted)
+                continue;
+            if (error) {
+                log(LogLevel::Warning, "accept-failed", {{"detail", error.message()}});
+                return false;
+            }
+            add(std::move(socket));
         }
-        accept();
+        return true;
+    }
+
+    void add(Tcp::socket socket)
+    {
+        if (shared->connections.size() >= shared->limits.maxConnections)
+            return;
+        auto connection = std::make_shared<ServerConnection>(std::move(socket), shared);
+        shared->connections.insert(connection);
+        connection->start();
     }
 
     /// Copy that stays valid while connections are closed, which removes them from the set.
@@ -123,6 +151,11 @@
     m_impl->shared->draining = true;
 }
 
+void Server::acceptPendingConnections()
+{
+    m_impl->acceptPending();
+}
+
 void Server::closeIdleConnections()
 {
     for (const auto &connection : m_impl->copyConnections()) {
