Net: Keep new connections open until their first request could have arrived

What callers saw: at a stop, a new connection was closed while its request was on its way, so that the caller could not know that the request had not run.

Cause: the drain closes connections without a request every 50 ms, also those that were accepted a moment before. Callers still get to a stopping process when the platform has less than half of a failure domain in rotation.

Change: a connection younger than 200 ms that has not had a request is neither closed as idle nor ignored when the process may end. Its request is then served or refused as not run.

Before: net:ServerTest/newConnectionIsNotIdleUntilItsRequestCouldHaveArrived fails, the connection is closed at once; now it passes.

--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -83,10 +83,11 @@
     void drain();
     /// Adds the connections that wait to be accepted. They may have a request.
     void acceptPendingConnections();
-    /// Closes the connections that have no request, not even one that has not been read yet.
+    /// Closes the connections that have no request, not even one that has not been read yet. New
+    /// connections stay open for a moment, because their first request may be on its way.
     void closeIdleConnections();
-    /// Whether a connection has a request, read completely or not, or a response that has not been
-    /// sent completely.
+    /// Whether a connection has a request, read completely or not, has a response that has not been
+    /// sent completely, or is so new that its first request may be on its way.
     bool hasActiveConnections() const;
     /// Ends the open requests, see Exchange::onServerEnding(). Requests that have not been read
     /// completely are refused with status 503.
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -20,6 +20,9 @@
 
 /// Maximum number of bytes of following requests that are buffered while a request is served.
 constexpr std::size_t maxReadAheadBytes = 64 * 1024;
+/// Time within which the first request of a new connection is expected. It covers round trips
+/// within a region.
+constexpr absl::Duration firstRequestDelay = absl::Milliseconds(200);
 /// Number of reads after which other connections get their turn.
 constexpr int maxReadsAtOnce = 16;
 /// Maximum time for which the connection stays open after the last response was sent, so that the
@@ -43,20 +46,21 @@
 void ServerConnection::start()
 {
     prepareSocket(m_socket);
+    m_startedAt = SystemClock::instance().now();
     armTimer(m_shared->limits.idleTimeout);
     read();
 }
 
 bool ServerConnection::isIdle() const
 {
-    return m_phase == Phase::Idle && !hasNextRequest();
+    return m_phase == Phase::Idle && !hasNextRequest() && !awaitsFirstRequest();
 }
 
 bool ServerConnection::isActive() const
 {
     switch (m_phase) {
     case Phase::Idle:
-        return hasNextRequest();
+        return hasNextRequest() || awaitsFirstRequest();
     case Phase::Header:
     case Phase::Body:
     case Phase::Serving:
@@ -82,6 +86,12 @@
     return m_parser.state() != RequestParser::State::Idle || hasUnreadBytes();
 }
 
+/// Whether the connection is so new that its first request may be on its way.
+bool ServerConnection::awaitsFirstRequest() const
+{
+    return !m_hasServed && SystemClock::instance().now() - m_startedAt < firstRequestDelay;
+}
+
 bool ServerConnection::hasUnreadBytes() const
 {
     boost::system::error_code error;
@@ -167,6 +177,7 @@
 void ServerConnection::serve()
 {
     m_phase = Phase::Serving;
+    m_hasServed = true;
     disarmTimer();
     m_keepAlive = m_parser.isKeepAlive();
     m_isStream = false;
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -3,6 +3,8 @@
 #include "rattanrill/net/requestparser.h"
 #include "rattanrill/net/server.h"
 
+#include "absl/time/time.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,9 +36,11 @@
                      std::shared_ptr<SharedServerState> shared);
 
     void start();
-    /// Whether the connection has no request, not even one that has not been read yet.
+    /// Whether the connection has no request, not even one that has not been read yet, and is not
+    /// new.
     bool isIdle() const;
-    /// Whether the connection has a request, or a response that has not been sent completely.
+    /// Whether the connection has a request, a response that has not been sent completely, or is
+    /// new.
     bool isActive() const;
     /// Ends the current request with a response or by aborting its stream.
     void endRequests();
@@ -69,6 +73,7 @@
 
     /// Whether a part of the next request has arrived, even if it has not been read yet.
     bool hasNextRequest() const;
+    bool awaitsFirstRequest() const;
     bool hasUnreadBytes() const;
     void read();
     void receive();
@@ -98,6 +103,8 @@
     RequestParser m_parser;
     std::array<char, 8192> m_buffer;
     Phase m_phase = Phase::Idle;
+    absl::Time m_startedAt;
+    bool m_hasServed = false;
     /// Bytes that have not been sent yet.
     std::string m_output;
     bool m_writing = false;
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -104,6 +104,13 @@
     return condition();
 }
 
+std::size_t connectionCount(TestServer &server)
+{
+    std::size_t count = 0;
+    server.thread.run([&] { count = server.server->connectionCount(); });
+    return count;
+}
+
 /// Closes the idle connections before each of the next \a steps of the event loop.
 void closeIdleConnections(TestServer &server, int steps)
 {
@@ -383,6 +390,29 @@
     BOOST_TEST(client->readUntil("abc").find("abc") != std::string::npos);
 }
 
+// Guards against a new connection that is closed while its first request is on its way, and against
+// one that never counts as idle.
+BOOST_AUTO_TEST_CASE(newConnectionIsNotIdleUntilItsRequestCouldHaveArrived)
+{
+    TestServer server;
+    RawSocket client(port);
+    RawSocket silent(port);
+    BOOST_REQUIRE(waitFor([&] { return connectionCount(server) == 2; }));
+    server.thread.run([&] {
+        server.server->closeIdleConnections();
+        BOOST_TEST(server.server->hasActiveConnections());
+    });
+    client.send(echoRequest);
+    BOOST_TEST(client.readUntil("abc").find("abc") != std::string::npos);
+    server.thread.run([&] {
+        absl::SleepFor(absl::Milliseconds(250));
+        server.server->closeIdleConnections();
+        BOOST_TEST(!server.server->hasActiveConnections());
+        BOOST_TEST(server.server->connectionCount() == 0u);
+    });
+    BOOST_TEST(silent.readAll().empty());
+}
+
 // Guards against the same loss at the end of a stream of a draining server.
 BOOST_AUTO_TEST_CASE(drainingServerAnswersAnUnreadRequestAfterAStream)
 {
