Peer: Ignore a handshake timeout that expired before the hello exchange completed

Here it would drop a peer whose hello exchange has just completed, with "nothing received within the idle timeout". Found by reading; no test forces this order of events on the network thread.

--- a/src/peer/serverconnection.cpp
+++ b/src/peer/serverconnection.cpp
@@ -207,7 +207,10 @@
     m_timer.expires_after(absl::ToChronoNanoseconds(delay));
     m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
-        if (!error && self)
+        // When the timer is set again after it has expired, the handler of the earlier wait may
+        // already be queued and is called without an error.
+        const bool isCurrent = self && self->m_timer.expiry() <= std::chrono::steady_clock::now();
+        if (!error && isCurrent)
             self->handleTimer();
     });
 }
