Tests: Guard new connections at the stop of an entry on real processes

The case fails on: connections that are opened while the entry stops, and whose request arrives up to 45 ms later, are closed without a response.

--- a/tests/platform/shutdown_test.py
+++ b/tests/platform/shutdown_test.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import signal
+import socket
 import threading
 import time
 import unittest
@@ -13,6 +14,7 @@
                                 PlatformDeployment, Upstream, call, configuration, wait_until)
 
 SHUTDOWN_SECONDS = 8
+CROSSING_SECONDS = 0.2
 STREAM_END = b"id: 20\ndata: d20\n\n"
 # Longer than the processes live after a stop signal.
 LONG_TIMEOUT_MS = 20000
@@ -29,6 +31,21 @@
     return document
 
 
+def send_on(connection, request_id):
+    """Sends a request on a socket and returns the status of its response, or the error."""
+    request = (f"POST /ask/1 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {request_id}\r\n"
+               f"Deadline-Ms: {LONG_TIMEOUT_MS}\r\nAuthorization: Bearer {KEY}\r\n"
+               "Content-Length: 0\r\n\r\n")
+    try:
+        connection.sendall(request.encode())
+        response = http.client.HTTPResponse(connection)
+        response.begin()
+        response.read()
+        return response.status
+    except (OSError, http.client.HTTPException) as error:
+        return repr(error)
+
+
 class Caller(threading.Thread):
     """Sends one request on a connection, and further ones on the same connection as long as it
     stays open. Each outcome is a status and a body, or None when the connection was closed without
@@ -137,6 +154,43 @@
             self.assertEqual(caller.outcomes[f"{caller.prefix}-0"][0],
                              503 if caller is late else 200)
 
+    def test_new_connections_are_answered_until_the_process_ends(self):
+        """Guards against an entry that closes a new connection while its request is on its way, or
+        ends with a request on a connection that it has not accepted."""
+        host = self.address("entry", 2)
+        # Keeps the process running for 5 s.
+        stream = Caller(host, "held", ["/slow/250"])
+        outcomes = {}
+        callers = []
+
+        def send(number):
+            try:
+                with socket.create_connection((host, CALLER_PORT), timeout=10) as connection:
+                    # The request arrives at any time between two checks of the drain.
+                    time.sleep(0.005 * (number % 10))
+                    outcomes[number] = (time.monotonic(), send_on(connection, f"new-{number}"))
+            except ConnectionRefusedError:
+                pass
+
+        try:
+            self.assertTrue(stream.began.wait(2))
+            self.stop("entry-2")
+            while self.processes["entry-2"].poll() is None:
+                callers.append(threading.Thread(target=send, args=(len(callers),)))
+                callers[-1].start()
+                time.sleep(0.02)
+            ended_at = time.monotonic()
+        finally:
+            self.restart("entry", 2)
+            for caller in callers + [stream]:
+                caller.join()
+        self.assertEqual(stream.outcomes["held-0"][0], 200)
+        self.assertGreater(len(outcomes), 100)
+        # A request that crosses the end of the process may stay without a response.
+        lost = [outcome for sent_at, outcome in outcomes.values()
+                if outcome not in (200, 429, 503) and sent_at < ended_at - CROSSING_SECONDS]
+        self.assertEqual(lost, [])
+
     def test_request_that_outlasts_the_process_gets_a_response(self):
         """Guards against an entry that ends without a response to a request that an upstream still
         runs, and against a stream that looks complete."""
