--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -17,7 +17,7 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-/// Delay before accepting again after an error.
+/// Delay before accepting again after an error, such as a lack of file descriptors.
 constexpr absl::Duration acceptRetryDelay = absl::Milliseconds(50);
 
 } // namespace
@@ -80,8 +80,7 @@
                                     [self = shared_from_this()] { self->accept(); });
     }
 
-    /// Adds the connections that wait to be accepted. Returns false after an error, such as a lack
-    /// of file descriptors.
+    /// Adds the connections that wait to be accepted. Returns false after an error.
     bool acceptPending()
     {
         while (acceptor.is_open()) {
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -409,7 +409,7 @@
     if (m_phase == Phase::Serving && !m_responseComplete)
         endExchange();
     m_phase = Phase::Closed;
-    m_timer.cancel();
+    disarmTimer();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_shared->connections.erase(shared_from_this());
