Serving: A forwarded call that was taken may have run

A request that another entry forwards counted as not sent when a later read of its response was refused, for example because the forwarder stopped: it could be sent again or refused as not run although its upstream ran it.

Cause: the client took the effect of the failed read for that of the call. A call counts as not sent only until the forwarder has responded once.

The new test callThatWasTakenMayHaveRunWhenItsReadIsRefused shows it in each run of the code before: not_connected != broken.

--- a/src/serving/forwardingclient.cpp
+++ b/src/serving/forwardingclient.cpp
@@ -37,6 +37,8 @@
         std::string forwarderAddress;
         net::CallHandlers handlers;
         std::function<void()> onForwarderFailed;
+        /// Whether the forwarder has responded, so that the upstream may run the request.
+        bool isTaken = false;
     };
     using CallPtr = std::shared_ptr<Call>;
 
@@ -72,6 +74,7 @@
             return fail(id, part.failure());
         // A copy, because the end of the call removes it.
         const CallPtr call = found->second;
+        call->isTaken = true;
         if (!deliver(id, call, part.value()))
             return;
         request(id, address, wire::Method::ReadForwardedCall,
@@ -96,9 +99,10 @@
     void fail(CallId id, const Failure &failure)
     {
         const CallPtr call = calls.at(id);
-        const net::CallStatus status = failure.effect == EffectState::NotRun
-                                               ? net::CallStatus::NotConnected
-                                               : net::CallStatus::Broken;
+        // A read that did not run says nothing about the call, which was taken before.
+        const bool isNotRun = !call->isTaken && failure.effect == EffectState::NotRun;
+        const net::CallStatus status =
+                isNotRun ? net::CallStatus::NotConnected : net::CallStatus::Broken;
         log(LogLevel::Info, "forwarder-failed",
             {{"peerAddress", call->forwarderAddress},
              {"status", net::name(status)},
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -1,6 +1,7 @@
 #include "proxyfixture.h"
 
 #include "rattanrill/serving/forwardingservice.h"
+#include "rattanrill/wire/forwardingmessages.h"
 
 #include <atomic>
 #include <string>
@@ -267,6 +268,32 @@
     BOOST_TEST(entry.received.hasForwarderFailed);
 }
 
+// Guards against a request that may run and counts as not sent, because a later read of its
+// response was not taken.
+BOOST_AUTO_TEST_CASE(callThatWasTakenMayHaveRunWhenItsReadIsRefused)
+{
+    peer::Server forwarder(transport("f"));
+    forwarder.setHandler(wire::Method::ForwardCall,
+                         [](const peer::PeerIdentity &, const std::string &,
+                            const peer::ResponseCallback &reply) {
+                             reply(wire::encode(wire::ForwardedPart()));
+                         });
+    forwarder.setHandler(wire::Method::ReadForwardedCall,
+                         [](const peer::PeerIdentity &, const std::string &,
+                            const peer::ResponseCallback &reply) {
+                             reply(notRun(ErrorCode::Stopped, "the process ends"));
+                         });
+    BOOST_REQUIRE(outcomeOf([&] { return forwarder.start("127.0.0.1", 0); }).ok());
+    {
+        CutOffEntry entry;
+        const auto received =
+                entry.call("127.0.0.1:1", "127.0.0.1:" + std::to_string(forwarder.port()));
+        BOOST_TEST(received.end == "broken");
+        BOOST_TEST(received.hasForwarderFailed);
+    }
+    forwarder.stop();
+}
+
 // Guards against a request that counts as sent although the other entry did not take it, and
 // against an upstream that is blamed for that.
 BOOST_AUTO_TEST_CASE(refusedCallWasNotSent)
