Serving: Do not take the silence of upstreams for a lost link

When four sound upstreams pause at once, an entry took itself for cut off from all of them for up to a quarter of a second. It refused requests, and ended streams whose next attempt it could not make.

Cause: a call that had not responded in time counted like a connection that broke. Silence is now only a reason to connect to the silent upstream, whose operating system accepts connections while it pauses. The silence counts as a broken connection if the new one fails, too, or is not answered within 50 ms. A cut whose connections hang is found by the same evidence at four upstreams, in place of four silent calls.

--- a/include/rattanrill/policy/upstreamlinks.h
+++ b/include/rattanrill/policy/upstreamlinks.h
@@ -15,6 +15,10 @@
 /// may live on while new ones fail, so both are judged apart. Upstreams that crash together look
 /// like a cut for a moment, until a byte arrives or a connection is established.
 ///
+/// The silence of upstreams is no failure: several of them may pause at once, and then continue
+/// their responses. It counts only where a new connection fails as well, because the operating
+/// system of an upstream that pauses accepts connections.
+///
 /// A process that knows fewer upstreams than minUpstreams never counts as cut off.
 ///
 /// Performs no input or output. Not thread-safe.
@@ -33,28 +37,34 @@
     void received();
     /// A new connection was established.
     void connected();
-    /// An established connection broke, or its upstream did not respond in time.
+    /// An established connection broke, or both it and a new one to the same upstream failed.
     void broken(const std::string &upstream);
+    /// A new connection was neither established nor refused in time, so nothing responds at all.
+    void unanswered(const std::string &upstream);
     /// No connection could be established, which says nothing about established ones.
     void notConnected(const std::string &upstream);
 
     /// Whether established connections work.
-    bool canReceive() const { return m_silent.size() < minUpstreams; }
+    bool canReceive() const { return m_broken.size() < minUpstreams; }
     /// Whether new connections can be established.
     bool canConnect() const;
     /// Whether requests on new connections are expected to fail.
     bool isCutOff() const { return !canReceive() || !canConnect(); }
     /// Whether attempts have failed and a new connection would tell whether the links are lost.
-    bool isSuspect() const { return m_silent.size() > 1 || m_unreachable.size() > 1; }
+    bool isSuspect() const { return m_broken.size() > 1 || m_unreachable.size() > 1; }
+    /// Number of upstreams at which attempts on established connections have failed.
+    std::size_t brokenCount() const { return m_broken.size(); }
+    /// Number of upstreams that could not be connected to.
+    std::size_t unreachableCount() const { return m_unreachable.size(); }
     bool hasFailed(const std::string &upstream) const
     {
-        return m_silent.count(upstream) != 0 || m_unreachable.count(upstream) != 0;
+        return m_broken.count(upstream) != 0 || m_unreachable.count(upstream) != 0;
     }
 
 private:
     std::size_t m_upstreamCount = 0;
     /// Upstreams at which attempts have failed since the last received byte.
-    std::set<std::string> m_silent;
+    std::set<std::string> m_broken;
     /// Upstreams that could not be connected to since the last established connection.
     std::set<std::string> m_unreachable;
 };
--- a/include/rattanrill/serving/upstreamcaller.h
+++ b/include/rattanrill/serving/upstreamcaller.h
@@ -56,8 +56,11 @@
     /// Whether another entry forwards \a call, which has not ended.
     bool isForwarded(CallId call) const;
     /// Records that \a upstream has not responded in time to a call on a connection of this
-    /// process.
-    void recordSilence(const std::string &upstream);
+    /// process. Tries to connect to it, because only a failed connection shows that the link is
+    /// lost. \a probed is called once the result is known; it may be null.
+    void recordSilence(const std::string &upstream, std::function<void()> probed = nullptr);
+    /// Whether \a upstream was found reachable after a silence in the last half second.
+    bool isReachable(const std::string &upstream) const;
     /// Whether this process is cut off from the upstreams.
     bool isCutOff() const;
     /// Whether established connections of this process respond.
--- a/src/policy/upstreamlinks.cpp
+++ b/src/policy/upstreamlinks.cpp
@@ -12,19 +12,26 @@
 
 void UpstreamLinks::received()
 {
-    m_silent.clear();
+    m_broken.clear();
 }
 
-/// A handshake needs the link in both directions, so it also ends a silence.
+/// A handshake needs the link in both directions, so established connections are expected to work,
+/// too.
 void UpstreamLinks::connected()
 {
-    m_silent.clear();
+    m_broken.clear();
     m_unreachable.clear();
 }
 
 void UpstreamLinks::broken(const std::string &upstream)
 {
-    m_silent.insert(upstream);
+    m_broken.insert(upstream);
+}
+
+void UpstreamLinks::unanswered(const std::string &upstream)
+{
+    m_broken.insert(upstream);
+    m_unreachable.insert(upstream);
 }
 
 void UpstreamLinks::notConnected(const std::string &upstream)
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -1,15 +1,25 @@
 #include "rattanrill/serving/upstreamcaller.h"
 
+#include "rattanrill/base/clock.h"
 #include "rattanrill/base/logger.h"
 
+#include <algorithm>
 #include <map>
+#include <string_view>
 #include <utility>
 
 namespace rattanrill::serving {
 namespace {
 
-/// Time between two attempts to connect while the links may be lost.
+/// Time between two attempts to connect while the links may be lost, and between two to the same
+/// upstream while it is silent.
 constexpr absl::Duration probePeriod = absl::Milliseconds(250);
+/// An attempt to connect that is neither accepted nor refused after this time has not reached the
+/// upstream. Many times the round trip inside a region; a lost packet may exceed it, so one such
+/// attempt proves nothing.
+constexpr absl::Duration probeTimeout = absl::Milliseconds(50);
+/// Time for which an accepted probe shows that its upstream can be reached.
+constexpr absl::Duration reachabilityLifetime = absl::Milliseconds(500);
 
 } // namespace
 
@@ -106,9 +116,11 @@
                 links.isCutOff() ? "upstream-links-lost" : "upstream-links-regained",
                 {{"canReceive", links.canReceive()},
                  {"canConnect", links.canConnect()},
+                 {"broken", static_cast<std::int64_t>(links.brokenCount())},
+                 {"unreachable", static_cast<std::int64_t>(links.unreachableCount())},
                  {"upstreams", static_cast<std::int64_t>(upstreams.size())}});
         if (links.isSuspect() && probeTimer == 0 && !isStopped) {
-            probe();
+            probeNext();
             probeTimer = loop.timers().subscribeEvery(
                     probePeriod, [self = shared_from_this()] { self->continueProbing(); });
         }
@@ -117,44 +129,133 @@
     void continueProbing()
     {
         if (links.isSuspect())
-            return probe();
+            return probeNext();
         loop.timers().unsubscribe(std::exchange(probeTimer, 0));
     }
 
     /// Connects to the next upstream at which no attempt has failed or, if there is none, to the
     /// next one.
-    void probe()
+    void probeNext()
     {
         if (upstreams.empty() || isStopped)
             return;
         std::size_t chosen = nextProbe++ % upstreams.size();
         for (std::size_t i = 0; i < upstreams.size(); ++i) {
             const std::size_t candidate = (chosen + i) % upstreams.size();
-            if (links.hasFailed(upstreams[candidate].id))
+            const std::string &id = upstreams[candidate].id;
+            if (links.hasFailed(id) || pendingProbes.count(id) != 0)
                 continue;
             chosen = candidate;
             break;
         }
-        connections.connect(
-                upstreams[chosen].address,
-                [self = shared_from_this(), upstream = upstreams[chosen].id](bool isConnected) {
-                    self->handleProbe(upstream, isConnected);
-                });
+        probe(upstreams[chosen]);
     }
 
-    void handleProbe(const std::string &upstream, bool isConnected)
+    /// Connects to \a upstream, at which an established connection does not respond, unless this
+    /// was done a moment ago.
+    void probeSilent(const std::string &upstream, std::function<void()> probed)
+    {
+        const auto found =
+                std::find_if(upstreams.begin(), upstreams.end(),
+                             [&upstream](const auto &listed) { return listed.id == upstream; });
+        const bool isKnown = wasReached(upstream, probePeriod) || isUnanswered(upstream);
+        if (found == upstreams.end() || isStopped || isKnown) {
+            if (probed)
+                loop.post(std::move(probed));
+            return;
+        }
+        if (probed)
+            probeListeners[upstream].push_back(std::move(probed));
+        probe(*found);
+    }
+
+    void notifyProbed(const std::string &upstream)
+    {
+        auto listeners = probeListeners.extract(upstream);
+        if (!listeners)
+            return;
+        for (std::function<void()> &listener : listeners.mapped())
+            loop.post(std::move(listener));
+    }
+
+    bool isUnanswered(const std::string &upstream) const
     {
-        const bool isNewFailure = !isConnected && !links.hasFailed(upstream);
-        record([&](auto &current) {
-            if (isConnected)
-                current.connected();
-            else
-                current.notConnected(upstream);
+        const auto found = pendingProbes.find(upstream);
+        return found != pendingProbes.end() && found->second;
+    }
+
+    void probe(const wire::FleetUpstream &target)
+    {
+        const std::string &id = target.id;
+        if (!pendingProbes.try_emplace(id, false).second)
+            return;
+        const TimerService::TimerId timer = loop.timers().subscribeOnce(
+                probeTimeout, [self = shared_from_this(), id] { self->awaitLateAnswer(id); });
+        connections.connect(target.address,
+                            [self = shared_from_this(), id, timer](bool isConnected) {
+                                self->loop.timers().unsubscribe(timer);
+                                self->pendingProbes.erase(id);
+                                self->handleProbe(id, isConnected);
+                                self->notifyProbed(id);
+                            });
+    }
+
+    /// The answer may have arrived while this process was busy; its handler then runs first.
+    void awaitLateAnswer(const std::string &upstream)
+    {
+        loop.post([self = shared_from_this(), upstream] {
+            const auto found = self->pendingProbes.find(upstream);
+            if (found == self->pendingProbes.end())
+                return;
+            found->second = true;
+            self->recordProbeFailure(upstream, "unanswered",
+                                     [&](auto &current) { current.unanswered(upstream); });
+            self->notifyProbed(upstream);
         });
-        // Attempts that are refused at once may follow each other without a pause, because each
-        // concerns another upstream.
+    }
+
+    void handleProbe(const std::string &upstream, bool isConnected)
+    {
+        if (isConnected) {
+            reachedAt[upstream] = SystemClock::instance().now();
+            return record([](auto &current) { current.connected(); });
+        }
+        // Established connections may live on while new ones are refused.
+        recordProbeFailure(upstream, "not_connected",
+                           [&](auto &current) { current.notConnected(upstream); });
+    }
+
+    template <typename Change>
+    void recordProbeFailure(const std::string &upstream, std::string_view result,
+                            const Change &change)
+    {
+        const bool isNewFailure = !links.hasFailed(upstream);
+        if (isNewFailure)
+            log(LogLevel::Info, "upstream-probe-failed",
+                {{"upstream", upstream}, {"result", result}});
+        record(change);
+        // Failed attempts may follow each other without a pause, because each concerns another
+        // upstream.
         if (isNewFailure && links.canConnect() && links.isSuspect())
-            probe();
+            probeNext();
+    }
+
+    void forgetRemoved()
+    {
+        std::map<std::string, absl::Time> kept;
+        for (const wire::FleetUpstream &upstream : upstreams) {
+            const auto found = reachedAt.find(upstream.id);
+            if (found != reachedAt.end())
+                kept.insert(*found);
+        }
+        reachedAt = std::move(kept);
+    }
+
+    /// Whether \a upstream has accepted a probe not longer than \a age ago.
+    bool wasReached(const std::string &upstream, absl::Duration age) const
+    {
+        const auto found = reachedAt.find(upstream);
+        return found != reachedAt.end() && SystemClock::instance().now() - found->second <= age;
     }
 
     net::EventLoop &loop;
@@ -166,6 +267,13 @@
     std::map<CallId, Call> calls;
     CallId nextId = 1;
     std::size_t nextProbe = 0;
+    /// Upstreams to which a connection is being established without a request, and whether the time
+    /// for the answer has passed.
+    std::map<std::string, bool> pendingProbes;
+    /// Called when the result of a probe is known, by upstream.
+    std::map<std::string, std::vector<std::function<void()>>> probeListeners;
+    /// When a probe was last accepted, by upstream.
+    std::map<std::string, absl::Time> reachedAt;
     TimerService::TimerId probeTimer = 0;
     bool wasCutOff = false;
     bool isStopped = false;
@@ -189,6 +297,7 @@
             m_impl->upstreams.push_back(upstream);
     }
     m_impl->links.setUpstreamCount(m_impl->upstreams.size());
+    m_impl->forgetRemoved();
 }
 
 bool UpstreamCaller::canCall(const UpstreamTarget &target, const std::string &requestId) const
@@ -228,9 +337,14 @@
     return found != m_impl->calls.end() && found->second.isForwarded;
 }
 
-void UpstreamCaller::recordSilence(const std::string &upstream)
+void UpstreamCaller::recordSilence(const std::string &upstream, std::function<void()> probed)
+{
+    m_impl->probeSilent(upstream, std::move(probed));
+}
+
+bool UpstreamCaller::isReachable(const std::string &upstream) const
 {
-    m_impl->record([&](auto &links) { links.broken(upstream); });
+    return m_impl->wasReached(upstream, reachabilityLifetime);
 }
 
 bool UpstreamCaller::isCutOff() const
--- a/tests/policy/upstreamlinks_test.cpp
+++ b/tests/policy/upstreamlinks_test.cpp
@@ -79,6 +79,18 @@
     BOOST_TEST(links.isSuspect());
 }
 
+// Guards against a cut that is found late because connections hang, old and new ones.
+BOOST_AUTO_TEST_CASE(unansweredConnectionsCountAsBrokenOnes)
+{
+    breakConnections(2);
+    links.unanswered("a");
+    BOOST_TEST(links.canReceive());
+    links.unanswered("b");
+    BOOST_TEST(!links.canReceive());
+    links.connected();
+    BOOST_TEST(!links.isSuspect());
+}
+
 // Guards against a process that does not notice that its links are back.
 BOOST_AUTO_TEST_CASE(newConnectionEndsTheCut)
 {
--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -46,6 +46,9 @@
     std::string filler = {};
     /// Sent before the bytes if the connection has carried an earlier request.
     std::string stale = {};
+    /// Sent after the bytes and a pause in milliseconds.
+    std::string rest = {};
+    int pause = 0;
 };
 
 inline std::string completeResponse(const std::string &id, const std::string &body,
@@ -160,6 +163,8 @@
             socket.non_blocking(false);
             const std::string bytes = (isKept ? step.stale : "") + step.bytes;
             boost::asio::write(socket, boost::asio::buffer(bytes), error);
+            std::this_thread::sleep_for(std::chrono::milliseconds(step.pause));
+            boost::asio::write(socket, boost::asio::buffer(step.rest), error);
             isKept = true;
             socket.non_blocking(true);
             if (step.closes || !sendFiller(socket, step.filler))
@@ -396,6 +401,17 @@
                 upstreamServers.address(upstream)};
     }
 
+    /// Lists upstreams at \a addresses, to which this process may connect in order to find out
+    /// whether a silent one can be reached.
+    void setReachable(const std::vector<std::string> &addresses)
+    {
+        std::vector<wire::FleetUpstream> list;
+        for (const std::string &address : addresses)
+            list.push_back(
+                    {"u" + std::to_string(list.size() + 1), "s", address, "d", 4, false, ""});
+        thread.run([&] { upstreams.setUpstreams(list); });
+    }
+
     /// Sends one request and returns the response. \a headers end with a line break each.
     std::string sendRequest(const std::string &id, const std::string &headers = "") const
     {
