Serving: Keep a silent call until another upstream responds

Callers lost streams that would have gone on: an upstream was silent for 0.6 of an objective, its call was cancelled as soon as a slot at another upstream was granted, and the next attempt was refused, broke, could not be made, or met an upstream that paused as well.

Cause: work that runs was given up for an attempt that was not certain to succeed. The request is now sent to the other upstream while the first call runs (a hedge). The one that responds first serves the request and the other one is cancelled. After 0.25 s without a response of either one of both is cancelled: the first one if its upstream can't be connected to, the hedge otherwise. A hedge counts as an attempt, so a route with one attempt, and requests that may run only once, have none; without a free slot the first call runs on. An attempt on links that turn out to be lost does not count, because it has not reached its upstream. A request whose prompt is blocked while it runs is not repeated, and not ended either.

--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -144,11 +144,6 @@
                && m_position.isResumable());
 }
 
-bool ProxiedRequest::isCalling() const
-{
-    return m_state == State::Running || m_state == State::Unresponsive;
-}
-
 absl::Duration ProxiedRequest::remainingTime() const
 {
     return m_deadline - m_context.clock.now();
@@ -159,13 +154,15 @@
     return remainingTime() > minRemainingTime;
 }
 
-/// Rejects the request when it crashes upstreams. Returns false when the request may run.
-bool ProxiedRequest::rejectBlocked()
+/// Whether the request crashes upstreams and must not be sent.
+bool ProxiedRequest::isBlocked()
+{
+    return m_context.crashGuard.isBlocked(m_traits.all());
+}
+
+void ProxiedRequest::rejectBlocked()
 {
-    if (!m_context.crashGuard.isBlocked(m_traits.all()))
-        return false;
-    cancelCall();
-    releaseSlot(ReleaseReason::Cancelled);
+    endAttempts();
     m_context.metrics.count("rattanrill_prompt_rejections_total");
     static constexpr const char *reason =
             "the request or parts of its prompt crash the upstreams that run it";
@@ -173,13 +170,13 @@
         fail(ErrorCode::RequestQuarantined, reason);
     else
         refuse(ErrorCode::RequestQuarantined, reason, quarantineRetryAfter);
-    return true;
 }
 
 void ProxiedRequest::requestSlot()
 {
-    if (rejectBlocked())
-        return;
+    // A call that runs may still succeed, but is not repeated.
+    if (isBlocked())
+        return m_state == State::Unresponsive ? armResponseTimer() : rejectBlocked();
     wire::SlotRequest request;
     m_requestedSlotId = m_slotRequestCount++ == 0
                                 ? m_request.caller.id
@@ -218,33 +215,37 @@
     const bool isObsolete = m_state == State::Ended || m_state == State::Running;
     if (isObsolete) {
         if (isGranted)
-            release(m_requestedSlotId, response.upstream, ReleaseReason::Cancelled);
+            releaseUnused(m_requestedSlotId, response.upstream);
         return;
     }
     m_fromLocalShare = m_fromLocalShare || fromLocalShare;
-    if (isGranted) {
-        m_chargedRate = true;
-        if (isLeaving(response.upstream, response.address))
-            return skipLeavingUpstream(m_requestedSlotId, response.upstream, response.address);
-        if (isOtherVersion(response)) {
-            release(m_requestedSlotId, response.upstream, ReleaseReason::Cancelled);
-            return skipUpstream(response.upstream, "another version began the stream");
-        }
-        if (m_state == State::Unresponsive)
-            abandonUnresponsiveUpstream();
-        m_heldSlotId = m_requestedSlotId;
-        m_slotGrantedAt = m_context.clock.now();
-        m_upstreamListAge = m_context.upstreamListAge();
-        if (rejectBlocked())
-            return;
-        return send(response);
-    }
+    if (isGranted)
+        return slotGranted(response);
     // No other upstream has a free slot, so the unresponsive upstream gets more time.
     if (m_state == State::Unresponsive)
         return armResponseTimer();
     refuseOrFail(response);
 }
 
+void ProxiedRequest::slotGranted(const wire::SlotResponse &grant)
+{
+    m_chargedRate = true;
+    if (isLeaving(grant.upstream, grant.address))
+        return skipLeavingUpstream(m_requestedSlotId, grant.upstream, grant.address);
+    if (isOtherVersion(grant)) {
+        releaseUnused(m_requestedSlotId, grant.upstream);
+        return skipUpstream(grant.upstream, "another version began the stream");
+    }
+    m_slotGrantedAt = m_context.clock.now();
+    m_upstreamListAge = m_context.upstreamListAge();
+    if (m_state == State::Unresponsive)
+        return startHedge(grant);
+    if (!isBlocked())
+        return send(grant);
+    releaseUnused(m_requestedSlotId, grant.upstream);
+    rejectBlocked();
+}
+
 /// Ends the request because it gets no slot.
 void ProxiedRequest::refuseOrFail(const wire::SlotResponse &response)
 {
@@ -261,15 +262,6 @@
     return hasStreamBegun() && m_streamVersion && *m_streamVersion != response.version;
 }
 
-void ProxiedRequest::abandonUnresponsiveUpstream()
-{
-    logFailedAttempt("the upstream did not respond in time");
-    cancelCall();
-    releaseSlot(ReleaseReason::Failed);
-    if (m_exchange->streamStarted())
-        ++m_resumes;
-}
-
 bool ProxiedRequest::isLeaving(const std::string &upstream, const std::string &address) const
 {
     return m_context.slotClient.isLeaving(upstream, address);
@@ -281,7 +273,7 @@
                                          const std::string &address)
 {
     m_context.slotClient.repeatLeaving(upstream, address);
-    release(slotId, upstream, ReleaseReason::Cancelled);
+    releaseUnused(slotId, upstream);
     skipUpstream(upstream, "the upstream leaves, and the request was not sent");
 }
 
@@ -302,79 +294,97 @@
         requestSlot();
 }
 
+UpstreamTarget ProxiedRequest::targetOf(const wire::SlotResponse &grant) const
+{
+    return {grant.upstream, grant.address, grant.forwarderAddress, remainingTime()};
+}
+
 void ProxiedRequest::send(const wire::SlotResponse &grant)
 {
-    const std::string &upstream = grant.upstream;
-    const UpstreamTarget target{upstream, grant.address, grant.forwarderAddress, remainingTime()};
-    m_attempt = Attempt();
-    m_attempt.upstream = upstream;
-    m_attempt.address = grant.address;
-    m_attempt.version = grant.version;
-    if (hasStreamBegun())
-        m_streamVersion = grant.version;
-    m_attempt.sentAt = m_context.clock.now();
     if (!hasTimeForAttempt()) {
-        releaseSlot(ReleaseReason::Cancelled);
+        releaseUnused(m_requestedSlotId, grant.upstream);
         return refuseOrFail("too little time is left for an attempt before the deadline");
     }
-    if (!m_context.upstreams.canCall(target, m_request.caller.id)) {
-        releaseSlot(ReleaseReason::Cancelled);
+    if (!m_context.upstreams.canCall(targetOf(grant), m_request.caller.id)) {
+        releaseUnused(m_requestedSlotId, grant.upstream);
         // The links were lost after the slot was requested.
         if (!m_hasRequestedForwarder)
             return requestSlot();
         return refuseOrFail("this entry is cut off from the upstreams, and no other one forwards");
     }
-    ++m_attempts;
+    if (hasStreamBegun())
+        m_streamVersion = grant.version;
     m_position.beginAttempt();
-    m_excludedUpstreams.push_back(upstream);
-    UpstreamAttempt attempt;
-    attempt.expectedInstance = upstream;
-    attempt.workspace = m_request.workspace;
-    attempt.remainingTime = remainingTime();
-    attempt.resumeAfter = m_position.lastId();
     m_state = State::Running;
-    m_context.crashGuard.recordSent(m_traits.all());
+    m_attempt = beginAttempt(grant);
     armResponseTimer();
-    m_attempt.call = m_context.upstreams.call(
-            target,
-            net::serialize(m_context.protocol.upstreamRequest(m_exchange->request(), attempt)),
-            callHandlers(grant), m_request.caller.id, forwardingOptions());
-    if (m_context.upstreams.isForwarded(m_attempt.call))
-        m_attempt.forwarder = grant.forwarder;
 }
 
-net::CallHandlers ProxiedRequest::callHandlers(const wire::SlotResponse &grant)
+/// Sends the request to the upstream of \a grant.
+AttemptPtr ProxiedRequest::beginAttempt(const wire::SlotResponse &grant)
+{
+    ++m_attempts;
+    m_excludedUpstreams.push_back(grant.upstream);
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->upstream = grant.upstream;
+    attempt->address = grant.address;
+    attempt->version = grant.version;
+    attempt->slotId = m_requestedSlotId;
+    attempt->sentAt = m_context.clock.now();
+    attempt->isCalling = true;
+    UpstreamAttempt message;
+    message.expectedInstance = grant.upstream;
+    message.workspace = m_request.workspace;
+    message.remainingTime = remainingTime();
+    message.resumeAfter = m_position.lastId();
+    m_context.crashGuard.recordSent(m_traits.all());
+    attempt->call = m_context.upstreams.call(
+            targetOf(grant),
+            net::serialize(m_context.protocol.upstreamRequest(m_exchange->request(), message)),
+            callHandlers(attempt), m_request.caller.id, forwardingOptions(attempt, m_traits));
+    if (m_context.upstreams.isForwarded(attempt->call))
+        attempt->forwarder = grant.forwarder;
+    return attempt;
+}
+
+net::CallHandlers ProxiedRequest::callHandlers(const AttemptPtr &attempt)
 {
     net::CallHandlers handlers;
-    handlers.ownerOf = [self = shared_from_this()](const net::ResponseHead &head) {
-        return self->ownerOf(head);
+    handlers.ownerOf = [self = shared_from_this(), attempt](const net::ResponseHead &head) {
+        return self->ownerOf(*attempt, head);
+    };
+    handlers.onHead = [self = shared_from_this(), attempt](const net::ResponseHead &head) {
+        self->headReceived(attempt, head);
     };
-    handlers.onHead = [self = shared_from_this()](const net::ResponseHead &head) {
-        self->headReceived(head);
+    handlers.onBody = [self = shared_from_this(), attempt](std::string_view bytes) {
+        self->bodyReceived(attempt, bytes);
     };
-    handlers.onBody = [self = shared_from_this()](std::string_view bytes) {
-        self->bodyReceived(bytes);
+    handlers.onEnd = [self = shared_from_this(), attempt](net::CallStatus status) {
+        self->callEnded(attempt, status);
     };
-    handlers.onEnd = [self = shared_from_this()](net::CallStatus status) {
-        self->callEnded(status);
+    handlers.mayBeSent = [self = shared_from_this(), attempt] {
+        return !self->isLeaving(attempt->upstream, attempt->address);
     };
-    handlers.mayBeSent = [self = shared_from_this(), upstream = grant.upstream,
-                          address = grant.address] { return !self->isLeaving(upstream, address); };
     return handlers;
 }
 
-ForwardingOptions ProxiedRequest::forwardingOptions()
+ForwardingOptions ProxiedRequest::forwardingOptions(const AttemptPtr &attempt,
+                                                    const CrashTraits &traits)
 {
-    return {m_traits, [self = shared_from_this()] { self->m_attempt.hasForwarderFailed = true; }};
+    return {traits, [attempt] { attempt->hasForwarderFailed = true; }};
 }
 
-/// Ends the current attempt. Sends the request to another upstream if it may run there.
+/// Ends the current attempt. The request goes on with the hedge, or is sent to another upstream if
+/// it may run there.
 void ProxiedRequest::attemptFailed(std::string_view reason, ReleaseReason releaseReason)
 {
-    cancelCall();
-    releaseSlot(releaseReason);
-    logFailedAttempt(reason);
+    cancelCall(*m_attempt);
+    releaseSlot(*m_attempt, releaseReason);
+    logFailedAttempt(*m_attempt, reason);
     clearBuffer();
+    if (m_hedge)
+        return replaceByHedge();
+    m_state = State::Waiting;
     const bool canRetry = (!m_mayHaveRun || mayRunAgain()) && m_attempts < m_route.maxAttempts
                           && hasTimeForAttempt();
     if (!canRetry)
@@ -386,21 +396,21 @@
         requestSlot();
 }
 
-void ProxiedRequest::logFailedAttempt(std::string_view reason) const
+void ProxiedRequest::logFailedAttempt(const Attempt &attempt, std::string_view reason) const
 {
     log(LogLevel::Info, "try-failed",
         {{"requestId", m_request.caller.id},
-         {"upstream", m_attempt.upstream},
-         {"upstreamVersion", m_attempt.version},
-         {"forwarder", m_attempt.forwarder},
+         {"upstream", attempt.upstream},
+         {"upstreamVersion", attempt.version},
+         {"forwarder", attempt.forwarder},
          {"attempt", m_attempts},
          {"reason", reason},
          {"mayHaveRun", m_mayHaveRun},
-         {"hasBegun", m_attempt.hasBegun},
-         {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - m_attempt.sentAt)},
+         {"hasBegun", attempt.hasBegun},
+         {"attemptMs", absl::ToInt64Milliseconds(m_context.clock.now() - attempt.sentAt)},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
          {"fingerprint", m_traits.fingerprint},
-         {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
+         {"requestLimit", attempt.info.requestLimit.value_or(0)},
          {"lastEvent", m_position.lastId().value_or(-1)}});
 }
 
@@ -433,8 +443,7 @@
     m_deadlineTimer = 0;
     if (isCalling())
         m_mayHaveRun = true;
-    cancelCall();
-    releaseSlot(ReleaseReason::Cancelled);
+    endAttempts();
     if (m_mayHaveRun || m_exchange->streamStarted())
         return fail(ErrorCode::Timeout, "the deadline has passed");
     refuse(ErrorCode::Overloaded, "the deadline has passed", absl::ZeroDuration());
@@ -444,8 +453,7 @@
 {
     if (m_state == State::Ended)
         return;
-    cancelCall();
-    releaseSlot(ReleaseReason::Cancelled);
+    endAttempts();
     m_exchange->abort();
     finish(Outcome::CallerDisconnected, "the caller disconnected or stopped reading");
 }
@@ -454,52 +462,58 @@
 {
     if (isCalling())
         m_mayHaveRun = true;
-    cancelCall();
-    releaseSlot(ReleaseReason::Cancelled);
+    endAttempts();
     refuseOrFail("the process ends before the response is complete");
 }
 
+void ProxiedRequest::armTimer(absl::Duration delay, void (ProxiedRequest::*expired)())
+{
+    stopTimer(m_responseTimer);
+    m_responseTimer =
+            m_context.loop.timers().subscribeOnce(delay, [self = shared_from_this(), expired] {
+                self->m_responseTimer = 0;
+                ((*self).*expired)();
+            });
+}
+
+void ProxiedRequest::stopTimer(TimerService::TimerId &timer)
+{
+    if (timer != 0)
+        m_context.loop.timers().unsubscribe(std::exchange(timer, 0));
+}
+
 void ProxiedRequest::armResponseTimer()
 {
-    auto &timers = m_context.loop.timers();
-    if (m_responseTimer != 0)
-        timers.unsubscribe(std::exchange(m_responseTimer, 0));
-    if (!mayRunAgain() || m_attempts >= m_route.maxAttempts)
+    stopTimer(m_responseTimer);
+    if (!mayRunAgain())
         return;
     const bool isStreaming = m_route.kind == RouteKind::Streaming;
     absl::Duration responseTimeout =
             m_route.latencyObjective
             * (isStreaming ? firstEventTimeoutFraction : completeResponseTimeoutFactor);
-    if (m_attempt.isStream && m_position.lastId()
+    if (m_attempt->isStream && m_position.lastId()
         && m_route.interEventObjective > absl::ZeroDuration())
         responseTimeout = m_route.interEventObjective * interEventTimeoutFraction;
-    m_responseTimer = timers.subscribeOnce(responseTimeout, [self = shared_from_this()] {
-        self->m_responseTimer = 0;
-        self->responseTimedOut();
-    });
+    armTimer(responseTimeout, &ProxiedRequest::responseTimedOut);
 }
 
-void ProxiedRequest::responseTimedOut()
+void ProxiedRequest::releaseSlot(Attempt &attempt, ReleaseReason reason)
 {
-    if (!isCalling() || m_isSlotRequested)
+    if (attempt.slotId.empty())
         return;
-    m_mayHaveRun = true;
-    m_state = State::Unresponsive;
-    if (m_attempt.forwarder.empty())
-        m_context.upstreams.recordSilence(m_attempt.upstream);
-    else
-        m_attempt.isForwarderSilent = true;
-    requestSlot();
-}
-
-void ProxiedRequest::releaseSlot(ReleaseReason reason)
-{
-    if (!m_heldSlotId.empty())
-        release(std::exchange(m_heldSlotId, std::string()), m_attempt.upstream, reason);
+    wire::SlotRelease release =
+            makeRelease(std::exchange(attempt.slotId, std::string()), attempt.upstream, reason);
+    if (!attempt.forwarder.empty()) {
+        release.forwarder = attempt.forwarder;
+        release.forwarderFailed = attempt.hasForwarderFailed;
+        release.isWitness = !attempt.hasForwarderFailed && !attempt.isForwarderSilent;
+    }
+    m_context.slotClient.release(release);
 }
 
-void ProxiedRequest::release(const std::string &slotId, const std::string &upstream,
-                             ReleaseReason reason)
+wire::SlotRelease ProxiedRequest::makeRelease(const std::string &slotId,
+                                              const std::string &upstream,
+                                              ReleaseReason reason) const
 {
     wire::SlotRelease release;
     release.instance = m_context.identity.instance;
@@ -513,34 +527,43 @@
     }
     release.isCutOff = m_context.upstreams.isCutOff();
     release.isWitness = m_context.upstreams.isWitness(reason);
-    if (upstream == m_attempt.upstream && !m_attempt.forwarder.empty()) {
-        release.forwarder = m_attempt.forwarder;
-        release.forwarderFailed = m_attempt.hasForwarderFailed;
-        release.isWitness = !m_attempt.hasForwarderFailed && !m_attempt.isForwarderSilent;
-    }
-    m_context.slotClient.release(release);
+    return release;
 }
 
-void ProxiedRequest::cancelCall()
+/// Releases a slot at which no attempt began.
+void ProxiedRequest::releaseUnused(const std::string &slotId, const std::string &upstream)
 {
-    if (!isCalling())
+    m_context.slotClient.release(makeRelease(slotId, upstream, ReleaseReason::Cancelled));
+}
+
+void ProxiedRequest::cancelCall(Attempt &attempt)
+{
+    if (!std::exchange(attempt.isCalling, false))
         return;
-    m_state = State::Waiting;
-    m_context.upstreams.cancel(m_attempt.call);
+    m_context.upstreams.cancel(attempt.call);
     m_context.crashGuard.recordCancelled(m_traits.all());
 }
 
+/// Ends all attempts because of the request and not of an upstream.
+void ProxiedRequest::endAttempts()
+{
+    for (const AttemptPtr &attempt : {m_attempt, std::exchange(m_hedge, nullptr)}) {
+        if (!attempt)
+            continue;
+        cancelCall(*attempt);
+        releaseSlot(*attempt, ReleaseReason::Cancelled);
+    }
+}
+
 void ProxiedRequest::finish(Outcome outcome, std::string_view reason)
 {
     m_state = State::Ended;
     m_bufferShare.reset();
-    auto &timers = m_context.loop.timers();
-    for (TimerService::TimerId *timer : {&m_deadlineTimer, &m_responseTimer}) {
-        if (*timer != 0)
-            timers.unsubscribe(std::exchange(*timer, 0));
-    }
+    stopTimer(m_deadlineTimer);
+    stopTimer(m_responseTimer);
     if (m_isSlotRequested)
-        release(m_requestedSlotId, "", ReleaseReason::Cancelled);
+        releaseUnused(m_requestedSlotId, "");
+    endAttempts();
     const absl::Time now = m_context.clock.now();
     const std::string kind(serving::name(m_route.kind));
     m_context.metrics.count("rattanrill_requests_total",
@@ -552,17 +575,18 @@
          {"route", m_route.name},
          {"workspace", m_request.workspace},
          {"outcome", name(outcome)},
-         {"status", m_attempt.hasHead ? m_attempt.head.status : 0},
+         {"status", m_attempt->hasHead ? m_attempt->head.status : 0},
          {"promptParts", absl::StrJoin(m_request.caller.sharedPromptParts, ",")},
          {"fingerprint", m_traits.fingerprint},
-         {"requestLimit", m_attempt.info.requestLimit.value_or(0)},
+         {"requestLimit", m_attempt->info.requestLimit.value_or(0)},
          {"reason", reason},
-         {"upstream", m_attempt.upstream},
-         {"upstreamVersion", m_attempt.version},
-         {"forwarder", m_attempt.forwarder},
+         {"upstream", m_attempt->upstream},
+         {"upstreamVersion", m_attempt->version},
+         {"forwarder", m_attempt->forwarder},
          {"stream", m_stream},
          {"streamVersion", m_streamVersion.value_or("")},
          {"attempts", m_attempts},
+         {"hedges", m_hedges},
          {"resumes", m_resumes},
          {"ownShare", m_fromLocalShare},
          {"upstreamListAgeMs", loggedMilliseconds(m_upstreamListAge)},
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "attempt.h"
+
 #include "rattanrill/serving/eventstream.h"
 #include "rattanrill/serving/proxyrequest.h"
 
@@ -12,6 +14,10 @@
 namespace rattanrill::serving {
 
 /// A caller's request that this entry process forwards to upstreams, one attempt after another.
+///
+/// When an upstream is silent, a request that may run again is also sent to another one, the hedge.
+/// The attempt that responds first serves the request, and the other one is cancelled; so a running
+/// call is never given up for an attempt that may be refused, break, or be silent too.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
 public:
@@ -40,71 +46,52 @@
         Waiting,
         /// An upstream runs the request.
         Running,
-        /// An upstream runs the request but has not responded in time. It may still respond while a
-        /// slot at another upstream is requested.
+        /// An upstream runs the request but has not responded in time. It may still respond while
+        /// another upstream is tried.
         Unresponsive,
         Ended,
     };
 
-    /// One attempt at an upstream.
-    struct Attempt
-    {
-        std::string upstream;
-        std::string address;
-        /// Version of the upstream's software.
-        std::string version;
-        UpstreamCaller::CallId call = 0;
-        /// Instance of the entry that forwards the call; empty when this process sends it.
-        std::string forwarder;
-        /// Whether the forwarder is the reason why the call ended.
-        bool hasForwarderFailed = false;
-        /// Whether no response came in time from the forwarder, which may be the reason itself.
-        bool isForwarderSilent = false;
-        absl::Time sentAt;
-        /// The next three are valid once the head of the response has arrived.
-        bool hasHead = false;
-        net::ResponseHead head;
-        ResponseInfo info;
-        bool isStream = false;
-        /// Whether an event or a part of the body arrived, that is, the upstream began to write the
-        /// response.
-        bool hasBegun = false;
-        /// Body of a response that is not a stream.
-        std::string body;
-        EventSplitter splitter;
-    };
-
     static std::string_view name(Outcome outcome);
 
     void findStreamOrigin();
     bool hasStreamBegun() const;
     bool mayRunAgain() const;
-    bool isCalling() const;
+    bool isCalling() const { return m_attempt->isCalling; }
     absl::Duration remainingTime() const;
     bool hasTimeForAttempt() const;
-    bool rejectBlocked();
+    bool isBlocked();
+    void rejectBlocked();
     void requestSlot();
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
+    void slotGranted(const wire::SlotResponse &grant);
+    UpstreamTarget targetOf(const wire::SlotResponse &grant) const;
     void send(const wire::SlotResponse &grant);
-    net::CallHandlers callHandlers(const wire::SlotResponse &grant);
-    ForwardingOptions forwardingOptions();
-    net::ResponseOwner ownerOf(const net::ResponseHead &head) const;
-    void reportForeignAnnouncement(net::ResponseOwner owner, const ResponseInfo &info) const;
-    void headReceived(const net::ResponseHead &head);
-    void bodyReceived(std::string_view bytes);
+    AttemptPtr beginAttempt(const wire::SlotResponse &grant);
+    net::CallHandlers callHandlers(const AttemptPtr &attempt);
+    static ForwardingOptions forwardingOptions(const AttemptPtr &attempt,
+                                               const CrashTraits &traits);
+    net::ResponseOwner ownerOf(const Attempt &attempt, const net::ResponseHead &head) const;
+    void reportForeignAnnouncement(const Attempt &attempt, net::ResponseOwner owner,
+                                   const ResponseInfo &info) const;
+    void headReceived(const AttemptPtr &attempt, const net::ResponseHead &head);
+    void bodyReceived(const AttemptPtr &attempt, std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     bool bufferWithinLimits();
     void giveUpBuffer();
     void clearBuffer();
+    void responding();
     void responseBegun();
     bool deliver(const StreamEvent &event);
     void startResponse();
     bool completesStream() const;
-    void callEnded(net::CallStatus status);
-    void attemptBroken();
+    void callEnded(const AttemptPtr &attempt, net::CallStatus status);
+    void recordNotTried(Attempt &attempt, net::CallStatus status);
+    static bool isBroken(const Attempt &attempt, net::CallStatus status);
+    void recordBroken(const Attempt &attempt);
     void responseCompleted();
     void attemptFailed(std::string_view reason, policy::ReleaseReason releaseReason);
-    void logFailedAttempt(std::string_view reason) const;
+    void logFailedAttempt(const Attempt &attempt, std::string_view reason) const;
     void refuseOrFail(std::string_view reason);
     void refuse(ErrorCode code, const std::string &detail, absl::Duration retryAfter);
     void fail(ErrorCode code, const std::string &detail);
@@ -112,18 +99,36 @@
     void callerDisconnected();
     void processEnding();
     void armResponseTimer();
+    void armTimer(absl::Duration delay, void (ProxiedRequest::*expired)());
+    void stopTimer(TimerService::TimerId &timer);
     void responseTimedOut();
-    void abandonUnresponsiveUpstream();
+    void requestHedge();
+    bool isLinkLost(const Attempt &attempt) const;
+    void discount(Attempt &attempt);
+    void replaceLost(const wire::SlotResponse &grant);
+    void startHedge(const wire::SlotResponse &grant);
+    void hedgeBodyReceived(std::string_view bytes);
+    void hedgeEnded(net::CallStatus status);
+    bool isHedgeAnswer() const;
+    bool completesHedge() const;
+    SequenceCheck replayHedge(StreamPosition &position) const;
+    void promoteHedge();
+    void replaceByHedge();
+    void endHedge(std::string_view reason, policy::ReleaseReason releaseReason);
+    void hedgeTimedOut();
+    void resolveSilence();
+    void endAttempts();
     bool isLeaving(const std::string &upstream, const std::string &address) const;
     bool isOtherVersion(const wire::SlotResponse &response) const;
     void skipUpstream(const std::string &upstream, std::string_view reason);
     void refuseOrFail(const wire::SlotResponse &response);
     void skipLeavingUpstream(const std::string &slotId, const std::string &upstream,
                              const std::string &address);
-    void releaseSlot(policy::ReleaseReason reason);
-    void release(const std::string &slotId, const std::string &upstream,
-                 policy::ReleaseReason reason);
-    void cancelCall();
+    void releaseSlot(Attempt &attempt, policy::ReleaseReason reason);
+    wire::SlotRelease makeRelease(const std::string &slotId, const std::string &upstream,
+                                  policy::ReleaseReason reason) const;
+    void releaseUnused(const std::string &slotId, const std::string &upstream);
+    void cancelCall(Attempt &attempt);
     void finish(Outcome outcome, std::string_view reason);
 
     const ServingContext &m_context;
@@ -142,16 +147,18 @@
     bool m_isSlotRequested = false;
     /// Whether the last slot request named the need of a forwarder.
     bool m_hasRequestedForwarder = false;
-    /// Request ids of the slot that is held (empty when none is) and of the last slot request. Each
-    /// slot request has an id of its own.
-    std::string m_heldSlotId;
+    /// Id of the last slot request. Each slot request has an id of its own.
     std::string m_requestedSlotId;
     int m_slotRequestCount = 0;
     /// The current attempt or, while there is none, the last one.
-    Attempt m_attempt;
+    AttemptPtr m_attempt = std::make_shared<Attempt>();
+    /// A further attempt while the upstream of the current one is silent; null when there is none.
+    AttemptPtr m_hedge;
 
     // All attempts.
     int m_attempts = 0;
+    /// Attempts that began as hedges.
+    int m_hedges = 0;
     bool m_mayHaveRun = false;
     bool m_chargedRate = false;
     bool m_fromLocalShare = false;
@@ -171,6 +178,7 @@
     /// Bytes of the current attempt and of unsent events; empty while there are few.
     std::optional<BufferShare> m_bufferShare;
     TimerService::TimerId m_deadlineTimer = 0;
+    /// Limits the time without a response of the current attempt or, if there is a hedge, of that.
     TimerService::TimerId m_responseTimer = 0;
 };
 
--- /dev/null
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -0,0 +1,233 @@
+#include "proxiedrequest.h"
+
+#include "rattanrill/base/logger.h"
+
+#include <utility>
+#include <vector>
+
+namespace rattanrill::serving {
+
+using policy::ReleaseReason;
+
+namespace {
+
+/// Longest time that two upstreams run the same request. Long enough for the first event of an
+/// upstream with a free slot.
+constexpr absl::Duration maxHedgeTime = absl::Milliseconds(250);
+
+} // namespace
+
+void ProxiedRequest::responseTimedOut()
+{
+    if (!isCalling() || m_isSlotRequested || m_hedge)
+        return;
+    m_mayHaveRun = true;
+    m_state = State::Unresponsive;
+    if (!m_attempt->forwarder.empty()) {
+        m_attempt->isForwarderSilent = true;
+        return requestHedge();
+    }
+    // The slot request states whether this process is cut off, which the silence alone doesn't
+    // show.
+    m_context.upstreams.recordSilence(m_attempt->upstream,
+                                      [self = shared_from_this()] { self->requestHedge(); });
+}
+
+void ProxiedRequest::requestHedge()
+{
+    if (m_state != State::Unresponsive || m_isSlotRequested || m_hedge)
+        return;
+    if (isLinkLost(*m_attempt))
+        discount(*m_attempt);
+    if (m_attempts < m_route.maxAttempts)
+        return requestSlot();
+    armResponseTimer();
+}
+
+/// Whether \a attempt waits for a response on links that are known to be lost.
+bool ProxiedRequest::isLinkLost(const Attempt &attempt) const
+{
+    return attempt.forwarder.empty() && !m_context.upstreams.canReceive();
+}
+
+/// Takes back the count of an attempt that did not reach its upstream.
+void ProxiedRequest::discount(Attempt &attempt)
+{
+    if (!std::exchange(attempt.isDiscounted, true))
+        --m_attempts;
+}
+
+void ProxiedRequest::startHedge(const wire::SlotResponse &grant)
+{
+    if (isLinkLost(*m_attempt))
+        return replaceLost(grant);
+    const bool canCall = m_context.upstreams.canCall(targetOf(grant), m_request.caller.id);
+    const bool mayBegin = mayRunAgain() && hasTimeForAttempt() && !isBlocked();
+    if (!canCall || !mayBegin) {
+        releaseUnused(m_requestedSlotId, grant.upstream);
+        // The links were lost after the slot was requested.
+        const bool needsForwarder = !canCall && !m_hasRequestedForwarder;
+        return mayBegin && needsForwarder ? requestSlot() : armResponseTimer();
+    }
+    ++m_hedges;
+    m_context.metrics.count("rattanrill_hedges_total");
+    m_hedge = beginAttempt(grant);
+    armTimer(maxHedgeTime, &ProxiedRequest::hedgeTimedOut);
+}
+
+/// A call on lost links does not go on, so the request is sent without it or fails at once.
+void ProxiedRequest::replaceLost(const wire::SlotResponse &grant)
+{
+    logFailedAttempt(*m_attempt, "the upstream did not respond in time");
+    cancelCall(*m_attempt);
+    releaseSlot(*m_attempt, ReleaseReason::Failed);
+    clearBuffer();
+    m_state = State::Waiting;
+    if (m_exchange->streamStarted())
+        ++m_resumes;
+    send(grant);
+}
+
+void ProxiedRequest::hedgeBodyReceived(std::string_view bytes)
+{
+    m_hedge->body.append(bytes);
+    if (!isHedgeAnswer())
+        return;
+    if (!m_hedge->isStream)
+        return promoteHedge();
+    StreamPosition position = m_position;
+    switch (replayHedge(position)) {
+    case SequenceCheck::InOrder:
+        return promoteHedge();
+    case SequenceCheck::Gap:
+    case SequenceCheck::Unnumbered:
+        endHedge("the response does not continue the stream", ReleaseReason::Completed);
+        return requestHedge();
+    case SequenceCheck::Repeated:
+        break;
+    }
+    if (m_hedge->body.size() <= EventSplitter::maxEventBytes)
+        return;
+    endHedge("an event exceeds the size limit", ReleaseReason::Failed);
+    requestHedge();
+}
+
+/// Whether the response of the hedge may serve the request.
+bool ProxiedRequest::isHedgeAnswer() const
+{
+    const Attempt &hedge = *m_hedge;
+    return hedge.hasHead && !hedge.info.notRun && !hedge.info.promisesNotRun
+           && hedge.head.status < 500 && (hedge.isStream || !m_exchange->streamStarted());
+}
+
+/// Whether the end of the hedge's complete response is the end of the request: a stream without
+/// further events ends the one that has begun only if it repeats the last delivered event.
+bool ProxiedRequest::completesHedge() const
+{
+    if (!m_hedge->isStream || (m_hedge->body.empty() && !m_exchange->streamStarted()))
+        return true;
+    StreamPosition position = m_position;
+    return replayHedge(position) == SequenceCheck::Repeated && position.hasReceivedEvent()
+           && position.hasReachedLast();
+}
+
+/// Passes the events of the hedge to \a position. Returns InOrder or the fault once they show that
+/// they continue the stream or do not, Repeated before that.
+SequenceCheck ProxiedRequest::replayHedge(StreamPosition &position) const
+{
+    position.beginAttempt();
+    EventSplitter splitter;
+    std::vector<StreamEvent> events;
+    splitter.feed(m_hedge->body, events);
+    for (const StreamEvent &event : events) {
+        const SequenceCheck check =
+                event.hasContent() ? position.advance(event) : SequenceCheck::Repeated;
+        if (check != SequenceCheck::Repeated)
+            return check;
+    }
+    return SequenceCheck::Repeated;
+}
+
+/// The hedge responds first, so the current attempt is given up.
+void ProxiedRequest::promoteHedge()
+{
+    m_context.metrics.count("rattanrill_hedge_responses_total");
+    attemptFailed("the upstream did not respond in time", ReleaseReason::Failed);
+}
+
+/// Makes the hedge the current attempt, after the former one has ended.
+void ProxiedRequest::replaceByHedge()
+{
+    m_attempt = std::exchange(m_hedge, nullptr);
+    m_state = State::Running;
+    if (m_exchange->streamStarted())
+        ++m_resumes;
+    if (hasStreamBegun())
+        m_streamVersion = m_attempt->version;
+    m_position.beginAttempt();
+    armResponseTimer();
+    const std::string received = std::exchange(m_attempt->body, std::string());
+    if (!received.empty())
+        bodyReceived(m_attempt, received);
+}
+
+void ProxiedRequest::hedgeEnded(net::CallStatus status)
+{
+    const AttemptPtr hedge = m_hedge;
+    if (status == net::CallStatus::NotConnected) {
+        const bool leaves = isLeaving(hedge->upstream, hedge->address);
+        endHedge("the connection to the upstream could not be established",
+                 leaves ? ReleaseReason::Cancelled : ReleaseReason::Unreachable);
+    } else if (isBroken(*hedge, status)) {
+        recordBroken(*hedge);
+        endHedge("the connection to the upstream broke before the response was complete",
+                 ReleaseReason::Failed);
+    } else if (hedge->info.notRun) {
+        endHedge("the upstream refused the request", refusalReason(hedge->info));
+    } else if (isHedgeAnswer() && completesHedge()) {
+        promoteHedge();
+        if (m_attempt == hedge)
+            callEnded(hedge, status);
+        return;
+    } else {
+        m_context.crashGuard.recordSound(m_traits.suspects(hedge->hasBegun));
+        endHedge("the response can't serve the request", ReleaseReason::Completed);
+    }
+    requestHedge();
+}
+
+void ProxiedRequest::endHedge(std::string_view reason, ReleaseReason releaseReason)
+{
+    const AttemptPtr hedge = std::exchange(m_hedge, nullptr);
+    logFailedAttempt(*hedge, reason);
+    cancelCall(*hedge);
+    releaseSlot(*hedge, releaseReason);
+    armResponseTimer();
+}
+
+/// The response may have arrived while this process was busy; its handler then runs first.
+void ProxiedRequest::hedgeTimedOut()
+{
+    m_context.loop.post([self = shared_from_this(), hedge = m_hedge] {
+        if (hedge && self->m_hedge == hedge)
+            self->resolveSilence();
+    });
+}
+
+/// Ends one of two attempts that are both silent. The first one has done more of the work, so it
+/// runs on unless it can't be reached.
+void ProxiedRequest::resolveSilence()
+{
+    const bool isFirstReachable =
+            !m_attempt->forwarder.empty() || m_context.upstreams.isReachable(m_attempt->upstream);
+    const bool isHedgeLost = m_hedge->forwarder.empty() && m_context.upstreams.isCutOff();
+    if (!isFirstReachable && !isHedgeLost)
+        return attemptFailed("the upstream did not respond in time", ReleaseReason::Failed);
+    if (isHedgeLost)
+        discount(*m_hedge);
+    endHedge("the upstream did not respond in time, like the one before", ReleaseReason::Cancelled);
+    if (isHedgeLost)
+        requestHedge();
+}
+
+} // namespace rattanrill::serving
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -2,6 +2,8 @@
 
 #include "rattanrill/base/logger.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -22,7 +24,8 @@
 
 } // namespace
 
-net::ResponseOwner ProxiedRequest::ownerOf(const net::ResponseHead &head) const
+net::ResponseOwner ProxiedRequest::ownerOf(const Attempt &attempt,
+                                           const net::ResponseHead &head) const
 {
     const ResponseInfo info = m_context.protocol.parseResponse(head);
     const net::ResponseOwner owner = serving::ownerOf(info, m_request.caller.id);
@@ -30,58 +33,70 @@
         log(LogLevel::Warning, "foreign-answer-dropped",
             {{"requestId", m_request.caller.id},
              {"foreignRequestId", info.requestId},
-             {"upstream", m_attempt.upstream}});
-    reportForeignAnnouncement(owner, info);
+             {"upstream", attempt.upstream}});
+    reportForeignAnnouncement(attempt, owner, info);
     return owner;
 }
 
 /// The announcement that an upstream leaves concerns the upstream and not the request, so it is
 /// valid in a response to another request too.
-void ProxiedRequest::reportForeignAnnouncement(net::ResponseOwner owner,
+void ProxiedRequest::reportForeignAnnouncement(const Attempt &attempt, net::ResponseOwner owner,
                                                const ResponseInfo &info) const
 {
     if (owner == net::ResponseOwner::ThisRequest)
         return;
-    if (const auto report = leavingReportOf(m_attempt.upstream, m_attempt.address, info))
+    if (const auto report = leavingReportOf(attempt.upstream, attempt.address, info))
         m_context.slotClient.reportLoad(*report);
 }
 
-void ProxiedRequest::headReceived(const net::ResponseHead &head)
+void ProxiedRequest::headReceived(const AttemptPtr &attempt, const net::ResponseHead &head)
 {
     const ResponseInfo info = m_context.protocol.parseResponse(head);
-    m_attempt.head = head;
-    m_attempt.info = info;
-    m_attempt.hasHead = true;
-    m_attempt.isForwarderSilent = false;
+    attempt->head = head;
+    attempt->info = info;
+    attempt->hasHead = true;
+    attempt->isForwarderSilent = false;
     // The attempt may end before the response is complete, when a bound is reached.
     m_mayHaveRun = m_mayHaveRun || !info.notRun;
     if (!info.isInstanceMismatch)
-        m_context.slotClient.reportLoad(loadOf(m_attempt.upstream, m_attempt.address, info));
-    m_attempt.isStream = !info.notRun && head.status >= 200 && head.status < 300
-                         && m_route.kind == RouteKind::Streaming
-                         && m_context.protocol.isEventStream(head);
+        m_context.slotClient.reportLoad(loadOf(attempt->upstream, attempt->address, info));
+    attempt->isStream = !info.notRun && head.status >= 200 && head.status < 300
+                        && m_route.kind == RouteKind::Streaming
+                        && m_context.protocol.isEventStream(head);
 }
 
-void ProxiedRequest::bodyReceived(std::string_view bytes)
+void ProxiedRequest::bodyReceived(const AttemptPtr &attempt, std::string_view bytes)
 {
     if (m_state == State::Ended)
         return;
-    if (m_attempt.isStream)
+    if (attempt == m_hedge)
+        return hedgeBodyReceived(bytes);
+    if (m_attempt->isStream)
         return forwardEvents(bytes);
-    m_state = State::Running;
-    if (!bytes.empty() && !m_attempt.info.notRun && m_attempt.head.status < 300)
+    if (!bytes.empty() && !m_attempt->info.notRun && m_attempt->head.status < 500)
+        responding();
+    if (!bytes.empty() && !m_attempt->info.notRun && m_attempt->head.status < 300)
         responseBegun();
-    if (m_attempt.body.size() + bytes.size() > maxBufferedBodyBytes)
+    if (m_attempt->body.size() + bytes.size() > maxBufferedBodyBytes)
         return attemptFailed("the response body exceeds the size limit", ReleaseReason::Failed);
-    m_attempt.body.append(bytes);
+    m_attempt->body.append(bytes);
     if (!bufferWithinLimits())
         giveUpBuffer();
 }
 
+/// The upstream of the current attempt responds, after all if it was silent. If a slot at another
+/// one is still granted, slotResponseReceived() releases it.
+void ProxiedRequest::responding()
+{
+    m_state = State::Running;
+    if (m_hedge)
+        endHedge("the other upstream responded first", ReleaseReason::Cancelled);
+}
+
 /// Returns false when the process buffers too much and this request most of it.
 bool ProxiedRequest::bufferWithinLimits()
 {
-    const std::size_t bytes = m_attempt.body.size() + m_attempt.splitter.incompleteEvent().size()
+    const std::size_t bytes = m_attempt->body.size() + m_attempt->splitter.incompleteEvent().size()
                               + m_exchange->unsentBytes();
     if (!m_bufferShare && bytes < minCountedBytes)
         return true;
@@ -100,7 +115,7 @@
     if (m_state == State::Ended)
         return;
     const std::size_t received =
-            m_attempt.body.size() + m_attempt.splitter.incompleteEvent().size();
+            m_attempt->body.size() + m_attempt->splitter.incompleteEvent().size();
     if (m_exchange->unsentBytes() > received)
         return callerDisconnected();
     attemptFailed("the process buffers too many bytes of responses", ReleaseReason::Failed);
@@ -108,15 +123,15 @@
 
 void ProxiedRequest::clearBuffer()
 {
-    m_attempt.body = std::string();
-    m_attempt.splitter = EventSplitter();
+    m_attempt->body = std::string();
+    m_attempt->splitter = EventSplitter();
     m_bufferShare.reset();
 }
 
 void ProxiedRequest::forwardEvents(std::string_view bytes)
 {
     std::vector<StreamEvent> events;
-    m_attempt.splitter.feed(bytes, events);
+    m_attempt->splitter.feed(bytes, events);
     bool hasContent = false;
     for (const StreamEvent &event : events) {
         if (m_state == State::Ended || !deliver(event))
@@ -125,21 +140,20 @@
     }
     if (hasContent)
         responseBegun();
-    if (m_attempt.splitter.isEventTooLong())
+    if (m_attempt->splitter.isEventTooLong())
         return attemptFailed("an event exceeds the size limit", ReleaseReason::Failed);
     if (!bufferWithinLimits())
         return giveUpBuffer();
     if (!hasContent)
         return;
-    // The upstream responds after all. If a slot at another one is still granted,
-    // slotResponseReceived() releases it. Bytes that contain no event are no response.
-    m_state = State::Running;
+    // Bytes that contain no event are no response.
+    responding();
     armResponseTimer();
 }
 
 void ProxiedRequest::responseBegun()
 {
-    if (!std::exchange(m_attempt.hasBegun, true))
+    if (!std::exchange(m_attempt->hasBegun, true))
         m_context.crashGuard.recordSound(m_traits.promptParts);
 }
 
@@ -159,7 +173,7 @@
         break;
     }
     if (event.hasContent())
-        m_streamVersion = m_attempt.version;
+        m_streamVersion = m_attempt->version;
     startResponse();
     m_exchange->write(event.bytes);
     if (m_exchange->unsentBytes() > maxUnsentBytes) {
@@ -176,87 +190,110 @@
     if (m_exchange->streamStarted())
         return;
     m_firstByteAt = m_context.clock.now();
-    net::ResponseHead head = m_attempt.head;
+    net::ResponseHead head = m_attempt->head;
     net::removeHopByHopHeaders(head.headers);
     m_exchange->startStream(std::move(head));
 }
 
-void ProxiedRequest::callEnded(net::CallStatus status)
+void ProxiedRequest::callEnded(const AttemptPtr &attempt, net::CallStatus status)
 {
     if (m_state == State::Ended)
         return;
-    m_state = State::Waiting;
-    if (status == net::CallStatus::NotConnected
-        && isLeaving(m_attempt.upstream, m_attempt.address)) {
-        --m_attempts;
-        return skipLeavingUpstream(std::exchange(m_heldSlotId, std::string()), m_attempt.upstream,
-                                   m_attempt.address);
-    }
-    // The forwarder did not take the call, so this upstream has not been tried.
-    if (status == net::CallStatus::NotConnected && m_attempt.hasForwarderFailed) {
-        --m_attempts;
-        m_excludedUpstreams.pop_back();
+    attempt->isCalling = false;
+    recordNotTried(*attempt, status);
+    if (attempt == m_hedge)
+        return hedgeEnded(status);
+    const bool isNotSentToLeaving = status == net::CallStatus::NotConnected
+                                    && isLeaving(m_attempt->upstream, m_attempt->address);
+    if (isNotSentToLeaving && !m_hedge) {
+        m_state = State::Waiting;
+        return skipLeavingUpstream(std::exchange(m_attempt->slotId, std::string()),
+                                   m_attempt->upstream, m_attempt->address);
     }
     if (status == net::CallStatus::NotConnected)
         return attemptFailed("the connection to the upstream could not be established",
-                             ReleaseReason::Unreachable);
+                             isNotSentToLeaving ? ReleaseReason::Cancelled
+                                                : ReleaseReason::Unreachable);
     const bool isReportedNotRun =
-            status == net::CallStatus::Complete && m_attempt.hasHead && m_attempt.info.notRun;
+            status == net::CallStatus::Complete && m_attempt->hasHead && m_attempt->info.notRun;
     if (!isReportedNotRun)
         m_mayHaveRun = true;
-    if (status == net::CallStatus::Broken
-        || (m_attempt.isStream
-            && isBrokenOff(m_attempt.head, m_attempt.splitter, m_attempt.hasBegun)))
-        return attemptBroken();
+    if (isBroken(*m_attempt, status)) {
+        recordBroken(*m_attempt);
+        return attemptFailed(
+                "the connection to the upstream broke before the response was complete",
+                ReleaseReason::Failed);
+    }
     if (isReportedNotRun)
-        return attemptFailed("the upstream refused the request", refusalReason(m_attempt.info));
+        return attemptFailed("the upstream refused the request", refusalReason(m_attempt->info));
     responseCompleted();
 }
 
-void ProxiedRequest::attemptBroken()
+/// Takes back the count of an attempt that was not made.
+void ProxiedRequest::recordNotTried(Attempt &attempt, net::CallStatus status)
+{
+    if (status != net::CallStatus::NotConnected)
+        return;
+    if (isLeaving(attempt.upstream, attempt.address)) {
+        discount(attempt);
+    } else if (attempt.hasForwarderFailed) {
+        // The forwarder did not take the call, so this upstream has not been tried.
+        discount(attempt);
+        const auto excluded = std::find(m_excludedUpstreams.rbegin(), m_excludedUpstreams.rend(),
+                                        attempt.upstream);
+        if (excluded != m_excludedUpstreams.rend())
+            m_excludedUpstreams.erase(std::next(excluded).base());
+    }
+}
+
+bool ProxiedRequest::isBroken(const Attempt &attempt, net::CallStatus status)
+{
+    return status == net::CallStatus::Broken
+           || (attempt.isStream && isBrokenOff(attempt.head, attempt.splitter, attempt.hasBegun));
+}
+
+void ProxiedRequest::recordBroken(const Attempt &attempt)
 {
     // The entry that forwards a call reports the crash itself.
-    if (m_attempt.forwarder.empty())
-        m_context.crashGuard.recordBroken(
-                m_context.upstreams, {m_request.caller.id, m_attempt.upstream, m_attempt.address,
-                                      m_traits.suspects(m_attempt.hasBegun), m_attempt.sentAt});
-    attemptFailed("the connection to the upstream broke before the response was complete",
-                  ReleaseReason::Failed);
+    if (attempt.forwarder.empty())
+        m_context.crashGuard.recordBroken(m_context.upstreams,
+                                          {m_request.caller.id, attempt.upstream, attempt.address,
+                                           m_traits.suspects(attempt.hasBegun), attempt.sentAt});
 }
 
 /// Whether the end of the complete response is the end of the stream. A caller that resumes its
 /// stream after the last event gets a response without events.
 bool ProxiedRequest::completesStream() const
 {
-    const bool isFirstAndEmpty = !m_exchange->streamStarted() && !m_attempt.hasBegun;
-    return m_attempt.isStream && (m_position.hasReachedLast() || isFirstAndEmpty);
+    const bool isFirstAndEmpty = !m_exchange->streamStarted() && !m_attempt->hasBegun;
+    return m_attempt->isStream && (m_position.hasReachedLast() || isFirstAndEmpty);
 }
 
 void ProxiedRequest::responseCompleted()
 {
     // Whatever the status is, the upstream did not crash.
-    m_context.crashGuard.recordSound(m_traits.suspects(m_attempt.hasBegun));
-    const bool isServerError = m_attempt.head.status >= 500;
+    m_context.crashGuard.recordSound(m_traits.suspects(m_attempt->hasBegun));
+    const bool isServerError = m_attempt->head.status >= 500;
     if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts && hasTimeForAttempt())
         return attemptFailed("the upstream responded with a server error",
                              ReleaseReason::Completed);
     // A caller may send a request again that it reads as not run.
-    if (m_attempt.info.promisesNotRun && !mayRunAgain())
+    if (m_attempt->info.promisesNotRun && !mayRunAgain())
         return attemptFailed("the upstream's status promises without proof that it did not run",
                              ReleaseReason::Completed);
-    if ((m_attempt.isStream || m_exchange->streamStarted()) && !completesStream())
+    if ((m_attempt->isStream || m_exchange->streamStarted()) && !completesStream())
         return attemptFailed("the response does not continue the stream", ReleaseReason::Completed);
-    releaseSlot(ReleaseReason::Completed);
-    if (m_attempt.isStream) {
+    releaseSlot(*m_attempt, ReleaseReason::Completed);
+    if (m_attempt->isStream) {
         startResponse();
         m_exchange->finish();
         return finish(Outcome::Completed, "");
     }
     m_firstByteAt = m_context.clock.now();
     net::Response response;
-    response.head = m_attempt.head;
+    response.head = m_attempt->head;
     net::removeHopByHopHeaders(response.head.headers);
-    response.body = std::move(m_attempt.body);
+    response.body = std::move(m_attempt->body);
     m_exchange->respond(std::move(response));
     finish(Outcome::Completed, "");
 }
