Net, serving: State the remaining time when a request is written

Upstreams were told more time than was left, by up to a second: the deadline was put into a request before its connection was established, and before another entry had forwarded it.

A request is now made when its connection is established, and an entry that forwards a call replaces the remaining time when it sends it. Items of jobs state no deadline and are not concerned.

On the code before, requestIsWrittenWhenTheConnectionIsEstablished cannot be written, because the pool takes the bytes of the request.

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -38,6 +38,10 @@
     Unknown,
 };
 
+/// Returns the bytes of a request. Called when they can be written, so that the request may state
+/// how much time is left then.
+using RequestWriter = std::function<std::string()>;
+
 /// Callbacks that receive the response to one call. They run on the event loop.
 struct CallHandlers
 {
@@ -86,11 +90,15 @@
     ConnectionPool(const ConnectionPool &) = delete;
     ConnectionPool &operator=(const ConnectionPool &) = delete;
 
-    /// Sends \a request, a serialized HTTP request, to \a address ("host:port"). Errors are
-    /// reported by CallHandlers::onEnd. \a requestId: id that the response to the request repeats;
-    /// absent when responses name no request. A connection carries each id once, so that an
-    /// upstream that repeats a response cannot answer a repeated request with it. A request with an
-    /// empty id gets a connection of its own.
+    /// Sends the serialized HTTP request that \a writer returns to \a address ("host:port").
+    /// \a writer is called once, when a connection is established, and before return if one is
+    /// idle. Errors are reported by CallHandlers::onEnd. \a requestId: id that the response to the
+    /// request repeats; absent when responses name no request. A connection carries each id once,
+    /// so that an upstream that repeats a response cannot answer a repeated request with it. A
+    /// request with an empty id gets a connection of its own.
+    CallId call(const std::string &address, RequestWriter writer, CallHandlers handlers,
+                const std::optional<std::string> &requestId = std::nullopt);
+    /// The same for a request that does not change while a connection is being established.
     CallId call(const std::string &address, std::string request, CallHandlers handlers,
                 const std::optional<std::string> &requestId = std::nullopt);
     /// Opens a connection to \a address, which then is idle. \a done is called once, with whether
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -131,6 +131,9 @@
     /// and the API key is removed.
     virtual net::Request upstreamRequest(const net::Request &request,
                                          const UpstreamAttempt &attempt) const = 0;
+    /// Replaces the remaining time that \a request, which is serialized, states to its upstream. A
+    /// request that states none is not changed.
+    virtual void setRemainingTime(std::string &request, absl::Duration remainingTime) const = 0;
     /// Returns the request that runs \a item of a batch job. \a host is the host to which the job
     /// was submitted.
     virtual net::Request itemRequest(const wire::JobItem &item, const std::string &host,
--- a/include/rattanrill/serving/upstreamcaller.h
+++ b/include/rattanrill/serving/upstreamcaller.h
@@ -48,8 +48,9 @@
     void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams);
     /// Whether a call of \a target is expected to reach the upstream.
     bool canCall(const UpstreamTarget &target, const std::string &requestId) const;
-    /// See net::ConnectionPool::call().
-    CallId call(const UpstreamTarget &target, std::string request, net::CallHandlers handlers,
+    /// See net::ConnectionPool::call(). For a call that another entry forwards, \a writer is called
+    /// before return; that entry replaces the remaining time when it sends the request.
+    CallId call(const UpstreamTarget &target, net::RequestWriter writer, net::CallHandlers handlers,
                 const std::string &requestId, ForwardingOptions options = {});
     /// No handler of the call runs after return.
     void cancel(CallId call);
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -266,14 +266,21 @@
     m_sentAt = m_context.clock.now();
     m_context.crashGuard.recordSent(m_traits.all());
     m_call = m_context.upstreams.call(
-            target, net::serialize(m_context.protocol.itemRequest(m_item, m_job->host, attempt)),
-            callHandlers(), m_item.id,
+            target, requestWriter(attempt), callHandlers(), m_item.id,
             {m_traits, [self = shared_from_this()] { self->m_hasForwarderFailed = true; }});
     // An established connection may have been used although an entry would forward.
     if (!m_context.upstreams.isForwarded(m_call))
         releaseForwarder();
 }
 
+net::RequestWriter ItemRun::requestWriter(const serving::UpstreamAttempt &attempt)
+{
+    return [self = shared_from_this(), attempt] {
+        return net::serialize(
+                self->m_context.protocol.itemRequest(self->m_item, self->m_job->host, attempt));
+    };
+}
+
 void ItemRun::releaseForwarder()
 {
     if (!m_forwarder.empty())
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -74,6 +74,7 @@
     void handleSlotGranted(const policy::GrantSlot &grant);
     serving::UpstreamTarget chooseTarget(const policy::GrantSlot &grant);
     void send(const serving::UpstreamTarget &target);
+    net::RequestWriter requestWriter(const serving::UpstreamAttempt &attempt);
     net::CallHandlers callHandlers();
     /// Discards the output that the next attempt does not continue.
     void prepareOutput(const std::string &version);
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -153,6 +153,15 @@
 ConnectionPool::CallId ConnectionPool::call(const std::string &address, std::string request,
                                             CallHandlers handlers,
                                             const std::optional<std::string> &requestId)
+{
+    return call(
+            address, [request = std::move(request)] { return request; }, std::move(handlers),
+            requestId);
+}
+
+ConnectionPool::CallId ConnectionPool::call(const std::string &address, RequestWriter writer,
+                                            CallHandlers handlers,
+                                            const std::optional<std::string> &requestId)
 {
     const CallId id = m_impl->nextId++;
     if (m_impl->retired.erase(address) > 0)
@@ -169,7 +178,7 @@
             impl->removeCall(id);
         onEnd(result);
     };
-    connection->call(std::move(request), std::move(handlers), requestId.value_or(std::string()));
+    connection->call(std::move(writer), std::move(handlers), requestId.value_or(std::string()));
     return id;
 }
 
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -79,10 +79,10 @@
     connect();
 }
 
-void UpstreamConnection::call(std::string request, CallHandlers handlers,
+void UpstreamConnection::call(RequestWriter writer, CallHandlers handlers,
                               const std::string &requestId)
 {
-    m_output = std::move(request);
+    m_writer = std::move(writer);
     m_handlers = std::make_shared<CallHandlers>(std::move(handlers));
     const bool isNew = m_state == State::New;
     m_isReused = !m_carriedIds.empty();
@@ -100,7 +100,7 @@
     if (isNew)
         connect();
     else
-        send();
+        writeRequest();
 }
 
 void UpstreamConnection::connect()
@@ -144,6 +144,12 @@
         return fail(CallStatus::NotConnected);
     m_state = State::Calling;
     read();
+    writeRequest();
+}
+
+void UpstreamConnection::writeRequest()
+{
+    m_output = std::exchange(m_writer, nullptr)();
     send();
 }
 
@@ -313,6 +319,7 @@
     const auto self = shared_from_this();
     m_state = State::Closed;
     m_handlers.reset();
+    m_writer = nullptr;
     m_timer.cancel();
     boost::system::error_code ignored;
     m_socket.close(ignored);
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -29,8 +29,9 @@
     /// Connects without a request. The connection is idle when \a done is called with true.
     /// Requires a new connection.
     void establish(std::function<void(bool isConnected)> done);
-    /// Sends \a request, whose id is \a requestId. Requires a new or idle connection.
-    void call(std::string request, CallHandlers handlers, const std::string &requestId);
+    /// Sends the request that \a writer returns, whose id is \a requestId. Requires a new or idle
+    /// connection.
+    void call(RequestWriter writer, CallHandlers handlers, const std::string &requestId);
     void close();
     /// Closes the connection and discards the bytes that the peer has not received.
     void reset();
@@ -53,6 +54,7 @@
 
     void connect();
     void handleConnect(const boost::system::error_code &error);
+    void writeRequest();
     void send();
     void read();
     void readLater();
@@ -73,6 +75,8 @@
     const ConnectionPoolOptions m_options;
     Listener m_listener;
     State m_state = State::New;
+    /// Set while the connection is being established for a request.
+    RequestWriter m_writer;
     /// Part of the request that has not been sent yet.
     std::string m_output;
     std::optional<ResponseParser> m_parser;
--- a/src/serving/forwardingservice.cpp
+++ b/src/serving/forwardingservice.cpp
@@ -3,6 +3,7 @@
 #include "rattanrill/wire/codec.h"
 #include "rattanrill/wire/forwardingmessages.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <utility>
@@ -63,11 +64,24 @@
         UpstreamTarget target;
         target.upstream = message.upstream;
         target.address = message.address;
-        call->id = context.upstreams.call(target, message.request, handlersOf(message.callId, call),
-                                          message.requestId);
+        call->id = context.upstreams.call(target, writerOf(message),
+                                          handlersOf(message.callId, call), message.requestId);
         read(message.callId, call, reply);
     }
 
+    /// The time that it takes to establish a connection counts for the upstream, too.
+    net::RequestWriter writerOf(const wire::ForwardCall &message) const
+    {
+        const absl::Time deadline = context.clock.now() + absl::Milliseconds(message.deadlineMs);
+        return [self = shared_from_this(), request = message.request, deadline] {
+            std::string result = request;
+            const absl::Duration remaining = deadline - self->context.clock.now();
+            self->context.protocol.setRemainingTime(result,
+                                                    std::max(remaining, absl::ZeroDuration()));
+            return result;
+        };
+    }
+
     std::optional<Failure> refusalOf(const wire::ForwardCall &message) const
     {
         if (context.isStopping())
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -335,18 +335,26 @@
     UpstreamAttempt message;
     message.expectedInstance = grant.upstream;
     message.workspace = m_request.workspace;
-    message.remainingTime = remainingTime();
     message.resumeAfter = m_position.lastId();
     m_context.crashGuard.recordSent(m_traits.all());
-    attempt->call = m_context.upstreams.call(
-            targetOf(grant),
-            net::serialize(m_context.protocol.upstreamRequest(m_exchange->request(), message)),
-            callHandlers(attempt), m_request.caller.id, forwardingOptions(attempt, m_traits));
+    attempt->call =
+            m_context.upstreams.call(targetOf(grant), requestWriter(message), callHandlers(attempt),
+                                     m_request.caller.id, forwardingOptions(attempt, m_traits));
     if (m_context.upstreams.isForwarded(attempt->call))
         attempt->forwarder = grant.forwarder;
     return attempt;
 }
 
+/// The remaining time is that of the moment at which the request is written.
+net::RequestWriter ProxiedRequest::requestWriter(const UpstreamAttempt &attempt)
+{
+    return [self = shared_from_this(), message = attempt]() mutable {
+        message.remainingTime = self->remainingTime();
+        return net::serialize(
+                self->m_context.protocol.upstreamRequest(self->m_exchange->request(), message));
+    };
+}
+
 net::CallHandlers ProxiedRequest::callHandlers(const AttemptPtr &attempt)
 {
     net::CallHandlers handlers;
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -68,6 +68,7 @@
     UpstreamTarget targetOf(const wire::SlotResponse &grant) const;
     void send(const wire::SlotResponse &grant);
     AttemptPtr beginAttempt(const wire::SlotResponse &grant);
+    net::RequestWriter requestWriter(const UpstreamAttempt &attempt);
     net::CallHandlers callHandlers(const AttemptPtr &attempt);
     static ForwardingOptions forwardingOptions(const AttemptPtr &attempt,
                                                const CrashTraits &traits);
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -44,12 +44,12 @@
         return links.canReceive() && connections.hasIdleConnection(target.address, requestId);
     }
 
-    CallId callDirectly(const UpstreamTarget &target, std::string request,
+    CallId callDirectly(const UpstreamTarget &target, net::RequestWriter writer,
                         net::CallHandlers handlers, const std::string &requestId)
     {
         const CallId id = nextId++;
         calls[id].id =
-                connections.call(target.address, std::move(request),
+                connections.call(target.address, std::move(writer),
                                  observed(id, target.upstream, std::move(handlers)), requestId);
         return id;
     }
@@ -89,14 +89,14 @@
         return result;
     }
 
-    CallId callByForwarder(const UpstreamTarget &target, std::string request,
+    CallId callByForwarder(const UpstreamTarget &target, const net::RequestWriter &writer,
                            net::CallHandlers handlers, const std::string &requestId,
                            ForwardingOptions options)
     {
         const CallId id = nextId++;
         const ForwardedCall call{
-                target.forwarderAddress, target.upstream, target.address,    requestId,
-                std::move(request),      target.timeout,  std::move(options)};
+                target.forwarderAddress, target.upstream,   target.address, requestId, writer(),
+                target.timeout,          std::move(options)};
         handlers.onEnd = [self = shared_from_this(), id,
                           onEnd = std::move(handlers.onEnd)](net::CallStatus status) {
             self->calls.erase(id);
@@ -306,16 +306,16 @@
            || m_impl->canReuseConnection(target, requestId);
 }
 
-UpstreamCaller::CallId UpstreamCaller::call(const UpstreamTarget &target, std::string request,
+UpstreamCaller::CallId UpstreamCaller::call(const UpstreamTarget &target, net::RequestWriter writer,
                                             net::CallHandlers handlers,
                                             const std::string &requestId, ForwardingOptions options)
 {
     const bool isForwarded = m_impl->links.isCutOff() && !target.forwarderAddress.empty()
                              && !m_impl->canReuseConnection(target, requestId);
     if (isForwarded)
-        return m_impl->callByForwarder(target, std::move(request), std::move(handlers), requestId,
+        return m_impl->callByForwarder(target, writer, std::move(handlers), requestId,
                                        std::move(options));
-    return m_impl->callDirectly(target, std::move(request), std::move(handlers), requestId);
+    return m_impl->callDirectly(target, std::move(writer), std::move(handlers), requestId);
 }
 
 void UpstreamCaller::cancel(CallId call)
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -1,4 +1,5 @@
 #include "endlessserver.h"
+#include "hanginglistener.h"
 #include "loopthread.h"
 #include "responsecuts.h"
 #include "scriptedserver.h"
@@ -7,6 +8,7 @@
 #include "rattanrill/net/server.h"
 
 #include "absl/synchronization/mutex.h"
+#include "absl/synchronization/notification.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -515,4 +517,32 @@
     });
 }
 
+// Guards against an upstream that is told more time than is left, because the request was written
+// before its connection was established.
+BOOST_AUTO_TEST_CASE(requestIsWrittenWhenTheConnectionIsEstablished)
+{
+    HangingListener upstream;
+    LoopThread thread;
+    ConnectionPoolOptions options;
+    options.connectTimeout = absl::Seconds(10);
+    ConnectionPool pool(thread.loop(), options);
+    std::atomic<bool> isDrained{false};
+    std::atomic<int> earlyWrites{0};
+    absl::Notification written;
+    thread.run([&] {
+        const RequestWriter writer = [&] {
+            earlyWrites += isDrained ? 0 : 1;
+            written.Notify();
+            return std::string("GET / HTTP/1.1\r\n\r\n");
+        };
+        pool.call(upstream.address(), writer, {{}, {}, {}, [](CallStatus) {}});
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    isDrained = true;
+    upstream.drain();
+    BOOST_TEST(written.WaitForNotificationWithTimeout(absl::Seconds(9)));
+    BOOST_TEST(earlyWrites == 0);
+    thread.run([&] { pool.stop(); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -165,6 +165,25 @@
     BOOST_TEST(adapter.upstreamRequest(callerRequest(), attempt).headers.count("Tenant-Id") == 0u);
 }
 
+// Guards against a forwarded request that states more time than is left, or whose body is changed.
+BOOST_AUTO_TEST_CASE(remainingTimeOfASerializedRequestIsReplaced)
+{
+    serving::UpstreamAttempt attempt;
+    attempt.remainingTime = absl::Milliseconds(1234);
+    net::Request request = adapter.upstreamRequest(callerRequest(), attempt);
+    request.body = "\r\nDeadline-Ms: 1\r\n";
+    std::string text = net::serialize(request);
+    adapter.setRemainingTime(text, absl::Milliseconds(56));
+    BOOST_TEST(text.find("\r\nDeadline-Ms: 56\r\n") < text.find("\r\n\r\n"));
+    BOOST_TEST(text.find("1234") == std::string::npos);
+    BOOST_TEST(text.substr(text.size() - request.body.size()) == request.body);
+    request.headers.remove("Deadline-Ms");
+    text = net::serialize(request);
+    const std::string unchanged = text;
+    adapter.setRemainingTime(text, absl::Milliseconds(56));
+    BOOST_TEST(text == unchanged);
+}
+
 // Guards against a status that means "not run" for a request that may have run. The caller would
 // then repeat the request.
 BOOST_AUTO_TEST_CASE(errorStatusClaimsNotRunOnlyWhenCertain)
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -1,3 +1,4 @@
+#include "hanginglistener.h"
 #include "proxyfixture.h"
 
 #include "rattanrill/serving/forwardingservice.h"
@@ -59,37 +60,6 @@
     peer::Server server{transport("f")};
 };
 
-/// A listening socket whose queue of new connections is full, so that the operating system does not
-/// answer further ones.
-class HangingListener
-{
-public:
-    using Tcp = boost::asio::ip::tcp;
-
-    HangingListener()
-    {
-        const Tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
-        m_acceptor.open(any.protocol());
-        m_acceptor.bind(any);
-        m_acceptor.listen(0);
-        for (Tcp::socket &socket : m_queued) {
-            socket.open(any.protocol());
-            socket.async_connect(m_acceptor.local_endpoint(), [](const auto &) {});
-        }
-    }
-
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
-
-private:
-    boost::asio::io_context m_context;
-    Tcp::acceptor m_acceptor{m_context};
-    std::array<Tcp::socket, 4> m_queued{Tcp::socket(m_context), Tcp::socket(m_context),
-                                        Tcp::socket(m_context), Tcp::socket(m_context)};
-};
-
 /// Returns whether \a condition holds within 10 s.
 bool await(const std::function<bool()> &condition)
 {
@@ -146,7 +116,7 @@
     /// part of the body.
     UpstreamCaller::CallId start(
             const std::string &upstream, const std::string &forwarderAddress,
-            const std::function<void()> &onBody = [] {})
+            const std::function<void()> &onBody = [] {}, const std::string &headers = "")
     {
         net::CallHandlers handlers;
         handlers.onHead = [this](const net::ResponseHead &head) { received.status = head.status; };
@@ -159,14 +129,18 @@
             ended.Notify();
         };
         UpstreamTarget target{"u", upstream, forwarderAddress, absl::Seconds(20)};
-        return upstreams.call(target, "GET /x HTTP/1.1\r\nHost: h\r\nId: a\r\n\r\n",
-                              std::move(handlers), "a",
+        const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\nId: a\r\n" + headers + "\r\n";
+        return upstreams.call(target, [request] { return request; }, std::move(handlers), "a",
                               {{}, [this] { received.hasForwarderFailed = true; }});
     }
 
-    Received call(const std::string &upstream, const std::string &forwarderAddress)
+    Received call(const std::string &upstream, const std::string &forwarderAddress,
+                  const std::string &headers = "")
     {
-        thread.run([&] { start(upstream, forwarderAddress); });
+        thread.run([&] {
+            start(
+                    upstream, forwarderAddress, [] {}, headers);
+        });
         BOOST_TEST(ended.WaitForNotificationWithTimeout(absl::Seconds(10)));
         return received;
     }
@@ -201,6 +175,22 @@
     BOOST_TEST(!received.hasForwarderFailed);
 }
 
+// Guards against an upstream that is told the time which was left when the call was passed on, not
+// when it is sent.
+BOOST_AUTO_TEST_CASE(forwardedRequestStatesTheTimeLeft)
+{
+    ScriptedUpstreams upstreams({{completeResponse("a", "x")}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    entry.call(upstreams.address(0), linked.address(), "Left: 99999\r\n");
+    const auto requests = upstreams.requests();
+    BOOST_TEST_REQUIRE(requests.size() == 1u);
+    const std::size_t value = requests.front().find("Left: ") + 6;
+    const long left = std::strtol(requests.front().c_str() + value, nullptr, 10);
+    BOOST_TEST(left <= 20000);
+    BOOST_TEST(left > 10000);
+}
+
 // Guards against a caller that receives the response to another request.
 BOOST_AUTO_TEST_CASE(responseToAnotherRequestIsNotForwarded)
 {
@@ -396,7 +386,7 @@
 // are neither established nor refused.
 BOOST_AUTO_TEST_CASE(unansweredConnectionsAreALostLink)
 {
-    const HangingListener hanging;
+    const net::HangingListener hanging;
     ForwardingEntry entry;
     entry.thread.run([&] {
         std::vector<wire::FleetUpstream> list;
--- a/tests/serving/testprotocoladapter.h
+++ b/tests/serving/testprotocoladapter.h
@@ -30,8 +30,19 @@
         net::removeHopByHopHeaders(result.headers);
         if (attempt.resumeAfter)
             result.headers.set("After", std::to_string(*attempt.resumeAfter));
+        result.headers.set("Left",
+                           std::to_string(absl::ToInt64Milliseconds(attempt.remainingTime)));
         return result;
     }
+    void setRemainingTime(std::string &request, absl::Duration remainingTime) const override
+    {
+        const std::size_t field = request.find("Left: ");
+        if (field == std::string::npos)
+            return;
+        const std::size_t value = field + 6;
+        request.replace(value, request.find("\r\n", value) - value,
+                        std::to_string(absl::ToInt64Milliseconds(remainingTime)));
+    }
     net::Request itemRequest(const wire::JobItem &item, const std::string &,
                              const UpstreamAttempt &attempt) const override
     {
