Net: Do not take the end of a connection that failed during an upload for an orderly one

Callers got a part of a response as the whole one: an upstream answers a long upload with a 200 without a length, sends a part of the body and resets the connection while the upload is written.

Cause: the operating system reports the error of a socket once. The write of the upload took it and left the decision to the read, which then saw the end of the stream, and that ends a body without a length.

After a failed write, only the framing of the response can complete it, and the connection is not used again. The same holds for BlockingCall, by which the product's own entry calls engines and services, and for calls that another entry forwards, which use the same connection.

--- a/src/net/blockingcall.cpp
+++ b/src/net/blockingcall.cpp
@@ -97,14 +97,18 @@
     }
 
     /// A failed write is not reported: the peer may have responded before it closed the
-    /// connection, so the following read decides.
+    /// connection, so the following read decides. It may not get the error, which the operating
+    /// system reports once.
     void send(const std::string &bytes)
     {
-        (void)await(std::min(timeouts.idle, untilDeadline()), [&](auto done) {
-            asio::async_write(
-                    socket, asio::buffer(bytes),
-                    [done](const boost::system::error_code &error, std::size_t) { done(error); });
-        });
+        const boost::system::error_code result =
+                await(std::min(timeouts.idle, untilDeadline()), [&](auto done) {
+                    asio::async_write(socket, asio::buffer(bytes),
+                                      [done](const boost::system::error_code &error, std::size_t) {
+                                          done(error);
+                                      });
+                });
+        hasSendFailed = result.failed();
     }
 
     BlockingCallEnd receive(Handlers handlers)
@@ -130,7 +134,7 @@
             if (error == asio::error::timed_out)
                 return untilDeadline() <= absl::ZeroDuration() ? BlockingCallEnd::DeadlinePassed
                                                                : BlockingCallEnd::IdleTimeout;
-            if (error == asio::error::eof)
+            if (error == asio::error::eof && !hasSendFailed)
                 parser.handleEof();
             else if (error)
                 return BlockingCallEnd::Broken;
@@ -177,6 +181,8 @@
     /// Set by a task on \a context, so that it needs no synchronization.
     bool isAborted = false;
     bool isStoppedByHandler = false;
+    /// Whether the connection failed while the request was sent, so that its end is no orderly one.
+    bool hasSendFailed = false;
     ResponseFault fault = ResponseFault::None;
 };
 
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -159,8 +159,9 @@
     if (m_output.empty())
         return;
     if (error != boost::asio::error::would_block) {
-        // The upstream may have sent its response before the connection failed, so the result of
-        // the pending read decides; without a response the read fails as well.
+        // The upstream may have sent its response before the connection failed, so the pending read
+        // decides. It may not get the error, which the operating system reports once.
+        m_hasSendFailed = true;
         m_output.clear();
         return;
     }
@@ -197,7 +198,8 @@
 {
     if (m_state == State::Closed)
         return;
-    if (error == boost::asio::error::eof)
+    const bool isOrderlyEnd = error == boost::asio::error::eof && !m_hasSendFailed;
+    if (isOrderlyEnd)
         m_parser->handleEof();
     else if (!error)
         m_parser->feed(std::string_view(m_buffer.data(), bytes));
@@ -263,7 +265,7 @@
 bool UpstreamConnection::isReusable() const
 {
     // If the request was not sent completely, the rest would become part of the next request.
-    const bool isRequestSent = m_output.empty();
+    const bool isRequestSent = m_output.empty() && !m_hasSendFailed;
     // After a response to another request, or one of unknown owner, the next response may be one
     // to an earlier request.
     const bool isInStep = !m_parser->hasSkippedResponses() && !m_isOwnerUnknown;
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -79,6 +79,8 @@
     RequestWriter m_writer;
     /// Part of the request that has not been sent yet.
     std::string m_output;
+    /// Whether the connection failed while the request was sent, so that its end is no orderly one.
+    bool m_hasSendFailed = false;
     std::optional<ResponseParser> m_parser;
     std::shared_ptr<CallHandlers> m_handlers;
     /// Set while the connection is being established without a request.
--- a/tests/net/blockingcall_test.cpp
+++ b/tests/net/blockingcall_test.cpp
@@ -33,4 +33,26 @@
     }
 }
 
+// Guards against a part of a response that counts as the whole one, because the write of a long
+// upload has taken the error of the reset, and the read then sees an orderly close.
+BOOST_AUTO_TEST_CASE(responseThatIsResetDuringAnUploadIsNotComplete)
+{
+    constexpr int calls = 20;
+    ScriptedAnswer answer;
+    answer.bytes = "HTTP/1.1 200 OK\r\n\r\nhalf";
+    answer.end = ConnectionEnd::Reset;
+    answer.respondsToHead = true;
+    ScriptedServer server({answer});
+    Request request;
+    request.method = "POST";
+    request.target = "/";
+    request.body.assign(std::size_t(8) << 20, 'x');
+    for (int i = 0; i < calls; ++i) {
+        BlockingCall call("127.0.0.1", server.port(), BlockingCallTimeouts());
+        Response received;
+        const BlockingCallEnd end = call.fetch(request, 1024, received);
+        BOOST_TEST((end == BlockingCallEnd::Broken));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -161,6 +161,17 @@
            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Answer to a long upload whose rest is not read: a part of a body that has no length, and then a
+/// reset.
+ScriptedAnswer resetDuringUpload()
+{
+    ScriptedAnswer answer;
+    answer.bytes = "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhalf";
+    answer.end = ConnectionEnd::Reset;
+    answer.respondsToHead = true;
+    return answer;
+}
+
 /// Numbers of the connections that carried the requests.
 std::vector<int> connectionsOf(const ScriptedServer &server)
 {
@@ -545,4 +556,30 @@
     thread.run([&] { pool.stop(); });
 }
 
+// Guards against a part of a response that counts as the whole one, because the write of a long
+// upload has taken the error of the reset, and the read then sees an orderly close.
+BOOST_FIXTURE_TEST_CASE(responseThatIsResetDuringAnUploadIsBroken, ConnectionPoolFixture)
+{
+    constexpr int calls = 20;
+    ScriptedServer upstream({resetDuringUpload()});
+    for (int i = 0; i < calls; ++i) {
+        const CallResult received = call(upstream, "a", std::string(std::size_t(8) << 20, 'x'));
+        BOOST_TEST((received.callStatus == CallStatus::Broken));
+    }
+}
+
+// Guards against a whole response that counts as broken because its upstream resets the connection
+// afterwards, with a long upload unread.
+BOOST_FIXTURE_TEST_CASE(responseWithLengthIsCompleteBeforeTheUploadIsReset, ConnectionPoolFixture)
+{
+    ScriptedAnswer answer = resetDuringUpload();
+    answer.bytes = responseWithId("a", "whole");
+    answer.late = "x";
+    answer.lateDelay = absl::Milliseconds(200);
+    ScriptedServer upstream({answer});
+    const CallResult received = call(upstream, "a", std::string(std::size_t(8) << 20, 'x'));
+    BOOST_TEST((received.callStatus == CallStatus::Complete));
+    BOOST_TEST(received.body == "whole");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
