Net: Treat a response whose status is outside of 100 to 599 as malformed

Callers got the response of an upstream in trouble, with status 000, as an answer. The library that parses responses accepts any three digits, and the status was passed on as it was.

Such a response now breaks its connection, and its head reaches nobody.

--- a/include/rattanrill/net/responseparser.h
+++ b/include/rattanrill/net/responseparser.h
@@ -13,7 +13,7 @@
 /// Why a response is broken.
 enum class ResponseFault {
     None,
-    /// The bytes are not a valid response.
+    /// The bytes are not a valid response, or its status is outside of 100 to 599.
     Malformed,
     /// The connection was closed before the end of the response.
     Truncated,
@@ -79,6 +79,7 @@
 
     void startResponse();
     bool parseAvailable();
+    bool hasValidStatus() const;
     void handleHeader();
     void forwardBody();
     void handleComplete();
--- a/src/net/responseparser.cpp
+++ b/src/net/responseparser.cpp
@@ -27,6 +27,9 @@
         {ResponseFault::BodyTooLong, "body_too_long"},
 }};
 
+constexpr unsigned minStatus = 100;
+constexpr unsigned maxStatus = 599;
+
 std::string text(boost::beast::string_view view)
 {
     return {view.data(), view.size()};
@@ -89,6 +92,10 @@
                                                      : ResponseFault::Malformed);
         return false;
     }
+    if (parser.is_header_done() && !hasValidStatus()) {
+        setBroken(ResponseFault::Malformed);
+        return false;
+    }
     if (parser.is_header_done()) {
         handleHeader();
         forwardBody();
@@ -110,6 +117,13 @@
     return used > 0 && error != http::error::need_more;
 }
 
+/// The library accepts any three digits.
+bool ResponseParser::hasValidStatus() const
+{
+    const unsigned status = m_parser->parser.get().result_int();
+    return status >= minStatus && status <= maxStatus;
+}
+
 void ResponseParser::handleHeader()
 {
     if (m_headerHandled)
--- a/tests/net/responseparser_test.cpp
+++ b/tests/net/responseparser_test.cpp
@@ -210,4 +210,19 @@
     BOOST_TEST(collector.body.size() == size);
 }
 
+// Guards against a response of an upstream in trouble that is passed on although its status is
+// none.
+BOOST_AUTO_TEST_CASE(statusOutsideOfItsRangeIsMalformed)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        BOOST_TEST_INFO_SCOPE(status);
+        Collector collector;
+        collector.parser.feed("HTTP/1.1 " + status + " X\r\nId: own\r\nContent-Length: 1\r\n\r\nx");
+        BOOST_TEST((collector.parser.state() == State::Broken));
+        BOOST_TEST((collector.parser.fault() == ResponseFault::Malformed));
+        BOOST_TEST(collector.head.status == 0);
+        BOOST_TEST(collector.body.empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
