Serving: Let the other attempt serve a request whose silent upstream fails

While two upstreams run the same request, an error of the first one was delivered if no further attempt was left, and an event of the first one that was followed by a wrong one in the same read left the stream to the second attempt, which may run at another version.

An error now ends the first attempt only, and the second one is cancelled as soon as an event of the first one is delivered. The announcement of an upstream that leaves is also repeated to the broker after a hedge, and a stopped caller of upstreams keeps no callbacks.

ProxyRequestHedgeTest/errorIsNotDeliveredWhileAnotherUpstreamRunsTheRequest fails before: the caller gets the 500.

--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -176,6 +176,8 @@
     const AttemptPtr hedge = m_hedge;
     if (status == net::CallStatus::NotConnected) {
         const bool leaves = isLeaving(hedge->upstream, hedge->address);
+        if (leaves)
+            m_context.slotClient.repeatLeaving(hedge->upstream, hedge->address);
         endHedge("the connection to the upstream could not be established",
                  leaves ? ReleaseReason::Cancelled : ReleaseReason::Unreachable);
     } else if (isBroken(*hedge, status)) {
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -172,8 +172,11 @@
     case SequenceCheck::InOrder:
         break;
     }
-    if (event.hasContent())
+    if (event.hasContent()) {
         m_streamVersion = m_attempt->version;
+        // The hedge continues the stream after an earlier event, perhaps at another version.
+        responding();
+    }
     startResponse();
     m_exchange->write(event.bytes);
     if (m_exchange->unsentBytes() > maxUnsentBytes) {
@@ -274,7 +277,8 @@
     // Whatever the status is, the upstream did not crash.
     m_context.crashGuard.recordSound(m_traits.suspects(m_attempt->hasBegun));
     const bool isServerError = m_attempt->head.status >= 500;
-    if (isServerError && mayRunAgain() && m_attempts < m_route.maxAttempts && hasTimeForAttempt())
+    const bool canRetry = mayRunAgain() && m_attempts < m_route.maxAttempts && hasTimeForAttempt();
+    if (isServerError && (m_hedge || canRetry))
         return attemptFailed("the upstream responded with a server error",
                              ReleaseReason::Completed);
     // A caller may send a request again that it reads as not run.
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -370,6 +370,7 @@
 void UpstreamCaller::stop()
 {
     m_impl->isStopped = true;
+    m_impl->probeListeners.clear();
     if (m_impl->probeTimer != 0)
         m_impl->loop.timers().unsubscribe(std::exchange(m_impl->probeTimer, 0));
 }
--- a/tests/serving/proxyrequest_hedge_test.cpp
+++ b/tests/serving/proxyrequest_hedge_test.cpp
@@ -166,4 +166,15 @@
     BOOST_TEST(contains(entry.sendRequest("a"), "late"));
 }
 
+// Guards against an error response of an upstream that was silent, which is delivered although
+// another upstream runs the request.
+BOOST_AUTO_TEST_CASE(errorIsNotDeliveredWhileAnotherUpstreamRunsTheRequest)
+{
+    ScriptedUpstreams upstreams({{completeResponse("a", "error", 500), false, 850},
+                                 {completeResponse("a", "soon"), false, 200}});
+    Entry entry(upstreams, routeOf(RouteKind::Idempotent, 2));
+    entry.setReachable({upstreams.address(0), upstreams.address(1)});
+    BOOST_TEST(contains(entry.sendRequest("a"), "soon"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
