--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -325,7 +325,7 @@
 {
     ++m_attempts;
     m_excludedUpstreams.push_back(grant.upstream);
-    const auto attempt = std::make_shared<Attempt>();
+    auto attempt = std::make_shared<Attempt>();
     attempt->upstream = grant.upstream;
     attempt->address = grant.address;
     attempt->version = grant.version;
