--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -137,10 +137,13 @@
 
 
 class InstanceList(http.server.BaseHTTPRequestHandler):
-    """Lists two upstreams and one invalid entry. on_read is called before each response that shows
-    an upstream as draining, so that a test can freeze the reader until it has been sent."""
+    """Lists the upstreams in numbers and one invalid entry. on_read is called before each response
+    that shows an upstream as draining, so that a test can freeze the reader until it has been
+    sent."""
 
     protocol_version = "HTTP/1.1"
+    numbers = (1, 2)
+    slots = 4
     draining = set()
     versions = {}
     reads = []
@@ -151,10 +154,10 @@
 
     def do_GET(self):
         instances = [{"id": f"i-{n}", "service": "lm", "address": f"127.0.8.{n}:{UPSTREAM_PORT}",
-                      "zone": "a", "slots": 4,
+                      "zone": "a", "slots": self.slots,
                       "version": self.versions.get(f"127.0.8.{n}", "v1"),
                       "state": "draining" if f"127.0.8.{n}" in self.draining else "ready"}
-                     for n in (1, 2)]
+                     for n in self.numbers]
         shows_draining = bool(self.draining)
         instances.append({"id": 7, "state": "resting"})
         body = json.dumps({"instances": instances, "next": None}).encode()
@@ -218,12 +221,8 @@
     def setUpClass(cls):
         cls.directory = tempfile.TemporaryDirectory()
         cls.servers = []
-        for address in ((("127.0.8.1", UPSTREAM_PORT), Upstream),
-                        (("127.0.8.2", UPSTREAM_PORT), Upstream), (LIST_ADDRESS, InstanceList)):
-            server = http.server.ThreadingHTTPServer(*address)
-            server.daemon_threads = True
-            threading.Thread(target=server.serve_forever, daemon=True).start()
-            cls.servers.append(server)
+        cls.serve(LIST_ADDRESS, InstanceList)
+        cls.start_upstreams()
         cls.processes = {}
         for role, count in (("control", 3), ("store", cls.stores), ("entry", 2)):
             for number in range(1, count + 1):
@@ -231,6 +230,19 @@
         cls.ready = wait_until(lambda: cls.put_configuration(configuration(1)) == 200) and \
             wait_until(lambda: all(cls.is_ready(n) for n in (1, 2)))
 
+    @classmethod
+    def serve(cls, address, handler):
+        server = http.server.ThreadingHTTPServer(address, handler)
+        server.daemon_threads = True
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        cls.servers.append(server)
+
+    @classmethod
+    def start_upstreams(cls):
+        """Starts the listed upstreams; here as threads of this process."""
+        for number in InstanceList.numbers:
+            cls.serve((f"127.0.8.{number}", UPSTREAM_PORT), Upstream)
+
     @classmethod
     def tearDownClass(cls):
         for process in cls.processes.values():
