Serving: Correct which of two attempts goes on

- A hedge that ended inside an event was promoted, and only then counted as broken (streamGoesOnWhenTheHedgeEndsInsideAnEvent).
- A hedge on an established connection did not count as an attempt while only new connections failed (hedgeOnAnEstablishedConnectionCounts).
- An upstream that drains was never probed, so that its silent call was given up for a silent hedge (streamOfADrainingUpstreamGoesOnWhenAllUpstreamsPause).
- An upstream that hangs but accepts connections was kept when the hedge took longer than 0.25 s.
It is now left if others of its service respond (hangingUpstreamIsLeftForASlowOne, which lets another upstream respond; without that nothing tells a hanging upstream from a pause of all).
- A call was cancelled because other upstreams did not answer new connections (runningCallIsKeptWhenOtherUpstreamsDoNotAnswer).
It is lost only if its own upstream can't be connected to either.
- A silence during a slot request was not noticed, and nothing watched the call any more (silenceDuringASlotRequestIsNoticedAfterIt).
- The body of a hedge was not counted in the buffers of the process, and the one of an error was kept without a limit (bodyOfAHedgeCountsAsBuffered).

--- a/include/rattanrill/policy/upstreamlinks.h
+++ b/include/rattanrill/policy/upstreamlinks.h
@@ -37,7 +37,7 @@
     void received();
     /// A new connection was established.
     void connected();
-    /// An established connection broke, or both it and a new one to the same upstream failed.
+    /// An established connection broke.
     void broken(const std::string &upstream);
     /// A new connection was neither established nor refused in time, so nothing responds at all.
     void unanswered(const std::string &upstream);
--- a/include/rattanrill/serving/upstreamcaller.h
+++ b/include/rattanrill/serving/upstreamcaller.h
@@ -56,12 +56,17 @@
     void cancel(CallId call);
     /// Whether another entry forwards \a call, which has not ended.
     bool isForwarded(CallId call) const;
-    /// Records that \a upstream has not responded in time to a call on a connection of this
-    /// process. Tries to connect to it, because only a failed connection shows that the link is
-    /// lost. \a probed is called once the result is known; it may be null.
-    void recordSilence(const std::string &upstream, std::function<void()> probed = nullptr);
+    /// Tries to connect to \a upstream, which has not responded in time to a call on a connection
+    /// of this process, because only a failed connection shows that the link is lost. \a probed is
+    /// called once the result is known; it may be null.
+    void probeSilent(const std::string &upstream, std::function<void()> probed = nullptr);
     /// Whether \a upstream was found reachable after a silence in the last half second.
     bool isReachable(const std::string &upstream) const;
+    /// Whether an upstream of the service of \a silent, but neither that one nor \a other, has
+    /// responded to this process in the last quarter of a second.
+    bool doOthersRespond(const std::string &silent, const std::string &other) const;
+    /// Whether established connections do not respond, and \a upstream can't be connected to.
+    bool isLost(const std::string &upstream) const;
     /// Whether this process is cut off from the upstreams.
     bool isCutOff() const;
     /// Whether established connections of this process respond.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -633,7 +633,7 @@
         if (self->m_state != State::Running)
             return;
         if (self->m_forwarder.empty())
-            self->m_context.upstreams.recordSilence(self->m_upstream);
+            self->m_context.upstreams.probeSilent(self->m_upstream);
         self->failAttempt("the upstream sent no event within the idle timeout",
                           ReleaseReason::Failed);
     });
--- a/src/serving/attempt.h
+++ b/src/serving/attempt.h
@@ -29,6 +29,8 @@
     bool hasForwarderFailed = false;
     /// Whether no response came in time from the forwarder, which may be the reason itself.
     bool isForwarderSilent = false;
+    /// Whether the upstream accepted a connection when it was silent.
+    bool isReachable = false;
     /// Whether the attempt does not count, because it did not reach its upstream.
     bool isDiscounted = false;
     absl::Time sentAt;
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -17,7 +17,8 @@
 ///
 /// When an upstream is silent, a request that may run again is also sent to another one, the hedge.
 /// The attempt that responds first serves the request, and the other one is cancelled; so a running
-/// call is never given up for an attempt that may be refused, break, or be silent too.
+/// call is not given up for an attempt that may be refused or break. When both stay silent, one of
+/// them is cancelled.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
 public:
@@ -52,6 +53,16 @@
         Ended,
     };
 
+    /// What the events of a hedge would do to the stream.
+    struct HedgeReplay
+    {
+        StreamPosition position;
+        /// InOrder or the fault of the first event that shows whether they continue the stream;
+        /// Repeated if there is none.
+        SequenceCheck check;
+        EventSplitter splitter;
+    };
+
     static std::string_view name(Outcome outcome);
 
     void findStreamOrigin();
@@ -110,9 +121,9 @@
     void startHedge(const wire::SlotResponse &grant);
     void hedgeBodyReceived(std::string_view bytes);
     void hedgeEnded(net::CallStatus status);
-    bool isHedgeAnswer() const;
-    bool completesHedge() const;
-    SequenceCheck replayHedge(StreamPosition &position) const;
+    bool canHedgeServe() const;
+    HedgeReplay replayHedge() const;
+    bool completesHedge(const HedgeReplay &replay) const;
     void promoteHedge();
     void replaceByHedge();
     void endHedge(std::string_view reason, policy::ReleaseReason releaseReason);
--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -19,7 +19,7 @@
 
 void ProxiedRequest::responseTimedOut()
 {
-    if (!isCalling() || m_isSlotRequested || m_hedge)
+    if (!isCalling() || m_hedge)
         return;
     m_mayHaveRun = true;
     m_state = State::Unresponsive;
@@ -29,8 +29,11 @@
     }
     // The slot request states whether this process is cut off, which the silence alone doesn't
     // show.
-    m_context.upstreams.recordSilence(m_attempt->upstream,
-                                      [self = shared_from_this()] { self->requestHedge(); });
+    m_context.upstreams.probeSilent(
+            m_attempt->upstream, [self = shared_from_this(), attempt = m_attempt] {
+                attempt->isReachable = self->m_context.upstreams.isReachable(attempt->upstream);
+                self->requestHedge();
+            });
 }
 
 void ProxiedRequest::requestHedge()
@@ -47,7 +50,7 @@
 /// Whether \a attempt waits for a response on links that are known to be lost.
 bool ProxiedRequest::isLinkLost(const Attempt &attempt) const
 {
-    return attempt.forwarder.empty() && !m_context.upstreams.canReceive();
+    return attempt.forwarder.empty() && m_context.upstreams.isLost(attempt.upstream);
 }
 
 /// Takes back the count of an attempt that did not reach its upstream.
@@ -90,13 +93,12 @@
 
 void ProxiedRequest::hedgeBodyReceived(std::string_view bytes)
 {
-    m_hedge->body.append(bytes);
-    if (!isHedgeAnswer())
+    if (!canHedgeServe())
         return;
+    m_hedge->body.append(bytes);
     if (!m_hedge->isStream)
         return promoteHedge();
-    StreamPosition position = m_position;
-    switch (replayHedge(position)) {
+    switch (replayHedge().check) {
     case SequenceCheck::InOrder:
         return promoteHedge();
     case SequenceCheck::Gap:
@@ -106,46 +108,45 @@
     case SequenceCheck::Repeated:
         break;
     }
-    if (m_hedge->body.size() <= EventSplitter::maxEventBytes)
+    if (m_hedge->body.size() <= EventSplitter::maxEventBytes && bufferWithinLimits())
         return;
-    endHedge("an event exceeds the size limit", ReleaseReason::Failed);
+    endHedge("the response exceeds the size limit", ReleaseReason::Failed);
     requestHedge();
 }
 
 /// Whether the response of the hedge may serve the request.
-bool ProxiedRequest::isHedgeAnswer() const
+bool ProxiedRequest::canHedgeServe() const
 {
     const Attempt &hedge = *m_hedge;
     return hedge.hasHead && !hedge.info.notRun && !hedge.info.promisesNotRun
            && hedge.head.status < 500 && (hedge.isStream || !m_exchange->streamStarted());
 }
 
+/// Passes the events of the hedge to a copy of the position, up to the first one that shows whether
+/// they continue the stream.
+ProxiedRequest::HedgeReplay ProxiedRequest::replayHedge() const
+{
+    HedgeReplay replay{m_position, SequenceCheck::Repeated, {}};
+    replay.position.beginAttempt();
+    std::vector<StreamEvent> events;
+    replay.splitter.feed(m_hedge->body, events);
+    for (const StreamEvent &event : events) {
+        if (event.hasContent())
+            replay.check = replay.position.advance(event);
+        if (replay.check != SequenceCheck::Repeated)
+            break;
+    }
+    return replay;
+}
+
 /// Whether the end of the hedge's complete response is the end of the request: a stream without
 /// further events ends the one that has begun only if it repeats the last delivered event.
-bool ProxiedRequest::completesHedge() const
+bool ProxiedRequest::completesHedge(const HedgeReplay &replay) const
 {
     if (!m_hedge->isStream || (m_hedge->body.empty() && !m_exchange->streamStarted()))
         return true;
-    StreamPosition position = m_position;
-    return replayHedge(position) == SequenceCheck::Repeated && position.hasReceivedEvent()
-           && position.hasReachedLast();
-}
-
-/// Passes the events of the hedge to \a position. Returns InOrder or the fault once they show that
-/// they continue the stream or do not, Repeated before that.
-SequenceCheck ProxiedRequest::replayHedge(StreamPosition &position) const
-{
-    position.beginAttempt();
-    EventSplitter splitter;
-    std::vector<StreamEvent> events;
-    splitter.feed(m_hedge->body, events);
-    for (const StreamEvent &event : events) {
-        const SequenceCheck check =
-                event.hasContent() ? position.advance(event) : SequenceCheck::Repeated;
-        if (check != SequenceCheck::Repeated)
-            return check;
-    }
-    return SequenceCheck::Repeated;
+    return replay.check == SequenceCheck::Repeated && replay.position.hasReceivedEvent()
+           && replay.position.hasReachedLast();
 }
 
 /// The hedge responds first, so the current attempt is given up.
@@ -174,6 +175,9 @@
 void ProxiedRequest::hedgeEnded(net::CallStatus status)
 {
     const AttemptPtr hedge = m_hedge;
+    const HedgeReplay replay = replayHedge();
+    // Its events are split only when they serve the request.
+    hedge->splitter = replay.splitter;
     if (status == net::CallStatus::NotConnected) {
         const bool leaves = isLeaving(hedge->upstream, hedge->address);
         if (leaves)
@@ -186,7 +190,8 @@
                  ReleaseReason::Failed);
     } else if (hedge->info.notRun) {
         endHedge("the upstream refused the request", refusalReason(hedge->info));
-    } else if (isHedgeAnswer() && completesHedge()) {
+    } else if (canHedgeServe() && completesHedge(replay)) {
+        hedge->splitter.reset();
         promoteHedge();
         if (m_attempt == hedge)
             callEnded(hedge, status);
@@ -217,19 +222,19 @@
 }
 
 /// Ends one of two attempts that are both silent. The first one has done more of the work, so it
-/// runs on unless it can't be reached.
+/// runs on unless its silence is its own: it can't be reached, or others of its service respond.
 void ProxiedRequest::resolveSilence()
 {
-    const bool isFirstReachable =
-            !m_attempt->forwarder.empty() || m_context.upstreams.isReachable(m_attempt->upstream);
-    const bool isHedgeLost = m_hedge->forwarder.empty() && m_context.upstreams.isCutOff();
-    if (!isFirstReachable && !isHedgeLost)
-        return attemptFailed("the upstream did not respond in time", ReleaseReason::Failed);
-    if (isHedgeLost)
+    // On lost links, no attempt of this process has reached its upstream.
+    if (m_hedge->forwarder.empty() && !m_context.upstreams.canReceive()) {
         discount(*m_hedge);
+        endHedge("the links to the upstreams are lost", ReleaseReason::Cancelled);
+        return requestHedge();
+    }
+    const bool isReachable = !m_attempt->forwarder.empty() || m_attempt->isReachable;
+    if (!isReachable || m_context.upstreams.doOthersRespond(m_attempt->upstream, m_hedge->upstream))
+        return attemptFailed("the upstream did not respond in time", ReleaseReason::Failed);
     endHedge("the upstream did not respond in time, like the one before", ReleaseReason::Cancelled);
-    if (isHedgeLost)
-        requestHedge();
 }
 
 } // namespace rattanrill::serving
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -97,7 +97,7 @@
 bool ProxiedRequest::bufferWithinLimits()
 {
     const std::size_t bytes = m_attempt->body.size() + m_attempt->splitter.incompleteEvent().size()
-                              + m_exchange->unsentBytes();
+                              + m_exchange->unsentBytes() + (m_hedge ? m_hedge->body.size() : 0);
     if (!m_bufferShare && bytes < minCountedBytes)
         return true;
     if (!m_bufferShare)
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -4,6 +4,7 @@
 #include "rattanrill/base/logger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,8 @@
 /// upstream. Many times the round trip inside a region; a lost packet may exceed it, so one such
 /// attempt proves nothing.
 constexpr absl::Duration probeTimeout = absl::Milliseconds(50);
+/// Time for which a response shows that its upstream responds.
+constexpr absl::Duration responseLifetime = absl::Milliseconds(250);
 /// Time for which an accepted probe shows that its upstream can be reached.
 constexpr absl::Duration reachabilityLifetime = absl::Milliseconds(500);
 
@@ -58,15 +61,15 @@
     net::CallHandlers observed(CallId id, const std::string &upstream, net::CallHandlers handlers)
     {
         net::CallHandlers result = std::move(handlers);
-        result.onHead = [self = shared_from_this(),
+        result.onHead = [self = shared_from_this(), upstream,
                          onHead = std::move(result.onHead)](const net::ResponseHead &head) {
-            self->record([](auto &links) { links.received(); });
+            self->recordReceived(upstream);
             if (onHead)
                 onHead(head);
         };
-        result.onBody = [self = shared_from_this(),
+        result.onBody = [self = shared_from_this(), upstream,
                          onBody = std::move(result.onBody)](std::string_view bytes) {
-            self->record([](auto &links) { links.received(); });
+            self->recordReceived(upstream);
             if (onBody)
                 onBody(bytes);
         };
@@ -126,6 +129,27 @@
         }
     }
 
+    void recordReceived(const std::string &upstream)
+    {
+        if (known.count(upstream) != 0)
+            receivedAt[upstream] = SystemClock::instance().now();
+        record([](auto &current) { current.received(); });
+    }
+
+    /// Whether an upstream of the service of \a silent that is neither of the two has responded.
+    bool doOthersRespond(const std::string &silent, const std::string &other) const
+    {
+        const auto found = known.find(silent);
+        if (found == known.end())
+            return false;
+        const absl::Time since = SystemClock::instance().now() - responseLifetime;
+        return std::any_of(receivedAt.begin(), receivedAt.end(), [&](const auto &received) {
+            const auto &[upstream, time] = received;
+            return time >= since && upstream != silent && upstream != other
+                   && known.at(upstream).service == found->second.service;
+        });
+    }
+
     void continueProbing()
     {
         if (links.isSuspect())
@@ -155,18 +179,16 @@
     /// was done a moment ago.
     void probeSilent(const std::string &upstream, std::function<void()> probed)
     {
-        const auto found =
-                std::find_if(upstreams.begin(), upstreams.end(),
-                             [&upstream](const auto &listed) { return listed.id == upstream; });
-        const bool isKnown = wasReached(upstream, probePeriod) || isUnanswered(upstream);
-        if (found == upstreams.end() || isStopped || isKnown) {
+        const auto found = known.find(upstream);
+        const bool isProbed = wasReached(upstream, probePeriod) || isUnanswered(upstream);
+        if (found == known.end() || isStopped || isProbed) {
             if (probed)
                 loop.post(std::move(probed));
             return;
         }
         if (probed)
             probeListeners[upstream].push_back(std::move(probed));
-        probe(*found);
+        probe(found->second);
     }
 
     void notifyProbed(const std::string &upstream)
@@ -240,15 +262,20 @@
             probeNext();
     }
 
-    void forgetRemoved()
+    void setUpstreams(const std::vector<wire::FleetUpstream> &list)
     {
-        std::map<std::string, absl::Time> kept;
-        for (const wire::FleetUpstream &upstream : upstreams) {
-            const auto found = reachedAt.find(upstream.id);
-            if (found != reachedAt.end())
-                kept.insert(*found);
+        upstreams.clear();
+        known.clear();
+        for (const wire::FleetUpstream &upstream : list) {
+            known[upstream.id] = upstream;
+            if (!upstream.draining)
+                upstreams.push_back(upstream);
+        }
+        links.setUpstreamCount(upstreams.size());
+        for (auto *times : {&receivedAt, &reachedAt}) {
+            for (auto entry = times->begin(); entry != times->end();)
+                entry = known.count(entry->first) == 0 ? times->erase(entry) : std::next(entry);
         }
-        reachedAt = std::move(kept);
     }
 
     /// Whether \a upstream has accepted a probe not longer than \a age ago.
@@ -264,6 +291,8 @@
     policy::UpstreamLinks links;
     /// Upstreams that may get requests.
     std::vector<wire::FleetUpstream> upstreams;
+    /// These and the ones that drain, which may still run requests, by id.
+    std::map<std::string, wire::FleetUpstream> known;
     std::map<CallId, Call> calls;
     CallId nextId = 1;
     std::size_t nextProbe = 0;
@@ -272,6 +301,8 @@
     std::map<std::string, bool> pendingProbes;
     /// Called when the result of a probe is known, by upstream.
     std::map<std::string, std::vector<std::function<void()>>> probeListeners;
+    /// When bytes of a response last arrived, by upstream.
+    std::map<std::string, absl::Time> receivedAt;
     /// When a probe was last accepted, by upstream.
     std::map<std::string, absl::Time> reachedAt;
     TimerService::TimerId probeTimer = 0;
@@ -291,13 +322,7 @@
 
 void UpstreamCaller::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams)
 {
-    m_impl->upstreams.clear();
-    for (const wire::FleetUpstream &upstream : upstreams) {
-        if (!upstream.draining)
-            m_impl->upstreams.push_back(upstream);
-    }
-    m_impl->links.setUpstreamCount(m_impl->upstreams.size());
-    m_impl->forgetRemoved();
+    m_impl->setUpstreams(upstreams);
 }
 
 bool UpstreamCaller::canCall(const UpstreamTarget &target, const std::string &requestId) const
@@ -337,7 +362,7 @@
     return found != m_impl->calls.end() && found->second.isForwarded;
 }
 
-void UpstreamCaller::recordSilence(const std::string &upstream, std::function<void()> probed)
+void UpstreamCaller::probeSilent(const std::string &upstream, std::function<void()> probed)
 {
     m_impl->probeSilent(upstream, std::move(probed));
 }
@@ -347,6 +372,16 @@
     return m_impl->wasReached(upstream, reachabilityLifetime);
 }
 
+bool UpstreamCaller::doOthersRespond(const std::string &silent, const std::string &other) const
+{
+    return m_impl->doOthersRespond(silent, other);
+}
+
+bool UpstreamCaller::isLost(const std::string &upstream) const
+{
+    return !m_impl->links.canReceive() && m_impl->links.hasFailed(upstream);
+}
+
 bool UpstreamCaller::isCutOff() const
 {
     return m_impl->links.isCutOff();
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -81,7 +81,7 @@
             }
             upstreams.setUpstreams(list);
             for (const wire::FleetUpstream &upstream : list)
-                upstreams.recordSilence(upstream.id);
+                upstreams.probeSilent(upstream.id);
         });
         BOOST_REQUIRE(await([this] { return isCutOff(); }));
     }
@@ -369,7 +369,7 @@
             list.push_back({std::to_string(i), "s", upstreams.address(0), "d", 4, false, "v"});
         entry.upstreams.setUpstreams(list);
         for (const wire::FleetUpstream &upstream : list)
-            entry.upstreams.recordSilence(upstream.id);
+            entry.upstreams.probeSilent(upstream.id);
         wasCutOff = entry.upstreams.isCutOff();
     });
     BOOST_TEST(await([&] {
@@ -393,8 +393,8 @@
         for (int i = 0; i < 12; ++i)
             list.push_back({std::to_string(i), "s", hanging.address(), "d", 4, false, "v"});
         entry.upstreams.setUpstreams(list);
-        entry.upstreams.recordSilence("0");
-        entry.upstreams.recordSilence("1");
+        entry.upstreams.probeSilent("0");
+        entry.upstreams.probeSilent("1");
     });
     bool isCutOff = false;
     const absl::Time begin = absl::Now();
@@ -427,7 +427,7 @@
         bool isCutOff = false;
         entry.thread.run([&] {
             for (const std::string upstream : {"u1", "u2", "u3", "u4"})
-                entry.upstreams.recordSilence(upstream);
+                entry.upstreams.probeSilent(upstream);
         });
         BOOST_REQUIRE(await([&] {
             entry.thread.run([&] { isCutOff = entry.upstreams.isCutOff(); });
--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -247,6 +247,8 @@
 
     /// Address of the entry that forwards the call of each grant; empty for none.
     std::string forwarderAddress;
+    /// Versions of the upstreams.
+    std::array<std::string, 2> versions{"v1", "v2"};
     /// Delay of all grants but the first one.
     absl::Duration furtherGrantDelay = absl::ZeroDuration();
 
@@ -292,7 +294,7 @@
                 continue;
             response.verdict = wire::SlotOutcome::Granted;
             response.upstream = upstream;
-            response.version = "v" + std::to_string(i);
+            response.version = versions[static_cast<std::size_t>(i - 1)];
             response.address = m_upstreams[static_cast<std::size_t>(i - 1)];
             response.forwarder = forwarderAddress.empty() ? "" : "f";
             response.forwarderAddress = forwarderAddress;
