Fakes: Pass on a reset that a write of the relay meets

Clients behind the relay got the orderly end of a connection that its server had reset during an upload, so a part of a response without a length looked like the whole one.

Cause: the operating system reports the error of a socket once. The relay's write took it, and its read saw the end of the stream. After a write that met a reset, the end of the same socket is a reset, too. The end is handled after the handlers that are queued, because that of the write may be behind it.

--- a/src/fakes/relayconnection.cpp
+++ b/src/fakes/relayconnection.cpp
@@ -2,6 +2,7 @@
 
 #include "absl/time/time.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <utility>
@@ -131,12 +132,25 @@
     direction.from.async_read_some(
             boost::asio::buffer(direction.buffer),
             [self = shared_from_this(), &direction](const error_code &error, std::size_t size) {
+                const End end = endOf(error);
+                if (end == End::Orderly)
+                    return self->handleEndOfSource(direction);
                 direction.readPending = false;
-                self->handleRead(direction, std::string(direction.buffer.data(), size),
-                                 endOf(error));
+                self->handleRead(direction, std::string(direction.buffer.data(), size), end);
             });
 }
 
+/// The operating system reports the error of a socket once. If a write to the source has got it,
+/// the handler of that write is queued, and must run first.
+void RelayConnection::handleEndOfSource(Direction &direction)
+{
+    boost::asio::post(direction.from.get_executor(), [self = shared_from_this(), &direction] {
+        direction.readPending = false;
+        self->handleRead(direction, std::string(),
+                         direction.isSourceReset ? End::Reset : End::Orderly);
+    });
+}
+
 void RelayConnection::handleRead(Direction &direction, std::string bytes, End end)
 {
     if (m_isClosed)
@@ -189,19 +203,23 @@
     boost::asio::async_write(
             direction.to, boost::asio::buffer(direction.queue.front().bytes),
             [self = shared_from_this(), &direction](const error_code &error, std::size_t) {
-                self->finishWrite(direction, bool(error));
+                self->finishWrite(direction, error);
             });
 }
 
-void RelayConnection::finishWrite(Direction &direction, bool failed)
+void RelayConnection::finishWrite(Direction &direction, const error_code &error)
 {
     direction.writePending = false;
     if (m_isClosed)
         return;
+    // With broken_pipe, the receiver has ended its own direction before, or its read has got the
+    // error.
+    if (error && error != boost::asio::error::broken_pipe)
+        opposite(direction).isSourceReset = true;
     direction.queuedBytes -= direction.queue.front().bytes.size();
     const bool ends = direction.queue.front().end != End::None;
     direction.queue.pop_front();
-    if (failed || ends) {
+    if (error || ends) {
         end(direction);
         return;
     }
--- a/src/fakes/relayconnection.h
+++ b/src/fakes/relayconnection.h
@@ -71,6 +71,8 @@
         bool writePending = false;
         bool timerPending = false;
         bool sourceClosed = false;
+        /// Whether a write to the source met a reset, which its read then no longer reports.
+        bool isSourceReset = false;
         /// Whether sending to the receiver has been shut down.
         bool ended = false;
         /// Whether bytes or the connection attempt were dropped.
@@ -84,11 +86,12 @@
     void resume(Direction &direction);
     void setFaults(Direction &direction, const DirectionFaults &faults);
     void read(Direction &direction);
+    void handleEndOfSource(Direction &direction);
     void handleRead(Direction &direction, std::string bytes, End end);
     void deliver(Direction &direction);
     void waitUntil(Direction &direction, std::chrono::steady_clock::time_point time);
     void write(Direction &direction);
-    void finishWrite(Direction &direction, bool failed);
+    void finishWrite(Direction &direction, const boost::system::error_code &error);
     void end(Direction &direction);
     /// Closes both sockets. A reset instead of an orderly end prevents the peers from mistaking
     /// truncated data for the complete stream.
--- a/tests/fakes/tcprelay_test.cpp
+++ b/tests/fakes/tcprelay_test.cpp
@@ -78,6 +78,21 @@
         acceptor.accept(server);
     }
 
+    /// Sends up to \a size bytes from the client; fewer if the relay takes no more.
+    void upload(std::size_t size)
+    {
+        const std::string bytes(size, 'x');
+        client.non_blocking(true);
+        pollfd descriptor{client.native_handle(), POLLOUT, 0};
+        for (std::size_t sent = 0; sent < size;) {
+            if (::poll(&descriptor, 1, absenceTimeoutMs) != 1)
+                return;
+            boost::system::error_code ignored;
+            sent += client.write_some(boost::asio::buffer(bytes.data() + sent, size - sent),
+                                      ignored);
+        }
+    }
+
     bool waitUntilBytesLost(std::int64_t bytes) const
     {
         const auto end =
@@ -160,6 +175,26 @@
     BOOST_TEST(receive(client) == "(reset)");
 }
 
+// Guards against a relay that passes on the reset of a connection as its orderly end, which makes a
+// part of a response without a length the whole one.
+BOOST_AUTO_TEST_CASE(resetDuringAnUploadIsPassedOn)
+{
+    constexpr std::size_t step = std::size_t(512) << 10;
+    // Of some size, the relay has read the whole upload and can't write it yet.
+    for (std::size_t size = step; size <= 12 * step; size += step) {
+        BOOST_TEST_INFO_SCOPE(size);
+        Fixture link;
+        link.acceptor.set_option(tcp::socket::receive_buffer_size(4096));
+        link.connect();
+        link.upload(size);
+        send(link.server, "part");
+        BOOST_TEST(receive(link.client) == "part");
+        link.server.set_option(tcp::socket::linger(true, 0));
+        link.server.close();
+        BOOST_TEST(receive(link.client) == "(reset)");
+    }
+}
+
 // Guards against a relay that connects to the target while the link is held.
 BOOST_AUTO_TEST_CASE(newConnectionReachesTheTargetOnlyAfterHeal)
 {
