Serving: Treat a forwarded response without a valid status as malformed

Callers got status 000 or 600 as an answer if another entry forwarded the call and passed the status on, as entries of an earlier version do. Only the parser of this process's own connections checks the status.

The head of a forwarded part is now checked by the same rule, before any handler sees it. The call ends as broken, like one whose response this process can't parse, and the forwarder is not blamed.

--- a/include/rattanrill/net/message.h
+++ b/include/rattanrill/net/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,6 +56,9 @@
     std::string_view query() const;
 };
 
+/// Whether \a status is an HTTP status, from 100 to 599.
+bool isValidStatus(std::int64_t status);
+
 /// Status line and headers of an HTTP response.
 struct ResponseHead
 {
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -127,6 +127,13 @@
                                           : std::string_view(target).substr(queryMark + 1);
 }
 
+bool isValidStatus(std::int64_t status)
+{
+    constexpr std::int64_t min = 100;
+    constexpr std::int64_t max = 599;
+    return status >= min && status <= max;
+}
+
 std::string_view reasonPhrase(int status)
 {
     const auto reason = boost::beast::http::obsolete_reason(
--- a/src/net/responseparser.cpp
+++ b/src/net/responseparser.cpp
@@ -27,9 +27,6 @@
         {ResponseFault::BodyTooLong, "body_too_long"},
 }};
 
-constexpr unsigned minStatus = 100;
-constexpr unsigned maxStatus = 599;
-
 std::string text(boost::beast::string_view view)
 {
     return {view.data(), view.size()};
@@ -120,8 +117,7 @@
 /// The library accepts any three digits.
 bool ResponseParser::hasValidStatus() const
 {
-    const unsigned status = m_parser->parser.get().result_int();
-    return status >= minStatus && status <= maxStatus;
+    return isValidStatus(m_parser->parser.get().result_int());
 }
 
 void ResponseParser::handleHeader()
--- a/src/serving/forwardingclient.cpp
+++ b/src/serving/forwardingclient.cpp
@@ -3,6 +3,7 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
+#include "rattanrill/net/responseparser.h"
 #include "rattanrill/wire/codec.h"
 #include "rattanrill/wire/decodeoutcome.h"
 #include "rattanrill/wire/forwardingmessages.h"
@@ -72,6 +73,8 @@
         const auto part = wire::decodeOutcome<wire::ForwardedPart>(outcome);
         if (!part.ok())
             return fail(id, part.failure());
+        if (part.value().hasHead && !net::isValidStatus(part.value().status))
+            return endMalformed(id);
         // A copy, because the end of the call removes it.
         const CallPtr call = found->second;
         call->isTaken = true;
@@ -113,6 +116,18 @@
         call->handlers.onEnd(status);
     }
 
+    /// Ends a call whose response has no valid status. An entry of an earlier version passes it on.
+    void endMalformed(CallId id)
+    {
+        const CallPtr call = calls.at(id);
+        log(LogLevel::Warning, "response-unreadable",
+            {{"peerAddress", call->forwarderAddress},
+             {"reason", net::name(net::ResponseFault::Malformed)}});
+        sendCancellation(id, call->forwarderAddress);
+        calls.erase(id);
+        call->handlers.onEnd(net::CallStatus::Broken);
+    }
+
     void sendCancellation(CallId id, const std::string &address) const
     {
         channels.channel(address)->sendOneWay(wire::Method::CancelForwardedCall,
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -316,6 +316,35 @@
     forwarder.stop();
 }
 
+// Guards against a response whose status is none, which an entry of an earlier version passes on.
+BOOST_AUTO_TEST_CASE(forwardedStatusOutsideOfItsRangeIsMalformed)
+{
+    for (const int status : {0, 99, 600, 999}) {
+        BOOST_TEST_INFO_SCOPE(status);
+        peer::Server forwarder(transport("f"));
+        forwarder.setHandler(wire::Method::ForwardCall,
+                             [status](const peer::PeerIdentity &, const std::string &,
+                                      const peer::ResponseCallback &reply) {
+                                 wire::ForwardedPart part;
+                                 part.hasHead = true;
+                                 part.status = status;
+                                 part.body = "x";
+                                 part.end = "complete";
+                                 reply(wire::encode(part));
+                             });
+        BOOST_REQUIRE(outcomeOf([&] { return forwarder.start("127.0.0.1", 0); }).ok());
+        {
+            CutOffEntry entry;
+            const auto received =
+                    entry.call("127.0.0.1:1", "127.0.0.1:" + std::to_string(forwarder.port()));
+            BOOST_TEST(received.end == "broken");
+            BOOST_TEST(received.status == 0);
+            BOOST_TEST(received.body.empty());
+        }
+        forwarder.stop();
+    }
+}
+
 // Guards against a request that counts as sent although the other entry did not take it, and
 // against an upstream that is blamed for that.
 BOOST_AUTO_TEST_CASE(refusedCallWasNotSent)
