Entry, policy: Do not take the silence of an engine for its crash

A request whose two engines paused was refused at all entries with request_held, and every other request that ran on these engines became a suspect, although nothing had crashed and a third engine could serve it.

Cause: after a stream broke off or was silent for the idle timeout, every failure of the probe counted as a crash, also the timeout of one whose connection was accepted. Such an engine is now Silent: it is ejected at once, as before, but no request counts as the cause. A refused or reset probe and one that can't connect still count as a crash.

Before the fix, Online/requestAtTwoEnginesThatPauseIsNotQuarantined printed "[422 != 200]" and "[request_held != ]" in 2 of 2 runs, and EngineClientTest/probeTellsAPauseFromAnEnd failed (a silent probe ended like a reset one). silentEngineIsEjectedAndItsTaskIsNoSuspect can't be written on the code before, which has no such kind of failure.

--- a/include/rattanrill/engine/engineclient.h
+++ b/include/rattanrill/engine/engineclient.h
@@ -123,7 +123,7 @@
     /// report events late or omit them.
     Outcome<CacheEventPage> cacheEvents(std::uint64_t after);
     /// Checks that the engine responds. Fails with UpstreamUnavailable when nothing listens at its
-    /// address.
+    /// address, and with Timeout when the connection is accepted and no response follows in time.
     Outcome<Done> probe();
 
     /// Number of events that were dropped because they belonged to another request or repeated a
--- a/include/rattanrill/policy/scheduler.h
+++ b/include/rattanrill/policy/scheduler.h
@@ -129,6 +129,9 @@
         Refused,
         /// The response ended early, timed out or was malformed, but the engine still responds.
         Broken,
+        /// The response ended early or timed out, and the engine accepts connections without a
+        /// response: it may continue, so no task counts as the cause.
+        Silent,
         /// The connection was lost while the task ran and the engine no longer responds.
         Crashed,
         /// The engine reported that the request itself is invalid; it is not retried.
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -165,6 +165,8 @@
         const auto end = blockingCall.fetch(std::move(request), maxResponseBytes, response);
         if (end == net::BlockingCallEnd::TooLong)
             return tooLongFailure(blockingCall.fault());
+        if (end == net::BlockingCallEnd::IdleTimeout || end == net::BlockingCallEnd::DeadlinePassed)
+            return mayHaveRun(ErrorCode::Timeout, describe(end));
         if (end != net::BlockingCallEnd::Complete)
             return transportFailure(end);
         checkLeaving(options, response.head);
@@ -394,7 +396,8 @@
     Outcome<Json> response = m_impl->call("GET", "/healthz", Json());
     // A process that is stopping may still accept a connection and then close it without a
     // response. When the call is repeated, nothing listens any more and the connection is refused.
-    if (!response.ok() && response.failure().effect == EffectState::MayHaveRun)
+    if (!response.ok() && response.failure().effect == EffectState::MayHaveRun
+        && response.failure().code != ErrorCode::Timeout)
         response = m_impl->call("GET", "/healthz", Json());
     if (!response.ok())
         return response.failure();
--- a/src/entry/taskdispatcher.cpp
+++ b/src/entry/taskdispatcher.cpp
@@ -394,10 +394,13 @@
         return Kind::Refused;
     if (failure.code != ErrorCode::StreamBroken)
         return Kind::Broken;
-    // A process that is exiting may still accept the probe's connection and then reset it, so every
-    // failure of the probe counts as a crash.
     const Outcome<Done> probe = engineAttempt.client().probe();
-    return probe.ok() ? Kind::Broken : Kind::Crashed;
+    if (probe.ok())
+        return Kind::Broken;
+    // A process that is exiting may still accept the probe's connection and then reset it, so every
+    // failure of the probe but its timeout counts as a crash. An engine that pauses accepts the
+    // connection and is silent.
+    return probe.failure().code == ErrorCode::Timeout ? Kind::Silent : Kind::Crashed;
 }
 
 void TaskDispatcher::endFailedAttempt(const TaskPtr &task, EngineAttempt &engineAttempt,
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -326,8 +326,9 @@
     EngineRecord *engineRecord = engine(taskRecord.engine);
     const bool isEngineFailure = !crashed && failure.kind != AttemptFailure::Kind::Invalid
                                  && failure.failure.code != ErrorCode::UpstreamBusy;
+    // Further attempts would wait as long, so a silent engine is ejected at once.
     if (engineRecord != nullptr && isEngineFailure)
-        engineRecord->state.outlier().failed(now, false);
+        engineRecord->state.outlier().failed(now, failure.kind == AttemptFailure::Kind::Silent);
     if (failure.kind != AttemptFailure::Kind::Refused)
         taskRecord.mayHaveRun = true;
     endAttempt(now, taskRecord);
@@ -366,9 +367,10 @@
 void Scheduler::State::retryBatch(absl::Time now, TaskRecord &taskRecord,
                                   const AttemptFailure &failure)
 {
-    // The crash of an engine is not a fault of the item, so only the other failures count towards
-    // its last attempt.
-    const bool isCrash = failure.kind == AttemptFailure::Kind::Crashed;
+    // The crash or silence of an engine is not a fault of the item, so only the other failures
+    // count towards its last attempt.
+    const bool isCrash = failure.kind == AttemptFailure::Kind::Crashed
+                         || failure.kind == AttemptFailure::Kind::Silent;
     taskRecord.crashes += isCrash ? 1 : 0;
     if (!isCrash && failure.kind != AttemptFailure::Kind::Refused)
         ++taskRecord.failures;
--- a/tests/engine/engineclient_test.cpp
+++ b/tests/engine/engineclient_test.cpp
@@ -307,6 +307,26 @@
     }
 }
 
+// Guards against an engine that pauses and can't be told from one whose process has ended.
+BOOST_AUTO_TEST_CASE(probeTellsAPauseFromAnEnd)
+{
+    const auto probe = [](const std::string &response) {
+        net::EndlessServer server(response, response.empty() ? "" : " ", absl::Milliseconds(20));
+        EngineOptions options;
+        options.name = "e";
+        options.host = "127.0.0.1";
+        options.port = server.port();
+        options.auxiliaryCallTimeout = absl::Milliseconds(300);
+        EngineClient client(options);
+        const auto outcome = client.probe();
+        BOOST_REQUIRE(!outcome.ok());
+        BOOST_TEST((outcome.failure().effect == EffectState::MayHaveRun));
+        return outcome.failure().code;
+    };
+    BOOST_TEST((probe("HTTP/1.1 200 OK\r\n\r\n") == ErrorCode::Timeout));
+    BOOST_TEST((probe("") == ErrorCode::StreamBroken));
+}
+
 // Guards against a load report that arrives byte by byte and holds the call beyond its timeout.
 BOOST_AUTO_TEST_CASE(slowLoadReportEndsAtTheTimeout)
 {
--- a/tests/entry/online_test.cpp
+++ b/tests/entry/online_test.cpp
@@ -2,7 +2,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+#include <set>
 #include <sstream>
+#include <thread>
 
 namespace rattanrill::entry {
 
@@ -269,6 +272,47 @@
     BOOST_TEST(survivors == 1u);
 }
 
+// Guards against a request that is quarantined because the engines that ran it paused: nothing has
+// crashed, and a third engine can serve it.
+BOOST_AUTO_TEST_CASE(requestAtTwoEnginesThatPauseIsNotQuarantined)
+{
+    TestFleet fleet(0, 3);
+    fleet.settings().timings.engineIdleTimeout = absl::Milliseconds(200);
+    fleet.startEntry();
+    fleet.awaitReady();
+    ScriptedEngine::Script script;
+    script.pauseAt = 0;
+    script.pauseHealthChecks = true;
+    std::set<int> unused;
+    std::map<int, std::size_t> before;
+    for (int i = 0; i < 3; ++i) {
+        fleet.engine(i).setScript(script);
+        before[i] = fleet.engine(i).runs();
+        unused.insert(i);
+    }
+    int status = 0;
+    std::string code;
+    std::thread caller([&] {
+        const auto result = fleet.complete(0, "acme", "sound", 2);
+        code = errorOf(result).value("code", "");
+        status = result->status;
+    });
+    for (int pauses = 0; pauses < 2; ++pauses) {
+        int running = -1;
+        BOOST_TEST(eventually([&] {
+            for (const int i : unused)
+                running = fleet.engine(i).runs() > before[i] ? i : running;
+            return running >= 0;
+        }));
+        unused.erase(running);
+    }
+    for (const int i : unused)
+        fleet.engine(i).resume();
+    caller.join();
+    BOOST_TEST(status == 200);
+    BOOST_TEST(code == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::entry
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -97,6 +97,7 @@
 {
     absl::MutexLock lock(&m_mutex);
     m_script.pauseAt.reset();
+    m_script.pauseHealthChecks = false;
 }
 
 void ScriptedEngine::stop()
@@ -203,6 +204,15 @@
     m_mutex.AwaitWithTimeout(absl::Condition(&resumed), waitLimit);
 }
 
+void ScriptedEngine::awaitHealthChecks()
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto resumed = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex) {
+        return m_stopped || !m_script.pauseHealthChecks;
+    };
+    m_mutex.AwaitWithTimeout(absl::Condition(&resumed), waitLimit);
+}
+
 void ScriptedEngine::addRoutes()
 {
     const auto recordRequest = [this](const httplib::Request &request, bool run) {
@@ -294,7 +304,8 @@
     server.Get("/service/load", [](const httplib::Request &, httplib::Response &response) {
         response.set_content(R"({"running":0,"capacity":8,"age_ms":0})", "application/json");
     });
-    server.Get("/healthz", [](const httplib::Request &, httplib::Response &response) {
+    server.Get("/healthz", [this](const httplib::Request &, httplib::Response &response) {
+        awaitHealthChecks();
         response.set_content("{}", "application/json");
     });
     const auto serve = [this, recordRequest](const httplib::Request &request,
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -48,6 +48,8 @@
         bool abortResponses = false;
         /// Responses announce that the upstream leaves.
         bool leaving = false;
+        /// Health checks get no response until resume().
+        bool pauseHealthChecks = false;
         /// Batch capacity in load reports.
         int maxBatch = 8;
     };
@@ -79,6 +81,7 @@
 
     void addRoutes();
     void awaitResume() ABSL_LOCKS_EXCLUDED(m_mutex);
+    void awaitHealthChecks() ABSL_LOCKS_EXCLUDED(m_mutex);
     bool next(Stream &stream, std::string &events);
     bool canContinue(const Stream &stream) const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
 
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -218,7 +218,8 @@
 {
     setEngines(3);
     for (const AttemptFailure::Kind kind :
-         {AttemptFailure::Kind::Broken, AttemptFailure::Kind::Crashed}) {
+         {AttemptFailure::Kind::Broken, AttemptFailure::Kind::Silent,
+          AttemptFailure::Kind::Crashed}) {
         Task nonIdempotent = task(TaskKind::Online);
         nonIdempotent.idempotent = false;
         add(nonIdempotent);
@@ -396,6 +397,30 @@
     finish(id);
 }
 
+// Guards against a request that is quarantined by the silence of its engines, and against a silent
+// engine that gets further tasks.
+BOOST_AUTO_TEST_CASE(silentEngineIsEjectedAndItsTaskIsNoSuspect)
+{
+    setEngines(3);
+    const TaskId id = add(TaskKind::Online);
+    decide();
+    std::set<std::string> silent;
+    for (int i = 0; i < 2; ++i) {
+        BOOST_REQUIRE(running.count(id) == 1U);
+        silent.insert(running.at(id).engine);
+        fail(id, AttemptFailure::Kind::Silent);
+        BOOST_TEST(filter<RecordCrash>(advance(absl::Milliseconds(400))).empty());
+    }
+    BOOST_TEST(silent.size() == 2U);
+    BOOST_REQUIRE(running.count(id) == 1U);
+    for (int i = 0; i < 4; ++i) {
+        const TaskId other = add(TaskKind::Online);
+        decide();
+        BOOST_REQUIRE(running.count(other) == 1U);
+        BOOST_TEST(silent.count(running.at(other).engine) == 0U);
+    }
+}
+
 // Guards against a batch item that is quarantined because an online request with the same body
 // crashed engines: the record of the online request blocks only online requests.
 BOOST_AUTO_TEST_CASE(recordOfAnOnlineRequestDoesNotBlockABatchItem)
