Serving, peer: Keep a forwarded call while its sender only pauses

A forwarded call was cancelled, and its request broken off, when its sender had not read on for 250 ms. The sender may be busy or stopped for a moment.

Cause: silence was taken for the loss of the sender. The call is now cancelled after 250 ms only if the sender's connection has ended, which the operating system reports for a process that has ended; the peer server hands out a reference that expires with the connection. A sender that is silent on an open connection has 1.5 s. A host that is lost without a sign is found after 1.5 s instead of 0.25 s.

Before the fix, ForwardingTest/callWhoseSenderPausesContinues printed "[broken != complete]". callWhoseSenderIsLostIsCancelled now also holds the time (below 1 s), and callWhoseSenderStandsStillIsCancelled the new bound; both pass on the code before, too.

--- a/include/rattanrill/peer/transport.h
+++ b/include/rattanrill/peer/transport.h
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace rattanrill::peer {
@@ -18,6 +19,8 @@
     std::string instance;
     std::string failureDomain;
     std::string role;
+    /// Set for the sender of a message to a Server. Expires when its connection has ended.
+    std::weak_ptr<const void> connection = {};
 };
 
 /// Options that Server and Channel have in common.
--- a/src/peer/serverconnection.cpp
+++ b/src/peer/serverconnection.cpp
@@ -136,6 +136,8 @@
     if (!m_hello.done())
         return;
     m_socket->set_max_message_size(m_server->options().maxMessageBytes);
+    m_sender = m_hello.peer();
+    m_sender.connection = weak_from_this();
     armTimer(idleTimeout);
 }
 
@@ -167,11 +169,10 @@
         return;
     }
     if (!isRequest)
-        return (*handler)(m_hello.peer(), std::move(envelope.body),
-                          [](const Outcome<std::string> &) {});
+        return (*handler)(m_sender, std::move(envelope.body), [](const Outcome<std::string> &) {});
     const auto response =
             std::make_shared<PendingResponse>(shared_from_this(), envelope.id, envelope.method);
-    (*handler)(m_hello.peer(), std::move(envelope.body),
+    (*handler)(m_sender, std::move(envelope.body),
                [response](const Outcome<std::string> &outcome) { response->send(outcome); });
 }
 
--- a/src/peer/serverconnection.h
+++ b/src/peer/serverconnection.h
@@ -39,6 +39,8 @@
     std::shared_ptr<ServerCore> m_server;
     WebsocketServer::connection_ptr m_socket;
     ServerHello m_hello;
+    /// Identity of the peer; set once the hello exchange is complete.
+    PeerIdentity m_sender;
     std::string m_remote;
     /// Whether a frame or a ping has arrived since the timer was started.
     bool m_receivedSinceTimerStart = false;
--- a/src/serving/forwardingservice.cpp
+++ b/src/serving/forwardingservice.cpp
@@ -16,9 +16,13 @@
 constexpr std::size_t maxForwardedCalls = 256;
 /// Longest wait of a read for bytes of the upstream.
 constexpr absl::Duration maxReadWait = absl::Milliseconds(100);
-/// A call is cancelled when its sender has not read on for this long after the last part: it is
-/// lost, or its cancellation is.
+/// A call whose sender has not read on for this long after the last part is cancelled if the
+/// sender's connection has ended.
 constexpr absl::Duration readGap = absl::Milliseconds(250);
+/// A call is cancelled when its sender has not read on for this long although the connection is
+/// open. Before, the sender may only pause. No other request gets the slots of a silent sender
+/// earlier.
+constexpr absl::Duration maxReadGap = absl::Milliseconds(1500);
 
 } // namespace
 
@@ -35,6 +39,8 @@
         wire::ForwardedPart part;
         /// Share of the process's buffers; empty while nothing is buffered.
         std::optional<BufferShare> buffer;
+        /// Connection of the sender, see peer::PeerIdentity.
+        std::weak_ptr<const void> connection;
         /// Null while no read is pending.
         peer::ResponseCallback reader;
         /// End of the wait of the pending read, or of the wait for the next one.
@@ -49,11 +55,13 @@
         : context(std::move(context))
     {}
 
-    void forward(const wire::ForwardCall &message, const peer::ResponseCallback &reply)
+    void forward(const peer::PeerIdentity &from, const wire::ForwardCall &message,
+                 const peer::ResponseCallback &reply)
     {
         if (const auto refusal = refusalOf(message))
             return reply(*refusal);
         const auto call = std::make_shared<Call>();
+        call->connection = from.connection;
         calls[message.callId] = call;
         call->attempt = {
                 message.requestId, message.upstream, message.address, {}, context.clock.now()};
@@ -178,7 +186,16 @@
         reader(wire::encode(part));
         if (!part.end.empty())
             return remove(id);
-        startReadTimer(call, readGap, [self = shared_from_this(), id] { self->cancel(id); });
+        awaitNextRead(id, call);
+    }
+
+    void awaitNextRead(const std::string &id, const CallPtr &call)
+    {
+        startReadTimer(call, readGap, [self = shared_from_this(), id, call] {
+            if (call->connection.expired())
+                return self->cancel(id);
+            self->startReadTimer(call, maxReadGap - readGap, [self, id] { self->cancel(id); });
+        });
     }
 
     void startReadTimer(const CallPtr &call, absl::Duration delay, std::function<void()> callback)
@@ -223,36 +240,39 @@
         calls.erase(found);
     }
 
-    void readForwarded(const wire::ReadForwardedCall &message, const peer::ResponseCallback &reply)
+    void readForwarded(const peer::PeerIdentity &from, const wire::ReadForwardedCall &message,
+                       const peer::ResponseCallback &reply)
     {
         const auto found = calls.find(message.callId);
         if (found == calls.end())
             return reply(mayHaveRun(ErrorCode::NotFound, "the call has ended"));
+        found->second->connection = from.connection;
         read(message.callId, found->second, reply);
     }
 
     /// Passes each message of \a method to \a handler on the event loop.
     template <typename Message>
     void install(peer::Server &server, wire::Method method,
-                 void (Impl::*handler)(const Message &, const peer::ResponseCallback &))
+                 void (Impl::*handler)(const peer::PeerIdentity &, const Message &,
+                                       const peer::ResponseCallback &))
     {
-        server.setHandler(method, [weak = weak_from_this(), handler](const peer::PeerIdentity &,
+        server.setHandler(method, [weak = weak_from_this(), handler](const peer::PeerIdentity &from,
                                                                      std::string body,
                                                                      peer::ResponseCallback reply) {
             const auto impl = weak.lock();
             if (!impl)
                 return reply(notRun(ErrorCode::Stopped, "the process ends"));
             impl->context.loop.post(
-                    [impl, handler, body = std::move(body), reply = std::move(reply)] {
+                    [impl, handler, from, body = std::move(body), reply = std::move(reply)] {
                         const auto message = outcomeOf([&] { return wire::decode<Message>(body); });
                         if (!message.ok())
                             return reply(message.failure());
-                        (impl.get()->*handler)(message.value(), reply);
+                        (impl.get()->*handler)(from, message.value(), reply);
                     });
         });
     }
 
-    void cancelForwarded(const wire::CancelForwardedCall &message,
+    void cancelForwarded(const peer::PeerIdentity &, const wire::CancelForwardedCall &message,
                          const peer::ResponseCallback &reply)
     {
         cancel(message.callId);
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -259,7 +259,52 @@
         BOOST_TEST(linked.isCalling(upstreams.address(0)));
         entry.thread.run([&] { entry.forwarder.stop(); });
     }
+    const absl::Time lostAt = absl::Now();
     BOOST_TEST(await([&] { return !linked.isCalling(upstreams.address(0)); }));
+    BOOST_TEST((absl::Now() - lostAt < absl::Seconds(1)));
+}
+
+// Guards against a call that is cancelled although its sender only pauses.
+BOOST_AUTO_TEST_CASE(callWhoseSenderPausesContinues)
+{
+    const std::string whole = streamHead("a") + chunk(event(1));
+    Step step;
+    step.bytes = whole;
+    step.pause = 900;
+    step.rest = chunk(event(2)) + lastChunk;
+    ScriptedUpstreams upstreams({step});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    bool hasPaused = false;
+    entry.thread.run([&] {
+        entry.start(upstreams.address(0), linked.address(), [&] {
+            if (!std::exchange(hasPaused, true))
+                absl::SleepFor(absl::Milliseconds(700));
+        });
+    });
+    BOOST_TEST(entry.ended.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_TEST(entry.received.end == "complete");
+    BOOST_TEST(entry.received.body == event(1) + event(2));
+}
+
+// Guards against a sender that pauses for good, whose connection its operating system keeps open.
+BOOST_AUTO_TEST_CASE(callWhoseSenderStandsStillIsCancelled)
+{
+    ScriptedUpstreams upstreams({{streamHead("a") + chunk(event(1))}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    absl::Notification begun;
+    entry.thread.run([&] {
+        entry.start(upstreams.address(0), linked.address(), [&] {
+            begun.Notify();
+            // Ends before the fixtures do.
+            absl::SleepFor(absl::Seconds(3));
+        });
+    });
+    BOOST_TEST(begun.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    const absl::Time pausedAt = absl::Now();
+    BOOST_TEST(await([&] { return !linked.isCalling(upstreams.address(0)); }));
+    BOOST_TEST((absl::Now() - pausedAt < absl::Milliseconds(2500)));
 }
 
 // Guards against a response that is cut because it does not fit into the queue of one message.
