--- a/tests/entry/callerserver_test.cpp
+++ b/tests/entry/callerserver_test.cpp
@@ -5,6 +5,7 @@
 #include "rawsocket.h"
 
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -127,6 +128,19 @@
     boost::asio::read(socket, boost::asio::dynamic_buffer(response), end);
 }
 
+/// Sends \a bytes and resets the connection once the server has had the time to read them.
+void sendAndReset(int port, const std::string &bytes)
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    tcp::socket socket(context);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), static_cast<unsigned short>(port)});
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    absl::SleepFor(absl::Milliseconds(20));
+    socket.set_option(tcp::socket::linger(true, 0));
+    socket.close();
+}
+
 bool contains(const std::string &text, std::string_view part)
 {
     return text.find(part) != std::string::npos;
@@ -225,6 +239,23 @@
     }
 }
 
+// R8: guards against running a part of a request whose connection was reset within its body.
+BOOST_AUTO_TEST_CASE(requestThatIsResetIsNotRun)
+{
+    const std::string head = "POST /body HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
+    const std::string requests[] = {
+            head + "Content-Length: 7\r\n\r\nabcd",
+            head + "Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+    };
+    for (const std::string &request : requests) {
+        TestServer server;
+        sendAndReset(server.port(), request);
+        // Gives the first request the time of another one to end.
+        sendAndEnd(server.port(), head + "Content-Length: 1\r\n\r\nx");
+        BOOST_TEST(server.bodies() == 1u, request);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::entry
