Policy: Do not search the waiting streams when no upstream can take one

Callers were refused with 429 "the workspace has used up its request rate" although they were inside of it: on a deployment with 56 entries and 61 upstreams, all entries lost the slot broker (timeout) 0.3 s after the upstreams of one service had paused, and used their local shares for 1.5 s, whose rate buckets hold less than one request.

The broker did not respond because its event loop was busy, not because of the network: loopDelayMs of batch-progress was 1190. Each request and each release leads to a decision, and each decision tried to place every online task that is bound to a version, at every upstream, twice. Now the upstreams that can take an online task of some sender are found first. When there are none, and neither the list of upstreams nor the bound tasks have changed, no bound task is looked at. A version can be gone only after such a change.

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -290,6 +290,9 @@
         std::set<std::string> versions;
         /// Waiting online tasks with a version, by priority and order of arrival.
         std::set<std::pair<int, TaskId>> bound;
+        /// Whether a bound task or the list of upstreams is new since it was last checked which
+        /// tasks' versions are gone.
+        bool hasUncheckedVersions = false;
         /// Waiting online tasks by priority.
         std::map<int, FairQueue> online;
         FairQueue batch;
@@ -327,8 +330,12 @@
     static bool isExcluded(const Upstream &upstream, const Item &item);
     bool isVersionGone(const Service &service, const Item &item) const;
     bool hasFreeSlot(absl::Time now, const Upstream &upstream, const SlotTask &task) const;
+    bool hasRoom(absl::Time now, const Upstream &upstream, double share,
+                 std::int64_t reserve) const;
     std::set<std::string> freeBatchVersions(absl::Time now, const Service &service,
                                             const std::string &sender) const;
+    bool mayTakeOnline(absl::Time now, const Upstream &upstream) const;
+    std::vector<const Upstream *> openUpstreams(absl::Time now, const Service &service) const;
     void decideBound(absl::Time now, Service &service);
     bool grantOnline(absl::Time now, Service &service, Item &item);
     void decideOnline(absl::Time now, Service &service);
--- a/include/rattanrill/policy/upstreamhealth.h
+++ b/include/rattanrill/policy/upstreamhealth.h
@@ -40,6 +40,8 @@
     bool isEjectedFor(absl::Time now, const std::string &observer) const;
     /// End of the ejection for all or, if that is later, for \a observer.
     absl::Time ejectedUntil(const std::string &observer) const;
+    /// Largest fraction of its slots that the upstream gets tasks for, of any sender.
+    double trafficShare(absl::Time now) const { return m_shared.trafficShare(now); }
     /// Share of its normal traffic that the upstream may get from \a observer; see
     /// OutlierDetector::trafficShare().
     double trafficShare(absl::Time now, const std::string &observer) const;
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -62,6 +62,7 @@
     for (auto &[name, service] : m_services) {
         service.upstreams.clear();
         service.versions.clear();
+        service.hasUncheckedVersions = true;
     }
     for (const SlotUpstream &info : upstreams) {
         std::unique_ptr<Upstream> &upstream = m_upstreams[info.id];
@@ -107,6 +108,7 @@
     if (isOnline(task) && task.version) {
         item.queue = Queue::Bound;
         service.bound.emplace(task.priority, item.number);
+        service.hasUncheckedVersions = true;
         m_onlineDeadlines.emplace(task.deadline, item.number);
         return;
     }
@@ -376,10 +378,16 @@
                                 const SlotTask &task) const
 {
     const std::int64_t onlineReserve = isOnline(task) ? 0 : m_settings.onlineReserve;
-    const double share = upstream.health.trafficShare(now, task.sender);
+    return hasRoom(now, upstream, upstream.health.trafficShare(now, task.sender), onlineReserve);
+}
+
+/// Whether a slot is free within \a share (0 to 1) of the upstream's slots, less \a reserve slots.
+bool SlotScheduler::hasRoom(absl::Time now, const Upstream &upstream, double share,
+                            std::int64_t reserve) const
+{
     const auto capacity =
             static_cast<std::int64_t>(std::ceil(static_cast<double>(upstream.info.slots) * share));
-    if (upstream.occupiedSlots() + foreignRequests(now, upstream) >= capacity - onlineReserve)
+    if (upstream.occupiedSlots() + foreignRequests(now, upstream) >= capacity - reserve)
         return false;
     return !isLoadUnknown(now, upstream) || upstream.probes < m_settings.maxProbes;
 }
--- a/src/policy/slotscheduler_decisions.cpp
+++ b/src/policy/slotscheduler_decisions.cpp
@@ -1,6 +1,7 @@
 #include "rattanrill/policy/slotscheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 /// Decisions of SlotScheduler: which waiting task gets a slot, is rejected or is preempted.
@@ -113,16 +114,48 @@
     return true;
 }
 
-/// Tasks that wait for upstreams of another version do not hold up those behind them.
+/// Whether the upstream has a slot, free or of a batch task, for an online task of some sender.
+bool SlotScheduler::mayTakeOnline(absl::Time now, const Upstream &upstream) const
+{
+    if (upstream.info.leaving || upstream.health.isEjected(now) || !upstream.limit.allows(now))
+        return false;
+    return !upstream.batch.empty() || hasRoom(now, upstream, upstream.health.trafficShare(now), 0);
+}
+
+std::vector<const SlotScheduler::Upstream *>
+SlotScheduler::openUpstreams(absl::Time now, const Service &service) const
+{
+    std::vector<const Upstream *> open;
+    std::copy_if(service.upstreams.begin(), service.upstreams.end(), std::back_inserter(open),
+                 [&](const Upstream *upstream) { return mayTakeOnline(now, *upstream); });
+    return open;
+}
+
+/// Tasks that wait for upstreams of another version do not hold up those behind them. While no
+/// upstream can take a task, the waiting ones are not searched: hundreds of them wait when many
+/// upstreams pause, and each release and each request leads to a decision.
 void SlotScheduler::decideBound(absl::Time now, Service &service)
 {
+    if (service.bound.empty())
+        return;
+    std::vector<const Upstream *> open = openUpstreams(now, service);
+    const bool checksVersions = std::exchange(service.hasUncheckedVersions, false);
+    if (open.empty() && !checksVersions)
+        return;
     const auto waiting = service.bound;
     for (const auto &[priority, number] : waiting) {
         Item &item = *itemOf(number);
-        if (isVersionGone(service, item))
+        if (checksVersions && isVersionGone(service, item)) {
             reject(now, service, item);
-        else
-            grantOnline(now, service, item);
+            continue;
+        }
+        const bool isAccepted = std::any_of(open.begin(), open.end(), [&](const auto *upstream) {
+            return accepts(now, service, *upstream, item);
+        });
+        if (isAccepted && grantOnline(now, service, item))
+            open = openUpstreams(now, service);
+        if (open.empty() && !checksVersions)
+            return;
     }
 }
 
