--- a/tests/serving/proxyrequest_hedge_test.cpp
+++ b/tests/serving/proxyrequest_hedge_test.cpp
@@ -108,7 +108,7 @@
 // Guards against a stream that is lost with its upstream although another attempt runs already.
 BOOST_AUTO_TEST_CASE(streamGoesOnWithTheHedgeWhenTheFirstUpstreamFails)
 {
-    Step first = pausingStream(450);
+    Step first = pausingStream(280);
     first.rest.clear();
     first.closes = true;
     Step second = restOfStream();
