--- a/include/rattanrill/serving/upstreamcaller.h
+++ b/include/rattanrill/serving/upstreamcaller.h
@@ -62,9 +62,6 @@
     void probeSilent(const std::string &upstream, std::function<void()> probed = nullptr);
     /// Whether \a upstream was found reachable after a silence in the last half second.
     bool isReachable(const std::string &upstream) const;
-    /// Whether an upstream of the service of \a silent, but neither that one nor \a other, has
-    /// responded to this process in the last quarter of a second.
-    bool doOthersRespond(const std::string &silent, const std::string &other) const;
     /// Whether established connections do not respond, and \a upstream can't be connected to.
     bool isLost(const std::string &upstream) const;
     /// Whether this process is cut off from the upstreams.
--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -221,8 +221,8 @@
     });
 }
 
-/// Ends one of two attempts that are both silent. The first one has done more of the work, so it
-/// runs on unless its silence is its own: it can't be reached, or others of its service respond.
+/// Ends one of two attempts that are both silent. The first one has done more of the work, and the
+/// upstream of the hedge may still refuse it, so the first one runs on unless it can't be reached.
 void ProxiedRequest::resolveSilence()
 {
     // On lost links, no attempt of this process has reached its upstream.
@@ -232,7 +232,7 @@
         return requestHedge();
     }
     const bool isReachable = !m_attempt->forwarder.empty() || m_attempt->isReachable;
-    if (!isReachable || m_context.upstreams.doOthersRespond(m_attempt->upstream, m_hedge->upstream))
+    if (!isReachable)
         return attemptFailed("the upstream did not respond in time", ReleaseReason::Failed);
     endHedge("the upstream did not respond in time, like the one before", ReleaseReason::Cancelled);
 }
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -3,7 +3,6 @@
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/logger.h"
 
-#include <algorithm>
 #include <iterator>
 #include <map>
 #include <string_view>
@@ -19,8 +18,6 @@
 /// upstream. Many times the round trip inside a region; a lost packet may exceed it, so one such
 /// attempt proves nothing.
 constexpr absl::Duration probeTimeout = absl::Milliseconds(50);
-/// Time for which a response shows that its upstream responds.
-constexpr absl::Duration responseLifetime = absl::Milliseconds(250);
 /// Time for which an accepted probe shows that its upstream can be reached.
 constexpr absl::Duration reachabilityLifetime = absl::Milliseconds(500);
 
@@ -61,15 +58,15 @@
     net::CallHandlers observed(CallId id, const std::string &upstream, net::CallHandlers handlers)
     {
         net::CallHandlers result = std::move(handlers);
-        result.onHead = [self = shared_from_this(), upstream,
+        result.onHead = [self = shared_from_this(),
                          onHead = std::move(result.onHead)](const net::ResponseHead &head) {
-            self->recordReceived(upstream);
+            self->record([](auto &links) { links.received(); });
             if (onHead)
                 onHead(head);
         };
-        result.onBody = [self = shared_from_this(), upstream,
+        result.onBody = [self = shared_from_this(),
                          onBody = std::move(result.onBody)](std::string_view bytes) {
-            self->recordReceived(upstream);
+            self->record([](auto &links) { links.received(); });
             if (onBody)
                 onBody(bytes);
         };
@@ -129,27 +126,6 @@
         }
     }
 
-    void recordReceived(const std::string &upstream)
-    {
-        if (known.count(upstream) != 0)
-            receivedAt[upstream] = SystemClock::instance().now();
-        record([](auto &current) { current.received(); });
-    }
-
-    /// Whether an upstream of the service of \a silent that is neither of the two has responded.
-    bool doOthersRespond(const std::string &silent, const std::string &other) const
-    {
-        const auto found = known.find(silent);
-        if (found == known.end())
-            return false;
-        const absl::Time since = SystemClock::instance().now() - responseLifetime;
-        return std::any_of(receivedAt.begin(), receivedAt.end(), [&](const auto &received) {
-            const auto &[upstream, time] = received;
-            return time >= since && upstream != silent && upstream != other
-                   && known.at(upstream).service == found->second.service;
-        });
-    }
-
     void continueProbing()
     {
         if (links.isSuspect())
@@ -272,10 +248,8 @@
                 upstreams.push_back(upstream);
         }
         links.setUpstreamCount(upstreams.size());
-        for (auto *times : {&receivedAt, &reachedAt}) {
-            for (auto entry = times->begin(); entry != times->end();)
-                entry = known.count(entry->first) == 0 ? times->erase(entry) : std::next(entry);
-        }
+        for (auto entry = reachedAt.begin(); entry != reachedAt.end();)
+            entry = known.count(entry->first) == 0 ? reachedAt.erase(entry) : std::next(entry);
     }
 
     /// Whether \a upstream has accepted a probe not longer than \a age ago.
@@ -301,8 +275,6 @@
     std::map<std::string, bool> pendingProbes;
     /// Called when the result of a probe is known, by upstream.
     std::map<std::string, std::vector<std::function<void()>>> probeListeners;
-    /// When bytes of a response last arrived, by upstream.
-    std::map<std::string, absl::Time> receivedAt;
     /// When a probe was last accepted, by upstream.
     std::map<std::string, absl::Time> reachedAt;
     TimerService::TimerId probeTimer = 0;
@@ -372,11 +344,6 @@
     return m_impl->wasReached(upstream, reachabilityLifetime);
 }
 
-bool UpstreamCaller::doOthersRespond(const std::string &silent, const std::string &other) const
-{
-    return m_impl->doOthersRespond(silent, other);
-}
-
 bool UpstreamCaller::isLost(const std::string &upstream) const
 {
     return !m_impl->links.canReceive() && m_impl->links.hasFailed(upstream);
