Serving: Tell the state of the links and its changes

A request that has to wait for the links needs to know whether they are lost or whether new connections are only unanswered, and when that changes. The state and the silent upstreams have no content yet: linkState() is what isCutOff() says, and silentUpstreams() is empty. No behaviour changes.

--- a/include/rattanrill/policy/upstreamlinks.h
+++ b/include/rattanrill/policy/upstreamlinks.h
@@ -6,6 +6,17 @@
 
 namespace rattanrill::policy {
 
+/// What a process knows of its links to the upstreams.
+enum class LinkState {
+    /// Nothing speaks against new connections.
+    Working,
+    /// New connections are not answered. The links may be lost, or the upstreams may have paused
+    /// and their accept queues be full.
+    Unanswered,
+    /// Established connections have failed, or new ones are refused.
+    Lost,
+};
+
 /// Tells whether a process has lost its links to the upstreams, from what happens to its own
 /// connections.
 ///
@@ -50,6 +61,7 @@
     bool canConnect() const;
     /// Whether requests on new connections are expected to fail.
     bool isCutOff() const { return !canReceive() || !canConnect(); }
+    LinkState state() const { return isCutOff() ? LinkState::Lost : LinkState::Working; }
     /// Whether attempts have failed and a new connection would tell whether the links are lost.
     bool isSuspect() const { return m_broken.size() > 1 || m_unreachable.size() > 1; }
     /// Number of upstreams at which attempts on established connections have failed.
--- a/include/rattanrill/serving/upstreamcaller.h
+++ b/include/rattanrill/serving/upstreamcaller.h
@@ -66,6 +66,11 @@
     bool isLost(const std::string &upstream) const;
     /// Whether this process is cut off from the upstreams.
     bool isCutOff() const;
+    policy::LinkState linkState() const;
+    /// Calls \a changed once from the event loop, when linkState() has changed.
+    void awaitLinkChange(std::function<void()> changed);
+    /// Ids of the upstreams that do not respond in time to a call of this process.
+    std::vector<std::string> silentUpstreams() const;
     /// Whether established connections of this process respond.
     bool canReceive() const;
     /// Whether an attempt that ended by \a reason tells something about its upstream, and not only
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -111,6 +111,8 @@
     void record(const Change &change)
     {
         change(links);
+        if (std::exchange(lastState, links.state()) != links.state())
+            notifyLinkChange();
         if (std::exchange(wasCutOff, links.isCutOff()) != links.isCutOff())
             log(links.isCutOff() ? LogLevel::Warning : LogLevel::Info,
                 links.isCutOff() ? "upstream-links-lost" : "upstream-links-regained",
@@ -126,6 +128,12 @@
         }
     }
 
+    void notifyLinkChange()
+    {
+        for (std::function<void()> &listener : std::exchange(linkListeners, {}))
+            loop.post(std::move(listener));
+    }
+
     void continueProbing()
     {
         if (links.isSuspect())
@@ -279,6 +287,8 @@
     std::map<std::string, absl::Time> reachedAt;
     TimerService::TimerId probeTimer = 0;
     bool wasCutOff = false;
+    policy::LinkState lastState = policy::LinkState::Working;
+    std::vector<std::function<void()>> linkListeners;
     bool isStopped = false;
 };
 
@@ -354,6 +364,21 @@
     return m_impl->links.isCutOff();
 }
 
+policy::LinkState UpstreamCaller::linkState() const
+{
+    return m_impl->links.state();
+}
+
+void UpstreamCaller::awaitLinkChange(std::function<void()> changed)
+{
+    m_impl->linkListeners.push_back(std::move(changed));
+}
+
+std::vector<std::string> UpstreamCaller::silentUpstreams() const
+{
+    return {};
+}
+
 bool UpstreamCaller::canReceive() const
 {
     return m_impl->links.canReceive();
@@ -373,6 +398,7 @@
 {
     m_impl->isStopped = true;
     m_impl->probeListeners.clear();
+    m_impl->linkListeners.clear();
     if (m_impl->probeTimer != 0)
         m_impl->loop.timers().unsubscribe(std::exchange(m_impl->probeTimer, 0));
 }
