Serving: Keep a forwarded call whose forwarder is silent

An entry without links to the upstreams calls them by way of another entry and reads the response part by part. Each read that got no response for 0.35 s ended the call, and its forwarder cancelled it. A forwarder that paused for a second thus ended streams that could not be repeated, although it would have gone on.

Silence is no loss. After 0.35 s the forwarder still counts as failed, so that the broker names another one for further calls, and the request may be tried elsewhere beside the running call. A call whose forwarder can not be connected to still ends after 0.35 s: it was not sent. Open: a call that is sent on a channel which was being established, and whose forwarder pauses right after, ends as before.

ForwardingTest/callGoesOnWhenItsForwarderPauses failed before with "broken" in place of "complete" for a pause of 1.2 s between two parts and before the first one, 6 checks; it passes now. callEndsInTimeWhenItsForwarderStaysSilent holds the bound of the wait; the old code, which ended the call sooner, passed it.

--- a/src/serving/forwardingclient.cpp
+++ b/src/serving/forwardingclient.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/serving/forwardingclient.h"
 
+#include "rattanrill/base/clock.h"
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
@@ -8,15 +9,16 @@
 #include "rattanrill/wire/decodeoutcome.h"
 #include "rattanrill/wire/forwardingmessages.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
 namespace rattanrill::serving {
 namespace {
 
-/// Time within which the forwarding entry must respond. It responds after 100 ms even if nothing
-/// has arrived from the upstream.
-constexpr absl::Duration readTimeout = absl::Milliseconds(350);
+/// Time after which a forwarding entry that has not responded counts as silent. It responds after
+/// 100 ms even if nothing has arrived from the upstream.
+constexpr absl::Duration silenceTimeout = absl::Milliseconds(350);
 constexpr std::size_t processIdBytes = 8;
 
 net::ResponseHead headOf(const wire::ForwardedPart &part)
@@ -38,6 +40,9 @@
         std::string forwarderAddress;
         net::CallHandlers handlers;
         std::function<void()> onForwarderFailed;
+        absl::Time deadline;
+        /// Runs while a response of the forwarder is awaited.
+        TimerService::TimerId silenceTimer = 0;
         /// Whether the forwarder has responded, so that the upstream may run the request.
         bool isTaken = false;
     };
@@ -53,23 +58,67 @@
     /// Sends a message whose response is a part.
     void request(CallId id, const std::string &address, wire::Method method, std::string message)
     {
-        channels.channel(address)->call(
-                method, std::move(message), readTimeout,
-                [weak = weak_from_this(), id, address](const Outcome<std::string> &outcome) {
-                    const auto impl = weak.lock();
-                    if (impl)
-                        impl->loop.post([impl, id, address, outcome] {
-                            impl->handleResponse(id, address, outcome);
-                        });
+        const auto channel = channels.channel(address);
+        startSilenceTimer(id);
+        channel->call(method, std::move(message), responseTimeout(*calls.at(id), *channel),
+                      [weak = weak_from_this(), id, address](const Outcome<std::string> &outcome) {
+                          const auto impl = weak.lock();
+                          if (impl)
+                              impl->loop.post([impl, id, address, outcome] {
+                                  impl->handleResponse(id, address, outcome);
+                              });
+                      });
+    }
+
+    /// A forwarder that has the call may only pause, so its silence does not end the call. One to
+    /// which no connection can be established has no part in it.
+    static absl::Duration responseTimeout(const Call &call, const peer::Channel &channel)
+    {
+        const absl::Duration remaining = call.deadline - SystemClock::instance().now();
+        const bool hasMessage = call.isTaken || channel.connected();
+        return hasMessage ? std::max(remaining, silenceTimeout) : silenceTimeout;
+    }
+
+    void startSilenceTimer(CallId id)
+    {
+        calls.at(id)->silenceTimer =
+                loop.timers().subscribeOnce(silenceTimeout, [weak = weak_from_this(), id] {
+                    if (const auto impl = weak.lock())
+                        impl->reportSilence(id);
                 });
     }
 
+    /// Lets the forwarder count as failed for further calls.
+    void reportSilence(CallId id)
+    {
+        const auto found = calls.find(id);
+        if (found == calls.end())
+            return;
+        found->second->silenceTimer = 0;
+        log(LogLevel::Info, "forwarder-silent", {{"peerAddress", found->second->forwarderAddress}});
+        found->second->onForwarderFailed();
+    }
+
+    void stopSilenceTimer(Call &call)
+    {
+        if (call.silenceTimer != 0)
+            loop.timers().unsubscribe(std::exchange(call.silenceTimer, 0));
+    }
+
+    void removeCall(CallId id)
+    {
+        const auto found = calls.find(id);
+        stopSilenceTimer(*found->second);
+        calls.erase(found);
+    }
+
     void handleResponse(CallId id, const std::string &address, const Outcome<std::string> &outcome)
     {
         const auto found = calls.find(id);
         // The cancellation may have arrived before the call.
         if (found == calls.end())
             return sendCancellation(id, address);
+        stopSilenceTimer(*found->second);
         const auto part = wire::decodeOutcome<wire::ForwardedPart>(outcome);
         if (!part.ok())
             return fail(id, part.failure());
@@ -93,7 +142,7 @@
             call->handlers.onBody(part.body);
         if (part.end.empty() || calls.count(id) == 0)
             return calls.count(id) != 0;
-        calls.erase(id);
+        removeCall(id);
         call->handlers.onEnd(net::callStatusFromName(part.end).value_or(net::CallStatus::Broken));
         return false;
     }
@@ -111,7 +160,7 @@
              {"status", net::name(status)},
              {"reason", describe(failure)}});
         sendCancellation(id, call->forwarderAddress);
-        calls.erase(id);
+        removeCall(id);
         call->onForwarderFailed();
         call->handlers.onEnd(status);
     }
@@ -124,7 +173,7 @@
             {{"peerAddress", call->forwarderAddress},
              {"reason", net::name(net::ResponseFault::Malformed)}});
         sendCancellation(id, call->forwarderAddress);
-        calls.erase(id);
+        removeCall(id);
         call->handlers.onEnd(net::CallStatus::Broken);
     }
 
@@ -156,7 +205,8 @@
 {
     const CallId id = m_impl->nextId++;
     m_impl->calls[id] = std::make_shared<Impl::Call>(
-            Impl::Call{call.forwarderAddress, std::move(handlers), call.options.onForwarderFailed});
+            Impl::Call{call.forwarderAddress, std::move(handlers), call.options.onForwarderFailed,
+                       SystemClock::instance().now() + call.timeout + silenceTimeout});
     const wire::ForwardCall message{m_impl->wireId(id),
                                     call.upstream,
                                     call.address,
@@ -175,12 +225,13 @@
     if (found == m_impl->calls.end())
         return;
     m_impl->sendCancellation(call, found->second->forwarderAddress);
-    m_impl->calls.erase(found);
+    m_impl->removeCall(call);
 }
 
 void ForwardingClient::stop()
 {
-    m_impl->calls.clear();
+    while (!m_impl->calls.empty())
+        m_impl->removeCall(m_impl->calls.begin()->first);
 }
 
 } // namespace rattanrill::serving
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -60,6 +60,56 @@
     peer::Server server{transport("f")};
 };
 
+/// A server in place of a forwarding entry that pauses before it answers each message, after the
+/// ones in \a prompt. It answers with the parts in turn.
+class PausingForwarder
+{
+public:
+    PausingForwarder(std::vector<wire::ForwardedPart> parts, std::size_t prompt)
+        : m_parts(std::move(parts))
+        , m_prompt(prompt)
+    {
+        for (const wire::Method method :
+             {wire::Method::ForwardCall, wire::Method::ReadForwardedCall})
+            m_server.setHandler(method,
+                                [this](const peer::PeerIdentity &, const std::string &,
+                                       const peer::ResponseCallback &reply) { answer(reply); });
+        m_server.setHandler(wire::Method::CancelForwardedCall,
+                            [this](const peer::PeerIdentity &, const std::string &,
+                                   const peer::ResponseCallback &) { isCancelled = true; });
+        BOOST_REQUIRE(outcomeOf([&] { return m_server.start("127.0.0.1", 0); }).ok());
+    }
+    ~PausingForwarder()
+    {
+        m_thread.run([this] { m_thread.loop().stop(); });
+        m_server.stop();
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
+
+    std::atomic<bool> isCancelled{false};
+
+private:
+    void answer(const peer::ResponseCallback &reply)
+    {
+        m_thread.run([this, reply] {
+            if (m_next >= m_parts.size())
+                return;
+            const std::string part = wire::encode(m_parts[m_next]);
+            const bool isPrompt = m_next++ < m_prompt;
+            m_thread.loop().timers().subscribeOnce(isPrompt ? absl::ZeroDuration()
+                                                            : absl::Milliseconds(1200),
+                                                   [reply, part] { reply(part); });
+        });
+    }
+
+    const std::vector<wire::ForwardedPart> m_parts;
+    const std::size_t m_prompt;
+    std::size_t m_next = 0;
+    net::LoopThread m_thread;
+    peer::Server m_server{transport("f")};
+};
+
 /// Returns whether \a condition holds within 10 s.
 bool await(const std::function<bool()> &condition)
 {
@@ -128,7 +178,7 @@
             received.end = std::string(net::name(status));
             ended.Notify();
         };
-        UpstreamTarget target{"u", upstream, forwarderAddress, absl::Seconds(20)};
+        UpstreamTarget target{"u", upstream, forwarderAddress, timeout};
         const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\nId: a\r\n" + headers + "\r\n";
         return upstreams.call(target, [request] { return request; }, std::move(handlers), "a",
                               {{}, [this] { received.hasForwarderFailed = true; }});
@@ -145,6 +195,7 @@
         return received;
     }
 
+    absl::Duration timeout = absl::Seconds(20);
     std::vector<wire::FleetUpstream> list;
     Received received;
     absl::Notification ended;
@@ -404,6 +455,43 @@
     BOOST_TEST(upstreams.requests().empty());
 }
 
+// Guards against a forwarded call that is ended, although its response would have arrived, because
+// the entry that forwards it pauses for 1.2 s: between two parts, or before the first one. The
+// pause is still reported, so that further calls go by way of another entry.
+BOOST_AUTO_TEST_CASE(callGoesOnWhenItsForwarderPauses)
+{
+    wire::ForwardedPart head;
+    head.hasHead = true;
+    head.status = 200;
+    head.body = "first ";
+    wire::ForwardedPart rest;
+    rest.body = "second";
+    rest.end = "complete";
+    for (const std::size_t prompt : {1, 2}) {
+        BOOST_TEST_INFO_SCOPE(prompt);
+        PausingForwarder forwarder({wire::ForwardedPart(), head, rest}, prompt);
+        CutOffEntry entry;
+        const auto received = entry.call("127.0.0.1:1", forwarder.address());
+        BOOST_TEST(received.end == "complete");
+        BOOST_TEST(received.body == "first second");
+        BOOST_TEST(received.hasForwarderFailed);
+        BOOST_TEST(!forwarder.isCancelled);
+    }
+}
+
+// Guards against a call that waits for its forwarder beyond the time of its request.
+BOOST_AUTO_TEST_CASE(callEndsInTimeWhenItsForwarderStaysSilent)
+{
+    PausingForwarder forwarder({wire::ForwardedPart()}, 1);
+    CutOffEntry entry;
+    entry.timeout = absl::Milliseconds(500);
+    const absl::Time begin = absl::Now();
+    const auto received = entry.call("127.0.0.1:1", forwarder.address());
+    BOOST_TEST((absl::Now() - begin < absl::Seconds(2)));
+    BOOST_TEST(received.end == "broken");
+    BOOST_TEST(received.hasForwarderFailed);
+}
+
 // Guards against a request that waits for an entry which has stopped.
 BOOST_AUTO_TEST_CASE(callEndsWhenTheForwarderIsLost)
 {
