Serving: Send nothing to an upstream that the list shows as draining

A request or an item whose slot is granted may wait for a connection for up to 1 s, longer than it takes to accept one when the upstream stands still. When the connection was established, only announcements of the upstream itself were checked, not the list: the request was sent to an upstream that the process knew as draining (DRAIN). The same held for a slot that a broker with an older list granted.

isLeaving() now covers the list for 3 s from the first one that shows an upstream as draining: a broker grants by a list of 2 s at most, and a connection takes 1 s at most. Later the upstream may have restarted, which the broker may know before this process, so the check ends. No announcement is reported to the broker for it.

Failed before: ProxyRequestTest/requestThatWaitsForAConnectionIsNotSentToAnUpstreamThatDrains and slotOfAnUpstreamThatDrainsIsNotUsed (1 request in place of 0), ItemRunTest/itemThatWaitsForAConnectionIsNotSentToAnUpstreamThatDrains (the same), SlotBrokerTest/upstreamCountsAsLeavingWhileItsSlotsMayHaveBeenGrantedBefore (3 checks).

--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -119,8 +119,10 @@
     void chargeRates(const std::vector<wire::RateCharge> &charges);
     void reportLoad(const wire::UpstreamLoad &load,
                     ReportSource source = ReportSource::OwnResponse);
-    /// Whether the upstream \a id at \a address announced that it leaves. It then gets no requests,
-    /// whatever the list of upstreams shows. Announcements stay in effect after reset().
+    /// Whether no request may be sent to the upstream \a id at \a address. Either it announced that
+    /// it leaves, whatever the list of upstreams shows, which stays in effect after reset(); or the
+    /// list has shown it as draining for a short time, in which a slot may have been granted before
+    /// that was known.
     bool isLeaving(const std::string &id, const std::string &address) const;
     /// Time of the last announcement of \a upstream; InfinitePast when it is not leaving.
     absl::Time announcedLeavingAt(const std::string &upstream) const;
@@ -214,6 +216,8 @@
     policy::TokenBucket initialBucket(const policy::RateContract &contract) const;
     void armTimer();
     void sweep();
+    void recordDraining(const std::vector<wire::FleetUpstream> &upstreams);
+    bool isNewlyDraining(const std::string &id, const std::string &address) const;
 
     TimerService &m_timers;
     const Clock &m_clock;
@@ -222,6 +226,14 @@
     /// The list of upstreams, as the platform shows it.
     std::vector<policy::SlotUpstream> m_upstreams;
     policy::LeavingUpstreams m_leaving;
+    struct DrainingUpstream
+    {
+        std::string address;
+        /// When this process received the first list that shows it as draining.
+        absl::Time since;
+    };
+    /// Upstreams that the list shows as draining, by id.
+    std::map<std::string, DrainingUpstream> m_draining;
     /// Unlike the slots, these stay when another process becomes the broker.
     policy::StreamOrigins m_streamOrigins{policy::StreamOriginSettings()};
     policy::VersionHistory m_versions;
--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -65,8 +65,9 @@
     void release(const wire::SlotRelease &release);
     /// Reports the headers of a response to the broker and to the local share.
     void reportLoad(const wire::UpstreamLoad &load);
-    /// Whether the upstream \a id at \a address announced to this process that it leaves. No
-    /// request may be sent to it then, although the broker may still grant its slots.
+    /// Whether the upstream \a id at \a address announced to this process that it leaves, or a list
+    /// has shown it as draining for a short time, see SlotBroker::isLeaving(). No request may be
+    /// sent to it then, although the broker may still grant its slots.
     bool isLeaving(const std::string &id, const std::string &address) const;
     /// Repeats the announcement of \a upstream to the broker, which granted a slot there.
     void repeatLeaving(const std::string &upstream, const std::string &address);
--- a/src/serving/slotbroker_upstreams.cpp
+++ b/src/serving/slotbroker_upstreams.cpp
@@ -18,6 +18,10 @@
         {ReportSource::OtherProcess, "report"},
 }};
 
+/// Time after which no slot that was granted before an upstream was known as draining can lead to a
+/// request: a broker grants by a list that is at most 2 s old, and a connection takes up to 1 s.
+constexpr absl::Duration maxGrantDelay = absl::Seconds(3);
+
 } // namespace
 
 void SlotBroker::setUpstreams(const std::vector<wire::FleetUpstream> &upstreams,
@@ -35,6 +39,7 @@
                                static_cast<std::int64_t>(std::ceil(slots * share.slotFraction)),
                                upstream.draining, upstream.version});
     }
+    recordDraining(upstreams);
     m_versions.setUpstreams(m_clock.now(), m_upstreams, readAt);
     endLeaving(readAt);
     applyUpstreams();
@@ -109,7 +114,28 @@
 
 bool SlotBroker::isLeaving(const std::string &id, const std::string &address) const
 {
-    return m_leaving.isLeaving(id, address);
+    return m_leaving.isLeaving(id, address) || isNewlyDraining(id, address);
+}
+
+void SlotBroker::recordDraining(const std::vector<wire::FleetUpstream> &upstreams)
+{
+    const auto former = std::exchange(m_draining, {});
+    for (const wire::FleetUpstream &upstream : upstreams) {
+        if (!upstream.draining)
+            continue;
+        const auto found = former.find(upstream.id);
+        const bool isKnown = found != former.end() && found->second.address == upstream.address;
+        m_draining[upstream.id] = {upstream.address, isKnown ? found->second.since : m_clock.now()};
+    }
+}
+
+/// An upstream that has drained for longer may have restarted, which the process that granted the
+/// slot may know earlier.
+bool SlotBroker::isNewlyDraining(const std::string &id, const std::string &address) const
+{
+    const auto found = m_draining.find(id);
+    return found != m_draining.end() && found->second.address == address
+           && m_clock.now() - found->second.since <= maxGrantDelay;
 }
 
 absl::Time SlotBroker::announcedLeavingAt(const std::string &upstream) const
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -350,8 +350,11 @@
 
 void SlotClient::repeatLeaving(const std::string &upstream, const std::string &address)
 {
-    const absl::Duration age =
-            m_impl->clock.now() - m_impl->localBroker.announcedLeavingAt(upstream);
+    const absl::Time announcedAt = m_impl->localBroker.announcedLeavingAt(upstream);
+    // The broker knows from the list that an upstream drains.
+    if (announcedAt == absl::InfinitePast())
+        return;
+    const absl::Duration age = m_impl->clock.now() - announcedAt;
     m_impl->sendLoad({upstream, -1, -1, true, absl::ToInt64Milliseconds(age), address});
 }
 
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -585,6 +585,26 @@
     BOOST_TEST(other.requests() == 1);
 }
 
+// Guards against an item that is sent to an upstream which the list showed as draining while the
+// connection was being established: a connection to an upstream that stands still may take long.
+BOOST_AUTO_TEST_CASE(itemThatWaitsForAConnectionIsNotSentToAnUpstreamThatDrains)
+{
+    net::EndlessServer draining({success});
+    net::EndlessServer other({success});
+    startWaiting();
+    thread.run([&] {
+        for (const bool isDraining : {false, true}) {
+            broker.setUpstreams({{"u1", "llm", draining.address(), "d", 1, isDraining},
+                                 {"u2", "llm", other.address(), "d", 1, false}},
+                                serving::CapacityShare());
+            BOOST_TEST(executor.openItemCounts().running == 1);
+        }
+    });
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(draining.requests() == 0);
+    BOOST_TEST(other.requests() == 1);
+}
+
 // Guards against an item that fails at each run and has all its attempts again after each change of
 // the store's leader.
 BOOST_AUTO_TEST_CASE(changesOfTheLeaderGiveAFailingItemNoFurtherAttempts)
--- a/tests/serving/proxyrequest_leaving_test.cpp
+++ b/tests/serving/proxyrequest_leaving_test.cpp
@@ -88,6 +88,40 @@
     BOOST_TEST(upstreams.requestsAt(1) == 1);
 }
 
+// Guards against a request that is sent to an upstream which the list showed as draining while the
+// connection was being established: a connection to an upstream that stands still may take long.
+BOOST_AUTO_TEST_CASE(requestThatWaitsForAConnectionIsNotSentToAnUpstreamThatDrains)
+{
+    ScriptedUpstreams upstreams({{completeResponse("0", "done")}});
+    Entry entry(upstreams, routeOf(RouteKind::NonIdempotent, 1));
+    entry.onProxied = [&] {
+        entry.slotClient.setUpstreams({{"u1", "s", upstreams.address(0), "d", 4, true},
+                                       {"u2", "s", upstreams.address(1), "d", 4, false}},
+                                      1);
+    };
+    BOOST_TEST(contains(entry.sendRequest("0"), "done"));
+    BOOST_TEST(upstreams.requestsAt(0) == 0);
+    BOOST_TEST(upstreams.requestsAt(1) == 1);
+}
+
+// Guards against a request that is sent to an upstream which this process knows as draining,
+// because the broker's list is older, and against a report of an announcement that was not made.
+BOOST_AUTO_TEST_CASE(slotOfAnUpstreamThatDrainsIsNotUsed)
+{
+    ScriptedUpstreams upstreams({{completeResponse("0", "done")}});
+    UnknowingBroker broker(upstreams);
+    Entry entry(upstreams, routeOf(RouteKind::NonIdempotent, 1), broker.address());
+    entry.thread.run([&] {
+        entry.slotClient.setUpstreams({{"u1", "s", upstreams.address(0), "d", 4, true},
+                                       {"u2", "s", upstreams.address(1), "d", 4, false}},
+                                      1);
+    });
+    BOOST_TEST(contains(entry.sendRequest("0"), "done"));
+    BOOST_TEST(upstreams.requestsAt(0) == 0);
+    BOOST_TEST(upstreams.requestsAt(1) == 1);
+    BOOST_TEST(broker.leavingReports() == 0);
+}
+
 // Guards against a request that is refused because an attempt counts although nothing was sent.
 BOOST_AUTO_TEST_CASE(attemptThatWasNotSentDoesNotCount)
 {
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -320,6 +320,28 @@
     BOOST_TEST(!broker.isLeaving("u", "u:1"));
 }
 
+// Guards against a request that is sent although the list shows its upstream as draining, and
+// against a restarted upstream whose slots, granted by a process with a newer list, are not used.
+BOOST_AUTO_TEST_CASE(upstreamCountsAsLeavingWhileItsSlotsMayHaveBeenGrantedBefore)
+{
+    const auto list = [](bool isDraining, const std::string &address = "u:1") {
+        return std::vector<wire::FleetUpstream>{{"u", "llm", address, "d", 1, isDraining}};
+    };
+    BOOST_TEST(!broker.isLeaving("u", "u:1"));
+    broker.setUpstreams(list(true), CapacityShare());
+    BOOST_TEST(broker.isLeaving("u", "u:1"));
+    BOOST_TEST(!broker.isLeaving("u", "other:1"));
+    timers.advance(absl::Seconds(2));
+    broker.setUpstreams(list(true), CapacityShare());
+    BOOST_TEST(broker.isLeaving("u", "u:1"));
+    timers.advance(absl::Seconds(2));
+    BOOST_TEST(!broker.isLeaving("u", "u:1"));
+    broker.setUpstreams(list(true, "other:1"), CapacityShare());
+    BOOST_TEST(broker.isLeaving("u", "other:1"));
+    broker.setUpstreams(list(false, "other:1"), CapacityShare());
+    BOOST_TEST(!broker.isLeaving("u", "other:1"));
+}
+
 // Guards against a restarted upstream that never gets requests again, and against one that gets
 // requests because the list has not caught up with the announcement.
 BOOST_AUTO_TEST_CASE(announcementEndsWhenTheListHasCaughtUp)
