Engine, service: Do not take an unanswered connection for a crash

After a connection to an engine or a service was lost, a probe decides whether it crashed. A process that stands still accepts nothing, and once its queue of new connections is full, its system drops further attempts. The probe then reported "unavailable", like a refused connection, and the request that ran there was recorded as its crash; two such records refuse the request everywhere.

A blocking call tells an attempt to connect that was not answered in time from one that was refused, and the probes report the former as a timeout, which counts as silence. A request that can not be sent for this reason is still unavailable and not run, so that it goes to another instance.

EngineClientTest/engineThatAcceptsNoConnectionIsSilent and ServiceClientTest/serviceThatAcceptsNoConnectionIsSilent failed before: the code of the probe was not the timeout.

--- a/include/rattanrill/net/blockingcall.h
+++ b/include/rattanrill/net/blockingcall.h
@@ -20,6 +20,8 @@
     Complete,
     /// No connection could be established; nothing was sent.
     NotConnected,
+    /// The peer did not answer the attempt to connect in time; nothing was sent.
+    ConnectTimeout,
     /// The connection was lost, or the bytes are not a valid response.
     Broken,
     /// A bound in bytes was reached; see BlockingCall::fault().
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -78,6 +78,11 @@
     return mayHaveRun(codeOfStatus(status), detail);
 }
 
+bool isNotConnected(net::BlockingCallEnd end)
+{
+    return end == net::BlockingCallEnd::NotConnected || end == net::BlockingCallEnd::ConnectTimeout;
+}
+
 /// Whether the "error" object \a error names another request than \a requestId.
 bool isForAnotherRequest(const Json &error, const std::string &requestId)
 {
@@ -115,7 +120,7 @@
 
     Failure transportFailure(net::BlockingCallEnd end) const
     {
-        if (end == net::BlockingCallEnd::NotConnected)
+        if (isNotConnected(end))
             return notRun(ErrorCode::UpstreamUnavailable, describe(end));
         return mayHaveRun(ErrorCode::StreamBroken, describe(end));
     }
@@ -165,6 +170,9 @@
         const auto end = blockingCall.fetch(std::move(request), maxResponseBytes, response);
         if (end == net::BlockingCallEnd::TooLong)
             return tooLongFailure(blockingCall.fault());
+        // An engine that pauses accepts no connection once its queue of them is full.
+        if (end == net::BlockingCallEnd::ConnectTimeout)
+            return notRun(ErrorCode::Timeout, describe(end));
         if (end == net::BlockingCallEnd::IdleTimeout || end == net::BlockingCallEnd::DeadlinePassed)
             return mayHaveRun(ErrorCode::Timeout, describe(end));
         if (end != net::BlockingCallEnd::Complete)
@@ -302,9 +310,9 @@
     const net::BlockingCallEnd end = call.run(abortSignal);
     m_impl->dropped += call.reader().dropped();
     const bool deadlinePassed = m_impl->clock.now() >= request.deadline;
-    if (end == net::BlockingCallEnd::NotConnected && deadlinePassed)
+    if (isNotConnected(end) && deadlinePassed)
         return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
-    if (end == net::BlockingCallEnd::NotConnected)
+    if (isNotConnected(end))
         return m_impl->transportFailure(end);
     if (call.isErrorBodyTooLong())
         return m_impl->tooLongFailure(net::ResponseFault::BodyTooLong);
--- a/src/net/blockingcall.cpp
+++ b/src/net/blockingcall.cpp
@@ -24,9 +24,10 @@
 constexpr absl::Duration maxWait = absl::Hours(1);
 constexpr std::size_t readBufferBytes = 16384;
 
-constexpr std::array<EnumName<BlockingCallEnd>, 8> endNames = {{
+constexpr std::array<EnumName<BlockingCallEnd>, 9> endNames = {{
         {BlockingCallEnd::Complete, "complete"},
         {BlockingCallEnd::NotConnected, "not_connected"},
+        {BlockingCallEnd::ConnectTimeout, "connect_timeout"},
         {BlockingCallEnd::Broken, "broken"},
         {BlockingCallEnd::TooLong, "too_long"},
         {BlockingCallEnd::IdleTimeout, "idle_timeout"},
@@ -90,6 +91,8 @@
                       [&](auto done) { socket.async_connect(endpoint, done); });
         if (isAborted)
             return BlockingCallEnd::Aborted;
+        if (error == asio::error::timed_out)
+            return BlockingCallEnd::ConnectTimeout;
         if (error)
             return BlockingCallEnd::NotConnected;
         socket.set_option(Tcp::no_delay(true), error);
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -65,6 +65,12 @@
            || head.headers.find("Transfer-Encoding") != nullptr;
 }
 
+/// Whether the time passed before a connection was established.
+bool isConnectTimeout(const Failure &failure)
+{
+    return failure.code == ErrorCode::Timeout && failure.effect == EffectState::NotRun;
+}
+
 net::Request makeRequest(const ServiceRequest &request)
 {
     net::Request result;
@@ -140,6 +146,9 @@
         const std::string detail = concat(description(), ": ", net::name(end));
         if (end == net::BlockingCallEnd::NotConnected)
             return notRun(ErrorCode::UpstreamUnavailable, detail);
+        // A service that pauses accepts no connection once its queue of them is full.
+        if (end == net::BlockingCallEnd::ConnectTimeout)
+            return notRun(ErrorCode::Timeout, detail);
         if (end == net::BlockingCallEnd::DeadlinePassed)
             return mayHaveRun(ErrorCode::Timeout, detail);
         if (end == net::BlockingCallEnd::Aborted)
@@ -198,6 +207,8 @@
     timeouts.deadline = request.deadline;
     const auto response =
             m_impl->call(makeRequest(request), timeouts, m_impl->options.maxResponseBytes);
+    if (!response.ok() && isConnectTimeout(response.failure()))
+        return notRun(ErrorCode::UpstreamUnavailable, response.failure().detail);
     if (!response.ok())
         return response.failure();
     return m_impl->checkResponse(request, response.value());
--- a/tests/engine/engineclient_test.cpp
+++ b/tests/engine/engineclient_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cutserver.h"
 #include "endlessserver.h"
+#include "hanginglistener.h"
 
 #include "rattanrill/base/json.h"
 
@@ -327,6 +328,28 @@
     BOOST_TEST((probe("") == ErrorCode::StreamBroken));
 }
 
+// Guards against a crash that is reported, and a request that is quarantined, because an engine
+// that pauses has a full queue of new connections. A request that could not be sent is still
+// unavailable, so that it is sent to another engine.
+BOOST_AUTO_TEST_CASE(engineThatAcceptsNoConnectionIsSilent)
+{
+    const net::HangingListener listener;
+    EngineOptions options;
+    options.name = "e";
+    options.host = "127.0.0.1";
+    options.port = listener.port();
+    options.connectTimeout = absl::Milliseconds(200);
+    EngineClient client(options);
+    const auto probed = client.probe();
+    BOOST_REQUIRE(!probed.ok());
+    BOOST_TEST((probed.failure().code == ErrorCode::Timeout));
+    BOOST_TEST((probed.failure().effect == EffectState::NotRun));
+    AbortSignal abortSignal;
+    const auto result = run(client, abortSignal);
+    BOOST_TEST((result.failure().code == ErrorCode::UpstreamUnavailable));
+    BOOST_TEST((result.failure().effect == EffectState::NotRun));
+}
+
 // Guards against a load report that arrives byte by byte and holds the call beyond its timeout.
 BOOST_AUTO_TEST_CASE(slowLoadReportEndsAtTheTimeout)
 {
--- a/tests/net/hanginglistener.h
+++ b/tests/net/hanginglistener.h
@@ -36,10 +36,8 @@
             m_accepted.push_back(m_acceptor.accept(error));
     }
 
-    std::string address() const
-    {
-        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
+    int port() const { return m_acceptor.local_endpoint().port(); }
+    std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
 
 private:
     boost::asio::io_context m_context;
--- a/tests/service/serviceclient_test.cpp
+++ b/tests/service/serviceclient_test.cpp
@@ -2,6 +2,7 @@
 
 #include "cutserver.h"
 #include "endlessserver.h"
+#include "hanginglistener.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -148,6 +149,26 @@
     BOOST_TEST(announcements == 2);
 }
 
+// Guards against a crash that is reported because a service that pauses has a full queue of new
+// connections. A request that could not be sent is still unavailable.
+BOOST_AUTO_TEST_CASE(serviceThatAcceptsNoConnectionIsSilent)
+{
+    const net::HangingListener listener;
+    ServiceOptions options;
+    options.name = "s";
+    options.host = "127.0.0.1";
+    options.port = listener.port();
+    options.connectTimeout = absl::Milliseconds(200);
+    ServiceClient client(options);
+    const auto probed = client.probe();
+    BOOST_REQUIRE(!probed.ok());
+    BOOST_TEST((probed.failure().code == ErrorCode::Timeout));
+    const auto result = call(client);
+    BOOST_REQUIRE(!result.ok());
+    BOOST_TEST((result.failure().code == ErrorCode::UpstreamUnavailable));
+    BOOST_TEST((result.failure().effect == EffectState::NotRun));
+}
+
 // Guards against a load report that arrives byte by byte and holds the call beyond its timeout.
 BOOST_AUTO_TEST_CASE(slowLoadReportEndsAtTheTimeout)
 {
