Net: Keep a connection for the time that its last response announced

A caller whose stream announced "Keep-Alive: timeout=20" sent its next request 1.6 s after the end of the stream and found the connection closed, without a response: the configuration had lowered idle-timeout-ms from 20,000 to 1,000 while the stream ran. The head of a response states the limit in force when it is written, but the timer was armed at the end of the response with the limit in force then. Both can be far apart in a stream.

The connection now remembers what its last response announced and stays open for that time, or for the limit in force if that is longer. A raised limit applies at once, a lowered one from the next response on.

A limit below one second was announced as "timeout=0", which does not tell a client that the connection is kept for 0.9 s, and not that it is closed either. Whole seconds are all that can be announced, so such a response now has "Connection: close"; a request that was pipelined behind it is still served. Limits above are rounded down as before.

--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -22,7 +22,8 @@
     std::size_t maxBodyBytes = std::size_t(4) << 20;
     /// Maximum time from the first byte of a request to the end of its header.
     absl::Duration headerTimeout = absl::Seconds(3);
-    /// Maximum time between two requests, and between two parts of a body.
+    /// Maximum time between two requests, and between two parts of a body. Responses announce it in
+    /// whole seconds; below one second, connections are not kept.
     absl::Duration idleTimeout = absl::Seconds(15);
     /// Connections beyond this number are closed as soon as they are accepted.
     std::size_t maxConnections = 3000;
@@ -77,7 +78,8 @@
     Result<void> start(const std::string &address);
     /// Port on which the server listens.
     int port() const;
-    /// Sets the limits for connections that are accepted and requests that begin from now on.
+    /// Sets the limits for connections that are accepted and requests that begin from now on. A
+    /// connection stays open for the time that its last response has announced.
     void setLimits(const ServerLimits &limits);
     /// Makes the server close each connection after its current or next response.
     void drain();
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace rattanrill::net {
@@ -201,14 +202,15 @@
 
 std::string ServerConnection::framedHead(ResponseHead head, std::string_view framing)
 {
+    // Only whole seconds can be announced.
+    const std::int64_t idleSeconds = absl::ToInt64Seconds(m_shared->limits.idleTimeout);
     // A request that was pipelined behind this one has been read and must be answered too.
-    m_keepAlive = m_keepAlive && (!m_shared->draining || hasNextRequest());
-    if (m_keepAlive) {
-        head.headers.add("Keep-Alive",
-                         concat("timeout=", absl::ToInt64Seconds(m_shared->limits.idleTimeout)));
-    } else {
+    m_keepAlive = m_keepAlive && (hasNextRequest() || (!m_shared->draining && idleSeconds > 0));
+    if (!m_keepAlive)
         head.headers.add("Connection", "close");
-    }
+    else if (idleSeconds > 0)
+        head.headers.add("Keep-Alive", concat("timeout=", idleSeconds));
+    m_announcedIdleTimeout = absl::Seconds(idleSeconds);
     std::string text = serialize(head);
     // Removes the empty line that ends the header section, so that one more header can follow.
     text.resize(text.size() - 2);
@@ -323,7 +325,7 @@
         return shutdownSend();
     }
     m_phase = Phase::Idle;
-    armTimer(m_shared->limits.idleTimeout);
+    armTimer(std::max(m_announcedIdleTimeout, m_shared->limits.idleTimeout));
     handleParserState();
     read();
 }
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -110,6 +110,8 @@
     bool m_writing = false;
     bool m_reading = false;
     bool m_keepAlive = true;
+    /// Time for which the head of the last response announced that the connection is kept.
+    absl::Duration m_announcedIdleTimeout;
     bool m_isStream = false;
     /// Whether the handler has completed the response. A part of it may not have been sent yet.
     bool m_responseComplete = false;
