Net, gateway: Serve requests on kept connections while a process stops

Twelve callers read streams on twelve connections whose heads, written before SIGTERM, announced keep-alive. Each sent its next request at once after the last chunk; 12 of 12 got the end of the connection and nothing else. ServerConnection::endRequest() closed the connection because the server drained, and in phase Closing a whole request is discarded. Connections that were idle at SIGTERM lost theirs as well: ServerDrain closed them 2.5 s after it although the process ran other requests for up to 5 s more.

Only a response with "Connection: close" now ends a connection, and none other reaches phase Closing. What a client has been told decides:

- A connection that was announced as kept serves one more request while the server drains; that response announces the close.
The rule of admission is unchanged: from 2.5 s on, a request which might be cut by the end of the process is refused as not run, so no non-idempotent request is run and cut that was not before.
- The drain ends no earlier than 0.5 s after the last response that announced keep-alive (nextRequestDelay).
Closing at once loses what is sent after the last chunk; waiting for the announced time would hold the process until it is killed.
Since responses announce the close from SIGTERM on, each connection can delay the end only once.
- Idle connections don't delay the end but stay open until then.
Closing them earlier saves nothing and loses a request that crosses the close.
Each is checked for a request once more before it is closed.

A request that crosses the end of the process itself still gets nothing.

In shutdown_test.py the second requests must now be refused, not just be absent from the upstreams.

--- a/include/rattanrill/gateway/serverdrain.h
+++ b/include/rattanrill/gateway/serverdrain.h
@@ -11,9 +11,10 @@
 
 namespace rattanrill::gateway {
 
-/// Brings the requests of a server to an end when its process stops. Closes idle connections from
-/// the end of the admission on, ends open requests with a response at the end of the requests, and
-/// then waits until the responses have been sent. Used on the event loop only.
+/// Brings the requests of a server to an end when its process stops. Ends open requests with a
+/// response at the end of the requests, and waits until the responses have been sent and no request
+/// is expected. Idle connections don't delay the end, and stay open until then: clients may send
+/// requests on them for the time that was announced. Used on the event loop only.
 class ServerDrain
 {
 public:
@@ -32,6 +33,7 @@
 
 private:
     void check();
+    bool isDrained();
     void endRequests();
     void finish();
 
--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -81,15 +81,17 @@
     /// Sets the limits for connections that are accepted and requests that begin from now on. A
     /// connection stays open for the time that its last response has announced.
     void setLimits(const ServerLimits &limits);
-    /// Makes the server close each connection after its current or next response.
+    /// Makes the server announce with each response that begins from now on that its connection is
+    /// closed. A connection that was announced as kept serves one more request.
     void drain();
     /// Adds the connections that wait to be accepted. They may have a request.
     void acceptPendingConnections();
-    /// Closes the connections that have no request, not even one that has not been read yet. New
-    /// connections stay open for a moment, because their first request may be on its way.
+    /// Closes the connections that have no request, not even one that has not been read yet.
+    /// Connections stay open for a moment after they were accepted, and after a response that
+    /// announced that they are kept, because a request may be on its way.
     void closeIdleConnections();
     /// Whether a connection has a request, read completely or not, has a response that has not been
-    /// sent completely, or is so new that its first request may be on its way.
+    /// sent completely, or is idle for so short a time that a request may be on its way.
     bool hasActiveConnections() const;
     /// Ends the open requests, see Exchange::onServerEnding(). Requests that have not been read
     /// completely are refused with status 503.
--- a/src/gateway/serverdrain.cpp
+++ b/src/gateway/serverdrain.cpp
@@ -36,13 +36,22 @@
     if (now < m_shutdown.admissionEnd())
         return;
     m_server.acceptPendingConnections();
-    m_server.closeIdleConnections();
     if (now >= m_shutdown.requestsEnd())
         endRequests();
-    if (!m_server.hasActiveConnections() || now >= m_shutdown.responsesEnd())
+    if (isDrained() || now >= m_shutdown.responsesEnd())
         finish();
 }
 
+/// Closes the idle connections when all others have ended. Each is checked for a request once more
+/// before it is closed.
+bool ServerDrain::isDrained()
+{
+    if (m_server.hasActiveConnections())
+        return false;
+    m_server.closeIdleConnections();
+    return !m_server.hasActiveConnections();
+}
+
 void ServerDrain::endRequests()
 {
     for (auto &exchange : m_server.openExchanges())
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -24,6 +24,9 @@
 /// Time within which the first request of a new connection is expected. It covers round trips
 /// within a region.
 constexpr absl::Duration firstRequestDelay = absl::Milliseconds(200);
+/// Time within which the next request of a client is expected that sends it as soon as it has read
+/// the last response. It covers the round trip and the time that the client needs between both.
+constexpr absl::Duration nextRequestDelay = absl::Milliseconds(500);
 /// Number of reads after which other connections get their turn.
 constexpr int maxReadsAtOnce = 16;
 /// Maximum time for which the connection stays open after the last response was sent, so that the
@@ -47,21 +50,21 @@
 void ServerConnection::start()
 {
     prepareSocket(m_socket);
-    m_startedAt = SystemClock::instance().now();
+    m_idleSince = SystemClock::instance().now();
     armTimer(m_shared->limits.idleTimeout);
     read();
 }
 
 bool ServerConnection::isIdle() const
 {
-    return m_phase == Phase::Idle && !hasNextRequest() && !awaitsFirstRequest();
+    return m_phase == Phase::Idle && !hasNextRequest() && !expectsRequest();
 }
 
 bool ServerConnection::isActive() const
 {
     switch (m_phase) {
     case Phase::Idle:
-        return hasNextRequest() || awaitsFirstRequest();
+        return hasNextRequest() || expectsRequest();
     case Phase::Header:
     case Phase::Body:
     case Phase::Serving:
@@ -87,10 +90,11 @@
     return m_parser.state() != RequestParser::State::Idle || hasUnreadBytes();
 }
 
-/// Whether the connection is so new that its first request may be on its way.
-bool ServerConnection::awaitsFirstRequest() const
+/// Whether the connection is idle for so short a time that a request may be on its way.
+bool ServerConnection::expectsRequest() const
 {
-    return !m_hasServed && SystemClock::instance().now() - m_startedAt < firstRequestDelay;
+    const absl::Duration delay = m_hasServed ? nextRequestDelay : firstRequestDelay;
+    return SystemClock::instance().now() - m_idleSince < delay;
 }
 
 bool ServerConnection::hasUnreadBytes() const
@@ -320,11 +324,12 @@
 
 void ServerConnection::endRequest()
 {
-    if (!m_keepAlive || (m_shared->draining && !hasNextRequest())) {
+    if (!m_keepAlive) {
         m_phase = Phase::Closing;
         return shutdownSend();
     }
     m_phase = Phase::Idle;
+    m_idleSince = SystemClock::instance().now();
     armTimer(std::max(m_announcedIdleTimeout, m_shared->limits.idleTimeout));
     handleParserState();
     read();
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -36,11 +36,11 @@
                      std::shared_ptr<SharedServerState> shared);
 
     void start();
-    /// Whether the connection has no request, not even one that has not been read yet, and is not
-    /// new.
+    /// Whether the connection has no request, not even one that has not been read yet or may be on
+    /// its way.
     bool isIdle() const;
-    /// Whether the connection has a request, a response that has not been sent completely, or is
-    /// new.
+    /// Whether the connection has a request, a response that has not been sent completely, or a
+    /// request may be on its way.
     bool isActive() const;
     /// Ends the current request with a response or by aborting its stream.
     void endRequests();
@@ -73,7 +73,7 @@
 
     /// Whether a part of the next request has arrived, even if it has not been read yet.
     bool hasNextRequest() const;
-    bool awaitsFirstRequest() const;
+    bool expectsRequest() const;
     bool hasUnreadBytes() const;
     void read();
     void receive();
@@ -103,7 +103,8 @@
     RequestParser m_parser;
     std::array<char, 8192> m_buffer;
     Phase m_phase = Phase::Idle;
-    absl::Time m_startedAt;
+    /// When the connection was accepted or its last response had been sent.
+    absl::Time m_idleSince;
     bool m_hasServed = false;
     /// Bytes that have not been sent yet.
     std::string m_output;
--- a/tests/gateway/serverdrain_test.cpp
+++ b/tests/gateway/serverdrain_test.cpp
@@ -57,6 +57,20 @@
         });
     }
 
+    /// Starts a stream whose head announces keep-alive.
+    void startStream(net::RawSocket &client)
+    {
+        const int before = requestCount;
+        client.send(request);
+        BOOST_REQUIRE(waitFor([&] { return requestCount == before + 1; }));
+        thread.run([&] {
+            net::ResponseHead head;
+            head.status = 200;
+            exchange->startStream(head);
+        });
+        BOOST_REQUIRE(client.readUntil("\r\n\r\n").find("Keep-Alive: ") != std::string::npos);
+    }
+
     void respond(const std::string &body)
     {
         thread.run([&] { exchange->respond(net::textResponse(200, body, "text/plain")); });
@@ -200,6 +214,65 @@
     BOOST_TEST(waitFor([&] { return isDrained(); }));
 }
 
+// Guards against a process that ends, or closes the connection, while the request that a client
+// sends after the end of a stream is on its way: the head of the stream announced keep-alive.
+BOOST_AUTO_TEST_CASE(requestShortlyAfterTheLastStreamIsAnswered)
+{
+    net::RawSocket client(port);
+    startStream(client);
+    start();
+    clock.advance(admissionTime * 1.1);
+    waitForChecks();
+    thread.run([&] { exchange->finish(); });
+    client.readUntil("0\r\n\r\n");
+    waitForChecks();
+    client.send(request);
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 2; }));
+    respond("whole");
+    const std::string responses = client.readAll();
+    BOOST_TEST(responses.find("whole") != std::string::npos);
+    BOOST_TEST(responses.find("Connection: close") > responses.find("0\r\n\r\n"));
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
+// Guards against a process that a kept connection holds until the end of the shutdown timeout.
+BOOST_AUTO_TEST_CASE(keptConnectionWithoutARequestDelaysTheEndOnlyShortly)
+{
+    net::RawSocket client(port);
+    startStream(client);
+    start();
+    clock.advance(admissionTime * 1.1);
+    thread.run([&] { exchange->finish(); });
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+    BOOST_TEST(abandonedCount == 0);
+}
+
+// Guards against a kept connection that is closed while other requests still run: a request that
+// arrives at the moment of the close would get no response.
+BOOST_AUTO_TEST_CASE(idleConnectionIsServedWhileTheProcessRuns)
+{
+    net::RawSocket idle(port);
+    idle.send(request);
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
+    respond("first");
+    idle.readUntil("first");
+    net::RawSocket client(port);
+    startStream(client);
+    const std::shared_ptr<net::Exchange> stream = exchange;
+    start();
+    clock.advance(admissionTime * 1.1);
+    absl::SleepFor(absl::Seconds(1));
+    idle.send(request);
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 3; }));
+    respond("second");
+    const std::string responses = idle.readAll();
+    BOOST_TEST(responses.find("second") != std::string::npos);
+    BOOST_TEST(responses.find("Connection: close") > responses.find("first"));
+    BOOST_TEST(!isDrained());
+    thread.run([&] { stream->finish(); });
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
 // Guards against a process that ends without a response to a request whose connection it has not
 // accepted yet, because the event loop was busy.
 BOOST_AUTO_TEST_CASE(connectionThatWaitsToBeAcceptedKeepsTheProcessRunning)
--- a/tests/platform/shutdown_test.py
+++ b/tests/platform/shutdown_test.py
@@ -153,6 +153,9 @@
                 self.check_outcome(request_id, outcome)
             self.assertEqual(caller.outcomes[f"{caller.prefix}-0"][0],
                              503 if caller is late else 200)
+        # The entry lives for longer than their first streams, which announced keep-alive.
+        self.assertEqual([caller.outcomes[f"{caller.prefix}-1"][0] for caller in callers],
+                         [503, 503, 503])
 
     def test_new_connections_are_answered_until_the_process_ends(self):
         """Guards against an entry that closes a new connection while its request is on its way, or
