--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -22,7 +22,8 @@
     std::size_t maxBodyBytes = std::size_t(4) << 20;
     /// Maximum time from the first byte of a request to the end of its header.
     absl::Duration headerTimeout = absl::Seconds(3);
-    /// Maximum time between two requests, and between two parts of a body.
+    /// Maximum time between two requests, and between two parts of a body. Responses announce it in
+    /// whole seconds; below one second, connections are not kept.
     absl::Duration idleTimeout = absl::Seconds(15);
     /// Connections beyond this number are closed as soon as they are accepted.
     std::size_t maxConnections = 3000;
@@ -77,17 +78,20 @@
     Result<void> start(const std::string &address);
     /// Port on which the server listens.
     int port() const;
-    /// Sets the limits for connections that are accepted and requests that begin from now on.
+    /// Sets the limits for connections that are accepted and requests that begin from now on. A
+    /// connection stays open for the time that its last response has announced.
     void setLimits(const ServerLimits &limits);
-    /// Makes the server close each connection after its current or next response.
+    /// Makes the server announce with each response that begins from now on that its connection is
+    /// closed. A connection that was announced as kept serves one more request.
     void drain();
     /// Adds the connections that wait to be accepted. They may have a request.
     void acceptPendingConnections();
-    /// Closes the connections that have no request, not even one that has not been read yet. New
-    /// connections stay open for a moment, because their first request may be on its way.
+    /// Closes the connections that have no request, not even one that has not been read yet.
+    /// Connections stay open for a moment after they were accepted, and after a response that
+    /// announced that they are kept, because a request may be on its way.
     void closeIdleConnections();
     /// Whether a connection has a request, read completely or not, has a response that has not been
-    /// sent completely, or is so new that its first request may be on its way.
+    /// sent completely, or is idle for so short a time that a request may be on its way.
     bool hasActiveConnections() const;
     /// Ends the open requests, see Exchange::onServerEnding(). Requests that have not been read
     /// completely are refused with status 503.
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace rattanrill::net {
@@ -23,6 +24,9 @@
 /// Time within which the first request of a new connection is expected. It covers round trips
 /// within a region.
 constexpr absl::Duration firstRequestDelay = absl::Milliseconds(200);
+/// Time within which the next request of a client is expected that sends it as soon as it has read
+/// the last response. It covers the round trip and the time that the client needs between both.
+constexpr absl::Duration nextRequestDelay = absl::Milliseconds(500);
 /// Number of reads after which other connections get their turn.
 constexpr int maxReadsAtOnce = 16;
 /// Maximum time for which the connection stays open after the last response was sent, so that the
@@ -46,21 +50,21 @@
 void ServerConnection::start()
 {
     prepareSocket(m_socket);
-    m_startedAt = SystemClock::instance().now();
+    m_idleSince = SystemClock::instance().now();
     armTimer(m_shared->limits.idleTimeout);
     read();
 }
 
 bool ServerConnection::isIdle() const
 {
-    return m_phase == Phase::Idle && !hasNextRequest() && !awaitsFirstRequest();
+    return m_phase == Phase::Idle && !hasNextRequest() && !expectsRequest();
 }
 
 bool ServerConnection::isActive() const
 {
     switch (m_phase) {
     case Phase::Idle:
-        return hasNextRequest() || awaitsFirstRequest();
+        return hasNextRequest() || expectsRequest();
     case Phase::Header:
     case Phase::Body:
     case Phase::Serving:
@@ -86,10 +90,11 @@
     return m_parser.state() != RequestParser::State::Idle || hasUnreadBytes();
 }
 
-/// Whether the connection is so new that its first request may be on its way.
-bool ServerConnection::awaitsFirstRequest() const
+/// Whether the connection is idle for so short a time that a request may be on its way.
+bool ServerConnection::expectsRequest() const
 {
-    return !m_hasServed && SystemClock::instance().now() - m_startedAt < firstRequestDelay;
+    const absl::Duration delay = m_hasServed ? nextRequestDelay : firstRequestDelay;
+    return SystemClock::instance().now() - m_idleSince < delay;
 }
 
 bool ServerConnection::hasUnreadBytes() const
@@ -201,14 +206,15 @@
 
 std::string ServerConnection::framedHead(ResponseHead head, std::string_view framing)
 {
+    // Only whole seconds can be announced.
+    const std::int64_t idleSeconds = absl::ToInt64Seconds(m_shared->limits.idleTimeout);
     // A request that was pipelined behind this one has been read and must be answered too.
-    m_keepAlive = m_keepAlive && (!m_shared->draining || hasNextRequest());
-    if (m_keepAlive) {
-        head.headers.add("Keep-Alive",
-                         concat("timeout=", absl::ToInt64Seconds(m_shared->limits.idleTimeout)));
-    } else {
+    m_keepAlive = m_keepAlive && (hasNextRequest() || (!m_shared->draining && idleSeconds > 0));
+    if (!m_keepAlive)
         head.headers.add("Connection", "close");
-    }
+    else if (idleSeconds > 0)
+        head.headers.add("Keep-Alive", concat("timeout=", idleSeconds));
+    m_announcedIdleTimeout = absl::Seconds(idleSeconds);
     std::string text = serialize(head);
     // Removes the empty line that ends the header section, so that one more header can follow.
     text.resize(text.size() - 2);
@@ -318,12 +324,13 @@
 
 void ServerConnection::endRequest()
 {
-    if (!m_keepAlive || (m_shared->draining && !hasNextRequest())) {
+    if (!m_keepAlive) {
         m_phase = Phase::Closing;
         return shutdownSend();
     }
     m_phase = Phase::Idle;
-    armTimer(m_shared->limits.idleTimeout);
+    m_idleSince = SystemClock::instance().now();
+    armTimer(std::max(m_announcedIdleTimeout, m_shared->limits.idleTimeout));
     handleParserState();
     read();
 }
