--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -212,10 +212,11 @@
 
 
 class PlatformDeployment(unittest.TestCase):
-    """Base of test cases. Runs three control, two entry and, unless a subclass sets another number,
-    three store processes, each on its own address."""
+    """Base of test cases. Runs three control and, unless a subclass sets other numbers, three store
+    and two entry processes, each on its own address."""
 
     stores = 3
+    entries = 2
 
     @classmethod
     def setUpClass(cls):
@@ -224,11 +225,11 @@
         cls.serve(LIST_ADDRESS, InstanceList)
         cls.start_upstreams()
         cls.processes = {}
-        for role, count in (("control", 3), ("store", cls.stores), ("entry", 2)):
+        for role, count in (("control", 3), ("store", cls.stores), ("entry", cls.entries)):
             for number in range(1, count + 1):
                 cls.start(role, number, founding=True)
         cls.ready = wait_until(lambda: cls.put_configuration(configuration(1)) == 200) and \
-            wait_until(lambda: all(cls.is_ready(n) for n in (1, 2)))
+            wait_until(lambda: all(cls.is_ready(n) for n in range(1, cls.entries + 1)))
 
     @classmethod
     def serve(cls, address, handler):
@@ -262,7 +263,7 @@
         host = cls.address(role, number)
         name = f"{role}-{number}"
         settings = {
-            "instance": name, "failureDomain": "abcd"[number - 1], "peerHost": host,
+            "instance": name, "failureDomain": "abcd"[(number - 1) % 4], "peerHost": host,
             "peerPort": PEER_PORT, "founding": founding, "clusterSecret": "secret",
             "seeds": [f"{cls.address('control', n)}:{OPERATOR_PORT}" for n in (1, 2, 3)],
             "listAddress": "%s:%d" % LIST_ADDRESS, "graceSeconds": 8}
--- a/tests/platform/silent_upstreams_test.py
+++ b/tests/platform/silent_upstreams_test.py
@@ -83,7 +83,11 @@
 
 class SilentUpstreamsTest(PlatformDeployment):
     """The upstreams are processes, which a stop signal makes silent: their operating system still
-    accepts connections. Both entries have streams at all of them and get further requests."""
+    accepts connections until their accept queues are full. Both entries have streams at all of them
+    and get further requests."""
+
+    # Larger than the number of connections that both entries open during a silence.
+    accept_queue = 128
 
     @classmethod
     def setUpClass(cls):
@@ -98,7 +102,9 @@
         program = Path(__file__).parent / "upstreamprocess.py"
         for number in UPSTREAMS:
             host = f"127.0.8.{number}"
-            process = subprocess.Popen([sys.executable, program, host, str(UPSTREAM_PORT)])
+            log = Path(cls.directory.name) / f"accepted-{number}.txt"
+            process = subprocess.Popen([sys.executable, program, str(UPSTREAM_PORT),
+                                        str(cls.accept_queue), log, host])
             cls.upstreams[number] = process
             cls.addClassCleanup(process.wait)
             cls.addClassCleanup(process.kill)
--- a/tests/platform/upstreamprocess.py
+++ b/tests/platform/upstreamprocess.py
@@ -1,10 +1,15 @@
-"""Runs one scripted upstream as a process of its own, which a test can stop and continue.
+"""Runs scripted upstreams as a process of their own, which a test can stop and continue.
 
-Usage: upstreamprocess.py HOST PORT
+Each host has a listener with an accept queue of its own; while the process is stopped, the
+operating system accepts the connections that fit into the queue and drops further attempts to
+connect.
 """
 
+import argparse
 import http.server
 import sys
+import threading
+import time
 
 from platformdeployment import Upstream
 
@@ -32,9 +37,42 @@
 
 class UpstreamServer(http.server.ThreadingHTTPServer):
     daemon_threads = True
-    # Holds the connections that arrive while the process is stopped.
-    request_queue_size = 128
+
+    def __init__(self, host, settings, accept_log):
+        self.request_queue_size = settings.accept_queue
+        self.accept_log = accept_log
+        super().__init__((host, settings.port), ProcessUpstream)
+
+    def get_request(self):
+        connection, peer = super().get_request()
+        self.accept_log.write(f"{self.server_address[0]} {time.monotonic():.4f}\n")
+        return connection, peer
+
+    def handle_error(self, request, client_address):
+        """Reports no lost connections, which callers may reset at any time."""
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
+def serve(settings):
+    with open(settings.accept_log, "a", buffering=1, encoding="ascii") as log:
+        threads = [threading.Thread(target=UpstreamServer(host, settings, log).serve_forever)
+                   for host in settings.hosts]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("port", type=int)
+    parser.add_argument("accept_queue", type=int, help="size of each listener's accept queue")
+    parser.add_argument("accept_log", help="file to which a line \"HOST SECONDS\" of the monotonic "
+                        "clock is appended for each accepted connection")
+    parser.add_argument("hosts", nargs="+")
+    serve(parser.parse_args())
 
 
 if __name__ == "__main__":
-    UpstreamServer((sys.argv[1], int(sys.argv[2])), ProcessUpstream).serve_forever()
+    main()
