Serving: Log what established connections show of lost links

An entry that took itself for cut off did not log whether the operating systems of the upstreams still acknowledged what it sent, nor how many connections it had opened. So a full accept queue could not be told from a cut.

`upstream-links-lost` and `upstream-links-regained` now have the numbers of upstreams that acknowledge and that do not, and `connectionsOpened`; `upstream-probe-failed` has the evidence, and `drained` the number of connections opened. The evidence comes from TCP_INFO.

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/net/eventloop.h"
 #include "rattanrill/net/message.h"
+#include "rattanrill/net/tcpstate.h"
 
 #include "absl/time/time.h"
 
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace rattanrill::net {
 
@@ -118,6 +120,9 @@
     void retire(const std::string &address);
     /// Whether a connection to \a address is established, idle or with a call.
     bool hasOpenConnections(const std::string &address) const;
+    /// What the operating system knows of the established connections to \a address, idle or with a
+    /// call. A member is absent if the system does not tell.
+    std::vector<std::optional<TcpState>> tcpStates(const std::string &address) const;
     /// Number of connections opened since construction, including failed attempts.
     std::uint64_t connectionsOpened() const;
     /// Closes all connections and cancels all open calls.
--- a/include/rattanrill/policy/upstreamlinks.h
+++ b/include/rattanrill/policy/upstreamlinks.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace rattanrill::policy {
 
@@ -17,6 +19,25 @@
     Lost,
 };
 
+/// What established connections to an upstream show while a new one is not answered.
+enum class LinkEvidence {
+    /// Something arrived from the upstream's system after the new connection was attempted.
+    Acknowledged,
+    /// Something that was sent has not been acknowledged in time.
+    NotAcknowledged,
+    /// Something that was sent has not been acknowledged yet.
+    Pending,
+    /// Nothing was sent that would have to be acknowledged by now, or there is no connection.
+    Unknown,
+    /// The own system does not tell.
+    Unavailable,
+};
+
+std::string_view name(LinkEvidence evidence);
+std::optional<LinkEvidence> linkEvidenceFromName(std::string_view name);
+std::string_view name(LinkState state);
+std::optional<LinkState> linkStateFromName(std::string_view name);
+
 /// Tells whether a process has lost its links to the upstreams, from what happens to its own
 /// connections.
 ///
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -232,6 +232,7 @@
         log(LogLevel::Info, "drained",
             {{"openRequests", static_cast<std::int64_t>(abandoned.size())},
              {"requestIds", absl::StrJoin(ids, ",")},
+             {"connectionsOpened", static_cast<std::int64_t>(m_connections.connectionsOpened())},
              {"sinceStopMs", m_context.shutdown.elapsedMs(now)},
              {"stopLeftMs", m_context.shutdown.remainingMs(now)}});
     }
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -224,6 +224,21 @@
     });
 }
 
+std::vector<std::optional<TcpState>> ConnectionPool::tcpStates(const std::string &address) const
+{
+    std::vector<std::optional<TcpState>> result;
+    const auto idle = m_impl->idle.find(address);
+    if (idle != m_impl->idle.end()) {
+        for (const ConnectionPtr &connection : idle->second)
+            result.push_back(connection->tcpState());
+    }
+    for (const auto &[id, connection] : m_impl->calls) {
+        if (connection->address() == address && connection->isEstablished())
+            result.push_back(connection->tcpState());
+    }
+    return result;
+}
+
 std::uint64_t ConnectionPool::connectionsOpened() const
 {
     return m_impl->opened;
--- a/src/net/socketoptions.cpp
+++ b/src/net/socketoptions.cpp
@@ -1,5 +1,7 @@
 #include "socketoptions.h"
 
+#include "tcpinfo.h"
+
 #include <boost/asio/buffer.hpp>
 
 #include <netinet/in.h>
@@ -9,7 +11,6 @@
 namespace rattanrill::net {
 namespace {
 
-constexpr int keepAliveIdleSeconds = 2;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 /// The connection is closed when sent data stays unacknowledged for this long.
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -1,6 +1,7 @@
 #include "upstreamconnection.h"
 
 #include "socketoptions.h"
+#include "tcpinfo.h"
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/logger.h"
@@ -57,6 +58,11 @@
            && !hasReadableBytes();
 }
 
+std::optional<TcpState> UpstreamConnection::tcpState()
+{
+    return tcpStateOf(m_socket.native_handle(), SystemClock::instance().now() - m_writtenAt);
+}
+
 /// Whether the upstream has closed the connection, or has sent bytes that belong to no request.
 bool UpstreamConnection::hasReadableBytes()
 {
@@ -150,6 +156,7 @@
 void UpstreamConnection::writeRequest()
 {
     m_output = std::exchange(m_writer, nullptr)();
+    m_writtenAt = SystemClock::instance().now();
     send();
 }
 
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/responseparser.h"
+#include "rattanrill/net/tcpstate.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -37,6 +38,9 @@
     void reset();
     const std::string &address() const { return m_address; }
     bool isEstablished() const { return m_state == State::Calling || m_state == State::Idle; }
+    /// What the operating system knows of the connection, which is established; nothing if it does
+    /// not tell.
+    std::optional<TcpState> tcpState();
     /// Whether the connection is idle and can carry another request.
     bool isUsable(absl::Time now);
     /// Whether a request with the id \a requestId was sent on this connection. May return true for
@@ -77,6 +81,8 @@
     State m_state = State::New;
     /// Set while the connection is being established for a request.
     RequestWriter m_writer;
+    /// When the request was written, of which a part may not have been sent yet.
+    absl::Time m_writtenAt;
     /// Part of the request that has not been sent yet.
     std::string m_output;
     /// Whether the connection failed while the request was sent, so that its end is no orderly one.
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -1,8 +1,11 @@
 #include "rattanrill/serving/upstreamcaller.h"
 
+#include "linkevidence.h"
+
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/logger.h"
 
+#include <algorithm>
 #include <iterator>
 #include <map>
 #include <string_view>
@@ -114,13 +117,7 @@
         if (std::exchange(lastState, links.state()) != links.state())
             notifyLinkChange();
         if (std::exchange(wasCutOff, links.isCutOff()) != links.isCutOff())
-            log(links.isCutOff() ? LogLevel::Warning : LogLevel::Info,
-                links.isCutOff() ? "upstream-links-lost" : "upstream-links-regained",
-                {{"canReceive", links.canReceive()},
-                 {"canConnect", links.canConnect()},
-                 {"broken", static_cast<std::int64_t>(links.brokenCount())},
-                 {"unreachable", static_cast<std::int64_t>(links.unreachableCount())},
-                 {"upstreams", static_cast<std::int64_t>(upstreams.size())}});
+            logLinks();
         if (links.isSuspect() && probeTimer == 0 && !isStopped) {
             probeNext();
             probeTimer = loop.timers().subscribeEvery(
@@ -128,6 +125,36 @@
         }
     }
 
+    void logLinks() const
+    {
+        log(links.isCutOff() ? LogLevel::Warning : LogLevel::Info,
+            links.isCutOff() ? "upstream-links-lost" : "upstream-links-regained",
+            {{"canReceive", links.canReceive()},
+             {"canConnect", links.canConnect()},
+             {"broken", static_cast<std::int64_t>(links.brokenCount())},
+             {"unreachable", static_cast<std::int64_t>(links.unreachableCount())},
+             {"upstreams", static_cast<std::int64_t>(upstreams.size())},
+             {"acknowledging", upstreamsWith(policy::LinkEvidence::Acknowledged)},
+             {"notAcknowledging", upstreamsWith(policy::LinkEvidence::NotAcknowledged)},
+             {"connectionsOpened", static_cast<std::int64_t>(connections.connectionsOpened())}});
+    }
+
+    /// Number of upstreams whose established connections showed \a evidence in the last moment.
+    std::int64_t upstreamsWith(policy::LinkEvidence evidence) const
+    {
+        return std::count_if(upstreams.begin(), upstreams.end(), [&](const auto &upstream) {
+            return evidenceOf(upstream.id, probePeriod) == evidence;
+        });
+    }
+
+    policy::LinkEvidence evidenceOf(const std::string &upstream, absl::Duration sinceAttempt) const
+    {
+        const auto found = known.find(upstream);
+        return found == known.end()
+                       ? policy::LinkEvidence::Unknown
+                       : linkEvidenceOf(connections.tcpStates(found->second.address), sinceAttempt);
+    }
+
     void notifyLinkChange()
     {
         for (std::function<void()> &listener : std::exchange(linkListeners, {}))
@@ -238,7 +265,9 @@
         const bool isNewFailure = !links.hasFailed(upstream);
         if (isNewFailure)
             log(LogLevel::Info, "upstream-probe-failed",
-                {{"upstream", upstream}, {"result", result}});
+                {{"upstream", upstream},
+                 {"result", result},
+                 {"evidence", name(evidenceOf(upstream, probeTimeout))}});
         record(change);
         // Failed attempts may follow each other without a pause, because each concerns another
         // upstream.
