Serving: Do not take full accept queues for lost links

While several upstreams paused, callers of an entry got streams without an end, and 502 and 503 "this entry is cut off from the upstreams, and no other one forwards". A process that stands still accepts no connections; once its accept queue is full, its operating system drops each SYN, and the entry counted the connect that was not answered for 50 ms as a failure of the established connections, too. At four upstreams it took itself for cut off and gave up calls that would go on.

A connect that is not answered is now judged by the established connections to the same upstream. Something that arrived after the attempt: the upstream's system is alive, no failure. Neither: the state is Unanswered, in which calls are not sent on new connections, but no running call counts as lost. A connection on which the peer never acknowledged anything proves nothing, and where the operating system tells nothing, the attempt counts as before. In the state Unanswered, established connections to upstreams that have not failed are used.

Tests on loopback; a socket filter that drops what arrives makes a real cut.

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -58,6 +58,9 @@
     /// Called when a new connection has been established, directly before the request is written.
     /// When it returns false, the call ends as NotConnected. Optional.
     std::function<bool()> mayBeSent{};
+    /// Called before onEnd when a new connection was neither established nor refused in time.
+    /// Optional.
+    std::function<void()> onUnanswered{};
 };
 
 /// Timeouts and limits of a ConnectionPool.
--- a/include/rattanrill/policy/upstreamlinks.h
+++ b/include/rattanrill/policy/upstreamlinks.h
@@ -15,7 +15,7 @@
     /// New connections are not answered. The links may be lost, or the upstreams may have paused
     /// and their accept queues be full.
     Unanswered,
-    /// Established connections have failed, or new ones are refused.
+    /// Established connections have broken or are not acknowledged, or new ones are refused.
     Lost,
 };
 
@@ -48,8 +48,10 @@
 /// like a cut for a moment, until a byte arrives or a connection is established.
 ///
 /// The silence of upstreams is no failure: several of them may pause at once, and then continue
-/// their responses. It counts only where a new connection fails as well, because the operating
-/// system of an upstream that pauses accepts connections.
+/// their responses. The operating system of an upstream that pauses accepts connections until the
+/// accept queue is full; then it answers new ones as little as a link that is cut does, but still
+/// acknowledges what is sent on established ones. So a new connection that is not answered is
+/// judged by the established ones.
 ///
 /// A process that knows fewer upstreams than minUpstreams never counts as cut off.
 ///
@@ -71,35 +73,56 @@
     void connected();
     /// An established connection broke.
     void broken(const std::string &upstream);
-    /// A new connection was neither established nor refused in time, so nothing responds at all.
-    void unanswered(const std::string &upstream);
+    /// A new connection was neither established nor refused in time, or the evidence of the
+    /// established ones has changed since.
+    void unanswered(const std::string &upstream, LinkEvidence evidence);
     /// No connection could be established, which says nothing about established ones.
     void notConnected(const std::string &upstream);
 
-    /// Whether established connections work.
-    bool canReceive() const { return m_broken.size() < minUpstreams; }
+    /// Whether established connections work, as far as this is known.
+    bool canReceive() const { return m_established.total() < minUpstreams; }
+    /// Whether established connections have broken or are not acknowledged.
+    bool isEstablishedLost() const { return m_established.failed.size() >= minUpstreams; }
     /// Whether new connections can be established.
-    bool canConnect() const;
+    bool canConnect() const { return m_connecting.total() < maxNotConnected(); }
     /// Whether requests on new connections are expected to fail.
     bool isCutOff() const { return !canReceive() || !canConnect(); }
-    LinkState state() const { return isCutOff() ? LinkState::Lost : LinkState::Working; }
+    LinkState state() const;
     /// Whether attempts have failed and a new connection would tell whether the links are lost.
-    bool isSuspect() const { return m_broken.size() > 1 || m_unreachable.size() > 1; }
-    /// Number of upstreams at which attempts on established connections have failed.
-    std::size_t brokenCount() const { return m_broken.size(); }
-    /// Number of upstreams that could not be connected to.
-    std::size_t unreachableCount() const { return m_unreachable.size(); }
+    bool isSuspect() const { return m_established.total() > 1 || m_connecting.total() > 1; }
+    /// Number of upstreams at which established connections have broken or are not acknowledged.
+    std::size_t brokenCount() const { return m_established.failed.size(); }
+    /// Number of upstreams that could not be connected to or did not answer.
+    std::size_t unreachableCount() const { return m_connecting.total(); }
     bool hasFailed(const std::string &upstream) const
     {
-        return m_broken.count(upstream) != 0 || m_unreachable.count(upstream) != 0;
+        return m_established.contains(upstream) || m_connecting.contains(upstream);
     }
 
 private:
+    /// Upstreams at which connections of one kind do not work.
+    struct Failures
+    {
+        /// Of which this is certain.
+        std::set<std::string> failed;
+        /// Which do not answer new connections, so that it is possible.
+        std::set<std::string> unanswered;
+
+        std::size_t total() const;
+        bool contains(const std::string &upstream) const
+        {
+            return failed.count(upstream) != 0 || unanswered.count(upstream) != 0;
+        }
+        void clear();
+    };
+
+    std::size_t maxNotConnected() const;
+
     std::size_t m_upstreamCount = 0;
-    /// Upstreams at which attempts have failed since the last received byte.
-    std::set<std::string> m_broken;
-    /// Upstreams that could not be connected to since the last established connection.
-    std::set<std::string> m_unreachable;
+    /// Failures since the last received byte or acknowledgement.
+    Failures m_established;
+    /// Failures of new connections since the last one that was established.
+    Failures m_connecting;
 };
 
 } // namespace rattanrill::policy
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -57,6 +57,7 @@
     };
 
     void connect();
+    void connectTimedOut();
     void handleConnect(const boost::system::error_code &error);
     void writeRequest();
     void send();
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -12,6 +12,9 @@
 #include <utility>
 
 namespace rattanrill::serving {
+
+using policy::LinkEvidence;
+
 namespace {
 
 /// Time between two attempts to connect while the links may be lost, and between two to the same
@@ -23,11 +26,28 @@
 constexpr absl::Duration probeTimeout = absl::Milliseconds(50);
 /// Time for which an accepted probe shows that its upstream can be reached.
 constexpr absl::Duration reachabilityLifetime = absl::Milliseconds(500);
+/// Time between two reads of what established connections show.
+constexpr absl::Duration evidencePeriod = absl::Milliseconds(50);
 
 } // namespace
 
 struct UpstreamCaller::Impl : std::enable_shared_from_this<UpstreamCaller::Impl>
 {
+    struct Probe
+    {
+        absl::Time began;
+        /// Whether the time for the answer has passed.
+        bool isUnanswered = false;
+    };
+
+    /// Attempt to connect that was not answered in time.
+    struct UnansweredConnect
+    {
+        std::string address;
+        absl::Time began;
+        LinkEvidence evidence;
+    };
+
     struct Call
     {
         bool isForwarded = false;
@@ -44,22 +64,24 @@
     /// Whether a connection is established on which a request may be sent now.
     bool canReuseConnection(const UpstreamTarget &target, const std::string &requestId) const
     {
-        return links.canReceive() && connections.hasIdleConnection(target.address, requestId);
+        const bool canSend = links.canReceive()
+                             || (!links.isEstablishedLost() && !links.hasFailed(target.upstream));
+        return canSend && connections.hasIdleConnection(target.address, requestId);
     }
 
     CallId callDirectly(const UpstreamTarget &target, net::RequestWriter writer,
                         net::CallHandlers handlers, const std::string &requestId)
     {
         const CallId id = nextId++;
-        calls[id].id =
-                connections.call(target.address, std::move(writer),
-                                 observed(id, target.upstream, std::move(handlers)), requestId);
+        calls[id].id = connections.call(target.address, std::move(writer),
+                                        observed(id, target, std::move(handlers)), requestId);
         return id;
     }
 
     /// Returns handlers that also record what the call tells about the links.
-    net::CallHandlers observed(CallId id, const std::string &upstream, net::CallHandlers handlers)
+    net::CallHandlers observed(CallId id, const UpstreamTarget &target, net::CallHandlers handlers)
     {
+        const std::string &upstream = target.upstream;
         net::CallHandlers result = std::move(handlers);
         result.onHead = [self = shared_from_this(),
                          onHead = std::move(result.onHead)](const net::ResponseHead &head) {
@@ -73,19 +95,24 @@
             if (onBody)
                 onBody(bytes);
         };
-        const auto isConnected = std::make_shared<bool>(false);
-        result.mayBeSent = [self = shared_from_this(), isConnected,
+        const auto isJudged = std::make_shared<bool>(false);
+        result.onUnanswered = [self = shared_from_this(), isJudged, upstream,
+                               address = target.address, began = SystemClock::instance().now()] {
+            *isJudged = true;
+            self->recordUnanswered(upstream, address, began);
+        };
+        result.mayBeSent = [self = shared_from_this(), isJudged,
                             mayBeSent = std::move(result.mayBeSent)] {
-            *isConnected = true;
+            *isJudged = true;
             self->record([](auto &links) { links.connected(); });
             return !mayBeSent || mayBeSent();
         };
-        result.onEnd = [self = shared_from_this(), id, upstream, isConnected,
+        result.onEnd = [self = shared_from_this(), id, upstream, isJudged,
                         onEnd = std::move(result.onEnd)](net::CallStatus status) {
             self->calls.erase(id);
             if (status == net::CallStatus::Broken)
                 self->record([&](auto &links) { links.broken(upstream); });
-            if (status == net::CallStatus::NotConnected && !*isConnected)
+            if (status == net::CallStatus::NotConnected && !*isJudged)
                 self->record([&](auto &links) { links.notConnected(upstream); });
             onEnd(status);
         };
@@ -114,10 +141,10 @@
     void record(const Change &change)
     {
         change(links);
-        if (std::exchange(lastState, links.state()) != links.state())
-            notifyLinkChange();
-        if (std::exchange(wasCutOff, links.isCutOff()) != links.isCutOff())
+        if (std::exchange(lastState, links.state()) != links.state()) {
             logLinks();
+            notifyLinkChange();
+        }
         if (links.isSuspect() && probeTimer == 0 && !isStopped) {
             probeNext();
             probeTimer = loop.timers().subscribeEvery(
@@ -129,30 +156,30 @@
     {
         log(links.isCutOff() ? LogLevel::Warning : LogLevel::Info,
             links.isCutOff() ? "upstream-links-lost" : "upstream-links-regained",
-            {{"canReceive", links.canReceive()},
+            {{"state", name(links.state())},
+             {"canReceive", links.canReceive()},
              {"canConnect", links.canConnect()},
              {"broken", static_cast<std::int64_t>(links.brokenCount())},
              {"unreachable", static_cast<std::int64_t>(links.unreachableCount())},
              {"upstreams", static_cast<std::int64_t>(upstreams.size())},
-             {"acknowledging", upstreamsWith(policy::LinkEvidence::Acknowledged)},
-             {"notAcknowledging", upstreamsWith(policy::LinkEvidence::NotAcknowledged)},
+             {"acknowledging", upstreamsWith(LinkEvidence::Acknowledged)},
+             {"notAcknowledging", upstreamsWith(LinkEvidence::NotAcknowledged)},
              {"connectionsOpened", static_cast<std::int64_t>(connections.connectionsOpened())}});
     }
 
     /// Number of upstreams whose established connections showed \a evidence in the last moment.
-    std::int64_t upstreamsWith(policy::LinkEvidence evidence) const
+    std::int64_t upstreamsWith(LinkEvidence evidence) const
     {
         return std::count_if(upstreams.begin(), upstreams.end(), [&](const auto &upstream) {
-            return evidenceOf(upstream.id, probePeriod) == evidence;
+            return evidenceAt(upstream.address, probePeriod) == evidence;
         });
     }
 
-    policy::LinkEvidence evidenceOf(const std::string &upstream, absl::Duration sinceAttempt) const
+    /// What the established connections to \a address show of the time after an attempt to connect
+    /// \a sinceAttempt ago.
+    LinkEvidence evidenceAt(const std::string &address, absl::Duration sinceAttempt) const
     {
-        const auto found = known.find(upstream);
-        return found == known.end()
-                       ? policy::LinkEvidence::Unknown
-                       : linkEvidenceOf(connections.tcpStates(found->second.address), sinceAttempt);
+        return linkEvidenceOf(connections.tcpStates(address), sinceAttempt);
     }
 
     void notifyLinkChange()
@@ -214,64 +241,113 @@
     bool isUnanswered(const std::string &upstream) const
     {
         const auto found = pendingProbes.find(upstream);
-        return found != pendingProbes.end() && found->second;
+        return found != pendingProbes.end() && found->second.isUnanswered;
     }
 
     void probe(const wire::FleetUpstream &target)
     {
         const std::string &id = target.id;
-        if (!pendingProbes.try_emplace(id, false).second)
+        if (!pendingProbes.try_emplace(id, Probe{SystemClock::instance().now()}).second)
             return;
-        const TimerService::TimerId timer = loop.timers().subscribeOnce(
-                probeTimeout, [self = shared_from_this(), id] { self->awaitLateAnswer(id); });
+        const TimerService::TimerId timer =
+                loop.timers().subscribeOnce(probeTimeout, [self = shared_from_this(), target] {
+                    self->awaitLateAnswer(target);
+                });
         connections.connect(target.address,
-                            [self = shared_from_this(), id, timer](bool isConnected) {
+                            [self = shared_from_this(), target, timer](bool isConnected) {
                                 self->loop.timers().unsubscribe(timer);
-                                self->pendingProbes.erase(id);
-                                self->handleProbe(id, isConnected);
-                                self->notifyProbed(id);
+                                const Probe probe = self->pendingProbes[target.id];
+                                self->pendingProbes.erase(target.id);
+                                self->handleProbe(target, probe, isConnected);
+                                self->notifyProbed(target.id);
                             });
     }
 
     /// The answer may have arrived while this process was busy; its handler then runs first.
-    void awaitLateAnswer(const std::string &upstream)
+    void awaitLateAnswer(const wire::FleetUpstream &target)
     {
-        loop.post([self = shared_from_this(), upstream] {
-            const auto found = self->pendingProbes.find(upstream);
+        loop.post([self = shared_from_this(), target] {
+            const auto found = self->pendingProbes.find(target.id);
             if (found == self->pendingProbes.end())
                 return;
-            found->second = true;
-            self->recordProbeFailure(upstream, "unanswered",
-                                     [&](auto &current) { current.unanswered(upstream); });
-            self->notifyProbed(upstream);
+            found->second.isUnanswered = true;
+            self->recordUnanswered(target.id, target.address, found->second.began);
+            self->notifyProbed(target.id);
         });
     }
 
-    void handleProbe(const std::string &upstream, bool isConnected)
+    void handleProbe(const wire::FleetUpstream &target, const Probe &probe, bool isConnected)
     {
         if (isConnected) {
-            reachedAt[upstream] = SystemClock::instance().now();
+            reachedAt[target.id] = SystemClock::instance().now();
             return record([](auto &current) { current.connected(); });
         }
+        if (probe.isUnanswered)
+            return recordUnanswered(target.id, target.address, probe.began);
         // Established connections may live on while new ones are refused.
-        recordProbeFailure(upstream, "not_connected",
-                           [&](auto &current) { current.notConnected(upstream); });
+        recordProbeFailure(target.id, "not_connected", evidenceAt(target.address, probeTimeout),
+                           [&](auto &current) { current.notConnected(target.id); });
+    }
+
+    /// An attempt to connect to \a address, which began at \a began, is not answered in time.
+    void recordUnanswered(const std::string &upstream, const std::string &address, absl::Time began)
+    {
+        const LinkEvidence evidence = evidenceAt(address, SystemClock::instance().now() - began);
+        unanswered[upstream] = {address, began, evidence};
+        if (evidenceTimer == 0 && !isStopped)
+            evidenceTimer = loop.timers().subscribeEvery(
+                    evidencePeriod, [self = shared_from_this()] { self->reviewEvidence(); });
+        recordEvidence(upstream, evidence);
+    }
+
+    void recordEvidence(const std::string &upstream, LinkEvidence evidence)
+    {
+        if (evidence == LinkEvidence::Acknowledged)
+            reachedAt[upstream] = SystemClock::instance().now();
+        recordProbeFailure(upstream, "unanswered", evidence,
+                           [&](auto &current) { current.unanswered(upstream, evidence); });
+    }
+
+    /// Applies what established connections show by now to the upstreams that do not answer.
+    void reviewEvidence()
+    {
+        std::map<std::string, LinkEvidence> changes;
+        for (auto entry = unanswered.begin(); entry != unanswered.end();) {
+            auto &[upstream, attempt] = *entry;
+            const bool isOpen = links.hasFailed(upstream) || pendingProbes.count(upstream) != 0
+                                || attempt.evidence == LinkEvidence::Pending;
+            if (!isOpen) {
+                entry = unanswered.erase(entry);
+                continue;
+            }
+            const LinkEvidence evidence =
+                    evidenceAt(attempt.address, SystemClock::instance().now() - attempt.began);
+            // A lack of evidence takes nothing back.
+            const bool isNews = evidence == LinkEvidence::Acknowledged
+                                || evidence == LinkEvidence::NotAcknowledged
+                                || attempt.evidence == LinkEvidence::Pending;
+            if (isNews && std::exchange(attempt.evidence, evidence) != evidence)
+                changes[upstream] = evidence;
+            ++entry;
+        }
+        for (const auto &[upstream, evidence] : changes)
+            recordEvidence(upstream, evidence);
+        if (unanswered.empty())
+            loop.timers().unsubscribe(std::exchange(evidenceTimer, 0));
     }
 
     template <typename Change>
     void recordProbeFailure(const std::string &upstream, std::string_view result,
-                            const Change &change)
+                            LinkEvidence evidence, const Change &change)
     {
         const bool isNewFailure = !links.hasFailed(upstream);
         if (isNewFailure)
             log(LogLevel::Info, "upstream-probe-failed",
-                {{"upstream", upstream},
-                 {"result", result},
-                 {"evidence", name(evidenceOf(upstream, probeTimeout))}});
+                {{"upstream", upstream}, {"result", result}, {"evidence", name(evidence)}});
         record(change);
         // Failed attempts may follow each other without a pause, because each concerns another
         // upstream.
-        if (isNewFailure && links.canConnect() && links.isSuspect())
+        if (isNewFailure && links.hasFailed(upstream) && links.canConnect() && links.isSuspect())
             probeNext();
     }
 
@@ -307,15 +383,16 @@
     std::map<CallId, Call> calls;
     CallId nextId = 1;
     std::size_t nextProbe = 0;
-    /// Upstreams to which a connection is being established without a request, and whether the time
-    /// for the answer has passed.
-    std::map<std::string, bool> pendingProbes;
+    /// Upstreams to which a connection is being established without a request.
+    std::map<std::string, Probe> pendingProbes;
+    /// The last attempts to connect that were not answered, by upstream.
+    std::map<std::string, UnansweredConnect> unanswered;
     /// Called when the result of a probe is known, by upstream.
     std::map<std::string, std::vector<std::function<void()>>> probeListeners;
     /// When a probe was last accepted, by upstream.
     std::map<std::string, absl::Time> reachedAt;
     TimerService::TimerId probeTimer = 0;
-    bool wasCutOff = false;
+    TimerService::TimerId evidenceTimer = 0;
     policy::LinkState lastState = policy::LinkState::Working;
     std::vector<std::function<void()>> linkListeners;
     bool isStopped = false;
@@ -385,7 +462,7 @@
 
 bool UpstreamCaller::isLost(const std::string &upstream) const
 {
-    return !m_impl->links.canReceive() && m_impl->links.hasFailed(upstream);
+    return m_impl->links.isEstablishedLost() && m_impl->links.hasFailed(upstream);
 }
 
 bool UpstreamCaller::isCutOff() const
@@ -430,6 +507,8 @@
     m_impl->linkListeners.clear();
     if (m_impl->probeTimer != 0)
         m_impl->loop.timers().unsubscribe(std::exchange(m_impl->probeTimer, 0));
+    if (m_impl->evidenceTimer != 0)
+        m_impl->loop.timers().unsubscribe(std::exchange(m_impl->evidenceTimer, 0));
 }
 
 } // namespace rattanrill::serving
