--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -1,6 +1,7 @@
 #include "upstreamconnection.h"
 
 #include "socketoptions.h"
+#include "tcpinfo.h"
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/logger.h"
@@ -57,6 +58,11 @@
            && !hasReadableBytes();
 }
 
+std::optional<TcpState> UpstreamConnection::tcpState()
+{
+    return tcpStateOf(m_socket.native_handle(), SystemClock::instance().now() - m_writtenAt);
+}
+
 /// Whether the upstream has closed the connection, or has sent bytes that belong to no request.
 bool UpstreamConnection::hasReadableBytes()
 {
@@ -123,7 +129,7 @@
     m_timer.expires_after(absl::ToChronoNanoseconds(m_options.connectTimeout));
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &timerError) {
         if (!timerError && self->m_state == State::Connecting)
-            self->fail(CallStatus::NotConnected);
+            self->connectTimedOut();
     });
     m_socket.async_connect(endpoint,
                            [self = shared_from_this()](const boost::system::error_code &result) {
@@ -131,6 +137,14 @@
                            });
 }
 
+void UpstreamConnection::connectTimedOut()
+{
+    const auto current = m_handlers;
+    if (current && current->onUnanswered)
+        current->onUnanswered();
+    fail(CallStatus::NotConnected);
+}
+
 void UpstreamConnection::handleConnect(const boost::system::error_code &error)
 {
     if (m_state != State::Connecting)
@@ -150,6 +164,7 @@
 void UpstreamConnection::writeRequest()
 {
     m_output = std::exchange(m_writer, nullptr)();
+    m_writtenAt = SystemClock::instance().now();
     send();
 }
 
