Entry: Serve requests on kept connections during the shutdown

The product's own caller server closed each idle connection as soon as its listener was closed, also one whose last response had announced keep-alive a moment before, and also while it went on serving other requests for up to the drain limit. A request that the caller sent meanwhile got the end of the connection and no response.

The shutdown now waits for 1 s (lateRequestTimeout, as for new connections and after streams) for a request that follows a response without "Connection: close". After that the connection counts as idle: it does not delay the shutdown, but stays open until no connection has or expects a request. Before, only a connection that became idle after the listener had been closed was kept for that second.

--- a/src/entry/callerserver.cpp
+++ b/src/entry/callerserver.cpp
@@ -11,15 +11,17 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace rattanrill::entry {
 namespace {
 
 /// Replaces the backlog of 5 with which httplib listens. In a burst, connections beyond the backlog
 /// would be delayed until the client resends its SYN.
 constexpr int listenBacklog = 512;
-/// Time that a caller has to send a request on a connection that it may still use during a
-/// shutdown: one that was accepted just before the listener closed, or whose last response did not
-/// announce the close.
+/// Time for which a shutdown waits for a request on a connection that the caller may still use: one
+/// that was accepted just before the listener closed, or whose last response, sent less than this
+/// time ago, did not announce the close.
 constexpr absl::Duration lateRequestTimeout = absl::Seconds(1);
 constexpr std::size_t requestIdBytes = 12;
 constexpr int statusBadRequest = 400;
@@ -27,6 +29,12 @@
 thread_local ConnectionStream *currentConnection = nullptr;
 thread_local std::string currentRequestId;
 
+/// Returns the time until \a end, at least zero.
+absl::Duration remainingTime(absl::Time end)
+{
+    return std::max(end - absl::Now(), absl::ZeroDuration());
+}
+
 void setNoDelay(int socket)
 {
     const int yes = 1;
@@ -165,18 +173,18 @@
 {
     const int socket = stream.socket();
     m_connections.add(socket);
-    bool isFirst = true;
+    absl::Time idleSince = absl::InfiniteFuture();
     bool keepAlive = true;
-    while (keepAlive && awaitRequest(stream, isFirst)) {
+    while (keepAlive && awaitRequest(stream, idleSince)) {
         m_connections.markBusy(socket);
         keepAlive = serveOne(stream);
-        m_connections.markIdle(socket);
-        isFirst = false;
+        m_connections.markExpecting(socket);
+        idleSince = absl::Now();
     }
     m_connections.remove(socket);
 }
 
-bool CallerServer::awaitRequest(ConnectionStream &stream, bool isFirst)
+bool CallerServer::awaitRequest(ConnectionStream &stream, absl::Time idleSince)
 {
     using WaitResult = ConnectionStream::WaitResult;
     if (!m_connections.closingIdle()) {
@@ -184,10 +192,21 @@
                 stream.waitForRequest(m_options.keepAliveTimeout, m_connections.closeIdleEvent());
         if (result != WaitResult::Interrupted)
             return result == WaitResult::Request;
-        if (!isFirst)
-            return false;
     }
-    return stream.waitForRequest(lateRequestTimeout) == WaitResult::Request;
+    return awaitLateRequest(stream, idleSince);
+}
+
+bool CallerServer::awaitLateRequest(ConnectionStream &stream, absl::Time idleSince)
+{
+    using WaitResult = ConnectionStream::WaitResult;
+    idleSince = std::min(idleSince, absl::Now());
+    const absl::Duration lateTime = remainingTime(idleSince + lateRequestTimeout);
+    if (stream.waitForRequest(lateTime) == WaitResult::Request)
+        return true;
+    m_connections.markIdle(stream.socket());
+    // The caller may use the connection for the announced time as long as the process runs.
+    const absl::Duration keptTime = remainingTime(idleSince + m_options.keepAliveTimeout);
+    return stream.waitForRequest(keptTime, m_connections.allIdleEvent()) == WaitResult::Request;
 }
 
 bool CallerServer::serveOne(ConnectionStream &stream)
--- a/src/entry/callerserver.h
+++ b/src/entry/callerserver.h
@@ -33,8 +33,9 @@
     void closeAfterResponses();
     /// Stops accepting connections; running requests continue.
     void closeListener();
-    /// Closes idle connections and waits for running requests. Returns false when requests are
-    /// still running after \a timeout. Requires closeListener().
+    /// Waits for running requests, and shortly for those that may be on their way, and then closes
+    /// the idle connections. Returns false when requests are still running after \a timeout.
+    /// Requires closeListener().
     bool awaitRequests(absl::Duration timeout);
     /// Calls awaitRequests(), aborts the requests that are still running and ends all threads.
     /// Returns false when requests were aborted.
@@ -49,8 +50,11 @@
 private:
     bool process_and_close_socket(socket_t socket) override;
     void serve(ConnectionStream &stream);
-    /// Returns false when the connection must be closed.
-    bool awaitRequest(ConnectionStream &stream, bool isFirst);
+    /// Waits for a request on a connection whose last response was sent at \a idleSince, which is
+    /// InfiniteFuture before the first request. Returns false when the connection must be closed.
+    bool awaitRequest(ConnectionStream &stream, absl::Time idleSince);
+    /// The same from awaitRequests() on.
+    bool awaitLateRequest(ConnectionStream &stream, absl::Time idleSince);
     /// Returns false when the connection must be closed.
     bool serveOne(ConnectionStream &stream);
     /// Adds the headers that all responses have.
--- a/tests/entry/callerserver_test.cpp
+++ b/tests/entry/callerserver_test.cpp
@@ -204,13 +204,70 @@
     const std::string response = unused.readAll();
     BOOST_TEST(contains(response, "quick"), response);
     BOOST_TEST(contains(response, "Connection: close"), response);
-    // Connections that were kept are closed at once.
+    // Connections that were kept are closed when no request is expected any more.
     BOOST_TEST(contains(used.readAll(), "quick"));
     for (net::RawSocket *caller : {&used, &unused, &later})
         caller->close();
     BOOST_TEST(server.finish());
 }
 
+// R12: guards against a connection that is closed while the request which follows its last response
+// is on its way: the response announced that the connection is kept.
+BOOST_AUTO_TEST_CASE(requestShortlyAfterAResponseIsServedDuringTheShutdown)
+{
+    TestServer server;
+    net::RawSocket caller(server.port());
+    caller.send(quickRequest);
+    BOOST_TEST(contains(caller.readUntil("quick"), "Keep-Alive"));
+    server.beginShutdown();
+    caller.send(heldRequest);
+    server.release();
+    const std::string response = caller.readAll();
+    BOOST_TEST(contains(response, "held"), response);
+    BOOST_TEST(contains(response, "Connection: close"), response);
+    caller.close();
+    BOOST_TEST(server.finish());
+}
+
+// R12: guards against a kept connection that is closed while the shutdown waits for other requests.
+BOOST_AUTO_TEST_CASE(idleConnectionIsServedWhileTheShutdownWaitsForRequests)
+{
+    TestServer server;
+    net::RawSocket idle(server.port());
+    idle.send(quickRequest);
+    (void)idle.readUntil("quick");
+    net::RawSocket unused(server.port());
+    net::RawSocket streaming(server.port());
+    streaming.send(heldStreamRequest);
+    (void)streaming.readUntil("begin");
+    server.beginShutdown();
+    // Longer than the time for which the shutdown waits for a request on an idle connection.
+    absl::SleepFor(absl::Milliseconds(1500));
+    idle.send(heldRequest);
+    server.release();
+    const std::string response = idle.readAll();
+    BOOST_TEST(contains(response, "held"), response);
+    BOOST_TEST(contains(response, "Connection: close"), response);
+    for (net::RawSocket *caller : {&idle, &streaming, &unused})
+        caller->close();
+    BOOST_TEST(server.finish());
+}
+
+// Guards against a kept connection that holds the shutdown for its whole idle timeout.
+BOOST_AUTO_TEST_CASE(idleConnectionsAreClosedWhenNoRequestRuns)
+{
+    TestServer server;
+    net::RawSocket caller(server.port());
+    caller.send(quickRequest);
+    (void)caller.readUntil("quick");
+    const absl::Time begin = absl::Now();
+    server.beginShutdown();
+    (void)caller.readAll();
+    BOOST_TEST((absl::Now() - begin < http::ServerOptions().keepAliveTimeout / 3));
+    caller.close();
+    BOOST_TEST(server.finish());
+}
+
 // Guards against a shutdown that counts as cut off because a caller keeps its idle connection open.
 BOOST_AUTO_TEST_CASE(connectionThatItsCallerKeepsOpenIsNoRunningRequest)
 {
