Entry: Close connections whose idle timeout is below one second

With a keepAliveTimeoutMs of 100 to 999, which the settings allow, the product's own caller server announced "Keep-Alive: timeout=0" and kept the connection, because whole seconds are all that can be announced. Such responses now have "Connection: close".

keepAliveTimeoutBelowOneSecondIsAnnouncedAsClose failed before with "Keep-Alive: timeout=0, max=1000000".

--- a/src/entry/callerserver.cpp
+++ b/src/entry/callerserver.cpp
@@ -220,8 +220,9 @@
 void CallerServer::completeHeaders(httplib::Response &response) const
 {
     response.set_header("X-Request-Id", currentRequestId);
-    // Decided when the head is written: the shutdown may begin while the request runs.
-    if (m_connections.closingAfterResponses())
+    // Decided when the head is written: the shutdown may begin while the request runs. Only whole
+    // seconds can be announced.
+    if (m_connections.closingAfterResponses() || m_options.keepAliveTimeout < absl::Seconds(1))
         currentConnection->closeAfterResponse();
     if (!currentConnection->closing())
         return;
--- a/tests/entry/callerserver_test.cpp
+++ b/tests/entry/callerserver_test.cpp
@@ -36,8 +36,8 @@
 class TestServer
 {
 public:
-    TestServer()
-        : m_server(serverOptions())
+    explicit TestServer(http::ServerOptions options = serverOptions())
+        : m_server(options)
     {
         m_server.Get("/quick", [](const httplib::Request &, httplib::Response &response) {
             response.set_content("quick", "text/plain");
@@ -268,6 +268,19 @@
     BOOST_TEST(server.finish());
 }
 
+// Guards against an announced timeout of 0: only whole seconds can be announced.
+BOOST_AUTO_TEST_CASE(keepAliveTimeoutBelowOneSecondIsAnnouncedAsClose)
+{
+    http::ServerOptions options = serverOptions();
+    options.keepAliveTimeout = absl::Milliseconds(900);
+    TestServer server(options);
+    net::RawSocket caller(server.port());
+    caller.send(quickRequest);
+    const std::string response = caller.readAll();
+    BOOST_TEST(contains(response, "Connection: close"), response);
+    BOOST_TEST(!contains(response, "Keep-Alive"), response);
+}
+
 // Guards against a shutdown that counts as cut off because a caller keeps its idle connection open.
 BOOST_AUTO_TEST_CASE(connectionThatItsCallerKeepsOpenIsNoRunningRequest)
 {
