Gateway: Apply a changed configuration before slots can be granted

After a start of the whole deployment, requests for a route that a second configuration had added got 404, which callers take for final, although the entry had logged that configuration as in force. An entry serves the first configuration 0.5 s after it has arrived even if it can't grant slots yet (no slot broker, number of entries unknown), and from then on passed newer ones on to the gateway only once it could. The limits for callers, among them the idle timeout, changed at once, so that both were of different versions.

A gateway that has a configuration now gets each newer one immediately.

--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -155,7 +155,8 @@
         // The gateway serves held requests at once, so the slot client needs its upstreams, its
         // configuration, and a broker or a share of its own before.
         m_canGrant = m_canGrant || !stores.leader.empty() || state.liveEntries > 0;
-        if (m_deployment && m_hasUpstreams && m_canGrant)
+        // A gateway that has a configuration must not answer by an older one than is known.
+        if (m_gateway.deployment() || (m_deployment && m_hasUpstreams && m_canGrant))
             m_gateway.setDeployment(m_deployment);
     }
 
