Jobs: Read the events that arrived while the store stood still

An attempt of an item ends when its upstream sends no event for 1.5 s. A store that stands still that long, within 0.15 s of the last event, found the end of this time and the end of its pause between two reads at once. The former was handled first, so the attempt was cancelled and the item ran again, although its further events were in the socket. Nothing was lost, but the upstream was blamed and ran the rest of the item twice.

The attempt now ends in a task of its own, after the reads that are due. An event among them starts the time again.

--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -630,15 +630,21 @@
     cancelTimer(m_idleTimer);
     m_idleTimer = m_context.loop.timers().subscribeOnce(idleTimeout, [self = shared_from_this()] {
         self->m_idleTimer = 0;
-        if (self->m_state != State::Running)
-            return;
-        if (self->m_forwarder.empty())
-            self->m_context.upstreams.probeSilent(self->m_upstream);
-        self->failAttempt("the upstream sent no event within the idle timeout",
-                          ReleaseReason::Failed);
+        // An event may have arrived while this process was busy; its handler then runs first.
+        self->m_context.loop.post([self] { self->endIdleAttempt(); });
     });
 }
 
+/// Ends the attempt unless an event has arrived since the idle timer expired.
+void ItemRun::endIdleAttempt()
+{
+    if (m_state != State::Running || m_idleTimer != 0)
+        return;
+    if (m_forwarder.empty())
+        m_context.upstreams.probeSilent(m_upstream);
+    failAttempt("the upstream sent no event within the idle timeout", ReleaseReason::Failed);
+}
+
 void ItemRun::cancelTimer(TimerService::TimerId &timer)
 {
     if (timer != 0)
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -100,6 +100,7 @@
     /// expires.
     void abandon();
     void restartIdleTimer();
+    void endIdleAttempt();
     void releaseSlot(policy::ReleaseReason reason);
     void releaseForwarder();
     /// Total time for which the item has run in slots, including the current one.
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -36,6 +36,8 @@
 
 struct ItemFixture : StoreFixture
 {
+    using StoreFixture::StoreFixture;
+
     /// Submits a job of one item. All upstreams have the address of \a server.
     void start(net::EndlessServer &server)
     {
@@ -161,6 +163,21 @@
     }
 };
 
+/// Reads the streams of items at intervals, as the process of a store does.
+struct ReadIntervalFixture : ItemFixture
+{
+    ReadIntervalFixture()
+        : ItemFixture(true, options())
+    {}
+
+    static net::ConnectionPoolOptions options()
+    {
+        net::ConnectionPoolOptions result;
+        result.readInterval = absl::Milliseconds(150);
+        return result;
+    }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(ItemRunTest, ItemFixture)
@@ -605,6 +622,26 @@
     BOOST_TEST(other.requests() == 1);
 }
 
+// Guards against an item that runs again because its store stood still: the events that arrived
+// meanwhile wait in the socket while the time for the next event passes.
+BOOST_FIXTURE_TEST_CASE(eventsThatArriveWhileTheStoreStandsStillCount, ReadIntervalFixture)
+{
+    std::string rest;
+    for (int id = 2; id <= 4; ++id)
+        rest += chunk(numberedEvent(id));
+    net::ScriptedAnswer answer;
+    answer.bytes = chunkedHead + chunk(numberedEvent(1));
+    answer.late = rest + serving::lastChunk;
+    answer.lateDelay = absl::Milliseconds(300);
+    net::ScriptedServer server({answer});
+    startItem(server);
+    await([&] { return server.requests().size() == 1; });
+    absl::SleepFor(absl::Milliseconds(50));
+    thread.run([] { absl::SleepFor(absl::Milliseconds(1700)); });
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(server.requests().size() == 1u);
+}
+
 // Guards against an item that fails at each run and has all its attempts again after each change of
 // the store's leader.
 BOOST_AUTO_TEST_CASE(changesOfTheLeaderGiveAFailingItemNoFurtherAttempts)
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -102,7 +102,9 @@
 struct StoreFixture
 {
     /// Without \a isOpen, neither the replica is opened nor the service started.
-    explicit StoreFixture(bool isOpen = true)
+    explicit StoreFixture(bool isOpen = true,
+                          net::ConnectionPoolOptions options = net::ConnectionPoolOptions())
+        : connections(loop, options)
     {
         if (!isOpen)
             return;
@@ -214,7 +216,7 @@
     net::EventLoop &loop = thread.loop();
     Metrics metrics;
     serving::TestProtocolAdapter adapter;
-    net::ConnectionPool connections{loop, net::ConnectionPoolOptions()};
+    net::ConnectionPool connections;
     peer::ChannelPool channels{transport("client")};
     serving::ForwardingClient forwarder{loop, channels};
     serving::UpstreamCaller upstreams{loop, connections, forwarder};
