--- a/tests/entry/online_test.cpp
+++ b/tests/entry/online_test.cpp
@@ -313,6 +313,34 @@
     BOOST_TEST(code == "");
 }
 
+// Guards against a stream that is ended, and a request that is refused, because its engine pauses
+// beyond the idle timeout while no other one can continue it.
+BOOST_AUTO_TEST_CASE(streamGoesOnAfterAPauseOfTheOnlyEngine)
+{
+    TestFleet fleet(0, 1);
+    fleet.settings().timings.engineIdleTimeout = absl::Milliseconds(200);
+    fleet.startEntry();
+    fleet.awaitReady();
+    ScriptedEngine::Script script;
+    script.pauseAt = 2;
+    script.pauseHealthChecks = true;
+    fleet.engine(0).setScript(script);
+    const std::size_t before = fleet.engine(0).runs();
+    int status = 0;
+    std::string body;
+    std::thread caller([&] {
+        const auto result = fleet.complete(0, "acme", "sound", 4);
+        status = result->status;
+        body = result->body;
+    });
+    BOOST_TEST(eventually([&] { return fleet.engine(0).runs() > before; }));
+    absl::SleepFor(absl::Milliseconds(1200));
+    fleet.engine(0).resume();
+    caller.join();
+    BOOST_TEST_REQUIRE(status == 200, body);
+    BOOST_TEST(Json::parse(body).at("choices").at(0).at("text") == expectedText("sound", 4));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace rattanrill::entry
