Gateway: Serve callers while an entry that stops forwards calls

An entry that stops and still forwards calls of other entries runs until these have ended, for up to 7 of its 8 s. Its caller server had been stopped before: kept connections were closed and new ones refused, although the process ran. Found by reading.

These calls are now part of what the drain of the caller server waits for, with the same limit (minStopTime), so that connections which were announced as kept are served until the process ends.

requestIsServedWhileTheProcessHasOtherWork fails if the drain does not wait for other work, as before (critical check requestCount == 2). Not played on real processes with forwarded calls.

--- a/include/rattanrill/gateway/serverdrain.h
+++ b/include/rattanrill/gateway/serverdrain.h
@@ -28,8 +28,10 @@
     ServerDrain &operator=(const ServerDrain &) = delete;
 
     /// Call once, when the shutdown has begun. Calls \a drained once, after the server has been
-    /// stopped.
-    void start(std::function<void(const AbandonedRequests &)> drained);
+    /// stopped. The server serves requests as long as \a hasOtherWork returns true, if it is set:
+    /// as long as the process runs, a client may expect a response.
+    void start(std::function<void(const AbandonedRequests &)> drained,
+               std::function<bool()> hasOtherWork = nullptr);
 
 private:
     void check();
@@ -43,6 +45,7 @@
     const serving::ShutdownState &m_shutdown;
     AbandonedRequests m_abandoned;
     std::function<void(const AbandonedRequests &)> m_drained;
+    std::function<bool()> m_hasOtherWork;
     TimerService::TimerId m_timer = 0;
 };
 
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -28,8 +28,6 @@
 /// Maximum number of connections from callers. The limit follows from the number of file
 /// descriptors; an idle connection needs little memory.
 constexpr std::size_t maxCallerConnections = 3000;
-/// Interval at which a process that stops checks whether it still forwards calls.
-constexpr absl::Duration forwardedCallsPeriod = absl::Milliseconds(50);
 /// Calls of other processes are broken off when less of the time to stop is left.
 constexpr absl::Duration minStopTime = absl::Seconds(1);
 /// Maximum number of request ids in one log line.
@@ -105,25 +103,22 @@
     {
         m_draining = true;
         m_context.shutdown.begin(m_core.clock().now(), m_settings.shutdownTimeout, admissionTime);
-        m_callerDrain.start([this, stopped = std::move(stopped)](const auto &abandoned) {
-            logDrained(abandoned);
-            finishForwardedCalls(stopped);
-        });
+        m_callerDrain.start(
+                [this, stopped = std::move(stopped)](const auto &abandoned) {
+                    logDrained(abandoned);
+                    m_core.fleetClient().leave();
+                    stopped();
+                },
+                [this] { return waitsForForwardedCalls(); });
     }
 
 private:
-    /// Stops once the calls of other processes have ended, or little of the time to stop is left.
-    void finishForwardedCalls(const std::function<void()> &stopped)
+    /// Whether calls of other processes are open, and enough of the time to stop is left.
+    bool waitsForForwardedCalls() const
     {
         const bool hasTime = m_context.shutdown.remainingMs(m_core.clock().now())
                              > absl::ToInt64Milliseconds(minStopTime);
-        if (m_forwardingService.openCalls() > 0 && hasTime) {
-            m_processContext.loop.timers().subscribeOnce(
-                    forwardedCallsPeriod, [this, stopped] { finishForwardedCalls(stopped); });
-            return;
-        }
-        m_core.fleetClient().leave();
-        stopped();
+        return m_forwardingService.openCalls() > 0 && hasTime;
     }
 
     bool isReady() const { return !m_draining && m_gateway.deployment() && m_hasUpstreams; }
--- a/src/gateway/serverdrain.cpp
+++ b/src/gateway/serverdrain.cpp
@@ -23,9 +23,11 @@
         m_timers.unsubscribe(m_timer);
 }
 
-void ServerDrain::start(std::function<void(const AbandonedRequests &)> drained)
+void ServerDrain::start(std::function<void(const AbandonedRequests &)> drained,
+                        std::function<bool()> hasOtherWork)
 {
     m_drained = std::move(drained);
+    m_hasOtherWork = std::move(hasOtherWork);
     m_server.drain();
     m_timer = m_timers.subscribeEvery(checkPeriod, [this] { check(); });
 }
@@ -46,7 +48,7 @@
 /// before it is closed.
 bool ServerDrain::isDrained()
 {
-    if (m_server.hasActiveConnections())
+    if (m_server.hasActiveConnections() || (m_hasOtherWork && m_hasOtherWork()))
         return false;
     m_server.closeIdleConnections();
     return !m_server.hasActiveConnections();
--- a/tests/gateway/serverdrain_test.cpp
+++ b/tests/gateway/serverdrain_test.cpp
@@ -51,9 +51,11 @@
     {
         thread.run([this] {
             shutdown.begin(clock.now(), timeout, admissionTime);
-            drain->start([this](const ServerDrain::AbandonedRequests &abandoned) {
-                abandonedCount = static_cast<int>(abandoned.size());
-            });
+            drain->start(
+                    [this](const ServerDrain::AbandonedRequests &abandoned) {
+                        abandonedCount = static_cast<int>(abandoned.size());
+                    },
+                    [this] { return hasOtherWork.load(); });
         });
     }
 
@@ -95,6 +97,7 @@
     std::unique_ptr<ServerDrain> drain;
     std::shared_ptr<net::Exchange> exchange;
     std::atomic<int> requestCount{0};
+    std::atomic<bool> hasOtherWork{false};
     /// -1 until the drain has ended.
     std::atomic<int> abandonedCount{-1};
 };
@@ -273,6 +276,33 @@
     BOOST_TEST(waitFor([&] { return isDrained(); }));
 }
 
+// Guards against a process that serves no requests while it still forwards calls of other
+// processes, and against one that waits for these calls until it is killed.
+BOOST_AUTO_TEST_CASE(requestIsServedWhileTheProcessHasOtherWork)
+{
+    net::RawSocket idle(port);
+    idle.send(request);
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 1; }));
+    respond("first");
+    idle.readUntil("first");
+    hasOtherWork = true;
+    start();
+    clock.advance(admissionTime * 1.1);
+    absl::SleepFor(absl::Seconds(1));
+    idle.send(request);
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 2; }));
+    respond("second");
+    BOOST_TEST(idle.readAll().find("second") != std::string::npos);
+    net::RawSocket newClient(port);
+    newClient.send(request);
+    BOOST_REQUIRE(waitFor([&] { return requestCount == 3; }));
+    respond("third");
+    BOOST_TEST(newClient.readAll().find("third") != std::string::npos);
+    BOOST_TEST(!isDrained());
+    clock.advance(timeout);
+    BOOST_TEST(waitFor([&] { return isDrained(); }));
+}
+
 // Guards against a process that ends without a response to a request whose connection it has not
 // accepted yet, because the event loop was busy.
 BOOST_AUTO_TEST_CASE(connectionThatWaitsToBeAcceptedKeepsTheProcessRunning)
