--- a/tests/platform/silent_upstreams_test.py
+++ b/tests/platform/silent_upstreams_test.py
@@ -81,13 +81,15 @@
                    default=0)
 
 
-class SilentUpstreamsTest(PlatformDeployment):
-    """The upstreams are processes, which a stop signal makes silent: their operating system still
-    accepts connections until their accept queues are full. Both entries have streams at all of them
-    and get further requests."""
+class SilentUpstreamsDeployment(PlatformDeployment):
+    """Base of test cases. The upstreams are processes, which a stop signal makes silent: their
+    operating system still accepts connections until their accept queues are full. Both entries have
+    streams at all of them and get further requests."""
 
     # Larger than the number of connections that both entries open during a silence.
     accept_queue = 128
+    # Further options of upstreamprocess.py.
+    upstream_options = ()
 
     @classmethod
     def setUpClass(cls):
@@ -103,8 +105,8 @@
         for number in UPSTREAMS:
             host = f"127.0.8.{number}"
             log = Path(cls.directory.name) / f"accepted-{number}.txt"
-            process = subprocess.Popen([sys.executable, program, str(UPSTREAM_PORT),
-                                        str(cls.accept_queue), log, host])
+            process = subprocess.Popen([sys.executable, program, *cls.upstream_options,
+                                        str(UPSTREAM_PORT), str(cls.accept_queue), log, host])
             cls.upstreams[number] = process
             cls.addClassCleanup(process.wait)
             cls.addClassCleanup(process.kill)
@@ -183,16 +185,23 @@
             self.signal_upstreams(silent, signal.SIGCONT)
         self.assertTrue(self.is_changed)
 
-    def check(self):
-        """Each request has a whole response, with each event once and in order, and streams met the
-        silence."""
+    def check_responses(self):
+        """Each request has a whole response, with each event once and in order."""
         failures = [(request.path, request.outcome[0], request.outcome[1][-100:])
                     for request in self.streams + self.requests
                     if request.outcome != (200, WHOLE_STREAM)]
         self.assertEqual(len(failures), 0, failures)
         self.assertGreater(len(self.requests), 0)
+
+    def check(self):
+        """Each request has a whole response, and streams met the silence."""
+        self.check_responses()
         self.assertGreater(max(stream.longest_gap() for stream in self.streams), SHORT_GAP_SECONDS)
 
+
+class SilentUpstreamsTest(SilentUpstreamsDeployment):
+    """The upstreams only pause."""
+
     def test_all_upstreams_are_silent(self):
         """Guards against streams that are given up, and requests that are refused, because an entry
         takes the silence of sound upstreams for its own lost links."""
--- a/tests/platform/upstreamprocess.py
+++ b/tests/platform/upstreamprocess.py
@@ -40,10 +40,12 @@
 
     def __init__(self, host, settings, accept_log):
         self.request_queue_size = settings.accept_queue
+        self.accept_seconds = settings.accept_ms / 1000
         self.accept_log = accept_log
         super().__init__((host, settings.port), ProcessUpstream)
 
     def get_request(self):
+        time.sleep(self.accept_seconds)
         connection, peer = super().get_request()
         self.accept_log.write(f"{self.server_address[0]} {time.monotonic():.4f}\n")
         return connection, peer
@@ -66,6 +68,8 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--accept-ms", type=int, default=0,
+                        help="time that it takes to accept a connection")
     parser.add_argument("port", type=int)
     parser.add_argument("accept_queue", type=int, help="size of each listener's accept queue")
     parser.add_argument("accept_log", help="file to which a line \"HOST SECONDS\" of the monotonic "
