Tests: Let upstreams close idle connections after a silence

The stand-ins keep idle connections forever, so that no request meets a connection that its upstream closes. The protocol lets an upstream close idle connections after the time that it states. One that was stopped meanwhile finds this time over before it reads a request that has arrived on the connection.

--- a/tests/platform/acceptqueueplay.py
+++ b/tests/platform/acceptqueueplay.py
@@ -151,7 +151,7 @@
         for path in Path(cls.directory.name).glob("accepted-*.txt"):
             for line in path.read_text(encoding="ascii").splitlines():
                 host, at = line.split()
-                counts[host] += begin <= float(at) < end
+                counts[host] += at[0].isdigit() and begin <= float(at) < end
         return counts
 
 
--- a/tests/platform/silent_upstreams_test.py
+++ b/tests/platform/silent_upstreams_test.py
@@ -185,6 +185,11 @@
             self.signal_upstreams(silent, signal.SIGCONT)
         self.assertTrue(self.is_changed)
 
+    def logged(self, event):
+        """Returns the number of connections for which the upstreams logged an event."""
+        return sum(path.read_text(encoding="ascii").count(f" {event}\n")
+                   for path in Path(self.directory.name).glob("accepted-*.txt"))
+
     def check_responses(self):
         """Each request has a whole response, with each event once and in order."""
         failures = [(request.path, request.outcome[0], request.outcome[1][-100:])
--- a/tests/platform/upstreamprocess.py
+++ b/tests/platform/upstreamprocess.py
@@ -7,6 +7,7 @@
 
 import argparse
 import http.server
+import select
 import sys
 import threading
 import time
@@ -18,6 +19,8 @@
     """Refuses to continue the streams of requests with the header Begins-Only, as an upstream whose
     slots have been taken by others does."""
 
+    has_responded = False
+
     def do_POST(self):
         if "Last-Event-Id" not in self.headers or "Begins-Only" not in self.headers:
             return super().do_POST()
@@ -34,12 +37,35 @@
             # The entry no longer waits for the response.
             self.close_connection = True
 
+    def end_headers(self):
+        if self.server.idle_seconds:
+            self.send_header("Keep-Alive", f"timeout={self.server.idle_seconds}")
+        super().end_headers()
+
+    def handle_one_request(self):
+        if self.has_responded and self.server.idle_seconds and self.is_idle_time_over():
+            self.close_connection = True
+            return
+        super().handle_one_request()
+        self.has_responded = True
+
+    def is_idle_time_over(self):
+        """Waits for the next request. Like event loops that run timers before they read sockets, it
+        finds the time over although a request has arrived while the process was stopped."""
+        begin = time.monotonic()
+        has_request = bool(select.select([self.connection], [], [], self.server.idle_seconds)[0])
+        is_over = time.monotonic() - begin >= self.server.idle_seconds
+        if is_over and has_request:
+            self.server.accept_log.write(f"{self.server.server_address[0]} dropped\n")
+        return is_over
+
 
 class UpstreamServer(http.server.ThreadingHTTPServer):
     daemon_threads = True
 
     def __init__(self, host, settings, accept_log):
         self.request_queue_size = settings.accept_queue
+        self.idle_seconds = settings.idle_seconds
         self.accept_seconds = settings.accept_ms / 1000
         self.accept_log = accept_log
         super().__init__((host, settings.port), ProcessUpstream)
@@ -68,12 +94,15 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--idle-seconds", type=int, default=0,
+                        help="time after which an idle connection is closed (0: never)")
     parser.add_argument("--accept-ms", type=int, default=0,
                         help="time that it takes to accept a connection")
     parser.add_argument("port", type=int)
     parser.add_argument("accept_queue", type=int, help="size of each listener's accept queue")
     parser.add_argument("accept_log", help="file to which a line \"HOST SECONDS\" of the monotonic "
-                        "clock is appended for each accepted connection")
+                        "clock is appended for each accepted connection, and \"HOST dropped\" for "
+                        "each that is closed with a request that was not read")
     parser.add_argument("hosts", nargs="+")
     serve(parser.parse_args())
 
