Tests: Let upstreams reset connections beyond their limit

The stand-ins accept any number of connections. By the protocol an upstream accepts max-connections from all callers together and resets any further one. The entries read this number from the configuration and use it nowhere.

--- a/tests/platform/silent_upstreams_test.py
+++ b/tests/platform/silent_upstreams_test.py
@@ -88,14 +88,15 @@
 
     # Larger than the number of connections that both entries open during a silence.
     accept_queue = 128
+    # Enough for all requests, so that none is refused for want of a slot.
+    slots = 16
     # Further options of upstreamprocess.py.
     upstream_options = ()
 
     @classmethod
     def setUpClass(cls):
         InstanceList.numbers = UPSTREAMS
-        # Enough for all requests, so that none is refused for want of a slot.
-        InstanceList.slots = 16
+        InstanceList.slots = cls.slots
         cls.upstreams = {}
         super().setUpClass()
 
@@ -127,15 +128,17 @@
         does."""
         self.is_changed = wait_until(lambda: self.send_configuration() == 200)
 
-    def send_configuration(self):
-        version = self.configuration_version() + 1
+    def configuration(self, version):
         document = configuration(version, rate=1000)
         document["routes"].append({**document["routes"][0], "name": "slow",
                                    "path-prefix": "/slow/"})
         for route in document["routes"]:
             route["timeout-ms"] = TIMEOUT_MS
         document["limits"]["idle-timeout-ms"] += version
-        return self.put_configuration(document)
+        return document
+
+    def send_configuration(self):
+        return self.put_configuration(self.configuration(self.configuration_version() + 1))
 
     def signal_upstreams(self, numbers, number):
         for upstream in numbers:
--- a/tests/platform/upstreamprocess.py
+++ b/tests/platform/upstreamprocess.py
@@ -8,12 +8,17 @@
 import argparse
 import http.server
 import select
+import socket
+import struct
 import sys
 import threading
 import time
 
 from platformdeployment import Upstream
 
+# Makes a close reset the connection.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
 
 class ProcessUpstream(Upstream):
     """Refuses to continue the streams of requests with the header Begins-Only, as an upstream whose
@@ -65,9 +70,11 @@
 
     def __init__(self, host, settings, accept_log):
         self.request_queue_size = settings.accept_queue
+        self.max_connections = settings.max_connections
         self.idle_seconds = settings.idle_seconds
         self.accept_seconds = settings.accept_ms / 1000
         self.accept_log = accept_log
+        self.open_connections = set()
         super().__init__((host, settings.port), ProcessUpstream)
 
     def get_request(self):
@@ -76,11 +83,24 @@
         self.accept_log.write(f"{self.server_address[0]} {time.monotonic():.4f}\n")
         return connection, peer
 
+    def process_request(self, request, client_address):
+        if self.max_connections and len(self.open_connections) >= self.max_connections:
+            self.accept_log.write(f"{self.server_address[0]} reset\n")
+            request.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            request.close()
+            return
+        self.open_connections.add(request)
+        super().process_request(request, client_address)
+
     def handle_error(self, request, client_address):
         """Reports no lost connections, which callers may reset at any time."""
         if not isinstance(sys.exc_info()[1], OSError):
             super().handle_error(request, client_address)
 
+    def shutdown_request(self, request):
+        self.open_connections.discard(request)
+        super().shutdown_request(request)
+
 
 def serve(settings):
     with open(settings.accept_log, "a", buffering=1, encoding="ascii") as log:
@@ -94,6 +114,8 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--max-connections", type=int, default=0,
+                        help="connections of each host beyond this number are reset (0: none)")
     parser.add_argument("--idle-seconds", type=int, default=0,
                         help="time after which an idle connection is closed (0: never)")
     parser.add_argument("--accept-ms", type=int, default=0,
@@ -101,8 +123,9 @@
     parser.add_argument("port", type=int)
     parser.add_argument("accept_queue", type=int, help="size of each listener's accept queue")
     parser.add_argument("accept_log", help="file to which a line \"HOST SECONDS\" of the monotonic "
-                        "clock is appended for each accepted connection, and \"HOST dropped\" for "
-                        "each that is closed with a request that was not read")
+                        "clock is appended for each accepted connection, \"HOST reset\" for each "
+                        "that is reset, and \"HOST dropped\" for each that is closed with a "
+                        "request that was not read")
     parser.add_argument("hosts", nargs="+")
     serve(parser.parse_args())
 
