Net: Start a handshake that is not answered anew after 250 ms

A request to an upstream whose accept queue was full for a moment got 502 "the connection to the upstream could not be established", although the upstream accepted connections again within the connect timeout of 1 s. The upstream's operating system drops the SYN of a connection for which the queue has no place, and the own one repeats it only after 1 s, when the attempt has ended.

The connection now starts the handshake on a new socket each 250 ms within the timeout. The socket before is given up while nothing has answered it, so that it takes no place in the queue; one that is established already, whose handler has not run yet, is kept.

--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -25,6 +25,9 @@
 
 /// Number of requests after which a connection is closed. Bounds the memory of their ids.
 constexpr std::size_t maxCarriedRequests = 256;
+/// Time between two handshakes of a connection that is not answered. The operating system of a peer
+/// whose accept queue is full drops the first segment, and the own one repeats it only after 1 s.
+constexpr absl::Duration handshakePeriod = absl::Milliseconds(250);
 
 /// Returns the seconds after "timeout=" in a Keep-Alive header, or nothing if there are none.
 std::optional<int> keepAliveSeconds(std::string_view value)
@@ -113,28 +116,64 @@
 {
     const auto parsed = outcomeOf([&] { return parseAddress(m_address); });
     boost::system::error_code error;
-    Tcp::endpoint endpoint;
     if (parsed.ok())
-        endpoint = Tcp::endpoint(boost::asio::ip::make_address(parsed.value().host, error),
-                                 parsed.value().port);
+        m_endpoint = Tcp::endpoint(boost::asio::ip::make_address(parsed.value().host, error),
+                                   parsed.value().port);
+    m_connectEnd =
+            std::chrono::steady_clock::now() + absl::ToChronoNanoseconds(m_options.connectTimeout);
     if (parsed.ok() && !error)
-        m_socket.open(endpoint.protocol(), error);
+        error = startHandshake();
     if (!parsed.ok() || error) {
         // Deferred, because the caller does not have the id of the call yet.
         boost::asio::post(m_socket.get_executor(),
                           [self = shared_from_this()] { self->fail(CallStatus::NotConnected); });
         return;
     }
+    awaitHandshake();
+}
+
+boost::system::error_code UpstreamConnection::startHandshake()
+{
+    boost::system::error_code error;
+    m_socket.open(m_endpoint.protocol(), error);
+    if (error)
+        return error;
     prepareSocket(m_socket);
-    m_timer.expires_after(absl::ToChronoNanoseconds(m_options.connectTimeout));
+    m_socket.async_connect(m_endpoint, [self = shared_from_this(), handshake = ++m_handshakes](
+                                               const boost::system::error_code &result) {
+        if (handshake == self->m_handshakes)
+            self->handleConnect(result);
+    });
+    return error;
+}
+
+void UpstreamConnection::awaitHandshake()
+{
+    const auto period = absl::ToChronoNanoseconds(handshakePeriod);
+    m_timer.expires_at(std::min(m_connectEnd, std::chrono::steady_clock::now() + period));
     m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &timerError) {
-        if (!timerError && self->m_state == State::Connecting)
+        if (timerError || self->m_state != State::Connecting)
+            return;
+        if (std::chrono::steady_clock::now() >= self->m_connectEnd)
             self->connectTimedOut();
+        else
+            self->repeatHandshake();
     });
-    m_socket.async_connect(endpoint,
-                           [self = shared_from_this()](const boost::system::error_code &result) {
-                               self->handleConnect(result);
-                           });
+}
+
+void UpstreamConnection::repeatHandshake()
+{
+    // A connection that is established, whose handler has not run yet, would stay in the accept
+    // queue of the peer.
+    boost::system::error_code error;
+    m_socket.remote_endpoint(error);
+    if (error) {
+        discardSocket();
+        error = startHandshake();
+        if (error)
+            return fail(CallStatus::NotConnected);
+    }
+    awaitHandshake();
 }
 
 void UpstreamConnection::connectTimedOut()
@@ -322,11 +361,18 @@
 }
 
 void UpstreamConnection::reset()
+{
+    if (m_state != State::Closed)
+        discardSocket();
+    close();
+}
+
+void UpstreamConnection::discardSocket()
 {
     // Without this option the operating system continues to deliver the request after the close.
     boost::system::error_code ignored;
     m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    close();
+    m_socket.close(ignored);
 }
 
 void UpstreamConnection::close()
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -57,6 +58,9 @@
     };
 
     void connect();
+    boost::system::error_code startHandshake();
+    void awaitHandshake();
+    void repeatHandshake();
     void connectTimedOut();
     void handleConnect(const boost::system::error_code &error);
     void writeRequest();
@@ -72,6 +76,7 @@
     void awaitBytesOrClose();
     bool hasReadableBytes();
     void finish();
+    void discardSocket();
     void fail(CallStatus status);
 
     boost::asio::ip::tcp::socket m_socket;
@@ -80,6 +85,11 @@
     const ConnectionPoolOptions m_options;
     Listener m_listener;
     State m_state = State::New;
+    /// Address of the peer and the end of the time to connect to it.
+    boost::asio::ip::tcp::endpoint m_endpoint;
+    std::chrono::steady_clock::time_point m_connectEnd;
+    /// Number of handshakes that were started.
+    int m_handshakes = 0;
     /// Set while the connection is being established for a request.
     RequestWriter m_writer;
     /// When the request was written, of which a part may not have been sent yet.
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -556,6 +556,32 @@
     thread.run([&] { pool.stop(); });
 }
 
+// Guards against a call that fails although its upstream accepts connections again within the time
+// to connect: the operating system repeats an attempt that meets a full accept queue after 1 s.
+BOOST_AUTO_TEST_CASE(connectionIsEstablishedSoonAfterAFullAcceptQueue)
+{
+    HangingListener upstream;
+    LoopThread thread;
+    ConnectionPool pool(thread.loop(), ConnectionPoolOptions());
+    absl::Notification written;
+    std::atomic<int> failures{0};
+    thread.run([&] {
+        const RequestWriter writer = [&] {
+            written.Notify();
+            return std::string("GET / HTTP/1.1\r\n\r\n");
+        };
+        pool.call(upstream.address(), writer, {{}, {}, {}, [&](CallStatus) { ++failures; }});
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    upstream.drain();
+    BOOST_TEST(written.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_TEST(failures == 0);
+    // The handshakes before left no connection behind.
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    BOOST_TEST(upstream.otherConnections() == 1u);
+    thread.run([&] { pool.stop(); });
+}
+
 // Guards against a part of a response that counts as the whole one, because the write of a long
 // upload has taken the error of the reset, and the read then sees an orderly close.
 BOOST_FIXTURE_TEST_CASE(responseThatIsResetDuringAnUploadIsBroken, ConnectionPoolFixture)
--- a/tests/net/hanginglistener.h
+++ b/tests/net/hanginglistener.h
@@ -2,7 +2,9 @@
 
 #include <boost/asio.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -36,12 +38,31 @@
             m_accepted.push_back(m_acceptor.accept(error));
     }
 
+    /// Accepts the connections that wait, and returns the number of those that were not made by the
+    /// listener itself, among all that it has accepted.
+    std::size_t otherConnections()
+    {
+        drain();
+        return static_cast<std::size_t>(std::count_if(
+                m_accepted.begin(), m_accepted.end(),
+                [this](const Tcp::socket &peer) { return peer.is_open() && !isOwn(peer); }));
+    }
+
     std::string address() const
     {
         return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
     }
 
 private:
+    bool isOwn(const Tcp::socket &peer) const
+    {
+        boost::system::error_code error;
+        const Tcp::endpoint remote = peer.remote_endpoint(error);
+        return std::any_of(m_queued.begin(), m_queued.end(), [&](const Tcp::socket &socket) {
+            return !error && socket.local_endpoint() == remote;
+        });
+    }
+
     boost::asio::io_context m_context;
     Tcp::acceptor m_acceptor{m_context};
     std::vector<Tcp::socket> m_accepted;
