Serving: Open fewer connections to upstreams that are silent

Each silent call led to an attempt to connect to its upstream, again after 250 ms, so the entries themselves filled the accept queues of upstreams that paused, and requests that came then found no place (502 "the connection to the upstream could not be established").

An accepted probe is repeated after 1 s in place of 250 ms; its connection stays idle and carries the next request. An upstream whose system acknowledged or sent something in the last 100 ms is not probed. Where the established connections do not acknowledge what was sent, the probe is not put off, so that a cut is found as before. The result of a probe counts for 1.25 s in isReachable(), so that a running call is not given up between two probes. silentUpstreams() lists the upstreams that were silent in the last 2 s and have sent nothing since; an older silence is dropped, because an upstream that nobody calls sends nothing.

ForwardingTest/silentUpstreamIsProbedOnceASecond (3 connections in 0.9 s before, 1 now), upstreamThatAcknowledgesIsNotProbed (10 connections before, 5 now) and silentUpstreamsAreListedUntilTheyRespond (an empty list before) failed before.

--- a/include/rattanrill/serving/upstreamcaller.h
+++ b/include/rattanrill/serving/upstreamcaller.h
@@ -57,10 +57,12 @@
     /// Whether another entry forwards \a call, which has not ended.
     bool isForwarded(CallId call) const;
     /// Tries to connect to \a upstream, which has not responded in time to a call on a connection
-    /// of this process, because only a failed connection shows that the link is lost. \a probed is
-    /// called once the result is known; it may be null.
+    /// of this process, unless it has accepted a connection or acknowledged something a moment ago,
+    /// because silence alone does not show that the link is lost. \a probed is called once the
+    /// result is known; it may be null.
     void probeSilent(const std::string &upstream, std::function<void()> probed = nullptr);
-    /// Whether \a upstream was found reachable after a silence in the last half second.
+    /// Whether \a upstream was found reachable a moment ago, by a new connection or because its
+    /// system has acknowledged something.
     bool isReachable(const std::string &upstream) const;
     /// Whether established connections do not respond, and \a upstream can't be connected to.
     bool isLost(const std::string &upstream) const;
@@ -69,7 +71,8 @@
     policy::LinkState linkState() const;
     /// Calls \a changed once from the event loop, when linkState() has changed.
     void awaitLinkChange(std::function<void()> changed);
-    /// Ids of the upstreams that do not respond in time to a call of this process.
+    /// Ids of the upstreams for which probeSilent() was called in the last 2 s, and from which no
+    /// byte has arrived since.
     std::vector<std::string> silentUpstreams() const;
     /// Whether established connections of this process respond.
     bool canReceive() const;
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -17,15 +17,21 @@
 
 namespace {
 
-/// Time between two attempts to connect while the links may be lost, and between two to the same
-/// upstream while it is silent.
+/// Time between two attempts to connect while the links may be lost.
 constexpr absl::Duration probePeriod = absl::Milliseconds(250);
 /// An attempt to connect that is neither accepted nor refused after this time has not reached the
 /// upstream. Many times the round trip inside a region; a lost packet may exceed it, so one such
 /// attempt proves nothing.
 constexpr absl::Duration probeTimeout = absl::Milliseconds(50);
-/// Time for which an accepted probe shows that its upstream can be reached.
-constexpr absl::Duration reachabilityLifetime = absl::Milliseconds(500);
+/// Time for which an accepted probe or an acknowledgement shows that its upstream can be reached.
+constexpr absl::Duration reachabilityLifetime = absl::Milliseconds(1250);
+/// Time between an accepted probe and the next one to the same upstream. Each takes a place in the
+/// accept queue of an upstream that pauses.
+constexpr absl::Duration acceptedProbePeriod = absl::Seconds(1);
+/// Age up to which what an upstream's system has acknowledged or sent replaces a probe.
+constexpr absl::Duration acknowledgementLifetime = absl::Milliseconds(100);
+/// Time after its last notice for which the silence of an upstream is reported.
+constexpr absl::Duration silenceLifetime = absl::Seconds(2);
 /// Time between two reads of what established connections show.
 constexpr absl::Duration evidencePeriod = absl::Milliseconds(50);
 
@@ -83,15 +89,15 @@
     {
         const std::string &upstream = target.upstream;
         net::CallHandlers result = std::move(handlers);
-        result.onHead = [self = shared_from_this(),
+        result.onHead = [self = shared_from_this(), upstream,
                          onHead = std::move(result.onHead)](const net::ResponseHead &head) {
-            self->record([](auto &links) { links.received(); });
+            self->recordReceived(upstream);
             if (onHead)
                 onHead(head);
         };
-        result.onBody = [self = shared_from_this(),
+        result.onBody = [self = shared_from_this(), upstream,
                          onBody = std::move(result.onBody)](std::string_view bytes) {
-            self->record([](auto &links) { links.received(); });
+            self->recordReceived(upstream);
             if (onBody)
                 onBody(bytes);
         };
@@ -136,6 +142,12 @@
         return id;
     }
 
+    void recordReceived(const std::string &upstream)
+    {
+        silentSince.erase(upstream);
+        record([](auto &current) { current.received(); });
+    }
+
     /// Applies \a change to the links, and probes them once attempts have failed.
     template <typename Change>
     void record(const Change &change)
@@ -196,30 +208,54 @@
     }
 
     /// Connects to the next upstream at which no attempt has failed or, if there is none, to the
-    /// next one.
+    /// next one. Passes over the ones that are silent and acknowledge.
     void probeNext()
     {
         if (upstreams.empty() || isStopped)
             return;
-        std::size_t chosen = nextProbe++ % upstreams.size();
+        const std::size_t first = nextProbe++ % upstreams.size();
+        const wire::FleetUpstream *chosen = nullptr;
         for (std::size_t i = 0; i < upstreams.size(); ++i) {
-            const std::size_t candidate = (chosen + i) % upstreams.size();
-            const std::string &id = upstreams[candidate].id;
-            if (links.hasFailed(id) || pendingProbes.count(id) != 0)
+            const wire::FleetUpstream &candidate = upstreams[(first + i) % upstreams.size()];
+            const bool hasFailed = links.hasFailed(candidate.id);
+            if ((hasFailed && chosen) || pendingProbes.count(candidate.id) != 0
+                || hasSilentlyAcknowledged(candidate))
                 continue;
-            chosen = candidate;
-            break;
+            chosen = &candidate;
+            if (!hasFailed)
+                break;
         }
-        probe(upstreams[chosen]);
+        if (chosen)
+            probe(*chosen);
+    }
+
+    bool hasSilentlyAcknowledged(const wire::FleetUpstream &upstream) const
+    {
+        return silentSince.count(upstream.id) != 0
+               && evidenceAt(upstream.address, acknowledgementLifetime)
+                          == LinkEvidence::Acknowledged;
+    }
+
+    /// Whether \a upstream, which is silent, is known to be reachable or is being probed without an
+    /// answer.
+    bool isJudged(const wire::FleetUpstream &upstream)
+    {
+        const LinkEvidence evidence = evidenceAt(upstream.address, acknowledgementLifetime);
+        if (evidence == LinkEvidence::Acknowledged)
+            reachedAt[upstream.id] = SystemClock::instance().now();
+        const bool isAccepted = evidence != LinkEvidence::NotAcknowledged
+                                && isRecent(acceptedAt, upstream.id, acceptedProbePeriod);
+        return evidence == LinkEvidence::Acknowledged || isAccepted || isUnanswered(upstream.id);
     }
 
-    /// Connects to \a upstream, at which an established connection does not respond, unless this
-    /// was done a moment ago.
+    /// Connects to \a upstream, at which an established connection does not respond, unless it is
+    /// judged already.
     void probeSilent(const std::string &upstream, std::function<void()> probed)
     {
         const auto found = known.find(upstream);
-        const bool isProbed = wasReached(upstream, probePeriod) || isUnanswered(upstream);
-        if (found == known.end() || isStopped || isProbed) {
+        if (found != known.end())
+            silentSince[upstream] = SystemClock::instance().now();
+        if (found == known.end() || isStopped || isJudged(found->second)) {
             if (probed)
                 loop.post(std::move(probed));
             return;
@@ -279,7 +315,7 @@
     void handleProbe(const wire::FleetUpstream &target, const Probe &probe, bool isConnected)
     {
         if (isConnected) {
-            reachedAt[target.id] = SystemClock::instance().now();
+            acceptedAt[target.id] = reachedAt[target.id] = SystemClock::instance().now();
             return record([](auto &current) { current.connected(); });
         }
         if (probe.isUnanswered)
@@ -361,15 +397,23 @@
                 upstreams.push_back(upstream);
         }
         links.setUpstreamCount(upstreams.size());
-        for (auto entry = reachedAt.begin(); entry != reachedAt.end();)
-            entry = known.count(entry->first) == 0 ? reachedAt.erase(entry) : std::next(entry);
+        removeUnknown(reachedAt);
+        removeUnknown(acceptedAt);
+        removeUnknown(silentSince);
+    }
+
+    void removeUnknown(std::map<std::string, absl::Time> &times) const
+    {
+        for (auto entry = times.begin(); entry != times.end();)
+            entry = known.count(entry->first) == 0 ? times.erase(entry) : std::next(entry);
     }
 
-    /// Whether \a upstream has accepted a probe not longer than \a age ago.
-    bool wasReached(const std::string &upstream, absl::Duration age) const
+    /// Whether the time of \a upstream in \a times is not longer than \a age ago.
+    static bool isRecent(const std::map<std::string, absl::Time> &times,
+                         const std::string &upstream, absl::Duration age)
     {
-        const auto found = reachedAt.find(upstream);
-        return found != reachedAt.end() && SystemClock::instance().now() - found->second <= age;
+        const auto found = times.find(upstream);
+        return found != times.end() && SystemClock::instance().now() - found->second <= age;
     }
 
     net::EventLoop &loop;
@@ -389,8 +433,13 @@
     std::map<std::string, UnansweredConnect> unanswered;
     /// Called when the result of a probe is known, by upstream.
     std::map<std::string, std::vector<std::function<void()>>> probeListeners;
-    /// When a probe was last accepted, by upstream.
+    /// When a probe was last accepted, or the upstream's system acknowledged something, by
+    /// upstream.
     std::map<std::string, absl::Time> reachedAt;
+    /// When a probe was last accepted, by upstream.
+    std::map<std::string, absl::Time> acceptedAt;
+    /// When the silence of an upstream was last noticed. Without an entry once a byte arrives.
+    std::map<std::string, absl::Time> silentSince;
     TimerService::TimerId probeTimer = 0;
     TimerService::TimerId evidenceTimer = 0;
     policy::LinkState lastState = policy::LinkState::Working;
@@ -457,7 +506,7 @@
 
 bool UpstreamCaller::isReachable(const std::string &upstream) const
 {
-    return m_impl->wasReached(upstream, reachabilityLifetime);
+    return Impl::isRecent(m_impl->reachedAt, upstream, reachabilityLifetime);
 }
 
 bool UpstreamCaller::isLost(const std::string &upstream) const
@@ -482,7 +531,13 @@
 
 std::vector<std::string> UpstreamCaller::silentUpstreams() const
 {
-    return {};
+    const absl::Time now = SystemClock::instance().now();
+    std::vector<std::string> result;
+    for (const auto &[upstream, noticedAt] : m_impl->silentSince) {
+        if (now - noticedAt <= silenceLifetime)
+            result.push_back(upstream);
+    }
+    return result;
 }
 
 bool UpstreamCaller::canReceive() const
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -609,6 +609,60 @@
         absl::SleepFor(absl::Milliseconds(5));
     }
     BOOST_TEST(!wasCutOff);
+    BOOST_TEST(view.isReachable);
+}
+
+// Guards against an upstream that pauses and whose accept queue is filled by probes: each silent
+// call leads to one, and is noticed several times a second.
+BOOST_AUTO_TEST_CASE(silentUpstreamIsProbedOnceASecond)
+{
+    ScriptedUpstreams upstreams({});
+    ForwardingEntry entry;
+    std::uint64_t opened = 0;
+    entry.thread.run([&] { entry.upstreams.setUpstreams(upstreamsAt({upstreams.address(0)})); });
+    for (int i = 0; i < 9; ++i) {
+        entry.thread.run([&] { entry.upstreams.probeSilent("0"); });
+        absl::SleepFor(absl::Milliseconds(100));
+        BOOST_TEST(viewOf(entry).isReachable);
+    }
+    entry.thread.run([&] { opened = entry.connections.connectionsOpened(); });
+    BOOST_TEST(opened == 1u);
+}
+
+// Guards against connections to an upstream that pauses, although its operating system shows that
+// the link works.
+BOOST_AUTO_TEST_CASE(upstreamThatAcknowledgesIsNotProbed)
+{
+    UsedUpstreams used;
+    std::uint64_t opened = 0;
+    used.callAll();
+    absl::SleepFor(absl::Milliseconds(70));
+    used.probe();
+    used.entry.thread.run([&] { opened = used.entry.connections.connectionsOpened(); });
+    BOOST_TEST(opened == used.upstreams.size());
+    BOOST_TEST(viewOf(used.entry).isReachable);
+}
+
+// Guards against requests that go to upstreams which this entry knows to be silent, or no longer to
+// ones which respond again.
+BOOST_AUTO_TEST_CASE(silentUpstreamsAreListedUntilTheyRespond)
+{
+    UsedUpstreams used;
+    absl::Notification ended;
+    const auto silent = [&] {
+        std::vector<std::string> result;
+        used.entry.thread.run([&] { result = used.entry.upstreams.silentUpstreams(); });
+        return result;
+    };
+    BOOST_TEST(silent().empty());
+    used.probe();
+    const std::vector<std::string> all = {"0", "1", "2", "3", "4"};
+    BOOST_TEST(silent() == all, boost::test_tools::per_element());
+    used.call(used.list[3], "b", [&](net::CallStatus) { ended.Notify(); });
+    used.upstreams[3].serve();
+    BOOST_TEST(ended.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    const std::vector<std::string> others = {"0", "1", "2", "4"};
+    BOOST_TEST(silent() == others, boost::test_tools::per_element());
 }
 
 // Guards against a cut that is found late, or never for certain, because the established
