Net: Measure acknowledgements by the process's own clock, too

On a system that tells by TCP_INFO whether data is acknowledged, but no times and counts, the times are zero. Zero was read as a segment that has just arrived, and no connection counted as confirmed, so that a real cut would never have become certain there.

A connection now takes times from the process: when it was established, when data was read, and when the request was written.

--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -63,7 +63,16 @@
 
 std::optional<TcpState> UpstreamConnection::tcpState()
 {
-    return tcpStateOf(m_socket.native_handle(), SystemClock::instance().now() - m_writtenAt);
+    const std::optional<TcpInfo> info = tcpInfoOf(m_socket.native_handle());
+    if (!info)
+        return std::nullopt;
+    const absl::Time now = SystemClock::instance().now();
+    ConnectionTimes times;
+    times.sinceReceived = now - m_receivedAt;
+    if (m_writtenAt > m_receivedAt)
+        times.sinceWritten = now - m_writtenAt;
+    times.isConfirmed = m_hasRead;
+    return tcpStateOf(*info, times);
 }
 
 /// Whether the upstream has closed the connection, or has sent bytes that belong to no request.
@@ -189,6 +198,7 @@
     if (m_state != State::Connecting)
         return;
     m_timer.cancel();
+    m_receivedAt = SystemClock::instance().now();
     if (!error && m_established) {
         becomeIdle();
         return std::exchange(m_established, nullptr)(true);
@@ -252,6 +262,10 @@
 {
     if (m_state == State::Closed)
         return;
+    if (bytes > 0) {
+        m_receivedAt = SystemClock::instance().now();
+        m_hasRead = true;
+    }
     const bool isOrderlyEnd = error == boost::asio::error::eof && !m_hasSendFailed;
     if (isOrderlyEnd)
         m_parser->handleEof();
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -94,6 +94,10 @@
     RequestWriter m_writer;
     /// When the request was written, of which a part may not have been sent yet.
     absl::Time m_writtenAt;
+    /// When the connection was established or data was last read.
+    absl::Time m_receivedAt;
+    /// Whether data was read.
+    bool m_hasRead = false;
     /// Part of the request that has not been sent yet.
     std::string m_output;
     /// Whether the connection failed while the request was sent, so that its end is no orderly one.
