Serving: Keep a running call until another one has responded

Callers saw streams that were cut in the middle while upstreams were silent, although their upstreams went on a second later. An entry that judged its links as lost cancelled the running call as soon as a further slot was granted, and only then found that the request could not be sent, or that the entry which forwards it failed. And of two silent attempts the first one was ended when its upstream answered no new connection, for a hedge that was silent, too.

A call on lost links costs nothing, so the next attempt is now always a hedge: it takes over with the first event that continues the stream, also by way of another entry. A hedge that can't be made is asked for again after the next timeout. Two silent attempts are reduced to one only when the upstream of the first can be reached, because only then both may be working; otherwise both go on. An attempt on links that seemed lost counts again once it responds, so that a request still runs on no more upstreams than its route allows.

--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -17,8 +17,8 @@
 ///
 /// When an upstream is silent, a request that may run again is also sent to another one, the hedge.
 /// The attempt that responds first serves the request, and the other one is cancelled; so a running
-/// call is not given up for an attempt that may be refused or break. When both stay silent, one of
-/// them is cancelled.
+/// call is not given up for an attempt that may be refused or break. When both stay silent and the
+/// upstream of the first one can be reached, the hedge is cancelled.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
 public:
@@ -117,7 +117,7 @@
     void requestHedge();
     bool isLinkLost(const Attempt &attempt) const;
     void discount(Attempt &attempt);
-    void replaceLost(const wire::SlotResponse &grant);
+    void recordReached(Attempt &attempt);
     void startHedge(const wire::SlotResponse &grant);
     void hedgeBodyReceived(std::string_view bytes);
     void hedgeEnded(net::CallStatus status);
--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Longest time that two upstreams run the same request. Long enough for the first event of an
-/// upstream with a free slot.
+/// Longest time that two upstreams which can be reached run the same request. Long enough for the
+/// first event of an upstream with a free slot.
 constexpr absl::Duration maxHedgeTime = absl::Milliseconds(250);
 
 } // namespace
@@ -60,10 +60,15 @@
         --m_attempts;
 }
 
+/// Counts an attempt again that has reached its upstream after all.
+void ProxiedRequest::recordReached(Attempt &attempt)
+{
+    if (std::exchange(attempt.isDiscounted, false))
+        ++m_attempts;
+}
+
 void ProxiedRequest::startHedge(const wire::SlotResponse &grant)
 {
-    if (isLinkLost(*m_attempt))
-        return replaceLost(grant);
     const bool canCall = m_context.upstreams.canCall(targetOf(grant), m_request.caller.id);
     const bool mayBegin = mayRunAgain() && hasTimeForAttempt() && !isBlocked();
     if (!canCall || !mayBegin) {
@@ -78,19 +83,6 @@
     armTimer(maxHedgeTime, &ProxiedRequest::hedgeTimedOut);
 }
 
-/// A call on lost links does not go on, so the request is sent without it or fails at once.
-void ProxiedRequest::replaceLost(const wire::SlotResponse &grant)
-{
-    logFailedAttempt(*m_attempt, "the upstream did not respond in time");
-    cancelCall(*m_attempt);
-    releaseSlot(*m_attempt, ReleaseReason::Failed);
-    clearBuffer();
-    m_state = State::Waiting;
-    if (m_exchange->streamStarted())
-        ++m_resumes;
-    send(grant);
-}
-
 void ProxiedRequest::hedgeBodyReceived(std::string_view bytes)
 {
     if (!canHedgeServe())
@@ -221,19 +213,22 @@
     });
 }
 
-/// Ends one of two attempts that are both silent. The first one has done more of the work, and the
-/// upstream of the hedge may still refuse it, so the first one runs on unless it can't be reached.
+/// Two attempts are silent. If both upstreams may be working, the hedge ends: the first attempt has
+/// done more of the work, and the upstream of the hedge may still refuse it. Otherwise both go on,
+/// because it is not known which of them will respond.
 void ProxiedRequest::resolveSilence()
 {
-    // On lost links, no attempt of this process has reached its upstream.
-    if (m_hedge->forwarder.empty() && !m_context.upstreams.canReceive()) {
+    // On lost links, a hedge reaches its upstream only by way of another entry.
+    const bool isLost = m_context.upstreams.linkState() == policy::LinkState::Lost
+                        && !m_context.upstreams.canReceive();
+    if (isLost && m_hedge->forwarder.empty()) {
         discount(*m_hedge);
         endHedge("the links to the upstreams are lost", ReleaseReason::Cancelled);
         return requestHedge();
     }
     const bool isReachable = !m_attempt->forwarder.empty() || m_attempt->isReachable;
     if (!isReachable)
-        return attemptFailed("the upstream did not respond in time", ReleaseReason::Failed);
+        return armTimer(maxHedgeTime, &ProxiedRequest::hedgeTimedOut);
     endHedge("the upstream did not respond in time, like the one before", ReleaseReason::Cancelled);
 }
 
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -56,6 +56,7 @@
     attempt->info = info;
     attempt->hasHead = true;
     attempt->isForwarderSilent = false;
+    recordReached(*attempt);
     // The attempt may end before the response is complete, when a bound is reached.
     m_mayHaveRun = m_mayHaveRun || !info.notRun;
     if (!info.isInstanceMismatch)
@@ -69,6 +70,7 @@
 {
     if (m_state == State::Ended)
         return;
+    recordReached(*attempt);
     if (attempt == m_hedge)
         return hedgeBodyReceived(bytes);
     if (m_attempt->isStream)
--- a/tests/serving/proxyrequest_hedge_test.cpp
+++ b/tests/serving/proxyrequest_hedge_test.cpp
@@ -1,4 +1,5 @@
 #include "hanginglistener.h"
+#include "lostlinks.h"
 #include "proxyfixture.h"
 
 #include "rattanrill/serving/eventstream.h"
@@ -142,6 +143,74 @@
     BOOST_TEST(body.isComplete);
 }
 
+// Guards against a stream that is ended because its entry has lost the links, and no other entry
+// forwards or the one that does fails: the links come back before its time is over.
+BOOST_AUTO_TEST_CASE(streamOnLostLinksGoesOnUntilAnotherUpstreamResponds)
+{
+    for (const bool isForwarded : {false, true}) {
+        BOOST_TEST_INFO_SCOPE(isForwarded);
+        const HangingUpstreams hanging;
+        ScriptedUpstreams upstreams({pausingStream(1200)});
+        UnknowingBroker broker(upstreams);
+        broker.versions = {"v1", "v1"};
+        if (isForwarded)
+            broker.forwarderAddress = "127.0.0.1:" + std::to_string(net::freePort());
+        Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true), broker.address());
+        entry.setReachable(hanging.addresses());
+        std::string response;
+        std::thread caller([&] { response = entry.sendRequest("a"); });
+        while (upstreams.requests().empty())
+            std::this_thread::yield();
+        absl::SleepFor(absl::Milliseconds(50));
+        loseLinks(entry);
+        caller.join();
+        const StreamBody body = streamBody(response);
+        BOOST_TEST(body.text == wholeStream);
+        BOOST_TEST(body.isComplete);
+        BOOST_TEST(broker.requests().size() >= 2u);
+    }
+}
+
+// Guards against a stream that is ended at an upstream which answers no new connection, for an
+// attempt at another one that is silent, too.
+BOOST_AUTO_TEST_CASE(streamOfAnUnreachableUpstreamGoesOnWhenTheHedgeIsSilent)
+{
+    ScriptedUpstreams upstreams({pausingStream(1200), silent()});
+    const net::HangingListener hanging;
+    Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true));
+    entry.setReachable({hanging.address(), upstreams.address(1)});
+    const StreamBody body = streamBody(entry.sendRequest("a"));
+    BOOST_TEST(body.text == wholeStream);
+    BOOST_TEST(body.isComplete);
+    BOOST_TEST(upstreams.requests().size() == 2u);
+}
+
+// Guards against a request that runs on more upstreams than its route allows, because an attempt on
+// links that seemed lost does not count after it has responded.
+BOOST_AUTO_TEST_CASE(attemptOnLostLinksCountsOnceItResponds)
+{
+    const HangingUpstreams hanging;
+    Step first = pausingStream(900);
+    first.rest = chunk(event(3));
+    first.closes = true;
+    ScriptedUpstreams upstreams({first, {streamHead("a") + chunk(event(4)) + lastChunk}});
+    UnknowingBroker broker(upstreams);
+    broker.versions = {"v1", "v1"};
+    Entry entry(upstreams, routeOf(RouteKind::Streaming, 1, true), broker.address());
+    entry.setReachable(hanging.addresses());
+    std::string response;
+    std::thread caller([&] { response = entry.sendRequest("a"); });
+    while (upstreams.requests().empty())
+        std::this_thread::yield();
+    absl::SleepFor(absl::Milliseconds(50));
+    loseLinks(entry);
+    caller.join();
+    const StreamBody body = streamBody(response);
+    BOOST_TEST(body.text == event(1) + event(2) + event(3));
+    BOOST_TEST(!body.isComplete);
+    BOOST_TEST(upstreams.requests().size() == 1u);
+}
+
 // Guards against a running call that is cancelled because its prompt is blocked while its upstream
 // pauses.
 BOOST_AUTO_TEST_CASE(runningCallIsKeptWhenItsPromptIsBlocked)
