Serving: Let requests wait while upstreams answer no new connection

Callers got 503 "this entry is cut off from the upstreams, and no other one forwards" while upstreams stood still for 1.2 s, although all could have been served a moment later. An upstream that stands still accepts connections until its accept queue is full; the entry then can't connect to it, which does not mean that its links are lost.

A request that can't be sent because the state of the links is Unanswered now gives its slot back and asks for another one when the state has changed, or after 250 ms, because another entry may forward it by then. It is refused as not run, with Retry-After, as soon as the time left is shorter than a further wait, and at once when the links are Lost. A request whose deadline passes while it waits for a slot gets a Retry-After, too.

--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -123,9 +123,10 @@
     return m_deadline - m_context.clock.now();
 }
 
-bool ProxiedRequest::hasTimeForAttempt() const
+/// Whether an attempt that begins after \a wait is worth starting.
+bool ProxiedRequest::hasTimeForAttempt(absl::Duration wait) const
 {
-    return remainingTime() > minRemainingTime;
+    return remainingTime() - wait > minRemainingTime;
 }
 
 /// Whether the request crashes upstreams and must not be sent.
@@ -162,6 +163,8 @@
         // The links were lost after the slot was requested.
         if (!m_hasRequestedForwarder)
             return requestSlot();
+        if (canAwaitLinks())
+            return awaitLinks();
         return refuseOrFail("this entry is cut off from the upstreams, and no other one forwards");
     }
     if (hasStreamBegun())
@@ -306,7 +309,7 @@
     endAttempts();
     if (m_mayHaveRun || m_exchange->streamStarted())
         return fail(ErrorCode::Timeout, "the deadline has passed");
-    refuse(ErrorCode::Overloaded, "the deadline has passed", absl::ZeroDuration());
+    refuse(ErrorCode::Overloaded, "the deadline has passed", unavailableRetryAfter);
 }
 
 void ProxiedRequest::callerDisconnected()
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -70,7 +70,7 @@
     bool mayRunAgain() const;
     bool isCalling() const { return m_attempt->isCalling; }
     absl::Duration remainingTime() const;
-    bool hasTimeForAttempt() const;
+    bool hasTimeForAttempt(absl::Duration wait = absl::ZeroDuration()) const;
     bool isBlocked();
     void rejectBlocked();
     void requestSlot();
@@ -134,6 +134,10 @@
     bool isOtherVersion(const wire::SlotResponse &response) const;
     void skipUpstream(const std::string &upstream, std::string_view reason);
     void refuseOrFail(const wire::SlotResponse &response);
+    bool canAwaitLinks() const;
+    void awaitLinks();
+    void linksChanged();
+    void requestSlotAgain();
     void skipLeavingUpstream(const std::string &slotId, const std::string &upstream,
                              const std::string &address);
     void releaseSlot(Attempt &attempt, policy::ReleaseReason reason);
@@ -159,6 +163,10 @@
     bool m_isSlotRequested = false;
     /// Whether the last slot request named the need of a forwarder.
     bool m_hasRequestedForwarder = false;
+    /// Whether linksChanged() will be called.
+    bool m_isLinkChangeAwaited = false;
+    /// Whether a further slot is requested when the links change or the response timer expires.
+    bool m_isWaitingForLinks = false;
     /// Id of the last slot request. Each slot request has an id of its own.
     std::string m_requestedSlotId;
     int m_slotRequestCount = 0;
@@ -191,6 +199,7 @@
     std::optional<BufferShare> m_bufferShare;
     TimerService::TimerId m_deadlineTimer = 0;
     /// Limits the time without a response of the current attempt or, if there is a hedge, of that.
+    /// While no attempt runs, the time until a further slot is requested.
     TimerService::TimerId m_responseTimer = 0;
 };
 
--- a/src/serving/proxiedrequest_slots.cpp
+++ b/src/serving/proxiedrequest_slots.cpp
@@ -14,6 +14,11 @@
 
 namespace {
 
+/// Time after which a request that waits for the links asks for a slot again although their state
+/// has not changed, because another entry may forward it by then. As long as a period of the
+/// attempts to connect.
+constexpr absl::Duration linkWaitPeriod = absl::Milliseconds(250);
+
 /// How a request is answered that gets no slot.
 struct RejectionReason
 {
@@ -164,6 +169,43 @@
         requestSlot();
 }
 
+/// Whether a request that can't be sent now may be sent later: its upstreams may have paused.
+bool ProxiedRequest::canAwaitLinks() const
+{
+    return m_context.upstreams.linkState() == policy::LinkState::Unanswered
+           && hasTimeForAttempt(linkWaitPeriod);
+}
+
+/// Requests a slot again when the state of the links has changed, or after a period.
+void ProxiedRequest::awaitLinks()
+{
+    m_state = State::Waiting;
+    m_isWaitingForLinks = true;
+    armTimer(linkWaitPeriod, &ProxiedRequest::linksChanged);
+    if (std::exchange(m_isLinkChangeAwaited, true))
+        return;
+    m_context.upstreams.awaitLinkChange([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->m_isLinkChangeAwaited = false;
+        self->linksChanged();
+    });
+}
+
+void ProxiedRequest::linksChanged()
+{
+    if (std::exchange(m_isWaitingForLinks, false))
+        requestSlotAgain();
+}
+
+void ProxiedRequest::requestSlotAgain()
+{
+    stopTimer(m_responseTimer);
+    if (m_state == State::Waiting && !m_isSlotRequested)
+        requestSlot();
+}
+
 void ProxiedRequest::releaseSlot(Attempt &attempt, ReleaseReason reason)
 {
     if (attempt.slotId.empty())
--- a/tests/serving/testprotocoladapter.h
+++ b/tests/serving/testprotocoladapter.h
@@ -72,10 +72,14 @@
         return fail(notRun(ErrorCode::NotFound, ""));
     }
     net::Response jobResultsResponse(const wire::ReadJobResponse &) const override { return {}; }
-    net::Response errorResponse(const Failure &failure, absl::Duration) const override
+    net::Response errorResponse(const Failure &failure, absl::Duration retryAfter) const override
     {
-        return net::textResponse(failure.effect == EffectState::NotRun ? 503 : 502, failure.detail,
-                                 "t");
+        net::Response response = net::textResponse(
+                failure.effect == EffectState::NotRun ? 503 : 502, failure.detail, "t");
+        if (retryAfter > absl::ZeroDuration())
+            response.head.headers.add("Retry-After",
+                                      std::to_string(absl::ToDoubleSeconds(retryAfter)));
+        return response;
     }
 };
 
