Serving: Do not count attempts whose request was not sent

Callers got 502 "the connection to the upstream could not be established" for requests that no upstream had received, 503 after one refused connection on a route with one attempt, and aborts of streams whose resumption had only met a full accept queue or a refused connection.

An attempt now knows whether its request was written or handed to an entry that forwards it. Only then does its silence, its cancellation or the end of the process make the request one that may have run; a call that is cancelled after its request was written always does. An attempt that ends without that does not count. Its upstream is avoided until no other one has a slot, and then tried again, as long as the request's time allows and the links are not Lost. A request that avoids upstreams takes only a slot that is free at once: in the broker's queue it would hold up requests that wait for a slot at the others. From the second such attempt on, attempts begin at least 50 ms apart, so that upstreams that have all crashed don't keep the entry busy.

--- a/src/serving/attempt.h
+++ b/src/serving/attempt.h
@@ -23,6 +23,9 @@
     UpstreamCaller::CallId call = 0;
     /// Whether the call has not ended.
     bool isCalling = false;
+    /// Whether the request was written, or passed to the entry that forwards it, so that the
+    /// upstream may run it.
+    bool isSent = false;
     /// Instance of the entry that forwards the call; empty when this process sends it.
     std::string forwarder;
     /// Whether the forwarder is the reason why the call ended.
@@ -31,7 +34,7 @@
     bool isForwarderSilent = false;
     /// Whether the upstream accepted a connection when it was silent.
     bool isReachable = false;
-    /// Whether the attempt does not count, because it did not reach its upstream.
+    /// Whether the attempt does not count, because it was not sent or did not reach its upstream.
     bool isDiscounted = false;
     absl::Time sentAt;
     /// The next three are valid once the head of the response has arrived.
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -192,18 +192,19 @@
     message.workspace = m_request.workspace;
     message.resumeAfter = m_position.lastId();
     m_context.crashGuard.recordSent(m_traits.all());
-    attempt->call =
-            m_context.upstreams.call(targetOf(grant), requestWriter(message), callHandlers(attempt),
-                                     m_request.caller.id, forwardingOptions(attempt, m_traits));
+    attempt->call = m_context.upstreams.call(
+            targetOf(grant), requestWriter(attempt, std::move(message)), callHandlers(attempt),
+            m_request.caller.id, forwardingOptions(attempt, m_traits));
     if (m_context.upstreams.isForwarded(attempt->call))
         attempt->forwarder = grant.forwarder;
     return attempt;
 }
 
 /// The remaining time is that of the moment at which the request is written.
-net::RequestWriter ProxiedRequest::requestWriter(const UpstreamAttempt &attempt)
+net::RequestWriter ProxiedRequest::requestWriter(const AttemptPtr &attempt, UpstreamAttempt message)
 {
-    return [self = shared_from_this(), message = attempt]() mutable {
+    return [self = shared_from_this(), attempt, message = std::move(message)]() mutable {
+        attempt->isSent = true;
         message.remainingTime = self->remainingTime();
         return net::serialize(
                 self->m_context.protocol.upstreamRequest(self->m_exchange->request(), message));
@@ -256,7 +257,7 @@
         ++m_resumes;
     // If the upstream was unresponsive, a slot at another one may already have been requested.
     if (!m_isSlotRequested)
-        requestSlot();
+        requestSlotAfter(pauseAfter(*m_attempt));
 }
 
 void ProxiedRequest::logFailedAttempt(const Attempt &attempt, std::string_view reason) const
@@ -304,8 +305,6 @@
 void ProxiedRequest::deadlinePassed()
 {
     m_deadlineTimer = 0;
-    if (isCalling())
-        m_mayHaveRun = true;
     endAttempts();
     if (m_mayHaveRun || m_exchange->streamStarted())
         return fail(ErrorCode::Timeout, "the deadline has passed");
@@ -323,8 +322,6 @@
 
 void ProxiedRequest::processEnding()
 {
-    if (isCalling())
-        m_mayHaveRun = true;
     endAttempts();
     refuseOrFail("the process ends before the response is complete");
 }
@@ -364,6 +361,9 @@
 {
     if (!std::exchange(attempt.isCalling, false))
         return;
+    recordRun(attempt);
+    if (!attempt.isSent)
+        recordNotSent(attempt);
     m_context.upstreams.cancel(attempt.call);
     m_context.crashGuard.recordCancelled(m_traits.all());
 }
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -79,7 +79,7 @@
     UpstreamTarget targetOf(const wire::SlotResponse &grant) const;
     void send(const wire::SlotResponse &grant);
     AttemptPtr beginAttempt(const wire::SlotResponse &grant);
-    net::RequestWriter requestWriter(const UpstreamAttempt &attempt);
+    net::RequestWriter requestWriter(const AttemptPtr &attempt, UpstreamAttempt message);
     net::CallHandlers callHandlers(const AttemptPtr &attempt);
     static ForwardingOptions forwardingOptions(const AttemptPtr &attempt,
                                                const CrashTraits &traits);
@@ -98,7 +98,10 @@
     void startResponse();
     bool completesStream() const;
     void callEnded(const AttemptPtr &attempt, net::CallStatus status);
-    void recordNotTried(Attempt &attempt, net::CallStatus status);
+    void recordEnd(Attempt &attempt, net::CallStatus status);
+    void recordRun(const Attempt &attempt);
+    void recordNotSent(Attempt &attempt);
+    absl::Duration pauseAfter(const Attempt &attempt) const;
     static bool isBroken(const Attempt &attempt, net::CallStatus status);
     void recordBroken(const Attempt &attempt);
     void responseCompleted();
@@ -115,6 +118,7 @@
     void stopTimer(TimerService::TimerId &timer);
     void responseTimedOut();
     void requestHedge();
+    void requestHedgeAgain();
     bool isLinkLost(const Attempt &attempt) const;
     void discount(Attempt &attempt);
     void recordReached(Attempt &attempt);
@@ -134,6 +138,8 @@
     bool isOtherVersion(const wire::SlotResponse &response) const;
     void skipUpstream(const std::string &upstream, std::string_view reason);
     void refuseOrFail(const wire::SlotResponse &response);
+    bool canRepeat(wire::SlotOutcome outcome) const;
+    void requestSlotAfter(absl::Duration pause);
     bool canAwaitLinks() const;
     void awaitLinks();
     void linksChanged();
@@ -182,8 +188,12 @@
     bool m_mayHaveRun = false;
     bool m_chargedRate = false;
     bool m_fromLocalShare = false;
+    /// Attempts that ended before their request was sent.
+    int m_unsentAttempts = 0;
     /// Upstreams that the request was sent to before or that leave.
     std::vector<std::string> m_excludedUpstreams;
+    /// Upstreams that could not be connected to. They are tried again after all others.
+    std::vector<std::string> m_unconnectedUpstreams;
     StreamPosition m_position;
     /// Id by which the origin of the stream is recorded; empty for a request that cannot be
     /// resumed.
--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -21,7 +21,7 @@
 {
     if (!isCalling() || m_hedge)
         return;
-    m_mayHaveRun = true;
+    recordRun(*m_attempt);
     m_state = State::Unresponsive;
     if (!m_attempt->forwarder.empty()) {
         m_attempt->isForwarderSilent = true;
@@ -47,6 +47,14 @@
     armResponseTimer();
 }
 
+void ProxiedRequest::requestHedgeAgain()
+{
+    // The first upstream may have responded meanwhile.
+    if (m_state != State::Unresponsive)
+        return armResponseTimer();
+    requestHedge();
+}
+
 /// Whether \a attempt waits for a response on links that are known to be lost.
 bool ProxiedRequest::isLinkLost(const Attempt &attempt) const
 {
@@ -192,6 +200,9 @@
         m_context.crashGuard.recordSound(m_traits.suspects(hedge->hasBegun));
         endHedge("the response can't serve the request", ReleaseReason::Completed);
     }
+    const absl::Duration pause = pauseAfter(*hedge);
+    if (pause > absl::ZeroDuration())
+        return armTimer(pause, &ProxiedRequest::requestHedgeAgain);
     requestHedge();
 }
 
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -204,8 +204,7 @@
 {
     if (m_state == State::Ended)
         return;
-    attempt->isCalling = false;
-    recordNotTried(*attempt, status);
+    recordEnd(*attempt, status);
     if (attempt == m_hedge)
         return hedgeEnded(status);
     const bool isNotSentToLeaving = status == net::CallStatus::NotConnected
@@ -219,36 +218,51 @@
         return attemptFailed("the connection to the upstream could not be established",
                              isNotSentToLeaving ? ReleaseReason::Cancelled
                                                 : ReleaseReason::Unreachable);
-    const bool isReportedNotRun =
-            status == net::CallStatus::Complete && m_attempt->hasHead && m_attempt->info.notRun;
-    if (!isReportedNotRun)
-        m_mayHaveRun = true;
     if (isBroken(*m_attempt, status)) {
         recordBroken(*m_attempt);
         return attemptFailed(
                 "the connection to the upstream broke before the response was complete",
                 ReleaseReason::Failed);
     }
-    if (isReportedNotRun)
+    if (m_attempt->hasHead && m_attempt->info.notRun)
         return attemptFailed("the upstream refused the request", refusalReason(m_attempt->info));
     responseCompleted();
 }
 
-/// Takes back the count of an attempt that was not made.
-void ProxiedRequest::recordNotTried(Attempt &attempt, net::CallStatus status)
+void ProxiedRequest::recordEnd(Attempt &attempt, net::CallStatus status)
 {
-    if (status != net::CallStatus::NotConnected)
+    attempt.isCalling = false;
+    if (status == net::CallStatus::NotConnected)
+        return recordNotSent(attempt);
+    // The refusal of an upstream counts when it is complete.
+    const bool isRefused =
+            status == net::CallStatus::Complete && attempt.hasHead && attempt.info.notRun;
+    m_mayHaveRun = m_mayHaveRun || !isRefused;
+}
+
+/// Records that the request may have run at the upstream of \a attempt, whose call has not ended by
+/// itself.
+void ProxiedRequest::recordRun(const Attempt &attempt)
+{
+    const bool isRefused = attempt.hasHead && attempt.info.notRun;
+    m_mayHaveRun = m_mayHaveRun || (attempt.isSent && !isRefused);
+}
+
+/// Takes back the count of an attempt that ended before its request was sent.
+void ProxiedRequest::recordNotSent(Attempt &attempt)
+{
+    attempt.isSent = false;
+    ++m_unsentAttempts;
+    discount(attempt);
+    if (isLeaving(attempt.upstream, attempt.address))
         return;
-    if (isLeaving(attempt.upstream, attempt.address)) {
-        discount(attempt);
-    } else if (attempt.hasForwarderFailed) {
-        // The forwarder did not take the call, so this upstream has not been tried.
-        discount(attempt);
-        const auto excluded = std::find(m_excludedUpstreams.rbegin(), m_excludedUpstreams.rend(),
-                                        attempt.upstream);
-        if (excluded != m_excludedUpstreams.rend())
-            m_excludedUpstreams.erase(std::next(excluded).base());
-    }
+    const auto excluded =
+            std::find(m_excludedUpstreams.rbegin(), m_excludedUpstreams.rend(), attempt.upstream);
+    if (excluded != m_excludedUpstreams.rend())
+        m_excludedUpstreams.erase(std::next(excluded).base());
+    // If the forwarder did not take the call, this upstream has not been tried.
+    if (!attempt.hasForwarderFailed)
+        m_unconnectedUpstreams.push_back(attempt.upstream);
 }
 
 bool ProxiedRequest::isBroken(const Attempt &attempt, net::CallStatus status)
--- a/src/serving/proxiedrequest_slots.cpp
+++ b/src/serving/proxiedrequest_slots.cpp
@@ -19,6 +19,10 @@
 /// attempts to connect.
 constexpr absl::Duration linkWaitPeriod = absl::Milliseconds(250);
 
+/// Shortest time between the beginnings of attempts that can't be sent. Upstreams that have crashed
+/// refuse connections at once.
+constexpr absl::Duration unsentAttemptPeriod = absl::Milliseconds(50);
+
 /// How a request is answered that gets no slot.
 struct RejectionReason
 {
@@ -68,9 +72,14 @@
     // The response to a request that may have run is useful until the deadline; only a request that
     // has not run is refused early.
     const absl::Duration objective = m_mayHaveRun ? remainingTime() : m_route.latencyObjective;
-    request.objectiveMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(objective), 0);
+    // A request that avoids upstreams does not wait for a slot, because it would hold up others
+    // that wait for a slot there.
+    if (m_unconnectedUpstreams.empty())
+        request.objectiveMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(objective), 0);
     request.deadlineMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(remainingTime()), 0);
     request.excluded = m_excludedUpstreams;
+    request.excluded.insert(request.excluded.end(), m_unconnectedUpstreams.begin(),
+                            m_unconnectedUpstreams.end());
     request.stream = m_stream;
     request.resumed = hasStreamBegun();
     request.versionKnown = request.resumed && m_streamVersion.has_value();
@@ -96,12 +105,44 @@
     m_fromLocalShare = m_fromLocalShare || fromLocalShare;
     if (isGranted)
         return slotGranted(response);
+    const bool isRepeated = canRepeat(response.verdict);
+    m_unconnectedUpstreams.clear();
     // No other upstream has a free slot, so the unresponsive upstream gets more time.
     if (m_state == State::Unresponsive)
         return armResponseTimer();
+    if (isRepeated)
+        return requestSlotAfter(pauseAfter(*m_attempt));
     refuseOrFail(response);
 }
 
+/// Whether a slot request that got \a outcome may succeed without the exclusion of upstreams that
+/// could not be connected to. On lost links they can't be connected to either.
+bool ProxiedRequest::canRepeat(wire::SlotOutcome outcome) const
+{
+    const bool isExclusionDecisive =
+            outcome == wire::SlotOutcome::NoSlot || outcome == wire::SlotOutcome::VersionGone;
+    return isExclusionDecisive && !m_unconnectedUpstreams.empty()
+           && m_context.upstreams.linkState() != policy::LinkState::Lost
+           && hasTimeForAttempt(unsentAttemptPeriod);
+}
+
+/// Time after the end of \a attempt until the next one may begin. The first attempt that was not
+/// sent is followed by another one at once.
+absl::Duration ProxiedRequest::pauseAfter(const Attempt &attempt) const
+{
+    if (attempt.isSent || m_unsentAttempts < 2)
+        return absl::ZeroDuration();
+    return std::max(attempt.sentAt + unsentAttemptPeriod - m_context.clock.now(),
+                    absl::ZeroDuration());
+}
+
+void ProxiedRequest::requestSlotAfter(absl::Duration pause)
+{
+    if (pause > absl::ZeroDuration())
+        return armTimer(pause, &ProxiedRequest::requestSlotAgain);
+    requestSlot();
+}
+
 void ProxiedRequest::slotGranted(const wire::SlotResponse &grant)
 {
     m_chargedRate = true;
--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -218,7 +218,7 @@
 {
 public:
     explicit UnknowingBroker(const ScriptedUpstreams &upstreams)
-        : m_upstreams{upstreams.address(0), upstreams.address(1)}
+        : m_addresses{upstreams.address(0), upstreams.address(1)}
     {
         m_server.setHandler(wire::Method::RequestSlot,
                             [this](const peer::PeerIdentity &, const std::string &body,
@@ -253,6 +253,12 @@
     absl::Duration furtherGrantDelay = absl::ZeroDuration();
 
     std::string address() const { return "127.0.0.1:" + std::to_string(m_server.port()); }
+    /// Sets the addresses of the upstreams.
+    void setAddresses(const std::array<std::string, 2> &addresses)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_addresses = addresses;
+    }
 
     std::vector<wire::SlotRequest> requests() const
     {
@@ -295,7 +301,7 @@
             response.verdict = wire::SlotOutcome::Granted;
             response.upstream = upstream;
             response.version = versions[static_cast<std::size_t>(i - 1)];
-            response.address = m_upstreams[static_cast<std::size_t>(i - 1)];
+            response.address = m_addresses[static_cast<std::size_t>(i - 1)];
             response.forwarder = forwarderAddress.empty() ? "" : "f";
             response.forwarderAddress = forwarderAddress;
             break;
@@ -303,10 +309,10 @@
         return response;
     }
 
-    /// Addresses.
-    const std::array<std::string, 2> m_upstreams;
     peer::Server m_server{transport("broker")};
     mutable absl::Mutex m_mutex;
+    /// Of the upstreams.
+    std::array<std::string, 2> m_addresses;
     std::vector<wire::SlotRequest> m_requests;
     std::vector<wire::SlotRelease> m_releases;
     std::vector<wire::UpstreamLoad> m_loads;
