Serving: Do not ask for a hedge at upstreams that are silent already

While upstreams pause, each silent call asked for a hedge, and the slot broker, which does not see the silence, granted it at another upstream that paused. Each such hedge opens a connection, fills the accept queue that new requests need, and is one of the request's attempts.

The ids of the upstreams that do not respond to this process are now avoided in the slot request of a hedge, unless the entry is cut off: another one may reach them. Like other requests that avoid upstreams, it takes only a slot that is free at once; otherwise a hedge that avoids most upstreams would stay at the head of the broker's queue, where it holds up first attempts. Without a slot the first call goes on, and the hedge is asked for again after the next timeout.

--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -74,6 +74,7 @@
     bool isBlocked();
     void rejectBlocked();
     void requestSlot();
+    std::vector<std::string> avoidedUpstreams() const;
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
     void slotGranted(const wire::SlotResponse &grant);
     UpstreamTarget targetOf(const wire::SlotResponse &grant) const;
--- a/src/serving/proxiedrequest_slots.cpp
+++ b/src/serving/proxiedrequest_slots.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -49,6 +50,11 @@
     return found == rejectionReasons.end() ? rejectionReasons.front() : *found;
 }
 
+bool contains(const std::vector<std::string> &upstreams, const std::string &upstream)
+{
+    return std::find(upstreams.begin(), upstreams.end(), upstream) != upstreams.end();
+}
+
 } // namespace
 
 void ProxiedRequest::requestSlot()
@@ -72,14 +78,14 @@
     // The response to a request that may have run is useful until the deadline; only a request that
     // has not run is refused early.
     const absl::Duration objective = m_mayHaveRun ? remainingTime() : m_route.latencyObjective;
+    const std::vector<std::string> avoided = avoidedUpstreams();
     // A request that avoids upstreams does not wait for a slot, because it would hold up others
     // that wait for a slot there.
-    if (m_unconnectedUpstreams.empty())
+    if (avoided.empty())
         request.objectiveMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(objective), 0);
     request.deadlineMs = std::max<std::int64_t>(absl::ToInt64Milliseconds(remainingTime()), 0);
     request.excluded = m_excludedUpstreams;
-    request.excluded.insert(request.excluded.end(), m_unconnectedUpstreams.begin(),
-                            m_unconnectedUpstreams.end());
+    request.excluded.insert(request.excluded.end(), avoided.begin(), avoided.end());
     request.stream = m_stream;
     request.resumed = hasStreamBegun();
     request.versionKnown = request.resumed && m_streamVersion.has_value();
@@ -92,6 +98,22 @@
             });
 }
 
+/// Upstreams that the request is not sent to as long as there are others.
+std::vector<std::string> ProxiedRequest::avoidedUpstreams() const
+{
+    std::vector<std::string> avoided = m_unconnectedUpstreams;
+    // Another entry may reach upstreams that are silent for this process.
+    if (m_state != State::Unresponsive || m_context.upstreams.isCutOff())
+        return avoided;
+    const auto isExcluded = [this](const std::string &upstream) {
+        return contains(m_excludedUpstreams, upstream)
+               || contains(m_unconnectedUpstreams, upstream);
+    };
+    const std::vector<std::string> silent = m_context.upstreams.silentUpstreams();
+    std::remove_copy_if(silent.begin(), silent.end(), std::back_inserter(avoided), isExcluded);
+    return avoided;
+}
+
 void ProxiedRequest::slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare)
 {
     m_isSlotRequested = false;
--- a/tests/serving/proxyrequest_links_test.cpp
+++ b/tests/serving/proxyrequest_links_test.cpp
@@ -212,4 +212,34 @@
     BOOST_TEST(contains(response, "HTTP/1.1 503"), response);
 }
 
+// Guards against hedges that load upstreams which are silent for this process already, and against
+// a hedge that holds up other requests while it waits for one of the rest.
+BOOST_AUTO_TEST_CASE(hedgeIsNotSentToASilentUpstream)
+{
+    Step first = {streamHead("a") + chunk(event(1)) + chunk(event(2))};
+    first.rest = chunk(event(3)) + chunk(event(4)) + lastChunk;
+    first.pause = 700;
+    ScriptedUpstreams upstreams({first});
+    UnknowingBroker broker(upstreams);
+    broker.versions = {"v1", "v1"};
+    Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true), broker.address());
+    entry.setReachable({upstreams.address(0), upstreams.address(1)});
+    std::string response;
+    std::thread caller([&] { response = entry.sendRequest("a"); });
+    while (upstreams.requests().empty())
+        std::this_thread::yield();
+    absl::SleepFor(absl::Milliseconds(50));
+    entry.thread.run([&] { entry.upstreams.probeSilent("u2"); });
+    caller.join();
+    const StreamBody body = streamBody(response);
+    BOOST_TEST(body.text == event(1) + event(2) + event(3) + event(4));
+    BOOST_TEST(body.isComplete);
+    BOOST_TEST(upstreams.requestsAt(1) == 0);
+    const auto requests = broker.requests();
+    BOOST_TEST_REQUIRE(requests.size() >= 2u);
+    const std::vector<std::string> excluded = {"u1", "u2"};
+    BOOST_TEST(requests[1].excluded == excluded, boost::test_tools::per_element());
+    BOOST_TEST(requests[1].objectiveMs == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
