--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -17,8 +17,8 @@
 ///
 /// When an upstream is silent, a request that may run again is also sent to another one, the hedge.
 /// The attempt that responds first serves the request, and the other one is cancelled; so a running
-/// call is not given up for an attempt that may be refused or break. When both stay silent, one of
-/// them is cancelled.
+/// call is not given up for an attempt that may be refused or break. When both stay silent and the
+/// upstream of the first one can be reached, the hedge is cancelled.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest>
 {
 public:
@@ -70,16 +70,17 @@
     bool mayRunAgain() const;
     bool isCalling() const { return m_attempt->isCalling; }
     absl::Duration remainingTime() const;
-    bool hasTimeForAttempt() const;
+    bool hasTimeForAttempt(absl::Duration wait = absl::ZeroDuration()) const;
     bool isBlocked();
     void rejectBlocked();
     void requestSlot();
+    std::vector<std::string> avoidedUpstreams() const;
     void slotResponseReceived(const wire::SlotResponse &response, bool fromLocalShare);
     void slotGranted(const wire::SlotResponse &grant);
     UpstreamTarget targetOf(const wire::SlotResponse &grant) const;
     void send(const wire::SlotResponse &grant);
     AttemptPtr beginAttempt(const wire::SlotResponse &grant);
-    net::RequestWriter requestWriter(const UpstreamAttempt &attempt);
+    net::RequestWriter requestWriter(const AttemptPtr &attempt, UpstreamAttempt message);
     net::CallHandlers callHandlers(const AttemptPtr &attempt);
     static ForwardingOptions forwardingOptions(const AttemptPtr &attempt,
                                                const CrashTraits &traits);
@@ -98,7 +99,10 @@
     void startResponse();
     bool completesStream() const;
     void callEnded(const AttemptPtr &attempt, net::CallStatus status);
-    void recordNotTried(Attempt &attempt, net::CallStatus status);
+    void recordEnd(Attempt &attempt, net::CallStatus status);
+    void recordRun(const Attempt &attempt);
+    void recordNotSent(Attempt &attempt);
+    absl::Duration pauseAfter(const Attempt &attempt) const;
     static bool isBroken(const Attempt &attempt, net::CallStatus status);
     void recordBroken(const Attempt &attempt);
     void responseCompleted();
@@ -115,9 +119,10 @@
     void stopTimer(TimerService::TimerId &timer);
     void responseTimedOut();
     void requestHedge();
+    void requestHedgeAgain();
     bool isLinkLost(const Attempt &attempt) const;
     void discount(Attempt &attempt);
-    void replaceLost(const wire::SlotResponse &grant);
+    void recordReached(Attempt &attempt);
     void startHedge(const wire::SlotResponse &grant);
     void hedgeBodyReceived(std::string_view bytes);
     void hedgeEnded(net::CallStatus status);
@@ -134,6 +139,12 @@
     bool isOtherVersion(const wire::SlotResponse &response) const;
     void skipUpstream(const std::string &upstream, std::string_view reason);
     void refuseOrFail(const wire::SlotResponse &response);
+    bool canRepeat(wire::SlotOutcome outcome) const;
+    void requestSlotAfter(absl::Duration pause);
+    bool canAwaitLinks() const;
+    void awaitLinks();
+    void linksChanged();
+    void requestSlotAgain();
     void skipLeavingUpstream(const std::string &slotId, const std::string &upstream,
                              const std::string &address);
     void releaseSlot(Attempt &attempt, policy::ReleaseReason reason);
@@ -159,6 +170,10 @@
     bool m_isSlotRequested = false;
     /// Whether the last slot request named the need of a forwarder.
     bool m_hasRequestedForwarder = false;
+    /// Whether linksChanged() will be called.
+    bool m_isLinkChangeAwaited = false;
+    /// Whether a further slot is requested when the links change or the response timer expires.
+    bool m_isWaitingForLinks = false;
     /// Id of the last slot request. Each slot request has an id of its own.
     std::string m_requestedSlotId;
     int m_slotRequestCount = 0;
@@ -174,8 +189,12 @@
     bool m_mayHaveRun = false;
     bool m_chargedRate = false;
     bool m_fromLocalShare = false;
+    /// Attempts that ended before their request was sent.
+    int m_unsentAttempts = 0;
     /// Upstreams that the request was sent to before or that leave.
     std::vector<std::string> m_excludedUpstreams;
+    /// Upstreams that could not be connected to. They are tried again after all others.
+    std::vector<std::string> m_unconnectedUpstreams;
     StreamPosition m_position;
     /// Id by which the origin of the stream is recorded; empty for a request that cannot be
     /// resumed.
@@ -191,6 +210,7 @@
     std::optional<BufferShare> m_bufferShare;
     TimerService::TimerId m_deadlineTimer = 0;
     /// Limits the time without a response of the current attempt or, if there is a hedge, of that.
+    /// While no attempt runs, the time until a further slot is requested.
     TimerService::TimerId m_responseTimer = 0;
 };
 
