Serving: Prefer a forwarder while the links are uncertain

While new connections hang and it is not known whether the links are lost, a request whose grant named another entry as forwarder was sent on an established connection if there was one to an upstream that had not failed. In a real cut, such a request waits until the connection is found to be dead.

It is forwarded now, as before the state Unanswered was introduced. The established connection is used only without a forwarder, where the request would be refused otherwise.

--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -70,9 +70,14 @@
     /// Whether a connection is established on which a request may be sent now.
     bool canReuseConnection(const UpstreamTarget &target, const std::string &requestId) const
     {
-        const bool canSend = links.canReceive()
-                             || (!links.isEstablishedLost() && !links.hasFailed(target.upstream));
-        return canSend && connections.hasIdleConnection(target.address, requestId);
+        return links.canReceive() && connections.hasIdleConnection(target.address, requestId);
+    }
+
+    /// Whether one is established that may work, while it is not known whether the links are lost.
+    bool canTryConnection(const UpstreamTarget &target, const std::string &requestId) const
+    {
+        return !links.isEstablishedLost() && !links.hasFailed(target.upstream)
+               && connections.hasIdleConnection(target.address, requestId);
     }
 
     CallId callDirectly(const UpstreamTarget &target, net::RequestWriter writer,
@@ -465,7 +470,8 @@
 bool UpstreamCaller::canCall(const UpstreamTarget &target, const std::string &requestId) const
 {
     return !m_impl->links.isCutOff() || !target.forwarderAddress.empty()
-           || m_impl->canReuseConnection(target, requestId);
+           || m_impl->canReuseConnection(target, requestId)
+           || m_impl->canTryConnection(target, requestId);
 }
 
 UpstreamCaller::CallId UpstreamCaller::call(const UpstreamTarget &target, net::RequestWriter writer,
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -684,6 +684,35 @@
     BOOST_TEST(absl::Now() - begin < absl::Milliseconds(900));
 }
 
+// Guards against a request on an established connection that may be lost, although another entry
+// would forward it, and against one that is refused although such a connection exists.
+BOOST_AUTO_TEST_CASE(forwarderIsPreferredWhileTheLinksAreUncertain)
+{
+    UsedUpstreams used;
+    const wire::FleetUpstream other = used.list.back();
+    used.list.pop_back();
+    for (std::size_t i = 0; i < used.list.size(); ++i)
+        used.upstreams[i].fill();
+    used.entry.thread.run([&] { used.entry.upstreams.setUpstreams(used.list); });
+    used.probe();
+    BOOST_TEST(await([&] { return viewOf(used.entry).state == policy::LinkState::Unanswered; }));
+    used.entry.thread.run([&] {
+        UpstreamCaller &upstreams = used.entry.upstreams;
+        const auto isForwarded = [&](const std::string &forwarder) {
+            const UpstreamTarget target{other.id, other.address, forwarder};
+            BOOST_TEST(upstreams.canCall(target, "b"));
+            net::CallHandlers handlers;
+            handlers.onEnd = [](net::CallStatus) {};
+            const auto id = upstreams.call(
+                    target, [] { return std::string("GET /x HTTP/1.1\r\n\r\n"); }, handlers, "b");
+            return upstreams.isForwarded(id);
+        };
+        BOOST_TEST(isForwarded("127.0.0.1:1"));
+        BOOST_TEST(!isForwarded(""));
+    });
+    used.entry.thread.run([&] { used.entry.forwarder.stop(); });
+}
+
 // Guards against a cut that stays uncertain because the running calls have nothing to send.
 BOOST_AUTO_TEST_CASE(unacknowledgedKeepAliveProbesAreALostLink)
 {
