Net, tests: Let the steps of a test end before its server does

newConnectionWithAReceivedRequestIsNotIdle posts 20 steps to the event loop and could destroy its server before the last one had run, which then called a null pointer.

--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -90,6 +90,8 @@
     std::weak_ptr<int> handlerOwner;
     std::atomic<int> requestCount{0};
     std::atomic<int> disconnectCount{0};
+    /// Steps of closeIdleConnections() that have not been made.
+    std::atomic<int> remainingSteps{0};
 };
 
 constexpr int port = 28471;
@@ -128,6 +130,7 @@
 void closeIdleConnections(TestServer &server, int steps)
 {
     server.server->closeIdleConnections();
+    server.remainingSteps = steps - 1;
     if (steps > 1)
         server.thread.loop().post([&server, steps] { closeIdleConnections(server, steps - 1); });
 }
@@ -491,6 +494,8 @@
         closeIdleConnections(server, 20);
     });
     BOOST_TEST(client->readUntil("abc").find("abc") != std::string::npos);
+    // The steps use the server.
+    BOOST_TEST(waitFor([&] { return server.remainingSteps == 0; }));
 }
 
 // Guards against a new connection that is closed while its first request is on its way, and against
