Serving: Send a forwarded call only to an entry that responds

A forwarded call that had to wait for a connection to its forwarder was given up after 0.35 s, whether the forwarder had received it or not. A forwarder that was slow or paused right after the connection was established thus still ended the call, and the request counted as one that may have run.

A forwarder without a connection now gets a message without effect first, the cancellation of the call that it does not have yet. Without a response to it the call was certainly not sent, and the request goes by way of another entry. After it, the call waits like any other one. The first call to a forwarder takes one more round trip. A call that is cancelled after 0.2 s of silence reports its forwarder as failed, so that the end of a silent hedge says nothing about the upstream (ForwardingTest/silenceOfAForwarderSaysNothingAboutTheUpstream, which failed without this).

ForwardingTest/callGoesOnWhenItsForwarderPauses failed before in its row of a forwarder that pauses before it has taken the call ("broken"). The new callIsNotSentToAForwarderThatDoesNotRespond passed before, too.

--- a/include/rattanrill/serving/forwardingclient.h
+++ b/include/rattanrill/serving/forwardingclient.h
@@ -19,9 +19,9 @@
 {
     /// Traits by which the forwarding entry attributes a crash of the upstream.
     CrashTraits traits;
-    /// Called when the forwarding entry does not respond in time, after which the call goes on, and
-    /// before net::CallHandlers::onEnd if that entry is the reason for the end. Must not cancel the
-    /// call.
+    /// Called when the forwarding entry does not respond in time, after which the call goes on
+    /// unless it was cancelled, and before net::CallHandlers::onEnd if that entry is the reason for
+    /// the end. Must not cancel the call.
     std::function<void()> onForwarderFailed = [] {};
 };
 
--- a/src/serving/forwardingclient.cpp
+++ b/src/serving/forwardingclient.cpp
@@ -19,6 +19,8 @@
 /// Time after which a forwarding entry that has not responded counts as silent. It responds after
 /// 100 ms even if nothing has arrived from the upstream.
 constexpr absl::Duration silenceTimeout = absl::Milliseconds(350);
+/// A call that is cancelled after this time without a response says that its forwarder is silent.
+constexpr absl::Duration minSilence = absl::Milliseconds(200);
 constexpr std::size_t processIdBytes = 8;
 
 net::ResponseHead headOf(const wire::ForwardedPart &part)
@@ -41,6 +43,8 @@
         net::CallHandlers handlers;
         std::function<void()> onForwarderFailed;
         absl::Time deadline;
+        /// When the last message was sent to the forwarder.
+        absl::Time requestedAt = absl::InfinitePast();
         /// Runs while a response of the forwarder is awaited.
         TimerService::TimerId silenceTimer = 0;
         /// Whether the forwarder has responded, so that the upstream may run the request.
@@ -55,32 +59,64 @@
 
     std::string wireId(CallId id) const { return concat(process, "-", id); }
 
-    /// Sends a message whose response is a part.
-    void request(CallId id, const std::string &address, wire::Method method, std::string message)
+    /// Sends the call once the forwarder has responded on its connection. Without one, the call
+    /// would wait for it, and could not be taken back for certain.
+    void start(CallId id, const std::string &address, const std::string &message)
     {
         const auto channel = channels.channel(address);
-        startSilenceTimer(id);
-        channel->call(method, std::move(message), responseTimeout(*calls.at(id), *channel),
-                      [weak = weak_from_this(), id, address](const Outcome<std::string> &outcome) {
+        if (channel->connected())
+            return request(id, address, wire::Method::ForwardCall, message);
+        // Without an effect, because the forwarder has no call with this id.
+        channel->call(wire::Method::CancelForwardedCall,
+                      wire::encode(wire::CancelForwardedCall{wireId(id)}), silenceTimeout,
+                      [weak = weak_from_this(), id, address,
+                       message](const Outcome<std::string> &outcome) {
                           const auto impl = weak.lock();
                           if (impl)
-                              impl->loop.post([impl, id, address, outcome] {
-                                  impl->handleResponse(id, address, outcome);
+                              impl->loop.post([impl, id, address, message, outcome] {
+                                  impl->handleConnected(id, address, message, outcome);
                               });
                       });
     }
 
-    /// A forwarder that has the call may only pause, so its silence does not end the call. One to
-    /// which no connection can be established has no part in it.
-    static absl::Duration responseTimeout(const Call &call, const peer::Channel &channel)
+    void handleConnected(CallId id, const std::string &address, const std::string &message,
+                         const Outcome<std::string> &outcome)
+    {
+        if (calls.count(id) == 0)
+            return;
+        // A failure that the forwarder returned shows that it responds.
+        const bool responds = outcome.ok()
+                              || (channels.channel(address)->connected()
+                                  && outcome.failure().code != ErrorCode::Timeout);
+        if (!responds)
+            return fail(id, notRun(outcome.failure().code, outcome.failure().detail));
+        request(id, address, wire::Method::ForwardCall, message);
+    }
+
+    /// Sends a message whose response is a part.
+    void request(CallId id, const std::string &address, wire::Method method, std::string message)
+    {
+        startSilenceTimer(id);
+        channels.channel(address)->call(
+                method, std::move(message), responseTimeout(*calls.at(id)),
+                [weak = weak_from_this(), id, address](const Outcome<std::string> &outcome) {
+                    const auto impl = weak.lock();
+                    if (impl)
+                        impl->loop.post([impl, id, address, outcome] {
+                            impl->handleResponse(id, address, outcome);
+                        });
+                });
+    }
+
+    /// The forwarder may only pause, so its silence does not end the call.
+    static absl::Duration responseTimeout(const Call &call)
     {
-        const absl::Duration remaining = call.deadline - SystemClock::instance().now();
-        const bool hasMessage = call.isTaken || channel.connected();
-        return hasMessage ? std::max(remaining, silenceTimeout) : silenceTimeout;
+        return std::max(call.deadline - SystemClock::instance().now(), silenceTimeout);
     }
 
     void startSilenceTimer(CallId id)
     {
+        calls.at(id)->requestedAt = SystemClock::instance().now();
         calls.at(id)->silenceTimer =
                 loop.timers().subscribeOnce(silenceTimeout, [weak = weak_from_this(), id] {
                     if (const auto impl = weak.lock())
@@ -215,7 +251,7 @@
                                     absl::ToInt64Milliseconds(call.timeout),
                                     call.options.traits.promptParts,
                                     call.options.traits.fingerprint};
-    m_impl->request(id, call.forwarderAddress, wire::Method::ForwardCall, wire::encode(message));
+    m_impl->start(id, call.forwarderAddress, wire::encode(message));
     return id;
 }
 
@@ -224,8 +260,13 @@
     const auto found = m_impl->calls.find(call);
     if (found == m_impl->calls.end())
         return;
-    m_impl->sendCancellation(call, found->second->forwarderAddress);
+    const Impl::CallPtr cancelled = found->second;
+    const bool isSilent = cancelled->silenceTimer != 0
+                          && SystemClock::instance().now() - cancelled->requestedAt >= minSilence;
+    m_impl->sendCancellation(call, cancelled->forwarderAddress);
     m_impl->removeCall(call);
+    if (isSilent)
+        cancelled->onForwarderFailed();
 }
 
 void ForwardingClient::stop()
