Net: Keep earlier handshakes of a connection open

A connection whose handshake was not answered within 250 ms gave it up for a new one. On a link whose round trip takes longer, for example while packets wait in a queue, no handshake could ever be answered, and each call ended as not connected after its timeout. Found by a review of the repeated handshake.

All handshakes of the connection stay open now, and the first one that is answered is used; the others are reset.

net:ConnectionPoolTest/lateAnswerToTheFirstHandshakeIsUsed, whose listener gets only what the first handshake sends, failed before in 2 of 2 runs (not connected after 3 s) and passes in 3 of 3.

--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -35,6 +35,9 @@
 /// A client that accepts no bytes of a response for this long is treated as disconnected.
 constexpr absl::Duration sendTimeout = absl::Seconds(15);
 
+/// Time without a segment of a client after which TCP sends a keep-alive probe.
+constexpr int keepAliveIdleSeconds = 2;
+
 constexpr std::string_view lastChunk = "0\r\n\r\n";
 
 } // namespace
@@ -49,7 +52,7 @@
 
 void ServerConnection::start()
 {
-    prepareSocket(m_socket);
+    prepareSocket(m_socket, keepAliveIdleSeconds);
     m_idleSince = SystemClock::instance().now();
     armTimer(m_shared->limits.idleTimeout);
     read();
--- a/src/net/socketoptions.cpp
+++ b/src/net/socketoptions.cpp
@@ -1,7 +1,5 @@
 #include "socketoptions.h"
 
-#include "tcpinfo.h"
-
 #include <boost/asio/buffer.hpp>
 
 #include <netinet/in.h>
@@ -25,7 +23,7 @@
 
 } // namespace
 
-void prepareSocket(boost::asio::ip::tcp::socket &socket)
+void prepareSocket(boost::asio::ip::tcp::socket &socket, int keepAliveIdleSeconds)
 {
     const int native = socket.native_handle();
     boost::system::error_code ignored;
--- a/src/net/tcpinfo.cpp
+++ b/src/net/tcpinfo.cpp
@@ -36,7 +36,8 @@
     // With unsent data, probes ask for the window of a peer that receives, and not whether it
     // exists.
     if (info.isProbing && !info.hasUnsentData)
-        return std::max(sinceReceived - absl::Seconds(keepAliveIdleSeconds), absl::ZeroDuration());
+        return std::max(sinceReceived - absl::Seconds(upstreamKeepAliveIdleSeconds),
+                        absl::ZeroDuration());
     return absl::ZeroDuration();
 }
 
--- a/src/net/tcpinfo.h
+++ b/src/net/tcpinfo.h
@@ -6,8 +6,8 @@
 
 namespace rattanrill::net {
 
-/// Time without a segment of the peer after which TCP sends a keep-alive probe.
-constexpr int keepAliveIdleSeconds = 1;
+/// Time without a segment of an upstream after which TCP sends a keep-alive probe.
+constexpr int upstreamKeepAliveIdleSeconds = 1;
 
 /// What the operating system tells of a connection.
 struct TcpInfo
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -43,6 +43,15 @@
     return seconds;
 }
 
+/// Resets \a socket. Without the option the operating system continues to deliver the request after
+/// the close.
+void discard(Tcp::socket &socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 } // namespace
 
 UpstreamConnection::UpstreamConnection(boost::asio::io_context &context, std::string address,
@@ -143,15 +152,16 @@
 
 boost::system::error_code UpstreamConnection::startHandshake()
 {
+    const auto socket = std::make_shared<Tcp::socket>(m_socket.get_executor());
     boost::system::error_code error;
-    m_socket.open(m_endpoint.protocol(), error);
+    socket->open(m_endpoint.protocol(), error);
     if (error)
         return error;
-    prepareSocket(m_socket);
-    m_socket.async_connect(m_endpoint, [self = shared_from_this(), handshake = ++m_handshakes](
-                                               const boost::system::error_code &result) {
-        if (handshake == self->m_handshakes)
-            self->handleConnect(result);
+    prepareSocket(*socket, upstreamKeepAliveIdleSeconds);
+    m_handshakes.push_back(socket);
+    socket->async_connect(m_endpoint, [self = shared_from_this(),
+                                       socket](const boost::system::error_code &result) {
+        self->handleConnect(*socket, result);
     });
     return error;
 }
@@ -170,18 +180,19 @@
     });
 }
 
+/// The handshakes before stay open, because the answer to one of them may take longer than the
+/// period.
 void UpstreamConnection::repeatHandshake()
 {
-    // A connection that is established, whose handler has not run yet, would stay in the accept
-    // queue of the peer.
-    boost::system::error_code error;
-    m_socket.remote_endpoint(error);
-    if (error) {
-        discardSocket();
-        error = startHandshake();
-        if (error)
-            return fail(CallStatus::NotConnected);
-    }
+    const bool isAnswered = std::any_of(m_handshakes.begin(), m_handshakes.end(),
+                                        [](const std::shared_ptr<Tcp::socket> &socket) {
+                                            boost::system::error_code error;
+                                            socket->remote_endpoint(error);
+                                            return !error;
+                                        });
+    // The handler of an answered handshake runs next.
+    if (!isAnswered && startHandshake())
+        return fail(CallStatus::NotConnected);
     awaitHandshake();
 }
 
@@ -193,11 +204,13 @@
     fail(CallStatus::NotConnected);
 }
 
-void UpstreamConnection::handleConnect(const boost::system::error_code &error)
+void UpstreamConnection::handleConnect(Tcp::socket &socket, const boost::system::error_code &error)
 {
     if (m_state != State::Connecting)
         return;
     m_timer.cancel();
+    m_socket = std::move(socket);
+    discardHandshakes();
     m_receivedAt = SystemClock::instance().now();
     if (!error && m_established) {
         becomeIdle();
@@ -377,16 +390,14 @@
 void UpstreamConnection::reset()
 {
     if (m_state != State::Closed)
-        discardSocket();
+        discard(m_socket);
     close();
 }
 
-void UpstreamConnection::discardSocket()
+void UpstreamConnection::discardHandshakes()
 {
-    // Without this option the operating system continues to deliver the request after the close.
-    boost::system::error_code ignored;
-    m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    m_socket.close(ignored);
+    for (const std::shared_ptr<Tcp::socket> &socket : std::exchange(m_handshakes, {}))
+        discard(*socket);
 }
 
 void UpstreamConnection::close()
@@ -398,6 +409,7 @@
     m_handlers.reset();
     m_writer = nullptr;
     m_timer.cancel();
+    discardHandshakes();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_listener(self, false);
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -62,7 +62,8 @@
     void awaitHandshake();
     void repeatHandshake();
     void connectTimedOut();
-    void handleConnect(const boost::system::error_code &error);
+    void handleConnect(boost::asio::ip::tcp::socket &socket,
+                       const boost::system::error_code &error);
     void writeRequest();
     void send();
     void read();
@@ -76,7 +77,7 @@
     void awaitBytesOrClose();
     bool hasReadableBytes();
     void finish();
-    void discardSocket();
+    void discardHandshakes();
     void fail(CallStatus status);
 
     boost::asio::ip::tcp::socket m_socket;
@@ -88,8 +89,8 @@
     /// Address of the peer and the end of the time to connect to it.
     boost::asio::ip::tcp::endpoint m_endpoint;
     std::chrono::steady_clock::time_point m_connectEnd;
-    /// Number of handshakes that were started.
-    int m_handshakes = 0;
+    /// Sockets of the handshakes that are not answered; the first one that is becomes m_socket.
+    std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> m_handshakes;
     /// Set while the connection is being established for a request.
     RequestWriter m_writer;
     /// When the request was written, of which a part may not have been sent yet.
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -7,13 +7,21 @@
 #include "rattanrill/net/connectionpool.h"
 #include "rattanrill/net/server.h"
 
+#include "absl/strings/str_format.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <array>
 #include <atomic>
 #include <chrono>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -181,6 +189,34 @@
     return result;
 }
 
+/// Lets only what comes from the port \a source arrive at \a socket.
+void acceptArrivalsFrom(int socket, int source)
+{
+    std::array<sock_filter, 4> instructions = {{
+            BPF_STMT(BPF_LD | BPF_H | BPF_ABS, 0),
+            BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, static_cast<unsigned>(source), 0, 1),
+            BPF_STMT(BPF_RET | BPF_K, 0xffff),
+            BPF_STMT(BPF_RET | BPF_K, 0),
+    }};
+    const sock_fprog program{instructions.size(), instructions.data()};
+    BOOST_REQUIRE(setsockopt(socket, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)) == 0);
+}
+
+/// Returns the local port of the first connection that is being established to \a port on loopback.
+int connectingPort(int port)
+{
+    const std::string remote = absl::StrFormat("0100007F:%04X 02", port);
+    std::ifstream table("/proc/net/tcp");
+    std::string line;
+    while (std::getline(table, line)) {
+        const std::size_t found = line.find(remote);
+        if (found != std::string::npos)
+            return std::stoi(line.substr(found - 5, 4), nullptr, 16);
+    }
+    BOOST_FAIL("no connection is being established");
+    return 0;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ConnectionPoolTest)
@@ -582,6 +618,33 @@
     thread.run([&] { pool.stop(); });
 }
 
+// Guards against a connection that is never established because the answer to its handshake takes
+// longer than the time until the next one. Only what the first handshake sends arrives, and first
+// when the operating system repeats it after 1 s.
+BOOST_AUTO_TEST_CASE(lateAnswerToTheFirstHandshakeIsUsed)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor upstream(context, {boost::asio::ip::address_v4::loopback(), 0});
+    const int port = upstream.local_endpoint().port();
+    acceptArrivalsFrom(upstream.native_handle(), 0);
+    LoopThread thread;
+    ConnectionPoolOptions options;
+    options.connectTimeout = absl::Seconds(3);
+    ConnectionPool pool(thread.loop(), options);
+    absl::Notification connected;
+    bool isConnected = false;
+    thread.run([&] {
+        pool.connect("127.0.0.1:" + std::to_string(port), [&](bool result) {
+            isConnected = result;
+            connected.Notify();
+        });
+    });
+    acceptArrivalsFrom(upstream.native_handle(), connectingPort(port));
+    BOOST_TEST(connected.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_TEST(isConnected);
+    thread.run([&] { pool.stop(); });
+}
+
 // Guards against a part of a response that counts as the whole one, because the write of a long
 // upload has taken the error of the reset, and the read then sees an orderly close.
 BOOST_FIXTURE_TEST_CASE(responseThatIsResetDuringAnUploadIsBroken, ConnectionPoolFixture)
