--- a/tests/platform/recordingupstream.py
+++ b/tests/platform/recordingupstream.py
@@ -4,7 +4,9 @@
 accepted. Each line of the output is a JSON object.
 """
 
+import argparse
 import json
+import os
 import sys
 import time
 
@@ -20,13 +22,11 @@
         super().do_POST()
 
 
-class RecordingServer(UpstreamServer):
-    def handle_error(self, request, client_address):
-        """A request that was cancelled is no error of the upstream."""
-        if not isinstance(sys.exc_info()[1], OSError):
-            super().handle_error(request, client_address)
+def settings():
+    return argparse.Namespace(port=int(sys.argv[2]), accept_queue=int(sys.argv[3]),
+                              max_connections=0, idle_seconds=0, accept_ms=0)
 
 
 if __name__ == "__main__":
-    RecordingServer.request_queue_size = int(sys.argv[3])
-    RecordingServer((sys.argv[1], int(sys.argv[2])), RecordingUpstream).serve_forever()
+    with open(os.devnull, "w", encoding="ascii") as log:
+        UpstreamServer(sys.argv[1], settings(), log, RecordingUpstream).serve_forever()
--- a/tests/platform/upstreamprocess.py
+++ b/tests/platform/upstreamprocess.py
@@ -68,14 +68,14 @@
 class UpstreamServer(http.server.ThreadingHTTPServer):
     daemon_threads = True
 
-    def __init__(self, host, settings, accept_log):
+    def __init__(self, host, settings, accept_log, handler=ProcessUpstream):
         self.request_queue_size = settings.accept_queue
         self.max_connections = settings.max_connections
         self.idle_seconds = settings.idle_seconds
         self.accept_seconds = settings.accept_ms / 1000
         self.accept_log = accept_log
         self.open_connections = set()
-        super().__init__((host, settings.port), ProcessUpstream)
+        super().__init__((host, settings.port), handler)
 
     def get_request(self):
         time.sleep(self.accept_seconds)
