Tests: Keep hedges out of the tests of resumed attempts

wrongResponseToAResumedAttemptEndsInAnAbort, streamIsResumedAfterAWrongResponse and continuationIsAcceptedFromAnyEarlierEvent fail now and then beside load, with one request at the upstreams in place of two, or a text that ends after the first upstream's events.

Their entry sends a hedge when the first upstream is silent for 180 ms. On a busy machine the threads of both scripted upstreams can be late: the hedge is then written, which makes it an attempt, and cancelled before its upstream has read it, because the first one responds. No attempt is left for the resumption that the test is about. The entry does what its route says; the tests are wrong to take the machine's delay for none.

--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -339,8 +339,6 @@
         route.host = "h";
         route.pathPrefix = "/";
         route.targets = {{"s", 1}};
-        route.latencyObjective = absl::Milliseconds(300);
-        route.interEventObjective = absl::Milliseconds(300);
         Deployment deployment;
         deployment.version = 1;
         deployment.routes = {route};
@@ -469,6 +467,18 @@
     route.kind = kind;
     route.maxAttempts = attempts;
     route.resumable = resumable;
+    route.latencyObjective = absl::Milliseconds(300);
+    route.interEventObjective = absl::Milliseconds(300);
+    return route;
+}
+
+/// A resumable stream whose upstreams are not silent for longer than its objectives allow, even on
+/// a busy machine, so that each attempt is made after the former one has ended.
+inline Route unhurriedStream(int attempts)
+{
+    Route route = routeOf(RouteKind::Streaming, attempts, true);
+    route.latencyObjective = absl::Seconds(10);
+    route.interEventObjective = absl::Seconds(10);
     return route;
 }
 
--- a/tests/serving/proxyrequest_stream_test.cpp
+++ b/tests/serving/proxyrequest_stream_test.cpp
@@ -205,7 +205,7 @@
     for (const ResumedResponse &row : rows) {
         BOOST_TEST_INFO_SCOPE(row.name);
         ScriptedUpstreams upstreams({brokenOffStream(), {row.bytes, row.closes}});
-        Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true));
+        Entry entry(upstreams, unhurriedStream(2));
         const StreamBody body = streamBody(entry.sendRequest("a"));
         BOOST_TEST(body.text == event(1) + event(2));
         BOOST_TEST(!body.isComplete);
@@ -223,7 +223,7 @@
         BOOST_TEST_INFO_SCOPE(row.name);
         ScriptedUpstreams upstreams({brokenOffStream(), {row.bytes, row.closes}, restOfStream()},
                                     3);
-        Entry entry(upstreams, routeOf(RouteKind::Streaming, 3, true));
+        Entry entry(upstreams, unhurriedStream(3));
         const StreamBody body = streamBody(entry.sendRequest("a"));
         BOOST_TEST(body.text == event(1) + event(2) + event(3) + event(4));
         BOOST_TEST(body.isComplete);
@@ -259,7 +259,7 @@
         BOOST_TEST_INFO_SCOPE(sent);
         ScriptedUpstreams upstreams(
                 {brokenOffStream(), {streamHead("a") + chunk(sent) + lastChunk}});
-        Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true));
+        Entry entry(upstreams, unhurriedStream(2));
         const StreamBody body = streamBody(entry.sendRequest("a"));
         BOOST_TEST(body.text == event(1) + event(2) + expected);
         BOOST_TEST(body.isComplete);
