Serving: Refuse a request that waits for the links while its caller has time left

A request that could not be sent while new connections are not answered waited until 250 ms before its deadline. In a real cut for which there is no evidence its caller then got 503 without time to ask another entry. Found by a review.

A request that has not run waits for 1.5 s at most, longer than an upstream usually pauses, and is then refused as not run. A stream that has begun still waits until its deadline, because it has nothing to lose.

--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -174,6 +174,8 @@
     bool m_isLinkChangeAwaited = false;
     /// Whether a further slot is requested when the links change or the response timer expires.
     bool m_isWaitingForLinks = false;
+    /// When a request that has not run gives up waiting for the links.
+    absl::Time m_linkWaitEnd = absl::InfiniteFuture();
     /// Id of the last slot request. Each slot request has an id of its own.
     std::string m_requestedSlotId;
     int m_slotRequestCount = 0;
--- a/src/serving/proxiedrequest_slots.cpp
+++ b/src/serving/proxiedrequest_slots.cpp
@@ -20,6 +20,10 @@
 /// attempts to connect.
 constexpr absl::Duration linkWaitPeriod = absl::Milliseconds(250);
 
+/// Longest time that a request which may be sent to another entry waits for the links. Longer than
+/// an upstream usually pauses; the caller keeps the rest of its time for another entry.
+constexpr absl::Duration maxLinkWait = absl::Milliseconds(1500);
+
 /// Shortest time between the beginnings of attempts that can't be sent. Upstreams that have crashed
 /// refuse connections at once.
 constexpr absl::Duration unsentAttemptPeriod = absl::Milliseconds(50);
@@ -235,7 +239,9 @@
 /// Whether a request that can't be sent now may be sent later: its upstreams may have paused.
 bool ProxiedRequest::canAwaitLinks() const
 {
-    return m_context.upstreams.linkState() == policy::LinkState::Unanswered
+    const bool canGoElsewhere = !m_mayHaveRun && !m_exchange->streamStarted();
+    const bool isWaitOver = canGoElsewhere && m_context.clock.now() >= m_linkWaitEnd;
+    return m_context.upstreams.linkState() == policy::LinkState::Unanswered && !isWaitOver
            && hasTimeForAttempt(linkWaitPeriod);
 }
 
@@ -244,6 +250,7 @@
 {
     m_state = State::Waiting;
     m_isWaitingForLinks = true;
+    m_linkWaitEnd = std::min(m_linkWaitEnd, m_context.clock.now() + maxLinkWait);
     armTimer(linkWaitPeriod, &ProxiedRequest::linksChanged);
     if (std::exchange(m_isLinkChangeAwaited, true))
         return;
