Tests: Show that a cut is found in time after accepted probes

A probe that was accepted replaces further ones for a time, in which a cut stays unnoticed if nothing is sent on established connections.

--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -778,4 +778,23 @@
     silent.stop();
 }
 
+// Guards against a cut that is found late because each upstream accepted a connection shortly
+// before it: the latency objective is 300 ms.
+BOOST_AUTO_TEST_CASE(cutAfterAcceptedProbesIsFoundWithinTheObjective)
+{
+    UsedUpstreams used;
+    used.probe();
+    absl::SleepFor(absl::Milliseconds(50));
+    for (net::PausableUpstream &upstream : used.upstreams)
+        upstream.cut();
+    const absl::Time begin = absl::Now();
+    BOOST_TEST(await([&] {
+        used.probe();
+        return viewOf(used.entry).state != policy::LinkState::Working;
+    }));
+    const absl::Duration duration = absl::Now() - begin;
+    BOOST_TEST_MESSAGE("found after " << absl::ToInt64Milliseconds(duration) << " ms");
+    BOOST_TEST((duration < absl::Milliseconds(300)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
