Tests: Show an upstream that counts as reachable although it answers no probe

probeSilent() probes again after 250 ms, but isReachable() holds for 500 ms after an accepted probe and does not look at the result of the later one. So a request on a link that was just cut keeps the dead attempt and ends the further one.

--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -797,4 +797,26 @@
     BOOST_TEST((duration < absl::Milliseconds(300)));
 }
 
+// Guards against a second attempt that is ended for the sake of one on a link that was cut: the
+// probe that was accepted before the cut must not outweigh a later one without an answer.
+BOOST_AUTO_TEST_CASE(upstreamThatDoesNotAnswerAProbeIsNotReachable)
+{
+    UsedUpstreams used;
+    used.probe();
+    absl::SleepFor(absl::Milliseconds(50));
+    for (net::PausableUpstream &upstream : used.upstreams)
+        upstream.cut();
+    absl::SleepFor(absl::Milliseconds(210));
+    bool isReachable = false;
+    absl::Notification probed;
+    used.entry.thread.run([&] {
+        used.entry.upstreams.probeSilent("0", [&] {
+            isReachable = used.entry.upstreams.isReachable("0");
+            probed.Notify();
+        });
+    });
+    BOOST_REQUIRE(probed.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_TEST(!isReachable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
