Tests: Show a request that is refused although its upstream accepts connections in time

A request whose attempt to connect was not answered is known not to have run and has two of its three seconds left, but is refused.

--- a/tests/serving/proxyrequest_pause_test.cpp
+++ b/tests/serving/proxyrequest_pause_test.cpp
@@ -114,4 +114,23 @@
     former.join();
 }
 
+// Guards against a request that is refused although its only upstream accepts connections again 0.2
+// s after the attempt to connect, well before the deadline.
+BOOST_AUTO_TEST_CASE(requestThatWasNotSentIsServedAfterThePause)
+{
+    PausedUpstream upstream;
+    const ScriptedUpstreams unused({}, 1);
+    Entry entry(unused, routeOf(RouteKind::NonIdempotent, 1));
+    entry.thread.run([&] {
+        entry.slotClient.setUpstreams({{"u1", "s", upstream.address(), "d", 4, false, ""}}, 1,
+                                      SystemClock::instance().now());
+    });
+    std::string response;
+    std::thread caller([&] { response = entry.sendRequest("b"); });
+    absl::SleepFor(absl::Milliseconds(1200));
+    upstream.resume();
+    caller.join();
+    BOOST_TEST(contains(response, "done"), response);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
