Serving: Probe silent upstreams in turn

A cut of the links that began after each silent upstream had accepted a probe stayed unnoticed for about 950 ms if nothing was sent on established connections, against an objective of 300 ms. Requests were hedged meanwhile as if their upstreams could be reached, and a further attempt was ended for the sake of one on a dead link.

Cause: an accepted probe replaced all further ones to the same upstream for 1 s, and isReachable() held for 1.25 s after it without regard to a later probe.

An upstream that falls silent is still probed at once. While at least four are silent (the number that can show a cut), the process probes the one that accepted longest ago each 150 ms; while fewer are, each is probed once a second as before. When a probe is not answered and established connections show no sign of the upstream's system, or when it is refused, up to three more silent upstreams are probed at once: the cut shows after 150 ms and two timeouts of 50 ms. An attempt without an answer ends what an earlier one showed for isReachable(), unless something was acknowledged since.

Repeated probes no longer grow with the number of silent upstreams: at most 7 a second from the process, and each upstream gets its share. silentUpstreamIsProbedOnceASecond and the other tests stay unchanged.

--- a/include/rattanrill/serving/upstreamcaller.h
+++ b/include/rattanrill/serving/upstreamcaller.h
@@ -58,11 +58,12 @@
     bool isForwarded(CallId call) const;
     /// Tries to connect to \a upstream, which has not responded in time to a call on a connection
     /// of this process, unless it has accepted a connection or acknowledged something a moment ago,
-    /// because silence alone does not show that the link is lost. \a probed is called once the
-    /// result is known; it may be null.
+    /// because silence alone does not show that the link is lost. While several upstreams are
+    /// silent, the ones that have accepted a connection are connected to again in turn. \a probed
+    /// is called once the result is known; it may be null.
     void probeSilent(const std::string &upstream, std::function<void()> probed = nullptr);
     /// Whether \a upstream was found reachable a moment ago, by a new connection or because its
-    /// system has acknowledged something.
+    /// system has acknowledged something, and has answered each attempt to connect since.
     bool isReachable(const std::string &upstream) const;
     /// Whether established connections do not respond, and \a upstream can't be connected to.
     bool isLost(const std::string &upstream) const;
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -23,14 +23,21 @@
 /// upstream. Many times the round trip inside a region; a lost packet may exceed it, so one such
 /// attempt proves nothing.
 constexpr absl::Duration probeTimeout = absl::Milliseconds(50);
-/// Time for which an accepted probe or an acknowledgement shows that its upstream can be reached.
-constexpr absl::Duration reachabilityLifetime = absl::Milliseconds(1250);
-/// Time between an accepted probe and the next one to the same upstream. Each takes a place in the
-/// accept queue of an upstream that pauses.
+/// Time between an accepted probe and the next one to the same upstream, while too few upstreams
+/// are silent to take turns. Each probe takes a place in the accept queue of an upstream that
+/// pauses.
 constexpr absl::Duration acceptedProbePeriod = absl::Seconds(1);
+/// Time between two probes of silent upstreams that take turns. A cut is found after this time and
+/// two probe timeouts, which is less than the latency objective of 300 ms.
+constexpr absl::Duration turnPeriod = absl::Milliseconds(150);
+/// Time for which a result stays valid after the next probe is due.
+constexpr absl::Duration reachabilityMargin = absl::Milliseconds(250);
+/// Number of probes that wait for an answer at once after one was not answered. Together with it,
+/// they show a cut.
+constexpr std::size_t maxFollowingProbes = policy::UpstreamLinks::minUpstreams - 1;
 /// Age up to which what an upstream's system has acknowledged or sent replaces a probe.
 constexpr absl::Duration acknowledgementLifetime = absl::Milliseconds(100);
-/// Time after its last notice for which the silence of an upstream is reported.
+/// Time after its last notice for which an upstream counts as silent.
 constexpr absl::Duration silenceLifetime = absl::Seconds(2);
 /// Time between two reads of what established connections show.
 constexpr absl::Duration evidencePeriod = absl::Milliseconds(50);
@@ -248,11 +255,91 @@
         const LinkEvidence evidence = evidenceAt(upstream.address, acknowledgementLifetime);
         if (evidence == LinkEvidence::Acknowledged)
             reachedAt[upstream.id] = SystemClock::instance().now();
-        const bool isAccepted = evidence != LinkEvidence::NotAcknowledged
-                                && isRecent(acceptedAt, upstream.id, acceptedProbePeriod);
+        const bool isAccepted = evidence != LinkEvidence::NotAcknowledged && !links.isSuspect()
+                                && isRecent(acceptedAt, upstream.id, acceptedLifetime());
         return evidence == LinkEvidence::Acknowledged || isAccepted || isUnanswered(upstream.id);
     }
 
+    bool isSilent(const std::string &upstream) const
+    {
+        return isRecent(silentSince, upstream, silenceLifetime);
+    }
+
+    std::size_t silentCount() const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(silentSince.begin(), silentSince.end(),
+                              [this](const auto &entry) { return isSilent(entry.first); }));
+    }
+
+    /// Whether so many upstreams are silent that they may show a cut, and are probed in turn.
+    bool takeTurns() const { return silentCount() >= policy::UpstreamLinks::minUpstreams; }
+
+    /// Time for which an accepted probe replaces further ones outside of the turns.
+    absl::Duration acceptedLifetime() const
+    {
+        const std::size_t silent = silentCount();
+        if (silent < policy::UpstreamLinks::minUpstreams)
+            return acceptedProbePeriod;
+        return acceptedProbePeriod + static_cast<std::int64_t>(silent) * turnPeriod;
+    }
+
+    bool isReachable(const std::string &upstream) const
+    {
+        return isRecent(reachedAt, upstream, acceptedLifetime() + reachabilityMargin);
+    }
+
+    /// Returns the silent upstream that has accepted a probe and whose last one was longest ago, or
+    /// null. Passes over the ones that acknowledge or have failed.
+    const wire::FleetUpstream *longestUnprobed() const
+    {
+        const wire::FleetUpstream *chosen = nullptr;
+        for (const auto &[id, time] : acceptedAt) {
+            const auto found = known.find(id);
+            if (found == known.end() || !isSilent(id) || pendingProbes.count(id) != 0
+                || links.hasFailed(id) || hasSilentlyAcknowledged(found->second))
+                continue;
+            if (!chosen || time < acceptedAt.at(chosen->id))
+                chosen = &found->second;
+        }
+        return chosen;
+    }
+
+    /// Probes the next silent upstream, unless one was probed a moment ago.
+    void probeInTurn()
+    {
+        if (turnTimer != 0 || isStopped || !takeTurns())
+            return;
+        if (const wire::FleetUpstream *upstream = longestUnprobed())
+            probe(*upstream);
+    }
+
+    void armTurnTimer()
+    {
+        if (turnTimer != 0)
+            return;
+        turnTimer = loop.timers().subscribeOnce(turnPeriod, [self = shared_from_this()] {
+            self->turnTimer = 0;
+            self->probeInTurn();
+        });
+    }
+
+    /// Probes further silent upstreams after one did not answer, which may be due to a cut.
+    void probeFollowing()
+    {
+        if (links.isCutOff() || isStopped)
+            return;
+        auto waiting = static_cast<std::size_t>(
+                std::count_if(pendingProbes.begin(), pendingProbes.end(),
+                              [](const auto &entry) { return !entry.second.isUnanswered; }));
+        for (; waiting < maxFollowingProbes; ++waiting) {
+            const wire::FleetUpstream *upstream = longestUnprobed();
+            if (!upstream)
+                return;
+            probe(*upstream);
+        }
+    }
+
     /// Connects to \a upstream, at which an established connection does not respond, unless it is
     /// judged already.
     void probeSilent(const std::string &upstream, std::function<void()> probed)
@@ -263,7 +350,7 @@
         if (found == known.end() || isStopped || isJudged(found->second)) {
             if (probed)
                 loop.post(std::move(probed));
-            return;
+            return probeInTurn();
         }
         if (probed)
             probeListeners[upstream].push_back(std::move(probed));
@@ -290,6 +377,7 @@
         const std::string &id = target.id;
         if (!pendingProbes.try_emplace(id, Probe{SystemClock::instance().now()}).second)
             return;
+        armTurnTimer();
         const TimerService::TimerId timer =
                 loop.timers().subscribeOnce(probeTimeout, [self = shared_from_this(), target] {
                     self->awaitLateAnswer(target);
@@ -312,7 +400,10 @@
             if (found == self->pendingProbes.end())
                 return;
             found->second.isUnanswered = true;
-            self->recordUnanswered(target.id, target.address, found->second.began);
+            const LinkEvidence evidence =
+                    self->recordUnanswered(target.id, target.address, found->second.began);
+            if (evidence != LinkEvidence::Acknowledged)
+                self->probeFollowing();
             self->notifyProbed(target.id);
         });
     }
@@ -323,28 +414,38 @@
             acceptedAt[target.id] = reachedAt[target.id] = SystemClock::instance().now();
             return record([](auto &current) { current.connected(); });
         }
-        if (probe.isUnanswered)
-            return recordUnanswered(target.id, target.address, probe.began);
+        acceptedAt.erase(target.id);
+        if (probe.isUnanswered) {
+            recordUnanswered(target.id, target.address, probe.began);
+            return;
+        }
         // Established connections may live on while new ones are refused.
         recordProbeFailure(target.id, "not_connected", evidenceAt(target.address, probeTimeout),
                            [&](auto &current) { current.notConnected(target.id); });
+        probeFollowing();
     }
 
     /// An attempt to connect to \a address, which began at \a began, is not answered in time.
-    void recordUnanswered(const std::string &upstream, const std::string &address, absl::Time began)
+    /// Returns what the established connections show.
+    LinkEvidence recordUnanswered(const std::string &upstream, const std::string &address,
+                                  absl::Time began)
     {
+        eraseUntil(acceptedAt, upstream, began);
         const LinkEvidence evidence = evidenceAt(address, SystemClock::instance().now() - began);
         unanswered[upstream] = {address, began, evidence};
         if (evidenceTimer == 0 && !isStopped)
             evidenceTimer = loop.timers().subscribeEvery(
                     evidencePeriod, [self = shared_from_this()] { self->reviewEvidence(); });
         recordEvidence(upstream, evidence);
+        return evidence;
     }
 
     void recordEvidence(const std::string &upstream, LinkEvidence evidence)
     {
         if (evidence == LinkEvidence::Acknowledged)
             reachedAt[upstream] = SystemClock::instance().now();
+        else
+            eraseUntil(reachedAt, upstream, unanswered[upstream].began);
         recordProbeFailure(upstream, "unanswered", evidence,
                            [&](auto &current) { current.unanswered(upstream, evidence); });
     }
@@ -413,6 +514,15 @@
             entry = known.count(entry->first) == 0 ? times.erase(entry) : std::next(entry);
     }
 
+    /// Removes the time of \a upstream from \a times if it is not later than \a end.
+    static void eraseUntil(std::map<std::string, absl::Time> &times, const std::string &upstream,
+                           absl::Time end)
+    {
+        const auto found = times.find(upstream);
+        if (found != times.end() && found->second <= end)
+            times.erase(found);
+    }
+
     /// Whether the time of \a upstream in \a times is not longer than \a age ago.
     static bool isRecent(const std::map<std::string, absl::Time> &times,
                          const std::string &upstream, absl::Duration age)
@@ -439,14 +549,16 @@
     /// Called when the result of a probe is known, by upstream.
     std::map<std::string, std::vector<std::function<void()>>> probeListeners;
     /// When a probe was last accepted, or the upstream's system acknowledged something, by
-    /// upstream.
+    /// upstream. Without an entry once a later attempt to connect is not answered.
     std::map<std::string, absl::Time> reachedAt;
-    /// When a probe was last accepted, by upstream.
+    /// When a probe was last accepted, by upstream. Without an entry once a later one is not.
     std::map<std::string, absl::Time> acceptedAt;
     /// When the silence of an upstream was last noticed. Without an entry once a byte arrives.
     std::map<std::string, absl::Time> silentSince;
     TimerService::TimerId probeTimer = 0;
     TimerService::TimerId evidenceTimer = 0;
+    /// Runs until the next probe of a silent upstream may follow the last one.
+    TimerService::TimerId turnTimer = 0;
     policy::LinkState lastState = policy::LinkState::Working;
     std::vector<std::function<void()>> linkListeners;
     bool isStopped = false;
@@ -512,7 +624,7 @@
 
 bool UpstreamCaller::isReachable(const std::string &upstream) const
 {
-    return Impl::isRecent(m_impl->reachedAt, upstream, reachabilityLifetime);
+    return m_impl->isReachable(upstream);
 }
 
 bool UpstreamCaller::isLost(const std::string &upstream) const
@@ -570,6 +682,8 @@
         m_impl->loop.timers().unsubscribe(std::exchange(m_impl->probeTimer, 0));
     if (m_impl->evidenceTimer != 0)
         m_impl->loop.timers().unsubscribe(std::exchange(m_impl->evidenceTimer, 0));
+    if (m_impl->turnTimer != 0)
+        m_impl->loop.timers().unsubscribe(std::exchange(m_impl->turnTimer, 0));
 }
 
 } // namespace rattanrill::serving
--- a/tests/net/pausableupstream.h
+++ b/tests/net/pausableupstream.h
@@ -77,4 +77,43 @@
                                         Tcp::socket(m_context), Tcp::socket(m_context)};
 };
 
+/// An upstream that stands still and whose accept queue has place for many connections.
+class QueueingUpstream
+{
+public:
+    using Tcp = boost::asio::ip::tcp;
+
+    QueueingUpstream()
+    {
+        const Tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+        m_acceptor.open(any.protocol());
+        m_acceptor.bind(any);
+        m_acceptor.listen(maxQueued);
+        m_acceptor.non_blocking(true);
+    }
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    /// Returns the number of connections in the accept queue, and empties it.
+    std::size_t countQueued()
+    {
+        std::size_t count = 0;
+        boost::system::error_code error;
+        for (;; ++count) {
+            const Tcp::socket socket = m_acceptor.accept(error);
+            if (error)
+                return count;
+        }
+    }
+
+private:
+    static constexpr int maxQueued = 64;
+
+    boost::asio::io_context m_context;
+    Tcp::acceptor m_acceptor{m_context};
+};
+
 } // namespace rattanrill::net
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -5,6 +5,7 @@
 #include "rattanrill/serving/forwardingservice.h"
 #include "rattanrill/wire/forwardingmessages.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <string>
@@ -735,6 +736,40 @@
     BOOST_TEST(opened == 1u);
 }
 
+// Guards against the accept queues of many upstreams that pause being filled by probes: the
+// repeated ones are limited for the whole process, and each upstream gets its share of them.
+BOOST_AUTO_TEST_CASE(silentUpstreamsAreProbedInTurn)
+{
+    constexpr absl::Duration turnPeriod = absl::Milliseconds(150);
+    std::array<net::QueueingUpstream, 16> upstreams;
+    std::vector<std::string> addresses;
+    for (const net::QueueingUpstream &upstream : upstreams)
+        addresses.push_back(upstream.address());
+    ForwardingEntry entry;
+    const auto list = upstreamsAt(addresses);
+    entry.thread.run([&] { entry.upstreams.setUpstreams(list); });
+    const absl::Time begin = absl::Now();
+    while (absl::Now() - begin < absl::Milliseconds(2500)) {
+        entry.thread.run([&] {
+            for (const wire::FleetUpstream &upstream : list)
+                entry.upstreams.probeSilent(upstream.id);
+        });
+        absl::SleepFor(absl::Milliseconds(50));
+        BOOST_TEST(viewOf(entry).isReachable);
+    }
+    std::uint64_t opened = 0;
+    entry.thread.run([&] { opened = entry.connections.connectionsOpened(); });
+    const auto turns = static_cast<std::uint64_t>((absl::Now() - begin) / turnPeriod);
+    BOOST_TEST_MESSAGE(opened << " connections in " << turns << " turns");
+    BOOST_TEST(opened <= upstreams.size() + turns);
+    std::vector<std::size_t> accepted;
+    for (net::QueueingUpstream &upstream : upstreams)
+        accepted.push_back(upstream.countQueued());
+    const auto [least, most] = std::minmax_element(accepted.begin(), accepted.end());
+    BOOST_TEST(*least >= 1u);
+    BOOST_TEST(*most <= *least + 1);
+}
+
 // Guards against connections to an upstream that pauses, although its operating system shows that
 // the link works.
 BOOST_AUTO_TEST_CASE(upstreamThatAcknowledgesIsNotProbed)
