--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -879,4 +879,45 @@
     silent.stop();
 }
 
+// Guards against a cut that is found late because each upstream accepted a connection shortly
+// before it: the latency objective is 300 ms.
+BOOST_AUTO_TEST_CASE(cutAfterAcceptedProbesIsFoundWithinTheObjective)
+{
+    UsedUpstreams used;
+    used.probe();
+    absl::SleepFor(absl::Milliseconds(50));
+    for (net::PausableUpstream &upstream : used.upstreams)
+        upstream.cut();
+    const absl::Time begin = absl::Now();
+    BOOST_TEST(await([&] {
+        used.probe();
+        return viewOf(used.entry).state != policy::LinkState::Working;
+    }));
+    const absl::Duration duration = absl::Now() - begin;
+    BOOST_TEST_MESSAGE("found after " << absl::ToInt64Milliseconds(duration) << " ms");
+    BOOST_TEST((duration < absl::Milliseconds(300)));
+}
+
+// Guards against a second attempt that is ended for the sake of one on a link that was cut: the
+// probe that was accepted before the cut must not outweigh a later one without an answer.
+BOOST_AUTO_TEST_CASE(upstreamThatDoesNotAnswerAProbeIsNotReachable)
+{
+    UsedUpstreams used;
+    used.probe();
+    absl::SleepFor(absl::Milliseconds(50));
+    for (net::PausableUpstream &upstream : used.upstreams)
+        upstream.cut();
+    absl::SleepFor(absl::Milliseconds(210));
+    bool isReachable = false;
+    absl::Notification probed;
+    used.entry.thread.run([&] {
+        used.entry.upstreams.probeSilent("0", [&] {
+            isReachable = used.entry.upstreams.isReachable("0");
+            probed.Notify();
+        });
+    });
+    BOOST_REQUIRE(probed.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    BOOST_TEST(!isReachable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
