--- a/tests/serving/proxyfixture.h
+++ b/tests/serving/proxyfixture.h
@@ -312,6 +312,9 @@
     std::vector<wire::UpstreamLoad> m_loads;
 };
 
+/// Settings by which the entries that are created from now on eject upstreams.
+inline policy::OutlierSettings outlierSettings;
+
 /// Settings with which a busy machine does not make the entry use its local share, and with which
 /// the entry has known the list of upstreams for as long as callers resume streams.
 inline SlotClientSettings slotClientSettings()
@@ -319,6 +322,7 @@
     SlotClientSettings settings;
     settings.roundTripAllowance = absl::Seconds(5);
     settings.localBroker.resumptionMargin = -absl::InfiniteDuration();
+    settings.localBroker.scheduler.outlier = outlierSettings;
     return settings;
 }
 
