--- a/include/rattanrill/policy/upstreamhealth.h
+++ b/include/rattanrill/policy/upstreamhealth.h
@@ -20,9 +20,9 @@
 /// cut off from all upstreams is no witness: discard() also ends the ejections that depend on it.
 ///
 /// The system of an upstream that pauses does not answer new connections once its accept queue is
-/// full. So a connection without an answer excludes the upstream from this observer's tasks for
-/// unansweredExclusion only, and counts as a failure once connections of this observer have
-/// remained unanswered for maxUnanswered.
+/// full. So a connection without an answer makes this observer's tasks avoid the upstream for
+/// unansweredAvoidance, with trafficShare() above 0. It counts as a failure once connections of
+/// this observer have remained unanswered for maxUnanswered.
 ///
 /// Performs no input or output. Not thread-safe.
 class UpstreamHealth
@@ -31,7 +31,7 @@
     /// Number of observers that must agree on an ejection for all.
     static constexpr std::size_t minObservers = 2;
 
-    static constexpr absl::Duration unansweredExclusion = absl::Milliseconds(400);
+    static constexpr absl::Duration unansweredAvoidance = absl::Milliseconds(400);
     /// Time between the first and the last report of unanswered connections without a success in
     /// between. Each report follows an attempt to connect of one second, so pauses of two seconds
     /// are no failures.
@@ -50,8 +50,9 @@
 
     /// Whether the upstream is ejected for all observers.
     bool isEjected(absl::Time now) const { return m_shared.ejected(now); }
+    /// Whether the upstream is ejected for, or avoided by, \a observer.
     bool isEjectedFor(absl::Time now, const std::string &observer) const;
-    /// End of the ejection for all or, if that is later, of the ejection or exclusion for
+    /// End of the ejection for all or, if that is later, of the ejection or avoidance for
     /// \a observer.
     absl::Time ejectedUntil(const std::string &observer) const;
     /// Largest fraction of its slots that the upstream gets tasks for, of any sender.
@@ -74,7 +75,7 @@
     {
         absl::Time since;
         absl::Time lastAt;
-        absl::Time excludedUntil;
+        absl::Time avoidedUntil;
     };
 
     bool isConclusive() const;
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -211,7 +211,8 @@
 {
     UpstreamHealth &health = upstream.health;
     const bool wasEjected = health.isEjected(now);
-    const bool wasEjectedForObserver = health.isEjectedFor(now, observer);
+    const auto isEjectedForObserver = [&] { return health.trafficShare(now, observer) == 0; };
+    const bool wasEjectedForObserver = isEjectedForObserver();
     if (reason == ReleaseReason::Completed)
         health.succeeded(now, observer);
     else if (reason == ReleaseReason::Unanswered)
@@ -220,8 +221,7 @@
              || (reason == ReleaseReason::Failed && !isOvercommitted(now, upstream)))
         health.failed(now, observer, reason == ReleaseReason::Unreachable);
     const bool isNewForAll = !wasEjected && health.isEjected(now);
-    const bool isNew =
-            isNewForAll || (!wasEjectedForObserver && health.isEjectedFor(now, observer));
+    const bool isNew = isNewForAll || (!wasEjectedForObserver && isEjectedForObserver());
     if (!isNew)
         return std::nullopt;
     return SlotEjection{upstream.info.id, isNewForAll ? std::string() : observer,
--- a/src/policy/upstreamhealth.cpp
+++ b/src/policy/upstreamhealth.cpp
@@ -21,7 +21,7 @@
     m_failures.clear();
     m_silences.erase(observer);
     for (auto &[other, silence] : m_silences)
-        silence.excludedUntil = now;
+        silence.avoidedUntil = now;
     m_shared.succeeded(now);
     const auto link = m_links.find(observer);
     if (link != m_links.end())
@@ -53,7 +53,7 @@
     silence.lastAt = now;
     if (now - silence.since > maxUnanswered)
         return failed(now, observer, true);
-    silence.excludedUntil = now + unansweredExclusion;
+    silence.avoidedUntil = now + unansweredAvoidance;
 }
 
 void UpstreamHealth::forgetOldFailures(absl::Time now)
@@ -97,7 +97,7 @@
     if (const auto link = m_links.find(observer); link != m_links.end())
         until = std::max(until, link->second.ejectedUntil());
     if (const auto silence = m_silences.find(observer); silence != m_silences.end())
-        until = std::max(until, silence->second.excludedUntil);
+        until = std::max(until, silence->second.avoidedUntil);
     return until;
 }
 
--- a/tests/policy/upstreamhealth_test.cpp
+++ b/tests/policy/upstreamhealth_test.cpp
@@ -37,24 +37,24 @@
 
 // Guards against sound upstreams that get no requests for seconds after a pause, in which their
 // systems answer no new connections.
-BOOST_AUTO_TEST_CASE(unansweredConnectionsOfAPauseEjectOnlyBriefly)
+BOOST_AUTO_TEST_CASE(unansweredConnectionsOfAPauseAreNoFailures)
 {
     for (const std::string observer : {"1", "2", "1", "2"})
         health.unanswered(start, observer);
     BOOST_TEST(health.isEjectedFor(start, "1"));
     BOOST_TEST(!health.isEjected(start));
-    const absl::Time next = start + UpstreamHealth::unansweredExclusion;
+    const absl::Time next = start + UpstreamHealth::unansweredAvoidance;
     BOOST_TEST(!health.isEjectedFor(next, "1"));
     BOOST_TEST(health.trafficShare(next, "1") == 1.0);
     health.unanswered(start + UpstreamHealth::maxUnanswered, "1");
     const absl::Time last =
-            start + UpstreamHealth::maxUnanswered + UpstreamHealth::unansweredExclusion;
+            start + UpstreamHealth::maxUnanswered + UpstreamHealth::unansweredAvoidance;
     BOOST_TEST(!health.isEjectedFor(last, "1"));
     BOOST_TEST(health.trafficShare(last, "1") == 1.0);
 }
 
-// Guards against an exclusion that outlasts the pause of the upstream.
-BOOST_AUTO_TEST_CASE(successEndsTheExclusionForAllObservers)
+// Guards against an upstream that is avoided after its pause.
+BOOST_AUTO_TEST_CASE(successEndsTheAvoidanceByAllObservers)
 {
     health.unanswered(start, "1");
     health.succeeded(start, "2");
