Policy: Tell connections that are not answered from refused ones

Callers got 503 "no upstream slot will be free in time" for seconds after an upstream had paused with a full accept queue, although it accepted connections again. CallStatus::NotConnected did not tell a connection that hangs from one that is refused, so each attempt of a second was released as Unreachable, which ejects the upstream at once for 2 s and longer, and for all senders when two agree.

CallStatus::Unanswered and ReleaseReason::Unanswered tell them apart. A sender avoids an upstream that answered none of its connections for 400 ms, as long as another one accepts the task; any success ends this for all senders. Reports that go on for more than 1 s (each follows an attempt of 1 s) count as before, so a host that answers nothing is ejected about 2.4 s after the first attempt. A sender that is cut off releases the slot as Cancelled, as its silence says nothing about one upstream. Refused connections eject at once as before.

Old and new builds may run side by side: a broker of an earlier version reads the unknown reason as Cancelled, and a forwarder sends "not_connected" with a new member, because an earlier entry takes an unknown status for a request that may have run.

--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -24,11 +24,19 @@
     /// No connection could be established, or CallHandlers::mayBeSent returned false; nothing was
     /// sent.
     NotConnected,
+    /// A new connection was neither established nor refused in time; nothing was sent.
+    Unanswered,
     /// The connection was closed or became unusable after a part of the request may have been
     /// sent.
     Broken,
 };
 
+/// Whether nothing was sent.
+constexpr bool isNotSent(CallStatus status)
+{
+    return status == CallStatus::NotConnected || status == CallStatus::Unanswered;
+}
+
 std::string_view name(CallStatus status);
 std::optional<CallStatus> callStatusFromName(std::string_view name);
 
--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -78,6 +78,9 @@
     Failed,
     /// Nothing responds at the address, or another upstream does.
     Unreachable,
+    /// A new connection was neither accepted nor refused in time. A broker of an earlier version
+    /// does not know the name and treats it as Cancelled.
+    Unanswered,
 };
 
 std::string_view name(ReleaseReason reason);
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -87,6 +87,10 @@
 /// Returns how an attempt that did not run left its slot. A refusal by an upstream that names a
 /// limit or leaves indicates no fault.
 policy::ReleaseReason refusalReason(const ResponseInfo &info);
+/// Returns how an attempt that ended with \a status before its request was sent left its slot.
+/// \a isCutOff: the process is cut off from the upstreams, so an unanswered connection says nothing
+/// about this one.
+policy::ReleaseReason notSentReason(net::CallStatus status, bool isCutOff);
 
 /// A caller's request to submit a batch job.
 struct SubmitJobCall
--- a/include/rattanrill/wire/forwardingmessages.h
+++ b/include/rattanrill/wire/forwardingmessages.h
@@ -48,6 +48,9 @@
     std::string body;
     /// Name of the net::CallStatus with which the call ended; empty in all parts but the last.
     std::string end;
+    /// Whether a connection that could not be established was neither accepted nor refused. A
+    /// member of its own, because an earlier version takes an unknown name in \a end for Broken.
+    bool isUnanswered = false;
 };
 
 /// Push of Method::CancelForwardedCall: the response is no longer needed.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -446,11 +446,12 @@
 {
     if (m_state != State::Running)
         return;
-    if (status == net::CallStatus::NotConnected
-        && m_context.broker.isLeaving(m_upstream, m_address))
+    if (net::isNotSent(status) && m_context.broker.isLeaving(m_upstream, m_address))
         return skipLeavingUpstream();
-    if (status == net::CallStatus::NotConnected)
-        return failAttempt(net::name(status), ReleaseReason::Unreachable);
+    if (net::isNotSent(status))
+        return failAttempt(net::name(status),
+                           serving::notSentReason(
+                                   status, m_forwarder.empty() && m_context.upstreams.isCutOff()));
     if (status == net::CallStatus::Broken)
         return attemptBroken(net::name(status));
     if (m_responseInfo.notRun)
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -15,9 +15,10 @@
 namespace rattanrill::net {
 namespace {
 
-constexpr std::array<EnumName<CallStatus>, 3> callStatusNames = {{
+constexpr std::array<EnumName<CallStatus>, 4> callStatusNames = {{
         {CallStatus::Complete, "complete"},
         {CallStatus::NotConnected, "not_connected"},
+        {CallStatus::Unanswered, "unanswered"},
         {CallStatus::Broken, "broken"},
 }};
 
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -190,7 +190,7 @@
     const auto current = m_handlers;
     if (current && current->onUnanswered)
         current->onUnanswered();
-    fail(CallStatus::NotConnected);
+    fail(CallStatus::Unanswered);
 }
 
 void UpstreamConnection::handleConnect(const boost::system::error_code &error)
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -13,11 +13,12 @@
 /// Weight of a new sample in the moving averages of the time for which a slot is held.
 constexpr double sampleWeight = 0.05;
 
-constexpr std::array<EnumName<ReleaseReason>, 4> releaseReasonNames = {{
+constexpr std::array<EnumName<ReleaseReason>, 5> releaseReasonNames = {{
         {ReleaseReason::Completed, "served"},
         {ReleaseReason::Cancelled, "abandoned"},
         {ReleaseReason::Failed, "failed"},
         {ReleaseReason::Unreachable, "gone"},
+        {ReleaseReason::Unanswered, "unanswered"},
 }};
 
 bool isOnline(const SlotTask &task)
@@ -210,15 +211,17 @@
 {
     UpstreamHealth &health = upstream.health;
     const bool wasEjected = health.isEjected(now);
-    const bool wasEjectedForObserver = health.isEjectedFor(now, observer);
+    const auto isEjectedForObserver = [&] { return health.trafficShare(now, observer) == 0; };
+    const bool wasEjectedForObserver = isEjectedForObserver();
     if (reason == ReleaseReason::Completed)
         health.succeeded(now, observer);
+    else if (reason == ReleaseReason::Unanswered)
+        health.unanswered(now, observer);
     else if (reason == ReleaseReason::Unreachable
              || (reason == ReleaseReason::Failed && !isOvercommitted(now, upstream)))
         health.failed(now, observer, reason == ReleaseReason::Unreachable);
     const bool isNewForAll = !wasEjected && health.isEjected(now);
-    const bool isNew =
-            isNewForAll || (!wasEjectedForObserver && health.isEjectedFor(now, observer));
+    const bool isNew = isNewForAll || (!wasEjectedForObserver && isEjectedForObserver());
     if (!isNew)
         return std::nullopt;
     return SlotEjection{upstream.info.id, isNewForAll ? std::string() : observer,
@@ -365,12 +368,26 @@
 bool SlotScheduler::accepts(absl::Time now, const Service &service, const Upstream &upstream,
                             const Item &item) const
 {
-    if (upstream.info.leaving || upstream.removed)
+    const std::string &sender = item.task.sender;
+    const auto isOpen = [&](const Upstream &candidate) {
+        if (candidate.info.leaving || candidate.removed)
+            return false;
+        if (isBound(service, item.task) && candidate.info.version != *item.task.version)
+            return false;
+        return !isExcluded(candidate, item) && candidate.health.trafficShare(now, sender) > 0
+               && candidate.limit.allows(now);
+    };
+    const auto isAvoided = [&](const Upstream &candidate) {
+        return candidate.health.isEjectedFor(now, sender);
+    };
+    if (!isOpen(upstream))
         return false;
-    if (isBound(service, item.task) && upstream.info.version != *item.task.version)
-        return false;
-    return !isExcluded(upstream, item) && !upstream.health.isEjectedFor(now, item.task.sender)
-           && upstream.limit.allows(now);
+    // An upstream that answered no connection may end its pause at any time, so it is used when all
+    // others are avoided, too.
+    return !isAvoided(upstream)
+           || std::none_of(
+                   service.upstreams.begin(), service.upstreams.end(),
+                   [&](const Upstream *other) { return isOpen(*other) && !isAvoided(*other); });
 }
 
 /// Whether a slot is free for \a task, which the upstream accepts.
--- a/src/policy/upstreamhealth.cpp
+++ b/src/policy/upstreamhealth.cpp
@@ -19,6 +19,9 @@
 void UpstreamHealth::succeeded(absl::Time now, const std::string &observer)
 {
     m_failures.clear();
+    m_silences.erase(observer);
+    for (auto &[other, silence] : m_silences)
+        silence.avoidedUntil = now;
     m_shared.succeeded(now);
     const auto link = m_links.find(observer);
     if (link != m_links.end())
@@ -41,6 +44,18 @@
         m_witnesses.insert(witness);
 }
 
+void UpstreamHealth::unanswered(absl::Time now, const std::string &observer)
+{
+    Silence &silence = m_silences.try_emplace(observer, Silence{now, now, now}).first->second;
+    const bool isOld = now - std::max(silence.lastAt, ejectedUntil(observer)) > failureLifetime;
+    if (isOld)
+        silence.since = now;
+    silence.lastAt = now;
+    if (now - silence.since > maxUnanswered)
+        return failed(now, observer, true);
+    silence.avoidedUntil = now + unansweredAvoidance;
+}
+
 void UpstreamHealth::forgetOldFailures(absl::Time now)
 {
     for (auto entry = m_failures.begin(); entry != m_failures.end();) {
@@ -65,6 +80,7 @@
 {
     m_links.erase(observer);
     m_failures.erase(observer);
+    m_silences.erase(observer);
     const bool wasWitness = m_witnesses.erase(observer) > 0;
     if (wasWitness && m_witnesses.size() < minObservers && !isConclusive())
         m_shared.endEjection(now);
@@ -72,15 +88,17 @@
 
 bool UpstreamHealth::isEjectedFor(absl::Time now, const std::string &observer) const
 {
-    const auto link = m_links.find(observer);
-    return isEjected(now) || (link != m_links.end() && link->second.ejected(now));
+    return now < ejectedUntil(observer);
 }
 
 absl::Time UpstreamHealth::ejectedUntil(const std::string &observer) const
 {
-    const auto link = m_links.find(observer);
-    return link == m_links.end() ? m_shared.ejectedUntil()
-                                 : std::max(m_shared.ejectedUntil(), link->second.ejectedUntil());
+    absl::Time until = m_shared.ejectedUntil();
+    if (const auto link = m_links.find(observer); link != m_links.end())
+        until = std::max(until, link->second.ejectedUntil());
+    if (const auto silence = m_silences.find(observer); silence != m_silences.end())
+        until = std::max(until, silence->second.avoidedUntil);
+    return until;
 }
 
 double UpstreamHealth::trafficShare(absl::Time now, const std::string &observer) const
--- a/src/serving/forwardingclient.cpp
+++ b/src/serving/forwardingclient.cpp
@@ -23,6 +23,13 @@
 constexpr absl::Duration minSilence = absl::Milliseconds(200);
 constexpr std::size_t processIdBytes = 8;
 
+net::CallStatus endOf(const wire::ForwardedPart &part)
+{
+    const auto status = net::callStatusFromName(part.end).value_or(net::CallStatus::Broken);
+    const bool isUnanswered = status == net::CallStatus::NotConnected && part.isUnanswered;
+    return isUnanswered ? net::CallStatus::Unanswered : status;
+}
+
 net::ResponseHead headOf(const wire::ForwardedPart &part)
 {
     net::ResponseHead head;
@@ -179,7 +186,7 @@
         if (part.end.empty() || calls.count(id) == 0)
             return calls.count(id) != 0;
         removeCall(id);
-        call->handlers.onEnd(net::callStatusFromName(part.end).value_or(net::CallStatus::Broken));
+        call->handlers.onEnd(endOf(part));
         return false;
     }
 
--- a/src/serving/forwardingservice.cpp
+++ b/src/serving/forwardingservice.cpp
@@ -131,7 +131,9 @@
         handlers.onEnd = [self = shared_from_this(), id, call](net::CallStatus status) {
             if (status == net::CallStatus::Broken)
                 self->recordBroken(*call);
-            call->part.end = std::string(net::name(status));
+            call->part.isUnanswered = status == net::CallStatus::Unanswered;
+            call->part.end = std::string(
+                    net::name(call->part.isUnanswered ? net::CallStatus::NotConnected : status));
             self->respond(id, call);
         };
         return handlers;
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -100,6 +100,7 @@
     bool completesStream() const;
     void callEnded(const AttemptPtr &attempt, net::CallStatus status);
     void recordEnd(Attempt &attempt, net::CallStatus status);
+    policy::ReleaseReason notSentReason(const Attempt &attempt, net::CallStatus status) const;
     void recordRun(const Attempt &attempt);
     void recordNotSent(Attempt &attempt);
     absl::Duration pauseAfter(const Attempt &attempt) const;
--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -178,12 +178,12 @@
     const HedgeReplay replay = replayHedge();
     // Its events are split only when they serve the request.
     hedge->splitter = replay.splitter;
-    if (status == net::CallStatus::NotConnected) {
+    if (net::isNotSent(status)) {
         const bool leaves = isLeaving(hedge->upstream, hedge->address);
         if (leaves)
             m_context.slotClient.repeatLeaving(hedge->upstream, hedge->address);
         endHedge("the connection to the upstream could not be established",
-                 leaves ? ReleaseReason::Cancelled : ReleaseReason::Unreachable);
+                 leaves ? ReleaseReason::Cancelled : notSentReason(*hedge, status));
     } else if (isBroken(*hedge, status)) {
         recordBroken(*hedge);
         endHedge("the connection to the upstream broke before the response was complete",
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -207,17 +207,17 @@
     recordEnd(*attempt, status);
     if (attempt == m_hedge)
         return hedgeEnded(status);
-    const bool isNotSentToLeaving = status == net::CallStatus::NotConnected
-                                    && isLeaving(m_attempt->upstream, m_attempt->address);
+    const bool isNotSentToLeaving =
+            net::isNotSent(status) && isLeaving(m_attempt->upstream, m_attempt->address);
     if (isNotSentToLeaving && !m_hedge) {
         m_state = State::Waiting;
         return skipLeavingUpstream(std::exchange(m_attempt->slotId, std::string()),
                                    m_attempt->upstream, m_attempt->address);
     }
-    if (status == net::CallStatus::NotConnected)
+    if (net::isNotSent(status))
         return attemptFailed("the connection to the upstream could not be established",
                              isNotSentToLeaving ? ReleaseReason::Cancelled
-                                                : ReleaseReason::Unreachable);
+                                                : notSentReason(*m_attempt, status));
     if (isBroken(*m_attempt, status)) {
         recordBroken(*m_attempt);
         return attemptFailed(
@@ -232,7 +232,7 @@
 void ProxiedRequest::recordEnd(Attempt &attempt, net::CallStatus status)
 {
     attempt.isCalling = false;
-    if (status == net::CallStatus::NotConnected)
+    if (net::isNotSent(status))
         return recordNotSent(attempt);
     // The refusal of an upstream counts when it is complete.
     const bool isRefused =
@@ -240,6 +240,13 @@
     m_mayHaveRun = m_mayHaveRun || !isRefused;
 }
 
+policy::ReleaseReason ProxiedRequest::notSentReason(const Attempt &attempt,
+                                                    net::CallStatus status) const
+{
+    const bool isCutOff = attempt.forwarder.empty() && m_context.upstreams.isCutOff();
+    return serving::notSentReason(status, isCutOff);
+}
+
 /// Records that the request may have run at the upstream of \a attempt, whose call has not ended by
 /// itself.
 void ProxiedRequest::recordRun(const Attempt &attempt)
--- a/src/serving/responseinfo.cpp
+++ b/src/serving/responseinfo.cpp
@@ -37,4 +37,11 @@
                                                : policy::ReleaseReason::Failed;
 }
 
+policy::ReleaseReason notSentReason(net::CallStatus status, bool isCutOff)
+{
+    if (status != net::CallStatus::Unanswered)
+        return policy::ReleaseReason::Unreachable;
+    return isCutOff ? policy::ReleaseReason::Cancelled : policy::ReleaseReason::Unanswered;
+}
+
 } // namespace rattanrill::serving
--- a/src/wire/forwardingmessages.cpp
+++ b/src/wire/forwardingmessages.cpp
@@ -7,7 +7,7 @@
 RATTANRILL_WIRE_FIELDS(ForwardCall, callId, upstream, address, requestId, request, deadlineMs,
                        promptParts, fingerprint)
 RATTANRILL_WIRE_FIELDS(ReadForwardedCall, callId)
-RATTANRILL_WIRE_FIELDS(ForwardedPart, hasHead, status, reason, headers, body, end)
+RATTANRILL_WIRE_FIELDS(ForwardedPart, hasHead, status, reason, headers, body, end, isUnanswered)
 RATTANRILL_WIRE_FIELDS(CancelForwardedCall, callId)
 
 RATTANRILL_WIRE_MESSAGE(ForwardCall)
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -582,6 +582,15 @@
     thread.run([&] { pool.stop(); });
 }
 
+// Guards against a full accept queue that is reported like a refused connection, which proves that
+// nothing listens on the address.
+BOOST_FIXTURE_TEST_CASE(callToAFullAcceptQueueIsUnanswered, ConnectionPoolFixture)
+{
+    const HangingListener upstream;
+    start(upstream.address(), "/whole");
+    BOOST_TEST((wait().callStatus == CallStatus::Unanswered));
+}
+
 // Guards against a part of a response that counts as the whole one, because the write of a long
 // upload has taken the error of the reset, and the read then sees an orderly close.
 BOOST_FIXTURE_TEST_CASE(responseThatIsResetDuringAnUploadIsBroken, ConnectionPoolFixture)
--- a/tests/policy/slotscheduler_test.cpp
+++ b/tests/policy/slotscheduler_test.cpp
@@ -339,6 +339,43 @@
     }
 }
 
+// Guards against upstreams without requests for seconds after a pause with a full accept queue, in
+// which both of two senders got no answer to a new connection.
+BOOST_AUTO_TEST_CASE(upstreamThatAnswersNoConnectionIsAvoidedBriefly)
+{
+    scheduler.setUpstreams({upstream("paused", 4), upstream("other", 1)});
+    for (const std::string sender : {"1", "2"}) {
+        SlotTask task = online(sender, start + absl::Seconds(1));
+        task.sender = sender;
+        task.excluded = {"other"};
+        scheduler.request(start, task);
+        BOOST_TEST(decide().granted.at(sender) == "paused");
+        scheduler.release(start, sender, ReleaseReason::Unanswered);
+    }
+    BOOST_TEST(!scheduler.isEjectedFor(start, "paused", "3"));
+    for (const std::string id : {"first", "second"}) {
+        SlotTask task = online(id, start + absl::Seconds(1));
+        task.sender = "1";
+        scheduler.request(start, task);
+    }
+    const auto granted = decide().granted;
+    BOOST_TEST(granted.size() == 1u);
+    BOOST_TEST(granted.begin()->second == "other");
+    BOOST_TEST(decide(start + absl::Milliseconds(500)).granted.begin()->second == "paused");
+}
+
+// Guards against requests that are refused because the only upstream answered no connection a
+// moment ago.
+BOOST_AUTO_TEST_CASE(onlyUpstreamIsUsedAlthoughItAnsweredNoConnection)
+{
+    scheduler.setUpstreams({upstream("paused", 4)});
+    for (const std::string id : {"1", "2"}) {
+        scheduler.request(start, online(id, start + absl::Seconds(1)));
+        BOOST_TEST(decide().granted.at(id) == "paused");
+        scheduler.release(start, id, ReleaseReason::Unanswered);
+    }
+}
+
 // Load pattern: most senders lose their links to all upstreams, and the others keep theirs. Guards
 // against requests of the others that get no slot while all slots are free.
 BOOST_AUTO_TEST_CASE(sendersThatAreCutOffEjectNoUpstreamForOthers)
--- a/tests/policy/upstreamhealth_test.cpp
+++ b/tests/policy/upstreamhealth_test.cpp
@@ -35,6 +35,64 @@
     BOOST_TEST(health.trafficShare(start, "other") == 1.0);
 }
 
+// Guards against sound upstreams that get no requests for seconds after a pause, in which their
+// systems answer no new connections.
+BOOST_AUTO_TEST_CASE(unansweredConnectionsOfAPauseAreNoFailures)
+{
+    for (const std::string observer : {"1", "2", "1", "2"})
+        health.unanswered(start, observer);
+    BOOST_TEST(health.isEjectedFor(start, "1"));
+    BOOST_TEST(!health.isEjected(start));
+    const absl::Time next = start + UpstreamHealth::unansweredAvoidance;
+    BOOST_TEST(!health.isEjectedFor(next, "1"));
+    BOOST_TEST(health.trafficShare(next, "1") == 1.0);
+    health.unanswered(start + UpstreamHealth::maxUnanswered, "1");
+    const absl::Time last =
+            start + UpstreamHealth::maxUnanswered + UpstreamHealth::unansweredAvoidance;
+    BOOST_TEST(!health.isEjectedFor(last, "1"));
+    BOOST_TEST(health.trafficShare(last, "1") == 1.0);
+}
+
+// Guards against an upstream that is avoided after its pause.
+BOOST_AUTO_TEST_CASE(successEndsTheAvoidanceByAllObservers)
+{
+    health.unanswered(start, "1");
+    health.succeeded(start, "2");
+    BOOST_TEST(!health.isEjectedFor(start, "1"));
+}
+
+// Guards against a host without power that gets every further request for the time of an attempt to
+// connect.
+BOOST_AUTO_TEST_CASE(hostThatNeverAnswersIsEjected)
+{
+    const absl::Time later = start + absl::Milliseconds(1400);
+    for (const absl::Time now : {start, later})
+        health.unanswered(now, "1");
+    BOOST_TEST(health.isEjectedFor(later + absl::Seconds(1), "1"));
+    BOOST_TEST(!health.isEjected(later));
+    for (const absl::Time now : {start, later})
+        health.unanswered(now, "2");
+    BOOST_TEST(health.isEjected(later + absl::Seconds(1)));
+    // The first attempt after the ejection shows that the host is still gone.
+    const absl::Time again = health.ejectedUntil("1") + absl::Seconds(5);
+    health.unanswered(again, "1");
+    BOOST_TEST(health.isEjectedFor(again + absl::Seconds(3), "1"));
+}
+
+// Guards against upstreams that are ejected because of unanswered connections that lie far apart or
+// on either side of a success.
+BOOST_AUTO_TEST_CASE(unansweredConnectionsOfSeveralPausesAreNoCommonEvidence)
+{
+    health.unanswered(start, "1");
+    const absl::Time second = start + absl::Seconds(11);
+    health.unanswered(second, "1");
+    BOOST_TEST(!health.isEjectedFor(second + absl::Seconds(1), "1"));
+    health.succeeded(second + absl::Seconds(1), "1");
+    const absl::Time third = second + absl::Seconds(3);
+    health.unanswered(third, "1");
+    BOOST_TEST(!health.isEjectedFor(third + absl::Seconds(1), "1"));
+}
+
 // Guards against a crashed upstream that each process has to find out for itself.
 BOOST_AUTO_TEST_CASE(twoObserversEjectForAll)
 {
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -505,6 +505,31 @@
     forwarder.stop();
 }
 
+// Guards against an unanswered connection of a forwarder that is reported as refused: the
+// upstream would be ejected because of a pause.
+BOOST_AUTO_TEST_CASE(forwardedUnansweredConnectionIsToldFromARefusedOne)
+{
+    for (const bool isUnanswered : {false, true}) {
+        peer::Server forwarder(transport("f"));
+        forwarder.setHandler(wire::Method::ForwardCall,
+                             [isUnanswered](const peer::PeerIdentity &, const std::string &,
+                                            const peer::ResponseCallback &reply) {
+                                 wire::ForwardedPart part;
+                                 part.end = "not_connected";
+                                 part.isUnanswered = isUnanswered;
+                                 reply(wire::encode(part));
+                             });
+        BOOST_REQUIRE(outcomeOf([&] { return forwarder.start("127.0.0.1", 0); }).ok());
+        {
+            CutOffEntry entry;
+            const auto received =
+                    entry.call("127.0.0.1:1", "127.0.0.1:" + std::to_string(forwarder.port()));
+            BOOST_TEST(received.end == (isUnanswered ? "unanswered" : "not_connected"));
+        }
+        forwarder.stop();
+    }
+}
+
 // Guards against a response whose status is none, which an entry of an earlier version passes on.
 BOOST_AUTO_TEST_CASE(forwardedStatusOutsideOfItsRangeIsMalformed)
 {
--- a/tests/serving/responseinfo_test.cpp
+++ b/tests/serving/responseinfo_test.cpp
@@ -32,6 +32,16 @@
     BOOST_TEST((refusalReason(info) == ReleaseReason::Unreachable));
 }
 
+// Guards against an upstream that is ejected because its system answers no new connection while it
+// pauses, or because the process that connects is cut off.
+BOOST_AUTO_TEST_CASE(unansweredConnectionIsNoProofOfAnAbsentUpstream)
+{
+    using net::CallStatus;
+    BOOST_TEST((notSentReason(CallStatus::NotConnected, false) == ReleaseReason::Unreachable));
+    BOOST_TEST((notSentReason(CallStatus::Unanswered, false) == ReleaseReason::Unanswered));
+    BOOST_TEST((notSentReason(CallStatus::Unanswered, true) == ReleaseReason::Cancelled));
+}
+
 // Guards against a limit that is reported as ended, or a load as zero, because the response names
 // only one of them.
 BOOST_AUTO_TEST_CASE(loadAndLimitAreReportedIndependently)
