Tests: Keep hedges out of the test of a stream's version

streamGoesOnAtItsVersionOnly failed once in a run beside load (load average 21 to 25): the stream was not resumed, and the upstream of the other version got a request. On a busy machine the scripted upstream is late, and the entry sends a hedge before the stream has begun, which may go to any version and counts as an attempt.

--- a/tests/serving/proxyrequest_stream_test.cpp
+++ b/tests/serving/proxyrequest_stream_test.cpp
@@ -141,7 +141,7 @@
 BOOST_AUTO_TEST_CASE(streamGoesOnAtItsVersionOnly)
 {
     ScriptedUpstreams upstreams({brokenOffStream(), restOfStream(), brokenOffStream()}, 3);
-    Entry entry(upstreams, routeOf(RouteKind::Streaming, 3, true));
+    Entry entry(upstreams, unhurriedStream(3));
     entry.setVersions({"v1", "v2", "v1"});
     const std::string joined = entry.sendRequest("a");
     BOOST_TEST(contains(joined, event(4)), joined);
