Jobs, tests: Block an item in the loop that reports its crash

The test set the block from another thread, 80 ms at most before the second attempt; on a busy machine that thread is late.

--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -198,24 +198,23 @@
 BOOST_AUTO_TEST_CASE(itemThatIsBlockedIsHeldUntilTheBlockEnds)
 {
     net::EndlessServer server({crash, success});
-    thread.run([this] { crashGuard.setBlocks(1, {}, {}); });
-    start(server);
-    const auto hasReport = [this] {
-        bool result = false;
-        thread.run([&] { result = !crashReports.empty(); });
-        return result;
-    };
-    while (!hasReport())
-        absl::SleepFor(absl::Milliseconds(1));
-    // The second attempt starts 100 ms after the first one, the report 20 ms after it.
-    thread.run([&] {
-        const auto &traits = crashReports.front().crashes.front().promptParts;
-        crashGuard.setBlocks(1, {{traits}}, traits);
+    thread.run([this] {
+        crashGuard.setBlocks(1, {}, {});
+        // The second attempt starts 100 ms after the first one, the report 20 ms after it.
+        onCrashReport = [this] {
+            const auto &traits = crashReports.front().crashes.front().promptParts;
+            crashGuard.setBlocks(1, {{traits}}, traits);
+        };
     });
+    start(server);
+    await([this] { return !crashReports.empty(); });
     absl::SleepFor(absl::Seconds(2));
     BOOST_TEST(server.requests() == 1);
-    BOOST_TEST(crashReports.size() == 1u);
-    thread.run([&] { crashGuard.setBlocks(1, {}, {}); });
+    thread.run([&] {
+        BOOST_TEST(crashReports.size() == 1u);
+        onCrashReport = [] {};
+        crashGuard.setBlocks(1, {}, {});
+    });
     const wire::JobItemResult result = awaitResult();
     BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
     BOOST_TEST(result.output == "a\nb");
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -18,6 +18,7 @@
 #include <atomic>
 #include <cstdlib>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <string>
 #include <variant>
@@ -225,9 +226,12 @@
     serving::SlotBroker broker{loop.timers(), SystemClock::instance(),
                                serving::SlotBrokerSettings()};
     std::vector<wire::CrashEvidence> crashReports;
+    /// Called on the loop after each crash report.
+    std::function<void()> onCrashReport = [] {};
     serving::CrashGuard crashGuard{loop.timers(), SystemClock::instance(), "store",
                                    [this](const wire::CrashEvidence &evidence, auto done) {
                                        crashReports.push_back(evidence);
+                                       loop.post(onCrashReport);
                                        loop.post([done] { done(true); });
                                    }};
     const JobExecutorContext context{loop,       SystemClock::instance(),
