--- a/include/rattanrill/base/errorcode.h
+++ b/include/rattanrill/base/errorcode.h
@@ -68,6 +68,8 @@
     AddressInUse,
     Stopped,
     Internal,
+    // The results of batch items are stored with these numbers, so new codes go last.
+    NotReady,
 };
 
 /// Whether the failed operation may have had an effect.
--- a/include/rattanrill/base/metrics.h
+++ b/include/rattanrill/base/metrics.h
@@ -27,6 +27,8 @@
     void count(std::string_view name, const MetricLabels &labels = {}, std::uint64_t amount = 1);
     /// Sets a gauge.
     void set(std::string_view name, const MetricLabels &labels, double value);
+    /// Removes a gauge, which exposition() then no longer contains.
+    void removeGauge(std::string_view name, const MetricLabels &labels);
     /// Adds a duration in seconds to a histogram; \a name ends in "_seconds".
     void observe(std::string_view name, const MetricLabels &labels, double seconds);
 
--- a/include/rattanrill/fleet/distributedview.h
+++ b/include/rattanrill/fleet/distributedview.h
@@ -45,6 +45,7 @@
     void setMembersSettled(bool settled);
     void setStoreFounders(const std::vector<std::string> &replicas);
     void setOpenRetirements(const std::vector<std::string> &replicas);
+    void setEvacuatedDomains(const std::vector<std::string> &failureDomains);
     /// Sets the number of live entries for a view that has no records of them.
     void setLiveEntries(std::int64_t count) { m_reportedLiveEntries = count; }
     std::int64_t liveEntries() const;
@@ -81,6 +82,7 @@
     bool m_membersSettled = false;
     std::vector<std::string> m_storeFounders;
     std::vector<std::string> m_openRetirements;
+    std::vector<std::string> m_evacuatedDomains;
     std::int64_t m_liveEntries = 0;
     /// -1 when the members include the entries.
     std::int64_t m_reportedLiveEntries = -1;
--- a/include/rattanrill/fleet/fleetclient.h
+++ b/include/rattanrill/fleet/fleetclient.h
@@ -59,6 +59,8 @@
     std::vector<std::string> storeFounders;
     /// Replica ids of the stores whose retirement is not completed.
     std::vector<std::string> openRetirements;
+    /// Names of the failure domains whose upstreams get no new requests.
+    std::vector<std::string> evacuatedDomains;
     /// Whether the platform's list of upstreams has been received at least once.
     bool upstreamsKnown = false;
     std::vector<wire::FleetUpstream> upstreams;
@@ -79,6 +81,9 @@
     std::vector<std::string> suspectPromptParts;
 };
 
+/// Whether an upstream or a process in \a state is in the failure domain.
+bool hasFailureDomain(const FleetState &state, const std::string &failureDomain);
+
 /// Registers this process with the leader of the fleet group and keeps a copy of the deployment's
 /// state up to date by long polls. Finds the leader through the seeds, the control processes in the
 /// list of members, and the leader that a non-leader names in its response. A process that uses
--- a/include/rattanrill/fleet/operatorprotocoladapter.h
+++ b/include/rattanrill/fleet/operatorprotocoladapter.h
@@ -33,8 +33,16 @@
     std::string instance;
 };
 
+/// An operator's request to start or finish the evacuation of a failure domain, whose upstreams get
+/// no new requests meanwhile.
+struct SetEvacuationCall
+{
+    std::string failureDomain;
+    bool isEvacuated = false;
+};
+
 using OperatorCall = std::variant<PutConfigurationCall, ReadConfigurationCall, StartRetirementCall,
-                                  ReadRetirementCall>;
+                                  ReadRetirementCall, SetEvacuationCall>;
 
 /// Translates between the operators' HTTP protocol and the types of this library. Defines names,
 /// formats and encodings only; makes no decisions.
--- a/include/rattanrill/net/requestparser.h
+++ b/include/rattanrill/net/requestparser.h
@@ -46,15 +46,22 @@
     bool isKeepAlive() const { return m_isKeepAlive; }
     /// Returns the complete request and starts to parse the next one. Requires state Complete.
     Request take();
-    /// Number of received bytes that follow the complete request.
+    /// Number of received bytes that have not been parsed: an incomplete header, or what follows
+    /// the complete request.
     std::size_t pendingBytes() const { return m_pending.size(); }
+    /// Size of the body of the request that is being parsed: the announced one, or else that of
+    /// what has been received.
+    std::size_t bodyBytes() const;
+    /// Frees what has been received and refuses the request. All further bytes are ignored.
+    void abandon(int status) { refuse(status); }
 
 private:
     struct Parser;
 
-    void parse();
+    std::size_t parse(std::string_view bytes);
+    void parsePending();
     void startRequest();
-    void checkHeader();
+    int checkHeader();
     void refuse(int status);
 
     const RequestLimits m_limits;
--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/result.h"
 #include "rattanrill/net/eventloop.h"
+#include "rattanrill/net/memorybudget.h"
 #include "rattanrill/net/message.h"
 
 #include "absl/time/time.h"
@@ -25,7 +26,9 @@
     /// Maximum time between two requests, and between two parts of a body. Responses announce it in
     /// whole seconds; below one second, connections are not kept.
     absl::Duration idleTimeout = absl::Seconds(15);
-    /// Connections beyond this number are closed as soon as they are accepted.
+    /// At this number, the connection that has been open for the longest time without a request is
+    /// closed for a new one. Connections that have served a request stay open. If there is none to
+    /// close, the new one is closed as soon as it is accepted.
     std::size_t maxConnections = 3000;
 };
 
@@ -81,6 +84,9 @@
     /// Sets the limits for connections that are accepted and requests that begin from now on. A
     /// connection stays open for the time that its last response has announced.
     void setLimits(const ServerLimits &limits);
+    /// Counts the requests and responses of connections in \a memory from now on. Without it, only
+    /// the limits apply to each request. Call it before start().
+    void setMemoryBudget(std::shared_ptr<MemoryBudget> memory);
     /// Makes the server announce with each response that begins from now on that its connection is
     /// closed. A connection that was announced as kept serves one more request.
     void drain();
--- a/include/rattanrill/policy/fairqueue.h
+++ b/include/rattanrill/policy/fairqueue.h
@@ -20,6 +20,12 @@
 class FairQueue
 {
 public:
+    FairQueue() = default;
+    ~FairQueue() = default;
+    /// Written out because m_active has pointers to the flows of its own queue.
+    FairQueue(const FairQueue &other);
+    FairQueue &operator=(const FairQueue &) = delete;
+
     /// Sets the weight of a workspace, which is 1 by default. Values <= 0 count as the smallest
     /// weight.
     void setWeight(const std::string &workspace, double weight);
--- a/include/rattanrill/policy/requestlimit.h
+++ b/include/rattanrill/policy/requestlimit.h
@@ -32,11 +32,12 @@
     void report(absl::Time now, std::optional<double> limit);
     /// Drops the accumulated requests.
     void clearAccumulated(absl::Time now);
-    bool allows(absl::Time now) const;
+    /// Whether \a requests have accumulated, or there is no limit.
+    bool allows(absl::Time now, double requests = 1) const;
     /// Counts a request that is sent to the upstream.
     void take(absl::Time now);
-    /// Time from which a request is allowed; not later than \a now if one is allowed now.
-    absl::Time nextAllowed(absl::Time now) const;
+    /// Time from which allows() is true; not later than \a now if it is true now.
+    absl::Time nextAllowed(absl::Time now, double requests = 1) const;
     /// The limit in requests per second; absent when there is none.
     std::optional<double> limit(absl::Time now) const;
 
--- a/include/rattanrill/policy/router.h
+++ b/include/rattanrill/policy/router.h
@@ -47,6 +47,9 @@
     const EngineState *engine = nullptr;
     /// In units of load.
     double extraCost = 0;
+    /// Share of its normal traffic that the engine may get. That of its OutlierDetector applies,
+    /// too.
+    double trafficShare = 1;
 };
 
 /// Chooses an engine for one task by expected load, prefix affinity and failure domain.
--- a/include/rattanrill/policy/scheduler.h
+++ b/include/rattanrill/policy/scheduler.h
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -127,7 +128,8 @@
     enum class Kind {
         /// The engine refused the request (503 or no connection); it did not run.
         Refused,
-        /// The response ended early, timed out or was malformed, but the engine still responds.
+        /// The engine still responds, but the response ended early, timed out, was malformed or was
+        /// an error response of none of the other kinds.
         Broken,
         /// The response ended early or timed out, and the engine accepts connections without a
         /// response: it may continue, so no task counts as the cause.
@@ -142,11 +144,28 @@
     /// Number of tokens of this task delivered so far, including those of earlier attempts.
     std::int64_t deliveredTokens = 0;
     Failure failure;
+
+    /// Whether the engine responded with an error that is no refusal and no fault of the request.
+    /// It may have run the request.
+    bool isServerError() const;
+};
+
+/// An ejection of an engine for its share of server errors. Until it ends, the engine gets only
+/// tasks for which no other engine of its model can be used.
+struct EngineEjection
+{
+    std::string engine;
+    absl::Duration length;
+    /// Number of this entry's tasks that run there.
+    std::size_t runningTasks = 0;
 };
 
 /// Decides in which order, when and on which engine the tasks of one entry run. The caller reports
 /// events, calls decide() after each event and at nextDecision(), and carries out the decisions in
 /// order. All times, including deadlines, are those of the monotonic clock. Not thread-safe.
+///
+/// Engines are judged by the detector of consecutive failures (OutlierDetector) and, for failures
+/// that single successes interrupt, by their share of server errors (FailureShares).
 class Scheduler
 {
 public:
@@ -194,8 +213,10 @@
     /// Reports that the response is complete. The scheduler removes the task.
     void finished(absl::Time now, TaskId task, int attempt, std::int64_t deliveredTokens);
     /// Reports that the attempt failed. The scheduler retries or rejects the task, as returned by
-    /// later calls of decide().
-    void failed(absl::Time now, TaskId task, int attempt, const AttemptFailure &failure);
+    /// later calls of decide(). Returns the ejection of the engine for its share of server errors
+    /// when it begins with this failure.
+    std::optional<EngineEjection> failed(absl::Time now, TaskId task, int attempt,
+                                         const AttemptFailure &failure);
     /// Reports that a PreemptTask was carried out. \a kvHandle is empty after
     /// PreemptMethod::Cancel.
     void preempted(absl::Time now, TaskId task, int attempt, std::int64_t deliveredTokens,
--- a/include/rattanrill/policy/task.h
+++ b/include/rattanrill/policy/task.h
@@ -3,6 +3,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +20,7 @@
 };
 
 std::string_view name(TaskKind kind);
+std::optional<TaskKind> taskKindFromName(std::string_view name);
 
 /// One request or batch item, with the properties that the scheduler uses.
 struct Task
--- a/include/rattanrill/serving/deployment.h
+++ b/include/rattanrill/serving/deployment.h
@@ -80,6 +80,11 @@
     int maxConnections = 0;
     /// Number of requests that a model engine runs concurrently; 0 for a plain service.
     int engineSlots = 0;
+    /// Time for which an upstream is cold after its start.
+    absl::Duration warmUpTime{};
+    /// Requests per second that a cold upstream accepts from all senders together; 0 means no
+    /// limit.
+    double warmUpRate = 0;
 };
 
 /// A workspace with its API keys and the request rate that its contract grants.
@@ -113,10 +118,11 @@
     CallerLimits limits;
 };
 
-/// Validates a configuration. Fails with InvalidRequest, naming the route or workspace, when a
-/// route names an unknown service, two routes share host and prefix, a prefix does not begin and
-/// end with a slash, a weight is negative, weights add up to 0, a timeout is not positive, or
-/// workspaces share a key.
+/// Validates a configuration. Fails with InvalidRequest, naming the route, service or workspace,
+/// when a route names an unknown service, two routes share host and prefix, a prefix does not begin
+/// and end with a slash, a weight is negative, weights add up to 0, a timeout is not positive, a
+/// warm-up time is negative or longer than an hour, a warm-up rate is negative, or workspaces share
+/// a key.
 Result<void> checkDeployment(const Deployment &deployment);
 
 /// Returns the service that processes a request. The choice follows the weights of the route's
--- a/include/rattanrill/serving/protocoladapter.h
+++ b/include/rattanrill/serving/protocoladapter.h
@@ -66,11 +66,16 @@
     bool isInstanceMismatch = false;
     /// Number of requests that run or wait at the upstream; absent when it does not report them.
     std::optional<std::int64_t> outstandingRequests;
+    /// Time that work takes on the upstream now, as a multiple of the usual time; absent when it
+    /// does not report it. Reported together with outstandingRequests only.
+    std::optional<double> pace;
     /// Requests per second that the upstream accepts from all senders together; absent while it
     /// names no limit.
     std::optional<double> requestLimit;
     /// The upstream announces that it leaves.
     bool isLeaving = false;
+    /// Time in milliseconds for which the upstream remains cold; absent when it does not report it.
+    std::optional<std::int64_t> coldRemainingMs{};
 };
 
 /// Returns whether a response belongs to the request with the id \a requestId, which is empty when
@@ -92,6 +97,10 @@
 /// about this one.
 policy::ReleaseReason notSentReason(net::CallStatus status, bool isCutOff);
 
+/// Returns how an attempt left its slot whose upstream may have run the request and responded
+/// completely, with the HTTP status \a status.
+policy::ReleaseReason responseReason(int status);
+
 /// A caller's request to submit a batch job.
 struct SubmitJobCall
 {
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -13,11 +13,15 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace rattanrill::serving {
@@ -62,10 +66,13 @@
 {
     /// Fraction of each workspace's rate and burst.
     double rateFraction = 1;
-    /// Fraction of each upstream's slots, rounded up to whole slots.
+    /// Fraction of each upstream's slots, rounded up to whole slots, for the requests of this
+    /// broker. All slots of the upstream limit them together with those of others.
     double slotFraction = 1;
     /// Fraction of the request limit that an upstream names.
     double limitFraction = 1;
+    /// Fraction of the rate at which a cold upstream accepts requests; 0: cold upstreams get none.
+    double warmUpFraction = 1;
 };
 
 /// Grants the slots of the upstreams and charges the requests to the workspaces' rates. One process
@@ -99,6 +106,8 @@
     /// readAt: time, not later than the actual one, at which the list was read from the platform.
     void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, const CapacityShare &share,
                       absl::Time readAt = absl::InfinitePast());
+    /// Sets the failure domains whose upstreams get no new requests.
+    void setEvacuatedDomains(const std::vector<std::string> &failureDomains);
     /// Notifies the broker that the list of upstreams was read again at \a readAt, without a
     /// change.
     void confirmUpstreams(absl::Time readAt);
@@ -119,10 +128,10 @@
     void chargeRates(const std::vector<wire::RateCharge> &charges);
     void reportLoad(const wire::UpstreamLoad &load,
                     ReportSource source = ReportSource::OwnResponse);
-    /// Whether no request may be sent to the upstream \a id at \a address. Either it announced that
-    /// it leaves, whatever the list of upstreams shows, which stays in effect after reset(); or the
-    /// list has shown it as draining for a short time, in which a slot may have been granted before
-    /// that was known.
+    /// Whether no request may be sent to the upstream \a id at \a address. Its failure domain is
+    /// evacuated; or it announced that it leaves, whatever the list of upstreams shows, which stays
+    /// in effect after reset(); or the list has shown it as draining for a short time, in which a
+    /// slot may have been granted before that was known.
     bool isLeaving(const std::string &id, const std::string &address) const;
     /// Time of the last announcement of \a upstream; InfinitePast when it is not leaving.
     absl::Time announcedLeavingAt(const std::string &upstream) const;
@@ -131,6 +140,23 @@
     /// Drops the requests that have accumulated under the limits of the upstreams, because another
     /// broker may have granted them.
     void clearAccumulatedRequests();
+    /// Number of upstreams that are cold, as of the last second.
+    std::size_t coldUpstreamCount() const { return m_cold.size(); }
+    /// See SlotScheduler::warmUpWaits().
+    std::uint64_t warmUpWaits() const { return m_scheduler.warmUpWaits(); }
+    /// Number of ejections that began with a release for \a reason, of one upstream for all senders
+    /// or for one of them.
+    std::uint64_t ejectionCount(policy::ReleaseReason reason) const;
+    /// See SlotScheduler::ejectedUpstreamCount().
+    std::size_t ejectedUpstreamCount() const
+    {
+        return m_scheduler.ejectedUpstreamCount(m_clock.now());
+    }
+    /// See SlotScheduler::serviceLoads().
+    std::vector<policy::ServiceLoad> serviceLoads() const
+    {
+        return m_scheduler.serviceLoads(m_clock.now());
+    }
     /// Whether the last response of \a upstream named a limit.
     bool hasRequestLimit(const std::string &upstream) const;
     /// Sets the live entries. Reclaims the slots of other processes. An entry may forward the calls
@@ -155,6 +181,12 @@
                       const std::string &observer = {});
     void cancelBatch(const std::string &task);
 
+    /// Explains where \a request would be routed if it arrived now. Changes nothing. A request that
+    /// resumes a stream must have its version. With \a kind Batch, the request is a batch item: it
+    /// is charged to no rate, and its result is due request.deadlineMs after its arrival.
+    policy::PlacementExplanation explain(const wire::SlotRequest &request,
+                                         policy::TaskKind kind = policy::TaskKind::Online) const;
+
     const policy::SlotScheduler &scheduler() const { return m_scheduler; }
 
 private:
@@ -190,9 +222,17 @@
     };
 
     void applyUpstreams();
+    bool limitsWarmUps() const;
+    void applyWarmUp();
+    policy::WarmUpSettings warmUpOf(const std::string &service) const;
+    void reportCold(const wire::UpstreamLoad &load);
+    void updateCold();
+    void logWarmUp(std::string_view event, const policy::ColdUpstream &upstream) const;
     bool endLeaving(absl::Time readAt);
     bool recordLeaving(const wire::UpstreamLoad &load, ReportSource source);
     policy::TokenBucket *bucket(const std::string &workspace);
+    const policy::TokenBucket *bucket(const std::string &workspace) const;
+    std::optional<absl::Duration> tokenWait(absl::Time now, const wire::SlotRequest &request) const;
     policy::RateContract contractOf(const Workspace &workspace) const;
     void refundRate(const std::string &id);
     void releaseSlot(const std::string &task, policy::ReleaseReason reason,
@@ -208,6 +248,8 @@
     std::optional<policy::StreamOrigin> onlyOrigin(const wire::SlotRequest &request) const;
     void awaitRead(const std::string &id, const wire::SlotRequest &request);
     void resumeAfterRead();
+    policy::SlotTask taskOf(absl::Time now, const std::string &id, const wire::SlotRequest &request,
+                            const std::optional<policy::StreamOrigin> &origin) const;
     void schedule(const std::string &id, const wire::SlotRequest &request,
                   const std::optional<policy::StreamOrigin> &origin);
     void respond(const std::string &id, const wire::SlotResponse &response);
@@ -216,6 +258,7 @@
     policy::TokenBucket initialBucket(const policy::RateContract &contract) const;
     void armTimer();
     void sweep();
+    void logLoads() const;
     void recordDraining(const std::vector<wire::FleetUpstream> &upstreams);
     bool isNewlyDraining(const std::string &id, const std::string &address) const;
 
@@ -225,6 +268,16 @@
     policy::SlotScheduler m_scheduler;
     /// The list of upstreams, as the platform shows it.
     std::vector<policy::SlotUpstream> m_upstreams;
+    std::set<std::string> m_evacuatedDomains;
+    /// Ids of the upstreams in these domains.
+    std::set<std::string> m_evacuatedUpstreams;
+    /// Time in milliseconds for which the list shows its upstreams as cold, by id.
+    std::map<std::string, std::int64_t> m_listedCold;
+    absl::Time m_listReadAt = absl::InfinitePast();
+    /// Whether the configuration limits the requests to cold upstreams of some service.
+    bool m_limitsWarmUps = false;
+    /// Upstreams that were cold when this was last checked, by id.
+    std::map<std::string, policy::ColdUpstream> m_cold;
     policy::LeavingUpstreams m_leaving;
     struct DrainingUpstream
     {
@@ -241,12 +294,13 @@
     std::shared_ptr<const DeploymentIndex> m_deployment;
     CapacityShare m_share;
     std::map<std::string, policy::TokenBucket> m_buckets;
-    policy::ForwarderSelector m_forwarders;
+    policy::ForwarderSelector m_forwarders{m_settings.scheduler.turnSeed};
     /// By task id.
     std::map<std::string, OnlineRequest> m_online;
     /// By task id; a subset of m_online.
     std::map<std::string, AwaitingRead> m_awaitingRead;
     std::map<std::string, BatchHandlers> m_batch;
+    std::map<policy::ReleaseReason, std::uint64_t> m_ejectionCounts;
     TimerService::TimerId m_decisionTimer = 0;
     TimerService::TimerId m_sweepTimer = 0;
     bool m_deciding = false;
--- a/include/rattanrill/serving/slotclient.h
+++ b/include/rattanrill/serving/slotclient.h
@@ -56,6 +56,8 @@
     /// was read from the platform.
     void setUpstreams(const std::vector<wire::FleetUpstream> &upstreams, std::size_t entries,
                       absl::Time readAt = absl::InfinitePast());
+    /// See SlotBroker::setEvacuatedDomains().
+    void setEvacuatedDomains(const std::vector<std::string> &failureDomains);
     /// See SlotBroker::confirmUpstreams().
     void confirmUpstreams(absl::Time readAt);
     void acquire(const wire::SlotRequest &request, ResponseCallback callback);
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -49,6 +49,9 @@
     bool draining = false;
     /// Version of its software. Older processes don't send it.
     std::string version{};
+    /// Time for which it remained cold when the list was read; -1 if the list does not tell, as
+    /// lists from older processes do.
+    std::int64_t coldRemainingMs = -1;
 };
 
 /// Traits that together crash upstreams: requests that have all of them are rejected. See
@@ -117,8 +120,20 @@
     std::vector<BlockedPrompt> prompts;
 };
 
+/// Starts or finishes the evacuation of a failure domain at the request of an operator. Fails with
+/// NotFound if the domain is neither known to the sender nor was evacuated before. Has no effect,
+/// and succeeds, if the domain is already in the requested state.
+struct SetEvacuation
+{
+    static constexpr std::string_view kind = "set_evacuation";
+    std::string failureDomain;
+    bool isEvacuated = false;
+    /// Whether the sender knows an upstream or a process in the domain.
+    bool isKnown = false;
+};
+
 using FleetOperation = std::variant<PutConfiguration, RetireStore, BootstrapStoreGroup,
-                                    PutBlockedPrompts, CompleteRetirement>;
+                                    PutBlockedPrompts, CompleteRetirement, SetEvacuation>;
 
 /// A write to the fleet group.
 struct FleetCommand
@@ -149,6 +164,13 @@
     bool completed = false;
 };
 
+/// Last order of an operator on the evacuation of a failure domain.
+struct DomainEvacuation
+{
+    std::string failureDomain;
+    bool isEvacuated = false;
+};
+
 /// State of the fleet group. The lists of strings hold replica ids.
 struct FleetSnapshot
 {
@@ -160,6 +182,8 @@
     std::vector<std::string> storeFounders;
     std::vector<BlockedPrompt> blockedPrompts{};
     std::vector<StoreRetirement> retirements{};
+    /// One record for each failure domain that was ever evacuated, by name.
+    std::vector<DomainEvacuation> evacuations{};
 };
 
 /// A member and its status as seen by the leader of the fleet group.
@@ -270,6 +294,8 @@
     std::string leaderAddress{};
     /// Replica ids of the stores whose retirement is not completed.
     std::vector<std::string> openRetirements{};
+    /// Names of the failure domains whose upstreams get no new requests.
+    std::vector<std::string> evacuatedDomains{};
 };
 
 /// An attempt that ended with a crash of its upstream before the upstream began to write the
@@ -450,6 +476,11 @@
     std::int64_t leavingAgeMs = 0;
     /// Address of the upstream that leaves.
     std::string address{};
+    /// Time for which the upstream remains cold; -1 when not reported.
+    std::int64_t coldRemainingMs = -1;
+    /// Time that work takes on the upstream now, as a multiple of the usual time; 0 when not
+    /// reported.
+    double pace = 0;
 };
 
 /// Push of Method::ReleaseSlot: releases a granted slot.
--- a/src/base/errorcode.cpp
+++ b/src/base/errorcode.cpp
@@ -67,6 +67,7 @@
         {ErrorCode::AddressInUse, "address_in_use", 500},
         {ErrorCode::Stopped, "stopped", 503},
         {ErrorCode::Internal, "internal", 500},
+        {ErrorCode::NotReady, "not_ready", 503},
 };
 
 constexpr std::array<EnumName<EffectState>, 2> effectStateNames = {{
--- a/src/base/metrics.cpp
+++ b/src/base/metrics.cpp
@@ -124,6 +124,17 @@
     m_state->gauges[std::string(name)][labels] = value;
 }
 
+void Metrics::removeGauge(std::string_view name, const MetricLabels &labels)
+{
+    absl::MutexLock lock(&m_state->mutex);
+    const auto family = m_state->gauges.find(name);
+    if (family == m_state->gauges.end())
+        return;
+    family->second.erase(labels);
+    if (family->second.empty())
+        m_state->gauges.erase(family);
+}
+
 void Metrics::observe(std::string_view name, const MetricLabels &labels, double seconds)
 {
     absl::MutexLock lock(&m_state->mutex);
--- a/src/ctl/commandspec.h
+++ b/src/ctl/commandspec.h
@@ -18,6 +18,8 @@
     Json,
     /// REGION=SHARE; the option may be repeated.
     Shares,
+    /// Text; the option may be repeated.
+    Texts,
 };
 
 struct OptionSpec
@@ -68,6 +70,12 @@
     std::string idKey;
     /// Members of a listed record that are shown as columns.
     std::vector<std::string> columns;
+    /// Kind of the servers, as the help names it.
+    std::string serverNoun = "control instance";
+    /// Help of "--server" for this command; empty when that of commonOptions() applies.
+    std::string serverHelp;
+    /// Whether the servers require the operator token.
+    bool needsToken = true;
     int (Session::*handler)(const Invocation &) = nullptr;
 };
 
--- a/src/ctl/commandtable.cpp
+++ b/src/ctl/commandtable.cpp
@@ -222,6 +222,73 @@
     return spec;
 }
 
+CommandSpec placementExplain()
+{
+    CommandSpec spec;
+    spec.words = "placement explain";
+    spec.summary = "Explain where a request would be routed now";
+    spec.description =
+            "Asks the slot broker, which is one of the stores of the users' platform, where a "
+            "request or batch item would be routed if it arrived now, and why, without sending it. "
+            "Nothing changes at the broker. `--server` names the metrics addresses of stores, "
+            "which "
+            "are tried in turn until one is the broker; the token is not needed. Shows the outcome "
+            "(`granted`, `preempts`, `waits`, `rejected`, `over_rate`), the rule that selected the "
+            "upstream, the workspace's rate, the time since the broker last decided, and for each "
+            "upstream its load and the reason why it is not a candidate.";
+    spec.options = {
+            {"--route", "NAME", ValueKind::Text, "route", "name of the route", "", true},
+            {"--workspace", "NAME", ValueKind::Text, "workspace",
+             "name of the workspace; empty for a request without a key", "", true},
+            {"--kind", "online|batch", ValueKind::Text, "kind", "kind of request",
+             "the kind of the route", false},
+            {"--service", "NAME", ValueKind::Text, "service",
+             "one of the services of the route, which is selected by the id of a request",
+             "the one with the largest weight", false},
+            {"--failure-domain", "NAME", ValueKind::Text, "failure_domain",
+             "failure domain of the sending entry", "none; for batch that of the broker", false},
+            {"--instance", "NAME", ValueKind::Text, "instance", "instance of the sending entry",
+             "none; for batch the broker", false},
+            {"--priority", "N", ValueKind::Integer, "priority", "0 is served first",
+             "that of the workspace or route", false},
+            {"--prompt-tokens", "N", ValueKind::Integer, "prompt_tokens", "tokens of the prompt",
+             "0", false},
+            {"--output-tokens", "N", ValueKind::Integer, "output_tokens", "tokens to generate", "0",
+             false},
+            {"--version", "TEXT", ValueKind::Text, "version",
+             "version that the upstream must have, as for a stream that is resumed", "any", false},
+            {"--excluded", "ID", ValueKind::Texts, "excluded",
+             "upstream that the request was sent to before, so that it isn't charged to the rate "
+             "again; not for batch items; may be repeated up to 16 times",
+             "none", false},
+    };
+    spec.errors = "`not_leader` with the instance of the broker when no server is the broker; "
+                  "`not_ready` while the broker has no configuration or no list of upstreams; "
+                  "`invalid_request` with the parameter and its value; `malformed_message` when a "
+                  "server is not a store, or one of an earlier version.";
+    spec.example = "rattanrillctl placement explain --server 10.0.0.7:9100 --server 10.0.1.7:9100 "
+                   "--route chat --workspace lantern-crew --failure-domain tx-central-a";
+    spec.method = "GET";
+    spec.path = "placement";
+    spec.columns = {"id",
+                    "failure_domain",
+                    "version",
+                    "slots",
+                    "requests",
+                    "requests_of_others",
+                    "load_report_age_ms",
+                    "pace",
+                    "cost",
+                    "cold_remaining_ms",
+                    "reason",
+                    "reason_remaining_ms"};
+    spec.serverNoun = "store";
+    spec.serverHelp = "metrics address of a store; may be repeated, the servers are tried in turn";
+    spec.needsToken = false;
+    spec.handler = &Session::explainPlacement;
+    return spec;
+}
+
 CommandSpec batchCancel()
 {
     CommandSpec spec = writeCommand("batch cancel", "POST", "batches", "");
@@ -328,6 +395,7 @@
             listCommand("batch", "batches", "List batch jobs", "Shows the jobs of all workspaces.",
                         {"id", "workspace", "state", "counts", "due_at_ms"}),
             batchCancel(),
+            placementExplain(),
             replicaAdd(),
             replicaRemove(),
             helpCommand(),
--- a/src/ctl/help.cpp
+++ b/src/ctl/help.cpp
@@ -49,6 +49,18 @@
                   defaultText.empty() ? "" : concat(" (", defaultText, ")"), "\n");
 }
 
+/// Help of the options of every command, as they apply to \a command.
+std::string commonOptionLines(const CommandSpec &command)
+{
+    std::string text;
+    for (OptionSpec option : commonOptions()) {
+        if (option.name == "--server" && !command.serverHelp.empty())
+            option.help = command.serverHelp;
+        text += optionLine(option);
+    }
+    return text;
+}
+
 /// Escapes "|": in a Markdown table, a placeholder such as "engine|service" would end its column.
 std::string escapedCell(std::string text)
 {
@@ -87,8 +99,7 @@
     text += "\nOptions of every command:\n";
     for (const OptionSpec &option : commonOptions())
         text += optionLine(option);
-    text += "\nExit codes: 0 success, 1 failure, 2 invalid arguments, 3 no control instance "
-            "reached\n";
+    text += "\nExit codes: 0 success, 1 failure, 2 invalid arguments, 3 no server reached\n";
     return text;
 }
 
@@ -101,25 +112,22 @@
     for (const OptionSpec &option : command.options)
         text += optionLine(option);
     text += "\nOptions of every command:\n";
-    for (const OptionSpec &option : commonOptions())
-        text += optionLine(option);
-    return text;
+    return text + commonOptionLines(command);
 }
 
 std::string commandPage(const CommandSpec &command)
 {
     const bool hasArguments = !command.positionals.empty() || !command.options.empty();
-    return concat("# rattanrillctl ", command.words, "\n\n", command.summary, ".\n\n",
-                  "## Synopsis\n\n```\n", synopsis(command), "\n```\n\n",
-                  "`--server`, `--token-file`, `--json`, `--base-revision` and `--request-id` are "
-                  "options of every command; see `rattanrillctl help`.\n\n",
-                  "## What it does\n\n", command.description, "\n\n",
-                  "## Arguments, units and defaults\n\n",
-                  hasArguments ? argumentTable(command) : std::string("None.\n"), "\n",
-                  "## Errors\n\n", command.errors,
-                  " Exit codes: 0 success, 1 failure, 2 invalid arguments, 3 no control instance "
-                  "reached.\n\n",
-                  "## Example\n\n```\n", command.example, "\n```\n");
+    return concat(
+            "# rattanrillctl ", command.words, "\n\n", command.summary, ".\n\n",
+            "## Synopsis\n\n```\n", synopsis(command), "\n```\n\n",
+            "`--server`, `--token-file`, `--json`, `--base-revision` and `--request-id` are "
+            "options of every command; see `rattanrillctl help`.\n\n",
+            "## What it does\n\n", command.description, "\n\n",
+            "## Arguments, units and defaults\n\n",
+            hasArguments ? argumentTable(command) : std::string("None.\n"), "\n", "## Errors\n\n",
+            command.errors, " Exit codes: 0 success, 1 failure, 2 invalid arguments, 3 no ",
+            command.serverNoun, " reached.\n\n", "## Example\n\n```\n", command.example, "\n```\n");
 }
 
 std::string pageName(const CommandSpec &command)
--- a/src/ctl/invocation.cpp
+++ b/src/ctl/invocation.cpp
@@ -182,6 +182,10 @@
         invocation.servers.push_back(option.value);
     if (spec->kind == ValueKind::Shares)
         return addShare(invocation.body[spec->key], option.name, option.value);
+    if (spec->kind == ValueKind::Texts) {
+        invocation.body[spec->key].push_back(option.value);
+        return {};
+    }
     // Options that are not part of the request are also validated before anything is sent.
     BOOST_LEAF_AUTO(value, parseValue(option.name, spec->kind, option.value));
     if (!spec->key.empty())
--- a/src/ctl/operatorclient.cpp
+++ b/src/ctl/operatorclient.cpp
@@ -23,7 +23,9 @@
 constexpr absl::Duration retryInterval = absl::Milliseconds(100);
 constexpr time_t connectTimeoutSeconds = 1;
 /// Long enough for a membership change, whose response is sent after the new replica has caught up.
-constexpr time_t readTimeoutSeconds = 30;
+constexpr absl::Duration requestReadTimeout = absl::Seconds(30);
+/// A store explains a placement at once; one that is paused must not delay the next server.
+constexpr absl::Duration explanationReadTimeout = absl::Seconds(3);
 /// Maximum number of consecutive redirects that are followed from one server.
 constexpr int maxRedirects = 3;
 constexpr int temporaryRedirect = 307;
@@ -60,6 +62,14 @@
     return location.substr(begin + 2, end == std::string::npos ? end : end - begin - 2);
 }
 
+/// Text of member \a key of \a object; empty if it is missing or no text.
+std::string textOf(const Json &object, const std::string &key)
+{
+    const auto member = object.find(key);
+    const bool isText = member != object.end() && member->is_string();
+    return isText ? member->get<std::string>() : std::string();
+}
+
 Failure failureOf(int status, const std::string &body)
 {
     const auto json = outcomeOf([&] { return parseJson(body, "answer"); });
@@ -70,10 +80,10 @@
         return mayHaveRun(ErrorCode::Internal, concat("HTTP status ", status));
     const Json &error = json.value().at("error");
     Failure failure;
-    failure.code = errorCodeFromName(error.value("code", "")).value_or(ErrorCode::Internal);
-    failure.effect = error.value("run", "") == name(EffectState::NotRun) ? EffectState::NotRun
-                                                                         : EffectState::MayHaveRun;
-    failure.detail = error.value("message", "");
+    failure.code = errorCodeFromName(textOf(error, "code")).value_or(ErrorCode::Internal);
+    failure.effect = textOf(error, "run") == name(EffectState::NotRun) ? EffectState::NotRun
+                                                                       : EffectState::MayHaveRun;
+    failure.detail = textOf(error, "message");
     // Removes the name of the code, with which the message begins: describe() adds it again.
     const std::string prefix = concat(name(failure.code), ": ");
     if (failure.detail.rfind(prefix, 0) == 0)
@@ -89,6 +99,20 @@
     return std::find(transientCodes.begin(), transientCodes.end(), code) != transientCodes.end();
 }
 
+/// Whether no other server would explain the placement. Only the broker refuses a query, or is not
+/// ready.
+bool isFinalForExplanation(const Failure &failure)
+{
+    return failure.code == ErrorCode::InvalidRequest || failure.code == ErrorCode::NotReady;
+}
+
+/// Whether the body of a response is the explanation of a placement. Other processes respond to all
+/// paths of their metrics address with the metrics, as do stores of an earlier version.
+bool isExplanation(const Json &body)
+{
+    return body.is_object() && body.contains("outcome");
+}
+
 } // namespace
 
 OperatorClient::OperatorClient(std::vector<std::string> servers, std::string token)
@@ -124,13 +148,38 @@
     }
 }
 
+Result<Json> OperatorClient::readExplanation(const std::string &path) const
+{
+    Failure failure = notRun(ErrorCode::ConnectionLost, "no server was reached");
+    for (const std::string &server : m_servers) {
+        const HttpResponse response =
+                sendOnce(server, "GET", path, std::string(), explanationReadTimeout);
+        if (response.status == 0)
+            continue;
+        if (response.status != 200) {
+            failure = failureOf(response.status, response.body);
+            if (isFinalForExplanation(failure))
+                break;
+            continue;
+        }
+        const auto json = outcomeOf([&] { return parseJson(response.body, "answer"); });
+        if (json.ok() && isExplanation(json.value()))
+            return json.value();
+        failure = notRun(ErrorCode::MalformedMessage,
+                         concat("server \"", server,
+                                "\" gave no explanation: it is not a store of the users' "
+                                "platform, or of an earlier version"));
+    }
+    return fail(failure);
+}
+
 OperatorClient::HttpResponse OperatorClient::sendFollowingRedirects(std::string server,
                                                                     const std::string &method,
                                                                     const std::string &path,
                                                                     const std::string &body)
 {
     for (int redirects = 0; redirects <= maxRedirects; ++redirects) {
-        HttpResponse response = sendOnce(server, method, path, body);
+        HttpResponse response = sendOnce(server, method, path, body, requestReadTimeout);
         if (response.status == 0)
             m_anyAttemptMayHaveRun = m_anyAttemptMayHaveRun || response.body == "sent";
         if (response.status != temporaryRedirect)
@@ -143,16 +192,18 @@
 OperatorClient::HttpResponse OperatorClient::sendOnce(const std::string &server,
                                                       const std::string &method,
                                                       const std::string &path,
-                                                      const std::string &body) const
+                                                      const std::string &body,
+                                                      absl::Duration readTimeout) const
 {
     const HostPort address = hostPort(server);
     httplib::Client client(address.host, address.port);
     client.set_connection_timeout(connectTimeoutSeconds);
-    client.set_read_timeout(readTimeoutSeconds);
+    client.set_read_timeout(absl::ToInt64Seconds(readTimeout));
     httplib::Request request;
     request.method = method;
     request.path = concat(pathPrefix, path);
-    request.set_header("Authorization", concat("Bearer ", m_token));
+    if (!m_token.empty())
+        request.set_header("Authorization", concat("Bearer ", m_token));
     if (method != "GET") {
         request.set_header("Content-Type", "application/json");
         request.body = body;
--- a/src/ctl/operatorclient.h
+++ b/src/ctl/operatorclient.h
@@ -20,6 +20,11 @@
     /// Sends a request; \a path is the part after "/operator/v1/". Fails with ConnectionLost when
     /// no server was reached, or with the failure that the server returned.
     Result<Json> send(const std::string &method, const std::string &path, const Json &body);
+    /// Sends a GET request for the explanation of a placement to each server in turn, once, until
+    /// one explains it, refuses the query or is the broker and not ready. Fails with ConnectionLost
+    /// when no server was reached, or with the failure of the last one that was. A server that
+    /// responds with something else than an explanation fails with MalformedMessage.
+    Result<Json> readExplanation(const std::string &path) const;
     /// Whether a failed attempt of the last request may have taken effect: its response was lost,
     /// or it failed with a transient failure that does not exclude execution.
     bool anyAttemptMayHaveRun() const { return m_anyAttemptMayHaveRun; }
@@ -35,7 +40,8 @@
     };
 
     HttpResponse sendOnce(const std::string &server, const std::string &method,
-                          const std::string &path, const std::string &body) const;
+                          const std::string &path, const std::string &body,
+                          absl::Duration readTimeout) const;
     HttpResponse sendFollowingRedirects(std::string server, const std::string &method,
                                         const std::string &path, const std::string &body);
 
--- a/src/ctl/session.cpp
+++ b/src/ctl/session.cpp
@@ -57,6 +57,27 @@
     return concat(command.path, "/", percentEncoded(invocation.id), command.pathSuffix);
 }
 
+std::string plainText(const Json &value)
+{
+    return value.is_string() ? value.get<std::string>() : dumpJson(value);
+}
+
+/// Query parameters from the members of \a parameters. An array stands for a repeated one.
+std::string queryText(const Json &parameters)
+{
+    std::string query;
+    const auto add = [&query](const std::string &name, const Json &value) {
+        query += concat(query.empty() ? "?" : "&", name, "=", percentEncoded(plainText(value)));
+    };
+    for (const auto &[name, value] : parameters.items()) {
+        if (!value.is_array())
+            add(name, value);
+        for (const Json &element : value.is_array() ? value : Json::array())
+            add(name, element);
+    }
+    return query;
+}
+
 } // namespace
 
 Session::Session(std::ostream &out, std::ostream &err)
@@ -88,9 +109,12 @@
             return fail(notRun(ErrorCode::InvalidArgument,
                                concat("--server: \"", server, "\" is not HOST:PORT")));
     }
-    if (!invocation.has("--token-file"))
-        return fail(notRun(ErrorCode::InvalidArgument, "--token-file FILE is missing"));
-    BOOST_LEAF_AUTO(token, readToken(invocation.value("--token-file")));
+    std::string token;
+    if (invocation.command->needsToken) {
+        if (!invocation.has("--token-file"))
+            return fail(notRun(ErrorCode::InvalidArgument, "--token-file FILE is missing"));
+        BOOST_LEAF_ASSIGN(token, readToken(invocation.value("--token-file")));
+    }
     m_client = std::make_unique<OperatorClient>(invocation.servers, token);
     return {};
 }
@@ -189,6 +213,26 @@
     return exitOk;
 }
 
+int Session::explainPlacement(const Invocation &invocation)
+{
+    const std::string path = concat(requestPath(invocation), queryText(invocation.body));
+    const auto response = outcomeOf([&] { return m_client->readExplanation(path); });
+    if (!response.ok() || invocation.has("--json"))
+        return printOutcome(invocation, response);
+    const Json &explanation = response.value();
+    for (const std::string member :
+         {"outcome", "upstream", "preempted_task", "rule", "expected_wait_ms", "retry_after_ms",
+          "version_gone", "rate_wait_ms", "waiting_tasks", "last_decision_age_ms", "rate",
+          "service", "services"}) {
+        const Json value = explanation.value(member, Json());
+        if (!value.is_null() && value != Json(false))
+            m_out << member << ": " << plainText(value) << '\n';
+    }
+    m_out << '\n'
+          << tableText(invocation.command->columns, explanation.value("upstreams", Json::array()));
+    return exitOk;
+}
+
 int Session::help(const Invocation &invocation)
 {
     if (!invocation.has("--markdown")) {
@@ -215,8 +259,7 @@
         return exitOk;
     }
     for (const auto &[key, value] : outcome.value().items())
-        m_out << key << ": " << (value.is_string() ? value.get<std::string>() : dumpJson(value))
-              << '\n';
+        m_out << key << ": " << plainText(value) << '\n';
     return exitOk;
 }
 
--- a/src/ctl/session.h
+++ b/src/ctl/session.h
@@ -8,7 +8,7 @@
 
 namespace rattanrill::ctl {
 
-/// Exit code when no control instance could be reached.
+/// Exit code when no server could be reached.
 constexpr int exitUnreachable = 3;
 
 /// Runs one command and prints its result. Each row of the command table refers to the member
@@ -26,6 +26,7 @@
     int addKey(const Invocation &invocation);
     int waitUntilInForce(const Invocation &invocation);
     int status(const Invocation &invocation);
+    int explainPlacement(const Invocation &invocation);
     int help(const Invocation &invocation);
 
     /// Prints \a failure and returns the exit code that corresponds to it.
--- a/src/entry/servicehandler.cpp
+++ b/src/entry/servicehandler.cpp
@@ -189,8 +189,8 @@
         const Outcome<Done> probe = client->probe();
         crashed = !probe.ok() && probe.failure().code == ErrorCode::UpstreamUnavailable;
     }
-    const bool failed = !response.ok() && response.failure().code != ErrorCode::UpstreamBusy;
-    m_context.services.endCall(upstream, failed, crashed);
+    m_context.services.endCall(upstream, request.workspace,
+                               crashed ? CallEnd::Crashed : callEndOf(response));
     if (crashed)
         reportCrash(fingerprintOf(request), upstream);
     return response;
--- a/src/entry/servicetable.cpp
+++ b/src/entry/servicetable.cpp
@@ -1,9 +1,10 @@
 #include "servicetable.h"
 
 #include "rattanrill/base/logger.h"
+#include "rattanrill/policy/passoverrule.h"
 
 #include <algorithm>
-#include <limits>
+#include <set>
 
 namespace rattanrill::entry {
 namespace {
@@ -41,6 +42,19 @@
         instances.emplace(upstream.name, std::move(instance));
     }
     m_instances = std::move(instances);
+    retainFailures();
+}
+
+/// Forgets the server errors of instances that left their service.
+void ServiceTable::retainFailures()
+{
+    std::map<std::string, std::set<std::string>> instances;
+    for (const auto &[name, instance] : m_instances)
+        instances[instance.upstream.serves].insert(name);
+    for (auto entry = m_failures.begin(); entry != m_failures.end();)
+        entry = instances.count(entry->first) == 0 ? m_failures.erase(entry) : std::next(entry);
+    for (const auto &[service, names] : instances)
+        m_failures[service].retain(names);
 }
 
 ServiceTable::Client ServiceTable::makeClient(const wire::Upstream &upstream)
@@ -87,53 +101,153 @@
         instance->second.load = load;
 }
 
-double ServiceTable::cost(const Instance &instance, absl::Time now) const
+double ServiceTable::capacity(const Instance &instance)
+{
+    return instance.load.capacity > 0 ? static_cast<double>(instance.load.capacity)
+                                      : defaultCapacity;
+}
+
+/// Calls that run at the instance, as far as this entry knows.
+std::int64_t ServiceTable::callCount(const Instance &instance)
+{
+    return std::max(instance.load.running, instance.ownCalls);
+}
+
+/// Whether the instance gets calls, apart from its server errors.
+bool ServiceTable::isAccepting(absl::Time now, const Instance &instance)
+{
+    return instance.upstream.state == wire::UpstreamState::Active
+           && !instance.announcement.isAnnounced() && !instance.outlier.ejected(now);
+}
+
+double ServiceTable::cost(absl::Time now, const policy::FailureShares &failures,
+                          const Instance &instance) const
 {
-    const double capacity = instance.load.capacity > 0 ? static_cast<double>(instance.load.capacity)
-                                                       : defaultCapacity;
-    const auto calls = static_cast<double>(std::max(instance.load.running, instance.ownCalls));
-    // The lower bound only prevents a division by zero: the traffic share is 0 while an instance is
-    // ejected and at least 0.1 otherwise, and ejected instances are not selected.
-    const double load = (calls + 1) / capacity / std::max(instance.outlier.trafficShare(now), 0.01);
+    const auto calls = static_cast<double>(callCount(instance));
+    const double share = std::min(instance.outlier.trafficShare(now),
+                                  failures.usableShare(now, instance.upstream.name));
+    // The lower bound only prevents a division by zero: the traffic share is 0 only while the
+    // detector of consecutive failures ejects the instance, which is not usable then.
+    const double load = (calls + 1) / capacity(instance) / std::max(share, 0.01);
     return load + (instance.upstream.failureDomain == m_failureDomain ? 0 : remoteDomainCost);
 }
 
+std::vector<ServiceTable::Instance *>
+ServiceTable::usableInstances(absl::Time now, const std::string &service,
+                              const std::vector<std::string> &excluded)
+{
+    std::vector<Instance *> usable;
+    for (auto &[name, instance] : m_instances) {
+        const bool isExcluded = std::find(excluded.begin(), excluded.end(), name) != excluded.end();
+        if (instance.upstream.serves == service && isAccepting(now, instance) && !isExcluded)
+            usable.push_back(&instance);
+    }
+    return usable;
+}
+
+/// Leaves out instances that are ejected or passed over because of server errors, as long as there
+/// are others. Plain services have no slots, so an instance has room while its calls are below its
+/// capacity.
+void ServiceTable::removeFailing(absl::Time now, const policy::FailureShares &failures,
+                                 std::vector<Instance *> &usable)
+{
+    const auto isFailing = [&](const Instance *instance) {
+        return failures.isEjected(now, instance->upstream.name);
+    };
+    if (!std::all_of(usable.begin(), usable.end(), isFailing))
+        usable.erase(std::remove_if(usable.begin(), usable.end(), isFailing), usable.end());
+    policy::PassOverRule rule(now, failures);
+    if (!rule.isActive())
+        return;
+    for (const Instance *instance : usable) {
+        const std::int64_t calls = callCount(*instance);
+        if (static_cast<double>(calls) < capacity(*instance))
+            rule.addOpen(instance->upstream.name, calls == 0);
+    }
+    const auto isPassedOver = [&](const Instance *instance) {
+        return rule.isPassedOver(instance->upstream.name);
+    };
+    usable.erase(std::remove_if(usable.begin(), usable.end(), isPassedOver), usable.end());
+}
+
 ServiceTable::Client ServiceTable::beginCall(const std::string &service,
                                              const std::vector<std::string> &excluded)
 {
     const absl::Time now = m_clock.now();
     absl::MutexLock lock(&m_mutex);
+    std::vector<Instance *> usable = usableInstances(now, service, excluded);
+    if (usable.empty())
+        return nullptr;
+    const policy::FailureShares &failures = m_failures.at(service);
+    removeFailing(now, failures, usable);
     Instance *best = nullptr;
-    double bestCost = std::numeric_limits<double>::infinity();
-    for (auto &[name, instance] : m_instances) {
-        const bool usable = instance.upstream.serves == service
-                            && instance.upstream.state == wire::UpstreamState::Active
-                            && !instance.announcement.isAnnounced()
-                            && !instance.outlier.ejected(now)
-                            && std::find(excluded.begin(), excluded.end(), name) == excluded.end();
-        if (usable && cost(instance, now) < bestCost) {
-            best = &instance;
-            bestCost = cost(instance, now);
+    double bestCost = 0;
+    for (Instance *instance : usable) {
+        const double instanceCost = cost(now, failures, *instance);
+        if (best == nullptr || instanceCost < bestCost) {
+            best = instance;
+            bestCost = instanceCost;
         }
     }
-    if (best == nullptr)
-        return nullptr;
     ++best->ownCalls;
     return best->client;
 }
 
-void ServiceTable::endCall(const std::string &name, bool failed, bool crashed)
+std::optional<ServiceTable::Ejection> ServiceTable::recordServerError(absl::Time now,
+                                                                      const Instance &instance,
+                                                                      const std::string &workspace)
 {
-    const absl::Time now = m_clock.now();
-    absl::MutexLock lock(&m_mutex);
-    const auto instance = m_instances.find(name);
-    if (instance == m_instances.end())
-        return;
-    --instance->second.ownCalls;
-    if (failed)
-        instance->second.outlier.failed(now, crashed);
-    else
-        instance->second.outlier.succeeded(now);
+    const std::string &service = instance.upstream.serves;
+    std::vector<std::string> candidates;
+    for (const auto &[name, candidate] : m_instances) {
+        if (candidate.upstream.serves == service && isAccepting(now, candidate))
+            candidates.push_back(name);
+    }
+    policy::FailureShares &failures = m_failures.at(service);
+    const std::string &name = instance.upstream.name;
+    if (!failures.failed(now, name, workspace, candidates))
+        return std::nullopt;
+    return Ejection{service, failures.ejectedUntil(name) - now, instance.ownCalls};
+}
+
+std::optional<ServiceTable::Ejection> ServiceTable::recordEnd(absl::Time now,
+                                                              const std::string &name,
+                                                              const std::string &workspace,
+                                                              CallEnd end)
+{
+    const auto found = m_instances.find(name);
+    if (found == m_instances.end())
+        return std::nullopt;
+    Instance &instance = found->second;
+    --instance.ownCalls;
+    if (end == CallEnd::Failed || end == CallEnd::Crashed) {
+        instance.outlier.failed(now, end == CallEnd::Crashed);
+        return std::nullopt;
+    }
+    instance.outlier.succeeded(now);
+    if (end == CallEnd::ServerError)
+        return recordServerError(now, instance, workspace);
+    if (end == CallEnd::Completed)
+        m_failures.at(instance.upstream.serves).succeeded(now, name, workspace);
+    return std::nullopt;
+}
+
+bool ServiceTable::endCall(const std::string &name, const std::string &workspace, CallEnd end)
+{
+    std::optional<Ejection> ejection;
+    {
+        absl::MutexLock lock(&m_mutex);
+        ejection = recordEnd(m_clock.now(), name, workspace, end);
+    }
+    if (!ejection)
+        return false;
+    log(LogLevel::Info, "upstream-ejected",
+        {{"upstream", name},
+         {"service", ejection->service},
+         {"reason", "server_error"},
+         {"ejectedMs", absl::ToInt64Milliseconds(ejection->length)},
+         {"runningTasks", ejection->calls}});
+    return true;
 }
 
 } // namespace rattanrill::entry
--- a/src/entry/servicetable.h
+++ b/src/entry/servicetable.h
@@ -1,17 +1,21 @@
 #pragma once
 
+#include "callend.h"
 #include "leavingannouncement.h"
 
 #include "rattanrill/base/clock.h"
 #include "rattanrill/directory/directoryview.h"
+#include "rattanrill/policy/failureshares.h"
 #include "rattanrill/policy/outlierdetector.h"
 #include "rattanrill/service/serviceclient.h"
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +23,9 @@
 
 /// Clients of the plain services that the directory lists, with their load, the number of this
 /// entry's open calls, their outlier state and whether they leave.
+///
+/// Load pattern: an instance that responds with a server error at once has no load and attracts the
+/// calls. It is ejected by its share of server errors; see policy::FailureShares.
 class ServiceTable
 {
 public:
@@ -32,12 +39,15 @@
             ABSL_LOCKS_EXCLUDED(m_mutex);
 
     /// Selects the instance of \a service with the lowest load that is not in \a excluded,
-    /// preferably in the failure domain of this entry, and counts a call to it. Returns null when
-    /// there is none.
+    /// preferably in the failure domain of this entry, and counts a call to it. An instance that is
+    /// ejected for its server errors is selected only if there is no other. Returns null when there
+    /// is none.
     Client beginCall(const std::string &service, const std::vector<std::string> &excluded)
             ABSL_LOCKS_EXCLUDED(m_mutex);
-    /// Ends a call. \a failed counts against the instance; \a crashed ejects it at once.
-    void endCall(const std::string &name, bool failed, bool crashed) ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// Ends a call of \a workspace, which is empty on open routes. Returns true when this ejects
+    /// the instance for its server errors.
+    bool endCall(const std::string &name, const std::string &workspace, CallEnd end)
+            ABSL_LOCKS_EXCLUDED(m_mutex);
 
 private:
     struct Instance
@@ -50,16 +60,43 @@
         LeavingAnnouncement announcement;
     };
 
+    /// An ejection for server errors that begins.
+    struct Ejection
+    {
+        std::string service;
+        absl::Duration length;
+        /// Number of open calls of this entry to the instance.
+        std::int64_t calls = 0;
+    };
+
     Client makeClient(const wire::Upstream &upstream);
     void announceLeaving(const std::string &name, const std::string &host, int port)
             ABSL_LOCKS_EXCLUDED(m_mutex);
 
-    double cost(const Instance &instance, absl::Time now) const;
+    static double capacity(const Instance &instance);
+    static std::int64_t callCount(const Instance &instance);
+    static bool isAccepting(absl::Time now, const Instance &instance);
+    void retainFailures() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    std::vector<Instance *> usableInstances(absl::Time now, const std::string &service,
+                                            const std::vector<std::string> &excluded)
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    static void removeFailing(absl::Time now, const policy::FailureShares &failures,
+                              std::vector<Instance *> &usable);
+    double cost(absl::Time now, const policy::FailureShares &failures,
+                const Instance &instance) const;
+    std::optional<Ejection> recordEnd(absl::Time now, const std::string &name,
+                                      const std::string &workspace, CallEnd end)
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    std::optional<Ejection> recordServerError(absl::Time now, const Instance &instance,
+                                              const std::string &workspace)
+            ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     std::string m_failureDomain;
     const Clock &m_clock;
     mutable absl::Mutex m_mutex;
     std::map<std::string, Instance> m_instances ABSL_GUARDED_BY(m_mutex);
+    /// Shares of server errors, by service.
+    std::map<std::string, policy::FailureShares> m_failures ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace rattanrill::entry
--- a/src/entry/taskdispatcher.cpp
+++ b/src/entry/taskdispatcher.cpp
@@ -414,14 +414,21 @@
     m_context.metrics.count("rattanrill_upstream_failures_total",
                             {{"upstream", engineAttempt.start().engine},
                              {"code", std::string(name(failure.code))}});
+    std::optional<policy::EngineEjection> ejection;
     {
         absl::MutexLock lock(&m_mutex);
         if (task->cancelled)
             return;
         task->running = nullptr;
-        m_scheduler.failed(m_context.clock.now(), task->submission.task.id,
-                           engineAttempt.start().attempt, attemptFailure);
+        ejection = m_scheduler.failed(m_context.clock.now(), task->submission.task.id,
+                                      engineAttempt.start().attempt, attemptFailure);
     }
+    if (ejection)
+        log(LogLevel::Info, "upstream-ejected",
+            {{"upstream", ejection->engine},
+             {"reason", "server_error"},
+             {"ejectedMs", absl::ToInt64Milliseconds(ejection->length)},
+             {"runningTasks", static_cast<std::int64_t>(ejection->runningTasks)}});
     runDecisions();
 }
 
--- a/src/fleet/distributedview.cpp
+++ b/src/fleet/distributedview.cpp
@@ -107,6 +107,14 @@
     m_sharedSequence = m_sequence;
 }
 
+void DistributedView::setEvacuatedDomains(const std::vector<std::string> &failureDomains)
+{
+    if (failureDomains == m_evacuatedDomains)
+        return;
+    m_evacuatedDomains = failureDomains;
+    m_sharedSequence = m_sequence;
+}
+
 std::int64_t DistributedView::liveEntries() const
 {
     return m_reportedLiveEntries < 0 ? m_liveEntries : m_reportedLiveEntries;
@@ -134,6 +142,7 @@
     response.membersSettled = m_membersSettled;
     response.storeFounders = m_storeFounders;
     response.openRetirements = m_openRetirements;
+    response.evacuatedDomains = m_evacuatedDomains;
     response.upstreamsKnown = m_upstreamsKnown;
     response.upstreamsTerm = m_upstreamsTerm;
     response.drainingUpstreams.assign(m_drainingMarks.begin(), m_drainingMarks.end());
--- a/src/fleet/fleetclient.cpp
+++ b/src/fleet/fleetclient.cpp
@@ -8,6 +8,8 @@
 #include "rattanrill/fleet/upstreamlist.h"
 #include "rattanrill/wire/codec.h"
 
+#include "absl/strings/str_join.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -71,6 +73,19 @@
 
 } // namespace
 
+bool hasFailureDomain(const FleetState &state, const std::string &failureDomain)
+{
+    const bool hasUpstream = std::any_of(state.upstreams.begin(), state.upstreams.end(),
+                                         [&](const wire::FleetUpstream &upstream) {
+                                             return upstream.failureDomain == failureDomain;
+                                         });
+    return hasUpstream
+           || std::any_of(state.members.begin(), state.members.end(),
+                          [&](const wire::FleetMemberStatus &status) {
+                              return status.member.failureDomain == failureDomain;
+                          });
+}
+
 struct FleetClient::Impl : std::enable_shared_from_this<FleetClient::Impl>
 {
     Impl(net::EventLoop &loop, peer::ChannelPool &channels, FleetClientSettings settings,
@@ -416,7 +431,8 @@
                             && response.drainingUpstreams.empty()
                             && response.membersSettled == state.membersComplete
                             && response.storeFounders == state.storeFounders
-                            && response.openRetirements == state.openRetirements;
+                            && response.openRetirements == state.openRetirements
+                            && response.evacuatedDomains == state.evacuatedDomains;
         viewTerm = response.viewTerm;
         viewSequence = response.viewSequence;
         state.leaderTerm = response.viewTerm;
@@ -431,6 +447,7 @@
         state.membersComplete = response.membersSettled;
         state.storeFounders = response.storeFounders;
         state.openRetirements = response.openRetirements;
+        applyEvacuations(response);
         // A new leader may not have read the platform's list yet. The list from the previous
         // leader stays in use until then.
         if (response.upstreamsKnown)
@@ -440,6 +457,18 @@
         return true;
     }
 
+    void applyEvacuations(const wire::FleetSyncResponse &response)
+    {
+        if (state.evacuatedDomains == response.evacuatedDomains)
+            return;
+        state.evacuatedDomains = response.evacuatedDomains;
+        log(LogLevel::Info, "evacuation-in-force",
+            {{"evacuatedDomains", absl::StrJoin(state.evacuatedDomains, ",")},
+             {"term", response.viewTerm},
+             {"sequence", response.viewSequence},
+             {"viewAgeMs", loggedMilliseconds(clock.now() - confirmedAt)}});
+    }
+
     /// Returns whether the number of live entries has changed. A new leader may not have heard of
     /// all entries yet: until its list is complete, the number does not fall, because each entry
     /// takes its share of the workspaces' rates by it.
--- a/src/fleet/fleetrelay.cpp
+++ b/src/fleet/fleetrelay.cpp
@@ -38,6 +38,7 @@
     m_view.setMembersSettled(state.membersComplete);
     m_view.setStoreFounders(state.storeFounders);
     m_view.setOpenRetirements(state.openRetirements);
+    m_view.setEvacuatedDomains(state.evacuatedDomains);
     m_view.setLiveEntries(state.liveEntries);
 }
 
--- a/src/fleet/fleetstatemachine.cpp
+++ b/src/fleet/fleetstatemachine.cpp
@@ -108,6 +108,26 @@
     return {};
 }
 
+Result<void> FleetStateMachine::perform(const wire::SetEvacuation &operation)
+{
+    auto &evacuations = m_records.evacuations;
+    const auto found = std::lower_bound(
+            evacuations.begin(), evacuations.end(), operation.failureDomain,
+            [](const wire::DomainEvacuation &evacuation, const std::string &failureDomain) {
+                return evacuation.failureDomain < failureDomain;
+            });
+    const bool isRecorded =
+            found != evacuations.end() && found->failureDomain == operation.failureDomain;
+    if (isRecorded)
+        found->isEvacuated = operation.isEvacuated;
+    else if (operation.isKnown)
+        evacuations.insert(found, {operation.failureDomain, operation.isEvacuated});
+    else
+        return fail(notRun(ErrorCode::NotFound,
+                           concat("there is no failure domain \"", operation.failureDomain, "\"")));
+    return {};
+}
+
 std::string FleetStateMachine::query(std::string_view query) const
 {
     const auto decoded = outcomeOf([&] { return wire::decode<wire::FleetQuery>(query); });
@@ -121,6 +141,7 @@
     records.storeFounders = m_records.storeFounders;
     records.blockedPrompts = m_records.blockedPrompts;
     records.retirements = m_records.retirements;
+    records.evacuations = m_records.evacuations;
     return wire::encodeCommandResult(Outcome<wire::FleetSnapshot>(std::move(records)));
 }
 
--- a/src/fleet/fleetstatemachine.h
+++ b/src/fleet/fleetstatemachine.h
@@ -20,6 +20,7 @@
     Result<void> perform(const wire::BootstrapStoreGroup &operation);
     Result<void> perform(const wire::PutBlockedPrompts &operation);
     Result<void> perform(const wire::CompleteRetirement &operation);
+    Result<void> perform(const wire::SetEvacuation &operation);
     bool isRequested(const wire::RetireStore &operation) const;
     /// Whether the stores that remain after \a operation are enough. A further replica of a store
     /// that is already retiring takes none away.
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -35,6 +35,21 @@
            && left.completed == right.completed;
 }
 
+bool sameEvacuation(const wire::DomainEvacuation &left, const wire::DomainEvacuation &right)
+{
+    return left.failureDomain == right.failureDomain && left.isEvacuated == right.isEvacuated;
+}
+
+std::vector<std::string> evacuatedDomains(const wire::FleetSnapshot &records)
+{
+    std::vector<std::string> failureDomains;
+    for (const wire::DomainEvacuation &evacuation : records.evacuations) {
+        if (evacuation.isEvacuated)
+            failureDomains.push_back(evacuation.failureDomain);
+    }
+    return failureDomains;
+}
+
 std::vector<std::string> openRetirements(const wire::FleetSnapshot &records)
 {
     std::vector<std::string> replicas;
@@ -56,6 +71,7 @@
     m_shared.reset(term, 1);
     m_shared.setStoreFounders(m_records.storeFounders);
     m_shared.setOpenRetirements(openRetirements(m_records));
+    m_shared.setEvacuatedDomains(evacuatedDomains(m_records));
     m_termStartedAt = now;
     m_membersComplete = false;
     m_promptSequence = 1;
@@ -79,9 +95,12 @@
     const bool isSameRetirements =
             std::equal(records.retirements.begin(), records.retirements.end(),
                        m_records.retirements.begin(), m_records.retirements.end(), sameRetirement);
+    const bool isSameEvacuations =
+            std::equal(records.evacuations.begin(), records.evacuations.end(),
+                       m_records.evacuations.begin(), m_records.evacuations.end(), sameEvacuation);
     const bool isNew = records.configurationVersion != m_records.configurationVersion
-                       || records.retiringStores != m_records.retiringStores || !isSameRetirements
-                       || records.storeFounders != m_records.storeFounders;
+                       || !isSameEvacuations || records.retiringStores != m_records.retiringStores
+                       || !isSameRetirements || records.storeFounders != m_records.storeFounders;
     if (!isNew)
         return;
     // The result of a query for the version that is already known contains no document.
@@ -92,6 +111,7 @@
     m_shared.beginChange();
     m_shared.setStoreFounders(m_records.storeFounders);
     m_shared.setOpenRetirements(openRetirements(m_records));
+    m_shared.setEvacuatedDomains(evacuatedDomains(m_records));
     updateStoreMembers();
 }
 
--- a/src/fleet/upstreamlist.cpp
+++ b/src/fleet/upstreamlist.cpp
@@ -13,7 +13,8 @@
 {
     return left.id == right.id && left.service == right.service && left.address == right.address
            && left.failureDomain == right.failureDomain && left.slots == right.slots
-           && left.draining == right.draining && left.version == right.version;
+           && left.draining == right.draining && left.version == right.version
+           && left.coldRemainingMs == right.coldRemainingMs;
 }
 
 } // namespace
--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -76,6 +76,7 @@
         m_fleetService->install(m_core->peerServer());
         m_fleetService->start();
         BOOST_LEAF_CHECK(m_replica->open(identity, fleet::makeFleetStateMachine()));
+        m_operatorServer.setMemoryBudget(m_core->memory());
         BOOST_LEAF_CHECK(m_operatorServer.start(m_settings.operatorAddress));
         return m_core->start();
     }
@@ -216,6 +217,32 @@
         });
     }
 
+    /// The state machine decides, because a domain that was evacuated before is valid although
+    /// nothing of it is left.
+    void perform(const ExchangePtr &exchange, const fleet::SetEvacuationCall &call)
+    {
+        const fleet::FleetState &state = m_core->fleetClient().state();
+        const wire::FleetCommand command{
+                wire::SetEvacuation{call.failureDomain, call.isEvacuated,
+                                    fleet::hasFailureDomain(state, call.failureDomain)}};
+        const bool isStateCurrent =
+                m_core->fleetClient().hasCurrentMembers() && state.upstreamsKnown;
+        m_replica->propose(wire::encode(command), [this, exchange, call,
+                                                   isStateCurrent](const auto &outcome) {
+            const auto result = wire::decodeOutcome<wire::FleetResult>(outcome);
+            const bool isUndecided =
+                    !result.ok() && result.failure().code == ErrorCode::NotFound && !isStateCurrent;
+            if (isUndecided)
+                return refuse(exchange, notRun(ErrorCode::NoQuorum,
+                                               "it is not known yet which failure domains exist"));
+            if (!result.ok())
+                return refuse(exchange, result.failure());
+            log(LogLevel::Info, "evacuation-accepted",
+                {{"failureDomain", call.failureDomain}, {"isEvacuated", call.isEvacuated}});
+            exchange->respond(m_processContext.operatorProtocol.acceptedResponse());
+        });
+    }
+
     void refuse(const ExchangePtr &exchange, Failure failure)
     {
         log(LogLevel::Info, "operator-call-refused",
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -9,6 +9,8 @@
 
 #include "absl/strings/str_join.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -25,9 +27,16 @@
 /// that time, requests are served even without the list, so that those which the configuration does
 /// not allow can be refused.
 constexpr absl::Duration upstreamListTimeout = absl::Milliseconds(500);
-/// Maximum number of connections from callers. The limit follows from the number of file
-/// descriptors; an idle connection needs little memory.
+/// Maximum number of connections from callers, unless the process has too few file descriptors; an
+/// idle connection needs little memory.
 constexpr std::size_t maxCallerConnections = 3000;
+/// File descriptors for files, other processes and the other listening addresses.
+constexpr std::size_t reservedDescriptors = 256;
+/// Smallest number of file descriptors with which the process serves callers; a lower limit of the
+/// system is not taken into account.
+constexpr std::size_t minDescriptors = 2 * reservedDescriptors;
+/// Inverse of the part of the descriptors that is left for connections to upstreams.
+constexpr std::size_t upstreamDescriptorDivisor = 3;
 /// Calls of other processes are broken off when less of the time to stop is left.
 constexpr absl::Duration minStopTime = absl::Seconds(1);
 /// Maximum number of request ids in one log line.
@@ -40,6 +49,18 @@
     return result;
 }
 
+/// Returns the maximum number of connections from callers. A third of the file descriptors is left
+/// for connections to upstreams, of which a request may need two; many connections are idle.
+std::size_t callerConnectionLimit()
+{
+    rlimit descriptors = {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+        return maxCallerConnections;
+    const auto limit = std::max<std::size_t>(descriptors.rlim_cur, minDescriptors);
+    const std::size_t available = limit - reservedDescriptors;
+    return std::min(maxCallerConnections, available - available / upstreamDescriptorDivisor);
+}
+
 class EntryProcess : public Process
 {
 public:
@@ -69,7 +90,7 @@
                     [this] { return m_core.fleetClient().upstreamListAge(); },
                     serving::ShutdownState(),
                     [this] { return m_core.fleetClient().staleness(); },
-                    responseBuffers(settings)}
+                    std::make_shared<serving::BufferBudget>(m_core.memory())}
         , m_forwardingService(forwardingContext())
         , m_gateway(m_context, m_jobs)
         , m_callerServer(processContext.loop,
@@ -89,6 +110,8 @@
                 [this](const fleet::FleetState &state) { applyState(state); });
         m_core.fleetClient().onUpstreamsConfirmed(
                 [this](absl::Time readAt) { m_slotClient.confirmUpstreams(readAt); });
+        m_callerServer.setMemoryBudget(m_core.memory());
+        m_readinessServer.setMemoryBudget(m_core.memory());
         BOOST_LEAF_CHECK(m_callerServer.start(m_settings.callerAddress));
         BOOST_LEAF_CHECK(m_readinessServer.start(m_settings.readinessAddress));
         return m_core.start();
@@ -132,6 +155,7 @@
 
     void applyState(const fleet::FleetState &state)
     {
+        m_slotClient.setEvacuatedDomains(state.evacuatedDomains);
         if (state.upstreamsKnown) {
             m_hasUpstreams = true;
             m_upstreams.setUpstreams(state.upstreams);
@@ -173,7 +197,7 @@
         result.maxBodyBytes = limits.maxBodyBytes;
         result.headerTimeout = limits.headerTimeout;
         result.idleTimeout = limits.idleTimeout;
-        result.maxConnections = maxCallerConnections;
+        result.maxConnections = callerConnectionLimit();
         m_callerServer.setLimits(result);
     }
 
--- a/src/gateway/processcore.cpp
+++ b/src/gateway/processcore.cpp
@@ -1,5 +1,6 @@
 #include "processcore.h"
 
+#include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
 
 #include <utility>
@@ -18,10 +19,6 @@
 constexpr absl::Duration peerMaxBackoff = absl::Milliseconds(200);
 constexpr absl::Duration peerKeepAlive = absl::Milliseconds(500);
 
-/// Inverse of the part of the memory for buffered responses. A buffer that grows is copied, so it
-/// needs more memory than it has bytes.
-constexpr std::size_t bufferedMemoryPart = 5;
-
 /// Ejections are limited to a few seconds because upstreams recover within seconds. An attempt at
 /// an upstream that has not recovered costs a part of the latency objective.
 const policy::OutlierSettings upstreamOutlier = [] {
@@ -82,6 +79,7 @@
                          wire::MemberRole role, const std::string &replica)
     : m_settings(settings)
     , m_processContext(processContext)
+    , m_memory(std::make_shared<net::MemoryBudget>(net::memoryLimitsOf(settings.memoryBytes)))
     , m_channels(std::make_unique<peer::ChannelPool>(transportOptions(settings, role, replica)))
     , m_peerServer(std::make_unique<peer::Server>(serverOptions(settings, role, replica)))
     , m_fleetClient(std::make_unique<fleet::FleetClient>(
@@ -101,8 +99,13 @@
         m_metricsServer = std::make_unique<net::Server>(
                 m_processContext.loop,
                 [this](const std::shared_ptr<net::Exchange> &exchange) { serveMetrics(exchange); });
+        m_metricsServer->setMemoryBudget(m_memory);
         BOOST_LEAF_CHECK(m_metricsServer->start(m_settings.metricsAddress));
     }
+    m_fleetClient->onChange([this](const fleet::FleetState &state) {
+        m_metrics.set("rattanrill_evacuated_domains", {},
+                      static_cast<double>(state.evacuatedDomains.size()));
+    });
     m_fleetClient->start();
     return {};
 }
@@ -115,8 +118,34 @@
     m_channels->close();
 }
 
+/// Updates the metrics of the memory budget, which keeps its own counts.
+void ProcessCore::recordMemory()
+{
+    const auto record = [this](const std::string &part, std::size_t limitBytes,
+                               std::size_t usedBytes, std::uint64_t refusals) {
+        const MetricLabels labels = {{"part", part}};
+        m_metrics.set("rattanrill_memory_budget_bytes", labels, static_cast<double>(limitBytes));
+        m_metrics.set("rattanrill_memory_used_bytes", labels, static_cast<double>(usedBytes));
+        m_metrics.count("rattanrill_memory_refusals_total", labels,
+                        refusals - m_metrics.counter("rattanrill_memory_refusals_total", labels));
+    };
+    const net::MemoryLimits &limits = m_memory->limits();
+    record("requests", limits.requestBytes, m_memory->requestBytes(), m_memory->refusedRequests());
+    record("responses", limits.responseBytes, m_memory->responseBytes(),
+           m_memory->refusedResponses());
+}
+
+void ProcessCore::setMetricsPathHandler(std::string path, net::Server::Handler handler)
+{
+    m_metricsPathHandlers[std::move(path)] = std::move(handler);
+}
+
 void ProcessCore::serveMetrics(const std::shared_ptr<net::Exchange> &exchange)
 {
+    const auto handler = m_metricsPathHandlers.find(exchange->request().path());
+    if (handler != m_metricsPathHandlers.end())
+        return handler->second(exchange);
+    recordMemory();
     exchange->respond(net::textResponse(200, m_metrics.exposition(), "text/plain; version=0.0.4"));
 }
 
@@ -144,11 +173,6 @@
     return std::make_shared<const serving::DeploymentIndex>(std::move(deployment.value()));
 }
 
-std::shared_ptr<serving::BufferBudget> responseBuffers(const ProcessSettings &settings)
-{
-    return std::make_shared<serving::BufferBudget>(settings.memoryBytes / bufferedMemoryPart);
-}
-
 serving::SlotBrokerSettings brokerSettings(const ProcessSettings &settings)
 {
     serving::SlotBrokerSettings result;
@@ -156,6 +180,7 @@
     result.rateToleranceFraction = settings.rateToleranceFraction;
     result.rateToleranceRequests = settings.rateToleranceRequests;
     result.scheduler.outlier = upstreamOutlier;
+    result.scheduler.turnSeed = stableHash(settings.instance);
     return result;
 }
 
--- a/src/gateway/processcore.h
+++ b/src/gateway/processcore.h
@@ -4,12 +4,14 @@
 #include "rattanrill/base/metrics.h"
 #include "rattanrill/fleet/fleetclient.h"
 #include "rattanrill/gateway/processes.h"
+#include "rattanrill/net/memorybudget.h"
 #include "rattanrill/net/server.h"
 #include "rattanrill/peer/channelpool.h"
 #include "rattanrill/peer/server.h"
-#include "rattanrill/serving/bufferbudget.h"
 #include "rattanrill/serving/slotbroker.h"
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -39,23 +41,28 @@
     peer::Server &peerServer() { return *m_peerServer; }
     fleet::FleetClient &fleetClient() { return *m_fleetClient; }
     Metrics &metrics() { return m_metrics; }
+    /// Memory budget of the process. All servers that clients can reach use it.
+    const std::shared_ptr<net::MemoryBudget> &memory() const { return m_memory; }
     const Clock &clock() const { return SystemClock::instance(); }
+    /// Sets the handler of the requests for \a path at the metrics address; those for all other
+    /// paths get the metrics.
+    void setMetricsPathHandler(std::string path, net::Server::Handler handler);
 
 private:
+    void recordMemory();
     void serveMetrics(const std::shared_ptr<net::Exchange> &exchange);
 
     const ProcessSettings &m_settings;
     const ProcessContext &m_processContext;
     Metrics m_metrics;
+    const std::shared_ptr<net::MemoryBudget> m_memory;
     std::unique_ptr<peer::ChannelPool> m_channels;
     std::unique_ptr<peer::Server> m_peerServer;
     std::unique_ptr<fleet::FleetClient> m_fleetClient;
+    std::map<std::string, net::Server::Handler, std::less<>> m_metricsPathHandlers;
     std::unique_ptr<net::Server> m_metricsServer;
 };
 
-/// Returns the limit of the bytes of responses that the process buffers.
-std::shared_ptr<serving::BufferBudget> responseBuffers(const ProcessSettings &settings);
-
 /// Returns the settings of a slot broker in this deployment.
 serving::SlotBrokerSettings brokerSettings(const ProcessSettings &settings);
 
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -1,3 +1,5 @@
+#include "brokermetrics.h"
+#include "placement.h"
 #include "processcore.h"
 
 #include "rattanrill/base/concat.h"
@@ -24,6 +26,9 @@
 /// Time for another replica to become leader during a graceful stop.
 constexpr absl::Duration leadershipTransferTime = absl::Milliseconds(500);
 
+/// Interval at which the metrics of the slot broker are updated.
+constexpr absl::Duration metricsPeriod = absl::Seconds(1);
+
 /// Several events of an item's stream are read at once: the leader of the store group reads the
 /// streams of all running items, and nobody waits for a single event. The interval is short against
 /// the time for which an item runs, because its slot is released this much later.
@@ -52,6 +57,14 @@
                        })
     {}
 
+    ~StoreProcess() override
+    {
+        if (m_metricsTimer != 0)
+            m_processContext.loop.timers().unsubscribe(m_metricsTimer);
+    }
+    StoreProcess(const StoreProcess &) = delete;
+    StoreProcess &operator=(const StoreProcess &) = delete;
+
     Result<void> start() override
     {
         const fleet::ReplicaIdentity newIdentity{
@@ -61,6 +74,7 @@
         log(LogLevel::Info, "replica-identity", {{"replica", m_identity.replica}});
         m_core = std::make_unique<ProcessCore>(m_settings, m_processContext,
                                                wire::MemberRole::Store, m_identity.replica);
+        m_brokerMetrics = std::make_unique<BrokerMetrics>(m_broker, m_core->metrics());
         m_forwardingClient = std::make_unique<serving::ForwardingClient>(m_processContext.loop,
                                                                          m_core->channels());
         m_upstreams = std::make_unique<serving::UpstreamCaller>(m_processContext.loop,
@@ -72,6 +86,8 @@
         });
         m_upstreamList.onConfirmed(
                 [this](absl::Time readAt) { m_broker.confirmUpstreams(readAt); });
+        m_metricsTimer = m_processContext.loop.timers().subscribeEvery(
+                metricsPeriod, [this] { m_brokerMetrics->update(); });
         createServices();
         if (hasReplicaData())
             openReplica();
@@ -81,6 +97,10 @@
                 [this](absl::Time readAt) { m_upstreamList.confirmDistributed(readAt); });
         m_core->fleetClient().setStatusSource(
                 [this](wire::FleetSyncRequest &request) { fillStoreReport(request); });
+        m_core->setMetricsPathHandler(
+                placementPath, [this](const std::shared_ptr<net::Exchange> &exchange) {
+                    exchange->respond(placementResponse(placementContext(), exchange->request()));
+                });
         return m_core->start();
     }
 
@@ -116,6 +136,7 @@
                 static_cast<std::size_t>(m_settings.minRemainingStores());
         m_replica = std::make_unique<fleet::GroupReplica>(m_processContext.loop, m_core->channels(),
                                                           groupSettings, m_core->clock());
+        const auto buffers = std::make_shared<serving::BufferBudget>(m_core->memory());
         const jobs::JobExecutorContext context{m_processContext.loop,
                                                m_core->clock(),
                                                m_core->metrics(),
@@ -127,7 +148,7 @@
                                                m_settings.instance,
                                                m_settings.failureDomain,
                                                [this] { return m_upstreamList.age(); },
-                                               responseBuffers(m_settings)};
+                                               buffers};
         m_jobExecutor = std::make_unique<jobs::JobExecutor>(context);
         m_jobService = std::make_unique<jobs::JobService>(context, *m_jobExecutor);
         m_replica->setCandidateSource([this] { return candidates(); });
@@ -204,6 +225,19 @@
         });
     }
 
+    PlacementContext placementContext() const
+    {
+        PlacementContext context{m_broker, {m_settings.instance, m_settings.failureDomain}};
+        context.leads = m_replica->isLeader();
+        const std::string leader = m_replica->status().leader;
+        // Just after its election, this store may be the leader and not be ready to decide yet.
+        if (!context.leads && leader != m_identity.replica)
+            context.leader = instanceOf(m_core->fleetClient().state(), leader);
+        context.deployment = m_deployment;
+        context.hasUpstreams = m_hasUpstreams;
+        return context;
+    }
+
     void fillStoreReport(wire::FleetSyncRequest &request) const
     {
         request.leadsStores = m_replica->isLeader();
@@ -219,6 +253,7 @@
 
     void applyState(const fleet::FleetState &state)
     {
+        m_broker.setEvacuatedDomains(state.evacuatedDomains);
         openBootstrappedReplica(state.storeFounders);
         m_retirements->setRetiringStores(state.openRetirements);
         if (const auto newer = m_core->newerDeployment(state, m_deployment)) {
@@ -299,6 +334,8 @@
     std::unique_ptr<jobs::JobService> m_jobService;
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
     bool m_hasUpstreams = false;
+    std::unique_ptr<BrokerMetrics> m_brokerMetrics;
+    TimerService::TimerId m_metricsTimer = 0;
 };
 
 } // namespace
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -422,9 +422,12 @@
     if (!m_bufferShare && bytes < minCountedBytes)
         return true;
     if (!m_bufferShare)
-        m_bufferShare.emplace(m_context.buffers, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->giveUpBuffer();
+        m_bufferShare.emplace(m_context.buffers, [weak = weak_from_this(), &loop = m_context.loop] {
+            // The budget calls this while it handles another item or request.
+            loop.post([weak] {
+                if (const auto self = weak.lock())
+                    self->giveUpBuffer();
+            });
         });
     return m_bufferShare->resize(bytes);
 }
@@ -462,13 +465,13 @@
     m_context.crashGuard.recordSound(m_traits.suspects(m_hasProgressed));
     if (m_head.status >= 200 && m_head.status < 300)
         return handleSuccess();
+    const ReleaseReason reason = serving::responseReason(m_head.status);
     if (!giveUpReason().empty()) {
-        releaseSlot(ReleaseReason::Completed);
+        releaseSlot(reason);
         endIfGivenUp();
         return;
     }
-    failAttempt(concat("the upstream responded with status ", m_head.status),
-                ReleaseReason::Completed);
+    failAttempt(concat("the upstream responded with status ", m_head.status), reason);
 }
 
 void ItemRun::handleSuccess()
@@ -581,7 +584,7 @@
         {{"job", m_job->id},
          {"item", m_item.id},
          {"upstream", m_upstream},
-         {"reason", "the upstream leaves, and the item was not sent"},
+         {"reason", "the upstream accepts no new requests, and the item was not sent"},
          {"lastEvent", m_position.lastId().value_or(-1)},
          {"serverErrors", m_serverErrors},
          {"run", m_attempts}});
--- a/src/net/requestparser.cpp
+++ b/src/net/requestparser.cpp
@@ -2,10 +2,13 @@
 
 #include "firstchunk.h"
 
+#include "rattanrill/base/freememory.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace rattanrill::net {
@@ -43,8 +46,32 @@
 
 void RequestParser::feed(std::string_view bytes)
 {
+    if (m_state == State::Refused)
+        return;
+    if (m_pending.empty()) {
+        bytes.remove_prefix(parse(bytes));
+        if (m_state != State::Refused)
+            m_pending.assign(bytes);
+        return;
+    }
     m_pending.append(bytes);
-    parse();
+    parsePending();
+}
+
+void RequestParser::parsePending()
+{
+    m_pending.erase(0, parse(m_pending));
+    if (m_pending.empty())
+        freeMemory(m_pending);
+}
+
+std::size_t RequestParser::bodyBytes() const
+{
+    if (!m_parser || !m_parser->parser.is_header_done())
+        return 0;
+    const std::size_t received = m_parser->parser.get().body().size();
+    const auto announced = m_parser->parser.content_length();
+    return announced ? std::max(received, static_cast<std::size_t>(*announced)) : received;
 }
 
 void RequestParser::startRequest()
@@ -56,62 +83,69 @@
     m_state = State::Header;
 }
 
-void RequestParser::parse()
+/// Parses \a bytes, the ones that have not been parsed before. Returns how many of them were used.
+std::size_t RequestParser::parse(std::string_view bytes)
 {
-    if (m_state == State::Complete || m_state == State::Refused || m_pending.empty())
-        return;
+    if (m_state == State::Complete || m_state == State::Refused || bytes.empty())
+        return 0;
+    std::size_t parsed = 0;
     if (m_state == State::Idle)
         startRequest();
     auto &parser = m_parser->parser;
-    while (!m_pending.empty() && m_state != State::Refused && !parser.is_done()) {
-        if (!m_parser->hasBegunBody && awaitsFirstChunk(parser, m_pending.size()))
+    while (parsed < bytes.size() && !parser.is_done()) {
+        const std::string_view rest = bytes.substr(parsed);
+        if (!m_parser->hasBegunBody && awaitsFirstChunk(parser, rest.size()))
             break;
         m_parser->hasBegunBody = parser.is_header_done();
         // Without the body, the parser stops after the header section.
         parser.eager(m_parser->hasBegunBody);
         boost::system::error_code error;
-        const std::size_t used =
-                parser.put(boost::asio::buffer(m_pending.data(), m_pending.size()), error);
-        m_pending.erase(0, used);
+        const std::size_t used = parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
+        parsed += used;
+        int refusal = 0;
         if (error && error != http::error::need_more)
-            return refuse(statusOf(error));
-        if (!parser.is_header_done() && m_pending.size() > m_limits.maxHeaderBytes)
-            return refuse(431);
-        if (parser.is_header_done() && !m_headerChecked)
-            checkHeader();
+            refusal = statusOf(error);
+        else if (!parser.is_header_done() && bytes.size() - parsed > m_limits.maxHeaderBytes)
+            refusal = 431;
+        else if (parser.is_header_done() && !m_headerChecked)
+            refusal = checkHeader();
+        if (refusal != 0) {
+            refuse(refusal);
+            return bytes.size();
+        }
         if (error == http::error::need_more || used == 0)
             break;
     }
-    if (m_state == State::Refused)
-        return;
     if (parser.is_done()) {
         m_isKeepAlive = parser.keep_alive();
         m_state = State::Complete;
     } else if (parser.is_header_done()) {
         m_state = State::Body;
     }
+    return parsed;
 }
 
-/// Refuses headers that two HTTP implementations could frame or route differently, because such
-/// differences allow request smuggling.
-void RequestParser::checkHeader()
+/// Returns the status with which to refuse headers that two HTTP implementations could frame or
+/// route differently, because such differences allow request smuggling, or 0 if they are sound.
+int RequestParser::checkHeader()
 {
     m_headerChecked = true;
     const auto &message = m_parser->parser.get();
     const bool hasTransferEncoding = message.count(http::field::transfer_encoding) > 0;
     const bool hasContentLength = message.count(http::field::content_length) > 0;
     if (message.version() != 11 && message.version() != 10)
-        return refuse(400);
+        return 400;
     if (hasTransferEncoding && (hasContentLength || !m_parser->parser.chunked()))
-        return refuse(400);
+        return 400;
     if (message.count(http::field::content_length) > 1)
-        return refuse(400);
+        return 400;
     if (message.version() == 11 && message.count(http::field::host) != 1)
-        return refuse(400);
+        return 400;
     const std::string target = text(message.target());
     if (target.empty() || target.front() != '/')
-        return refuse(400);
+        return 400;
     m_expectsContinue = message.count(http::field::expect) > 0;
+    return 0;
 }
 
 bool RequestParser::takeExpectContinue()
@@ -125,6 +159,8 @@
 {
     m_state = State::Refused;
     m_status = status;
+    m_parser.reset();
+    freeMemory(m_pending);
 }
 
 Request RequestParser::take()
@@ -139,7 +175,7 @@
     m_parser.reset();
     m_expectsContinue = false;
     m_state = State::Idle;
-    parse();
+    parsePending();
     return request;
 }
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -2,11 +2,14 @@
 
 #include "serverconnection.h"
 
+#include "rattanrill/base/clock.h"
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/net/address.h"
 
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -19,6 +22,7 @@
 
 /// Delay before accepting again after an error, such as a lack of file descriptors.
 constexpr absl::Duration acceptRetryDelay = absl::Milliseconds(50);
+constexpr absl::Duration refusalLogPeriod = absl::Seconds(1);
 
 } // namespace
 
@@ -91,8 +95,13 @@
                 break;
             if (error == boost::asio::error::connection_aborted)
                 continue;
+            const bool lacksDescriptors =
+                    error == boost::asio::error::no_descriptors
+                    || error == boost::system::errc::too_many_files_open_in_system;
+            if (lacksDescriptors && closeLongestUnused())
+                continue;
             if (error) {
-                log(LogLevel::Warning, "accept-failed", {{"detail", error.message()}});
+                logRefused("accept-failed", error.message());
                 return false;
             }
             add(std::move(socket));
@@ -102,13 +111,45 @@
 
     void add(Tcp::socket socket)
     {
-        if (shared->connections.size() >= shared->limits.maxConnections)
-            return;
+        if (shared->connections.size() >= shared->limits.maxConnections && !closeLongestUnused())
+            return logRefused("connection-refused", "the limit of connections is reached");
         auto connection = std::make_shared<ServerConnection>(std::move(socket), shared);
         shared->connections.insert(connection);
         connection->start();
     }
 
+    /// Closes the connection that has been open for the longest time without a request. Connections
+    /// with a response may be used again, as it has announced. Returns false if there is none.
+    bool closeLongestUnused()
+    {
+        std::shared_ptr<ServerConnection> longest;
+        for (const auto &connection : shared->connections) {
+            const bool isEarlier =
+                    longest == nullptr || connection->idleSince() < longest->idleSince();
+            if (isEarlier && !connection->hasServed() && connection->isIdle())
+                longest = connection;
+        }
+        if (longest == nullptr)
+            return false;
+        longest->close();
+        return true;
+    }
+
+    /// Logs at most one line a second for both events together, with the number of connections that
+    /// were refused or not accepted since the last line.
+    void logRefused(std::string_view event, const std::string &detail)
+    {
+        ++refusedConnections;
+        const absl::Time now = SystemClock::instance().now();
+        if (now - refusalLoggedAt < refusalLogPeriod)
+            return;
+        refusalLoggedAt = now;
+        log(LogLevel::Warning, event,
+            {{"detail", detail},
+             {"connections", static_cast<std::int64_t>(shared->connections.size())},
+             {"refusals", std::exchange(refusedConnections, 0)}});
+    }
+
     /// Copy that stays valid while connections are closed, which removes them from the set.
     std::vector<std::shared_ptr<ServerConnection>> copyConnections() const
     {
@@ -118,6 +159,9 @@
     EventLoop &loop;
     Tcp::acceptor acceptor;
     std::shared_ptr<SharedServerState> shared;
+    /// Connections that were refused since the last log line about them.
+    std::int64_t refusedConnections = 0;
+    absl::Time refusalLoggedAt = absl::InfinitePast();
 };
 
 Server::Server(EventLoop &loop, Handler handler)
@@ -145,6 +189,11 @@
     m_impl->shared->limits = limits;
 }
 
+void Server::setMemoryBudget(std::shared_ptr<MemoryBudget> memory)
+{
+    m_impl->shared->memory = std::move(memory);
+}
+
 void Server::drain()
 {
     m_impl->shared->draining = true;
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -11,7 +11,7 @@
 #include "absl/strings/str_format.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -32,6 +32,16 @@
 /// Maximum time for which the connection stays open after the last response was sent, so that the
 /// client can read the response and close the connection.
 constexpr absl::Duration closeTimeout = absl::Seconds(2);
+/// Number of bytes of a refused request that are read and dropped beyond two bodies within the
+/// limit, so that a client that sends its body before it reads gets the response.
+constexpr std::size_t extraDiscardedBytes = std::size_t(64) << 10;
+/// Number of received bytes that count as progress of a request. A client that sends single bytes
+/// could otherwise hold memory for any time.
+constexpr std::size_t minProgressBytes = 4096;
+/// Status of a request that was refused before it ran, not because of a fault of it.
+constexpr int statusUnavailable = 503;
+/// Retry-After of a request that was refused because the process has too little memory for it.
+constexpr int memoryRetryAfterSeconds = 1;
 /// A client that accepts no bytes of a response for this long is treated as disconnected.
 constexpr absl::Duration sendTimeout = absl::Seconds(15);
 
@@ -80,10 +90,15 @@
     return false;
 }
 
+absl::Time ServerConnection::idleSince() const
+{
+    return m_phase == Phase::Idle ? m_idleSince : absl::InfiniteFuture();
+}
+
 void ServerConnection::endRequests()
 {
     if (m_phase == Phase::Header || m_phase == Phase::Body)
-        return refuse(503);
+        return refuse(statusUnavailable);
     if (const auto exchange = m_exchange.lock())
         exchange->endWithServer();
 }
@@ -113,7 +128,7 @@
 
 void ServerConnection::read()
 {
-    if (m_reading || m_phase == Phase::Closed || m_parser.pendingBytes() > maxReadAheadBytes)
+    if (m_reading || m_phase == Phase::Closed || !mayRead())
         return;
     m_reading = true;
     // Bytes stay in the socket until they are parsed, so that hasNextRequest() always sees them. A
@@ -136,32 +151,108 @@
     bool isMoreAvailable = true;
     for (int reads = 0; isMoreAvailable && reads < maxReadsAtOnce; ++reads) {
         boost::system::error_code error;
-        const std::size_t bytes = m_socket.read_some(boost::asio::buffer(m_buffer), error);
+        auto &buffer = m_shared->readBuffer;
+        const std::size_t bytes = m_socket.read_some(boost::asio::buffer(buffer), error);
         if (error == boost::asio::error::would_block)
             return;
         if (error)
             return handleDisconnect();
-        isMoreAvailable = bytes == m_buffer.size();
-        handleBytes(std::string_view(m_buffer.data(), bytes));
-        if (m_phase == Phase::Closed || m_parser.pendingBytes() > maxReadAheadBytes)
+        isMoreAvailable = bytes == buffer.size();
+        handleBytes(std::string_view(buffer.data(), bytes));
+        if (m_phase == Phase::Closed || !mayRead())
             return;
     }
 }
 
+/// Whether bytes may be read: not too many of them wait for the end of the current request.
+bool ServerConnection::mayRead() const
+{
+    if (m_phase == Phase::Serving && m_discardedBytes > maxDiscarded())
+        return false;
+    return m_parser.pendingBytes() <= maxReadAheadBytes;
+}
+
+/// Number of bytes of refused requests that are read and dropped. A client that is still sending a
+/// body within the limits gets the response.
+std::size_t ServerConnection::maxDiscarded() const
+{
+    return 2 * m_shared->limits.maxBodyBytes + extraDiscardedBytes;
+}
+
 void ServerConnection::handleBytes(std::string_view bytes)
 {
-    if (m_phase == Phase::Closing)
-        return;
+    // The request behind the one that is served may have been refused already.
+    if (m_phase == Phase::Closing || m_parser.state() == RequestParser::State::Refused)
+        return discard(bytes.size());
     m_parser.feed(bytes);
-    if (m_phase != Phase::Serving)
+    m_receivedBytes += bytes.size();
+    if (m_phase == Phase::Serving)
+        handleReadAhead();
+    else
         handleParserState();
 }
 
+/// Counts what has arrived of the next request while the current one is served.
+void ServerConnection::handleReadAhead()
+{
+    if (!countReceived())
+        giveUpRequest();
+}
+
+/// Returns false when the process has too little memory for the request.
+bool ServerConnection::countReceived()
+{
+    if (!m_shared->memory)
+        return true;
+    if (!m_receivedShare)
+        m_receivedShare = std::make_unique<MemoryShare>(m_shared->memory, MemoryUse::Receiving,
+                                                        [weak = weak_from_this()] {
+                                                            if (const auto self = weak.lock())
+                                                                self->giveUpRequest();
+                                                        });
+    if (m_receivedBytes >= minProgressBytes) {
+        m_receivedShare->recordProgress();
+        m_receivedBytes = 0;
+    }
+    return m_receivedShare->resize(m_parser.pendingBytes() + requestCost(m_parser.bodyBytes()));
+}
+
+/// Frees the request that is being received; it has not run. The refusal is sent later, because
+/// another connection may be at work, or once the request before it has been answered.
+void ServerConnection::giveUpRequest()
+{
+    m_parser.abandon(statusUnavailable);
+    m_receivedShare.reset();
+    if (m_phase != Phase::Header && m_phase != Phase::Body)
+        return;
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_phase == Phase::Header || self->m_phase == Phase::Body)
+            self->handleParserState();
+    });
+}
+
+/// Drops bytes that arrive after the last response, or of a request that is refused already.
+void ServerConnection::discard(std::size_t bytes)
+{
+    m_discardedBytes += bytes;
+    if (m_phase == Phase::Closing && m_discardedBytes > maxDiscarded())
+        close();
+}
+
 /// Continues with the current request according to the state of the parser.
 void ServerConnection::handleParserState()
 {
     const Phase previousPhase = m_phase;
-    switch (m_parser.state()) {
+    const RequestParser::State state = m_parser.state();
+    const bool hasRequest =
+            state != RequestParser::State::Idle && state != RequestParser::State::Refused;
+    if (hasRequest && !countReceived()) {
+        // The share may have been given up by what freed memory for it.
+        if (m_phase == Phase::Closing || m_phase == Phase::Closed)
+            return;
+        return refuse(statusUnavailable, memoryRetryAfterSeconds);
+    }
+    switch (state) {
     case RequestParser::State::Idle:
         return;
     case RequestParser::State::Header:
@@ -178,7 +269,8 @@
     case RequestParser::State::Complete:
         return serve();
     case RequestParser::State::Refused:
-        return refuse(m_parser.status());
+        return refuse(m_parser.status(),
+                      m_parser.status() == statusUnavailable ? memoryRetryAfterSeconds : 0);
     }
 }
 
@@ -191,18 +283,25 @@
     m_isStream = false;
     m_responseComplete = false;
     ++m_shared->openRequests;
+    if (m_receivedShare)
+        m_receivedShare->startRunning();
     auto exchange = std::make_shared<ServerExchange>(shared_from_this(), m_parser.take(),
-                                                     SystemClock::instance().now());
+                                                     SystemClock::instance().now(),
+                                                     std::move(m_receivedShare));
     m_exchange = exchange;
     m_shared->handler(std::move(exchange));
 }
 
-void ServerConnection::refuse(int status)
+void ServerConnection::refuse(int status, int retryAfterSeconds)
 {
     Response response = textResponse(status, concat(reasonPhrase(status), "\n"), "text/plain");
     response.head.headers.add("Connection", "close");
     response.head.headers.add("Content-Length", std::to_string(response.body.size()));
+    if (retryAfterSeconds > 0)
+        response.head.headers.add("Retry-After", std::to_string(retryAfterSeconds));
     m_phase = Phase::Closing;
+    m_parser.abandon(status);
+    m_receivedShare.reset();
     armTimer(closeTimeout);
     send(serialize(response.head) + response.body);
 }
@@ -233,12 +332,11 @@
     // The client would read the response as a part of the stream.
     if (m_isStream)
         return abort();
-    std::string bytes =
-            framedHead(std::move(response.head), concat("Content-Length: ", response.body.size()));
-    bytes += response.body;
+    m_output.append(
+            framedHead(std::move(response.head), concat("Content-Length: ", response.body.size())));
     m_responseComplete = true;
     endExchange();
-    send(bytes);
+    send(std::move(response.body));
 }
 
 void ServerConnection::startStream(ResponseHead head)
@@ -276,23 +374,59 @@
     --m_shared->openRequests;
 }
 
-void ServerConnection::send(const std::string &bytes)
+void ServerConnection::send(std::string bytes)
 {
-    if (m_phase == Phase::Closed)
+    if (m_phase == Phase::Closed || m_isGivenUp)
         return;
-    m_output += bytes;
-    if (!m_writing)
+    m_output.append(std::move(bytes));
+    if (m_writing)
+        countUnsent();
+    else
         flush();
 }
 
+void ServerConnection::countUnsent()
+{
+    if (!m_shared->memory)
+        return;
+    if (!m_unsentShare)
+        m_unsentShare = std::make_unique<MemoryShare>(m_shared->memory, MemoryUse::Unsent,
+                                                      [weak = weak_from_this()] {
+                                                          if (const auto self = weak.lock())
+                                                              self->giveUpResponse();
+                                                      });
+    if (!m_unsentShare->resize(m_output.heldBytes()))
+        giveUpResponse();
+}
+
+/// Frees what the client has not accepted and closes the connection. The handler is called later,
+/// because the exchange may just be writing.
+void ServerConnection::giveUpResponse()
+{
+    m_isGivenUp = true;
+    m_output.clear();
+    boost::asio::post(m_socket.get_executor(),
+                      [self = shared_from_this()] { self->handleDisconnect(); });
+}
+
 /// Writes what the socket accepts immediately, and waits on the event loop only for the rest.
 void ServerConnection::flush()
 {
-    const boost::system::error_code error = sendAvailable(m_socket, m_output);
-    if (m_output.empty())
+    if (m_isGivenUp)
+        return;
+    const std::size_t unsentBefore = m_output.bytes();
+    const boost::system::error_code error = m_output.sendTo(m_socket);
+    if (m_output.empty()) {
+        m_unsentShare.reset();
         return handleFlushed();
+    }
     if (error != boost::asio::error::would_block)
         return handleDisconnect();
+    if (m_unsentShare && m_output.bytes() < unsentBefore)
+        m_unsentShare->recordProgress();
+    countUnsent();
+    if (m_isGivenUp)
+        return;
     m_writing = true;
     armTimer(sendTimeout);
     m_socket.async_wait(boost::asio::ip::tcp::socket::wait_write,
@@ -329,7 +463,11 @@
 {
     if (!m_keepAlive) {
         m_phase = Phase::Closing;
-        return shutdownSend();
+        // What was pipelined behind the last request is not served.
+        m_parser.abandon(statusUnavailable);
+        m_receivedShare.reset();
+        shutdownSend();
+        return read();
     }
     m_phase = Phase::Idle;
     m_idleSince = SystemClock::instance().now();
@@ -387,7 +525,7 @@
         return;
     log(LogLevel::Warning, "connection-timed-out",
         {{"phase", name(m_phase)},
-         {"unsentBytes", static_cast<std::int64_t>(m_output.size())},
+         {"unsentBytes", static_cast<std::int64_t>(m_output.bytes())},
          {"unreadBytes", static_cast<std::int64_t>(unreadBytes)}});
 }
 
@@ -420,6 +558,9 @@
         endExchange();
     m_phase = Phase::Closed;
     disarmTimer();
+    m_receivedShare.reset();
+    m_unsentShare.reset();
+    m_output.clear();
     boost::system::error_code ignored;
     m_socket.close(ignored);
     m_shared->connections.erase(shared_from_this());
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "outputqueue.h"
+
+#include "rattanrill/net/memorybudget.h"
 #include "rattanrill/net/requestparser.h"
 #include "rattanrill/net/server.h"
 
@@ -23,6 +26,10 @@
 {
     Server::Handler handler;
     ServerLimits limits;
+    /// Null if the memory is not bounded.
+    std::shared_ptr<MemoryBudget> memory;
+    /// Bytes are parsed as soon as they have been read, so all connections share one buffer.
+    std::array<char, 8192> readBuffer;
     std::set<std::shared_ptr<ServerConnection>> connections;
     std::size_t openRequests = 0;
     bool draining = false;
@@ -42,6 +49,10 @@
     /// Whether the connection has a request, a response that has not been sent completely, or a
     /// request may be on its way.
     bool isActive() const;
+    /// When the connection became idle; infinite future while it has a request.
+    absl::Time idleSince() const;
+    /// Whether a request was served on the connection.
+    bool hasServed() const { return m_hasServed; }
     /// Ends the current request with a response or by aborting its stream.
     void endRequests();
     /// Exchange of the current request; null when none is open.
@@ -54,7 +65,7 @@
     void write(std::string_view bytes);
     void finish();
     void abort();
-    std::size_t unsentBytes() const { return m_output.size(); }
+    std::size_t unsentBytes() const { return m_output.bytes(); }
 
 private:
     friend class ServerExchange;
@@ -76,13 +87,21 @@
     bool expectsRequest() const;
     bool hasUnreadBytes() const;
     void read();
+    bool mayRead() const;
+    std::size_t maxDiscarded() const;
     void receive();
     void handleBytes(std::string_view bytes);
     void handleParserState();
+    void handleReadAhead();
+    bool countReceived();
+    void giveUpRequest();
     void serve();
-    void refuse(int status);
-    void send(const std::string &bytes);
+    void refuse(int status, int retryAfterSeconds = 0);
+    void discard(std::size_t bytes);
+    void send(std::string bytes);
     void flush();
+    void countUnsent();
+    void giveUpResponse();
     void handleFlushed();
     void endRequest();
     void shutdownSend();
@@ -101,13 +120,22 @@
     boost::asio::steady_timer m_timer;
     std::shared_ptr<SharedServerState> m_shared;
     RequestParser m_parser;
-    std::array<char, 8192> m_buffer;
+    /// Memory of the request that is being received; null if nothing of it is counted.
+    std::unique_ptr<MemoryShare> m_receivedShare;
+    /// Number of bytes received since the request made progress.
+    std::size_t m_receivedBytes = 0;
     Phase m_phase = Phase::Idle;
     /// When the connection was accepted or its last response had been sent.
     absl::Time m_idleSince;
     bool m_hasServed = false;
     /// Bytes that have not been sent yet.
-    std::string m_output;
+    OutputQueue m_output;
+    /// Memory of m_output; null if nothing of it is counted.
+    std::unique_ptr<MemoryShare> m_unsentShare;
+    /// Whether the rest of the response was given up; the connection is about to be closed.
+    bool m_isGivenUp = false;
+    /// Number of bytes that were dropped after the last response or of a refused request.
+    std::size_t m_discardedBytes = 0;
     bool m_writing = false;
     bool m_reading = false;
     bool m_keepAlive = true;
--- a/src/net/serverexchange.h
+++ b/src/net/serverexchange.h
@@ -2,6 +2,10 @@
 
 #include "serverconnection.h"
 
+#include "rattanrill/net/memorybudget.h"
+
+#include <functional>
+#include <memory>
 #include <utility>
 
 namespace rattanrill::net {
@@ -11,11 +15,13 @@
 class ServerExchange : public Exchange
 {
 public:
+    /// \a memory: share of the budget that the request uses; null if the memory is not bounded.
     ServerExchange(std::shared_ptr<ServerConnection> connection, Request request,
-                   absl::Time receivedTime)
+                   absl::Time receivedTime, std::unique_ptr<MemoryShare> memory)
         : m_connection(std::move(connection))
         , m_request(std::move(request))
         , m_receivedAt(receivedTime)
+        , m_memory(std::move(memory))
     {}
 
     ~ServerExchange() override
@@ -107,6 +113,7 @@
     std::shared_ptr<ServerConnection> m_connection;
     Request m_request;
     absl::Time m_receivedAt;
+    std::unique_ptr<MemoryShare> m_memory;
     std::function<void()> m_disconnectHandler;
     std::function<void()> m_serverEndingHandler;
     bool m_streamStarted = false;
--- a/src/net/socketoptions.cpp
+++ b/src/net/socketoptions.cpp
@@ -1,7 +1,10 @@
 #include "socketoptions.h"
 
+#include "rattanrill/base/freememory.h"
+
 #include <boost/asio/buffer.hpp>
 
+#include <cstddef>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -9,6 +12,8 @@
 namespace rattanrill::net {
 namespace {
 
+/// Largest buffer that a connection keeps for its next request.
+constexpr std::size_t maxKeptBytes = 16 * 1024;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 /// The connection is closed when sent data stays unacknowledged for this long.
@@ -44,6 +49,9 @@
         sent += socket.write_some(boost::asio::buffer(output.data() + sent, output.size() - sent),
                                   error);
     output.erase(0, sent);
+    // An idle connection must not keep the memory of a large request.
+    if (output.empty() && output.capacity() > maxKeptBytes)
+        freeMemory(output);
     return error;
 }
 
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -12,6 +12,18 @@
 
 } // namespace
 
+FairQueue::FairQueue(const FairQueue &other)
+    : m_flows(other.m_flows)
+    , m_positions(other.m_positions)
+    , m_virtualTime(other.m_virtualTime)
+    , m_nextSequence(other.m_nextSequence)
+{
+    for (auto &[workspace, flow] : m_flows) {
+        if (!flow.waiting.empty())
+            m_active[{flow.virtualTime, workspace}] = &flow;
+    }
+}
+
 void FairQueue::setWeight(const std::string &workspace, double weight)
 {
     m_flows[workspace].weight = std::max(weight, minWeight);
--- a/src/policy/forwarderselector.cpp
+++ b/src/policy/forwarderselector.cpp
@@ -1,7 +1,10 @@
 #include "rattanrill/policy/forwarderselector.h"
 
+#include "rattanrill/policy/loadestimate.h"
+
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace rattanrill::policy {
@@ -20,8 +23,12 @@
 {
     m_forwarders = std::move(forwarders);
     std::set<std::string> instances;
-    for (const Forwarder &forwarder : m_forwarders)
+    for (const Forwarder &forwarder : m_forwarders) {
         instances.insert(forwarder.instance);
+        State &state = m_states[forwarder.instance];
+        if (state.turn <= 0)
+            state.turn = initialTurn(forwarder.instance, m_turnSeed);
+    }
     for (auto state = m_states.begin(); state != m_states.end();) {
         const bool isUnused = state->second.calls == 0 && instances.count(state->first) == 0;
         state = isUnused ? m_states.erase(state) : std::next(state);
@@ -47,7 +54,7 @@
                           const std::function<bool(const Forwarder &)> &isUsable)
 {
     const Forwarder *best = nullptr;
-    std::int64_t bestCost = 0;
+    std::tuple<std::int64_t, bool, std::int64_t> bestRank;
     for (const Forwarder &forwarder : m_forwarders) {
         const State &state = m_states[forwarder.instance];
         const bool isAvoided =
@@ -56,14 +63,17 @@
             continue;
         const bool isNear = forwarder.failureDomain == failureDomain;
         const std::int64_t cost = state.calls + (isNear ? 0 : maxNearerExtraCalls);
-        if (best != nullptr && cost >= bestCost)
+        const std::tuple rank(cost, !isNear, state.turn);
+        if (best != nullptr && rank >= bestRank)
             continue;
         best = &forwarder;
-        bestCost = cost;
+        bestRank = rank;
     }
     if (best == nullptr)
         return std::nullopt;
-    ++m_states[best->instance].calls;
+    State &chosen = m_states[best->instance];
+    ++chosen.calls;
+    chosen.turn = ++m_lastTurn;
     return *best;
 }
 
--- a/src/policy/requestlimit.cpp
+++ b/src/policy/requestlimit.cpp
@@ -33,9 +33,9 @@
         m_bucket.emplace(m_bucket->contract(), now);
 }
 
-bool RequestLimit::allows(absl::Time now) const
+bool RequestLimit::allows(absl::Time now, double requests) const
 {
-    return !limit(now) || m_bucket->level(now) >= 1;
+    return !limit(now) || m_bucket->level(now) >= requests;
 }
 
 void RequestLimit::take(absl::Time now)
@@ -44,12 +44,12 @@
         m_bucket->charge(now, 1, now);
 }
 
-absl::Time RequestLimit::nextAllowed(absl::Time now) const
+absl::Time RequestLimit::nextAllowed(absl::Time now, double requests) const
 {
     const std::optional<double> current = limit(now);
     if (!current)
         return now;
-    const absl::Time refilledAt = now + absl::Seconds((1 - m_bucket->level(now)) / *current);
+    const absl::Time refilledAt = now + absl::Seconds((requests - m_bucket->level(now)) / *current);
     // The rounding of a refill time must not lead to a check before the request is allowed.
     return std::min(refilledAt + absl::Microseconds(1), m_reportedAt + m_settings.lifetime);
 }
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -53,7 +53,9 @@
         const EngineState &engine = *candidates[i].engine;
         if (!isUsable(now, engine, excluded))
             continue;
-        const bool returning = uniform(random) >= engine.outlier().trafficShare(now);
+        const double share =
+                std::min(engine.outlier().trafficShare(now), candidates[i].trafficShare);
+        const bool returning = uniform(random) >= share;
         const double extra = candidates[i].extraCost + m_settings.tieBreakNoise * uniform(random);
         const double cost = this->cost(now, task, engine, leastLoad, prefixes, entries) + extra;
         const bool better = returning == bestReturning ? cost < bestCost : bestReturning;
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -20,6 +20,15 @@
     return nameOf(methodNames, method);
 }
 
+bool AttemptFailure::isServerError() const
+{
+    // UpstreamBusy (503) without the statement that the request did not run is no refusal; see
+    // Kind.
+    return kind == Kind::Broken
+           && (failure.code == ErrorCode::UpstreamFailed
+               || failure.code == ErrorCode::UpstreamBusy);
+}
+
 Scheduler::Scheduler(SchedulerSettings settings, std::uint64_t seed)
     : m_state(std::make_unique<State>(std::move(settings), seed))
 {}
@@ -121,16 +130,18 @@
     m_state->quarantine.succeeded(taskRecord->task.fingerprint);
     EngineRecord *engineRecord = m_state->engine(taskRecord->engine);
     if (engineRecord != nullptr)
-        engineRecord->state.outlier().succeeded(now);
+        m_state->recordSuccess(now, *engineRecord, taskRecord->task.workspace);
     m_state->endAttempt(now, *taskRecord);
     m_state->removeTask(*taskRecord);
 }
 
-void Scheduler::failed(absl::Time now, TaskId task, int attempt, const AttemptFailure &failure)
+std::optional<EngineEjection> Scheduler::failed(absl::Time now, TaskId task, int attempt,
+                                                const AttemptFailure &failure)
 {
     TaskRecord *taskRecord = m_state->running(task, attempt);
-    if (taskRecord != nullptr)
-        m_state->attemptFailed(now, *taskRecord, failure);
+    if (taskRecord == nullptr)
+        return std::nullopt;
+    return m_state->attemptFailed(now, *taskRecord, failure);
 }
 
 void Scheduler::preempted(absl::Time now, TaskId task, int attempt, std::int64_t deliveredTokens,
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -51,6 +51,12 @@
         engineRecord->removed = false;
         pool(info.model).engines.push_back(engineRecord.get());
     }
+    for (auto &[model, modelPool] : pools) {
+        std::set<std::string> names;
+        for (const EngineRecord *engineRecord : modelPool.engines)
+            names.insert(engineRecord->state.info().name);
+        modelPool.failures.retain(names);
+    }
     assignAllEngines();
     for (auto engineRecord = engines.begin(); engineRecord != engines.end();) {
         const bool unused = engineRecord->second->removed && engineRecord->second->running.empty();
@@ -316,8 +322,38 @@
         --engineRecord->suspectsRunning;
 }
 
-void Scheduler::State::attemptFailed(absl::Time now, TaskRecord &taskRecord,
-                                     const AttemptFailure &failure)
+void Scheduler::State::recordSuccess(absl::Time now, EngineRecord &engineRecord,
+                                     const std::string &workspace)
+{
+    engineRecord.state.outlier().succeeded(now);
+    const EngineInfo &info = engineRecord.state.info();
+    if (!engineRecord.removed)
+        pool(info.model).failures.succeeded(now, info.name, workspace);
+}
+
+std::optional<EngineEjection> Scheduler::State::recordServerError(absl::Time now,
+                                                                  const EngineRecord &engineRecord,
+                                                                  const std::string &workspace)
+{
+    if (engineRecord.removed)
+        return std::nullopt;
+    const EngineInfo &info = engineRecord.state.info();
+    ModelPool &modelPool = pool(info.model);
+    std::vector<std::string> candidates;
+    for (const EngineRecord *candidate : modelPool.engines) {
+        if (isAvailable(now, *candidate))
+            candidates.push_back(candidate->state.info().name);
+    }
+    FailureShares &failures = modelPool.failures;
+    if (!failures.failed(now, info.name, workspace, candidates))
+        return std::nullopt;
+    return EngineEjection{info.name, failures.ejectedUntil(info.name) - now,
+                          engineRecord.running.size()};
+}
+
+std::optional<EngineEjection> Scheduler::State::attemptFailed(absl::Time now,
+                                                              TaskRecord &taskRecord,
+                                                              const AttemptFailure &failure)
 {
     recordProgress(now, taskRecord, failure.deliveredTokens);
     const bool crashed = failure.kind == AttemptFailure::Kind::Crashed;
@@ -326,6 +362,9 @@
     EngineRecord *engineRecord = engine(taskRecord.engine);
     const bool isEngineFailure = !crashed && failure.kind != AttemptFailure::Kind::Invalid
                                  && failure.failure.code != ErrorCode::UpstreamBusy;
+    std::optional<EngineEjection> ejection;
+    if (engineRecord != nullptr && failure.isServerError())
+        ejection = recordServerError(now, *engineRecord, taskRecord.task.workspace);
     // Further attempts would wait as long, so a silent engine is ejected at once.
     if (engineRecord != nullptr && isEngineFailure)
         engineRecord->state.outlier().failed(now, failure.kind == AttemptFailure::Kind::Silent);
@@ -350,6 +389,7 @@
         retryOnline(now, taskRecord, failure);
     else
         retryBatch(now, taskRecord, failure);
+    return ejection;
 }
 
 void Scheduler::State::retryOnline(absl::Time now, TaskRecord &taskRecord,
--- a/src/policy/schedulerstate.h
+++ b/src/policy/schedulerstate.h
@@ -8,6 +8,7 @@
 #include "prefillwindows.h"
 #include "taskrecord.h"
 
+#include "rattanrill/policy/failureshares.h"
 #include "rattanrill/policy/fairqueue.h"
 #include "rattanrill/policy/prefixindex.h"
 #include "rattanrill/policy/scheduler.h"
@@ -34,6 +35,8 @@
 {
     /// Sorted by name.
     std::vector<EngineRecord *> engines;
+    /// Share of server errors of each engine, by its name.
+    FailureShares failures;
     /// Names of the engines in the order in which this entry uses them for suspects.
     std::vector<std::string> suspectOrder;
     FairQueue online;
@@ -49,6 +52,13 @@
     ArrivalRate onlineRate;
 };
 
+/// An engine with the number of batch tasks that this entry may start on it.
+struct BatchCapacity
+{
+    EngineRecord *engine = nullptr;
+    int tasks = 0;
+};
+
 struct Scheduler::State
 {
     State(SchedulerSettings schedulerSettings, std::uint64_t seed);
@@ -76,7 +86,13 @@
     void retractCrash(absl::Time now, const Crash &crash);
     /// Allows the task to run alongside other suspects again.
     void clearSuspect(TaskRecord &taskRecord);
-    void attemptFailed(absl::Time now, TaskRecord &taskRecord, const AttemptFailure &failure);
+    std::optional<EngineEjection> attemptFailed(absl::Time now, TaskRecord &taskRecord,
+                                                const AttemptFailure &failure);
+    void recordSuccess(absl::Time now, EngineRecord &engineRecord, const std::string &workspace);
+    /// Judges the engine by its share of server errors.
+    std::optional<EngineEjection> recordServerError(absl::Time now,
+                                                    const EngineRecord &engineRecord,
+                                                    const std::string &workspace);
     void retryOnline(absl::Time now, TaskRecord &taskRecord, const AttemptFailure &failure);
     void retryBatch(absl::Time now, TaskRecord &taskRecord, const AttemptFailure &failure);
     void backOff(absl::Time now, TaskRecord &taskRecord);
@@ -86,11 +102,27 @@
     void enqueueBackedOff(absl::Time now);
     void dispatchSuspects(absl::Time now, ModelPool &pool);
     /// Returns the engine on which this entry runs the suspect, apart from suspects of other
-    /// entries.
+    /// entries. An engine that crashed under the suspect is the last choice.
     EngineRecord *chooseSuspectEngine(absl::Time now, const ModelPool &pool,
                                       const TaskRecord &taskRecord);
-    /// Returns true when the engine is neither leaving nor ejected and its load report is recent.
-    static bool isUsable(absl::Time now, const EngineRecord &engineRecord);
+    /// Returns true when the engine is neither leaving nor ejected for its failures and its load
+    /// report is recent.
+    static bool isAvailable(absl::Time now, const EngineRecord &engineRecord);
+    /// Returns true when the engine is ejected for its share of server errors and another one of
+    /// the model, which \a excluded does not name, is available.
+    static bool isWithheld(absl::Time now, const ModelPool &pool,
+                           const std::vector<std::string> &excluded,
+                           const EngineRecord &engineRecord);
+    /// Returns true when the engine is available and not withheld from tasks without exclusions.
+    static bool isUsable(absl::Time now, const ModelPool &pool, const EngineRecord &engineRecord);
+    /// Leaves out engines that are passed over because of server errors. Only engines that can
+    /// start the task without preemption count as alternatives to them.
+    void removePassedOver(absl::Time now, const ModelPool &pool, const TaskRecord &taskRecord,
+                          const std::vector<std::string> &excluded,
+                          std::vector<EngineRecord *> &open) const;
+    /// Returns false when the task is outside its contract and the load of the engine exceeds the
+    /// limit for such tasks.
+    bool isWithinLoadLimit(const TaskRecord &taskRecord, const EngineRecord &engineRecord) const;
     void dispatchOnline(absl::Time now, ModelPool &pool, FairQueue &queue);
     void rejectOutsideContract(ModelPool &pool);
     void rejectExpired(absl::Time now);
@@ -98,8 +130,22 @@
     void dispatchUrgent(absl::Time now, ModelPool &pool);
     /// Starts batch tasks on engines with capacity for them. Does nothing while online tasks wait.
     void dispatchBatch(absl::Time now, ModelPool &pool);
+    /// Returns the engines with capacity for batch tasks that are not passed over.
+    std::vector<BatchCapacity> enginesForBatch(absl::Time now, const ModelPool &pool) const;
     bool startBatchOn(absl::Time now, ModelPool &pool, EngineRecord &engineRecord);
-    EngineRecord *chooseOnlineEngine(absl::Time now, ModelPool &pool, const TaskRecord &taskRecord);
+    EngineRecord *chooseOnlineEngine(absl::Time now, const ModelPool &pool,
+                                     const TaskRecord &taskRecord);
+    /// Chooses among the engines with a recent load report.
+    EngineRecord *chooseReportedEngine(absl::Time now, const ModelPool &pool,
+                                       const TaskRecord &taskRecord,
+                                       const std::vector<std::string> &excluded);
+    /// Chooses among the engines whose load report is missing or outdated.
+    EngineRecord *chooseUnreportedEngine(absl::Time now, const ModelPool &pool,
+                                         const TaskRecord &taskRecord);
+    /// Returns the best of \a records, or nullptr when the router accepts none.
+    EngineRecord *route(absl::Time now, const ModelPool &pool, const TaskRecord &taskRecord,
+                        const std::vector<std::string> &excluded,
+                        const std::vector<EngineRecord *> &records);
     RouteCandidate candidate(absl::Time now, const ModelPool &pool,
                              const EngineRecord &engineRecord) const;
     /// Returns true when the model has enough engines for prefill windows: online tasks need other
--- a/src/policy/schedulerstate_decisions.cpp
+++ b/src/policy/schedulerstate_decisions.cpp
@@ -3,6 +3,7 @@
 #include "interpolate.h"
 
 #include "rattanrill/base/concat.h"
+#include "rattanrill/policy/passoverrule.h"
 
 #include <algorithm>
 #include <cmath>
@@ -34,6 +35,21 @@
 /// Retry-After of a task that is rejected because of overload.
 constexpr absl::Duration overloadRetryAfter = absl::Seconds(1);
 
+bool isExcluded(const std::vector<std::string> &excluded, const EngineRecord &engineRecord)
+{
+    const std::string &engine = engineRecord.state.info().name;
+    return std::find(excluded.begin(), excluded.end(), engine) != excluded.end();
+}
+
+/// Whether the engine can start another request. \a unreported: estimated number of requests that
+/// other entries have sent to it since its last report.
+bool hasFreeSlot(const EngineRecord &engineRecord, double unreported = 0)
+{
+    const EngineState &state = engineRecord.state;
+    const double requests = state.reportedRequests() - engineRecord.preempting + unreported;
+    return requests + 1 <= static_cast<double>(state.maxBatch());
+}
+
 } // namespace
 
 // Decisions
@@ -83,27 +99,82 @@
 EngineRecord *Scheduler::State::chooseSuspectEngine(absl::Time now, const ModelPool &modelPool,
                                                     const TaskRecord &taskRecord)
 {
-    EngineRecord *fallback = nullptr;
+    EngineRecord *ejected = nullptr;
+    EngineRecord *crashed = nullptr;
     for (const std::string &engineName : modelPool.suspectOrder) {
         EngineRecord *engineRecord = engine(engineName);
-        if (!isUsable(now, *engineRecord))
+        if (!isAvailable(now, *engineRecord))
             continue;
-        if (!quarantine.hasCrashed(taskRecord.task.fingerprint, engineName))
+        const bool hasCrashed = quarantine.hasCrashed(taskRecord.task.fingerprint, engineName);
+        const bool isEjected = modelPool.failures.isEjected(now, engineName);
+        if (!hasCrashed && !isEjected)
             return engineRecord;
-        // When no other engine is usable, the suspect, which may not have caused the crash, runs
-        // again on an engine that crashed while it ran there.
-        fallback = engineRecord;
+        if (!hasCrashed && ejected == nullptr)
+            ejected = engineRecord;
+        if (hasCrashed && isUsable(now, modelPool, *engineRecord))
+            crashed = engineRecord;
     }
-    return fallback;
+    // When no other engine is available, the suspect, which may not have caused the crash, runs
+    // again on an engine that crashed while it ran there.
+    return ejected != nullptr ? ejected : crashed;
 }
 
-bool Scheduler::State::isUsable(absl::Time now, const EngineRecord &engineRecord)
+bool Scheduler::State::isAvailable(absl::Time now, const EngineRecord &engineRecord)
 {
     const EngineState &state = engineRecord.state;
     return !state.info().leaving && !state.outlier().ejected(now)
            && now - state.reportedAt() < reportLifetime;
 }
 
+bool Scheduler::State::isWithheld(absl::Time now, const ModelPool &modelPool,
+                                  const std::vector<std::string> &excluded,
+                                  const EngineRecord &engineRecord)
+{
+    const auto isEjected = [&](const EngineRecord &candidate) {
+        return modelPool.failures.isEjected(now, candidate.state.info().name);
+    };
+    const auto isAlternative = [&](const EngineRecord *other) {
+        return isAvailable(now, *other) && !isEjected(*other) && !isExcluded(excluded, *other);
+    };
+    return isEjected(engineRecord)
+           && std::any_of(modelPool.engines.begin(), modelPool.engines.end(), isAlternative);
+}
+
+bool Scheduler::State::isUsable(absl::Time now, const ModelPool &modelPool,
+                                const EngineRecord &engineRecord)
+{
+    return isAvailable(now, engineRecord) && !isWithheld(now, modelPool, {}, engineRecord);
+}
+
+void Scheduler::State::removePassedOver(absl::Time now, const ModelPool &modelPool,
+                                        const TaskRecord &taskRecord,
+                                        const std::vector<std::string> &excluded,
+                                        std::vector<EngineRecord *> &open) const
+{
+    PassOverRule rule(now, modelPool.failures);
+    if (!rule.isActive())
+        return;
+    for (const EngineRecord *engineRecord : open) {
+        const bool isAlternative = hasFreeSlot(*engineRecord)
+                                   && isWithinLoadLimit(taskRecord, *engineRecord)
+                                   && !isExcluded(excluded, *engineRecord);
+        if (isAlternative)
+            rule.addOpen(engineRecord->state.info().name,
+                         engineRecord->state.reportedRequests() == 0);
+    }
+    const auto isPassedOver = [&](const EngineRecord *engineRecord) {
+        return rule.isPassedOver(engineRecord->state.info().name);
+    };
+    open.erase(std::remove_if(open.begin(), open.end(), isPassedOver), open.end());
+}
+
+bool Scheduler::State::isWithinLoadLimit(const TaskRecord &taskRecord,
+                                         const EngineRecord &engineRecord) const
+{
+    return taskRecord.task.insideContract
+           || expectedLoad(engineRecord.state, entries) <= outsideContractLoadLimit;
+}
+
 void Scheduler::State::dispatchOnline(absl::Time now, ModelPool &modelPool, FairQueue &queue)
 {
     while (const std::optional<TaskId> next = queue.front()) {
@@ -111,10 +182,7 @@
         if (rejectBlocked(now, taskRecord))
             continue;
         EngineRecord *engineRecord = chooseOnlineEngine(now, modelPool, taskRecord);
-        if (engineRecord == nullptr)
-            break;
-        if (!taskRecord.task.insideContract
-            && expectedLoad(engineRecord->state, entries) > outsideContractLoadLimit)
+        if (engineRecord == nullptr || !isWithinLoadLimit(taskRecord, *engineRecord))
             break;
         preemptIfFull(now, modelPool, *engineRecord);
         start(now, taskRecord, *engineRecord);
@@ -168,18 +236,36 @@
 {
     if (modelPool.batch.empty() || !modelPool.online.empty())
         return;
-    std::vector<std::pair<int, EngineRecord *>> enginesWithCapacity;
+    std::vector<BatchCapacity> open = enginesForBatch(now, modelPool);
+    std::stable_sort(open.begin(), open.end(),
+                     [](const BatchCapacity &left, const BatchCapacity &right) {
+                         return left.tasks > right.tasks;
+                     });
+    for (const BatchCapacity &capacity : open) {
+        for (int i = 0; i < capacity.tasks && startBatchOn(now, modelPool, *capacity.engine); ++i) {
+        }
+    }
+}
+
+std::vector<BatchCapacity> Scheduler::State::enginesForBatch(absl::Time now,
+                                                             const ModelPool &modelPool) const
+{
+    std::vector<BatchCapacity> open;
     for (EngineRecord *engineRecord : modelPool.engines) {
-        const int capacity = batchCapacityOn(now, modelPool, *engineRecord);
-        if (capacity > 0)
-            enginesWithCapacity.emplace_back(capacity, engineRecord);
+        const int tasks = batchCapacityOn(now, modelPool, *engineRecord);
+        if (tasks > 0)
+            open.push_back(BatchCapacity{engineRecord, tasks});
     }
-    std::stable_sort(enginesWithCapacity.begin(), enginesWithCapacity.end(),
-                     [](const auto &left, const auto &right) { return left.first > right.first; });
-    for (const auto &[capacity, engineRecord] : enginesWithCapacity) {
-        for (int i = 0; i < capacity && startBatchOn(now, modelPool, *engineRecord); ++i) {
-        }
+    PassOverRule rule(now, modelPool.failures);
+    for (const BatchCapacity &capacity : open) {
+        const EngineState &state = capacity.engine->state;
+        rule.addOpen(state.info().name, state.reportedRequests() == 0);
     }
+    const auto isPassedOver = [&](const BatchCapacity &capacity) {
+        return rule.isPassedOver(capacity.engine->state.info().name);
+    };
+    open.erase(std::remove_if(open.begin(), open.end(), isPassedOver), open.end());
+    return open;
 }
 
 bool Scheduler::State::startBatchOn(absl::Time now, ModelPool &modelPool,
@@ -208,38 +294,56 @@
     return false;
 }
 
-EngineRecord *Scheduler::State::chooseOnlineEngine(absl::Time now, ModelPool &modelPool,
+EngineRecord *Scheduler::State::chooseOnlineEngine(absl::Time now, const ModelPool &modelPool,
                                                    const TaskRecord &taskRecord)
+{
+    EngineRecord *chosen = chooseReportedEngine(now, modelPool, taskRecord, taskRecord.excluded);
+    if (chosen == nullptr && !taskRecord.excluded.empty())
+        chosen = chooseReportedEngine(now, modelPool, taskRecord, {});
+    return chosen != nullptr ? chosen : chooseUnreportedEngine(now, modelPool, taskRecord);
+}
+
+EngineRecord *Scheduler::State::chooseReportedEngine(absl::Time now, const ModelPool &modelPool,
+                                                     const TaskRecord &taskRecord,
+                                                     const std::vector<std::string> &excluded)
 {
     std::vector<EngineRecord *> records;
-    std::vector<RouteCandidate> candidates;
     for (EngineRecord *engineRecord : modelPool.engines) {
         const bool recent = now - engineRecord->state.reportedAt() < reportLifetime;
-        if (recent && hasCapacity(now, *engineRecord)) {
+        if (recent && hasCapacity(now, *engineRecord)
+            && !isWithheld(now, modelPool, excluded, *engineRecord))
             records.push_back(engineRecord);
-            candidates.push_back(candidate(now, modelPool, *engineRecord));
-        }
     }
-    static const std::vector<std::string> noExclusions;
-    int chosen = router.choose(now, taskRecord.task, candidates, taskRecord.excluded, prefixes,
-                               entries, random);
-    if (chosen < 0)
-        chosen = router.choose(now, taskRecord.task, candidates, noExclusions, prefixes, entries,
-                               random);
-    if (chosen >= 0)
-        return records[static_cast<std::size_t>(chosen)];
-    records.clear();
-    candidates.clear();
+    removePassedOver(now, modelPool, taskRecord, excluded, records);
+    return route(now, modelPool, taskRecord, excluded, records);
+}
+
+EngineRecord *Scheduler::State::chooseUnreportedEngine(absl::Time now, const ModelPool &modelPool,
+                                                       const TaskRecord &taskRecord)
+{
+    const std::vector<std::string> &excluded = taskRecord.excluded;
+    std::vector<EngineRecord *> records;
     for (EngineRecord *engineRecord : modelPool.engines) {
         const bool recent = now - engineRecord->state.reportedAt() < reportLifetime;
         const std::int64_t localOnline = engineRecord->state.localTasks(TaskKind::Online);
-        if (!recent && localOnline < maxTasksWithoutReport) {
+        if (!recent && localOnline < maxTasksWithoutReport
+            && !isWithheld(now, modelPool, excluded, *engineRecord))
             records.push_back(engineRecord);
-            candidates.push_back(candidate(now, modelPool, *engineRecord));
-        }
     }
-    chosen = router.choose(now, taskRecord.task, candidates, taskRecord.excluded, prefixes, entries,
-                           random);
+    return route(now, modelPool, taskRecord, excluded, records);
+}
+
+EngineRecord *Scheduler::State::route(absl::Time now, const ModelPool &modelPool,
+                                      const TaskRecord &taskRecord,
+                                      const std::vector<std::string> &excluded,
+                                      const std::vector<EngineRecord *> &records)
+{
+    std::vector<RouteCandidate> candidates;
+    candidates.reserve(records.size());
+    for (const EngineRecord *engineRecord : records)
+        candidates.push_back(candidate(now, modelPool, *engineRecord));
+    const int chosen =
+            router.choose(now, taskRecord.task, candidates, excluded, prefixes, entries, random);
     return chosen < 0 ? nullptr : records[static_cast<std::size_t>(chosen)];
 }
 
@@ -254,7 +358,8 @@
                                             : interpolate(minNonPreferredCost, maxNonPreferredCost,
                                                           settings.onlineTailWeight);
     return RouteCandidate{&engineRecord.state,
-                          nonPreferredCost + (busy ? settings.batchPrefillCost : 0)};
+                          nonPreferredCost + (busy ? settings.batchPrefillCost : 0),
+                          modelPool.failures.usableShare(now, engineRecord.state.info().name)};
 }
 
 bool Scheduler::State::usesWindows(const ModelPool &modelPool)
@@ -267,8 +372,7 @@
     const EngineState &state = engineRecord.state;
     if (state.info().leaving || state.outlier().ejected(now) || !state.hasReport())
         return false;
-    const double requests = state.reportedRequests() - engineRecord.preempting;
-    if (requests + 1 <= static_cast<double>(state.maxBatch()))
+    if (hasFreeSlot(engineRecord))
         return true;
     return std::any_of(engineRecord.running.begin(), engineRecord.running.end(),
                        [&](TaskId id) { return isPreemptible(now, taskRecords.at(id)); });
@@ -277,10 +381,7 @@
 void Scheduler::State::preemptIfFull(absl::Time now, ModelPool &modelPool,
                                      EngineRecord &engineRecord)
 {
-    const EngineState &state = engineRecord.state;
-    const double requests =
-            state.reportedRequests() - engineRecord.preempting + unreportedOnline(modelPool);
-    if (!state.hasReport() || requests + 1 <= static_cast<double>(state.maxBatch()))
+    if (!engineRecord.state.hasReport() || hasFreeSlot(engineRecord, unreportedOnline(modelPool)))
         return;
     // One preemption for each start: other entries preempt tasks for their own starts.
     if (TaskRecord *victim = chooseVictim(now, engineRecord))
@@ -426,12 +527,13 @@
                                       const EngineRecord &engineRecord) const
 {
     const EngineState &state = engineRecord.state;
-    if (!isUsable(now, engineRecord))
+    if (!isUsable(now, modelPool, engineRecord))
         return 0;
     const double rate = onlineRatePerEngine(now, modelPool);
     const int capacity =
             batchAllowance.batchCapacity(engineRecord, rate, unreportedOnline(modelPool), entries);
-    const double share = state.outlier().trafficShare(now);
+    const double share = std::min(state.outlier().trafficShare(now),
+                                  modelPool.failures.usableShare(now, state.info().name));
     return share < 1 ? static_cast<int>(capacity * share) : capacity;
 }
 
@@ -441,11 +543,10 @@
         return 0;
     std::size_t capacity = 0;
     std::size_t running = 0;
-    for (const EngineRecord *engineRecord : modelPool.engines) {
-        capacity += static_cast<std::size_t>(
-                std::max(batchCapacityOn(now, modelPool, *engineRecord), 0));
+    for (const BatchCapacity &open : enginesForBatch(now, modelPool))
+        capacity += static_cast<std::size_t>(open.tasks);
+    for (const EngineRecord *engineRecord : modelPool.engines)
         running += static_cast<std::size_t>(engineRecord->state.localTasks(TaskKind::Batch));
-    }
     capacity += static_cast<std::size_t>(std::ceil(static_cast<double>(running) * leaseAheadShare));
     const std::size_t waiting = modelPool.batch.size();
     return capacity > waiting ? capacity - waiting : 0;
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -1,6 +1,7 @@
 #include "rattanrill/policy/slotscheduler.h"
 
 #include "rattanrill/base/enumnames.h"
+#include "rattanrill/policy/passoverrule.h"
 
 #include <algorithm>
 #include <array>
@@ -13,12 +14,13 @@
 /// Weight of a new sample in the moving averages of the time for which a slot is held.
 constexpr double sampleWeight = 0.05;
 
-constexpr std::array<EnumName<ReleaseReason>, 5> releaseReasonNames = {{
+constexpr std::array<EnumName<ReleaseReason>, 6> releaseReasonNames = {{
         {ReleaseReason::Completed, "served"},
         {ReleaseReason::Cancelled, "abandoned"},
         {ReleaseReason::Failed, "failed"},
         {ReleaseReason::Unreachable, "gone"},
         {ReleaseReason::Unanswered, "unanswered"},
+        {ReleaseReason::ServerError, "server_error"},
 }};
 
 bool isOnline(const SlotTask &task)
@@ -40,6 +42,7 @@
 
 SlotScheduler::SlotScheduler(SlotSchedulerSettings settings)
     : m_settings(settings)
+    , m_random(settings.turnSeed)
 {}
 
 SlotScheduler::Service &SlotScheduler::service(const std::string &name)
@@ -50,7 +53,7 @@
     return found->second;
 }
 
-SlotScheduler::Item *SlotScheduler::itemOf(TaskId number)
+SlotScheduler::Item *SlotScheduler::itemOf(TaskId number) const
 {
     const auto found = m_itemsByNumber.find(number);
     return found == m_itemsByNumber.end() ? nullptr : found->second;
@@ -65,26 +68,39 @@
         service.versions.clear();
         service.hasUncheckedVersions = true;
     }
+    std::map<std::string, std::set<std::string>> idsOfServices;
     for (const SlotUpstream &info : upstreams) {
+        idsOfServices[info.service].insert(info.id);
         std::unique_ptr<Upstream> &upstream = m_upstreams[info.id];
         if (upstream == nullptr) {
             upstream = std::make_unique<Upstream>();
             upstream->health = UpstreamHealth(m_settings.outlier);
             upstream->limit = RequestLimit(m_settings.requestLimit);
+            upstream->load.setTurn(initialTurn(info.id, m_settings.turnSeed));
         }
         upstream->info = info;
         upstream->removed = false;
         Service &upstreamService = service(info.service);
         upstreamService.upstreams.push_back(upstream.get());
+        upstream->failures = &upstreamService.failures;
         if (!info.leaving)
             upstreamService.versions.insert(info.version);
     }
+    for (auto &[name, service] : m_services)
+        service.failures.retain(idsOfServices[name]);
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
-        const bool isUnused = entry->second->removed && entry->second->occupiedSlots() == 0;
-        entry = isUnused ? m_upstreams.erase(entry) : std::next(entry);
+        entry = isUnused(*entry->second) ? m_upstreams.erase(entry) : std::next(entry);
     }
 }
 
+/// Whether nothing needs to be known of the upstream any more. An upstream that is missing in one
+/// list may be back in the next one, and still be cold.
+bool SlotScheduler::isUnused(const Upstream &upstream) const
+{
+    return upstream.removed && upstream.occupiedSlots() == 0
+           && !upstream.warmUp.isCold(m_decidedAt);
+}
+
 void SlotScheduler::beginTakeover(absl::Time now)
 {
     m_takeoverAt = now;
@@ -150,7 +166,8 @@
     item->number = m_nextNumber++;
     item->since = now;
     item->upstream = found->second.get();
-    item->upstream->limit.take(now);
+    recordSent(now, *item->upstream);
+    item->upstream->load.granted(++m_lastTurn);
     (isOnline(task) ? item->upstream->online : item->upstream->batch).insert(item.get());
     m_itemsByNumber[item->number] = item.get();
     m_items[task.id] = std::move(item);
@@ -200,7 +217,7 @@
     upstream.probes -= std::exchange(item.isProbe, false) ? 1 : 0;
     item.upstream = nullptr;
     // As in removeItem(), the upstream that is erased owns its id.
-    if (upstream.removed && upstream.occupiedSlots() == 0)
+    if (isUnused(upstream))
         m_upstreams.erase(std::string(upstream.info.id));
 }
 
@@ -210,10 +227,12 @@
                                                         const std::string &observer)
 {
     UpstreamHealth &health = upstream.health;
+    if (reason == ReleaseReason::Unreachable)
+        upstream.warmUp.suspect(now, observer);
     const bool wasEjected = health.isEjected(now);
     const auto isEjectedForObserver = [&] { return health.trafficShare(now, observer) == 0; };
     const bool wasEjectedForObserver = isEjectedForObserver();
-    if (reason == ReleaseReason::Completed)
+    if (reason == ReleaseReason::Completed || reason == ReleaseReason::ServerError)
         health.succeeded(now, observer);
     else if (reason == ReleaseReason::Unanswered)
         health.unanswered(now, observer);
@@ -224,11 +243,35 @@
     const bool isNew = isNewForAll || (!wasEjectedForObserver && isEjectedForObserver());
     if (!isNew)
         return std::nullopt;
+    // It may have been restarted meanwhile.
+    if (reason == ReleaseReason::Unanswered)
+        upstream.warmUp.suspect(now, observer);
     return SlotEjection{upstream.info.id, isNewForAll ? std::string() : observer,
                         health.failedObservers(), health.ejectedUntil(observer) - now,
                         upstream.occupiedSlots()};
 }
 
+/// Judges the upstream by its share of server errors.
+std::optional<SlotEjection> SlotScheduler::recordServerError(absl::Time now,
+                                                             const Upstream &upstream,
+                                                             const std::string &workspace)
+{
+    if (upstream.removed)
+        return std::nullopt;
+    std::vector<std::string> candidates;
+    for (const Upstream *candidate : m_services.at(upstream.info.service).upstreams) {
+        // A cold one may get too few requests to be compared with.
+        const bool isComparable = candidate == &upstream || !candidate->warmUp.isCold(now);
+        if (isComparable && !candidate->info.leaving && !candidate->health.isEjected(now))
+            candidates.push_back(candidate->info.id);
+    }
+    if (!upstream.failures->failed(now, upstream.info.id, workspace, candidates))
+        return std::nullopt;
+    return SlotEjection{upstream.info.id, std::string(), 0,
+                        upstream.failures->ejectedUntil(upstream.info.id) - now,
+                        upstream.occupiedSlots()};
+}
+
 std::optional<SlotEjection> SlotScheduler::release(absl::Time now, const std::string &task,
                                                    ReleaseReason reason,
                                                    const std::string &observer)
@@ -243,11 +286,17 @@
     }
     std::optional<SlotEjection> ejection = recordHealth(
             now, *item.upstream, reason, observer.empty() ? item.task.sender : observer);
+    if (reason == ReleaseReason::ServerError)
+        ejection = recordServerError(now, *item.upstream, item.task.workspace);
     if (reason == ReleaseReason::Completed) {
+        if (!item.upstream->removed)
+            item.upstream->failures->succeeded(now, item.upstream->info.id, item.task.workspace);
         Service &taskService = service(item.task.service);
         absl::Duration &mean =
                 isOnline(item.task) ? taskService.meanHoldTime : taskService.meanBatchHoldTime;
-        const absl::Duration holdTime = item.task.priorRunTime + (now - item.since);
+        // At the usual pace, because slotReleaseInterval() takes the pace into account.
+        const double pace = isOnline(item.task) ? item.upstream->load.pace(now) : 1;
+        const absl::Duration holdTime = item.task.priorRunTime + (now - item.since) / pace;
         mean = mean == absl::ZeroDuration() ? holdTime : mean + (holdTime - mean) * sampleWeight;
     }
     releaseSlot(item);
@@ -257,8 +306,10 @@
 
 void SlotScheduler::discardReports(absl::Time now, const std::string &observer)
 {
-    for (auto &[id, upstream] : m_upstreams)
+    for (auto &[id, upstream] : m_upstreams) {
         upstream->health.discard(now, observer);
+        upstream->warmUp.discard(now, observer);
+    }
 }
 
 bool SlotScheduler::isEjectedFor(absl::Time now, const std::string &upstream,
@@ -289,6 +340,14 @@
     auto &reports = found->second->reports;
     reports[0] = reports[1];
     reports[1] = {now, std::max<std::int64_t>(requests - found->second->occupiedSlots(), 0)};
+    found->second->load.loadReported(now, requests, found->second->occupiedSlots());
+}
+
+void SlotScheduler::paceReported(absl::Time now, const std::string &upstream, double pace)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end())
+        found->second->load.paceReported(now, pace);
 }
 
 bool SlotScheduler::limitReported(absl::Time now, const std::string &upstream,
@@ -304,8 +363,10 @@
 
 void SlotScheduler::clearAccumulatedRequests(absl::Time now)
 {
-    for (auto &[id, upstream] : m_upstreams)
+    for (auto &[id, upstream] : m_upstreams) {
         upstream->limit.clearAccumulated(now);
+        upstream->warmUp.clearAccumulated(now);
+    }
 }
 
 std::optional<double> SlotScheduler::requestLimit(absl::Time now, const std::string &upstream) const
@@ -365,47 +426,142 @@
             });
 }
 
-bool SlotScheduler::accepts(absl::Time now, const Service &service, const Upstream &upstream,
-                            const Item &item) const
+/// The reason why the upstream gets no request of the item, whatever its server errors and rates
+/// are; absent if there is none.
+std::optional<ExclusionReason>
+SlotScheduler::exclusionBeforeErrorsAndRates(absl::Time now, const Service &service,
+                                             const Upstream &upstream, const Item &item) const
+{
+    if (upstream.info.leaving || upstream.removed)
+        return ExclusionReason::Leaving;
+    if (isBound(service, item.task) && upstream.info.version != *item.task.version)
+        return ExclusionReason::OtherVersion;
+    if (isExcluded(upstream, item))
+        return ExclusionReason::Excluded;
+    if (upstream.health.trafficShare(now, item.task.sender) <= 0)
+        return ExclusionReason::Ejected;
+    return std::nullopt;
+}
+
+/// The reason why the upstream doesn't accept the item, whatever slots are free; absent if it
+/// accepts it.
+std::optional<ExclusionReason> SlotScheduler::exclusionReason(absl::Time now,
+                                                              const Service &service,
+                                                              const Upstream &upstream,
+                                                              const Item &item) const
 {
     const std::string &sender = item.task.sender;
+    const auto isSound = [&](const Upstream &candidate) {
+        return !exclusionBeforeErrorsAndRates(now, service, candidate, item)
+               && !isFailing(now, candidate);
+    };
     const auto isOpen = [&](const Upstream &candidate) {
-        if (candidate.info.leaving || candidate.removed)
-            return false;
-        if (isBound(service, item.task) && candidate.info.version != *item.task.version)
-            return false;
-        return !isExcluded(candidate, item) && candidate.health.trafficShare(now, sender) > 0
-               && candidate.limit.allows(now);
+        return isSound(candidate) && mayReceive(now, candidate, item.task.kind);
     };
     const auto isAvoided = [&](const Upstream &candidate) {
         return candidate.health.isEjectedFor(now, sender);
     };
-    if (!isOpen(upstream))
-        return false;
+    const auto &others = service.upstreams;
+    if (const auto reason = exclusionBeforeErrorsAndRates(now, service, upstream, item))
+        return reason;
+    // An upstream that responds with server errors may still serve a task that has no other. One
+    // whose rate is used up for now is another one; one with the rate 0 gets no requests at all.
+    const bool isUpstreamFailing = isFailing(now, upstream);
+    const bool hasSoundOther =
+            isUpstreamFailing
+            && std::any_of(others.begin(), others.end(), [&](const Upstream *other) {
+                   return isSound(*other) && receivingRate(now, *other).value_or(1) > 0;
+               });
+    if (hasSoundOther)
+        return ExclusionReason::Failing;
+    if (!mayReceive(now, upstream, item.task.kind))
+        return upstream.limit.allows(now) ? ExclusionReason::Cold : ExclusionReason::Limited;
     // An upstream that answered no connection may end its pause at any time, so it is used when all
     // others are avoided, too.
-    return !isAvoided(upstream)
-           || std::none_of(
-                   service.upstreams.begin(), service.upstreams.end(),
-                   [&](const Upstream *other) { return isOpen(*other) && !isAvoided(*other); });
+    const bool hasOpenOther =
+            !isUpstreamFailing && isAvoided(upstream)
+            && std::any_of(others.begin(), others.end(), [&](const Upstream *other) {
+                   return isOpen(*other) && !isAvoided(*other);
+               });
+    return hasOpenOther ? std::optional(ExclusionReason::Ejected) : std::nullopt;
+}
+
+bool SlotScheduler::accepts(absl::Time now, const Service &service, const Upstream &upstream,
+                            const Item &item) const
+{
+    return !exclusionReason(now, service, upstream, item);
+}
+
+/// Whether the upstream is ejected because of its share of server errors.
+bool SlotScheduler::isFailing(absl::Time now, const Upstream &upstream)
+{
+    return upstream.failures->isEjected(now, upstream.info.id);
+}
+
+/// Leaves out upstreams that are passed over because of server errors, as long as others are open.
+void SlotScheduler::removePassedOver(absl::Time now, const FailureShares &failures,
+                                     std::vector<Upstream *> &open)
+{
+    PassOverRule rule(now, failures);
+    if (!rule.isActive())
+        return;
+    for (const Upstream *upstream : open)
+        rule.addOpen(upstream->info.id,
+                     upstream->occupiedSlots() == 0 && !upstream->warmUp.isCold(now));
+    const auto isPassedOver = [&](const Upstream *upstream) {
+        return rule.isPassedOver(upstream->info.id);
+    };
+    open.erase(std::remove_if(open.begin(), open.end(), isPassedOver), open.end());
+}
+
+/// Whether an upstream of \a version accepts tasks of \a sender and is not failing.
+bool SlotScheduler::hasOtherOfVersion(absl::Time now, const Service &service,
+                                      const std::string &version, const std::string &sender)
+{
+    return std::any_of(service.upstreams.begin(), service.upstreams.end(),
+                       [&](const Upstream *upstream) {
+                           return !upstream->info.leaving && upstream->info.version == version
+                                  && upstream->health.trafficShare(now, sender) > 0
+                                  && !isFailing(now, *upstream);
+                       });
 }
 
 /// Whether a slot is free for \a task, which the upstream accepts.
 bool SlotScheduler::hasFreeSlot(absl::Time now, const Upstream &upstream,
                                 const SlotTask &task) const
+{
+    return hasRoomFor(now, upstream, task) && mayProbe(now, upstream);
+}
+
+/// Whether the slots allow \a task, which the upstream accepts, though its load may be unknown.
+bool SlotScheduler::hasRoomFor(absl::Time now, const Upstream &upstream, const SlotTask &task) const
 {
     const std::int64_t onlineReserve = isOnline(task) ? 0 : m_settings.onlineReserve;
-    return hasRoom(now, upstream, upstream.health.trafficShare(now, task.sender), onlineReserve);
+    const double share = std::min(upstream.health.trafficShare(now, task.sender),
+                                  upstream.failures->usableShare(now, upstream.info.id));
+    return hasRoom(now, upstream, share, onlineReserve);
 }
 
 /// Whether a slot is free within \a share (0 to 1) of the upstream's slots, less \a reserve slots.
+/// This scheduler's part of the slots limits its own tasks, and all slots limit them together with
+/// the requests of other senders.
 bool SlotScheduler::hasRoom(absl::Time now, const Upstream &upstream, double share,
                             std::int64_t reserve) const
 {
-    const auto capacity =
-            static_cast<std::int64_t>(std::ceil(static_cast<double>(upstream.info.slots) * share));
-    if (upstream.occupiedSlots() + foreignRequests(now, upstream) >= capacity - reserve)
-        return false;
+    const auto isFull = [&](std::int64_t requests, std::int64_t slots) {
+        const auto capacity =
+                static_cast<std::int64_t>(std::ceil(static_cast<double>(slots) * share));
+        return requests >= capacity - reserve;
+    };
+    const std::int64_t own = upstream.occupiedSlots();
+    return !isFull(own, upstream.info.usableSlots())
+           && !isFull(own + foreignRequests(now, upstream), upstream.info.slots);
+}
+
+/// Whether the upstream may get a further request before its first load report since a takeover, or
+/// needs no probes.
+bool SlotScheduler::mayProbe(absl::Time now, const Upstream &upstream) const
+{
     return !isLoadUnknown(now, upstream) || upstream.probes < m_settings.maxProbes;
 }
 
@@ -439,4 +595,41 @@
     return slots;
 }
 
+std::size_t SlotScheduler::ejectedUpstreamCount(absl::Time now) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, upstream] : m_upstreams) {
+        if (upstream->removed || upstream->info.leaving)
+            continue;
+        const bool isEjected = upstream->health.isEjected(now) || isFailing(now, *upstream);
+        count += isEjected ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<ServiceLoad> SlotScheduler::serviceLoads(absl::Time now) const
+{
+    std::vector<ServiceLoad> loads;
+    for (const auto &[name, service] : m_services) {
+        ServiceLoad load;
+        load.service = name;
+        std::int64_t busiest = 0;
+        std::int64_t accepting = 0;
+        for (const Upstream *upstream : service.upstreams) {
+            if (upstream->info.leaving)
+                continue;
+            ++accepting;
+            load.running += upstream->occupiedSlots();
+            busiest = std::max(busiest, upstream->occupiedSlots());
+            load.highestPace = std::max(load.highestPace, upstream->load.pace(now));
+        }
+        if (load.running == 0)
+            continue;
+        const double mean = static_cast<double>(load.running) / static_cast<double>(accepting);
+        load.spread = static_cast<double>(busiest) / mean;
+        loads.push_back(std::move(load));
+    }
+    return loads;
+}
+
 } // namespace rattanrill::policy
--- a/src/policy/slotscheduler_decisions.cpp
+++ b/src/policy/slotscheduler_decisions.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 /// Decisions of SlotScheduler: which waiting task gets a slot, is rejected or is preempted.
@@ -13,37 +14,99 @@
 constexpr int grantsPerLateTask = 8;
 /// Number of requests that an upstream of the own failure domain may have more than another one and
 /// still be chosen for an online task.
-constexpr std::int64_t maxNearerExtraRequests = 2;
+constexpr double maxNearerExtraRequests = 2;
+/// Number of requests that a warm upstream may have more than a cold one and still be chosen.
+constexpr double maxWarmerExtraRequests = 2;
 /// Retry-After when no upstream of the service accepts tasks.
 constexpr absl::Duration noUpstreamRetryAfter = absl::Seconds(1);
 
 } // namespace
 
-/// Returns the upstream with the fewest requests among those with a free slot, because each request
-/// makes the decode steps of all others longer. An online task goes to an upstream of its own
-/// failure domain that has a few requests more: the difference in speed is small, and its prompt
-/// and its response don't cross the boundary of the domain.
-SlotScheduler::Upstream *SlotScheduler::freeUpstream(absl::Time now, const Service &service,
-                                                     const Item &item) const
+/// Upstreams that have a free slot for the task and are not passed over.
+std::vector<SlotScheduler::Upstream *>
+SlotScheduler::freeUpstreams(absl::Time now, const Service &service, const Item &item) const
 {
-    const std::int64_t farPenalty = item.task.kind == TaskKind::Online ? maxNearerExtraRequests : 0;
-    Upstream *best = nullptr;
-    std::int64_t bestCost = 0;
-    bool isBestNear = false;
+    std::vector<Upstream *> open;
+    open.reserve(service.upstreams.size());
     for (Upstream *upstream : service.upstreams) {
-        if (!accepts(now, service, *upstream, item) || !hasFreeSlot(now, *upstream, item.task))
-            continue;
-        const bool isNear = upstream->info.failureDomain == item.task.failureDomain;
-        const std::int64_t cost = upstream->occupiedSlots() + foreignRequests(now, *upstream)
-                                  + (isNear ? 0 : farPenalty);
-        const bool isNearer = cost == bestCost && isNear && !isBestNear;
-        if (best != nullptr && cost >= bestCost && !isNearer)
-            continue;
-        best = upstream;
-        bestCost = cost;
-        isBestNear = isNear;
+        if (accepts(now, service, *upstream, item) && hasFreeSlot(now, *upstream, item.task))
+            open.push_back(upstream);
     }
-    return best;
+    removePassedOver(now, service.failures, open);
+    return open;
+}
+
+/// What counts for the choice of each of \a upstreams, in their order.
+std::vector<LoadCandidate>
+SlotScheduler::loadCandidates(absl::Time now, const Service &service, const SlotTask &task,
+                              const std::vector<Upstream *> &upstreams) const
+{
+    std::vector<LoadCandidate> candidates;
+    candidates.reserve(upstreams.size());
+    for (const Upstream *upstream : upstreams)
+        candidates.push_back(candidateOf(now, service, *upstream, task));
+    return candidates;
+}
+
+/// Random number for the choice of an upstream. Only schedulers that share upstreams draw one.
+double SlotScheduler::choiceDraw(std::mt19937_64 &random) const
+{
+    return m_settings.sharesUpstreams ? std::uniform_real_distribution<double>()(random) : 0.0;
+}
+
+/// Returns the upstream where the task is expected to end first among those with a free slot. At
+/// equal pace that is the one with the fewest requests, because each request makes the decode steps
+/// of all others longer. An online task goes to an upstream of its own failure domain that has a
+/// few requests more: the difference in speed is small, and its prompt and its response don't cross
+/// the boundary of the domain. A warm upstream goes before a cold one in the same way, because the
+/// cold one may get few requests. Equal upstreams take turns.
+SlotScheduler::Upstream *SlotScheduler::freeUpstream(absl::Time now, const Service &service,
+                                                     const Item &item)
+{
+    const std::vector<Upstream *> open = freeUpstreams(now, service, item);
+    if (open.empty())
+        return nullptr;
+    return open[chooseCandidate(loadCandidates(now, service, item.task, open),
+                                arrivalsElsewhere(now, service), choiceDraw(m_random))];
+}
+
+/// What counts for the choice of \a upstream for \a task.
+LoadCandidate SlotScheduler::candidateOf(absl::Time now, const Service &service,
+                                         const Upstream &upstream, const SlotTask &task) const
+{
+    LoadCandidate candidate;
+    candidate.requests = expectedRequests(now, service, upstream);
+    candidate.pace = upstream.load.pace(now);
+    candidate.isNear = upstream.info.failureDomain == task.failureDomain;
+    if (task.kind == TaskKind::Online && !candidate.isNear)
+        candidate.penalty += maxNearerExtraRequests;
+    if (upstream.warmUp.isCold(now))
+        candidate.penalty += maxWarmerExtraRequests;
+    candidate.turn = upstream.load.turn();
+    candidate.hasSentEnough = m_settings.sharesUpstreams && upstream.load.hasSentEnough(now);
+    return candidate;
+}
+
+/// Number of requests expected at the upstream from what this scheduler knows of it alone.
+double SlotScheduler::expectedRequests(absl::Time now, const Service &service,
+                                       const Upstream &upstream) const
+{
+    const auto own = static_cast<double>(upstream.occupiedSlots());
+    if (m_settings.sharesUpstreams)
+        return own + upstream.load.remainingRequests(now, service.meanHoldTime);
+    return own + static_cast<double>(foreignRequests(now, upstream));
+}
+
+/// Requests that other schedulers are expected to have sent since the upstreams' last reports.
+double SlotScheduler::arrivalsElsewhere(absl::Time now, const Service &service) const
+{
+    if (!m_settings.sharesUpstreams)
+        return 0;
+    std::vector<const LoadEstimate *> loads;
+    loads.reserve(service.upstreams.size());
+    for (const Upstream *upstream : service.upstreams)
+        loads.push_back(&upstream->load);
+    return expectedArrivals(loads, now, service.meanHoldTime);
 }
 
 /// Returns the upstream with the most batch tasks.
@@ -60,16 +123,23 @@
     return best;
 }
 
-/// Preempts the batch task with the shortest run time, which is farthest from its end.
-void SlotScheduler::preemptOne(absl::Time now, Upstream &upstream)
+/// Returns the batch task with the shortest run time, which is farthest from its end; of equal ones
+/// the last that arrived. Requires that the upstream runs one.
+SlotScheduler::Item &SlotScheduler::preemptibleTask(absl::Time now, const Upstream &upstream)
 {
-    const auto runTime = [now](const Item *item) {
-        return item->task.priorRunTime + (now - item->since);
+    const auto rank = [now](const Item *item) {
+        const absl::Duration runTime = item->task.priorRunTime + (now - item->since);
+        return std::pair(runTime, std::numeric_limits<TaskId>::max() - item->number);
     };
     const auto least = std::min_element(
             upstream.batch.begin(), upstream.batch.end(),
-            [&](const Item *left, const Item *right) { return runTime(left) < runTime(right); });
-    Item &item = **least;
+            [&](const Item *left, const Item *right) { return rank(left) < rank(right); });
+    return **least;
+}
+
+void SlotScheduler::preemptOne(absl::Time now, Upstream &upstream)
+{
+    Item &item = preemptibleTask(now, upstream);
     m_decisions.emplace_back(PreemptSlot{item.task.id});
     releaseSlot(item);
     removeItem(item);
@@ -89,7 +159,8 @@
         service.grantsSinceLate = 0;
     else if (item.task.kind != TaskKind::Online)
         ++service.grantsSinceLate;
-    upstream.limit.take(now);
+    recordSent(now, upstream);
+    upstream.load.granted(++m_lastTurn);
     item.isProbe = isLoadUnknown(now, upstream);
     upstream.probes += item.isProbe ? 1 : 0;
     item.upstream = &upstream;
@@ -106,8 +177,10 @@
     Upstream *upstream = freeUpstream(now, service, item);
     if (upstream == nullptr) {
         upstream = preemptibleUpstream(now, service, item);
-        if (upstream == nullptr)
+        if (upstream == nullptr) {
+            countWarmUpWait(now, service, item);
             return false;
+        }
         preemptOne(now, *upstream);
     }
     grant(now, service, item, *upstream);
@@ -117,20 +190,46 @@
 /// Whether the upstream has a slot, free or of a batch task, for an online task of some sender.
 bool SlotScheduler::mayTakeOnline(absl::Time now, const Upstream &upstream) const
 {
-    if (upstream.info.leaving || upstream.health.isEjected(now) || !upstream.limit.allows(now))
+    const bool isAccepting = !upstream.info.leaving && !upstream.health.isEjected(now)
+                             && mayReceive(now, upstream, TaskKind::Online);
+    if (!isAccepting)
         return false;
-    return !upstream.batch.empty() || hasRoom(now, upstream, upstream.health.trafficShare(now), 0);
+    const double share = std::min(upstream.health.trafficShare(now),
+                                  upstream.failures->usableShare(now, upstream.info.id));
+    return !upstream.batch.empty() || (hasRoom(now, upstream, share, 0) && mayProbe(now, upstream));
 }
 
+/// Upstreams that may take an online task. \a isLastResort: those that are failing while another
+/// one of their version is not, so that they get only tasks for which that one is excluded.
 std::vector<const SlotScheduler::Upstream *>
-SlotScheduler::openUpstreams(absl::Time now, const Service &service) const
+SlotScheduler::openUpstreams(absl::Time now, const Service &service, bool isLastResort) const
 {
     std::vector<const Upstream *> open;
     std::copy_if(service.upstreams.begin(), service.upstreams.end(), std::back_inserter(open),
-                 [&](const Upstream *upstream) { return mayTakeOnline(now, *upstream); });
+                 [&](const Upstream *upstream) {
+                     const bool hasOther =
+                             isFailing(now, *upstream)
+                             && hasOtherOfVersion(now, service, upstream->info.version, "");
+                     return hasOther == isLastResort && mayTakeOnline(now, *upstream);
+                 });
     return open;
 }
 
+/// Whether one of the upstreams that may take an online task accepts \a item. The last resorts are
+/// tried only for a task that must not be sent to some of the others.
+bool SlotScheduler::isAcceptedByAny(absl::Time now, const Service &service, const Item &item,
+                                    const std::vector<const Upstream *> &open,
+                                    const std::vector<const Upstream *> &lastResorts) const
+{
+    const auto acceptsItem = [&](const Upstream *upstream) {
+        return accepts(now, service, *upstream, item);
+    };
+    const bool mayNeedLastResort = !item.task.excluded.empty();
+    return std::any_of(open.begin(), open.end(), acceptsItem)
+           || (mayNeedLastResort
+               && std::any_of(lastResorts.begin(), lastResorts.end(), acceptsItem));
+}
+
 /// Tasks that wait for upstreams of another version do not hold up those behind them. While no
 /// upstream can take a task, the waiting ones are not searched: hundreds of them wait when many
 /// upstreams pause, and each release and each request leads to a decision.
@@ -138,9 +237,13 @@
 {
     if (service.bound.empty())
         return;
-    std::vector<const Upstream *> open = openUpstreams(now, service);
+    std::vector<const Upstream *> open = openUpstreams(now, service, false);
+    const std::vector<const Upstream *> lastResorts = openUpstreams(now, service, true);
     const bool checksVersions = std::exchange(service.hasUncheckedVersions, false);
-    if (open.empty() && !checksVersions)
+    const auto isSearchOver = [&] {
+        return open.empty() && lastResorts.empty() && !checksVersions;
+    };
+    if (isSearchOver())
         return;
     const auto waiting = service.bound;
     for (const auto &[priority, number] : waiting) {
@@ -149,12 +252,10 @@
             reject(now, service, item);
             continue;
         }
-        const bool isAccepted = std::any_of(open.begin(), open.end(), [&](const auto *upstream) {
-            return accepts(now, service, *upstream, item);
-        });
+        const bool isAccepted = isAcceptedByAny(now, service, item, open, lastResorts);
         if (isAccepted && grantOnline(now, service, item))
-            open = openUpstreams(now, service);
-        if (open.empty() && !checksVersions)
+            open = openUpstreams(now, service, false);
+        if (isSearchOver())
             return;
     }
 }
@@ -173,11 +274,13 @@
 {
     if (service.onlineWaiting > 0)
         return;
-    while (Item *item = nextBatch(now, service)) {
+    moveLateTasks(now, service);
+    while (Item *item = firstBatch(now, service)) {
         Upstream *upstream = freeUpstream(now, service, *item);
         if (upstream == nullptr)
             return;
         grant(now, service, *item, *upstream);
+        moveLateTasks(now, service);
     }
 }
 
@@ -216,32 +319,47 @@
     task.sender = sender;
     std::set<std::string> versions;
     for (const Upstream *upstream : service.upstreams) {
-        const bool isAccepting = !upstream->info.leaving
-                                 && !upstream->health.isEjectedFor(now, sender)
-                                 && upstream->limit.allows(now);
+        const bool isAccepting =
+                !upstream->info.leaving && !upstream->health.isEjectedFor(now, sender)
+                && mayReceive(now, *upstream, TaskKind::Batch)
+                && (!isFailing(now, *upstream)
+                    || !hasOtherOfVersion(now, service, upstream->info.version, sender));
         if (isAccepting && hasFreeSlot(now, *upstream, task))
             versions.insert(upstream->info.version);
     }
     return versions;
 }
 
+/// Whether the batch task does not wait for a slot at its version. \a freeVersions keeps what was
+/// found for other tasks.
+bool SlotScheduler::canStartBatch(absl::Time now, const Service &service, const Item &item,
+                                  FreeVersions &freeVersions) const
+{
+    if (service.versions.size() <= 1 || !isBound(service, item.task))
+        return true;
+    const auto [free, isNew] = freeVersions.try_emplace(item.task.sender);
+    if (isNew)
+        free->second = freeBatchVersions(now, service, item.task.sender);
+    return free->second.count(*item.task.version) != 0;
+}
+
+/// Whether some batch task may get a free slot. Checked only with several versions, because
+/// firstBatch() would otherwise search all tasks in vain for one whose version has a free slot.
+bool SlotScheduler::mayStartAnyBatch(absl::Time now, const Service &service) const
+{
+    return service.versions.size() <= 1 || !freeBatchVersions(now, service, std::string()).empty();
+}
+
 /// Returns the interrupted task that is nearest to its end, else a task that has not started, else
 /// a late one. After grantsPerLateTask grants to other batch tasks, a late task goes first. Passes
 /// over tasks that wait for a slot at their version.
-SlotScheduler::Item *SlotScheduler::nextBatch(absl::Time now, Service &service)
+SlotScheduler::Item *SlotScheduler::firstBatch(absl::Time now, const Service &service) const
 {
-    moveLateTasks(now, service);
-    std::map<std::string, std::set<std::string>> freeVersionsBySender;
+    FreeVersions freeVersions;
     const auto canStart = [&](const Item &item) {
-        if (service.versions.size() <= 1 || !isBound(service, item.task))
-            return true;
-        const auto [free, isNew] = freeVersionsBySender.try_emplace(item.task.sender);
-        if (isNew)
-            free->second = freeBatchVersions(now, service, item.task.sender);
-        return free->second.count(*item.task.version) != 0;
+        return canStartBatch(now, service, item, freeVersions);
     };
-    // Without a free slot no task can start. The search below is for free slots of other versions.
-    if (service.versions.size() > 1 && freeBatchVersions(now, service, std::string()).empty())
+    if (!mayStartAnyBatch(now, service))
         return nullptr;
     const auto firstOf = [&](const FairQueue &queue) {
         const auto number = queue.front([&](TaskId task) { return canStart(*itemOf(task)); });
@@ -263,16 +381,19 @@
     return next != nullptr ? next : late;
 }
 
-/// Expected time between the ends of two successive online requests when all slots are occupied. A
-/// limit makes the slots beyond it unavailable.
+/// Expected time between the ends of two successive online requests when all slots are occupied,
+/// counting only the slots that tasks of this scheduler can hold: those waiting here get no others.
+/// A limit or a warm-up rate makes the slots beyond it unavailable, and an upstream that is slower
+/// than usual frees its slots less often.
 absl::Duration SlotScheduler::slotReleaseInterval(absl::Time now, const Service &service) const
 {
     double slots = 0;
     for (const Upstream *upstream : service.upstreams) {
         if (upstream->info.leaving)
             continue;
-        const auto upstreamSlots = static_cast<double>(upstream->info.slots);
-        const std::optional<double> limit = upstream->limit.limit(now);
+        const double upstreamSlots =
+                static_cast<double>(upstream->info.usableSlots()) / upstream->load.pace(now);
+        const std::optional<double> limit = receivingRate(now, *upstream);
         slots += limit ? std::min(upstreamSlots,
                                   *limit * absl::ToDoubleSeconds(service.meanHoldTime))
                        : upstreamSlots;
@@ -287,28 +408,48 @@
     std::int64_t slots = 0;
     for (const Upstream *upstream : service.upstreams) {
         if (!upstream->info.leaving && isLoadUnknown(now, *upstream))
-            slots += std::max<std::int64_t>(upstream->info.slots - upstream->occupiedSlots(), 0);
+            slots += std::max<std::int64_t>(
+                    upstream->info.usableSlots() - upstream->occupiedSlots(), 0);
     }
     return slots;
 }
 
+/// Expected time until the last of \a waiting online tasks without a version gets a slot.
+absl::Duration SlotScheduler::expectedWait(absl::Time now, const Service &service,
+                                           std::size_t waiting) const
+{
+    const std::int64_t ahead = static_cast<std::int64_t>(waiting) - withheldSlots(now, service);
+    return slotReleaseInterval(now, service)
+           * static_cast<double>(std::max<std::int64_t>(ahead, 0));
+}
+
+/// Returns a task that is not expected to get a slot before its deadline while \a waiting tasks
+/// wait: the last one of the lowest priority whose last task is of this kind. \a online: the tasks
+/// by priority; \a added: one of them that the scheduler doesn't have, or null.
+std::optional<TaskId> SlotScheduler::lastUnservable(absl::Time now, const Service &service,
+                                                    const std::map<int, FairQueue> &online,
+                                                    std::size_t waiting, const Item *added) const
+{
+    const absl::Time servedAt = now + expectedWait(now, service, waiting);
+    for (auto entry = online.rbegin(); entry != online.rend(); ++entry) {
+        const std::optional<TaskId> last = entry->second.back();
+        if (!last)
+            continue;
+        const bool isAdded = added != nullptr && added->number == *last;
+        const Item &item = isAdded ? *added : *itemOf(*last);
+        if (servedAt > item.task.deadline)
+            return last;
+    }
+    return std::nullopt;
+}
+
 /// Rejects tasks that are not expected to get a slot before their deadline at once, rather than at
 /// the deadline. The tasks of the workspace with the most service are rejected first.
 void SlotScheduler::rejectUnservable(absl::Time now, Service &service)
 {
-    for (auto entry = service.online.rbegin(); entry != service.online.rend(); ++entry) {
-        FairQueue &queue = entry->second;
-        while (const std::optional<TaskId> last = queue.back()) {
-            Item &item = *itemOf(*last);
-            const std::int64_t ahead =
-                    static_cast<std::int64_t>(service.onlineWaiting) - withheldSlots(now, service);
-            const absl::Duration wait = slotReleaseInterval(now, service)
-                                        * static_cast<double>(std::max<std::int64_t>(ahead, 0));
-            if (now + wait <= item.task.deadline)
-                break;
-            reject(now, service, item);
-        }
-    }
+    while (const std::optional<TaskId> last =
+                   lastUnservable(now, service, service.online, service.onlineWaiting, nullptr))
+        reject(now, service, *itemOf(*last));
 }
 
 void SlotScheduler::rejectExpired(absl::Time now)
@@ -319,16 +460,24 @@
     }
 }
 
-void SlotScheduler::reject(absl::Time now, Service &service, Item &item)
+/// Retry-After of a task that is rejected now. The retries follow each other as slots become free:
+/// \a lastRetryAt is the time of the last one, and is set to that of this one.
+absl::Duration SlotScheduler::nextRetry(absl::Time now, const Service &service,
+                                        const SlotTask &task, absl::Time &lastRetryAt) const
 {
-    absl::Duration wait = noUpstreamRetryAfter;
     const absl::Duration interval = slotReleaseInterval(now, service);
-    if (interval != absl::InfiniteDuration()) {
-        const absl::Time next = std::max(service.lastRetryAt, now + m_settings.minRetryAfter)
-                                + interval / m_settings.retryShare;
-        wait = std::min(next - now, item.task.maxRetryAfter);
-        service.lastRetryAt = now + wait;
-    }
+    if (interval == absl::InfiniteDuration())
+        return noUpstreamRetryAfter;
+    const absl::Time next = std::max(lastRetryAt, now + m_settings.minRetryAfter)
+                            + interval / m_settings.retryShare;
+    const absl::Duration wait = std::min(next - now, task.maxRetryAfter);
+    lastRetryAt = now + wait;
+    return wait;
+}
+
+void SlotScheduler::reject(absl::Time now, Service &service, Item &item)
+{
+    const absl::Duration wait = nextRetry(now, service, item.task, service.lastRetryAt);
     m_decisions.emplace_back(RejectSlot{item.task.id, wait, isVersionGone(service, item)});
     dequeue(service, item);
     removeItem(item);
@@ -336,6 +485,7 @@
 
 std::vector<SlotDecision> SlotScheduler::decide(absl::Time now)
 {
+    m_decidedAt = now;
     for (auto &[name, service] : m_services) {
         decideBound(now, service);
         decideOnline(now, service);
@@ -350,16 +500,24 @@
 }
 
 /// Returns the earliest time at which an upstream of a service with waiting tasks may get a request
-/// that its limit does not allow yet.
+/// that its limit or its warm-up rate does not allow yet.
 absl::Time SlotScheduler::nextAllowedRequest(absl::Time now) const
 {
     absl::Time next = absl::InfiniteFuture();
     for (const auto &[name, service] : m_services) {
         if (service.bound.size() + service.onlineWaiting + service.batchWaiting == 0)
             continue;
-        for (const Upstream *upstream : service.upstreams) {
-            if (!upstream->limit.allows(now))
-                next = std::min(next, upstream->limit.nextAllowed(now));
+        std::vector<TaskKind> kinds;
+        if (service.bound.size() + service.onlineWaiting > 0)
+            kinds.push_back(TaskKind::Online);
+        // See decideBatch().
+        if (service.batchWaiting > 0 && service.onlineWaiting == 0)
+            kinds.push_back(TaskKind::Batch);
+        for (const TaskKind kind : kinds) {
+            for (const Upstream *upstream : service.upstreams) {
+                if (!mayReceive(now, *upstream, kind))
+                    next = std::min(next, nextReceivable(now, *upstream, kind));
+            }
         }
     }
     return next;
--- a/src/policy/task.cpp
+++ b/src/policy/task.cpp
@@ -18,4 +18,9 @@
     return nameOf(kindNames, kind);
 }
 
+std::optional<TaskKind> taskKindFromName(std::string_view name)
+{
+    return valueOf(kindNames, name);
+}
+
 } // namespace rattanrill::policy
--- a/src/serving/deployment.cpp
+++ b/src/serving/deployment.cpp
@@ -20,6 +20,9 @@
         {RouteKind::Batch, "batch"},
 }};
 
+/// A longer time is an error of the writer: upstreams warm up within seconds.
+constexpr absl::Duration maxWarmUpTime = absl::Hours(1);
+
 /// Converts a host name to lower case and removes its port: neither affects which route matches.
 std::string normalizedHost(std::string_view host)
 {
@@ -57,6 +60,18 @@
     return {};
 }
 
+Result<void> checkWarmUp(const Service &service)
+{
+    if (service.warmUpTime < absl::ZeroDuration())
+        return invalid(concat("the warm-up time of service \"", service.name, "\" is negative"));
+    if (service.warmUpTime > maxWarmUpTime)
+        return invalid(concat("the warm-up time of service \"", service.name,
+                              "\" is longer than an hour"));
+    if (!(service.warmUpRate >= 0))
+        return invalid(concat("the warm-up rate of service \"", service.name, "\" is negative"));
+    return {};
+}
+
 Result<void> checkKeys(const std::vector<Workspace> &workspaces)
 {
     std::map<std::string, std::string> workspaceOfKey;
@@ -81,8 +96,10 @@
 Result<void> checkDeployment(const Deployment &deployment)
 {
     std::set<std::string> services;
-    for (const Service &service : deployment.services)
+    for (const Service &service : deployment.services) {
+        BOOST_LEAF_CHECK(checkWarmUp(service));
         services.insert(service.name);
+    }
     std::set<std::pair<std::string, std::string>> hostsAndPrefixes;
     for (const Route &route : deployment.routes) {
         BOOST_LEAF_CHECK(checkRoute(route, services));
--- a/src/serving/proxiedrequest.cpp
+++ b/src/serving/proxiedrequest.cpp
@@ -382,7 +382,7 @@
 void ProxiedRequest::finish(Outcome outcome, std::string_view reason)
 {
     m_state = State::Ended;
-    m_bufferShare.reset();
+    clearBuffer();
     stopTimer(m_deadlineTimer);
     stopTimer(m_responseTimer);
     if (m_isSlotRequested)
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -209,7 +209,7 @@
     /// Age of the process's list of upstreams at the last grant.
     absl::Duration m_upstreamListAge = absl::InfiniteDuration();
     absl::Time m_firstByteAt = absl::InfiniteFuture();
-    /// Bytes of the current attempt and of unsent events; empty while there are few.
+    /// Bytes of the current attempt and of the hedge; empty while there are few.
     std::optional<BufferShare> m_bufferShare;
     TimerService::TimerId m_deadlineTimer = 0;
     /// Limits the time without a response of the current attempt or, if there is a hedge, of that.
--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -198,7 +198,7 @@
         return;
     } else {
         m_context.crashGuard.recordSound(m_traits.suspects(hedge->hasBegun));
-        endHedge("the response can't serve the request", ReleaseReason::Completed);
+        endHedge("the response can't serve the request", responseReason(hedge->head.status));
     }
     const absl::Duration pause = pauseAfter(*hedge);
     if (pause > absl::ZeroDuration())
