--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -1,5 +1,6 @@
 #include "proxiedrequest.h"
 
+#include "rattanrill/base/freememory.h"
 #include "rattanrill/base/logger.h"
 
 #include <algorithm>
@@ -95,38 +96,40 @@
         endHedge("the other upstream responded first", ReleaseReason::Cancelled);
 }
 
-/// Returns false when the process buffers too much and this request most of it.
+/// Returns false when this response has to be given up because the process buffers too much. What
+/// the caller has not read is counted by its connection.
 bool ProxiedRequest::bufferWithinLimits()
 {
     const std::size_t bytes = m_attempt->body.size() + m_attempt->splitter.incompleteEvent().size()
-                              + m_exchange->unsentBytes() + (m_hedge ? m_hedge->body.size() : 0);
+                              + (m_hedge ? m_hedge->body.size() : 0);
     if (!m_bufferShare && bytes < minCountedBytes)
         return true;
     if (!m_bufferShare)
-        m_bufferShare.emplace(m_context.buffers, [weak = weak_from_this()] {
-            if (const auto self = weak.lock())
-                self->giveUpBuffer();
+        m_bufferShare.emplace(m_context.buffers, [weak = weak_from_this(), &loop = m_context.loop,
+                                                  attempt = m_attempt] {
+            // The budget calls this while it handles another request, or this one writes.
+            loop.post([weak, attempt] {
+                const auto self = weak.lock();
+                if (self && self->m_attempt == attempt && attempt->isCalling)
+                    self->giveUpBuffer();
+            });
         });
     return m_bufferShare->resize(bytes);
 }
 
-/// Frees the buffer of this request: ends the attempt if most of it is from the upstream, otherwise
-/// the request, because its caller does not read.
+/// Ends the attempt, which frees its buffer.
 void ProxiedRequest::giveUpBuffer()
 {
     if (m_state == State::Ended)
         return;
-    const std::size_t received =
-            m_attempt->body.size() + m_attempt->splitter.incompleteEvent().size();
-    if (m_exchange->unsentBytes() > received)
-        return callerDisconnected();
     attemptFailed("the process buffers too many bytes of responses", ReleaseReason::Failed);
 }
 
 void ProxiedRequest::clearBuffer()
 {
-    m_attempt->body = std::string();
-    m_attempt->splitter = EventSplitter();
+    freeMemory(m_attempt->body);
+    // An assignment alone would keep the memory of the incomplete event.
+    const EventSplitter freed = std::exchange(m_attempt->splitter, EventSplitter());
     m_bufferShare.reset();
 }
 
@@ -134,6 +137,9 @@
 {
     std::vector<StreamEvent> events;
     m_attempt->splitter.feed(bytes, events);
+    // The events are counted by the connection from here on.
+    if (m_bufferShare)
+        m_bufferShare->resize(0);
     bool hasContent = false;
     for (const StreamEvent &event : events) {
         if (m_state == State::Ended || !deliver(event))
@@ -299,18 +305,20 @@
 {
     // Whatever the status is, the upstream did not crash.
     m_context.crashGuard.recordSound(m_traits.suspects(m_attempt->hasBegun));
-    const bool isServerError = m_attempt->head.status >= 500;
+    const ReleaseReason reason = responseReason(m_attempt->head.status);
+    const bool isServerError = reason == ReleaseReason::ServerError;
     const bool canRetry = mayRunAgain() && m_attempts < m_route.maxAttempts && hasTimeForAttempt();
     if (isServerError && (m_hedge || canRetry))
-        return attemptFailed("the upstream responded with a server error",
-                             ReleaseReason::Completed);
+        return attemptFailed("the upstream responded with a server error", reason);
     // A caller may send a request again that it reads as not run.
     if (m_attempt->info.promisesNotRun && !mayRunAgain())
         return attemptFailed("the upstream's status promises without proof that it did not run",
-                             ReleaseReason::Completed);
+                             reason);
     if ((m_attempt->isStream || m_exchange->streamStarted()) && !completesStream())
-        return attemptFailed("the response does not continue the stream", ReleaseReason::Completed);
-    releaseSlot(*m_attempt, ReleaseReason::Completed);
+        return attemptFailed("the response does not continue the stream", reason);
+    releaseSlot(*m_attempt, reason);
+    // What is sent from here on is counted by the connection.
+    m_bufferShare.reset();
     if (m_attempt->isStream) {
         startResponse();
         m_exchange->finish();
--- a/src/serving/proxiedrequest_slots.cpp
+++ b/src/serving/proxiedrequest_slots.cpp
@@ -216,7 +216,7 @@
 {
     m_context.slotClient.repeatLeaving(upstream, address);
     releaseUnused(slotId, upstream);
-    skipUpstream(upstream, "the upstream leaves, and the request was not sent");
+    skipUpstream(upstream, "the upstream accepts no new requests, and the request was not sent");
 }
 
 /// Requests a slot at another upstream. Each call excludes one more upstream, so the number of
--- a/src/serving/responseinfo.cpp
+++ b/src/serving/responseinfo.cpp
@@ -18,7 +18,9 @@
             info.requestLimit.value_or(0),
             info.isLeaving,
             0,
-            address};
+            address,
+            info.coldRemainingMs.value_or(-1),
+            info.pace.value_or(0)};
 }
 
 std::optional<wire::UpstreamLoad>
@@ -44,4 +46,9 @@
     return isCutOff ? policy::ReleaseReason::Cancelled : policy::ReleaseReason::Unanswered;
 }
 
+policy::ReleaseReason responseReason(int status)
+{
+    return status >= 500 ? policy::ReleaseReason::ServerError : policy::ReleaseReason::Completed;
+}
+
 } // namespace rattanrill::serving
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -80,6 +80,7 @@
         if (!isNew)
             found->second.setContract(now, contract);
     }
+    applyWarmUp();
 }
 
 /// Returns the rate bucket with which a broker starts. It holds half of the rate tolerance, at most
@@ -98,7 +99,7 @@
 }
 
 /// Returns null when the workspace has no rate limit.
-policy::TokenBucket *SlotBroker::bucket(const std::string &workspace)
+const policy::TokenBucket *SlotBroker::bucket(const std::string &workspace) const
 {
     const Workspace *configured = m_deployment ? m_deployment->workspace(workspace) : nullptr;
     if (configured == nullptr || configured->ratePerSecond <= 0)
@@ -106,6 +107,22 @@
     return &m_buckets.at(workspace);
 }
 
+policy::TokenBucket *SlotBroker::bucket(const std::string &workspace)
+{
+    return const_cast<policy::TokenBucket *>(std::as_const(*this).bucket(workspace));
+}
+
+/// Time until the workspace's rate allows the request; absent when it allows it now.
+std::optional<absl::Duration> SlotBroker::tokenWait(absl::Time now,
+                                                    const wire::SlotRequest &request) const
+{
+    const policy::TokenBucket *rateBucket =
+            request.chargesRate ? bucket(request.workspace) : nullptr;
+    if (rateBucket == nullptr || rateBucket->level(now) >= 1)
+        return std::nullopt;
+    return absl::Seconds((1 - rateBucket->level(now)) / rateBucket->contract().ratePerSecond);
+}
+
 void SlotBroker::acquire(const wire::SlotRequest &request, ResponseCallback callback)
 {
     const absl::Time now = m_clock.now();
@@ -146,14 +163,10 @@
     schedule(id, request, origin);
 }
 
-void SlotBroker::schedule(const std::string &id, const wire::SlotRequest &request,
-                          const std::optional<policy::StreamOrigin> &origin)
+policy::SlotTask SlotBroker::taskOf(absl::Time now, const std::string &id,
+                                    const wire::SlotRequest &request,
+                                    const std::optional<policy::StreamOrigin> &origin) const
 {
-    const absl::Time now = m_clock.now();
-    policy::TokenBucket *rateBucket = request.chargesRate ? bucket(request.workspace) : nullptr;
-    if (rateBucket != nullptr && rateBucket->level(now) < 1)
-        return rejectOverRate(id, absl::Seconds((1 - rateBucket->level(now))
-                                                / rateBucket->contract().ratePerSecond));
     policy::SlotTask task;
     task.id = id;
     task.service = request.service;
@@ -171,7 +184,16 @@
     task.excluded = request.excluded;
     if (origin)
         task.version = origin->version;
-    m_scheduler.request(now, task);
+    return task;
+}
+
+void SlotBroker::schedule(const std::string &id, const wire::SlotRequest &request,
+                          const std::optional<policy::StreamOrigin> &origin)
+{
+    const absl::Time now = m_clock.now();
+    if (const auto wait = tokenWait(now, request))
+        return rejectOverRate(id, *wait);
+    m_scheduler.request(now, taskOf(now, id, request, origin));
     decide();
     startWaitTimer(id);
 }
@@ -350,6 +372,7 @@
     const auto ejection = m_scheduler.release(m_clock.now(), task, reason, observer);
     if (!ejection)
         return;
+    ++m_ejectionCounts[reason];
     log(LogLevel::Info, "upstream-ejected",
         {{"upstream", ejection->upstream},
          {"observer", ejection->observer},
@@ -360,6 +383,12 @@
          {"runningTasks", ejection->runningTasks}});
 }
 
+std::uint64_t SlotBroker::ejectionCount(policy::ReleaseReason reason) const
+{
+    const auto found = m_ejectionCounts.find(reason);
+    return found == m_ejectionCounts.end() ? 0 : found->second;
+}
+
 void SlotBroker::adoptHeldSlots(const wire::HeldSlots &held)
 {
     chargeRates(held.charges);
@@ -541,6 +570,7 @@
 
 void SlotBroker::sweep()
 {
+    updateCold();
     const absl::Time now = m_clock.now();
     std::vector<std::string> expired;
     for (const auto &[id, online] : m_online) {
@@ -556,6 +586,17 @@
     // nextDecision() does not take into account when ejections and the grace period of a takeover
     // end, so decide() is also called periodically.
     decide();
+    logLoads();
+}
+
+void SlotBroker::logLoads() const
+{
+    for (const policy::ServiceLoad &load : m_scheduler.serviceLoads(m_clock.now()))
+        log(LogLevel::Debug, "service-load",
+            {{"service", load.service},
+             {"running", load.running},
+             {"spread", load.spread},
+             {"highestPace", load.highestPace}});
 }
 
 } // namespace rattanrill::serving
--- a/src/serving/slotbroker_upstreams.cpp
+++ b/src/serving/slotbroker_upstreams.cpp
@@ -32,12 +32,19 @@
     if (hasNewRate && m_deployment)
         setDeployment(m_deployment);
     m_upstreams.clear();
+    m_listedCold.clear();
+    m_listReadAt = readAt;
     for (const wire::FleetUpstream &upstream : upstreams) {
-        const double slots = static_cast<double>(std::max<std::int64_t>(upstream.slots, 1));
+        const std::int64_t slots = std::max<std::int64_t>(upstream.slots, 1);
+        std::optional<std::int64_t> ownSlots;
+        if (share.slotFraction < 1)
+            ownSlots = static_cast<std::int64_t>(
+                    std::ceil(static_cast<double>(slots) * share.slotFraction));
         m_upstreams.push_back({upstream.id, upstream.service, upstream.address,
-                               upstream.failureDomain,
-                               static_cast<std::int64_t>(std::ceil(slots * share.slotFraction)),
-                               upstream.draining, upstream.version});
+                               upstream.failureDomain, slots, upstream.draining, upstream.version,
+                               ownSlots});
+        if (upstream.coldRemainingMs >= 0)
+            m_listedCold[upstream.id] = upstream.coldRemainingMs;
     }
     recordDraining(upstreams);
     m_versions.setUpstreams(m_clock.now(), m_upstreams, readAt);
@@ -64,14 +71,28 @@
     return !endedLeaving.empty();
 }
 
-/// Passes the list to the scheduler. An upstream that announced that it leaves gets no tasks, like
-/// one that the list shows as draining.
+void SlotBroker::setEvacuatedDomains(const std::vector<std::string> &failureDomains)
+{
+    std::set<std::string> domains(failureDomains.begin(), failureDomains.end());
+    if (domains == m_evacuatedDomains)
+        return;
+    m_evacuatedDomains = std::move(domains);
+    applyUpstreams();
+}
+
+/// Passes the list to the scheduler. An upstream that announced that it leaves, or whose failure
+/// domain is evacuated, gets no tasks, like one that the list shows as draining.
 void SlotBroker::applyUpstreams()
 {
     std::vector<policy::SlotUpstream> list = m_upstreams;
-    for (policy::SlotUpstream &upstream : list)
+    m_evacuatedUpstreams.clear();
+    for (policy::SlotUpstream &upstream : list) {
+        if (m_evacuatedDomains.count(upstream.failureDomain) != 0)
+            m_evacuatedUpstreams.insert(upstream.id);
         upstream.leaving = upstream.leaving || isLeaving(upstream.id, upstream.address);
+    }
     m_scheduler.setUpstreams(list);
+    applyWarmUp();
     decide();
 }
 
@@ -82,6 +103,9 @@
         applyUpstreams();
     if (load.requests >= 0)
         m_scheduler.loadReported(now, load.upstream, load.requests);
+    reportCold(load);
+    if (load.pace != 0)
+        m_scheduler.paceReported(now, load.upstream, load.pace);
     if (load.requestLimit < 0)
         return;
     std::optional<double> limit;
@@ -114,7 +138,8 @@
 
 bool SlotBroker::isLeaving(const std::string &id, const std::string &address) const
 {
-    return m_leaving.isLeaving(id, address) || isNewlyDraining(id, address);
+    return m_evacuatedUpstreams.count(id) != 0 || m_leaving.isLeaving(id, address)
+           || isNewlyDraining(id, address);
 }
 
 void SlotBroker::recordDraining(const std::vector<wire::FleetUpstream> &upstreams)
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -13,13 +13,17 @@
 namespace {
 
 /// The local shares of all entries add up, so none of them may accumulate more than its part of a
-/// limit.
+/// limit. None of them knows what the others grant.
 SlotBrokerSettings localBrokerSettings(SlotBrokerSettings settings)
 {
+    settings.scheduler.sharesUpstreams = true;
     settings.scheduler.requestLimit.burstRequests = 0;
     return settings;
 }
 
+/// Period in which the decisions of the local share are logged.
+constexpr absl::Duration localDecisionsPeriod = absl::Seconds(1);
+
 } // namespace
 
 struct SlotClient::Impl : std::enable_shared_from_this<SlotClient::Impl>
@@ -30,6 +34,14 @@
         std::int64_t requests = 0;
     };
     using LocalCharges = std::map<std::string, LocalCharge>;
+    /// Numbers of decisions that were made without the broker.
+    struct LocalDecisions
+    {
+        /// Decisions of the local share.
+        std::map<wire::SlotOutcome, std::int64_t> byOutcome;
+        /// Requests that were rejected because there was no local share.
+        std::int64_t withoutShare = 0;
+    };
 
     Impl(net::EventLoop &loop, peer::ChannelPool &channels, const Clock &clock,
          SlotClientSettings settings)
@@ -104,8 +116,11 @@
 
     void acquireLocally(const wire::SlotRequest &request, ResponseCallback callback)
     {
-        if (!hasLocalShare)
+        if (!hasLocalShare) {
+            scheduleLocalDecisionsLog();
+            ++localDecisions.withoutShare;
             return callback(refusalWithoutShare(), true);
+        }
         localRequests.insert(request.requestId);
         localBroker.acquire(
                 request, [self = shared_from_this(), request,
@@ -113,6 +128,10 @@
                     const bool isReleased = self->localRequests.count(request.requestId) == 0;
                     if (response.verdict == wire::SlotOutcome::Waiting && !isReleased)
                         return self->acquireLocally(repeatOf(request), callback);
+                    if (!isReleased) {
+                        self->scheduleLocalDecisionsLog();
+                        ++self->localDecisions.byOutcome[response.verdict];
+                    }
                     const bool isGranted = response.verdict == wire::SlotOutcome::Granted;
                     if (!isGranted)
                         self->localRequests.erase(request.requestId);
@@ -123,6 +142,34 @@
                 });
     }
 
+    /// Must be called before a decision is counted in localDecisions.
+    void scheduleLocalDecisionsLog()
+    {
+        if (localDecisions.withoutShare > 0 || !localDecisions.byOutcome.empty())
+            return;
+        loop.timers().subscribeOnce(localDecisionsPeriod, [weak = weak_from_this()] {
+            const std::shared_ptr<Impl> self = weak.lock();
+            if (self && !self->stopped)
+                self->logLocalDecisions();
+        });
+    }
+
+    void logLocalDecisions()
+    {
+        LocalDecisions decisions = std::exchange(localDecisions, LocalDecisions());
+        const std::int64_t granted = decisions.byOutcome[wire::SlotOutcome::Granted];
+        const std::int64_t overRate = decisions.byOutcome[wire::SlotOutcome::OverRate];
+        const std::int64_t noSlot = decisions.byOutcome[wire::SlotOutcome::NoSlot];
+        const std::int64_t versionRefused = decisions.byOutcome[wire::SlotOutcome::VersionUnknown]
+                                            + decisions.byOutcome[wire::SlotOutcome::VersionGone];
+        log(LogLevel::Info, "local-share-used",
+            {{"granted", granted},
+             {"overRate", overRate},
+             {"noSlot", noSlot},
+             {"versionRefused", versionRefused},
+             {"withoutShare", decisions.withoutShare}});
+    }
+
     wire::SlotResponse refusalWithoutShare() const
     {
         wire::SlotResponse response;
@@ -160,9 +207,11 @@
     /// broker has received it.
     void reportHeldSlots()
     {
+        if (brokerAddress.empty())
+            return;
         LocalCharges charges = std::exchange(localCharges, {});
         const auto streams = localBroker.streamsSince(streamsReportedAt);
-        if ((heldSlots.empty() && charges.empty() && streams.empty()) || brokerAddress.empty())
+        if (heldSlots.empty() && charges.empty() && streams.empty())
             return;
         wire::HeldSlots message = makeHeldSlots(charges);
         for (const policy::StreamRecord &record : streams)
@@ -201,7 +250,7 @@
     void handleReportLost(const std::string &address, const LocalCharges &charges,
                           absl::Time streamsSince)
     {
-        if (stopped || address != brokerAddress)
+        if (stopped || address != lastBrokerAddress)
             return;
         streamsReportedAt = std::min(streamsReportedAt, streamsSince);
         for (const auto &[workspace, charge] : charges) {
@@ -247,6 +296,8 @@
     const SlotClientSettings settings;
     SlotBroker localBroker;
     std::string brokerAddress;
+    /// Address of the broker that was known last, also while none is known.
+    std::string lastBrokerAddress;
     absl::Time brokerRetryAt = absl::InfinitePast();
     /// False until the number of entries that share the upstreams is known.
     bool hasLocalShare = false;
@@ -264,6 +315,8 @@
     /// Requests granted from the local share that the broker has not received a report of, by
     /// workspace.
     LocalCharges localCharges;
+    /// Decisions that have not been logged.
+    LocalDecisions localDecisions;
     /// The broker has the origins of the streams that were recorded before this time.
     absl::Time streamsReportedAt = absl::InfinitePast();
     std::string instance;
@@ -288,8 +341,12 @@
     m_impl->brokerAddress = address;
     m_impl->brokerRetryAt = absl::InfinitePast();
     m_impl->streamsReportedAt = absl::InfinitePast();
-    // A new broker starts with low rate buckets, which allows for what was granted before.
-    m_impl->localCharges.clear();
+    // A new broker starts with low rate buckets, which allows for what was granted before. One that
+    // returns has kept its buckets.
+    if (!address.empty() && address != m_impl->lastBrokerAddress) {
+        m_impl->lastBrokerAddress = address;
+        m_impl->localCharges.clear();
+    }
     log(LogLevel::Info, "place-broker-changed",
         {{"peerAddress", address},
          {"heldPlaces", static_cast<std::int64_t>(m_impl->heldSlots.size())}});
@@ -309,10 +366,17 @@
     m_impl->localBroker.setUpstreams(
             upstreams,
             {1 / entryCount, std::min(1.0, m_impl->settings.localSlotFactor / entryCount),
-             std::min(1.0, m_impl->settings.localLimitFactor / entryCount)},
+             std::min(1.0, m_impl->settings.localLimitFactor / entryCount),
+             // The broker grants the whole rate of cold upstreams to entries that reach it.
+             0},
             readAt);
 }
 
+void SlotClient::setEvacuatedDomains(const std::vector<std::string> &failureDomains)
+{
+    m_impl->localBroker.setEvacuatedDomains(failureDomains);
+}
+
 void SlotClient::confirmUpstreams(absl::Time readAt)
 {
     m_impl->localBroker.confirmUpstreams(readAt);
@@ -337,8 +401,8 @@
 {
     const bool hadLimit = m_impl->localBroker.hasRequestLimit(load.upstream);
     m_impl->localBroker.reportLoad(load);
-    const bool isInformative =
-            load.requests >= 0 || load.requestLimit > 0 || hadLimit || load.leaving;
+    const bool isInformative = load.requests >= 0 || load.requestLimit > 0 || hadLimit
+                               || load.leaving || load.coldRemainingMs > 0;
     if (isInformative)
         m_impl->sendLoad(load);
 }
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -28,7 +28,8 @@
 RATTANRILL_WIRE_ENUM(SlotOutcome, slotOutcomeNames)
 RATTANRILL_WIRE_FIELDS(FleetMember, instance, role, failureDomain, peerAddress, replica,
                        forwardsCalls)
-RATTANRILL_WIRE_FIELDS(FleetUpstream, id, service, address, failureDomain, slots, draining, version)
+RATTANRILL_WIRE_FIELDS(FleetUpstream, id, service, address, failureDomain, slots, draining, version,
+                       coldRemainingMs)
 RATTANRILL_WIRE_FIELDS(PutConfiguration, version, document)
 RATTANRILL_WIRE_FIELDS(RetireStore, replica, instance, otherStores, minRemainingStores)
 RATTANRILL_WIRE_FIELDS(CompleteRetirement, replica)
@@ -36,12 +37,14 @@
 RATTANRILL_WIRE_FIELDS(BlockedPrompt, parts, trialsLeft, trialProcess, trialNumber,
                        isLostTrialReplaced)
 RATTANRILL_WIRE_FIELDS(PutBlockedPrompts, prompts)
+RATTANRILL_WIRE_FIELDS(SetEvacuation, failureDomain, isEvacuated, isKnown)
 RATTANRILL_WIRE_FIELDS(FleetCommand, operation)
 RATTANRILL_WIRE_FIELDS(FleetResult, configurationVersion)
 RATTANRILL_WIRE_FIELDS(FleetQuery, knownVersion)
 RATTANRILL_WIRE_FIELDS(StoreRetirement, instance, replica, completed)
+RATTANRILL_WIRE_FIELDS(DomainEvacuation, failureDomain, isEvacuated)
 RATTANRILL_WIRE_FIELDS(FleetSnapshot, configurationVersion, configuration, retiringStores,
-                       storeFounders, blockedPrompts, retirements)
+                       storeFounders, blockedPrompts, retirements, evacuations)
 RATTANRILL_WIRE_FIELDS(FleetMemberStatus, member, alive, leadsStores, retiring, holdsCopy)
 RATTANRILL_WIRE_FIELDS(RelayedMember, member, ageMs)
 RATTANRILL_WIRE_FIELDS(FleetSyncRequest, self, leadsStores, storeTerm, storeReplicas, leaving,
@@ -52,7 +55,7 @@
                        configurationVersion, configuration, members, membersSettled, storeFounders,
                        upstreamsKnown, upstreams, drainingUpstreams, containsChangesOnly,
                        removedMembers, removedUpstreams, liveEntries, upstreamsTerm, viewAgeMs,
-                       leaderAddress, openRetirements)
+                       leaderAddress, openRetirements, evacuatedDomains)
 RATTANRILL_WIRE_FIELDS(CrashedAttempt, upstream, promptParts, sentAgeMs, crashAgeMs)
 RATTANRILL_WIRE_FIELDS(BegunPart, part, ageMs)
 RATTANRILL_WIRE_FIELDS(TrialReport, parts, trialNumber, isSent, isReturned)
@@ -68,7 +71,7 @@
 RATTANRILL_WIRE_FIELDS(StreamVersion, stream, service, version, ageMs)
 RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges, streams)
 RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests, requestLimit, leaving, leavingAgeMs,
-                       address)
+                       address, coldRemainingMs, pace)
 RATTANRILL_WIRE_FIELDS(SlotRelease, instance, requestId, upstream, end, stream, service, version,
                        forwarder, forwarderFailed, isCutOff, isWitness)
 
--- a/tests/ctl/ctl_test.cpp
+++ b/tests/ctl/ctl_test.cpp
@@ -211,6 +211,90 @@
     BOOST_TEST(reached.requests().front().path == "/operator/v1/in_force?revision=9");
 }
 
+// Guards against an explanation that ends at a store which is not the broker, against parameters
+// that are lost or not escaped, and against a command that asks for a token which the stores don't
+// need.
+BOOST_AUTO_TEST_CASE(placementIsExplainedByTheBroker)
+{
+    ScriptedServer follower({Step{503, errorBody("not_leader", "not_run"), ""}});
+    ScriptedServer broker({Step{200, R"({"outcome":"granted","rule":"least_cost","rate":{"level":2},
+        "upstream":"u-1","upstreams":[{"id":"u-1","reason":null},{"id":"u-2","reason":"leaving"}]})",
+                                ""}});
+    const std::vector<std::string> command = {
+            "placement",   "explain",       "--route",         "chat/a",
+            "--workspace", "w&x",           "--excluded",      "u-3",
+            "--excluded",  "u-4",           "--prompt-tokens", "12",
+            "--server",    unusedAddress(), "--server",        follower.address(),
+            "--server",    broker.address()};
+    const RunResult result = run(command);
+    BOOST_TEST_REQUIRE(result.code == exitOk, result.err);
+    BOOST_TEST(broker.requests().front().path
+               == "/operator/v1/placement?excluded=u-3&excluded=u-4&prompt_tokens=12"
+                  "&route=chat%2Fa&workspace=w%26x");
+    BOOST_TEST(broker.requests().front().authorization.empty());
+    BOOST_TEST(follower.requests().size() == 1u);
+    for (const char *part :
+         {"outcome: granted", "rule: least_cost", "rate: {\"level\":2}", "leaving"})
+        BOOST_TEST(contains(result.out, part), result.out);
+    std::vector<std::string> asJson = command;
+    asJson.emplace_back("--json");
+    BOOST_TEST(Json::parse(run(asJson).out).at("upstreams").size() == 2u);
+}
+
+// Guards against a failure that hides which store is the broker, or what is wrong with the query.
+BOOST_AUTO_TEST_CASE(refusedExplanationIsReported)
+{
+    ScriptedServer follower({Step{503, errorBody("not_leader", "not_run"), ""}});
+    ScriptedServer broker({Step{400, errorBody("invalid_request", "not_run"), ""}});
+    const std::vector<std::string> command = {"placement",   "explain", "--route", "r",
+                                              "--workspace", "w",       "--server"};
+    std::vector<std::string> toFollower = command;
+    toFollower.push_back(follower.address());
+    const RunResult notLeader = run(toFollower);
+    BOOST_TEST(notLeader.code == exitFailure);
+    BOOST_TEST(contains(notLeader.err, "not_leader: why"));
+    BOOST_TEST(follower.requests().size() == 1u);
+    std::vector<std::string> toBroker = command;
+    toBroker.insert(toBroker.end(), {broker.address(), "--server", follower.address()});
+    BOOST_TEST(contains(run(toBroker).err, "invalid_request: why"));
+    std::vector<std::string> toNone = command;
+    toNone.push_back(unusedAddress());
+    BOOST_TEST(run(toNone).code == exitUnreachable);
+}
+
+// Guards against a command that ends, by a failure or an exception, at a server which is not a
+// store or of an earlier version, and against output that hides why a request is rejected or how
+// old the last decision is.
+BOOST_AUTO_TEST_CASE(serversThatExplainNothingArePassedOver)
+{
+    ScriptedServer metrics({Step{200, "rattanrill_memory_used_bytes 1\n", ""}, Step{200, "[1]", ""},
+                            Step{200, R"({"items":[]})", ""},
+                            Step{404, R"({"error":{"code":404}})", ""}});
+    ScriptedServer broker({Step{200, R"({"outcome":"rejected","version_gone":true,
+        "last_decision_age_ms":70,"upstreams":[]})",
+                                ""}});
+    std::vector<std::string> command = {"placement", "explain", "--route", "r", "--workspace", "w"};
+    for (int i = 0; i < 3; ++i)
+        command.insert(command.end(), {"--server", metrics.address()});
+    const RunResult none = run(command);
+    BOOST_TEST(none.code == exitFailure);
+    BOOST_TEST(contains(none.err, "gave no explanation"), none.err);
+    command.insert(command.end(), {"--server", broker.address()});
+    const RunResult result = run(command);
+    BOOST_TEST(result.code == exitOk, result.err);
+    BOOST_TEST(contains(result.out, "version_gone: true"), result.out);
+    BOOST_TEST(contains(result.out, "last_decision_age_ms: 70"), result.out);
+}
+
+// Guards against a help that asks for the address of a server that can't respond.
+BOOST_AUTO_TEST_CASE(helpNamesTheServersOfTheCommand)
+{
+    const std::string help = run({"placement", "explain", "--help"}).out;
+    BOOST_TEST(contains(help, "metrics address of a store"), help);
+    BOOST_TEST(!contains(help, "control instance"), help);
+    BOOST_TEST(contains(run({"status", "--help"}).out, "operator address of a control instance"));
+}
+
 // Guards against outdated pages in docs/commands: the command table was changed, but the pages were
 // not generated again.
 BOOST_AUTO_TEST_CASE(commandPagesMatchCommandTable)
--- a/tests/fleet/fleetrelay_test.cpp
+++ b/tests/fleet/fleetrelay_test.cpp
@@ -115,6 +115,18 @@
     BOOST_TEST(response.upstreams.front().draining);
 }
 
+// Guards against entries that send requests to an evacuated domain because they poll a relay.
+BOOST_AUTO_TEST_CASE(evacuationIsPassedOn)
+{
+    state.viewSequence = 8;
+    state.evacuatedDomains = {"d"};
+    relay.update(state);
+    BOOST_TEST(relay.hasNews(currentPoll()));
+    const auto response = relay.makeResponse(currentPoll(), start, start, absl::ZeroDuration());
+    BOOST_TEST(response.evacuatedDomains == state.evacuatedDomains,
+               boost::test_tools::per_element());
+}
+
 // Guards against a list of an earlier leader that counts as one of the present leader.
 BOOST_AUTO_TEST_CASE(newTermIsSentAsAWhole)
 {
--- a/tests/fleet/fleetview_test.cpp
+++ b/tests/fleet/fleetview_test.cpp
@@ -203,6 +203,31 @@
     BOOST_TEST(view.makeResponse(request).members.empty());
 }
 
+// Guards against an evacuation that members receive only at the end of their polls, or that a new
+// term discards.
+BOOST_AUTO_TEST_CASE(evacuationIsSentAtOnceAndInEachTerm)
+{
+    wire::FleetSyncRequest request = syncRequest("e", wire::MemberRole::Entry);
+    request.acceptsChanges = true;
+    const wire::FleetSyncResponse first = view.makeResponse(request);
+    request.viewTerm = first.viewTerm;
+    request.viewSequence = first.viewSequence;
+    BOOST_TEST(view.isCurrent(request));
+    wire::FleetSnapshot records;
+    records.evacuations = {{"a", true}, {"b", false}};
+    view.setRecords(records);
+    BOOST_TEST(!view.isCurrent(request));
+    const std::vector<std::string> expected{"a"};
+    BOOST_TEST(view.makeResponse(request).evacuatedDomains == expected,
+               boost::test_tools::per_element());
+    view.beginTerm(2, start);
+    BOOST_TEST(view.makeResponse(request).evacuatedDomains == expected,
+               boost::test_tools::per_element());
+    records.evacuations.front().isEvacuated = false;
+    view.setRecords(records);
+    BOOST_TEST(view.makeResponse(request).evacuatedDomains.empty());
+}
+
 BOOST_AUTO_TEST_CASE(unchangedUpstreamsKeepTheSequenceNumber)
 {
     const std::vector<wire::FleetUpstream> list{{"u", "s", "a:1", "d", 8, false}};
@@ -214,6 +239,24 @@
     BOOST_TEST(view.sequence() > previousSequence);
 }
 
+// Guards against members that do not receive for how long an upstream remains cold because nothing
+// else in the list has changed.
+BOOST_AUTO_TEST_CASE(coldTimeIsPassedOn)
+{
+    wire::FleetUpstream upstream{"u", "s", "a:1", "d", 8, false};
+    view.setUpstreams({upstream}, start);
+    wire::FleetSyncRequest request = syncRequest("e", wire::MemberRole::Entry);
+    const wire::FleetSyncResponse first = view.makeResponse(request);
+    request.viewTerm = first.viewTerm;
+    request.viewSequence = first.viewSequence;
+    upstream.coldRemainingMs = 1500;
+    view.setUpstreams({upstream}, start + absl::Seconds(1));
+    BOOST_TEST(!view.isCurrent(request));
+    const wire::FleetSyncResponse second = view.makeResponse(request);
+    BOOST_TEST_REQUIRE(second.upstreams.size() == 1u);
+    BOOST_TEST(second.upstreams[0].coldRemainingMs == 1500);
+}
+
 // Guards against a store group that is bootstrapped with fewer stores than the deployment has,
 // because the others have not sent a heartbeat yet.
 BOOST_AUTO_TEST_CASE(storeGroupIsBootstrappedWhenThreeStoresAreAlive)
--- a/tests/fleet/statemachine_test.cpp
+++ b/tests/fleet/statemachine_test.cpp
@@ -164,9 +164,37 @@
     BOOST_TEST(apply(wire::RetireStore{"", "store-9"}).failure.code == name(ErrorCode::NotFound));
 }
 
+// Guards against an evacuation that a repeated command ends or starts again, and against a later
+// command that an earlier one overrides.
+BOOST_AUTO_TEST_CASE(lastCommandOnAFailureDomainWins)
+{
+    const auto evacuations = [&] { return records(*machine, 7).evacuations; };
+    put(7, "seven");
+    perform(wire::SetEvacuation{"b", true, true});
+    perform(wire::SetEvacuation{"a", true, true});
+    perform(wire::SetEvacuation{"b", true, true});
+    perform(wire::SetEvacuation{"a", false, true});
+    BOOST_TEST_REQUIRE(evacuations().size() == 2u);
+    BOOST_TEST(evacuations()[0].failureDomain == "a");
+    BOOST_TEST(!evacuations()[0].isEvacuated);
+    BOOST_TEST(evacuations()[1].isEvacuated);
+}
+
+// Guards against a misspelt domain whose evacuation is acknowledged, and against one that can't be
+// finished because nothing runs in the domain any more.
+BOOST_AUTO_TEST_CASE(unknownFailureDomainIsRefused)
+{
+    BOOST_TEST(apply(wire::SetEvacuation{"x", true, false}).failure.code
+               == name(ErrorCode::NotFound));
+    perform(wire::SetEvacuation{"a", true, true});
+    perform(wire::SetEvacuation{"a", false, false});
+    BOOST_TEST(!records(*machine).evacuations.front().isEvacuated);
+}
+
 BOOST_AUTO_TEST_CASE(snapshotRestoresTheWholeState)
 {
     put(7, "seven");
+    perform(wire::SetEvacuation{"a", true, true});
     perform(wire::BootstrapStoreGroup{{"a"}});
     perform(wire::RetireStore{"r", "s"});
     perform(wire::RetireStore{"r", "s"});
@@ -179,6 +207,8 @@
     BOOST_TEST(restored.retiringStores.size() == 1u);
     BOOST_TEST_REQUIRE(restored.retirements.size() == 1u);
     BOOST_TEST(restored.retirements.front().completed);
+    BOOST_TEST_REQUIRE(restored.evacuations.size() == 1u);
+    BOOST_TEST(restored.evacuations.front().isEvacuated);
     BOOST_TEST(!outcomeOf([&] { return restoredMachine->restore("\xff no snapshot"); }).ok());
     BOOST_TEST(records(*restoredMachine).configuration == "seven");
 }
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -538,6 +538,39 @@
     }
 }
 
+// Guards against an upstream that responds to batch items with errors at once and counts as
+// healthy: it would get a task although another upstream is as free.
+BOOST_AUTO_TEST_CASE(serverErrorOfAnItemCountsAgainstItsUpstream)
+{
+    const std::string error = "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n";
+    net::ScriptedServer server(std::vector<net::ScriptedAnswer>(200, {error}));
+    setMaxAttempts(1000);
+    const auto grant = [this](const std::string &id) {
+        policy::SlotTask task;
+        task.id = id;
+        task.service = "llm";
+        task.kind = policy::TaskKind::Batch;
+        std::string upstream;
+        broker.acquireBatch(task, {[&](const auto &slot) { upstream = slot.upstream; }, [] {}});
+        return upstream;
+    };
+    const wire::FleetUpstream failing = {"u1", "llm", server.address(), "d", 1, false};
+    const wire::FleetUpstream other = {"u2", "llm", server.address(), "d", 1, false};
+    thread.run([&] {
+        broker.setUpstreams({other}, serving::CapacityShare());
+        BOOST_TEST(grant("held") == "u2");
+        broker.setUpstreams({failing, other}, serving::CapacityShare());
+    });
+    submit("job");
+    await([&] { return executor.openItemCounts().backingOff == 10; });
+    thread.run([&] {
+        broker.releaseBatch("held", policy::ReleaseReason::Cancelled);
+        BOOST_TEST(grant("next") == "u2");
+        broker.cancelBatch("next");
+        broker.setUpstreams({}, serving::CapacityShare());
+    });
+}
+
 // Guards against an item that is sent again to an upstream which announced in a response that it
 // leaves.
 BOOST_AUTO_TEST_CASE(itemIsNotSentAgainToAnUpstreamThatLeaves)
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -166,6 +166,31 @@
     BOOST_TEST(client.readAll().size() > body.size());
 }
 
+// Guards against a process that runs out of memory because it reads bodies for which it has none,
+// and against ordinary requests that are refused with them.
+BOOST_AUTO_TEST_CASE(bodyBeyondTheMemoryIsRefusedBeforeItIsRead)
+{
+    TestServer server;
+    const auto memory = std::make_shared<MemoryBudget>(MemoryLimits{4096, 4096});
+    server.thread.run([&] {
+        server.server->setLimits(ServerLimits());
+        server.server->setMemoryBudget(memory);
+    });
+    RawSocket large(port);
+    large.send("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 8192\r\n\r\n");
+    const std::string refusal = large.readAll();
+    BOOST_TEST(statusLine(refusal) == "HTTP/1.1 503 Service Unavailable");
+    BOOST_TEST(refusal.find("Retry-After: 1") != std::string::npos);
+    RawSocket ordinary(port);
+    ordinary.send(echoRequest);
+    BOOST_TEST(ordinary.readUntil("abc").find("200") != std::string::npos);
+    BOOST_TEST(waitFor([&] {
+        std::size_t bytes = 0;
+        server.thread.run([&] { bytes = memory->requestBytes(); });
+        return bytes == 0;
+    }));
+}
+
 // Guards against malformed or oversized requests that reach the handler or get no response.
 BOOST_AUTO_TEST_CASE(invalidRequestIsAnsweredWithAnErrorStatus)
 {
--- a/tests/platform/instancelistclient_test.cpp
+++ b/tests/platform/instancelistclient_test.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <string>
 #include <utility>
+#include <vector>
 
 using namespace rattanrill;
 using namespace rattanrill::platform;
@@ -124,4 +125,46 @@
     }
 }
 
+// Guards against an upstream that gets no requests because the time for which it remains cold can't
+// be read, against such a time that is used, and against a fault that no log line can name.
+BOOST_AUTO_TEST_CASE(unreadableColdTimeDoesNotAffectTheUpstream)
+{
+    struct Row
+    {
+        std::string field;
+        std::int64_t remainingMs;
+        bool isReadable;
+    };
+    const Row rows[] = {
+            {"", -1, true},
+            {",\"cold-remaining-ms\":0", 0, true},
+            {",\"cold-remaining-ms\":1500.4", 1500, true},
+            {",\"cold-remaining-ms\":3600000", 3600000, true},
+            {",\"cold-remaining-ms\":3600001", -1, false},
+            {",\"cold-remaining-ms\":-1", -1, false},
+            {",\"cold-remaining-ms\":1e300", -1, false},
+            {",\"cold-remaining-ms\":99999999999999999999999", -1, false},
+            {",\"cold-remaining-ms\":\"1500\"", -1, false},
+            {",\"cold-remaining-ms\":null", -1, false},
+            {",\"cold-remaining-ms\":[1500]", -1, false},
+    };
+    for (const Row &row : rows) {
+        BOOST_TEST_INFO_SCOPE(row.field);
+        const std::string body = "{\"instances\":[{\"id\":\"i\",\"service\":\"s\",\"zone\":\"z\","
+                                 "\"state\":\"ready\",\"address\":\"10.0.0.2:80\",\"slots\":8"
+                                 + row.field + "}]}";
+        std::vector<std::string> unreadable;
+        const auto page = outcomeOf([&] {
+            return decodeInstancePage(body,
+                                      [&](const std::string &upstream, std::string_view field) {
+                                          unreadable.push_back(upstream + " " + std::string(field));
+                                      });
+        });
+        BOOST_TEST_REQUIRE(page.value().upstreams.size() == 1u);
+        BOOST_TEST(page.value().upstreams[0].coldRemainingMs == row.remainingMs);
+        const std::vector<std::string> expected = {"i cold-remaining-ms"};
+        BOOST_TEST((unreadable == (row.isReadable ? std::vector<std::string>() : expected)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/operator_test.cpp
+++ b/tests/platform/operator_test.cpp
@@ -18,7 +18,7 @@
   {"name":"r2","hostname":"h.example","path-prefix":"/b/","type":"batch","timeout-ms":4000,
    "service":"s","completion-target-ms":18000,"max-queue-s":40,"max-count":740000}],
  "services":[{"name":"s","health-check":"/health","max-connections":360,
-   "engine":{"slots":8}},{"name":"t","health-check":"/health","max-connections":96}],
+   "engine":{"slots":8},"cold-start-s":8.5,"cold-per-s":3},{"name":"t","health-check":"/health","max-connections":96}],
  "limits":{"max-header-bytes":1000,"max-body-bytes":2000,"header-timeout-ms":100,
    "idle-timeout-ms":200},
  "tenants":[{"name":"w","api-keys":["k1","k2"],"priority":1,"rate-per-s":45,"burst":50}],
@@ -60,6 +60,9 @@
     BOOST_TEST((batchRoute.completionObjective == absl::Seconds(18)));
     BOOST_TEST((batchRoute.abandonAfter == absl::Seconds(40)));
     BOOST_TEST(deployment.services[0].engineSlots == 8);
+    BOOST_TEST((deployment.services[0].warmUpTime == absl::Seconds(8.5)));
+    BOOST_TEST(deployment.services[0].warmUpRate == 3);
+    BOOST_TEST(deployment.services[1].warmUpRate == 0);
     BOOST_TEST(deployment.workspaces[0].keys.size() == 2u);
     BOOST_TEST(deployment.workspaces[0].ratePerSecond == 45);
     BOOST_TEST(deployment.limits.maxBodyBytes == 2000u);
@@ -75,16 +78,22 @@
     BOOST_TEST(!parsePutConfiguration(R"({"version":"7"})").ok());
     BOOST_TEST(!parsePutConfiguration(R"({"version":7,"routes":{}})").ok());
     BOOST_TEST(!parsePutConfiguration(R"({"version":7,"routes":[{"name":"r"}]})").ok());
+    for (const char *field : {R"("cold-start-s":"8")", R"("cold-per-s":[3])"})
+        BOOST_TEST(!parsePutConfiguration(R"({"version":7,"services":[{"name":"s",)"
+                                          + std::string(field) + "}]}")
+                            .ok());
     BOOST_TEST(!parsePutConfiguration(R"({"version":7,"tenants":[{"name":"w","api-keys":[1]}]})")
                         .ok());
 }
 
 BOOST_AUTO_TEST_CASE(otherCallsAreParsed)
 {
-    const auto parse = [](const std::string &method, const std::string &target) {
+    const auto parse = [](const std::string &method, const std::string &target,
+                          const std::string &body = "") {
         net::Request request;
         request.method = method;
         request.target = target;
+        request.body = body;
         return outcomeOf([&] { return adapter.parseCall(request); });
     };
     BOOST_TEST(std::holds_alternative<fleet::ReadConfigurationCall>(
@@ -95,6 +104,16 @@
     BOOST_TEST(std::get<fleet::ReadRetirementCall>(parse("GET", "/Retire.Get/store-1").value())
                        .instance
                == "store-1");
+    const auto start = parse("POST", "/Evacuations.Start/tx-central-a");
+    BOOST_TEST_REQUIRE(start.ok());
+    BOOST_TEST(std::get<fleet::SetEvacuationCall>(start.value()).failureDomain == "tx-central-a");
+    BOOST_TEST(std::get<fleet::SetEvacuationCall>(start.value()).isEvacuated);
+    const auto finish = parse("POST", "/Evacuations.Finish/tx-central-a");
+    BOOST_TEST_REQUIRE(finish.ok());
+    BOOST_TEST(!std::get<fleet::SetEvacuationCall>(finish.value()).isEvacuated);
+    BOOST_TEST(!parse("POST", "/Evacuations.Start/").ok());
+    BOOST_TEST(!parse("GET", "/Evacuations.Start/tx-central-a").ok());
+    BOOST_TEST(!parse("POST", "/Evacuations.Start/tx-central-a", "body").ok());
     BOOST_TEST(!parse("GET", "/Retire.Get/").ok());
     BOOST_TEST(!parse("GET", "/elsewhere").ok());
 }
--- a/tests/platform/platformdeployment.py
+++ b/tests/platform/platformdeployment.py
@@ -146,6 +146,7 @@
     slots = 4
     draining = set()
     versions = {}
+    zones = {}
     reads = []
     on_read = None
 
@@ -154,7 +155,7 @@
 
     def do_GET(self):
         instances = [{"id": f"i-{n}", "service": "lm", "address": f"127.0.8.{n}:{UPSTREAM_PORT}",
-                      "zone": "a", "slots": self.slots,
+                      "zone": self.zones.get(n, "a"), "slots": self.slots,
                       "version": self.versions.get(f"127.0.8.{n}", "v1"),
                       "state": "draining" if f"127.0.8.{n}" in self.draining else "ready"}
                      for n in self.numbers]
@@ -217,6 +218,8 @@
 
     stores = 3
     entries = 2
+    # Settings of the processes of a role in addition to those that all tests use.
+    role_settings = {}
 
     @classmethod
     def setUpClass(cls):
@@ -274,6 +277,7 @@
             settings["dataFolder"] = f"{cls.directory.name}/{name}"
         if role == "control":
             settings["operatorAddress"] = f"{host}:{OPERATOR_PORT}"
+        settings.update(cls.role_settings.get(role, {}))
         path = Path(cls.directory.name) / f"{name}.json"
         path.write_text(json.dumps(settings))
         with open(Path(cls.directory.name) / f"{name}.log", "ab") as log:
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -66,6 +66,23 @@
     BOOST_TEST(!adapter.parseResponse(net::ResponseHead()).requestLimit.has_value());
 }
 
+// Guards against a cold upstream that is not recognized, and against an implausible time for which
+// an upstream would count as cold.
+BOOST_AUTO_TEST_CASE(coldTimeIsAPlausibleNumberOfMilliseconds)
+{
+    const auto remaining = [](const std::string &value) {
+        net::ResponseHead head;
+        head.status = 200;
+        head.headers.add("Cold-Start-Ms", value);
+        return adapter.parseResponse(head).coldRemainingMs;
+    };
+    BOOST_TEST(remaining("0").value() == 0);
+    BOOST_TEST(remaining("2500.6").value() == 2501);
+    for (const char *value : {"", "-1", "3600001", "1e300", "1e999", "nan", "25x", "soon"})
+        BOOST_TEST(!remaining(value).has_value(), value);
+    BOOST_TEST(!adapter.parseResponse(net::ResponseHead()).coldRemainingMs.has_value());
+}
+
 // Guards against an announcement that is not read in some responses, and against upstreams that get
 // no requests because of another value of the header.
 BOOST_AUTO_TEST_CASE(leavingIsReadFromResponsesOfAnyStatus)
@@ -231,6 +248,33 @@
     BOOST_TEST(adapter.parseResponse(head).isInstanceMismatch);
 }
 
+// Guards against a wrong figure that changes the choice of upstreams, and against a valid load that
+// is lost because of it.
+BOOST_AUTO_TEST_CASE(paceIsReadFromCompleteLoadsOnly)
+{
+    const auto infoOf = [](const std::string &value) {
+        net::ResponseHead head;
+        head.headers.add("Server-Load", value);
+        return adapter.parseResponse(head);
+    };
+    BOOST_TEST(infoOf("7,2,8,150").pace.value() == 1.5);
+    const std::string tooLarge = "1" + std::string(300, '0');
+    for (const std::string fourth : {"", "x", "100x", "-100", "0", "1e300", "1.5", "10001",
+                                     tooLarge.c_str(), "100,", "100,1"}) {
+        const serving::ResponseInfo info = infoOf("7,2,8," + fourth);
+        BOOST_TEST(!info.pace.has_value(), fourth);
+        BOOST_TEST(info.outstandingRequests.value() == 9, fourth);
+    }
+    BOOST_TEST(!infoOf("7,2,8").pace.has_value());
+    for (const char *value : {"7,2,x,150", "7,2,-8,150", "7,2,,150"})
+        BOOST_TEST(!infoOf(value).pace.has_value(), value);
+    for (const char *value : {"", "7", "7,2", "-7,2,8,150", "7,x,8,150", "7,1e300,8,150",
+                              "7,9000000000000000000,8,150"}) {
+        BOOST_TEST(!infoOf(value).pace.has_value(), value);
+        BOOST_TEST(!infoOf(value).outstandingRequests.has_value(), value);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(itemRequestIsBuiltFromTheItem)
 {
     wire::JobItem item{
--- a/tests/policy/forwarderselector_test.cpp
+++ b/tests/policy/forwarderselector_test.cpp
@@ -81,4 +81,27 @@
     }
 }
 
+// Guards against one entry that forwards each call while others are idle, and against processes
+// that are cut off at the same moment and all begin with the same entry.
+BOOST_AUTO_TEST_CASE(equalForwardersTakeTurns)
+{
+    std::map<std::string, int> first;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ForwarderSelector seeded(seed);
+        seeded.setForwarders({{"1", "a", "1:1"}, {"2", "a", "2:1"}, {"3", "a", "3:1"}});
+        std::map<std::string, int> calls;
+        for (int i = 0; i < 6; ++i) {
+            const auto chosen =
+                    seeded.choose(start, "self", "a", [](const Forwarder &) { return true; });
+            first[chosen->instance] += i == 0 ? 1 : 0;
+            ++calls[chosen->instance];
+            seeded.release(chosen->instance);
+        }
+        for (const char *instance : {"1", "2", "3"})
+            BOOST_TEST(calls[instance] == 2);
+    }
+    for (const char *instance : {"1", "2", "3"})
+        BOOST_TEST(first[instance] > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/policy/schedulerfixture.h
+++ b/tests/policy/schedulerfixture.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -93,16 +94,20 @@
         scheduler.finished(now, id, run.attempt, tokens);
     }
 
-    void fail(TaskId id, AttemptFailure::Kind kind, std::int64_t delivered = 0)
+    std::optional<EngineEjection> fail(TaskId id, AttemptFailure::Kind kind,
+                                       std::int64_t delivered = 0)
     {
-        const StartTask run = removeRunning(id);
-        AttemptFailure failure;
-        failure.kind = kind;
-        failure.deliveredTokens = delivered;
         const bool ran = kind != AttemptFailure::Kind::Refused;
-        failure.failure = ran ? mayHaveRun(ErrorCode::UpstreamFailed, "connection lost")
-                              : notRun(ErrorCode::UpstreamUnavailable, "no connection");
-        scheduler.failed(now, id, run.attempt, failure);
+        const Failure failure = ran ? mayHaveRun(ErrorCode::StreamBroken, "connection lost")
+                                    : notRun(ErrorCode::UpstreamUnavailable, "no connection");
+        return endFailedAttempt(id, AttemptFailure{kind, delivered, failure});
+    }
+
+    /// Has the engine respond to the attempt with a server error.
+    std::optional<EngineEjection> respondWithError(TaskId id)
+    {
+        const Failure failure = mayHaveRun(ErrorCode::UpstreamFailed, "responded with status 500");
+        return endFailedAttempt(id, AttemptFailure{AttemptFailure::Kind::Broken, 0, failure});
     }
 
     /// Reports that \a preempt was carried out after \a delivered tokens.
@@ -132,6 +137,12 @@
     TaskId nextTaskId = 1;
 
 private:
+    std::optional<EngineEjection> endFailedAttempt(TaskId id, const AttemptFailure &failure)
+    {
+        const StartTask run = removeRunning(id);
+        return scheduler.failed(now, id, run.attempt, failure);
+    }
+
     /// Removes a running task from \a running and from the next load reports.
     StartTask removeRunning(TaskId id)
     {
--- a/tests/serving/deployment_test.cpp
+++ b/tests/serving/deployment_test.cpp
@@ -48,6 +48,11 @@
 BOOST_AUTO_TEST_CASE(eachInvalidConfigurationIsRejected)
 {
     const std::map<std::string, void (*)(Deployment &)> faults = {
+            {"negative warm-up time",
+             [](Deployment &d) { d.services[0].warmUpTime = -absl::Seconds(1); }},
+            {"warm-up time of more than an hour",
+             [](Deployment &d) { d.services[0].warmUpTime = absl::Seconds(3601); }},
+            {"negative warm-up rate", [](Deployment &d) { d.services[1].warmUpRate = -0.5; }},
             {"unknown service",
              [](Deployment &d) {
                  d.routes[0].targets = {{"nobody", 1}};
--- a/tests/serving/proxyrequest_hedge_test.cpp
+++ b/tests/serving/proxyrequest_hedge_test.cpp
@@ -250,6 +250,20 @@
     BOOST_TEST(requests == 2u);
 }
 
+// Guards against an upstream that responds to hedges with errors at once and counts as healthy.
+BOOST_AUTO_TEST_CASE(serverErrorOfAHedgeIsReportedWithTheRelease)
+{
+    ScriptedUpstreams upstreams({pausingStream(700), {completeResponse("a", "error", 500)}});
+    UnknowingBroker broker(upstreams);
+    broker.versions = {"v1", "v1"};
+    Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true), broker.address());
+    entry.sendRequest("a");
+    const auto releases = broker.awaitReleases(2);
+    BOOST_TEST_REQUIRE(!releases.empty());
+    BOOST_TEST(releases.front().upstream == "u2");
+    BOOST_TEST(releases.front().end == "server_error");
+}
+
 // Guards against a running call that is cancelled for a hedge whose stream ends inside an event.
 BOOST_AUTO_TEST_CASE(streamGoesOnWhenTheHedgeEndsInsideAnEvent)
 {
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -152,6 +152,32 @@
     BOOST_TEST(contains(response, "Signed: s-a"));
 }
 
+// Guards against an upstream that responds with errors at once and counts as healthy, and against
+// one that counts as faulty because it refused a request.
+BOOST_AUTO_TEST_CASE(serverErrorIsReportedWithTheRelease)
+{
+    struct Row
+    {
+        std::string response;
+        std::string reason;
+    };
+    const std::vector<Row> rows = {
+            {completeResponse("a", "it failed", 500), "server_error"},
+            {completeResponse("a", "busy", 503), "server_error"},
+            {completeResponse("a", "full", 503, "Not-Run: 1\r\n"), "failed"},
+            {completeResponse("a", "wrong", 400), "served"},
+    };
+    for (const auto &[response, reason] : rows) {
+        ScriptedUpstreams upstreams({{response}, {completeResponse("a", "done")}});
+        UnknowingBroker broker(upstreams);
+        Entry entry(upstreams, routeOf(RouteKind::Idempotent, 2), broker.address());
+        entry.sendRequest("a");
+        const auto releases = broker.awaitReleases(1);
+        BOOST_TEST_REQUIRE(!releases.empty());
+        BOOST_TEST(releases.front().end == reason, response);
+    }
+}
+
 // Guards against callers that are told that a request did not run, because its upstream responded
 // with a status that says so but did not state it: they would send the request again.
 BOOST_AUTO_TEST_CASE(unstatedPromiseOfAnUpstreamIsNotForwarded)
--- a/tests/serving/responseinfo_test.cpp
+++ b/tests/serving/responseinfo_test.cpp
@@ -54,6 +54,12 @@
     info.outstandingRequests = 3;
     BOOST_TEST(loadOf("u", "u:1", info).requests == 3);
     BOOST_TEST(loadOf("u", "u:1", info).requestLimit == 0);
+    BOOST_TEST(loadOf("u", "u:1", info).coldRemainingMs == -1);
+    info.coldRemainingMs = 1500;
+    BOOST_TEST(loadOf("u", "u:1", info).coldRemainingMs == 1500);
+    BOOST_TEST(loadOf("u", "u:1", info).pace == 0);
+    info.pace = 1.5;
+    BOOST_TEST(loadOf("u", "u:1", info).pace == 1.5);
 }
 
 // Guards against a response that is taken for the own one although it names another request, or no
--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -342,6 +342,46 @@
     BOOST_TEST(!broker.isLeaving("u", "other:1"));
 }
 
+// Guards against requests, online or batch, that reach an evacuated domain, also by a slot that was
+// granted before, and against a domain that gets none after the evacuation.
+BOOST_AUTO_TEST_CASE(evacuatedDomainGetsNoRequests)
+{
+    timers.advance(absl::Seconds(10));
+    const std::vector<wire::FleetUpstream> list = {{"u", "llm", "u:1", "d", 100, false},
+                                                   {"v", "llm", "v:1", "far", 1, false}};
+    broker.setUpstreams(list, CapacityShare());
+    broker.setEvacuatedDomains({"d"});
+    BOOST_TEST(broker.isLeaving("u", "u:1"));
+    BOOST_TEST(!broker.isLeaving("v", "v:1"));
+    BOOST_TEST(acquire(request("1"))->upstream == "v");
+    BOOST_TEST(grantBatch("item").empty());
+    // A new list and another broker don't end it.
+    broker.setUpstreams(list, CapacityShare(), clock.now());
+    broker.reset();
+    timers.advance(absl::Seconds(5));
+    BOOST_TEST(acquire(request("2"))->upstream == "v");
+    broker.setEvacuatedDomains({});
+    BOOST_TEST(!broker.isLeaving("u", "u:1"));
+    BOOST_TEST(acquire(request("3"))->upstream == "u");
+}
+
+// Guards against a request that waits for an evacuated domain until its deadline, and against one
+// that runs there and is ended.
+BOOST_AUTO_TEST_CASE(requestsAreRefusedAtOnceWhenAllUpstreamsAreEvacuated)
+{
+    timers.advance(absl::Seconds(10));
+    broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
+    BOOST_TEST(tryAcquire("runs"));
+    wire::SlotRequest waits = request("waits");
+    waits.objectiveMs = 5000;
+    BOOST_TEST(!acquire(waits).has_value());
+    broker.setEvacuatedDomains({"d"});
+    BOOST_TEST_REQUIRE(last.has_value());
+    BOOST_TEST((last->verdict == SlotOutcome::NoSlot));
+    BOOST_TEST(last->retryAfterMs > 0);
+    BOOST_TEST(broker.scheduler().running("llm", policy::TaskKind::Online) == 1u);
+}
+
 // Guards against a restarted upstream that never gets requests again, and against one that gets
 // requests because the list has not caught up with the announcement.
 BOOST_AUTO_TEST_CASE(announcementEndsWhenTheListHasCaughtUp)
@@ -387,6 +427,43 @@
     BOOST_TEST(broker.hasRequestLimit("u"));
 }
 
+// Guards against a cold upstream that gets requests from local shares in addition to those of the
+// broker, and against a configuration or a list that takes effect only in one order.
+BOOST_AUTO_TEST_CASE(coldUpstreamGetsItsRateFromTheBrokerOnly)
+{
+    Deployment warming;
+    warming.services = {{"llm", "", 0, 0, absl::Seconds(8), 5}};
+    const auto index = std::make_shared<const DeploymentIndex>(std::move(warming));
+    wire::FleetUpstream cold{"u", "llm", "u:1", "d", 100, false};
+    cold.coldRemainingMs = 8000;
+    SlotBroker local(timers, clock, settings());
+    local.setUpstreams({cold}, CapacityShare{0.5, 1, 0.5, 0});
+    local.setDeployment(index);
+    broker.setDeployment(index);
+    broker.setUpstreams({cold}, CapacityShare());
+    BOOST_TEST(broker.coldUpstreamCount() == 1u);
+    int granted = 0;
+    int grantedLocally = 0;
+    for (int step = 0; step < 100; ++step) {
+        timers.advance(absl::Milliseconds(10));
+        const std::string id = std::to_string(step);
+        granted += tryAcquire(id) ? 1 : 0;
+        release(id);
+        local.acquire(request(id), [&](const wire::SlotResponse &response) {
+            grantedLocally += response.verdict == SlotOutcome::Granted ? 1 : 0;
+        });
+        local.release({"e", id, "u", "served"});
+    }
+    BOOST_TEST((granted >= 4 && granted <= 7));
+    BOOST_TEST(grantedLocally == 0);
+    BOOST_TEST(broker.warmUpWaits() > 0u);
+    // A response shows earlier than the list that the upstream is warm.
+    for (SlotBroker *each : {&broker, &local})
+        each->reportLoad({"u", -1, -1, false, 0, "", 0});
+    BOOST_TEST(broker.coldUpstreamCount() == 0u);
+    BOOST_TEST(tryAcquire("warm"));
+}
+
 BOOST_AUTO_TEST_CASE(batchTaskIsPreemptedByAnOnlineRequest)
 {
     broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}}, CapacityShare());
@@ -657,6 +734,39 @@
     BOOST_TEST(!broker.scheduler().isEjectedFor(clock.now(), "u", "other"));
 }
 
+// Guards against slots that stay occupied, and upstreams that are ejected, because an entry of a
+// later version names a reason that this one does not know.
+BOOST_AUTO_TEST_CASE(unknownReasonOnlyFreesTheSlot)
+{
+    for (int i = 0; i < 10; ++i) {
+        for (const std::string instance : {"e1", "e2"}) {
+            wire::SlotRequest slotRequest = request("a");
+            slotRequest.instance = instance;
+            slotRequest.chargesRate = false;
+            BOOST_TEST_REQUIRE(acquire(slotRequest).has_value());
+            broker.release({instance, "a", "u", "of a later version"});
+        }
+    }
+    BOOST_TEST(broker.scheduler().running("llm", policy::TaskKind::Online) == 0u);
+    BOOST_TEST(!broker.scheduler().isEjectedFor(clock.now(), "u", "e1"));
+}
+
+// Guards against a release that names a server error and is counted as a success.
+BOOST_AUTO_TEST_CASE(serverErrorIsKnownByItsName)
+{
+    // The nearer upstream goes first until it is suspected.
+    broker.setUpstreams({{"u", "llm", "u:1", "d", 1, false}, {"v", "llm", "v:1", "far", 1, false}},
+                        CapacityShare());
+    for (int i = 0; i < 4; ++i) {
+        wire::SlotRequest slotRequest = request("a");
+        slotRequest.failureDomain = "d";
+        slotRequest.chargesRate = false;
+        BOOST_TEST_REQUIRE(acquire(slotRequest).has_value());
+        BOOST_TEST(last->upstream == (i < 3 ? "u" : "v"));
+        broker.release({"e", "a", "u", "server_error"});
+    }
+}
+
 // Guards against an upstream that is ejected because entries which are cut off do not reach it.
 BOOST_AUTO_TEST_CASE(releasesOfACutOffEntrySayNothingAboutTheUpstream)
 {
@@ -673,4 +783,16 @@
     BOOST_TEST(!broker.scheduler().isEjectedFor(clock.now(), "u", "e4"));
 }
 
+// Guards against a pace that is reported and does not reach the choice, and against an implausible
+// one that does.
+BOOST_AUTO_TEST_CASE(reportedPaceCountsInTheChoice)
+{
+    broker.setUpstreams({{"slow", "llm", "s:1", "d", 8, false}, {"u", "llm", "u:1", "d", 8, false}},
+                        CapacityShare());
+    broker.reportLoad({"u", 0, 0, false, 0, "u:1", -1, 1e300});
+    broker.reportLoad({"slow", 0, 0, false, 0, "s:1", -1, 4});
+    for (const char *id : {"1", "2", "3"})
+        BOOST_TEST(grantBatch(id) == "u");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -195,6 +195,44 @@
     BOOST_TEST(reportedCharges[0].requests == localGrants);
 }
 
+// Guards against requests from the local share that are never charged because the entry knew no
+// broker for a while, or again before the report of them was lost.
+BOOST_AUTO_TEST_CASE(localGrantsAreReportedToTheBrokerThatReturns)
+{
+    const std::string broker = "127.0.0.1:" + std::to_string(server.port());
+    thread.run([&] { client.setBroker(""); });
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(acquire("local-" + std::to_string(i)));
+    reportsToLose = 1;
+    thread.run([&] {
+        client.setBroker(broker);
+        client.setBroker("");
+    });
+    for (int i = 0; i < 10000 && reportsToLose > 0; ++i)
+        absl::SleepFor(absl::Milliseconds(1));
+    // The response to the lost report arrives.
+    absl::SleepFor(absl::Milliseconds(50));
+    thread.run([&] { client.setBroker(broker); });
+    BOOST_REQUIRE(reported.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    const auto reportedCharges = charges();
+    BOOST_REQUIRE(reportedCharges.size() == 1u);
+    BOOST_TEST(reportedCharges[0].workspace == "w");
+    BOOST_TEST(reportedCharges[0].requests == 3);
+}
+
+// Guards against a pace that the broker does not receive, and against a message of its own for it.
+BOOST_AUTO_TEST_CASE(paceIsReportedWithTheLoad)
+{
+    thread.run([&] {
+        client.reportLoad({"u", -1, 0, false, 0, "u:1", -1, 0});
+        client.reportLoad({"u", 3, 0, false, 0, "u:1", -1, 1.5});
+    });
+    const std::vector<wire::UpstreamLoad> received = awaitLoads(1);
+    BOOST_TEST_REQUIRE(received.size() == 1u);
+    BOOST_TEST(received[0].requests == 3);
+    BOOST_TEST(received[0].pace == 1.5);
+}
+
 // Guards against an announcement that the broker does not receive because the response reports
 // nothing else, or that ends with a change of the broker.
 BOOST_AUTO_TEST_CASE(announcementIsReportedAndKept)
