Entry: Keep the number of calls to an instance while it is not listed

Cause: the calls of an instance that left the directory and was listed again under its name ended at the new listing, which had counted none. Its count of open calls became negative for good, so it looked idle as long as its load report showed fewer calls.

Change: ServiceTable keeps the number of open calls to instances that are not listed. A new listing starts with it, so that calls that still run there count as load.

Result: before the fix, of six calls to two equal instances, the one that was listed again got four, both while its three former calls ran and after they had ended; now three.

--- a/src/entry/servicetable.cpp
+++ b/src/entry/servicetable.cpp
@@ -30,7 +30,7 @@
         if (upstream.kind != wire::UpstreamKind::Service)
             continue;
         const auto known = m_instances.find(upstream.name);
-        Instance instance = known == m_instances.end() ? Instance() : known->second;
+        Instance instance = known == m_instances.end() ? newInstance(upstream.name) : known->second;
         const bool moved =
                 instance.upstream.host != upstream.host || instance.upstream.port != upstream.port;
         if (moved || !instance.client) {
@@ -41,10 +41,32 @@
         instance.announcement.update(upstream);
         instances.emplace(upstream.name, std::move(instance));
     }
+    for (const auto &[name, instance] : m_instances) {
+        if (instance.ownCalls > 0 && instances.count(name) == 0)
+            m_unlistedCalls.emplace(name, instance.ownCalls);
+    }
     m_instances = std::move(instances);
     retainFailures();
 }
 
+ServiceTable::Instance ServiceTable::newInstance(const std::string &name)
+{
+    Instance instance;
+    const auto calls = m_unlistedCalls.find(name);
+    if (calls != m_unlistedCalls.end()) {
+        instance.ownCalls = calls->second;
+        m_unlistedCalls.erase(calls);
+    }
+    return instance;
+}
+
+void ServiceTable::endUnlistedCall(const std::string &name)
+{
+    const auto calls = m_unlistedCalls.find(name);
+    if (calls != m_unlistedCalls.end() && --calls->second == 0)
+        m_unlistedCalls.erase(calls);
+}
+
 /// Forgets the server errors of instances that left their service.
 void ServiceTable::retainFailures()
 {
@@ -216,8 +238,10 @@
                                                               CallEnd end)
 {
     const auto found = m_instances.find(name);
-    if (found == m_instances.end())
+    if (found == m_instances.end()) {
+        endUnlistedCall(name);
         return std::nullopt;
+    }
     Instance &instance = found->second;
     --instance.ownCalls;
     if (end == CallEnd::Failed || end == CallEnd::Crashed) {
--- a/src/entry/servicetable.h
+++ b/src/entry/servicetable.h
@@ -69,6 +69,9 @@
         std::int64_t calls = 0;
     };
 
+    /// Returns an instance with the calls that still run since it was listed before.
+    Instance newInstance(const std::string &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void endUnlistedCall(const std::string &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     Client makeClient(const wire::Upstream &upstream);
     void announceLeaving(const std::string &name, const std::string &host, int port)
             ABSL_LOCKS_EXCLUDED(m_mutex);
@@ -95,6 +98,8 @@
     const Clock &m_clock;
     mutable absl::Mutex m_mutex;
     std::map<std::string, Instance> m_instances ABSL_GUARDED_BY(m_mutex);
+    /// Numbers of open calls to instances that are not listed, by name; none is 0.
+    std::map<std::string, std::int64_t> m_unlistedCalls ABSL_GUARDED_BY(m_mutex);
     /// Shares of server errors, by service.
     std::map<std::string, policy::FailureShares> m_failures ABSL_GUARDED_BY(m_mutex);
 };
--- a/tests/entry/servicetable_test.cpp
+++ b/tests/entry/servicetable_test.cpp
@@ -159,6 +159,55 @@
     BOOST_TEST(begin() == 0);
 }
 
+// An instance leaves the directory and is listed again under its name while calls to it run. Guards
+// against ends of these calls that make it look idle for good, and against a count without them.
+BOOST_AUTO_TEST_CASE(callsOutlastTheListingOfTheirInstance)
+{
+    constexpr int numCalls = 6;
+    setInstances(2);
+    for (int i = 0; i < numCalls; ++i)
+        BOOST_TEST_REQUIRE(begin() == i % 2);
+    setInstances(1);
+    setInstances(2);
+    std::map<int, int> next;
+    for (int i = 0; i < numCalls; ++i)
+        ++next[begin()];
+    BOOST_TEST(next[1] == numCalls / 2, "calls while the former ones run: " << next[1]);
+    for (int i = 0; i < numCalls; ++i)
+        end(i % 2, CallEnd::Completed);
+    next.clear();
+    for (int i = 0; i < numCalls; ++i)
+        ++next[begin()];
+    BOOST_TEST(next[1] == numCalls / 2, "calls after the former ones have ended: " << next[1]);
+}
+
+// Guards against a count that falls below zero: an instance is not listed when its calls end, or
+// they end after it is listed again.
+BOOST_AUTO_TEST_CASE(countOfCallsIsZeroWhenAllHaveEnded)
+{
+    constexpr int numCalls = 6;
+    for (const bool isListedAtTheEnd : {false, true}) {
+        setInstances(2);
+        for (int i = 0; i < numCalls; ++i)
+            BOOST_TEST_REQUIRE(begin() == i % 2);
+        setInstances(1);
+        if (isListedAtTheEnd)
+            setInstances(2);
+        for (int i = 0; i < numCalls; ++i)
+            end(i % 2, CallEnd::Completed);
+        setInstances(2);
+        std::map<int, int> next;
+        for (int i = 0; i < numCalls; ++i)
+            ++next[begin()];
+        BOOST_TEST(next[1] == numCalls / 2,
+                   "listed at the end: " << isListedAtTheEnd << ", calls: " << next[1]);
+        for (const auto &[instance, count] : next) {
+            for (int i = 0; i < count; ++i)
+                end(instance, CallEnd::Completed);
+        }
+    }
+}
+
 // Guards against an instance that is ejected although it refuses the calls that it can't run, as
 // the protocol asks.
 BOOST_AUTO_TEST_CASE(refusedCallsAreNoServerErrors)
