Entry: Report ejections for server errors in one place, and count them

Cause: the log line upstream-ejected for an engine did not name the model, and no metric of an entry showed an ejection. The structs and log lines for engines and for instances of plain services stood twice; only tests used the result of ServiceTable::endCall().

Change: policy::ServerErrorEjection holds an ejection of either kind, with the service or model; EngineEjection is an alias of it. ServiceTable::endCall() returns it, and reportEjection() logs it and counts rattanrill_upstream_ejections_total. The line of an engine has the field "model"; that of a plain service is unchanged.

The script of the test engine has a new option, failInPart.

--- a/include/rattanrill/policy/scheduler.h
+++ b/include/rattanrill/policy/scheduler.h
@@ -5,6 +5,7 @@
 #include "rattanrill/policy/quarantine.h"
 #include "rattanrill/policy/retrypolicy.h"
 #include "rattanrill/policy/router.h"
+#include "rattanrill/policy/servererrorejection.h"
 #include "rattanrill/policy/task.h"
 
 #include "absl/time/time.h"
@@ -150,15 +151,8 @@
     bool isServerError() const;
 };
 
-/// An ejection of an engine for its share of server errors. Until it ends, the engine gets only
-/// tasks for which no other engine of its model can be used.
-struct EngineEjection
-{
-    std::string engine;
-    absl::Duration length;
-    /// Number of this entry's tasks that run there.
-    std::size_t runningTasks = 0;
-};
+/// An ejection of an engine; it serves its model.
+using EngineEjection = ServerErrorEjection;
 
 /// Decides in which order, when and on which engine the tasks of one entry run. The caller reports
 /// events, calls decide() after each event and at nextDecision(), and carries out the decisions in
--- a/src/entry/servicehandler.cpp
+++ b/src/entry/servicehandler.cpp
@@ -1,6 +1,7 @@
 #include "servicehandler.h"
 
 #include "await.h"
+#include "ejectionreport.h"
 
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
@@ -189,8 +190,10 @@
         const Outcome<Done> probe = client->probe();
         crashed = !probe.ok() && probe.failure().code == ErrorCode::UpstreamUnavailable;
     }
-    m_context.services.endCall(upstream, request.workspace,
-                               crashed ? CallEnd::Crashed : callEndOf(response));
+    const auto ejection = m_context.services.endCall(
+            upstream, request.workspace, crashed ? CallEnd::Crashed : callEndOf(response));
+    if (ejection)
+        reportEjection(m_context.metrics, wire::UpstreamKind::Service, *ejection);
     if (crashed)
         reportCrash(fingerprintOf(request), upstream);
     return response;
--- a/src/entry/servicetable.cpp
+++ b/src/entry/servicetable.cpp
@@ -215,9 +215,9 @@
     return best->client;
 }
 
-std::optional<ServiceTable::Ejection> ServiceTable::recordServerError(absl::Time now,
-                                                                      const Instance &instance,
-                                                                      const std::string &workspace)
+std::optional<policy::ServerErrorEjection>
+ServiceTable::recordServerError(absl::Time now, const Instance &instance,
+                                const std::string &workspace)
 {
     const std::string &service = instance.upstream.serves;
     std::vector<std::string> candidates;
@@ -229,13 +229,14 @@
     const std::string &name = instance.upstream.name;
     if (!failures.failed(now, name, workspace, candidates))
         return std::nullopt;
-    return Ejection{service, failures.ejectedUntil(name) - now, instance.ownCalls};
+    return policy::ServerErrorEjection{name, service, failures.ejectedUntil(name) - now,
+                                       instance.ownCalls};
 }
 
-std::optional<ServiceTable::Ejection> ServiceTable::recordEnd(absl::Time now,
-                                                              const std::string &name,
-                                                              const std::string &workspace,
-                                                              CallEnd end)
+std::optional<policy::ServerErrorEjection> ServiceTable::recordEnd(absl::Time now,
+                                                                   const std::string &name,
+                                                                   const std::string &workspace,
+                                                                   CallEnd end)
 {
     const auto found = m_instances.find(name);
     if (found == m_instances.end()) {
@@ -256,22 +257,11 @@
     return std::nullopt;
 }
 
-bool ServiceTable::endCall(const std::string &name, const std::string &workspace, CallEnd end)
+std::optional<policy::ServerErrorEjection>
+ServiceTable::endCall(const std::string &name, const std::string &workspace, CallEnd end)
 {
-    std::optional<Ejection> ejection;
-    {
-        absl::MutexLock lock(&m_mutex);
-        ejection = recordEnd(m_clock.now(), name, workspace, end);
-    }
-    if (!ejection)
-        return false;
-    log(LogLevel::Info, "upstream-ejected",
-        {{"upstream", name},
-         {"service", ejection->service},
-         {"reason", "server_error"},
-         {"ejectedMs", absl::ToInt64Milliseconds(ejection->length)},
-         {"runningTasks", ejection->calls}});
-    return true;
+    absl::MutexLock lock(&m_mutex);
+    return recordEnd(m_clock.now(), name, workspace, end);
 }
 
 } // namespace rattanrill::entry
--- a/src/entry/servicetable.h
+++ b/src/entry/servicetable.h
@@ -7,6 +7,7 @@
 #include "rattanrill/directory/directoryview.h"
 #include "rattanrill/policy/failureshares.h"
 #include "rattanrill/policy/outlierdetector.h"
+#include "rattanrill/policy/servererrorejection.h"
 #include "rattanrill/service/serviceclient.h"
 
 #include "absl/base/thread_annotations.h"
@@ -44,9 +45,10 @@
     /// is none.
     Client beginCall(const std::string &service, const std::vector<std::string> &excluded)
             ABSL_LOCKS_EXCLUDED(m_mutex);
-    /// Ends a call of \a workspace, which is empty on open routes. Returns true when this ejects
-    /// the instance for its server errors.
-    bool endCall(const std::string &name, const std::string &workspace, CallEnd end)
+    /// Ends a call of \a workspace, which is empty on open routes. Returns the ejection of the
+    /// instance for its server errors when it begins with this call.
+    std::optional<policy::ServerErrorEjection> endCall(const std::string &name,
+                                                       const std::string &workspace, CallEnd end)
             ABSL_LOCKS_EXCLUDED(m_mutex);
 
 private:
@@ -60,15 +62,6 @@
         LeavingAnnouncement announcement;
     };
 
-    /// An ejection for server errors that begins.
-    struct Ejection
-    {
-        std::string service;
-        absl::Duration length;
-        /// Number of open calls of this entry to the instance.
-        std::int64_t calls = 0;
-    };
-
     /// Returns an instance with the calls that still run since it was listed before.
     Instance newInstance(const std::string &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void endUnlistedCall(const std::string &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -87,11 +80,11 @@
                               std::vector<Instance *> &usable);
     double cost(absl::Time now, const policy::FailureShares &failures,
                 const Instance &instance) const;
-    std::optional<Ejection> recordEnd(absl::Time now, const std::string &name,
-                                      const std::string &workspace, CallEnd end)
+    std::optional<policy::ServerErrorEjection> recordEnd(absl::Time now, const std::string &name,
+                                                         const std::string &workspace, CallEnd end)
             ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    std::optional<Ejection> recordServerError(absl::Time now, const Instance &instance,
-                                              const std::string &workspace)
+    std::optional<policy::ServerErrorEjection>
+    recordServerError(absl::Time now, const Instance &instance, const std::string &workspace)
             ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     std::string m_failureDomain;
--- a/src/entry/taskdispatcher.cpp
+++ b/src/entry/taskdispatcher.cpp
@@ -1,5 +1,7 @@
 #include "taskdispatcher.h"
 
+#include "ejectionreport.h"
+
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/logger.h"
 
@@ -424,11 +426,7 @@
                                       engineAttempt.start().attempt, attemptFailure);
     }
     if (ejection)
-        log(LogLevel::Info, "upstream-ejected",
-            {{"upstream", ejection->engine},
-             {"reason", "server_error"},
-             {"ejectedMs", absl::ToInt64Milliseconds(ejection->length)},
-             {"runningTasks", static_cast<std::int64_t>(ejection->runningTasks)}});
+        reportEjection(m_context.metrics, wire::UpstreamKind::Engine, *ejection);
     runDecisions();
 }
 
--- a/src/policy/schedulerstate.cpp
+++ b/src/policy/schedulerstate.cpp
@@ -347,8 +347,8 @@
     FailureShares &failures = modelPool.failures;
     if (!failures.failed(now, info.name, workspace, candidates))
         return std::nullopt;
-    return EngineEjection{info.name, failures.ejectedUntil(info.name) - now,
-                          engineRecord.running.size()};
+    return EngineEjection{info.name, info.model, failures.ejectedUntil(info.name) - now,
+                          static_cast<std::int64_t>(engineRecord.running.size())};
 }
 
 std::optional<EngineEjection> Scheduler::State::attemptFailed(absl::Time now,
--- a/tests/entry/scriptedengine.cpp
+++ b/tests/entry/scriptedengine.cpp
@@ -213,6 +213,13 @@
     m_mutex.AwaitWithTimeout(absl::Condition(&resumed), waitLimit);
 }
 
+bool ScriptedEngine::failsNow(const Script &script)
+{
+    constexpr std::uint64_t period = 3;
+    absl::MutexLock lock(&m_mutex);
+    return script.failInPart && m_failInPartRequests++ % period != 0;
+}
+
 void ScriptedEngine::addRoutes()
 {
     const auto recordRequest = [this](const httplib::Request &request, bool run) {
@@ -236,6 +243,10 @@
                                  "application/json");
             return;
         }
+        if (failsNow(script)) {
+            response.status = 500;
+            return;
+        }
         const Json body = Json::parse(request.body);
         if (!script.failResumed.empty() && body.value("resume_after", 0) > 0) {
             response.status = 500;
@@ -321,6 +332,7 @@
                                                     ? std::string("another")
                                                     : request.get_header_value("X-Request-Id")},
                              {"path", request.path}};
+        response.status = failsNow(script) ? 500 : 200;
         response.set_content(answer.dump(), "application/json");
     };
     server.Post("/desk.*", serve);
--- a/tests/entry/scriptedengine.h
+++ b/tests/entry/scriptedengine.h
@@ -46,6 +46,9 @@
         bool refuse = false;
         /// The service breaks off its response after it has read the request.
         bool abortResponses = false;
+        /// Two of three completions and service calls get status 500, at once. Three in a row would
+        /// eject an engine for its consecutive failures.
+        bool failInPart = false;
         /// Responses announce that the upstream leaves.
         bool leaving = false;
         /// Health checks get no response until resume().
@@ -82,6 +85,8 @@
     void addRoutes();
     void awaitResume() ABSL_LOCKS_EXCLUDED(m_mutex);
     void awaitHealthChecks() ABSL_LOCKS_EXCLUDED(m_mutex);
+    /// Counts a completion or service call; returns true when it gets status 500.
+    bool failsNow(const Script &script) ABSL_LOCKS_EXCLUDED(m_mutex);
     bool next(Stream &stream, std::string &events);
     bool canContinue(const Stream &stream) const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
 
@@ -89,6 +94,8 @@
     Script m_script ABSL_GUARDED_BY(m_mutex);
     std::vector<RecordedRequest> m_requests ABSL_GUARDED_BY(m_mutex);
     std::size_t m_runs ABSL_GUARDED_BY(m_mutex) = 0;
+    /// Number of requests received while the script has failInPart.
+    std::uint64_t m_failInPartRequests ABSL_GUARDED_BY(m_mutex) = 0;
     /// Number of load reports that announce that the upstream leaves.
     std::size_t m_announcements ABSL_GUARDED_BY(m_mutex) = 0;
     /// Number of open streams.
