--- a/src/entry/servicetable.cpp
+++ b/src/entry/servicetable.cpp
@@ -30,7 +30,7 @@
         if (upstream.kind != wire::UpstreamKind::Service)
             continue;
         const auto known = m_instances.find(upstream.name);
-        Instance instance = known == m_instances.end() ? Instance() : known->second;
+        Instance instance = known == m_instances.end() ? newInstance(upstream.name) : known->second;
         const bool moved =
                 instance.upstream.host != upstream.host || instance.upstream.port != upstream.port;
         if (moved || !instance.client) {
@@ -41,10 +41,32 @@
         instance.announcement.update(upstream);
         instances.emplace(upstream.name, std::move(instance));
     }
+    for (const auto &[name, instance] : m_instances) {
+        if (instance.ownCalls > 0 && instances.count(name) == 0)
+            m_unlistedCalls.emplace(name, instance.ownCalls);
+    }
     m_instances = std::move(instances);
     retainFailures();
 }
 
+ServiceTable::Instance ServiceTable::newInstance(const std::string &name)
+{
+    Instance instance;
+    const auto calls = m_unlistedCalls.find(name);
+    if (calls != m_unlistedCalls.end()) {
+        instance.ownCalls = calls->second;
+        m_unlistedCalls.erase(calls);
+    }
+    return instance;
+}
+
+void ServiceTable::endUnlistedCall(const std::string &name)
+{
+    const auto calls = m_unlistedCalls.find(name);
+    if (calls != m_unlistedCalls.end() && --calls->second == 0)
+        m_unlistedCalls.erase(calls);
+}
+
 /// Forgets the server errors of instances that left their service.
 void ServiceTable::retainFailures()
 {
@@ -156,18 +178,14 @@
     };
     if (!std::all_of(usable.begin(), usable.end(), isFailing))
         usable.erase(std::remove_if(usable.begin(), usable.end(), isFailing), usable.end());
-    policy::PassOverRule rule(now, failures);
-    if (!rule.isActive())
-        return;
-    for (const Instance *instance : usable) {
-        const std::int64_t calls = callCount(*instance);
-        if (static_cast<double>(calls) < capacity(*instance))
-            rule.addOpen(instance->upstream.name, calls == 0);
-    }
-    const auto isPassedOver = [&](const Instance *instance) {
-        return rule.isPassedOver(instance->upstream.name);
+    const auto nameOf = [](const Instance *instance) -> const std::string & {
+        return instance->upstream.name;
+    };
+    const auto isOpen = [](const Instance *instance) {
+        return static_cast<double>(callCount(*instance)) < capacity(*instance);
     };
-    usable.erase(std::remove_if(usable.begin(), usable.end(), isPassedOver), usable.end());
+    const auto isIdle = [](const Instance *instance) { return callCount(*instance) == 0; };
+    policy::removePassedOver(now, failures, usable, nameOf, isOpen, isIdle);
 }
 
 ServiceTable::Client ServiceTable::beginCall(const std::string &service,
@@ -193,9 +211,9 @@
     return best->client;
 }
 
-std::optional<ServiceTable::Ejection> ServiceTable::recordServerError(absl::Time now,
-                                                                      const Instance &instance,
-                                                                      const std::string &workspace)
+std::optional<policy::ServerErrorEjection>
+ServiceTable::recordServerError(absl::Time now, const Instance &instance,
+                                const std::string &workspace)
 {
     const std::string &service = instance.upstream.serves;
     std::vector<std::string> candidates;
@@ -207,17 +225,20 @@
     const std::string &name = instance.upstream.name;
     if (!failures.failed(now, name, workspace, candidates))
         return std::nullopt;
-    return Ejection{service, failures.ejectedUntil(name) - now, instance.ownCalls};
+    return policy::ServerErrorEjection{name, service, failures.ejectedUntil(name) - now,
+                                       instance.ownCalls};
 }
 
-std::optional<ServiceTable::Ejection> ServiceTable::recordEnd(absl::Time now,
-                                                              const std::string &name,
-                                                              const std::string &workspace,
-                                                              CallEnd end)
+std::optional<policy::ServerErrorEjection> ServiceTable::recordEnd(absl::Time now,
+                                                                   const std::string &name,
+                                                                   const std::string &workspace,
+                                                                   CallEnd end)
 {
     const auto found = m_instances.find(name);
-    if (found == m_instances.end())
+    if (found == m_instances.end()) {
+        endUnlistedCall(name);
         return std::nullopt;
+    }
     Instance &instance = found->second;
     --instance.ownCalls;
     if (end == CallEnd::Failed || end == CallEnd::Crashed) {
@@ -232,22 +253,11 @@
     return std::nullopt;
 }
 
-bool ServiceTable::endCall(const std::string &name, const std::string &workspace, CallEnd end)
+std::optional<policy::ServerErrorEjection>
+ServiceTable::endCall(const std::string &name, const std::string &workspace, CallEnd end)
 {
-    std::optional<Ejection> ejection;
-    {
-        absl::MutexLock lock(&m_mutex);
-        ejection = recordEnd(m_clock.now(), name, workspace, end);
-    }
-    if (!ejection)
-        return false;
-    log(LogLevel::Info, "upstream-ejected",
-        {{"upstream", name},
-         {"service", ejection->service},
-         {"reason", "server_error"},
-         {"ejectedMs", absl::ToInt64Milliseconds(ejection->length)},
-         {"runningTasks", ejection->calls}});
-    return true;
+    absl::MutexLock lock(&m_mutex);
+    return recordEnd(m_clock.now(), name, workspace, end);
 }
 
 } // namespace rattanrill::entry
