Policy: Serve tasks at a failing upstream when their sender has no other

Cause: whether a failing upstream is the last resort of a task was decided by three rules. The one that selects the upstreams for which waiting streams are searched ignored the sender and rates of 0. A stream whose sender could reach only the failing upstream waited until an ejection ended or its deadline, and so did batch items while the other upstream had no free slot or the rate 0.

Change: hasSoundUpstream() is the one rule, for a version, a sender and the excluded upstreams.

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -369,6 +369,8 @@
         std::set<std::string> versions;
         /// Waiting online tasks with a version, by priority and order of arrival.
         std::set<std::pair<int, TaskId>> bound;
+        /// Largest number of upstreams that a bound task excluded since none waited.
+        std::size_t mostExcludedByBound = 0;
         /// Whether a bound task or the list of upstreams is new since it was last checked which
         /// tasks' versions are gone.
         bool hasUncheckedVersions = false;
@@ -431,10 +433,18 @@
     static bool isFailing(absl::Time now, const Upstream &upstream);
     static void removePassedOver(absl::Time now, const FailureShares &failures,
                                  std::vector<Upstream *> &open);
-    static bool hasOtherOfVersion(absl::Time now, const Service &service,
-                                  const std::string &version, const std::string &sender);
+    /// The tasks for which an upstream is sought. Absent fields stand for any version and for all
+    /// senders, each of which must be able to use the upstream.
+    struct TaskScope
+    {
+        std::optional<std::string> version;
+        std::optional<std::string> sender;
+        std::vector<std::string> excluded;
+    };
+    static bool isSoundFor(absl::Time now, const Upstream &upstream, const TaskScope &scope);
+    static bool hasSoundUpstream(absl::Time now, const Service &service, const TaskScope &scope);
     bool isBound(const Service &service, const SlotTask &task) const;
-    static bool isExcluded(const Upstream &upstream, const Item &item);
+    static bool isExcluded(const Upstream &upstream, const std::vector<std::string> &excluded);
     bool isVersionGone(const Service &service, const Item &item) const;
     static bool mayReceive(absl::Time now, const Upstream &upstream, TaskKind kind);
     static absl::Time nextReceivable(absl::Time now, const Upstream &upstream, TaskKind kind);
@@ -447,13 +457,14 @@
     bool hasRoomFor(absl::Time now, const Upstream &upstream, const SlotTask &task) const;
     bool mayProbe(absl::Time now, const Upstream &upstream) const;
     std::set<std::string> freeBatchVersions(absl::Time now, const Service &service,
-                                            const std::string &sender) const;
+                                            const std::optional<std::string> &sender) const;
     bool mayTakeOnline(absl::Time now, const Upstream &upstream) const;
+    static bool isLastResort(absl::Time now, const Service &service, const std::string &version,
+                             std::size_t mostExcluded);
     std::vector<const Upstream *> openUpstreams(absl::Time now, const Service &service,
-                                                bool isLastResort) const;
+                                                std::size_t mostExcluded) const;
     bool isAcceptedByAny(absl::Time now, const Service &service, const Item &item,
-                         const std::vector<const Upstream *> &open,
-                         const std::vector<const Upstream *> &lastResorts) const;
+                         const std::vector<const Upstream *> &open) const;
     void decideBound(absl::Time now, Service &service);
     bool grantOnline(absl::Time now, Service &service, Item &item);
     void decideOnline(absl::Time now, Service &service);
--- a/include/rattanrill/policy/upstreamhealth.h
+++ b/include/rattanrill/policy/upstreamhealth.h
@@ -50,6 +50,8 @@
 
     /// Whether the upstream is ejected for all observers.
     bool isEjected(absl::Time now) const { return m_shared.ejected(now); }
+    /// Whether the upstream is ejected for all observers or for some.
+    bool isEjectedForAny(absl::Time now) const;
     /// Whether the upstream is ejected for, or avoided by, \a observer.
     bool isEjectedFor(absl::Time now, const std::string &observer) const;
     /// End of the ejection for all or, if that is later, of the ejection or avoidance for
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -126,6 +126,7 @@
         item.queue = Queue::Bound;
         service.bound.emplace(task.priority, item.number);
         service.hasUncheckedVersions = true;
+        service.mostExcludedByBound = std::max(service.mostExcludedByBound, task.excluded.size());
         m_onlineDeadlines.emplace(task.deadline, item.number);
         return;
     }
@@ -180,6 +181,8 @@
         return;
     case Queue::Bound:
         service.bound.erase({item.task.priority, item.number});
+        if (service.bound.empty())
+            service.mostExcludedByBound = 0;
         m_onlineDeadlines.erase({item.task.deadline, item.number});
         return;
     case Queue::Online:
@@ -408,9 +411,8 @@
     return task.version && (isOnline(task) || service.versions.count(*task.version) != 0);
 }
 
-bool SlotScheduler::isExcluded(const Upstream &upstream, const Item &item)
+bool SlotScheduler::isExcluded(const Upstream &upstream, const std::vector<std::string> &excluded)
 {
-    const auto &excluded = item.task.excluded;
     return std::find(excluded.begin(), excluded.end(), upstream.info.id) != excluded.end();
 }
 
@@ -422,7 +424,7 @@
     return std::none_of(
             service.upstreams.begin(), service.upstreams.end(), [&item](const Upstream *upstream) {
                 return !upstream->info.leaving && upstream->info.version == *item.task.version
-                       && !isExcluded(*upstream, item);
+                       && !isExcluded(*upstream, item.task.excluded);
             });
 }
 
@@ -436,7 +438,7 @@
         return ExclusionReason::Leaving;
     if (isBound(service, item.task) && upstream.info.version != *item.task.version)
         return ExclusionReason::OtherVersion;
-    if (isExcluded(upstream, item))
+    if (isExcluded(upstream, item.task.excluded))
         return ExclusionReason::Excluded;
     if (upstream.health.trafficShare(now, item.task.sender) <= 0)
         return ExclusionReason::Ejected;
@@ -451,12 +453,9 @@
                                                               const Item &item) const
 {
     const std::string &sender = item.task.sender;
-    const auto isSound = [&](const Upstream &candidate) {
-        return !exclusionBeforeErrorsAndRates(now, service, candidate, item)
-               && !isFailing(now, candidate);
-    };
     const auto isOpen = [&](const Upstream &candidate) {
-        return isSound(candidate) && mayReceive(now, candidate, item.task.kind);
+        return !exclusionBeforeErrorsAndRates(now, service, candidate, item)
+               && !isFailing(now, candidate) && mayReceive(now, candidate, item.task.kind);
     };
     const auto isAvoided = [&](const Upstream &candidate) {
         return candidate.health.isEjectedFor(now, sender);
@@ -464,16 +463,13 @@
     const auto &others = service.upstreams;
     if (const auto reason = exclusionBeforeErrorsAndRates(now, service, upstream, item))
         return reason;
-    // An upstream that responds with server errors may still serve a task that has no other. One
-    // whose rate is used up for now is another one; one with the rate 0 gets no requests at all.
+    // An upstream that responds with server errors may still serve a task that has no other.
     const bool isUpstreamFailing = isFailing(now, upstream);
-    const bool hasSoundOther =
-            isUpstreamFailing
-            && std::any_of(others.begin(), others.end(), [&](const Upstream *other) {
-                   return isSound(*other) && receivingRate(now, *other).value_or(1) > 0;
-               });
-    if (hasSoundOther)
-        return ExclusionReason::Failing;
+    if (isUpstreamFailing) {
+        const auto version = isBound(service, item.task) ? item.task.version : std::nullopt;
+        if (hasSoundUpstream(now, service, {version, sender, item.task.excluded}))
+            return ExclusionReason::Failing;
+    }
     if (!mayReceive(now, upstream, item.task.kind))
         return upstream.limit.allows(now) ? ExclusionReason::Cold : ExclusionReason::Limited;
     // An upstream that answered no connection may end its pause at any time, so it is used when all
@@ -514,16 +510,23 @@
     open.erase(std::remove_if(open.begin(), open.end(), isPassedOver), open.end());
 }
 
-/// Whether an upstream of \a version accepts tasks of \a sender and is not failing.
-bool SlotScheduler::hasOtherOfVersion(absl::Time now, const Service &service,
-                                      const std::string &version, const std::string &sender)
+/// Whether the upstream, which is not failing, serves the tasks of \a scope when a slot is free.
+/// One whose rate is used up for now does; one with the rate 0 gets no requests at all.
+bool SlotScheduler::isSoundFor(absl::Time now, const Upstream &upstream, const TaskScope &scope)
+{
+    const SlotUpstream &info = upstream.info;
+    const bool isOtherVersion = scope.version && info.version != *scope.version;
+    if (info.leaving || upstream.removed || isOtherVersion || isExcluded(upstream, scope.excluded))
+        return false;
+    const bool isEjected = scope.sender ? upstream.health.trafficShare(now, *scope.sender) <= 0
+                                        : upstream.health.isEjectedForAny(now);
+    return !isEjected && !isFailing(now, upstream) && receivingRate(now, upstream).value_or(1) > 0;
+}
+
+bool SlotScheduler::hasSoundUpstream(absl::Time now, const Service &service, const TaskScope &scope)
 {
     return std::any_of(service.upstreams.begin(), service.upstreams.end(),
-                       [&](const Upstream *upstream) {
-                           return !upstream->info.leaving && upstream->info.version == version
-                                  && upstream->health.trafficShare(now, sender) > 0
-                                  && !isFailing(now, *upstream);
-                       });
+                       [&](const Upstream *upstream) { return isSoundFor(now, *upstream, scope); });
 }
 
 /// Whether a slot is free for \a task, which the upstream accepts.
--- a/src/policy/slotscheduler_decisions.cpp
+++ b/src/policy/slotscheduler_decisions.cpp
@@ -199,35 +199,44 @@
     return !upstream.batch.empty() || (hasRoom(now, upstream, share, 0) && mayProbe(now, upstream));
 }
 
-/// Upstreams that may take an online task. \a isLastResort: those that are failing while another
-/// one of their version is not, so that they get only tasks for which that one is excluded.
+/// Whether a failing upstream of \a version may serve a task that excludes up to \a mostExcluded
+/// upstreams: not if each sender can use more sound ones of the version.
+bool SlotScheduler::isLastResort(absl::Time now, const Service &service, const std::string &version,
+                                 std::size_t mostExcluded)
+{
+    const TaskScope allSenders{version, std::nullopt, {}};
+    std::size_t sound = 0;
+    for (const Upstream *upstream : service.upstreams) {
+        sound += isSoundFor(now, *upstream, allSenders) ? 1 : 0;
+        if (sound > mostExcluded)
+            return false;
+    }
+    return true;
+}
+
+/// Upstreams that may take an online task of some sender that excludes up to \a mostExcluded
+/// upstreams and needs a certain version.
 std::vector<const SlotScheduler::Upstream *>
-SlotScheduler::openUpstreams(absl::Time now, const Service &service, bool isLastResort) const
+SlotScheduler::openUpstreams(absl::Time now, const Service &service, std::size_t mostExcluded) const
 {
     std::vector<const Upstream *> open;
-    std::copy_if(service.upstreams.begin(), service.upstreams.end(), std::back_inserter(open),
-                 [&](const Upstream *upstream) {
-                     const bool hasOther =
-                             isFailing(now, *upstream)
-                             && hasOtherOfVersion(now, service, upstream->info.version, "");
-                     return hasOther == isLastResort && mayTakeOnline(now, *upstream);
-                 });
+    std::copy_if(
+            service.upstreams.begin(), service.upstreams.end(), std::back_inserter(open),
+            [&](const Upstream *upstream) {
+                return mayTakeOnline(now, *upstream)
+                       && (!isFailing(now, *upstream)
+                           || isLastResort(now, service, upstream->info.version, mostExcluded));
+            });
     return open;
 }
 
-/// Whether one of the upstreams that may take an online task accepts \a item. The last resorts are
-/// tried only for a task that must not be sent to some of the others.
+/// Whether one of the upstreams that may take an online task accepts \a item.
 bool SlotScheduler::isAcceptedByAny(absl::Time now, const Service &service, const Item &item,
-                                    const std::vector<const Upstream *> &open,
-                                    const std::vector<const Upstream *> &lastResorts) const
+                                    const std::vector<const Upstream *> &open) const
 {
-    const auto acceptsItem = [&](const Upstream *upstream) {
+    return std::any_of(open.begin(), open.end(), [&](const Upstream *upstream) {
         return accepts(now, service, *upstream, item);
-    };
-    const bool mayNeedLastResort = !item.task.excluded.empty();
-    return std::any_of(open.begin(), open.end(), acceptsItem)
-           || (mayNeedLastResort
-               && std::any_of(lastResorts.begin(), lastResorts.end(), acceptsItem));
+    });
 }
 
 /// Tasks that wait for upstreams of another version do not hold up those behind them. While no
@@ -237,12 +246,10 @@
 {
     if (service.bound.empty())
         return;
-    std::vector<const Upstream *> open = openUpstreams(now, service, false);
-    const std::vector<const Upstream *> lastResorts = openUpstreams(now, service, true);
+    const auto findOpen = [&] { return openUpstreams(now, service, service.mostExcludedByBound); };
+    std::vector<const Upstream *> open = findOpen();
     const bool checksVersions = std::exchange(service.hasUncheckedVersions, false);
-    const auto isSearchOver = [&] {
-        return open.empty() && lastResorts.empty() && !checksVersions;
-    };
+    const auto isSearchOver = [&] { return open.empty() && !checksVersions; };
     if (isSearchOver())
         return;
     const auto waiting = service.bound;
@@ -252,9 +259,9 @@
             reject(now, service, item);
             continue;
         }
-        const bool isAccepted = isAcceptedByAny(now, service, item, open, lastResorts);
+        const bool isAccepted = isAcceptedByAny(now, service, item, open);
         if (isAccepted && grantOnline(now, service, item))
-            open = openUpstreams(now, service, false);
+            open = findOpen();
         if (isSearchOver())
             return;
     }
@@ -310,20 +317,22 @@
     }
 }
 
-/// Versions of which an upstream has a slot for a batch task of \a sender.
-std::set<std::string> SlotScheduler::freeBatchVersions(absl::Time now, const Service &service,
-                                                       const std::string &sender) const
+/// Versions of which an upstream has a slot for a batch task of \a sender; without one, of some
+/// sender.
+std::set<std::string>
+SlotScheduler::freeBatchVersions(absl::Time now, const Service &service,
+                                 const std::optional<std::string> &sender) const
 {
     SlotTask task;
     task.kind = TaskKind::Batch;
-    task.sender = sender;
+    task.sender = sender.value_or(std::string());
     std::set<std::string> versions;
     for (const Upstream *upstream : service.upstreams) {
         const bool isAccepting =
-                !upstream->info.leaving && !upstream->health.isEjectedFor(now, sender)
+                !upstream->info.leaving && !upstream->health.isEjectedFor(now, task.sender)
                 && mayReceive(now, *upstream, TaskKind::Batch)
                 && (!isFailing(now, *upstream)
-                    || !hasOtherOfVersion(now, service, upstream->info.version, sender));
+                    || !hasSoundUpstream(now, service, {upstream->info.version, sender, {}}));
         if (isAccepting && hasFreeSlot(now, *upstream, task))
             versions.insert(upstream->info.version);
     }
@@ -347,7 +356,7 @@
 /// firstBatch() would otherwise search all tasks in vain for one whose version has a free slot.
 bool SlotScheduler::mayStartAnyBatch(absl::Time now, const Service &service) const
 {
-    return service.versions.size() <= 1 || !freeBatchVersions(now, service, std::string()).empty();
+    return service.versions.size() <= 1 || !freeBatchVersions(now, service, std::nullopt).empty();
 }
 
 /// Returns the interrupted task that is nearest to its end, else a task that has not started, else
--- a/src/policy/slotscheduler_explain.cpp
+++ b/src/policy/slotscheduler_explain.cpp
@@ -198,8 +198,8 @@
     explanation.isVersionGone = isVersionGone(service, item);
     const bool isAccepted =
             !explanation.isVersionGone
-            && isAcceptedByAny(now, service, item, openUpstreams(now, service, false),
-                               openUpstreams(now, service, true));
+            && isAcceptedByAny(now, service, item,
+                               openUpstreams(now, service, item.task.excluded.size()));
     if (isAccepted && explainOnlineSlot(now, service, item, open, explanation))
         return;
     if (!explanation.isVersionGone && item.task.deadline > now)
--- a/src/policy/upstreamhealth.cpp
+++ b/src/policy/upstreamhealth.cpp
@@ -86,6 +86,13 @@
         m_shared.endEjection(now);
 }
 
+bool UpstreamHealth::isEjectedForAny(absl::Time now) const
+{
+    return isEjected(now) || std::any_of(m_links.begin(), m_links.end(), [now](const auto &link) {
+               return link.second.ejected(now);
+           });
+}
+
 bool UpstreamHealth::isEjectedFor(absl::Time now, const std::string &observer) const
 {
     return now < ejectedUntil(observer);
--- a/tests/policy/servererrors_test.cpp
+++ b/tests/policy/servererrors_test.cpp
@@ -110,6 +110,26 @@
         }
     }
 
+    /// Ejects upstream 0 of four and makes upstream 1, the only other one of its version,
+    /// unreachable for the sender "e" alone.
+    void ejectFirstAndCutOffSecond()
+    {
+        versions = {{0, "v0"}, {1, "v0"}};
+        ejectFirst(4);
+        SlotTask lost = boundTask(TaskKind::Online);
+        BOOST_TEST_REQUIRE(grant(lost) == 1);
+        release(lost.id, ReleaseReason::Unreachable);
+    }
+
+    /// A task of the sender "e" that needs an upstream of the version "v0".
+    SlotTask boundTask(TaskKind kind)
+    {
+        SlotTask result = task(kind);
+        result.sender = "e";
+        result.version = "v0";
+        return result;
+    }
+
     absl::Time now = absl::FromUnixSeconds(1000);
     int nextTask = 1;
     std::map<int, std::string> versions;
@@ -138,6 +158,42 @@
     BOOST_TEST(grant(excluding) == 0);
 }
 
+// Guards against a resumed stream that waits although a failing upstream would accept it, because
+// the only other one of its version is sound for other senders.
+BOOST_AUTO_TEST_CASE(failingUpstreamServesASenderThatReachesNoOther)
+{
+    ejectFirstAndCutOffSecond();
+    SlotTask ofOtherSender = boundTask(TaskKind::Online);
+    ofOtherSender.sender = "f";
+    BOOST_TEST(grant(ofOtherSender) == 1);
+    const SlotTask resumed = boundTask(TaskKind::Online);
+    const PlacementExplanation explanation = scheduler.explain(now, resumed);
+    BOOST_TEST(explanation.upstream == "0");
+    BOOST_TEST(grant(resumed) == 0);
+}
+
+// The same for batch items, also while the other upstream of their version has no free slot.
+BOOST_AUTO_TEST_CASE(failingUpstreamServesBatchOfASenderThatReachesNoOther)
+{
+    ejectFirstAndCutOffSecond();
+    BOOST_TEST(grant(boundTask(TaskKind::Batch)) == 0);
+    while (grant(task()) != -1) {
+    }
+    BOOST_TEST(grant(boundTask(TaskKind::Batch)) == 0);
+}
+
+// Guards against streams and batch items that wait for an upstream whose rate is 0, although a
+// failing one of their version would accept them.
+BOOST_AUTO_TEST_CASE(failingUpstreamServesWhileTheOtherGetsNoRequests)
+{
+    versions = {{0, "v0"}, {1, "v0"}};
+    ejectFirst(4);
+    scheduler.setWarmUp(now, "1", {absl::Seconds(8), 0});
+    scheduler.coldReported(now, "1", absl::Seconds(5));
+    BOOST_TEST(grant(boundTask(TaskKind::Online)) == 0);
+    BOOST_TEST(grant(boundTask(TaskKind::Batch)) == 0);
+}
+
 // Load pattern: nine of 36 upstreams respond with an error at once and so always have the least
 // load. Guards against these upstreams getting most requests. An even spread would be a quarter.
 BOOST_AUTO_TEST_CASE(upstreamsThatFailFastGetFewRequests)
--- a/tests/policy/slotschedulercost_test.cpp
+++ b/tests/policy/slotschedulercost_test.cpp
@@ -60,9 +60,27 @@
             SlotTask task = online(concat("bound-", m_boundCount++));
             task.version = "version-1";
             task.excluded = {concat("i-", i % upstreamCount)};
-            scheduler.request(start, task);
+            scheduler.request(now, task);
+        }
+        BOOST_TEST_REQUIRE(scheduler.decide(now).empty());
+    }
+
+    /// Frees the slots of the first upstream, which is then ejected for server errors.
+    void ejectFirst()
+    {
+        // Requests go to the upstreams in turn.
+        for (int i = 0; i < slotsPerUpstream; ++i)
+            scheduler.cancel(concat("running-", i * upstreamCount));
+        bool isEjected = false;
+        while (!isEjected) {
+            now += absl::Milliseconds(20);
+            BOOST_TEST_REQUIRE((now < start + absl::Seconds(2)));
+            for (int i = 0; i < upstreamCount; ++i) {
+                scheduler.adopt(now, online("response"), concat("i-", i));
+                const auto reason = i == 0 ? ReleaseReason::ServerError : ReleaseReason::Completed;
+                isEjected = scheduler.release(now, "response", reason) || isEjected;
+            }
         }
-        BOOST_TEST_REQUIRE(scheduler.decide(start).empty());
     }
 
     /// Least processor time of a number of decisions, so that an interruption does not count.
@@ -71,12 +89,13 @@
         absl::Duration least = absl::InfiniteDuration();
         for (int i = 0; i < 50; ++i) {
             const absl::Duration before = threadTime();
-            BOOST_TEST_REQUIRE(scheduler.decide(start).empty());
+            BOOST_TEST_REQUIRE(scheduler.decide(now).empty());
             least = std::min(least, threadTime() - before);
         }
         return least;
     }
 
+    absl::Time now = start;
     SlotScheduler scheduler{SlotSchedulerSettings()};
 
 private:
@@ -100,6 +119,19 @@
     BOOST_TEST(many < few * 5);
 }
 
+// The same while an upstream with free slots is ejected for server errors, and the others, which
+// are full, are the ones to wait for.
+BOOST_AUTO_TEST_CASE(decisionBesideAFailingUpstreamDoesNotGrowWithWaitingTasks)
+{
+    ejectFirst();
+    addBound(10);
+    const absl::Duration few = decisionTime();
+    addBound(990);
+    const absl::Duration many = decisionTime();
+    BOOST_TEST_MESSAGE("10 tasks: " << few << ", 1000 tasks: " << many);
+    BOOST_TEST(many < few * 5);
+}
+
 // Guards against a task that is passed over although the slot that became free is one it can take,
 // and against one that gets a slot at the upstream that its stream was at.
 BOOST_AUTO_TEST_CASE(freedSlotGoesToTheFirstTaskThatCanTakeIt)
