Policy: Explain a task as granted if the one before it is rejected

Cause: a new task makes the wait too long for the one that holds it up. The broker rejects that one, decides again and grants the new task; the explanation said that it waits.

Change: after the rejections, an explained task that is the first one gets a slot as usual.

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -503,7 +503,8 @@
                            const std::vector<Upstream *> &open,
                            PlacementExplanation &explanation) const;
     void explainWait(absl::Time now, const Service &service, const Item &item,
-                     std::map<int, FairQueue> online, PlacementExplanation &explanation) const;
+                     const std::vector<Upstream *> &open, std::map<int, FairQueue> online,
+                     PlacementExplanation &explanation) const;
     void explainOnline(absl::Time now, const Service &service, const Item &item,
                        const std::vector<Upstream *> &open,
                        PlacementExplanation &explanation) const;
--- a/src/policy/slotscheduler_explain.cpp
+++ b/src/policy/slotscheduler_explain.cpp
@@ -156,6 +156,7 @@
 /// Explains whether the online task, which gets no slot now, waits or is rejected, after the tasks
 /// that are rejected before it. \a online: the waiting tasks by priority, including this one.
 void SlotScheduler::explainWait(absl::Time now, const Service &service, const Item &item,
+                                const std::vector<Upstream *> &open,
                                 std::map<int, FairQueue> online,
                                 PlacementExplanation &explanation) const
 {
@@ -171,6 +172,10 @@
         online.at(task.priority).remove(*last);
         --waiting;
     }
+    // The broker decides again after rejections: the task may have waited behind one of these.
+    const bool isNext = waiting <= service.onlineWaiting && firstOnline(online) == item.number;
+    if (isNext && explainOnlineSlot(now, service, item, open, explanation))
+        return;
     if (item.task.deadline <= now)
         return setRejected(explanation, nextRetry(now, service, item.task, lastRetryAt));
     const absl::Duration wait = expectedWait(now, service, waiting);
@@ -187,7 +192,7 @@
     const bool isNext = firstOnline(online) == item.number;
     if (isNext && explainOnlineSlot(now, service, item, open, explanation))
         return;
-    explainWait(now, service, item, std::move(online), explanation);
+    explainWait(now, service, item, open, std::move(online), explanation);
 }
 
 /// Explains the decision for an online task that needs an upstream of a certain version.
--- a/tests/policy/placementexplanation_test.cpp
+++ b/tests/policy/placementexplanation_test.cpp
@@ -284,6 +284,25 @@
     BOOST_TEST((decideAsExplained(batch).outcome == PlacementOutcome::Waits));
 }
 
+// Guards against a task that is explained as waiting although it gets a slot at once: the task that
+// held it up can be served in time no longer and is rejected.
+BOOST_AUTO_TEST_CASE(taskBehindOneThatIsRejectedIsExplainedAsGranted)
+{
+    run("b", 8);
+    SlotTask first = task();
+    first.excluded = {"a"};
+    first.deadline = now + absl::Milliseconds(80);
+    wait(first);
+    SlotTask second = task();
+    second.priority = 1;
+    const PlacementExplanation explanation = scheduler.explain(now, second);
+    scheduler.request(now, second);
+    // Like the broker, which decides until there are no more decisions.
+    BOOST_TEST(
+            (decisionFor(first.id, scheduler.decide(now)).outcome == PlacementOutcome::Rejected));
+    checkAgreement(explanation, decisionFor(second.id, scheduler.decide(now)));
+}
+
 // Guards against an expected wait that counts the tasks which are rejected before.
 BOOST_AUTO_TEST_CASE(expectedWaitIsThatOfTheTasksThatStay)
 {
