Policy: Expect no arrivals at upstreams that are leaving

Cause: an upstream without a report for 10 s counts with the mean load of the others, also while it leaves or its failure domain is evacuated. A local share then expected many arrivals and chose at random although the reports were new.

Change: leaving upstreams are left out of the expected arrivals.

--- a/src/policy/slotscheduler_decisions.cpp
+++ b/src/policy/slotscheduler_decisions.cpp
@@ -97,15 +97,18 @@
     return own + static_cast<double>(foreignRequests(now, upstream));
 }
 
-/// Requests that other schedulers are expected to have sent since the upstreams' last reports.
+/// Requests that other schedulers are expected to have sent since the upstreams' last reports. No
+/// scheduler sends any to those that are leaving.
 double SlotScheduler::arrivalsElsewhere(absl::Time now, const Service &service) const
 {
     if (!m_settings.sharesUpstreams)
         return 0;
     std::vector<const LoadEstimate *> loads;
     loads.reserve(service.upstreams.size());
-    for (const Upstream *upstream : service.upstreams)
-        loads.push_back(&upstream->load);
+    for (const Upstream *upstream : service.upstreams) {
+        if (!upstream->info.leaving)
+            loads.push_back(&upstream->load);
+    }
     return expectedArrivals(loads, now, service.meanHoldTime);
 }
 
--- a/tests/policy/loadestimate_test.cpp
+++ b/tests/policy/loadestimate_test.cpp
@@ -214,4 +214,23 @@
     BOOST_TEST(grant(scheduler, "next") == "a");
 }
 
+// Load pattern: a failure domain is evacuated, and its upstreams report nothing any more. Guards
+// against a local share that ignores the reported loads of the others, because requests are
+// expected to have arrived at those that are leaving.
+BOOST_AUTO_TEST_CASE(leavingUpstreamsDoNotHideTheReportedLoads)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        SlotSchedulerSettings settings;
+        settings.sharesUpstreams = true;
+        settings.turnSeed = seed;
+        SlotScheduler scheduler(settings);
+        scheduler.setUpstreams({{"a", "llm", "a:1", "d", 8},
+                                {"b", "llm", "b:1", "d", 8},
+                                {"c", "llm", "c:1", "d", 8, true},
+                                {"d", "llm", "d:1", "d", 8, true}});
+        reportLoads(scheduler, start, {0, 4});
+        BOOST_TEST(grant(scheduler, "1") == "a");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
