Policy: Count only waits that the warm-up rate causes

Cause: a waiting task was counted in warmUpWaits() when any cold upstream had a free slot, also one that it excludes or that its sender can't reach.

Change: the wait is counted when the reason that excludes the upstream is Cold.

--- a/src/policy/slotscheduler_warmup.cpp
+++ b/src/policy/slotscheduler_warmup.cpp
@@ -74,14 +74,15 @@
     return std::min(*limit, *warmUpRate);
 }
 
-/// Counts the first time that the task waits although a cold upstream has a free slot.
+/// Counts the first time that the task waits although an upstream has a free slot that it would get
+/// if the upstream were not cold.
 void SlotScheduler::countWarmUpWait(absl::Time now, const Service &service, Item &item)
 {
     if (item.isWarmUpWait)
         return;
     item.isWarmUpWait = std::any_of(
             service.upstreams.begin(), service.upstreams.end(), [&](const Upstream *upstream) {
-                return !upstream->info.leaving && !upstream->warmUp.allows(now, item.task.kind)
+                return exclusionReason(now, service, *upstream, item) == ExclusionReason::Cold
                        && hasFreeSlot(now, *upstream, item.task);
             });
     m_warmUpWaits += item.isWarmUpWait ? 1 : 0;
--- a/tests/policy/warmup_test.cpp
+++ b/tests/policy/warmup_test.cpp
@@ -325,4 +325,39 @@
     BOOST_TEST((runs[0] == runs[1]));
 }
 
+// Guards against waits that are counted although the cold upstream would not have got the task: it
+// has another version, is excluded, or is avoided by the sender.
+BOOST_AUTO_TEST_CASE(onlyWaitsForAColdUpstreamAreCounted)
+{
+    SlotScheduler scheduler{SlotSchedulerSettings()};
+    scheduler.setUpstreams(
+            {{"cold", "s", "a:1", "d", 4, false, "v1"}, {"full", "s", "a:2", "d", 1, false, "v2"}});
+    scheduler.setWarmUp(at(0), "cold", {coldTime, 0});
+    scheduler.coldReported(at(0), "cold", coldTime);
+    SlotTask task;
+    task.service = "s";
+    task.sender = "e";
+    task.deadline = at(20);
+    const auto wait = [&](const std::string &id) {
+        task.id = id;
+        scheduler.request(at(0), task);
+        scheduler.decide(at(0));
+        return scheduler.warmUpWaits();
+    };
+    BOOST_TEST(wait("running") == 0u);
+    task.excluded = {"cold"};
+    BOOST_TEST(wait("excluding") == 0u);
+    task.excluded.clear();
+    scheduler.cancel("excluding");
+    SlotTask lost;
+    lost.id = "lost";
+    lost.service = "s";
+    scheduler.adopt(at(0), lost, "cold");
+    scheduler.release(at(0), lost.id, ReleaseReason::Unreachable, "e");
+    BOOST_TEST(wait("unreachable") == 0u);
+    scheduler.cancel("unreachable");
+    task.sender = "f";
+    BOOST_TEST(wait("cold") == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
