Policy: Count only ejections of upstreams that accept tasks

Cause: mayEjectFurther() compared all ejections with a third of the candidates. Ejected upstreams that began to leave still counted, so that of the others no failing one was ejected.

Change: only candidates are counted.

Result: in the new test, four of 12 upstreams are ejected and leave, and a fifth one begins to fail. It was not ejected, and now is.

--- a/src/policy/failureshares.cpp
+++ b/src/policy/failureshares.cpp
@@ -304,8 +304,8 @@
                                     const std::vector<std::string> &candidates) const
 {
     const auto ejected = static_cast<std::size_t>(
-            std::count_if(m_ejections.begin(), m_ejections.end(),
-                          [&](const auto &ejection) { return ejection.second.ejected(now); }));
+            std::count_if(candidates.begin(), candidates.end(),
+                          [&](const std::string &id) { return isEjected(now, id); }));
     return ejected < std::max<std::size_t>(candidates.size() / maxEjectedPart, 1);
 }
 
--- a/tests/policy/failureshares_test.cpp
+++ b/tests/policy/failureshares_test.cpp
@@ -75,6 +75,30 @@
     }
 }
 
+// Guards against failing upstreams that stay because those which were ejected no longer accept
+// tasks: they are not part of the third.
+BOOST_AUTO_TEST_CASE(onlyEjectionsOfCandidatesCount)
+{
+    setCount(12);
+    int ejections = 0;
+    for (int i = 0; i < 9; ++i)
+        ejections += respond(4);
+    BOOST_TEST_REQUIRE(ejections == 4);
+    // The four ejected ones leave. Another one begins to fail.
+    const std::vector<std::string> remaining(upstreams.begin() + 4, upstreams.end());
+    for (int i = 0; i < 30; ++i) {
+        now += absl::Milliseconds(25);
+        BOOST_TEST_REQUIRE(shares.isEjected(now, "0"));
+        for (const std::string &id : remaining) {
+            if (id == "4")
+                shares.failed(now, id, workspace, remaining);
+            else
+                shares.succeeded(now, id, workspace);
+        }
+    }
+    BOOST_TEST(shares.isEjected(now, "4"));
+}
+
 // Guards against a service without an upstream: a single one is never ejected, and of two only one.
 BOOST_AUTO_TEST_CASE(smallServicesKeepAnUpstream)
 {
