Policy: Forget workspaces while an upstream is not suspected

Cause: the responses since a suspicion were counted by workspace also while none was open, and nothing removed them. Memory grew with each workspace that an upstream ever served.

--- a/include/rattanrill/policy/failureshares.h
+++ b/include/rattanrill/policy/failureshares.h
@@ -116,14 +116,17 @@
         Counts recent;
         /// Decayed with burstHalfLife, as of \a respondedAt.
         Counts burst;
-        /// Responses since \a suspectedAt, not decayed. A suspected upstream is passed over, so its
-        /// recent responses may be older than those of the others.
+        /// Responses since \a suspectedAt, not decayed; empty without a suspicion. A suspected
+        /// upstream is passed over, so its recent responses may be older than those of the others.
         Counts sinceSuspicion;
         absl::Time respondedAt = absl::InfinitePast();
         absl::Time failedAt = absl::InfinitePast();
         /// Time at which the suspicion began. Others are compared once they have responded later.
         absl::Time suspectedAt = absl::InfinitePast();
         absl::Time passedOverUntil = absl::InfinitePast();
+
+        bool isSuspected() const { return suspectedAt != absl::InfinitePast(); }
+        void endSuspicion();
     };
 
     Record &decayedRecord(absl::Time now, const std::string &upstream);
@@ -133,6 +136,7 @@
     Outcomes outcomesElsewhere(absl::Time now, const std::string &upstream,
                                const std::string &workspace) const;
     static bool isOutlier(const Outcomes &outcomes, const Comparison &others);
+    static void endOldSuspicion(absl::Time now, Record &record);
     void forgetOldEjection(absl::Time now, const std::string &upstream, const Record &record);
     bool judge(absl::Time now, const std::string &upstream, Record &record,
                const std::vector<std::string> &candidates);
--- a/src/policy/failureshares.cpp
+++ b/src/policy/failureshares.cpp
@@ -65,6 +65,12 @@
     }
 }
 
+void FailureShares::Record::endSuspicion()
+{
+    suspectedAt = absl::InfinitePast();
+    sinceSuspicion = Counts();
+}
+
 void FailureShares::succeeded(absl::Time now, const std::string &upstream,
                               const std::string &workspace)
 {
@@ -72,7 +78,9 @@
     Record &record = decayedRecord(now, upstream);
     record.recent.addSuccess(workspace);
     record.burst.addSuccess(workspace);
-    record.sinceSuspicion.addSuccess(workspace);
+    endOldSuspicion(now, record);
+    if (record.isSuspected())
+        record.sinceSuspicion.addSuccess(workspace);
     forgetOldEjection(now, upstream, record);
 }
 
@@ -82,11 +90,12 @@
     recordWorkspace(now, workspace);
     Record &record = decayedRecord(now, upstream);
     forgetOldEjection(now, upstream, record);
-    if (now - std::exchange(record.failedAt, now) > suspicionLifetime)
-        record.suspectedAt = absl::InfinitePast();
+    endOldSuspicion(now, record);
+    record.failedAt = now;
     record.recent.addError(workspace);
     record.burst.addError(workspace);
-    record.sinceSuspicion.addError(workspace);
+    if (record.isSuspected())
+        record.sinceSuspicion.addError(workspace);
     const bool isCandidate =
             std::find(candidates.begin(), candidates.end(), upstream) != candidates.end();
     const bool isJudged = isCandidate && candidates.size() > 1 && record.recent.errors >= minErrors
@@ -96,6 +105,12 @@
     return judge(now, upstream, record, candidates);
 }
 
+void FailureShares::endOldSuspicion(absl::Time now, Record &record)
+{
+    if (record.isSuspected() && now - record.failedAt > suspicionLifetime)
+        record.endSuspicion();
+}
+
 /// Ends the stricter treatment of an upstream that was ejected, once it fails few of its requests
 /// or has had none for some time.
 void FailureShares::forgetOldEjection(absl::Time now, const std::string &upstream,
@@ -175,8 +190,7 @@
 {
     // An upstream that failed until a moment ago does not need to be suspected anew.
     const bool isRelapse = ejection(upstream) != nullptr;
-    const bool isSuspected = record.suspectedAt != absl::InfinitePast();
-    if (!isRelapse && !isSuspected) {
+    if (!isRelapse && !record.isSuspected()) {
         record.suspectedAt = m_suspectedAt = now;
         record.sinceSuspicion = Counts();
     }
@@ -197,7 +211,7 @@
     const bool isFailing =
             isOutlier(recent, *others) && (isRelapse || isOutlier(sinceSuspicion, *others));
     if (!isFailing) {
-        record.suspectedAt = absl::InfinitePast();
+        record.endSuspicion();
         return false;
     }
     if (!mayEjectFurther(now, candidates))
--- a/tests/policy/failureshares_test.cpp
+++ b/tests/policy/failureshares_test.cpp
@@ -4,7 +4,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <malloc.h>
+
 #include <algorithm>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -12,6 +15,9 @@
 
 namespace {
 
+/// Far more than the workspaces of the last seconds need.
+constexpr std::size_t maxWorkspaceBytes = std::size_t(1) << 20;
+
 /// Upstreams of one service, "0" to "N - 1", that respond one after another.
 struct Fixture
 {
@@ -183,6 +189,25 @@
     BOOST_TEST((lengths == expected));
 }
 
+// Guards against memory for each workspace that an upstream has ever served: while it has no
+// errors, and after it was ejected and has recovered.
+BOOST_AUTO_TEST_CASE(workspacesAreForgottenWhileNothingIsSuspected)
+{
+    setCount(2);
+    for (const bool wasEjected : {false, true}) {
+        while (wasEjected && respond(1) == 0) {
+        }
+        const std::size_t before = mallinfo2().uordblks;
+        for (int i = 0; i < 100000; ++i) {
+            workspace = "workspace-with-a-name-of-its-own-" + std::to_string(i);
+            respond(0, absl::Milliseconds(20));
+        }
+        const std::size_t growth = mallinfo2().uordblks - before;
+        BOOST_TEST_MESSAGE("bytes after 100,000 workspaces: " << growth);
+        BOOST_TEST(growth < maxWorkspaceBytes);
+    }
+}
+
 // Guards against an upstream that has recovered and gets little traffic, or a long ejection for
 // later errors.
 BOOST_AUTO_TEST_CASE(recoveredUpstreamGetsItsTrafficBack)
