Serving: Count no failure of an upstream when the process lacks memory

Cause: an attempt that ended because the memory budget for buffered responses was exhausted released its slot as failed, also that of a hedge, which was logged as a response over the size limit. Memory pressure in an entry could so eject sound upstreams.

Change: such an attempt releases its slot as cancelled and logs the reason. A response over the limit of a single one stays a failure.

--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -90,6 +90,9 @@
     void headReceived(const AttemptPtr &attempt, const net::ResponseHead &head);
     void bodyReceived(const AttemptPtr &attempt, std::string_view bytes);
     void forwardEvents(std::string_view bytes);
+    /// Reason of an attempt that ends because of the memory limit of this process.
+    static constexpr std::string_view bufferLimitReason =
+            "the process buffers too many bytes of responses";
     bool bufferWithinLimits();
     void giveUpBuffer();
     void clearBuffer();
--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -108,9 +108,12 @@
     case SequenceCheck::Repeated:
         break;
     }
-    if (m_hedge->body.size() <= EventSplitter::maxEventBytes && bufferWithinLimits())
+    if (m_hedge->body.size() > EventSplitter::maxEventBytes)
+        endHedge("the response exceeds the size limit", ReleaseReason::Failed);
+    else if (!bufferWithinLimits())
+        endHedge(bufferLimitReason, ReleaseReason::Cancelled);
+    else
         return;
-    endHedge("the response exceeds the size limit", ReleaseReason::Failed);
     requestHedge();
 }
 
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -117,12 +117,13 @@
     return m_bufferShare->resize(bytes);
 }
 
-/// Ends the attempt, which frees its buffer.
+/// Ends the attempt, which frees its buffer. The lack of memory indicates nothing about the
+/// upstream.
 void ProxiedRequest::giveUpBuffer()
 {
     if (m_state == State::Ended)
         return;
-    attemptFailed("the process buffers too many bytes of responses", ReleaseReason::Failed);
+    attemptFailed(bufferLimitReason, ReleaseReason::Cancelled);
 }
 
 void ProxiedRequest::clearBuffer()
--- a/tests/serving/proxyrequest_hedge_test.cpp
+++ b/tests/serving/proxyrequest_hedge_test.cpp
@@ -453,4 +453,22 @@
     }
 }
 
+// Guards against the upstream of a hedge that counts as failed because this process lacks memory.
+BOOST_AUTO_TEST_CASE(lackOfMemoryIsNoFailureOfTheHedge)
+{
+    Step comments = {streamHead("a")};
+    comments.filler = chunk(":" + std::string(std::size_t(1) << 16, 'x') + "\n\n");
+    ScriptedUpstreams upstreams({pausingStream(700), comments});
+    UnknowingBroker broker(upstreams);
+    broker.versions = {"v1", "v1"};
+    Entry entry(upstreams, routeOf(RouteKind::Streaming, 2, true), broker.address());
+    const auto buffers = std::make_shared<BufferBudget>(std::size_t(1) << 18);
+    entry.thread.run([&] { entry.context.buffers = buffers; });
+    BOOST_TEST(streamBody(entry.sendRequest("a")).text == wholeStream);
+    const auto releases = broker.awaitReleases(2);
+    BOOST_TEST_REQUIRE(!releases.empty());
+    BOOST_TEST(releases.front().upstream == "u2");
+    BOOST_TEST(releases.front().end == "abandoned");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/serving/proxyrequest_test.cpp
+++ b/tests/serving/proxyrequest_test.cpp
@@ -134,6 +134,26 @@
     entry.thread.run([&] { BOOST_TEST(buffers->usedBytes() == 0u); });
 }
 
+// Guards against a sound upstream that is ejected because this process lacks memory. One that
+// exceeds the limit of a single response counts as failed.
+BOOST_AUTO_TEST_CASE(lackOfMemoryIsNoFailureOfTheUpstream)
+{
+    const Step endless = {"HTTP/1.1 200 OK\r\nId: a\r\n\r\n", false, 0, std::string(65536, 'z')};
+    for (const auto &[limitBytes, reason] :
+         {std::pair(std::size_t(1) << 20, "abandoned"),
+          std::pair(BufferBudget::defaultLimitBytes, "failed")}) {
+        ScriptedUpstreams upstreams({endless});
+        UnknowingBroker broker(upstreams);
+        Entry entry(upstreams, routeOf(RouteKind::NonIdempotent, 1), broker.address());
+        const auto buffers = std::make_shared<BufferBudget>(limitBytes);
+        entry.thread.run([&] { entry.context.buffers = buffers; });
+        BOOST_TEST(contains(entry.sendRequest("a"), "HTTP/1.1 502"));
+        const auto releases = broker.awaitReleases(1);
+        BOOST_TEST_REQUIRE(!releases.empty());
+        BOOST_TEST(releases.front().end == reason);
+    }
+}
+
 // Guards against a whole response without a length that is refused or cut.
 BOOST_AUTO_TEST_CASE(wholeResponseWithoutLengthIsForwarded)
 {
