Policy: Let a relapse need errors from after the return

Cause: the errors that led to an ejection stayed in the decayed numbers. The first error after the return ejected the upstream again, for longer, also if it failed no more requests than the others.

Change: at the first response after an ejection, the decayed numbers begin anew, so a relapse needs three new errors.

Result: six upstreams that fail one request of eight after the return of the first one: it was ejected twice in 4 s, now not at all. One that goes on failing is ejected after at most four errors (one before).

--- a/src/policy/failureshares.cpp
+++ b/src/policy/failureshares.cpp
@@ -276,6 +276,9 @@
 FailureShares::Record &FailureShares::decayedRecord(absl::Time now, const std::string &upstream)
 {
     Record &record = m_records[upstream];
+    // What led to an ejection is no evidence of a relapse.
+    if (const absl::Time until = ejectedUntil(upstream); record.respondedAt < until && now >= until)
+        record.recent = record.burst = Counts();
     const absl::Duration age = now - record.respondedAt;
     record.burst.decay(std::exp2(-absl::FDivDuration(age, burstHalfLife)));
     record.recent.decay(std::exp2(-absl::FDivDuration(age, halfLife)));
--- a/tests/policy/failureshares_test.cpp
+++ b/tests/policy/failureshares_test.cpp
@@ -189,6 +189,48 @@
     BOOST_TEST((lengths == expected));
 }
 
+// Guards against an upstream that has recovered and is ejected again, for longer, by its first
+// error because of the errors before its ejection. The others fail as often.
+BOOST_AUTO_TEST_CASE(relapseNeedsNewErrors)
+{
+    setCount(6);
+    while (respond(1) == 0) {
+    }
+    now = shares.ejectedUntil("0");
+    int ejections = 0;
+    // Each upstream fails one request of eight.
+    for (int i = 0; i < 80; ++i) {
+        now += absl::Milliseconds(50);
+        for (int upstream = 0; upstream < 6; ++upstream) {
+            const std::string id = std::to_string(upstream);
+            if (shares.isEjected(now, id))
+                continue;
+            if ((i + upstream) % 8 == 0)
+                ejections += shares.failed(now, id, workspace, upstreams) ? 1 : 0;
+            else
+                shares.succeeded(now, id, workspace);
+        }
+    }
+    BOOST_TEST(ejections == 0);
+}
+
+// Guards against an upstream that is down for longer than its ejections and, on each return, fails
+// more requests than it has to.
+BOOST_AUTO_TEST_CASE(upstreamThatStillFailsAfterItsReturnIsEjectedSoon)
+{
+    setCount(6);
+    while (respond(1) == 0) {
+    }
+    for (int i = 0; i < 3; ++i) {
+        now = shares.ejectedUntil("0");
+        int errors = 0;
+        for (; !shares.isEjected(now, "0"); ++errors)
+            respond(1);
+        // 2.9 decayed errors after three.
+        BOOST_TEST(errors <= 4);
+    }
+}
+
 // Guards against memory for each workspace that an upstream has ever served: while it has no
 // errors, and after it was ejected and has recovered.
 BOOST_AUTO_TEST_CASE(workspacesAreForgottenWhileNothingIsSuspected)
