--- a/src/policy/failureshares.cpp
+++ b/src/policy/failureshares.cpp
@@ -65,6 +65,12 @@
     }
 }
 
+void FailureShares::Record::endSuspicion()
+{
+    suspectedAt = absl::InfinitePast();
+    sinceSuspicion = Counts();
+}
+
 void FailureShares::succeeded(absl::Time now, const std::string &upstream,
                               const std::string &workspace)
 {
@@ -72,7 +78,9 @@
     Record &record = decayedRecord(now, upstream);
     record.recent.addSuccess(workspace);
     record.burst.addSuccess(workspace);
-    record.sinceSuspicion.addSuccess(workspace);
+    endOldSuspicion(now, record);
+    if (record.isSuspected())
+        record.sinceSuspicion.addSuccess(workspace);
     forgetOldEjection(now, upstream, record);
 }
 
@@ -82,11 +90,12 @@
     recordWorkspace(now, workspace);
     Record &record = decayedRecord(now, upstream);
     forgetOldEjection(now, upstream, record);
-    if (now - std::exchange(record.failedAt, now) > suspicionLifetime)
-        record.suspectedAt = absl::InfinitePast();
+    endOldSuspicion(now, record);
+    record.failedAt = now;
     record.recent.addError(workspace);
     record.burst.addError(workspace);
-    record.sinceSuspicion.addError(workspace);
+    if (record.isSuspected())
+        record.sinceSuspicion.addError(workspace);
     const bool isCandidate =
             std::find(candidates.begin(), candidates.end(), upstream) != candidates.end();
     const bool isJudged = isCandidate && candidates.size() > 1 && record.recent.errors >= minErrors
@@ -96,6 +105,12 @@
     return judge(now, upstream, record, candidates);
 }
 
+void FailureShares::endOldSuspicion(absl::Time now, Record &record)
+{
+    if (record.isSuspected() && now - record.failedAt > suspicionLifetime)
+        record.endSuspicion();
+}
+
 /// Ends the stricter treatment of an upstream that was ejected, once it fails few of its requests
 /// or has had none for some time.
 void FailureShares::forgetOldEjection(absl::Time now, const std::string &upstream,
@@ -175,8 +190,7 @@
 {
     // An upstream that failed until a moment ago does not need to be suspected anew.
     const bool isRelapse = ejection(upstream) != nullptr;
-    const bool isSuspected = record.suspectedAt != absl::InfinitePast();
-    if (!isRelapse && !isSuspected) {
+    if (!isRelapse && !record.isSuspected()) {
         record.suspectedAt = m_suspectedAt = now;
         record.sinceSuspicion = Counts();
     }
@@ -197,7 +211,7 @@
     const bool isFailing =
             isOutlier(recent, *others) && (isRelapse || isOutlier(sinceSuspicion, *others));
     if (!isFailing) {
-        record.suspectedAt = absl::InfinitePast();
+        record.endSuspicion();
         return false;
     }
     if (!mayEjectFurther(now, candidates))
@@ -262,6 +276,9 @@
 FailureShares::Record &FailureShares::decayedRecord(absl::Time now, const std::string &upstream)
 {
     Record &record = m_records[upstream];
+    // What led to an ejection is no evidence of a relapse.
+    if (const absl::Time until = ejectedUntil(upstream); record.respondedAt < until && now >= until)
+        record.recent = record.burst = Counts();
     const absl::Duration age = now - record.respondedAt;
     record.burst.decay(std::exp2(-absl::FDivDuration(age, burstHalfLife)));
     record.recent.decay(std::exp2(-absl::FDivDuration(age, halfLife)));
@@ -304,8 +321,8 @@
                                     const std::vector<std::string> &candidates) const
 {
     const auto ejected = static_cast<std::size_t>(
-            std::count_if(m_ejections.begin(), m_ejections.end(),
-                          [&](const auto &ejection) { return ejection.second.ejected(now); }));
+            std::count_if(candidates.begin(), candidates.end(),
+                          [&](const std::string &id) { return isEjected(now, id); }));
     return ejected < std::max<std::size_t>(candidates.size() / maxEjectedPart, 1);
 }
 
--- a/tests/policy/failureshares_test.cpp
+++ b/tests/policy/failureshares_test.cpp
@@ -4,7 +4,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <malloc.h>
+
 #include <algorithm>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -12,6 +15,9 @@
 
 namespace {
 
+/// Far more than the workspaces of the last seconds need.
+constexpr std::size_t maxWorkspaceBytes = std::size_t(1) << 20;
+
 /// Upstreams of one service, "0" to "N - 1", that respond one after another.
 struct Fixture
 {
@@ -75,6 +81,30 @@
     }
 }
 
+// Guards against failing upstreams that stay because those which were ejected no longer accept
+// tasks: they are not part of the third.
+BOOST_AUTO_TEST_CASE(onlyEjectionsOfCandidatesCount)
+{
+    setCount(12);
+    int ejections = 0;
+    for (int i = 0; i < 9; ++i)
+        ejections += respond(4);
+    BOOST_TEST_REQUIRE(ejections == 4);
+    // The four ejected ones leave. Another one begins to fail.
+    const std::vector<std::string> remaining(upstreams.begin() + 4, upstreams.end());
+    for (int i = 0; i < 30; ++i) {
+        now += absl::Milliseconds(25);
+        BOOST_TEST_REQUIRE(shares.isEjected(now, "0"));
+        for (const std::string &id : remaining) {
+            if (id == "4")
+                shares.failed(now, id, workspace, remaining);
+            else
+                shares.succeeded(now, id, workspace);
+        }
+    }
+    BOOST_TEST(shares.isEjected(now, "4"));
+}
+
 // Guards against a service without an upstream: a single one is never ejected, and of two only one.
 BOOST_AUTO_TEST_CASE(smallServicesKeepAnUpstream)
 {
@@ -159,6 +189,67 @@
     BOOST_TEST((lengths == expected));
 }
 
+// Guards against an upstream that has recovered and is ejected again, for longer, by its first
+// error because of the errors before its ejection. The others fail as often.
+BOOST_AUTO_TEST_CASE(relapseNeedsNewErrors)
+{
+    setCount(6);
+    while (respond(1) == 0) {
+    }
+    now = shares.ejectedUntil("0");
+    int ejections = 0;
+    // Each upstream fails one request of eight.
+    for (int i = 0; i < 80; ++i) {
+        now += absl::Milliseconds(50);
+        for (int upstream = 0; upstream < 6; ++upstream) {
+            const std::string id = std::to_string(upstream);
+            if (shares.isEjected(now, id))
+                continue;
+            if ((i + upstream) % 8 == 0)
+                ejections += shares.failed(now, id, workspace, upstreams) ? 1 : 0;
+            else
+                shares.succeeded(now, id, workspace);
+        }
+    }
+    BOOST_TEST(ejections == 0);
+}
+
+// Guards against an upstream that is down for longer than its ejections and, on each return, fails
+// more requests than it has to.
+BOOST_AUTO_TEST_CASE(upstreamThatStillFailsAfterItsReturnIsEjectedSoon)
+{
+    setCount(6);
+    while (respond(1) == 0) {
+    }
+    for (int i = 0; i < 3; ++i) {
+        now = shares.ejectedUntil("0");
+        int errors = 0;
+        for (; !shares.isEjected(now, "0"); ++errors)
+            respond(1);
+        // 2.9 decayed errors after three.
+        BOOST_TEST(errors <= 4);
+    }
+}
+
+// Guards against memory for each workspace that an upstream has ever served: while it has no
+// errors, and after it was ejected and has recovered.
+BOOST_AUTO_TEST_CASE(workspacesAreForgottenWhileNothingIsSuspected)
+{
+    setCount(2);
+    for (const bool wasEjected : {false, true}) {
+        while (wasEjected && respond(1) == 0) {
+        }
+        const std::size_t before = mallinfo2().uordblks;
+        for (int i = 0; i < 100000; ++i) {
+            workspace = "workspace-with-a-name-of-its-own-" + std::to_string(i);
+            respond(0, absl::Milliseconds(20));
+        }
+        const std::size_t growth = mallinfo2().uordblks - before;
+        BOOST_TEST_MESSAGE("bytes after 100,000 workspaces: " << growth);
+        BOOST_TEST(growth < maxWorkspaceBytes);
+    }
+}
+
 // Guards against an upstream that has recovered and gets little traffic, or a long ejection for
 // later errors.
 BOOST_AUTO_TEST_CASE(recoveredUpstreamGetsItsTrafficBack)
