Net: Bound the stack and count the memory of hostile requests

Cause: a pipelined request that was answered at once was served inside the handler of the one before. Header fields were not counted once the header was complete, though a line of four bytes needs about 80. Trailers were merged into the checked headers without a limit. The body's announced length was reserved before any of it arrived. Bytes behind a request were counted as a part of it and once more as the next one.

Change: the next request is served from the event loop. The header is moved out of the parser when it is complete, and counts its text and 96 bytes for each field until the exchange ends. Trailers are limited like the header and dropped. A body reserves nothing. A check of the phase that could not be true is removed.

--- a/include/rattanrill/net/requestparser.h
+++ b/include/rattanrill/net/requestparser.h
@@ -52,6 +52,8 @@
     /// Size of the body of the request that is being parsed: the announced one, or else that of
     /// what has been received.
     std::size_t bodyBytes() const;
+    /// Memory of the header of the request that is being parsed, once it is complete.
+    std::size_t headerBytes() const;
     /// Frees what has been received and refuses the request. All further bytes are ignored.
     void abandon(int status) { refuse(status); }
 
@@ -62,6 +64,8 @@
     void parsePending();
     void startRequest();
     int checkHeader();
+    void moveHeader();
+    int checkTrailer(std::size_t unparsedBytes);
     void refuse(int status);
 
     const RequestLimits m_limits;
--- a/src/net/requestparser.cpp
+++ b/src/net/requestparser.cpp
@@ -6,9 +6,11 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/optional/optional.hpp>
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace rattanrill::net {
@@ -16,6 +18,50 @@
 
 namespace http = boost::beast::http;
 
+/// Bytes that separate the name of a field from its value and end its line, ": \r\n".
+constexpr std::size_t fieldSeparatorBytes = 4;
+/// Memory of a field beside its text: two strings, whose text may need an allocation each.
+constexpr std::size_t fieldOverheadBytes = 96;
+
+/// Body that is kept in a string. Unlike Beast's string_body it reserves no memory for an announced
+/// body, of which nothing may ever arrive.
+struct ReceivedBody
+{
+    using value_type = std::string;
+
+    class reader
+    {
+    public:
+        template <bool isRequest, typename Fields>
+        reader(http::header<isRequest, Fields> &, value_type &body)
+            : m_body(body)
+        {}
+
+        void init(const boost::optional<std::uint64_t> &, boost::system::error_code &error)
+        {
+            error = {};
+        }
+
+        template <typename Buffers>
+        std::size_t put(const Buffers &buffers, boost::system::error_code &error)
+        {
+            error = {};
+            const std::size_t former = m_body.size();
+            for (auto it = boost::asio::buffer_sequence_begin(buffers);
+                 it != boost::asio::buffer_sequence_end(buffers); ++it) {
+                const boost::asio::const_buffer buffer = *it;
+                m_body.append(static_cast<const char *>(buffer.data()), buffer.size());
+            }
+            return m_body.size() - former;
+        }
+
+        void finish(boost::system::error_code &error) { error = {}; }
+
+    private:
+        value_type &m_body;
+    };
+};
+
 std::string text(boost::beast::string_view view)
 {
     return {view.data(), view.size()};
@@ -34,8 +80,11 @@
 
 struct RequestParser::Parser
 {
-    http::request_parser<http::string_body> parser;
+    http::request_parser<ReceivedBody> parser;
     bool hasBegunBody = false;
+    /// The request without its body, once its header is complete.
+    Request request;
+    std::size_t headerBytes = 0;
 };
 
 RequestParser::RequestParser(RequestLimits limits)
@@ -74,10 +123,16 @@
     return announced ? std::max(received, static_cast<std::size_t>(*announced)) : received;
 }
 
+std::size_t RequestParser::headerBytes() const
+{
+    return m_parser ? m_parser->headerBytes : 0;
+}
+
 void RequestParser::startRequest()
 {
     m_parser = std::make_unique<Parser>();
-    m_parser->parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+    m_parser->parser.header_limit(static_cast<std::uint32_t>(std::min<std::size_t>(
+            m_limits.maxHeaderBytes, std::numeric_limits<std::uint32_t>::max())));
     m_parser->parser.body_limit(m_limits.maxBodyBytes);
     m_headerChecked = false;
     m_state = State::Header;
@@ -109,6 +164,8 @@
             refusal = 431;
         else if (parser.is_header_done() && !m_headerChecked)
             refusal = checkHeader();
+        else if (m_headerChecked && (parser.is_done() || error == http::error::need_more))
+            refusal = checkTrailer(bytes.size() - parsed);
         if (refusal != 0) {
             refuse(refusal);
             return bytes.size();
@@ -145,9 +202,38 @@
     if (target.empty() || target.front() != '/')
         return 400;
     m_expectsContinue = message.count(http::field::expect) > 0;
+    moveHeader();
     return 0;
 }
 
+/// Moves the header out of the parser of Beast, which adds the fields of a trailer to its own.
+void RequestParser::moveHeader()
+{
+    auto &message = m_parser->parser.get();
+    Request &request = m_parser->request;
+    request.method = text(message.method_string());
+    request.target = text(message.target());
+    for (const auto &field : message) {
+        request.headers.add(text(field.name_string()), text(field.value()));
+        m_parser->headerBytes +=
+                field.name_string().size() + field.value().size() + fieldOverheadBytes;
+    }
+    message.base().clear();
+}
+
+/// Returns the status with which to refuse a trailer that exceeds the limit of the header, or 0.
+/// Drops the fields of a trailer, because they must not replace headers that have been checked.
+/// \a unparsedBytes: bytes of a chunk's header or a trailer that is not complete.
+int RequestParser::checkTrailer(std::size_t unparsedBytes)
+{
+    auto &message = m_parser->parser.get();
+    std::size_t trailerBytes = m_parser->parser.is_done() ? 0 : unparsedBytes;
+    for (const auto &field : message)
+        trailerBytes += field.name_string().size() + field.value().size() + fieldSeparatorBytes;
+    message.base().clear();
+    return trailerBytes > m_limits.maxHeaderBytes ? 431 : 0;
+}
+
 bool RequestParser::takeExpectContinue()
 {
     const bool isPending = m_expectsContinue && m_state == State::Body;
@@ -165,13 +251,8 @@
 
 Request RequestParser::take()
 {
-    auto message = m_parser->parser.release();
-    Request request;
-    request.method = text(message.method_string());
-    request.target = text(message.target());
-    for (const auto &field : message)
-        request.headers.add(text(field.name_string()), text(field.value()));
-    request.body = std::move(message.body());
+    Request request = std::move(m_parser->request);
+    request.body = std::move(m_parser->parser.get().body());
     m_parser.reset();
     m_expectsContinue = false;
     m_state = State::Idle;
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -214,7 +214,14 @@
         m_receivedShare->recordProgress();
         m_receivedBytes = 0;
     }
-    return m_receivedShare->resize(m_parser.pendingBytes() + requestCost(m_parser.bodyBytes()));
+    return m_receivedShare->resize(m_parser.pendingBytes() + parsedCost());
+}
+
+/// Returns the bytes to count for the request that is being parsed, without what has not been
+/// parsed.
+std::size_t ServerConnection::parsedCost() const
+{
+    return m_parser.headerBytes() + requestCost(m_parser.bodyBytes());
 }
 
 /// Frees the request that is being received; it has not run. The refusal is sent later, because
@@ -246,12 +253,8 @@
     const RequestParser::State state = m_parser.state();
     const bool hasRequest =
             state != RequestParser::State::Idle && state != RequestParser::State::Refused;
-    if (hasRequest && !countReceived()) {
-        // The share may have been given up by what freed memory for it.
-        if (m_phase == Phase::Closing || m_phase == Phase::Closed)
-            return;
+    if (hasRequest && !countReceived())
         return refuse(statusUnavailable, memoryRetryAfterSeconds);
-    }
     switch (state) {
     case RequestParser::State::Idle:
         return;
@@ -283,12 +286,17 @@
     m_isStream = false;
     m_responseComplete = false;
     ++m_shared->openRequests;
-    if (m_receivedShare)
+    if (m_receivedShare) {
+        m_receivedShare->resize(parsedCost());
         m_receivedShare->startRunning();
+    }
     auto exchange = std::make_shared<ServerExchange>(shared_from_this(), m_parser.take(),
                                                      SystemClock::instance().now(),
                                                      std::move(m_receivedShare));
     m_exchange = exchange;
+    // What has arrived behind this request belongs to the next one.
+    if (m_parser.state() != RequestParser::State::Idle)
+        handleReadAhead();
     m_shared->handler(std::move(exchange));
 }
 
@@ -472,10 +480,24 @@
     m_phase = Phase::Idle;
     m_idleSince = SystemClock::instance().now();
     armTimer(std::max(m_announcedIdleTimeout, m_shared->limits.idleTimeout));
-    handleParserState();
+    if (m_parser.state() == RequestParser::State::Complete)
+        postNextRequest();
+    else
+        handleParserState();
     read();
 }
 
+/// Serves the next request from the event loop. The current one may have been answered by its
+/// handler, inside which any number of pipelined requests would be served otherwise.
+void ServerConnection::postNextRequest()
+{
+    m_phase = Phase::Body;
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        if (self->m_phase == Phase::Body)
+            self->handleParserState();
+    });
+}
+
 void ServerConnection::armTimer(absl::Duration delay)
 {
     m_timer.expires_after(absl::ToChronoNanoseconds(delay));
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -70,9 +70,13 @@
 private:
     friend class ServerExchange;
 
+    /// handleParserState() leads from Idle to Header and Body, serve() to Serving, endRequest()
+    /// from there back to Idle, to Body if the next request is complete, or to Closing. refuse()
+    /// leads to Closing and close() to Closed, both from each phase.
     enum class Phase {
         Idle,
         Header,
+        /// The header is complete, and the request has not been passed to the handler.
         Body,
         /// The handler is processing the request.
         Serving,
@@ -94,6 +98,7 @@
     void handleParserState();
     void handleReadAhead();
     bool countReceived();
+    std::size_t parsedCost() const;
     void giveUpRequest();
     void serve();
     void refuse(int status, int retryAfterSeconds = 0);
@@ -104,6 +109,7 @@
     void giveUpResponse();
     void handleFlushed();
     void endRequest();
+    void postNextRequest();
     void shutdownSend();
     void armTimer(absl::Duration delay);
     void disarmTimer();
--- a/tests/net/requestparser_test.cpp
+++ b/tests/net/requestparser_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -127,6 +128,43 @@
                == 413);
 }
 
+// Guards against a trailer that exceeds the limit of the header, whether or not it ends.
+BOOST_AUTO_TEST_CASE(trailerIsLimitedLikeTheHeader)
+{
+    RequestLimits limits;
+    limits.maxHeaderBytes = 200;
+    const std::string head =
+            "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+    const std::string trailer = "X: " + std::string(200, 'a');
+    BOOST_TEST(refusalStatus(head + trailer, limits) == 431);
+    BOOST_TEST(refusalStatus(head + trailer + "\r\n\r\n", limits) == 431);
+}
+
+// Guards against a trailer that replaces or adds headers after they have been checked.
+BOOST_AUTO_TEST_CASE(trailerIsNotTakenForHeaders)
+{
+    RequestParser parser(RequestLimits{});
+    parser.feed("POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nX-One: 1\r\n\r\n"
+                "1\r\na\r\n0\r\nHost: other\r\nX-Two: 2\r\n\r\n");
+    BOOST_TEST_REQUIRE((parser.state() == State::Complete));
+    const Request request = parser.take();
+    BOOST_TEST(request.headers.count("Host") == 1u);
+    BOOST_TEST(request.headers.value("Host") == "h");
+    BOOST_TEST(request.headers.value("X-One") == "1");
+    BOOST_TEST(request.headers.count("X-Two") == 0u);
+}
+
+// Guards against memory that is reserved for a body of which nothing has arrived.
+BOOST_AUTO_TEST_CASE(announcedBodyIsNotReserved)
+{
+    RequestLimits limits;
+    limits.maxBodyBytes = std::numeric_limits<std::size_t>::max();
+    RequestParser parser(limits);
+    BOOST_CHECK_NO_THROW(parser.feed("POST /x HTTP/1.1\r\nHost: h\r\n"
+                                     "Content-Length: 4000000000000000000\r\n\r\nab"));
+    BOOST_TEST((parser.state() == State::Body));
+}
+
 // Guards against a missing or repeated 100 (Continue) response.
 BOOST_AUTO_TEST_CASE(expectContinueIsReportedOnce)
 {
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <string>
@@ -52,6 +53,14 @@
     }
 
     void serve(const std::shared_ptr<Exchange> &exchange)
+    {
+        ++nestedCalls;
+        maxNestedCalls = std::max(maxNestedCalls.load(), nestedCalls);
+        respond(exchange);
+        --nestedCalls;
+    }
+
+    void respond(const std::shared_ptr<Exchange> &exchange)
     {
         ++requestCount;
         const std::string path(exchange->request().path());
@@ -90,6 +99,9 @@
     std::weak_ptr<int> handlerOwner;
     std::atomic<int> requestCount{0};
     std::atomic<int> disconnectCount{0};
+    /// Calls of the handler that have not returned; used on the event loop.
+    int nestedCalls = 0;
+    std::atomic<int> maxNestedCalls{0};
     /// Steps of closeIdleConnections() that have not been made.
     std::atomic<int> remainingSteps{0};
 };
@@ -191,6 +203,86 @@
     }));
 }
 
+// Guards against a stack that grows with each pipelined request that is answered at once.
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreNotServedInsideEachOther)
+{
+    constexpr int pipelinedRequests = 1000;
+    TestServer server;
+    RawSocket client(port);
+    client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST_REQUIRE(waitFor([&] { return server.requestCount == 1; }));
+    std::string requests;
+    for (int i = 0; i < pipelinedRequests; ++i)
+        requests += "GET /echo HTTP/1.1\r\nHost:\r\n\r\n";
+    client.send(requests + "GET /echo HTTP/1.1\r\nHost:\r\nConnection: close\r\n\r\n");
+    server.thread.run([&] { server.openExchange->respond(textResponse(200, "", "text/plain")); });
+    client.readAll();
+    BOOST_TEST(server.requestCount == pipelinedRequests + 2);
+    BOOST_TEST(server.maxNestedCalls == 1);
+}
+
+// Guards against headers of many short fields whose memory is not counted, while the body is
+// received and while the request runs.
+BOOST_AUTO_TEST_CASE(headerFieldsAreCountedUntilTheRequestEnds)
+{
+    constexpr std::size_t fields = 4000;
+    /// Smallest memory of a field: two strings.
+    constexpr std::size_t minFieldBytes = 64;
+    TestServer server;
+    const auto memory = std::make_shared<MemoryBudget>(
+            MemoryLimits{std::size_t(16) << 20, std::size_t(16) << 20});
+    server.thread.run([&] {
+        server.server->setLimits(ServerLimits());
+        server.server->setMemoryBudget(memory);
+    });
+    const auto requestBytes = [&] {
+        std::size_t bytes = 0;
+        server.thread.run([&] { bytes = memory->requestBytes(); });
+        return bytes;
+    };
+    std::string head = "POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n";
+    for (std::size_t i = 0; i < fields; ++i)
+        head += "a:\r\n";
+    RawSocket client(port);
+    client.send(head + "\r\nb");
+    BOOST_TEST(waitFor([&] { return requestBytes() >= fields * minFieldBytes; }));
+    client.send("b");
+    BOOST_TEST_REQUIRE(waitFor([&] { return server.requestCount == 1; }));
+    BOOST_TEST(requestBytes() >= fields * minFieldBytes);
+    server.thread.run([&] {
+        server.openExchange->respond(textResponse(200, "", "text/plain"));
+        server.openExchange.reset();
+    });
+    BOOST_TEST(waitFor([&] { return requestBytes() == 0; }));
+}
+
+// Guards against bytes behind a request that are counted as a part of it and once more as the next
+// one, so that pipelined requests are refused while memory is free.
+BOOST_AUTO_TEST_CASE(bytesBehindARequestAreCountedOnce)
+{
+    constexpr std::size_t pipelinedBytes = 8000;
+    TestServer server;
+    const auto memory = std::make_shared<MemoryBudget>(
+            MemoryLimits{std::size_t(16) << 20, std::size_t(16) << 20});
+    server.thread.run([&] {
+        server.server->setLimits(ServerLimits());
+        server.server->setMemoryBudget(memory);
+    });
+    RawSocket client(port);
+    client.send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\nGET /echo HTTP/1.1\r\nX: "
+                + std::string(pipelinedBytes, 'x'));
+    BOOST_TEST_REQUIRE(waitFor([&] { return server.requestCount == 1; }));
+    client.send("x");
+    const auto requestBytes = [&] {
+        std::size_t bytes = 0;
+        server.thread.run([&] { bytes = memory->requestBytes(); });
+        return bytes;
+    };
+    BOOST_TEST(waitFor([&] { return requestBytes() > pipelinedBytes; }));
+    absl::SleepFor(absl::Milliseconds(50));
+    BOOST_TEST(requestBytes() < pipelinedBytes * 3 / 2);
+}
+
 // Guards against malformed or oversized requests that reach the handler or get no response.
 BOOST_AUTO_TEST_CASE(invalidRequestIsAnsweredWithAnErrorStatus)
 {
--- a/tests/platform/memory_limit_test.py
+++ b/tests/platform/memory_limit_test.py
@@ -21,6 +21,9 @@
 CLIENTS = 60
 # With fewer streams, what the operating system buffers hides the fault.
 STREAM_CLIENTS = 150
+# Header fields of one client: "a:" and a line break each, within the limit of the header.
+HEADER_FIELDS = 4000
+HEADER_CLIENTS = 300
 # Connections of one client: its own, that of its request's upstream and that of a hedge.
 DESCRIPTORS_PER_CLIENT = 3
 # Connections to other processes and log files that a process may open meanwhile.
@@ -168,6 +171,12 @@
         time.sleep(0.05)
 
 
+def many_fields(client, hold):
+    client.send_head("\r\n".join(["Content-Length: 2"] + ["a:"] * HEADER_FIELDS))
+    client.socket.sendall(b"b")
+    hold()
+
+
 def batch_submission(client, _):
     part = base64.b64encode(b"i" * (MAX_BODY_BYTES // 6)).decode()
     items = [{"id": f"{client.number}-{n}", "path": "/list/x", "headers": {}, "tokens": 1,
@@ -319,6 +328,10 @@
         """Guards against headers without end that are kept."""
         self.run_crowd([(trickled_header, "/ask/1")] * CLIENTS)
 
+    def test_headers_of_many_fields(self):
+        """Guards against header fields that are kept but not counted."""
+        self.run_crowd([(many_fields, "/ask/1")] * HEADER_CLIENTS)
+
     def test_mixed_crowd(self):
         """Guards against parts of the budget that are each within bounds but not together."""
         kinds = [(oversized_announced, "/ask/1"), (oversized_chunked, "/ask/1"),
