Platform, gateway: Limit bodies to a size that the memory can hold

Cause: max-body-bytes of the configuration was not checked. A body that exceeds the memory budget alone got 503 with Retry-After at each try, and a negative limit became the largest size.

An entry lowers the limit of bodies to what its budget can hold, with a log line, and refuses larger bodies with 413.

--- a/include/rattanrill/net/memorybudget.h
+++ b/include/rattanrill/net/memorybudget.h
@@ -43,6 +43,9 @@
 /// large, the copy that is sent to its upstream and the copy of a hedge.
 std::size_t requestCost(std::size_t bodyBytes);
 
+/// Returns the size of the largest body that fits when nothing else is held.
+std::size_t maxBodyBytesOf(const MemoryLimits &limits);
+
 /// Bounds the memory that the clients and upstreams of one process make it use. Load pattern: many
 /// clients send large bodies, stop halfway, or do not read their responses. When a part is
 /// exhausted, the owners of shares are told to give up theirs, in this order:
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -194,13 +194,26 @@
     {
         net::ServerLimits result;
         result.maxHeaderBytes = limits.maxHeaderBytes;
-        result.maxBodyBytes = limits.maxBodyBytes;
+        result.maxBodyBytes = effectiveBodyLimit(limits.maxBodyBytes);
         result.headerTimeout = limits.headerTimeout;
         result.idleTimeout = limits.idleTimeout;
         result.maxConnections = callerConnectionLimit();
         m_callerServer.setLimits(result);
     }
 
+    /// Returns the limit of bodies. One that never fits the memory is refused as too large: a
+    /// refusal because of the memory asks the caller to send it again.
+    std::size_t effectiveBodyLimit(std::size_t configuredBytes) const
+    {
+        const std::size_t maxBytes = net::maxBodyBytesOf(m_core.memory()->limits());
+        if (configuredBytes <= maxBytes)
+            return configuredBytes;
+        log(LogLevel::Warning, "body-limit-lowered",
+            {{"configuredBytes", static_cast<std::int64_t>(configuredBytes)},
+             {"limitBytes", static_cast<std::int64_t>(maxBytes)}});
+        return maxBytes;
+    }
+
     /// Closes idle connections to addresses that are no longer listed, because such an address may
     /// next belong to an upstream of another service.
     void closeRemovedUpstreams(const std::vector<wire::FleetUpstream> &upstreams)
--- a/src/net/memorybudget.cpp
+++ b/src/net/memorybudget.cpp
@@ -26,6 +26,8 @@
 /// Inverse of the part of the limit of requests that only small ones may use, so that ordinary
 /// callers are served while large bodies exhaust the rest.
 constexpr std::size_t smallRequestDivisor = 8;
+/// Memory for the header of a request with the largest body: 16 KiB of the shortest lines need 400.
+constexpr std::size_t maxHeaderBytes = 512 * 1024;
 constexpr std::size_t maxSmallRequestBytes = copiesPerBody * 256 * 1024;
 /// Responses of which more is unsent are given up before others: they free most.
 constexpr std::size_t largeResponseBytes = 64 * 1024;
@@ -69,6 +71,12 @@
     return bodyBytes < minCopiedBodyBytes ? bodyBytes : copiesPerBody * bodyBytes;
 }
 
+std::size_t maxBodyBytesOf(const MemoryLimits &limits)
+{
+    const std::size_t bytes = limits.requestBytes - limits.requestBytes / smallRequestDivisor;
+    return (bytes - std::min(bytes, maxHeaderBytes)) / copiesPerBody;
+}
+
 MemoryBudget::MemoryBudget(MemoryLimits limits, const Clock &clock)
     : m_limits(limits)
     , m_clock(clock)
--- a/src/net/requestparser.cpp
+++ b/src/net/requestparser.cpp
@@ -29,7 +29,8 @@
 {
     using value_type = std::string;
 
-    class reader
+    // Beast requires this name.
+    class reader // NOLINT(readability-identifier-naming)
     {
     public:
         template <bool isRequest, typename Fields>
--- a/tests/net/memorybudget_test.cpp
+++ b/tests/net/memorybudget_test.cpp
@@ -138,4 +138,21 @@
     }
 }
 
+// Guards against a limit of bodies that are always refused because they exceed the budget alone,
+// and against one below the documented limit.
+BOOST_AUTO_TEST_CASE(largestBodyFitsWithEachSetting)
+{
+    /// Memory of a header of the documented limit that consists of the shortest lines.
+    constexpr std::size_t headerBytes = 16384 / 4 * 100;
+    for (const std::size_t memory : {16 * mebibyte, 96 * mebibyte, 256 * mebibyte}) {
+        const MemoryLimits limits = memoryLimitsOf(memory);
+        const std::size_t largest = maxBodyBytesOf(limits);
+        BOOST_TEST(largest >= 4 * mebibyte);
+        const auto limited = std::make_shared<MemoryBudget>(limits, clock);
+        Owner owner(limited, MemoryUse::Receiving);
+        BOOST_TEST(owner.share.resize(requestCost(largest) + headerBytes));
+        BOOST_TEST(!owner.share.resize(requestCost(largest + mebibyte)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/memory_limit_test.py
+++ b/tests/platform/memory_limit_test.py
@@ -291,6 +291,33 @@
         status = self.send_request("single", path="/lookup/1", body=b"b" * MAX_BODY_BYTES)[0]
         self.assertEqual(status, 200)
 
+    def announce(self, size):
+        """Announces a body and returns the status of the response, 100 if it may be sent."""
+        client = Client(0, (self.address("entry", 1), CALLER_PORT), "/ask/1")
+        try:
+            client.send_head(f"Content-Length: {size}\r\nExpect: 100-continue")
+            return int(client.socket.recv(CHUNK_BYTES).split()[1])
+        finally:
+            client.socket.close()
+
+    def put_body_limit(self, version, size):
+        document = configuration(version, rate=1000)
+        document["limits"]["max-body-bytes"] = size
+        self.assertEqual(self.put_configuration(document), 200)
+
+    def test_body_that_never_fits(self):
+        """Guards against a legal body that is refused with 503 for ever, as it exceeds the budget
+        alone, and against a limit of bodies that is no size."""
+        self.put_body_limit(3, OVERSIZED_BODY_BYTES)
+        self.addCleanup(self.put_body_limit, 4, MAX_BODY_BYTES)
+        self.assertTrue(wait_until(lambda: self.announce(MAX_BODY_BYTES + 1) == 100))
+        self.assertEqual(self.announce(OVERSIZED_BODY_BYTES), 413)
+        document = configuration(4)
+        document["limits"]["max-body-bytes"] = -1
+        self.assertEqual(self.put_configuration(document), 400)
+        self.assertEqual(self.announce(4 * 10 ** 18), 413)
+        self.assertEqual(self.send_request("never-fits-after")[0], 200)
+
     def test_oversized_announced_bodies(self):
         """Guards against a process that reads bodies beyond the limit that were announced."""
         self.run_crowd([(oversized_announced, "/ask/1")] * CLIENTS)
--- a/tests/platform/operator_test.cpp
+++ b/tests/platform/operator_test.cpp
@@ -86,6 +86,19 @@
                         .ok());
 }
 
+// Guards against a limit that refuses each request, or that becomes a huge one.
+BOOST_AUTO_TEST_CASE(limitsOfBytesThatAreNotPositiveAreRefused)
+{
+    const auto isAccepted = [](const std::string &limits) {
+        return parsePutConfiguration(R"({"version":7,"limits":{)" + limits + "}}").ok();
+    };
+    BOOST_TEST(isAccepted(R"("max-body-bytes":1,"max-header-bytes":1)"));
+    BOOST_TEST(!isAccepted(R"("max-body-bytes":-1)"));
+    BOOST_TEST(!isAccepted(R"("max-body-bytes":0)"));
+    BOOST_TEST(!isAccepted(R"("max-header-bytes":-1)"));
+    BOOST_TEST(!isAccepted(R"("max-header-bytes":0)"));
+}
+
 BOOST_AUTO_TEST_CASE(otherCallsAreParsed)
 {
     const auto parse = [](const std::string &method, const std::string &target,
