Net: Close connections of stalled requests for new ones

Cause: a connection that sends single bytes of a body was never closed for a new one, so a few hundred of them kept all callers out. The accept loop ran until the queue was empty. A refused connection was closed 2 s after the refusal though its client was still sending, which lost the response.

Change: at the limit of connections, the one whose header or body has made no progress for the longest time, at least 1 s, is closed if no unused one is left. At most 64 connections are accepted before the event loop turns to other work, and the search for an unused connection makes its system call last. A refused connection stays open for 2 s after the last received byte and for at most 10 s.

Measured: with three connections, two stalled, both new callers were refused before and are served now, and the upload that moves completes. 400 connections were accepted at once before, no more than 128 now. A refused client that sends for 4 s lost its 413 before and reads it now.

--- a/include/rattanrill/net/server.h
+++ b/include/rattanrill/net/server.h
@@ -27,8 +27,9 @@
     /// whole seconds; below one second, connections are not kept.
     absl::Duration idleTimeout = absl::Seconds(15);
     /// At this number, the connection that has been open for the longest time without a request is
-    /// closed for a new one. Connections that have served a request stay open. If there is none to
-    /// close, the new one is closed as soon as it is accepted.
+    /// closed for a new one, or else the one whose request has stopped arriving for the longest
+    /// time, at least one second. Other connections that have served a request stay open. If there
+    /// is none to close, the new one is closed as soon as it is accepted.
     std::size_t maxConnections = 3000;
 };
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -23,6 +23,11 @@
 /// Delay before accepting again after an error, such as a lack of file descriptors.
 constexpr absl::Duration acceptRetryDelay = absl::Milliseconds(50);
 constexpr absl::Duration refusalLogPeriod = absl::Seconds(1);
+/// Number of connections after which the event loop turns to other work.
+constexpr int maxAcceptsAtOnce = 64;
+/// Time without progress after which a connection may be closed for a new one while it receives a
+/// request. A client that sends makes progress within this time also over a slow link.
+constexpr absl::Duration receivingStallTime = absl::Seconds(1);
 
 } // namespace
 
@@ -78,16 +83,17 @@
 
     void handleAcceptable()
     {
-        if (acceptPending())
+        if (acceptPending(maxAcceptsAtOnce))
             return accept();
         loop.timers().subscribeOnce(acceptRetryDelay,
                                     [self = shared_from_this()] { self->accept(); });
     }
 
-    /// Adds the connections that wait to be accepted. Returns false after an error.
-    bool acceptPending()
+    /// Adds the connections that wait to be accepted, after at most \a maxAccepts attempts. Returns
+    /// false after an error.
+    bool acceptPending(int maxAccepts)
     {
-        while (acceptor.is_open()) {
+        for (int accepts = 0; accepts < maxAccepts && acceptor.is_open(); ++accepts) {
             boost::system::error_code error;
             Tcp::socket socket(loop.ioContext());
             acceptor.accept(socket, error);
@@ -98,7 +104,7 @@
             const bool lacksDescriptors =
                     error == boost::asio::error::no_descriptors
                     || error == boost::system::errc::too_many_files_open_in_system;
-            if (lacksDescriptors && closeLongestUnused())
+            if (lacksDescriptors && closeForNewConnection())
                 continue;
             if (error) {
                 logRefused("accept-failed", error.message());
@@ -111,16 +117,28 @@
 
     void add(Tcp::socket socket)
     {
-        if (shared->connections.size() >= shared->limits.maxConnections && !closeLongestUnused())
+        if (shared->connections.size() >= shared->limits.maxConnections && !closeForNewConnection())
             return logRefused("connection-refused", "the limit of connections is reached");
         auto connection = std::make_shared<ServerConnection>(std::move(socket), shared);
         shared->connections.insert(connection);
         connection->start();
     }
 
-    /// Closes the connection that has been open for the longest time without a request. Connections
-    /// with a response may be used again, as it has announced. Returns false if there is none.
-    bool closeLongestUnused()
+    /// Closes the connection that a new one needs most. Returns false if there is none.
+    bool closeForNewConnection()
+    {
+        auto connection = longestUnused();
+        if (connection == nullptr)
+            connection = longestStalled();
+        if (connection == nullptr)
+            return false;
+        connection->close();
+        return true;
+    }
+
+    /// Returns the connection that has been open for the longest time without a request, or null.
+    /// Connections with a response may be used again, as it has announced.
+    std::shared_ptr<ServerConnection> longestUnused() const
     {
         std::shared_ptr<ServerConnection> longest;
         for (const auto &connection : shared->connections) {
@@ -129,10 +147,22 @@
             if (isEarlier && !connection->hasServed() && connection->isIdle())
                 longest = connection;
         }
-        if (longest == nullptr)
-            return false;
-        longest->close();
-        return true;
+        return longest;
+    }
+
+    /// Returns the connection whose request has stopped arriving for the longest time, or null.
+    std::shared_ptr<ServerConnection> longestStalled() const
+    {
+        std::shared_ptr<ServerConnection> longest;
+        absl::Time oldest = SystemClock::instance().now() - receivingStallTime;
+        for (const auto &connection : shared->connections) {
+            // What has arrived may not have been read because the event loop was busy.
+            if (connection->receivingProgressAt() >= oldest || connection->hasUnreadBytes())
+                continue;
+            oldest = connection->receivingProgressAt();
+            longest = connection;
+        }
+        return longest;
     }
 
     /// Logs at most one line a second for both events together, with the number of connections that
@@ -201,7 +231,7 @@
 
 void Server::acceptPendingConnections()
 {
-    m_impl->acceptPending();
+    m_impl->acceptPending(boost::asio::socket_base::max_listen_connections);
 }
 
 void Server::closeIdleConnections()
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -32,6 +32,8 @@
 /// Maximum time for which the connection stays open after the last response was sent, so that the
 /// client can read the response and close the connection.
 constexpr absl::Duration closeTimeout = absl::Seconds(2);
+/// The same while the client is still sending a body that was refused.
+constexpr absl::Duration maxCloseTime = absl::Seconds(10);
 /// Number of bytes of a refused request that are read and dropped beyond two bodies within the
 /// limit, so that a client that sends its body before it reads gets the response.
 constexpr std::size_t extraDiscardedBytes = std::size_t(64) << 10;
@@ -70,7 +72,8 @@
 
 bool ServerConnection::isIdle() const
 {
-    return m_phase == Phase::Idle && !hasNextRequest() && !expectsRequest();
+    // The last test needs a system call.
+    return m_phase == Phase::Idle && !expectsRequest() && !hasNextRequest();
 }
 
 bool ServerConnection::isActive() const
@@ -95,6 +98,12 @@
     return m_phase == Phase::Idle ? m_idleSince : absl::InfiniteFuture();
 }
 
+absl::Time ServerConnection::receivingProgressAt() const
+{
+    const bool isReceiving = m_phase == Phase::Header || m_phase == Phase::Body;
+    return isReceiving ? m_progressAt : absl::InfiniteFuture();
+}
+
 void ServerConnection::endRequests()
 {
     if (m_phase == Phase::Header || m_phase == Phase::Body)
@@ -186,12 +195,22 @@
         return discard(bytes.size());
     m_parser.feed(bytes);
     m_receivedBytes += bytes.size();
+    if (m_receivedBytes >= minProgressBytes)
+        recordProgress();
     if (m_phase == Phase::Serving)
         handleReadAhead();
     else
         handleParserState();
 }
 
+void ServerConnection::recordProgress()
+{
+    m_receivedBytes = 0;
+    m_progressAt = SystemClock::instance().now();
+    if (m_receivedShare)
+        m_receivedShare->recordProgress();
+}
+
 /// Counts what has arrived of the next request while the current one is served.
 void ServerConnection::handleReadAhead()
 {
@@ -210,10 +229,6 @@
                                                             if (const auto self = weak.lock())
                                                                 self->giveUpRequest();
                                                         });
-    if (m_receivedBytes >= minProgressBytes) {
-        m_receivedShare->recordProgress();
-        m_receivedBytes = 0;
-    }
     return m_receivedShare->resize(m_parser.pendingBytes() + parsedCost());
 }
 
@@ -242,14 +257,21 @@
 void ServerConnection::discard(std::size_t bytes)
 {
     m_discardedBytes += bytes;
-    if (m_phase == Phase::Closing && m_discardedBytes > maxDiscarded())
-        close();
+    if (m_phase != Phase::Closing)
+        return;
+    if (m_discardedBytes > maxDiscarded())
+        return close();
+    // While the response is being sent, its timer applies.
+    if (!m_writing)
+        armCloseTimer();
 }
 
 /// Continues with the current request according to the state of the parser.
 void ServerConnection::handleParserState()
 {
     const Phase previousPhase = m_phase;
+    if (previousPhase == Phase::Idle)
+        m_progressAt = SystemClock::instance().now();
     const RequestParser::State state = m_parser.state();
     const bool hasRequest =
             state != RequestParser::State::Idle && state != RequestParser::State::Refused;
@@ -310,7 +332,7 @@
     m_phase = Phase::Closing;
     m_parser.abandon(status);
     m_receivedShare.reset();
-    armTimer(closeTimeout);
+    armCloseTimer();
     send(serialize(response.head) + response.body);
 }
 
@@ -464,7 +486,7 @@
 {
     boost::system::error_code ignored;
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    armTimer(closeTimeout);
+    armCloseTimer();
 }
 
 void ServerConnection::endRequest()
@@ -492,12 +514,21 @@
 void ServerConnection::postNextRequest()
 {
     m_phase = Phase::Body;
+    m_progressAt = SystemClock::instance().now();
     boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
         if (self->m_phase == Phase::Body)
             self->handleParserState();
     });
 }
 
+/// Gives the client time to read the response, and more time while it is still sending its body.
+void ServerConnection::armCloseTimer()
+{
+    const absl::Time now = SystemClock::instance().now();
+    m_closeDeadline = std::min(m_closeDeadline, now + maxCloseTime);
+    armTimer(std::min(closeTimeout, m_closeDeadline - now));
+}
+
 void ServerConnection::armTimer(absl::Duration delay)
 {
     m_timer.expires_after(absl::ToChronoNanoseconds(delay));
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -51,6 +51,10 @@
     bool isActive() const;
     /// When the connection became idle; infinite future while it has a request.
     absl::Time idleSince() const;
+    /// When the request that is being received last made progress; infinite future if there is
+    /// none.
+    absl::Time receivingProgressAt() const;
+    bool hasUnreadBytes() const;
     /// Whether a request was served on the connection.
     bool hasServed() const { return m_hasServed; }
     /// Ends the current request with a response or by aborting its stream.
@@ -89,7 +93,6 @@
     /// Whether a part of the next request has arrived, even if it has not been read yet.
     bool hasNextRequest() const;
     bool expectsRequest() const;
-    bool hasUnreadBytes() const;
     void read();
     bool mayRead() const;
     std::size_t maxDiscarded() const;
@@ -97,6 +100,7 @@
     void handleBytes(std::string_view bytes);
     void handleParserState();
     void handleReadAhead();
+    void recordProgress();
     bool countReceived();
     std::size_t parsedCost() const;
     void giveUpRequest();
@@ -111,6 +115,7 @@
     void endRequest();
     void postNextRequest();
     void shutdownSend();
+    void armCloseTimer();
     void armTimer(absl::Duration delay);
     void disarmTimer();
     bool isTimerExpired() const;
@@ -130,6 +135,10 @@
     std::unique_ptr<MemoryShare> m_receivedShare;
     /// Number of bytes received since the request made progress.
     std::size_t m_receivedBytes = 0;
+    /// When the request that is being received began or last made progress.
+    absl::Time m_progressAt;
+    /// When the connection is closed although the client is still sending.
+    absl::Time m_closeDeadline = absl::InfiniteFuture();
     Phase m_phase = Phase::Idle;
     /// When the connection was accepted or its last response had been sent.
     absl::Time m_idleSince;
--- a/tests/net/connectionlimit_test.cpp
+++ b/tests/net/connectionlimit_test.cpp
@@ -8,9 +8,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace rattanrill;
 using namespace rattanrill::net;
@@ -180,4 +182,68 @@
     thread.run([this] { BOOST_TEST(requests == 1); });
 }
 
+// Load pattern: clients send a part of a body and then little or nothing. Guards against callers
+// that are kept out by them, and against the loss of an upload that moves.
+BOOST_AUTO_TEST_CASE(connectionWithAStalledBodyIsClosedForANewOne)
+{
+    constexpr int steps = 12;
+    constexpr std::size_t stepBytes = 4096;
+    const std::string step(stepBytes, 'b');
+    setLimit(3);
+    const auto head = [](std::size_t size) {
+        return "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(size)
+               + "\r\n\r\n";
+    };
+    const auto trickling = open();
+    trickling->send(head(stepBytes) + "b");
+    const auto stalled = open();
+    stalled->send(head(stepBytes) + "b");
+    const auto moving = open();
+    moving->send(head(steps * stepBytes));
+    for (int i = 0; i < steps - 1; ++i) {
+        moving->send(step);
+        trickling->send("b");
+        absl::SleepFor(absl::Milliseconds(200));
+    }
+    RawSocket first(port);
+    BOOST_TEST(isServed(first));
+    RawSocket second(port);
+    BOOST_TEST(isServed(second));
+    BOOST_TEST(trickling->readAll().empty());
+    BOOST_TEST(stalled->readAll().empty());
+    moving->send(step);
+    BOOST_TEST(moving->readUntil(body).find(body) != std::string::npos);
+}
+
+// Load pattern: clients connect without end. Guards against an event loop that only accepts
+// connections until there is none left.
+BOOST_AUTO_TEST_CASE(eventLoopTurnsToOtherWorkBetweenConnections)
+{
+    constexpr std::size_t clients = 400;
+    constexpr int steps = 1000;
+    constexpr std::size_t maxAcceptedAtOnce = 128;
+    std::vector<std::unique_ptr<RawSocket>> sockets;
+    std::size_t lastCount = 0;
+    std::size_t mostAtOnce = 0;
+    std::function<void(int)> observe = [&](int left) {
+        const std::size_t count = server->connectionCount();
+        mostAtOnce = std::max(mostAtOnce, count - lastCount);
+        lastCount = count;
+        if (left > 0)
+            thread.loop().post([&observe, left] { observe(left - 1); });
+    };
+    // The event loop finds all connections in the queue of the operating system.
+    thread.run([&] {
+        for (std::size_t i = 0; i < clients; ++i)
+            sockets.push_back(std::make_unique<RawSocket>(port));
+        observe(steps);
+    });
+    BOOST_TEST(eventually([&] { return connectionCount() == clients; }));
+    thread.run([&] {
+        BOOST_TEST(lastCount > 0u);
+        BOOST_TEST(mostAtOnce <= maxAcceptedAtOnce);
+    });
+    absl::SleepFor(absl::Milliseconds(100));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -283,6 +283,33 @@
     BOOST_TEST(requestBytes() < pipelinedBytes * 3 / 2);
 }
 
+// Guards against a refusal that is lost because the client still sends its body over a slow link
+// when a fixed time has passed, and against a refused connection that stays open as long as bytes
+// arrive.
+BOOST_AUTO_TEST_CASE(refusedConnectionStaysOpenWhileTheClientSends)
+{
+    constexpr absl::Duration sendingTime = absl::Seconds(4);
+    TestServer server;
+    RawSocket client(port);
+    client.send("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n");
+    const absl::Time end = absl::Now() + sendingTime;
+    while (absl::Now() < end) {
+        BOOST_CHECK_NO_THROW(client.send("b"));
+        absl::SleepFor(absl::Milliseconds(250));
+    }
+    BOOST_TEST(connectionCount(server) == 1u);
+    BOOST_TEST(statusLine(client.readAll()) == "HTTP/1.1 413 Payload Too Large");
+    const absl::Time deadline = absl::Now() + absl::Seconds(20);
+    while (connectionCount(server) == 1 && absl::Now() < deadline) {
+        try {
+            client.send("b");
+        } catch (const boost::system::system_error &) {
+        }
+        absl::SleepFor(absl::Milliseconds(250));
+    }
+    BOOST_TEST(connectionCount(server) == 0u);
+}
+
 // Guards against malformed or oversized requests that reach the handler or get no response.
 BOOST_AUTO_TEST_CASE(invalidRequestIsAnsweredWithAnErrorStatus)
 {
