Gateway: Limit connections before the first configuration and of internal servers

Cause: the limit of callers' connections that follows from the file descriptors was set by the first configuration only, and the servers for readiness, metrics and operators allowed 3000 each.

Change: an entry sets the limit before its server starts. Internal servers allow 64 connections each.

The limit before the first configuration has no test.

--- a/src/gateway/controlprocess.cpp
+++ b/src/gateway/controlprocess.cpp
@@ -77,6 +77,7 @@
         m_fleetService->start();
         BOOST_LEAF_CHECK(m_replica->open(identity, fleet::makeFleetStateMachine()));
         m_operatorServer.setMemoryBudget(m_core->memory());
+        m_operatorServer.setLimits(internalServerLimits());
         BOOST_LEAF_CHECK(m_operatorServer.start(m_settings.operatorAddress));
         return m_core->start();
     }
--- a/src/gateway/entryprocess.cpp
+++ b/src/gateway/entryprocess.cpp
@@ -111,6 +111,9 @@
         m_core.fleetClient().onUpstreamsConfirmed(
                 [this](absl::Time readAt) { m_slotClient.confirmUpstreams(readAt); });
         m_callerServer.setMemoryBudget(m_core.memory());
+        // Callers may connect before the first configuration is known.
+        setCallerLimits(serving::CallerLimits());
+        m_readinessServer.setLimits(internalServerLimits());
         m_readinessServer.setMemoryBudget(m_core.memory());
         BOOST_LEAF_CHECK(m_callerServer.start(m_settings.callerAddress));
         BOOST_LEAF_CHECK(m_readinessServer.start(m_settings.readinessAddress));
--- a/src/gateway/processcore.cpp
+++ b/src/gateway/processcore.cpp
@@ -8,6 +8,9 @@
 namespace rattanrill::gateway {
 namespace {
 
+/// Maximum number of connections to an address for the platform or operators.
+constexpr std::size_t maxInternalConnections = 64;
+
 /// Timeout of an attempt to connect to another process. The kernel resends a lost SYN packet after
 /// one second; a new attempt is faster.
 constexpr absl::Duration peerConnectTimeout = absl::Milliseconds(300);
@@ -75,6 +78,13 @@
 
 } // namespace
 
+net::ServerLimits internalServerLimits()
+{
+    net::ServerLimits limits;
+    limits.maxConnections = maxInternalConnections;
+    return limits;
+}
+
 ProcessCore::ProcessCore(const ProcessSettings &settings, const ProcessContext &processContext,
                          wire::MemberRole role, const std::string &replica)
     : m_settings(settings)
@@ -100,6 +110,7 @@
                 m_processContext.loop,
                 [this](const std::shared_ptr<net::Exchange> &exchange) { serveMetrics(exchange); });
         m_metricsServer->setMemoryBudget(m_memory);
+        m_metricsServer->setLimits(internalServerLimits());
         BOOST_LEAF_CHECK(m_metricsServer->start(m_settings.metricsAddress));
     }
     m_fleetClient->onChange([this](const fleet::FleetState &state) {
--- a/src/gateway/processcore.h
+++ b/src/gateway/processcore.h
@@ -17,6 +17,10 @@
 
 namespace rattanrill::gateway {
 
+/// Limits of the addresses to which only the platform and operators connect: readiness, metrics and
+/// operator calls.
+net::ServerLimits internalServerLimits();
+
 /// Components that each process of a deployment has: channels to the other processes, the
 /// membership in the fleet and the metrics endpoint.
 class ProcessCore
--- a/tests/platform/memory_limit_test.py
+++ b/tests/platform/memory_limit_test.py
@@ -24,6 +24,9 @@
 # Header fields of one client: "a:" and a line break each, within the limit of the header.
 HEADER_FIELDS = 4000
 HEADER_CLIENTS = 300
+READINESS_CLIENTS = 250
+# Connections to an address at which only the platform connects, with a margin.
+MAX_READINESS_DESCRIPTORS = 128
 # Connections of one client: its own, that of its request's upstream and that of a hedge.
 DESCRIPTORS_PER_CLIENT = 3
 # Connections to other processes and log files that a process may open meanwhile.
@@ -383,6 +386,21 @@
         self.run_crowd([(stopped_announced, "/readiness"), (stopped_chunked, "/readiness")]
                        * (CLIENTS // 2), port=READY_PORT)
 
+    def test_connections_at_the_readiness_address(self):
+        """Guards against an entry whose descriptors are used up by connections to its readiness
+        address, and against probes that are kept out by them."""
+        observer = Observer(self.processes["entry-1"])
+        clients = []
+        for _ in range(READINESS_CLIENTS):
+            clients.append(socket.create_connection((self.address("entry", 1), READY_PORT)))
+            self.addCleanup(clients[-1].close)
+            clients[-1].sendall(b"GET /readiness HTTP/1.1\r\n")
+        self.assertTrue(wait_until(lambda: self.is_ready(1)))
+        observer.end()
+        self.assertIsNone(self.processes["entry-1"].poll(), "the process has ended")
+        self.assertLessEqual(observer.descriptors,
+                             observer.descriptors_before + MAX_READINESS_DESCRIPTORS)
+
 
 if __name__ == "__main__":
     unittest.main()
