Net tests: Wait for the end of the observed steps

Cause: the steps that observe the number of connections could outlive the test, which waited a fixed time. The check and its bound are unchanged.

--- a/tests/net/connectionlimit_test.cpp
+++ b/tests/net/connectionlimit_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,7 +35,8 @@
     {
         thread.run([this] {
             server = std::make_unique<Server>(
-                    thread.loop(), [this](std::shared_ptr<Exchange> exchange) { serve(exchange); });
+                    thread.loop(),
+                    [this](const std::shared_ptr<Exchange> &exchange) { serve(exchange); });
             const std::string address = "127.0.0.1:" + std::to_string(port);
             BOOST_REQUIRE(outcomeOf([&] { return server->start(address); }).ok());
         });
@@ -225,10 +227,12 @@
     std::vector<std::unique_ptr<RawSocket>> sockets;
     std::size_t lastCount = 0;
     std::size_t mostAtOnce = 0;
+    std::atomic<int> remainingSteps{steps};
     std::function<void(int)> observe = [&](int left) {
         const std::size_t count = server->connectionCount();
         mostAtOnce = std::max(mostAtOnce, count - lastCount);
         lastCount = count;
+        remainingSteps = left;
         if (left > 0)
             thread.loop().post([&observe, left] { observe(left - 1); });
     };
@@ -239,11 +243,11 @@
         observe(steps);
     });
     BOOST_TEST(eventually([&] { return connectionCount() == clients; }));
+    BOOST_TEST_REQUIRE(eventually([&] { return remainingSteps == 0; }));
     thread.run([&] {
         BOOST_TEST(lastCount > 0u);
         BOOST_TEST(mostAtOnce <= maxAcceptedAtOnce);
     });
-    absl::SleepFor(absl::Milliseconds(100));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
