--- a/tests/platform/memory_limit_test.py
+++ b/tests/platform/memory_limit_test.py
@@ -21,6 +21,12 @@
 CLIENTS = 60
 # With fewer streams, what the operating system buffers hides the fault.
 STREAM_CLIENTS = 150
+# Header fields of one client: "a:" and a line break each, within the limit of the header.
+HEADER_FIELDS = 4000
+HEADER_CLIENTS = 300
+READINESS_CLIENTS = 250
+# Connections to an address at which only the platform connects, with a margin.
+MAX_READINESS_DESCRIPTORS = 128
 # Connections of one client: its own, that of its request's upstream and that of a hedge.
 DESCRIPTORS_PER_CLIENT = 3
 # Connections to other processes and log files that a process may open meanwhile.
@@ -168,6 +174,12 @@
         time.sleep(0.05)
 
 
+def many_fields(client, hold):
+    client.send_head("\r\n".join(["Content-Length: 2"] + ["a:"] * HEADER_FIELDS))
+    client.socket.sendall(b"b")
+    hold()
+
+
 def batch_submission(client, _):
     part = base64.b64encode(b"i" * (MAX_BODY_BYTES // 6)).decode()
     items = [{"id": f"{client.number}-{n}", "path": "/list/x", "headers": {}, "tokens": 1,
@@ -282,6 +294,33 @@
         status = self.send_request("single", path="/lookup/1", body=b"b" * MAX_BODY_BYTES)[0]
         self.assertEqual(status, 200)
 
+    def announce(self, size):
+        """Announces a body and returns the status of the response, 100 if it may be sent."""
+        client = Client(0, (self.address("entry", 1), CALLER_PORT), "/ask/1")
+        try:
+            client.send_head(f"Content-Length: {size}\r\nExpect: 100-continue")
+            return int(client.socket.recv(CHUNK_BYTES).split()[1])
+        finally:
+            client.socket.close()
+
+    def put_body_limit(self, version, size):
+        document = configuration(version, rate=1000)
+        document["limits"]["max-body-bytes"] = size
+        self.assertEqual(self.put_configuration(document), 200)
+
+    def test_body_that_never_fits(self):
+        """Guards against a legal body that is refused with 503 for ever, as it exceeds the budget
+        alone, and against a limit of bodies that is no size."""
+        self.put_body_limit(3, OVERSIZED_BODY_BYTES)
+        self.addCleanup(self.put_body_limit, 4, MAX_BODY_BYTES)
+        self.assertTrue(wait_until(lambda: self.announce(MAX_BODY_BYTES + 1) == 100))
+        self.assertEqual(self.announce(OVERSIZED_BODY_BYTES), 413)
+        document = configuration(4)
+        document["limits"]["max-body-bytes"] = -1
+        self.assertEqual(self.put_configuration(document), 400)
+        self.assertEqual(self.announce(4 * 10 ** 18), 413)
+        self.assertEqual(self.send_request("never-fits-after")[0], 200)
+
     def test_oversized_announced_bodies(self):
         """Guards against a process that reads bodies beyond the limit that were announced."""
         self.run_crowd([(oversized_announced, "/ask/1")] * CLIENTS)
@@ -319,6 +358,10 @@
         """Guards against headers without end that are kept."""
         self.run_crowd([(trickled_header, "/ask/1")] * CLIENTS)
 
+    def test_headers_of_many_fields(self):
+        """Guards against header fields that are kept but not counted."""
+        self.run_crowd([(many_fields, "/ask/1")] * HEADER_CLIENTS)
+
     def test_mixed_crowd(self):
         """Guards against parts of the budget that are each within bounds but not together."""
         kinds = [(oversized_announced, "/ask/1"), (oversized_chunked, "/ask/1"),
@@ -343,6 +386,21 @@
         self.run_crowd([(stopped_announced, "/readiness"), (stopped_chunked, "/readiness")]
                        * (CLIENTS // 2), port=READY_PORT)
 
+    def test_connections_at_the_readiness_address(self):
+        """Guards against an entry whose descriptors are used up by connections to its readiness
+        address, and against probes that are kept out by them."""
+        observer = Observer(self.processes["entry-1"])
+        clients = []
+        for _ in range(READINESS_CLIENTS):
+            clients.append(socket.create_connection((self.address("entry", 1), READY_PORT)))
+            self.addCleanup(clients[-1].close)
+            clients[-1].sendall(b"GET /readiness HTTP/1.1\r\n")
+        self.assertTrue(wait_until(lambda: self.is_ready(1)))
+        observer.end()
+        self.assertIsNone(self.processes["entry-1"].poll(), "the process has ended")
+        self.assertLessEqual(observer.descriptors,
+                             observer.descriptors_before + MAX_READINESS_DESCRIPTORS)
+
 
 if __name__ == "__main__":
     unittest.main()
