Net tests: Pass the exchange by reference

Cause: clang-tidy reports the copy in the fixture of the server tests. Change: the lambda takes a constant reference, as in the connection limit tests.

--- a/tests/net/server_test.cpp
+++ b/tests/net/server_test.cpp
@@ -34,7 +34,8 @@
     {
         thread.run([this] {
             server = std::make_unique<Server>(
-                    thread.loop(), [this](std::shared_ptr<Exchange> exchange) { serve(exchange); });
+                    thread.loop(),
+                    [this](const std::shared_ptr<Exchange> &exchange) { serve(exchange); });
             ServerLimits limits;
             limits.maxHeaderBytes = 512;
             limits.maxBodyBytes = 64;
