Tests: Split the tests of the slot broker and the slot scheduler

The cases on versions of upstreams are suites of their own now, SlotBrokerVersionTest and SlotSchedulerVersionTest; the fixtures are headers. The cases are unchanged, and all pass.

--- a/tests/serving/slotbroker_test.cpp
+++ b/tests/serving/slotbroker_test.cpp
@@ -1,6 +1,4 @@
-#include "rattanrill/serving/slotbroker.h"
-
-#include <boost/test/unit_test.hpp>
+#include "slotbrokerfixture.h"
 
 #include <algorithm>
 #include <memory>
@@ -13,90 +11,7 @@
 using namespace rattanrill::serving;
 using wire::SlotOutcome;
 
-namespace {
-
-std::shared_ptr<const DeploymentIndex> deployment(double rate, double burst)
-{
-    Deployment result;
-    result.version = 1;
-    result.workspaces = {{"w", {"k"}, -1, rate, burst}};
-    return std::make_shared<const DeploymentIndex>(std::move(result));
-}
-
-SlotBrokerSettings settings()
-{
-    SlotBrokerSettings result;
-    result.rateToleranceFraction = 0.1;
-    result.rateToleranceRequests = 20;
-    return result;
-}
-
-struct Fixture
-{
-    Fixture()
-    {
-        broker.setDeployment(deployment(10, 10));
-        broker.setUpstreams({{"u", "llm", "u:1", "d", 100, false}}, CapacityShare());
-    }
-
-    wire::SlotRequest request(const std::string &id)
-    {
-        wire::SlotRequest result;
-        result.requestId = id;
-        result.instance = "e";
-        result.service = "llm";
-        result.workspace = "w";
-        result.objectiveMs = 300;
-        result.deadlineMs = 5000;
-        return result;
-    }
-
-    std::optional<wire::SlotResponse> acquire(const wire::SlotRequest &slotRequest)
-    {
-        last.reset();
-        broker.acquire(slotRequest,
-                       [this](const wire::SlotResponse &response) { last = response; });
-        return last;
-    }
-
-    bool tryAcquire(const std::string &id)
-    {
-        const auto response = acquire(request(id));
-        return response && response->verdict == SlotOutcome::Granted;
-    }
-
-    /// Report of an announcement that belongs to another request.
-    static wire::UpstreamLoad leaving(const std::string &upstream,
-                                      const std::string &address = "u:1")
-    {
-        return {upstream, -1, -1, true, 0, address};
-    }
-
-    /// Returns the upstream that a batch task is granted; empty when there is none.
-    std::string grantBatch(const std::string &id)
-    {
-        policy::SlotTask task;
-        task.id = id;
-        task.service = "llm";
-        task.workspace = "w";
-        task.kind = policy::TaskKind::Batch;
-        std::string upstream;
-        broker.acquireBatch(
-                task, {[&](const policy::GrantSlot &grant) { upstream = grant.upstream; }, [] {}});
-        return upstream;
-    }
-
-    void release(const std::string &id) { broker.release({"e", id, "u", "served"}); }
-
-    ManualClock clock;
-    ManualTimerService timers{clock};
-    SlotBroker broker{timers, clock, settings()};
-    std::optional<wire::SlotResponse> last;
-};
-
-} // namespace
-
-BOOST_FIXTURE_TEST_SUITE(SlotBrokerTest, Fixture)
+BOOST_FIXTURE_TEST_SUITE(SlotBrokerTest, SlotBrokerFixture)
 
 // Guards against a workspace that gets more requests in some window than its rate, its burst and
 // the tolerance allow. A new broker has no record of what the previous one granted.
@@ -132,8 +47,8 @@
     constexpr int entries = 4;
     std::vector<std::unique_ptr<SlotBroker>> locals;
     for (int i = 0; i < entries; ++i) {
-        locals.push_back(std::make_unique<SlotBroker>(timers, clock, settings()));
-        locals.back()->setDeployment(deployment(10, 10));
+        locals.push_back(std::make_unique<SlotBroker>(timers, clock, brokerSettings()));
+        locals.back()->setDeployment(deploymentOfRate(10, 10));
         locals.back()->setUpstreams({{"u", "llm", "u:1", "d", 100, false}},
                                     CapacityShare{1.0 / entries, 1});
     }
@@ -221,7 +136,7 @@
     waitingRequest.objectiveMs = 5000;
     BOOST_TEST(tryAcquire("runs"));
     BOOST_TEST(!acquire(waitingRequest).has_value());
-    timers.advance(settings().maxResponseDelay);
+    timers.advance(brokerSettings().maxResponseDelay);
     BOOST_TEST_REQUIRE(last.has_value());
     BOOST_TEST((last->verdict == SlotOutcome::Waiting));
     // The slot becomes free while no request is pending.
@@ -436,7 +351,7 @@
     const auto index = std::make_shared<const DeploymentIndex>(std::move(warming));
     wire::FleetUpstream cold{"u", "llm", "u:1", "d", 100, false};
     cold.coldRemainingMs = 8000;
-    SlotBroker local(timers, clock, settings());
+    SlotBroker local(timers, clock, brokerSettings());
     local.setUpstreams({cold}, CapacityShare{0.5, 1, 0.5, 0});
     local.setDeployment(index);
     broker.setDeployment(index);
@@ -482,84 +397,6 @@
     BOOST_TEST(events == "granted yield");
 }
 
-namespace {
-
-/// Two upstreams of two versions, and a deployment whose streams last 5 s.
-struct VersionFixture : Fixture
-{
-    VersionFixture()
-    {
-        Deployment result;
-        result.version = 1;
-        result.workspaces = {{"w", {"k"}, -1, 1000, 1000}};
-        Route route;
-        route.kind = RouteKind::Streaming;
-        route.timeout = absl::Seconds(5);
-        result.routes = {route};
-        broker.setDeployment(std::make_shared<const DeploymentIndex>(std::move(result)));
-        timers.advance(absl::Seconds(1));
-        setVersions({"v1", "v2"});
-    }
-
-    void setVersions(const std::vector<std::string> &versions)
-    {
-        std::vector<wire::FleetUpstream> list;
-        for (const std::string &version : versions)
-            list.push_back({"u-" + version, "llm", "u:1", "d", 1, false, version});
-        broker.setUpstreams(list, CapacityShare(), clock.now());
-    }
-
-    /// Lets time pass in which the list is read each second without a change.
-    void readFor(int seconds)
-    {
-        for (int second = 0; second < seconds; ++second) {
-            timers.advance(absl::Seconds(1));
-            broker.confirmUpstreams(clock.now());
-        }
-    }
-
-    /// Resumes the stream \a stream without a decision, and repeats the request until \a seconds
-    /// have passed. Returns the outcome.
-    std::optional<SlotOutcome> awaitResumption(const std::string &id, const std::string &stream,
-                                               int seconds)
-    {
-        wire::SlotRequest resumed = request(id);
-        resumed.stream = stream;
-        resumed.resumed = true;
-        acquire(resumed);
-        resumed.again = true;
-        for (int step = 0; step < seconds * 20; ++step) {
-            if (last && last->verdict != SlotOutcome::Waiting)
-                return last->verdict;
-            if (last)
-                acquire(resumed);
-            timers.advance(absl::Milliseconds(50));
-        }
-        return std::nullopt;
-    }
-
-    /// Begins the stream \a id and returns its version.
-    std::string begin(const std::string &id)
-    {
-        wire::SlotRequest begun = request(id);
-        begun.stream = id;
-        return acquire(begun)->version;
-    }
-
-    /// Releases the slot of \a id and resumes the stream \a stream.
-    wire::SlotResponse resume(const std::string &id, const std::string &stream)
-    {
-        wire::SlotRequest resumed = request(id);
-        resumed.stream = stream;
-        resumed.resumed = true;
-        const auto response = acquire(resumed);
-        BOOST_REQUIRE(response.has_value());
-        return *response;
-    }
-};
-
-} // namespace
-
 // Guards against an upstream that gets more requests than it has slots, because the slot of a
 // process that has just started, and is not listed as live yet, is granted again.
 BOOST_AUTO_TEST_CASE(slotOfAProcessThatIsNotListedYetStaysTaken)
@@ -587,90 +424,6 @@
     BOOST_TEST(granted == 10);
 }
 
-// Guards against a caller's resumption at another version, also when this process lost its slots as
-// the broker.
-BOOST_FIXTURE_TEST_CASE(resumedStreamStaysAtTheVersionOfItsFirstGrant, VersionFixture)
-{
-    const std::string first = begin("a");
-    const std::string second = begin("b");
-    BOOST_TEST(first != second);
-    release("a");
-    release("b");
-    broker.reset();
-    BOOST_TEST(resume("c", "a").version == first);
-    BOOST_TEST(resume("d", "b").version == second);
-}
-
-// Guards against a stream that is recorded at the version of a slot that it did not use, because
-// the upstream of an earlier slot responded after all.
-BOOST_FIXTURE_TEST_CASE(versionOfTheReleaseReplacesThatOfTheLastGrant, VersionFixture)
-{
-    const std::string granted = begin("a");
-    const std::string used = granted == "v1" ? "v2" : "v1";
-    broker.release({"e", "a", "", "abandoned", "a", "llm", used});
-    BOOST_TEST(resume("b", "a").version == used);
-}
-
-// Guards against an empty memory that looks like "any version", and against a refusal on a day
-// with one version.
-BOOST_FIXTURE_TEST_CASE(unknownStreamIsResumedOnlyIfOneVersionServed, VersionFixture)
-{
-    BOOST_TEST((resume("b", "a").verdict == SlotOutcome::VersionUnknown));
-    setVersions({"v2"});
-    BOOST_TEST((resume("c", "a").verdict == SlotOutcome::VersionUnknown));
-    // The time limit of streams, and the margin in which the list may lag.
-    readFor(9);
-    timers.subscribeOnce(absl::Milliseconds(500), [this] { broker.confirmUpstreams(clock.now()); });
-    BOOST_TEST((awaitResumption("d", "a", 1) == SlotOutcome::Granted));
-}
-
-// Guards against a stream of a new version that a process continues at the old one, because its
-// list is older than that of the process which began the stream.
-BOOST_FIXTURE_TEST_CASE(unknownStreamWaitsForALaterRead, VersionFixture)
-{
-    setVersions({"v1"});
-    readFor(9);
-    // The list that arrives next was read before the resumption.
-    const absl::Time formerRead = clock.now();
-    timers.advance(absl::Milliseconds(100));
-    timers.subscribeOnce(absl::Milliseconds(100), [&] { broker.confirmUpstreams(formerRead); });
-    timers.subscribeOnce(absl::Milliseconds(500), [&] { setVersions({"v1", "v2"}); });
-    BOOST_TEST((awaitResumption("b", "a", 1) == SlotOutcome::VersionUnknown));
-}
-
-// Guards against a resumption that waits until its deadline for a list that doesn't come, in a
-// process that is cut off.
-BOOST_FIXTURE_TEST_CASE(unknownStreamIsRefusedWhenTheListIsNotRead, VersionFixture)
-{
-    setVersions({"v1"});
-    readFor(9);
-    timers.advance(absl::Milliseconds(100));
-    const absl::Time start = clock.now();
-    BOOST_TEST((awaitResumption("b", "a", 5) == SlotOutcome::VersionUnknown));
-    BOOST_TEST((clock.now() - start <= absl::Milliseconds(2200)));
-}
-
-// Guards against a resumption that waits for upstreams that left, or continues at another service.
-BOOST_FIXTURE_TEST_CASE(streamOfAVersionThatLeftIsRefused, VersionFixture)
-{
-    const std::string version = begin("a");
-    release("a");
-    setVersions({version == "v1" ? "v2" : "v1"});
-    BOOST_TEST((resume("b", "a").verdict == SlotOutcome::VersionGone));
-    broker.recordStream("s", {"other", "v1"});
-    BOOST_TEST((resume("c", "s").verdict == SlotOutcome::VersionGone));
-}
-
-// Guards against a new broker that has no record of the streams of the entries.
-BOOST_FIXTURE_TEST_CASE(reportedStreamsAreAdopted, VersionFixture)
-{
-    wire::HeldSlots held;
-    held.instance = "e";
-    held.streams = {{"a", "llm", "v2", 100}};
-    broker.adoptHeldSlots(held);
-    BOOST_TEST(resume("b", "a").version == "v2");
-}
-
 // Guards against a request whose entry is cut off from the upstreams and gets a slot that it cannot
 // use, although other entries can forward its call.
 BOOST_AUTO_TEST_CASE(requestOfACutOffEntryIsGrantedWithAForwarder)
