Serving: Leave a hung upstream for one that has accepted the request

A stream at an upstream that hangs but accepts connections waited until its deadline when the first event of the hedge took longer than 0.25 s: the hedge was cancelled, and no attempt was left. The hedge now replaces the first attempt then if its upstream has sent the head of its response. If it has not, the first attempt goes on as before.

--- a/src/serving/proxiedrequest_hedge.cpp
+++ b/src/serving/proxiedrequest_hedge.cpp
@@ -227,11 +227,14 @@
     });
 }
 
-/// Two attempts are silent. If both upstreams may be working, the hedge ends: the first attempt has
-/// done more of the work, and the upstream of the hedge may still refuse it. Otherwise both go on,
-/// because it is not known which of them will respond.
+/// Two attempts are silent. If the upstream of the hedge has accepted it, the first attempt ends,
+/// whose upstream shows no sign of work. Otherwise, if both upstreams may be working, the hedge
+/// ends: the first attempt has done more of the work, and the upstream of the hedge may still
+/// refuse it. Otherwise both go on, because it is not known which of them will respond.
 void ProxiedRequest::resolveSilence()
 {
+    if (canHedgeServe())
+        return promoteHedge();
     // On lost links, a hedge reaches its upstream only by way of another entry.
     const bool isLost = m_context.upstreams.linkState() == policy::LinkState::Lost
                         && !m_context.upstreams.canReceive();
--- a/tests/serving/proxyrequest_hedge_test.cpp
+++ b/tests/serving/proxyrequest_hedge_test.cpp
@@ -344,6 +344,21 @@
     BOOST_TEST(body.isComplete);
 }
 
+// Guards against a stream that waits until its deadline for an upstream that hangs, because the
+// hedge was cancelled although its upstream had accepted it and only its first event was late.
+BOOST_AUTO_TEST_CASE(hangingUpstreamIsLeftForOneThatHasAccepted)
+{
+    Step first = brokenOffStream();
+    first.closes = false;
+    Step second = {streamHead("a")};
+    second.rest = chunk(event(3)) + chunk(event(4)) + lastChunk;
+    second.pause = 600;
+    const StreamBody body = send(first, second);
+    BOOST_TEST(body.text == wholeStream);
+    BOOST_TEST(body.isComplete);
+    BOOST_TEST(requests == 2u);
+}
+
 // Guards against a running call that is cancelled because four other upstreams answer no new
 // connection, although the next attempt cannot be made.
 BOOST_AUTO_TEST_CASE(runningCallIsKeptWhenOtherUpstreamsDoNotAnswer)
