Jobs: Do not count lack of memory as a failure of the upstream

An item whose output was given up because the process lacks memory released its slot as failed, so that three of them ejected a sound upstream. It is released as cancelled, as in proxied requests.

ItemOutputTest/lackOfMemoryIsNoFailureOfTheUpstream: one ejection on, none now.

--- a/src/jobs/itemrun_output.cpp
+++ b/src/jobs/itemrun_output.cpp
@@ -121,7 +121,8 @@
     return m_bufferShare->resize(bytes);
 }
 
-/// Frees the output. The item starts again from its first event.
+/// Frees the output. The item starts again from its first event. The lack of memory indicates
+/// nothing about the upstream.
 void ItemRun::giveUpBuffer()
 {
     if (m_state == State::Ended)
@@ -131,7 +132,7 @@
     m_splitter.reset();
     m_bufferShare.reset();
     if (m_state == State::Running)
-        failAttempt("the items of this process hold too many bytes", ReleaseReason::Failed);
+        failAttempt("the items of this process hold too many bytes", ReleaseReason::Cancelled);
 }
 
 void ItemRun::prepareOutput(const std::string &version)
--- a/tests/jobs/itemoutput_test.cpp
+++ b/tests/jobs/itemoutput_test.cpp
@@ -282,4 +282,27 @@
     }
 }
 
+// Guards against an upstream that is ejected because this process lacks the memory for the outputs
+// of its items.
+BOOST_AUTO_TEST_CASE(lackOfMemoryIsNoFailureOfTheUpstream)
+{
+    const net::EndlessServer server(streamHead, "data: " + std::string(65536, 'z') + "\n\n");
+    JobExecutorContext smallContext = context;
+    smallContext.buffers = std::make_shared<serving::BufferBudget>(std::size_t(48) << 10);
+    const auto job = std::make_shared<const wire::JobRecord>(submission("j").job);
+    std::shared_ptr<ItemRun> run;
+    thread.run([&] {
+        broker.setUpstreams({{"u", "llm", server.address(), "d", 1, false}},
+                            serving::CapacityShare());
+        run = std::make_shared<ItemRun>(smallContext, job, job->items.front(),
+                                        [](const wire::JobItemResult &) {});
+        run->setDeployment(deployment());
+    });
+    await([&] { return server.requests() >= 4; });
+    thread.run([&] {
+        BOOST_TEST(broker.ejectionCount(policy::ReleaseReason::Failed) == 0u);
+        run->stop();
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
