Platform: Limit the JSON values of a submission

A submission of 4 MiB may consist of more than a million values, of which each needs up to 100 bytes when it is parsed: one body exceeded the memory that the budget leaves for parsing. parseJson() takes a largest number of values, and submissions may have 100,000, 500 for each of at most 200 items; beyond that they get 400 before they are parsed.

The size of the crowds and the memory can be set for runs by hand.

--- a/include/rattanrill/base/json.h
+++ b/include/rattanrill/base/json.h
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -16,8 +17,10 @@
 constexpr std::size_t maxJsonDepth = 256;
 
 /// Parses JSON text. Fails with InvalidRequest on a syntax error, invalid UTF-8, a number that no
-/// type holds, or more than maxJsonDepth levels; the detail of the failure names \a what.
-Result<Json> parseJson(std::string_view text, std::string_view what);
+/// type holds, more than maxJsonDepth levels, or more than \a maxValues values and member names,
+/// each of which may need 50 times the memory of its text; the detail of the failure names \a what.
+Result<Json> parseJson(std::string_view text, std::string_view what,
+                       std::size_t maxValues = std::numeric_limits<std::size_t>::max());
 
 /// Returns member \a key of \a object as T. Fails with InvalidRequest when the member is missing or
 /// has another type.
--- a/src/base/json.cpp
+++ b/src/base/json.cpp
@@ -2,6 +2,8 @@
 
 #include "rattanrill/base/concat.h"
 
+#include <algorithm>
+
 namespace rattanrill {
 namespace {
 
@@ -45,9 +47,18 @@
     return value.get<T>();
 }
 
-/// Whether the text opens more than maxJsonDepth arrays and objects inside each other.
-bool isNestedTooDeeply(std::string_view text)
+/// What a text holds, by its characters outside strings.
+struct JsonExtent
+{
+    /// Number of arrays and objects that are open inside each other.
+    std::size_t depth = 0;
+    /// Number of values and member names. An empty array or object counts as two.
+    std::size_t values = 1;
+};
+
+JsonExtent extentOf(std::string_view text)
 {
+    JsonExtent extent;
     std::size_t depth = 0;
     bool isInString = false;
     for (std::size_t i = 0; i < text.size(); ++i) {
@@ -56,21 +67,27 @@
             isInString = !isInString;
         else if (isInString)
             i += c == '\\' ? 1 : 0;
-        else if ((c == '[' || c == '{') && ++depth > maxJsonDepth)
-            return true;
+        else if (c == '[' || c == '{')
+            extent.depth = std::max(extent.depth, ++depth);
         else if ((c == ']' || c == '}') && depth > 0)
             --depth;
+        const bool beginsValue = !isInString && (c == '[' || c == '{' || c == ',' || c == ':');
+        extent.values += beginsValue ? 1 : 0;
     }
-    return false;
+    return extent;
 }
 
 } // namespace
 
-Result<Json> parseJson(std::string_view text, std::string_view what)
+Result<Json> parseJson(std::string_view text, std::string_view what, std::size_t maxValues)
 {
-    if (isNestedTooDeeply(text))
+    const JsonExtent extent = extentOf(text);
+    if (extent.depth > maxJsonDepth)
         return fail(notRun(ErrorCode::InvalidRequest,
                            concat(what, " has more than ", maxJsonDepth, " nested levels")));
+    if (extent.values > maxValues)
+        return fail(notRun(ErrorCode::InvalidRequest,
+                           concat(what, " has more than ", maxValues, " values")));
     try {
         return Json::parse(text);
     } catch (const Json::parse_error &error) {
--- a/tests/base/json_test.cpp
+++ b/tests/base/json_test.cpp
@@ -3,7 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <cstddef>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace rattanrill;
@@ -46,6 +48,21 @@
     BOOST_TEST(!isInvalid("[99999999999999999999]"));
 }
 
+// Guards against a text whose values need many times the memory of its characters.
+BOOST_AUTO_TEST_CASE(valuesBeyondTheLimitAreInvalid)
+{
+    const auto isAllowed = [](std::string_view text, std::size_t maxValues) {
+        return outcomeOf([&] { return parseJson(text, "text", maxValues); }).ok();
+    };
+    const std::string_view seven = "[1,{\"a\":[]},\",:[{\"]";
+    BOOST_TEST(isAllowed(seven, 7));
+    BOOST_TEST(!isAllowed(seven, 6));
+    for (const std::string_view text :
+         {"[[],[],[]]", "[0,0,0,0]", "{\"a\":0,\"b\":0}", "[{},{},{}]"})
+        BOOST_TEST(!isAllowed(text, 4), text);
+    BOOST_TEST(isAllowed("\"[[[[[,,,,,\\\"[[[[[\"", 1));
+}
+
 // Guards against a list that is not read because of one odd element.
 BOOST_AUTO_TEST_CASE(arrayIsSplitIntoTheTextsOfItsElements)
 {
--- a/tests/platform/memory_limit_test.py
+++ b/tests/platform/memory_limit_test.py
@@ -1,4 +1,10 @@
-"""Tests that clients which nobody controls do not exhaust the memory of a process."""
+"""Tests that clients which nobody controls do not exhaust the memory of a process.
+
+A larger crowd or another machine is set by
+
+    RATTANRILL_CLIENTS             clients of most crowds (60)
+    RATTANRILL_MEMORY_MEBIBYTES    memory of a process (96)
+"""
 
 import base64
 import json
@@ -12,19 +18,21 @@
     InstanceList, PlatformDeployment, Upstream, configuration, wait_until
 
 MEBIBYTE = 1 << 20
-MEMORY_MEBIBYTES = 96
+MEMORY_MEBIBYTES = int(os.environ.get("RATTANRILL_MEMORY_MEBIBYTES", "96"))
 MAX_BODY_BYTES = 4 * MEBIBYTE
 OVERSIZED_BODY_BYTES = 64 * MEBIBYTE
 # Bytes of an oversized body after which a client gives up if it is not refused.
 MAX_SENT_BYTES = 16 * MEBIBYTE
 MAX_HEADER_BYTES = 16384
-CLIENTS = 60
+CLIENTS = int(os.environ.get("RATTANRILL_CLIENTS", "60"))
 # With fewer streams, what the operating system buffers hides the fault.
 STREAM_CLIENTS = 150
 # Header fields of one client: "a:" and a line break each, within the limit of the header.
 HEADER_FIELDS = 4000
 HEADER_CLIENTS = 300
 READINESS_CLIENTS = 250
+# One submission shows the fault; the others follow it.
+MANY_VALUES_CLIENTS = 6
 # Connections to an address at which only the platform connects, with a margin.
 MAX_READINESS_DESCRIPTORS = 128
 # Connections of one client: its own, that of its request's upstream and that of a hedge.
@@ -191,6 +199,14 @@
     client.read_response()
 
 
+def submission_of_many_values(client, _):
+    body = b'{"requests":[' + b"[]," * (MAX_BODY_BYTES // 3 - 10) + b"[]]}"
+    assert len(body) <= MAX_BODY_BYTES
+    client.send_head(f"Content-Length: {len(body)}\r\nConnection: close")
+    client.socket.sendall(body)
+    client.read_response()
+
+
 class Observer:
     """Observes the memory and the descriptors of a process while a crowd is connected."""
 
@@ -226,7 +242,7 @@
 
 
 class MemoryLimitTest(PlatformDeployment):
-    """Each test starts a crowd of clients against a process whose settings allow 96 MiB."""
+    """Each test starts a crowd of clients against a process whose settings limit its memory."""
 
     entries = 1
     role_settings = {"entry": {"memoryMegabytes": MEMORY_MEBIBYTES},
@@ -375,6 +391,10 @@
         """Guards against large submissions that are parsed and forwarded at the same time."""
         self.run_crowd([(batch_submission, f"/list/large-{n}") for n in range(CLIENTS)])
 
+    def test_submissions_of_many_values(self):
+        """Guards against a submission whose JSON values need many times the memory of its text."""
+        self.run_crowd([(submission_of_many_values, "/list/many")] * MANY_VALUES_CLIENTS)
+
     def test_stopped_bodies_at_the_operator_address(self):
         """Guards against a control process that keeps incomplete bodies of operators' calls."""
         self.run_crowd([(stopped_announced, "/Config.Replace"),
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -322,12 +322,16 @@
                     + R"(","path":"/p"})";
         return R"({"requests":[)" + list + "]}";
     }();
+    std::string tooManyValues = R"({"requests":[{"id":"a","path":"/p","x":[0)";
+    for (int i = 0; i < 100'000; ++i)
+        tooManyValues += ",0";
+    tooManyValues += "]}]}";
     for (const std::string &body :
          {std::string("{"), std::string("[]"), std::string(R"({"requests":[]})"),
           std::string(R"({"requests":[{"id":"a"}]})"),
           std::string(R"({"requests":[{"id":"a","path":"/p","body":"%%%%"}]})"),
           std::string(R"({"requests":[{"id":"a","path":"/p"},{"id":"a","path":"/p"}]})"),
-          tooManyItems}) {
+          tooManyItems, tooManyValues}) {
         net::Request request;
         request.method = "POST";
         request.target = "/batch/1";
