--- a/tests/platform/kept_connections_test.py
+++ b/tests/platform/kept_connections_test.py
@@ -334,6 +334,15 @@
         self.codes.append(code)
         time.sleep(0.1)
         self.deployment.restart(name)
+        # A stop signal that arrives before the process handles signals, which it does before it
+        # listens, ends it without its shutdown.
+        wait_until(lambda: self.listens(name))
+
+    def listens(self, name):
+        role, number = name.split("-")
+        port = CALLER_PORT if role == "entry" else OPERATOR_PORT
+        socket.create_connection((self.deployment.address(role, number), port), 1).close()
+        return True
 
     def join(self):
         for thread in self.threads.values():
