--- a/include/rattanrill/base/json.h
+++ b/include/rattanrill/base/json.h
@@ -18,7 +18,8 @@
 
 /// Parses JSON text. Fails with InvalidRequest on a syntax error, invalid UTF-8, a number that no
 /// type holds, more than maxJsonDepth levels, or more than \a maxValues values and member names,
-/// each of which may need 50 times the memory of its text; the detail of the failure names \a what.
+/// each of which may need many times the memory of its text; the detail of the failure names
+/// \a what.
 Result<Json> parseJson(std::string_view text, std::string_view what,
                        std::size_t maxValues = std::numeric_limits<std::size_t>::max());
 
