Review: Check the cases more strictly, and end them with their time

Cause: the item of case 6 could have been at a worker within the last 20 s, which the rule excuses; a script that ran out of time left its processes behind. Change: case 6 checks the time of the last step; the scripts end what they started on SIGTERM.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -54,6 +54,11 @@
     return worker
 
 
+def last_step(deployment, item):
+    """Returns the time of the last step of the item at a worker."""
+    return max(step["t"] for step in deployment.worker_steps() if step.get("id") == item)
+
+
 def crash_all(deployment, item):
     """Returns the time of the last crash; None if the item ended before it."""
     for number in range(CRASHES):
@@ -82,10 +87,11 @@
         else:
             time.sleep(FINISH_S)
         listed = state(deployment, job)
+        quiet = time.monotonic() - last_step(deployment, item)
         age = time.monotonic() - begin
         for step in deployment.worker_steps():
             deployment.record(f"worker: {json.dumps(step)}")
-        deployment.record(f"item {item} after {age:.1f} s: {listed}")
+        deployment.record(f"item {item} after {age:.1f} s: {listed}; at no worker for {quiet:.1f} s")
         if age >= MAX_QUEUE_S:
             raise harness.CannotRun("it took until the item may be given up")
         submit(deployment, "second-job", "second-item")
@@ -93,7 +99,7 @@
         deployment.record(f"an item that was submitted then completed within 12 s: {is_sound}")
         if not is_sound:
             raise harness.CannotRun("the workers don't serve another item either")
-        return listed is None
+        return listed is None and quiet > FAILED_S
 
 
 harness.run(case)
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -58,6 +58,9 @@
                 for port in (7660, 8405, 8406, 8407, 9464):
                     with socket.socket() as probe:
                         probe.bind((host, port))
+            for address in ((f"{net}.8.1", 8080), (f"{net}.9.1", 8408)):
+                with socket.socket() as probe:
+                    probe.bind(address)
             return net
         except OSError:
             continue
@@ -242,8 +245,13 @@
                 if line.endswith("}")]
 
 
+def stop_case(*_):
+    raise CannotRun("the time for the script was over")
+
+
 def run(case):
     """Runs case() and exits with its result, as the head of this module says."""
+    signal.signal(signal.SIGTERM, stop_case)
     try:
         broken = case()
     except CannotRun as error:
