Review: End a script with 2 when it has an error of its own

Cause: an exception that nothing caught ended a script with 1, which says that the rule was broken. Change: such an error ends with 2; threads no longer delay the end, and the clean-up is not interrupted.

--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -190,6 +191,8 @@
         self.close()
 
     def close(self):
+        # The end of the time must not interrupt the clean-up.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
         for process in [*self.processes.values(), self.standins]:
             if process is not None:
                 try:
@@ -250,12 +253,20 @@
 
 
 def run(case):
-    """Runs case() and exits with its result, as the head of this module says."""
+    """Runs case() and exits with its result, as the head of this module says. An error of the script
+    says nothing about the rule, so it ends with 2."""
     signal.signal(signal.SIGTERM, stop_case)
+    status = 2
     try:
         broken = case()
+        print("rule broken" if broken else "rule held")
+        status = 1 if broken else 0
     except CannotRun as error:
         print(f"could not run: {error}")
-        sys.exit(2)
-    print("rule broken" if broken else "rule held")
-    sys.exit(1 if broken else 0)
+    except Exception:
+        print("could not run: an error of the script")
+        traceback.print_exc()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    # Threads that still wait for an answer must not delay the end.
+    os._exit(status)
