Jobs: Let an item have trials until it runs, however many upstreams crashed

Cause: crashes under an item and under an online request are attributed by the same tracker, which allows two trials for each block. The bound is one of online requests. An item is owed, so for it the bound ended the attempts where it should only have spaced them; besides, a process did not report rejections by a block that has no trial left. In the records of the fleet group the block has trialsLeft 0, and the store's last line of the item is item-held.

Change: a rejection says whether it is one of an item. Items have trials of their own, which neither use up those of online requests nor add to them, at most 15 s after the last crash, also under a new leader. From the third crashed trial of a block on, all items share one trial in 3 s, in the order in which they have waited, so that a job of harmful items keeps about one upstream away at a time. item-released, held in batch-progress and the gauge rattanrill_batch_items_held show what waits.

Ruled out: a trial used up by another request (the case has none).

--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -48,6 +48,8 @@
     std::int64_t running = 0;
     /// Items that wait after a failed attempt.
     std::int64_t backingOff = 0;
+    /// Items of any of these states that wait because they crash upstreams.
+    std::int64_t held = 0;
 };
 
 /// Runs the items of open jobs on the leader of the store group. An item whose slot is preempted
--- a/include/rattanrill/policy/crashtracker.h
+++ b/include/rattanrill/policy/crashtracker.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "rattanrill/policy/task.h"
+
 #include "absl/time/time.h"
 
 #include <cstddef>
@@ -26,15 +28,22 @@
     absl::Duration evidenceLifetime = absl::Minutes(10);
     /// Time for which a block lasts.
     absl::Duration blockTime = absl::Hours(1);
-    /// Number of requests that may run in spite of a block, one after another, to find out whether
-    /// the block is wrong.
+    /// Number of online requests that may run in spite of a block, one after another, to find out
+    /// whether the block is wrong. The trials of batch items are not limited in number.
     int maxTrials = 2;
     /// Time from the creation of a block to its first trial. Each further trial waits
-    /// trialDelayFactor times as long after the end of the one before. After restore() and after
-    /// the loss of a trial's owner, the delay is the first one again: nothing is known of crashes
-    /// then.
+    /// trialDelayFactor times as long after the end of the one before, up to maxTrialDelay. After
+    /// restore() and after the loss of a trial's owner, the delay is the first one again: nothing
+    /// is known of crashes then.
     absl::Duration firstTrialDelay = absl::Seconds(3);
     int trialDelayFactor = 5;
+    absl::Duration maxTrialDelay = absl::Seconds(15);
+    /// Minimum time between two repeated trials of batch items, over all blocks. An upstream that
+    /// crashed is away for about this long, so these trials keep about one upstream away at a time.
+    absl::Duration repeatedTrialPeriod = absl::Seconds(3);
+    /// Time after its last rejection for which a batch item is taken to wait for a trial. Longer
+    /// than the period of the reports of rejections.
+    absl::Duration rejectionLifetime = absl::Seconds(3);
     /// A trial without a result ends this long after its request was sent, and counts.
     absl::Duration trialTimeout = absl::Seconds(10);
     /// The owner of a trial is lost when it has not reported the trial for this long. Longer than
@@ -61,10 +70,12 @@
     absl::Time crashedAt;
 };
 
-/// Traits that together crash upstreams. A request that has all of them is rejected.
+/// Traits that together crash upstreams. An online request that has all of them is rejected, a
+/// batch item waits.
 struct CrashBlock
 {
     TraitSet traits;
+    /// Number of online requests that may still run in spite of the block.
     int trialsLeft = 0;
     /// Process that may send one request with the traits; empty when no trial is open.
     std::string trialProcess;
@@ -72,6 +83,10 @@
     int trialNumber = 0;
     /// Whether a trial whose owner was lost has been replaced by a further one.
     bool isLostTrialReplaced = false;
+    /// Whether the open trial is one of a batch item.
+    bool isItemTrial = false;
+    /// Number of trials of batch items that ended with a crash.
+    int crashedItemTrials = 0;
 };
 
 /// What the owner of an open trial reports of it.
@@ -105,7 +120,10 @@
 ///   which crashed for other reasons is cleared by its first complete response.
 /// - The owner of a trial repeats its state. A trial that it returns does not count. A trial whose
 ///   owner falls silent ends; it may have been sent, so it counts, but the first one of each block
-///   is replaced. At most maxTrials + 1 requests are thus sent in spite of a block.
+///   is replaced. At most maxTrials + 1 online requests are thus sent in spite of a block.
+/// - An accepted batch item is owed, however many upstreams crashed while they ran it, so its
+///   trials go on until it runs or its time is up. Those that follow on maxTrials crashes are
+///   repeated trials: all blocks share one of them in each repeatedTrialPeriod, in turn.
 ///
 /// Reports may arrive in any order and more than once. Performs no I/O. Not thread-safe.
 class CrashTracker
@@ -120,9 +138,10 @@
     /// Clears \a trait: an upstream ran a request with it at \a ranAt and did not crash. Returns
     /// true when the blocks or the suspects have changed.
     bool recordSound(const std::string &trait, absl::Time ranAt);
-    /// Records that \a process rejected a request because of the block with \a traits. Returns true
-    /// when a trial of the block by this process begins.
-    bool recordRejected(absl::Time now, const TraitSet &traits, const std::string &process);
+    /// Records that \a process rejected a request of \a kind because of the block with \a traits.
+    /// Returns true when a trial of the block by this process begins.
+    bool recordRejected(absl::Time now, const TraitSet &traits, const std::string &process,
+                        TaskKind kind = TaskKind::Online);
     /// Records the \a state of the trial with \a number of the block with \a traits, as its owner
     /// \a process reports it. Reports of other trials than the open one have no effect. Returns
     /// true when the blocks have changed.
@@ -161,6 +180,8 @@
         absl::Time ownerHeardAt;
         /// Time from which the request of the open trial is known to have been sent.
         std::optional<absl::Time> trialSentAt{};
+        /// Time at which a batch item was last rejected.
+        absl::Time itemRejectedAt = absl::InfinitePast();
     };
 
     bool addCrash(const std::string &trait, const RequestCrash &crash);
@@ -170,13 +191,23 @@
     void limitTraits();
     void removeFromBlocks(const std::string &trait, absl::Time ranAt);
     bool endTrials(const RequestCrash &crash);
+    /// Number of trials of the block that count, of online requests and batch items together.
+    int usedTrials(const CrashBlock &block) const;
     absl::Duration trialDelay(const CrashBlock &block) const;
+    bool mayBeginTrial(absl::Time now, const Block &block, TaskKind kind) const;
+    /// Whether a further trial of a batch item follows on maxTrials crashes.
+    bool isRepeated(const CrashBlock &block) const;
+    /// Whether no other batch item has waited longer for a repeated trial than that of \a block.
+    bool isTurnOf(absl::Time now, const Block &block) const;
     static void endTrial(Block &block, absl::Time nextTrialAt);
+    void endTrialWithoutResult(Block &block, absl::Time now) const;
     void endLostTrial(Block &block) const;
 
     const CrashTrackerSettings m_settings;
     std::map<std::string, Evidence> m_evidence;
     std::deque<Block> m_blocks;
+    /// Earliest start of the next repeated trial.
+    absl::Time m_nextRepeatedTrialAt = absl::InfinitePast();
 };
 
 } // namespace rattanrill::policy
--- a/include/rattanrill/serving/crashguard.h
+++ b/include/rattanrill/serving/crashguard.h
@@ -3,6 +3,7 @@
 #include "rattanrill/base/clock.h"
 #include "rattanrill/base/timerservice.h"
 #include "rattanrill/net/message.h"
+#include "rattanrill/policy/task.h"
 #include "rattanrill/wire/fleetmessages.h"
 
 #include "absl/time/time.h"
@@ -71,10 +72,12 @@
     /// \a term: term of the leader that distributes the blocks.
     void setBlocks(std::uint64_t term, const std::vector<wire::BlockedPrompt> &blocks,
                    const std::vector<std::string> &suspects);
-    /// Whether a request with \a traits must be rejected now. A request that is not rejected
-    /// although a block applies is a trial, see recordSent(). One that waits for a slot keeps the
-    /// trial by a call every second.
-    bool isBlocked(const std::vector<std::string> &traits);
+    /// Whether a request of \a kind with \a traits must be rejected now. A request that is not
+    /// rejected although a block applies is a trial, see recordSent(). One that waits for a slot
+    /// keeps the trial by a call every second. A batch item gets trials as long as such calls ask
+    /// for them, an online request only as many as the block has left.
+    bool isBlocked(const std::vector<std::string> &traits,
+                   policy::TaskKind kind = policy::TaskKind::Online);
     /// Records that a request with \a traits is sent. Ends the permission of a trial.
     void recordSent(const std::vector<std::string> &traits);
     /// Records that a request with \a traits was cancelled before it had a result. A trial may then
@@ -100,6 +103,13 @@
         absl::Time crashedAt;
     };
 
+    /// A request that the block with \a traits rejected.
+    struct Rejection
+    {
+        std::set<std::string> traits;
+        policy::TaskKind kind = policy::TaskKind::Online;
+    };
+
     struct Block
     {
         std::set<std::string> traits;
@@ -120,7 +130,7 @@
     bool ownsTrials() const;
     void scheduleTrialReport();
     void reportTrials();
-    void addRejection(Block &block);
+    void addRejection(Block &block, policy::TaskKind kind);
     void repeatReceivedCrashes();
     void keepReceivedCrashes(std::size_t count);
     wire::CrashEvidence makeEvidence() const;
@@ -141,7 +151,7 @@
     std::set<std::string> m_ownSuspects;
     /// Evidence that the leader has not received yet.
     std::deque<Crash> m_crashes;
-    std::vector<std::set<std::string>> m_rejected;
+    std::vector<Rejection> m_rejected;
     /// Crashes that a leader has received. The next leader may not know of them.
     std::deque<Crash> m_receivedCrashes;
     /// Time at which a suspect last proved sound.
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -60,13 +60,16 @@
 {
     /// Ids of shared prompt parts and fingerprints of requests.
     std::vector<std::string> parts;
-    /// Number of requests that may still run in spite of the block.
+    /// Number of online requests that may still run in spite of the block.
     std::int64_t trialsLeft = 0;
     /// CrashEvidence::process of the process that may send one of them; empty when none may.
     std::string trialProcess{};
-    /// See policy::CrashBlock. Older processes neither send nor keep the next two.
+    /// See policy::CrashBlock. Older processes neither send nor keep the members from here on.
     std::int64_t trialNumber = 0;
     bool isLostTrialReplaced = false;
+    /// In CrashEvidence::rejected, whether a batch item was rejected.
+    bool isItemTrial = false;
+    std::int64_t crashedItemTrials = 0;
 };
 
 /// Replaces the configuration if \a version is higher than the stored version; otherwise has no
@@ -339,7 +342,8 @@
     std::vector<BegunPart> begun;
     /// Identifies the process, unlike \a instance also after a restart.
     std::string process{};
-    /// Blocks by which the sender has rejected requests and that have trials left.
+    /// Blocks by which the sender has rejected batch items, or, if they have trials left, online
+    /// requests.
     std::vector<BlockedPrompt> rejected{};
     /// Repeated as long as the sender owns trials; a trial that its owner does not report ends.
     std::vector<TrialReport> trials{};
--- a/src/fleet/crashquarantine.cpp
+++ b/src/fleet/crashquarantine.cpp
@@ -14,8 +14,12 @@
 policy::CrashBlock toBlock(const wire::BlockedPrompt &prompt)
 {
     return {policy::TraitSet(prompt.parts.begin(), prompt.parts.end()),
-            static_cast<int>(prompt.trialsLeft), prompt.trialProcess,
-            static_cast<int>(prompt.trialNumber), prompt.isLostTrialReplaced};
+            static_cast<int>(prompt.trialsLeft),
+            prompt.trialProcess,
+            static_cast<int>(prompt.trialNumber),
+            prompt.isLostTrialReplaced,
+            prompt.isItemTrial,
+            static_cast<int>(prompt.crashedItemTrials)};
 }
 
 std::vector<policy::CrashBlock> toBlocks(const std::vector<wire::BlockedPrompt> &prompts)
@@ -41,7 +45,7 @@
     for (const policy::CrashBlock &block : blocks)
         prompts.push_back({std::vector<std::string>(block.traits.begin(), block.traits.end()),
                            block.trialsLeft, block.trialProcess, block.trialNumber,
-                           block.isLostTrialReplaced});
+                           block.isLostTrialReplaced, block.isItemTrial, block.crashedItemTrials});
     return prompts;
 }
 
@@ -82,16 +86,20 @@
                               evidence.process, static_cast<int>(trial.trialNumber),
                               stateOf(trial));
     for (const wire::BlockedPrompt &block : evidence.rejected)
-        addRejection(evidence, policy::TraitSet(block.parts.begin(), block.parts.end()));
+        addRejection(evidence, block);
     publish();
 }
 
 void CrashQuarantine::addRejection(const wire::CrashEvidence &evidence,
-                                   const policy::TraitSet &traits)
+                                   const wire::BlockedPrompt &rejected)
 {
-    if (m_tracker.recordRejected(m_clock.now(), traits, evidence.process))
+    const policy::TraitSet traits(rejected.parts.begin(), rejected.parts.end());
+    const auto kind = rejected.isItemTrial ? policy::TaskKind::Batch : policy::TaskKind::Online;
+    if (m_tracker.recordRejected(m_clock.now(), traits, evidence.process, kind))
         log(LogLevel::Info, "crash-block-trial-granted",
-            {{"traits", absl::StrJoin(traits, ",")}, {"instance", evidence.instance}});
+            {{"traits", absl::StrJoin(traits, ",")},
+             {"kind", policy::name(kind)},
+             {"instance", evidence.instance}});
 }
 
 void CrashQuarantine::update()
@@ -120,6 +128,7 @@
             {{"traits", absl::StrJoin(prompt.parts, ",")},
              {"trialsLeft", prompt.trialsLeft},
              {"trialNumber", prompt.trialNumber},
+             {"crashedItemTrials", prompt.crashedItemTrials},
              {"hasOpenTrial", !prompt.trialProcess.empty()},
              {"term", m_view.term()}});
     }
--- a/src/fleet/crashquarantine.h
+++ b/src/fleet/crashquarantine.h
@@ -25,7 +25,7 @@
     void update();
 
 private:
-    void addRejection(const wire::CrashEvidence &evidence, const policy::TraitSet &traits);
+    void addRejection(const wire::CrashEvidence &evidence, const wire::BlockedPrompt &rejected);
     void publish();
     void propose();
     void logCrash(const std::string &instance, const wire::CrashedAttempt &attempt) const;
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -21,7 +21,9 @@
 {
     return left.parts == right.parts && left.trialsLeft == right.trialsLeft
            && left.trialProcess == right.trialProcess && left.trialNumber == right.trialNumber
-           && left.isLostTrialReplaced == right.isLostTrialReplaced;
+           && left.isLostTrialReplaced == right.isLostTrialReplaced
+           && left.isItemTrial == right.isItemTrial
+           && left.crashedItemTrials == right.crashedItemTrials;
 }
 
 bool sameMember(const wire::FleetMember &left, const wire::FleetMember &right)
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -132,9 +132,9 @@
         m_state = State::BackingOff;
         return;
     }
-    if (m_context.crashGuard.isBlocked(m_traits.all()))
+    if (isBlocked())
         return hold();
-    m_isHeld = false;
+    release();
     const serving::Route &current = *route();
     const absl::Duration age =
             m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
@@ -171,7 +171,7 @@
         endIfGivenUp();
         return;
     }
-    if (m_context.crashGuard.isBlocked(m_traits.all())) {
+    if (isBlocked()) {
         releaseSlot(ReleaseReason::Cancelled);
         return hold();
     }
@@ -394,23 +394,42 @@
     failAttempt(reason, ReleaseReason::Failed);
 }
 
+bool ItemRun::isBlocked() const
+{
+    return m_context.crashGuard.isBlocked(m_traits.all(), policy::TaskKind::Batch);
+}
+
 void ItemRun::hold()
 {
-    if (!std::exchange(m_isHeld, true))
+    if (!isHeld()) {
+        m_heldSince = m_context.clock.now();
         log(LogLevel::Warning, "item-held",
             {{"job", m_job->id},
              {"item", m_item.id},
              {"traits", absl::StrJoin(m_traits.all(), ",")},
              {"run", m_attempts}});
+    }
     if (m_trialTimer == 0)
         m_trialTimer =
                 m_context.loop.timers().subscribeEvery(holdPeriod, [self = shared_from_this()] {
                     if (self->m_state == State::Waiting)
-                        self->m_context.crashGuard.isBlocked(self->m_traits.all());
+                        self->isBlocked();
                 });
     retryAfter(holdPeriod);
 }
 
+void ItemRun::release()
+{
+    if (!isHeld())
+        return;
+    log(LogLevel::Info, "item-released",
+        {{"job", m_job->id},
+         {"item", m_item.id},
+         {"heldMs", absl::ToInt64Milliseconds(m_context.clock.now() - *m_heldSince)},
+         {"run", m_attempts}});
+    m_heldSince.reset();
+}
+
 void ItemRun::retryAfter(absl::Duration delay)
 {
     m_state = State::BackingOff;
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -56,6 +56,8 @@
     void stop();
 
     State state() const { return m_state; }
+    /// Whether the item waits because it crashes upstreams.
+    bool isHeld() const { return m_heldSince.has_value(); }
 
 private:
     const serving::Route *route() const;
@@ -67,8 +69,12 @@
     bool endIfGivenUp();
     /// Counts a status by which the route limits the attempts.
     void recordStatus(int status);
+    /// Whether the item must not be sent now because it crashes upstreams.
+    bool isBlocked() const;
     /// Waits before the next request for a slot, because the item crashes upstreams.
     void hold();
+    /// Ends the wait of hold().
+    void release();
     void retryAfter(absl::Duration delay);
     void attemptBroken(std::string_view reason);
     void handleSlotGranted(const policy::GrantSlot &grant);
@@ -170,7 +176,8 @@
     /// The part of m_serverErrors that the store has.
     std::int64_t m_storedServerErrors = 0;
     int m_consecutiveFailures = 0;
-    bool m_isHeld = false;
+    /// Begin of the wait of hold().
+    std::optional<absl::Time> m_heldSince;
     int m_preemptions = 0;
     int m_attempts = 0;
     TimerService::TimerId m_abandonTimer = 0;
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -335,6 +335,7 @@
             const bool isWaiting =
                     state == ItemRun::State::Waiting || state == ItemRun::State::Idle;
             counts.waiting += isWaiting ? 1 : 0;
+            counts.held += run->isHeld() ? 1 : 0;
         }
     }
     return counts;
--- a/src/jobs/jobmonitor.cpp
+++ b/src/jobs/jobmonitor.cpp
@@ -47,12 +47,14 @@
             increase("rattanrill_batch_yields_total", m_previousPreemptions);
     const std::int64_t results = increase("rattanrill_batch_results_total", m_previousResults);
     const OpenItemCounts counts = m_executor.openItemCounts();
+    m_context.metrics.set("rattanrill_batch_items_held", {}, static_cast<double>(counts.held));
     if (!m_context.replica.isLeader() || m_executor.openItemCount() == 0)
         return;
     log(LogLevel::Info, "batch-progress",
         {{"waiting", counts.waiting},
          {"running", counts.running},
          {"backingOff", counts.backingOff},
+         {"held", counts.held},
          {"attempts", attempts},
          {"yields", preemptions},
          {"results", results},
--- a/src/policy/crashtracker.cpp
+++ b/src/policy/crashtracker.cpp
@@ -25,7 +25,9 @@
 {
     return left.traits == right.traits && left.trialsLeft == right.trialsLeft
            && left.trialProcess == right.trialProcess && left.trialNumber == right.trialNumber
-           && left.isLostTrialReplaced == right.isLostTrialReplaced;
+           && left.isLostTrialReplaced == right.isLostTrialReplaced
+           && left.isItemTrial == right.isItemTrial
+           && left.crashedItemTrials == right.crashedItemTrials;
 }
 
 CrashTracker::CrashTracker(CrashTrackerSettings settings)
@@ -38,6 +40,7 @@
     m_blocks.clear();
     for (const CrashBlock &block : blocks)
         m_blocks.push_back({block, now, now, now + m_settings.firstTrialDelay, now, now});
+    m_nextRepeatedTrialAt = now + m_settings.repeatedTrialPeriod;
 }
 
 bool CrashTracker::recordCrash(const RequestCrash &crash)
@@ -128,6 +131,8 @@
             block.trialsLeft = std::min(block.trialsLeft, other->block.trialsLeft);
             block.trialNumber = std::max(block.trialNumber, other->block.trialNumber);
             block.isLostTrialReplaced |= other->block.isLostTrialReplaced;
+            block.crashedItemTrials =
+                    std::max(block.crashedItemTrials, other->block.crashedItemTrials);
         }
         other = isReplaced ? m_blocks.erase(other) : std::next(other);
     }
@@ -180,13 +185,41 @@
 absl::Duration CrashTracker::trialDelay(const CrashBlock &block) const
 {
     absl::Duration delay = m_settings.firstTrialDelay;
-    for (int used = m_settings.maxTrials - block.trialsLeft; used > 0; --used)
+    for (int used = usedTrials(block); used > 0 && delay < m_settings.maxTrialDelay; --used)
         delay *= m_settings.trialDelayFactor;
-    return delay;
+    return std::min(delay, m_settings.maxTrialDelay);
+}
+
+int CrashTracker::usedTrials(const CrashBlock &block) const
+{
+    return m_settings.maxTrials - block.trialsLeft + block.crashedItemTrials;
+}
+
+bool CrashTracker::isRepeated(const CrashBlock &block) const
+{
+    return block.crashedItemTrials >= m_settings.maxTrials;
+}
+
+bool CrashTracker::isTurnOf(absl::Time now, const Block &block) const
+{
+    return std::none_of(m_blocks.begin(), m_blocks.end(), [&](const Block &other) {
+        const bool isWaiting = isRepeated(other.block) && other.block.trialProcess.empty()
+                               && other.itemRejectedAt + m_settings.rejectionLifetime >= now;
+        return isWaiting && other.nextTrialAt < block.nextTrialAt;
+    });
+}
+
+bool CrashTracker::mayBeginTrial(absl::Time now, const Block &block, TaskKind kind) const
+{
+    if (!block.block.trialProcess.empty() || now < block.nextTrialAt)
+        return false;
+    if (kind == TaskKind::Online)
+        return block.block.trialsLeft > 0;
+    return !isRepeated(block.block) || (now >= m_nextRepeatedTrialAt && isTurnOf(now, block));
 }
 
 bool CrashTracker::recordRejected(absl::Time now, const TraitSet &traits,
-                                  const std::string &process)
+                                  const std::string &process, TaskKind kind)
 {
     const auto found =
             std::find_if(m_blocks.begin(), m_blocks.end(), [&traits](const Block &candidate) {
@@ -195,11 +228,15 @@
     if (found == m_blocks.end())
         return false;
     CrashBlock &block = found->block;
-    const bool isDue =
-            block.trialsLeft > 0 && block.trialProcess.empty() && now >= found->nextTrialAt;
-    if (!isDue)
+    if (kind == TaskKind::Batch)
+        found->itemRejectedAt = now;
+    if (!mayBeginTrial(now, *found, kind))
         return false;
-    --block.trialsLeft;
+    block.isItemTrial = kind == TaskKind::Batch;
+    if (!block.isItemTrial)
+        --block.trialsLeft;
+    else if (isRepeated(block))
+        m_nextRepeatedTrialAt = now + m_settings.repeatedTrialPeriod;
     ++block.trialNumber;
     block.trialProcess = process;
     found->trialStartedAt = now;
@@ -222,7 +259,8 @@
         found->trialSentAt = now;
     if (state != TrialState::Returned)
         return false;
-    ++found->block.trialsLeft;
+    if (!found->block.isItemTrial)
+        ++found->block.trialsLeft;
     endTrial(*found, now);
     return true;
 }
@@ -230,19 +268,29 @@
 void CrashTracker::endTrial(Block &block, absl::Time nextTrialAt)
 {
     block.block.trialProcess.clear();
+    block.block.isItemTrial = false;
     block.trialSentAt.reset();
     block.nextTrialAt = nextTrialAt;
 }
 
-/// The number of trials stays bounded although nothing is known of those that were lost, because
-/// only one of them is replaced.
+/// The number of trials of online requests stays bounded although nothing is known of those that
+/// were lost, because only one of them is replaced.
 void CrashTracker::endLostTrial(Block &block) const
 {
-    if (!std::exchange(block.block.isLostTrialReplaced, true))
+    if (!block.block.isItemTrial && !std::exchange(block.block.isLostTrialReplaced, true))
         ++block.block.trialsLeft;
     endTrial(block, block.ownerHeardAt + m_settings.firstTrialDelay);
 }
 
+/// A batch item that has run for so long without a crash may have been preempted and then waits
+/// again, so the delay does not grow.
+void CrashTracker::endTrialWithoutResult(Block &block, absl::Time now) const
+{
+    endTrial(
+            block,
+            now + (block.block.isItemTrial ? m_settings.firstTrialDelay : trialDelay(block.block)));
+}
+
 /// Ends the trials of blocks whose traits the crashed request has.
 bool CrashTracker::endTrials(const RequestCrash &crash)
 {
@@ -254,6 +302,8 @@
                              && containsAll(crash.traits, block.traits);
         if (!isTrial)
             continue;
+        if (block.isItemTrial)
+            ++block.crashedItemTrials;
         endTrial(candidate, crash.crashedAt + trialDelay(block));
         isChanged = true;
     }
@@ -277,7 +327,7 @@
         if (now - block.ownerHeardAt >= m_settings.trialOwnerTimeout)
             endLostTrial(block);
         else if (block.trialSentAt && now - *block.trialSentAt >= m_settings.trialTimeout)
-            endTrial(block, now + trialDelay(block.block));
+            endTrialWithoutResult(block, now);
     }
     return formerSuspects != suspects() || formerBlocks != blocks();
 }
--- a/src/serving/crashguard.cpp
+++ b/src/serving/crashguard.cpp
@@ -167,7 +167,7 @@
            && std::includes(traits.begin(), traits.end(), block.traits.begin(), block.traits.end());
 }
 
-bool CrashGuard::isBlocked(const std::vector<std::string> &traits)
+bool CrashGuard::isBlocked(const std::vector<std::string> &traits, policy::TaskKind kind)
 {
     if (m_blocks.empty())
         return false;
@@ -181,7 +181,7 @@
             continue;
         }
         isRejected = true;
-        addRejection(block);
+        addRejection(block, kind);
     }
     if (isRejected)
         report();
@@ -189,13 +189,14 @@
 }
 
 /// The leader may answer the report of a rejection with a trial.
-void CrashGuard::addRejection(Block &block)
+void CrashGuard::addRejection(Block &block, policy::TaskKind kind)
 {
     const absl::Time now = m_clock.now();
-    if (block.trialsLeft <= 0 || now - block.rejectionReportedAt < rejectionReportPeriod)
+    const bool mayGetTrial = kind == policy::TaskKind::Batch || block.trialsLeft > 0;
+    if (!mayGetTrial || now - block.rejectionReportedAt < rejectionReportPeriod)
         return;
     block.rejectionReportedAt = now;
-    m_rejected.push_back(block.traits);
+    m_rejected.push_back({block.traits, kind});
 }
 
 void CrashGuard::recordSent(const std::vector<std::string> &traits)
@@ -285,8 +286,12 @@
                                     absl::ToInt64Milliseconds(now - crash.crashedAt)});
     for (const auto &[trait, ranAt] : m_sound)
         evidence.begun.push_back({trait, absl::ToInt64Milliseconds(now - ranAt)});
-    for (const std::set<std::string> &traits : m_rejected)
-        evidence.rejected.push_back({std::vector<std::string>(traits.begin(), traits.end())});
+    for (const Rejection &rejection : m_rejected) {
+        wire::BlockedPrompt rejected;
+        rejected.parts.assign(rejection.traits.begin(), rejection.traits.end());
+        rejected.isItemTrial = rejection.kind == policy::TaskKind::Batch;
+        evidence.rejected.push_back(std::move(rejected));
+    }
     if (!m_mustReportTrials)
         return evidence;
     for (const Block &block : m_blocks) {
--- a/tests/policy/crashtracker_test.cpp
+++ b/tests/policy/crashtracker_test.cpp
@@ -61,6 +61,8 @@
 
     /// Time within which a request that was blocked wrongly must get a trial.
     const absl::Duration trialWait = absl::Seconds(6);
+    /// Time after a crash within which an open item must be at an upstream again.
+    const absl::Duration maxItemWait = absl::Seconds(20);
     CrashTracker tracker{CrashTrackerSettings()};
 };
 
@@ -330,6 +332,91 @@
     BOOST_TEST(trials == 3);
 }
 
+// Guards against an accepted item that is sent to no upstream any more after its trials have met
+// crashes of other causes, also with a leader that has the block from the records.
+BOOST_AUTO_TEST_CASE(itemGetsTrialsUntilItRuns)
+{
+    crashThreeTimes({"item"});
+    absl::Time now = at(300);
+    for (int trial = 0; trial < 10; ++trial) {
+        const absl::Time crashed = now;
+        while (!tracker.recordRejected(now, {"item"}, "p", TaskKind::Batch))
+            now += absl::Seconds(1);
+        BOOST_TEST((now - crashed) <= maxItemWait);
+        now += absl::Milliseconds(100);
+        tracker.recordCrash({"u", {"item"}, now - absl::Milliseconds(50), now});
+        if (trial == 5)
+            tracker.restore(now, std::vector<CrashBlock>(tracker.blocks()));
+    }
+    BOOST_TEST(tracker.blocks().front().crashedItemTrials == 10);
+    BOOST_TEST(tracker.blocks().front().trialsLeft == 2);
+}
+
+// Guards against online requests that reach more upstreams than allowed because an item with the
+// same traits is tried, and against items that use up their trials.
+BOOST_AUTO_TEST_CASE(itemTrialsDoNotChangeTheNumberOfOnlineOnes)
+{
+    crashThreeTimes({"shared"});
+    int online = 0;
+    for (int second = 1; second < 600; ++second) {
+        const absl::Time now = at(second * 1000);
+        const bool isItem = second % 3 != 0;
+        tracker.expire(now);
+        if (!tracker.recordRejected(now, {"shared"}, "p",
+                                    isItem ? TaskKind::Batch : TaskKind::Online))
+            continue;
+        online += isItem ? 0 : 1;
+        const int number = tracker.blocks().front().trialNumber;
+        // A third of the trials is returned, the owner of another third is lost.
+        if (isItem && number % 3 == 0)
+            tracker.recordTrial(now, {"shared"}, "p", number, TrialState::Returned);
+        else if (!isItem || number % 3 == 1)
+            tracker.recordCrash(crashAt(second * 1000 + 100, "u", {"shared"}));
+    }
+    BOOST_TEST(online == 2);
+}
+
+// Guards against a job of harmful items that takes down one upstream after the other, and against
+// a sound item that never has its turn among them.
+BOOST_AUTO_TEST_CASE(repeatedItemTrialsTakeTurns)
+{
+    const std::vector<std::string> items = {"a", "b", "c", "d", "e", "f", "g", "h"};
+    for (std::size_t i = 0; i < items.size(); ++i)
+        crashThreeTimes({items[i]}, static_cast<int>(i) * 1000);
+    std::map<std::string, int> trials;
+    std::vector<absl::Time> repeated;
+    for (int second = 10; second < 200; ++second) {
+        for (std::size_t i = 0; i < items.size(); ++i) {
+            const int ms = second * 1000 + static_cast<int>(i) * 10;
+            if (!tracker.recordRejected(at(ms), {items[i]}, "p", TaskKind::Batch))
+                continue;
+            if (++trials[items[i]] > 2)
+                repeated.push_back(at(ms));
+            tracker.recordCrash(crashAt(ms + 100, "u", {items[i]}));
+        }
+    }
+    for (std::size_t i = 1; i < repeated.size(); ++i)
+        BOOST_TEST((repeated[i] - repeated[i - 1]) >= CrashTrackerSettings().repeatedTrialPeriod);
+    BOOST_TEST(repeated.size() >= 50u);
+    const auto [fewest, most] = std::minmax_element(
+            trials.begin(), trials.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+    BOOST_TEST(most->second - fewest->second <= 1);
+}
+
+// Guards against an item that waits for long because an online request preempted its trial.
+BOOST_AUTO_TEST_CASE(itemTrialWithoutResultIsRepeatedSoon)
+{
+    crashThreeTimes({"item"});
+    BOOST_TEST(tracker.recordRejected(at(4000), {"item"}, "p", TaskKind::Batch));
+    for (int second = 4; second <= 14; ++second) {
+        tracker.recordTrial(at(second * 1000), {"item"}, "p", 1, TrialState::Sent);
+        tracker.expire(at(second * 1000));
+    }
+    BOOST_TEST(!tracker.recordRejected(at(16000), {"item"}, "p", TaskKind::Batch));
+    BOOST_TEST(tracker.recordRejected(at(17000), {"item"}, "p", TaskKind::Batch));
+}
+
 namespace {
 
 /// A harmful request at several processes, each of which learns the recorded blocks with a delay,
--- a/tests/serving/crashguard_test.cpp
+++ b/tests/serving/crashguard_test.cpp
@@ -266,6 +266,18 @@
     BOOST_TEST(reports.size() == 1u);
 }
 
+// Guards against an item that no leader knows of, because the block has no trial of online requests
+// left.
+BOOST_AUTO_TEST_CASE(rejectedItemsAreReportedWithoutTrialsLeft)
+{
+    guard.setBlocks(1, {{{"a"}, 0, ""}}, {});
+    BOOST_TEST(guard.isBlocked({"a"}, policy::TaskKind::Batch));
+    BOOST_TEST_REQUIRE(reports.size() == 1u);
+    BOOST_TEST_REQUIRE(reports.front().evidence.rejected.size() == 1u);
+    BOOST_TEST(reports.front().evidence.rejected.front().isItemTrial);
+    BOOST_TEST((reports.front().evidence.rejected.front().parts == std::vector<std::string>{"a"}));
+}
+
 // Guards against a repeated request that is not recognized, and against different requests that
 // are taken for one.
 BOOST_AUTO_TEST_CASE(fingerprintCoversWorkspaceResourceAndBody)
