Net: Write no malformed head, and refuse items that are no requests

Cause: requests of callers pass the HTTP parser, so the writer of heads relied on a grammar that nobody had checked for data from elsewhere. An item is JSON; its id, path, header names and values were written as they are.

Change: one check at the boundary and one at the writer. A submission with such an item is refused whole, with 400, which names the item and the field. net::serialize fails for a malformed head; the call then ends as malformed, nothing is sent, and no upstream is blamed. An item that an earlier version accepted is dead-lettered. Related places: hosts, prefixes and workspace names of a configuration (checked when it is put, not when a stored one is read), ids and "next" of the platform's list, requests that one process forwards for another, and the content type of calls to plain services, whose HTTP server decodes %0d%0a in the values of headers.

Ruled out: the id of a job, which the parser has read; logs and labels of metrics, which are escaped.

A header value of an item that is no string was dropped; it is refused now.

--- a/include/rattanrill/net/blockingcall.h
+++ b/include/rattanrill/net/blockingcall.h
@@ -22,6 +22,8 @@
     NotConnected,
     /// The peer did not answer the attempt to connect in time; nothing was sent.
     ConnectTimeout,
+    /// The request can't be written as HTTP; nothing was sent.
+    Malformed,
     /// The connection was lost, or the bytes are not a valid response.
     Broken,
     /// A bound in bytes was reached; see BlockingCall::fault().
--- a/include/rattanrill/net/connectionpool.h
+++ b/include/rattanrill/net/connectionpool.h
@@ -26,6 +26,8 @@
     NotConnected,
     /// A new connection was neither established nor refused in time; nothing was sent.
     Unanswered,
+    /// The request can't be written as HTTP, at no upstream; nothing was sent.
+    Malformed,
     /// The connection was closed or became unusable after a part of the request may have been
     /// sent.
     Broken,
@@ -34,7 +36,8 @@
 /// Whether nothing was sent.
 constexpr bool isNotSent(CallStatus status)
 {
-    return status == CallStatus::NotConnected || status == CallStatus::Unanswered;
+    return status == CallStatus::NotConnected || status == CallStatus::Unanswered
+           || status == CallStatus::Malformed;
 }
 
 std::string_view name(CallStatus status);
@@ -49,8 +52,8 @@
 };
 
 /// Returns the bytes of a request. Called when they can be written, so that the request may state
-/// how much time is left then.
-using RequestWriter = std::function<std::string()>;
+/// how much time is left then. When it fails, the call ends as Malformed.
+using RequestWriter = std::function<Outcome<std::string>()>;
 
 /// Callbacks that receive the response to one call. They run on the event loop.
 struct CallHandlers
@@ -112,7 +115,7 @@
     CallId call(const std::string &address, RequestWriter writer, CallHandlers handlers,
                 const std::optional<std::string> &requestId = std::nullopt);
     /// The same for a request that does not change while a connection is being established.
-    CallId call(const std::string &address, std::string request, CallHandlers handlers,
+    CallId call(const std::string &address, Outcome<std::string> request, CallHandlers handlers,
                 const std::optional<std::string> &requestId = std::nullopt);
     /// Opens a connection to \a address, which then is idle. \a done is called once, with whether
     /// it was established.
--- a/include/rattanrill/net/message.h
+++ b/include/rattanrill/net/message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "rattanrill/base/result.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -80,9 +82,12 @@
 /// Creates a response with \a body and the Content-Type \a contentType.
 Response textResponse(int status, std::string body, std::string_view contentType);
 
-/// Serializes \a request with a Content-Length header, as it is sent to an upstream.
-std::string serialize(const Request &request);
-/// Serializes the status line and the headers, including the empty line that ends them.
-std::string serialize(const ResponseHead &head);
+/// Serializes \a request with a Content-Length header, as it is sent to an upstream. Fails with
+/// InvalidRequest, naming the part, if the head would not be valid HTTP: a line break in a part
+/// would begin another field, or another request.
+Outcome<std::string> serialize(const Request &request);
+/// Serializes the status line and the headers, including the empty line that ends them. Fails like
+/// the serialization of a request.
+Outcome<std::string> serialize(const ResponseHead &head);
 
 } // namespace rattanrill::net
--- a/include/rattanrill/net/requestparser.h
+++ b/include/rattanrill/net/requestparser.h
@@ -78,4 +78,7 @@
     bool m_isKeepAlive = true;
 };
 
+/// Whether \a bytes are one complete request and nothing else.
+bool isSingleRequest(std::string_view bytes);
+
 } // namespace rattanrill::net
--- a/src/engine/engineclient.cpp
+++ b/src/engine/engineclient.cpp
@@ -78,9 +78,10 @@
     return mayHaveRun(codeOfStatus(status), detail);
 }
 
-bool isNotConnected(net::BlockingCallEnd end)
+bool isNotSent(net::BlockingCallEnd end)
 {
-    return end == net::BlockingCallEnd::NotConnected || end == net::BlockingCallEnd::ConnectTimeout;
+    return end == net::BlockingCallEnd::NotConnected || end == net::BlockingCallEnd::ConnectTimeout
+           || end == net::BlockingCallEnd::Malformed;
 }
 
 /// Whether the "error" object \a error names another request than \a requestId.
@@ -120,7 +121,7 @@
 
     Failure transportFailure(net::BlockingCallEnd end) const
     {
-        if (isNotConnected(end))
+        if (isNotSent(end))
             return notRun(ErrorCode::UpstreamUnavailable, describe(end));
         return mayHaveRun(ErrorCode::StreamBroken, describe(end));
     }
@@ -310,9 +311,9 @@
     const net::BlockingCallEnd end = call.run(abortSignal);
     m_impl->dropped += call.reader().dropped();
     const bool deadlinePassed = m_impl->clock.now() >= request.deadline;
-    if (isNotConnected(end) && deadlinePassed)
+    if (isNotSent(end) && deadlinePassed)
         return notRun(ErrorCode::Timeout, "the deadline passed before the request was sent");
-    if (isNotConnected(end))
+    if (isNotSent(end))
         return m_impl->transportFailure(end);
     if (call.isErrorBodyTooLong())
         return m_impl->tooLongFailure(net::ResponseFault::BodyTooLong);
--- a/src/entry/servicehandler.cpp
+++ b/src/entry/servicehandler.cpp
@@ -6,6 +6,7 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 #include "rattanrill/http/serversetup.h"
+#include "rattanrill/net/headgrammar.h"
 #include "rattanrill/service/credentials.h"
 
 namespace rattanrill::entry {
@@ -103,6 +104,12 @@
     request.requestId = exchange.requestId();
     request.workspace = caller.workspace;
     request.deadline = m_context.clock.now() + m_timeout;
+    // The HTTP server accepts control characters in a target, and decodes escapes in the values of
+    // headers.
+    if (!net::isValidTarget(concat(request.path, "?", request.query)))
+        return notRun(ErrorCode::InvalidRequest, "the path or query has a control character");
+    if (!net::isValidFieldValue(request.contentType))
+        return notRun(ErrorCode::InvalidRequest, "\"Content-Type\" has a control character");
     for (const std::string *part : {&request.path, &request.body, &request.contentType}) {
         if (service::containsApiKey(*part, caller.key))
             return notRun(ErrorCode::InvalidRequest,
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -329,6 +329,11 @@
 {
     if (m_state != State::Running)
         return;
+    if (status == net::CallStatus::Malformed) {
+        releaseSlot(ReleaseReason::Cancelled);
+        return finish(wire::ItemOutcome::DeadLettered,
+                      "the item can't be written as an HTTP request");
+    }
     if (net::isNotSent(status) && m_context.broker.isLeaving(m_upstream, m_address))
         return skipLeavingUpstream();
     if (net::isNotSent(status))
--- a/src/net/blockingcall.cpp
+++ b/src/net/blockingcall.cpp
@@ -2,6 +2,7 @@
 
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/enumnames.h"
+#include "rattanrill/base/logger.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,10 +25,11 @@
 constexpr absl::Duration maxWait = absl::Hours(1);
 constexpr std::size_t readBufferBytes = 16384;
 
-constexpr std::array<EnumName<BlockingCallEnd>, 9> endNames = {{
+constexpr std::array<EnumName<BlockingCallEnd>, 10> endNames = {{
         {BlockingCallEnd::Complete, "complete"},
         {BlockingCallEnd::NotConnected, "not_connected"},
         {BlockingCallEnd::ConnectTimeout, "connect_timeout"},
+        {BlockingCallEnd::Malformed, "malformed"},
         {BlockingCallEnd::Broken, "broken"},
         {BlockingCallEnd::TooLong, "too_long"},
         {BlockingCallEnd::IdleTimeout, "idle_timeout"},
@@ -198,11 +200,17 @@
 
 BlockingCallEnd BlockingCall::run(Request request, Handlers handlers)
 {
-    if (const auto failure = m_impl->connect())
-        return *failure;
     request.headers.set("Host", concat(m_impl->host, ":", m_impl->port));
     request.headers.set("Connection", "close");
-    m_impl->send(serialize(request));
+    const Outcome<std::string> text = serialize(request);
+    if (!text.ok()) {
+        log(LogLevel::Warning, "request-malformed",
+            {{"peerAddress", request.headers.value("Host")}, {"reason", text.failure().detail}});
+        return BlockingCallEnd::Malformed;
+    }
+    if (const auto failure = m_impl->connect())
+        return *failure;
+    m_impl->send(text.value());
     const BlockingCallEnd end = m_impl->receive(std::move(handlers));
     m_impl->close();
     return end;
--- a/src/net/connectionpool.cpp
+++ b/src/net/connectionpool.cpp
@@ -15,10 +15,11 @@
 namespace rattanrill::net {
 namespace {
 
-constexpr std::array<EnumName<CallStatus>, 4> callStatusNames = {{
+constexpr std::array<EnumName<CallStatus>, 5> callStatusNames = {{
         {CallStatus::Complete, "complete"},
         {CallStatus::NotConnected, "not_connected"},
         {CallStatus::Unanswered, "unanswered"},
+        {CallStatus::Malformed, "malformed"},
         {CallStatus::Broken, "broken"},
 }};
 
@@ -151,8 +152,8 @@
     stop();
 }
 
-ConnectionPool::CallId ConnectionPool::call(const std::string &address, std::string request,
-                                            CallHandlers handlers,
+ConnectionPool::CallId ConnectionPool::call(const std::string &address,
+                                            Outcome<std::string> request, CallHandlers handlers,
                                             const std::optional<std::string> &requestId)
 {
     return call(
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -1,6 +1,9 @@
 #include "rattanrill/net/message.h"
 
 #include "rattanrill/base/concat.h"
+#include "rattanrill/net/headgrammar.h"
+
+#include "absl/strings/escaping.h"
 
 #include <algorithm>
 #include <cctype>
@@ -44,13 +47,25 @@
     return names;
 }
 
-void appendHeaders(std::string &text, const Headers &headers)
+Failure malformedHead(std::string_view part, std::string_view text)
+{
+    return notRun(ErrorCode::InvalidRequest,
+                  concat(part, " \"", absl::CHexEscape(std::string(text)),
+                         "\" can't be part of an HTTP head"));
+}
+
+/// Appends \a headers to the text of a head. Does nothing if an earlier part was malformed.
+void appendHeaders(Outcome<std::string> &head, const Headers &headers)
 {
     for (const Header &header : headers.all()) {
-        text += header.name;
-        text += ": ";
-        text += header.value;
-        text += "\r\n";
+        if (!head.ok())
+            return;
+        if (!isValidToken(header.name))
+            head = malformedHead("the header name", header.name);
+        else if (!isValidFieldValue(header.value))
+            head = malformedHead(concat("the value of the header ", header.name), header.value);
+        else
+            head.value() += concat(header.name, ": ", header.value, "\r\n");
     }
 }
 
@@ -150,27 +165,38 @@
     return response;
 }
 
-std::string serialize(const Request &request)
-{
-    std::string text;
-    text.reserve(512 + request.body.size());
-    text += concat(request.method, " ", request.target, " HTTP/1.1\r\n");
-    appendHeaders(text, request.headers);
+Outcome<std::string> serialize(const Request &request)
+{
+    if (!isValidToken(request.method))
+        return malformedHead("the method", request.method);
+    if (!isValidTarget(request.target))
+        return malformedHead("the target", request.target);
+    std::string begin;
+    begin.reserve(512 + request.body.size());
+    begin += concat(request.method, " ", request.target, " HTTP/1.1\r\n");
+    Outcome<std::string> result(std::move(begin));
+    appendHeaders(result, request.headers);
+    if (!result.ok())
+        return result;
+    std::string &text = result.value();
     if (!request.body.empty() || (request.method != "GET" && request.method != "DELETE"))
         text += concat("Content-Length: ", request.body.size(), "\r\n");
     text += "\r\n";
     text += request.body;
-    return text;
+    return result;
 }
 
-std::string serialize(const ResponseHead &head)
+Outcome<std::string> serialize(const ResponseHead &head)
 {
     const std::string_view reason =
             head.reason.empty() ? reasonPhrase(head.status) : std::string_view(head.reason);
-    std::string text = concat("HTTP/1.1 ", head.status, " ", reason, "\r\n");
-    appendHeaders(text, head.headers);
-    text += "\r\n";
-    return text;
+    if (!isValidFieldValue(reason))
+        return malformedHead("the reason phrase", reason);
+    Outcome<std::string> result(concat("HTTP/1.1 ", head.status, " ", reason, "\r\n"));
+    appendHeaders(result, head.headers);
+    if (result.ok())
+        result.value() += "\r\n";
+    return result;
 }
 
 } // namespace rattanrill::net
--- a/src/net/requestparser.cpp
+++ b/src/net/requestparser.cpp
@@ -250,6 +250,13 @@
     freeMemory(m_pending);
 }
 
+bool isSingleRequest(std::string_view bytes)
+{
+    RequestParser parser({bytes.size(), bytes.size()});
+    parser.feed(bytes);
+    return parser.state() == RequestParser::State::Complete && parser.pendingBytes() == 0;
+}
+
 Request RequestParser::take()
 {
     Request request = std::move(m_parser->request);
--- a/src/net/serverconnection.cpp
+++ b/src/net/serverconnection.cpp
@@ -333,10 +333,13 @@
     m_parser.abandon(status);
     m_receivedShare.reset();
     armCloseTimer();
-    send(serialize(response.head) + response.body);
+    const Outcome<std::string> head = serialize(response.head);
+    if (!head.ok())
+        return abortMalformed(head.failure());
+    send(head.value() + response.body);
 }
 
-std::string ServerConnection::framedHead(ResponseHead head, std::string_view framing)
+std::optional<std::string> ServerConnection::framedHead(ResponseHead head, std::string_view framing)
 {
     // Only whole seconds can be announced.
     const std::int64_t idleSeconds = absl::ToInt64Seconds(m_shared->limits.idleTimeout);
@@ -347,7 +350,12 @@
     else if (idleSeconds > 0)
         head.headers.add("Keep-Alive", concat("timeout=", idleSeconds));
     m_announcedIdleTimeout = absl::Seconds(idleSeconds);
-    std::string text = serialize(head);
+    Outcome<std::string> serialized = serialize(head);
+    if (!serialized.ok()) {
+        abortMalformed(serialized.failure());
+        return std::nullopt;
+    }
+    std::string text = std::move(serialized.value());
     // Removes the empty line that ends the header section, so that one more header can follow.
     text.resize(text.size() - 2);
     text += framing;
@@ -362,8 +370,11 @@
     // The client would read the response as a part of the stream.
     if (m_isStream)
         return abort();
-    m_output.append(
-            framedHead(std::move(response.head), concat("Content-Length: ", response.body.size())));
+    const auto head =
+            framedHead(std::move(response.head), concat("Content-Length: ", response.body.size()));
+    if (!head)
+        return;
+    m_output.append(*head);
     m_responseComplete = true;
     endExchange();
     send(std::move(response.body));
@@ -374,7 +385,8 @@
     if (m_phase != Phase::Serving)
         return;
     m_isStream = true;
-    send(framedHead(std::move(head), "Transfer-Encoding: chunked"));
+    if (auto text = framedHead(std::move(head), "Transfer-Encoding: chunked"))
+        send(std::move(*text));
 }
 
 void ServerConnection::write(std::string_view bytes)
@@ -398,6 +410,12 @@
     close();
 }
 
+void ServerConnection::abortMalformed(const Failure &failure)
+{
+    log(LogLevel::Error, "response-malformed", {{"reason", failure.detail}});
+    abort();
+}
+
 void ServerConnection::endExchange()
 {
     m_exchange.reset();
--- a/src/net/serverconnection.h
+++ b/src/net/serverconnection.h
@@ -2,6 +2,7 @@
 
 #include "outputqueue.h"
 
+#include "rattanrill/base/failure.h"
 #include "rattanrill/net/memorybudget.h"
 #include "rattanrill/net/requestparser.h"
 #include "rattanrill/net/server.h"
@@ -125,7 +126,9 @@
     void handleDisconnect();
     void endExchange();
     /// Serializes \a head, with the headers that control keep-alive and the header \a framing.
-    std::string framedHead(ResponseHead head, std::string_view framing);
+    /// Closes the connection and returns nullopt if the head can't be written as HTTP.
+    std::optional<std::string> framedHead(ResponseHead head, std::string_view framing);
+    void abortMalformed(const Failure &failure);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/src/net/upstreamconnection.cpp
+++ b/src/net/upstreamconnection.cpp
@@ -225,7 +225,10 @@
 
 void UpstreamConnection::writeRequest()
 {
-    m_output = std::exchange(m_writer, nullptr)();
+    Outcome<std::string> request = std::exchange(m_writer, nullptr)();
+    if (!request.ok())
+        return failMalformed(request.failure());
+    m_output = std::move(request.value());
     m_writtenAt = SystemClock::instance().now();
     send();
 }
@@ -387,6 +390,15 @@
         established(false);
 }
 
+void UpstreamConnection::failMalformed(const Failure &failure)
+{
+    log(LogLevel::Warning, "request-malformed",
+        {{"peerAddress", m_address}, {"reason", failure.detail}});
+    // Deferred, because the caller does not have the id of the call yet.
+    boost::asio::post(m_socket.get_executor(),
+                      [self = shared_from_this()] { self->fail(CallStatus::Malformed); });
+}
+
 void UpstreamConnection::reset()
 {
     if (m_state != State::Closed)
--- a/src/net/upstreamconnection.h
+++ b/src/net/upstreamconnection.h
@@ -79,6 +79,8 @@
     void finish();
     void discardHandshakes();
     void fail(CallStatus status);
+    /// Ends the call whose request can't be written.
+    void failMalformed(const Failure &failure);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/src/service/serviceclient.cpp
+++ b/src/service/serviceclient.cpp
@@ -146,6 +146,8 @@
         const std::string detail = concat(description(), ": ", net::name(end));
         if (end == net::BlockingCallEnd::NotConnected)
             return notRun(ErrorCode::UpstreamUnavailable, detail);
+        if (end == net::BlockingCallEnd::Malformed)
+            return notRun(ErrorCode::InvalidRequest, detail);
         // A service that pauses accepts no connection once its queue of them is full.
         if (end == net::BlockingCallEnd::ConnectTimeout)
             return notRun(ErrorCode::Timeout, detail);
--- a/src/serving/deployment.cpp
+++ b/src/serving/deployment.cpp
@@ -3,6 +3,9 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/hash.h"
+#include "rattanrill/net/headgrammar.h"
+
+#include "absl/strings/escaping.h"
 
 #include <algorithm>
 #include <array>
@@ -38,6 +41,26 @@
     return fail(notRun(ErrorCode::InvalidRequest, std::move(detail)));
 }
 
+/// Checks what becomes part of the requests to upstreams.
+Result<void> checkNames(const Route &route)
+{
+    if (!net::isValidFieldValue(route.host))
+        return invalid(concat("the host of route \"", absl::CHexEscape(route.name),
+                              "\" has a control character"));
+    if (!net::isValidTarget(route.pathPrefix))
+        return invalid(concat("the prefix of route \"", absl::CHexEscape(route.name),
+                              "\" has a space or a control character"));
+    return {};
+}
+
+Result<void> checkNames(const Workspace &workspace)
+{
+    if (!net::isValidFieldValue(workspace.name))
+        return invalid(concat("the name of workspace \"", absl::CHexEscape(workspace.name),
+                              "\" has a control character"));
+    return {};
+}
+
 Result<void> checkRoute(const Route &route, const std::set<std::string> &services)
 {
     double weight = 0;
@@ -57,7 +80,7 @@
     if (prefix.empty() || prefix.front() != '/' || prefix.back() != '/')
         return invalid(concat("the prefix of route \"", route.name,
                               "\" does not begin and end with a slash"));
-    return {};
+    return checkNames(route);
 }
 
 Result<void> checkWarmUp(const Service &service)
@@ -107,6 +130,8 @@
             return invalid(concat("two routes have host \"", route.host, "\" and prefix \"",
                                   route.pathPrefix, "\""));
     }
+    for (const Workspace &workspace : deployment.workspaces)
+        BOOST_LEAF_CHECK(checkNames(workspace));
     return checkKeys(deployment.workspaces);
 }
 
--- a/src/serving/forwardingservice.cpp
+++ b/src/serving/forwardingservice.cpp
@@ -1,5 +1,6 @@
 #include "rattanrill/serving/forwardingservice.h"
 
+#include "rattanrill/net/requestparser.h"
 #include "rattanrill/wire/codec.h"
 #include "rattanrill/wire/forwardingmessages.h"
 
@@ -81,7 +82,8 @@
     net::RequestWriter writerOf(const wire::ForwardCall &message) const
     {
         const absl::Time deadline = context.clock.now() + absl::Milliseconds(message.deadlineMs);
-        return [self = shared_from_this(), request = message.request, deadline] {
+        return [self = shared_from_this(), request = message.request,
+                deadline]() -> Outcome<std::string> {
             std::string result = request;
             const absl::Duration remaining = deadline - self->context.clock.now();
             self->context.protocol.setRemainingTime(result,
@@ -99,6 +101,8 @@
                           "this process is cut off from the upstreams, too");
         if (!context.mayBeCalled(message.upstream, message.address))
             return notRun(ErrorCode::NotFound, "the upstream is not listed or leaves");
+        if (!net::isSingleRequest(message.request))
+            return notRun(ErrorCode::InvalidRequest, "the call is not one HTTP request");
         if (calls.size() >= maxForwardedCalls)
             return notRun(ErrorCode::QueueFull, "too many calls are forwarded");
         if (calls.count(message.callId) != 0)
--- a/src/serving/proxiedrequest.h
+++ b/src/serving/proxiedrequest.h
@@ -102,6 +102,7 @@
     void startResponse();
     bool completesStream() const;
     void callEnded(const AttemptPtr &attempt, net::CallStatus status);
+    void rejectMalformed();
     void recordEnd(Attempt &attempt, net::CallStatus status);
     policy::ReleaseReason notSentReason(const Attempt &attempt, net::CallStatus status) const;
     void recordRun(const Attempt &attempt);
--- a/src/serving/proxiedrequest_response.cpp
+++ b/src/serving/proxiedrequest_response.cpp
@@ -212,6 +212,8 @@
     if (m_state == State::Ended)
         return;
     recordEnd(*attempt, status);
+    if (status == net::CallStatus::Malformed)
+        return rejectMalformed();
     if (attempt == m_hedge)
         return hedgeEnded(status);
     const bool isNotSentToLeaving =
@@ -236,6 +238,16 @@
     responseCompleted();
 }
 
+/// No upstream can be sent the request, so it has not run.
+void ProxiedRequest::rejectMalformed()
+{
+    endAttempts();
+    constexpr const char *detail = "the request can't be passed on as HTTP";
+    if (m_mayHaveRun || m_exchange->streamStarted())
+        return fail(ErrorCode::UpstreamFailed, detail);
+    refuse(ErrorCode::InvalidRequest, detail, absl::ZeroDuration());
+}
+
 void ProxiedRequest::recordEnd(Attempt &attempt, net::CallStatus status)
 {
     attempt.isCalling = false;
--- a/src/serving/upstreamcaller.cpp
+++ b/src/serving/upstreamcaller.cpp
@@ -20,7 +20,8 @@
     };
 
     Impl(net::EventLoop &loop, net::ConnectionPool &connections, ForwardingClient &forwarder)
-        : connections(connections)
+        : loop(loop)
+        , connections(connections)
         , forwarder(forwarder)
         , monitor(std::make_shared<LinkMonitor>(loop, connections))
     {}
@@ -94,9 +95,12 @@
                            ForwardingOptions options)
     {
         const CallId id = nextId++;
+        Outcome<std::string> request = writer();
+        if (!request.ok())
+            return endMalformed(id, std::move(handlers.onEnd));
         const ForwardedCall call{
-                target.forwarderAddress, target.upstream,   target.address, requestId, writer(),
-                target.timeout,          std::move(options)};
+                target.forwarderAddress,    target.upstream, target.address,    requestId,
+                std::move(request.value()), target.timeout,  std::move(options)};
         handlers.onEnd = [self = shared_from_this(), id,
                           onEnd = std::move(handlers.onEnd)](net::CallStatus status) {
             self->calls.erase(id);
@@ -106,6 +110,18 @@
         return id;
     }
 
+    /// Deferred, because the caller does not have the id of the call yet.
+    CallId endMalformed(CallId id, std::function<void(net::CallStatus)> onEnd)
+    {
+        calls[id] = Call();
+        loop.post([self = shared_from_this(), id, onEnd = std::move(onEnd)] {
+            if (self->calls.erase(id) > 0)
+                onEnd(net::CallStatus::Malformed);
+        });
+        return id;
+    }
+
+    net::EventLoop &loop;
     net::ConnectionPool &connections;
     ForwardingClient &forwarder;
     /// Shared with its timers and with the attempts to connect that it has begun.
--- a/tests/entry/service_test.cpp
+++ b/tests/entry/service_test.cpp
@@ -76,6 +76,19 @@
     BOOST_TEST(errorOf(response).value("run", "") == "may_have_run");
 }
 
+// Guards against a header that a caller adds to the request to a service by escapes in the value of
+// another one, which the HTTP server of the entry decodes.
+BOOST_AUTO_TEST_CASE(escapedLineBreakInAHeaderIsRefused)
+{
+    TestFleet fleet(1, 1, 1);
+    addRoute(fleet, false);
+    const auto response =
+            fleet.post(0, "/desk/orders", "acme", "{}", {}, "text/plain%0d%0aX-Workspace: other");
+    BOOST_TEST(errorOf(response).value("code", "") == "invalid_request");
+    BOOST_TEST(errorOf(response).value("run", "") == "not_run");
+    BOOST_TEST(fleet.service(0).runs() == 0u);
+}
+
 // R10: guards against running a call without a claim while the groups that store claims do not
 // respond.
 BOOST_AUTO_TEST_CASE(callIsRefusedAsNotRunWhileClaimsAreUnreachable)
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -79,6 +79,21 @@
     BOOST_TEST(server.requests() == 2);
 }
 
+// Guards against an item with a request inside that reaches an upstream, or is tried without end,
+// because a store of an earlier version accepted it.
+BOOST_AUTO_TEST_CASE(storedItemThatIsNoRequestIsDeadLettered)
+{
+    net::ScriptedServer server({{wholeStream()}});
+    setUpstreams(server, "u");
+    wire::SubmitJobRequest request = submission("job");
+    request.job.items.resize(1);
+    request.job.items.front().path = "/x HTTP/1.1\r\n\r\nGET /y";
+    submit(request);
+    const wire::JobItemResult result = awaitResult();
+    BOOST_TEST((result.outcome == wire::ItemOutcome::DeadLettered));
+    BOOST_TEST(server.requests().empty());
+}
+
 // Guards against a sound item whose trial is used up, or returned, while it waits for a slot.
 BOOST_AUTO_TEST_CASE(itemThatWaitsForASlotKeepsItsTrial)
 {
--- a/tests/net/blockingcall_test.cpp
+++ b/tests/net/blockingcall_test.cpp
@@ -55,4 +55,18 @@
     }
 }
 
+// Guards against a request inside a header of another one, which an upstream would run: UNASKED.
+BOOST_AUTO_TEST_CASE(malformedRequestIsNotSent)
+{
+    ScriptedServer server({{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
+    Request request;
+    request.method = "GET";
+    request.target = "/";
+    request.headers.add("X-Note", "a\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    BlockingCall call("127.0.0.1", server.port(), BlockingCallTimeouts());
+    Response received;
+    BOOST_TEST((call.fetch(request, 1024, received) == BlockingCallEnd::Malformed));
+    BOOST_TEST(server.requests().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/connectionpool_test.cpp
+++ b/tests/net/connectionpool_test.cpp
@@ -680,4 +680,18 @@
     BOOST_TEST(received.body == "whole");
 }
 
+// Guards against bytes that reach an upstream although the request is malformed, and against a call
+// that does not end, on a new connection and on an idle one.
+BOOST_FIXTURE_TEST_CASE(malformedRequestIsNotSent, ConnectionPoolFixture)
+{
+    for (const bool isIdle : {false, true}) {
+        ScriptedServer server({{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}});
+        if (isIdle)
+            BOOST_TEST((call(server, "a").callStatus == CallStatus::Complete));
+        start(server.address(), "/b\r\nX: 1", "b");
+        BOOST_TEST((wait().callStatus == CallStatus::Malformed));
+        BOOST_TEST(server.requests().size() == (isIdle ? 1u : 0u));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/net/requestparser_test.cpp
+++ b/tests/net/requestparser_test.cpp
@@ -174,4 +174,14 @@
     BOOST_TEST(!parser.takeExpectContinue());
 }
 
+// Guards against bytes that are passed on as one request and hold a second one.
+BOOST_AUTO_TEST_CASE(singleRequestHasNothingBehindIt)
+{
+    BOOST_TEST(isSingleRequest(plainRequest));
+    BOOST_TEST(!isSingleRequest(plainRequest + "x"));
+    BOOST_TEST(!isSingleRequest(plainRequest + plainRequest));
+    BOOST_TEST(!isSingleRequest(plainRequest.substr(0, plainRequest.size() - 1)));
+    BOOST_TEST(!isSingleRequest(""));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/instancelistclient_test.cpp
+++ b/tests/platform/instancelistclient_test.cpp
@@ -106,6 +106,8 @@
             entry(slots + ",\"address\":\"10.0.0.2:-1\""),
             entry(slots + ",\"address\":\"10.0.0.2\""),
             entry(slots + ",\"address\":\":80\""),
+            entry(slots + address + ",\"id\":\"i\\r\\nX: 1\""),
+            entry(slots + address + ",\"id\":\"i\\n\""),
             "\"\xff\xfe\"",
             "null",
             "7",
@@ -125,6 +127,15 @@
     }
 }
 
+// Guards against a call to the platform with another one inside.
+BOOST_AUTO_TEST_CASE(nextPageThatIsNoPartOfATargetIsUnreadable)
+{
+    for (const std::string next : {"p\\r\\nX: 1", "p q", "p\\n", "p\\u0000"}) {
+        const std::string body = R"({"instances":[],"next":")" + next + R"("})";
+        BOOST_TEST(!outcomeOf([&] { return decodeInstancePage(body); }).ok(), next);
+    }
+}
+
 // Guards against an upstream that gets no requests because the time for which it remains cold can't
 // be read, against such a time that is used, and against a fault that no log line can name.
 BOOST_AUTO_TEST_CASE(unreadableColdTimeDoesNotAffectTheUpstream)
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -189,13 +189,13 @@
     attempt.remainingTime = absl::Milliseconds(1234);
     net::Request request = adapter.upstreamRequest(callerRequest(), attempt);
     request.body = "\r\nDeadline-Ms: 1\r\n";
-    std::string text = net::serialize(request);
+    std::string text = net::serialize(request).value();
     adapter.setRemainingTime(text, absl::Milliseconds(56));
     BOOST_TEST(text.find("\r\nDeadline-Ms: 56\r\n") < text.find("\r\n\r\n"));
     BOOST_TEST(text.find("1234") == std::string::npos);
     BOOST_TEST(text.substr(text.size() - request.body.size()) == request.body);
     request.headers.remove("Deadline-Ms");
-    text = net::serialize(request);
+    text = net::serialize(request).value();
     const std::string unchanged = text;
     adapter.setRemainingTime(text, absl::Milliseconds(56));
     BOOST_TEST(text == unchanged);
@@ -341,6 +341,59 @@
     }
 }
 
+// Guards against an item that reaches an upstream as another request than it says, or with a second
+// one inside (UNASKED), and against an error that does not name the item and its field.
+BOOST_AUTO_TEST_CASE(itemsThatAreNoRequestsAreRefusedByName)
+{
+    const struct
+    {
+        std::string field;
+        std::string item;
+    } cases[] = {
+            {R"("id")", R"("id":"","path":"/p")"},
+            {R"("id")", R"("id":"a ","path":"/p")"},
+            {R"("id")", R"("id":"a\r\nX: 1","path":"/p")"},
+            {R"("id")", R"("id":"a\rb","path":"/p")"},
+            {R"("id")", R"("id":"a\nb","path":"/p")"},
+            {R"("id")", R"("id":"a\u0000b","path":"/p")"},
+            {R"("path")", R"("id":"a","path":"p")"},
+            {R"("path")", R"("id":"a","path":"")"},
+            {R"("path")", R"("id":"a","path":"/p HTTP/1.1\r\nX: 1")"},
+            {R"("path")", R"("id":"a","path":"/p\rq")"},
+            {R"("path")", R"("id":"a","path":"/p\nq")"},
+            {R"("path")", R"("id":"a","path":"/p q")"},
+            {R"("path")", R"("id":"a","path":"/p\u0000q")"},
+            {R"("path")", R"("id":"a","path":"/p\u007fq")"},
+            {R"("headers")", R"("id":"a","path":"/p","headers":["X"])"},
+            {R"("")", R"("id":"a","path":"/p","headers":{"":"1"})"},
+            {R"("X\r\nY")", R"("id":"a","path":"/p","headers":{"X\r\nY":"1"})"},
+            {R"("X\nY")", R"("id":"a","path":"/p","headers":{"X\nY":"1"})"},
+            {R"("X\rY")", R"("id":"a","path":"/p","headers":{"X\rY":"1"})"},
+            {R"("X:")", R"("id":"a","path":"/p","headers":{"X:":"1"})"},
+            {R"("X Y")", R"("id":"a","path":"/p","headers":{"X Y":"1"})"},
+            {R"("X\x00")", R"("id":"a","path":"/p","headers":{"X\u0000":"1"})"},
+            {R"("X")", R"("id":"a","path":"/p","headers":{"X":7})"},
+            {R"("X")", R"("id":"a","path":"/p","headers":{"X":"1\r\n\r\nGET / HTTP/1.1"})"},
+            {R"("X")", R"("id":"a","path":"/p","headers":{"X":"1\n2"})"},
+            {R"("X")", R"("id":"a","path":"/p","headers":{"X":"1\r2"})"},
+            {R"("X")", R"("id":"a","path":"/p","headers":{"X":"1\u00002"})"},
+    };
+    for (const auto &[field, item] : cases) {
+        BOOST_TEST_INFO_SCOPE(item);
+        net::Request request;
+        request.method = "POST";
+        request.target = "/batch/1";
+        request.body = R"({"requests":[{"id":"sound","path":"/p"},{)" + item + "}]}";
+        const auto call = outcomeOf([&] { return decodeJobCall(request, "job1"); });
+        BOOST_TEST_REQUIRE(!call.ok());
+        BOOST_TEST((call.failure().code == ErrorCode::InvalidRequest));
+        BOOST_TEST((call.failure().effect == EffectState::NotRun));
+        BOOST_TEST(call.failure().detail.find("item \"") == 0u);
+        BOOST_TEST(call.failure().detail.find(field) != std::string::npos, call.failure().detail);
+        BOOST_TEST(adapter.errorResponse(call.failure(), absl::ZeroDuration()).head.status == 400);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(readAndCancelCallsAreParsed)
 {
     net::Request readRequest;
--- a/tests/service/serviceclient_test.cpp
+++ b/tests/service/serviceclient_test.cpp
@@ -55,6 +55,23 @@
     }
 }
 
+// Guards against a request inside a header of another one, which the service would run.
+BOOST_AUTO_TEST_CASE(malformedRequestIsNotSent)
+{
+    net::EndlessServer server("HTTP/1.1 200 OK\r\nX: ", "x");
+    ServiceClient client(optionsOf(server));
+    ServiceRequest request;
+    request.method = "GET";
+    request.path = "/x";
+    request.requestId = "r";
+    request.contentType = "text/plain\r\n\r\nGET /y HTTP/1.1";
+    request.deadline = SystemClock::instance().now() + absl::Seconds(20);
+    const auto result = client.call(request);
+    BOOST_REQUIRE(!result.ok());
+    BOOST_TEST((result.failure().code == ErrorCode::InvalidRequest));
+    BOOST_TEST((result.failure().effect == EffectState::NotRun));
+}
+
 // R9: guards against a refusal of an earlier request, which a faulty service writes once more, that
 // is taken for the refusal of the request that the service runs.
 BOOST_AUTO_TEST_CASE(refusalOfAnotherRequestDoesNotCountAsNotRun)
--- a/tests/serving/deployment_test.cpp
+++ b/tests/serving/deployment_test.cpp
@@ -73,6 +73,13 @@
              }},
             {"no timeout", [](Deployment &d) { d.routes[0].timeout = absl::ZeroDuration(); }},
             {"no slash", [](Deployment &d) { d.routes[0].pathPrefix = "/a"; }},
+            {"line break in a host", [](Deployment &d) { d.routes[0].host = "h\r\nX: 1"; }},
+            {"line break in a prefix", [](Deployment &d) { d.routes[0].pathPrefix = "/a\n/"; }},
+            {"space in a prefix", [](Deployment &d) { d.routes[0].pathPrefix = "/a b/"; }},
+            {"line break in a workspace",
+             [](Deployment &d) { d.workspaces[0].name = "w\r\nX: 1"; }},
+            {"zero byte in a workspace",
+             [](Deployment &d) { d.workspaces[0].name = std::string("w\0", 2); }},
             {"shared key", [](Deployment &d) { d.workspaces[1].keys = {"k1"}; }},
     };
     for (const auto &[name, invalidate] : faults) {
--- a/tests/serving/forwarding_test.cpp
+++ b/tests/serving/forwarding_test.cpp
@@ -428,6 +428,18 @@
     BOOST_TEST(upstreams.requests().empty());
 }
 
+// Guards against a request behind a forwarded one, which the upstream would run: UNASKED.
+BOOST_AUTO_TEST_CASE(callOfTwoRequestsIsNotForwarded)
+{
+    ScriptedUpstreams upstreams({{completeResponse("a", "x")}});
+    ForwardingEntry linked;
+    CutOffEntry entry;
+    const auto received = entry.call(upstreams.address(0), linked.address(),
+                                     "\r\nGET /y HTTP/1.1\r\nHost: h\r\n");
+    BOOST_TEST(received.end == "not_connected");
+    BOOST_TEST(upstreams.requests().empty());
+}
+
 // Guards against a forwarded call that is ended, although its response would have arrived, because
 // the entry that forwards it pauses for 1.2 s: between two parts, or before the first one. The
 // pause is still reported, so that further calls go by way of another entry.
