Serving: Hand the rate buckets over when the slot broker changes

Cause: a bucket had two holders. The entries' parts filled while the broker granted, so they granted a second burst when it was lost, and the next broker started with half of the tolerance on top. The log shows 101 grants of the local shares in the 0.7 s without a broker, where the rate allows 43. 300 + 60 + 60 + 28 = 448.

Change: each response of the broker has the level of the workspace's bucket. When the broker is lost, the bucket is divided: each entry grants from an equal part of that level, or, if it has heard of none for half a second, from a part of half of the tolerance. The next broker starts as if all entries had the latter, and each reports by how much its part differs. A broker that returns charges what was granted, as before; the ages in the report tell the two apart. serving::RateShares has this part of SlotClient. Several charges used the same units that a full bucket could not hold; each is used once now.

Ruled out: requests that were granted and never sent (the runs at upstreams were counted).

The fixture of SlotClientTest has a tolerance now: without one, an entry that has never heard from a broker has an empty part.

--- a/include/rattanrill/policy/tokenbucket.h
+++ b/include/rattanrill/policy/tokenbucket.h
@@ -50,6 +50,8 @@
     /// they are not available. Units that the bucket could not hold meanwhile because it was full
     /// are used first. The level becomes negative by at most the burst.
     void charge(absl::Time now, double units, absl::Time since);
+    /// Replaces the level, because another process has counted the units until \a now.
+    void setLevel(absl::Time now, double level);
     /// Returns \a units that were granted and did not come into use, up to the burst.
     void refund(absl::Time now, double units);
     /// Units available at \a now. Negative while units that were granted with a wait are not yet
--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -33,8 +33,8 @@
     /// Number of requests by which a workspace may exceed its contract in any window of length
     /// rateWindow: rateToleranceFraction of what rate and burst allow in the window, plus
     /// rateToleranceRequests. A broker that replaces another one starts its rate buckets with half
-    /// of this number (at most the burst); the other half is left for a second replacement in the
-    /// same window.
+    /// of this number (at most the burst), which is corrected by the reports of the entries; the
+    /// other half is left for a second replacement in the same window.
     absl::Duration rateWindow = absl::Seconds(5);
     double rateToleranceFraction = 0;
     double rateToleranceRequests = 0;
@@ -121,11 +121,23 @@
     void recordStream(const std::string &stream, const policy::StreamOrigin &origin);
     /// Records of streams since \a since, at most the newest 4,096.
     std::vector<policy::StreamRecord> streamsSince(absl::Time since) const;
-    /// Adopts slots that a process obtained from a previous broker or from its local share, and the
-    /// origins of its streams.
+    /// Adopts slots that a process obtained from a previous broker or from its local share, what is
+    /// left of its parts of the rate buckets, and the origins of its streams.
     void adoptHeldSlots(const wire::HeldSlots &held);
     /// Charges requests that another broker granted and that this one did not know of.
     void chargeRates(const std::vector<wire::RateCharge> &charges);
+    /// Whether the rate of \a workspace is limited.
+    bool hasRateLimit(const std::string &workspace) const { return bucket(workspace) != nullptr; }
+    /// Names of the workspaces whose rate is limited.
+    std::vector<std::string> limitedWorkspaces() const;
+    /// Level of the rate bucket of \a workspace, which must have a limit, in requests.
+    double rateLevel(const std::string &workspace) const;
+    /// Level with which that bucket would start now.
+    double initialRateLevel(const std::string &workspace) const;
+    /// Sets the level of that bucket.
+    void setRateLevel(const std::string &workspace, double level);
+    /// The part of the rates and slots that this broker grants.
+    const CapacityShare &share() const { return m_share; }
     void reportLoad(const wire::UpstreamLoad &load,
                     ReportSource source = ReportSource::OwnResponse);
     /// Whether no request may be sent to the upstream \a id at \a address. Its failure domain is
@@ -234,6 +246,8 @@
     const policy::TokenBucket *bucket(const std::string &workspace) const;
     std::optional<absl::Duration> tokenWait(absl::Time now, const wire::SlotRequest &request) const;
     policy::RateContract contractOf(const Workspace &workspace) const;
+    bool isFromFormerBroker(const wire::RateCharge &charge) const;
+    void addPart(const wire::RateCharge &charge);
     void refundRate(const std::string &id);
     void releaseSlot(const std::string &task, policy::ReleaseReason reason,
                      const std::string &observer);
@@ -252,7 +266,7 @@
                             const std::optional<policy::StreamOrigin> &origin) const;
     void schedule(const std::string &id, const wire::SlotRequest &request,
                   const std::optional<policy::StreamOrigin> &origin);
-    void respond(const std::string &id, const wire::SlotResponse &response);
+    void respond(const std::string &id, wire::SlotResponse response);
     void startWaitTimer(const std::string &id);
     void removeRequest(const std::string &id);
     policy::TokenBucket initialBucket(const policy::RateContract &contract) const;
@@ -294,6 +308,10 @@
     std::shared_ptr<const DeploymentIndex> m_deployment;
     CapacityShare m_share;
     std::map<std::string, policy::TokenBucket> m_buckets;
+    /// Time of the last reset().
+    absl::Time m_resetAt = absl::InfinitePast();
+    /// Instances that have reported held slots since then.
+    std::set<std::string> m_reporters;
     policy::ForwarderSelector m_forwarders{m_settings.scheduler.turnSeed};
     /// By task id.
     std::map<std::string, OnlineRequest> m_online;
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -420,6 +421,9 @@
     /// or no entry is known that can.
     std::string forwarder{};
     std::string forwarderAddress{};
+    /// Number of requests that the workspace's rate bucket holds after the decision; infinite if
+    /// the workspace has no rate limit.
+    double rateLevel = std::numeric_limits<double>::infinity();
 };
 
 /// A slot that an entry instance holds.
@@ -433,13 +437,19 @@
     std::int64_t deadlineMs = 0;
 };
 
-/// Number of requests of a workspace that count towards its rate.
+/// What an entry has granted of a workspace's rate without the broker, and what it has left of its
+/// part of the rate bucket, see serving::RateShares. The broker that the part is from charges the
+/// requests; a later one adds the part to its own bucket.
 struct RateCharge
 {
     std::string workspace;
     std::int64_t requests = 0;
     /// Time since the first of the requests was granted.
     std::int64_t ageMs = 0;
+    /// Difference, in requests, between the entry's part and the one that a new broker assumes.
+    double levelChange = 0;
+    /// Time since the entry took its part; -1 for a process of an older version.
+    std::int64_t levelAgeMs = -1;
 };
 
 /// The version at which a stream began.
--- a/src/policy/tokenbucket.cpp
+++ b/src/policy/tokenbucket.cpp
@@ -55,9 +55,19 @@
     const double charged = std::max(units - unused, 0.0);
     if (charged > 0)
         m_fullSince = absl::InfiniteFuture();
+    else if (units > 0)
+        // What this charge has used is not there for the next one.
+        m_fullSince = fullSince + absl::Seconds(units / m_contract.ratePerSecond);
     m_level = std::max(m_level - charged, std::min(m_level, -m_contract.burst));
 }
 
+void TokenBucket::setLevel(absl::Time now, double level)
+{
+    advance(now);
+    m_level = std::min(level, m_contract.burst);
+    m_fullSince = absl::InfiniteFuture();
+}
+
 void TokenBucket::refund(absl::Time now, double units)
 {
     advance(now);
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -21,6 +21,8 @@
 /// Longest wait for a list of upstreams that was read after a resumption arrived: the period of the
 /// reads, the duration of one and the wait of a poll.
 constexpr absl::Duration maxListWait = absl::Seconds(2);
+/// Time for which a report of held slots may be under way.
+constexpr absl::Duration maxReportDelay = absl::Milliseconds(250);
 /// Number of prompt tokens that cost an upstream as much as one output token.
 constexpr double promptTokensPerOutputToken = 100;
 
@@ -61,6 +63,8 @@
     m_scheduler.beginTakeover(now);
     m_scheduler.clearAccumulatedRequests(now);
     m_buckets.clear();
+    m_resetAt = now;
+    m_reporters.clear();
     if (m_deployment)
         setDeployment(m_deployment);
 }
@@ -84,7 +88,8 @@
 }
 
 /// Returns the rate bucket with which a broker starts. It holds half of the rate tolerance, at most
-/// the burst, because the previous broker may just have granted the whole burst.
+/// the burst, because the previous broker may just have granted the whole burst. The entries report
+/// what they know to be left of it.
 policy::TokenBucket SlotBroker::initialBucket(const policy::RateContract &contract) const
 {
     const double window = absl::ToDoubleSeconds(m_settings.rateWindow);
@@ -300,11 +305,13 @@
 
 /// Sends the outcome to the requester, or stores it until the requester repeats the request. A
 /// request that was not granted is removed once its outcome has been sent.
-void SlotBroker::respond(const std::string &id, const wire::SlotResponse &response)
+void SlotBroker::respond(const std::string &id, wire::SlotResponse response)
 {
     const auto found = m_online.find(id);
     if (found == m_online.end())
         return;
+    if (const policy::TokenBucket *rateBucket = bucket(found->second.workspace))
+        response.rateLevel = rateBucket->level(m_clock.now());
     m_awaitingRead.erase(id);
     OnlineRequest &online = found->second;
     online.isGranted = response.verdict == wire::SlotOutcome::Granted;
@@ -391,7 +398,14 @@
 
 void SlotBroker::adoptHeldSlots(const wire::HeldSlots &held)
 {
-    chargeRates(held.charges);
+    // A report may be repeated although it was received.
+    const bool isFirstReport = m_reporters.insert(held.instance).second;
+    for (const wire::RateCharge &charge : held.charges) {
+        if (!isFromFormerBroker(charge))
+            chargeRates({charge});
+        else if (isFirstReport)
+            addPart(charge);
+    }
     const absl::Time now = m_clock.now();
     for (const wire::StreamVersion &stream : held.streams) {
         if (!m_streamOrigins.find(stream.stream))
@@ -429,6 +443,54 @@
     }
 }
 
+/// Whether the entry took its part of the bucket when another broker granted the rate, or this one
+/// before its last reset.
+bool SlotBroker::isFromFormerBroker(const wire::RateCharge &charge) const
+{
+    return charge.levelAgeMs >= 0
+           && m_clock.now() - absl::Milliseconds(charge.levelAgeMs) < m_resetAt + maxReportDelay;
+}
+
+/// Corrects the level, which was set as if all entries had the parts with which a bucket starts.
+void SlotBroker::addPart(const wire::RateCharge &charge)
+{
+    policy::TokenBucket *rateBucket = bucket(charge.workspace);
+    if (rateBucket == nullptr)
+        return;
+    const absl::Time now = m_clock.now();
+    if (charge.levelChange > 0)
+        rateBucket->refund(now, charge.levelChange);
+    else
+        rateBucket->charge(now, -charge.levelChange, now);
+}
+
+std::vector<std::string> SlotBroker::limitedWorkspaces() const
+{
+    std::vector<std::string> names;
+    if (!m_deployment)
+        return names;
+    for (const Workspace &workspace : m_deployment->deployment().workspaces) {
+        if (workspace.ratePerSecond > 0)
+            names.push_back(workspace.name);
+    }
+    return names;
+}
+
+double SlotBroker::rateLevel(const std::string &workspace) const
+{
+    return bucket(workspace)->level(m_clock.now());
+}
+
+double SlotBroker::initialRateLevel(const std::string &workspace) const
+{
+    return initialBucket(bucket(workspace)->contract()).level(m_clock.now());
+}
+
+void SlotBroker::setRateLevel(const std::string &workspace, double level)
+{
+    bucket(workspace)->setLevel(m_clock.now(), level);
+}
+
 void SlotBroker::setLiveEntries(std::vector<policy::Forwarder> entries)
 {
     const absl::Time orphanedBefore = m_clock.now() - minOrphanAge;
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -1,5 +1,7 @@
 #include "rattanrill/serving/slotclient.h"
 
+#include "rateshares.h"
+
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
 #include "rattanrill/wire/decodeoutcome.h"
@@ -28,12 +30,6 @@
 
 struct SlotClient::Impl : std::enable_shared_from_this<SlotClient::Impl>
 {
-    struct LocalCharge
-    {
-        absl::Time firstGrantedAt = absl::InfiniteFuture();
-        std::int64_t requests = 0;
-    };
-    using LocalCharges = std::map<std::string, LocalCharge>;
     /// Numbers of decisions that were made without the broker.
     struct LocalDecisions
     {
@@ -54,6 +50,7 @@
 
     void acquire(const wire::SlotRequest &request, ResponseCallback callback)
     {
+        instance = request.instance;
         if (brokerAddress.empty() || clock.now() < brokerRetryAt)
             return acquireLocally(request, std::move(callback));
         channels.channel(brokerAddress)
@@ -78,6 +75,7 @@
             updateBrokerStatus(address, true, Failure());
             if (response.value().verdict == wire::SlotOutcome::Waiting)
                 return acquire(repeatOf(request), callback);
+            rateShares.recordLevel(request.workspace, response.value().rateLevel);
             recordHeldSlot(request, response.value(), address);
             return callback(response.value(), false);
         }
@@ -121,6 +119,7 @@
             ++localDecisions.withoutShare;
             return callback(refusalWithoutShare(), true);
         }
+        rateShares.take();
         localRequests.insert(request.requestId);
         localBroker.acquire(
                 request, [self = shared_from_this(), request,
@@ -136,7 +135,7 @@
                     if (!isGranted)
                         self->localRequests.erase(request.requestId);
                     if (isGranted && request.chargesRate)
-                        self->recordLocalCharge(request.workspace);
+                        self->rateShares.recordGrant(request.workspace);
                     self->recordHeldSlot(request, response, "");
                     callback(response, true);
                 });
@@ -178,14 +177,6 @@
         return response;
     }
 
-    void recordLocalCharge(const std::string &workspace)
-    {
-        const auto [charge, isFirst] = localCharges.try_emplace(workspace);
-        if (isFirst)
-            charge->second.firstGrantedAt = clock.now();
-        ++charge->second.requests;
-    }
-
     /// \a broker: address of the broker that granted the slot; empty for the local share.
     void recordHeldSlot(const wire::SlotRequest &request, const wire::SlotResponse &response,
                         const std::string &broker)
@@ -197,48 +188,47 @@
                         0};
         granted.deadline = clock.now() + absl::Milliseconds(request.deadlineMs);
         granted.broker = broker;
-        instance = request.instance;
         if (!request.stream.empty())
             localBroker.recordStream(request.stream, {request.service, response.version});
     }
 
-    /// Reports the held slots and the charges of the local share to the broker, which may have no
+    /// Reports the held slots and the parts of the rate buckets to the broker, which may have no
     /// record of them when it has just started or was unreachable. Repeats the report until the
     /// broker has received it.
     void reportHeldSlots()
     {
         if (brokerAddress.empty())
             return;
-        LocalCharges charges = std::exchange(localCharges, {});
+        std::vector<wire::RateCharge> charges = rateShares.giveBack();
         const auto streams = localBroker.streamsSince(streamsReportedAt);
         if (heldSlots.empty() && charges.empty() && streams.empty())
             return;
-        wire::HeldSlots message = makeHeldSlots(charges);
+        wire::HeldSlots message = makeHeldSlots();
+        message.charges = charges;
         for (const policy::StreamRecord &record : streams)
             message.streams.push_back({record.stream, record.origin.service, record.origin.version,
                                        absl::ToInt64Milliseconds(clock.now() - record.recordedAt)});
         const std::string report = wire::encode(message);
-        const absl::Time formerReportAt = std::exchange(streamsReportedAt, clock.now());
+        const absl::Time reportedAt = clock.now();
+        const absl::Time formerReportAt = std::exchange(streamsReportedAt, reportedAt);
         channels.channel(brokerAddress)
                 ->call(wire::Method::ReportHeldSlots, report, settings.reportTimeout,
                        [self = shared_from_this(), address = brokerAddress,
-                        charges = std::move(charges),
+                        charges = std::move(charges), reportedAt,
                         formerReportAt](const Outcome<std::string> &outcome) {
                            if (!outcome.ok())
-                               self->loop.post([self, address, charges, formerReportAt] {
-                                   self->handleReportLost(address, charges, formerReportAt);
-                               });
+                               self->loop.post(
+                                       [self, address, charges, reportedAt, formerReportAt] {
+                                           self->handleReportLost(address, charges, reportedAt,
+                                                                  formerReportAt);
+                                       });
                        });
     }
 
-    wire::HeldSlots makeHeldSlots(const LocalCharges &charges) const
+    wire::HeldSlots makeHeldSlots() const
     {
         wire::HeldSlots message;
         message.instance = instance;
-        for (const auto &[workspace, charge] : charges)
-            message.charges.push_back(
-                    {workspace, charge.requests,
-                     absl::ToInt64Milliseconds(clock.now() - charge.firstGrantedAt)});
         for (const auto &[id, granted] : heldSlots) {
             message.places.push_back(granted.slot);
             message.places.back().deadlineMs =
@@ -247,17 +237,13 @@
         return message;
     }
 
-    void handleReportLost(const std::string &address, const LocalCharges &charges,
-                          absl::Time streamsSince)
+    void handleReportLost(const std::string &address, const std::vector<wire::RateCharge> &charges,
+                          absl::Time reportedAt, absl::Time streamsSince)
     {
         if (stopped || address != lastBrokerAddress)
             return;
         streamsReportedAt = std::min(streamsReportedAt, streamsSince);
-        for (const auto &[workspace, charge] : charges) {
-            LocalCharge &pending = localCharges[workspace];
-            pending.requests += charge.requests;
-            pending.firstGrantedAt = std::min(pending.firstGrantedAt, charge.firstGrantedAt);
-        }
+        rateShares.keep(charges, reportedAt);
         log(LogLevel::Warning, "held-places-not-reported", {{"peerAddress", address}});
         loop.timers().subscribeOnce(settings.brokerRetryDelay, [self = shared_from_this()] {
             if (!self->stopped)
@@ -295,6 +281,7 @@
     const Clock &clock;
     const SlotClientSettings settings;
     SlotBroker localBroker;
+    RateShares rateShares{clock, localBroker};
     std::string brokerAddress;
     /// Address of the broker that was known last, also while none is known.
     std::string lastBrokerAddress;
@@ -312,9 +299,6 @@
     };
     /// Slots granted by the broker and from the local share, by request id.
     std::map<std::string, GrantedSlot> heldSlots;
-    /// Requests granted from the local share that the broker has not received a report of, by
-    /// workspace.
-    LocalCharges localCharges;
     /// Decisions that have not been logged.
     LocalDecisions localDecisions;
     /// The broker has the origins of the streams that were recorded before this time.
@@ -341,11 +325,10 @@
     m_impl->brokerAddress = address;
     m_impl->brokerRetryAt = absl::InfinitePast();
     m_impl->streamsReportedAt = absl::InfinitePast();
-    // A new broker starts with low rate buckets, which allows for what was granted before. One that
-    // returns has kept its buckets.
     if (!address.empty() && address != m_impl->lastBrokerAddress) {
         m_impl->lastBrokerAddress = address;
-        m_impl->localCharges.clear();
+        m_impl->rateShares.take();
+        m_impl->rateShares.handleNewBroker();
     }
     log(LogLevel::Info, "place-broker-changed",
         {{"peerAddress", address},
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -65,9 +65,9 @@
                        priority, chargesRate, promptTokens, outputTokens, objectiveMs, deadlineMs,
                        excluded, stream, resumed, versionKnown, version, needsForwarder)
 RATTANRILL_WIRE_FIELDS(SlotResponse, verdict, upstream, address, retryAfterMs, version, forwarder,
-                       forwarderAddress)
+                       forwarderAddress, rateLevel)
 RATTANRILL_WIRE_FIELDS(HeldSlot, requestId, service, workspace, upstream, deadlineMs)
-RATTANRILL_WIRE_FIELDS(RateCharge, workspace, requests, ageMs)
+RATTANRILL_WIRE_FIELDS(RateCharge, workspace, requests, ageMs, levelChange, levelAgeMs)
 RATTANRILL_WIRE_FIELDS(StreamVersion, stream, service, version, ageMs)
 RATTANRILL_WIRE_FIELDS(HeldSlots, instance, places, charges, streams)
 RATTANRILL_WIRE_FIELDS(UpstreamLoad, upstream, requests, requestLimit, leaving, leavingAgeMs,
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -94,6 +94,14 @@
         server.stop();
     }
 
+    /// Without a broker that it has heard from, an entry has a part of the rate tolerance only.
+    static SlotClientSettings settings()
+    {
+        SlotClientSettings result;
+        result.localBroker.rateToleranceRequests = 200;
+        return result;
+    }
+
     /// Requests a slot and releases it. Returns whether it was granted from the local share. Adds
     /// the upstream to \a upstreams.
     bool acquire(const std::string &id, std::vector<std::string> *upstreams = nullptr)
@@ -148,7 +156,7 @@
     net::LoopThread thread;
     peer::ChannelPool channels{transport("e")};
     peer::Server server{transport("broker")};
-    SlotClient client{thread.loop(), channels, SystemClock::instance(), SlotClientSettings()};
+    SlotClient client{thread.loop(), channels, SystemClock::instance(), settings()};
 };
 
 } // namespace
