--- a/tests/serving/rateshares_test.cpp
+++ b/tests/serving/rateshares_test.cpp
@@ -26,6 +26,8 @@
 /// Time from the loss of a broker to the first grant of the next one.
 constexpr absl::Duration takeover = absl::Milliseconds(1200);
 constexpr absl::Duration step = absl::Milliseconds(10);
+/// Requests per second at each entry; six times the rate at all entries together.
+constexpr double flood = 6 * rate / entryCount;
 
 /// Entries whose requests of one workspace are granted by a broker, or from their parts while there
 /// is none, in virtual time.
@@ -124,6 +126,14 @@
         }
     }
 
+    /// Loses the broker under a load of \a perSecond at each entry until the next one takes over.
+    void loseBroker(double perSecond)
+    {
+        isBrokerAlive = false;
+        run(takeover, perSecond);
+        replaceBroker();
+    }
+
     /// The same broker is in reach again.
     void regainBroker()
     {
@@ -153,9 +163,6 @@
     int refused = 0;
 };
 
-/// Six times the rate, at all entries together.
-constexpr double flood = 6 * rate / entryCount;
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(RateSharesTest, Fixture)
@@ -165,9 +172,7 @@
 BOOST_AUTO_TEST_CASE(lossOfTheBrokerGrantsNoSecondBurst)
 {
     run(absl::Milliseconds(700), flood);
-    isBrokerAlive = false;
-    run(takeover, flood);
-    replaceBroker();
+    loseBroker(flood);
     run(absl::Seconds(6), flood);
     // The burst is granted once; the rest of the tolerance is left for further losses.
     BOOST_TEST(static_cast<double>(mostInAWindow()) <= bound - tolerance / 2);
@@ -180,9 +185,7 @@
 {
     run(absl::Milliseconds(700), flood);
     for (int loss = 0; loss < 4; ++loss) {
-        isBrokerAlive = false;
-        run(takeover, flood);
-        replaceBroker();
+        loseBroker(flood);
         run(absl::Milliseconds(800), flood);
     }
     BOOST_TEST(static_cast<double>(mostInAWindow()) <= bound);
@@ -193,9 +196,7 @@
 BOOST_AUTO_TEST_CASE(entriesThatHeardOfNoLevelGrantAPartOfTheTolerance)
 {
     run(absl::Seconds(2), 6 * rate, [](std::size_t entry) { return entry == 0; });
-    isBrokerAlive = false;
-    run(takeover, flood);
-    replaceBroker();
+    loseBroker(flood);
     run(absl::Seconds(5), flood);
     BOOST_TEST(static_cast<double>(mostInAWindow()) <= bound);
 }
@@ -251,9 +252,7 @@
     timers.advance(absl::Seconds(3));
     reportParts(0);
     run(absl::Seconds(2), 6 * rate, [](std::size_t entry) { return entry == 0; });
-    isBrokerAlive = false;
-    run(takeover, flood);
-    replaceBroker();
+    loseBroker(flood);
     run(absl::Seconds(5), flood);
     BOOST_TEST(static_cast<double>(mostInAWindow()) <= bound);
 }
@@ -281,9 +280,7 @@
     constexpr double perSecond = 0.75 * rate / entryCount;
     run(absl::Seconds(3), perSecond);
     for (int loss = 0; loss < 3; ++loss) {
-        isBrokerAlive = false;
-        run(takeover, perSecond);
-        replaceBroker();
+        loseBroker(perSecond);
         run(absl::Milliseconds(900), perSecond);
     }
     BOOST_TEST(refused == 0);
