--- a/tests/policy/tokenbucket_test.cpp
+++ b/tests/policy/tokenbucket_test.cpp
@@ -170,4 +170,15 @@
     }
 }
 
+// Guards against requests of several processes that all count as granted in the same idle time.
+BOOST_AUTO_TEST_CASE(idleTimeIsUsedByOneChargeOnly)
+{
+    const absl::Time now = start + absl::Seconds(2);
+    TokenBucket bucket({10, 10}, start, 10);
+    bucket.charge(now, 15, start);
+    BOOST_TEST(bucket.level(now) == 10, boost::test_tools::tolerance(1e-6));
+    bucket.charge(now, 15, start);
+    BOOST_TEST(bucket.level(now) == 0, boost::test_tools::tolerance(1e-6));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
