Serving: Report the rate shares to a store that is the broker again

A store that lost the leadership and regained it starts with new rate buckets, but entries that had granted nothing meanwhile did not report what it had left: it was taken for another state of the same broker. It then assumed half of the tolerance. The shares are taken whenever a broker is known again; the ages in the report tell whether the bucket is a new one.

SlotClientTest/levelIsReportedToTheBrokerThatReturns fails without the change (no report arrives) and passes with it.

Beside it, from reading the change again: the shares of rate buckets are called shares throughout (they were parts in some places), net::serialize builds its text without an outcome that is passed on, BlockedPrompt::isForItem says what both of its uses have in common, ItemRun::endHold() is told from releaseSlot().

--- a/include/rattanrill/serving/slotbroker.h
+++ b/include/rattanrill/serving/slotbroker.h
@@ -122,7 +122,7 @@
     /// Records of streams since \a since, at most the newest 4,096.
     std::vector<policy::StreamRecord> streamsSince(absl::Time since) const;
     /// Adopts slots that a process obtained from a previous broker or from its local share, what is
-    /// left of its parts of the rate buckets, and the origins of its streams.
+    /// left of its shares of the rate buckets, and the origins of its streams.
     void adoptHeldSlots(const wire::HeldSlots &held);
     /// Charges requests that another broker granted and that this one did not know of.
     void chargeRates(const std::vector<wire::RateCharge> &charges);
@@ -136,7 +136,7 @@
     double initialRateLevel(const std::string &workspace) const;
     /// Sets the level of that bucket.
     void setRateLevel(const std::string &workspace, double level);
-    /// The part of the rates and slots that this broker grants.
+    /// The fractions of the rates and slots that this broker grants.
     const CapacityShare &share() const { return m_share; }
     void reportLoad(const wire::UpstreamLoad &load,
                     ReportSource source = ReportSource::OwnResponse);
@@ -247,7 +247,7 @@
     std::optional<absl::Duration> tokenWait(absl::Time now, const wire::SlotRequest &request) const;
     policy::RateContract contractOf(const Workspace &workspace) const;
     bool isFromFormerBroker(const wire::RateCharge &charge) const;
-    void addPart(const wire::RateCharge &charge);
+    void addShare(const wire::RateCharge &charge);
     void refundRate(const std::string &id);
     void releaseSlot(const std::string &task, policy::ReleaseReason reason,
                      const std::string &observer);
--- a/include/rattanrill/wire/fleetmessages.h
+++ b/include/rattanrill/wire/fleetmessages.h
@@ -68,8 +68,9 @@
     /// See policy::CrashBlock. Older processes neither send nor keep the members from here on.
     std::int64_t trialNumber = 0;
     bool isLostTrialReplaced = false;
-    /// In CrashEvidence::rejected, whether a batch item was rejected.
-    bool isItemTrial = false;
+    /// Whether the open trial, or the rejected request in CrashEvidence::rejected, is one of a
+    /// batch item.
+    bool isForItem = false;
     std::int64_t crashedItemTrials = 0;
 };
 
@@ -438,17 +439,17 @@
 };
 
 /// What an entry has granted of a workspace's rate without the broker, and what it has left of its
-/// part of the rate bucket, see serving::RateShares. The broker that the part is from charges the
-/// requests; a later one adds the part to its own bucket.
+/// share of the rate bucket, see serving::RateShares. The broker that the share is from charges the
+/// requests; a later one adds the share to its own bucket.
 struct RateCharge
 {
     std::string workspace;
     std::int64_t requests = 0;
     /// Time since the first of the requests was granted.
     std::int64_t ageMs = 0;
-    /// Difference, in requests, between the entry's part and the one that a new broker assumes.
+    /// Difference, in requests, between the entry's share and the one that a new broker assumes.
     double levelChange = 0;
-    /// Time since the entry took its part; -1 for a process of an older version.
+    /// Time since the entry took its share; -1 for a process of an older version.
     std::int64_t levelAgeMs = -1;
 };
 
--- a/src/fleet/crashquarantine.cpp
+++ b/src/fleet/crashquarantine.cpp
@@ -18,7 +18,7 @@
             prompt.trialProcess,
             static_cast<int>(prompt.trialNumber),
             prompt.isLostTrialReplaced,
-            prompt.isItemTrial,
+            prompt.isForItem,
             static_cast<int>(prompt.crashedItemTrials)};
 }
 
@@ -94,7 +94,7 @@
                                    const wire::BlockedPrompt &rejected)
 {
     const policy::TraitSet traits(rejected.parts.begin(), rejected.parts.end());
-    const auto kind = rejected.isItemTrial ? policy::TaskKind::Batch : policy::TaskKind::Online;
+    const auto kind = rejected.isForItem ? policy::TaskKind::Batch : policy::TaskKind::Online;
     if (m_tracker.recordRejected(m_clock.now(), traits, evidence.process, kind))
         log(LogLevel::Info, "crash-block-trial-granted",
             {{"traits", absl::StrJoin(traits, ",")},
--- a/src/fleet/fleetview.cpp
+++ b/src/fleet/fleetview.cpp
@@ -22,7 +22,7 @@
     return left.parts == right.parts && left.trialsLeft == right.trialsLeft
            && left.trialProcess == right.trialProcess && left.trialNumber == right.trialNumber
            && left.isLostTrialReplaced == right.isLostTrialReplaced
-           && left.isItemTrial == right.isItemTrial
+           && left.isForItem == right.isForItem
            && left.crashedItemTrials == right.crashedItemTrials;
 }
 
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -134,7 +134,7 @@
     }
     if (isBlocked())
         return hold();
-    release();
+    endHold();
     const serving::Route &current = *route();
     const absl::Duration age =
             m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
@@ -423,7 +423,7 @@
     retryAfter(holdPeriod);
 }
 
-void ItemRun::release()
+void ItemRun::endHold()
 {
     if (!isHeld())
         return;
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -74,7 +74,7 @@
     /// Waits before the next request for a slot, because the item crashes upstreams.
     void hold();
     /// Ends the wait of hold().
-    void release();
+    void endHold();
     void retryAfter(absl::Duration delay);
     void attemptBroken(std::string_view reason);
     void handleSlotGranted(const policy::GrantSlot &grant);
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <optional>
 #include <ostream>
 #include <utility>
 
@@ -54,19 +55,17 @@
                          "\" can't be part of an HTTP head"));
 }
 
-/// Appends \a headers to the text of a head. Does nothing if an earlier part was malformed.
-void appendHeaders(Outcome<std::string> &head, const Headers &headers)
+/// Appends \a headers to the \a text of a head. Returns a failure if one of them is malformed.
+std::optional<Failure> appendHeaders(std::string &text, const Headers &headers)
 {
     for (const Header &header : headers.all()) {
-        if (!head.ok())
-            return;
         if (!isValidToken(header.name))
-            head = malformedHead("the header name", header.name);
-        else if (!isValidFieldValue(header.value))
-            head = malformedHead(concat("the value of the header ", header.name), header.value);
-        else
-            head.value() += concat(header.name, ": ", header.value, "\r\n");
+            return malformedHead("the header name", header.name);
+        if (!isValidFieldValue(header.value))
+            return malformedHead(concat("the value of the header ", header.name), header.value);
+        text += concat(header.name, ": ", header.value, "\r\n");
     }
+    return std::nullopt;
 }
 
 } // namespace
@@ -171,19 +170,16 @@
         return malformedHead("the method", request.method);
     if (!isValidTarget(request.target))
         return malformedHead("the target", request.target);
-    std::string begin;
-    begin.reserve(512 + request.body.size());
-    begin += concat(request.method, " ", request.target, " HTTP/1.1\r\n");
-    Outcome<std::string> result(std::move(begin));
-    appendHeaders(result, request.headers);
-    if (!result.ok())
-        return result;
-    std::string &text = result.value();
+    std::string text;
+    text.reserve(512 + request.body.size());
+    text += concat(request.method, " ", request.target, " HTTP/1.1\r\n");
+    if (const auto failure = appendHeaders(text, request.headers))
+        return *failure;
     if (!request.body.empty() || (request.method != "GET" && request.method != "DELETE"))
         text += concat("Content-Length: ", request.body.size(), "\r\n");
     text += "\r\n";
     text += request.body;
-    return result;
+    return text;
 }
 
 Outcome<std::string> serialize(const ResponseHead &head)
@@ -192,11 +188,11 @@
             head.reason.empty() ? reasonPhrase(head.status) : std::string_view(head.reason);
     if (!isValidFieldValue(reason))
         return malformedHead("the reason phrase", reason);
-    Outcome<std::string> result(concat("HTTP/1.1 ", head.status, " ", reason, "\r\n"));
-    appendHeaders(result, head.headers);
-    if (result.ok())
-        result.value() += "\r\n";
-    return result;
+    std::string text = concat("HTTP/1.1 ", head.status, " ", reason, "\r\n");
+    if (const auto failure = appendHeaders(text, head.headers))
+        return *failure;
+    text += "\r\n";
+    return text;
 }
 
 } // namespace rattanrill::net
--- a/src/policy/crashtracker.cpp
+++ b/src/policy/crashtracker.cpp
@@ -286,9 +286,9 @@
 /// again, so the delay does not grow.
 void CrashTracker::endTrialWithoutResult(Block &block, absl::Time now) const
 {
-    endTrial(
-            block,
-            now + (block.block.isItemTrial ? m_settings.firstTrialDelay : trialDelay(block.block)));
+    const absl::Duration delay =
+            block.block.isItemTrial ? m_settings.firstTrialDelay : trialDelay(block.block);
+    endTrial(block, now + delay);
 }
 
 /// Ends the trials of blocks whose traits the crashed request has.
--- a/src/serving/crashguard.cpp
+++ b/src/serving/crashguard.cpp
@@ -289,7 +289,7 @@
     for (const Rejection &rejection : m_rejected) {
         wire::BlockedPrompt rejected;
         rejected.parts.assign(rejection.traits.begin(), rejection.traits.end());
-        rejected.isItemTrial = rejection.kind == policy::TaskKind::Batch;
+        rejected.isForItem = rejection.kind == policy::TaskKind::Batch;
         evidence.rejected.push_back(std::move(rejected));
     }
     if (!m_mustReportTrials)
--- a/src/serving/rateshares.cpp
+++ b/src/serving/rateshares.cpp
@@ -9,7 +9,7 @@
 
 /// Time for which a level is known. Meanwhile the broker may have granted requests of others.
 constexpr absl::Duration levelLifetime = absl::Milliseconds(500);
-/// Time after which parts that were not used are taken anew. An entry without requests does not
+/// Time after which shares that were not used are taken anew. An entry without requests does not
 /// notice that the broker has returned.
 constexpr absl::Duration maxUnusedTime = absl::Seconds(1);
 
@@ -52,66 +52,66 @@
 
 void RateShares::recordGrant(const std::string &workspace)
 {
-    Share &share = m_shares[workspace];
-    if (share.requests++ == 0)
-        share.firstGrantedAt = m_clock.now();
+    Report &report = m_reports[workspace];
+    if (report.requests++ == 0)
+        report.firstGrantedAt = m_clock.now();
 }
 
 void RateShares::handleNewBroker()
 {
-    for (auto &[workspace, share] : m_shares)
-        share.requests = 0;
+    for (auto &[workspace, report] : m_reports)
+        report.requests = 0;
 }
 
-/// A report that is kept has the part of the time at which it was made, unless the entry has taken
-/// another one since.
+/// A report that was kept has the share of the time at which it was made, unless the entry has
+/// taken another one since.
 std::vector<wire::RateCharge> RateShares::giveBack()
 {
     if (std::exchange(m_isTaken, false))
-        recordParts();
+        recordShares();
     m_recordedAt.clear();
     const absl::Time now = m_clock.now();
     std::vector<wire::RateCharge> charges;
-    for (const auto &[workspace, share] : std::exchange(m_shares, {})) {
+    for (const auto &[workspace, report] : std::exchange(m_reports, {})) {
         wire::RateCharge charge;
         charge.workspace = workspace;
-        charge.requests = share.requests;
-        if (share.requests > 0)
-            charge.ageMs = absl::ToInt64Milliseconds(now - share.firstGrantedAt);
-        charge.levelChange = share.levelChange;
-        if (share.levelAt != absl::InfinitePast())
-            charge.levelAgeMs = absl::ToInt64Milliseconds(now - share.levelAt);
+        charge.requests = report.requests;
+        if (report.requests > 0)
+            charge.ageMs = absl::ToInt64Milliseconds(now - report.firstGrantedAt);
+        charge.levelChange = report.levelChange;
+        if (report.levelAt != absl::InfinitePast())
+            charge.levelAgeMs = absl::ToInt64Milliseconds(now - report.levelAt);
         charges.push_back(std::move(charge));
     }
     return charges;
 }
 
-/// Records what is left of the parts that differ from the one with which a bucket starts.
-void RateShares::recordParts()
+/// Records what is left of the shares that differ from the one that a new broker assumes.
+void RateShares::recordShares()
 {
     for (const std::string &workspace : m_localBroker.limitedWorkspaces()) {
         const bool isHeard = isKnown(workspace);
-        if (!isHeard && m_shares.count(workspace) == 0)
+        if (!isHeard && m_reports.count(workspace) == 0)
             continue;
-        Share &share = m_shares[workspace];
-        share.levelChange =
+        Report &report = m_reports[workspace];
+        report.levelChange =
                 m_localBroker.rateLevel(workspace) - m_localBroker.initialRateLevel(workspace);
-        share.levelAt = isHeard ? m_recordedAt.at(workspace) : m_takenAt;
+        report.levelAt = isHeard ? m_recordedAt.at(workspace) : m_takenAt;
     }
 }
 
 void RateShares::keep(const std::vector<wire::RateCharge> &charges, absl::Time reportedAt)
 {
     for (const wire::RateCharge &charge : charges) {
-        Share &share = m_shares[charge.workspace];
-        share.requests += charge.requests;
+        Report &report = m_reports[charge.workspace];
+        report.requests += charge.requests;
         if (charge.requests > 0)
-            share.firstGrantedAt =
-                    std::min(share.firstGrantedAt, reportedAt - absl::Milliseconds(charge.ageMs));
-        if (charge.levelAgeMs < 0 || share.levelAt != absl::InfinitePast())
+            report.firstGrantedAt =
+                    std::min(report.firstGrantedAt, reportedAt - absl::Milliseconds(charge.ageMs));
+        if (charge.levelAgeMs < 0 || report.levelAt != absl::InfinitePast())
             continue;
-        share.levelChange = charge.levelChange;
-        share.levelAt = reportedAt - absl::Milliseconds(charge.levelAgeMs);
+        report.levelChange = charge.levelChange;
+        report.levelAt = reportedAt - absl::Milliseconds(charge.levelAgeMs);
     }
 }
 
--- a/src/serving/slotbroker.cpp
+++ b/src/serving/slotbroker.cpp
@@ -345,7 +345,7 @@
         if (!isFromFormerBroker(charge))
             chargeRates({charge});
         else if (isFirstReport)
-            addPart(charge);
+            addShare(charge);
     }
     const absl::Time now = m_clock.now();
     for (const wire::StreamVersion &stream : held.streams) {
--- a/src/serving/slotbroker_rates.cpp
+++ b/src/serving/slotbroker_rates.cpp
@@ -79,7 +79,7 @@
     }
 }
 
-/// Whether the entry took its part of the bucket when another broker granted the rate, or this one
+/// Whether the entry took its share of the bucket when another broker granted the rate, or this one
 /// before its last reset.
 bool SlotBroker::isFromFormerBroker(const wire::RateCharge &charge) const
 {
@@ -87,8 +87,8 @@
            && m_clock.now() - absl::Milliseconds(charge.levelAgeMs) < m_resetAt + maxReportDelay;
 }
 
-/// Corrects the level, which was set as if all entries had the parts with which a bucket starts.
-void SlotBroker::addPart(const wire::RateCharge &charge)
+/// Corrects the level, which was set as if all entries had the shares with which they start.
+void SlotBroker::addShare(const wire::RateCharge &charge)
 {
     policy::TokenBucket *rateBucket = bucket(charge.workspace);
     if (rateBucket == nullptr)
--- a/src/serving/slotclient.cpp
+++ b/src/serving/slotclient.cpp
@@ -192,7 +192,7 @@
             localBroker.recordStream(request.stream, {request.service, response.version});
     }
 
-    /// Reports the held slots and the parts of the rate buckets to the broker, which may have no
+    /// Reports the held slots and the shares of the rate buckets to the broker, which may have no
     /// record of them when it has just started or was unreachable. Repeats the report until the
     /// broker has received it.
     void reportHeldSlots()
@@ -325,9 +325,11 @@
     m_impl->brokerAddress = address;
     m_impl->brokerRetryAt = absl::InfinitePast();
     m_impl->streamsReportedAt = absl::InfinitePast();
+    // Also a store that is the broker again may have begun with new buckets.
+    if (!address.empty())
+        m_impl->rateShares.take();
     if (!address.empty() && address != m_impl->lastBrokerAddress) {
         m_impl->lastBrokerAddress = address;
-        m_impl->rateShares.take();
         m_impl->rateShares.handleNewBroker();
     }
     log(LogLevel::Info, "place-broker-changed",
--- a/src/wire/fleetmessages.cpp
+++ b/src/wire/fleetmessages.cpp
@@ -35,7 +35,7 @@
 RATTANRILL_WIRE_FIELDS(CompleteRetirement, replica)
 RATTANRILL_WIRE_FIELDS(BootstrapStoreGroup, voters)
 RATTANRILL_WIRE_FIELDS(BlockedPrompt, parts, trialsLeft, trialProcess, trialNumber,
-                       isLostTrialReplaced, isItemTrial, crashedItemTrials)
+                       isLostTrialReplaced, isForItem, crashedItemTrials)
 RATTANRILL_WIRE_FIELDS(PutBlockedPrompts, prompts)
 RATTANRILL_WIRE_FIELDS(SetEvacuation, failureDomain, isEvacuated, isKnown)
 RATTANRILL_WIRE_FIELDS(FleetCommand, operation)
--- a/tests/serving/crashguard_test.cpp
+++ b/tests/serving/crashguard_test.cpp
@@ -274,7 +274,7 @@
     BOOST_TEST(guard.isBlocked({"a"}, policy::TaskKind::Batch));
     BOOST_TEST_REQUIRE(reports.size() == 1u);
     BOOST_TEST_REQUIRE(reports.front().evidence.rejected.size() == 1u);
-    BOOST_TEST(reports.front().evidence.rejected.front().isItemTrial);
+    BOOST_TEST(reports.front().evidence.rejected.front().isForItem);
     BOOST_TEST((reports.front().evidence.rejected.front().parts == std::vector<std::string>{"a"}));
 }
 
--- a/tests/serving/rateshares_test.cpp
+++ b/tests/serving/rateshares_test.cpp
@@ -29,8 +29,8 @@
 /// Requests per second at each entry; six times the rate at all entries together.
 constexpr double flood = 6 * rate / entryCount;
 
-/// Entries whose requests of one workspace are granted by a broker, or from their parts while there
-/// is none, in virtual time.
+/// Entries whose requests of one workspace are granted by a broker, or from their shares while
+/// there is none, in virtual time.
 struct Fixture
 {
     struct Entry
@@ -106,7 +106,7 @@
         }
     }
 
-    void reportParts(std::size_t index)
+    void reportShares(std::size_t index)
     {
         wire::HeldSlots held;
         held.instance = "e" + std::to_string(index);
@@ -122,7 +122,7 @@
         for (std::size_t i = 0; i < entryCount; ++i) {
             entries[i]->shares.take();
             entries[i]->shares.handleNewBroker();
-            reportParts(i);
+            reportShares(i);
         }
     }
 
@@ -139,7 +139,7 @@
     {
         isBrokerAlive = true;
         for (std::size_t i = 0; i < entryCount; ++i)
-            reportParts(i);
+            reportShares(i);
     }
 
     std::size_t mostInAWindow() const
@@ -167,8 +167,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(RateSharesTest, Fixture)
 
-// Guards against a second burst when the broker is lost: QUOTA. The parts of the entries had filled
-// while the broker granted.
+// Guards against a second burst when the broker is lost: QUOTA. The shares of the entries had
+// filled while the broker granted.
 BOOST_AUTO_TEST_CASE(lossOfTheBrokerGrantsNoSecondBurst)
 {
     run(absl::Milliseconds(700), flood);
@@ -191,9 +191,9 @@
     BOOST_TEST(static_cast<double>(mostInAWindow()) <= bound);
 }
 
-// Guards against a burst from the parts of entries that had no requests of the workspace before the
-// broker was lost, whose clients come to them then.
-BOOST_AUTO_TEST_CASE(entriesThatHeardOfNoLevelGrantAPartOfTheTolerance)
+// Guards against a burst from the shares of entries that had no requests of the workspace before
+// the broker was lost, whose clients come to them then.
+BOOST_AUTO_TEST_CASE(entriesThatHeardOfNoLevelGrantAShareOfTheTolerance)
 {
     run(absl::Seconds(2), 6 * rate, [](std::size_t entry) { return entry == 0; });
     loseBroker(flood);
@@ -201,7 +201,7 @@
     BOOST_TEST(static_cast<double>(mostInAWindow()) <= bound);
 }
 
-// Guards against a broker that is frozen, or restarted, and grants again what the parts have
+// Guards against a broker that is frozen, or restarted, and grants again what the shares have
 // granted meanwhile.
 BOOST_AUTO_TEST_CASE(brokerThatReturnsChargesWhatWasGrantedMeanwhile)
 {
@@ -234,12 +234,12 @@
     run(absl::Seconds(1), flood);
     entries[0]->isCutOff = false;
     entries[0]->shares.take();
-    reportParts(0);
+    reportShares(0);
     run(absl::Seconds(5), flood);
     BOOST_TEST(static_cast<double>(mostInAWindow()) <= bound);
 }
 
-// Guards against a burst from the part of an entry that lost the broker long ago and has had no
+// Guards against a burst from the share of an entry that lost the broker long ago and has had no
 // request since.
 BOOST_AUTO_TEST_CASE(entryThatNoticedNoReturnGrantsNoBurst)
 {
@@ -250,7 +250,7 @@
     for (const auto &entry : entries)
         entry->isCutOff = false;
     timers.advance(absl::Seconds(3));
-    reportParts(0);
+    reportShares(0);
     run(absl::Seconds(2), 6 * rate, [](std::size_t entry) { return entry == 0; });
     loseBroker(flood);
     run(absl::Seconds(5), flood);
--- a/tests/serving/slotclient_test.cpp
+++ b/tests/serving/slotclient_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -42,6 +43,7 @@
                               wire::SlotResponse response;
                               response.verdict = wire::SlotOutcome::Granted;
                               response.upstream = "u";
+                              response.rateLevel = rateLevel;
                               reply(wire::encode(response));
                           });
         server.setHandler(wire::Method::ReportHeldSlots,
@@ -147,6 +149,8 @@
 
     std::atomic<bool> isRepaired{false};
     std::atomic<int> reportsToLose{0};
+    /// Level of the rate bucket in the responses.
+    std::atomic<double> rateLevel{std::numeric_limits<double>::infinity()};
     /// Reports arrive on a thread of the server.
     mutable absl::Mutex mutex;
     wire::HeldSlots held;
@@ -228,6 +232,30 @@
     BOOST_TEST(reportedCharges[0].requests == 3);
 }
 
+// Guards against a store that becomes the broker again with a new rate bucket and does not learn
+// that the burst was granted before, because the entry granted nothing meanwhile.
+BOOST_AUTO_TEST_CASE(levelIsReportedToTheBrokerThatReturns)
+{
+    constexpr double level = 40;
+    isRepaired = true;
+    rateLevel = level;
+    BOOST_TEST(!acquire("heard"));
+    thread.run([&] {
+        client.setBroker("");
+        client.setBroker("127.0.0.1:" + std::to_string(server.port()));
+    });
+    BOOST_REQUIRE(reported.WaitForNotificationWithTimeout(absl::Seconds(10)));
+    const auto reportedCharges = charges();
+    BOOST_REQUIRE(reportedCharges.size() == 1u);
+    BOOST_TEST(reportedCharges[0].requests == 0);
+    BOOST_TEST(reportedCharges[0].levelAgeMs >= 0);
+    // The bucket of the fixture's only entry starts with half of the tolerance and gains a request
+    // in 1 ms.
+    const double assumed = settings().localBroker.rateToleranceRequests / 2;
+    BOOST_TEST(reportedCharges[0].levelChange >= level - assumed);
+    BOOST_TEST(reportedCharges[0].levelChange < 0);
+}
+
 // Guards against a pace that the broker does not receive, and against a message of its own for it.
 BOOST_AUTO_TEST_CASE(paceIsReportedWithTheLoad)
 {
