--- a/tests/net/headgrammar_test.cpp
+++ b/tests/net/headgrammar_test.cpp
@@ -120,6 +120,20 @@
                == "the value of the header X-Note \"a\\r\\nX: 1\" can't be part of an HTTP head");
 }
 
+// Guards against log lines as long as what a client sent.
+BOOST_AUTO_TEST_CASE(failureQuotesABoundedPart)
+{
+    const std::string longText = std::string(100'000, 'x') + "\n";
+    for (const Part &part : parts) {
+        BOOST_TEST_INFO_SCOPE(part.name);
+        Request request = soundRequest();
+        part.put(request, longText);
+        const auto failed = serialize(request);
+        BOOST_TEST_REQUIRE(!failed.ok());
+        BOOST_TEST(failed.failure().detail.size() < 500u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(identifierHasNoBlanksAtItsEnds)
 {
     BOOST_TEST(isValidIdentifier("a b"));
