--- a/include/rattanrill/net/headgrammar.h
+++ b/include/rattanrill/net/headgrammar.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string>
 #include <string_view>
 
 namespace rattanrill::net {
@@ -17,5 +18,8 @@
 /// Whether \a text may be the value of a header field by which something is recognized: it is not
 /// empty and has no space or tab at its ends, which a receiver removes.
 bool isValidIdentifier(std::string_view text);
+/// Returns the beginning of \a text, 64 bytes at most, in quotation marks and escaped, for the
+/// detail of a failure.
+std::string quotedExcerpt(std::string_view text);
 
 } // namespace rattanrill::net
--- a/src/net/headgrammar.cpp
+++ b/src/net/headgrammar.cpp
@@ -1,5 +1,9 @@
 #include "rattanrill/net/headgrammar.h"
 
+#include "rattanrill/base/concat.h"
+
+#include "absl/strings/escaping.h"
+
 #include <algorithm>
 
 namespace rattanrill::net {
@@ -7,6 +11,7 @@
 
 /// Characters of a token beside letters and digits.
 constexpr std::string_view tokenMarks = "!#$%&'*+-.^_`|~";
+constexpr std::size_t maxQuotedBytes = 64;
 
 bool isControl(char c)
 {
@@ -51,4 +56,10 @@
            && !isBlank(text.back());
 }
 
+std::string quotedExcerpt(std::string_view text)
+{
+    const std::string excerpt(text.substr(0, maxQuotedBytes));
+    return concat("\"", absl::CHexEscape(excerpt), "\"");
+}
+
 } // namespace rattanrill::net
--- a/src/net/message.cpp
+++ b/src/net/message.cpp
@@ -3,8 +3,6 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/net/headgrammar.h"
 
-#include "absl/strings/escaping.h"
-
 #include <algorithm>
 #include <cctype>
 #include <optional>
@@ -48,14 +46,10 @@
     return names;
 }
 
-/// Number of bytes of a malformed part that its failure quotes.
-constexpr std::size_t maxQuotedBytes = 64;
-
 Failure malformedHead(std::string_view part, std::string_view text)
 {
-    const std::string quoted(text.substr(0, maxQuotedBytes));
-    return notRun(ErrorCode::InvalidRequest, concat(part, " \"", absl::CHexEscape(quoted),
-                                                    "\" can't be part of an HTTP head"));
+    return notRun(ErrorCode::InvalidRequest,
+                  concat(part, " ", quotedExcerpt(text), " can't be part of an HTTP head"));
 }
 
 /// Appends \a headers to the \a text of a head. Returns a failure if one of them is malformed.
@@ -65,9 +59,8 @@
         if (!isValidToken(header.name))
             return malformedHead("the header name", header.name);
         if (!isValidFieldValue(header.value))
-            return malformedHead(
-                    concat("the value of the header ", header.name.substr(0, maxQuotedBytes)),
-                    header.value);
+            return malformedHead(concat("the value of the header ", quotedExcerpt(header.name)),
+                                 header.value);
         text += concat(header.name, ": ", header.value, "\r\n");
     }
     return std::nullopt;
--- a/tests/net/headgrammar_test.cpp
+++ b/tests/net/headgrammar_test.cpp
@@ -116,8 +116,9 @@
     value.headers.add("X-Note", inside);
     const auto failed = serialize(value);
     BOOST_TEST_REQUIRE(!failed.ok());
-    BOOST_TEST(failed.failure().detail
-               == "the value of the header X-Note \"a\\r\\nX: 1\" can't be part of an HTTP head");
+    BOOST_TEST(
+            failed.failure().detail
+            == "the value of the header \"X-Note\" \"a\\r\\nX: 1\" can't be part of an HTTP head");
 }
 
 // Guards against log lines as long as what a client sent.
--- a/tests/platform/platformprotocoladapter_test.cpp
+++ b/tests/platform/platformprotocoladapter_test.cpp
@@ -394,6 +394,24 @@
     }
 }
 
+// Guards against a response that is longer than the submission that it refuses.
+BOOST_AUTO_TEST_CASE(refusalOfAnItemQuotesABoundedPart)
+{
+    const std::string longText(100'000, '\x01');
+    const Json items[] = {{{"id", longText}, {"path", "/p"}},
+                          {{"id", "a"}, {"path", "/p"}, {"headers", {{longText, "1"}}}}};
+    for (const Json &item : items) {
+        net::Request request;
+        request.method = "POST";
+        request.target = "/batch/1";
+        request.body = Json{{"requests", {item}}}.dump();
+        const auto call = outcomeOf([&] { return decodeJobCall(request, "job1"); });
+        BOOST_TEST_REQUIRE(!call.ok());
+        BOOST_TEST(call.failure().detail.find("item \"") == 0u);
+        BOOST_TEST(call.failure().detail.size() < 500u);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(readAndCancelCallsAreParsed)
 {
     net::Request readRequest;
