--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -18,6 +18,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace rattanrill::jobs {
 
@@ -52,6 +54,40 @@
     std::int64_t held = 0;
 };
 
+/// What an open item needs before it makes progress.
+enum class ItemWait {
+    /// The first configuration.
+    Configuration,
+    Slot,
+    /// The next event of the response.
+    Response,
+    /// The end of the delay after a failed attempt.
+    Backoff,
+    /// The end of a block, because upstreams crashed under it.
+    BlockEnd,
+    /// That the store has the last failure.
+    FailureStored,
+};
+
+std::string_view name(ItemWait wait);
+
+/// An open item without progress.
+struct StalledItem
+{
+    std::string job;
+    std::string item;
+    ItemWait waitsFor = ItemWait::Slot;
+    /// Time since the last event, or since this executor got the item.
+    absl::Duration stalledFor;
+    int attempts = 0;
+    /// The service, version and sender of the last request for a slot.
+    std::string service;
+    /// Empty if any version can run the item.
+    std::string version;
+    /// Empty if the request would be forwarded.
+    std::string sender;
+};
+
 /// Runs the items of open jobs on the leader of the store group. An item whose slot is preempted
 /// resumes after its last event when it is granted another slot. Used on the event loop only.
 class JobExecutor
@@ -79,6 +115,8 @@
     /// Number of items that have not ended yet.
     std::size_t openItemCount() const;
     OpenItemCounts openItemCounts() const;
+    /// Items without progress for at least \a minStall, the longest ones first.
+    std::vector<StalledItem> stalledItems(absl::Duration minStall) const;
 
 private:
     struct Impl;
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -5,6 +5,7 @@
 #include "rattanrill/base/concat.h"
 #include "rattanrill/base/hash.h"
 #include "rattanrill/base/logger.h"
+#include "rattanrill/base/processmemory.h"
 #include "rattanrill/fleet/boundedupstreamlist.h"
 #include "rattanrill/fleet/replicaidentity.h"
 #include "rattanrill/fleet/retirementmonitor.h"
@@ -29,6 +30,9 @@
 /// Interval at which the metrics of the slot broker are updated.
 constexpr absl::Duration metricsPeriod = absl::Seconds(1);
 
+/// Interval at which the state of the replica and its memory are logged.
+constexpr absl::Duration statusPeriod = absl::Seconds(5);
+
 /// Several events of an item's stream are read at once: the leader of the store group reads the
 /// streams of all running items, and nobody waits for a single event. The interval is short against
 /// the time for which an item runs, because its slot is released this much later.
@@ -59,8 +63,10 @@
 
     ~StoreProcess() override
     {
-        if (m_metricsTimer != 0)
-            m_processContext.loop.timers().unsubscribe(m_metricsTimer);
+        for (const TimerService::TimerId timer : {m_metricsTimer, m_statusTimer}) {
+            if (timer != 0)
+                m_processContext.loop.timers().unsubscribe(timer);
+        }
     }
     StoreProcess(const StoreProcess &) = delete;
     StoreProcess &operator=(const StoreProcess &) = delete;
@@ -88,6 +94,8 @@
                 [this](absl::Time readAt) { m_broker.confirmUpstreams(readAt); });
         m_metricsTimer = m_processContext.loop.timers().subscribeEvery(
                 metricsPeriod, [this] { m_brokerMetrics->update(); });
+        m_statusTimer = m_processContext.loop.timers().subscribeEvery(statusPeriod,
+                                                                      [this] { logStatus(); });
         createServices();
         if (hasReplicaData())
             openReplica();
@@ -225,6 +233,19 @@
         });
     }
 
+    /// A store that exceeds its memory limit is killed without a line of its own.
+    void logStatus() const
+    {
+        const replication::RaftNodeStatus status = m_replica->status();
+        log(LogLevel::Info, "store-status",
+            {{"role", replication::name(status.role)},
+             {"term", status.term},
+             {"leader", status.leader},
+             {"appliedIndex", status.appliedIndex},
+             {"snapshotIndex", status.snapshotIndex},
+             {"residentBytes", residentBytes()}});
+    }
+
     PlacementContext placementContext() const
     {
         PlacementContext context{m_broker, {m_settings.instance, m_settings.failureDomain}};
@@ -336,6 +357,7 @@
     bool m_hasUpstreams = false;
     std::unique_ptr<BrokerMetrics> m_brokerMetrics;
     TimerService::TimerId m_metricsTimer = 0;
+    TimerService::TimerId m_statusTimer = 0;
 };
 
 } // namespace
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -61,6 +61,7 @@
     , m_resultCallback(std::move(resultCallback))
     , m_failureCallback(std::move(failureCallback))
     , m_traits(traitsOf(context.protocol, *m_job, item))
+    , m_progressAt(context.clock.now())
 {}
 
 void ItemRun::resume(const wire::ItemFailures &failures)
@@ -105,6 +106,30 @@
     acquireSlot();
 }
 
+ItemWait ItemRun::waitsFor() const
+{
+    switch (m_state) {
+    case State::Idle:
+        return ItemWait::Configuration;
+    case State::Running:
+        return ItemWait::Response;
+    case State::BackingOff:
+        if (isHeld())
+            return ItemWait::BlockEnd;
+        return m_backoffTimer != 0 ? ItemWait::Backoff : ItemWait::FailureStored;
+    case State::Waiting:
+    case State::Ended:
+        break;
+    }
+    return ItemWait::Slot;
+}
+
+StalledItem ItemRun::stall() const
+{
+    return {m_job->id,  m_item.id,          waitsFor(),         stalledFor(),
+            m_attempts, m_requestedService, m_requestedVersion, m_requestedSender};
+}
+
 std::string_view ItemRun::giveUpReason() const
 {
     if (m_isRefused)
@@ -153,6 +178,9 @@
     if (m_position.lastId() && !m_restarts)
         task.version = m_outputVersion;
     m_state = State::Waiting;
+    m_requestedService = task.service;
+    m_requestedVersion = task.version.value_or(std::string());
+    m_requestedSender = task.sender;
     serving::SlotBroker::BatchHandlers handlers;
     handlers.granted = [self = shared_from_this()](const policy::GrantSlot &grant) {
         self->handleSlotGranted(grant);
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -58,9 +58,13 @@
     State state() const { return m_state; }
     /// Whether the item waits because it crashes upstreams.
     bool isHeld() const { return m_heldSince.has_value(); }
+    /// Time since the last event, or since the construction.
+    absl::Duration stalledFor() const { return m_context.clock.now() - m_progressAt; }
+    StalledItem stall() const;
 
 private:
     const serving::Route *route() const;
+    ItemWait waitsFor() const;
     /// Requests a slot, once all failed attempts are stored.
     void acquireSlot();
     /// Reason for which the item must not be sent again; empty if it may be.
@@ -126,6 +130,13 @@
     std::shared_ptr<const serving::DeploymentIndex> m_deployment;
     State m_state = State::Idle;
 
+    /// Time of the construction or of the last event.
+    absl::Time m_progressAt;
+    /// Service, version and sender of the last request for a slot.
+    std::string m_requestedService;
+    std::string m_requestedVersion;
+    std::string m_requestedSender;
+
     std::string m_upstream;
     std::string m_address;
     serving::UpstreamCaller::CallId m_call = 0;
--- a/src/jobs/itemrun_output.cpp
+++ b/src/jobs/itemrun_output.cpp
@@ -100,8 +100,10 @@
         return failAttempt("an event exceeds the size limit", ReleaseReason::Failed);
     if (!bufferWithinLimits())
         return giveUpBuffer();
-    if (hasContent)
-        restartIdleTimer();
+    if (!hasContent)
+        return;
+    m_progressAt = m_context.clock.now();
+    restartIdleTimer();
 }
 
 /// Returns false when the items of this process hold too many bytes and this item most of them.
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -2,10 +2,12 @@
 
 #include "itemrun.h"
 
+#include "rattanrill/base/enumnames.h"
 #include "rattanrill/base/logger.h"
 #include "rattanrill/wire/codec.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
 #include <utility>
@@ -20,8 +22,22 @@
 /// writes, each of which is synced to disk on a majority of the stores.
 constexpr absl::Duration progressPeriod = absl::Milliseconds(500);
 
+constexpr std::array<EnumName<ItemWait>, 6> itemWaitNames = {{
+        {ItemWait::Configuration, "configuration"},
+        {ItemWait::Slot, "slot"},
+        {ItemWait::Response, "response"},
+        {ItemWait::Backoff, "backoff"},
+        {ItemWait::BlockEnd, "block_end"},
+        {ItemWait::FailureStored, "failure_stored"},
+}};
+
 } // namespace
 
+std::string_view name(ItemWait wait)
+{
+    return nameOf(itemWaitNames, wait);
+}
+
 struct JobExecutor::Impl : std::enable_shared_from_this<JobExecutor::Impl>
 {
     using Runs = std::map<std::string, std::shared_ptr<ItemRun>>;
@@ -341,4 +357,20 @@
     return counts;
 }
 
+std::vector<StalledItem> JobExecutor::stalledItems(absl::Duration minStall) const
+{
+    std::vector<StalledItem> stalled;
+    for (const auto &[job, runs] : m_impl->jobs) {
+        for (const auto &[item, run] : runs) {
+            if (run->stalledFor() >= minStall)
+                stalled.push_back(run->stall());
+        }
+    }
+    std::sort(stalled.begin(), stalled.end(),
+              [](const StalledItem &left, const StalledItem &right) {
+                  return left.stalledFor > right.stalledFor;
+              });
+    return stalled;
+}
+
 } // namespace rattanrill::jobs
--- a/src/jobs/jobmonitor.cpp
+++ b/src/jobs/jobmonitor.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr absl::Duration reportPeriod = absl::Seconds(1);
+/// Time without progress after which an item is reported.
+constexpr absl::Duration minStall = absl::Seconds(5);
+/// Maximum number of items that one report names.
+constexpr std::size_t maxNamedItems = 3;
 
 } // namespace
 
@@ -50,6 +54,9 @@
     m_context.metrics.set("rattanrill_batch_items_held", {}, static_cast<double>(counts.held));
     if (!m_context.replica.isLeader() || m_executor.openItemCount() == 0)
         return;
+    const std::vector<StalledItem> stalled = m_executor.stalledItems(minStall);
+    m_context.metrics.set("rattanrill_batch_items_stalled", {},
+                          static_cast<double>(stalled.size()));
     log(LogLevel::Info, "batch-progress",
         {{"waiting", counts.waiting},
          {"running", counts.running},
@@ -58,7 +65,29 @@
          {"attempts", attempts},
          {"yields", preemptions},
          {"results", results},
+         {"stalled", static_cast<std::int64_t>(stalled.size())},
          {"loopDelayMs", absl::ToInt64Milliseconds(delay)}});
+    logStalledItems(stalled);
+}
+
+/// Names the items that have made no progress for the longest time.
+void JobMonitor::logStalledItems(const std::vector<StalledItem> &stalled) const
+{
+    for (std::size_t index = 0; index < std::min(stalled.size(), maxNamedItems); ++index) {
+        const StalledItem &item = stalled[index];
+        log(LogLevel::Info, "item-stalled",
+            {{"job", item.job},
+             {"item", item.item},
+             {"waitsFor", name(item.waitsFor)},
+             {"stalledMs", absl::ToInt64Milliseconds(item.stalledFor)},
+             {"run", item.attempts},
+             {"service", item.service},
+             {"version", item.version},
+             {"sender", item.sender},
+             {"acceptingSlots", m_context.broker.scheduler().slotCount(item.service)},
+             {"term", m_context.replica.status().term},
+             {"instance", m_context.instance}});
+    }
 }
 
 } // namespace rattanrill::jobs
--- a/src/jobs/jobmonitor.h
+++ b/src/jobs/jobmonitor.h
@@ -5,6 +5,7 @@
 #include "absl/time/time.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace rattanrill::jobs {
 
@@ -23,6 +24,7 @@
 
 private:
     void report();
+    void logStalledItems(const std::vector<StalledItem> &stalled) const;
     /// Returns by how much the counter \a name has increased since the previous report, which set
     /// \a previous.
     std::int64_t increase(const char *name, std::uint64_t &previous) const;
--- a/tests/jobs/itemfixture.h
+++ b/tests/jobs/itemfixture.h
@@ -95,6 +95,18 @@
         });
     }
 
+    /// Sets the configuration with \a targets as the services of its route, and a time limit.
+    void setRoute(const std::vector<serving::RouteTarget> &targets,
+                  absl::Duration abandonAfter = absl::ZeroDuration())
+    {
+        serving::Deployment changed = deployment()->deployment();
+        changed.routes.front().targets = targets;
+        changed.routes.front().abandonAfter = abandonAfter;
+        thread.run([&] {
+            executor.setDeployment(std::make_shared<const serving::DeploymentIndex>(changed));
+        });
+    }
+
     /// Submits the job "job" of one item, whose id is "a".
     void startItem(const net::ScriptedServer &server)
     {
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -356,4 +356,21 @@
     }
 }
 
+// Guards against an item that nothing works on and no log names, and of which it is not known what
+// it waits for.
+BOOST_AUTO_TEST_CASE(stalledItemIsReportedWithWhatItWaitsFor)
+{
+    startWaiting();
+    absl::SleepFor(absl::Milliseconds(200));
+    thread.run([this] {
+        const auto stalled = executor.stalledItems(absl::Milliseconds(100));
+        BOOST_TEST_REQUIRE(stalled.size() == 1u);
+        BOOST_TEST((stalled.front().waitsFor == ItemWait::Slot));
+        BOOST_TEST(stalled.front().job == "job");
+        BOOST_TEST(stalled.front().service == "llm");
+        BOOST_TEST(stalled.front().sender == "store");
+        BOOST_TEST(executor.stalledItems(absl::Minutes(1)).empty());
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
