Jobs: Tell items that wait for a slot what has changed since they requested it

Cause: ItemRun took service, sender and priority once, when it requested a slot, and setDeployment() returned for each state but Idle. The scheduler keeps a task until it can grant it.

An item now keeps what its request said (SlotNeeds) and requests again when that is no longer what it needs: with each configuration, and once a second for upstreams and links that change without one. Items of a split route choose among the services that have upstreams which accept tasks.

Failed before: ItemRunTest/waitingItemFollowsItsRouteToAnotherService and itemOfASplitRouteLeavesAServiceWithoutUpstreams, both "check server.requests() == 1 has failed [0 != 1]" after 30 s without a result.

--- a/include/rattanrill/serving/deployment.h
+++ b/include/rattanrill/serving/deployment.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -129,6 +130,9 @@
 /// targets and depends only on \a key, so that all attempts of a request select the same service.
 /// The route must have passed checkDeployment().
 const std::string &selectService(const Route &route, std::string_view key);
+/// As above, among the services for which \a isAvailable is true if there is one with a weight.
+std::string selectService(const Route &route, std::string_view key,
+                          const std::function<bool(const std::string &service)> &isAvailable);
 
 /// Looks up routes, services and workspaces in one version of the configuration. Immutable. Lookups
 /// return null when there is no match; the pointers are valid as long as the index.
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -92,12 +92,10 @@
         return finish(wire::ItemOutcome::DeadLettered,
                       "the configuration no longer contains the route of the job");
     if (m_state != State::Idle)
-        return;
-    const absl::Duration age =
-            m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
+        return updateRequest();
     if (current->abandonAfter > absl::ZeroDuration()) {
         m_abandonTimer = m_context.loop.timers().subscribeOnce(
-                std::max(current->abandonAfter - age, absl::ZeroDuration()),
+                std::max(current->abandonAfter - age(), absl::ZeroDuration()),
                 [self = shared_from_this()] {
                     self->m_abandonTimer = 0;
                     self->abandon();
@@ -106,6 +104,39 @@
     acquireSlot();
 }
 
+absl::Duration ItemRun::age() const
+{
+    return m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
+}
+
+/// Selects a service of the route by weight, among those that have upstreams for the item.
+std::string ItemRun::chooseService() const
+{
+    const policy::SlotScheduler &scheduler = m_context.broker.scheduler();
+    return serving::selectService(*route(), m_item.id, [&](const std::string &service) {
+        return scheduler.slotCount(service) > 0;
+    });
+}
+
+ItemRun::SlotNeeds ItemRun::slotNeeds() const
+{
+    const serving::Route &current = *route();
+    SlotNeeds needs;
+    needs.service = chooseService();
+    needs.sender = m_context.upstreams.isCutOff() ? std::string() : m_context.instance;
+    if (m_position.lastId() && !m_restarts)
+        needs.version = m_outputVersion;
+    needs.priority = current.priority;
+    needs.completionObjective = current.completionObjective;
+    return needs;
+}
+
+void ItemRun::updateRequest()
+{
+    if (m_state == State::Waiting && !(slotNeeds() == m_requested))
+        acquireSlot();
+}
+
 ItemWait ItemRun::waitsFor() const
 {
     switch (m_state) {
@@ -126,8 +157,14 @@
 
 StalledItem ItemRun::stall() const
 {
-    return {m_job->id,  m_item.id,          waitsFor(),         stalledFor(),
-            m_attempts, m_requestedService, m_requestedVersion, m_requestedSender};
+    return {m_job->id,
+            m_item.id,
+            waitsFor(),
+            stalledFor(),
+            m_attempts,
+            m_requested.service,
+            m_requested.version.value_or(std::string()),
+            m_requested.sender};
 }
 
 std::string_view ItemRun::giveUpReason() const
@@ -160,27 +197,20 @@
     if (isBlocked())
         return hold();
     endHold();
-    const serving::Route &current = *route();
-    const absl::Duration age =
-            m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
+    m_requested = slotNeeds();
     policy::SlotTask task;
     task.id = taskId(*m_job, m_item);
-    task.service = serving::selectService(current, m_item.id);
+    task.service = m_requested.service;
     task.workspace = m_job->workspace;
     task.failureDomain = m_context.failureDomain;
-    // The links of the entry that forwards the call matter, which is chosen with the grant.
-    task.sender = m_context.upstreams.isCutOff() ? std::string() : m_context.instance;
+    task.sender = m_requested.sender;
     task.kind = policy::TaskKind::Batch;
-    task.priority = current.priority;
+    task.priority = m_requested.priority;
     task.expectedTokens = static_cast<double>(m_item.tokens);
-    task.deadline = m_context.clock.now() + (current.completionObjective - age);
+    task.deadline = m_context.clock.now() + (m_requested.completionObjective - age());
     task.priorRunTime = m_priorRunTime;
-    if (m_position.lastId() && !m_restarts)
-        task.version = m_outputVersion;
+    task.version = m_requested.version;
     m_state = State::Waiting;
-    m_requestedService = task.service;
-    m_requestedVersion = task.version.value_or(std::string());
-    m_requestedSender = task.sender;
     serving::SlotBroker::BatchHandlers handlers;
     handlers.granted = [self = shared_from_this()](const policy::GrantSlot &grant) {
         self->handleSlotGranted(grant);
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace rattanrill::jobs {
@@ -49,9 +50,13 @@
     /// Records that the store has this number of failed attempts. Without it, the item is not sent
     /// again after a failure.
     void markFailuresStored(std::int64_t serverErrors);
-    /// Sets the configuration by which the item runs. The first call requests a slot. The item is
-    /// dead-lettered when the configuration does not contain the job's route.
+    /// Sets the configuration by which the item runs. The first call requests a slot, later ones
+    /// update the request of an item that waits. The item is dead-lettered when the configuration
+    /// does not contain the job's route.
     void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
+    /// Requests a slot again if the item waits for one and what it needs has changed since it
+    /// requested it.
+    void updateRequest();
     /// Ends the run without a result.
     void stop();
 
@@ -63,7 +68,33 @@
     StalledItem stall() const;
 
 private:
+    /// What a request for a slot says of the item, apart from its identity and its history.
+    struct SlotNeeds
+    {
+        std::string service;
+        /// Empty while this process is cut off from the upstreams: the links of the entry that
+        /// forwards the call matter then, which is chosen with the grant.
+        std::string sender;
+        /// Version that can continue the output; absent when any version can run the item.
+        std::optional<std::string> version;
+        int priority = 0;
+        /// Time from the job's acceptance to the deadline of its items.
+        absl::Duration completionObjective;
+
+        friend bool operator==(const SlotNeeds &left, const SlotNeeds &right)
+        {
+            return std::tie(left.service, left.sender, left.version, left.priority,
+                            left.completionObjective)
+                   == std::tie(right.service, right.sender, right.version, right.priority,
+                               right.completionObjective);
+        }
+    };
+
     const serving::Route *route() const;
+    SlotNeeds slotNeeds() const;
+    std::string chooseService() const;
+    /// Time since the job was accepted.
+    absl::Duration age() const;
     ItemWait waitsFor() const;
     /// Requests a slot, once all failed attempts are stored.
     void acquireSlot();
@@ -132,10 +163,8 @@
 
     /// Time of the construction or of the last event.
     absl::Time m_progressAt;
-    /// Service, version and sender of the last request for a slot.
-    std::string m_requestedService;
-    std::string m_requestedVersion;
-    std::string m_requestedSender;
+    /// What the last request for a slot said.
+    SlotNeeds m_requested;
 
     std::string m_upstream;
     std::string m_address;
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -22,6 +22,10 @@
 /// writes, each of which is synced to disk on a majority of the stores.
 constexpr absl::Duration progressPeriod = absl::Milliseconds(500);
 
+/// Interval at which items that wait for a slot check whether they still need what they requested:
+/// upstreams, links and the time without progress change without a new configuration.
+constexpr absl::Duration requestUpdatePeriod = absl::Seconds(1);
+
 constexpr std::array<EnumName<ItemWait>, 6> itemWaitNames = {{
         {ItemWait::Configuration, "configuration"},
         {ItemWait::Slot, "slot"},
@@ -81,7 +85,7 @@
             return;
         }
         startRuns(Runs(runs));
-        startProgressTimer();
+        startTimers();
     }
 
     /// Returns true for an item whose result is stored or is about to be stored.
@@ -94,11 +98,24 @@
         return unstored != unstoredResults.end() && unstored->second.count(item) != 0;
     }
 
-    void startProgressTimer()
+    void startTimers()
     {
         if (progressTimer == 0)
             progressTimer = context.loop.timers().subscribeEvery(
                     progressPeriod, [self = shared_from_this()] { self->storeProgress(); });
+        if (requestTimer == 0)
+            requestTimer = context.loop.timers().subscribeEvery(
+                    requestUpdatePeriod, [self = shared_from_this()] { self->updateRequests(); });
+    }
+
+    /// A run may be granted a slot at once and end, so that it is removed from \a jobs.
+    void updateRequests()
+    {
+        const auto currentJobs = jobs;
+        for (const auto &[job, runs] : currentJobs) {
+            for (const auto &[item, run] : runs)
+                run->updateRequest();
+        }
     }
 
     /// Stores the progress of all items with one command. If the command fails, the next one
@@ -262,8 +279,10 @@
         unstoredResults.clear();
         unstoredFailures.clear();
         isStoringFailures = false;
-        if (progressTimer != 0)
-            context.loop.timers().unsubscribe(std::exchange(progressTimer, 0));
+        for (TimerService::TimerId *timer : {&progressTimer, &requestTimer}) {
+            if (*timer != 0)
+                context.loop.timers().unsubscribe(std::exchange(*timer, 0));
+        }
         const auto stoppedJobs = std::exchange(jobs, {});
         for (const auto &[job, runs] : stoppedJobs) {
             for (const auto &[item, run] : runs)
@@ -287,6 +306,7 @@
     /// callbacks that were registered before are then ignored.
     std::uint64_t leadershipGeneration = 0;
     TimerService::TimerId progressTimer = 0;
+    TimerService::TimerId requestTimer = 0;
     bool isStoringProgress = false;
 };
 
--- a/src/serving/deployment.cpp
+++ b/src/serving/deployment.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -151,6 +152,19 @@
     return route.targets.back().service;
 }
 
+std::string selectService(const Route &route, std::string_view key,
+                          const std::function<bool(const std::string &service)> &isAvailable)
+{
+    if (route.targets.size() == 1)
+        return route.targets.front().service;
+    Route available;
+    std::copy_if(route.targets.begin(), route.targets.end(), std::back_inserter(available.targets),
+                 [&](const RouteTarget &target) {
+                     return target.weight > 0 && isAvailable(target.service);
+                 });
+    return selectService(available.targets.empty() ? route : available, key);
+}
+
 DeploymentIndex::DeploymentIndex(Deployment deployment)
     : m_deployment(std::move(deployment))
 {
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -373,4 +373,35 @@
     });
 }
 
+// Guards against items that wait for ever at a service which their route has left, while the
+// upstreams of its new service are idle.
+BOOST_AUTO_TEST_CASE(waitingItemFollowsItsRouteToAnotherService)
+{
+    net::EndlessServer server({success});
+    startWaiting();
+    thread.run([&] {
+        broker.setUpstreams({{"u1", "llm-new", server.address(), "d", 1, false}},
+                            serving::CapacityShare());
+    });
+    setRoute({{"llm-new", 1}});
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(server.requests() == 1);
+}
+
+// Guards against items of a split route that wait for ever at a service whose last upstream has
+// left, while those of the other service are idle.
+BOOST_AUTO_TEST_CASE(itemOfASplitRouteLeavesAServiceWithoutUpstreams)
+{
+    net::EndlessServer server({success});
+    setRoute({{"llm", 1}, {"llm-other", 1e-9}});
+    startWaiting();
+    thread.run([&] {
+        broker.setUpstreams({{"u1", "llm", server.address(), "d", 1, true},
+                             {"u2", "llm-other", server.address(), "d", 1, false}},
+                            serving::CapacityShare());
+    });
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(server.requests() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
