Jobs: End the wait of an item for a version that makes no progress

After 10 s without an event the item may get a slot at any version. At the same version it continues, at another one it starts again. In the same way it leaves a service of a split route none of whose upstreams is usable. The limit is long against the ejection of an upstream that fails for a moment (3 s).

Failed before: ItemRunTest/itemStartsAgainWhenItsVersionCannotBeReached, "check other.requests() == 1 has failed [0 != 1]".

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -293,6 +293,8 @@
     std::size_t running(const std::string &service, TaskKind kind) const;
     /// Number of slots of all upstreams of a service that accept new tasks, for all senders.
     std::int64_t slotCount(const std::string &service) const;
+    /// Whether an upstream of the service accepts new tasks and is not ejected for all senders.
+    bool hasUsableUpstream(absl::Time now, const std::string &service) const;
     /// Number of listed upstreams that get no tasks of any sender because of failures or server
     /// errors. Leaving ones are not counted.
     std::size_t ejectedUpstreamCount(absl::Time now) const;
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -31,6 +31,11 @@
 /// Time after which an entry ends a call that it forwards and that was not cancelled.
 constexpr absl::Duration maxForwardedTime = absl::Minutes(1);
 
+/// Time without progress after which an item no longer waits for the version that wrote its output,
+/// or at a service none of whose upstreams is usable: they may be listed and still be unreachable.
+/// Long against the ejection of an upstream that fails for a moment.
+constexpr absl::Duration maxStall = absl::Seconds(10);
+
 constexpr int statusUnprocessable = 422;
 constexpr int statusServerError = 500;
 
@@ -109,12 +114,18 @@
     return m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
 }
 
+bool ItemRun::hasWaitedTooLong() const
+{
+    return stalledFor() >= maxStall;
+}
+
 /// Selects a service of the route by weight, among those that have upstreams for the item.
 std::string ItemRun::chooseService() const
 {
     const policy::SlotScheduler &scheduler = m_context.broker.scheduler();
     return serving::selectService(*route(), m_item.id, [&](const std::string &service) {
-        return scheduler.slotCount(service) > 0;
+        return hasWaitedTooLong() ? scheduler.hasUsableUpstream(m_context.clock.now(), service)
+                                  : scheduler.slotCount(service) > 0;
     });
 }
 
@@ -124,7 +135,7 @@
     SlotNeeds needs;
     needs.service = chooseService();
     needs.sender = m_context.upstreams.isCutOff() ? std::string() : m_context.instance;
-    if (m_position.lastId() && !m_restarts)
+    if (m_position.lastId() && !m_restarts && !hasWaitedTooLong())
         needs.version = m_outputVersion;
     needs.priority = current.priority;
     needs.completionObjective = current.completionObjective;
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -93,6 +93,9 @@
     const serving::Route *route() const;
     SlotNeeds slotNeeds() const;
     std::string chooseService() const;
+    /// Whether the item has gone without progress for so long that it no longer waits for upstreams
+    /// that may be unreachable.
+    bool hasWaitedTooLong() const;
     /// Time since the job was accepted.
     absl::Duration age() const;
     ItemWait waitsFor() const;
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -595,6 +595,17 @@
     return slots;
 }
 
+bool SlotScheduler::hasUsableUpstream(absl::Time now, const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end())
+        return false;
+    const auto &upstreams = found->second.upstreams;
+    return std::any_of(upstreams.begin(), upstreams.end(), [now](const Upstream *upstream) {
+        return !upstream->info.leaving && !upstream->health.isEjected(now);
+    });
+}
+
 std::size_t SlotScheduler::ejectedUpstreamCount(absl::Time now) const
 {
     std::size_t count = 0;
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -404,4 +404,32 @@
     BOOST_TEST(server.requests() == 1);
 }
 
+// Guards against an item that has output and waits for upstreams of the version that wrote it for
+// as long as they are listed, although none of them can be reached.
+BOOST_AUTO_TEST_CASE(itemStartsAgainWhenItsVersionCannotBeReached)
+{
+    const std::string begun = chunkedHead + chunk(numberedEvent(1)) + chunk(numberedEvent(2));
+    net::EndlessServer other({{wholeStream(), ""}});
+    std::string lostAddress;
+    {
+        net::ScriptedServer lost({{begun, net::ConnectionEnd::Closed}});
+        lostAddress = lost.address();
+        setUpstreams(lost, "u", "v1");
+        wire::SubmitJobRequest request = submission("job");
+        request.job.items.resize(1);
+        request.job.items.front().id = "a";
+        submit(request);
+        await([&] { return !lost.requests().empty(); });
+    }
+    thread.run([&] {
+        broker.setUpstreams({{"u0", "llm", lostAddress, "d", 1, false, "v1"},
+                             {"n0", "llm", other.address(), "d", 1, false, "v2"}},
+                            serving::CapacityShare());
+    });
+    const wire::JobItemResult result = awaitResult();
+    BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(result.output == "d1\nd2\nd3\nd4");
+    BOOST_TEST(other.requests() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
