Jobs: Follow the time limit of a route that changes

An item kept the time limit of the configuration by which it first ran: it was dead-lettered before the limit that its route has now, or long after it. The timer is now started again when the limit changes.

Failed before: ItemRunTest/itemFollowsTheTimeLimitOfItsRoute, "check executor.openItemCount() == 1u has failed [0 != 1]".

--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -92,21 +92,30 @@
     m_deployment = std::move(deployment);
     if (m_state == State::Ended)
         return;
-    const serving::Route *current = route();
-    if (current == nullptr)
+    if (route() == nullptr)
         return finish(wire::ItemOutcome::DeadLettered,
                       "the configuration no longer contains the route of the job");
-    if (m_state != State::Idle)
-        return updateRequest();
-    if (current->abandonAfter > absl::ZeroDuration()) {
-        m_abandonTimer = m_context.loop.timers().subscribeOnce(
-                std::max(current->abandonAfter - age(), absl::ZeroDuration()),
-                [self = shared_from_this()] {
-                    self->m_abandonTimer = 0;
-                    self->abandon();
-                });
-    }
-    acquireSlot();
+    updateAbandonTimer();
+    if (m_state == State::Idle)
+        acquireSlot();
+    else
+        updateRequest();
+}
+
+void ItemRun::updateAbandonTimer()
+{
+    const absl::Duration limit = route()->abandonAfter;
+    if (limit == m_abandonAfter)
+        return;
+    m_abandonAfter = limit;
+    cancelTimer(m_abandonTimer);
+    if (limit <= absl::ZeroDuration())
+        return;
+    m_abandonTimer = m_context.loop.timers().subscribeOnce(
+            std::max(limit - age(), absl::ZeroDuration()), [self = shared_from_this()] {
+                self->m_abandonTimer = 0;
+                self->abandon();
+            });
 }
 
 absl::Duration ItemRun::age() const
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -93,6 +93,8 @@
     const serving::Route *route() const;
     SlotNeeds slotNeeds() const;
     std::string chooseService() const;
+    /// Starts the timer of the route's time limit again if the limit has changed.
+    void updateAbandonTimer();
     /// Whether the item has gone without progress for so long that it no longer waits for upstreams
     /// that may be unreachable.
     bool hasWaitedTooLong() const;
@@ -223,6 +225,8 @@
     std::optional<absl::Time> m_heldSince;
     int m_preemptions = 0;
     int m_attempts = 0;
+    /// The time limit for which m_abandonTimer was started.
+    absl::Duration m_abandonAfter;
     TimerService::TimerId m_abandonTimer = 0;
     TimerService::TimerId m_backoffTimer = 0;
     /// Runs from the first time that the item was held.
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -432,4 +432,16 @@
     BOOST_TEST(other.requests() == 1);
 }
 
+// Guards against an item that is dead-lettered by a time limit that its route no longer has.
+BOOST_AUTO_TEST_CASE(itemFollowsTheTimeLimitOfItsRoute)
+{
+    setRoute({{"llm", 1}}, absl::Milliseconds(1500));
+    startWaiting();
+    setRoute({{"llm", 1}}, absl::Minutes(1));
+    absl::SleepFor(absl::Seconds(2));
+    thread.run([this] { BOOST_TEST(executor.openItemCount() == 1u); });
+    setRoute({{"llm", 1}}, absl::Milliseconds(1));
+    BOOST_TEST((awaitResult().outcome == wire::ItemOutcome::DeadLettered));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
