Jobs: Accept and end jobs only as the leader that runs them

A store that lost its leadership while it encoded a job forwarded it to the next leader, answered the caller that the job was accepted, and ran the items itself. The outcome of a proposal could also be handled after the executor had been stopped, which then got the job again.

Submissions and ends are proposed by GroupReplica::proposeAsLeader(), which never forwards, and their outcome changes the executor only under the leadership of the proposal. A refused submission has not run; the client tries the next leader.

Failed before: JobServiceTest/jobIsNotRunByAStoreThatHasLostItsLeadership, "check executor.openItemCount() == 0u has failed [10 != 0]".

--- a/include/rattanrill/fleet/groupreplica.h
+++ b/include/rattanrill/fleet/groupreplica.h
@@ -81,6 +81,9 @@
     /// Proposes \a command on this replica or, when another replica leads, forwards it to the
     /// leader. Callbacks run on the loop. Fails like RaftNode::propose().
     void propose(std::string command, Callback callback);
+    /// Proposes \a command only while this replica leads, and fails with NotLeader otherwise: for
+    /// commands after which the proposer acts as the leader.
+    void proposeAsLeader(std::string command, Callback callback);
     /// Linearizable read that only the leader serves.
     void readOnLeader(std::string query, Callback callback);
     /// Linearizable read that any replica serves.
--- a/src/fleet/groupreplica.cpp
+++ b/src/fleet/groupreplica.cpp
@@ -267,10 +267,17 @@
         return callback(notRun(ErrorCode::NotLeader, ""));
     const replication::RaftNodeStatus status = m_impl->node->status();
     if (status.role == replication::Role::Leader || status.leader.empty())
-        return m_impl->node->propose(std::move(command), m_impl->onLoop(std::move(callback)));
+        return proposeAsLeader(std::move(command), std::move(callback));
     m_impl->forward(peerAddressOf(status.leader), std::move(command), std::move(callback));
 }
 
+void GroupReplica::proposeAsLeader(std::string command, Callback callback)
+{
+    if (!m_impl->node)
+        return callback(notRun(ErrorCode::NotLeader, ""));
+    m_impl->node->propose(std::move(command), m_impl->onLoop(std::move(callback)));
+}
+
 void GroupReplica::readOnLeader(std::string query, Callback callback)
 {
     if (!m_impl->node)
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -89,16 +89,21 @@
         operation.job.acceptedAtMs = absl::ToUnixMillis(context.clock.wallNow());
         operation.maxWaitingTokens = route->maxWaitingTokens;
         const std::string command = wire::encode(wire::JobCommand{operation});
-        context.replica.propose(command,
-                                [self = shared_from_this(), job = std::move(operation.job),
-                                 reply = std::move(reply)](const Outcome<std::string> &outcome) {
-                                    self->handleAcceptOutcome(job, reply, outcome);
-                                });
+        context.replica.proposeAsLeader(
+                command, [self = shared_from_this(), job = std::move(operation.job),
+                          reply = std::move(reply), expectedGeneration = leadershipGeneration](
+                                 const Outcome<std::string> &outcome) {
+                    self->handleAcceptOutcome(expectedGeneration, job, reply, outcome);
+                });
     }
 
-    void handleAcceptOutcome(const wire::JobRecord &job, const peer::ResponseCallback &reply,
+    /// The items of a job that was proposed under an earlier leadership are not added: the next
+    /// leader, which may be this replica, finds the job in its list of open jobs.
+    void handleAcceptOutcome(std::uint64_t expectedGeneration, const wire::JobRecord &job,
+                             const peer::ResponseCallback &reply,
                              const Outcome<std::string> &outcome)
     {
+        const bool isStillLeader = expectedGeneration == leadershipGeneration;
         const auto result = wire::decodeOutcome<wire::JobCommandResult>(outcome);
         const bool isAccepted = result.ok() && !result.value().overLimit;
         log(LogLevel::Info, isAccepted ? "job-accepted" : "job-refused",
@@ -111,7 +116,7 @@
              {"detail", result.ok() ? "" : result.failure().detail}});
         if (!result.ok()) {
             // The job may have been committed although the proposal failed.
-            if (result.failure().effect == EffectState::MayHaveRun)
+            if (isStillLeader && result.failure().effect == EffectState::MayHaveRun)
                 openJobs->request(job.id);
             return reply(result.failure());
         }
@@ -119,9 +124,9 @@
             return reply(notRun(
                     ErrorCode::RateLimited,
                     "the job would exceed the workspace's limit of waiting tokens on this route"));
-        if (result.value().isNew)
+        if (isStillLeader && result.value().isNew)
             executor.add(wire::OpenJob{job, {}, {}});
-        else
+        else if (isStillLeader)
             openJobs->request(job.id);
         reply(std::string());
     }
@@ -222,14 +227,14 @@
         if (!request)
             return;
         const wire::EndJob operation{request->workspace, request->job};
-        context.replica.propose(
+        context.replica.proposeAsLeader(
                 wire::encode(wire::JobCommand{operation}),
-                [self = shared_from_this(), job = request->job,
-                 reply = std::move(reply)](const Outcome<std::string> &outcome) {
+                [self = shared_from_this(), job = request->job, reply = std::move(reply),
+                 expectedGeneration = leadershipGeneration](const Outcome<std::string> &outcome) {
                     log(LogLevel::Info, outcome.ok() ? "job-ended" : "job-end-failed",
                         {{"job", job},
                          {"code", outcome.ok() ? "ok" : name(outcome.failure().code)}});
-                    if (outcome.ok())
+                    if (outcome.ok() && expectedGeneration == self->leadershipGeneration)
                         self->executor.cancel(job);
                     reply(outcome);
                 });
@@ -238,6 +243,7 @@
     void handleLeadershipChange(bool isLeader)
     {
         isReady = false;
+        ++leadershipGeneration;
         executor.stopAll();
         openJobs->stop();
         const auto waiting = std::exchange(waitingReads, {});
@@ -268,6 +274,8 @@
     const std::shared_ptr<OpenJobReader> openJobs;
     /// Whether the open jobs have been read since this replica gained leadership.
     bool isReady = false;
+    /// Incremented whenever this replica gains or loses leadership.
+    std::uint64_t leadershipGeneration = 0;
     std::list<WaitingRead> waitingReads;
     /// Number of results that this executor has stored. A read compares the numbers before and
     /// after its query, because a result that is stored meanwhile may be missing from the response.
--- a/tests/jobs/jobservice_test.cpp
+++ b/tests/jobs/jobservice_test.cpp
@@ -35,4 +35,22 @@
     BOOST_TEST((submitFailure(submission("other")).code != ErrorCode::UnknownRoute));
 }
 
+// Guards against items that run on a store that no longer leads, where nothing stops them when
+// their job is ended: leadership is lost between the proposal of a job and its outcome.
+BOOST_AUTO_TEST_CASE(jobIsNotRunByAStoreThatHasLostItsLeadership)
+{
+    absl::Notification done;
+    {
+        absl::MutexLock lock(&lists.applyGate);
+        thread.run([&] {
+            client.submit(submission("job"), absl::Seconds(10),
+                          [&](const Outcome<Done> &) { done.Notify(); });
+        });
+        absl::SleepFor(absl::Milliseconds(300));
+        thread.run([this] { service.handleLeadershipChange(false); });
+    }
+    BOOST_REQUIRE(done.WaitForNotificationWithTimeout(absl::Seconds(20)));
+    thread.run([this] { BOOST_TEST(executor.openItemCount() == 0u); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -10,6 +10,7 @@
 #include "rattanrill/peer/server.h"
 #include "rattanrill/wire/codec.h"
 
+#include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
 #include "absl/time/clock.h"
 
@@ -31,6 +32,8 @@
 {
     std::atomic<int> queries{0};
     std::atomic<std::size_t> bytes{0};
+    /// Delays the application of commands while it is held.
+    absl::Mutex applyGate;
 };
 
 /// State machine of the store group that counts the queries which list open jobs.
@@ -44,6 +47,7 @@
 
     std::string apply(std::uint64_t index, std::string_view command) override
     {
+        absl::MutexLock lock(&m_counter.applyGate);
         return m_machine->apply(index, command);
     }
     std::string query(std::string_view query) const override
