Jobs: Compare the open items of the store group with those of the executor

Whatever way an item takes into the group's state, the leader must run it: a proposal whose outcome is not known may commit after the job was read, and stores of an earlier version forward submissions and ends to the leader during an upgrade. Nothing noticed items that were open in the state and unknown to the executor, or the other way round.

JobExecutor::add() adds the items that it lacks instead of none.

Failed before: JobServiceTest/jobThatAnotherStoreProposedIsRun, missingItemsOfAJobAreRun and itemsOfAJobThatAnotherStoreEndedAreStopped, each "critical check isTrue has failed" after 10 s.

--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -103,11 +104,16 @@
     void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
     /// Sets the listener that is called with the id of a job after a result of the job was stored.
     void onResultStored(std::function<void(const std::string &job)> listener);
-    /// Adds an accepted job. Adding the same job again has no effect.
+    /// Adds the items of an accepted job that are not contained yet. Items with a result are left
+    /// out.
     void add(const wire::OpenJob &job);
     /// Whether the executor has items of \a job that have not ended, or results of it that are not
     /// stored yet.
     bool contains(const std::string &job) const;
+    /// Whether the executor has items of \a job that have not ended.
+    bool runs(const std::string &job) const;
+    /// Numbers of items that have not ended or whose results are not stored yet, by job.
+    std::map<std::string, std::int64_t> itemCounts() const;
     /// Stops the items of a job that was ended.
     void cancel(const std::string &job);
     /// Stops all items, because this replica no longer leads the store group.
--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -213,7 +213,27 @@
     std::vector<OpenJob> jobs;
 };
 
-using JobQueryOperation = std::variant<ReadJobRequest, ReadItemRequest, ListOpenJobs>;
+/// Counts the items without a result of each open job.
+struct CountOpenItems
+{
+    static constexpr std::string_view kind = "count_open_items";
+};
+
+/// Number of items of an open job that have no result.
+struct OpenItemCount
+{
+    std::string job;
+    std::int64_t items = 0;
+};
+
+/// Response to CountOpenItems.
+struct OpenItemCounts
+{
+    std::vector<OpenItemCount> jobs;
+};
+
+using JobQueryOperation =
+        std::variant<ReadJobRequest, ReadItemRequest, ListOpenJobs, CountOpenItems>;
 
 /// Query to the store group.
 struct JobQuery
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -52,12 +52,14 @@
 
     void add(const wire::OpenJob &openJob)
     {
-        if (jobs.count(openJob.job.id) != 0 || cancelledJobs.count(openJob.job.id) != 0)
+        if (cancelledJobs.count(openJob.job.id) != 0)
             return;
         const auto record = std::make_shared<const wire::JobRecord>(openJob.job);
-        Runs &runs = jobs[record->id];
+        const auto existing = jobs.find(record->id);
+        Runs runs;
         for (const wire::JobItem &item : record->items) {
-            if (hasResult(openJob, item.id))
+            const bool isContained = existing != jobs.end() && existing->second.count(item.id) != 0;
+            if (isContained || hasResult(openJob, item.id))
                 continue;
             runs[item.id] = std::make_shared<ItemRun>(
                     context, record, item,
@@ -80,11 +82,10 @@
             if (run != runs.end())
                 run->second->resume(failures);
         }
-        if (runs.empty()) {
-            jobs.erase(record->id);
+        if (runs.empty())
             return;
-        }
-        startRuns(Runs(runs));
+        jobs[record->id].insert(runs.begin(), runs.end());
+        startRuns(runs);
         startTimers();
     }
 
@@ -342,6 +343,21 @@
     return m_impl->jobs.count(job) != 0 || m_impl->unstoredResults.count(job) != 0;
 }
 
+bool JobExecutor::runs(const std::string &job) const
+{
+    return m_impl->jobs.count(job) != 0;
+}
+
+std::map<std::string, std::int64_t> JobExecutor::itemCounts() const
+{
+    std::map<std::string, std::int64_t> counts;
+    for (const auto &[job, runs] : m_impl->jobs)
+        counts[job] += static_cast<std::int64_t>(runs.size());
+    for (const auto &[job, items] : m_impl->unstoredResults)
+        counts[job] += static_cast<std::int64_t>(items.size());
+    return counts;
+}
+
 void JobExecutor::cancel(const std::string &job)
 {
     m_impl->cancel(job);
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -1,6 +1,7 @@
 #include "rattanrill/jobs/jobservice.h"
 
 #include "jobmonitor.h"
+#include "openjobcheck.h"
 #include "openjobreader.h"
 
 #include "rattanrill/base/concat.h"
@@ -41,6 +42,7 @@
         , executor(executor)
         , monitor(this->context, executor)
         , openJobs(std::make_shared<OpenJobReader>(this->context, executor))
+        , openJobCheck(std::make_shared<OpenJobCheck>(this->context, executor, openJobs))
     {}
 
     Failure notLeader() const
@@ -246,11 +248,14 @@
         ++leadershipGeneration;
         executor.stopAll();
         openJobs->stop();
+        openJobCheck->stop();
         const auto waiting = std::exchange(waitingReads, {});
         for (const WaitingRead &read : waiting)
             read.reply(notLeader());
-        if (isLeader)
-            openJobs->start([this] { isReady = true; });
+        if (!isLeader)
+            return;
+        openJobs->start([this] { isReady = true; });
+        openJobCheck->start();
     }
 
     void removeOldJobs()
@@ -272,6 +277,7 @@
     JobMonitor monitor;
     std::shared_ptr<const serving::DeploymentIndex> deployment;
     const std::shared_ptr<OpenJobReader> openJobs;
+    const std::shared_ptr<OpenJobCheck> openJobCheck;
     /// Whether the open jobs have been read since this replica gained leadership.
     bool isReady = false;
     /// Incremented whenever this replica gains or loses leadership.
@@ -329,6 +335,7 @@
 {
     m_impl->monitor.stop();
     m_impl->openJobs->stop();
+    m_impl->openJobCheck->stop();
     for (TimerService::TimerId *timer : {&m_impl->readTimer, &m_impl->cleanupTimer}) {
         if (*timer != 0)
             m_impl->context.loop.timers().unsubscribe(std::exchange(*timer, 0));
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -249,6 +249,17 @@
     return wire::encodeCommandResult(Outcome<wire::OpenJobs>(std::move(open)));
 }
 
+std::string JobStateMachine::evaluate(const wire::CountOpenItems &) const
+{
+    wire::OpenItemCounts counts;
+    for (const auto &[id, job] : m_jobs) {
+        if (job.isOpen())
+            counts.jobs.push_back(
+                    {id, static_cast<std::int64_t>(job.record.items.size() - job.results.size())});
+    }
+    return wire::encodeCommandResult(Outcome<wire::OpenItemCounts>(std::move(counts)));
+}
+
 std::string JobStateMachine::snapshot() const
 {
     wire::StoredJobs stored;
--- a/src/jobs/jobstatemachine.h
+++ b/src/jobs/jobstatemachine.h
@@ -50,6 +50,7 @@
     std::string evaluate(const wire::ReadJobRequest &query) const;
     std::string evaluate(const wire::ReadItemRequest &query) const;
     std::string evaluate(const wire::ListOpenJobs &query) const;
+    std::string evaluate(const wire::CountOpenItems &query) const;
 
     Result<const Job *> find(const std::string &workspace, const std::string &job) const;
     /// Adds the unfinished tokens of \a job to the waiting tokens (\a sign 1) or subtracts them
--- a/src/jobs/openjobreader.cpp
+++ b/src/jobs/openjobreader.cpp
@@ -35,6 +35,7 @@
     ++m_generation;
     m_ready = nullptr;
     m_requested.clear();
+    m_incomplete.clear();
     m_isReading = false;
     m_hasTakenOver = false;
 }
@@ -47,11 +48,17 @@
     readRequested();
 }
 
+void OpenJobReader::requestMissingItems(const std::set<std::string> &jobs)
+{
+    m_incomplete.insert(jobs.begin(), jobs.end());
+    readRequested();
+}
+
 void OpenJobReader::readRequested()
 {
     if (m_isReading || !m_hasTakenOver)
         return;
-    std::set<std::string> jobs;
+    std::set<std::string> jobs = std::exchange(m_incomplete, {});
     for (const std::string &job : std::exchange(m_requested, {})) {
         if (!m_executor.contains(job))
             jobs.insert(job);
--- a/src/jobs/openjobreader.h
+++ b/src/jobs/openjobreader.h
@@ -32,6 +32,10 @@
     void stop();
     /// Adds \a job to the executor if it is open and the executor does not run it yet.
     void request(const std::string &job);
+    /// Adds the items of \a jobs that are open and that the executor does not run yet.
+    void requestMissingItems(const std::set<std::string> &jobs);
+    /// Whether the open jobs of earlier leaders have been added to the executor.
+    bool hasTakenOver() const { return m_hasTakenOver; }
 
 private:
     /// Reads \a jobs, or all open jobs when it is empty.
@@ -51,8 +55,9 @@
     std::function<void()> m_ready;
     /// Jobs to be read once no read is pending and the takeover is complete.
     std::set<std::string> m_requested;
+    /// Jobs to be read also if the executor has items of them.
+    std::set<std::string> m_incomplete;
     bool m_isReading = false;
-    /// Whether the open jobs of earlier leaders have been added to the executor.
     bool m_hasTakenOver = false;
     /// Incremented by start() and stop(); responses and timers of an earlier generation are
     /// ignored.
--- a/tests/jobs/itemfixture.h
+++ b/tests/jobs/itemfixture.h
@@ -137,19 +137,6 @@
         setUpstreams(server, "u");
     }
 
-    /// Waits until \a condition, which is evaluated on the loop, is true.
-    template <typename Condition>
-    void await(const Condition &condition)
-    {
-        const absl::Time end = absl::Now() + absl::Seconds(10);
-        bool isTrue = false;
-        while (!isTrue && absl::Now() < end) {
-            absl::SleepFor(absl::Milliseconds(1));
-            thread.run([&] { isTrue = condition(); });
-        }
-        BOOST_REQUIRE(isTrue);
-    }
-
     wire::JobItemResult awaitResult(const std::string &job = "job")
     {
         wire::JobItemResult result;
--- a/tests/jobs/jobservice_test.cpp
+++ b/tests/jobs/jobservice_test.cpp
@@ -53,4 +53,39 @@
     thread.run([this] { BOOST_TEST(executor.openItemCount() == 0u); });
 }
 
+// Guards against an accepted job that nobody runs, because the command that accepted it did not
+// come from the leader's job service: a former leader forwarded it.
+BOOST_AUTO_TEST_CASE(jobThatAnotherStoreProposedIsRun)
+{
+    commit(wire::AcceptJob{submission("forwarded").job, 0});
+    await([this] { return executor.openItemCount() == 10u; });
+}
+
+// Guards against items of an accepted job that are left out because the executor has other items of
+// it, and against items that run twice.
+BOOST_AUTO_TEST_CASE(missingItemsOfAJobAreRun)
+{
+    wire::JobRecord job = submission("job").job;
+    commit(wire::AcceptJob{job, 0});
+    thread.run([&] {
+        job.items.resize(4);
+        executor.add(wire::OpenJob{job, {}, {}});
+        BOOST_TEST(executor.openItemCount() == 4u);
+    });
+    await([this] { return executor.openItemCount() == 10u; });
+    absl::SleepFor(absl::Seconds(2));
+    thread.run([this] { BOOST_TEST(executor.openItemCount() == 10u); });
+    BOOST_TEST(metrics.counter("rattanrill_batch_items_recovered_total") == 6u);
+}
+
+// Guards against items that run after the end of their job, because the command that ended it did
+// not come from the leader's job service.
+BOOST_AUTO_TEST_CASE(itemsOfAJobThatAnotherStoreEndedAreStopped)
+{
+    submit("job");
+    thread.run([this] { BOOST_TEST(executor.openItemCount() == 10u); });
+    commit(wire::EndJob{"w", "job"});
+    await([this] { return executor.openItemCount() == 0u; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -188,6 +188,33 @@
         return failure;
     }
 
+    /// Commits \a operation without the job service, as a store does that forwards it.
+    void commit(const wire::JobOperation &operation)
+    {
+        absl::Notification done;
+        thread.run([&] {
+            replica.propose(wire::encode(wire::JobCommand{operation}),
+                            [&](const Outcome<std::string> &outcome) {
+                                BOOST_TEST(outcome.ok());
+                                done.Notify();
+                            });
+        });
+        BOOST_REQUIRE(done.WaitForNotificationWithTimeout(absl::Seconds(20)));
+    }
+
+    /// Waits until \a condition, which is evaluated on the loop, is true.
+    template <typename Condition>
+    void await(const Condition &condition)
+    {
+        const absl::Time end = absl::Now() + absl::Seconds(10);
+        bool isTrue = false;
+        while (!isTrue && absl::Now() < end) {
+            absl::SleepFor(absl::Milliseconds(1));
+            thread.run([&] { isTrue = condition(); });
+        }
+        BOOST_REQUIRE(isTrue);
+    }
+
     /// Waits until the reads that the service has started are complete; a later read follows them.
     void awaitReads()
     {
