Jobs: Count an event of an item only with its text

Cause: the position of the stream advanced before the limit of the output was checked. Position and output now change together in acceptEvent(). Output beyond the limit is that of no sound response, so the item starts again; progress of more than 512 KiB is not stored, because all stores hold it in memory.

Failed before: ItemOutputTest/eventBeyondTheSizeLimitIsNotPartOfTheOutput, "signal: SIGABRT (application abort requested)".

--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -130,6 +130,8 @@
                                    const serving::ResponseInfo &info) const;
     void handleHead(const net::ResponseHead &head);
     void handleBody(std::string_view bytes);
+    bool acceptEvent(const serving::StreamEvent &event);
+    void appendEvent(const serving::StreamEvent &event);
     void handleCallEnd(net::CallStatus status);
     /// Ends the current attempt and requests another slot after a backoff.
     void failAttempt(std::string_view reason, policy::ReleaseReason releaseReason);
--- a/src/jobs/itemrun_output.cpp
+++ b/src/jobs/itemrun_output.cpp
@@ -15,6 +15,9 @@
 /// Maximum size of an item's output. An upstream that sends events without end would otherwise keep
 /// its slot and exhaust the memory of the process.
 constexpr std::size_t maxOutputBytes = std::size_t(4) << 20;
+/// The progress of an item with more output is not stored: all stores hold what is stored in
+/// memory, and such output is likely to be that of an upstream that does not stop.
+constexpr std::size_t maxProgressBytes = std::size_t(512) << 10;
 /// Fewer bytes of an item are not counted against the limit of the process.
 constexpr std::size_t minCountedBytes = std::size_t(32) << 10;
 
@@ -36,7 +39,7 @@
 {
     const std::int64_t last = m_position.lastId().value_or(-1);
     // The stored events are those of an earlier run, and the text of two runs must not be joined.
-    if (m_hasRestarted || last <= m_storedEvent)
+    if (m_hasRestarted || last <= m_storedEvent || m_numberedOutputLength > maxProgressBytes)
         return std::nullopt;
     wire::ItemProgress progress;
     progress.job = m_job->id;
@@ -72,29 +75,8 @@
         if (!event.hasContent())
             continue;
         hasContent = true;
-        const serving::SequenceCheck check = m_position.advance(event);
-        if (check == serving::SequenceCheck::Gap)
-            return failAttempt("an event is missing from the stream", ReleaseReason::Failed);
-        if (check == serving::SequenceCheck::Unnumbered) {
-            m_restarts = true;
-            return failAttempt("an event of the resumed stream has no id",
-                               ReleaseReason::Completed);
-        }
-        if (check == serving::SequenceCheck::Repeated)
-            continue;
-        if (m_output.size() + event.data.size() > maxOutputBytes)
-            return failAttempt("the output exceeds the size limit", ReleaseReason::Failed);
-        if (m_hasOutput)
-            m_output += '\n';
-        m_output += event.data;
-        m_hasOutput = true;
-        if (!std::exchange(m_hasProgressed, true))
-            m_context.crashGuard.recordSound(m_traits.promptParts);
-        m_consecutiveFailures = 0;
-        if (event.id) {
-            m_numberedOutputLength = m_output.size();
-            m_unstoredOutputLengths[*event.id] = m_numberedOutputLength;
-        }
+        if (!acceptEvent(event))
+            return;
     }
     if (m_splitter.isEventTooLong())
         return failAttempt("an event exceeds the size limit", ReleaseReason::Failed);
@@ -106,6 +88,49 @@
     restartIdleTimer();
 }
 
+/// Adds \a event to the output if it continues it. The position and the output change together.
+/// Returns false if the event ended the attempt.
+bool ItemRun::acceptEvent(const serving::StreamEvent &event)
+{
+    serving::StreamPosition position = m_position;
+    const serving::SequenceCheck check = position.advance(event);
+    if (check == serving::SequenceCheck::Gap) {
+        failAttempt("an event is missing from the stream", ReleaseReason::Failed);
+        return false;
+    }
+    if (check == serving::SequenceCheck::Unnumbered) {
+        m_restarts = true;
+        failAttempt("an event of the resumed stream has no id", ReleaseReason::Completed);
+        return false;
+    }
+    const bool isNew = check == serving::SequenceCheck::InOrder;
+    if (isNew && m_output.size() + event.data.size() > maxOutputBytes) {
+        // The output is not that of a sound response, so it must not be continued.
+        m_restarts = true;
+        failAttempt("the output exceeds the size limit", ReleaseReason::Failed);
+        return false;
+    }
+    m_position = position;
+    if (isNew)
+        appendEvent(event);
+    return true;
+}
+
+void ItemRun::appendEvent(const serving::StreamEvent &event)
+{
+    if (m_hasOutput)
+        m_output += '\n';
+    m_output += event.data;
+    m_hasOutput = true;
+    if (!std::exchange(m_hasProgressed, true))
+        m_context.crashGuard.recordSound(m_traits.promptParts);
+    m_consecutiveFailures = 0;
+    if (!event.id)
+        return;
+    m_numberedOutputLength = m_output.size();
+    m_unstoredOutputLengths[*event.id] = m_numberedOutputLength;
+}
+
 /// Returns false when the items of this process hold too many bytes and this item most of them.
 bool ItemRun::bufferWithinLimits()
 {
--- a/tests/jobs/itemoutput_test.cpp
+++ b/tests/jobs/itemoutput_test.cpp
@@ -305,4 +305,25 @@
     });
 }
 
+// Guards against a store that ends by an exception, or stores progress whose text is missing,
+// because an event that exceeded the limit of the output counted as received.
+BOOST_AUTO_TEST_CASE(eventBeyondTheSizeLimitIsNotPartOfTheOutput)
+{
+    const auto largeEvent = [](int id) {
+        return chunk("id: " + std::to_string(id) + "\ndata: " + std::string(400'000, 'z') + "\n\n");
+    };
+    net::ScriptedAnswer endless{chunkedHead, net::ConnectionEnd::KeptOpen};
+    for (int id = 1; id <= 10; ++id)
+        endless.bytes += largeEvent(id);
+    // The events before it are stored by then.
+    endless.late = largeEvent(11);
+    endless.lateDelay = absl::Milliseconds(1200);
+    net::ScriptedServer server(
+            {endless, {chunkedHead, net::ConnectionEnd::KeptOpen}, {wholeStream()}});
+    const wire::JobItemResult result = runItem(server, "job");
+    BOOST_TEST((result.outcome == wire::ItemOutcome::Completed));
+    BOOST_TEST(result.output == "d1\nd2\nd3\nd4");
+    BOOST_TEST(server.requests().back().text.find("After: ") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
