--- a/src/replication/raftcore.cpp
+++ b/src/replication/raftcore.cpp
@@ -173,9 +173,10 @@
     if (meta.index <= m_snapshot.index)
         return;
     m_snapshot = meta;
-    const std::uint64_t retained = std::min(m_options.retainedEntries, meta.index);
-    if (meta.index - retained > m_log.baseIndex())
-        m_log.compact(meta.index - retained);
+    const std::uint64_t firstRetained =
+            m_log.firstIndexWithin(meta.index, m_options.retainedEntries, m_options.retainedBytes);
+    if (firstRetained > m_log.firstIndex())
+        m_log.compact(firstRetained - 1);
     // Storage keeps only the latest snapshot, so transfers of the previous one must restart.
     for (auto &[id, progress] : m_progress) {
         if (progress.mode == ProgressMode::Snapshot) {
--- a/src/replication/raftcore.h
+++ b/src/replication/raftcore.h
@@ -38,9 +38,10 @@
     /// A leader refuses proposals while more than this many bytes are not committed.
     std::uint64_t maxUncommittedBytes = 64u << 20;
     std::uint64_t snapshotChunkBytes = 512u << 10;
-    /// Number of entries before a snapshot that are kept, so that replicas that lag only slightly
-    /// need no snapshot.
+    /// Entries before a snapshot that are kept, so that replicas that lag only slightly need no
+    /// snapshot: at most this number and this many bytes.
     std::uint64_t retainedEntries = 4096;
+    std::uint64_t retainedBytes = 16u << 20;
     /// Seed of the random numbers, such as election timeouts.
     std::uint64_t seed = 0;
     DisabledSafeguards disabled;
--- a/src/replication/raftlog.cpp
+++ b/src/replication/raftlog.cpp
@@ -51,6 +51,20 @@
     return index;
 }
 
+std::uint64_t RaftLog::firstIndexWithin(std::uint64_t last, std::uint64_t maxEntries,
+                                        std::uint64_t maxBytes) const
+{
+    std::uint64_t first = last + 1;
+    std::uint64_t bytes = 0;
+    while (first > firstIndex() && last + 1 - first < maxEntries) {
+        bytes += sizeOf(at(first - 1));
+        if (bytes > maxBytes)
+            break;
+        --first;
+    }
+    return first;
+}
+
 void RaftLog::append(Entry entry)
 {
     recordMembership(entry);
--- a/src/replication/raftlog.h
+++ b/src/replication/raftlog.h
@@ -31,6 +31,11 @@
     /// Returns the largest index up to \a index whose term is at most \a term.
     std::uint64_t lastIndexWithTermAtMost(std::uint64_t index, std::uint64_t term) const;
 
+    /// Returns the first of the last entries up to \a last that are at most \a maxEntries and
+    /// together at most \a maxBytes; last + 1 if there is none.
+    std::uint64_t firstIndexWithin(std::uint64_t last, std::uint64_t maxEntries,
+                                   std::uint64_t maxBytes) const;
+
     /// Requires entry.index == lastIndex() + 1.
     void append(Entry entry);
     /// Removes the entry at \a index and all later ones.
