Jobs: Free the requests of items that are not sent any more

Bodies and headers of items with a result, and of ended jobs, stayed in the memory of all stores until the job was removed. A body is promised for items without a result of jobs that are not ended.

--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -1,6 +1,7 @@
 #include "jobstatemachine.h"
 
 #include "rattanrill/base/concat.h"
+#include "rattanrill/base/freememory.h"
 #include "rattanrill/jobs/statemachine.h"
 #include "rattanrill/wire/codec.h"
 
@@ -80,9 +81,21 @@
         job.serverErrors.erase(result.id);
     }
     addWaitingTokens(job, 1);
+    freeRequests(job);
     return wire::JobCommandResult();
 }
 
+/// Frees the bodies and headers of the items that are not sent any more.
+void JobStateMachine::freeRequests(Job &job)
+{
+    for (wire::JobItem &item : job.record.items) {
+        if (!job.isOpenItem(item.id)) {
+            freeMemory(item.body);
+            decltype(item.headers)().swap(item.headers);
+        }
+    }
+}
+
 Result<wire::JobCommandResult> JobStateMachine::perform(const wire::AppendProgress &operation)
 {
     for (const wire::ItemProgress &progress : operation.items) {
@@ -126,6 +139,7 @@
     job.ended = true;
     job.progress.clear();
     job.serverErrors.clear();
+    freeRequests(job);
     return wire::JobCommandResult();
 }
 
@@ -219,8 +233,13 @@
     return wire::encodeCommandResult(outcomeOf([&]() -> Result<wire::ReadItemResponse> {
         BOOST_LEAF_AUTO(job, find(query.workspace, query.job));
         for (const wire::JobItem &item : job->record.items) {
-            if (item.id == query.item)
-                return wire::ReadItemResponse{item.body};
+            if (item.id != query.item)
+                continue;
+            if (!job->isOpenItem(item.id))
+                return fail(notRun(
+                        ErrorCode::NotFound,
+                        concat("item \"", query.item, "\" has a result, or its job was ended")));
+            return wire::ReadItemResponse{item.body};
         }
         return fail(notRun(ErrorCode::NotFound,
                            concat("job \"", query.job, "\" has no item \"", query.item, "\"")));
@@ -294,6 +313,8 @@
     for (const wire::JobItemResult &result : job.results)
         job.finished.insert(result.id);
     addWaitingTokens(job, 1);
+    // A snapshot of an earlier version contains them.
+    freeRequests(job);
     m_jobs.emplace(job.record.id, std::move(job));
 }
 
--- a/src/jobs/jobstatemachine.h
+++ b/src/jobs/jobstatemachine.h
@@ -25,6 +25,7 @@
 private:
     struct Job
     {
+        /// Without the bodies and headers of items that are not sent any more.
         wire::JobRecord record;
         std::vector<wire::JobItemResult> results;
         /// Ids of the items that have a result.
@@ -36,6 +37,10 @@
         bool ended = false;
 
         bool isOpen() const { return !ended && results.size() < record.items.size(); }
+        bool isOpenItem(const std::string &item) const
+        {
+            return !ended && finished.count(item) == 0;
+        }
     };
 
     /// Names of a workspace and of a route.
@@ -57,6 +62,7 @@
     /// Adds the unfinished tokens of \a job to the waiting tokens (\a sign 1) or subtracts them
     /// (\a sign -1), unless the job is ended.
     void addWaitingTokens(const Job &job, int sign);
+    static void freeRequests(Job &job);
     void recordFailures(const wire::ItemFailures &failures);
     static std::vector<wire::ItemProgress> progressOf(const Job &job);
     static std::vector<wire::ItemFailures> failuresOf(const Job &job);
--- a/tests/jobs/statemachine_test.cpp
+++ b/tests/jobs/statemachine_test.cpp
@@ -55,6 +55,12 @@
                 machine->query(wire::encode(wire::JobQuery{request})));
     }
 
+    Outcome<wire::ReadItemResponse> readItem(const std::string &id, const std::string &item)
+    {
+        return decodeResponse<wire::ReadItemResponse>(
+                machine->query(wire::encode(wire::JobQuery{wire::ReadItemRequest{"w", id, item}})));
+    }
+
     wire::OpenJobs listOpenJobs()
     {
         return decodeResponse<wire::OpenJobs>(
@@ -319,4 +325,24 @@
     }
 }
 
+// Guards against stores whose memory is exceeded by the requests of items that are never sent
+// again.
+BOOST_AUTO_TEST_CASE(requestsOfClosedItemsAreFreed)
+{
+    wire::JobRecord large = job("j", 2);
+    for (wire::JobItem &item : large.items)
+        item.body = std::string(100'000, 'b');
+    perform(wire::AcceptJob{large, 0});
+    const std::size_t openBytes = machine->snapshot().size();
+    finish("j", "i0", "text");
+    BOOST_TEST(machine->snapshot().size() < openBytes - 90'000);
+    BOOST_TEST(!readItem("j", "i0").ok());
+    BOOST_TEST(readItem("j", "i1").value().body.size() == 100'000u);
+    BOOST_TEST(listOpenJobs().jobs.front().job.items[1].body.size() == 100'000u);
+    perform(wire::EndJob{"w", "j"});
+    BOOST_TEST(machine->snapshot().size() < 10'000u);
+    BOOST_TEST(!readItem("j", "i1").ok());
+    BOOST_TEST(read("j").value().results.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
