Stores: Make the retention of jobs a setting

Jobs that have ended were kept for 10 minutes, while the platform states for how long results must be readable (120 s): memory grew with all that was accepted in 10 minutes. jobRetentionSeconds (600 by default) is passed from the platform's bounds; jobs are removed 10 s later, for clocks that differ, and looked for every 10 s instead of 30 s.

--- a/include/rattanrill/gateway/processsettings.h
+++ b/include/rattanrill/gateway/processsettings.h
@@ -43,6 +43,8 @@
     double rateToleranceRequests = 0;
     /// Number of machines with a disk that may be lost at the same time.
     int toleratedFailures = 1;
+    /// Time from its acceptance for which the results of a job can be read, even if it has ended.
+    absl::Duration jobRetention = absl::Minutes(10);
     /// Memory that the process may use, in bytes.
     std::size_t memoryBytes = std::size_t(256) << 20;
 
--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -41,6 +41,8 @@
     std::function<absl::Duration()> upstreamListAge = [] { return absl::InfiniteDuration(); };
     /// Bytes of outputs that all items of the process hold together.
     std::shared_ptr<serving::BufferBudget> buffers = std::make_shared<serving::BufferBudget>();
+    /// Time from its acceptance for which a job is kept, even if it has ended.
+    absl::Duration jobRetention = absl::Minutes(10);
 };
 
 /// Numbers of items without a result, by what they do.
--- a/src/gateway/processsettings.cpp
+++ b/src/gateway/processsettings.cpp
@@ -28,6 +28,7 @@
     "graceSeconds": {"type": "number", "exclusiveMinimum": 0},
     "lossTolerance": {"type": "integer", "minimum": 0},
     "memoryMegabytes": {"type": "number", "minimum": 16},
+    "jobRetentionSeconds": {"type": "number", "exclusiveMinimum": 0},
     "rateWindowSeconds": {"type": "number", "exclusiveMinimum": 0},
     "rateOver": {"type": "number", "minimum": 0},
     "rateSlack": {"type": "number", "minimum": 0},
@@ -96,6 +97,7 @@
     result.toleratedFailures = settings.value("lossTolerance", 1);
     result.memoryBytes =
             static_cast<std::size_t>(settings.value("memoryMegabytes", 256.0) * bytesPerMegabyte);
+    result.jobRetention = absl::Seconds(settings.value("jobRetentionSeconds", 600.0));
     BOOST_LEAF_CHECK(checkAddress("callerAddress", result.callerAddress));
     BOOST_LEAF_CHECK(checkAddress("readinessAddress", result.readinessAddress));
     BOOST_LEAF_CHECK(checkAddress("operatorAddress", result.operatorAddress));
--- a/src/gateway/storeprocess.cpp
+++ b/src/gateway/storeprocess.cpp
@@ -156,7 +156,8 @@
                                                m_settings.instance,
                                                m_settings.failureDomain,
                                                [this] { return m_upstreamList.age(); },
-                                               buffers};
+                                               buffers,
+                                               m_settings.jobRetention};
         m_jobExecutor = std::make_unique<jobs::JobExecutor>(context);
         m_jobService = std::make_unique<jobs::JobService>(context, *m_jobExecutor);
         m_replica->setCandidateSource([this] { return candidates(); });
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -19,10 +19,11 @@
 
 /// Maximum time for which a read waits for a result, whatever the client requests.
 constexpr absl::Duration maxReadWait = absl::Seconds(2);
-/// Finished and cancelled jobs are removed this long after they were accepted.
-constexpr absl::Duration retentionPeriod = absl::Minutes(10);
+/// Finished and cancelled jobs are kept for this long beyond their retention: the clock of the
+/// store that accepted them may be behind.
+constexpr absl::Duration retentionMargin = absl::Seconds(10);
 /// Interval at which old jobs are removed.
-constexpr absl::Duration cleanupPeriod = absl::Seconds(30);
+constexpr absl::Duration cleanupPeriod = absl::Seconds(10);
 
 } // namespace
 
@@ -262,8 +263,8 @@
     {
         if (!isReady || !context.replica.isLeader())
             return;
-        const wire::PurgeJobs operation{
-                absl::ToUnixMillis(context.clock.wallNow() - retentionPeriod)};
+        const wire::PurgeJobs operation{absl::ToUnixMillis(
+                context.clock.wallNow() - context.jobRetention - retentionMargin)};
         context.replica.propose(wire::encode(wire::JobCommand{operation}),
                                 [](const Outcome<std::string> &outcome) {
                                     if (!outcome.ok())
