Jobs: Withdraw the request of an item that is held

hold() withdraws the request, and a new backoff replaces a pending one.

Failed before: ItemRunTest/itemThatIsHeldWhenItsRouteChangesRequestsNoSlot, 'broker.scheduler().waiting("llm", Batch) == 0u has failed [1 != 0]'.

--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -484,6 +484,8 @@
 
 void ItemRun::hold()
 {
+    // The item may have requested a slot before it was blocked.
+    m_context.broker.cancelBatch(taskId(*m_job, m_item));
     if (!isHeld()) {
         m_heldSince = m_context.clock.now();
         log(LogLevel::Warning, "item-held",
@@ -516,6 +518,7 @@
 void ItemRun::retryAfter(absl::Duration delay)
 {
     m_state = State::BackingOff;
+    cancelTimer(m_backoffTimer);
     m_backoffTimer = m_context.loop.timers().subscribeOnce(delay, [self = shared_from_this()] {
         self->m_backoffTimer = 0;
         if (self->m_state == State::BackingOff)
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -404,6 +404,30 @@
     BOOST_TEST(server.requests() == 1);
 }
 
+// Guards against an item that is held and still has a request for a slot, because its route changed
+// while it waited and was blocked.
+BOOST_AUTO_TEST_CASE(itemThatIsHeldWhenItsRouteChangesRequestsNoSlot)
+{
+    net::EndlessServer server({crash, success});
+    thread.run([this] {
+        crashGuard.setBlocks(1, {}, {});
+        onCrashReport = [this] { broker.setUpstreams({}, serving::CapacityShare()); };
+    });
+    start(server);
+    await([this] { return !crashReports.empty(); });
+    await([this] { return executor.openItemCounts().waiting == 1; });
+    thread.run([this] {
+        onCrashReport = [] {};
+        const auto &traits = crashReports.front().crashes.front().promptParts;
+        crashGuard.setBlocks(1, {{traits}}, traits);
+    });
+    setRoute({{"llm-new", 1}});
+    thread.run([this] {
+        BOOST_TEST(executor.openItemCounts().waiting == 0);
+        BOOST_TEST(broker.scheduler().waiting("llm", policy::TaskKind::Batch) == 0u);
+    });
+}
+
 // Guards against an item that has output and waits for upstreams of the version that wrote it for
 // as long as they are listed, although none of them can be reached.
 BOOST_AUTO_TEST_CASE(itemStartsAgainWhenItsVersionCannotBeReached)
