Jobs: Keep an item at a version whose upstreams are only busy

After 10 s without an event an item gave up the version that wrote its output, also when the upstreams of that version were sound and their slots were taken: in a long surge beside a release, long items would start again and again. The version is now given up only if none of its upstreams is usable for this store, and a service likewise.

ItemRunTest/itemWaitsForABusyUpstreamOfItsVersion and itemStartsAgainWhenItsVersionCannotBeReached pass.

--- a/include/rattanrill/policy/slotscheduler.h
+++ b/include/rattanrill/policy/slotscheduler.h
@@ -293,8 +293,10 @@
     std::size_t running(const std::string &service, TaskKind kind) const;
     /// Number of slots of all upstreams of a service that accept new tasks, for all senders.
     std::int64_t slotCount(const std::string &service) const;
-    /// Whether an upstream of the service accepts new tasks and is not ejected for all senders.
-    bool hasUsableUpstream(absl::Time now, const std::string &service) const;
+    /// Whether an upstream of the service, and of \a version if it is present, accepts new tasks
+    /// and is not ejected for \a sender. All its slots may be taken.
+    bool hasUsableUpstream(absl::Time now, const std::string &service, const std::string &sender,
+                           const std::optional<std::string> &version) const;
     /// Number of listed upstreams that get no tasks of any sender because of failures or server
     /// errors. Leaving ones are not counted.
     std::size_t ejectedUpstreamCount(absl::Time now) const;
--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -32,7 +32,7 @@
 constexpr absl::Duration maxForwardedTime = absl::Minutes(1);
 
 /// Time without progress after which an item no longer waits for the version that wrote its output,
-/// or at a service none of whose upstreams is usable: they may be listed and still be unreachable.
+/// or at a service, if no upstream there is usable: they may be listed and still be unreachable.
 /// Long against the ejection of an upstream that fails for a moment.
 constexpr absl::Duration maxStall = absl::Seconds(10);
 
@@ -123,31 +123,46 @@
     return m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
 }
 
-bool ItemRun::hasWaitedTooLong() const
+bool ItemRun::isStalled() const
 {
     return stalledFor() >= maxStall;
 }
 
+std::string ItemRun::requestSender() const
+{
+    return m_context.upstreams.isCutOff() ? std::string() : m_context.instance;
+}
+
 /// Selects a service of the route by weight, among those that have upstreams for the item.
 std::string ItemRun::chooseService() const
 {
     const policy::SlotScheduler &scheduler = m_context.broker.scheduler();
     return serving::selectService(*route(), m_item.id, [&](const std::string &service) {
-        return hasWaitedTooLong() ? scheduler.hasUsableUpstream(m_context.clock.now(), service)
-                                  : scheduler.slotCount(service) > 0;
+        return isStalled() ? scheduler.hasUsableUpstream(m_context.clock.now(), service,
+                                                         requestSender(), std::nullopt)
+                           : scheduler.slotCount(service) > 0;
     });
 }
 
+/// Whether the item waits for an upstream of the version that wrote its output.
+bool ItemRun::needsVersion(const std::string &service) const
+{
+    if (!m_position.lastId() || m_restarts)
+        return false;
+    return !isStalled()
+           || m_context.broker.scheduler().hasUsableUpstream(m_context.clock.now(), service,
+                                                             requestSender(), m_outputVersion);
+}
+
 ItemRun::SlotNeeds ItemRun::slotNeeds() const
 {
-    const serving::Route &current = *route();
     SlotNeeds needs;
     needs.service = chooseService();
-    needs.sender = m_context.upstreams.isCutOff() ? std::string() : m_context.instance;
-    if (m_position.lastId() && !m_restarts && !hasWaitedTooLong())
+    needs.sender = requestSender();
+    if (needsVersion(needs.service))
         needs.version = m_outputVersion;
-    needs.priority = current.priority;
-    needs.completionObjective = current.completionObjective;
+    needs.priority = route()->priority;
+    needs.completionObjective = route()->completionObjective;
     return needs;
 }
 
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -72,8 +72,7 @@
     struct SlotNeeds
     {
         std::string service;
-        /// Empty while this process is cut off from the upstreams: the links of the entry that
-        /// forwards the call matter then, which is chosen with the grant.
+        /// See requestSender().
         std::string sender;
         /// Version that can continue the output; absent when any version can run the item.
         std::optional<std::string> version;
@@ -97,11 +96,17 @@
     void updateAbandonTimer();
     /// Whether the item has gone without progress for so long that it no longer waits for upstreams
     /// that may be unreachable.
-    bool hasWaitedTooLong() const;
+    bool isStalled() const;
+    bool needsVersion(const std::string &service) const;
+    /// The process whose links to the upstreams matter for a slot. Empty while this one is cut off
+    /// from them: the links of the entry that forwards the call matter then, which is chosen with
+    /// the grant.
+    std::string requestSender() const;
     /// Time since the job was accepted.
     absl::Duration age() const;
     ItemWait waitsFor() const;
-    /// Requests a slot, once all failed attempts are stored.
+    /// Requests a slot, once all failed attempts are stored. Replaces an earlier request if the
+    /// item waits for a slot already.
     void acquireSlot();
     /// Reason for which the item must not be sent again; empty if it may be.
     std::string_view giveUpReason() const;
--- a/src/policy/slotscheduler.cpp
+++ b/src/policy/slotscheduler.cpp
@@ -595,14 +595,17 @@
     return slots;
 }
 
-bool SlotScheduler::hasUsableUpstream(absl::Time now, const std::string &service) const
+bool SlotScheduler::hasUsableUpstream(absl::Time now, const std::string &service,
+                                      const std::string &sender,
+                                      const std::optional<std::string> &version) const
 {
     const auto found = m_services.find(service);
     if (found == m_services.end())
         return false;
     const auto &upstreams = found->second.upstreams;
-    return std::any_of(upstreams.begin(), upstreams.end(), [now](const Upstream *upstream) {
-        return !upstream->info.leaving && !upstream->health.isEjected(now);
+    return std::any_of(upstreams.begin(), upstreams.end(), [&](const Upstream *upstream) {
+        return !upstream->info.leaving && (!version || upstream->info.version == *version)
+               && upstream->health.trafficShare(now, sender) > 0;
     });
 }
 
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -456,6 +456,37 @@
     BOOST_TEST(other.requests() == 1);
 }
 
+// Guards against an item that discards its output although upstreams of its version are only busy.
+BOOST_AUTO_TEST_CASE(itemWaitsForABusyUpstreamOfItsVersion)
+{
+    net::ScriptedServer busy({{chunkedHead + chunk(numberedEvent(1)) + chunk(numberedEvent(2)),
+                               net::ConnectionEnd::Closed},
+                              {chunkedHead + chunk(numberedEvent(3)) + chunk(numberedEvent(4))
+                               + serving::lastChunk}});
+    net::EndlessServer other({{wholeStream(), ""}});
+    const wire::FleetUpstream ownVersion = {"u0", "llm", busy.address(), "d", 1, false, "v1"};
+    const wire::FleetUpstream otherVersion = {"n0", "llm", other.address(), "d", 1, false, "v2"};
+    thread.run([&] { broker.setUpstreams({ownVersion}, serving::CapacityShare()); });
+    wire::SubmitJobRequest request = submission("job");
+    request.job.items.resize(1);
+    request.job.items.front().id = "a";
+    submit(request);
+    await([&] { return executor.openItemCounts().backingOff == 1; });
+    thread.run([&] {
+        policy::SlotTask task;
+        task.id = "held";
+        task.service = "llm";
+        task.kind = policy::TaskKind::Batch;
+        broker.acquireBatch(task, {[](const auto &) {}, [] {}});
+        broker.setUpstreams({ownVersion, otherVersion}, serving::CapacityShare());
+    });
+    absl::SleepFor(absl::Seconds(12));
+    BOOST_TEST(other.requests() == 0);
+    thread.run([&] { broker.releaseBatch("held", policy::ReleaseReason::Completed); });
+    BOOST_TEST(awaitResult().output == "d1\nd2\nd3\nd4");
+    BOOST_TEST(other.requests() == 0);
+}
+
 // Guards against an item that is dead-lettered by a time limit that its route no longer has.
 BOOST_AUTO_TEST_CASE(itemFollowsTheTimeLimitOfItsRoute)
 {
