Jobs: Run a job with the id of one that was cancelled and removed

The executor refused the id of each cancelled job until the leadership changed. Found by the review.

A job that has just been accepted is added whatever was cancelled before. A result of a job that was removed is no longer proposed again every 200 ms. rattanrill_batch_items_recovered_total counts items when they are added.

Failed before: JobServiceTest/jobWithTheIdOfAPurgedJobIsRun, 'critical check isTrue has failed' after 12 s.

--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -106,9 +106,11 @@
     void setDeployment(std::shared_ptr<const serving::DeploymentIndex> deployment);
     /// Sets the listener that is called with the id of a job after a result of the job was stored.
     void onResultStored(std::function<void(const std::string &job)> listener);
-    /// Adds the items of an accepted job that are not contained yet. Items with a result are left
-    /// out.
-    void add(const wire::OpenJob &job);
+    /// Adds the items of an accepted job that are not contained yet, except those with a result and
+    /// those of a job that was cancelled under this leadership. Returns their number.
+    std::int64_t add(const wire::OpenJob &job);
+    /// Adds a job that has just been accepted, also if an earlier one with its id was cancelled.
+    void addAccepted(const wire::JobRecord &job);
     /// Whether the executor has items of \a job that have not ended, or results of it that are not
     /// stored yet.
     bool contains(const std::string &job) const;
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -50,10 +50,10 @@
         : context(context)
     {}
 
-    void add(const wire::OpenJob &openJob)
+    std::int64_t add(const wire::OpenJob &openJob)
     {
         if (cancelledJobs.count(openJob.job.id) != 0)
-            return;
+            return 0;
         const auto record = std::make_shared<const wire::JobRecord>(openJob.job);
         const auto existing = jobs.find(record->id);
         Runs runs;
@@ -83,10 +83,11 @@
                 run->second->resume(failures);
         }
         if (runs.empty())
-            return;
+            return 0;
         jobs[record->id].insert(runs.begin(), runs.end());
         startRuns(runs);
         startTimers();
+        return static_cast<std::int64_t>(runs.size());
     }
 
     /// Returns true for an item whose result is stored or is about to be stored.
@@ -237,7 +238,8 @@
                                                  const Outcome<std::string> &outcome) {
             if (expectedGeneration != self->leadershipGeneration)
                 return;
-            if (outcome.ok())
+            // A job that was removed has no open items, and needs nothing more.
+            if (outcome.ok() || outcome.failure().code == ErrorCode::NotFound)
                 return stored();
             log(LogLevel::Warning, event,
                 {{"code", name(outcome.failure().code)}, {"detail", outcome.failure().detail}});
@@ -333,9 +335,15 @@
     m_impl->resultStoredListener = std::move(listener);
 }
 
-void JobExecutor::add(const wire::OpenJob &job)
+std::int64_t JobExecutor::add(const wire::OpenJob &job)
+{
+    return m_impl->add(job);
+}
+
+void JobExecutor::addAccepted(const wire::JobRecord &job)
 {
-    m_impl->add(job);
+    m_impl->cancelledJobs.erase(job.id);
+    m_impl->add(wire::OpenJob{job, {}, {}});
 }
 
 bool JobExecutor::contains(const std::string &job) const
--- a/src/jobs/jobservice.cpp
+++ b/src/jobs/jobservice.cpp
@@ -128,7 +128,7 @@
                     ErrorCode::RateLimited,
                     "the job would exceed the workspace's limit of waiting tokens on this route"));
         if (isStillLeader && result.value().isNew)
-            executor.add(wire::OpenJob{job, {}, {}});
+            executor.addAccepted(job);
         else if (isStillLeader)
             openJobs->request(job.id);
         reply(std::string());
--- a/src/jobs/openjobcheck.cpp
+++ b/src/jobs/openjobcheck.cpp
@@ -51,31 +51,32 @@
     m_context.replica.readOnLeader(
             wire::encode(wire::JobQuery{wire::CountOpenItems()}),
             [self = shared_from_this(), generation = m_generation,
-             former = m_executor.itemCounts()](const Outcome<std::string> &outcome) {
+             countsBefore = m_executor.itemCounts()](const Outcome<std::string> &outcome) {
                 if (generation != self->m_generation)
                     return;
                 self->m_isPending = false;
                 const auto open = wire::decodeOutcome<wire::OpenItemCounts>(outcome);
                 if (open.ok())
-                    self->compare(former, open.value());
+                    self->compare(countsBefore, open.value());
             });
 }
 
-void OpenJobCheck::compare(const ItemCounts &former, const wire::OpenItemCounts &open)
+void OpenJobCheck::compare(const ItemCounts &countsBefore, const wire::OpenItemCounts &open)
 {
-    addMissing(former, open);
-    stopClosed(former, open);
+    addMissing(countsBefore, open);
+    stopClosed(countsBefore, open);
 }
 
 /// The executor lacks items of a job only if it had too few both before and after the query:
 /// results are stored, and jobs are accepted, in between.
-void OpenJobCheck::addMissing(const ItemCounts &former, const wire::OpenItemCounts &open)
+void OpenJobCheck::addMissing(const ItemCounts &countsBefore, const wire::OpenItemCounts &open)
 {
-    const ItemCounts current = m_executor.itemCounts();
+    const ItemCounts countsAfter = m_executor.itemCounts();
     std::set<std::string> jobs;
     std::int64_t missing = 0;
     for (const wire::OpenItemCount &job : open.jobs) {
-        const std::int64_t known = std::max(countOf(former, job.job), countOf(current, job.job));
+        const std::int64_t known =
+                std::max(countOf(countsBefore, job.job), countOf(countsAfter, job.job));
         if (known >= job.items)
             continue;
         jobs.insert(job.job);
@@ -89,19 +90,17 @@
          {"job", *jobs.begin()},
          {"term", m_context.replica.status().term},
          {"instance", m_context.instance}});
-    m_context.metrics.count("rattanrill_batch_items_recovered_total", {},
-                            static_cast<std::uint64_t>(missing));
     m_reader->requestMissingItems(jobs);
 }
 
 /// A job that the executor had when the query was sent is in the group's state then, so it is no
 /// longer open if the response lacks it.
-void OpenJobCheck::stopClosed(const ItemCounts &former, const wire::OpenItemCounts &open)
+void OpenJobCheck::stopClosed(const ItemCounts &countsBefore, const wire::OpenItemCounts &open)
 {
     std::set<std::string> openJobs;
     for (const wire::OpenItemCount &job : open.jobs)
         openJobs.insert(job.job);
-    for (const auto &[job, items] : former) {
+    for (const auto &[job, items] : countsBefore) {
         if (openJobs.count(job) != 0 || !m_executor.runs(job))
             continue;
         log(LogLevel::Warning, "closed-job-stopped",
--- a/src/jobs/openjobcheck.h
+++ b/src/jobs/openjobcheck.h
@@ -29,10 +29,10 @@
     using ItemCounts = std::map<std::string, std::int64_t>;
 
     void check();
-    /// \a former: the items of the executor when the query was sent.
-    void compare(const ItemCounts &former, const wire::OpenItemCounts &open);
-    void addMissing(const ItemCounts &former, const wire::OpenItemCounts &open);
-    void stopClosed(const ItemCounts &former, const wire::OpenItemCounts &open);
+    /// \a countsBefore: the items of the executor when the query was sent.
+    void compare(const ItemCounts &countsBefore, const wire::OpenItemCounts &open);
+    void addMissing(const ItemCounts &countsBefore, const wire::OpenItemCounts &open);
+    void stopClosed(const ItemCounts &countsBefore, const wire::OpenItemCounts &open);
 
     /// A copy, because a pending query keeps this object alive longer than its owner.
     const JobExecutorContext m_context;
--- a/src/jobs/openjobreader.cpp
+++ b/src/jobs/openjobreader.cpp
@@ -91,7 +91,9 @@
     m_isReading = false;
     if (jobs.empty())
         return takeOver(std::move(open.value()));
-    addToExecutor(open.value());
+    const std::int64_t added = addToExecutor(open.value());
+    m_context.metrics.count("rattanrill_batch_items_recovered_total", {},
+                            static_cast<std::uint64_t>(added));
     readRequested();
 }
 
@@ -110,10 +112,12 @@
         m_ready();
 }
 
-void OpenJobReader::addToExecutor(const wire::OpenJobs &open)
+std::int64_t OpenJobReader::addToExecutor(const wire::OpenJobs &open)
 {
+    std::int64_t added = 0;
     for (const wire::OpenJob &job : open.jobs)
-        m_executor.add(job);
+        added += m_executor.add(job);
+    return added;
 }
 
 void OpenJobReader::logRead(absl::Time startedAt, const std::set<std::string> &jobs,
--- a/src/jobs/openjobreader.h
+++ b/src/jobs/openjobreader.h
@@ -43,7 +43,8 @@
     void readRequested();
     void handleResponse(const std::set<std::string> &jobs, const Outcome<std::string> &outcome);
     void takeOver(wire::OpenJobs open);
-    void addToExecutor(const wire::OpenJobs &open);
+    /// Returns the number of items that the executor did not have.
+    std::int64_t addToExecutor(const wire::OpenJobs &open);
     void logRead(absl::Time startedAt, const std::set<std::string> &jobs,
                  const Outcome<std::string> &outcome) const;
     /// Runs \a task after \a delay, unless leadership has changed by then.
--- a/tests/jobs/jobservice_test.cpp
+++ b/tests/jobs/jobservice_test.cpp
@@ -78,6 +78,20 @@
     BOOST_TEST(metrics.counter("rattanrill_batch_items_recovered_total") == 6u);
 }
 
+// Guards against an accepted job that nobody runs, because a job with the same id was ended and
+// purged under the same leadership.
+BOOST_AUTO_TEST_CASE(jobWithTheIdOfAPurgedJobIsRun)
+{
+    submit("job");
+    commit(wire::EndJob{"w", "job"});
+    await([this] { return executor.openItemCount() == 0u; });
+    commit(wire::PurgeJobs{absl::ToUnixMillis(absl::Now() + absl::Minutes(1))});
+    submit("other");
+    await([this] { return executor.openItemCount() == 10u; });
+    submit("job");
+    await([this] { return executor.openItemCount() == 20u; });
+}
+
 // Guards against items that run after the end of their job, because the command that ended it did
 // not come from the leader's job service.
 BOOST_AUTO_TEST_CASE(itemsOfAJobThatAnotherStoreEndedAreStopped)
