--- a/tests/policy/slotschedulerrandom_test.cpp
+++ b/tests/policy/slotschedulerrandom_test.cpp
@@ -165,10 +165,10 @@
         return tasks;
     }
 
-    void release(const std::string &task, ReleaseReason reason, const std::string &observer)
+    void release(std::string task, ReleaseReason reason, const std::string &observer)
     {
-        m_running.erase(task);
         m_scheduler.release(m_now, task, reason, observer);
+        m_running.erase(task);
     }
 
     void releaseOne()
