--- a/include/rattanrill/jobs/jobexecutor.h
+++ b/include/rattanrill/jobs/jobexecutor.h
@@ -14,6 +14,7 @@
 
 #include "absl/time/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -91,6 +92,14 @@
     std::string sender;
 };
 
+/// The open items without progress.
+struct StalledItems
+{
+    std::int64_t count = 0;
+    /// Those that have been without progress for the longest time.
+    std::vector<StalledItem> longest;
+};
+
 /// Runs the items of open jobs on the leader of the store group. An item whose slot is preempted
 /// resumes after its last event when it is granted another slot. Used on the event loop only.
 class JobExecutor
@@ -125,8 +134,8 @@
     /// Number of items that have not ended yet.
     std::size_t openItemCount() const;
     OpenItemCounts openItemCounts() const;
-    /// Items without progress for at least \a minStall, the longest ones first.
-    std::vector<StalledItem> stalledItems(absl::Duration minStall) const;
+    /// Items without progress for at least \a minStall. Describes at most \a maxDescribed of them.
+    StalledItems stalledItems(absl::Duration minStall, std::size_t maxDescribed) const;
 
 private:
     struct Impl;
--- a/src/jobs/jobexecutor.cpp
+++ b/src/jobs/jobexecutor.cpp
@@ -401,20 +401,26 @@
     return counts;
 }
 
-std::vector<StalledItem> JobExecutor::stalledItems(absl::Duration minStall) const
+StalledItems JobExecutor::stalledItems(absl::Duration minStall, std::size_t maxDescribed) const
 {
-    std::vector<StalledItem> stalled;
+    std::vector<std::pair<absl::Duration, const ItemRun *>> stalled;
     for (const auto &[job, runs] : m_impl->jobs) {
         for (const auto &[item, run] : runs) {
-            if (run->stalledFor() >= minStall)
-                stalled.push_back(run->stall());
+            const absl::Duration stalledFor = run->stalledFor();
+            if (stalledFor >= minStall)
+                stalled.emplace_back(stalledFor, run.get());
         }
     }
-    std::sort(stalled.begin(), stalled.end(),
-              [](const StalledItem &left, const StalledItem &right) {
-                  return left.stalledFor > right.stalledFor;
-              });
-    return stalled;
+    // Thousands of items wait when a surge exceeds the slots.
+    const auto end =
+            stalled.begin() + static_cast<std::ptrdiff_t>(std::min(maxDescribed, stalled.size()));
+    std::partial_sort(stalled.begin(), end, stalled.end(),
+                      [](const auto &left, const auto &right) { return left.first > right.first; });
+    StalledItems result;
+    result.count = static_cast<std::int64_t>(stalled.size());
+    for (auto item = stalled.begin(); item != end; ++item)
+        result.longest.push_back(item->second->stall());
+    return result;
 }
 
 } // namespace rattanrill::jobs
--- a/src/jobs/jobmonitor.cpp
+++ b/src/jobs/jobmonitor.cpp
@@ -54,9 +54,8 @@
     m_context.metrics.set("rattanrill_batch_items_held", {}, static_cast<double>(counts.held));
     if (!m_context.replica.isLeader() || m_executor.openItemCount() == 0)
         return;
-    const std::vector<StalledItem> stalled = m_executor.stalledItems(minStall);
-    m_context.metrics.set("rattanrill_batch_items_stalled", {},
-                          static_cast<double>(stalled.size()));
+    const StalledItems stalled = m_executor.stalledItems(minStall, maxNamedItems);
+    m_context.metrics.set("rattanrill_batch_items_stalled", {}, static_cast<double>(stalled.count));
     log(LogLevel::Info, "batch-progress",
         {{"waiting", counts.waiting},
          {"running", counts.running},
@@ -65,16 +64,14 @@
          {"attempts", attempts},
          {"yields", preemptions},
          {"results", results},
-         {"stalled", static_cast<std::int64_t>(stalled.size())},
+         {"stalled", stalled.count},
          {"loopDelayMs", absl::ToInt64Milliseconds(delay)}});
-    logStalledItems(stalled);
+    logStalledItems(stalled.longest);
 }
 
-/// Names the items that have made no progress for the longest time.
-void JobMonitor::logStalledItems(const std::vector<StalledItem> &stalled) const
+void JobMonitor::logStalledItems(const std::vector<StalledItem> &items) const
 {
-    for (std::size_t index = 0; index < std::min(stalled.size(), maxNamedItems); ++index) {
-        const StalledItem &item = stalled[index];
+    for (const StalledItem &item : items) {
         log(LogLevel::Info, "item-stalled",
             {{"job", item.job},
              {"item", item.item},
--- a/src/jobs/jobmonitor.h
+++ b/src/jobs/jobmonitor.h
@@ -24,7 +24,7 @@
 
 private:
     void report();
-    void logStalledItems(const std::vector<StalledItem> &stalled) const;
+    void logStalledItems(const std::vector<StalledItem> &items) const;
     /// Returns by how much the counter \a name has increased since the previous report, which set
     /// \a previous.
     std::int64_t increase(const char *name, std::uint64_t &previous) const;
--- a/tests/jobs/itemrun_test.cpp
+++ b/tests/jobs/itemrun_test.cpp
@@ -363,13 +363,15 @@
     startWaiting();
     absl::SleepFor(absl::Milliseconds(200));
     thread.run([this] {
-        const auto stalled = executor.stalledItems(absl::Milliseconds(100));
-        BOOST_TEST_REQUIRE(stalled.size() == 1u);
-        BOOST_TEST((stalled.front().waitsFor == ItemWait::Slot));
-        BOOST_TEST(stalled.front().job == "job");
-        BOOST_TEST(stalled.front().service == "llm");
-        BOOST_TEST(stalled.front().sender == "store");
-        BOOST_TEST(executor.stalledItems(absl::Minutes(1)).empty());
+        const StalledItems stalled = executor.stalledItems(absl::Milliseconds(100), 3);
+        BOOST_TEST(stalled.count == 1);
+        BOOST_TEST_REQUIRE(stalled.longest.size() == 1u);
+        BOOST_TEST((stalled.longest.front().waitsFor == ItemWait::Slot));
+        BOOST_TEST(stalled.longest.front().job == "job");
+        BOOST_TEST(stalled.longest.front().service == "llm");
+        BOOST_TEST(stalled.longest.front().sender == "store");
+        BOOST_TEST(executor.stalledItems(absl::Milliseconds(100), 0).count == 1);
+        BOOST_TEST(executor.stalledItems(absl::Minutes(1), 3).count == 0);
     });
 }
 
