--- a/tests/jobs/jobservice_test.cpp
+++ b/tests/jobs/jobservice_test.cpp
@@ -35,6 +35,40 @@
     BOOST_TEST((submitFailure(submission("other")).code != ErrorCode::UnknownRoute));
 }
 
+// Guards against results that can't be read for as long as the settings say, and against stores
+// whose memory is exceeded by jobs that are kept for longer. The open job is kept whatever its age.
+BOOST_AUTO_TEST_CASE(jobsAreKeptForTheRetentionOfTheSettings)
+{
+    const auto commitJob = [this](const std::string &id, absl::Duration age, bool isEnded) {
+        wire::JobRecord job = submission(id).job;
+        job.acceptedAtMs = absl::ToUnixMillis(absl::Now() - age);
+        commit(wire::AcceptJob{job, 0});
+        if (isEnded)
+            commit(wire::EndJob{"w", id});
+    };
+    commitJob("old", jobRetention + absl::Minutes(1), true);
+    commitJob("recent", jobRetention - absl::Seconds(30), true);
+    commitJob("open", jobRetention + absl::Minutes(1), false);
+    const auto isKept = [this](const std::string &id) {
+        bool result = false;
+        absl::Notification done;
+        thread.run([&] {
+            client.read({"w", id, 0, 0}, absl::Seconds(5), [&](const auto &outcome) {
+                result = outcome.ok();
+                done.Notify();
+            });
+        });
+        done.WaitForNotification();
+        return result;
+    };
+    const absl::Time end = absl::Now() + absl::Seconds(30);
+    while (isKept("old") && absl::Now() < end)
+        absl::SleepFor(absl::Milliseconds(100));
+    BOOST_TEST(!isKept("old"));
+    BOOST_TEST(isKept("recent"));
+    BOOST_TEST(isKept("open"));
+}
+
 // Guards against items that run on a store that no longer leads, where nothing stops them when
 // their job is ended: leadership is lost between the proposal of a job and its outcome.
 BOOST_AUTO_TEST_CASE(jobIsNotRunByAStoreThatHasLostItsLeadership)
--- a/tests/jobs/storefixture.h
+++ b/tests/jobs/storefixture.h
@@ -242,6 +242,7 @@
         return settings;
     }
 
+    static constexpr absl::Duration jobRetention = absl::Minutes(2);
     const std::string folder = temporaryFolder();
     ListCounter lists;
     net::LoopThread thread;
@@ -265,11 +266,19 @@
                                        loop.post(onCrashReport);
                                        loop.post([done] { done(true); });
                                    }};
-    const JobExecutorContext context{loop,       SystemClock::instance(),
-                                     metrics,    adapter,
-                                     upstreams,  broker,
-                                     crashGuard, replica,
-                                     "store",    "d"};
+    const JobExecutorContext context{loop,
+                                     SystemClock::instance(),
+                                     metrics,
+                                     adapter,
+                                     upstreams,
+                                     broker,
+                                     crashGuard,
+                                     replica,
+                                     "store",
+                                     "d",
+                                     [] { return absl::InfiniteDuration(); },
+                                     std::make_shared<serving::BufferBudget>(),
+                                     jobRetention};
     JobExecutor executor{context};
     JobService service{context, executor};
     JobClient client{loop, channels, SystemClock::instance()};
