--- a/include/rattanrill/wire/jobmessages.h
+++ b/include/rattanrill/wire/jobmessages.h
@@ -218,26 +218,26 @@
 };
 
 /// Counts the items without a result of each open job.
-struct CountOpenItems
+struct CountUnfinishedItems
 {
-    static constexpr std::string_view kind = "count_open_items";
+    static constexpr std::string_view kind = "count_unfinished_items";
 };
 
 /// Number of items of an open job that have no result.
-struct OpenItemCount
+struct UnfinishedItemCount
 {
     std::string job;
     std::int64_t items = 0;
 };
 
-/// Response to CountOpenItems.
-struct OpenItemCounts
+/// Response to CountUnfinishedItems.
+struct UnfinishedItemCounts
 {
-    std::vector<OpenItemCount> jobs;
+    std::vector<UnfinishedItemCount> jobs;
 };
 
 using JobQueryOperation =
-        std::variant<ReadJobRequest, ReadItemRequest, ListOpenJobs, CountOpenItems>;
+        std::variant<ReadJobRequest, ReadItemRequest, ListOpenJobs, CountUnfinishedItems>;
 
 /// Query to the store group.
 struct JobQuery
--- a/src/jobs/jobstatemachine.cpp
+++ b/src/jobs/jobstatemachine.cpp
@@ -268,15 +268,15 @@
     return wire::encodeCommandResult(Outcome<wire::OpenJobs>(std::move(open)));
 }
 
-std::string JobStateMachine::evaluate(const wire::CountOpenItems &) const
+std::string JobStateMachine::evaluate(const wire::CountUnfinishedItems &) const
 {
-    wire::OpenItemCounts counts;
+    wire::UnfinishedItemCounts counts;
     for (const auto &[id, job] : m_jobs) {
         if (job.isOpen())
             counts.jobs.push_back(
                     {id, static_cast<std::int64_t>(job.record.items.size() - job.results.size())});
     }
-    return wire::encodeCommandResult(Outcome<wire::OpenItemCounts>(std::move(counts)));
+    return wire::encodeCommandResult(Outcome<wire::UnfinishedItemCounts>(std::move(counts)));
 }
 
 std::string JobStateMachine::snapshot() const
--- a/src/jobs/jobstatemachine.h
+++ b/src/jobs/jobstatemachine.h
@@ -55,7 +55,7 @@
     std::string evaluate(const wire::ReadJobRequest &query) const;
     std::string evaluate(const wire::ReadItemRequest &query) const;
     std::string evaluate(const wire::ListOpenJobs &query) const;
-    std::string evaluate(const wire::CountOpenItems &query) const;
+    std::string evaluate(const wire::CountUnfinishedItems &query) const;
 
     void restoreJob(wire::StoredJob stored);
     Result<const Job *> find(const std::string &workspace, const std::string &job) const;
--- a/src/jobs/openjobcheck.cpp
+++ b/src/jobs/openjobcheck.cpp
@@ -49,19 +49,19 @@
         return;
     m_isPending = true;
     m_context.replica.readOnLeader(
-            wire::encode(wire::JobQuery{wire::CountOpenItems()}),
+            wire::encode(wire::JobQuery{wire::CountUnfinishedItems()}),
             [self = shared_from_this(), generation = m_generation,
              countsBefore = m_executor.itemCounts()](const Outcome<std::string> &outcome) {
                 if (generation != self->m_generation)
                     return;
                 self->m_isPending = false;
-                const auto open = wire::decodeOutcome<wire::OpenItemCounts>(outcome);
+                const auto open = wire::decodeOutcome<wire::UnfinishedItemCounts>(outcome);
                 if (open.ok())
                     self->compare(countsBefore, open.value());
             });
 }
 
-void OpenJobCheck::compare(const ItemCounts &countsBefore, const wire::OpenItemCounts &open)
+void OpenJobCheck::compare(const ItemCounts &countsBefore, const wire::UnfinishedItemCounts &open)
 {
     addMissing(countsBefore, open);
     stopClosed(countsBefore, open);
@@ -69,12 +69,13 @@
 
 /// The executor lacks items of a job only if it had too few both before and after the query:
 /// results are stored, and jobs are accepted, in between.
-void OpenJobCheck::addMissing(const ItemCounts &countsBefore, const wire::OpenItemCounts &open)
+void OpenJobCheck::addMissing(const ItemCounts &countsBefore,
+                              const wire::UnfinishedItemCounts &open)
 {
     const ItemCounts countsAfter = m_executor.itemCounts();
     std::set<std::string> jobs;
     std::int64_t missing = 0;
-    for (const wire::OpenItemCount &job : open.jobs) {
+    for (const wire::UnfinishedItemCount &job : open.jobs) {
         const std::int64_t known =
                 std::max(countOf(countsBefore, job.job), countOf(countsAfter, job.job));
         if (known >= job.items)
@@ -95,10 +96,11 @@
 
 /// A job that the executor had when the query was sent is in the group's state then, so it is no
 /// longer open if the response lacks it.
-void OpenJobCheck::stopClosed(const ItemCounts &countsBefore, const wire::OpenItemCounts &open)
+void OpenJobCheck::stopClosed(const ItemCounts &countsBefore,
+                              const wire::UnfinishedItemCounts &open)
 {
     std::set<std::string> openJobs;
-    for (const wire::OpenItemCount &job : open.jobs)
+    for (const wire::UnfinishedItemCount &job : open.jobs)
         openJobs.insert(job.job);
     for (const auto &[job, items] : countsBefore) {
         if (openJobs.count(job) != 0 || !m_executor.runs(job))
--- a/src/jobs/openjobcheck.h
+++ b/src/jobs/openjobcheck.h
@@ -30,9 +30,9 @@
 
     void check();
     /// \a countsBefore: the items of the executor when the query was sent.
-    void compare(const ItemCounts &countsBefore, const wire::OpenItemCounts &open);
-    void addMissing(const ItemCounts &countsBefore, const wire::OpenItemCounts &open);
-    void stopClosed(const ItemCounts &countsBefore, const wire::OpenItemCounts &open);
+    void compare(const ItemCounts &countsBefore, const wire::UnfinishedItemCounts &open);
+    void addMissing(const ItemCounts &countsBefore, const wire::UnfinishedItemCounts &open);
+    void stopClosed(const ItemCounts &countsBefore, const wire::UnfinishedItemCounts &open);
 
     /// A copy, because a pending query keeps this object alive longer than its owner.
     const JobExecutorContext m_context;
