--- a/src/jobs/itemrun.cpp
+++ b/src/jobs/itemrun.cpp
@@ -4,8 +4,6 @@
 #include "rattanrill/base/logduration.h"
 #include "rattanrill/base/logger.h"
 
-#include "absl/strings/str_join.h"
-
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -24,26 +22,12 @@
 /// further attempt computes the prompt again.
 constexpr absl::Duration idleTimeout = absl::Milliseconds(1500);
 
-/// Time between two checks whether an item that crashes upstreams may run again. An item that waits
-/// for a slot keeps its trial by these checks, see serving::CrashGuard::isBlocked().
-constexpr absl::Duration holdPeriod = absl::Seconds(1);
-
 /// Time after which an entry ends a call that it forwards and that was not cancelled.
 constexpr absl::Duration maxForwardedTime = absl::Minutes(1);
 
-/// Time without progress after which an item no longer waits for the version that wrote its output,
-/// or at a service, if no upstream there is usable: they may be listed and still be unreachable.
-/// Long against the ejection of an upstream that fails for a moment.
-constexpr absl::Duration maxStall = absl::Seconds(10);
-
 constexpr int statusUnprocessable = 422;
 constexpr int statusServerError = 500;
 
-std::string taskId(const wire::JobRecord &job, const wire::JobItem &item)
-{
-    return concat("item/", job.id, "/", item.id);
-}
-
 /// Returns the traits of \a item by which crashes of upstreams are attributed.
 serving::CrashTraits traitsOf(const serving::ProtocolAdapter &protocol, const wire::JobRecord &job,
                               const wire::JobItem &item)
@@ -82,6 +66,11 @@
         acquireSlot();
 }
 
+std::string ItemRun::taskId() const
+{
+    return concat("item/", m_job->id, "/", m_item.id);
+}
+
 const serving::Route *ItemRun::route() const
 {
     return m_deployment ? m_deployment->routeNamed(m_job->route) : nullptr;
@@ -123,85 +112,6 @@
     return m_context.clock.wallNow() - absl::FromUnixMillis(m_job->acceptedAtMs);
 }
 
-bool ItemRun::isStalled() const
-{
-    return stalledFor() >= maxStall;
-}
-
-std::string ItemRun::requestSender() const
-{
-    return m_context.upstreams.isCutOff() ? std::string() : m_context.instance;
-}
-
-/// Selects a service of the route by weight, among those that have upstreams for the item.
-std::string ItemRun::chooseService() const
-{
-    const policy::SlotScheduler &scheduler = m_context.broker.scheduler();
-    return serving::selectService(*route(), m_item.id, [&](const std::string &service) {
-        return isStalled() ? scheduler.hasUsableUpstream(m_context.clock.now(), service,
-                                                         requestSender(), std::nullopt)
-                           : scheduler.slotCount(service) > 0;
-    });
-}
-
-/// Whether the item waits for an upstream of the version that wrote its output.
-bool ItemRun::needsVersion(const std::string &service) const
-{
-    if (!m_position.lastId() || m_restarts)
-        return false;
-    return !isStalled()
-           || m_context.broker.scheduler().hasUsableUpstream(m_context.clock.now(), service,
-                                                             requestSender(), m_outputVersion);
-}
-
-ItemRun::SlotNeeds ItemRun::slotNeeds() const
-{
-    SlotNeeds needs;
-    needs.service = chooseService();
-    needs.sender = requestSender();
-    if (needsVersion(needs.service))
-        needs.version = m_outputVersion;
-    needs.priority = route()->priority;
-    needs.completionObjective = route()->completionObjective;
-    return needs;
-}
-
-void ItemRun::updateRequest()
-{
-    if (m_state == State::Waiting && !(slotNeeds() == m_requested))
-        acquireSlot();
-}
-
-ItemWait ItemRun::waitsFor() const
-{
-    switch (m_state) {
-    case State::Idle:
-        return ItemWait::Configuration;
-    case State::Running:
-        return ItemWait::Response;
-    case State::BackingOff:
-        if (isHeld())
-            return ItemWait::BlockEnd;
-        return m_backoffTimer != 0 ? ItemWait::Backoff : ItemWait::FailureStored;
-    case State::Waiting:
-    case State::Ended:
-        break;
-    }
-    return ItemWait::Slot;
-}
-
-StalledItem ItemRun::stall() const
-{
-    return {m_job->id,
-            m_item.id,
-            waitsFor(),
-            stalledFor(),
-            m_attempts,
-            m_requested.service,
-            m_requested.version.value_or(std::string()),
-            m_requested.sender};
-}
-
 std::string_view ItemRun::giveUpReason() const
 {
     if (m_isRefused)
@@ -220,40 +130,6 @@
     return true;
 }
 
-void ItemRun::acquireSlot()
-{
-    if (endIfGivenUp())
-        return;
-    // A leader that takes over now must know each failure, or the item has further attempts.
-    if (m_storedServerErrors < m_serverErrors) {
-        m_state = State::BackingOff;
-        return;
-    }
-    if (isBlocked())
-        return hold();
-    endHold();
-    m_requested = slotNeeds();
-    policy::SlotTask task;
-    task.id = taskId(*m_job, m_item);
-    task.service = m_requested.service;
-    task.workspace = m_job->workspace;
-    task.failureDomain = m_context.failureDomain;
-    task.sender = m_requested.sender;
-    task.kind = policy::TaskKind::Batch;
-    task.priority = m_requested.priority;
-    task.expectedTokens = static_cast<double>(m_item.tokens);
-    task.deadline = m_context.clock.now() + (m_requested.completionObjective - age());
-    task.priorRunTime = m_priorRunTime;
-    task.version = m_requested.version;
-    m_state = State::Waiting;
-    serving::SlotBroker::BatchHandlers handlers;
-    handlers.granted = [self = shared_from_this()](const policy::GrantSlot &grant) {
-        self->handleSlotGranted(grant);
-    };
-    handlers.preempted = [self = shared_from_this()] { self->handleSlotPreempted(); };
-    m_context.broker.acquireBatch(task, std::move(handlers));
-}
-
 void ItemRun::handleSlotGranted(const policy::GrantSlot &grant)
 {
     m_upstream = grant.upstream;
@@ -492,55 +368,6 @@
     failAttempt(reason, ReleaseReason::Failed);
 }
 
-bool ItemRun::isBlocked() const
-{
-    return m_context.crashGuard.isBlocked(m_traits.all(), policy::TaskKind::Batch);
-}
-
-void ItemRun::hold()
-{
-    // The item may have requested a slot before it was blocked.
-    m_context.broker.cancelBatch(taskId(*m_job, m_item));
-    if (!isHeld()) {
-        m_heldSince = m_context.clock.now();
-        log(LogLevel::Warning, "item-held",
-            {{"job", m_job->id},
-             {"item", m_item.id},
-             {"traits", absl::StrJoin(m_traits.all(), ",")},
-             {"run", m_attempts}});
-    }
-    if (m_trialTimer == 0)
-        m_trialTimer =
-                m_context.loop.timers().subscribeEvery(holdPeriod, [self = shared_from_this()] {
-                    if (self->m_state == State::Waiting)
-                        self->isBlocked();
-                });
-    retryAfter(holdPeriod);
-}
-
-void ItemRun::endHold()
-{
-    if (!isHeld())
-        return;
-    log(LogLevel::Info, "item-released",
-        {{"job", m_job->id},
-         {"item", m_item.id},
-         {"heldMs", absl::ToInt64Milliseconds(m_context.clock.now() - *m_heldSince)},
-         {"run", m_attempts}});
-    m_heldSince.reset();
-}
-
-void ItemRun::retryAfter(absl::Duration delay)
-{
-    m_state = State::BackingOff;
-    cancelTimer(m_backoffTimer);
-    m_backoffTimer = m_context.loop.timers().subscribeOnce(delay, [self = shared_from_this()] {
-        self->m_backoffTimer = 0;
-        if (self->m_state == State::BackingOff)
-            self->acquireSlot();
-    });
-}
-
 void ItemRun::skipLeavingUpstream()
 {
     releaseSlot(ReleaseReason::Cancelled);
@@ -578,8 +405,8 @@
             m_forwarder.empty() ? m_context.upstreams.isWitness(reason) : !m_hasForwarderFailed;
     const std::string observer = m_forwarder.empty() ? m_context.instance : m_forwarder;
     releaseForwarder();
-    m_context.broker.releaseBatch(taskId(*m_job, m_item),
-                                  isWitness ? reason : ReleaseReason::Cancelled, observer);
+    m_context.broker.releaseBatch(taskId(), isWitness ? reason : ReleaseReason::Cancelled,
+                                  observer);
 }
 
 void ItemRun::abandon()
@@ -588,7 +415,7 @@
         return;
     if (m_state == State::Running)
         m_context.upstreams.cancel(m_call);
-    m_context.broker.cancelBatch(taskId(*m_job, m_item));
+    m_context.broker.cancelBatch(taskId());
     finish(wire::ItemOutcome::DeadLettered,
            "the item was not completed within the route's time limit");
 }
@@ -654,7 +481,7 @@
     if (m_state == State::Running)
         m_context.upstreams.cancel(m_call);
     releaseForwarder();
-    m_context.broker.cancelBatch(taskId(*m_job, m_item));
+    m_context.broker.cancelBatch(taskId());
     m_state = State::Ended;
     m_bufferShare.reset();
     for (TimerService::TimerId *timer :
--- a/src/jobs/itemrun.h
+++ b/src/jobs/itemrun.h
@@ -89,6 +89,8 @@
         }
     };
 
+    /// Id of the item's requests for slots.
+    std::string taskId() const;
     const serving::Route *route() const;
     SlotNeeds slotNeeds() const;
     std::string chooseService() const;
